--- /dev/null
+++ b/src/core/gateway/choose-engine.ts
@@ -0,0 +1,217 @@
+/**
+ * Plans a model request: read the prompt at a prefill engine and go on at a decode engine, or let a
+ * decode engine read it by itself. Each way is priced by the expected time to the first event.
+ */
+import { avalanche, EMPTY_HASH, hashText } from '../common/hash.js';
+import type { PromptPart, RequestDescription } from './description.js';
+import type { EngineLoad } from './engine-load.js';
+import type { PrefixKnowledge } from './prefix-knowledge.js';
+import type { ReadSpeed } from './read-speed.js';
+import type { ServerRecord } from './server-directory.js';
+import type { ServerHealth } from './server-health.js';
+
+const SUSPECT_COST_MS = 20_000;
+const FAILURE_COST_MS = 400;
+const OTHER_ZONE_COST_MS = 4;
+/** A call more, and a move of the memory. */
+const HAND_OVER_MS = 20;
+/** What a run already there adds to the time of the next. */
+const RUNNING_COST_MS = 1.5;
+/** A part that nobody keeps is read at its home, unless that waits longer than this. */
+const HOME_BONUS_MS = 60;
+/** Reading at a decode engine also slows the runs there. */
+const DECODE_READ_FACTOR = 1.25;
+/** Fewer missing tokens than this are not worth fetching from another engine. */
+const LEAST_FETCHED_TOKENS = 1_024;
+const FETCH_OVERHEAD_MS = 12;
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT_MS = 1_000;
+
+/** What the plan is made from. */
+export interface EngineChoiceInput {
+  readonly candidates: readonly ServerRecord[];
+  readonly excludedIds: ReadonlySet<string>;
+  readonly description: RequestDescription;
+  readonly zone: string;
+  readonly nowMs: number;
+  readonly knowledge: PrefixKnowledge;
+  readonly speed: ReadSpeed;
+  readonly kvTokenBytes: number;
+  readonly linkMbps: number;
+  healthOf(id: string): ServerHealth;
+  loadOf(id: string): EngineLoad;
+}
+
+/** Read at one engine, go on at another. */
+export interface PrefillStep {
+  readonly server: ServerRecord;
+  readonly expectedMs: number;
+  /** Tokens that are not kept there and have to be read. */
+  readonly missingTokens: number;
+  /** An engine that keeps more of the prompt, to take it from. */
+  readonly fetchFrom: ServerRecord | undefined;
+}
+
+/** How a model request is to be run. */
+export type EnginePlan =
+  | { readonly kind: 'prefill'; readonly prefill: PrefillStep; readonly expectedMs: number }
+  | {
+      readonly kind: 'direct';
+      readonly server: ServerRecord;
+      readonly fetchFrom: ServerRecord | undefined;
+      readonly missingTokens: number;
+      readonly expectedMs: number;
+    };
+
+interface ReadEstimate {
+  readonly server: ServerRecord;
+  readonly costMs: number;
+  readonly readMs: number;
+  readonly missingTokens: number;
+  readonly fetchFrom: ServerRecord | undefined;
+}
+
+/** The best way to run a model request; undefined when no engine that generates is left. */
+export function planModelRequest(input: EngineChoiceInput): EnginePlan | undefined {
+  const direct = bestReader(input, 'decode');
+  const prefill = bestReader(input, 'prefill');
+  if (direct === undefined) return undefined;
+  if (prefill !== undefined && prefill.costMs + HAND_OVER_MS < direct.costMs) {
+    return {
+      kind: 'prefill',
+      expectedMs: prefill.costMs + HAND_OVER_MS,
+      prefill: {
+        server: prefill.server,
+        expectedMs: prefill.readMs,
+        missingTokens: prefill.missingTokens,
+        fetchFrom: prefill.fetchFrom,
+      },
+    };
+  }
+  return {
+    kind: 'direct',
+    server: direct.server,
+    fetchFrom: direct.fetchFrom,
+    missingTokens: direct.missingTokens,
+    expectedMs: direct.costMs,
+  };
+}
+
+/** The engine that goes on from a prompt read at `source`. */
+export function chooseDecodeEngine(
+  input: EngineChoiceInput,
+  source: ServerRecord,
+): ServerRecord | undefined {
+  return lowest(enginesOf(input, 'decode'), (server) => {
+    const moveCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
+    return moveCost + baseCost(server, input);
+  });
+}
+
+/** The engine where a part is read first, the same for all daemons that list the same engines. */
+export function homeOf(partId: string, servers: readonly ServerRecord[]): ServerRecord | undefined {
+  return lowest(servers, (server) => -rendezvousWeight(partId, server.id));
+}
+
+function bestReader(
+  input: EngineChoiceInput,
+  stage: 'prefill' | 'decode',
+): ReadEstimate | undefined {
+  const servers = enginesOf(input, stage);
+  const shared = sharedPart(input.description.promptParts);
+  const home = shared === undefined ? undefined : homeOf(shared.id, servers);
+  let best: ReadEstimate | undefined;
+  for (const server of servers) {
+    const estimate = estimateRead(server, stage, input, server === home);
+    if (best === undefined || estimate.costMs < best.costMs) best = estimate;
+  }
+  return best;
+}
+
+function estimateRead(
+  server: ServerRecord,
+  stage: 'prefill' | 'decode',
+  input: EngineChoiceInput,
+  isHome: boolean,
+): ReadEstimate {
+  const { description, knowledge, nowMs } = input;
+  const kept = knowledge.keptTokens(server.id, description.promptParts, nowMs);
+  const donor = bestDonor(server, kept, input);
+  const fetched = donor === undefined ? 0 : donor.keptTokens - kept;
+  const missingTokens = Math.max(1, description.promptTokens - kept - fetched);
+  const fetchMs = donor === undefined ? 0 : moveMs(fetched, input);
+  const pace =
+    stage === 'prefill'
+      ? input.speed.prefillMs.bind(input.speed)
+      : input.speed.decodeMs.bind(input.speed);
+  const readMs = pace(missingTokens) + fetchMs;
+  const slowed = stage === 'decode' ? readMs * DECODE_READ_FACTOR : readMs;
+  const bonusMs = isHome && kept === 0 ? HOME_BONUS_MS : 0;
+  return {
+    server,
+    readMs,
+    missingTokens,
+    fetchFrom: donor?.server,
+    costMs: baseCost(server, input) + slowed - bonusMs,
+  };
+}
+
+/** Another engine that keeps enough more of the prompt to be worth a move. */
+function bestDonor(
+  server: ServerRecord,
+  keptTokens: number,
+  input: EngineChoiceInput,
+): { readonly server: ServerRecord; readonly keptTokens: number } | undefined {
+  let best: { readonly server: ServerRecord; readonly keptTokens: number } | undefined;
+  for (const other of input.candidates) {
+    if (other.id === server.id || input.healthOf(other.id).isSuspect(input.nowMs)) continue;
+    const kept = input.knowledge.keptTokens(other.id, input.description.promptParts, input.nowMs);
+    if (kept - keptTokens < LEAST_FETCHED_TOKENS) continue;
+    if (best === undefined || kept > best.keptTokens) best = { server: other, keptTokens: kept };
+  }
+  return best;
+}
+
+function moveMs(tokens: number, input: EngineChoiceInput): number {
+  const bits = tokens * input.kvTokenBytes * BITS_PER_BYTE;
+  return FETCH_OVERHEAD_MS + bits / (input.linkMbps * BITS_PER_MEGABIT_MS);
+}
+
+function enginesOf(input: EngineChoiceInput, stage: 'prefill' | 'decode'): ServerRecord[] {
+  return input.candidates.filter(
+    (server) => server.stage === stage && !input.excludedIds.has(server.id),
+  );
+}
+
+function baseCost(server: ServerRecord, input: EngineChoiceInput): number {
+  const health = input.healthOf(server.id);
+  const load = input.loadOf(server.id);
+  let cost = load.expectedWaitMs(input.nowMs) + RUNNING_COST_MS * load.running;
+  if (server.zone !== input.zone) cost += OTHER_ZONE_COST_MS;
+  cost += FAILURE_COST_MS * health.failureRate;
+  if (health.isSuspect(input.nowMs)) cost += SUSPECT_COST_MS;
+  return cost;
+}
+
+/** The longest part before the last, which belongs to the request alone. */
+function sharedPart(parts: readonly PromptPart[]): PromptPart | undefined {
+  return lowest(parts.slice(0, -1), (part) => -part.tokens);
+}
+
+function lowest<T>(items: readonly T[], costOf: (item: T) => number): T | undefined {
+  let best: T | undefined;
+  let lowestCost = Number.POSITIVE_INFINITY;
+  for (const item of items) {
+    const cost = costOf(item);
+    if (cost < lowestCost) {
+      best = item;
+      lowestCost = cost;
+    }
+  }
+  return best;
+}
+
+/** Rendezvous hashing over both names. */
+function rendezvousWeight(partId: string, serverId: string): number {
+  return avalanche(hashText(hashText(EMPTY_HASH, partId), serverId).low);
+}
--- /dev/null
+++ b/src/core/gateway/configuration.ts
@@ -0,0 +1,88 @@
+/**
+ * The configuration of described requests: routes by host and path, the services behind them and
+ * what a caller may send. It is written by an operator elsewhere and only read here.
+ */
+
+/** How a route's requests may be run and answered. */
+export type RouteKind =
+  /** May run more than once. */
+  | 'idempotent'
+  /** Runs at most once. */
+  | 'non-idempotent'
+  /** Answered by events; runs at most once unless `resumable`. */
+  | 'streaming';
+
+/** One part of a route's traffic. */
+export interface TrafficShare {
+  readonly service: string;
+  /** Relative weight, not negative. */
+  readonly weight: number;
+}
+
+/** Where requests of one host and path prefix go, and within which bounds. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  /** Whether a stream may be taken up at another server after its last event. */
+  readonly resumable: boolean;
+  /** The longest time a request is held. */
+  readonly timeoutMs: number;
+  /** Within this time an answer (a stream's first event) has its full value. */
+  readonly targetLatencyMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** How many servers one request may run on. */
+  readonly attempts: number;
+  readonly traffic: readonly TrafficShare[];
+}
+
+/** What is known of a service's model engines. */
+export interface EngineTraits {
+  readonly slots: number;
+  readonly kvTokens: number;
+  readonly kvTokenBytes: number;
+  readonly linkMbps: number;
+  /** Held news calls that one engine takes from all daemons together. */
+  readonly maxNewsCalls: number;
+  readonly handleTtlMs: number;
+  readonly roleSwitchMs: number;
+}
+
+/** A group of interchangeable servers. */
+export interface Service {
+  readonly name: string;
+  readonly maxConnections: number;
+  /** Absent for plain web servers. */
+  readonly engine: EngineTraits | undefined;
+}
+
+/** What a caller may send and how long it may take. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** One version of the whole configuration. */
+export interface GatewayConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<string, Service>;
+  readonly limits: CallerLimits;
+}
+
+/** Whether a request of this route may run on more than one server. */
+export function isRepeatable(route: Route): boolean {
+  switch (route.kind) {
+    case 'idempotent':
+      return true;
+    case 'non-idempotent':
+      return false;
+    case 'streaming':
+      return route.resumable;
+  }
+}
--- /dev/null
+++ b/src/core/gateway/description.ts
@@ -0,0 +1,36 @@
+/**
+ * What a caller states of a request beside its opaque body. Nothing here is read from the body.
+ */
+
+/** A part of a prompt, in order; equal ids are equal text, which engines may keep. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** A described request. */
+export interface RequestDescription {
+  /** Chosen by the caller, new with each of its attempts. */
+  readonly attemptId: string;
+  /** How long the caller waits; undefined when it does not say. */
+  readonly deadlineMs: number | undefined;
+  /** Undefined for plain web requests. */
+  readonly model: string | undefined;
+  readonly promptParts: readonly PromptPart[];
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+}
+
+/** Tokens of the leading parts that `keptTokens` says are kept, in order until the first that is not. */
+export function keptPrefixTokens(
+  parts: readonly PromptPart[],
+  keptTokens: (partId: string) => number,
+): number {
+  let total = 0;
+  for (const part of parts) {
+    const kept = Math.min(part.tokens, keptTokens(part.id));
+    total += kept;
+    if (kept < part.tokens) break;
+  }
+  return total;
+}
--- /dev/null
+++ b/src/core/gateway/index.ts
@@ -0,0 +1,34 @@
+/** Described requests: routes, servers, and the choices that are made for each request. */
+export {
+  chooseDecodeEngine,
+  type EngineChoiceInput,
+  type EnginePlan,
+  homeOf,
+  type PrefillStep,
+  planModelRequest,
+} from './choose-engine.js';
+export { chooseWebServer, type WebChoiceInput } from './choose-web-server.js';
+export {
+  type CallerLimits,
+  type EngineTraits,
+  type GatewayConfiguration,
+  isRepeatable,
+  type Route,
+  type RouteKind,
+  type Service,
+  type TrafficShare,
+} from './configuration.js';
+export { keptPrefixTokens, type PromptPart, type RequestDescription } from './description.js';
+export { EngineLoad, type PendingRead } from './engine-load.js';
+export { PrefixKnowledge } from './prefix-knowledge.js';
+export { ReadSpeed } from './read-speed.js';
+export { RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
+export { RouteTable, TrafficSplitter } from './route-table.js';
+export {
+  type DirectoryChange,
+  type EngineStage,
+  ServerDirectory,
+  type ServerRecord,
+  type ServerState,
+} from './server-directory.js';
+export { type OpenCall, ServerHealth } from './server-health.js';
--- /dev/null
+++ b/src/core/gateway/server-health.ts
@@ -0,0 +1,82 @@
+/**
+ * What this daemon has seen of one server: how much it has there, and how its answers went. A server
+ * that fails is passed over for a time that doubles with each failure in a row, then tried again.
+ */
+
+const FIRST_EJECTION_MS = 400;
+const LONGEST_EJECTION_MS = 4_000;
+/** Weight of the newest outcome in the failure rate. */
+const FAILURE_WEIGHT = 0.12;
+/** A server that owes its first byte for this long is not given more, where there is a choice. */
+const SILENT_AFTER_MS = 400;
+
+/** One call that a server has not answered yet. */
+export interface OpenCall {
+  readonly startedAtMs: number;
+}
+
+/** This daemon's own record of a server. */
+export class ServerHealth {
+  readonly #openCalls = new Set<OpenCall>();
+  #ejectedUntilMs = 0;
+  #failuresInARow = 0;
+  #failureRate = 0;
+  #responseMs: number | undefined;
+
+  /** Calls that are under way. */
+  get openCalls(): number {
+    return this.#openCalls.size;
+  }
+
+  /** Recent share of calls that failed, 0 to 1. */
+  get failureRate(): number {
+    return this.#failureRate;
+  }
+
+  /** Smoothed time of good answers; undefined before the first. */
+  get responseMs(): number | undefined {
+    return this.#responseMs;
+  }
+
+  open(nowMs: number): OpenCall {
+    const call: OpenCall = { startedAtMs: nowMs };
+    this.#openCalls.add(call);
+    return call;
+  }
+
+  close(call: OpenCall): void {
+    this.#openCalls.delete(call);
+  }
+
+  recordSuccess(elapsedMs: number): void {
+    this.#failuresInARow = 0;
+    this.#ejectedUntilMs = 0;
+    this.#failureRate *= 1 - FAILURE_WEIGHT;
+    this.#responseMs =
+      this.#responseMs === undefined ? elapsedMs : 0.8 * this.#responseMs + 0.2 * elapsedMs;
+  }
+
+  /** The server answered, but with a failure of its own; counted, without ejecting it. */
+  recordServerError(): void {
+    this.#failureRate += (1 - this.#failureRate) * FAILURE_WEIGHT;
+  }
+
+  /** The server could not be reached, broke off, or answered what is no answer. */
+  recordBroken(nowMs: number): void {
+    this.recordServerError();
+    const ejectionMs = FIRST_EJECTION_MS * 2 ** this.#failuresInARow;
+    this.#ejectedUntilMs = nowMs + Math.min(LONGEST_EJECTION_MS, ejectionMs);
+    this.#failuresInARow += 1;
+  }
+
+  /** Whether it is to be passed over where there is another. */
+  isSuspect(nowMs: number): boolean {
+    return nowMs < this.#ejectedUntilMs || this.oldestOpenMs(nowMs) > SILENT_AFTER_MS;
+  }
+
+  /** How long the oldest unanswered call has been open. */
+  oldestOpenMs(nowMs: number): number {
+    const oldest = this.#openCalls.values().next();
+    return oldest.done === true ? 0 : nowMs - oldest.value.startedAtMs;
+  }
+}
--- a/src/core/logging/catalogue/index.ts
+++ b/src/core/logging/catalogue/index.ts
@@ -7,6 +7,7 @@
 import { CONFIGURATION_EVENTS } from './configuration.js';
 import { DAEMON_EVENTS } from './daemon.js';
 import { ENGINE_EVENTS } from './engine.js';
+import { GATEWAY_EVENTS } from './gateway.js';
 import { LEASE_EVENTS } from './lease.js';
 import { MEMBERSHIP_EVENTS } from './membership.js';
 import { OPERATOR_EVENTS } from './operator.js';
@@ -58,4 +59,5 @@
     events: CONFIGURATION_EVENTS,
   },
   { name: 'operator', title: 'Operator API', firstNumber: 5000, events: OPERATOR_EVENTS },
+  { name: 'gateway', title: 'Described requests', firstNumber: 6000, events: GATEWAY_EVENTS },
 ];
--- /dev/null
+++ b/src/daemon/gateway-main.ts
@@ -0,0 +1,66 @@
+/**
+ * Entry point of the gateway on the users' platform: reads its settings, starts, reloads on SIGHUP
+ * and stops on SIGTERM. The one place of the product that names an adapter.
+ */
+import { readFileSync } from 'node:fs';
+import type { Result } from 'neverthrow';
+import { pino } from 'pino';
+import { createPlatformAdapter } from '../../platform/index.js';
+import { GATEWAY_EVENTS } from '../core/logging/catalogue/gateway.js';
+import {
+  Gateway,
+  GatewayLog,
+  type GatewaySettings,
+  parseGatewaySettings,
+  type SettingsProblem,
+  SYSTEM_TIMERS,
+} from '../shell/gateway/index.js';
+import { createLogger } from '../shell/logging/index.js';
+
+const EXIT_USAGE = 2;
+const STANDARD_OUTPUT = 1;
+const MAX_BUFFERED_LOG_BYTES = 1_048_576;
+const SETTINGS_VARIABLE = 'THREADFORK_NODE_FILE';
+
+const settingsPath = process.argv[2] ?? process.env[SETTINGS_VARIABLE] ?? '';
+
+function readSettings(): Result<GatewaySettings, SettingsProblem> {
+  return parseGatewaySettings(readFileSync(settingsPath, 'utf8'));
+}
+
+function exitOnWrongSettings(problem: SettingsProblem): never {
+  const { key, found, remedy } = problem;
+  process.stderr.write(`${settingsPath}: ${key}: found ${found}. ${remedy}\n`);
+  process.exit(EXIT_USAGE);
+}
+
+const settings = readSettings().match((value) => value, exitOnWrongSettings);
+const destination = pino.destination({
+  fd: STANDARD_OUTPUT,
+  sync: false,
+  maxLength: MAX_BUFFERED_LOG_BYTES,
+});
+const logger = createLogger({ level: 'info', destination });
+const log = new GatewayLog(logger, SYSTEM_TIMERS, settings.logging.maxLinesPerSecond);
+const gateway = new Gateway({
+  settings,
+  adapter: createPlatformAdapter(settings.store),
+  timers: SYSTEM_TIMERS,
+  log,
+});
+
+process.on('SIGHUP', () => {
+  readSettings().match(
+    (reread) => gateway.reload(reread),
+    (problem) => log.write(GATEWAY_EVENTS.settingsRejected, { ...problem }),
+  );
+});
+
+process.on('SIGTERM', () => {
+  void gateway.stop().then(() => {
+    destination.flushSync();
+    process.exit(0);
+  });
+});
+
+void gateway.start();
--- /dev/null
+++ b/src/shell/gateway/attempt.ts
@@ -0,0 +1,182 @@
+/**
+ * One sending of a request to one server: the call, the check that the answer is this request's,
+ * and what was seen of the server.
+ */
+import type { EngineTraits, OpenCall, ServerRecord } from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { BackendAnswer, BackendConnections } from './backend-connections.js';
+import type { Exchange } from './exchange.js';
+import type { FleetView } from './fleet-view.js';
+import type { MemorySource, RequestCodec } from './ports.js';
+
+/** A connection that is not up by then goes to another server. */
+const CONNECT_TIMEOUT_MS = 220;
+
+/** What attempts need. */
+export interface AttemptContext {
+  readonly fleet: FleetView;
+  readonly connections: BackendConnections;
+  readonly codec: RequestCodec;
+  /** Where this daemon stands. */
+  readonly zone: string;
+}
+
+/** What varies from one attempt to the next. */
+export interface AttemptOptions {
+  readonly server: ServerRecord;
+  readonly mayKeepConnection: boolean;
+  readonly priority: number | undefined;
+  readonly prefillOnly: boolean;
+  readonly memorySource: MemorySource | undefined;
+  readonly fetchFrom: string | undefined;
+  readonly resumeAfterEventId: string | undefined;
+  readonly signal: AbortSignal;
+}
+
+/** How an attempt went until the head of an answer. */
+export type AttemptResult =
+  | { readonly kind: 'answered'; readonly attempt: AnsweredAttempt }
+  /** The server had no part in it. */
+  | { readonly kind: 'not-sent'; readonly reason: string }
+  /** The server says that it has not run it. */
+  | { readonly kind: 'not-executed'; readonly status: number }
+  /** It may have run; there is no answer. */
+  | { readonly kind: 'broken'; readonly reason: string };
+
+/** An attempt whose answer has begun. */
+export interface AnsweredAttempt {
+  readonly server: ServerRecord;
+  readonly answer: BackendAnswer;
+  readonly isStamped: boolean;
+  /** Call when the body has ended well or not. */
+  readonly end: (isGood: boolean) => void;
+}
+
+/** Options that are the same for most attempts. */
+export function plainAttempt(server: ServerRecord, signal: AbortSignal): AttemptOptions {
+  return {
+    server,
+    mayKeepConnection: false,
+    priority: undefined,
+    prefillOnly: false,
+    memorySource: undefined,
+    fetchFrom: undefined,
+    resumeAfterEventId: undefined,
+    signal,
+  };
+}
+
+/** Sends a request to a server and waits for the head of its answer. */
+export async function sendAttempt(
+  exchange: Exchange,
+  context: AttemptContext,
+  options: AttemptOptions,
+): Promise<AttemptResult> {
+  const { request, body, timers, description } = exchange.options;
+  const health = context.fleet.healthOf(options.server.id);
+  const startedAtMs = timers.nowMs();
+  const open = health.open(startedAtMs);
+  const headers = context.codec.backendHeaders(request.rawHeaders, {
+    serverId: options.server.id,
+    deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
+    priority: options.priority,
+    prefillOnly: options.prefillOnly,
+    memorySource: options.memorySource,
+    fetchFrom: options.fetchFrom,
+    resumeAfterEventId: options.resumeAfterEventId,
+  });
+  const hasBody = body.length > 0 || request.headers['content-length'] !== undefined;
+  if (hasBody || request.headers['transfer-encoding'] !== undefined) {
+    headers.push('Content-Length', String(body.length));
+  }
+  const result = await context.connections.call({
+    address: options.server.address,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers,
+    body,
+    mayKeepConnection: options.mayKeepConnection,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    signal: options.signal,
+  });
+  const failed = (failure: AttemptResult): AttemptResult => {
+    health.close(open);
+    if (!options.signal.aborted) {
+      noteFailure(exchange, context, options, failure, timers.nowMs() - startedAtMs);
+    }
+    return failure;
+  };
+  if (result.kind !== 'answered') return failed(result);
+  const { answer } = result;
+  const marks = context.codec.readMarks(answer.status, answer.message.headers);
+  if (marks.isNotExecuted) {
+    answer.message.resume();
+    return failed({ kind: 'not-executed', status: answer.status });
+  }
+  if (marks.attemptId !== description.attemptId) {
+    answer.destroy();
+    return failed({ kind: 'broken', reason: "another request's answer" });
+  }
+  const end = (isGood: boolean) => endAttempt(context, options, open, isGood, answer, startedAtMs);
+  const attempt = { server: options.server, answer, isStamped: marks.isStamped, end: once(end) };
+  return { kind: 'answered', attempt };
+
+  function endAttempt(
+    ctx: AttemptContext,
+    opts: AttemptOptions,
+    call: OpenCall,
+    isGood: boolean,
+    finished: BackendAnswer,
+    sinceMs: number,
+  ): void {
+    health.close(call);
+    const elapsedMs = timers.nowMs() - sinceMs;
+    if (isGood && finished.status < 500) return health.recordSuccess(elapsedMs);
+    if (opts.signal.aborted) return;
+    if (isGood) {
+      health.recordServerError();
+      exchange.options.metrics.recordAttempt('server-error');
+      return;
+    }
+    noteFailure(exchange, ctx, opts, { kind: 'broken', reason: 'broke off' }, elapsedMs);
+  }
+}
+
+function once(callback: (isGood: boolean) => void): (isGood: boolean) => void {
+  let isCalled = false;
+  return (isGood) => {
+    if (isCalled) return;
+    isCalled = true;
+    callback(isGood);
+  };
+}
+
+function noteFailure(
+  exchange: Exchange,
+  context: AttemptContext,
+  options: AttemptOptions,
+  failure: AttemptResult,
+  elapsedMs: number,
+): void {
+  const { log, metrics, description, timers } = exchange.options;
+  const health = context.fleet.healthOf(options.server.id);
+  if (failure.kind === 'not-executed') health.recordServerError();
+  else health.recordBroken(timers.nowMs());
+  metrics.recordAttempt(failure.kind);
+  log.write(GATEWAY_EVENTS.attemptFailed, {
+    request: description.attemptId,
+    server: options.server.id,
+    zone: options.server.zone,
+    step: options.prefillOnly ? 'prefill' : 'run',
+    result: failure.kind,
+    reason: 'reason' in failure ? failure.reason : '',
+    status: 'status' in failure ? failure.status : 0,
+    elapsedMs: Math.round(elapsedMs),
+    failureRate: Math.round(health.failureRate * 100) / 100,
+  });
+}
+
+/** The traits of an exchange's service where it has engines. */
+export function engineTraits(exchange: Exchange): EngineTraits | undefined {
+  return exchange.options.configuration.services.get(exchange.options.service)?.engine;
+}
--- /dev/null
+++ b/src/shell/gateway/caller-listener.ts
@@ -0,0 +1,176 @@
+/**
+ * The callers' listener: reads requests within the configured limits, finds their route and hands
+ * them on. Framing is checked by node:http (RFC 9112 section 6.3).
+ */
+import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Route } from '../../core/gateway/index.js';
+import type { AttemptContext } from './attempt.js';
+import { Exchange } from './exchange.js';
+import type { ConfigurationInForce } from './fleet-view.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import { runModelExchange } from './model-exchange.js';
+import type { GatewayLog } from './request-log.js';
+import type { TimerService } from './timer-service.js';
+import { runWholeExchange } from './whole-exchange.js';
+
+/** The parser's own bound; the configured one is checked on what was read. */
+const MAX_PARSED_HEADER_BYTES = 131_072;
+const HEADER_OVERHEAD_BYTES = 4;
+const MILLISECONDS_PER_SECOND = 1_000;
+const UNCONFIGURED_RETRY_AFTER_MS = 1_000;
+const CONNECTION_CHECK_MS = 1_000;
+const DEFAULT_IDLE_MS = 15_000;
+
+/** What a listener is built from. */
+export interface CallerListenerOptions {
+  readonly context: AttemptContext;
+  readonly timers: TimerService;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** Takes callers' requests. */
+export class CallerListener {
+  readonly #options: CallerListenerOptions;
+  readonly #server: Server;
+  #isStopping = false;
+  #inFlight = 0;
+
+  constructor(options: CallerListenerOptions) {
+    this.#options = options;
+    this.#server = http.createServer(
+      {
+        maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+        keepAliveTimeout: DEFAULT_IDLE_MS,
+        requestTimeout: 0,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      },
+      (request, response) => {
+        void this.#take(request, response);
+      },
+    );
+  }
+
+  /** Requests that have no final answer yet. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  get server(): Server {
+    return this.#server;
+  }
+
+  /** Takes the limits of a configuration for new connections. */
+  applyLimits(limits: ConfigurationInForce['configuration']['limits']): void {
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /** From now on answers ask callers to close their connections. */
+  beginStop(): void {
+    this.#isStopping = true;
+  }
+
+  async #take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#inFlight += 1;
+    response.once('close', () => {
+      this.#inFlight -= 1;
+    });
+    response.on('error', () => response.destroy());
+    const arrivedAtMs = this.#options.timers.nowMs();
+    const inForce = this.#options.context.fleet.inForce;
+    if (inForce === undefined) {
+      const seconds = String(UNCONFIGURED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND);
+      return this.#reject(request, response, 503, 'no configuration yet', ['Retry-After', seconds]);
+    }
+    const route = inForce.routes.find(request.headers.host ?? '', request.url ?? '/');
+    if (route === undefined) return this.#reject(request, response, 404, 'no such route', []);
+    if (headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
+      return this.#reject(request, response, 431, 'headers too large', []);
+    }
+    const body = await readBody(request, inForce.configuration.limits.maxBodyBytes);
+    if (body === 'too-large') return this.#reject(request, response, 413, 'body too large', []);
+    if (body === 'broken') return;
+    await this.#exchange(request, response, inForce, route, body, arrivedAtMs);
+  }
+
+  async #exchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+    inForce: ConfigurationInForce,
+    route: Route,
+    body: Buffer,
+    arrivedAtMs: number,
+  ): Promise<void> {
+    const { context, timers, log, metrics } = this.#options;
+    const description = context.codec.describe(request.headers);
+    if (description === undefined) {
+      return this.#reject(request, response, 400, 'no attempt id', []);
+    }
+    const service = context.fleet.splitter.choose(route) ?? '';
+    const exchange = new Exchange({
+      request,
+      response,
+      route,
+      service,
+      configuration: inForce.configuration,
+      description,
+      body,
+      arrivedAtMs,
+      timers,
+      log,
+      metrics,
+      isStopping: () => this.#isStopping,
+    });
+    const hasEngines = inForce.configuration.services.get(service)?.engine !== undefined;
+    const isModelRequest = hasEngines || route.kind === 'streaming';
+    if (isModelRequest) await runModelExchange(exchange, context);
+    else await runWholeExchange(exchange, context);
+  }
+
+  #reject(
+    request: IncomingMessage,
+    response: ServerResponse,
+    status: number,
+    reason: string,
+    headers: readonly string[],
+  ): void {
+    const body = `${reason}\n`;
+    const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
+    const mustClose = this.#isStopping || !request.complete;
+    response.writeHead(status, [...headers, ...own, ...(mustClose ? ['Connection', 'close'] : [])]);
+    response.end(body);
+    this.#options.metrics.recordRequest(
+      { route: '', kind: 'none', outcome: `status-${status}`, reason },
+      0,
+    );
+    request.resume();
+  }
+}
+
+/** The size of a request's headers as they were sent. */
+function headerBytes(request: IncomingMessage): number {
+  let bytes = 0;
+  for (const text of request.rawHeaders) bytes += text.length;
+  return bytes + (request.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
+}
+
+function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | 'too-large' | 'broken'> {
+  const announced = Number(request.headers['content-length'] ?? 0);
+  if (announced > maxBytes) return Promise.resolve('too-large');
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length > maxBytes) return resolve('too-large');
+      chunks.push(chunk);
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('close', () => resolve('broken'));
+    request.once('error', () => resolve('broken'));
+  });
+}
--- /dev/null
+++ b/src/shell/gateway/exchange.ts
@@ -0,0 +1,186 @@
+/**
+ * One caller's request from arrival to its one final answer: its limits in time, whether the caller
+ * is still there, and the ways it can end.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { GatewayConfiguration, RequestDescription, Route } from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { RawHeaders } from './ports.js';
+import type { GatewayLog } from './request-log.js';
+import type { CancelTimer, TimerService } from './timer-service.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Why an exchange was ended from outside of its attempts. */
+export type Interruption = 'caller-gone' | 'out-of-time';
+
+/** What an exchange is built from. */
+export interface ExchangeOptions {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly route: Route;
+  readonly service: string;
+  readonly configuration: GatewayConfiguration;
+  readonly description: RequestDescription;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+  readonly timers: TimerService;
+  readonly log: GatewayLog;
+  readonly metrics: GatewayMetrics;
+  /** Whether answers ask the caller to close its connection. */
+  readonly isStopping: () => boolean;
+}
+
+/** A caller's request under way. */
+export class Exchange {
+  readonly options: ExchangeOptions;
+  /** When the caller, or the route, gives up on it. */
+  readonly endsAtMs: number;
+  /** Servers that have been sent it. */
+  readonly triedServerIds = new Set<string>();
+  /** Runs that may have begun, for the route's bound on attempts. */
+  runs = 0;
+  /** Whether any server may have run it. */
+  mayHaveRun = false;
+  readonly #interrupted = new AbortController();
+  readonly #cancelTimer: CancelTimer;
+  #interruption: Interruption | undefined;
+  #isAnswered = false;
+
+  constructor(options: ExchangeOptions) {
+    this.options = options;
+    const { route, description, arrivedAtMs, timers, response } = options;
+    const allowedMs = Math.min(route.timeoutMs, description.deadlineMs ?? route.timeoutMs);
+    this.endsAtMs = arrivedAtMs + allowedMs;
+    this.#cancelTimer = timers.after(this.endsAtMs - timers.nowMs(), () =>
+      this.#interrupt('out-of-time'),
+    );
+    response.once('close', () => {
+      if (!response.writableFinished) this.#interrupt('caller-gone');
+      this.#cancelTimer();
+    });
+  }
+
+  /** Aborted when the caller left or the time is over. */
+  get signal(): AbortSignal {
+    return this.#interrupted.signal;
+  }
+
+  get interruption(): Interruption | undefined {
+    return this.#interruption;
+  }
+
+  get isAnswered(): boolean {
+    return this.#isAnswered;
+  }
+
+  remainingMs(): number {
+    return this.endsAtMs - this.options.timers.nowMs();
+  }
+
+  elapsedMs(): number {
+    return this.options.timers.nowMs() - this.options.arrivedAtMs;
+  }
+
+  /** A backend's whole answer. */
+  answer(status: number, headers: RawHeaders, body: Buffer, serverId: string): void {
+    if (!this.#begin(status, [...headers, 'Content-Length', String(body.length)])) return;
+    this.options.response.end(body);
+    this.finish('answered', { status, server: serverId });
+  }
+
+  /** The head of a stream. */
+  beginStream(status: number, headers: RawHeaders): boolean {
+    return this.#begin(status, headers);
+  }
+
+  /** Refuses with the promise that it has not run and never will. */
+  refuse(reason: string, retryAfterMs: number): void {
+    if (this.mayHaveRun) return this.fail(502, reason);
+    const seconds = Math.max(0.05, retryAfterMs / MILLISECONDS_PER_SECOND).toFixed(2);
+    this.#answerOwn(503, reason, ['Retry-After', seconds]);
+    this.#record('refused', reason);
+    this.options.log.write(GATEWAY_EVENTS.requestRefused, {
+      ...this.#fields(),
+      reason,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+
+  /** Ends it without a promise. */
+  fail(status: 502 | 504, reason: string): void {
+    this.#answerOwn(status, reason, []);
+    this.#record('failed', reason);
+    this.options.log.write(GATEWAY_EVENTS.requestFailed, { ...this.#fields(), status, reason });
+  }
+
+  /** Breaks off what has begun, visibly: an answer that ends early must not look whole. */
+  breakOff(reason: string): void {
+    this.options.response.destroy();
+    this.#record('broken-off', reason);
+    this.options.log.write(GATEWAY_EVENTS.requestFailed, { ...this.#fields(), reason });
+  }
+
+  /** Says how it ended and stops its clock. */
+  finish(outcome: string, fields: Readonly<Record<string, string | number | boolean>>): void {
+    this.#cancelTimer();
+    this.#record(outcome, '');
+    this.options.log.write(GATEWAY_EVENTS.requestEnded, { ...this.#fields(), outcome, ...fields });
+  }
+
+  /** Ends it after an interruption, when no attempt is left to do so. */
+  endInterrupted(): void {
+    if (this.#interruption === 'caller-gone') {
+      this.finish('caller-gone', {});
+      return;
+    }
+    if (this.#isAnswered) return this.breakOff('out of time');
+    if (this.mayHaveRun) return this.fail(504, 'out of time');
+    this.refuse('out of time before it was sent', 0);
+  }
+
+  #begin(status: number, headers: RawHeaders): boolean {
+    const { response } = this.options;
+    if (this.#isAnswered || response.destroyed) return false;
+    this.#isAnswered = true;
+    const closing = this.options.isStopping() ? ['Connection', 'close'] : [];
+    response.writeHead(status, [...headers, ...closing]);
+    return true;
+  }
+
+  #answerOwn(status: number, reason: string, headers: RawHeaders): void {
+    this.#cancelTimer();
+    const body = Buffer.from(`${reason}\n`);
+    const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
+    if (!this.#begin(status, [...headers, ...own])) return;
+    this.options.response.end(body);
+  }
+
+  #interrupt(interruption: Interruption): void {
+    if (this.#interruption !== undefined) return;
+    this.#interruption = interruption;
+    this.#interrupted.abort();
+  }
+
+  #record(outcome: string, reason: string): void {
+    const { metrics, route } = this.options;
+    metrics.recordRequest(
+      { route: route.name, kind: route.kind, outcome, reason },
+      this.elapsedMs(),
+    );
+  }
+
+  #fields(): Readonly<Record<string, string | number | boolean>> {
+    const { description, route, service, configuration } = this.options;
+    return {
+      request: description.attemptId,
+      route: route.name,
+      service,
+      configurationVersion: configuration.version,
+      elapsedMs: Math.round(this.elapsedMs()),
+      runs: this.runs,
+      tried: this.triedServerIds.size,
+    };
+  }
+}
--- /dev/null
+++ b/src/shell/gateway/fleet-view.ts
@@ -0,0 +1,101 @@
+/**
+ * What a gateway believes at this moment: the configuration in force, the listed servers, and what
+ * it has seen of each. The configuration never goes back to a lower version.
+ */
+import {
+  type DirectoryChange,
+  EngineLoad,
+  type GatewayConfiguration,
+  PrefixKnowledge,
+  ReadSpeed,
+  RetryBudget,
+  type RetryBudgetOptions,
+  RouteTable,
+  ServerDirectory,
+  ServerHealth,
+  type ServerRecord,
+  TrafficSplitter,
+} from '../../core/gateway/index.js';
+
+/** A configuration with its indexes. */
+export interface ConfigurationInForce {
+  readonly configuration: GatewayConfiguration;
+  readonly routes: RouteTable;
+  readonly sinceMs: number;
+}
+
+/** How a new configuration was met. */
+export type ConfigurationOutcome = 'taken' | 'older' | 'same';
+
+/** The beliefs that requests are decided from. */
+export class FleetView {
+  readonly directory = new ServerDirectory();
+  readonly splitter = new TrafficSplitter();
+  readonly knowledge = new PrefixKnowledge();
+  readonly #budgetOptions: RetryBudgetOptions;
+  readonly #health = new Map<string, ServerHealth>();
+  readonly #loads = new Map<string, EngineLoad>();
+  readonly #speeds = new Map<string, ReadSpeed>();
+  readonly #budgets = new Map<string, RetryBudget>();
+  #inForce: ConfigurationInForce | undefined;
+
+  constructor(budgetOptions: RetryBudgetOptions) {
+    this.#budgetOptions = budgetOptions;
+  }
+
+  get inForce(): ConfigurationInForce | undefined {
+    return this.#inForce;
+  }
+
+  get isReady(): boolean {
+    return this.#inForce !== undefined && this.directory.size > 0;
+  }
+
+  takeConfiguration(configuration: GatewayConfiguration, nowMs: number): ConfigurationOutcome {
+    const currentVersion = this.#inForce?.configuration.version;
+    if (currentVersion === configuration.version) return 'same';
+    if (currentVersion !== undefined && configuration.version < currentVersion) return 'older';
+    const routes = new RouteTable(configuration.routes);
+    this.#inForce = { configuration, routes, sinceMs: nowMs };
+    this.splitter.retain(configuration.routes);
+    return 'taken';
+  }
+
+  /** Forgets what was known of servers that are gone. */
+  forgetRemoved(change: DirectoryChange): void {
+    for (const server of change.removed) {
+      this.#health.delete(server.id);
+      this.#loads.delete(server.id);
+      this.knowledge.forget(server.id);
+    }
+  }
+
+  /** Servers of a service that may be sent new work. */
+  candidates(service: string): ServerRecord[] {
+    return this.directory.readyOf(service);
+  }
+
+  healthOf(serverId: string): ServerHealth {
+    return entryOf(this.#health, serverId, () => new ServerHealth());
+  }
+
+  loadOf(serverId: string): EngineLoad {
+    return entryOf(this.#loads, serverId, () => new EngineLoad());
+  }
+
+  speedOf(service: string): ReadSpeed {
+    return entryOf(this.#speeds, service, () => new ReadSpeed());
+  }
+
+  budgetOf(service: string): RetryBudget {
+    return entryOf(this.#budgets, service, () => new RetryBudget(this.#budgetOptions));
+  }
+}
+
+function entryOf<Value>(map: Map<string, Value>, key: string, create: () => Value): Value {
+  const known = map.get(key);
+  if (known !== undefined) return known;
+  const created = create();
+  map.set(key, created);
+  return created;
+}
--- /dev/null
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -0,0 +1,79 @@
+/**
+ * Counters and latency histograms of a gateway, as Prometheus text.
+ */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 10];
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** How a request ended. */
+export interface RequestEnd {
+  readonly route: string;
+  readonly kind: string;
+  readonly outcome: string;
+  readonly reason: string;
+}
+
+/** A gateway's own figures. */
+export class GatewayMetrics {
+  readonly #registry = new Registry();
+  readonly #requests = new Counter({
+    name: 'threadfork_gateway_requests_total',
+    help: 'Requests that have ended, by kind of route, outcome and cause of refusal or failure',
+    labelNames: ['kind', 'outcome', 'reason'],
+    registers: [this.#registry],
+  });
+  readonly #latency = new Histogram({
+    name: 'threadfork_gateway_request_seconds',
+    help: 'Time from arrival to end, by kind of route and outcome',
+    labelNames: ['kind', 'outcome'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
+  readonly #firstEvent = new Histogram({
+    name: 'threadfork_gateway_first_event_seconds',
+    help: 'Time from arrival to the first event of a stream',
+    labelNames: ['way'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
+  readonly #attempts = new Counter({
+    name: 'threadfork_gateway_attempts_total',
+    help: 'Calls to backends that have ended, by what came of them',
+    labelNames: ['result'],
+    registers: [this.#registry],
+  });
+
+  recordRequest(end: RequestEnd, elapsedMs: number): void {
+    this.#requests.inc({ kind: end.kind, outcome: end.outcome, reason: end.reason });
+    this.#latency.observe(
+      { kind: end.kind, outcome: end.outcome },
+      elapsedMs / MILLISECONDS_PER_SECOND,
+    );
+  }
+
+  recordFirstEvent(way: string, elapsedMs: number): void {
+    this.#firstEvent.observe({ way }, elapsedMs / MILLISECONDS_PER_SECOND);
+  }
+
+  recordAttempt(result: string): void {
+    this.#attempts.inc({ result });
+  }
+
+  /** Adds a figure that is read when it is asked for. */
+  addGauge(name: string, help: string, read: () => number): void {
+    const registers = [this.#registry];
+    new Gauge({
+      name,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+}
--- /dev/null
+++ b/src/shell/gateway/gateway-settings.ts
@@ -0,0 +1,94 @@
+/**
+ * The settings of a gateway, read from a YAML file and checked whole. A wrong file is told with the
+ * key, what was found there and what to do.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { parse } from 'yaml';
+import * as z from 'zod/mini';
+
+const spanMs = z.number().check(z.minimum(0));
+const spanSeconds = z.number().check(z.minimum(0));
+const text = z.string().check(z.minLength(1));
+const ENDPOINT = /^([^\s:]+):(\d{1,5})$/;
+/** HOST:PORT. */
+const endpoint = z.pipe(
+  z.string().check(z.regex(ENDPOINT, 'give HOST:PORT')),
+  z.transform((written) => {
+    const [host = '', port = ''] = written.split(':');
+    return { host, port: Number(port) };
+  }),
+);
+
+const settingsSchema = z.object({
+  name: text,
+  zone: text,
+  listen: z.object({ callers: endpoint, readiness: endpoint, metrics: z.optional(endpoint) }),
+  store: endpoint,
+  bounds: z.object({
+    /** A configuration is in force this long after the store acknowledged it. */
+    configurationApplyMs: spanMs,
+    /** A server that leaves gets nothing new after this. */
+    drainMs: spanMs,
+    /** From the signal to stop until the process is ended. */
+    stopGraceSeconds: spanSeconds,
+    /** Lease of the daemon that orders engines. */
+    leaseMs: spanMs,
+  }),
+  retryBudget: z.object({
+    ratio: z.number().check(z.minimum(0)),
+    windowSeconds: spanSeconds,
+    /** Shared by all daemons. */
+    slack: z.number().check(z.minimum(0)),
+  }),
+  logging: z.object({ maxLinesPerSecond: z.number().check(z.minimum(1)) }),
+});
+
+/** A gateway's settings. */
+export type GatewaySettings = z.infer<typeof settingsSchema>;
+
+/** What is wrong with a settings file. */
+export interface SettingsProblem {
+  readonly key: string;
+  readonly found: string;
+  readonly remedy: string;
+}
+
+/** Reads settings from a file's text. */
+export function parseGatewaySettings(document: string): Result<GatewaySettings, SettingsProblem> {
+  const parsed = parseYaml(document);
+  if (parsed.isErr()) return err(parsed.error);
+  const checked = settingsSchema.safeParse(parsed.value);
+  if (checked.success) return ok(checked.data);
+  const issue = checked.error.issues[0];
+  const path = issue?.path ?? [];
+  return err({
+    key: path.join('.') || '(the whole file)',
+    found: describe(valueAt(parsed.value, path)),
+    remedy: `Set it as docs/OPERATING.md says (${issue?.message ?? 'wrong value'}).`,
+  });
+}
+
+function parseYaml(document: string): Result<unknown, SettingsProblem> {
+  try {
+    return ok(parse(document));
+  } catch (cause) {
+    return err({
+      key: '(the whole file)',
+      found: cause instanceof Error ? (cause.message.split('\n', 1)[0] ?? '') : String(cause),
+      remedy: 'Correct the YAML at this place.',
+    });
+  }
+}
+
+function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
+  let current = value;
+  for (const key of path) {
+    if (typeof current !== 'object' || current === null) return undefined;
+    current = Reflect.get(current, key);
+  }
+  return current;
+}
+
+function describe(value: unknown): string {
+  return value === undefined ? 'nothing' : JSON.stringify(value);
+}
--- /dev/null
+++ b/src/shell/gateway/gateway.ts
@@ -0,0 +1,241 @@
+/**
+ * A gateway: takes described requests and runs them on listed servers as the configuration says.
+ * It keeps nothing on its machine; configuration and servers come from the platform's store.
+ */
+import type { Server } from 'node:http';
+import type { GatewayConfiguration, ServerRecord } from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { AttemptContext } from './attempt.js';
+import { BackendConnections } from './backend-connections.js';
+import { CallerListener } from './caller-listener.js';
+import { FleetView } from './fleet-view.js';
+import { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import type { PlatformAdapter, WatchedRow } from './ports.js';
+import type { GatewayLog } from './request-log.js';
+import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
+import { TableWatcher } from './table-watcher.js';
+import { delay, type TimerService } from './timer-service.js';
+
+/** A change has to be seen, and acted on, within the bound: this part of it is spent waiting. */
+const WATCH_SHARE_OF_BOUND = 0.7;
+/** Shares of the retry slack that are kept for other daemons, whose number is not known. */
+const SLACK_SHARES = 24;
+/** The platform looks twice, a second apart, before it sends no more connections. */
+const LOOK_AWAY_MS = 2_600;
+/** Kept between the end of running requests and the end of the grace period. */
+const STOP_MARGIN_MS = 700;
+const STOP_POLL_MS = 50;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** A watch, whatever its table holds. */
+type Watch = Pick<TableWatcher<never>, 'run' | 'stop' | 'callsTotal' | 'lastAnswerMs'>;
+
+/** What a gateway is built from. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly adapter: PlatformAdapter;
+  readonly timers: TimerService;
+  readonly log: GatewayLog;
+}
+
+/** A running gateway. */
+export class Gateway {
+  readonly #options: GatewayOptions;
+  readonly #fleet: FleetView;
+  readonly #metrics = new GatewayMetrics();
+  readonly #connections: BackendConnections;
+  readonly #callers: CallerListener;
+  readonly #servers: Server[] = [];
+  readonly #watchers: readonly Watch[];
+  #isStopping = false;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { settings, adapter, timers, log } = options;
+    this.#fleet = new FleetView({
+      ratio: settings.retryBudget.ratio,
+      allowance: settings.retryBudget.slack / SLACK_SHARES,
+      windowMs: settings.retryBudget.windowSeconds * MILLISECONDS_PER_SECOND,
+    });
+    this.#connections = new BackendConnections(timers);
+    const context: AttemptContext = {
+      fleet: this.#fleet,
+      connections: this.#connections,
+      codec: adapter.requests,
+      zone: settings.zone,
+    };
+    this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
+    this.#watchers = this.#createWatchers();
+    this.#addGauges();
+  }
+
+  /** Listens and begins to follow the store. */
+  async start(): Promise<void> {
+    const { settings, adapter, log } = this.#options;
+    const { callers, readiness, metrics } = settings.listen;
+    for (const watcher of this.#watchers) void watcher.run();
+    const readinessServer = createReadinessServer(
+      adapter.readinessPath,
+      () => this.#fleet.isReady && !this.#isStopping,
+    );
+    await this.#listen(this.#callers.server, callers);
+    await this.#listen(readinessServer, readiness);
+    if (metrics !== undefined) await this.#listen(createMetricsServer(this.#metrics), metrics);
+    log.write(GATEWAY_EVENTS.started, {
+      daemon: settings.name,
+      zone: settings.zone,
+      callers: `${callers.host}:${callers.port}`,
+      readiness: `${readiness.host}:${readiness.port}`,
+    });
+  }
+
+  /** Takes settings that were read again; listeners keep their addresses until a restart. */
+  reload(settings: GatewaySettings): void {
+    const { log } = this.#options;
+    const needsRestart = JSON.stringify(settings) !== JSON.stringify(this.#options.settings);
+    log.write(GATEWAY_EVENTS.settingsReloaded, { needsRestart });
+  }
+
+  /** Stops without cutting a request that can end within the grace period. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { settings, timers, log } = this.#options;
+    const graceMs = settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND;
+    const endMs = timers.nowMs() + graceMs - STOP_MARGIN_MS;
+    log.write(GATEWAY_EVENTS.stopping, { inFlight: this.#callers.inFlight });
+    this.#callers.beginStop();
+    await delay(timers, Math.min(LOOK_AWAY_MS, graceMs / 2));
+    while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);
+    for (const watcher of this.#watchers) watcher.stop();
+    for (const server of this.#servers) server.close();
+    this.#connections.close();
+    log.write(GATEWAY_EVENTS.stopped, { inFlight: this.#callers.inFlight });
+    log.flush();
+  }
+
+  async #listen(server: Server, endpoint: { readonly host: string; readonly port: number }) {
+    await listen(server, endpoint.host, endpoint.port);
+    this.#servers.push(server);
+  }
+
+  #createWatchers(): readonly Watch[] {
+    const { settings, adapter, timers, log } = this.#options;
+    const { configurationApplyMs, drainMs } = settings.bounds;
+    const configurations = new TableWatcher({
+      table: adapter.configurations,
+      consumer: {
+        takeAll: (rows) => this.#takeConfigurations(rows),
+        takeChanges: (rows) => this.#takeConfigurations(rows),
+      },
+      waitMs: configurationApplyMs * WATCH_SHARE_OF_BOUND,
+      timers,
+      log,
+    });
+    const servers = new TableWatcher({
+      table: adapter.servers,
+      consumer: {
+        takeAll: (rows) => this.#takeServers(rows, true),
+        takeChanges: (rows) => this.#takeServers(rows, false),
+      },
+      waitMs: drainMs * WATCH_SHARE_OF_BOUND,
+      timers,
+      log,
+    });
+    return [configurations, servers];
+  }
+
+  #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): void {
+    for (const row of rows) {
+      if (row.kind === 'value') this.#takeConfiguration(row.value);
+      if (row.kind === 'malformed') {
+        this.#options.log.write(GATEWAY_EVENTS.configurationMalformed, { problem: row.problem });
+      }
+    }
+  }
+
+  #takeConfiguration(configuration: GatewayConfiguration): void {
+    const { log, timers } = this.#options;
+    const before = this.#fleet.inForce?.configuration.version ?? 0;
+    const outcome = this.#fleet.takeConfiguration(configuration, timers.nowMs());
+    const fields = { configurationVersion: configuration.version, before };
+    switch (outcome) {
+      case 'same':
+        return;
+      case 'older':
+        return log.write(GATEWAY_EVENTS.configurationOlder, fields);
+      case 'taken':
+        this.#callers.applyLimits(configuration.limits);
+        return log.write(GATEWAY_EVENTS.configurationInForce, {
+          ...fields,
+          routes: configuration.routes.length,
+        });
+    }
+  }
+
+  #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): void {
+    const { log } = this.#options;
+    const records: ServerRecord[] = [];
+    const goneIds: string[] = [];
+    for (const row of rows) {
+      switch (row.kind) {
+        case 'value':
+          records.push(row.value);
+          break;
+        case 'gone':
+          goneIds.push(row.key);
+          break;
+        case 'malformed':
+          log.write(GATEWAY_EVENTS.serverMalformed, { server: row.key, problem: row.problem });
+          break;
+      }
+    }
+    const { directory } = this.#fleet;
+    const change = isWhole ? directory.replaceAll(records) : directory.apply(records, goneIds);
+    this.#fleet.forgetRemoved(change);
+    for (const server of change.added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
+    for (const server of change.changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
+    for (const server of change.removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
+  }
+
+  #logServer(
+    event: (typeof GATEWAY_EVENTS)['serverAdded' | 'serverChanged' | 'serverRemoved'],
+    server: ServerRecord,
+  ): void {
+    this.#options.log.write(event, {
+      server: server.id,
+      service: server.service,
+      address: server.address,
+      zone: server.zone,
+      state: server.state,
+      stage: server.stage ?? '',
+    });
+  }
+
+  #addGauges(): void {
+    const { timers, log } = this.#options;
+    const version = () => this.#fleet.inForce?.configuration.version ?? 0;
+    const watchCalls = () => this.#watchers.reduce((sum, watcher) => sum + watcher.callsTotal, 0);
+    const staleMs = () =>
+      Math.max(...this.#watchers.map((watcher) => timers.nowMs() - watcher.lastAnswerMs));
+    this.#metrics.addGauge('threadfork_gateway_configuration_version', 'Version in force', version);
+    this.#metrics.addGauge('threadfork_gateway_store_calls', 'Calls to the store', watchCalls);
+    this.#metrics.addGauge('threadfork_gateway_store_silent_ms', 'Age of the last answer', staleMs);
+    this.#metrics.addGauge(
+      'threadfork_gateway_requests_in_flight',
+      'Requests without a final answer',
+      () => this.#callers.inFlight,
+    );
+    this.#metrics.addGauge(
+      'threadfork_gateway_connections_opened',
+      'Connections opened to backends',
+      () => this.#connections.openedTotal,
+    );
+    this.#metrics.addGauge(
+      'threadfork_gateway_log_lines_dropped',
+      'Log lines left out',
+      () => log.droppedTotal,
+    );
+  }
+}
--- /dev/null
+++ b/src/shell/gateway/index.ts
@@ -0,0 +1,10 @@
+/** Described requests over sockets: listeners, calls to backends, and watches of the store. */
+export { Gateway, type GatewayOptions } from './gateway.js';
+export {
+  type GatewaySettings,
+  parseGatewaySettings,
+  type SettingsProblem,
+} from './gateway-settings.js';
+export type * from './ports.js';
+export { GatewayLog } from './request-log.js';
+export { SYSTEM_TIMERS, type TimerService } from './timer-service.js';
--- /dev/null
+++ b/src/shell/gateway/model-exchange.ts
@@ -0,0 +1,356 @@
+/**
+ * Requests to model engines: the prompt is read at one engine and goes on at another, or a decode
+ * engine does both. Memory that is not used is freed. A stream that breaks goes on at another
+ * engine where its route allows it, and otherwise ends visibly broken.
+ */
+import {
+  chooseDecodeEngine,
+  type EngineChoiceInput,
+  type EnginePlan,
+  isRepeatable,
+  planModelRequest,
+  type ServerRecord,
+} from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import {
+  type AnsweredAttempt,
+  type AttemptContext,
+  type AttemptOptions,
+  engineTraits,
+  plainAttempt,
+  sendAttempt,
+} from './attempt.js';
+import type { Exchange } from './exchange.js';
+import type { MemorySource } from './ports.js';
+import { StreamRelay } from './stream-relay.js';
+
+const MAX_PREFILL_ANSWER_BYTES = 65_536;
+const MAX_ERROR_BYTES = 1_048_576;
+const HANDLE_CALL_TIMEOUT_MS = 500;
+/** Turned down or out of reach this often, a request is refused. */
+const MAX_TURNED_DOWN = 3;
+/** A prefill engine is given up after this many times the expected time and a little more. */
+const PREFILL_PATIENCE_FACTOR = 4;
+const PREFILL_PATIENCE_MS = 500;
+const RETRY_AFTER_MS = 300;
+const LONGEST_URGENCY = 9;
+
+/** Runs a model request to its final answer. */
+export async function runModelExchange(exchange: Exchange, context: AttemptContext): Promise<void> {
+  await new ModelRun(exchange, context).run();
+}
+
+/** What to do after a step. */
+type NextStep = 'done' | 'again';
+
+class ModelRun {
+  readonly #exchange: Exchange;
+  readonly #context: AttemptContext;
+  readonly #relay: StreamRelay;
+  readonly #isRepeatable: boolean;
+  #turnedDown = 0;
+  #sends = 0;
+  #prefillFailed = false;
+  #way = 'direct';
+  #lastReason = 'no engine';
+
+  constructor(exchange: Exchange, context: AttemptContext) {
+    this.#exchange = exchange;
+    this.#context = context;
+    this.#relay = new StreamRelay(exchange, context.codec, () => this.#way);
+    this.#isRepeatable = isRepeatable(exchange.options.route);
+  }
+
+  async run(): Promise<void> {
+    this.#budget().countRequest(this.#nowMs());
+    let next: NextStep = 'again';
+    while (next === 'again') next = await this.#step();
+  }
+
+  async #step(): Promise<NextStep> {
+    const exchange = this.#exchange;
+    if (exchange.signal.aborted) return this.#endInterrupted();
+    if (!this.#mayRunOnceMore()) return this.#giveUp();
+    const input = this.#choiceInput();
+    const plan = this.#plan(input);
+    if (plan === undefined) return this.#giveUp();
+    this.#logPlan(plan);
+    switch (plan.kind) {
+      case 'direct':
+        return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
+      case 'prefill':
+        return this.#prefillAndRun(plan, input);
+    }
+  }
+
+  #plan(input: EngineChoiceInput): EnginePlan | undefined {
+    if (!this.#prefillFailed) return planModelRequest(input);
+    const candidates = input.candidates.filter((server) => server.stage !== 'prefill');
+    return planModelRequest({ ...input, candidates });
+  }
+
+  async #prefillAndRun(
+    plan: Extract<EnginePlan, { kind: 'prefill' }>,
+    input: EngineChoiceInput,
+  ): Promise<NextStep> {
+    this.#way = 'hand-over';
+    const source = plan.prefill.server;
+    const memory = await this.#prefill(plan);
+    if (memory === undefined) {
+      this.#prefillFailed = true;
+      this.#way = 'direct';
+      return 'again';
+    }
+    if (this.#exchange.signal.aborted) {
+      this.#free(memory, source);
+      return this.#endInterrupted();
+    }
+    const server = chooseDecodeEngine({ ...input, nowMs: this.#nowMs() }, source);
+    if (server === undefined) {
+      this.#free(memory, source);
+      return this.#giveUp();
+    }
+    const next = await this.#run(server, memory, undefined, plan);
+    return next;
+  }
+
+  /** Reads the prompt at an engine; undefined when that did not come about. */
+  async #prefill(
+    plan: Extract<EnginePlan, { kind: 'prefill' }>,
+  ): Promise<MemorySource | undefined> {
+    const { server, expectedMs, fetchFrom, missingTokens } = plan.prefill;
+    const { timers, description, service } = this.#exchange.options;
+    const { fleet } = this.#context;
+    const load = fleet.loadOf(server.id);
+    const read = load.begin(expectedMs, this.#nowMs());
+    const startedAtMs = this.#nowMs();
+    const patience = new AbortController();
+    const stop = () => patience.abort();
+    this.#exchange.signal.addEventListener('abort', stop, { once: true });
+    const patienceMs = PREFILL_PATIENCE_MS + PREFILL_PATIENCE_FACTOR * plan.expectedMs;
+    const cancel = timers.after(patienceMs, stop);
+    const memory = await this.#readPrompt(server, fetchFrom, patience.signal);
+    cancel();
+    this.#exchange.signal.removeEventListener('abort', stop);
+    if (memory === undefined) {
+      load.abandon(read);
+      if (!this.#exchange.signal.aborted && patience.signal.aborted) {
+        fleet.healthOf(server.id).recordBroken(this.#nowMs());
+      }
+      return undefined;
+    }
+    const nowMs = this.#nowMs();
+    load.finish(read, nowMs);
+    fleet.speedOf(service).learn(missingTokens, nowMs - startedAtMs);
+    fleet.knowledge.assume(server.id, description.promptParts, nowMs);
+    return memory;
+  }
+
+  async #readPrompt(
+    server: ServerRecord,
+    fetchFrom: ServerRecord | undefined,
+    signal: AbortSignal,
+  ): Promise<MemorySource | undefined> {
+    const result = await sendAttempt(this.#exchange, this.#context, {
+      ...plainAttempt(server, signal),
+      mayKeepConnection: true,
+      prefillOnly: true,
+      priority: this.#priority(),
+      fetchFrom: fetchFrom?.address,
+    });
+    if (result.kind !== 'answered') return undefined;
+    const { answer, end } = result.attempt;
+    const body = await answer.collect(MAX_PREFILL_ANSWER_BYTES);
+    const prefill =
+      body !== undefined && answer.status === 200
+        ? this.#context.codec.readPrefillAnswer(body)
+        : undefined;
+    end(prefill !== undefined);
+    if (prefill === undefined) return undefined;
+    return { address: server.address, handle: prefill.handle };
+  }
+
+  /** Lets an engine generate and passes its stream on. */
+  async #run(
+    server: ServerRecord,
+    memorySource: MemorySource | undefined,
+    fetchFrom: string | undefined,
+    plan: EnginePlan,
+  ): Promise<NextStep> {
+    const exchange = this.#exchange;
+    const source = plan.kind === 'prefill' ? plan.prefill.server : undefined;
+    if (this.#sends > 0 && !this.#budget().tryTake(this.#nowMs())) {
+      if (memorySource !== undefined && source !== undefined) this.#free(memorySource, source);
+      this.#lastReason = 'the retry budget is spent';
+      return this.#giveUp();
+    }
+    this.#sends += 1;
+    exchange.runs += 1;
+    exchange.triedServerIds.add(server.id);
+    const load = this.#context.fleet.loadOf(server.id);
+    const read = plan.kind === 'direct' ? load.begin(plan.expectedMs, this.#nowMs()) : undefined;
+    load.running += 1;
+    const options: AttemptOptions = {
+      ...plainAttempt(server, exchange.signal),
+      mayKeepConnection: this.#isRepeatable,
+      priority: this.#priority(),
+      memorySource,
+      fetchFrom,
+      resumeAfterEventId: this.#relay.lastEventId,
+    };
+    const result = await sendAttempt(exchange, this.#context, options);
+    if (read !== undefined) load.abandon(read);
+    if (result.kind === 'answered') {
+      exchange.mayHaveRun = true;
+      const next = await this.#relayAnswer(result.attempt);
+      load.running -= 1;
+      return next;
+    }
+    load.running -= 1;
+    if (memorySource !== undefined && source !== undefined) this.#free(memorySource, source);
+    this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
+    if (result.kind === 'broken') {
+      exchange.mayHaveRun = true;
+      return 'again';
+    }
+    exchange.runs -= 1;
+    this.#turnedDown += 1;
+    // The memory may be what could not be had: the next engine reads the prompt by itself.
+    if (memorySource !== undefined) {
+      this.#prefillFailed = true;
+      exchange.triedServerIds.delete(server.id);
+    }
+    return 'again';
+  }
+
+  async #relayAnswer(attempt: AnsweredAttempt): Promise<NextStep> {
+    const exchange = this.#exchange;
+    const { answer } = attempt;
+    if (answer.status < 200 || answer.status >= 300) return this.#passFailureOn(attempt);
+    if (!attempt.isStamped) {
+      attempt.end(false);
+      answer.destroy();
+      this.#lastReason = 'a success without a stamp';
+      return 'again';
+    }
+    const { description } = exchange.options;
+    this.#context.fleet.knowledge.assume(attempt.server.id, description.promptParts, this.#nowMs());
+    const relayed = await this.#relay.relay(attempt);
+    switch (relayed) {
+      case 'complete':
+        this.#relay.complete(attempt);
+        return 'done';
+      case 'interrupted':
+        return this.#endInterrupted();
+      case 'broken':
+        answer.destroy();
+        this.#lastReason = 'the stream broke off';
+        return 'again';
+    }
+  }
+
+  /** The engine's own failure, which the caller gets unless another engine may try. */
+  async #passFailureOn(attempt: AnsweredAttempt): Promise<NextStep> {
+    const { answer } = attempt;
+    const body = await answer.collect(MAX_ERROR_BYTES);
+    attempt.end(body !== undefined);
+    this.#lastReason = `status ${answer.status}`;
+    if (this.#exchange.signal.aborted) return this.#endInterrupted();
+    const isFinal = !this.#mayRunOnceMore() && !this.#relay.hasBegun;
+    if (body === undefined || !isFinal || isUnkeptPromise(answer.status)) return 'again';
+    const headers = this.#context.codec.callerHeaders(answer.message.rawHeaders);
+    this.#exchange.answer(answer.status, headers, body, attempt.server.id);
+    return 'done';
+  }
+
+  #mayRunOnceMore(): boolean {
+    const exchange = this.#exchange;
+    if (exchange.mayHaveRun && !this.#isRepeatable) return false;
+    if (this.#turnedDown > MAX_TURNED_DOWN) return false;
+    if (exchange.runs >= Math.max(1, exchange.options.route.attempts)) return false;
+    return !this.#relay.hasBegun || this.#relay.lastEventId !== undefined;
+  }
+
+  #giveUp(): NextStep {
+    const exchange = this.#exchange;
+    if (exchange.signal.aborted) return this.#endInterrupted();
+    if (exchange.isAnswered) exchange.breakOff(this.#lastReason);
+    else if (exchange.mayHaveRun) exchange.fail(502, this.#lastReason);
+    else exchange.refuse(this.#lastReason, RETRY_AFTER_MS);
+    return 'done';
+  }
+
+  #endInterrupted(): NextStep {
+    this.#exchange.endInterrupted();
+    return 'done';
+  }
+
+  /** Frees memory that nobody goes on from. */
+  #free(memory: MemorySource, source: ServerRecord): void {
+    const call = this.#context.codec.freeHandle(memory.handle, source.id);
+    const ended = new AbortController();
+    const cancel = this.#exchange.options.timers.after(HANDLE_CALL_TIMEOUT_MS, () => ended.abort());
+    void this.#context.connections
+      .call({
+        ...call,
+        address: memory.address,
+        mayKeepConnection: true,
+        connectTimeoutMs: HANDLE_CALL_TIMEOUT_MS,
+        signal: ended.signal,
+      })
+      .then((result) => {
+        cancel();
+        if (result.kind === 'answered') result.answer.message.resume();
+      });
+  }
+
+  #choiceInput(): EngineChoiceInput {
+    const { fleet, zone } = this.#context;
+    const { service, description } = this.#exchange.options;
+    const traits = engineTraits(this.#exchange);
+    return {
+      candidates: fleet.candidates(service),
+      excludedIds: this.#exchange.triedServerIds,
+      description,
+      zone,
+      nowMs: this.#nowMs(),
+      knowledge: fleet.knowledge,
+      speed: fleet.speedOf(service),
+      kvTokenBytes: traits?.kvTokenBytes ?? 0,
+      linkMbps: traits?.linkMbps ?? 1,
+      healthOf: (id) => fleet.healthOf(id),
+      loadOf: (id) => fleet.loadOf(id),
+    };
+  }
+
+  #logPlan(plan: EnginePlan): void {
+    const { log, description } = this.#exchange.options;
+    const isDirect = plan.kind === 'direct';
+    log.write(GATEWAY_EVENTS.planChosen, {
+      request: description.attemptId,
+      way: plan.kind,
+      server: isDirect ? plan.server.id : plan.prefill.server.id,
+      expectedMs: Math.round(plan.expectedMs),
+      promptLength: description.promptTokens,
+      missing: isDirect ? plan.missingTokens : plan.prefill.missingTokens,
+      fetchFrom: (isDirect ? plan.fetchFrom?.id : plan.prefill.fetchFrom?.id) ?? '',
+    });
+  }
+
+  #priority(): number {
+    return Math.min(LONGEST_URGENCY, this.#exchange.options.route.priority);
+  }
+
+  #budget() {
+    return this.#context.fleet.budgetOf(this.#exchange.options.service);
+  }
+
+  #nowMs(): number {
+    return this.#exchange.options.timers.nowMs();
+  }
+}
+
+/** Statuses that promise that a request has not run, from a server that did not say so. */
+function isUnkeptPromise(status: number): boolean {
+  return status === 408 || status === 421 || status === 429 || status === 503;
+}
--- /dev/null
+++ b/src/shell/gateway/ports.ts
@@ -0,0 +1,162 @@
+/**
+ * What an adapter to a platform provides: how described requests are spoken with callers and
+ * backends, and the tables of the platform's store. An adapter translates and decides nothing.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import type {
+  EngineStage,
+  GatewayConfiguration,
+  RequestDescription,
+  ServerRecord,
+} from '../../core/gateway/index.js';
+
+/** Header names and values in turn, as node:http takes them. */
+export type RawHeaders = readonly string[];
+
+/** Where a prompt's memory lies. */
+export interface MemorySource {
+  /** IP:PORT of the engine that read the prompt. */
+  readonly address: string;
+  readonly handle: string;
+}
+
+/** What the product says to a backend beside the caller's own words. */
+export interface SendInstructions {
+  /** Any other server must not run the request. */
+  readonly serverId: string;
+  /** Time left, in whole milliseconds. */
+  readonly deadlineMs: number;
+  /** 0 is the most urgent; undefined for plain web servers. */
+  readonly priority: number | undefined;
+  /** Only read the prompt and keep its memory. */
+  readonly prefillOnly: boolean;
+  readonly memorySource: MemorySource | undefined;
+  /** IP:PORT of an engine to take missing parts of the prompt from. */
+  readonly fetchFrom: string | undefined;
+  /** Go on after this event; undefined keeps what the caller said. */
+  readonly resumeAfterEventId: string | undefined;
+}
+
+/** The marks by which a backend's answer is told from others. */
+export interface AnswerMarks {
+  readonly attemptId: string | undefined;
+  readonly isStamped: boolean;
+  /** The server says that the request has not run there. */
+  readonly isNotExecuted: boolean;
+}
+
+/** A prompt that was read. */
+export interface PrefillAnswer {
+  readonly handle: string;
+  readonly tokens: number;
+}
+
+/** A change of an engine's cache. */
+export interface CacheEvent {
+  readonly partId: string;
+  /** Tokens of the part that are kept now; 0 when it was given up. */
+  readonly tokens: number;
+}
+
+/** An engine's cache news since a number. */
+export interface CacheNews {
+  readonly epoch: string;
+  readonly nextNumber: number;
+  /** Events between the asked number and these are lost. */
+  readonly hasGap: boolean;
+  readonly events: readonly CacheEvent[];
+}
+
+/** An order that gives an engine another stage. */
+export interface StageOrder {
+  readonly stage: EngineStage;
+  readonly holder: string;
+  readonly fence: number;
+  readonly expectedSequence: number;
+}
+
+/** A call of the product's own to a backend. */
+export interface EngineCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+}
+
+/** How described requests are spoken. */
+export interface RequestCodec {
+  /** What the caller states; undefined when it gives no attempt id. */
+  describe(headers: IncomingHttpHeaders): RequestDescription | undefined;
+  /** The headers for a backend: the caller's own, less those that only the product sets. */
+  backendHeaders(callerHeaders: RawHeaders, instructions: SendInstructions): string[];
+  /** The headers of a backend's answer that the caller gets. */
+  callerHeaders(backendHeaders: RawHeaders): string[];
+  readMarks(status: number, headers: IncomingHttpHeaders): AnswerMarks;
+  /** The answer to a prompt that was only read; undefined when it is none. */
+  readPrefillAnswer(body: Buffer): PrefillAnswer | undefined;
+  freeHandle(handle: string, serverId: string): EngineCall;
+  cacheNews(since: number, waitMs: number): EngineCall;
+  readCacheNews(body: Buffer): CacheNews | undefined;
+  orderStage(order: StageOrder, serverId: string): EngineCall;
+}
+
+/** One row of a watched table. */
+export type WatchedRow<Value> =
+  | { readonly kind: 'value'; readonly key: string; readonly value: Value }
+  | { readonly kind: 'gone'; readonly key: string }
+  | { readonly kind: 'malformed'; readonly key: string; readonly problem: string };
+
+/** The answer to a read of a watched table. */
+export type WatchAnswer<Value> =
+  | {
+      readonly kind: 'rows';
+      readonly rows: readonly WatchedRow<Value>[];
+      readonly revision: number;
+    }
+  | { readonly kind: 'history-lost' }
+  | { readonly kind: 'failed'; readonly reason: string };
+
+/** A table of the store that the product only reads. */
+export interface WatchedTable<Value> {
+  readonly name: string;
+  readAll(signal: AbortSignal): Promise<WatchAnswer<Value>>;
+  /** Held until a row changes or the wait is over. */
+  changesAfter(revision: number, waitMs: number, signal: AbortSignal): Promise<WatchAnswer<Value>>;
+}
+
+/** The outcome of taking or renewing the lease row. */
+export type LeaseWrite =
+  | { readonly kind: 'written'; readonly revision: number }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'failed'; readonly reason: string };
+
+/** The lease row as the store holds it. */
+export interface LeaseRow {
+  readonly holder: string;
+  readonly epoch: number;
+  /** Grows with each renewal, so that others see the row change. */
+  readonly renewal: number;
+}
+
+/** The answer to a read of the lease row. */
+export type LeaseRead =
+  | { readonly kind: 'row'; readonly row: LeaseRow; readonly revision: number }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'failed'; readonly reason: string };
+
+/** The row that says which daemon may order engines. */
+export interface LeaseStore {
+  read(signal: AbortSignal): Promise<LeaseRead>;
+  /** Writes if the row still has the revision; 0 means that it must be absent. */
+  write(row: LeaseRow, expectedRevision: number, signal: AbortSignal): Promise<LeaseWrite>;
+}
+
+/** A platform, as far as described requests need one. */
+export interface PlatformAdapter {
+  readonly requests: RequestCodec;
+  readonly configurations: WatchedTable<GatewayConfiguration>;
+  readonly servers: WatchedTable<ServerRecord>;
+  readonly lease: LeaseStore;
+  /** The path of readiness questions. */
+  readonly readinessPath: string;
+}
--- /dev/null
+++ b/src/shell/gateway/request-log.ts
@@ -0,0 +1,52 @@
+/**
+ * The gateway's log: numbered events within a budget of lines a second. What is left out is counted
+ * and said; a slow reader of the log never holds a request up.
+ */
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { LogEvent, LogFields } from '../../core/logging/log-event.js';
+import type { Logger } from '../logging/index.js';
+import type { TimerService } from './timer-service.js';
+
+const WINDOW_MS = 1_000;
+
+/** Writes events of the gateway. */
+export class GatewayLog {
+  readonly #logger: Logger;
+  readonly #timers: TimerService;
+  readonly #maxLinesPerSecond: number;
+  #windowStartMs = 0;
+  #linesInWindow = 0;
+  #dropped = 0;
+  /** Lines left out since the start. */
+  droppedTotal = 0;
+
+  constructor(logger: Logger, timers: TimerService, maxLinesPerSecond: number) {
+    this.#logger = logger;
+    this.#timers = timers;
+    this.#maxLinesPerSecond = maxLinesPerSecond;
+  }
+
+  write(event: LogEvent, fields: LogFields = {}): void {
+    const nowMs = this.#timers.nowMs();
+    if (nowMs - this.#windowStartMs >= WINDOW_MS) this.#openWindow(nowMs);
+    if (this.#linesInWindow >= this.#maxLinesPerSecond) {
+      this.#dropped += 1;
+      this.droppedTotal += 1;
+      return;
+    }
+    this.#linesInWindow += 1;
+    this.#logger.write(event, fields);
+  }
+
+  flush(): void {
+    this.#logger.flush();
+  }
+
+  #openWindow(nowMs: number): void {
+    this.#windowStartMs = nowMs;
+    this.#linesInWindow = 0;
+    if (this.#dropped === 0) return;
+    this.#logger.write(GATEWAY_EVENTS.linesDropped, { lines: this.#dropped });
+    this.#dropped = 0;
+  }
+}
--- /dev/null
+++ b/src/shell/gateway/small-listeners.ts
@@ -0,0 +1,35 @@
+/** The listeners for readiness questions and for figures. */
+import http, { type Server } from 'node:http';
+import type { GatewayMetrics } from './gateway-metrics.js';
+
+/** Answers 200 while the gateway is ready and 503 else. */
+export function createReadinessServer(path: string, isReady: () => boolean): Server {
+  return http.createServer((request, response) => {
+    if (request.url !== path) {
+      response.writeHead(404).end();
+      return;
+    }
+    response.writeHead(isReady() ? 200 : 503, { 'Content-Length': 0 }).end();
+  });
+}
+
+/** Serves figures as Prometheus text on any path. */
+export function createMetricsServer(metrics: GatewayMetrics): Server {
+  return http.createServer((_request, response) => {
+    metrics.text().then(
+      (text) => response.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' }).end(text),
+      () => response.writeHead(500).end(),
+    );
+  });
+}
+
+/** Resolves once a server listens. */
+export function listen(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ host, port, backlog: 1_024 }, () => {
+      server.removeListener('error', reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/shell/gateway/stream-relay.ts
@@ -0,0 +1,92 @@
+/**
+ * Passes a stream on to its caller as it comes, one server after another where it may be resumed.
+ * The head leaves with the first bytes, so that a server that breaks off before costs nothing.
+ */
+import type { AnsweredAttempt } from './attempt.js';
+import { EventSplitter } from './event-splitter.js';
+import type { Exchange } from './exchange.js';
+import type { RequestCodec } from './ports.js';
+
+/** How a server's part of a stream ended. */
+export type RelayResult = 'complete' | 'broken' | 'interrupted';
+
+/** The stream of one exchange. */
+export class StreamRelay {
+  readonly #exchange: Exchange;
+  readonly #codec: RequestCodec;
+  readonly #isResumable: boolean;
+  readonly #splitter = new EventSplitter();
+  readonly #way: () => string;
+  #bytesSent = 0;
+
+  constructor(exchange: Exchange, codec: RequestCodec, way: () => string) {
+    this.#exchange = exchange;
+    this.#codec = codec;
+    this.#way = way;
+    this.#isResumable = exchange.options.route.resumable;
+  }
+
+  /** Whether the caller has had a part of the stream. */
+  get hasBegun(): boolean {
+    return this.#bytesSent > 0;
+  }
+
+  /** The last event that the caller has whole. */
+  get lastEventId(): string | undefined {
+    return this.#splitter.lastEventId;
+  }
+
+  /** Passes one server's part on until it ends. */
+  relay(attempt: AnsweredAttempt): Promise<RelayResult> {
+    const { answer } = attempt;
+    const { message } = answer;
+    const { response } = this.#exchange.options;
+    this.#splitter.discardRest();
+    return new Promise((resolve) => {
+      const settle = (result: RelayResult) => {
+        this.#exchange.signal.removeEventListener('abort', interrupt);
+        response.removeListener('drain', goOn);
+        attempt.end(result === 'complete');
+        resolve(result);
+      };
+      const goOn = () => message.resume();
+      const interrupt = () => {
+        settle('interrupted');
+        answer.destroy();
+      };
+      if (this.#exchange.signal.aborted) return interrupt();
+      this.#exchange.signal.addEventListener('abort', interrupt, { once: true });
+      response.on('drain', goOn);
+      message.on('data', (chunk: Buffer) => {
+        const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
+        if (bytes.length > 0 && !this.#write(attempt, bytes)) message.pause();
+      });
+      message.once('end', () => settle(answer.isWhole ? 'complete' : 'broken'));
+      message.once('close', () => settle('broken'));
+    });
+  }
+
+  /** Ends the caller's answer as whole. */
+  complete(attempt: AnsweredAttempt): void {
+    const rest = this.#splitter.takeRest();
+    if (rest.length > 0 || !this.hasBegun) this.#write(attempt, rest);
+    this.#exchange.options.response.end();
+    this.#exchange.finish('answered', {
+      status: attempt.answer.status,
+      server: attempt.server.id,
+      bytes: this.#bytesSent,
+    });
+  }
+
+  #write(attempt: AnsweredAttempt, bytes: Buffer): boolean {
+    const { response, metrics } = this.#exchange.options;
+    if (!this.#exchange.isAnswered) {
+      const headers = this.#codec.callerHeaders(attempt.answer.message.rawHeaders);
+      if (!this.#exchange.beginStream(attempt.answer.status, headers)) return true;
+      metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
+    }
+    if (bytes.length === 0) return true;
+    this.#bytesSent += bytes.length;
+    return response.write(bytes);
+  }
+}
--- /dev/null
+++ b/src/shell/gateway/timer-service.ts
@@ -0,0 +1,36 @@
+/**
+ * The one source of time and timers; parts subscribe to it, so that tests run them in virtual time.
+ */
+
+/** Ends a subscription; harmless after it has fired. */
+export type CancelTimer = () => void;
+
+/** A monotonic clock and its timers. */
+export interface TimerService {
+  nowMs(): number;
+  /** Calls once after a delay. */
+  after(delayMs: number, callback: () => void): CancelTimer;
+}
+
+/** Time as the process has it. */
+export const SYSTEM_TIMERS: TimerService = {
+  nowMs: () => performance.now(),
+  after: (delayMs, callback) => {
+    const timer = setTimeout(callback, Math.max(0, delayMs));
+    return () => clearTimeout(timer);
+  },
+};
+
+/** Resolves after a delay, or at once when the signal is aborted. */
+export function delay(timers: TimerService, delayMs: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted === true) return resolve();
+    const finish = () => {
+      cancel();
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    };
+    const cancel = timers.after(delayMs, finish);
+    signal?.addEventListener('abort', finish, { once: true });
+  });
+}
--- /dev/null
+++ b/src/shell/gateway/whole-exchange.ts
@@ -0,0 +1,170 @@
+/**
+ * Requests to plain web servers, answered whole. A repeatable one that is slow or failed goes to a
+ * second server, within the route's attempts and the retry budget; any other runs at most once.
+ */
+import { chooseWebServer, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
+import { type AttemptContext, type AttemptResult, plainAttempt, sendAttempt } from './attempt.js';
+import type { Exchange } from './exchange.js';
+import type { RawHeaders } from './ports.js';
+
+const MAX_ANSWER_BYTES = 16_777_216;
+/** Servers that may turn a request down, or be out of reach, before it is refused. */
+const MAX_TURNED_DOWN = 4;
+/** A second server is asked when the first has been silent for this part of the target. */
+const HEDGE_AFTER_TARGETS = 0.45;
+const LEAST_HEDGE_MS = 40;
+const RETRY_AFTER_MS = 400;
+
+interface WholeAnswer {
+  readonly status: number;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly server: ServerRecord;
+}
+
+type RunResult =
+  | { readonly kind: 'whole'; readonly answer: WholeAnswer }
+  | Exclude<AttemptResult, { kind: 'answered' }>;
+
+/** Runs a request to its final answer. */
+export async function runWholeExchange(exchange: Exchange, context: AttemptContext): Promise<void> {
+  await new WholeRun(exchange, context).run();
+}
+
+class WholeRun {
+  readonly #exchange: Exchange;
+  readonly #context: AttemptContext;
+  readonly #isRepeatable: boolean;
+  readonly #pending = new Set<Promise<RunResult>>();
+  readonly #abandoned = new AbortController();
+  #turnedDown = 0;
+  #lastFailure: WholeAnswer | undefined;
+  #lastReason = 'no server';
+
+  constructor(exchange: Exchange, context: AttemptContext) {
+    this.#exchange = exchange;
+    this.#context = context;
+    this.#isRepeatable = isRepeatable(exchange.options.route);
+  }
+
+  async run(): Promise<void> {
+    const abandon = () => this.#abandoned.abort();
+    this.#exchange.signal.addEventListener('abort', abandon, { once: true });
+    if (!this.#startNext(true)) return this.#giveUp();
+    while (this.#pending.size > 0) {
+      const result = await this.#nextResult();
+      if (this.#exchange.signal.aborted) return this.#exchange.endInterrupted();
+      if (result === 'hedge') {
+        this.#startNext(false);
+        continue;
+      }
+      if (this.#settle(result)) break;
+    }
+    this.#abandoned.abort();
+    if (!this.#exchange.isAnswered) this.#giveUp();
+  }
+
+  /** Whether the request has its answer. */
+  #settle(result: RunResult): boolean {
+    if (result.kind === 'whole' && !this.#isWorthRepeating(result.answer)) {
+      this.#answer(result.answer);
+      return true;
+    }
+    if (result.kind === 'whole') this.#lastFailure = result.answer;
+    else this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
+    if (result.kind === 'not-executed' || result.kind === 'not-sent') {
+      this.#exchange.runs -= 1;
+      this.#turnedDown += 1;
+    } else {
+      this.#exchange.mayHaveRun = true;
+    }
+    if (this.#pending.size === 0) this.#startNext(false);
+    return false;
+  }
+
+  #isWorthRepeating(answer: WholeAnswer): boolean {
+    return this.#isRepeatable && answer.status >= 500;
+  }
+
+  #answer(answer: WholeAnswer): void {
+    this.#exchange.answer(answer.status, answer.headers, answer.body, answer.server.id);
+  }
+
+  #giveUp(): void {
+    const exchange = this.#exchange;
+    if (exchange.signal.aborted) return exchange.endInterrupted();
+    if (this.#lastFailure !== undefined) return this.#answer(this.#lastFailure);
+    if (exchange.mayHaveRun) return exchange.fail(502, this.#lastReason);
+    exchange.refuse(this.#lastReason, RETRY_AFTER_MS);
+  }
+
+  #startNext(isFirst: boolean): boolean {
+    const exchange = this.#exchange;
+    const { route, service, timers } = exchange.options;
+    const { fleet } = this.#context;
+    if (!isFirst && exchange.mayHaveRun && !this.#isRepeatable) return false;
+    if (exchange.runs >= Math.max(1, route.attempts)) return false;
+    if (this.#turnedDown > MAX_TURNED_DOWN) return false;
+    const server = chooseWebServer({
+      candidates: fleet.candidates(service),
+      excludedIds: exchange.triedServerIds,
+      zone: this.#context.zone,
+      nowMs: timers.nowMs(),
+      entropy: Math.random(),
+      healthOf: (id) => fleet.healthOf(id),
+    });
+    if (server === undefined) return false;
+    const budget = fleet.budgetOf(service);
+    if (isFirst) budget.countRequest(timers.nowMs());
+    else if (!budget.tryTake(timers.nowMs())) return false;
+    exchange.triedServerIds.add(server.id);
+    exchange.runs += 1;
+    const run = this.#runAt(server);
+    this.#pending.add(run);
+    void run.finally(() => this.#pending.delete(run));
+    return true;
+  }
+
+  async #runAt(server: ServerRecord): Promise<RunResult> {
+    const result = await sendAttempt(this.#exchange, this.#context, {
+      ...plainAttempt(server, this.#abandoned.signal),
+      mayKeepConnection: this.#isRepeatable,
+    });
+    if (result.kind !== 'answered') return result;
+    this.#exchange.mayHaveRun = true;
+    const { answer, isStamped, end } = result.attempt;
+    const body = await answer.collect(MAX_ANSWER_BYTES);
+    const isSuccess = answer.status >= 200 && answer.status < 300;
+    const isGood = body !== undefined && (isStamped || !isSuccess);
+    end(isGood);
+    if (body === undefined) return { kind: 'broken', reason: 'the answer broke off' };
+    if (!isGood) return { kind: 'broken', reason: 'a success without a stamp' };
+    if (isPromise(answer.status)) {
+      return { kind: 'broken', reason: `status ${answer.status} without its promise` };
+    }
+    const headers = this.#context.codec.callerHeaders(answer.message.rawHeaders);
+    return { kind: 'whole', answer: { status: answer.status, headers, body, server } };
+  }
+
+  /** The next result, or that it is time to ask a second server beside the first. */
+  #nextResult(): Promise<RunResult | 'hedge'> {
+    const { route, timers } = this.#exchange.options;
+    const results = [...this.#pending];
+    const mayHedge =
+      this.#isRepeatable && results.length === 1 && this.#exchange.runs < route.attempts;
+    if (!mayHedge) return Promise.race(results);
+    return new Promise((resolve, reject) => {
+      const hedgeMs = Math.max(LEAST_HEDGE_MS, route.targetLatencyMs * HEDGE_AFTER_TARGETS);
+      const cancel = timers.after(hedgeMs, () => resolve('hedge'));
+      Promise.race(results).then((result) => {
+        cancel();
+        resolve(result);
+      }, reject);
+    });
+  }
+}
+
+/** Statuses that promise a caller that its request has not run. */
+function isPromise(status: number): boolean {
+  return status === 408 || status === 421 || status === 429 || status === 503;
+}
