Count a request as possibly run from the moment it is sent until a server says otherwise

Cause: a request whose time ended while a server was at work was refused with 503, a promise that it had not run. Runs are now opened before sending and closed by their result.

--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -39,10 +39,8 @@
   readonly endsAtMs: number;
   /** Servers that have been sent it. */
   readonly triedServerIds = new Set<string>();
-  /** Runs that may have begun, for the route's bound on attempts. */
-  runs = 0;
-  /** Whether any server may have run it. */
-  mayHaveRun = false;
+  #openRuns = 0;
+  #endedRuns = 0;
   readonly #interrupted = new AbortController();
   readonly #cancelTimer: CancelTimer;
   #interruption: Interruption | undefined;
@@ -71,6 +69,28 @@
     return this.#interruption;
   }
 
+  /** Servers that may have run it, for the route's bound on attempts. */
+  get runs(): number {
+    return this.#openRuns + this.#endedRuns;
+  }
+
+  /** Whether any server may have run it, or may be running it now. */
+  get mayHaveRun(): boolean {
+    return this.runs > 0;
+  }
+
+  /** It is about to be sent to a server that would run it. */
+  beginRun(serverId: string): void {
+    this.triedServerIds.add(serverId);
+    this.#openRuns += 1;
+  }
+
+  /** The sending is over; `hasNotRun` only when that is certain. */
+  endRun(hasNotRun: boolean): void {
+    this.#openRuns -= 1;
+    if (!hasNotRun) this.#endedRuns += 1;
+  }
+
   get isAnswered(): boolean {
     return this.#isAnswered;
   }
@@ -97,7 +117,10 @@
 
   /** Refuses with the promise that it has not run and never will. */
   refuse(reason: string, retryAfterMs: number): void {
-    if (this.mayHaveRun) return this.fail(502, reason);
+    if (this.mayHaveRun) {
+      this.fail(502, reason);
+      return;
+    }
     const seconds = Math.max(0.05, retryAfterMs / MILLISECONDS_PER_SECOND).toFixed(2);
     this.#answerOwn(503, reason, ['Retry-After', seconds]);
     this.#record('refused', reason);
@@ -135,9 +158,9 @@
       this.finish('caller-gone', {});
       return;
     }
-    if (this.#isAnswered) return this.breakOff('out of time');
-    if (this.mayHaveRun) return this.fail(504, 'out of time');
-    this.refuse('out of time before it was sent', 0);
+    if (this.#isAnswered) this.breakOff('out of time');
+    else if (this.mayHaveRun) this.fail(504, 'out of time');
+    else this.refuse('out of time before it was sent', 0);
   }
 
   #begin(status: number, headers: RawHeaders): boolean {
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -185,8 +185,7 @@
       return this.#giveUp();
     }
     this.#sends += 1;
-    exchange.runs += 1;
-    exchange.triedServerIds.add(server.id);
+    exchange.beginRun(server.id);
     const load = this.#context.fleet.loadOf(server.id);
     const read = plan.kind === 'direct' ? load.begin(plan.expectedMs, this.#nowMs()) : undefined;
     load.running += 1;
@@ -200,8 +199,8 @@
     };
     const result = await sendAttempt(exchange, this.#context, options);
     if (read !== undefined) load.abandon(read);
+    exchange.endRun(result.kind === 'not-sent' || result.kind === 'not-executed');
     if (result.kind === 'answered') {
-      exchange.mayHaveRun = true;
       const next = await this.#relayAnswer(result.attempt);
       load.running -= 1;
       return next;
@@ -209,11 +208,7 @@
     load.running -= 1;
     if (memorySource !== undefined && source !== undefined) this.#free(memorySource, source);
     this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
-    if (result.kind === 'broken') {
-      exchange.mayHaveRun = true;
-      return 'again';
-    }
-    exchange.runs -= 1;
+    if (result.kind === 'broken') return 'again';
     this.#turnedDown += 1;
     // The memory may be what could not be had: the next engine reads the prompt by itself.
     if (memorySource !== undefined) {
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -72,12 +72,7 @@
     }
     if (result.kind === 'whole') this.#lastFailure = result.answer;
     else this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
-    if (result.kind === 'not-executed' || result.kind === 'not-sent') {
-      this.#exchange.runs -= 1;
-      this.#turnedDown += 1;
-    } else {
-      this.#exchange.mayHaveRun = true;
-    }
+    if (result.kind === 'not-executed' || result.kind === 'not-sent') this.#turnedDown += 1;
     if (this.#pending.size === 0) this.#startNext(false);
     return false;
   }
@@ -92,10 +87,10 @@
 
   #giveUp(): void {
     const exchange = this.#exchange;
-    if (exchange.signal.aborted) return exchange.endInterrupted();
-    if (this.#lastFailure !== undefined) return this.#answer(this.#lastFailure);
-    if (exchange.mayHaveRun) return exchange.fail(502, this.#lastReason);
-    exchange.refuse(this.#lastReason, RETRY_AFTER_MS);
+    if (exchange.signal.aborted) exchange.endInterrupted();
+    else if (this.#lastFailure !== undefined) this.#answer(this.#lastFailure);
+    else if (exchange.mayHaveRun) exchange.fail(502, this.#lastReason);
+    else exchange.refuse(this.#lastReason, RETRY_AFTER_MS);
   }
 
   #startNext(isFirst: boolean): boolean {
@@ -117,8 +112,7 @@
     const budget = fleet.budgetOf(service);
     if (isFirst) budget.countRequest(timers.nowMs());
     else if (!budget.tryTake(timers.nowMs())) return false;
-    exchange.triedServerIds.add(server.id);
-    exchange.runs += 1;
+    exchange.beginRun(server.id);
     const run = this.#runAt(server);
     this.#pending.add(run);
     void run.finally(() => this.#pending.delete(run));
@@ -130,8 +124,8 @@
       ...plainAttempt(server, this.#abandoned.signal),
       mayKeepConnection: this.#isRepeatable,
     });
+    this.#exchange.endRun(result.kind === 'not-sent' || result.kind === 'not-executed');
     if (result.kind !== 'answered') return result;
-    this.#exchange.mayHaveRun = true;
     const { answer, isStamped, end } = result.attempt;
     const body = await answer.collect(MAX_ANSWER_BYTES);
     const isSuccess = answer.status >= 200 && answer.status < 300;
