Pass an answer that only its connection ends on without an end of our own

Ruled out: a reset taken for an end (a trial on loopback shows the reset is seen). Kept connections also call the agent's own handling, which left error listeners behind.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -131,7 +131,10 @@
   ): void {
     health.close(call);
     const elapsedMs = timers.nowMs() - sinceMs;
-    if (isGood && finished.status < 500) return health.recordSuccess(elapsedMs);
+    if (isGood && finished.status < 500) {
+      health.recordSuccess(elapsedMs);
+      return;
+    }
     if (opts.signal.aborted) return;
     if (isGood) {
       health.recordServerError();
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -68,6 +68,15 @@
     return this.message.complete && !this.#isBroken;
   }
 
+  /**
+   * Whether only the end of the connection ends it (RFC 9112 section 6.3, rule 8). Nobody can tell
+   * such an answer that was cut from a whole one.
+   */
+  get isEndedByClose(): boolean {
+    const { headers } = this.message;
+    return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+  }
+
   /** Closes the connection; the server sees the request as given up. */
   destroy(): void {
     this.#request.destroy();
@@ -96,7 +105,10 @@
   }
 
   /** Called by node:http when an answer has ended. */
-  override keepSocketAlive(socket: Socket & { _httpMessage?: ClientRequest & { res?: IncomingMessage } }) {
+  override keepSocketAlive(
+    socket: Socket & { _httpMessage?: ClientRequest & { res?: IncomingMessage } },
+  ) {
+    super.keepSocketAlive(socket);
     const hint = /timeout=(\d+)/.exec(
       String(socket._httpMessage?.res?.headers['keep-alive'] ?? ''),
     )?.[1];
@@ -111,7 +123,7 @@
 
   /** Called by node:http when a kept connection gets a request. */
   override reuseSocket(socket: Socket, request: ClientRequest): void {
-    request.reusedSocket = true;
+    super.reuseSocket(socket, request);
     socket.setTimeout(0);
     socket.removeListener('data', destroySocket);
   }
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -15,6 +15,16 @@
 /** Why an exchange was ended from outside of its attempts. */
 export type Interruption = 'caller-gone' | 'out-of-time';
 
+/** A backend's answer that has been read to its end. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+  readonly serverId: string;
+  /** Whether it had no end but that of its connection. */
+  readonly isEndedByClose: boolean;
+}
+
 /** What an exchange is built from. */
 export interface ExchangeOptions {
   readonly request: IncomingMessage;
@@ -104,14 +114,21 @@
   }
 
   /** A backend's whole answer. */
-  answer(status: number, headers: RawHeaders, body: Buffer, serverId: string): void {
-    if (!this.#begin(status, [...headers, 'Content-Length', String(body.length)])) return;
+  answer(answer: WholeAnswer): void {
+    const { status, headers, body, serverId } = answer;
+    const framing = answer.isEndedByClose ? [] : ['Content-Length', String(body.length)];
+    if (answer.isEndedByClose) this.#endByClose();
+    if (!this.#begin(status, [...headers, ...framing])) return;
     this.options.response.end(body);
     this.finish('answered', { status, server: serverId });
   }
 
-  /** The head of a stream. */
-  beginStream(status: number, headers: RawHeaders): boolean {
+  /**
+   * The head of a stream.
+   * @param isEndedByClose whether the backend's answer has no end but that of its connection
+   */
+  beginStream(status: number, headers: RawHeaders, isEndedByClose: boolean): boolean {
+    if (isEndedByClose) this.#endByClose();
     return this.#begin(status, headers);
   }
 
@@ -163,6 +180,13 @@
     else this.refuse('out of time before it was sent', 0);
   }
 
+  /** The caller's answer gets no more of an end than the backend's had: it vouches for nothing. */
+  #endByClose(): void {
+    const { response } = this.options;
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  }
+
   #begin(status: number, headers: RawHeaders): boolean {
     const { response } = this.options;
     if (this.#isAnswered || response.destroyed) return false;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -164,13 +164,15 @@
       case 'same':
         return;
       case 'older':
-        return log.write(GATEWAY_EVENTS.configurationOlder, fields);
+        log.write(GATEWAY_EVENTS.configurationOlder, fields);
+        return;
       case 'taken':
         this.#callers.applyLimits(configuration.limits);
-        return log.write(GATEWAY_EVENTS.configurationInForce, {
+        log.write(GATEWAY_EVENTS.configurationInForce, {
           ...fields,
           routes: configuration.routes.length,
         });
+        return;
     }
   }
 
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -254,7 +254,13 @@
     const isFinal = !this.#mayRunOnceMore() && !this.#relay.hasBegun;
     if (body === undefined || !isFinal || isUnkeptPromise(answer.status)) return 'again';
     const headers = this.#context.codec.callerHeaders(answer.message.rawHeaders);
-    this.#exchange.answer(answer.status, headers, body, attempt.server.id);
+    this.#exchange.answer({
+      status: answer.status,
+      headers,
+      body,
+      serverId: attempt.server.id,
+      isEndedByClose: answer.isEndedByClose,
+    });
     return 'done';
   }
 
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -81,8 +81,10 @@
   #write(attempt: AnsweredAttempt, bytes: Buffer): boolean {
     const { response, metrics } = this.#exchange.options;
     if (!this.#exchange.isAnswered) {
-      const headers = this.#codec.callerHeaders(attempt.answer.message.rawHeaders);
-      if (!this.#exchange.beginStream(attempt.answer.status, headers)) return true;
+      const { answer } = attempt;
+      const headers = this.#codec.callerHeaders(answer.message.rawHeaders);
+      const { status, isEndedByClose } = answer;
+      if (!this.#exchange.beginStream(status, headers, isEndedByClose)) return true;
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
     if (bytes.length === 0) return true;
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -4,8 +4,7 @@
  */
 import { chooseWebServer, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
 import { type AttemptContext, type AttemptResult, plainAttempt, sendAttempt } from './attempt.js';
-import type { Exchange } from './exchange.js';
-import type { RawHeaders } from './ports.js';
+import type { Exchange, WholeAnswer } from './exchange.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
 /** Servers that may turn a request down, or be out of reach, before it is refused. */
@@ -15,13 +14,6 @@
 const LEAST_HEDGE_MS = 40;
 const RETRY_AFTER_MS = 400;
 
-interface WholeAnswer {
-  readonly status: number;
-  readonly headers: RawHeaders;
-  readonly body: Buffer;
-  readonly server: ServerRecord;
-}
-
 type RunResult =
   | { readonly kind: 'whole'; readonly answer: WholeAnswer }
   | Exclude<AttemptResult, { kind: 'answered' }>;
@@ -78,11 +70,11 @@
   }
 
   #isWorthRepeating(answer: WholeAnswer): boolean {
-    return this.#isRepeatable && answer.status >= 500;
+    return this.#isRepeatable && (answer.status >= 500 || answer.isEndedByClose);
   }
 
   #answer(answer: WholeAnswer): void {
-    this.#exchange.answer(answer.status, answer.headers, answer.body, answer.server.id);
+    this.#exchange.answer(answer);
   }
 
   #giveUp(): void {
@@ -137,7 +129,16 @@
       return { kind: 'broken', reason: `status ${answer.status} without its promise` };
     }
     const headers = this.#context.codec.callerHeaders(answer.message.rawHeaders);
-    return { kind: 'whole', answer: { status: answer.status, headers, body, server } };
+    return {
+      kind: 'whole',
+      answer: {
+        status: answer.status,
+        headers,
+        body,
+        serverId: server.id,
+        isEndedByClose: answer.isEndedByClose,
+      },
+    };
   }
 
   /** The next result, or that it is time to ask a second server beside the first. */
