--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { AttemptContext } from './attempt.js';
 import { BackendConnections } from './backend-connections.js';
+import { CacheNewsWatchers } from './cache-news-watcher.js';
 import { CallerListener } from './caller-listener.js';
 import { FleetView } from './fleet-view.js';
 import { GatewayMetrics } from './gateway-metrics.js';
@@ -48,6 +49,7 @@
   readonly #callers: CallerListener;
   readonly #servers: Server[] = [];
   readonly #watchers: readonly Watch[];
+  readonly #cacheNews: CacheNewsWatchers;
   #isStopping = false;
 
   constructor(options: GatewayOptions) {
@@ -66,6 +68,7 @@
       zone: settings.zone,
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
+    this.#cacheNews = new CacheNewsWatchers({ ...context, timers });
     this.#watchers = this.#createWatchers();
     this.#addGauges();
   }
@@ -107,8 +110,11 @@
     log.write(GATEWAY_EVENTS.stopping, { inFlight: this.#callers.inFlight });
     this.#callers.beginStop();
     await delay(timers, Math.min(LOOK_AWAY_MS, graceMs / 2));
+    // Where too few daemons are ready, new connections keep coming; they go elsewhere from here on.
+    this.#callers.server.close();
     while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);
     for (const watcher of this.#watchers) watcher.stop();
+    this.#cacheNews.stop();
     for (const server of this.#servers) server.close();
     this.#connections.close();
     log.write(GATEWAY_EVENTS.stopped, { inFlight: this.#callers.inFlight });
@@ -196,6 +202,8 @@
     const { directory } = this.#fleet;
     const change = isWhole ? directory.replaceAll(records) : directory.apply(records, goneIds);
     this.#fleet.forgetRemoved(change);
+    for (const server of change.removed) this.#cacheNews.remove(server.id);
+    for (const server of change.added) this.#cacheNews.add(server);
     for (const server of change.added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
     for (const server of change.changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
     for (const server of change.removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
