--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -20,8 +20,6 @@
   readonly state: ServerState;
   /** Undefined for plain web servers. */
   readonly stage: EngineStage | undefined;
-  /** Orders it has taken since its start. */
-  readonly orderSequence: number;
 }
 
 /** What changed in the directory. */
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -69,6 +69,15 @@
   readonly events: readonly CacheEvent[];
 }
 
+/** What an engine says of itself. */
+export interface EngineReport {
+  readonly stage: EngineStage;
+  /** An order is being carried out. */
+  readonly isBusy: boolean;
+  /** Orders taken since its start. */
+  readonly orderSequence: number;
+}
+
 /** An order that gives an engine another stage. */
 export interface StageOrder {
   readonly stage: EngineStage;
@@ -100,6 +109,8 @@
   cacheNews(since: number, waitMs: number): EngineCall;
   readCacheNews(body: Buffer): CacheNews | undefined;
   orderStage(order: StageOrder, serverId: string): EngineCall;
+  report(serverId: string): EngineCall;
+  readReport(body: Buffer): EngineReport | undefined;
 }
 
 /** One row of a watched table. */
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -16,7 +16,7 @@
 import type { TableEffect, TableResult } from '../../core/platform/table.js';
 import type { BackendConnections } from './backend-connections.js';
 import type { FleetView } from './fleet-view.js';
-import type { RequestCodec, TableService } from './ports.js';
+import type { EngineCall, EngineReport, RequestCodec, TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
@@ -48,6 +48,12 @@
   readonly log: GatewayLog;
 }
 
+interface EngineAnswer {
+  /** A status, or why there is none. */
+  readonly outcome: number | string;
+  readonly body: Buffer | undefined;
+}
+
 /** A daemon's part in ordering engines. */
 export class StageController {
   readonly #options: StageControllerOptions;
@@ -137,38 +143,50 @@
   }
 
   async #order(change: StageChange, epoch: number): Promise<void> {
-    const { daemon, codec, connections, timers, log } = this.#options;
+    const { daemon, codec, timers, log } = this.#options;
     const { engine, stage } = change;
-    const order = {
-      stage,
-      holder: daemon,
-      fence: epoch,
-      expectedSequence: engine.orderSequence,
-    };
+    const report = await this.#readReport(engine);
+    // The engine is looked at first; by then the lease may have run out.
+    if (report === undefined || report.isBusy || report.stage === stage) return;
+    if (!holdsAuthority(this.#lease, timers.nowMs()) || epochOf(this.#lease) !== epoch) return;
+    const expectedSequence = report.orderSequence;
     log.write(GATEWAY_EVENTS.orderSent, {
       server: engine.id,
       stage,
       fence: epoch,
-      expectedSequence: engine.orderSequence,
+      expectedSequence,
       wantedPrefill: Math.round(change.wantedPrefill * 10) / 10,
       currentPrefill: change.currentPrefill,
     });
+    const order = { stage, holder: daemon, fence: epoch, expectedSequence };
+    const answer = await this.#callEngine(engine, codec.orderStage(order, engine.id));
+    log.write(GATEWAY_EVENTS.orderAnswered, { server: engine.id, outcome: answer.outcome });
+  }
+
+  async #readReport(engine: ServerRecord): Promise<EngineReport | undefined> {
+    const { codec } = this.#options;
+    const answer = await this.#callEngine(engine, codec.report(engine.id));
+    return answer.body === undefined ? undefined : codec.readReport(answer.body);
+  }
+
+  async #callEngine(engine: ServerRecord, call: EngineCall): Promise<EngineAnswer> {
+    const { connections, timers } = this.#options;
     const ended = new AbortController();
     const cancel = timers.after(ORDER_TIMEOUT_MS, () => ended.abort());
     const result = await connections.call({
-      ...codec.orderStage(order, engine.id),
+      ...call,
       address: engine.address,
       mayKeepConnection: false,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       signal: ended.signal,
     });
-    if (result.kind === 'answered') await result.answer.collect(MAX_ANSWER_BYTES);
+    if (result.kind !== 'answered') {
+      cancel();
+      return { outcome: result.reason, body: undefined };
+    }
+    const body = await result.answer.collect(MAX_ANSWER_BYTES);
     cancel();
-    this.#logAnswer(engine, result.kind === 'answered' ? result.answer.status : result.reason);
-  }
-
-  #logAnswer(engine: ServerRecord, outcome: number | string): void {
-    this.#options.log.write(GATEWAY_EVENTS.orderAnswered, { server: engine.id, outcome });
+    return { outcome: result.answer.status, body };
   }
 
   #step(event: LeaseEvent): void {
