--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -129,6 +129,12 @@
   }
 }
 
+/** Every request names a host (RFC 9112 section 3.2); the product's own calls name the address. */
+function withHost(headers: RawHeaders, address: string): string[] {
+  const isNamed = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'host');
+  return isNamed ? [...headers] : ['Host', address, ...headers];
+}
+
 function destroySocket(this: Socket): void {
   this.destroy();
 }
@@ -199,7 +205,7 @@
       port: Number(call.address.slice(separator + 1)),
       method: call.method,
       path: call.path,
-      headers: call.headers as string[],
+      headers: withHost(call.headers, call.address),
       agent: call.mayKeepConnection ? this.#keepingAgent : this.#freshAgent,
     });
   }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -44,6 +44,17 @@
   readonly log: GatewayLog;
 }
 
+/** The ports that a gateway listens at. */
+export interface GatewayAddresses {
+  readonly callersPort: number;
+  readonly readinessPort: number;
+}
+
+interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** A running gateway. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -89,8 +100,8 @@
     this.#addGauges();
   }
 
-  /** Listens and begins to follow the store. */
-  async start(): Promise<void> {
+  /** Listens and begins to follow the store; gives the addresses it listens at. */
+  async start(): Promise<GatewayAddresses> {
     const { settings, adapter, log } = this.#options;
     const { callers, readiness, metrics } = settings.listen;
     for (const watcher of this.#watchers) void watcher.run();
@@ -99,8 +110,8 @@
       adapter.readinessPath,
       () => this.#fleet.isReady && !this.#isStopping,
     );
-    await this.#listen(this.#callers.server, callers);
-    await this.#listen(readinessServer, readiness);
+    const callersPort = await this.#listen(this.#callers.server, callers);
+    const readinessPort = await this.#listen(readinessServer, readiness);
     if (metrics !== undefined) await this.#listen(createMetricsServer(this.#metrics), metrics);
     log.write(GATEWAY_EVENTS.started, {
       daemon: settings.name,
@@ -108,6 +119,7 @@
       callers: `${callers.host}:${callers.port}`,
       readiness: `${readiness.host}:${readiness.port}`,
     });
+    return { callersPort, readinessPort };
   }
 
   /** Takes settings that were read again; listeners keep their addresses until a restart. */
@@ -131,17 +143,28 @@
     // Where too few daemons are ready, new connections keep coming; they go elsewhere from here on.
     this.#callers.server.close();
     while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);
+    log.write(GATEWAY_EVENTS.stopped, { inFlight: this.#callers.inFlight });
+    this.abort();
+    log.flush();
+  }
+
+  /** Ends at once; what is under way is cut. */
+  abort(): void {
+    this.#isStopping = true;
     for (const watcher of this.#watchers) watcher.stop();
     this.#cacheNews.stop();
-    for (const server of this.#servers) server.close();
+    this.#stages.stop();
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
     this.#connections.close();
-    log.write(GATEWAY_EVENTS.stopped, { inFlight: this.#callers.inFlight });
-    log.flush();
   }
 
-  async #listen(server: Server, endpoint: { readonly host: string; readonly port: number }) {
-    await listen(server, endpoint.host, endpoint.port);
+  async #listen(server: Server, endpoint: Endpoint): Promise<number> {
+    const port = await listen(server, endpoint.host, endpoint.port);
     this.#servers.push(server);
+    return port;
   }
 
   #createWatchers(): readonly Watch[] {
--- a/src/shell/gateway/index.ts
+++ b/src/shell/gateway/index.ts
@@ -1,5 +1,5 @@
 /** Described requests over sockets: listeners, calls to backends, and watches of the store. */
-export { Gateway, type GatewayOptions } from './gateway.js';
+export { Gateway, type GatewayAddresses, type GatewayOptions } from './gateway.js';
 export {
   type GatewaySettings,
   parseGatewaySettings,
--- a/src/shell/gateway/small-listeners.ts
+++ b/src/shell/gateway/small-listeners.ts
@@ -23,13 +23,14 @@
   });
 }
 
-/** Resolves once a server listens. */
-export function listen(server: Server, host: string, port: number): Promise<void> {
+/** Resolves with its port once a server listens. */
+export function listen(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen({ host, port, backlog: 1_024 }, () => {
       server.removeListener('error', reject);
-      resolve();
+      const address = server.address();
+      resolve(typeof address === 'object' && address !== null ? address.port : port);
     });
   });
 }
--- /dev/null
+++ b/test/gateway/backend-connections.test.ts
@@ -0,0 +1,119 @@
+/** Calls to backends: what tells a request that may have run from one that cannot have. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import { ManualTimers } from './support/manual-timers.js';
+
+const ANSWER_WITHOUT_LENGTH = 'HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\npart';
+
+let server: Server;
+let sockets: Socket[];
+let connections: BackendConnections;
+
+beforeEach(async () => {
+  sockets = [];
+  server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    server.emit('taken', socket);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  connections = new BackendConnections(new ManualTimers());
+});
+
+afterEach(() => {
+  connections.close();
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
+
+function call(port: number, signal = new AbortController().signal, mayKeepConnection = false) {
+  return connections.call({
+    address: `127.0.0.1:${port}`,
+    method: 'GET',
+    path: '/',
+    headers: ['Host', 'x'],
+    body: Buffer.alloc(0),
+    mayKeepConnection,
+    connectTimeoutMs: 200,
+    signal,
+  });
+}
+
+function port(): number {
+  return (server.address() as AddressInfo).port;
+}
+
+async function nextSocket(): Promise<Socket> {
+  const [socket] = (await once(server, 'taken')) as [Socket];
+  return socket;
+}
+
+test('a refused connection means that nothing was sent', async () => {
+  const unused = port();
+  server.close();
+  await once(server, 'close');
+  assert.equal((await call(unused)).kind, 'not-sent');
+  server.listen(0, '127.0.0.1');
+});
+
+test('a connection that closes under a request leaves open whether it ran', async () => {
+  const result = call(port());
+  const socket = await nextSocket();
+  socket.once('data', () => socket.destroy());
+  assert.equal((await result).kind, 'broken');
+});
+
+test('an answer without a length that is reset is not whole', async () => {
+  const result = call(port());
+  const socket = await nextSocket();
+  socket.write(ANSWER_WITHOUT_LENGTH);
+  const answered = await result;
+  assert.equal(answered.kind, 'answered');
+  if (answered.kind !== 'answered') return;
+  assert.equal(answered.answer.isEndedByClose, true);
+  const body = answered.answer.collect(100);
+  const handle = Reflect.get(socket, '_handle') as { reset(done: () => void): void };
+  handle.reset(() => socket.destroy());
+  assert.equal(await body, undefined);
+});
+
+test('an answer without a length that its connection ends is whole, as far as can be told', async () => {
+  const result = call(port());
+  const socket = await nextSocket();
+  socket.end(ANSWER_WITHOUT_LENGTH);
+  const answered = await result;
+  assert.equal(answered.kind, 'answered');
+  if (answered.kind !== 'answered') return;
+  assert.equal((await answered.answer.collect(100))?.toString(), 'part');
+});
+
+test('a connection is kept for as long as the server says, less a margin, and not without its word', async () => {
+  const answerTo = async (head: string) => {
+    const result = await call(port(), undefined, true);
+    assert.equal(result.kind, 'answered');
+    if (result.kind === 'answered') await result.answer.collect(100);
+    return head;
+  };
+  const serve = (headers: string) => (socket: Socket) => {
+    socket.on('data', () => socket.write(`HTTP/1.1 200 OK\r\n${headers}Content-Length: 0\r\n\r\n`));
+  };
+  server.on('taken', serve('Keep-Alive: timeout=9\r\n'));
+  await answerTo('first');
+  await answerTo('second');
+  assert.equal(connections.openedTotal, 1);
+});
+
+test('a call that is given up closes its connection', async () => {
+  const ended = new AbortController();
+  const result = call(port(), ended.signal);
+  const socket = await nextSocket();
+  const closed = once(socket, 'close');
+  socket.resume();
+  ended.abort();
+  assert.notEqual((await result).kind, 'answered');
+  await closed;
+});
--- /dev/null
+++ b/test/gateway/choices.test.ts
@@ -0,0 +1,275 @@
+/** The choices made for each request: routes, budgets, servers, engines, stages, priorities. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  chooseWebServer,
+  type EngineChoiceInput,
+  EngineLoad,
+  homeOf,
+  keptPrefixTokens,
+  PrefixKnowledge,
+  planModelRequest,
+  planStageChange,
+  ReadSpeed,
+  RetryBudget,
+  type Route,
+  RouteTable,
+  readPriority,
+  ServerDirectory,
+  ServerHealth,
+  type ServerRecord,
+  TrafficSplitter,
+} from '../../src/core/gateway/index.js';
+import { EventSplitter } from '../../src/shell/gateway/event-splitter.js';
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'a.example',
+  pathPrefix: '/x/',
+  kind: 'idempotent',
+  resumable: false,
+  timeoutMs: 1_000,
+  targetLatencyMs: 100,
+  priority: 0,
+  attempts: 2,
+  traffic: [{ service: 's', weight: 1 }],
+};
+
+function server(id: string, fields: Partial<ServerRecord> = {}): ServerRecord {
+  return {
+    id,
+    service: 's',
+    address: '127.0.0.1:1',
+    zone: 'a',
+    slots: 4,
+    state: 'ready',
+    stage: undefined,
+    ...fields,
+  };
+}
+
+/** Health by server, made when first asked for. */
+function healths(): (id: string) => ServerHealth {
+  const known = new Map<string, ServerHealth>();
+  return (id) => {
+    const health = known.get(id) ?? new ServerHealth();
+    known.set(id, health);
+    return health;
+  };
+}
+
+test('of the routes for a host the longest prefix counts', () => {
+  const table = new RouteTable([ROUTE, { ...ROUTE, name: 'longer', pathPrefix: '/x/y/' }]);
+  assert.equal(table.find('A.example:80', '/x/y/z?q=/x/')?.name, 'longer');
+  assert.equal(table.find('a.example', '/x/z')?.name, 'r');
+  assert.equal(table.find('a.example', '/xy/')?.name, undefined);
+  assert.equal(table.find('b.example', '/x/z'), undefined);
+});
+
+test('traffic is split by weight, and a weight of nothing gets nothing', () => {
+  const splitter = new TrafficSplitter();
+  const traffic = [
+    { service: 'a', weight: 90 },
+    { service: 'b', weight: 10 },
+    { service: 'c', weight: 0 },
+  ];
+  const counts = new Map<string, number>();
+  for (let turn = 0; turn < 100; turn += 1) {
+    const service = splitter.choose({ ...ROUTE, traffic }) ?? '';
+    counts.set(service, (counts.get(service) ?? 0) + 1);
+  }
+  assert.deepEqual(Object.fromEntries(counts), { a: 90, b: 10 });
+});
+
+test('repeats stay under the ratio and the allowance of every window', () => {
+  const budget = new RetryBudget({ ratio: 0.2, allowance: 2, windowMs: 1_000 });
+  for (let count = 0; count < 10; count += 1) budget.countRequest(0);
+  const taken = [1, 2, 3, 4, 5].filter(() => budget.tryTake(500)).length;
+  assert.equal(taken, 4);
+  assert.equal(budget.tryTake(1_400), false);
+  assert.equal(budget.tryTake(1_600), true);
+});
+
+test('a reused address is another server with nothing carried over', () => {
+  const directory = new ServerDirectory();
+  directory.apply([server('i-1')], []);
+  const change = directory.replaceAll([server('i-2')]);
+  assert.deepEqual(
+    [change.added.map((record) => record.id), change.removed.map((record) => record.id)],
+    [['i-2'], ['i-1']],
+  );
+});
+
+test('a server that failed is passed over until its ejection ends', () => {
+  const healthOf = healths();
+  healthOf('i-1').recordBroken(0);
+  const choose = (nowMs: number) =>
+    chooseWebServer({
+      candidates: [server('i-1'), server('i-2', { zone: 'b' })],
+      excludedIds: new Set(),
+      zone: 'a',
+      nowMs,
+      entropy: 0,
+      healthOf,
+    })?.id;
+  assert.equal(choose(100), 'i-2');
+  for (let count = 0; count < 20; count += 1) healthOf('i-1').recordSuccess(10);
+  assert.equal(choose(500), 'i-1');
+});
+
+test('a server that owes an answer for long is passed over', () => {
+  const health = new ServerHealth();
+  const open = health.open(0);
+  assert.equal(health.isSuspect(100), false);
+  assert.equal(health.isSuspect(500), true);
+  health.close(open);
+  assert.equal(health.isSuspect(500), false);
+});
+
+const PARTS = [
+  { id: 'shared', tokens: 13_000 },
+  { id: 'own', tokens: 4_000 },
+];
+
+function engineInput(fields: Partial<EngineChoiceInput> = {}): EngineChoiceInput {
+  const loads = new Map<string, EngineLoad>();
+  const healthOf = healths();
+  return {
+    candidates: [
+      server('p1', { stage: 'prefill' }),
+      server('p2', { stage: 'prefill' }),
+      server('d1', { stage: 'decode' }),
+    ],
+    excludedIds: new Set(),
+    description: {
+      attemptId: 'x',
+      deadlineMs: 5_000,
+      model: 'm',
+      promptParts: PARTS,
+      promptTokens: 17_000,
+      maxOutputTokens: 10,
+    },
+    zone: 'a',
+    nowMs: 1_000,
+    knowledge: new PrefixKnowledge(),
+    speed: new ReadSpeed(),
+    kvTokenBytes: 163_840,
+    linkMbps: 1_900_000,
+    healthOf,
+    loadOf: (id) => {
+      const load = loads.get(id) ?? new EngineLoad();
+      loads.set(id, load);
+      return load;
+    },
+    ...fields,
+  };
+}
+
+test('a long prompt that nobody keeps is read at its home', () => {
+  const input = engineInput();
+  const plan = planModelRequest(input);
+  const prefillEngines = input.candidates.filter((engine) => engine.stage === 'prefill');
+  assert.equal(plan?.kind, 'prefill');
+  assert.equal(
+    plan?.kind === 'prefill' ? plan.prefill.server.id : '',
+    homeOf('shared', prefillEngines)?.id,
+  );
+});
+
+test('all daemons that list the same engines agree on a home, in any order', () => {
+  const engines = ['a', 'b', 'c', 'd'].map((id) => server(id));
+  const homes = new Set<string | undefined>();
+  for (let part = 0; part < 64; part += 1) {
+    const home = homeOf(`part-${part}`, engines)?.id;
+    assert.equal(homeOf(`part-${part}`, [...engines].reverse())?.id, home);
+    homes.add(home);
+  }
+  assert.equal(homes.size, 4);
+});
+
+test('an engine that is free takes a kept part from one that is busy', () => {
+  const input = engineInput();
+  input.knowledge.confirm('p1', 'shared', 13_000);
+  input.loadOf('p1').begin(2_000, 1_000);
+  const plan = planModelRequest(input);
+  assert.equal(plan?.kind, 'prefill');
+  if (plan?.kind !== 'prefill') return;
+  assert.equal(plan.prefill.server.id, 'p2');
+  assert.equal(plan.prefill.fetchFrom?.id, 'p1');
+  assert.equal(plan.prefill.missingTokens, 4_000);
+});
+
+test('without a prefill engine a decode engine reads by itself, and without one there is no plan', () => {
+  const decode = [server('d1', { stage: 'decode' })];
+  assert.equal(planModelRequest(engineInput({ candidates: decode }))?.kind, 'direct');
+  const prefill = [server('p1', { stage: 'prefill' })];
+  assert.equal(planModelRequest(engineInput({ candidates: prefill })), undefined);
+});
+
+test('kept parts count in order, up to the first that is not whole', () => {
+  const kept = new Map([
+    ['a', 10],
+    ['b', 5],
+    ['c', 10],
+  ]);
+  const parts = ['a', 'b', 'c'].map((id) => ({ id, tokens: 10 }));
+  assert.equal(
+    keptPrefixTokens(parts, (id) => kept.get(id) ?? 0),
+    15,
+  );
+});
+
+test('a belief of our own fades, the word of the engine itself does not', () => {
+  const knowledge = new PrefixKnowledge();
+  knowledge.assume('e', [{ id: 'a', tokens: 10 }], 0);
+  knowledge.confirm('e', 'b', 10);
+  const kept = (id: string) => knowledge.keptTokens('e', [{ id, tokens: 10 }], 60_000);
+  assert.deepEqual([kept('a'), kept('b')], [0, 10]);
+  knowledge.confirm('e', 'b', 0);
+  assert.equal(kept('b'), 0);
+});
+
+test('a prompt that took longer than expected shows the work of others, for a while', () => {
+  const load = new EngineLoad();
+  const read = load.begin(100, 0);
+  load.finish(read, 700);
+  assert.ok(load.expectedWaitMs(700) >= 250);
+  assert.ok(load.expectedWaitMs(5_000) < 5);
+});
+
+test('engines follow the mix within bounds, one at a time, and not for little', () => {
+  const engines = [0, 1, 2, 3, 4, 5, 6, 7].map((index) =>
+    server(`e${index}`, { stage: index < 2 ? 'prefill' : 'decode' }),
+  );
+  const plan = (prefillMs: number, decodeMs: number, requests = 100) =>
+    planStageChange({
+      engines,
+      work: { prefillMs, decodeMs, requests },
+      busyOf: (id) => (id === 'e5' ? 0 : 1),
+    });
+  assert.deepEqual([plan(900, 100)?.engine.id, plan(900, 100)?.stage], ['e5', 'prefill']);
+  assert.equal(plan(900, 100, 5), undefined);
+  const balanced = engines.map((engine, index) => ({
+    ...engine,
+    stage: index < 4 ? ('prefill' as const) : ('decode' as const),
+  }));
+  const work = { prefillMs: 100, decodeMs: 900, requests: 100 };
+  assert.equal(planStageChange({ engines: balanced, work, busyOf: () => 0 }), undefined);
+});
+
+test('the rank decides on priority, and within it what is soon read goes first', () => {
+  assert.ok(readPriority(0, 5) < readPriority(1, 0));
+  assert.ok(readPriority(1, 0.1) < readPriority(1, 0.5));
+  assert.ok(readPriority(1, 0.5) < readPriority(1, 2));
+  assert.equal(readPriority(40, 2), 9);
+});
+
+test('a stream is cut at whole events only, and the last whole id is known', () => {
+  const splitter = new EventSplitter();
+  assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n')).length, 0);
+  assert.equal(splitter.push(Buffer.from('\nid: 2\nda')).toString(), 'id: 1\ndata: a\n\n');
+  assert.equal(splitter.lastEventId, '1');
+  splitter.discardRest();
+  assert.equal(splitter.push(Buffer.from('id: 2\r\ndata: b\r\n\r\n')).length, 18);
+  assert.equal(splitter.lastEventId, '2');
+});
--- /dev/null
+++ b/test/gateway/model-requests.test.ts
@@ -0,0 +1,144 @@
+/** Model requests through a whole gateway over TCP: hand-over, falling back, streams and resuming. */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { deferred } from './support/deferred.js';
+import { configuration, GatewayFixture, route } from './support/fixture.js';
+import { engine, type ServerStandIn, turningDown } from './support/server-stand-in.js';
+
+const READ = route({
+  name: 'read',
+  pathPrefix: '/read/',
+  kind: 'streaming',
+  service: 'reader',
+  timeoutMs: 5_000,
+  targetLatencyMs: 500,
+});
+const CHECK = route({
+  name: 'check',
+  pathPrefix: '/check/',
+  kind: 'streaming',
+  service: 'reader',
+  resumable: true,
+  attempts: 2,
+  timeoutMs: 5_000,
+});
+const LONG = {
+  path: '/read/1',
+  headers: {
+    'X-Model': 'm',
+    'X-Token-Count': '17000,10',
+    'X-Prompt-Prefix': 'aa:13000,bb:4000',
+  },
+};
+const SHORT = {
+  path: '/check/1',
+  headers: { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' },
+};
+const ALL_EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
+
+let fixture: GatewayFixture;
+
+beforeEach(async () => {
+  fixture = new GatewayFixture();
+  await fixture.start();
+  fixture.store.putConfiguration(configuration(1, [READ, CHECK]));
+  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+});
+
+afterEach(() => fixture.stop());
+
+async function addEngine(
+  id: string,
+  stage: 'prefill' | 'decode',
+  script = engine(3),
+): Promise<ServerStandIn> {
+  const server = await fixture.addServer(id, script, { service: 'reader', stage });
+  await fixture.logged(GATEWAY_EVENTS.serverAdded, (fields) => fields.server === id);
+  return server;
+}
+
+/** What a server was sent as requests, without the calls for its news. */
+function requestsOf(server: ServerStandIn) {
+  return server.seen.filter(
+    (seen) => seen.url.startsWith('/read/') || seen.url.startsWith('/check/'),
+  );
+}
+
+test('a long prompt is read at a prefill engine and goes on at a decode engine', async () => {
+  const prefill = await addEngine('i-p', 'prefill');
+  const decode = await addEngine('i-d', 'decode');
+  const answer = await fixture.call(LONG);
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body, ALL_EVENTS);
+  assert.equal(requestsOf(prefill)[0]?.headers['x-stage'], 'prefill');
+  const run = requestsOf(decode)[0];
+  assert.equal(run?.headers['x-kv-source'], `${prefill.address}/handle-1`);
+  assert.equal(run?.headers['x-stage'], undefined);
+});
+
+test('a short prompt is read by the decode engine itself', async () => {
+  const prefill = await addEngine('i-p', 'prefill');
+  await addEngine('i-d', 'decode');
+  assert.equal((await fixture.call(SHORT)).body, ALL_EVENTS);
+  assert.equal(requestsOf(prefill).length, 0);
+});
+
+test('when the memory cannot be had the decode engine reads the prompt, and the memory is freed', async () => {
+  const freed = deferred<string>();
+  await addEngine('i-p', 'prefill', (served) => {
+    if (served.seen.method === 'DELETE') freed.resolve(served.seen.url);
+    engine(3)(served);
+  });
+  const decode = await addEngine('i-d', 'decode', (served) => {
+    const script = served.seen.headers['x-kv-source'] === undefined ? engine(3) : turningDown;
+    script(served);
+  });
+  assert.equal((await fixture.call(LONG)).body, ALL_EVENTS);
+  assert.equal(requestsOf(decode).length, 2);
+  assert.equal(requestsOf(decode)[1]?.headers['x-kv-source'], undefined);
+  assert.equal(await freed.promise, '/kv-handle/handle-1');
+});
+
+test('when no prefill engine reads, the decode engine does', async () => {
+  await addEngine('i-p', 'prefill', turningDown);
+  await addEngine('i-d', 'decode');
+  assert.equal((await fixture.call(LONG)).body, ALL_EVENTS);
+});
+
+test('a resumable stream that breaks inside an event goes on at another engine', async () => {
+  const first = await addEngine('i-1', 'decode', engine(3, 1));
+  const second = await addEngine('i-2', 'decode', engine(3, 1));
+  const takeOver = (other: ServerStandIn) => {
+    other.script = engine(3);
+  };
+  first.script = (served) => {
+    takeOver(second);
+    engine(3, 1)(served);
+  };
+  second.script = (served) => {
+    takeOver(first);
+    engine(3, 1)(served);
+  };
+  const answer = await fixture.call(SHORT);
+  assert.equal(answer.body, ALL_EVENTS);
+  assert.ok(answer.isWhole);
+  const resumed = [...requestsOf(first), ...requestsOf(second)].map(
+    (seen) => seen.headers['last-event-id'],
+  );
+  assert.deepEqual(resumed.sort(), ['1', undefined]);
+});
+
+test('a stream that may not be resumed ends visibly broken and runs once', async () => {
+  const decode = await addEngine('i-1', 'decode', engine(3, 1));
+  const other = await addEngine('i-2', 'decode', engine(3, 1));
+  const answer = await fixture.call(LONG);
+  assert.equal(answer.isWhole, false);
+  assert.equal(requestsOf(decode).length + requestsOf(other).length, 1);
+});
+
+test('without any engine a request is refused as not run', async () => {
+  const answer = await fixture.call(LONG);
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+});
--- /dev/null
+++ b/test/gateway/support/fixture.ts
@@ -0,0 +1,198 @@
+/** A gateway over real sockets, with a store and servers that tests script. */
+import { once } from 'node:events';
+import http from 'node:http';
+import { createPlatformAdapter } from '../../../platform/index.js';
+import type { LogEvent, LogFields } from '../../../src/core/logging/log-event.js';
+import {
+  Gateway,
+  GatewayLog,
+  type GatewaySettings,
+  SYSTEM_TIMERS,
+  type TimerService,
+} from '../../../src/shell/gateway/index.js';
+import { type Script, ServerStandIn } from './server-stand-in.js';
+import { StoreStandIn } from './store-stand-in.js';
+
+const HOST = 'labels.example';
+
+/** A line that the gateway logged. */
+export interface LoggedLine {
+  readonly event: LogEvent;
+  readonly fields: LogFields;
+}
+
+/** An answer as a caller got it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly isWhole: boolean;
+}
+
+/** What a caller sends. */
+export interface CallerRequest {
+  readonly path: string;
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+}
+
+/** A route of the configuration; what is not given is that of a plain web route. */
+export function route(fields: Record<string, unknown>): Record<string, unknown> {
+  return {
+    name: 'tiles',
+    host: HOST,
+    pathPrefix: '/tiles/',
+    kind: 'non_idempotent',
+    timeoutMs: 1_000,
+    targetLatencyMs: 200,
+    priority: 1,
+    attempts: 1,
+    service: 'viewer',
+    ...fields,
+  };
+}
+
+/** A configuration over some routes. */
+export function configuration(version: number, routes: readonly unknown[]): unknown {
+  const engineTraits = {
+    slots: 8,
+    kvTokens: 100_000,
+    kvTokenBytes: 1_000,
+    linkMbps: 100_000,
+    most: 12,
+  };
+  return {
+    version,
+    routes,
+    services: [
+      { name: 'viewer', maxConnections: 100 },
+      { name: 'reader', maxConnections: 100, engine: engineTraits },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/** A gateway with all that is around it. */
+export class GatewayFixture {
+  readonly store = new StoreStandIn();
+  readonly lines: LoggedLine[] = [];
+  readonly #servers: ServerStandIn[] = [];
+  readonly #waiting = new Set<() => void>();
+  #gateway: Gateway | undefined;
+  callersPort = 0;
+  readinessPort = 0;
+
+  /** @param timers real time unless a test moves it itself */
+  async start(timers: TimerService = SYSTEM_TIMERS): Promise<void> {
+    const store = await this.store.start();
+    const settings: GatewaySettings = {
+      name: 'front-1',
+      zone: 'a',
+      listen: {
+        callers: { host: '127.0.0.1', port: 0 },
+        readiness: { host: '127.0.0.1', port: 0 },
+        metrics: undefined,
+      },
+      store,
+      bounds: { configurationApplyMs: 2_000, drainMs: 2_000, stopGraceSeconds: 8, leaseMs: 3_000 },
+      retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 240 },
+      logging: { maxLinesPerSecond: 10_000 },
+    };
+    const logger = {
+      write: (event: LogEvent, fields: LogFields = {}) => this.#note({ event, fields }),
+      flush: () => undefined,
+    };
+    const gateway = new Gateway({
+      settings,
+      adapter: createPlatformAdapter(store),
+      timers,
+      log: new GatewayLog(logger, timers, settings.logging.maxLinesPerSecond),
+    });
+    this.#gateway = gateway;
+    const addresses = await gateway.start();
+    this.callersPort = addresses.callersPort;
+    this.readinessPort = addresses.readinessPort;
+  }
+
+  /** Stops everything; to be called by every test. */
+  stop(): void {
+    this.#gateway?.abort();
+    for (const server of this.#servers) server.stop();
+    this.store.stop();
+  }
+
+  get gateway(): Gateway {
+    if (this.#gateway === undefined) throw new Error('start the fixture first');
+    return this.#gateway;
+  }
+
+  /** Starts a server and lists it. */
+  async addServer(id: string, script: Script, fields: object = {}): Promise<ServerStandIn> {
+    const server = new ServerStandIn(script);
+    await server.start();
+    this.#servers.push(server);
+    this.listServer(id, server, fields);
+    return server;
+  }
+
+  listServer(id: string, server: ServerStandIn, fields: object = {}): void {
+    const { address } = server;
+    const row = { service: 'viewer', address, zone: 'a', slots: 6, state: 'ready', sequence: 1 };
+    this.store.putServer(id, { ...row, ...fields });
+  }
+
+  /** Resolves once a line was logged that fits, now or before. */
+  async logged(event: LogEvent, fits: (fields: LogFields) => boolean = () => true): Promise<void> {
+    const isThere = () =>
+      this.lines.some((line) => line.event.number === event.number && fits(line.fields));
+    while (!isThere()) await new Promise<void>((resolve) => this.#waiting.add(resolve));
+  }
+
+  async call(request: CallerRequest): Promise<CallerAnswer> {
+    const sent = this.open(request);
+    const [response] = (await once(sent, 'response')) as [http.IncomingMessage];
+    const chunks: Buffer[] = [];
+    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    response.on('error', () => undefined);
+    await new Promise((resolve) => response.once('close', resolve));
+    return {
+      status: response.statusCode ?? 0,
+      headers: response.headers,
+      body: Buffer.concat(chunks).toString('utf8'),
+      isWhole: response.complete,
+    };
+  }
+
+  /** Sends a request without waiting for its answer. */
+  open(request: CallerRequest): http.ClientRequest {
+    const sent = http.request({
+      host: '127.0.0.1',
+      port: this.callersPort,
+      method: request.method ?? 'POST',
+      path: request.path,
+      agent: false,
+      headers: { Host: HOST, 'X-Attempt-Id': 'attempt-1', ...request.headers },
+    });
+    sent.end(request.body ?? '');
+    return sent;
+  }
+
+  async readiness(): Promise<number> {
+    const answer = await fetch(`http://127.0.0.1:${this.readinessPort}/ready`);
+    await answer.arrayBuffer();
+    return answer.status;
+  }
+
+  #note(line: LoggedLine): void {
+    this.lines.push(line);
+    for (const resolve of this.#waiting) resolve();
+    this.#waiting.clear();
+  }
+}
--- /dev/null
+++ b/test/gateway/support/manual-timers.ts
@@ -0,0 +1,38 @@
+/** A timer service whose time only moves when a test says so. */
+import type { TimerService } from '../../../src/shell/gateway/timer-service.js';
+
+interface Pending {
+  readonly dueMs: number;
+  readonly callback: () => void;
+}
+
+/** Virtual time. */
+export class ManualTimers implements TimerService {
+  #nowMs = 1_000;
+  readonly #pending = new Set<Pending>();
+
+  nowMs(): number {
+    return this.#nowMs;
+  }
+
+  after(delayMs: number, callback: () => void): () => void {
+    const pending: Pending = { dueMs: this.#nowMs + Math.max(0, delayMs), callback };
+    this.#pending.add(pending);
+    return () => {
+      this.#pending.delete(pending);
+    };
+  }
+
+  /** Moves time on and calls what falls due, in order. */
+  advance(spanMs: number): void {
+    const endMs = this.#nowMs + spanMs;
+    for (;;) {
+      const next = [...this.#pending].sort((left, right) => left.dueMs - right.dueMs)[0];
+      if (next === undefined || next.dueMs > endMs) break;
+      this.#pending.delete(next);
+      this.#nowMs = next.dueMs;
+      next.callback();
+    }
+    this.#nowMs = endMs;
+  }
+}
--- /dev/null
+++ b/test/gateway/support/store-stand-in.ts
@@ -0,0 +1,178 @@
+/** A stand-in for the platform's store: rows, transactions, held feeds, and the faults tests ask for. */
+import { once } from 'node:events';
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { PATHS, TABLES } from '../../../platform/names.js';
+
+interface Row {
+  readonly table: string;
+  readonly privateKey: string;
+  readonly value: string | undefined;
+  readonly ver: number;
+}
+
+interface TransactionEntry {
+  readonly table: string;
+  readonly privateKey: string;
+  readonly value?: string;
+  readonly ver?: number;
+}
+
+interface Transaction {
+  readonly expectedRevision: readonly TransactionEntry[];
+  readonly put: readonly TransactionEntry[];
+  readonly remove: readonly TransactionEntry[];
+}
+
+interface HeldFeed {
+  readonly table: string;
+  readonly after: number;
+  readonly response: ServerResponse;
+}
+
+/** What the store does instead of serving. */
+export type StoreFault = 'none' | 'refuse' | 'lose-answers';
+
+/** A store on loopback. */
+export class StoreStandIn {
+  /** Applied to every call until it is set back. */
+  fault: StoreFault = 'none';
+  /** Feeds from before this version are gone. */
+  historyFrom = 0;
+  readonly calls: string[] = [];
+  #ver = 1;
+  readonly #rows = new Map<string, Row>();
+  readonly #feeds = new Set<HeldFeed>();
+  readonly #server = http.createServer((request, response) => void this.#serve(request, response));
+
+  async start(): Promise<{ readonly host: string; readonly port: number }> {
+    this.#server.listen(0, '127.0.0.1');
+    await once(this.#server, 'listening');
+    return { host: '127.0.0.1', port: (this.#server.address() as AddressInfo).port };
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  putConfiguration(document: unknown): void {
+    this.put(TABLES.operator, TABLES.configurationKey, document);
+  }
+
+  putServer(id: string, document: unknown): void {
+    this.put(TABLES.servers, id, document);
+  }
+
+  put(table: string, key: string, document: unknown): void {
+    this.#write(table, key, Buffer.from(JSON.stringify(document)).toString('base64'));
+    this.#answerFeeds();
+  }
+
+  remove(table: string, key: string): void {
+    this.#write(table, key, undefined);
+    this.#answerFeeds();
+  }
+
+  /** Ends all held feeds as a store does that forgot their history. */
+  forgetHistory(): void {
+    this.historyFrom = this.#ver + 1;
+    for (const feed of this.#feeds) feed.response.writeHead(410).end();
+    this.#feeds.clear();
+  }
+
+  /** The value of a row, undefined when it is not there. */
+  read(table: string, key: string): unknown {
+    const value = this.#rows.get(`${table}/${key}`)?.value;
+    return value === undefined
+      ? undefined
+      : JSON.parse(Buffer.from(value, 'base64').toString('utf8'));
+  }
+
+  #write(table: string, key: string, value: string | undefined): void {
+    this.#ver += 1;
+    this.#rows.set(`${table}/${key}`, { table, privateKey: key, value, ver: this.#ver });
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const url = new URL(request.url ?? '/', 'http://store');
+    this.calls.push(url.pathname);
+    if (this.fault === 'refuse') {
+      response.writeHead(503).end();
+      return;
+    }
+    switch (url.pathname) {
+      case PATHS.rowsGet:
+        return this.#get(url, response);
+      case PATHS.rowsFeed:
+        return this.#feed(url, response);
+      case PATHS.rowsTx:
+        return this.#transact(JSON.parse(Buffer.concat(chunks).toString('utf8')), response);
+      default:
+        response.writeHead(404).end();
+    }
+  }
+
+  #get(url: URL, response: ServerResponse): void {
+    const rows = this.#rowsOf(url.searchParams.get('table') ?? '', 0).filter(
+      (row) => row.value !== undefined,
+    );
+    this.#answer(response, 200, rows);
+  }
+
+  #feed(url: URL, response: ServerResponse): void {
+    const table = url.searchParams.get('table') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    if (after < this.historyFrom) {
+      response.writeHead(410).end();
+      return;
+    }
+    this.#feeds.add({ table, after, response });
+    this.#answerFeeds();
+  }
+
+  #answerFeeds(): void {
+    for (const feed of this.#feeds) {
+      const rows = this.#rowsOf(feed.table, feed.after);
+      if (rows.length === 0) continue;
+      this.#feeds.delete(feed);
+      this.#answer(feed.response, 200, rows);
+    }
+  }
+
+  #transact(transaction: Transaction, response: ServerResponse): void {
+    const current = (entry: TransactionEntry) =>
+      this.#rows.get(`${entry.table}/${entry.privateKey}`);
+    const holds = transaction.expectedRevision.every(
+      (entry) => (current(entry)?.ver ?? 0) === entry.ver,
+    );
+    if (!holds) {
+      const rows = transaction.expectedRevision.flatMap((entry) => current(entry) ?? []);
+      this.#answer(response, 412, rows);
+      return;
+    }
+    this.#ver += 1;
+    for (const { table, privateKey, value } of transaction.put) {
+      this.#rows.set(`${table}/${privateKey}`, { table, privateKey, value, ver: this.#ver });
+    }
+    if (this.fault === 'lose-answers') {
+      response.destroy();
+      return;
+    }
+    this.#answer(response, 200, []);
+  }
+
+  #rowsOf(table: string, after: number): Row[] {
+    return [...this.#rows.values()]
+      .filter((row) => row.table === table && row.ver > after)
+      .sort((left, right) => left.ver - right.ver);
+  }
+
+  #answer(response: ServerResponse, status: number, rows: readonly Row[]): void {
+    const shown = rows.map((row) => (row.value === undefined ? { ...row, gone: true } : row));
+    const body = JSON.stringify({ rows: shown, more: false, ver: this.#ver, now_ms: 0 });
+    response.writeHead(status, { 'Content-Type': 'application/json' }).end(body);
+  }
+}
