Daemons tell each other their work at engines by datagrams

Cause: an engine's queue is the sum of what all daemons sent it, and each saw its own part only, so prompts expected in 126 ms took 615.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -5,6 +5,7 @@
 import { avalanche, EMPTY_HASH, hashText } from '../common/hash.js';
 import type { PromptPart, RequestDescription } from './description.js';
 import type { EngineLoad } from './engine-load.js';
+import type { PeerLoads } from './peer-load.js';
 import type { PrefixKnowledge } from './prefix-knowledge.js';
 import type { ReadSpeed } from './read-speed.js';
 import type { ServerRecord } from './server-directory.js';
@@ -41,6 +42,7 @@
   readonly kvTokenBytes: number;
   readonly linkMbps: number;
   healthOf(id: string): ServerHealth;
+  readonly peerLoads: PeerLoads;
   loadOf(id: string): EngineLoad;
 }
 
@@ -192,7 +194,9 @@
 function baseCost(server: ServerRecord, input: EngineChoiceInput): number {
   const health = input.healthOf(server.id);
   const load = input.loadOf(server.id);
-  let cost = load.expectedWaitMs(input.nowMs) + RUNNING_COST_MS * load.running;
+  const running = load.running + input.peerLoads.running(server.id, input.nowMs);
+  const peerWaitMs = input.peerLoads.waitMs(server.id, input.nowMs);
+  let cost = load.expectedWaitMs(input.nowMs) + peerWaitMs + RUNNING_COST_MS * running;
   if (server.zone !== input.zone) cost += OTHER_ZONE_COST_MS;
   cost += FAILURE_COST_MS * health.failureRate;
   if (health.isSuspect(input.nowMs)) cost += SUSPECT_COST_MS;
--- a/src/core/gateway/engine-load.ts
+++ b/src/core/gateway/engine-load.ts
@@ -11,6 +11,8 @@
 /** A prompt being read. */
 export interface PendingRead {
   readonly expectedMs: number;
+  /** Expected before it is begun, for the work of others that is known. */
+  readonly expectedWaitMs: number;
   readonly startedAtMs: number;
 }
 
@@ -22,8 +24,8 @@
   /** Streams of this daemon that run there. */
   running = 0;
 
-  begin(expectedMs: number, nowMs: number): PendingRead {
-    const read: PendingRead = { expectedMs, startedAtMs: nowMs };
+  begin(expectedMs: number, nowMs: number, expectedWaitMs = 0): PendingRead {
+    const read: PendingRead = { expectedMs, expectedWaitMs, startedAtMs: nowMs };
     this.#pending.add(read);
     return read;
   }
@@ -31,7 +33,7 @@
   /** The prompt was read. */
   finish(read: PendingRead, nowMs: number): void {
     this.#pending.delete(read);
-    const observedMs = nowMs - read.startedAtMs - read.expectedMs;
+    const observedMs = nowMs - read.startedAtMs - read.expectedMs - read.expectedWaitMs;
     const currentMs = this.#excess(nowMs);
     const clippedMs = Math.min(MOST_EXCESS_MS, Math.max(0, observedMs));
     this.#excessMs = currentMs + EXCESS_WEIGHT * (clippedMs - currentMs);
@@ -43,13 +45,18 @@
     this.#pending.delete(read);
   }
 
-  /** How long a new prompt waits before it is read. */
+  /** How long a new prompt waits before it is read, as far as this daemon knows by itself. */
   expectedWaitMs(nowMs: number): number {
+    return this.ownPendingMs(nowMs) + this.#excess(nowMs);
+  }
+
+  /** What is left of the prompts that this daemon waits for. */
+  ownPendingMs(nowMs: number): number {
     let ownMs = 0;
     for (const read of this.#pending) {
       ownMs += Math.max(0.25 * read.expectedMs, read.expectedMs - (nowMs - read.startedAtMs));
     }
-    return ownMs + this.#excess(nowMs);
+    return ownMs;
   }
 
   #excess(nowMs: number): number {
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -20,6 +20,7 @@
 } from './configuration.js';
 export { keptPrefixTokens, type PromptPart, type RequestDescription } from './description.js';
 export { EngineLoad, type PendingRead } from './engine-load.js';
+export { type EngineWork, type LoadReport, PeerLoads } from './peer-load.js';
 export { planStageChange, type StageChange, type StagePlanInput } from './plan-stages.js';
 export { PrefixKnowledge } from './prefix-knowledge.js';
 export { readPriority } from './read-priority.js';
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -18,6 +18,8 @@
   readonly fleet: FleetView;
   readonly connections: BackendConnections;
   readonly codec: RequestCodec;
+  /** To be called when work on a long prompt begins or ends. */
+  readonly noteLoadChange: () => void;
   /** Where this daemon stands. */
   readonly zone: string;
 }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -5,7 +5,10 @@
 import {
   type DirectoryChange,
   EngineLoad,
+  type EngineWork,
   type GatewayConfiguration,
+  type LoadReport,
+  PeerLoads,
   PrefixKnowledge,
   ReadSpeed,
   RetryBudget,
@@ -36,6 +39,7 @@
   readonly directory = new ServerDirectory();
   readonly splitter = new TrafficSplitter();
   readonly knowledge = new PrefixKnowledge();
+  readonly peerLoads = new PeerLoads();
   readonly #budgetOptions: RetryBudgetOptions;
   readonly #health = new Map<string, ServerHealth>();
   readonly #loads = new Map<string, EngineLoad>();
@@ -88,6 +92,18 @@
     return entryOf(this.#loads, serverId, () => new EngineLoad());
   }
 
+  /** This daemon's work at engines, for its peers. */
+  ownWork(nowMs: number): LoadReport['work'] {
+    const work: EngineWork[] = [];
+    for (const [engineId, load] of this.#loads) {
+      const pendingMs = load.ownPendingMs(nowMs);
+      if (pendingMs > 0 || load.running > 0) {
+        work.push({ engineId, pendingMs, running: load.running });
+      }
+    }
+    return work;
+  }
+
   speedOf(service: string): ReadSpeed {
     return entryOf(this.#speeds, service, () => new ReadSpeed());
   }
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -22,7 +22,12 @@
 const settingsSchema = z.object({
   name: text,
   zone: text,
-  listen: z.object({ callers: endpoint, readiness: endpoint, metrics: z.optional(endpoint) }),
+  listen: z.object({
+    callers: endpoint,
+    readiness: endpoint,
+    metrics: z.optional(endpoint),
+    peers: z.optional(endpoint),
+  }),
   store: endpoint,
   bounds: z.object({
     /** A configuration is in force this long after the store acknowledged it. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import { FleetView } from './fleet-view.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import { PeerExchange } from './peer-exchange.js';
 import type { PlatformAdapter, WatchedRow } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
@@ -66,6 +67,8 @@
   readonly #watchers: readonly Watch[];
   readonly #cacheNews: CacheNewsWatchers;
   readonly #stages: StageController;
+  /** Absent where the settings name no address for it. */
+  readonly #peers: PeerExchange | undefined;
   #isStopping = false;
 
   constructor(options: GatewayOptions) {
@@ -82,13 +85,16 @@
       connections: this.#connections,
       codec: adapter.requests,
       zone: settings.zone,
+      noteLoadChange: () => this.#peers?.noteChange(),
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
     this.#cacheNews = new CacheNewsWatchers({ ...context, timers });
     this.#watchers = this.#createWatchers();
+    const incarnation = randomInt(INCARNATIONS);
+    this.#peers = this.#createPeers(incarnation);
     this.#stages = new StageController({
       daemon: settings.name,
-      incarnation: randomInt(INCARNATIONS),
+      incarnation,
       leaseMs: settings.bounds.leaseMs,
       fleet: this.#fleet,
       table: adapter.table,
@@ -106,6 +112,7 @@
     const { callers, readiness, metrics } = settings.listen;
     for (const watcher of this.#watchers) void watcher.run();
     this.#stages.start();
+    this.#peers?.start();
     const readinessServer = createReadinessServer(
       adapter.readinessPath,
       () => this.#fleet.isReady && !this.#isStopping,
@@ -154,6 +161,7 @@
     for (const watcher of this.#watchers) watcher.stop();
     this.#cacheNews.stop();
     this.#stages.stop();
+    this.#peers?.stop();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
@@ -193,6 +201,20 @@
     return [configurations, servers];
   }
 
+  #createPeers(incarnation: number): PeerExchange | undefined {
+    const { settings, adapter, timers } = this.#options;
+    if (settings.listen.peers === undefined) return undefined;
+    return new PeerExchange({
+      daemon: settings.name,
+      incarnation,
+      listen: settings.listen.peers,
+      table: adapter.table,
+      loads: this.#fleet.peerLoads,
+      timers,
+      ownWork: () => this.#fleet.ownWork(timers.nowMs()),
+    });
+  }
+
   #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): void {
     for (const row of rows) {
       if (row.kind === 'value') this.#takeConfiguration(row.value);
@@ -273,6 +295,9 @@
     this.#metrics.addGauge('threadfork_gateway_configuration_version', 'Version in force', version);
     this.#metrics.addGauge('threadfork_gateway_store_calls', 'Calls to the store', watchCalls);
     this.#metrics.addGauge('threadfork_gateway_store_silent_ms', 'Age of the last answer', staleMs);
+    this.#metrics.addGauge('threadfork_gateway_peers', 'Daemons heard of lately', () =>
+      this.#fleet.peerLoads.count(timers.nowMs()),
+    );
     this.#metrics.addGauge(
       'threadfork_gateway_requests_in_flight',
       'Requests without a final answer',
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -130,7 +130,9 @@
     const { timers, description, service } = this.#exchange.options;
     const { fleet } = this.#context;
     const load = fleet.loadOf(server.id);
-    const read = load.begin(expectedMs, this.#nowMs());
+    const waitMs = fleet.peerLoads.waitMs(server.id, this.#nowMs());
+    const read = load.begin(expectedMs, this.#nowMs(), waitMs);
+    this.#context.noteLoadChange();
     const startedAtMs = this.#nowMs();
     const patience = new AbortController();
     const stop = () => patience.abort();
@@ -140,6 +142,7 @@
     const memory = await this.#readPrompt(server, fetchFrom, this.#priority(plan), patience.signal);
     cancel();
     this.#exchange.signal.removeEventListener('abort', stop);
+    this.#context.noteLoadChange();
     if (memory === undefined) {
       load.abandon(read);
       if (!this.#exchange.signal.aborted && patience.signal.aborted) {
@@ -331,6 +334,7 @@
       zone,
       nowMs: this.#nowMs(),
       knowledge: fleet.knowledge,
+      peerLoads: fleet.peerLoads,
       speed: fleet.speedOf(service),
       kvTokenBytes: traits?.kvTokenBytes ?? 0,
       linkMbps: traits?.linkMbps ?? 1,
--- a/test/gateway/choices.test.ts
+++ b/test/gateway/choices.test.ts
@@ -7,6 +7,7 @@
   EngineLoad,
   homeOf,
   keptPrefixTokens,
+  PeerLoads,
   PrefixKnowledge,
   planModelRequest,
   planStageChange,
@@ -156,6 +157,7 @@
     kvTokenBytes: 163_840,
     linkMbps: 1_900_000,
     healthOf,
+    peerLoads: new PeerLoads(),
     loadOf: (id) => {
       const load = loads.get(id) ?? new EngineLoad();
       loads.set(id, load);
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -99,6 +99,7 @@
         callers: { host: '127.0.0.1', port: 0 },
         readiness: { host: '127.0.0.1', port: 0 },
         metrics: undefined,
+        peers: undefined,
       },
       store,
       bounds: { configurationApplyMs: 2_000, drainMs: 2_000, stopGraceSeconds: 8, leaseMs: 3_000 },
