--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -22,11 +22,13 @@
 const HOME_BONUS_MS = 60;
 /** Reading at a decode engine also slows the runs there, a long prompt for many of their tokens. */
 const DECODE_READ_FACTOR = 1.25;
-const LONG_DECODE_READ_FACTOR = 2.5;
+const LONG_DECODE_READ_FACTOR = 4;
 const LONG_READ_TOKENS = 1_024;
 /** Fewer missing tokens than this are not worth fetching from another engine. */
 const LEAST_FETCHED_TOKENS = 1_024;
 const FETCH_OVERHEAD_MS = 12;
+/** A second copy crowds out other parts, some of which are then read again. */
+const CROWDING_SHARE = 0.3;
 const BITS_PER_BYTE = 8;
 const BITS_PER_MEGABIT_MS = 1_000;
 
@@ -144,6 +146,7 @@
   const fetched = donor === undefined ? 0 : donor.keptTokens - kept;
   const missingTokens = Math.max(1, description.promptTokens - kept - fetched);
   const fetchMs = donor === undefined ? 0 : moveMs(fetched, input);
+  const crowdingMs = CROWDING_SHARE * input.speed.prefillBusyMs(fetched);
   const pace =
     stage === 'prefill'
       ? input.speed.prefillMs.bind(input.speed)
@@ -156,7 +159,7 @@
     readMs,
     missingTokens,
     fetchFrom: donor?.server,
-    costMs: baseCost(server, input) + slowed - bonusMs,
+    costMs: baseCost(server, input) + slowed + crowdingMs - bonusMs,
   };
 }
 
