--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -1,5 +1,5 @@
 /** Which part of the code may import which; see CONTRIBUTING.md. */
-const PRODUCT = '^src/(core|shell|daemon|cli)/';
+const PRODUCT = '^(src/(core|shell|daemon|cli)|platform)/';
 const MODEL_EXPLORER = '^src/lab/model/graph-explorer.ts$';
 const CORE_LIBRARIES = '(^|/)node_modules/(neverthrow|zod|ohm-js|pure-rand|xxhash-wasm)/';
 
@@ -37,6 +37,20 @@
       from: { path: PRODUCT },
       to: { path: '^(src/lab|test|bench|fuzz|report|scripts)/' },
     },
+    {
+      name: 'adapter-is-composed-in-one-place',
+      comment: 'Only the gateway program names an adapter to a platform.',
+      severity: 'error',
+      from: { path: '^src/', pathNot: '^src/daemon/gateway-main.ts$' },
+      to: { path: '^platform/' },
+    },
+    {
+      name: 'adapter-takes-types-and-nothing-else',
+      comment: 'An adapter translates: of the product it imports types only.',
+      severity: 'error',
+      from: { path: '^platform/' },
+      to: { path: '^src/', dependencyTypesNot: ['type-only'] },
+    },
     {
       name: 'one-process-one-thread',
       comment: 'A product process starts no other process and no thread.',
@@ -47,7 +61,7 @@
     {
       name: 'no-cycles',
       severity: 'error',
-      from: { path: '^(src|scripts|test|bench|fuzz|report)/' },
+      from: { path: '^(src|platform|scripts|test|bench|fuzz|report)/' },
       to: { circular: true },
     },
     {
@@ -60,7 +74,7 @@
       name: 'declared-packages-only',
       comment: 'The product imports what package.json lists under dependencies.',
       severity: 'error',
-      from: { path: '^src/', pathNot: MODEL_EXPLORER },
+      from: { path: '^(src|platform)/', pathNot: MODEL_EXPLORER },
       to: { dependencyTypes: ['npm-dev', 'npm-no-pkg', 'npm-unknown'] },
     },
     {
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -5,7 +5,7 @@
 import { readFileSync } from 'node:fs';
 import type { Result } from 'neverthrow';
 import { pino } from 'pino';
-import { createPlatformAdapter } from '../../platform/index.js';
+import { createPlatformAdapter, SETTINGS_VARIABLE } from '../../platform/index.js';
 import { GATEWAY_EVENTS } from '../core/logging/catalogue/gateway.js';
 import {
   Gateway,
@@ -20,7 +20,6 @@
 const EXIT_USAGE = 2;
 const STANDARD_OUTPUT = 1;
 const MAX_BUFFERED_LOG_BYTES = 1_048_576;
-const SETTINGS_VARIABLE = 'THREADFORK_NODE_FILE';
 
 const settingsPath = process.argv[2] ?? process.env[SETTINGS_VARIABLE] ?? '';
 
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -47,7 +47,7 @@
   readonly incarnation: number;
   readonly listen: PeerAddress;
   readonly table: TableService;
-  readonly loads: PeerLoads;
+  readonly loads: Pick<PeerLoads, 'take'>;
   readonly timers: TimerService;
   /** This daemon's work at this moment. */
   readonly ownWork: () => LoadReport['work'];
@@ -76,8 +76,7 @@
 
   start(): void {
     const { host, port } = this.#options.listen;
-    this.#socket.bind({ address: host, port });
-    void this.#followPeers();
+    this.#socket.bind({ address: host, port }, () => void this.#followPeers());
   }
 
   stop(): void {
@@ -140,8 +139,9 @@
   async #announce(): Promise<void> {
     const { daemon, listen, table } = this.#options;
     const key = `${ROW_PREFIX}${daemon}`;
+    const value: PeerAddress = { host: listen.host, port: this.#socket.address().port };
     const signal = AbortSignal.any([this.#stopped.signal, this.#timeout()]);
-    const write = { kind: 'transact', checks: [], writes: [{ key, value: listen }] } as const;
+    const write = { kind: 'transact', checks: [], writes: [{ key, value }] } as const;
     const result = await table.call(write, signal);
     this.#isAnnounced = result.kind === 'committed';
   }
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -42,7 +42,7 @@
   readonly leaseMs: number;
   readonly fleet: FleetView;
   readonly table: TableService;
-  readonly connections: BackendConnections;
+  readonly connections: Pick<BackendConnections, 'call'>;
   readonly codec: RequestCodec;
   readonly timers: TimerService;
   readonly log: GatewayLog;
--- /dev/null
+++ b/test/gateway/platform-names.test.ts
@@ -0,0 +1,49 @@
+/** The platform's names stand in `platform/` only, and its folder stays small. */
+import assert from 'node:assert/strict';
+import { readdirSync, readFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { HEADERS, PATHS, SENT_HEADERS, SETTINGS_VARIABLE } from '../../platform/names.js';
+
+const PROJECT_ROOT = resolve(fileURLToPath(new URL('../../..', import.meta.url)));
+const MAX_ADAPTER_LINES = 1_200;
+/** Words of HTTP itself, or too common to be told from others. */
+const COMMON_NAMES = new Set(['last-event-id', '/ready', '/report', '/order']);
+
+function sourcesUnder(folder: string): readonly string[] {
+  return readdirSync(join(PROJECT_ROOT, folder), { recursive: true, encoding: 'utf8' })
+    .filter((path) => path.endsWith('.ts'))
+    .map((path) => join(PROJECT_ROOT, folder, path));
+}
+
+test('no source outside the adapter spells a name of the platform', () => {
+  const names = [
+    ...Object.values(HEADERS),
+    ...Object.values(SENT_HEADERS),
+    ...Object.values(PATHS),
+    SETTINGS_VARIABLE,
+  ]
+    .map((name) => name.toLowerCase())
+    .filter((name) => !COMMON_NAMES.has(name));
+  const leaks: string[] = [];
+  for (const path of sourcesUnder('src')) {
+    const text = readFileSync(path, 'utf8').toLowerCase();
+    for (const name of names) if (text.includes(name)) leaks.push(`${path}: ${name}`);
+  }
+  assert.deepEqual(leaks, []);
+});
+
+test('the adapter is small and keeps no time', () => {
+  let lines = 0;
+  for (const path of sourcesUnder('platform')) {
+    const text = readFileSync(path, 'utf8');
+    lines += text.split('\n').length;
+    assert.doesNotMatch(
+      text,
+      /setTimeout|setInterval|Date\.now|performance\.now|Math\.random/,
+      path,
+    );
+  }
+  assert.ok(lines <= MAX_ADAPTER_LINES, `${lines} lines`);
+});
--- /dev/null
+++ b/test/gateway/stage-controller.test.ts
@@ -0,0 +1,210 @@
+/** Stage orders: only under a lease that holds, fenced by its epoch, and at most one at a time. */
+import assert from 'node:assert/strict';
+import type { IncomingMessage } from 'node:http';
+import { test } from 'node:test';
+import { REQUEST_CODEC } from '../../platform/request-codec.js';
+import type { ServerRecord } from '../../src/core/gateway/index.js';
+import type { TableCall, TableResult, TableRow } from '../../src/core/platform/table.js';
+import type { BackendCall, CallResult } from '../../src/shell/gateway/backend-connections.js';
+import { FleetView } from '../../src/shell/gateway/fleet-view.js';
+import { GatewayLog } from '../../src/shell/gateway/request-log.js';
+import { StageController } from '../../src/shell/gateway/stage-controller.js';
+import { ManualTimers } from './support/manual-timers.js';
+
+const LEASE_MS = 3_000;
+const QUIET_LOGGER = { write: () => undefined, flush: () => undefined };
+
+/** A table service in memory. */
+class MemoryTable {
+  isDown = false;
+  readonly #rows = new Map<string, TableRow>();
+  #version = 0;
+
+  call(call: TableCall): Promise<TableResult> {
+    return Promise.resolve(this.#answer(call));
+  }
+
+  #answer(call: TableCall): TableResult {
+    if (this.isDown) return { kind: 'unavailable', reason: 'down', retryAfterMs: 0 };
+    switch (call.kind) {
+      case 'get':
+        return { kind: 'rows', rows: call.keys.map((key) => this.#row(key)) };
+      case 'scan':
+        return { kind: 'rows', rows: [] };
+      case 'transact': {
+        const isCurrent = call.checks.every(
+          (check) => this.#row(check.key).version === check.version,
+        );
+        const keys = call.checks.map((check) => check.key);
+        if (!isCurrent) return { kind: 'conflict', rows: keys.map((key) => this.#row(key)) };
+        this.#version += 1;
+        const rows = call.writes.map((write) => ({ ...write, version: this.#version }));
+        for (const row of rows) this.#rows.set(row.key, row);
+        return { kind: 'committed', rows };
+      }
+    }
+  }
+
+  #row(key: string): TableRow {
+    return this.#rows.get(key) ?? { key, version: 0, value: null };
+  }
+}
+
+interface Order {
+  readonly holder: string;
+  readonly fence: number;
+  readonly stage: string;
+  readonly expectedRevision: number;
+  readonly address: string;
+}
+
+/** Engines that report and take every order. */
+class MemoryEngines {
+  readonly orders: Order[] = [];
+
+  call(call: BackendCall): Promise<CallResult> {
+    if (call.path === '/report') {
+      return answered({ stage: 'decode', busy: false, sequence: 7, models: [] });
+    }
+    this.orders.push({ ...JSON.parse(call.body.toString()), address: call.address });
+    return answered({}, 202);
+  }
+}
+
+function answered(document: unknown, status = 200): Promise<CallResult> {
+  const answer = {
+    status,
+    message: {} as IncomingMessage,
+    collect: () => Promise.resolve(Buffer.from(JSON.stringify(document))),
+  };
+  return Promise.resolve({ kind: 'answered', answer } as unknown as CallResult);
+}
+
+function fleetWithTooFewPrefillEngines(nowMs: number): FleetView {
+  const fleet = new FleetView({ ratio: 0.2, allowance: 2, windowMs: 10_000 });
+  const engine = {
+    slots: 8,
+    kvTokens: 1,
+    kvTokenBytes: 1,
+    linkMbps: 1,
+    maxNewsCalls: 1,
+    handleTtlMs: 1,
+    roleSwitchMs: 1,
+  };
+  const limits = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  };
+  const services = new Map([['reader', { name: 'reader', maxConnections: 1, engine }]]);
+  fleet.takeConfiguration({ version: 1, routes: [], services, limits }, nowMs);
+  const records = [0, 1, 2, 3, 4, 5, 6, 7].map(
+    (index): ServerRecord => ({
+      id: `e${index}`,
+      service: 'reader',
+      address: `10.0.0.${index}:1`,
+      zone: 'a',
+      slots: 8,
+      state: 'ready',
+      stage: index === 0 ? 'prefill' : 'decode',
+    }),
+  );
+  fleet.directory.apply(records, []);
+  return fleet;
+}
+
+interface Setup {
+  readonly timers: ManualTimers;
+  readonly table: MemoryTable;
+  readonly engines: MemoryEngines;
+  readonly fleet: FleetView;
+}
+
+function setUp(): Setup {
+  const timers = new ManualTimers();
+  const fleet = fleetWithTooFewPrefillEngines(timers.nowMs());
+  return { timers, table: new MemoryTable(), engines: new MemoryEngines(), fleet };
+}
+
+function startController(setup: Setup, daemon: string): StageController {
+  const { timers, table, engines, fleet } = setup;
+  const controller = new StageController({
+    daemon,
+    incarnation: daemon.length,
+    leaseMs: LEASE_MS,
+    fleet,
+    table,
+    connections: engines,
+    codec: REQUEST_CODEC,
+    timers,
+    log: new GatewayLog(QUIET_LOGGER, timers, 1_000),
+  });
+  controller.start();
+  return controller;
+}
+
+/** Lets time pass while long prompts keep coming. */
+async function pass(setup: Setup, spanMs: number): Promise<void> {
+  for (let passedMs = 0; passedMs < spanMs; passedMs += 50) {
+    const nowMs = setup.timers.nowMs();
+    setup.fleet.demandOf('reader').note({ prefillMs: 100, decodeMs: 1 }, nowMs);
+    setup.timers.advance(50);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+test('a wanted change is ordered under the lease, with its epoch and the engine’s own sequence', async () => {
+  const setup = setUp();
+  startController(setup, 'front-1');
+  await pass(setup, 10_000);
+  const order = setup.engines.orders[0];
+  assert.deepEqual(
+    [order?.holder, order?.fence, order?.stage, order?.expectedRevision],
+    ['front-1', 1, 'prefill', 7],
+  );
+});
+
+test('of two daemons that want a change one orders', async () => {
+  const setup = setUp();
+  startController(setup, 'front-1');
+  startController(setup, 'front-22');
+  await pass(setup, 20_000);
+  assert.equal(new Set(setup.engines.orders.map((order) => order.holder)).size, 1);
+  assert.ok(setup.engines.orders.length >= 2);
+});
+
+test('a holder that cannot renew stops ordering before its lease ends', async () => {
+  const setup = setUp();
+  startController(setup, 'front-1');
+  await pass(setup, 10_000);
+  setup.table.isDown = true;
+  await pass(setup, LEASE_MS);
+  const ordersAtEnd = setup.engines.orders.length;
+  await pass(setup, 10_000);
+  assert.equal(setup.engines.orders.length, ordersAtEnd);
+});
+
+test('the next holder waits for the lease of one that fell silent, and takes the next epoch', async () => {
+  const setup = setUp();
+  const first = startController(setup, 'front-1');
+  await pass(setup, 10_000);
+  first.stop();
+  startController(setup, 'front-22');
+  const before = setup.engines.orders.length;
+  await pass(setup, 15_000);
+  const later = setup.engines.orders.slice(before);
+  assert.ok(later.length > 0);
+  assert.deepEqual(
+    new Set(later.map((order) => `${order.holder} ${order.fence}`)),
+    new Set(['front-22 2']),
+  );
+});
+
+test('without the store nobody orders', async () => {
+  const setup = setUp();
+  setup.table.isDown = true;
+  startController(setup, 'front-1');
+  await pass(setup, 15_000);
+  assert.deepEqual(setup.engines.orders, []);
+});
