--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -21,7 +21,7 @@
 /** A part that nobody keeps is read at its home, unless that waits longer than this. */
 const HOME_BONUS_MS = 60;
 /** Reading at a decode engine also slows the runs there, a long prompt for many of their tokens. */
-const DECODE_READ_FACTOR = 2.5;
+const DECODE_READ_FACTOR = 1.25;
 const LONG_DECODE_READ_FACTOR = 4;
 const LONG_READ_TOKENS = 1_024;
 /** Fewer missing tokens than this are not worth fetching from another engine. */
