--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -12,7 +12,7 @@
  * little, as many runs share a step.
  */
 const LEAST_PREFILL_SHARE = 0.45;
-const MOST_PREFILL_SHARE = 0.62;
+const MOST_PREFILL_SHARE = 0.68;
 /** How far the split may be off, in engines, before one is moved. */
 const HYSTERESIS_ENGINES = 1.5;
 
--- /dev/null
+++ b/src/shell/gateway/fleet-follower.ts
@@ -0,0 +1,153 @@
+/**
+ * Keeps the fleet view up to date from the store's tables: the configuration in force and the listed
+ * servers. Rows that cannot be read are said and passed over.
+ */
+import type { CallerLimits, GatewayConfiguration, ServerRecord } from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { CacheNewsWatchers } from './cache-news-watcher.js';
+import type { FleetView } from './fleet-view.js';
+import type { PlatformAdapter, WatchedRow } from './ports.js';
+import type { GatewayLog } from './request-log.js';
+import { TableWatcher } from './table-watcher.js';
+import type { TimerService } from './timer-service.js';
+
+/** A watch, whatever its table holds. */
+type Watch = Pick<TableWatcher<never>, 'run' | 'stop' | 'callsTotal' | 'lastAnswerMs'>;
+
+type ServerEvent = (typeof GATEWAY_EVENTS)['serverAdded' | 'serverChanged' | 'serverRemoved'];
+
+/** What a follower is built from. */
+export interface FleetFollowerOptions {
+  readonly adapter: PlatformAdapter;
+  readonly fleet: FleetView;
+  readonly cacheNews: CacheNewsWatchers;
+  /** How long one call to the store is held. */
+  readonly waitMs: number;
+  readonly timers: TimerService;
+  readonly log: GatewayLog;
+  readonly applyLimits: (limits: CallerLimits) => void;
+}
+
+/** The watches of configuration and servers. */
+export class FleetFollower {
+  readonly #options: FleetFollowerOptions;
+  readonly #watches: readonly Watch[];
+
+  constructor(options: FleetFollowerOptions) {
+    this.#options = options;
+    const { adapter, waitMs, timers, log } = options;
+    const configurations = new TableWatcher({
+      table: adapter.configurations,
+      consumer: {
+        takeAll: (rows) => this.#takeConfigurations(rows),
+        takeChanges: (rows) => this.#takeConfigurations(rows),
+      },
+      waitMs,
+      timers,
+      log,
+    });
+    const servers = new TableWatcher({
+      table: adapter.servers,
+      consumer: {
+        takeAll: (rows) => this.#takeServers(rows, true),
+        takeChanges: (rows) => this.#takeServers(rows, false),
+      },
+      waitMs,
+      timers,
+      log,
+    });
+    this.#watches = [configurations, servers];
+  }
+
+  /** Calls to the store since the start. */
+  get callsTotal(): number {
+    return this.#watches.reduce((sum, watch) => sum + watch.callsTotal, 0);
+  }
+
+  start(): void {
+    for (const watch of this.#watches) void watch.run();
+  }
+
+  stop(): void {
+    for (const watch of this.#watches) watch.stop();
+  }
+
+  /** How old the older of the tables' last answers is. */
+  silentMs(nowMs: number): number {
+    return Math.max(...this.#watches.map((watch) => nowMs - watch.lastAnswerMs));
+  }
+
+  #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): void {
+    for (const row of rows) {
+      switch (row.kind) {
+        case 'value':
+          this.#takeConfiguration(row.value);
+          break;
+        case 'malformed':
+          this.#options.log.write(GATEWAY_EVENTS.configurationMalformed, { problem: row.problem });
+          break;
+        case 'gone':
+          break;
+      }
+    }
+  }
+
+  #takeConfiguration(configuration: GatewayConfiguration): void {
+    const { log, timers, fleet, applyLimits } = this.#options;
+    const before = fleet.inForce?.configuration.version ?? 0;
+    const outcome = fleet.takeConfiguration(configuration, timers.nowMs());
+    const fields = { configurationVersion: configuration.version, before };
+    switch (outcome) {
+      case 'same':
+        return;
+      case 'older':
+        log.write(GATEWAY_EVENTS.configurationOlder, fields);
+        return;
+      case 'taken':
+        applyLimits(configuration.limits);
+        log.write(GATEWAY_EVENTS.configurationInForce, {
+          ...fields,
+          routes: configuration.routes.length,
+        });
+        return;
+    }
+  }
+
+  #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): void {
+    const { log, fleet, cacheNews } = this.#options;
+    const records: ServerRecord[] = [];
+    const goneIds: string[] = [];
+    for (const row of rows) {
+      switch (row.kind) {
+        case 'value':
+          records.push(row.value);
+          break;
+        case 'gone':
+          goneIds.push(row.key);
+          break;
+        case 'malformed':
+          log.write(GATEWAY_EVENTS.serverMalformed, { server: row.key, problem: row.problem });
+          break;
+      }
+    }
+    const { directory } = fleet;
+    const change = isWhole ? directory.replaceAll(records) : directory.apply(records, goneIds);
+    fleet.forgetRemoved(change);
+    for (const server of change.removed) cacheNews.remove(server.id);
+    for (const server of change.added) cacheNews.add(server);
+    for (const server of change.added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
+    for (const server of change.changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
+    for (const server of change.removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
+  }
+
+  #logServer(event: ServerEvent, server: ServerRecord): void {
+    this.#options.log.write(event, {
+      server: server.id,
+      service: server.service,
+      address: server.address,
+      zone: server.zone,
+      state: server.state,
+      stage: server.stage ?? '',
+    });
+  }
+}
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -30,10 +30,8 @@
   }),
   store: endpoint,
   bounds: z.object({
-    /** A configuration is in force this long after the store acknowledged it. */
-    configurationApplyMs: spanMs,
-    /** A server that leaves gets nothing new after this. */
-    drainMs: spanMs,
+    /** After this long with a path to the store a daemon is bound by all that the store says. */
+    contactMs: spanMs,
     /** From the signal to stop until the process is ended. */
     stopGraceSeconds: spanSeconds,
     /** Lease of the daemon that orders engines. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,25 +4,27 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
-import type { GatewayConfiguration, ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { AttemptContext } from './attempt.js';
 import { BackendConnections } from './backend-connections.js';
 import { CacheNewsWatchers } from './cache-news-watcher.js';
 import { CallerListener } from './caller-listener.js';
+import { FleetFollower } from './fleet-follower.js';
 import { FleetView } from './fleet-view.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { PeerExchange } from './peer-exchange.js';
-import type { PlatformAdapter, WatchedRow } from './ports.js';
+import type { PlatformAdapter } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
-import { TableWatcher } from './table-watcher.js';
 import { delay, type TimerService } from './timer-service.js';
 
-/** A change has to be seen, and acted on, within the bound: this part of it is spent waiting. */
-const WATCH_SHARE_OF_BOUND = 0.7;
+/**
+ * A change is told at once by a call that is held. A call that a cut has swallowed has to be over
+ * before the daemon counts as in touch again, so it is held for a part of that time.
+ */
+const WATCH_SHARE_OF_CONTACT = 0.75;
 /** Shares of the retry slack that are kept for other daemons, whose number is not known. */
 const SLACK_SHARES = 24;
 /** The platform looks twice, a second apart, before it sends no more connections. */
@@ -34,9 +36,6 @@
 const INCARNATIONS = 2 ** 47;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** A watch, whatever its table holds. */
-type Watch = Pick<TableWatcher<never>, 'run' | 'stop' | 'callsTotal' | 'lastAnswerMs'>;
-
 /** What a gateway is built from. */
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -64,7 +63,7 @@
   readonly #connections: BackendConnections;
   readonly #callers: CallerListener;
   readonly #servers: Server[] = [];
-  readonly #watchers: readonly Watch[];
+  readonly #follower: FleetFollower;
   readonly #cacheNews: CacheNewsWatchers;
   readonly #stages: StageController;
   /** Absent where the settings name no address for it. */
@@ -89,7 +88,15 @@
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
     this.#cacheNews = new CacheNewsWatchers({ ...context, timers });
-    this.#watchers = this.#createWatchers();
+    this.#follower = new FleetFollower({
+      adapter,
+      fleet: this.#fleet,
+      cacheNews: this.#cacheNews,
+      waitMs: settings.bounds.contactMs * WATCH_SHARE_OF_CONTACT,
+      timers,
+      log,
+      applyLimits: (limits) => this.#callers.applyLimits(limits),
+    });
     const incarnation = randomInt(INCARNATIONS);
     this.#peers = this.#createPeers(incarnation);
     this.#stages = new StageController({
@@ -110,7 +117,7 @@
   async start(): Promise<GatewayAddresses> {
     const { settings, adapter, log } = this.#options;
     const { callers, readiness, metrics } = settings.listen;
-    for (const watcher of this.#watchers) void watcher.run();
+    this.#follower.start();
     this.#stages.start();
     this.#peers?.start();
     const readinessServer = createReadinessServer(
@@ -158,7 +165,7 @@
   /** Ends at once; what is under way is cut. */
   abort(): void {
     this.#isStopping = true;
-    for (const watcher of this.#watchers) watcher.stop();
+    this.#follower.stop();
     this.#cacheNews.stop();
     this.#stages.stop();
     this.#peers?.stop();
@@ -175,32 +182,6 @@
     return port;
   }
 
-  #createWatchers(): readonly Watch[] {
-    const { settings, adapter, timers, log } = this.#options;
-    const { configurationApplyMs, drainMs } = settings.bounds;
-    const configurations = new TableWatcher({
-      table: adapter.configurations,
-      consumer: {
-        takeAll: (rows) => this.#takeConfigurations(rows),
-        takeChanges: (rows) => this.#takeConfigurations(rows),
-      },
-      waitMs: configurationApplyMs * WATCH_SHARE_OF_BOUND,
-      timers,
-      log,
-    });
-    const servers = new TableWatcher({
-      table: adapter.servers,
-      consumer: {
-        takeAll: (rows) => this.#takeServers(rows, true),
-        takeChanges: (rows) => this.#takeServers(rows, false),
-      },
-      waitMs: drainMs * WATCH_SHARE_OF_BOUND,
-      timers,
-      log,
-    });
-    return [configurations, servers];
-  }
-
   #createPeers(incarnation: number): PeerExchange | undefined {
     const { settings, adapter, timers } = this.#options;
     if (settings.listen.peers === undefined) return undefined;
@@ -215,85 +196,13 @@
     });
   }
 
-  #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): void {
-    for (const row of rows) {
-      if (row.kind === 'value') this.#takeConfiguration(row.value);
-      if (row.kind === 'malformed') {
-        this.#options.log.write(GATEWAY_EVENTS.configurationMalformed, { problem: row.problem });
-      }
-    }
-  }
-
-  #takeConfiguration(configuration: GatewayConfiguration): void {
-    const { log, timers } = this.#options;
-    const before = this.#fleet.inForce?.configuration.version ?? 0;
-    const outcome = this.#fleet.takeConfiguration(configuration, timers.nowMs());
-    const fields = { configurationVersion: configuration.version, before };
-    switch (outcome) {
-      case 'same':
-        return;
-      case 'older':
-        log.write(GATEWAY_EVENTS.configurationOlder, fields);
-        return;
-      case 'taken':
-        this.#callers.applyLimits(configuration.limits);
-        log.write(GATEWAY_EVENTS.configurationInForce, {
-          ...fields,
-          routes: configuration.routes.length,
-        });
-        return;
-    }
-  }
-
-  #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): void {
-    const { log } = this.#options;
-    const records: ServerRecord[] = [];
-    const goneIds: string[] = [];
-    for (const row of rows) {
-      switch (row.kind) {
-        case 'value':
-          records.push(row.value);
-          break;
-        case 'gone':
-          goneIds.push(row.key);
-          break;
-        case 'malformed':
-          log.write(GATEWAY_EVENTS.serverMalformed, { server: row.key, problem: row.problem });
-          break;
-      }
-    }
-    const { directory } = this.#fleet;
-    const change = isWhole ? directory.replaceAll(records) : directory.apply(records, goneIds);
-    this.#fleet.forgetRemoved(change);
-    for (const server of change.removed) this.#cacheNews.remove(server.id);
-    for (const server of change.added) this.#cacheNews.add(server);
-    for (const server of change.added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
-    for (const server of change.changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
-    for (const server of change.removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
-  }
-
-  #logServer(
-    event: (typeof GATEWAY_EVENTS)['serverAdded' | 'serverChanged' | 'serverRemoved'],
-    server: ServerRecord,
-  ): void {
-    this.#options.log.write(event, {
-      server: server.id,
-      service: server.service,
-      address: server.address,
-      zone: server.zone,
-      state: server.state,
-      stage: server.stage ?? '',
-    });
-  }
-
   #addGauges(): void {
     const { timers, log } = this.#options;
     const version = () => this.#fleet.inForce?.configuration.version ?? 0;
-    const watchCalls = () => this.#watchers.reduce((sum, watcher) => sum + watcher.callsTotal, 0);
-    const staleMs = () =>
-      Math.max(...this.#watchers.map((watcher) => timers.nowMs() - watcher.lastAnswerMs));
+    const storeCalls = () => this.#follower.callsTotal;
+    const staleMs = () => this.#follower.silentMs(timers.nowMs());
     this.#metrics.addGauge('threadfork_gateway_configuration_version', 'Version in force', version);
-    this.#metrics.addGauge('threadfork_gateway_store_calls', 'Calls to the store', watchCalls);
+    this.#metrics.addGauge('threadfork_gateway_store_calls', 'Calls to the store', storeCalls);
     this.#metrics.addGauge('threadfork_gateway_store_silent_ms', 'Age of the last answer', staleMs);
     this.#metrics.addGauge('threadfork_gateway_peers', 'Daemons heard of lately', () =>
       this.#fleet.peerLoads.count(timers.nowMs()),
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -24,16 +24,12 @@
 } from './attempt.js';
 import type { Exchange } from './exchange.js';
 import type { MemorySource } from './ports.js';
+import { freeMemory, type PrefillPlan, readPrompt } from './prompt-reading.js';
 import { StreamRelay } from './stream-relay.js';
 
-const MAX_PREFILL_ANSWER_BYTES = 65_536;
 const MAX_ERROR_BYTES = 1_048_576;
-const HANDLE_CALL_TIMEOUT_MS = 500;
 /** Turned down or out of reach this often, a request is refused. */
 const MAX_TURNED_DOWN = 3;
-/** A prefill engine is given up after this many times the expected time and a little more. */
-const PREFILL_PATIENCE_FACTOR = 4;
-const PREFILL_PATIENCE_MS = 500;
 const RETRY_AFTER_MS = 300;
 /** From here on a prompt is work for an engine that only reads. */
 const LONG_PROMPT_TOKENS = 1_000;
@@ -95,13 +91,10 @@
     return planModelRequest({ ...input, candidates });
   }
 
-  async #prefillAndRun(
-    plan: Extract<EnginePlan, { kind: 'prefill' }>,
-    input: EngineChoiceInput,
-  ): Promise<NextStep> {
+  async #prefillAndRun(plan: PrefillPlan, input: EngineChoiceInput): Promise<NextStep> {
     this.#way = 'hand-over';
     const source = plan.prefill.server;
-    const memory = await this.#prefill(plan);
+    const memory = await readPrompt(this.#exchange, this.#context, plan, this.#priority(plan));
     if (memory === undefined) {
       this.#prefillFailed = true;
       this.#way = 'direct';
@@ -110,82 +103,18 @@
       return 'again';
     }
     if (this.#exchange.signal.aborted) {
-      this.#free(memory, source);
+      freeMemory(this.#exchange, this.#context, memory, source);
       return this.#endInterrupted();
     }
     const server = chooseDecodeEngine({ ...input, nowMs: this.#nowMs() }, source);
     if (server === undefined) {
-      this.#free(memory, source);
+      freeMemory(this.#exchange, this.#context, memory, source);
       return this.#giveUp();
     }
     const next = await this.#run(server, memory, undefined, plan);
     return next;
   }
 
-  /** Reads the prompt at an engine; undefined when that did not come about. */
-  async #prefill(
-    plan: Extract<EnginePlan, { kind: 'prefill' }>,
-  ): Promise<MemorySource | undefined> {
-    const { server, expectedMs, fetchFrom, missingTokens } = plan.prefill;
-    const { timers, description, service } = this.#exchange.options;
-    const { fleet } = this.#context;
-    const load = fleet.loadOf(server.id);
-    const waitMs = fleet.peerLoads.waitMs(server.id, this.#nowMs());
-    const read = load.begin(expectedMs, this.#nowMs(), waitMs);
-    this.#context.noteLoadChange();
-    const startedAtMs = this.#nowMs();
-    const patience = new AbortController();
-    const stop = () => patience.abort();
-    this.#exchange.signal.addEventListener('abort', stop, { once: true });
-    const patienceMs = PREFILL_PATIENCE_MS + PREFILL_PATIENCE_FACTOR * plan.expectedMs;
-    const cancel = timers.after(patienceMs, stop);
-    const memory = await this.#readPrompt(server, fetchFrom, this.#priority(plan), patience.signal);
-    cancel();
-    this.#exchange.signal.removeEventListener('abort', stop);
-    this.#context.noteLoadChange();
-    if (memory === undefined) {
-      load.abandon(read);
-      if (!this.#exchange.signal.aborted && patience.signal.aborted) {
-        fleet.healthOf(server.id).recordBroken(this.#nowMs());
-      }
-      return undefined;
-    }
-    const nowMs = this.#nowMs();
-    load.finish(read, nowMs);
-    this.#exchange.stepTimesMs.prefillMs = nowMs - startedAtMs;
-    fleet.speedOf(service).learn(missingTokens, nowMs - startedAtMs);
-    fleet.knowledge.assume(server.id, description.promptParts, nowMs);
-    return memory;
-  }
-
-  async #readPrompt(
-    server: ServerRecord,
-    fetchFrom: ServerRecord | undefined,
-    priority: number,
-    signal: AbortSignal,
-  ): Promise<MemorySource | undefined> {
-    const result = await sendAttempt(this.#exchange, this.#context, {
-      ...plainAttempt(server, signal),
-      mayKeepConnection: true,
-      prefillOnly: true,
-      priority,
-      fetchFrom: fetchFrom?.address,
-    });
-    if (result.kind !== 'answered') return undefined;
-    const { answer, end } = result.attempt;
-    const body = await answer.collect(MAX_PREFILL_ANSWER_BYTES);
-    const prefill =
-      body !== undefined && answer.status === 200
-        ? this.#context.codec.readPrefillAnswer(body)
-        : undefined;
-    if (prefill === undefined) {
-      end({ kind: 'bad', reason: `no memory, status ${answer.status}` });
-      return undefined;
-    }
-    end({ kind: 'good' });
-    return { address: server.address, handle: prefill.handle };
-  }
-
   /** Lets an engine generate and passes its stream on. */
   async #run(
     server: ServerRecord,
@@ -196,7 +125,8 @@
     const exchange = this.#exchange;
     const source = plan.kind === 'prefill' ? plan.prefill.server : undefined;
     if (this.#sends > 0 && !this.#budget().tryTake(this.#nowMs())) {
-      if (memorySource !== undefined && source !== undefined) this.#free(memorySource, source);
+      if (memorySource !== undefined && source !== undefined)
+        freeMemory(this.#exchange, this.#context, memorySource, source);
       this.#lastReason = 'the retry budget is spent';
       return this.#giveUp();
     }
@@ -222,7 +152,8 @@
       return next;
     }
     load.running -= 1;
-    if (memorySource !== undefined && source !== undefined) this.#free(memorySource, source);
+    if (memorySource !== undefined && source !== undefined)
+      freeMemory(this.#exchange, this.#context, memorySource, source);
     this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
     if (result.kind === 'broken') return 'again';
     this.#turnedDown += 1;
@@ -304,25 +235,6 @@
     return 'done';
   }
 
-  /** Frees memory that nobody goes on from. */
-  #free(memory: MemorySource, source: ServerRecord): void {
-    const call = this.#context.codec.freeHandle(memory.handle, source.id);
-    const ended = new AbortController();
-    const cancel = this.#exchange.options.timers.after(HANDLE_CALL_TIMEOUT_MS, () => ended.abort());
-    void this.#context.connections
-      .call({
-        ...call,
-        address: memory.address,
-        mayKeepConnection: true,
-        connectTimeoutMs: HANDLE_CALL_TIMEOUT_MS,
-        signal: ended.signal,
-      })
-      .then((result) => {
-        cancel();
-        if (result.kind === 'answered') result.answer.message.resume();
-      });
-  }
-
   #choiceInput(): EngineChoiceInput {
     const { fleet, zone } = this.#context;
     const { service, description } = this.#exchange.options;
--- /dev/null
+++ b/src/shell/gateway/prompt-reading.ts
@@ -0,0 +1,103 @@
+/**
+ * Reading a prompt at an engine that only reads, and freeing the memory that nobody goes on from.
+ */
+import type { EnginePlan, ServerRecord } from '../../core/gateway/index.js';
+import { type AttemptContext, plainAttempt, sendAttempt } from './attempt.js';
+import type { Exchange } from './exchange.js';
+import type { MemorySource } from './ports.js';
+
+const MAX_ANSWER_BYTES = 65_536;
+const FREE_TIMEOUT_MS = 500;
+/** An engine is given up after this many times the expected time and a little more. */
+const PATIENCE_FACTOR = 4;
+const PATIENCE_MS = 500;
+
+/** A plan by which one engine reads and another goes on. */
+export type PrefillPlan = Extract<EnginePlan, { kind: 'prefill' }>;
+
+/** Reads the prompt as planned; undefined when that did not come about. */
+export async function readPrompt(
+  exchange: Exchange,
+  context: AttemptContext,
+  plan: PrefillPlan,
+  priority: number,
+): Promise<MemorySource | undefined> {
+  const { server, expectedMs, missingTokens } = plan.prefill;
+  const { timers, description, service } = exchange.options;
+  const { fleet, noteLoadChange } = context;
+  const load = fleet.loadOf(server.id);
+  const startedAtMs = timers.nowMs();
+  const read = load.begin(expectedMs, startedAtMs, fleet.peerLoads.waitMs(server.id, startedAtMs));
+  noteLoadChange();
+  const patience = new AbortController();
+  const stop = () => patience.abort();
+  exchange.signal.addEventListener('abort', stop, { once: true });
+  const cancel = timers.after(PATIENCE_MS + PATIENCE_FACTOR * plan.expectedMs, stop);
+  const memory = await askToRead(exchange, context, plan, priority, patience.signal);
+  cancel();
+  exchange.signal.removeEventListener('abort', stop);
+  noteLoadChange();
+  const nowMs = timers.nowMs();
+  if (memory === undefined) {
+    load.abandon(read);
+    const wasSilent = patience.signal.aborted && !exchange.signal.aborted;
+    if (wasSilent) fleet.healthOf(server.id).recordBroken(nowMs);
+    return undefined;
+  }
+  load.finish(read, nowMs);
+  exchange.stepTimesMs.prefillMs = nowMs - startedAtMs;
+  fleet.speedOf(service).learn(missingTokens, nowMs - startedAtMs);
+  fleet.knowledge.assume(server.id, description.promptParts, nowMs);
+  return memory;
+}
+
+async function askToRead(
+  exchange: Exchange,
+  context: AttemptContext,
+  plan: PrefillPlan,
+  priority: number,
+  signal: AbortSignal,
+): Promise<MemorySource | undefined> {
+  const { server, fetchFrom } = plan.prefill;
+  const result = await sendAttempt(exchange, context, {
+    ...plainAttempt(server, signal),
+    mayKeepConnection: true,
+    prefillOnly: true,
+    priority,
+    fetchFrom: fetchFrom?.address,
+  });
+  if (result.kind !== 'answered') return undefined;
+  const { answer, end } = result.attempt;
+  const body = await answer.collect(MAX_ANSWER_BYTES);
+  const isRead = body !== undefined && answer.status === 200;
+  const prefill = isRead ? context.codec.readPrefillAnswer(body) : undefined;
+  if (prefill === undefined) {
+    end({ kind: 'bad', reason: `no memory, status ${answer.status}` });
+    return undefined;
+  }
+  end({ kind: 'good' });
+  return { address: server.address, handle: prefill.handle };
+}
+
+/** Frees memory; whether that comes about is not waited for, as it lapses by itself. */
+export function freeMemory(
+  exchange: Exchange,
+  context: AttemptContext,
+  memory: MemorySource,
+  source: ServerRecord,
+): void {
+  const ended = new AbortController();
+  const cancel = exchange.options.timers.after(FREE_TIMEOUT_MS, () => ended.abort());
+  void context.connections
+    .call({
+      ...context.codec.freeHandle(memory.handle, source.id),
+      address: memory.address,
+      mayKeepConnection: true,
+      connectTimeoutMs: FREE_TIMEOUT_MS,
+      signal: ended.signal,
+    })
+    .then((result) => {
+      cancel();
+      if (result.kind === 'answered') result.answer.message.resume();
+    });
+}
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -2,7 +2,12 @@
  * Orders engines to change their stage, under a lease: of all daemons at most one acts at a time, and
  * each order carries the lease's epoch as its fence. A daemon that wants no change takes no part.
  */
-import { planStageChange, type ServerRecord, type StageChange } from '../../core/gateway/index.js';
+import {
+  type EngineStage,
+  planStageChange,
+  type ServerRecord,
+  type StageChange,
+} from '../../core/gateway/index.js';
 import {
   epochOf,
   holdsAuthority,
@@ -22,10 +27,12 @@
 
 const TICK_MS = 250;
 /** A change has to be wanted for this long, and a random while more, before the lease is sought. */
-const SETTLE_MS = 1_500;
-const SETTLE_SPREAD_MS = 2_500;
-/** After an order its effect is awaited for this long before the next. */
+const SETTLE_MS = 600;
+const SETTLE_SPREAD_MS = 900;
+/** An engine that was ordered counts as changed until its own word has had this long to come. */
 const ORDER_EFFECT_MS = 3_000;
+/** Between two orders, so that not all engines are away at once. */
+const ORDER_GAP_MS = 500;
 const ORDER_TIMEOUT_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 300;
 const TABLE_TIMEOUT_MS = 1_500;
@@ -54,6 +61,11 @@
   readonly body: Buffer | undefined;
 }
 
+interface OrderedStage {
+  readonly stage: EngineStage;
+  readonly untilMs: number;
+}
+
 /** A daemon's part in ordering engines. */
 export class StageController {
   readonly #options: StageControllerOptions;
@@ -62,6 +74,7 @@
   #wantedSinceMs: number | undefined;
   #settleMs: number;
   #lastOrderMs = Number.NEGATIVE_INFINITY;
+  readonly #ordered = new Map<string, OrderedStage>();
   #isStopped = false;
 
   constructor(options: StageControllerOptions) {
@@ -104,7 +117,7 @@
     for (const service of fleet.inForce?.configuration.services.values() ?? []) {
       if (service.engine === undefined) continue;
       const change = planStageChange({
-        engines: fleet.candidates(service.name),
+        engines: this.#expectedEngines(service.name, nowMs),
         work: fleet.demandOf(service.name).sums(nowMs),
         busyOf: (id) => fleet.loadOf(id).running + fleet.loadOf(id).expectedWaitMs(nowMs),
       });
@@ -113,6 +126,17 @@
     return undefined;
   }
 
+  /** The engines as they will be once what was ordered has taken effect. */
+  #expectedEngines(service: string, nowMs: number): readonly ServerRecord[] {
+    return this.#options.fleet.candidates(service).map((engine) => {
+      const ordered = this.#ordered.get(engine.id);
+      if (ordered === undefined) return engine;
+      if (nowMs < ordered.untilMs) return { ...engine, stage: ordered.stage };
+      this.#ordered.delete(engine.id);
+      return engine;
+    });
+  }
+
   #noteWant(change: StageChange | undefined, nowMs: number): void {
     if (change !== undefined) {
       this.#wantedSinceMs ??= nowMs;
@@ -134,7 +158,7 @@
   }
 
   #orderIfAllowed(change: StageChange, nowMs: number): void {
-    if (nowMs - this.#lastOrderMs < ORDER_EFFECT_MS) return;
+    if (nowMs - this.#lastOrderMs < ORDER_GAP_MS) return;
     if (!holdsAuthority(this.#lease, nowMs)) return;
     const epoch = epochOf(this.#lease);
     if (epoch === null) return;
@@ -158,6 +182,7 @@
       wantedPrefill: Math.round(change.wantedPrefill * 10) / 10,
       currentPrefill: change.currentPrefill,
     });
+    this.#ordered.set(engine.id, { stage, untilMs: timers.nowMs() + ORDER_EFFECT_MS });
     const order = { stage, holder: daemon, fence: epoch, expectedSequence };
     const answer = await this.#callEngine(engine, codec.orderStage(order, engine.id));
     log.write(GATEWAY_EVENTS.orderAnswered, { server: engine.id, outcome: answer.outcome });
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -102,7 +102,7 @@
         peers: undefined,
       },
       store,
-      bounds: { configurationApplyMs: 2_000, drainMs: 2_000, stopGraceSeconds: 8, leaseMs: 3_000 },
+      bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000 },
       retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 240 },
       logging: { maxLinesPerSecond: 10_000 },
     };
