Part the retry slack among the daemons there are; ask an engine that turned a news call away later

No change at up to 12 daemons. A refused news call is priced, and beyond an engine's bound it was asked again each 8 s; now 30 s.

--- a/src/core/gateway/retry-budget.ts
+++ b/src/core/gateway/retry-budget.ts
@@ -4,18 +4,23 @@
  * share, so that the sum holds without a word between them, cut off or not.
  */
 
+/** The slack is parted so even where fewer daemons are known. */
+const LEAST_SHARES = 24;
+const SHARES_OF_DAEMON = 2;
+
 /** What the budget is built from. */
 export interface RetryBudgetOptions {
   /** Repeats allowed for each request of the window. */
   readonly ratio: number;
-  /** Repeats of this daemon that are allowed without any request. */
-  readonly allowance: number;
+  /** Repeats that all daemons together are allowed without any request. */
+  readonly slack: number;
   readonly windowMs: number;
 }
 
 /** A daemon's share of one service's repeats. */
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
+  #shares = LEAST_SHARES;
   readonly #requestTimesMs: number[] = [];
   readonly #repeatTimesMs: number[] = [];
 
@@ -23,6 +28,11 @@
     this.#options = options;
   }
 
+  /** Parts the slack among the daemons there are, with room for as many that are not known yet. */
+  setDaemonCount(daemons: number): void {
+    this.#shares = Math.max(LEAST_SHARES, daemons * SHARES_OF_DAEMON);
+  }
+
   countRequest(nowMs: number): void {
     this.#expire(nowMs);
     this.#requestTimesMs.push(nowMs);
@@ -37,7 +47,8 @@
   }
 
   #limit(): number {
-    return this.#requestTimesMs.length * this.#options.ratio + this.#options.allowance;
+    const { ratio, slack } = this.#options;
+    return this.#requestTimesMs.length * ratio + slack / this.#shares;
   }
 
   #expire(nowMs: number): void {
--- a/src/shell/gateway/cache-news-watcher.ts
+++ b/src/shell/gateway/cache-news-watcher.ts
@@ -16,6 +16,9 @@
 const PAUSE_MS = 200;
 const FIRST_RETRY_MS = 500;
 const LONGEST_RETRY_MS = 8_000;
+/** An engine that takes no more calls is asked again this late; each refusal costs it time. */
+const TURNED_AWAY_MS = 30_000;
+const TURNED_AWAY_STATUS = 429;
 const MAX_NEWS_BYTES = 4_194_304;
 
 /** What watchers of cache news need. */
@@ -70,12 +73,20 @@
     while (!this.#stopped.aborted) {
       const news = await this.#ask();
       if (this.#stopped.aborted) return;
-      if (news === undefined) await this.#backOff();
-      else await this.#take(news);
+      switch (news) {
+        case 'failed':
+          await this.#backOff();
+          break;
+        case 'turned-away':
+          await delay(this.#context.timers, TURNED_AWAY_MS, this.#stopped);
+          break;
+        default:
+          await this.#take(news);
+      }
     }
   }
 
-  async #ask(): Promise<CacheNews | undefined> {
+  async #ask(): Promise<CacheNews | 'failed' | 'turned-away'> {
     const { connections, codec, timers } = this.#context;
     const ended = new AbortController();
     const end = () => ended.abort();
@@ -92,8 +103,10 @@
       result.kind === 'answered' ? await result.answer.collect(MAX_NEWS_BYTES) : undefined;
     cancel();
     this.#stopped.removeEventListener('abort', end);
-    if (result.kind !== 'answered' || result.answer.status !== 200) return undefined;
-    return body === undefined ? undefined : codec.readCacheNews(body);
+    if (result.kind !== 'answered') return 'failed';
+    if (result.answer.status === TURNED_AWAY_STATUS) return 'turned-away';
+    if (result.answer.status !== 200 || body === undefined) return 'failed';
+    return codec.readCacheNews(body) ?? 'failed';
   }
 
   async #take(news: CacheNews): Promise<void> {
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -47,6 +47,7 @@
   readonly #demands = new Map<string, StageDemand>();
   readonly #budgets = new Map<string, RetryBudget>();
   #inForce: ConfigurationInForce | undefined;
+  #daemonCount = 1;
 
   constructor(budgetOptions: RetryBudgetOptions) {
     this.#budgetOptions = budgetOptions;
@@ -113,7 +114,17 @@
   }
 
   budgetOf(service: string): RetryBudget {
-    return entryOf(this.#budgets, service, () => new RetryBudget(this.#budgetOptions));
+    return entryOf(this.#budgets, service, () => {
+      const budget = new RetryBudget(this.#budgetOptions);
+      budget.setDaemonCount(this.#daemonCount);
+      return budget;
+    });
+  }
+
+  /** How many daemons share the retry budget. */
+  setDaemonCount(daemons: number): void {
+    this.#daemonCount = daemons;
+    for (const budget of this.#budgets.values()) budget.setDaemonCount(daemons);
   }
 }
 
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -25,8 +25,6 @@
  * before the daemon counts as in touch again, so it is held for a part of that time.
  */
 const WATCH_SHARE_OF_CONTACT = 0.75;
-/** Shares of the retry slack that are kept for other daemons, whose number is not known. */
-const SLACK_SHARES = 24;
 /** The platform looks twice, a second apart, before it sends no more connections. */
 const LOOK_AWAY_MS = 2_600;
 /** Kept between the end of running requests and the end of the grace period. */
@@ -75,7 +73,7 @@
     const { settings, adapter, timers, log } = options;
     this.#fleet = new FleetView({
       ratio: settings.retryBudget.ratio,
-      allowance: settings.retryBudget.slack / SLACK_SHARES,
+      slack: settings.retryBudget.slack,
       windowMs: settings.retryBudget.windowSeconds * MILLISECONDS_PER_SECOND,
     });
     this.#connections = new BackendConnections(timers);
@@ -193,6 +191,7 @@
       loads: this.#fleet.peerLoads,
       timers,
       ownWork: () => this.#fleet.ownWork(timers.nowMs()),
+      noteDaemonCount: (daemons) => this.#fleet.setDaemonCount(daemons),
     });
   }
 
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -51,6 +51,8 @@
   readonly timers: TimerService;
   /** This daemon's work at this moment. */
   readonly ownWork: () => LoadReport['work'];
+  /** Told how many daemons there are, this one counted. */
+  readonly noteDaemonCount: (daemons: number) => void;
 }
 
 /** The daemon's part in telling loads. */
@@ -154,6 +156,7 @@
     if (result.kind !== 'rows') return;
     const own = `${ROW_PREFIX}${daemon}`;
     this.#peers = result.rows.filter((row) => row.key !== own).flatMap(readPeer);
+    this.#options.noteDaemonCount(this.#peers.length + 1);
   }
 
   #timeout(): AbortSignal {
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -61,11 +61,13 @@
       },
     },
     loads: { take: received.resolve },
+    noteDaemonCount: () => undefined,
     ownWork: () => [],
   });
   listener.start();
   await scanned.promise;
   const found = deferred<void>();
+  const counted: number[] = [];
   const teller = new PeerExchange({
     ...common,
     daemon: 'b',
@@ -77,6 +79,7 @@
       },
     },
     loads: { take: () => undefined },
+    noteDaemonCount: (daemons) => counted.push(daemons),
     ownWork: () => report().work,
   });
   teller.start();
@@ -86,5 +89,6 @@
   const told = await received.promise;
   listener.stop();
   teller.stop();
+  assert.deepEqual(counted, [2]);
   assert.deepEqual(told, { daemon: 'b', incarnation: 1, sequence: 1, work: report().work });
 });
