--- a/test/gateway/model-requests.test.ts
+++ b/test/gateway/model-requests.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import type { GatewaySettings } from '../../src/shell/gateway/index.js';
 import { deferred } from './support/deferred.js';
 import { configuration, GatewayFixture, route } from './support/fixture.js';
 import { engine, type ServerStandIn, turningDown } from './support/server-stand-in.js';
@@ -37,14 +38,18 @@
 };
 const ALL_EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
 
+type RetryBudgetSettings = GatewaySettings['retryBudget'];
+
 let fixture: GatewayFixture;
 
-beforeEach(async () => {
+async function startFixture(retryBudget?: RetryBudgetSettings): Promise<void> {
   fixture = new GatewayFixture();
-  await fixture.start();
+  await fixture.start(undefined, retryBudget);
   fixture.store.putConfiguration(configuration(1, [READ, CHECK]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
-});
+}
+
+beforeEach(() => startFixture());
 
 afterEach(() => fixture.stop());
 
@@ -142,3 +147,16 @@
   assert.equal(answer.status, 503);
   assert.ok(Number(answer.headers['retry-after']) > 0);
 });
+
+test('a run after a reading that failed is a repeat, and is not made without a budget', async () => {
+  fixture.stop();
+  await startFixture({ ratio: 0, windowSeconds: 10, slack: 0 });
+  await addEngine('i-p', 'prefill', ({ seen, response }) => {
+    response.writeHead(500, { 'X-Attempt-Id': String(seen.headers['x-attempt-id']) }).end('no');
+  });
+  const decode = await addEngine('i-d', 'decode');
+  const answer = await fixture.call(LONG);
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+  assert.equal(requestsOf(decode).length, 0);
+});
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -89,8 +89,14 @@
   callersPort = 0;
   readinessPort = 0;
 
-  /** @param timers real time unless a test moves it itself */
-  async start(timers: TimerService = SYSTEM_TIMERS): Promise<void> {
+  /**
+   * @param timers real time unless a test moves it itself
+   * @param retryBudget what all daemons together may send again
+   */
+  async start(
+    timers: TimerService = SYSTEM_TIMERS,
+    retryBudget = { ratio: 0.2, windowSeconds: 10, slack: 240 },
+  ): Promise<void> {
     const store = await this.store.start();
     const settings: GatewaySettings = {
       name: 'front-1',
@@ -103,7 +109,7 @@
       },
       store,
       bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000 },
-      retryBudget: { ratio: 0.2, windowSeconds: 10, slack: 240 },
+      retryBudget,
       logging: { maxLinesPerSecond: 10_000 },
     };
     const logger = {
