Choose the decode engine from the list as it is after the prompt was read

Cause, found by reading: the list was taken before the reading, which may last seconds, so a run could reach an engine that had been draining for longer than the bound (DRAIN). The new test failed before (the draining engine got the run) and passes after.

--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -81,7 +81,7 @@
       case 'direct':
         return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
       case 'prefill':
-        return this.#prefillAndRun(plan, input);
+        return this.#prefillAndRun(plan);
     }
   }
 
@@ -91,7 +91,7 @@
     return planModelRequest({ ...input, candidates });
   }
 
-  async #prefillAndRun(plan: PrefillPlan, input: EngineChoiceInput): Promise<NextStep> {
+  async #prefillAndRun(plan: PrefillPlan): Promise<NextStep> {
     this.#way = 'hand-over';
     const source = plan.prefill.server;
     const memory = await readPrompt(this.#exchange, this.#context, plan, this.#priority(plan));
@@ -106,13 +106,13 @@
       freeMemory(this.#exchange, this.#context, memory, source);
       return this.#endInterrupted();
     }
-    const server = chooseDecodeEngine({ ...input, nowMs: this.#nowMs() }, source);
+    // The list may have changed while the prompt was read.
+    const server = chooseDecodeEngine(this.#choiceInput(), source);
     if (server === undefined) {
       freeMemory(this.#exchange, this.#context, memory, source);
       return this.#giveUp();
     }
-    const next = await this.#run(server, memory, undefined, plan);
-    return next;
+    return this.#run(server, memory, undefined, plan);
   }
 
   /** Lets an engine generate and passes its stream on. */
--- a/test/gateway/model-requests.test.ts
+++ b/test/gateway/model-requests.test.ts
@@ -5,7 +5,12 @@
 import type { GatewaySettings } from '../../src/shell/gateway/index.js';
 import { deferred } from './support/deferred.js';
 import { configuration, GatewayFixture, route } from './support/fixture.js';
-import { engine, type ServerStandIn, turningDown } from './support/server-stand-in.js';
+import {
+  engine,
+  type ServedRequest,
+  type ServerStandIn,
+  turningDown,
+} from './support/server-stand-in.js';
 
 const READ = route({
   name: 'read',
@@ -160,3 +165,21 @@
   assert.ok(Number(answer.headers['retry-after']) > 0);
   assert.equal(requestsOf(decode).length, 0);
 });
+
+test('an engine that began to drain while the prompt was read gets no run', async () => {
+  const reading = deferred<ServedRequest>();
+  await addEngine('i-p', 'prefill', (served) => {
+    if (served.seen.url.startsWith('/read/')) reading.resolve(served);
+  });
+  const leaving = await addEngine('i-1', 'decode');
+  const staying = await addEngine('i-2', 'decode');
+  const pending = fixture.call(LONG);
+  const read = await reading.promise;
+  const fields = { service: 'reader', stage: 'decode', state: 'draining' };
+  fixture.listServer('i-1', leaving, fields);
+  await fixture.logged(GATEWAY_EVENTS.serverChanged, ({ server }) => server === 'i-1');
+  engine(3)(read);
+  assert.equal((await pending).body, ALL_EVENTS);
+  assert.equal(requestsOf(leaving).length, 0);
+  assert.equal(requestsOf(staying).length, 1);
+});
