--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -11,6 +11,12 @@
 import { TableWatcher } from './table-watcher.js';
 import type { TimerService } from './timer-service.js';
 
+/**
+ * Many servers change together, when a fleet starts or is replaced. Each daemon asks once for those
+ * of this time; it is a small part of the time for which a leaving server still serves.
+ */
+const GATHER_SERVERS_MS = 400;
+
 /** A watch, whatever its table holds. */
 type Watch = Pick<TableWatcher<never>, 'run' | 'stop' | 'callsTotal' | 'lastAnswerMs'>;
 
@@ -43,6 +49,7 @@
         takeChanges: (rows) => this.#takeConfigurations(rows),
       },
       waitMs,
+      gatherMs: 0,
       timers,
       log,
     });
@@ -53,6 +60,7 @@
         takeChanges: (rows) => this.#takeServers(rows, false),
       },
       waitMs,
+      gatherMs: GATHER_SERVERS_MS,
       timers,
       log,
     });
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -27,8 +27,10 @@
   readonly consumer: TableConsumer<Value>;
   /** How long one call is held. */
   readonly waitMs: number;
+  /** Changes that come within this time of each other are taken in one call; 0 takes each at once. */
+  readonly gatherMs: number;
   readonly timers: TimerService;
-  readonly log: GatewayLog;
+  readonly log: Pick<GatewayLog, 'write'>;
 }
 
 /** A running watch of one table. */
@@ -81,13 +83,15 @@
   }
 
   async #readChanges(revision: number): Promise<void> {
-    const { table, consumer, waitMs } = this.#options;
+    const { table, consumer, waitMs, gatherMs, timers } = this.#options;
     const answer = await this.#ask(waitMs + ANSWER_SLACK_MS, (signal) =>
       table.changesAfter(revision, waitMs, signal),
     );
     if (answer.kind !== 'rows') return this.#handleFailure(answer);
     this.#handleSuccess(answer.revision);
-    if (answer.rows.length > 0) consumer.takeChanges(answer.rows);
+    if (answer.rows.length === 0) return;
+    consumer.takeChanges(answer.rows);
+    if (gatherMs > 0) await delay(timers, gatherMs, this.#stopped.signal);
   }
 
   async #ask(
