Tell other daemons of a shared part's read as it begins

In that time the others knew nothing of it. Ruled out: a larger bonus for the home (in a burst the home's queue is what is avoided); waiting for the news. Now: a daemon tells of the read with its report of load; the part counts at that engine at once, and as a source to take it from when it is expected to be there.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -176,7 +176,11 @@
   let best: { readonly server: ServerRecord; readonly keptTokens: number } | undefined;
   for (const other of input.candidates) {
     if (other.id === server.id || input.healthOf(other.id).isSuspect(input.nowMs)) continue;
-    const kept = input.knowledge.keptTokens(other.id, input.description.promptParts, input.nowMs);
+    const kept = input.knowledge.movableTokens(
+      other.id,
+      input.description.promptParts,
+      input.nowMs,
+    );
     if (kept - keptTokens < LEAST_FETCHED_TOKENS) continue;
     if (best === undefined || kept > best.keptTokens) best = { server: other, keptTokens: kept };
   }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -34,7 +34,7 @@
 } from './peer-load.js';
 export { type OwnPlace, type PeerDaemon, PeerRoster, RELAY_REFRESH_MS } from './peer-roster.js';
 export { planStageChange, type StageChange, type StagePlanInput } from './plan-stages.js';
-export { PrefixKnowledge } from './prefix-knowledge.js';
+export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
 export { readPriority } from './read-priority.js';
 export { ReadSpeed } from './read-speed.js';
 export { RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -3,6 +3,8 @@
  * message is made good by the next; what is not renewed fades and is dropped.
  */
 
+import type { ReadNotice } from './prefix-knowledge.js';
+
 /** A daemon that has told nothing for this long counts as having nothing. */
 const SILENT_AFTER_MS = 4_000;
 /** A relay's sums that are older give way to what single daemons told. */
@@ -26,6 +28,8 @@
   readonly sequence: number;
   /** Only engines where it has work. */
   readonly work: readonly EngineWork[];
+  /** Reads of shared parts that it began since the last report. */
+  readonly reads: readonly ReadNotice[];
 }
 
 /** Sums over all daemons, told by the relay of a zone. */
@@ -36,6 +40,8 @@
   /** Whether engines that are left out have no work; otherwise they are as told before. */
   readonly isWhole: boolean;
   readonly work: readonly EngineWork[];
+  /** Reads that daemons told of since the last sums. */
+  readonly reads: readonly ReadNotice[];
 }
 
 interface ReceivedWork {
--- a/src/core/gateway/prefix-knowledge.ts
+++ b/src/core/gateway/prefix-knowledge.ts
@@ -11,10 +11,23 @@
 /** Beliefs kept for one engine; the oldest go first. */
 const MAX_PARTS_OF_ENGINE = 4_096;
 
+/** A read that was begun counts as done for this much longer than it was expected to take. */
+const EXPECTED_TTL_MS = 4_000;
+
 interface KeptPart {
   readonly tokens: number;
   /** Infinity when the engine itself said so. */
   readonly expiresAtMs: number;
+  /** From then on another engine can take it. */
+  readonly readyAtMs: number;
+}
+
+/** A part that an engine was asked to read. */
+export interface ReadNotice {
+  readonly engineId: string;
+  readonly part: PromptPart;
+  /** When it is expected to be there. */
+  readonly readyInMs: number;
 }
 
 /** Beliefs on all engines' caches. */
@@ -23,12 +36,20 @@
 
   /** The engine itself says how much of a part it keeps now; 0 when it gave the part up. */
   confirm(engineId: string, partId: string, tokens: number): void {
-    this.#store(engineId, partId, { tokens, expiresAtMs: Number.POSITIVE_INFINITY });
+    this.#store(engineId, partId, {
+      tokens,
+      expiresAtMs: Number.POSITIVE_INFINITY,
+      readyAtMs: 0,
+    });
   }
 
   /** Another daemon passed the engine's word on. */
   confirmFromPeer(engineId: string, partId: string, tokens: number, nowMs: number): void {
-    this.#store(engineId, partId, { tokens, expiresAtMs: nowMs + PASSED_ON_TTL_MS });
+    this.#store(engineId, partId, {
+      tokens,
+      expiresAtMs: nowMs + PASSED_ON_TTL_MS,
+      readyAtMs: 0,
+    });
   }
 
   /** Tokens of a part that the engine is believed to keep, whatever comes before it. */
@@ -40,14 +61,26 @@
   assume(engineId: string, parts: readonly PromptPart[], nowMs: number): void {
     for (const part of parts) {
       const known = this.#byEngine.get(engineId)?.get(part.id);
-      if (known !== undefined && known.tokens >= part.tokens) continue;
+      const isConfirmed = known?.expiresAtMs === Number.POSITIVE_INFINITY;
+      if (isConfirmed && known.tokens >= part.tokens) continue;
       this.#store(engineId, part.id, {
         tokens: part.tokens,
         expiresAtMs: nowMs + UNCONFIRMED_TTL_MS,
+        readyAtMs: 0,
       });
     }
   }
 
+  /** An engine begins to read a part: the next request for it need not read it again. */
+  expect({ engineId, part, readyInMs }: ReadNotice, nowMs: number): void {
+    const known = this.#byEngine.get(engineId)?.get(part.id);
+    const isKnown = known !== undefined && known.expiresAtMs >= nowMs;
+    if (isKnown && known.tokens >= part.tokens) return;
+    const readyAtMs = nowMs + readyInMs;
+    const expiresAtMs = readyAtMs + EXPECTED_TTL_MS;
+    this.#store(engineId, part.id, { tokens: part.tokens, expiresAtMs, readyAtMs });
+  }
+
   /** Forgets an engine, or all that was known of its cache. */
   forget(engineId: string): void {
     this.#byEngine.delete(engineId);
@@ -55,11 +88,25 @@
 
   /** Tokens of the prompt's beginning that the engine need not read. */
   keptTokens(engineId: string, parts: readonly PromptPart[], nowMs: number): number {
+    return this.#tokens(engineId, parts, (part) => part.expiresAtMs >= nowMs);
+  }
+
+  /** Tokens of the prompt's beginning that another engine can take from there now. */
+  movableTokens(engineId: string, parts: readonly PromptPart[], nowMs: number): number {
+    const isThere = (part: KeptPart) => part.expiresAtMs >= nowMs && part.readyAtMs <= nowMs;
+    return this.#tokens(engineId, parts, isThere);
+  }
+
+  #tokens(
+    engineId: string,
+    parts: readonly PromptPart[],
+    counts: (part: KeptPart) => boolean,
+  ): number {
     const known = this.#byEngine.get(engineId);
     if (known === undefined) return 0;
     return keptPrefixTokens(parts, (partId) => {
       const part = known.get(partId);
-      return part === undefined || part.expiresAtMs < nowMs ? 0 : part.tokens;
+      return part === undefined || !counts(part) ? 0 : part.tokens;
     });
   }
 
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -2,7 +2,7 @@
  * One sending of a request to one server: the call, the check that the answer is this request's,
  * and what was seen of the server.
  */
-import type { EngineTraits, ServerRecord } from '../../core/gateway/index.js';
+import type { EngineTraits, ReadNotice, ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { BackendAnswer, BackendConnections } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
@@ -20,6 +20,8 @@
   readonly codec: RequestCodec;
   /** To be called when work on a long prompt begins or ends. */
   readonly noteLoadChange: () => void;
+  /** To be called when a shared part begins to be read, so that no other daemon has it read again. */
+  readonly noteRead: (read: ReadNotice) => void;
   /** Where this daemon stands. */
   readonly zone: string;
 }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -87,6 +87,7 @@
       codec: adapter.requests,
       zone: settings.zone,
       noteLoadChange: () => this.#peers?.noteChange(),
+      noteRead: (read) => this.#peers?.noteRead(read),
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
     const incarnation = randomInt(INCARNATIONS);
@@ -201,6 +202,7 @@
       table: adapter.table,
       roster: this.#roster,
       log,
+      takeRead: (read) => this.#fleet.knowledge.expect(read, timers.nowMs()),
       takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       timers,
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -15,6 +15,7 @@
   type PeerLoads,
   type PeerRoster,
   RELAY_REFRESH_MS,
+  type ReadNotice,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { ByteBudget } from './byte-budget.js';
@@ -40,7 +41,7 @@
 const HEARTBEAT_STEP_MS = 240;
 const DATAGRAM_OVERHEAD_BYTES = 28;
 /** Own work, to all peers together, as docs/CAPACITY.md plans for. */
-const CHANGE_BUDGET = { bytesPerSecond: 4_096, burstBytes: 8_192 };
+const CHANGE_BUDGET = { bytesPerSecond: 4_096, burstBytes: 32_768 };
 /** What is passed on, to each peer of the own zone. */
 const RELAY_BUDGET_OF_PEER = { bytesPerSecond: 4_096, burstBytes: 16_384 };
 
@@ -65,6 +66,8 @@
   readonly ownWork: () => LoadReport['work'];
   /** Told how many daemons there are, this one counted. */
   readonly noteDaemonCount: (daemons: number) => void;
+  /** A read that another daemon told of. */
+  readonly takeRead: (read: ReadNotice) => void;
   /** Cache news that another daemon passed on. */
   readonly takeNews: (news: EngineNews) => void;
 }
@@ -83,6 +86,8 @@
   readonly #changeBudget: ByteBudget;
   readonly #relayBudget: ByteBudget;
   readonly #told = new Map<string, ToldWork>();
+  #ownReads: ReadNotice[] = [];
+  #readsToPassOn: ReadNotice[] = [];
   readonly #waitingNews = new Map<PeerDaemon['name'], EngineNews[]>();
   #sequence = 0;
   #heartbeatsSent = 0;
@@ -132,10 +137,23 @@
     const { timers, roster } = this.#options;
     this.#cancelFlush = timers.after(COALESCE_MS, () => {
       this.#cancelFlush = undefined;
-      this.#tellOwnWork(roster.toldOfChanges(timers.nowMs()));
+      this.#tellOwnWork(roster.toldOfChanges(timers.nowMs()), this.#takeOwnReads());
     });
   }
 
+  #takeOwnReads(): readonly ReadNotice[] {
+    const reads = this.#ownReads;
+    this.#ownReads = [];
+    if (this.#isRelay) this.#readsToPassOn.push(...reads);
+    return reads;
+  }
+
+  /** Says soon that a read of a shared part was begun. */
+  noteRead(read: ReadNotice): void {
+    this.#ownReads.push(read);
+    this.noteChange();
+  }
+
   /** Passes an engine's news on to daemons that do not ask for them. */
   passOn(news: EngineNews, peers: readonly PeerDaemon[]): void {
     if (peers.length === 0 || this.#isStopped) return;
@@ -154,7 +172,7 @@
   #beat(): void {
     const { timers, roster } = this.#options;
     this.#cancelBeat = timers.after(HEARTBEAT_STEP_MS, () => {
-      if (roster.isLarge) this.#tellOwnWork(this.#nextHeartbeats());
+      if (roster.isLarge) this.#tellOwnWork(this.#nextHeartbeats(), []);
       this.#beat();
     });
   }
@@ -168,10 +186,10 @@
     return [...everyone, ...everyone].slice(first, first + count);
   }
 
-  #tellOwnWork(peers: readonly PeerDaemon[]): void {
+  #tellOwnWork(peers: readonly PeerDaemon[], reads: readonly ReadNotice[]): void {
     if (peers.length === 0) return;
     const { daemon, incarnation, ownWork } = this.#options;
-    const report = { daemon, incarnation, sequence: this.#nextSequence(), work: ownWork() };
+    const report = { daemon, incarnation, sequence: this.#nextSequence(), work: ownWork(), reads };
     const bytes = encodePeerMessage({ kind: 'report', report });
     if (!this.#changeBudget.tryTake(sizeOnLink(bytes) * peers.length)) return;
     this.#sendTo(peers, bytes);
@@ -199,8 +217,10 @@
     const totals = this.#totals(nowMs);
     const isWhole = nowMs - this.#lastWholeMs >= RELAY_REFRESH_MS;
     const work = isWhole ? totals : this.#changedSince(totals, nowMs);
+    const reads = this.#readsToPassOn;
+    this.#readsToPassOn = [];
     if (isWhole) this.#lastWholeMs = nowMs;
-    else if (work.length === 0) return;
+    else if (work.length === 0 && reads.length === 0) return;
     this.#noteTold(work, nowMs, isWhole);
     for (let first = 0; first === 0 || first < work.length; first += MOST_ENTRIES) {
       const part = work.slice(first, first + MOST_ENTRIES);
@@ -210,6 +230,7 @@
         sequence: this.#nextSequence(),
         isWhole: isWhole && first === 0,
         work: part,
+        reads: first === 0 ? reads : [],
       };
       const bytes = encodePeerMessage({ kind: 'sums', sums });
       if (this.#relayBudget.tryTake(sizeOnLink(bytes))) this.#sendTo(roster.zonePeers(), bytes);
@@ -272,10 +293,13 @@
         if (message.report.daemon === daemon) return;
         roster.heard(message.report.daemon, nowMs);
         loads.take(message.report, nowMs);
+        this.#takeReads(message.report.reads);
+        if (this.#isRelay) this.#readsToPassOn.push(...message.report.reads);
         return;
       case 'sums':
         if (message.sums.relay === daemon) return;
         roster.heardRelay(message.sums.relay, nowMs);
+        this.#takeReads(message.sums.reads);
         if (!roster.isRelay(nowMs)) loads.takeSums(message.sums, ownWork(), nowMs);
         return;
       case 'news':
@@ -284,6 +308,10 @@
     }
   }
 
+  #takeReads(reads: readonly ReadNotice[]): void {
+    for (const read of reads) this.#options.takeRead(read);
+  }
+
   #nextSequence(): number {
     this.#sequence += 1;
     return this.#sequence;
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -4,11 +4,13 @@
  */
 import { pack, unpack } from 'msgpackr';
 import * as z from 'zod/mini';
-import type { EngineWork, LoadReport, LoadSums } from '../../core/gateway/index.js';
+import type { EngineWork, LoadReport, LoadSums, ReadNotice } from '../../core/gateway/index.js';
 import type { CacheEvent } from './ports.js';
 
 const KINDS = { report: 1, sums: 2, news: 3 } as const;
 
+/** Engine, part, its tokens, and the milliseconds until it is read. */
+const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
 const workSchema = z.array(z.tuple([z.string(), z.number(), z.number()]));
 const reportSchema = z.tuple([
   z.literal(KINDS.report),
@@ -16,6 +18,7 @@
   z.number(),
   z.number(),
   workSchema,
+  readsSchema,
 ]);
 const sumsSchema = z.tuple([
   z.literal(KINDS.sums),
@@ -24,6 +27,7 @@
   z.number(),
   z.boolean(),
   workSchema,
+  readsSchema,
 ]);
 const newsSchema = z.tuple([
   z.literal(KINDS.news),
@@ -50,12 +54,14 @@
 export function encodePeerMessage(message: PeerMessage): Buffer {
   switch (message.kind) {
     case 'report': {
-      const { daemon, incarnation, sequence, work } = message.report;
-      return pack([KINDS.report, daemon, incarnation, sequence, encodeWork(work)]);
+      const { daemon, incarnation, sequence, work, reads } = message.report;
+      const head = [KINDS.report, daemon, incarnation, sequence];
+      return pack([...head, encodeWork(work), encodeReads(reads)]);
     }
     case 'sums': {
-      const { relay, incarnation, sequence, isWhole, work } = message.sums;
-      return pack([KINDS.sums, relay, incarnation, sequence, isWhole, encodeWork(work)]);
+      const { relay, incarnation, sequence, isWhole, work, reads } = message.sums;
+      const head = [KINDS.sums, relay, incarnation, sequence, isWhole];
+      return pack([...head, encodeWork(work), encodeReads(reads)]);
     }
     case 'news':
       return pack([KINDS.news, message.daemon, message.news.map(encodeNews)]);
@@ -69,18 +75,14 @@
   const fields = parsed.data;
   switch (fields[0]) {
     case KINDS.report: {
-      const [, daemon, incarnation, sequence, work] = fields;
-      return {
-        kind: 'report',
-        report: { daemon, incarnation, sequence, work: decodeWork(work) },
-      };
+      const [, daemon, incarnation, sequence, work, reads] = fields;
+      const told = { work: decodeWork(work), reads: decodeReads(reads) };
+      return { kind: 'report', report: { daemon, incarnation, sequence, ...told } };
     }
     case KINDS.sums: {
-      const [, relay, incarnation, sequence, isWhole, work] = fields;
-      return {
-        kind: 'sums',
-        sums: { relay, incarnation, sequence, isWhole, work: decodeWork(work) },
-      };
+      const [, relay, incarnation, sequence, isWhole, work, reads] = fields;
+      const told = { work: decodeWork(work), reads: decodeReads(reads) };
+      return { kind: 'sums', sums: { relay, incarnation, sequence, isWhole, ...told } };
     }
     case KINDS.news: {
       const [, daemon, news] = fields;
@@ -105,6 +107,25 @@
   return work.map(([engineId, pendingMs, running]) => ({ engineId, pendingMs, running }));
 }
 
+function encodeReads(reads: readonly ReadNotice[]): unknown[] {
+  return reads.map(({ engineId, part, readyInMs }) => [
+    engineId,
+    part.id,
+    part.tokens,
+    Math.round(readyInMs),
+  ]);
+}
+
+function decodeReads(
+  reads: readonly (readonly [string, string, number, number])[],
+): readonly ReadNotice[] {
+  return reads.map(([engineId, id, tokens, readyInMs]) => ({
+    engineId,
+    part: { id, tokens },
+    readyInMs,
+  }));
+}
+
 function encodeNews({ engineId, isReset, events }: EngineNews): unknown[] {
   return [engineId, isReset, events.map(({ partId, tokens }) => [partId, tokens])];
 }
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -1,7 +1,7 @@
 /**
  * Reading a prompt at an engine that only reads, and freeing the memory that nobody goes on from.
  */
-import type { EnginePlan, ServerRecord } from '../../core/gateway/index.js';
+import { type EnginePlan, type ServerRecord, sharedPart } from '../../core/gateway/index.js';
 import { type AttemptContext, plainAttempt, sendAttempt } from './attempt.js';
 import type { Exchange } from './exchange.js';
 import type { MemorySource } from './ports.js';
@@ -11,6 +11,8 @@
 /** An engine is given up after this many times the expected time and a little more. */
 const PATIENCE_FACTOR = 4;
 const PATIENCE_MS = 500;
+/** Smaller parts are read sooner than they are told of. */
+const LEAST_TOLD_TOKENS = 1_024;
 
 /** A plan by which one engine reads and another goes on. */
 export type PrefillPlan = Extract<EnginePlan, { kind: 'prefill' }>;
@@ -29,6 +31,7 @@
   const startedAtMs = timers.nowMs();
   const read = load.begin(expectedMs, startedAtMs, fleet.peerLoads.waitMs(server.id, startedAtMs));
   noteLoadChange();
+  noteSharedRead(exchange, context, plan);
   const patience = new AbortController();
   const stop = () => patience.abort();
   exchange.signal.addEventListener('abort', stop, { once: true });
@@ -51,6 +54,19 @@
   return memory;
 }
 
+/** Tells of a shared part that is not there yet, so that the next request for it follows. */
+function noteSharedRead(exchange: Exchange, context: AttemptContext, plan: PrefillPlan): void {
+  const { server, expectedMs, missingTokens } = plan.prefill;
+  const { description, timers } = exchange.options;
+  const part = sharedPart(description.promptParts);
+  if (part === undefined || part.tokens < LEAST_TOLD_TOKENS) return;
+  const ownTokens = description.promptTokens - part.tokens;
+  if (missingTokens <= ownTokens && plan.prefill.fetchFrom === undefined) return;
+  const read = { engineId: server.id, part, readyInMs: Math.max(expectedMs, plan.expectedMs) };
+  context.fleet.knowledge.expect(read, timers.nowMs());
+  context.noteRead(read);
+}
+
 async function askToRead(
   exchange: Exchange,
   context: AttemptContext,
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -6,6 +6,7 @@
   type LoadSums,
   PeerLoads,
   PeerRoster,
+  type ReadNotice,
 } from '../../src/core/gateway/index.js';
 import type { TableCall, TableResult, TableRow } from '../../src/core/platform/table.js';
 import { PeerExchange } from '../../src/shell/gateway/peer-exchange.js';
@@ -19,7 +20,7 @@
 
 function report(fields: Partial<LoadReport> = {}): LoadReport {
   const work = [{ engineId: 'e', pendingMs: 300, running: 2 }];
-  return { daemon: 'a', incarnation: 1, sequence: 1, work, ...fields };
+  return { daemon: 'a', incarnation: 1, sequence: 1, work, reads: [], ...fields };
 }
 
 test('the work of all daemons adds up and fades as time passes', () => {
@@ -43,7 +44,7 @@
 
 function sums(fields: Partial<LoadSums> = {}): LoadSums {
   const work = [{ engineId: 'e', pendingMs: 500, running: 5 }];
-  return { relay: 'r', incarnation: 1, sequence: 1, isWhole: true, work, ...fields };
+  return { relay: 'r', incarnation: 1, sequence: 1, isWhole: true, work, reads: [], ...fields };
 }
 
 test("a relay's sums are taken less the own work, instead of what single daemons told", () => {
@@ -79,8 +80,8 @@
 test('messages are read as they were written, and what is none is passed over', () => {
   const news = [{ engineId: 'e', isReset: true, events: [{ partId: 'p', tokens: 3 }] }];
   const messages = [
-    { kind: 'report', report: report() },
-    { kind: 'sums', sums: sums() },
+    { kind: 'report', report: report({ reads: [READ] }) },
+    { kind: 'sums', sums: sums({ reads: [READ] }) },
     { kind: 'news', daemon: 'a', news },
   ] as const;
   for (const message of messages) {
@@ -103,6 +104,11 @@
   }
 }
 
+const READ: ReadNotice = {
+  engineId: 'e',
+  part: { id: 'shared', tokens: 9_000 },
+  readyInMs: 150,
+};
 /** Streams of one daemon; more are the sum of two. */
 const LARGEST_OWN = 2;
 const SILENT_LOG = { write: () => undefined };
@@ -119,6 +125,7 @@
   const summed = deferred<LoadSums>();
   const informed = deferred<EngineNews>();
   const listed = deferred<number>();
+  const noticed = deferred<ReadNotice>();
   const loads = new PeerLoads();
   const roster = new PeerRoster({ name, zone });
   const exchange = new PeerExchange({
@@ -133,6 +140,7 @@
     noteDaemonCount: listed.resolve,
     ownWork: () => work,
     takeNews: informed.resolve,
+    takeRead: noticed.resolve,
     loads: {
       take: (report, nowMs) => {
         loads.take(report, nowMs);
@@ -144,7 +152,7 @@
       totals: (nowMs) => loads.totals(nowMs),
     },
   });
-  return { exchange, roster, reported, summed, informed, listed };
+  return { exchange, roster, reported, summed, informed, listed, noticed };
 }
 
 test('daemons find each other by the store and tell what changed', async () => {
@@ -156,12 +164,14 @@
   const teller = exchangeOf('b', 'z', timers, table, report().work);
   teller.exchange.start();
   assert.equal(await teller.listed.promise, 2);
-  teller.exchange.noteChange();
+  teller.exchange.noteRead(READ);
   timers.advance(20);
   const told = await listener.reported.promise;
   listener.exchange.stop();
   teller.exchange.stop();
-  assert.deepEqual(told, { daemon: 'b', incarnation: 1, sequence: 1, work: report().work });
+  const expected = { daemon: 'b', incarnation: 1, sequence: 1, work: report().work };
+  assert.deepEqual(told, { ...expected, reads: [READ] });
+  assert.deepEqual(await listener.noticed.promise, READ);
 });
 
 /** Rows of daemons that do not answer, so that the fleet is a large one. */
@@ -184,7 +194,7 @@
   const relay = both.find(({ roster }) => roster.isRelay(timers.nowMs()));
   const other = both.find((daemon) => daemon !== relay);
   assert.ok(relay !== undefined && other !== undefined);
-  other.exchange.noteChange();
+  other.exchange.noteRead(READ);
   timers.advance(20);
   await relay.reported.promise;
   const told = await settledBy(other.summed.promise, timers);
@@ -193,6 +203,7 @@
   timers.advance(300);
   const news = await other.informed.promise;
   for (const { exchange } of both) exchange.stop();
+  assert.deepEqual(await relay.noticed.promise, READ);
   assert.deepEqual(
     told.work.map(({ engineId, running }) => ({ engineId, running })),
     [{ engineId: 'e', running: 4 }],
