Suspect an engine only beyond the time that is expected of it

Cause: a server whose oldest call was open for 400 ms was passed over, and its memory was not taken either. Now: a call carries when its answer is expected; the server is suspect 400 ms beyond that, at most 1.9 s in all. A source of memory is passed over only if it failed.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -175,7 +175,7 @@
 ): { readonly server: ServerRecord; readonly keptTokens: number } | undefined {
   let best: { readonly server: ServerRecord; readonly keptTokens: number } | undefined;
   for (const other of input.candidates) {
-    if (other.id === server.id || input.healthOf(other.id).isSuspect(input.nowMs)) continue;
+    if (other.id === server.id || input.healthOf(other.id).isEjected(input.nowMs)) continue;
     const kept = input.knowledge.movableTokens(
       other.id,
       input.description.promptParts,
--- a/src/core/gateway/server-health.ts
+++ b/src/core/gateway/server-health.ts
@@ -7,12 +7,19 @@
 const LONGEST_EJECTION_MS = 4_000;
 /** Weight of the newest outcome in the failure rate. */
 const FAILURE_WEIGHT = 0.12;
-/** A server that owes its first byte for this long is not given more, where there is a choice. */
+/**
+ * A server that owes its first byte for this long, beyond what was expected, is not given more
+ * where there is a choice.
+ */
 const SILENT_AFTER_MS = 400;
+const EXPECTATION_FACTOR = 1;
+const MOST_EXPECTED_MS = 1_500;
 
 /** One call that a server has not answered yet. */
 export interface OpenCall {
   readonly startedAtMs: number;
+  /** Beyond this time it counts as owing its answer. */
+  readonly silentAtMs: number;
 }
 
 /** This daemon's own record of a server. */
@@ -38,8 +45,10 @@
     return this.#responseMs;
   }
 
-  open(nowMs: number): OpenCall {
-    const call: OpenCall = { startedAtMs: nowMs };
+  /** @param expectedMs when the first byte is expected, where that is known */
+  open(nowMs: number, expectedMs = 0): OpenCall {
+    const grantedMs = EXPECTATION_FACTOR * Math.min(MOST_EXPECTED_MS, Math.max(0, expectedMs));
+    const call = { startedAtMs: nowMs, silentAtMs: nowMs + SILENT_AFTER_MS + grantedMs };
     this.#openCalls.add(call);
     return call;
   }
@@ -71,7 +80,12 @@
 
   /** Whether it is to be passed over where there is another. */
   isSuspect(nowMs: number): boolean {
-    return nowMs < this.#ejectedUntilMs || this.oldestOpenMs(nowMs) > SILENT_AFTER_MS;
+    return this.isEjected(nowMs) || this.#owesAnswer(nowMs);
+  }
+
+  /** Whether it failed lately; one that is only slow is not. */
+  isEjected(nowMs: number): boolean {
+    return nowMs < this.#ejectedUntilMs;
   }
 
   /** How long the oldest unanswered call has been open. */
@@ -79,4 +93,9 @@
     const oldest = this.#openCalls.values().next();
     return oldest.done === true ? 0 : nowMs - oldest.value.startedAtMs;
   }
+
+  #owesAnswer(nowMs: number): boolean {
+    for (const call of this.#openCalls) if (call.silentAtMs < nowMs) return true;
+    return false;
+  }
 }
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -35,6 +35,8 @@
   readonly memorySource: MemorySource | undefined;
   readonly fetchFrom: string | undefined;
   readonly resumeAfterEventId: string | undefined;
+  /** When the head of the answer is expected; 0 where nothing is known of that. */
+  readonly expectedMs: number;
   readonly signal: AbortSignal;
 }
 
@@ -67,6 +69,7 @@
     memorySource: undefined,
     fetchFrom: undefined,
     resumeAfterEventId: undefined,
+    expectedMs: 0,
     signal,
   };
 }
@@ -80,7 +83,7 @@
   const { request, body, timers, description, metrics } = exchange.options;
   const health = context.fleet.healthOf(options.server.id);
   const startedAtMs = timers.nowMs();
-  const open = health.open(startedAtMs);
+  const open = health.open(startedAtMs, options.expectedMs);
   const headers = context.codec.backendHeaders(request.rawHeaders, {
     serverId: options.server.id,
     deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -143,6 +143,7 @@
       memorySource,
       fetchFrom,
       resumeAfterEventId: this.#relay.lastEventId,
+      expectedMs: plan.kind === 'direct' ? plan.expectedMs : 0,
     };
     const result = await sendAttempt(exchange, this.#context, options);
     if (read !== undefined) load.abandon(read);
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -81,6 +81,7 @@
     prefillOnly: true,
     priority,
     fetchFrom: fetchFrom?.address,
+    expectedMs: plan.expectedMs,
   });
   if (result.kind !== 'answered') return undefined;
   const { answer, end } = result.attempt;
--- a/test/gateway/choices.test.ts
+++ b/test/gateway/choices.test.ts
@@ -287,3 +287,17 @@
   assert.equal(splitter.push(Buffer.from('id: 2\r\ndata: b\r\n\r\n')).length, 18);
   assert.equal(splitter.lastEventId, '2');
 });
+
+test('a call that is expected to take long makes no suspect of its server until then', () => {
+  const health = new ServerHealth();
+  health.open(0, 600);
+  assert.equal(health.isSuspect(900), false);
+  assert.equal(health.isSuspect(1_001), true);
+  assert.equal(health.isEjected(1_001), false);
+});
+
+test('a server that never answers is suspect at some time, whatever was expected of it', () => {
+  const health = new ServerHealth();
+  health.open(0, 60_000);
+  assert.equal(health.isSuspect(2_000), true);
+});
