threadfork trace: explain a request from gateways' logs alone

The users ask to see afterwards why a request failed, from its id. The command reads JSON lines from files or standard input (a collector's prefix before the JSON names the daemon), prints the cause in words, the request's own lines, and what else was seen of its servers and its daemon's beliefs within 3 s. The explanation is a pure function over lines (core/gateway/explain-request.ts); the reader keeps only lines that may explain. Exit code 1 when no line names the id, with the number of lines left out over the budget. Tests: test/gateway/explain-request.test.ts (late, refused, failed under a new configuration, unknown id, the command itself).

--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -8,6 +8,7 @@
 import { ExplainCommand } from './commands/explain.js';
 import { QueryCommand } from './commands/query.js';
 import { StatusCommand } from './commands/status.js';
+import { TraceCommand } from './commands/trace.js';
 import { VersionCommand } from './commands/version.js';
 import { type CliContext, usesColors } from './context.js';
 import { EXIT_USAGE } from './exit-codes.js';
@@ -16,6 +17,7 @@
   QueryCommand,
   ApplyCommand,
   ExplainCommand,
+  TraceCommand,
   StatusCommand,
   ConfigCheckCommand,
   ConfigShowCommand,
--- /dev/null
+++ b/src/core/gateway/explain-request.ts
@@ -0,0 +1,212 @@
+/**
+ * Explains one request from the log lines of gateways: what was decided for it, from what, how it
+ * ended, and what else happened to the servers it met and to what its daemon believed.
+ */
+import { GATEWAY_EVENTS } from '../logging/catalogue/gateway.js';
+import type { LogFields } from '../logging/log-event.js';
+
+/** What happened this long before or after the request's own lines may have to do with it. */
+const CONTEXT_MS = 3_000;
+/** A step that took so many times what was expected is named as the cause of lateness. */
+const LATE_FACTOR = 2;
+const LATE_MS = 100;
+
+/** One line of a gateway's log. */
+export interface LogLine {
+  /** The log or machine that it came from. */
+  readonly source: string;
+  /** Milliseconds since the epoch. */
+  readonly timeMs: number;
+  /** Number of the event. */
+  readonly event: number;
+  readonly message: string;
+  readonly fields: LogFields;
+}
+
+/** What the lines say of a request. */
+export interface RequestExplanation {
+  readonly isFound: boolean;
+  /** The cause in words, the most telling first. */
+  readonly sentences: readonly string[];
+  /** The request's own lines, in order of time. */
+  readonly ownLines: readonly LogLine[];
+  /** Other lines of that time that concern its servers or its daemon's beliefs. */
+  readonly context: readonly LogLine[];
+}
+
+const NUMBERS = {
+  ended: GATEWAY_EVENTS.requestEnded.number,
+  refused: GATEWAY_EVENTS.requestRefused.number,
+  failed: GATEWAY_EVENTS.requestFailed.number,
+  attemptFailed: GATEWAY_EVENTS.attemptFailed.number,
+  planChosen: GATEWAY_EVENTS.planChosen.number,
+  dropped: GATEWAY_EVENTS.linesDropped.number,
+} as const;
+
+/** Events of a daemon's own that bear on all its requests. */
+const DAEMON_EVENTS: ReadonlySet<number> = new Set(
+  [
+    GATEWAY_EVENTS.started,
+    GATEWAY_EVENTS.stopping,
+    GATEWAY_EVENTS.linesDropped,
+    GATEWAY_EVENTS.configurationInForce,
+    GATEWAY_EVENTS.configurationMalformed,
+    GATEWAY_EVENTS.configurationOlder,
+    GATEWAY_EVENTS.watchLost,
+    GATEWAY_EVENTS.watchRegained,
+    GATEWAY_EVENTS.historyLost,
+  ].map(({ number }) => number),
+);
+
+/** Whether a line may be needed to explain a request; others need not be kept. */
+export function mayExplain(line: LogLine, requestId: string): boolean {
+  if (line.fields.request === requestId || DAEMON_EVENTS.has(line.event)) return true;
+  return line.fields.server !== undefined && line.event !== NUMBERS.planChosen;
+}
+
+/** @param lines those for which `mayExplain` holds, in any order */
+export function explainRequest(lines: readonly LogLine[], requestId: string): RequestExplanation {
+  const ordered = [...lines].sort((left, right) => left.timeMs - right.timeMs);
+  const ownLines = ordered.filter((line) => line.fields.request === requestId);
+  if (ownLines.length === 0) {
+    return { isFound: false, sentences: notFound(ordered), ownLines, context: [] };
+  }
+  const context = contextOf(ordered, ownLines, requestId);
+  const sentences = [
+    ...endSentences(ownLines),
+    ...planSentences(ownLines),
+    ...attemptSentences(ownLines),
+    ...contextSentences(context, ownLines),
+  ];
+  return { isFound: true, sentences, ownLines, context };
+}
+
+function notFound(lines: readonly LogLine[]): readonly string[] {
+  const dropped = lines
+    .filter(({ event }) => event === NUMBERS.dropped)
+    .reduce((sum, { fields }) => sum + numberOf(fields.lines), 0);
+  const first =
+    'No line names this request: it did not reach these gateways, or its lines are missing.';
+  if (dropped === 0) return [first];
+  return [first, `${dropped} lines were left out over the budget (event ${NUMBERS.dropped}).`];
+}
+
+function contextOf(
+  lines: readonly LogLine[],
+  ownLines: readonly LogLine[],
+  requestId: string,
+): readonly LogLine[] {
+  const times = ownLines.map(({ timeMs }) => timeMs);
+  const elapsedMs = Math.max(0, ...ownLines.map(({ fields }) => numberOf(fields.elapsedMs)));
+  const fromMs = Math.min(...times) - elapsedMs - CONTEXT_MS;
+  const toMs = Math.max(...times) + CONTEXT_MS;
+  const servers = serversOf(ownLines);
+  const sources = new Set(ownLines.map(({ source }) => source));
+  return lines.filter((line) => {
+    if (line.fields.request === requestId) return false;
+    if (line.timeMs < fromMs || line.timeMs > toMs) return false;
+    if (DAEMON_EVENTS.has(line.event)) return sources.has(line.source);
+    const isEnd = line.event === NUMBERS.ended;
+    return !isEnd && servers.has(String(line.fields.server));
+  });
+}
+
+function endSentences(ownLines: readonly LogLine[]): readonly string[] {
+  const end = ownLines.find(({ event }) =>
+    [NUMBERS.ended, NUMBERS.refused, NUMBERS.failed].some((number) => number === event),
+  );
+  if (end === undefined) return ['It has no end in these lines: it was under way when they stop.'];
+  const { fields } = end;
+  const after = `after ${numberOf(fields.elapsedMs)} ms, under configuration ${fields.configurationVersion ?? '?'}`;
+  switch (end.event) {
+    case NUMBERS.refused:
+      return [`Refused ${after}: ${fields.reason ?? 'no reason given'}. It has not run.`];
+    case NUMBERS.failed:
+      return [
+        `Failed ${after}: ${fields.reason ?? 'no reason given'}; sent to ${fields.runs ?? '?'} servers, so it may have run.`,
+      ];
+    default:
+      return [
+        `Ended ${after}: ${fields.outcome ?? 'ended'}${fields.status === undefined ? '' : `, status ${fields.status}`}${fields.server === undefined ? '' : ` from ${fields.server}`}.`,
+        ...latenessSentences(fields),
+      ];
+  }
+}
+
+function latenessSentences(end: LogFields): readonly string[] {
+  const firstEventMs = numberOf(end.firstEventMs);
+  if (firstEventMs === 0) return [];
+  const prefillMs = numberOf(end.prefillMs);
+  const afterMs = firstEventMs - prefillMs;
+  if (prefillMs === 0) return [`Its first event came after ${firstEventMs} ms.`];
+  return [
+    `Its first event came after ${firstEventMs} ms: ${prefillMs} ms until the prompt was read, ${afterMs} ms from there.`,
+  ];
+}
+
+function planSentences(ownLines: readonly LogLine[]): readonly string[] {
+  const plans = ownLines.filter(({ event }) => event === NUMBERS.planChosen);
+  const end = ownLines.find(({ event }) => event === NUMBERS.ended);
+  const sentences = plans.map(({ fields }) => {
+    const way = fields.way === 'prefill' ? 'read apart' : 'read where it generates';
+    const source = fields.fetchFrom === '' ? '' : `, a part taken from ${fields.fetchFrom}`;
+    return `Planned to be ${way} at ${fields.server}: ${fields.missing} of ${fields.promptLength} tokens missing, ${fields.expectedMs} ms expected${source}.`;
+  });
+  const expectedMs = numberOf(plans.at(-1)?.fields.expectedMs);
+  const tookMs = numberOf(end?.fields.firstEventMs);
+  const isLate = tookMs > LATE_FACTOR * expectedMs && tookMs - expectedMs > LATE_MS;
+  if (plans.length === 0 || !isLate) return sentences;
+  const at = plans.at(-1)?.fields.server;
+  return [
+    ...sentences,
+    `That is ${tookMs - expectedMs} ms more than expected: work at ${at} that this daemon did not know of, or a slow engine.`,
+  ];
+}
+
+function attemptSentences(ownLines: readonly LogLine[]): readonly string[] {
+  return ownLines
+    .filter(({ event }) => event === NUMBERS.attemptFailed)
+    .map(({ fields }) => {
+      const what = fields.step === 'prefill' ? 'Reading' : 'Running';
+      const why = fields.reason === '' ? `status ${fields.status}` : fields.reason;
+      return `${what} at ${fields.server} (${fields.zone}) failed after ${fields.elapsedMs} ms: ${fields.result}, ${why}; ${fields.failureRate} of its recent calls from there failed.`;
+    });
+}
+
+function contextSentences(
+  context: readonly LogLine[],
+  ownLines: readonly LogLine[],
+): readonly string[] {
+  const sentences: string[] = [];
+  for (const server of serversOf(ownLines)) {
+    const failed = context.filter(
+      ({ event, fields }) => event === NUMBERS.attemptFailed && fields.server === server,
+    );
+    if (failed.length > 0) {
+      const sources = new Set(failed.map(({ source }) => source)).size;
+      sentences.push(
+        `${failed.length} other attempts at ${server} failed around that time, seen by ${sources} daemons.`,
+      );
+    }
+  }
+  for (const line of context) {
+    if (!DAEMON_EVENTS.has(line.event)) continue;
+    sentences.push(`Its daemon, ${sideOf(line, ownLines)}: ${line.message}.`);
+  }
+  return sentences;
+}
+
+function sideOf(line: LogLine, ownLines: readonly LogLine[]): string {
+  const endMs = Math.max(...ownLines.map(({ timeMs }) => timeMs));
+  const spanMs = Math.round(endMs - line.timeMs);
+  return spanMs >= 0 ? `${spanMs} ms before its end` : `${-spanMs} ms after its end`;
+}
+
+function serversOf(lines: readonly LogLine[]): ReadonlySet<string> {
+  const names = lines.flatMap(({ fields }) => [fields.server, fields.fetchFrom]);
+  return new Set(names.filter((name): name is string => typeof name === 'string' && name !== ''));
+}
+
+function numberOf(value: unknown): number {
+  return typeof value === 'number' ? value : 0;
+}
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -25,6 +25,12 @@
   sharedPart,
 } from './description.js';
 export { EngineLoad, type PendingRead } from './engine-load.js';
+export {
+  explainRequest,
+  type LogLine,
+  mayExplain,
+  type RequestExplanation,
+} from './explain-request.js';
 export {
   addWork,
   type EngineWork,
--- /dev/null
+++ b/test/gateway/explain-request.test.ts
@@ -0,0 +1,111 @@
+/** Explaining a request from log lines, and the command that does so from files. */
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { explainRequest, type LogLine } from '../../src/core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
+import { runThreadfork } from '../cli/harness.js';
+
+const ID = '30810d6088c643ac';
+const END = { elapsedMs: 640, configurationVersion: 8, runs: 1 };
+
+function line(event: LogEvent, timeMs: number, fields: LogFields, source = 'a'): LogLine {
+  return { source, timeMs, event: event.number, message: event.message, fields };
+}
+
+const PLAN = line(GATEWAY_EVENTS.planChosen, 1_000, {
+  request: ID,
+  way: 'prefill',
+  server: 'reader',
+  expectedMs: 126,
+  promptLength: 4_719,
+  missing: 4_719,
+  fetchFrom: '',
+});
+
+test('a late stream: which step took longer than expected, and where', () => {
+  const end = line(GATEWAY_EVENTS.requestEnded, 1_640, {
+    ...END,
+    request: ID,
+    outcome: 'answered',
+    status: 200,
+    server: 'generator',
+    prefillMs: 615,
+    firstEventMs: 630,
+  });
+  const { isFound, sentences } = explainRequest([end, PLAN], ID);
+  assert.equal(isFound, true);
+  assert.deepEqual(sentences, [
+    'Ended after 640 ms, under configuration 8: answered, status 200 from generator.',
+    'Its first event came after 630 ms: 615 ms until the prompt was read, 15 ms from there.',
+    'Planned to be read apart at reader: 4719 of 4719 tokens missing, 126 ms expected.',
+    'That is 504 ms more than expected: work at reader that this daemon did not know of, or a slow engine.',
+  ]);
+});
+
+test('a refusal: each server that turned it down, and what others saw of them', () => {
+  const attempt = { server: 's1', zone: 'z', step: 'run', result: 'not-sent', status: 0 };
+  const seen = { reason: 'connecting took too long', elapsedMs: 220, failureRate: 0.4 };
+  const own = line(GATEWAY_EVENTS.attemptFailed, 1_000, { ...attempt, ...seen, request: ID });
+  const others = ['b', 'c'].map((source) =>
+    line(GATEWAY_EVENTS.attemptFailed, 1_100, { ...attempt, ...seen, request: 'x' }, source),
+  );
+  const end = line(GATEWAY_EVENTS.requestRefused, 1_230, {
+    ...END,
+    request: ID,
+    reason: 'connecting took too long',
+  });
+  const { sentences, context } = explainRequest([own, end, ...others], ID);
+  assert.match(sentences[0] ?? '', /^Refused after 640 ms.*has not run\.$/);
+  assert.match(sentences[1] ?? '', /^Running at s1 \(z\) failed after 220 ms: not-sent/);
+  assert.equal(sentences[2], '2 other attempts at s1 failed around that time, seen by 2 daemons.');
+  assert.equal(context.length, 2);
+});
+
+test('a failure under a configuration that had just changed says so, other daemons do not count', () => {
+  const changed = line(GATEWAY_EVENTS.configurationInForce, 900, { configurationVersion: 8 });
+  const elsewhere = line(GATEWAY_EVENTS.configurationInForce, 900, {}, 'b');
+  const longAgo = line(GATEWAY_EVENTS.watchLost, -60_000, {});
+  const end = line(GATEWAY_EVENTS.requestFailed, 1_640, {
+    ...END,
+    request: ID,
+    reason: 'out of time',
+  });
+  const { sentences, context } = explainRequest([changed, elsewhere, longAgo, end], ID);
+  assert.deepEqual(context, [changed]);
+  assert.deepEqual(sentences, [
+    'Failed after 640 ms, under configuration 8: out of time; sent to 1 servers, so it may have run.',
+    'Its daemon, 740 ms before its end: configuration in force.',
+  ]);
+});
+
+test('an unknown id is told as such, with the lines that were left out', () => {
+  const dropped = line(GATEWAY_EVENTS.linesDropped, 900, { lines: 12 });
+  const { isFound, sentences } = explainRequest([dropped], ID);
+  assert.equal(isFound, false);
+  assert.match(sentences[1] ?? '', /^12 lines were left out/);
+});
+
+test('the command reads files, takes a prefix as the daemon, and passes over what is no line', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'threadfork-trace-'));
+  const file = join(folder, 'a.log');
+  const fields = { ...END, request: ID, reason: 'out of time' };
+  const { number: event, message: msg } = GATEWAY_EVENTS.requestFailed;
+  const text = JSON.stringify({ level: 'warn', time: 1_640, event, ...fields, msg });
+  await writeFile(file, `no line\n{"half":\n  12.5 front-b-1 ${text}\n`);
+  const found = await runThreadfork(['trace', ID, file]);
+  const asJson = await runThreadfork(['trace', ID, file, '--json']);
+  const unknown = await runThreadfork(['trace', 'other', file]);
+  const missing = await runThreadfork(['trace', ID, join(folder, 'none.log')]);
+  await rm(folder, { recursive: true });
+  assert.equal(found.code, 0);
+  assert.match(found.stdout, /^Failed after 640 ms/);
+  assert.match(found.stdout, /front-b-1 +6032/);
+  assert.equal(JSON.parse(asJson.stdout).ownLines[0].source, 'front-b-1');
+  assert.equal(unknown.code, 1);
+  assert.equal(missing.code, 2);
+  assert.match(missing.stderr, /name the logs of the gateways/);
+});
