--- a/src/lab/model/configuration/world.ts
+++ b/src/lab/model/configuration/world.ts
@@ -85,6 +85,8 @@
 
 /** The daemons' names, by index. */
 export const DAEMON_NAMES = ['a', 'b'] as const;
+/** The daemon that may restart. */
+export const RESTARTED = 1;
 
 /** Where a daemon's peer transport listens. */
 export function endpointOfDaemon(index: number): { address: string; port: number } {
