Keep the rule on connection headers in the product, and one list of statuses that promise

Twins: the adapter had its own list of hop-by-hop headers and its own reading of Connection beside src/shell/http/headers.ts; the two exchanges had each its own list of the statuses that promise that a request has not run. Now withoutConnectionHeaders (shell/http) serves the caller server and the gateway, the adapter's callerHeaders, which did nothing else, is gone, and promisesNotRun (attempt.ts) serves both exchanges.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -4,6 +4,7 @@
  */
 import type { EngineTraits, ReadNotice, ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { withoutConnectionHeaders } from '../http/headers.js';
 import type { BackendAnswer, BackendConnections } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
@@ -84,7 +85,7 @@
   const health = context.fleet.healthOf(options.server.id);
   const startedAtMs = timers.nowMs();
   const open = health.open(startedAtMs, options.expectedMs);
-  const headers = context.codec.backendHeaders(request.rawHeaders, {
+  const headers = context.codec.backendHeaders(withoutConnectionHeaders(request.rawHeaders), {
     serverId: options.server.id,
     deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
     priority: options.priority,
@@ -152,6 +153,11 @@
   /** It broke off, or is no answer. */
   | { readonly kind: 'bad'; readonly reason: string };
 
+/** Statuses that promise a caller that its request has not run; a server that ran it may send them. */
+export function promisesNotRun(status: number): boolean {
+  return status === 408 || status === 421 || status === 429 || status === 503;
+}
+
 /** What a whole answer of this status says of its server. */
 export function wholeOutcome(status: number): AnswerOutcome {
   return status >= FIRST_SERVER_ERROR ? { kind: 'server-error' } : { kind: 'good' };
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -14,12 +14,14 @@
   sharedPart,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { withoutConnectionHeaders } from '../http/headers.js';
 import {
   type AnsweredAttempt,
   type AttemptContext,
   type AttemptOptions,
   engineTraits,
   plainAttempt,
+  promisesNotRun,
   sendAttempt,
   wholeOutcome,
 } from './attempt.js';
@@ -59,7 +61,7 @@
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
     this.#context = context;
-    this.#relay = new StreamRelay(exchange, context.codec, () => this.#way);
+    this.#relay = new StreamRelay(exchange, () => this.#way);
     this.#isRepeatable = isRepeatable(exchange.options.route);
   }
 
@@ -203,8 +205,8 @@
     );
     if (this.#exchange.signal.aborted) return this.#endInterrupted();
     const isFinal = !this.#mayRunOnceMore() && !this.#relay.hasBegun;
-    if (body === undefined || !isFinal || isUnkeptPromise(answer.status)) return 'again';
-    const headers = this.#context.codec.callerHeaders(answer.message.rawHeaders);
+    if (body === undefined || !isFinal || promisesNotRun(answer.status)) return 'again';
+    const headers = withoutConnectionHeaders(answer.message.rawHeaders);
     this.#exchange.answer({
       status: answer.status,
       headers,
@@ -303,8 +305,3 @@
     return this.#exchange.options.timers.nowMs();
   }
 }
-
-/** Statuses that promise that a request has not run, from a server that did not say so. */
-function isUnkeptPromise(status: number): boolean {
-  return status === 408 || status === 421 || status === 429 || status === 503;
-}
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -98,10 +98,11 @@
 export interface RequestCodec {
   /** What the caller states; undefined when it gives no attempt id. */
   describe(headers: IncomingHttpHeaders): RequestDescription | undefined;
-  /** The headers for a backend: the caller's own, less those that only the product sets. */
+  /**
+   * The headers for a backend: the caller's own, less those that only the product sets.
+   * @param callerHeaders those of the message, without those of its connection
+   */
   backendHeaders(callerHeaders: RawHeaders, instructions: SendInstructions): string[];
-  /** The headers of a backend's answer that the caller gets. */
-  callerHeaders(backendHeaders: RawHeaders): string[];
   readMarks(status: number, headers: IncomingHttpHeaders): AnswerMarks;
   /** The answer to a prompt that was only read; undefined when it is none. */
   readPrefillAnswer(body: Buffer): PrefillAnswer | undefined;
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -2,10 +2,10 @@
  * Passes a stream on to its caller as it comes, one server after another where it may be resumed.
  * The head leaves with the first bytes, so that a server that breaks off before costs nothing.
  */
+import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnsweredAttempt, AnswerOutcome } from './attempt.js';
 import { EventSplitter } from './event-splitter.js';
 import type { Exchange } from './exchange.js';
-import type { RequestCodec } from './ports.js';
 
 /** How a server's part of a stream ended. */
 export type RelayResult = 'complete' | 'broken' | 'interrupted';
@@ -13,15 +13,13 @@
 /** The stream of one exchange. */
 export class StreamRelay {
   readonly #exchange: Exchange;
-  readonly #codec: RequestCodec;
   readonly #isResumable: boolean;
   readonly #splitter = new EventSplitter();
   readonly #way: () => string;
   #bytesSent = 0;
 
-  constructor(exchange: Exchange, codec: RequestCodec, way: () => string) {
+  constructor(exchange: Exchange, way: () => string) {
     this.#exchange = exchange;
-    this.#codec = codec;
     this.#way = way;
     this.#isResumable = exchange.options.route.resumable;
   }
@@ -82,7 +80,7 @@
     const { response, metrics } = this.#exchange.options;
     if (!this.#exchange.isAnswered) {
       const { answer } = attempt;
-      const headers = this.#codec.callerHeaders(answer.message.rawHeaders);
+      const headers = withoutConnectionHeaders(answer.message.rawHeaders);
       const { status, isEndedByClose } = answer;
       if (!this.#exchange.beginStream(status, headers, isEndedByClose)) return true;
       this.#exchange.stepTimesMs.firstEventMs = this.#exchange.elapsedMs();
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -3,10 +3,12 @@
  * second server, within the route's attempts and the retry budget; any other runs at most once.
  */
 import { chooseWebServer, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
+import { withoutConnectionHeaders } from '../http/headers.js';
 import {
   type AttemptContext,
   type AttemptResult,
   plainAttempt,
+  promisesNotRun,
   sendAttempt,
   wholeOutcome,
 } from './attempt.js';
@@ -133,9 +135,9 @@
     };
     if (body === undefined) return broken('the answer broke off');
     if (isSuccess && !isStamped) return broken('a success without a stamp');
-    if (isPromise(answer.status)) return broken(`status ${answer.status} without its promise`);
+    if (promisesNotRun(answer.status)) return broken(`status ${answer.status} without its promise`);
     end(wholeOutcome(answer.status));
-    const headers = this.#context.codec.callerHeaders(answer.message.rawHeaders);
+    const headers = withoutConnectionHeaders(answer.message.rawHeaders);
     return {
       kind: 'whole',
       answer: {
@@ -165,8 +167,3 @@
     });
   }
 }
-
-/** Statuses that promise a caller that its request has not run. */
-function isPromise(status: number): boolean {
-  return status === 408 || status === 421 || status === 429 || status === 503;
-}
--- a/src/shell/http/headers.ts
+++ b/src/shell/http/headers.ts
@@ -13,8 +13,8 @@
   'upgrade',
 ]);
 
-/** Meant for threadfork, or set anew for the backend. */
-const NOT_PASSED_ON: ReadonlySet<string> = new Set(['content-length', 'expect', 'idempotency-key']);
+/** Meant for threadfork alone. */
+const IDEMPOTENCY_KEY = 'idempotency-key';
 const OWN_PREFIX = 'x-threadfork-';
 const VIA = '1.1 threadfork';
 const NO_NAMES: ReadonlySet<string> = new Set();
@@ -26,21 +26,37 @@
   readonly stripAuthorization: boolean;
 }
 
+/** Set anew for each message, whoever wrote them. */
+const FRAMING: ReadonlySet<string> = new Set(['content-length', 'expect']);
+
+/** A flat name and value list without what applies to one connection or frames one message. */
+export function withoutConnectionHeaders(rawHeaders: readonly string[]): string[] {
+  const named = connectionNames(valuesOf(rawHeaders, 'connection'));
+  const passed: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? '';
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || FRAMING.has(lower) || named.has(lower)) continue;
+    passed.push(name, rawHeaders[index + 1] ?? '');
+  }
+  return passed;
+}
+
 /** The headers of a caller's request that a web backend gets, as a flat name and value list. */
 export function requestHeadersToBackend(
   rawHeaders: readonly string[],
   headers: IncomingHttpHeaders,
   info: ForwardingInfo,
 ): string[] {
-  const named = connectionNames(headers.connection);
+  const candidates = withoutConnectionHeaders(rawHeaders);
   const passed: string[] = [];
-  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const name = rawHeaders[index] ?? '';
+  for (let index = 0; index + 1 < candidates.length; index += 2) {
+    const name = candidates[index] ?? '';
     const lower = name.toLowerCase();
-    if (HOP_BY_HOP.has(lower) || NOT_PASSED_ON.has(lower) || named.has(lower)) continue;
+    if (lower === IDEMPOTENCY_KEY) continue;
     if (lower.startsWith(OWN_PREFIX) || lower === 'via' || lower === 'x-forwarded-for') continue;
     if (lower === 'authorization' && info.stripAuthorization) continue;
-    passed.push(name, rawHeaders[index + 1] ?? '');
+    passed.push(name, candidates[index + 1] ?? '');
   }
   passed.push('via', appended(headers.via, VIA));
   passed.push('x-forwarded-for', appended(headers['x-forwarded-for'], info.callerAddress));
@@ -66,6 +82,12 @@
   return typeof value === 'string' ? value : undefined;
 }
 
+function valuesOf(rawHeaders: readonly string[], wanted: string): string[] {
+  return rawHeaders.filter(
+    (_, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === wanted,
+  );
+}
+
 function connectionNames(connection: string | string[] | undefined): ReadonlySet<string> {
   if (connection === undefined) return NO_NAMES;
   const text = Array.isArray(connection) ? connection.join(',') : connection;
