End calls after a time in one place

The same few lines (an abort controller, a timer, a listener on another signal, both taken off again) stood in six places of five gateway modules, each a little different; callWithin (timer-service.ts) serves them all.

--- a/src/shell/gateway/cache-news-watcher.ts
+++ b/src/shell/gateway/cache-news-watcher.ts
@@ -11,7 +11,7 @@
 import type { EngineNews } from './peer-messages.js';
 import type { CacheNews, RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { delay, type TimerService } from './timer-service.js';
+import { callWithin, delay, type TimerService } from './timer-service.js';
 
 const WAIT_MS = 1_000;
 const ANSWER_SLACK_MS = 700;
@@ -112,23 +112,23 @@
     }
   }
 
-  async #ask(): Promise<CacheNews | 'failed' | 'turned-away'> {
-    const { connections, codec, timers } = this.#context;
-    const ended = new AbortController();
-    const end = () => ended.abort();
-    const cancel = timers.after(WAIT_MS + ANSWER_SLACK_MS, end);
-    this.#stopped.addEventListener('abort', end, { once: true });
+  #ask(): Promise<CacheNews | 'failed' | 'turned-away'> {
+    return callWithin(this.#context.timers, WAIT_MS + ANSWER_SLACK_MS, this.#stopped, (signal) =>
+      this.#askWithin(signal),
+    );
+  }
+
+  async #askWithin(signal: AbortSignal): Promise<CacheNews | 'failed' | 'turned-away'> {
+    const { connections, codec } = this.#context;
     const result = await connections.call({
       ...codec.cacheNews(this.#next, WAIT_MS),
       address: this.#engine.address,
       mayKeepConnection: true,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      signal: ended.signal,
+      signal,
     });
     const body =
       result.kind === 'answered' ? await result.answer.collect(MAX_NEWS_BYTES) : undefined;
-    cancel();
-    this.#stopped.removeEventListener('abort', end);
     if (result.kind !== 'answered') return 'failed';
     if (result.answer.status === TURNED_AWAY_STATUS) return 'turned-away';
     if (result.answer.status !== 200 || body === undefined) return 'failed';
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -4,9 +4,9 @@
  */
 import * as z from 'zod/mini';
 import type { PeerDaemon, PeerRoster } from '../../core/gateway/index.js';
-import type { TableRow } from '../../core/platform/table.js';
+import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
 import type { TableService } from './ports.js';
-import { delay, type TimerService } from './timer-service.js';
+import { callWithin, delay, type TimerService } from './timer-service.js';
 
 const ROW_PREFIX = 'peer/';
 const SCAN_LIMIT = 500;
@@ -58,31 +58,27 @@
   }
 
   async #announce(port: number): Promise<void> {
-    const { daemon, zone, listen, table } = this.#options;
+    const { daemon, zone, listen } = this.#options;
     const key = `${ROW_PREFIX}${daemon}`;
     const value: z.infer<typeof rowSchema> = { host: listen.host, port, zone };
     const write = { kind: 'transact', checks: [], writes: [{ key, value }] } as const;
-    const result = await this.#within((signal) => table.call(write, signal));
+    const result = await this.#callTable(write);
     this.#isAnnounced = result.kind === 'committed';
   }
 
   async #scan(): Promise<void> {
-    const { table, roster, timers, noteDaemonCount } = this.#options;
+    const { roster, timers, noteDaemonCount } = this.#options;
     const scan = { kind: 'scan', prefix: ROW_PREFIX, limit: SCAN_LIMIT } as const;
-    const result = await this.#within((signal) => table.call(scan, signal));
+    const result = await this.#callTable(scan);
     if (result.kind !== 'rows') return;
     roster.replace(result.rows.flatMap(readPeer), timers.nowMs());
     noteDaemonCount(roster.daemonCount);
   }
 
-  async #within<Result>(call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
-    const ended = new AbortController();
-    const cancel = this.#options.timers.after(TABLE_TIMEOUT_MS, () => ended.abort());
-    try {
-      return await call(AbortSignal.any([this.#stopped.signal, ended.signal]));
-    } finally {
-      cancel();
-    }
+  #callTable(call: TableCall): Promise<TableResult> {
+    const { table, timers } = this.#options;
+    const { signal: stopped } = this.#stopped;
+    return callWithin(timers, TABLE_TIMEOUT_MS, stopped, (signal) => table.call(call, signal));
   }
 }
 
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -5,6 +5,7 @@
 import { type AttemptContext, plainAttempt, sendAttempt } from './attempt.js';
 import type { Exchange } from './exchange.js';
 import type { MemorySource } from './ports.js';
+import { callWithin } from './timer-service.js';
 
 const MAX_ANSWER_BYTES = 65_536;
 const FREE_TIMEOUT_MS = 500;
@@ -32,18 +33,18 @@
   const read = load.begin(expectedMs, startedAtMs, fleet.peerLoads.waitMs(server.id, startedAtMs));
   noteLoadChange();
   noteSharedRead(exchange, context, plan);
-  const patience = new AbortController();
-  const stop = () => patience.abort();
-  exchange.signal.addEventListener('abort', stop, { once: true });
-  const cancel = timers.after(PATIENCE_MS + PATIENCE_FACTOR * plan.expectedMs, stop);
-  const memory = await askToRead(exchange, context, plan, priority, patience.signal);
-  cancel();
-  exchange.signal.removeEventListener('abort', stop);
+  const patienceMs = PATIENCE_MS + PATIENCE_FACTOR * plan.expectedMs;
+  let isGivenUp = false;
+  const memory = await callWithin(timers, patienceMs, exchange.signal, async (signal) => {
+    const asked = await askToRead(exchange, context, plan, priority, signal);
+    isGivenUp = signal.aborted;
+    return asked;
+  });
   noteLoadChange();
   const nowMs = timers.nowMs();
   if (memory === undefined) {
     load.abandon(read);
-    const wasSilent = patience.signal.aborted && !exchange.signal.aborted;
+    const wasSilent = isGivenUp && !exchange.signal.aborted;
     if (wasSilent) fleet.healthOf(server.id).recordBroken(nowMs);
     return undefined;
   }
@@ -103,18 +104,15 @@
   memory: MemorySource,
   source: ServerRecord,
 ): void {
-  const ended = new AbortController();
-  const cancel = exchange.options.timers.after(FREE_TIMEOUT_MS, () => ended.abort());
-  void context.connections
-    .call({
-      ...context.codec.freeHandle(memory.handle, source.id),
-      address: memory.address,
-      mayKeepConnection: true,
-      connectTimeoutMs: FREE_TIMEOUT_MS,
-      signal: ended.signal,
-    })
-    .then((result) => {
-      cancel();
-      if (result.kind === 'answered') result.answer.message.resume();
-    });
+  const call = {
+    ...context.codec.freeHandle(memory.handle, source.id),
+    address: memory.address,
+    mayKeepConnection: true,
+    connectTimeoutMs: FREE_TIMEOUT_MS,
+  };
+  void callWithin(exchange.options.timers, FREE_TIMEOUT_MS, undefined, (signal) =>
+    context.connections.call({ ...call, signal }),
+  ).then((result) => {
+    if (result.kind === 'answered') result.answer.message.resume();
+  });
 }
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -18,12 +18,12 @@
   stepLease,
 } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { TableEffect, TableResult } from '../../core/platform/table.js';
+import type { TableEffect } from '../../core/platform/table.js';
 import type { BackendConnections } from './backend-connections.js';
 import type { FleetView } from './fleet-view.js';
 import type { EngineCall, EngineReport, RequestCodec, TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import type { CancelTimer, TimerService } from './timer-service.js';
+import { type CancelTimer, callWithin, type TimerService } from './timer-service.js';
 
 const TICK_MS = 250;
 /** A change has to be wanted for this long, and a random while more, before the lease is sought. */
@@ -194,24 +194,20 @@
     return answer.body === undefined ? undefined : codec.readReport(answer.body);
   }
 
-  async #callEngine(engine: ServerRecord, call: EngineCall): Promise<EngineAnswer> {
+  #callEngine(engine: ServerRecord, call: EngineCall): Promise<EngineAnswer> {
     const { connections, timers } = this.#options;
-    const ended = new AbortController();
-    const cancel = timers.after(ORDER_TIMEOUT_MS, () => ended.abort());
-    const result = await connections.call({
-      ...call,
-      address: engine.address,
-      mayKeepConnection: false,
-      connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      signal: ended.signal,
+    return callWithin(timers, ORDER_TIMEOUT_MS, undefined, async (signal) => {
+      const result = await connections.call({
+        ...call,
+        address: engine.address,
+        mayKeepConnection: false,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        signal,
+      });
+      if (result.kind !== 'answered') return { outcome: result.reason, body: undefined };
+      const body = await result.answer.collect(MAX_ANSWER_BYTES);
+      return { outcome: result.answer.status, body };
     });
-    if (result.kind !== 'answered') {
-      cancel();
-      return { outcome: result.reason, body: undefined };
-    }
-    const body = await result.answer.collect(MAX_ANSWER_BYTES);
-    cancel();
-    return { outcome: result.answer.status, body };
   }
 
   #step(event: LeaseEvent): void {
@@ -235,10 +231,10 @@
   }
 
   async #callTable(effect: TableEffect): Promise<void> {
-    const ended = new AbortController();
-    const cancel = this.#options.timers.after(TABLE_TIMEOUT_MS, () => ended.abort());
-    const result: TableResult = await this.#options.table.call(effect.call, ended.signal);
-    cancel();
+    const { table, timers } = this.#options;
+    const result = await callWithin(timers, TABLE_TIMEOUT_MS, undefined, (signal) =>
+      table.call(effect.call, signal),
+    );
     this.#step({ kind: 'table-result', token: effect.token, result });
   }
 }
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -6,7 +6,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { WatchAnswer, WatchedRow, WatchedTable } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { delay, type TimerService } from './timer-service.js';
+import { callWithin, delay, type TimerService } from './timer-service.js';
 
 const FIRST_RETRY_MS = 60;
 const LONGEST_RETRY_MS = 500;
@@ -94,21 +94,12 @@
     if (gatherMs > 0) await delay(timers, gatherMs, this.#stopped.signal);
   }
 
-  async #ask(
+  #ask(
     timeoutMs: number,
     call: (signal: AbortSignal) => Promise<WatchAnswer<Value>>,
   ): Promise<WatchAnswer<Value>> {
     this.callsTotal += 1;
-    const ended = new AbortController();
-    const stop = () => ended.abort();
-    this.#stopped.signal.addEventListener('abort', stop, { once: true });
-    const cancel = this.#options.timers.after(timeoutMs, stop);
-    try {
-      return await call(ended.signal);
-    } finally {
-      cancel();
-      this.#stopped.signal.removeEventListener('abort', stop);
-    }
+    return callWithin(this.#options.timers, timeoutMs, this.#stopped.signal, call);
   }
 
   #handleSuccess(revision: number): void {
--- a/src/shell/gateway/timer-service.ts
+++ b/src/shell/gateway/timer-service.ts
@@ -34,3 +34,26 @@
     signal?.addEventListener('abort', finish, { once: true });
   });
 }
+
+/**
+ * Makes a call whose signal is aborted after a time, or with another signal; the call settles itself.
+ * @param outer ends the call sooner; undefined when nothing but the time does
+ */
+export async function callWithin<Result>(
+  timers: TimerService,
+  limitMs: number,
+  outer: AbortSignal | undefined,
+  call: (signal: AbortSignal) => Promise<Result>,
+): Promise<Result> {
+  const ended = new AbortController();
+  const end = () => ended.abort();
+  if (outer?.aborted === true) end();
+  outer?.addEventListener('abort', end, { once: true });
+  const cancel = timers.after(limitMs, end);
+  try {
+    return await call(ended.signal);
+  } finally {
+    cancel();
+    outer?.removeEventListener('abort', end);
+  }
+}
