Share fixtures of fault tests and the stepping of engines in benchmarks

Written twice or more: the fleet of three fault tests, the report of an idle engine (now the one of the routing tests), the scheduling of engine steps in two simulations.

--- a/bench/hand-over-simulation.ts
+++ b/bench/hand-over-simulation.ts
@@ -8,6 +8,7 @@
 import { type AcceleratorName, EngineModel, type EngineOutput } from '../src/lab/engine/index.js';
 import { VirtualClock } from '../src/lab/simulation/virtual-clock.js';
 import { Random } from '../src/lab/workload/random.js';
+import { type SteppedEngine, scheduleSteps } from './engine-steps.js';
 
 /** What is simulated. */
 export interface HandOverScenario {
@@ -32,13 +33,11 @@
 const IMPORT_RETRY_MS = 20;
 const MAX_TOKENS_SPREAD = 0.5;
 
-interface Engine {
+interface Engine extends SteppedEngine {
   readonly role: EngineRole;
-  readonly model: EngineModel;
   readonly speed: number;
   /** Requests assigned, handed-over ones under way included. */
   assigned: number;
-  scheduledFor: number;
 }
 
 interface Request {
@@ -145,18 +144,7 @@
   }
 
   #schedule(engine: Engine): void {
-    const due = engine.model.nextDueAt();
-    if (due !== null && due !== engine.scheduledFor) {
-      engine.scheduledFor = due;
-      this.#clock.at(due, () => this.#advance(engine));
-    }
-  }
-
-  #advance(engine: Engine): void {
-    for (const output of engine.model.advance(this.#clock.now)) {
-      this.#take(engine, output);
-    }
-    this.#schedule(engine);
+    scheduleSteps(this.#clock, engine, (output) => this.#take(engine, output));
   }
 
   #take(engine: Engine, output: EngineOutput): void {
--- a/bench/routing-simulation.ts
+++ b/bench/routing-simulation.ts
@@ -18,6 +18,7 @@
 import { EngineModel } from '../src/lab/engine/index.js';
 import { VirtualClock } from '../src/lab/simulation/index.js';
 import { Random } from '../src/lab/workload/random.js';
+import { type SteppedEngine, scheduleSteps } from './engine-steps.js';
 
 /** What is simulated. */
 export interface RoutingScenario {
@@ -68,12 +69,9 @@
   readonly policy: RoutingPolicy;
 }
 
-interface Engine {
+interface Engine extends SteppedEngine {
   readonly machine: EngineMachine;
-  readonly model: EngineModel;
   cacheEventsSeen: number;
-  /** The time its next step's end is scheduled for. */
-  scheduledFor: number;
 }
 
 interface Sent {
@@ -265,20 +263,9 @@
   }
 
   #schedule(engine: Engine): void {
-    const due = engine.model.nextDueAt();
-    if (due !== null && due !== engine.scheduledFor) {
-      engine.scheduledFor = due;
-      this.#clock.at(due, () => this.#advance(engine));
-    }
-  }
-
-  #advance(engine: Engine): void {
-    for (const output of engine.model.advance(this.#clock.now)) {
-      if (output.kind === 'finished') {
-        this.#finish(output.attempt);
-      }
-    }
-    this.#schedule(engine);
+    scheduleSteps(this.#clock, engine, (output) => {
+      if (output.kind === 'finished') this.#finish(output.attempt);
+    });
   }
 
   #finish(id: string): void {
--- a/test/daemon/readiness.test.ts
+++ b/test/daemon/readiness.test.ts
@@ -9,7 +9,8 @@
   readinessOf,
   stepDaemon,
 } from '../../src/core/daemon/index.js';
-import type { EngineMachine, EngineReport } from '../../src/core/registry/backend.js';
+import type { EngineMachine } from '../../src/core/registry/backend.js';
+import { report as engineReport } from '../routing/fixtures.js';
 
 const ENGINE: EngineMachine = {
   kind: 'engine',
@@ -21,28 +22,7 @@
   accelerator: 'new',
 };
 
-const REPORT: EngineReport = {
-  engine: 'e1',
-  boot: 'b1',
-  role: 'mixed',
-  intake: 'open',
-  busy: false,
-  leaving: false,
-  models: [],
-  fence: null,
-  lastOrder: null,
-  maxBatch: 8,
-  activeRequests: 0,
-  load: {
-    ageMs: 0,
-    running: 0,
-    queued: 0,
-    queuedPrefillTokens: 0,
-    kvUsed: 0,
-    prefillTokensPerSecond: 0,
-    decodeStepMs: 0,
-  },
-};
+const REPORT = engineReport('e1');
 
 /** A daemon with a configuration in force that has just started. */
 function configured(): DaemonState {
--- a/test/faults/daemon-death.test.ts
+++ b/test/faults/daemon-death.test.ts
@@ -6,6 +6,7 @@
 import { askModel, sendOrder, Traffic } from './support/caller.js';
 import { eventually, eventuallyTrue } from './support/eventually.js';
 import { FaultFleet } from './support/fault-fleet.js';
+import { SMALL_FLEET } from './support/fleet-definition.js';
 
 const CALLERS = 4;
 const STALL_MS = 600_000;
@@ -14,11 +15,7 @@
 let fleet: FaultFleet;
 
 before(async () => {
-  fleet = await FaultFleet.start({
-    pools: { a: ['a1', 'a2'] },
-    webs: ['orders-1'],
-    daemons: ['d1', 'd2', 'd3'],
-  });
+  fleet = await FaultFleet.start(SMALL_FLEET);
 });
 after(() => fleet?.end());
 
--- a/test/faults/paused-holder.test.ts
+++ b/test/faults/paused-holder.test.ts
@@ -7,17 +7,14 @@
 import { askModel, Traffic } from './support/caller.js';
 import { eventually, eventuallyTrue } from './support/eventually.js';
 import { FaultFleet } from './support/fault-fleet.js';
+import { SMALL_FLEET } from './support/fleet-definition.js';
 
 const CALLERS = 3;
 const STALL_MS = 600_000;
 let fleet: FaultFleet;
 
 before(async () => {
-  fleet = await FaultFleet.start({
-    pools: { a: ['a1', 'a2'] },
-    webs: ['orders-1'],
-    daemons: ['d1', 'd2', 'd3'],
-  });
+  fleet = await FaultFleet.start(SMALL_FLEET);
 });
 after(() => fleet?.end());
 
--- a/test/faults/planned-stop.test.ts
+++ b/test/faults/planned-stop.test.ts
@@ -12,17 +12,14 @@
 } from './support/caller.js';
 import { eventually, eventuallyTrue } from './support/eventually.js';
 import { FaultFleet } from './support/fault-fleet.js';
+import { SMALL_FLEET } from './support/fleet-definition.js';
 
 const CALLERS = 4;
 const LONG_ANSWER_TOKENS = 400;
 let fleet: FaultFleet;
 
 before(async () => {
-  fleet = await FaultFleet.start({
-    pools: { a: ['a1', 'a2'] },
-    webs: ['orders-1'],
-    daemons: ['d1', 'd2', 'd3'],
-  });
+  fleet = await FaultFleet.start(SMALL_FLEET);
 });
 after(() => fleet?.end());
 
--- a/test/faults/support/fleet-definition.ts
+++ b/test/faults/support/fleet-definition.ts
@@ -25,6 +25,13 @@
   readonly speedFactor?: number;
 }
 
+/** The fleet that most fault tests need: one pool, a service for orders, a daemon more than one may lose. */
+export const SMALL_FLEET: FleetShape = {
+  pools: { a: ['a1', 'a2'] },
+  webs: ['orders-1'],
+  daemons: ['d1', 'd2', 'd3'],
+};
+
 const ZONES = ['zone-a', 'zone-b'] as const;
 const ROLE_CHANGE_MS = 400;
 const LOAD_MS = 400;
