--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -32,13 +32,12 @@
   type RequestExplanation,
 } from './explain-request.js';
 export {
-  addWork,
   type EngineWork,
   type LoadReport,
   type LoadSums,
   PeerLoads,
 } from './peer-load.js';
-export { type OwnPlace, type PeerDaemon, PeerRoster, RELAY_REFRESH_MS } from './peer-roster.js';
+export { type OwnPlace, type PeerDaemon, PeerRoster } from './peer-roster.js';
 export { planStageChange, type StageChange, type StagePlanInput } from './plan-stages.js';
 export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
 export { readPriority } from './read-priority.js';
@@ -54,3 +53,4 @@
 } from './server-directory.js';
 export { type OpenCall, ServerHealth } from './server-health.js';
 export { type RequestWork, StageDemand } from './stage-demand.js';
+export { SumsToTell, type ToldSums } from './sums-to-tell.js';
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -110,8 +110,8 @@
     return total;
   }
 
-  /** The sums of what single daemons told, for a relay to tell on. */
-  totals(nowMs: number): readonly EngineWork[] {
+  /** The sums of what single daemons told and of this daemon's own work, for a relay to tell on. */
+  totals(ownWork: readonly EngineWork[], nowMs: number): readonly EngineWork[] {
     const totals = new Map<string, EngineWork>();
     for (const { byEngine, atMs } of this.#recent(nowMs)) {
       for (const work of byEngine.values()) {
@@ -119,6 +119,7 @@
         addWork(totals, { ...work, pendingMs });
       }
     }
+    for (const work of ownWork) addWork(totals, work);
     return [...totals.values()];
   }
 
@@ -150,7 +151,7 @@
 }
 
 /** Adds one entry to sums by engine. */
-export function addWork(totals: Map<string, EngineWork>, work: EngineWork): void {
+function addWork(totals: Map<string, EngineWork>, work: EngineWork): void {
   const known = totals.get(work.engineId);
   totals.set(work.engineId, {
     engineId: work.engineId,
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -8,14 +8,12 @@
  */
 import { createSocket, type Socket } from 'node:dgram';
 import {
-  addWork,
-  type EngineWork,
   type LoadReport,
   type PeerDaemon,
   type PeerLoads,
   type PeerRoster,
-  RELAY_REFRESH_MS,
   type ReadNotice,
+  SumsToTell,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { ByteBudget } from './byte-budget.js';
@@ -35,8 +33,6 @@
 const NEWS_GAP_MS = 250;
 /** Entries of a message, so that it stays within one packet. */
 const MOST_ENTRIES = 40;
-/** An engine's work that ends within so much of what was told before is not told again. */
-const SAME_END_MS = 8;
 /** Heartbeats are spread over time, some peers at each step. */
 const HEARTBEAT_STEP_MS = 240;
 const DATAGRAM_OVERHEAD_BYTES = 28;
@@ -72,12 +68,6 @@
   readonly takeNews: (news: EngineNews) => void;
 }
 
-/** What was told of an engine by this daemon as a relay. */
-interface ToldWork {
-  readonly endMs: number;
-  readonly running: number;
-}
-
 /** The daemon's part in telling loads and news. */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
@@ -85,13 +75,12 @@
   readonly #directory: PeerDirectory;
   readonly #changeBudget: ByteBudget;
   readonly #relayBudget: ByteBudget;
-  readonly #told = new Map<string, ToldWork>();
+  readonly #sums = new SumsToTell();
   #ownReads: ReadNotice[] = [];
   #readsToPassOn: ReadNotice[] = [];
   readonly #waitingNews = new Map<PeerDaemon['name'], EngineNews[]>();
   #sequence = 0;
   #heartbeatsSent = 0;
-  #lastWholeMs = Number.NEGATIVE_INFINITY;
   #cancelFlush: CancelTimer | undefined;
   #cancelBeat: CancelTimer | undefined;
   #cancelRelay: CancelTimer | undefined;
@@ -212,16 +201,12 @@
   }
 
   #tellSums(): void {
-    const { daemon, incarnation, timers, roster } = this.#options;
+    const { daemon, incarnation, timers, roster, loads, ownWork } = this.#options;
     const nowMs = timers.nowMs();
-    const totals = this.#totals(nowMs);
-    const isWhole = nowMs - this.#lastWholeMs >= RELAY_REFRESH_MS;
-    const work = isWhole ? totals : this.#changedSince(totals, nowMs);
+    const { isWhole, work } = this.#sums.next(loads.totals(ownWork(), nowMs), nowMs);
     const reads = this.#readsToPassOn;
     this.#readsToPassOn = [];
-    if (isWhole) this.#lastWholeMs = nowMs;
-    else if (work.length === 0 && reads.length === 0) return;
-    this.#noteTold(work, nowMs, isWhole);
+    if (!isWhole && work.length === 0 && reads.length === 0) return;
     for (let first = 0; first === 0 || first < work.length; first += MOST_ENTRIES) {
       const part = work.slice(first, first + MOST_ENTRIES);
       const sums = {
@@ -237,32 +222,6 @@
     }
   }
 
-  #totals(nowMs: number): readonly EngineWork[] {
-    const { loads, ownWork } = this.#options;
-    const totals = new Map<string, EngineWork>();
-    for (const work of loads.totals(nowMs)) addWork(totals, work);
-    for (const work of ownWork()) addWork(totals, work);
-    return [...totals.values()];
-  }
-
-  /** What differs from what was told, engines that have no work any more among it. */
-  #changedSince(totals: readonly EngineWork[], nowMs: number): readonly EngineWork[] {
-    const changed = totals.filter((work) => !isAsTold(work, this.#told.get(work.engineId), nowMs));
-    const present = new Set(totals.map(({ engineId }) => engineId));
-    for (const [engineId, told] of this.#told) {
-      const none = { engineId, pendingMs: 0, running: 0 };
-      if (!present.has(engineId) && !isAsTold(none, told, nowMs)) changed.push(none);
-    }
-    return changed;
-  }
-
-  #noteTold(work: readonly EngineWork[], nowMs: number, isWhole: boolean): void {
-    if (isWhole) this.#told.clear();
-    for (const { engineId, pendingMs, running } of work) {
-      this.#told.set(engineId, { endMs: nowMs + pendingMs, running });
-    }
-  }
-
   #tellNews(): void {
     const { daemon, roster } = this.#options;
     const zonePeers = roster.zonePeers();
@@ -322,13 +281,6 @@
   return bytes.length + DATAGRAM_OVERHEAD_BYTES;
 }
 
-function isAsTold(work: EngineWork, told: ToldWork | undefined, nowMs: number): boolean {
-  if (told === undefined) return false;
-  const endMs = nowMs + work.pendingMs;
-  const isOver = work.pendingMs === 0 && told.endMs <= nowMs;
-  return told.running === work.running && (isOver || Math.abs(endMs - told.endMs) <= SAME_END_MS);
-}
-
 /** Parts news into messages that stay within one packet. */
 function partNews(waiting: readonly EngineNews[]): readonly (readonly EngineNews[])[] {
   const messages: EngineNews[][] = [];
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -149,7 +149,7 @@
       takeSums: (sums) => {
         if (sums.work.some(({ running }) => running > LARGEST_OWN)) summed.resolve(sums);
       },
-      totals: (nowMs) => loads.totals(nowMs),
+      totals: (own, nowMs) => loads.totals(own, nowMs),
     },
   });
   return { exchange, roster, reported, summed, informed, listed, noticed };
