Free unused memory, and tell refusal from failure, in one place each

The model exchange asked in three places whether there was memory to free and from where; both exchanges asked whether a request may have run before Exchange.refuse asked the same.

--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -138,7 +138,7 @@
     return this.#begin(status, headers);
   }
 
-  /** Refuses with the promise that it has not run and never will. */
+  /** Refuses with the promise that it has not run and never will; fails it where it may have run. */
   refuse(reason: string, retryAfterMs: number): void {
     if (this.mayHaveRun) {
       this.fail(502, reason);
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -106,13 +106,13 @@
       return 'again';
     }
     if (this.#exchange.signal.aborted) {
-      freeMemory(this.#exchange, this.#context, memory, source);
+      this.#freeUnused(memory, plan);
       return this.#endInterrupted();
     }
     // The list may have changed while the prompt was read.
     const server = chooseDecodeEngine(this.#choiceInput(), source);
     if (server === undefined) {
-      freeMemory(this.#exchange, this.#context, memory, source);
+      this.#freeUnused(memory, plan);
       return this.#giveUp();
     }
     return this.#run(server, memory, undefined, plan);
@@ -126,10 +126,8 @@
     plan: EnginePlan,
   ): Promise<NextStep> {
     const exchange = this.#exchange;
-    const source = plan.kind === 'prefill' ? plan.prefill.server : undefined;
     if (this.#sends > 0 && !this.#budget().tryTake(this.#nowMs())) {
-      if (memorySource !== undefined && source !== undefined)
-        freeMemory(this.#exchange, this.#context, memorySource, source);
+      this.#freeUnused(memorySource, plan);
       this.#lastReason = 'the retry budget is spent';
       return this.#giveUp();
     }
@@ -156,8 +154,7 @@
       return next;
     }
     load.running -= 1;
-    if (memorySource !== undefined && source !== undefined)
-      freeMemory(this.#exchange, this.#context, memorySource, source);
+    this.#freeUnused(memorySource, plan);
     this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
     if (result.kind === 'broken') return 'again';
     this.#turnedDown += 1;
@@ -169,6 +166,12 @@
     return 'again';
   }
 
+  /** Memory that was read for this request and that no engine goes on from. */
+  #freeUnused(memory: MemorySource | undefined, plan: EnginePlan): void {
+    if (memory === undefined || plan.kind !== 'prefill') return;
+    freeMemory(this.#exchange, this.#context, memory, plan.prefill.server);
+  }
+
   async #relayAnswer(attempt: AnsweredAttempt): Promise<NextStep> {
     const exchange = this.#exchange;
     const { answer } = attempt;
@@ -229,7 +232,6 @@
     const exchange = this.#exchange;
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (exchange.isAnswered) exchange.breakOff(this.#lastReason);
-    else if (exchange.mayHaveRun) exchange.fail(502, this.#lastReason);
     else exchange.refuse(this.#lastReason, RETRY_AFTER_MS);
     return 'done';
   }
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -67,7 +67,7 @@
   /** Whether the request has its answer. */
   #settle(result: RunResult): boolean {
     if (result.kind === 'whole' && !this.#isWorthRepeating(result.answer)) {
-      this.#answer(result.answer);
+      this.#exchange.answer(result.answer);
       return true;
     }
     if (result.kind === 'whole') this.#lastFailure = result.answer;
@@ -81,15 +81,10 @@
     return this.#isRepeatable && (answer.status >= 500 || answer.isEndedByClose);
   }
 
-  #answer(answer: WholeAnswer): void {
-    this.#exchange.answer(answer);
-  }
-
   #giveUp(): void {
     const exchange = this.#exchange;
     if (exchange.signal.aborted) exchange.endInterrupted();
-    else if (this.#lastFailure !== undefined) this.#answer(this.#lastFailure);
-    else if (exchange.mayHaveRun) exchange.fail(502, this.#lastReason);
+    else if (this.#lastFailure !== undefined) exchange.answer(this.#lastFailure);
     else exchange.refuse(this.#lastReason, RETRY_AFTER_MS);
   }
 
