--- a/src/lab/simulation/simulated-daemon.ts
+++ b/src/lab/simulation/simulated-daemon.ts
@@ -12,12 +12,13 @@
   stepDaemon,
 } from '../../core/daemon/index.js';
 import { authorityOf, maySendUnder } from '../../core/lease/index.js';
-import type { Order, OrderAnswer } from '../../core/orders/index.js';
+import type { Order } from '../../core/orders/index.js';
 import type { PeerEffect, PeerHeader } from '../../core/peer/index.js';
 import { type Endpoint, poolOf } from '../../core/registry/backend.js';
 import type { Random } from '../workload/index.js';
 import type { FleetObserver } from './observer.js';
 import type { SimulatedEngine } from './simulated-engine.js';
+import { SimulatedEngineCalls } from './simulated-engine-calls.js';
 import { type HeldRequest, SimulatedHttp } from './simulated-http.js';
 import type { SimulatedNetwork } from './simulated-network.js';
 import type { SimulatedPlatform } from './simulated-platform.js';
@@ -49,14 +50,12 @@
 interface Life {
   state: DaemonState;
   readonly http: SimulatedHttp;
+  readonly engines: SimulatedEngineCalls;
   readonly bornAt: number;
   readonly incarnation: number;
   readonly changes: Map<string, (outcome: ChangeOutcome) => void>;
 }
 
-type SendOrder = Extract<DaemonEffect, { kind: 'send-order' }>;
-type AskOrder = Extract<DaemonEffect, { kind: 'query-order' }>;
-
 /** A node with a daemon. */
 export class SimulatedDaemon {
   #life: Life | null = null;
@@ -108,6 +107,13 @@
         engine: (engine) => this.surroundings.engine(engine),
         emit: (event) => this.#receiveIn(life, event),
       }),
+      engines: new SimulatedEngineCalls({
+        daemon: name,
+        network,
+        engine: (engine) => this.surroundings.engine(engine),
+        localNow: () => this.localNow(),
+        emit: (event) => this.#receiveIn(life, event),
+      }),
       bornAt: clock.now,
       incarnation,
       changes: new Map(),
@@ -261,13 +267,13 @@
         this.#sendToPeer(life, effect);
         break;
       case 'ask-report':
-        this.#askReport(life, effect.engine);
+        life.engines.askReport(effect.engine);
         break;
       case 'send-order':
-        this.#sendOrder(life, effect);
+        life.engines.sendOrder(effect, this.#maySend(life, effect.order));
         break;
       case 'query-order':
-        this.#askOrder(life, effect);
+        life.engines.askOrder(effect);
         break;
       case 'change-answer':
         this.surroundings.observer.changeAnswered(this.name, effect.outcome);
@@ -315,79 +321,10 @@
     };
   }
 
-  #askReport(life: Life, name: string): void {
-    const engine = this.surroundings.engine(name);
-    const askedAt = this.localNow();
-    this.#callEngine(
-      name,
-      () => engine?.report() ?? null,
-      (report) =>
-        this.#receiveIn(
-          life,
-          report === null
-            ? { kind: 'engine-silent', engine: name }
-            : { kind: 'engine-report', engine: name, askedAt, report },
-        ),
-    );
-  }
-
-  #sendOrder(life: Life, { order }: SendOrder): void {
-    const answered = (answer: OrderAnswer): void => {
-      const { engine, id, fence } = order;
-      this.#receiveIn(life, { kind: 'order-answer', engine, orderId: id, fence, answer });
-    };
-    if (!this.#maySend(life, order)) {
-      answered({ kind: 'lost', reason: 'the lease ended before the order was sent' });
-      return;
-    }
-    const engine = this.surroundings.engine(order.engine);
-    this.#callEngine(
-      order.engine,
-      () => engine?.order(order) ?? null,
-      (answer) => answered(answer ?? { kind: 'lost', reason: 'no answer' }),
-    );
-  }
-
   #maySend(life: Life, order: Order): boolean {
     const machine = life.state.digest.engines.get(order.engine);
     const duty = machine === undefined ? undefined : life.state.duties.get(poolOf(machine));
     const authority = duty === undefined ? null : authorityOf(duty.lease);
     return maySendUnder(authority, order.fence.epoch, this.localNow());
   }
-
-  #askOrder(life: Life, { engine: name, orderId }: AskOrder): void {
-    const engine = this.surroundings.engine(name);
-    this.#callEngine(
-      name,
-      () => engine?.orderState(orderId) ?? null,
-      (state) =>
-        this.#receiveIn(life, {
-          kind: 'order-state',
-          engine: name,
-          orderId,
-          state: state ?? 'lost',
-        }),
-    );
-  }
-
-  /** Calls an engine; null when it is down, cut off or its answer was lost. */
-  #callEngine<Answer>(
-    name: string,
-    serve: () => Answer | null,
-    done: (answer: Answer | null) => void,
-  ): void {
-    this.surroundings.network.call<Answer>(
-      this.name,
-      name,
-      (answer) => {
-        const value = serve();
-        if (value === null) {
-          return false;
-        }
-        answer(value);
-        return true;
-      },
-      (result) => done(result.kind === 'answered' ? result.answer : null),
-    );
-  }
 }
