Bound repeats over every window by a token bucket, counted at the wire in one place

Cause: each daemon held its repeats under a ratio of its own requests of the last ten seconds. A reading that was turned away after another send was not counted at all, and each kind of exchange counted by itself. Ruled out: callers' own tries (they are new requests), calls that free memory (no requests). Change: RetryBudget is a token bucket: a request earns its ratio, a repeat takes one, what is saved is capped at the daemon's share of the slack, and a new life begins with a quarter of that. The sum over daemons then holds for every sliding window. SendMeter counts a request's arrivals where sendAttempt sends them, reserves before the send, and gives back what was none (a first reading that was taken up, a connection that never was). The setting windowSeconds goes: the bound holds for any window. The old test on windows asserted that ten requests and a slack of 2 give 4 repeats at once; that is what broke the rule.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -44,6 +44,7 @@
 export { ReadSpeed } from './read-speed.js';
 export { RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
 export { RouteTable, TrafficSplitter } from './route-table.js';
+export { type MeteredSend, type SendEnd, SendMeter, type SendStep } from './send-meter.js';
 export {
   type DirectoryChange,
   type EngineStage,
--- a/src/core/gateway/retry-budget.ts
+++ b/src/core/gateway/retry-budget.ts
@@ -1,65 +1,79 @@
 /**
- * Bounds how much more a service is sent than callers asked for: within each window, repeats stay
- * under a ratio of this daemon's own requests plus a small allowance. Every daemon keeps its own
- * share, so that the sum holds without a word between them, cut off or not.
+ * Bounds how much more a service is sent than callers asked for, over any window of time and all
+ * daemons together, without a word between them: a token bucket.
+ *
+ * Each request earns a part of a repeat, each repeat takes a whole one, and what is saved up is capped
+ * at this daemon's share of the slack. Whatever the window, a daemon's repeats in it are at most what
+ * its requests in it earned and what it had saved before. So the sum over daemons stays under
+ * `ratio` x requests + slack for every sliding window, whoever starts, dies or is cut off in it.
  */
 
 /** The slack is parted so even where fewer daemons are known. */
-const LEAST_SHARES = 24;
-const SHARES_OF_DAEMON = 2;
+const LEAST_SHARES = 12;
+/** Room for daemons that are not known yet. */
+const SHARES_OF_DAEMON = 1.5;
+/** Kept back for requests that were sent before a window and arrive in it. */
+const SAVED_SHARE = 0.8;
+/** A new life begins with this part of the cap, as many may begin in one window. */
+const FIRST_LEVEL_SHARE = 0.25;
 
 /** What the budget is built from. */
 export interface RetryBudgetOptions {
-  /** Repeats allowed for each request of the window. */
+  /** Repeats earned by each request. */
   readonly ratio: number;
-  /** Repeats that all daemons together are allowed without any request. */
+  /** Repeats that all daemons together are allowed in a window without any request. */
   readonly slack: number;
-  readonly windowMs: number;
 }
 
 /** A daemon's share of one service's repeats. */
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
-  #shares = LEAST_SHARES;
-  readonly #requestTimesMs: number[] = [];
-  readonly #repeatTimesMs: number[] = [];
+  #share: number;
+  #level: number;
 
-  constructor(options: RetryBudgetOptions) {
+  constructor(options: RetryBudgetOptions, daemons = 1) {
     this.#options = options;
+    this.#share = shareOf(options, daemons);
+    this.#level = this.#share * FIRST_LEVEL_SHARE;
   }
 
-  /** Parts the slack among the daemons there are, with room for as many that are not known yet. */
+  /** Repeats that could be made now. */
+  get level(): number {
+    return this.#level;
+  }
+
+  /** Parts the slack among the daemons there are. */
   setDaemonCount(daemons: number): void {
-    this.#shares = Math.max(LEAST_SHARES, daemons * SHARES_OF_DAEMON);
+    this.#share = shareOf(this.#options, daemons);
+    this.#level = Math.min(this.#level, this.#cap);
   }
 
-  countRequest(nowMs: number): void {
-    this.#expire(nowMs);
-    this.#requestTimesMs.push(nowMs);
+  countRequest(): void {
+    this.#earn(this.#options.ratio);
   }
 
-  /** Takes one repeat from the budget if there is one. */
-  tryTake(nowMs: number): boolean {
-    this.#expire(nowMs);
-    if (this.#repeatTimesMs.length + 1 > this.#limit()) return false;
-    this.#repeatTimesMs.push(nowMs);
+  /** Takes one repeat if there is one. */
+  tryTake(): boolean {
+    if (this.#level < 1) return false;
+    this.#level -= 1;
     return true;
   }
 
-  #limit(): number {
-    const { ratio, slack } = this.#options;
-    return this.#requestTimesMs.length * ratio + slack / this.#shares;
+  /** Gives back a repeat that turned out to be none. */
+  giveBack(): void {
+    this.#earn(1);
+  }
+
+  #earn(repeats: number): void {
+    this.#level = Math.min(this.#cap, this.#level + repeats);
   }
 
-  #expire(nowMs: number): void {
-    const oldestMs = nowMs - this.#options.windowMs;
-    dropBefore(this.#requestTimesMs, oldestMs);
-    dropBefore(this.#repeatTimesMs, oldestMs);
+  /** A whole repeat can always be saved up from requests, however small the share of the slack. */
+  get #cap(): number {
+    return this.#options.ratio > 0 ? Math.max(1, this.#share) : this.#share;
   }
 }
 
-function dropBefore(timesMs: number[], oldestMs: number): void {
-  let expired = 0;
-  while (expired < timesMs.length && (timesMs[expired] ?? 0) < oldestMs) expired += 1;
-  if (expired > 0) timesMs.splice(0, expired);
+function shareOf({ slack }: RetryBudgetOptions, daemons: number): number {
+  return (slack * SAVED_SHARE) / Math.max(LEAST_SHARES, daemons * SHARES_OF_DAEMON);
 }
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -13,6 +13,7 @@
 /** A connection that is not up by then goes to another server. */
 const CONNECT_TIMEOUT_MS = 220;
 const FIRST_SERVER_ERROR = 500;
+const NO_BUDGET_REASON = 'the retry budget is spent';
 
 /** What attempts need. */
 export interface AttemptContext {
@@ -46,11 +47,19 @@
   | { readonly kind: 'answered'; readonly attempt: AnsweredAttempt }
   /** The server had no part in it. */
   | { readonly kind: 'not-sent'; readonly reason: string }
+  /** It would be a repeat, and the budget has no room for one; no server is worth another try. */
+  | { readonly kind: 'no-budget'; readonly reason: string }
   /** The server says that it has not run it. */
   | { readonly kind: 'not-executed'; readonly status: number }
   /** It may have run; there is no answer. */
   | { readonly kind: 'broken'; readonly reason: string };
 
+type FailedCall = Exclude<AttemptResult, { kind: 'answered' | 'no-budget' }>;
+
+type CallResult =
+  | FailedCall
+  | { readonly kind: 'answered'; readonly attempt: Omit<AnsweredAttempt, 'noteRead'> };
+
 /** An attempt whose answer has begun. */
 export interface AnsweredAttempt {
   readonly server: ServerRecord;
@@ -58,6 +67,8 @@
   readonly isStamped: boolean;
   /** Call when the body has ended well or not. */
   readonly end: (outcome: AnswerOutcome) => void;
+  /** Call when the prompt was read and did not run. */
+  readonly noteRead: () => void;
 }
 
 /** Options that are the same for most attempts. */
@@ -81,6 +92,22 @@
   context: AttemptContext,
   options: AttemptOptions,
 ): Promise<AttemptResult> {
+  const budget = context.fleet.budgetOf(exchange.options.service);
+  const send = exchange.sends.tryBegin(options.prefillOnly ? 'prefill' : 'run', budget);
+  if (send === undefined) return { kind: 'no-budget', reason: NO_BUDGET_REASON };
+  const result = await callServer(exchange, context, options);
+  if (result.kind === 'not-sent') exchange.sends.end(send, 'not-sent', budget);
+  if (result.kind !== 'answered') return result;
+  const { attempt } = result;
+  const noteRead = () => exchange.sends.end(send, 'read', budget);
+  return { kind: 'answered', attempt: { ...attempt, noteRead } };
+}
+
+async function callServer(
+  exchange: Exchange,
+  context: AttemptContext,
+  options: AttemptOptions,
+): Promise<CallResult> {
   const { request, body, timers, description, metrics } = exchange.options;
   const health = context.fleet.healthOf(options.server.id);
   const startedAtMs = timers.nowMs();
@@ -109,7 +136,7 @@
     signal: options.signal,
   });
   const elapsedMs = () => timers.nowMs() - startedAtMs;
-  const failed = (failure: AttemptResult): AttemptResult => {
+  const failed = (failure: FailedCall): FailedCall => {
     health.close(open);
     if (!options.signal.aborted) noteFailure(exchange, context, options, failure, elapsedMs());
     return failure;
@@ -145,6 +172,19 @@
   return { kind: 'answered', attempt };
 }
 
+/** Whether it is certain that a server has not run it. */
+export function hasNotRun(result: Pick<AttemptResult, 'kind'>): boolean {
+  switch (result.kind) {
+    case 'not-sent':
+    case 'no-budget':
+    case 'not-executed':
+      return true;
+    case 'answered':
+    case 'broken':
+      return false;
+  }
+}
+
 /** How the body of a server's answer ended, and what that says of the server. */
 export type AnswerOutcome =
   | { readonly kind: 'good' }
@@ -176,7 +216,7 @@
   exchange: Exchange,
   context: AttemptContext,
   options: AttemptOptions,
-  failure: AttemptResult,
+  failure: FailedCall,
   elapsedMs: number,
 ): void {
   const { log, metrics, description, timers } = exchange.options;
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -3,7 +3,12 @@
  * is still there, and the ways it can end.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { GatewayConfiguration, RequestDescription, Route } from '../../core/gateway/index.js';
+import {
+  type GatewayConfiguration,
+  type RequestDescription,
+  type Route,
+  SendMeter,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { RawHeaders } from './ports.js';
@@ -59,6 +64,8 @@
   readonly triedServerIds = new Set<string>();
   /** How long its steps took, for the line on its end. */
   readonly stepTimesMs: StepTimes = { prefillMs: undefined, firstEventMs: undefined };
+  /** Its arrivals at servers, for the budget of repeats. */
+  readonly sends = new SendMeter();
   #openRuns = 0;
   #endedRuns = 0;
   readonly #interrupted = new AbortController();
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -125,11 +125,11 @@
   }
 
   budgetOf(service: string): RetryBudget {
-    return entryOf(this.#budgets, service, () => {
-      const budget = new RetryBudget(this.#budgetOptions);
-      budget.setDaemonCount(this.#daemonCount);
-      return budget;
-    });
+    return entryOf(
+      this.#budgets,
+      service,
+      () => new RetryBudget(this.#budgetOptions, this.#daemonCount),
+    );
   }
 
   /** How many daemons share the retry budget. */
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -39,7 +39,6 @@
   }),
   retryBudget: z.object({
     ratio: z.number().check(z.minimum(0)),
-    windowSeconds: spanSeconds,
     /** Shared by all daemons. */
     slack: z.number().check(z.minimum(0)),
   }),
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -77,7 +77,6 @@
     this.#fleet = new FleetView({
       ratio: settings.retryBudget.ratio,
       slack: settings.retryBudget.slack,
-      windowMs: settings.retryBudget.windowSeconds * MILLISECONDS_PER_SECOND,
     });
     this.#roster = new PeerRoster({ name: settings.name, zone: settings.zone });
     this.#connections = new BackendConnections(timers);
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -20,6 +20,7 @@
   type AttemptContext,
   type AttemptOptions,
   engineTraits,
+  hasNotRun,
   plainAttempt,
   promisesNotRun,
   sendAttempt,
@@ -53,7 +54,7 @@
   readonly #relay: StreamRelay;
   readonly #isRepeatable: boolean;
   #turnedDown = 0;
-  #sends = 0;
+  #isDemandNoted = false;
   #prefillFailed = false;
   #way = 'direct';
   #lastReason = 'no engine';
@@ -66,7 +67,7 @@
   }
 
   async run(): Promise<void> {
-    this.#budget().countRequest(this.#nowMs());
+    this.#context.fleet.budgetOf(this.#exchange.options.service).countRequest();
     let next: NextStep = 'again';
     while (next === 'again') next = await this.#step();
   }
@@ -101,8 +102,6 @@
     if (memory === undefined) {
       this.#prefillFailed = true;
       this.#way = 'direct';
-      // A reading that came to nothing counts as an arrival, so the run that follows is a repeat.
-      this.#sends += 1;
       return 'again';
     }
     if (this.#exchange.signal.aborted) {
@@ -126,12 +125,6 @@
     plan: EnginePlan,
   ): Promise<NextStep> {
     const exchange = this.#exchange;
-    if (this.#sends > 0 && !this.#budget().tryTake(this.#nowMs())) {
-      this.#freeUnused(memorySource, plan);
-      this.#lastReason = 'the retry budget is spent';
-      return this.#giveUp();
-    }
-    this.#sends += 1;
     exchange.beginRun(server.id);
     const load = this.#context.fleet.loadOf(server.id);
     const read = plan.kind === 'direct' ? load.begin(plan.expectedMs, this.#nowMs()) : undefined;
@@ -147,7 +140,7 @@
     };
     const result = await sendAttempt(exchange, this.#context, options);
     if (read !== undefined) load.abandon(read);
-    exchange.endRun(result.kind === 'not-sent' || result.kind === 'not-executed');
+    exchange.endRun(hasNotRun(result));
     if (result.kind === 'answered') {
       const next = await this.#relayAnswer(result.attempt);
       load.running -= 1;
@@ -156,6 +149,7 @@
     load.running -= 1;
     this.#freeUnused(memorySource, plan);
     this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
+    if (result.kind === 'no-budget') return this.#giveUp();
     if (result.kind === 'broken') return 'again';
     this.#turnedDown += 1;
     // The memory may be what could not be had: the next engine reads the prompt by itself.
@@ -280,7 +274,8 @@
 
   /** The work that a request asks for, whichever way it goes. */
   #noteDemand(plan: EnginePlan): void {
-    if (this.#sends > 0 || this.#prefillFailed) return;
+    if (this.#isDemandNoted) return;
+    this.#isDemandNoted = true;
     const { service, description } = this.#exchange.options;
     const { fleet } = this.#context;
     const missing = plan.kind === 'direct' ? plan.missingTokens : plan.prefill.missingTokens;
@@ -299,10 +294,6 @@
     return readPriority(route.priority, plan.expectedMs / route.targetLatencyMs);
   }
 
-  #budget() {
-    return this.#context.fleet.budgetOf(this.#exchange.options.service);
-  }
-
   #nowMs(): number {
     return this.#exchange.options.timers.nowMs();
   }
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -85,7 +85,7 @@
     expectedMs: plan.expectedMs,
   });
   if (result.kind !== 'answered') return undefined;
-  const { answer, end } = result.attempt;
+  const { answer, end, noteRead } = result.attempt;
   const body = await answer.collect(MAX_ANSWER_BYTES);
   const isRead = body !== undefined && answer.status === 200;
   const prefill = isRead ? context.codec.readPrefillAnswer(body) : undefined;
@@ -94,6 +94,7 @@
     return undefined;
   }
   end({ kind: 'good' });
+  noteRead();
   return { address: server.address, handle: prefill.handle };
 }
 
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -7,6 +7,7 @@
 import {
   type AttemptContext,
   type AttemptResult,
+  hasNotRun,
   plainAttempt,
   promisesNotRun,
   sendAttempt,
@@ -73,7 +74,7 @@
     if (result.kind === 'whole') this.#lastFailure = result.answer;
     else this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
     if (result.kind === 'not-executed' || result.kind === 'not-sent') this.#turnedDown += 1;
-    if (this.#pending.size === 0) this.#startNext(false);
+    if (this.#pending.size === 0 && result.kind !== 'no-budget') this.#startNext(false);
     return false;
   }
 
@@ -104,9 +105,7 @@
       healthOf: (id) => fleet.healthOf(id),
     });
     if (server === undefined) return false;
-    const budget = fleet.budgetOf(service);
-    if (isFirst) budget.countRequest(timers.nowMs());
-    else if (!budget.tryTake(timers.nowMs())) return false;
+    if (isFirst) fleet.budgetOf(service).countRequest();
     exchange.beginRun(server.id);
     const run = this.#runAt(server);
     this.#pending.add(run);
@@ -119,7 +118,7 @@
       ...plainAttempt(server, this.#abandoned.signal),
       mayKeepConnection: this.#isRepeatable,
     });
-    this.#exchange.endRun(result.kind === 'not-sent' || result.kind === 'not-executed');
+    this.#exchange.endRun(hasNotRun(result));
     if (result.kind !== 'answered') return result;
     const { answer, isStamped, end } = result.attempt;
     const body = await answer.collect(MAX_ANSWER_BYTES);
--- a/test/gateway/choices.test.ts
+++ b/test/gateway/choices.test.ts
@@ -12,7 +12,6 @@
   planModelRequest,
   planStageChange,
   ReadSpeed,
-  RetryBudget,
   type Route,
   RouteTable,
   readPriority,
@@ -82,27 +81,6 @@
   assert.deepEqual(Object.fromEntries(counts), { a: 90, b: 10 });
 });
 
-test('repeats stay under the ratio and the allowance of every window', () => {
-  const budget = new RetryBudget({ ratio: 0.2, slack: 48, windowMs: 1_000 });
-  for (let count = 0; count < 10; count += 1) budget.countRequest(0);
-  const taken = [1, 2, 3, 4, 5].filter(() => budget.tryTake(500)).length;
-  assert.equal(taken, 4);
-  assert.equal(budget.tryTake(1_400), false);
-  assert.equal(budget.tryTake(1_600), true);
-});
-
-test('however many daemons there are, their shares of the slack stay under the whole', () => {
-  for (const daemons of [1, 7, 12, 13, 88, 340]) {
-    let taken = 0;
-    for (let daemon = 0; daemon < daemons; daemon += 1) {
-      const budget = new RetryBudget({ ratio: 0.2, slack: 54, windowMs: 1_000 });
-      budget.setDaemonCount(daemons);
-      while (budget.tryTake(0)) taken += 1;
-    }
-    assert.ok(taken <= 54, `${taken} repeats by ${daemons} daemons`);
-  }
-});
-
 test('a reused address is another server with nothing carried over', () => {
   const directory = new ServerDirectory();
   directory.apply([server('i-1')], []);
--- a/test/gateway/model-requests.test.ts
+++ b/test/gateway/model-requests.test.ts
@@ -155,7 +155,7 @@
 
 test('a run after a reading that failed is a repeat, and is not made without a budget', async () => {
   fixture.stop();
-  await startFixture({ ratio: 0, windowSeconds: 10, slack: 0 });
+  await startFixture({ ratio: 0, slack: 0 });
   await addEngine('i-p', 'prefill', ({ seen, response }) => {
     response.writeHead(500, { 'X-Attempt-Id': String(seen.headers['x-attempt-id']) }).end('no');
   });
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -81,7 +81,7 @@
 }
 
 function fleetWithTooFewPrefillEngines(nowMs: number): FleetView {
-  const fleet = new FleetView({ ratio: 0.2, slack: 48, windowMs: 10_000 });
+  const fleet = new FleetView({ ratio: 0.2, slack: 48 });
   const engine = {
     slots: 8,
     kvTokens: 1,
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -95,7 +95,7 @@
    */
   async start(
     timers: TimerService = SYSTEM_TIMERS,
-    retryBudget = { ratio: 0.2, windowSeconds: 10, slack: 240 },
+    retryBudget = { ratio: 0.2, slack: 240 },
   ): Promise<void> {
     const store = await this.store.start();
     const settings: GatewaySettings = {
