Give a server that turned a call away time to find room

Ruled out: counting it as broken (what the engine keeps can still be taken from it; it is not dead). Change: it rests for 100 ms, doubled with each refusal after a rest, at most 1.6 s; calls sent before the first refusal count once.

--- a/src/core/gateway/server-health.ts
+++ b/src/core/gateway/server-health.ts
@@ -5,6 +5,9 @@
 
 const FIRST_EJECTION_MS = 400;
 const LONGEST_EJECTION_MS = 4_000;
+/** A server that turns calls away is given time to find room, longer with each in a row. */
+const FIRST_REST_MS = 100;
+const LONGEST_REST_MS = 1_600;
 /** Weight of the newest outcome in the failure rate. */
 const FAILURE_WEIGHT = 0.12;
 /**
@@ -25,6 +28,8 @@
 export class ServerHealth {
   readonly #openCalls = new Set<OpenCall>();
   #ejectedUntilMs = 0;
+  #restsUntilMs = 0;
+  #turnedAwayInARow = 0;
   #failuresInARow = 0;
   #failureRate = 0;
   #responseMs: number | undefined;
@@ -58,6 +63,7 @@
 
   recordSuccess(elapsedMs: number): void {
     this.#failuresInARow = 0;
+    this.#turnedAwayInARow = 0;
     this.#ejectedUntilMs = 0;
     this.#failureRate *= 1 - FAILURE_WEIGHT;
     this.#responseMs =
@@ -69,6 +75,15 @@
     this.#failureRate += (1 - this.#failureRate) * FAILURE_WEIGHT;
   }
 
+  /** The server did not run a call, and said so. Calls sent before it first did say no more than one. */
+  recordTurnedAway(nowMs: number): void {
+    this.recordServerError();
+    if (nowMs < this.#restsUntilMs) return;
+    const restMs = FIRST_REST_MS * 2 ** this.#turnedAwayInARow;
+    this.#restsUntilMs = nowMs + Math.min(LONGEST_REST_MS, restMs);
+    this.#turnedAwayInARow += 1;
+  }
+
   /** The server could not be reached, broke off, or answered what is no answer. */
   recordBroken(nowMs: number): void {
     this.recordServerError();
@@ -79,7 +94,7 @@
 
   /** Whether it is to be passed over where there is another. */
   isSuspect(nowMs: number): boolean {
-    return this.isEjected(nowMs) || this.#owesAnswer(nowMs);
+    return this.isEjected(nowMs) || nowMs < this.#restsUntilMs || this.#owesAnswer(nowMs);
   }
 
   /** Whether it failed lately; one that is only slow is not. */
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -221,7 +221,7 @@
 ): void {
   const { log, metrics, description, timers } = exchange.options;
   const health = context.fleet.healthOf(options.server.id);
-  if (failure.kind === 'not-executed') health.recordServerError();
+  if (failure.kind === 'not-executed') health.recordTurnedAway(timers.nowMs());
   else health.recordBroken(timers.nowMs());
   metrics.recordAttempt(failure.kind);
   log.write(GATEWAY_EVENTS.attemptFailed, {
