Learn engines' paces and derive the costs of a plan from them and from the settings

Cause: 45 tokens a ms at first, 12 ms overhead, 20 ms for a hand-over, 12 ms for a fetch, 1.5 ms for a run, 4 x for a long read at a decode engine, 60 ms for a home and 0.3 for crowding were found on other engines; the new customer's read 307 tokens a ms. Change: ReadSpeed fits a line (overhead, time a token) to reads that waited for nobody, learns the overhead at decode engines and of a hand-over, and supposes at first that what one slot's memory holds is read within the target. A move is priced by kvTokenBytes and linkMbps alone, a run by the fullness of its slots, a long read at a decode engine by what short prompts that come meanwhile wait for it, a home by a part of its shared part's reading.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -14,21 +14,10 @@
 const SUSPECT_COST_MS = 20_000;
 const FAILURE_COST_MS = 400;
 const OTHER_ZONE_COST_MS = 4;
-/** A call more, and a move of the memory. */
-const HAND_OVER_MS = 20;
-/** What a run already there adds to the time of the next. */
-const RUNNING_COST_MS = 1.5;
-/** A part that nobody keeps is read at its home, unless that waits longer than this. */
-const HOME_BONUS_MS = 60;
-/** Reading at a decode engine also slows the runs there, a long prompt for many of their tokens. */
-const DECODE_READ_FACTOR = 1.25;
-const LONG_DECODE_READ_FACTOR = 4;
-const LONG_READ_TOKENS = 1_024;
+/** A part that nobody keeps is read at its home, unless that waits longer than this part of its reading. */
+const HOME_SHARE = 0.25;
 /** Fewer missing tokens than this are not worth fetching from another engine. */
 const LEAST_FETCHED_TOKENS = 1_024;
-const FETCH_OVERHEAD_MS = 12;
-/** A second copy crowds out other parts, some of which are then read again. */
-const CROWDING_SHARE = 0.3;
 const BITS_PER_BYTE = 8;
 const BITS_PER_MEGABIT_MS = 1_000;
 
@@ -43,6 +32,8 @@
   readonly speed: ReadSpeed;
   readonly kvTokenBytes: number;
   readonly linkMbps: number;
+  /** Short prompts that one decode engine gets in a millisecond, from all daemons. */
+  readonly shortReadsPerMs: number;
   healthOf(id: string): ServerHealth;
   readonly peerLoads: PeerLoads;
   loadOf(id: string): EngineLoad;
@@ -82,10 +73,11 @@
   const direct = bestReader(input, 'decode');
   const prefill = bestReader(input, 'prefill');
   if (direct === undefined) return undefined;
-  if (prefill !== undefined && prefill.costMs + HAND_OVER_MS < direct.costMs) {
+  const handOverMs = input.speed.handOverMs;
+  if (prefill !== undefined && prefill.costMs + handOverMs < direct.costMs) {
     return {
       kind: 'prefill',
-      expectedMs: prefill.costMs + HAND_OVER_MS,
+      expectedMs: prefill.costMs + handOverMs,
       prefill: {
         server: prefill.server,
         expectedMs: prefill.readMs,
@@ -141,30 +133,32 @@
   isHome: boolean,
 ): ReadEstimate {
   const { description, knowledge, nowMs } = input;
+  const sharedTokens = sharedPart(description.promptParts)?.tokens ?? 0;
   const kept = knowledge.keptTokens(server.id, description.promptParts, nowMs);
   const donor = bestDonor(server, kept, input);
   const fetched = donor === undefined ? 0 : donor.keptTokens - kept;
   const missingTokens = Math.max(1, description.promptTokens - kept - fetched);
   const fetchMs = donor === undefined ? 0 : moveMs(fetched, input);
-  const crowdingMs = CROWDING_SHARE * input.speed.prefillBusyMs(fetched);
   const pace =
     stage === 'prefill'
       ? input.speed.prefillMs.bind(input.speed)
       : input.speed.decodeMs.bind(input.speed);
   const readMs = pace(missingTokens) + fetchMs;
-  const slowed = stage === 'decode' ? readMs * decodeReadFactor(missingTokens) : readMs;
-  const bonusMs = isHome && kept === 0 ? HOME_BONUS_MS : 0;
+  const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, input) : 0;
+  const bonusMs = isHome && kept === 0 ? HOME_SHARE * input.speed.prefillBusyMs(sharedTokens) : 0;
   return {
     server,
     readMs,
     missingTokens,
     fetchFrom: donor?.server,
-    costMs: baseCost(server, input) + slowed + crowdingMs - bonusMs,
+    costMs: baseCost(server, input) + readMs + delayMs - bonusMs,
   };
 }
 
-function decodeReadFactor(missingTokens: number): number {
-  return missingTokens < LONG_READ_TOKENS ? DECODE_READ_FACTOR : LONG_DECODE_READ_FACTOR;
+/** What short prompts wait for a read at a decode engine: half of it, for each that comes meanwhile. */
+function delayOfOthersMs(missingTokens: number, input: EngineChoiceInput): number {
+  const busyMs = input.speed.decodeBusyMs(missingTokens);
+  return (input.shortReadsPerMs * busyMs * busyMs) / 2;
 }
 
 /** Another engine that keeps enough more of the prompt to be worth a move. */
@@ -189,7 +183,7 @@
 
 function moveMs(tokens: number, input: EngineChoiceInput): number {
   const bits = tokens * input.kvTokenBytes * BITS_PER_BYTE;
-  return FETCH_OVERHEAD_MS + bits / (input.linkMbps * BITS_PER_MEGABIT_MS);
+  return bits / (input.linkMbps * BITS_PER_MEGABIT_MS);
 }
 
 function enginesOf(input: EngineChoiceInput, stage: 'prefill' | 'decode'): ServerRecord[] {
@@ -203,7 +197,9 @@
   const load = input.loadOf(server.id);
   const running = load.running + input.peerLoads.running(server.id, input.nowMs);
   const peerWaitMs = input.peerLoads.waitMs(server.id, input.nowMs);
-  let cost = load.expectedWaitMs(input.nowMs) + peerWaitMs + RUNNING_COST_MS * running;
+  // A run there takes a share of each step: the fuller its slots, the later the next token.
+  const fullness = running / Math.max(1, server.slots);
+  let cost = load.expectedWaitMs(input.nowMs) + peerWaitMs + input.speed.handOverMs * fullness;
   if (server.zone !== input.zone) cost += OTHER_ZONE_COST_MS;
   cost += FAILURE_COST_MS * health.failureRate;
   if (health.isSuspect(input.nowMs)) cost += SUSPECT_COST_MS;
--- a/src/core/gateway/read-speed.ts
+++ b/src/core/gateway/read-speed.ts
@@ -1,49 +1,129 @@
 /**
- * How fast engines read prompts, learnt from the prompts they read for this daemon. Engines that
- * generate read at a part of the pace of those that only read.
+ * How long engines take to read prompts and to go on from a memory that is moved to them, learnt from
+ * what this daemon sees. Nothing is known of an engine beforehand; until the first answer a prompt of a
+ * usual size is supposed to be read within its target latency.
+ *
+ * Reading takes an overhead and a time for each token: a line through the newest samples, in which
+ * samples that waited for others count little. An engine that also generates reads at half the pace,
+ * as the platform's pages say.
  */
+import { LowMean } from './low-mean.js';
 
-const INITIAL_TOKENS_PER_MS = 45;
-const SLOWEST_TOKENS_PER_MS = 1;
-const FASTEST_TOKENS_PER_MS = 2_000;
-/** Shorter reads say more about overhead than about pace. */
-const LEAST_TOKENS = 1_500;
-const OVERHEAD_MS = 12;
-/** The fastest reads show the pace; slower ones were queued, so they count little. */
-const FASTER_WEIGHT = 0.3;
-const SLOWER_WEIGHT = 0.03;
-/** Pace of an engine that also generates, against one that only reads. */
-const DECODE_PACE = 0.5;
+/** Pace of an engine that also generates, against one that only reads (PROTOCOL.md, prefill and decode). */
+const DECODE_PACE_RATIO = 0.5;
+/** What is left of a sample's weight with each newer one. */
+const SAMPLE_DECAY = 0.97;
+/** Times so much longer than the line says include a wait for others. */
+const QUEUED_FACTOR = 1.3;
+const QUEUED_WEIGHT = 0.1;
+/** Samples before the line is trusted to tell which ones waited. */
+const TRUSTED_SAMPLES = 5;
+/** Part of the target that a hand-over is supposed to take before one is seen. */
+const SUPPOSED_HAND_OVER_SHARE = 0.1;
+/** Spread of prompt lengths, against their mean, below which they show no slope of their own. */
+const LEAST_SPREAD = 0.15;
 
 /** The pace of one service's engines. */
 export class ReadSpeed {
-  #tokensPerMs = INITIAL_TOKENS_PER_MS;
+  #msForToken: number | undefined;
+  #overheadMs = 0;
+  #supposedHandOverMs = 0;
+  readonly #samples = new LineSamples();
+  readonly #decodeOverheadMs = new LowMean();
+  readonly #handOverMs = new LowMean();
 
-  learn(tokens: number, elapsedMs: number): void {
-    if (tokens < LEAST_TOKENS || elapsedMs <= OVERHEAD_MS) return;
-    const seen = tokens / (elapsedMs - OVERHEAD_MS);
-    const bounded = Math.min(FASTEST_TOKENS_PER_MS, Math.max(SLOWEST_TOKENS_PER_MS, seen));
-    const weight = bounded > this.#tokensPerMs ? FASTER_WEIGHT : SLOWER_WEIGHT;
-    this.#tokensPerMs += weight * (bounded - this.#tokensPerMs);
+  /** Whether anything has been seen yet. */
+  get isLearnt(): boolean {
+    return this.#samples.weight > 0;
+  }
+
+  /**
+   * Before anything is seen: a prompt of a usual size would be read within its target.
+   * @param usualTokens what an engine's memory holds for each of its slots
+   */
+  suppose(usualTokens: number, targetMs: number): void {
+    if (this.#msForToken !== undefined || usualTokens <= 0) return;
+    this.#msForToken = targetMs / usualTokens;
+    this.#supposedHandOverMs = targetMs * SUPPOSED_HAND_OVER_SHARE;
+  }
+
+  /** A prefill engine read so many tokens, nobody known waiting before them. */
+  learnPrefill(tokens: number, elapsedMs: number): void {
+    if (tokens <= 0 || elapsedMs <= 0) return;
+    const isTrusted = this.#samples.weight >= TRUSTED_SAMPLES;
+    const isQueued = isTrusted && elapsedMs > QUEUED_FACTOR * this.prefillMs(tokens);
+    this.#samples.add(tokens, elapsedMs, isQueued ? QUEUED_WEIGHT : 1);
+    const line = this.#samples.fit();
+    this.#msForToken = line.slope;
+    this.#overheadMs = line.offset;
+  }
+
+  /** A decode engine read so many tokens and began to generate. */
+  learnDecode(tokens: number, elapsedMs: number): void {
+    this.#decodeOverheadMs.add(Math.max(0, elapsedMs - this.decodeBusyMs(tokens)));
+  }
+
+  /** A decode engine took a moved memory and began to generate. */
+  learnHandOver(elapsedMs: number): void {
+    this.#handOverMs.add(elapsedMs);
   }
 
   /** How long a prefill engine takes to answer. */
   prefillMs(tokens: number): number {
-    return OVERHEAD_MS + this.prefillBusyMs(tokens);
+    return this.#overheadMs + this.prefillBusyMs(tokens);
   }
 
   /** How long a decode engine takes to its first token. */
   decodeMs(tokens: number): number {
-    return OVERHEAD_MS + this.decodeBusyMs(tokens);
+    return (this.#decodeOverheadMs.value ?? this.#overheadMs) + this.decodeBusyMs(tokens);
+  }
+
+  /** From the end of reading until the first token at another engine. */
+  get handOverMs(): number {
+    return this.#handOverMs.value ?? this.#supposedHandOverMs;
   }
 
   /** How long a prefill engine is taken up. */
   prefillBusyMs(tokens: number): number {
-    return tokens / this.#tokensPerMs;
+    return tokens * (this.#msForToken ?? 0);
   }
 
   /** How long a decode engine is taken up. */
   decodeBusyMs(tokens: number): number {
-    return tokens / (this.#tokensPerMs * DECODE_PACE);
+    return this.prefillBusyMs(tokens) / DECODE_PACE_RATIO;
+  }
+}
+
+interface Line {
+  readonly slope: number;
+  readonly offset: number;
+}
+
+/** Weighted sums of points, older ones fading. */
+class LineSamples {
+  weight = 0;
+  #x = 0;
+  #y = 0;
+  #xx = 0;
+  #xy = 0;
+
+  add(x: number, y: number, weight: number): void {
+    const fade = (sum: number, term: number) => sum * SAMPLE_DECAY ** weight + weight * term;
+    this.weight = fade(this.weight, 1);
+    this.#x = fade(this.#x, x);
+    this.#y = fade(this.#y, y);
+    this.#xx = fade(this.#xx, x * x);
+    this.#xy = fade(this.#xy, x * y);
+  }
+
+  /** The line of least squares; through zero where the points are too much alike to show one. */
+  fit(): Line {
+    const meanX = this.#x / this.weight;
+    const meanY = this.#y / this.weight;
+    const variance = this.#xx / this.weight - meanX * meanX;
+    const slope = (this.#xy / this.weight - meanX * meanY) / variance;
+    const isShown = variance > (LEAST_SPREAD * meanX) ** 2 && slope > 0;
+    const offset = meanY - slope * meanX;
+    return isShown && offset > 0 ? { slope, offset } : { slope: meanY / meanX, offset: 0 };
   }
 }
--- a/src/core/gateway/stage-demand.ts
+++ b/src/core/gateway/stage-demand.ts
@@ -9,6 +9,13 @@
   readonly decodeMs: number;
 }
 
+/** Work of a span of time. */
+export interface DemandSums extends RequestWork {
+  readonly requests: number;
+  /** Requests without a long prompt to read. */
+  readonly shortRequests: number;
+}
+
 interface TimedWork extends RequestWork {
   readonly atMs: number;
 }
@@ -27,14 +34,16 @@
   }
 
   /** The sums over the span, and how many requests they are made of. */
-  sums(nowMs: number): RequestWork & { readonly requests: number } {
+  sums(nowMs: number): DemandSums {
     this.#entries = this.#entries.filter((entry) => entry.atMs > nowMs - this.#spanMs);
     let prefillMs = 0;
     let decodeMs = 0;
+    let shortRequests = 0;
     for (const entry of this.#entries) {
       prefillMs += entry.prefillMs;
       decodeMs += entry.decodeMs;
+      if (entry.prefillMs === 0) shortRequests += 1;
     }
-    return { prefillMs, decodeMs, requests: this.#entries.length };
+    return { prefillMs, decodeMs, requests: this.#entries.length, shortRequests };
   }
 }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -124,6 +124,13 @@
     return entryOf(this.#demands, service, () => new StageDemand(DEMAND_SPAN_MS));
   }
 
+  /** Short prompts that one decode engine of a service gets in a millisecond, from all daemons. */
+  shortReadsPerMs(service: string, nowMs: number): number {
+    const engines = this.candidates(service).filter(({ stage }) => stage === 'decode').length;
+    const ownPerMs = this.demandOf(service).sums(nowMs).shortRequests / DEMAND_SPAN_MS;
+    return (ownPerMs * this.#daemonCount) / Math.max(1, engines);
+  }
+
   budgetOf(service: string): RetryBudget {
     return entryOf(
       this.#budgets,
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -138,7 +138,9 @@
       resumeAfterEventId: this.#relay.lastEventId,
       expectedMs: plan.kind === 'direct' ? plan.expectedMs : 0,
     };
+    const startedAtMs = this.#nowMs();
     const result = await sendAttempt(exchange, this.#context, options);
+    if (result.kind === 'answered') this.#learn(plan, memorySource, this.#nowMs() - startedAtMs);
     if (read !== undefined) load.abandon(read);
     exchange.endRun(hasNotRun(result));
     if (result.kind === 'answered') {
@@ -160,6 +162,13 @@
     return 'again';
   }
 
+  /** The head of an answer comes with the first token. */
+  #learn(plan: EnginePlan, memory: MemorySource | undefined, elapsedMs: number): void {
+    const speed = this.#context.fleet.speedOf(this.#exchange.options.service);
+    if (memory !== undefined) speed.learnHandOver(elapsedMs);
+    else if (plan.kind === 'direct') speed.learnDecode(plan.missingTokens, elapsedMs);
+  }
+
   /** Memory that was read for this request and that no engine goes on from. */
   #freeUnused(memory: MemorySource | undefined, plan: EnginePlan): void {
     if (memory === undefined || plan.kind !== 'prefill') return;
@@ -237,8 +246,10 @@
 
   #choiceInput(): EngineChoiceInput {
     const { fleet, zone } = this.#context;
-    const { service, description } = this.#exchange.options;
+    const { service, description, route } = this.#exchange.options;
     const traits = engineTraits(this.#exchange);
+    const speed = fleet.speedOf(service);
+    if (traits !== undefined) speed.suppose(traits.kvTokens / traits.slots, route.targetLatencyMs);
     return {
       candidates: fleet.candidates(service),
       excludedIds: this.#exchange.triedServerIds,
@@ -247,7 +258,8 @@
       nowMs: this.#nowMs(),
       knowledge: fleet.knowledge,
       peerLoads: fleet.peerLoads,
-      speed: fleet.speedOf(service),
+      speed,
+      shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
       kvTokenBytes: traits?.kvTokenBytes ?? 0,
       linkMbps: traits?.linkMbps ?? 1,
       healthOf: (id) => fleet.healthOf(id),
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -12,6 +12,8 @@
 /** An engine is given up after this many times the expected time and a little more. */
 const PATIENCE_FACTOR = 4;
 const PATIENCE_MS = 500;
+/** A read that was expected to wait less than this part of its time shows the engine's pace. */
+const FREE_WAIT_SHARE = 0.25;
 /** Smaller parts are read sooner than they are told of. */
 const LEAST_TOLD_TOKENS = 1_024;
 
@@ -30,10 +32,14 @@
   const { fleet, noteLoadChange } = context;
   const load = fleet.loadOf(server.id);
   const startedAtMs = timers.nowMs();
+  const ownWaitMs = load.expectedWaitMs(startedAtMs);
   const read = load.begin(expectedMs, startedAtMs, fleet.peerLoads.waitMs(server.id, startedAtMs));
   noteLoadChange();
   noteSharedRead(exchange, context, plan);
-  const patienceMs = PATIENCE_MS + PATIENCE_FACTOR * plan.expectedMs;
+  const speed = fleet.speedOf(service);
+  const patienceMs = speed.isLearnt
+    ? PATIENCE_MS + PATIENCE_FACTOR * plan.expectedMs
+    : exchange.remainingMs();
   let isGivenUp = false;
   const memory = await callWithin(timers, patienceMs, exchange.signal, async (signal) => {
     const asked = await askToRead(exchange, context, plan, priority, signal);
@@ -50,7 +56,8 @@
   }
   load.finish(read, nowMs);
   exchange.stepTimesMs.prefillMs = nowMs - startedAtMs;
-  fleet.speedOf(service).learn(missingTokens, nowMs - startedAtMs);
+  const wasFree = read.expectedWaitMs + ownWaitMs <= FREE_WAIT_SHARE * expectedMs;
+  if (wasFree || !speed.isLearnt) speed.learnPrefill(missingTokens, nowMs - startedAtMs);
   fleet.knowledge.assume(server.id, description.promptParts, nowMs);
   return memory;
 }
--- a/test/gateway/choices.test.ts
+++ b/test/gateway/choices.test.ts
@@ -140,6 +140,8 @@
 function engineInput(fields: Partial<EngineChoiceInput> = {}): EngineChoiceInput {
   const loads = new Map<string, EngineLoad>();
   const healthOf = healths();
+  const speed = new ReadSpeed();
+  speed.suppose(17_000, 500);
   return {
     candidates: [
       server('p1', { stage: 'prefill' }),
@@ -157,7 +159,8 @@
     zone: 'a',
     nowMs: 1_000,
     knowledge: new PrefixKnowledge(),
-    speed: new ReadSpeed(),
+    speed,
+    shortReadsPerMs: 0,
     kvTokenBytes: 163_840,
     linkMbps: 1_900_000,
     healthOf,
