Split engines by what each stage has to do, empty an engine before it is ordered, and tell the others

An order took its engine away for 9 s where the change itself takes 3: the platform's list shows it as before, all daemons go on sending, and what it has to end first is long prompts it reads beside its streams. Change: the need of each stage in engines, from learnt paces, tokens, links and slots; a stage that reads is full at 0.35, one that generates at 0.7; one engine at a time, only where the fuller stage is full and relieved to 0.85; an order back after four switches and twice the span that the mix is seen over. The orderer tells the others (datagram, kind 4), lets the engine empty for 300 ms, orders, asks its report each 400 ms and tells when it has changed.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -2,6 +2,7 @@
  * Plans a model request: read the prompt at a prefill engine and go on at a decode engine, or let a
  * decode engine read it by itself. Each way is priced by the expected time to the first event.
  */
+import type { EngineTraits } from './configuration.js';
 import { type RequestDescription, sharedPart } from './description.js';
 import type { EngineLoad } from './engine-load.js';
 import type { PeerLoads } from './peer-load.js';
@@ -181,9 +182,13 @@
   return best;
 }
 
-function moveMs(tokens: number, input: EngineChoiceInput): number {
-  const bits = tokens * input.kvTokenBytes * BITS_PER_BYTE;
-  return bits / (input.linkMbps * BITS_PER_MEGABIT_MS);
+/** How long the memory of so many tokens takes on an engine's link. */
+export function moveMs(
+  tokens: number,
+  link: Pick<EngineTraits, 'kvTokenBytes' | 'linkMbps'>,
+): number {
+  const bits = tokens * link.kvTokenBytes * BITS_PER_BYTE;
+  return bits / (link.linkMbps * BITS_PER_MEGABIT_MS);
 }
 
 function enginesOf(input: EngineChoiceInput, stage: 'prefill' | 'decode'): ServerRecord[] {
--- a/src/core/gateway/configuration.ts
+++ b/src/core/gateway/configuration.ts
@@ -45,6 +45,8 @@
   readonly kvTokens: number;
   readonly kvTokenBytes: number;
   readonly linkMbps: number;
+  /** How long an engine is away to change its stage, once its work is done. */
+  readonly roleSwitchMs: number;
   /** Held news calls that one engine takes from all daemons together. */
   readonly maxNewsCalls: number;
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -4,6 +4,7 @@
   type EngineChoiceInput,
   type EnginePlan,
   homeOf,
+  moveMs,
   type PrefillStep,
   planModelRequest,
 } from './choose-engine.js';
@@ -38,7 +39,12 @@
   PeerLoads,
 } from './peer-load.js';
 export { type OwnPlace, type PeerDaemon, PeerRoster } from './peer-roster.js';
-export { planStageChange, type StageChange, type StagePlanInput } from './plan-stages.js';
+export {
+  planStageChange,
+  type StageChange,
+  type StageNeed,
+  type StagePlanInput,
+} from './plan-stages.js';
 export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
 export { readPriority } from './read-priority.js';
 export { ReadSpeed } from './read-speed.js';
@@ -53,5 +59,6 @@
   type ServerState,
 } from './server-directory.js';
 export { type OpenCall, ServerHealth } from './server-health.js';
-export { type RequestWork, StageDemand } from './stage-demand.js';
+export { type RequestWork, StageDemand, type WorkSource } from './stage-demand.js';
+export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
--- a/src/core/gateway/read-speed.ts
+++ b/src/core/gateway/read-speed.ts
@@ -31,6 +31,7 @@
   readonly #samples = new LineSamples();
   readonly #decodeOverheadMs = new LowMean();
   readonly #handOverMs = new LowMean();
+  readonly #tokenMs = new LowMean();
 
   /** Whether anything has been seen yet. */
   get isLearnt(): boolean {
@@ -68,6 +69,16 @@
     this.#handOverMs.add(elapsedMs);
   }
 
+  /** A stream of at most so many tokens took this long from its head to its end. */
+  learnTokens(mostTokens: number, elapsedMs: number): void {
+    if (mostTokens > 0) this.#tokenMs.add(elapsedMs / mostTokens);
+  }
+
+  /** Undisturbed time for one of the tokens that requests ask for at most. */
+  get tokenMs(): number {
+    return this.#tokenMs.value ?? 0;
+  }
+
   /** How long a prefill engine takes to answer. */
   prefillMs(tokens: number): number {
     return this.#overheadMs + this.prefillBusyMs(tokens);
--- a/src/core/gateway/stage-demand.ts
+++ b/src/core/gateway/stage-demand.ts
@@ -1,14 +1,22 @@
 /**
- * How much work of each kind a service's engines are asked for, as this daemon sees it: time spent
- * on reading long prompts, which prefill engines do best, and time on everything else.
+ * How much work of each kind a service's engines are asked for, as this daemon sees it: time of
+ * engines that only read, and time of engines that generate.
  */
 
-/** The work of one request. */
+/** The work of a request, in time of a whole engine. */
 export interface RequestWork {
   readonly prefillMs: number;
   readonly decodeMs: number;
 }
 
+/** What a request asks to be read. */
+export type WorkSource = 'long-prompt' | 'short-prompt';
+
+interface TimedWork extends RequestWork {
+  readonly source: WorkSource;
+  readonly atMs: number;
+}
+
 /** Work of a span of time. */
 export interface DemandSums extends RequestWork {
   readonly requests: number;
@@ -16,10 +24,6 @@
   readonly shortRequests: number;
 }
 
-interface TimedWork extends RequestWork {
-  readonly atMs: number;
-}
-
 /** Work over the newest span of time. */
 export class StageDemand {
   readonly #spanMs: number;
@@ -29,8 +33,8 @@
     this.#spanMs = spanMs;
   }
 
-  note(work: RequestWork, nowMs: number): void {
-    this.#entries.push({ ...work, atMs: nowMs });
+  note(source: WorkSource, work: RequestWork, nowMs: number): void {
+    this.#entries.push({ ...work, source, atMs: nowMs });
   }
 
   /** The sums over the span, and how many requests they are made of. */
@@ -42,7 +46,7 @@
     for (const entry of this.#entries) {
       prefillMs += entry.prefillMs;
       decodeMs += entry.decodeMs;
-      if (entry.prefillMs === 0) shortRequests += 1;
+      if (entry.source === 'short-prompt') shortRequests += 1;
     }
     return { prefillMs, decodeMs, requests: this.#entries.length, shortRequests };
   }
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -140,6 +140,12 @@
     message: 'an engine answered an order',
     remedy: 'Nothing to do unless the outcome is a refusal that repeats.',
   },
+  stageChanged: {
+    number: 6044,
+    level: 'info',
+    message: 'an ordered engine says that it has changed its stage',
+    remedy: 'Nothing to do; elapsedMs is how long it was away.',
+  },
   newsLost: {
     number: 6050,
     level: 'warn',
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -18,12 +18,14 @@
   ServerHealth,
   type ServerRecord,
   StageDemand,
+  type StageNeed,
+  StageNotices,
   TrafficSplitter,
 } from '../../core/gateway/index.js';
 import type { EngineNews } from './peer-messages.js';
 
 /** The mix of work is judged over this time. */
-const DEMAND_SPAN_MS = 6_000;
+export const DEMAND_SPAN_MS = 6_000;
 
 /** A configuration with its indexes. */
 export interface ConfigurationInForce {
@@ -41,6 +43,7 @@
   readonly splitter = new TrafficSplitter();
   readonly knowledge = new PrefixKnowledge();
   readonly peerLoads = new PeerLoads();
+  readonly stageNotices = new StageNotices();
   readonly #budgetOptions: RetryBudgetOptions;
   readonly #health = new Map<string, ServerHealth>();
   readonly #loads = new Map<string, EngineLoad>();
@@ -77,13 +80,19 @@
     for (const server of change.removed) {
       this.#health.delete(server.id);
       this.#loads.delete(server.id);
+      this.stageNotices.forget(server.id);
       this.knowledge.forget(server.id);
     }
   }
 
   /** Servers of a service that may be sent new work. */
-  candidates(service: string): ServerRecord[] {
-    return this.directory.readyOf(service);
+  candidates(service: string, nowMs: number): ServerRecord[] {
+    return this.stageNotices.usable(this.directory.readyOf(service), nowMs);
+  }
+
+  /** Servers of a service, those that are changing their stage as they will be. */
+  expectedServers(service: string, nowMs: number): ServerRecord[] {
+    return this.stageNotices.expected(this.directory.readyOf(service), nowMs);
   }
 
   healthOf(serverId: string): ServerHealth {
@@ -126,11 +135,20 @@
 
   /** Short prompts that one decode engine of a service gets in a millisecond, from all daemons. */
   shortReadsPerMs(service: string, nowMs: number): number {
-    const engines = this.candidates(service).filter(({ stage }) => stage === 'decode').length;
+    const engines = this.candidates(service, nowMs).filter(
+      ({ stage }) => stage === 'decode',
+    ).length;
     const ownPerMs = this.demandOf(service).sums(nowMs).shortRequests / DEMAND_SPAN_MS;
     return (ownPerMs * this.#daemonCount) / Math.max(1, engines);
   }
 
+  /** The work of a service, in engines that it keeps busy, if all daemons see as much as this one. */
+  stageNeedOf(service: string, nowMs: number): StageNeed {
+    const { prefillMs, decodeMs, requests } = this.demandOf(service).sums(nowMs);
+    const scale = this.#daemonCount / DEMAND_SPAN_MS;
+    return { prefillEngines: prefillMs * scale, decodeEngines: decodeMs * scale, requests };
+  }
+
   budgetOf(service: string): RetryBudget {
     return entryOf(
       this.#budgets,
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -115,6 +115,7 @@
       table: adapter.table,
       connections: this.#connections,
       codec: adapter.requests,
+      tellStage: (notice) => this.#peers?.tellStage(notice),
       timers,
       log,
     });
@@ -202,6 +203,7 @@
       roster: this.#roster,
       log,
       takeRead: (read) => this.#fleet.knowledge.expect(read, timers.nowMs()),
+      takeStage: (notice) => this.#fleet.stageNotices.take(notice, timers.nowMs()),
       takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       timers,
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -13,6 +13,7 @@
   type PeerLoads,
   type PeerRoster,
   type ReadNotice,
+  type StageNotice,
   SumsToTell,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
@@ -64,6 +65,8 @@
   readonly noteDaemonCount: (daemons: number) => void;
   /** A read that another daemon told of. */
   readonly takeRead: (read: ReadNotice) => void;
+  /** An engine that another daemon ordered to change its stage. */
+  readonly takeStage: (notice: StageNotice) => void;
   /** Cache news that another daemon passed on. */
   readonly takeNews: (news: EngineNews) => void;
 }
@@ -143,6 +146,12 @@
     this.noteChange();
   }
 
+  /** Tells everyone of an engine that changes its stage. */
+  tellStage(notice: StageNotice): void {
+    if (this.#isStopped) return;
+    this.#sendTo(this.#options.roster.everyone(), encodePeerMessage({ kind: 'stage', notice }));
+  }
+
   /** Passes an engine's news on to daemons that do not ask for them. */
   passOn(news: EngineNews, peers: readonly PeerDaemon[]): void {
     if (peers.length === 0 || this.#isStopped) return;
@@ -242,7 +251,7 @@
   }
 
   #receive(bytes: Buffer): void {
-    const { daemon, roster, loads, timers, ownWork, takeNews } = this.#options;
+    const { daemon, roster, loads, timers, ownWork, takeNews, takeStage } = this.#options;
     const message = decodePeerMessage(bytes);
     const nowMs = timers.nowMs();
     switch (message?.kind) {
@@ -261,6 +270,9 @@
         this.#takeReads(message.sums.reads);
         if (!roster.isRelay(nowMs)) loads.takeSums(message.sums, ownWork(), nowMs);
         return;
+      case 'stage':
+        takeStage(message.notice);
+        return;
       case 'news':
         for (const news of message.news) takeNews(news);
         return;
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -4,10 +4,16 @@
  */
 import { pack, unpack } from 'msgpackr';
 import * as z from 'zod/mini';
-import type { EngineWork, LoadReport, LoadSums, ReadNotice } from '../../core/gateway/index.js';
+import type {
+  EngineWork,
+  LoadReport,
+  LoadSums,
+  ReadNotice,
+  StageNotice,
+} from '../../core/gateway/index.js';
 import type { CacheEvent } from './ports.js';
 
-const KINDS = { report: 1, sums: 2, news: 3 } as const;
+const KINDS = { report: 1, sums: 2, news: 3, stage: 4 } as const;
 
 /** Engine, part, its tokens, and the milliseconds until it is read. */
 const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
@@ -34,7 +40,13 @@
   z.string(),
   z.array(z.tuple([z.string(), z.boolean(), z.array(z.tuple([z.string(), z.number()]))])),
 ]);
-const messageSchema = z.union([reportSchema, sumsSchema, newsSchema]);
+const stageSchema = z.tuple([
+  z.literal(KINDS.stage),
+  z.string(),
+  z.enum(['prefill', 'decode']),
+  z.enum(['changing', 'changed']),
+]);
+const messageSchema = z.union([reportSchema, sumsSchema, newsSchema, stageSchema]);
 
 /** An engine's cache news, as its watcher passes them on. */
 export interface EngineNews {
@@ -48,6 +60,7 @@
 export type PeerMessage =
   | { readonly kind: 'report'; readonly report: LoadReport }
   | { readonly kind: 'sums'; readonly sums: LoadSums }
+  | { readonly kind: 'stage'; readonly notice: StageNotice }
   | { readonly kind: 'news'; readonly daemon: string; readonly news: readonly EngineNews[] };
 
 /** The bytes of a message. */
@@ -63,6 +76,10 @@
       const head = [KINDS.sums, relay, incarnation, sequence, isWhole];
       return pack([...head, encodeWork(work), encodeReads(reads)]);
     }
+    case 'stage': {
+      const { engineId, stage, phase } = message.notice;
+      return pack([KINDS.stage, engineId, stage, phase]);
+    }
     case 'news':
       return pack([KINDS.news, message.daemon, message.news.map(encodeNews)]);
   }
@@ -84,6 +101,10 @@
       const told = { work: decodeWork(work), reads: decodeReads(reads) };
       return { kind: 'sums', sums: { relay, incarnation, sequence, isWhole, ...told } };
     }
+    case KINDS.stage: {
+      const [, engineId, stage, phase] = fields;
+      return { kind: 'stage', notice: { engineId, stage, phase } };
+    }
     case KINDS.news: {
       const [, daemon, news] = fields;
       return {
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -4,9 +4,11 @@
  */
 import {
   type EngineStage,
+  type EngineTraits,
   planStageChange,
   type ServerRecord,
   type StageChange,
+  type StageNotice,
 } from '../../core/gateway/index.js';
 import {
   epochOf,
@@ -20,17 +22,26 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableEffect } from '../../core/platform/table.js';
 import type { BackendConnections } from './backend-connections.js';
-import type { FleetView } from './fleet-view.js';
+import { DEMAND_SPAN_MS, type FleetView } from './fleet-view.js';
 import type { EngineCall, EngineReport, RequestCodec, TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { type CancelTimer, callWithin, type TimerService } from './timer-service.js';
+import { type CancelTimer, callWithin, delay, type TimerService } from './timer-service.js';
 
 const TICK_MS = 250;
 /** A change has to be wanted for this long, and a random while more, before the lease is sought. */
 const SETTLE_MS = 600;
 const SETTLE_SPREAD_MS = 900;
-/** An engine that was ordered counts as changed until its own word has had this long to come. */
-const ORDER_EFFECT_MS = 3_000;
+/** Other daemons send an engine nothing more, and what it has ends, before it is ordered. */
+const EMPTYING_MS = 300;
+/** An ordered engine is asked this often whether its change is over, and the others are told. */
+const FOLLOW_GAP_MS = 400;
+/** A change that takes longer is followed no more; the platform's list will show it. */
+const MOST_FOLLOWED_SWITCHES = 5;
+const MOST_FOLLOWED_MS = 5_000;
+/** An order back has to wait until the last one has paid for the time that the engine was away. */
+const REVERSAL_SWITCHES = 4;
+/** Nor does the split follow a mix that swings faster than it is seen. */
+const LEAST_REVERSAL_MS = 2 * DEMAND_SPAN_MS;
 /** Between two orders, so that not all engines are away at once. */
 const ORDER_GAP_MS = 500;
 const ORDER_TIMEOUT_MS = 1_000;
@@ -38,6 +49,7 @@
 const TABLE_TIMEOUT_MS = 1_500;
 const LEASE_MARGIN_SHARE = 0.2;
 const MAX_ANSWER_BYTES = 65_536;
+const STATUS_ACCEPTED = 202;
 const RESOURCE = 'engine-stages';
 const ENTROPY_RANGE = 2 ** 32;
 
@@ -51,6 +63,8 @@
   readonly table: TableService;
   readonly connections: Pick<BackendConnections, 'call'>;
   readonly codec: RequestCodec;
+  /** Tells the other daemons of an engine that changes. */
+  readonly tellStage: (notice: StageNotice) => void;
   readonly timers: TimerService;
   readonly log: GatewayLog;
 }
@@ -61,11 +75,6 @@
   readonly body: Buffer | undefined;
 }
 
-interface OrderedStage {
-  readonly stage: EngineStage;
-  readonly untilMs: number;
-}
-
 /** A daemon's part in ordering engines. */
 export class StageController {
   readonly #options: StageControllerOptions;
@@ -74,7 +83,7 @@
   #wantedSinceMs: number | undefined;
   #settleMs: number;
   #lastOrderMs = Number.NEGATIVE_INFINITY;
-  readonly #ordered = new Map<string, OrderedStage>();
+  #lastStage: EngineStage | undefined;
   #isStopped = false;
 
   constructor(options: StageControllerOptions) {
@@ -117,24 +126,20 @@
     for (const service of fleet.inForce?.configuration.services.values() ?? []) {
       if (service.engine === undefined) continue;
       const change = planStageChange({
-        engines: this.#expectedEngines(service.name, nowMs),
-        work: fleet.demandOf(service.name).sums(nowMs),
+        engines: fleet.expectedServers(service.name, nowMs),
+        need: fleet.stageNeedOf(service.name, nowMs),
         busyOf: (id) => fleet.loadOf(id).running + fleet.loadOf(id).expectedWaitMs(nowMs),
       });
-      if (change !== undefined) return change;
+      if (change !== undefined && this.#isPaidFor(change, service.engine, nowMs)) return change;
     }
     return undefined;
   }
 
-  /** The engines as they will be once what was ordered has taken effect. */
-  #expectedEngines(service: string, nowMs: number): readonly ServerRecord[] {
-    return this.#options.fleet.candidates(service).map((engine) => {
-      const ordered = this.#ordered.get(engine.id);
-      if (ordered === undefined) return engine;
-      if (nowMs < ordered.untilMs) return { ...engine, stage: ordered.stage };
-      this.#ordered.delete(engine.id);
-      return engine;
-    });
+  /** A change that undoes the last one comes no sooner than that has been of use. */
+  #isPaidFor(change: StageChange, traits: EngineTraits, nowMs: number): boolean {
+    if (this.#lastStage === undefined || this.#lastStage === change.stage) return true;
+    const gapMs = Math.max(LEAST_REVERSAL_MS, REVERSAL_SWITCHES * traits.roleSwitchMs);
+    return nowMs - this.#lastOrderMs >= gapMs;
   }
 
   #noteWant(change: StageChange | undefined, nowMs: number): void {
@@ -169,6 +174,8 @@
   async #order(change: StageChange, epoch: number): Promise<void> {
     const { daemon, codec, timers, log } = this.#options;
     const { engine, stage } = change;
+    this.#tellStage({ engineId: engine.id, stage, phase: 'changing' });
+    await delay(timers, EMPTYING_MS);
     const report = await this.#readReport(engine);
     // The engine is looked at first; by then the lease may have run out.
     if (report === undefined || report.isBusy || report.stage === stage) return;
@@ -179,13 +186,40 @@
       stage,
       fence: epoch,
       expectedSequence,
-      wantedPrefill: Math.round(change.wantedPrefill * 10) / 10,
+      wantedPrefill: change.wantedPrefill,
       currentPrefill: change.currentPrefill,
     });
-    this.#ordered.set(engine.id, { stage, untilMs: timers.nowMs() + ORDER_EFFECT_MS });
+    this.#lastStage = stage;
     const order = { stage, holder: daemon, fence: epoch, expectedSequence };
     const answer = await this.#callEngine(engine, codec.orderStage(order, engine.id));
     log.write(GATEWAY_EVENTS.orderAnswered, { server: engine.id, outcome: answer.outcome });
+    if (answer.outcome !== STATUS_ACCEPTED) return;
+    await this.#follow(engine, stage);
+  }
+
+  /** Tells the others that an engine is away, until it says that its change is over. */
+  async #follow(engine: ServerRecord, stage: EngineStage): Promise<void> {
+    const { timers, fleet, log } = this.#options;
+    const startedAtMs = timers.nowMs();
+    const traits = fleet.inForce?.configuration.services.get(engine.service)?.engine;
+    const mostMs = MOST_FOLLOWED_MS + MOST_FOLLOWED_SWITCHES * (traits?.roleSwitchMs ?? 0);
+    while (!this.#isStopped && timers.nowMs() - startedAtMs < mostMs) {
+      this.#tellStage({ engineId: engine.id, stage, phase: 'changing' });
+      await delay(timers, FOLLOW_GAP_MS);
+      if (fleet.directory.get(engine.id) === undefined) return;
+      const report = await this.#readReport(engine);
+      if (report === undefined || report.isBusy || report.stage !== stage) continue;
+      this.#tellStage({ engineId: engine.id, stage, phase: 'changed' });
+      const elapsedMs = Math.round(timers.nowMs() - startedAtMs);
+      log.write(GATEWAY_EVENTS.stageChanged, { server: engine.id, stage, elapsedMs });
+      return;
+    }
+  }
+
+  #tellStage(notice: StageNotice): void {
+    const { fleet, timers, tellStage } = this.#options;
+    fleet.stageNotices.take(notice, timers.nowMs());
+    tellStage(notice);
   }
 
   async #readReport(engine: ServerRecord): Promise<EngineReport | undefined> {
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -97,7 +97,7 @@
     if (exchange.runs >= Math.max(1, route.attempts)) return false;
     if (this.#turnedDown > MAX_TURNED_DOWN) return false;
     const server = chooseWebServer({
-      candidates: fleet.candidates(service),
+      candidates: fleet.candidates(service, timers.nowMs()),
       excludedIds: exchange.triedServerIds,
       zone: this.#context.zone,
       nowMs: timers.nowMs(),
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -83,6 +83,7 @@
     { kind: 'report', report: report({ reads: [READ] }) },
     { kind: 'sums', sums: sums({ reads: [READ] }) },
     { kind: 'news', daemon: 'a', news },
+    { kind: 'stage', notice: { engineId: 'e1', stage: 'decode', phase: 'changing' } },
   ] as const;
   for (const message of messages) {
     assert.deepEqual(decodePeerMessage(encodePeerMessage(message)), message);
@@ -139,6 +140,7 @@
     log: SILENT_LOG,
     noteDaemonCount: listed.resolve,
     ownWork: () => work,
+    takeStage: () => undefined,
     takeNews: informed.resolve,
     takeRead: noticed.resolve,
     loads: {
--- /dev/null
+++ b/test/gateway/plan-stages.test.ts
@@ -0,0 +1,95 @@
+/** The split of engines: follows the work, one engine at a time, and not for little. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  type EngineStage,
+  planStageChange,
+  type ServerRecord,
+  type StageNeed,
+} from '../../src/core/gateway/index.js';
+
+function engines(total: number, prefill: number): ServerRecord[] {
+  return Array.from({ length: total }, (_, index) => ({
+    id: `e${index}`,
+    service: 's',
+    address: '127.0.0.1:1',
+    zone: 'a',
+    slots: 8,
+    state: 'ready',
+    stage: index < prefill ? 'prefill' : 'decode',
+  }));
+}
+
+function need(prefillEngines: number, decodeEngines: number, requests = 100): StageNeed {
+  return { prefillEngines, decodeEngines, requests };
+}
+
+const busyOf = (id: string) => (id === 'e5' ? 0 : 1);
+
+/** Moves engines until the plan is content. */
+function settle(total: number, prefill: number, wanted: StageNeed): number {
+  let fleet = engines(total, prefill);
+  for (let moves = 0; moves <= total; moves += 1) {
+    const change = planStageChange({ engines: fleet, need: wanted, busyOf });
+    if (change === undefined) return fleet.filter(({ stage }) => stage === 'prefill').length;
+    const stage: EngineStage = change.stage;
+    fleet = fleet.map((engine) => (engine.id === change.engine.id ? { ...engine, stage } : engine));
+  }
+  throw new Error('the split does not settle');
+}
+
+test('the least busy engine is moved to the stage whose work piles up', () => {
+  const change = planStageChange({ engines: engines(8, 2), need: need(2, 0.2), busyOf });
+  assert.deepEqual([change?.engine.id, change?.stage, change?.wantedPrefill], ['e5', 'prefill', 6]);
+});
+
+test('nearly all engines read where nearly all work is reading, but two are left to generate', () => {
+  assert.equal(settle(8, 3, need(6, 0.05)), 6);
+  assert.equal(settle(3, 1, need(2, 0.05)), 2);
+});
+
+test('the split goes back when the mix turns', () => {
+  assert.equal(settle(8, 6, need(0.2, 5)), 2);
+});
+
+test('nothing is moved for few requests, for engines that are idle enough, or for a small relief', () => {
+  const plan = (total: number, prefill: number, wanted: StageNeed) =>
+    planStageChange({ engines: engines(total, prefill), need: wanted, busyOf });
+  assert.equal(plan(8, 2, need(6, 0.2, 5)), undefined);
+  assert.equal(plan(8, 2, need(0.6, 0.2)), undefined);
+  assert.equal(plan(13, 8, need(4, 4)), undefined);
+  assert.equal(plan(2, 1, need(6, 0.2)), undefined);
+});
+
+test('whatever the work, the split settles, and each stage keeps an engine', () => {
+  const work = fc.double({ min: 0, max: 60, noNaN: true });
+  fc.assert(
+    fc.property(fc.integer({ min: 3, max: 41 }), fc.nat(40), work, work, (total, from, a, b) => {
+      const prefill = 1 + (from % (total - 1));
+      const settled = settle(total, prefill, need(a, b));
+      assert.ok(settled >= 1 && settled <= total - 1);
+    }),
+    { seed: 5, numRuns: 500 },
+  );
+});
+
+test('work that varies by a seventh round its mean moves an engine once at most', () => {
+  const variation = fc.array(fc.double({ min: 0.93, max: 1.07, noNaN: true }), { minLength: 40 });
+  fc.assert(
+    fc.property(variation, (factors) => {
+      let fleet = engines(8, settle(8, 3, need(2.4, 0.8)));
+      let moves = 0;
+      for (const factor of factors) {
+        const wanted = need(2.4 * factor, 0.8 / factor);
+        const change = planStageChange({ engines: fleet, need: wanted, busyOf });
+        if (change === undefined) continue;
+        moves += 1;
+        const { stage } = change;
+        fleet = fleet.map((one) => (one.id === change.engine.id ? { ...one, stage } : one));
+      }
+      assert.ok(moves <= 1, `${moves} moves`);
+    }),
+    { seed: 6, numRuns: 200 },
+  );
+});
