Let prompts that can be in time go before those that cannot, at engines and in the daemons' forecasts

Change: a plan is in time if, waiting only for prompts in time, its first token is expected within 0.9 of what is left of the target; otherwise it is late and goes after all of those, wherever it waits least for all. Priorities: small reads (a tenth of the target) 0, in time 1 to 4 by rank, late 5 to 9 by rank; a prompt that was read goes on first. Daemons tell each other both sums. How waits come out against what was forecast scales the next forecast, per urgency, and fades in seconds. A read that waits counts whole until its wait is over.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -4,7 +4,7 @@
  */
 import type { EngineTraits } from './configuration.js';
 import { type RequestDescription, sharedPart } from './description.js';
-import type { EngineLoad } from './engine-load.js';
+import type { EngineLoad, ExpectedRead, Urgency } from './engine-load.js';
 import type { PeerLoads } from './peer-load.js';
 import type { PrefixKnowledge } from './prefix-knowledge.js';
 import type { ReadSpeed } from './read-speed.js';
@@ -37,13 +37,16 @@
   readonly shortReadsPerMs: number;
   healthOf(id: string): ServerHealth;
   readonly peerLoads: PeerLoads;
+  /** How long prompts of an urgency wait, against what the work that is known says. */
+  waitFactor(urgency: Urgency): number;
+  /** What is left of the time in which an answer is in time. */
+  readonly inTimeMs: number;
   loadOf(id: string): EngineLoad;
 }
 
 /** Read at one engine, go on at another. */
 export interface PrefillStep {
   readonly server: ServerRecord;
-  readonly expectedMs: number;
   /** Tokens that are not kept there and have to be read. */
   readonly missingTokens: number;
   /** An engine that keeps more of the prompt, to take it from. */
@@ -52,9 +55,16 @@
 
 /** How a model request is to be run. */
 export type EnginePlan =
-  | { readonly kind: 'prefill'; readonly prefill: PrefillStep; readonly expectedMs: number }
+  | {
+      readonly kind: 'prefill';
+      readonly prefill: PrefillStep;
+      readonly read: ExpectedRead;
+      /** Until the first token. */
+      readonly expectedMs: number;
+    }
   | {
       readonly kind: 'direct';
+      readonly read: ExpectedRead;
       readonly server: ServerRecord;
       readonly fetchFrom: ServerRecord | undefined;
       readonly missingTokens: number;
@@ -64,24 +74,33 @@
 interface ReadEstimate {
   readonly server: ServerRecord;
   readonly costMs: number;
-  readonly readMs: number;
+  readonly read: ExpectedRead;
   readonly missingTokens: number;
   readonly fetchFrom: ServerRecord | undefined;
 }
 
-/** The best way to run a model request; undefined when no engine that generates is left. */
+/**
+ * The best way to run a model request; undefined when no engine that generates is left. What can be in
+ * time waits only for its like; what cannot goes after all others, wherever it waits least for all.
+ */
 export function planModelRequest(input: EngineChoiceInput): EnginePlan | undefined {
-  const direct = bestReader(input, 'decode');
-  const prefill = bestReader(input, 'prefill');
+  const plan = planAs('in-time', input);
+  if (plan === undefined || plan.expectedMs <= input.inTimeMs) return plan;
+  return planAs('late', input);
+}
+
+function planAs(urgency: Urgency, input: EngineChoiceInput): EnginePlan | undefined {
+  const direct = bestReader(input, 'decode', urgency);
+  const prefill = bestReader(input, 'prefill', urgency);
   if (direct === undefined) return undefined;
   const handOverMs = input.speed.handOverMs;
   if (prefill !== undefined && prefill.costMs + handOverMs < direct.costMs) {
     return {
       kind: 'prefill',
-      expectedMs: prefill.costMs + handOverMs,
+      read: prefill.read,
+      expectedMs: prefill.read.waitMs + prefill.read.readMs + handOverMs,
       prefill: {
         server: prefill.server,
-        expectedMs: prefill.readMs,
         missingTokens: prefill.missingTokens,
         fetchFrom: prefill.fetchFrom,
       },
@@ -92,7 +111,8 @@
     server: direct.server,
     fetchFrom: direct.fetchFrom,
     missingTokens: direct.missingTokens,
-    expectedMs: direct.costMs,
+    read: direct.read,
+    expectedMs: direct.read.waitMs + direct.read.readMs,
   };
 }
 
@@ -103,7 +123,7 @@
 ): ServerRecord | undefined {
   return lowest(enginesOf(input, 'decode'), (server) => {
     const moveCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
-    return moveCost + baseCost(server, input);
+    return moveCost + waitMs(server, 'in-time', input) + standingCost(server, input);
   });
 }
 
@@ -115,13 +135,14 @@
 function bestReader(
   input: EngineChoiceInput,
   stage: 'prefill' | 'decode',
+  urgency: Urgency,
 ): ReadEstimate | undefined {
   const servers = enginesOf(input, stage);
   const shared = sharedPart(input.description.promptParts);
   const home = shared === undefined ? undefined : homeOf(shared.id, servers);
   let best: ReadEstimate | undefined;
   for (const server of servers) {
-    const estimate = estimateRead(server, stage, input, server === home);
+    const estimate = estimateRead(server, stage, urgency, input, server === home);
     if (best === undefined || estimate.costMs < best.costMs) best = estimate;
   }
   return best;
@@ -130,6 +151,7 @@
 function estimateRead(
   server: ServerRecord,
   stage: 'prefill' | 'decode',
+  urgency: Urgency,
   input: EngineChoiceInput,
   isHome: boolean,
 ): ReadEstimate {
@@ -145,14 +167,15 @@
       ? input.speed.prefillMs.bind(input.speed)
       : input.speed.decodeMs.bind(input.speed);
   const readMs = pace(missingTokens) + fetchMs;
+  const read: ExpectedRead = { urgency, readMs, waitMs: waitMs(server, urgency, input) };
   const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, input) : 0;
   const bonusMs = isHome && kept === 0 ? HOME_SHARE * input.speed.prefillBusyMs(sharedTokens) : 0;
   return {
     server,
-    readMs,
+    read,
     missingTokens,
     fetchFrom: donor?.server,
-    costMs: baseCost(server, input) + readMs + delayMs - bonusMs,
+    costMs: read.waitMs + readMs + delayMs - bonusMs + standingCost(server, input),
   };
 }
 
@@ -197,14 +220,24 @@
   );
 }
 
-function baseCost(server: ServerRecord, input: EngineChoiceInput): number {
+/** How long a prompt waits at an engine for those that are read before it. */
+function waitMs(server: ServerRecord, urgency: Urgency, input: EngineChoiceInput): number {
+  const { nowMs, peerLoads } = input;
+  const load = input.loadOf(server.id);
+  const lateMs = urgency === 'late' ? load.pendingMs('late', nowMs) : 0;
+  const knownMs =
+    load.pendingMs('in-time', nowMs) + lateMs + peerLoads.waitMs(server.id, urgency, nowMs);
+  return knownMs * input.waitFactor(urgency) + load.excessMs(nowMs);
+}
+
+/** What speaks against an engine whatever the prompt: full slots, another zone, failures. */
+function standingCost(server: ServerRecord, input: EngineChoiceInput): number {
   const health = input.healthOf(server.id);
   const load = input.loadOf(server.id);
   const running = load.running + input.peerLoads.running(server.id, input.nowMs);
-  const peerWaitMs = input.peerLoads.waitMs(server.id, input.nowMs);
   // A run there takes a share of each step: the fuller its slots, the later the next token.
   const fullness = running / Math.max(1, server.slots);
-  let cost = load.expectedWaitMs(input.nowMs) + peerWaitMs + input.speed.handOverMs * fullness;
+  let cost = input.speed.handOverMs * fullness;
   if (server.zone !== input.zone) cost += OTHER_ZONE_COST_MS;
   cost += FAILURE_COST_MS * health.failureRate;
   if (health.isSuspect(input.nowMs)) cost += SUSPECT_COST_MS;
--- a/src/core/gateway/engine-load.ts
+++ b/src/core/gateway/engine-load.ts
@@ -1,18 +1,32 @@
 /**
- * What this daemon expects of one engine's time: the prompt tokens it has waiting there, and how
- * much longer than expected recent prompts took, which shows the work that other daemons sent.
+ * What this daemon expects of one engine's time: the prompts it has waiting there, and how much longer
+ * than expected recent prompts took, which shows the work that other daemons sent.
+ *
+ * Prompts that can still be in time go before those that cannot, so a prompt that is in time waits for
+ * its like only, and a late one for all.
  */
 
 /** How fast a belief about other daemons' work fades. */
 const EXCESS_HALF_LIFE_MS = 400;
 const EXCESS_WEIGHT = 0.5;
 const MOST_EXCESS_MS = 3_000;
+/** A read that takes longer than expected still takes this part of what was expected of it. */
+const LEAST_LEFT_SHARE = 0.25;
+
+/** Whether a request can still be answered within its target; engines take the others after these. */
+export type Urgency = 'in-time' | 'late';
+
+/** What is expected of a read when it is sent. */
+export interface ExpectedRead {
+  readonly urgency: Urgency;
+  /** The read itself. */
+  readonly readMs: number;
+  /** Before it is begun. */
+  readonly waitMs: number;
+}
 
 /** A prompt being read. */
-export interface PendingRead {
-  readonly expectedMs: number;
-  /** Expected before it is begun, for the work of others that is known. */
-  readonly expectedWaitMs: number;
+export interface PendingRead extends ExpectedRead {
   readonly startedAtMs: number;
 }
 
@@ -24,8 +38,8 @@
   /** Streams of this daemon that run there. */
   running = 0;
 
-  begin(expectedMs: number, nowMs: number, expectedWaitMs = 0): PendingRead {
-    const read: PendingRead = { expectedMs, expectedWaitMs, startedAtMs: nowMs };
+  begin(expected: ExpectedRead, nowMs: number): PendingRead {
+    const read: PendingRead = { ...expected, startedAtMs: nowMs };
     this.#pending.add(read);
     return read;
   }
@@ -33,8 +47,9 @@
   /** The prompt was read. */
   finish(read: PendingRead, nowMs: number): void {
     this.#pending.delete(read);
-    const observedMs = nowMs - read.startedAtMs - read.expectedMs - read.expectedWaitMs;
-    const currentMs = this.#excess(nowMs);
+    if (read.urgency === 'late') return;
+    const observedMs = nowMs - read.startedAtMs - read.readMs - read.waitMs;
+    const currentMs = this.excessMs(nowMs);
     const clippedMs = Math.min(MOST_EXCESS_MS, Math.max(0, observedMs));
     this.#excessMs = currentMs + EXCESS_WEIGHT * (clippedMs - currentMs);
     this.#excessAtMs = nowMs;
@@ -45,21 +60,19 @@
     this.#pending.delete(read);
   }
 
-  /** How long a new prompt waits before it is read, as far as this daemon knows by itself. */
-  expectedWaitMs(nowMs: number): number {
-    return this.ownPendingMs(nowMs) + this.#excess(nowMs);
-  }
-
-  /** What is left of the prompts that this daemon waits for. */
-  ownPendingMs(nowMs: number): number {
-    let ownMs = 0;
+  /** What is left of the prompts of one urgency that this daemon waits for. */
+  pendingMs(urgency: Urgency, nowMs: number): number {
+    let leftMs = 0;
     for (const read of this.#pending) {
-      ownMs += Math.max(0.25 * read.expectedMs, read.expectedMs - (nowMs - read.startedAtMs));
+      if (read.urgency !== urgency) continue;
+      const spentMs = Math.max(0, nowMs - read.startedAtMs - read.waitMs);
+      leftMs += Math.max(LEAST_LEFT_SHARE * read.readMs, read.readMs - spentMs);
     }
-    return ownMs;
+    return leftMs;
   }
 
-  #excess(nowMs: number): number {
+  /** The work of others, beyond what they tell. */
+  excessMs(nowMs: number): number {
     return this.#excessMs * 0.5 ** ((nowMs - this.#excessAtMs) / EXCESS_HALF_LIFE_MS);
   }
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -25,13 +25,14 @@
   type RequestDescription,
   sharedPart,
 } from './description.js';
-export { EngineLoad, type PendingRead } from './engine-load.js';
+export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
 export {
   explainRequest,
   type LogLine,
   mayExplain,
   type RequestExplanation,
 } from './explain-request.js';
+export { ForecastScale } from './forecast-scale.js';
 export {
   type EngineWork,
   type LoadReport,
@@ -46,7 +47,7 @@
   type StagePlanInput,
 } from './plan-stages.js';
 export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
-export { readPriority } from './read-priority.js';
+export { type ReadPriorityInput, readPriority } from './read-priority.js';
 export { ReadSpeed } from './read-speed.js';
 export { RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
 export { RouteTable, TrafficSplitter } from './route-table.js';
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -3,6 +3,7 @@
  * message is made good by the next; what is not renewed fades and is dropped.
  */
 
+import type { Urgency } from './engine-load.js';
 import type { ReadNotice } from './prefix-knowledge.js';
 
 /** A daemon that has told nothing for this long counts as having nothing. */
@@ -13,8 +14,10 @@
 /** One daemon's work at one engine. */
 export interface EngineWork {
   readonly engineId: string;
-  /** Expected time of the prompts it waits for. */
+  /** Expected time of the prompts it waits for that can be in time. */
   readonly pendingMs: number;
+  /** Expected time of those that will be late, which are read after all others. */
+  readonly lateMs: number;
   /** Its streams that run there. */
   readonly running: number;
 }
@@ -95,10 +98,11 @@
   }
 
   /** How long a new prompt waits for those of other daemons. */
-  waitMs(engineId: string, nowMs: number): number {
+  waitMs(engineId: string, urgency: Urgency, nowMs: number): number {
     let totalMs = 0;
     for (const { work, atMs } of this.#workAt(engineId, nowMs)) {
-      totalMs += Math.max(0, work.pendingMs - (nowMs - atMs));
+      const left = workLeft(work, nowMs - atMs);
+      totalMs += urgency === 'in-time' ? left.pendingMs : left.pendingMs + left.lateMs;
     }
     return totalMs;
   }
@@ -115,8 +119,7 @@
     const totals = new Map<string, EngineWork>();
     for (const { byEngine, atMs } of this.#recent(nowMs)) {
       for (const work of byEngine.values()) {
-        const pendingMs = Math.max(0, work.pendingMs - (nowMs - atMs));
-        addWork(totals, { ...work, pendingMs });
+        addWork(totals, workLeft(work, nowMs - atMs));
       }
     }
     for (const work of ownWork) addWork(totals, work);
@@ -150,12 +153,20 @@
   }
 }
 
+/** What is left of work after a time in which the engine worked at it, late prompts last. */
+function workLeft(work: EngineWork, elapsedMs: number): EngineWork {
+  const pendingMs = Math.max(0, work.pendingMs - elapsedMs);
+  const spareMs = Math.max(0, elapsedMs - work.pendingMs);
+  return { ...work, pendingMs, lateMs: Math.max(0, work.lateMs - spareMs) };
+}
+
 /** Adds one entry to sums by engine. */
 function addWork(totals: Map<string, EngineWork>, work: EngineWork): void {
   const known = totals.get(work.engineId);
   totals.set(work.engineId, {
     engineId: work.engineId,
     pendingMs: work.pendingMs + (known?.pendingMs ?? 0),
+    lateMs: work.lateMs + (known?.lateMs ?? 0),
     running: work.running + (known?.running ?? 0),
   });
 }
@@ -165,6 +176,7 @@
   return {
     engineId: total.engineId,
     pendingMs: Math.max(0, total.pendingMs - own.pendingMs),
+    lateMs: Math.max(0, total.lateMs - own.lateMs),
     running: Math.max(0, total.running - own.running),
   };
 }
--- a/src/core/gateway/read-priority.ts
+++ b/src/core/gateway/read-priority.ts
@@ -1,24 +1,33 @@
 /**
- * The priority of a prompt at an engine: the route's rank decides, and within a rank a prompt that is
- * soon read goes before one that takes long, so that one long prompt does not make many late.
+ * The priority of a prompt at an engine. Prompts that can be in time go first: those that are read in no
+ * time at all before the others, which they hardly delay, then by the route's rank. What will be late in
+ * any case goes after all of them, so that it makes nothing else late.
  */
+import type { Urgency } from './engine-load.js';
 
 const LEAST_URGENT = 9;
-/** Steps of priority that a rank is spread over. */
-const STEPS_OF_RANK = 3;
-/** Shares of the target latency that part the steps. */
-const SOON_SHARE = 0.35;
-const IN_TIME_SHARE = 0.9;
+const FIRST_IN_TIME = 1;
+const LAST_IN_TIME = 4;
+const FIRST_LATE = 5;
+/** A read that takes up at most this part of the target hardly delays others. */
+const SMALL_SHARE = 0.1;
 
-/**
- * @param rank the route's priority, 0 the most urgent
- * @param shareOfTarget the expected time against the target latency
- */
-export function readPriority(rank: number, shareOfTarget: number): number {
-  return Math.min(LEAST_URGENT, rank * STEPS_OF_RANK + stepOf(shareOfTarget));
+/** What a priority is made from. */
+export interface ReadPriorityInput {
+  /** The route's priority, 0 the most urgent. */
+  readonly rank: number;
+  readonly urgency: Urgency;
+  /** The read itself, against the target latency. */
+  readonly readShareOfTarget: number;
 }
 
-function stepOf(shareOfTarget: number): number {
-  if (shareOfTarget <= SOON_SHARE) return 0;
-  return shareOfTarget <= IN_TIME_SHARE ? 1 : 2;
+/** 0 is the most urgent. */
+export function readPriority({ rank, urgency, readShareOfTarget }: ReadPriorityInput): number {
+  switch (urgency) {
+    case 'late':
+      return Math.min(LEAST_URGENT, FIRST_LATE + rank);
+    case 'in-time':
+      if (readShareOfTarget <= SMALL_SHARE) return 0;
+      return Math.min(LAST_IN_TIME, FIRST_IN_TIME + rank);
+  }
 }
--- a/src/core/gateway/sums-to-tell.ts
+++ b/src/core/gateway/sums-to-tell.ts
@@ -16,6 +16,7 @@
 }
 
 interface ToldWork {
+  readonly inTimeEndMs: number;
   readonly endMs: number;
   readonly running: number;
 }
@@ -33,8 +34,9 @@
       this.#lastWholeMs = nowMs;
       this.#told.clear();
     }
-    for (const { engineId, pendingMs, running } of work) {
-      this.#told.set(engineId, { endMs: nowMs + pendingMs, running });
+    for (const { engineId, pendingMs, lateMs, running } of work) {
+      const inTimeEndMs = nowMs + pendingMs;
+      this.#told.set(engineId, { inTimeEndMs, endMs: inTimeEndMs + lateMs, running });
     }
     return { isWhole, work };
   }
@@ -44,7 +46,7 @@
     const changed = totals.filter((work) => !isAsTold(work, this.#told.get(work.engineId), nowMs));
     const present = new Set(totals.map(({ engineId }) => engineId));
     for (const [engineId, told] of this.#told) {
-      const none = { engineId, pendingMs: 0, running: 0 };
+      const none = { engineId, pendingMs: 0, lateMs: 0, running: 0 };
       if (!present.has(engineId) && !isAsTold(none, told, nowMs)) changed.push(none);
     }
     return changed;
@@ -53,7 +55,15 @@
 
 function isAsTold(work: EngineWork, told: ToldWork | undefined, nowMs: number): boolean {
   if (told === undefined) return false;
-  const endMs = nowMs + work.pendingMs;
-  const isOver = work.pendingMs === 0 && told.endMs <= nowMs;
-  return told.running === work.running && (isOver || Math.abs(endMs - told.endMs) <= SAME_END_MS);
+  const inTimeEndMs = nowMs + work.pendingMs;
+  const isSame =
+    isSameEnd(inTimeEndMs, told.inTimeEndMs, nowMs) &&
+    isSameEnd(inTimeEndMs + work.lateMs, told.endMs, nowMs);
+  return told.running === work.running && isSame;
+}
+
+/** Ends that have passed are all the same. */
+function isSameEnd(endMs: number, toldEndMs: number, nowMs: number): boolean {
+  const isOver = endMs <= nowMs && toldEndMs <= nowMs;
+  return isOver || Math.abs(endMs - toldEndMs) <= SAME_END_MS;
 }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -6,6 +6,7 @@
   type DirectoryChange,
   EngineLoad,
   type EngineWork,
+  ForecastScale,
   type GatewayConfiguration,
   type LoadReport,
   PeerLoads,
@@ -21,6 +22,7 @@
   type StageNeed,
   StageNotices,
   TrafficSplitter,
+  type Urgency,
 } from '../../core/gateway/index.js';
 import type { EngineNews } from './peer-messages.js';
 
@@ -48,6 +50,7 @@
   readonly #health = new Map<string, ServerHealth>();
   readonly #loads = new Map<string, EngineLoad>();
   readonly #speeds = new Map<string, ReadSpeed>();
+  readonly #waitScales = new Map<string, ForecastScale>();
   readonly #demands = new Map<string, StageDemand>();
   readonly #budgets = new Map<string, RetryBudget>();
   #inForce: ConfigurationInForce | undefined;
@@ -103,13 +106,22 @@
     return entryOf(this.#loads, serverId, () => new EngineLoad());
   }
 
+  /** What an engine has under way from all daemons; only good to compare engines. */
+  busyOf(engineId: string, nowMs: number): number {
+    const load = this.loadOf(engineId);
+    const ownMs = load.pendingMs('in-time', nowMs) + load.pendingMs('late', nowMs);
+    const running = load.running + this.peerLoads.running(engineId, nowMs);
+    return running + ownMs + this.peerLoads.waitMs(engineId, 'late', nowMs);
+  }
+
   /** This daemon's work at engines, for its peers. */
   ownWork(nowMs: number): LoadReport['work'] {
     const work: EngineWork[] = [];
     for (const [engineId, load] of this.#loads) {
-      const pendingMs = load.ownPendingMs(nowMs);
-      if (pendingMs > 0 || load.running > 0) {
-        work.push({ engineId, pendingMs, running: load.running });
+      const pendingMs = load.pendingMs('in-time', nowMs);
+      const lateMs = load.pendingMs('late', nowMs);
+      if (pendingMs > 0 || lateMs > 0 || load.running > 0) {
+        work.push({ engineId, pendingMs, lateMs, running: load.running });
       }
     }
     return work;
@@ -129,6 +141,11 @@
     return entryOf(this.#speeds, service, () => new ReadSpeed());
   }
 
+  /** How long prompts of an urgency wait, against what the work that is known says. */
+  waitScaleOf(service: string, urgency: Urgency): ForecastScale {
+    return entryOf(this.#waitScales, `${urgency} ${service}`, () => new ForecastScale());
+  }
+
   demandOf(service: string): StageDemand {
     return entryOf(this.#demands, service, () => new StageDemand(DEMAND_SPAN_MS));
   }
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -17,7 +17,8 @@
 
 /** Engine, part, its tokens, and the milliseconds until it is read. */
 const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
-const workSchema = z.array(z.tuple([z.string(), z.number(), z.number()]));
+/** Engine, milliseconds of prompts in time, streams that run, milliseconds of late prompts. */
+const workSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]));
 const reportSchema = z.tuple([
   z.literal(KINDS.report),
   z.string(),
@@ -121,11 +122,21 @@
 }
 
 function encodeWork(work: readonly EngineWork[]): unknown[] {
-  return work.map(({ engineId, pendingMs, running }) => [engineId, Math.round(pendingMs), running]);
+  return work.map(({ engineId, pendingMs, running, lateMs }) => [
+    engineId,
+    Math.round(pendingMs),
+    running,
+    Math.round(lateMs),
+  ]);
 }
 
-function decodeWork(work: readonly (readonly [string, number, number])[]): EngineWork[] {
-  return work.map(([engineId, pendingMs, running]) => ({ engineId, pendingMs, running }));
+function decodeWork(work: readonly (readonly [string, number, number, number])[]): EngineWork[] {
+  return work.map(([engineId, pendingMs, running, lateMs]) => ({
+    engineId,
+    pendingMs,
+    running,
+    lateMs,
+  }));
 }
 
 function encodeReads(reads: readonly ReadNotice[]): unknown[] {
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -27,17 +27,18 @@
   plan: PrefillPlan,
   priority: number,
 ): Promise<MemorySource | undefined> {
-  const { server, expectedMs, missingTokens } = plan.prefill;
+  const { server, missingTokens } = plan.prefill;
   const { timers, description, service } = exchange.options;
+  const { readMs, waitMs, urgency } = plan.read;
   const { fleet, noteLoadChange } = context;
   const load = fleet.loadOf(server.id);
   const startedAtMs = timers.nowMs();
-  const ownWaitMs = load.expectedWaitMs(startedAtMs);
-  const read = load.begin(expectedMs, startedAtMs, fleet.peerLoads.waitMs(server.id, startedAtMs));
+  const read = load.begin(plan.read, startedAtMs);
   noteLoadChange();
   noteSharedRead(exchange, context, plan);
   const speed = fleet.speedOf(service);
-  const patienceMs = speed.isLearnt
+  const isForecast = speed.isLearnt && urgency === 'in-time';
+  const patienceMs = isForecast
     ? PATIENCE_MS + PATIENCE_FACTOR * plan.expectedMs
     : exchange.remainingMs();
   let isGivenUp = false;
@@ -50,27 +51,45 @@
   const nowMs = timers.nowMs();
   if (memory === undefined) {
     load.abandon(read);
+    noteWait(exchange, context, plan, nowMs - startedAtMs);
     const wasSilent = isGivenUp && !exchange.signal.aborted;
     if (wasSilent) fleet.healthOf(server.id).recordBroken(nowMs);
     return undefined;
   }
   load.finish(read, nowMs);
   exchange.stepTimesMs.prefillMs = nowMs - startedAtMs;
-  const wasFree = read.expectedWaitMs + ownWaitMs <= FREE_WAIT_SHARE * expectedMs;
-  if (wasFree || !speed.isLearnt) speed.learnPrefill(missingTokens, nowMs - startedAtMs);
+  const elapsedMs = nowMs - startedAtMs;
+  const wasFree = waitMs <= FREE_WAIT_SHARE * readMs;
+  if (wasFree || !speed.isLearnt) speed.learnPrefill(missingTokens, elapsedMs);
+  else noteWait(exchange, context, plan, elapsedMs);
   fleet.knowledge.assume(server.id, description.promptParts, nowMs);
   return memory;
 }
 
+/** Learns how forecasts of waiting come out; a read that was given up waited at least so long. */
+function noteWait(
+  exchange: Exchange,
+  { fleet }: AttemptContext,
+  { read, prefill }: PrefillPlan,
+  elapsedMs: number,
+): void {
+  const { service, timers } = exchange.options;
+  const nowMs = timers.nowMs();
+  const excessMs = fleet.loadOf(prefill.server.id).excessMs(nowMs);
+  const scale = fleet.waitScaleOf(service, read.urgency);
+  const knownMs = (read.waitMs - excessMs) / scale.factor(nowMs);
+  scale.add(knownMs, Math.max(1, elapsedMs - read.readMs), nowMs);
+}
+
 /** Tells of a shared part that is not there yet, so that the next request for it follows. */
 function noteSharedRead(exchange: Exchange, context: AttemptContext, plan: PrefillPlan): void {
-  const { server, expectedMs, missingTokens } = plan.prefill;
+  const { server, missingTokens } = plan.prefill;
   const { description, timers } = exchange.options;
   const part = sharedPart(description.promptParts);
   if (part === undefined || part.tokens < LEAST_TOLD_TOKENS) return;
   const ownTokens = description.promptTokens - part.tokens;
   if (missingTokens <= ownTokens && plan.prefill.fetchFrom === undefined) return;
-  const read = { engineId: server.id, part, readyInMs: Math.max(expectedMs, plan.expectedMs) };
+  const read = { engineId: server.id, part, readyInMs: plan.expectedMs };
   context.fleet.knowledge.expect(read, timers.nowMs());
   context.noteRead(read);
 }
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -128,7 +128,7 @@
       const change = planStageChange({
         engines: fleet.expectedServers(service.name, nowMs),
         need: fleet.stageNeedOf(service.name, nowMs),
-        busyOf: (id) => fleet.loadOf(id).running + fleet.loadOf(id).expectedWaitMs(nowMs),
+        busyOf: (id) => fleet.busyOf(id, nowMs),
       });
       if (change !== undefined && this.#isPaidFor(change, service.engine, nowMs)) return change;
     }
