In a large fleet follow the store by the relay of each zone, and pass server changes on by datagrams

Ruled out: longer holds (a change wakes the call all the same); passing configurations on (too large for a datagram, few, and to be had from the store at once). Change: the relay of a zone tells its zone how far it has seen each table change and how old its look is (each 400 ms, at once on a change), and passes changed servers on with the revisions that they join. While that word is fresh the others call the store only for what is said to have changed; when it stays out, is old, or after a disturbance of their own, each follows by itself as before. Revisions never go back, rows are taken only where they join and while no own call is under way. One watcher of an engine's news in each zone (was up to six), heartbeats within the zone (relays are known by their own word), changes to relays gathered for 90 ms (a daemon's byte budget was overrun), fewer scans of the list of daemons.

--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -1,8 +1,8 @@
 /**
  * The daemons that this one knows, which of them are heard, and what each does for the others. A small
  * fleet needs no parts: everyone tells and asks everyone. In a large one, each zone has a daemon that
- * sums up what the zone is told (the relay), and each engine a few daemons in each zone that ask it
- * for its cache news (the watchers), of whom the first passes it on in its zone.
+ * sums up what the zone is told and follows the store's tables for it (the relay), and each engine a
+ * daemon in each zone that asks it for its cache news (the watcher) and passes it on in its zone.
  *
  * Parts are given by rendezvous hashing over the daemons that are heard. Two daemons may differ on
  * that for a while; what they tell is then told twice or not at all, which costs choices their
@@ -19,8 +19,8 @@
 /** A relay tells its zone at least this often. */
 export const RELAY_REFRESH_MS = 1_000;
 const RELAY_SILENT_MS = 1_600;
-/** Part of an engine's news calls that is used; the rest is for daemons that differ on the parts. */
-const NEWS_CALLS_SHARE = 0.75;
+/** What the relay of another zone said of itself holds for so long. */
+const OTHER_RELAY_VALID_MS = 5_000;
 
 /** Another daemon. */
 export interface PeerDaemon {
@@ -41,6 +41,11 @@
   heardMs: number;
 }
 
+interface HeardRelay {
+  readonly name: string;
+  readonly heardMs: number;
+}
+
 /** The known daemons and their parts. */
 export class PeerRoster {
   readonly #self: OwnPlace;
@@ -48,6 +53,8 @@
   #hasList = false;
   /** Undefined until a relay is waited for. */
   #relayHeardMs: number | undefined;
+  /** The relays of other zones, as they said themselves. */
+  readonly #otherRelays = new Map<string, HeardRelay>();
   /** Relays of the own zone that fell silent and were not heard since. */
   readonly #silentRelays = new Set<string>();
 
@@ -93,8 +100,13 @@
     if (known !== undefined) known.heardMs = nowMs;
   }
 
-  /** The relay of the own zone told its sums. */
-  heardRelay(name: string, nowMs: number): void {
+  /** The relay of a zone told something. */
+  heardRelay(name: string, zone: string, nowMs: number): void {
+    this.heard(name, nowMs);
+    if (zone !== this.#self.zone) {
+      this.#otherRelays.set(zone, { name, heardMs: nowMs });
+      return;
+    }
     this.#relayHeardMs = nowMs;
     this.#silentRelays.delete(name);
   }
@@ -139,15 +151,12 @@
   #watchersOf(engineId: string, maxNewsCalls: number, nowMs: number): readonly string[] {
     const inZone = this.#liveNames(this.#self.zone, nowMs);
     const ranked = rankByRendezvous(engineId, inZone);
-    if (this.daemonCount <= maxNewsCalls) return ranked;
-    const zones = new Set(this.everyone().map(({ zone }) => zone)).add(this.#self.zone).size;
-    const callsOfZone = Math.floor((maxNewsCalls * NEWS_CALLS_SHARE) / zones);
-    return ranked.slice(0, Math.max(1, callsOfZone));
+    return this.daemonCount <= maxNewsCalls ? ranked : ranked.slice(0, 1);
   }
 
   #relayOf(zone: string, nowMs: number): string | undefined {
+    if (zone !== this.#self.zone) return this.#relayOfOther(zone, nowMs);
     const ranked = rankByRendezvous(`relay of ${zone}`, this.#liveNames(zone, nowMs));
-    if (zone !== this.#self.zone) return ranked[0];
     const relay = ranked.find((name) => !this.#silentRelays.has(name));
     if (relay === undefined || relay === this.#self.name) return relay;
     this.#relayHeardMs ??= nowMs;
@@ -158,6 +167,17 @@
     return ranked.find((name) => !this.#silentRelays.has(name));
   }
 
+  /** Daemons of other zones are not heard one by one: their relay says that it is. */
+  #relayOfOther(zone: string, nowMs: number): string | undefined {
+    const heard = this.#otherRelays.get(zone);
+    if (heard !== undefined && nowMs - heard.heardMs <= OTHER_RELAY_VALID_MS) return heard.name;
+    const listed = this.everyone().filter((daemon) => daemon.zone === zone);
+    return rankByRendezvous(
+      `relay of ${zone}`,
+      listed.map(({ name }) => name),
+    )[0];
+  }
+
   #liveNames(zone: string, nowMs: number): readonly string[] {
     const silentMs = this.heartbeatMs * SILENT_HEARTBEATS;
     const live = [...this.#known.values()].filter(
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -8,7 +8,8 @@
 import type { FleetView } from './fleet-view.js';
 import type { PlatformAdapter, WatchedRow } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { TableWatcher } from './table-watcher.js';
+import { type TableChanges, TableWatcher } from './table-watcher.js';
+import type { TableWord, TableWordMessage } from './table-word.js';
 import type { TimerService } from './timer-service.js';
 
 /**
@@ -18,7 +19,10 @@
 const GATHER_SERVERS_MS = 400;
 
 /** A watch, whatever its table holds. */
-type Watch = Pick<TableWatcher<never>, 'run' | 'stop' | 'callsTotal' | 'lastAnswerMs'>;
+type Watch = Pick<
+  TableWatcher<never>,
+  'run' | 'stop' | 'callsTotal' | 'lastAnswerMs' | 'changedRevision'
+>;
 
 type ServerEvent = (typeof GATEWAY_EVENTS)['serverAdded' | 'serverChanged' | 'serverRemoved'];
 
@@ -28,7 +32,11 @@
   readonly fleet: FleetView;
   readonly cacheNews: CacheNewsWatchers;
   /** How long one call to the store is held. */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
+  /** Changes of servers that came from the store itself. */
+  readonly passOnServers: (changes: TableChanges<ServerRecord>) => void;
+  /** The word of the zone's relay on the tables. */
+  readonly word: TableWord;
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly applyLimits: (limits: CallerLimits) => void;
@@ -38,10 +46,12 @@
 export class FleetFollower {
   readonly #options: FleetFollowerOptions;
   readonly #watches: readonly Watch[];
+  readonly #configurations: Watch;
+  readonly #servers: TableWatcher<ServerRecord>;
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
-    const { adapter, waitMs, timers, log } = options;
+    const { adapter, waitMs, timers, log, word } = options;
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
@@ -50,6 +60,7 @@
       },
       waitMs,
       gatherMs: 0,
+      word: { table: 'configurations', from: word },
       timers,
       log,
     });
@@ -58,12 +69,16 @@
       consumer: {
         takeAll: (rows) => this.#takeServers(rows, true),
         takeChanges: (rows) => this.#takeServers(rows, false),
+        passOn: (changes) => options.passOnServers(changes),
       },
       waitMs,
       gatherMs: GATHER_SERVERS_MS,
+      word: { table: 'servers', from: word },
       timers,
       log,
     });
+    this.#configurations = configurations;
+    this.#servers = servers;
     this.#watches = [configurations, servers];
   }
 
@@ -85,6 +100,20 @@
     return Math.max(...this.#watches.map((watch) => nowMs - watch.lastAnswerMs));
   }
 
+  /** Changes of servers that a relay had from the store. */
+  takeServerChanges(changes: TableChanges<ServerRecord>): void {
+    this.#servers.offer(changes);
+  }
+
+  /** What a relay tells its zone of the tables. */
+  wordToTell(nowMs: number): TableWordMessage {
+    return {
+      configurations: this.#configurations.changedRevision,
+      servers: this.#servers.changedRevision,
+      ageMs: Math.round(this.silentMs(nowMs)),
+    };
+  }
+
   #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): void {
     for (const row of rows) {
       switch (row.kind) {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import { RosterNewsDuty } from './roster-news-duty.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
+import { TableWord } from './table-word.js';
 import { delay, type TimerService } from './timer-service.js';
 
 /**
@@ -27,6 +28,9 @@
  * before the daemon counts as in touch again, so it is held for a part of that time.
  */
 const WATCH_SHARE_OF_CONTACT = 0.75;
+/** Others rely on a relay's look at the store for so long; it looks more often. */
+const RELAY_WATCH_SHARE_OF_CONTACT = 0.25;
+const WORD_AGE_SHARE_OF_CONTACT = 0.45;
 /** The platform looks twice, a second apart, before it sends no more connections. */
 const LOOK_AWAY_MS = 2_600;
 /** Kept between the end of running requests and the end of the grace period. */
@@ -69,6 +73,8 @@
   readonly #stages: StageController;
   /** Absent where the settings name no address for it. */
   readonly #peers: PeerExchange | undefined;
+  readonly #word: TableWord;
+  #watchShare = WATCH_SHARE_OF_CONTACT;
   #isStopping = false;
 
   constructor(options: GatewayOptions) {
@@ -79,6 +85,7 @@
       slack: settings.retryBudget.slack,
     });
     this.#roster = new PeerRoster({ name: settings.name, zone: settings.zone });
+    this.#word = new TableWord(timers, settings.bounds.contactMs * WORD_AGE_SHARE_OF_CONTACT);
     this.#connections = new BackendConnections(timers);
     const context: AttemptContext = {
       fleet: this.#fleet,
@@ -102,7 +109,9 @@
       adapter,
       fleet: this.#fleet,
       cacheNews: this.#cacheNews,
-      waitMs: settings.bounds.contactMs * WATCH_SHARE_OF_CONTACT,
+      waitMs: () => settings.bounds.contactMs * this.#watchShare,
+      word: this.#word,
+      passOnServers: (changes) => this.#peers?.passOnServers(changes),
       timers,
       log,
       applyLimits: (limits) => this.#callers.applyLimits(limits),
@@ -203,6 +212,10 @@
       roster: this.#roster,
       log,
       takeRead: (read) => this.#fleet.knowledge.expect(read, timers.nowMs()),
+      noteRelay: (isRelay) => this.#noteRelay(isRelay),
+      tableWord: () => this.#follower.wordToTell(timers.nowMs()),
+      takeServers: (changes) => this.#follower.takeServerChanges(changes),
+      takeTables: (word) => this.#word.take(word),
       takeStage: (notice) => this.#fleet.stageNotices.take(notice, timers.nowMs()),
       takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
@@ -212,6 +225,11 @@
     });
   }
 
+  #noteRelay(isRelay: boolean): void {
+    this.#watchShare = isRelay ? RELAY_WATCH_SHARE_OF_CONTACT : WATCH_SHARE_OF_CONTACT;
+    if (isRelay) this.#word.drop();
+  }
+
   #addGauges(): void {
     const { timers, log } = this.#options;
     const version = () => this.#fleet.inForce?.configuration.version ?? 0;
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -13,6 +13,7 @@
 const TABLE_TIMEOUT_MS = 1_500;
 const FIRST_SCAN_GAP_MS = 1_000;
 const LONGEST_SCAN_GAP_MS = 20_000;
+const SCAN_GAP_GROWTH = 4;
 
 const rowSchema = z.object({
   host: z.string(),
@@ -49,7 +50,7 @@
       if (!this.#isAnnounced) await this.#announce(port);
       await this.#scan();
       await delay(this.#options.timers, gapMs, this.#stopped.signal);
-      gapMs = Math.min(LONGEST_SCAN_GAP_MS, gapMs * 2);
+      gapMs = Math.min(LONGEST_SCAN_GAP_MS, gapMs * SCAN_GAP_GROWTH);
     }
   }
 
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -13,6 +13,7 @@
   type PeerLoads,
   type PeerRoster,
   type ReadNotice,
+  type ServerRecord,
   type StageNotice,
   SumsToTell,
 } from '../../core/gateway/index.js';
@@ -22,10 +23,16 @@
 import { decodePeerMessage, type EngineNews, encodePeerMessage } from './peer-messages.js';
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
+import type { TableChanges } from './table-watcher.js';
+import type { TableWordMessage } from './table-word.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
-/** Changes within this time go in one message. */
+/** Changes within this time go in one message; longer where a relay sums them up. */
 const COALESCE_MS = 12;
+const COALESCE_FOR_RELAY_MS = 90;
+/** A relay tells its zone how far the store's tables have changed, other zones each third time. */
+const TABLES_GAP_MS = 400;
+const TABLES_TO_OTHERS = 3;
 /** A relay tells its zone what has changed this often. */
 const RELAY_GAP_MS = 60;
 /** Others look this often whether they are the relay now. */
@@ -34,6 +41,7 @@
 const NEWS_GAP_MS = 250;
 /** Entries of a message, so that it stays within one packet. */
 const MOST_ENTRIES = 40;
+const MOST_ROWS = 12;
 /** Heartbeats are spread over time, some peers at each step. */
 const HEARTBEAT_STEP_MS = 240;
 const DATAGRAM_OVERHEAD_BYTES = 28;
@@ -65,6 +73,14 @@
   readonly noteDaemonCount: (daemons: number) => void;
   /** A read that another daemon told of. */
   readonly takeRead: (read: ReadNotice) => void;
+  /** Told when this daemon becomes its zone's relay, or no longer is. */
+  readonly noteRelay: (isRelay: boolean) => void;
+  /** What this daemon has seen of the store's tables. */
+  readonly tableWord: () => TableWordMessage;
+  /** What the zone's relay has seen of them. */
+  readonly takeTables: (word: TableWordMessage) => void;
+  /** Changes of servers that the zone's relay had from the store. */
+  readonly takeServers: (changes: TableChanges<ServerRecord>) => void;
   /** An engine that another daemon ordered to change its stage. */
   readonly takeStage: (notice: StageNotice) => void;
   /** Cache news that another daemon passed on. */
@@ -89,6 +105,9 @@
   #cancelRelay: CancelTimer | undefined;
   #cancelNews: CancelTimer | undefined;
   #isRelay = false;
+  #toldWord: TableWordMessage | undefined;
+  #tablesToldMs = Number.NEGATIVE_INFINITY;
+  #tablesTold = 0;
   #isStopped = false;
 
   constructor(options: PeerExchangeOptions) {
@@ -127,7 +146,8 @@
   noteChange(): void {
     if (this.#cancelFlush !== undefined || this.#isStopped) return;
     const { timers, roster } = this.#options;
-    this.#cancelFlush = timers.after(COALESCE_MS, () => {
+    const gapMs = roster.isLarge ? COALESCE_FOR_RELAY_MS : COALESCE_MS;
+    this.#cancelFlush = timers.after(gapMs, () => {
       this.#cancelFlush = undefined;
       this.#tellOwnWork(roster.toldOfChanges(timers.nowMs()), this.#takeOwnReads());
     });
@@ -146,6 +166,14 @@
     this.noteChange();
   }
 
+  /** As the relay of its zone, passes on what it had from the store, where that fits one message. */
+  passOnServers(changes: TableChanges<ServerRecord>): void {
+    const { zone, roster } = this.#options;
+    const isWhole = changes.rows.every(({ kind }) => kind !== 'malformed');
+    if (!this.#isRelay || this.#isStopped || !isWhole || changes.rows.length > MOST_ROWS) return;
+    this.#sendTo(roster.zonePeers(), encodePeerMessage({ kind: 'servers', zone, changes }));
+  }
+
   /** Tells everyone of an engine that changes its stage. */
   tellStage(notice: StageNotice): void {
     if (this.#isStopped) return;
@@ -177,11 +205,11 @@
 
   #nextHeartbeats(): readonly PeerDaemon[] {
     const { roster } = this.#options;
-    const everyone = roster.everyone();
-    const count = Math.ceil((everyone.length * HEARTBEAT_STEP_MS) / roster.heartbeatMs);
-    const first = this.#heartbeatsSent % Math.max(1, everyone.length);
+    const peers = roster.zonePeers();
+    const count = Math.ceil((peers.length * HEARTBEAT_STEP_MS) / roster.heartbeatMs);
+    const first = this.#heartbeatsSent % Math.max(1, peers.length);
     this.#heartbeatsSent = first + count;
-    return [...everyone, ...everyone].slice(first, first + count);
+    return [...peers, ...peers].slice(first, first + count);
   }
 
   #tellOwnWork(peers: readonly PeerDaemon[], reads: readonly ReadNotice[]): void {
@@ -197,7 +225,10 @@
     const { timers, roster } = this.#options;
     this.#cancelRelay = timers.after(this.#isRelay ? RELAY_GAP_MS : ROLE_CHECK_MS, () => {
       this.#noteRole(roster.isRelay(timers.nowMs()));
-      if (this.#isRelay) this.#tellSums();
+      if (this.#isRelay) {
+        this.#tellSums();
+        this.#tellTables();
+      }
       this.#relay();
     });
   }
@@ -205,10 +236,30 @@
   #noteRole(isRelay: boolean): void {
     if (this.#isRelay === isRelay) return;
     this.#isRelay = isRelay;
+    this.#options.noteRelay(isRelay);
     const { zone, log, roster } = this.#options;
     log.write(GATEWAY_EVENTS.roleInFleet, { zone, isRelay, daemons: roster.daemonCount });
   }
 
+  /** At once when a table has changed, and now and then as a sign of life. */
+  #tellTables(): void {
+    const { daemon, zone, roster, timers, tableWord } = this.#options;
+    const nowMs = timers.nowMs();
+    const word = tableWord();
+    const told = this.#toldWord;
+    const isNew =
+      told === undefined ||
+      word.configurations > told.configurations ||
+      word.servers > told.servers;
+    if (!isNew && nowMs - this.#tablesToldMs < TABLES_GAP_MS) return;
+    this.#toldWord = word;
+    this.#tablesToldMs = nowMs;
+    this.#tablesTold += 1;
+    const isForAll = this.#tablesTold % TABLES_TO_OTHERS === 0;
+    const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, word });
+    this.#sendTo(isForAll ? roster.everyone() : roster.zonePeers(), bytes);
+  }
+
   #tellSums(): void {
     const { daemon, incarnation, timers, roster, loads, ownWork } = this.#options;
     const nowMs = timers.nowMs();
@@ -251,7 +302,8 @@
   }
 
   #receive(bytes: Buffer): void {
-    const { daemon, roster, loads, timers, ownWork, takeNews, takeStage } = this.#options;
+    const { daemon, zone, roster, loads, timers, ownWork } = this.#options;
+    const { takeNews, takeStage, takeTables, takeServers } = this.#options;
     const message = decodePeerMessage(bytes);
     const nowMs = timers.nowMs();
     switch (message?.kind) {
@@ -266,10 +318,18 @@
         return;
       case 'sums':
         if (message.sums.relay === daemon) return;
-        roster.heardRelay(message.sums.relay, nowMs);
+        roster.heardRelay(message.sums.relay, zone, nowMs);
         this.#takeReads(message.sums.reads);
         if (!roster.isRelay(nowMs)) loads.takeSums(message.sums, ownWork(), nowMs);
         return;
+      case 'tables':
+        if (message.relay === daemon) return;
+        roster.heardRelay(message.relay, message.zone, nowMs);
+        if (message.zone === zone && !this.#isRelay) takeTables(message.word);
+        return;
+      case 'servers':
+        if (message.zone === zone && !this.#isRelay) takeServers(message.changes);
+        return;
       case 'stage':
         takeStage(message.notice);
         return;
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -9,11 +9,14 @@
   LoadReport,
   LoadSums,
   ReadNotice,
+  ServerRecord,
   StageNotice,
 } from '../../core/gateway/index.js';
-import type { CacheEvent } from './ports.js';
+import type { CacheEvent, WatchedRow } from './ports.js';
+import type { TableChanges } from './table-watcher.js';
+import type { TableWordMessage } from './table-word.js';
 
-const KINDS = { report: 1, sums: 2, news: 3, stage: 4 } as const;
+const KINDS = { report: 1, sums: 2, news: 3, stage: 4, tables: 5, servers: 6 } as const;
 
 /** Engine, part, its tokens, and the milliseconds until it is read. */
 const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
@@ -47,7 +50,40 @@
   z.enum(['prefill', 'decode']),
   z.enum(['changing', 'changed']),
 ]);
-const messageSchema = z.union([reportSchema, sumsSchema, newsSchema, stageSchema]);
+const tablesSchema = z.tuple([
+  z.literal(KINDS.tables),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.number(),
+]);
+/** Id, service, address, zone, slots, state, stage or nothing. */
+const serverSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.enum(['ready', 'draining']),
+  z.enum(['prefill', 'decode', '']),
+]);
+const serversSchema = z.tuple([
+  z.literal(KINDS.servers),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.array(serverSchema),
+  z.array(z.string()),
+]);
+const messageSchema = z.union([
+  serversSchema,
+  reportSchema,
+  sumsSchema,
+  newsSchema,
+  stageSchema,
+  tablesSchema,
+]);
 
 /** An engine's cache news, as its watcher passes them on. */
 export interface EngineNews {
@@ -62,6 +98,19 @@
   | { readonly kind: 'report'; readonly report: LoadReport }
   | { readonly kind: 'sums'; readonly sums: LoadSums }
   | { readonly kind: 'stage'; readonly notice: StageNotice }
+  /** A relay is there, and says how far it has seen the store's tables change. */
+  | {
+      readonly kind: 'tables';
+      readonly relay: string;
+      readonly zone: string;
+      readonly word: TableWordMessage;
+    }
+  /** Changes of the list of servers, as a zone's relay had them from the store. */
+  | {
+      readonly kind: 'servers';
+      readonly zone: string;
+      readonly changes: TableChanges<ServerRecord>;
+    }
   | { readonly kind: 'news'; readonly daemon: string; readonly news: readonly EngineNews[] };
 
 /** The bytes of a message. */
@@ -81,6 +130,15 @@
       const { engineId, stage, phase } = message.notice;
       return pack([KINDS.stage, engineId, stage, phase]);
     }
+    case 'servers': {
+      const { after, revision, rows } = message.changes;
+      const head = [KINDS.servers, message.zone, after, revision];
+      return pack([...head, rows.flatMap(encodeServer), rows.flatMap(goneKey)]);
+    }
+    case 'tables': {
+      const { configurations, servers, ageMs } = message.word;
+      return pack([KINDS.tables, message.relay, message.zone, configurations, servers, ageMs]);
+    }
     case 'news':
       return pack([KINDS.news, message.daemon, message.news.map(encodeNews)]);
   }
@@ -102,10 +160,20 @@
       const told = { work: decodeWork(work), reads: decodeReads(reads) };
       return { kind: 'sums', sums: { relay, incarnation, sequence, isWhole, ...told } };
     }
+    case KINDS.servers: {
+      const [, zone, after, revision, servers, goneKeys] = fields;
+      const gone = goneKeys.map((key) => ({ kind: 'gone', key }) as const);
+      const rows = [...servers.map(decodeServer), ...gone];
+      return { kind: 'servers', zone, changes: { after, revision, rows } };
+    }
     case KINDS.stage: {
       const [, engineId, stage, phase] = fields;
       return { kind: 'stage', notice: { engineId, stage, phase } };
     }
+    case KINDS.tables: {
+      const [, relay, zone, configurations, servers, ageMs] = fields;
+      return { kind: 'tables', relay, zone, word: { configurations, servers, ageMs } };
+    }
     case KINDS.news: {
       const [, daemon, news] = fields;
       return {
@@ -121,6 +189,22 @@
   }
 }
 
+function encodeServer(row: WatchedRow<ServerRecord>): unknown[] {
+  if (row.kind !== 'value') return [];
+  const { id, service, address, zone, slots, state, stage } = row.value;
+  return [[id, service, address, zone, slots, state, stage ?? '']];
+}
+
+function goneKey(row: WatchedRow<ServerRecord>): string[] {
+  return row.kind === 'gone' ? [row.key] : [];
+}
+
+function decodeServer(fields: z.infer<typeof serverSchema>): WatchedRow<ServerRecord> {
+  const [id, service, address, zone, slots, state, stage] = fields;
+  const value = { id, service, address, zone, slots, state, stage: stage || undefined };
+  return { kind: 'value', key: id, value };
+}
+
 function encodeWork(work: readonly EngineWork[]): unknown[] {
   return work.map(({ engineId, pendingMs, running, lateMs }) => [
     engineId,
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -7,6 +7,7 @@
   PeerLoads,
   PeerRoster,
   type ReadNotice,
+  type ServerRecord,
 } from '../../src/core/gateway/index.js';
 import type { TableCall, TableResult, TableRow } from '../../src/core/platform/table.js';
 import { PeerExchange } from '../../src/shell/gateway/peer-exchange.js';
@@ -23,6 +24,16 @@
   return { daemon: 'a', incarnation: 1, sequence: 1, work, reads: [], ...fields };
 }
 
+const SERVER: ServerRecord = {
+  id: 'i-1',
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  slots: 4,
+  state: 'draining',
+  stage: 'decode',
+};
+
 test('the work of all daemons adds up and fades as time passes', () => {
   const loads = new PeerLoads();
   loads.take(report(), 0);
@@ -83,6 +94,25 @@
     { kind: 'report', report: report({ reads: [READ] }) },
     { kind: 'sums', sums: sums({ reads: [READ] }) },
     { kind: 'news', daemon: 'a', news },
+    {
+      kind: 'servers',
+      zone: 'z',
+      changes: {
+        after: 3,
+        revision: 5,
+        rows: [
+          { kind: 'value', key: 'i-1', value: SERVER },
+          { kind: 'value', key: 'i-2', value: { ...SERVER, id: 'i-2', stage: undefined } },
+          { kind: 'gone', key: 'i-3' },
+        ],
+      },
+    },
+    {
+      kind: 'tables',
+      relay: 'a',
+      zone: 'z',
+      word: { configurations: 1, servers: 2, ageMs: 3 },
+    },
     { kind: 'stage', notice: { engineId: 'e1', stage: 'decode', phase: 'changing' } },
   ] as const;
   for (const message of messages) {
@@ -140,6 +170,10 @@
     log: SILENT_LOG,
     noteDaemonCount: listed.resolve,
     ownWork: () => work,
+    noteRelay: () => undefined,
+    tableWord: () => ({ configurations: 3, servers: 4, ageMs: 5 }),
+    takeTables: () => undefined,
+    takeServers: () => undefined,
     takeStage: () => undefined,
     takeNews: informed.resolve,
     takeRead: noticed.resolve,
