--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -2,14 +2,19 @@
  * Keeps the fleet view up to date from the store's tables: the configuration in force and the listed
  * servers. Rows that cannot be read are said and passed over.
  */
-import type { CallerLimits, GatewayConfiguration, ServerRecord } from '../../core/gateway/index.js';
+import type {
+  CallerLimits,
+  GatewayConfiguration,
+  ServerRecord,
+  TableWordMessage,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { CacheNewsWatchers } from './cache-news-watcher.js';
 import type { FleetView } from './fleet-view.js';
 import type { PlatformAdapter, WatchedRow } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { type TableChanges, TableWatcher } from './table-watcher.js';
-import type { TableWord, TableWordMessage } from './table-word.js';
+import type { TableWord } from './table-word.js';
 import type { TimerService } from './timer-service.js';
 
 /**
--- /dev/null
+++ b/src/shell/gateway/model-planner.ts
@@ -0,0 +1,166 @@
+/**
+ * Plans one model request from what the daemon believes, and tells those beliefs how it went: the plan and
+ * its priorities, the work that it asks of each stage, and the times that were seen.
+ */
+import {
+  chooseDecodeEngine,
+  type EngineChoiceInput,
+  type EnginePlan,
+  moveMs,
+  planModelRequest,
+  type ReadSpeed,
+  readPriority,
+  type ServerRecord,
+  sharedPart,
+} from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { type AttemptContext, engineTraits } from './attempt.js';
+import type { Exchange } from './exchange.js';
+
+/** A request is taken to be in time when it is expected within this part of its target. */
+const IN_TIME_SHARE = 0.9;
+/** From here on a prompt is work for an engine that only reads. */
+const LONG_PROMPT_TOKENS = 1_000;
+
+/** How a run came to its engine: with the memory of another, or as planned. */
+export type RunWay = EnginePlan['kind'] | 'hand-over';
+
+/** What a plan may use. */
+export interface PlanLimits {
+  /** False once a reading at another engine came to nothing. */
+  readonly mayPrefill: boolean;
+}
+
+/** The planning of one exchange. */
+export class ModelPlanner {
+  readonly #exchange: Exchange;
+  readonly #context: AttemptContext;
+  #isDemandNoted = false;
+
+  constructor(exchange: Exchange, context: AttemptContext) {
+    this.#exchange = exchange;
+    this.#context = context;
+  }
+
+  /** The best way to run the request now; undefined when no engine that generates is left. */
+  plan({ mayPrefill }: PlanLimits): EnginePlan | undefined {
+    const input = this.#choiceInput();
+    const candidates = input.candidates.filter(({ stage }) => mayPrefill || stage !== 'prefill');
+    const plan = planModelRequest({ ...input, candidates });
+    if (plan === undefined) return undefined;
+    this.#logPlan(plan);
+    this.#noteDemand(plan);
+    return plan;
+  }
+
+  /** The engine that goes on from a prompt read at `source`, by the list as it is now. */
+  decodeEngineAfter(source: ServerRecord): ServerRecord | undefined {
+    return chooseDecodeEngine(this.#choiceInput(), source);
+  }
+
+  /** Whether a stream that begins now is expected to go on when this daemon has to end. */
+  isCutByStop(): boolean {
+    const { stopsAtMs, description } = this.#exchange.options;
+    const stopMs = stopsAtMs();
+    if (stopMs === undefined) return false;
+    return this.#nowMs() + description.maxOutputTokens * this.#speed.tokenMs > stopMs;
+  }
+
+  /** The priority of reading the prompt. */
+  priorityOf(plan: EnginePlan): number {
+    const { route } = this.#exchange.options;
+    const readShareOfTarget = plan.read.readMs / route.targetLatencyMs;
+    return readPriority({ rank: route.priority, urgency: plan.read.urgency, readShareOfTarget });
+  }
+
+  /** A prompt that was read is nearly done: it goes on before those that are not. */
+  runPriorityOf(plan: EnginePlan): number {
+    if (plan.kind === 'direct') return this.priorityOf(plan);
+    const { route } = this.#exchange.options;
+    return readPriority({ rank: route.priority, urgency: 'in-time', readShareOfTarget: 0 });
+  }
+
+  /** The head of an answer came, and with it the first token. */
+  noteHead(way: RunWay, plan: EnginePlan, elapsedMs: number): void {
+    if (way === 'hand-over') this.#speed.learnHandOver(elapsedMs);
+    else if (plan.kind === 'direct') this.#speed.learnDecode(plan.missingTokens, elapsedMs);
+  }
+
+  /** A run has ended, so long after its head. */
+  noteRun(elapsedMs: number): void {
+    const { description } = this.#exchange.options;
+    if (this.#exchange.signal.aborted) return;
+    this.#speed.learnRun(description.maxOutputTokens, elapsedMs);
+  }
+
+  get #speed(): ReadSpeed {
+    return this.#context.fleet.speedOf(this.#exchange.options.service);
+  }
+
+  #choiceInput(): EngineChoiceInput {
+    const { fleet, zone } = this.#context;
+    const { service, description, route } = this.#exchange.options;
+    const traits = engineTraits(this.#exchange);
+    const speed = this.#speed;
+    if (traits !== undefined) speed.suppose(traits.kvTokens / traits.slots, route.targetLatencyMs);
+    return {
+      candidates: fleet.candidates(service, this.#nowMs()),
+      excludedIds: this.#exchange.triedServerIds,
+      description,
+      zone,
+      nowMs: this.#nowMs(),
+      knowledge: fleet.knowledge,
+      peerLoads: fleet.peerLoads,
+      speed,
+      waitFactor: (urgency) => fleet.waitScaleOf(service, urgency).factor(this.#nowMs()),
+      inTimeMs: IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs(),
+      shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
+      kvTokenBytes: traits?.kvTokenBytes ?? 0,
+      linkMbps: traits?.linkMbps ?? 1,
+      healthOf: (id) => fleet.healthOf(id),
+      loadOf: (id) => fleet.loadOf(id),
+    };
+  }
+
+  #logPlan(plan: EnginePlan): void {
+    const { log, description } = this.#exchange.options;
+    const isDirect = plan.kind === 'direct';
+    const shared = sharedPart(description.promptParts);
+    log.write(GATEWAY_EVENTS.planChosen, {
+      request: description.attemptId,
+      way: plan.kind,
+      server: isDirect ? plan.server.id : plan.prefill.server.id,
+      urgency: plan.read.urgency,
+      expectedMs: Math.round(plan.expectedMs),
+      waitMs: Math.round(plan.read.waitMs),
+      promptLength: description.promptTokens,
+      sharedPart: shared?.id ?? '',
+      sharedLength: shared?.tokens ?? 0,
+      missing: isDirect ? plan.missingTokens : plan.prefill.missingTokens,
+      fetchFrom: (isDirect ? plan.fetchFrom?.id : plan.prefill.fetchFrom?.id) ?? '',
+    });
+  }
+
+  /** The work that a request asks for, whichever way it goes. */
+  #noteDemand(plan: EnginePlan): void {
+    if (this.#isDemandNoted) return;
+    this.#isDemandNoted = true;
+    const { service, description } = this.#exchange.options;
+    const { fleet } = this.#context;
+    const missing = plan.kind === 'direct' ? plan.missingTokens : plan.prefill.missingTokens;
+    const speed = this.#speed;
+    const isLong = missing >= LONG_PROMPT_TOKENS;
+    const traits = engineTraits(this.#exchange);
+    const handedOverMs = traits === undefined ? 0 : moveMs(description.promptTokens, traits);
+    const slots = traits?.slots ?? 1;
+    const generateMs = (description.maxOutputTokens * speed.tokenMs) / slots;
+    const work = isLong
+      ? { prefillMs: speed.prefillBusyMs(missing), decodeMs: handedOverMs + generateMs }
+      : { prefillMs: 0, decodeMs: speed.decodeBusyMs(missing) + generateMs };
+    fleet.demandOf(service).note(isLong ? 'long-prompt' : 'short-prompt', work, this.#nowMs());
+  }
+
+  #nowMs(): number {
+    return this.#exchange.options.timers.nowMs();
+  }
+}
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -16,6 +16,8 @@
   type ServerRecord,
   type StageNotice,
   SumsToTell,
+  type TableWordMessage,
+  WordToTell,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { ByteBudget } from './byte-budget.js';
@@ -24,15 +26,11 @@
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import type { TableChanges } from './table-watcher.js';
-import type { TableWordMessage } from './table-word.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
 /** Changes within this time go in one message; longer where a relay sums them up. */
 const COALESCE_MS = 12;
 const COALESCE_FOR_RELAY_MS = 90;
-/** A relay tells its zone how far the store's tables have changed, other zones each third time. */
-const TABLES_GAP_MS = 400;
-const TABLES_TO_OTHERS = 3;
 /** A relay tells its zone what has changed this often. */
 const RELAY_GAP_MS = 60;
 /** Others look this often whether they are the relay now. */
@@ -95,6 +93,7 @@
   readonly #changeBudget: ByteBudget;
   readonly #relayBudget: ByteBudget;
   readonly #sums = new SumsToTell();
+  readonly #wordToTell = new WordToTell();
   #ownReads: ReadNotice[] = [];
   #readsToPassOn: ReadNotice[] = [];
   readonly #waitingNews = new Map<PeerDaemon['name'], EngineNews[]>();
@@ -105,9 +104,6 @@
   #cancelRelay: CancelTimer | undefined;
   #cancelNews: CancelTimer | undefined;
   #isRelay = false;
-  #toldWord: TableWordMessage | undefined;
-  #tablesToldMs = Number.NEGATIVE_INFINITY;
-  #tablesTold = 0;
   #isStopped = false;
 
   constructor(options: PeerExchangeOptions) {
@@ -241,23 +237,13 @@
     log.write(GATEWAY_EVENTS.roleInFleet, { zone, isRelay, daemons: roster.daemonCount });
   }
 
-  /** At once when a table has changed, and now and then as a sign of life. */
   #tellTables(): void {
     const { daemon, zone, roster, timers, tableWord } = this.#options;
-    const nowMs = timers.nowMs();
     const word = tableWord();
-    const told = this.#toldWord;
-    const isNew =
-      told === undefined ||
-      word.configurations > told.configurations ||
-      word.servers > told.servers;
-    if (!isNew && nowMs - this.#tablesToldMs < TABLES_GAP_MS) return;
-    this.#toldWord = word;
-    this.#tablesToldMs = nowMs;
-    this.#tablesTold += 1;
-    const isForAll = this.#tablesTold % TABLES_TO_OTHERS === 0;
+    const audience = this.#wordToTell.next(word, timers.nowMs());
+    if (audience === 'nobody') return;
     const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, word });
-    this.#sendTo(isForAll ? roster.everyone() : roster.zonePeers(), bytes);
+    this.#sendTo(audience === 'everyone' ? roster.everyone() : roster.zonePeers(), bytes);
   }
 
   #tellSums(): void {
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -11,10 +11,10 @@
   ReadNotice,
   ServerRecord,
   StageNotice,
+  TableWordMessage,
 } from '../../core/gateway/index.js';
 import type { CacheEvent, WatchedRow } from './ports.js';
 import type { TableChanges } from './table-watcher.js';
-import type { TableWordMessage } from './table-word.js';
 
 const KINDS = { report: 1, sums: 2, news: 3, stage: 4, tables: 5, servers: 6 } as const;
 
--- a/src/shell/gateway/table-word.ts
+++ b/src/shell/gateway/table-word.ts
@@ -3,19 +3,12 @@
  * a daemon asks the store only for changes that it says there are; when it stays out, or is old, the
  * daemon follows the tables by itself. The word carries no rows, so nothing it says can set a daemon back.
  */
-import type { TimerService } from './timer-service.js';
-import { delay } from './timer-service.js';
+import type { TableWordMessage } from '../../core/gateway/index.js';
+import { delay, type TimerService } from './timer-service.js';
 
 /** A table that daemons follow. */
 export type FollowedTable = 'configurations' | 'servers';
 
-/** Where a relay has seen each table change last, and how old its newest look at the store is. */
-export interface TableWordMessage {
-  readonly configurations: number;
-  readonly servers: number;
-  readonly ageMs: number;
-}
-
 /** The newest word of the own zone's relay. */
 export class TableWord {
   readonly #timers: TimerService;
