Count a late prompt that has begun as a wait for all, and allow for longer streams when stopping

Prompts there read for up to 1.3 s; one that is late had begun, is not displaced, and prompts in time were sent behind it as if to a free engine. Change: a late read counts as in time from when its own wait is over. Change: twice the average has to fit before the end.

--- a/src/core/gateway/engine-load.ts
+++ b/src/core/gateway/engine-load.ts
@@ -30,6 +30,12 @@
   readonly startedAtMs: number;
 }
 
+/** A late prompt that has begun is read to its end, so what comes after waits for it as for any. */
+function urgencyNow(read: PendingRead, nowMs: number): Urgency {
+  const hasBegun = nowMs >= read.startedAtMs + read.waitMs;
+  return hasBegun ? 'in-time' : read.urgency;
+}
+
 /** Work at one engine as this daemon sees it. */
 export class EngineLoad {
   readonly #pending = new Set<PendingRead>();
@@ -64,7 +70,7 @@
   pendingMs(urgency: Urgency, nowMs: number): number {
     let leftMs = 0;
     for (const read of this.#pending) {
-      if (read.urgency !== urgency) continue;
+      if (urgencyNow(read, nowMs) !== urgency) continue;
       const spentMs = Math.max(0, nowMs - read.startedAtMs - read.waitMs);
       leftMs += Math.max(LEAST_LEFT_SHARE * read.readMs, read.readMs - spentMs);
     }
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -19,6 +19,8 @@
 
 /** A request is taken to be in time when it is expected within this part of its target. */
 const IN_TIME_SHARE = 0.9;
+/** Streams often take so much longer than those of their size did on average. */
+const STREAM_SPREAD = 2;
 /** From here on a prompt is work for an engine that only reads. */
 const LONG_PROMPT_TOKENS = 1_000;
 
@@ -63,7 +65,8 @@
     const { stopsAtMs, description } = this.#exchange.options;
     const stopMs = stopsAtMs();
     if (stopMs === undefined) return false;
-    return this.#nowMs() + description.maxOutputTokens * this.#speed.tokenMs > stopMs;
+    const runMs = STREAM_SPREAD * description.maxOutputTokens * this.#speed.tokenMs;
+    return this.#nowMs() + runMs > stopMs;
   }
 
   /** The priority of reading the prompt. */
