--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -9,7 +9,7 @@
 import type { PrefixKnowledge } from './prefix-knowledge.js';
 import type { ReadSpeed } from './read-speed.js';
 import { rendezvousWeight } from './rendezvous.js';
-import type { ServerRecord } from './server-directory.js';
+import type { EngineStage, ServerRecord } from './server-directory.js';
 import type { ServerHealth } from './server-health.js';
 
 const SUSPECT_COST_MS = 20_000;
@@ -71,12 +71,35 @@
       readonly expectedMs: number;
     };
 
-interface ReadEstimate {
+/** What reading the prompt at an engine costs, whatever waits there. */
+interface Reader {
   readonly server: ServerRecord;
-  readonly costMs: number;
-  readonly read: ExpectedRead;
   readonly missingTokens: number;
   readonly fetchFrom: ServerRecord | undefined;
+  readonly readMs: number;
+  readonly slotMs: number;
+  /** What else speaks against it: others that it holds up, its standing, the home of the part. */
+  readonly otherCostMs: number;
+}
+
+/** The engines that may read the prompt, worked out once for both urgencies. */
+interface Readers {
+  readonly prefill: readonly Reader[];
+  readonly decode: readonly Reader[];
+  /** Until the memory has moved and a run has a slot. */
+  readonly handOverMs: number;
+}
+
+interface ReadEstimate {
+  readonly reader: Reader;
+  readonly read: ExpectedRead;
+  readonly costMs: number;
+}
+
+/** An engine that keeps tokens of the prompt which others can take. */
+interface Donor {
+  readonly server: ServerRecord;
+  readonly keptTokens: number;
 }
 
 /**
@@ -84,33 +107,36 @@
  * time waits only for its like; what cannot goes after all others, wherever it waits least for all.
  */
 export function planModelRequest(input: EngineChoiceInput): EnginePlan | undefined {
-  const plan = planAs('in-time', input);
+  const readers = readersOf(input);
+  const plan = planAs('in-time', readers, input);
   if (plan === undefined || plan.expectedMs <= input.inTimeMs) return plan;
-  return planAs('late', input);
+  return planAs('late', readers, input);
 }
 
-function planAs(urgency: Urgency, input: EngineChoiceInput): EnginePlan | undefined {
-  const direct = bestReader(input, 'decode', urgency);
-  const prefill = bestReader(input, 'prefill', urgency);
+function planAs(
+  urgency: Urgency,
+  readers: Readers,
+  input: EngineChoiceInput,
+): EnginePlan | undefined {
+  const direct = bestReader(readers.decode, urgency, input);
+  const prefill = bestReader(readers.prefill, urgency, input);
   if (direct === undefined) return undefined;
-  const handOverMs = input.speed.handOverMs + leastSlotWaitMs(input);
+  const { handOverMs } = readers;
   if (prefill !== undefined && prefill.costMs + handOverMs < direct.costMs) {
+    const { server, missingTokens, fetchFrom } = prefill.reader;
     return {
       kind: 'prefill',
       read: prefill.read,
       expectedMs: prefill.read.waitMs + prefill.read.readMs + handOverMs,
-      prefill: {
-        server: prefill.server,
-        missingTokens: prefill.missingTokens,
-        fetchFrom: prefill.fetchFrom,
-      },
+      prefill: { server, missingTokens, fetchFrom },
     };
   }
+  const { server, missingTokens, fetchFrom } = direct.reader;
   return {
     kind: 'direct',
-    server: direct.server,
-    fetchFrom: direct.fetchFrom,
-    missingTokens: direct.missingTokens,
+    server,
+    fetchFrom,
+    missingTokens,
     read: direct.read,
     expectedMs: direct.read.waitMs + direct.read.readMs,
   };
@@ -134,50 +160,68 @@
 }
 
 function bestReader(
-  input: EngineChoiceInput,
-  stage: 'prefill' | 'decode',
+  readers: readonly Reader[],
   urgency: Urgency,
+  input: EngineChoiceInput,
 ): ReadEstimate | undefined {
-  const servers = enginesOf(input, stage);
-  const shared = sharedPart(input.description.promptParts);
-  const home = shared === undefined ? undefined : homeOf(shared.id, servers);
   let best: ReadEstimate | undefined;
-  for (const server of servers) {
-    const estimate = estimateRead(server, stage, urgency, input, server === home);
-    if (best === undefined || estimate.costMs < best.costMs) best = estimate;
+  for (const reader of readers) {
+    const waitsMs = waitMs(reader.server, urgency, input) + reader.slotMs;
+    const costMs = waitsMs + reader.readMs + reader.otherCostMs;
+    if (best !== undefined && costMs >= best.costMs) continue;
+    best = { reader, read: { urgency, readMs: reader.readMs, waitMs: waitsMs }, costMs };
   }
   return best;
 }
 
-function estimateRead(
-  server: ServerRecord,
-  stage: 'prefill' | 'decode',
-  urgency: Urgency,
+function readersOf(input: EngineChoiceInput): Readers {
+  const donors = bestDonors(input);
+  const decode = readersOfStage('decode', donors, input);
+  const slotsMs = decode.map(({ slotMs }) => slotMs);
+  const leastSlotMs = slotsMs.length === 0 ? 0 : Math.min(...slotsMs);
+  return {
+    decode,
+    prefill: readersOfStage('prefill', donors, input),
+    handOverMs: input.speed.handOverMs + leastSlotMs,
+  };
+}
+
+function readersOfStage(
+  stage: EngineStage,
+  donors: readonly Donor[],
   input: EngineChoiceInput,
+): readonly Reader[] {
+  const servers = enginesOf(input, stage);
+  const shared = sharedPart(input.description.promptParts);
+  const home = shared === undefined ? undefined : homeOf(shared.id, servers);
+  return servers.map((server) => readerAt(server, stage, donors, server === home, input));
+}
+
+function readerAt(
+  server: ServerRecord,
+  stage: EngineStage,
+  donors: readonly Donor[],
   isHome: boolean,
-): ReadEstimate {
-  const { description, knowledge, nowMs } = input;
-  const sharedTokens = sharedPart(description.promptParts)?.tokens ?? 0;
+  input: EngineChoiceInput,
+): Reader {
+  const { description, knowledge, nowMs, speed } = input;
   const kept = knowledge.keptTokens(server.id, description.promptParts, nowMs);
-  const donor = bestDonor(server, kept, input);
+  const donor = donorFor(server, kept, donors);
   const fetched = donor === undefined ? 0 : donor.keptTokens - kept;
   const missingTokens = Math.max(1, description.promptTokens - kept - fetched);
   const fetchMs = donor === undefined ? 0 : moveMs(fetched, input);
-  const pace =
-    stage === 'prefill'
-      ? input.speed.prefillMs.bind(input.speed)
-      : input.speed.decodeMs.bind(input.speed);
-  const readMs = pace(missingTokens) + fetchMs;
-  const slotMs = stage === 'decode' ? slotWaitMs(server, input) : 0;
-  const read = { urgency, readMs, waitMs: waitMs(server, urgency, input) + slotMs };
+  const paceMs =
+    stage === 'prefill' ? speed.prefillMs(missingTokens) : speed.decodeMs(missingTokens);
   const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, input) : 0;
-  const bonusMs = isHome && kept === 0 ? HOME_SHARE * input.speed.prefillBusyMs(sharedTokens) : 0;
+  const sharedTokens = sharedPart(description.promptParts)?.tokens ?? 0;
+  const bonusMs = isHome && kept === 0 ? HOME_SHARE * speed.prefillBusyMs(sharedTokens) : 0;
   return {
     server,
-    read,
     missingTokens,
     fetchFrom: donor?.server,
-    costMs: read.waitMs + readMs + delayMs - bonusMs + standingCost(server, input),
+    readMs: paceMs + fetchMs,
+    slotMs: stage === 'decode' ? slotWaitMs(server, input) : 0,
+    otherCostMs: delayMs - bonusMs + standingCost(server, input),
   };
 }
 
@@ -187,24 +231,33 @@
   return (input.shortReadsPerMs * busyMs * busyMs) / 2;
 }
 
+/** The two engines that keep most of the prompt: one for all others, and one for the first of them. */
+function bestDonors(input: EngineChoiceInput): readonly Donor[] {
+  const { knowledge, description, nowMs } = input;
+  let first: Donor | undefined;
+  let second: Donor | undefined;
+  for (const server of input.candidates) {
+    const keptTokens = knowledge.movableTokens(server.id, description.promptParts, nowMs);
+    if (keptTokens < LEAST_FETCHED_TOKENS || input.healthOf(server.id).isEjected(nowMs)) continue;
+    if (first === undefined || keptTokens > first.keptTokens) {
+      second = first;
+      first = { server, keptTokens };
+    } else if (second === undefined || keptTokens > second.keptTokens) {
+      second = { server, keptTokens };
+    }
+  }
+  return [first, second].filter((donor) => donor !== undefined);
+}
+
 /** Another engine that keeps enough more of the prompt to be worth a move. */
-function bestDonor(
+function donorFor(
   server: ServerRecord,
   keptTokens: number,
-  input: EngineChoiceInput,
-): { readonly server: ServerRecord; readonly keptTokens: number } | undefined {
-  let best: { readonly server: ServerRecord; readonly keptTokens: number } | undefined;
-  for (const other of input.candidates) {
-    if (other.id === server.id || input.healthOf(other.id).isEjected(input.nowMs)) continue;
-    const kept = input.knowledge.movableTokens(
-      other.id,
-      input.description.promptParts,
-      input.nowMs,
-    );
-    if (kept - keptTokens < LEAST_FETCHED_TOKENS) continue;
-    if (best === undefined || kept > best.keptTokens) best = { server: other, keptTokens: kept };
-  }
-  return best;
+  donors: readonly Donor[],
+): Donor | undefined {
+  const donor = donors.find((candidate) => candidate.server.id !== server.id);
+  if (donor === undefined || donor.keptTokens - keptTokens < LEAST_FETCHED_TOKENS) return undefined;
+  return donor;
 }
 
 /** How long the memory of so many tokens takes on an engine's link. */
@@ -244,11 +297,6 @@
   return (waiting * input.speed.runMs) / slots;
 }
 
-function leastSlotWaitMs(input: EngineChoiceInput): number {
-  const waitsMs = enginesOf(input, 'decode').map((server) => slotWaitMs(server, input));
-  return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
-}
-
 /** What speaks against an engine whatever the prompt: full slots, another zone, failures. */
 function standingCost(server: ServerRecord, input: EngineChoiceInput): number {
   const health = input.healthOf(server.id);
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -10,6 +10,9 @@
 const SILENT_AFTER_MS = 4_000;
 /** A relay's sums that are older give way to what single daemons told. */
 const SUMS_VALID_MS = 2_500;
+/** Reports are turned round at most this often, unless one comes; dropped ones wait so long. */
+const INDEX_VALID_MS = 250;
+const NO_WORK: readonly ReceivedWork[] = [];
 
 /** One daemon's work at one engine. */
 export interface EngineWork {
@@ -35,7 +38,7 @@
   readonly reads: readonly ReadNotice[];
 }
 
-/** Sums over all daemons, told by the relay of a zone. */
+/** Sums told by the relay of a zone: over all daemons to its zone, over its zone to the other relays. */
 export interface LoadSums {
   readonly relay: string;
   readonly incarnation: number;
@@ -58,6 +61,11 @@
   readonly byEngine: Map<string, ReceivedWork>;
 }
 
+interface ReportIndex {
+  readonly byEngine: ReadonlyMap<string, readonly ReceivedWork[]>;
+  readonly atMs: number;
+}
+
 interface ReceivedReport {
   readonly report: LoadReport;
   readonly atMs: number;
@@ -68,6 +76,8 @@
 export class PeerLoads {
   readonly #byDaemon = new Map<string, ReceivedReport>();
   #sums: ReceivedSums | undefined;
+  readonly #zoneSums = new Map<string, ReceivedSums>();
+  #reportIndex: ReportIndex | undefined;
 
   /** Takes a report unless a newer one of the same life is known. */
   take(report: LoadReport, nowMs: number): void {
@@ -76,6 +86,7 @@
     if (known !== undefined && isSameLife && known.sequence >= report.sequence) return;
     const byEngine = new Map(report.work.map((work) => [work.engineId, work]));
     this.#byDaemon.set(report.daemon, { report, atMs: nowMs, byEngine });
+    this.#reportIndex = undefined;
   }
 
   /**
@@ -83,18 +94,13 @@
    * @param ownWork this daemon's work, to be taken off
    */
   takeSums(sums: LoadSums, ownWork: readonly EngineWork[], nowMs: number): void {
-    const known = this.#sums;
-    const isSameLife =
-      known?.sums.relay === sums.relay && known.sums.incarnation === sums.incarnation;
-    if (known !== undefined && isSameLife && known.sums.sequence >= sums.sequence) return;
-    const keepsOthers = isSameLife && !sums.isWhole && known !== undefined;
-    const byEngine = keepsOthers ? known.byEngine : new Map<string, ReceivedWork>();
-    const own = new Map(ownWork.map((work) => [work.engineId, work]));
-    for (const total of sums.work) {
-      const work = withoutOwn(total, own.get(total.engineId));
-      byEngine.set(total.engineId, { work, atMs: nowMs });
-    }
-    this.#sums = { sums, atMs: nowMs, byEngine };
+    this.#sums = merged(this.#sums, sums, ownWork, nowMs);
+  }
+
+  /** Takes the sums of another zone, as this daemon is the relay of its own. */
+  takeZoneSums(zone: string, sums: LoadSums, nowMs: number): void {
+    this.#zoneSums.set(zone, merged(this.#zoneSums.get(zone), sums, [], nowMs));
+    this.#reportIndex = undefined;
   }
 
   /** How long a new prompt waits for those of other daemons. */
@@ -114,18 +120,26 @@
     return total;
   }
 
-  /** The sums of what single daemons told and of this daemon's own work, for a relay to tell on. */
-  totals(ownWork: readonly EngineWork[], nowMs: number): readonly EngineWork[] {
+  /** The sums of what single daemons told and of this daemon's own work, for other relays. */
+  zoneTotals(ownWork: readonly EngineWork[], nowMs: number): readonly EngineWork[] {
     const totals = new Map<string, EngineWork>();
     for (const { byEngine, atMs } of this.#recent(nowMs)) {
-      for (const work of byEngine.values()) {
-        addWork(totals, workLeft(work, nowMs - atMs));
-      }
+      for (const work of byEngine.values()) addWork(totals, workLeft(work, nowMs - atMs));
     }
     for (const work of ownWork) addWork(totals, work);
     return [...totals.values()];
   }
 
+  /** The same with the sums of the other zones, for the own zone. */
+  totals(ownWork: readonly EngineWork[], nowMs: number): readonly EngineWork[] {
+    const totals = new Map<string, EngineWork>();
+    for (const work of this.zoneTotals(ownWork, nowMs)) addWork(totals, work);
+    for (const { work, atMs } of this.#otherZones(nowMs)) {
+      addWork(totals, workLeft(work, nowMs - atMs));
+    }
+    return [...totals.values()];
+  }
+
   /** Daemons heard of lately. */
   count(nowMs: number): number {
     return this.#recent(nowMs).length;
@@ -135,12 +149,32 @@
     const sums = this.#sums;
     if (sums !== undefined && nowMs - sums.atMs <= SUMS_VALID_MS) {
       const received = sums.byEngine.get(engineId);
-      return received === undefined ? [] : [received];
+      return received === undefined ? NO_WORK : [received];
+    }
+    return this.#indexOfReports(nowMs).get(engineId) ?? NO_WORK;
+  }
+
+  /** What single daemons told, by engine: a plan asks for all engines, so it is turned round once. */
+  #indexOfReports(nowMs: number): ReadonlyMap<string, readonly ReceivedWork[]> {
+    const known = this.#reportIndex;
+    if (known !== undefined && nowMs - known.atMs < INDEX_VALID_MS) return known.byEngine;
+    const byEngine = new Map<string, ReceivedWork[]>();
+    const told = this.#recent(nowMs).flatMap((report) =>
+      [...report.byEngine.values()].map((work) => ({ work, atMs: report.atMs })),
+    );
+    for (const received of [...told, ...this.#otherZones(nowMs)]) {
+      const entries = byEngine.get(received.work.engineId);
+      if (entries === undefined) byEngine.set(received.work.engineId, [received]);
+      else entries.push(received);
     }
-    return this.#recent(nowMs).flatMap(({ byEngine, atMs }) => {
-      const work = byEngine.get(engineId);
-      return work === undefined ? [] : [{ work, atMs }];
-    });
+    this.#reportIndex = { byEngine, atMs: nowMs };
+    return byEngine;
+  }
+
+  #otherZones(nowMs: number): readonly ReceivedWork[] {
+    return [...this.#zoneSums.values()].flatMap(({ atMs, byEngine }) =>
+      nowMs - atMs <= SUMS_VALID_MS ? [...byEngine.values()] : [],
+    );
   }
 
   #recent(nowMs: number): readonly ReceivedReport[] {
@@ -153,6 +187,26 @@
   }
 }
 
+/** Sums as they are known with newer ones, less the own work that those hold; older ones change nothing. */
+function merged(
+  known: ReceivedSums | undefined,
+  sums: LoadSums,
+  ownWork: readonly EngineWork[],
+  nowMs: number,
+): ReceivedSums {
+  const isSameLife =
+    known?.sums.relay === sums.relay && known.sums.incarnation === sums.incarnation;
+  if (known !== undefined && isSameLife && known.sums.sequence >= sums.sequence) return known;
+  const keepsOthers = isSameLife && !sums.isWhole && known !== undefined;
+  const byEngine = keepsOthers ? known.byEngine : new Map<string, ReceivedWork>();
+  const own = new Map(ownWork.map((work) => [work.engineId, work]));
+  for (const total of sums.work) {
+    const work = withoutOwn(total, own.get(total.engineId));
+    byEngine.set(total.engineId, { work, atMs: nowMs });
+  }
+  return { sums, atMs: nowMs, byEngine };
+}
+
 /** What is left of work after a time in which the engine worked at it, late prompts last. */
 function workLeft(work: EngineWork, elapsedMs: number): EngineWork {
   const pendingMs = Math.max(0, work.pendingMs - elapsedMs);
--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -1,7 +1,8 @@
 /**
  * The daemons that this one knows, which of them are heard, and what each does for the others. A small
  * fleet needs no parts: everyone tells and asks everyone. In a large one, each zone has a daemon that
- * sums up what the zone is told and follows the store's tables for it (the relay), and each engine a
+ * sums up the work of the zone, tells the relays of the others and hears theirs, tells its zone the whole,
+ * and follows the store's tables for it (the relay); and each engine has a
  * daemon in each zone that asks it for its cache news (the watcher) and passes it on in its zone.
  *
  * Parts are given by rendezvous hashing over the daemons that are heard. Two daemons may differ on
@@ -21,6 +22,10 @@
 const RELAY_SILENT_MS = 1_600;
 /** What the relay of another zone said of itself holds for so long. */
 const OTHER_RELAY_VALID_MS = 5_000;
+/** Who is live is worked out again after this time; it changes by heartbeats, which are rarer. */
+const LIVE_NAMES_VALID_MS = 250;
+/** Ranks kept; the engines that there were before make room for those that there are. */
+const MOST_RANKS = 1_024;
 
 /** Another daemon. */
 export interface PeerDaemon {
@@ -41,6 +46,13 @@
   heardMs: number;
 }
 
+/** The live daemons of the own zone, this one counted, and how they rank for the keys asked about. */
+interface LiveZone {
+  readonly names: readonly string[];
+  readonly checkedMs: number;
+  readonly rankOf: Map<string, readonly string[]>;
+}
+
 interface HeardRelay {
   readonly name: string;
   readonly heardMs: number;
@@ -57,6 +69,7 @@
   readonly #otherRelays = new Map<string, HeardRelay>();
   /** Relays of the own zone that fell silent and were not heard since. */
   readonly #silentRelays = new Set<string>();
+  #liveZone: LiveZone | undefined;
 
   constructor(self: OwnPlace) {
     this.#self = self;
@@ -84,6 +97,7 @@
   /** Takes the whole list; a daemon that is new to it counts as just heard. */
   replace(peers: readonly PeerDaemon[], nowMs: number): void {
     this.#hasList = true;
+    this.#liveZone = undefined;
     const listed = new Set<string>();
     for (const daemon of peers) {
       if (daemon.name === this.#self.name) continue;
@@ -97,7 +111,12 @@
   /** Something came from a daemon. */
   heard(name: string, nowMs: number): void {
     const known = this.#known.get(name);
-    if (known !== undefined) known.heardMs = nowMs;
+    if (known === undefined) return;
+    // One that was silent is live from here on.
+    if (nowMs - known.heardMs > LIVE_NAMES_VALID_MS && !this.#isLive(known, nowMs)) {
+      this.#liveZone = undefined;
+    }
+    known.heardMs = nowMs;
   }
 
   /** The relay of a zone told something. */
@@ -116,10 +135,16 @@
     return [...this.#known.values()].map(({ daemon }) => daemon);
   }
 
-  /** Who is told of a change: everyone, or the relay of each zone. */
+  /** Who is told of a change: everyone, or the relay of the own zone, which sums up for the others. */
   toldOfChanges(nowMs: number): readonly PeerDaemon[] {
     if (!this.isLarge) return this.everyone();
-    const zones = new Set(this.everyone().map(({ zone }) => zone)).add(this.#self.zone);
+    return this.#daemonsNamed([this.#relayOf(this.#self.zone, nowMs)]);
+  }
+
+  /** The relays of the other zones. */
+  otherRelays(nowMs: number): readonly PeerDaemon[] {
+    const zones = new Set(this.everyone().map(({ zone }) => zone));
+    zones.delete(this.#self.zone);
     return [...zones].flatMap((zone) => this.#daemonsNamed([this.#relayOf(zone, nowMs)]));
   }
 
@@ -149,14 +174,13 @@
   }
 
   #watchersOf(engineId: string, maxNewsCalls: number, nowMs: number): readonly string[] {
-    const inZone = this.#liveNames(this.#self.zone, nowMs);
-    const ranked = rankByRendezvous(engineId, inZone);
+    const ranked = this.#rankInZone(engineId, nowMs);
     return this.daemonCount <= maxNewsCalls ? ranked : ranked.slice(0, 1);
   }
 
   #relayOf(zone: string, nowMs: number): string | undefined {
     if (zone !== this.#self.zone) return this.#relayOfOther(zone, nowMs);
-    const ranked = rankByRendezvous(`relay of ${zone}`, this.#liveNames(zone, nowMs));
+    const ranked = this.#rankInZone(`relay of ${zone}`, nowMs);
     const relay = ranked.find((name) => !this.#silentRelays.has(name));
     if (relay === undefined || relay === this.#self.name) return relay;
     this.#relayHeardMs ??= nowMs;
@@ -178,13 +202,37 @@
     )[0];
   }
 
-  #liveNames(zone: string, nowMs: number): readonly string[] {
-    const silentMs = this.heartbeatMs * SILENT_HEARTBEATS;
+  /** The live daemons of the own zone by their rank for a key. */
+  #rankInZone(key: string, nowMs: number): readonly string[] {
+    const { names, rankOf } = this.#currentLiveZone(nowMs);
+    const known = rankOf.get(key);
+    if (known !== undefined) return known;
+    const ranked = rankByRendezvous(key, names);
+    if (rankOf.size >= MOST_RANKS) rankOf.clear();
+    rankOf.set(key, ranked);
+    return ranked;
+  }
+
+  #currentLiveZone(nowMs: number): LiveZone {
+    const known = this.#liveZone;
+    const isCurrent = known !== undefined && nowMs - known.checkedMs < LIVE_NAMES_VALID_MS;
+    if (isCurrent) return known;
+    const names = this.#liveNames(nowMs);
+    const isSame = known !== undefined && names.join() === known.names.join();
+    const rankOf = isSame ? known.rankOf : new Map<string, readonly string[]>();
+    this.#liveZone = { names, checkedMs: nowMs, rankOf };
+    return this.#liveZone;
+  }
+
+  #liveNames(nowMs: number): readonly string[] {
     const live = [...this.#known.values()].filter(
-      ({ daemon, heardMs }) => daemon.zone === zone && nowMs - heardMs <= silentMs,
+      (known) => known.daemon.zone === this.#self.zone && this.#isLive(known, nowMs),
     );
-    const names = live.map(({ daemon }) => daemon.name);
-    return zone === this.#self.zone ? [...names, this.#self.name] : names;
+    return [...live.map(({ daemon }) => daemon.name), this.#self.name];
+  }
+
+  #isLive({ heardMs }: KnownPeer, nowMs: number): boolean {
+    return nowMs - heardMs <= this.heartbeatMs * SILENT_HEARTBEATS;
   }
 
   #daemonsNamed(names: readonly (string | undefined)[]): readonly PeerDaemon[] {
--- a/src/core/gateway/stage-demand.ts
+++ b/src/core/gateway/stage-demand.ts
@@ -24,10 +24,13 @@
   readonly shortRequests: number;
 }
 
-/** Work over the newest span of time. */
+/** Work over the newest span of time, its sums kept as entries come and go. */
 export class StageDemand {
   readonly #spanMs: number;
-  #entries: TimedWork[] = [];
+  readonly #entries: TimedWork[] = [];
+  #prefillMs = 0;
+  #decodeMs = 0;
+  #shortRequests = 0;
 
   constructor(spanMs: number) {
     this.#spanMs = spanMs;
@@ -35,19 +38,31 @@
 
   note(source: WorkSource, work: RequestWork, nowMs: number): void {
     this.#entries.push({ ...work, source, atMs: nowMs });
+    this.#add(source, work, 1);
   }
 
   /** The sums over the span, and how many requests they are made of. */
   sums(nowMs: number): DemandSums {
-    this.#entries = this.#entries.filter((entry) => entry.atMs > nowMs - this.#spanMs);
-    let prefillMs = 0;
-    let decodeMs = 0;
-    let shortRequests = 0;
-    for (const entry of this.#entries) {
-      prefillMs += entry.prefillMs;
-      decodeMs += entry.decodeMs;
-      if (entry.source === 'short-prompt') shortRequests += 1;
-    }
-    return { prefillMs, decodeMs, requests: this.#entries.length, shortRequests };
+    this.#dropUntil(nowMs - this.#spanMs);
+    return {
+      prefillMs: Math.max(0, this.#prefillMs),
+      decodeMs: Math.max(0, this.#decodeMs),
+      requests: this.#entries.length,
+      shortRequests: this.#shortRequests,
+    };
+  }
+
+  #dropUntil(endMs: number): void {
+    const kept = this.#entries.findIndex(({ atMs }) => atMs > endMs);
+    const gone = this.#entries.splice(0, kept < 0 ? this.#entries.length : kept);
+    for (const entry of gone) this.#add(entry.source, entry, -1);
+    // What rounding has left behind goes with the last entry.
+    if (this.#entries.length === 0) this.#prefillMs = this.#decodeMs = 0;
+  }
+
+  #add(source: WorkSource, work: RequestWork, sign: 1 | -1): void {
+    this.#prefillMs += sign * work.prefillMs;
+    this.#decodeMs += sign * work.decodeMs;
+    if (source === 'short-prompt') this.#shortRequests += sign;
   }
 }
--- a/src/core/gateway/word-to-tell.ts
+++ b/src/core/gateway/word-to-tell.ts
@@ -14,8 +14,11 @@
 export type WordAudience = 'nobody' | 'zone' | 'everyone';
 
 const GAP_MS = 400;
-/** Each so-many-th time everyone is told. */
-const TIMES_FOR_EVERYONE = 3;
+/**
+ * The first time and each so-many-th one everyone is told. Only relays need to know the relays of other
+ * zones, and those hear each other's sums; this is for a daemon that has just become one.
+ */
+const TIMES_FOR_EVERYONE = 9;
 
 /** A relay's memory of what it has told. */
 export class WordToTell {
@@ -29,7 +32,7 @@
     this.#told = word;
     this.#toldAtMs = nowMs;
     this.#times += 1;
-    return this.#times % TIMES_FOR_EVERYONE === 0 ? 'everyone' : 'zone';
+    return this.#times % TIMES_FOR_EVERYONE === 1 ? 'everyone' : 'zone';
   }
 
   #isNews(word: TableWordMessage): boolean {
--- a/src/shell/gateway/byte-budget.ts
+++ b/src/shell/gateway/byte-budget.ts
@@ -35,3 +35,11 @@
     return true;
   }
 }
+
+/** UDP and IPv4 headers. */
+const DATAGRAM_OVERHEAD_BYTES = 28;
+
+/** What a datagram takes of a link. */
+export function sizeOnLink(bytes: Buffer): number {
+  return bytes.length + DATAGRAM_OVERHEAD_BYTES;
+}
--- a/src/shell/gateway/cache-news-watcher.ts
+++ b/src/shell/gateway/cache-news-watcher.ts
@@ -11,7 +11,7 @@
 import type { EngineNews } from './peer-messages.js';
 import type { CacheNews, RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { callWithin, delay, type TimerService } from './timer-service.js';
+import { type CancelTimer, callWithin, delay, type TimerService } from './timer-service.js';
 
 const WAIT_MS = 1_000;
 const ANSWER_SLACK_MS = 700;
@@ -22,7 +22,7 @@
 const LONGEST_RETRY_MS = 8_000;
 /** An engine that takes no more calls is asked again this late; each refusal costs it time. */
 const TURNED_AWAY_MS = 8_000;
-/** A daemon that need not ask an engine looks this often whether it does now. */
+/** How often a daemon looks which engines it is to ask. */
 const LOOK_AGAIN_MS = 1_000;
 /** Smaller parts are read sooner than looked for; they are not passed on. */
 const LEAST_PASSED_ON_TOKENS = 256;
@@ -45,32 +45,63 @@
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
-/** The watches of all listed engines. */
+/** The watches of the engines that this daemon is to ask. */
 export class CacheNewsWatchers {
   readonly #context: CacheNewsContext;
+  readonly #engines = new Map<string, ServerRecord>();
   readonly #watches = new Map<string, AbortController>();
+  #cancelLook: CancelTimer | undefined;
 
   constructor(context: CacheNewsContext) {
     this.#context = context;
   }
 
   add(engine: ServerRecord): void {
-    if (engine.stage === undefined || this.#watches.has(engine.id)) return;
-    const stopped = new AbortController();
-    this.#watches.set(engine.id, stopped);
-    void new CacheNewsWatch(this.#context, engine, stopped.signal).run();
+    if (engine.stage === undefined || this.#engines.has(engine.id)) return;
+    this.#engines.set(engine.id, engine);
+    this.#follow(engine);
+    if (this.#cancelLook === undefined) this.#lookAgain();
   }
 
   remove(engineId: string): void {
-    this.#watches.get(engineId)?.abort();
-    this.#watches.delete(engineId);
+    this.#engines.delete(engineId);
+    this.#end(engineId);
   }
 
   stop(): void {
-    for (const id of [...this.#watches.keys()]) this.remove(id);
+    this.#cancelLook?.();
+    for (const id of [...this.#engines.keys()]) this.remove(id);
+  }
+
+  /** One look at the duties for all engines: a timer for each would wake the process all the time. */
+  #lookAgain(): void {
+    this.#cancelLook = this.#context.timers.after(LOOK_AGAIN_MS, () => {
+      for (const engine of this.#engines.values()) this.#follow(engine);
+      this.#lookAgain();
+    });
+  }
+
+  /** Begins or ends the watch of an engine, as the duty says. */
+  #follow(engine: ServerRecord): void {
+    const isWatched = this.#watches.has(engine.id);
+    if (this.#context.duty.isWatcher(engine) === isWatched) return;
+    if (isWatched) this.#end(engine.id);
+    else this.#begin(engine);
+  }
+
+  #begin(engine: ServerRecord): void {
+    const ended = new AbortController();
+    this.#watches.set(engine.id, ended);
+    void new CacheNewsWatch(this.#context, engine, ended.signal).run();
+  }
+
+  #end(engineId: string): void {
+    this.#watches.get(engineId)?.abort();
+    this.#watches.delete(engineId);
   }
 }
 
+/** Follows one engine; what was missed before comes from the daemon that asked then. */
 class CacheNewsWatch {
   readonly #context: CacheNewsContext;
   readonly #engine: ServerRecord;
@@ -86,15 +117,8 @@
   }
 
   async run(): Promise<void> {
-    const { timers, duty } = this.#context;
+    const { timers } = this.#context;
     while (!this.#stopped.aborted) {
-      if (!duty.isWatcher(this.#engine)) {
-        // What is missed meanwhile comes from the daemon that asks.
-        this.#next = 0;
-        this.#epoch = undefined;
-        await delay(timers, LOOK_AGAIN_MS, this.#stopped);
-        continue;
-      }
       const news = await this.#ask();
       if (this.#stopped.aborted) return;
       switch (news) {
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -3,27 +3,30 @@
  * what all daemons sent it, and its own reports are late and priced. Datagrams may be lost; nothing
  * but the quality of a choice depends on them.
  *
- * In a large fleet a change is told to the relay of each zone alone, which tells its zone the sums;
- * cache news are passed on within a zone in the same way. Who does what is the roster's to say.
+ * In a large fleet a change is told to the relay of the own zone alone (`relay-duty.ts`); cache news are
+ * passed on within a zone by the daemon that asks for them. Who does what is the roster's to say.
  */
 import { createSocket, type Socket } from 'node:dgram';
-import {
-  type LoadReport,
-  type PeerDaemon,
-  type PeerLoads,
-  type PeerRoster,
-  type ReadNotice,
-  type ServerRecord,
-  type StageNotice,
-  SumsToTell,
-  type TableWordMessage,
-  WordToTell,
+import type {
+  LoadReport,
+  PeerDaemon,
+  PeerLoads,
+  PeerRoster,
+  ReadNotice,
+  ServerRecord,
+  StageNotice,
+  TableWordMessage,
 } from '../../core/gateway/index.js';
-import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import { ByteBudget } from './byte-budget.js';
+import { ByteBudget, sizeOnLink } from './byte-budget.js';
 import { PeerDirectory } from './peer-directory.js';
-import { decodePeerMessage, type EngineNews, encodePeerMessage } from './peer-messages.js';
+import {
+  decodePeerMessage,
+  type EngineNews,
+  encodePeerMessage,
+  MOST_ENTRIES,
+} from './peer-messages.js';
 import type { TableService } from './ports.js';
+import { RelayDuty } from './relay-duty.js';
 import type { GatewayLog } from './request-log.js';
 import type { TableChanges } from './table-watcher.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
@@ -31,18 +34,11 @@
 /** Changes within this time go in one message; longer where a relay sums them up. */
 const COALESCE_MS = 12;
 const COALESCE_FOR_RELAY_MS = 90;
-/** A relay tells its zone what has changed this often. */
-const RELAY_GAP_MS = 60;
-/** Others look this often whether they are the relay now. */
-const ROLE_CHECK_MS = 240;
 /** News within this time go in one message. */
 const NEWS_GAP_MS = 250;
-/** Entries of a message, so that it stays within one packet. */
-const MOST_ENTRIES = 40;
 const MOST_ROWS = 12;
 /** Heartbeats are spread over time, some peers at each step. */
 const HEARTBEAT_STEP_MS = 240;
-const DATAGRAM_OVERHEAD_BYTES = 28;
 /** Own work, to all peers together, as docs/CAPACITY.md plans for. */
 const CHANGE_BUDGET = { bytesPerSecond: 4_096, burstBytes: 32_768 };
 /** What is passed on, to each peer of the own zone. */
@@ -62,7 +58,7 @@
   readonly listen: PeerAddress;
   readonly table: TableService;
   readonly roster: PeerRoster;
-  readonly loads: Pick<PeerLoads, 'take' | 'takeSums' | 'totals'>;
+  readonly loads: Pick<PeerLoads, 'take' | 'takeSums' | 'takeZoneSums' | 'totals' | 'zoneTotals'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
   /** This daemon's work at this moment. */
@@ -92,18 +88,14 @@
   readonly #directory: PeerDirectory;
   readonly #changeBudget: ByteBudget;
   readonly #relayBudget: ByteBudget;
-  readonly #sums = new SumsToTell();
-  readonly #wordToTell = new WordToTell();
+  readonly #relay: RelayDuty;
   #ownReads: ReadNotice[] = [];
-  #readsToPassOn: ReadNotice[] = [];
   readonly #waitingNews = new Map<PeerDaemon['name'], EngineNews[]>();
   #sequence = 0;
   #heartbeatsSent = 0;
   #cancelFlush: CancelTimer | undefined;
   #cancelBeat: CancelTimer | undefined;
-  #cancelRelay: CancelTimer | undefined;
   #cancelNews: CancelTimer | undefined;
-  #isRelay = false;
   #isStopped = false;
 
   constructor(options: PeerExchangeOptions) {
@@ -111,6 +103,12 @@
     this.#changeBudget = new ByteBudget(CHANGE_BUDGET, options.timers);
     this.#relayBudget = new ByteBudget(RELAY_BUDGET_OF_PEER, options.timers);
     this.#directory = new PeerDirectory(options);
+    this.#relay = new RelayDuty({
+      ...options,
+      nextSequence: () => this.#nextSequence(),
+      budget: this.#relayBudget,
+      send: (peers, bytes) => this.#sendTo(peers, bytes),
+    });
     this.#socket = createSocket('udp4');
     this.#socket.on('message', (message) => this.#receive(message));
     // An address in use, or an unreachable peer, costs nothing but better choices.
@@ -123,7 +121,7 @@
       if (this.#isStopped) return;
       void this.#directory.run(this.#socket.address().port);
       this.#beat();
-      this.#relay();
+      this.#relay.start();
     });
   }
 
@@ -133,7 +131,7 @@
     this.#directory.stop();
     this.#cancelFlush?.();
     this.#cancelBeat?.();
-    this.#cancelRelay?.();
+    this.#relay.stop();
     this.#cancelNews?.();
     this.#socket.close();
   }
@@ -145,17 +143,13 @@
     const gapMs = roster.isLarge ? COALESCE_FOR_RELAY_MS : COALESCE_MS;
     this.#cancelFlush = timers.after(gapMs, () => {
       this.#cancelFlush = undefined;
-      this.#tellOwnWork(roster.toldOfChanges(timers.nowMs()), this.#takeOwnReads());
+      const reads = this.#ownReads;
+      this.#ownReads = [];
+      if (this.#relay.isRelay) this.#relay.passOnReads(reads);
+      this.#tellOwnWork(roster.toldOfChanges(timers.nowMs()), reads);
     });
   }
 
-  #takeOwnReads(): readonly ReadNotice[] {
-    const reads = this.#ownReads;
-    this.#ownReads = [];
-    if (this.#isRelay) this.#readsToPassOn.push(...reads);
-    return reads;
-  }
-
   /** Says soon that a read of a shared part was begun. */
   noteRead(read: ReadNotice): void {
     this.#ownReads.push(read);
@@ -166,7 +160,8 @@
   passOnServers(changes: TableChanges<ServerRecord>): void {
     const { zone, roster } = this.#options;
     const isWhole = changes.rows.every(({ kind }) => kind !== 'malformed');
-    if (!this.#isRelay || this.#isStopped || !isWhole || changes.rows.length > MOST_ROWS) return;
+    if (!this.#relay.isRelay || this.#isStopped || !isWhole || changes.rows.length > MOST_ROWS)
+      return;
     this.#sendTo(roster.zonePeers(), encodePeerMessage({ kind: 'servers', zone, changes }));
   }
 
@@ -217,57 +212,6 @@
     this.#sendTo(peers, bytes);
   }
 
-  #relay(): void {
-    const { timers, roster } = this.#options;
-    this.#cancelRelay = timers.after(this.#isRelay ? RELAY_GAP_MS : ROLE_CHECK_MS, () => {
-      this.#noteRole(roster.isRelay(timers.nowMs()));
-      if (this.#isRelay) {
-        this.#tellSums();
-        this.#tellTables();
-      }
-      this.#relay();
-    });
-  }
-
-  #noteRole(isRelay: boolean): void {
-    if (this.#isRelay === isRelay) return;
-    this.#isRelay = isRelay;
-    this.#options.noteRelay(isRelay);
-    const { zone, log, roster } = this.#options;
-    log.write(GATEWAY_EVENTS.roleInFleet, { zone, isRelay, daemons: roster.daemonCount });
-  }
-
-  #tellTables(): void {
-    const { daemon, zone, roster, timers, tableWord } = this.#options;
-    const word = tableWord();
-    const audience = this.#wordToTell.next(word, timers.nowMs());
-    if (audience === 'nobody') return;
-    const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, word });
-    this.#sendTo(audience === 'everyone' ? roster.everyone() : roster.zonePeers(), bytes);
-  }
-
-  #tellSums(): void {
-    const { daemon, incarnation, timers, roster, loads, ownWork } = this.#options;
-    const nowMs = timers.nowMs();
-    const { isWhole, work } = this.#sums.next(loads.totals(ownWork(), nowMs), nowMs);
-    const reads = this.#readsToPassOn;
-    this.#readsToPassOn = [];
-    if (!isWhole && work.length === 0 && reads.length === 0) return;
-    for (let first = 0; first === 0 || first < work.length; first += MOST_ENTRIES) {
-      const part = work.slice(first, first + MOST_ENTRIES);
-      const sums = {
-        relay: daemon,
-        incarnation,
-        sequence: this.#nextSequence(),
-        isWhole: isWhole && first === 0,
-        work: part,
-        reads: first === 0 ? reads : [],
-      };
-      const bytes = encodePeerMessage({ kind: 'sums', sums });
-      if (this.#relayBudget.tryTake(sizeOnLink(bytes))) this.#sendTo(roster.zonePeers(), bytes);
-    }
-  }
-
   #tellNews(): void {
     const { daemon, roster } = this.#options;
     const zonePeers = roster.zonePeers();
@@ -300,21 +244,22 @@
         roster.heard(message.report.daemon, nowMs);
         loads.take(message.report, nowMs);
         this.#takeReads(message.report.reads);
-        if (this.#isRelay) this.#readsToPassOn.push(...message.report.reads);
+        if (this.#relay.isRelay) this.#relay.passOnReads(message.report.reads);
         return;
       case 'sums':
         if (message.sums.relay === daemon) return;
-        roster.heardRelay(message.sums.relay, zone, nowMs);
+        roster.heardRelay(message.sums.relay, message.zone, nowMs);
         this.#takeReads(message.sums.reads);
-        if (!roster.isRelay(nowMs)) loads.takeSums(message.sums, ownWork(), nowMs);
+        if (message.zone !== zone) this.#relay.takeSums(message.zone, message.sums);
+        else if (!this.#relay.isRelay) loads.takeSums(message.sums, ownWork(), nowMs);
         return;
       case 'tables':
         if (message.relay === daemon) return;
         roster.heardRelay(message.relay, message.zone, nowMs);
-        if (message.zone === zone && !this.#isRelay) takeTables(message.word);
+        if (message.zone === zone && !this.#relay.isRelay) takeTables(message.word);
         return;
       case 'servers':
-        if (message.zone === zone && !this.#isRelay) takeServers(message.changes);
+        if (message.zone === zone && !this.#relay.isRelay) takeServers(message.changes);
         return;
       case 'stage':
         takeStage(message.notice);
@@ -335,10 +280,6 @@
   }
 }
 
-function sizeOnLink(bytes: Buffer): number {
-  return bytes.length + DATAGRAM_OVERHEAD_BYTES;
-}
-
 /** Parts news into messages that stay within one packet. */
 function partNews(waiting: readonly EngineNews[]): readonly (readonly EngineNews[])[] {
   const messages: EngineNews[][] = [];
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -16,6 +16,9 @@
 import type { CacheEvent, WatchedRow } from './ports.js';
 import type { TableChanges } from './table-watcher.js';
 
+/** Entries of a message, so that it stays within one packet. */
+export const MOST_ENTRIES = 40;
+
 const KINDS = { report: 1, sums: 2, news: 3, stage: 4, tables: 5, servers: 6 } as const;
 
 /** Engine, part, its tokens, and the milliseconds until it is read. */
@@ -33,6 +36,7 @@
 const sumsSchema = z.tuple([
   z.literal(KINDS.sums),
   z.string(),
+  z.string(),
   z.number(),
   z.number(),
   z.boolean(),
@@ -76,15 +80,24 @@
   z.array(serverSchema),
   z.array(z.string()),
 ]);
-const messageSchema = z.union([
-  serversSchema,
-  reportSchema,
-  sumsSchema,
-  newsSchema,
-  stageSchema,
-  tablesSchema,
+/** The schema of each kind, so that a message is checked against its own alone. */
+const schemaOfKind = new Map<unknown, MessageSchema>([
+  [KINDS.servers, serversSchema],
+  [KINDS.report, reportSchema],
+  [KINDS.sums, sumsSchema],
+  [KINDS.news, newsSchema],
+  [KINDS.stage, stageSchema],
+  [KINDS.tables, tablesSchema],
 ]);
 
+type MessageSchema =
+  | typeof serversSchema
+  | typeof reportSchema
+  | typeof sumsSchema
+  | typeof newsSchema
+  | typeof stageSchema
+  | typeof tablesSchema;
+
 /** An engine's cache news, as its watcher passes them on. */
 export interface EngineNews {
   readonly engineId: string;
@@ -96,7 +109,8 @@
 /** A message between gateways. */
 export type PeerMessage =
   | { readonly kind: 'report'; readonly report: LoadReport }
-  | { readonly kind: 'sums'; readonly sums: LoadSums }
+  /** A relay's sums: over all daemons to its own zone, over that zone to the relays of the others. */
+  | { readonly kind: 'sums'; readonly zone: string; readonly sums: LoadSums }
   | { readonly kind: 'stage'; readonly notice: StageNotice }
   /** A relay is there, and says how far it has seen the store's tables change. */
   | {
@@ -123,7 +137,7 @@
     }
     case 'sums': {
       const { relay, incarnation, sequence, isWhole, work, reads } = message.sums;
-      const head = [KINDS.sums, relay, incarnation, sequence, isWhole];
+      const head = [KINDS.sums, message.zone, relay, incarnation, sequence, isWhole];
       return pack([...head, encodeWork(work), encodeReads(reads)]);
     }
     case 'stage': {
@@ -146,8 +160,10 @@
 
 /** Reads a message; undefined for what is none. */
 export function decodePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  const parsed = messageSchema.safeParse(unpacked(bytes));
-  if (!parsed.success) return undefined;
+  const message = unpacked(bytes);
+  const schema = Array.isArray(message) ? schemaOfKind.get(message[0]) : undefined;
+  const parsed = schema?.safeParse(message);
+  if (parsed?.success !== true) return undefined;
   const fields = parsed.data;
   switch (fields[0]) {
     case KINDS.report: {
@@ -156,9 +172,9 @@
       return { kind: 'report', report: { daemon, incarnation, sequence, ...told } };
     }
     case KINDS.sums: {
-      const [, relay, incarnation, sequence, isWhole, work, reads] = fields;
+      const [, zone, relay, incarnation, sequence, isWhole, work, reads] = fields;
       const told = { work: decodeWork(work), reads: decodeReads(reads) };
-      return { kind: 'sums', sums: { relay, incarnation, sequence, isWhole, ...told } };
+      return { kind: 'sums', zone, sums: { relay, incarnation, sequence, isWhole, ...told } };
     }
     case KINDS.servers: {
       const [, zone, after, revision, servers, goneKeys] = fields;
--- /dev/null
+++ b/src/shell/gateway/relay-duty.ts
@@ -0,0 +1,150 @@
+/**
+ * What the relay of a zone does: it sums up the work that its zone tells it, tells the relays of the other
+ * zones that sum, and its own zone the sum over all zones; and it says how far it has seen the store's
+ * tables change. So each daemon tells one other of its work, however many zones there are, and a relay
+ * hears its own zone and one message for each other zone.
+ */
+import {
+  type EngineWork,
+  type LoadReport,
+  type LoadSums,
+  type PeerDaemon,
+  type PeerLoads,
+  type PeerRoster,
+  type ReadNotice,
+  SumsToTell,
+  type TableWordMessage,
+  type ToldSums,
+  WordToTell,
+} from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { type ByteBudget, sizeOnLink } from './byte-budget.js';
+import { encodePeerMessage, MOST_ENTRIES } from './peer-messages.js';
+import type { GatewayLog } from './request-log.js';
+import type { CancelTimer, TimerService } from './timer-service.js';
+
+/** A relay tells what has changed this often. */
+const RELAY_GAP_MS = 60;
+/** Others look this often whether they are the relay now. */
+const ROLE_CHECK_MS = 240;
+
+/** What a relay's duty is built from. */
+export interface RelayDutyOptions {
+  readonly daemon: string;
+  readonly zone: string;
+  readonly incarnation: number;
+  readonly roster: PeerRoster;
+  readonly loads: Pick<PeerLoads, 'takeZoneSums' | 'totals' | 'zoneTotals'>;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'write'>;
+  /** This daemon's work at this moment. */
+  readonly ownWork: () => LoadReport['work'];
+  /** What this daemon has seen of the store's tables. */
+  readonly tableWord: () => TableWordMessage;
+  /** Told when this daemon becomes its zone's relay, or no longer is. */
+  readonly noteRelay: (isRelay: boolean) => void;
+  readonly nextSequence: () => number;
+  /** Bytes that may be sent to each daemon told. */
+  readonly budget: ByteBudget;
+  readonly send: (peers: readonly PeerDaemon[], bytes: Buffer) => void;
+}
+
+/** The daemon's part as a relay; it looks by itself whether it is one. */
+export class RelayDuty {
+  readonly #options: RelayDutyOptions;
+  readonly #sums = new SumsToTell();
+  readonly #zoneSums = new SumsToTell();
+  readonly #wordToTell = new WordToTell();
+  /** Reads that daemons of the own zone told of. */
+  #zoneReads: ReadNotice[] = [];
+  /** Reads that other relays told of. */
+  #otherReads: ReadNotice[] = [];
+  #cancelTick: CancelTimer | undefined;
+  #isRelay = false;
+
+  constructor(options: RelayDutyOptions) {
+    this.#options = options;
+  }
+
+  get isRelay(): boolean {
+    return this.#isRelay;
+  }
+
+  start(): void {
+    const { timers, roster } = this.#options;
+    this.#cancelTick = timers.after(this.#isRelay ? RELAY_GAP_MS : ROLE_CHECK_MS, () => {
+      this.#noteRole(roster.isRelay(timers.nowMs()));
+      if (this.#isRelay) {
+        this.#tellSums();
+        this.#tellTables();
+      }
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.#cancelTick?.();
+  }
+
+  /** Reads that this daemon, or one of its zone, has begun. */
+  passOnReads(reads: readonly ReadNotice[]): void {
+    this.#zoneReads.push(...reads);
+  }
+
+  /** The sums of another zone, from its relay. */
+  takeSums(zone: string, sums: LoadSums): void {
+    if (!this.#isRelay) return;
+    this.#otherReads.push(...sums.reads);
+    this.#options.loads.takeZoneSums(zone, sums, this.#options.timers.nowMs());
+  }
+
+  #noteRole(isRelay: boolean): void {
+    if (this.#isRelay === isRelay) return;
+    this.#isRelay = isRelay;
+    this.#options.noteRelay(isRelay);
+    const { zone, log, roster } = this.#options;
+    log.write(GATEWAY_EVENTS.roleInFleet, { zone, isRelay, daemons: roster.daemonCount });
+  }
+
+  #tellTables(): void {
+    const { daemon, zone, roster, timers, tableWord, send } = this.#options;
+    const word = tableWord();
+    const audience = this.#wordToTell.next(word, timers.nowMs());
+    if (audience === 'nobody') return;
+    const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, word });
+    send(audience === 'everyone' ? roster.everyone() : roster.zonePeers(), bytes);
+  }
+
+  #tellSums(): void {
+    const { loads, ownWork, roster, timers } = this.#options;
+    const nowMs = timers.nowMs();
+    const own = ownWork();
+    const zoneReads = this.#zoneReads;
+    const allReads = [...zoneReads, ...this.#otherReads];
+    this.#zoneReads = [];
+    this.#otherReads = [];
+    const ofAll = this.#sums.next(loads.totals(own, nowMs), nowMs);
+    this.#sendSums(roster.zonePeers(), ofAll, allReads);
+    const ofZone = this.#zoneSums.next(loads.zoneTotals(own, nowMs), nowMs);
+    this.#sendSums(roster.otherRelays(nowMs), ofZone, zoneReads);
+  }
+
+  #sendSums(
+    peers: readonly PeerDaemon[],
+    { isWhole, work }: ToldSums,
+    reads: readonly ReadNotice[],
+  ): void {
+    if (!isWhole && work.length === 0 && reads.length === 0) return;
+    for (let first = 0; first === 0 || first < work.length; first += MOST_ENTRIES) {
+      const part = work.slice(first, first + MOST_ENTRIES);
+      const bytes = this.#encodeSums(isWhole && first === 0, part, first === 0 ? reads : []);
+      if (this.#options.budget.tryTake(sizeOnLink(bytes))) this.#options.send(peers, bytes);
+    }
+  }
+
+  #encodeSums(isWhole: boolean, work: readonly EngineWork[], reads: readonly ReadNotice[]): Buffer {
+    const { daemon, zone, incarnation, nextSequence } = this.#options;
+    const sums = { relay: daemon, incarnation, sequence: nextSequence(), isWhole, work, reads };
+    return encodePeerMessage({ kind: 'sums', zone, sums });
+  }
+}
--- a/src/shell/gateway/table-word.ts
+++ b/src/shell/gateway/table-word.ts
@@ -4,7 +4,7 @@
  * daemon follows the tables by itself. The word carries no rows, so nothing it says can set a daemon back.
  */
 import type { TableWordMessage } from '../../core/gateway/index.js';
-import { delay, type TimerService } from './timer-service.js';
+import type { TimerService } from './timer-service.js';
 
 /** A table that daemons follow. */
 export type FollowedTable = 'configurations' | 'servers';
@@ -57,12 +57,18 @@
     }
   }
 
-  async #nextWord(mostMs: number, signal: AbortSignal): Promise<void> {
-    const heard = new AbortController();
-    const listener = () => heard.abort();
-    this.#listeners.add(listener);
-    const either = AbortSignal.any([heard.signal, signal]);
-    await delay(this.#timers, mostMs, either);
-    this.#listeners.delete(listener);
+  /** Until the next word, the end of a time, or the signal, whichever comes first. */
+  #nextWord(mostMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        cancel();
+        this.#listeners.delete(finish);
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      const cancel = this.#timers.after(mostMs, finish);
+      this.#listeners.add(finish);
+      signal.addEventListener('abort', finish, { once: true });
+    });
   }
 }
--- a/test/gateway/peer-roster.test.ts
+++ b/test/gateway/peer-roster.test.ts
@@ -45,8 +45,11 @@
   const relays = all.filter((_, index) => rosters[index]?.isRelay(0) === true);
   assert.deepEqual(relays.map(({ zone }) => zone).sort(), ZONES);
   for (const [index, roster] of rosters.entries()) {
-    const others = relays.filter(({ name }) => name !== all[index]?.name);
-    assert.deepEqual(namesOf(roster.toldOfChanges(0)), namesOf(others));
+    const self = all[index];
+    const own = relays.filter(({ zone, name }) => zone === self?.zone && name !== self.name);
+    const others = relays.filter(({ zone }) => zone !== self?.zone);
+    assert.deepEqual(namesOf(roster.toldOfChanges(0)), namesOf(own));
+    assert.deepEqual(namesOf(roster.otherRelays(0)), namesOf(others));
   }
 });
 
@@ -111,12 +114,12 @@
   const all = daemons(60);
   const roster = rostersOf(all)[0];
   assert.ok(roster !== undefined);
-  const ranked = namesOf(roster.toldOfChanges(0).filter(({ zone }) => zone === 'south'));
+  const ranked = namesOf(roster.otherRelays(0).filter(({ zone }) => zone === 'south'));
   const another = all.find(({ name, zone }) => zone === 'south' && name !== ranked[0]);
   assert.ok(another !== undefined);
   roster.heardRelay(another.name, 'south', 1_000);
   const told = (nowMs: number) =>
-    namesOf(roster.toldOfChanges(nowMs).filter(({ zone }) => zone === 'south'));
+    namesOf(roster.otherRelays(nowMs).filter(({ zone }) => zone === 'south'));
   assert.deepEqual(told(2_000), [another.name]);
   assert.deepEqual(told(9_000), ranked);
 });
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -88,11 +88,28 @@
   assert.equal(loads.running('e', 3_000), 2);
 });
 
+test('a relay adds the sums of other zones for its own, and tells other relays of its zone alone', () => {
+  const loads = new PeerLoads();
+  const work = (running: number) => [{ engineId: 'e', pendingMs: 100, lateMs: 0, running }];
+  loads.take({ ...report(), daemon: 'a', work: work(2) }, 0);
+  const sums = { relay: 'r', incarnation: 1, sequence: 1, isWhole: true, work: work(5), reads: [] };
+  loads.takeZoneSums('south', sums, 0);
+  loads.takeZoneSums('west', { ...sums, relay: 's', work: work(7) }, 0);
+  assert.equal(loads.zoneTotals(work(1), 0)[0]?.running, 3);
+  assert.equal(loads.totals(work(1), 0)[0]?.running, 15);
+  assert.equal(loads.running('e', 0), 14);
+  // A relay that takes over from another is not counted beside it.
+  loads.takeZoneSums('west', { ...sums, relay: 't', work: work(8) }, 10);
+  assert.equal(loads.running('e', 10), 15);
+  // One that falls silent counts no more.
+  assert.equal(loads.running('e', 3_000), 2);
+});
+
 test('messages are read as they were written, and what is none is passed over', () => {
   const news = [{ engineId: 'e', isReset: true, events: [{ partId: 'p', tokens: 3 }] }];
   const messages = [
     { kind: 'report', report: report({ reads: [READ] }) },
-    { kind: 'sums', sums: sums({ reads: [READ] }) },
+    { kind: 'sums', zone: 'z', sums: sums({ reads: [READ] }) },
     { kind: 'news', daemon: 'a', news },
     {
       kind: 'servers',
@@ -154,6 +171,7 @@
 ) {
   const reported = deferred<LoadReport>();
   const summed = deferred<LoadSums>();
+  const relayed = deferred<LoadSums>();
   const informed = deferred<EngineNews>();
   const listed = deferred<number>();
   const noticed = deferred<ReadNotice>();
@@ -185,10 +203,15 @@
       takeSums: (sums) => {
         if (sums.work.some(({ running }) => running > LARGEST_OWN)) summed.resolve(sums);
       },
+      takeZoneSums: (zoneOfSums, sums, nowMs) => {
+        loads.takeZoneSums(zoneOfSums, sums, nowMs);
+        relayed.resolve(sums);
+      },
       totals: (own, nowMs) => loads.totals(own, nowMs),
+      zoneTotals: (own, nowMs) => loads.zoneTotals(own, nowMs),
     },
   });
-  return { exchange, roster, reported, summed, informed, listed, noticed };
+  return { exchange, roster, reported, summed, relayed, informed, listed, noticed };
 }
 
 test('daemons find each other by the store and tell what changed', async () => {
--- a/test/gateway/word-to-tell.test.ts
+++ b/test/gateway/word-to-tell.test.ts
@@ -7,15 +7,17 @@
 
 test('a change is told at once, and no change now and then as a sign of life', () => {
   const told = new WordToTell();
-  assert.equal(told.next(word(1, 1), 0), 'zone');
+  assert.equal(told.next(word(1, 1), 0), 'everyone');
   assert.equal(told.next(word(1, 1), 60), 'nobody');
   assert.equal(told.next(word(1, 2), 120), 'zone');
   assert.equal(told.next(word(1, 2), 180), 'nobody');
   assert.notEqual(told.next(word(1, 2), 520), 'nobody');
 });
 
-test('other zones hear each third time', () => {
+test('everyone hears the first time and each ninth, the own zone each time', () => {
   const told = new WordToTell();
-  const audiences = [0, 1, 2, 3, 4, 5].map((beat) => told.next(word(1, 1), beat * 400));
-  assert.deepEqual(audiences, ['zone', 'zone', 'everyone', 'zone', 'zone', 'everyone']);
+  const audiences = Array.from({ length: 12 }, (_, beat) => told.next(word(1, 1), beat * 400));
+  const everyone = audiences.flatMap((audience, beat) => (audience === 'everyone' ? [beat] : []));
+  assert.deepEqual(everyone, [0, 9]);
+  assert.equal(audiences.filter((audience) => audience === 'zone').length, 10);
 });
