Name the bundle and its compiled code by a hash of the source

Cause: a test showed that V8 takes compiled code of another source of the same length as its own. Two builds in one checkout no longer break each other's processes either: each writes files of its own and renames them.

--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -2,25 +2,25 @@
  * Bundles the gateway's program into `target/`: one file starts fastest, and the code that every start runs
  * is compiled here once (a start took 75 ms for the bundle without, 20 ms with it).
  */
-import { copyFileSync, mkdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { createHash } from 'node:crypto';
+import { mkdirSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { build } from 'esbuild';
 
 const TARGET = 'target';
-const BUNDLE = `${TARGET}/gateway.bundle.js`;
 const LOADER = `${TARGET}/gateway.cjs`;
 
 /** Another name first, then renamed: a process that starts meanwhile finds a whole file. */
-function replaceFile(path, write) {
+function replaceFile(path, content) {
   const temporary = `${path}.${process.pid}`;
-  write(temporary);
+  writeFileSync(temporary, content);
   renameSync(temporary, path);
 }
 
-async function bundle(outfile) {
-  await build({
+async function bundle() {
+  const { outputFiles } = await build({
     entryPoints: ['src/daemon/gateway-main.ts'],
-    outfile,
+    write: false,
     bundle: true,
     minify: true,
     platform: 'node',
@@ -28,15 +28,16 @@
     format: 'cjs',
     logLevel: 'warning',
   });
+  return outputFiles[0].contents;
 }
 
 mkdirSync(TARGET, { recursive: true });
-const staged = `${BUNDLE}.${process.pid}`;
-await bundle(staged);
-renameSync(staged, BUNDLE);
-replaceFile(LOADER, (path) => copyFileSync('scripts/gateway-loader.cjs', path));
+const source = await bundle();
+const hash = createHash('sha256').update(source).digest('hex').slice(0, 16);
+replaceFile(`${TARGET}/gateway.${hash}.js`, source);
+const loader = readFileSync('scripts/gateway-loader.cjs', 'utf8').replaceAll('HASH', hash);
+replaceFile(LOADER, loader);
 const { loadBundle, COMPILED } = createRequire(import.meta.url)(`../${LOADER}`);
-rmSync(COMPILED, { force: true });
 const { script, exports } = loadBundle();
 exports.warmUp();
-replaceFile(COMPILED, (path) => writeFileSync(path, script.createCachedData()));
+replaceFile(COMPILED, script.createCachedData());
--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -1,13 +1,16 @@
 /**
  * Entry point of the bundled gateway, copied to `target/gateway.cjs`. It runs the bundle with the code that
  * the build compiled; where that is missing or from another version of V8, node compiles it as usual.
+ *
+ * V8 tells compiled code of another bundle by the length of its source alone, so bundle and compiled code
+ * have a hash of the source in their names, which the build writes in here.
  */
 const { readFileSync } = require('node:fs');
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
-const BUNDLE = join(__dirname, 'gateway.bundle.js');
-const COMPILED = join(__dirname, 'gateway.bundle.compiled');
+const BUNDLE = join(__dirname, 'gateway.HASH.js');
+const COMPILED = join(__dirname, 'gateway.HASH.compiled');
 
 function readCompiled() {
   try {
