Mend the fall: spare engines that generate, a rescue past the damping, dark servers told, true Retry-After

Ruled out: the platform's list (it shows a dark engine until three heartbeats are missed). In a large fleet only relays order engines.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -41,12 +41,15 @@
 } from './peer-load.js';
 export { type OwnPlace, type PeerDaemon, PeerRoster } from './peer-roster.js';
 export {
+  planRescue,
   planStageChange,
+  type RescueInput,
   type StageChange,
   type StageNeed,
   type StagePlanInput,
 } from './plan-stages.js';
 export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
+export { type ReachNotice, ReachNoticeFilter } from './reach-notices.js';
 export { type ReadPriorityInput, readPriority } from './read-priority.js';
 export { ReadSpeed } from './read-speed.js';
 export { RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -5,6 +5,7 @@
 
 import type { Urgency } from './engine-load.js';
 import type { ReadNotice } from './prefix-knowledge.js';
+import type { ReachNotice } from './reach-notices.js';
 
 /** A daemon that has told nothing for this long counts as having nothing. */
 const SILENT_AFTER_MS = 4_000;
@@ -36,6 +37,8 @@
   readonly work: readonly EngineWork[];
   /** Reads of shared parts that it began since the last report. */
   readonly reads: readonly ReadNotice[];
+  /** Servers that it found silent, or back, since the last report. */
+  readonly reach: readonly ReachNotice[];
 }
 
 /** Sums told by the relay of a zone: over all daemons to its zone, over its zone to the other relays. */
@@ -48,6 +51,8 @@
   readonly work: readonly EngineWork[];
   /** Reads that daemons told of since the last sums. */
   readonly reads: readonly ReadNotice[];
+  /** Servers that daemons found silent, or back, since the last sums. */
+  readonly reach: readonly ReachNotice[];
 }
 
 interface ReceivedWork {
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -3,6 +3,10 @@
  * where the stage that is fuller for its kind of work is least full. An engine is away while it changes,
  * so one is moved at a time, only when a stage is full, and only where that relieves it well.
  *
+ * Engines fail together. So as many generate as leave one after the losses that are to be borne, in as many
+ * zones as there are; and when none of them can be reached, several that read are ordered over at once,
+ * whatever the work is. Reading needs no such care: engines that generate read as well.
+ *
  * Long prompts are read one after another, each late when it waits for one other, so a stage that reads
  * is full early; an engine that generates shares its steps among many runs and may be busier.
  */
@@ -17,6 +21,10 @@
 /** The loss of one engine is to leave one of its stage, where there are this many in all. */
 const ENGINES_FOR_SPARES = 4;
 const ENGINES_WITH_SPARE = 2;
+/** So many engines that generate may go at once and leave one; without any, nothing is answered. */
+const LOSSES_TO_BEAR = 2;
+/** For that, a stage never keeps more than this part of all engines. */
+const MOST_SPARE_SHARE = 0.4;
 
 /** Work of a service, in engines that it keeps busy. */
 export interface StageNeed {
@@ -55,16 +63,55 @@
   const stage: EngineStage = wantedPrefill > currentPrefill ? 'prefill' : 'decode';
   const movable = engines.filter((engine) => engine.stage !== stage);
   if (movable.length <= 1) return undefined;
-  const engine = movable.reduce((least, candidate) =>
-    input.busyOf(candidate.id) < input.busyOf(least.id) ? candidate : least,
-  );
+  const engine = leastMissed(movable, input);
   return { engine, stage, wantedPrefill, currentPrefill };
 }
 
+/** What a rescue is decided from. */
+export interface RescueInput extends Omit<StagePlanInput, 'need'> {
+  /** Whether calls to an engine come through. */
+  isReachable(engineId: string): boolean;
+}
+
+/**
+ * The changes that bring back a stage that generates when none of its engines can be reached: nothing is
+ * answered without it. As many as may be lost and one, but never more than half of those that read.
+ */
+export function planRescue(input: RescueInput): readonly StageChange[] {
+  const { engines } = input;
+  const reachable = engines.filter(({ id }) => input.isReachable(id));
+  const readers = reachable.filter(({ stage }) => stage === 'prefill');
+  const isLost = engines.length > 0 && reachable.every(({ stage }) => stage !== 'decode');
+  if (!isLost || readers.length === 0) return [];
+  const count = Math.max(1, Math.min(LOSSES_TO_BEAR + 1, Math.floor(readers.length / 2)));
+  const currentPrefill = engines.filter(({ stage }) => stage === 'prefill').length;
+  const wantedPrefill = currentPrefill - count;
+  const moved: ServerRecord[] = [];
+  while (moved.length < count) {
+    const left = readers.filter((reader) => !moved.includes(reader));
+    moved.push(leastMissed(left, input));
+  }
+  return moved.map((engine) => ({ engine, stage: 'decode', wantedPrefill, currentPrefill }));
+}
+
+/** Of the zone that has most of a stage's engines, the one with least to do. */
+function leastMissed(
+  movable: readonly ServerRecord[],
+  { busyOf }: Pick<StagePlanInput, 'busyOf'>,
+): ServerRecord {
+  const countOf = (zone: string) => movable.filter((engine) => engine.zone === zone).length;
+  const most = Math.max(...movable.map(({ zone }) => countOf(zone)));
+  return movable
+    .filter(({ zone }) => countOf(zone) === most)
+    .reduce((least, candidate) => (busyOf(candidate.id) < busyOf(least.id) ? candidate : least));
+}
+
 function bestPrefillCount(total: number, need: StageNeed): number {
   const least = total >= ENGINES_FOR_SPARES ? ENGINES_WITH_SPARE : 1;
+  const spared = Math.min(LOSSES_TO_BEAR + 1, Math.floor(total * MOST_SPARE_SHARE));
+  const most = total - Math.max(least, spared);
   let best = least;
-  for (let count = least + 1; count <= total - least; count += 1) {
+  for (let count = least + 1; count <= most; count += 1) {
     if (fullest(count, total, need) < fullest(best, total, need)) best = count;
   }
   return best;
--- a/src/core/gateway/server-health.ts
+++ b/src/core/gateway/server-health.ts
@@ -3,11 +3,15 @@
  * that fails is passed over for a time that doubles with each failure in a row, then tried again.
  */
 
+import { type ReachNotice, WITNESSES } from './reach-notices.js';
+
 const FIRST_EJECTION_MS = 400;
 const LONGEST_EJECTION_MS = 4_000;
 /** A server that turns calls away is given time to find room, longer with each in a row. */
 const FIRST_REST_MS = 100;
 const LONGEST_REST_MS = 1_600;
+/** How long a server is passed over that another daemon finds silent, unless that is told again. */
+const TOLD_SILENT_MS = 1_000;
 /** Weight of the newest outcome in the failure rate. */
 const FAILURE_WEIGHT = 0.12;
 /**
@@ -32,6 +36,13 @@
   #turnedAwayInARow = 0;
   #failuresInARow = 0;
   #failureRate = 0;
+  /** Whether the last attempt to connect was not answered at all. */
+  #isSilent = false;
+  /** The one call that finds out whether a silent server is back. */
+  #trial: OpenCall | undefined;
+  #toldSilentUntilMs = 0;
+  /** Daemons that found it silent, and when they said so. */
+  readonly #witnesses = new Map<string, number>();
   #responseMs: number | undefined;
 
   /** Calls that are under way. */
@@ -54,11 +65,55 @@
     const grantedMs = EXPECTATION_FACTOR * Math.min(MOST_EXPECTED_MS, Math.max(0, expectedMs));
     const call = { silentAtMs: nowMs + SILENT_AFTER_MS + grantedMs };
     this.#openCalls.add(call);
+    if (this.#isSilent) this.#trial ??= call;
     return call;
   }
 
   close(call: OpenCall): void {
     this.#openCalls.delete(call);
+    if (this.#trial === call) this.#trial = undefined;
+  }
+
+  /** The server answered something. @returns whether it was taken to be silent until now */
+  recordReached(): boolean {
+    const wasSilent = this.#isSilent;
+    this.#isSilent = false;
+    this.#trial = undefined;
+    this.#toldSilentUntilMs = 0;
+    this.#witnesses.clear();
+    return wasSilent;
+  }
+
+  /** An attempt to connect was not answered at all. */
+  recordSilent(nowMs: number): void {
+    this.recordBroken(nowMs);
+    this.#isSilent = true;
+  }
+
+  /** Another daemon found the server silent, or reached it again. */
+  takeTold({ isReachable, by }: ReachNotice, nowMs: number): void {
+    if (isReachable) {
+      if (this.recordReached()) this.#ejectedUntilMs = 0;
+      return;
+    }
+    for (const [witness, atMs] of this.#witnesses) {
+      if (nowMs - atMs > TOLD_SILENT_MS) this.#witnesses.delete(witness);
+    }
+    this.#witnesses.set(by, nowMs);
+    const witnesses = this.#witnesses.size + (this.#isSilent ? 1 : 0);
+    if (witnesses >= WITNESSES) this.#toldSilentUntilMs = nowMs + TOLD_SILENT_MS;
+  }
+
+  /** Whether it answers no connection, as far as is known; it is tried by one call at a time. */
+  isDark(nowMs: number): boolean {
+    if (nowMs < this.#toldSilentUntilMs) return true;
+    return this.#isSilent && (this.isEjected(nowMs) || this.#trial !== undefined);
+  }
+
+  /** How much longer it is passed over, as far as is known. */
+  passedOverMs(nowMs: number): number {
+    const untilMs = Math.max(this.#ejectedUntilMs, this.#restsUntilMs, this.#toldSilentUntilMs);
+    return Math.max(0, untilMs - nowMs);
   }
 
   recordSuccess(elapsedMs: number): void {
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -146,6 +146,12 @@
     message: 'an ordered engine says that it has changed its stage',
     remedy: 'Nothing to do; elapsedMs is how long it was away.',
   },
+  stageLost: {
+    number: 6045,
+    level: 'warn',
+    message: 'no engine that generates can be reached; an engine that reads is ordered over',
+    remedy: 'Look at the engines that generate: they crashed, or the network to them is cut.',
+  },
   newsLost: {
     number: 6050,
     level: 'warn',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -2,7 +2,12 @@
  * One sending of a request to one server: the call, the check that the answer is this request's,
  * and what was seen of the server.
  */
-import type { EngineTraits, ReadNotice, ServerRecord } from '../../core/gateway/index.js';
+import type {
+  EngineTraits,
+  ReachNotice,
+  ReadNotice,
+  ServerRecord,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { BackendAnswer, BackendConnections } from './backend-connections.js';
@@ -13,6 +18,8 @@
 /** A connection that is not up by then goes to another server. */
 const CONNECT_TIMEOUT_MS = 220;
 const FIRST_SERVER_ERROR = 500;
+/** Callers that were refused come back over this part of their wait more. */
+const RETRY_SPREAD = 0.5;
 const NO_BUDGET_REASON = 'the retry budget is spent';
 
 /** What attempts need. */
@@ -24,6 +31,8 @@
   readonly noteLoadChange: () => void;
   /** To be called when a shared part begins to be read, so that no other daemon has it read again. */
   readonly noteRead: (read: ReadNotice) => void;
+  /** To be called when a server does not answer a connection, or does so again. */
+  readonly noteReach: (reach: Omit<ReachNotice, 'by'>) => void;
   /** Where this daemon stands. */
   readonly zone: string;
 }
@@ -46,7 +55,7 @@
 export type AttemptResult =
   | { readonly kind: 'answered'; readonly attempt: AnsweredAttempt }
   /** The server had no part in it. */
-  | { readonly kind: 'not-sent'; readonly reason: string }
+  | { readonly kind: 'not-sent'; readonly reason: string; readonly wasSilent: boolean }
   /** It would be a repeat, and the budget has no room for one; no server is worth another try. */
   | { readonly kind: 'no-budget'; readonly reason: string }
   /** The server says that it has not run it. */
@@ -143,6 +152,9 @@
   };
   if (result.kind !== 'answered') return failed(result);
   const { answer } = result;
+  if (health.recordReached()) {
+    context.noteReach({ serverId: options.server.id, isReachable: true });
+  }
   const marks = context.codec.readMarks(answer.status, answer.message.headers);
   if (marks.isNotExecuted) {
     answer.message.resume();
@@ -222,7 +234,10 @@
   const { log, metrics, description, timers } = exchange.options;
   const health = context.fleet.healthOf(options.server.id);
   if (failure.kind === 'not-executed') health.recordTurnedAway(timers.nowMs());
-  else health.recordBroken(timers.nowMs());
+  else if (failure.kind === 'not-sent' && failure.wasSilent) {
+    health.recordSilent(timers.nowMs());
+    context.noteReach({ serverId: options.server.id, isReachable: false });
+  } else health.recordBroken(timers.nowMs());
   metrics.recordAttempt(failure.kind);
   log.write(GATEWAY_EVENTS.attemptFailed, {
     request: description.attemptId,
@@ -241,3 +256,12 @@
 export function engineTraits(exchange: Exchange): EngineTraits | undefined {
   return exchange.options.configuration.services.get(exchange.options.service)?.engine;
 }
+
+/** When a refused caller may come back: when a server that is passed over now is tried again. */
+export function retryAfterMs(exchange: Exchange, { fleet }: AttemptContext): number {
+  const { service, route, timers } = exchange.options;
+  const expectedMs = fleet.roomExpectedInMs(service, timers.nowMs());
+  const waitMs = expectedMs ?? route.targetLatencyMs;
+  // Spread, so that those who were refused together do not come back together.
+  return waitMs * (1 + RETRY_SPREAD * Math.random());
+}
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -33,8 +33,8 @@
 /** How a call went until the head of an answer. */
 export type CallResult =
   | { readonly kind: 'answered'; readonly answer: BackendAnswer }
-  /** No byte of the request can have left. */
-  | { readonly kind: 'not-sent'; readonly reason: string }
+  /** No byte of the request can have left; `wasSilent` when connecting was not answered at all. */
+  | { readonly kind: 'not-sent'; readonly reason: string; readonly wasSilent: boolean }
   /** The request may have run. */
   | { readonly kind: 'broken'; readonly reason: string };
 
@@ -135,6 +135,10 @@
   return isNamed ? [...headers] : ['Host', address, ...headers];
 }
 
+function notSent(reason: string, wasSilent: boolean): CallResult {
+  return { kind: 'not-sent', reason, wasSilent };
+}
+
 function destroySocket(this: Socket): void {
   this.destroy();
 }
@@ -153,9 +157,10 @@
 
   call(call: BackendCall): Promise<CallResult> {
     return new Promise((resolve) => {
-      if (call.signal.aborted) return resolve({ kind: 'not-sent', reason: 'given up' });
+      if (call.signal.aborted) return resolve(notSent('given up', false));
       const request = this.#open(call);
       let mayHaveLeft = false;
+      let wasSilent = false;
       let isSettled = false;
       const settle = (result: CallResult) => {
         if (isSettled) return;
@@ -166,7 +171,8 @@
       const abort = () => request.destroy();
       call.signal.addEventListener('abort', abort, { once: true });
       const cancelConnectTimer = this.#timers.after(call.connectTimeoutMs, () => {
-        if (!mayHaveLeft) request.destroy(new Error('connecting took too long'));
+        wasSilent = !mayHaveLeft;
+        if (wasSilent) request.destroy(new Error('connecting took too long'));
       });
       request.on('socket', (socket) => {
         if (!socket.connecting) {
@@ -181,12 +187,12 @@
       request.on('response', (message) => {
         settle({ kind: 'answered', answer: new BackendAnswer(request, message) });
       });
-      request.on('error', (error) => {
-        settle({ kind: mayHaveLeft ? 'broken' : 'not-sent', reason: error.message });
-      });
+      const fail = (reason: string) =>
+        settle(mayHaveLeft ? { kind: 'broken', reason } : notSent(reason, wasSilent));
+      request.on('error', (error) => fail(error.message));
       request.on('close', () => {
         call.signal.removeEventListener('abort', abort);
-        settle({ kind: mayHaveLeft ? 'broken' : 'not-sent', reason: 'connection closed' });
+        fail('connection closed');
       });
       request.end(call.body);
     });
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -11,6 +11,7 @@
   type LoadReport,
   PeerLoads,
   PrefixKnowledge,
+  type ReachNotice,
   ReadSpeed,
   RetryBudget,
   type RetryBudgetOptions,
@@ -90,7 +91,35 @@
 
   /** Servers of a service that may be sent new work. */
   candidates(service: string, nowMs: number): ServerRecord[] {
-    return this.stageNotices.usable(this.directory.readyOf(service), nowMs);
+    const answering = this.directory
+      .readyOf(service)
+      .filter(({ id }) => this.#health.get(id)?.isDark(nowMs) !== true);
+    return this.stageNotices.usable(answering, nowMs);
+  }
+
+  /** Whether calls to a server are expected to come through. */
+  isReachable(serverId: string, nowMs: number): boolean {
+    const health = this.#health.get(serverId);
+    return health === undefined || !(health.isDark(nowMs) || health.isEjected(nowMs));
+  }
+
+  /**
+   * When there may be room for a request that no server took: as soon as the first of those that were
+   * passed over is tried again. Undefined where none was passed over.
+   */
+  roomExpectedInMs(service: string, nowMs: number): number | undefined {
+    const waitsMs = this.directory
+      .readyOf(service)
+      .filter(({ stage }) => stage !== 'prefill')
+      .map(({ id }) => this.#health.get(id)?.passedOverMs(nowMs) ?? 0)
+      .filter((waitMs) => waitMs > 0);
+    return waitsMs.length === 0 ? undefined : Math.min(...waitsMs);
+  }
+
+  /** A server that another daemon found silent, or back. */
+  takeReach(notice: ReachNotice, nowMs: number): void {
+    if (this.directory.get(notice.serverId) === undefined) return;
+    this.healthOf(notice.serverId).takeTold(notice, nowMs);
   }
 
   /** Servers of a service, those that are changing their stage as they will be. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -101,6 +101,7 @@
       zone: settings.zone,
       noteLoadChange: () => this.#peers?.noteChange(),
       noteRead: (read) => this.#peers?.noteRead(read),
+      noteReach: (reach) => this.#peers?.noteReach(reach),
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
     const incarnation = randomInt(INCARNATIONS);
@@ -134,6 +135,7 @@
       table: adapter.table,
       connections: this.#connections,
       codec: adapter.requests,
+      mayOrder: () => !this.#roster.isLarge || this.#isRelay,
       tellStage: (notice) => this.#peers?.tellStage(notice),
       timers,
       log,
@@ -221,6 +223,7 @@
       table: adapter.table,
       roster: this.#roster,
       log,
+      takeReach: (reach) => this.#fleet.takeReach(reach, timers.nowMs()),
       takeRead: (read) => this.#fleet.knowledge.expect(read, timers.nowMs()),
       noteRelay: (isRelay) => this.#noteRelay(isRelay),
       tableWord: () => this.#follower.wordToTell(timers.nowMs()),
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -12,6 +12,7 @@
   PeerDaemon,
   PeerLoads,
   PeerRoster,
+  ReachNotice,
   ReadNotice,
   ServerRecord,
   StageNotice,
@@ -27,7 +28,7 @@
   type PassedConfiguration,
 } from './peer-messages.js';
 import type { TableService } from './ports.js';
-import { RelayDuty } from './relay-duty.js';
+import { NO_NEWS, type OwnNews, RelayDuty } from './relay-duty.js';
 import type { GatewayLog } from './request-log.js';
 import type { TableChanges } from './table-watcher.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
@@ -70,6 +71,8 @@
   readonly noteDaemonCount: (daemons: number) => void;
   /** A read that another daemon told of. */
   readonly takeRead: (read: ReadNotice) => void;
+  /** A server that another daemon found silent, or back. */
+  readonly takeReach: (reach: ReachNotice) => void;
   /** Told when this daemon becomes its zone's relay, or no longer is. */
   readonly noteRelay: (isRelay: boolean) => void;
   /** What this daemon has seen of the store's tables. */
@@ -97,6 +100,7 @@
   readonly #relayBudget: ByteBudget;
   readonly #relay: RelayDuty;
   #ownReads: ReadNotice[] = [];
+  #ownReach: ReachNotice[] = [];
   readonly #waitingNews = new Map<PeerDaemon['name'], EngineNews[]>();
   #sequence = 0;
   #heartbeatsSent = 0;
@@ -150,10 +154,11 @@
     const gapMs = roster.isLarge ? COALESCE_FOR_RELAY_MS : COALESCE_MS;
     this.#cancelFlush = timers.after(gapMs, () => {
       this.#cancelFlush = undefined;
-      const reads = this.#ownReads;
+      const news = { reads: this.#ownReads, reach: this.#ownReach };
       this.#ownReads = [];
-      if (this.#relay.isRelay) this.#relay.passOnReads(reads);
-      this.#tellOwnWork(roster.toldOfChanges(timers.nowMs()), reads);
+      this.#ownReach = [];
+      if (this.#relay.isRelay) this.#relay.passOn(news);
+      this.#tellOwnWork(roster.toldOfChanges(timers.nowMs()), news);
     });
   }
 
@@ -163,6 +168,12 @@
     this.noteChange();
   }
 
+  /** Says soon that a server is silent, or back. */
+  noteReach(reach: Omit<ReachNotice, 'by'>): void {
+    this.#ownReach.push({ ...reach, by: this.#options.daemon });
+    this.noteChange();
+  }
+
   /** As the relay of its zone, passes on what it had from the store, where that fits one message. */
   passOnServers(changes: TableChanges<ServerRecord>): void {
     const { zone, roster } = this.#options;
@@ -207,7 +218,7 @@
   #beat(): void {
     const { timers, roster } = this.#options;
     this.#cancelBeat = timers.after(HEARTBEAT_STEP_MS, () => {
-      if (roster.isLarge) this.#tellOwnWork(this.#nextHeartbeats(), []);
+      if (roster.isLarge) this.#tellOwnWork(this.#nextHeartbeats(), NO_NEWS);
       this.#beat();
     });
   }
@@ -221,10 +232,11 @@
     return [...peers, ...peers].slice(first, first + count);
   }
 
-  #tellOwnWork(peers: readonly PeerDaemon[], reads: readonly ReadNotice[]): void {
+  #tellOwnWork(peers: readonly PeerDaemon[], { reads, reach }: OwnNews): void {
     if (peers.length === 0) return;
     const { daemon, incarnation, ownWork } = this.#options;
-    const report = { daemon, incarnation, sequence: this.#nextSequence(), work: ownWork(), reads };
+    const head = { daemon, incarnation, sequence: this.#nextSequence() };
+    const report = { ...head, work: ownWork(), reads, reach };
     const bytes = encodePeerMessage({ kind: 'report', report });
     if (!this.#changeBudget.tryTake(sizeOnLink(bytes) * peers.length)) return;
     this.#sendTo(peers, bytes);
@@ -261,13 +273,13 @@
         if (message.report.daemon === daemon) return;
         roster.heard(message.report.daemon, nowMs);
         loads.take(message.report, nowMs);
-        this.#takeReads(message.report.reads);
-        if (this.#relay.isRelay) this.#relay.passOnReads(message.report.reads);
+        this.#takeNewsOf(message.report);
+        if (this.#relay.isRelay) this.#relay.passOn(message.report);
         return;
       case 'sums':
         if (message.sums.relay === daemon) return;
         roster.heardRelay(message.sums.relay, message.zone, nowMs);
-        this.#takeReads(message.sums.reads);
+        this.#takeNewsOf(message.sums);
         if (message.zone !== zone) this.#relay.takeSums(message.zone, message.sums);
         else if (!this.#relay.isRelay) loads.takeSums(message.sums, ownWork(), nowMs);
         return;
@@ -291,8 +303,9 @@
     }
   }
 
-  #takeReads(reads: readonly ReadNotice[]): void {
+  #takeNewsOf({ reads, reach }: OwnNews): void {
     for (const read of reads) this.#options.takeRead(read);
+    for (const notice of reach) this.#options.takeReach(notice);
   }
 
   #nextSequence(): number {
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -8,6 +8,7 @@
   EngineWork,
   LoadReport,
   LoadSums,
+  ReachNotice,
   ReadNotice,
   ServerRecord,
   StageNotice,
@@ -32,6 +33,8 @@
 
 /** Engine, part, its tokens, and the milliseconds until it is read. */
 const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
+/** Server, whether it answers, and who found out. */
+const reachSchema = z.array(z.tuple([z.string(), z.boolean(), z.string()]));
 /** Engine, milliseconds of prompts in time, streams that run, milliseconds of late prompts. */
 const workSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]));
 const reportSchema = z.tuple([
@@ -41,6 +44,7 @@
   z.number(),
   workSchema,
   readsSchema,
+  reachSchema,
 ]);
 const sumsSchema = z.tuple([
   z.literal(KINDS.sums),
@@ -51,6 +55,7 @@
   z.boolean(),
   workSchema,
   readsSchema,
+  reachSchema,
 ]);
 const newsSchema = z.tuple([
   z.literal(KINDS.news),
@@ -167,14 +172,14 @@
 export function encodePeerMessage(message: PeerMessage): Buffer {
   switch (message.kind) {
     case 'report': {
-      const { daemon, incarnation, sequence, work, reads } = message.report;
+      const { daemon, incarnation, sequence, work, reads, reach } = message.report;
       const head = [KINDS.report, daemon, incarnation, sequence];
-      return pack([...head, encodeWork(work), encodeReads(reads)]);
+      return pack([...head, encodeWork(work), encodeReads(reads), reach.map(encodeReach)]);
     }
     case 'sums': {
-      const { relay, incarnation, sequence, isWhole, work, reads } = message.sums;
+      const { relay, incarnation, sequence, isWhole, work, reads, reach } = message.sums;
       const head = [KINDS.sums, message.zone, relay, incarnation, sequence, isWhole];
-      return pack([...head, encodeWork(work), encodeReads(reads)]);
+      return pack([...head, encodeWork(work), encodeReads(reads), reach.map(encodeReach)]);
     }
     case 'stage': {
       const { engineId, stage, phase } = message.notice;
@@ -209,13 +214,21 @@
   const fields = parsed.data;
   switch (fields[0]) {
     case KINDS.report: {
-      const [, daemon, incarnation, sequence, work, reads] = fields;
-      const told = { work: decodeWork(work), reads: decodeReads(reads) };
+      const [, daemon, incarnation, sequence, work, reads, reach] = fields;
+      const told = {
+        work: decodeWork(work),
+        reads: decodeReads(reads),
+        reach: reach.map(decodeReach),
+      };
       return { kind: 'report', report: { daemon, incarnation, sequence, ...told } };
     }
     case KINDS.sums: {
-      const [, zone, relay, incarnation, sequence, isWhole, work, reads] = fields;
-      const told = { work: decodeWork(work), reads: decodeReads(reads) };
+      const [, zone, relay, incarnation, sequence, isWhole, work, reads, reach] = fields;
+      const told = {
+        work: decodeWork(work),
+        reads: decodeReads(reads),
+        reach: reach.map(decodeReach),
+      };
       return { kind: 'sums', zone, sums: { relay, incarnation, sequence, isWhole, ...told } };
     }
     case KINDS.servers: {
@@ -319,6 +332,14 @@
   }));
 }
 
+function encodeReach({ serverId, isReachable, by }: ReachNotice): unknown[] {
+  return [serverId, isReachable, by];
+}
+
+function decodeReach([serverId, isReachable, by]: readonly [string, boolean, string]): ReachNotice {
+  return { serverId, isReachable, by };
+}
+
 function encodeNews({ engineId, isReset, events }: EngineNews): unknown[] {
   return [engineId, isReset, events.map(({ partId, tokens }) => [partId, tokens])];
 }
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -11,6 +11,8 @@
   type PeerDaemon,
   type PeerLoads,
   type PeerRoster,
+  type ReachNotice,
+  ReachNoticeFilter,
   type ReadNotice,
   SumsToTell,
   type TableWordMessage,
@@ -28,6 +30,14 @@
 /** Others look this often whether they are the relay now. */
 const ROLE_CHECK_MS = 240;
 
+/** What daemons tell once, beside their work: reads that began, servers that fell silent or are back. */
+export interface OwnNews {
+  readonly reads: readonly ReadNotice[];
+  readonly reach: readonly ReachNotice[];
+}
+
+export const NO_NEWS: OwnNews = { reads: [], reach: [] };
+
 /** What a relay's duty is built from. */
 export interface RelayDutyOptions {
   readonly daemon: string;
@@ -55,10 +65,12 @@
   readonly #sums = new SumsToTell();
   readonly #zoneSums = new SumsToTell();
   readonly #wordToTell = new WordToTell();
-  /** Reads that daemons of the own zone told of. */
-  #zoneReads: ReadNotice[] = [];
-  /** Reads that other relays told of. */
-  #otherReads: ReadNotice[] = [];
+  readonly #zoneReach = new ReachNoticeFilter();
+  readonly #otherReach = new ReachNoticeFilter();
+  /** News of the own zone. */
+  #zoneNews: OwnNews = NO_NEWS;
+  /** News that other relays told of. */
+  #otherNews: OwnNews = NO_NEWS;
   #cancelTick: CancelTimer | undefined;
   #isRelay = false;
 
@@ -86,16 +98,19 @@
     this.#cancelTick?.();
   }
 
-  /** Reads that this daemon, or one of its zone, has begun. */
-  passOnReads(reads: readonly ReadNotice[]): void {
-    this.#zoneReads.push(...reads);
+  /** News of this daemon, or of one of its zone. */
+  passOn({ reads, reach }: OwnNews): void {
+    const newReach = this.#zoneReach.take(reach, this.#options.timers.nowMs());
+    this.#zoneNews = joined(this.#zoneNews, { reads, reach: newReach });
   }
 
   /** The sums of another zone, from its relay. */
   takeSums(zone: string, sums: LoadSums): void {
     if (!this.#isRelay) return;
-    this.#otherReads.push(...sums.reads);
-    this.#options.loads.takeZoneSums(zone, sums, this.#options.timers.nowMs());
+    const nowMs = this.#options.timers.nowMs();
+    const reach = this.#otherReach.take(sums.reach, nowMs);
+    this.#otherNews = joined(this.#otherNews, { reads: sums.reads, reach });
+    this.#options.loads.takeZoneSums(zone, sums, nowMs);
   }
 
   #noteRole(isRelay: boolean): void {
@@ -119,32 +134,38 @@
     const { loads, ownWork, roster, timers } = this.#options;
     const nowMs = timers.nowMs();
     const own = ownWork();
-    const zoneReads = this.#zoneReads;
-    const allReads = [...zoneReads, ...this.#otherReads];
-    this.#zoneReads = [];
-    this.#otherReads = [];
+    const zoneNews = this.#zoneNews;
+    const allNews = joined(zoneNews, this.#otherNews);
+    this.#zoneNews = NO_NEWS;
+    this.#otherNews = NO_NEWS;
     const ofAll = this.#sums.next(loads.totals(own, nowMs), nowMs);
-    this.#sendSums(roster.zonePeers(), ofAll, allReads);
+    this.#sendSums(roster.zonePeers(), ofAll, allNews);
     const ofZone = this.#zoneSums.next(loads.zoneTotals(own, nowMs), nowMs);
-    this.#sendSums(roster.otherRelays(nowMs), ofZone, zoneReads);
+    this.#sendSums(roster.otherRelays(nowMs), ofZone, zoneNews);
   }
 
-  #sendSums(
-    peers: readonly PeerDaemon[],
-    { isWhole, work }: ToldSums,
-    reads: readonly ReadNotice[],
-  ): void {
-    if (!isWhole && work.length === 0 && reads.length === 0) return;
+  #sendSums(peers: readonly PeerDaemon[], { isWhole, work }: ToldSums, news: OwnNews): void {
+    const hasNews = news.reads.length > 0 || news.reach.length > 0;
+    if (!isWhole && work.length === 0 && !hasNews) return;
     for (let first = 0; first === 0 || first < work.length; first += MOST_ENTRIES) {
       const part = work.slice(first, first + MOST_ENTRIES);
-      const bytes = this.#encodeSums(isWhole && first === 0, part, first === 0 ? reads : []);
+      const bytes = this.#encodeSums(isWhole && first === 0, part, first === 0 ? news : NO_NEWS);
       if (this.#options.budget.tryTake(sizeOnLink(bytes))) this.#options.send(peers, bytes);
     }
   }
 
-  #encodeSums(isWhole: boolean, work: readonly EngineWork[], reads: readonly ReadNotice[]): Buffer {
+  #encodeSums(isWhole: boolean, work: readonly EngineWork[], news: OwnNews): Buffer {
     const { daemon, zone, incarnation, nextSequence } = this.#options;
-    const sums = { relay: daemon, incarnation, sequence: nextSequence(), isWhole, work, reads };
+    const head = { relay: daemon, incarnation, sequence: nextSequence() };
+    const { reads, reach } = news;
+    const sums = { ...head, isWhole, work, reads, reach };
     return encodePeerMessage({ kind: 'sums', zone, sums });
   }
 }
+
+function joined(first: OwnNews, second: OwnNews): OwnNews {
+  return {
+    reads: [...first.reads, ...second.reads],
+    reach: [...first.reach, ...second.reach],
+  };
+}
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -1,10 +1,12 @@
 /**
  * Orders engines to change their stage, under a lease: of all daemons at most one acts at a time, and
- * each order carries the lease's epoch as its fence. A daemon that wants no change takes no part.
+ * each order carries the lease's epoch as its fence. A daemon that wants no change takes no part, and in a
+ * large fleet only the relays do, which know most of the work.
  */
 import {
   type EngineStage,
   type EngineTraits,
+  planRescue,
   planStageChange,
   type ServerRecord,
   type StageChange,
@@ -42,6 +44,10 @@
 const REVERSAL_SWITCHES = 4;
 /** Nor does the split follow a mix that swings faster than it is seen. */
 const LEAST_REVERSAL_MS = 2 * DEMAND_SPAN_MS;
+/** No engine that generates can be reached for this long: longer than a lost packet, and for two looks. */
+const RESCUE_SETTLE_MS = 400;
+/** A rescue that came to nothing, as its engines were lost as well, is tried again after this time. */
+const RESCUE_GAP_MS = 2_000;
 /** Between two orders, so that not all engines are away at once. */
 const ORDER_GAP_MS = 500;
 const ORDER_TIMEOUT_MS = 1_000;
@@ -63,6 +69,8 @@
   readonly table: TableService;
   readonly connections: Pick<BackendConnections, 'call'>;
   readonly codec: RequestCodec;
+  /** Whether this daemon may order engines at all. */
+  readonly mayOrder: () => boolean;
   /** Tells the other daemons of an engine that changes. */
   readonly tellStage: (notice: StageNotice) => void;
   readonly timers: TimerService;
@@ -81,8 +89,10 @@
   #lease: LeaseState;
   #cancelTick: CancelTimer | undefined;
   #wantedSinceMs: number | undefined;
+  #lostSinceMs: number | undefined;
   #settleMs: number;
   #lastOrderMs = Number.NEGATIVE_INFINITY;
+  #lastRescueMs = Number.NEGATIVE_INFINITY;
   #lastStage: EngineStage | undefined;
   #isStopped = false;
 
@@ -114,11 +124,55 @@
 
   #tick(): void {
     const nowMs = this.#options.timers.nowMs();
-    const change = this.#wantedChange(nowMs);
+    const rescue = this.#wantedRescue(nowMs);
+    const change = rescue.length > 0 ? undefined : this.#wantedChange(nowMs);
     this.#noteWant(change, nowMs);
-    this.#step({ kind: 'want', candidate: this.#isCandidate(nowMs) });
+    const isCandidate = rescue.length > 0 || this.#isCandidate(nowMs);
+    this.#step({ kind: 'want', candidate: isCandidate && this.#options.mayOrder() });
     this.#step({ kind: 'tick' });
-    if (change !== undefined) this.#orderIfAllowed(change, nowMs);
+    if (rescue.length > 0) this.#rescueIfAllowed(rescue, nowMs);
+    else if (change !== undefined) this.#orderIfAllowed(change, nowMs);
+  }
+
+  /** Engines to be ordered over at once, as nothing that generates has been reached for a while. */
+  #wantedRescue(nowMs: number): readonly StageChange[] {
+    const { fleet } = this.#options;
+    const changes: StageChange[] = [];
+    for (const service of fleet.inForce?.configuration.services.values() ?? []) {
+      if (service.engine === undefined) continue;
+      const rescue = planRescue({
+        engines: fleet.expectedServers(service.name, nowMs),
+        busyOf: (id) => fleet.busyOf(id, nowMs),
+        isReachable: (id) => fleet.isReachable(id, nowMs),
+      });
+      changes.push(...rescue);
+    }
+    if (changes.length === 0) this.#lostSinceMs = undefined;
+    else this.#lostSinceMs ??= nowMs;
+    const isSettled =
+      this.#lostSinceMs !== undefined && nowMs - this.#lostSinceMs >= RESCUE_SETTLE_MS;
+    return isSettled ? changes : [];
+  }
+
+  /** What damps changes for the sake of load has no say here, but an order under way is waited for. */
+  #rescueIfAllowed(changes: readonly StageChange[], nowMs: number): void {
+    if (nowMs - this.#lastRescueMs < RESCUE_GAP_MS) return;
+    const epoch = this.#authority(nowMs);
+    if (epoch === undefined) return;
+    this.#lastRescueMs = nowMs;
+    this.#lastOrderMs = nowMs;
+    for (const change of changes) {
+      this.#options.log.write(GATEWAY_EVENTS.stageLost, {
+        server: change.engine.id,
+        lostMs: Math.round(nowMs - (this.#lostSinceMs ?? nowMs)),
+      });
+      void this.#order(change, epoch, 0);
+    }
+  }
+
+  #authority(nowMs: number): number | undefined {
+    if (!holdsAuthority(this.#lease, nowMs)) return undefined;
+    return epochOf(this.#lease) ?? undefined;
   }
 
   #wantedChange(nowMs: number): StageChange | undefined {
@@ -164,22 +218,21 @@
 
   #orderIfAllowed(change: StageChange, nowMs: number): void {
     if (nowMs - this.#lastOrderMs < ORDER_GAP_MS) return;
-    if (!holdsAuthority(this.#lease, nowMs)) return;
-    const epoch = epochOf(this.#lease);
-    if (epoch === null) return;
+    const epoch = this.#authority(nowMs);
+    if (epoch === undefined) return;
     this.#lastOrderMs = nowMs;
-    void this.#order(change, epoch);
+    void this.#order(change, epoch, EMPTYING_MS);
   }
 
-  async #order(change: StageChange, epoch: number): Promise<void> {
+  async #order(change: StageChange, epoch: number, emptyingMs: number): Promise<void> {
     const { daemon, codec, timers, log } = this.#options;
     const { engine, stage } = change;
     this.#tellStage({ engineId: engine.id, stage, phase: 'changing' });
-    await delay(timers, EMPTYING_MS);
+    await delay(timers, emptyingMs);
     const report = await this.#readReport(engine);
     // The engine is looked at first; by then the lease may have run out.
     if (report === undefined || report.isBusy || report.stage === stage) return;
-    if (!holdsAuthority(this.#lease, timers.nowMs()) || epochOf(this.#lease) !== epoch) return;
+    if (this.#authority(timers.nowMs()) !== epoch) return;
     const expectedSequence = report.orderSequence;
     log.write(GATEWAY_EVENTS.orderSent, {
       server: engine.id,
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -10,6 +10,7 @@
   hasNotRun,
   plainAttempt,
   promisesNotRun,
+  retryAfterMs,
   sendAttempt,
   wholeOutcome,
 } from './attempt.js';
@@ -21,7 +22,6 @@
 /** A second server is asked when the first has been silent for this part of the target. */
 const HEDGE_AFTER_TARGETS = 0.45;
 const LEAST_HEDGE_MS = 40;
-const RETRY_AFTER_MS = 400;
 
 type RunResult =
   | { readonly kind: 'whole'; readonly answer: WholeAnswer }
@@ -86,7 +86,7 @@
     const exchange = this.#exchange;
     if (exchange.signal.aborted) exchange.endInterrupted();
     else if (this.#lastFailure !== undefined) exchange.answer(this.#lastFailure);
-    else exchange.refuse(this.#lastReason, RETRY_AFTER_MS);
+    else exchange.refuse(this.#lastReason, retryAfterMs(exchange, this.#context));
   }
 
   #startNext(isFirst: boolean): boolean {
