Part the wire form of messages' fields, and orders to engines, from those that use them; demand of the whole fleet

Cause: each of 195 daemons sees about two requests a second, so none saw enough to decide the split from, and each multiplied its own few by the number of daemons. Change: demand goes with the loads, summed by relays zone by zone; the split follows what all daemons see, and of many engines up to a tenth is ordered at once.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -42,7 +42,7 @@
 export { type OwnPlace, type PeerDaemon, PeerRoster } from './peer-roster.js';
 export {
   planRescue,
-  planStageChange,
+  planStageChanges,
   type RescueInput,
   type StageChange,
   type StageNeed,
@@ -63,7 +63,14 @@
   type ServerState,
 } from './server-directory.js';
 export { type OpenCall, ServerHealth } from './server-health.js';
-export { type RequestWork, StageDemand, type WorkSource } from './stage-demand.js';
+export {
+  addDemands,
+  type DemandSums,
+  type RequestWork,
+  type ServiceDemand,
+  StageDemand,
+  type WorkSource,
+} from './stage-demand.js';
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
 export {
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -6,6 +6,7 @@
 import type { Urgency } from './engine-load.js';
 import type { ReadNotice } from './prefix-knowledge.js';
 import type { ReachNotice } from './reach-notices.js';
+import { addDemands, type ServiceDemand } from './stage-demand.js';
 
 /** A daemon that has told nothing for this long counts as having nothing. */
 const SILENT_AFTER_MS = 4_000;
@@ -37,6 +38,8 @@
   readonly work: readonly EngineWork[];
   /** Reads of shared parts that it began since the last report. */
   readonly reads: readonly ReadNotice[];
+  /** What it was asked for lately. */
+  readonly demand: readonly ServiceDemand[];
   /** Servers that it found silent, or back, since the last report. */
   readonly reach: readonly ReachNotice[];
 }
@@ -51,6 +54,8 @@
   readonly work: readonly EngineWork[];
   /** Reads that daemons told of since the last sums. */
   readonly reads: readonly ReadNotice[];
+  /** What the same daemons were asked for lately. */
+  readonly demand: readonly ServiceDemand[];
   /** Servers that daemons found silent, or back, since the last sums. */
   readonly reach: readonly ReachNotice[];
 }
@@ -145,6 +150,27 @@
     return [...totals.values()];
   }
 
+  /** What the daemons were asked for lately that this one hears by themselves, and itself. */
+  zoneDemand(own: readonly ServiceDemand[], nowMs: number): readonly ServiceDemand[] {
+    return addDemands([...own, ...this.#recent(nowMs).flatMap(({ report }) => report.demand)]);
+  }
+
+  /** What all daemons were asked for lately, as far as it is known here. */
+  totalDemand(own: readonly ServiceDemand[], nowMs: number): readonly ServiceDemand[] {
+    const sums = this.#sums;
+    if (sums !== undefined && nowMs - sums.atMs <= SUMS_VALID_MS) return sums.sums.demand;
+    const zones = [...this.#zoneSums.values()].filter(({ atMs }) => nowMs - atMs <= SUMS_VALID_MS);
+    const ofOthers = zones.flatMap((zone) => zone.sums.demand);
+    return addDemands([...this.zoneDemand(own, nowMs), ...ofOthers]);
+  }
+
+  /** Whether anything is known of the work of others. */
+  hasHeard(nowMs: number): boolean {
+    const sums = this.#sums;
+    const hasSums = sums !== undefined && nowMs - sums.atMs <= SUMS_VALID_MS;
+    return hasSums || this.#recent(nowMs).length > 0;
+  }
+
   /** Daemons heard of lately. */
   count(nowMs: number): number {
     return this.#recent(nowMs).length;
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -1,7 +1,8 @@
 /**
  * Decides when an engine changes its stage. Each stage has work for so many engines; the split is best
  * where the stage that is fuller for its kind of work is least full. An engine is away while it changes,
- * so one is moved at a time, only when a stage is full, and only where that relieves it well.
+ * so one is moved at a time, a few where there are many, only when a stage is full, and only where that
+ * relieves it well.
  *
  * Engines fail together. So as many generate as leave one after the losses that are to be borne, in as many
  * zones as there are; and when none of them can be reached, several that read are ordered over at once,
@@ -18,6 +19,8 @@
 const FULL_SHARE = { prefill: 0.35, decode: 0.7 } as const;
 /** A move has to bring the fuller stage down at least to this part of what it was. */
 const RELIEF_SHARE = 0.85;
+/** Of many engines this part is ordered at once; half of what is wanted, as the demand may turn. */
+const MOST_AWAY_SHARE = 0.1;
 /** The loss of one engine is to leave one of its stage, where there are this many in all. */
 const ENGINES_FOR_SPARES = 4;
 const ENGINES_WITH_SPARE = 2;
@@ -50,21 +53,27 @@
   readonly currentPrefill: number;
 }
 
-/** The next change, or undefined when the split is good enough. */
-export function planStageChange(input: StagePlanInput): StageChange | undefined {
+/** The next changes; none when the split is good enough. */
+export function planStageChanges(input: StagePlanInput): readonly StageChange[] {
   const { engines, need } = input;
   const total = engines.length;
-  if (need.requests < LEAST_REQUESTS || total < 3) return undefined;
+  if (need.requests < LEAST_REQUESTS || total < 3) return [];
   const currentPrefill = engines.filter((engine) => engine.stage === 'prefill').length;
   const wantedPrefill = bestPrefillCount(total, need);
   const current = fullest(currentPrefill, total, need);
-  if (wantedPrefill === currentPrefill || current < 1) return undefined;
-  if (fullest(wantedPrefill, total, need) > RELIEF_SHARE * current) return undefined;
+  if (wantedPrefill === currentPrefill || current < 1) return [];
+  if (fullest(wantedPrefill, total, need) > RELIEF_SHARE * current) return [];
   const stage: EngineStage = wantedPrefill > currentPrefill ? 'prefill' : 'decode';
   const movable = engines.filter((engine) => engine.stage !== stage);
-  if (movable.length <= 1) return undefined;
-  const engine = leastMissed(movable, input);
-  return { engine, stage, wantedPrefill, currentPrefill };
+  const gap = Math.abs(wantedPrefill - currentPrefill);
+  const atOnce = Math.max(1, Math.min(Math.floor(total * MOST_AWAY_SHARE), Math.ceil(gap / 2)));
+  const count = Math.min(atOnce, movable.length - 1);
+  return leastMissedOf(movable, count, input).map((engine) => ({
+    engine,
+    stage,
+    wantedPrefill,
+    currentPrefill,
+  }));
 }
 
 /** What a rescue is decided from. */
@@ -86,12 +95,26 @@
   const count = Math.max(1, Math.min(LOSSES_TO_BEAR + 1, Math.floor(readers.length / 2)));
   const currentPrefill = engines.filter(({ stage }) => stage === 'prefill').length;
   const wantedPrefill = currentPrefill - count;
-  const moved: ServerRecord[] = [];
-  while (moved.length < count) {
-    const left = readers.filter((reader) => !moved.includes(reader));
-    moved.push(leastMissed(left, input));
+  return leastMissedOf(readers, count, input).map((engine) => ({
+    engine,
+    stage: 'decode',
+    wantedPrefill,
+    currentPrefill,
+  }));
+}
+
+/** So many of the engines that may be moved, picked one after the other. */
+function leastMissedOf(
+  movable: readonly ServerRecord[],
+  count: number,
+  input: Pick<StagePlanInput, 'busyOf'>,
+): readonly ServerRecord[] {
+  const picked: ServerRecord[] = [];
+  while (picked.length < count) {
+    const left = movable.filter((engine) => !picked.includes(engine));
+    picked.push(leastMissed(left, input));
   }
-  return moved.map((engine) => ({ engine, stage: 'decode', wantedPrefill, currentPrefill }));
+  return picked;
 }
 
 /** Of the zone that has most of a stage's engines, the one with least to do. */
--- a/src/core/gateway/stage-demand.ts
+++ b/src/core/gateway/stage-demand.ts
@@ -24,6 +24,31 @@
   readonly shortRequests: number;
 }
 
+/** A service's demand as one daemon, or a zone, sees it over the newest span of time. */
+export interface ServiceDemand extends DemandSums {
+  readonly service: string;
+}
+
+/** Sums of demands, by service. */
+export function addDemands(demands: readonly ServiceDemand[]): readonly ServiceDemand[] {
+  const totals = new Map<string, ServiceDemand>();
+  for (const demand of demands) {
+    const known = totals.get(demand.service);
+    totals.set(demand.service, known === undefined ? demand : sumOf(known, demand));
+  }
+  return [...totals.values()];
+}
+
+function sumOf(first: ServiceDemand, second: ServiceDemand): ServiceDemand {
+  return {
+    service: first.service,
+    prefillMs: first.prefillMs + second.prefillMs,
+    decodeMs: first.decodeMs + second.decodeMs,
+    requests: first.requests + second.requests,
+    shortRequests: first.shortRequests + second.shortRequests,
+  };
+}
+
 /** Work over the newest span of time, its sums kept as entries come and go. */
 export class StageDemand {
   readonly #spanMs: number;
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -3,6 +3,7 @@
  * it has seen of each. The configuration never goes back to a lower version.
  */
 import {
+  type DemandSums,
   type DirectoryChange,
   EngineLoad,
   type EngineWork,
@@ -19,6 +20,7 @@
   ServerDirectory,
   ServerHealth,
   type ServerRecord,
+  type ServiceDemand,
   StageDemand,
   type StageNeed,
   StageNotices,
@@ -179,20 +181,42 @@
     return entryOf(this.#demands, service, () => new StageDemand(DEMAND_SPAN_MS));
   }
 
+  /** What this daemon was asked for lately, for its peers. */
+  ownDemand(nowMs: number): readonly ServiceDemand[] {
+    const demands = [...this.#demands].map(([service, demand]) => ({
+      service,
+      ...demand.sums(nowMs),
+    }));
+    return demands.filter(({ requests }) => requests > 0);
+  }
+
   /** Short prompts that one decode engine of a service gets in a millisecond, from all daemons. */
   shortReadsPerMs(service: string, nowMs: number): number {
     const engines = this.candidates(service, nowMs).filter(
       ({ stage }) => stage === 'decode',
     ).length;
-    const ownPerMs = this.demandOf(service).sums(nowMs).shortRequests / DEMAND_SPAN_MS;
-    return (ownPerMs * this.#daemonCount) / Math.max(1, engines);
+    const { shortRequests } = this.#demandOfAll(service, nowMs);
+    return shortRequests / DEMAND_SPAN_MS / Math.max(1, engines);
   }
 
-  /** The work of a service, in engines that it keeps busy, if all daemons see as much as this one. */
+  /** The work of a service, in engines that it keeps busy. */
   stageNeedOf(service: string, nowMs: number): StageNeed {
-    const { prefillMs, decodeMs, requests } = this.demandOf(service).sums(nowMs);
-    const scale = this.#daemonCount / DEMAND_SPAN_MS;
-    return { prefillEngines: prefillMs * scale, decodeEngines: decodeMs * scale, requests };
+    const { prefillMs, decodeMs, requests } = this.#demandOfAll(service, nowMs);
+    return {
+      prefillEngines: prefillMs / DEMAND_SPAN_MS,
+      decodeEngines: decodeMs / DEMAND_SPAN_MS,
+      requests,
+    };
+  }
+
+  /** The demand that all daemons see; while none is heard, as if all saw as much as this one. */
+  #demandOfAll(service: string, nowMs: number): DemandSums {
+    const own = this.demandOf(service).sums(nowMs);
+    if (!this.peerLoads.hasHeard(nowMs)) return scaled(own, this.#daemonCount);
+    const total = this.peerLoads
+      .totalDemand(this.ownDemand(nowMs), nowMs)
+      .find((demand) => demand.service === service);
+    return total ?? own;
   }
 
   budgetOf(service: string): RetryBudget {
@@ -217,3 +241,13 @@
   map.set(key, created);
   return created;
 }
+
+/** The work is multiplied, but not what it was seen from. */
+function scaled(demand: DemandSums, factor: number): DemandSums {
+  return {
+    prefillMs: demand.prefillMs * factor,
+    decodeMs: demand.decodeMs * factor,
+    requests: demand.requests,
+    shortRequests: demand.shortRequests * factor,
+  };
+}
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -236,6 +236,7 @@
       loads: this.#fleet.peerLoads,
       timers,
       ownWork: () => this.#fleet.ownWork(timers.nowMs()),
+      ownDemand: () => this.#fleet.ownDemand(timers.nowMs()),
       noteDaemonCount: (daemons) => this.#fleet.setDaemonCount(daemons),
     });
   }
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -15,6 +15,7 @@
   ReachNotice,
   ReadNotice,
   ServerRecord,
+  ServiceDemand,
   StageNotice,
   TableWordMessage,
 } from '../../core/gateway/index.js';
@@ -28,7 +29,7 @@
   type PassedConfiguration,
 } from './peer-messages.js';
 import type { TableService } from './ports.js';
-import { NO_NEWS, type OwnNews, RelayDuty } from './relay-duty.js';
+import { NO_NEWS, type OwnNews, RelayDuty, type RelayDutyOptions } from './relay-duty.js';
 import type { GatewayLog } from './request-log.js';
 import type { TableChanges } from './table-watcher.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
@@ -62,11 +63,13 @@
   readonly listen: PeerAddress;
   readonly table: TableService;
   readonly roster: PeerRoster;
-  readonly loads: Pick<PeerLoads, 'take' | 'takeSums' | 'takeZoneSums' | 'totals' | 'zoneTotals'>;
+  readonly loads: Pick<PeerLoads, 'take' | 'takeSums'> & RelayDutyOptions['loads'];
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
   /** This daemon's work at this moment. */
   readonly ownWork: () => LoadReport['work'];
+  /** What this daemon was asked for lately. */
+  readonly ownDemand: () => readonly ServiceDemand[];
   /** Told how many daemons there are, this one counted. */
   readonly noteDaemonCount: (daemons: number) => void;
   /** A read that another daemon told of. */
@@ -234,9 +237,9 @@
 
   #tellOwnWork(peers: readonly PeerDaemon[], { reads, reach }: OwnNews): void {
     if (peers.length === 0) return;
-    const { daemon, incarnation, ownWork } = this.#options;
+    const { daemon, incarnation, ownWork, ownDemand } = this.#options;
     const head = { daemon, incarnation, sequence: this.#nextSequence() };
-    const report = { ...head, work: ownWork(), reads, reach };
+    const report = { ...head, work: ownWork(), demand: ownDemand(), reads, reach };
     const bytes = encodePeerMessage({ kind: 'report', report });
     if (!this.#changeBudget.tryTake(sizeOnLink(bytes) * peers.length)) return;
     this.#sendTo(peers, bytes);
--- /dev/null
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -0,0 +1,204 @@
+/**
+ * The parts of messages between gateways as they go on the wire: plain tuples, their schemas, and what they
+ * stand for.
+ */
+import * as z from 'zod/mini';
+import type {
+  EngineWork,
+  ReachNotice,
+  ReadNotice,
+  ServerRecord,
+  ServiceDemand,
+  TableProgress,
+} from '../../core/gateway/index.js';
+import type { CacheEvent, WatchedRow } from './ports.js';
+
+/** The first item of a message. */
+export const KINDS = {
+  report: 1,
+  sums: 2,
+  news: 3,
+  stage: 4,
+  tables: 5,
+  servers: 6,
+  configuration: 7,
+} as const;
+
+/** Engine, part, its tokens, and the milliseconds until it is read. */
+const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
+/** Service, milliseconds of engines that read and that generate, requests, short ones among them. */
+const demandSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]));
+/** Server, whether it answers, and who found out. */
+const reachSchema = z.array(z.tuple([z.string(), z.boolean(), z.string()]));
+/** Engine, milliseconds of prompts in time, streams that run, milliseconds of late prompts. */
+const workSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]));
+export const reportSchema = z.tuple([
+  z.literal(KINDS.report),
+  z.string(),
+  z.number(),
+  z.number(),
+  workSchema,
+  readsSchema,
+  reachSchema,
+  demandSchema,
+]);
+export const sumsSchema = z.tuple([
+  z.literal(KINDS.sums),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.boolean(),
+  workSchema,
+  readsSchema,
+  reachSchema,
+  demandSchema,
+]);
+export const newsSchema = z.tuple([
+  z.literal(KINDS.news),
+  z.string(),
+  z.array(z.tuple([z.string(), z.boolean(), z.array(z.tuple([z.string(), z.number()]))])),
+]);
+export const stageSchema = z.tuple([
+  z.literal(KINDS.stage),
+  z.string(),
+  z.enum(['prefill', 'decode']),
+  z.enum(['changing', 'changed']),
+]);
+/** Revisions at which a table changed last, up to which it was seen, and where it was read whole. */
+const progressSchema = z.tuple([z.number(), z.number(), z.number()]);
+export const tablesSchema = z.tuple([
+  z.literal(KINDS.tables),
+  z.string(),
+  z.string(),
+  progressSchema,
+  progressSchema,
+  z.number(),
+  z.number(),
+]);
+/** Id, service, address, zone, slots, state, stage or nothing. */
+const serverSchema = z.tuple([
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.enum(['ready', 'draining']),
+  z.enum(['prefill', 'decode', '']),
+]);
+export const serversSchema = z.tuple([
+  z.literal(KINDS.servers),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.array(serverSchema),
+  z.array(z.string()),
+]);
+export const configurationSchema = z.tuple([
+  z.literal(KINDS.configuration),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.string(),
+  z.instanceof(Uint8Array),
+]);
+/** An engine's cache news, as its watcher passes them on. */
+export interface EngineNews {
+  readonly engineId: string;
+  /** All that was known of the engine's cache before is void. */
+  readonly isReset: boolean;
+  readonly events: readonly CacheEvent[];
+}
+
+export function encodeProgress({ changed, seen, reread }: TableProgress): unknown[] {
+  return [changed, seen, reread];
+}
+
+export function decodeProgress([changed, seen, reread]: z.infer<
+  typeof progressSchema
+>): TableProgress {
+  return { changed, seen, reread };
+}
+
+export function encodeServer(row: WatchedRow<ServerRecord>): unknown[] {
+  if (row.kind !== 'value') return [];
+  const { id, service, address, zone, slots, state, stage } = row.value;
+  return [[id, service, address, zone, slots, state, stage ?? '']];
+}
+
+export function goneKey(row: WatchedRow<ServerRecord>): string[] {
+  return row.kind === 'gone' ? [row.key] : [];
+}
+
+export function decodeServer(fields: z.infer<typeof serverSchema>): WatchedRow<ServerRecord> {
+  const [id, service, address, zone, slots, state, stage] = fields;
+  const value = { id, service, address, zone, slots, state, stage: stage || undefined };
+  return { kind: 'value', key: id, value };
+}
+
+export function encodeWork(work: readonly EngineWork[]): unknown[] {
+  return work.map(({ engineId, pendingMs, running, lateMs }) => [
+    engineId,
+    Math.round(pendingMs),
+    running,
+    Math.round(lateMs),
+  ]);
+}
+
+export function decodeWork(
+  work: readonly (readonly [string, number, number, number])[],
+): EngineWork[] {
+  return work.map(([engineId, pendingMs, running, lateMs]) => ({
+    engineId,
+    pendingMs,
+    running,
+    lateMs,
+  }));
+}
+
+export function encodeReads(reads: readonly ReadNotice[]): unknown[] {
+  return reads.map(({ engineId, part, readyInMs }) => [
+    engineId,
+    part.id,
+    part.tokens,
+    Math.round(readyInMs),
+  ]);
+}
+
+export function decodeReads(
+  reads: readonly (readonly [string, string, number, number])[],
+): readonly ReadNotice[] {
+  return reads.map(([engineId, id, tokens, readyInMs]) => ({
+    engineId,
+    part: { id, tokens },
+    readyInMs,
+  }));
+}
+
+export function encodeDemand(demand: ServiceDemand): unknown[] {
+  const { service, prefillMs, decodeMs, requests, shortRequests } = demand;
+  return [service, Math.round(prefillMs), Math.round(decodeMs), requests, shortRequests];
+}
+
+export function decodeDemand(
+  fields: readonly [string, number, number, number, number],
+): ServiceDemand {
+  const [service, prefillMs, decodeMs, requests, shortRequests] = fields;
+  return { service, prefillMs, decodeMs, requests, shortRequests };
+}
+
+export function encodeReach({ serverId, isReachable, by }: ReachNotice): unknown[] {
+  return [serverId, isReachable, by];
+}
+
+export function decodeReach([serverId, isReachable, by]: readonly [
+  string,
+  boolean,
+  string,
+]): ReachNotice {
+  return { serverId, isReachable, by };
+}
+
+export function encodeNews({ engineId, isReset, events }: EngineNews): unknown[] {
+  return [engineId, isReset, events.map(({ partId, tokens }) => [partId, tokens])];
+}
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -3,108 +3,45 @@
  * kind. A message that cannot be read, or of a kind not known here, is passed over.
  */
 import { pack, unpack } from 'msgpackr';
-import * as z from 'zod/mini';
 import type {
-  EngineWork,
   LoadReport,
   LoadSums,
-  ReachNotice,
-  ReadNotice,
   ServerRecord,
   StageNotice,
-  TableProgress,
   TableWordMessage,
 } from '../../core/gateway/index.js';
-import type { CacheEvent, WatchedRow } from './ports.js';
+import {
+  configurationSchema,
+  decodeDemand,
+  decodeProgress,
+  decodeReach,
+  decodeReads,
+  decodeServer,
+  decodeWork,
+  type EngineNews,
+  encodeDemand,
+  encodeNews,
+  encodeProgress,
+  encodeReach,
+  encodeReads,
+  encodeServer,
+  encodeWork,
+  goneKey,
+  KINDS,
+  newsSchema,
+  reportSchema,
+  serversSchema,
+  stageSchema,
+  sumsSchema,
+  tablesSchema,
+} from './peer-message-fields.js';
 import type { TableChanges } from './table-watcher.js';
 
+export type { EngineNews } from './peer-message-fields.js';
+
 /** Entries of a message, so that it stays within one packet. */
 export const MOST_ENTRIES = 40;
 
-const KINDS = {
-  report: 1,
-  sums: 2,
-  news: 3,
-  stage: 4,
-  tables: 5,
-  servers: 6,
-  configuration: 7,
-} as const;
-
-/** Engine, part, its tokens, and the milliseconds until it is read. */
-const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
-/** Server, whether it answers, and who found out. */
-const reachSchema = z.array(z.tuple([z.string(), z.boolean(), z.string()]));
-/** Engine, milliseconds of prompts in time, streams that run, milliseconds of late prompts. */
-const workSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]));
-const reportSchema = z.tuple([
-  z.literal(KINDS.report),
-  z.string(),
-  z.number(),
-  z.number(),
-  workSchema,
-  readsSchema,
-  reachSchema,
-]);
-const sumsSchema = z.tuple([
-  z.literal(KINDS.sums),
-  z.string(),
-  z.string(),
-  z.number(),
-  z.number(),
-  z.boolean(),
-  workSchema,
-  readsSchema,
-  reachSchema,
-]);
-const newsSchema = z.tuple([
-  z.literal(KINDS.news),
-  z.string(),
-  z.array(z.tuple([z.string(), z.boolean(), z.array(z.tuple([z.string(), z.number()]))])),
-]);
-const stageSchema = z.tuple([
-  z.literal(KINDS.stage),
-  z.string(),
-  z.enum(['prefill', 'decode']),
-  z.enum(['changing', 'changed']),
-]);
-/** Revisions at which a table changed last, up to which it was seen, and where it was read whole. */
-const progressSchema = z.tuple([z.number(), z.number(), z.number()]);
-const tablesSchema = z.tuple([
-  z.literal(KINDS.tables),
-  z.string(),
-  z.string(),
-  progressSchema,
-  progressSchema,
-  z.number(),
-  z.number(),
-]);
-/** Id, service, address, zone, slots, state, stage or nothing. */
-const serverSchema = z.tuple([
-  z.string(),
-  z.string(),
-  z.string(),
-  z.string(),
-  z.number(),
-  z.enum(['ready', 'draining']),
-  z.enum(['prefill', 'decode', '']),
-]);
-const serversSchema = z.tuple([
-  z.literal(KINDS.servers),
-  z.string(),
-  z.number(),
-  z.number(),
-  z.array(serverSchema),
-  z.array(z.string()),
-]);
-const configurationSchema = z.tuple([
-  z.literal(KINDS.configuration),
-  z.string(),
-  z.number(),
-  z.number(),
-  z.string(),
-  z.instanceof(Uint8Array),
-]);
 /** The schema of each kind, so that a message is checked against its own alone. */
 const schemaOfKind = new Map<unknown, MessageSchema>([
   [KINDS.servers, serversSchema],
@@ -125,14 +62,6 @@
   | typeof tablesSchema
   | typeof configurationSchema;
 
-/** An engine's cache news, as its watcher passes them on. */
-export interface EngineNews {
-  readonly engineId: string;
-  /** All that was known of the engine's cache before is void. */
-  readonly isReset: boolean;
-  readonly events: readonly CacheEvent[];
-}
-
 /** A change of the configuration, as the relay of a zone had it from the store. */
 export interface PassedConfiguration {
   readonly after: number;
@@ -172,14 +101,16 @@
 export function encodePeerMessage(message: PeerMessage): Buffer {
   switch (message.kind) {
     case 'report': {
-      const { daemon, incarnation, sequence, work, reads, reach } = message.report;
+      const { daemon, incarnation, sequence, work, reads, reach, demand } = message.report;
       const head = [KINDS.report, daemon, incarnation, sequence];
-      return pack([...head, encodeWork(work), encodeReads(reads), reach.map(encodeReach)]);
+      const news = [encodeReads(reads), reach.map(encodeReach), demand.map(encodeDemand)];
+      return pack([...head, encodeWork(work), ...news]);
     }
     case 'sums': {
-      const { relay, incarnation, sequence, isWhole, work, reads, reach } = message.sums;
+      const { relay, incarnation, sequence, isWhole, work, reads, reach, demand } = message.sums;
       const head = [KINDS.sums, message.zone, relay, incarnation, sequence, isWhole];
-      return pack([...head, encodeWork(work), encodeReads(reads), reach.map(encodeReach)]);
+      const news = [encodeReads(reads), reach.map(encodeReach), demand.map(encodeDemand)];
+      return pack([...head, encodeWork(work), ...news]);
     }
     case 'stage': {
       const { engineId, stage, phase } = message.notice;
@@ -214,20 +145,22 @@
   const fields = parsed.data;
   switch (fields[0]) {
     case KINDS.report: {
-      const [, daemon, incarnation, sequence, work, reads, reach] = fields;
+      const [, daemon, incarnation, sequence, work, reads, reach, demand] = fields;
       const told = {
         work: decodeWork(work),
         reads: decodeReads(reads),
         reach: reach.map(decodeReach),
+        demand: demand.map(decodeDemand),
       };
       return { kind: 'report', report: { daemon, incarnation, sequence, ...told } };
     }
     case KINDS.sums: {
-      const [, zone, relay, incarnation, sequence, isWhole, work, reads, reach] = fields;
+      const [, zone, relay, incarnation, sequence, isWhole, work, reads, reach, demand] = fields;
       const told = {
         work: decodeWork(work),
         reads: decodeReads(reads),
         reach: reach.map(decodeReach),
+        demand: demand.map(decodeDemand),
       };
       return { kind: 'sums', zone, sums: { relay, incarnation, sequence, isWhole, ...told } };
     }
@@ -271,79 +204,6 @@
   }
 }
 
-function encodeProgress({ changed, seen, reread }: TableProgress): unknown[] {
-  return [changed, seen, reread];
-}
-
-function decodeProgress([changed, seen, reread]: z.infer<typeof progressSchema>): TableProgress {
-  return { changed, seen, reread };
-}
-
-function encodeServer(row: WatchedRow<ServerRecord>): unknown[] {
-  if (row.kind !== 'value') return [];
-  const { id, service, address, zone, slots, state, stage } = row.value;
-  return [[id, service, address, zone, slots, state, stage ?? '']];
-}
-
-function goneKey(row: WatchedRow<ServerRecord>): string[] {
-  return row.kind === 'gone' ? [row.key] : [];
-}
-
-function decodeServer(fields: z.infer<typeof serverSchema>): WatchedRow<ServerRecord> {
-  const [id, service, address, zone, slots, state, stage] = fields;
-  const value = { id, service, address, zone, slots, state, stage: stage || undefined };
-  return { kind: 'value', key: id, value };
-}
-
-function encodeWork(work: readonly EngineWork[]): unknown[] {
-  return work.map(({ engineId, pendingMs, running, lateMs }) => [
-    engineId,
-    Math.round(pendingMs),
-    running,
-    Math.round(lateMs),
-  ]);
-}
-
-function decodeWork(work: readonly (readonly [string, number, number, number])[]): EngineWork[] {
-  return work.map(([engineId, pendingMs, running, lateMs]) => ({
-    engineId,
-    pendingMs,
-    running,
-    lateMs,
-  }));
-}
-
-function encodeReads(reads: readonly ReadNotice[]): unknown[] {
-  return reads.map(({ engineId, part, readyInMs }) => [
-    engineId,
-    part.id,
-    part.tokens,
-    Math.round(readyInMs),
-  ]);
-}
-
-function decodeReads(
-  reads: readonly (readonly [string, string, number, number])[],
-): readonly ReadNotice[] {
-  return reads.map(([engineId, id, tokens, readyInMs]) => ({
-    engineId,
-    part: { id, tokens },
-    readyInMs,
-  }));
-}
-
-function encodeReach({ serverId, isReachable, by }: ReachNotice): unknown[] {
-  return [serverId, isReachable, by];
-}
-
-function decodeReach([serverId, isReachable, by]: readonly [string, boolean, string]): ReachNotice {
-  return { serverId, isReachable, by };
-}
-
-function encodeNews({ engineId, isReset, events }: EngineNews): unknown[] {
-  return [engineId, isReset, events.map(({ partId, tokens }) => [partId, tokens])];
-}
-
 function unpacked(bytes: Buffer): unknown {
   try {
     return unpack(bytes);
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -5,7 +5,6 @@
  * hears its own zone and one message for each other zone.
  */
 import {
-  type EngineWork,
   type LoadReport,
   type LoadSums,
   type PeerDaemon,
@@ -14,6 +13,7 @@
   type ReachNotice,
   ReachNoticeFilter,
   type ReadNotice,
+  type ServiceDemand,
   SumsToTell,
   type TableWordMessage,
   type ToldSums,
@@ -36,6 +36,9 @@
   readonly reach: readonly ReachNotice[];
 }
 
+/** Sums with what is told beside them. */
+type SumsMessage = ToldSums & OwnNews & Pick<LoadSums, 'demand'>;
+
 export const NO_NEWS: OwnNews = { reads: [], reach: [] };
 
 /** What a relay's duty is built from. */
@@ -44,11 +47,16 @@
   readonly zone: string;
   readonly incarnation: number;
   readonly roster: PeerRoster;
-  readonly loads: Pick<PeerLoads, 'takeZoneSums' | 'totals' | 'zoneTotals'>;
+  readonly loads: Pick<
+    PeerLoads,
+    'takeZoneSums' | 'totals' | 'zoneTotals' | 'totalDemand' | 'zoneDemand'
+  >;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
   /** This daemon's work at this moment. */
   readonly ownWork: () => LoadReport['work'];
+  /** What this daemon was asked for lately. */
+  readonly ownDemand: () => readonly ServiceDemand[];
   /** What this daemon has seen of the store's tables. */
   readonly tableWord: () => Omit<TableWordMessage, 'peersChecksum'>;
   /** Told when this daemon becomes its zone's relay, or no longer is. */
@@ -131,34 +139,36 @@
   }
 
   #tellSums(): void {
-    const { loads, ownWork, roster, timers } = this.#options;
+    const { loads, ownWork, ownDemand, roster, timers } = this.#options;
     const nowMs = timers.nowMs();
     const own = ownWork();
     const zoneNews = this.#zoneNews;
     const allNews = joined(zoneNews, this.#otherNews);
     this.#zoneNews = NO_NEWS;
     this.#otherNews = NO_NEWS;
+    const demand = ownDemand();
     const ofAll = this.#sums.next(loads.totals(own, nowMs), nowMs);
-    this.#sendSums(roster.zonePeers(), ofAll, allNews);
+    const allDemand = loads.totalDemand(demand, nowMs);
+    this.#sendSums(roster.zonePeers(), { ...ofAll, ...allNews, demand: allDemand });
     const ofZone = this.#zoneSums.next(loads.zoneTotals(own, nowMs), nowMs);
-    this.#sendSums(roster.otherRelays(nowMs), ofZone, zoneNews);
+    const zoneDemand = loads.zoneDemand(demand, nowMs);
+    this.#sendSums(roster.otherRelays(nowMs), { ...ofZone, ...zoneNews, demand: zoneDemand });
   }
 
-  #sendSums(peers: readonly PeerDaemon[], { isWhole, work }: ToldSums, news: OwnNews): void {
-    const hasNews = news.reads.length > 0 || news.reach.length > 0;
-    if (!isWhole && work.length === 0 && !hasNews) return;
+  #sendSums(peers: readonly PeerDaemon[], told: SumsMessage): void {
+    const { work, reads, reach, isWhole } = told;
+    if (!isWhole && work.length === 0 && reads.length === 0 && reach.length === 0) return;
     for (let first = 0; first === 0 || first < work.length; first += MOST_ENTRIES) {
       const part = work.slice(first, first + MOST_ENTRIES);
-      const bytes = this.#encodeSums(isWhole && first === 0, part, first === 0 ? news : NO_NEWS);
+      const message = first === 0 ? told : { ...told, ...NO_NEWS, isWhole: false };
+      const bytes = this.#encodeSums({ ...message, work: part });
       if (this.#options.budget.tryTake(sizeOnLink(bytes))) this.#options.send(peers, bytes);
     }
   }
 
-  #encodeSums(isWhole: boolean, work: readonly EngineWork[], news: OwnNews): Buffer {
+  #encodeSums(told: SumsMessage): Buffer {
     const { daemon, zone, incarnation, nextSequence } = this.#options;
-    const head = { relay: daemon, incarnation, sequence: nextSequence() };
-    const { reads, reach } = news;
-    const sums = { ...head, isWhole, work, reads, reach };
+    const sums = { relay: daemon, incarnation, sequence: nextSequence(), ...told };
     return encodePeerMessage({ kind: 'sums', zone, sums });
   }
 }
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -22,7 +22,16 @@
 
 function report(fields: Partial<LoadReport> = {}): LoadReport {
   const work = [{ engineId: 'e', pendingMs: 300, lateMs: 0, running: 2 }];
-  return { daemon: 'a', incarnation: 1, sequence: 1, work, reads: [], reach: [], ...fields };
+  return {
+    daemon: 'a',
+    incarnation: 1,
+    sequence: 1,
+    work,
+    reads: [],
+    reach: [],
+    demand: [],
+    ...fields,
+  };
 }
 
 const SERVER: ServerRecord = {
@@ -64,6 +73,7 @@
     work,
     reads: [],
     reach: [],
+    demand: [],
     ...fields,
   };
 }
@@ -110,6 +120,7 @@
     work: work(5),
     reads: [],
     reach: [],
+    demand: [],
   };
   loads.takeZoneSums('south', sums, 0);
   loads.takeZoneSums('west', { ...sums, relay: 's', work: work(7) }, 0);
@@ -217,6 +228,7 @@
     log: SILENT_LOG,
     noteDaemonCount: listed.resolve,
     ownWork: () => work,
+    ownDemand: () => [],
     noteRelay: () => undefined,
     tableWord: () => ({
       configurations: { changed: 3, seen: 3, reread: 0 },
@@ -245,6 +257,8 @@
       },
       totals: (own, nowMs) => loads.totals(own, nowMs),
       zoneTotals: (own, nowMs) => loads.zoneTotals(own, nowMs),
+      totalDemand: (own, nowMs) => loads.totalDemand(own, nowMs),
+      zoneDemand: (own, nowMs) => loads.zoneDemand(own, nowMs),
     },
   });
   return { exchange, roster, reported, summed, relayed, found, informed, listed, noticed };
@@ -265,7 +279,7 @@
   listener.exchange.stop();
   teller.exchange.stop();
   const expected = { daemon: 'b', incarnation: 1, sequence: 1, work: report().work };
-  assert.deepEqual(told, { ...expected, reads: [READ], reach: [] });
+  assert.deepEqual(told, { ...expected, reads: [READ], reach: [], demand: [] });
   assert.deepEqual(await listener.noticed.promise, READ);
 });
 
--- a/test/gateway/plan-stages.test.ts
+++ b/test/gateway/plan-stages.test.ts
@@ -5,7 +5,7 @@
 import {
   type EngineStage,
   planRescue,
-  planStageChange,
+  planStageChanges,
   type ServerRecord,
   type StageNeed,
 } from '../../src/core/gateway/index.js';
@@ -32,7 +32,7 @@
 function settle(total: number, prefill: number, wanted: StageNeed): number {
   let fleet = engines(total, prefill);
   for (let moves = 0; moves <= total; moves += 1) {
-    const change = planStageChange({ engines: fleet, need: wanted, busyOf });
+    const change = planStageChanges({ engines: fleet, need: wanted, busyOf })[0];
     if (change === undefined) return fleet.filter(({ stage }) => stage === 'prefill').length;
     const stage: EngineStage = change.stage;
     fleet = fleet.map((engine) => (engine.id === change.engine.id ? { ...engine, stage } : engine));
@@ -41,7 +41,7 @@
 }
 
 test('the least busy engine is moved to the stage whose work piles up', () => {
-  const change = planStageChange({ engines: engines(8, 2), need: need(2, 0.2), busyOf });
+  const change = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), busyOf })[0];
   assert.deepEqual([change?.engine.id, change?.stage, change?.wantedPrefill], ['e5', 'prefill', 5]);
 });
 
@@ -58,7 +58,7 @@
 
 test('nothing is moved for few requests, for engines that are idle enough, or for a small relief', () => {
   const plan = (total: number, prefill: number, wanted: StageNeed) =>
-    planStageChange({ engines: engines(total, prefill), need: wanted, busyOf });
+    planStageChanges({ engines: engines(total, prefill), need: wanted, busyOf })[0];
   assert.equal(plan(8, 2, need(6, 0.2, 5)), undefined);
   assert.equal(plan(8, 2, need(0.6, 0.2)), undefined);
   assert.equal(plan(13, 8, need(4, 4)), undefined);
@@ -85,7 +85,7 @@
       let moves = 0;
       for (const factor of factors) {
         const wanted = need(2.4 * factor, 0.8 / factor);
-        const change = planStageChange({ engines: fleet, need: wanted, busyOf });
+        const change = planStageChanges({ engines: fleet, need: wanted, busyOf })[0];
         if (change === undefined) continue;
         moves += 1;
         const { stage } = change;
@@ -109,7 +109,7 @@
 test('an engine is taken from the zone that has most of its stage, so that a zone may be lost', () => {
   const zones = ['a', 'a', 'b', 'b', 'b', 'c', 'c', 'c'];
   const fleet = engines(8, 1).map((engine, index) => ({ ...engine, zone: zones[index] ?? '' }));
-  const change = planStageChange({ engines: fleet, need: need(6, 0.05), ...allIdle });
+  const change = planStageChanges({ engines: fleet, need: need(6, 0.05), ...allIdle })[0];
   assert.ok(change !== undefined);
   assert.ok(['b', 'c'].includes(change.engine.zone));
 });
@@ -139,3 +139,12 @@
   const crashed = fleet.filter(({ id }) => !lost.has(id));
   assert.equal(planRescue({ engines: crashed, isReachable: () => true, ...allIdle }).length, 3);
 });
+
+test('of many engines a few are moved at once, and one at a time near the end', () => {
+  const plan = (prefill: number) =>
+    planStageChanges({ engines: engines(44, prefill), need: need(30, 2), ...allIdle });
+  assert.equal(plan(10).length, 4);
+  assert.equal(new Set(plan(10).map(({ engine }) => engine.id)).size, 4);
+  const few = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), busyOf });
+  assert.equal(few.length, 1);
+});
