Order a change of the split only when it was wanted for as long as an engine is away for it

Hypothesis: a demand shorter than the change costs more than it brings; waiting as long as the cost bounds the loss.

--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -27,7 +27,10 @@
 import { type CancelTimer, callWithin } from './timer-service.js';
 
 const TICK_MS = 250;
-/** A change has to be wanted for this long, and a random while more, before the lease is sought. */
+/**
+ * A change has to be wanted for this long, and a random while more, before the lease is sought; and for as long
+ * as an engine is away for it: a demand that is shorter than that costs more than it brings.
+ */
 const SETTLE_MS = 600;
 const SETTLE_SPREAD_MS = 900;
 /** Other daemons send an engine nothing more, and what it has ends, before it is ordered. */
@@ -65,6 +68,7 @@
   #lease: LeaseState;
   #cancelTick: CancelTimer | undefined;
   #wantedSinceMs: number | undefined;
+  #leastWantMs = 0;
   #lostSinceMs: number | undefined;
   #settleMs: number;
   #lastOrderMs = Number.NEGATIVE_INFINITY;
@@ -170,7 +174,9 @@
         busyOf: (id) => fleet.busyOf(id, nowMs),
       });
       const paidFor = changes.filter((change) => this.#isPaidFor(change, traits, nowMs));
-      if (paidFor.length > 0) return paidFor;
+      if (paidFor.length === 0) continue;
+      this.#leastWantMs = traits.roleSwitchMs;
+      return paidFor;
     }
     return [];
   }
@@ -193,8 +199,11 @@
 
   /** A holder stays one until its last order is older than the lease: no quick turns. */
   #isCandidate(nowMs: number): boolean {
-    if (!this.#isQuiet()) return true;
-    return this.#wantedSinceMs !== undefined && nowMs - this.#wantedSinceMs >= this.#settleMs;
+    return !this.#isQuiet() || this.#wantedForMs(nowMs) >= this.#settleMs;
+  }
+
+  #wantedForMs(nowMs: number): number {
+    return this.#wantedSinceMs === undefined ? 0 : nowMs - this.#wantedSinceMs;
   }
 
   #isQuiet(): boolean {
@@ -204,6 +213,7 @@
 
   #orderIfAllowed(changes: readonly StageChange[], nowMs: number): void {
     if (nowMs - this.#lastOrderMs < ORDER_GAP_MS) return;
+    if (this.#wantedForMs(nowMs) < this.#leastWantMs) return;
     const epoch = this.#authority(nowMs);
     if (epoch === undefined) return;
     this.#lastOrderMs = nowMs;
