Refuse at the door what is expected to be answered after its caller has given up

Ruled out: resting engines that turned calls away (they do, 0.1 s and longer). Change: a late request whose forecast is beyond its deadline gets 503 at once, with the time until one like it could be in time. Nothing that can be in time is refused.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -25,6 +25,7 @@
   type RequestDescription,
   sharedPart,
 } from './description.js';
+export { type DoorInput, type DoorRefusal, refusalAtDoor } from './door.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
 export {
   explainRequest,
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -75,6 +75,11 @@
     if (!this.#mayRunOnceMore()) return this.#giveUp();
     const plan = this.#planner.plan({ mayPrefill: !this.#prefillFailed });
     if (plan === undefined) return this.#giveUp();
+    const hopeless = this.#planner.refusalOf(plan);
+    if (hopeless !== undefined && !exchange.isAnswered) {
+      exchange.refuse('no engine is expected to answer in time', hopeless.retryAfterMs);
+      return 'done';
+    }
     switch (plan.kind) {
       case 'direct':
         return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -4,12 +4,14 @@
  */
 import {
   chooseDecodeEngine,
+  type DoorRefusal,
   type EngineChoiceInput,
   type EnginePlan,
   moveMs,
   planModelRequest,
   type ReadSpeed,
   readPriority,
+  refusalAtDoor,
   type ServerRecord,
   sharedPart,
 } from '../../core/gateway/index.js';
@@ -69,6 +71,18 @@
     return this.#nowMs() + runMs > stopMs;
   }
 
+  /** Whether the request is refused before it is sent anywhere. */
+  refusalOf(plan: EnginePlan): DoorRefusal | undefined {
+    const exchange = this.#exchange;
+    return refusalAtDoor({
+      plan,
+      remainingMs: exchange.remainingMs(),
+      inTimeMs: IN_TIME_SHARE * exchange.options.route.targetLatencyMs,
+      isLearnt: this.#speed.isLearnt,
+      mayHaveRun: exchange.mayHaveRun,
+    });
+  }
+
   /** The priority of reading the prompt. */
   priorityOf(plan: EnginePlan): number {
     const { route } = this.#exchange.options;
