--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -70,6 +70,8 @@
   #wantedSinceMs: number | undefined;
   #leastWantMs = 0;
   #lostSinceMs: number | undefined;
+  /** Services of which an engine that generates could be reached before. */
+  readonly #onceGenerated = new Set<string>();
   #settleMs: number;
   #lastOrderMs = Number.NEGATIVE_INFINITY;
   #lastRescueMs = Number.NEGATIVE_INFINITY;
@@ -128,8 +130,15 @@
     const changes: StageChange[] = [];
     for (const service of fleet.inForce?.configuration.services.values() ?? []) {
       if (service.engine === undefined) continue;
+      const engines = fleet.expectedServers(service.name, nowMs);
+      // While servers are only being listed, those that generate may come last.
+      const generates = engines.some(
+        ({ id, stage }) => stage === 'decode' && fleet.isReachable(id, nowMs),
+      );
+      if (generates) this.#onceGenerated.add(service.name);
+      if (!this.#onceGenerated.has(service.name)) continue;
       const rescue = planRescue({
-        engines: fleet.expectedServers(service.name, nowMs),
+        engines,
         busyOf: (id) => fleet.busyOf(id, nowMs),
         isReachable: (id) => fleet.isReachable(id, nowMs),
       });
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -273,6 +273,7 @@
 test('engines that are lost for a moment only cause no order', async () => {
   const setup = setUp();
   startController(setup, 'front-1');
+  await pass(setup, 250);
   loseAllThatGenerate(setup);
   setup.timers.advance(250);
   for (const id of LOST_IDS) setup.fleet.healthOf(id).recordReached();
@@ -287,6 +288,7 @@
   while (setup.engines.orders.length === 0) await pass(setup, 50);
   first.stop();
   startController(setup, 'front-22');
+  await pass(setup, 250);
   const before = setup.engines.orders.length;
   loseAllThatGenerate(setup);
   await passWhileLost(setup, LEASE_MS + 3_000);
@@ -299,6 +301,7 @@
   const setup = setUp();
   setup.table.isDown = true;
   startController(setup, 'front-1');
+  await pass(setup, 250);
   loseAllThatGenerate(setup);
   await passWhileLost(setup, 4_000);
   assert.deepEqual(setup.engines.orders, []);
@@ -307,9 +310,23 @@
   assert.equal(setup.engines.orders.filter(({ stage }) => stage === 'decode').length, 3);
 });
 
+test('engines that read and are listed before those that generate are not ordered over', async () => {
+  const setup = setUp();
+  const all = [...setup.fleet.directory.all()];
+  setup.fleet.directory.replaceAll(all.slice(0, 1));
+  setup.engines.setStage(all[0]?.address ?? '', 'prefill');
+  startController(setup, 'front-1');
+  for (let passedMs = 0; passedMs < 3_000; passedMs += 250) {
+    setup.timers.advance(250);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.deepEqual(setup.engines.orders, []);
+});
+
 test('a daemon that may not order takes no part', async () => {
   const setup = setUp();
   startController(setup, 'front-1', () => false);
+  await pass(setup, 250);
   loseAllThatGenerate(setup);
   await passWhileLost(setup, 4_000);
   assert.deepEqual(setup.engines.orders, []);
