--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -27,14 +27,16 @@
 import { type CancelTimer, callWithin } from './timer-service.js';
 
 const TICK_MS = 250;
-/**
- * A change has to be wanted for this long, and a random while more, before the lease is sought; and for as long
- * as an engine is away for it: a demand that is shorter than that costs more than it brings.
- */
+/** A change has to be wanted for this long, and a random while more, before the lease is sought. */
 const SETTLE_MS = 600;
 const SETTLE_SPREAD_MS = 900;
 /** Other daemons send an engine nothing more, and what it has ends, before it is ordered. */
 const EMPTYING_MS = 300;
+/**
+ * A change has to be wanted for this many times as long as an engine is away for it: a demand that ends
+ * sooner has cost more than the change brought, once for the way there and once for the way back.
+ */
+const WANTED_SWITCHES = 2;
 /** An order back has to wait until the last one has paid for the time that the engine was away. */
 const REVERSAL_SWITCHES = 4;
 /** Nor does the split follow a mix that swings faster than it is seen. */
@@ -184,7 +186,7 @@
       });
       const paidFor = changes.filter((change) => this.#isPaidFor(change, traits, nowMs));
       if (paidFor.length === 0) continue;
-      this.#leastWantMs = traits.roleSwitchMs;
+      this.#leastWantMs = WANTED_SWITCHES * traits.roleSwitchMs;
       return paidFor;
     }
     return [];
