--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -80,6 +80,18 @@
     message: 'a server row cannot be read; it is passed over',
     remedy: 'Correct the server that writes the row.',
   },
+  serverDark: {
+    number: 6016,
+    level: 'warn',
+    message: 'other daemons say that a server answers no connection; it is passed over',
+    remedy: 'Look at the named server and the network to it if this lasts.',
+  },
+  serverReached: {
+    number: 6017,
+    level: 'info',
+    message: 'another daemon reached a server again that was passed over',
+    remedy: 'Nothing to do.',
+  },
   watchLost: {
     number: 6020,
     level: 'warn',
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -93,12 +93,15 @@
 
   /** Servers of a service that may be sent new work. */
   candidates(service: string, nowMs: number): ServerRecord[] {
-    const answering = this.directory
-      .readyOf(service)
-      .filter(({ id }) => this.#health.get(id)?.isDark(nowMs) !== true);
+    const answering = this.directory.readyOf(service).filter(({ id }) => !this.isDark(id, nowMs));
     return this.stageNotices.usable(answering, nowMs);
   }
 
+  /** Whether a server answers no connection, as far as is known. */
+  isDark(serverId: string, nowMs: number): boolean {
+    return this.#health.get(serverId)?.isDark(nowMs) === true;
+  }
+
   /** Whether calls to a server are expected to come through. */
   isReachable(serverId: string, nowMs: number): boolean {
     const health = this.#health.get(serverId);
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,7 +4,7 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
-import { PeerRoster } from '../../core/gateway/index.js';
+import { PeerRoster, type ReachNotice } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { AttemptContext } from './attempt.js';
 import { BackendConnections } from './backend-connections.js';
@@ -223,7 +223,7 @@
       table: adapter.table,
       roster: this.#roster,
       log,
-      takeReach: (reach) => this.#fleet.takeReach(reach, timers.nowMs()),
+      takeReach: (reach) => this.#takeReach(reach),
       takeRead: (read) => this.#fleet.knowledge.expect(read, timers.nowMs()),
       noteRelay: (isRelay) => this.#noteRelay(isRelay),
       tableWord: () => this.#follower.wordToTell(timers.nowMs()),
@@ -241,6 +241,18 @@
     });
   }
 
+  /** What other daemons say of a server; a change of belief is a line in the log. */
+  #takeReach(reach: ReachNotice): void {
+    const { timers, log } = this.#options;
+    const nowMs = timers.nowMs();
+    const { serverId: server, by } = reach;
+    const wasDark = this.#fleet.isDark(server, nowMs);
+    this.#fleet.takeReach(reach, nowMs);
+    const isDark = this.#fleet.isDark(server, nowMs);
+    if (isDark === wasDark) return;
+    log.write(isDark ? GATEWAY_EVENTS.serverDark : GATEWAY_EVENTS.serverReached, { server, by });
+  }
+
   #longestRetryMs(): number {
     const isFollower = this.#roster.isLarge && !this.#isRelay;
     const { contactMs } = this.#options.settings.bounds;
