--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -81,13 +81,13 @@
     remedy: 'Correct the server that writes the row.',
   },
   serverDark: {
-    number: 6016,
+    number: 6017,
     level: 'warn',
     message: 'other daemons say that a server answers no connection; it is passed over',
     remedy: 'Look at the named server and the network to it if this lasts.',
   },
   serverReached: {
-    number: 6017,
+    number: 6018,
     level: 'info',
     message: 'another daemon reached a server again that was passed over',
     remedy: 'Nothing to do.',
