What a relay takes up by a recheck reaches its followers

Change: a recheck that finds no difference moves nothing on; one that finds any is told, and followers read the table whole. The last recheck comes after 1.5 contact times in place of 2, before a calm daemon counts as in touch again. Test: fails on the code before with the change lost, passes now.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -130,7 +130,9 @@
     };
   }
 
-  #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): void {
+  /** @returns whether there was a newer one among them */
+  #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): boolean {
+    const before = this.#options.fleet.inForce?.configuration.version;
     for (const row of rows) {
       switch (row.kind) {
         case 'value':
@@ -143,6 +145,7 @@
           break;
       }
     }
+    return this.#options.fleet.inForce?.configuration.version !== before;
   }
 
   #takeConfiguration(configuration: GatewayConfiguration): void {
@@ -166,7 +169,8 @@
     }
   }
 
-  #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): void {
+  /** @returns whether the list is another one now */
+  #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): boolean {
     const { log, fleet, cacheNews } = this.#options;
     const records: ServerRecord[] = [];
     const goneIds: string[] = [];
@@ -191,6 +195,7 @@
     for (const server of change.added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
     for (const server of change.changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
     for (const server of change.removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
+    return change.added.length + change.changed.length + change.removed.length > 0;
   }
 
   #logServer(event: ServerEvent, server: ServerRecord): void {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -31,8 +31,9 @@
 /** Others rely on a relay's look at the store for so long; it looks more often. */
 const RELAY_WATCH_SHARE_OF_CONTACT = 0.25;
 const WORD_AGE_SHARE_OF_CONTACT = 0.45;
-/** A store that has lost its history may answer stale reads; the rules allow it for less than this. */
-const RECHECK_SHARE_OF_CONTACT = 2;
+/** A store that has lost its history may answer stale reads; the last whole read is well before this daemon
+ * counts as in touch again, which it does so long after they are over. */
+const RECHECK_SHARE_OF_CONTACT = 1.5;
 /** Few daemons, and the relays of many, find the store again soon after it is back. */
 const LONGEST_RETRY_MS = 500;
 /** The others hear of it from their relay; without one they have found it well before they count as in touch. */
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -33,8 +33,8 @@
 
 /** Who takes a table's rows. */
 export interface TableConsumer<Value> {
-  /** The whole table as of one moment. */
-  takeAll(rows: readonly WatchedRow<Value>[]): void;
+  /** The whole table as of one moment. @returns whether that differs from what was known */
+  takeAll(rows: readonly WatchedRow<Value>[]): boolean;
   takeChanges(rows: readonly WatchedRow<Value>[]): void;
   /** These changes came from the store itself; others may be told of them. */
   readonly passOn?: (changes: TableChanges<Value>) => void;
@@ -134,26 +134,49 @@
   /** Reads the table whole once more; the relay, where its word is fresh, does so for the whole zone. */
   async #recheck({ readsLeft, untilMs }: Disturbance): Promise<void> {
     const { word, timers } = this.#options;
+    if (word?.from.isFresh === true) {
+      this.#disturbance = undefined;
+      return;
+    }
     const isLast = readsLeft <= 1 || timers.nowMs() >= untilMs;
     this.#disturbance = isLast ? undefined : { readsLeft: readsLeft - 1, untilMs };
-    if (word?.from.isFresh === true) this.#disturbance = undefined;
-    else await this.#readAll(isLast);
+    const answer = await this.#readRows();
+    if (answer === undefined) return;
+    // Changes go on from where they were followed to: what this read has taken up is still to be passed on.
+    const hasDiffered = this.#options.consumer.takeAll(answer.rows);
+    if (isLast || hasDiffered) this.#goOnFrom(answer.revision, true);
   }
 
   /** @param isToldToZone whether those who rely on this daemon are to read the table whole as well */
   async #readAll(isToldToZone: boolean): Promise<void> {
-    const { table, consumer, waitMs } = this.#options;
+    const answer = await this.#readRows();
+    if (answer === undefined) return;
+    this.#options.consumer.takeAll(answer.rows);
+    this.#goOnFrom(answer.revision, isToldToZone);
+  }
+
+  /** The whole table, or undefined after a failure. */
+  async #readRows(): Promise<Extract<WatchAnswer<Value>, { kind: 'rows' }> | undefined> {
+    const { table, waitMs } = this.#options;
     const answer = await this.#ask(waitMs(), (signal) => table.readAll(signal));
-    if (answer.kind !== 'rows') return this.#handleFailure(answer);
+    if (answer.kind !== 'rows') {
+      await this.#handleFailure(answer);
+      return undefined;
+    }
     if (answer.revision < this.#changedRevision) {
-      return this.#handleFailure({ kind: 'failed', reason: 'a stale read', wasRefused: true });
+      await this.#handleFailure({ kind: 'failed', reason: 'a stale read', wasRefused: true });
+      return undefined;
     }
-    if (isToldToZone) this.#rereadRevision = answer.revision;
-    // What changed before the first read, or during a disturbance, is not known change by change.
-    if (isToldToZone || this.#revision === undefined) this.#noteChange(answer.revision);
-    this.#wholeRevision = answer.revision;
-    this.#handleSuccess(answer.revision);
-    consumer.takeAll(answer.rows);
+    this.#noteSuccess();
+    return answer;
+  }
+
+  /** Changes are followed from a whole read on; what changed before is not known change by change. */
+  #goOnFrom(revision: number, isToldToZone: boolean): void {
+    this.#wholeRevision = revision;
+    if (isToldToZone) this.#rereadRevision = revision;
+    this.#noteChange(revision);
+    this.#advanceTo(revision);
   }
 
   async #readChanges(): Promise<void> {
@@ -170,7 +193,8 @@
       table.changesAfter(after, waitMs, signal),
     );
     if (answer.kind !== 'rows') return this.#handleFailure(answer);
-    this.#handleSuccess(answer.revision);
+    this.#noteSuccess();
+    this.#advanceTo(answer.revision);
     if (answer.rows.length === 0) {
       this.#gathersInARow = 0;
       return;
@@ -227,7 +251,12 @@
     return callWithin(this.#options.timers, timeoutMs, this.#stopped.signal, call);
   }
 
-  #handleSuccess(revision: number): void {
+  /** A stale answer sets nothing back. */
+  #advanceTo(revision: number): void {
+    this.#revision = Math.max(this.#revision ?? 0, revision);
+  }
+
+  #noteSuccess(): void {
     const { log, table, timers } = this.#options;
     if (this.#failuresInARow > 0) {
       log.write(GATEWAY_EVENTS.watchRegained, {
@@ -238,8 +267,6 @@
     }
     this.#failuresInARow = 0;
     this.#lastAnswerMs = timers.nowMs();
-    // A stale answer sets nothing back.
-    this.#revision = Math.max(this.#revision ?? 0, revision);
   }
 
   async #handleFailure(answer: Exclude<WatchAnswer<Value>, { kind: 'rows' }>): Promise<void> {
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -32,10 +32,12 @@
   }
 }
 
-/** Keeps the values of all rows that it is given. */
+/** Keeps the values of all rows that it is given; a whole read differs where it has a value that was not. */
 function collectorOf(taken: number[]): TableConsumer<number> {
   const take = (rows: readonly { readonly kind: string }[]) => {
+    const before = new Set(taken);
     for (const row of rows) if ('value' in row) taken.push(Number(row.value));
+    return taken.some((value) => !before.has(value));
   };
   return { takeAll: take, takeChanges: take };
 }
@@ -111,7 +113,7 @@
 
 const WORD_AGE_MS = 1_600;
 
-function followerOf(table: HeldTable, timers: ManualTimers, taken: number[]) {
+function followerOf(table: WatchedTable<number>, timers: ManualTimers, taken: number[]) {
   const word = new TableWord(timers, WORD_AGE_MS);
   const watcher = new TableWatcher<number>({
     table,
@@ -203,6 +205,93 @@
   await running;
 });
 
+/** A table that answers a held call when it changes, as the store does. */
+class QuietTable implements WatchedTable<number> {
+  readonly name = 'quiet';
+  isDown = false;
+  readonly #timers: ManualTimers;
+  readonly #held = new Set<() => void>();
+  #revision = 10;
+
+  constructor(timers: ManualTimers) {
+    this.#timers = timers;
+  }
+
+  /** Calls that are held have their answer at once. */
+  change(revision: number): void {
+    this.#revision = revision;
+    for (const answer of [...this.#held]) answer();
+  }
+
+  /** Cuts the calls that are held, and fails others. */
+  cut(): void {
+    this.isDown = true;
+    for (const answer of [...this.#held]) answer();
+  }
+
+  readAll(): Promise<WatchAnswer<number>> {
+    return Promise.resolve(this.#answerAfter(0));
+  }
+
+  changesAfter(after: number, waitMs: number, signal: AbortSignal): Promise<WatchAnswer<number>> {
+    if (this.isDown || this.#revision > after) return Promise.resolve(this.#answerAfter(after));
+    return new Promise((resolve) => {
+      const answer = () => {
+        cancel();
+        this.#held.delete(answer);
+        resolve(this.#answerAfter(after));
+      };
+      const cancel = this.#timers.after(waitMs, answer);
+      this.#held.add(answer);
+      signal.addEventListener('abort', answer, { once: true });
+    });
+  }
+
+  decode(key: string): WatchedRow<number> {
+    return { kind: 'malformed', key, problem: 'not used here' };
+  }
+
+  #answerAfter(after: number): WatchAnswer<number> {
+    if (this.isDown) return { kind: 'failed', reason: 'cut', wasRefused: false };
+    const revision = this.#revision;
+    const row = { kind: 'value', key: 'row', value: revision } as const;
+    return { kind: 'rows', rows: revision > after ? [row] : [], revision };
+  }
+}
+
+test('a change that a relay takes up by a recheck reaches its followers at once', async () => {
+  const timers = new ManualTimers();
+  const table = new QuietTable(timers);
+  const relay = followerOf(table, timers, []).watcher;
+  const seen: number[] = [];
+  const { word, watcher } = followerOf(table, timers, seen);
+  const pass = async (spanMs: number) => {
+    for (let passedMs = 0; passedMs < spanMs; passedMs += 50) {
+      word.take({ ...wordAt(0), servers: relay.progress });
+      await settled();
+      timers.advance(50);
+      await settled();
+    }
+  };
+  const running = [relay.run()];
+  await settled();
+  table.cut();
+  await settled();
+  table.isDown = false;
+  await pass(600);
+  running.push(watcher.run());
+  await pass(200);
+  table.change(20);
+  await pass(100);
+  // While the relay gathers, another comes: its next read is a whole one, as it was cut before.
+  table.change(30);
+  await pass(GATHER_MS + 200);
+  assert.equal(seen.at(-1), 30);
+  for (const each of [relay, watcher]) each.stop();
+  await pass(3 * GATHER_MS);
+  await Promise.all(running);
+});
+
 test('after a refused call the table is followed from where it was left', async () => {
   const timers = new ManualTimers();
   const table = new HeldTable();
