Know tenants by their API keys, and report what they use

Ruled out: the lease of the stage orders for the new duty (8 store calls a window against 1); a row of counts for each daemon and window (63 writes a window). Change: the key is resolved before anything else looks at a request, 401 at once where no tenant has it; servers get the tenant's name and never the key; tenants rank before routes. Each daemon counts runs by tenant and window, the holder of the duty collects them by datagrams, writes them to the duty's record and reports the same. Test: tenants.test.ts, report-duty.test.ts (property and mutations), reporting.test.ts, duty-client.test.ts. The check of platform names knows '/usage' as a quoted text, as a module of the product has the word in its path.

--- a/src/core/gateway/configuration.ts
+++ b/src/core/gateway/configuration.ts
@@ -26,6 +26,8 @@
   /** Begins and ends with a slash. */
   readonly pathPrefix: string;
   readonly kind: RouteKind;
+  /** Whether requests without an API key are taken, where there are tenants. */
+  readonly isPublic: boolean;
   /** Whether a stream may be taken up at another server after its last event. */
   readonly resumable: boolean;
   /** The longest time a request is held. */
@@ -58,6 +60,15 @@
   readonly engine: EngineTraits | undefined;
 }
 
+/** Whoever requests are run, counted and billed for. */
+export interface Tenant {
+  readonly name: string;
+  /** Secrets: they are compared, and never logged or sent on. */
+  readonly apiKeys: readonly string[];
+  /** 0 is the most urgent; undefined goes after all that have one. */
+  readonly priority: number | undefined;
+}
+
 /** What a caller may send and how long it may take. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
@@ -71,6 +82,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
+  /** Undefined where requests need no API key. */
+  readonly tenants: readonly Tenant[] | undefined;
   readonly limits: CallerLimits;
 }
 
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -17,6 +17,7 @@
   type Route,
   type RouteKind,
   type Service,
+  type Tenant,
   type TrafficShare,
 } from './configuration.js';
 export {
@@ -74,6 +75,7 @@
 } from './stage-demand.js';
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
+export { type Admission, TenantTable } from './tenants.js';
 export {
   type TableProgress,
   type TableWordMessage,
--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -152,6 +152,12 @@
     this.#silentRelays.delete(name);
   }
 
+  /** The place of this daemon among all that are listed for a key, from 0. */
+  placeFor(key: string): number {
+    const names = [...this.#known.keys(), this.#self.name];
+    return rankByRendezvous(key, names).indexOf(this.#self.name);
+  }
+
   /** All daemons to tell, heard or not: one that was silent may be back. */
   everyone(): readonly PeerDaemon[] {
     return [...this.#known.values()].map(({ daemon }) => daemon);
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -110,6 +110,19 @@
     message: 'the store has forgotten the history of a watched table; it is read whole',
     remedy: 'Nothing to do.',
   },
+  keysShared: {
+    number: 6023,
+    level: 'warn',
+    message: 'tenants of the configuration share API keys; the tenant listed first is taken',
+    remedy: 'Give each tenant keys of its own.',
+  },
+  keyUnknown: {
+    number: 6024,
+    level: 'warn',
+    message: 'a request was refused: no tenant of the configuration in force has its API key',
+    remedy:
+      'Compare keyDigest with the first digits of the SHA-256 of the keys; the caller may use an old one.',
+  },
   requestEnded: {
     number: 6030,
     level: 'info',
@@ -188,6 +201,42 @@
     message: 'the rows of daemons that were silent for long were taken away',
     remedy: 'Nothing to do; a daemon that is back writes its row again.',
   },
+  usageCollected: {
+    number: 6065,
+    level: 'info',
+    message: 'the counts of a window were collected from the daemons',
+    remedy: 'Nothing to do unless fewer answered than there are daemons: their runs are missing.',
+  },
+  usageRecorded: {
+    number: 6060,
+    level: 'info',
+    message: 'the usage of a window is written down, to be reported by this daemon',
+    remedy: 'Nothing to do.',
+  },
+  usageReported: {
+    number: 6061,
+    level: 'info',
+    message: 'the usage of a window is reported',
+    remedy: 'Nothing to do.',
+  },
+  usageNotReported: {
+    number: 6062,
+    level: 'warn',
+    message: 'a report of usage was not taken, or got no answer; it is sent again while it is due',
+    remedy: 'Look at the platform if it lasts. A conflict: another daemon has the duty now.',
+  },
+  usageRecordFailed: {
+    number: 6063,
+    level: 'warn',
+    message: 'the record of the usage duty could not be read or written',
+    remedy: 'Look at the store if it lasts; windows are late meanwhile.',
+  },
+  usageRecordMalformed: {
+    number: 6064,
+    level: 'error',
+    message: 'the record of the usage duty cannot be read; no usage is reported',
+    remedy: 'Look at who writes the row: another version of the product, or another program.',
+  },
   peerMalformed: {
     number: 6054,
     level: 'warn',
--- /dev/null
+++ b/src/core/tenant-usage/index.ts
@@ -0,0 +1,14 @@
+/** Usage of tenants: counted by each daemon, collected and reported by one. */
+
+export {
+  type CollectedCounts,
+  type RecordOutcome,
+  type ReportOutcome,
+  type UsageAction,
+  UsageDuty,
+  type UsageDutySettings,
+  type UsageMoment,
+  type UsageRecord,
+} from './report-duty.js';
+export { partsOf, UsageCollection, type UsagePart } from './run-collection.js';
+export { type TenantCounts, UsageCounts, windowAt } from './run-counts.js';
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -67,7 +67,7 @@
   const log = new GatewayLog(logger, SYSTEM_TIMERS, settings.logging.maxLinesPerSecond);
   const gateway = new Gateway({
     settings,
-    adapter: createPlatformAdapter(settings.store),
+    adapter: createPlatformAdapter(settings.store, settings.duties?.address),
     timers: SYSTEM_TIMERS,
     log,
   });
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -33,6 +33,8 @@
   readonly noteRead: (read: ReadNotice) => void;
   /** To be called when a server does not answer a connection, or does so again. */
   readonly noteReach: (reach: Omit<ReachNotice, 'by'>) => void;
+  /** To be called when a request began to run at a server, so long ago. */
+  readonly noteBegan: (exchange: Exchange, agoMs: number) => void;
   /** Where this daemon stands. */
   readonly zone: string;
 }
@@ -124,6 +126,7 @@
   const headers = context.codec.backendHeaders(withoutConnectionHeaders(request.rawHeaders), {
     serverId: options.server.id,
     deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
+    tenant: exchange.options.tenant?.name,
     priority: options.priority,
     prefillOnly: options.prefillOnly,
     memorySource: options.memorySource,
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -2,8 +2,10 @@
  * The callers' listener: reads requests within the configured limits, finds their route and hands
  * them on. Framing is checked by node:http (RFC 9112 section 6.3).
  */
+import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Route } from '../../core/gateway/index.js';
+import type { Route, Tenant } from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { AttemptContext } from './attempt.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
@@ -20,6 +22,10 @@
 const UNCONFIGURED_RETRY_AFTER_MS = 1_000;
 const CONNECTION_CHECK_MS = 1_000;
 const DEFAULT_IDLE_MS = 15_000;
+/** Enough to find the tenant that has a key, and too little to find the key. */
+const KEY_DIGEST_DIGITS = 8;
+/** A refusal for want of a key names how one is given (RFC 9110 section 11.6.1). */
+const CHALLENGE = ['WWW-Authenticate', 'ApiKey'] as const;
 
 /** What a listener is built from. */
 export interface CallerListenerOptions {
@@ -29,6 +35,17 @@
   readonly metrics: GatewayMetrics;
 }
 
+/** A request that has been read, with its route and whose it is. */
+interface AdmittedRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly inForce: ConfigurationInForce;
+  readonly route: Route;
+  readonly tenant: Tenant | undefined;
+  readonly body: Buffer;
+  readonly arrivedAtMs: number;
+}
+
 /** Takes callers' requests. */
 export class CallerListener {
   readonly #options: CallerListenerOptions;
@@ -79,30 +96,28 @@
     });
     response.on('error', () => response.destroy());
     const arrivedAtMs = this.#options.timers.nowMs();
-    const inForce = this.#options.context.fleet.inForce;
+    const { context } = this.#options;
+    const { inForce } = context.fleet;
     if (inForce === undefined) {
       const seconds = String(UNCONFIGURED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND);
       return this.#reject(request, response, 503, 'no configuration yet', ['Retry-After', seconds]);
     }
     const route = inForce.routes.find(request.headers.host ?? '', request.url ?? '/');
     if (route === undefined) return this.#reject(request, response, 404, 'no such route', []);
+    const admission = inForce.tenants.admit(route, context.codec.apiKey(request.headers));
+    if (admission.kind === 'unknown-key') return this.#rejectKey(request, response, inForce, route);
     if (headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
     const body = await readBody(request, inForce.configuration.limits.maxBodyBytes);
     if (body === 'too-large') return this.#reject(request, response, 413, 'body too large', []);
     if (body === 'broken') return;
-    await this.#exchange(request, response, inForce, route, body, arrivedAtMs);
+    const { tenant } = admission;
+    await this.#exchange({ request, response, inForce, route, tenant, body, arrivedAtMs });
   }
 
-  async #exchange(
-    request: IncomingMessage,
-    response: ServerResponse,
-    inForce: ConfigurationInForce,
-    route: Route,
-    body: Buffer,
-    arrivedAtMs: number,
-  ): Promise<void> {
+  async #exchange(admitted: AdmittedRequest): Promise<void> {
+    const { request, response, inForce, route, tenant, body, arrivedAtMs } = admitted;
     const { context, timers, log, metrics } = this.#options;
     const description = context.codec.describe(request.headers);
     if (description === undefined) {
@@ -114,6 +129,8 @@
       response,
       route,
       service,
+      tenant,
+      rank: inForce.tenants.rankOf(tenant, route),
       configuration: inForce.configuration,
       description,
       body,
@@ -129,6 +146,24 @@
     else await runWholeExchange(exchange, context);
   }
 
+  /** Says which key was not known by the beginning of its digest; the key itself is a secret. */
+  #rejectKey(
+    request: IncomingMessage,
+    response: ServerResponse,
+    inForce: ConfigurationInForce,
+    route: Route,
+  ): void {
+    const { context, log } = this.#options;
+    const apiKey = context.codec.apiKey(request.headers);
+    log.write(GATEWAY_EVENTS.keyUnknown, {
+      request: context.codec.describe(request.headers)?.attemptId ?? '',
+      route: route.name,
+      keyDigest: apiKey === undefined ? '' : digestOf(apiKey),
+      configurationVersion: inForce.configuration.version,
+    });
+    this.#reject(request, response, 401, 'no tenant has this API key', CHALLENGE);
+  }
+
   #reject(
     request: IncomingMessage,
     response: ServerResponse,
@@ -149,6 +184,10 @@
   }
 }
 
+function digestOf(apiKey: string): string {
+  return createHash('sha256').update(apiKey).digest('hex').slice(0, KEY_DIGEST_DIGITS);
+}
+
 /** The size of a request's headers as they were sent. */
 function headerBytes(request: IncomingMessage): number {
   let bytes = 0;
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -8,6 +8,7 @@
   type RequestDescription,
   type Route,
   SendMeter,
+  type Tenant,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -36,6 +37,10 @@
   readonly response: ServerResponse;
   readonly route: Route;
   readonly service: string;
+  /** Whose it is; undefined where requests need no key. */
+  readonly tenant: Tenant | undefined;
+  /** By tenant and route, 0 the most urgent. */
+  readonly rank: number;
   readonly configuration: GatewayConfiguration;
   readonly description: RequestDescription;
   readonly body: Buffer;
@@ -232,11 +237,12 @@
   }
 
   #fields(): Readonly<Record<string, string | number | boolean>> {
-    const { description, route, service, configuration } = this.options;
+    const { description, route, service, tenant, configuration } = this.options;
     return {
       request: description.attemptId,
       route: route.name,
       service,
+      tenant: tenant?.name ?? '',
       configurationVersion: configuration.version,
       elapsedMs: Math.round(this.elapsedMs()),
       runs: this.runs,
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -164,11 +164,19 @@
         log.write(GATEWAY_EVENTS.configurationInForce, {
           ...fields,
           routes: configuration.routes.length,
+          tenants: configuration.tenants?.length ?? 0,
         });
+        this.#noteSharedKeys(configuration.version);
         return;
     }
   }
 
+  #noteSharedKeys(configurationVersion: number): void {
+    const { log, fleet } = this.#options;
+    const sharedKeys = fleet.inForce?.tenants.sharedKeys ?? 0;
+    if (sharedKeys > 0) log.write(GATEWAY_EVENTS.keysShared, { configurationVersion, sharedKeys });
+  }
+
   /** @returns whether the list is another one now */
   #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): boolean {
     const { log, fleet, cacheNews } = this.#options;
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -24,6 +24,7 @@
   StageDemand,
   type StageNeed,
   StageNotices,
+  TenantTable,
   TrafficSplitter,
   type Urgency,
 } from '../../core/gateway/index.js';
@@ -36,6 +37,7 @@
 export interface ConfigurationInForce {
   readonly configuration: GatewayConfiguration;
   readonly routes: RouteTable;
+  readonly tenants: TenantTable;
   readonly sinceMs: number;
 }
 
@@ -76,7 +78,8 @@
     if (currentVersion === configuration.version) return 'same';
     if (currentVersion !== undefined && configuration.version < currentVersion) return 'older';
     const routes = new RouteTable(configuration.routes);
-    this.#inForce = { configuration, routes, sinceMs: nowMs };
+    const tenants = new TenantTable(configuration.tenants, configuration.routes);
+    this.#inForce = { configuration, routes, tenants, sinceMs: nowMs };
     this.splitter.retain(configuration.routes);
     return 'taken';
   }
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -29,6 +29,16 @@
     peers: z.optional(endpoint),
   }),
   store: endpoint,
+  /** Calls to the platform that one daemon at a time makes. */
+  duties: z.optional(
+    z.object({
+      address: endpoint,
+      /** Usage is reported for windows of this length, in true time; absent where it is not asked for. */
+      usageWindowSeconds: z.optional(z.number().check(z.minimum(0.1))),
+      /** How long after its end a window has to be reported. */
+      usageDueSeconds: z._default(spanSeconds, 10),
+    }),
+  ),
   bounds: z.object({
     /** After this long with a path to the store a daemon is bound by all that the store says. */
     contactMs: spanMs,
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -21,7 +21,8 @@
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
 import { TableWord } from './table-word.js';
-import { delay, type TimerService } from './timer-service.js';
+import { UsageReporter } from './tenant-usage.js';
+import { delay, steadyWallClock, type TimerService } from './timer-service.js';
 
 /**
  * A change is told at once by a call that is held. A call that a cut has swallowed has to be over
@@ -81,6 +82,8 @@
   /** Absent where the settings name no address for it. */
   readonly #peers: PeerExchange | undefined;
   readonly #word: TableWord;
+  /** Absent where the platform asks for no usage. */
+  readonly #usage: UsageReporter | undefined;
   #watchShare = WATCH_SHARE_OF_CONTACT;
   #isRelay = false;
   #isStopping = false;
@@ -103,9 +106,13 @@
       noteLoadChange: () => this.#peers?.noteChange(),
       noteRead: (read) => this.#peers?.noteRead(read),
       noteReach: (reach) => this.#peers?.noteReach(reach),
+      noteBegan: ({ options: { tenant } }, agoMs) => {
+        if (tenant !== undefined) this.#usage?.noteBegan(tenant.name, agoMs);
+      },
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
     const incarnation = randomInt(INCARNATIONS);
+    this.#usage = this.#createUsage(incarnation);
     this.#peers = this.#createPeers(incarnation);
     const duty = new RosterNewsDuty({
       roster: this.#roster,
@@ -151,6 +158,7 @@
     this.#follower.start();
     this.#stages.start();
     this.#peers?.start();
+    void this.#usage?.run();
     const readinessServer = createReadinessServer(
       adapter.readinessPath,
       () => this.#fleet.isReady && !this.#isStopping,
@@ -200,6 +208,7 @@
     this.#cacheNews.stop();
     this.#stages.stop();
     this.#peers?.stop();
+    this.#usage?.stop();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
@@ -213,6 +222,26 @@
     return port;
   }
 
+  #createUsage(incarnation: number): UsageReporter | undefined {
+    const { settings, adapter, timers, log } = this.#options;
+    const windowSeconds = settings.duties?.usageWindowSeconds;
+    if (adapter.duties === undefined || windowSeconds === undefined) return undefined;
+    return new UsageReporter({
+      daemon: settings.name,
+      incarnation,
+      leaseMs: settings.bounds.leaseMs,
+      windowMs: windowSeconds * MILLISECONDS_PER_SECOND,
+      dueMs: (settings.duties?.usageDueSeconds ?? 0) * MILLISECONDS_PER_SECOND,
+      duties: adapter.duties,
+      table: adapter.table,
+      roster: this.#roster,
+      peers: () => this.#peers,
+      wallClock: steadyWallClock(timers, Date.now()),
+      timers,
+      log,
+    });
+  }
+
   #createPeers(incarnation: number): PeerExchange | undefined {
     const { settings, adapter, timers, log } = this.#options;
     if (settings.listen.peers === undefined) return undefined;
@@ -233,6 +262,7 @@
       takeTables: (word) => this.#word.take(word),
       relayPeersChecksum: () => this.#word.peersChecksum,
       takeStage: (notice) => this.#fleet.stageNotices.take(notice, timers.nowMs()),
+      takeUsage: (message, reply) => this.#usage?.take(message, reply),
       takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       timers,
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -187,6 +187,8 @@
     const exchange = this.#exchange;
     const { answer } = attempt;
     if (answer.status < 200 || answer.status >= 300) return this.#passFailureOn(attempt);
+    // An engine answers with the first token, so the run has just begun.
+    this.#context.noteBegan(exchange, 0);
     if (!attempt.isStamped) {
       this.#lastReason = 'a success without a stamp';
       attempt.end({ kind: 'bad', reason: this.#lastReason });
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -85,16 +85,16 @@
 
   /** The priority of reading the prompt. */
   priorityOf(plan: EnginePlan): number {
-    const { route } = this.#exchange.options;
+    const { route, rank } = this.#exchange.options;
     const readShareOfTarget = plan.read.readMs / route.targetLatencyMs;
-    return readPriority({ rank: route.priority, urgency: plan.read.urgency, readShareOfTarget });
+    return readPriority({ rank, urgency: plan.read.urgency, readShareOfTarget });
   }
 
   /** A prompt that was read is nearly done: it goes on before those that are not. */
   runPriorityOf(plan: EnginePlan): number {
     if (plan.kind === 'direct') return this.priorityOf(plan);
-    const { route } = this.#exchange.options;
-    return readPriority({ rank: route.priority, urgency: 'in-time', readShareOfTarget: 0 });
+    const { rank } = this.#exchange.options;
+    return readPriority({ rank, urgency: 'in-time', readShareOfTarget: 0 });
   }
 
   /** The head of an answer came, and with it the first token. */
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -6,7 +6,7 @@
  * In a large fleet a change is told to the relay of the own zone alone (`relay-duty.ts`); cache news are
  * passed on within a zone by the daemon that asks for them. Who does what is the roster's to say.
  */
-import { createSocket, type Socket } from 'node:dgram';
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import type {
   LoadReport,
   PeerDaemon,
@@ -27,6 +27,8 @@
   encodePeerMessage,
   MOST_ENTRIES,
   type PassedConfiguration,
+  type PeerMessage,
+  type UsageMessage,
 } from './peer-messages.js';
 import type { TableService } from './ports.js';
 import { NO_NEWS, type OwnNews, RelayDuty, type RelayDutyOptions } from './relay-duty.js';
@@ -55,6 +57,9 @@
   readonly port: number;
 }
 
+/** Answers whoever sent a message. */
+export type Reply = (message: PeerMessage) => void;
+
 /** What an exchange is built from. */
 export interface PeerExchangeOptions {
   readonly daemon: string;
@@ -90,6 +95,8 @@
   readonly takeServers: (changes: TableChanges<ServerRecord>) => void;
   /** An engine that another daemon ordered to change its stage. */
   readonly takeStage: (notice: StageNotice) => void;
+  /** What others tell of the usage of tenants; `reply` goes back to who told it. */
+  readonly takeUsage: (message: UsageMessage, reply: Reply) => void;
   /** Cache news that another daemon passed on. */
   readonly takeNews: (news: EngineNews) => void;
 }
@@ -124,7 +131,7 @@
       send: (peers, bytes) => this.#sendTo(peers, bytes),
     });
     this.#socket = createSocket('udp4');
-    this.#socket.on('message', (message) => this.#receive(message));
+    this.#socket.on('message', (message, sender) => this.#receive(message, sender));
     // An address in use, or an unreachable peer, costs nothing but better choices.
     this.#socket.on('error', () => undefined);
   }
@@ -203,6 +210,11 @@
     this.#sendTo(this.#options.roster.everyone(), encodePeerMessage({ kind: 'stage', notice }));
   }
 
+  /** Tells some daemons something at once. */
+  tell(peers: readonly PeerDaemon[], message: PeerMessage): void {
+    if (peers.length > 0 && !this.#isStopped) this.#sendTo(peers, encodePeerMessage(message));
+  }
+
   /** Passes an engine's news on to daemons that do not ask for them. */
   passOn(news: EngineNews, peers: readonly PeerDaemon[]): void {
     if (peers.length === 0 || this.#isStopped) return;
@@ -264,9 +276,10 @@
     for (const peer of peers) this.#socket.send(bytes, peer.port, peer.host);
   }
 
-  #receive(bytes: Buffer): void {
+  #receive(bytes: Buffer, sender: RemoteInfo): void {
     const { daemon, zone, roster, loads, timers, ownWork } = this.#options;
-    const { takeNews, takeStage, takeTables, takeServers, takeConfiguration } = this.#options;
+    const { takeUsage, takeNews, takeStage, takeTables, takeServers, takeConfiguration } =
+      this.#options;
     const message = decodePeerMessage(bytes);
     const nowMs = timers.nowMs();
     switch (message?.kind) {
@@ -300,12 +313,21 @@
       case 'stage':
         takeStage(message.notice);
         return;
+      case 'usage-asked':
+      case 'usage-counted':
+      case 'usage-reported':
+        takeUsage(message, (answer) => this.#reply(answer, sender));
+        return;
       case 'news':
         for (const news of message.news) takeNews(news);
         return;
     }
   }
 
+  #reply(message: PeerMessage, { port, address }: RemoteInfo): void {
+    if (!this.#isStopped) this.#socket.send(encodePeerMessage(message), port, address);
+  }
+
   #takeNewsOf({ reads, reach }: OwnNews): void {
     for (const read of reads) this.#options.takeRead(read);
     for (const notice of reach) this.#options.takeReach(notice);
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -22,6 +22,9 @@
   tables: 5,
   servers: 6,
   configuration: 7,
+  usageAsked: 8,
+  usageCounted: 9,
+  usageReported: 10,
 } as const;
 
 /** Engine, part, its tokens, and the milliseconds until it is read. */
@@ -102,6 +105,20 @@
   z.string(),
   z.instanceof(Uint8Array),
 ]);
+/** The window whose counts are asked for. */
+export const usageAskedSchema = z.tuple([z.literal(KINDS.usageAsked), z.number()]);
+/** Daemon, its life, window, which part of how many, tenants and their runs. */
+export const usageCountedSchema = z.tuple([
+  z.literal(KINDS.usageCounted),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.array(z.tuple([z.string(), z.number()])),
+]);
+/** The window that was reported. */
+export const usageReportedSchema = z.tuple([z.literal(KINDS.usageReported), z.number()]);
 /** An engine's cache news, as its watcher passes them on. */
 export interface EngineNews {
   readonly engineId: string;
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -10,6 +10,7 @@
   StageNotice,
   TableWordMessage,
 } from '../../core/gateway/index.js';
+import type { UsagePart } from '../../core/tenant-usage/index.js';
 import {
   configurationSchema,
   decodeDemand,
@@ -34,6 +35,9 @@
   stageSchema,
   sumsSchema,
   tablesSchema,
+  usageAskedSchema,
+  usageCountedSchema,
+  usageReportedSchema,
 } from './peer-message-fields.js';
 import type { TableChanges } from './table-watcher.js';
 
@@ -51,6 +55,9 @@
   [KINDS.stage, stageSchema],
   [KINDS.tables, tablesSchema],
   [KINDS.configuration, configurationSchema],
+  [KINDS.usageAsked, usageAskedSchema],
+  [KINDS.usageCounted, usageCountedSchema],
+  [KINDS.usageReported, usageReportedSchema],
 ]);
 
 type MessageSchema =
@@ -60,7 +67,10 @@
   | typeof newsSchema
   | typeof stageSchema
   | typeof tablesSchema
-  | typeof configurationSchema;
+  | typeof configurationSchema
+  | typeof usageAskedSchema
+  | typeof usageCountedSchema
+  | typeof usageReportedSchema;
 
 /** A change of the configuration, as the relay of a zone had it from the store. */
 export interface PassedConfiguration {
@@ -71,8 +81,16 @@
   readonly encoded: Buffer;
 }
 
+/** What daemons tell each other of the usage of tenants. */
+export type UsageMessage =
+  /** Whoever reports usage asks for the counts of a window; the answer goes back to where this came from. */
+  | { readonly kind: 'usage-asked'; readonly window: number }
+  | { readonly kind: 'usage-counted'; readonly part: UsagePart }
+  | { readonly kind: 'usage-reported'; readonly window: number };
+
 /** A message between gateways. */
 export type PeerMessage =
+  | UsageMessage
   | { readonly kind: 'report'; readonly report: LoadReport }
   /** A relay's sums: over all daemons to its own zone, over that zone to the relays of the others. */
   | { readonly kind: 'sums'; readonly zone: string; readonly sums: LoadSums }
@@ -133,6 +151,14 @@
     }
     case 'news':
       return pack([KINDS.news, message.daemon, message.news.map(encodeNews)]);
+    case 'usage-asked':
+      return pack([KINDS.usageAsked, message.window]);
+    case 'usage-reported':
+      return pack([KINDS.usageReported, message.window]);
+    case 'usage-counted': {
+      const { daemon, incarnation, window, part, parts, counts } = message.part;
+      return pack([KINDS.usageCounted, daemon, incarnation, window, part, parts, counts]);
+    }
   }
 }
 
@@ -189,6 +215,15 @@
       };
       return { kind: 'tables', relay, zone, word };
     }
+    case KINDS.usageAsked:
+      return { kind: 'usage-asked', window: fields[1] };
+    case KINDS.usageReported:
+      return { kind: 'usage-reported', window: fields[1] };
+    case KINDS.usageCounted: {
+      const [, daemon, incarnation, window, part, parts, counts] = fields;
+      const counted = { daemon, incarnation, window, part, parts, counts };
+      return { kind: 'usage-counted', part: counted };
+    }
     case KINDS.news: {
       const [, daemon, news] = fields;
       return {
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -28,6 +28,8 @@
   readonly serverId: string;
   /** Time left, in whole milliseconds. */
   readonly deadlineMs: number;
+  /** The name of the tenant whose request it is; undefined where it has none. */
+  readonly tenant: string | undefined;
   /** 0 is the most urgent; undefined for plain web servers. */
   readonly priority: number | undefined;
   /** Only read the prompt and keep its memory. */
@@ -98,6 +100,8 @@
 export interface RequestCodec {
   /** What the caller states; undefined when it gives no attempt id. */
   describe(headers: IncomingHttpHeaders): RequestDescription | undefined;
+  /** The caller's API key; undefined when it gives none. A secret. */
+  apiKey(headers: IncomingHttpHeaders): string | undefined;
   /**
    * The headers for a backend: the caller's own, less those that only the product sets.
    * @param callerHeaders those of the message, without those of its connection
@@ -156,12 +160,46 @@
   call(call: TableCall, signal: AbortSignal): Promise<TableResult>;
 }
 
+/** Who makes a call that one daemon at a time makes, and its fencing token. */
+export interface DutyAuthority {
+  readonly holder: string;
+  /** Rises with each change of the holder. */
+  readonly fence: number;
+}
+
+/** How often requests of each tenant began to run in a window of true time. */
+export interface UsageReport {
+  readonly window: number;
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/** What the platform says of a duty's call. */
+export type DutyOutcome =
+  | { readonly kind: 'accepted' }
+  /** Another daemon has used a higher fence. */
+  | { readonly kind: 'conflict' }
+  /** Nothing was done. */
+  | { readonly kind: 'refused'; readonly status: number }
+  /** It may have been done, or may be done later. */
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** Calls to the platform that one daemon at a time makes. */
+export interface PlatformDuties {
+  reportUsage(
+    report: UsageReport,
+    authority: DutyAuthority,
+    signal: AbortSignal,
+  ): Promise<DutyOutcome>;
+}
+
 /** A platform, as far as described requests need one. */
 export interface PlatformAdapter {
   readonly requests: RequestCodec;
   readonly configurations: WatchedTable<GatewayConfiguration>;
   readonly servers: WatchedTable<ServerRecord>;
   readonly table: TableService;
+  /** Undefined where the platform asks for none. */
+  readonly duties: PlatformDuties | undefined;
   /** The path of readiness questions. */
   readonly readinessPath: string;
 }
--- a/src/shell/gateway/timer-service.ts
+++ b/src/shell/gateway/timer-service.ts
@@ -21,6 +21,18 @@
   },
 };
 
+/** The time of day, in milliseconds since the start of 1970. */
+export type WallClock = () => number;
+
+/**
+ * The time of day as it was at the start of the process, carried on by the steady clock: a jump of the
+ * machine's clock meanwhile changes nothing.
+ */
+export function steadyWallClock(timers: TimerService, unixMsNow: number): WallClock {
+  const startedMs = timers.nowMs();
+  return () => unixMsNow + timers.nowMs() - startedMs;
+}
+
 /** Resolves after a delay, or at once when the signal is aborted. */
 export function delay(timers: TimerService, delayMs: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -114,11 +114,13 @@
   }
 
   async #runAt(server: ServerRecord): Promise<RunResult> {
+    const sentMs = this.#nowMs();
     const result = await sendAttempt(this.#exchange, this.#context, {
       ...plainAttempt(server, this.#abandoned.signal),
       mayKeepConnection: this.#isRepeatable,
     });
     this.#exchange.endRun(hasNotRun(result));
+    if (!hasNotRun(result)) this.#context.noteBegan(this.#exchange, this.#nowMs() - sentMs);
     if (result.kind !== 'answered') return result;
     const { answer, isStamped, end } = result.attempt;
     const body = await answer.collect(MAX_ANSWER_BYTES);
@@ -144,6 +146,10 @@
     };
   }
 
+  #nowMs(): number {
+    return this.#exchange.options.timers.nowMs();
+  }
+
   /** The next result, or that it is time to ask a second server beside the first. */
   #nextResult(): Promise<RunResult | 'hedge'> {
     const { route, timers } = this.#exchange.options;
--- a/test/gateway/choices.test.ts
+++ b/test/gateway/choices.test.ts
@@ -26,6 +26,7 @@
   pathPrefix: '/x/',
   kind: 'idempotent',
   resumable: false,
+  isPublic: false,
   timeoutMs: 1_000,
   targetLatencyMs: 100,
   priority: 0,
--- /dev/null
+++ b/test/gateway/duty-client.test.ts
@@ -0,0 +1,71 @@
+/** Calls to the platform that one daemon at a time makes, over TCP. */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { createPlatformAdapter } from '../../platform/index.js';
+import type { DutyOutcome, PlatformDuties } from '../../src/shell/gateway/index.js';
+import { type Script, ServerStandIn } from './support/server-stand-in.js';
+
+const REPORT = { window: 353_445_120, counts: { leiden: 412, delft: 1 } };
+const AUTHORITY = { holder: 'front-1', fence: 12 };
+
+let platform: ServerStandIn;
+
+beforeEach(async () => {
+  platform = new ServerStandIn(({ response }) => void response.writeHead(200).end('{}'));
+  await platform.start();
+});
+
+afterEach(() => platform.stop());
+
+function duties(): PlatformDuties {
+  const [host = '', port = ''] = platform.address.split(':');
+  const address = { host, port: Number(port) };
+  const found = createPlatformAdapter(address, address).duties;
+  assert.ok(found !== undefined);
+  return found;
+}
+
+function report(): Promise<DutyOutcome> {
+  return duties().reportUsage(REPORT, AUTHORITY, new AbortController().signal);
+}
+
+test('a usage report names its holder and fence, and its counts by tenant', async () => {
+  assert.deepEqual(await report(), { kind: 'accepted' });
+  const [seen] = platform.seen;
+  assert.equal(`${seen?.method} ${seen?.url}`, 'POST /usage');
+  assert.equal(seen?.headers['x-duty-holder'], 'front-1');
+  assert.equal(seen?.headers['x-fencing-token'], '12');
+  assert.equal(seen?.headers['content-type'], 'application/json');
+  assert.deepEqual(JSON.parse(seen?.body ?? ''), REPORT);
+});
+
+const STATUSES: readonly (readonly [number, DutyOutcome])[] = [
+  [409, { kind: 'conflict' }],
+  [429, { kind: 'refused', status: 429 }],
+  [503, { kind: 'refused', status: 503 }],
+];
+
+for (const [status, outcome] of STATUSES) {
+  test(`an answer of ${status} is told as ${outcome.kind}`, async () => {
+    platform.script = ({ response }) => void response.writeHead(status).end('not JSON');
+    assert.deepEqual(await report(), outcome);
+  });
+}
+
+const resetting: Script = ({ response }) => void response.destroy();
+
+test('a connection that is reset leaves open whether it was done', async () => {
+  platform.script = resetting;
+  assert.equal((await report()).kind, 'lost');
+});
+
+test('a call that is given up leaves open whether it was done', async () => {
+  const given = new AbortController();
+  platform.script = () => given.abort();
+  const outcome = await duties().reportUsage(REPORT, AUTHORITY, given.signal);
+  assert.equal(outcome.kind, 'lost');
+});
+
+test('without an address there are no duties', () => {
+  assert.equal(createPlatformAdapter({ host: '127.0.0.1', port: 1 }).duties, undefined);
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -242,6 +242,7 @@
     takeConfiguration: () => undefined,
     takeStage: () => undefined,
     takeNews: informed.resolve,
+    takeUsage: () => undefined,
     takeRead: noticed.resolve,
     loads: {
       take: (report, nowMs) => {
--- a/test/gateway/platform-names.test.ts
+++ b/test/gateway/platform-names.test.ts
@@ -10,6 +10,8 @@
 const MAX_ADAPTER_LINES = 1_200;
 /** Words of HTTP itself, or too common to be told from others. */
 const COMMON_NAMES = new Set(['last-event-id', '/ready', '/report', '/order']);
+/** Words that modules have in their paths too; as a text of their own they are the platform's. */
+const QUOTED_NAMES = new Set<string>([PATHS.usage]);
 
 function sourcesUnder(folder: string): readonly string[] {
   return readdirSync(join(PROJECT_ROOT, folder), { recursive: true, encoding: 'utf8' })
@@ -24,7 +26,7 @@
     ...Object.values(PATHS),
     SETTINGS_VARIABLE,
   ]
-    .map((name) => name.toLowerCase())
+    .map((name) => (QUOTED_NAMES.has(name) ? `'${name}'` : name.toLowerCase()))
     .filter((name) => !COMMON_NAMES.has(name));
   const leaks: string[] = [];
   for (const path of sourcesUnder('src')) {
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -105,7 +105,7 @@
     idleTimeoutMs: 1,
   };
   const services = new Map([['reader', { name: 'reader', engine }]]);
-  fleet.takeConfiguration({ version: 1, routes: [], services, limits }, nowMs);
+  fleet.takeConfiguration({ version: 1, routes: [], tenants: undefined, services, limits }, nowMs);
   const records = [0, 1, 2, 3, 4, 5, 6, 7].map(
     (index): ServerRecord => ({
       id: `e${index}`,
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -1,6 +1,7 @@
 /** A gateway over real sockets, with a store and servers that tests script. */
 import { once } from 'node:events';
 import http from 'node:http';
+import { connect } from 'node:net';
 import { createPlatformAdapter } from '../../../platform/index.js';
 import type { LogEvent, LogFields } from '../../../src/core/logging/log-event.js';
 import {
@@ -54,8 +55,15 @@
   };
 }
 
-/** A configuration over some routes. */
-export function configuration(version: number, routes: readonly unknown[]): unknown {
+/**
+ * A configuration over some routes.
+ * @param tenants undefined where requests need no API key
+ */
+export function configuration(
+  version: number,
+  routes: readonly unknown[],
+  tenants?: readonly unknown[],
+): unknown {
   const engineTraits = {
     slots: 8,
     kvTokens: 100_000,
@@ -66,6 +74,7 @@
   return {
     version,
     routes,
+    tenants,
     services: [
       { name: 'viewer', maxConnections: 100 },
       { name: 'reader', maxConnections: 100, engine: engineTraits },
@@ -191,6 +200,15 @@
     return sent;
   }
 
+  /** Sends the lines of a request's head as they are, and gives all that comes back. */
+  async callRaw(head: readonly string[]): Promise<string> {
+    const socket = connect(this.callersPort, '127.0.0.1');
+    socket.end(`${[...head, 'Connection: close'].join('\r\n')}\r\n\r\n`);
+    const chunks: Buffer[] = [];
+    for await (const chunk of socket) chunks.push(chunk as Buffer);
+    return Buffer.concat(chunks).toString('utf8');
+  }
+
   async readiness(): Promise<number> {
     const answer = await fetch(`http://127.0.0.1:${this.readinessPort}/ready`);
     await answer.arrayBuffer();
--- /dev/null
+++ b/test/tenant-usage/reporting.test.ts
@@ -0,0 +1,175 @@
+/** Daemons that report the usage of tenants together: over a table, datagrams and the platform, in memory. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { PeerRoster } from '../../src/core/gateway/index.js';
+import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
+import type { TableCall, TableResult } from '../../src/core/platform/table.js';
+import type { PeerMessage, UsageMessage } from '../../src/shell/gateway/peer-messages.js';
+import type { DutyAuthority, DutyOutcome, UsageReport } from '../../src/shell/gateway/ports.js';
+import { UsageReporter } from '../../src/shell/gateway/tenant-usage.js';
+import { ManualTimers } from '../gateway/support/manual-timers.js';
+
+const WINDOW_MS = 5_000;
+const DUE_MS = 10_000;
+const STEP_MS = 50;
+/** The window in which a day begins. */
+const FIRST_WINDOW = 1_000;
+
+/** One row, changed on its version. */
+class MemoryTable {
+  writes = 0;
+  isDown = false;
+  #row = { key: '', version: 0, value: null as unknown };
+
+  call(call: TableCall): Promise<TableResult> {
+    return Promise.resolve(this.#answer(call));
+  }
+
+  #answer(call: TableCall): TableResult {
+    if (this.isDown) return { kind: 'unavailable', reason: 'down', retryAfterMs: 0 };
+    if (call.kind !== 'transact') return { kind: 'rows', rows: [this.#row] };
+    const [write] = call.writes;
+    if (write === undefined || call.checks[0]?.version !== this.#row.version) {
+      return { kind: 'conflict', rows: [this.#row] };
+    }
+    this.writes += 1;
+    this.#row = { ...write, version: this.#row.version + 1 };
+    return { kind: 'committed', rows: [this.#row] };
+  }
+}
+
+interface Reported extends UsageReport, DutyAuthority {}
+
+class Fleet {
+  readonly timers = new ManualTimers();
+  readonly table = new MemoryTable();
+  readonly reports: Reported[] = [];
+  readonly lines: { readonly event: LogEvent; readonly fields: LogFields }[] = [];
+  readonly daemons = new Map<string, UsageReporter>();
+  /** What the platform answers in turn; taken once it is empty. */
+  readonly outcomes: DutyOutcome[] = [];
+
+  add(names: readonly string[]): void {
+    for (const name of names) {
+      const roster = new PeerRoster({ name, zone: 'a' });
+      roster.replace(
+        names.map((other) => ({ name: other, host: '127.0.0.1', port: 1, zone: 'a' })),
+        0,
+      );
+      const daemon = this.#reporter(name, roster);
+      this.daemons.set(name, daemon);
+      void daemon.run();
+    }
+  }
+
+  kill(name: string): void {
+    this.daemons.get(name)?.stop();
+    this.daemons.delete(name);
+  }
+
+  stop(): void {
+    for (const daemon of this.daemons.values()) daemon.stop();
+  }
+
+  /** Lets time pass in small steps, with what each sets off. */
+  async pass(spanMs: number): Promise<void> {
+    for (let passedMs = 0; passedMs < spanMs; passedMs += STEP_MS) {
+      this.timers.advance(STEP_MS);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  #reporter(name: string, roster: PeerRoster): UsageReporter {
+    const startedMs = this.timers.nowMs();
+    return new UsageReporter({
+      daemon: name,
+      incarnation: 1,
+      leaseMs: 3_000,
+      windowMs: WINDOW_MS,
+      dueMs: DUE_MS,
+      duties: { reportUsage: (report, authority) => this.#report(report, authority) },
+      table: this.table,
+      roster,
+      peers: () => ({ tell: (peers, message) => this.#tell(name, peers, message) }),
+      wallClock: () => FIRST_WINDOW * WINDOW_MS + this.timers.nowMs() - startedMs,
+      timers: this.timers,
+      log: { write: (event, fields = {}) => void this.lines.push({ event, fields }) },
+    });
+  }
+
+  #report(report: UsageReport, authority: DutyAuthority): Promise<DutyOutcome> {
+    const outcome = this.outcomes.shift() ?? { kind: 'accepted' };
+    // Windows from before the day have nothing in them.
+    const isOfDay = report.window >= FIRST_WINDOW;
+    if (outcome.kind === 'accepted' && isOfDay) {
+      this.reports.push({ ...report, ...authority, window: report.window - FIRST_WINDOW });
+    }
+    return Promise.resolve(outcome);
+  }
+
+  #tell(from: string, peers: readonly { readonly name: string }[], message: PeerMessage): void {
+    const reply = (answer: PeerMessage) => this.#take(from, answer, () => undefined);
+    for (const { name } of peers) this.#take(name, message, reply);
+  }
+
+  #take(name: string, message: PeerMessage, reply: (answer: PeerMessage) => void): void {
+    this.daemons.get(name)?.take(message as UsageMessage, reply);
+  }
+}
+
+test('one daemon reports what all counted, once for each window, at one write each', async () => {
+  const fleet = new Fleet();
+  fleet.add(['a', 'b', 'c', 'd']);
+  for (const daemon of fleet.daemons.values()) daemon.noteBegan('leiden', 0);
+  fleet.daemons.get('b')?.noteBegan('delft', 0);
+  await fleet.pass(6 * WINDOW_MS);
+  fleet.stop();
+  assert.deepEqual(
+    fleet.reports.map(({ window }) => window),
+    [0, 1, 2, 3, 4],
+  );
+  assert.deepEqual(fleet.reports[0]?.counts, { delft: 1, leiden: 4 });
+  assert.deepEqual(fleet.reports[1]?.counts, {});
+  assert.equal(new Set(fleet.reports.map(({ holder }) => holder)).size, 1);
+  assert.equal(fleet.table.writes, 5 + 2, 'two windows were open at the start');
+});
+
+test('when the holder is gone another reports in its place, under a higher fence and in time', async () => {
+  const fleet = new Fleet();
+  fleet.add(['a', 'b', 'c', 'd']);
+  await fleet.pass(2 * WINDOW_MS);
+  const holder = fleet.reports[0]?.holder ?? '';
+  fleet.kill(holder);
+  const others = [...fleet.daemons.values()];
+  for (const daemon of others) daemon.noteBegan('leiden', 0);
+  await fleet.pass(WINDOW_MS + DUE_MS);
+  fleet.stop();
+  const second = fleet.reports.find((report) => report.window === 2);
+  assert.notEqual(second?.holder, holder);
+  assert.deepEqual(second?.counts, { leiden: 3 });
+  assert.ok((second?.fence ?? 0) > (fleet.reports[0]?.fence ?? 0));
+});
+
+test('a report without an answer is sent again with the same counts and fence', async () => {
+  const fleet = new Fleet();
+  fleet.add(['a']);
+  fleet.daemons.get('a')?.noteBegan('leiden', 0);
+  fleet.outcomes.push({ kind: 'lost', reason: 'reset' }, { kind: 'refused', status: 429 });
+  await fleet.pass(2 * WINDOW_MS);
+  fleet.stop();
+  assert.deepEqual(fleet.reports, [{ window: 0, counts: { leiden: 1 }, holder: 'a', fence: 1 }]);
+});
+
+test('windows that passed while the store was down are reported when it is back, if still due', async () => {
+  const fleet = new Fleet();
+  fleet.add(['a', 'b']);
+  await fleet.pass(2 * WINDOW_MS);
+  fleet.table.isDown = true;
+  for (const daemon of fleet.daemons.values()) daemon.noteBegan('leiden', 0);
+  await fleet.pass(7_000);
+  fleet.table.isDown = false;
+  await fleet.pass(WINDOW_MS);
+  fleet.stop();
+  const third = fleet.reports.find(({ window }) => window === 2);
+  assert.deepEqual(third?.counts, { leiden: 2 });
+});
