Order spot servers in place of most that are paid in full

Ruled out: the lease of the stage orders, which is renewed each second; a list of orders in the record, as only what was wanted at first cannot be read back. Change: one daemon has the duty, by a lease on its record (record-lease.ts, which the usage duty now uses as well). Each zone keeps a plain server; the others go as spot servers come; those that are taken away are ordered again, and made up by plain ones only where the rest would not do.

--- /dev/null
+++ b/src/core/duty/record-lease.ts
@@ -0,0 +1,143 @@
+/**
+ * Who has a duty, by a lease on the duty's record in the store: the record names its holder, and each write of it
+ * renews the lease.
+ *
+ * - A write is made on the version of the record last seen, so of two writers one wins.
+ * - The fencing token in the record rises with each change of the holder, and with each life of it.
+ * - The holder acts only for a part of the lease after a write that it knows to have been committed, counted from
+ *   its sending. Others take over only from a record that has stood for the whole lease. So no two take turns within
+ *   a lease.
+ */
+
+/** A part of the lease for which a holder may act after it has written the record. */
+const AUTHORITY_SHARE = 0.7;
+
+/** The head of a duty's record. */
+export interface DutyRecord {
+  readonly holder: string;
+  /** The life of the holder's process. */
+  readonly incarnation: number;
+  readonly fence: number;
+}
+
+/** What a lease is built from. */
+export interface RecordLeaseSettings {
+  readonly daemon: string;
+  readonly incarnation: number;
+  readonly leaseMs: number;
+}
+
+/** What became of a call for the record. */
+export type RecordOutcome<Content extends DutyRecord> =
+  | {
+      readonly kind: 'seen';
+      /** Undefined where there is none. */
+      readonly record: Content | undefined;
+      readonly version: number;
+      /** Whether it is what this daemon has just written. */
+      readonly isOwnWrite: boolean;
+    }
+  /** Nothing was done. */
+  | { readonly kind: 'refused' }
+  /** It may have been done. */
+  | { readonly kind: 'lost' };
+
+/** The record as it was last seen. */
+export interface SeenRecord<Content extends DutyRecord> {
+  readonly record: Content | undefined;
+  /** 0 where there is none. */
+  readonly version: number;
+  /** Since when it has stood like this, as far as this daemon knows. */
+  readonly sinceMs: number;
+}
+
+/** One daemon's view of a duty's record, and whether it may act on it. */
+export class RecordLease<Content extends DutyRecord> {
+  readonly #settings: RecordLeaseSettings;
+  #seen: SeenRecord<Content> | undefined;
+  #isUncertain = true;
+  #authorityUntilMs = Number.NEGATIVE_INFINITY;
+  /** The fence under which this daemon was told that another has a higher one. */
+  #deposedFence = 0;
+
+  constructor(settings: RecordLeaseSettings) {
+    this.#settings = settings;
+  }
+
+  /** The record, or undefined while it has to be read first. */
+  get current(): SeenRecord<Content> | undefined {
+    return this.#isUncertain ? undefined : this.#seen;
+  }
+
+  /** Whether the record, as it was last seen, names this life of this daemon. */
+  get isHolder(): boolean {
+    const record = this.#seen?.record;
+    return record !== undefined && this.#isOwn(record);
+  }
+
+  /** Whether this daemon may act as the holder now. */
+  mayAct(nowMs: number): boolean {
+    return this.isHolder && nowMs < this.#authorityUntilMs;
+  }
+
+  /** Whether this daemon may write the record: as its holder, or since it stands still. */
+  mayWrite(nowMs: number): boolean {
+    const seen = this.current;
+    if (seen === undefined) return false;
+    if (seen.record === undefined || this.isHolder) return true;
+    return nowMs - seen.sinceMs >= this.#settings.leaseMs;
+  }
+
+  /** The head of the record that this daemon writes next. */
+  nextHead(): DutyRecord {
+    const { daemon, incarnation } = this.#settings;
+    const fence = this.#seen?.record?.fence ?? 0;
+    return { holder: daemon, incarnation, fence: this.isHolder ? fence : fence + 1 };
+  }
+
+  /**
+   * The record was read, or written, or could not be.
+   * @param sentMs when the call was sent
+   */
+  take(outcome: RecordOutcome<Content>, sentMs: number, nowMs: number): void {
+    switch (outcome.kind) {
+      case 'refused':
+        return;
+      case 'lost':
+        this.#isUncertain = true;
+        return;
+      case 'seen':
+        this.#isUncertain = false;
+        this.#takeSeen(outcome, sentMs, nowMs);
+    }
+  }
+
+  /** A call under this fence was refused, as another daemon has used a higher one. */
+  noteDeposed(fence: number): void {
+    this.#deposedFence = fence;
+    this.#isUncertain = true;
+  }
+
+  /** The record has to be read before anything else is done. */
+  noteDoubt(): void {
+    this.#isUncertain = true;
+  }
+
+  #takeSeen(
+    outcome: Extract<RecordOutcome<Content>, { kind: 'seen' }>,
+    sentMs: number,
+    nowMs: number,
+  ): void {
+    const { record, version, isOwnWrite } = outcome;
+    const known = this.#seen;
+    const isKnown = known?.version === version;
+    this.#seen = { record, version, sinceMs: isKnown ? known.sinceMs : nowMs };
+    if (isOwnWrite) this.#authorityUntilMs = sentMs + AUTHORITY_SHARE * this.#settings.leaseMs;
+    else if (!isKnown) this.#authorityUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  #isOwn({ holder, incarnation, fence }: DutyRecord): boolean {
+    const { daemon, incarnation: ownIncarnation } = this.#settings;
+    return holder === daemon && incarnation === ownIncarnation && fence > this.#deposedFence;
+  }
+}
--- a/src/core/gateway/configuration.ts
+++ b/src/core/gateway/configuration.ts
@@ -53,11 +53,26 @@
   readonly maxNewsCalls: number;
 }
 
+/** Between how many servers a zone may have of a service that is paid by the second, and what they cost. */
+export interface ScalingLimits {
+  /** Of both kinds together, for each zone. */
+  readonly min: number;
+  readonly max: number;
+  /** From the order until a server serves. */
+  readonly bootMs: number;
+  /** The price of a spot server against the others; 1 where there are none. */
+  readonly spotPrice: number;
+  /** The price of a second of a server, by zone: the zones in which the service may run. */
+  readonly zonePrices: ReadonlyMap<string, number>;
+}
+
 /** A group of interchangeable servers. */
 export interface Service {
   readonly name: string;
   /** Absent for plain web servers. */
   readonly engine: EngineTraits | undefined;
+  /** Undefined where the number of servers is not ordered. */
+  readonly scaling: ScalingLimits | undefined;
 }
 
 /** Whoever requests are run, counted and billed for. */
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -16,6 +16,7 @@
   isRepeatable,
   type Route,
   type RouteKind,
+  type ScalingLimits,
   type Service,
   type Tenant,
   type TrafficShare,
--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -18,6 +18,8 @@
   readonly zone: string;
   readonly slots: number;
   readonly state: ServerState;
+  /** Whether it costs less and may be taken away at short notice. */
+  readonly isSpot: boolean;
   /** Undefined for plain web servers. */
   readonly stage: EngineStage | undefined;
 }
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -225,18 +225,25 @@
     message: 'a report of usage was not taken, or got no answer; it is sent again while it is due',
     remedy: 'Look at the platform if it lasts. A conflict: another daemon has the duty now.',
   },
-  usageRecordFailed: {
+  dutyRecordFailed: {
     number: 6063,
     level: 'warn',
-    message: 'the record of the usage duty could not be read or written',
-    remedy: 'Look at the store if it lasts; windows are late meanwhile.',
+    message: 'the record of a duty could not be read or written',
+    remedy: 'Look at the store if it lasts; the duty waits meanwhile.',
   },
-  usageRecordMalformed: {
+  dutyRecordMalformed: {
     number: 6064,
     level: 'error',
-    message: 'the record of the usage duty cannot be read; no usage is reported',
+    message: 'the record of a duty cannot be read; the duty is not done',
     remedy: 'Look at who writes the row: another version of the product, or another program.',
   },
+  capacityOrdered: {
+    number: 6066,
+    level: 'info',
+    message: 'servers that are paid by the second were ordered',
+    remedy:
+      'Nothing to do unless the outcome is a conflict that repeats: none are to be had there.',
+  },
   peerMalformed: {
     number: 6054,
     level: 'warn',
--- a/src/core/tenant-usage/index.ts
+++ b/src/core/tenant-usage/index.ts
@@ -2,11 +2,9 @@
 
 export {
   type CollectedCounts,
-  type RecordOutcome,
   type ReportOutcome,
   type UsageAction,
   UsageDuty,
-  type UsageDutySettings,
   type UsageMoment,
   type UsageRecord,
 } from './report-duty.js';
--- /dev/null
+++ b/src/shell/gateway/capacity-controller.ts
@@ -0,0 +1,177 @@
+/**
+ * Orders how many servers each zone is to have of the services that are paid by the second. `src/core/capacity/`
+ * decides; this tells it what there is, and makes its calls one after the other.
+ */
+import * as z from 'zod/mini';
+import {
+  type CapacityAction,
+  CapacityDuty,
+  type CapacityOrder,
+  type CapacityRecord,
+  type OrderOutcome,
+  type ScaledService,
+  type ZoneCapacity,
+} from '../../core/capacity/index.js';
+import type { RecordOutcome } from '../../core/duty/index.js';
+import type { Service } from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { DutyRecordRow } from './duty-record.js';
+import type { FleetView } from './fleet-view.js';
+import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
+import type { GatewayLog } from './request-log.js';
+import { callWithin, delay, type TimerService } from './timer-service.js';
+
+const RECORD_KEY = 'capacity-duty';
+const LOOK_MS = 500;
+/** What was given at the start is known once no further server has come for this long. */
+const LIST_SETTLED_MS = 1_500;
+/** Candidates spread their first look over this time, so that the first has taken the duty. */
+const FIRST_LOOK_SPREAD_MS = 1_000;
+const CALL_TIMEOUT_MS = 1_500;
+const FAILURE_PAUSE_MS = 1_000;
+
+const recordSchema = z.object({
+  holder: z.string(),
+  incarnation: z.number(),
+  fence: z.number(),
+  wantedPerZone: z.record(z.string(), z.number()),
+});
+
+/** What a controller is built from. */
+export interface CapacityControllerOptions {
+  readonly daemon: string;
+  readonly incarnation: number;
+  readonly leaseMs: number;
+  readonly fleet: FleetView;
+  readonly duties: PlatformDuties;
+  readonly table: TableService;
+  /** Whether this daemon knows enough of the fleet to order anything. */
+  readonly mayOrder: () => boolean;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'write'>;
+}
+
+/** A daemon's part in ordering capacity. */
+export class CapacityController {
+  readonly #options: CapacityControllerOptions;
+  readonly #duty: CapacityDuty;
+  readonly #record: DutyRecordRow<CapacityRecord>;
+  readonly #stopped = new AbortController();
+  /** The servers of scaled services when the list was last looked at. */
+  #listed = 0;
+  #listedSinceMs = 0;
+  #isSettled = false;
+
+  constructor(options: CapacityControllerOptions) {
+    this.#options = options;
+    this.#duty = new CapacityDuty(options);
+    this.#record = new DutyRecordRow({ ...options, key: RECORD_KEY, schema: recordSchema });
+  }
+
+  /** Runs until `stop`. */
+  async run(): Promise<void> {
+    const { timers, mayOrder } = this.#options;
+    const { signal } = this.#stopped;
+    await delay(timers, Math.random() * FIRST_LOOK_SPREAD_MS, signal);
+    while (!signal.aborted) {
+      const isBusy = mayOrder() && (await this.#step());
+      if (!isBusy) await delay(timers, LOOK_MS, signal);
+    }
+  }
+
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  /** @returns whether there may be more to do at once */
+  async #step(): Promise<boolean> {
+    const nowMs = this.#options.timers.nowMs();
+    const services = this.#scaledServices(nowMs);
+    if (!this.#hasSettled(services, nowMs)) return false;
+    return this.#perform(this.#duty.next(services, nowMs));
+  }
+
+  async #perform(action: CapacityAction): Promise<boolean> {
+    const { signal } = this.#stopped;
+    switch (action.kind) {
+      case 'none':
+        return false;
+      case 'read':
+        return this.#take(this.#record.read(signal));
+      case 'write':
+        return this.#take(this.#record.write(action.record, action.expectedVersion, signal));
+      case 'order':
+        return this.#order(action.order, action.fence);
+    }
+  }
+
+  async #take(call: Promise<RecordOutcome<CapacityRecord>>): Promise<boolean> {
+    const { timers } = this.#options;
+    const sentMs = timers.nowMs();
+    const outcome = await call;
+    this.#duty.takeRecord(outcome, sentMs, timers.nowMs());
+    if (outcome.kind !== 'seen') await delay(timers, FAILURE_PAUSE_MS, this.#stopped.signal);
+    return outcome.kind === 'seen';
+  }
+
+  async #order(order: CapacityOrder, fence: number): Promise<boolean> {
+    const { daemon, duties, timers, log, fleet } = this.#options;
+    const authority = { holder: daemon, fence };
+    const outcome = await callWithin(timers, CALL_TIMEOUT_MS, this.#stopped.signal, (signal) =>
+      duties.orderCapacity(order, authority, signal),
+    );
+    const scaling = fleet.inForce?.configuration.services.get(order.service)?.scaling;
+    this.#duty.takeOrder(orderOutcomeOf(outcome), order, scaling?.bootMs ?? 0, timers.nowMs());
+    log.write(GATEWAY_EVENTS.capacityOrdered, {
+      ...order,
+      fence,
+      outcome: outcome.kind,
+      status: outcome.kind === 'refused' ? outcome.status : 0,
+      reason: outcome.kind === 'lost' ? outcome.reason : '',
+    });
+    return outcome.kind === 'accepted';
+  }
+
+  #scaledServices(nowMs: number): readonly ScaledService[] {
+    const { fleet } = this.#options;
+    const services = [...(fleet.inForce?.configuration.services.values() ?? [])];
+    return services.flatMap((service) => this.#scaledService(service, nowMs));
+  }
+
+  #scaledService({ name, scaling }: Service, nowMs: number): readonly ScaledService[] {
+    if (scaling === undefined) return [];
+    const { fleet } = this.#options;
+    const servers = fleet.directory.readyOf(name);
+    const zones = [...scaling.zonePrices.keys()].map((zone): ZoneCapacity => {
+      const here = servers.filter((server) => server.zone === zone);
+      const spot = here.filter(({ isSpot }) => isSpot).length;
+      return { zone, plain: here.length - spot, spot };
+    });
+    const { prefillEngines, decodeEngines } = fleet.stageNeedOf(name, nowMs);
+    const neededInAll = Math.ceil(prefillEngines + decodeEngines);
+    return [{ service: name, limits: scaling, zones, neededInAll }];
+  }
+
+  /** At the start of a fleet servers are listed one by one. */
+  #hasSettled(services: readonly ScaledService[], nowMs: number): boolean {
+    if (this.#isSettled) return true;
+    const zones = services.flatMap((service) => service.zones);
+    const listed = zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
+    if (listed !== this.#listed) this.#listedSinceMs = nowMs;
+    this.#listed = listed;
+    this.#isSettled = listed > 0 && nowMs - this.#listedSinceMs >= LIST_SETTLED_MS;
+    return this.#isSettled;
+  }
+}
+
+function orderOutcomeOf(outcome: DutyOutcome): OrderOutcome {
+  switch (outcome.kind) {
+    case 'accepted':
+      return 'accepted';
+    case 'conflict':
+      return 'conflict';
+    case 'refused':
+    case 'lost':
+      return 'unknown';
+  }
+}
--- /dev/null
+++ b/src/shell/gateway/duty-record.ts
@@ -0,0 +1,88 @@
+/** The record of a duty in the store: read, and written on the version last seen. */
+import type * as z from 'zod/mini';
+import type { DutyRecord, RecordOutcome } from '../../core/duty/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { TableCall, TableResult } from '../../core/platform/table.js';
+import type { TableService } from './ports.js';
+import type { GatewayLog } from './request-log.js';
+import { callWithin, type TimerService } from './timer-service.js';
+
+const CALL_TIMEOUT_MS = 1_500;
+
+/** What a record is reached by. */
+export interface DutyRecordOptions<Content extends DutyRecord> {
+  readonly key: string;
+  readonly schema: z.ZodMiniType<Content>;
+  readonly table: TableService;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'write'>;
+}
+
+/** One duty's record. */
+export class DutyRecordRow<Content extends DutyRecord> {
+  readonly #options: DutyRecordOptions<Content>;
+
+  constructor(options: DutyRecordOptions<Content>) {
+    this.#options = options;
+  }
+
+  read(signal: AbortSignal): Promise<RecordOutcome<Content>> {
+    return this.#call({ kind: 'get', keys: [this.#options.key] }, signal);
+  }
+
+  /** @param expectedVersion 0 where there is none yet */
+  write(
+    record: Content,
+    expectedVersion: number,
+    signal: AbortSignal,
+  ): Promise<RecordOutcome<Content>> {
+    const { key } = this.#options;
+    const checks = [{ key, version: expectedVersion }];
+    return this.#call({ kind: 'transact', checks, writes: [{ key, value: record }] }, signal);
+  }
+
+  async #call(call: TableCall, signal: AbortSignal): Promise<RecordOutcome<Content>> {
+    const { table, timers } = this.#options;
+    const result = await callWithin(timers, CALL_TIMEOUT_MS, signal, (ended) =>
+      table.call(call, ended),
+    );
+    const outcome = this.#outcomeOf(result);
+    if (outcome.kind !== 'seen') this.#logFailure(call.kind, result);
+    return outcome;
+  }
+
+  /** A record that cannot be read is taken for one that could not be had: nothing is done on it. */
+  #outcomeOf(result: TableResult): RecordOutcome<Content> {
+    switch (result.kind) {
+      case 'unavailable':
+        return { kind: 'refused' };
+      case 'lost':
+        return { kind: 'lost' };
+      case 'rows':
+      case 'conflict':
+      case 'committed': {
+        const row = result.rows[0];
+        const value = row?.value ?? null;
+        const version = row?.version ?? 0;
+        const isOwnWrite = result.kind === 'committed';
+        if (value === null) return { kind: 'seen', record: undefined, version, isOwnWrite };
+        const parsed = this.#options.schema.safeParse(value);
+        if (parsed.success) return { kind: 'seen', record: parsed.data, version, isOwnWrite };
+        this.#logMalformed(parsed.error.issues[0]?.message ?? '');
+        return { kind: 'refused' };
+      }
+    }
+  }
+
+  #logFailure(call: string, result: TableResult): void {
+    const { key, log } = this.#options;
+    const reason = 'reason' in result ? result.reason : '';
+    const outcome = result.kind;
+    log.write(GATEWAY_EVENTS.dutyRecordFailed, { duty: key, call, outcome, reason });
+  }
+
+  #logMalformed(problem: string): void {
+    const { key, log } = this.#options;
+    log.write(GATEWAY_EVENTS.dutyRecordMalformed, { duty: key, problem });
+  }
+}
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import { BackendConnections } from './backend-connections.js';
 import { CacheNewsWatchers } from './cache-news-watcher.js';
 import { CallerListener } from './caller-listener.js';
+import { CapacityController } from './capacity-controller.js';
 import { FleetFollower } from './fleet-follower.js';
 import { FleetView } from './fleet-view.js';
 import { GatewayMetrics } from './gateway-metrics.js';
@@ -82,6 +83,8 @@
   /** Absent where the settings name no address for it. */
   readonly #peers: PeerExchange | undefined;
   readonly #word: TableWord;
+  /** Absent where the platform takes no orders of capacity. */
+  readonly #capacity: CapacityController | undefined;
   /** Absent where the platform asks for no usage. */
   readonly #usage: UsageReporter | undefined;
   #watchShare = WATCH_SHARE_OF_CONTACT;
@@ -143,11 +146,12 @@
       table: adapter.table,
       connections: this.#connections,
       codec: adapter.requests,
-      mayOrder: () => !this.#roster.isLarge || this.#isRelay,
+      mayOrder: () => this.#knowsDemand,
       tellStage: (notice) => this.#peers?.tellStage(notice),
       timers,
       log,
     });
+    this.#capacity = this.#createCapacity(incarnation);
     this.#addGauges();
   }
 
@@ -159,6 +163,7 @@
     this.#stages.start();
     this.#peers?.start();
     void this.#usage?.run();
+    void this.#capacity?.run();
     const readinessServer = createReadinessServer(
       adapter.readinessPath,
       () => this.#fleet.isReady && !this.#isStopping,
@@ -209,6 +214,7 @@
     this.#stages.stop();
     this.#peers?.stop();
     this.#usage?.stop();
+    this.#capacity?.stop();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
@@ -222,6 +228,27 @@
     return port;
   }
 
+  /** In a large fleet only the relays know what all daemons are asked for. */
+  get #knowsDemand(): boolean {
+    return !this.#roster.isLarge || this.#isRelay;
+  }
+
+  #createCapacity(incarnation: number): CapacityController | undefined {
+    const { settings, adapter, timers, log } = this.#options;
+    if (adapter.duties === undefined) return undefined;
+    return new CapacityController({
+      daemon: settings.name,
+      incarnation,
+      leaseMs: settings.bounds.leaseMs,
+      fleet: this.#fleet,
+      duties: adapter.duties,
+      table: adapter.table,
+      mayOrder: () => this.#roster.hasList && this.#knowsDemand,
+      timers,
+      log,
+    });
+  }
+
   #createUsage(incarnation: number): UsageReporter | undefined {
     const { settings, adapter, timers, log } = this.#options;
     const windowSeconds = settings.duties?.usageWindowSeconds;
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -79,7 +79,7 @@
   z.number(),
   z.number(),
 ]);
-/** Id, service, address, zone, slots, state, stage or nothing. */
+/** Id, service, address, zone, slots, state, stage or nothing, whether it is a spot server. */
 const serverSchema = z.tuple([
   z.string(),
   z.string(),
@@ -88,6 +88,7 @@
   z.number(),
   z.enum(['ready', 'draining']),
   z.enum(['prefill', 'decode', '']),
+  z.boolean(),
 ]);
 export const serversSchema = z.tuple([
   z.literal(KINDS.servers),
@@ -139,8 +140,8 @@
 
 export function encodeServer(row: WatchedRow<ServerRecord>): unknown[] {
   if (row.kind !== 'value') return [];
-  const { id, service, address, zone, slots, state, stage } = row.value;
-  return [[id, service, address, zone, slots, state, stage ?? '']];
+  const { id, service, address, zone, slots, state, stage, isSpot } = row.value;
+  return [[id, service, address, zone, slots, state, stage ?? '', isSpot]];
 }
 
 export function goneKey(row: WatchedRow<ServerRecord>): string[] {
@@ -148,8 +149,8 @@
 }
 
 export function decodeServer(fields: z.infer<typeof serverSchema>): WatchedRow<ServerRecord> {
-  const [id, service, address, zone, slots, state, stage] = fields;
-  const value = { id, service, address, zone, slots, state, stage: stage || undefined };
+  const [id, service, address, zone, slots, state, stage, isSpot] = fields;
+  const value = { id, service, address, zone, slots, state, stage: stage || undefined, isSpot };
   return { kind: 'value', key: id, value };
 }
 
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -3,13 +3,13 @@
  * backends, and the tables of the platform's store. An adapter translates and decides nothing.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import type { CapacityOrder } from '../../core/capacity/index.js';
 import type {
   EngineStage,
   GatewayConfiguration,
   RequestDescription,
   ServerRecord,
 } from '../../core/gateway/index.js';
-
 import type { TableCall, TableResult } from '../../core/platform/table.js';
 
 /** Header names and values in turn, as node:http takes them. */
@@ -176,7 +176,7 @@
 /** What the platform says of a duty's call. */
 export type DutyOutcome =
   | { readonly kind: 'accepted' }
-  /** Another daemon has used a higher fence. */
+  /** Another daemon has used a higher fence, or what was asked for is not to be had. */
   | { readonly kind: 'conflict' }
   /** Nothing was done. */
   | { readonly kind: 'refused'; readonly status: number }
@@ -190,6 +190,11 @@
     authority: DutyAuthority,
     signal: AbortSignal,
   ): Promise<DutyOutcome>;
+  orderCapacity(
+    order: CapacityOrder,
+    authority: DutyAuthority,
+    signal: AbortSignal,
+  ): Promise<DutyOutcome>;
 }
 
 /** A platform, as far as described requests need one. */
--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -3,13 +3,12 @@
  * in reporting the usage of all daemons (`src/core/tenant-usage/report-duty.ts` decides).
  */
 import * as z from 'zod/mini';
+import type { RecordOutcome } from '../../core/duty/index.js';
 import type { PeerRoster } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { TableCall } from '../../core/platform/table.js';
 import {
   type CollectedCounts,
   partsOf,
-  type RecordOutcome,
   type ReportOutcome,
   type UsageAction,
   UsageCollection,
@@ -18,6 +17,7 @@
   type UsageRecord,
   windowAt,
 } from '../../core/tenant-usage/index.js';
+import { DutyRecordRow } from './duty-record.js';
 import type { PeerExchange, Reply } from './peer-exchange.js';
 import type { UsageMessage } from './peer-messages.js';
 import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
@@ -75,6 +75,7 @@
   readonly #options: UsageReporterOptions;
   readonly #counts: UsageCounts;
   readonly #duty: UsageDuty;
+  readonly #record: DutyRecordRow<UsageRecord>;
   readonly #stopped = new AbortController();
   #collection: UsageCollection | undefined;
   #collected: CollectedCounts | undefined;
@@ -85,6 +86,7 @@
     this.#options = options;
     this.#counts = new UsageCounts(options.windowMs, options.dueMs);
     this.#duty = new UsageDuty(options);
+    this.#record = new DutyRecordRow({ ...options, key: RECORD_KEY, schema: recordSchema });
   }
 
   /** A tenant's request began to run, so long ago. */
@@ -158,19 +160,16 @@
   }
 
   async #perform(action: UsageAction): Promise<void> {
+    const { signal } = this.#stopped;
     switch (action.kind) {
       case 'none':
         return;
       case 'collect':
         return this.#collect(action.window);
       case 'read':
-        return this.#callRecord({ kind: 'get', keys: [RECORD_KEY] });
+        return this.#takeRecord(this.#record.read(signal));
       case 'write':
-        return this.#callRecord({
-          kind: 'transact',
-          checks: [{ key: RECORD_KEY, version: action.expectedVersion }],
-          writes: [{ key: RECORD_KEY, value: action.record }],
-        });
+        return this.#takeRecord(this.#record.write(action.record, action.expectedVersion, signal));
       case 'report':
         return this.#report(action.record);
     }
@@ -201,46 +200,14 @@
     });
   }
 
-  async #callRecord(call: TableCall): Promise<void> {
-    const { table, timers } = this.#options;
+  async #takeRecord(call: Promise<RecordOutcome<UsageRecord>>): Promise<void> {
+    const { timers } = this.#options;
     const sentMs = timers.nowMs();
-    const result = await callWithin(timers, CALL_TIMEOUT_MS, this.#stopped.signal, (signal) =>
-      table.call(call, signal),
-    );
-    const take = (outcome: RecordOutcome) => this.#duty.takeRecord(outcome, sentMs, timers.nowMs());
-    switch (result.kind) {
-      case 'rows':
-      case 'conflict':
-      case 'committed': {
-        this.#failuresInARow = 0;
-        const row = result.rows[0];
-        const record = this.#readRecord(row?.value ?? null);
-        if (record === 'malformed') return this.#backOff();
-        const isOwnWrite = result.kind === 'committed';
-        take({ kind: 'seen', record, version: row?.version ?? 0, isOwnWrite });
-        if (isOwnWrite && record !== undefined) this.#logRecord(record);
-        return;
-      }
-      case 'unavailable':
-      case 'lost':
-        this.#options.log.write(GATEWAY_EVENTS.usageRecordFailed, {
-          call: call.kind,
-          outcome: result.kind,
-          reason: result.reason,
-        });
-        take({ kind: result.kind === 'lost' ? 'lost' : 'refused' });
-        return this.#backOff();
-    }
-  }
-
-  #readRecord(value: unknown): UsageRecord | undefined | 'malformed' {
-    if (value === null) return undefined;
-    const parsed = recordSchema.safeParse(value);
-    if (parsed.success) return parsed.data;
-    this.#options.log.write(GATEWAY_EVENTS.usageRecordMalformed, {
-      problem: parsed.error.issues[0]?.message ?? '',
-    });
-    return 'malformed';
+    const outcome = await call;
+    this.#duty.takeRecord(outcome, sentMs, timers.nowMs());
+    if (outcome.kind !== 'seen') return this.#backOff();
+    this.#failuresInARow = 0;
+    if (outcome.isOwnWrite && outcome.record !== undefined) this.#logRecord(outcome.record);
   }
 
   #logRecord({ window, fence, counts }: UsageRecord): void {
--- a/test/gateway/choices.test.ts
+++ b/test/gateway/choices.test.ts
@@ -42,6 +42,7 @@
     zone: 'a',
     slots: 4,
     state: 'ready',
+    isSpot: false,
     stage: undefined,
     ...fields,
   };
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -41,6 +41,7 @@
   zone: 'z',
   slots: 4,
   state: 'draining',
+  isSpot: false,
   stage: 'decode',
 };
 
--- a/test/gateway/plan-stages.test.ts
+++ b/test/gateway/plan-stages.test.ts
@@ -18,6 +18,7 @@
     zone: 'a',
     slots: 8,
     state: 'ready',
+    isSpot: false,
     stage: index < prefill ? 'prefill' : 'decode',
   }));
 }
--- a/test/gateway/reach-notices.test.ts
+++ b/test/gateway/reach-notices.test.ts
@@ -68,7 +68,16 @@
 });
 
 function engine(id: string, stage: 'prefill' | 'decode'): ServerRecord {
-  return { id, service: 'm', address: `${id}:1`, zone: 'z', slots: 4, state: 'ready', stage };
+  return {
+    id,
+    service: 'm',
+    address: `${id}:1`,
+    zone: 'z',
+    slots: 4,
+    state: 'ready',
+    isSpot: false,
+    stage,
+  };
 }
 
 test('a dark server is no candidate, and the wait for room is that for the next trial', () => {
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -104,7 +104,7 @@
     headerTimeoutMs: 1,
     idleTimeoutMs: 1,
   };
-  const services = new Map([['reader', { name: 'reader', engine }]]);
+  const services = new Map([['reader', { name: 'reader', engine, scaling: undefined }]]);
   fleet.takeConfiguration({ version: 1, routes: [], tenants: undefined, services, limits }, nowMs);
   const records = [0, 1, 2, 3, 4, 5, 6, 7].map(
     (index): ServerRecord => ({
@@ -114,6 +114,7 @@
       zone: 'a',
       slots: 8,
       state: 'ready',
+      isSpot: false,
       stage: index === 0 ? 'prefill' : 'decode',
     }),
   );
--- a/test/gateway/stage-notices.test.ts
+++ b/test/gateway/stage-notices.test.ts
@@ -10,6 +10,7 @@
   zone: 'a',
   slots: 8,
   state: 'ready',
+  isSpot: false,
   stage: 'decode',
 };
 
--- a/test/tenant-usage/reporting.test.ts
+++ b/test/tenant-usage/reporting.test.ts
@@ -87,7 +87,10 @@
       leaseMs: 3_000,
       windowMs: WINDOW_MS,
       dueMs: DUE_MS,
-      duties: { reportUsage: (report, authority) => this.#report(report, authority) },
+      duties: {
+        reportUsage: (report, authority) => this.#report(report, authority),
+        orderCapacity: () => Promise.reject(new Error('no capacity is ordered here')),
+      },
       table: this.table,
       roster,
       peers: () => ({ tell: (peers, message) => this.#tell(name, peers, message) }),
