--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -7,6 +7,7 @@
   type DoorRefusal,
   type EngineChoiceInput,
   type EnginePlan,
+  isPaced,
   moveMs,
   planModelRequest,
   type ReadSpeed,
@@ -114,6 +115,13 @@
     return this.#context.fleet.speedOf(this.#exchange.options.service);
   }
 
+  /** Whether its stream is late when prompts are read beside it. */
+  get #isPaced(): boolean {
+    const { description, route } = this.#exchange.options;
+    const { targetGapMs } = route;
+    return isPaced({ description, targetGapMs, tokenMs: this.#speed.tokenMs });
+  }
+
   #choiceInput(): EngineChoiceInput {
     const { fleet, zone } = this.#context;
     const { service, description, route } = this.#exchange.options;
@@ -131,6 +139,9 @@
       speed,
       waitFactor: (urgency) => fleet.waitScaleOf(service, urgency).factor(this.#nowMs()),
       inTimeMs: IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs(),
+      pacedGapMs: this.#isPaced ? route.targetGapMs : undefined,
+      keptCostMs: route.targetGapMs ?? 0,
+      keptForPaced: fleet.enginesForPaced(service, this.#nowMs()),
       shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
       kvTokenBytes: traits?.kvTokenBytes ?? 0,
       linkMbps: traits?.linkMbps ?? 1,
@@ -170,10 +181,12 @@
     const traits = engineTraits(this.#exchange);
     const handedOverMs = traits === undefined ? 0 : moveMs(description.promptTokens, traits);
     const slots = traits?.slots ?? 1;
-    const generateMs = (description.maxOutputTokens * speed.tokenMs) / slots;
+    const runMs = description.maxOutputTokens * speed.tokenMs;
+    const generateMs = runMs / slots;
+    const pacedMs = this.#isPaced ? runMs : 0;
     const work = isLong
-      ? { prefillMs: speed.prefillBusyMs(missing), decodeMs: handedOverMs + generateMs }
-      : { prefillMs: 0, decodeMs: speed.decodeBusyMs(missing) + generateMs };
+      ? { prefillMs: speed.prefillBusyMs(missing), decodeMs: handedOverMs + generateMs, pacedMs }
+      : { prefillMs: 0, decodeMs: speed.decodeBusyMs(missing) + generateMs, pacedMs };
     fleet.demandOf(service).note(isLong ? 'long-prompt' : 'short-prompt', work, this.#nowMs());
   }
 
