--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -33,12 +33,6 @@
   readonly speed: ReadSpeed;
   readonly kvTokenBytes: number;
   readonly linkMbps: number;
-  /** The longest pause that the request's stream may make, if one read beside it makes it late. */
-  readonly pacedGapMs: number | undefined;
-  /** What a prompt that is read at an engine kept for paced streams costs them. */
-  readonly keptCostMs: number;
-  /** Engines that are kept for paced streams. */
-  readonly keptForPaced: ReadonlySet<string>;
   /** Short prompts that one decode engine gets in a millisecond, from all daemons. */
   readonly shortReadsPerMs: number;
   healthOf(id: string): ServerHealth;
@@ -156,7 +150,7 @@
   return lowest(enginesOf(input, 'decode'), (server) => {
     const moveCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
     const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, input);
-    return moveCost + waitsMs + pauseCost(server, input) + standingCost(server, input);
+    return moveCost + waitsMs + standingCost(server, input);
   });
 }
 
@@ -219,7 +213,6 @@
   const paceMs =
     stage === 'prefill' ? speed.prefillMs(missingTokens) : speed.decodeMs(missingTokens);
   const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, input) : 0;
-  const pauseMs = stage === 'decode' ? pauseCost(server, input) + keptCost(server, input) : 0;
   const sharedTokens = sharedPart(description.promptParts)?.tokens ?? 0;
   const bonusMs = isHome && kept === 0 ? HOME_SHARE * speed.prefillBusyMs(sharedTokens) : 0;
   return {
@@ -228,7 +221,7 @@
     fetchFrom: donor?.server,
     readMs: paceMs + fetchMs,
     slotMs: stage === 'decode' ? slotWaitMs(server, input) : 0,
-    otherCostMs: delayMs + pauseMs - bonusMs + standingCost(server, input),
+    otherCostMs: delayMs - bonusMs + standingCost(server, input),
   };
 }
 
@@ -238,19 +231,6 @@
   return (input.shortReadsPerMs * busyMs * busyMs) / 2;
 }
 
-/** A paced stream pauses where prompts are read beside it. */
-function pauseCost({ id }: ServerRecord, { pacedGapMs, keptForPaced }: EngineChoiceInput): number {
-  return pacedGapMs === undefined || keptForPaced.has(id) ? 0 : pacedGapMs;
-}
-
-/** A prompt that is read at an engine kept for paced streams makes those pause. */
-function keptCost(
-  { id }: ServerRecord,
-  { pacedGapMs, keptForPaced, keptCostMs }: EngineChoiceInput,
-): number {
-  return pacedGapMs === undefined && keptForPaced.has(id) ? keptCostMs : 0;
-}
-
 /** The two engines that keep most of the prompt: one for all others, and one for the first of them. */
 function bestDonors(input: EngineChoiceInput): readonly Donor[] {
   const { knowledge, description, nowMs } = input;
--- a/src/core/gateway/configuration.ts
+++ b/src/core/gateway/configuration.ts
@@ -34,8 +34,6 @@
   readonly timeoutMs: number;
   /** Within this time an answer (a stream's first event) has its full value. */
   readonly targetLatencyMs: number;
-  /** A stream with a longer pause between two events is late; undefined where none is stated. */
-  readonly targetGapMs: number | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** How many servers one request may run on. */
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -36,7 +36,6 @@
   type RequestExplanation,
 } from './explain-request.js';
 export { ForecastScale } from './forecast-scale.js';
-export { enginesForPaced, isPaced, type PacedInput } from './paced-streams.js';
 export {
   type EngineWork,
   type LoadReport,
--- a/src/core/gateway/stage-demand.ts
+++ b/src/core/gateway/stage-demand.ts
@@ -7,8 +7,6 @@
 export interface RequestWork {
   readonly prefillMs: number;
   readonly decodeMs: number;
-  /** Time in a slot of streams that a prompt read beside them makes late. */
-  readonly pacedMs: number;
 }
 
 /** What a request asks to be read. */
@@ -46,7 +44,6 @@
     service: first.service,
     prefillMs: first.prefillMs + second.prefillMs,
     decodeMs: first.decodeMs + second.decodeMs,
-    pacedMs: first.pacedMs + second.pacedMs,
     requests: first.requests + second.requests,
     shortRequests: first.shortRequests + second.shortRequests,
   };
@@ -58,7 +55,6 @@
   readonly #entries: TimedWork[] = [];
   #prefillMs = 0;
   #decodeMs = 0;
-  #pacedMs = 0;
   #shortRequests = 0;
 
   constructor(spanMs: number) {
@@ -76,7 +72,6 @@
     return {
       prefillMs: Math.max(0, this.#prefillMs),
       decodeMs: Math.max(0, this.#decodeMs),
-      pacedMs: Math.max(0, this.#pacedMs),
       requests: this.#entries.length,
       shortRequests: this.#shortRequests,
     };
@@ -87,13 +82,12 @@
     const gone = this.#entries.splice(0, kept < 0 ? this.#entries.length : kept);
     for (const entry of gone) this.#add(entry.source, entry, -1);
     // What rounding has left behind goes with the last entry.
-    if (this.#entries.length === 0) this.#prefillMs = this.#decodeMs = this.#pacedMs = 0;
+    if (this.#entries.length === 0) this.#prefillMs = this.#decodeMs = 0;
   }
 
   #add(source: WorkSource, work: RequestWork, sign: 1 | -1): void {
     this.#prefillMs += sign * work.prefillMs;
     this.#decodeMs += sign * work.decodeMs;
-    this.#pacedMs += sign * work.pacedMs;
     if (source === 'short-prompt') this.#shortRequests += sign;
   }
 }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -7,7 +7,6 @@
   type DirectoryChange,
   EngineLoad,
   type EngineWork,
-  enginesForPaced,
   ForecastScale,
   type GatewayConfiguration,
   type LoadReport,
@@ -195,13 +194,6 @@
     return shortRequests / DEMAND_SPAN_MS / Math.max(1, engines);
   }
 
-  /** Engines that generate and are kept for streams that pause where prompts are read. */
-  enginesForPaced(service: string, nowMs: number): ReadonlySet<string> {
-    const generating = this.candidates(service, nowMs).filter(({ stage }) => stage === 'decode');
-    const { pacedMs } = this.#demandOfAll(service, nowMs);
-    return enginesForPaced(generating, pacedMs / DEMAND_SPAN_MS);
-  }
-
   /** The work of a service, in engines that it keeps busy. */
   stageNeedOf(service: string, nowMs: number): StageNeed {
     const { prefillMs, decodeMs, requests } = this.#demandOfAll(service, nowMs);
@@ -250,7 +242,6 @@
   return {
     prefillMs: demand.prefillMs * factor,
     decodeMs: demand.decodeMs * factor,
-    pacedMs: demand.pacedMs * factor,
     requests: demand.requests,
     shortRequests: demand.shortRequests * factor,
   };
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -7,7 +7,6 @@
   type DoorRefusal,
   type EngineChoiceInput,
   type EnginePlan,
-  isPaced,
   moveMs,
   planModelRequest,
   type ReadSpeed,
@@ -115,13 +114,6 @@
     return this.#context.fleet.speedOf(this.#exchange.options.service);
   }
 
-  /** Whether its stream is late when prompts are read beside it. */
-  get #isPaced(): boolean {
-    const { description, route } = this.#exchange.options;
-    const { targetGapMs } = route;
-    return isPaced({ description, targetGapMs, tokenMs: this.#speed.tokenMs });
-  }
-
   #choiceInput(): EngineChoiceInput {
     const { fleet, zone } = this.#context;
     const { service, description, route } = this.#exchange.options;
@@ -139,9 +131,6 @@
       speed,
       waitFactor: (urgency) => fleet.waitScaleOf(service, urgency).factor(this.#nowMs()),
       inTimeMs: IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs(),
-      pacedGapMs: this.#isPaced ? route.targetGapMs : undefined,
-      keptCostMs: route.targetGapMs ?? 0,
-      keptForPaced: fleet.enginesForPaced(service, this.#nowMs()),
       shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
       kvTokenBytes: traits?.kvTokenBytes ?? 0,
       linkMbps: traits?.linkMbps ?? 1,
@@ -181,12 +170,10 @@
     const traits = engineTraits(this.#exchange);
     const handedOverMs = traits === undefined ? 0 : moveMs(description.promptTokens, traits);
     const slots = traits?.slots ?? 1;
-    const runMs = description.maxOutputTokens * speed.tokenMs;
-    const generateMs = runMs / slots;
-    const pacedMs = this.#isPaced ? runMs : 0;
+    const generateMs = (description.maxOutputTokens * speed.tokenMs) / slots;
     const work = isLong
-      ? { prefillMs: speed.prefillBusyMs(missing), decodeMs: handedOverMs + generateMs, pacedMs }
-      : { prefillMs: 0, decodeMs: speed.decodeBusyMs(missing) + generateMs, pacedMs };
+      ? { prefillMs: speed.prefillBusyMs(missing), decodeMs: handedOverMs + generateMs }
+      : { prefillMs: 0, decodeMs: speed.decodeBusyMs(missing) + generateMs };
     fleet.demandOf(service).note(isLong ? 'long-prompt' : 'short-prompt', work, this.#nowMs());
   }
 
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -28,10 +28,8 @@
 
 /** Engine, part, its tokens, and the milliseconds until it is read. */
 const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
-/** Service, milliseconds of engines that read and that generate, and of paced streams, requests, short ones among them. */
-const demandSchema = z.array(
-  z.tuple([z.string(), z.number(), z.number(), z.number(), z.number(), z.number()]),
-);
+/** Service, milliseconds of engines that read and that generate, requests, short ones among them. */
+const demandSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]));
 /** Server, whether it answers, and who found out. */
 const reachSchema = z.array(z.tuple([z.string(), z.boolean(), z.string()]));
 /** Engine, milliseconds of prompts in time, streams that run, milliseconds of late prompts. */
@@ -182,16 +180,15 @@
 }
 
 export function encodeDemand(demand: ServiceDemand): unknown[] {
-  const { service, prefillMs, decodeMs, pacedMs, requests, shortRequests } = demand;
-  const spansMs = [prefillMs, decodeMs, pacedMs].map(Math.round);
-  return [service, ...spansMs, requests, shortRequests];
+  const { service, prefillMs, decodeMs, requests, shortRequests } = demand;
+  return [service, Math.round(prefillMs), Math.round(decodeMs), requests, shortRequests];
 }
 
 export function decodeDemand(
-  fields: readonly [string, number, number, number, number, number],
+  fields: readonly [string, number, number, number, number],
 ): ServiceDemand {
-  const [service, prefillMs, decodeMs, pacedMs, requests, shortRequests] = fields;
-  return { service, prefillMs, decodeMs, pacedMs, requests, shortRequests };
+  const [service, prefillMs, decodeMs, requests, shortRequests] = fields;
+  return { service, prefillMs, decodeMs, requests, shortRequests };
 }
 
 export function encodeReach({ serverId, isReachable, by }: ReachNotice): unknown[] {
--- a/test/gateway/choices.test.ts
+++ b/test/gateway/choices.test.ts
@@ -5,9 +5,7 @@
   chooseWebServer,
   type EngineChoiceInput,
   EngineLoad,
-  enginesForPaced,
   homeOf,
-  isPaced,
   keptPrefixTokens,
   PeerLoads,
   PrefixKnowledge,
@@ -29,7 +27,6 @@
   kind: 'idempotent',
   resumable: false,
   isPublic: false,
-  targetGapMs: undefined,
   timeoutMs: 1_000,
   targetLatencyMs: 100,
   priority: 0,
@@ -163,9 +160,6 @@
     nowMs: 1_000,
     knowledge: new PrefixKnowledge(),
     speed,
-    pacedGapMs: undefined,
-    keptCostMs: 150,
-    keptForPaced: new Set(),
     shortReadsPerMs: 0,
     waitFactor: () => 1,
     inTimeMs: 5_000,
@@ -290,49 +284,3 @@
   health.open(0, 60_000);
   assert.equal(health.isSuspect(2_000), true);
 });
-
-const SHORT_PROMPT = {
-  attemptId: 'x',
-  deadlineMs: 5_000,
-  promptParts: [],
-  promptTokens: 200,
-  maxOutputTokens: 10,
-};
-const GENERATING = ['d1', 'd2', 'd3'].map((id) => server(id, { stage: 'decode', slots: 16 }));
-
-test('a prompt is read beside no paced stream, and a paced stream goes where none is read', () => {
-  const fields = { candidates: GENERATING, description: SHORT_PROMPT };
-  const keptForPaced = new Set(['d2']);
-  const other = planModelRequest(engineInput({ ...fields, keptForPaced }));
-  assert.notEqual(other?.kind === 'direct' ? other.server.id : '', 'd2');
-  const paced = planModelRequest(engineInput({ ...fields, keptForPaced, pacedGapMs: 150 }));
-  assert.equal(paced?.kind === 'direct' ? paced.server.id : '', 'd2');
-});
-
-test('an engine that is kept for paced streams serves others where there is no other', () => {
-  const candidates = GENERATING.slice(0, 1);
-  const keptForPaced = new Set(['d1']);
-  const input = engineInput({ candidates, description: SHORT_PROMPT, keptForPaced });
-  assert.equal(planModelRequest(input)?.kind, 'direct');
-});
-
-test('the engines kept for paced streams are as many as those need, and one; the same for all', () => {
-  const engines = Array.from({ length: 30 }, (_, index) =>
-    server(`e${index}`, { stage: 'decode', slots: 16 }),
-  );
-  assert.equal(enginesForPaced(engines, 0).size, 0);
-  assert.equal(enginesForPaced(engines, 5).size, 2);
-  assert.equal(enginesForPaced(engines, 30).size, 4);
-  assert.equal(enginesForPaced(engines, 10_000).size, 10, 'a third at most');
-  assert.equal(enginesForPaced(engines.slice(0, 2), 5).size, 0);
-  const turned = [...engines].reverse();
-  assert.deepEqual(enginesForPaced(turned, 5), enginesForPaced(engines, 5));
-});
-
-test('a stream is paced when it may pause for too long beside a prompt that is read', () => {
-  const stream = (maxOutputTokens: number, targetGapMs: number | undefined) =>
-    isPaced({ description: { maxOutputTokens }, targetGapMs, tokenMs: 2 });
-  assert.equal(stream(72, 150), true);
-  assert.equal(stream(3, 150), false);
-  assert.equal(stream(72, undefined), false);
-});
--- a/test/gateway/fleet-demand.test.ts
+++ b/test/gateway/fleet-demand.test.ts
@@ -13,7 +13,7 @@
 import { DEMAND_SPAN_MS, FleetView } from '../../src/shell/gateway/fleet-view.js';
 
 function demand(requests: number, prefillMs = 100 * requests): ServiceDemand {
-  return { service: 'm', prefillMs, decodeMs: requests, pacedMs: 0, requests, shortRequests: 0 };
+  return { service: 'm', prefillMs, decodeMs: requests, requests, shortRequests: 0 };
 }
 
 function report(daemon: string, requests: number): LoadReport {
@@ -48,7 +48,7 @@
   const fleet = new FleetView({ ratio: 0.2, slack: 50 });
   fleet.setDaemonCount(8);
   for (let request = 0; request < 6; request += 1) {
-    fleet.demandOf('m').note('long-prompt', { prefillMs: 100, decodeMs: 1, pacedMs: 0 }, 0);
+    fleet.demandOf('m').note('long-prompt', { prefillMs: 100, decodeMs: 1 }, 0);
   }
   const alone = fleet.stageNeedOf('m', 0);
   assert.equal(alone.requests, 6, 'what nobody told is not counted as seen');
@@ -89,7 +89,7 @@
       for (const { gapMs, workMs } of steps) {
         nowMs += gapMs;
         noted.push({ atMs: nowMs, workMs });
-        kept.note('short-prompt', { prefillMs: workMs, decodeMs: 0, pacedMs: 0 }, nowMs);
+        kept.note('short-prompt', { prefillMs: workMs, decodeMs: 0 }, nowMs);
         const inSpan = noted.filter(({ atMs }) => atMs > nowMs - DEMAND_SPAN_MS);
         const expected = inSpan.reduce((sum, entry) => sum + entry.workMs, 0);
         const { prefillMs, requests, shortRequests } = kept.sums(nowMs);
