--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -2,7 +2,8 @@
  * The daemons that this one knows, which of them are heard, and what each does for the others. A small
  * fleet needs no parts: everyone tells and asks everyone. In a large one, each zone has a daemon that
  * sums up the work of the zone, tells the relays of the others and hears theirs, tells its zone the whole,
- * and follows the store's tables for it (the relay).
+ * and follows the store's tables for it (the relay); and each engine has a
+ * daemon in each zone that asks it for its cache news (the watcher) and passes it on in its zone.
  *
  * Parts are given by rendezvous hashing over the daemons that are heard. Two daemons may differ on
  * that for a while; what they tell is then told twice or not at all, which costs choices their
@@ -185,6 +186,26 @@
     return this.everyone().filter(({ zone }) => zone === this.#self.zone);
   }
 
+  /**
+   * Whether this daemon asks an engine for its news.
+   * @param maxNewsCalls held calls that the engine takes from all daemons together
+   */
+  isWatcher(engineId: string, maxNewsCalls: number, nowMs: number): boolean {
+    return this.#watchersOf(engineId, maxNewsCalls, nowMs).includes(this.#self.name);
+  }
+
+  /** Who is passed an engine's news by this daemon: none unless it is the first of the watchers. */
+  toldOfNews(engineId: string, maxNewsCalls: number, nowMs: number): readonly PeerDaemon[] {
+    const watchers = this.#watchersOf(engineId, maxNewsCalls, nowMs);
+    if (watchers[0] !== this.#self.name) return [];
+    return this.zonePeers().filter(({ name }) => !watchers.includes(name));
+  }
+
+  #watchersOf(engineId: string, maxNewsCalls: number, nowMs: number): readonly string[] {
+    const ranked = this.#rankInZone(engineId, nowMs);
+    return this.daemonCount <= maxNewsCalls ? ranked : ranked.slice(0, 1);
+  }
+
   #relayOf(zone: string, nowMs: number): string | undefined {
     if (zone !== this.#self.zone) return this.#relayOfOther(zone, nowMs);
     const ranked = this.#rankInZone(`relay of ${zone}`, nowMs);
--- a/src/core/gateway/prefix-knowledge.ts
+++ b/src/core/gateway/prefix-knowledge.ts
@@ -6,6 +6,8 @@
 
 /** A belief from this daemon's own sends; an engine's news replaces it. */
 const UNCONFIRMED_TTL_MS = 20_000;
+/** A belief from news that another daemon passed on; the message that ends it may be lost. */
+const PASSED_ON_TTL_MS = 60_000;
 /** Beliefs kept for one engine; the oldest go first. */
 const MAX_PARTS_OF_ENGINE = 4_096;
 
@@ -41,6 +43,20 @@
     });
   }
 
+  /** Another daemon passed the engine's word on. */
+  confirmFromPeer(engineId: string, partId: string, tokens: number, nowMs: number): void {
+    this.#store(engineId, partId, {
+      tokens,
+      expiresAtMs: nowMs + PASSED_ON_TTL_MS,
+      readyAtMs: 0,
+    });
+  }
+
+  /** Tokens of a part that the engine is believed to keep, whatever comes before it. */
+  tokensOf(engineId: string, partId: string): number {
+    return this.#byEngine.get(engineId)?.get(partId)?.tokens ?? 0;
+  }
+
   /** A prompt was read at, or moved to, the engine. */
   assume(engineId: string, parts: readonly PromptPart[], nowMs: number): void {
     for (const part of parts) {
--- a/src/shell/gateway/cache-news-watcher.ts
+++ b/src/shell/gateway/cache-news-watcher.ts
@@ -1,12 +1,14 @@
 /**
  * Follows the cache news of listed engines by held calls, so that each daemon knows which engine
- * keeps which part of a prompt, whoever had it read. An engine takes a bounded number of such calls.
+ * keeps which part of a prompt, whoever had it read. An engine takes a bounded number of such calls:
+ * where there are more daemons, some ask and pass the news on to the others.
  */
 
 import type { ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { BackendConnections } from './backend-connections.js';
 import type { FleetView } from './fleet-view.js';
+import type { EngineNews } from './peer-messages.js';
 import type { CacheNews, RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { type CancelTimer, callWithin, delay, type TimerService } from './timer-service.js';
@@ -22,12 +24,15 @@
 const TURNED_AWAY_MS = 8_000;
 /** How often a daemon looks which engines it is to ask. */
 const LOOK_AGAIN_MS = 1_000;
+/** Smaller parts are read sooner than looked for; they are not passed on. */
+const LEAST_PASSED_ON_TOKENS = 256;
 const TURNED_AWAY_STATUS = 429;
 const MAX_NEWS_BYTES = 4_194_304;
 
-/** Which engines this daemon asks. */
+/** Which engines this daemon asks, and who is told what they say. */
 export interface NewsDuty {
   isWatcher(engine: ServerRecord): boolean;
+  passOn(engine: ServerRecord, news: EngineNews): void;
 }
 
 /** What watchers of cache news need. */
@@ -155,16 +160,21 @@
   }
 
   async #take(news: CacheNews): Promise<void> {
-    const { timers } = this.#context;
+    const { timers, duty } = this.#context;
     const { knowledge } = this.#context.fleet;
     this.#noteSuccess();
     const isOtherEpoch = this.#epoch !== undefined && this.#epoch !== news.epoch;
     const isReset = isOtherEpoch || news.hasGap;
     const engineId = this.#engine.id;
+    const events = news.events.filter(
+      ({ partId, tokens }) =>
+        Math.max(tokens, knowledge.tokensOf(engineId, partId)) >= LEAST_PASSED_ON_TOKENS,
+    );
     if (isReset) knowledge.forget(engineId);
     this.#epoch = news.epoch;
     this.#next = news.nextNumber;
     for (const event of news.events) knowledge.confirm(engineId, event.partId, event.tokens);
+    if (isReset || events.length > 0) duty.passOn(this.#engine, { engineId, isReset, events });
     if (news.events.length > 0) await delay(timers, PAUSE_MS, this.#stopped);
   }
 
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -28,6 +28,7 @@
   TrafficSplitter,
   type Urgency,
 } from '../../core/gateway/index.js';
+import type { EngineNews } from './peer-messages.js';
 
 /** The mix of work is judged over this time. */
 export const DEMAND_SPAN_MS = 6_000;
@@ -163,6 +164,16 @@
     return work;
   }
 
+  /** Takes an engine's cache news that another daemon passed on. */
+  takeNews(news: EngineNews, nowMs: number): void {
+    const { engineId, isReset, events } = news;
+    if (this.directory.get(engineId) === undefined) return;
+    if (isReset) this.knowledge.forget(engineId);
+    for (const { partId, tokens } of events) {
+      this.knowledge.confirmFromPeer(engineId, partId, tokens, nowMs);
+    }
+  }
+
   speedOf(service: string): ReadSpeed {
     return entryOf(this.#speeds, service, () => new ReadSpeed());
   }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -120,7 +120,7 @@
     const duty = new RosterNewsDuty({
       roster: this.#roster,
       fleet: this.#fleet,
-      hasPeers: this.#peers !== undefined,
+      peers: this.#peers,
       timers,
     });
     this.#cacheNews = new CacheNewsWatchers({ ...context, timers, duty, log });
@@ -290,6 +290,7 @@
       relayPeersChecksum: () => this.#word.peersChecksum,
       takeStage: (notice) => this.#fleet.stageNotices.take(notice, timers.nowMs()),
       takeUsage: (message, reply) => this.#usage?.take(message, reply),
+      takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       timers,
       ownWork: () => this.#fleet.ownWork(timers.nowMs()),
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -3,8 +3,8 @@
  * what all daemons sent it, and its own reports are late and priced. Datagrams may be lost; nothing
  * but the quality of a choice depends on them.
  *
- * In a large fleet a change is told to the relay of the own zone alone (`relay-duty.ts`). Who does what is the
- * roster's to say.
+ * In a large fleet a change is told to the relay of the own zone alone (`relay-duty.ts`); cache news are
+ * passed on within a zone by the daemon that asks for them. Who does what is the roster's to say.
  */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import type {
@@ -23,7 +23,9 @@
 import { PeerDirectory } from './peer-directory.js';
 import {
   decodePeerMessage,
+  type EngineNews,
   encodePeerMessage,
+  MOST_ENTRIES,
   type PassedConfiguration,
   type PeerMessage,
   type UsageMessage,
@@ -37,6 +39,8 @@
 /** Changes within this time go in one message; longer where a relay sums them up. */
 const COALESCE_MS = 12;
 const COALESCE_FOR_RELAY_MS = 90;
+/** News within this time go in one message. */
+const NEWS_GAP_MS = 250;
 const MOST_ROWS = 12;
 /** Larger configurations are had from the store by each daemon; a datagram holds 64 KiB at most. */
 const MOST_CONFIGURATION_BYTES = 16_384;
@@ -93,6 +97,8 @@
   readonly takeStage: (notice: StageNotice) => void;
   /** What others tell of the usage of tenants; `reply` goes back to who told it. */
   readonly takeUsage: (message: UsageMessage, reply: Reply) => void;
+  /** Cache news that another daemon passed on. */
+  readonly takeNews: (news: EngineNews) => void;
 }
 
 /** The daemon's part in telling loads and news. */
@@ -105,10 +111,12 @@
   readonly #relay: RelayDuty;
   #ownReads: ReadNotice[] = [];
   #ownReach: ReachNotice[] = [];
+  readonly #waitingNews = new Map<PeerDaemon['name'], EngineNews[]>();
   #sequence = 0;
   #heartbeatsSent = 0;
   #cancelFlush: CancelTimer | undefined;
   #cancelBeat: CancelTimer | undefined;
+  #cancelNews: CancelTimer | undefined;
   #isStopped = false;
 
   constructor(options: PeerExchangeOptions) {
@@ -145,6 +153,7 @@
     this.#cancelFlush?.();
     this.#cancelBeat?.();
     this.#relay.stop();
+    this.#cancelNews?.();
     this.#socket.close();
   }
 
@@ -206,6 +215,20 @@
     if (peers.length > 0 && !this.#isStopped) this.#sendTo(peers, encodePeerMessage(message));
   }
 
+  /** Passes an engine's news on to daemons that do not ask for them. */
+  passOn(news: EngineNews, peers: readonly PeerDaemon[]): void {
+    if (peers.length === 0 || this.#isStopped) return;
+    for (const { name } of peers) {
+      const waiting = this.#waitingNews.get(name);
+      if (waiting === undefined) this.#waitingNews.set(name, [news]);
+      else waiting.push(news);
+    }
+    this.#cancelNews ??= this.#options.timers.after(NEWS_GAP_MS, () => {
+      this.#cancelNews = undefined;
+      this.#tellNews();
+    });
+  }
+
   /** Shows those who hear of no change that this daemon is there. */
   #beat(): void {
     const { timers, roster } = this.#options;
@@ -234,13 +257,29 @@
     this.#sendTo(peers, bytes);
   }
 
+  #tellNews(): void {
+    const { daemon, roster } = this.#options;
+    const zonePeers = roster.zonePeers();
+    for (const peer of zonePeers) {
+      const waiting = this.#waitingNews.get(peer.name);
+      if (waiting === undefined) continue;
+      for (const news of partNews(waiting)) {
+        const bytes = encodePeerMessage({ kind: 'news', daemon, news });
+        const shareOfBudget = sizeOnLink(bytes) / zonePeers.length;
+        if (this.#relayBudget.tryTake(shareOfBudget)) this.#sendTo([peer], bytes);
+      }
+    }
+    this.#waitingNews.clear();
+  }
+
   #sendTo(peers: readonly PeerDaemon[], bytes: Buffer): void {
     for (const peer of peers) this.#socket.send(bytes, peer.port, peer.host);
   }
 
   #receive(bytes: Buffer, sender: RemoteInfo): void {
     const { daemon, zone, roster, loads, timers, ownWork } = this.#options;
-    const { takeUsage, takeStage, takeTables, takeServers, takeConfiguration } = this.#options;
+    const { takeUsage, takeNews, takeStage, takeTables, takeServers, takeConfiguration } =
+      this.#options;
     const message = decodePeerMessage(bytes);
     const nowMs = timers.nowMs();
     switch (message?.kind) {
@@ -279,6 +318,9 @@
       case 'usage-reported':
         takeUsage(message, (answer) => this.#reply(answer, sender));
         return;
+      case 'news':
+        for (const news of message.news) takeNews(news);
+        return;
     }
   }
 
@@ -296,3 +338,22 @@
     return this.#sequence;
   }
 }
+
+/** Parts news into messages that stay within one packet. */
+function partNews(waiting: readonly EngineNews[]): readonly (readonly EngineNews[])[] {
+  const messages: EngineNews[][] = [];
+  let room = 0;
+  for (const { engineId, isReset, events } of waiting) {
+    for (let first = 0; first === 0 || first < events.length; ) {
+      if (room <= 0) {
+        messages.push([]);
+        room = MOST_ENTRIES;
+      }
+      const part = events.slice(first, first + room);
+      messages.at(-1)?.push({ engineId, isReset: isReset && first === 0, events: part });
+      first += Math.max(1, part.length);
+      room -= part.length + 1;
+    }
+  }
+  return messages;
+}
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -11,12 +11,13 @@
   ServiceDemand,
   TableProgress,
 } from '../../core/gateway/index.js';
-import type { WatchedRow } from './ports.js';
+import type { CacheEvent, WatchedRow } from './ports.js';
 
 /** The first item of a message. */
 export const KINDS = {
   report: 1,
   sums: 2,
+  news: 3,
   stage: 4,
   tables: 5,
   servers: 6,
@@ -56,6 +57,11 @@
   reachSchema,
   demandSchema,
 ]);
+export const newsSchema = z.tuple([
+  z.literal(KINDS.news),
+  z.string(),
+  z.array(z.tuple([z.string(), z.boolean(), z.array(z.tuple([z.string(), z.number()]))])),
+]);
 export const stageSchema = z.tuple([
   z.literal(KINDS.stage),
   z.string(),
@@ -114,6 +120,14 @@
 ]);
 /** The window that was reported. */
 export const usageReportedSchema = z.tuple([z.literal(KINDS.usageReported), z.number()]);
+/** An engine's cache news, as its watcher passes them on. */
+export interface EngineNews {
+  readonly engineId: string;
+  /** All that was known of the engine's cache before is void. */
+  readonly isReset: boolean;
+  readonly events: readonly CacheEvent[];
+}
+
 export function encodeProgress({ changed, seen, reread }: TableProgress): unknown[] {
   return [changed, seen, reread];
 }
@@ -202,3 +216,7 @@
 ]): ReachNotice {
   return { serverId, isReachable, by };
 }
+
+export function encodeNews({ engineId, isReset, events }: EngineNews): unknown[] {
+  return [engineId, isReset, events.map(({ partId, tokens }) => [partId, tokens])];
+}
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -19,7 +19,9 @@
   decodeReads,
   decodeServer,
   decodeWork,
+  type EngineNews,
   encodeDemand,
+  encodeNews,
   encodeProgress,
   encodeReach,
   encodeReads,
@@ -27,6 +29,7 @@
   encodeWork,
   goneKey,
   KINDS,
+  newsSchema,
   reportSchema,
   serversSchema,
   stageSchema,
@@ -38,6 +41,8 @@
 } from './peer-message-fields.js';
 import type { TableChanges } from './table-watcher.js';
 
+export type { EngineNews } from './peer-message-fields.js';
+
 /** Entries of a message, so that it stays within one packet. */
 export const MOST_ENTRIES = 40;
 
@@ -46,6 +51,7 @@
   [KINDS.servers, serversSchema],
   [KINDS.report, reportSchema],
   [KINDS.sums, sumsSchema],
+  [KINDS.news, newsSchema],
   [KINDS.stage, stageSchema],
   [KINDS.tables, tablesSchema],
   [KINDS.configuration, configurationSchema],
@@ -58,6 +64,7 @@
   | typeof serversSchema
   | typeof reportSchema
   | typeof sumsSchema
+  | typeof newsSchema
   | typeof stageSchema
   | typeof tablesSchema
   | typeof configurationSchema
@@ -105,7 +112,8 @@
       readonly kind: 'configuration';
       readonly zone: string;
       readonly change: PassedConfiguration;
-    };
+    }
+  | { readonly kind: 'news'; readonly daemon: string; readonly news: readonly EngineNews[] };
 
 /** The bytes of a message. */
 export function encodePeerMessage(message: PeerMessage): Buffer {
@@ -141,6 +149,8 @@
       const head = [KINDS.tables, message.relay, message.zone];
       return pack([...head, ...progress, ageMs, peersChecksum]);
     }
+    case 'news':
+      return pack([KINDS.news, message.daemon, message.news.map(encodeNews)]);
     case 'usage-asked':
       return pack([KINDS.usageAsked, message.window]);
     case 'usage-reported':
@@ -214,6 +224,18 @@
       const counted = { daemon, incarnation, window, part, parts, counts };
       return { kind: 'usage-counted', part: counted };
     }
+    case KINDS.news: {
+      const [, daemon, news] = fields;
+      return {
+        kind: 'news',
+        daemon,
+        news: news.map(([engineId, isReset, events]) => ({
+          engineId,
+          isReset,
+          events: events.map(([partId, tokens]) => ({ partId, tokens })),
+        })),
+      };
+    }
   }
 }
 
--- a/src/shell/gateway/roster-news-duty.ts
+++ b/src/shell/gateway/roster-news-duty.ts
@@ -1,13 +1,9 @@
-/**
- * Whether this daemon asks engines for their cache news: where an engine takes the calls of all daemons. In a larger
- * fleet nobody does: each daemon there has few of the requests for a part while a cache keeps it, so news hardly ever
- * comes to use, and some daemons that ask for it and pass it on to all others cost more than the requests themselves.
- * (Processor time of 66 daemons before 40 engines in 34 s of traffic: 371 s with news, 263 s without, and as many
- * answers in time.) What is being read is told with the loads.
- */
+/** Parts the engines' news calls among the daemons, as the roster says. */
 import type { PeerRoster, ServerRecord } from '../../core/gateway/index.js';
 import type { NewsDuty } from './cache-news-watcher.js';
 import type { FleetView } from './fleet-view.js';
+import type { PeerExchange } from './peer-exchange.js';
+import type { EngineNews } from './peer-messages.js';
 import type { TimerService } from './timer-service.js';
 
 /** Without a list of daemons by then, this one asks all engines. */
@@ -15,14 +11,14 @@
 
 /** What a duty is built from. */
 export interface RosterNewsDutyOptions {
-  readonly roster: Pick<PeerRoster, 'hasList' | 'daemonCount'>;
-  readonly fleet: Pick<FleetView, 'inForce'>;
-  /** Whether this daemon knows of others at all. */
-  readonly hasPeers: boolean;
-  readonly timers: Pick<TimerService, 'nowMs'>;
+  readonly roster: PeerRoster;
+  readonly fleet: FleetView;
+  /** Absent where this daemon tells no others. */
+  readonly peers: Pick<PeerExchange, 'passOn'> | undefined;
+  readonly timers: TimerService;
 }
 
-/** Asks for news as far as the number of daemons allows it. */
+/** Asks for the news that the roster gives this daemon to ask for. */
 export class RosterNewsDuty implements NewsDuty {
   readonly #options: RosterNewsDutyOptions;
   readonly #startedMs: number;
@@ -32,12 +28,22 @@
     this.#startedMs = options.timers.nowMs();
   }
 
-  isWatcher(engine: Pick<ServerRecord, 'service'>): boolean {
-    const { roster, fleet, hasPeers, timers } = this.#options;
-    if (!hasPeers) return true;
-    if (!roster.hasList) return timers.nowMs() - this.#startedMs > LIST_AWAITED_MS;
-    const services = fleet.inForce?.configuration.services;
-    const maxNewsCalls = services?.get(engine.service)?.engine?.maxNewsCalls ?? 1;
-    return roster.daemonCount <= maxNewsCalls;
+  isWatcher(engine: ServerRecord): boolean {
+    const { roster, peers, timers } = this.#options;
+    if (peers === undefined) return true;
+    const nowMs = timers.nowMs();
+    if (!roster.hasList) return nowMs - this.#startedMs > LIST_AWAITED_MS;
+    return roster.isWatcher(engine.id, this.#maxNewsCalls(engine), nowMs);
+  }
+
+  passOn(engine: ServerRecord, news: EngineNews): void {
+    const { roster, peers, timers } = this.#options;
+    const told = roster.toldOfNews(engine.id, this.#maxNewsCalls(engine), timers.nowMs());
+    peers?.passOn(news, told);
+  }
+
+  #maxNewsCalls(engine: ServerRecord): number {
+    const services = this.#options.fleet.inForce?.configuration.services;
+    return services?.get(engine.service)?.engine?.maxNewsCalls ?? 1;
   }
 }
--- a/test/gateway/peer-roster.test.ts
+++ b/test/gateway/peer-roster.test.ts
@@ -4,6 +4,8 @@
 import { type PeerDaemon, PeerRoster } from '../../src/core/gateway/index.js';
 
 const ZONES = ['north', 'south', 'west'];
+const MAX_NEWS_CALLS = 12;
+const SILENT_MS = 10_000;
 
 function daemons(count: number): PeerDaemon[] {
   return Array.from({ length: count }, (_, index) => ({
@@ -26,12 +28,14 @@
   return peers.map(({ name }) => name).sort();
 }
 
-test('in a small fleet everyone tells everyone', () => {
+test('in a small fleet everyone tells everyone and asks every engine', () => {
   const all = daemons(9);
-  for (const roster of rostersOf(all)) {
+  for (const [index, roster] of rostersOf(all).entries()) {
     assert.equal(roster.isLarge, false);
     assert.equal(roster.toldOfChanges(0).length, 8);
     assert.equal(roster.isRelay(0), false);
+    assert.equal(roster.isWatcher('engine', MAX_NEWS_CALLS, 0), true);
+    assert.deepEqual(roster.toldOfNews('engine', MAX_NEWS_CALLS, 0), [], all[index]?.name);
   }
 });
 
@@ -49,6 +53,26 @@
   }
 });
 
+test('the watchers of an engine fit its calls and everyone else in their zones is told', () => {
+  const all = daemons(60);
+  const rosters = rostersOf(all);
+  for (const engineId of ['e1', 'e2', 'e3', 'e4']) {
+    const watchers = all.filter((_, index) =>
+      rosters[index]?.isWatcher(engineId, MAX_NEWS_CALLS, 0),
+    );
+    assert.deepEqual(watchers.map(({ zone }) => zone).sort(), ZONES);
+    assert.ok(watchers.length <= MAX_NEWS_CALLS);
+    const told = rosters.flatMap((roster) => roster.toldOfNews(engineId, MAX_NEWS_CALLS, 0));
+    assert.deepEqual(namesOf([...told, ...watchers]), namesOf(all));
+  }
+});
+
+test('engines that take few calls still have a watcher in each zone', () => {
+  const all = daemons(60);
+  const watchers = rostersOf(all).filter((roster) => roster.isWatcher('e', 1, 0));
+  assert.equal(watchers.length, ZONES.length);
+});
+
 /** All daemons are heard but the named ones. */
 function hearAllBut(roster: PeerRoster, all: readonly PeerDaemon[], silent: string, nowMs: number) {
   for (const { name } of all) if (name !== silent) roster.heard(name, nowMs);
@@ -70,6 +94,22 @@
   assert.equal(others.filter((roster) => roster.isRelay(2_100)).length, 0);
 });
 
+test('an engine of a watcher that is gone has another one', () => {
+  const all = daemons(60);
+  const rosters = rostersOf(all);
+  const first = all.find(
+    (_, index) => (rosters[index]?.toldOfNews('e', MAX_NEWS_CALLS, 0).length ?? 0) > 0,
+  );
+  assert.ok(first !== undefined);
+  const left = rosters.filter((_, index) => all[index] !== first);
+  for (const roster of left) hearAllBut(roster, all, first.name, SILENT_MS);
+  const zones = left.flatMap((roster) => {
+    const told = roster.toldOfNews('e', MAX_NEWS_CALLS, SILENT_MS);
+    return told.length > 0 ? [told[0]?.zone] : [];
+  });
+  assert.deepEqual(zones.sort(), ZONES);
+});
+
 test('the relay of another zone is told of changes as it said itself, until it falls silent', () => {
   const all = daemons(60);
   const roster = rostersOf(all)[0];
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -12,7 +12,11 @@
 } from '../../src/core/gateway/index.js';
 import type { TableCall, TableResult, TableRow } from '../../src/core/platform/table.js';
 import { PeerExchange } from '../../src/shell/gateway/peer-exchange.js';
-import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
+import {
+  decodePeerMessage,
+  type EngineNews,
+  encodePeerMessage,
+} from '../../src/shell/gateway/peer-messages.js';
 import { deferred } from './support/deferred.js';
 import { ManualTimers } from './support/manual-timers.js';
 
@@ -30,15 +34,6 @@
   };
 }
 
-const USAGE_PART = {
-  daemon: 'a',
-  incarnation: 5,
-  window: 7,
-  part: 0,
-  parts: 2,
-  counts: [['leiden', 12] as const],
-};
-
 const SERVER: ServerRecord = {
   id: 'i-1',
   service: 's',
@@ -141,12 +136,11 @@
 });
 
 test('messages are read as they were written, and what is none is passed over', () => {
+  const news = [{ engineId: 'e', isReset: true, events: [{ partId: 'p', tokens: 3 }] }];
   const messages = [
     { kind: 'report', report: report({ reads: [READ] }) },
     { kind: 'sums', zone: 'z', sums: sums({ reads: [READ] }) },
-    { kind: 'usage-asked', window: 7 },
-    { kind: 'usage-reported', window: 7 },
-    { kind: 'usage-counted', part: USAGE_PART },
+    { kind: 'news', daemon: 'a', news },
     {
       kind: 'servers',
       zone: 'z',
@@ -219,6 +213,7 @@
   const summed = deferred<LoadSums>();
   const relayed = deferred<LoadSums>();
   const found = deferred<ReachNotice>();
+  const informed = deferred<EngineNews>();
   const listed = deferred<number>();
   const noticed = deferred<ReadNotice>();
   const loads = new PeerLoads();
@@ -247,6 +242,7 @@
     takeReach: found.resolve,
     takeConfiguration: () => undefined,
     takeStage: () => undefined,
+    takeNews: informed.resolve,
     takeUsage: () => undefined,
     takeRead: noticed.resolve,
     loads: {
@@ -267,7 +263,7 @@
       zoneDemand: (own, nowMs) => loads.zoneDemand(own, nowMs),
     },
   });
-  return { exchange, roster, reported, summed, relayed, found, listed, noticed };
+  return { exchange, roster, reported, summed, relayed, found, informed, listed, noticed };
 }
 
 test('daemons find each other by the store and tell what changed', async () => {
@@ -313,13 +309,17 @@
   timers.advance(20);
   await relay.reported.promise;
   const told = await settledBy(other.summed.promise, timers);
-  const noticed = await settledBy(relay.noticed.promise, timers);
+  const events = [{ partId: 'p', tokens: 900 }];
+  relay.exchange.passOn({ engineId: 'e', isReset: false, events }, relay.roster.zonePeers());
+  timers.advance(300);
+  const news = await other.informed.promise;
   for (const { exchange } of both) exchange.stop();
-  assert.deepEqual(noticed, READ);
+  assert.deepEqual(await relay.noticed.promise, READ);
   assert.deepEqual(
     told.work.map(({ engineId, running }) => ({ engineId, running })),
     [{ engineId: 'e', running: 4 }],
   );
+  assert.deepEqual(news, { engineId: 'e', isReset: false, events });
 });
 
 /** Lets time pass until a promise is settled. */
--- a/test/gateway/prefix-knowledge.test.ts
+++ b/test/gateway/prefix-knowledge.test.ts
@@ -37,3 +37,10 @@
   knowledge.confirm('e', SHARED.id, 0);
   assert.equal(knowledge.keptTokens('e', PARTS, 1_200), 0);
 });
+
+test('what another daemon passed on is believed for a time', () => {
+  const knowledge = new PrefixKnowledge();
+  knowledge.confirmFromPeer('e', SHARED.id, SHARED.tokens, 1_000);
+  assert.equal(knowledge.movableTokens('e', PARTS, 30_000), 9_000);
+  assert.equal(knowledge.keptTokens('e', PARTS, 70_000), 0);
+});
