--- /dev/null
+++ b/src/shell/gateway/duties.ts
@@ -0,0 +1,81 @@
+/**
+ * The daemon's part in what the platform asks of one daemon at a time: usage reports, where the settings ask for
+ * them, and orders of capacity.
+ */
+import type { PeerRoster, Tenant } from '../../core/gateway/index.js';
+import { CapacityController } from './capacity-controller.js';
+import type { FleetView } from './fleet-view.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import type { PeerExchange, Reply } from './peer-exchange.js';
+import type { UsageMessage } from './peer-messages.js';
+import type { PlatformAdapter } from './ports.js';
+import type { GatewayLog } from './request-log.js';
+import { UsageReporter } from './tenant-usage.js';
+import { steadyWallClock, type TimerService } from './timer-service.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What duties are built from. */
+export interface DutiesOptions {
+  readonly settings: Pick<GatewaySettings, 'name' | 'bounds' | 'duties'>;
+  readonly adapter: Pick<PlatformAdapter, 'duties' | 'table'>;
+  /** Another with each start of the process. */
+  readonly incarnation: number;
+  readonly fleet: FleetView;
+  readonly roster: PeerRoster;
+  /** Absent where this daemon tells no others. */
+  readonly peers: () => Pick<PeerExchange, 'tell'> | undefined;
+  /** Whether this daemon knows enough of the fleet to order anything. */
+  readonly mayOrderCapacity: () => boolean;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'write'>;
+}
+
+/** The duties that this daemon may come to have; none where the platform asks for none. */
+export class Duties {
+  readonly #usage: UsageReporter | undefined;
+  readonly #capacity: CapacityController | undefined;
+
+  constructor(options: DutiesOptions) {
+    const { settings, adapter, roster, peers, mayOrderCapacity, timers } = options;
+    if (adapter.duties === undefined) return;
+    const shared = {
+      ...options,
+      daemon: settings.name,
+      leaseMs: settings.bounds.leaseMs,
+      duties: adapter.duties,
+      table: adapter.table,
+    };
+    this.#capacity = new CapacityController({ ...shared, mayOrder: mayOrderCapacity });
+    const windowSeconds = settings.duties?.usageWindowSeconds;
+    if (windowSeconds === undefined) return;
+    this.#usage = new UsageReporter({
+      ...shared,
+      windowMs: windowSeconds * MILLISECONDS_PER_SECOND,
+      dueMs: (settings.duties?.usageDueSeconds ?? 0) * MILLISECONDS_PER_SECOND,
+      roster,
+      peers,
+      wallClock: steadyWallClock(timers, Date.now()),
+    });
+  }
+
+  start(): void {
+    void this.#usage?.run();
+    void this.#capacity?.run();
+  }
+
+  stop(): void {
+    this.#usage?.stop();
+    this.#capacity?.stop();
+  }
+
+  /** A tenant's request began to run, so long ago. */
+  noteBegan(tenant: Tenant | undefined, agoMs: number): void {
+    if (tenant !== undefined) this.#usage?.noteBegan(tenant.name, agoMs);
+  }
+
+  /** What another daemon tells of usage, or asks. */
+  takeUsage(message: UsageMessage, reply: Reply): void {
+    this.#usage?.take(message, reply);
+  }
+}
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -10,7 +10,7 @@
 import { BackendConnections } from './backend-connections.js';
 import { CacheNewsWatchers } from './cache-news-watcher.js';
 import { CallerListener } from './caller-listener.js';
-import { CapacityController } from './capacity-controller.js';
+import { Duties } from './duties.js';
 import { FleetFollower } from './fleet-follower.js';
 import { FleetView } from './fleet-view.js';
 import { GatewayMetrics } from './gateway-metrics.js';
@@ -22,8 +22,7 @@
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
 import { TableWord } from './table-word.js';
-import { UsageReporter } from './tenant-usage.js';
-import { delay, steadyWallClock, type TimerService } from './timer-service.js';
+import { delay, type TimerService } from './timer-service.js';
 
 /**
  * A change is told at once by a call that is held. A call that a cut has swallowed has to be over
@@ -83,10 +82,7 @@
   /** Absent where the settings name no address for it. */
   readonly #peers: PeerExchange | undefined;
   readonly #word: TableWord;
-  /** Absent where the platform takes no orders of capacity. */
-  readonly #capacity: CapacityController | undefined;
-  /** Absent where the platform asks for no usage. */
-  readonly #usage: UsageReporter | undefined;
+  readonly #duties: Duties;
   #watchShare = WATCH_SHARE_OF_CONTACT;
   #isRelay = false;
   #isStopping = false;
@@ -109,13 +105,11 @@
       noteLoadChange: () => this.#peers?.noteChange(),
       noteRead: (read) => this.#peers?.noteRead(read),
       noteReach: (reach) => this.#peers?.noteReach(reach),
-      noteBegan: ({ options: { tenant } }, agoMs) => {
-        if (tenant !== undefined) this.#usage?.noteBegan(tenant.name, agoMs);
-      },
+      noteBegan: ({ options: { tenant } }, agoMs) => this.#duties.noteBegan(tenant, agoMs),
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
     const incarnation = randomInt(INCARNATIONS);
-    this.#usage = this.#createUsage(incarnation);
+    this.#duties = this.#createDuties(incarnation);
     this.#peers = this.#createPeers(incarnation);
     const duty = new RosterNewsDuty({
       roster: this.#roster,
@@ -151,7 +145,6 @@
       timers,
       log,
     });
-    this.#capacity = this.#createCapacity(incarnation);
     this.#addGauges();
   }
 
@@ -162,8 +155,7 @@
     this.#follower.start();
     this.#stages.start();
     this.#peers?.start();
-    void this.#usage?.run();
-    void this.#capacity?.run();
+    this.#duties.start();
     const readinessServer = createReadinessServer(
       adapter.readinessPath,
       () => this.#fleet.isReady && !this.#isStopping,
@@ -213,8 +205,7 @@
     this.#cacheNews.stop();
     this.#stages.stop();
     this.#peers?.stop();
-    this.#usage?.stop();
-    this.#capacity?.stop();
+    this.#duties.stop();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
@@ -233,37 +224,16 @@
     return !this.#roster.isLarge || this.#isRelay;
   }
 
-  #createCapacity(incarnation: number): CapacityController | undefined {
+  #createDuties(incarnation: number): Duties {
     const { settings, adapter, timers, log } = this.#options;
-    if (adapter.duties === undefined) return undefined;
-    return new CapacityController({
-      daemon: settings.name,
+    return new Duties({
+      settings,
+      adapter,
       incarnation,
-      leaseMs: settings.bounds.leaseMs,
       fleet: this.#fleet,
-      duties: adapter.duties,
-      table: adapter.table,
-      mayOrder: () => this.#roster.hasList && this.#knowsDemand,
-      timers,
-      log,
-    });
-  }
-
-  #createUsage(incarnation: number): UsageReporter | undefined {
-    const { settings, adapter, timers, log } = this.#options;
-    const windowSeconds = settings.duties?.usageWindowSeconds;
-    if (adapter.duties === undefined || windowSeconds === undefined) return undefined;
-    return new UsageReporter({
-      daemon: settings.name,
-      incarnation,
-      leaseMs: settings.bounds.leaseMs,
-      windowMs: windowSeconds * MILLISECONDS_PER_SECOND,
-      dueMs: (settings.duties?.usageDueSeconds ?? 0) * MILLISECONDS_PER_SECOND,
-      duties: adapter.duties,
-      table: adapter.table,
       roster: this.#roster,
       peers: () => this.#peers,
-      wallClock: steadyWallClock(timers, Date.now()),
+      mayOrderCapacity: () => this.#roster.hasList && this.#knowsDemand,
       timers,
       log,
     });
@@ -289,7 +259,7 @@
       takeTables: (word) => this.#word.take(word),
       relayPeersChecksum: () => this.#word.peersChecksum,
       takeStage: (notice) => this.#fleet.stageNotices.take(notice, timers.nowMs()),
-      takeUsage: (message, reply) => this.#usage?.take(message, reply),
+      takeUsage: (message, reply) => this.#duties.takeUsage(message, reply),
       takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       timers,
