--- a/src/core/capacity/plan-capacity.ts
+++ b/src/core/capacity/plan-capacity.ts
@@ -1,7 +1,7 @@
 /**
  * How many servers each zone is to have, where they are paid by the second. Spot servers cost a part of the others
- * and may be taken away, all of a zone at once; so every zone keeps some that are not, and there are as many spot
- * servers as leave the wanted number in all without those of one zone. Plain servers go as spot servers come. Those that are taken away are made up by plain ones
+ * and may be taken away, all of a zone at once; so every zone keeps some that are not, and the rest is spot as far
+ * as it is to be had. Plain servers go as spot servers come. Those that are taken away are made up by plain ones
  * only where the service would be short of its need: they are to be had again in seconds, and engines that come
  * and go have to read their prompts again.
  */
@@ -37,7 +37,7 @@
   const wanted = withinLimits(wantedPerZone, limits);
   if (limits.spotPrice >= 1) return zones.map(({ zone }) => ({ zone, plain: wanted, spot: 0 }));
   const kept = Math.min(wanted, PLAIN_KEPT);
-  const spotWanted = withinLimits(withReserve(wanted, zones.length), limits) - kept;
+  const spotWanted = wanted - kept;
   const isShort = serversOf(zones) < neededInAll;
   return zones.map(({ zone, plain, spot }) => {
     const missing = Math.max(0, wanted - kept - spot);
@@ -52,11 +52,6 @@
   return Math.min(max, Math.max(min, servers));
 }
 
-/** As many in each zone as leave the wanted number in all when one zone's spot servers are taken away. */
-function withReserve(wantedPerZone: number, zones: number): number {
-  return zones > 1 ? Math.ceil((wantedPerZone * zones) / (zones - 1)) : wantedPerZone;
-}
-
 function serversOf(zones: readonly ZoneCapacity[]): number {
   return zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
 }
