--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -22,11 +22,6 @@
 /** A second server is asked when the first has been silent for this part of the target. */
 const HEDGE_AFTER_TARGETS = 0.45;
 const LEAST_HEDGE_MS = 40;
-/**
- * A repeat is left for requests whose server fails: a daemon of a large fleet may save up less than two, and in
- * calm times 80 of 1,160 repeatable requests got a server's failure as no repeat was left (one in seven fails there).
- */
-const REPEATS_LEFT_BY_HEDGE = 1;
 
 type RunResult =
   | { readonly kind: 'whole'; readonly answer: WholeAnswer }
@@ -61,7 +56,7 @@
       const result = await this.#nextResult();
       if (this.#exchange.signal.aborted) return this.#exchange.endInterrupted();
       if (result === 'hedge') {
-        if (this.#mayHedge) this.#startNext(false);
+        this.#startNext(false);
         continue;
       }
       if (this.#settle(result)) break;
@@ -94,12 +89,6 @@
     else exchange.refuse(this.#lastReason, retryAfterMs(exchange, this.#context));
   }
 
-  /** Whether the budget has a repeat left beside the one that asking a second server takes. */
-  get #mayHedge(): boolean {
-    const { level } = this.#context.fleet.budgetOf(this.#exchange.options.service);
-    return level >= 1 + REPEATS_LEFT_BY_HEDGE;
-  }
-
   #startNext(isFirst: boolean): boolean {
     const exchange = this.#exchange;
     const { route, service, timers } = exchange.options;
