Count what a write of a duty's record allows from before it is sent

Cause (found by reading): the moment was taken after the call was made; a process frozen just between would act for too long. Change: DutyRecordRow takes it first and gives it back with the outcome. The tests of both duties pass as before; a freeze between two statements is nothing they can bring about.

--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -12,10 +12,9 @@
   type ScaledService,
   type ZoneCapacity,
 } from '../../core/capacity/index.js';
-import type { RecordOutcome } from '../../core/duty/index.js';
 import type { Service } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import { DutyRecordRow } from './duty-record.js';
+import { DutyRecordRow, type SentOutcome } from './duty-record.js';
 import type { FleetView } from './fleet-view.js';
 import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
@@ -105,10 +104,9 @@
     }
   }
 
-  async #take(call: Promise<RecordOutcome<CapacityRecord>>): Promise<boolean> {
+  async #take(call: Promise<SentOutcome<CapacityRecord>>): Promise<boolean> {
     const { timers } = this.#options;
-    const sentMs = timers.nowMs();
-    const outcome = await call;
+    const { outcome, sentMs } = await call;
     this.#duty.takeRecord(outcome, sentMs, timers.nowMs());
     if (outcome.kind !== 'seen') await delay(timers, FAILURE_PAUSE_MS, this.#stopped.signal);
     return outcome.kind === 'seen';
--- a/src/shell/gateway/duty-record.ts
+++ b/src/shell/gateway/duty-record.ts
@@ -18,6 +18,12 @@
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
+/** What became of a call, and when it was sent: what it allows is counted from then on. */
+export interface SentOutcome<Content extends DutyRecord> {
+  readonly outcome: RecordOutcome<Content>;
+  readonly sentMs: number;
+}
+
 /** One duty's record. */
 export class DutyRecordRow<Content extends DutyRecord> {
   readonly #options: DutyRecordOptions<Content>;
@@ -26,7 +32,7 @@
     this.#options = options;
   }
 
-  read(signal: AbortSignal): Promise<RecordOutcome<Content>> {
+  read(signal: AbortSignal): Promise<SentOutcome<Content>> {
     return this.#call({ kind: 'get', keys: [this.#options.key] }, signal);
   }
 
@@ -35,20 +41,21 @@
     record: Content,
     expectedVersion: number,
     signal: AbortSignal,
-  ): Promise<RecordOutcome<Content>> {
+  ): Promise<SentOutcome<Content>> {
     const { key } = this.#options;
     const checks = [{ key, version: expectedVersion }];
     return this.#call({ kind: 'transact', checks, writes: [{ key, value: record }] }, signal);
   }
 
-  async #call(call: TableCall, signal: AbortSignal): Promise<RecordOutcome<Content>> {
+  async #call(call: TableCall, signal: AbortSignal): Promise<SentOutcome<Content>> {
     const { table, timers } = this.#options;
+    const sentMs = timers.nowMs();
     const result = await callWithin(timers, CALL_TIMEOUT_MS, signal, (ended) =>
       table.call(call, ended),
     );
     const outcome = this.#outcomeOf(result);
     if (outcome.kind !== 'seen') this.#logFailure(call.kind, result);
-    return outcome;
+    return { outcome, sentMs };
   }
 
   /** A record that cannot be read is taken for one that could not be had: nothing is done on it. */
--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -3,7 +3,6 @@
  * in reporting the usage of all daemons (`src/core/tenant-usage/report-duty.ts` decides).
  */
 import * as z from 'zod/mini';
-import type { RecordOutcome } from '../../core/duty/index.js';
 import type { PeerRoster } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import {
@@ -17,7 +16,7 @@
   type UsageRecord,
   windowAt,
 } from '../../core/tenant-usage/index.js';
-import { DutyRecordRow } from './duty-record.js';
+import { DutyRecordRow, type SentOutcome } from './duty-record.js';
 import type { PeerExchange, Reply } from './peer-exchange.js';
 import type { UsageMessage } from './peer-messages.js';
 import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
@@ -200,11 +199,9 @@
     });
   }
 
-  async #takeRecord(call: Promise<RecordOutcome<UsageRecord>>): Promise<void> {
-    const { timers } = this.#options;
-    const sentMs = timers.nowMs();
-    const outcome = await call;
-    this.#duty.takeRecord(outcome, sentMs, timers.nowMs());
+  async #takeRecord(call: Promise<SentOutcome<UsageRecord>>): Promise<void> {
+    const { outcome, sentMs } = await call;
+    this.#duty.takeRecord(outcome, sentMs, this.#options.timers.nowMs());
     if (outcome.kind !== 'seen') return this.#backOff();
     this.#failuresInARow = 0;
     if (outcome.isOwnWrite && outcome.record !== undefined) this.#logRecord(outcome.record);
