--- a/src/shell/gateway/roster-news-duty.ts
+++ b/src/shell/gateway/roster-news-duty.ts
@@ -37,7 +37,8 @@
   }
 
   passOn(engine: ServerRecord, news: EngineNews): void {
-    const { roster, peers, timers } = this.#options;
+    const { roster, peers, timers, fleet } = this.#options;
+    if (!fleet.newsWorth.mayPassOn()) return;
     const told = roster.toldOfNews(engine.id, this.#maxNewsCalls(engine), timers.nowMs());
     peers?.passOn(news, told);
   }
