--- a/src/core/gateway/news-worth.ts
+++ b/src/core/gateway/news-worth.ts
@@ -5,12 +5,18 @@
  * what it is told itself, which is much the same in a zone, and passes its own news on or not.
  */
 
-/** The measure is taken over this time: a few hundred entries, and as many requests as decide it where it matters. */
-const SPAN_MS = 4_000;
+/**
+ * The measure is taken over this time. A daemon of a large fleet has a request for a large part each second or two; over
+ * less than ten of them, chance alone makes news look worthless (with 4 s it did, and shared parts were read again).
+ */
+const SPAN_MS = 10_000;
 /** What is left of the sums when a span is over. */
 const KEPT_SHARE = 0.5;
-/** So many entries tell whether they come to use. */
-const LEAST_ENTRIES = 100;
+/** So many entries tell that they do not come to use; those that are passed on all the same tell it of fewer. */
+const LEAST_ENTRIES = 500;
+const LEAST_PROBED_ENTRIES = 20;
+/** News is held back only where it saves less than this part of what it costs. */
+const HELD_BACK_SHARE = 0.5;
 /**
  * Time of a daemon for an entry: a datagram of ten took 0.25 ms of processor time to send and to take, on machines
  * that give a daemon a third of a core.
@@ -55,8 +61,12 @@
   #judge(nowMs: number): void {
     if (nowMs - this.#sinceMs < SPAN_MS) return;
     this.#sinceMs = nowMs;
-    if (this.#entries >= LEAST_ENTRIES) {
-      this.#isWorth = this.#savedMs >= this.#entries * ENTRY_COST_MS;
+    const costMs = this.#entries * ENTRY_COST_MS;
+    if (this.#isWorth) {
+      const isKnown = this.#entries >= LEAST_ENTRIES;
+      if (isKnown && this.#savedMs < HELD_BACK_SHARE * costMs) this.#isWorth = false;
+    } else if (this.#entries >= LEAST_PROBED_ENTRIES && this.#savedMs >= costMs) {
+      this.#isWorth = true;
     }
     this.#entries *= KEPT_SHARE;
     this.#savedMs *= KEPT_SHARE;
