Revert judging what cache news is worth

A daemon alone has too few requests for large parts to judge by. News stays bounded in bytes and asked for each second.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -36,7 +36,6 @@
   type RequestExplanation,
 } from './explain-request.js';
 export { ForecastScale } from './forecast-scale.js';
-export { NewsWorth } from './news-worth.js';
 export {
   type EngineWork,
   type LoadReport,
--- a/src/core/gateway/prefix-knowledge.ts
+++ b/src/core/gateway/prefix-knowledge.ts
@@ -20,8 +20,6 @@
   readonly expiresAtMs: number;
   /** From then on another engine can take it. */
   readonly readyAtMs: number;
-  /** Whether another daemon passed it on from the engine's news. */
-  readonly isPassedOn: boolean;
 }
 
 /** A part that an engine was asked to read. */
@@ -42,7 +40,6 @@
       tokens,
       expiresAtMs: Number.POSITIVE_INFINITY,
       readyAtMs: 0,
-      isPassedOn: false,
     });
   }
 
@@ -52,7 +49,6 @@
       tokens,
       expiresAtMs: nowMs + PASSED_ON_TTL_MS,
       readyAtMs: 0,
-      isPassedOn: true,
     });
   }
 
@@ -71,7 +67,6 @@
         tokens: part.tokens,
         expiresAtMs: nowMs + UNCONFIRMED_TTL_MS,
         readyAtMs: 0,
-        isPassedOn: false,
       });
     }
   }
@@ -83,12 +78,7 @@
     if (isKnown && known.tokens >= part.tokens) return;
     const readyAtMs = nowMs + readyInMs;
     const expiresAtMs = readyAtMs + EXPECTED_TTL_MS;
-    this.#store(engineId, part.id, {
-      tokens: part.tokens,
-      expiresAtMs,
-      readyAtMs,
-      isPassedOn: false,
-    });
+    this.#store(engineId, part.id, { tokens: part.tokens, expiresAtMs, readyAtMs });
   }
 
   /** Forgets an engine, or all that was known of its cache. */
@@ -101,13 +91,6 @@
     return this.#tokens(engineId, parts, (part) => part.expiresAtMs >= nowMs);
   }
 
-  /** Of the tokens that the engine need not read, those that are known from news that was passed on. */
-  passedOnTokens(engineId: string, parts: readonly PromptPart[], nowMs: number): number {
-    const all = this.keptTokens(engineId, parts, nowMs);
-    const isKnownOtherwise = (part: KeptPart) => part.expiresAtMs >= nowMs && !part.isPassedOn;
-    return all - this.#tokens(engineId, parts, isKnownOtherwise);
-  }
-
   /** Tokens of the prompt's beginning that another engine can take from there now. */
   movableTokens(engineId: string, parts: readonly PromptPart[], nowMs: number): number {
     const isThere = (part: KeptPart) => part.expiresAtMs >= nowMs && part.readyAtMs <= nowMs;
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -189,12 +189,6 @@
     message: 'an engine gives cache news again',
     remedy: 'Nothing to do.',
   },
-  newsJudged: {
-    number: 6055,
-    level: 'info',
-    message: 'cache news of others is judged otherwise: worth its time, or not',
-    remedy: 'Nothing to do; where it is not worth it, it is asked for and passed on less often.',
-  },
   roleInFleet: {
     number: 6052,
     level: 'info',
--- a/src/shell/gateway/cache-news-watcher.ts
+++ b/src/shell/gateway/cache-news-watcher.ts
@@ -18,8 +18,6 @@
 const CONNECT_TIMEOUT_MS = 500;
 /** News that comes closer together is taken in one call, as often as it is passed on. */
 const PAUSE_MS = 1_000;
-/** Where news is not worth its time it is asked for so much less often; it still tells what an engine gave up. */
-const UNWORTHY_PAUSES = 5;
 const FIRST_RETRY_MS = 500;
 const LONGEST_RETRY_MS = 8_000;
 /** An engine that takes no more calls is asked again this late; each refusal costs it time. */
@@ -177,11 +175,7 @@
     this.#next = news.nextNumber;
     for (const event of news.events) knowledge.confirm(engineId, event.partId, event.tokens);
     if (isReset || events.length > 0) duty.passOn(this.#engine, { engineId, isReset, events });
-    if (news.events.length > 0) await delay(timers, this.#pauseMs, this.#stopped);
-  }
-
-  get #pauseMs(): number {
-    return this.#context.fleet.newsWorth.isWorth ? PAUSE_MS : PAUSE_MS * UNWORTHY_PAUSES;
+    if (news.events.length > 0) await delay(timers, PAUSE_MS, this.#stopped);
   }
 
   #noteFailure(reason: string): void {
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -10,7 +10,6 @@
   ForecastScale,
   type GatewayConfiguration,
   type LoadReport,
-  NewsWorth,
   PeerLoads,
   PrefixKnowledge,
   type ReachNotice,
@@ -52,7 +51,6 @@
   readonly knowledge = new PrefixKnowledge();
   readonly peerLoads = new PeerLoads();
   readonly stageNotices = new StageNotices();
-  readonly newsWorth = new NewsWorth();
   readonly #budgetOptions: RetryBudgetOptions;
   readonly #health = new Map<string, ServerHealth>();
   readonly #loads = new Map<string, EngineLoad>();
@@ -166,16 +164,14 @@
     return work;
   }
 
-  /** Takes an engine's cache news that another daemon passed on. @returns whether news is judged otherwise now */
-  takeNews(news: EngineNews, nowMs: number): boolean {
+  /** Takes an engine's cache news that another daemon passed on. */
+  takeNews(news: EngineNews, nowMs: number): void {
     const { engineId, isReset, events } = news;
-    if (this.directory.get(engineId) === undefined) return false;
-    const isJudgedAnew = this.newsWorth.noteEntries(events.length, nowMs);
+    if (this.directory.get(engineId) === undefined) return;
     if (isReset) this.knowledge.forget(engineId);
     for (const { partId, tokens } of events) {
       this.knowledge.confirmFromPeer(engineId, partId, tokens, nowMs);
     }
-    return isJudgedAnew;
   }
 
   speedOf(service: string): ReadSpeed {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -16,7 +16,6 @@
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { PeerExchange } from './peer-exchange.js';
-import type { EngineNews } from './peer-messages.js';
 import type { PlatformAdapter } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { RosterNewsDuty } from './roster-news-duty.js';
@@ -261,7 +260,7 @@
       relayPeersChecksum: () => this.#word.peersChecksum,
       takeStage: (notice) => this.#fleet.stageNotices.take(notice, timers.nowMs()),
       takeUsage: (message, reply) => this.#duties.takeUsage(message, reply),
-      takeNews: (news) => this.#takeNews(news),
+      takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       timers,
       ownWork: () => this.#fleet.ownWork(timers.nowMs()),
@@ -282,13 +281,6 @@
     log.write(isDark ? GATEWAY_EVENTS.serverDark : GATEWAY_EVENTS.serverReached, { server, by });
   }
 
-  /** Cache news that another daemon passed on; a change of belief in its worth is a line in the log. */
-  #takeNews(news: EngineNews): void {
-    const { timers, log } = this.#options;
-    if (!this.#fleet.takeNews(news, timers.nowMs())) return;
-    log.write(GATEWAY_EVENTS.newsJudged, { isWorth: this.#fleet.newsWorth.isWorth });
-  }
-
   #longestRetryMs(): number {
     const isFollower = this.#roster.isLarge && !this.#isRelay;
     const { contactMs } = this.#options.settings.bounds;
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -54,7 +54,6 @@
     if (plan === undefined) return undefined;
     this.#logPlan(plan);
     this.#noteDemand(plan);
-    this.#noteNewsUsed(plan);
     return plan;
   }
 
@@ -159,16 +158,6 @@
     });
   }
 
-  /** What news passed on by others saves: tokens that the engine, or the one it takes them from, is told to keep. */
-  #noteNewsUsed(plan: EnginePlan): void {
-    const { knowledge, newsWorth } = this.#context.fleet;
-    const { promptParts } = this.#exchange.options.description;
-    const step = plan.kind === 'direct' ? plan : plan.prefill;
-    const source = step.fetchFrom ?? step.server;
-    const tokens = knowledge.passedOnTokens(source.id, promptParts, this.#nowMs());
-    if (tokens > 0) newsWorth.noteSaved(this.#speed.prefillBusyMs(tokens));
-  }
-
   /** The work that a request asks for, whichever way it goes. */
   #noteDemand(plan: EnginePlan): void {
     if (this.#isDemandNoted) return;
--- a/src/shell/gateway/roster-news-duty.ts
+++ b/src/shell/gateway/roster-news-duty.ts
@@ -37,8 +37,7 @@
   }
 
   passOn(engine: ServerRecord, news: EngineNews): void {
-    const { roster, peers, timers, fleet } = this.#options;
-    if (!fleet.newsWorth.mayPassOn()) return;
+    const { roster, peers, timers } = this.#options;
     const told = roster.toldOfNews(engine.id, this.#maxNewsCalls(engine), timers.nowMs());
     peers?.passOn(news, told);
   }
