Begin a life with no repeat, and with no part of the slack until the list of daemons is read

Cause: a budget's first level (a quarter of a share) was a grant that no request had earned, and a life that had not read the list took its share as one of twelve daemons. n lives that begin together had n / 60 of the slack at once and could save up n / 15 of it. Change: a life begins with nothing, and saves up one repeat, or what one request earns, until it knows how many share the slack. The fixture of the gateway's tests lets a request earn the repeats that tests want; the test that many fresh daemons stay under the slack now also fills each budget first, which is stricter.

--- a/src/core/gateway/retry-budget.ts
+++ b/src/core/gateway/retry-budget.ts
@@ -4,10 +4,10 @@
  *
  * Each request earns a part of a repeat, each repeat takes a whole one, and what is saved up is capped
  * at this daemon's share of the slack. Whatever the window, a daemon's repeats in it are at most what
- * its requests in it earned and what it had saved before. So the sum over daemons stays under
- * `ratio` x requests + slack for every sliding window, also when daemons die or are cut off in it. Each
- * life that begins in it adds a quarter of a cap; in a fleet with more daemons than slack, where a cap is
- * one whole repeat, the bound rests on daemons not spending all that they saved at once.
+ * its requests in it earned and what it had saved before. A life begins with nothing, so that no number of
+ * lives adds to that. The sum over daemons stays under `ratio` x requests + slack for every sliding window,
+ * also when daemons die, start or are cut off in it. Where the slack is less than two repeats a daemon, the
+ * bound rests on daemons not spending all that they saved at once: each may save up a whole one.
  */
 
 /** The slack is parted so even where fewer daemons are known. */
@@ -16,8 +16,6 @@
 const SHARES_OF_DAEMON = 1.5;
 /** Kept back for requests that were sent before a window and arrive in it. */
 const SAVED_SHARE = 0.8;
-/** A new life begins with this part of the cap, as many may begin in one window. */
-const FIRST_LEVEL_SHARE = 0.25;
 
 /** What the budget is built from. */
 export interface RetryBudgetOptions {
@@ -41,16 +39,17 @@
 export class RetryBudget {
   readonly #options: RetryBudgetOptions;
   #share: number;
-  #level: number;
+  /** A life that began with more than its requests earned would break the bound when many begin at once. */
+  #level = 0;
   #requests = 0;
   #taken = 0;
   #givenBack = 0;
   #denied = 0;
 
-  constructor(options: RetryBudgetOptions, daemons = 1) {
+  /** @param daemons undefined while it is not known how many share the slack: this one then has no part of it */
+  constructor(options: RetryBudgetOptions, daemons: number | undefined) {
     this.#options = options;
-    this.#share = shareOf(options, daemons);
-    this.#level = this.#share * FIRST_LEVEL_SHARE;
+    this.#share = daemons === undefined ? 0 : shareOf(options, daemons);
   }
 
   /** Repeats that could be made now. */
@@ -104,9 +103,10 @@
     this.#level = Math.min(this.#cap, this.#level + repeats);
   }
 
-  /** A whole repeat can always be saved up from requests, however small the share of the slack. */
+  /** A whole repeat, and what one request earns, can always be saved up, however small the share of the slack. */
   get #cap(): number {
-    return this.#options.ratio > 0 ? Math.max(1, this.#share) : this.#share;
+    const { ratio } = this.#options;
+    return ratio > 0 ? Math.max(1, ratio, this.#share) : this.#share;
   }
 }
 
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -236,7 +236,7 @@
 
   budgetOf(service: string): RetryBudget {
     return entryOf(this.#budgets, service, () => {
-      const budget = new RetryBudget(this.#budgetOptions, this.#daemonCount ?? 1);
+      const budget = new RetryBudget(this.#budgetOptions, this.#daemonCount);
       this.#noteBudgetBegun(service, budget);
       return budget;
     });
--- a/test/gateway/retry-budget-reporter.test.ts
+++ b/test/gateway/retry-budget-reporter.test.ts
@@ -28,6 +28,7 @@
 
 test('repeats are reported each second, as they came since the last report', () => {
   const { timers, fleet, reporter, fieldsOf } = setUp();
+  fleet.setDaemonCount(1);
   reporter.start();
   const budget = fleet.budgetOf('m');
   for (let request = 0; request < 10; request += 1) budget.countRequest();
--- a/test/gateway/retry-budget.test.ts
+++ b/test/gateway/retry-budget.test.ts
@@ -95,7 +95,7 @@
 });
 
 test('a quiet window after a busy one is not given what the busy one asked for', () => {
-  const budget = new RetryBudget({ ratio: RATIO, slack: 12 });
+  const budget = new RetryBudget({ ratio: RATIO, slack: 12 }, 1);
   for (let request = 0; request < 1_000; request += 1) budget.countRequest();
   let repeats = 0;
   while (budget.tryTake()) repeats += 1;
@@ -103,15 +103,27 @@
   assert.ok(repeats >= 1);
 });
 
-test('however many daemons there are, their shares of the slack stay under the whole', () => {
+test('a life begins with no repeat, whatever it knows of the fleet', () => {
+  for (const daemons of [undefined, 1, 7, 59, 340]) {
+    const budget = new RetryBudget({ ratio: RATIO, slack: SLACK }, daemons);
+    assert.equal(budget.tryTake(), false, `one of ${daemons} daemons`);
+    budget.setDaemonCount(daemons ?? 1);
+    assert.equal(budget.tryTake(), false, `one of ${daemons} daemons, after the list was read`);
+  }
+});
+
+test('however many daemons there are, what they have saved stays under the slack', () => {
   for (const daemons of [1, 7, 12, 13, 40, 88, 340]) {
-    let taken = 0;
-    for (let daemon = 0; daemon < daemons; daemon += 1) {
-      const budget = new RetryBudget({ ratio: RATIO, slack: SLACK });
-      budget.setDaemonCount(daemons);
-      while (budget.tryTake()) taken += 1;
+    const slack = Math.max(SLACK, 2 * daemons);
+    for (const isKnown of [true, false]) {
+      let taken = 0;
+      for (let daemon = 0; daemon < daemons; daemon += 1) {
+        const budget = new RetryBudget({ ratio: RATIO, slack }, isKnown ? daemons : undefined);
+        for (let request = 0; request < 1_000; request += 1) budget.countRequest();
+        while (budget.tryTake()) taken += 1;
+      }
+      assert.ok(taken <= slack, `${taken} repeats by ${daemons} daemons`);
     }
-    assert.ok(taken <= SLACK, `${taken} repeats by ${daemons} daemons`);
   }
 });
 
@@ -123,13 +135,13 @@
 });
 
 test('without a ratio or a slack no repeat is made', () => {
-  const budget = new RetryBudget({ ratio: 0, slack: 0 });
+  const budget = new RetryBudget({ ratio: 0, slack: 0 }, 1);
   for (let request = 0; request < 100; request += 1) budget.countRequest();
   assert.equal(budget.tryTake(), false);
 });
 
 test('the first reading that a server takes up is no arrival; any other reading is', () => {
-  const budget = new RetryBudget({ ratio: 0, slack: 0 });
+  const budget = new RetryBudget({ ratio: 0, slack: 0 }, 1);
   const meter = new SendMeter();
   const reading = meter.tryBegin('prefill', budget);
   assert.ok(reading !== undefined);
@@ -141,7 +153,7 @@
 });
 
 test('a reading that is turned away counts, also after another send', () => {
-  const budget = new RetryBudget({ ratio: 1, slack: 0 });
+  const budget = new RetryBudget({ ratio: 1, slack: 0 }, 1);
   const meter = new SendMeter();
   const first = meter.tryBegin('run', budget);
   assert.ok(first !== undefined);
@@ -155,7 +167,7 @@
 });
 
 test('a repeat that never reached a server is given back', () => {
-  const budget = new RetryBudget({ ratio: 1, slack: 0 });
+  const budget = new RetryBudget({ ratio: 1, slack: 0 }, 1);
   budget.countRequest();
   const meter = new SendMeter();
   assert.ok(meter.tryBegin('run', budget) !== undefined);
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -100,11 +100,11 @@
 
   /**
    * @param timers real time unless a test moves it itself
-   * @param retryBudget what all daemons together may send again
+   * @param retryBudget what all daemons together may send again; each request earns all repeats that a test wants
    */
   async start(
     timers: TimerService = SYSTEM_TIMERS,
-    retryBudget = { ratio: 0.2, slack: 240 },
+    retryBudget = { ratio: 4, slack: 240 },
   ): Promise<void> {
     const store = await this.store.start();
     const settings: GatewaySettings = {
