Share the limits of the fleet among the most daemons known, once a second list confirms the first

Cause: shares of the retry budget came from the last list of daemons; daemons that were taken off the list may only be cut off, and the first list of a life lacks daemons that start at the same moment. Ruled out: sharing by what is heard of others, as daemons that are cut off are not heard either. Change: FleetSize counts on the largest list of a life, from the second list on that is no longer; the list that the zone's relay has too counts as read again, so that this costs no call to the store. The price: a fleet that shrinks keeps smaller savings until its daemons start again; each may always save one.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -35,6 +35,7 @@
   mayExplain,
   type RequestExplanation,
 } from './explain-request.js';
+export { FleetSize } from './fleet-size.js';
 export { ForecastScale } from './forecast-scale.js';
 export {
   type EngineWork,
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -7,6 +7,7 @@
   type DirectoryChange,
   EngineLoad,
   type EngineWork,
+  FleetSize,
   ForecastScale,
   type GatewayConfiguration,
   type LoadReport,
@@ -60,7 +61,7 @@
   readonly #budgets = new Map<string, RetryBudget>();
   #inForce: ConfigurationInForce | undefined;
   readonly #noteBudgetBegun: (service: string, budget: RetryBudget) => void;
-  #daemonCount: number | undefined;
+  readonly #size = new FleetSize();
 
   /**
    * @param budgetOptions the bound on repeats that all daemons share
@@ -227,7 +228,7 @@
   /** The demand that all daemons see; while none is heard, as if all saw as much as this one. */
   #demandOfAll(service: string, nowMs: number): DemandSums {
     const own = this.demandOf(service).sums(nowMs);
-    if (!this.peerLoads.hasHeard(nowMs)) return scaled(own, this.#daemonCount ?? 1);
+    if (!this.peerLoads.hasHeard(nowMs)) return scaled(own, this.#size.listed ?? 1);
     const total = this.peerLoads
       .totalDemand(this.ownDemand(nowMs), nowMs)
       .find((demand) => demand.service === service);
@@ -236,7 +237,7 @@
 
   budgetOf(service: string): RetryBudget {
     return entryOf(this.#budgets, service, () => {
-      const budget = new RetryBudget(this.#budgetOptions, this.#daemonCount);
+      const budget = new RetryBudget(this.#budgetOptions, this.#size.sharers);
       this.#noteBudgetBegun(service, budget);
       return budget;
     });
@@ -247,15 +248,17 @@
     return this.#budgets;
   }
 
-  /** How many daemons there are, this one counted; undefined until their list was read. */
-  get daemonCount(): number | undefined {
-    return this.#daemonCount;
+  /** How many daemons there are, as far as their lists say. */
+  get size(): Pick<FleetSize, 'listed' | 'sharers'> {
+    return this.#size;
   }
 
-  /** How many daemons share the retry budget. */
+  /** How many daemons a list holds that was read, or that the zone's relay has as well. */
   setDaemonCount(daemons: number): void {
-    this.#daemonCount = daemons;
-    for (const budget of this.#budgets.values()) budget.setDaemonCount(daemons);
+    this.#size.take(daemons);
+    const { sharers } = this.#size;
+    if (sharers === undefined) return;
+    for (const budget of this.#budgets.values()) budget.setDaemonCount(sharers);
   }
 }
 
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -279,7 +279,7 @@
   }
 
   #noteDaemonCount(daemons: number): void {
-    const before = this.#fleet.daemonCount;
+    const before = this.#fleet.size.listed;
     this.#fleet.setDaemonCount(daemons);
     this.#retryBudgets.noteDaemonCount(before, daemons);
   }
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -38,7 +38,7 @@
   readonly roster: PeerRoster;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
-  /** Told how many daemons there are, this one counted. */
+  /** Told how many daemons a list holds, this one counted, when it was read or is the relay's too. */
   readonly noteDaemonCount: (daemons: number) => void;
   /** The checksum of the zone's relay's list; undefined while its word is not fresh. */
   readonly relayPeersChecksum: () => number | undefined;
@@ -62,6 +62,7 @@
     while (!this.#stopped.signal.aborted) {
       if (!this.#isAnnounced) await this.#announce(port);
       if (this.#isScanDue()) await this.#refresh();
+      else this.#noteSameList();
       await delay(timers, LOOK_GAP_MS, this.#stopped.signal);
     }
   }
@@ -78,6 +79,13 @@
     return timers.nowMs() >= this.#nextScanMs;
   }
 
+  /** A list that the zone's relay has as well is as good as read again. */
+  #noteSameList(): void {
+    const { relayPeersChecksum, roster, noteDaemonCount } = this.#options;
+    const isSame = roster.hasList && relayPeersChecksum() === roster.checksum;
+    if (isSame) noteDaemonCount(roster.daemonCount);
+  }
+
   async #refresh(): Promise<void> {
     const { timers } = this.#options;
     await this.#scan();
--- a/src/shell/gateway/retry-budget-reporter.ts
+++ b/src/shell/gateway/retry-budget-reporter.ts
@@ -58,9 +58,9 @@
     const { fleet, log } = this.#options;
     log.write(GATEWAY_EVENTS.retryBudgetBegun, {
       service,
-      daemons: fleet.daemonCount ?? 0,
+      daemons: fleet.size.sharers ?? 0,
       sinceStartMs: this.#sinceStartMs,
-      level: rounded(budget.level),
+      saved: rounded(budget.level),
       cap: rounded(budget.cap),
     });
   }
@@ -96,9 +96,9 @@
     log.write(GATEWAY_EVENTS.retryBudgetUsed, {
       service,
       spanMs: Math.round(nowMs - last.atMs),
-      daemons: fleet.daemonCount ?? 0,
+      daemons: fleet.size.sharers ?? 0,
       ...difference(now, last.counts),
-      level: rounded(budget.level),
+      saved: rounded(budget.level),
       cap: rounded(budget.cap),
     });
   }
