Take no part that needs the whole fleet before the list of daemons is read

Each of many that start together then had the first turn for reporting usage, from its own counts only, and could order engines by its own demand taken for that of all. Found and left: cache news (a daemon without a list waits four seconds, then asks all engines; engines bound that), calls to the store (retried twice a second by each), both without a promise that rests on them. Change: its place among the others is the last, and it orders no engine, until it has a list. Test: peer-roster.test.ts (failed before: place 0).

--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -98,6 +98,14 @@
     return Math.max(LEAST_HEARTBEAT_MS, this.#known.size * HEARTBEAT_MS_FOR_PEER);
   }
 
+  /**
+   * Whether this daemon knows what all daemons are asked for: in a large fleet only the relays do, and without a list
+   * each would take its own part for the whole.
+   */
+  knowsDemandOfAll(isRelay: boolean): boolean {
+    return this.#hasList && (!this.isLarge || isRelay);
+  }
+
   /** Takes the whole list; a daemon that is new to it counts as just heard. */
   replace(peers: readonly PeerDaemon[], nowMs: number): void {
     this.#hasList = true;
@@ -152,8 +160,12 @@
     this.#silentRelays.delete(name);
   }
 
-  /** The place of this daemon among all that are listed for a key, from 0. */
+  /**
+   * The place of this daemon among all that are listed for a key, from 0; after all others while it has no list, as
+   * all that have just started would have the first place.
+   */
   placeFor(key: string): number {
+    if (!this.#hasList) return Number.MAX_SAFE_INTEGER;
     const names = [...this.#known.keys(), this.#self.name];
     return rankByRendezvous(key, names).indexOf(this.#self.name);
   }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -228,9 +228,9 @@
     return port;
   }
 
-  /** In a large fleet only the relays know what all daemons are asked for. */
+  /** A daemon that has no address for peers is taken to be alone. */
   get #knowsDemand(): boolean {
-    return !this.#roster.isLarge || this.#isRelay;
+    return this.#peers === undefined || this.#roster.knowsDemandOfAll(this.#isRelay);
   }
 
   #createDuties(incarnation: number): Duties {
@@ -242,7 +242,7 @@
       fleet: this.#fleet,
       roster: this.#roster,
       peers: () => this.#peers,
-      mayOrderCapacity: () => this.#roster.hasList && this.#knowsDemand,
+      mayOrderCapacity: () => this.#roster.knowsDemandOfAll(this.#isRelay),
       timers,
       log,
     });
--- a/test/gateway/peer-roster.test.ts
+++ b/test/gateway/peer-roster.test.ts
@@ -123,3 +123,12 @@
   assert.deepEqual(told(2_000), [another.name]);
   assert.deepEqual(told(9_000), ranked);
 });
+
+test('a daemon that has read no list of daemons takes no part that the whole fleet is needed for', () => {
+  const roster = new PeerRoster({ name: 'new', zone: 'a' });
+  assert.equal(roster.knowsDemandOfAll(false), false, 'its own part is not the whole');
+  assert.ok(roster.placeFor('usage') > 340, 'it would be first, as all that start with it');
+  roster.replace([], 0);
+  assert.equal(roster.knowsDemandOfAll(false), true, 'it is alone');
+  assert.equal(roster.placeFor('usage'), 0);
+});
