--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -10,7 +10,7 @@
       comment: 'The core decides; it imports nothing that surrounds it and no platform module.',
       severity: 'error',
       from: { path: '^src/core/' },
-      to: { path: '^(src/(shell|daemon|cli|lab)|scripts|test|bench|fuzz|report)/' },
+      to: { path: '^(src/(shell|daemon|cli|lab)|scripts|test|bench|fuzz|report|soak)/' },
     },
     {
       name: 'core-has-no-input-or-output',
@@ -35,7 +35,7 @@
       name: 'lab-is-not-product',
       severity: 'error',
       from: { path: PRODUCT },
-      to: { path: '^(src/lab|test|bench|fuzz|report|scripts)/' },
+      to: { path: '^(src/lab|test|bench|fuzz|report|scripts|soak)/' },
     },
     {
       name: 'adapter-is-composed-in-one-place',
@@ -61,7 +61,7 @@
     {
       name: 'no-cycles',
       severity: 'error',
-      from: { path: '^(src|platform|scripts|test|bench|fuzz|report)/' },
+      from: { path: '^(src|platform|scripts|test|bench|fuzz|report|soak)/' },
       to: { circular: true },
     },
     {
--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,256 @@
+/**
+ * The callers of a run: an open stream of requests over kept connections, which are used until the process
+ * behind them is gone; new connections go to daemons that say they are ready.
+ */
+import http, { type IncomingMessage } from 'node:http';
+import type { GatewayProcess } from './gateway-process.js';
+import type { CallEnd, CallRecord, RequestClass } from './record.js';
+
+export const HOST = 'soak.example';
+const TICK_MS = 5;
+const READINESS_GAP_MS = 100;
+/** A caller whose daemon took no connection tries another so soon, until its deadline. */
+const RECONNECT_GAP_MS = 100;
+/** A refused caller without a usable `Retry-After` comes back after this. */
+const RETRY_AFTER_MS = 200;
+const CONNECT_TIMEOUT_MS = 1_000;
+const LEAVE_AFTER_MS = 40;
+const BODY = 'what does this label say?';
+const PROMPT_TOKENS = 380;
+const SHARED_PARTS = 20;
+const DEADLINE_MS = 3_000;
+
+/** What callers are built from. */
+export interface CallersOptions {
+  readonly daemons: readonly GatewayProcess[];
+  readonly classes: readonly RequestClass[];
+  readonly requestsPerSecond: number;
+  /** Keys that callers have, with their tenants; some may be unknown to the fleet by now. */
+  readonly keys: readonly { readonly key: string; readonly tenant: string }[];
+  readonly random: () => number;
+  readonly calls: Map<string, CallRecord>;
+}
+
+/** What a caller wants, over all its calls for it. */
+interface Wish
+  extends Pick<CallRecord, 'requestClass' | 'apiKey' | 'tenant' | 'outputTokens' | 'deadlineMs'> {
+  readonly isRetry: boolean;
+}
+
+/** All callers. */
+export class Callers {
+  readonly #options: CallersOptions;
+  readonly #agents = new Map<string, http.Agent>();
+  #ready: readonly GatewayProcess[] = [];
+  #tick: NodeJS.Timeout | undefined;
+  #look: NodeJS.Timeout | undefined;
+  #lastMs = 0;
+  #owed = 0;
+  #sent = 0;
+  #isSending = false;
+  /** Times as many requests as usual. */
+  factor = 1;
+  /** Part of the callers that leave early. */
+  leavingShare = 0;
+
+  constructor(options: CallersOptions) {
+    this.#options = options;
+    for (const { name } of options.daemons) {
+      this.#agents.set(name, new http.Agent({ keepAlive: true, maxFreeSockets: 32 }));
+    }
+  }
+
+  start(): void {
+    this.#isSending = true;
+    this.#lastMs = performance.now();
+    this.#tick = setInterval(() => this.#sendDue(), TICK_MS);
+    const look = async () => {
+      const { daemons } = this.#options;
+      const ready = await Promise.all(daemons.map((daemon) => daemon.isReady()));
+      this.#ready = daemons.filter((_, index) => ready[index]);
+      this.#look = setTimeout(() => void look(), READINESS_GAP_MS);
+    };
+    void look();
+  }
+
+  stopSending(): void {
+    this.#isSending = false;
+    clearInterval(this.#tick);
+    clearTimeout(this.#look);
+  }
+
+  close(): void {
+    this.stopSending();
+    for (const agent of this.#agents.values()) agent.destroy();
+  }
+
+  #sendDue(): void {
+    const nowMs = performance.now();
+    const { requestsPerSecond } = this.#options;
+    this.#owed += ((nowMs - this.#lastMs) / 1_000) * requestsPerSecond * this.factor;
+    this.#lastMs = nowMs;
+    for (; this.#owed >= 1; this.#owed -= 1) this.#sendOne();
+  }
+
+  #sendOne(): void {
+    const { random, classes, keys } = this.#options;
+    const owner = keys[Math.floor(random() * keys.length)] ?? { key: '', tenant: '' };
+    this.#send({
+      requestClass: pickByShare(classes, random()),
+      apiKey: owner.key,
+      tenant: owner.tenant,
+      outputTokens: 2 + Math.floor(random() * 20),
+      deadlineMs: performance.now() + DEADLINE_MS,
+      isRetry: false,
+    });
+  }
+
+  #send(wish: Wish): void {
+    const daemon = this.#chooseDaemon();
+    if (daemon === undefined) return;
+    this.#sent += 1;
+    const { isRetry: _, ...fields } = wish;
+    const call: CallRecord = {
+      ...fields,
+      id: `r${this.#sent}`,
+      daemon: daemon.name,
+      life: daemon.life,
+      body: BODY,
+      sentMs: performance.now(),
+      endedMs: undefined,
+      end: undefined,
+      arrivals: [],
+    };
+    this.#options.calls.set(call.id, call);
+    const leavesEarly = this.#options.random() < this.leavingShare;
+    const noteEnd = (end: CallEnd) => this.#retry(wish, end);
+    sendCall({ call, daemon, agent: this.#agents.get(daemon.name), leavesEarly, noteEnd });
+  }
+
+  /** A caller comes back once after a refusal, and until its deadline when nothing took its connection. */
+  #retry(wish: Wish, end: CallEnd): void {
+    const afterMs = retryAfterMs(wish, end);
+    if (afterMs === undefined || performance.now() + afterMs > wish.deadlineMs) return;
+    const isRetry = wish.isRetry || end.kind === 'answered';
+    setTimeout(() => {
+      if (this.#isSending) this.#send({ ...wish, isRetry });
+    }, afterMs);
+  }
+
+  /** Any that has an open connection, or else one that is ready. */
+  #chooseDaemon(): GatewayProcess | undefined {
+    const { daemons, random } = this.#options;
+    const any = daemons[Math.floor(random() * daemons.length)];
+    if (any?.isRunning && this.#hasOpenConnection(any)) return any;
+    return this.#ready[Math.floor(random() * this.#ready.length)] ?? any;
+  }
+
+  #hasOpenConnection({ name }: GatewayProcess): boolean {
+    return Object.values(this.#agents.get(name)?.freeSockets ?? {}).some((free) => free?.length);
+  }
+}
+
+function pickByShare(classes: readonly RequestClass[], draw: number): RequestClass {
+  let rest = draw;
+  for (const requestClass of classes) {
+    rest -= requestClass.share;
+    if (rest < 0) return requestClass;
+  }
+  const last = classes.at(-1);
+  if (last === undefined) throw new Error('a run needs a class of requests');
+  return last;
+}
+
+/** After how long a caller comes back; undefined where it does not. */
+function retryAfterMs(wish: Wish, end: CallEnd): number | undefined {
+  if (end.kind === 'not-connected') return RECONNECT_GAP_MS;
+  if (end.kind !== 'answered' || end.status !== 503 || wish.isRetry) return undefined;
+  return end.retryAfterMs ?? RETRY_AFTER_MS;
+}
+
+interface Sending {
+  readonly call: CallRecord;
+  readonly daemon: GatewayProcess;
+  readonly agent: http.Agent | undefined;
+  readonly leavesEarly: boolean;
+  readonly noteEnd: (end: CallEnd) => void;
+}
+
+function sendCall({ call, daemon, agent, leavesEarly, noteEnd }: Sending): void {
+  const request = http.request({
+    host: daemon.host,
+    port: daemon.port,
+    method: 'POST',
+    path: `${call.requestClass.pathPrefix}x`,
+    ...(agent === undefined ? {} : { agent }),
+    headers: headersOf(call),
+  });
+  let isConnected = false;
+  let hasHead = false;
+  let reason = 'closed';
+  const end = (how: CallEnd) => {
+    if (call.end !== undefined) return;
+    call.end = how;
+    call.endedMs = performance.now();
+    clearTimeout(deadline);
+    clearTimeout(connecting);
+    noteEnd(how);
+  };
+  const leave = (isEarly: boolean) => {
+    end({ kind: 'left', isEarly });
+    request.destroy();
+  };
+  const deadline = setTimeout(
+    () => leave(leavesEarly),
+    leavesEarly ? LEAVE_AFTER_MS : call.deadlineMs - call.sentMs,
+  );
+  const connecting = setTimeout(() => {
+    if (!isConnected) request.destroy(new Error('no connection in time'));
+  }, CONNECT_TIMEOUT_MS);
+  request.on('socket', (socket) => {
+    if (!socket.connecting) isConnected = true;
+    else socket.once('connect', () => (isConnected = true));
+  });
+  request.on('response', (message) => {
+    hasHead = true;
+    collect(message, end);
+  });
+  request.on('error', (error) => (reason = error.message));
+  request.on('close', () => {
+    if (hasHead) return;
+    end(isConnected ? { kind: 'closed', reason } : { kind: 'not-connected' });
+  });
+  request.end(call.body);
+}
+
+function headersOf(call: CallRecord): http.OutgoingHttpHeaders {
+  const shared = Number(call.id.slice(1)) % SHARED_PARTS;
+  return {
+    Host: HOST,
+    'X-Attempt-Id': call.id,
+    'X-Deadline-Ms': String(Math.round(call.deadlineMs - call.sentMs)),
+    'X-Token-Count': `${PROMPT_TOKENS},${call.outputTokens}`,
+    'X-Prompt-Prefix': `shared${shared}:92,own${call.id}:288`,
+    'Api-Key': call.apiKey,
+    'X-Tenant': 'forged',
+    'Content-Length': String(Buffer.byteLength(call.body)),
+  };
+}
+
+function collect(message: IncomingMessage, end: (how: CallEnd) => void): void {
+  const chunks: Buffer[] = [];
+  const stamp = message.headers['x-response-stamp'];
+  const seconds = Number(message.headers['retry-after']);
+  message.on('data', (chunk: Buffer) => chunks.push(chunk));
+  message.on('error', () => undefined);
+  message.on('close', () =>
+    end({
+      kind: 'answered',
+      status: message.statusCode ?? 0,
+      stamp: typeof stamp === 'string' ? stamp : undefined,
+      body: Buffer.concat(chunks).toString('utf8'),
+      isWhole: message.complete,
+      retryAfterMs: Number.isFinite(seconds) ? seconds * 1_000 : undefined,
+    }),
+  );
+}
--- /dev/null
+++ b/soak/gateway-process.ts
@@ -0,0 +1,127 @@
+/** One daemon of a run: its settings file, its process, and the signals that it gets. */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { createWriteStream, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { SoakBounds } from './record.js';
+
+const CALLERS_PORT = 8_144;
+const READINESS_PORT = 8_140;
+const PEERS_PORT = 7_660;
+/** As on the users' machines. */
+const NODE_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=96'];
+const LEASE_MS = 3_000;
+
+/** What a daemon is built from. */
+export interface GatewayProcessOptions {
+  readonly name: string;
+  readonly zone: string;
+  /** On loopback, another for each daemon. */
+  readonly host: string;
+  readonly storePort: number;
+  readonly program: string;
+  /** Where its settings and its log go. */
+  readonly directory: string;
+  readonly bounds: SoakBounds;
+}
+
+/** A daemon. */
+export class GatewayProcess {
+  readonly #options: GatewayProcessOptions;
+  readonly #settingsPath: string;
+  #process: ChildProcess | undefined;
+  /** Counts its starts. */
+  life = 0;
+  isStopping = false;
+  isFrozen = false;
+
+  constructor(options: GatewayProcessOptions) {
+    this.#options = options;
+    this.#settingsPath = join(options.directory, `${options.name}.yaml`);
+    writeFileSync(this.#settingsPath, settingsText(options));
+  }
+
+  get name(): string {
+    return this.#options.name;
+  }
+
+  get host(): string {
+    return this.#options.host;
+  }
+
+  get port(): number {
+    return CALLERS_PORT;
+  }
+
+  get isRunning(): boolean {
+    return this.#process !== undefined;
+  }
+
+  start(): void {
+    if (this.#process !== undefined) return;
+    const { program, directory, name } = this.#options;
+    const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
+    const child = spawn(process.execPath, [...NODE_FLAGS, program, this.#settingsPath], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    child.once('exit', () => {
+      if (this.#process === child) this.#process = undefined;
+      this.isStopping = false;
+      this.isFrozen = false;
+      log.end();
+    });
+    this.#process = child;
+    this.life += 1;
+  }
+
+  signal(signal: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+    if (signal === 'SIGTERM') this.isStopping = true;
+    if (signal === 'SIGSTOP') this.isFrozen = true;
+    if (signal === 'SIGCONT') this.isFrozen = false;
+    this.#process?.kill(signal);
+  }
+
+  /** Resolves once the process is gone. */
+  ended(): Promise<void> {
+    const child = this.#process;
+    if (child === undefined) return Promise.resolve();
+    return new Promise((resolve) => child.once('exit', () => resolve()));
+  }
+
+  /** Whether it answers that it is ready. */
+  async isReady(): Promise<boolean> {
+    if (this.#process === undefined || this.isFrozen) return false;
+    try {
+      const answer = await fetch(`http://${this.host}:${READINESS_PORT}/ready`, {
+        signal: AbortSignal.timeout(500),
+      });
+      await answer.arrayBuffer();
+      return answer.ok;
+    } catch {
+      return false; // It does not listen yet, or any more.
+    }
+  }
+}
+
+function settingsText({ name, zone, host, storePort, bounds }: GatewayProcessOptions): string {
+  return [
+    `name: ${name}`,
+    `zone: ${zone}`,
+    'listen:',
+    `  callers: ${host}:${CALLERS_PORT}`,
+    `  readiness: ${host}:${READINESS_PORT}`,
+    `  peers: ${host}:${PEERS_PORT}`,
+    `store: 127.0.0.1:${storePort}`,
+    'bounds:',
+    `  contactMs: ${bounds.contactMs}`,
+    `  stopGraceSeconds: ${bounds.graceMs / 1_000}`,
+    `  leaseMs: ${LEASE_MS}`,
+    'retryBudget:',
+    `  ratio: ${bounds.budgetRatio}`,
+    `  slack: ${bounds.budgetSlack}`,
+    'logging:',
+    '  maxLinesPerSecond: 200',
+    '',
+  ].join('\n');
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,134 @@
+#!/usr/bin/env node
+/** Entry point of the soak: real gateway processes under faults from outside, judged by the fleet's promises. */
+import { Builtins, Cli, Command, Option } from 'clipanion';
+import { MUTATIONS, type Mutation } from './mutations.js';
+import { planHerd, planSoak, type SoakPlan, type SoakSize } from './plan.js';
+import { runSoak, type SoakResult } from './run.js';
+
+const EXIT_BROKEN = 1;
+const EXIT_UNUSABLE = 2;
+const EXIT_INTERRUPTED = 130;
+const REQUESTS_PER_DAEMON = 8;
+
+/** The command line, checked. */
+interface Wishes {
+  readonly firstSeed: number;
+  readonly seeds: number;
+  readonly size: SoakSize;
+  readonly planOf: (seed: number, size: SoakSize) => SoakPlan;
+  readonly mutation: Mutation | undefined;
+}
+
+class SoakCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'Run gateway processes under random faults and judge them by their promises.',
+    details: `
+      The plan of faults comes from the seed and is printed first. Exit code 0: no promise was broken; 1: one was,
+      and the directory with the logs of the daemons is printed.
+    `,
+    examples: [
+      ['A minute of a seed', '$0 --seconds 60 --seed 7'],
+      ['Ten seeds of half a minute', '$0 --seconds 30 --seed 100 --seeds 10'],
+      ['All processes killed together, twice', '$0 --plan herd --daemons 59 --seconds 26 --seed 1'],
+      ['Show that a fault would be found', '$0 --seconds 30 --seed 7 --without budget'],
+    ],
+  });
+
+  seconds = Option.String('--seconds', '30', { description: 'traffic of each run' });
+  seed = Option.String('--seed', '1', { description: 'seed of the first run' });
+  seeds = Option.String('--seeds', '1', { description: 'how many seeds, one after another' });
+  daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
+  rate = Option.String('--rate', { description: 'requests a second of all callers' });
+  plan = Option.String('--plan', 'mixed', { description: 'mixed or herd' });
+  without = Option.String('--without', { description: 'a protection to take away' });
+
+  override async execute(): Promise<number> {
+    const wishes = this.#wishes();
+    let broken = 0;
+    for (let seed = wishes.firstSeed; seed < wishes.firstSeed + wishes.seeds; seed += 1) {
+      const plan = wishes.planOf(seed, wishes.size);
+      for (const { atMs, fault } of plan.faults) {
+        this.context.stdout.write(`# ${seed} ${atMs} ms ${JSON.stringify(fault)}\n`);
+      }
+      const result = await runSoak(plan, wishes.mutation);
+      this.context.stdout.write(reportOf(seed, result));
+      if (result.violations.length > 0) broken += 1;
+    }
+    return broken > 0 ? EXIT_BROKEN : 0;
+  }
+
+  #wishes(): Wishes {
+    const mutation = MUTATIONS.find(({ name }) => name === this.without);
+    if (this.without !== undefined && mutation === undefined) {
+      const names = MUTATIONS.map(({ name }) => name).join(', ');
+      throw new Error(`--without: found ${this.without}; give one of ${names}`);
+    }
+    const planOf = { mixed: planSoak, herd: planHerd }[this.plan];
+    if (planOf === undefined) throw new Error(`--plan: found ${this.plan}; give mixed or herd`);
+    return {
+      firstSeed: wholeNumber('--seed', this.seed),
+      seeds: wholeNumber('--seeds', this.seeds),
+      size: this.#size(),
+      planOf,
+      mutation,
+    };
+  }
+
+  #size(): SoakSize {
+    const daemons = wholeNumber('--daemons', this.daemons);
+    return {
+      seconds: wholeNumber('--seconds', this.seconds),
+      daemons,
+      engines: Math.max(6, Math.round(daemons * 0.7)),
+      webServers: 4,
+      requestsPerSecond:
+        this.rate === undefined ? daemons * REQUESTS_PER_DAEMON : wholeNumber('--rate', this.rate),
+    };
+  }
+}
+
+function wholeNumber(option: string, text: string): number {
+  if (/^\d{1,9}$/.test(text)) return Number(text);
+  throw new Error(`${option}: found ${text}; give a whole number`);
+}
+
+function reportOf(seed: number, result: SoakResult): string {
+  const { violations, calls, served, refused, budgets, directory } = result;
+  const lines = [
+    `seed ${seed}: ${violations.length} broken; ${calls} calls, ${served} served, ${refused} refused`,
+    ...budgets.map(
+      ({ service, repeats, allowed }) =>
+        `  repeats of ${service} in the worst window: ${repeats} of ${Math.floor(allowed)}`,
+    ),
+    ...violations.map(
+      ({ promise, atMs, detail }) => `  BROKEN ${promise} at ${Math.round(atMs)} ms: ${detail}`,
+    ),
+    ...(violations.length > 0 ? [`  logs of the daemons: ${directory}`] : []),
+  ];
+  return `${lines.join('\n')}\n`;
+}
+
+const cli = new Cli({ binaryLabel: 'threadfork soak', binaryName: 'soak' });
+cli.register(SoakCommand);
+cli.register(Builtins.HelpCommand);
+// Runs end their processes when this one exits, however that comes about.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(EXIT_INTERRUPTED));
+}
+process.exit(await runCommand(process.argv.slice(2)));
+
+/** Whatever keeps the soak from running is told in one line. */
+async function runCommand(args: string[]): Promise<number> {
+  try {
+    if (args.some((arg) => arg === '--help' || arg === '-h')) {
+      return await cli.run(args, Cli.defaultContext);
+    }
+    const command = cli.process(args, Cli.defaultContext);
+    return (await command.execute()) ?? 0;
+  } catch (error) {
+    const [line] = String(error instanceof Error ? error.message : error).split('\n');
+    process.stderr.write(`soak: ${line?.replace(/\.+$/, '')}. Try \`npm run soak -- --help\`.\n`);
+    return EXIT_UNUSABLE;
+  }
+}
--- /dev/null
+++ b/soak/model-server.ts
@@ -0,0 +1,363 @@
+/**
+ * A stand-in of the platform's servers: model engines, which read prompts and generate, and plain web servers.
+ * It notes each arrival, and does wrong what the run tells it to.
+ */
+import { once } from 'node:events';
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { HEADERS, PATHS } from '../platform/names.js';
+import { eventText, wholeBody } from './answers.js';
+import type { ServerFault } from './plan.js';
+import type { Arrival, OrderRecord } from './record.js';
+import { WIRE } from './wire.js';
+
+const SLOTS = 24;
+const WEB_WORK_MS = 15;
+const READ_MS = 12;
+/** An engine that generates reads at half the pace. */
+const SLOW_READ_MS = 24;
+const EVENT_GAP_MS = 8;
+const STAGE_SWITCH_MS = 800;
+const LONGEST_NEWS_WAIT_MS = 1_000;
+const KEEP_ALIVE_MS = 5_000;
+/** The end of an answer that a faulty server never sends. */
+const BROKEN_SHARE = 0.5;
+
+export type Stage = 'prefill' | 'decode';
+
+/** Told of what comes to servers. */
+export interface ServerObserver {
+  arrived(request: IncomingMessage, body: string, arrival: Arrival): void;
+  ordered(order: OrderRecord): void;
+}
+
+/** What a server is built from. */
+export interface ModelServerOptions {
+  readonly service: string;
+  /** Undefined for a web server. */
+  readonly stage: Stage | undefined;
+  readonly observer: ServerObserver;
+  readonly random: () => number;
+  /** Memory of prompts by handle, of all engines together: the request that it was read for. */
+  readonly handles: Map<string, string>;
+  /** Told when an engine has changed its stage. */
+  readonly noteStage: () => void;
+}
+
+interface OwnFault {
+  readonly how: ServerFault;
+  readonly share: number;
+}
+
+let instances = 0;
+
+/** One server; a start after a crash is another instance. */
+export class ModelServer {
+  readonly #options: ModelServerOptions;
+  #server: http.Server | undefined;
+  #port = 0;
+  #id = '';
+  #stage: Stage | undefined;
+  #isSwitching = false;
+  #running = 0;
+  #highestFence = 0;
+  #orders = 0;
+  #runs = 0;
+  fault: OwnFault | undefined;
+
+  constructor(options: ModelServerOptions) {
+    this.#options = options;
+    this.#stage = options.stage;
+  }
+
+  get id(): string {
+    return this.#id;
+  }
+
+  get service(): string {
+    return this.#options.service;
+  }
+
+  get stage(): Stage | undefined {
+    return this.#stage;
+  }
+
+  get isUp(): boolean {
+    return this.#server !== undefined;
+  }
+
+  get port(): number {
+    return this.#port;
+  }
+
+  async start(): Promise<void> {
+    instances += 1;
+    this.#id = `${this.#options.service}-${instances}`;
+    this.#stage = this.#options.stage;
+    this.#isSwitching = false;
+    this.#highestFence = 0;
+    const server = http.createServer((request, response) => void this.#serve(request, response));
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    server.listen(this.#port, '127.0.0.1');
+    await once(server, 'listening');
+    this.#port = (server.address() as AddressInfo).port;
+    this.#server = server;
+  }
+
+  /** Ends at once, with all that is under way. */
+  crash(): void {
+    this.#server?.closeAllConnections();
+    this.#server?.close();
+    this.#server = undefined;
+    this.#running = 0;
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const atMs = performance.now();
+    response.on('error', () => response.destroy());
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of request) chunks.push(chunk as Buffer);
+    } catch {
+      return; // It was broken off before it had arrived.
+    }
+    const body = Buffer.concat(chunks).toString('utf8');
+    const path = request.url ?? '/';
+    if (path === PATHS.report) return this.#report(response);
+    if (path === PATHS.order) return this.#order(body, response);
+    if (path.startsWith(PATHS.kvEvents)) return this.#news(response);
+    if (path.startsWith(PATHS.kvHandle)) return this.#freeHandle(path, response);
+    this.#takeRequest(request, body, response, atMs);
+  }
+
+  #takeRequest(
+    request: IncomingMessage,
+    body: string,
+    response: ServerResponse,
+    atMs: number,
+  ): void {
+    const arrival: Arrival = {
+      atMs,
+      serverId: this.#id,
+      service: this.#options.service,
+      step: request.headers[WIRE.stage] === 'prefill' ? 'prefill' : 'run',
+      isTaken: false,
+      problem: '',
+      endedMs: undefined,
+      isServersFault: false,
+      stamp: undefined,
+    };
+    this.#options.observer.arrived(request, body, arrival);
+    const refusal = this.#refusalOf(request, arrival);
+    if (refusal !== undefined) {
+      arrival.endedMs = atMs;
+      response.writeHead(refusal, { ...idOf(request), [WIRE.notExecuted]: '1' }).end();
+      return;
+    }
+    arrival.isTaken = true;
+    this.#running += 1;
+    const end = () => {
+      if (arrival.endedMs !== undefined) return;
+      arrival.endedMs = performance.now();
+      this.#running = Math.max(0, this.#running - 1);
+    };
+    response.once('close', end);
+    if (arrival.step === 'prefill') this.#read(request, response, end);
+    else this.#run(request, response, arrival, end);
+  }
+
+  /** The status of a refusal that says truly that it has not run. */
+  #refusalOf(request: IncomingMessage, arrival: Arrival): number | undefined {
+    const { headers } = request;
+    if (headers[WIRE.expectInstance] !== this.#id) return 421;
+    if (this.#isSwitching) return 503;
+    if (this.#stage !== undefined && (arrival.step === 'prefill') !== (this.#stage === 'prefill')) {
+      return 421;
+    }
+    if (this.#strikes('turn-away') || this.#running >= SLOTS) return 503;
+    const source = headers[WIRE.kvSource];
+    if (typeof source !== 'string') return undefined;
+    const handle = source.slice(source.indexOf('/') + 1);
+    const readFor = this.#options.handles.get(handle);
+    this.#options.handles.delete(handle);
+    if (readFor === undefined) return 503;
+    if (readFor !== headers[WIRE.attemptId]) arrival.problem = "another request's memory";
+    return undefined;
+  }
+
+  #strikes(how: ServerFault): boolean {
+    return this.fault?.how === how && this.#options.random() < this.fault.share;
+  }
+
+  #read(request: IncomingMessage, response: ServerResponse, end: () => void): void {
+    setTimeout(() => {
+      if (response.destroyed) return;
+      end();
+      const kvHandle = `h${Math.floor(this.#options.random() * Number.MAX_SAFE_INTEGER)}`;
+      this.#options.handles.set(kvHandle, String(request.headers[WIRE.attemptId]));
+      const body = JSON.stringify({ kvHandle, tokens: 10, version: 1 });
+      response.writeHead(200, idOf(request)).end(body);
+    }, READ_MS);
+  }
+
+  #run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrival: Arrival,
+    end: () => void,
+  ): void {
+    if (this.#strikes('lose-answer')) {
+      arrival.isServersFault = true;
+      setTimeout(() => response.destroy(), WEB_WORK_MS);
+      return;
+    }
+    this.#runs += 1;
+    const stamp = `${this.#id}.${this.#runs}`;
+    if (this.#strikes('fail')) {
+      setTimeout(() => {
+        if (response.destroyed) return;
+        end();
+        arrival.stamp = stamp;
+        response.writeHead(500, { ...idOf(request), [WIRE.stamp]: stamp }).end('failed');
+      }, WEB_WORK_MS);
+      return;
+    }
+    if (this.#stage === undefined) this.#answerWhole(request, response, arrival, stamp, end);
+    else this.#stream(request, response, arrival, stamp, end);
+  }
+
+  #answerWhole(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrival: Arrival,
+    stamp: string,
+    end: () => void,
+  ): void {
+    const breaksOff = this.#strikes('break-off');
+    const sendsTwice = this.#strikes('answer-twice');
+    setTimeout(() => {
+      if (response.destroyed) return;
+      arrival.stamp = stamp;
+      const body = wholeBody(String(request.headers[WIRE.attemptId]), stamp);
+      const head = { ...idOf(request), [WIRE.stamp]: stamp, 'Content-Length': body.length };
+      response.writeHead(200, head);
+      if (breaksOff) {
+        arrival.isServersFault = true;
+        response.write(body.slice(0, Math.floor(body.length * BROKEN_SHARE)), () =>
+          response.destroy(),
+        );
+        return;
+      }
+      end();
+      response.end(body);
+      if (sendsTwice) sendSurplusAnswer(request, stamp);
+    }, WEB_WORK_MS);
+  }
+
+  #stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrival: Arrival,
+    stamp: string,
+    end: () => void,
+  ): void {
+    const id = String(request.headers[WIRE.attemptId]);
+    const events = Number(String(request.headers[HEADERS.tokenCount]).split(',')[1]) || 1;
+    const first = Number(request.headers[WIRE.lastEventId] ?? 0) + 1;
+    const breaksAt = this.#strikes('break-off')
+      ? first + Math.floor((events - first + 1) * BROKEN_SHARE)
+      : Number.POSITIVE_INFINITY;
+    const hasMemory = request.headers[WIRE.kvSource] !== undefined;
+    let next = first;
+    const sendNext = () => {
+      if (response.destroyed) return;
+      if (!response.headersSent) {
+        arrival.stamp = stamp;
+        const type = { 'Content-Type': 'text/event-stream' };
+        response.writeHead(200, { ...idOf(request), [WIRE.stamp]: stamp, ...type });
+      }
+      if (next >= breaksAt) {
+        arrival.isServersFault = true;
+        response.write(`id: ${next}\nda`, () => response.destroy());
+        return;
+      }
+      if (next > events) {
+        end();
+        response.end();
+        return;
+      }
+      response.write(eventText(id, next, events));
+      next += 1;
+      setTimeout(sendNext, EVENT_GAP_MS);
+    };
+    setTimeout(sendNext, hasMemory ? EVENT_GAP_MS : SLOW_READ_MS);
+  }
+
+  #report(response: ServerResponse): void {
+    const report = {
+      stage: this.#stage ?? 'decode',
+      busy: this.#isSwitching,
+      sequence: this.#orders,
+      running: this.#running,
+    };
+    response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(report));
+  }
+
+  #order(body: string, response: ServerResponse): void {
+    const order = JSON.parse(body) as { stage: Stage; holder: string; fence: number };
+    const { holder, fence } = order;
+    this.#options.observer.ordered({
+      serverId: this.#id,
+      holder,
+      fence,
+      atMs: performance.now(),
+    });
+    if (fence < this.#highestFence) {
+      response.writeHead(409).end();
+      return;
+    }
+    this.#highestFence = fence;
+    this.#orders += 1;
+    response.writeHead(202).end();
+    if (order.stage === this.#stage) return;
+    this.#isSwitching = true;
+    const ordered = this.#id;
+    setTimeout(() => {
+      if (this.#id !== ordered || !this.isUp) return;
+      this.#isSwitching = false;
+      this.#stage = order.stage;
+      this.#options.noteStage();
+    }, STAGE_SWITCH_MS);
+  }
+
+  #news(response: ServerResponse): void {
+    const answer = JSON.stringify({ epoch: this.#id, nextToken: 0, lost: false, events: [] });
+    const timer = setTimeout(
+      () => response.writeHead(200, { 'Content-Type': 'application/json' }).end(answer),
+      LONGEST_NEWS_WAIT_MS,
+    );
+    response.once('close', () => clearTimeout(timer));
+  }
+
+  #freeHandle(path: string, response: ServerResponse): void {
+    this.#options.handles.delete(path.slice(PATHS.kvHandle.length));
+    response.writeHead(200).end();
+  }
+}
+
+function idOf(request: IncomingMessage): Record<string, string> {
+  return { 'X-Attempt-Id': String(request.headers[WIRE.attemptId]) };
+}
+
+/** Bytes of a second whole answer behind the first, as faulty servers send them. */
+function sendSurplusAnswer(request: IncomingMessage, stamp: string): void {
+  const id = String(request.headers[WIRE.attemptId]);
+  const body = wholeBody(id, stamp);
+  const head = [
+    'HTTP/1.1 200 OK',
+    `X-Attempt-Id: ${id}`,
+    `${WIRE.stamp}: ${stamp}`,
+    `Content-Length: ${body.length}`,
+  ];
+  if (!request.socket.destroyed) request.socket.write(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
--- /dev/null
+++ b/soak/mutations.ts
@@ -0,0 +1,102 @@
+/**
+ * Protections of the product that the soak takes away one at a time, to show that it would find the fault: each
+ * replaces one text of one source file.
+ */
+import type { PromiseName } from './oracle.js';
+
+/** A protection and the promise that it keeps. */
+export interface Mutation {
+  readonly name: string;
+  readonly promise: PromiseName;
+  /** From the root of the repository. */
+  readonly file: string;
+  readonly text: string;
+  readonly replacement: string;
+}
+
+export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: 'budget',
+    promise: 'BUDGET',
+    file: 'src/core/gateway/retry-budget.ts',
+    text: 'if (this.#level < 1) {',
+    replacement: 'if (this.#level < -1e9) {',
+  },
+  {
+    name: 'births',
+    promise: 'BUDGET',
+    file: 'src/core/gateway/retry-budget.ts',
+    text: '#level = 0;',
+    replacement: '#level = 8;',
+  },
+  {
+    name: 'run-once',
+    promise: 'TWICE',
+    file: 'src/shell/gateway/whole-exchange.ts',
+    text: 'if (!isFirst && exchange.mayHaveRun && !this.#isRepeatable) return false;',
+    replacement: 'if (!isFirst && exchange.runs > 3) return false;',
+  },
+  {
+    name: 'true-refusals',
+    promise: 'REFUSED',
+    file: 'src/shell/gateway/exchange.ts',
+    text: 'if (this.mayHaveRun) {\n      this.fail(502, reason);',
+    replacement: 'if (this.runs > 99) {\n      this.fail(502, reason);',
+  },
+  {
+    name: 'visible-breaks',
+    promise: 'MIXED',
+    file: 'src/shell/gateway/backend-connections.ts',
+    text: 'resolve(this.isWhole ? Buffer.concat(chunks) : undefined)',
+    replacement: 'resolve(Buffer.concat(chunks))',
+  },
+  {
+    name: 'whole-streams',
+    promise: 'ORDER',
+    file: 'src/shell/gateway/stream-relay.ts',
+    text: "settle(answer.isWhole ? 'complete' : 'broken')",
+    replacement: "settle('complete')",
+  },
+  {
+    name: 'leaving-servers',
+    promise: 'DRAIN',
+    file: 'src/core/gateway/server-directory.ts',
+    text: "record.state === 'ready'",
+    replacement: 'record.state !== undefined',
+  },
+  {
+    name: 'newer-configuration',
+    promise: 'CONFIG',
+    file: 'src/shell/gateway/fleet-view.ts',
+    text: "if (currentVersion === configuration.version) return 'same';",
+    replacement: "if (currentVersion !== undefined) return 'same';",
+  },
+  {
+    name: 'secret-keys',
+    promise: 'UNASKED',
+    file: 'platform/names.ts',
+    text: "  'api-key',\n]);",
+    replacement: ']);',
+  },
+  {
+    name: 'callers-gone',
+    promise: 'GONE',
+    file: 'src/shell/gateway/exchange.ts',
+    text: "if (!response.writableFinished) this.#interrupt('caller-gone');",
+    replacement: '',
+  },
+  {
+    name: 'graceful-stop',
+    promise: 'LOST',
+    file: 'src/shell/gateway/gateway.ts',
+    text: 'while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);',
+    replacement: '',
+  },
+  {
+    name: 'fences',
+    promise: 'ONE',
+    file: 'platform/request-codec.ts',
+    text: 'fence: order.fence,',
+    replacement: 'fence: 7,',
+  },
+];
--- /dev/null
+++ b/soak/oracle.ts
@@ -0,0 +1,309 @@
+/**
+ * Judges a run by the promises of the fleet, from what callers, servers and the store have seen. Pure. Where a promise
+ * holds only in calm times, the disturbances of the run say when these were.
+ */
+import { eventText, wholeBody } from './answers.js';
+import type { Arrival, CallRecord, RunRecord } from './record.js';
+
+/** What is promised; docs/SOAK.md says each in a sentence. */
+export type PromiseName =
+  | 'TWICE'
+  | 'REFUSED'
+  | 'MIXED'
+  | 'ORDER'
+  | 'UNASKED'
+  | 'ROUTE'
+  | 'LOST'
+  | 'DRAIN'
+  | 'CONFIG'
+  | 'BUDGET'
+  | 'GONE'
+  | 'ONE'
+  | 'RECOVER';
+
+/** A promise that was broken. */
+export interface Violation {
+  readonly promise: PromiseName;
+  readonly atMs: number;
+  readonly detail: string;
+}
+
+/** Statuses that promise that a request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Work may go on for so long after its caller has left. */
+const GONE_SLACK_MS = 500;
+const GONE_MOST_ARRIVALS = 3;
+const GONE_LEAST_WORKED_ON = 5;
+const GONE_MOST_SHARE = 0.25;
+/** The last stretch of a run is calm; a quarter of its requests has to be served. */
+const RECOVER_SPAN_MS = 4_000;
+const RECOVER_LEAST_SHARE = 0.25;
+/** A request on the way when something is acknowledged, and the first look at it by a loaded machine. */
+const TRANSIT_MS = 500;
+/** A few requests may cross the moment that a daemon's process is given up by its caller. */
+const LOST_MOST = 3;
+
+/** All promises that a run has broken. */
+export function judge(run: RunRecord): readonly Violation[] {
+  const calls = [...run.calls.values()].sort((left, right) => left.sentMs - right.sentMs);
+  return [
+    ...run.unasked.map((detail): Violation => ({ promise: 'UNASKED', atMs: 0, detail })),
+    ...calls.flatMap((call) => judgeCall(call, run)),
+    ...judgeLost(calls, run),
+    ...judgeBudget(calls, run),
+    ...judgeGone(calls, run),
+    ...judgeOrders(run),
+    ...judgeRecovery(calls, run),
+  ];
+}
+
+/** Whether a daemon ran on, in reach of the store, since a time well before. */
+function isInTouch(run: RunRecord, daemon: string, fromMs: number, toMs: number): boolean {
+  return !run.disturbances.some(
+    ({ scope, name, fromMs: begin, toMs: end }) =>
+      (scope === 'store' || (scope === 'daemon' && name === daemon)) &&
+      begin <= toMs &&
+      end >= fromMs - run.bounds.contactMs,
+  );
+}
+
+function judgeCall(call: CallRecord, run: RunRecord): readonly Violation[] {
+  const violations: Violation[] = [];
+  const note = (promise: PromiseName, detail: string) =>
+    violations.push({ promise, atMs: call.sentMs, detail: `${call.id} ${detail}` });
+  const runs = call.arrivals.filter(({ step, isTaken }) => step === 'run' && isTaken);
+  if (call.requestClass.kind === 'non-idempotent' && runs.length > 1) {
+    note('TWICE', `ran at ${runs.map(({ serverId }) => serverId).join(' and ')}`);
+  }
+  if (runs.length > call.requestClass.attempts) {
+    note('BUDGET', `ran ${runs.length} times, ${call.requestClass.attempts} allowed`);
+  }
+  for (const { problem, serverId } of call.arrivals) {
+    if (problem !== '')
+      note(problem.includes('memory') ? 'MIXED' : 'UNASKED', `${serverId}: ${problem}`);
+  }
+  const { end } = call;
+  if (end?.kind === 'answered') {
+    judgeAnswer(call, end, runs, note);
+    if (call.requestClass.kind !== 'idempotent' && runs.length > 0 && isRefusal(end)) {
+      note('REFUSED', `ran at ${runs[0]?.serverId} and was answered ${end.status}`);
+    }
+  }
+  judgeVersions(call, run, note);
+  judgeDrain(call, run, note);
+  return violations;
+}
+
+type Answered = Extract<NonNullable<CallRecord['end']>, { kind: 'answered' }>;
+type Note = (promise: PromiseName, detail: string) => void;
+
+function isRefusal({ status, stamp }: Answered): boolean {
+  return NOT_RUN_STATUSES.has(status) && stamp === undefined;
+}
+
+function judgeAnswer(call: CallRecord, end: Answered, runs: readonly Arrival[], note: Note): void {
+  if (end.status < 200 || end.status >= 300 || !end.isWhole) return;
+  if (end.stamp === undefined) {
+    note('MIXED', 'a success without a stamp');
+    return;
+  }
+  if (!runs.some(({ stamp }) => stamp === end.stamp)) {
+    note('MIXED', `the stamp ${end.stamp} of no run of it`);
+    return;
+  }
+  if (call.requestClass.kind !== 'streaming') {
+    if (end.body !== wholeBody(call.id, end.stamp)) note('MIXED', 'not the whole body');
+    return;
+  }
+  let expected = '';
+  for (let event = 1; event <= call.outputTokens; event += 1) {
+    expected += eventText(call.id, event, call.outputTokens);
+  }
+  if (end.body !== expected) note('ORDER', 'a stream that ended as whole lacks or repeats pieces');
+}
+
+/** Services and keys: never what no version allowed; in touch, soon after a version, nothing older. */
+function judgeVersions(call: CallRecord, run: RunRecord, note: Note): void {
+  const { requestClass, apiKey, daemon } = call;
+  for (const arrival of call.arrivals) {
+    if (!arrival.isTaken) continue;
+    const ofAll = run.configurations.map(({ serviceOf }) => serviceOf.get(requestClass.name));
+    if (!ofAll.includes(arrival.service)) note('ROUTE', `ran at service ${arrival.service}`);
+    if (!run.configurations.some(({ tenantOfKey }) => tenantOfKey.has(apiKey))) {
+      note('ROUTE', 'ran with a key that no version knows');
+    }
+    const settledMs = call.sentMs - run.bounds.configApplyMs - TRANSIT_MS;
+    const newest = run.configurations.filter(({ ackMs }) => ackMs <= settledMs).at(-1);
+    if (newest === undefined || !isInTouch(run, daemon, newest.ackMs, arrival.atMs)) continue;
+    const mayBe = run.configurations.filter(({ version }) => version >= newest.version);
+    if (!mayBe.some(({ serviceOf }) => serviceOf.get(requestClass.name) === arrival.service)) {
+      note('CONFIG', `ran at ${arrival.service}, as before version ${newest.version}`);
+    }
+    if (!mayBe.some(({ tenantOfKey }) => tenantOfKey.has(apiKey))) {
+      note('CONFIG', `ran with a key that version ${newest.version} took away`);
+    }
+  }
+}
+
+function judgeDrain(call: CallRecord, run: RunRecord, note: Note): void {
+  for (const { serverId, atMs } of call.arrivals) {
+    const notice = run.drains.find((drain) => drain.serverId === serverId);
+    if (notice === undefined || atMs <= notice.ackMs + run.bounds.drainMs + TRANSIT_MS) continue;
+    if (!isInTouch(run, call.daemon, notice.ackMs, atMs)) continue;
+    note(
+      'DRAIN',
+      `sent to ${serverId} ${Math.round(atMs - notice.ackMs)} ms after it said that it leaves`,
+    );
+  }
+}
+
+function judgeLost(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const lost = calls.filter((call) => isLost(call, run));
+  if (lost.length <= LOST_MOST) return [];
+  const detail = `${lost.length} requests were read and closed without an answer: ${lost
+    .slice(0, 5)
+    .map(({ id, daemon }) => `${id} at ${daemon}`)
+    .join(', ')}`;
+  return [{ promise: 'LOST', atMs: lost[0]?.sentMs ?? 0, detail }];
+}
+
+function isLost(call: CallRecord, run: RunRecord): boolean {
+  const { end, endedMs, sentMs, daemon, arrivals } = call;
+  const isCut = end?.kind === 'closed' || (end?.kind === 'answered' && !end.isWhole);
+  if (!isCut || endedMs === undefined) return false;
+  if (arrivals.some(({ isServersFault }) => isServersFault)) return false;
+  if (arrivals.length === 0 && endedMs - sentMs <= run.bounds.lossSlackMs) return false;
+  const isDisturbed = run.disturbances.some(
+    ({ scope, name, fromMs, toMs, isPlanned }) =>
+      !isPlanned &&
+      fromMs <= endedMs &&
+      toMs >= sentMs - run.bounds.contactMs &&
+      ((scope === 'daemon' && name === daemon) ||
+        (scope === 'server' && arrivals.some(({ serverId }) => serverId === name))),
+  );
+  return !isDisturbed;
+}
+
+/** Arrivals beyond the first of each request; the first reading that a server takes up is none. */
+export function repeatsOf({ arrivals }: Pick<CallRecord, 'arrivals'>): readonly Arrival[] {
+  const ordered = [...arrivals].sort((left, right) => left.atMs - right.atMs);
+  const freeReading = ordered.find(({ step, isTaken }) => step === 'prefill' && isTaken);
+  return ordered.filter((arrival) => arrival !== freeReading).slice(1);
+}
+
+/** The window of a service that is furthest over the bound on repeats, or nearest to it. */
+export interface BudgetWindow {
+  readonly service: string;
+  readonly startMs: number;
+  readonly repeats: number;
+  readonly requests: number;
+  readonly allowed: number;
+}
+
+export function worstBudgetWindow(run: RunRecord, service: string): BudgetWindow {
+  const { budgetRatio, budgetSlack, budgetWindowMs } = run.bounds;
+  const sentMs: number[] = [];
+  const repeatsMs: number[] = [];
+  for (const call of run.calls.values()) {
+    const isOnRoute = run.configurations.some(
+      ({ serviceOf }) => serviceOf.get(call.requestClass.name) === service,
+    );
+    // A caller that found no connection has sent nothing.
+    if (isOnRoute && call.end?.kind !== 'not-connected') sentMs.push(call.sentMs);
+    for (const arrival of repeatsOf(call)) {
+      if (arrival.service === service) repeatsMs.push(arrival.atMs);
+    }
+  }
+  const within = (times: readonly number[], fromMs: number) =>
+    times.filter((atMs) => atMs >= fromMs && atMs < fromMs + budgetWindowMs).length;
+  const none = { service, startMs: 0, repeats: 0, requests: 0, allowed: budgetSlack };
+  let worst: BudgetWindow | undefined;
+  for (const startMs of repeatsMs) {
+    const repeats = within(repeatsMs, startMs);
+    // Requests of the window before may come to be repeated in this one.
+    const starts = [startMs, startMs - budgetWindowMs / 2, startMs - budgetWindowMs];
+    const requests = Math.max(...starts.map((fromMs) => within(sentMs, fromMs)));
+    const allowed = budgetRatio * requests + budgetSlack;
+    if (worst === undefined || repeats - allowed > worst.repeats - worst.allowed) {
+      worst = { service, startMs, repeats, requests, allowed };
+    }
+  }
+  return worst ?? none;
+}
+
+function judgeBudget(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const services = new Set(calls.flatMap(({ arrivals }) => arrivals.map(({ service }) => service)));
+  return [...services].flatMap((service): readonly Violation[] => {
+    const { startMs, repeats, requests, allowed } = worstBudgetWindow(run, service);
+    if (repeats <= allowed) return [];
+    const bound = `${allowed.toFixed(0)} allowed for ${requests} requests`;
+    const detail = `${service}: ${repeats} arrivals beyond the first of each request, ${bound}`;
+    return [{ promise: 'BUDGET', atMs: startMs, detail }];
+  });
+}
+
+function judgeGone(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  let late = 0;
+  let lasting = 0;
+  let workedOn = 0;
+  for (const { end, endedMs, arrivals, daemon, requestClass } of calls) {
+    if (end?.kind !== 'left' || endedMs === undefined) continue;
+    const limitMs = endedMs + GONE_SLACK_MS;
+    if (!isInTouch(run, daemon, endedMs, limitMs)) continue;
+    if (arrivals.some(({ serverId }) => isServerDisturbed(run, serverId, endedMs, limitMs)))
+      continue;
+    late += arrivals.filter(({ atMs }) => atMs > limitMs).length;
+    const open = arrivals.filter(({ isTaken, step, endedMs: ended }) => {
+      return isTaken && step === 'run' && (ended === undefined || ended > endedMs);
+    });
+    if (requestClass.kind === 'non-idempotent' || open.length === 0) continue;
+    lasting += 1;
+    if (open.some(({ endedMs: ended }) => ended === undefined || ended > limitMs)) workedOn += 1;
+  }
+  const violations: Violation[] = [];
+  if (late > GONE_MOST_ARRIVALS) {
+    violations.push({
+      promise: 'GONE',
+      atMs: 0,
+      detail: `${late} arrivals after their caller left`,
+    });
+  }
+  if (workedOn > GONE_LEAST_WORKED_ON && workedOn > GONE_MOST_SHARE * lasting) {
+    const detail = `${workedOn} of ${lasting} requests were worked on after their caller left`;
+    violations.push({ promise: 'GONE', atMs: 0, detail });
+  }
+  return violations;
+}
+
+function isServerDisturbed(run: RunRecord, server: string, fromMs: number, toMs: number): boolean {
+  return run.disturbances.some(
+    ({ scope, name, fromMs: begin, toMs: end }) =>
+      scope === 'server' &&
+      name === server &&
+      begin <= toMs &&
+      end >= fromMs - run.bounds.contactMs,
+  );
+}
+
+/** A fence has one holder, and none is followed by a lower one at an engine. */
+function judgeOrders(run: RunRecord): readonly Violation[] {
+  const holderOf = new Map<number, string>();
+  return run.orders.flatMap(({ holder, fence, atMs }): readonly Violation[] => {
+    const known = holderOf.get(fence);
+    holderOf.set(fence, known ?? holder);
+    if (known === undefined || known === holder) return [];
+    return [{ promise: 'ONE', atMs, detail: `fence ${fence} of ${known} and of ${holder}` }];
+  });
+}
+
+function judgeRecovery(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const known = run.configurations.at(-1)?.tenantOfKey;
+  const atEnd = calls.filter(
+    ({ sentMs, apiKey, deadlineMs }) =>
+      sentMs > run.endMs - RECOVER_SPAN_MS && deadlineMs < run.endMs && known?.has(apiKey),
+  );
+  const served = atEnd.filter(({ end }) => end?.kind === 'answered' && end.status === 200).length;
+  if (served >= RECOVER_LEAST_SHARE * atEnd.length) return [];
+  const detail = `${served} of ${atEnd.length} requests served at the calm end`;
+  return [{ promise: 'RECOVER', atMs: run.endMs, detail }];
+}
--- /dev/null
+++ b/soak/plan.ts
@@ -0,0 +1,257 @@
+/**
+ * The plan of a soak run, from a seed alone: how the fleet looks, and which faults come when. Faults come
+ * in series and overlap. Pure, so that a seed that failed is played again with the same faults.
+ */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+
+/** How a store treats the daemons that it does not serve. */
+export type StoreRefusal = 'unavailable' | 'too-many' | 'reset' | 'silent';
+
+/** What a server does with a part of the requests. */
+export type ServerFault =
+  /** Turns them away, and says that they have not run. */
+  | 'turn-away'
+  /** Answers 500 after a run. */
+  | 'fail'
+  /** Runs them and breaks off before the end of the answer. */
+  | 'break-off'
+  /** Runs them and closes the connection without an answer. */
+  | 'lose-answer'
+  /** Sends a second answer on the same connection. */
+  | 'answer-twice';
+
+/** What a link between daemons and a server does. */
+export type LinkFault =
+  | 'delay'
+  /** Open connections are reset. */
+  | 'reset'
+  /** What servers send is held back. */
+  | 'one-way'
+  /** Open connections go silent for good; new ones work. */
+  | 'silent';
+
+/** What the operator changes. */
+export type Change = 'move-route' | 'revoke-key' | 'idle';
+
+/** One fault or planned change. */
+export type Fault =
+  | { readonly kind: 'kill'; readonly daemons: readonly number[]; readonly downMs: number }
+  | { readonly kind: 'stop'; readonly daemons: readonly number[]; readonly gapMs: number }
+  | { readonly kind: 'freeze'; readonly daemons: readonly number[]; readonly forMs: number }
+  | { readonly kind: 'reload'; readonly daemons: readonly number[] }
+  | { readonly kind: 'store-slow'; readonly delayMs: number; readonly forMs: number }
+  | { readonly kind: 'store-down'; readonly how: StoreRefusal; readonly forMs: number }
+  | {
+      readonly kind: 'store-refuses';
+      readonly daemons: readonly number[];
+      readonly how: StoreRefusal;
+      readonly forMs: number;
+    }
+  | { readonly kind: 'store-loses-answers'; readonly share: number; readonly forMs: number }
+  | { readonly kind: 'store-writes-late'; readonly share: number; readonly forMs: number }
+  | { readonly kind: 'store-forgets' }
+  | { readonly kind: 'entries-lapse'; readonly forMs: number }
+  | {
+      readonly kind: 'servers';
+      readonly how: ServerFault;
+      readonly servers: readonly number[];
+      readonly share: number;
+      readonly forMs: number;
+    }
+  | { readonly kind: 'crash'; readonly servers: readonly number[]; readonly downMs: number }
+  | { readonly kind: 'drain'; readonly server: number }
+  | {
+      readonly kind: 'link';
+      readonly how: LinkFault;
+      readonly servers: readonly number[];
+      readonly forMs: number;
+    }
+  | { readonly kind: 'change'; readonly change: Change }
+  | { readonly kind: 'burst'; readonly factor: number; readonly forMs: number }
+  | { readonly kind: 'callers-leave'; readonly share: number; readonly forMs: number };
+
+/** A fault and its time from the begin of the traffic. */
+export interface TimedFault {
+  readonly atMs: number;
+  readonly fault: Fault;
+}
+
+/** How large a run is. */
+export interface SoakSize {
+  readonly seconds: number;
+  readonly daemons: number;
+  readonly engines: number;
+  readonly webServers: number;
+  /** Requests a second of all callers together, without bursts. */
+  readonly requestsPerSecond: number;
+}
+
+/** A whole run. */
+export interface SoakPlan {
+  readonly seed: number;
+  readonly size: SoakSize;
+  readonly faults: readonly TimedFault[];
+}
+
+const FIRST_FAULT_MS = 2_000;
+/** The last stretch is calm, so that the fleet has to be well again at its end. */
+const CALM_END_MS = 8_000;
+const MOST_GAP_MS = 2_400;
+/** The chance that a fault is followed at once by another one on top. */
+const SERIES_CHANCE = 0.35;
+const SERIES_GAP_MS = 300;
+
+/** Draws from a seed. */
+class Dice {
+  readonly #generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  between(low: number, high: number): number {
+    return low + uniformFloat64(this.#generator) * (high - low);
+  }
+
+  whole(low: number, high: number): number {
+    return uniformInt(this.#generator, low, high);
+  }
+
+  chance(probability: number): boolean {
+    return uniformFloat64(this.#generator) < probability;
+  }
+
+  pick<Item>(items: readonly [Item, ...Item[]]): Item {
+    return items[this.whole(0, items.length - 1)] ?? items[0];
+  }
+
+  /** At least one index below a number. */
+  some(count: number, share: number): readonly number[] {
+    const wanted = Math.max(1, Math.round(count * share));
+    const indexes = Array.from({ length: count }, (_, index) => index);
+    while (indexes.length > wanted) indexes.splice(this.whole(0, indexes.length - 1), 1);
+    return indexes;
+  }
+}
+
+type Draw = (dice: Dice, size: SoakSize) => Fault;
+
+const STORE_REFUSALS = ['unavailable', 'too-many', 'reset', 'silent'] as const;
+const SERVER_FAULTS = ['turn-away', 'fail', 'break-off', 'lose-answer', 'answer-twice'] as const;
+const LINK_FAULTS = ['delay', 'reset', 'one-way', 'silent'] as const;
+const CHANGES = ['move-route', 'revoke-key', 'idle'] as const;
+
+const DRAWS: readonly [Draw, ...Draw[]] = [
+  (dice, { daemons }) => ({
+    kind: 'kill',
+    daemons: dice.some(daemons, dice.pick([0.1, 0.3, 0.6, 1])),
+    downMs: dice.between(300, 1_500),
+  }),
+  (dice, { daemons }) => ({
+    kind: 'stop',
+    daemons: dice.some(daemons, dice.pick([0.1, 0.4])),
+    gapMs: dice.between(0, 800),
+  }),
+  (dice, { daemons }) => ({
+    kind: 'freeze',
+    daemons: dice.some(daemons, dice.pick([0.1, 0.3])),
+    forMs: dice.between(200, 4_000),
+  }),
+  (dice, { daemons }) => ({ kind: 'reload', daemons: dice.some(daemons, 0.5) }),
+  (dice) => ({
+    kind: 'store-slow',
+    delayMs: dice.between(20, 800),
+    forMs: dice.between(1_000, 6_000),
+  }),
+  (dice) => ({
+    kind: 'store-down',
+    how: dice.pick(STORE_REFUSALS),
+    forMs: dice.between(500, 6_000),
+  }),
+  (dice, { daemons }) => ({
+    kind: 'store-refuses',
+    daemons: dice.some(daemons, 0.4),
+    how: dice.pick(STORE_REFUSALS),
+    forMs: dice.between(500, 6_000),
+  }),
+  (dice) => ({
+    kind: 'store-loses-answers',
+    share: dice.between(0.1, 0.6),
+    forMs: dice.between(500, 5_000),
+  }),
+  (dice) => ({
+    kind: 'store-writes-late',
+    share: dice.between(0.1, 0.6),
+    forMs: dice.between(500, 5_000),
+  }),
+  () => ({ kind: 'store-forgets' }),
+  (dice) => ({ kind: 'entries-lapse', forMs: dice.between(300, 1_800) }),
+  (dice, { engines, webServers }) => ({
+    kind: 'servers',
+    how: dice.pick(SERVER_FAULTS),
+    servers: dice.some(engines + webServers, dice.between(0.2, 0.9)),
+    share: dice.between(0.05, 0.9),
+    forMs: dice.between(1_000, 8_000),
+  }),
+  (dice, { engines, webServers }) => ({
+    kind: 'crash',
+    servers: dice.some(engines + webServers, dice.between(0.1, 0.4)),
+    downMs: dice.between(500, 3_000),
+  }),
+  (dice, { engines, webServers }) => ({
+    kind: 'drain',
+    server: dice.whole(0, engines + webServers - 1),
+  }),
+  (dice, { engines, webServers }) => ({
+    kind: 'link',
+    how: dice.pick(LINK_FAULTS),
+    servers: dice.some(engines + webServers, dice.between(0.1, 0.5)),
+    forMs: dice.between(300, 4_000),
+  }),
+  (dice) => ({ kind: 'change', change: dice.pick(CHANGES) }),
+  (dice) => ({ kind: 'burst', factor: dice.between(1.5, 2.5), forMs: dice.between(1_000, 5_000) }),
+  (dice) => ({
+    kind: 'callers-leave',
+    share: dice.between(0.1, 0.6),
+    forMs: dice.between(1_000, 5_000),
+  }),
+];
+
+/** The plan of a seed. */
+export function planSoak(seed: number, size: SoakSize): SoakPlan {
+  const dice = new Dice(seed);
+  const faults: TimedFault[] = [];
+  const endMs = size.seconds * 1_000 - CALM_END_MS;
+  let atMs = FIRST_FAULT_MS;
+  while (atMs < endMs) {
+    const draw = dice.pick(DRAWS);
+    faults.push({ atMs: Math.round(atMs), fault: draw(dice, size) });
+    atMs += dice.chance(SERIES_CHANCE) ? SERIES_GAP_MS : dice.between(SERIES_GAP_MS, MOST_GAP_MS);
+  }
+  return { seed, size, faults };
+}
+
+/**
+ * The plan of a fleet that is asked for more repeats than its budget allows while all its processes are killed
+ * together, twice within one window of the budget, and the store is slow when they return.
+ */
+export function planHerd(seed: number, size: SoakSize): SoakPlan {
+  const everyDaemon = Array.from({ length: size.daemons }, (_, daemon) => daemon);
+  const engines = Array.from({ length: size.engines }, (_, engine) => engine);
+  const dice = new Dice(seed);
+  const killMs = dice.between(9_000, 12_000);
+  const forMs = 22_000;
+  const faults: TimedFault[] = [
+    {
+      atMs: 3_000,
+      fault: { kind: 'servers', how: 'turn-away', servers: engines, share: 0.95, forMs },
+    },
+    { atMs: killMs - 500, fault: { kind: 'store-slow', delayMs: 150, forMs: 12_000 } },
+    { atMs: killMs, fault: { kind: 'kill', daemons: everyDaemon, downMs: 300 } },
+    { atMs: killMs + 5_000, fault: { kind: 'kill', daemons: everyDaemon, downMs: 300 } },
+  ];
+  return { seed, size, faults };
+}
--- /dev/null
+++ b/soak/platform-store.ts
@@ -0,0 +1,264 @@
+/**
+ * A stand-in of the platform's store: rows, conditional transactions and held feeds over HTTP. Each daemon
+ * has a door of its own, so that some may be refused while others are served.
+ */
+import { once } from 'node:events';
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { PATHS, TABLES } from '../platform/names.js';
+import type { StoreRefusal } from './plan.js';
+
+/** How long an answer takes when nothing is wrong. */
+const ANSWER_MS = 3;
+const LATE_WRITE_MS = 2_500;
+const PAGE_ROWS = 500;
+
+interface Row {
+  readonly table: string;
+  readonly privateKey: string;
+  /** Undefined once it was removed. */
+  readonly value: string | undefined;
+  readonly ver: number;
+}
+
+interface TransactionEntry {
+  readonly table: string;
+  readonly privateKey: string;
+  readonly value?: string;
+  readonly ver?: number;
+}
+
+interface Transaction {
+  readonly expectedRevision: readonly TransactionEntry[];
+  readonly put: readonly TransactionEntry[];
+  readonly remove: readonly TransactionEntry[];
+}
+
+interface HeldFeed {
+  readonly table: string;
+  readonly after: number;
+  readonly response: ServerResponse;
+}
+
+/** Faults of the whole store; all are set back by whoever set them. */
+export interface StoreFaults {
+  delayMs: number;
+  lostAnswers: number;
+  lateWrites: number;
+}
+
+/** Where one daemon reaches the store. */
+export class StoreDoor {
+  refusal: StoreRefusal | undefined;
+  readonly #server: http.Server;
+
+  constructor(
+    serve: (door: StoreDoor, request: IncomingMessage, response: ServerResponse) => void,
+  ) {
+    this.#server = http.createServer((request, response) => serve(this, request, response));
+    this.#server.keepAliveTimeout = 60_000;
+  }
+
+  async open(): Promise<number> {
+    this.#server.listen(0, '127.0.0.1');
+    await once(this.#server, 'listening');
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+}
+
+/** The store. */
+export class PlatformStore {
+  readonly faults: StoreFaults = { delayMs: 0, lostAnswers: 0, lateWrites: 0 };
+  /** Refuses every door where it is set. */
+  refusal: StoreRefusal | undefined;
+  callsTotal = 0;
+  #version = 1;
+  #historyFrom = 0;
+  readonly #rows = new Map<string, Row>();
+  readonly #feeds = new Set<HeldFeed>();
+  readonly #doors: StoreDoor[] = [];
+  readonly #random: () => number;
+
+  /** @param random from 0 to below 1: which calls a fault strikes */
+  constructor(random: () => number) {
+    this.#random = random;
+  }
+
+  createDoor(): StoreDoor {
+    const door = new StoreDoor((from, request, response) => {
+      response.on('error', () => response.destroy());
+      void this.#serve(from, request, response);
+    });
+    this.#doors.push(door);
+    return door;
+  }
+
+  close(): void {
+    for (const door of this.#doors) door.close();
+  }
+
+  /** Writes a row as the operator or a server does; never refused. */
+  put(table: string, key: string, document: unknown): void {
+    this.#write(table, key, Buffer.from(JSON.stringify(document)).toString('base64'));
+    this.#answerFeeds();
+  }
+
+  remove(table: string, key: string): void {
+    this.#write(table, key, undefined);
+    this.#answerFeeds();
+  }
+
+  /** Drops the history: feeds have to be begun anew. */
+  forget(): void {
+    this.#historyFrom = this.#version + 1;
+    for (const { response } of this.#feeds) response.writeHead(410).end();
+    this.#feeds.clear();
+  }
+
+  #write(table: string, key: string, value: string | undefined): void {
+    this.#version += 1;
+    this.#rows.set(`${table}/${key}`, { table, privateKey: key, value, ver: this.#version });
+  }
+
+  async #serve(door: StoreDoor, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of request) chunks.push(chunk as Buffer);
+    } catch {
+      return; // The daemon is gone; there is nobody to answer.
+    }
+    this.callsTotal += 1;
+    const refusal = this.refusal ?? door.refusal;
+    if (refusal !== undefined) return refuse(refusal, response);
+    const url = new URL(request.url ?? '/', 'http://store');
+    setTimeout(() => this.#answerCall(url, chunks, response), ANSWER_MS + this.faults.delayMs);
+  }
+
+  #answerCall(url: URL, chunks: readonly Buffer[], response: ServerResponse): void {
+    switch (url.pathname) {
+      case PATHS.rowsGet:
+        this.#get(url, response);
+        return;
+      case PATHS.rowsFeed:
+        this.#feed(url, response);
+        return;
+      case PATHS.rowsTx:
+        this.#transact(JSON.parse(Buffer.concat(chunks).toString('utf8')), response);
+        return;
+      default:
+        response.writeHead(404).end();
+    }
+  }
+
+  #get(url: URL, response: ServerResponse): void {
+    const source = url.searchParams.get('source') ?? '';
+    const end = url.searchParams.get('targetVersion');
+    const rows = [...this.#rows.values()]
+      .filter((row) => row.table === url.searchParams.get('table') && row.value !== undefined)
+      .filter((row) => row.privateKey >= source && (end === null || row.privateKey < end))
+      .sort((left, right) => (left.privateKey < right.privateKey ? -1 : 1));
+    this.#answer(response, 200, rows.slice(0, PAGE_ROWS), rows.length > PAGE_ROWS);
+  }
+
+  #feed(url: URL, response: ServerResponse): void {
+    const after = Number(url.searchParams.get('after'));
+    if (after < this.#historyFrom) {
+      response.writeHead(410).end();
+      return;
+    }
+    const feed = { table: url.searchParams.get('table') ?? '', after, response };
+    this.#feeds.add(feed);
+    const timer = setTimeout(
+      () => {
+        if (this.#feeds.delete(feed)) this.#answer(response, 200, [], false);
+      },
+      Number(url.searchParams.get('waitMs')),
+    );
+    response.once('close', () => {
+      clearTimeout(timer);
+      this.#feeds.delete(feed);
+    });
+    this.#answerFeeds();
+  }
+
+  #answerFeeds(): void {
+    for (const feed of this.#feeds) {
+      const rows = [...this.#rows.values()]
+        .filter((row) => row.table === feed.table && row.ver > feed.after)
+        .sort((left, right) => left.ver - right.ver);
+      if (rows.length === 0) continue;
+      this.#feeds.delete(feed);
+      this.#answer(feed.response, 200, rows, false);
+    }
+  }
+
+  #transact(transaction: Transaction, response: ServerResponse): void {
+    const isOwnTable = [...transaction.put, ...transaction.remove].every(
+      ({ table }) => table === TABLES.product,
+    );
+    if (!isOwnTable) {
+      response.writeHead(403).end();
+      return;
+    }
+    if (this.#random() < this.faults.lateWrites) {
+      setTimeout(() => this.#apply(transaction), LATE_WRITE_MS);
+      response.destroy();
+      return;
+    }
+    const conflicting = this.#apply(transaction);
+    if (conflicting !== undefined) this.#answer(response, 412, conflicting, false);
+    else if (this.#random() < this.faults.lostAnswers) response.destroy();
+    else this.#answer(response, 200, [], false);
+  }
+
+  /** The rows as they are where a condition does not hold; nothing is done then. */
+  #apply({ expectedRevision, put, remove }: Transaction): readonly Row[] | undefined {
+    const rowOf = ({ table, privateKey }: TransactionEntry) =>
+      this.#rows.get(`${table}/${privateKey}`);
+    const versionOf = (entry: TransactionEntry) => {
+      const row = rowOf(entry);
+      return row?.value === undefined ? 0 : row.ver;
+    };
+    if (!expectedRevision.every((entry) => versionOf(entry) === entry.ver)) {
+      return expectedRevision.flatMap((entry) => rowOf(entry) ?? []);
+    }
+    this.#version += 1;
+    const ver = this.#version;
+    for (const { table, privateKey, value } of put) {
+      this.#rows.set(`${table}/${privateKey}`, { table, privateKey, value, ver });
+    }
+    for (const { table, privateKey } of remove) {
+      this.#rows.set(`${table}/${privateKey}`, { table, privateKey, value: undefined, ver });
+    }
+    this.#answerFeeds();
+    return undefined;
+  }
+
+  #answer(response: ServerResponse, status: number, rows: readonly Row[], more: boolean): void {
+    const shown = rows.map((row) => (row.value === undefined ? { ...row, gone: true } : row));
+    const now = Math.round(performance.now());
+    const body = JSON.stringify({ rows: shown, more, ver: this.#version, now_ms: now });
+    response.writeHead(status, { 'Content-Type': 'application/json' }).end(body);
+  }
+}
+
+function refuse(refusal: StoreRefusal, response: ServerResponse): void {
+  switch (refusal) {
+    case 'unavailable':
+      response.writeHead(503).end();
+      return;
+    case 'too-many':
+      response.writeHead(429).end();
+      return;
+    case 'reset':
+      response.destroy();
+      return;
+    case 'silent':
+      return;
+  }
+}
--- a/test/gateway/support/repeats-of-fleet.ts
+++ b/test/gateway/support/repeats-of-fleet.ts
@@ -7,7 +7,7 @@
 import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
 
 const SERVICE = 'm';
-export const WINDOW_MS = 10_000;
+const WINDOW_MS = 10_000;
 
 /** Times of requests and repeats as servers and callers see them, in rising order. */
 export interface SeenTimes {
--- /dev/null
+++ b/test/soak/oracle.test.ts
@@ -0,0 +1,248 @@
+/** The soak's oracle: each promise is found broken where it is, and only there. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { eventText, wholeBody } from '../../soak/answers.js';
+import { judge, type PromiseName, repeatsOf } from '../../soak/oracle.js';
+import type {
+  Arrival,
+  CallEnd,
+  CallRecord,
+  ConfigurationVersion,
+  RequestClass,
+  RouteKind,
+  RunRecord,
+} from '../../soak/record.js';
+
+const BOUNDS = {
+  contactMs: 3_000,
+  graceMs: 8_000,
+  configApplyMs: 2_000,
+  drainMs: 2_000,
+  lossSlackMs: 200,
+  budgetRatio: 0.2,
+  budgetSlack: 4,
+  budgetWindowMs: 10_000,
+};
+const STAMP = 's1.1';
+const FIRST: ConfigurationVersion = {
+  version: 1,
+  ackMs: 0,
+  serviceOf: new Map([['c', 'one']]),
+  tenantOfKey: new Map([['key', 'tenant']]),
+};
+const MOVED: ConfigurationVersion = {
+  ...FIRST,
+  version: 2,
+  ackMs: 20_000,
+  serviceOf: new Map([['c', 'two']]),
+};
+const REVOKED: ConfigurationVersion = {
+  ...MOVED,
+  serviceOf: FIRST.serviceOf,
+  tenantOfKey: new Map(),
+};
+
+function classOf(kind: RouteKind): RequestClass {
+  return {
+    name: 'c',
+    pathPrefix: '/c/',
+    kind,
+    attempts: 2,
+    timeoutMs: 1_000,
+    targetLatencyMs: 100,
+    share: 1,
+  };
+}
+
+function arrival(fields: Partial<Arrival> = {}): Arrival {
+  return {
+    atMs: 30_010,
+    serverId: 's1',
+    service: 'one',
+    step: 'run',
+    isTaken: true,
+    problem: '',
+    endedMs: 30_020,
+    isServersFault: false,
+    stamp: STAMP,
+    ...fields,
+  };
+}
+
+function answered(fields: Partial<Extract<CallEnd, { kind: 'answered' }>> = {}): CallEnd {
+  return {
+    kind: 'answered',
+    status: 200,
+    stamp: STAMP,
+    body: wholeBody('r1', STAMP),
+    isWhole: true,
+    retryAfterMs: undefined,
+    ...fields,
+  };
+}
+
+function call(fields: Partial<CallRecord> = {}): CallRecord {
+  return {
+    id: 'r1',
+    requestClass: classOf('non-idempotent'),
+    daemon: 'd1',
+    life: 1,
+    tenant: 'tenant',
+    apiKey: 'key',
+    body: '',
+    outputTokens: 3,
+    sentMs: 30_000,
+    deadlineMs: 33_000,
+    endedMs: 30_030,
+    end: answered(),
+    arrivals: [arrival()],
+    ...fields,
+  };
+}
+
+function run(calls: readonly CallRecord[], fields: Partial<RunRecord> = {}): RunRecord {
+  return {
+    calls: new Map(calls.map((made, index) => [`${index}`, made])),
+    unasked: [],
+    disturbances: [],
+    configurations: [FIRST],
+    drains: [],
+    orders: [],
+    bounds: BOUNDS,
+    endMs: 60_000,
+    ...fields,
+  };
+}
+
+function broken(record: RunRecord): readonly PromiseName[] {
+  return [...new Set(judge(record).map(({ promise }) => promise))];
+}
+
+function assertBroken(promise: PromiseName, record: RunRecord): void {
+  assert.deepEqual(broken(record), [promise]);
+}
+
+test('a request that was answered by its one run breaks no promise', () => {
+  assert.deepEqual(broken(run([call()])), []);
+});
+
+test('TWICE: what may run once has run at two servers; a server that turned it away does not count', () => {
+  assertBroken('TWICE', run([call({ arrivals: [arrival(), arrival({ serverId: 's2' })] })]));
+  const turnedAway = arrival({ serverId: 's2', isTaken: false });
+  assert.deepEqual(broken(run([call({ arrivals: [turnedAway, arrival()] })])), []);
+});
+
+test('REFUSED: it has run, and its caller was told that it has not', () => {
+  const refusal = answered({ status: 503, stamp: undefined, body: '' });
+  assertBroken('REFUSED', run([call({ end: refusal })]));
+  assert.deepEqual(broken(run([call({ end: refusal, arrivals: [] })])), []);
+});
+
+test('MIXED: a success without a stamp, with that of another run, or with a part of the body', () => {
+  assertBroken('MIXED', run([call({ end: answered({ stamp: undefined }) })]));
+  assertBroken('MIXED', run([call({ end: answered({ stamp: 's1.2' }) })]));
+  assertBroken('MIXED', run([call({ end: answered({ body: 'r1' }) })]));
+  assertBroken(
+    'MIXED',
+    run([call({ arrivals: [arrival({ problem: "another request's memory" })] })]),
+  );
+});
+
+test('ORDER: a stream that ended as whole lacks a piece', () => {
+  const pieces = [1, 2, 3].map((event) => eventText('r1', event, 3));
+  const streaming = { requestClass: classOf('streaming') };
+  const whole = call({ ...streaming, end: answered({ body: pieces.join('') }) });
+  assert.deepEqual(broken(run([whole])), []);
+  const lacking = answered({ body: pieces.slice(0, 2).join('') });
+  assertBroken('ORDER', run([call({ ...streaming, end: lacking })]));
+});
+
+test('UNASKED: a server got what its caller had not sent', () => {
+  assertBroken('UNASKED', run([call({ arrivals: [arrival({ problem: 'another body' })] })]));
+  assertBroken('UNASKED', run([], { unasked: ['s1 got r9'] }));
+});
+
+test('ROUTE: it ran where no version lets it run', () => {
+  assert.ok(broken(run([call({ arrivals: [arrival({ service: 'three' })] })])).includes('ROUTE'));
+});
+
+test('CONFIG: well after a new version it ran as an older one says, unless its daemon was out of touch', () => {
+  const configurations = [FIRST, MOVED];
+  assertBroken('CONFIG', run([call()], { configurations }));
+  assertBroken('CONFIG', run([call()], { configurations: [FIRST, REVOKED] }));
+  const soonAfter = call({ sentMs: 20_100 });
+  assert.deepEqual(broken(run([soonAfter], { configurations })), []);
+  const cut = {
+    scope: 'daemon',
+    name: 'd1',
+    fromMs: 19_000,
+    toMs: 29_000,
+    isPlanned: false,
+  } as const;
+  assert.deepEqual(broken(run([call()], { configurations, disturbances: [cut] })), []);
+});
+
+test('DRAIN: it was sent to a server long after that said that it leaves', () => {
+  assertBroken('DRAIN', run([call()], { drains: [{ serverId: 's1', ackMs: 25_000 }] }));
+  assert.deepEqual(broken(run([call()], { drains: [{ serverId: 's1', ackMs: 29_000 }] })), []);
+});
+
+test('LOST: requests were closed without an answer, and nothing was disturbed but planned stops', () => {
+  const end: CallEnd = { kind: 'closed', reason: 'reset' };
+  const lost = Array.from({ length: 5 }, (_, index) => call({ id: `r${index}`, end }));
+  assertBroken('LOST', run(lost));
+  const stop = { scope: 'daemon', name: 'd1', fromMs: 29_000, toMs: 38_000 } as const;
+  assertBroken('LOST', run(lost, { disturbances: [{ ...stop, isPlanned: true }] }));
+  assert.deepEqual(broken(run(lost, { disturbances: [{ ...stop, isPlanned: false }] })), []);
+  const faulty = lost.map((made) => ({ ...made, arrivals: [arrival({ isServersFault: true })] }));
+  assert.deepEqual(broken(run(faulty)), []);
+});
+
+test('BUDGET: repeats of a window beyond the ratio and the slack', () => {
+  const turnedAway = (count: number) => {
+    const arrivals = Array.from({ length: count }, () => arrival({ isTaken: false }));
+    return run([call({ arrivals: [...arrivals, arrival()] })]);
+  };
+  assert.deepEqual(broken(turnedAway(4)), [], '4 repeats of 4.2');
+  assertBroken('BUDGET', turnedAway(5));
+  const runs = Array.from({ length: 3 }, () => arrival());
+  assertBroken('BUDGET', run([call({ requestClass: classOf('idempotent'), arrivals: runs })]));
+});
+
+test('the first reading that a server takes up is no repeat, any other arrival beyond the first is', () => {
+  const reading = arrival({ step: 'prefill', atMs: 1 });
+  const second = arrival({ step: 'prefill', atMs: 2 });
+  const refused = arrival({ step: 'prefill', isTaken: false, atMs: 0 });
+  const runs = arrival({ atMs: 3 });
+  assert.equal(repeatsOf({ arrivals: [reading, runs] }).length, 0);
+  assert.equal(repeatsOf({ arrivals: [reading, second, runs] }).length, 1);
+  assert.equal(repeatsOf({ arrivals: [refused, reading, runs] }).length, 1);
+});
+
+test('GONE: servers work on for callers that have left', () => {
+  const requestClass = classOf('idempotent');
+  const left = (endedMs: number) =>
+    Array.from({ length: 8 }, (_, index) =>
+      call({
+        id: `r${index}`,
+        requestClass,
+        end: { kind: 'left', isEarly: true },
+        arrivals: [arrival({ endedMs })],
+      }),
+    );
+  assertBroken('GONE', run(left(32_000)));
+  assert.deepEqual(broken(run(left(30_100))), []);
+});
+
+test('ONE: two holders with one fence', () => {
+  const order = { serverId: 's1', holder: 'd1', fence: 4, atMs: 1 };
+  assertBroken('ONE', run([], { orders: [order, { ...order, holder: 'd2' }] }));
+  assert.deepEqual(broken(run([], { orders: [order, { ...order, fence: 5, holder: 'd2' }] })), []);
+});
+
+test('RECOVER: few are served at the calm end', () => {
+  const atEnd = { sentMs: 56_500, deadlineMs: 59_000, endedMs: 56_600 };
+  const refusal = answered({ status: 503, stamp: undefined, body: '' });
+  assertBroken('RECOVER', run([call({ ...atEnd, end: refusal, arrivals: [] })]));
+  assert.deepEqual(broken(run([call({ ...atEnd })])), []);
+});
--- /dev/null
+++ b/test/soak/plan.test.ts
@@ -0,0 +1,45 @@
+/** The soak's plans: the same for the same seed, with every kind of fault over some seeds, calm at the end. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type Fault, planHerd, planSoak } from '../../soak/plan.js';
+
+const SIZE = { seconds: 60, daemons: 9, engines: 8, webServers: 4, requestsPerSecond: 90 };
+const KINDS: readonly Fault['kind'][] = [
+  'kill',
+  'stop',
+  'freeze',
+  'reload',
+  'store-slow',
+  'store-down',
+  'store-refuses',
+  'store-loses-answers',
+  'store-writes-late',
+  'store-forgets',
+  'entries-lapse',
+  'servers',
+  'crash',
+  'drain',
+  'link',
+  'change',
+  'burst',
+  'callers-leave',
+];
+
+test('a seed gives the same plan each time, another seed another', () => {
+  assert.deepEqual(planSoak(7, SIZE), planSoak(7, SIZE));
+  assert.notDeepEqual(planSoak(7, SIZE).faults, planSoak(8, SIZE).faults);
+});
+
+test('every kind of fault comes within some seeds, and none in the last seconds', () => {
+  const faults = Array.from({ length: 12 }, (_, seed) => planSoak(seed, SIZE).faults).flat();
+  const kinds = new Set(faults.map(({ fault }) => fault.kind));
+  assert.deepEqual([...kinds].sort(), [...KINDS].sort());
+  assert.ok(faults.every(({ atMs }) => atMs < 52_000));
+});
+
+test('the plan of a herd kills all daemons twice within one window of the budget', () => {
+  const kills = planHerd(3, SIZE).faults.filter(({ fault }) => fault.kind === 'kill');
+  assert.equal(kills.length, 2);
+  assert.ok((kills[1]?.atMs ?? 0) - (kills[0]?.atMs ?? 0) < 10_000);
+  for (const { fault } of kills) assert.ok(fault.kind === 'kill' && fault.daemons.length === 9);
+});
--- /dev/null
+++ b/test/soak/soak-run.test.ts
@@ -0,0 +1,15 @@
+/** A short soak over real gateway processes with fixed seeds; longer runs with fresh ones are started by hand. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { planSoak } from '../../soak/plan.js';
+import { runSoak } from '../../soak/run.js';
+
+const SIZE = { seconds: 24, daemons: 4, engines: 6, webServers: 4, requestsPerSecond: 40 };
+
+for (const seed of [2, 5]) {
+  test(`no promise is broken under the faults of seed ${seed}`, async () => {
+    const result = await runSoak(planSoak(seed, SIZE));
+    assert.deepEqual(result.violations, [], `logs of the daemons: ${result.directory}`);
+    assert.ok(result.served > 0, 'no request was served');
+  });
+}
