Soak: usage reports under a fence, late orders, streams that last over a second

Mutations that nothing could find: callers that leave were never in the middle of lasting work, unsafe routes allowed one attempt anyway, and a cut stream has no end.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -18,6 +18,10 @@
 const BODY = 'what does this label say?';
 const PROMPT_TOKENS = 380;
 const SHARED_PARTS = 20;
+const SHORT_TOKENS = 20;
+/** Some streams last over a second, so that stops and callers that leave meet them midway. */
+const LONG_TOKENS = 150;
+const LONG_SHARE = 0.15;
 const DEADLINE_MS = 3_000;
 
 /** What callers are built from. */
@@ -99,7 +103,7 @@
       requestClass: pickByShare(classes, random()),
       apiKey: owner.key,
       tenant: owner.tenant,
-      outputTokens: 2 + Math.floor(random() * 20),
+      outputTokens: random() < LONG_SHARE ? LONG_TOKENS : 2 + Math.floor(random() * SHORT_TOKENS),
       deadlineMs: performance.now() + DEADLINE_MS,
       isRetry: false,
     });
--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -10,6 +10,7 @@
 /** As on the users' machines. */
 const NODE_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=96'];
 const LEASE_MS = 3_000;
+const USAGE_WINDOW_SECONDS = 5;
 
 /** What a daemon is built from. */
 export interface GatewayProcessOptions {
@@ -18,6 +19,7 @@
   /** On loopback, another for each daemon. */
   readonly host: string;
   readonly storePort: number;
+  readonly dutyPort: number;
   readonly program: string;
   /** Where its settings and its log go. */
   readonly directory: string;
@@ -104,7 +106,8 @@
   }
 }
 
-function settingsText({ name, zone, host, storePort, bounds }: GatewayProcessOptions): string {
+function settingsText(options: GatewayProcessOptions): string {
+  const { name, zone, host, storePort, dutyPort, bounds } = options;
   return [
     `name: ${name}`,
     `zone: ${zone}`,
@@ -113,6 +116,10 @@
     `  readiness: ${host}:${READINESS_PORT}`,
     `  peers: ${host}:${PEERS_PORT}`,
     `store: 127.0.0.1:${storePort}`,
+    'duties:',
+    `  address: 127.0.0.1:${dutyPort}`,
+    `  usageWindowSeconds: ${USAGE_WINDOW_SECONDS}`,
+    '  usageDueSeconds: 10',
     'bounds:',
     `  contactMs: ${bounds.contactMs}`,
     `  stopGraceSeconds: ${bounds.graceMs / 1_000}`,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -94,9 +94,9 @@
 }
 
 function reportOf(seed: number, result: SoakResult): string {
-  const { violations, calls, served, refused, budgets, directory } = result;
+  const { violations, calls, served, refused, reports, budgets, directory } = result;
   const lines = [
-    `seed ${seed}: ${violations.length} broken; ${calls} calls, ${served} served, ${refused} refused`,
+    `seed ${seed}: ${violations.length} broken; ${calls} calls, ${served} served, ${refused} refused, ${reports} usage reports`,
     ...budgets.map(
       ({ service, repeats, allowed }) =>
         `  repeats of ${service} in the worst window: ${repeats} of ${Math.floor(allowed)}`,
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -18,6 +18,7 @@
 const SLOW_READ_MS = 24;
 const EVENT_GAP_MS = 8;
 const STAGE_SWITCH_MS = 800;
+const ORDER_DELAY_MS = 2_500;
 const LONGEST_NEWS_WAIT_MS = 1_000;
 const KEEP_ALIVE_MS = 5_000;
 /** The end of an answer that a faulty server never sends. */
@@ -25,6 +26,12 @@
 
 export type Stage = 'prefill' | 'decode';
 
+interface StageOrderBody {
+  readonly stage: Stage;
+  readonly holder: string;
+  readonly fence: number;
+}
+
 /** Told of what comes to servers. */
 export interface ServerObserver {
   arrived(request: IncomingMessage, body: string, arrival: Arrival): void;
@@ -304,7 +311,20 @@
   }
 
   #order(body: string, response: ServerResponse): void {
-    const order = JSON.parse(body) as { stage: Stage; holder: string; fence: number };
+    const order = JSON.parse(body) as StageOrderBody;
+    if (this.#strikes('delay-orders')) {
+      const ordered = this.#id;
+      setTimeout(() => {
+        if (this.#id === ordered && this.isUp) this.#carryOut(order);
+      }, ORDER_DELAY_MS);
+      response.destroy();
+      return;
+    }
+    response.writeHead(this.#carryOut(order) ? 202 : 409).end();
+  }
+
+  /** @returns whether the order's fence allows it */
+  #carryOut(order: StageOrderBody): boolean {
     const { holder, fence } = order;
     this.#options.observer.ordered({
       serverId: this.#id,
@@ -312,14 +332,10 @@
       fence,
       atMs: performance.now(),
     });
-    if (fence < this.#highestFence) {
-      response.writeHead(409).end();
-      return;
-    }
+    if (fence < this.#highestFence) return false;
     this.#highestFence = fence;
     this.#orders += 1;
-    response.writeHead(202).end();
-    if (order.stage === this.#stage) return;
+    if (order.stage === this.#stage) return true;
     this.#isSwitching = true;
     const ordered = this.#id;
     setTimeout(() => {
@@ -328,6 +344,7 @@
       this.#stage = order.stage;
       this.#options.noteStage();
     }, STAGE_SWITCH_MS);
+    return true;
   }
 
   #news(response: ServerResponse): void {
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -54,8 +54,8 @@
     name: 'whole-streams',
     promise: 'ORDER',
     file: 'src/shell/gateway/stream-relay.ts',
-    text: "settle(answer.isWhole ? 'complete' : 'broken')",
-    replacement: "settle('complete')",
+    text: "message.once('close', () => settle('broken'));",
+    replacement: "message.once('close', () => settle('complete'));",
   },
   {
     name: 'leaving-servers',
@@ -99,4 +99,11 @@
     text: 'fence: order.fence,',
     replacement: 'fence: 7,',
   },
+  {
+    name: 'one-set-of-counts',
+    promise: 'DUTY',
+    file: 'platform/duty-client.ts',
+    text: 'call(PATHS.usage, { window, counts }, authority, signal)',
+    replacement: 'call(PATHS.usage, { window, counts, sent: Date.now() }, authority, signal)',
+  },
 ];
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -2,6 +2,7 @@
  * Judges a run by the promises of the fleet, from what callers, servers and the store have seen. Pure. Where a promise
  * holds only in calm times, the disturbances of the run say when these were.
  */
+import { PATHS } from '../platform/names.js';
 import { eventText, wholeBody } from './answers.js';
 import type { Arrival, CallRecord, RunRecord } from './record.js';
 
@@ -19,6 +20,7 @@
   | 'BUDGET'
   | 'GONE'
   | 'ONE'
+  | 'DUTY'
   | 'RECOVER';
 
 /** A promise that was broken. */
@@ -53,6 +55,7 @@
     ...judgeBudget(calls, run),
     ...judgeGone(calls, run),
     ...judgeOrders(run),
+    ...judgeDuties(run),
     ...judgeRecovery(calls, run),
   ];
 }
@@ -285,15 +288,46 @@
   );
 }
 
-/** A fence has one holder, and none is followed by a lower one at an engine. */
-function judgeOrders(run: RunRecord): readonly Violation[] {
+interface Fenced {
+  readonly holder: string;
+  readonly fence: number;
+  readonly atMs: number;
+}
+
+/** A fence has one holder. */
+function sharedFences(promise: PromiseName, fenced: readonly Fenced[]): readonly Violation[] {
   const holderOf = new Map<number, string>();
-  return run.orders.flatMap(({ holder, fence, atMs }): readonly Violation[] => {
+  return fenced.flatMap(({ holder, fence, atMs }): readonly Violation[] => {
     const known = holderOf.get(fence);
     holderOf.set(fence, known ?? holder);
     if (known === undefined || known === holder) return [];
-    return [{ promise: 'ONE', atMs, detail: `fence ${fence} of ${known} and of ${holder}` }];
+    return [{ promise, atMs, detail: `fence ${fence} of ${known} and of ${holder}` }];
+  });
+}
+
+function judgeOrders({ orders }: RunRecord): readonly Violation[] {
+  return sharedFences('ONE', orders);
+}
+
+/** Each duty's fences have one holder each, and a window's usage is reported with one set of counts. */
+function judgeDuties({ duties }: RunRecord): readonly Violation[] {
+  const paths = [...new Set(duties.map(({ path }) => path))];
+  const shared = paths.flatMap((path) =>
+    sharedFences(
+      'DUTY',
+      duties.filter((duty) => duty.path === path),
+    ),
+  );
+  const bodyOf = new Map<number, string>();
+  const changed = duties.flatMap(({ path, body, isAccepted, atMs }): readonly Violation[] => {
+    if (path !== PATHS.usage || !isAccepted) return [];
+    const { window } = JSON.parse(body) as { window: number };
+    const known = bodyOf.get(window);
+    bodyOf.set(window, known ?? body);
+    if (known === undefined || known === body) return [];
+    return [{ promise: 'DUTY', atMs, detail: `window ${window} reported with other counts` }];
   });
+  return [...shared, ...changed];
 }
 
 function judgeRecovery(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -21,7 +21,9 @@
   /** Runs them and closes the connection without an answer. */
   | 'lose-answer'
   /** Sends a second answer on the same connection. */
-  | 'answer-twice';
+  | 'answer-twice'
+  /** Leaves orders unanswered and carries them out later. */
+  | 'delay-orders';
 
 /** What a link between daemons and a server does. */
 export type LinkFault =
@@ -33,6 +35,9 @@
   /** Open connections go silent for good; new ones work. */
   | 'silent';
 
+/** What the platform does with calls that are one daemon's duty at a time. */
+export type DutyFault = 'unavailable' | 'too-many' | 'lose-answers';
+
 /** What the operator changes. */
 export type Change = 'move-route' | 'revoke-key' | 'idle';
 
@@ -70,6 +75,7 @@
       readonly forMs: number;
     }
   | { readonly kind: 'change'; readonly change: Change }
+  | { readonly kind: 'duties'; readonly how: DutyFault; readonly forMs: number }
   | { readonly kind: 'burst'; readonly factor: number; readonly forMs: number }
   | { readonly kind: 'callers-leave'; readonly share: number; readonly forMs: number };
 
@@ -140,8 +146,16 @@
 type Draw = (dice: Dice, size: SoakSize) => Fault;
 
 const STORE_REFUSALS = ['unavailable', 'too-many', 'reset', 'silent'] as const;
-const SERVER_FAULTS = ['turn-away', 'fail', 'break-off', 'lose-answer', 'answer-twice'] as const;
+const SERVER_FAULTS = [
+  'turn-away',
+  'fail',
+  'break-off',
+  'lose-answer',
+  'answer-twice',
+  'delay-orders',
+] as const;
 const LINK_FAULTS = ['delay', 'reset', 'one-way', 'silent'] as const;
+const DUTY_FAULTS = ['unavailable', 'too-many', 'lose-answers'] as const;
 const CHANGES = ['move-route', 'revoke-key', 'idle'] as const;
 
 const DRAWS: readonly [Draw, ...Draw[]] = [
@@ -211,6 +225,11 @@
     servers: dice.some(engines + webServers, dice.between(0.1, 0.5)),
     forMs: dice.between(300, 4_000),
   }),
+  (dice) => ({
+    kind: 'duties',
+    how: dice.pick(DUTY_FAULTS),
+    forMs: dice.between(1_000, 8_000),
+  }),
   (dice) => ({ kind: 'change', change: dice.pick(CHANGES) }),
   (dice) => ({ kind: 'burst', factor: dice.between(1.5, 2.5), forMs: dice.between(1_000, 5_000) }),
   (dice) => ({
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -105,6 +105,17 @@
   readonly atMs: number;
 }
 
+/** A call to the platform that is one daemon's duty at a time. */
+export interface DutyRecord {
+  readonly path: string;
+  readonly holder: string;
+  readonly fence: number;
+  readonly body: string;
+  /** Whether its fence was the highest until then. */
+  readonly isAccepted: boolean;
+  readonly atMs: number;
+}
+
 /** Everything that a run saw. */
 export interface RunRecord {
   readonly calls: ReadonlyMap<string, CallRecord>;
@@ -114,6 +125,7 @@
   readonly configurations: readonly ConfigurationVersion[];
   readonly drains: readonly DrainNotice[];
   readonly orders: readonly OrderRecord[];
+  readonly duties: readonly DutyRecord[];
   readonly bounds: SoakBounds;
   readonly endMs: number;
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -11,6 +11,7 @@
 import { HEADERS, TABLES } from '../platform/names.js';
 import { bundleGateway } from './bundle.js';
 import { Callers, HOST } from './callers.js';
+import { DutyService } from './duty-service.js';
 import { GatewayProcess } from './gateway-process.js';
 import { LinkProxy } from './link-proxy.js';
 import { ModelServer, type Stage } from './model-server.js';
@@ -43,7 +44,8 @@
 const REVOCABLE_KEY = { key: 'key-three', tenant: 'three' };
 const CLASSES: readonly RequestClass[] = [
   webClass('get', 'idempotent', 2, 0.25),
-  webClass('post', 'non-idempotent', 1, 0.25),
+  // Attempts that its kind forbids: what may run once does so whatever a route allows.
+  webClass('post', 'non-idempotent', 2, 0.25),
   {
     name: 'generate',
     pathPrefix: '/generate/',
@@ -79,6 +81,8 @@
   readonly calls: number;
   readonly served: number;
   readonly refused: number;
+  /** Usage reports that the platform has taken. */
+  readonly reports: number;
   readonly budgets: readonly BudgetWindow[];
   /** Logs and settings of the daemons; kept where a promise was broken. */
   readonly directory: string;
@@ -119,6 +123,7 @@
   readonly #configurations: ConfigurationVersion[] = [];
   readonly #drains: DrainNotice[] = [];
   readonly #orders: OrderRecord[] = [];
+  readonly #dutyService = new DutyService();
   #callers: Callers | undefined;
   #isRevoked = false;
   #webService: string = WEB_SERVICES[0];
@@ -170,6 +175,7 @@
       server.crash();
     }
     this.#store.close();
+    this.#dutyService.close();
   }
 
   #result(endMs: number): SoakResult {
@@ -180,6 +186,7 @@
       configurations: this.#configurations,
       drains: this.#drains,
       orders: this.#orders,
+      duties: this.#dutyService.records,
       bounds: this.#bounds,
       endMs,
     };
@@ -194,6 +201,7 @@
       calls: ends.length,
       served: withStatus(200),
       refused: withStatus(503),
+      reports: this.#dutyService.records.filter(({ isAccepted }) => isAccepted).length,
       budgets: [MODEL, ...WEB_SERVICES].map((service) => worstBudgetWindow(run, service)),
       directory: this.#directory,
     };
@@ -248,6 +256,7 @@
   async #startDaemons(program: string): Promise<void> {
     // Another block of loopback addresses for each run on a machine.
     const block = 16 + (process.pid % 100);
+    const dutyPort = await this.#dutyService.open();
     for (let index = 0; index < this.#plan.size.daemons; index += 1) {
       const door = this.#store.createDoor();
       const zoneIndex = index % ZONES.length;
@@ -258,6 +267,7 @@
         zone: ZONES[zoneIndex] ?? '',
         host: `127.${block}.${zoneIndex + 1}.${index + 1}`,
         storePort: await door.open(),
+        dutyPort,
         program,
         directory: this.#directory,
         bounds: this.#bounds,
@@ -341,6 +351,11 @@
         return this.#drain(this.#serversAt([fault.server])[0]);
       case 'link':
         return this.#disturbLinks(fault);
+      case 'duties':
+        this.#dutyService.fault = fault.how;
+        await pause(fault.forMs);
+        this.#dutyService.fault = undefined;
+        return;
       case 'change':
         this.#change(fault.change);
         return;
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -108,6 +108,7 @@
     configurations: [FIRST],
     drains: [],
     orders: [],
+    duties: [],
     bounds: BOUNDS,
     endMs: 60_000,
     ...fields,
@@ -240,6 +241,21 @@
   assert.deepEqual(broken(run([], { orders: [order, { ...order, fence: 5, holder: 'd2' }] })), []);
 });
 
+test('DUTY: a fence of two holders, or a window reported with other counts', () => {
+  const report = { path: '/usage', holder: 'd1', fence: 4, isAccepted: true, atMs: 1 };
+  const first = { ...report, body: '{"window":7,"counts":{"a":1}}' };
+  const again = { ...first, holder: 'd2', fence: 5 };
+  assert.deepEqual(
+    broken(run([], { duties: [first, again] })),
+    [],
+    'sent again by the next holder',
+  );
+  assertBroken('DUTY', run([], { duties: [first, { ...first, holder: 'd2' }] }));
+  const other = { ...again, body: '{"window":7,"counts":{"a":2}}' };
+  assertBroken('DUTY', run([], { duties: [first, other] }));
+  assert.deepEqual(broken(run([], { duties: [first, { ...other, isAccepted: false }] })), []);
+});
+
 test('RECOVER: few are served at the calm end', () => {
   const atEnd = { sentMs: 56_500, deadlineMs: 59_000, endedMs: 56_600 };
   const refusal = answered({ status: 503, stamp: undefined, body: '' });
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -21,6 +21,7 @@
   'drain',
   'link',
   'change',
+  'duties',
   'burst',
   'callers-leave',
 ];
