--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -8,6 +8,8 @@
 
 export const HOST = 'soak.example';
 const TICK_MS = 5;
+/** Kept open to each daemon while idle. */
+const FREE_CONNECTIONS = 32;
 const READINESS_GAP_MS = 100;
 /** A caller whose daemon took no connection tries another so soon, until its deadline. */
 const RECONNECT_GAP_MS = 100;
@@ -59,9 +61,6 @@
 
   constructor(options: CallersOptions) {
     this.#options = options;
-    for (const { name } of options.daemons) {
-      this.#agents.set(name, new http.Agent({ keepAlive: true, maxFreeSockets: 32 }));
-    }
   }
 
   start(): void {
@@ -128,7 +127,7 @@
     this.#options.calls.set(call.id, call);
     const leavesEarly = this.#options.random() < this.leavingShare;
     const noteEnd = (end: CallEnd) => this.#retry(wish, end);
-    sendCall({ call, daemon, agent: this.#agents.get(daemon.name), leavesEarly, noteEnd });
+    sendCall({ call, daemon, agent: this.#agentOf(daemon), leavesEarly, noteEnd });
   }
 
   /** A caller comes back once after a refusal, and until its deadline when nothing took its connection. */
@@ -149,8 +148,17 @@
     return this.#ready[Math.floor(random() * this.#ready.length)] ?? any;
   }
 
-  #hasOpenConnection({ name }: GatewayProcess): boolean {
-    return Object.values(this.#agents.get(name)?.freeSockets ?? {}).some((free) => free?.length);
+  #hasOpenConnection(daemon: GatewayProcess): boolean {
+    return Object.values(this.#agentOf(daemon).freeSockets).some((free) => free?.length);
+  }
+
+  /** The connections to one daemon. */
+  #agentOf({ name }: GatewayProcess): http.Agent {
+    const known = this.#agents.get(name);
+    if (known !== undefined) return known;
+    const agent = new http.Agent({ keepAlive: true, maxFreeSockets: FREE_CONNECTIONS });
+    this.#agents.set(name, agent);
+    return agent;
   }
 }
 
@@ -175,7 +183,7 @@
 interface Sending {
   readonly call: CallRecord;
   readonly daemon: GatewayProcess;
-  readonly agent: http.Agent | undefined;
+  readonly agent: http.Agent;
   readonly leavesEarly: boolean;
   readonly noteEnd: (end: CallEnd) => void;
 }
@@ -186,7 +194,7 @@
     port: daemon.port,
     method: 'POST',
     path: `${call.requestClass.pathPrefix}x`,
-    ...(agent === undefined ? {} : { agent }),
+    agent,
     headers: headersOf(call),
   });
   let isConnected = false;
--- /dev/null
+++ b/soak/configuration.ts
@@ -0,0 +1,144 @@
+/**
+ * The fleet's configuration in a run, as the operator writes it: one route moves between two web services, and one
+ * tenant's key is taken away and given back.
+ */
+import { TABLES } from '../platform/names.js';
+import { HOST } from './callers.js';
+import type { Change } from './plan.js';
+import type { PlatformStore } from './platform-store.js';
+import type { ConfigurationVersion, RequestClass, SoakBounds } from './record.js';
+
+/** The service of model engines. */
+export const MODEL = 'model';
+/** The routes of web requests go to one of these. */
+export const WEB_SERVICES = ['web-1', 'web-2'] as const;
+const KEYS = [
+  { key: 'key-one', tenant: 'one' },
+  { key: 'key-two', tenant: 'two' },
+];
+const REVOCABLE_KEY = { key: 'key-three', tenant: 'three' };
+/** All keys that callers use. */
+export const CALLERS_KEYS = [...KEYS, REVOCABLE_KEY];
+/** What callers ask for. */
+export const CLASSES: readonly RequestClass[] = [
+  webClass('get', 'idempotent', 2, 0.25),
+  // Attempts that its kind forbids: what may run once does so whatever a route allows.
+  webClass('post', 'non-idempotent', 2, 0.25),
+  {
+    name: 'generate',
+    pathPrefix: '/generate/',
+    kind: 'streaming',
+    attempts: 2,
+    timeoutMs: 3_000,
+    targetLatencyMs: 300,
+    share: 0.5,
+  },
+];
+const BOUNDS: Omit<SoakBounds, 'budgetSlack'> = {
+  contactMs: 3_000,
+  graceMs: 8_000,
+  configApplyMs: 2_000,
+  drainMs: 2_000,
+  lossSlackMs: 200,
+  budgetRatio: 0.2,
+  budgetWindowMs: 10_000,
+};
+/** As the users set it: 54 for 7 daemons, 158 for 59, 430 for 195. */
+const SLACK_OF_DAEMON = 2.2;
+const LEAST_SLACK = 50;
+
+/** The bounds that a fleet of so many daemons is set to and judged by. */
+export function boundsOf(daemons: number): SoakBounds {
+  return { ...BOUNDS, budgetSlack: Math.max(LEAST_SLACK, daemons * SLACK_OF_DAEMON) };
+}
+
+/** Writes versions of the configuration to the store. */
+export class Operator {
+  readonly versions: ConfigurationVersion[] = [];
+  readonly #store: PlatformStore;
+  #isRevoked = false;
+  #webService: string = WEB_SERVICES[0];
+
+  constructor(store: PlatformStore) {
+    this.#store = store;
+  }
+
+  change(change: Change): void {
+    switch (change) {
+      case 'move-route': {
+        const [first, second] = WEB_SERVICES;
+        this.#webService = this.#webService === first ? second : first;
+        break;
+      }
+      case 'revoke-key':
+        this.#isRevoked = !this.#isRevoked;
+        break;
+      case 'idle':
+        break;
+    }
+    this.#write();
+  }
+
+  #write(): void {
+    const version = (this.versions.at(-1)?.version ?? 0) + 1;
+    const serviceOf = new Map(
+      CLASSES.map(({ name, kind }) => [name, kind === 'streaming' ? MODEL : this.#webService]),
+    );
+    const keys = this.#isRevoked ? KEYS : CALLERS_KEYS;
+    const tenantOfKey = new Map(keys.map(({ key, tenant }) => [key, tenant]));
+    const document = configurationDocument(version, serviceOf, keys);
+    this.#store.put(TABLES.operator, TABLES.configurationKey, document);
+    this.versions.push({ version, ackMs: performance.now(), serviceOf, tenantOfKey });
+  }
+}
+
+function webClass(
+  name: string,
+  kind: RequestClass['kind'],
+  attempts: number,
+  share: number,
+): RequestClass {
+  const timing = { timeoutMs: 1_500, targetLatencyMs: 150 };
+  return { name, pathPrefix: `/${name}/`, kind, attempts, ...timing, share };
+}
+
+function configurationDocument(
+  version: number,
+  serviceOf: ReadonlyMap<string, string>,
+  keys: readonly { readonly key: string; readonly tenant: string }[],
+): unknown {
+  const engine = {
+    slots: 24,
+    kvTokens: 400_000,
+    kvTokenBytes: 163_840,
+    linkMbps: 1_000_000,
+    most: 12,
+    roleSwitchS: 0.8,
+  };
+  return {
+    version,
+    routes: CLASSES.map((requestClass) => ({
+      name: requestClass.name,
+      host: HOST,
+      pathPrefix: requestClass.pathPrefix,
+      kind: requestClass.kind === 'non-idempotent' ? 'non_idempotent' : requestClass.kind,
+      timeoutMs: requestClass.timeoutMs,
+      targetLatencyMs: requestClass.targetLatencyMs,
+      priority: 1,
+      attempts: requestClass.attempts,
+      resumable: requestClass.kind === 'streaming',
+      service: serviceOf.get(requestClass.name),
+    })),
+    services: [
+      { name: MODEL, maxConnections: 1_000, engine },
+      ...WEB_SERVICES.map((name) => ({ name, maxConnections: 1_000 })),
+    ],
+    tenants: keys.map(({ key, tenant }) => ({ name: tenant, apiKeys: [key] })),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
--- /dev/null
+++ b/soak/fault-injector.ts
@@ -0,0 +1,242 @@
+/**
+ * Brings about the faults of a plan, one function each, and notes what they disturb: promises that hold in calm times
+ * only are judged by that.
+ */
+import type { Callers } from './callers.js';
+import type { Operator } from './configuration.js';
+import type { DutyService } from './duty-service.js';
+import type { GatewayProcess } from './gateway-process.js';
+import { pause } from './pause.js';
+import type { Fault } from './plan.js';
+import type { PlatformStore, StoreDoor } from './platform-store.js';
+import type { Disturbance, DrainNotice, Scope, SoakBounds } from './record.js';
+import { ENTRY_LAPSE_MS, type PooledServer, type ServerPool } from './server-pool.js';
+
+/** From a daemon's new start until its listeners have been up for a while, on a machine that is busy. */
+const START_MS = 3_000;
+const THAW_MS = 1_000;
+const DRAIN_LINGER_MS = 1_000;
+const ROLLING_START_MS = 400;
+
+/** What faults strike. */
+export interface SoakWorld {
+  readonly bounds: SoakBounds;
+  readonly store: PlatformStore;
+  readonly dutyService: DutyService;
+  readonly pool: ServerPool;
+  readonly operator: Operator;
+  readonly daemons: readonly GatewayProcess[];
+  readonly doorOf: ReadonlyMap<string, StoreDoor>;
+  readonly callers: Callers;
+}
+
+/** Strikes a run's world until it is ended. */
+export class FaultInjector {
+  readonly disturbances: Disturbance[] = [];
+  readonly drains: DrainNotice[] = [];
+  readonly #world: SoakWorld;
+  #isEnded = false;
+
+  constructor(world: SoakWorld) {
+    this.#world = world;
+  }
+
+  /** From now on nothing is started or changed any more. */
+  end(): void {
+    this.#isEnded = true;
+  }
+
+  async begin(fault: Fault): Promise<void> {
+    if (this.#isEnded) return;
+    switch (fault.kind) {
+      case 'kill':
+        return this.#kill(this.#daemonsAt(fault.daemons), fault.downMs);
+      case 'stop':
+        return this.#stopInTurn(this.#daemonsAt(fault.daemons), fault.gapMs);
+      case 'freeze':
+        return this.#freeze(this.#daemonsAt(fault.daemons), fault.forMs);
+      case 'reload':
+        for (const daemon of this.#daemonsAt(fault.daemons)) daemon.signal('SIGHUP');
+        return;
+      case 'store-slow':
+        this.#world.store.faults.delayMs = fault.delayMs;
+        await this.#disturbStore(fault.forMs);
+        this.#world.store.faults.delayMs = 0;
+        return;
+      case 'store-down':
+        this.#world.store.refusal = fault.how;
+        await this.#disturbStore(fault.forMs);
+        this.#world.store.refusal = undefined;
+        return;
+      case 'store-refuses':
+        return this.#refuseDaemons(fault);
+      case 'store-loses-answers':
+        this.#world.store.faults.lostAnswers = fault.share;
+        await this.#disturbStore(fault.forMs);
+        this.#world.store.faults.lostAnswers = 0;
+        return;
+      case 'store-writes-late':
+        this.#world.store.faults.lateWrites = fault.share;
+        await this.#disturbStore(fault.forMs);
+        this.#world.store.faults.lateWrites = 0;
+        return;
+      case 'store-forgets':
+        this.#disturb('store', '', 0);
+        this.#world.store.forget();
+        return;
+      case 'entries-lapse':
+        return this.#lapse(fault.forMs);
+      case 'servers':
+        return this.#spoilServers(fault);
+      case 'crash':
+        await Promise.all(this.#serversAt(fault.servers).map((s) => this.#crash(s, fault.downMs)));
+        return;
+      case 'drain':
+        return this.#drain(this.#serversAt([fault.server])[0]);
+      case 'link':
+        return this.#disturbLinks(fault);
+      case 'duties':
+        this.#world.dutyService.fault = fault.how;
+        await pause(fault.forMs);
+        this.#world.dutyService.fault = undefined;
+        return;
+      case 'change':
+        this.#world.operator.change(fault.change);
+        return;
+      case 'burst':
+        this.#world.callers.factor = fault.factor;
+        await pause(fault.forMs);
+        this.#world.callers.factor = 1;
+        return;
+      case 'callers-leave':
+        this.#world.callers.leavingShare = fault.share;
+        await pause(fault.forMs);
+        this.#world.callers.leavingShare = 0;
+        return;
+    }
+  }
+
+  #daemonsAt(indexes: readonly number[]): readonly GatewayProcess[] {
+    return indexes.flatMap((index) => this.#world.daemons[index] ?? []);
+  }
+
+  #serversAt(indexes: readonly number[]): readonly PooledServer[] {
+    return indexes.flatMap((index) => this.#world.pool.servers[index] ?? []);
+  }
+
+  #disturb(scope: Scope, name: string, forMs: number, isPlanned = false): void {
+    const fromMs = performance.now();
+    this.disturbances.push({ scope, name, fromMs, toMs: fromMs + forMs, isPlanned });
+  }
+
+  async #disturbStore(forMs: number): Promise<void> {
+    this.#disturb('store', '', forMs);
+    await pause(forMs);
+  }
+
+  async #kill(daemons: readonly GatewayProcess[], downMs: number): Promise<void> {
+    for (const daemon of daemons) {
+      this.#disturb('daemon', daemon.name, downMs + START_MS);
+      daemon.signal('SIGKILL');
+    }
+    await pause(downMs);
+    for (const daemon of daemons) this.#startAgain(daemon);
+  }
+
+  #startAgain(daemon: GatewayProcess): void {
+    if (!this.#isEnded) daemon.start();
+  }
+
+  async #stopInTurn(daemons: readonly GatewayProcess[], gapMs: number): Promise<void> {
+    for (const daemon of daemons) {
+      if (!daemon.isRunning || daemon.isFrozen || daemon.isStopping) continue;
+      this.#disturb('daemon', daemon.name, this.#world.bounds.graceMs + START_MS, true);
+      daemon.signal('SIGTERM');
+      const overdue = setTimeout(() => daemon.signal('SIGKILL'), this.#world.bounds.graceMs);
+      void daemon
+        .ended()
+        .then(() => clearTimeout(overdue))
+        .then(() => pause(ROLLING_START_MS))
+        .then(() => this.#startAgain(daemon));
+      await pause(gapMs);
+    }
+  }
+
+  async #freeze(daemons: readonly GatewayProcess[], forMs: number): Promise<void> {
+    for (const daemon of daemons) {
+      this.#disturb('daemon', daemon.name, forMs + THAW_MS);
+      daemon.signal('SIGSTOP');
+    }
+    await pause(forMs);
+    for (const daemon of daemons) daemon.signal('SIGCONT');
+  }
+
+  async #refuseDaemons(fault: Extract<Fault, { kind: 'store-refuses' }>): Promise<void> {
+    const daemons = this.#daemonsAt(fault.daemons);
+    const doors = daemons.flatMap(({ name }) => this.#world.doorOf.get(name) ?? []);
+    for (const { name } of daemons) this.#disturb('daemon', name, fault.forMs);
+    for (const door of doors) door.refusal = fault.how;
+    await pause(fault.forMs);
+    for (const door of doors) door.refusal = undefined;
+  }
+
+  async #lapse(forMs: number): Promise<void> {
+    this.#disturb('store', '', forMs);
+    for (const { server } of this.#world.pool.servers) this.#world.pool.unlist(server.id);
+    await pause(forMs);
+    for (const listed of this.#world.pool.servers)
+      if (listed.server.isUp) this.#world.pool.list(listed);
+  }
+
+  async #spoilServers(fault: Extract<Fault, { kind: 'servers' }>): Promise<void> {
+    const servers = this.#serversAt(fault.servers).map(({ server }) => server);
+    for (const server of servers) {
+      server.fault = { how: fault.how, share: fault.share };
+      // Surplus bytes and broken answers may end connections that other requests are on.
+      if (fault.how === 'answer-twice') this.#disturb('server', server.id, fault.forMs);
+    }
+    await pause(fault.forMs);
+    for (const server of servers) server.fault = undefined;
+  }
+
+  async #crash(listed: PooledServer, downMs: number): Promise<void> {
+    const { server } = listed;
+    if (!server.isUp || listed.isDraining) return;
+    const oldId = server.id;
+    this.#disturb('server', oldId, downMs + ENTRY_LAPSE_MS);
+    server.crash();
+    setTimeout(() => this.#world.pool.unlist(oldId), ENTRY_LAPSE_MS);
+    await pause(downMs);
+    if (this.#isEnded) return;
+    await server.start();
+    this.#world.pool.list(listed);
+  }
+
+  /** The server says that it leaves, serves on for a while, and comes back as another. */
+  async #drain(listed: PooledServer | undefined): Promise<void> {
+    if (listed === undefined || !listed.server.isUp || listed.isDraining) return;
+    const { server } = listed;
+    const oldId = server.id;
+    listed.isDraining = true;
+    this.#world.pool.list(listed);
+    this.drains.push({ serverId: oldId, ackMs: performance.now() });
+    await pause(this.#world.bounds.drainMs + DRAIN_LINGER_MS);
+    this.#disturb('server', oldId, ENTRY_LAPSE_MS);
+    this.#world.pool.unlist(oldId);
+    server.crash();
+    listed.isDraining = false;
+    if (this.#isEnded) return;
+    await server.start();
+    this.#world.pool.list(listed);
+  }
+
+  async #disturbLinks(fault: Extract<Fault, { kind: 'link' }>): Promise<void> {
+    const listed = this.#serversAt(fault.servers);
+    for (const { server, link } of listed) {
+      this.#disturb('server', server.id, fault.forMs + this.#world.bounds.contactMs);
+      link.begin(fault.how);
+    }
+    await pause(fault.forMs);
+    for (const { link } of listed) link.end();
+  }
+}
--- /dev/null
+++ b/soak/pause.ts
@@ -0,0 +1,4 @@
+/** Resolves after a time. */
+export function pause(spanMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, spanMs));
+}
