--- a/soak/answers.ts
+++ b/soak/answers.ts
@@ -1,5 +1,8 @@
 /** What the stand-ins of servers answer: a request's id and its run's stamp stand in every answer. */
 
+/** From one event of a stream to the next. */
+export const EVENT_GAP_MS = 8;
+
 /** The body of a web server's whole answer. */
 export function wholeBody(id: string, stamp: string): string {
   return `${id} ${stamp} ${'.'.repeat(200)}`;
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -47,8 +47,8 @@
     name: 'visible-breaks',
     promise: 'MIXED',
     file: 'src/shell/gateway/backend-connections.ts',
-    text: 'resolve(this.isWhole ? Buffer.concat(chunks) : undefined)',
-    replacement: 'resolve(Buffer.concat(chunks))',
+    text: "this.message.once('close', () => resolve(undefined));",
+    replacement: "this.message.once('close', () => resolve(Buffer.concat(chunks)));",
   },
   {
     name: 'whole-streams',
