--- a/soak/main.ts
+++ b/soak/main.ts
@@ -9,6 +9,8 @@
 const EXIT_UNUSABLE = 2;
 const EXIT_INTERRUPTED = 130;
 const REQUESTS_PER_DAEMON = 8;
+/** Violations of a run that are printed. */
+const MOST_SHOWN = 12;
 
 /** The command line, checked. */
 interface Wishes {
@@ -101,9 +103,11 @@
       ({ service, repeats, allowed }) =>
         `  repeats of ${service} in the worst window: ${repeats} of ${Math.floor(allowed)}`,
     ),
-    ...violations.map(
-      ({ promise, atMs, detail }) => `  BROKEN ${promise} at ${Math.round(atMs)} ms: ${detail}`,
-    ),
+    ...violations
+      .slice(0, MOST_SHOWN)
+      .map(
+        ({ promise, atMs, detail }) => `  BROKEN ${promise} at ${Math.round(atMs)} ms: ${detail}`,
+      ),
     ...(violations.length > 0 ? [`  logs of the daemons: ${directory}`] : []),
   ];
   return `${lines.join('\n')}\n`;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -9,6 +9,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { HEADERS } from '../platform/names.js';
+import { AddressBlock } from './address-block.js';
 import { bundleGateway } from './bundle.js';
 import { Callers } from './callers.js';
 import { boundsOf, CALLERS_KEYS, CLASSES, MODEL, Operator, WEB_SERVICES } from './configuration.js';
@@ -28,9 +29,6 @@
 const READY_LOOK_MS = 50;
 /** Calls may still end for so long after the last was sent. */
 const LAST_CALLS_MS = 4_000;
-/** Each run on a machine takes another block of loopback addresses. */
-const FIRST_BLOCK = 16;
-const BLOCKS = 100;
 
 /** What came of a run. */
 export interface SoakResult {
@@ -73,6 +71,7 @@
   readonly #calls = new Map<string, CallRecord>();
   readonly #unasked: string[] = [];
   readonly #orders: OrderRecord[] = [];
+  #addresses: AddressBlock | undefined;
   #isClosed = false;
 
   constructor(plan: SoakPlan) {
@@ -138,6 +137,7 @@
     this.#pool.close();
     this.#store.close();
     this.#dutyService.close();
+    this.#addresses?.release();
   }
 
   #result(endMs: number): SoakResult {
@@ -169,7 +169,7 @@
   }
 
   async #startDaemons(program: string): Promise<void> {
-    const block = FIRST_BLOCK + (process.pid % BLOCKS);
+    this.#addresses = await AddressBlock.claim();
     const dutyPort = await this.#dutyService.open();
     for (let index = 0; index < this.#plan.size.daemons; index += 1) {
       const zoneIndex = index % ZONES.length;
@@ -180,7 +180,7 @@
       const daemon = new GatewayProcess({
         name,
         zone,
-        host: `127.${block}.${zoneIndex + 1}.${index + 1}`,
+        host: this.#addresses.addressOf(zoneIndex, index),
         storePort: await door.open(),
         dutyPort,
         program,
