Call what a relay tells of the store's tables a digest

TableWord, WordToTell and the like were metaphors of our own; the field says digest. Names, files and comments only; what goes over the wire is unchanged.

--- a/src/core/gateway/digest-schedule.ts
+++ b/src/core/gateway/digest-schedule.ts
@@ -14,7 +14,7 @@
 }
 
 /** How far a relay has seen the store's tables change. */
-export interface TableWordMessage {
+export interface TableDigest {
   readonly configurations: TableProgress;
   readonly servers: TableProgress;
   /** How old its newest look at the store is. */
@@ -24,7 +24,7 @@
 }
 
 /** Who is told. */
-export type WordAudience = 'nobody' | 'zone' | 'everyone';
+export type DigestAudience = 'nobody' | 'zone' | 'everyone';
 
 const GAP_MS = 400;
 /**
@@ -34,27 +34,29 @@
 const TIMES_FOR_EVERYONE = 9;
 
 /** A relay's memory of what it has told. */
-export class WordToTell {
-  #told: TableWordMessage | undefined;
+export class DigestSchedule {
+  #told: TableDigest | undefined;
   #toldAtMs = Number.NEGATIVE_INFINITY;
   #times = 0;
 
   /** Who is to be told now; it counts as told from here on. */
-  next(word: TableWordMessage, nowMs: number): WordAudience {
-    if (!this.#isNews(word) && nowMs - this.#toldAtMs < GAP_MS) return 'nobody';
-    this.#told = word;
+  next(digest: TableDigest, nowMs: number): DigestAudience {
+    if (!this.#isNews(digest) && nowMs - this.#toldAtMs < GAP_MS) return 'nobody';
+    this.#told = digest;
     this.#toldAtMs = nowMs;
     this.#times += 1;
     return this.#times % TIMES_FOR_EVERYONE === 1 ? 'everyone' : 'zone';
   }
 
-  #isNews(word: TableWordMessage): boolean {
+  #isNews(digest: TableDigest): boolean {
     const told = this.#told;
     if (told === undefined) return true;
-    return isAhead(word.configurations, told.configurations) || isAhead(word.servers, told.servers);
+    return (
+      isAhead(digest.configurations, told.configurations) || isAhead(digest.servers, told.servers)
+    );
   }
 }
 
-function isAhead(word: TableProgress, told: TableProgress): boolean {
-  return word.changed > told.changed || word.reread > told.reread;
+function isAhead(digest: TableProgress, told: TableProgress): boolean {
+  return digest.changed > told.changed || digest.reread > told.reread;
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -27,6 +27,12 @@
   type RequestDescription,
   sharedPart,
 } from './description.js';
+export {
+  type DigestAudience,
+  DigestSchedule,
+  type TableDigest,
+  type TableProgress,
+} from './digest-schedule.js';
 export { type DoorInput, type DoorRefusal, refusalAtDoor } from './door.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
 export {
@@ -78,9 +84,3 @@
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
 export { type Admission, TenantTable } from './tenants.js';
-export {
-  type TableProgress,
-  type TableWordMessage,
-  type WordAudience,
-  WordToTell,
-} from './word-to-tell.js';
--- a/src/core/gateway/prefix-knowledge.ts
+++ b/src/core/gateway/prefix-knowledge.ts
@@ -43,7 +43,7 @@
     });
   }
 
-  /** Another daemon passed the engine's word on. */
+  /** Another daemon passed the engine's cache news on. */
   confirmFromPeer(engineId: string, partId: string, tokens: number, nowMs: number): void {
     this.#store(engineId, partId, {
       tokens,
--- a/src/core/gateway/retry-budget.ts
+++ b/src/core/gateway/retry-budget.ts
@@ -1,6 +1,6 @@
 /**
  * Bounds how much more a service is sent than callers asked for, over any window of time and all
- * daemons together, without a word between them: a token bucket.
+ * daemons together, without a message between them: a token bucket.
  *
  * Each request earns a part of a repeat, each repeat takes a whole one, and what is saved up is capped
  * at this daemon's share of the slack. Whatever the window, a daemon's repeats in it are at most what
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -6,16 +6,16 @@
   CallerLimits,
   GatewayConfiguration,
   ServerRecord,
-  TableWordMessage,
+  TableDigest,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { CacheNewsWatchers } from './cache-news-watcher.js';
 import type { FleetView } from './fleet-view.js';
 import type { PassedConfiguration } from './peer-messages.js';
 import type { PlatformAdapter, WatchedRow } from './ports.js';
+import type { RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
 import { type TableChanges, TableWatcher } from './table-watcher.js';
-import type { TableWord } from './table-word.js';
 import type { TimerService } from './timer-service.js';
 
 /**
@@ -47,8 +47,8 @@
   readonly passOnServers: (changes: TableChanges<ServerRecord>) => void;
   /** Changes of the configuration that came from the store itself. */
   readonly passOnConfiguration: (changes: TableChanges<GatewayConfiguration>) => void;
-  /** The word of the zone's relay on the tables. */
-  readonly word: TableWord;
+  /** The digest of the zone's relay on the tables. */
+  readonly digest: RelayDigest;
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly applyLimits: (limits: CallerLimits) => void;
@@ -63,7 +63,7 @@
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
-    const { adapter, waitMs, longestRetryMs, recheckSpanMs, timers, log, word } = options;
+    const { adapter, waitMs, longestRetryMs, recheckSpanMs, timers, log, digest } = options;
     const shared = { waitMs, longestRetryMs, recheckSpanMs, timers, log };
     const configurations = new TableWatcher({
       table: adapter.configurations,
@@ -74,7 +74,7 @@
       },
       ...shared,
       gatherMs: GATHER_CONFIGURATIONS_MS,
-      word: { table: 'configurations', from: word },
+      digest: { table: 'configurations', from: digest },
     });
     const servers = new TableWatcher({
       table: adapter.servers,
@@ -85,7 +85,7 @@
       },
       ...shared,
       gatherMs: GATHER_SERVERS_MS,
-      word: { table: 'servers', from: word },
+      digest: { table: 'servers', from: digest },
     });
     this.#configurations = configurations;
     this.#servers = servers;
@@ -122,7 +122,7 @@
   }
 
   /** What a relay tells its zone of the tables. */
-  wordToTell(nowMs: number): Omit<TableWordMessage, 'peersChecksum'> {
+  digestToSend(nowMs: number): Omit<TableDigest, 'peersChecksum'> {
     return {
       configurations: this.#configurations.progress,
       servers: this.#servers.progress,
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -17,12 +17,12 @@
 import type { GatewaySettings } from './gateway-settings.js';
 import { PeerExchange } from './peer-exchange.js';
 import type { PlatformAdapter } from './ports.js';
+import { RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
 import { RosterNewsDuty } from './roster-news-duty.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
-import { TableWord } from './table-word.js';
 import { delay, type TimerService } from './timer-service.js';
 
 /**
@@ -32,7 +32,7 @@
 const WATCH_SHARE_OF_CONTACT = 0.75;
 /** Others rely on a relay's look at the store for so long; it looks more often. */
 const RELAY_WATCH_SHARE_OF_CONTACT = 0.25;
-const WORD_AGE_SHARE_OF_CONTACT = 0.45;
+const DIGEST_AGE_SHARE_OF_CONTACT = 0.45;
 /** A store that has lost its history may answer stale reads; the last whole read is well before this daemon
  * counts as in touch again, which it does so long after they are over. */
 const RECHECK_SHARE_OF_CONTACT = 1.5;
@@ -82,7 +82,7 @@
   readonly #stages: StageController;
   /** Absent where the settings name no address for it. */
   readonly #peers: PeerExchange | undefined;
-  readonly #word: TableWord;
+  readonly #digest: RelayDigest;
   readonly #retryBudgets: RetryBudgetReporter;
   readonly #duties: Duties;
   #watchShare = WATCH_SHARE_OF_CONTACT;
@@ -102,7 +102,7 @@
       metrics: this.#metrics,
     });
     this.#roster = new PeerRoster({ name: settings.name, zone: settings.zone });
-    this.#word = new TableWord(timers, settings.bounds.contactMs * WORD_AGE_SHARE_OF_CONTACT);
+    this.#digest = new RelayDigest(timers, settings.bounds.contactMs * DIGEST_AGE_SHARE_OF_CONTACT);
     this.#connections = new BackendConnections(timers);
     const context: AttemptContext = {
       fleet: this.#fleet,
@@ -132,7 +132,7 @@
       waitMs: () => settings.bounds.contactMs * this.#watchShare,
       longestRetryMs: () => this.#longestRetryMs(),
       recheckSpanMs: settings.bounds.contactMs * RECHECK_SHARE_OF_CONTACT,
-      word: this.#word,
+      digest: this.#digest,
       passOnConfiguration: (changes) => this.#peers?.passOnConfiguration(changes),
       passOnServers: (changes) => this.#peers?.passOnServers(changes),
       timers,
@@ -262,11 +262,11 @@
       takeReach: (reach) => this.#takeReach(reach),
       takeRead: (read) => this.#fleet.knowledge.expect(read, timers.nowMs()),
       noteRelay: (isRelay) => this.#noteRelay(isRelay),
-      tableWord: () => this.#follower.wordToTell(timers.nowMs()),
+      tableDigest: () => this.#follower.digestToSend(timers.nowMs()),
       takeConfiguration: (change) => this.#follower.takePassedConfiguration(change),
       takeServers: (changes) => this.#follower.takeServerChanges(changes),
-      takeTables: (word) => this.#word.take(word),
-      relayPeersChecksum: () => this.#word.peersChecksum,
+      takeTables: (digest) => this.#digest.take(digest),
+      relayPeersChecksum: () => this.#digest.peersChecksum,
       takeStage: (notice) => this.#fleet.stageNotices.take(notice, timers.nowMs()),
       takeUsage: (message, reply) => this.#duties.takeUsage(message, reply),
       takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
@@ -305,7 +305,7 @@
   #noteRelay(isRelay: boolean): void {
     this.#isRelay = isRelay;
     this.#watchShare = isRelay ? RELAY_WATCH_SHARE_OF_CONTACT : WATCH_SHARE_OF_CONTACT;
-    if (isRelay) this.#word.drop();
+    if (isRelay) this.#digest.drop();
   }
 
   #addGauges(): void {
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -40,7 +40,7 @@
   readonly log: Pick<GatewayLog, 'write'>;
   /** Told how many daemons a list holds, this one counted, when it was read or is the relay's too. */
   readonly noteDaemonCount: (daemons: number) => void;
-  /** The checksum of the zone's relay's list; undefined while its word is not fresh. */
+  /** The checksum of the zone's relay's list; undefined while its digest is not fresh. */
   readonly relayPeersChecksum: () => number | undefined;
 }
 
@@ -71,7 +71,7 @@
     this.#stopped.abort();
   }
 
-  /** While the relay's word is fresh its list decides; otherwise the time since the last scan. */
+  /** While the relay's digest is fresh its list decides; otherwise the time since the last scan. */
   #isScanDue(): boolean {
     const { relayPeersChecksum, roster, timers } = this.#options;
     const checksum = relayPeersChecksum();
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -17,7 +17,7 @@
   ServerRecord,
   ServiceDemand,
   StageNotice,
-  TableWordMessage,
+  TableDigest,
 } from '../../core/gateway/index.js';
 import { ByteBudget, sizeOnLink } from './byte-budget.js';
 import { PeerDirectory } from './peer-directory.js';
@@ -95,11 +95,11 @@
   /** Told when this daemon becomes its zone's relay, or no longer is. */
   readonly noteRelay: (isRelay: boolean) => void;
   /** What this daemon has seen of the store's tables. */
-  readonly tableWord: () => Omit<TableWordMessage, 'peersChecksum'>;
-  /** The checksum of the zone's relay's list of daemons; undefined while its word is not fresh. */
+  readonly tableDigest: () => Omit<TableDigest, 'peersChecksum'>;
+  /** The checksum of the zone's relay's list of daemons; undefined while its digest is not fresh. */
   readonly relayPeersChecksum: () => number | undefined;
   /** What the zone's relay has seen of them. */
-  readonly takeTables: (word: TableWordMessage) => void;
+  readonly takeTables: (digest: TableDigest) => void;
   /** A change of the configuration that the zone's relay had from the store. */
   readonly takeConfiguration: (change: PassedConfiguration) => void;
   /** Changes of servers that the zone's relay had from the store. */
@@ -315,7 +315,7 @@
       case 'tables':
         if (message.relay === daemon) return;
         roster.heardRelay(message.relay, message.zone, nowMs);
-        if (message.zone === zone && !this.#relay.isRelay) takeTables(message.word);
+        if (message.zone === zone && !this.#relay.isRelay) takeTables(message.digest);
         return;
       case 'configuration':
         if (message.zone === zone && !this.#relay.isRelay) takeConfiguration(message.change);
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -8,7 +8,7 @@
   LoadSums,
   ServerRecord,
   StageNotice,
-  TableWordMessage,
+  TableDigest,
 } from '../../core/gateway/index.js';
 import type { UsagePart } from '../../core/tenant-usage/index.js';
 import {
@@ -100,7 +100,7 @@
       readonly kind: 'tables';
       readonly relay: string;
       readonly zone: string;
-      readonly word: TableWordMessage;
+      readonly digest: TableDigest;
     }
   /** Changes of the list of servers, as a zone's relay had them from the store. */
   | {
@@ -144,7 +144,7 @@
       return pack([KINDS.configuration, message.zone, after, revision, key, encoded]);
     }
     case 'tables': {
-      const { configurations, servers, ageMs, peersChecksum } = message.word;
+      const { configurations, servers, ageMs, peersChecksum } = message.digest;
       const progress = [configurations, servers].map(encodeProgress);
       const head = [KINDS.tables, message.relay, message.zone];
       return pack([...head, ...progress, ageMs, peersChecksum]);
@@ -207,13 +207,13 @@
     }
     case KINDS.tables: {
       const [, relay, zone, configurations, servers, ageMs, peersChecksum] = fields;
-      const word = {
+      const digest = {
         configurations: decodeProgress(configurations),
         servers: decodeProgress(servers),
         ageMs,
         peersChecksum,
       };
-      return { kind: 'tables', relay, zone, word };
+      return { kind: 'tables', relay, zone, digest };
     }
     case KINDS.usageAsked:
       return { kind: 'usage-asked', window: fields[1] };
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -22,7 +22,7 @@
   readonly handle: string;
 }
 
-/** What the product says to a backend beside the caller's own words. */
+/** What the product says to a backend beside the caller's own headers. */
 export interface SendInstructions {
   /** Any other server must not run the request. */
   readonly serverId: string;
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -1,20 +1,20 @@
 /**
- * What the relay of a zone says of the store's tables: how far each has changed. While its word is fresh
+ * What the relay of a zone says of the store's tables: how far each has changed. While its digest is fresh
  * a daemon asks the store only for changes that it says there are; when it stays out, or is old, the
- * daemon follows the tables by itself. The word carries no rows, so nothing it says can set a daemon back.
+ * daemon follows the tables by itself. The digest carries no rows, so nothing it says can set a daemon back.
  */
-import type { TableProgress, TableWordMessage } from '../../core/gateway/index.js';
+import type { TableDigest, TableProgress } from '../../core/gateway/index.js';
 import type { TimerService } from './timer-service.js';
 
 /** A table that daemons follow. */
 export type FollowedTable = 'configurations' | 'servers';
 
-/** The newest word of the own zone's relay. */
-export class TableWord {
+/** The newest digest of the own zone's relay. */
+export class RelayDigest {
   readonly #timers: TimerService;
   readonly #maxAgeMs: number;
   readonly #listeners = new Set<() => void>();
-  #word: TableWordMessage | undefined;
+  #digest: TableDigest | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
 
   /** @param maxAgeMs how old a look at the store may be that is relied on */
@@ -27,38 +27,38 @@
     return this.#timers.nowMs() < this.#freshUntilMs;
   }
 
-  /** Takes a word; one that was delayed makes none fresh that is older. */
-  take(word: TableWordMessage): void {
-    const freshUntilMs = this.#timers.nowMs() + this.#maxAgeMs - word.ageMs;
+  /** Takes a digest; one that was delayed makes none fresh that is older. */
+  take(digest: TableDigest): void {
+    const freshUntilMs = this.#timers.nowMs() + this.#maxAgeMs - digest.ageMs;
     this.#freshUntilMs = Math.max(this.#freshUntilMs, freshUntilMs);
-    const known = this.#word;
-    this.#word = {
-      configurations: newer(word.configurations, known?.configurations),
-      servers: newer(word.servers, known?.servers),
-      ageMs: word.ageMs,
-      peersChecksum: word.peersChecksum,
+    const known = this.#digest;
+    this.#digest = {
+      configurations: newer(digest.configurations, known?.configurations),
+      servers: newer(digest.servers, known?.servers),
+      ageMs: digest.ageMs,
+      peersChecksum: digest.peersChecksum,
     };
     for (const listener of [...this.#listeners]) listener();
   }
 
-  /** The relay's checksum of the list of daemons; undefined while there is no fresh word. */
+  /** The relay's checksum of the list of daemons; undefined while there is no fresh digest. */
   get peersChecksum(): number | undefined {
-    return this.isFresh ? this.#word?.peersChecksum : undefined;
+    return this.isFresh ? this.#digest?.peersChecksum : undefined;
   }
 
   /** Whether the relay has read the table whole, after a disturbance, since a revision. */
   wasReread(table: FollowedTable, revision: number): boolean {
-    return (this.#word?.[table].reread ?? 0) > revision;
+    return (this.#digest?.[table].reread ?? 0) > revision;
   }
 
-  /** How far a daemon that has followed a table to a revision is by the relay's word: nothing changed. */
+  /** How far a daemon that has followed a table to a revision is by the relay's digest: nothing changed. */
   advance(table: FollowedTable, revision: number): number {
-    const progress = this.#word?.[table];
+    const progress = this.#digest?.[table];
     if (progress === undefined || progress.changed > revision) return revision;
     return Math.max(revision, progress.seen);
   }
 
-  /** No relay's word is to be relied on any more, as this daemon is the relay. */
+  /** No relay's digest is to be relied on any more, as this daemon is the relay. */
   drop(): void {
     this.#freshUntilMs = Number.NEGATIVE_INFINITY;
     for (const listener of [...this.#listeners]) listener();
@@ -66,26 +66,26 @@
 
   /** Whether the table has changed beyond a revision. */
   hasChanged(table: FollowedTable, revision: number): boolean {
-    return (this.#word?.[table].changed ?? 0) > revision;
+    return (this.#digest?.[table].changed ?? 0) > revision;
   }
 
-  /** While the word is fresh and says that there is nothing to look for. */
+  /** While the digest is fresh and says that there is nothing to look for. */
   async whileCurrent(isCurrent: () => boolean, signal: AbortSignal): Promise<void> {
     while (!signal.aborted && this.isFresh && isCurrent()) {
-      await this.#nextWord(this.#freshUntilMs - this.#timers.nowMs(), signal);
+      await this.#nextDigest(this.#freshUntilMs - this.#timers.nowMs(), signal);
     }
   }
 
-  /** Until there is a fresh word, or a time is over. */
+  /** Until there is a fresh digest, or a time is over. */
   async freshened(mostMs: number, signal: AbortSignal): Promise<void> {
     const endMs = this.#timers.nowMs() + mostMs;
     while (!signal.aborted && !this.isFresh && this.#timers.nowMs() < endMs) {
-      await this.#nextWord(endMs - this.#timers.nowMs(), signal);
+      await this.#nextDigest(endMs - this.#timers.nowMs(), signal);
     }
   }
 
-  /** Until the next word, the end of a time, or the signal, whichever comes first. */
-  #nextWord(mostMs: number, signal: AbortSignal): Promise<void> {
+  /** Until the next digest, the end of a time, or the signal, whichever comes first. */
+  #nextDigest(mostMs: number, signal: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       const finish = () => {
         cancel();
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -5,6 +5,7 @@
  * hears its own zone and one message for each other zone.
  */
 import {
+  DigestSchedule,
   type LoadReport,
   type LoadSums,
   type PeerDaemon,
@@ -15,9 +16,8 @@
   type ReadNotice,
   type ServiceDemand,
   SumsToTell,
-  type TableWordMessage,
+  type TableDigest,
   type ToldSums,
-  WordToTell,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { type ByteBudget, sizeOnLink } from './byte-budget.js';
@@ -58,7 +58,7 @@
   /** What this daemon was asked for lately. */
   readonly ownDemand: () => readonly ServiceDemand[];
   /** What this daemon has seen of the store's tables. */
-  readonly tableWord: () => Omit<TableWordMessage, 'peersChecksum'>;
+  readonly tableDigest: () => Omit<TableDigest, 'peersChecksum'>;
   /** Told when this daemon becomes its zone's relay, or no longer is. */
   readonly noteRelay: (isRelay: boolean) => void;
   readonly nextSequence: () => number;
@@ -72,7 +72,7 @@
   readonly #options: RelayDutyOptions;
   readonly #sums = new SumsToTell();
   readonly #zoneSums = new SumsToTell();
-  readonly #wordToTell = new WordToTell();
+  readonly #digestSchedule = new DigestSchedule();
   readonly #zoneReach = new ReachNoticeFilter();
   readonly #otherReach = new ReachNoticeFilter();
   /** News of the own zone. */
@@ -130,11 +130,11 @@
   }
 
   #tellTables(): void {
-    const { daemon, zone, roster, timers, tableWord, send } = this.#options;
-    const word = { ...tableWord(), peersChecksum: roster.checksum };
-    const audience = this.#wordToTell.next(word, timers.nowMs());
+    const { daemon, zone, roster, timers, tableDigest, send } = this.#options;
+    const digest = { ...tableDigest(), peersChecksum: roster.checksum };
+    const audience = this.#digestSchedule.next(digest, timers.nowMs());
     if (audience === 'nobody') return;
-    const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, word });
+    const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, digest });
     send(audience === 'everyone' ? roster.everyone() : roster.zonePeers(), bytes);
   }
 
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -9,8 +9,8 @@
 import type { TableProgress } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { WatchAnswer, WatchedRow, WatchedTable } from './ports.js';
+import type { FollowedTable, RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
-import type { FollowedTable, TableWord } from './table-word.js';
 import { callWithin, delay, type TimerService } from './timer-service.js';
 
 /** The first wait before a call is made again, as a part of the longest. */
@@ -40,10 +40,10 @@
   readonly passOn?: (changes: TableChanges<Value>) => void;
 }
 
-/** Where the word of a relay on a table is had from. */
-export interface RelayWord {
+/** Where the digest of a relay on a table is had from. */
+export interface DigestSource {
   readonly table: FollowedTable;
-  readonly from: TableWord;
+  readonly from: RelayDigest;
 }
 
 /** What a watcher is built from. */
@@ -52,8 +52,8 @@
   readonly consumer: TableConsumer<Value>;
   /** How long one call is held. */
   readonly waitMs: () => number;
-  /** The word of a relay on this table; absent where the daemon always follows it by itself. */
-  readonly word?: RelayWord;
+  /** The digest of a relay on this table; absent where the daemon always follows it by itself. */
+  readonly digest?: DigestSource;
   /** Changes that come within this time of each other are taken in one call; 0 takes each at once. */
   readonly gatherMs: number;
   /** Whole reads after a disturbance go on for this long. */
@@ -131,10 +131,10 @@
     if (this.#revision !== undefined) return this.#readChanges();
   }
 
-  /** Reads the table whole once more; the relay, where its word is fresh, does so for the whole zone. */
+  /** Reads the table whole once more; the relay, where its digest is fresh, does so for the whole zone. */
   async #recheck({ readsLeft, untilMs }: Disturbance): Promise<void> {
-    const { word, timers } = this.#options;
-    if (word?.from.isFresh === true) {
+    const { digest, timers } = this.#options;
+    if (digest?.from.isFresh === true) {
       this.#disturbance = undefined;
       return;
     }
@@ -183,7 +183,7 @@
     const { table, consumer, gatherMs } = this.#options;
     // While reads may be stale this daemon looks for itself.
     if (this.#disturbance === undefined) {
-      await this.#awaitWord();
+      await this.#awaitDigest();
       if (this.#stopped.signal.aborted) return;
       if (this.#wasRereadByRelay) return this.#readAll(false);
     }
@@ -214,22 +214,24 @@
   }
 
   /** Until a relay says that there is something to look for, or says nothing any more. */
-  async #awaitWord(): Promise<void> {
-    const { word } = this.#options;
-    if (word === undefined) return;
+  async #awaitDigest(): Promise<void> {
+    const { digest } = this.#options;
+    if (digest === undefined) return;
     const { signal } = this.#stopped;
-    await this.#idle(word.from.whileCurrent(() => this.#isCurrent(word), signal));
+    await this.#idle(digest.from.whileCurrent(() => this.#isCurrent(digest), signal));
   }
 
-  #isCurrent({ table, from }: RelayWord): boolean {
+  #isCurrent({ table, from }: DigestSource): boolean {
     if (this.#wasRereadByRelay) return false;
     this.#revision = from.advance(table, this.#revision ?? 0);
     return !from.hasChanged(table, this.#revision);
   }
 
   get #wasRereadByRelay(): boolean {
-    const { word } = this.#options;
-    return word?.from.isFresh === true && word.from.wasReread(word.table, this.#wholeRevision);
+    const { digest } = this.#options;
+    return (
+      digest?.from.isFresh === true && digest.from.wasReread(digest.table, this.#wholeRevision)
+    );
   }
 
   /** Waits; meanwhile changes that others pass on are taken. */
@@ -294,16 +296,18 @@
     };
   }
 
-  /** A fresh word of the relay ends the wait, as it may say that there is nothing to ask for. */
+  /** A fresh digest of the relay ends the wait, as it may say that there is nothing to ask for. */
   async #backOff(): Promise<void> {
-    const { word, timers, longestRetryMs } = this.#options;
+    const { digest, timers, longestRetryMs } = this.#options;
     const longestMs = longestRetryMs();
     const backoffMs = FIRST_RETRY_SHARE * longestMs * 2 ** (this.#failuresInARow - 1);
     const spread = 1 - RETRY_SPREAD * Math.random();
     const waitMs = Math.min(longestMs, backoffMs) * spread;
     const { signal } = this.#stopped;
-    // A fresh word says already that there is something to ask for.
-    const mayHear = word !== undefined && !word.from.isFresh;
-    await this.#idle(mayHear ? word.from.freshened(waitMs, signal) : delay(timers, waitMs, signal));
+    // A fresh digest says already that there is something to ask for.
+    const mayHear = digest !== undefined && !digest.from.isFresh;
+    await this.#idle(
+      mayHear ? digest.from.freshened(waitMs, signal) : delay(timers, waitMs, signal),
+    );
   }
 }
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -158,7 +158,7 @@
       kind: 'tables',
       relay: 'a',
       zone: 'z',
-      word: {
+      digest: {
         configurations: { changed: 1, seen: 7, reread: 0 },
         servers: { changed: 2, seen: 8, reread: 6 },
         ageMs: 3,
@@ -232,7 +232,7 @@
     ownWork: () => work,
     ownDemand: () => [],
     noteRelay: () => undefined,
-    tableWord: () => ({
+    tableDigest: () => ({
       configurations: { changed: 3, seen: 3, reread: 0 },
       servers: { changed: 4, seen: 4, reread: 0 },
       ageMs: 5,
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -2,8 +2,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { WatchAnswer, WatchedRow, WatchedTable } from '../../src/shell/gateway/ports.js';
+import { RelayDigest } from '../../src/shell/gateway/relay-digest.js';
 import { type TableConsumer, TableWatcher } from '../../src/shell/gateway/table-watcher.js';
-import { TableWord } from '../../src/shell/gateway/table-word.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const GATHER_MS = 400;
@@ -114,22 +114,22 @@
 const WORD_AGE_MS = 1_600;
 
 function followerOf(table: WatchedTable<number>, timers: ManualTimers, taken: number[]) {
-  const word = new TableWord(timers, WORD_AGE_MS);
+  const digest = new RelayDigest(timers, WORD_AGE_MS);
   const watcher = new TableWatcher<number>({
     table,
     consumer: collectorOf(taken),
     waitMs: () => 3_000,
-    word: { table: 'servers', from: word },
+    digest: { table: 'servers', from: digest },
     gatherMs: GATHER_MS,
     recheckSpanMs: 6_000,
     longestRetryMs: () => 500,
     timers,
     log: { write: () => undefined },
   });
-  return { word, watcher };
+  return { digest, watcher };
 }
 
-const wordAt = (changed: number, ageMs = 0, seen = changed, reread = 0) => ({
+const digestAt = (changed: number, ageMs = 0, seen = changed, reread = 0) => ({
   configurations: { changed: 0, seen: 0, reread: 0 },
   servers: { changed, seen, reread },
   ageMs,
@@ -140,18 +140,18 @@
   const timers = new ManualTimers();
   const table = new HeldTable();
   const taken: number[] = [];
-  const { word, watcher } = followerOf(table, timers, taken);
-  word.take(wordAt(10));
+  const { digest, watcher } = followerOf(table, timers, taken);
+  digest.take(digestAt(10));
   const running = watcher.run();
   for (let beat = 0; beat < 10; beat += 1) {
     await settled();
     timers.advance(400);
-    word.take(wordAt(10));
+    digest.take(digestAt(10));
   }
   await settled();
   assert.equal(table.calls, 1);
   table.revision = 12;
-  word.take(wordAt(12));
+  digest.take(digestAt(12));
   await settled();
   assert.equal(table.calls, 2);
   assert.equal(taken.at(-1), 12);
@@ -160,17 +160,17 @@
   await running;
 });
 
-test('when the word stays out, or a relay’s look at the store is old, the daemon looks for itself', async () => {
+test('when the digest stays out, or a relay’s look at the store is old, the daemon looks for itself', async () => {
   for (const isOld of [false, true]) {
     const timers = new ManualTimers();
     const table = new HeldTable();
-    const { word, watcher } = followerOf(table, timers, []);
-    word.take(wordAt(10));
+    const { digest, watcher } = followerOf(table, timers, []);
+    digest.take(digestAt(10));
     const running = watcher.run();
     await settled();
     assert.equal(table.calls, 1);
     timers.advance(WORD_AGE_MS - 1);
-    if (isOld) word.take(wordAt(10, WORD_AGE_MS));
+    if (isOld) digest.take(digestAt(10, WORD_AGE_MS));
     await settled();
     assert.equal(table.calls, 1);
     timers.advance(2);
@@ -264,10 +264,10 @@
   const table = new QuietTable(timers);
   const relay = followerOf(table, timers, []).watcher;
   const seen: number[] = [];
-  const { word, watcher } = followerOf(table, timers, seen);
+  const { digest, watcher } = followerOf(table, timers, seen);
   const pass = async (spanMs: number) => {
     for (let passedMs = 0; passedMs < spanMs; passedMs += 50) {
-      word.take({ ...wordAt(0), servers: relay.progress });
+      digest.take({ ...digestAt(0), servers: relay.progress });
       await settled();
       timers.advance(50);
       await settled();
@@ -317,14 +317,14 @@
 test('where the relay had to read the table whole the daemon does so too, once', async () => {
   const timers = new ManualTimers();
   const table = new HeldTable();
-  const { word, watcher } = followerOf(table, timers, []);
-  word.take(wordAt(10));
+  const { digest, watcher } = followerOf(table, timers, []);
+  digest.take(digestAt(10));
   const running = watcher.run();
   await settled();
   assert.equal(table.wholeReads, 1);
   table.revision = 14;
   for (let beat = 0; beat < 4; beat += 1) {
-    word.take(wordAt(10, 0, 14, 14));
+    digest.take(digestAt(10, 0, 14, 14));
     await settled();
     timers.advance(400);
   }
@@ -338,11 +338,11 @@
 test('a revision that the relay has followed without a change is asked from, not an old one', async () => {
   const timers = new ManualTimers();
   const table = new HeldTable();
-  const { word, watcher } = followerOf(table, timers, []);
-  word.take(wordAt(10));
+  const { digest, watcher } = followerOf(table, timers, []);
+  digest.take(digestAt(10));
   const running = watcher.run();
   await settled();
-  word.take(wordAt(10, 0, 90));
+  digest.take(digestAt(10, 0, 90));
   await settled();
   assert.equal(watcher.progress.seen, 90);
   watcher.stop();
@@ -350,10 +350,10 @@
   await running;
 });
 
-test('while the store refuses, a fresh word of the relay ends the wait', async () => {
+test('while the store refuses, a fresh digest of the relay ends the wait', async () => {
   const timers = new ManualTimers();
   const table = new HeldTable();
-  const { word, watcher } = followerOf(table, timers, []);
+  const { digest, watcher } = followerOf(table, timers, []);
   const running = watcher.run();
   await settled();
   table.isRefusing = true;
@@ -361,11 +361,11 @@
   timers.advance(GATHER_MS);
   await settled();
   const calls = table.calls;
-  word.take(wordAt(10));
+  digest.take(digestAt(10));
   for (let beat = 0; beat < 6; beat += 1) {
     await settled();
     timers.advance(400);
-    word.take(wordAt(10));
+    digest.take(digestAt(10));
   }
   assert.equal(table.calls, calls);
   watcher.stop();
@@ -373,24 +373,24 @@
   await running;
 });
 
-test('a word that goes back in revisions is not believed', () => {
-  const word = new TableWord(new ManualTimers(), WORD_AGE_MS);
-  word.take(wordAt(12));
-  word.take(wordAt(11));
-  assert.equal(word.hasChanged('servers', 11), true);
+test('a digest that goes back in revisions is not believed', () => {
+  const digest = new RelayDigest(new ManualTimers(), WORD_AGE_MS);
+  digest.take(digestAt(12));
+  digest.take(digestAt(11));
+  assert.equal(digest.hasChanged('servers', 11), true);
 });
 
 test('changes that a relay passes on are taken where they join, without a call', async () => {
   const timers = new ManualTimers();
   const table = new HeldTable();
   const taken: number[] = [];
-  const { word, watcher } = followerOf(table, timers, taken);
+  const { digest, watcher } = followerOf(table, timers, taken);
   const changes = (after: number, revision: number) => ({
     after,
     revision,
     rows: [{ kind: 'value', key: 'row', value: revision }] as const,
   });
-  word.take(wordAt(10));
+  digest.take(digestAt(10));
   watcher.offer(changes(0, 99));
   const running = watcher.run();
   await settled();
@@ -398,11 +398,11 @@
   watcher.offer(changes(8, 11));
   watcher.offer(changes(13, 14));
   assert.deepEqual(taken, [10, 12], 'neither what came too early, nor old, nor after a gap');
-  word.take(wordAt(12));
+  digest.take(digestAt(12));
   await settled();
   assert.equal(table.calls, 1);
   table.revision = 14;
-  word.take(wordAt(14));
+  digest.take(digestAt(14));
   await settled();
   assert.equal(table.calls, 2);
   assert.equal(taken.at(-1), 14);
