Soak: pauses between series of faults, and callers that leave at all times

Store faults followed each other so closely that daemons were hardly ever in touch, so that promises of calm times were not looked at: newer-configuration and callers-gone went unfound. A daemon is judged as in touch by the time before a request, not since a version; what is done for callers that leave does not depend on the store.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -17,6 +17,7 @@
 const RETRY_AFTER_MS = 200;
 const CONNECT_TIMEOUT_MS = 1_000;
 const LEAVE_AFTER_MS = 40;
+export const USUAL_LEAVING_SHARE = 0.05;
 const BODY = 'what does this label say?';
 const PROMPT_TOKENS = 380;
 const SHARED_PARTS = 20;
@@ -57,7 +58,7 @@
   /** Times as many requests as usual. */
   factor = 1;
   /** Part of the callers that leave early. */
-  leavingShare = 0;
+  leavingShare = USUAL_LEAVING_SHARE;
 
   constructor(options: CallersOptions) {
     this.#options = options;
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -2,7 +2,7 @@
  * Brings about the faults of a plan, one function each, and notes what they disturb: promises that hold in calm times
  * only are judged by that.
  */
-import type { Callers } from './callers.js';
+import { type Callers, USUAL_LEAVING_SHARE } from './callers.js';
 import type { Operator } from './configuration.js';
 import type { DutyService } from './duty-service.js';
 import type { GatewayProcess } from './gateway-process.js';
@@ -111,7 +111,7 @@
       case 'callers-leave':
         this.#world.callers.leavingShare = fault.share;
         await pause(fault.forMs);
-        this.#world.callers.leavingShare = 0;
+        this.#world.callers.leavingShare = USUAL_LEAVING_SHARE;
         return;
     }
   }
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -4,7 +4,7 @@
  */
 import { PATHS } from '../platform/names.js';
 import { EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
-import type { Arrival, CallRecord, RunRecord } from './record.js';
+import type { Arrival, CallRecord, Disturbance, RunRecord, Scope } from './record.js';
 
 /** What is promised; docs/SOAK.md says each in a sentence. */
 export type PromiseName =
@@ -62,11 +62,18 @@
 
 /** Whether a daemon ran on, in reach of the store, since a time well before. */
 function isInTouch(run: RunRecord, daemon: string, fromMs: number, toMs: number): boolean {
-  return !run.disturbances.some(
-    ({ scope, name, fromMs: begin, toMs: end }) =>
-      (scope === 'store' || (scope === 'daemon' && name === daemon)) &&
-      begin <= toMs &&
-      end >= fromMs - run.bounds.contactMs,
+  const isCalm = (scope: Scope, name: string) => !isDisturbed(run, { scope, name, fromMs, toMs });
+  return isCalm('store', '') && isCalm('daemon', daemon);
+}
+
+/** Whether a thing was disturbed in a span, or so shortly before that it need not be well again. */
+function isDisturbed(run: RunRecord, span: Omit<Disturbance, 'isPlanned'>): boolean {
+  return run.disturbances.some(
+    ({ scope, name, fromMs, toMs }) =>
+      scope === span.scope &&
+      name === span.name &&
+      fromMs <= span.toMs &&
+      toMs >= span.fromMs - run.bounds.contactMs,
   );
 }
 
@@ -137,7 +144,8 @@
     }
     const settledMs = call.sentMs - run.bounds.configApplyMs - TRANSIT_MS;
     const newest = run.configurations.filter(({ ackMs }) => ackMs <= settledMs).at(-1);
-    if (newest === undefined || !isInTouch(run, daemon, newest.ackMs, arrival.atMs)) continue;
+    const calmFromMs = call.sentMs - run.bounds.configApplyMs;
+    if (newest === undefined || !isInTouch(run, daemon, calmFromMs, arrival.atMs)) continue;
     const mayBe = run.configurations.filter(({ version }) => version >= newest.version);
     if (!mayBe.some(({ serviceOf }) => serviceOf.get(requestClass.name) === arrival.service)) {
       note('CONFIG', `ran at ${arrival.service}, as before version ${newest.version}`);
@@ -176,7 +184,7 @@
   if (!isCut || endedMs === undefined) return false;
   if (arrivals.some(({ isServersFault }) => isServersFault)) return false;
   if (arrivals.length === 0 && endedMs - sentMs <= run.bounds.lossSlackMs) return false;
-  const isDisturbed = run.disturbances.some(
+  const wasDisturbed = run.disturbances.some(
     ({ scope, name, fromMs, toMs, isPlanned }) =>
       !isPlanned &&
       fromMs <= endedMs &&
@@ -184,7 +192,7 @@
       ((scope === 'daemon' && name === daemon) ||
         (scope === 'server' && arrivals.some(({ serverId }) => serverId === name))),
   );
-  return !isDisturbed;
+  return !wasDisturbed;
 }
 
 /** Arrivals beyond the first of each request; the first reading that a server takes up is none. */
@@ -252,9 +260,10 @@
   for (const { end, endedMs, arrivals, daemon, outputTokens, requestClass } of calls) {
     if (end?.kind !== 'left' || endedMs === undefined) continue;
     const limitMs = endedMs + GONE_SLACK_MS;
-    if (!isInTouch(run, daemon, endedMs, limitMs)) continue;
-    if (arrivals.some(({ serverId }) => isServerDisturbed(run, serverId, endedMs, limitMs)))
-      continue;
+    const span = { fromMs: endedMs, toMs: limitMs };
+    const isCalm = (scope: Scope, name: string) => !isDisturbed(run, { scope, name, ...span });
+    const areCalm = arrivals.every(({ serverId }) => isCalm('server', serverId));
+    if (!isCalm('daemon', daemon) || !areCalm) continue;
     late += arrivals.filter(({ atMs }) => atMs > limitMs).length;
     const open = arrivals.filter(({ isTaken, step, atMs, endedMs: ended }) => {
       const wouldEndMs = atMs + outputTokens * EVENT_GAP_MS;
@@ -280,16 +289,6 @@
   return violations;
 }
 
-function isServerDisturbed(run: RunRecord, server: string, fromMs: number, toMs: number): boolean {
-  return run.disturbances.some(
-    ({ scope, name, fromMs: begin, toMs: end }) =>
-      scope === 'server' &&
-      name === server &&
-      begin <= toMs &&
-      end >= fromMs - run.bounds.contactMs,
-  );
-}
-
 interface Fenced {
   readonly holder: string;
   readonly fence: number;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -106,6 +106,9 @@
 /** The last stretch is calm, so that the fleet has to be well again at its end. */
 const CALM_END_MS = 8_000;
 const MOST_GAP_MS = 2_400;
+/** After so long without a pause faults pause: promises that hold in calm times have to be seen in some. */
+const TROUBLE_MS = 9_000;
+const PAUSE_MS = 7_000;
 /** The chance that a fault is followed at once by another one on top. */
 const SERIES_CHANCE = 0.35;
 const SERIES_GAP_MS = 300;
@@ -245,7 +248,13 @@
   const faults: TimedFault[] = [];
   const endMs = size.seconds * 1_000 - CALM_END_MS;
   let atMs = FIRST_FAULT_MS;
+  let troubleFromMs = atMs;
   while (atMs < endMs) {
+    if (atMs - troubleFromMs > TROUBLE_MS) {
+      atMs += PAUSE_MS;
+      troubleFromMs = atMs;
+      continue;
+    }
     const draw = dice.pick(DRAWS);
     faults.push({ atMs: Math.round(atMs), fault: draw(dice, size) });
     atMs += dice.chance(SERIES_CHANCE) ? SERIES_GAP_MS : dice.between(SERIES_GAP_MS, MOST_GAP_MS);
