--- /dev/null
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -0,0 +1,69 @@
+/** Figures of a gateway that are read when they are asked for. */
+import type { BackendConnections } from './backend-connections.js';
+import type { CallerListener } from './caller-listener.js';
+import type { FleetFollower } from './fleet-follower.js';
+import type { FleetView } from './fleet-view.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewayLog } from './request-log.js';
+import type { TimerService } from './timer-service.js';
+
+/** What gauges read. */
+export interface GaugeSources {
+  readonly fleet: FleetView;
+  readonly follower: Pick<FleetFollower, 'callsTotal' | 'silentMs'>;
+  readonly callers: Pick<CallerListener, 'inFlight'>;
+  readonly connections: Pick<BackendConnections, 'openedTotal'>;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'droppedTotal'>;
+}
+
+interface Gauge {
+  readonly name: string;
+  readonly help: string;
+  readonly read: () => number;
+}
+
+/** Adds the gauges of a gateway to its figures. */
+export function addGauges(metrics: GatewayMetrics, sources: GaugeSources): void {
+  for (const { name, help, read } of gaugesOf(sources)) {
+    metrics.addGauge(`threadfork_gateway_${name}`, help, read);
+  }
+}
+
+function gaugesOf(sources: GaugeSources): readonly Gauge[] {
+  const { fleet, follower, callers, connections, timers, log } = sources;
+  return [
+    {
+      name: 'configuration_version',
+      help: 'Version in force',
+      read: () => fleet.inForce?.configuration.version ?? 0,
+    },
+    { name: 'store_calls', help: 'Calls to the store', read: () => follower.callsTotal },
+    {
+      name: 'store_silent_ms',
+      help: 'Age of the last answer',
+      read: () => follower.silentMs(timers.nowMs()),
+    },
+    {
+      name: 'peers',
+      help: 'Daemons heard of lately',
+      read: () => fleet.peerLoads.count(timers.nowMs()),
+    },
+    {
+      name: 'fleet_daemons',
+      help: 'Daemons of the last list, this one counted; 0 until one was read',
+      read: () => fleet.size.listed ?? 0,
+    },
+    {
+      name: 'requests_in_flight',
+      help: 'Requests without a final answer',
+      read: () => callers.inFlight,
+    },
+    {
+      name: 'connections_opened',
+      help: 'Connections opened to backends',
+      read: () => connections.openedTotal,
+    },
+    { name: 'log_lines_dropped', help: 'Log lines left out', read: () => log.droppedTotal },
+  ];
+}
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import { Duties } from './duties.js';
 import { FleetFollower } from './fleet-follower.js';
 import { FleetView } from './fleet-view.js';
+import { addGauges } from './gateway-gauges.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { PeerExchange } from './peer-exchange.js';
@@ -152,7 +153,14 @@
       timers,
       log,
     });
-    this.#addGauges();
+    addGauges(this.#metrics, {
+      fleet: this.#fleet,
+      follower: this.#follower,
+      callers: this.#callers,
+      connections: this.#connections,
+      timers,
+      log,
+    });
   }
 
   /** Listens and begins to follow the store; gives the addresses it listens at. */
@@ -307,32 +315,4 @@
     this.#watchShare = isRelay ? RELAY_WATCH_SHARE_OF_CONTACT : WATCH_SHARE_OF_CONTACT;
     if (isRelay) this.#digest.drop();
   }
-
-  #addGauges(): void {
-    const { timers, log } = this.#options;
-    const version = () => this.#fleet.inForce?.configuration.version ?? 0;
-    const storeCalls = () => this.#follower.callsTotal;
-    const staleMs = () => this.#follower.silentMs(timers.nowMs());
-    this.#metrics.addGauge('threadfork_gateway_configuration_version', 'Version in force', version);
-    this.#metrics.addGauge('threadfork_gateway_store_calls', 'Calls to the store', storeCalls);
-    this.#metrics.addGauge('threadfork_gateway_store_silent_ms', 'Age of the last answer', staleMs);
-    this.#metrics.addGauge('threadfork_gateway_peers', 'Daemons heard of lately', () =>
-      this.#fleet.peerLoads.count(timers.nowMs()),
-    );
-    this.#metrics.addGauge(
-      'threadfork_gateway_requests_in_flight',
-      'Requests without a final answer',
-      () => this.#callers.inFlight,
-    );
-    this.#metrics.addGauge(
-      'threadfork_gateway_connections_opened',
-      'Connections opened to backends',
-      () => this.#connections.openedTotal,
-    );
-    this.#metrics.addGauge(
-      'threadfork_gateway_log_lines_dropped',
-      'Log lines left out',
-      () => log.droppedTotal,
-    );
-  }
 }
