--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -89,8 +89,8 @@
     name: 'graceful-stop',
     promise: 'LOST',
     file: 'src/shell/gateway/gateway.ts',
-    text: 'while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);',
-    replacement: '',
+    text: 'await delay(timers, Math.min(LOOK_AWAY_MS, graceMs / 2));',
+    replacement: 'this.abort();',
   },
   {
     name: 'fences',
