--- /dev/null
+++ b/test/gateway/peer-directory.test.ts
@@ -0,0 +1,65 @@
+/** The list of daemons: read again where that is due, and confirmed at no cost where the zone's relay has the same. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { PeerRoster } from '../../src/core/gateway/index.js';
+import type { TableCall, TableResult } from '../../src/core/platform/table.js';
+import { PeerDirectory } from '../../src/shell/gateway/peer-directory.js';
+import { ManualTimers } from './support/manual-timers.js';
+
+const DAEMONS = 20;
+const PORT = 7_660;
+const LOOK_MS = 1_000;
+
+function peerRow(daemon: number) {
+  const value = { host: '127.0.0.1', port: PORT + daemon, zone: 'a' };
+  return { key: `peer/d${daemon}`, version: 1, value };
+}
+
+function setUp(relayPeersChecksum: (roster: PeerRoster) => number | undefined) {
+  const timers = new ManualTimers();
+  const roster = new PeerRoster({ name: 'd0', zone: 'a' });
+  const counts: number[] = [];
+  let scans = 0;
+  const call = async ({ kind }: TableCall): Promise<TableResult> => {
+    if (kind === 'transact') return { kind: 'committed', rows: [] };
+    scans += 1;
+    return { kind: 'rows', rows: Array.from({ length: DAEMONS }, (_, daemon) => peerRow(daemon)) };
+  };
+  const directory = new PeerDirectory({
+    daemon: 'd0',
+    zone: 'a',
+    listen: { host: '127.0.0.1' },
+    table: { call },
+    roster,
+    timers,
+    log: { write: () => undefined },
+    noteDaemonCount: (daemons) => counts.push(daemons),
+    relayPeersChecksum: () => relayPeersChecksum(roster),
+  });
+  void directory.run(PORT);
+  /** Moves time on, and lets the calls that fall due come to their end. */
+  const advance = async (spanMs: number) => {
+    timers.advance(spanMs);
+    for (let turn = 0; turn < 50; turn += 1) await Promise.resolve();
+  };
+  return { directory, counts, advance, scansMade: () => scans };
+}
+
+test('a list that the relay has too is noted again without another call', async () => {
+  const { directory, counts, advance, scansMade } = setUp((roster) => roster.checksum);
+  await advance(0);
+  assert.deepEqual([scansMade(), counts], [1, [DAEMONS]]);
+  await advance(LOOK_MS);
+  assert.deepEqual([scansMade(), counts], [1, [DAEMONS, DAEMONS]]);
+  directory.stop();
+});
+
+test('a list that the relay has not, or nobody tells of, is read again', async () => {
+  for (const checksum of [() => 1, () => undefined]) {
+    const { directory, counts, advance, scansMade } = setUp(checksum);
+    await advance(0);
+    await advance(LOOK_MS);
+    assert.deepEqual([scansMade(), counts], [2, [DAEMONS, DAEMONS]]);
+    directory.stop();
+  }
+});
