Revert beginning a daemon of the product's own API with one retry

Its hypothesis, that one retry is enough for a first request, does not hold: attempts.test.ts (attempts are bounded and the refusal at the end is true; an answer goes on in the version that wrote its beginning) needs several at a fresh daemon.

--- a/src/core/requests/retry-budget.ts
+++ b/src/core/requests/retry-budget.ts
@@ -13,11 +13,8 @@
   readonly tokens: number;
 }
 
-/**
- * The bucket of a daemon that has just started: one retry, so that the first request of a quiet fleet may go elsewhere.
- * More would be a grant that no request has earned, and that many daemons that start together multiply.
- */
-export const INITIAL_RETRY_BUDGET: RetryBudget = { tokens: 1 };
+/** The bucket of a daemon that has just started; a small fleet may retry from the first request on. */
+export const INITIAL_RETRY_BUDGET: RetryBudget = { tokens: 10 };
 
 /** Credits one arriving request. */
 export function creditRequest(budget: RetryBudget): RetryBudget {
