--- a/soak/main.ts
+++ b/soak/main.ts
@@ -96,9 +96,10 @@
 }
 
 function reportOf(seed: number, result: SoakResult): string {
-  const { violations, calls, served, refused, reports, budgets, directory } = result;
+  const { violations, ends, reports, budgets, directory } = result;
+  const calls = [...ends].map(([how, count]) => `${how} ${count}`).join(', ');
   const lines = [
-    `seed ${seed}: ${violations.length} broken; ${calls} calls, ${served} served, ${refused} refused, ${reports} usage reports`,
+    `seed ${seed}: ${violations.length} broken; calls ended: ${calls}; ${reports} usage reports`,
     ...budgets.map(
       ({ service, repeats, allowed }) =>
         `  repeats of ${service} in the worst window: ${repeats} of ${Math.floor(allowed)}`,
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -21,7 +21,7 @@
 import { pause } from './pause.js';
 import type { SoakPlan } from './plan.js';
 import { PlatformStore, type StoreDoor } from './platform-store.js';
-import type { Arrival, CallRecord, OrderRecord, RunRecord, SoakBounds } from './record.js';
+import type { Arrival, CallEnd, CallRecord, OrderRecord, RunRecord, SoakBounds } from './record.js';
 import { ServerPool, ZONES } from './server-pool.js';
 import { WIRE } from './wire.js';
 
@@ -33,9 +33,8 @@
 /** What came of a run. */
 export interface SoakResult {
   readonly violations: readonly Violation[];
-  readonly calls: number;
-  readonly served: number;
-  readonly refused: number;
+  /** How many calls ended in each way: by status where they were answered. */
+  readonly ends: ReadonlyMap<string, number>;
   /** Usage reports that the platform has taken. */
   readonly reports: number;
   readonly budgets: readonly BudgetWindow[];
@@ -152,16 +151,11 @@
       bounds: this.#bounds,
       endMs,
     };
-    const ends = [...this.#calls.values()].map(({ end }) => end);
-    const withStatus = (status: number) =>
-      ends.filter((end) => end?.kind === 'answered' && end.status === status).length;
     const violations = judge(run);
     if (violations.length === 0) rmSync(this.#directory, { recursive: true, force: true });
     return {
       violations,
-      calls: ends.length,
-      served: withStatus(200),
-      refused: withStatus(503),
+      ends: countEnds([...this.#calls.values()]),
       reports: this.#dutyService.records.filter(({ isAccepted }) => isAccepted).length,
       budgets: [MODEL, ...WEB_SERVICES].map((service) => worstBudgetWindow(run, service)),
       directory: this.#directory,
@@ -218,6 +212,22 @@
   }
 }
 
+function countEnds(calls: readonly CallRecord[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { end } of calls) {
+    const how = endName(end);
+    counts.set(how, (counts.get(how) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function endName(end: CallEnd | undefined): string {
+  if (end === undefined) return 'open';
+  if (end.kind === 'answered') return end.isWhole ? `${end.status}` : `${end.status} cut`;
+  if (end.kind === 'left') return end.isEarly ? 'left early' : 'deadline';
+  return end.kind;
+}
+
 /** What a server got that its caller had not sent, or that it must not get. */
 function problemOf(call: CallRecord, request: IncomingMessage, body: string): string {
   const { headers, url, method } = request;
--- a/test/soak/soak-run.test.ts
+++ b/test/soak/soak-run.test.ts
@@ -10,6 +10,6 @@
   test(`no promise is broken under the faults of seed ${seed}`, async () => {
     const result = await runSoak(planSoak(seed, SIZE));
     assert.deepEqual(result.violations, [], `logs of the daemons: ${result.directory}`);
-    assert.ok(result.served > 0, 'no request was served');
+    assert.ok((result.ends.get('200') ?? 0) > 0, 'no request was served');
   });
 }
