--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -15,7 +15,7 @@
 /** From a daemon's new start until its listeners have been up for a while, on a machine that is busy. */
 const START_MS = 3_000;
 const THAW_MS = 1_000;
-const DRAIN_LINGER_MS = 1_000;
+const DRAIN_LINGER_MS = 3_000;
 const ROLLING_START_MS = 400;
 
 /** What faults strike. */
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -108,7 +108,9 @@
 const MOST_GAP_MS = 2_400;
 /** After so long without a pause faults pause: promises that hold in calm times have to be seen in some. */
 const TROUBLE_MS = 9_000;
-const PAUSE_MS = 7_000;
+const PAUSE_MS = 10_000;
+/** By then daemons are in touch again; planned work comes, so that it is seen in calm times too. */
+const PLANNED_WORK_MS = 3_500;
 /** The chance that a fault is followed at once by another one on top. */
 const SERIES_CHANCE = 0.35;
 const SERIES_GAP_MS = 300;
@@ -218,10 +220,7 @@
     servers: dice.some(engines + webServers, dice.between(0.1, 0.4)),
     downMs: dice.between(500, 3_000),
   }),
-  (dice, { engines, webServers }) => ({
-    kind: 'drain',
-    server: dice.whole(0, engines + webServers - 1),
-  }),
+  drawDrain,
   (dice, { engines, webServers }) => ({
     kind: 'link',
     how: dice.pick(LINK_FAULTS),
@@ -233,7 +232,7 @@
     how: dice.pick(DUTY_FAULTS),
     forMs: dice.between(1_000, 8_000),
   }),
-  (dice) => ({ kind: 'change', change: dice.pick(CHANGES) }),
+  drawChange,
   (dice) => ({ kind: 'burst', factor: dice.between(1.5, 2.5), forMs: dice.between(1_000, 5_000) }),
   (dice) => ({
     kind: 'callers-leave',
@@ -242,6 +241,14 @@
   }),
 ];
 
+function drawDrain(dice: Dice, { engines, webServers }: SoakSize): Fault {
+  return { kind: 'drain', server: dice.whole(0, engines + webServers - 1) };
+}
+
+function drawChange(dice: Dice): Fault {
+  return { kind: 'change', change: dice.pick(CHANGES) };
+}
+
 /** The plan of a seed. */
 export function planSoak(seed: number, size: SoakSize): SoakPlan {
   const dice = new Dice(seed);
@@ -251,6 +258,10 @@
   let troubleFromMs = atMs;
   while (atMs < endMs) {
     if (atMs - troubleFromMs > TROUBLE_MS) {
+      const plannedMs = Math.round(atMs + PLANNED_WORK_MS);
+      for (const fault of [drawDrain(dice, size), drawChange(dice)]) {
+        if (plannedMs < endMs) faults.push({ atMs: plannedMs, fault });
+      }
       atMs += PAUSE_MS;
       troubleFromMs = atMs;
       continue;
