--- a/soak/run.ts
+++ b/soak/run.ts
@@ -16,6 +16,7 @@
 import { DutyService } from './duty-service.js';
 import { FaultInjector } from './fault-injector.js';
 import { GatewayProcess } from './gateway-process.js';
+import { LagWatch } from './lag-watch.js';
 import type { Mutation } from './mutations.js';
 import { type BudgetWindow, judge, type Violation, worstBudgetWindow } from './oracle.js';
 import { pause } from './pause.js';
@@ -38,6 +39,8 @@
   /** Usage reports that the platform has taken. */
   readonly reports: number;
   readonly budgets: readonly BudgetWindow[];
+  /** How late the stand-ins were at worst; where they are late, promises of calm times are not judged. */
+  readonly worstLagMs: number;
   /** Logs and settings of the daemons; kept where a promise was broken. */
   readonly directory: string;
 }
@@ -70,6 +73,7 @@
   readonly #calls = new Map<string, CallRecord>();
   readonly #unasked: string[] = [];
   readonly #orders: OrderRecord[] = [];
+  readonly #lag = new LagWatch((fromMs, toMs) => this.#faults.noteStoreLate(fromMs, toMs));
   #addresses: AddressBlock | undefined;
   #isClosed = false;
 
@@ -116,6 +120,7 @@
     await this.#startDaemons(program);
     await this.#allReady();
     this.#callers.start();
+    this.#lag.start();
     for (const { atMs, fault } of this.#plan.faults) {
       setTimeout(() => void this.#faults.begin(fault), atMs);
     }
@@ -131,6 +136,7 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     this.#faults.end();
+    this.#lag.stop();
     this.#callers.close();
     for (const daemon of this.#daemons) daemon.signal('SIGKILL');
     this.#pool.close();
@@ -157,6 +163,7 @@
       violations,
       ends: countEnds([...this.#calls.values()]),
       reports: this.#dutyService.records.filter(({ isAccepted }) => isAccepted).length,
+      worstLagMs: Math.round(this.#lag.worstMs),
       budgets: [MODEL, ...WEB_SERVICES].map((service) => worstBudgetWindow(run, service)),
       directory: this.#directory,
     };
