--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -42,6 +42,8 @@
 const RECOVER_LEAST_SHARE = 0.25;
 /** A request on the way when something is acknowledged, and the first look at it by a loaded machine. */
 const TRANSIT_MS = 500;
+/** Cases that are named in a violation's detail. */
+const SHOWN = 5;
 /** A few requests may cross the moment that a daemon's process is given up by its caller. */
 const LOST_MOST = 3;
 
@@ -172,7 +174,7 @@
   const lost = calls.filter((call) => isLost(call, run));
   if (lost.length <= LOST_MOST) return [];
   const detail = `${lost.length} requests were read and closed without an answer: ${lost
-    .slice(0, 5)
+    .slice(0, SHOWN)
     .map(({ id, daemon }) => `${id} at ${daemon}`)
     .join(', ')}`;
   return [{ promise: 'LOST', atMs: lost[0]?.sentMs ?? 0, detail }];
@@ -254,17 +256,19 @@
 }
 
 function judgeGone(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
-  let late = 0;
+  const late: string[] = [];
   let lasting = 0;
   let workedOn = 0;
-  for (const { end, endedMs, arrivals, daemon, outputTokens, requestClass } of calls) {
+  for (const { id, end, endedMs, arrivals, daemon, outputTokens, requestClass } of calls) {
     if (end?.kind !== 'left' || endedMs === undefined) continue;
     const limitMs = endedMs + GONE_SLACK_MS;
     const span = { fromMs: endedMs, toMs: limitMs };
     const isCalm = (scope: Scope, name: string) => !isDisturbed(run, { scope, name, ...span });
     const areCalm = arrivals.every(({ serverId }) => isCalm('server', serverId));
     if (!isCalm('daemon', daemon) || !areCalm) continue;
-    late += arrivals.filter(({ atMs }) => atMs > limitMs).length;
+    for (const { atMs, serverId } of arrivals) {
+      if (atMs > limitMs) late.push(`${id} at ${serverId} after ${Math.round(atMs - endedMs)} ms`);
+    }
     const open = arrivals.filter(({ isTaken, step, atMs, endedMs: ended }) => {
       const wouldEndMs = atMs + outputTokens * EVENT_GAP_MS;
       const isAtWork = ended === undefined || ended > endedMs;
@@ -275,12 +279,10 @@
     if (open.some(({ endedMs: ended }) => ended === undefined || ended > limitMs)) workedOn += 1;
   }
   const violations: Violation[] = [];
-  if (late > GONE_MOST_ARRIVALS) {
-    violations.push({
-      promise: 'GONE',
-      atMs: 0,
-      detail: `${late} arrivals after their caller left`,
-    });
+  if (late.length > GONE_MOST_ARRIVALS) {
+    const some = late.slice(0, SHOWN).join(', ');
+    const detail = `${late.length} arrivals after their caller left: ${some}`;
+    violations.push({ promise: 'GONE', atMs: 0, detail });
   }
   if (workedOn > GONE_LEAST_WORKED_ON && workedOn > GONE_MOST_SHARE * lasting) {
     const detail = `${workedOn} of ${lasting} requests were worked on after their caller left`;
