--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -5,6 +5,7 @@
 import http, { type IncomingMessage } from 'node:http';
 import type { GatewayProcess } from './gateway-process.js';
 import type { CallEnd, CallRecord, RequestClass } from './record.js';
+import { WIRE } from './wire.js';
 
 export const HOST = 'soak.example';
 const TICK_MS = 5;
@@ -252,7 +253,7 @@
 
 function collect(message: IncomingMessage, end: (how: CallEnd) => void): void {
   const chunks: Buffer[] = [];
-  const stamp = message.headers['x-response-stamp'];
+  const stamp = message.headers[WIRE.stamp];
   const seconds = Number(message.headers['retry-after']);
   message.on('data', (chunk: Buffer) => chunks.push(chunk));
   message.on('error', () => undefined);
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -5,7 +5,7 @@
 import { once } from 'node:events';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { HEADERS, PATHS } from '../platform/names.js';
+import { PATHS } from '../platform/names.js';
 import { EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
 import type { ServerFault } from './plan.js';
 import type { Arrival, OrderRecord } from './record.js';
@@ -268,7 +268,7 @@
     end: () => void,
   ): void {
     const id = String(request.headers[WIRE.attemptId]);
-    const events = Number(String(request.headers[HEADERS.tokenCount]).split(',')[1]) || 1;
+    const events = Number(String(request.headers[WIRE.tokenCount]).split(',')[1]) || 1;
     const first = Number(request.headers[WIRE.lastEventId] ?? 0) + 1;
     const breaksAt = this.#strikes('break-off')
       ? first + Math.floor((events - first + 1) * BROKEN_SHARE)
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -8,7 +8,7 @@
 import { join } from 'node:path';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { HEADERS } from '../platform/names.js';
+
 import { AddressBlock } from './address-block.js';
 import { bundleGateway } from './bundle.js';
 import { Callers } from './callers.js';
@@ -242,6 +242,6 @@
   if (body !== call.body) return 'another body';
   if (headers[WIRE.apiKey] !== undefined) return 'the API key was passed on';
   if (headers[WIRE.tenant] !== call.tenant) return `tenant ${headers[WIRE.tenant]}`;
-  if (headers[HEADERS.tokenCount] === undefined) return 'without its token count';
+  if (headers[WIRE.tokenCount] === undefined) return 'without its token count';
   return '';
 }
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -1,12 +1,15 @@
-/** The platform's names that the soak's stand-ins speak beside those of `platform/names.ts`. */
+/** Headers as the soak's stand-ins read and write them: node:http gives names in lower case. */
+import { HEADERS, SENT_HEADERS } from '../platform/names.js';
+
 export const WIRE = {
-  attemptId: 'x-attempt-id',
-  expectInstance: 'x-expect-instance',
-  stage: 'x-stage',
-  kvSource: 'x-kv-source',
-  tenant: 'x-tenant',
-  apiKey: 'api-key',
-  lastEventId: 'last-event-id',
-  stamp: 'X-Response-Stamp',
-  notExecuted: 'X-Not-Executed',
+  attemptId: HEADERS.attemptId,
+  apiKey: HEADERS.apiKey,
+  tokenCount: HEADERS.tokenCount,
+  stamp: HEADERS.responseStamp,
+  notExecuted: HEADERS.notExecuted,
+  expectInstance: SENT_HEADERS.expectInstance.toLowerCase(),
+  stage: SENT_HEADERS.stage.toLowerCase(),
+  kvSource: SENT_HEADERS.kvSource.toLowerCase(),
+  tenant: SENT_HEADERS.tenant.toLowerCase(),
+  lastEventId: SENT_HEADERS.lastEventId.toLowerCase(),
 } as const;
