--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -7,6 +7,7 @@
 import type { CallEnd, CallRecord, RequestClass } from './record.js';
 import { WIRE } from './wire.js';
 
+/** The host that all routes of a run are for. */
 export const HOST = 'soak.example';
 const TICK_MS = 5;
 /** Kept open to each daemon while idle. */
@@ -18,6 +19,7 @@
 const RETRY_AFTER_MS = 200;
 const CONNECT_TIMEOUT_MS = 1_000;
 const LEAVE_AFTER_MS = 40;
+/** Some callers leave at any time, so that what is done for them is seen in calm times too. */
 export const USUAL_LEAVING_SHARE = 0.05;
 const BODY = 'what does this label say?';
 const PROMPT_TOKENS = 380;
