Soak: one reading of a request's body, and the lab's listeners

Cause: three stand-ins each read a body and opened a listener by the same lines, beside openListener and closeListener of the lab. They call those and readBody now; behaviour is as before.

--- a/soak/duty-service.ts
+++ b/soak/duty-service.ts
@@ -2,12 +2,12 @@
  * A stand-in of the platform's calls that are the duty of one daemon at a time: usage reports and orders of
  * capacity, each under a fencing token.
  */
-import { once } from 'node:events';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { DUTY_HEADERS } from '../platform/names.js';
+import { closeListener, openListener } from '../src/lab/common/listener.js';
 import type { DutyFault } from './plan.js';
 import type { DutyRecord } from './record.js';
+import { readBody } from './request-body.js';
 
 /** The service. */
 export class DutyService {
@@ -17,25 +17,19 @@
   readonly #server = http.createServer((request, response) => void this.#serve(request, response));
 
   async open(): Promise<number> {
-    this.#server.listen(0, '127.0.0.1');
-    await once(this.#server, 'listening');
-    return (this.#server.address() as AddressInfo).port;
+    const { port } = await openListener(this.#server, { address: '127.0.0.1', port: 0 });
+    return port;
   }
 
   close(): void {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    void closeListener(this.#server);
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const atMs = performance.now();
     response.on('error', () => response.destroy());
-    const chunks: Buffer[] = [];
-    try {
-      for await (const chunk of request) chunks.push(chunk as Buffer);
-    } catch {
-      return; // It was broken off before it had arrived.
-    }
+    const body = await readBody(request);
+    if (body === undefined) return;
     if (this.fault === 'unavailable' || this.fault === 'too-many') {
       response.writeHead(this.fault === 'unavailable' ? 503 : 429).end();
       return;
@@ -48,7 +42,7 @@
       path,
       holder: String(request.headers[DUTY_HEADERS.holder.toLowerCase()]),
       fence,
-      body: Buffer.concat(chunks).toString('utf8'),
+      body,
       isAccepted,
       atMs,
     });
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -2,13 +2,13 @@
  * A stand-in of the platform's servers: model engines, which read prompts and generate, and plain web servers.
  * It notes each arrival, and does wrong what the run tells it to.
  */
-import { once } from 'node:events';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { PATHS } from '../platform/names.js';
+import { closeListener, openListener } from '../src/lab/common/listener.js';
 import { EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
 import type { ServerFault } from './plan.js';
 import type { Arrival, OrderRecord } from './record.js';
+import { readBody } from './request-body.js';
 import { WIRE } from './wire.js';
 
 const SLOTS = 24;
@@ -104,16 +104,14 @@
     this.#highestFence = 0;
     const server = http.createServer((request, response) => void this.#serve(request, response));
     server.keepAliveTimeout = KEEP_ALIVE_MS;
-    server.listen(this.#port, '127.0.0.1');
-    await once(server, 'listening');
-    this.#port = (server.address() as AddressInfo).port;
+    const { port } = await openListener(server, { address: '127.0.0.1', port: this.#port });
+    this.#port = port;
     this.#server = server;
   }
 
   /** Ends at once, with all that is under way. */
   crash(): void {
-    this.#server?.closeAllConnections();
-    this.#server?.close();
+    if (this.#server !== undefined) void closeListener(this.#server);
     this.#server = undefined;
     this.#running = 0;
   }
@@ -121,13 +119,8 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const atMs = performance.now();
     response.on('error', () => response.destroy());
-    const chunks: Buffer[] = [];
-    try {
-      for await (const chunk of request) chunks.push(chunk as Buffer);
-    } catch {
-      return; // It was broken off before it had arrived.
-    }
-    const body = Buffer.concat(chunks).toString('utf8');
+    const body = await readBody(request);
+    if (body === undefined) return;
     const path = request.url ?? '/';
     if (path === PATHS.report) return this.#report(response);
     if (path === PATHS.order) return this.#order(body, response);
--- a/soak/platform-store.ts
+++ b/soak/platform-store.ts
@@ -2,11 +2,11 @@
  * A stand-in of the platform's store: rows, conditional transactions and held feeds over HTTP. Each daemon
  * has a door of its own, so that some may be refused while others are served.
  */
-import { once } from 'node:events';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { PATHS, TABLES } from '../platform/names.js';
+import { closeListener, openListener } from '../src/lab/common/listener.js';
 import type { StoreRefusal } from './plan.js';
+import { readBody } from './request-body.js';
 
 /** How long an answer takes when nothing is wrong. */
 const ANSWER_MS = 3;
@@ -60,14 +60,12 @@
   }
 
   async open(): Promise<number> {
-    this.#server.listen(0, '127.0.0.1');
-    await once(this.#server, 'listening');
-    return (this.#server.address() as AddressInfo).port;
+    const { port } = await openListener(this.#server, { address: '127.0.0.1', port: 0 });
+    return port;
   }
 
   close(): void {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    void closeListener(this.#server);
   }
 }
 
@@ -126,20 +124,16 @@
   }
 
   async #serve(door: StoreDoor, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    try {
-      for await (const chunk of request) chunks.push(chunk as Buffer);
-    } catch {
-      return; // The daemon is gone; there is nobody to answer.
-    }
+    const body = await readBody(request);
+    if (body === undefined) return;
     this.callsTotal += 1;
     const refusal = this.refusal ?? door.refusal;
     if (refusal !== undefined) return refuse(refusal, response);
     const url = new URL(request.url ?? '/', 'http://store');
-    setTimeout(() => this.#answerCall(url, chunks, response), ANSWER_MS + this.faults.delayMs);
+    setTimeout(() => this.#answerCall(url, body, response), ANSWER_MS + this.faults.delayMs);
   }
 
-  #answerCall(url: URL, chunks: readonly Buffer[], response: ServerResponse): void {
+  #answerCall(url: URL, body: string, response: ServerResponse): void {
     switch (url.pathname) {
       case PATHS.rowsGet:
         this.#get(url, response);
@@ -148,7 +142,7 @@
         this.#feed(url, response);
         return;
       case PATHS.rowsTx:
-        this.#transact(JSON.parse(Buffer.concat(chunks).toString('utf8')), response);
+        this.#transact(JSON.parse(body), response);
         return;
       default:
         response.writeHead(404).end();
