--- a/src/core/gateway/retry-budget.ts
+++ b/src/core/gateway/retry-budget.ts
@@ -60,9 +60,10 @@
     return this.#level;
   }
 
-  /** Repeats that can be saved up. */
+  /** Repeats that can be saved up: a whole one, and what one request earns, however small the share of the slack. */
   get cap(): number {
-    return this.#cap;
+    const { ratio } = this.#options;
+    return ratio > 0 ? Math.max(1, ratio, this.#share) : this.#share;
   }
 
   get counts(): RetryBudgetCounts {
@@ -77,7 +78,7 @@
   /** Parts the slack among the daemons there are. */
   setDaemonCount(daemons: number): void {
     this.#share = shareOf(this.#options, daemons);
-    this.#level = Math.min(this.#level, this.#cap);
+    this.#level = Math.min(this.#level, this.cap);
   }
 
   countRequest(): void {
@@ -103,13 +104,7 @@
   }
 
   #earn(repeats: number): void {
-    this.#level = Math.min(this.#cap, this.#level + repeats);
-  }
-
-  /** A whole repeat, and what one request earns, can always be saved up, however small the share of the slack. */
-  get #cap(): number {
-    const { ratio } = this.#options;
-    return ratio > 0 ? Math.max(1, ratio, this.#share) : this.#share;
+    this.#level = Math.min(this.cap, this.#level + repeats);
   }
 }
 
