Log which work broke off at a server, and whether the server had ended

Cause: a line names an attempt by an id that is new with each try, so no line said that two attempts were the same work, and none told a server that ended from a cut answer; the hypotheses of the incident could not be told apart. Change: event 6070 with a fingerprint (keyed digest over method, host, path, tenant and body; the key is the fleet's, in the store) and the outcome of one connection to the server. No decision is changed; nothing is worked out unless a run breaks.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -262,6 +262,13 @@
     remedy:
       'Nothing to do unless the outcome is a conflict that repeats: none are to be had there.',
   },
+  brokenRunChecked: {
+    number: 6070,
+    level: 'warn',
+    message: 'a run broke off, and its server was asked whether it is there',
+    remedy:
+      'Look for other lines with the same fingerprint: they are the same work, whichever try of its caller it was.',
+  },
   peerMalformed: {
     number: 6054,
     level: 'warn',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -33,6 +33,8 @@
   readonly noteRead: (read: ReadNotice) => void;
   /** To be called when a server does not answer a connection, or does so again. */
   readonly noteReach: (reach: Omit<ReachNotice, 'by'>) => void;
+  /** To be called when a run or a reading of a request broke off at a server. */
+  readonly noteBroken: (exchange: Exchange, server: ServerRecord) => void;
   /** To be called when a request began to run at a server, so long ago. */
   readonly noteBegan: (exchange: Exchange, agoMs: number) => void;
   /** Where this daemon stands. */
@@ -241,6 +243,7 @@
     health.recordSilent(timers.nowMs());
     context.noteReach({ serverId: options.server.id, isReachable: false });
   } else health.recordBroken(timers.nowMs());
+  if (failure.kind === 'broken') context.noteBroken(exchange, options.server);
   metrics.recordAttempt(failure.kind);
   log.write(GATEWAY_EVENTS.attemptFailed, {
     request: description.attemptId,
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -7,13 +7,15 @@
  * open whether it ran.
  */
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
 
 /** Kept this much shorter than the server says. */
 const KEEP_MARGIN_MS = 1_000;
 const LONGEST_KEEP_MS = 8_000;
+/** Without an answer to a connection by then, nobody knows whether the server is there. */
+const REFUSAL_TIMEOUT_MS = 220;
 
 /** One call to a backend. */
 export interface BackendCall {
@@ -135,6 +137,11 @@
   return isNamed ? [...headers] : ['Host', address, ...headers];
 }
 
+function endpointOf(address: string): { readonly host: string; readonly port: number } {
+  const separator = address.lastIndexOf(':');
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
+
 function notSent(reason: string, wasSilent: boolean): CallResult {
   return { kind: 'not-sent', reason, wasSilent };
 }
@@ -198,6 +205,25 @@
     });
   }
 
+  /** Whether nothing listens at IP:PORT any more; false where that is not certain. */
+  isRefused(address: string): Promise<boolean> {
+    const { host, port } = endpointOf(address);
+    return new Promise((resolve) => {
+      const socket = connect(port, host);
+      const settle = (isRefused: boolean) => {
+        cancel();
+        socket.destroy();
+        resolve(isRefused);
+      };
+      const cancel = this.#timers.after(REFUSAL_TIMEOUT_MS, () => settle(false));
+      socket.once('connect', () => {
+        this.openedTotal += 1;
+        settle(false);
+      });
+      socket.once('error', (error: NodeJS.ErrnoException) => settle(error.code === 'ECONNREFUSED'));
+    });
+  }
+
   /** Closes what is kept. */
   close(): void {
     this.#keepingAgent.destroy();
@@ -205,10 +231,8 @@
   }
 
   #open(call: BackendCall): ClientRequest {
-    const separator = call.address.lastIndexOf(':');
     return http.request({
-      host: call.address.slice(0, separator),
-      port: Number(call.address.slice(separator + 1)),
+      ...endpointOf(call.address),
       method: call.method,
       path: call.path,
       headers: withHost(call.headers, call.address),
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import { BackendConnections } from './backend-connections.js';
 import { CacheNewsWatchers } from './cache-news-watcher.js';
 import { CallerListener } from './caller-listener.js';
+import { CrashGuard } from './crash-guard.js';
 import { Duties } from './duties.js';
 import { FleetFollower } from './fleet-follower.js';
 import { FleetView } from './fleet-view.js';
@@ -22,6 +23,7 @@
 import type { GatewayLog } from './request-log.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
 import { RosterNewsDuty } from './roster-news-duty.js';
+import { ServerEndCheck } from './server-end-check.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
 import { delay, type TimerService } from './timer-service.js';
@@ -86,6 +88,7 @@
   readonly #digest: RelayDigest;
   readonly #retryBudgets: RetryBudgetReporter;
   readonly #duties: Duties;
+  readonly #crashes: CrashGuard;
   #watchShare = WATCH_SHARE_OF_CONTACT;
   #isRelay = false;
   #isStopping = false;
@@ -105,6 +108,12 @@
     this.#roster = new PeerRoster({ name: settings.name, zone: settings.zone });
     this.#digest = new RelayDigest(timers, settings.bounds.contactMs * DIGEST_AGE_SHARE_OF_CONTACT);
     this.#connections = new BackendConnections(timers);
+    this.#crashes = new CrashGuard({
+      table: adapter.table,
+      endCheck: new ServerEndCheck(this.#connections, timers),
+      timers,
+      log,
+    });
     const context: AttemptContext = {
       fleet: this.#fleet,
       connections: this.#connections,
@@ -113,6 +122,7 @@
       noteLoadChange: () => this.#peers?.noteChange(),
       noteRead: (read) => this.#peers?.noteRead(read),
       noteReach: (reach) => this.#peers?.noteReach(reach),
+      noteBroken: (exchange, server) => void this.#crashes.noteBroken(exchange, server),
       noteBegan: ({ options: { tenant } }, agoMs) => this.#duties.noteBegan(tenant, agoMs),
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
@@ -168,6 +178,7 @@
     const { settings, adapter, log } = this.#options;
     const { callers, readiness, metrics } = settings.listen;
     this.#follower.start();
+    this.#crashes.start();
     this.#stages.start();
     this.#peers?.start();
     this.#duties.start();
@@ -218,6 +229,7 @@
   abort(): void {
     this.#isStopping = true;
     this.#follower.stop();
+    this.#crashes.stop();
     this.#cacheNews.stop();
     this.#stages.stop();
     this.#peers?.stop();
