--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -6,6 +6,7 @@
 import type { LogEvent, LogFields } from '../../../src/core/logging/log-event.js';
 import {
   Gateway,
+  type GatewayAddresses,
   GatewayLog,
   type GatewaySettings,
   SYSTEM_TIMERS,
@@ -16,8 +17,10 @@
 
 const HOST = 'labels.example';
 
-/** A line that the gateway logged. */
+/** A line that a gateway logged. */
 export interface LoggedLine {
+  /** The daemon that logged it. */
+  readonly daemon: string;
   readonly event: LogEvent;
   readonly fields: LogFields;
 }
@@ -37,8 +40,23 @@
   readonly method?: string;
   readonly headers?: Record<string, string>;
   readonly body?: string;
+  /** The daemon that takes it; the first one unless given. */
+  readonly port?: number;
 }
 
+/** What a gateway of a fixture varies in. */
+interface GatewayOptions {
+  readonly name: string;
+  readonly timers: TimerService;
+  readonly retryBudget: GatewaySettings['retryBudget'];
+  /** Whether it tells other daemons of itself. */
+  readonly hasPeers: boolean;
+}
+
+const FIRST_DAEMON = 'front-1';
+/** Each request earns all repeats that a test wants. */
+const AMPLE_BUDGET = { ratio: 4, slack: 240 };
+
 /** A route of the configuration; what is not given is that of a plain web route. */
 export function route(fields: Record<string, unknown>): Record<string, unknown> {
   return {
@@ -94,59 +112,75 @@
   readonly lines: LoggedLine[] = [];
   readonly #servers: ServerStandIn[] = [];
   readonly #waiting = new Set<() => void>();
-  #gateway: Gateway | undefined;
+  readonly #gateways: Gateway[] = [];
+  #storeAddress: { readonly host: string; readonly port: number } | undefined;
   callersPort = 0;
   readinessPort = 0;
 
   /**
    * @param timers real time unless a test moves it itself
-   * @param retryBudget what all daemons together may send again; each request earns all repeats that a test wants
+   * @param retryBudget what all daemons together may send again
    */
   async start(
     timers: TimerService = SYSTEM_TIMERS,
-    retryBudget = { ratio: 4, slack: 240 },
+    retryBudget: GatewaySettings['retryBudget'] = AMPLE_BUDGET,
   ): Promise<void> {
-    const store = await this.store.start();
+    const options = { name: FIRST_DAEMON, timers, retryBudget, hasPeers: false };
+    const addresses = await this.#startGateway(options);
+    this.callersPort = addresses.callersPort;
+    this.readinessPort = addresses.readinessPort;
+  }
+
+  /** Starts one more daemon, which tells the others of itself; gives the port of its callers. */
+  async addDaemon(name: string): Promise<number> {
+    const options = { name, timers: SYSTEM_TIMERS, retryBudget: AMPLE_BUDGET, hasPeers: true };
+    const { callersPort } = await this.#startGateway(options);
+    return callersPort;
+  }
+
+  async #startGateway(options: GatewayOptions): Promise<GatewayAddresses> {
+    const { name, timers, retryBudget, hasPeers } = options;
+    this.#storeAddress ??= await this.store.start();
     const settings: GatewaySettings = {
-      name: 'front-1',
+      name,
       zone: 'a',
       listen: {
         callers: { host: '127.0.0.1', port: 0 },
         readiness: { host: '127.0.0.1', port: 0 },
         metrics: undefined,
-        peers: undefined,
+        peers: hasPeers ? { host: '127.0.0.1', port: 0 } : undefined,
       },
-      store,
+      store: this.#storeAddress,
       bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000 },
       retryBudget,
       logging: { maxLinesPerSecond: 10_000 },
     };
     const logger = {
-      write: (event: LogEvent, fields: LogFields = {}) => this.#note({ event, fields }),
+      write: (event: LogEvent, fields: LogFields = {}) =>
+        this.#note({ daemon: name, event, fields }),
       flush: () => undefined,
     };
     const gateway = new Gateway({
       settings,
-      adapter: createPlatformAdapter(store),
+      adapter: createPlatformAdapter(this.#storeAddress),
       timers,
       log: new GatewayLog(logger, timers, settings.logging.maxLinesPerSecond),
     });
-    this.#gateway = gateway;
-    const addresses = await gateway.start();
-    this.callersPort = addresses.callersPort;
-    this.readinessPort = addresses.readinessPort;
+    this.#gateways.push(gateway);
+    return gateway.start();
   }
 
   /** Stops everything; to be called by every test. */
   stop(): void {
-    this.#gateway?.abort();
+    for (const gateway of this.#gateways) gateway.abort();
     for (const server of this.#servers) server.stop();
     this.store.stop();
   }
 
   get gateway(): Gateway {
-    if (this.#gateway === undefined) throw new Error('start the fixture first');
-    return this.#gateway;
+    const first = this.#gateways[0];
+    if (first === undefined) throw new Error('start the fixture first');
+    return first;
   }
 
   /** Starts a server and lists it. */
@@ -165,9 +199,12 @@
   }
 
   /** Resolves once a line was logged that fits, now or before. */
-  async logged(event: LogEvent, fits: (fields: LogFields) => boolean = () => true): Promise<void> {
+  async logged(
+    event: LogEvent,
+    fits: (fields: LogFields, daemon: string) => boolean = () => true,
+  ): Promise<void> {
     const isThere = () =>
-      this.lines.some((line) => line.event.number === event.number && fits(line.fields));
+      this.lines.some((line) => line.event === event && fits(line.fields, line.daemon));
     while (!isThere()) await new Promise<void>((resolve) => this.#waiting.add(resolve));
   }
 
@@ -190,7 +227,7 @@
   open(request: CallerRequest): http.ClientRequest {
     const sent = http.request({
       host: '127.0.0.1',
-      port: this.callersPort,
+      port: request.port ?? this.callersPort,
       method: request.method ?? 'POST',
       path: request.path,
       agent: false,
