Test the quarantine: whole fleets in virtual time, and what is not held against a request

Cause: the failing test covered one course with three daemons. Change: records (order and repetition do not matter, bounds, clearing), fleets of 9, 195 and 340 guards with up to 30% of datagrams lost, a store that is away or turns daemons away, all daemons started again, cuts that heal; over sockets: web services, requests that ran beside, answers that break off at servers that live on.

--- a/src/shell/gateway/crash-guard.ts
+++ b/src/shell/gateway/crash-guard.ts
@@ -15,10 +15,9 @@
 import { CrashGossip } from './crash-gossip.js';
 import { CrashStoreDuty } from './crash-store-duty.js';
 import { CrashTable, type CrashTableContent } from './crash-table.js';
-import type { Exchange } from './exchange.js';
 import type { PeerExchange } from './peer-exchange.js';
 import type { TableService } from './ports.js';
-import { RequestFingerprints } from './request-fingerprint.js';
+import { type GuardedExchange, RequestFingerprints } from './request-fingerprint.js';
 import type { GatewayLog } from './request-log.js';
 import type { ServerEndCheck } from './server-end-check.js';
 import { delay, type TimerService, type WallClock } from './timer-service.js';
@@ -56,7 +55,7 @@
   readonly #gossip: CrashGossip;
   readonly #duty: CrashStoreDuty;
   readonly #stopped = new AbortController();
-  readonly #checks = new WeakMap<Exchange, Promise<unknown>>();
+  readonly #checks = new WeakMap<GuardedExchange, Promise<unknown>>();
   readonly #startedMs: number;
   /** Changes since the last telling, by fingerprint. */
   readonly #news = new Set<string>();
@@ -107,14 +106,14 @@
   }
 
   /** Known to end servers; nothing is worked out while there is no such request. */
-  isQuarantined(exchange: Exchange): boolean {
+  isQuarantined(exchange: GuardedExchange): boolean {
     if (this.#records.quarantined === 0) return false;
     const fingerprint = this.#fingerprints.of(exchange);
     return fingerprint !== undefined && this.#records.isQuarantined(fingerprint);
   }
 
   /** Refuses a quarantined request, or fails it where it has run; false where it is none. */
-  refuse(exchange: Exchange): boolean {
+  refuse(exchange: GuardedExchange): boolean {
     if (!this.isQuarantined(exchange)) return false;
     const fingerprint = this.#fingerprints.of(exchange) ?? '';
     const ageMs = this.#records.get(fingerprint, this.#options.timers.nowMs())?.ageMs ?? 0;
@@ -123,19 +122,19 @@
   }
 
   /** A run or a reading of a request broke at a server. */
-  noteBroken(exchange: Exchange, server: ServerRecord): void {
+  noteBroken(exchange: GuardedExchange, server: ServerRecord): void {
     const before = this.#checks.get(exchange);
     const check = this.#check(exchange, server, this.#options.isReady(server.id));
     this.#checks.set(exchange, Promise.all([before, check]));
   }
 
   /** Resolves once all that broke under a request has been looked into. */
-  async settled(exchange: Exchange): Promise<void> {
+  async settled(exchange: GuardedExchange): Promise<void> {
     await this.#checks.get(exchange);
   }
 
   /** A request ran whole: it ends no servers. */
-  noteWhole(exchange: Exchange): void {
+  noteWhole(exchange: GuardedExchange): void {
     if (this.#records.isEmpty) return;
     const fingerprint = this.#fingerprints.of(exchange);
     if (fingerprint === undefined) return;
@@ -152,7 +151,7 @@
   }
 
   /** @param wasReady whether the server's end would be a crash: one that is announced is not */
-  async #check(exchange: Exchange, server: ServerRecord, wasReady: boolean): Promise<void> {
+  async #check(exchange: GuardedExchange, server: ServerRecord, wasReady: boolean): Promise<void> {
     const { endCheck, timers, log } = this.#options;
     const startedMs = timers.nowMs();
     const hasEnded = await endCheck.hasEnded(server);
--- a/src/shell/gateway/request-fingerprint.ts
+++ b/src/shell/gateway/request-fingerprint.ts
@@ -4,11 +4,18 @@
  * sees a digest in a log, a datagram or a row can try out bodies.
  */
 import { createHmac } from 'node:crypto';
-import type { Exchange } from './exchange.js';
+import type { Exchange, ExchangeOptions } from './exchange.js';
 
 /** 128 bits: no two requests share one by chance. */
 const DIGEST_BYTES = 16;
 
+/** A request under way, as far as it matters to whether it ends servers. */
+export interface GuardedExchange extends Pick<Exchange, 'refuse'> {
+  readonly options: Pick<ExchangeOptions, 'tenant' | 'body' | 'description'> & {
+    readonly request: Pick<ExchangeOptions['request'], 'method' | 'url' | 'headers'>;
+  };
+}
+
 /** The request as far as its fingerprint goes. */
 export interface FingerprintedRequest {
   readonly method: string;
@@ -30,7 +37,7 @@
 /** Works out fingerprints once the secret is known, each request's at most once and only when asked. */
 export class RequestFingerprints {
   #key: Buffer | undefined;
-  readonly #known = new WeakMap<Exchange, string>();
+  readonly #known = new WeakMap<GuardedExchange, string>();
 
   get hasKey(): boolean {
     return this.#key !== undefined;
@@ -41,7 +48,7 @@
   }
 
   /** Undefined until the secret was read. */
-  of(exchange: Exchange): string | undefined {
+  of(exchange: GuardedExchange): string | undefined {
     if (this.#key === undefined) return undefined;
     const known = this.#known.get(exchange);
     if (known !== undefined) return known;
--- /dev/null
+++ b/test/gateway/crash-records.test.ts
@@ -0,0 +1,123 @@
+/** What is known of requests under which servers ended. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { type CrashRecord, CrashRecords, RECORD_KEPT_MS } from '../../src/core/gateway/index.js';
+
+const MOST_RECORDS = 4_096;
+
+function record(fields: Partial<CrashRecord>): CrashRecord {
+  return {
+    fingerprint: 'f',
+    serverIds: ['s-1'],
+    clearings: 0,
+    isStored: false,
+    ageMs: 0,
+    ...fields,
+  };
+}
+
+test('the second server that ends under a request quarantines it, the same one twice does not', () => {
+  const records = new CrashRecords();
+  assert.equal(records.noteCrash('f', 's-1', 0), 'recorded');
+  assert.equal(records.noteCrash('f', 's-1', 10), 'none');
+  assert.ok(!records.isQuarantined('f'));
+  assert.equal(records.noteCrash('f', 's-2', 20), 'quarantined');
+  assert.ok(records.isQuarantined('f'));
+  assert.equal(records.quarantined, 1);
+  assert.ok(!records.isQuarantined('g'));
+});
+
+test('a whole run clears a request, and what was known before does not come back', () => {
+  const records = new CrashRecords();
+  records.noteCrash('f', 's-1', 0);
+  records.noteCrash('f', 's-2', 0);
+  assert.equal(records.clear('f', 10), 'cleared');
+  assert.equal(records.quarantined, 0);
+  assert.equal(records.take(record({ serverIds: ['s-1', 's-2'] }), 20), 'none');
+  assert.ok(!records.isQuarantined('f'));
+  assert.equal(records.noteCrash('f', 's-3', 30), 'recorded');
+  assert.equal(records.noteCrash('f', 's-4', 40), 'quarantined');
+});
+
+test('a request that nothing is known of is not cleared', () => {
+  const records = new CrashRecords();
+  assert.equal(records.clear('f', 0), 'none');
+  assert.ok(records.isEmpty);
+});
+
+test('whoever missed a clearing is told of it again, however long it is over', () => {
+  const records = new CrashRecords();
+  records.noteCrash('f', 's-1', 0);
+  records.clear('f', 0);
+  assert.deepEqual(records.nextToTell(10, 60_000), []);
+  records.take(record({ serverIds: ['s-1', 's-2'] }), 60_000);
+  assert.deepEqual(
+    records.nextToTell(10, 60_000).map(({ clearings }) => clearings),
+    [1],
+  );
+});
+
+test('records in any order, told more than once, come to the same', () => {
+  const told = fc.record({
+    fingerprint: fc.constantFrom('f', 'g'),
+    serverIds: fc.uniqueArray(fc.constantFrom('s-1', 's-2'), { maxLength: 2 }),
+    clearings: fc.nat(2),
+    isStored: fc.boolean(),
+    ageMs: fc.nat(1_000),
+  });
+  const course = fc
+    .array(told, { maxLength: 12 })
+    .chain((all) =>
+      fc.tuple(
+        fc.constant(all),
+        fc.shuffledSubarray([...all, ...all], { minLength: 2 * all.length }),
+      ),
+    );
+  fc.assert(
+    fc.property(course, ([all, other]) => {
+      const believes = (order: readonly CrashRecord[]) => {
+        const records = new CrashRecords();
+        for (const one of order) records.take(one, 5_000);
+        return ['f', 'g'].map((name) => {
+          const known = records.get(name, 5_000);
+          return [known?.clearings, [...(known?.serverIds ?? [])].sort()];
+        });
+      };
+      assert.deepEqual(believes(all), believes(other));
+    }),
+    { seed: 34, numRuns: 500 },
+  );
+});
+
+test('there are never more than so many records, and quarantined ones go last', () => {
+  const records = new CrashRecords();
+  records.noteCrash('kept', 's-1', 0);
+  records.noteCrash('kept', 's-2', 0);
+  for (let index = 0; index < MOST_RECORDS + 100; index += 1) {
+    records.noteCrash(`f-${index}`, 's-3', 10);
+  }
+  assert.equal(records.size, MOST_RECORDS);
+  assert.ok(records.isQuarantined('kept'));
+});
+
+test('a record is forgotten after its time, and an old one is not taken', () => {
+  const records = new CrashRecords();
+  records.noteCrash('f', 's-1', 0);
+  records.noteCrash('f', 's-2', 0);
+  assert.deepEqual(records.dropOld(RECORD_KEPT_MS - 1), []);
+  assert.deepEqual(records.dropOld(RECORD_KEPT_MS), ['f']);
+  assert.equal(records.quarantined, 0);
+  const old = record({ serverIds: ['s-1', 's-2'], ageMs: RECORD_KEPT_MS });
+  assert.equal(records.take(old, RECORD_KEPT_MS), 'none');
+});
+
+test('more records than fit a message are told by turns', () => {
+  const records = new CrashRecords();
+  for (let index = 0; index < 5; index += 1) records.noteCrash(`f-${index}`, 's-1', 0);
+  const told = new Set<string>();
+  for (let turn = 0; turn < 3; turn += 1) {
+    for (const { fingerprint } of records.nextToTell(2, 100)) told.add(fingerprint);
+  }
+  assert.equal(told.size, 5);
+});
--- /dev/null
+++ b/test/gateway/crash-spread.test.ts
@@ -0,0 +1,159 @@
+/** That all daemons of a fleet refuse a request under which servers ended, whatever fails meanwhile. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { CONTACT_MS, FleetOfGuards, requestOf } from './support/fleet-of-guards.js';
+
+const BODY = 'ends whoever runs it';
+const START_MS = 100;
+
+function randomFrom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformFloat64(generator);
+}
+
+async function startFleet(daemons: number, lossRate = 0): Promise<FleetOfGuards> {
+  const fleet = new FleetOfGuards({ daemons, lossRate, random: randomFrom(34) });
+  await fleet.advance(START_MS);
+  return fleet;
+}
+
+/** Three servers end, each seen by another daemon. */
+async function crashThrice(fleet: FleetOfGuards, seenBy: readonly number[]): Promise<void> {
+  for (const [index, daemon] of seenBy.entries()) {
+    await fleet.crash(daemon, BODY, `i-${index}`);
+    await fleet.advance(20);
+  }
+}
+
+for (const [daemons, lossRate] of [
+  [9, 0],
+  [9, 0.3],
+  [195, 0.1],
+  [340, 0.1],
+] as const) {
+  test(`${daemons} daemons of which three saw a crash each refuse in time, ${lossRate * 100}% of datagrams lost`, async () => {
+    const fleet = await startFleet(daemons, lossRate);
+    await crashThrice(fleet, [0, 3, 7]);
+    await fleet.advance(CONTACT_MS - 20);
+    assert.deepEqual(fleet.sendersOf(BODY), []);
+    assert.equal(fleet.sendersOf('other work').length, daemons);
+    fleet.stop();
+  });
+}
+
+test('no datagram is lost: all daemons refuse within 10 ms of the second crash', async () => {
+  const fleet = await startFleet(9);
+  await fleet.crash(0, BODY, 'i-1');
+  await fleet.advance(10);
+  assert.equal(fleet.sendersOf(BODY).length, 9);
+  await fleet.crash(1, BODY, 'i-2');
+  await fleet.advance(10);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
+
+test('daemons that were all killed learn from the store before they send', async () => {
+  const fleet = await startFleet(9);
+  await crashThrice(fleet, [0, 1, 2]);
+  for (let daemon = 0; daemon < 9; daemon += 1) fleet.start(daemon);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  await fleet.advance(100);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  assert.equal(fleet.sendersOf('other work').length, 9);
+  fleet.stop();
+});
+
+test('one that the store turns away has its finding written down by another', async () => {
+  const fleet = await startFleet(9);
+  fleet.isTurnedAway = (daemon) => daemon === 4;
+  await fleet.crash(4, BODY, 'i-1');
+  await fleet.crash(4, BODY, 'i-2');
+  await fleet.advance(9_000);
+  fleet.isTurnedAway = () => false;
+  for (let daemon = 0; daemon < 9; daemon += 1) fleet.start(daemon);
+  await fleet.advance(100);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
+
+test('while the store is away for all, daemons tell each other, and it has the row once it is back', async () => {
+  const fleet = await startFleet(9);
+  fleet.isTurnedAway = () => true;
+  await crashThrice(fleet, [0, 1, 2]);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  await fleet.advance(5_000);
+  fleet.isTurnedAway = () => false;
+  await fleet.advance(1_000);
+  for (let daemon = 0; daemon < 9; daemon += 1) fleet.start(daemon);
+  await fleet.advance(100);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
+
+test('one that was cut off refuses before it counts as in touch again', async () => {
+  for (const daemons of [9, 195]) {
+    const fleet = await startFleet(daemons);
+    fleet.isCutOff = (daemon) => daemon === 5;
+    await crashThrice(fleet, [0, 1, 2]);
+    await fleet.advance(60_000);
+    assert.deepEqual(fleet.sendersOf(BODY), [5]);
+    fleet.isCutOff = () => false;
+    await fleet.advance(CONTACT_MS);
+    assert.deepEqual(fleet.sendersOf(BODY), []);
+    fleet.stop();
+  }
+});
+
+test('one that the store turns away from its start serves after a while, and refuses what the others tell', async () => {
+  const fleet = await startFleet(9);
+  await crashThrice(fleet, [0, 1, 2]);
+  fleet.isTurnedAway = (daemon) => daemon === 3;
+  fleet.start(3);
+  await fleet.advance(CONTACT_MS - 200);
+  assert.ok(!fleet.guard(3).isPrepared);
+  await fleet.advance(400);
+  assert.ok(fleet.guard(3).isPrepared);
+  fleet.isTurnedAway = () => false;
+  await fleet.advance(1_000);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
+
+test('a batch of 32 that breaks off with its server is told in few datagrams and writes nothing', async () => {
+  const fleet = await startFleet(195);
+  const { writes } = fleet;
+  await Promise.all(
+    Array.from({ length: 32 }, (_, index) => fleet.crash(index % 16, `work ${index}`, 'i-1')),
+  );
+  assert.equal(fleet.writes, writes);
+  assert.ok(fleet.datagrams <= 16 * 194, `${fleet.datagrams} datagrams`);
+  assert.equal(fleet.sendersOf('work 7').length, 195);
+  fleet.stop();
+});
+
+test('a whole run clears it at all daemons and in the store', async () => {
+  const fleet = await startFleet(9);
+  await crashThrice(fleet, [0, 1, 2]);
+  await fleet.advance(100);
+  fleet.guard(6).noteWhole(requestOf(BODY));
+  await fleet.advance(100);
+  assert.equal(fleet.sendersOf(BODY).length, 9);
+  for (let daemon = 0; daemon < 9; daemon += 1) fleet.start(daemon);
+  await fleet.advance(100);
+  assert.equal(fleet.sendersOf(BODY).length, 9);
+  fleet.stop();
+});
+
+test('an operator lifts it in its row', async () => {
+  const fleet = await startFleet(9);
+  await crashThrice(fleet, [0, 1, 2]);
+  await fleet.advance(1_000);
+  const row = fleet.store.rows.find(({ key }) => /^crash\/[0-9a-f]{32}$/.test(key));
+  assert.ok(row !== undefined);
+  fleet.store.put(row.key, { ...(row.value as object), isLifted: true });
+  await fleet.advance(12_000);
+  assert.equal(fleet.sendersOf(BODY).length, 9);
+  fleet.stop();
+});
--- a/test/gateway/crashing-request.test.ts
+++ b/test/gateway/crashing-request.test.ts
@@ -9,8 +9,15 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { deferred } from './support/deferred.js';
 import { type CallerAnswer, configuration, GatewayFixture, route } from './support/fixture.js';
-import { engine, type ServerStandIn } from './support/server-stand-in.js';
+import {
+  answering,
+  engine,
+  type ServedRequest,
+  type ServerStandIn,
+  stamped,
+} from './support/server-stand-in.js';
 
 const CHECK = route({
   name: 'check',
@@ -25,6 +32,8 @@
 const CRASHING_BODY = 'ends whoever runs it';
 const DAEMONS = ['front-1', 'front-2', 'front-3'];
 const ENGINES = 12;
+const SLIP = route({ name: 'slip', pathPrefix: '/slip/', kind: 'idempotent', attempts: 2 });
+const CONFIRM = route({ name: 'confirm', pathPrefix: '/confirm/', kind: 'non_idempotent' });
 /** Engines that may end under one request before no more are lost to it. */
 const MOST_CRASHES = 3;
 
@@ -54,6 +63,27 @@
   );
 }
 
+/** A web server that ends before it answers the crashing body. */
+async function addWebServer(id: string): Promise<void> {
+  const server: ServerStandIn = await fixture.addServer(id, (served) => {
+    if (served.seen.body !== CRASHING_BODY) return answering(200, 'done')(served);
+    endedEngines.push(id);
+    server.stop();
+  });
+}
+
+/** One daemon that knows some servers. */
+async function startDaemon(ids: readonly string[], add: (id: string) => Promise<void>) {
+  const port = await fixture.addDaemon('front-1');
+  fixture.store.putConfiguration(configuration(1, [CHECK, SLIP, CONFIRM]));
+  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+  await Promise.all(ids.map(add));
+  for (const id of ids) {
+    await fixture.logged(GATEWAY_EVENTS.serverAdded, (fields) => fields.server === id);
+  }
+  return port;
+}
+
 /** Daemons that know each other, the configuration and all engines. */
 async function startFleet(): Promise<readonly number[]> {
   const ports: number[] = [];
@@ -83,10 +113,10 @@
 }
 
 /** One more try of the same work, under an attempt id of its own. */
-function tryAt(port: number, body: string): Promise<CallerAnswer> {
+function tryAt(port: number, body: string, path = '/check/1'): Promise<CallerAnswer> {
   tries += 1;
   const headers = { ...PROMPT, 'X-Attempt-Id': `attempt-${tries}` };
-  return fixture.call({ path: '/check/1', headers, body, port });
+  return fixture.call({ path, headers, body, port });
 }
 
 test('no more servers are lost to a request under which servers have ended, at whichever daemon it comes', async () => {
@@ -94,3 +124,69 @@
   for (const port of [...ports, ...ports]) await tryAt(port, CRASHING_BODY);
   assert.ok(endedEngines.length <= MOST_CRASHES, `ended: ${endedEngines.join(' ')}`);
 });
+
+test('a quarantined request is refused at once, by daemons that begin later as well', async () => {
+  const port = await startDaemon(['i-1', 'i-2', 'i-3', 'i-4'], addEngine);
+  assert.equal((await tryAt(port, CRASHING_BODY)).status, 502);
+  const refused = await tryAt(port, CRASHING_BODY);
+  assert.equal(refused.status, 503);
+  assert.ok(Number(refused.headers['retry-after']) > 3_600);
+  assert.match(refused.body, /servers ended while this request ran/);
+  await fixture.logged(GATEWAY_EVENTS.requestRefused, (fields) => fields.fingerprint !== '');
+  const laterPort = await fixture.addDaemon('front-2');
+  await fixture.logged(GATEWAY_EVENTS.configurationInForce, (_, daemon) => daemon === 'front-2');
+  assert.equal((await tryAt(laterPort, CRASHING_BODY)).status, 503);
+  assert.deepEqual(endedEngines.length, 2);
+  assert.equal((await tryAt(port, 'other work')).status, 200);
+});
+
+test('what merely ran beside it goes on at another server and is served when it comes again', async () => {
+  const port = await startDaemon(['i-1'], async (id) => {
+    const server: ServerStandIn = await fixture.addServer(
+      id,
+      ({ seen, response }) => {
+        if (!seen.url.startsWith('/check/')) return engine(3)({ seen, response } as ServedRequest);
+        if (seen.body === CRASHING_BODY) server.stop();
+        else response.writeHead(200, stamped(seen)).write('id: 1\ndata: piece 1\n\n', startBeside);
+      },
+      { service: 'reader', stage: 'decode' },
+    );
+  });
+  const crashing = deferred<Promise<CallerAnswer>>();
+  const startBeside = () => crashing.resolve(tryAt(port, CRASHING_BODY));
+  const beside = tryAt(port, 'other work');
+  await await crashing.promise;
+  await beside;
+  await addEngine('i-2');
+  await fixture.logged(GATEWAY_EVENTS.serverAdded, (fields) => fields.server === 'i-2');
+  const again = await tryAt(port, 'other work');
+  assert.equal(again.status, 200);
+  assert.ok(again.isWhole);
+  await fixture.logged(GATEWAY_EVENTS.requestCleared);
+});
+
+test('answers that break off at servers that live on are not held against a request', async () => {
+  const port = await startDaemon(['i-1', 'i-2', 'i-3'], async (id) => {
+    await fixture.addServer(id, engine(3, 1), { service: 'reader', stage: 'decode' });
+  });
+  for (let count = 0; count < 4; count += 1) await tryAt(port, 'broken off');
+  const checked = fixture.lines.filter(({ event }) => event === GATEWAY_EVENTS.brokenRunChecked);
+  assert.ok(checked.length >= 2);
+  assert.ok(checked.every(({ fields }) => fields.hasEnded === false && fields.crashes === 0));
+});
+
+for (const [path, servers] of [
+  ['/slip/1', 'two servers in one try'],
+  ['/confirm/1', 'one server in each of two tries'],
+] as const) {
+  test(`a request to web servers ends ${servers}, and is refused from then on`, async () => {
+    const port = await startDaemon(['i-1', 'i-2', 'i-3', 'i-4'], addWebServer);
+    const statuses: number[] = [];
+    for (let count = 0; count < 4; count += 1) {
+      statuses.push((await tryAt(port, CRASHING_BODY, path)).status);
+    }
+    assert.equal(endedEngines.length, 2);
+    assert.deepEqual(statuses.slice(2), [503, 503]);
+    assert.equal((await tryAt(port, 'other work', path)).status, 200);
+  });
+}
