Count only crashes that do not overlap, and strike the soak's servers by requests

A request that ends servers does so one after the other, too. Change: a crash counts when its run began after the crash before it; the verdict of one daemon holds for all. The soak's servers end under bodies with a mark, its callers send these again and again at any daemon, and a new promise, CRASHES, is judged.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -3,7 +3,9 @@
  * behind them is gone; new connections go to daemons that say they are ready.
  */
 import http, { type IncomingMessage } from 'node:http';
+import { CRASHING_MARK } from './answers.js';
 import type { GatewayProcess } from './gateway-process.js';
+import type { CrashingWork } from './plan.js';
 import type { CallEnd, CallRecord, RequestClass } from './record.js';
 import { WIRE } from './wire.js';
 
@@ -43,7 +45,10 @@
 
 /** What a caller wants, over all its calls for it. */
 interface Wish
-  extends Pick<CallRecord, 'requestClass' | 'apiKey' | 'tenant' | 'outputTokens' | 'deadlineMs'> {
+  extends Pick<
+    CallRecord,
+    'requestClass' | 'apiKey' | 'tenant' | 'body' | 'outputTokens' | 'deadlineMs'
+  > {
   readonly isRetry: boolean;
 }
 
@@ -58,6 +63,8 @@
   #owed = 0;
   #sent = 0;
   #isSending = false;
+  #crashing = 0;
+  readonly #repeats: NodeJS.Timeout[] = [];
   /** Times as many requests as usual. */
   factor = 1;
   /** Part of the callers that leave early. */
@@ -80,8 +87,27 @@
     void look();
   }
 
+  /** Begins to send a piece of work that ends servers, at any daemon, until all sending ends. */
+  sendCrashing(work: CrashingWork): void {
+    const { classes, keys } = this.#options;
+    const [owner] = keys;
+    if (owner === undefined || !this.#isSending) return;
+    this.#crashing += 1;
+    const wish = {
+      requestClass: pickByShare(classes, work.classDraw),
+      apiKey: owner.key,
+      tenant: owner.tenant,
+      body: `${CRASHING_MARK} ${this.#crashing}`,
+      outputTokens: SHORT_TOKENS,
+      isRetry: false,
+    };
+    const send = () => this.#send({ ...wish, deadlineMs: performance.now() + DEADLINE_MS });
+    this.#repeats.push(setInterval(send, work.gapMs));
+  }
+
   stopSending(): void {
     this.#isSending = false;
+    for (const repeat of this.#repeats) clearInterval(repeat);
     clearInterval(this.#tick);
     clearTimeout(this.#look);
   }
@@ -106,6 +132,7 @@
       requestClass: pickByShare(classes, random()),
       apiKey: owner.key,
       tenant: owner.tenant,
+      body: BODY,
       outputTokens: random() < LONG_SHARE ? LONG_TOKENS : 2 + Math.floor(random() * SHORT_TOKENS),
       deadlineMs: performance.now() + DEADLINE_MS,
       isRetry: false,
@@ -122,7 +149,6 @@
       id: `r${this.#sent}`,
       daemon: daemon.name,
       life: daemon.life,
-      body: BODY,
       sentMs: performance.now(),
       endedMs: undefined,
       end: undefined,
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -15,6 +15,7 @@
 /** From a daemon's new start until its listeners have been up for a while, on a machine that is busy. */
 const START_MS = 3_000;
 const THAW_MS = 1_000;
+const RESTART_MS = 2_500;
 const DRAIN_LINGER_MS = 3_000;
 const ROLLING_START_MS = 400;
 
@@ -210,13 +211,21 @@
     const oldId = server.id;
     this.#disturb('server', oldId, downMs + ENTRY_LAPSE_MS);
     server.crash();
+    listed.link.refuse();
     setTimeout(() => this.#world.pool.unlist(oldId), ENTRY_LAPSE_MS);
     await pause(downMs);
     if (this.#isEnded) return;
+    await listed.link.open();
     await server.start();
     this.#world.pool.list(listed);
   }
 
+  /** A server ends under a request; it is back some seconds later. */
+  endServer(serverId: string): void {
+    const listed = this.#world.pool.servers.find(({ server }) => server.id === serverId);
+    if (listed !== undefined) void this.#crash(listed, RESTART_MS);
+  }
+
   /** The server says that it leaves, serves on for a while, and comes back as another. */
   async #drain(listed: PooledServer | undefined): Promise<void> {
     if (listed === undefined || !listed.server.isUp || listed.isDraining) return;
--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -49,20 +49,26 @@
   readonly #pairs = new Set<Pair>();
   readonly #proxy: Server = createServer((socket) => this.#join(socket));
   #fault: LinkFault | undefined;
-  #address = '';
+  #port = 0;
 
   constructor(targetPort: () => number) {
     this.#targetPort = targetPort;
   }
 
   get address(): string {
-    return this.#address;
+    return `127.0.0.1:${this.#port}`;
   }
 
+  /** Takes connections, after `refuse` at the same address again. */
   async open(): Promise<void> {
-    this.#proxy.listen(0, '127.0.0.1');
+    this.#proxy.listen(this.#port, '127.0.0.1');
     await once(this.#proxy, 'listening');
-    this.#address = `127.0.0.1:${(this.#proxy.address() as AddressInfo).port}`;
+    this.#port = (this.#proxy.address() as AddressInfo).port;
+  }
+
+  /** As a machine whose server has ended: refuses new connections. */
+  refuse(): void {
+    this.#proxy.close();
   }
 
   close(): void {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -96,10 +96,11 @@
 }
 
 function reportOf(seed: number, result: SoakResult): string {
-  const { violations, ends, reports, budgets, worstLagMs, directory } = result;
+  const { violations, ends, crashes, reports, budgets, worstLagMs, directory } = result;
   const calls = [...ends].map(([how, count]) => `${how} ${count}`).join(', ');
   const lines = [
     `seed ${seed}: ${violations.length} broken; calls ended: ${calls}; ${reports} usage reports`,
+    `  servers that ended under each request that ends servers: ${crashes.join(', ')}`,
     `  the stand-ins were late by ${worstLagMs} ms at worst`,
     ...budgets.map(
       ({ service, repeats, allowed }) =>
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -5,7 +5,7 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { PATHS } from '../platform/names.js';
 import { closeListener, openListener } from '../src/lab/common/listener.js';
-import { EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
+import { CRASHING_MARK, EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
 import type { ServerFault } from './plan.js';
 import type { Arrival, OrderRecord } from './record.js';
 import { readBody } from './request-body.js';
@@ -20,6 +20,8 @@
 const ORDER_DELAY_MS = 2_500;
 const LONGEST_NEWS_WAIT_MS = 1_000;
 const KEEP_ALIVE_MS = 5_000;
+/** From the begin of a run that ends its server to that end. */
+const ENDS_AFTER_MS = 60;
 /** The end of an answer that a faulty server never sends. */
 const BROKEN_SHARE = 0.5;
 
@@ -35,6 +37,8 @@
 export interface ServerObserver {
   arrived(request: IncomingMessage, body: string, arrival: Arrival): void;
   ordered(order: OrderRecord): void;
+  /** A request under which the server ends has run for a moment. */
+  ends(serverId: string): void;
 }
 
 /** What a server is built from. */
@@ -144,6 +148,7 @@
       problem: '',
       endedMs: undefined,
       isServersFault: false,
+      hasEndedServer: false,
       stamp: undefined,
     };
     this.#options.observer.arrived(request, body, arrival);
@@ -162,6 +167,7 @@
     };
     response.once('close', end);
     if (arrival.step === 'prefill') this.#read(request, response, end);
+    else if (body.startsWith(CRASHING_MARK)) this.#endUnder(request, response, arrival);
     else this.#run(request, response, arrival, end);
   }
 
@@ -225,6 +231,23 @@
     else this.#stream(request, response, arrival, stamp, end);
   }
 
+  /** Begins to answer as always, and ends with all that it runs. */
+  #endUnder(request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
+    const ownId = this.#id;
+    if (this.#stage !== undefined) {
+      const type = { 'Content-Type': 'text/event-stream' };
+      response.writeHead(200, { ...idOf(request), [WIRE.stamp]: `${ownId}.ends`, ...type });
+      response.write('id: 1\nda');
+    }
+    setTimeout(() => {
+      // Taken back by its daemon, it ends nothing.
+      if (response.destroyed || !this.isUp || this.#id !== ownId) return;
+      arrival.hasEndedServer = true;
+      arrival.isServersFault = true;
+      this.#options.observer.ends(ownId);
+    }, ENDS_AFTER_MS);
+  }
+
   #answerWhole(
     request: IncomingMessage,
     response: ServerResponse,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -29,6 +29,13 @@
     text: '#level = 0;',
     replacement: '#level = 8;',
   },
+  {
+    name: 'quarantine',
+    promise: 'CRASHES',
+    file: 'src/shell/gateway/crash-guard.ts',
+    text: 'if (this.#records.quarantined === 0) return false;',
+    replacement: 'if (this.#records.quarantined >= 0) return false;',
+  },
   {
     name: 'run-once',
     promise: 'TWICE',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -3,7 +3,7 @@
  * holds only in calm times, the disturbances of the run say when these were.
  */
 import { PATHS } from '../platform/names.js';
-import { EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
+import { CRASHING_MARK, EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
 import type { Arrival, CallRecord, Disturbance, RunRecord, Scope } from './record.js';
 
 /** What is promised; docs/SOAK.md says each in a sentence. */
@@ -21,6 +21,7 @@
   | 'GONE'
   | 'ONE'
   | 'DUTY'
+  | 'CRASHES'
   | 'RECOVER';
 
 /** A promise that was broken. */
@@ -46,6 +47,9 @@
 const SHOWN = 5;
 /** A few requests may cross the moment that a daemon's process is given up by its caller. */
 const LOST_MOST = 3;
+/** Servers that may end under one request, and sends of it from then on. */
+const MOST_CRASHES = 3;
+const MOST_SENT_AFTER = 3;
 
 /** All promises that a run has broken. */
 export function judge(run: RunRecord): readonly Violation[] {
@@ -58,6 +62,7 @@
     ...judgeGone(calls, run),
     ...judgeOrders(run),
     ...judgeDuties(run),
+    ...judgeCrashes(calls, run),
     ...judgeRecovery(calls, run),
   ];
 }
@@ -338,11 +343,55 @@
   return [...shared, ...changed];
 }
 
+/** What callers sent of one piece of work, whatever ids its tries had. */
+function callsByWork(calls: readonly CallRecord[]): readonly (readonly CallRecord[])[] {
+  const byWork = new Map<string, CallRecord[]>();
+  for (const call of calls) {
+    if (!call.body.startsWith(CRASHING_MARK)) continue;
+    const known = byWork.get(call.body);
+    if (known === undefined) byWork.set(call.body, [call]);
+    else known.push(call);
+  }
+  return [...byWork.values()];
+}
+
+/** How many servers ended under each piece of work that ends servers. */
+export function crashesByWork(calls: readonly CallRecord[]): readonly number[] {
+  return callsByWork(calls).map(
+    (tries) =>
+      tries.flatMap(({ arrivals }) => arrivals).filter(({ hasEndedServer }) => hasEndedServer)
+        .length,
+  );
+}
+
+/** Once some servers have ended under a request, daemons in touch send it to servers a few times more at most. */
+function judgeCrashes(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  return callsByWork(calls).flatMap((tries): readonly Violation[] => {
+    const arrivals = tries.flatMap((call) => call.arrivals.map((at) => ({ ...at, call })));
+    const endedMs = arrivals
+      .filter(({ hasEndedServer }) => hasEndedServer)
+      .map((arrival) => arrival.endedMs ?? run.endMs)
+      .sort((left, right) => left - right)[MOST_CRASHES - 1];
+    if (endedMs === undefined) return [];
+    const late = arrivals.filter(
+      ({ atMs, call }) =>
+        atMs > endedMs + run.bounds.contactMs && isInTouch(run, call.daemon, atMs, atMs),
+    );
+    if (late.length <= MOST_SENT_AFTER) return [];
+    const where = late.slice(0, SHOWN).map(({ call, serverId }) => `${call.daemon} to ${serverId}`);
+    const detail = `sent ${late.length} times after ${MOST_CRASHES} servers had ended under it: ${where.join(', ')}`;
+    return [{ promise: 'CRASHES', atMs: endedMs, detail }];
+  });
+}
+
 function judgeRecovery(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const known = run.configurations.at(-1)?.tenantOfKey;
   const atEnd = calls.filter(
-    ({ sentMs, apiKey, deadlineMs }) =>
-      sentMs > run.endMs - RECOVER_SPAN_MS && deadlineMs < run.endMs && known?.has(apiKey),
+    ({ sentMs, apiKey, deadlineMs, body }) =>
+      !body.startsWith(CRASHING_MARK) &&
+      sentMs > run.endMs - RECOVER_SPAN_MS &&
+      deadlineMs < run.endMs &&
+      known?.has(apiKey),
   );
   const served = atEnd.filter(({ end }) => end?.kind === 'answered' && end.status === 200).length;
   if (served >= RECOVER_LEAST_SHARE * atEnd.length) return [];
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -95,11 +95,20 @@
   readonly requestsPerSecond: number;
 }
 
+/** A piece of work that ends each server that runs it; its callers send it again and again, at any daemon. */
+export interface CrashingWork {
+  readonly fromMs: number;
+  readonly gapMs: number;
+  /** Of the classes of requests, by its place among them, 0 to 1. */
+  readonly classDraw: number;
+}
+
 /** A whole run. */
 export interface SoakPlan {
   readonly seed: number;
   readonly size: SoakSize;
   readonly faults: readonly TimedFault[];
+  readonly crashing: readonly CrashingWork[];
 }
 
 const FIRST_FAULT_MS = 2_000;
@@ -111,6 +120,10 @@
 const PAUSE_MS = 10_000;
 /** By then daemons are in touch again; planned work comes, so that it is seen in calm times too. */
 const PLANNED_WORK_MS = 3_500;
+const CRASHING_SALT = 0x5eed;
+const MOST_CRASHING = 2;
+const LEAST_CRASHING_GAP_MS = 80;
+const MOST_CRASHING_GAP_MS = 600;
 /** The chance that a fault is followed at once by another one on top. */
 const SERIES_CHANCE = 0.35;
 const SERIES_GAP_MS = 300;
@@ -270,7 +283,17 @@
     faults.push({ atMs: Math.round(atMs), fault: draw(dice, size) });
     atMs += dice.chance(SERIES_CHANCE) ? SERIES_GAP_MS : dice.between(SERIES_GAP_MS, MOST_GAP_MS);
   }
-  return { seed, size, faults };
+  return { seed, size, faults, crashing: drawCrashing(seed, endMs) };
+}
+
+/** Drawn apart, so that the faults of a seed stay the same. */
+function drawCrashing(seed: number, endMs: number): readonly CrashingWork[] {
+  const dice = new Dice(seed ^ CRASHING_SALT);
+  return Array.from({ length: dice.whole(1, MOST_CRASHING) }, () => ({
+    fromMs: Math.round(dice.between(FIRST_FAULT_MS, endMs)),
+    gapMs: Math.round(dice.between(LEAST_CRASHING_GAP_MS, MOST_CRASHING_GAP_MS)),
+    classDraw: dice.between(0, 1),
+  }));
 }
 
 /**
@@ -292,5 +315,5 @@
     { atMs: killMs, fault: { kind: 'kill', daemons: everyDaemon, downMs: 300 } },
     { atMs: killMs + 5_000, fault: { kind: 'kill', daemons: everyDaemon, downMs: 300 } },
   ];
-  return { seed, size, faults };
+  return { seed, size, faults, crashing: [] };
 }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -45,6 +45,8 @@
   endedMs: number | undefined;
   /** Whether the server itself broke off, or lost the answer. */
   isServersFault: boolean;
+  /** Whether the server ended under it, as under each run of the same body. */
+  hasEndedServer: boolean;
   /** The stamp of the answer that the server gave. */
   stamp: string | undefined;
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -18,7 +18,13 @@
 import { GatewayProcess } from './gateway-process.js';
 import { LagWatch } from './lag-watch.js';
 import type { Mutation } from './mutations.js';
-import { type BudgetWindow, judge, type Violation, worstBudgetWindow } from './oracle.js';
+import {
+  type BudgetWindow,
+  crashesByWork,
+  judge,
+  type Violation,
+  worstBudgetWindow,
+} from './oracle.js';
 import { pause } from './pause.js';
 import type { SoakPlan } from './plan.js';
 import { PlatformStore, type StoreDoor } from './platform-store.js';
@@ -36,6 +42,8 @@
   readonly violations: readonly Violation[];
   /** How many calls ended in each way: by status where they were answered. */
   readonly ends: ReadonlyMap<string, number>;
+  /** Servers that ended under requests that end servers, for each of these. */
+  readonly crashes: readonly number[];
   /** Usage reports that the platform has taken. */
   readonly reports: number;
   readonly budgets: readonly BudgetWindow[];
@@ -91,6 +99,7 @@
       observer: {
         arrived: (request, body, arrival) => this.#noteArrival(request, body, arrival),
         ordered: (order) => this.#orders.push(order),
+        ends: (serverId) => this.#faults.endServer(serverId),
       },
     });
     this.#callers = new Callers({
@@ -124,6 +133,9 @@
     for (const { atMs, fault } of this.#plan.faults) {
       setTimeout(() => void this.#faults.begin(fault), atMs);
     }
+    for (const work of this.#plan.crashing) {
+      setTimeout(() => this.#callers.sendCrashing(work), work.fromMs);
+    }
     await pause(this.#plan.size.seconds * 1_000);
     this.#callers.stopSending();
     const endMs = performance.now();
@@ -162,6 +174,7 @@
     return {
       violations,
       ends: countEnds([...this.#calls.values()]),
+      crashes: crashesByWork([...this.#calls.values()]),
       reports: this.#dutyService.records.filter(({ isAccepted }) => isAccepted).length,
       worstLagMs: Math.round(this.#lag.worstMs),
       budgets: [MODEL, ...WEB_SERVICES].map((service) => worstBudgetWindow(run, service)),
--- a/src/core/gateway/crash-records.ts
+++ b/src/core/gateway/crash-records.ts
@@ -1,31 +1,42 @@
 /**
  * What a daemon knows of requests that ran at a server when it ended. A request is known by its fingerprint, which is
- * the same at every daemon and for every try of its caller. One under which enough servers have ended is quarantined:
- * no daemon sends it any more. One that ran whole ends no servers, and is cleared.
+ * the same at every daemon and for every try of its caller. One under which servers ended again and again is
+ * quarantined: no daemon sends it any more. One that ran whole ends no servers, and is cleared.
  *
  * Daemons exchange records in any order and as often as they like: a record with more clearings replaces one with
- * fewer, and of records with as many the servers add up.
+ * fewer, and of records with as many the crashes add up.
  */
 
 /**
- * Servers that end under a request before it is quarantined. One says little, as a whole batch breaks off with its
- * server and one request of it at most is at fault. With three, a third batch would be lost for each such request.
+ * Runs, one begun after the other had ended its server, before a request is quarantined. One says little, as a whole
+ * batch breaks off with its server and one request of it at most is at fault. With three, a third batch would be lost
+ * for each such request.
  */
 export const CRASHES_TO_QUARANTINE = 2;
-/** Servers named in a record: enough to quarantine it, and one that ended meanwhile. */
-const MOST_SERVERS = CRASHES_TO_QUARANTINE + 1;
+/** Of more crashes the oldest are forgotten; by then there were some that did not overlap. */
+const MOST_CRASHES = 4;
 /** A day: the tries of a caller come much sooner, and a body that is repaired is another request. */
 export const RECORD_KEPT_MS = 86_400_000;
-/** About a megabyte; a server that ends leaves as many records as it had requests running. */
+/** Some two megabytes; a server that ends leaves as many records as it had requests running. */
 const MOST_RECORDS = 4_096;
 /** Records that are not quarantined are told again for so long, so that lost datagrams cost nothing. */
 const TOLD_AGAIN_MS = 30_000;
 
+/** A server that ended while a request ran there. */
+export interface Crash {
+  readonly serverId: string;
+  /** Since the server ended. */
+  readonly ageMs: number;
+  /** How long the request had been there. */
+  readonly ranMs: number;
+}
+
 /** What is known of one request. */
 export interface CrashRecord {
   readonly fingerprint: string;
-  /** Servers that ended while it ran there. */
-  readonly serverIds: readonly string[];
+  readonly crashes: readonly Crash[];
+  /** Whether some daemon found enough of them. */
+  readonly isQuarantined: boolean;
   /** How often it was cleared: by a whole run, or by an operator. */
   readonly clearings: number;
   /** Whether the store has it. */
@@ -37,11 +48,18 @@
 /** What a change made of a record. */
 export type CrashRecordChange = 'none' | 'recorded' | 'quarantined' | 'cleared';
 
+interface KnownCrash {
+  readonly serverId: string;
+  readonly startedMs: number;
+  readonly endedMs: number;
+}
+
 interface Entry {
-  serverIds: readonly string[];
-  clearings: number;
+  readonly crashes: readonly KnownCrash[];
+  readonly isQuarantined: boolean;
+  readonly clearings: number;
+  readonly changedMs: number;
   isStored: boolean;
-  changedMs: number;
   /** When there was last a reason to tell it. */
   newsMs: number;
 }
@@ -68,8 +86,7 @@
   }
 
   isQuarantined(fingerprint: string): boolean {
-    const entry = this.#entries.get(fingerprint);
-    return entry !== undefined && isOver(entry);
+    return this.#entries.get(fingerprint)?.isQuarantined === true;
   }
 
   /** Undefined where nothing is known of it. */
@@ -78,20 +95,18 @@
     return entry === undefined ? undefined : recordOf(fingerprint, entry, nowMs);
   }
 
-  /** A server ended while a request ran there. */
-  noteCrash(fingerprint: string, serverId: string, nowMs: number): CrashRecordChange {
-    const known = this.#entries.get(fingerprint);
-    const clearings = known?.clearings ?? 0;
-    const crash = { fingerprint, serverIds: [serverId], clearings, isStored: false, ageMs: 0 };
-    return this.take(crash, nowMs);
+  /** A server ended just now under a request that had been there so long. */
+  noteCrash(fingerprint: string, crash: Omit<Crash, 'ageMs'>, nowMs: number): CrashRecordChange {
+    const clearings = this.#entries.get(fingerprint)?.clearings ?? 0;
+    const crashes = [{ ...crash, ageMs: 0 }];
+    return this.take({ ...NEW_RECORD, fingerprint, crashes, clearings }, nowMs);
   }
 
   /** The request ran whole, or an operator vouches for it. */
   clear(fingerprint: string, nowMs: number): CrashRecordChange {
     const known = this.#entries.get(fingerprint);
-    if (known === undefined || known.serverIds.length === 0) return 'none';
-    const clearings = known.clearings + 1;
-    return this.take({ fingerprint, serverIds: [], clearings, isStored: false, ageMs: 0 }, nowMs);
+    if (known === undefined || known.crashes.length === 0) return 'none';
+    return this.take({ ...NEW_RECORD, fingerprint, clearings: known.clearings + 1 }, nowMs);
   }
 
   noteStored(fingerprint: string): void {
@@ -107,9 +122,8 @@
     if (known !== undefined && merged === known) return 'none';
     this.#put(record.fingerprint, merged);
     this.#keepBound();
-    if (merged.serverIds.length === 0) return 'cleared';
-    const wasOver = known !== undefined && isOver(known);
-    return isOver(merged) && !wasOver ? 'quarantined' : 'recorded';
+    if (merged.crashes.length === 0) return 'cleared';
+    return merged.isQuarantined && known?.isQuarantined !== true ? 'quarantined' : 'recorded';
   }
 
   /** Forgets what is too old; gives the fingerprints of those that were quarantined. */
@@ -118,13 +132,13 @@
       ([, { changedMs }]) => nowMs - changedMs >= RECORD_KEPT_MS,
     );
     for (const [fingerprint] of old) this.#remove(fingerprint);
-    return old.filter(([, entry]) => isOver(entry)).map(([fingerprint]) => fingerprint);
+    return old.filter(([, entry]) => entry.isQuarantined).map(([fingerprint]) => fingerprint);
   }
 
   /** The next of those that others may lack, by turns. */
   nextToTell(most: number, nowMs: number): readonly CrashRecord[] {
     const told = [...this.#entries].filter(
-      ([, entry]) => isOver(entry) || nowMs - entry.newsMs < TOLD_AGAIN_MS,
+      ([, entry]) => entry.isQuarantined || nowMs - entry.newsMs < TOLD_AGAIN_MS,
     );
     const first = told.length <= most ? 0 : this.#toldFirst % told.length;
     this.#toldFirst = first + most;
@@ -135,51 +149,109 @@
   #put(fingerprint: string, entry: Entry): void {
     this.#remove(fingerprint);
     this.#entries.set(fingerprint, entry);
-    if (isOver(entry)) this.#quarantined += 1;
+    if (entry.isQuarantined) this.#quarantined += 1;
   }
 
   #remove(fingerprint: string): void {
     const entry = this.#entries.get(fingerprint);
     if (entry === undefined) return;
-    if (isOver(entry)) this.#quarantined -= 1;
+    if (entry.isQuarantined) this.#quarantined -= 1;
     this.#entries.delete(fingerprint);
   }
 
   /** The oldest make room, those that are quarantined last. */
   #keepBound(): void {
     while (this.#entries.size > MOST_RECORDS) {
-      const free = [...this.#entries].find(([, entry]) => !isOver(entry)) ?? [...this.#entries][0];
-      if (free === undefined) return;
-      this.#remove(free[0]);
+      const all = [...this.#entries];
+      const oldest = all.find(([, entry]) => !entry.isQuarantined) ?? all[0];
+      if (oldest === undefined) return;
+      this.#remove(oldest[0]);
     }
   }
 }
 
-function isOver({ serverIds }: Entry): boolean {
-  return serverIds.length >= CRASHES_TO_QUARANTINE;
+const NEW_RECORD = { crashes: [], isQuarantined: false, isStored: false, ageMs: 0 } as const;
+
+/**
+ * Runs of which each began after the one before had ended its server. Servers that end together, as a rack does, end
+ * under all copies of a request that is popular; a request that ends servers does so one after the other, too.
+ */
+function disjointCrashes(crashes: readonly KnownCrash[]): number {
+  const ordered = [...crashes].sort((left, right) => left.endedMs - right.endedMs);
+  let count = 0;
+  let endedMs = Number.NEGATIVE_INFINITY;
+  for (const crash of ordered) {
+    if (crash.startedMs < endedMs) continue;
+    count += 1;
+    endedMs = crash.endedMs;
+  }
+  return count;
 }
 
 /** `known` itself where the record says nothing new. */
 function merge(known: Entry | undefined, record: CrashRecord, nowMs: number): Entry {
-  const { serverIds, clearings, isStored, ageMs } = record;
-  const told = { serverIds, clearings, isStored, changedMs: nowMs - ageMs, newsMs: nowMs };
-  if (known === undefined || clearings > known.clearings) return told;
-  if (clearings < known.clearings) {
+  const told = entryOf(record, nowMs);
+  if (known === undefined || told.clearings > known.clearings) return told;
+  if (told.clearings < known.clearings) {
     // Whoever says so has missed the clearing.
     known.newsMs = nowMs;
     return known;
   }
-  const more = serverIds.filter((id) => !known.serverIds.includes(id));
-  const joined = [...known.serverIds, ...more].slice(0, MOST_SERVERS);
-  if (joined.length > known.serverIds.length) {
-    const changedMs = Math.max(known.changedMs, told.changedMs);
-    return { ...told, serverIds: joined, isStored: known.isStored || isStored, changedMs };
+  const knownIds = new Set(known.crashes.map(({ serverId }) => serverId));
+  const more = told.crashes.filter(({ serverId }) => !knownIds.has(serverId));
+  const isNews = more.length > 0 || (told.isQuarantined && !known.isQuarantined);
+  if (!isNews) {
+    known.isStored ||= told.isStored;
+    return known;
   }
-  known.isStored ||= isStored;
-  return known;
+  const crashes = newest([...known.crashes, ...more]);
+  return {
+    ...told,
+    crashes,
+    isQuarantined: known.isQuarantined || told.isQuarantined || isEnough(crashes),
+    changedMs: Math.max(known.changedMs, told.changedMs),
+    isStored: known.isStored || told.isStored,
+  };
+}
+
+function entryOf(record: CrashRecord, nowMs: number): Entry {
+  const crashes = newest(
+    record.crashes.map(({ serverId, ageMs, ranMs }) => {
+      const endedMs = nowMs - ageMs;
+      return { serverId, endedMs, startedMs: endedMs - ranMs };
+    }),
+  );
+  return {
+    crashes,
+    isQuarantined: record.isQuarantined || isEnough(crashes),
+    clearings: record.clearings,
+    changedMs: nowMs - record.ageMs,
+    isStored: record.isStored,
+    newsMs: nowMs,
+  };
+}
+
+function isEnough(crashes: readonly KnownCrash[]): boolean {
+  return disjointCrashes(crashes) >= CRASHES_TO_QUARANTINE;
+}
+
+function newest(crashes: readonly KnownCrash[]): readonly KnownCrash[] {
+  if (crashes.length <= MOST_CRASHES) return crashes;
+  return [...crashes].sort((left, right) => right.endedMs - left.endedMs).slice(0, MOST_CRASHES);
 }
 
 function recordOf(fingerprint: string, entry: Entry, nowMs: number): CrashRecord {
-  const { serverIds, clearings, isStored, changedMs } = entry;
-  return { fingerprint, serverIds, clearings, isStored, ageMs: Math.max(0, nowMs - changedMs) };
+  const { crashes, isQuarantined, isStored, clearings, changedMs } = entry;
+  return {
+    fingerprint,
+    crashes: crashes.map(({ serverId, startedMs, endedMs }) => ({
+      serverId,
+      ageMs: Math.max(0, nowMs - endedMs),
+      ranMs: endedMs - startedMs,
+    })),
+    isQuarantined,
+    clearings,
+    isStored,
+    ageMs: Math.max(0, nowMs - changedMs),
+  };
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -22,7 +22,7 @@
   type TrafficShare,
 } from './configuration.js';
 export {
-  CRASHES_TO_QUARANTINE,
+  type Crash,
   type CrashRecord,
   type CrashRecordChange,
   CrashRecords,
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -248,7 +248,9 @@
     health.recordSilent(timers.nowMs());
     context.noteReach({ serverId: options.server.id, isReachable: false });
   } else health.recordBroken(timers.nowMs());
-  if (failure.kind === 'broken') context.crashes.noteBroken(exchange, options.server);
+  if (failure.kind === 'broken') {
+    context.crashes.noteBroken(exchange, options.server, elapsedMs);
+  }
   metrics.recordAttempt(failure.kind);
   log.write(GATEWAY_EVENTS.attemptFailed, {
     request: description.attemptId,
--- a/src/shell/gateway/crash-gossip.ts
+++ b/src/shell/gateway/crash-gossip.ts
@@ -10,9 +10,9 @@
 /** A daemon hears one of the others about this often; six times before it counts as in touch again after a cut. */
 const GAP_SHARE_OF_CONTACT = 1 / 6;
 /** Records of one datagram, so that it stays within one packet. */
-const MOST_RECORDS_TOLD = 12;
+const MOST_RECORDS_TOLD = 8;
 /** About a datagram's size, for the budget. */
-const RECORD_BYTES = 100;
+const RECORD_BYTES = 150;
 /**
  * Telling everyone at once: with 340 daemons some two ends of a server, then one every nine seconds. What is beyond is
  * told one by one.
--- a/src/shell/gateway/crash-guard.ts
+++ b/src/shell/gateway/crash-guard.ts
@@ -31,6 +31,14 @@
 /** Where a change of belief came from. */
 type Source = 'own' | 'peer' | 'store' | 'ran whole';
 
+/** A run or a reading that broke off. */
+interface BrokenRun {
+  readonly server: ServerRecord;
+  /** Whether the server's end would be a crash: one that is announced is not. */
+  readonly wasReady: boolean;
+  readonly ranMs: number;
+}
+
 /** What a guard is built from. */
 export interface CrashGuardOptions {
   readonly table: TableService;
@@ -121,10 +129,11 @@
     return true;
   }
 
-  /** A run or a reading of a request broke at a server. */
-  noteBroken(exchange: GuardedExchange, server: ServerRecord): void {
+  /** A run or a reading of a request broke, so long after it was sent to a server. */
+  noteBroken(exchange: GuardedExchange, server: ServerRecord, ranMs: number): void {
     const before = this.#checks.get(exchange);
-    const check = this.#check(exchange, server, this.#options.isReady(server.id));
+    const wasReady = this.#options.isReady(server.id);
+    const check = this.#check(exchange, { server, wasReady, ranMs });
     this.#checks.set(exchange, Promise.all([before, check]));
   }
 
@@ -150,22 +159,25 @@
     }
   }
 
-  /** @param wasReady whether the server's end would be a crash: one that is announced is not */
-  async #check(exchange: GuardedExchange, server: ServerRecord, wasReady: boolean): Promise<void> {
+  async #check(exchange: GuardedExchange, broken: BrokenRun): Promise<void> {
+    const { server, wasReady, ranMs } = broken;
     const { endCheck, timers, log } = this.#options;
     const startedMs = timers.nowMs();
     const hasEnded = await endCheck.hasEnded(server);
     const fingerprint = this.#fingerprints.of(exchange) ?? '';
     const isCounted = hasEnded && wasReady && fingerprint !== '';
     const nowMs = timers.nowMs();
-    const change = isCounted ? this.#records.noteCrash(fingerprint, server.id, nowMs) : 'none';
+    const change = isCounted
+      ? this.#records.noteCrash(fingerprint, { serverId: server.id, ranMs }, nowMs)
+      : 'none';
     log.write(GATEWAY_EVENTS.brokenRunChecked, {
       request: exchange.options.description.attemptId,
       fingerprint,
       server: server.id,
       hasEnded,
       isCounted,
-      crashes: this.#records.get(fingerprint, nowMs)?.serverIds.length ?? 0,
+      crashes: this.#records.get(fingerprint, nowMs)?.crashes.length ?? 0,
+      ranMs: Math.round(ranMs),
       checkMs: Math.round(nowMs - startedMs),
     });
     this.#noteChange(fingerprint, change, 'own');
@@ -191,7 +203,8 @@
 
   #logChange(fingerprint: string, change: CrashRecordChange, source: Source): void {
     const { log, timers } = this.#options;
-    const servers = this.#records.get(fingerprint, timers.nowMs())?.serverIds.join(' ') ?? '';
+    const crashes = this.#records.get(fingerprint, timers.nowMs())?.crashes ?? [];
+    const servers = crashes.map(({ serverId }) => serverId).join(' ');
     switch (change) {
       case 'quarantined':
         log.write(GATEWAY_EVENTS.requestQuarantined, { fingerprint, servers, source });
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -25,6 +25,7 @@
   clearings: z.number(),
   /** When the last of the servers ended, in milliseconds since the start of 1970. */
   unixMs: z.number(),
+  /** Set by operators. */
   isLifted: z._default(z.boolean(), false),
 });
 
@@ -86,9 +87,9 @@
 
   /** @returns whether the store has it now */
   async write(record: CrashRecord, signal: AbortSignal): Promise<boolean> {
-    const { fingerprint, serverIds, clearings, ageMs } = record;
+    const { fingerprint, crashes, clearings, ageMs } = record;
     const value: z.input<typeof rowSchema> = {
-      serverIds: [...serverIds],
+      serverIds: crashes.map(({ serverId }) => serverId),
       clearings,
       unixMs: Math.round(this.#options.wallClock() - ageMs),
     };
@@ -117,8 +118,11 @@
     // A machine's time of day may be wrong either way.
     const ageMs = Math.min(RECORD_KEPT_MS, Math.max(0, this.#options.wallClock() - unixMs));
     const record = { fingerprint, isStored: true, ageMs };
-    if (isLifted) return [{ ...record, serverIds: [], clearings: clearings + 1 }];
-    return [{ ...record, serverIds, clearings }];
+    if (isLifted) {
+      return [{ ...record, crashes: [], isQuarantined: false, clearings: clearings + 1 }];
+    }
+    const crashes = serverIds.map((serverId) => ({ serverId, ageMs, ranMs: 0 }));
+    return [{ ...record, crashes, isQuarantined: true, clearings }];
   }
 
   async #call(call: TableCall, signal: AbortSignal): Promise<TableResult> {
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -59,8 +59,18 @@
   reachSchema,
   demandSchema,
 ]);
-/** Fingerprint, servers that ended, clearings, whether the store has it, and its age in milliseconds. */
-const crashSchema = z.tuple([z.string(), z.array(z.string()), z.number(), z.boolean(), z.number()]);
+/**
+ * Fingerprint; of each crash the server, its age and how long the request had been there, in milliseconds; whether it is
+ * quarantined; clearings; whether the store has it; its age in milliseconds.
+ */
+const crashSchema = z.tuple([
+  z.string(),
+  z.array(z.tuple([z.string(), z.number(), z.number()])),
+  z.boolean(),
+  z.number(),
+  z.boolean(),
+  z.number(),
+]);
 export const crashesSchema = z.tuple([z.literal(KINDS.crashes), z.array(crashSchema)]);
 export const newsSchema = z.tuple([
   z.literal(KINDS.news),
@@ -227,11 +237,23 @@
 }
 
 export function encodeCrash(record: CrashRecord): z.infer<typeof crashSchema> {
-  const { fingerprint, serverIds, clearings, isStored, ageMs } = record;
-  return [fingerprint, [...serverIds], clearings, isStored, Math.round(ageMs)];
+  const { fingerprint, crashes, isQuarantined, clearings, isStored, ageMs } = record;
+  return [
+    fingerprint,
+    crashes.map((crash) => [crash.serverId, Math.round(crash.ageMs), Math.round(crash.ranMs)]),
+    isQuarantined,
+    clearings,
+    isStored,
+    Math.round(ageMs),
+  ];
 }
 
 export function decodeCrash(fields: z.infer<typeof crashSchema>): CrashRecord {
-  const [fingerprint, serverIds, clearings, isStored, ageMs] = fields;
-  return { fingerprint, serverIds, clearings, isStored, ageMs };
+  const [fingerprint, told, isQuarantined, clearings, isStored, ageMs] = fields;
+  const crashes = told.map(([serverId, crashAgeMs, ranMs]) => ({
+    serverId,
+    ageMs: crashAgeMs,
+    ranMs,
+  }));
+  return { fingerprint, crashes, isQuarantined, clearings, isStored, ageMs };
 }
--- a/test/gateway/crash-spread.test.ts
+++ b/test/gateway/crash-spread.test.ts
@@ -69,6 +69,7 @@
   const fleet = await startFleet(9);
   fleet.isTurnedAway = (daemon) => daemon === 4;
   await fleet.crash(4, BODY, 'i-1');
+  await fleet.advance(20);
   await fleet.crash(4, BODY, 'i-2');
   await fleet.advance(9_000);
   fleet.isTurnedAway = () => false;
--- a/test/gateway/support/fleet-of-guards.ts
+++ b/test/gateway/support/fleet-of-guards.ts
@@ -10,6 +10,8 @@
 
 const STEP_MS = 10;
 const STORE_ANSWER_MS = 4;
+/** From the send to the end of the server. */
+const RAN_MS = 5;
 export const CONTACT_MS = 3_000;
 
 /** A store that all daemons share. */
@@ -136,7 +138,7 @@
       isSpot: false,
       stage: 'decode',
     } as const;
-    this.guard(daemon).noteBroken(exchange, server);
+    this.guard(daemon).noteBroken(exchange, server, RAN_MS);
     await this.guard(daemon).settled(exchange);
     await settleAll();
   }
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -1,7 +1,7 @@
 /** The soak's oracle: each promise is found broken where it is, and only there. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { eventText, wholeBody } from '../../soak/answers.js';
+import { CRASHING_MARK, eventText, wholeBody } from '../../soak/answers.js';
 import { judge, type PromiseName, repeatsOf } from '../../soak/oracle.js';
 import type {
   Arrival,
@@ -64,6 +64,7 @@
     problem: '',
     endedMs: 30_020,
     isServersFault: false,
+    hasEndedServer: false,
     stamp: STAMP,
     ...fields,
   };
@@ -273,3 +274,31 @@
   assertBroken('RECOVER', run([call({ ...atEnd, end: refusal, arrivals: [] })]));
   assert.deepEqual(broken(run([call({ ...atEnd })])), []);
 });
+
+/** Tries of one piece of work, a second apart, the first few of which end their servers. */
+function triesThatEndServers(tries: number, ending: number): readonly CallRecord[] {
+  return Array.from({ length: tries }, (_, index) => {
+    const atMs = 10_000 + index * 1_000;
+    const own = { atMs, endedMs: atMs + 60, stamp: undefined, serverId: `s${index}` };
+    return call({
+      id: `r${index}`,
+      body: CRASHING_MARK,
+      sentMs: atMs - 5,
+      endedMs: atMs + 70,
+      end: { kind: 'closed', reason: 'closed' },
+      arrivals: [arrival({ ...own, isServersFault: true, hasEndedServer: index < ending })],
+    });
+  });
+}
+
+test('CRASHES: a request under which three servers ended is sent more than three times after contactMs', () => {
+  assertBroken('CRASHES', run(triesThatEndServers(10, 3)));
+  assert.deepEqual(broken(run(triesThatEndServers(9, 3))), []);
+  assert.deepEqual(broken(run(triesThatEndServers(30, 2))), []);
+});
+
+test('CRASHES: daemons that are not in touch are not held to it', () => {
+  const disturbance = { name: 'd1', fromMs: 9_000, toMs: 30_000, isPlanned: false };
+  const disturbed = { disturbances: [{ ...disturbance, scope: 'daemon' as const }] };
+  assert.deepEqual(broken(run(triesThatEndServers(10, 3), disturbed)), []);
+});
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -44,3 +44,11 @@
   assert.ok((kills[1]?.atMs ?? 0) - (kills[0]?.atMs ?? 0) < 10_000);
   for (const { fault } of kills) assert.ok(fault.kind === 'kill' && fault.daemons.length === 9);
 });
+
+test('each plan has work that ends servers, drawn apart from its faults', () => {
+  for (let seed = 0; seed < 12; seed += 1) {
+    const { crashing } = planSoak(seed, SIZE);
+    assert.ok(crashing.length >= 1);
+    for (const { fromMs, gapMs } of crashing) assert.ok(fromMs < 52_000 && gapMs > 0);
+  }
+});
