Count the time of a suspended machine in leases, duties and the ages of the store's tables

Cause: performance.now() stands still while a machine is suspended, so a lease, a duty's record and a relay's digest that were held across a suspension were taken for as young as before: a holder woken after its lease went on ordering under it. Change: their clock adds what the time of day runs ahead of the steady one. A time of day that was set ahead looks the same; a lease is then given up too soon. Deadlines of requests and the windows of usage stay on the steady clock, as a set clock would end requests that are well.

--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -59,6 +59,7 @@
     settings,
     adapter: createPlatformAdapter(settings.store, settings.duties?.address),
     timers: SYSTEM_TIMERS,
+    wallClock: Date.now,
     log,
   });
   process.on('SIGHUP', () => {
--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -47,6 +47,8 @@
   /** Whether this daemon knows enough of the fleet to order anything. */
   readonly mayOrder: () => boolean;
   readonly timers: TimerService;
+  /** Whose clock counts the time of a suspended machine. */
+  readonly leaseTimers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
@@ -64,7 +66,8 @@
   constructor(options: CapacityControllerOptions) {
     this.#options = options;
     this.#duty = new CapacityDuty(options);
-    this.#record = new DutyRecordRow({ ...options, key: RECORD_KEY, schema: recordSchema });
+    const { leaseTimers: timers } = options;
+    this.#record = new DutyRecordRow({ ...options, timers, key: RECORD_KEY, schema: recordSchema });
   }
 
   /** Runs until `stop`. */
@@ -87,7 +90,7 @@
     const nowMs = this.#options.timers.nowMs();
     const services = this.#scaledServices(nowMs);
     if (!this.#hasSettled(services, nowMs)) return false;
-    return this.#perform(this.#duty.next(services, nowMs));
+    return this.#perform(this.#duty.next(services, this.#options.leaseTimers.nowMs()));
   }
 
   async #perform(action: CapacityAction): Promise<boolean> {
@@ -107,7 +110,7 @@
   async #take(call: Promise<SentOutcome<CapacityRecord>>): Promise<boolean> {
     const { timers } = this.#options;
     const { outcome, sentMs } = await call;
-    this.#duty.takeRecord(outcome, sentMs, timers.nowMs());
+    this.#duty.takeRecord(outcome, sentMs, this.#options.leaseTimers.nowMs());
     if (outcome.kind !== 'seen') await delay(timers, FAILURE_PAUSE_MS, this.#stopped.signal);
     return outcome.kind === 'seen';
   }
@@ -119,7 +122,8 @@
       duties.orderCapacity(order, authority, signal),
     );
     const scaling = fleet.inForce?.configuration.services.get(order.service)?.scaling;
-    this.#duty.takeOrder(orderOutcomeOf(outcome), order, scaling?.bootMs ?? 0, timers.nowMs());
+    const nowMs = this.#options.leaseTimers.nowMs();
+    this.#duty.takeOrder(orderOutcomeOf(outcome), order, scaling?.bootMs ?? 0, nowMs);
     log.write(GATEWAY_EVENTS.capacityOrdered, {
       ...order,
       fence,
--- a/src/shell/gateway/duties.ts
+++ b/src/shell/gateway/duties.ts
@@ -28,6 +28,8 @@
   /** Whether this daemon knows enough of the fleet to order anything. */
   readonly mayOrderCapacity: () => boolean;
   readonly timers: TimerService;
+  /** Whose clock counts the time of a suspended machine. */
+  readonly leaseTimers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -106,7 +106,8 @@
   }
 
   /** How old the older of the tables' last answers is. */
-  silentMs(nowMs: number): number {
+  silentMs(): number {
+    const nowMs = this.#options.timers.nowMs();
     return Math.max(...this.#watches.map((watch) => nowMs - watch.lastAnswerMs));
   }
 
@@ -122,11 +123,11 @@
   }
 
   /** What a relay tells its zone of the tables. */
-  digestToSend(nowMs: number): Omit<TableDigest, 'peersChecksum'> {
+  digestToSend(): Omit<TableDigest, 'peersChecksum'> {
     return {
       configurations: this.#configurations.progress,
       servers: this.#servers.progress,
-      ageMs: Math.round(this.silentMs(nowMs)),
+      ageMs: Math.round(this.silentMs()),
     };
   }
 
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -44,7 +44,7 @@
     {
       name: 'store_silent_ms',
       help: 'Age of the last answer',
-      read: () => follower.silentMs(timers.nowMs()),
+      read: () => follower.silentMs(),
     },
     {
       name: 'peers',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -26,7 +26,13 @@
 import { ServerEndCheck } from './server-end-check.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
-import { delay, steadyWallClock, type TimerService } from './timer-service.js';
+import {
+  delay,
+  steadyWallClock,
+  suspensionAwareTimers,
+  type TimerService,
+  type WallClock,
+} from './timer-service.js';
 
 /**
  * A change is told at once by a call that is held. A call that a cut has swallowed has to be over
@@ -57,6 +63,7 @@
   readonly settings: GatewaySettings;
   readonly adapter: PlatformAdapter;
   readonly timers: TimerService;
+  readonly wallClock: WallClock;
   readonly log: GatewayLog;
 }
 
@@ -88,6 +95,7 @@
   readonly #digest: RelayDigest;
   readonly #retryBudgets: RetryBudgetReporter;
   readonly #duties: Duties;
+  readonly #suspensionAware: TimerService;
   readonly #crashes: CrashGuard;
   #watchShare = WATCH_SHARE_OF_CONTACT;
   #isRelay = false;
@@ -95,7 +103,8 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const { settings, adapter, timers, log } = options;
+    const { settings, adapter, timers, wallClock, log } = options;
+    this.#suspensionAware = suspensionAwareTimers(timers, wallClock);
     this.#fleet = new FleetView(settings.retryBudget, (service, budget) =>
       this.#retryBudgets.noteBegun(service, budget),
     );
@@ -106,7 +115,10 @@
       metrics: this.#metrics,
     });
     this.#roster = new PeerRoster({ name: settings.name, zone: settings.zone });
-    this.#digest = new RelayDigest(timers, settings.bounds.contactMs * DIGEST_AGE_SHARE_OF_CONTACT);
+    this.#digest = new RelayDigest(
+      this.#suspensionAware,
+      settings.bounds.contactMs * DIGEST_AGE_SHARE_OF_CONTACT,
+    );
     this.#connections = new BackendConnections(timers);
     this.#crashes = this.#createCrashGuard();
     const context: AttemptContext = {
@@ -141,7 +153,7 @@
       digest: this.#digest,
       passOnConfiguration: (changes) => this.#peers?.passOnConfiguration(changes),
       passOnServers: (changes) => this.#peers?.passOnServers(changes),
-      timers,
+      timers: this.#suspensionAware,
       log,
       applyLimits: (limits) => this.#callers.applyLimits(limits),
     });
@@ -156,6 +168,7 @@
       mayOrder: () => this.#knowsDemand,
       tellStage: (notice) => this.#peers?.tellStage(notice),
       timers,
+      leaseTimers: this.#suspensionAware,
       log,
     });
     addGauges(this.#metrics, {
@@ -250,7 +263,7 @@
   }
 
   #createCrashGuard(): CrashGuard {
-    const { settings, adapter, timers, log } = this.#options;
+    const { settings, adapter, timers, wallClock, log } = this.#options;
     return new CrashGuard({
       table: adapter.table,
       endCheck: new ServerEndCheck(this.#connections, timers),
@@ -259,7 +272,7 @@
       peers: () => this.#peers,
       contactMs: settings.bounds.contactMs,
       timers,
-      wallClock: steadyWallClock(timers, Date.now()),
+      wallClock: steadyWallClock(timers, wallClock()),
       log,
     });
   }
@@ -275,6 +288,7 @@
       peers: () => this.#peers,
       mayOrderCapacity: () => this.#roster.knowsDemandOfAll(this.#isRelay),
       timers,
+      leaseTimers: this.#suspensionAware,
       log,
     });
   }
@@ -293,7 +307,7 @@
       takeReach: (reach) => this.#takeReach(reach),
       takeRead: (read) => this.#fleet.knowledge.expect(read, timers.nowMs()),
       noteRelay: (isRelay) => this.#noteRelay(isRelay),
-      tableDigest: () => this.#follower.digestToSend(timers.nowMs()),
+      tableDigest: () => this.#follower.digestToSend(),
       takeConfiguration: (change) => this.#follower.takePassedConfiguration(change),
       takeServers: (changes) => this.#follower.takeServerChanges(changes),
       takeTables: (digest) => this.#digest.take(digest),
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -24,7 +24,7 @@
 import { DEMAND_SPAN_MS } from './fleet-view.js';
 import type { TableService } from './ports.js';
 import { StageOrders, type StageOrdersOptions } from './stage-orders.js';
-import { type CancelTimer, callWithin } from './timer-service.js';
+import { type CancelTimer, callWithin, type TimerService } from './timer-service.js';
 
 const TICK_MS = 250;
 /** A change has to be wanted for this long, and a random while more, before the lease is sought. */
@@ -58,6 +58,8 @@
   /** Another with each start of the process. */
   readonly incarnation: number;
   readonly leaseMs: number;
+  /** Whose clock counts the time of a suspended machine. */
+  readonly leaseTimers: TimerService;
   readonly table: TableService;
   /** Whether this daemon may order engines at all. */
   readonly mayOrder: () => boolean;
@@ -84,7 +86,7 @@
     this.#options = options;
     this.#orders = new StageOrders({
       ...options,
-      currentEpoch: () => this.#authority(options.timers.nowMs()),
+      currentEpoch: () => this.#authority(),
       noteSent: (stage) => {
         this.#lastStage = stage;
       },
@@ -156,7 +158,7 @@
   /** What damps changes for the sake of load has no say here, but an order under way is waited for. */
   #rescueIfAllowed(changes: readonly StageChange[], nowMs: number): void {
     if (nowMs - this.#lastRescueMs < RESCUE_GAP_MS) return;
-    const epoch = this.#authority(nowMs);
+    const epoch = this.#authority();
     if (epoch === undefined) return;
     this.#lastRescueMs = nowMs;
     this.#lastOrderMs = nowMs;
@@ -169,8 +171,8 @@
     }
   }
 
-  #authority(nowMs: number): number | undefined {
-    if (!holdsAuthority(this.#lease, nowMs)) return undefined;
+  #authority(): number | undefined {
+    if (!holdsAuthority(this.#lease, this.#options.leaseTimers.nowMs())) return undefined;
     return epochOf(this.#lease) ?? undefined;
   }
 
@@ -225,14 +227,14 @@
   #orderIfAllowed(changes: readonly StageChange[], nowMs: number): void {
     if (nowMs - this.#lastOrderMs < ORDER_GAP_MS) return;
     if (this.#wantedForMs(nowMs) < this.#leastWantMs) return;
-    const epoch = this.#authority(nowMs);
+    const epoch = this.#authority();
     if (epoch === undefined) return;
     this.#lastOrderMs = nowMs;
     for (const change of changes) void this.#orders.order(change, epoch, EMPTYING_MS);
   }
 
   #step(event: LeaseEvent): void {
-    const now = this.#options.timers.nowMs();
+    const now = this.#options.leaseTimers.nowMs();
     const entropy = Math.floor(Math.random() * ENTROPY_RANGE);
     const { state, effects } = stepLease(this.#lease, event, { now, entropy });
     this.#lease = state;
--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -66,6 +66,8 @@
   readonly peers: () => Pick<PeerExchange, 'tell'> | undefined;
   readonly wallClock: WallClock;
   readonly timers: TimerService;
+  /** Whose clock counts the time of a suspended machine. */
+  readonly leaseTimers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
@@ -85,7 +87,8 @@
     this.#options = options;
     this.#counts = new UsageCounts(options.windowMs, options.dueMs);
     this.#duty = new UsageDuty(options);
-    this.#record = new DutyRecordRow({ ...options, key: RECORD_KEY, schema: recordSchema });
+    const { leaseTimers: timers } = options;
+    this.#record = new DutyRecordRow({ ...options, timers, key: RECORD_KEY, schema: recordSchema });
   }
 
   /** A tenant's request began to run, so long ago. */
@@ -143,12 +146,12 @@
   }
 
   async #step(): Promise<void> {
-    const { windowMs, dueMs, wallClock, timers } = this.#options;
+    const { windowMs, dueMs, wallClock, leaseTimers } = this.#options;
     const unixMs = wallClock();
     const waitMs = this.#duty.isHolder ? SETTLE_MS : this.#turnMs();
     const action = this.#duty.next(
       {
-        nowMs: timers.nowMs(),
+        nowMs: leaseTimers.nowMs(),
         dueWindow: windowAt(unixMs - waitMs, windowMs) - 1,
         oldestWindow: windowAt(unixMs - dueMs + SEND_MARGIN_MS, windowMs),
         reportedByOther: this.#reportedByOther,
@@ -201,7 +204,7 @@
 
   async #takeRecord(call: Promise<SentOutcome<UsageRecord>>): Promise<void> {
     const { outcome, sentMs } = await call;
-    this.#duty.takeRecord(outcome, sentMs, this.#options.timers.nowMs());
+    this.#duty.takeRecord(outcome, sentMs, this.#options.leaseTimers.nowMs());
     if (outcome.kind !== 'seen') return this.#backOff();
     this.#failuresInARow = 0;
     if (outcome.isOwnWrite && outcome.record !== undefined) this.#logRecord(outcome.record);
--- a/src/shell/gateway/timer-service.ts
+++ b/src/shell/gateway/timer-service.ts
@@ -24,6 +24,29 @@
 /** The time of day, in milliseconds since the start of 1970. */
 export type WallClock = () => number;
 
+/** The time of day runs so much ahead of the steady clock at most when nothing but its regulation moves it. */
+const REGULATION_MS = 50;
+
+/**
+ * Timers whose clock counts the time of a suspended machine, for what must not be believed to be younger than it is:
+ * a lease whose holder was suspended past its end has ended. The steady clock stands still meanwhile and the time of
+ * day does not, so where the latter has run ahead, the machine was suspended, or its time of day was set. Which of the
+ * two can't be told, and is taken for the former: a lease is then given up too soon, and is to be had again.
+ */
+export function suspensionAwareTimers(timers: TimerService, wallClock: WallClock): TimerService {
+  let aheadMs = wallClock() - timers.nowMs();
+  let suspendedMs = 0;
+  const nowMs = () => {
+    const steadyMs = timers.nowMs();
+    const newAheadMs = wallClock() - steadyMs;
+    const jumpMs = newAheadMs - aheadMs;
+    if (jumpMs > REGULATION_MS) suspendedMs += jumpMs;
+    aheadMs = newAheadMs;
+    return steadyMs + suspendedMs;
+  };
+  return { nowMs, after: (delayMs, callback) => timers.after(delayMs, callback) };
+}
+
 /**
  * The time of day as it was at the start of the process, carried on by the steady clock: a jump of the
  * machine's clock meanwhile changes nothing.
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -9,6 +9,7 @@
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayLog } from '../../src/shell/gateway/request-log.js';
 import { StageController } from '../../src/shell/gateway/stage-controller.js';
+import { suspensionAwareTimers } from '../../src/shell/gateway/timer-service.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const LEASE_MS = 3_000;
@@ -124,6 +125,8 @@
 
 interface Setup {
   readonly timers: ManualTimers;
+  /** For how long the machine was suspended; its steady clock stood still meanwhile. */
+  suspendedMs: number;
   readonly table: MemoryTable;
   readonly engines: MemoryEngines;
   readonly fleet: FleetView;
@@ -133,7 +136,14 @@
 function setUp(): Setup {
   const timers = new ManualTimers();
   const fleet = fleetWithTooFewPrefillEngines(timers.nowMs());
-  return { timers, table: new MemoryTable(), engines: new MemoryEngines(), fleet, notices: [] };
+  return {
+    timers,
+    suspendedMs: 0,
+    table: new MemoryTable(),
+    engines: new MemoryEngines(),
+    fleet,
+    notices: [],
+  };
 }
 
 function startController(setup: Setup, daemon: string, mayOrder = () => true): StageController {
@@ -142,6 +152,7 @@
     daemon,
     incarnation: daemon.length,
     leaseMs: LEASE_MS,
+    leaseTimers: suspensionAwareTimers(timers, () => timers.nowMs() + setup.suspendedMs),
     mayOrder,
     fleet,
     table,
@@ -210,6 +221,18 @@
   assert.equal(setup.engines.orders.length, ordersAtEnd);
 });
 
+test('a holder whose machine was suspended past its lease orders nothing under it', async () => {
+  // A steady clock does not count the time of a suspension: the holder took its lease for as young as before.
+  const setup = setUp();
+  startController(setup, 'front-1');
+  while (setup.notices.length === 0) await pass(setup, 50);
+  assert.equal(setup.engines.orders.length, 0, 'an engine is emptied before it is ordered');
+  setup.table.isDown = true;
+  setup.suspendedMs = LEASE_MS;
+  await pass(setup, 2_000);
+  assert.equal(setup.engines.orders.length, 0);
+});
+
 test('the next holder waits for the lease of one that fell silent, and takes the next epoch', async () => {
   const setup = setUp();
   const first = startController(setup, 'front-1');
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -166,6 +166,7 @@
       settings,
       adapter: createPlatformAdapter(this.#storeAddress),
       timers,
+      wallClock: () => timers.nowMs(),
       log: new GatewayLog(logger, timers, settings.logging.maxLinesPerSecond),
     });
     this.#gateways.push(gateway);
--- a/test/gateway/timer-service.test.ts
+++ b/test/gateway/timer-service.test.ts
@@ -1,7 +1,7 @@
 /** Calls that are ended after a time. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { callWithin } from '../../src/shell/gateway/timer-service.js';
+import { callWithin, suspensionAwareTimers } from '../../src/shell/gateway/timer-service.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 /** A call that lasts until its signal is aborted. */
@@ -41,3 +41,42 @@
   outer.abort();
   assert.equal(seen?.aborted, false);
 });
+
+test('a clock that knows of suspensions counts them, and a time of day that was set ahead', () => {
+  const steady = new ManualTimers();
+  let aheadMs = 5_000;
+  const timers = suspensionAwareTimers(steady, () => steady.nowMs() + aheadMs);
+  const startedMs = timers.nowMs();
+  steady.advance(100);
+  assert.equal(timers.nowMs() - startedMs, 100);
+  aheadMs += 4_000;
+  assert.equal(timers.nowMs() - startedMs, 4_100);
+  steady.advance(50);
+  assert.equal(timers.nowMs() - startedMs, 4_150);
+});
+
+test('it neither goes back with the time of day nor follows its regulation', () => {
+  const steady = new ManualTimers();
+  let aheadMs = 0;
+  const timers = suspensionAwareTimers(steady, () => steady.nowMs() + aheadMs);
+  const startedMs = timers.nowMs();
+  aheadMs -= 2_000;
+  assert.equal(timers.nowMs() - startedMs, 0);
+  for (let second = 0; second < 60; second += 1) {
+    steady.advance(1_000);
+    aheadMs += 1;
+    timers.nowMs();
+  }
+  assert.equal(timers.nowMs() - startedMs, 60_000);
+});
+
+test('its timers are those of the steady clock', () => {
+  const steady = new ManualTimers();
+  const timers = suspensionAwareTimers(steady, () => steady.nowMs());
+  let isFired = false;
+  timers.after(100, () => (isFired = true));
+  steady.advance(99);
+  assert.ok(!isFired);
+  steady.advance(1);
+  assert.ok(isFired);
+});
--- a/test/tenant-usage/reporting.test.ts
+++ b/test/tenant-usage/reporting.test.ts
@@ -96,6 +96,7 @@
       peers: () => ({ tell: (peers, message) => this.#tell(name, peers, message) }),
       wallClock: () => FIRST_WINDOW * WINDOW_MS + this.timers.nowMs() - startedMs,
       timers: this.timers,
+      leaseTimers: this.timers,
       log: { write: (event, fields = {}) => void this.lines.push({ event, fields }) },
     });
   }
