Part the telling of cache news from what daemons tell each other

Change: cache-news-teller.ts has them; behaviour is as before. Two waits in the request path say why they are there.

--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -71,6 +71,7 @@
 
   async #step(): Promise<NextStep> {
     const exchange = this.#exchange;
+    // Whether its last server ended decides whether another one may be lost to it.
     await this.#context.crashes.settled(exchange);
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (!this.#mayRunOnceMore()) return this.#giveUp();
@@ -247,8 +248,9 @@
     const exchange = this.#exchange;
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (exchange.isAnswered) exchange.breakOff(this.#lastReason);
-    else if (!this.#context.crashes.refuse(exchange))
+    else if (!this.#context.crashes.refuse(exchange)) {
       exchange.refuse(this.#lastReason, retryAfterMs(exchange, this.#context));
+    }
     return 'done';
   }
 
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -21,12 +21,12 @@
   TableDigest,
 } from '../../core/gateway/index.js';
 import { ByteBudget, sizeOnLink } from './byte-budget.js';
+import { CacheNewsTeller } from './cache-news-teller.js';
 import { PeerDirectory } from './peer-directory.js';
 import {
   decodePeerMessage,
   type EngineNews,
   encodePeerMessage,
-  MOST_ENTRIES,
   type PassedConfiguration,
   type PeerMessage,
   type UsageMessage,
@@ -40,11 +40,6 @@
 /** Changes within this time go in one message; longer where a relay sums them up. */
 const COALESCE_MS = 12;
 const COALESCE_FOR_RELAY_MS = 90;
-/**
- * News within this time go in one message. A read is told as it begins, and that is believed for four seconds, so news
- * of it may come later.
- */
-const NEWS_GAP_MS = 1_000;
 /**
  * What is larger is had from the store by each daemon; a datagram holds 64 KiB at most, and one that takes this many
  * packets hardly ever loses one.
@@ -56,13 +51,6 @@
 const CHANGE_BUDGET = { bytesPerSecond: 4_096, burstBytes: 32_768 };
 /** What is passed on, to each peer of the own zone. */
 const RELAY_BUDGET_OF_PEER = { bytesPerSecond: 4_096, burstBytes: 16_384 };
-/**
- * Cache news, to each peer of the own zone: about one packet a second. Where caches turn over fast there is far more
- * news than comes to use, and each packet costs more than it holds (22 daemons in a zone sent each other 75 to 350
- * packets a second each, up to a fifth of their processor time, and loads were told half as often for want of bytes).
- */
-const NEWS_BUDGET_OF_PEER = { bytesPerSecond: 1_024, burstBytes: 4_096 };
-
 /** Where a daemon takes messages. */
 export interface PeerAddress {
   readonly host: string;
@@ -122,23 +110,20 @@
   readonly #directory: PeerDirectory;
   readonly #changeBudget: ByteBudget;
   readonly #relayBudget: ByteBudget;
-  readonly #newsBudget: ByteBudget;
   readonly #relay: RelayDuty;
+  readonly #cacheNews: CacheNewsTeller;
   #ownReads: ReadNotice[] = [];
   #ownReach: ReachNotice[] = [];
-  readonly #waitingNews = new Map<PeerDaemon['name'], EngineNews[]>();
   #sequence = 0;
   #heartbeatsSent = 0;
   #cancelFlush: CancelTimer | undefined;
   #cancelBeat: CancelTimer | undefined;
-  #cancelNews: CancelTimer | undefined;
   #isStopped = false;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     this.#changeBudget = new ByteBudget(CHANGE_BUDGET, options.timers);
     this.#relayBudget = new ByteBudget(RELAY_BUDGET_OF_PEER, options.timers);
-    this.#newsBudget = new ByteBudget(NEWS_BUDGET_OF_PEER, options.timers);
     this.#directory = new PeerDirectory(options);
     this.#relay = new RelayDuty({
       ...options,
@@ -146,6 +131,10 @@
       budget: this.#relayBudget,
       send: (peers, bytes) => this.#sendTo(peers, bytes),
     });
+    this.#cacheNews = new CacheNewsTeller({
+      ...options,
+      send: (peers, bytes) => this.#sendTo(peers, bytes),
+    });
     this.#socket = createSocket('udp4');
     this.#socket.on('message', (message, sender) => this.#receive(message, sender));
     // An address in use, or an unreachable peer, costs nothing but better choices.
@@ -169,7 +158,7 @@
     this.#cancelFlush?.();
     this.#cancelBeat?.();
     this.#relay.stop();
-    this.#cancelNews?.();
+    this.#cacheNews.stop();
     this.#socket.close();
   }
 
@@ -233,16 +222,7 @@
 
   /** Passes an engine's news on to daemons that do not ask for them. */
   passOn(news: EngineNews, peers: readonly PeerDaemon[]): void {
-    if (peers.length === 0 || this.#isStopped) return;
-    for (const { name } of peers) {
-      const waiting = this.#waitingNews.get(name);
-      if (waiting === undefined) this.#waitingNews.set(name, [news]);
-      else waiting.push(news);
-    }
-    this.#cancelNews ??= this.#options.timers.after(NEWS_GAP_MS, () => {
-      this.#cancelNews = undefined;
-      this.#tellNews();
-    });
+    if (peers.length > 0 && !this.#isStopped) this.#cacheNews.passOn(news, peers);
   }
 
   /** Shows those who hear of no change that this daemon is there. */
@@ -273,21 +253,6 @@
     this.#sendTo(peers, bytes);
   }
 
-  #tellNews(): void {
-    const { daemon, roster } = this.#options;
-    const zonePeers = roster.zonePeers();
-    for (const peer of zonePeers) {
-      const waiting = this.#waitingNews.get(peer.name);
-      if (waiting === undefined) continue;
-      for (const news of partNews(waiting)) {
-        const bytes = encodePeerMessage({ kind: 'news', daemon, news });
-        const shareOfBudget = sizeOnLink(bytes) / zonePeers.length;
-        if (this.#newsBudget.tryTake(shareOfBudget)) this.#sendTo([peer], bytes);
-      }
-    }
-    this.#waitingNews.clear();
-  }
-
   #sendTo(peers: readonly PeerDaemon[], bytes: Buffer): void {
     for (const peer of peers) this.#socket.send(bytes, peer.port, peer.host);
   }
@@ -358,22 +323,3 @@
     return this.#sequence;
   }
 }
-
-/** Parts news into messages that stay within one packet. */
-function partNews(waiting: readonly EngineNews[]): readonly (readonly EngineNews[])[] {
-  const messages: EngineNews[][] = [];
-  let room = 0;
-  for (const { engineId, isReset, events } of waiting) {
-    for (let first = 0; first === 0 || first < events.length; ) {
-      if (room <= 0) {
-        messages.push([]);
-        room = MOST_ENTRIES;
-      }
-      const part = events.slice(first, first + room);
-      messages.at(-1)?.push({ engineId, isReset: isReset && first === 0, events: part });
-      first += Math.max(1, part.length);
-      room -= part.length + 1;
-    }
-  }
-  return messages;
-}
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -54,6 +54,7 @@
     if (!this.#startNext(true)) return this.#giveUp();
     while (this.#pending.size > 0) {
       const result = await this.#nextResult();
+      // Whether its last server ended decides whether another one may be lost to it.
       await this.#context.crashes.settled(this.#exchange);
       if (this.#exchange.signal.aborted) return this.#exchange.endInterrupted();
       if (result === 'hedge') {
@@ -87,8 +88,9 @@
     const exchange = this.#exchange;
     if (exchange.signal.aborted) exchange.endInterrupted();
     else if (this.#lastFailure !== undefined) exchange.answer(this.#lastFailure);
-    else if (!this.#context.crashes.refuse(exchange))
+    else if (!this.#context.crashes.refuse(exchange)) {
       exchange.refuse(this.#lastReason, retryAfterMs(exchange, this.#context));
+    }
   }
 
   #startNext(isFirst: boolean): boolean {
