One way to call the store's table and to read all rows of a prefix

Change: table-call.ts has the call and the loop; a duty's record takes leaseTimers itself. Behaviour is as before. Measured: tests of gateway, usage and capacity pass.

--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -66,8 +66,7 @@
   constructor(options: CapacityControllerOptions) {
     this.#options = options;
     this.#duty = new CapacityDuty(options);
-    const { leaseTimers: timers } = options;
-    this.#record = new DutyRecordRow({ ...options, timers, key: RECORD_KEY, schema: recordSchema });
+    this.#record = new DutyRecordRow({ ...options, key: RECORD_KEY, schema: recordSchema });
   }
 
   /** Runs until `stop`. */
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -7,17 +7,14 @@
 import { type CrashRecord, RECORD_KEPT_MS } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
-import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { callWithin, type TimerService, type WallClock } from './timer-service.js';
+import { callTable, readAllRows, type TableReach } from './table-call.js';
+import type { WallClock } from './timer-service.js';
 
 const PREFIX = 'crash/';
 /** Sorts before all fingerprints, so that the first page of a scan has it. */
 const KEY_ROW = `${PREFIX}!key`;
 const KEY_BYTES = 32;
-const CALL_TIMEOUT_MS = 1_500;
-/** Rows of one page of a scan: as many as the store gives at once. */
-const PAGE_ROWS = 500;
 
 const keySchema = z.object({ key: z.string() });
 const rowSchema = z.object({
@@ -45,9 +42,7 @@
   | { readonly kind: 'failed' };
 
 /** What a table is reached by. */
-export interface CrashTableOptions {
-  readonly table: TableService;
-  readonly timers: TimerService;
+export interface CrashTableOptions extends TableReach {
   readonly wallClock: WallClock;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -62,15 +57,8 @@
 
   /** Undefined where the store could not be read whole. */
   async read(signal: AbortSignal): Promise<CrashTableContent | undefined> {
-    const rows: TableRow[] = [];
-    for (;;) {
-      const after = rows.at(-1)?.key;
-      const page = { kind: 'scan', prefix: PREFIX, limit: PAGE_ROWS } as const;
-      const result = await this.#call(after === undefined ? page : { ...page, after }, signal);
-      if (result.kind !== 'rows') return undefined;
-      rows.push(...result.rows);
-      if (result.rows.length < PAGE_ROWS) break;
-    }
+    const rows = await readAllRows(PREFIX, (page) => this.#call(page, signal));
+    if (rows === undefined) return undefined;
     const records = rows.filter(({ key }) => key !== KEY_ROW).flatMap((row) => this.#read(row));
     return { key: keyOf(rows), records };
   }
@@ -143,10 +131,8 @@
   }
 
   async #call(call: TableCall, signal: AbortSignal): Promise<TableResult> {
-    const { table, timers, log } = this.#options;
-    const result = await callWithin(timers, CALL_TIMEOUT_MS, signal, (ended) =>
-      table.call(call, ended),
-    );
+    const { log } = this.#options;
+    const result = await callTable(this.#options, call, signal);
     if ('reason' in result && !signal.aborted) {
       const { kind: outcome, reason } = result;
       log.write(GATEWAY_EVENTS.crashTableFailed, { call: call.kind, outcome, reason });
--- a/src/shell/gateway/duty-record.ts
+++ b/src/shell/gateway/duty-record.ts
@@ -5,16 +5,16 @@
 import type { TableCall, TableResult } from '../../core/platform/table.js';
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { callWithin, type TimerService } from './timer-service.js';
-
-const CALL_TIMEOUT_MS = 1_500;
+import { callTable } from './table-call.js';
+import type { TimerService } from './timer-service.js';
 
 /** What a record is reached by. */
 export interface DutyRecordOptions<Content extends DutyRecord> {
   readonly key: string;
   readonly schema: z.ZodMiniType<Content>;
   readonly table: TableService;
-  readonly timers: TimerService;
+  /** Whose clock counts the time of a suspended machine: what a record allows is counted by it. */
+  readonly leaseTimers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
@@ -48,11 +48,9 @@
   }
 
   async #call(call: TableCall, signal: AbortSignal): Promise<SentOutcome<Content>> {
-    const { table, timers } = this.#options;
+    const { table, leaseTimers: timers } = this.#options;
     const sentMs = timers.nowMs();
-    const result = await callWithin(timers, CALL_TIMEOUT_MS, signal, (ended) =>
-      table.call(call, ended),
-    );
+    const result = await callTable({ table, timers }, call, signal);
     const outcome = this.#outcomeOf(result);
     if (outcome.kind !== 'seen') this.#logFailure(call.kind, result);
     return { outcome, sentMs };
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -9,12 +9,10 @@
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import { callWithin, delay, type TimerService } from './timer-service.js';
+import { callTable, readAllRows } from './table-call.js';
+import { delay, type TimerService } from './timer-service.js';
 
 const ROW_PREFIX = 'peer/';
-/** Rows of one page of a scan: as many as the store gives at once. */
-const PAGE_ROWS = 500;
-const TABLE_TIMEOUT_MS = 1_500;
 const FIRST_SCAN_GAP_MS = 1_000;
 const LONGEST_SCAN_GAP_MS = 20_000;
 const SCAN_GAP_GROWTH = 4;
@@ -105,7 +103,7 @@
 
   async #scan(): Promise<void> {
     const { daemon, roster, timers, noteDaemonCount } = this.#options;
-    const rows = await this.#readRows();
+    const rows = await readAllRows(ROW_PREFIX, (page) => this.#callTable(page));
     if (rows === undefined) return;
     const peers = rows.flatMap((row) => this.#readPeer(row));
     this.#isAnnounced &&= peers.some(({ name }) => name === daemon);
@@ -113,19 +111,6 @@
     noteDaemonCount(roster.daemonCount);
   }
 
-  /** All pages, or undefined where one could not be had: a part of the list is worse than an old one. */
-  async #readRows(): Promise<readonly TableRow[] | undefined> {
-    const rows: TableRow[] = [];
-    for (;;) {
-      const after = rows.at(-1)?.key;
-      const page = { kind: 'scan', prefix: ROW_PREFIX, limit: PAGE_ROWS } as const;
-      const result = await this.#callTable(after === undefined ? page : { ...page, after });
-      if (result.kind !== 'rows') return undefined;
-      rows.push(...result.rows);
-      if (result.rows.length < PAGE_ROWS) return rows;
-    }
-  }
-
   /** As the relay, takes away the rows of daemons of its zone that are gone. */
   async #removeLost(): Promise<void> {
     const { roster, timers, log } = this.#options;
@@ -142,9 +127,7 @@
   }
 
   #callTable(call: TableCall): Promise<TableResult> {
-    const { table, timers } = this.#options;
-    const { signal: stopped } = this.#stopped;
-    return callWithin(timers, TABLE_TIMEOUT_MS, stopped, (signal) => table.call(call, signal));
+    return callTable(this.#options, call, this.#stopped.signal);
   }
 
   #readPeer(row: TableRow): readonly PeerDaemon[] {
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -24,7 +24,8 @@
 import { DEMAND_SPAN_MS } from './fleet-view.js';
 import type { TableService } from './ports.js';
 import { StageOrders, type StageOrdersOptions } from './stage-orders.js';
-import { type CancelTimer, callWithin, type TimerService } from './timer-service.js';
+import { callTable } from './table-call.js';
+import type { CancelTimer, TimerService } from './timer-service.js';
 
 const TICK_MS = 250;
 /** A change has to be wanted for this long, and a random while more, before the lease is sought. */
@@ -47,7 +48,6 @@
 const RESCUE_GAP_MS = 2_000;
 /** Between two orders, so that not all engines are away at once. */
 const ORDER_GAP_MS = 500;
-const TABLE_TIMEOUT_MS = 1_500;
 const LEASE_MARGIN_SHARE = 0.2;
 const RESOURCE = 'engine-stages';
 const ENTROPY_RANGE = 2 ** 32;
@@ -254,10 +254,7 @@
   }
 
   async #callTable(effect: TableEffect): Promise<void> {
-    const { table, timers } = this.#options;
-    const result = await callWithin(timers, TABLE_TIMEOUT_MS, undefined, (signal) =>
-      table.call(effect.call, signal),
-    );
+    const result = await callTable(this.#options, effect.call, undefined);
     this.#step({ kind: 'table-result', token: effect.token, result });
   }
 }
--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -87,8 +87,7 @@
     this.#options = options;
     this.#counts = new UsageCounts(options.windowMs, options.dueMs);
     this.#duty = new UsageDuty(options);
-    const { leaseTimers: timers } = options;
-    this.#record = new DutyRecordRow({ ...options, timers, key: RECORD_KEY, schema: recordSchema });
+    this.#record = new DutyRecordRow({ ...options, key: RECORD_KEY, schema: recordSchema });
   }
 
   /** A tenant's request began to run, so long ago. */
