Look into a broken run only where another one would follow

Cause: every request waited for that check before its first run, though it had none, and a web request whose second server had answered would have waited for the check on its first one, up to 220 ms, with its answer ready. Change: the wait stands right before another server is asked. Who is asked, and when not, is as before. No test holds a check open beside a ready answer; found by reading.

--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -65,14 +65,16 @@
       );
       return;
     }
-    let next: NextStep = 'again';
-    while (next === 'again') next = await this.#step();
+    let next = await this.#step();
+    while (next === 'again') {
+      // Whether its last server ended decides whether another one may be lost to it.
+      await this.#context.crashes.settled(this.#exchange);
+      next = await this.#step();
+    }
   }
 
   async #step(): Promise<NextStep> {
     const exchange = this.#exchange;
-    // Whether its last server ended decides whether another one may be lost to it.
-    await this.#context.crashes.settled(exchange);
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (!this.#mayRunOnceMore()) return this.#giveUp();
     const plan = this.#planner.plan({ mayPrefill: !this.#prefillFailed });
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -54,21 +54,19 @@
     if (!this.#startNext(true)) return this.#giveUp();
     while (this.#pending.size > 0) {
       const result = await this.#nextResult();
-      // Whether its last server ended decides whether another one may be lost to it.
-      await this.#context.crashes.settled(this.#exchange);
       if (this.#exchange.signal.aborted) return this.#exchange.endInterrupted();
       if (result === 'hedge') {
         this.#startNext(false);
         continue;
       }
-      if (this.#settle(result)) break;
+      if (await this.#settle(result)) break;
     }
     if (this.#pending.size > 0) this.#abandoned.abort();
     if (!this.#exchange.isAnswered) this.#giveUp();
   }
 
   /** Whether the request has its answer. */
-  #settle(result: RunResult): boolean {
+  async #settle(result: RunResult): Promise<boolean> {
     if (result.kind === 'whole' && !this.#isWorthRepeating(result.answer)) {
       this.#exchange.answer(result.answer);
       return true;
@@ -76,7 +74,10 @@
     if (result.kind === 'whole') this.#lastFailure = result.answer;
     else this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
     if (result.kind === 'not-executed' || result.kind === 'not-sent') this.#turnedDown += 1;
-    if (this.#pending.size === 0 && result.kind !== 'no-budget') this.#startNext(false);
+    if (this.#pending.size > 0 || result.kind === 'no-budget') return false;
+    // Whether its last server ended decides whether another one may be lost to it.
+    await this.#context.crashes.settled(this.#exchange);
+    if (!this.#exchange.signal.aborted) this.#startNext(false);
     return false;
   }
 
