Quarantine: one record dropped without a copy of all, one refusal before a daemon is ready, one time to connect

Cause: at the bound of 4,096 records each new one copied all of them; the refusal of a daemon that takes no requests yet was written twice, and so were the 220 ms that a connection is waited for; four exports that nothing used. Change: each has one place. Behaviour is as before.

--- a/src/core/gateway/crash-records.ts
+++ b/src/core/gateway/crash-records.ts
@@ -13,7 +13,7 @@
  * for each such request. The price: in two storms in which a quarter or two fifths of 16 servers ended nine times in 30 s,
  * 4 and 7 of some 5,200 requests that harm nothing were quarantined, and 2 and 6 tries of their callers were turned away.
  */
-export const CRASHES_TO_QUARANTINE = 2;
+const CRASHES_TO_QUARANTINE = 2;
 /** Of more crashes the oldest are forgotten; by then there were some that did not overlap. */
 const MOST_CRASHES = 4;
 /** A day: the tries of a caller come much sooner, and a body that is repaired is another request. */
@@ -162,12 +162,14 @@
 
   /** The oldest make room, those that are quarantined last. */
   #keepBound(): void {
-    while (this.#entries.size > MOST_RECORDS) {
-      const all = [...this.#entries];
-      const oldest = all.find(([, entry]) => !entry.isQuarantined) ?? all[0];
-      if (oldest === undefined) return;
-      this.#remove(oldest[0]);
-    }
+    if (this.#entries.size <= MOST_RECORDS) return;
+    const dropped = this.#oldest((entry) => !entry.isQuarantined) ?? this.#oldest(() => true);
+    if (dropped !== undefined) this.#remove(dropped);
+  }
+
+  #oldest(fits: (entry: Entry) => boolean): string | undefined {
+    for (const [fingerprint, entry] of this.#entries) if (fits(entry)) return fingerprint;
+    return undefined;
   }
 }
 
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -10,14 +10,16 @@
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
-import type { BackendAnswer, BackendConnections } from './backend-connections.js';
+import {
+  type BackendAnswer,
+  type BackendConnections,
+  CONNECT_TIMEOUT_MS,
+} from './backend-connections.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
 import type { MemorySource, RequestCodec } from './ports.js';
 
-/** A connection that is not up by then goes to another server. */
-const CONNECT_TIMEOUT_MS = 220;
 const FIRST_SERVER_ERROR = 500;
 /** Callers that were refused come back over this part of their wait more. */
 const RETRY_SPREAD = 0.5;
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -14,8 +14,8 @@
 /** Kept this much shorter than the server says. */
 const KEEP_MARGIN_MS = 1_000;
 const LONGEST_KEEP_MS = 8_000;
-/** Without an answer to a connection by then, nobody knows whether the server is there. */
-const REFUSAL_TIMEOUT_MS = 220;
+/** A connection that is not up by then is not waited for. */
+export const CONNECT_TIMEOUT_MS = 220;
 
 /** One call to a backend. */
 export interface BackendCall {
@@ -215,7 +215,7 @@
         socket.destroy();
         resolve(isRefused);
       };
-      const cancel = this.#timers.after(REFUSAL_TIMEOUT_MS, () => settle(false));
+      const cancel = this.#timers.after(CONNECT_TIMEOUT_MS, () => settle(false));
       socket.once('connect', () => {
         this.openedTotal += 1;
         settle(false);
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -19,7 +19,7 @@
 const MAX_PARSED_HEADER_BYTES = 131_072;
 const HEADER_OVERHEAD_BYTES = 4;
 const MILLISECONDS_PER_SECOND = 1_000;
-const UNCONFIGURED_RETRY_AFTER_MS = 1_000;
+const UNPREPARED_RETRY_AFTER_MS = 1_000;
 const CONNECTION_CHECK_MS = 1_000;
 const DEFAULT_IDLE_MS = 15_000;
 /** Enough to find the tenant that has a key, and too little to find the key. */
@@ -98,16 +98,9 @@
     const arrivedAtMs = this.#options.timers.nowMs();
     const { context } = this.#options;
     const { inForce } = context.fleet;
-    if (inForce === undefined) {
-      const seconds = String(UNCONFIGURED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND);
-      return this.#reject(request, response, 503, 'no configuration yet', ['Retry-After', seconds]);
-    }
+    if (inForce === undefined) return this.#rejectYet(request, response, 'no configuration yet');
     if (!context.crashes.isPrepared) {
-      const seconds = String(UNCONFIGURED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND);
-      return this.#reject(request, response, 503, 'this daemon has just started', [
-        'Retry-After',
-        seconds,
-      ]);
+      return this.#rejectYet(request, response, 'this daemon has just started');
     }
     const route = inForce.routes.find(request.headers.host ?? '', request.url ?? '/');
     if (route === undefined) return this.#reject(request, response, 404, 'no such route', []);
@@ -154,6 +147,12 @@
     else await runWholeExchange(exchange, context);
   }
 
+  /** The daemon takes no requests yet. */
+  #rejectYet(request: IncomingMessage, response: ServerResponse, reason: string): void {
+    const seconds = String(UNPREPARED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND);
+    this.#reject(request, response, 503, reason, ['Retry-After', seconds]);
+  }
+
   /** Says which key was not known by the beginning of its digest; the key itself is a secret. */
   #rejectKey(
     request: IncomingMessage,
--- a/src/shell/gateway/crash-guard.ts
+++ b/src/shell/gateway/crash-guard.ts
@@ -25,7 +25,7 @@
 const READ_RETRY_MS = 500;
 
 /** What a refused caller is told. */
-export const QUARANTINE_REASON =
+const QUARANTINE_REASON =
   'servers ended while this request ran; it is not run again unless an operator lifts that';
 
 /** Where a change of belief came from. */
--- a/src/shell/gateway/request-fingerprint.ts
+++ b/src/shell/gateway/request-fingerprint.ts
@@ -17,7 +17,7 @@
 }
 
 /** The request as far as its fingerprint goes. */
-export interface FingerprintedRequest {
+interface FingerprintedRequest {
   readonly method: string;
   readonly host: string;
   readonly path: string;
@@ -27,7 +27,7 @@
 }
 
 /** @param key the secret of the fleet */
-export function fingerprintOf(request: FingerprintedRequest, key: Buffer): string {
+function fingerprintOf(request: FingerprintedRequest, key: Buffer): string {
   const { method, host, path, tenant, body } = request;
   const head = JSON.stringify([method, host.toLowerCase(), path, tenant]);
   const digest = createHmac('sha256', key).update(head).update(body).digest();
