Tests: one table in memory, one resumable route, and two words put back

Change: support/memory-table.ts serves guards, stage orders and usage (rows of one transaction have one version); no assertion is changed but where writes are counted: at the table.

--- a/test/gateway/crash-spread.test.ts
+++ b/test/gateway/crash-spread.test.ts
@@ -153,18 +153,18 @@
 
 test('a batch of 32 that breaks off with its server is told in few datagrams, and nothing is written, then or when it runs whole', async () => {
   const fleet = await startFleet(195);
-  const { writes } = fleet;
+  const { writes } = fleet.store;
   await Promise.all(
     Array.from({ length: 32 }, (_, index) => fleet.crash(index % 16, `work ${index}`, 'i-1')),
   );
-  assert.equal(fleet.writes, writes);
+  assert.equal(fleet.store.writes, writes);
   assert.ok(fleet.datagrams <= 16 * 194, `${fleet.datagrams} datagrams`);
   assert.equal(fleet.sendersOf('work 7').length, 195);
   for (let index = 0; index < 32; index += 1) {
     fleet.guard(index).noteWhole(requestOf(`work ${index}`));
   }
   await fleet.advance(1_000);
-  assert.equal(fleet.writes, writes);
+  assert.equal(fleet.store.writes, writes);
   fleet.stop();
 });
 
--- a/test/gateway/crashing-request.test.ts
+++ b/test/gateway/crashing-request.test.ts
@@ -10,7 +10,13 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { deferred } from './support/deferred.js';
-import { type CallerAnswer, configuration, GatewayFixture, route } from './support/fixture.js';
+import {
+  type CallerAnswer,
+  configuration,
+  GatewayFixture,
+  RESUMABLE_ROUTE,
+  route,
+} from './support/fixture.js';
 import {
   answering,
   engine,
@@ -19,15 +25,6 @@
   stamped,
 } from './support/server-stand-in.js';
 
-const CHECK = route({
-  name: 'check',
-  pathPrefix: '/check/',
-  kind: 'streaming',
-  service: 'reader',
-  resumable: true,
-  attempts: 2,
-  timeoutMs: 5_000,
-});
 const PROMPT = { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' };
 const CRASHING_BODY = 'ends whoever runs it';
 const DAEMONS = ['front-1', 'front-2', 'front-3'];
@@ -75,7 +72,7 @@
 /** One daemon that knows some servers. */
 async function startDaemon(ids: readonly string[], add: (id: string) => Promise<void>) {
   const port = await fixture.addDaemon('front-1');
-  fixture.store.putConfiguration(configuration(1, [CHECK, SLIP, CONFIRM]));
+  fixture.store.putConfiguration(configuration(1, [RESUMABLE_ROUTE, SLIP, CONFIRM]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
   await Promise.all(ids.map(add));
   for (const id of ids) {
@@ -88,7 +85,7 @@
 async function startFleet(): Promise<readonly number[]> {
   const ports: number[] = [];
   for (const name of DAEMONS) ports.push(await fixture.addDaemon(name));
-  fixture.store.putConfiguration(configuration(1, [CHECK]));
+  fixture.store.putConfiguration(configuration(1, [RESUMABLE_ROUTE]));
   const ids = Array.from({ length: ENGINES }, (_, index) => `engine-${index}`);
   await Promise.all(ids.map(addEngine));
   for (const name of DAEMONS) {
--- a/test/gateway/model-requests.test.ts
+++ b/test/gateway/model-requests.test.ts
@@ -6,7 +6,7 @@
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { GatewaySettings } from '../../src/shell/gateway/index.js';
 import { deferred } from './support/deferred.js';
-import { configuration, GatewayFixture, route } from './support/fixture.js';
+import { configuration, GatewayFixture, RESUMABLE_ROUTE, route } from './support/fixture.js';
 import { ManualTimers } from './support/manual-timers.js';
 import {
   engine,
@@ -24,15 +24,6 @@
   timeoutMs: 5_000,
   targetLatencyMs: 500,
 });
-const CHECK = route({
-  name: 'check',
-  pathPrefix: '/check/',
-  kind: 'streaming',
-  service: 'reader',
-  resumable: true,
-  attempts: 2,
-  timeoutMs: 5_000,
-});
 const LONG = {
   path: '/read/1',
   headers: {
@@ -54,7 +45,7 @@
 async function startFixture(retryBudget?: RetryBudgetSettings): Promise<void> {
   fixture = new GatewayFixture();
   await fixture.start(undefined, retryBudget);
-  fixture.store.putConfiguration(configuration(1, [READ, CHECK]));
+  fixture.store.putConfiguration(configuration(1, [READ, RESUMABLE_ROUTE]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
 }
 
@@ -193,7 +184,7 @@
   const timers = new ManualTimers();
   fixture = new GatewayFixture();
   await fixture.start(timers);
-  fixture.store.putConfiguration(configuration(1, [READ, CHECK]));
+  fixture.store.putConfiguration(configuration(1, [READ, RESUMABLE_ROUTE]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
   const slow = deferred<ServedRequest>();
   const decode = await addEngine('i-d', 'decode', (served) => {
--- a/test/gateway/platform-names.test.ts
+++ b/test/gateway/platform-names.test.ts
@@ -8,9 +8,9 @@
 
 const PROJECT_ROOT = resolve(fileURLToPath(new URL('../../..', import.meta.url)));
 const MAX_ADAPTER_LINES = 1_200;
-/** Digests of HTTP itself, or too common to be told from others. */
+/** Words of HTTP itself, or too common to be told from others. */
 const COMMON_NAMES = new Set(['last-event-id', '/ready', '/report', '/order']);
-/** Digests that modules have in their paths too; as a text of their own they are the platform's. */
+/** Words that modules have in their paths too; as a text of their own they are the platform's. */
 const QUOTED_NAMES = new Set<string>([PATHS.usage, PATHS.scale]);
 
 function sourcesUnder(folder: string): readonly string[] {
--- a/test/gateway/prefix-knowledge.test.ts
+++ b/test/gateway/prefix-knowledge.test.ts
@@ -21,7 +21,7 @@
   assert.equal(knowledge.keptTokens('e', PARTS, 6_000), 0);
 });
 
-test("an engine's own digest is not replaced by an expectation", () => {
+test("an engine's own word is not replaced by an expectation", () => {
   const knowledge = new PrefixKnowledge();
   knowledge.confirm('e', SHARED.id, SHARED.tokens);
   knowledge.expect({ engineId: 'e', part: SHARED, readyInMs: 150 }, 1_000);
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -4,53 +4,17 @@
 import { test } from 'node:test';
 import { REQUEST_CODEC } from '../../platform/request-codec.js';
 import type { ServerRecord, StageNotice } from '../../src/core/gateway/index.js';
-import type { TableCall, TableResult, TableRow } from '../../src/core/platform/table.js';
 import type { BackendCall, CallResult } from '../../src/shell/gateway/backend-connections.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayLog } from '../../src/shell/gateway/request-log.js';
 import { StageController } from '../../src/shell/gateway/stage-controller.js';
 import { suspensionAwareTimers } from '../../src/shell/gateway/timer-service.js';
 import { ManualTimers } from './support/manual-timers.js';
+import { MemoryTable } from './support/memory-table.js';
 
 const LEASE_MS = 3_000;
 const QUIET_LOGGER = { write: () => undefined, flush: () => undefined };
 
-/** A table service in memory. */
-class MemoryTable {
-  isDown = false;
-  readonly #rows = new Map<string, TableRow>();
-  #version = 0;
-
-  call(call: TableCall): Promise<TableResult> {
-    return Promise.resolve(this.#answer(call));
-  }
-
-  #answer(call: TableCall): TableResult {
-    if (this.isDown) return { kind: 'unavailable', reason: 'down', retryAfterMs: 0 };
-    switch (call.kind) {
-      case 'get':
-        return { kind: 'rows', rows: call.keys.map((key) => this.#row(key)) };
-      case 'scan':
-        return { kind: 'rows', rows: [] };
-      case 'transact': {
-        const isCurrent = call.checks.every(
-          (check) => this.#row(check.key).version === check.version,
-        );
-        const keys = call.checks.map((check) => check.key);
-        if (!isCurrent) return { kind: 'conflict', rows: keys.map((key) => this.#row(key)) };
-        this.#version += 1;
-        const rows = call.writes.map((write) => ({ ...write, version: this.#version }));
-        for (const row of rows) this.#rows.set(row.key, row);
-        return { kind: 'committed', rows };
-      }
-    }
-  }
-
-  #row(key: string): TableRow {
-    return this.#rows.get(key) ?? { key, version: 0, value: null };
-  }
-}
-
 interface Order {
   readonly holder: string;
   readonly fence: number;
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -74,6 +74,17 @@
   };
 }
 
+/** A route to model engines whose streams may be resumed at a second one. */
+export const RESUMABLE_ROUTE = route({
+  name: 'check',
+  pathPrefix: '/check/',
+  kind: 'streaming',
+  service: 'reader',
+  resumable: true,
+  attempts: 2,
+  timeoutMs: 5_000,
+});
+
 /**
  * A configuration over some routes.
  * @param tenants undefined where requests need no API key
--- a/test/gateway/support/fleet-of-guards.ts
+++ b/test/gateway/support/fleet-of-guards.ts
@@ -3,10 +3,11 @@
  * may be away for some daemons, daemons that are killed and start again.
  */
 import { PeerRoster } from '../../../src/core/gateway/index.js';
-import type { TableCall, TableResult, TableRow } from '../../../src/core/platform/table.js';
+import type { TableCall, TableResult } from '../../../src/core/platform/table.js';
 import { CrashGuard } from '../../../src/shell/gateway/crash-guard.js';
 import type { GuardedExchange } from '../../../src/shell/gateway/request-fingerprint.js';
 import { ManualTimers } from './manual-timers.js';
+import { MemoryTable } from './memory-table.js';
 
 const STEP_MS = 10;
 const STORE_ANSWER_MS = 4;
@@ -14,48 +15,6 @@
 const RAN_MS = 5;
 export const CONTACT_MS = 3_000;
 
-/** A store that all daemons share. */
-class SharedStore {
-  readonly #rows = new Map<string, TableRow>();
-  #version = 0;
-
-  get rows(): readonly TableRow[] {
-    return [...this.#rows.values()].sort((left, right) => (left.key < right.key ? -1 : 1));
-  }
-
-  put(key: string, value: unknown): void {
-    this.#version += 1;
-    if (value === null) this.#rows.delete(key);
-    else this.#rows.set(key, { key, value, version: this.#version });
-  }
-
-  call(call: TableCall): TableResult {
-    switch (call.kind) {
-      case 'get':
-        return { kind: 'rows', rows: call.keys.flatMap((key) => this.#rows.get(key) ?? []) };
-      case 'scan': {
-        const { prefix, after = '', limit } = call;
-        const found = this.rows.filter(({ key }) => key.startsWith(prefix) && key > after);
-        return { kind: 'rows', rows: found.slice(0, limit) };
-      }
-      case 'transact': {
-        const isHeld = call.checks.every(
-          ({ key, version }) => (this.#rows.get(key)?.version ?? 0) === version,
-        );
-        if (!isHeld) {
-          const rows = call.checks.flatMap(({ key }) => this.#rows.get(key) ?? []);
-          return { kind: 'conflict', rows };
-        }
-        for (const { key, value } of call.writes) this.put(key, value);
-        return {
-          kind: 'committed',
-          rows: call.writes.map((write) => ({ ...write, version: this.#version })),
-        };
-      }
-    }
-  }
-}
-
 /** How a fleet is made up. */
 export interface FleetOptions {
   readonly daemons: number;
@@ -68,14 +27,13 @@
 /** A fleet of guards. */
 export class FleetOfGuards {
   readonly timers = new ManualTimers();
-  readonly store = new SharedStore();
+  readonly store = new MemoryTable();
   /** Whether the store does not serve a daemon now. */
   isTurnedAway: (daemon: number) => boolean = () => false;
   /** Whether nothing comes through to a daemon now, or from it. */
   isCutOff: (daemon: number) => boolean = () => false;
-  /** Datagrams sent, and writes to the store. */
+  /** Datagrams sent. */
   datagrams = 0;
-  writes = 0;
   readonly #options: FleetOptions;
   readonly #guards: CrashGuard[] = [];
   readonly #names: readonly string[];
@@ -174,9 +132,8 @@
     if (this.isTurnedAway(daemon)) {
       return Promise.resolve({ kind: 'unavailable', reason: 'status 503', retryAfterMs: 0 });
     }
-    if (call.kind === 'transact') this.writes += 1;
     return new Promise((resolve) =>
-      this.timers.after(STORE_ANSWER_MS, () => resolve(this.store.call(call))),
+      this.timers.after(STORE_ANSWER_MS, () => resolve(this.store.answer(call))),
     );
   }
 }
--- /dev/null
+++ b/test/gateway/support/memory-table.ts
@@ -0,0 +1,61 @@
+/** The store's table service in memory: rows in the order of their keys, changed on their versions. */
+import type { TableCall, TableResult, TableRow } from '../../../src/core/platform/table.js';
+
+/** A table that a test may take away. */
+export class MemoryTable {
+  isDown = false;
+  /** Transactions that were committed. */
+  writes = 0;
+  readonly #rows = new Map<string, TableRow>();
+  #version = 0;
+
+  get rows(): readonly TableRow[] {
+    return [...this.#rows.values()].sort((left, right) => (left.key < right.key ? -1 : 1));
+  }
+
+  /** Writes a row, whatever its version; null takes it away. */
+  put(key: string, value: unknown): void {
+    this.#version += 1;
+    this.#set(key, value);
+  }
+
+  call(call: TableCall): Promise<TableResult> {
+    return Promise.resolve(this.answer(call));
+  }
+
+  /** What a call that comes now is answered. */
+  answer(call: TableCall): TableResult {
+    if (this.isDown) return { kind: 'unavailable', reason: 'down', retryAfterMs: 0 };
+    switch (call.kind) {
+      case 'get':
+        return { kind: 'rows', rows: call.keys.map((key) => this.#row(key)) };
+      case 'scan': {
+        const { prefix, after = '', limit } = call;
+        const found = this.rows.filter(({ key }) => key.startsWith(prefix) && key > after);
+        return { kind: 'rows', rows: found.slice(0, limit) };
+      }
+      case 'transact': {
+        const isCurrent = call.checks.every(
+          ({ key, version }) => this.#row(key).version === version,
+        );
+        if (!isCurrent)
+          return { kind: 'conflict', rows: call.checks.map(({ key }) => this.#row(key)) };
+        this.writes += 1;
+        this.#version += 1;
+        for (const { key, value } of call.writes) this.#set(key, value);
+        const rows = call.writes.map((write) => ({ ...write, version: this.#version }));
+        return { kind: 'committed', rows };
+      }
+    }
+  }
+
+  /** Rows of one transaction have one version. */
+  #set(key: string, value: unknown): void {
+    if (value === null) this.#rows.delete(key);
+    else this.#rows.set(key, { key, value, version: this.#version });
+  }
+
+  #row(key: string): TableRow {
+    return this.#rows.get(key) ?? { key, version: 0, value: null };
+  }
+}
--- a/test/tenant-usage/reporting.test.ts
+++ b/test/tenant-usage/reporting.test.ts
@@ -3,11 +3,11 @@
 import { test } from 'node:test';
 import { PeerRoster } from '../../src/core/gateway/index.js';
 import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
-import type { TableCall, TableResult } from '../../src/core/platform/table.js';
 import type { PeerMessage, UsageMessage } from '../../src/shell/gateway/peer-messages.js';
 import type { DutyAuthority, DutyOutcome, UsageReport } from '../../src/shell/gateway/ports.js';
 import { UsageReporter } from '../../src/shell/gateway/tenant-usage.js';
 import { ManualTimers } from '../gateway/support/manual-timers.js';
+import { MemoryTable } from '../gateway/support/memory-table.js';
 
 const WINDOW_MS = 5_000;
 const DUE_MS = 10_000;
@@ -15,29 +15,6 @@
 /** The window in which a day begins. */
 const FIRST_WINDOW = 1_000;
 
-/** One row, changed on its version. */
-class MemoryTable {
-  writes = 0;
-  isDown = false;
-  #row = { key: '', version: 0, value: null as unknown };
-
-  call(call: TableCall): Promise<TableResult> {
-    return Promise.resolve(this.#answer(call));
-  }
-
-  #answer(call: TableCall): TableResult {
-    if (this.isDown) return { kind: 'unavailable', reason: 'down', retryAfterMs: 0 };
-    if (call.kind !== 'transact') return { kind: 'rows', rows: [this.#row] };
-    const [write] = call.writes;
-    if (write === undefined || call.checks[0]?.version !== this.#row.version) {
-      return { kind: 'conflict', rows: [this.#row] };
-    }
-    this.writes += 1;
-    this.#row = { ...write, version: this.#row.version + 1 };
-    return { kind: 'committed', rows: [this.#row] };
-  }
-}
-
 interface Reported extends UsageReport, DutyAuthority {}
 
 class Fleet {
