Agree on the parts under hard load: what was missing, and a switch for each

Change: the list, what the parts share, and settings that switch each part off; nothing reads them yet.

--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -19,6 +19,29 @@
   }),
 );
 
+/**
+ * Decisions under load that an operator can switch off one by one, to see what each is worth or to rule it out as a
+ * cause. Each changes nothing where its load is absent.
+ */
+const decisionsSchema = z.object({
+  /** Requests wait at the daemon for room, in the operator's order, and are refused when none can come in time. */
+  waiting: z._default(z.boolean(), true),
+  /** Servers paid by the second are ordered with room for a loss, and made up at once after one. */
+  spareCapacity: z._default(z.boolean(), true),
+  /** Each engine has a pace of its own, learnt by all daemons together. */
+  enginePaces: z._default(z.boolean(), true),
+  /** Daemons that decide by the same sums spread what they send. */
+  spreading: z._default(z.boolean(), true),
+  /** Web servers are chosen by the work of all daemons there. */
+  webServerLoad: z._default(z.boolean(), true),
+});
+
+/** Which decisions under load are made. */
+export type LoadDecisions = z.infer<typeof decisionsSchema>;
+
+/** All of them, as where the settings say nothing. */
+export const ALL_LOAD_DECISIONS: LoadDecisions = decisionsSchema.parse({});
+
 const settingsSchema = z.object({
   name: text,
   zone: text,
@@ -53,6 +76,7 @@
     slack: z.number().check(z.minimum(0)),
   }),
   logging: z.object({ maxLinesPerSecond: z.number().check(z.minimum(1)) }),
+  decisions: z._default(decisionsSchema, ALL_LOAD_DECISIONS),
 });
 
 /** A gateway's settings. */
--- a/src/shell/gateway/index.ts
+++ b/src/shell/gateway/index.ts
@@ -1,7 +1,9 @@
 /** Described requests over sockets: listeners, calls to backends, and watches of the store. */
 export { Gateway, type GatewayAddresses, type GatewayOptions } from './gateway.js';
 export {
+  ALL_LOAD_DECISIONS,
   type GatewaySettings,
+  type LoadDecisions,
   parseGatewaySettings,
   type SettingsProblem,
 } from './gateway-settings.js';
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -6,6 +6,7 @@
 import { GATEWAY_EVENTS } from '../../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../../src/core/logging/log-event.js';
 import {
+  ALL_LOAD_DECISIONS,
   Gateway,
   type GatewayAddresses,
   GatewayLog,
@@ -167,6 +168,7 @@
       bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000 },
       retryBudget,
       logging: { maxLinesPerSecond: 10_000 },
+      decisions: ALL_LOAD_DECISIONS,
     };
     const logger = {
       write: (event: LogEvent, fields: LogFields = {}) =>
