Say that a change is applied only when the machine list has named this daemon for a while

While it named nobody, not even the daemon itself, a change was answered 'applied' with one daemon in force, and the others served the old configuration. Change: 'applied' waits until the list has named this daemon for 2.5 s: by then those that started with it are listed and have found it. The configuration model's daemons have known each other all along, and say so.

--- a/src/core/configuration/change-confirmation.ts
+++ b/src/core/configuration/change-confirmation.ts
@@ -1,4 +1,5 @@
 /** Waiting until a recorded change is in force on every daemon that may still be running. */
+import { mayLackDaemons } from '../membership/index.js';
 import { datagram } from '../peer/index.js';
 import { answerChange, notInForceEverywhere, putChange } from './change-answers.js';
 import { confirmationOf } from './confirmation.js';
@@ -32,7 +33,9 @@
   const { version } = phase;
   const own = inForceVersion(step);
   const { inForce, waitingFor } = confirmationOf(step.membership, own, version);
-  if (waitingFor.length === 0 && own >= version) {
+  // One that does not know the others yet would count itself alone.
+  const knowsAll = !mayLackDaemons(step.membership, step.now);
+  if (knowsAll && waitingFor.length === 0 && own >= version) {
     answerChange(step, progress, { kind: 'applied', id, version, inForce });
     return;
   }
--- a/src/core/membership/index.ts
+++ b/src/core/membership/index.ts
@@ -10,6 +10,7 @@
   isGone,
   isOneGroup,
   knowsLife,
+  mayLackDaemons,
   unreachableZones,
   type WatcherCandidate,
   watcherOf,
--- a/src/core/membership/queries.ts
+++ b/src/core/membership/queries.ts
@@ -1,9 +1,10 @@
 /** Questions that other parts put to the membership table. */
 import type { BackendName, DaemonName, Incarnation, ZoneName } from '../common/identifiers.js';
+import type { MonotonicMs } from '../common/time.js';
 import { hash32 } from '../peer/index.js';
 import type { Endpoint } from '../registry/backend.js';
 import { isPresent, type Member } from './member.js';
-import { JOIN_SETTLE_MS, ONE_ZONE_LIMIT, ZONE_TIMEOUT_MS } from './settings.js';
+import { JOIN_SETTLE_MS, LIST_SETTLE_MS, ONE_ZONE_LIMIT, ZONE_TIMEOUT_MS } from './settings.js';
 import type { MembershipState } from './state.js';
 import { factsOf } from './table.js';
 
@@ -59,6 +60,11 @@
   return [...alive, ...unknown];
 }
 
+/** Whether the machine list may still lack daemons that started when this one did. */
+export function mayLackDaemons(state: MembershipState, now: MonotonicMs): boolean {
+  return state.ownListingAt === null || now - state.ownListingAt < LIST_SETTLE_MS;
+}
+
 /** Whether that life of the daemon, or a later one, has been heard of. */
 export function knowsLife(
   state: MembershipState,
--- a/src/core/membership/settings.ts
+++ b/src/core/membership/settings.ts
@@ -45,5 +45,10 @@
 export const BULK_TABLE_UPDATES = 32;
 /** A planned leave is told to this many others at once. */
 export const LEAVE_FANOUT = 16;
+/**
+ * After the machine list has first named a daemon, others that started with it may still be missing there: they are
+ * listed, and have found it, by the second reading and the first contact after that.
+ */
+export const LIST_SETTLE_MS: Milliseconds = 2_500;
 /** How long after its start a daemon leaves duties to listed daemons that it does not know yet. */
 export const JOIN_SETTLE_MS: Milliseconds = 10_000;
--- a/src/core/membership/state.ts
+++ b/src/core/membership/state.ts
@@ -54,6 +54,8 @@
   readonly members: ReadonlyMap<DaemonName, Member>;
   /** The machine list's daemons, this one excepted. */
   readonly listed: readonly DaemonMachine[];
+  /** When the machine list first named this daemon; null before. */
+  readonly ownListingAt: MonotonicMs | null;
   readonly seeds: readonly Endpoint[];
   readonly zones: ReadonlyMap<ZoneName, ZoneView>;
   readonly suspicions: ReadonlyMap<DaemonName, Suspicion>;
@@ -165,6 +167,7 @@
     self,
     members: new Map([[self.name, own]]),
     listed: [],
+    ownListingAt: null,
     seeds,
     zones: new Map(),
     suspicions: new Map(),
--- a/src/core/membership/step.ts
+++ b/src/core/membership/step.ts
@@ -61,7 +61,7 @@
       receive(step, event);
       break;
     case 'daemons-listed':
-      step.change({ listed: event.daemons.filter((daemon) => daemon.name !== state.self.name) });
+      takeList(step, event.daemons);
       break;
     case 'leave':
       leave(step);
@@ -76,6 +76,13 @@
   return step.finish();
 }
 
+function takeList(step: MembershipStep, daemons: readonly DaemonMachine[]): void {
+  const { self, ownListingAt } = step.state;
+  const listed = daemons.filter((daemon) => daemon.name !== self.name);
+  const namesSelf = listed.length < daemons.length;
+  step.change({ listed, ownListingAt: ownListingAt ?? (namesSelf ? step.now : null) });
+}
+
 /** A life that has not been heard from is suspected: it contradicts, or is given up in time. */
 function suspectUnknownLife(
   step: MembershipStep,
--- a/src/lab/model/configuration/world.ts
+++ b/src/lab/model/configuration/world.ts
@@ -83,6 +83,9 @@
   readonly answers: readonly string[];
 }
 
+/** Before the model begins, by more than a daemon waits for others to be listed. */
+const LISTED_LONG_AGO = -3_600_000;
+
 /** The daemons' names, by index. */
 export const DAEMON_NAMES = ['a', 'b'] as const;
 /** The daemon that may restart. */
@@ -114,7 +117,9 @@
   otherIncarnation: number,
 ): ConfigurationDaemon {
   const { name, zone, endpoint } = memberOf(index, incarnation);
-  const membership = createMembership({ name, zone, endpoint, incarnation });
+  const created = createMembership({ name, zone, endpoint, incarnation });
+  // It has been listed for long, so the machine list lacks nobody.
+  const membership = { ...created, ownListingAt: LISTED_LONG_AGO };
   return {
     incarnation,
     now: 0,
--- a/test/faults/support/fleet-definition.ts
+++ b/test/faults/support/fleet-definition.ts
@@ -23,6 +23,8 @@
   readonly daemons: readonly string[];
   /** Divides the time of engine steps. */
   readonly speedFactor?: number;
+  /** How far the machine list is behind. */
+  readonly machineLagMs?: number;
 }
 
 /** The fleet that most fault tests need: one pool, a service for orders, a daemon more than one may lose. */
@@ -56,7 +58,7 @@
       zones: [...ZONES],
       platform: {
         tableRate: TABLE_CALLS_PER_SECOND,
-        machineLagMs: MACHINE_LAG_MS,
+        machineLagMs: shape.machineLagMs ?? MACHINE_LAG_MS,
         weights: [`${MODEL}@${FIRST_VERSION}`, `${MODEL}@${SECOND_VERSION}`],
       },
       engineDefaults: {
