--- a/src/core/gateway/crash-records.ts
+++ b/src/core/gateway/crash-records.ts
@@ -23,8 +23,9 @@
 /** Records that are not quarantined are told again for so long, so that lost datagrams cost nothing. */
 const TOLD_AGAIN_MS = 30_000;
 
-/** A server that ended while a request ran there. */
+/** A life of a server that ended while a request ran there. */
 export interface Crash {
+  /** The life, as `lifeOf` names it: a server that starts again may end again. */
   readonly serverId: string;
   /** Since the server ended. */
   readonly ageMs: number;
@@ -96,10 +97,14 @@
     return entry === undefined ? undefined : recordOf(fingerprint, entry, nowMs);
   }
 
-  /** A server ended just now under a request that had been there so long. */
-  noteCrash(fingerprint: string, crash: Omit<Crash, 'ageMs'>, nowMs: number): CrashRecordChange {
+  /** A server ended under a request that had been there so long; just now where no age is given. */
+  noteCrash(
+    fingerprint: string,
+    { ageMs = 0, ...crash }: Omit<Crash, 'ageMs'> & Partial<Pick<Crash, 'ageMs'>>,
+    nowMs: number,
+  ): CrashRecordChange {
     const clearings = this.#entries.get(fingerprint)?.clearings ?? 0;
-    const crashes = [{ ...crash, ageMs: 0 }];
+    const crashes = [{ ...crash, ageMs }];
     return this.take({ ...NEW_RECORD, fingerprint, crashes, clearings }, nowMs);
   }
 
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -75,6 +75,9 @@
 export {
   type DirectoryChange,
   type EngineStage,
+  lifeOf,
+  type PassedOverReason,
+  type PassedOverRow,
   ServerDirectory,
   type ServerRecord,
   type ServerState,
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -79,7 +79,7 @@
 interface ReceivedReport {
   readonly report: LoadReport;
   readonly atMs: number;
-  readonly byEngine: ReadonlyMap<string, EngineWork>;
+  readonly byEngine: Map<string, EngineWork>;
 }
 
 /** What is known of the work of other daemons. */
@@ -113,6 +113,14 @@
     this.#reportIndex = undefined;
   }
 
+  /** A server has started again: what was told of its work is over. */
+  forget(engineId: string): void {
+    this.#sums?.byEngine.delete(engineId);
+    for (const { byEngine } of this.#zoneSums.values()) byEngine.delete(engineId);
+    for (const { byEngine } of this.#byDaemon.values()) byEngine.delete(engineId);
+    this.#reportIndex = undefined;
+  }
+
   /** How long a new prompt waits for those of other daemons. */
   waitMs(engineId: string, urgency: Urgency, nowMs: number): number {
     let totalMs = 0;
--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -1,6 +1,6 @@
 /**
- * The servers there are, by their identity. A server's identity is its boot: another start, and
- * another server at a reused address, is another entry with nothing carried over.
+ * The servers there are, by their identity. A server that starts again under its id is another life of it: what was
+ * believed of the one before says nothing of this one. A row of a life that is known to be over changes nothing.
  */
 
 /** Which part of a model request an engine does. */
@@ -22,6 +22,21 @@
   readonly isSpot: boolean;
   /** Undefined for plain web servers. */
   readonly stage: EngineStage | undefined;
+  /** Unix milliseconds of its start, which tell its lives apart; undefined where its row does not say. */
+  readonly bornMs?: number | undefined;
+}
+
+/** Why a row was not taken. */
+export type PassedOverReason =
+  /** A later life of the same server is known. */
+  | 'older-life'
+  /** It does not say when it started, though this server did before: another writer's. It names no server to use. */
+  | 'no-start';
+
+/** A row that was not taken. */
+export interface PassedOverRow {
+  readonly record: ServerRecord;
+  readonly reason: PassedOverReason;
 }
 
 /** What changed in the directory. */
@@ -29,11 +44,21 @@
   readonly added: readonly ServerRecord[];
   readonly removed: readonly ServerRecord[];
   readonly changed: readonly ServerRecord[];
+  /** Started again under the id that they had; these are the new lives. */
+  readonly renewed: readonly ServerRecord[];
+  readonly passedOver: readonly PassedOverRow[];
 }
 
+/** How a row relates to what is known under its id. */
+type RowMeaning = 'new' | 'same-life' | 'new-life' | PassedOverReason;
+
 /** The listed servers, by service. */
 export class ServerDirectory {
   readonly #byId = new Map<string, ServerRecord>();
+  /** The life before the present one, as it was last listed. */
+  readonly #before = new Map<string, ServerRecord>();
+  /** Ids that are not listed, as their row says no more when they started. */
+  readonly #startless = new Set<string>();
 
   get size(): number {
     return this.#byId.size;
@@ -56,30 +81,103 @@
     return ready;
   }
 
-  /** Takes the whole list: what it lacks is gone. */
-  replaceAll(records: readonly ServerRecord[]): DirectoryChange {
+  /** Whether another life of this server is listed now: the one that is asked about has ended. */
+  isOver(server: ServerRecord): boolean {
+    const listed = this.#byId.get(server.id);
+    return listed !== undefined && !isSameLife(listed, server);
+  }
+
+  /** Whether a life of a server took new work when it was last listed, also if another one has followed since. */
+  wasReady(server: ServerRecord): boolean {
+    const lives = [this.#byId.get(server.id), this.#before.get(server.id)];
+    return lives.find((life) => life !== undefined && isSameLife(life, server))?.state === 'ready';
+  }
+
+  /**
+   * Takes the whole list: what it lacks is gone.
+   * @param latestStartMs a start after this Unix time is not believed: it makes no other life an older one
+   */
+  replaceAll(records: readonly ServerRecord[], latestStartMs?: number): DirectoryChange {
     const listed = new Set(records.map((record) => record.id));
-    const removed = [...this.#byId.keys()].filter((id) => !listed.has(id));
-    return this.apply(records, removed);
+    const known = [...this.#byId.keys(), ...this.#startless];
+    const removed = known.filter((id) => !listed.has(id));
+    return this.apply(records, removed, latestStartMs);
   }
 
-  /** Takes single changes. */
-  apply(records: readonly ServerRecord[], removedIds: readonly string[]): DirectoryChange {
+  /** Takes single changes; the arguments as for the whole list. */
+  apply(
+    records: readonly ServerRecord[],
+    removedIds: readonly string[],
+    latestStartMs = Number.POSITIVE_INFINITY,
+  ): DirectoryChange {
     const added: ServerRecord[] = [];
     const changed: ServerRecord[] = [];
     const removed: ServerRecord[] = [];
+    const renewed: ServerRecord[] = [];
+    const passedOver: PassedOverRow[] = [];
     for (const record of records) {
       const known = this.#byId.get(record.id);
-      this.#byId.set(record.id, record);
-      if (known === undefined) added.push(record);
-      else if (known.state !== record.state || known.stage !== record.stage) changed.push(record);
-    }
-    for (const id of removedIds) {
-      const known = this.#byId.get(id);
-      if (known === undefined) continue;
-      this.#byId.delete(id);
-      removed.push(known);
+      const wasStartless = this.#startless.has(record.id) && record.bornMs === undefined;
+      const meaning = wasStartless ? 'no-start' : meaningOf(known, record, latestStartMs);
+      switch (meaning) {
+        case 'new':
+          this.#byId.set(record.id, record);
+          this.#startless.delete(record.id);
+          added.push(record);
+          break;
+        case 'same-life':
+          this.#byId.set(record.id, record);
+          if (known?.state !== record.state || known.stage !== record.stage) changed.push(record);
+          break;
+        case 'new-life':
+          if (known !== undefined) this.#before.set(record.id, known);
+          this.#byId.set(record.id, record);
+          renewed.push(record);
+          break;
+        case 'older-life':
+          passedOver.push({ record, reason: meaning });
+          break;
+        case 'no-start':
+          passedOver.push({ record, reason: meaning });
+          removed.push(...this.#remove(record.id));
+          this.#startless.add(record.id);
+          break;
+      }
     }
-    return { added, removed, changed };
+    for (const id of removedIds) removed.push(...this.#remove(id));
+    return { added, removed, changed, renewed, passedOver };
   }
+
+  #remove(id: string): readonly ServerRecord[] {
+    const known = this.#byId.get(id);
+    this.#byId.delete(id);
+    this.#before.delete(id);
+    this.#startless.delete(id);
+    return known === undefined ? [] : [known];
+  }
+}
+
+/** A text of its own for each life of a server, the same at every daemon. */
+export function lifeOf({ id, bornMs }: ServerRecord): string {
+  return bornMs === undefined ? id : `${id}@${bornMs}`;
+}
+
+/** Another service or address is another server, also where no start is told. */
+function isSameLife(one: ServerRecord, other: ServerRecord): boolean {
+  return (
+    one.bornMs === other.bornMs && one.address === other.address && one.service === other.service
+  );
+}
+
+function meaningOf(
+  known: ServerRecord | undefined,
+  record: ServerRecord,
+  latestStartMs: number,
+): RowMeaning {
+  if (known === undefined) return 'new';
+  if (isSameLife(known, record)) return 'same-life';
+  if (known.bornMs === undefined) return 'new-life';
+  if (record.bornMs === undefined) return 'no-start';
+  const isOlder = record.bornMs < known.bornMs && known.bornMs <= latestStartMs;
+  return isOlder ? 'older-life' : 'new-life';
 }
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -77,8 +77,21 @@
   serverMalformed: {
     number: 6016,
     level: 'error',
-    message: 'a server row cannot be read; it is passed over',
-    remedy: 'Correct the server that writes the row.',
+    message: 'a server row cannot be read; it names no server to use, also where it did before',
+    remedy: 'Correct the server that writes the row, or find out who else writes there.',
+  },
+  serverRenewed: {
+    number: 6097,
+    level: 'info',
+    message: 'a server has started again under its id; nothing is kept of its life before',
+    remedy: 'Nothing to do if it was meant to start again; otherwise find out why it ended.',
+  },
+  serverRowPassedOver: {
+    number: 6098,
+    level: 'warn',
+    message: 'a server row was not taken: it is of an older life, or does not say when it started',
+    remedy:
+      'Nothing to do for single older ones after a disturbance of the store; a row without a start is written by another program.',
   },
   serverDark: {
     number: 6017,
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -6,6 +6,7 @@
   EngineTraits,
   ReachNotice,
   ReadNotice,
+  ServerHealth,
   ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
@@ -158,7 +159,9 @@
   const elapsedMs = () => timers.nowMs() - startedAtMs;
   const failed = (failure: FailedCall): FailedCall => {
     health.close(open);
-    if (!options.signal.aborted) noteFailure(exchange, context, options, failure, elapsedMs());
+    if (!options.signal.aborted) {
+      noteFailure(exchange, context, options, { failure, health, elapsedMs: elapsedMs() });
+    }
     return failure;
   };
   if (result.kind !== 'answered') return failed(result);
@@ -236,19 +239,27 @@
   };
 }
 
+/** A call that came to nothing. */
+interface NotedFailure {
+  readonly failure: FailedCall;
+  /** Of the life that it was sent to; the server may have started again since. */
+  readonly health: ServerHealth;
+  readonly elapsedMs: number;
+}
+
 function noteFailure(
   exchange: Exchange,
   context: AttemptContext,
   options: AttemptOptions,
-  failure: FailedCall,
-  elapsedMs: number,
+  { failure, health, elapsedMs }: NotedFailure,
 ): void {
   const { log, metrics, description, timers } = exchange.options;
-  const health = context.fleet.healthOf(options.server.id);
   if (failure.kind === 'not-executed') health.recordTurnedAway(timers.nowMs());
   else if (failure.kind === 'not-sent' && failure.wasSilent) {
     health.recordSilent(timers.nowMs());
-    context.noteReach({ serverId: options.server.id, isReachable: false });
+    if (!context.fleet.directory.isOver(options.server)) {
+      context.noteReach({ serverId: options.server.id, isReachable: false });
+    }
   } else health.recordBroken(timers.nowMs());
   if (failure.kind === 'broken') {
     context.crashes.noteBroken(exchange, options.server, elapsedMs);
--- a/src/shell/gateway/cache-news-watcher.ts
+++ b/src/shell/gateway/cache-news-watcher.ts
@@ -63,6 +63,15 @@
     if (this.#cancelLook === undefined) this.#lookAgain();
   }
 
+  /** An engine has started again: its cache is empty, and its news begin anew. */
+  renew(engine: ServerRecord): void {
+    this.remove(engine.id);
+    if (engine.stage === undefined) return;
+    this.#engines.set(engine.id, engine);
+    if (this.#context.duty.isWatcher(engine)) this.#begin(engine, true);
+    if (this.#cancelLook === undefined) this.#lookAgain();
+  }
+
   remove(engineId: string): void {
     this.#engines.delete(engineId);
     this.#end(engineId);
@@ -86,13 +95,13 @@
     const isWatched = this.#watches.has(engine.id);
     if (this.#context.duty.isWatcher(engine) === isWatched) return;
     if (isWatched) this.#end(engine.id);
-    else this.#begin(engine);
+    else this.#begin(engine, false);
   }
 
-  #begin(engine: ServerRecord): void {
+  #begin(engine: ServerRecord, isNewLife: boolean): void {
     const ended = new AbortController();
     this.#watches.set(engine.id, ended);
-    void new CacheNewsWatch(this.#context, engine, ended.signal).run();
+    void new CacheNewsWatch(this.#context, engine, isNewLife, ended.signal).run();
   }
 
   #end(engineId: string): void {
@@ -109,10 +118,18 @@
   #next = 0;
   #epoch: string | undefined;
   #failuresInARow = 0;
-
-  constructor(context: CacheNewsContext, engine: ServerRecord, stopped: AbortSignal) {
+  /** Whether others may still hold news of the life before. */
+  #isNewLife: boolean;
+
+  constructor(
+    context: CacheNewsContext,
+    engine: ServerRecord,
+    isNewLife: boolean,
+    stopped: AbortSignal,
+  ) {
     this.#context = context;
     this.#engine = engine;
+    this.#isNewLife = isNewLife;
     this.#stopped = stopped;
   }
 
@@ -164,7 +181,8 @@
     const { knowledge } = this.#context.fleet;
     this.#noteSuccess();
     const isOtherEpoch = this.#epoch !== undefined && this.#epoch !== news.epoch;
-    const isReset = isOtherEpoch || news.hasGap;
+    const isReset = isOtherEpoch || news.hasGap || this.#isNewLife;
+    this.#isNewLife = false;
     const engineId = this.#engine.id;
     const events = news.events.filter(
       ({ partId, tokens }) =>
--- a/src/shell/gateway/crash-guard.ts
+++ b/src/shell/gateway/crash-guard.ts
@@ -7,6 +7,7 @@
   type CrashRecord,
   type CrashRecordChange,
   CrashRecords,
+  lifeOf,
   type PeerRoster,
   RECORD_KEPT_MS,
   type ServerRecord,
@@ -15,6 +16,7 @@
 import { CrashGossip } from './crash-gossip.js';
 import { CrashStoreDuty } from './crash-store-duty.js';
 import { CrashTable, type CrashTableContent } from './crash-table.js';
+import { OpenBreaks } from './open-breaks.js';
 import type { PeerExchange } from './peer-exchange.js';
 import type { TableService } from './ports.js';
 import { type GuardedExchange, RequestFingerprints } from './request-fingerprint.js';
@@ -43,8 +45,8 @@
 export interface CrashGuardOptions {
   readonly table: TableService;
   readonly endCheck: Pick<ServerEndCheck, 'hasEnded'>;
-  /** Whether a server takes new work; one that is about to end by plan does not. */
-  readonly isReady: (serverId: string) => boolean;
+  /** Whether a life of a server took new work when it was last listed; one that is about to end by plan does not. */
+  readonly isReady: (server: ServerRecord) => boolean;
   readonly roster: Pick<PeerRoster, 'everyone' | 'placeFor' | 'hasList'>;
   /** Absent where this daemon tells no others. */
   readonly peers: () => Pick<PeerExchange, 'tell'> | undefined;
@@ -67,6 +69,7 @@
   readonly #stopped = new AbortController();
   readonly #checks = new WeakMap<GuardedExchange, Promise<unknown>>();
   readonly #startedMs: number;
+  readonly #openBreaks: OpenBreaks;
   /** Changes since the last telling, by fingerprint. */
   readonly #news = new Set<string>();
   #hasRead = false;
@@ -74,6 +77,7 @@
   constructor(options: CrashGuardOptions) {
     this.#options = options;
     this.#table = new CrashTable(options);
+    this.#openBreaks = new OpenBreaks(options.timers);
     this.#gossip = new CrashGossip({ ...options, records: this.#records });
     this.#duty = new CrashStoreDuty({
       ...options,
@@ -135,11 +139,21 @@
   /** A run or a reading of a request broke, so long after it was sent to a server. */
   noteBroken(exchange: GuardedExchange, server: ServerRecord, ranMs: number): void {
     const before = this.#checks.get(exchange);
-    const wasReady = this.#options.isReady(server.id);
+    const wasReady = this.#options.isReady(server);
     const check = this.#check(exchange, { server, wasReady, ranMs });
     this.#checks.set(exchange, Promise.all([before, check]));
   }
 
+  /** A server is listed with a start: runs that broke a moment ago in a life before were ended by that life's end. */
+  noteStarted(server: ServerRecord): void {
+    const nowMs = this.#options.timers.nowMs();
+    for (const { server: ended, fingerprint, ranMs, atMs } of this.#openBreaks.takeBefore(server)) {
+      const crash = { serverId: lifeOf(ended), ranMs, ageMs: nowMs - atMs };
+      const change = this.#records.noteCrash(fingerprint, crash, nowMs);
+      this.#noteChange(fingerprint, change, 'own');
+    }
+  }
+
   /** Resolves once all that broke under a request has been looked into. */
   async settled(exchange: GuardedExchange): Promise<void> {
     await this.#checks.get(exchange);
@@ -170,15 +184,19 @@
     const startedMs = timers.nowMs();
     const hasEnded = await endCheck.hasEnded(server);
     const fingerprint = this.#fingerprints.of(exchange) ?? '';
-    const isCounted = hasEnded && wasReady && fingerprint !== '';
+    const isTold = wasReady && fingerprint !== '';
+    const isCounted = hasEnded && isTold;
     const nowMs = timers.nowMs();
     const change = isCounted
-      ? this.#records.noteCrash(fingerprint, { serverId: server.id, ranMs }, nowMs)
+      ? this.#records.noteCrash(fingerprint, { serverId: lifeOf(server), ranMs }, nowMs)
       : 'none';
+    if (isTold && !hasEnded) {
+      this.#openBreaks.add({ server, fingerprint, ranMs, atMs: startedMs });
+    }
     log.write(GATEWAY_EVENTS.brokenRunChecked, {
       request: exchange.options.description.attemptId,
       fingerprint,
-      server: server.id,
+      server: lifeOf(server),
       hasEnded,
       isCounted,
       crashes: this.#records.get(fingerprint, nowMs)?.crashes.length ?? 0,
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -4,6 +4,7 @@
  */
 import type {
   CallerLimits,
+  DirectoryChange,
   GatewayConfiguration,
   ServerRecord,
   TableDigest,
@@ -16,7 +17,8 @@
 import type { RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
 import { type TableChanges, TableWatcher } from './table-watcher.js';
-import type { TimerService } from './timer-service.js';
+import type { TimerService, WallClock } from './timer-service.js';
+import { UnreadableRows } from './unreadable-rows.js';
 
 /**
  * Many servers change together, when a fleet starts or is replaced. Each daemon asks once for those
@@ -27,10 +29,17 @@
 /** Versions that come in quick succession: much less than the time until one has to be in force. */
 const GATHER_CONFIGURATIONS_MS = 200;
 
+/** A start later than this is not believed; clocks of one fleet differ by less. */
+const MOST_AHEAD_MS = 60_000;
+
 /** A watch, whatever its table holds. */
 type Watch = Pick<TableWatcher<never>, 'run' | 'stop' | 'callsTotal' | 'lastAnswerMs' | 'progress'>;
 
-type ServerEvent = (typeof GATEWAY_EVENTS)['serverAdded' | 'serverChanged' | 'serverRemoved'];
+type ServerEvent = (typeof GATEWAY_EVENTS)[
+  | 'serverAdded'
+  | 'serverChanged'
+  | 'serverRemoved'
+  | 'serverRenewed'];
 
 /** What a follower is built from. */
 export interface FleetFollowerOptions {
@@ -49,7 +58,10 @@
   readonly passOnConfiguration: (changes: TableChanges<GatewayConfiguration>) => void;
   /** The digest of the zone's relay on the tables. */
   readonly digest: RelayDigest;
+  /** A server is listed, or has started again. */
+  readonly noteStarted: (server: ServerRecord) => void;
   readonly timers: TimerService;
+  readonly wallClock: WallClock;
   readonly log: GatewayLog;
   readonly applyLimits: (limits: CallerLimits) => void;
 }
@@ -60,6 +72,9 @@
   readonly #watches: readonly Watch[];
   readonly #configurations: TableWatcher<GatewayConfiguration>;
   readonly #servers: TableWatcher<ServerRecord>;
+  readonly #unreadable = new UnreadableRows();
+  /** Whether the last rows of servers held one that was not taken. */
+  #hasPassedOver = false;
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
@@ -81,7 +96,10 @@
       consumer: {
         takeAll: (rows) => this.#takeServers(rows, true),
         takeChanges: (rows) => this.#takeServers(rows, false),
-        passOn: (changes) => options.passOnServers(changes),
+        // Rows that mean something only beside what is known here are looked up by each daemon itself.
+        passOn: (changes) => {
+          if (!this.#hasPassedOver) options.passOnServers(changes);
+        },
       },
       ...shared,
       gatherMs: GATHER_SERVERS_MS,
@@ -97,6 +115,11 @@
     return this.#watches.reduce((sum, watch) => sum + watch.callsTotal, 0);
   }
 
+  /** Rows of servers that cannot be read now. */
+  get unreadableServers(): number {
+    return this.#unreadable.count;
+  }
+
   start(): void {
     for (const watch of this.#watches) void watch.run();
   }
@@ -112,8 +135,15 @@
   }
 
   /** Changes of servers that a relay had from the store. */
-  takeServerChanges(changes: TableChanges<ServerRecord>): void {
-    this.#servers.offer(changes);
+  takeServerChanges({ rows, ...span }: TableChanges<ServerRecord>): void {
+    this.#servers.offer({ ...span, rows: rows.map((row) => this.#withStart(row)) });
+  }
+
+  /** Relays of an earlier version pass no starts on: what they leave out is as it was. */
+  #withStart(row: WatchedRow<ServerRecord>): WatchedRow<ServerRecord> {
+    if (row.kind !== 'value' || row.value.bornMs !== undefined) return row;
+    const { address, bornMs } = this.#options.fleet.directory.get(row.key) ?? {};
+    return address === row.value.address ? { ...row, value: { ...row.value, bornMs } } : row;
   }
 
   /** A change of the configuration that a relay had from the store. */
@@ -180,31 +210,52 @@
 
   /** @returns whether the list is another one now */
   #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): boolean {
-    const { log, fleet, cacheNews } = this.#options;
+    const { fleet, wallClock } = this.#options;
     const records: ServerRecord[] = [];
     const goneIds: string[] = [];
+    if (isWhole) this.#unreadable.retain(new Set(rows.map(({ key }) => key)));
     for (const row of rows) {
-      switch (row.kind) {
-        case 'value':
-          records.push(row.value);
-          break;
-        case 'gone':
-          goneIds.push(row.key);
-          break;
-        case 'malformed':
-          log.write(GATEWAY_EVENTS.serverMalformed, { server: row.key, problem: row.problem });
-          break;
-      }
+      if (row.kind === 'malformed') this.#noteUnreadable(row.key, row.problem);
+      else this.#unreadable.remove(row.key);
+      // A row that cannot be read names no server, whatever it held before.
+      if (row.kind === 'value') records.push(row.value);
+      else goneIds.push(row.key);
     }
     const { directory } = fleet;
-    const change = isWhole ? directory.replaceAll(records) : directory.apply(records, goneIds);
-    fleet.forgetRemoved(change);
-    for (const server of change.removed) cacheNews.remove(server.id);
-    for (const server of change.added) cacheNews.add(server);
-    for (const server of change.added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
-    for (const server of change.changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
-    for (const server of change.removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
-    return change.added.length + change.changed.length + change.removed.length > 0;
+    const latestStartMs = wallClock() + MOST_AHEAD_MS;
+    const change = isWhole
+      ? directory.replaceAll(records, latestStartMs)
+      : directory.apply(records, goneIds, latestStartMs);
+    this.#hasPassedOver = change.passedOver.length > 0;
+    this.#carryOut(change);
+    const { added, changed, removed, renewed } = change;
+    return added.length + changed.length + removed.length + renewed.length > 0;
+  }
+
+  #carryOut(change: DirectoryChange): void {
+    const { fleet, cacheNews, noteStarted, log } = this.#options;
+    const { added, changed, removed, renewed } = change;
+    fleet.forgetEnded(change);
+    for (const server of removed) cacheNews.remove(server.id);
+    for (const server of added) cacheNews.add(server);
+    for (const server of renewed) cacheNews.renew(server);
+    for (const server of [...added, ...renewed]) noteStarted(server);
+    for (const server of added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
+    for (const server of changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
+    for (const server of removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
+    for (const server of renewed) this.#logServer(GATEWAY_EVENTS.serverRenewed, server);
+    for (const { record, reason } of change.passedOver) {
+      const listedBornMs = fleet.directory.get(record.id)?.bornMs ?? '';
+      const fields = { server: record.id, reason, bornMs: record.bornMs ?? '', listedBornMs };
+      log.write(GATEWAY_EVENTS.serverRowPassedOver, fields);
+    }
+  }
+
+  /** One line for each new problem: a row is read again with each whole reading. */
+  #noteUnreadable(server: string, problem: string): void {
+    if (!this.#unreadable.add(server, problem)) return;
+    const unreadable = this.#unreadable.count;
+    this.#options.log.write(GATEWAY_EVENTS.serverMalformed, { server, problem, unreadable });
   }
 
   #logServer(event: ServerEvent, server: ServerRecord): void {
@@ -215,6 +266,7 @@
       zone: server.zone,
       state: server.state,
       stage: server.stage ?? '',
+      bornMs: server.bornMs ?? '',
     });
   }
 }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -94,13 +94,14 @@
     return 'taken';
   }
 
-  /** Forgets what was known of servers that are gone. */
-  forgetRemoved(change: DirectoryChange): void {
-    for (const server of change.removed) {
-      this.#health.delete(server.id);
-      this.#loads.delete(server.id);
-      this.stageNotices.forget(server.id);
-      this.knowledge.forget(server.id);
+  /** Forgets what was known of servers that are gone, and of lives that are over. */
+  forgetEnded({ removed, renewed }: Pick<DirectoryChange, 'removed' | 'renewed'>): void {
+    for (const { id } of [...removed, ...renewed]) {
+      this.#health.delete(id);
+      this.#loads.delete(id);
+      this.stageNotices.forget(id);
+      this.knowledge.forget(id);
+      this.peerLoads.forget(id);
     }
   }
 
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -11,7 +11,7 @@
 /** What gauges read. */
 export interface GaugeSources {
   readonly fleet: FleetView;
-  readonly follower: Pick<FleetFollower, 'callsTotal' | 'silentMs'>;
+  readonly follower: Pick<FleetFollower, 'callsTotal' | 'silentMs' | 'unreadableServers'>;
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
@@ -46,6 +46,11 @@
       help: 'Age of the last answer',
       read: () => follower.silentMs(),
     },
+    {
+      name: 'server_rows_unreadable',
+      help: 'Rows of the list of servers that cannot be read; they name no server to use',
+      read: () => follower.unreadableServers,
+    },
     {
       name: 'peers',
       help: 'Daemons heard of lately',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -153,7 +153,9 @@
       digest: this.#digest,
       passOnConfiguration: (changes) => this.#peers?.passOnConfiguration(changes),
       passOnServers: (changes) => this.#peers?.passOnServers(changes),
+      noteStarted: (server) => this.#crashes.noteStarted(server),
       timers: this.#suspensionAware,
+      wallClock,
       log,
       applyLimits: (limits) => this.#callers.applyLimits(limits),
     });
@@ -266,8 +268,12 @@
     const { settings, adapter, timers, wallClock, log } = this.#options;
     return new CrashGuard({
       table: adapter.table,
-      endCheck: new ServerEndCheck(this.#connections, timers),
-      isReady: (serverId) => this.#fleet.directory.get(serverId)?.state === 'ready',
+      endCheck: new ServerEndCheck({
+        connections: this.#connections,
+        isOver: (server) => this.#fleet.directory.isOver(server),
+        timers,
+      }),
+      isReady: (server) => this.#fleet.directory.wasReady(server),
       roster: this.#roster,
       peers: () => this.#peers,
       firstTurn: incarnation,
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -94,7 +94,10 @@
   z.number(),
   z.number(),
 ]);
-/** Id, service, address, zone, slots, state, stage or nothing, whether it is a spot server. */
+/**
+ * Id, service, address, zone, slots, state, stage or nothing, whether it is a spot server; when it started, which
+ * is left out where that is not known, and by daemons that do not tell it.
+ */
 const serverSchema = z.tuple([
   z.string(),
   z.string(),
@@ -104,6 +107,7 @@
   z.enum(['ready', 'draining']),
   z.enum(['prefill', 'decode', '']),
   z.boolean(),
+  z.optional(z.number()),
 ]);
 export const serversSchema = z.tuple([
   z.literal(KINDS.servers),
@@ -155,8 +159,9 @@
 
 export function encodeServer(row: WatchedRow<ServerRecord>): unknown[] {
   if (row.kind !== 'value') return [];
-  const { id, service, address, zone, slots, state, stage, isSpot } = row.value;
-  return [[id, service, address, zone, slots, state, stage ?? '', isSpot]];
+  const { id, service, address, zone, slots, state, stage, isSpot, bornMs } = row.value;
+  const start = bornMs === undefined ? [] : [bornMs];
+  return [[id, service, address, zone, slots, state, stage ?? '', isSpot, ...start]];
 }
 
 export function goneKey(row: WatchedRow<ServerRecord>): string[] {
@@ -164,8 +169,10 @@
 }
 
 export function decodeServer(fields: z.infer<typeof serverSchema>): WatchedRow<ServerRecord> {
-  const [id, service, address, zone, slots, state, stage, isSpot] = fields;
-  const value = { id, service, address, zone, slots, state, stage: stage || undefined, isSpot };
+  const [id, service, address, zone, slots, state, stage, isSpot, bornMs] = fields;
+  const head = { id, service, address, zone, slots, state };
+  const start = bornMs === undefined ? {} : { bornMs };
+  const value = { ...head, stage: stage || undefined, isSpot, ...start };
   return { kind: 'value', key: id, value };
 }
 
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -78,6 +78,8 @@
   readonly isBusy: boolean;
   /** Orders taken since its start. */
   readonly orderSequence: number;
+  /** Unix milliseconds of its start; undefined where it does not say. */
+  readonly bornMs?: number | undefined;
 }
 
 /** An order that gives an engine another stage. */
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -49,11 +49,13 @@
   });
   noteLoadChange();
   const nowMs = timers.nowMs();
-  if (memory === undefined) {
+  const isOver = fleet.directory.isOver(server);
+  // What a server has read is gone with its life.
+  if (memory === undefined || isOver) {
     load.abandon(read);
     noteWait(exchange, context, plan, nowMs - startedAtMs);
     const wasSilent = isGivenUp && !exchange.signal.aborted;
-    if (wasSilent) fleet.healthOf(server.id).recordBroken(nowMs);
+    if (wasSilent && !isOver) fleet.healthOf(server.id).recordBroken(nowMs);
     return undefined;
   }
   load.finish(read, nowMs);
--- a/src/shell/gateway/roster-news-duty.ts
+++ b/src/shell/gateway/roster-news-duty.ts
@@ -29,7 +29,10 @@
   }
 
   isWatcher(engine: ServerRecord): boolean {
-    const { roster, peers, timers } = this.#options;
+    const { roster, peers, timers, fleet } = this.#options;
+    // A service that is not configured is nobody's to use.
+    const services = fleet.inForce?.configuration.services;
+    if (services !== undefined && !services.has(engine.service)) return false;
     if (peers === undefined) return true;
     const nowMs = timers.nowMs();
     if (!roster.hasList) return nowMs - this.#startedMs > LIST_AWAITED_MS;
--- a/src/shell/gateway/server-end-check.ts
+++ b/src/shell/gateway/server-end-check.ts
@@ -1,8 +1,9 @@
 /**
  * Tells a server that has ended from one that broke an answer off: right after a run broke, one connection to it is
- * tried. A server that has ended refuses it; one that was reset, cut or spoilt an answer takes it, or says nothing.
+ * tried. A server that has ended refuses it; one that was reset, cut or spoilt an answer takes it, or says nothing. One
+ * that has started again takes it, too; its later life in the list shows that the one before has ended.
  */
-import type { ServerRecord } from '../../core/gateway/index.js';
+import { lifeOf, type ServerRecord } from '../../core/gateway/index.js';
 import type { BackendConnections } from './backend-connections.js';
 import type { TimerService } from './timer-service.js';
 
@@ -10,6 +11,14 @@
 const SHARED_MS = 1_000;
 const MOST_KNOWN = 256;
 
+/** What a check is built from. */
+export interface ServerEndCheckOptions {
+  readonly connections: Pick<BackendConnections, 'isRefused'>;
+  /** Whether a later life of a server is listed already. */
+  readonly isOver: (server: ServerRecord) => boolean;
+  readonly timers: TimerService;
+}
+
 interface KnownCheck {
   readonly atMs: number;
   readonly hasEnded: Promise<boolean>;
@@ -17,29 +26,37 @@
 
 /** Checks whether servers have ended. */
 export class ServerEndCheck {
-  readonly #connections: Pick<BackendConnections, 'isRefused'>;
-  readonly #timers: TimerService;
-  readonly #checks = new Map<ServerRecord['id'], KnownCheck>();
+  readonly #options: ServerEndCheckOptions;
+  /** By life: one that has begun meanwhile takes connections and says nothing of the one before. */
+  readonly #checks = new Map<string, KnownCheck>();
+
+  constructor(options: ServerEndCheckOptions) {
+    this.#options = options;
+  }
 
-  constructor(connections: Pick<BackendConnections, 'isRefused'>, timers: TimerService) {
-    this.#connections = connections;
-    this.#timers = timers;
+  /** Whether a life of a server is over, just after a run there broke: refused, or followed by another one. */
+  async hasEnded(server: ServerRecord): Promise<boolean> {
+    const { isOver } = this.#options;
+    if (isOver(server)) return true;
+    const isRefused = await this.#isRefused(server);
+    return isRefused || isOver(server);
   }
 
-  /** Whether a server refuses connections, just after a run there broke. */
-  hasEnded({ id, address }: ServerRecord): Promise<boolean> {
-    const nowMs = this.#timers.nowMs();
-    const known = this.#checks.get(id);
+  #isRefused(server: ServerRecord): Promise<boolean> {
+    const { connections, timers } = this.#options;
+    const nowMs = timers.nowMs();
+    const life = lifeOf(server);
+    const known = this.#checks.get(life);
     if (known !== undefined && nowMs - known.atMs < SHARED_MS) return known.hasEnded;
     this.#dropOld(nowMs);
-    const hasEnded = this.#connections.isRefused(address);
-    this.#checks.set(id, { atMs: nowMs, hasEnded });
+    const hasEnded = connections.isRefused(server.address);
+    this.#checks.set(life, { atMs: nowMs, hasEnded });
     return hasEnded;
   }
 
   #dropOld(nowMs: number): void {
-    for (const [id, { atMs }] of this.#checks) {
-      if (nowMs - atMs >= SHARED_MS || this.#checks.size >= MOST_KNOWN) this.#checks.delete(id);
+    for (const [life, { atMs }] of this.#checks) {
+      if (nowMs - atMs >= SHARED_MS || this.#checks.size >= MOST_KNOWN) this.#checks.delete(life);
     }
   }
 }
--- a/src/shell/gateway/stage-orders.ts
+++ b/src/shell/gateway/stage-orders.ts
@@ -68,8 +68,9 @@
     this.#tellStage({ engineId: engine.id, stage, phase: 'changing' });
     await delay(timers, emptyingMs);
     const report = await this.#readReport(engine);
-    // The engine is looked at first; by then the lease may have run out.
+    // The engine is looked at first; by then the lease may have run out, or another life of it have begun.
     if (report === undefined || report.isBusy || report.stage === stage) return;
+    if (this.#isOtherLife(engine, report)) return;
     if (this.#options.currentEpoch() !== epoch) return;
     const expectedSequence = report.orderSequence;
     log.write(GATEWAY_EVENTS.orderSent, {
@@ -97,8 +98,11 @@
     while (!this.#isStopped && timers.nowMs() - startedAtMs < mostMs) {
       this.#tellStage({ engineId: engine.id, stage, phase: 'changing' });
       await delay(timers, FOLLOW_GAP_MS);
-      if (fleet.directory.get(engine.id) === undefined) return;
+      const isGone = fleet.directory.get(engine.id) === undefined;
+      if (isGone || fleet.directory.isOver(engine)) return;
       const report = await this.#readReport(engine);
+      // An order is forgotten with the life that took it.
+      if (report !== undefined && this.#isOtherLife(engine, report)) return;
       if (report === undefined || report.isBusy || report.stage !== stage) continue;
       this.#tellStage({ engineId: engine.id, stage, phase: 'changed' });
       const elapsedMs = Math.round(timers.nowMs() - startedAtMs);
@@ -107,6 +111,12 @@
     }
   }
 
+  /** Whether a report is of another life than the one that was planned with; its order sequence began anew. */
+  #isOtherLife(engine: ServerRecord, { bornMs }: EngineReport): boolean {
+    if (this.#options.fleet.directory.isOver(engine)) return true;
+    return bornMs !== undefined && engine.bornMs !== undefined && bornMs !== engine.bornMs;
+  }
+
   #tellStage(notice: StageNotice): void {
     const { fleet, timers, tellStage } = this.#options;
     fleet.stageNotices.take(notice, timers.nowMs());
--- a/test/gateway/crash-spread.test.ts
+++ b/test/gateway/crash-spread.test.ts
@@ -27,6 +27,33 @@
   }
 }
 
+test('a server that ends again after it has started again has ended twice', async () => {
+  const fleet = await startFleet(3);
+  await fleet.crash(0, BODY, 'i-0', 1_000);
+  await fleet.crash(0, BODY, 'i-0', 1_000);
+  await fleet.advance(CONTACT_MS);
+  assert.equal(fleet.sendersOf(BODY).length, 3, 'one life ends once');
+  await fleet.crash(1, BODY, 'i-0', 2_000);
+  await fleet.advance(CONTACT_MS);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
+
+test('a server that starts again at once is counted when its next life is listed', async () => {
+  const fleet = await startFleet(1);
+  fleet.takesConnections = true;
+  for (const bornMs of [1_000, 2_000]) {
+    await fleet.crash(0, BODY, 'i-0', bornMs);
+    await fleet.advance(50);
+  }
+  assert.deepEqual(fleet.sendersOf(BODY), [0], 'nothing shows that it has ended');
+  fleet.guard(0).noteStarted({ ...fleet.serverOf('i-0', 3_000), id: 'i-1' });
+  assert.deepEqual(fleet.sendersOf(BODY), [0], 'another server started');
+  fleet.guard(0).noteStarted(fleet.serverOf('i-0', 3_000));
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
+
 for (const [daemons, lossRate] of [
   [9, 0],
   [9, 0.3],
--- /dev/null
+++ b/test/gateway/server-lives.test.ts
@@ -0,0 +1,429 @@
+/** Servers that start again under their id, and rows that name no server: through the adapter, the list and the beliefs. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { decodeServer } from '../../platform/configuration-codec.js';
+import { REQUEST_CODEC } from '../../platform/request-codec.js';
+import type { StoreClient, StoreRow } from '../../platform/store-client.js';
+import { storeTable } from '../../platform/store-tables.js';
+import { ServerDirectory, type ServerRecord } from '../../src/core/gateway/index.js';
+import { FleetFollower } from '../../src/shell/gateway/fleet-follower.js';
+import { FleetView } from '../../src/shell/gateway/fleet-view.js';
+import { OpenBreaks } from '../../src/shell/gateway/open-breaks.js';
+import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
+import type { PlatformAdapter, WatchAnswer, WatchedRow } from '../../src/shell/gateway/ports.js';
+import { RelayDigest } from '../../src/shell/gateway/relay-digest.js';
+import { ServerEndCheck } from '../../src/shell/gateway/server-end-check.js';
+import type { TableChanges } from '../../src/shell/gateway/table-watcher.js';
+import { ManualTimers } from './support/manual-timers.js';
+
+const BORN_MS = 1_800_000_000_000;
+const NOW_UNIX_MS = BORN_MS + 3_600_000;
+const OTHER = { service: 's', address: '10.0.0.9:80', zone: 'z', slots: 4, state: 'ready' };
+const ENTRY = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  slots: 4,
+  state: 'ready',
+  stage: 'decode',
+  sequence: 7,
+  born: BORN_MS,
+};
+
+function rowOf(key: string, value: unknown): StoreRow {
+  const bytes = typeof value === 'string' ? Buffer.from(value) : Buffer.from(JSON.stringify(value));
+  return { table: 'servers', privateKey: key, value: bytes.toString('base64') };
+}
+
+/** A follower of one list of servers whose rows a test gives. */
+class FollowedList {
+  readonly timers = new ManualTimers();
+  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly lines: Record<string, unknown>[] = [];
+  readonly renewedWatches: string[] = [];
+  readonly started: string[] = [];
+  readonly passedOn: number[] = [];
+  readonly #follower: FleetFollower;
+  readonly #digest = new RelayDigest(this.timers, 1_000);
+  #rows: readonly StoreRow[] = [];
+  #revision = 1;
+  #answerChanges: (() => void) | undefined;
+  #isHistoryLost = false;
+
+  constructor() {
+    const client = { get: (path: string) => this.#get(path) } as unknown as StoreClient;
+    const table = { client, table: 'servers', onlyKey: undefined };
+    const never = new Promise<WatchAnswer<never>>(() => undefined);
+    const configurations = {
+      name: 'op',
+      readAll: () => never,
+      changesAfter: () => never,
+      decode: (key: string) => ({ kind: 'gone', key }) as const,
+    };
+    const servers = storeTable({ ...table, decode: decodeServer });
+    const cacheNews = {
+      add: () => undefined,
+      remove: () => undefined,
+      renew: ({ id }: ServerRecord) => this.renewedWatches.push(id),
+    };
+    this.#follower = new FleetFollower({
+      adapter: { servers, configurations } as unknown as PlatformAdapter,
+      fleet: this.fleet,
+      cacheNews: cacheNews as never,
+      waitMs: () => 1_000,
+      longestRetryMs: () => 500,
+      recheckSpanMs: 0,
+      passOnServers: ({ rows }) => this.passedOn.push(rows.length),
+      passOnConfiguration: () => undefined,
+      noteStarted: ({ id }) => this.started.push(id),
+      digest: this.#digest,
+      timers: this.timers,
+      wallClock: () => NOW_UNIX_MS,
+      log: {
+        write: (event: { message: string }, fields: object) =>
+          this.lines.push({ event: event.message, ...fields }),
+      } as never,
+      applyLimits: () => undefined,
+    });
+  }
+
+  /** Begins with a whole reading of these rows. */
+  async begin(rows: readonly StoreRow[]): Promise<void> {
+    this.#rows = rows;
+    this.#follower.start();
+    await settled();
+  }
+
+  /** Rows change. */
+  async change(rows: readonly StoreRow[]): Promise<void> {
+    this.#rows = rows;
+    this.#revision += 1;
+    this.timers.advance(2_000);
+    await settled();
+    this.#answerChanges?.();
+    await settled();
+  }
+
+  /** The history is lost, and these are all rows there are. */
+  async readWhole(rows: readonly StoreRow[]): Promise<void> {
+    this.#isHistoryLost = true;
+    await this.change(rows);
+  }
+
+  /** The relay says that nothing has changed since the first reading. */
+  relyOnRelay(): void {
+    const progress = { changed: 1, seen: 1, reread: 0 };
+    this.#digest.take({
+      configurations: progress,
+      servers: progress,
+      ageMs: 0,
+      peersChecksum: 0,
+    });
+  }
+
+  /** Changes that a relay passes on; they count while this daemon asks the store nothing. */
+  offer(changes: TableChanges<ServerRecord>): void {
+    this.#follower.takeServerChanges(changes);
+  }
+
+  get unreadable(): number {
+    return this.#follower.unreadableServers;
+  }
+
+  ids(): string[] {
+    return [...this.fleet.directory.all()].map(({ id }) => id).sort();
+  }
+
+  stop(): void {
+    this.#follower.stop();
+  }
+
+  #get(path: string): Promise<unknown> {
+    const answer = (status: number) => ({
+      kind: 'answered',
+      status,
+      rows: this.#rows,
+      more: false,
+      revision: this.#revision,
+    });
+    if (path.includes('get')) return Promise.resolve(answer(200));
+    return new Promise((resolve) => {
+      this.#answerChanges = () => {
+        this.#answerChanges = undefined;
+        resolve(answer(this.#isHistoryLost ? 410 : 200));
+        this.#isHistoryLost = false;
+      };
+    });
+  }
+}
+
+function settled(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/** Rows that name no server. */
+const NO_SERVERS: readonly (readonly [string, unknown])[] = [
+  ['bytes that are no text', '\u0000\u0001\ufffd'],
+  ['nothing at all', ''],
+  ['half a document', '{"service":"s","addr'],
+  ['a list', []],
+  ['null', 'null'],
+  ['a text', '"server"'],
+  ['no service', { ...ENTRY, service: undefined }],
+  ['an empty service', { ...ENTRY, service: '' }],
+  ['no address', { ...ENTRY, address: undefined }],
+  ['an address without a port', { ...ENTRY, address: '10.0.0.1' }],
+  ['an address of two words', { ...ENTRY, address: '10.0.0.1 :80' }],
+  ['a number for an address', { ...ENTRY, address: 17 }],
+  ['no zone', { ...ENTRY, zone: undefined }],
+  ['no slots', { ...ENTRY, slots: undefined }],
+  ['a text of slots', { ...ENTRY, slots: '4' }],
+  ['less than one slot', { ...ENTRY, slots: -1 }],
+  ['a part of a slot', { ...ENTRY, slots: 0.5 }],
+  ['no state', { ...ENTRY, state: undefined }],
+  ['a state that there is not', { ...ENTRY, state: 'sleeping' }],
+  ['a stage that there is not', { ...ENTRY, stage: 'rest' }],
+  ['a text for a start', { ...ENTRY, born: String(BORN_MS) }],
+  ['a start that is no whole number', { ...ENTRY, born: BORN_MS + 0.5 }],
+  ['a start below nothing', { ...ENTRY, born: -1 }],
+  ['nothing for a start', { ...ENTRY, born: null }],
+  ['a text for a sequence', { ...ENTRY, sequence: 'seven' }],
+  ['a start no longer told', { ...ENTRY, born: undefined }],
+];
+
+for (const [name, value] of NO_SERVERS) {
+  test(`a row with ${name} names no server, as a change and in a whole reading; the others hold`, async () => {
+    for (const way of ['change', 'readWhole'] as const) {
+      const list = new FollowedList();
+      const other = rowOf('i-other', OTHER);
+      await list.begin([rowOf('i-1', ENTRY), other]);
+      assert.deepEqual(list.ids(), ['i-1', 'i-other'], way);
+      for (let reading = 0; reading < 2; reading += 1) {
+        await list[way]([rowOf('i-1', value), other]);
+        assert.deepEqual(list.ids(), ['i-other'], way);
+      }
+      await list[way]([rowOf('i-1', ENTRY), other]);
+      assert.deepEqual(list.ids(), ['i-1', 'i-other'], way);
+      assert.equal(list.unreadable, 0, way);
+      list.stop();
+    }
+  });
+}
+
+test('a row under a key that is no id names no server', async () => {
+  const list = new FollowedList();
+  await list.begin([rowOf('i 1\r\nX: y', ENTRY), rowOf('', ENTRY), rowOf('i-other', OTHER)]);
+  assert.deepEqual(list.ids(), ['i-other']);
+  assert.equal(list.unreadable, 2);
+  list.stop();
+});
+
+test('a row that stays unreadable is one line, and is counted as long as it is there', async () => {
+  const list = new FollowedList();
+  const bad = rowOf('i-1', { ...ENTRY, state: 'sleeping' });
+  await list.begin([bad]);
+  for (let reading = 0; reading < 3; reading += 1) await list.readWhole([bad]);
+  assert.equal(list.lines.filter(({ unreadable }) => unreadable === 1).length, 1);
+  assert.equal(list.unreadable, 1);
+  await list.readWhole([]);
+  assert.equal(list.unreadable, 0);
+  list.stop();
+});
+
+test('a row of a service that is not configured is sent nothing', () => {
+  const directory = new ServerDirectory();
+  directory.replaceAll([decodeServer('i-1', { ...ENTRY, service: 'nobody' })]);
+  assert.deepEqual(directory.readyOf('s'), []);
+});
+
+function record(fields: Partial<ServerRecord> = {}): ServerRecord {
+  return { ...decodeServer('i-1', ENTRY), ...fields };
+}
+
+/** What a second row under the same id is taken for. */
+const SECOND_ROWS = [
+  ['the same start', {}, 'same'],
+  ['a later start', { bornMs: BORN_MS + 1 }, 'renewed'],
+  ['an earlier start', { bornMs: BORN_MS - 1 }, 'older-life'],
+  ['another address', { address: '10.0.0.2:80' }, 'renewed'],
+  ['another service', { service: 't' }, 'renewed'],
+  ['no start', { bornMs: undefined }, 'no-start'],
+] as const;
+
+for (const [name, fields, expected] of SECOND_ROWS) {
+  test(`a second row with ${name} is taken as: ${expected}`, () => {
+    for (const way of ['apply', 'replaceAll'] as const) {
+      const directory = new ServerDirectory();
+      directory.replaceAll([record()], NOW_UNIX_MS);
+      const second = record(fields);
+      const change =
+        way === 'apply'
+          ? directory.apply([second], [], NOW_UNIX_MS)
+          : directory.replaceAll([second], NOW_UNIX_MS);
+      const reason = change.passedOver[0]?.reason;
+      const seen = reason ?? (change.renewed.length > 0 ? 'renewed' : 'same');
+      assert.equal(seen, expected, way);
+      const listed = directory.get('i-1');
+      if (expected === 'older-life') assert.equal(listed?.bornMs, BORN_MS, way);
+      else if (expected === 'no-start') assert.equal(listed, undefined, way);
+      else assert.deepEqual(listed, second, way);
+    }
+  });
+}
+
+test('a start that is told for the first time is another life; one in the future makes none an older one', () => {
+  const directory = new ServerDirectory();
+  directory.apply([record({ bornMs: undefined })], [], NOW_UNIX_MS);
+  assert.equal(directory.apply([record()], [], NOW_UNIX_MS).renewed.length, 1);
+  const ahead = record({ bornMs: NOW_UNIX_MS + 86_400_000 });
+  assert.equal(directory.apply([ahead], [], NOW_UNIX_MS).renewed.length, 1);
+  assert.equal(directory.apply([record()], [], NOW_UNIX_MS).renewed.length, 1);
+  assert.equal(directory.get('i-1')?.bornMs, BORN_MS);
+});
+
+test('a new life keeps nothing that was believed of the one before', async () => {
+  const list = new FollowedList();
+  const { fleet, timers } = list;
+  await list.begin([rowOf('i-1', ENTRY), rowOf('i-2', { ...ENTRY, address: '10.0.0.2:80' })]);
+  const nowMs = timers.nowMs();
+  const parts = [{ id: 'p', tokens: 500 }];
+  const work = (engineId: string) => ({ engineId, pendingMs: 900, lateMs: 0, running: 3 });
+  for (const id of ['i-1', 'i-2']) {
+    fleet.knowledge.confirm(id, 'p', 500);
+    fleet.healthOf(id).recordBroken(nowMs);
+    fleet.healthOf(id).open(nowMs);
+    fleet.loadOf(id).running += 2;
+    fleet.stageNotices.take({ engineId: id, stage: 'prefill', phase: 'changed' }, nowMs);
+  }
+  fleet.peerLoads.take(
+    {
+      daemon: 'b',
+      incarnation: 1,
+      sequence: 1,
+      work: [work('i-1'), work('i-2')],
+      reads: [],
+      demand: [],
+      reach: [],
+    },
+    nowMs,
+  );
+  await list.change([rowOf('i-1', { ...ENTRY, born: BORN_MS + 5_000 })]);
+  const laterMs = timers.nowMs();
+  assert.equal(fleet.knowledge.keptTokens('i-1', parts, laterMs), 0);
+  assert.equal(fleet.healthOf('i-1').openCalls, 0);
+  assert.equal(fleet.healthOf('i-1').failureRate, 0);
+  assert.equal(fleet.loadOf('i-1').running, 0);
+  assert.equal(fleet.peerLoads.running('i-1', laterMs), 0);
+  assert.deepEqual(
+    fleet.expectedServers('s', laterMs).map(({ id, stage }) => `${id} ${stage}`),
+    ['i-1 decode', 'i-2 prefill'],
+  );
+  assert.deepEqual(list.renewedWatches, ['i-1']);
+  assert.equal(fleet.knowledge.keptTokens('i-2', parts, laterMs), 500, 'the others hold');
+  assert.equal(fleet.peerLoads.running('i-2', laterMs), 3, 'the others hold');
+  list.stop();
+});
+
+test('a call to the life before says nothing of the new one', async () => {
+  const list = new FollowedList();
+  await list.begin([rowOf('i-1', ENTRY)]);
+  const server = list.fleet.directory.get('i-1');
+  assert.ok(server);
+  const before = list.fleet.healthOf('i-1');
+  assert.equal(list.fleet.directory.isOver(server), false);
+  await list.change([rowOf('i-1', { ...ENTRY, born: BORN_MS + 5_000 })]);
+  assert.equal(list.fleet.directory.isOver(server), true);
+  assert.equal(list.fleet.directory.wasReady(server), true, 'it took new work until its end');
+  assert.notEqual(list.fleet.healthOf('i-1'), before);
+  list.stop();
+});
+
+test('an older life never replaces a newer one, and is not passed on', async () => {
+  const list = new FollowedList();
+  await list.begin([rowOf('i-1', { ...ENTRY, born: BORN_MS + 5_000 })]);
+  const { directory } = list.fleet;
+  for (const way of ['change', 'readWhole'] as const) {
+    await list[way]([rowOf('i-1', { ...ENTRY, state: 'draining' })]);
+    assert.equal(directory.get('i-1')?.state, 'ready', way);
+    assert.equal(directory.get('i-1')?.bornMs, BORN_MS + 5_000, way);
+  }
+  assert.deepEqual(list.passedOn, [], 'each daemon looks for itself');
+  list.stop();
+});
+
+test('a relay of an earlier version tells no starts: what is known of them stays', async () => {
+  const list = new FollowedList();
+  list.relyOnRelay();
+  await list.begin([rowOf('i-1', ENTRY)]);
+  const { directory } = list.fleet;
+  const told = (fields: Partial<ServerRecord>, revision: number) => {
+    const value = record({ bornMs: undefined, ...fields });
+    list.offer({ after: revision - 1, revision, rows: [{ kind: 'value', key: value.id, value }] });
+  };
+  told({ state: 'draining' }, 2);
+  assert.equal(directory.get('i-1')?.state, 'draining');
+  assert.equal(directory.get('i-1')?.bornMs, BORN_MS);
+  told({ bornMs: BORN_MS - 1, state: 'ready' }, 3);
+  assert.equal(directory.get('i-1')?.state, 'draining', 'of an older life');
+  told({ bornMs: BORN_MS + 1, state: 'ready' }, 4);
+  assert.equal(directory.get('i-1')?.bornMs, BORN_MS + 1);
+  list.stop();
+});
+
+test('relays pass the start on; a message without one is read', () => {
+  const changes = (server: ServerRecord) => ({
+    after: 1,
+    revision: 2,
+    rows: [{ kind: 'value', key: server.id, value: server }] as WatchedRow<ServerRecord>[],
+  });
+  const { bornMs: _, ...withoutStart } = record();
+  for (const server of [record(), withoutStart]) {
+    const message = { kind: 'servers', zone: 'z', changes: changes(server) } as const;
+    assert.deepEqual(decodePeerMessage(encodePeerMessage(message)), message);
+  }
+});
+
+test('a life that ended counts as ended though its server takes connections again', async () => {
+  const timers = new ManualTimers();
+  let isOver = false;
+  let asked = 0;
+  const check = new ServerEndCheck({
+    connections: {
+      isRefused: () => {
+        asked += 1;
+        return Promise.resolve(false);
+      },
+    },
+    isOver: () => isOver,
+    timers,
+  });
+  assert.equal(await check.hasEnded(record()), false);
+  isOver = true;
+  assert.equal(await check.hasEnded(record()), true);
+  isOver = false;
+  assert.equal(await check.hasEnded(record({ bornMs: BORN_MS + 1 })), false);
+  assert.equal(asked, 2, 'what was found of one life says nothing of the next');
+});
+
+test('a run that broke counts once the next life of its server is listed, if that comes soon', () => {
+  const timers = new ManualTimers();
+  const breaks = new OpenBreaks(timers);
+  const broken = { server: record(), fingerprint: 'f', ranMs: 5, atMs: timers.nowMs() };
+  breaks.add(broken);
+  assert.deepEqual(breaks.takeBefore(record()), [], 'the same life');
+  assert.deepEqual(breaks.takeBefore(record({ id: 'i-2', bornMs: BORN_MS + 1 })), []);
+  assert.deepEqual(breaks.takeBefore(record({ bornMs: BORN_MS + 1 })), [broken]);
+  assert.deepEqual(breaks.takeBefore(record({ bornMs: BORN_MS + 1 })), [], 'once');
+  breaks.add({ ...broken, atMs: timers.nowMs() });
+  timers.advance(10_000);
+  assert.deepEqual(breaks.takeBefore(record({ bornMs: BORN_MS + 1 })), [], 'too late');
+});
+
+test('a report says which life it is of', () => {
+  const report = { stage: 'decode', busy: false, sequence: 0, born: BORN_MS };
+  const read = (fields: object) =>
+    REQUEST_CODEC.readReport(Buffer.from(JSON.stringify({ ...report, ...fields })));
+  assert.equal(read({})?.bornMs, BORN_MS);
+  assert.equal(read({ born: undefined })?.bornMs, undefined);
+  assert.equal(read({ born: 'yesterday' }), undefined);
+});
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -27,6 +27,8 @@
 class MemoryEngines {
   readonly orders: Order[] = [];
   readonly #stages = new Map<string, string>();
+  /** When an engine says that it started; nothing where it does not say. */
+  bornMs: number | undefined;
 
   setStage(address: string, stage: string): void {
     this.#stages.set(address, stage);
@@ -35,7 +37,7 @@
   call(call: BackendCall): Promise<CallResult> {
     if (call.path === '/report') {
       const stage = this.#stages.get(call.address) ?? 'decode';
-      return answered({ stage, busy: false, sequence: 7, models: [] });
+      return answered({ stage, busy: false, sequence: 7, models: [], born: this.bornMs });
     }
     const order: Order = { ...JSON.parse(call.body.toString()), address: call.address };
     this.orders.push(order);
@@ -319,3 +321,43 @@
   await passWhileLost(setup, 4_000);
   assert.deepEqual(setup.engines.orders, []);
 });
+
+const BORN_MS = 1_800_000_000_000;
+
+/** The list says that all engines started then. */
+function bearEngines({ fleet }: Setup, bornMs: number): void {
+  fleet.directory.replaceAll([...fleet.directory.all()].map((engine) => ({ ...engine, bornMs })));
+}
+
+test('an engine that says it has started again is not ordered by what was planned for its life before', async () => {
+  const setup = setUp();
+  bearEngines(setup, BORN_MS);
+  setup.engines.bornMs = BORN_MS + 1;
+  const controller = startController(setup, 'front-1');
+  await pass(setup, 10_000);
+  assert.ok(setup.notices.length > 0);
+  assert.deepEqual(setup.engines.orders, []);
+  setup.engines.bornMs = BORN_MS;
+  await pass(setup, 10_000);
+  assert.ok(setup.engines.orders.length > 0);
+  controller.stop();
+});
+
+test('an engine that starts again while it is emptied is not ordered, and the notice of it is forgotten', async () => {
+  const setup = setUp();
+  bearEngines(setup, BORN_MS);
+  const controller = startController(setup, 'front-1');
+  while (setup.notices.length === 0) await pass(setup, 50);
+  const { directory } = setup.fleet;
+  const engine = directory.get(setup.notices[0]?.engineId ?? '');
+  assert.ok(engine);
+  setup.fleet.forgetEnded(directory.apply([{ ...engine, bornMs: BORN_MS + 1 }], []));
+  await pass(setup, 400);
+  assert.deepEqual(
+    setup.engines.orders.filter(({ address }) => address === engine.address),
+    [],
+  );
+  const nowMs = setup.timers.nowMs();
+  assert.ok(setup.fleet.candidates('reader', nowMs).some(({ id }) => id === engine.id));
+  controller.stop();
+});
--- a/test/gateway/support/fleet-of-guards.ts
+++ b/test/gateway/support/fleet-of-guards.ts
@@ -2,7 +2,7 @@
  * The guards of a whole fleet against requests that end servers, in virtual time: datagrams that may be lost, a store that
  * may be away for some daemons, daemons that are killed and start again.
  */
-import { PeerRoster } from '../../../src/core/gateway/index.js';
+import { PeerRoster, type ServerRecord } from '../../../src/core/gateway/index.js';
 import type { TableCall, TableResult } from '../../../src/core/platform/table.js';
 import { CrashGuard } from '../../../src/shell/gateway/crash-guard.js';
 import type { GuardedExchange } from '../../../src/shell/gateway/request-fingerprint.js';
@@ -32,6 +32,8 @@
   isTurnedAway: (daemon: number) => boolean = () => false;
   /** Whether nothing comes through to a daemon now, or from it. */
   isCutOff: (daemon: number) => boolean = () => false;
+  /** Whether servers that have ended take connections again before anyone looks. */
+  takesConnections = false;
   /** Datagrams sent. */
   datagrams = 0;
   readonly #options: FleetOptions;
@@ -55,7 +57,7 @@
     roster.replace(peers, this.timers.nowMs());
     const guard = new CrashGuard({
       table: { call: (call) => this.#callStore(daemon, call) },
-      endCheck: { hasEnded: async () => true },
+      endCheck: { hasEnded: async () => !this.takesConnections },
       isReady: () => true,
       roster,
       peers: () => ({
@@ -86,19 +88,17 @@
     return guard;
   }
 
+  /** A life of a server. */
+  serverOf(id: string, bornMs?: number): ServerRecord {
+    const address = '10.0.0.1:1';
+    const listed = { id, service: 'reader', address, zone: 'a', slots: 8, state: 'ready' } as const;
+    return { ...listed, isSpot: false, stage: 'decode', bornMs };
+  }
+
   /** A server ends while a request runs there for a daemon. */
-  async crash(daemon: number, body: string, serverId: string): Promise<void> {
+  async crash(daemon: number, body: string, serverId: string, bornMs?: number): Promise<void> {
     const exchange = requestOf(body);
-    const server = {
-      id: serverId,
-      service: 'reader',
-      address: '10.0.0.1:1',
-      zone: 'a',
-      slots: 8,
-      state: 'ready',
-      isSpot: false,
-      stage: 'decode',
-    } as const;
+    const server = this.serverOf(serverId, bornMs);
     this.guard(daemon).noteBroken(exchange, server, RAN_MS);
     await this.guard(daemon).settled(exchange);
     await settleAll();
