Order capacity that bears the loss of a zone's spot servers

Cause: a loss was answered only when fewer servers were left than were busy, while uneven work finds a server free only well below that. Change: a plan of its own (plan-for-loss), behind decisions.spareCapacity: need with room, spare for one zone, spot servers elsewhere at once, plain ones only where no zone has any; another daemon steps in after 1 s.

--- a/src/core/capacity/capacity-duty.ts
+++ b/src/core/capacity/capacity-duty.ts
@@ -1,7 +1,8 @@
 /**
  * One daemon's part in ordering capacity: of all daemons one holds the duty (`record-lease.ts`). The duty's record
- * keeps what each zone was given when the duty was first taken, as nobody can read back what was ordered. A holder
- * orders what differs from its plan; another steps in only when that lasts, which shows that the holder is gone.
+ * keeps what each zone was given when the duty was first taken, as nobody can read back what was ordered, and what
+ * the holder orders now. A holder orders what differs from its plan. Another steps in when that lasts, which shows
+ * that the holder is gone: soon where servers are lost and nothing is on its way, later where nobody suffers.
  */
 import {
   type DutyRecord,
@@ -10,8 +11,10 @@
   type RecordOutcome,
   type SeenRecord,
 } from '../duty/index.js';
-import type { ScalingLimits } from '../gateway/index.js';
-import { planCapacity, type ZoneCapacity } from './plan-capacity.js';
+import { LossBearingPlanner } from './loss-bearing-planner.js';
+import { type CapacityOrder, OrderBook, type OrderOutcome } from './order-book.js';
+import { planCapacity } from './plan-capacity.js';
+import type { CapacityBelief, ScaledService, ServicePlan } from './scaled-service.js';
 
 /** Servers of both kinds that each zone is to have, by service. */
 export type WantedPerZone = Readonly<Record<string, number>>;
@@ -19,23 +22,8 @@
 /** What the store keeps of the duty. */
 export interface CapacityRecord extends DutyRecord {
   readonly wantedPerZone: WantedPerZone;
-}
-
-/** A service whose servers are paid by the second, as it is now. */
-export interface ScaledService {
-  readonly service: string;
-  readonly limits: ScalingLimits;
-  readonly zones: readonly ZoneCapacity[];
-  /** Servers without which the service falls behind its work. */
-  readonly neededInAll: number;
-}
-
-/** How many servers of one kind a zone is to have. */
-export interface CapacityOrder {
-  readonly service: string;
-  readonly zone: string;
-  readonly isSpot: boolean;
-  readonly servers: number;
+  /** What the holder orders, so that others know what is coming; absent where it bears no loss. */
+  readonly targets?: readonly CapacityOrder[] | undefined;
 }
 
 /** What is to be done next. */
@@ -49,58 +37,63 @@
     }
   | { readonly kind: 'order'; readonly order: CapacityOrder; readonly fence: number };
 
-/** What became of an order. */
-export type OrderOutcome =
-  | 'accepted'
-  /** None are to be had, or another daemon has used a higher fencing token. */
-  | 'conflict'
-  /** It may have been taken, or not. */
-  | 'unknown';
-
-interface SentOrder {
-  readonly servers: number;
-  /** How often in a row it was given and did not bring what it asked for. */
-  readonly tries: number;
-  /** When it is given again if its servers have not come. */
-  readonly againAtMs: number;
+/** What a duty is built from. */
+export interface CapacityDutySettings extends RecordLeaseSettings {
+  /** Whether servers are ordered with room for a loss, and made up at once after one. */
+  readonly bearsLoss: boolean;
 }
 
-/** An order is given again when its servers have not come in so many times the time that they take to boot. */
-const RETRY_BOOTS = 2;
-/** Where none are to be had it is asked again sooner: they may be there again before others could have booted. */
-const CONFLICT_RETRY_BOOTS = 0.5;
-/** The wait before that doubles so often at most. */
-const MOST_DOUBLINGS = 3;
-/** Another daemon steps in when what is wanted is not there for so many times as long. */
+/** Another daemon steps in when what is wanted is not there for so many times as long as servers boot. */
 const STEP_IN_BOOTS = 3;
+/**
+ * After a loss it does so after this time: the holder has looked several times and told what it orders, and callers
+ * have not yet waited for as long as servers take to boot.
+ */
+const LOSS_STEP_IN_MS = 1_000;
+/** Servers there or coming below this part of what is wanted are a loss; a single failure is made up in time. */
+const LOSS_SHARE = 0.9;
 
 /** Decides; whoever drives it makes the calls, one at a time, and says what became of them. */
 export class CapacityDuty {
   readonly #lease: RecordLease<CapacityRecord>;
-  readonly #sent = new Map<string, SentOrder>();
+  readonly #bearsLoss: boolean;
+  readonly #book = new OrderBook();
+  readonly #planner = new LossBearingPlanner(this.#book);
+  #plans: readonly ServicePlan[] = [];
   /** Since when there is something to order. */
   #wantedSinceMs: number | undefined;
+  /** Since when servers are lacking that nobody has ordered. */
+  #shortSinceMs: number | undefined;
+  #seenVersion = 0;
+  /** Whether the holder has probably written since the record was read. */
+  #isOutdated = false;
   #hasRead = false;
 
-  constructor(settings: RecordLeaseSettings) {
+  constructor(settings: CapacityDutySettings) {
     this.#lease = new RecordLease(settings);
+    this.#bearsLoss = settings.bearsLoss;
   }
 
   get isHolder(): boolean {
     return this.#lease.isHolder;
   }
 
+  /** What the last plan was made from; none where the duty bears no loss. */
+  get beliefs(): readonly CapacityBelief[] {
+    return this.#plans.flatMap(({ belief }) => (belief === undefined ? [] : [belief]));
+  }
+
   /** The next action for the services as they are now. */
   next(services: readonly ScaledService[], nowMs: number): CapacityAction {
     if (services.length === 0) return { kind: 'none' };
     if (!this.#hasRead) return { kind: 'read' };
     const wanted = this.#wantedPerZone(services);
-    const order = this.#nextOrder(services, wanted, nowMs);
-    if (order === undefined) {
-      this.#wantedSinceMs = undefined;
-      return { kind: 'none' };
-    }
-    this.#wantedSinceMs ??= nowMs;
+    this.#plans = services.map((service) => this.#planOf(service, wanted, nowMs));
+    this.#noteShort(nowMs);
+    const order = this.#nextOrder(nowMs);
+    this.#noteWanted(order !== undefined, nowMs);
+    if (this.#bearsLoss && this.#isOutdated && !this.isHolder) return { kind: 'read' };
+    if (order === undefined) return this.#announcement(wanted, nowMs);
     const seen = this.#lease.current;
     if (seen === undefined) return { kind: 'read' };
     if (this.#lease.mayAct(nowMs)) {
@@ -114,17 +107,20 @@
    * @param sentMs when the call was sent
    */
   takeRecord(outcome: RecordOutcome<CapacityRecord>, sentMs: number, nowMs: number): void {
-    if (outcome.kind === 'seen') this.#hasRead = true;
     this.#lease.take(outcome, sentMs, nowMs);
+    this.#isOutdated = false;
+    if (outcome.kind !== 'seen') return;
+    // Of a record that stood there at the start nobody knows how old it is.
+    const isNews = this.#hasRead && outcome.version !== this.#seenVersion && !outcome.isOwnWrite;
+    this.#hasRead = true;
+    this.#seenVersion = outcome.version;
+    if (isNews) this.#takeTargets(outcome.record?.targets ?? [], nowMs);
   }
 
   /** An order was given; after a conflict the record tells whether the duty is still this daemon's. */
   takeOrder(outcome: OrderOutcome, order: CapacityOrder, bootMs: number, nowMs: number): void {
-    const before = this.#sent.get(keyOf(order));
-    const tries = before?.servers === order.servers ? before.tries + 1 : 1;
-    const boots = outcome === 'accepted' ? RETRY_BOOTS : CONFLICT_RETRY_BOOTS;
-    const waitMs = boots * bootMs * 2 ** Math.min(MOST_DOUBLINGS, tries - 1);
-    this.#sent.set(keyOf(order), { servers: order.servers, tries, againAtMs: nowMs + waitMs });
+    this.#book.take(outcome, order, bootMs, nowMs);
+    if (this.#bearsLoss) this.#planner.noteOrder(order, outcome);
     if (outcome === 'conflict') this.#lease.noteDoubt();
   }
 
@@ -137,11 +133,28 @@
   ): CapacityAction {
     if (!this.#lease.mayWrite(nowMs)) return { kind: 'none' };
     const longestBootMs = Math.max(...services.map(({ limits }) => limits.bootMs));
-    const wantedForMs = nowMs - (this.#wantedSinceMs ?? nowMs);
     const isOpen = record === undefined || this.isHolder;
-    if (!isOpen && wantedForMs < STEP_IN_BOOTS * longestBootMs) return { kind: 'none' };
-    const next = { ...this.#lease.nextHead(), wantedPerZone };
-    return { kind: 'write', record: next, expectedVersion: version };
+    const isLasting = lastsFor(this.#wantedSinceMs, STEP_IN_BOOTS * longestBootMs, nowMs);
+    const isLoss = lastsFor(this.#shortSinceMs, LOSS_STEP_IN_MS, nowMs);
+    if (!isOpen && !isLasting && !isLoss) return { kind: 'none' };
+    return this.#write(wantedPerZone, version);
+  }
+
+  /** The holder tells what it has ordered, while it is the holder without doubt. */
+  #announcement(wantedPerZone: WantedPerZone, nowMs: number): CapacityAction {
+    const seen = this.#lease.current;
+    if (!this.#bearsLoss || seen === undefined || !this.#lease.mayAct(nowMs)) {
+      return { kind: 'none' };
+    }
+    const told = seen.record?.targets ?? [];
+    const isTold = JSON.stringify(told) === JSON.stringify(this.#targets());
+    return isTold ? { kind: 'none' } : this.#write(wantedPerZone, seen.version);
+  }
+
+  #write(wantedPerZone: WantedPerZone, expectedVersion: number): CapacityAction {
+    const head = { ...this.#lease.nextHead(), wantedPerZone };
+    const record = this.#bearsLoss ? { ...head, targets: this.#targets() } : head;
+    return { kind: 'write', record, expectedVersion };
   }
 
   /** As the record says; what it does not know is kept as it is now. */
@@ -154,48 +167,72 @@
     return { ...known, ...Object.fromEntries(entries) };
   }
 
-  #nextOrder(
-    services: readonly ScaledService[],
-    wanted: WantedPerZone,
-    nowMs: number,
-  ): CapacityOrder | undefined {
-    for (const { service, limits, zones, neededInAll } of services) {
-      const wantedPerZone = wanted[service] ?? limits.min;
-      const targets = planCapacity({ limits, zones, wantedPerZone, neededInAll });
-      for (const [index, target] of targets.entries()) {
-        const now = zones[index] ?? { zone: target.zone, plain: 0, spot: 0 };
-        const order = this.#orderFor(service, now, target, nowMs);
-        if (order !== undefined) return order;
+  #planOf(scaled: ScaledService, wanted: WantedPerZone, nowMs: number): ServicePlan {
+    const { service, limits, zones, neededInAll } = scaled;
+    const wantedPerZone = wanted[service] ?? limits.min;
+    if (this.#bearsLoss && limits.spotPrice < 1) {
+      return this.#planner.plan(scaled, wantedPerZone, nowMs);
+    }
+    const targets = planCapacity({ limits, zones, wantedPerZone, neededInAll });
+    return { scaled, targets, belief: undefined };
+  }
+
+  /**
+   * What was wanted has come, so the holder has written; a daemon that knows how long the record has stood since
+   * need not wait for that when the holder is lost.
+   */
+  #noteWanted(isWanted: boolean, nowMs: number): void {
+    if (!isWanted && this.#wantedSinceMs !== undefined) this.#isOutdated = true;
+    this.#wantedSinceMs = isWanted ? (this.#wantedSinceMs ?? nowMs) : undefined;
+  }
+
+  #noteShort(nowMs: number): void {
+    const isShort = this.beliefs.some(
+      ({ present, coming, wanted }) => present + coming < LOSS_SHARE * wanted,
+    );
+    if (isShort && this.#shortSinceMs === undefined) this.#isOutdated = true;
+    this.#shortSinceMs = isShort ? (this.#shortSinceMs ?? nowMs) : undefined;
+  }
+
+  #nextOrder(nowMs: number): CapacityOrder | undefined {
+    for (const plan of this.#plans) {
+      for (const order of ordersOf(plan)) {
+        if (this.#isDue(plan, order, nowMs)) return order;
       }
     }
     return undefined;
   }
 
-  /** Spot servers first: those that they replace go once they have come. */
-  #orderFor(
-    service: string,
-    now: ZoneCapacity,
-    target: ZoneCapacity,
-    nowMs: number,
-  ): CapacityOrder | undefined {
-    const { zone } = target;
-    const spot = { service, zone, isSpot: true, servers: target.spot };
-    if (this.#isDue(spot, now.spot, nowMs)) return spot;
-    const plain = { service, zone, isSpot: false, servers: target.plain };
-    if (this.#isDue(plain, now.plain, nowMs)) return plain;
-    return undefined;
+  #isDue(plan: ServicePlan, order: CapacityOrder, nowMs: number): boolean {
+    const now = plan.scaled.zones.find(({ zone }) => zone === order.zone);
+    const present = (order.isSpot ? now?.spot : now?.plain) ?? 0;
+    if (plan.belief !== undefined && !this.#planner.mayOrder(plan, order, present, nowMs)) {
+      return false;
+    }
+    return this.#book.isDue(order, present, nowMs);
   }
 
-  #isDue(order: CapacityOrder, present: number, nowMs: number): boolean {
-    const sent = this.#sent.get(keyOf(order));
-    if (sent === undefined || sent.servers !== order.servers) return present !== order.servers;
-    if (present < order.servers) return nowMs >= sent.againAtMs;
-    // It has brought what it asked for. Servers that others add are not taken away again.
-    this.#sent.set(keyOf(order), { ...sent, tries: 0 });
-    return false;
+  #targets(): readonly CapacityOrder[] {
+    return this.#plans.flatMap((plan) => (plan.belief === undefined ? [] : ordersOf(plan)));
   }
+
+  #takeTargets(targets: readonly CapacityOrder[], nowMs: number): void {
+    for (const order of targets) {
+      const plan = this.#plans.find(({ scaled }) => scaled.service === order.service);
+      if (plan !== undefined) this.#book.announce(order, plan.scaled.limits.bootMs, nowMs);
+    }
+  }
+}
+
+/** Spot servers first: those that they replace go once they have come. */
+function ordersOf({ scaled, targets }: ServicePlan): readonly CapacityOrder[] {
+  const { service } = scaled;
+  return targets.flatMap(({ zone, plain, spot }) => [
+    { service, zone, isSpot: true, servers: spot },
+    { service, zone, isSpot: false, servers: plain },
+  ]);
 }
 
-function keyOf({ service, zone, isSpot }: CapacityOrder): string {
-  return `${service} ${zone} ${isSpot ? 'spot' : 'plain'}`;
+function lastsFor(sinceMs: number | undefined, spanMs: number, nowMs: number): boolean {
+  return sinceMs !== undefined && nowMs - sinceMs >= spanMs;
 }
--- a/src/core/capacity/index.ts
+++ b/src/core/capacity/index.ts
@@ -2,13 +2,20 @@
 export {
   type CapacityAction,
   CapacityDuty,
-  type CapacityOrder,
   type CapacityRecord,
-  type OrderOutcome,
-  type ScaledService,
 } from './capacity-duty.js';
+export { HeldNeed } from './held-need.js';
+export { type CapacityOrder, OrderBook, type OrderOutcome } from './order-book.js';
 export {
   type CapacityInput,
   planCapacity,
   type ZoneCapacity,
 } from './plan-capacity.js';
+export {
+  type LossPlan,
+  type LossPlanInput,
+  planForLoss,
+  type ZoneSupply,
+} from './plan-for-loss.js';
+export type { CapacityBelief, ScaledService } from './scaled-service.js';
+export { SpotSupply } from './spot-supply.js';
--- a/src/core/capacity/plan-capacity.ts
+++ b/src/core/capacity/plan-capacity.ts
@@ -6,6 +6,7 @@
  * and go have to read their prompts again.
  */
 import type { ScalingLimits } from '../gateway/index.js';
+import { withinLimits } from './within-limits.js';
 
 /** Servers of a zone, by kind: those that take work, or those that it is to have. */
 export interface ZoneCapacity {
@@ -48,10 +49,6 @@
   });
 }
 
-function withinLimits(servers: number, { min, max }: ScalingLimits): number {
-  return Math.min(max, Math.max(min, servers));
-}
-
 function serversOf(zones: readonly ZoneCapacity[]): number {
   return zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -58,6 +58,7 @@
 } from './peer-load.js';
 export { type OwnPlace, type PeerDaemon, PeerRoster } from './peer-roster.js';
 export {
+  enginesWithRoom,
   planRescue,
   planStageChanges,
   type RescueInput,
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -129,6 +129,11 @@
     .reduce((least, candidate) => (busyOf(candidate.id) < busyOf(least.id) ? candidate : least));
 }
 
+/** Engines with which work that comes unevenly still finds one free in either stage. */
+export function enginesWithRoom({ prefillEngines, decodeEngines }: StageNeed): number {
+  return Math.ceil(prefillEngines / FULL_SHARE.prefill + decodeEngines / FULL_SHARE.decode);
+}
+
 function bestPrefillCount(total: number, need: StageNeed): number {
   const least = total >= ENGINES_FOR_SPARES ? ENGINES_WITH_SPARE : 1;
   const spared = Math.min(LOSSES_TO_BEAR + 1, Math.floor(total * MOST_SPARE_SHARE));
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -262,6 +262,27 @@
     remedy:
       'Nothing to do unless the outcome is a conflict that repeats: none are to be had there.',
   },
+  capacityPlanned: {
+    number: 6080,
+    level: 'info',
+    message:
+      'the number of servers that there are to be has changed, or the zones that have spot servers',
+    remedy:
+      'Nothing to do; where no zone has spot servers, plain ones are ordered for the work, which cost more.',
+  },
+  spotServersTaken: {
+    number: 6081,
+    level: 'warn',
+    message: 'the spot servers of a zone were taken away',
+    remedy:
+      'Nothing to do if 6066 follows at once at one of the daemons: others are ordered in other zones.',
+  },
+  capacityDutyChanged: {
+    number: 6082,
+    level: 'info',
+    message: 'this daemon orders capacity from now on, or no longer',
+    remedy: 'Nothing to do unless it changes often: look at the store, and at 6063.',
+  },
   brokenRunChecked: {
     number: 6070,
     level: 'warn',
--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -5,6 +5,7 @@
 import * as z from 'zod/mini';
 import {
   type CapacityAction,
+  type CapacityBelief,
   CapacityDuty,
   type CapacityOrder,
   type CapacityRecord,
@@ -12,7 +13,7 @@
   type ScaledService,
   type ZoneCapacity,
 } from '../../core/capacity/index.js';
-import type { Service } from '../../core/gateway/index.js';
+import { enginesWithRoom, type Service } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { DutyRecordRow, type SentOutcome } from './duty-record.js';
 import type { FleetView } from './fleet-view.js';
@@ -22,6 +23,8 @@
 
 const RECORD_KEY = 'capacity-duty';
 const LOOK_MS = 500;
+/** Where a loss is to be answered at once it is looked for more often than callers notice it. */
+const LOSS_LOOK_MS = 200;
 /** What was given at the start is known once no further server has come for this long. */
 const LIST_SETTLED_MS = 1_500;
 /** Candidates spread their first look over this time, so that the first has taken the duty. */
@@ -29,11 +32,19 @@
 const CALL_TIMEOUT_MS = 1_500;
 const FAILURE_PAUSE_MS = 1_000;
 
+const orderSchema = z.object({
+  service: z.string(),
+  zone: z.string(),
+  isSpot: z.boolean(),
+  servers: z.number(),
+});
+
 const recordSchema = z.object({
   holder: z.string(),
   incarnation: z.number(),
   fence: z.number(),
   wantedPerZone: z.record(z.string(), z.number()),
+  targets: z.optional(z.array(orderSchema)),
 });
 
 /** What a controller is built from. */
@@ -41,6 +52,8 @@
   readonly daemon: string;
   readonly incarnation: number;
   readonly leaseMs: number;
+  /** Whether servers are ordered with room for a loss, and made up at once after one. */
+  readonly bearsLoss: boolean;
   readonly fleet: FleetView;
   readonly duties: PlatformDuties;
   readonly table: TableService;
@@ -62,6 +75,9 @@
   #listed = 0;
   #listedSinceMs = 0;
   #isSettled = false;
+  /** What was last logged of each service. */
+  readonly #logged = new Map<string, string>();
+  #wasHolder = false;
 
   constructor(options: CapacityControllerOptions) {
     this.#options = options;
@@ -71,12 +87,12 @@
 
   /** Runs until `stop`. */
   async run(): Promise<void> {
-    const { timers, mayOrder } = this.#options;
+    const { timers, mayOrder, bearsLoss } = this.#options;
     const { signal } = this.#stopped;
     await delay(timers, Math.random() * FIRST_LOOK_SPREAD_MS, signal);
     while (!signal.aborted) {
       const isBusy = mayOrder() && (await this.#step());
-      if (!isBusy) await delay(timers, LOOK_MS, signal);
+      if (!isBusy) await delay(timers, bearsLoss ? LOSS_LOOK_MS : LOOK_MS, signal);
     }
   }
 
@@ -89,7 +105,9 @@
     const nowMs = this.#options.timers.nowMs();
     const services = this.#scaledServices(nowMs);
     if (!this.#hasSettled(services, nowMs)) return false;
-    return this.#perform(this.#duty.next(services, this.#options.leaseTimers.nowMs()));
+    const action = this.#duty.next(services, this.#options.leaseTimers.nowMs());
+    for (const belief of this.#duty.beliefs) this.#logBelief(belief);
+    return this.#perform(action);
   }
 
   async #perform(action: CapacityAction): Promise<boolean> {
@@ -110,12 +128,13 @@
     const { timers } = this.#options;
     const { outcome, sentMs } = await call;
     this.#duty.takeRecord(outcome, sentMs, this.#options.leaseTimers.nowMs());
+    this.#logHolder();
     if (outcome.kind !== 'seen') await delay(timers, FAILURE_PAUSE_MS, this.#stopped.signal);
     return outcome.kind === 'seen';
   }
 
   async #order(order: CapacityOrder, fence: number): Promise<boolean> {
-    const { daemon, duties, timers, log, fleet } = this.#options;
+    const { daemon, duties, timers, log, fleet, bearsLoss } = this.#options;
     const authority = { holder: daemon, fence };
     const outcome = await callWithin(timers, CALL_TIMEOUT_MS, this.#stopped.signal, (signal) =>
       duties.orderCapacity(order, authority, signal),
@@ -130,7 +149,33 @@
       status: outcome.kind === 'refused' ? outcome.status : 0,
       reason: outcome.kind === 'lost' ? outcome.reason : '',
     });
-    return outcome.kind === 'accepted';
+    // Where none are to be had, others are ordered elsewhere without delay.
+    return outcome.kind === 'accepted' || (bearsLoss && outcome.kind === 'conflict');
+  }
+
+  /** What is believed of this daemon's services, for the figures. */
+  get beliefs(): readonly CapacityBelief[] {
+    return this.#duty.beliefs;
+  }
+
+  #logBelief(belief: CapacityBelief): void {
+    const { service, needed, wanted, present, coming, lost } = belief;
+    const zonesWithoutSpot = belief.zonesWithoutSpot.join(' ');
+    const fields = { service, needed, wanted, present, coming, zonesWithoutSpot };
+    const { log } = this.#options;
+    if (lost > 0) log.write(GATEWAY_EVENTS.spotServersTaken, { ...fields, lost });
+    // Servers come one by one, and the work changes by the moment: neither is news by itself.
+    const news = `${wanted} ${zonesWithoutSpot}`;
+    if (this.#logged.get(service) === news) return;
+    this.#logged.set(service, news);
+    log.write(GATEWAY_EVENTS.capacityPlanned, fields);
+  }
+
+  #logHolder(): void {
+    const { isHolder } = this.#duty;
+    if (isHolder === this.#wasHolder) return;
+    this.#wasHolder = isHolder;
+    this.#options.log.write(GATEWAY_EVENTS.capacityDutyChanged, { isHolder });
   }
 
   #scaledServices(nowMs: number): readonly ScaledService[] {
@@ -148,9 +193,10 @@
       const spot = here.filter(({ isSpot }) => isSpot).length;
       return { zone, plain: here.length - spot, spot };
     });
-    const { prefillEngines, decodeEngines } = fleet.stageNeedOf(name, nowMs);
-    const neededInAll = Math.ceil(prefillEngines + decodeEngines);
-    return [{ service: name, limits: scaling, zones, neededInAll }];
+    const need = fleet.stageNeedOf(name, nowMs);
+    const neededInAll = Math.ceil(need.prefillEngines + need.decodeEngines);
+    const neededWithRoom = enginesWithRoom(need);
+    return [{ service: name, limits: scaling, zones, neededInAll, neededWithRoom }];
   }
 
   /** At the start of a fleet servers are listed one by one. */
--- a/src/shell/gateway/duties.ts
+++ b/src/shell/gateway/duties.ts
@@ -2,6 +2,7 @@
  * The daemon's part in what the platform asks of one daemon at a time: usage reports, where the settings ask for
  * them, and orders of capacity.
  */
+import type { CapacityBelief } from '../../core/capacity/index.js';
 import type { PeerRoster, Tenant } from '../../core/gateway/index.js';
 import { CapacityController } from './capacity-controller.js';
 import type { FleetView } from './fleet-view.js';
@@ -17,7 +18,7 @@
 
 /** What duties are built from. */
 export interface DutiesOptions {
-  readonly settings: Pick<GatewaySettings, 'name' | 'bounds' | 'duties'>;
+  readonly settings: Pick<GatewaySettings, 'name' | 'bounds' | 'duties' | 'decisions'>;
   readonly adapter: Pick<PlatformAdapter, 'duties' | 'table'>;
   /** Another with each start of the process. */
   readonly incarnation: number;
@@ -48,7 +49,11 @@
       duties: adapter.duties,
       table: adapter.table,
     };
-    this.#capacity = new CapacityController({ ...shared, mayOrder: mayOrderCapacity });
+    this.#capacity = new CapacityController({
+      ...shared,
+      mayOrder: mayOrderCapacity,
+      bearsLoss: settings.decisions.spareCapacity,
+    });
     const windowSeconds = settings.duties?.usageWindowSeconds;
     if (windowSeconds === undefined) return;
     this.#usage = new UsageReporter({
@@ -71,6 +76,11 @@
     this.#capacity?.stop();
   }
 
+  /** What is believed of the services that are paid by the second; none where this daemon orders nothing. */
+  get capacityBeliefs(): readonly CapacityBelief[] {
+    return this.#capacity?.beliefs ?? [];
+  }
+
   /** A tenant's request began to run, so long ago. */
   noteBegan(tenant: Tenant | undefined, agoMs: number): void {
     if (tenant !== undefined) this.#usage?.noteBegan(tenant.name, agoMs);
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -1,7 +1,9 @@
 /** Figures of a gateway that are read when they are asked for. */
+import type { CapacityBelief } from '../../core/capacity/index.js';
 import type { BackendConnections } from './backend-connections.js';
 import type { CallerListener } from './caller-listener.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { Duties } from './duties.js';
 import type { FleetFollower } from './fleet-follower.js';
 import type { FleetView } from './fleet-view.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -15,6 +17,7 @@
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
+  readonly duties: () => Pick<Duties, 'capacityBeliefs'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'droppedTotal'>;
 }
@@ -77,5 +80,34 @@
       read: () => crashes.suspected,
     },
     { name: 'log_lines_dropped', help: 'Log lines left out', read: () => log.droppedTotal },
+    ...capacityGauges(sources),
+  ];
+}
+
+/** Of all services that are paid by the second; 0 at daemons that order nothing. */
+function capacityGauges({ duties }: GaugeSources): readonly Gauge[] {
+  const sumOf = (read: (belief: CapacityBelief) => number) => () =>
+    duties().capacityBeliefs.reduce((sum, belief) => sum + read(belief), 0);
+  return [
+    {
+      name: 'capacity_needed',
+      help: 'Servers that the work needs, with room for its unevenness',
+      read: sumOf(({ needed }) => needed),
+    },
+    {
+      name: 'capacity_wanted',
+      help: 'Servers that there are to be, the spare ones counted',
+      read: sumOf(({ wanted }) => wanted),
+    },
+    {
+      name: 'capacity_present',
+      help: 'Servers that take work',
+      read: sumOf(({ present }) => present),
+    },
+    {
+      name: 'capacity_coming',
+      help: 'Servers under order or booting',
+      read: sumOf(({ coming }) => coming),
+    },
   ];
 }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -177,6 +177,7 @@
       callers: this.#callers,
       connections: this.#connections,
       crashes: this.#crashes,
+      duties: () => this.#duties,
       timers,
       log,
     });
--- a/test/capacity/capacity-duty.test.ts
+++ b/test/capacity/capacity-duty.test.ts
@@ -45,7 +45,7 @@
       plain: this.counts.get(`${zone} plain`) ?? 0,
       spot: this.counts.get(`${zone} spot`) ?? 0,
     }));
-    return [{ service: 'reader', limits, zones, neededInAll }];
+    return [{ service: 'reader', limits, zones, neededInAll, neededWithRoom: neededInAll }];
   }
 
   order(given: Given): 'accepted' | 'conflict' {
@@ -82,7 +82,12 @@
   constructor(platform: Platform, name: string, incarnation: number) {
     this.#name = name;
     this.#platform = platform;
-    this.#duty = new CapacityDuty({ daemon: name, incarnation, leaseMs: LEASE_MS });
+    this.#duty = new CapacityDuty({
+      daemon: name,
+      incarnation,
+      leaseMs: LEASE_MS,
+      bearsLoss: false,
+    });
   }
 
   get isHolder(): boolean {
