--- a/src/core/capacity/capacity-duty.ts
+++ b/src/core/capacity/capacity-duty.ts
@@ -50,8 +50,9 @@
  * have not yet waited for as long as servers take to boot.
  */
 const LOSS_STEP_IN_MS = 1_000;
-/** Servers there or coming below this part of what is wanted are a loss; a single failure is made up in time. */
-const LOSS_SHARE = 0.9;
+/** So many servers that are neither there nor coming are a loss; a single failure is made up in time. */
+const LEAST_LOSS = 2;
+const LOSS_SHARE = 0.1;
 
 /** Decides; whoever drives it makes the calls, one at a time, and says what became of them. */
 export class CapacityDuty {
@@ -65,6 +66,8 @@
   /** Since when servers are lacking that nobody has ordered. */
   #shortSinceMs: number | undefined;
   #seenVersion = 0;
+  /** What each zone was given, as the record last said. */
+  #known: WantedPerZone = {};
   /** Whether the holder has probably written since the record was read. */
   #isOutdated = false;
   #hasRead = false;
@@ -86,9 +89,9 @@
   /** The next action for the services as they are now. */
   next(services: readonly ScaledService[], nowMs: number): CapacityAction {
     if (services.length === 0) return { kind: 'none' };
-    if (!this.#hasRead) return { kind: 'read' };
     const wanted = this.#wantedPerZone(services);
     this.#plans = services.map((service) => this.#planOf(service, wanted, nowMs));
+    if (!this.#hasRead) return { kind: 'read' };
     this.#noteShort(nowMs);
     const order = this.#nextOrder(nowMs);
     this.#noteWanted(order !== undefined, nowMs);
@@ -110,9 +113,9 @@
     this.#lease.take(outcome, sentMs, nowMs);
     this.#isOutdated = false;
     if (outcome.kind !== 'seen') return;
-    // Of a record that stood there at the start nobody knows how old it is.
-    const isNews = this.#hasRead && outcome.version !== this.#seenVersion && !outcome.isOwnWrite;
     this.#hasRead = true;
+    this.#known = outcome.record?.wantedPerZone ?? {};
+    const isNews = outcome.version !== this.#seenVersion && !outcome.isOwnWrite;
     this.#seenVersion = outcome.version;
     if (isNews) this.#takeTargets(outcome.record?.targets ?? [], nowMs);
   }
@@ -159,7 +162,7 @@
 
   /** As the record says; what it does not know is kept as it is now. */
   #wantedPerZone(services: readonly ScaledService[]): WantedPerZone {
-    const known = this.#lease.current?.record?.wantedPerZone ?? {};
+    const known = this.#known;
     const entries = services.map(({ service, zones }) => {
       const present = zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
       return [service, known[service] ?? Math.ceil(present / Math.max(1, zones.length))] as const;
@@ -188,7 +191,8 @@
 
   #noteShort(nowMs: number): void {
     const isShort = this.beliefs.some(
-      ({ present, coming, wanted }) => present + coming < LOSS_SHARE * wanted,
+      ({ present, coming, wanted }) =>
+        wanted - present - coming >= Math.max(LEAST_LOSS, LOSS_SHARE * wanted),
     );
     if (isShort && this.#shortSinceMs === undefined) this.#isOutdated = true;
     this.#shortSinceMs = isShort ? (this.#shortSinceMs ?? nowMs) : undefined;
--- a/src/core/capacity/plan-for-loss.ts
+++ b/src/core/capacity/plan-for-loss.ts
@@ -50,6 +50,8 @@
 
 /** One that reads and one that generates stay whatever is taken away, so that no work stops altogether. */
 const PLAIN_KEPT = 2;
+/** Spot servers that are asked for in any case where there were none. */
+const SPOT_ASKED = 2;
 /** Callers that repeat count as more work: beyond this part of what was given, the demand is not believed. */
 const MOST_GROWTH = 1.5;
 /** More is ordered by steps of this part, so that a demand that swings does not bring an order each time. */
@@ -61,9 +63,11 @@
   const wantedInAll = wantedServers(input);
   const kept = plainKept(input, wantedInAll);
   const spot = spotTargets(input, wantedInAll - sumOf(kept), kept);
-  const neededInAll = Math.min(input.neededInAll, wantedInAll);
+  // Beyond what was given only cheap servers are ordered.
+  const neededInAll = Math.min(input.neededInAll, givenInAll(input));
   const covered = sumOf(kept) + zones.reduce((sum, now) => sum + expectedSpot(now, spot), 0);
-  const room = ({ zone }: ZoneSupply) => limits.max - (kept.get(zone) ?? 0) - (spot.get(zone) ?? 0);
+  const room = (now: ZoneSupply) =>
+    limits.max - (kept.get(now.zone) ?? 0) - roomForSpot(now, spot.get(now.zone) ?? 0);
   const extra = dealToCheapest(Math.max(0, neededInAll - covered), sharesOf(input, zones, room));
   const least = new Map(
     zones.map(({ zone }) => [zone, (kept.get(zone) ?? 0) + (extra.get(zone) ?? 0)]),
@@ -78,6 +82,10 @@
   return { targets, wantedInAll };
 }
 
+function givenInAll({ limits, zones, givenPerZone }: LossPlanInput): number {
+  return withinLimits(givenPerZone, limits) * zones.length;
+}
+
 /** Servers there are to be: as given, or more where the work and a loss take more. */
 function wantedServers({ limits, zones, givenPerZone, neededInAll }: LossPlanInput): number {
   const given = withinLimits(givenPerZone, limits);
@@ -121,6 +129,11 @@
   return hasSpot ? target : Math.min(target, spot);
 }
 
+/** In a zone that has no spot servers, plain ones leave room for as many as show that there are some again. */
+function roomForSpot({ spot, hasSpot }: ZoneSupply, target: number): number {
+  return hasSpot ? target : Math.min(target, Math.max(spot, SPOT_ASKED));
+}
+
 /** Plain servers that are not to stay go, the dearest first, once enough are there without them. */
 function plainTargets(
   input: LossPlanInput,
--- a/test/capacity/bearing-loss.test.ts
+++ b/test/capacity/bearing-loss.test.ts
@@ -189,3 +189,13 @@
   assert.deepEqual(platform.given, []);
   assert.deepEqual(daemons[0]?.duty.beliefs, []);
 });
+
+test('plain servers that came while no zone had spot servers leave room to ask for some', () => {
+  const { platform, daemons } = settledFleet();
+  platform.neededWithRoom = 100;
+  for (const zone of ['a', 'b', 'c']) platform.takeAway(zone, 10 * DRY_MS);
+  play(platform, daemons, 4 * BOOT_MS);
+  for (const zone of ['a', 'b', 'c']) assert.ok(platform.count(zone, 'plain') <= 38);
+  play(platform, daemons, 10 * DRY_MS + 40 * BOOT_MS);
+  assert.equal(platform.countOf('plain'), 2);
+});
