--- a/src/core/capacity/loss-bearing-planner.ts
+++ b/src/core/capacity/loss-bearing-planner.ts
@@ -45,6 +45,7 @@
       present: presentOf(scaled),
       coming: zones.reduce((sum, { coming }) => sum + coming, 0),
       zonesWithoutSpot: zones.filter(({ hasSpot }) => !hasSpot).map(({ zone }) => zone),
+      hasSpot: zones.some(({ hasSpot }) => hasSpot),
       lost,
     };
     return { scaled, targets, belief };
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -8,6 +8,9 @@
  * zones as there are; and when none of them can be reached, several that read are ordered over at once,
  * whatever the work is. Reading needs no such care: engines that generate read as well.
  *
+ * After a loss the split is planned from the engines that are left and those that are coming: one that changes its
+ * stage is away for as long as another takes to boot, when every engine counts.
+ *
  * Long prompts are read one after another, each late when it waits for one other, so a stage that reads
  * is full early; an engine that generates shares its steps among many runs and may be busier.
  */
@@ -41,6 +44,8 @@
 export interface StagePlanInput {
   readonly engines: readonly ServerRecord[];
   readonly need: StageNeed;
+  /** Engines under order or booting: they are there before an engine that changes its stage is back. */
+  readonly comingEngines: number;
   /** What an engine has under way; the one with least is moved. */
   busyOf(engineId: string): number;
 }
@@ -55,10 +60,12 @@
 
 /** The next changes; none when the split is good enough. */
 export function planStageChanges(input: StagePlanInput): readonly StageChange[] {
-  const { engines, need } = input;
-  const total = engines.length;
-  if (need.requests < LEAST_REQUESTS || total < 3) return [];
-  const currentPrefill = engines.filter((engine) => engine.stage === 'prefill').length;
+  const { engines, need, comingEngines } = input;
+  if (need.requests < LEAST_REQUESTS || engines.length < 3) return [];
+  const total = engines.length + comingEngines;
+  const reading = engines.filter((engine) => engine.stage === 'prefill').length;
+  // Those that come are taken to have the mix of those that are there.
+  const currentPrefill = Math.round((reading * total) / engines.length);
   const wantedPrefill = bestPrefillCount(total, need);
   const current = fullest(currentPrefill, total, need);
   if (wantedPrefill === currentPrefill || current < 1) return [];
@@ -77,7 +84,7 @@
 }
 
 /** What a rescue is decided from. */
-export interface RescueInput extends Omit<StagePlanInput, 'need'> {
+export interface RescueInput extends Omit<StagePlanInput, 'need' | 'comingEngines'> {
   /** Whether calls to an engine come through. */
   isReachable(engineId: string): boolean;
 }
--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -155,7 +155,7 @@
 
   /** What is believed of this daemon's services, for the figures. */
   get beliefs(): readonly CapacityBelief[] {
-    return this.#duty.beliefs;
+    return this.#options.mayOrder() ? this.#duty.beliefs : [];
   }
 
   #logBelief(belief: CapacityBelief): void {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -166,6 +166,7 @@
       connections: this.#connections,
       codec: adapter.requests,
       mayOrder: () => this.#knowsDemand,
+      comingEngines: (service) => this.#duties.comingServers(service),
       tellStage: (notice) => this.#peers?.tellStage(notice),
       timers,
       leaseTimers: this.#suspensionAware,
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -63,6 +63,8 @@
   readonly table: TableService;
   /** Whether this daemon may order engines at all. */
   readonly mayOrder: () => boolean;
+  /** Engines of a service under order or booting, as far as is known. */
+  readonly comingEngines: (service: string) => number;
 }
 
 /** A daemon's part in ordering engines. */
@@ -184,6 +186,7 @@
       const changes = planStageChanges({
         engines: fleet.expectedServers(service.name, nowMs),
         need: fleet.stageNeedOf(service.name, nowMs),
+        comingEngines: this.#options.comingEngines(service.name),
         busyOf: (id) => fleet.busyOf(id, nowMs),
       });
       const paidFor = changes.filter((change) => this.#isPaidFor(change, traits, nowMs));
--- a/test/gateway/plan-stages.test.ts
+++ b/test/gateway/plan-stages.test.ts
@@ -33,7 +33,7 @@
 function settle(total: number, prefill: number, wanted: StageNeed): number {
   let fleet = engines(total, prefill);
   for (let moves = 0; moves <= total; moves += 1) {
-    const change = planStageChanges({ engines: fleet, need: wanted, busyOf })[0];
+    const change = planStageChanges({ engines: fleet, need: wanted, comingEngines: 0, busyOf })[0];
     if (change === undefined) return fleet.filter(({ stage }) => stage === 'prefill').length;
     const stage: EngineStage = change.stage;
     fleet = fleet.map((engine) => (engine.id === change.engine.id ? { ...engine, stage } : engine));
@@ -42,7 +42,7 @@
 }
 
 test('the least busy engine is moved to the stage whose work piles up', () => {
-  const change = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), busyOf })[0];
+  const change = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), comingEngines: 0, busyOf })[0];
   assert.deepEqual([change?.engine.id, change?.stage, change?.wantedPrefill], ['e5', 'prefill', 5]);
 });
 
@@ -59,7 +59,7 @@
 
 test('nothing is moved for few requests, for engines that are idle enough, or for a small relief', () => {
   const plan = (total: number, prefill: number, wanted: StageNeed) =>
-    planStageChanges({ engines: engines(total, prefill), need: wanted, busyOf })[0];
+    planStageChanges({ engines: engines(total, prefill), need: wanted, comingEngines: 0, busyOf })[0];
   assert.equal(plan(8, 2, need(6, 0.2, 5)), undefined);
   assert.equal(plan(8, 2, need(0.6, 0.2)), undefined);
   assert.equal(plan(13, 8, need(4, 4)), undefined);
@@ -86,7 +86,7 @@
       let moves = 0;
       for (const factor of factors) {
         const wanted = need(2.4 * factor, 0.8 / factor);
-        const change = planStageChanges({ engines: fleet, need: wanted, busyOf })[0];
+        const change = planStageChanges({ engines: fleet, need: wanted, comingEngines: 0, busyOf })[0];
         if (change === undefined) continue;
         moves += 1;
         const { stage } = change;
@@ -98,7 +98,7 @@
   );
 });
 
-const allIdle = { busyOf: () => 0 };
+const allIdle = { comingEngines: 0, busyOf: () => 0 };
 
 test('whatever two engines are lost, one that generates is left, where the split has settled', () => {
   for (const total of [8, 13, 40, 55]) {
@@ -107,6 +107,31 @@
   }
 });
 
+test('after a loss no engine is ordered over for work that those which are coming will do', () => {
+  const left = engines(14, 5);
+  const plan = (comingEngines: number) =>
+    planStageChanges({ engines: left, need: need(4.6, 2), comingEngines, busyOf: () => 0 });
+  assert.ok(plan(0).length > 0, 'those that are left would be moved');
+  assert.deepEqual(plan(28), []);
+  assert.ok(plan(4).length > 0, 'but they are where those that come will not do');
+});
+
+test('however few are left, some of each stage stay', () => {
+  for (let prefill = 1; prefill < 5; prefill += 1) {
+    const left = engines(5, prefill);
+    for (const wanted of [need(40, 0.1), need(0.1, 40)]) {
+      const moved = planStageChanges({
+        engines: left,
+        need: wanted,
+        comingEngines: 37,
+        busyOf: () => 0,
+      });
+      const from = left.filter(({ stage }) => stage !== moved[0]?.stage).length;
+      assert.ok(moved.length < from, `${moved.length} of ${from}`);
+    }
+  }
+});
+
 test('an engine is taken from the zone that has most of its stage, so that a zone may be lost', () => {
   const zones = ['a', 'a', 'b', 'b', 'b', 'c', 'c', 'c'];
   const fleet = engines(8, 1).map((engine, index) => ({ ...engine, zone: zones[index] ?? '' }));
@@ -146,6 +171,6 @@
     planStageChanges({ engines: engines(44, prefill), need: need(30, 2), ...allIdle });
   assert.equal(plan(10).length, 4);
   assert.equal(new Set(plan(10).map(({ engine }) => engine.id)).size, 4);
-  const few = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), busyOf });
+  const few = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), comingEngines: 0, busyOf });
   assert.equal(few.length, 1);
 });
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -118,6 +118,7 @@
     leaseMs: LEASE_MS,
     leaseTimers: suspensionAwareTimers(timers, () => timers.nowMs() + setup.suspendedMs),
     mayOrder,
+    comingEngines: () => 0,
     fleet,
     table,
     connections: engines,
