--- a/src/core/capacity/capacity-duty.ts
+++ b/src/core/capacity/capacity-duty.ts
@@ -81,8 +81,9 @@
     return this.#lease.isHolder;
   }
 
-  /** What the last plan was made from; none where the duty bears no loss. */
+  /** What the last plan was made from; none where the duty bears no loss, or its record was never read. */
   get beliefs(): readonly CapacityBelief[] {
+    if (!this.#hasRead) return [];
     return this.#plans.flatMap(({ belief }) => (belief === undefined ? [] : [belief]));
   }
 
--- a/src/core/capacity/index.ts
+++ b/src/core/capacity/index.ts
@@ -18,4 +18,5 @@
   type ZoneSupply,
 } from './plan-for-loss.js';
 export { type CapacityBelief, comingOf, type ScaledService } from './scaled-service.js';
+export { ServerListSettling } from './server-list-settling.js';
 export { SpotSupply } from './spot-supply.js';
--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -11,6 +11,7 @@
   type CapacityRecord,
   type OrderOutcome,
   type ScaledService,
+  ServerListSettling,
   type ZoneCapacity,
 } from '../../core/capacity/index.js';
 import { enginesWithRoom, type Service } from '../../core/gateway/index.js';
@@ -25,8 +26,6 @@
 const LOOK_MS = 500;
 /** Where a loss is to be answered at once it is looked for more often than callers notice it. */
 const LOSS_LOOK_MS = 200;
-/** What was given at the start is known once no further server has come for this long. */
-const LIST_SETTLED_MS = 1_500;
 /** Candidates spread their first look over this time, so that the first has taken the duty. */
 const FIRST_LOOK_SPREAD_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_500;
@@ -71,10 +70,7 @@
   readonly #duty: CapacityDuty;
   readonly #record: DutyRecordRow<CapacityRecord>;
   readonly #stopped = new AbortController();
-  /** The servers of scaled services when the list was last looked at. */
-  #listed = 0;
-  #listedSinceMs = 0;
-  #isSettled = false;
+  readonly #settling = new ServerListSettling();
   /** What was last logged of each service. */
   readonly #logged = new Map<string, string>();
   #wasHolder = false;
@@ -201,13 +197,10 @@
 
   /** At the start of a fleet servers are listed one by one. */
   #hasSettled(services: readonly ScaledService[], nowMs: number): boolean {
-    if (this.#isSettled) return true;
     const zones = services.flatMap((service) => service.zones);
     const listed = zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
-    if (listed !== this.#listed) this.#listedSinceMs = nowMs;
-    this.#listed = listed;
-    this.#isSettled = listed > 0 && nowMs - this.#listedSinceMs >= LIST_SETTLED_MS;
-    return this.#isSettled;
+    const longestBootMs = Math.max(0, ...services.map(({ limits }) => limits.bootMs));
+    return this.#settling.take(listed, longestBootMs, nowMs);
   }
 }
 
--- a/test/gateway/plan-stages.test.ts
+++ b/test/gateway/plan-stages.test.ts
@@ -42,7 +42,12 @@
 }
 
 test('the least busy engine is moved to the stage whose work piles up', () => {
-  const change = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), comingEngines: 0, busyOf })[0];
+  const change = planStageChanges({
+    engines: engines(8, 2),
+    need: need(2, 0.2),
+    comingEngines: 0,
+    busyOf,
+  })[0];
   assert.deepEqual([change?.engine.id, change?.stage, change?.wantedPrefill], ['e5', 'prefill', 5]);
 });
 
@@ -59,7 +64,12 @@
 
 test('nothing is moved for few requests, for engines that are idle enough, or for a small relief', () => {
   const plan = (total: number, prefill: number, wanted: StageNeed) =>
-    planStageChanges({ engines: engines(total, prefill), need: wanted, comingEngines: 0, busyOf })[0];
+    planStageChanges({
+      engines: engines(total, prefill),
+      need: wanted,
+      comingEngines: 0,
+      busyOf,
+    })[0];
   assert.equal(plan(8, 2, need(6, 0.2, 5)), undefined);
   assert.equal(plan(8, 2, need(0.6, 0.2)), undefined);
   assert.equal(plan(13, 8, need(4, 4)), undefined);
@@ -86,7 +96,12 @@
       let moves = 0;
       for (const factor of factors) {
         const wanted = need(2.4 * factor, 0.8 / factor);
-        const change = planStageChanges({ engines: fleet, need: wanted, comingEngines: 0, busyOf })[0];
+        const change = planStageChanges({
+          engines: fleet,
+          need: wanted,
+          comingEngines: 0,
+          busyOf,
+        })[0];
         if (change === undefined) continue;
         moves += 1;
         const { stage } = change;
@@ -171,6 +186,11 @@
     planStageChanges({ engines: engines(44, prefill), need: need(30, 2), ...allIdle });
   assert.equal(plan(10).length, 4);
   assert.equal(new Set(plan(10).map(({ engine }) => engine.id)).size, 4);
-  const few = planStageChanges({ engines: engines(8, 2), need: need(2, 0.2), comingEngines: 0, busyOf });
+  const few = planStageChanges({
+    engines: engines(8, 2),
+    need: need(2, 0.2),
+    comingEngines: 0,
+    busyOf,
+  });
   assert.equal(few.length, 1);
 });
