--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -168,6 +168,7 @@
       connections: this.#connections,
       codec: adapter.requests,
       mayOrder: () => this.#knowsDemand,
+      comingEngines: (service) => this.#duties.comingServers(service),
       tellStage: (notice) => this.#peers?.tellStage(notice),
       timers,
       leaseTimers: this.#suspensionAware,
@@ -179,6 +180,7 @@
       callers: this.#callers,
       connections: this.#connections,
       crashes: this.#crashes,
+      duties: () => this.#duties,
       timers,
       log,
     });
