Spread the prompts that many daemons plan by the same sums

Daemons of a large fleet know each other's work 60 to 150 ms late, so all of them saw the same engine wait least. What the others have sent since is now estimated from the rate at which the fleet is asked, poured over the engines that wait least, and one of those that come out best is drawn by the room it had. Before anything is told, each of the other daemons counts as sending about what this one does.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -11,12 +11,15 @@
 import { rendezvousWeight } from './rendezvous.js';
 import type { EngineStage, ServerRecord } from './server-directory.js';
 import type { ServerHealth } from './server-health.js';
+import { drawSpread, type Spread, usefulSpread } from './spread-choice.js';
 
 const SUSPECT_COST_MS = 20_000;
 const FAILURE_COST_MS = 400;
 const OTHER_ZONE_COST_MS = 4;
 /** A part that nobody keeps is read at its home, unless that waits longer than this part of its reading. */
 const HOME_SHARE = 0.25;
+/** Homes of a part while nobody has told anything; each reads the part, so they are few. */
+const HOMES_AT_START = 4;
 /** Fewer missing tokens than this are not worth fetching from another engine. */
 const LEAST_FETCHED_TOKENS = 1_024;
 const BITS_PER_BYTE = 8;
@@ -42,6 +45,8 @@
   /** What is left of the time in which an answer is in time. */
   readonly inTimeMs: number;
   loadOf(id: string): EngineLoad;
+  /** Absent where daemons hear of each other's work at once, and where spreading is switched off. */
+  readonly spread?: Spread | undefined;
 }
 
 /** Read at one engine, go on at another. */
@@ -61,6 +66,7 @@
       readonly read: ExpectedRead;
       /** Until the first token. */
       readonly expectedMs: number;
+      readonly isSpread: boolean;
     }
   | {
       readonly kind: 'direct';
@@ -69,6 +75,8 @@
       readonly fetchFrom: ServerRecord | undefined;
       readonly missingTokens: number;
       readonly expectedMs: number;
+      /** Whether another engine would have been taken by the sums alone. */
+      readonly isSpread: boolean;
     };
 
 /** What reading the prompt at an engine costs, whatever waits there. */
@@ -78,8 +86,12 @@
   readonly fetchFrom: ServerRecord | undefined;
   readonly readMs: number;
   readonly slotMs: number;
-  /** What else speaks against it: others that it holds up, its standing, the home of the part. */
+  /** What speaks against it whatever the prompt: full slots, failures. */
+  readonly standingMs: number;
+  /** What else speaks against it: others that it holds up, another zone. */
   readonly otherCostMs: number;
+  /** What speaks for the home of a part that it does not keep yet. */
+  readonly homeBonusMs: number;
 }
 
 /** The engines that may read the prompt, worked out once for both urgencies. */
@@ -94,6 +106,9 @@
   readonly reader: Reader;
   readonly read: ExpectedRead;
   readonly costMs: number;
+  /** What waits there and runs there, as all daemons see it. */
+  readonly loadMs: number;
+  readonly homeBonusMs: number;
 }
 
 /** An engine that keeps tokens of the prompt which others can take. */
@@ -123,22 +138,26 @@
   if (direct === undefined) return undefined;
   const { handOverMs } = readers;
   if (prefill !== undefined && prefill.costMs + handOverMs < direct.costMs) {
-    const { server, missingTokens, fetchFrom } = prefill.reader;
+    const { reader, read } = spreadReader(prefill, readers.prefill, handOverMs, input);
+    const { server, missingTokens, fetchFrom } = reader;
     return {
       kind: 'prefill',
-      read: prefill.read,
-      expectedMs: prefill.read.waitMs + prefill.read.readMs + handOverMs,
+      read,
+      expectedMs: read.waitMs + read.readMs + handOverMs,
       prefill: { server, missingTokens, fetchFrom },
+      isSpread: reader !== prefill.reader,
     };
   }
-  const { server, missingTokens, fetchFrom } = direct.reader;
+  const { reader, read } = spreadReader(direct, readers.decode, 0, input);
+  const { server, missingTokens, fetchFrom } = reader;
   return {
     kind: 'direct',
     server,
     fetchFrom,
     missingTokens,
-    read: direct.read,
-    expectedMs: direct.read.waitMs + direct.read.readMs,
+    read,
+    expectedMs: read.waitMs + read.readMs,
+    isSpread: reader !== direct.reader,
   };
 }
 
@@ -147,11 +166,22 @@
   input: EngineChoiceInput,
   source: ServerRecord,
 ): ServerRecord | undefined {
-  return lowest(enginesOf(input, 'decode'), (server) => {
+  const estimates = enginesOf(input, 'decode').map((server) => {
     const moveCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
     const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, input);
-    return moveCost + waitsMs + standingCost(server, input);
+    const loadMs = waitsMs + fullnessMs(server, input) + healthCostMs(server, input);
+    return {
+      server,
+      loadMs,
+      costMs: moveCost + loadMs + zoneCostMs(server, input),
+      homeBonusMs: 0,
+    };
   });
+  const best = lowest(estimates, ({ costMs }) => costMs);
+  const spread = usefulSpread(input.spread);
+  if (best === undefined || spread === undefined) return best?.server;
+  const read = { readMs: 0, runMs: runCostMs(best.server, input) };
+  return drawSpread(estimates, { spread, stage: 'decode', ...read })?.server;
 }
 
 /** The engine where a part is read first, the same for all daemons that list the same engines. */
@@ -159,6 +189,39 @@
   return lowest(servers, (server) => -rendezvousWeight(partId, server.id));
 }
 
+/** The reader to take in place of the best by the sums, where others take that one too. */
+function spreadReader(
+  best: ReadEstimate,
+  readers: readonly Reader[],
+  handOverMs: number,
+  input: EngineChoiceInput,
+): ReadEstimate {
+  const spread = usefulSpread(input.spread);
+  if (spread === undefined) return best;
+  const { urgency, readMs } = best.read;
+  const mostMs = input.inTimeMs - handOverMs;
+  const isInTime = ({ read }: ReadEstimate) => read.waitMs + read.readMs <= mostMs;
+  const estimates = readers.map((reader) => estimateOf(reader, urgency, input));
+  const equals = isInTime(best) ? estimates.filter(isInTime) : estimates;
+  const { server } = best.reader;
+  const runMs = server.stage === 'decode' ? runCostMs(server, input) : 0;
+  const stage = server.stage === 'decode' ? 'decode' : 'prefill';
+  return drawSpread(equals, { spread, stage, readMs, runMs }) ?? best;
+}
+
+function estimateOf(reader: Reader, urgency: Urgency, input: EngineChoiceInput): ReadEstimate {
+  const waitsMs = waitMs(reader.server, urgency, input) + reader.slotMs;
+  const { readMs, standingMs, otherCostMs, homeBonusMs } = reader;
+  const loadMs = waitsMs + standingMs;
+  return {
+    reader,
+    read: { urgency, readMs, waitMs: waitsMs },
+    costMs: loadMs + readMs + otherCostMs - homeBonusMs,
+    loadMs,
+    homeBonusMs,
+  };
+}
+
 function bestReader(
   readers: readonly Reader[],
   urgency: Urgency,
@@ -166,10 +229,8 @@
 ): ReadEstimate | undefined {
   let best: ReadEstimate | undefined;
   for (const reader of readers) {
-    const waitsMs = waitMs(reader.server, urgency, input) + reader.slotMs;
-    const costMs = waitsMs + reader.readMs + reader.otherCostMs;
-    if (best !== undefined && costMs >= best.costMs) continue;
-    best = { reader, read: { urgency, readMs: reader.readMs, waitMs: waitsMs }, costMs };
+    const estimate = estimateOf(reader, urgency, input);
+    if (best === undefined || estimate.costMs < best.costMs) best = estimate;
   }
   return best;
 }
@@ -193,10 +254,21 @@
 ): readonly Reader[] {
   const servers = enginesOf(input, stage);
   const shared = sharedPart(input.description.promptParts);
-  const home = shared === undefined ? undefined : homeOf(shared.id, servers);
+  const home = shared === undefined ? undefined : homeNow(shared.id, servers, input);
   return servers.map((server) => readerAt(server, stage, donors, server === home, input));
 }
 
+/** Before anyone has told of any work, a part has some homes, so that no engine gets what all begin with. */
+function homeNow(
+  partId: string,
+  servers: readonly ServerRecord[],
+  { spread }: EngineChoiceInput,
+): ServerRecord | undefined {
+  if (spread?.unseen.kind !== 'by-daemons') return homeOf(partId, servers);
+  const place = Math.floor(spread.entropy * HOMES_AT_START);
+  return homeOf(`${place} ${partId}`, servers);
+}
+
 function readerAt(
   server: ServerRecord,
   stage: EngineStage,
@@ -221,7 +293,9 @@
     fetchFrom: donor?.server,
     readMs: paceMs + fetchMs,
     slotMs: stage === 'decode' ? slotWaitMs(server, input) : 0,
-    otherCostMs: delayMs - bonusMs + standingCost(server, input),
+    standingMs: fullnessMs(server, input) + healthCostMs(server, input),
+    otherCostMs: delayMs + zoneCostMs(server, input),
+    homeBonusMs: bonusMs,
   };
 }
 
@@ -297,17 +371,23 @@
   return (waiting * input.speed.runMs) / slots;
 }
 
-/** What speaks against an engine whatever the prompt: full slots, another zone, failures. */
-function standingCost(server: ServerRecord, input: EngineChoiceInput): number {
+/** A run takes a share of each step: the fuller the slots, the later the next token. */
+function runCostMs(server: ServerRecord, input: EngineChoiceInput): number {
+  return input.speed.handOverMs / Math.max(1, server.slots);
+}
+
+function fullnessMs(server: ServerRecord, input: EngineChoiceInput): number {
+  return runsAt(server, input) * runCostMs(server, input);
+}
+
+function healthCostMs(server: ServerRecord, input: EngineChoiceInput): number {
   const health = input.healthOf(server.id);
-  const running = runsAt(server, input);
-  // A run there takes a share of each step: the fuller its slots, the later the next token.
-  const fullness = running / Math.max(1, server.slots);
-  let cost = input.speed.handOverMs * fullness;
-  if (server.zone !== input.zone) cost += OTHER_ZONE_COST_MS;
-  cost += FAILURE_COST_MS * health.failureRate;
-  if (health.isSuspect(input.nowMs)) cost += SUSPECT_COST_MS;
-  return cost;
+  const suspectMs = health.isSuspect(input.nowMs) ? SUSPECT_COST_MS : 0;
+  return FAILURE_COST_MS * health.failureRate + suspectMs;
+}
+
+function zoneCostMs(server: ServerRecord, input: EngineChoiceInput): number {
+  return server.zone === input.zone ? 0 : OTHER_ZONE_COST_MS;
 }
 
 function lowest<T>(items: readonly T[], costOf: (item: T) => number): T | undefined {
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -80,6 +80,7 @@
   type ServerState,
 } from './server-directory.js';
 export { type OpenCall, ServerHealth } from './server-health.js';
+export type { Spread, UnseenWork } from './spread-choice.js';
 export {
   addDemands,
   type DemandSums,
@@ -91,3 +92,4 @@
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
 export { type Admission, TenantTable } from './tenants.js';
+export { TOLD_AFTER_MS, unseenWork } from './unseen-work.js';
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -88,6 +88,8 @@
   #sums: ReceivedSums | undefined;
   readonly #zoneSums = new Map<string, ReceivedSums>();
   #reportIndex: ReportIndex | undefined;
+  #busySinceMs: number | undefined = Number.NEGATIVE_INFINITY;
+  #hasHeardDemand = false;
 
   /** Takes a report unless a newer one of the same life is known. */
   take(report: LoadReport, nowMs: number): void {
@@ -96,6 +98,7 @@
     if (known !== undefined && isSameLife && known.sequence >= report.sequence) return;
     const byEngine = new Map(report.work.map((work) => [work.engineId, work]));
     this.#byDaemon.set(report.daemon, { report, atMs: nowMs, byEngine });
+    this.#noteDemand(report.demand, nowMs);
     this.#reportIndex = undefined;
   }
 
@@ -105,11 +108,14 @@
    */
   takeSums(sums: LoadSums, ownWork: readonly EngineWork[], nowMs: number): void {
     this.#sums = merged(this.#sums, sums, ownWork, nowMs);
+    if (sums.demand.length === 0) this.#busySinceMs = undefined;
+    this.#noteDemand(sums.demand, nowMs);
   }
 
   /** Takes the sums of another zone, as this daemon is the relay of its own. */
   takeZoneSums(zone: string, sums: LoadSums, nowMs: number): void {
     this.#zoneSums.set(zone, merged(this.#zoneSums.get(zone), sums, [], nowMs));
+    this.#noteDemand(sums.demand, nowMs);
     this.#reportIndex = undefined;
   }
 
@@ -171,11 +177,31 @@
     return hasSums || this.#recent(nowMs).length > 0;
   }
 
+  /** How long the others have been asked for anything; Infinity since before this daemon heard of them. */
+  busyForMs(nowMs: number): number | undefined {
+    return this.#busySinceMs === undefined ? undefined : nowMs - this.#busySinceMs;
+  }
+
+  /** Age of what a relay, or the relays of the other zones, told of all daemons; undefined where none did. */
+  sumsAgeMs(nowMs: number): number | undefined {
+    const received = this.#sums === undefined ? [] : [this.#sums];
+    const agesMs = [...received, ...this.#zoneSums.values()].map(({ atMs }) => nowMs - atMs);
+    const validMs = agesMs.filter((ageMs) => ageMs <= SUMS_VALID_MS);
+    return validMs.length === 0 ? undefined : Math.min(...validMs);
+  }
+
   /** Daemons heard of lately. */
   count(nowMs: number): number {
     return this.#recent(nowMs).length;
   }
 
+  /** Others that are not asked for anything at first show the moment at which they are. */
+  #noteDemand(demand: readonly ServiceDemand[], nowMs: number): void {
+    if (demand.length > 0) this.#busySinceMs ??= nowMs;
+    else if (!this.#hasHeardDemand) this.#busySinceMs = undefined;
+    if (demand.length > 0) this.#hasHeardDemand = true;
+  }
+
   #workAt(engineId: string, nowMs: number): readonly ReceivedWork[] {
     const sums = this.#sums;
     if (sums !== undefined && nowMs - sums.atMs <= SUMS_VALID_MS) {
--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -13,7 +13,7 @@
 import { rankByRendezvous } from './rendezvous.js';
 
 /** Up to so many daemons in all, each tells all others. */
-const MOST_DIRECT_DAEMONS = 12;
+export const MOST_DIRECT_DAEMONS = 12;
 const LEAST_HEARTBEAT_MS = 1_000;
 /** Heartbeats go to all others, so they come the more seldom the more daemons there are. */
 const HEARTBEAT_MS_FOR_PEER = 30;
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -30,6 +30,8 @@
   readonly fleet: FleetView;
   readonly connections: BackendConnections;
   readonly codec: RequestCodec;
+  /** Whether what other daemons have sent unseen counts in a choice. */
+  readonly isSpreading: boolean;
   /** To be called when work on a long prompt begins or ends. */
   readonly noteLoadChange: () => void;
   /** To be called when a shared part begins to be read, so that no other daemon has it read again. */
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -27,7 +27,9 @@
   StageNotices,
   TenantTable,
   TrafficSplitter,
+  type UnseenWork,
   type Urgency,
+  unseenWork,
 } from '../../core/gateway/index.js';
 import type { EngineNews } from './peer-messages.js';
 
@@ -197,6 +199,19 @@
     return entryOf(this.#demands, service, () => new StageDemand(DEMAND_SPAN_MS));
   }
 
+  /** What other daemons have sent for a service that does not show yet; undefined where all shows at once. */
+  unseenWorkOf(service: string, nowMs: number): UnseenWork | undefined {
+    return unseenWork({
+      daemons: this.#size.listed,
+      heardDaemons: this.peerLoads.count(nowMs),
+      knownAgeMs: this.peerLoads.sumsAgeMs(nowMs),
+      own: this.demandOf(service).sums(nowMs),
+      all: this.#demandOfAll(service, nowMs),
+      spanMs: DEMAND_SPAN_MS,
+      busyForMs: this.peerLoads.busyForMs(nowMs),
+    });
+  }
+
   /** What this daemon was asked for lately, for its peers. */
   ownDemand(nowMs: number): readonly ServiceDemand[] {
     const demands = [...this.#demands].map(([service, demand]) => ({
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -127,6 +127,7 @@
       connections: this.#connections,
       codec: adapter.requests,
       zone: settings.zone,
+      isSpreading: settings.decisions.spreading,
       noteLoadChange: () => this.#peers?.noteChange(),
       noteRead: (read) => this.#peers?.noteRead(read),
       noteReach: (reach) => this.#peers?.noteReach(reach),
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -13,6 +13,7 @@
   readPriority,
   refusalAtDoor,
   type ServerRecord,
+  type Spread,
   sharedPart,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
@@ -136,9 +137,17 @@
       linkMbps: traits?.linkMbps ?? 1,
       healthOf: (id) => fleet.healthOf(id),
       loadOf: (id) => fleet.loadOf(id),
+      spread: this.#spread(),
     };
   }
 
+  #spread(): Spread | undefined {
+    const { fleet, isSpreading } = this.#context;
+    if (!isSpreading) return undefined;
+    const unseen = fleet.unseenWorkOf(this.#exchange.options.service, this.#nowMs());
+    return unseen === undefined ? undefined : { unseen, entropy: Math.random() };
+  }
+
   #logPlan(plan: EnginePlan): void {
     const { log, description } = this.#exchange.options;
     const isDirect = plan.kind === 'direct';
@@ -155,6 +164,7 @@
       sharedLength: shared?.tokens ?? 0,
       missing: isDirect ? plan.missingTokens : plan.prefill.missingTokens,
       fetchFrom: (isDirect ? plan.fetchFrom?.id : plan.prefill.fetchFrom?.id) ?? '',
+      isSpread: plan.isSpread,
     });
   }
 
--- /dev/null
+++ b/test/gateway/support/spread-replay.ts
@@ -0,0 +1,404 @@
+/**
+ * Many daemons that plan with beliefs of their own and hear of each other through their zones' relays, late as over
+ * the real ones, before engines that read one prompt after the other. Virtual time, seeded.
+ */
+import {
+  chooseDecodeEngine,
+  type EngineChoiceInput,
+  type EnginePlan,
+  type LoadReport,
+  type PromptPart,
+  planModelRequest,
+  type ReadNotice,
+  type ServerRecord,
+  SumsToTell,
+  sharedPart,
+} from '../../../src/core/gateway/index.js';
+import { VirtualClock } from '../../../src/lab/simulation/index.js';
+import { Random } from '../../../src/lab/workload/random.js';
+import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
+
+const SERVICE = 'm';
+const ZONES = 3;
+const TARGET_MS = 600;
+const USUAL_TOKENS = 7_000;
+/** Daemons are there before their callers. */
+const TRAFFIC_FROM_MS = 1_500;
+const COLLECT_MS = 90;
+const RELAY_GAP_MS = 60;
+const LINK_MS = 1;
+const HAND_OVER_MS = 12;
+const TOKEN_MS = 8;
+
+/** What is replayed. */
+export interface SpreadScenario {
+  readonly seed: number;
+  readonly daemons: number;
+  readonly enginesOfStage: number;
+  readonly requestsPerSecond: number;
+  /** Prompts of which half begin with one of these. */
+  readonly sharedParts: number;
+  readonly sharedTokens: number;
+  readonly durationMs: number;
+  readonly isSpreading: boolean;
+  readonly prefillTokensPerMs: number;
+}
+
+/** A prompt, or a run, that was sent to an engine. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly engineId: string;
+  readonly stage: 'prefill' | 'decode';
+}
+
+/** What came out. */
+export interface SpreadOutcome {
+  readonly arrivals: readonly Arrival[];
+  /** Until the first token, by the time of arrival. */
+  readonly firstTokens: readonly { readonly atMs: number; readonly tookMs: number }[];
+  readonly readTokens: number;
+  /** Tokens of shared parts that were read where they had not been. */
+  readonly sharedReadTokens: number;
+  readonly handOvers: number;
+}
+
+/** Work of the busiest engine of a stage against the mean's. */
+export function busiestToMean(
+  arrivals: readonly Arrival[],
+  stage: Arrival['stage'],
+  engines: number,
+  [fromMs, toMs]: readonly [number, number],
+): number {
+  const counts = new Map<string, number>();
+  let total = 0;
+  for (const arrival of arrivals) {
+    if (arrival.stage !== stage || arrival.atMs < fromMs || arrival.atMs >= toMs) continue;
+    counts.set(arrival.engineId, (counts.get(arrival.engineId) ?? 0) + 1);
+    total += 1;
+  }
+  return (Math.max(...counts.values()) * engines) / total;
+}
+
+interface Daemon {
+  readonly name: string;
+  readonly zone: number;
+  readonly fleet: FleetView;
+  reads: ReadNotice[];
+  isTelling: boolean;
+  sequence: number;
+}
+
+interface Relay {
+  readonly daemon: Daemon;
+  readonly zoneSums: SumsToTell;
+  readonly sums: SumsToTell;
+  zoneReads: ReadNotice[];
+  otherReads: ReadNotice[];
+}
+
+interface Engine {
+  freeAtMs: number;
+  readonly kept: Set<string>;
+}
+
+/** Replays one scenario. */
+export function replaySpread(scenario: SpreadScenario): SpreadOutcome {
+  return new SpreadReplay(scenario).run();
+}
+
+class SpreadReplay {
+  readonly #scenario: SpreadScenario;
+  readonly #clock = new VirtualClock();
+  readonly #random: Random;
+  readonly #servers: readonly ServerRecord[];
+  readonly #engines = new Map<string, Engine>();
+  readonly #daemons: readonly Daemon[];
+  readonly #relays: readonly Relay[];
+  readonly #arrivals: Arrival[] = [];
+  readonly #firstTokens: { atMs: number; tookMs: number }[] = [];
+  #requests = 0;
+  #readTokens = 0;
+  #sharedReadTokens = 0;
+  #handOvers = 0;
+
+  constructor(scenario: SpreadScenario) {
+    this.#scenario = scenario;
+    this.#random = new Random(scenario.seed);
+    this.#servers = serversOf(scenario.enginesOfStage);
+    for (const { id } of this.#servers) this.#engines.set(id, { freeAtMs: 0, kept: new Set() });
+    this.#daemons = Array.from({ length: scenario.daemons }, (_, place) => this.#daemon(place));
+    this.#relays = this.#daemons.slice(0, ZONES).map((daemon) => ({
+      daemon,
+      zoneSums: new SumsToTell(),
+      sums: new SumsToTell(),
+      zoneReads: [],
+      otherReads: [],
+    }));
+  }
+
+  run(): SpreadOutcome {
+    for (const relay of this.#relays) {
+      this.#clock.at(this.#random.unit() * RELAY_GAP_MS, () => this.#tellSums(relay));
+    }
+    this.#clock.at(TRAFFIC_FROM_MS, () => this.#arrive());
+    this.#clock.runUntil(TRAFFIC_FROM_MS + this.#scenario.durationMs);
+    return {
+      arrivals: this.#arrivals,
+      firstTokens: this.#firstTokens,
+      readTokens: this.#readTokens,
+      sharedReadTokens: this.#sharedReadTokens,
+      handOvers: this.#handOvers,
+    };
+  }
+
+  /** Since the first caller. */
+  get #trafficMs(): number {
+    return this.#clock.now - TRAFFIC_FROM_MS;
+  }
+
+  #daemon(place: number): Daemon {
+    const fleet = new FleetView({ ratio: 0.2, slack: 50 });
+    fleet.directory.replaceAll(this.#servers);
+    fleet.setDaemonCount(this.#scenario.daemons);
+    fleet.speedOf(SERVICE).suppose(USUAL_TOKENS, TARGET_MS);
+    const told = { reads: [], isTelling: false, sequence: 0 };
+    return { name: `daemon-${place}`, zone: place % ZONES, fleet, ...told };
+  }
+
+  #arrive(): void {
+    const { daemons, requestsPerSecond } = this.#scenario;
+    const daemon = this.#daemons[this.#random.integer(0, daemons - 1)];
+    if (daemon !== undefined) this.#plan(daemon, this.#prompt());
+    const waitMs = this.#random.exponential(requestsPerSecond / 1_000);
+    this.#clock.at(this.#clock.now + waitMs, () => this.#arrive());
+  }
+
+  #prompt(): readonly PromptPart[] {
+    const { sharedParts, sharedTokens } = this.#scenario;
+    this.#requests += 1;
+    const own = { id: `own-${this.#requests}`, tokens: this.#random.integer(600, 1_800) };
+    if (this.#random.unit() < 0.5) return [own];
+    const part = this.#random.integer(1, sharedParts);
+    return [{ id: `shared-${part}`, tokens: sharedTokens }, own];
+  }
+
+  #plan(daemon: Daemon, promptParts: readonly PromptPart[]): void {
+    const input = this.#input(daemon, promptParts);
+    const plan = planModelRequest(input);
+    if (plan === undefined) return;
+    const { fleet } = daemon;
+    const isPrefill = plan.kind === 'prefill';
+    const { server, missingTokens, fetchFrom } = isPrefill ? plan.prefill : plan;
+    const speed = fleet.speedOf(SERVICE);
+    const runMs = 100 * speed.tokenMs;
+    fleet
+      .demandOf(SERVICE)
+      .note(
+        'long-prompt',
+        { prefillMs: speed.prefillBusyMs(missingTokens), decodeMs: runMs / server.slots },
+        this.#clock.now,
+      );
+    this.#expectShared(daemon, plan, promptParts);
+    const sentMs = this.#clock.now;
+    const load = fleet.loadOf(server.id);
+    const read = isPrefill ? load.begin(plan.read, sentMs) : undefined;
+    if (!isPrefill) load.running += 1;
+    this.#noteChange(daemon);
+    this.#clock.at(sentMs + LINK_MS, () => {
+      const doneMs = this.#read(server, promptParts, fetchFrom) + LINK_MS;
+      this.#clock.at(doneMs, () => {
+        const nowMs = this.#clock.now;
+        fleet.knowledge.assume(server.id, promptParts, nowMs);
+        if (read === undefined) {
+          speed.learnDecode(missingTokens, nowMs - sentMs);
+          this.#run(daemon, server, sentMs);
+          return;
+        }
+        load.finish(read, nowMs);
+        if (plan.read.waitMs <= 0.25 * plan.read.readMs || !speed.isLearnt) {
+          speed.learnPrefill(missingTokens, nowMs - sentMs);
+        }
+        this.#noteChange(daemon);
+        this.#handOver(daemon, promptParts, server, sentMs);
+      });
+    });
+  }
+
+  #handOver(
+    daemon: Daemon,
+    promptParts: readonly PromptPart[],
+    source: ServerRecord,
+    sentMs: number,
+  ): void {
+    const target = chooseDecodeEngine(this.#input(daemon, promptParts), source);
+    if (target === undefined) return;
+    this.#handOvers += 1;
+    daemon.fleet.loadOf(target.id).running += 1;
+    this.#noteChange(daemon);
+    this.#arrivals.push({ atMs: this.#trafficMs, engineId: target.id, stage: 'decode' });
+    this.#clock.at(this.#clock.now + HAND_OVER_MS, () => {
+      daemon.fleet.speedOf(SERVICE).learnHandOver(HAND_OVER_MS);
+      this.#run(daemon, target, sentMs);
+    });
+  }
+
+  #run(daemon: Daemon, server: ServerRecord, sentMs: number): void {
+    this.#firstTokens.push({ atMs: sentMs - TRAFFIC_FROM_MS, tookMs: this.#clock.now - sentMs });
+    const runMs = this.#random.integer(20, 180) * TOKEN_MS;
+    this.#clock.at(this.#clock.now + runMs, () => {
+      daemon.fleet.loadOf(server.id).running -= 1;
+      daemon.fleet.speedOf(SERVICE).learnRun(100, runMs);
+      this.#noteChange(daemon);
+    });
+  }
+
+  /** When an engine has read a prompt that comes now. */
+  #read(
+    { id, stage }: ServerRecord,
+    parts: readonly PromptPart[],
+    fetchFrom: ServerRecord | undefined,
+  ): number {
+    const engine = this.#engines.get(id);
+    if (engine === undefined) return this.#clock.now;
+    const atMs = this.#clock.now;
+    this.#arrivals.push({
+      atMs: this.#trafficMs,
+      engineId: id,
+      stage: stage === 'prefill' ? 'prefill' : 'decode',
+    });
+    const fetched = fetchFrom === undefined ? undefined : this.#engines.get(fetchFrom.id)?.kept;
+    let tokens = 0;
+    for (const part of parts) {
+      if (engine.kept.has(part.id)) continue;
+      engine.kept.add(part.id);
+      if (fetched?.has(part.id) === true) continue;
+      tokens += part.tokens;
+      if (part.id.startsWith('shared')) this.#sharedReadTokens += part.tokens;
+    }
+    this.#readTokens += tokens;
+    const pace = this.#scenario.prefillTokensPerMs * (stage === 'prefill' ? 1 : 0.5);
+    engine.freeAtMs = Math.max(engine.freeAtMs, atMs) + tokens / pace;
+    return engine.freeAtMs;
+  }
+
+  #input(daemon: Daemon, promptParts: readonly PromptPart[]): EngineChoiceInput {
+    const { fleet, zone } = daemon;
+    const nowMs = this.#clock.now;
+    const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
+    const head = { attemptId: 'x', deadlineMs: 5_000, maxOutputTokens: 100 };
+    const unseen = fleet.unseenWorkOf(SERVICE, nowMs);
+    const entropy = this.#random.unit();
+    const { isSpreading } = this.#scenario;
+    return {
+      candidates: fleet.candidates(SERVICE, nowMs),
+      excludedIds: new Set(),
+      description: { ...head, promptParts, promptTokens },
+      zone: `zone-${zone}`,
+      nowMs,
+      knowledge: fleet.knowledge,
+      peerLoads: fleet.peerLoads,
+      speed: fleet.speedOf(SERVICE),
+      waitFactor: (urgency) => fleet.waitScaleOf(SERVICE, urgency).factor(nowMs),
+      inTimeMs: 0.9 * TARGET_MS,
+      shortReadsPerMs: fleet.shortReadsPerMs(SERVICE, nowMs),
+      kvTokenBytes: 163_840,
+      linkMbps: 1_600_000,
+      healthOf: (id) => fleet.healthOf(id),
+      loadOf: (id) => fleet.loadOf(id),
+      spread: unseen === undefined || !isSpreading ? undefined : { unseen, entropy },
+    };
+  }
+
+  #expectShared(daemon: Daemon, plan: EnginePlan, parts: readonly PromptPart[]): void {
+    const part = sharedPart(parts);
+    if (plan.kind !== 'prefill' || part === undefined || part.tokens < 1_024) return;
+    const { server, missingTokens, fetchFrom } = plan.prefill;
+    const promptTokens = parts.reduce((sum, { tokens }) => sum + tokens, 0);
+    if (missingTokens <= promptTokens - part.tokens && fetchFrom === undefined) return;
+    const notice = { engineId: server.id, part, readyInMs: plan.expectedMs };
+    daemon.fleet.knowledge.expect(notice, this.#clock.now);
+    daemon.reads.push(notice);
+  }
+
+  #noteChange(daemon: Daemon): void {
+    if (daemon.isTelling) return;
+    daemon.isTelling = true;
+    this.#clock.at(this.#clock.now + COLLECT_MS, () => {
+      daemon.isTelling = false;
+      const reads = daemon.reads.splice(0);
+      const relay = this.#relays[daemon.zone];
+      if (relay === undefined) return;
+      if (relay.daemon === daemon) relay.zoneReads.push(...reads);
+      else this.#tellRelay(daemon, relay, reads);
+    });
+  }
+
+  #tellRelay(daemon: Daemon, relay: Relay, reads: readonly ReadNotice[]): void {
+    const { name, fleet } = daemon;
+    daemon.sequence += 1;
+    const nowMs = this.#clock.now;
+    const head = { daemon: name, incarnation: 1, sequence: daemon.sequence, reach: [], reads };
+    const report: LoadReport = {
+      ...head,
+      work: fleet.ownWork(nowMs),
+      demand: fleet.ownDemand(nowMs),
+    };
+    this.#clock.at(nowMs + LINK_MS, () => {
+      relay.daemon.fleet.peerLoads.take(report, this.#clock.now);
+      relay.zoneReads.push(...reads);
+      this.#takeReads(relay.daemon, reads);
+    });
+  }
+
+  #tellSums(relay: Relay): void {
+    const nowMs = this.#clock.now;
+    const { fleet, name, zone } = relay.daemon;
+    const own = fleet.ownWork(nowMs);
+    const ownDemand = fleet.ownDemand(nowMs);
+    const zoneReads = relay.zoneReads.splice(0);
+    const reads = [...zoneReads, ...relay.otherReads.splice(0)];
+    relay.daemon.sequence += 1;
+    const head = { relay: name, incarnation: 1, sequence: relay.daemon.sequence, reach: [] };
+    const all = relay.sums.next(fleet.peerLoads.totals(own, nowMs), nowMs);
+    const demand = fleet.peerLoads.totalDemand(ownDemand, nowMs);
+    const ofZone = relay.zoneSums.next(fleet.peerLoads.zoneTotals(own, nowMs), nowMs);
+    const zoneDemand = fleet.peerLoads.zoneDemand(ownDemand, nowMs);
+    this.#clock.at(nowMs + LINK_MS, () => {
+      const atMs = this.#clock.now;
+      for (const daemon of this.#daemons) {
+        if (daemon.zone !== zone || daemon === relay.daemon) continue;
+        const ownWork = daemon.fleet.ownWork(atMs);
+        daemon.fleet.peerLoads.takeSums({ ...head, ...all, reads, demand }, ownWork, atMs);
+        this.#takeReads(daemon, reads);
+      }
+      for (const other of this.#relays) {
+        if (other === relay) continue;
+        const sums = { ...head, ...ofZone, reads: zoneReads, demand: zoneDemand };
+        other.daemon.fleet.peerLoads.takeZoneSums(`zone-${zone}`, sums, atMs);
+        other.otherReads.push(...zoneReads);
+        this.#takeReads(other.daemon, zoneReads);
+      }
+    });
+    this.#clock.at(nowMs + RELAY_GAP_MS, () => this.#tellSums(relay));
+  }
+
+  #takeReads(daemon: Daemon, reads: readonly ReadNotice[]): void {
+    for (const read of reads) daemon.fleet.knowledge.expect(read, this.#clock.now);
+  }
+}
+
+function serversOf(enginesOfStage: number): ServerRecord[] {
+  const stages = ['prefill', 'decode'] as const;
+  return stages.flatMap((stage) =>
+    Array.from({ length: enginesOfStage }, (_, place) => ({
+      id: `${stage}-${place}`,
+      service: SERVICE,
+      address: '127.0.0.1:1',
+      zone: `zone-${place % ZONES}`,
+      slots: 64,
+      state: 'ready' as const,
+      isSpot: false,
+      stage,
+    })),
+  );
+}
