--- a/src/core/gateway/engine-paces.ts
+++ b/src/core/gateway/engine-paces.ts
@@ -12,13 +12,15 @@
 /** What is left of a sample's weight with each newer one: machines are shared, and what they give changes. */
 const SAMPLE_DECAY = 0.95;
 /** So many samples say as much as the belief that an engine is as the others. */
-const PRIOR_WEIGHT = 2;
+const PRIOR_WEIGHT = 1;
 /** A daemon that hears nothing more believes less and less of what it knew; engines are seen far more often. */
 const HALF_LIFE_MS = 300_000;
 /** Beyond this a figure is nonsense, not a pace. */
 const MOST_LOG_PACE = Math.log(8);
-/** Logarithms below this are chance: the reads of one engine differ by more. */
-const CHANCE_LOG_PACE = 0.1;
+/** Logarithms below this are chance, however many samples there are: the reads of one engine differ by more. */
+const CHANCE_LOG_PACE = 0.07;
+/** By chance alone one sample, or a mean of so many, is off by so much more. */
+const CHANCE_LOG_OF_SAMPLE = 0.3;
 /** Reads so much longer than the engine's pace says include a wait, or a moment in which it was slow. */
 const QUEUED_LOG = Math.log(1.3);
 const QUEUED_WEIGHT = 0.1;
@@ -28,11 +30,20 @@
 const LEAST_KNOWN_SHARE = 0.5;
 /** All that a message can say of one engine, or of a line: more than daemons hold. */
 const MOST_WEIGHT = 1_000;
+/** A wait that was expected to be longer than this part of all the time was expected wrongly. */
+const MOST_WAIT_SHARE = 0.3;
 /** The first token of a run shows less of an engine's pace: the step that it waits for is shared with others. */
 const DECODE_WEIGHT = 0.5;
 /** Paces are worked out again for their age after this time. */
 const REFRESH_MS = 1_000;
 
+/** How long an engine took. */
+export interface TimedRead {
+  readonly elapsedMs: number;
+  /** What was expected to be read before. */
+  readonly waitMs: number;
+}
+
 /** What was seen of a pace. */
 export interface SeenPace {
   /** Mean logarithm of the pace. */
@@ -73,8 +84,9 @@
     return this.#byEngine.get(engineId)?.pace ?? 1;
   }
 
-  /** A prefill engine read so many tokens, nobody known waiting before them. */
-  learnPrefill(engineId: string, tokens: number, elapsedMs: number, nowMs: number): void {
+  /** A prefill engine read so many tokens, next to nobody known waiting before them. */
+  learnPrefill(engineId: string, tokens: number, read: TimedRead, nowMs: number): void {
+    const elapsedMs = ownTimeOf(read);
     if (!(tokens > 0 && elapsedMs > 0)) return;
     this.#learn(engineId, Math.log(this.#speed.prefillMs(tokens) / elapsedMs), 1, nowMs);
     const pace = this.paceOf(engineId);
@@ -211,6 +223,11 @@
   return isWeight && Math.abs(logPace) <= MOST_LOG_PACE;
 }
 
+/** The read itself: the engines that have most to do are those whose reads wait, and are not slower for it. */
+function ownTimeOf({ elapsedMs, waitMs }: TimedRead): number {
+  return elapsedMs - Math.min(waitMs, MOST_WAIT_SHARE * elapsedMs);
+}
+
 /** Samples of one engine, older ones fading. */
 class PaceSamples {
   #weight = 0;
@@ -260,15 +277,16 @@
 
   #pace(): number {
     const drawn = this.#logSum / (this.#weight + PRIOR_WEIGHT);
-    return Math.exp(bounded(withoutChance(drawn)));
+    const chance = CHANCE_LOG_PACE + CHANCE_LOG_OF_SAMPLE / (this.#weight + PRIOR_WEIGHT);
+    return Math.exp(bounded(withoutChance(drawn, chance)));
   }
 }
 
 /** None up to what chance makes, and all of it from twice that on, without a jump between. */
-function withoutChance(logPace: number): number {
+function withoutChance(logPace: number, chance: number): number {
   const size = Math.abs(logPace);
-  if (size >= 2 * CHANCE_LOG_PACE) return logPace;
-  return Math.sign(logPace) * Math.max(0, 2 * (size - CHANCE_LOG_PACE));
+  if (size >= 2 * chance) return logPace;
+  return Math.sign(logPace) * Math.max(0, 2 * (size - chance));
 }
 
 function bounded(logPace: number): number {
--- a/src/core/gateway/fleet-paces.ts
+++ b/src/core/gateway/fleet-paces.ts
@@ -2,7 +2,13 @@
  * The paces of the engines of all services, and what other daemons tell of them. Where engines have no pace
  * of their own by the settings, only the services' lines are learnt, each daemon for itself.
  */
-import { EnginePaces, isUsableLine, isUsablePace, type ServicePaceSums } from './engine-paces.js';
+import {
+  EnginePaces,
+  isUsableLine,
+  isUsablePace,
+  type ServicePaceSums,
+  type TimedRead,
+} from './engine-paces.js';
 import type { ReadSpeed } from './read-speed.js';
 import type { ServerRecord } from './server-directory.js';
 
@@ -52,15 +58,15 @@
     return paces === undefined ? () => 1 : (engineId) => paces.paceOf(engineId);
   }
 
-  /** A prefill engine read so many tokens, nobody known waiting before them. */
+  /** A prefill engine read so many tokens, next to nobody known waiting before them. */
   learnPrefill(
     { id, service }: Pick<ServerRecord, 'id' | 'service'>,
     tokens: number,
-    elapsedMs: number,
+    read: TimedRead,
     nowMs: number,
   ): void {
-    if (this.isOn) this.#of(service).learnPrefill(id, tokens, elapsedMs, nowMs);
-    else this.#options.speedOf(service).learnPrefill(tokens, elapsedMs);
+    if (this.isOn) this.#of(service).learnPrefill(id, tokens, read, nowMs);
+    else this.#options.speedOf(service).learnPrefill(tokens, read.elapsedMs);
   }
 
   /**
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -65,7 +65,8 @@
   exchange.stepTimesMs.prefillMs = nowMs - startedAtMs;
   const elapsedMs = nowMs - startedAtMs;
   if (wasFree(plan.read) || !speed.isLearnt) {
-    fleet.paces.learnPrefill(server, missingTokens, elapsedMs, nowMs);
+    const { waitMs } = plan.read;
+    fleet.paces.learnPrefill(server, missingTokens, { elapsedMs, waitMs }, nowMs);
   } else noteWait(exchange, context, plan, elapsedMs);
   fleet.knowledge.assume(server.id, description.promptParts, nowMs);
   return memory;
