--- a/src/core/gateway/paces-to-tell.ts
+++ b/src/core/gateway/paces-to-tell.ts
@@ -7,8 +7,9 @@
 
 /** A pace, or a line, that differs by less from what was told decides nothing else. */
 const SAME_LOG = 0.08;
-/** What has not changed is told again after this time. */
+/** What has not changed is told again after this time, and in the same message what would be soon. */
 const REFRESH_MS = 10_000;
+const REFRESH_WITH_OTHERS_MS = 4_000;
 /** Evidence that has grown by so much is told, as others draw a pace to the usual one by it. */
 const MORE_EVIDENCE = 2;
 
@@ -62,10 +63,11 @@
   #due(engines: readonly PaceSums[], nowMs: number): readonly PaceSums[] {
     const changed = engines.filter((sums) => isNews(sums, this.#told.get(sums.engineId)));
     if (changed.length > 0) return changed;
-    const atMs = ({ engineId }: PaceSums) => this.#told.get(engineId)?.atMs ?? 0;
+    const ageMs = ({ engineId }: PaceSums) => nowMs - (this.#told.get(engineId)?.atMs ?? 0);
+    if (!engines.some((sums) => ageMs(sums) >= REFRESH_MS)) return [];
     return engines
-      .filter((sums) => nowMs - atMs(sums) >= REFRESH_MS)
-      .sort((left, right) => atMs(left) - atMs(right));
+      .filter((sums) => ageMs(sums) >= REFRESH_WITH_OTHERS_MS)
+      .sort((left, right) => ageMs(right) - ageMs(left));
   }
 
   #isLineDue(service: string, line: LineSums, nowMs: number): boolean {
