Paces: no drift of line and paces together, waits count little, homes stay where they are

Slow engines stayed believed too slow, as nobody sent them anything. Change: the usual pace is the mean of the engines seen; what is longer than believed has a small weight; evidence fades in half a minute; homes count engines by halves and doubles, with the cube, and stay until a pace is well nearer to another.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -33,6 +33,8 @@
   readonly speed: ReadSpeed;
   /** An engine's pace against the usual one; left out where all have one pace. */
   paceOf?(id: string): number;
+  /** The pace by which an engine counts as the home of a shared part. */
+  homePaceOf?(id: string): number;
   readonly kvTokenBytes: number;
   readonly linkMbps: number;
   /** Short prompts that a decode engine of the usual pace gets in a millisecond, from all daemons. */
@@ -191,8 +193,7 @@
 ): readonly Reader[] {
   const servers = enginesOf(input, stage);
   const shared = sharedPart(input.description.promptParts);
-  const home =
-    shared === undefined ? undefined : homeOf(shared.id, servers, (id) => input.paceOf?.(id) ?? 1);
+  const home = shared === undefined ? undefined : homeOf(shared.id, servers, input.homePaceOf);
   return servers.map((server) => readerAt(server, stage, donors, server === home, input));
 }
 
--- a/src/core/gateway/engine-paces.ts
+++ b/src/core/gateway/engine-paces.ts
@@ -5,26 +5,34 @@
  * It is learnt from reads that did not wait, by this daemon and by others, as a mean of logarithms. Few
  * samples say little: they are drawn to the usual pace by the weight of what was seen. Differences that
  * chance makes among equal engines count as none, so that equal engines are decided on as one pace.
+ *
+ * The line and the paces are learnt from the same reads, each by means of the other. So the usual pace is the mean of
+ * all engines that were seen, whatever they are: without that, both could drift away together.
  */
+import { homePace } from './home.js';
 import { isPossibleLine, LineSamples, type LineSums } from './line-samples.js';
 import type { ReadSpeed } from './read-speed.js';
 
 /** What is left of a sample's weight with each newer one: machines are shared, and what they give changes. */
 const SAMPLE_DECAY = 0.95;
-/** So many samples say as much as the belief that an engine is as the others. */
-const PRIOR_WEIGHT = 1;
-/** A daemon that hears nothing more believes less and less of what it knew; engines are seen far more often. */
-const HALF_LIFE_MS = 300_000;
+/** A sample of this weight says as much as the belief that an engine is as the others. */
+const PRIOR_WEIGHT = 0.5;
+/** An engine that is believed to be slow is sent little: what was seen of it long ago must not keep it so. */
+const HALF_LIFE_MS = 30_000;
 /** Beyond this a figure is nonsense, not a pace. */
 const MOST_LOG_PACE = Math.log(8);
 /** Logarithms below this are chance, however many samples there are: the reads of one engine differ by more. */
 const CHANCE_LOG_PACE = 0.07;
 /** By chance alone one sample, or a mean of so many, is off by so much more. */
 const CHANCE_LOG_OF_SAMPLE = 0.3;
-/** Reads so much longer than the engine's pace says include a wait, or a moment in which it was slow. */
-const QUEUED_LOG = Math.log(1.3);
-const QUEUED_WEIGHT = 0.1;
-/** Samples before an engine's own pace is trusted to tell which ones waited. */
+/**
+ * Reads that take longer than the engine's pace says may include a wait that nobody knew of, or a moment in which it was
+ * slow: busy engines have more of these, and are not slower for it.
+ */
+const LONGER_WEIGHT = 0.15;
+/** Reads differ by so much without either. */
+const LONGER_LOG = 0.05;
+/** First tokens before it is known how they come out. */
 const TRUSTED_WEIGHT = 5;
 /** What others know counts for more than what this daemon does, unless they have seen less than this part of it. */
 const LEAST_KNOWN_SHARE = 0.5;
@@ -68,6 +76,7 @@
 export class EnginePaces {
   readonly #speed: ReadSpeed;
   readonly #byEngine = new Map<string, PaceSamples>();
+  readonly #mean = new WeightedMean();
   readonly #untoldLine = new LineSamples(1);
   readonly #untold = new Map<string, PaceSamples>();
   /** How first tokens come out against the line, whatever the engine: that is no pace of one. */
@@ -84,6 +93,11 @@
     return this.#byEngine.get(engineId)?.pace ?? 1;
   }
 
+  /** The pace by which an engine counts as the home of shared parts. */
+  homePaceOf(engineId: string): number {
+    return this.#byEngine.get(engineId)?.homePace ?? 1;
+  }
+
   /** A prefill engine read so many tokens, next to nobody known waiting before them. */
   learnPrefill(engineId: string, tokens: number, read: TimedRead, nowMs: number): void {
     const elapsedMs = ownTimeOf(read);
@@ -118,7 +132,7 @@
     if (line !== undefined) this.#speed.addLine(line);
     if (line !== undefined && isPassedOn) this.#untoldLine.merge(line);
     for (const seen of engines) {
-      this.#samplesOf(seen.engineId).add(seen, nowMs);
+      this.#change(seen.engineId, (samples) => samples.add(seen, nowMs));
       if (isPassedOn) this.#note(seen.engineId, seen, nowMs);
     }
   }
@@ -129,9 +143,11 @@
       this.#speed.takeLine(line);
     }
     for (const known of engines) {
-      const samples = this.#samplesOf(known.engineId);
-      if (isMore(known.weight, samples.weightAt(nowMs))) samples.replace(known, nowMs);
+      this.#change(known.engineId, (samples) => {
+        if (isMore(known.weight, samples.weightAt(nowMs))) samples.replace(known, nowMs);
+      });
     }
+    this.#settleAll();
   }
 
   /** What has not been told yet; undefined for nothing. */
@@ -165,22 +181,29 @@
 
   /** The engine is gone, or another began under its name. */
   forget(engineId: string): void {
+    const samples = this.#byEngine.get(engineId);
+    if (samples !== undefined) this.#mean.remove(samples);
     this.#byEngine.delete(engineId);
     this.#untold.delete(engineId);
   }
 
-  /** Lets what is old count for less. */
+  /** Lets what is old count for less, and counts each engine against the mean as it is now. */
   refresh(nowMs: number): void {
     if (nowMs - this.#refreshedMs < REFRESH_MS) return;
     this.#refreshedMs = nowMs;
-    for (const samples of this.#byEngine.values()) samples.fadeTo(nowMs);
+    this.#mean.clear();
+    for (const samples of this.#byEngine.values()) {
+      samples.fadeTo(nowMs);
+      this.#mean.add(samples);
+    }
+    this.#settleAll();
   }
 
   #learnFirstToken(engineId: string, tokens: number, elapsedMs: number, nowMs: number): void {
     const logRatio = Math.log(this.#speed.decodeMs(tokens) / elapsedMs);
     if (!this.#speed.isTrusted || !Number.isFinite(logRatio)) return;
     const bias = this.#decodeBias;
-    bias.add({ logPace: bounded(logRatio) - Math.log(this.paceOf(engineId)), weight: 1 }, nowMs);
+    bias.add({ logPace: bounded(logRatio), weight: 1 }, nowMs);
     if (bias.weightAt(nowMs) < TRUSTED_WEIGHT) return;
     this.#learn(engineId, logRatio - bias.logPace, DECODE_WEIGHT, nowMs);
   }
@@ -190,10 +213,18 @@
     if (!this.#speed.isTrusted || !Number.isFinite(logRatio)) return;
     const samples = this.#samplesOf(engineId);
     const logPace = bounded(logRatio);
-    const isQueued =
-      samples.weightAt(nowMs) >= TRUSTED_WEIGHT && logPace < samples.logPace - QUEUED_LOG;
-    this.#note(engineId, { logPace, weight: isQueued ? weight * QUEUED_WEIGHT : weight }, nowMs);
-    samples.add({ logPace, weight: isQueued ? weight * QUEUED_WEIGHT : weight }, nowMs);
+    const isLonger = samples.weight > 0 && logPace < samples.logPace - LONGER_LOG;
+    const seen = { logPace, weight: isLonger ? weight * LONGER_WEIGHT : weight };
+    this.#note(engineId, seen, nowMs);
+    this.#change(engineId, () => samples.add(seen, nowMs));
+  }
+
+  #change(engineId: string, change: (samples: PaceSamples) => void): void {
+    const samples = this.#samplesOf(engineId);
+    this.#mean.remove(samples);
+    change(samples);
+    this.#mean.add(samples);
+    samples.settle(this.#mean.value);
   }
 
   /** Keeps what was seen until it is told. */
@@ -203,6 +234,10 @@
     untold.add(seen, nowMs);
   }
 
+  #settleAll(): void {
+    for (const samples of this.#byEngine.values()) samples.settle(this.#mean.value);
+  }
+
   #samplesOf(engineId: string): PaceSamples {
     const known = this.#byEngine.get(engineId);
     if (known !== undefined) return known;
@@ -228,57 +263,83 @@
   return elapsedMs - Math.min(waitMs, MOST_WAIT_SHARE * elapsedMs);
 }
 
+/** The mean of the engines' logarithms, by what was seen of each. */
+class WeightedMean {
+  #weight = 0;
+  #logSum = 0;
+
+  /** 0 while there is none. */
+  get value(): number {
+    return this.#weight > 0 ? this.#logSum / this.#weight : 0;
+  }
+
+  add({ weight, logPace }: SeenPace): void {
+    this.#weight += weight;
+    this.#logSum += weight * logPace;
+  }
+
+  remove({ weight, logPace }: SeenPace): void {
+    this.#weight -= weight;
+    this.#logSum -= weight * logPace;
+  }
+
+  clear(): void {
+    this.#weight = 0;
+    this.#logSum = 0;
+  }
+}
+
 /** Samples of one engine, older ones fading. */
-class PaceSamples {
+class PaceSamples implements SeenPace {
   #weight = 0;
   #logSum = 0;
   #atMs = 0;
-  /** As it is used, worked out when something is learnt. */
+  /** As they are used, worked out when something is learnt. */
   pace = 1;
+  homePace = 1;
 
   get logPace(): number {
     return this.#weight > 0 ? this.#logSum / this.#weight : 0;
   }
 
+  get weight(): number {
+    return this.#weight;
+  }
+
   weightAt(nowMs: number): number {
     return this.#weight * 0.5 ** (Math.max(0, nowMs - this.#atMs) / HALF_LIFE_MS);
   }
 
   add({ logPace, weight }: SeenPace, nowMs: number): void {
-    this.#fade(nowMs);
+    this.fadeTo(nowMs);
     const left = SAMPLE_DECAY ** weight;
     this.#logSum = this.#logSum * left + weight * logPace;
     this.#weight = this.#weight * left + weight;
-    this.pace = this.#pace();
   }
 
   replace({ logPace, weight }: SeenPace, nowMs: number): void {
     this.#weight = weight;
     this.#logSum = logPace * weight;
     this.#atMs = nowMs;
-    this.pace = this.#pace();
   }
 
   fadeTo(nowMs: number): void {
-    this.#fade(nowMs);
-    this.pace = this.#pace();
-  }
-
-  sums(engineId: string): PaceSums {
-    return { engineId, logPace: this.logPace, weight: this.#weight };
-  }
-
-  #fade(nowMs: number): void {
     const weight = this.weightAt(nowMs);
     if (this.#weight > 0) this.#logSum *= weight / this.#weight;
     this.#weight = weight;
     this.#atMs = Math.max(this.#atMs, nowMs);
   }
 
-  #pace(): number {
-    const drawn = this.#logSum / (this.#weight + PRIOR_WEIGHT);
+  /** Works the pace out against the mean of all engines. */
+  settle(meanLog: number): void {
+    const share = this.#weight / (this.#weight + PRIOR_WEIGHT);
     const chance = CHANCE_LOG_PACE + CHANCE_LOG_OF_SAMPLE / (this.#weight + PRIOR_WEIGHT);
-    return Math.exp(bounded(withoutChance(drawn, chance)));
+    this.pace = Math.exp(bounded(withoutChance(share * (this.logPace - meanLog), chance)));
+    this.homePace = homePace(this.pace, this.homePace);
+  }
+
+  sums(engineId: string): PaceSums {
+    return { engineId, logPace: this.logPace, weight: this.#weight };
   }
 }
 
--- a/src/core/gateway/fleet-paces.ts
+++ b/src/core/gateway/fleet-paces.ts
@@ -58,6 +58,12 @@
     return paces === undefined ? () => 1 : (engineId) => paces.paceOf(engineId);
   }
 
+  /** The paces by which engines of a service count as homes of shared parts. */
+  homePacesOf(service: string): (engineId: string) => number {
+    const paces = this.#byService.get(service);
+    return paces === undefined ? () => 1 : (engineId) => paces.homePaceOf(engineId);
+  }
+
   /** A prefill engine read so many tokens, next to nobody known waiting before them. */
   learnPrefill(
     { id, service }: Pick<ServerRecord, 'id' | 'service'>,
--- a/src/core/gateway/home.ts
+++ b/src/core/gateway/home.ts
@@ -1,12 +1,17 @@
 /**
- * The engine where a shared part is read first. Faster engines are the home of as many more parts; engines of one pace
- * share them evenly, whatever that pace is.
+ * The engine where a shared part is read first. All that follow wait for that read, so slow engines are the home of few
+ * parts; engines of one pace share them evenly, whatever that pace is.
  */
 import { rendezvousWeight } from './rendezvous.js';
 import type { ServerRecord } from './server-directory.js';
 
-/** Parts move when a pace goes from one class to another, so that small changes of belief move none. */
-const CLASSES_FOR_DOUBLE = 2;
+/**
+ * An engine of half the pace is the home of an eighth of the parts. Where it would be that of half as many, requests would
+ * pass their home over for a faster engine, each for another one.
+ */
+const WEIGHT_EXPONENT = 3;
+/** Half a double is as near to the next. */
+const STAYING_DOUBLES = 0.7;
 /** One more than the highest weight. */
 const WEIGHT_RANGE = 2 ** 32;
 
@@ -15,29 +20,28 @@
   readonly weight: number;
 }
 
-/** The home of a part, the same for all daemons that list the same engines and know them to be as fast. */
+/** The home of a part, the same for all daemons that list the same engines and count them by the same paces. */
 export function homeOf(
   partId: string,
   servers: readonly ServerRecord[],
-  paceOf: (id: string) => number = () => 1,
+  homePaceOf: (id: string) => number = () => 1,
 ): ServerRecord | undefined {
   const leaders = new Map<number, Leader>();
   for (const server of servers) {
     const weight = rendezvousWeight(partId, server.id);
-    const paceClass = classOf(paceOf(server.id));
-    const leader = leaders.get(paceClass);
-    if (leader === undefined || weight > leader.weight) leaders.set(paceClass, { server, weight });
+    const pace = homePaceOf(server.id);
+    const leader = leaders.get(pace);
+    if (leader === undefined || weight > leader.weight) leaders.set(pace, { server, weight });
   }
   return firstOf(leaders)?.server;
 }
 
-/** Engines within a class go by their weights alone, so only the leaders of classes are compared. */
+/** Engines of one pace go by their weights alone, so only the leaders of each pace are compared. */
 function firstOf(leaders: ReadonlyMap<number, Leader>): Leader | undefined {
   let first: Leader | undefined;
   let least = Number.POSITIVE_INFINITY;
-  for (const [paceClass, leader] of leaders) {
-    const pace = 2 ** (paceClass / CLASSES_FOR_DOUBLE);
-    const cost = -Math.log((leader.weight + 0.5) / WEIGHT_RANGE) / pace;
+  for (const [pace, leader] of leaders) {
+    const cost = -Math.log((leader.weight + 0.5) / WEIGHT_RANGE) / pace ** WEIGHT_EXPONENT;
     if (cost >= least) continue;
     first = leader;
     least = cost;
@@ -45,6 +49,13 @@
   return first;
 }
 
-function classOf(pace: number): number {
-  return pace === 1 ? 0 : Math.round(Math.log2(pace) * CLASSES_FOR_DOUBLE);
+/**
+ * The pace by which an engine counts as a home: halves and doubles of the usual one, so that small changes of belief move
+ * no part.
+ * @param current by which it counts until now; it stays while the pace is not well nearer to another
+ */
+export function homePace(pace: number, current: number): number {
+  const doubles = Math.log2(pace);
+  const isNear = Math.abs(doubles - Math.log2(current)) <= STAYING_DOUBLES;
+  return isNear ? current : 2 ** Math.round(doubles);
 }
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -135,6 +135,7 @@
       peerLoads: fleet.peerLoads,
       speed,
       paceOf: fleet.paces.pacesOf(service),
+      homePaceOf: fleet.paces.homePacesOf(service),
       waitFactor: (urgency) => fleet.waitScaleOf(service, urgency).factor(this.#nowMs()),
       inTimeMs: IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs(),
       shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
