--- a/bench/model-plan.ts
+++ b/bench/model-plan.ts
@@ -81,7 +81,7 @@
       nowMs: NOW_MS,
       knowledge,
       speed,
-      ...(paces.length > 0 ? { paceOf: fleetPaces.pacesOf(SERVICE) } : {}),
+      ...(paces.length > 0 ? pacesOf(fleetPaces) : {}),
       shortReadsPerMs: 0.01,
       waitFactor: () => 1,
       inTimeMs: 600,
@@ -94,6 +94,10 @@
   return { case: name, engines: ENGINES, ...timeOperations(PLANS, plan) };
 }
 
+function pacesOf(paces: FleetPaces) {
+  return { paceOf: paces.pacesOf(SERVICE), homePaceOf: paces.homePacesOf(SERVICE) };
+}
+
 function engineAt(place: number): ServerRecord {
   return {
     id: `i-${place.toString(16).padStart(10, '0')}`,
--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -100,6 +100,12 @@
   readonly costMs: number;
 }
 
+/** The shared part of the prompt, and where it is read first. */
+interface HomePart {
+  readonly home: ServerRecord | undefined;
+  readonly tokens: number;
+}
+
 /** An engine that keeps tokens of the prompt which others can take. */
 interface Donor {
   readonly server: ServerRecord;
@@ -153,8 +159,9 @@
 ): ServerRecord | undefined {
   return lowest(enginesOf(input, 'decode'), (server) => {
     const moveCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
-    const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, input);
-    const longerMs = input.speed.handOverMs * (1 / paceAt(server, input) - 1);
+    const pace = paceAt(server, input);
+    const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, pace, input);
+    const longerMs = input.speed.handOverMs * (1 / pace - 1);
     return moveCost + waitsMs + longerMs + standingCost(server, input);
   });
 }
@@ -194,14 +201,15 @@
   const servers = enginesOf(input, stage);
   const shared = sharedPart(input.description.promptParts);
   const home = shared === undefined ? undefined : homeOf(shared.id, servers, input.homePaceOf);
-  return servers.map((server) => readerAt(server, stage, donors, server === home, input));
+  const homePart = { home, tokens: shared?.tokens ?? 0 };
+  return servers.map((server) => readerAt(server, stage, donors, homePart, input));
 }
 
 function readerAt(
   server: ServerRecord,
   stage: EngineStage,
   donors: readonly Donor[],
-  isHome: boolean,
+  homePart: HomePart,
   input: EngineChoiceInput,
 ): Reader {
   const { description, knowledge, nowMs, speed } = input;
@@ -214,15 +222,14 @@
     stage === 'prefill' ? speed.prefillMs(missingTokens) : speed.decodeMs(missingTokens);
   const pace = paceAt(server, input);
   const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, pace, input) : 0;
-  const sharedTokens = sharedPart(description.promptParts)?.tokens ?? 0;
-  const bonusMs =
-    isHome && kept === 0 ? (HOME_SHARE * speed.prefillBusyMs(sharedTokens)) / pace : 0;
+  const isHome = server === homePart.home && kept === 0;
+  const bonusMs = isHome ? (HOME_SHARE * speed.prefillBusyMs(homePart.tokens)) / pace : 0;
   return {
     server,
     missingTokens,
     fetchFrom: donor?.server,
     readMs: usualMs / pace + fetchMs,
-    slotMs: stage === 'decode' ? slotWaitMs(server, input) : 0,
+    slotMs: stage === 'decode' ? slotWaitMs(server, pace, input) : 0,
     otherCostMs: delayMs - bonusMs + standingCost(server, input),
   };
 }
@@ -299,10 +306,10 @@
 }
 
 /** How long a run waits for a slot: those beyond the slots go in as runs end. */
-function slotWaitMs(server: ServerRecord, input: EngineChoiceInput): number {
+function slotWaitMs(server: ServerRecord, pace: number, input: EngineChoiceInput): number {
   const slots = Math.max(1, server.slots);
   const waiting = Math.max(0, runsAt(server, input) + 1 - slots);
-  return (waiting * input.speed.runMs) / slots / paceAt(server, input);
+  return (waiting * input.speed.runMs) / slots / pace;
 }
 
 /** What speaks against an engine whatever the prompt: full slots, another zone, failures. */
--- a/src/core/gateway/fleet-paces.ts
+++ b/src/core/gateway/fleet-paces.ts
@@ -144,6 +144,14 @@
     return changes;
   }
 
+  /** The engines whose pace differs most from the usual one, and by how much. */
+  mostUnlike(most: number): ReadonlyMap<string, number> {
+    const unlike = [...this.all()].filter(({ pace }) => pace !== 1);
+    const size = (pace: number) => Math.abs(Math.log(pace));
+    unlike.sort((left, right) => size(right.pace) - size(left.pace));
+    return new Map(unlike.slice(0, most).map(({ engineId, pace }) => [engineId, pace]));
+  }
+
   /** Every engine of which something was seen. */
   *all(): Generator<Pick<PaceChange, 'engineId' | 'pace'>> {
     for (const paces of this.#byService.values()) yield* paces.all();
--- a/src/core/gateway/home.ts
+++ b/src/core/gateway/home.ts
@@ -2,7 +2,7 @@
  * The engine where a shared part is read first. All that follow wait for that read, so slow engines are the home of few
  * parts; engines of one pace share them evenly, whatever that pace is.
  */
-import { rendezvousWeight } from './rendezvous.js';
+import { rendezvousWeights } from './rendezvous.js';
 import type { ServerRecord } from './server-directory.js';
 
 /**
@@ -26,9 +26,10 @@
   servers: readonly ServerRecord[],
   homePaceOf: (id: string) => number = () => 1,
 ): ServerRecord | undefined {
+  const weightOf = rendezvousWeights(partId);
   const leaders = new Map<number, Leader>();
   for (const server of servers) {
-    const weight = rendezvousWeight(partId, server.id);
+    const weight = weightOf(server.id);
     const pace = homePaceOf(server.id);
     const leader = leaders.get(pace);
     if (leader === undefined || weight > leader.weight) leaders.set(pace, { server, weight });
--- a/src/core/gateway/rendezvous.ts
+++ b/src/core/gateway/rendezvous.ts
@@ -4,13 +4,15 @@
  */
 import { avalanche, EMPTY_HASH, hashText } from '../common/hash.js';
 
-/** The candidate with the highest weight has the key. */
-export function rendezvousWeight(key: string, candidate: string): number {
-  return avalanche(hashText(hashText(EMPTY_HASH, key), candidate).low);
+/** Gives each candidate's weight for a key; the one with the highest has it. */
+export function rendezvousWeights(key: string): (candidate: string) => number {
+  const hashOfKey = hashText(EMPTY_HASH, key);
+  return (candidate) => avalanche(hashText(hashOfKey, candidate).low);
 }
 
 /** The candidates that have a key, the first before the others. */
 export function rankByRendezvous(key: string, candidates: readonly string[]): readonly string[] {
-  const weighted = candidates.map((name) => ({ name, weight: rendezvousWeight(key, name) }));
+  const weightOf = rendezvousWeights(key);
+  const weighted = candidates.map((name) => ({ name, weight: weightOf(name) }));
   return weighted.sort((left, right) => right.weight - left.weight).map(({ name }) => name);
 }
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -19,6 +19,9 @@
   readonly log: Pick<GatewayLog, 'droppedTotal'>;
 }
 
+/** Engines that are told of one by one, the most unlike first: more series than this cost more than they tell. */
+const MOST_ENGINES = 64;
+
 interface Gauge {
   readonly name: string;
   readonly help: string;
@@ -30,6 +33,12 @@
   for (const { name, help, read } of gaugesOf(sources)) {
     metrics.addGauge(`threadfork_gateway_${name}`, help, read);
   }
+  metrics.addLabelledGauge(
+    'threadfork_gateway_engine_pace',
+    'Pace of an engine against the usual one of its service, of those that differ most',
+    'server',
+    () => sources.fleet.paces.mostUnlike(MOST_ENGINES),
+  );
 }
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -96,6 +96,26 @@
     });
   }
 
+  /** Adds a figure with one label, whose values are read anew each time. */
+  addLabelledGauge(
+    name: string,
+    help: string,
+    label: string,
+    read: () => ReadonlyMap<string, number>,
+  ): void {
+    const registers = [this.#registry];
+    new Gauge({
+      name,
+      help,
+      labelNames: [label],
+      registers,
+      collect() {
+        this.reset();
+        for (const [of, value] of read()) this.set({ [label]: of }, value);
+      },
+    });
+  }
+
   text(): Promise<string> {
     return this.#registry.metrics();
   }
--- a/test/gateway/engine-paces.test.ts
+++ b/test/gateway/engine-paces.test.ts
@@ -360,6 +360,18 @@
   assert.equal(paces.paceOf('e1'), 1);
 });
 
+test('an operator is shown the engines that differ most, and no more than there is room for', () => {
+  const { paces } = fleetPaces();
+  const unlike = [0.9, -0.7, 0.5].map((logPace, place) => ({
+    engineId: `e${place}`,
+    logPace,
+    weight: 16,
+  }));
+  paces.takeKnown([told([...USUAL, ...unlike], LINE)], 0);
+  assert.deepEqual([...paces.mostUnlike(2).keys()], ['e0', 'e1']);
+  assert.deepEqual([...paces.mostUnlike(99).keys()], ['e0', 'e1', 'e2']);
+});
+
 test('switched off, all engines have one pace, whatever is seen and told', () => {
   const { paces, speed } = fleetPaces(false);
   const before = new ReadSpeed();
