--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -5,10 +5,10 @@
 import type { EngineTraits } from './configuration.js';
 import { type RequestDescription, sharedPart } from './description.js';
 import type { EngineLoad, ExpectedRead, Urgency } from './engine-load.js';
+import { homeOf } from './home.js';
 import type { PeerLoads } from './peer-load.js';
 import type { PrefixKnowledge } from './prefix-knowledge.js';
 import type { ReadSpeed } from './read-speed.js';
-import { rendezvousWeight } from './rendezvous.js';
 import type { EngineStage, ServerRecord } from './server-directory.js';
 import type { ServerHealth } from './server-health.js';
 import { drawSpread, type Spread, usefulSpread } from './spread-choice.js';
@@ -34,9 +34,13 @@
   readonly nowMs: number;
   readonly knowledge: PrefixKnowledge;
   readonly speed: ReadSpeed;
+  /** An engine's pace against the usual one; left out where all have one pace. */
+  paceOf?(id: string): number;
+  /** The pace by which an engine counts as the home of a shared part. */
+  homePaceOf?(id: string): number;
   readonly kvTokenBytes: number;
   readonly linkMbps: number;
-  /** Short prompts that one decode engine gets in a millisecond, from all daemons. */
+  /** Short prompts that a decode engine of the usual pace gets in a millisecond, from all daemons. */
   readonly shortReadsPerMs: number;
   healthOf(id: string): ServerHealth;
   readonly peerLoads: PeerLoads;
@@ -111,6 +115,12 @@
   readonly homeBonusMs: number;
 }
 
+/** The shared part of the prompt, and where it is read first. */
+interface HomePart {
+  readonly home: ServerRecord | undefined;
+  readonly tokens: number;
+}
+
 /** An engine that keeps tokens of the prompt which others can take. */
 interface Donor {
   readonly server: ServerRecord;
@@ -168,12 +178,14 @@
 ): ServerRecord | undefined {
   const estimates = enginesOf(input, 'decode').map((server) => {
     const moveCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
-    const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, input);
+    const pace = paceAt(server, input);
+    const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, pace, input);
+    const longerMs = input.speed.handOverMs * (1 / pace - 1);
     const loadMs = waitsMs + fullnessMs(server, input) + healthCostMs(server, input);
     return {
       server,
       loadMs,
-      costMs: moveCost + loadMs + zoneCostMs(server, input),
+      costMs: moveCost + longerMs + loadMs + zoneCostMs(server, input),
       homeBonusMs: 0,
     };
   });
@@ -184,11 +196,6 @@
   return drawSpread(estimates, { spread, stage: 'decode', ...read })?.server;
 }
 
-/** The engine where a part is read first, the same for all daemons that list the same engines. */
-export function homeOf(partId: string, servers: readonly ServerRecord[]): ServerRecord | undefined {
-  return lowest(servers, (server) => -rendezvousWeight(partId, server.id));
-}
-
 /** The reader to take in place of the best by the sums, where others take that one too. */
 function spreadReader(
   best: ReadEstimate,
@@ -255,25 +262,26 @@
   const servers = enginesOf(input, stage);
   const shared = sharedPart(input.description.promptParts);
   const home = shared === undefined ? undefined : homeNow(shared.id, servers, input);
-  return servers.map((server) => readerAt(server, stage, donors, server === home, input));
+  const homePart = { home, tokens: shared?.tokens ?? 0 };
+  return servers.map((server) => readerAt(server, stage, donors, homePart, input));
 }
 
 /** Before anyone has told of any work, a part has some homes, so that no engine gets what all begin with. */
 function homeNow(
   partId: string,
   servers: readonly ServerRecord[],
-  { spread }: EngineChoiceInput,
+  { spread, homePaceOf }: EngineChoiceInput,
 ): ServerRecord | undefined {
-  if (spread?.unseen.kind !== 'by-daemons') return homeOf(partId, servers);
+  if (spread?.unseen.kind !== 'by-daemons') return homeOf(partId, servers, homePaceOf);
   const place = Math.floor(spread.entropy * HOMES_AT_START);
-  return homeOf(`${place} ${partId}`, servers);
+  return homeOf(`${place} ${partId}`, servers, homePaceOf);
 }
 
 function readerAt(
   server: ServerRecord,
   stage: EngineStage,
   donors: readonly Donor[],
-  isHome: boolean,
+  homePart: HomePart,
   input: EngineChoiceInput,
 ): Reader {
   const { description, knowledge, nowMs, speed } = input;
@@ -282,17 +290,18 @@
   const fetched = donor === undefined ? 0 : donor.keptTokens - kept;
   const missingTokens = Math.max(1, description.promptTokens - kept - fetched);
   const fetchMs = donor === undefined ? 0 : moveMs(fetched, input);
-  const paceMs =
+  const usualMs =
     stage === 'prefill' ? speed.prefillMs(missingTokens) : speed.decodeMs(missingTokens);
-  const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, input) : 0;
-  const sharedTokens = sharedPart(description.promptParts)?.tokens ?? 0;
-  const bonusMs = isHome && kept === 0 ? HOME_SHARE * speed.prefillBusyMs(sharedTokens) : 0;
+  const pace = paceAt(server, input);
+  const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, pace, input) : 0;
+  const isHome = server === homePart.home && kept === 0;
+  const bonusMs = isHome ? (HOME_SHARE * speed.prefillBusyMs(homePart.tokens)) / pace : 0;
   return {
     server,
     missingTokens,
     fetchFrom: donor?.server,
-    readMs: paceMs + fetchMs,
-    slotMs: stage === 'decode' ? slotWaitMs(server, input) : 0,
+    readMs: usualMs / pace + fetchMs,
+    slotMs: stage === 'decode' ? slotWaitMs(server, pace, input) : 0,
     standingMs: fullnessMs(server, input) + healthCostMs(server, input),
     otherCostMs: delayMs + zoneCostMs(server, input),
     homeBonusMs: bonusMs,
@@ -300,9 +309,10 @@
 }
 
 /** What short prompts wait for a read at a decode engine: half of it, for each that comes meanwhile. */
-function delayOfOthersMs(missingTokens: number, input: EngineChoiceInput): number {
-  const busyMs = input.speed.decodeBusyMs(missingTokens);
-  return (input.shortReadsPerMs * busyMs * busyMs) / 2;
+function delayOfOthersMs(missingTokens: number, pace: number, input: EngineChoiceInput): number {
+  const busyMs = input.speed.decodeBusyMs(missingTokens) / pace;
+  // A faster engine gets as many more.
+  return (input.shortReadsPerMs * pace * busyMs * busyMs) / 2;
 }
 
 /** The two engines that keep most of the prompt: one for all others, and one for the first of them. */
@@ -359,16 +369,21 @@
   return knownMs * input.waitFactor(urgency) + load.excessMs(nowMs);
 }
 
+/** How much faster than usual an engine reads and steps. */
+function paceAt(server: ServerRecord, input: EngineChoiceInput): number {
+  return input.paceOf?.(server.id) ?? 1;
+}
+
 /** Runs of all daemons that were sent to an engine and have not ended. */
 function runsAt(server: ServerRecord, input: EngineChoiceInput): number {
   return input.loadOf(server.id).running + input.peerLoads.running(server.id, input.nowMs);
 }
 
 /** How long a run waits for a slot: those beyond the slots go in as runs end. */
-function slotWaitMs(server: ServerRecord, input: EngineChoiceInput): number {
+function slotWaitMs(server: ServerRecord, pace: number, input: EngineChoiceInput): number {
   const slots = Math.max(1, server.slots);
   const waiting = Math.max(0, runsAt(server, input) + 1 - slots);
-  return (waiting * input.speed.runMs) / slots;
+  return (waiting * input.speed.runMs) / slots / pace;
 }
 
 /** A run takes a share of each step: the fuller the slots, the later the next token. */
--- /dev/null
+++ b/src/core/gateway/engine-paces.ts
@@ -0,0 +1,359 @@
+/**
+ * The pace of each engine of a service against the usual one: 1.7 reads a prompt in a 1.7th of the time
+ * that the service's line says, and steps as much faster.
+ *
+ * It is learnt from reads that did not wait, by this daemon and by others, as a mean of logarithms. Few
+ * samples say little: they are drawn to the usual pace by the weight of what was seen. Differences that
+ * chance makes among equal engines count as none, so that equal engines are decided on as one pace.
+ *
+ * The line and the paces are learnt from the same reads, each by means of the other. So the usual pace is the mean of
+ * all engines that were seen, whatever they are: without that, both could drift away together.
+ */
+import { homePace } from './home.js';
+import { isPossibleLine, LineSamples, type LineSums } from './line-samples.js';
+import type { ReadSpeed } from './read-speed.js';
+
+/** What is left of a sample's weight with each newer one: machines are shared, and what they give changes. */
+const SAMPLE_DECAY = 0.95;
+/** A sample of this weight says as much as the belief that an engine is as the others. */
+const PRIOR_WEIGHT = 0.5;
+/** An engine that is believed to be slow is sent little: what was seen of it long ago must not keep it so. */
+const HALF_LIFE_MS = 30_000;
+/** Beyond this a figure is nonsense, not a pace. */
+const MOST_LOG_PACE = Math.log(8);
+/** Logarithms below this are chance, however many samples there are: the reads of one engine differ by more. */
+const CHANCE_LOG_PACE = 0.07;
+/** By chance alone one sample, or a mean of so many, is off by so much more. */
+const CHANCE_LOG_OF_SAMPLE = 0.3;
+/**
+ * Reads that take longer than the engine's pace says may include a wait that nobody knew of, or a moment in which it was
+ * slow: busy engines have more of these, and are not slower for it.
+ */
+const LONGER_WEIGHT = 0.15;
+/** Reads differ by so much without either. */
+const LONGER_LOG = 0.05;
+/** First tokens before it is known how they come out. */
+const TRUSTED_WEIGHT = 5;
+/** What others know counts for more than what this daemon does, unless they have seen less than this part of it. */
+const LEAST_KNOWN_SHARE = 0.5;
+/** All that a message can say of one engine, or of a line: more than daemons hold. */
+const MOST_WEIGHT = 1_000;
+/** A wait that was expected to be longer than this part of all the time was expected wrongly. */
+const MOST_WAIT_SHARE = 0.3;
+/** The first token of a run shows less of an engine's pace: the step that it waits for is shared with others. */
+const DECODE_WEIGHT = 0.5;
+/** Paces are worked out again for their age after this time. */
+const REFRESH_MS = 1_000;
+
+/** How long an engine took. */
+export interface TimedRead {
+  readonly elapsedMs: number;
+  /** What was expected to be read before. */
+  readonly waitMs: number;
+}
+
+/** What was seen of a pace. */
+export interface SeenPace {
+  /** Mean logarithm of the pace. */
+  readonly logPace: number;
+  readonly weight: number;
+}
+
+/** What was seen of one engine's pace. */
+export interface PaceSums extends SeenPace {
+  readonly engineId: string;
+}
+
+/** What was seen, or is known, of a service's line and its engines. */
+export interface ServicePaceSums {
+  readonly service: string;
+  /** Undefined where nothing is said of it. */
+  readonly line: LineSums | undefined;
+  readonly engines: readonly PaceSums[];
+}
+
+/** The paces of one service's engines. */
+export class EnginePaces {
+  readonly #speed: ReadSpeed;
+  readonly #byEngine = new Map<string, PaceSamples>();
+  readonly #mean = new WeightedMean();
+  readonly #untoldLine = new LineSamples(1);
+  readonly #untold = new Map<string, PaceSamples>();
+  /** How first tokens come out against the line, whatever the engine: that is no pace of one. */
+  readonly #decodeBias = new PaceSamples();
+  #refreshedMs = Number.NEGATIVE_INFINITY;
+
+  /** @param speed the service's line, which every engine's samples are brought to */
+  constructor(speed: ReadSpeed) {
+    this.#speed = speed;
+  }
+
+  /** An engine's pace against the usual one; 1 while nothing else is known. */
+  paceOf(engineId: string): number {
+    return this.#byEngine.get(engineId)?.pace ?? 1;
+  }
+
+  /** The pace by which an engine counts as the home of shared parts. */
+  homePaceOf(engineId: string): number {
+    return this.#byEngine.get(engineId)?.homePace ?? 1;
+  }
+
+  /** A prefill engine read so many tokens, next to nobody known waiting before them. */
+  learnPrefill(engineId: string, tokens: number, read: TimedRead, nowMs: number): void {
+    const elapsedMs = ownTimeOf(read);
+    if (!(tokens > 0 && elapsedMs > 0)) return;
+    this.#learn(engineId, Math.log(this.#speed.prefillMs(tokens) / elapsedMs), 1, nowMs);
+    const pace = this.paceOf(engineId);
+    const weight = this.#speed.learnPrefill(tokens, elapsedMs, pace);
+    this.#untoldLine.add(tokens, elapsedMs * pace, weight);
+  }
+
+  /**
+   * A decode engine read so many tokens and began to generate.
+   * @param wasFree whether nobody was known to wait before them
+   */
+  learnDecode(
+    engineId: string,
+    tokens: number,
+    elapsedMs: number,
+    wasFree: boolean,
+    nowMs: number,
+  ): void {
+    if (!(tokens > 0 && elapsedMs > 0)) return;
+    if (wasFree) this.#learnFirstToken(engineId, tokens, elapsedMs, nowMs);
+    this.#speed.learnDecode(tokens, elapsedMs, this.paceOf(engineId));
+  }
+
+  /**
+   * Adds what other daemons have seen.
+   * @param isPassedOn whether it is told on with what this daemon sees itself
+   */
+  addSeen({ line, engines }: ServicePaceSums, isPassedOn: boolean, nowMs: number): void {
+    if (line !== undefined) this.#speed.addLine(line);
+    if (line !== undefined && isPassedOn) this.#untoldLine.merge(line);
+    for (const seen of engines) {
+      this.#change(seen.engineId, (samples) => samples.add(seen, nowMs));
+      if (isPassedOn) this.#note(seen.engineId, seen, nowMs);
+    }
+  }
+
+  /** Takes what the zone's relay knows, which has heard of more than this daemon. */
+  takeKnown({ line, engines }: ServicePaceSums, nowMs: number): void {
+    if (line !== undefined && isMore(line.weight, this.#speed.line.weight)) {
+      this.#speed.takeLine(line);
+    }
+    for (const known of engines) {
+      this.#change(known.engineId, (samples) => {
+        if (isMore(known.weight, samples.weightAt(nowMs))) samples.replace(known, nowMs);
+      });
+    }
+    this.#settleAll();
+  }
+
+  /** What has not been told yet; undefined for nothing. */
+  untold(service: string, mostEngines: number): ServicePaceSums | undefined {
+    const line = this.#untoldLine.weight > 0 ? this.#untoldLine.sums : undefined;
+    const engines = [...this.#untold].slice(0, mostEngines).map(([id, seen]) => seen.sums(id));
+    if (line === undefined && engines.length === 0) return undefined;
+    return { service, line, engines };
+  }
+
+  /** What was untold has been told. */
+  noteTold({ engines }: ServicePaceSums): void {
+    this.#untoldLine.clear();
+    for (const { engineId } of engines) this.#untold.delete(engineId);
+  }
+
+  /** All that is known. */
+  known(service: string, nowMs: number): ServicePaceSums {
+    const { line } = this.#speed;
+    const engines = [...this.#byEngine].map(([id, samples]) => ({
+      ...samples.sums(id),
+      weight: samples.weightAt(nowMs),
+    }));
+    return { service, line: line.weight > 0 ? line : undefined, engines };
+  }
+
+  /** Every engine of which something was seen. */
+  *all(): Generator<{ readonly engineId: string; readonly pace: number }> {
+    for (const [engineId, { pace }] of this.#byEngine) yield { engineId, pace };
+  }
+
+  /** The engine is gone, or another began under its name. */
+  forget(engineId: string): void {
+    const samples = this.#byEngine.get(engineId);
+    if (samples !== undefined) this.#mean.remove(samples);
+    this.#byEngine.delete(engineId);
+    this.#untold.delete(engineId);
+  }
+
+  /** Lets what is old count for less, and counts each engine against the mean as it is now. */
+  refresh(nowMs: number): void {
+    if (nowMs - this.#refreshedMs < REFRESH_MS) return;
+    this.#refreshedMs = nowMs;
+    this.#mean.clear();
+    for (const samples of this.#byEngine.values()) {
+      samples.fadeTo(nowMs);
+      this.#mean.add(samples);
+    }
+    this.#settleAll();
+  }
+
+  #learnFirstToken(engineId: string, tokens: number, elapsedMs: number, nowMs: number): void {
+    const logRatio = Math.log(this.#speed.decodeMs(tokens) / elapsedMs);
+    if (!this.#speed.isTrusted || !Number.isFinite(logRatio)) return;
+    const bias = this.#decodeBias;
+    bias.add({ logPace: bounded(logRatio), weight: 1 }, nowMs);
+    if (bias.weightAt(nowMs) < TRUSTED_WEIGHT) return;
+    this.#learn(engineId, logRatio - bias.logPace, DECODE_WEIGHT, nowMs);
+  }
+
+  #learn(engineId: string, logRatio: number, weight: number, nowMs: number): void {
+    // What the line says before it is learnt is no measure of an engine.
+    if (!this.#speed.isTrusted || !Number.isFinite(logRatio)) return;
+    const samples = this.#samplesOf(engineId);
+    const logPace = bounded(logRatio);
+    const isLonger = samples.weight > 0 && logPace < samples.logPace - LONGER_LOG;
+    const seen = { logPace, weight: isLonger ? weight * LONGER_WEIGHT : weight };
+    this.#note(engineId, seen, nowMs);
+    this.#change(engineId, () => samples.add(seen, nowMs));
+  }
+
+  #change(engineId: string, change: (samples: PaceSamples) => void): void {
+    const samples = this.#samplesOf(engineId);
+    this.#mean.remove(samples);
+    change(samples);
+    this.#mean.add(samples);
+    samples.settle(this.#mean.value);
+  }
+
+  /** Keeps what was seen until it is told. */
+  #note(engineId: string, seen: SeenPace, nowMs: number): void {
+    const untold = this.#untold.get(engineId) ?? new PaceSamples();
+    this.#untold.set(engineId, untold);
+    untold.add(seen, nowMs);
+  }
+
+  #settleAll(): void {
+    for (const samples of this.#byEngine.values()) samples.settle(this.#mean.value);
+  }
+
+  #samplesOf(engineId: string): PaceSamples {
+    const known = this.#byEngine.get(engineId);
+    if (known !== undefined) return known;
+    const created = new PaceSamples();
+    this.#byEngine.set(engineId, created);
+    return created;
+  }
+}
+
+/** Whether a line that was told can be true; nothing else of a message depends on it. */
+export function isUsableLine(line: LineSums): boolean {
+  return line.weight <= MOST_WEIGHT && isPossibleLine(line);
+}
+
+/** Whether what was told of an engine can be true. */
+export function isUsablePace({ logPace, weight }: PaceSums): boolean {
+  const isWeight = weight > 0 && weight <= MOST_WEIGHT;
+  return isWeight && Math.abs(logPace) <= MOST_LOG_PACE;
+}
+
+/** The read itself: the engines that have most to do are those whose reads wait, and are not slower for it. */
+function ownTimeOf({ elapsedMs, waitMs }: TimedRead): number {
+  return elapsedMs - Math.min(waitMs, MOST_WAIT_SHARE * elapsedMs);
+}
+
+/** The mean of the engines' logarithms, by what was seen of each. */
+class WeightedMean {
+  #weight = 0;
+  #logSum = 0;
+
+  /** 0 while there is none. */
+  get value(): number {
+    return this.#weight > 0 ? this.#logSum / this.#weight : 0;
+  }
+
+  add({ weight, logPace }: SeenPace): void {
+    this.#weight += weight;
+    this.#logSum += weight * logPace;
+  }
+
+  remove({ weight, logPace }: SeenPace): void {
+    this.#weight -= weight;
+    this.#logSum -= weight * logPace;
+  }
+
+  clear(): void {
+    this.#weight = 0;
+    this.#logSum = 0;
+  }
+}
+
+/** Samples of one engine, older ones fading. */
+class PaceSamples implements SeenPace {
+  #weight = 0;
+  #logSum = 0;
+  #atMs = 0;
+  /** As they are used, worked out when something is learnt. */
+  pace = 1;
+  homePace = 1;
+
+  get logPace(): number {
+    return this.#weight > 0 ? this.#logSum / this.#weight : 0;
+  }
+
+  get weight(): number {
+    return this.#weight;
+  }
+
+  weightAt(nowMs: number): number {
+    return this.#weight * 0.5 ** (Math.max(0, nowMs - this.#atMs) / HALF_LIFE_MS);
+  }
+
+  add({ logPace, weight }: SeenPace, nowMs: number): void {
+    this.fadeTo(nowMs);
+    const left = SAMPLE_DECAY ** weight;
+    this.#logSum = this.#logSum * left + weight * logPace;
+    this.#weight = this.#weight * left + weight;
+  }
+
+  replace({ logPace, weight }: SeenPace, nowMs: number): void {
+    this.#weight = weight;
+    this.#logSum = logPace * weight;
+    this.#atMs = nowMs;
+  }
+
+  fadeTo(nowMs: number): void {
+    const weight = this.weightAt(nowMs);
+    if (this.#weight > 0) this.#logSum *= weight / this.#weight;
+    this.#weight = weight;
+    this.#atMs = Math.max(this.#atMs, nowMs);
+  }
+
+  /** Works the pace out against the mean of all engines. */
+  settle(meanLog: number): void {
+    const share = this.#weight / (this.#weight + PRIOR_WEIGHT);
+    const chance = CHANCE_LOG_PACE + CHANCE_LOG_OF_SAMPLE / (this.#weight + PRIOR_WEIGHT);
+    this.pace = Math.exp(bounded(withoutChance(share * (this.logPace - meanLog), chance)));
+    this.homePace = homePace(this.pace, this.homePace);
+  }
+
+  sums(engineId: string): PaceSums {
+    return { engineId, logPace: this.logPace, weight: this.#weight };
+  }
+}
+
+/** None up to what chance makes, and all of it from twice that on, without a jump between. */
+function withoutChance(logPace: number, chance: number): number {
+  const size = Math.abs(logPace);
+  if (size >= 2 * chance) return logPace;
+  return Math.sign(logPace) * Math.max(0, 2 * (size - chance));
+}
+
+function bounded(logPace: number): number {
+  return Math.min(MOST_LOG_PACE, Math.max(-MOST_LOG_PACE, logPace));
+}
+
+function isMore(toldWeight: number, ownWeight: number): boolean {
+  return toldWeight >= LEAST_KNOWN_SHARE * ownWeight;
+}
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -32,7 +32,7 @@
 /** For that, a stage never keeps more than this part of all engines. */
 const MOST_SPARE_SHARE = 0.4;
 
-/** Work of a service, in engines that it keeps busy. */
+/** Work of a service, in engines of the usual pace that it keeps busy. */
 export interface StageNeed {
   readonly prefillEngines: number;
   readonly decodeEngines: number;
@@ -48,6 +48,8 @@
   readonly comingEngines: number;
   /** What an engine has under way; the one with least is moved. */
   busyOf(engineId: string): number;
+  /** An engine's pace against the usual one; left out where all have one pace. */
+  paceOf?(engineId: string): number;
 }
 
 /** An engine that is to change its stage. */
@@ -64,12 +66,13 @@
   if (need.requests < LEAST_REQUESTS || engines.length < 3) return [];
   const total = engines.length + comingEngines;
   const reading = engines.filter((engine) => engine.stage === 'prefill').length;
-  // Those that come are taken to have the mix of those that are there.
+  // Those that come are taken to have the mix, and the paces, of those that are there.
   const currentPrefill = Math.round((reading * total) / engines.length);
-  const wantedPrefill = bestPrefillCount(total, need);
-  const current = fullest(currentPrefill, total, need);
+  const fullestWith = fullnessOf(input, currentPrefill);
+  const wantedPrefill = bestPrefillCount(total, fullestWith);
+  const current = fullestWith(currentPrefill);
   if (wantedPrefill === currentPrefill || current < 1) return [];
-  if (fullest(wantedPrefill, total, need) > RELIEF_SHARE * current) return [];
+  if (fullestWith(wantedPrefill) > RELIEF_SHARE * current) return [];
   const stage: EngineStage = wantedPrefill > currentPrefill ? 'prefill' : 'decode';
   const movable = engines.filter((engine) => engine.stage !== stage);
   const gap = Math.abs(wantedPrefill - currentPrefill);
@@ -141,20 +144,42 @@
   return Math.ceil(prefillEngines / FULL_SHARE.prefill + decodeEngines / FULL_SHARE.decode);
 }
 
-function bestPrefillCount(total: number, need: StageNeed): number {
+function bestPrefillCount(total: number, fullestWith: (prefillCount: number) => number): number {
   const least = total >= ENGINES_FOR_SPARES ? ENGINES_WITH_SPARE : 1;
   const spared = Math.min(LOSSES_TO_BEAR + 1, Math.floor(total * MOST_SPARE_SHARE));
   const most = total - Math.max(least, spared);
   let best = least;
   for (let count = least + 1; count <= most; count += 1) {
-    if (fullest(count, total, need) < fullest(best, total, need)) best = count;
+    if (fullestWith(count) < fullestWith(best)) best = count;
   }
   return best;
 }
 
-/** How full the fuller stage would be; above 1 its work queues. */
-function fullest(prefillCount: number, total: number, need: StageNeed): number {
-  const prefill = need.prefillEngines / Math.max(1, prefillCount);
-  const decode = need.decodeEngines / Math.max(1, total - prefillCount);
-  return Math.max(prefill / FULL_SHARE.prefill, decode / FULL_SHARE.decode);
+/**
+ * How full the fuller stage would be with so many engines that read; above 1 its work queues. Engines that
+ * change their stage are taken to be of the mean pace of the stage that they come from.
+ */
+function fullnessOf(
+  { engines, need, comingEngines, paceOf }: StagePlanInput,
+  currentPrefill: number,
+): (prefillCount: number) => number {
+  const growth = 1 + comingEngines / engines.length;
+  const pacesOf = (stage: EngineStage) =>
+    engines.filter((engine) => engine.stage === stage).map(({ id }) => paceOf?.(id) ?? 1);
+  const [reading, others] = [pacesOf('prefill'), pacesOf('decode')];
+  return (prefillCount) => {
+    const moved = prefillCount - currentPrefill;
+    const movedPace = moved * meanOf(moved > 0 ? others : reading);
+    const prefill = need.prefillEngines / Math.max(1, growth * sumOf(reading) + movedPace);
+    const decode = need.decodeEngines / Math.max(1, growth * sumOf(others) - movedPace);
+    return Math.max(prefill / FULL_SHARE.prefill, decode / FULL_SHARE.decode);
+  };
+}
+
+function sumOf(paces: readonly number[]): number {
+  return paces.reduce((sum, pace) => sum + pace, 0);
+}
+
+function meanOf(paces: readonly number[]): number {
+  return paces.length === 0 ? 1 : sumOf(paces) / paces.length;
 }
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -188,6 +188,7 @@
         need: fleet.stageNeedOf(service.name, nowMs),
         comingEngines: this.#options.comingEngines(service.name),
         busyOf: (id) => fleet.busyOf(id, nowMs),
+        paceOf: fleet.paces.pacesOf(service.name),
       });
       const paidFor = changes.filter((change) => this.#isPaidFor(change, traits, nowMs));
       if (paidFor.length === 0) continue;
