Admission: take requests, classes and tenants by rules, not by one API's document

Cause: the fair queue, its lanes and its expected waits could be used only with the product's own API document, so the path of described requests had no admission. Change: WaitingLines holds what AdmissionQueue held, over the narrow AdmissionRules; AdmissionQueue keeps the document's rules. The least share of a class is a rule, as a strict order has none.

--- a/src/core/admission/admission-queue.ts
+++ b/src/core/admission/admission-queue.ts
@@ -1,295 +1,65 @@
 /**
- * Admission: decides at once whether a request goes, waits or is refused. Queues are bounded, and a
- * request that can't be expected to start before its deadline is refused at the door with the time
- * after which it would be taken.
+ * Admission by the product's own API document: classes and tenants are those of the configuration, and
+ * requests cost what their tokens cost.
  */
-import type { ClassName, RequestId, TenantName } from '../common/identifiers.js';
-import type { Milliseconds, MonotonicMs } from '../common/time.js';
+import type { ClassName, RequestId } from '../common/identifiers.js';
 import {
   type ClassConfiguration,
   type ConfigurationDocument,
   classSchema,
   EMPTY_CONFIGURATION,
 } from '../configuration/document.js';
-import type { Fault } from '../errors/fault.js';
 import type { RequestDescription, RequestTarget } from '../requests/types.js';
-import { expectWait, type WaitEstimate } from './expected-wait.js';
-import { IndexedHeap } from './indexed-heap.js';
-import { Lane } from './lane.js';
-import { deadlineFault, shedFault } from './shed-fault.js';
+import type { AdmissionRules } from './admission-rules.js';
+import { MIN_CLASS_SHARE } from './class-use.js';
 import { estimatedCost, type TokenUse, tokenCost } from './token-cost.js';
-import type { AdmittedRequest, WaitingRequest } from './waiting-request.js';
+import { type AdmissionLimits, WaitingLines } from './waiting-lines.js';
 
-/** Limits of the queues. */
-export interface AdmissionLimits {
-  /** Requests that may wait in one class of one lane. */
-  readonly maxWaitingPerClass: number;
-}
-
-/** The limits unless told otherwise. */
-export const ADMISSION_DEFAULTS: AdmissionLimits = { maxWaitingPerClass: 8_192 };
-
-/** The part of a class's queue up to which no tenant is held to its part of it. */
-const UNSHARED_QUEUE_PART = 0.5;
 /** A class that the configuration has dropped while requests of it were under way. */
 const UNSTATED_CLASS: ClassConfiguration = classSchema.parse({ priority: 9, deadlineMs: 30_000 });
 
-/** What becomes of an offered request. */
-export type AdmissionAnswer =
-  | { readonly kind: 'dispatch-now' }
-  /** `expectedWaitMs` is null before the lane's speed is known. */
-  | { readonly kind: 'queued'; readonly expectedWaitMs: Milliseconds | null }
-  | { readonly kind: 'refused'; readonly fault: Fault };
-
-/** What is known when a request is offered. */
-export interface OfferContext {
-  readonly now: MonotonicMs;
-  /** Whether a backend could take it this moment (routing chose one). */
-  readonly hasCapacity: boolean;
-}
-
-/** All requests that wait or were let go. A hot container that its owner updates in place. */
-export class AdmissionQueue {
-  readonly #limits: AdmissionLimits;
-  readonly #lanes = new Map<string, Lane>();
-  readonly #waiting = new Map<RequestId, WaitingRequest>();
-  readonly #deadlines = new IndexedHeap<WaitingRequest>();
-  readonly #admitted = new Map<RequestId, AdmittedRequest>();
-  #configuration: ConfigurationDocument = EMPTY_CONFIGURATION.document;
+/** The rules of one configuration after the other. */
+class DocumentRules implements AdmissionRules<RequestDescription> {
+  readonly minClassShare = MIN_CLASS_SHARE;
+  document: ConfigurationDocument = EMPTY_CONFIGURATION.document;
 
-  constructor(limits: Partial<AdmissionLimits> = {}) {
-    this.#limits = { ...ADMISSION_DEFAULTS, ...limits };
+  laneOf({ target }: RequestDescription): string {
+    return laneKey(target);
   }
 
-  /** Takes over classes, shares and weights. A tenant's new weight counts from its next request on. */
-  configure(configuration: ConfigurationDocument): void {
-    this.#configuration = configuration;
-    for (const lane of this.#lanes.values()) {
-      lane.configure((name) => this.#classOf(name));
-    }
+  costOf({ target }: RequestDescription): number {
+    return estimatedCost(target);
   }
 
-  /** Requests waiting. */
-  get waiting(): number {
-    return this.#waiting.size;
+  classOf(name: ClassName): ClassConfiguration {
+    return this.document.classes[name] ?? UNSTATED_CLASS;
   }
 
-  /** Requests let go and not ended. */
-  get admitted(): number {
-    return this.#admitted.size;
+  weightOf(tenant: string): number {
+    return this.document.tenants[tenant]?.weight ?? 1;
   }
+}
 
-  /** The earliest deadline among those waiting, for the owner's timer. */
-  get nextDeadline(): MonotonicMs | null {
-    return this.#deadlines.first()?.key ?? null;
-  }
+/** All requests of the product's own API that wait or were let go. */
+export class AdmissionQueue extends WaitingLines<RequestDescription> {
+  readonly #documentRules: DocumentRules;
 
-  /**
-   * Offers a request. One that was let go before (a retry) goes again, or waits in front of its
-   * tenant's others, and is not charged twice.
-   */
-  offer(description: RequestDescription, context: OfferContext): AdmissionAnswer {
-    const { now, hasCapacity } = context;
-    const lane = this.#laneOf(description.target);
-    const before = this.#admitted.get(description.id);
-    if (hasCapacity && (before !== undefined || lane.size === 0)) {
-      this.#admitDirectly(description, lane, before, now);
-      return { kind: 'dispatch-now' };
-    }
-    const estimate = this.#estimate(description, lane);
-    if (this.#waiting.has(description.id)) {
-      return { kind: 'queued', expectedWaitMs: estimate.waitMs };
-    }
-    const fault = before === undefined ? this.#shed(description, lane, estimate, now) : null;
-    if (fault !== null) {
-      return { kind: 'refused', fault };
-    }
-    this.#enqueue(description, lane, before, now);
-    return { kind: 'queued', expectedWaitMs: estimate.waitMs };
+  constructor(limits: Partial<AdmissionLimits> = {}) {
+    const rules = new DocumentRules();
+    super(rules, limits);
+    this.#documentRules = rules;
   }
 
-  /**
-   * Takes out the next request that a backend could take. Call until null after capacity was freed.
-   * `hasCapacity` is asked once for each lane at most.
-   */
-  next(
-    now: MonotonicMs,
-    hasCapacity: (request: RequestDescription) => boolean,
-  ): RequestDescription | null {
-    for (const lane of this.#lanesByTurn()) {
-      const first = lane.first();
-      if (first !== undefined && hasCapacity(first.description)) {
-        lane.takeFirst(now);
-        this.#forgetWaiting(first);
-        this.#noteAdmitted(first, now);
-        return first.description;
-      }
-    }
-    return null;
+  /** Takes over classes, shares and weights. */
+  configure(configuration: ConfigurationDocument): void {
+    this.#documentRules.document = configuration;
+    this.rulesChanged();
   }
 
   /** Notes the end of a request with what it used in fact; null when it was not run. */
   finished(id: RequestId, used: TokenUse | null): void {
-    const admitted = this.#admitted.get(id);
-    if (admitted === undefined) {
-      return;
-    }
-    this.#admitted.delete(id);
-    const queue = this.#lanes
-      .get(admitted.lane)
-      ?.queueOf(admitted.className, this.#classOf(admitted.className));
-    const difference = (used === null ? 0 : tokenCost(used)) - admitted.cost;
-    queue?.correct(admitted.tenant, this.#weightOf(admitted.tenant), difference);
-  }
-
-  /** Takes out a request whose caller has gone. Unknown ids are ignored. */
-  remove(id: RequestId, now: MonotonicMs): void {
-    const waiting = this.#waiting.get(id);
-    if (waiting !== undefined) {
-      this.#lanes.get(waiting.lane)?.remove(waiting, now);
-      this.#forgetWaiting(waiting);
-    }
-    this.finished(id, null);
-  }
-
-  /** How long a request like this one would wait now; null before the lane's speed is known. */
-  expectedWaitMs(description: RequestDescription): Milliseconds | null {
-    return this.#estimate(description, this.#laneOf(description.target)).waitMs;
-  }
-
-  /** Takes out the waiting requests whose deadline has passed, with the fault for each. */
-  expired(now: MonotonicMs): ExpiredRequest[] {
-    const gone: ExpiredRequest[] = [];
-    for (;;) {
-      const first = this.#deadlines.first();
-      if (first === undefined || first.key > now) {
-        return gone;
-      }
-      const lane = this.#lanes.get(first.lane);
-      const estimate = lane === undefined ? null : this.#estimate(first.description, lane);
-      this.remove(first.description.id, now);
-      gone.push({ description: first.description, fault: deadlineFault(estimate) });
-    }
-  }
-
-  #admitDirectly(
-    description: RequestDescription,
-    lane: Lane,
-    before: AdmittedRequest | undefined,
-    now: MonotonicMs,
-  ): void {
-    if (before !== undefined) {
-      return;
-    }
-    const cost = estimatedCost(description.target);
-    const queue = lane.queueOf(description.className, this.#classOf(description.className));
-    queue.charge(description.tenant, this.#weightOf(description.tenant), cost);
-    lane.passed(description.className, cost, now);
-    this.#noteAdmitted({ description, lane: laneKey(description.target), cost }, now);
-  }
-
-  #enqueue(
-    description: RequestDescription,
-    lane: Lane,
-    before: AdmittedRequest | undefined,
-    now: MonotonicMs,
-  ): void {
-    const request: WaitingRequest = {
-      key: description.deadline,
-      place: -1,
-      description,
-      lane: laneKey(description.target),
-      cost: before?.cost ?? estimatedCost(description.target),
-      charged: before !== undefined,
-    };
-    const queue = lane.queueOf(description.className, this.#classOf(description.className));
-    lane.add(request, queue, this.#weightOf(description.tenant), now);
-    this.#waiting.set(description.id, request);
-    this.#deadlines.add(request);
-  }
-
-  #estimate(description: RequestDescription, lane: Lane): WaitEstimate {
-    const stated = this.#classOf(description.className);
-    return expectWait({
-      lane,
-      queue: lane.queueOf(description.className, stated),
-      priority: stated.priority,
-      tenant: description.tenant,
-      weight: this.#weightOf(description.tenant),
-    });
-  }
-
-  #shed(
-    description: RequestDescription,
-    lane: Lane,
-    estimate: WaitEstimate,
-    now: MonotonicMs,
-  ): Fault | null {
-    const queue = lane.queueOf(description.className, this.#classOf(description.className));
-    const limit = this.#limits.maxWaitingPerClass;
-    const weight = this.#weightOf(description.tenant);
-    const part = (limit * weight) / (queue.activeWeight + weight);
-    const overPart = queue.sizeOf(description.tenant) >= Math.max(1, part);
-    return shedFault({
-      estimate,
-      slackMs: description.deadline - now,
-      queueFull: queue.size >= limit,
-      tenantOverPart: queue.size >= limit * UNSHARED_QUEUE_PART && overPart,
-    });
-  }
-
-  #noteAdmitted(request: Pick<WaitingRequest, 'description' | 'lane' | 'cost'>, now: MonotonicMs) {
-    const { id, tenant, className } = request.description;
-    const { lane, cost } = request;
-    this.#admitted.set(id, { id, tenant, className, lane, cost, at: now });
-  }
-
-  #forgetWaiting(request: WaitingRequest): void {
-    this.#waiting.delete(request.description.id);
-    this.#deadlines.remove(request);
-  }
-
-  /** Lanes with the request of the highest priority first; of equals, the one that waits longest. */
-  #lanesByTurn(): Lane[] {
-    const lanes = [...this.#lanes.values()].filter((lane) => lane.size > 0);
-    return lanes.length < 2 ? lanes : lanes.sort((left, right) => this.#compare(left, right));
+    this.settle(id, used === null ? 0 : tokenCost(used));
   }
-
-  #compare(left: Lane, right: Lane): number {
-    const first = left.first()?.description;
-    const second = right.first()?.description;
-    if (first === undefined || second === undefined) {
-      return 0;
-    }
-    const byPriority =
-      this.#classOf(first.className).priority - this.#classOf(second.className).priority;
-    return byPriority !== 0 ? byPriority : first.arrivedAt - second.arrivedAt;
-  }
-
-  #laneOf(target: RequestTarget): Lane {
-    const key = laneKey(target);
-    const known = this.#lanes.get(key);
-    if (known !== undefined) {
-      return known;
-    }
-    const created = new Lane();
-    this.#lanes.set(key, created);
-    return created;
-  }
-
-  #classOf(name: ClassName): ClassConfiguration {
-    return this.#configuration.classes[name] ?? UNSTATED_CLASS;
-  }
-
-  #weightOf(tenant: TenantName): number {
-    return this.#configuration.tenants[tenant]?.weight ?? 1;
-  }
-}
-
-/** A request that waited past its deadline and the answer it is to be given. */
-export interface ExpiredRequest {
-  readonly description: RequestDescription;
-  readonly fault: Fault;
 }
 
 function laneKey(target: RequestTarget): string {
--- a/src/core/admission/expected-wait.ts
+++ b/src/core/admission/expected-wait.ts
@@ -6,8 +6,8 @@
 
 /** What an estimate is made from. */
 export interface WaitInput {
-  readonly lane: Lane;
-  readonly queue: FairQueue;
+  readonly lane: Pick<Lane, 'costAbove' | 'rate' | 'size'>;
+  readonly queue: Pick<FairQueue, 'activeWeight' | 'cost' | 'costOf'>;
   readonly priority: number;
   readonly tenant: TenantName;
   readonly weight: number;
--- a/src/core/admission/fair-queue.ts
+++ b/src/core/admission/fair-queue.ts
@@ -4,26 +4,27 @@
  * number and size of its requests. What a request used in fact corrects what it was charged.
  */
 import type { TenantName } from '../common/identifiers.js';
+import type { Admissible } from './admission-rules.js';
 import { IndexedHeap } from './indexed-heap.js';
 import type { WaitingRequest } from './waiting-request.js';
 
 /** A tenant's place in the queue; its heap key is the start tag of its first waiting request. */
-interface TenantQueue {
+interface TenantQueue<Request extends Admissible> {
   key: number;
   place: number;
   readonly tenant: TenantName;
   weight: number;
   /** The virtual time up to which the tenant has been served. */
   finish: number;
-  waiting: WaitingRequest[];
+  waiting: WaitingRequest<Request>[];
   /** Summed cost of what waits. */
   cost: number;
 }
 
 /** The queue of one class on one lane. Updated in place by its owner. */
-export class FairQueue {
-  readonly #tenants = new Map<TenantName, TenantQueue>();
-  readonly #active = new IndexedHeap<TenantQueue>();
+export class FairQueue<Request extends Admissible = Admissible> {
+  readonly #tenants = new Map<TenantName, TenantQueue<Request>>();
+  readonly #active = new IndexedHeap<TenantQueue<Request>>();
   #virtualTime = 0;
   #waiting = 0;
   #cost = 0;
@@ -55,7 +56,7 @@
   }
 
   /** Adds a request, at the tenant's front when it was charged before, else at its end. */
-  add(request: WaitingRequest, weight: number): void {
+  add(request: WaitingRequest<Request>, weight: number): void {
     const queue = this.#queueOf(request.description.tenant, weight);
     if (request.charged) {
       queue.waiting.unshift(request);
@@ -73,12 +74,12 @@
   }
 
   /** The request whose turn it is. */
-  first(): WaitingRequest | undefined {
+  first(): WaitingRequest<Request> | undefined {
     return this.#active.first()?.waiting[0];
   }
 
   /** Takes out the request whose turn it is and charges it. */
-  takeFirst(): WaitingRequest | undefined {
+  takeFirst(): WaitingRequest<Request> | undefined {
     const queue = this.#active.first();
     const request = queue?.waiting.shift();
     if (queue === undefined || request === undefined) {
@@ -110,7 +111,7 @@
   }
 
   /** Takes out a request that has gone away. */
-  remove(request: WaitingRequest): void {
+  remove(request: WaitingRequest<Request>): void {
     const queue = this.#tenants.get(request.description.tenant);
     const place = queue?.waiting.indexOf(request) ?? -1;
     if (queue === undefined || place < 0) {
@@ -121,14 +122,14 @@
     this.#settle(queue);
   }
 
-  #leave(queue: TenantQueue, request: WaitingRequest): void {
+  #leave(queue: TenantQueue<Request>, request: WaitingRequest<Request>): void {
     queue.cost -= request.cost;
     this.#waiting -= 1;
     this.#cost -= request.cost;
   }
 
   /** Puts a tenant where its charge says it belongs, and forgets one that is owed nothing. */
-  #settle(queue: TenantQueue): void {
+  #settle(queue: TenantQueue<Request>): void {
     if (queue.waiting.length > 0) {
       queue.key = Math.max(this.#virtualTime, queue.finish);
       this.#active.update(queue);
@@ -143,13 +144,13 @@
     }
   }
 
-  #queueOf(tenant: TenantName, weight: number): TenantQueue {
+  #queueOf(tenant: TenantName, weight: number): TenantQueue<Request> {
     const known = this.#tenants.get(tenant);
     if (known !== undefined) {
       this.#reweigh(known, weight);
       return known;
     }
-    const created: TenantQueue = {
+    const created: TenantQueue<Request> = {
       key: 0,
       place: -1,
       tenant,
@@ -162,7 +163,7 @@
     return created;
   }
 
-  #reweigh(queue: TenantQueue, weight: number): void {
+  #reweigh(queue: TenantQueue<Request>, weight: number): void {
     if (queue.place >= 0) {
       this.#activeWeight += weight - queue.weight;
     }
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,10 +1,12 @@
 /** Admission: which request goes next, which waits and which is refused at the door. */
+export { AdmissionQueue } from './admission-queue.js';
+export type { Admissible, AdmissionRules, ClassRules } from './admission-rules.js';
+export type { TokenUse } from './token-cost.js';
 export {
   ADMISSION_DEFAULTS,
   type AdmissionAnswer,
   type AdmissionLimits,
-  AdmissionQueue,
   type ExpiredRequest,
   type OfferContext,
-} from './admission-queue.js';
-export type { TokenUse } from './token-cost.js';
+  WaitingLines,
+} from './waiting-lines.js';
--- a/src/core/admission/lane.ts
+++ b/src/core/admission/lane.ts
@@ -4,46 +4,52 @@
  */
 import type { ClassName } from '../common/identifiers.js';
 import type { MonotonicMs } from '../common/time.js';
-import type { ClassConfiguration } from '../configuration/document.js';
-import { ClassUse, MIN_CLASS_SHARE } from './class-use.js';
+import type { Admissible, ClassRules } from './admission-rules.js';
+import { ClassUse } from './class-use.js';
 import { DrainRate } from './drain-rate.js';
 import { FairQueue } from './fair-queue.js';
 import type { WaitingRequest } from './waiting-request.js';
 
 /** A class with its queue, in order of priority. */
-interface LaneClass {
+interface LaneClass<Request extends Admissible> {
   readonly name: ClassName;
-  readonly queue: FairQueue;
+  readonly queue: FairQueue<Request>;
   priority: number;
   share: number;
 }
 
 /** The lane. Updated in place by its owner. */
-export class Lane {
+export class Lane<Request extends Admissible = Admissible> {
   readonly rate = new DrainRate();
   readonly #use = new ClassUse();
-  #classes: LaneClass[] = [];
+  readonly #minClassShare: number;
+  #classes: LaneClass<Request>[] = [];
   #size = 0;
 
+  /** @param minClassShare what each class that waits gets at least */
+  constructor(minClassShare: number) {
+    this.#minClassShare = minClassShare;
+  }
+
   /** Requests waiting in all classes. */
   get size(): number {
     return this.#size;
   }
 
   /** The queue of a class. Its priority and share are taken over from the configuration. */
-  queueOf(name: ClassName, stated: ClassConfiguration): FairQueue {
+  queueOf(name: ClassName, stated: ClassRules): FairQueue<Request> {
     const known = this.#classes.find((candidate) => candidate.name === name);
     if (known !== undefined) {
       return known.queue;
     }
-    const queue = new FairQueue();
+    const queue = new FairQueue<Request>();
     this.#classes.push({ name, queue, priority: stated.priority, share: stated.share });
     this.#sort();
     return queue;
   }
 
   /** Takes over changed priorities and shares. */
-  configure(stated: (name: ClassName) => ClassConfiguration): void {
+  configure(stated: (name: ClassName) => ClassRules): void {
     for (const known of this.#classes) {
       known.priority = stated(known.name).priority;
       known.share = stated(known.name).share;
@@ -52,19 +58,24 @@
   }
 
   /** Adds a waiting request. */
-  add(request: WaitingRequest, queue: FairQueue, weight: number, now: MonotonicMs): void {
+  add(
+    request: WaitingRequest<Request>,
+    queue: FairQueue<Request>,
+    weight: number,
+    now: MonotonicMs,
+  ): void {
     this.rate.busy(now);
     queue.add(request, weight);
     this.#size += 1;
   }
 
   /** The request whose turn it is. */
-  first(): WaitingRequest | undefined {
+  first(): WaitingRequest<Request> | undefined {
     return this.#turn()?.queue.first();
   }
 
   /** Takes out the request whose turn it is. */
-  takeFirst(now: MonotonicMs): WaitingRequest | undefined {
+  takeFirst(now: MonotonicMs): WaitingRequest<Request> | undefined {
     const turn = this.#turn();
     const request = turn?.queue.takeFirst();
     if (turn === undefined || request === undefined) {
@@ -83,7 +94,7 @@
   }
 
   /** Takes out a request that has gone away. */
-  remove(request: WaitingRequest, now: MonotonicMs): void {
+  remove(request: WaitingRequest<Request>, now: MonotonicMs): void {
     const known = this.#classes.find(
       (candidate) => candidate.name === request.description.className,
     );
@@ -110,9 +121,9 @@
     }
   }
 
-  #turn(): LaneClass | undefined {
+  #turn(): LaneClass<Request> | undefined {
     const waiting = this.#classes.filter((known) => known.queue.size > 0);
-    const most = 1 - MIN_CLASS_SHARE * (waiting.length - 1);
+    const most = 1 - this.#minClassShare * (waiting.length - 1);
     const within = waiting.find(
       (known) => this.#use.fraction(known.name) <= Math.min(known.share, most),
     );
--- a/src/core/admission/waiting-request.ts
+++ b/src/core/admission/waiting-request.ts
@@ -1,12 +1,12 @@
 /** A request that waits for its turn. */
 import type { ClassName, RequestId, TenantName } from '../common/identifiers.js';
 import type { MonotonicMs } from '../common/time.js';
-import type { RequestDescription } from '../requests/types.js';
+import type { Admissible } from './admission-rules.js';
 import type { HeapItem } from './indexed-heap.js';
 
 /** A waiting request; its heap key is its deadline. */
-export interface WaitingRequest extends HeapItem {
-  readonly description: RequestDescription;
+export interface WaitingRequest<Request extends Admissible = Admissible> extends HeapItem {
+  readonly description: Request;
   readonly lane: string;
   readonly cost: number;
   /** True when its cost was charged at an earlier admission, before a retry. */
