Waiting room: requests to engines wait at the daemon, or are refused, before an engine's queue

Cause: each model request went to an engine's queue at once, also where it was known to be late. Change: what can be in time goes, or waits while engines hold what leaves more urgent kinds no time; what is late for want of room is refused at once, with a time to come back that is spread. Off with decisions.waiting. door.ts is merged into place-request.ts; refusalAtDoor is what holds with the switch off.

--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,6 +1,7 @@
 /** Admission: which request goes next, which waits and which is refused at the door. */
 export { AdmissionQueue } from './admission-queue.js';
 export type { Admissible, AdmissionRules, ClassRules } from './admission-rules.js';
+export { type RetryInput, RetryLine } from './retry-line.js';
 export type { TokenUse } from './token-cost.js';
 export {
   ADMISSION_DEFAULTS,
@@ -10,3 +11,4 @@
   type OfferContext,
   WaitingLines,
 } from './waiting-lines.js';
+export { type RoomPlace, type RoomRequest, WaitingRoom } from './waiting-room.js';
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -40,7 +40,6 @@
   type TableDigest,
   type TableProgress,
 } from './digest-schedule.js';
-export { type DoorInput, type DoorRefusal, refusalAtDoor } from './door.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
 export {
   explainRequest,
@@ -57,6 +56,14 @@
   PeerLoads,
 } from './peer-load.js';
 export { type OwnPlace, type PeerDaemon, PeerRoster } from './peer-roster.js';
+export {
+  type DoorInput,
+  type DoorRefusal,
+  type PlaceInput,
+  type Placement,
+  placeRequest,
+  refusalAtDoor,
+} from './place-request.js';
 export {
   planRescue,
   planStageChanges,
@@ -91,3 +98,4 @@
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
 export { type Admission, TenantTable } from './tenants.js';
+export { UrgentSlack } from './urgent-slack.js';
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -171,6 +171,16 @@
     return hasSums || this.#recent(nowMs).length > 0;
   }
 
+  /** How old the newest that was told of the others' work is; infinite where nothing was. */
+  ageMs(nowMs: number): number {
+    const sums = this.#sums;
+    if (sums !== undefined && nowMs - sums.atMs <= SUMS_VALID_MS) return nowMs - sums.atMs;
+    return Math.min(
+      Number.POSITIVE_INFINITY,
+      ...this.#recent(nowMs).map(({ atMs }) => nowMs - atMs),
+    );
+  }
+
   /** Daemons heard of lately. */
   count(nowMs: number): number {
     return this.#recent(nowMs).length;
--- /dev/null
+++ b/src/core/gateway/place-request.ts
@@ -0,0 +1,83 @@
+/**
+ * Whether a request goes to a server now, waits at the daemon for room, or is refused before it is sent
+ * anywhere. What can be in time goes, or waits while the servers hold what is more urgent. What cannot is
+ * refused at once where it is late for want of room: sent all the same, it would take time from others, and
+ * its caller may be in time with another try.
+ */
+import type { EnginePlan } from './choose-engine.js';
+
+/** What a forecast is judged by. */
+export interface DoorInput {
+  readonly plan: Pick<EnginePlan, 'expectedMs' | 'read'>;
+  /** Until the caller, or the route, gives up. */
+  readonly remainingMs: number;
+  /** Within this an answer is in time. */
+  readonly inTimeMs: number;
+  /** Whether the paces that the forecast is made from were seen, not supposed. */
+  readonly isLearnt: boolean;
+  /** Whether a server may have run it. */
+  readonly mayHaveRun: boolean;
+}
+
+/** What a place is decided from. */
+export interface PlaceInput extends DoorInput {
+  /** What is left of the time in which an answer is in time. */
+  readonly inTimeLeftMs: number;
+  /** The longest wait at a server that one of its rank may join. */
+  readonly mostWaitMs: number;
+  /** Whether others wait at this daemon for the same servers. */
+  readonly isContended: boolean;
+}
+
+/** A request that is not sent at all. */
+export interface DoorRefusal {
+  /** When one like it could be answered in time, if nothing else came. */
+  readonly retryAfterMs: number;
+}
+
+/** What becomes of a request. */
+export type Placement =
+  /** There is room; `slackMs` is how long it could wait and be in time, undefined where it waits for nobody. */
+  | { readonly kind: 'go'; readonly slackMs: number | undefined }
+  /** Room is expected in time. */
+  | { readonly kind: 'wait'; readonly slackMs: number; readonly roomInMs: number }
+  | {
+      readonly kind: 'refuse';
+      /** Its caller would have left before; or others would be late for it. */
+      readonly reason: 'hopeless' | 'overloaded';
+      readonly roomInMs: number;
+    };
+
+/** The place of a request, by the best plan there is for it now. */
+export function placeRequest(input: PlaceInput): Placement {
+  const { plan, inTimeLeftMs, mostWaitMs } = input;
+  if (!input.isLearnt || input.mayHaveRun) return { kind: 'go', slackMs: undefined };
+  const { urgency, waitMs } = plan.read;
+  const slackMs = inTimeLeftMs - (plan.expectedMs - waitMs);
+  switch (urgency) {
+    case 'in-time':
+      if (waitMs <= mostWaitMs) return { kind: 'go', slackMs };
+      return { kind: 'wait', slackMs, roomInMs: waitMs - mostWaitMs };
+    case 'late':
+      return placeLate(input, slackMs);
+  }
+}
+
+function placeLate(input: PlaceInput, slackMs: number): Placement {
+  const { plan, inTimeMs, isContended } = input;
+  const roomInMs = Math.max(0, plan.expectedMs - inTimeMs);
+  const hopeless = refusalAtDoor(input);
+  if (hopeless !== undefined) return { kind: 'refuse', reason: 'hopeless', roomInMs };
+  // Late by itself, not for want of room: it runs where it delays nobody.
+  const isLateByItself = slackMs <= 0 && plan.read.waitMs <= input.mostWaitMs;
+  if (isLateByItself && !isContended) return { kind: 'go', slackMs: undefined };
+  return { kind: 'refuse', reason: 'overloaded', roomInMs };
+}
+
+/** The refusal of what ends only after its caller has left; undefined where the request is to be sent. */
+export function refusalAtDoor(input: DoorInput): DoorRefusal | undefined {
+  const { plan, remainingMs, inTimeMs } = input;
+  const isForecast = input.isLearnt && plan.read.urgency === 'late';
+  if (!isForecast || input.mayHaveRun || plan.expectedMs <= remainingMs) return undefined;
+  return { retryAfterMs: Math.max(0, plan.expectedMs - inTimeMs) };
+}
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -262,6 +262,25 @@
     remedy:
       'Nothing to do unless the outcome is a conflict that repeats: none are to be had there.',
   },
+  requestWaits: {
+    number: 6085,
+    level: 'info',
+    message: 'a request waits at this daemon for room at the servers',
+    remedy: 'Nothing to do; `roomInMs` is when room is expected, `mostMs` how long it may wait.',
+  },
+  requestWaited: {
+    number: 6086,
+    level: 'info',
+    message: 'a request that waited for room goes to a server',
+    remedy: 'Nothing to do.',
+  },
+  requestTurnedAway: {
+    number: 6087,
+    level: 'info',
+    message: 'no room is expected for a request in time; its caller is told when to come back',
+    remedy:
+      'Many of them are overload: look at the servers that are left, and at which tenant and rank they are of.',
+  },
   brokenRunChecked: {
     number: 6070,
     level: 'warn',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -19,6 +19,7 @@
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
 import type { MemorySource, RequestCodec } from './ports.js';
+import type { RequestRoom } from './request-room.js';
 
 const FIRST_SERVER_ERROR = 500;
 /** Callers that were refused come back over this part of their wait more. */
@@ -30,6 +31,8 @@
   readonly fleet: FleetView;
   readonly connections: BackendConnections;
   readonly codec: RequestCodec;
+  /** Where requests wait for room at servers. */
+  readonly room: Pick<RequestRoom, 'isOn' | 'pass' | 'waitingIn' | 'wake'>;
   /** To be called when work on a long prompt begins or ends. */
   readonly noteLoadChange: () => void;
   /** To be called when a shared part begins to be read, so that no other daemon has it read again. */
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -28,6 +28,7 @@
   TenantTable,
   TrafficSplitter,
   type Urgency,
+  UrgentSlack,
 } from '../../core/gateway/index.js';
 import type { EngineNews } from './peer-messages.js';
 
@@ -57,6 +58,7 @@
   readonly #loads = new Map<string, EngineLoad>();
   readonly #speeds = new Map<string, ReadSpeed>();
   readonly #waitScales = new Map<string, ForecastScale>();
+  readonly #slacks = new Map<string, UrgentSlack>();
   readonly #demands = new Map<string, StageDemand>();
   readonly #budgets = new Map<string, RetryBudget>();
   #inForce: ConfigurationInForce | undefined;
@@ -193,6 +195,11 @@
     return entryOf(this.#waitScales, `${urgency} ${service}`, () => new ForecastScale());
   }
 
+  /** How long the more urgent kinds of a service can wait. */
+  slackOf(service: string): UrgentSlack {
+    return entryOf(this.#slacks, service, () => new UrgentSlack());
+  }
+
   demandOf(service: string): StageDemand {
     return entryOf(this.#demands, service, () => new StageDemand(DEMAND_SPAN_MS));
   }
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -6,6 +6,7 @@
 import type { FleetView } from './fleet-view.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayLog } from './request-log.js';
+import type { RequestRoom } from './request-room.js';
 import type { TimerService } from './timer-service.js';
 
 /** What gauges read. */
@@ -14,6 +15,7 @@
   readonly follower: Pick<FleetFollower, 'callsTotal' | 'silentMs'>;
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
+  readonly room: Pick<RequestRoom, 'waiting'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'droppedTotal'>;
@@ -33,7 +35,7 @@
 }
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
-  const { fleet, follower, callers, connections, crashes, timers, log } = sources;
+  const { fleet, follower, callers, connections, room, crashes, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -61,6 +63,7 @@
       help: 'Requests without a final answer',
       read: () => callers.inFlight,
     },
+    { name: 'requests_waiting', help: 'Requests that wait for room', read: () => room.waiting },
     {
       name: 'connections_opened',
       help: 'Connections opened to backends',
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -24,6 +24,19 @@
     labelNames: ['kind', 'outcome', 'reason'],
     registers: [this.#registry],
   });
+  readonly #waits = new Histogram({
+    name: 'threadfork_gateway_wait_seconds',
+    help: 'Time that requests waited for room at a server before they went, by rank',
+    labelNames: ['rank'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
+  readonly #roomRefusals = new Counter({
+    name: 'threadfork_gateway_room_refusals_total',
+    help: 'Requests refused for want of room, by reason and rank',
+    labelNames: ['reason', 'rank'],
+    registers: [this.#registry],
+  });
   readonly #latency = new Histogram({
     name: 'threadfork_gateway_request_seconds',
     help: 'Time from arrival to end, by kind of route and outcome',
@@ -70,6 +83,15 @@
     this.#firstEvent.observe({ way }, elapsedMs / MILLISECONDS_PER_SECOND);
   }
 
+  /** A request went after it had waited for room. */
+  recordWait(rank: number, waitedMs: number): void {
+    this.#waits.observe({ rank }, waitedMs / MILLISECONDS_PER_SECOND);
+  }
+
+  recordRoomRefusal(reason: string, rank: number): void {
+    this.#roomRefusals.inc({ reason, rank });
+  }
+
   recordAttempt(result: string): void {
     this.#attempts.inc({ result });
   }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import type { PlatformAdapter } from './ports.js';
 import { RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
+import { RequestRoom } from './request-room.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
 import { RosterNewsDuty } from './roster-news-duty.js';
 import { ServerEndCheck } from './server-end-check.js';
@@ -92,6 +93,7 @@
   readonly #stages: StageController;
   /** Absent where the settings name no address for it. */
   readonly #peers: PeerExchange | undefined;
+  readonly #room: RequestRoom;
   readonly #digest: RelayDigest;
   readonly #retryBudgets: RetryBudgetReporter;
   readonly #duties: Duties;
@@ -120,12 +122,19 @@
       settings.bounds.contactMs * DIGEST_AGE_SHARE_OF_CONTACT,
     );
     this.#connections = new BackendConnections(timers);
+    this.#room = new RequestRoom({
+      isOn: settings.decisions.waiting,
+      timers,
+      log,
+      metrics: this.#metrics,
+    });
     const incarnation = randomInt(INCARNATIONS);
     this.#crashes = this.#createCrashGuard(incarnation);
     const context: AttemptContext = {
       fleet: this.#fleet,
       connections: this.#connections,
       codec: adapter.requests,
+      room: this.#room,
       zone: settings.zone,
       noteLoadChange: () => this.#peers?.noteChange(),
       noteRead: (read) => this.#peers?.noteRead(read),
@@ -176,6 +185,7 @@
       follower: this.#follower,
       callers: this.#callers,
       connections: this.#connections,
+      room: this.#room,
       crashes: this.#crashes,
       timers,
       log,
@@ -224,6 +234,7 @@
     const endMs = timers.nowMs() + graceMs - STOP_MARGIN_MS;
     log.write(GATEWAY_EVENTS.stopping, { inFlight: this.#callers.inFlight });
     this.#callers.beginStop(endMs);
+    this.#room.beginStop();
     this.#stages.stop();
     await delay(timers, Math.min(LOOK_AWAY_MS, graceMs / 2));
     // Where too few daemons are ready, new connections keep coming; they go elsewhere from here on.
@@ -321,6 +332,7 @@
       timers,
       ownWork: () => this.#fleet.ownWork(timers.nowMs()),
       ownDemand: () => this.#fleet.ownDemand(timers.nowMs()),
+      noteSums: () => this.#room.wake(),
       noteDaemonCount: (daemons) => this.#noteDaemonCount(daemons),
     });
   }
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -18,7 +18,7 @@
   wholeOutcome,
 } from './attempt.js';
 import type { Exchange } from './exchange.js';
-import { ModelPlanner } from './model-planner.js';
+import { ModelPlanner, type PlanLimits } from './model-planner.js';
 import type { MemorySource } from './ports.js';
 import { freeMemory, type PrefillPlan, readPrompt } from './prompt-reading.js';
 import { StreamRelay } from './stream-relay.js';
@@ -77,13 +77,9 @@
     const exchange = this.#exchange;
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (!this.#mayRunOnceMore()) return this.#giveUp();
-    const plan = this.#planner.plan({ mayPrefill: !this.#prefillFailed });
+    const plan = await this.#planWithRoom();
+    if (plan === 'no-room') return exchange.signal.aborted ? this.#endInterrupted() : 'done';
     if (plan === undefined) return this.#giveUp();
-    const hopeless = this.#planner.refusalOf(plan);
-    if (hopeless !== undefined && !exchange.isAnswered) {
-      exchange.refuse('no engine is expected to answer in time', hopeless.retryAfterMs);
-      return 'done';
-    }
     switch (plan.kind) {
       case 'direct':
         return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
@@ -92,6 +88,30 @@
     }
   }
 
+  /** The plan by which the request goes, once there is room; undefined when no engine is left. */
+  async #planWithRoom(): Promise<EnginePlan | 'no-room' | undefined> {
+    const exchange = this.#exchange;
+    const { room } = this.#context;
+    const limits = { mayPrefill: !this.#prefillFailed };
+    if (!room.isOn || exchange.isAnswered) return this.#planAtOnce(limits);
+    const ask = this.#planner.roomAsk(limits);
+    if (ask === undefined) return undefined;
+    const leave = await room.pass(exchange, ask);
+    if (leave === undefined) return 'no-room';
+    leave();
+    return exchange.signal.aborted ? 'no-room' : ask.plan();
+  }
+
+  #planAtOnce(limits: PlanLimits): EnginePlan | 'no-room' | undefined {
+    const exchange = this.#exchange;
+    const plan = this.#planner.plan(limits);
+    if (plan === undefined) return undefined;
+    const hopeless = this.#planner.refusalOf(plan);
+    if (hopeless === undefined || exchange.isAnswered) return plan;
+    exchange.refuse('no engine is expected to answer in time', hopeless.retryAfterMs);
+    return 'no-room';
+  }
+
   async #prefillAndRun(plan: PrefillPlan): Promise<NextStep> {
     this.#way = 'hand-over';
     const source = plan.prefill.server;
@@ -144,11 +164,13 @@
     }
     if (read !== undefined) load.abandon(read);
     exchange.endRun(hasNotRun(result));
+    this.#context.room.wake();
     if (result.kind === 'answered') {
       const headAtMs = this.#nowMs();
       const next = await this.#relayAnswer(result.attempt);
       this.#planner.noteRun(this.#nowMs() - headAtMs);
       load.running -= 1;
+      this.#context.room.wake();
       return next;
     }
     load.running -= 1;
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -76,6 +76,8 @@
   /** What this daemon was asked for lately. */
   readonly ownDemand: () => readonly ServiceDemand[];
   /** Told how many daemons there are, this one counted. */
+  /** To be called when the relay's sums came. */
+  readonly noteSums: () => void;
   readonly noteDaemonCount: (daemons: number) => void;
   /** A read that another daemon told of. */
   readonly takeRead: (read: ReadNotice) => void;
@@ -279,7 +281,10 @@
         roster.heardRelay(message.sums.relay, message.zone, nowMs);
         this.#takeNewsOf(message.sums);
         if (message.zone !== zone) this.#relay.takeSums(message.zone, message.sums);
-        else if (!this.#relay.isRelay) loads.takeSums(message.sums, ownWork(), nowMs);
+        else if (!this.#relay.isRelay) {
+          loads.takeSums(message.sums, ownWork(), nowMs);
+          this.#options.noteSums();
+        }
         return;
       case 'tables':
         if (message.relay === daemon) return;
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -51,12 +51,14 @@
   const nowMs = timers.nowMs();
   if (memory === undefined) {
     load.abandon(read);
+    context.room.wake();
     noteWait(exchange, context, plan, nowMs - startedAtMs);
     const wasSilent = isGivenUp && !exchange.signal.aborted;
     if (wasSilent) fleet.healthOf(server.id).recordBroken(nowMs);
     return undefined;
   }
   load.finish(read, nowMs);
+  context.room.wake();
   exchange.stepTimesMs.prefillMs = nowMs - startedAtMs;
   const elapsedMs = nowMs - startedAtMs;
   const wasFree = waitMs <= FREE_WAIT_SHARE * readMs;
--- /dev/null
+++ b/src/shell/gateway/request-room.ts
@@ -0,0 +1,321 @@
+/**
+ * Drives the waiting room of a daemon: asks for each request whether there is room now, lets it go, holds or
+ * refuses it, and asks again when something has changed: a run or a read ended, other daemons' sums came, a
+ * server was listed. Nothing here outlives a caller or a stop.
+ */
+import { RetryLine, type RoomPlace, WaitingRoom } from '../../core/admission/index.js';
+import type { Placement } from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { LogFields } from '../../core/logging/log-event.js';
+import type { Exchange } from './exchange.js';
+import type { GatewayMetrics } from './gateway-metrics.js';
+import type { GatewayLog } from './request-log.js';
+import type { CancelTimer, TimerService } from './timer-service.js';
+
+/** Another daemon takes a request at once. */
+const STOPPING_RETRY_AFTER_MS = 50;
+/** Room that is expected to come by itself is looked for no more often than this. */
+const LEAST_LOOK_MS = 10;
+/** Sums of other daemons come more often than this; without them it is looked again after so long. */
+const MOST_LOOK_MS = 100;
+
+/** What a request asks of the room. */
+export interface RoomAsk {
+  /** Requests that wait for the same servers and are alike. */
+  readonly lane: string;
+  /** The time of a server that it takes up. */
+  readonly costMs: number;
+  /** What this daemon's part of the servers takes for one like it. */
+  readonly spacingMs: number;
+  /** Its place by what is believed now. */
+  place(): Placement;
+  /** What the place was decided from, and how old that is. */
+  inputs(): LogFields;
+  /** Takes its place at a server until it is sent, so that no other gets the same room; gives it back. */
+  reserve(): () => void;
+}
+
+/** A request that may go; to be called when it is sent. */
+export type LeaveRoom = () => void;
+
+interface Waiter {
+  readonly exchange: Exchange;
+  readonly ask: RoomAsk;
+  readonly place: RoomPlace;
+  readonly since: number;
+  /** By what was believed when it was last asked. */
+  placement: Placement;
+  readonly end: (leave: LeaveRoom | undefined) => void;
+}
+
+/** What a room is built from. */
+export interface RequestRoomOptions {
+  /** Whether requests wait and are refused here at all. */
+  readonly isOn: boolean;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'write'>;
+  readonly metrics: Pick<GatewayMetrics, 'recordWait' | 'recordRoomRefusal'>;
+}
+
+/** The waiting room of a daemon. */
+export class RequestRoom {
+  readonly #options: RequestRoomOptions;
+  readonly #room = new WaitingRoom();
+  readonly #waiters = new Map<string, Waiter>();
+  readonly #retries = new Map<string, RetryLine>();
+  #entered = 0;
+  #isStopping = false;
+  #isTurning = false;
+  #cancelLook: CancelTimer | undefined;
+  #lookAtMs = Number.POSITIVE_INFINITY;
+
+  constructor(options: RequestRoomOptions) {
+    this.#options = options;
+  }
+
+  get isOn(): boolean {
+    return this.#options.isOn;
+  }
+
+  /** Requests that wait. */
+  get waiting(): number {
+    return this.#room.waiting;
+  }
+
+  /** Requests of a lane that wait. */
+  waitingIn(lane: string): number {
+    return this.#room.waitingIn(lane);
+  }
+
+  /** Lets a request pass, at once or when its turn comes; undefined when it was answered or is over. */
+  pass(exchange: Exchange, ask: RoomAsk): Promise<LeaveRoom | undefined> {
+    const placement = ask.place();
+    if (placement.kind === 'refuse') {
+      this.#refuse(exchange, ask, placement.reason, placement.roomInMs, 0);
+      return Promise.resolve(undefined);
+    }
+    if (placement.slackMs === undefined) return Promise.resolve(ask.reserve());
+    return this.#enter(exchange, ask, placement, placement.slackMs);
+  }
+
+  /** Something has changed: whoever has room now goes. */
+  wake(): void {
+    if (this.#isTurning || this.#waiters.size === 0) return;
+    this.#isTurning = true;
+    this.#refuseExpired();
+    this.#letGo();
+    this.#isTurning = false;
+    this.#planLook(MOST_LOOK_MS);
+  }
+
+  /** From now on nobody waits here: other daemons take them. */
+  beginStop(): void {
+    this.#isStopping = true;
+    for (const waiter of [...this.#waiters.values()]) {
+      this.#takeOut(waiter);
+      this.#refuseStopping(waiter.exchange, waiter.ask);
+      waiter.end(undefined);
+    }
+  }
+
+  #enter(
+    exchange: Exchange,
+    ask: RoomAsk,
+    placement: Exclude<Placement, { kind: 'refuse' }>,
+    slackMs: number,
+  ): Promise<LeaveRoom | undefined> {
+    const nowMs = this.#nowMs();
+    const place = this.#placeOf(exchange, ask, nowMs + slackMs);
+    const hasCapacity = placement.kind === 'go';
+    const answer = this.#room.enter(place, { now: nowMs, hasCapacity });
+    switch (answer.kind) {
+      case 'dispatch-now':
+        return Promise.resolve(ask.reserve());
+      case 'refused': {
+        const { code, retryAfterMs = 0 } = answer.fault;
+        this.#refuse(exchange, ask, code, retryAfterMs, 0);
+        return Promise.resolve(undefined);
+      }
+      case 'queued':
+        break;
+    }
+    if (this.#isStopping) {
+      this.#room.leave(place, nowMs);
+      this.#refuseStopping(exchange, ask);
+      return Promise.resolve(undefined);
+    }
+    return this.#wait(exchange, ask, place, placement);
+  }
+
+  #wait(
+    exchange: Exchange,
+    ask: RoomAsk,
+    place: RoomPlace,
+    placement: Placement,
+  ): Promise<LeaveRoom | undefined> {
+    const since = this.#nowMs();
+    const roomInMs = placement.kind === 'wait' ? placement.roomInMs : 0;
+    this.#options.log.write(GATEWAY_EVENTS.requestWaits, {
+      ...fieldsOf(exchange, ask),
+      behind: this.#room.waitingIn(ask.lane) - 1,
+      roomInMs: Math.round(roomInMs),
+      mostMs: Math.round(place.latestStartMs - since),
+    });
+    return new Promise((resolve) => {
+      const leaveEarly = () => {
+        this.#takeOut(waiter);
+        waiter.end(undefined);
+      };
+      const end = (leave: LeaveRoom | undefined) => {
+        exchange.signal.removeEventListener('abort', leaveEarly);
+        resolve(leave);
+      };
+      const waiter: Waiter = { exchange, ask, place, since, placement, end };
+      this.#waiters.set(place.id, waiter);
+      exchange.signal.addEventListener('abort', leaveEarly, { once: true });
+      if (roomInMs <= 0) this.wake();
+      this.#planLook(roomInMs);
+    });
+  }
+
+  #refuseExpired(): void {
+    for (const { description, fault } of this.#room.expired(this.#nowMs())) {
+      const waiter = this.#waiters.get(description.id);
+      if (waiter === undefined) continue;
+      this.#waiters.delete(description.id);
+      const { exchange, ask, since } = waiter;
+      this.#refuse(exchange, ask, 'no room came', fault.retryAfterMs ?? 0, this.#nowMs() - since);
+      waiter.end(undefined);
+    }
+  }
+
+  #letGo(): void {
+    for (;;) {
+      const next = this.#room.next(this.#nowMs(), (id) => this.#isWanted(id));
+      if (next === null) return;
+      const waiter = this.#waiters.get(next.id);
+      if (waiter === undefined) continue;
+      this.#waiters.delete(next.id);
+      this.#answerTurn(waiter);
+    }
+  }
+
+  /** A request that is to be refused goes out too: its turn gives it its answer. */
+  #isWanted(id: string): boolean {
+    const waiter = this.#waiters.get(id);
+    if (waiter === undefined) return true;
+    waiter.placement = waiter.ask.place();
+    return waiter.placement.kind !== 'wait';
+  }
+
+  #answerTurn({ exchange, ask, since, placement, end }: Waiter): void {
+    const waitedMs = this.#nowMs() - since;
+    if (placement.kind === 'refuse') {
+      this.#refuse(exchange, ask, placement.reason, placement.roomInMs, waitedMs);
+      end(undefined);
+      return;
+    }
+    const fields = { ...fieldsOf(exchange, ask), waitedMs: Math.round(waitedMs) };
+    this.#options.log.write(GATEWAY_EVENTS.requestWaited, fields);
+    this.#options.metrics.recordWait(exchange.options.rank, waitedMs);
+    end(ask.reserve());
+  }
+
+  #refuse(
+    exchange: Exchange,
+    ask: RoomAsk,
+    reason: string,
+    roomInMs: number,
+    waitedMs: number,
+  ): void {
+    const retryAfterMs = this.#retryLine(ask.lane).promise({
+      nowMs: this.#nowMs(),
+      roomInMs,
+      spacingMs: ask.spacingMs,
+      entropy: Math.random(),
+    });
+    this.#options.log.write(GATEWAY_EVENTS.requestTurnedAway, {
+      ...fieldsOf(exchange, ask),
+      reason,
+      roomInMs: Math.round(roomInMs),
+      retryAfterMs: Math.round(retryAfterMs),
+      waitedMs: Math.round(waitedMs),
+      behind: this.#room.waitingIn(ask.lane),
+    });
+    this.#options.metrics.recordRoomRefusal(reason, exchange.options.rank);
+    exchange.refuse('no server is expected to answer in time', retryAfterMs);
+  }
+
+  #refuseStopping(exchange: Exchange, ask: RoomAsk): void {
+    this.#options.log.write(GATEWAY_EVENTS.requestTurnedAway, {
+      ...fieldsOf(exchange, ask),
+      reason: 'stopping',
+      retryAfterMs: STOPPING_RETRY_AFTER_MS,
+    });
+    this.#options.metrics.recordRoomRefusal('stopping', exchange.options.rank);
+    exchange.refuse('this daemon stops before there is room', STOPPING_RETRY_AFTER_MS);
+  }
+
+  #takeOut({ place }: Waiter): void {
+    this.#waiters.delete(place.id);
+    this.#room.leave(place, this.#nowMs());
+  }
+
+  #retryLine(lane: string): RetryLine {
+    const known = this.#retries.get(lane);
+    if (known !== undefined) return known;
+    const created = new RetryLine();
+    this.#retries.set(lane, created);
+    return created;
+  }
+
+  #placeOf(exchange: Exchange, ask: RoomAsk, latestStartMs: number): RoomPlace {
+    const { tenant, rank, arrivedAtMs } = exchange.options;
+    this.#entered += 1;
+    return {
+      id: String(this.#entered),
+      lane: ask.lane,
+      tenant: tenant?.name ?? '',
+      rank,
+      canBeInTime: true,
+      costMs: ask.costMs,
+      arrivedAtMs,
+      latestStartMs,
+    };
+  }
+
+  /** The backstop: servers' queues grow shorter without telling it. */
+  #planLook(inMs: number): void {
+    if (this.#waiters.size === 0) {
+      this.#cancelLook?.();
+      this.#lookAtMs = Number.POSITIVE_INFINITY;
+      return;
+    }
+    const nowMs = this.#nowMs();
+    const latestMs = this.#room.nextLatestStart ?? Number.POSITIVE_INFINITY;
+    const wantedMs = Math.min(MOST_LOOK_MS, inMs, latestMs - nowMs);
+    const atMs = nowMs + Math.max(LEAST_LOOK_MS, wantedMs);
+    if (this.#lookAtMs > nowMs && this.#lookAtMs <= atMs) return;
+    this.#cancelLook?.();
+    this.#lookAtMs = atMs;
+    this.#cancelLook = this.#options.timers.after(atMs - nowMs, () => {
+      this.#lookAtMs = Number.POSITIVE_INFINITY;
+      this.wake();
+    });
+  }
+
+  #nowMs(): number {
+    return this.#options.timers.nowMs();
+  }
+}
+
+function fieldsOf({ options }: Exchange, ask: RoomAsk): LogFields {
+  const { description, rank, tenant } = options;
+  return {
+    request: description.attemptId,
+    lane: ask.lane,
+    rank,
+    tenant: tenant?.name ?? '',
+    ...ask.inputs(),
+  };
+}
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -228,6 +228,7 @@
     roster,
     timers,
     log: SILENT_LOG,
+    noteSums: () => undefined,
     noteDaemonCount: listed.resolve,
     ownWork: () => work,
     ownDemand: () => [],
