Waiting room: forecasts by rank, short queues at engines, and a replayed overload

Under overload queues then stand at the bound, so every other request was late; the wait of a rank counted work that is read after it; a read that should be over counted as nearly done however late it was, the more of them the shorter the forecast. Change: at most a third of a request's slack is spent in an engine's queue, a quarter here; the wait is that of its rank, by what this daemon sent lately; an overdue read counts whole (all off with decisions.waiting).

--- a/src/core/gateway/engine-load.ts
+++ b/src/core/gateway/engine-load.ts
@@ -41,6 +41,13 @@
   readonly #pending = new Set<PendingRead>();
   #excessMs = 0;
   #excessAtMs = 0;
+  readonly #countsOverdue: boolean;
+
+  /** @param countsOverdue whether a read that should be over counts as one that has not begun */
+  constructor(countsOverdue = false) {
+    this.#countsOverdue = countsOverdue;
+  }
+
   /** Streams of this daemon that run there. */
   running = 0;
 
@@ -71,12 +78,18 @@
     let leftMs = 0;
     for (const read of this.#pending) {
       if (urgencyNow(read, nowMs) !== urgency) continue;
-      const spentMs = Math.max(0, nowMs - read.startedAtMs - read.waitMs);
-      leftMs += Math.max(LEAST_LEFT_SHARE * read.readMs, read.readMs - spentMs);
+      leftMs += this.#leftMs(read, nowMs);
     }
     return leftMs;
   }
 
+  #leftMs({ readMs, startedAtMs, waitMs }: PendingRead, nowMs: number): number {
+    const spentMs = Math.max(0, nowMs - startedAtMs - waitMs);
+    // It should be over: it waits for work that was not known when it was sent.
+    if (this.#countsOverdue && spentMs > readMs) return readMs;
+    return Math.max(LEAST_LEFT_SHARE * readMs, readMs - spentMs);
+  }
+
   /** The work of others, beyond what they tell. */
   excessMs(nowMs: number): number {
     return this.#excessMs * 0.5 ** ((nowMs - this.#excessAtMs) / EXCESS_HALF_LIFE_MS);
--- a/src/core/gateway/place-request.ts
+++ b/src/core/gateway/place-request.ts
@@ -6,6 +6,15 @@
  */
 import type { EnginePlan } from './choose-engine.js';
 
+/**
+ * Of the time that a request can wait and be in time, this part at most is spent in a server's queue, where it
+ * can't be ordered or refused any more. Under overload queues are as long as they may be, and each daemon knows
+ * of the others' work late: a queue that took up all of it would make every other request late.
+ */
+const QUEUED_SHARE = 1 / 3;
+/** And this part here: a refusal is worth the more to its caller the sooner it comes. The rest is for errors. */
+const HELD_SHARE = 0.25;
+
 /** What a forecast is judged by. */
 export interface DoorInput {
   readonly plan: Pick<EnginePlan, 'expectedMs' | 'read'>;
@@ -23,8 +32,8 @@
 export interface PlaceInput extends DoorInput {
   /** What is left of the time in which an answer is in time. */
   readonly inTimeLeftMs: number;
-  /** The longest wait at a server that one of its rank may join. */
-  readonly mostWaitMs: number;
+  /** The least that a more urgent kind of request could wait and be in time; infinite where there is none. */
+  readonly urgentSlackMs: number;
   /** Whether others wait at this daemon for the same servers. */
   readonly isContended: boolean;
 }
@@ -50,26 +59,32 @@
 
 /** The place of a request, by the best plan there is for it now. */
 export function placeRequest(input: PlaceInput): Placement {
-  const { plan, inTimeLeftMs, mostWaitMs } = input;
+  const { plan, inTimeLeftMs, urgentSlackMs } = input;
   if (!input.isLearnt || input.mayHaveRun) return { kind: 'go', slackMs: undefined };
   const { urgency, waitMs } = plan.read;
-  const slackMs = inTimeLeftMs - (plan.expectedMs - waitMs);
+  const wholeSlackMs = input.inTimeMs - (plan.expectedMs - waitMs);
+  const heldMs = input.inTimeMs - inTimeLeftMs;
+  const heldShare = Math.min(HELD_SHARE, heldMs / Math.max(1, wholeSlackMs));
+  // Who came first goes first over all daemons: the longer it was held, the longer a queue it may join.
+  const mostMs = (QUEUED_SHARE + heldShare) * Math.min(urgentSlackMs, wholeSlackMs);
+  const slackMs = HELD_SHARE * wholeSlackMs - heldMs;
   switch (urgency) {
     case 'in-time':
-      if (waitMs <= mostWaitMs) return { kind: 'go', slackMs };
-      return { kind: 'wait', slackMs, roomInMs: waitMs - mostWaitMs };
+      if (waitMs <= mostMs) return { kind: 'go', slackMs };
+      return { kind: 'wait', slackMs, roomInMs: waitMs - mostMs };
     case 'late':
-      return placeLate(input, slackMs);
+      return placeLate(input, wholeSlackMs);
   }
 }
 
-function placeLate(input: PlaceInput, slackMs: number): Placement {
+function placeLate(input: PlaceInput, wholeSlackMs: number): Placement {
   const { plan, inTimeMs, isContended } = input;
   const roomInMs = Math.max(0, plan.expectedMs - inTimeMs);
   const hopeless = refusalAtDoor(input);
   if (hopeless !== undefined) return { kind: 'refuse', reason: 'hopeless', roomInMs };
   // Late by itself, not for want of room: it runs where it delays nobody.
-  const isLateByItself = slackMs <= 0 && plan.read.waitMs <= input.mostWaitMs;
+  const isLateByItself =
+    wholeSlackMs <= 0 && plan.read.waitMs <= QUEUED_SHARE * input.urgentSlackMs;
   if (isLateByItself && !isContended) return { kind: 'go', slackMs: undefined };
   return { kind: 'refuse', reason: 'overloaded', roomInMs };
 }
--- a/src/core/gateway/urgent-slack.ts
+++ b/src/core/gateway/urgent-slack.ts
@@ -1,13 +1,12 @@
 /**
  * How long the more urgent kinds of request of a service can wait and be in time, learnt from those that came
- * lately. What is less urgent leaves servers half of that, so that an urgent request that comes next finds room.
+ * lately. What is less urgent is sent only where that is left, so that an urgent request that comes next finds
+ * room, and no less urgent kind is served more.
  */
 
 /** A kind that has not come for this long holds nothing back any more. */
 const KIND_KEPT_MS = 10_000;
 const NEWEST_WEIGHT = 0.2;
-/** The part of the urgent kinds' slack that less urgent ones may fill; the rest is theirs. */
-const FILLED_SHARE = 0.5;
 
 interface KindSlack {
   readonly slackMs: number;
@@ -28,15 +27,15 @@
     this.#kinds.set(rank, { slackMs: current + NEWEST_WEIGHT * (slackMs - current), atMs: nowMs });
   }
 
-  /** The longest wait at a server that a request of this rank may join; infinite for the most urgent. */
-  mostWaitMs(rank: number, nowMs: number): number {
-    let mostMs = Number.POSITIVE_INFINITY;
+  /** The least that a more urgent kind can wait; infinite for the most urgent. */
+  leastMs(rank: number, nowMs: number): number {
+    let leastMs = Number.POSITIVE_INFINITY;
     for (const [other, { slackMs }] of this.#kinds) {
       // What can't be in time even where nothing waits is not helped by an empty server.
       if (other >= rank || slackMs <= 0 || this.#recent(other, nowMs) === undefined) continue;
-      mostMs = Math.min(mostMs, FILLED_SHARE * slackMs);
+      leastMs = Math.min(leastMs, slackMs);
     }
-    return mostMs;
+    return leastMs;
   }
 
   #recent(rank: number, nowMs: number): KindSlack | undefined {
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -13,6 +13,7 @@
   type LoadReport,
   PeerLoads,
   PrefixKnowledge,
+  RankShares,
   type ReachNotice,
   ReadSpeed,
   RetryBudget,
@@ -58,21 +59,26 @@
   readonly #loads = new Map<string, EngineLoad>();
   readonly #speeds = new Map<string, ReadSpeed>();
   readonly #waitScales = new Map<string, ForecastScale>();
+  readonly #rankShares = new Map<string, RankShares>();
   readonly #slacks = new Map<string, UrgentSlack>();
   readonly #demands = new Map<string, StageDemand>();
   readonly #budgets = new Map<string, RetryBudget>();
   #inForce: ConfigurationInForce | undefined;
   readonly #noteBudgetBegun: (service: string, budget: RetryBudget) => void;
   readonly #size = new FleetSize();
+  readonly #countsOverdue: boolean;
 
   /**
    * @param budgetOptions the bound on repeats that all daemons share
    * @param noteBudgetBegun told when a service's first request creates its budget
+   * @param countsOverdue whether a read that should be over counts as one that has not begun
    */
   constructor(
     budgetOptions: RetryBudgetOptions,
     noteBudgetBegun: (service: string, budget: RetryBudget) => void = () => undefined,
+    countsOverdue = false,
   ) {
+    this.#countsOverdue = countsOverdue;
     this.#budgetOptions = budgetOptions;
     this.#noteBudgetBegun = noteBudgetBegun;
   }
@@ -152,7 +158,7 @@
   }
 
   loadOf(serverId: string): EngineLoad {
-    return entryOf(this.#loads, serverId, () => new EngineLoad());
+    return entryOf(this.#loads, serverId, () => new EngineLoad(this.#countsOverdue));
   }
 
   /** What an engine has under way from all daemons; only good to compare engines. */
@@ -195,6 +201,11 @@
     return entryOf(this.#waitScales, `${urgency} ${service}`, () => new ForecastScale());
   }
 
+  /** What was sent to a service lately, by rank. */
+  rankSharesOf(service: string): RankShares {
+    return entryOf(this.#rankShares, service, () => new RankShares());
+  }
+
   /** How long the more urgent kinds of a service can wait. */
   slackOf(service: string): UrgentSlack {
     return entryOf(this.#slacks, service, () => new UrgentSlack());
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -107,8 +107,10 @@
     this.#options = options;
     const { settings, adapter, timers, wallClock, log } = options;
     this.#suspensionAware = suspensionAwareTimers(timers, wallClock);
-    this.#fleet = new FleetView(settings.retryBudget, (service, budget) =>
-      this.#retryBudgets.noteBegun(service, budget),
+    this.#fleet = new FleetView(
+      settings.retryBudget,
+      (service, budget) => this.#retryBudgets.noteBegun(service, budget),
+      settings.decisions.waiting,
     );
     this.#retryBudgets = new RetryBudgetReporter({
       fleet: this.#fleet,
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -95,6 +95,7 @@
       reserve: () => this.#reserve(latest),
       plan: () => {
         this.#logPlan(latest);
+        this.#noteSent(latest);
         return latest;
       },
     };
@@ -117,7 +118,7 @@
       remainingMs: exchange.remainingMs(),
       inTimeMs,
       inTimeLeftMs: inTimeMs - exchange.elapsedMs(),
-      mostWaitMs: fleet.slackOf(service).mostWaitMs(rank, nowMs),
+      urgentSlackMs: fleet.slackOf(service).leastMs(rank, nowMs),
       isContended: room.waitingIn(lane) > 0,
       isLearnt: this.#speed.isLearnt,
       mayHaveRun: exchange.mayHaveRun,
@@ -128,17 +129,23 @@
     const nowMs = this.#nowMs();
     const { fleet } = this.#context;
     const { service, rank } = this.#exchange.options;
-    const mostWaitMs = fleet.slackOf(service).mostWaitMs(rank, nowMs);
+    const urgentSlackMs = fleet.slackOf(service).leastMs(rank, nowMs);
     const sumsAgeMs = fleet.peerLoads.ageMs(nowMs);
     return {
       urgency: read.urgency,
       expectedMs: Math.round(expectedMs),
       queueMs: Math.round(read.waitMs),
-      mostQueueMs: Number.isFinite(mostWaitMs) ? Math.round(mostWaitMs) : null,
+      urgentSlackMs: Number.isFinite(urgentSlackMs) ? Math.round(urgentSlackMs) : null,
+      rankFactor: Math.round(fleet.rankSharesOf(service).waitFactor(rank) * 100) / 100,
       sumsAgeMs: Number.isFinite(sumsAgeMs) ? Math.round(sumsAgeMs) : null,
     };
   }
 
+  #noteSent({ read }: EnginePlan): void {
+    const { service, rank } = this.#exchange.options;
+    this.#context.fleet.rankSharesOf(service).note(rank, read.readMs, this.#nowMs());
+  }
+
   /** Takes the plan's place at its engine until the request is sent there. */
   #reserve(plan: EnginePlan): () => void {
     const { fleet } = this.#context;
@@ -222,10 +229,11 @@
   }
 
   #choiceInput(): EngineChoiceInput {
-    const { fleet, zone } = this.#context;
-    const { service, description, route } = this.#exchange.options;
+    const { fleet, room, zone } = this.#context;
+    const { service, description, rank, route } = this.#exchange.options;
     const traits = engineTraits(this.#exchange);
     const speed = this.#speed;
+    const rankFactor = room.isOn ? fleet.rankSharesOf(service).waitFactor(rank) : 1;
     if (traits !== undefined) speed.suppose(traits.kvTokens / traits.slots, route.targetLatencyMs);
     return {
       candidates: fleet.candidates(service, this.#nowMs()),
@@ -236,7 +244,8 @@
       knowledge: fleet.knowledge,
       peerLoads: fleet.peerLoads,
       speed,
-      waitFactor: (urgency) => fleet.waitScaleOf(service, urgency).factor(this.#nowMs()),
+      waitFactor: (urgency) =>
+        fleet.waitScaleOf(service, urgency).factor(this.#nowMs()) * rankFactor,
       inTimeMs: IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs(),
       shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
       kvTokenBytes: traits?.kvTokenBytes ?? 0,
--- /dev/null
+++ b/test/gateway/overload-replay.test.ts
@@ -0,0 +1,335 @@
+/**
+ * A heavy load replayed over the decisions of a fleet of daemons, whose sums of each other are old: goodput
+ * stays flat when demand passes what the engines can read, and when a third of the engines is lost.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RetryLine, WaitingRoom } from '../../src/core/admission/index.js';
+import {
+  EngineLoad,
+  type EngineWork,
+  type ExpectedRead,
+  PeerLoads,
+  type PlaceInput,
+  placeRequest,
+  RankShares,
+  readPriority,
+  refusalAtDoor,
+  UrgentSlack,
+} from '../../src/core/gateway/index.js';
+import { VirtualClock } from '../../src/lab/simulation/virtual-clock.js';
+import { Random } from '../../src/lab/workload/random.js';
+
+const ENGINES = 12;
+const DAEMONS = 40;
+const SUMS_EVERY_MS = 100;
+const WARM_UP_MS = 4_000;
+const END_MS = 18_000;
+const PATIENCE_MS = 5_000;
+/** What is said of a loss is said of the seconds from one after it. */
+const LOST_AT_MS = 7_000;
+const SEEN_AFTER_LOSS_MS = 8_000;
+
+interface Kind {
+  readonly rank: number;
+  readonly readMs: number;
+  readonly targetMs: number;
+}
+
+const KINDS: readonly Kind[] = [
+  { rank: 0, readMs: 30, targetMs: 410 },
+  { rank: 1, readMs: 120, targetMs: 520 },
+  { rank: 2, readMs: 200, targetMs: 1_230 },
+];
+const MEAN_READ_MS = KINDS.reduce((sum, { readMs }) => sum + readMs / KINDS.length, 0);
+
+interface Job {
+  readonly id: string;
+  readonly kind: Kind;
+  readonly arrivedAtMs: number;
+  readonly isRetry: boolean;
+}
+
+interface Queued {
+  readonly job: Job;
+  readonly priority: number;
+  readonly ended: () => void;
+}
+
+/** Reads one prompt after the other, by priority. */
+class FakeEngine {
+  readonly #queue: Queued[] = [];
+  #isBusy = false;
+  isLost = false;
+
+  constructor(readonly clock: VirtualClock) {}
+
+  send(queued: Queued): void {
+    this.#queue.push(queued);
+    this.#next();
+  }
+
+  #next(): void {
+    if (this.#isBusy || this.isLost) return;
+    this.#queue.sort((left, right) => left.priority - right.priority);
+    const next = this.#queue.shift();
+    if (next === undefined) return;
+    // Its caller has left: an engine is told, and takes the next.
+    const isLeft = this.clock.now > next.job.arrivedAtMs + PATIENCE_MS;
+    this.#isBusy = true;
+    this.clock.at(this.clock.now + (isLeft ? 0 : next.job.kind.readMs), () => {
+      this.#isBusy = false;
+      if (!this.isLost && !isLeft) next.ended();
+      this.#next();
+    });
+  }
+}
+
+/** One daemon: its own work, what it hears of the others', and who waits. */
+class FakeDaemon {
+  readonly loads: readonly EngineLoad[];
+  readonly peers = new PeerLoads();
+  readonly shares = new RankShares();
+  readonly slacks = new UrgentSlack();
+  readonly room = new WaitingRoom();
+  readonly retries = new RetryLine();
+  readonly waiting = new Map<string, Job>();
+
+  constructor(hasRoom: boolean) {
+    this.loads = Array.from({ length: ENGINES }, () => new EngineLoad(hasRoom));
+  }
+}
+
+/** What a replay gives. */
+interface Replay {
+  /** Reading that was answered in time, by the second of its answer. */
+  readonly goodMsBySecond: readonly number[];
+  /** Of each rank, the part of first tries that was answered in time. */
+  readonly inTimeShares: readonly number[];
+}
+
+/** Plays a load, against what the engines can read, on a fleet. */
+function replay(load: number, hasRoom: boolean, lostAtMs = Number.POSITIVE_INFINITY): Replay {
+  const clock = new VirtualClock();
+  const random = new Random(11);
+  const engines = Array.from({ length: ENGINES }, () => new FakeEngine(clock));
+  const daemons = Array.from({ length: DAEMONS }, () => new FakeDaemon(hasRoom));
+  const goodMsBySecond = new Array<number>((END_MS + PATIENCE_MS) / 1_000 + 1).fill(0);
+  const asked = [0, 0, 0];
+  const inTime = [0, 0, 0];
+  let count = 0;
+  let sequence = 0;
+
+  const bestRead = (daemon: FakeDaemon, job: Job): { engine: number; input: PlaceInput } => {
+    const left = [...engines.keys()].filter((index) => engines[index]?.isLost !== true);
+    // Of two, as daemons that decide by the same old sums must not all choose the same.
+    const [one = 0, two = 0] = [random.unit(), random.unit()].map(
+      (unit) => left[Math.floor(unit * left.length)],
+    );
+    const waitAt = (engine: number) => {
+      const own = daemon.loads[engine];
+      const ownMs = (own?.pendingMs('in-time', clock.now) ?? 0) + (own?.excessMs(clock.now) ?? 0);
+      const knownMs = ownMs + daemon.peers.waitMs(`e${engine}`, 'in-time', clock.now);
+      return knownMs * (hasRoom ? daemon.shares.waitFactor(job.kind.rank) : 1);
+    };
+    const engine = waitAt(two) < waitAt(one) ? two : one;
+    const waitMs = waitAt(engine);
+    const { readMs, targetMs, rank } = job.kind;
+    const leftMs = 0.9 * targetMs - (clock.now - job.arrivedAtMs);
+    const expectedMs = waitMs + readMs;
+    const urgency = expectedMs <= leftMs ? 'in-time' : 'late';
+    const input: PlaceInput = {
+      plan: { expectedMs, read: { urgency, readMs, waitMs } },
+      remainingMs: job.arrivedAtMs + PATIENCE_MS - clock.now,
+      inTimeMs: 0.9 * targetMs,
+      inTimeLeftMs: leftMs,
+      urgentSlackMs: daemon.slacks.leastMs(rank, clock.now),
+      isContended: daemon.room.waitingIn(String(rank)) > 0,
+      isLearnt: true,
+      mayHaveRun: false,
+    };
+    return { engine, input };
+  };
+
+  const send = (daemon: FakeDaemon, job: Job, engine: number, expected: ExpectedRead) => {
+    const own = daemon.loads[engine];
+    const read = own?.begin(expected, clock.now);
+    const { rank, readMs, targetMs } = job.kind;
+    daemon.shares.note(rank, readMs, clock.now);
+    const readShareOfTarget = readMs / targetMs;
+    const priority = readPriority({ rank, urgency: expected.urgency, readShareOfTarget });
+    const ended = () => {
+      if (read !== undefined) own?.finish(read, clock.now);
+      if (clock.now - job.arrivedAtMs <= targetMs) credit(job);
+      turn(daemon);
+    };
+    engines[engine]?.send({ job, priority, ended });
+  };
+
+  /** An answer in time of this try's start. */
+  const credit = ({ kind, arrivedAtMs, isRetry }: Job) => {
+    const second = Math.floor(clock.now / 1_000);
+    goodMsBySecond[second] = (goodMsBySecond[second] ?? 0) + kind.readMs;
+    if (arrivedAtMs < WARM_UP_MS || isRetry) return;
+    inTime[kind.rank] = (inTime[kind.rank] ?? 0) + 1;
+  };
+
+  const refuse = (daemon: FakeDaemon, job: Job, roomInMs: number) => {
+    if (job.isRetry) return;
+    const retryAfterMs = hasRoom
+      ? daemon.retries.promise({
+          nowMs: clock.now,
+          roomInMs,
+          spacingMs: (job.kind.readMs * DAEMONS) / ENGINES,
+          entropy: random.unit(),
+        })
+      : roomInMs;
+    const waitMs = Math.min(retryAfterMs, PATIENCE_MS / 3);
+    clock.at(clock.now + waitMs, () => arrive({ ...job, arrivedAtMs: clock.now, isRetry: true }));
+  };
+
+  const turn = (daemon: FakeDaemon) => {
+    for (const { description, fault } of daemon.room.expired(clock.now)) {
+      const job = daemon.waiting.get(description.id);
+      daemon.waiting.delete(description.id);
+      if (job !== undefined) refuse(daemon, job, fault.retryAfterMs ?? 0);
+    }
+    const isWanted = (id: string) => {
+      const job = daemon.waiting.get(id);
+      return job === undefined || placeRequest(bestRead(daemon, job).input).kind !== 'wait';
+    };
+    for (;;) {
+      const next = daemon.room.next(clock.now, isWanted);
+      const job = next === null ? undefined : daemon.waiting.get(next.id);
+      if (next === null || job === undefined) return;
+      daemon.waiting.delete(next.id);
+      const { engine, input } = bestRead(daemon, job);
+      const placement = placeRequest(input);
+      if (placement.kind === 'refuse') refuse(daemon, job, placement.roomInMs);
+      else send(daemon, job, engine, input.plan.read);
+    }
+  };
+
+  const arrive = (job: Job) => {
+    const daemon = daemons[random.integer(0, DAEMONS - 1)];
+    if (daemon === undefined) return;
+    const { engine, input } = bestRead(daemon, job);
+    if (!hasRoom) {
+      const refusal = refusalAtDoor(input);
+      if (refusal === undefined) send(daemon, job, engine, input.plan.read);
+      else refuse(daemon, job, refusal.retryAfterMs);
+      return;
+    }
+    const { rank, readMs, targetMs } = job.kind;
+    daemon.slacks.note(rank, 0.9 * targetMs - readMs, clock.now);
+    const placement = placeRequest(input);
+    if (placement.kind === 'refuse') return refuse(daemon, job, placement.roomInMs);
+    if (placement.slackMs === undefined) return send(daemon, job, engine, input.plan.read);
+    const place = {
+      id: job.id,
+      lane: String(rank),
+      tenant: 't',
+      rank,
+      canBeInTime: true,
+      costMs: readMs,
+      arrivedAtMs: job.arrivedAtMs,
+      latestStartMs: clock.now + placement.slackMs,
+    };
+    const hasCapacity = placement.kind === 'go';
+    const answer = daemon.room.enter(place, { now: clock.now, hasCapacity });
+    switch (answer.kind) {
+      case 'dispatch-now':
+        return send(daemon, job, engine, input.plan.read);
+      case 'refused':
+        return refuse(daemon, job, answer.fault.retryAfterMs ?? 0);
+      case 'queued':
+        daemon.waiting.set(job.id, job);
+    }
+  };
+
+  const workOf = ({ loads }: FakeDaemon): EngineWork[] =>
+    loads.map((own, engine) => ({
+      engineId: `e${engine}`,
+      pendingMs: own.pendingMs('in-time', clock.now),
+      lateMs: own.pendingMs('late', clock.now),
+      running: 0,
+    }));
+
+  /** What a relay tells every daemon of the work of all. */
+  const tell = () => {
+    sequence += 1;
+    const works = daemons.map(workOf);
+    const sum = (engine: number, field: 'pendingMs' | 'lateMs') =>
+      works.reduce((total, work) => total + (work[engine]?.[field] ?? 0), 0);
+    const work = engines.map((_engine, index) => ({
+      engineId: `e${index}`,
+      pendingMs: sum(index, 'pendingMs'),
+      lateMs: sum(index, 'lateMs'),
+      running: 0,
+    }));
+    const sums = { relay: 'd0', incarnation: 1, sequence, isWhole: true, work };
+    const told = { ...sums, reads: [], reach: [], demand: [] };
+    for (const [index, daemon] of daemons.entries()) {
+      daemon.peers.takeSums(told, works[index] ?? [], clock.now);
+      turn(daemon);
+    }
+    clock.at(clock.now + SUMS_EVERY_MS, tell);
+  };
+
+  const next = () => {
+    const kind = KINDS[count % KINDS.length];
+    count += 1;
+    if (kind !== undefined && clock.now < END_MS) {
+      if (clock.now >= WARM_UP_MS) asked[kind.rank] = (asked[kind.rank] ?? 0) + 1;
+      arrive({ id: `j${count}`, kind, arrivedAtMs: clock.now, isRetry: false });
+    }
+    clock.at(clock.now + random.exponential((load * ENGINES) / MEAN_READ_MS), next);
+  };
+  clock.at(0, tell);
+  clock.at(0, next);
+  clock.at(lostAtMs, () => {
+    for (const engine of engines.slice(0, ENGINES / 3)) engine.isLost = true;
+  });
+  clock.runUntil(END_MS + PATIENCE_MS);
+  return { goodMsBySecond, inTimeShares: asked.map((all, rank) => (inTime[rank] ?? 0) / all) };
+}
+
+/** Work answered in time, in engines that it kept busy. */
+function goodput({ goodMsBySecond }: Replay, fromMs = WARM_UP_MS): number {
+  const seconds = goodMsBySecond.slice(fromMs / 1_000, END_MS / 1_000);
+  return seconds.reduce((sum, goodMs) => sum + goodMs, 0) / (END_MS - fromMs);
+}
+
+test('goodput stays flat at 1.5 and 2 times what the engines can read; without a room it falls', () => {
+  const full = goodput(replay(1, true));
+  for (const load of [1.5, 2]) {
+    const over = goodput(replay(load, true));
+    assert.ok(over >= 0.9 * full, `${over} at ${load}, ${full} at 1`);
+    const before = goodput(replay(load, false));
+    assert.ok(before < 0.6 * full, `${before} at ${load} without a room`);
+  }
+});
+
+test('within a second of the loss of a third of the engines the others do what they can', () => {
+  const left = (2 / 3) * goodput(replay(1, true));
+  const after = goodput(replay(1, true, LOST_AT_MS), SEEN_AFTER_LOSS_MS);
+  assert.ok(after >= 0.9 * left, `${after} of ${left}`);
+  const before = goodput(replay(1, false, LOST_AT_MS), SEEN_AFTER_LOSS_MS);
+  assert.ok(before < 0.9 * left, `${before} of ${left} without a room`);
+});
+
+test('no kind is served more than a more urgent one, and the most urgent keeps being served', () => {
+  for (const load of [1, 1.5, 2]) {
+    const [urgent = 0, middle = 0, least = 0] = replay(load, true).inTimeShares;
+    assert.ok(urgent >= 0.9, `${urgent} at ${load}`);
+    assert.ok(urgent >= middle - 0.05 && middle >= least - 0.05, `${middle}, ${least} at ${load}`);
+  }
+});
+
+test('with room for all, each is served with a room as without', () => {
+  const spare = replay(0.6, true);
+  assert.deepEqual(
+    spare.inTimeShares.map((share) => share >= 0.98),
+    [true, true, true],
+  );
+});
--- /dev/null
+++ b/test/gateway/place-request.test.ts
@@ -0,0 +1,124 @@
+/** Who goes, waits or is refused, by forecasts. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import {
+  EngineLoad,
+  type PlaceInput,
+  placeRequest,
+  RankShares,
+  refusalAtDoor,
+  UrgentSlack,
+} from '../../src/core/gateway/index.js';
+
+const READ_MS = 90;
+
+/** A request that was just taken, with a target of 450 ms. */
+function input(queueMs: number, fields: Partial<PlaceInput> = {}): PlaceInput {
+  const expectedMs = queueMs + READ_MS;
+  const urgency = expectedMs <= 450 ? 'in-time' : 'late';
+  return {
+    plan: { expectedMs, read: { urgency, readMs: READ_MS, waitMs: queueMs } },
+    remainingMs: 5_000,
+    inTimeMs: 450,
+    inTimeLeftMs: 450,
+    urgentSlackMs: Number.POSITIVE_INFINITY,
+    isContended: false,
+    isLearnt: true,
+    mayHaveRun: false,
+    ...fields,
+  };
+}
+
+test('what can be in time goes, and says how long it could be held', () => {
+  assert.deepEqual(placeRequest(input(100)), { kind: 'go', slackMs: 90 });
+});
+
+test('what would join a queue of more than a third of its slack waits until that is shorter', () => {
+  const placement = placeRequest(input(200));
+  assert.deepEqual(placement, { kind: 'wait', slackMs: 90, roomInMs: 80 });
+});
+
+test('what would leave more urgent requests no time waits until the queue is short enough', () => {
+  const placement = placeRequest(input(100, { urgentSlackMs: 240 }));
+  assert.deepEqual(placement, { kind: 'wait', slackMs: 90, roomInMs: 20 });
+});
+
+test('the time at the door counts: who was held may join a longer queue, and is held no longer than it may be', () => {
+  const placement = placeRequest(input(200, { inTimeLeftMs: 414 }));
+  assert.ok(placement.kind === 'wait');
+  assert.equal(placement.slackMs, 54);
+  assert.ok(Math.abs(placement.roomInMs - 44) < 0.01);
+});
+
+test('what is late for want of room is refused, with the time until there is room', () => {
+  const placement = placeRequest(input(600));
+  assert.deepEqual(placement, { kind: 'refuse', reason: 'overloaded', roomInMs: 240 });
+  const hopeless = placeRequest(input(600, { remainingMs: 650 }));
+  assert.deepEqual(hopeless, { kind: 'refuse', reason: 'hopeless', roomInMs: 240 });
+});
+
+test('what is late by itself runs where nobody is held up by it, and not while others wait', () => {
+  const late = { plan: { expectedMs: 500, read: { urgency: 'late', readMs: 500, waitMs: 0 } } };
+  const alone = input(0, late as Partial<PlaceInput>);
+  assert.deepEqual(placeRequest(alone), { kind: 'go', slackMs: undefined });
+  assert.equal(placeRequest({ ...alone, isContended: true }).kind, 'refuse');
+});
+
+test('a request that may have run goes, and so does one by paces that nobody has seen', () => {
+  for (const fields of [{ mayHaveRun: true }, { isLearnt: false }]) {
+    assert.deepEqual(placeRequest(input(60_000, fields)), { kind: 'go', slackMs: undefined });
+  }
+});
+
+test('with room for all kinds each request goes as it did without a room, whatever its forecast', () => {
+  const urgent = 300;
+  const slacks = new UrgentSlack();
+  slacks.note(0, urgent, 0);
+  const ranks = fc.nat(5);
+  fc.assert(
+    fc.property(ranks, fc.nat(urgent / 3), (rank, queueMs) => {
+      const placed = input(queueMs, { urgentSlackMs: slacks.leastMs(rank, 1) });
+      assert.equal(placeRequest(placed).kind, 'go');
+      assert.equal(refusalAtDoor(placed), undefined);
+    }),
+    { seed: 6, numRuns: 200 },
+  );
+});
+
+test('what urgent kinds can wait binds the less urgent ones while they come', () => {
+  const slacks = new UrgentSlack();
+  slacks.note(1, 400, 0);
+  assert.equal(slacks.leastMs(2, 5_000), 400);
+  assert.equal(slacks.leastMs(1, 5_000), Number.POSITIVE_INFINITY);
+  assert.equal(slacks.leastMs(2, 11_000), Number.POSITIVE_INFINITY);
+});
+
+test('an urgent kind that can not be in time at all holds nobody back', () => {
+  const slacks = new UrgentSlack();
+  slacks.note(0, -50, 0);
+  assert.equal(slacks.leastMs(2, 1), Number.POSITIVE_INFINITY);
+});
+
+test('the wait of a rank counts what is read before it, and what comes meanwhile', () => {
+  const shares = new RankShares();
+  assert.equal(shares.waitFactor(0), 1);
+  for (let count = 0; count < 100; count += 1) {
+    shares.note(0, 100, 0);
+    shares.note(1, 100, 0);
+  }
+  assert.ok(Math.abs(shares.waitFactor(0) - 0.5) < 0.02);
+  assert.ok(Math.abs(shares.waitFactor(1) - 2) < 0.05);
+});
+
+test('a read that should be over counts as one that has not begun, where that is asked for', () => {
+  for (const [countsOverdue, leftMs] of [
+    [true, 40],
+    [false, 10],
+  ] as const) {
+    const load = new EngineLoad(countsOverdue);
+    load.begin({ urgency: 'in-time', readMs: 40, waitMs: 100 }, 0);
+    assert.equal(load.pendingMs('in-time', 130), 10);
+    assert.equal(load.pendingMs('in-time', 141), leftMs);
+  }
+});
