Waiting room: requests to web servers wait a moment when all are full or have just turned calls away

Cause: a request that no server took was refused after at most four tries, all within some milliseconds. Change: it goes where a slot is free, else waits for the first server that is to be tried again, at most a quarter of what it can wait; then it goes all the same. A server that turned it away may be asked again meanwhile.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -59,11 +59,13 @@
 export {
   type DoorInput,
   type DoorRefusal,
+  HELD_SHARE,
   type PlaceInput,
   type Placement,
   placeRequest,
   refusalAtDoor,
 } from './place-request.js';
+export { placeWebRequest, type WebPlaceInput } from './place-web-request.js';
 export {
   planRescue,
   planStageChanges,
--- a/src/core/gateway/place-request.ts
+++ b/src/core/gateway/place-request.ts
@@ -13,7 +13,7 @@
  */
 const QUEUED_SHARE = 1 / 3;
 /** And this part here: a refusal is worth the more to its caller the sooner it comes. The rest is for errors. */
-const HELD_SHARE = 0.25;
+export const HELD_SHARE = 0.25;
 
 /** What a forecast is judged by. */
 export interface DoorInput {
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -86,6 +86,7 @@
     return {
       lane,
       costMs: readMs,
+      goesAtEnd: false,
       spacingMs: readMs * this.#daemonsForEachEngine(),
       place: () => {
         replan();
--- a/src/shell/gateway/request-room.ts
+++ b/src/shell/gateway/request-room.ts
@@ -29,6 +29,8 @@
   readonly spacingMs: number;
   /** Its place by what is believed now. */
   place(): Placement;
+  /** Whether it is sent when it was held as long as it may be; it is refused otherwise. */
+  readonly goesAtEnd: boolean;
   /** What the place was decided from, and how old that is. */
   inputs(): LogFields;
   /** Takes its place at a server until it is sent, so that no other gets the same room; gives it back. */
@@ -102,7 +104,7 @@
   wake(): void {
     if (this.#isTurning || this.#waiters.size === 0) return;
     this.#isTurning = true;
-    this.#refuseExpired();
+    this.#endHolds();
     this.#letGo();
     this.#isTurning = false;
     this.#planLook(MOST_LOOK_MS);
@@ -178,12 +180,17 @@
     });
   }
 
-  #refuseExpired(): void {
+  /** Ends the hold of those for which no room came. */
+  #endHolds(): void {
     for (const { description, fault } of this.#room.expired(this.#nowMs())) {
       const waiter = this.#waiters.get(description.id);
       if (waiter === undefined) continue;
       this.#waiters.delete(description.id);
       const { exchange, ask, since } = waiter;
+      if (ask.goesAtEnd) {
+        this.#letOneGo(waiter);
+        continue;
+      }
       this.#refuse(exchange, ask, 'no room came', fault.retryAfterMs ?? 0, this.#nowMs() - since);
       waiter.end(undefined);
     }
@@ -208,13 +215,18 @@
     return waiter.placement.kind !== 'wait';
   }
 
-  #answerTurn({ exchange, ask, since, placement, end }: Waiter): void {
-    const waitedMs = this.#nowMs() - since;
+  #answerTurn(waiter: Waiter): void {
+    const { exchange, ask, since, placement, end } = waiter;
     if (placement.kind === 'refuse') {
-      this.#refuse(exchange, ask, placement.reason, placement.roomInMs, waitedMs);
+      this.#refuse(exchange, ask, placement.reason, placement.roomInMs, this.#nowMs() - since);
       end(undefined);
       return;
     }
+    this.#letOneGo(waiter);
+  }
+
+  #letOneGo({ exchange, ask, since, end }: Waiter): void {
+    const waitedMs = this.#nowMs() - since;
     const fields = { ...fieldsOf(exchange, ask), waitedMs: Math.round(waitedMs) };
     this.#options.log.write(GATEWAY_EVENTS.requestWaited, fields);
     this.#options.metrics.recordWait(exchange.options.rank, waitedMs);
--- /dev/null
+++ b/src/shell/gateway/web-room-ask.ts
@@ -0,0 +1,47 @@
+/** What a request to a web service asks of the waiting room. */
+import { placeWebRequest } from '../../core/gateway/index.js';
+import type { AttemptContext } from './attempt.js';
+import type { Exchange } from './exchange.js';
+import type { RoomAsk } from './request-room.js';
+
+/** Requests to web servers cost alike: the time that one takes is not known beforehand. */
+const WEB_COST_MS = 1;
+
+/** The ask of a request that is to be sent to one of its service's servers. */
+export function webRoomAsk(exchange: Exchange, { fleet }: AttemptContext): RoomAsk {
+  const { service, route, timers } = exchange.options;
+  const others = (id: string) => fleet.peerLoads.running(id, timers.nowMs());
+  return {
+    lane: service,
+    costMs: WEB_COST_MS,
+    spacingMs: 0,
+    goesAtEnd: true,
+    place: () =>
+      placeWebRequest({
+        candidates: fleet.candidates(service, timers.nowMs()),
+        excludedIds: exchange.triedServerIds,
+        nowMs: timers.nowMs(),
+        inTimeMs: route.targetLatencyMs,
+        elapsedMs: exchange.elapsedMs(),
+        mayHaveRun: exchange.mayHaveRun,
+        healthOf: (id) => fleet.healthOf(id),
+        othersRunning: others,
+      }),
+    inputs: () => {
+      const nowMs = timers.nowMs();
+      const servers = fleet.candidates(service, nowMs);
+      const sumsAgeMs = fleet.peerLoads.ageMs(nowMs);
+      return {
+        servers: servers.length,
+        running: servers.reduce(
+          (sum, { id }) => sum + fleet.healthOf(id).openCalls + others(id),
+          0,
+        ),
+        slots: servers.reduce((sum, { slots }) => sum + slots, 0),
+        sumsAgeMs: Number.isFinite(sumsAgeMs) ? Math.round(sumsAgeMs) : null,
+      };
+    },
+    // What is begun is counted at once by the call itself.
+    reserve: () => () => undefined,
+  };
+}
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -2,7 +2,12 @@
  * Requests to plain web servers, answered whole. A repeatable one that is slow or failed goes to a
  * second server, within the route's attempts and the retry budget; any other runs at most once.
  */
-import { chooseWebServer, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
+import {
+  chooseWebServer,
+  HELD_SHARE,
+  isRepeatable,
+  type ServerRecord,
+} from '../../core/gateway/index.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import {
   type AttemptContext,
@@ -15,6 +20,7 @@
   wholeOutcome,
 } from './attempt.js';
 import type { Exchange, WholeAnswer } from './exchange.js';
+import { webRoomAsk } from './web-room-ask.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
 /** Servers that may turn a request down, or be out of reach, before it is refused. */
@@ -51,6 +57,7 @@
   async run(): Promise<void> {
     const abandon = () => this.#abandoned.abort();
     this.#exchange.signal.addEventListener('abort', abandon, { once: true });
+    if (!(await this.#passRoom())) return;
     if (!this.#startNext(true)) return this.#giveUp();
     while (this.#pending.size > 0) {
       const result = await this.#nextResult();
@@ -77,10 +84,31 @@
     if (this.#pending.size > 0 || result.kind === 'no-budget') return false;
     // Whether its last server ended decides whether another one may be lost to it.
     await this.#context.crashes.settled(this.#exchange);
-    if (!this.#exchange.signal.aborted) this.#startNext(false);
+    if (this.#exchange.signal.aborted) return false;
+    if (!(await this.#passRoom())) return true;
+    this.#startNext(false);
     return false;
   }
 
+  get #mayBeHeld(): boolean {
+    const heldMs = HELD_SHARE * this.#exchange.options.route.targetLatencyMs;
+    return this.#context.room.isOn && this.#exchange.elapsedMs() < heldMs;
+  }
+
+  /** Waits until a server is expected to have room; false when the request has its end. */
+  async #passRoom(): Promise<boolean> {
+    const exchange = this.#exchange;
+    const { room } = this.#context;
+    if (!room.isOn) return true;
+    const leave = await room.pass(exchange, webRoomAsk(exchange, this.#context));
+    if (leave === undefined) {
+      if (exchange.signal.aborted) exchange.endInterrupted();
+      return false;
+    }
+    leave();
+    return true;
+  }
+
   #isWorthRepeating(answer: WholeAnswer): boolean {
     return this.#isRepeatable && (answer.status >= 500 || answer.isEndedByClose);
   }
@@ -126,6 +154,11 @@
       mayKeepConnection: this.#isRepeatable,
     });
     this.#exchange.endRun(hasNotRun(result));
+    this.#context.room.wake();
+    // It has not run there, and while it may be held the server may have room for it after a rest.
+    if (result.kind === 'not-executed' && this.#mayBeHeld) {
+      this.#exchange.triedServerIds.delete(server.id);
+    }
     if (!hasNotRun(result)) this.#context.noteBegan(this.#exchange, this.#nowMs() - sentMs);
     if (result.kind !== 'answered') return result;
     const { answer, isStamped, end } = result.attempt;
