Waiting room: what was tried before goes where there is room; times to come back end with the caller's patience

Change: it goes where the queue has room; the line of times begins anew when it is longer than callers wait; the end of a hold looks once more; more urgent ranks count for at most half of an engine's time.

--- a/src/core/admission/retry-line.ts
+++ b/src/core/admission/retry-line.ts
@@ -14,6 +14,8 @@
   readonly roomInMs: Milliseconds;
   /** What this daemon's part of the servers takes for one like it. */
   readonly spacingMs: Milliseconds;
+  /** Until its caller gives up: a later time is of no use to it. */
+  readonly mostMs: Milliseconds;
   /** 0 to 1. */
   readonly entropy: number;
 }
@@ -23,8 +25,11 @@
   #promisedUntilMs: MonotonicMs = 0;
 
   /** How long the caller is told to wait. */
-  promise({ nowMs, roomInMs, spacingMs, entropy }: RetryInput): Milliseconds {
-    const roomAtMs = Math.max(nowMs + Math.max(0, roomInMs), this.#promisedUntilMs);
+  promise({ nowMs, roomInMs, spacingMs, mostMs, entropy }: RetryInput): Milliseconds {
+    const firstAtMs = nowMs + Math.max(0, roomInMs);
+    const isUseful = this.#promisedUntilMs <= nowMs + mostMs;
+    // Where the line is longer than callers wait it begins anew: they come back spread over that time.
+    const roomAtMs = isUseful ? Math.max(firstAtMs, this.#promisedUntilMs) : firstAtMs;
     this.#promisedUntilMs = roomAtMs + Math.max(0, spacingMs);
     const spreadMs = RETRY_SPREAD * entropy * (roomAtMs - nowMs + spacingMs);
     return roomAtMs - nowMs + spreadMs;
--- a/src/core/gateway/place-request.ts
+++ b/src/core/gateway/place-request.ts
@@ -73,19 +73,19 @@
       if (waitMs <= mostMs) return { kind: 'go', slackMs };
       return { kind: 'wait', slackMs, roomInMs: waitMs - mostMs };
     case 'late':
-      return placeLate(input, wholeSlackMs);
+      return placeLate(input, mostMs);
   }
 }
 
-function placeLate(input: PlaceInput, wholeSlackMs: number): Placement {
+function placeLate(input: PlaceInput, mostMs: number): Placement {
   const { plan, inTimeMs, isContended } = input;
   const roomInMs = Math.max(0, plan.expectedMs - inTimeMs);
   const hopeless = refusalAtDoor(input);
   if (hopeless !== undefined) return { kind: 'refuse', reason: 'hopeless', roomInMs };
-  // Late by itself, not for want of room: it runs where it delays nobody.
-  const isLateByItself =
-    wholeSlackMs <= 0 && plan.read.waitMs <= QUEUED_SHARE * input.urgentSlackMs;
-  if (isLateByItself && !isContended) return { kind: 'go', slackMs: undefined };
+  // Late by itself, or as it was tried before, and not for want of room: it runs where it delays nobody.
+  const joinsMs = mostMs > 0 ? mostMs : QUEUED_SHARE * Math.min(input.urgentSlackMs, inTimeMs);
+  const hasRoom = plan.read.waitMs <= joinsMs;
+  if (hasRoom && !isContended) return { kind: 'go', slackMs: undefined };
   return { kind: 'refuse', reason: 'overloaded', roomInMs };
 }
 
--- a/src/core/gateway/rank-shares.ts
+++ b/src/core/gateway/rank-shares.ts
@@ -8,8 +8,8 @@
 const FADE_MS = 10_000;
 /** Work that counts as sent at any rank before anything is known, in sendings of the newest one's size. */
 const UNKNOWN_SENDINGS = 1;
-/** Urgent prompts leave this part of an engine's time to the others, whatever was sent lately. */
-const LEAST_LEFT_SHARE = 0.2;
+/** More urgent prompts are taken to leave this part of an engine's time at least: what was sent is a small sample. */
+const LEAST_LEFT_SHARE = 0.5;
 
 /** The work that was sent lately to one service, by the operator's rank. */
 export class RankShares {
--- a/src/shell/gateway/request-room.ts
+++ b/src/shell/gateway/request-room.ts
@@ -187,11 +187,13 @@
       if (waiter === undefined) continue;
       this.#waiters.delete(description.id);
       const { exchange, ask, since } = waiter;
-      if (ask.goesAtEnd) {
+      const placement = ask.place();
+      if (ask.goesAtEnd || placement.kind === 'go') {
         this.#letOneGo(waiter);
         continue;
       }
-      this.#refuse(exchange, ask, 'no room came', fault.retryAfterMs ?? 0, this.#nowMs() - since);
+      const { roomInMs = fault.retryAfterMs ?? 0 } = placement;
+      this.#refuse(exchange, ask, 'no room came', roomInMs, this.#nowMs() - since);
       waiter.end(undefined);
     }
   }
@@ -244,6 +246,7 @@
       nowMs: this.#nowMs(),
       roomInMs,
       spacingMs: ask.spacingMs,
+      mostMs: exchange.remainingMs(),
       entropy: Math.random(),
     });
     this.#options.log.write(GATEWAY_EVENTS.requestTurnedAway, {
--- a/test/admission/waiting-room.test.ts
+++ b/test/admission/waiting-room.test.ts
@@ -129,14 +129,29 @@
   assert.ok(beside >= 0.95 * before, `${beside} beside the burst, ${before} without`);
 });
 
+test('no caller is told a time at which it would be gone', () => {
+  const line = new RetryLine();
+  const told = Array.from({ length: 100 }, () =>
+    line.promise({ nowMs: 0, roomInMs: 300, spacingMs: 200, mostMs: 2_000, entropy: 0 }),
+  );
+  assert.ok(told.every((waitMs) => waitMs <= 2_000));
+  assert.ok(new Set(told).size >= 8);
+});
+
 test('those refused together are told to come back one after the other, when there is room', () => {
   const random = new Random(5);
   const line = new RetryLine();
   const told = Array.from({ length: 20 }, () =>
-    line.promise({ nowMs: 0, roomInMs: 300, spacingMs: 50, entropy: random.unit() }),
+    line.promise({ nowMs: 0, roomInMs: 300, spacingMs: 50, mostMs: 5_000, entropy: random.unit() }),
   );
   assert.ok(told.every((waitMs, index) => waitMs >= 300 + 50 * index));
   assert.ok(new Set(told.map((waitMs) => Math.floor(waitMs / 50))).size >= 15);
-  const later = line.promise({ nowMs: 60_000, roomInMs: 300, spacingMs: 50, entropy: 0 });
+  const later = line.promise({
+    nowMs: 60_000,
+    roomInMs: 300,
+    spacingMs: 50,
+    mostMs: 5_000,
+    entropy: 0,
+  });
   assert.equal(later, 300);
 });
--- a/test/gateway/overload-replay.test.ts
+++ b/test/gateway/overload-replay.test.ts
@@ -181,6 +181,7 @@
           nowMs: clock.now,
           roomInMs,
           spacingMs: (job.kind.readMs * DAEMONS) / ENGINES,
+          mostMs: PATIENCE_MS - (clock.now - job.arrivedAtMs),
           entropy: random.unit(),
         })
       : roomInMs;
--- a/test/gateway/place-request.test.ts
+++ b/test/gateway/place-request.test.ts
@@ -65,6 +65,14 @@
   assert.equal(placeRequest({ ...alone, isContended: true }).kind, 'refuse');
 });
 
+test('what is late as it was tried before goes where there is room, and not into a long queue', () => {
+  const tried = { inTimeLeftMs: -100 };
+  const plan = (waitMs: number) =>
+    ({ expectedMs: 90 + waitMs, read: { urgency: 'late', readMs: 90, waitMs } }) as const;
+  assert.equal(placeRequest(input(0, { ...tried, plan: plan(0) })).kind, 'go');
+  assert.equal(placeRequest(input(0, { ...tried, plan: plan(300) })).kind, 'refuse');
+});
+
 test('a request that may have run goes, and so does one by paces that nobody has seen', () => {
   for (const fields of [{ mayHaveRun: true }, { isLearnt: false }]) {
     assert.deepEqual(placeRequest(input(60_000, fields)), { kind: 'go', slackMs: undefined });
--- a/test/gateway/request-room.test.ts
+++ b/test/gateway/request-room.test.ts
@@ -46,6 +46,7 @@
       arrivedAtMs: timers.nowMs(),
     },
     signal: left.signal,
+    remainingMs: () => 5_000,
     refuse: (reason: string, retryAfterMs: number) => answers.push({ reason, retryAfterMs }),
   } as unknown as Exchange;
   const state = { placement: first, reserved: 0 };
