--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { benchHttp } from './http/bench-http.js';
 import { benchRequestPath } from './request-path.js';
 import { benchRouting } from './routing-decision.js';
+import { benchWaitingRoom } from './waiting-room.js';
 
 const { values } = parseArgs({
   options: { json: { type: 'boolean', default: false }, only: { type: 'string' } },
@@ -16,7 +17,7 @@
 
 const result = {
   routing: runs('routing') ? benchRouting() : [],
-  admission: runs('admission') ? benchAdmission() : [],
+  admission: runs('admission') ? [...benchAdmission(), ...benchWaitingRoom()] : [],
   requestPath: runs('path') ? benchRequestPath() : [],
   http: runs('http') ? await benchHttp() : [],
 };
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -53,6 +53,7 @@
   readonly retryBudget: GatewaySettings['retryBudget'];
   /** Whether it tells other daemons of itself. */
   readonly hasPeers: boolean;
+  readonly decisions: GatewaySettings['decisions'];
 }
 
 const FIRST_DAEMON = 'front-1';
@@ -133,12 +134,14 @@
   /**
    * @param timers real time unless a test moves it itself
    * @param retryBudget what all daemons together may send again
+   * @param decisions which decisions under load it makes
    */
   async start(
     timers: TimerService = SYSTEM_TIMERS,
     retryBudget: GatewaySettings['retryBudget'] = AMPLE_BUDGET,
+    decisions: GatewaySettings['decisions'] = ALL_LOAD_DECISIONS,
   ): Promise<void> {
-    const options = { name: FIRST_DAEMON, timers, retryBudget, hasPeers: false };
+    const options = { name: FIRST_DAEMON, timers, retryBudget, hasPeers: false, decisions };
     const addresses = await this.#startGateway(options);
     this.callersPort = addresses.callersPort;
     this.readinessPort = addresses.readinessPort;
@@ -146,14 +149,20 @@
 
   /** Starts one more daemon, which tells the others of itself; gives the port of its callers. */
   async addDaemon(name: string): Promise<number> {
-    const options = { name, timers: SYSTEM_TIMERS, retryBudget: AMPLE_BUDGET, hasPeers: true };
+    const options = {
+      name,
+      timers: SYSTEM_TIMERS,
+      retryBudget: AMPLE_BUDGET,
+      hasPeers: true,
+      decisions: ALL_LOAD_DECISIONS,
+    };
     const { callersPort } = await this.#startGateway(options);
     await this.logged(GATEWAY_EVENTS.fingerprintKeyRead, (_fields, daemon) => daemon === name);
     return callersPort;
   }
 
   async #startGateway(options: GatewayOptions): Promise<GatewayAddresses> {
-    const { name, timers, retryBudget, hasPeers } = options;
+    const { name, timers, retryBudget, hasPeers, decisions } = options;
     this.#storeAddress ??= await this.store.start();
     const settings: GatewaySettings = {
       name,
@@ -168,7 +177,7 @@
       bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000 },
       retryBudget,
       logging: { maxLinesPerSecond: 10_000 },
-      decisions: ALL_LOAD_DECISIONS,
+      decisions,
     };
     const logger = {
       write: (event: LogEvent, fields: LogFields = {}) =>
