--- a/test/gateway/place-request.test.ts
+++ b/test/gateway/place-request.test.ts
@@ -10,6 +10,7 @@
   refusalAtDoor,
   UrgentSlack,
 } from '../../src/core/gateway/index.js';
+import { RECORDED_FORECASTS } from './support/recorded-forecasts.js';
 
 const READ_MS = 90;
 
@@ -94,6 +95,25 @@
   );
 });
 
+test('recorded requests go with a room as they did without, those too that were late by themselves', () => {
+  const slacks = new UrgentSlack();
+  for (const [index, recorded] of RECORDED_FORECASTS.entries()) {
+    const { rank, targetMs, queueMs, expectedMs } = recorded;
+    const inTimeMs = 0.9 * targetMs;
+    const nowMs = 50 * index;
+    slacks.note(rank, inTimeMs - (expectedMs - queueMs), nowMs);
+    const urgency = expectedMs <= inTimeMs ? 'in-time' : 'late';
+    const placed = input(queueMs, {
+      plan: { expectedMs, read: { urgency, readMs: expectedMs - queueMs, waitMs: queueMs } },
+      inTimeMs,
+      inTimeLeftMs: inTimeMs,
+      urgentSlackMs: slacks.leastMs(rank, nowMs),
+    });
+    assert.equal(placeRequest(placed).kind, 'go', JSON.stringify(recorded));
+    assert.equal(refusalAtDoor(placed), undefined);
+  }
+});
+
 test('what urgent kinds can wait binds the less urgent ones while they come', () => {
   const slacks = new UrgentSlack();
   slacks.note(1, 400, 0);
