--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -75,7 +75,7 @@
   type StagePlanInput,
 } from './plan-stages.js';
 export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
-export { RankShares } from './rank-shares.js';
+export { planAtRank, RankShares } from './rank-shares.js';
 export { type ReachNotice, ReachNoticeFilter } from './reach-notices.js';
 export { type ReadPriorityInput, readPriority } from './read-priority.js';
 export { ReadSpeed } from './read-speed.js';
--- a/src/core/gateway/rank-shares.ts
+++ b/src/core/gateway/rank-shares.ts
@@ -4,6 +4,8 @@
  * of all, as callers are spread over the daemons.
  */
 
+import type { EnginePlan } from './choose-engine.js';
+
 /** The time over which what was sent fades to 1/e: some requests of each kind, at each of many daemons. */
 const FADE_MS = 10_000;
 /** Work that counts as sent at any rank before anything is known, in sendings of the newest one's size. */
@@ -54,3 +56,15 @@
     }
   }
 }
+
+/**
+ * A plan with the wait of a rank. Which engine is best is not asked again: the wait at each is longer or shorter
+ * by the same factor.
+ * @param inTimeMs what is left of the time in which an answer is in time
+ */
+export function planAtRank(plan: EnginePlan, waitFactor: number, inTimeMs: number): EnginePlan {
+  const waitMs = plan.read.waitMs * waitFactor;
+  const expectedMs = plan.expectedMs - plan.read.waitMs + waitMs;
+  const urgency = expectedMs <= inTimeMs ? 'in-time' : 'late';
+  return { ...plan, expectedMs, read: { ...plan.read, waitMs, urgency } };
+}
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -10,6 +10,7 @@
   moveMs,
   type Placement,
   placeRequest,
+  planAtRank,
   planModelRequest,
   type ReadSpeed,
   readPriority,
@@ -69,7 +70,7 @@
    * What the request asks of the waiting room; undefined when no engine that generates is left.
    */
   roomAsk(limits: PlanLimits): ModelRoomAsk | undefined {
-    const first = this.#bestPlan(limits);
+    const first = this.#planAtRank(limits);
     if (first === undefined) return undefined;
     this.#noteDemand(first);
     this.#noteSlack(first);
@@ -80,7 +81,7 @@
     let isFresh = true;
     const replan = () => {
       // Where no engine is left it keeps its last plan, which fails and is made anew.
-      if (!isFresh) latest = this.#bestPlan(limits) ?? latest;
+      if (!isFresh) latest = this.#planAtRank(limits) ?? latest;
       isFresh = false;
     };
     return {
@@ -108,6 +109,15 @@
     return planModelRequest({ ...input, candidates });
   }
 
+  /** The best plan, with the wait that a request of this rank has there. */
+  #planAtRank(limits: PlanLimits): EnginePlan | undefined {
+    const plan = this.#bestPlan(limits);
+    const { service, rank, route } = this.#exchange.options;
+    const factor = this.#context.fleet.rankSharesOf(service).waitFactor(rank);
+    const leftMs = IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs();
+    return plan === undefined ? undefined : planAtRank(plan, factor, leftMs);
+  }
+
   #placementOf(plan: EnginePlan, lane: string): Placement {
     const exchange = this.#exchange;
     const { route, rank, service } = exchange.options;
@@ -230,11 +240,10 @@
   }
 
   #choiceInput(): EngineChoiceInput {
-    const { fleet, room, zone } = this.#context;
-    const { service, description, rank, route } = this.#exchange.options;
+    const { fleet, zone } = this.#context;
+    const { service, description, route } = this.#exchange.options;
     const traits = engineTraits(this.#exchange);
     const speed = this.#speed;
-    const rankFactor = room.isOn ? fleet.rankSharesOf(service).waitFactor(rank) : 1;
     if (traits !== undefined) speed.suppose(traits.kvTokens / traits.slots, route.targetLatencyMs);
     return {
       candidates: fleet.candidates(service, this.#nowMs()),
@@ -245,8 +254,7 @@
       knowledge: fleet.knowledge,
       peerLoads: fleet.peerLoads,
       speed,
-      waitFactor: (urgency) =>
-        fleet.waitScaleOf(service, urgency).factor(this.#nowMs()) * rankFactor,
+      waitFactor: (urgency) => fleet.waitScaleOf(service, urgency).factor(this.#nowMs()),
       inTimeMs: IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs(),
       shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
       kvTokenBytes: traits?.kvTokenBytes ?? 0,
--- a/test/gateway/place-request.test.ts
+++ b/test/gateway/place-request.test.ts
@@ -4,8 +4,10 @@
 import fc from 'fast-check';
 import {
   EngineLoad,
+  type EnginePlan,
   type PlaceInput,
   placeRequest,
+  planAtRank,
   RankShares,
   refusalAtDoor,
   UrgentSlack,
@@ -139,6 +141,16 @@
   assert.ok(Math.abs(shares.waitFactor(1) - 2) < 0.05);
 });
 
+test('a plan at a rank keeps its engine and its run; what becomes of its wait says whether it is in time', () => {
+  const read = { urgency: 'late', readMs: 60, waitMs: 400 } as const;
+  const plan = { kind: 'direct', expectedMs: 490, read } as EnginePlan;
+  const urgent = planAtRank(plan, 0.25, 200);
+  assert.deepEqual(urgent.read, { urgency: 'in-time', readMs: 60, waitMs: 100 });
+  assert.equal(urgent.expectedMs, 190);
+  assert.equal(planAtRank(plan, 2, 800).read.urgency, 'late');
+  assert.deepEqual(planAtRank(plan, 1, 200), plan);
+});
+
 test('a read that should be over counts as one that has not begun, where that is asked for', () => {
   for (const [countsOverdue, leftMs] of [
     [true, 40],
