Waiting room: parts of the driver apart, and a request's wait in its explanation

The ask of a model request and the refusals have modules of their own; `threadfork explain` says how long a request waited, behind how many, and what its caller was told.

--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -9,6 +9,5 @@
   type AdmissionLimits,
   type ExpiredRequest,
   type OfferContext,
-  WaitingLines,
 } from './waiting-lines.js';
 export { type RoomPlace, type RoomRequest, WaitingRoom } from './waiting-room.js';
--- a/src/core/gateway/explain-request.ts
+++ b/src/core/gateway/explain-request.ts
@@ -40,6 +40,9 @@
   failed: GATEWAY_EVENTS.requestFailed.number,
   attemptFailed: GATEWAY_EVENTS.attemptFailed.number,
   planChosen: GATEWAY_EVENTS.planChosen.number,
+  waits: GATEWAY_EVENTS.requestWaits.number,
+  waited: GATEWAY_EVENTS.requestWaited.number,
+  turnedAway: GATEWAY_EVENTS.requestTurnedAway.number,
   dropped: GATEWAY_EVENTS.linesDropped.number,
 } as const;
 
@@ -74,6 +77,7 @@
   const context = contextOf(ordered, ownLines, requestId);
   const sentences = [
     ...endSentences(ownLines),
+    ...roomSentences(ownLines),
     ...planSentences(ownLines),
     ...attemptSentences(ownLines),
     ...contextSentences(context, ownLines),
@@ -144,6 +148,26 @@
   ];
 }
 
+function roomSentences(ownLines: readonly LogLine[]): readonly string[] {
+  return ownLines.flatMap(({ event, fields }) => {
+    const age = `by what others told ${fields.sumsAgeMs ?? '?'} ms before`;
+    switch (event) {
+      case NUMBERS.waits:
+        return [
+          `It waited here for room, behind ${fields.behind} of its route: room was expected in ${fields.roomInMs} ms, ${age}.`,
+        ];
+      case NUMBERS.waited:
+        return [`It had waited ${fields.waitedMs} ms for room.`];
+      case NUMBERS.turnedAway:
+        return [
+          `Turned away for want of room (${fields.reason}) after ${fields.waitedMs ?? 0} ms, ${age}; its caller was told to come back in ${fields.retryAfterMs} ms.`,
+        ];
+      default:
+        return [];
+    }
+  });
+}
+
 function planSentences(ownLines: readonly LogLine[]): readonly string[] {
   const plans = ownLines.filter(({ event }) => event === NUMBERS.planChosen);
   const end = ownLines.find(({ event }) => event === NUMBERS.ended);
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -8,9 +8,6 @@
   type EngineChoiceInput,
   type EnginePlan,
   moveMs,
-  type Placement,
-  placeRequest,
-  planAtRank,
   planModelRequest,
   type ReadSpeed,
   readPriority,
@@ -19,10 +16,9 @@
   sharedPart,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { LogFields } from '../../core/logging/log-event.js';
 import { type AttemptContext, engineTraits } from './attempt.js';
 import type { Exchange } from './exchange.js';
-import type { RoomAsk } from './request-room.js';
+import { ModelRoomAsk } from './model-room-ask.js';
 
 /** A request is taken to be in time when it is expected within this part of its target. */
 const IN_TIME_SHARE = 0.9;
@@ -40,12 +36,6 @@
   readonly mayPrefill: boolean;
 }
 
-/** What a model request asks of the waiting room. */
-export interface ModelRoomAsk extends RoomAsk {
-  /** The plan by which it goes. */
-  plan(): EnginePlan;
-}
-
 /** The planning of one exchange. */
 export class ModelPlanner {
   readonly #exchange: Exchange;
@@ -66,41 +56,17 @@
     return plan;
   }
 
-  /**
-   * What the request asks of the waiting room; undefined when no engine that generates is left.
-   */
+  /** What the request asks of the waiting room; undefined when no engine that generates is left. */
   roomAsk(limits: PlanLimits): ModelRoomAsk | undefined {
-    const first = this.#planAtRank(limits);
+    const first = this.#bestPlan(limits);
     if (first === undefined) return undefined;
     this.#noteDemand(first);
-    this.#noteSlack(first);
-    const { service, route } = this.#exchange.options;
-    const lane = `${service}/${route.name}`;
-    const { readMs } = first.read;
-    let latest = first;
-    let isFresh = true;
-    const replan = () => {
-      // Where no engine is left it keeps its last plan, which fails and is made anew.
-      if (!isFresh) latest = this.#planAtRank(limits) ?? latest;
-      isFresh = false;
-    };
-    return {
-      lane,
-      costMs: readMs,
-      goesAtEnd: false,
-      spacingMs: readMs * this.#daemonsForEachEngine(),
-      place: () => {
-        replan();
-        return this.#placementOf(latest, lane);
-      },
-      inputs: () => this.#inputsOf(latest),
-      reserve: () => this.#reserve(latest),
-      plan: () => {
-        this.#logPlan(latest);
-        this.#noteSent(latest);
-        return latest;
-      },
-    };
+    return new ModelRoomAsk(this.#exchange, this.#context, {
+      first,
+      inTimeMs: IN_TIME_SHARE * this.#exchange.options.route.targetLatencyMs,
+      replan: () => this.#bestPlan(limits),
+      logPlan: (plan) => this.#logPlan(plan),
+    });
   }
 
   #bestPlan({ mayPrefill }: PlanLimits): EnginePlan | undefined {
@@ -109,79 +75,6 @@
     return planModelRequest({ ...input, candidates });
   }
 
-  /** The best plan, with the wait that a request of this rank has there. */
-  #planAtRank(limits: PlanLimits): EnginePlan | undefined {
-    const plan = this.#bestPlan(limits);
-    const { service, rank, route } = this.#exchange.options;
-    const factor = this.#context.fleet.rankSharesOf(service).waitFactor(rank);
-    const leftMs = IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs();
-    return plan === undefined ? undefined : planAtRank(plan, factor, leftMs);
-  }
-
-  #placementOf(plan: EnginePlan, lane: string): Placement {
-    const exchange = this.#exchange;
-    const { route, rank, service } = exchange.options;
-    const nowMs = this.#nowMs();
-    const { fleet, room } = this.#context;
-    const inTimeMs = IN_TIME_SHARE * route.targetLatencyMs;
-    return placeRequest({
-      plan,
-      remainingMs: exchange.remainingMs(),
-      inTimeMs,
-      inTimeLeftMs: inTimeMs - exchange.elapsedMs(),
-      urgentSlackMs: fleet.slackOf(service).leastMs(rank, nowMs),
-      isContended: room.waitingIn(lane) > 0,
-      isLearnt: this.#speed.isLearnt,
-      mayHaveRun: exchange.mayHaveRun,
-    });
-  }
-
-  #inputsOf({ expectedMs, read }: EnginePlan): LogFields {
-    const nowMs = this.#nowMs();
-    const { fleet } = this.#context;
-    const { service, rank } = this.#exchange.options;
-    const urgentSlackMs = fleet.slackOf(service).leastMs(rank, nowMs);
-    const sumsAgeMs = fleet.peerLoads.ageMs(nowMs);
-    return {
-      urgency: read.urgency,
-      expectedMs: Math.round(expectedMs),
-      queueMs: Math.round(read.waitMs),
-      urgentSlackMs: Number.isFinite(urgentSlackMs) ? Math.round(urgentSlackMs) : null,
-      rankFactor: Math.round(fleet.rankSharesOf(service).waitFactor(rank) * 100) / 100,
-      sumsAgeMs: Number.isFinite(sumsAgeMs) ? Math.round(sumsAgeMs) : null,
-    };
-  }
-
-  #noteSent({ read }: EnginePlan): void {
-    const { service, rank } = this.#exchange.options;
-    this.#context.fleet.rankSharesOf(service).note(rank, read.readMs, this.#nowMs());
-  }
-
-  /** Takes the plan's place at its engine until the request is sent there. */
-  #reserve(plan: EnginePlan): () => void {
-    const { fleet } = this.#context;
-    const server = plan.kind === 'direct' ? plan.server : plan.prefill.server;
-    const load = fleet.loadOf(server.id);
-    const read = load.begin(plan.read, this.#nowMs());
-    return () => load.abandon(read);
-  }
-
-  /** How long a request of this kind could wait and be in time, for less urgent ones to leave it. */
-  #noteSlack({ read, expectedMs }: EnginePlan): void {
-    const { service, rank, route } = this.#exchange.options;
-    const runMs = expectedMs - read.waitMs;
-    const slackMs = IN_TIME_SHARE * route.targetLatencyMs - runMs;
-    this.#context.fleet.slackOf(service).note(rank, slackMs, this.#nowMs());
-  }
-
-  /** Requests refused by all daemons come back to the same engines. */
-  #daemonsForEachEngine(): number {
-    const { fleet } = this.#context;
-    const { service } = this.#exchange.options;
-    const engines = fleet.candidates(service, this.#nowMs()).length;
-    return (fleet.size.listed ?? 1) / Math.max(1, engines);
-  }
-
   /** The engine that goes on from a prompt read at `source`, by the list as it is now. */
   decodeEngineAfter(source: ServerRecord): ServerRecord | undefined {
     return chooseDecodeEngine(this.#choiceInput(), source);
--- /dev/null
+++ b/src/shell/gateway/model-room-ask.ts
@@ -0,0 +1,128 @@
+/** What a model request asks of the waiting room: its place by the best plan there is, planned anew each time. */
+import {
+  type EnginePlan,
+  type Placement,
+  placeRequest,
+  planAtRank,
+} from '../../core/gateway/index.js';
+import type { LogFields } from '../../core/logging/log-event.js';
+import type { AttemptContext } from './attempt.js';
+import type { Exchange } from './exchange.js';
+import type { RoomAsk } from './room-ask.js';
+
+/** How the request is planned. */
+export interface ModelRoomAskOptions {
+  /** The plan that was made just now. */
+  readonly first: EnginePlan;
+  /** Within this an answer is in time. */
+  readonly inTimeMs: number;
+  /** Undefined where no engine is left. */
+  replan(): EnginePlan | undefined;
+  logPlan(plan: EnginePlan): void;
+}
+
+/** The ask of one request. */
+export class ModelRoomAsk implements RoomAsk {
+  readonly lane: string;
+  readonly costMs: number;
+  readonly spacingMs: number;
+  readonly goesAtEnd = false;
+  readonly #exchange: Exchange;
+  readonly #context: AttemptContext;
+  readonly #options: ModelRoomAskOptions;
+  #latest: EnginePlan;
+  #isFresh = true;
+
+  constructor(exchange: Exchange, context: AttemptContext, options: ModelRoomAskOptions) {
+    this.#exchange = exchange;
+    this.#context = context;
+    this.#options = options;
+    const { service, route } = exchange.options;
+    const { first } = options;
+    this.lane = `${service}/${route.name}`;
+    this.costMs = first.read.readMs;
+    this.spacingMs = this.costMs * this.#daemonsForEachEngine();
+    this.#latest = this.#atRank(first);
+    this.#noteSlack(first);
+  }
+
+  place(): Placement {
+    // Where no engine is left it keeps its last plan, which fails and is made anew.
+    const plan = this.#isFresh ? undefined : this.#options.replan();
+    this.#isFresh = false;
+    if (plan !== undefined) this.#latest = this.#atRank(plan);
+    const exchange = this.#exchange;
+    const { rank, service } = exchange.options;
+    const { fleet, room } = this.#context;
+    const { inTimeMs } = this.#options;
+    return placeRequest({
+      plan: this.#latest,
+      remainingMs: exchange.remainingMs(),
+      inTimeMs,
+      inTimeLeftMs: inTimeMs - exchange.elapsedMs(),
+      urgentSlackMs: fleet.slackOf(service).leastMs(rank, this.#nowMs()),
+      isContended: room.waitingIn(this.lane) > 0,
+      isLearnt: fleet.speedOf(service).isLearnt,
+      mayHaveRun: exchange.mayHaveRun,
+    });
+  }
+
+  inputs(): LogFields {
+    const nowMs = this.#nowMs();
+    const { fleet } = this.#context;
+    const { service, rank } = this.#exchange.options;
+    const { expectedMs, read } = this.#latest;
+    const urgentSlackMs = fleet.slackOf(service).leastMs(rank, nowMs);
+    const sumsAgeMs = fleet.peerLoads.ageMs(nowMs);
+    return {
+      urgency: read.urgency,
+      expectedMs: Math.round(expectedMs),
+      queueMs: Math.round(read.waitMs),
+      urgentSlackMs: Number.isFinite(urgentSlackMs) ? Math.round(urgentSlackMs) : null,
+      rankFactor: Math.round(fleet.rankSharesOf(service).waitFactor(rank) * 100) / 100,
+      sumsAgeMs: Number.isFinite(sumsAgeMs) ? Math.round(sumsAgeMs) : null,
+    };
+  }
+
+  reserve(): () => void {
+    const plan = this.#latest;
+    const server = plan.kind === 'direct' ? plan.server : plan.prefill.server;
+    const load = this.#context.fleet.loadOf(server.id);
+    const read = load.begin(plan.read, this.#nowMs());
+    return () => load.abandon(read);
+  }
+
+  /** The plan by which it goes; to be asked for once, when it is sent. */
+  plan(): EnginePlan {
+    const { service, rank } = this.#exchange.options;
+    this.#options.logPlan(this.#latest);
+    const { readMs } = this.#latest.read;
+    this.#context.fleet.rankSharesOf(service).note(rank, readMs, this.#nowMs());
+    return this.#latest;
+  }
+
+  /** The plan with the wait that a request of this rank has there. */
+  #atRank(plan: EnginePlan): EnginePlan {
+    const { service, rank } = this.#exchange.options;
+    const factor = this.#context.fleet.rankSharesOf(service).waitFactor(rank);
+    return planAtRank(plan, factor, this.#options.inTimeMs - this.#exchange.elapsedMs());
+  }
+
+  /** How long a request of this kind could wait and be in time, for less urgent ones to leave it. */
+  #noteSlack({ read, expectedMs }: EnginePlan): void {
+    const { service, rank } = this.#exchange.options;
+    const slackMs = this.#options.inTimeMs - (expectedMs - read.waitMs);
+    this.#context.fleet.slackOf(service).note(rank, slackMs, this.#nowMs());
+  }
+
+  /** Requests refused by all daemons come back to the same engines. */
+  #daemonsForEachEngine(): number {
+    const { fleet } = this.#context;
+    const engines = fleet.candidates(this.#exchange.options.service, this.#nowMs()).length;
+    return (fleet.size.listed ?? 1) / Math.max(1, engines);
+  }
+
+  #nowMs(): number {
+    return this.#exchange.options.timers.nowMs();
+  }
+}
--- a/src/shell/gateway/request-room.ts
+++ b/src/shell/gateway/request-room.ts
@@ -3,43 +3,21 @@
  * refuses it, and asks again when something has changed: a run or a read ended, other daemons' sums came, a
  * server was listed. Nothing here outlives a caller or a stop.
  */
-import { RetryLine, type RoomPlace, WaitingRoom } from '../../core/admission/index.js';
+import { type RoomPlace, WaitingRoom } from '../../core/admission/index.js';
 import type { Placement } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { LogFields } from '../../core/logging/log-event.js';
 import type { Exchange } from './exchange.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayLog } from './request-log.js';
+import { fieldsOf, type LeaveRoom, type RoomAsk } from './room-ask.js';
+import { RoomRefusals } from './room-refusals.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
-/** Another daemon takes a request at once. */
-const STOPPING_RETRY_AFTER_MS = 50;
 /** Room that is expected to come by itself is looked for no more often than this. */
 const LEAST_LOOK_MS = 10;
 /** Sums of other daemons come more often than this; without them it is looked again after so long. */
 const MOST_LOOK_MS = 100;
 
-/** What a request asks of the room. */
-export interface RoomAsk {
-  /** Requests that wait for the same servers and are alike. */
-  readonly lane: string;
-  /** The time of a server that it takes up. */
-  readonly costMs: number;
-  /** What this daemon's part of the servers takes for one like it. */
-  readonly spacingMs: number;
-  /** Its place by what is believed now. */
-  place(): Placement;
-  /** Whether it is sent when it was held as long as it may be; it is refused otherwise. */
-  readonly goesAtEnd: boolean;
-  /** What the place was decided from, and how old that is. */
-  inputs(): LogFields;
-  /** Takes its place at a server until it is sent, so that no other gets the same room; gives it back. */
-  reserve(): () => void;
-}
-
-/** A request that may go; to be called when it is sent. */
-export type LeaveRoom = () => void;
-
 interface Waiter {
   readonly exchange: Exchange;
   readonly ask: RoomAsk;
@@ -64,7 +42,7 @@
   readonly #options: RequestRoomOptions;
   readonly #room = new WaitingRoom();
   readonly #waiters = new Map<string, Waiter>();
-  readonly #retries = new Map<string, RetryLine>();
+  readonly #refusals: RoomRefusals;
   #entered = 0;
   #isStopping = false;
   #isTurning = false;
@@ -73,6 +51,7 @@
 
   constructor(options: RequestRoomOptions) {
     this.#options = options;
+    this.#refusals = new RoomRefusals(options);
   }
 
   get isOn(): boolean {
@@ -115,7 +94,7 @@
     this.#isStopping = true;
     for (const waiter of [...this.#waiters.values()]) {
       this.#takeOut(waiter);
-      this.#refuseStopping(waiter.exchange, waiter.ask);
+      this.#refusals.refuseStopping(waiter.exchange, waiter.ask);
       waiter.end(undefined);
     }
   }
@@ -143,7 +122,7 @@
     }
     if (this.#isStopping) {
       this.#room.leave(place, nowMs);
-      this.#refuseStopping(exchange, ask);
+      this.#refusals.refuseStopping(exchange, ask);
       return Promise.resolve(undefined);
     }
     return this.#wait(exchange, ask, place, placement);
@@ -242,33 +221,8 @@
     roomInMs: number,
     waitedMs: number,
   ): void {
-    const retryAfterMs = this.#retryLine(ask.lane).promise({
-      nowMs: this.#nowMs(),
-      roomInMs,
-      spacingMs: ask.spacingMs,
-      mostMs: exchange.remainingMs(),
-      entropy: Math.random(),
-    });
-    this.#options.log.write(GATEWAY_EVENTS.requestTurnedAway, {
-      ...fieldsOf(exchange, ask),
-      reason,
-      roomInMs: Math.round(roomInMs),
-      retryAfterMs: Math.round(retryAfterMs),
-      waitedMs: Math.round(waitedMs),
-      behind: this.#room.waitingIn(ask.lane),
-    });
-    this.#options.metrics.recordRoomRefusal(reason, exchange.options.rank);
-    exchange.refuse('no server is expected to answer in time', retryAfterMs);
-  }
-
-  #refuseStopping(exchange: Exchange, ask: RoomAsk): void {
-    this.#options.log.write(GATEWAY_EVENTS.requestTurnedAway, {
-      ...fieldsOf(exchange, ask),
-      reason: 'stopping',
-      retryAfterMs: STOPPING_RETRY_AFTER_MS,
-    });
-    this.#options.metrics.recordRoomRefusal('stopping', exchange.options.rank);
-    exchange.refuse('this daemon stops before there is room', STOPPING_RETRY_AFTER_MS);
+    const behind = this.#room.waitingIn(ask.lane);
+    this.#refusals.refuse(exchange, ask, { reason, roomInMs, waitedMs, behind });
   }
 
   #takeOut({ place }: Waiter): void {
@@ -276,14 +230,6 @@
     this.#room.leave(place, this.#nowMs());
   }
 
-  #retryLine(lane: string): RetryLine {
-    const known = this.#retries.get(lane);
-    if (known !== undefined) return known;
-    const created = new RetryLine();
-    this.#retries.set(lane, created);
-    return created;
-  }
-
   #placeOf(exchange: Exchange, ask: RoomAsk, latestStartMs: number): RoomPlace {
     const { tenant, rank, arrivedAtMs } = exchange.options;
     this.#entered += 1;
@@ -323,14 +269,3 @@
     return this.#options.timers.nowMs();
   }
 }
-
-function fieldsOf({ options }: Exchange, ask: RoomAsk): LogFields {
-  const { description, rank, tenant } = options;
-  return {
-    request: description.attemptId,
-    lane: ask.lane,
-    rank,
-    tenant: tenant?.name ?? '',
-    ...ask.inputs(),
-  };
-}
--- a/src/shell/gateway/web-room-ask.ts
+++ b/src/shell/gateway/web-room-ask.ts
@@ -2,7 +2,7 @@
 import { placeWebRequest } from '../../core/gateway/index.js';
 import type { AttemptContext } from './attempt.js';
 import type { Exchange } from './exchange.js';
-import type { RoomAsk } from './request-room.js';
+import type { RoomAsk } from './room-ask.js';
 
 /** Requests to web servers cost alike: the time that one takes is not known beforehand. */
 const WEB_COST_MS = 1;
--- a/test/gateway/explain-request.test.ts
+++ b/test/gateway/explain-request.test.ts
@@ -65,6 +65,21 @@
   assert.equal(context.length, 2);
 });
 
+test('a refusal for want of room: how long it waited, behind whom, and what its caller was told', () => {
+  const own = { request: ID, sumsAgeMs: 80 };
+  const waits = line(GATEWAY_EVENTS.requestWaits, 1_000, { ...own, behind: 2, roomInMs: 60 });
+  const away = line(GATEWAY_EVENTS.requestTurnedAway, 1_090, {
+    ...own,
+    reason: 'no room came',
+    waitedMs: 90,
+    retryAfterMs: 300,
+  });
+  assert.deepEqual(explainRequest([waits, away], ID).sentences.slice(1), [
+    'It waited here for room, behind 2 of its route: room was expected in 60 ms, by what others told 80 ms before.',
+    'Turned away for want of room (no room came) after 90 ms, by what others told 80 ms before; its caller was told to come back in 300 ms.',
+  ]);
+});
+
 test('a failure under a configuration that had just changed says so, other daemons do not count', () => {
   const changed = line(GATEWAY_EVENTS.configurationInForce, 900, { configurationVersion: 8 });
   const elsewhere = line(GATEWAY_EVENTS.configurationInForce, 900, {}, 'b');
--- a/test/gateway/request-room.test.ts
+++ b/test/gateway/request-room.test.ts
@@ -5,7 +5,8 @@
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
 import type { Exchange } from '../../src/shell/gateway/exchange.js';
-import { RequestRoom, type RoomAsk } from '../../src/shell/gateway/request-room.js';
+import { RequestRoom } from '../../src/shell/gateway/request-room.js';
+import type { RoomAsk } from '../../src/shell/gateway/room-ask.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const GO: Placement = { kind: 'go', slackMs: 200 };
