--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { benchModelPlan } from './model-plan.js';
 import { benchRequestPath } from './request-path.js';
 import { benchRouting } from './routing-decision.js';
+import { benchWaitingRoom } from './waiting-room.js';
 
 const { values } = parseArgs({
   options: { json: { type: 'boolean', default: false }, only: { type: 'string' } },
@@ -17,7 +18,7 @@
 
 const result = {
   routing: runs('routing') ? benchRouting() : [],
-  admission: runs('admission') ? benchAdmission() : [],
+  admission: runs('admission') ? [...benchAdmission(), ...benchWaitingRoom()] : [],
   modelPlan: runs('plan') ? benchModelPlan() : [],
   requestPath: runs('path') ? benchRequestPath() : [],
   http: runs('http') ? await benchHttp() : [],
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -39,7 +39,6 @@
   type TableDigest,
   type TableProgress,
 } from './digest-schedule.js';
-export { type DoorInput, type DoorRefusal, refusalAtDoor } from './door.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
 export {
   EnginePaces,
@@ -67,6 +66,16 @@
   PeerLoads,
 } from './peer-load.js';
 export { type OwnPlace, type PeerDaemon, PeerRoster } from './peer-roster.js';
+export {
+  type DoorInput,
+  type DoorRefusal,
+  HELD_SHARE,
+  type PlaceInput,
+  type Placement,
+  placeRequest,
+  refusalAtDoor,
+} from './place-request.js';
+export { placeWebRequest, type WebPlaceInput } from './place-web-request.js';
 export {
   enginesWithRoom,
   planRescue,
@@ -77,6 +86,7 @@
   type StagePlanInput,
 } from './plan-stages.js';
 export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
+export { planAtRank, RankShares } from './rank-shares.js';
 export { type ReachNotice, ReachNoticeFilter } from './reach-notices.js';
 export { type ReadPriorityInput, readPriority } from './read-priority.js';
 export { ReadSpeed } from './read-speed.js';
@@ -107,3 +117,4 @@
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
 export { type Admission, TenantTable } from './tenants.js';
 export { TOLD_AFTER_MS, unseenWork } from './unseen-work.js';
+export { UrgentSlack } from './urgent-slack.js';
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -14,6 +14,7 @@
   type LoadReport,
   PeerLoads,
   PrefixKnowledge,
+  RankShares,
   type ReachNotice,
   ReadSpeed,
   RetryBudget,
@@ -30,6 +31,7 @@
   TrafficSplitter,
   type UnseenWork,
   type Urgency,
+  UrgentSlack,
   unseenWork,
 } from '../../core/gateway/index.js';
 import { ALL_LOAD_DECISIONS, type LoadDecisions } from './gateway-settings.js';
@@ -62,11 +64,14 @@
   readonly #loads = new Map<string, EngineLoad>();
   readonly #speeds = new Map<string, ReadSpeed>();
   readonly #waitScales = new Map<string, ForecastScale>();
+  readonly #rankShares = new Map<string, RankShares>();
+  readonly #slacks = new Map<string, UrgentSlack>();
   readonly #demands = new Map<string, StageDemand>();
   readonly #budgets = new Map<string, RetryBudget>();
   #inForce: ConfigurationInForce | undefined;
   readonly #noteBudgetBegun: (service: string, budget: RetryBudget) => void;
   readonly #size = new FleetSize();
+  readonly #countsOverdue: boolean;
 
   /**
    * @param budgetOptions the bound on repeats that all daemons share
@@ -76,8 +81,9 @@
   constructor(
     budgetOptions: RetryBudgetOptions,
     noteBudgetBegun: (service: string, budget: RetryBudget) => void = () => undefined,
-    decisions: Pick<LoadDecisions, 'enginePaces'> = ALL_LOAD_DECISIONS,
+    decisions: Pick<LoadDecisions, 'enginePaces' | 'waiting'> = ALL_LOAD_DECISIONS,
   ) {
+    this.#countsOverdue = decisions.waiting;
     this.#budgetOptions = budgetOptions;
     this.#noteBudgetBegun = noteBudgetBegun;
     this.paces = new FleetPaces({
@@ -164,7 +170,7 @@
   }
 
   loadOf(serverId: string): EngineLoad {
-    return entryOf(this.#loads, serverId, () => new EngineLoad());
+    return entryOf(this.#loads, serverId, () => new EngineLoad(this.#countsOverdue));
   }
 
   /** What an engine has under way from all daemons; only good to compare engines. */
@@ -212,6 +218,16 @@
     return entryOf(this.#waitScales, `${urgency} ${service}`, () => new ForecastScale());
   }
 
+  /** What was sent to a service lately, by rank. */
+  rankSharesOf(service: string): RankShares {
+    return entryOf(this.#rankShares, service, () => new RankShares());
+  }
+
+  /** How long the more urgent kinds of a service can wait. */
+  slackOf(service: string): UrgentSlack {
+    return entryOf(this.#slacks, service, () => new UrgentSlack());
+  }
+
   demandOf(service: string): StageDemand {
     return entryOf(this.#demands, service, () => new StageDemand(DEMAND_SPAN_MS));
   }
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -19,6 +19,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { type AttemptContext, engineTraits } from './attempt.js';
 import type { Exchange } from './exchange.js';
+import { ModelRoomAsk } from './model-room-ask.js';
 import { wasFree } from './prompt-reading.js';
 
 /** A request is taken to be in time when it is expected within this part of its target. */
@@ -49,16 +50,33 @@
   }
 
   /** The best way to run the request now; undefined when no engine that generates is left. */
-  plan({ mayPrefill }: PlanLimits): EnginePlan | undefined {
-    const input = this.#choiceInput();
-    const candidates = input.candidates.filter(({ stage }) => mayPrefill || stage !== 'prefill');
-    const plan = planModelRequest({ ...input, candidates });
+  plan(limits: PlanLimits): EnginePlan | undefined {
+    const plan = this.#bestPlan(limits);
     if (plan === undefined) return undefined;
     this.#logPlan(plan);
     this.#noteDemand(plan);
     return plan;
   }
 
+  /** What the request asks of the waiting room; undefined when no engine that generates is left. */
+  roomAsk(limits: PlanLimits): ModelRoomAsk | undefined {
+    const first = this.#bestPlan(limits);
+    if (first === undefined) return undefined;
+    this.#noteDemand(first);
+    return new ModelRoomAsk(this.#exchange, this.#context, {
+      first,
+      inTimeMs: IN_TIME_SHARE * this.#exchange.options.route.targetLatencyMs,
+      replan: () => this.#bestPlan(limits),
+      logPlan: (plan) => this.#logPlan(plan),
+    });
+  }
+
+  #bestPlan({ mayPrefill }: PlanLimits): EnginePlan | undefined {
+    const input = this.#choiceInput();
+    const candidates = input.candidates.filter(({ stage }) => mayPrefill || stage !== 'prefill');
+    return planModelRequest({ ...input, candidates });
+  }
+
   /** The engine that goes on from a prompt read at `source`, by the list as it is now. */
   decodeEngineAfter(source: ServerRecord): ServerRecord | undefined {
     return chooseDecodeEngine(this.#choiceInput(), source);
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -58,12 +58,14 @@
   // What a server has read is gone with its life.
   if (memory === undefined || isOver) {
     load.abandon(read);
+    context.room.wake();
     noteWait(exchange, context, plan, nowMs - startedAtMs);
     const wasSilent = isGivenUp && !exchange.signal.aborted;
     if (wasSilent && !isOver) fleet.healthOf(server.id).recordBroken(nowMs);
     return undefined;
   }
   load.finish(read, nowMs);
+  context.room.wake();
   exchange.stepTimesMs.prefillMs = nowMs - startedAtMs;
   const elapsedMs = nowMs - startedAtMs;
   if (wasFree(plan.read) || !speed.isLearnt) {
