--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,12 @@
 /**
- * `npm run bench [-- --json] [-- --only routing|admission|path|http]`: the speed of routing
+ * `npm run bench [-- --json] [-- --only routing|plan|admission|path|http]`: the speed of routing
  * decisions, of admission and of the whole request path, and of HTTP through a daemon against a bare pass-through, all measured in this run.
  * Writes nothing but its result on standard output.
  */
 import { parseArgs } from 'node:util';
 import { benchAdmission } from './admission-operations.js';
 import { benchHttp } from './http/bench-http.js';
+import { benchPlans } from './plan-decision.js';
 import { benchRequestPath } from './request-path.js';
 import { benchRouting } from './routing-decision.js';
 
@@ -16,6 +17,7 @@
 
 const result = {
   routing: runs('routing') ? benchRouting() : [],
+  plans: runs('plan') ? benchPlans() : [],
   admission: runs('admission') ? benchAdmission() : [],
   requestPath: runs('path') ? benchRequestPath() : [],
   http: runs('http') ? await benchHttp() : [],
@@ -24,7 +26,7 @@
 if (values.json) {
   console.log(JSON.stringify(result, null, 2));
 } else {
-  for (const part of [result.routing, result.admission, result.requestPath, result.http]) {
+  for (const part of Object.values(result)) {
     console.table(part);
   }
 }
--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -11,7 +11,7 @@
 import { rendezvousWeight } from './rendezvous.js';
 import type { EngineStage, ServerRecord } from './server-directory.js';
 import type { ServerHealth } from './server-health.js';
-import { drawSpread, type Spread, usefulSpread } from './spread-choice.js';
+import { drawSpread, type Spread, type SpreadWork, usefulSpread } from './spread-choice.js';
 
 const SUSPECT_COST_MS = 20_000;
 const FAILURE_COST_MS = 400;
@@ -20,6 +20,8 @@
 const HOME_SHARE = 0.25;
 /** Homes of a part while nobody has told anything; each reads the part, so they are few. */
 const HOMES_AT_START = 4;
+/** About what a prompt has that an engine that generates reads by itself; longer ones are read apart. */
+const SHORT_PROMPT_TOKENS = 500;
 /** Fewer missing tokens than this are not worth fetching from another engine. */
 const LEAST_FETCHED_TOKENS = 1_024;
 const BITS_PER_BYTE = 8;
@@ -85,6 +87,8 @@
   readonly missingTokens: number;
   readonly fetchFrom: ServerRecord | undefined;
   readonly readMs: number;
+  /** Reading all of it: where that takes longer, others send less. */
+  readonly wholeReadMs: number;
   readonly slotMs: number;
   /** What speaks against it whatever the prompt: full slots, failures. */
   readonly standingMs: number;
@@ -106,7 +110,7 @@
   readonly reader: Reader;
   readonly read: ExpectedRead;
   readonly costMs: number;
-  /** What waits there and runs there, as all daemons see it. */
+  /** When a prompt that begins with nothing kept would be read there, as all daemons see it. */
   readonly loadMs: number;
   readonly homeBonusMs: number;
 }
@@ -180,8 +184,7 @@
   const best = lowest(estimates, ({ costMs }) => costMs);
   const spread = usefulSpread(input.spread);
   if (best === undefined || spread === undefined) return best?.server;
-  const read = { readMs: 0, runMs: runCostMs(best.server, input) };
-  return drawSpread(estimates, { spread, stage: 'decode', ...read })?.server;
+  return drawSpread(estimates, spreadWork(best.server, 'decode', 0, spread, input))?.server;
 }
 
 /** The engine where a part is read first, the same for all daemons that list the same engines. */
@@ -204,9 +207,20 @@
   const estimates = readers.map((reader) => estimateOf(reader, urgency, input));
   const equals = isInTime(best) ? estimates.filter(isInTime) : estimates;
   const { server } = best.reader;
-  const runMs = server.stage === 'decode' ? runCostMs(server, input) : 0;
   const stage = server.stage === 'decode' ? 'decode' : 'prefill';
-  return drawSpread(equals, { spread, stage, readMs, runMs }) ?? best;
+  return drawSpread(equals, spreadWork(server, stage, readMs, spread, input)) ?? best;
+}
+
+function spreadWork(
+  server: ServerRecord,
+  stage: EngineStage,
+  readMs: number,
+  spread: Spread,
+  input: EngineChoiceInput,
+): SpreadWork {
+  const runMs = stage === 'decode' ? runCostMs(server, input) : 0;
+  const shortReadMs = input.speed.decodeBusyMs(SHORT_PROMPT_TOKENS);
+  return { spread, stage, readMs, shortReadMs, runMs };
 }
 
 function estimateOf(reader: Reader, urgency: Urgency, input: EngineChoiceInput): ReadEstimate {
@@ -217,7 +231,7 @@
     reader,
     read: { urgency, readMs, waitMs: waitsMs },
     costMs: loadMs + readMs + otherCostMs - homeBonusMs,
-    loadMs,
+    loadMs: loadMs + reader.wholeReadMs,
     homeBonusMs,
   };
 }
@@ -282,8 +296,7 @@
   const fetched = donor === undefined ? 0 : donor.keptTokens - kept;
   const missingTokens = Math.max(1, description.promptTokens - kept - fetched);
   const fetchMs = donor === undefined ? 0 : moveMs(fetched, input);
-  const paceMs =
-    stage === 'prefill' ? speed.prefillMs(missingTokens) : speed.decodeMs(missingTokens);
+  const paceMs = readAloneMs(stage, missingTokens, speed);
   const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, input) : 0;
   const sharedTokens = sharedPart(description.promptParts)?.tokens ?? 0;
   const bonusMs = isHome && kept === 0 ? HOME_SHARE * speed.prefillBusyMs(sharedTokens) : 0;
@@ -292,6 +305,7 @@
     missingTokens,
     fetchFrom: donor?.server,
     readMs: paceMs + fetchMs,
+    wholeReadMs: readAloneMs(stage, description.promptTokens, speed),
     slotMs: stage === 'decode' ? slotWaitMs(server, input) : 0,
     standingMs: fullnessMs(server, input) + healthCostMs(server, input),
     otherCostMs: delayMs + zoneCostMs(server, input),
@@ -299,6 +313,10 @@
   };
 }
 
+function readAloneMs(stage: EngineStage, tokens: number, speed: ReadSpeed): number {
+  return stage === 'prefill' ? speed.prefillMs(tokens) : speed.decodeMs(tokens);
+}
+
 /** What short prompts wait for a read at a decode engine: half of it, for each that comes meanwhile. */
 function delayOfOthersMs(missingTokens: number, input: EngineChoiceInput): number {
   const busyMs = input.speed.decodeBusyMs(missingTokens);
--- a/src/core/gateway/spread-choice.ts
+++ b/src/core/gateway/spread-choice.ts
@@ -51,6 +51,8 @@
   readonly stage: EngineStage;
   /** Reading the prompt. */
   readonly readMs: number;
+  /** Reading one of the short prompts that engines that generate read by themselves. */
+  readonly shortReadMs: number;
   /** What a run costs others at an engine that generates. */
   readonly runMs: number;
 }
@@ -88,17 +90,17 @@
       count += 1;
     }
     const nextMs = sumMs / Math.max(1, count);
-    if (nextMs >= levelMs) return levelMs;
+    if (!(nextMs < levelMs)) return levelMs;
     levelMs = nextMs;
   }
 }
 
 /** Time of a stage's engines that is not seen yet. */
-function unseenMs({ spread: { unseen }, stage, readMs, runMs }: SpreadWork): number {
+function unseenMs({ spread: { unseen }, stage, readMs, shortReadMs, runMs }: SpreadWork): number {
   switch (unseen.kind) {
     case 'by-rate':
       if (stage === 'prefill') return unseen.prefillMs;
-      return unseen.shortPrompts * readMs + unseen.prompts * runMs;
+      return unseen.shortPrompts * shortReadMs + unseen.prompts * runMs;
     case 'by-daemons':
       return unseen.daemons * (readMs + runMs);
   }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -157,10 +157,26 @@
 
   /** What an engine has under way from all daemons; only good to compare engines. */
   busyOf(engineId: string, nowMs: number): number {
+    const running = this.loadOf(engineId).running + this.peerLoads.running(engineId, nowMs);
+    return running + this.waitingMs(engineId, nowMs);
+  }
+
+  /** What waits at the busiest of the engines that only read against their mean; 0 while nothing waits. */
+  busiestToMean(nowMs: number): number {
+    const services = [...(this.#inForce?.configuration.services.keys() ?? [])];
+    const engines = services.flatMap((service) => this.candidates(service, nowMs));
+    const waitsMs = engines
+      .filter(({ stage }) => stage === 'prefill')
+      .map(({ id }) => this.waitingMs(id, nowMs));
+    const totalMs = waitsMs.reduce((sum, waitMs) => sum + waitMs, 0);
+    return totalMs > 0 ? (Math.max(...waitsMs) * waitsMs.length) / totalMs : 0;
+  }
+
+  /** The prompts of all daemons that wait at an engine, as far as they are known here. */
+  waitingMs(engineId: string, nowMs: number): number {
     const load = this.loadOf(engineId);
     const ownMs = load.pendingMs('in-time', nowMs) + load.pendingMs('late', nowMs);
-    const running = load.running + this.peerLoads.running(engineId, nowMs);
-    return running + ownMs + this.peerLoads.waitMs(engineId, 'late', nowMs);
+    return ownMs + this.peerLoads.waitMs(engineId, 'late', nowMs);
   }
 
   /** This daemon's work at engines, for its peers. */
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -56,6 +56,11 @@
       help: 'Daemons of the last list, this one counted; 0 until one was read',
       read: () => fleet.size.listed ?? 0,
     },
+    {
+      name: 'engine_wait_busiest_to_mean',
+      help: 'What waits at the busiest engine that only reads, against the mean of these; 0 while nothing waits',
+      read: () => fleet.busiestToMean(timers.nowMs()),
+    },
     {
       name: 'requests_in_flight',
       help: 'Requests without a final answer',
--- a/test/gateway/spread.test.ts
+++ b/test/gateway/spread.test.ts
@@ -108,7 +108,13 @@
 }
 
 function drawn(candidates: ReturnType<typeof candidate>[], entropy: number, unseen = BY_RATE) {
-  const work = { spread: { unseen, entropy }, stage: 'prefill', readMs: 50, runMs: 0 } as const;
+  const work = {
+    spread: { unseen, entropy },
+    stage: 'prefill',
+    readMs: 50,
+    shortReadMs: 5,
+    runMs: 0,
+  } as const;
   return drawSpread(candidates, work)?.id;
 }
 
