--- a/test/gateway/spread.test.ts
+++ b/test/gateway/spread.test.ts
@@ -17,6 +17,7 @@
   unseenWork,
 } from '../../src/core/gateway/index.js';
 import { drawSpread, levelOf } from '../../src/core/gateway/spread-choice.js';
+import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { busiestToMean, replaySpread, type SpreadScenario } from './support/spread-replay.js';
 
 const SEEDS = [1, 2, 3, 4];
@@ -275,3 +276,15 @@
     { seed: 12, numRuns: 300 },
   );
 });
+
+test('the gauge says how much more waits at the busiest engine than on the mean', () => {
+  const fleet = new FleetView({ ratio: 0.2, slack: 50 });
+  const services = new Map([['m', { name: 'm', engine: undefined, scaling: undefined }]]);
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  fleet.takeConfiguration({ version: 1, routes: [], tenants: undefined, services, limits }, 0);
+  fleet.directory.replaceAll(['a', 'b'].map((id) => engine(id, 'prefill', 'zone-0')));
+  assert.equal(fleet.busiestToMean(0), 0);
+  fleet.loadOf('a').begin({ urgency: 'in-time', readMs: 300, waitMs: 0 }, 0);
+  fleet.loadOf('b').begin({ urgency: 'in-time', readMs: 100, waitMs: 0 }, 0);
+  assert.equal(fleet.busiestToMean(0), 1.5);
+});
