--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,12 @@
 /**
- * `npm run bench [-- --json] [-- --only routing|admission|plan|path|http]`: the speed of routing
+ * `npm run bench [-- --json] [-- --only routing|plan|admission|path|http]`: the speed of routing
  * decisions, of admission and of the whole request path, and of HTTP through a daemon against a bare pass-through, all measured in this run.
  * Writes nothing but its result on standard output.
  */
 import { parseArgs } from 'node:util';
 import { benchAdmission } from './admission-operations.js';
 import { benchHttp } from './http/bench-http.js';
-import { benchModelPlan } from './model-plan.js';
+import { benchPlans } from './plan-decision.js';
 import { benchRequestPath } from './request-path.js';
 import { benchRouting } from './routing-decision.js';
 import { benchWaitingRoom } from './waiting-room.js';
@@ -18,8 +18,8 @@
 
 const result = {
   routing: runs('routing') ? benchRouting() : [],
+  plans: runs('plan') ? benchPlans() : [],
   admission: runs('admission') ? [...benchAdmission(), ...benchWaitingRoom()] : [],
-  modelPlan: runs('plan') ? benchModelPlan() : [],
   requestPath: runs('path') ? benchRequestPath() : [],
   http: runs('http') ? await benchHttp() : [],
 };
@@ -27,13 +27,7 @@
 if (values.json) {
   console.log(JSON.stringify(result, null, 2));
 } else {
-  for (const part of [
-    result.routing,
-    result.admission,
-    result.modelPlan,
-    result.requestPath,
-    result.http,
-  ]) {
+  for (const part of Object.values(result)) {
     console.table(part);
   }
 }
