Wait with changes of stage while many engines are coming; ask zones again that had no more to give

What each zone was given is kept as first seen also where no record was ever written: a loss then lowered it.

--- a/src/core/capacity/capacity-duty.ts
+++ b/src/core/capacity/capacity-duty.ts
@@ -68,6 +68,8 @@
   #seenVersion = 0;
   /** What each zone was given, as the record last said. */
   #known: WantedPerZone = {};
+  /** What each zone had of a service when this daemon first saw it. */
+  readonly #firstSeen = new Map<string, number>();
   /** Whether the holder has probably written since the record was read. */
   #isOutdated = false;
   #hasRead = false;
@@ -161,14 +163,14 @@
     return { kind: 'write', record, expectedVersion };
   }
 
-  /** As the record says; what it does not know is kept as it is now. */
+  /** As the record says; what it does not know is kept as it was first seen. */
   #wantedPerZone(services: readonly ScaledService[]): WantedPerZone {
-    const known = this.#known;
-    const entries = services.map(({ service, zones }) => {
+    for (const { service, zones } of services) {
+      if (this.#firstSeen.has(service)) continue;
       const present = zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0);
-      return [service, known[service] ?? Math.ceil(present / Math.max(1, zones.length))] as const;
-    });
-    return { ...known, ...Object.fromEntries(entries) };
+      this.#firstSeen.set(service, Math.ceil(present / Math.max(1, zones.length)));
+    }
+    return { ...Object.fromEntries(this.#firstSeen), ...this.#known };
   }
 
   #planOf(scaled: ScaledService, wanted: WantedPerZone, nowMs: number): ServicePlan {
--- a/src/core/capacity/index.ts
+++ b/src/core/capacity/index.ts
@@ -17,6 +17,6 @@
   planForLoss,
   type ZoneSupply,
 } from './plan-for-loss.js';
-export { type CapacityBelief, comingOf, type ScaledService } from './scaled-service.js';
+export type { CapacityBelief, ScaledService } from './scaled-service.js';
 export { ServerListSettling } from './server-list-settling.js';
 export { SpotSupply } from './spot-supply.js';
--- a/src/core/capacity/loss-bearing-planner.ts
+++ b/src/core/capacity/loss-bearing-planner.ts
@@ -3,7 +3,7 @@
  * of the newest while, which zones have spot servers to give, and what is on its way.
  */
 import { HeldNeed } from './held-need.js';
-import type { CapacityOrder, OrderBook, OrderOutcome } from './order-book.js';
+import type { CapacityKind, CapacityOrder, OrderBook, OrderOutcome } from './order-book.js';
 import { planForLoss, type ZoneSupply } from './plan-for-loss.js';
 import type { ScaledService, ServicePlan } from './scaled-service.js';
 import { SpotSupply } from './spot-supply.js';
@@ -45,7 +45,6 @@
       present: presentOf(scaled),
       coming: zones.reduce((sum, { coming }) => sum + coming, 0),
       zonesWithoutSpot: zones.filter(({ hasSpot }) => !hasSpot).map(({ zone }) => zone),
-      hasSpot: zones.some(({ hasSpot }) => hasSpot),
       lost,
     };
     return { scaled, targets, belief };
@@ -57,7 +56,9 @@
     const key = keyOf(order.service, order.zone);
     const isLower = order.servers < present;
     if (!isLower) this.#surplusSinceMs.delete(key);
-    if (!this.#supply.hasSpot(key)) return !isLower && nowMs >= this.#book.againAtMs(order);
+    if (!this.#hasSpot(order, present, nowMs)) {
+      return !isLower && nowMs >= this.#book.againAtMs(order);
+    }
     if (!isLower) return true;
     const sinceMs = this.#surplusSinceMs.get(key) ?? nowMs;
     this.#surplusSinceMs.set(key, sinceMs);
@@ -91,10 +92,20 @@
       const coming =
         this.#book.comingOf({ service, zone, isSpot: false }, plain, nowMs) +
         this.#book.comingOf({ service, zone, isSpot: true }, spot, nowMs);
-      return { ...now, coming, hasSpot: this.#supply.hasSpot(keyOf(service, zone)) };
+      return {
+        ...now,
+        coming,
+        hasSpot: this.#hasSpot({ service, zone, isSpot: true }, spot, nowMs),
+      };
     });
   }
 
+  /** A zone that has refused more than it has already is asked no more for those: it may have some after a while. */
+  #hasSpot(kind: CapacityKind, present: number, nowMs: number): boolean {
+    const isOpen = this.#supply.hasSpot(keyOf(kind.service, kind.zone));
+    return isOpen || (present > 0 && nowMs >= this.#book.againAtMs(kind));
+  }
+
   #needOf(service: string): HeldNeed {
     const known = this.#needs.get(service);
     if (known !== undefined) return known;
--- a/src/core/capacity/scaled-service.ts
+++ b/src/core/capacity/scaled-service.ts
@@ -26,8 +26,6 @@
   readonly coming: number;
   /** Zones that have no spot servers to give. */
   readonly zonesWithoutSpot: readonly string[];
-  /** Whether a zone has some to give. */
-  readonly hasSpot: boolean;
   /** Spot servers that were seen to be taken away in this look. */
   readonly lost: number;
 }
@@ -39,11 +37,3 @@
   /** Undefined where the plan bears no loss. */
   readonly belief: CapacityBelief | undefined;
 }
-
-/**
- * Servers that are on their way. Only the duty's holder knows what it has ordered since it last told; where spot
- * servers are to be had, whoever holds the duty orders what is wanted.
- */
-export function comingOf({ wanted, present, coming, hasSpot }: CapacityBelief): number {
-  return hasSpot ? Math.max(0, wanted - present) : coming;
-}
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -8,11 +8,8 @@
  * zones as there are; and when none of them can be reached, several that read are ordered over at once,
  * whatever the work is. Reading needs no such care: engines that generate read as well.
  *
- * After a loss the split is planned from the engines that are left and those that are coming: one that changes its
- * stage is away for as long as another takes to boot, when every engine counts.
- *
- * Long prompts are read one after another, each late when it waits for one other, so a stage that reads
- * is full early; an engine that generates shares its steps among many runs and may be busier.
+ * While many engines are coming, after a loss, none is ordered over: it would be away for as long as those take to
+ * boot, when every engine counts, and what they will do is part of the split. Those that leave are not in it.
  */
 import type { EngineStage, ServerRecord } from './server-directory.js';
 
@@ -24,6 +21,8 @@
 const RELIEF_SHARE = 0.85;
 /** Of many engines this part is ordered at once; half of what is wanted, as the demand may turn. */
 const MOST_AWAY_SHARE = 0.1;
+/** From this part of the engines that are there, those that are coming are waited for. */
+const MANY_COMING_SHARE = 0.1;
 /** The loss of one engine is to leave one of its stage, where there are this many in all. */
 const ENGINES_FOR_SPARES = 4;
 const ENGINES_WITH_SPARE = 2;
@@ -44,7 +43,7 @@
 export interface StagePlanInput {
   readonly engines: readonly ServerRecord[];
   readonly need: StageNeed;
-  /** Engines under order or booting: they are there before an engine that changes its stage is back. */
+  /** Engines under order or booting. */
   readonly comingEngines: number;
   /** What an engine has under way; the one with least is moved. */
   busyOf(engineId: string): number;
@@ -61,11 +60,10 @@
 /** The next changes; none when the split is good enough. */
 export function planStageChanges(input: StagePlanInput): readonly StageChange[] {
   const { engines, need, comingEngines } = input;
-  if (need.requests < LEAST_REQUESTS || engines.length < 3) return [];
-  const total = engines.length + comingEngines;
-  const reading = engines.filter((engine) => engine.stage === 'prefill').length;
-  // Those that come are taken to have the mix of those that are there.
-  const currentPrefill = Math.round((reading * total) / engines.length);
+  const total = engines.length;
+  if (need.requests < LEAST_REQUESTS || total < 3) return [];
+  if (comingEngines >= MANY_COMING_SHARE * total) return [];
+  const currentPrefill = engines.filter((engine) => engine.stage === 'prefill').length;
   const wantedPrefill = bestPrefillCount(total, need);
   const current = fullest(currentPrefill, total, need);
   if (wantedPrefill === currentPrefill || current < 1) return [];
--- a/src/shell/gateway/duties.ts
+++ b/src/shell/gateway/duties.ts
@@ -2,7 +2,7 @@
  * The daemon's part in what the platform asks of one daemon at a time: usage reports, where the settings ask for
  * them, and orders of capacity.
  */
-import { type CapacityBelief, comingOf } from '../../core/capacity/index.js';
+import type { CapacityBelief } from '../../core/capacity/index.js';
 import type { PeerRoster, Tenant } from '../../core/gateway/index.js';
 import { CapacityController } from './capacity-controller.js';
 import type { FleetView } from './fleet-view.js';
@@ -83,8 +83,7 @@
 
   /** Servers of a service that are on their way, as far as this daemon knows. */
   comingServers(service: string): number {
-    const belief = this.capacityBeliefs.find((known) => known.service === service);
-    return belief === undefined ? 0 : comingOf(belief);
+    return this.capacityBeliefs.find((known) => known.service === service)?.coming ?? 0;
   }
 
   /** A tenant's request began to run, so long ago. */
--- a/test/capacity/bearing-loss.test.ts
+++ b/test/capacity/bearing-loss.test.ts
@@ -105,6 +105,14 @@
   assert.ok(platform.ready >= GIVEN - 1, `${platform.ready}`);
 });
 
+test('zones that had no more to give are asked again for what is lacking elsewhere', () => {
+  const { platform, daemons } = settledFleet();
+  platform.takeAway('c', 30 * DRY_MS);
+  for (const zone of ['a', 'b']) platform.dryUntilMs.set(zone, platform.nowMs + BOOT_MS);
+  play(platform, daemons, 6 * BOOT_MS);
+  assert.ok(platform.ready >= GIVEN, `${platform.ready}`);
+});
+
 test('servers that came in place of lost ones go when the zone has its own again, not at once', () => {
   const { platform, daemons } = settledFleet();
   platform.takeAway('c', DRY_MS);
