--- a/src/core/capacity/loss-bearing-planner.ts
+++ b/src/core/capacity/loss-bearing-planner.ts
@@ -14,11 +14,17 @@
  */
 const LOWER_BOOTS = 5;
 
+interface ServiceNeed {
+  readonly held: HeldNeed;
+  /** Whether any work was seen. */
+  readonly hasBegun: boolean;
+}
+
 /** Plans for the services of one duty. */
 export class LossBearingPlanner {
   readonly #book: OrderBook;
   readonly #supply = new SpotSupply();
-  readonly #needs = new Map<string, HeldNeed>();
+  readonly #needs = new Map<string, ServiceNeed>();
   /** Since when a zone has more spot servers than it is to have. */
   readonly #surplusSinceMs = new Map<string, number>();
 
@@ -31,7 +37,7 @@
     const { service, limits } = scaled;
     const lost = this.#seeLosses(scaled, nowMs);
     const zones = this.#suppliesOf(scaled, nowMs);
-    const needed = this.#needOf(service).take(scaled.neededWithRoom, limits.bootMs, nowMs);
+    const needed = this.#neededNow(scaled, givenPerZone, nowMs);
     const { targets, wantedInAll } = planForLoss({
       limits,
       zones,
@@ -106,12 +112,14 @@
     return isOpen || (present > 0 && nowMs >= this.#book.againAtMs(kind));
   }
 
-  #needOf(service: string): HeldNeed {
-    const known = this.#needs.get(service);
-    if (known !== undefined) return known;
-    const created = new HeldNeed();
-    this.#needs.set(service, created);
-    return created;
+  /** Before any work was seen, whoever gave the servers is taken to have given what the work needs. */
+  #neededNow(scaled: ScaledService, givenPerZone: number, nowMs: number): number {
+    const { service, limits, zones, neededWithRoom } = scaled;
+    const known = this.#needs.get(service) ?? { held: new HeldNeed(), hasBegun: false };
+    const hasBegun = known.hasBegun || neededWithRoom > 0;
+    this.#needs.set(service, { ...known, hasBegun });
+    const servers = hasBegun ? neededWithRoom : givenPerZone * zones.length;
+    return known.held.take(servers, limits.bootMs, nowMs);
   }
 }
 
--- a/src/core/capacity/plan-for-loss.ts
+++ b/src/core/capacity/plan-for-loss.ts
@@ -72,7 +72,7 @@
   const least = new Map(
     zones.map(({ zone }) => [zone, (kept.get(zone) ?? 0) + (extra.get(zone) ?? 0)]),
   );
-  const plain = plainTargets(input, wantedInAll, least);
+  const plain = plainTargets(input, least);
   const targets = zones.map(({ zone }) => ({
     zone,
     plain: plain.get(zone) ?? 0,
@@ -134,14 +134,13 @@
   return hasSpot ? target : Math.min(target, Math.max(spot, SPOT_ASKED));
 }
 
-/** Plain servers that are not to stay go, the dearest first, once enough are there without them. */
+/** Plain servers that are not to stay go, the dearest first, once as many as were given are there without them. */
 function plainTargets(
   input: LossPlanInput,
-  wantedInAll: number,
   least: ReadonlyMap<string, number>,
 ): ReadonlyMap<string, number> {
   const { limits, zones } = input;
-  let spare = zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0) - wantedInAll;
+  let spare = zones.reduce((sum, { plain, spot }) => sum + plain + spot, 0) - givenInAll(input);
   const dearestFirst = zones.toSorted(
     (one, other) => priceOf(limits, other.zone) - priceOf(limits, one.zone),
   );
--- a/test/capacity/bearing-loss.test.ts
+++ b/test/capacity/bearing-loss.test.ts
@@ -167,6 +167,18 @@
   assert.equal(platform.ready, GIVEN);
 });
 
+test('before any work was seen, those that were given are taken to be needed; later the work decides', () => {
+  const { platform, daemons } = settledFleet(0);
+  assert.equal(platform.ready, 1.5 * GIVEN);
+  assert.equal(platform.countOf('plain'), 2);
+  platform.neededWithRoom = 20;
+  play(platform, daemons, 20 * BOOT_MS);
+  assert.equal(platform.ready, GIVEN);
+  platform.neededWithRoom = 0;
+  play(platform, daemons, 20 * BOOT_MS);
+  assert.equal(platform.ready, GIVEN, 'also when there is none for a while');
+});
+
 test('demand beyond belief is not followed', () => {
   const { platform, daemons } = settledFleet();
   platform.neededWithRoom = 1_000;
