--- a/src/core/capacity/index.ts
+++ b/src/core/capacity/index.ts
@@ -4,8 +4,7 @@
   CapacityDuty,
   type CapacityRecord,
 } from './capacity-duty.js';
-export { HeldNeed } from './held-need.js';
-export { type CapacityOrder, OrderBook, type OrderOutcome } from './order-book.js';
+export type { CapacityOrder, OrderOutcome } from './order-book.js';
 export {
   type CapacityInput,
   planCapacity,
--- a/src/core/capacity/plan-for-loss.ts
+++ b/src/core/capacity/plan-for-loss.ts
@@ -69,9 +69,9 @@
   const room = (now: ZoneSupply) =>
     limits.max - (kept.get(now.zone) ?? 0) - roomForSpot(now, spot.get(now.zone) ?? 0);
   const extra = dealToCheapest(Math.max(0, neededInAll - covered), sharesOf(input, zones, room));
-  const least = new Map(
-    zones.map(({ zone }) => [zone, (kept.get(zone) ?? 0) + (extra.get(zone) ?? 0)]),
-  );
+  const leastOf = ({ zone }: ZoneSupply) =>
+    Math.max((kept.get(zone) ?? 0) + (extra.get(zone) ?? 0), limits.min - (spot.get(zone) ?? 0));
+  const least = new Map(zones.map((now) => [now.zone, leastOf(now)]));
   const plain = plainTargets(input, least);
   const targets = zones.map(({ zone }) => ({
     zone,
@@ -108,7 +108,10 @@
   return dealEvenly(Math.min(count, wantedInAll), shares);
 }
 
-/** Evenly over the zones that have spot servers; the others are asked for the share that they would have. */
+/**
+ * Evenly over the zones that have spot servers, after the least that a zone may have; the others are asked for the
+ * share that they would have.
+ */
 function spotTargets(
   input: LossPlanInput,
   total: number,
@@ -116,10 +119,15 @@
 ): ReadonlyMap<string, number> {
   const { limits, zones } = input;
   const room = ({ zone, plain }: ZoneSupply) => limits.max - Math.max(plain, kept.get(zone) ?? 0);
-  const asked = dealEvenly(total, sharesOf(input, zones, room));
+  const sharesOfLeast = (some: readonly ZoneSupply[]) =>
+    sharesOf(input, some, room).map((share) => {
+      const least = Math.max(0, limits.min - (kept.get(share.zone) ?? 0));
+      return { ...share, count: Math.min(share.most, least) };
+    });
+  const asked = dealEvenly(total, sharesOfLeast(zones));
   const open = zones.filter(({ hasSpot }) => hasSpot);
   const leftElsewhere = zones.reduce((sum, { hasSpot, spot }) => sum + (hasSpot ? 0 : spot), 0);
-  const taken = dealEvenly(Math.max(0, total - leftElsewhere), sharesOf(input, open, room));
+  const taken = dealEvenly(total - leftElsewhere, sharesOfLeast(open));
   return new Map([...asked, ...taken]);
 }
 
@@ -184,7 +192,8 @@
   shares: Share[],
   order: (one: Share, other: Share) => number,
 ): ReadonlyMap<string, number> {
-  for (let left = total; left > 0; left -= 1) {
+  const dealt = shares.reduce((sum, { count }) => sum + count, 0);
+  for (let left = total - dealt; left > 0; left -= 1) {
     const next = shares.filter(({ count, most }) => count < most).toSorted(order)[0];
     if (next === undefined) break;
     next.count += 1;
--- a/test/capacity/support/spot-platform.ts
+++ b/test/capacity/support/spot-platform.ts
@@ -10,10 +10,10 @@
 
 export const BOOT_MS = 4_000;
 export const LEASE_MS = 3_000;
-export const SERVICE = 'reader';
+const SERVICE = 'reader';
 const LOOK_MS = 200;
 const STEP_MS = 50;
-export const PRICES = new Map([
+const PRICES = new Map([
   ['a', 1],
   ['b', 0.8],
   ['c', 1.25],
