--- a/src/core/capacity/index.ts
+++ b/src/core/capacity/index.ts
@@ -4,8 +4,7 @@
   CapacityDuty,
   type CapacityRecord,
 } from './capacity-duty.js';
-export { HeldNeed } from './held-need.js';
-export { type CapacityOrder, OrderBook, type OrderOutcome } from './order-book.js';
+export type { CapacityOrder, OrderOutcome } from './order-book.js';
 export {
   type CapacityInput,
   planCapacity,
@@ -17,6 +16,6 @@
   planForLoss,
   type ZoneSupply,
 } from './plan-for-loss.js';
-export { type CapacityBelief, comingOf, type ScaledService } from './scaled-service.js';
+export type { CapacityBelief, ScaledService } from './scaled-service.js';
 export { ServerListSettling } from './server-list-settling.js';
 export { SpotSupply } from './spot-supply.js';
--- a/src/core/capacity/loss-bearing-planner.ts
+++ b/src/core/capacity/loss-bearing-planner.ts
@@ -3,7 +3,7 @@
  * of the newest while, which zones have spot servers to give, and what is on its way.
  */
 import { HeldNeed } from './held-need.js';
-import type { CapacityOrder, OrderBook, OrderOutcome } from './order-book.js';
+import type { CapacityKind, CapacityOrder, OrderBook, OrderOutcome } from './order-book.js';
 import { planForLoss, type ZoneSupply } from './plan-for-loss.js';
 import type { ScaledService, ServicePlan } from './scaled-service.js';
 import { SpotSupply } from './spot-supply.js';
@@ -14,11 +14,17 @@
  */
 const LOWER_BOOTS = 5;
 
+interface ServiceNeed {
+  readonly held: HeldNeed;
+  /** Whether any work was seen. */
+  readonly hasBegun: boolean;
+}
+
 /** Plans for the services of one duty. */
 export class LossBearingPlanner {
   readonly #book: OrderBook;
   readonly #supply = new SpotSupply();
-  readonly #needs = new Map<string, HeldNeed>();
+  readonly #needs = new Map<string, ServiceNeed>();
   /** Since when a zone has more spot servers than it is to have. */
   readonly #surplusSinceMs = new Map<string, number>();
 
@@ -31,7 +37,7 @@
     const { service, limits } = scaled;
     const lost = this.#seeLosses(scaled, nowMs);
     const zones = this.#suppliesOf(scaled, nowMs);
-    const needed = this.#needOf(service).take(scaled.neededWithRoom, limits.bootMs, nowMs);
+    const needed = this.#neededNow(scaled, givenPerZone, nowMs);
     const { targets, wantedInAll } = planForLoss({
       limits,
       zones,
@@ -45,7 +51,6 @@
       present: presentOf(scaled),
       coming: zones.reduce((sum, { coming }) => sum + coming, 0),
       zonesWithoutSpot: zones.filter(({ hasSpot }) => !hasSpot).map(({ zone }) => zone),
-      hasSpot: zones.some(({ hasSpot }) => hasSpot),
       lost,
     };
     return { scaled, targets, belief };
@@ -57,7 +62,9 @@
     const key = keyOf(order.service, order.zone);
     const isLower = order.servers < present;
     if (!isLower) this.#surplusSinceMs.delete(key);
-    if (!this.#supply.hasSpot(key)) return !isLower && nowMs >= this.#book.againAtMs(order);
+    if (!this.#hasSpot(order, present, nowMs)) {
+      return !isLower && nowMs >= this.#book.againAtMs(order);
+    }
     if (!isLower) return true;
     const sinceMs = this.#surplusSinceMs.get(key) ?? nowMs;
     this.#surplusSinceMs.set(key, sinceMs);
@@ -91,16 +98,28 @@
       const coming =
         this.#book.comingOf({ service, zone, isSpot: false }, plain, nowMs) +
         this.#book.comingOf({ service, zone, isSpot: true }, spot, nowMs);
-      return { ...now, coming, hasSpot: this.#supply.hasSpot(keyOf(service, zone)) };
+      return {
+        ...now,
+        coming,
+        hasSpot: this.#hasSpot({ service, zone, isSpot: true }, spot, nowMs),
+      };
     });
   }
 
-  #needOf(service: string): HeldNeed {
-    const known = this.#needs.get(service);
-    if (known !== undefined) return known;
-    const created = new HeldNeed();
-    this.#needs.set(service, created);
-    return created;
+  /** A zone that has refused more than it has already is asked no more for those: it may have some after a while. */
+  #hasSpot(kind: CapacityKind, present: number, nowMs: number): boolean {
+    const isOpen = this.#supply.hasSpot(keyOf(kind.service, kind.zone));
+    return isOpen || (present > 0 && nowMs >= this.#book.againAtMs(kind));
+  }
+
+  /** Before any work was seen, whoever gave the servers is taken to have given what the work needs. */
+  #neededNow(scaled: ScaledService, givenPerZone: number, nowMs: number): number {
+    const { service, limits, zones, neededWithRoom } = scaled;
+    const known = this.#needs.get(service) ?? { held: new HeldNeed(), hasBegun: false };
+    const hasBegun = known.hasBegun || neededWithRoom > 0;
+    this.#needs.set(service, { ...known, hasBegun });
+    const servers = hasBegun ? neededWithRoom : givenPerZone * zones.length;
+    return known.held.take(servers, limits.bootMs, nowMs);
   }
 }
 
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -8,11 +8,8 @@
  * zones as there are; and when none of them can be reached, several that read are ordered over at once,
  * whatever the work is. Reading needs no such care: engines that generate read as well.
  *
- * After a loss the split is planned from the engines that are left and those that are coming: one that changes its
- * stage is away for as long as another takes to boot, when every engine counts.
- *
- * Long prompts are read one after another, each late when it waits for one other, so a stage that reads
- * is full early; an engine that generates shares its steps among many runs and may be busier.
+ * While many engines are coming, after a loss, none is ordered over: it would be away for as long as those take to
+ * boot, when every engine counts, and what they will do is part of the split. Those that leave are not in it.
  */
 import type { EngineStage, ServerRecord } from './server-directory.js';
 
@@ -24,6 +21,8 @@
 const RELIEF_SHARE = 0.85;
 /** Of many engines this part is ordered at once; half of what is wanted, as the demand may turn. */
 const MOST_AWAY_SHARE = 0.1;
+/** From this part of the engines that are there, those that are coming are waited for. */
+const MANY_COMING_SHARE = 0.1;
 /** The loss of one engine is to leave one of its stage, where there are this many in all. */
 const ENGINES_FOR_SPARES = 4;
 const ENGINES_WITH_SPARE = 2;
@@ -44,7 +43,7 @@
 export interface StagePlanInput {
   readonly engines: readonly ServerRecord[];
   readonly need: StageNeed;
-  /** Engines under order or booting: they are there before an engine that changes its stage is back. */
+  /** Engines under order or booting. */
   readonly comingEngines: number;
   /** What an engine has under way; the one with least is moved. */
   busyOf(engineId: string): number;
@@ -63,12 +62,11 @@
 /** The next changes; none when the split is good enough. */
 export function planStageChanges(input: StagePlanInput): readonly StageChange[] {
   const { engines, need, comingEngines } = input;
-  if (need.requests < LEAST_REQUESTS || engines.length < 3) return [];
-  const total = engines.length + comingEngines;
-  const reading = engines.filter((engine) => engine.stage === 'prefill').length;
-  // Those that come are taken to have the mix, and the paces, of those that are there.
-  const currentPrefill = Math.round((reading * total) / engines.length);
-  const fullestWith = fullnessOf(input, currentPrefill);
+  const total = engines.length;
+  if (need.requests < LEAST_REQUESTS || total < 3) return [];
+  if (comingEngines >= MANY_COMING_SHARE * total) return [];
+  const currentPrefill = engines.filter((engine) => engine.stage === 'prefill').length;
+  const fullestWith = fullnessOf(input);
   const wantedPrefill = bestPrefillCount(total, fullestWith);
   const current = fullestWith(currentPrefill);
   if (wantedPrefill === currentPrefill || current < 1) return [];
@@ -159,19 +157,15 @@
  * How full the fuller stage would be with so many engines that read; above 1 its work queues. Engines that
  * change their stage are taken to be of the mean pace of the stage that they come from.
  */
-function fullnessOf(
-  { engines, need, comingEngines, paceOf }: StagePlanInput,
-  currentPrefill: number,
-): (prefillCount: number) => number {
-  const growth = 1 + comingEngines / engines.length;
+function fullnessOf({ engines, need, paceOf }: StagePlanInput): (prefillCount: number) => number {
   const pacesOf = (stage: EngineStage) =>
     engines.filter((engine) => engine.stage === stage).map(({ id }) => paceOf?.(id) ?? 1);
   const [reading, others] = [pacesOf('prefill'), pacesOf('decode')];
   return (prefillCount) => {
-    const moved = prefillCount - currentPrefill;
+    const moved = prefillCount - reading.length;
     const movedPace = moved * meanOf(moved > 0 ? others : reading);
-    const prefill = need.prefillEngines / Math.max(1, growth * sumOf(reading) + movedPace);
-    const decode = need.decodeEngines / Math.max(1, growth * sumOf(others) - movedPace);
+    const prefill = need.prefillEngines / Math.max(1, sumOf(reading) + movedPace);
+    const decode = need.decodeEngines / Math.max(1, sumOf(others) - movedPace);
     return Math.max(prefill / FULL_SHARE.prefill, decode / FULL_SHARE.decode);
   };
 }
--- a/test/capacity/bearing-loss.test.ts
+++ b/test/capacity/bearing-loss.test.ts
@@ -105,6 +105,14 @@
   assert.ok(platform.ready >= GIVEN - 1, `${platform.ready}`);
 });
 
+test('zones that had no more to give are asked again for what is lacking elsewhere', () => {
+  const { platform, daemons } = settledFleet();
+  platform.takeAway('c', 30 * DRY_MS);
+  for (const zone of ['a', 'b']) platform.dryUntilMs.set(zone, platform.nowMs + BOOT_MS);
+  play(platform, daemons, 6 * BOOT_MS);
+  assert.ok(platform.ready >= GIVEN, `${platform.ready}`);
+});
+
 test('servers that came in place of lost ones go when the zone has its own again, not at once', () => {
   const { platform, daemons } = settledFleet();
   platform.takeAway('c', DRY_MS);
@@ -159,6 +167,18 @@
   assert.equal(platform.ready, GIVEN);
 });
 
+test('before any work was seen, those that were given are taken to be needed; later the work decides', () => {
+  const { platform, daemons } = settledFleet(0);
+  assert.equal(platform.ready, 1.5 * GIVEN);
+  assert.equal(platform.countOf('plain'), 2);
+  platform.neededWithRoom = 20;
+  play(platform, daemons, 20 * BOOT_MS);
+  assert.equal(platform.ready, GIVEN);
+  platform.neededWithRoom = 0;
+  play(platform, daemons, 20 * BOOT_MS);
+  assert.equal(platform.ready, GIVEN, 'also when there is none for a while');
+});
+
 test('demand beyond belief is not followed', () => {
   const { platform, daemons } = settledFleet();
   platform.neededWithRoom = 1_000;
