--- a/src/core/gateway/engine-paces.ts
+++ b/src/core/gateway/engine-paces.ts
@@ -9,22 +9,10 @@
  * The line and the paces are learnt from the same reads, each by means of the other. So the usual pace is the mean of
  * all engines that were seen, whatever they are: without that, both could drift away together.
  */
-import { homePace } from './home.js';
 import { isPossibleLine, LineSamples, type LineSums } from './line-samples.js';
+import { bounded, PaceSamples, type SeenPace, WeightedMean } from './pace-samples.js';
 import type { ReadSpeed } from './read-speed.js';
 
-/** What is left of a sample's weight with each newer one: machines are shared, and what they give changes. */
-const SAMPLE_DECAY = 0.95;
-/** A sample of this weight says as much as the belief that an engine is as the others. */
-const PRIOR_WEIGHT = 0.5;
-/** An engine that is believed to be slow is sent little: what was seen of it long ago must not keep it so. */
-const HALF_LIFE_MS = 30_000;
-/** Beyond this a figure is nonsense, not a pace. */
-const MOST_LOG_PACE = Math.log(8);
-/** Logarithms below this are chance, however many samples there are: the reads of one engine differ by more. */
-const CHANCE_LOG_PACE = 0.07;
-/** By chance alone one sample, or a mean of so many, is off by so much more. */
-const CHANCE_LOG_OF_SAMPLE = 0.3;
 /**
  * Reads that take longer than the engine's pace says may include a wait that nobody knew of, or a moment in which it was
  * slow: busy engines have more of these, and are not slower for it.
@@ -52,13 +40,6 @@
   readonly waitMs: number;
 }
 
-/** What was seen of a pace. */
-export interface SeenPace {
-  /** Mean logarithm of the pace. */
-  readonly logPace: number;
-  readonly weight: number;
-}
-
 /** What was seen of one engine's pace. */
 export interface PaceSums extends SeenPace {
   readonly engineId: string;
@@ -153,7 +134,9 @@
   /** What has not been told yet; undefined for nothing. */
   untold(service: string, mostEngines: number): ServicePaceSums | undefined {
     const line = this.#untoldLine.weight > 0 ? this.#untoldLine.sums : undefined;
-    const engines = [...this.#untold].slice(0, mostEngines).map(([id, seen]) => seen.sums(id));
+    const engines = [...this.#untold]
+      .slice(0, mostEngines)
+      .map(([id, seen]) => ({ engineId: id, ...seen.sums }));
     if (line === undefined && engines.length === 0) return undefined;
     return { service, line, engines };
   }
@@ -168,7 +151,8 @@
   known(service: string, nowMs: number): ServicePaceSums {
     const { line } = this.#speed;
     const engines = [...this.#byEngine].map(([id, samples]) => ({
-      ...samples.sums(id),
+      engineId: id,
+      logPace: samples.logPace,
       weight: samples.weightAt(nowMs),
     }));
     return { service, line: line.weight > 0 ? line : undefined, engines };
@@ -255,7 +239,7 @@
 /** Whether what was told of an engine can be true. */
 export function isUsablePace({ logPace, weight }: PaceSums): boolean {
   const isWeight = weight > 0 && weight <= MOST_WEIGHT;
-  return isWeight && Math.abs(logPace) <= MOST_LOG_PACE;
+  return isWeight && bounded(logPace) === logPace;
 }
 
 /** The read itself: the engines that have most to do are those whose reads wait, and are not slower for it. */
@@ -263,97 +247,6 @@
   return elapsedMs - Math.min(waitMs, MOST_WAIT_SHARE * elapsedMs);
 }
 
-/** The mean of the engines' logarithms, by what was seen of each. */
-class WeightedMean {
-  #weight = 0;
-  #logSum = 0;
-
-  /** 0 while there is none. */
-  get value(): number {
-    return this.#weight > 0 ? this.#logSum / this.#weight : 0;
-  }
-
-  add({ weight, logPace }: SeenPace): void {
-    this.#weight += weight;
-    this.#logSum += weight * logPace;
-  }
-
-  remove({ weight, logPace }: SeenPace): void {
-    this.#weight -= weight;
-    this.#logSum -= weight * logPace;
-  }
-
-  clear(): void {
-    this.#weight = 0;
-    this.#logSum = 0;
-  }
-}
-
-/** Samples of one engine, older ones fading. */
-class PaceSamples implements SeenPace {
-  #weight = 0;
-  #logSum = 0;
-  #atMs = 0;
-  /** As they are used, worked out when something is learnt. */
-  pace = 1;
-  homePace = 1;
-
-  get logPace(): number {
-    return this.#weight > 0 ? this.#logSum / this.#weight : 0;
-  }
-
-  get weight(): number {
-    return this.#weight;
-  }
-
-  weightAt(nowMs: number): number {
-    return this.#weight * 0.5 ** (Math.max(0, nowMs - this.#atMs) / HALF_LIFE_MS);
-  }
-
-  add({ logPace, weight }: SeenPace, nowMs: number): void {
-    this.fadeTo(nowMs);
-    const left = SAMPLE_DECAY ** weight;
-    this.#logSum = this.#logSum * left + weight * logPace;
-    this.#weight = this.#weight * left + weight;
-  }
-
-  replace({ logPace, weight }: SeenPace, nowMs: number): void {
-    this.#weight = weight;
-    this.#logSum = logPace * weight;
-    this.#atMs = nowMs;
-  }
-
-  fadeTo(nowMs: number): void {
-    const weight = this.weightAt(nowMs);
-    if (this.#weight > 0) this.#logSum *= weight / this.#weight;
-    this.#weight = weight;
-    this.#atMs = Math.max(this.#atMs, nowMs);
-  }
-
-  /** Works the pace out against the mean of all engines. */
-  settle(meanLog: number): void {
-    const share = this.#weight / (this.#weight + PRIOR_WEIGHT);
-    const chance = CHANCE_LOG_PACE + CHANCE_LOG_OF_SAMPLE / (this.#weight + PRIOR_WEIGHT);
-    this.pace = Math.exp(bounded(withoutChance(share * (this.logPace - meanLog), chance)));
-    this.homePace = homePace(this.pace, this.homePace);
-  }
-
-  sums(engineId: string): PaceSums {
-    return { engineId, logPace: this.logPace, weight: this.#weight };
-  }
-}
-
-/** None up to what chance makes, and all of it from twice that on, without a jump between. */
-function withoutChance(logPace: number, chance: number): number {
-  const size = Math.abs(logPace);
-  if (size >= 2 * chance) return logPace;
-  return Math.sign(logPace) * Math.max(0, 2 * (size - chance));
-}
-
-function bounded(logPace: number): number {
-  return Math.min(MOST_LOG_PACE, Math.max(-MOST_LOG_PACE, logPace));
-}
-
 function isMore(toldWeight: number, ownWeight: number): boolean {
   return toldWeight >= LEAST_KNOWN_SHARE * ownWeight;
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -41,13 +41,7 @@
 } from './digest-schedule.js';
 export { type DoorInput, type DoorRefusal, refusalAtDoor } from './door.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
-export {
-  EnginePaces,
-  isUsableLine,
-  isUsablePace,
-  type PaceSums,
-  type ServicePaceSums,
-} from './engine-paces.js';
+export { EnginePaces, type PaceSums, type ServicePaceSums } from './engine-paces.js';
 export {
   explainRequest,
   type LogLine,
--- a/test/gateway/engine-paces.test.ts
+++ b/test/gateway/engine-paces.test.ts
@@ -18,6 +18,7 @@
   type ServicePaceSums,
 } from '../../src/core/gateway/index.js';
 import { rankByRendezvous } from '../../src/core/gateway/rendezvous.js';
+import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { type PlannedRead, playUnlikeEngines, randomOf } from './support/unlike-engines.js';
 
 const SPEEDS = Array.from({ length: 12 }, (_, place) => [0.7, 0.7, 1.7][place % 3] ?? 1);
@@ -390,3 +391,22 @@
     [before.prefillMs(7_000), before.decodeMs(700)],
   );
 });
+
+test('the settings switch paces off for all that a daemon decides', () => {
+  const options = { ratio: 0.2, slack: 50 };
+  for (const enginePaces of [true, false]) {
+    const fleet = new FleetView(options, undefined, { enginePaces });
+    const servers = [...USUAL, { engineId: 'e1' }].map(({ engineId }) =>
+      engine(engineId, { stage: 'decode' }),
+    );
+    fleet.directory.replaceAll(servers);
+    const fast = { engineId: 'e1', logPace: Math.log(2), weight: 16 };
+    fleet.paces.takeKnown([told([...USUAL, fast], LINE)], 0);
+    assert.equal(fleet.paceOf('e1') > 1.7, enginePaces);
+    assert.equal(fleet.paceOf('not listed'), 1);
+    const change = fleet.directory.replaceAll([]);
+    fleet.forgetRemoved(change);
+    fleet.directory.replaceAll(servers);
+    assert.equal(fleet.paceOf('e1'), 1, 'another life has its own pace');
+  }
+});
