--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -40,13 +40,7 @@
   type TableProgress,
 } from './digest-schedule.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
-export {
-  EnginePaces,
-  isUsableLine,
-  isUsablePace,
-  type PaceSums,
-  type ServicePaceSums,
-} from './engine-paces.js';
+export { EnginePaces, type PaceSums, type ServicePaceSums } from './engine-paces.js';
 export {
   explainRequest,
   type LogLine,
