Choose web servers by the work of all daemons where there are fewer slots than daemons

Cause: each daemon counted its own calls, of which 83 before 18 slots have none or one, and preferred its own zone: its server was full while others had free slots. Servers' own word on their load was read nowhere.

`WebServerLoads` expects from an old count what is left of it by now and says how uncertain that is; servers that differ by less are drawn by chance. X-Server-Load counts while it is fresh; what cannot be read is ignored, counted and said (6099).

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -94,3 +94,8 @@
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export { SumsToTell, type ToldSums } from './sums-to-tell.js';
 export { type Admission, TenantTable } from './tenants.js';
+export {
+  type LoadFigures,
+  type WebServerLoad,
+  WebServerLoads,
+} from './web-server-load.js';
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -86,6 +86,13 @@
     message: 'a server has started again under its id; nothing is kept of its life before',
     remedy: 'Nothing to do if it was meant to start again; otherwise find out why it ended.',
   },
+  toldLoadUnreadable: {
+    number: 6099,
+    level: 'warn',
+    message:
+      'a web server told a load that cannot be read; it is ignored, and so are others like it',
+    remedy: 'Correct the server that writes it; requests are served without it.',
+  },
   serverRowPassedOver: {
     number: 6098,
     level: 'warn',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -8,6 +8,7 @@
   ReadNotice,
   ServerHealth,
   ServerRecord,
+  WebServerLoad,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
@@ -19,7 +20,7 @@
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
-import type { MemorySource, RequestCodec } from './ports.js';
+import type { MemorySource, RequestCodec, ToldLoad } from './ports.js';
 
 const FIRST_SERVER_ERROR = 500;
 /** Callers that were refused come back over this part of their wait more. */
@@ -44,6 +45,12 @@
   >;
   /** To be called when a request began to run at a server, so long ago. */
   readonly noteBegan: (exchange: Exchange, agoMs: number) => void;
+  /** To be called when a call to a web server begins or ends. */
+  readonly noteWebCall: (service: string) => void;
+  /** The work expected at the web servers of a service; undefined where each daemon goes by its own calls. */
+  readonly webLoadsOf: (service: string) => ((serverId: string) => WebServerLoad) | undefined;
+  /** To be called with what servers say of their load. */
+  readonly noteToldLoad: (server: ServerRecord, load: ToldLoad) => void;
   /** Where this daemon stands. */
   readonly zone: string;
 }
@@ -132,6 +139,15 @@
   const health = context.fleet.healthOf(options.server.id);
   const startedAtMs = timers.nowMs();
   const open = health.open(startedAtMs, options.expectedMs);
+  const isWebCall = options.server.stage === undefined;
+  const noteWebCall = () => {
+    if (isWebCall) context.noteWebCall(options.server.service);
+  };
+  const close = () => {
+    health.close(open);
+    noteWebCall();
+  };
+  noteWebCall();
   const headers = context.codec.backendHeaders(withoutConnectionHeaders(request.rawHeaders), {
     serverId: options.server.id,
     deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
@@ -158,7 +174,7 @@
   });
   const elapsedMs = () => timers.nowMs() - startedAtMs;
   const failed = (failure: FailedCall): FailedCall => {
-    health.close(open);
+    close();
     if (!options.signal.aborted) {
       noteFailure(exchange, context, options, { failure, health, elapsedMs: elapsedMs() });
     }
@@ -170,6 +186,7 @@
     context.noteReach({ serverId: options.server.id, isReachable: true });
   }
   const marks = context.codec.readMarks(answer.status, answer.message.headers);
+  if (isWebCall && marks.load !== undefined) context.noteToldLoad(options.server, marks.load);
   if (marks.isNotExecuted) {
     answer.message.resume();
     return failed({ kind: 'not-executed', status: answer.status });
@@ -184,12 +201,12 @@
         failed({ kind: 'broken', reason: outcome.reason });
         break;
       case 'good':
-        health.close(open);
+        close();
         health.recordSuccess(elapsedMs());
         if (!options.prefillOnly) context.crashes.noteWhole(exchange);
         break;
       case 'server-error':
-        health.close(open);
+        close();
         health.recordServerError();
         metrics.recordAttempt('server-error');
         break;
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -28,12 +28,17 @@
   TenantTable,
   TrafficSplitter,
   type Urgency,
+  type WebServerLoad,
+  WebServerLoads,
 } from '../../core/gateway/index.js';
 import type { EngineNews } from './peer-messages.js';
 
 /** The mix of work is judged over this time. */
 export const DEMAND_SPAN_MS = 6_000;
 
+/** Crowded services have few servers; an entry takes some thirty bytes of a datagram. */
+const MOST_WEB_ENTRIES = 16;
+
 /** A configuration with its indexes. */
 export interface ConfigurationInForce {
   readonly configuration: GatewayConfiguration;
@@ -52,6 +57,7 @@
   readonly knowledge = new PrefixKnowledge();
   readonly peerLoads = new PeerLoads();
   readonly stageNotices = new StageNotices();
+  readonly webLoads = new WebServerLoads();
   readonly #budgetOptions: RetryBudgetOptions;
   readonly #health = new Map<string, ServerHealth>();
   readonly #loads = new Map<string, EngineLoad>();
@@ -102,6 +108,7 @@
       this.stageNotices.forget(id);
       this.knowledge.forget(id);
       this.peerLoads.forget(id);
+      this.webLoads.forget(id);
     }
   }
 
@@ -162,6 +169,41 @@
     return running + ownMs + this.peerLoads.waitMs(engineId, 'late', nowMs);
   }
 
+  /** Whether a service has fewer slots than there are daemons, so that each sees little of its servers' work. */
+  isCrowded(service: string): boolean {
+    const slots = this.directory.readyOf(service).reduce((sum, server) => sum + server.slots, 0);
+    return (this.#size.listed ?? 1) > slots;
+  }
+
+  /**
+   * The work expected at the web servers of a service.
+   * @param isTold whether other daemons tell of their calls there
+   */
+  webLoadsOf(service: string, isTold: boolean, nowMs: number): (serverId: string) => WebServerLoad {
+    const isCrowded = this.isCrowded(service);
+    const hearsOthers = isCrowded && isTold && this.peerLoads.hasHeard(nowMs);
+    return (id) => {
+      const { openCalls: ownCalls, responseMs } = this.healthOf(id);
+      const toldCalls = hearsOthers ? this.peerLoads.running(id, nowMs) : undefined;
+      return this.webLoads.expect(id, { ownCalls, toldCalls, responseMs, isCrowded }, nowMs);
+    };
+  }
+
+  /** This daemon's calls to web servers of crowded services, for its peers; the most first. */
+  ownWebWork(): LoadReport['work'] {
+    const work: EngineWork[] = [];
+    const crowded = new Map<string, boolean>();
+    for (const [engineId, { openCalls: running }] of this.#health) {
+      const server = running > 0 ? this.directory.get(engineId) : undefined;
+      if (server === undefined || server.stage !== undefined) continue;
+      const { service } = server;
+      const isCrowded = entryOf(crowded, service, () => this.isCrowded(service));
+      if (isCrowded) work.push({ engineId, pendingMs: 0, lateMs: 0, running });
+    }
+    const byCalls = work.sort((left, right) => right.running - left.running);
+    return byCalls.slice(0, MOST_WEB_ENTRIES);
+  }
+
   /** This daemon's work at engines, for its peers. */
   ownWork(nowMs: number): LoadReport['work'] {
     const work: EngineWork[] = [];
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -7,6 +7,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayLog } from './request-log.js';
 import type { TimerService } from './timer-service.js';
+import type { ToldLoads } from './told-loads.js';
 
 /** What gauges read. */
 export interface GaugeSources {
@@ -15,6 +16,7 @@
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
+  readonly toldLoads: Pick<ToldLoads, 'unreadableTotal'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'droppedTotal'>;
 }
@@ -33,7 +35,7 @@
 }
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
-  const { fleet, follower, callers, connections, crashes, timers, log } = sources;
+  const { fleet, follower, callers, connections, crashes, toldLoads, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -71,6 +73,11 @@
       help: 'Connections opened to backends',
       read: () => connections.openedTotal,
     },
+    {
+      name: 'server_loads_unreadable',
+      help: 'Reports of web servers on their load that could not be read, since the start',
+      read: () => toldLoads.unreadableTotal,
+    },
     {
       name: 'requests_quarantined',
       help: 'Requests that are not sent any more, as servers ended while they ran',
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -117,6 +117,8 @@
   #sequence = 0;
   #heartbeatsSent = 0;
   #cancelFlush: CancelTimer | undefined;
+  /** Whether the next message goes out within the shorter time. */
+  #isFlushNear = false;
   #cancelBeat: CancelTimer | undefined;
   #isStopped = false;
 
@@ -164,11 +166,24 @@
 
   /** Says soon what has changed. */
   noteChange(): void {
-    if (this.#cancelFlush !== undefined || this.#isStopped) return;
+    if (this.#cancelFlush !== undefined) return;
+    this.#flushAfter(this.#options.roster.isLarge ? COALESCE_FOR_RELAY_MS : COALESCE_MS);
+  }
+
+  /** Says at once that a call began or ended that takes about as long as changes are gathered for otherwise. */
+  noteShortCall(): void {
+    if (this.#isFlushNear) return;
+    this.#cancelFlush?.();
+    this.#flushAfter(COALESCE_MS);
+    this.#isFlushNear = true;
+  }
+
+  #flushAfter(gapMs: number): void {
+    if (this.#isStopped) return;
     const { timers, roster } = this.#options;
-    const gapMs = roster.isLarge ? COALESCE_FOR_RELAY_MS : COALESCE_MS;
     this.#cancelFlush = timers.after(gapMs, () => {
       this.#cancelFlush = undefined;
+      this.#isFlushNear = false;
       const news = { reads: this.#ownReads, reach: this.#ownReach };
       this.#ownReads = [];
       this.#ownReach = [];
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -7,6 +7,7 @@
 import type {
   EngineStage,
   GatewayConfiguration,
+  LoadFigures,
   RequestDescription,
   ServerRecord,
 } from '../../core/gateway/index.js';
@@ -47,8 +48,16 @@
   readonly isStamped: boolean;
   /** The server says that the request has not run there. */
   readonly isNotExecuted: boolean;
+  /** What the server says of its load; undefined where it says nothing. */
+  readonly load?: ToldLoad | undefined;
 }
 
+/** A server's own word on its load. */
+export type ToldLoad =
+  | { readonly kind: 'figures'; readonly figures: LoadFigures }
+  /** Not as servers write it; it says nothing. */
+  | { readonly kind: 'unreadable'; readonly text: string };
+
 /** A prompt that was read. */
 export interface PrefillAnswer {
   readonly handle: string;
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -109,6 +109,7 @@
       nowMs: timers.nowMs(),
       entropy: Math.random(),
       healthOf: (id) => fleet.healthOf(id),
+      loadOf: this.#context.webLoadsOf(service),
     });
     if (server === undefined) return false;
     if (isFirst) fleet.budgetOf(service).countRequest();
