--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -6,6 +6,7 @@
 import type { Operator } from './configuration.js';
 import type { DutyService } from './duty-service.js';
 import type { GatewayProcess } from './gateway-process.js';
+import type { StartedAs } from './model-server.js';
 import { pause } from './pause.js';
 import type { Fault } from './plan.js';
 import type { PlatformStore, StoreDoor } from './platform-store.js';
@@ -16,6 +17,8 @@
 const START_MS = 3_000;
 const THAW_MS = 1_000;
 const RESTART_MS = 2_500;
+/** Every so many servers that end under a request are back at once. */
+const QUICK_RESTART_EVERY = 3;
 const DRAIN_LINGER_MS = 3_000;
 const ROLLING_START_MS = 400;
 
@@ -37,6 +40,7 @@
   readonly drains: DrainNotice[] = [];
   readonly #world: SoakWorld;
   #isEnded = false;
+  #endings = 0;
 
   constructor(world: SoakWorld) {
     this.#world = world;
@@ -95,7 +99,19 @@
       case 'servers':
         return this.#spoilServers(fault);
       case 'crash':
-        await Promise.all(this.#serversAt(fault.servers).map((s) => this.#crash(s, fault.downMs)));
+        await Promise.all(
+          this.#serversAt(fault.servers).map((s) => this.#crash(s, fault.downMs, 'other')),
+        );
+        return;
+      case 'restart':
+        await Promise.all(
+          this.#serversAt(fault.servers).map((s) => this.#crash(s, fault.downMs, 'same')),
+        );
+        return;
+      case 'stray-rows':
+        this.#world.pool.listStrays();
+        await pause(fault.forMs);
+        this.#world.pool.unlistStrays();
         return;
       case 'drain':
         return this.#drain(this.#serversAt([fault.server])[0]);
@@ -205,25 +221,31 @@
     for (const server of servers) server.fault = undefined;
   }
 
-  async #crash(listed: PooledServer, downMs: number): Promise<void> {
+  async #crash(listed: PooledServer, downMs: number, startedAs: StartedAs): Promise<void> {
     const { server } = listed;
     if (!server.isUp || listed.isDraining) return;
-    const oldId = server.id;
+    const { id: oldId, bornMs } = server;
     this.#disturb('server', oldId, downMs + ENTRY_LAPSE_MS);
     server.crash();
     listed.link.refuse();
-    setTimeout(() => this.#world.pool.unlist(oldId), ENTRY_LAPSE_MS);
+    setTimeout(() => {
+      const isBack = server.isUp && server.id === oldId && server.bornMs !== bornMs;
+      if (!isBack) this.#world.pool.unlist(oldId);
+    }, ENTRY_LAPSE_MS);
     await pause(downMs);
     if (this.#isEnded) return;
     await listed.link.open();
-    await server.start();
+    await server.start(startedAs);
     this.#world.pool.list(listed);
   }
 
-  /** A server ends under a request; it is back some seconds later. */
+  /** A server ends under a request; it is back under its id, at times before anyone looks. */
   endServer(serverId: string): void {
     const listed = this.#world.pool.servers.find(({ server }) => server.id === serverId);
-    if (listed !== undefined) void this.#crash(listed, RESTART_MS);
+    if (listed === undefined) return;
+    this.#endings += 1;
+    const downMs = this.#endings % QUICK_RESTART_EVERY === 0 ? 0 : RESTART_MS;
+    void this.#crash(listed, downMs, 'same');
   }
 
   /** The server says that it leaves, serves on for a while, and comes back as another. */
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -11,13 +11,15 @@
 import { readBody } from './request-body.js';
 import { WIRE } from './wire.js';
 
-const SLOTS = 24;
 const WEB_WORK_MS = 15;
 const READ_MS = 12;
 /** An engine that generates reads at half the pace. */
 const SLOW_READ_MS = 24;
 const STAGE_SWITCH_MS = 800;
 const ORDER_DELAY_MS = 2_500;
+/** With fewer slots than this work takes longer. */
+const SHORT_OF_SLOTS = 6;
+const SPOILT_LOAD_SHARE = 0.1;
 const LONGEST_NEWS_WAIT_MS = 1_000;
 const KEEP_ALIVE_MS = 5_000;
 /** From the begin of a run that ends its server to that end. */
@@ -46,6 +48,10 @@
   readonly service: string;
   /** Undefined for a web server. */
   readonly stage: Stage | undefined;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  /** How long its work takes against the usual. */
+  readonly pace: number;
   readonly observer: ServerObserver;
   readonly random: () => number;
   /** Memory of prompts by handle, of all engines together: the request that it was read for. */
@@ -61,12 +67,22 @@
 
 let instances = 0;
 
-/** One server; a start after a crash is another instance. */
+/** Where a start is to be told from the one before. */
+export type StartedAs =
+  /** Under another id, as a server that takes the place of one that has left. */
+  | 'other'
+  /** Under the id that it had. */
+  | 'same';
+
+/** One server, through its lives. */
 export class ModelServer {
   readonly #options: ModelServerOptions;
   #server: http.Server | undefined;
   #port = 0;
   #id = '';
+  #bornMs = 0;
+  /** Prompts that it has read; they are gone with its life. */
+  readonly #ownHandles = new Set<string>();
   #stage: Stage | undefined;
   #isSwitching = false;
   #running = 0;
@@ -92,6 +108,15 @@
     return this.#stage;
   }
 
+  /** When this life began. */
+  get bornMs(): number {
+    return this.#bornMs;
+  }
+
+  get slots(): number {
+    return this.#options.slots;
+  }
+
   get isUp(): boolean {
     return this.#server !== undefined;
   }
@@ -100,9 +125,13 @@
     return this.#port;
   }
 
-  async start(): Promise<void> {
-    instances += 1;
-    this.#id = `${this.#options.service}-${instances}`;
+  async start(startedAs: StartedAs = 'other'): Promise<void> {
+    if (startedAs === 'other' || this.#id === '') {
+      instances += 1;
+      this.#id = `${this.#options.service}-${instances}`;
+    }
+    this.#bornMs = Math.max(this.#bornMs + 1, Date.now());
+    this.#orders = 0;
     this.#stage = this.#options.stage;
     this.#isSwitching = false;
     this.#highestFence = 0;
@@ -118,6 +147,8 @@
     if (this.#server !== undefined) void closeListener(this.#server);
     this.#server = undefined;
     this.#running = 0;
+    for (const handle of this.#ownHandles) this.#options.handles.delete(handle);
+    this.#ownHandles.clear();
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -155,15 +186,17 @@
     const refusal = this.#refusalOf(request, arrival);
     if (refusal !== undefined) {
       arrival.endedMs = atMs;
-      response.writeHead(refusal, { ...idOf(request), [WIRE.notExecuted]: '1' }).end();
+      const head = { ...idOf(request), ...this.#loadHeader(), [WIRE.notExecuted]: '1' };
+      response.writeHead(refusal, head).end();
       return;
     }
     arrival.isTaken = true;
     this.#running += 1;
+    const bornMs = this.#bornMs;
     const end = () => {
       if (arrival.endedMs !== undefined) return;
       arrival.endedMs = performance.now();
-      this.#running = Math.max(0, this.#running - 1);
+      if (this.#bornMs === bornMs) this.#running = Math.max(0, this.#running - 1);
     };
     response.once('close', end);
     if (arrival.step === 'prefill') this.#read(request, response, end);
@@ -179,7 +212,7 @@
     if (this.#stage !== undefined && (arrival.step === 'prefill') !== (this.#stage === 'prefill')) {
       return 421;
     }
-    if (this.#strikes('turn-away') || this.#running >= SLOTS) return 503;
+    if (this.#strikes('turn-away') || this.#running >= this.slots) return 503;
     const source = headers[WIRE.kvSource];
     if (typeof source !== 'string') return undefined;
     const handle = source.slice(source.indexOf('/') + 1);
@@ -200,9 +233,10 @@
       end();
       const kvHandle = `h${Math.floor(this.#options.random() * Number.MAX_SAFE_INTEGER)}`;
       this.#options.handles.set(kvHandle, String(request.headers[WIRE.attemptId]));
+      this.#ownHandles.add(kvHandle);
       const body = JSON.stringify({ kvHandle, tokens: 10, version: 1 });
       response.writeHead(200, idOf(request)).end(body);
-    }, READ_MS);
+    }, READ_MS * this.#options.pace);
   }
 
   #run(
@@ -213,7 +247,7 @@
   ): void {
     if (this.#strikes('lose-answer')) {
       arrival.isServersFault = true;
-      setTimeout(() => response.destroy(), WEB_WORK_MS);
+      setTimeout(() => response.destroy(), this.#webWorkMs);
       return;
     }
     this.#runs += 1;
@@ -224,7 +258,7 @@
         end();
         arrival.stamp = stamp;
         response.writeHead(500, { ...idOf(request), [WIRE.stamp]: stamp }).end('failed');
-      }, WEB_WORK_MS);
+      }, this.#webWorkMs);
       return;
     }
     if (this.#stage === undefined) this.#answerWhole(request, response, arrival, stamp, end);
@@ -234,6 +268,7 @@
   /** Begins to answer as always, and ends with all that it runs. */
   #endUnder(request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
     const ownId = this.#id;
+    const bornMs = this.#bornMs;
     if (this.#stage !== undefined) {
       const type = { 'Content-Type': 'text/event-stream' };
       response.writeHead(200, { ...idOf(request), [WIRE.stamp]: `${ownId}.ends`, ...type });
@@ -241,7 +276,7 @@
     }
     setTimeout(() => {
       // Taken back by its daemon, it ends nothing.
-      if (response.destroyed || !this.isUp || this.#id !== ownId) return;
+      if (response.destroyed || !this.isUp || this.#bornMs !== bornMs) return;
       arrival.hasEndedServer = true;
       arrival.isServersFault = true;
       this.#options.observer.ends(ownId);
@@ -262,7 +297,7 @@
       arrival.stamp = stamp;
       const body = wholeBody(String(request.headers[WIRE.attemptId]), stamp);
       const head = { ...idOf(request), [WIRE.stamp]: stamp, 'Content-Length': body.length };
-      response.writeHead(200, head);
+      response.writeHead(200, { ...head, ...this.#loadHeader() });
       if (breaksOff) {
         arrival.isServersFault = true;
         response.write(body.slice(0, Math.floor(body.length * BROKEN_SHARE)), () =>
@@ -273,7 +308,21 @@
       end();
       response.end(body);
       if (sendsTwice) sendSurplusAnswer(request, stamp);
-    }, WEB_WORK_MS);
+    }, this.#webWorkMs);
+  }
+
+  /** Work takes longest where there are few slots, so that they are short. */
+  get #webWorkMs(): number {
+    const { slots, pace } = this.#options;
+    return WEB_WORK_MS * pace * Math.max(1, SHORT_OF_SLOTS / slots);
+  }
+
+  /** What a web server says of its load; now and then nothing that can be read. */
+  #loadHeader(): Record<string, string> {
+    if (this.#stage !== undefined) return {};
+    const isSpoilt = this.#options.random() < SPOILT_LOAD_SHARE;
+    const load = `${this.#running},0,${this.slots},${Math.round(100 * this.#options.pace)}`;
+    return { [WIRE.load]: isSpoilt ? `${load},many` : load };
   }
 
   #stream(
@@ -312,7 +361,7 @@
       next += 1;
       setTimeout(sendNext, EVENT_GAP_MS);
     };
-    setTimeout(sendNext, hasMemory ? EVENT_GAP_MS : SLOW_READ_MS);
+    setTimeout(sendNext, hasMemory ? EVENT_GAP_MS : SLOW_READ_MS * this.#options.pace);
   }
 
   #report(response: ServerResponse): void {
@@ -321,6 +370,7 @@
       busy: this.#isSwitching,
       sequence: this.#orders,
       running: this.#running,
+      born: this.#bornMs,
     };
     response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(report));
   }
@@ -328,9 +378,9 @@
   #order(body: string, response: ServerResponse): void {
     const order = JSON.parse(body) as StageOrderBody;
     if (this.#strikes('delay-orders')) {
-      const ordered = this.#id;
+      const ordered = this.#bornMs;
       setTimeout(() => {
-        if (this.#id === ordered && this.isUp) this.#carryOut(order);
+        if (this.#bornMs === ordered && this.isUp) this.#carryOut(order);
       }, ORDER_DELAY_MS);
       response.destroy();
       return;
@@ -352,9 +402,9 @@
     this.#orders += 1;
     if (order.stage === this.#stage) return true;
     this.#isSwitching = true;
-    const ordered = this.#id;
+    const ordered = this.#bornMs;
     setTimeout(() => {
-      if (this.#id !== ordered || !this.isUp) return;
+      if (this.#bornMs !== ordered || !this.isUp) return;
       this.#isSwitching = false;
       this.#stage = order.stage;
       this.#options.noteStage();
@@ -363,7 +413,12 @@
   }
 
   #news(response: ServerResponse): void {
-    const answer = JSON.stringify({ epoch: this.#id, nextToken: 0, lost: false, events: [] });
+    const answer = JSON.stringify({
+      epoch: `${this.#id} ${this.#bornMs}`,
+      nextToken: 0,
+      lost: false,
+      events: [],
+    });
     const timer = setTimeout(
       () => response.writeHead(200, { 'Content-Type': 'application/json' }).end(answer),
       LONGEST_NEWS_WAIT_MS,
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -67,6 +67,10 @@
       readonly forMs: number;
     }
   | { readonly kind: 'crash'; readonly servers: readonly number[]; readonly downMs: number }
+  /** They start again under the id that they had, at once or nearly so. */
+  | { readonly kind: 'restart'; readonly servers: readonly number[]; readonly downMs: number }
+  /** Rows that no server wrote stand in the list, unreadable or of unknown kinds. */
+  | { readonly kind: 'stray-rows'; readonly forMs: number }
   | { readonly kind: 'drain'; readonly server: number }
   | {
       readonly kind: 'link';
@@ -103,14 +107,25 @@
   readonly classDraw: number;
 }
 
+/** How the servers of a run are made. */
+export interface ServerTraits {
+  /** Requests that a web server runs at once; it turns others away. */
+  readonly webSlots: number;
+  /** How long work takes at a server against the usual, by its number. */
+  readonly paces: readonly number[];
+}
+
 /** A whole run. */
 export interface SoakPlan {
   readonly seed: number;
   readonly size: SoakSize;
+  readonly servers: ServerTraits;
   readonly faults: readonly TimedFault[];
   readonly crashing: readonly CrashingWork[];
 }
 
+/** Slots of engines, and of web servers that are not short of them. */
+export const PLAIN_SLOTS = 24;
 const FIRST_FAULT_MS = 2_000;
 /** The last stretch is calm, so that the fleet has to be well again at its end. */
 const CALM_END_MS = 8_000;
@@ -121,6 +136,12 @@
 /** By then daemons are in touch again; planned work comes, so that it is seen in calm times too. */
 const PLANNED_WORK_MS = 3_500;
 const CRASHING_SALT = 0x5eed;
+const RESTARTS_SALT = 0x11fe;
+const SERVERS_SALT = 0x5107;
+const LEAST_RESTART_GAP_MS = 4_000;
+const MOST_RESTART_GAP_MS = 9_000;
+const PACES = [0.6, 1, 1, 1.5, 2.5] as const;
+const WEB_SLOTS = [2, 3, 6, 24] as const;
 const MOST_CRASHING = 2;
 const LEAST_CRASHING_GAP_MS = 80;
 const MOST_CRASHING_GAP_MS = 600;
@@ -283,7 +304,39 @@
     faults.push({ atMs: Math.round(atMs), fault: draw(dice, size) });
     atMs += dice.chance(SERIES_CHANCE) ? SERIES_GAP_MS : dice.between(SERIES_GAP_MS, MOST_GAP_MS);
   }
-  return { seed, size, faults, crashing: drawCrashing(seed, endMs) };
+  const restarts = drawRestarts(seed, size, endMs);
+  return {
+    seed,
+    size,
+    servers: drawServers(seed, size),
+    faults: [...faults, ...restarts].sort((left, right) => left.atMs - right.atMs),
+    crashing: drawCrashing(seed, endMs),
+  };
+}
+
+/** Drawn apart, so that the other faults of a seed stay the same. */
+function drawRestarts(seed: number, size: SoakSize, endMs: number): readonly TimedFault[] {
+  const dice = new Dice(seed ^ RESTARTS_SALT);
+  const restarts: TimedFault[] = [];
+  let atMs = FIRST_FAULT_MS + dice.between(0, MOST_RESTART_GAP_MS);
+  while (atMs < endMs) {
+    restarts.push({ atMs: Math.round(atMs), fault: drawRestart(dice, size) });
+    atMs += dice.between(LEAST_RESTART_GAP_MS, MOST_RESTART_GAP_MS);
+  }
+  return restarts;
+}
+
+function drawRestart(dice: Dice, { engines, webServers }: SoakSize): Fault {
+  if (dice.chance(0.25)) return { kind: 'stray-rows', forMs: dice.between(500, 4_000) };
+  const servers = dice.some(engines + webServers, dice.between(0.05, 0.3));
+  return { kind: 'restart', servers, downMs: dice.pick([0, 30, 300, 5_000]) };
+}
+
+/** Drawn apart as well. */
+function drawServers(seed: number, { engines, webServers }: SoakSize): ServerTraits {
+  const dice = new Dice(seed ^ SERVERS_SALT);
+  const paces = Array.from({ length: engines + webServers }, () => dice.pick(PACES));
+  return { webSlots: dice.pick(WEB_SLOTS), paces };
 }
 
 /** Drawn apart, so that the faults of a seed stay the same. */
@@ -315,5 +368,6 @@
     { atMs: killMs, fault: { kind: 'kill', daemons: everyDaemon, downMs: 300 } },
     { atMs: killMs + 5_000, fault: { kind: 'kill', daemons: everyDaemon, downMs: 300 } },
   ];
-  return { seed, size, faults, crashing: [] };
+  const servers = { webSlots: PLAIN_SLOTS, paces: [] };
+  return { seed, size, servers, faults, crashing: [] };
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -94,6 +94,7 @@
     this.#operator = new Operator(this.#store);
     this.#pool = new ServerPool({
       ...plan.size,
+      traits: plan.servers,
       store: this.#store,
       random,
       observer: {
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -3,15 +3,33 @@
 import { MODEL, WEB_SERVICES } from './configuration.js';
 import { LinkProxy } from './link-proxy.js';
 import { ModelServer, type ServerObserver, type Stage } from './model-server.js';
+import { PLAIN_SLOTS, type ServerTraits } from './plan.js';
 import type { PlatformStore } from './platform-store.js';
 
 export const ZONES = ['a', 'b', 'c'] as const;
-const SLOTS = 24;
 /** Every third engine reads prompts for the others. */
 const ENGINES_PER_READER = 3;
 /** Entries of a server that crashed go after three missed heartbeats. */
 export const ENTRY_LAPSE_MS = 3_600;
 
+const STRAY = { service: MODEL, address: '127.0.0.1:9', zone: 'a', slots: 24, state: 'ready' };
+const STRAY_ROWS: readonly unknown[] = [
+  null,
+  [],
+  'a server',
+  { ...STRAY, state: 'sleeping', stage: 'decode' },
+  { ...STRAY, stage: 'rest' },
+  { ...STRAY, slots: 'many', stage: 'decode' },
+  { ...STRAY, address: undefined, stage: 'decode' },
+  { ...STRAY, born: 'yesterday', stage: 'decode' },
+  { ...STRAY, service: 'nobody', stage: 'decode' },
+];
+
+/** Between the ids of servers. */
+function strayKey(index: number): string {
+  return `${MODEL}-1-stray-${index}`;
+}
+
 /** A server, its link and its entry. */
 export interface PooledServer {
   readonly server: ModelServer;
@@ -24,6 +42,7 @@
 export interface ServerPoolOptions {
   readonly engines: number;
   readonly webServers: number;
+  readonly traits: ServerTraits;
   readonly store: PlatformStore;
   readonly random: () => number;
   readonly observer: ServerObserver;
@@ -64,13 +83,25 @@
       service: server.service,
       address: link.address,
       zone,
-      slots: SLOTS,
+      slots: server.slots,
       state: isDraining ? 'draining' : 'ready',
       sequence: 1,
+      born: server.bornMs,
       ...(server.stage === undefined ? {} : { stage: server.stage }),
     });
   }
 
+  /** Rows of another writer: what no server says, beside one that would be a server of an unknown service. */
+  listStrays(): void {
+    for (const [index, value] of STRAY_ROWS.entries()) {
+      this.#options.store.put(TABLES.servers, strayKey(index), value);
+    }
+  }
+
+  unlistStrays(): void {
+    for (const index of STRAY_ROWS.keys()) this.unlist(strayKey(index));
+  }
+
   unlist(serverId: string): void {
     this.#options.store.remove(TABLES.servers, serverId);
   }
@@ -80,9 +111,12 @@
     stage: Stage | undefined,
     handles: Map<string, string>,
   ): Promise<void> {
-    const { random, observer } = this.#options;
+    const { random, observer, traits } = this.#options;
     const noteStage = () => this.list(pooled);
-    const server = new ModelServer({ service, stage, handles, random, observer, noteStage });
+    const pace = traits.paces[this.servers.length] ?? 1;
+    const slots = stage === undefined ? traits.webSlots : PLAIN_SLOTS;
+    const made = { service, stage, slots, pace };
+    const server = new ModelServer({ ...made, handles, random, observer, noteStage });
     const link = new LinkProxy(() => server.port);
     const zone = ZONES[this.servers.length % ZONES.length] ?? ZONES[0];
     const pooled: PooledServer = { server, link, zone, isDraining: false };
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -7,6 +7,7 @@
   tokenCount: HEADERS.tokenCount,
   stamp: HEADERS.responseStamp,
   notExecuted: HEADERS.notExecuted,
+  load: HEADERS.serverLoad,
   expectInstance: SENT_HEADERS.expectInstance.toLowerCase(),
   stage: SENT_HEADERS.stage.toLowerCase(),
   kvSource: SENT_HEADERS.kvSource.toLowerCase(),
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -18,6 +18,8 @@
   'entries-lapse',
   'servers',
   'crash',
+  'restart',
+  'stray-rows',
   'drain',
   'link',
   'change',
@@ -52,3 +54,11 @@
     for (const { fromMs, gapMs } of crashing) assert.ok(fromMs < 52_000 && gapMs > 0);
   }
 });
+
+test('servers are uneven and web servers short of slots over some seeds, drawn apart from the faults', () => {
+  const traits = Array.from({ length: 12 }, (_, seed) => planSoak(seed, SIZE).servers);
+  assert.ok(traits.some(({ webSlots }) => webSlots <= 3));
+  assert.ok(traits.some(({ webSlots }) => webSlots >= 24));
+  for (const { paces } of traits) assert.equal(paces.length, SIZE.engines + SIZE.webServers);
+  assert.ok(new Set(traits.flatMap(({ paces }) => paces)).size > 2);
+});
