--- a/src/core/gateway/choose-web-server.ts
+++ b/src/core/gateway/choose-web-server.ts
@@ -66,7 +66,9 @@
   entropy: number,
 ): ServerRecord | undefined {
   const lowest = Math.min(...options.map(({ cost }) => cost));
-  const weights = options.map(({ cost }) => Math.exp((lowest - cost) / spread));
+  // What is compared is a difference of two costs, each of which may be wrong by itself.
+  const differenceSpread = Math.SQRT2 * spread;
+  const weights = options.map(({ cost }) => Math.exp((lowest - cost) / differenceSpread));
   let left = entropy * weights.reduce((sum, weight) => sum + weight, 0);
   for (const [index, option] of options.entries()) {
     left -= weights[index] ?? 0;
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -8,7 +8,6 @@
   ReadNotice,
   ServerHealth,
   ServerRecord,
-  WebServerLoad,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
@@ -20,7 +19,8 @@
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
-import type { MemorySource, RequestCodec, ToldLoad } from './ports.js';
+import type { MemorySource, RequestCodec } from './ports.js';
+import type { WebWork } from './web-work.js';
 
 const FIRST_SERVER_ERROR = 500;
 /** Callers that were refused come back over this part of their wait more. */
@@ -45,12 +45,8 @@
   >;
   /** To be called when a request began to run at a server, so long ago. */
   readonly noteBegan: (exchange: Exchange, agoMs: number) => void;
-  /** To be called when a call to a web server begins or ends. */
-  readonly noteWebCall: (service: string) => void;
-  /** The work expected at the web servers of a service; undefined where each daemon goes by its own calls. */
-  readonly webLoadsOf: (service: string) => ((serverId: string) => WebServerLoad) | undefined;
-  /** To be called with what servers say of their load. */
-  readonly noteToldLoad: (server: ServerRecord, load: ToldLoad) => void;
+  /** Calls to web servers, and what they say of their load. */
+  readonly webWork: Pick<WebWork, 'noteCall' | 'loadsOf' | 'takeLoad'>;
   /** Where this daemon stands. */
   readonly zone: string;
 }
@@ -141,7 +137,7 @@
   const open = health.open(startedAtMs, options.expectedMs);
   const isWebCall = options.server.stage === undefined;
   const noteWebCall = () => {
-    if (isWebCall) context.noteWebCall(options.server.service);
+    if (isWebCall) context.webWork.noteCall(options.server.service);
   };
   const close = () => {
     health.close(open);
@@ -186,7 +182,7 @@
     context.noteReach({ serverId: options.server.id, isReachable: true });
   }
   const marks = context.codec.readMarks(answer.status, answer.message.headers);
-  if (isWebCall && marks.load !== undefined) context.noteToldLoad(options.server, marks.load);
+  if (isWebCall && marks.load !== undefined) context.webWork.takeLoad(options.server, marks.load);
   if (marks.isNotExecuted) {
     answer.message.resume();
     return failed({ kind: 'not-executed', status: answer.status });
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -7,7 +7,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewayLog } from './request-log.js';
 import type { TimerService } from './timer-service.js';
-import type { ToldLoads } from './told-loads.js';
+import type { WebWork } from './web-work.js';
 
 /** What gauges read. */
 export interface GaugeSources {
@@ -16,7 +16,7 @@
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
-  readonly toldLoads: Pick<ToldLoads, 'unreadableTotal'>;
+  readonly webWork: Pick<WebWork, 'unreadableTotal'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'droppedTotal'>;
 }
@@ -35,7 +35,7 @@
 }
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
-  const { fleet, follower, callers, connections, crashes, toldLoads, timers, log } = sources;
+  const { fleet, follower, callers, connections, crashes, webWork, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -76,7 +76,7 @@
     {
       name: 'server_loads_unreadable',
       help: 'Reports of web servers on their load that could not be read, since the start',
-      read: () => toldLoads.unreadableTotal,
+      read: () => webWork.unreadableTotal,
     },
     {
       name: 'requests_quarantined',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,12 +4,7 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
-import {
-  type LoadReport,
-  PeerRoster,
-  type ReachNotice,
-  type WebServerLoad,
-} from '../../core/gateway/index.js';
+import { PeerRoster, type ReachNotice } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { AttemptContext } from './attempt.js';
 import { BackendConnections } from './backend-connections.js';
@@ -38,7 +33,7 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
-import { ToldLoads } from './told-loads.js';
+import { WebWork } from './web-work.js';
 
 /**
  * A change is told at once by a call that is held. A call that a cut has swallowed has to be over
@@ -103,6 +98,7 @@
   readonly #duties: Duties;
   readonly #suspensionAware: TimerService;
   readonly #crashes: CrashGuard;
+  readonly #webWork: WebWork;
   #watchShare = WATCH_SHARE_OF_CONTACT;
   #isRelay = false;
   #isStopping = false;
@@ -128,7 +124,15 @@
     this.#connections = new BackendConnections(timers);
     const incarnation = randomInt(INCARNATIONS);
     this.#crashes = this.#createCrashGuard(incarnation);
-    const toldLoads = new ToldLoads({ fleet: this.#fleet, timers, log });
+    const webWork = new WebWork({
+      isEnabled: settings.decisions.webServerLoad,
+      fleet: this.#fleet,
+      roster: this.#roster,
+      peers: () => this.#peers,
+      timers,
+      log,
+    });
+    this.#webWork = webWork;
     const context: AttemptContext = {
       fleet: this.#fleet,
       connections: this.#connections,
@@ -138,9 +142,7 @@
       noteRead: (read) => this.#peers?.noteRead(read),
       noteReach: (reach) => this.#peers?.noteReach(reach),
       crashes: this.#crashes,
-      noteWebCall: (service) => this.#noteWebCall(service),
-      webLoadsOf: (service) => this.#webLoadsOf(service),
-      noteToldLoad: (server, load) => toldLoads.take(server, load),
+      webWork,
       noteBegan: ({ options: { tenant } }, agoMs) => this.#duties.noteBegan(tenant, agoMs),
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
@@ -189,7 +191,7 @@
       callers: this.#callers,
       connections: this.#connections,
       crashes: this.#crashes,
-      toldLoads,
+      webWork,
       timers,
       log,
     });
@@ -336,32 +338,12 @@
       takeNews: (news) => this.#fleet.takeNews(news, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       timers,
-      ownWork: () => this.#ownWork(),
+      ownWork: () => [...this.#fleet.ownWork(timers.nowMs()), ...this.#webWork.own()],
       ownDemand: () => this.#fleet.ownDemand(timers.nowMs()),
       noteDaemonCount: (daemons) => this.#noteDaemonCount(daemons),
     });
   }
 
-  /** Small fleets see enough of their own calls, and each of their daemons would tell all others. */
-  get #tellsWebWork(): boolean {
-    return this.#options.settings.decisions.webServerLoad && this.#roster.isLarge;
-  }
-
-  #ownWork(): LoadReport['work'] {
-    const work = this.#fleet.ownWork(this.#options.timers.nowMs());
-    return this.#tellsWebWork ? [...work, ...this.#fleet.ownWebWork()] : work;
-  }
-
-  #noteWebCall(service: string): void {
-    if (this.#tellsWebWork && this.#fleet.isCrowded(service)) this.#peers?.noteShortCall();
-  }
-
-  #webLoadsOf(service: string): ((serverId: string) => WebServerLoad) | undefined {
-    const { settings, timers } = this.#options;
-    if (!settings.decisions.webServerLoad) return undefined;
-    return this.#fleet.webLoadsOf(service, this.#tellsWebWork, timers.nowMs());
-  }
-
   #noteDaemonCount(daemons: number): void {
     const before = this.#fleet.size.listed;
     this.#fleet.setDaemonCount(daemons);
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -109,7 +109,7 @@
       nowMs: timers.nowMs(),
       entropy: Math.random(),
       healthOf: (id) => fleet.healthOf(id),
-      loadOf: this.#context.webLoadsOf(service),
+      loadOf: this.#context.webWork.loadsOf(service),
     });
     if (server === undefined) return false;
     if (isFirst) fleet.budgetOf(service).countRequest();
