--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -112,3 +112,8 @@
 export { type Admission, TenantTable } from './tenants.js';
 export { TOLD_AFTER_MS, unseenWork } from './unseen-work.js';
 export { UrgentSlack } from './urgent-slack.js';
+export {
+  type LoadFigures,
+  type WebServerLoad,
+  WebServerLoads,
+} from './web-server-load.js';
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -21,6 +21,7 @@
 import type { FleetView } from './fleet-view.js';
 import type { MemorySource, RequestCodec } from './ports.js';
 import type { RequestRoom } from './request-room.js';
+import type { WebWork } from './web-work.js';
 
 const FIRST_SERVER_ERROR = 500;
 /** Callers that were refused come back over this part of their wait more. */
@@ -49,6 +50,8 @@
   >;
   /** To be called when a request began to run at a server, so long ago. */
   readonly noteBegan: (exchange: Exchange, agoMs: number) => void;
+  /** Calls to web servers, and what they say of their load. */
+  readonly webWork: Pick<WebWork, 'noteCall' | 'loadsOf' | 'takeLoad'>;
   /** Where this daemon stands. */
   readonly zone: string;
 }
@@ -137,6 +140,15 @@
   const health = context.fleet.healthOf(options.server.id);
   const startedAtMs = timers.nowMs();
   const open = health.open(startedAtMs, options.expectedMs);
+  const isWebCall = options.server.stage === undefined;
+  const noteWebCall = () => {
+    if (isWebCall) context.webWork.noteCall(options.server.service);
+  };
+  const close = () => {
+    health.close(open);
+    noteWebCall();
+  };
+  noteWebCall();
   const headers = context.codec.backendHeaders(withoutConnectionHeaders(request.rawHeaders), {
     serverId: options.server.id,
     deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
@@ -163,7 +175,7 @@
   });
   const elapsedMs = () => timers.nowMs() - startedAtMs;
   const failed = (failure: FailedCall): FailedCall => {
-    health.close(open);
+    close();
     if (!options.signal.aborted) {
       noteFailure(exchange, context, options, { failure, health, elapsedMs: elapsedMs() });
     }
@@ -175,6 +187,7 @@
     context.noteReach({ serverId: options.server.id, isReachable: true });
   }
   const marks = context.codec.readMarks(answer.status, answer.message.headers);
+  if (isWebCall && marks.load !== undefined) context.webWork.takeLoad(options.server, marks.load);
   if (marks.isNotExecuted) {
     answer.message.resume();
     return failed({ kind: 'not-executed', status: answer.status });
@@ -189,12 +202,12 @@
         failed({ kind: 'broken', reason: outcome.reason });
         break;
       case 'good':
-        health.close(open);
+        close();
         health.recordSuccess(elapsedMs());
         if (!options.prefillOnly) context.crashes.noteWhole(exchange);
         break;
       case 'server-error':
-        health.close(open);
+        close();
         health.recordServerError();
         metrics.recordAttempt('server-error');
         break;
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -10,6 +10,7 @@
 import type { GatewayLog } from './request-log.js';
 import type { RequestRoom } from './request-room.js';
 import type { TimerService } from './timer-service.js';
+import type { WebWork } from './web-work.js';
 
 /** What gauges read. */
 export interface GaugeSources {
@@ -20,6 +21,7 @@
   readonly room: Pick<RequestRoom, 'waiting'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
   readonly duties: () => Pick<Duties, 'capacityBeliefs'>;
+  readonly webWork: Pick<WebWork, 'unreadableTotal'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'droppedTotal'>;
 }
@@ -47,7 +49,7 @@
 }
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
-  const { fleet, follower, callers, connections, room, crashes, timers, log } = sources;
+  const { fleet, follower, callers, connections, room, crashes, webWork, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -91,6 +93,11 @@
       help: 'Connections opened to backends',
       read: () => connections.openedTotal,
     },
+    {
+      name: 'server_loads_unreadable',
+      help: 'Reports of web servers on their load that could not be read, since the start',
+      read: () => webWork.unreadableTotal,
+    },
     {
       name: 'requests_quarantined',
       help: 'Requests that are not sent any more, as servers ended while they ran',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -34,6 +34,7 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
+import { WebWork } from './web-work.js';
 
 /**
  * A change is told at once by a call that is held. A call that a cut has swallowed has to be over
@@ -99,6 +100,7 @@
   readonly #duties: Duties;
   readonly #suspensionAware: TimerService;
   readonly #crashes: CrashGuard;
+  readonly #webWork: WebWork;
   #watchShare = WATCH_SHARE_OF_CONTACT;
   #isRelay = false;
   #isStopping = false;
@@ -132,6 +134,15 @@
     });
     const incarnation = randomInt(INCARNATIONS);
     this.#crashes = this.#createCrashGuard(incarnation);
+    const webWork = new WebWork({
+      isEnabled: settings.decisions.webServerLoad,
+      fleet: this.#fleet,
+      roster: this.#roster,
+      peers: () => this.#peers,
+      timers,
+      log,
+    });
+    this.#webWork = webWork;
     const context: AttemptContext = {
       fleet: this.#fleet,
       connections: this.#connections,
@@ -143,6 +154,7 @@
       noteRead: (read) => this.#peers?.noteRead(read),
       noteReach: (reach) => this.#peers?.noteReach(reach),
       crashes: this.#crashes,
+      webWork,
       noteBegan: ({ options: { tenant } }, agoMs) => this.#duties.noteBegan(tenant, agoMs),
     };
     this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
@@ -194,6 +206,7 @@
       room: this.#room,
       crashes: this.#crashes,
       duties: () => this.#duties,
+      webWork,
       timers,
       log,
     });
@@ -343,7 +356,7 @@
       paces: this.#fleet.paces,
       isReady: () => this.#fleet.isReady,
       timers,
-      ownWork: () => this.#fleet.ownWork(timers.nowMs()),
+      ownWork: () => [...this.#fleet.ownWork(timers.nowMs()), ...this.#webWork.own()],
       ownDemand: () => this.#fleet.ownDemand(timers.nowMs()),
       noteSums: () => this.#room.wake(),
       noteDaemonCount: (daemons) => this.#noteDaemonCount(daemons),
--- a/test/gateway/engine-paces.test.ts
+++ b/test/gateway/engine-paces.test.ts
@@ -396,7 +396,7 @@
 test('the settings switch paces off for all that a daemon decides', () => {
   const options = { ratio: 0.2, slack: 50 };
   for (const enginePaces of [true, false]) {
-    const fleet = new FleetView(options, undefined, { enginePaces });
+    const fleet = new FleetView(options, undefined, { enginePaces, waiting: true });
     const servers = [...USUAL, { engineId: 'e1' }].map(({ engineId }) =>
       engine(engineId, { stage: 'decode' }),
     );
@@ -406,7 +406,7 @@
     assert.equal(fleet.paceOf('e1') > 1.7, enginePaces);
     assert.equal(fleet.paceOf('not listed'), 1);
     const change = fleet.directory.replaceAll([]);
-    fleet.forgetRemoved(change);
+    fleet.forgetEnded(change);
     fleet.directory.replaceAll(servers);
     assert.equal(fleet.paceOf('e1'), 1, 'another life has its own pace');
   }
