--- a/src/shell/gateway/model-room-ask.ts
+++ b/src/shell/gateway/model-room-ask.ts
@@ -31,7 +31,7 @@
   readonly #context: AttemptContext;
   readonly #options: ModelRoomAskOptions;
   #latest: EnginePlan;
-  #isFresh = true;
+  #isFirst = true;
 
   constructor(exchange: Exchange, context: AttemptContext, options: ModelRoomAskOptions) {
     this.#exchange = exchange;
@@ -48,8 +48,9 @@
 
   place(): Placement {
     // Where no engine is left it keeps its last plan, which fails and is made anew.
-    const plan = this.#isFresh ? undefined : this.#options.replan();
-    this.#isFresh = false;
+    const isFirst = this.#isFirst;
+    const plan = isFirst ? undefined : this.#options.replan();
+    this.#isFirst = false;
     if (plan !== undefined) this.#latest = this.#atRank(plan);
     const exchange = this.#exchange;
     const { rank, service } = exchange.options;
@@ -61,7 +62,8 @@
       inTimeMs,
       inTimeLeftMs: inTimeMs - exchange.elapsedMs(),
       urgentSlackMs: fleet.slackOf(service).leastMs(rank, this.#nowMs()),
-      isContended: room.waitingIn(this.lane) > 0,
+      // Asked again it is its turn: those that wait are behind it.
+      isContended: isFirst && room.waitingIn(this.lane) > 0,
       isLearnt: fleet.speedOf(service).isLearnt,
       mayHaveRun: exchange.mayHaveRun,
     });
