--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -52,6 +52,8 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly applyLimits: (limits: CallerLimits) => void;
+  /** To be called when the list of servers has changed. */
+  readonly noteServers: () => void;
 }
 
 /** The watches of configuration and servers. */
@@ -204,7 +206,9 @@
     for (const server of change.added) this.#logServer(GATEWAY_EVENTS.serverAdded, server);
     for (const server of change.changed) this.#logServer(GATEWAY_EVENTS.serverChanged, server);
     for (const server of change.removed) this.#logServer(GATEWAY_EVENTS.serverRemoved, server);
-    return change.added.length + change.changed.length + change.removed.length > 0;
+    const isChanged = change.added.length + change.changed.length + change.removed.length > 0;
+    if (isChanged) this.#options.noteServers();
+    return isChanged;
   }
 
   #logServer(event: ServerEvent, server: ServerRecord): void {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -167,6 +167,7 @@
       timers: this.#suspensionAware,
       log,
       applyLimits: (limits) => this.#callers.applyLimits(limits),
+      noteServers: () => this.#room.wake(),
     });
     this.#stages = new StageController({
       daemon: settings.name,
