--- a/src/core/gateway/place-request.ts
+++ b/src/core/gateway/place-request.ts
@@ -70,7 +70,8 @@
   const slackMs = HELD_SHARE * wholeSlackMs - heldMs;
   switch (urgency) {
     case 'in-time':
-      if (waitMs <= mostMs) return { kind: 'go', slackMs };
+      // What can't be held any more and has room goes past those that can.
+      if (waitMs <= mostMs) return { kind: 'go', slackMs: slackMs > 0 ? slackMs : undefined };
       return { kind: 'wait', slackMs, roomInMs: waitMs - mostMs };
     case 'late':
       return placeLate(input, mostMs);
--- a/test/gateway/place-request.test.ts
+++ b/test/gateway/place-request.test.ts
@@ -76,6 +76,11 @@
   assert.equal(placeRequest(input(0, { ...tried, plan: plan(300) })).kind, 'refuse');
 });
 
+test('what has room and can not be held any more goes past those that wait', () => {
+  const placement = placeRequest(input(100, { inTimeLeftMs: 300, isContended: true }));
+  assert.deepEqual(placement, { kind: 'go', slackMs: undefined });
+});
+
 test('a request that may have run goes, and so does one by paces that nobody has seen', () => {
   for (const fields of [{ mayHaveRun: true }, { isLearnt: false }]) {
     assert.deepEqual(placeRequest(input(60_000, fields)), { kind: 'go', slackMs: undefined });
