--- a/src/core/gateway/place-request.ts
+++ b/src/core/gateway/place-request.ts
@@ -11,7 +11,7 @@
  * can't be ordered or refused any more. Under overload queues are as long as they may be, and each daemon knows
  * of the others' work late: a queue that took up all of it would make every other request late.
  */
-const QUEUED_SHARE = 1 / 3;
+const QUEUED_SHARE = 0.3;
 /** And this part here: a refusal is worth the more to its caller the sooner it comes. The rest is for errors. */
 export const HELD_SHARE = 0.25;
 
--- a/test/gateway/overload-replay.test.ts
+++ b/test/gateway/overload-replay.test.ts
@@ -20,6 +20,7 @@
 import { VirtualClock } from '../../src/lab/simulation/virtual-clock.js';
 import { Random } from '../../src/lab/workload/random.js';
 
+const SEEDS = [11, 14, 16];
 const ENGINES = 12;
 const DAEMONS = 40;
 const SUMS_EVERY_MS = 100;
@@ -109,9 +110,14 @@
 }
 
 /** Plays a load, against what the engines can read, on a fleet. */
-function replay(load: number, hasRoom: boolean, lostAtMs = Number.POSITIVE_INFINITY): Replay {
+function replay(
+  load: number,
+  hasRoom: boolean,
+  seed: number,
+  lostAtMs = Number.POSITIVE_INFINITY,
+): Replay {
   const clock = new VirtualClock();
-  const random = new Random(11);
+  const random = new Random(seed);
   const engines = Array.from({ length: ENGINES }, () => new FakeEngine(clock));
   const daemons = Array.from({ length: DAEMONS }, () => new FakeDaemon(hasRoom));
   const goodMsBySecond = new Array<number>((END_MS + PATIENCE_MS) / 1_000 + 1).fill(0);
@@ -302,35 +308,46 @@
 }
 
 test('goodput stays flat at 1.5 and 2 times what the engines can read; without a room it falls', () => {
-  const full = goodput(replay(1, true));
-  for (const load of [1.5, 2]) {
-    const over = goodput(replay(load, true));
-    assert.ok(over >= 0.9 * full, `${over} at ${load}, ${full} at 1`);
-    const before = goodput(replay(load, false));
-    assert.ok(before < 0.6 * full, `${before} at ${load} without a room`);
+  for (const seed of SEEDS) {
+    const full = goodput(replay(1, true, seed));
+    for (const load of [1.5, 2]) {
+      const over = goodput(replay(load, true, seed));
+      assert.ok(over >= 0.9 * full, `${over} at ${load}, ${full} at 1, seed ${seed}`);
+      const before = goodput(replay(load, false, seed));
+      assert.ok(before < 0.6 * full, `${before} at ${load} without a room, seed ${seed}`);
+    }
   }
 });
 
 test('within a second of the loss of a third of the engines the others do what they can', () => {
-  const left = (2 / 3) * goodput(replay(1, true));
-  const after = goodput(replay(1, true, LOST_AT_MS), SEEN_AFTER_LOSS_MS);
-  assert.ok(after >= 0.9 * left, `${after} of ${left}`);
-  const before = goodput(replay(1, false, LOST_AT_MS), SEEN_AFTER_LOSS_MS);
-  assert.ok(before < 0.9 * left, `${before} of ${left} without a room`);
+  for (const seed of SEEDS) {
+    const left = (2 / 3) * goodput(replay(1, true, seed));
+    const after = goodput(replay(1, true, seed, LOST_AT_MS), SEEN_AFTER_LOSS_MS);
+    assert.ok(after >= 0.9 * left, `${after} of ${left}, seed ${seed}`);
+    const before = goodput(replay(1, false, seed, LOST_AT_MS), SEEN_AFTER_LOSS_MS);
+    assert.ok(before < 0.9 * left, `${before} of ${left} without a room, seed ${seed}`);
+  }
 });
 
 test('no kind is served more than a more urgent one, and the most urgent keeps being served', () => {
-  for (const load of [1, 1.5, 2]) {
-    const [urgent = 0, middle = 0, least = 0] = replay(load, true).inTimeShares;
-    assert.ok(urgent >= 0.9, `${urgent} at ${load}`);
-    assert.ok(urgent >= middle - 0.05 && middle >= least - 0.05, `${middle}, ${least} at ${load}`);
+  for (const seed of SEEDS) {
+    for (const load of [1, 1.5, 2]) {
+      const [urgent = 0, middle = 0, least = 0] = replay(load, true, seed).inTimeShares;
+      assert.ok(urgent >= 0.9, `${urgent} at ${load}, seed ${seed}`);
+      assert.ok(
+        urgent >= middle - 0.05 && middle >= least - 0.05,
+        `${middle}, ${least} at ${load}`,
+      );
+    }
   }
 });
 
 test('with room for all, each is served with a room as without', () => {
-  const spare = replay(0.6, true);
-  assert.deepEqual(
-    spare.inTimeShares.map((share) => share >= 0.98),
-    [true, true, true],
-  );
+  for (const seed of SEEDS) {
+    const { inTimeShares } = replay(0.6, true, seed);
+    assert.ok(
+      inTimeShares.every((share) => share >= 0.98),
+      `${inTimeShares}, seed ${seed}`,
+    );
+  }
 });
--- a/test/gateway/place-request.test.ts
+++ b/test/gateway/place-request.test.ts
@@ -37,21 +37,21 @@
   assert.deepEqual(placeRequest(input(100)), { kind: 'go', slackMs: 90 });
 });
 
-test('what would join a queue of more than a third of its slack waits until that is shorter', () => {
+test('what would join a queue of more than its part of its slack waits until that is shorter', () => {
   const placement = placeRequest(input(200));
-  assert.deepEqual(placement, { kind: 'wait', slackMs: 90, roomInMs: 80 });
+  assert.deepEqual(placement, { kind: 'wait', slackMs: 90, roomInMs: 92 });
 });
 
 test('what would leave more urgent requests no time waits until the queue is short enough', () => {
   const placement = placeRequest(input(100, { urgentSlackMs: 240 }));
-  assert.deepEqual(placement, { kind: 'wait', slackMs: 90, roomInMs: 20 });
+  assert.deepEqual(placement, { kind: 'wait', slackMs: 90, roomInMs: 28 });
 });
 
 test('the time at the door counts: who was held may join a longer queue, and is held no longer than it may be', () => {
   const placement = placeRequest(input(200, { inTimeLeftMs: 414 }));
   assert.ok(placement.kind === 'wait');
   assert.equal(placement.slackMs, 54);
-  assert.ok(Math.abs(placement.roomInMs - 44) < 0.01);
+  assert.ok(Math.abs(placement.roomInMs - 56) < 0.01);
 });
 
 test('what is late for want of room is refused, with the time until there is room', () => {
@@ -93,7 +93,7 @@
   slacks.note(0, urgent, 0);
   const ranks = fc.nat(5);
   fc.assert(
-    fc.property(ranks, fc.nat(urgent / 3), (rank, queueMs) => {
+    fc.property(ranks, fc.nat(0.3 * urgent), (rank, queueMs) => {
       const placed = input(queueMs, { urgentSlackMs: slacks.leastMs(rank, 1) });
       assert.equal(placeRequest(placed).kind, 'go');
       assert.equal(refusalAtDoor(placed), undefined);
