--- a/src/core/gateway/place-request.ts
+++ b/src/core/gateway/place-request.ts
@@ -11,7 +11,7 @@
  * can't be ordered or refused any more. Under overload queues are as long as they may be, and each daemon knows
  * of the others' work late: a queue that took up all of it would make every other request late.
  */
-const QUEUED_SHARE = 1 / 3;
+const QUEUED_SHARE = 0.3;
 /** And this part here: a refusal is worth the more to its caller the sooner it comes. The rest is for errors. */
 export const HELD_SHARE = 0.25;
 
@@ -70,7 +70,8 @@
   const slackMs = HELD_SHARE * wholeSlackMs - heldMs;
   switch (urgency) {
     case 'in-time':
-      if (waitMs <= mostMs) return { kind: 'go', slackMs };
+      // What can't be held any more and has room goes past those that can.
+      if (waitMs <= mostMs) return { kind: 'go', slackMs: slackMs > 0 ? slackMs : undefined };
       return { kind: 'wait', slackMs, roomInMs: waitMs - mostMs };
     case 'late':
       return placeLate(input, mostMs);
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -64,6 +64,8 @@
   readonly wallClock: WallClock;
   readonly log: GatewayLog;
   readonly applyLimits: (limits: CallerLimits) => void;
+  /** To be called when the list of servers has changed. */
+  readonly noteServers: () => void;
 }
 
 /** The watches of configuration and servers. */
@@ -229,7 +231,9 @@
     this.#hasPassedOver = change.passedOver.length > 0;
     this.#carryOut(change);
     const { added, changed, removed, renewed } = change;
-    return added.length + changed.length + removed.length + renewed.length > 0;
+    const isChanged = added.length + changed.length + removed.length + renewed.length > 0;
+    if (isChanged) this.#options.noteServers();
+    return isChanged;
   }
 
   #carryOut(change: DirectoryChange): void {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -182,6 +182,7 @@
       wallClock,
       log,
       applyLimits: (limits) => this.#callers.applyLimits(limits),
+      noteServers: () => this.#room.wake(),
     });
     this.#stages = new StageController({
       daemon: settings.name,
