--- a/test/gateway/server-lives.test.ts
+++ b/test/gateway/server-lives.test.ts
@@ -84,6 +84,7 @@
           this.lines.push({ event: event.message, ...fields }),
       } as never,
       applyLimits: () => undefined,
+      noteServers: () => undefined,
     });
   }
 
