Tell sums that fit the bytes there are, and count as told only what was sent

Cause: at full size a relay has more changes in each 60 ms than its 4 KB/s hold. Change: a relay asks how many engines it has bytes for, tells those of which others are most mistaken, and keeps news until they are sent; the own zone and the other relays have a budget each; engines go by 5 characters in messages.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -98,6 +98,7 @@
   type ServerState,
 } from './server-directory.js';
 export { type OpenCall, ServerHealth } from './server-health.js';
+export { shortIdOf } from './short-id.js';
 export type { Spread, UnseenWork } from './spread-choice.js';
 export {
   addDemands,
--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -2,6 +2,7 @@
  * The servers there are, by their identity. A server that starts again under its id is another life of it: what was
  * believed of the one before says nothing of this one. A row of a life that is known to be over changes nothing.
  */
+import { shortIdOf } from './short-id.js';
 
 /** Which part of a model request an engine does. */
 export type EngineStage = 'prefill' | 'decode';
@@ -55,6 +56,7 @@
 /** The listed servers, by service. */
 export class ServerDirectory {
   readonly #byId = new Map<string, ServerRecord>();
+  readonly #idsByShortId = new Map<string, string>();
   /** The life before the present one, as it was last listed. */
   readonly #before = new Map<string, ServerRecord>();
   /** Ids that are not listed, as their row says no more when they started. */
@@ -68,6 +70,11 @@
     return this.#byId.get(id);
   }
 
+  /** The id of a listed server that a message names by its short id. */
+  idOf(shortId: string): string | undefined {
+    return this.#idsByShortId.get(shortId);
+  }
+
   all(): IterableIterator<ServerRecord> {
     return this.#byId.values();
   }
@@ -122,6 +129,7 @@
       switch (meaning) {
         case 'new':
           this.#byId.set(record.id, record);
+          this.#idsByShortId.set(shortIdOf(record.id), record.id);
           this.#startless.delete(record.id);
           added.push(record);
           break;
@@ -151,6 +159,7 @@
   #remove(id: string): readonly ServerRecord[] {
     const known = this.#byId.get(id);
     this.#byId.delete(id);
+    this.#idsByShortId.delete(shortIdOf(id));
     this.#before.delete(id);
     this.#startless.delete(id);
     return known === undefined ? [] : [known];
--- a/src/shell/gateway/byte-budget.ts
+++ b/src/shell/gateway/byte-budget.ts
@@ -23,14 +23,24 @@
     this.#atMs = timers.nowMs();
   }
 
-  /** Takes bytes from the budget if they are there. */
-  tryTake(bytes: number): boolean {
+  /** What may be sent at this moment. */
+  get bytesLeft(): number {
     const nowMs = this.#timers.nowMs();
     const { bytesPerSecond, burstBytes } = this.#limits;
     const earned = ((nowMs - this.#atMs) * bytesPerSecond) / MILLISECONDS_PER_SECOND;
     this.#bytes = Math.min(burstBytes, this.#bytes + earned);
     this.#atMs = nowMs;
-    if (bytes > this.#bytes) return false;
+    return this.#bytes;
+  }
+
+  /** Takes bytes that are sent in any case; what is lacking is made up before more is sent. */
+  take(bytes: number): void {
+    this.#bytes = this.bytesLeft - bytes;
+  }
+
+  /** Takes bytes from the budget if they are there. */
+  tryTake(bytes: number): boolean {
+    if (bytes > this.bytesLeft) return false;
     this.#bytes -= bytes;
     return true;
   }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -359,6 +359,7 @@
       timers,
       ownWork: () => [...this.#fleet.ownWork(timers.nowMs()), ...this.#webWork.own()],
       ownDemand: () => this.#fleet.ownDemand(timers.nowMs()),
+      serverIdOf: (shortId) => this.#fleet.directory.idOf(shortId),
       noteSums: () => this.#room.wake(),
       noteDaemonCount: (daemons) => this.#noteDaemonCount(daemons),
     });
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -11,6 +11,7 @@
   CrashRecord,
   FleetPaces,
   LoadReport,
+  LoadSums,
   PeerDaemon,
   PeerLoads,
   PeerRoster,
@@ -51,7 +52,7 @@
 const HEARTBEAT_STEP_MS = 240;
 /** Own work, to all peers together, as docs/CAPACITY.md plans for. */
 const CHANGE_BUDGET = { bytesPerSecond: 4_096, burstBytes: 32_768 };
-/** What is passed on, to each peer of the own zone. */
+/** What is passed on, to each peer of the own zone and to the relay of each other. */
 const RELAY_BUDGET_OF_PEER = { bytesPerSecond: 4_096, burstBytes: 16_384 };
 /** Where a daemon takes messages. */
 export interface PeerAddress {
@@ -77,13 +78,15 @@
   readonly paces: FleetPaces;
   /** Whether servers are listed. */
   readonly isReady: () => boolean;
+  /** The id of a listed server by its short one; undefined where none has it. */
+  readonly serverIdOf: (shortId: string) => string | undefined;
   /** This daemon's work at this moment. */
   readonly ownWork: () => LoadReport['work'];
   /** What this daemon was asked for lately. */
   readonly ownDemand: () => readonly ServiceDemand[];
-  /** Told how many daemons there are, this one counted. */
   /** To be called when the relay's sums came. */
   readonly noteSums: () => void;
+  /** Told how many daemons there are, this one counted. */
   readonly noteDaemonCount: (daemons: number) => void;
   /** A read that another daemon told of. */
   readonly takeRead: (read: ReadNotice) => void;
@@ -117,7 +120,6 @@
   readonly #socket: Socket;
   readonly #directory: PeerDirectory;
   readonly #changeBudget: ByteBudget;
-  readonly #relayBudget: ByteBudget;
   readonly #relay: RelayDuty;
   readonly #cacheNews: CacheNewsTeller;
   readonly #paces: PaceTeller;
@@ -134,12 +136,12 @@
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     this.#changeBudget = new ByteBudget(CHANGE_BUDGET, options.timers);
-    this.#relayBudget = new ByteBudget(RELAY_BUDGET_OF_PEER, options.timers);
     this.#directory = new PeerDirectory(options);
     this.#relay = new RelayDuty({
       ...options,
       nextSequence: () => this.#nextSequence(),
-      budget: this.#relayBudget,
+      zoneBudget: new ByteBudget(RELAY_BUDGET_OF_PEER, options.timers),
+      relaysBudget: new ByteBudget(RELAY_BUDGET_OF_PEER, options.timers),
       send: (peers, bytes) => this.#sendTo(peers, bytes),
     });
     this.#cacheNews = new CacheNewsTeller({
@@ -288,8 +290,36 @@
     for (const peer of peers) this.#socket.send(bytes, peer.port, peer.host);
   }
 
+  #takeReport(report: LoadReport): void {
+    const { loads, timers } = this.#options;
+    loads.take(report, timers.nowMs());
+    this.#takeNewsOf(report);
+    if (this.#relay.isRelay) this.#relay.passOn(report);
+  }
+
+  #takeSums(zone: string, sums: LoadSums): void {
+    const { loads, timers, ownWork, noteSums } = this.#options;
+    this.#takeNewsOf(sums);
+    if (zone !== this.#options.zone) {
+      this.#relay.takeSums(zone, sums);
+      return;
+    }
+    if (this.#relay.isRelay) return;
+    loads.takeSums(sums, ownWork(), timers.nowMs());
+    noteSums();
+  }
+
+  /** With whole ids of servers; one that is not listed here keeps its short one, for those who list it. */
+  #withServerIds<Message extends Pick<LoadReport, 'work' | 'reads'>>(message: Message): Message {
+    const { serverIdOf } = this.#options;
+    const withId = <Item extends { readonly engineId: string }>(item: Item): Item => {
+      return { ...item, engineId: serverIdOf(item.engineId) ?? item.engineId };
+    };
+    return { ...message, work: message.work.map(withId), reads: message.reads.map(withId) };
+  }
+
   #receive(bytes: Buffer, sender: RemoteInfo): void {
-    const { daemon, zone, roster, loads, timers, ownWork } = this.#options;
+    const { daemon, zone, roster, timers } = this.#options;
     const { takeUsage, takeNews, takeStage, takeTables, takeServers, takeConfiguration } =
       this.#options;
     const { takeCrashes } = this.#options;
@@ -301,19 +331,12 @@
       case 'report':
         if (message.report.daemon === daemon) return;
         roster.heard(message.report.daemon, nowMs);
-        loads.take(message.report, nowMs);
-        this.#takeNewsOf(message.report);
-        if (this.#relay.isRelay) this.#relay.passOn(message.report);
+        this.#takeReport(this.#withServerIds(message.report));
         return;
       case 'sums':
         if (message.sums.relay === daemon) return;
         roster.heardRelay(message.sums.relay, message.zone, nowMs);
-        this.#takeNewsOf(message.sums);
-        if (message.zone !== zone) this.#relay.takeSums(message.zone, message.sums);
-        else if (!this.#relay.isRelay) {
-          loads.takeSums(message.sums, ownWork(), nowMs);
-          this.#options.noteSums();
-        }
+        this.#takeSums(message.zone, this.#withServerIds(message.sums));
         return;
       case 'tables':
         if (message.relay === daemon) return;
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -3,14 +3,15 @@
  * stand for.
  */
 import * as z from 'zod/mini';
-import type {
-  CrashRecord,
-  EngineWork,
-  ReachNotice,
-  ReadNotice,
-  ServerRecord,
-  ServiceDemand,
-  TableProgress,
+import {
+  type CrashRecord,
+  type EngineWork,
+  type ReachNotice,
+  type ReadNotice,
+  type ServerRecord,
+  type ServiceDemand,
+  shortIdOf,
+  type TableProgress,
 } from '../../core/gateway/index.js';
 import type { CacheEvent, WatchedRow } from './ports.js';
 
@@ -30,13 +31,13 @@
   paces: 12,
 } as const;
 
-/** Engine, part, its tokens, and the milliseconds until it is read. */
+/** Engine by its short id, part, its tokens, and the milliseconds until it is read. */
 const readsSchema = z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]));
 /** Service, milliseconds of engines that read and that generate, requests, short ones among them. */
 const demandSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]));
 /** Server, whether it answers, and who found out. */
 const reachSchema = z.array(z.tuple([z.string(), z.boolean(), z.string()]));
-/** Engine, milliseconds of prompts in time, streams that run, milliseconds of late prompts. */
+/** Engine by its short id, milliseconds of prompts in time, streams that run, milliseconds of late prompts. */
 const workSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]));
 export const reportSchema = z.tuple([
   z.literal(KINDS.report),
@@ -179,7 +180,7 @@
 
 export function encodeWork(work: readonly EngineWork[]): unknown[] {
   return work.map(({ engineId, pendingMs, running, lateMs }) => [
-    engineId,
+    shortIdOf(engineId),
     Math.round(pendingMs),
     running,
     Math.round(lateMs),
@@ -199,7 +200,7 @@
 
 export function encodeReads(reads: readonly ReadNotice[]): unknown[] {
   return reads.map(({ engineId, part, readyInMs }) => [
-    engineId,
+    shortIdOf(engineId),
     part.id,
     part.tokens,
     Math.round(readyInMs),
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -6,6 +6,7 @@
  */
 import {
   DigestSchedule,
+  type EngineWork,
   type LoadReport,
   type LoadSums,
   type PeerDaemon,
@@ -29,6 +30,16 @@
 const RELAY_GAP_MS = 60;
 /** Others look this often whether they are the relay now. */
 const ROLE_CHECK_MS = 240;
+/**
+ * What the parts of a message take of a link, rounded up: a head with the demand of some services, an engine's work, a
+ * read that began, a server that fell silent.
+ */
+const BYTES_OF_HEAD = 160;
+const BYTES_OF_ENTRY = 16;
+const BYTES_OF_READ = 28;
+const BYTES_OF_REACH = 48;
+/** With fewer engines to a message most of its bytes would be its head. */
+const LEAST_ENTRIES = 12;
 
 /** What daemons tell once, beside their work: reads that began, servers that fell silent or are back. */
 export interface OwnNews {
@@ -41,6 +52,22 @@
 
 export const NO_NEWS: OwnNews = { reads: [], reach: [] };
 
+/** News that are collected until they are told. */
+interface PendingNews {
+  readonly reads: ReadNotice[];
+  readonly reach: ReachNotice[];
+}
+
+/** Who is told sums, and what. */
+interface SumsAudience {
+  readonly peers: readonly PeerDaemon[];
+  readonly budget: ByteBudget;
+  readonly sums: SumsToTell;
+  readonly totals: () => readonly EngineWork[];
+  readonly news: PendingNews;
+  readonly demand: () => readonly ServiceDemand[];
+}
+
 /** What a relay's duty is built from. */
 export interface RelayDutyOptions {
   readonly daemon: string;
@@ -62,8 +89,10 @@
   /** Told when this daemon becomes its zone's relay, or no longer is. */
   readonly noteRelay: (isRelay: boolean) => void;
   readonly nextSequence: () => number;
-  /** Bytes that may be sent to each daemon told. */
-  readonly budget: ByteBudget;
+  /** Bytes that may be sent to each daemon of the own zone. */
+  readonly zoneBudget: ByteBudget;
+  /** Bytes that may be sent to the relay of each other zone. */
+  readonly relaysBudget: ByteBudget;
   readonly send: (peers: readonly PeerDaemon[], bytes: Buffer) => void;
 }
 
@@ -75,10 +104,10 @@
   readonly #digestSchedule = new DigestSchedule();
   readonly #zoneReach = new ReachNoticeFilter();
   readonly #otherReach = new ReachNoticeFilter();
-  /** News of the own zone. */
-  #zoneNews: OwnNews = NO_NEWS;
-  /** News that other relays told of. */
-  #otherNews: OwnNews = NO_NEWS;
+  /** What is still to be told to the own zone: its own news, and those of other zones. */
+  readonly #newsForZone: PendingNews = { reads: [], reach: [] };
+  /** What is still to be told to the other relays. */
+  readonly #newsForRelays: PendingNews = { reads: [], reach: [] };
   #cancelTick: CancelTimer | undefined;
   #isRelay = false;
 
@@ -109,7 +138,9 @@
   /** News of this daemon, or of one of its zone. */
   passOn({ reads, reach }: OwnNews): void {
     const newReach = this.#zoneReach.take(reach, this.#options.timers.nowMs());
-    this.#zoneNews = joined(this.#zoneNews, { reads, reach: newReach });
+    const news = { reads, reach: newReach };
+    addNews(this.#newsForZone, news);
+    addNews(this.#newsForRelays, news);
   }
 
   /** The sums of another zone, from its relay. */
@@ -117,7 +148,7 @@
     if (!this.#isRelay) return;
     const nowMs = this.#options.timers.nowMs();
     const reach = this.#otherReach.take(sums.reach, nowMs);
-    this.#otherNews = joined(this.#otherNews, { reads: sums.reads, reach });
+    addNews(this.#newsForZone, { reads: sums.reads, reach });
     this.#options.loads.takeZoneSums(zone, sums, nowMs);
   }
 
@@ -142,27 +173,45 @@
     const { loads, ownWork, ownDemand, roster, timers } = this.#options;
     const nowMs = timers.nowMs();
     const own = ownWork();
-    const zoneNews = this.#zoneNews;
-    const allNews = joined(zoneNews, this.#otherNews);
-    this.#zoneNews = NO_NEWS;
-    this.#otherNews = NO_NEWS;
     const demand = ownDemand();
-    const ofAll = this.#sums.next(loads.totals(own, nowMs), nowMs);
-    const allDemand = loads.totalDemand(demand, nowMs);
-    this.#sendSums(roster.zonePeers(), { ...ofAll, ...allNews, demand: allDemand });
-    const ofZone = this.#zoneSums.next(loads.zoneTotals(own, nowMs), nowMs);
-    const zoneDemand = loads.zoneDemand(demand, nowMs);
-    this.#sendSums(roster.otherRelays(nowMs), { ...ofZone, ...zoneNews, demand: zoneDemand });
+    this.#tell({
+      peers: roster.zonePeers(),
+      budget: this.#options.zoneBudget,
+      sums: this.#sums,
+      totals: () => loads.totals(own, nowMs),
+      news: this.#newsForZone,
+      demand: () => loads.totalDemand(demand, nowMs),
+    });
+    this.#tell({
+      peers: roster.otherRelays(nowMs),
+      budget: this.#options.relaysBudget,
+      sums: this.#zoneSums,
+      totals: () => loads.zoneTotals(own, nowMs),
+      news: this.#newsForRelays,
+      demand: () => loads.zoneDemand(demand, nowMs),
+    });
   }
 
-  #sendSums(peers: readonly PeerDaemon[], told: SumsMessage): void {
+  /** Tells an audience what there are bytes for; what there are none for is told later, as it is then. */
+  #tell({ peers, budget, sums, totals, news, demand }: SumsAudience): void {
+    const newsBytes = news.reads.length * BYTES_OF_READ + news.reach.length * BYTES_OF_REACH;
+    const mostEntries = Math.floor((budget.bytesLeft - BYTES_OF_HEAD - newsBytes) / BYTES_OF_ENTRY);
+    if (mostEntries < LEAST_ENTRIES) return;
+    const told = sums.next(totals(), this.#options.timers.nowMs(), mostEntries);
+    this.#sendSums(peers, budget, { ...told, ...news, demand: demand() });
+    news.reads.length = 0;
+    news.reach.length = 0;
+  }
+
+  #sendSums(peers: readonly PeerDaemon[], budget: ByteBudget, told: SumsMessage): void {
     const { work, reads, reach, isWhole } = told;
     if (!isWhole && work.length === 0 && reads.length === 0 && reach.length === 0) return;
     for (let first = 0; first === 0 || first < work.length; first += MOST_ENTRIES) {
       const part = work.slice(first, first + MOST_ENTRIES);
       const message = first === 0 ? told : { ...told, ...NO_NEWS, isWhole: false };
       const bytes = this.#encodeSums({ ...message, work: part });
-      if (this.#options.budget.tryTake(sizeOnLink(bytes))) this.#options.send(peers, bytes);
+      budget.take(sizeOnLink(bytes));
+      this.#options.send(peers, bytes);
     }
   }
 
@@ -173,9 +222,12 @@
   }
 }
 
-function joined(first: OwnNews, second: OwnNews): OwnNews {
-  return {
-    reads: [...first.reads, ...second.reads],
-    reach: [...first.reach, ...second.reach],
-  };
+/** News beyond these are too old to be of use by the time that they could be told: the newest stay. */
+const MOST_PENDING_READS = 64;
+
+function addNews(pending: PendingNews, { reads, reach }: OwnNews): void {
+  pending.reads.push(...reads);
+  pending.reach.push(...reach);
+  const tooMany = pending.reads.length - MOST_PENDING_READS;
+  if (tooMany > 0) pending.reads.splice(0, tooMany);
 }
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -231,6 +231,7 @@
     roster,
     timers,
     log: SILENT_LOG,
+    serverIdOf: () => undefined,
     noteSums: () => undefined,
     noteDaemonCount: listed.resolve,
     ownWork: () => work,
