Count engines' paces once they are shown to be unlike

Change: paces are learnt by a line of their own and count in decisions once their spread is more than waits make of equal engines (0.3 as the deviation of logarithms, and until it is below 0.2); decisions.enginePaces is never, where-unlike or always.

--- a/src/core/gateway/engine-paces.ts
+++ b/src/core/gateway/engine-paces.ts
@@ -33,6 +33,16 @@
 /** Paces are worked out again for their age after this time. */
 const REFRESH_MS = 1_000;
 
+/**
+ * Engines count as unlike once their paces differ by so much, as the standard deviation of their logarithms: well more
+ * than waits that nobody tells of make among equal ones. They count as alike again below the lower bound.
+ */
+const UNLIKE_LOG = 0.3;
+const ALIKE_LOG = 0.2;
+/** An engine that was seen less often says nothing of how unlike they are. */
+const LEAST_SEEN_WEIGHT = 2;
+const LEAST_SEEN_ENGINES = 4;
+
 /** How long an engine took. */
 export interface TimedRead {
   readonly elapsedMs: number;
@@ -63,12 +73,23 @@
   /** How first tokens come out against the line, whatever the engine: that is no pace of one. */
   readonly #decodeBias = new PaceSamples();
   #refreshedMs = Number.NEGATIVE_INFINITY;
+  #isUnlike = false;
 
   /** @param speed the service's line, which every engine's samples are brought to */
   constructor(speed: ReadSpeed) {
     this.#speed = speed;
   }
 
+  /** Whether the engines' paces differ by more than chance and waits make of equal ones; looked at once a second. */
+  get isUnlike(): boolean {
+    return this.#isUnlike;
+  }
+
+  /** The service's line by these paces. */
+  get line(): LineSums {
+    return this.#speed.line;
+  }
+
   /** An engine's pace against the usual one; 1 while nothing else is known. */
   paceOf(engineId: string): number {
     return this.#byEngine.get(engineId)?.pace ?? 1;
@@ -181,6 +202,16 @@
       this.#mean.add(samples);
     }
     this.#settleAll();
+    this.#judgeUnlike();
+  }
+
+  #judgeUnlike(): void {
+    const seen = [...this.#byEngine.values()].filter(({ weight }) => weight >= LEAST_SEEN_WEIGHT);
+    if (seen.length < LEAST_SEEN_ENGINES || 2 * seen.length < this.#byEngine.size) return;
+    const logs = seen.map(({ pace }) => Math.log(pace));
+    const mean = logs.reduce((sum, log) => sum + log, 0) / logs.length;
+    const variance = logs.reduce((sum, log) => sum + (log - mean) ** 2, 0) / logs.length;
+    this.#isUnlike = Math.sqrt(variance) >= (this.#isUnlike ? ALIKE_LOG : UNLIKE_LOG);
   }
 
   #learnFirstToken(engineId: string, tokens: number, elapsedMs: number, nowMs: number): void {
--- a/src/core/gateway/fleet-paces.ts
+++ b/src/core/gateway/fleet-paces.ts
@@ -1,6 +1,7 @@
 /**
- * The paces of the engines of all services, and what other daemons tell of them. Where engines have no pace
- * of their own by the settings, only the services' lines are learnt, each daemon for itself.
+ * The paces of the engines of all services, and what other daemons tell of them. While engines are not shown to be
+ * unlike, and where the settings want no paces, a service has one line, which each daemon learns for itself: paces that
+ * chance shows of equal engines would only send their work to and fro.
  */
 import {
   EnginePaces,
@@ -9,16 +10,18 @@
   type ServicePaceSums,
   type TimedRead,
 } from './engine-paces.js';
-import type { ReadSpeed } from './read-speed.js';
+import { ReadSpeed } from './read-speed.js';
 import type { ServerRecord } from './server-directory.js';
 
 /** A pace that has changed by less is not worth a line in the log. */
 const NOTED_CHANGE = Math.log(1.25);
 
+/** Whether an engine's pace counts in decisions. */
+export type PaceUse = 'never' | 'where-unlike' | 'always';
+
 /** What the paces are built from. */
 export interface FleetPacesOptions {
-  /** Whether each engine has a pace of its own. */
-  readonly isOn: boolean;
+  readonly use: PaceUse;
   readonly speedOf: (service: string) => ReadSpeed;
   /** The service of a listed engine; undefined for one that is not listed. */
   readonly serviceOf: (engineId: string) => string | undefined;
@@ -43,7 +46,24 @@
   }
 
   get isOn(): boolean {
-    return this.#options.isOn;
+    return this.#options.use !== 'never';
+  }
+
+  /** Whether the lines that decisions go by are learnt with other daemons from the start. */
+  get sharesLine(): boolean {
+    return this.#options.use === 'always';
+  }
+
+  /** Whether the engines of a service are decided on by their paces now. */
+  isUsedFor(service: string): boolean {
+    switch (this.#options.use) {
+      case 'never':
+        return false;
+      case 'where-unlike':
+        return this.#byService.get(service)?.isUnlike === true;
+      case 'always':
+        return true;
+    }
   }
 
   /** An engine's pace against the usual one of its service: 2 reads in half the time. */
@@ -54,13 +74,13 @@
 
   /** The same for the engines of one service. */
   pacesOf(service: string): (engineId: string) => number {
-    const paces = this.#byService.get(service);
+    const paces = this.isUsedFor(service) ? this.#byService.get(service) : undefined;
     return paces === undefined ? () => 1 : (engineId) => paces.paceOf(engineId);
   }
 
   /** The paces by which engines of a service count as homes of shared parts. */
   homePacesOf(service: string): (engineId: string) => number {
-    const paces = this.#byService.get(service);
+    const paces = this.isUsedFor(service) ? this.#byService.get(service) : undefined;
     return paces === undefined ? () => 1 : (engineId) => paces.homePaceOf(engineId);
   }
 
@@ -72,6 +92,7 @@
     nowMs: number,
   ): void {
     if (this.isOn) this.#of(service).learnPrefill(id, tokens, read, nowMs);
+    if (this.isUsedFor(service)) this.#useLine(service);
     else this.#options.speedOf(service).learnPrefill(tokens, read.elapsedMs);
   }
 
@@ -87,7 +108,9 @@
     nowMs: number,
   ): void {
     if (this.isOn) this.#of(service).learnDecode(id, tokens, elapsedMs, wasFree, nowMs);
-    else this.#options.speedOf(service).learnDecode(tokens, elapsedMs);
+    if (this.#hasOwnLine) {
+      this.#options.speedOf(service).learnDecode(tokens, elapsedMs, this.pacesOf(service)(id));
+    }
   }
 
   /**
@@ -131,7 +154,7 @@
     for (const paces of this.#byService.values()) paces.refresh(nowMs);
   }
 
-  /** Some beliefs that have changed since they were last given here. */
+  /** Some beliefs in use that have changed since they were last given here. */
   takeChanges(most: number): readonly PaceChange[] {
     const changes: PaceChange[] = [];
     for (const { engineId, pace } of this.all()) {
@@ -152,19 +175,33 @@
     return new Map(unlike.slice(0, most).map(({ engineId, pace }) => [engineId, pace]));
   }
 
-  /** Every engine of which something was seen. */
+  /** Every engine of which something was seen, of the services whose paces are in use. */
   *all(): Generator<Pick<PaceChange, 'engineId' | 'pace'>> {
-    for (const paces of this.#byService.values()) yield* paces.all();
+    for (const [service, paces] of this.#byService) {
+      if (this.isUsedFor(service)) yield* paces.all();
+    }
   }
 
   #of(service: string): EnginePaces {
     const known = this.#byService.get(service);
     if (known !== undefined) return known;
-    const created = new EnginePaces(this.#options.speedOf(service));
+    const line = this.#hasOwnLine ? new ReadSpeed(true) : this.#options.speedOf(service);
+    const created = new EnginePaces(line);
     this.#byService.set(service, created);
     return created;
   }
 
+  /** Whether paces are learnt by a line of their own, as they may not be in use. */
+  get #hasOwnLine(): boolean {
+    return !this.sharesLine;
+  }
+
+  /** Decisions go by the line that belongs to the paces. */
+  #useLine(service: string): void {
+    const line = this.#byService.get(service)?.line;
+    if (this.#hasOwnLine && line !== undefined) this.#options.speedOf(service).takeLine(line);
+  }
+
   /** Passes on what can be true and is of listed engines; counts the rest. */
   #takeUsable(
     told: readonly ServicePaceSums[],
@@ -180,6 +217,7 @@
       const isKnown = usable.length > 0 || this.#byService.has(service);
       if (!this.isOn || !isKnown) continue;
       take(this.#of(service), { service, line: isLineUsable ? line : undefined, engines: usable });
+      if (this.isUsedFor(service)) this.#useLine(service);
     }
     return ignored;
   }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -93,7 +93,7 @@
     this.#budgetOptions = budgetOptions;
     this.#noteBudgetBegun = noteBudgetBegun;
     this.paces = new FleetPaces({
-      isOn: decisions.enginePaces,
+      use: decisions.enginePaces,
       speedOf: (service) => this.speedOf(service),
       serviceOf: (id) => this.directory.get(id)?.service,
     });
@@ -263,7 +263,7 @@
   }
 
   speedOf(service: string): ReadSpeed {
-    return entryOf(this.#speeds, service, () => new ReadSpeed(this.paces.isOn));
+    return entryOf(this.#speeds, service, () => new ReadSpeed(this.paces.sharesLine));
   }
 
   /** An engine's pace against the usual one of its service, by which its part of the work is counted. */
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -28,11 +28,8 @@
   waiting: z._default(z.boolean(), true),
   /** Servers paid by the second are ordered with room for a loss, and made up at once after one. */
   spareCapacity: z._default(z.boolean(), true),
-  /**
-   * Each engine has a pace of its own, learnt by all daemons together. Off unless it is asked for: where engines are
-   * alike, waits that nobody tells of are taken for paces (worth 0.51 for 0.60 in a fleet of 7 daemons, one play each).
-   */
-  enginePaces: z._default(z.boolean(), false),
+  /** Each engine has a pace of its own, learnt by all daemons together: only where they are shown to be unlike. */
+  enginePaces: z._default(z.enum(['never', 'where-unlike', 'always']), 'where-unlike'),
   /** Daemons that decide by the same sums spread what they send. */
   spreading: z._default(z.boolean(), true),
   /** Web servers are chosen by the work of all daemons there. */
--- a/test/gateway/engine-paces.test.ts
+++ b/test/gateway/engine-paces.test.ts
@@ -296,7 +296,8 @@
 function fleetPaces(isOn = true) {
   const speed = new ReadSpeed(isOn);
   const serviceOf = (id: string) => (id.startsWith('e') ? 's' : undefined);
-  return { speed, paces: new FleetPaces({ isOn, speedOf: () => speed, serviceOf }) };
+  const use = isOn ? 'always' : 'never';
+  return { speed, paces: new FleetPaces({ use, speedOf: () => speed, serviceOf }) };
 }
 
 /** Engines of the usual pace, which others differ from. */
@@ -395,7 +396,7 @@
 
 test('the settings switch paces off for all that a daemon decides', () => {
   const options = { ratio: 0.2, slack: 50 };
-  for (const enginePaces of [true, false]) {
+  for (const enginePaces of ['always', 'never'] as const) {
     const fleet = new FleetView(options, undefined, { enginePaces, waiting: true });
     const servers = [...USUAL, { engineId: 'e1' }].map(({ engineId }) =>
       engine(engineId, { stage: 'decode' }),
@@ -403,7 +404,7 @@
     fleet.directory.replaceAll(servers);
     const fast = { engineId: 'e1', logPace: Math.log(2), weight: 16 };
     fleet.paces.takeKnown([told([...USUAL, fast], LINE)], 0);
-    assert.equal(fleet.paceOf('e1') > 1.7, enginePaces);
+    assert.equal(fleet.paceOf('e1') > 1.7, enginePaces === 'always');
     assert.equal(fleet.paceOf('not listed'), 1);
     const change = fleet.directory.replaceAll([]);
     fleet.forgetEnded(change);
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -237,7 +237,7 @@
     ownWork: () => work,
     ownDemand: () => [],
     noteRelay: () => undefined,
-    paces: new FleetPaces({ isOn: true, speedOf: () => speed, serviceOf: () => 's' }),
+    paces: new FleetPaces({ use: 'always', speedOf: () => speed, serviceOf: () => 's' }),
     isReady: () => true,
     tableDigest: () => ({
       configurations: { changed: 3, seen: 3, reread: 0 },
--- a/test/gateway/support/fleet-of-tellers.ts
+++ b/test/gateway/support/fleet-of-tellers.ts
@@ -49,7 +49,7 @@
     const { timers } = this;
     const speed = new ReadSpeed(true);
     const paces = new FleetPaces({
-      isOn: true,
+      use: 'always',
       speedOf: () => speed,
       serviceOf: (id) => (id.startsWith('e') ? SERVICE : undefined),
     });
