--- a/src/core/capacity/plan-for-loss.ts
+++ b/src/core/capacity/plan-for-loss.ts
@@ -1,9 +1,9 @@
 /**
  * How many servers each zone is to have so that the loss of a zone's spot servers leaves enough for the work.
  *
- * Spot servers that one zone more than is needed would take cost less than plain servers for all the work, as long as
- * their price times zones / (zones - 1) is below 1. Then the loss is borne by spot servers elsewhere, and few are
- * plain. Where it is not, what the work needs is plain, and only the rest is spot.
+ * To bear the loss of one of n zones, spot servers must number n / (n - 1) of what the work needs. While that many cost
+ * less than plain servers for all the work (price x n / (n - 1) below 1), nearly all servers are spot; otherwise what the
+ * work needs is plain, and only the rest is spot.
  *
  * - Spot servers are spread evenly: a zone that has more is a greater loss, and each server that is added for that
  *   costs more than the cheaper zone saves. What cannot be shared evenly goes to the cheapest zones.
@@ -57,6 +57,9 @@
 /** More is ordered by steps of this part, so that a demand that swings does not bring an order each time. */
 const GROWTH_STEP = 0.1;
 
+/** Rounding errors of products are not rounded up to a whole server. */
+const ROUNDING = 1e-9;
+
 /** What each zone is to have. */
 export function planForLoss(input: LossPlanInput): LossPlan {
   const { limits, zones } = input;
@@ -94,8 +97,8 @@
   const spotNeeded = Math.max(0, neededInAll - PLAIN_KEPT);
   const withSpare = PLAIN_KEPT + (spotNeeded * zones.length) / others;
   const growth = Math.min(MOST_GROWTH, withSpare / (given * zones.length));
-  const steps = Math.max(0, Math.ceil((growth - 1) / GROWTH_STEP - 1e-9));
-  const perZone = Math.ceil(given * (1 + steps * GROWTH_STEP) - 1e-9);
+  const steps = Math.max(0, Math.ceil((growth - 1) / GROWTH_STEP - ROUNDING));
+  const perZone = Math.ceil(given * (1 + steps * GROWTH_STEP) - ROUNDING);
   return withinLimits(perZone, limits) * zones.length;
 }
 
--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -2,58 +2,31 @@
  * Plans a model request: read the prompt at a prefill engine and go on at a decode engine, or let a
  * decode engine read it by itself. Each way is priced by the expected time to the first event.
  */
-import type { EngineTraits } from './configuration.js';
-import { type RequestDescription, sharedPart } from './description.js';
-import type { EngineLoad, ExpectedRead, Urgency } from './engine-load.js';
+import { sharedPart } from './description.js';
+import type { EngineChoiceInput } from './engine-choice-input.js';
+import {
+  fullnessMs,
+  healthCostMs,
+  OTHER_ZONE_COST_MS,
+  paceAt,
+  runCostMs,
+  slotWaitMs,
+  waitMs,
+  zoneCostMs,
+} from './engine-costs.js';
+import type { ExpectedRead, Urgency } from './engine-load.js';
 import { homeOf } from './home.js';
-import type { PeerLoads } from './peer-load.js';
-import type { PrefixKnowledge } from './prefix-knowledge.js';
+import { bestDonors, type Donor, donorFor, moveMs } from './prompt-donors.js';
 import type { ReadSpeed } from './read-speed.js';
 import type { EngineStage, ServerRecord } from './server-directory.js';
-import type { ServerHealth } from './server-health.js';
 import { drawSpread, type Spread, type SpreadWork, usefulSpread } from './spread-choice.js';
 
-const SUSPECT_COST_MS = 20_000;
-const FAILURE_COST_MS = 400;
-const OTHER_ZONE_COST_MS = 4;
 /** A part that nobody keeps is read at its home, unless that waits longer than this part of its reading. */
 const HOME_SHARE = 0.25;
 /** Homes of a part while nobody has told anything; each reads the part, so they are few. */
 const HOMES_AT_START = 4;
 /** About what a prompt has that an engine that generates reads by itself; longer ones are read apart. */
 const SHORT_PROMPT_TOKENS = 500;
-/** Fewer missing tokens than this are not worth fetching from another engine. */
-const LEAST_FETCHED_TOKENS = 1_024;
-const BITS_PER_BYTE = 8;
-const BITS_PER_MEGABIT_MS = 1_000;
-
-/** What the plan is made from. */
-export interface EngineChoiceInput {
-  readonly candidates: readonly ServerRecord[];
-  readonly excludedIds: ReadonlySet<string>;
-  readonly description: RequestDescription;
-  readonly zone: string;
-  readonly nowMs: number;
-  readonly knowledge: PrefixKnowledge;
-  readonly speed: ReadSpeed;
-  /** An engine's pace against the usual one; left out where all have one pace. */
-  paceOf?(id: string): number;
-  /** The pace by which an engine counts as the home of a shared part. */
-  homePaceOf?(id: string): number;
-  readonly kvTokenBytes: number;
-  readonly linkMbps: number;
-  /** Short prompts that a decode engine of the usual pace gets in a millisecond, from all daemons. */
-  readonly shortReadsPerMs: number;
-  healthOf(id: string): ServerHealth;
-  readonly peerLoads: PeerLoads;
-  /** How long prompts of an urgency wait, against what the work that is known says. */
-  waitFactor(urgency: Urgency): number;
-  /** What is left of the time in which an answer is in time. */
-  readonly inTimeMs: number;
-  loadOf(id: string): EngineLoad;
-  /** Absent where daemons hear of each other's work at once, and where spreading is switched off. */
-  readonly spread?: Spread | undefined;
-}
 
 /** Read at one engine, go on at another. */
 export interface PrefillStep {
@@ -125,12 +98,6 @@
   readonly tokens: number;
 }
 
-/** An engine that keeps tokens of the prompt which others can take. */
-interface Donor {
-  readonly server: ServerRecord;
-  readonly keptTokens: number;
-}
-
 /**
  * The best way to run a model request; undefined when no engine that generates is left. What can be in
  * time waits only for its like; what cannot goes after all others, wherever it waits least for all.
@@ -335,96 +302,12 @@
   return (input.shortReadsPerMs * pace * busyMs * busyMs) / 2;
 }
 
-/** The two engines that keep most of the prompt: one for all others, and one for the first of them. */
-function bestDonors(input: EngineChoiceInput): readonly Donor[] {
-  const { knowledge, description, nowMs } = input;
-  let first: Donor | undefined;
-  let second: Donor | undefined;
-  for (const server of input.candidates) {
-    const keptTokens = knowledge.movableTokens(server.id, description.promptParts, nowMs);
-    if (keptTokens < LEAST_FETCHED_TOKENS || input.healthOf(server.id).isEjected(nowMs)) continue;
-    if (first === undefined || keptTokens > first.keptTokens) {
-      second = first;
-      first = { server, keptTokens };
-    } else if (second === undefined || keptTokens > second.keptTokens) {
-      second = { server, keptTokens };
-    }
-  }
-  return [first, second].filter((donor) => donor !== undefined);
-}
-
-/** Another engine that keeps enough more of the prompt to be worth a move. */
-function donorFor(
-  server: ServerRecord,
-  keptTokens: number,
-  donors: readonly Donor[],
-): Donor | undefined {
-  const donor = donors.find((candidate) => candidate.server.id !== server.id);
-  if (donor === undefined || donor.keptTokens - keptTokens < LEAST_FETCHED_TOKENS) return undefined;
-  return donor;
-}
-
-/** How long the memory of so many tokens takes on an engine's link. */
-export function moveMs(
-  tokens: number,
-  link: Pick<EngineTraits, 'kvTokenBytes' | 'linkMbps'>,
-): number {
-  const bits = tokens * link.kvTokenBytes * BITS_PER_BYTE;
-  return bits / (link.linkMbps * BITS_PER_MEGABIT_MS);
-}
-
 function enginesOf(input: EngineChoiceInput, stage: 'prefill' | 'decode'): ServerRecord[] {
   return input.candidates.filter(
     (server) => server.stage === stage && !input.excludedIds.has(server.id),
   );
 }
 
-/** How long a prompt waits at an engine for those that are read before it. */
-function waitMs(server: ServerRecord, urgency: Urgency, input: EngineChoiceInput): number {
-  const { nowMs, peerLoads } = input;
-  const load = input.loadOf(server.id);
-  const lateMs = urgency === 'late' ? load.pendingMs('late', nowMs) : 0;
-  const knownMs =
-    load.pendingMs('in-time', nowMs) + lateMs + peerLoads.waitMs(server.id, urgency, nowMs);
-  return knownMs * input.waitFactor(urgency) + load.excessMs(nowMs);
-}
-
-/** How much faster than usual an engine reads and steps. */
-function paceAt(server: ServerRecord, input: EngineChoiceInput): number {
-  return input.paceOf?.(server.id) ?? 1;
-}
-
-/** Runs of all daemons that were sent to an engine and have not ended. */
-function runsAt(server: ServerRecord, input: EngineChoiceInput): number {
-  return input.loadOf(server.id).running + input.peerLoads.running(server.id, input.nowMs);
-}
-
-/** How long a run waits for a slot: those beyond the slots go in as runs end. */
-function slotWaitMs(server: ServerRecord, pace: number, input: EngineChoiceInput): number {
-  const slots = Math.max(1, server.slots);
-  const waiting = Math.max(0, runsAt(server, input) + 1 - slots);
-  return (waiting * input.speed.runMs) / slots / pace;
-}
-
-/** A run takes a share of each step: the fuller the slots, the later the next token. */
-function runCostMs(server: ServerRecord, input: EngineChoiceInput): number {
-  return input.speed.handOverMs / Math.max(1, server.slots);
-}
-
-function fullnessMs(server: ServerRecord, input: EngineChoiceInput): number {
-  return runsAt(server, input) * runCostMs(server, input);
-}
-
-function healthCostMs(server: ServerRecord, input: EngineChoiceInput): number {
-  const health = input.healthOf(server.id);
-  const suspectMs = health.isSuspect(input.nowMs) ? SUSPECT_COST_MS : 0;
-  return FAILURE_COST_MS * health.failureRate + suspectMs;
-}
-
-function zoneCostMs(server: ServerRecord, input: EngineChoiceInput): number {
-  return server.zone === input.zone ? 0 : OTHER_ZONE_COST_MS;
-}
-
 function lowest<T>(items: readonly T[], costOf: (item: T) => number): T | undefined {
   let best: T | undefined;
   let lowestCost = Number.POSITIVE_INFINITY;
--- a/src/core/gateway/engine-paces.ts
+++ b/src/core/gateway/engine-paces.ts
@@ -18,7 +18,7 @@
  * slow: busy engines have more of these, and are not slower for it.
  */
 const LONGER_WEIGHT = 0.15;
-/** Reads differ by so much without either. */
+/** Logarithms of reads of one engine differ by this much without any such wait or slow moment. */
 const LONGER_LOG = 0.05;
 /** First tokens before it is known how they come out. */
 const TRUSTED_WEIGHT = 5;
@@ -30,7 +30,7 @@
 const MOST_WAIT_SHARE = 0.3;
 /** The first token of a run shows less of an engine's pace: the step that it waits for is shared with others. */
 const DECODE_WEIGHT = 0.5;
-/** Paces are worked out again for their age after this time. */
+/** Paces are not worked out again for their age within this time; the caller's own interval comes on top. */
 const REFRESH_MS = 1_000;
 
 /**
@@ -80,7 +80,7 @@
     this.#speed = speed;
   }
 
-  /** Whether the engines' paces differ by more than chance and waits make of equal ones; looked at once a second. */
+  /** Whether the engines' paces differ by more than chance and waits make of equal ones; as of the last `refresh`. */
   get isUnlike(): boolean {
     return this.#isUnlike;
   }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -1,9 +1,7 @@
 /** Described requests: routes, servers, and the choices that are made for each request. */
 export {
   chooseDecodeEngine,
-  type EngineChoiceInput,
   type EnginePlan,
-  moveMs,
   type PrefillStep,
   planModelRequest,
 } from './choose-engine.js';
@@ -39,6 +37,7 @@
   type TableDigest,
   type TableProgress,
 } from './digest-schedule.js';
+export type { EngineChoiceInput } from './engine-choice-input.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
 export { EnginePaces, type PaceSums, type ServicePaceSums } from './engine-paces.js';
 export {
@@ -80,6 +79,7 @@
   type StagePlanInput,
 } from './plan-stages.js';
 export { PrefixKnowledge, type ReadNotice } from './prefix-knowledge.js';
+export { moveMs } from './prompt-donors.js';
 export { planAtRank, RankShares } from './rank-shares.js';
 export { type ReachNotice, ReachNoticeFilter } from './reach-notices.js';
 export { type ReadPriorityInput, readPriority } from './read-priority.js';
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -185,7 +185,10 @@
     return hasSums || this.#recent(nowMs).length > 0;
   }
 
-  /** How long the others have been asked for anything; Infinity since before this daemon heard of them. */
+  /**
+   * For how long the others have had requests: Infinity where that began before this daemon heard of them, undefined
+   * while they have none.
+   */
   busyForMs(nowMs: number): number | undefined {
     return this.#busySinceMs === undefined ? undefined : nowMs - this.#busySinceMs;
   }
@@ -199,7 +202,7 @@
   }
 
   /** How old the newest that was told of the others' work is; infinite where nothing was. */
-  ageMs(nowMs: number): number {
+  newestAgeMs(nowMs: number): number {
     const sums = this.#sums;
     if (sums !== undefined && nowMs - sums.atMs <= SUMS_VALID_MS) return nowMs - sums.atMs;
     return Math.min(
--- a/src/core/gateway/place-request.ts
+++ b/src/core/gateway/place-request.ts
@@ -12,7 +12,10 @@
  * of the others' work late: a queue that took up all of it would make every other request late.
  */
 const QUEUED_SHARE = 0.3;
-/** And this part here: a refusal is worth the more to its caller the sooner it comes. The rest is for errors. */
+/**
+ * Of the same time, the part that it may be held at the daemon: a refusal is worth the more to its caller the sooner it
+ * comes. What both shares leave is for errors of the forecast.
+ */
 export const HELD_SHARE = 0.25;
 
 /** What a forecast is judged by. */
@@ -52,7 +55,7 @@
   | { readonly kind: 'wait'; readonly slackMs: number; readonly roomInMs: number }
   | {
       readonly kind: 'refuse';
-      /** Its caller would have left before; or others would be late for it. */
+      /** `hopeless`: it would end after its caller has left; `overloaded`: it would make others late. */
       readonly reason: 'hopeless' | 'overloaded';
       readonly roomInMs: number;
     };
--- a/src/core/gateway/short-id.ts
+++ b/src/core/gateway/short-id.ts
@@ -4,17 +4,18 @@
  */
 import { avalanche, EMPTY_HASH, hashText } from '../common/hash.js';
 
+/** 64, so that each stands for 6 bits. */
 const DIGITS = '0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_';
-/** 30 bits: of 820 servers, two have the same short id in one fleet of three thousand. */
-const LENGTH = 5;
+/** Characters of 6 bits: with 30 bits the chance that any two of n servers share a short id is about n² / 2³¹. */
+const SHORT_ID_LENGTH = 5;
 
 /** An id's short form, the same at every daemon; an id that is as short stands for itself. */
 export function shortIdOf(id: string): string {
-  if (id.length <= LENGTH) return id;
+  if (id.length <= SHORT_ID_LENGTH) return id;
   const { high, low } = hashText(EMPTY_HASH, id);
   let rest = avalanche(high ^ avalanche(low));
   let short = '';
-  while (short.length < LENGTH) {
+  while (short.length < SHORT_ID_LENGTH) {
     short += DIGITS[rest % DIGITS.length];
     rest = Math.floor(rest / DIGITS.length);
   }
--- a/src/core/gateway/sums-to-tell.ts
+++ b/src/core/gateway/sums-to-tell.ts
@@ -4,7 +4,7 @@
  *
  * More engines change at once than there are bytes for when a large fleet is busy. Then those are told of which what
  * was told before is furthest off, and the sums are not called whole: what is left out is as it was told, and its turn
- * comes. Sums that were called whole and lost a part made engines look idle to all daemons of a zone at once.
+ * comes. Sums that are called whole but lack a part would make engines look idle to every daemon of the zone.
  */
 import type { EngineWork } from './peer-load.js';
 import { RELAY_REFRESH_MS } from './peer-roster.js';
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -141,7 +141,7 @@
     this.#servers.offer({ ...span, rows: rows.map((row) => this.#withStart(row)) });
   }
 
-  /** Relays of an earlier version pass no starts on: what they leave out is as it was. */
+  /** The start is optional in messages: where it is left out and the address is the same, the known one stays. */
   #withStart(row: WatchedRow<ServerRecord>): WatchedRow<ServerRecord> {
     if (row.kind !== 'value' || row.value.bornMs !== undefined) return row;
     const { address, bornMs } = this.#options.fleet.directory.get(row.key) ?? {};
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -42,7 +42,7 @@
 /** The mix of work is judged over this time. */
 export const DEMAND_SPAN_MS = 6_000;
 
-/** Crowded services have few servers; an entry takes some thirty bytes of a datagram. */
+/** Entries for web servers in one message, beside those for engines: crowded services have few servers. */
 const MOST_WEB_ENTRIES = 16;
 
 /** A configuration with its indexes. */
--- a/src/shell/gateway/model-room-ask.ts
+++ b/src/shell/gateway/model-room-ask.ts
@@ -75,7 +75,7 @@
     const { service, rank } = this.#exchange.options;
     const { expectedMs, read } = this.#latest;
     const urgentSlackMs = fleet.slackOf(service).leastMs(rank, nowMs);
-    const sumsAgeMs = fleet.peerLoads.ageMs(nowMs);
+    const sumsAgeMs = fleet.peerLoads.newestAgeMs(nowMs);
     return {
       urgency: read.urgency,
       expectedMs: Math.round(expectedMs),
--- a/src/shell/gateway/pace-teller.ts
+++ b/src/shell/gateway/pace-teller.ts
@@ -22,7 +22,7 @@
 
 /** What was seen within this time goes in one message. */
 const TELL_GAP_MS = 120;
-/** A seventh of what telling of work may take (`peer-exchange.ts`, `relay-duty.ts`), for it changes so much less. */
+/** 15% of the budgets for telling of work (`peer-exchange.ts`): paces change much less often. */
 const BUDGET = { bytesPerSecond: 614, burstBytes: 4_096 };
 /** Answers to daemons that start, in all: a zone that is started again hears within a few seconds. */
 const ANSWER_BUDGET = { bytesPerSecond: 32_768, burstBytes: 131_072 };
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -38,6 +38,8 @@
 const BYTES_OF_ENTRY = 16;
 const BYTES_OF_READ = 28;
 const BYTES_OF_REACH = 48;
+/** More reads than these are told too late to be of use: the newest stay. */
+const MOST_PENDING_READS = 64;
 /** With fewer engines to a message most of its bytes would be its head. */
 const LEAST_ENTRIES = 12;
 
@@ -155,6 +157,8 @@
   #noteRole(isRelay: boolean): void {
     if (this.#isRelay === isRelay) return;
     this.#isRelay = isRelay;
+    clearNews(this.#newsForZone);
+    clearNews(this.#newsForRelays);
     this.#options.noteRelay(isRelay);
     const { zone, log, roster } = this.#options;
     log.write(GATEWAY_EVENTS.roleInFleet, { zone, isRelay, daemons: roster.daemonCount });
@@ -199,8 +203,7 @@
     if (mostEntries < LEAST_ENTRIES) return;
     const told = sums.next(totals(), this.#options.timers.nowMs(), mostEntries);
     this.#sendSums(peers, budget, { ...told, ...news, demand: demand() });
-    news.reads.length = 0;
-    news.reach.length = 0;
+    clearNews(news);
   }
 
   #sendSums(peers: readonly PeerDaemon[], budget: ByteBudget, told: SumsMessage): void {
@@ -222,12 +225,15 @@
   }
 }
 
-/** News beyond these are too old to be of use by the time that they could be told: the newest stay. */
-const MOST_PENDING_READS = 64;
-
 function addNews(pending: PendingNews, { reads, reach }: OwnNews): void {
   pending.reads.push(...reads);
   pending.reach.push(...reach);
   const tooMany = pending.reads.length - MOST_PENDING_READS;
   if (tooMany > 0) pending.reads.splice(0, tooMany);
 }
+
+/** What was told, or was to be told by a daemon that is no relay any more. */
+function clearNews(pending: PendingNews): void {
+  pending.reads.length = 0;
+  pending.reach.length = 0;
+}
--- a/src/shell/gateway/request-room.ts
+++ b/src/shell/gateway/request-room.ts
@@ -238,6 +238,7 @@
       lane: ask.lane,
       tenant: tenant?.name ?? '',
       rank,
+      // What cannot be in time never waits: `placeRequest` sends or refuses it at once.
       canBeInTime: true,
       costMs: ask.costMs,
       arrivedAtMs,
--- a/src/shell/gateway/room-ask.ts
+++ b/src/shell/gateway/room-ask.ts
@@ -21,7 +21,7 @@
   reserve(): () => void;
 }
 
-/** A request that may go; to be called when it is sent. */
+/** Gives back what `reserve` took; to be called once, when the request is sent. */
 export type LeaveRoom = () => void;
 
 /** The request, and what was believed when it was last asked. */
--- a/src/shell/gateway/web-room-ask.ts
+++ b/src/shell/gateway/web-room-ask.ts
@@ -30,7 +30,7 @@
     inputs: () => {
       const nowMs = timers.nowMs();
       const servers = fleet.candidates(service, nowMs);
-      const sumsAgeMs = fleet.peerLoads.ageMs(nowMs);
+      const sumsAgeMs = fleet.peerLoads.newestAgeMs(nowMs);
       return {
         servers: servers.length,
         running: servers.reduce(
