One way to write a time that may be unknown into a room's log lines

Cause: the same check for a time without end stood three times in the two kinds of requests that wait. Change: roundedOrNull beside the fields that they share; no change of behaviour.

--- a/src/shell/gateway/model-room-ask.ts
+++ b/src/shell/gateway/model-room-ask.ts
@@ -8,7 +8,7 @@
 import type { LogFields } from '../../core/logging/log-event.js';
 import type { AttemptContext } from './attempt.js';
 import type { Exchange } from './exchange.js';
-import type { RoomAsk } from './room-ask.js';
+import { type RoomAsk, roundedOrNull } from './room-ask.js';
 
 /** How the request is planned. */
 export interface ModelRoomAskOptions {
@@ -80,9 +80,9 @@
       urgency: read.urgency,
       expectedMs: Math.round(expectedMs),
       queueMs: Math.round(read.waitMs),
-      urgentSlackMs: Number.isFinite(urgentSlackMs) ? Math.round(urgentSlackMs) : null,
+      urgentSlackMs: roundedOrNull(urgentSlackMs),
       rankFactor: Math.round(fleet.rankSharesOf(service).waitFactor(rank) * 100) / 100,
-      sumsAgeMs: Number.isFinite(sumsAgeMs) ? Math.round(sumsAgeMs) : null,
+      sumsAgeMs: roundedOrNull(sumsAgeMs),
     };
   }
 
--- a/src/shell/gateway/room-ask.ts
+++ b/src/shell/gateway/room-ask.ts
@@ -24,6 +24,11 @@
 /** Gives back what `reserve` took; to be called once, when the request is sent. */
 export type LeaveRoom = () => void;
 
+/** A time for a log line; null for one that is not known, or for ever. */
+export function roundedOrNull(spanMs: number): number | null {
+  return Number.isFinite(spanMs) ? Math.round(spanMs) : null;
+}
+
 /** The request, and what was believed when it was last asked. */
 export function fieldsOf({ options }: Exchange, ask: RoomAsk): LogFields {
   const { description, rank, tenant } = options;
--- a/src/shell/gateway/web-room-ask.ts
+++ b/src/shell/gateway/web-room-ask.ts
@@ -2,7 +2,7 @@
 import { placeWebRequest } from '../../core/gateway/index.js';
 import type { AttemptContext } from './attempt.js';
 import type { Exchange } from './exchange.js';
-import type { RoomAsk } from './room-ask.js';
+import { type RoomAsk, roundedOrNull } from './room-ask.js';
 
 /** Requests to web servers cost alike: the time that one takes is not known beforehand. */
 const WEB_COST_MS = 1;
@@ -38,7 +38,7 @@
           0,
         ),
         slots: servers.reduce((sum, { slots }) => sum + slots, 0),
-        sumsAgeMs: Number.isFinite(sumsAgeMs) ? Math.round(sumsAgeMs) : null,
+        sumsAgeMs: roundedOrNull(sumsAgeMs),
       };
     },
     // What is begun is counted at once by the call itself.
