Say what answers tell of leaving and rest, and what is sent despite it

Cause: no line or figure told that an answer said something of its server, so the record could not say when a daemon could have known. Every call to a server now passes ServerCalls, which hears each answer's head: events 6025 to 6028 and two counters. What is sent, and where, is as before.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -87,6 +87,11 @@
 export { RetryBudget, type RetryBudgetCounts, type RetryBudgetOptions } from './retry-budget.js';
 export { RouteTable, TrafficSplitter } from './route-table.js';
 export { type MeteredSend, type SendEnd, SendMeter, type SendStep } from './send-meter.js';
+export {
+  type Availability,
+  ServerAvailability,
+  type ToldAvailability,
+} from './server-availability.js';
 export {
   type DirectoryChange,
   type EngineStage,
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -93,6 +93,31 @@
       'a web server told a load that cannot be read; it is ignored, and so are others like it',
     remedy: 'Correct the server that writes it; requests are served without it.',
   },
+  serverSaidLeaving: {
+    number: 6025,
+    level: 'info',
+    message: 'a server says in an answer that it leaves',
+    remedy: 'Nothing to do if it is to stop; `listed` is what the list of servers said until now.',
+  },
+  serverAskedForRest: {
+    number: 6026,
+    level: 'info',
+    message: 'a server has turned this daemon away and asked for rest',
+    remedy: 'Look at the load of its service if this lasts.',
+  },
+  toldAvailabilityUnreadable: {
+    number: 6027,
+    level: 'warn',
+    message:
+      'a server said of leaving or rest what cannot be read or means nothing there; it is ignored',
+    remedy: 'Correct the server that writes it; it is sent requests as before.',
+  },
+  sentDespiteWord: {
+    number: 6028,
+    level: 'warn',
+    message: 'a call is sent to a server that had said that it leaves or wants rest',
+    remedy: 'Look at when the request was planned, and at `others`: servers that were open then.',
+  },
   serverRowPassedOver: {
     number: 6098,
     level: 'warn',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -11,16 +11,13 @@
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
-import {
-  type BackendAnswer,
-  type BackendConnections,
-  CONNECT_TIMEOUT_MS,
-} from './backend-connections.js';
+import { type BackendAnswer, CONNECT_TIMEOUT_MS } from './backend-connections.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
 import type { MemorySource, RequestCodec } from './ports.js';
 import type { RequestRoom } from './request-room.js';
+import type { ServerCalls } from './server-calls.js';
 import type { WebWork } from './web-work.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -31,7 +28,7 @@
 /** What attempts need. */
 export interface AttemptContext {
   readonly fleet: FleetView;
-  readonly connections: BackendConnections;
+  readonly calls: Pick<ServerCalls, 'call'>;
   readonly codec: RequestCodec;
   /** Whether what other daemons have sent unseen counts in a choice. */
   readonly isSpreading: boolean;
@@ -163,8 +160,10 @@
   if (hasBody || request.headers['transfer-encoding'] !== undefined) {
     headers.push('Content-Length', String(body.length));
   }
-  const result = await context.connections.call({
-    address: options.server.address,
+  const result = await context.calls.call({
+    server: options.server,
+    purpose: options.prefillOnly ? 'prefill' : 'run',
+    request: description.attemptId,
     method: request.method ?? 'GET',
     path: request.url ?? '/',
     headers,
--- a/src/shell/gateway/cache-news-watcher.ts
+++ b/src/shell/gateway/cache-news-watcher.ts
@@ -6,11 +6,11 @@
 
 import type { ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { BackendConnections } from './backend-connections.js';
 import type { FleetView } from './fleet-view.js';
 import type { EngineNews } from './peer-messages.js';
 import type { CacheNews, RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
+import type { ServerCalls } from './server-calls.js';
 import { type CancelTimer, callWithin, delay, type TimerService } from './timer-service.js';
 
 const WAIT_MS = 1_000;
@@ -38,7 +38,7 @@
 /** What watchers of cache news need. */
 export interface CacheNewsContext {
   readonly fleet: FleetView;
-  readonly connections: BackendConnections;
+  readonly calls: Pick<ServerCalls, 'call'>;
   readonly codec: RequestCodec;
   readonly timers: TimerService;
   readonly duty: NewsDuty;
@@ -160,10 +160,12 @@
   }
 
   async #askWithin(signal: AbortSignal): Promise<CacheNews | 'failed' | 'turned-away'> {
-    const { connections, codec } = this.#context;
-    const result = await connections.call({
+    const { calls, codec } = this.#context;
+    const result = await calls.call({
       ...codec.cacheNews(this.#next, WAIT_MS),
-      address: this.#engine.address,
+      server: this.#engine,
+      purpose: 'cache-news',
+      request: '',
       mayKeepConnection: true,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       signal,
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -20,6 +20,7 @@
   RetryBudget,
   type RetryBudgetOptions,
   RouteTable,
+  ServerAvailability,
   ServerDirectory,
   ServerHealth,
   type ServerRecord,
@@ -59,6 +60,7 @@
 /** The beliefs that requests are decided from. */
 export class FleetView {
   readonly directory = new ServerDirectory();
+  readonly availability = new ServerAvailability();
   readonly splitter = new TrafficSplitter();
   readonly knowledge = new PrefixKnowledge();
   readonly peerLoads = new PeerLoads();
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -58,6 +58,18 @@
     registers: [this.#registry],
   });
 
+  readonly #toldAvailability = new Counter({
+    name: 'threadfork_gateway_told_availability_total',
+    help: 'Answers of servers that say that they leave, ask for rest, or say so unreadably',
+    labelNames: ['what'],
+    registers: [this.#registry],
+  });
+  readonly #sentDespite = new Counter({
+    name: 'threadfork_gateway_sent_despite_total',
+    help: 'Calls to servers that had said that they leave or want rest',
+    labelNames: ['despite'],
+    registers: [this.#registry],
+  });
   readonly #retryBudget = new Counter({
     name: 'threadfork_gateway_retry_budget_total',
     help: 'Requests that earned repeats, and repeats taken, given back and denied, by service',
@@ -96,6 +108,14 @@
     this.#attempts.inc({ result });
   }
 
+  recordToldAvailability(what: string): void {
+    this.#toldAvailability.inc({ what });
+  }
+
+  recordSentDespite(despite: string): void {
+    this.#sentDespite.inc({ despite });
+  }
+
   /** What came to a service's retry budget since it was last recorded, and its level now. */
   recordRetryBudget(service: string, since: RetryBudgetCounts, level: number): void {
     this.#retryBudget.inc({ service, what: 'requests' }, since.requests);
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import { RequestRoom } from './request-room.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
 import { RosterNewsDuty } from './roster-news-duty.js';
+import { ServerCalls } from './server-calls.js';
 import { ServerEndCheck } from './server-end-check.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
@@ -143,9 +144,17 @@
       log,
     });
     this.#webWork = webWork;
+    const calls = new ServerCalls({
+      connections: this.#connections,
+      fleet: this.#fleet,
+      codec: adapter.requests,
+      timers,
+      metrics: this.#metrics,
+      log,
+    });
     const context: AttemptContext = {
       fleet: this.#fleet,
-      connections: this.#connections,
+      calls,
       codec: adapter.requests,
       room: this.#room,
       zone: settings.zone,
@@ -190,7 +199,7 @@
       leaseMs: settings.bounds.leaseMs,
       fleet: this.#fleet,
       table: adapter.table,
-      connections: this.#connections,
+      calls,
       codec: adapter.requests,
       mayOrder: () => this.#knowsDemand,
       comingEngines: (service) => this.#duties.comingServers(service),
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -10,6 +10,7 @@
   LoadFigures,
   RequestDescription,
   ServerRecord,
+  ToldAvailability,
 } from '../../core/gateway/index.js';
 import type { TableCall, TableResult } from '../../core/platform/table.js';
 
@@ -58,6 +59,12 @@
   /** Not as servers write it; it says nothing. */
   | { readonly kind: 'unreadable'; readonly text: string };
 
+/** A server's word on whether it takes work, as an answer has it. */
+export interface SaidAvailability extends ToldAvailability {
+  /** What the answer says of it that is not as servers write it; empty where there is nothing such. */
+  readonly unreadable: string;
+}
+
 /** A prompt that was read. */
 export interface PrefillAnswer {
   readonly handle: string;
@@ -119,6 +126,8 @@
    */
   backendHeaders(callerHeaders: RawHeaders, instructions: SendInstructions): string[];
   readMarks(status: number, headers: IncomingHttpHeaders): AnswerMarks;
+  /** What any answer of a server says of whether it takes work; undefined where it says nothing. */
+  readAvailability(status: number, headers: IncomingHttpHeaders): SaidAvailability | undefined;
   /** The answer to a prompt that was only read; undefined when it is none. */
   readPrefillAnswer(body: Buffer): PrefillAnswer | undefined;
   freeHandle(handle: string, serverId: string): EngineCall;
--- a/src/shell/gateway/prompt-reading.ts
+++ b/src/shell/gateway/prompt-reading.ts
@@ -148,12 +148,14 @@
 ): void {
   const call = {
     ...context.codec.freeHandle(memory.handle, source.id),
-    address: memory.address,
+    server: source,
+    purpose: 'free-memory' as const,
+    request: exchange.options.description.attemptId,
     mayKeepConnection: true,
     connectTimeoutMs: FREE_TIMEOUT_MS,
   };
   void callWithin(exchange.options.timers, FREE_TIMEOUT_MS, undefined, (signal) =>
-    context.connections.call({ ...call, signal }),
+    context.calls.call({ ...call, signal }),
   ).then((result) => {
     if (result.kind === 'answered') result.answer.message.resume();
   });
--- a/src/shell/gateway/stage-orders.ts
+++ b/src/shell/gateway/stage-orders.ts
@@ -9,10 +9,10 @@
   StageNotice,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { BackendConnections } from './backend-connections.js';
 import type { FleetView } from './fleet-view.js';
 import type { EngineCall, EngineReport, RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
+import type { CallPurpose, ServerCalls } from './server-calls.js';
 import { callWithin, delay, type TimerService } from './timer-service.js';
 
 /** An ordered engine is asked this often whether its change is over, and the others are told. */
@@ -29,7 +29,7 @@
 export interface StageOrdersOptions {
   readonly daemon: string;
   readonly fleet: FleetView;
-  readonly connections: Pick<BackendConnections, 'call'>;
+  readonly calls: Pick<ServerCalls, 'call'>;
   readonly codec: RequestCodec;
   /** Tells the other daemons of an engine that changes. */
   readonly tellStage: (notice: StageNotice) => void;
@@ -83,7 +83,7 @@
     });
     this.#options.noteSent(stage);
     const order = { stage, holder: daemon, fence: epoch, expectedSequence };
-    const answer = await this.#callEngine(engine, codec.orderStage(order, engine.id));
+    const answer = await this.#callEngine(engine, 'order', codec.orderStage(order, engine.id));
     log.write(GATEWAY_EVENTS.orderAnswered, { server: engine.id, outcome: answer.outcome });
     if (answer.outcome !== STATUS_ACCEPTED) return;
     await this.#follow(engine, stage);
@@ -125,16 +125,18 @@
 
   async #readReport(engine: ServerRecord): Promise<EngineReport | undefined> {
     const { codec } = this.#options;
-    const answer = await this.#callEngine(engine, codec.report(engine.id));
+    const answer = await this.#callEngine(engine, 'report', codec.report(engine.id));
     return answer.body === undefined ? undefined : codec.readReport(answer.body);
   }
 
-  #callEngine(engine: ServerRecord, call: EngineCall): Promise<EngineAnswer> {
-    const { connections, timers } = this.#options;
+  #callEngine(engine: ServerRecord, purpose: CallPurpose, call: EngineCall): Promise<EngineAnswer> {
+    const { calls, timers } = this.#options;
     return callWithin(timers, ORDER_TIMEOUT_MS, undefined, async (signal) => {
-      const result = await connections.call({
+      const result = await calls.call({
         ...call,
-        address: engine.address,
+        server: engine,
+        purpose,
+        request: '',
         mayKeepConnection: false,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         signal,
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -6,7 +6,9 @@
 import type { ServerRecord, StageNotice } from '../../src/core/gateway/index.js';
 import type { BackendCall, CallResult } from '../../src/shell/gateway/backend-connections.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
+import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
 import { GatewayLog } from '../../src/shell/gateway/request-log.js';
+import { ServerCalls } from '../../src/shell/gateway/server-calls.js';
 import { StageController } from '../../src/shell/gateway/stage-controller.js';
 import { suspensionAwareTimers } from '../../src/shell/gateway/timer-service.js';
 import { ManualTimers } from './support/manual-timers.js';
@@ -49,7 +51,7 @@
 function answered(document: unknown, status = 200): Promise<CallResult> {
   const answer = {
     status,
-    message: {} as IncomingMessage,
+    message: { headers: {} } as IncomingMessage,
     collect: () => Promise.resolve(Buffer.from(JSON.stringify(document))),
   };
   return Promise.resolve({ kind: 'answered', answer } as unknown as CallResult);
@@ -123,7 +125,14 @@
     comingEngines: () => 0,
     fleet,
     table,
-    connections: engines,
+    calls: new ServerCalls({
+      connections: engines,
+      fleet,
+      codec: REQUEST_CODEC,
+      timers,
+      metrics: new GatewayMetrics(),
+      log: new GatewayLog(QUIET_LOGGER, timers, 1_000),
+    }),
     codec: REQUEST_CODEC,
     tellStage: (notice) => setup.notices.push(notice),
     timers,
