--- /dev/null
+++ b/test/gateway/leaving-and-rest.test.ts
@@ -0,0 +1,154 @@
+/**
+ * Requests went on reaching servers that had said that they leave, and servers that had asked for rest. An engine said in
+ * its answers that it leaves, from 7.5 s on; the store was out of reach (6020 at 7.32 s) and took that at 20.2 s; until
+ * then 89 more requests reached it from nine daemons, two of them 2,111 and 2,138 ms after their daemon had passed such an
+ * answer on. Nothing read what an answer says of its server: the list alone told of a leaving. A web server that asked for
+ * 3 s of rest got a request after 654 ms and again after 499 and 491 ms (6033 `not-executed` 503), while two others of its
+ * service answered: the daemon's own rest began at 100 ms. Where all engines had asked for rest, 47.973 s, a prompt was
+ * read at one for 31 ms and the run then tried at two that rested: a rest only made a server the last choice.
+ */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { USUAL_LOAD_DECISIONS } from '../../src/shell/gateway/index.js';
+import { deferred } from './support/deferred.js';
+import { configuration, GatewayFixture, RESUMABLE_ROUTE, route } from './support/fixture.js';
+import { ManualTimers } from './support/manual-timers.js';
+import {
+  answering,
+  engine,
+  type Script,
+  type ServedRequest,
+  type ServerStandIn,
+  stamped,
+} from './support/server-stand-in.js';
+
+const READ = route({
+  name: 'read',
+  pathPrefix: '/read/',
+  kind: 'streaming',
+  service: 'reader',
+  timeoutMs: 5_000,
+  targetLatencyMs: 500,
+});
+const LONG = {
+  path: '/read/1',
+  headers: {
+    'X-Model': 'm',
+    'X-Token-Count': '17000,10',
+    'X-Prompt-Prefix': 'aa:13000,bb:4000',
+  },
+};
+const SHORT = {
+  path: '/check/1',
+  headers: { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' },
+};
+const REST_MS = 3_000;
+
+let fixture: GatewayFixture;
+let timers: ManualTimers;
+
+beforeEach(async () => {
+  fixture = new GatewayFixture();
+  timers = new ManualTimers();
+  // Nothing waits for room, so that time only passes where a test says so.
+  await fixture.start(timers, undefined, { ...USUAL_LOAD_DECISIONS, waiting: false });
+  fixture.store.putConfiguration(configuration(1, [route({}), READ, RESUMABLE_ROUTE]));
+  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+});
+
+afterEach(() => fixture.stop());
+
+/** Answers well, and says that it leaves. */
+const leaving: Script = ({ seen, response }) => {
+  response.writeHead(200, { ...stamped(seen), 'Server-Leaving': '1', 'Content-Length': 0 }).end();
+};
+
+/** Turns away and asks for rest. */
+function askingForRest(retryAfter = String(REST_MS / 1_000)): Script {
+  return ({ seen, response }) => {
+    const attemptId = String(seen.headers['x-attempt-id']);
+    const marks = { 'X-Attempt-Id': attemptId, 'X-Not-Executed': '1', 'Retry-After': retryAfter };
+    response.writeHead(503, marks).end();
+  };
+}
+
+async function addServer(id: string, script: Script, fields: object = {}): Promise<ServerStandIn> {
+  const server = await fixture.addServer(id, script, fields);
+  await passUntil(() =>
+    fixture.lines.some((line) => {
+      return line.event === GATEWAY_EVENTS.serverAdded && line.fields.server === id;
+    }),
+  );
+  return server;
+}
+
+/** Changes of the list of servers are gathered for a time, and calls to a store that is away come again. */
+async function passUntil(isSo: () => boolean): Promise<void> {
+  while (!isSo()) {
+    timers.advance(10);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+function addEngine(id: string, stage: 'prefill' | 'decode', script = engine(3)) {
+  return addServer(id, script, { service: 'reader', stage });
+}
+
+/** Runs of callers' requests that a server was sent, whatever came of them. */
+function runsAt(server: ServerStandIn) {
+  const isRun = ({ method, url, headers }: (typeof server.seen)[number]) =>
+    method === 'POST' && /^\/(tiles|read|check)\//.test(url) && headers['x-stage'] === undefined;
+  return server.seen.filter(isRun);
+}
+
+test('a server that says in an answer that it leaves is sent nothing more, though the store lists it as ready', async () => {
+  const first = await addServer('i-1', leaving);
+  assert.equal((await fixture.call({ path: '/tiles/1' })).status, 200);
+  const second = await addServer('i-2', answering(200, 'stays'));
+  fixture.store.fault = 'refuse';
+  timers.advance(2_111);
+  for (let sent = 0; sent < 20; sent += 1) {
+    assert.equal((await fixture.call({ path: `/tiles/${sent}` })).body, 'stays');
+  }
+  assert.deepEqual([runsAt(first).length, runsAt(second).length], [1, 20]);
+});
+
+test('a server that asks for rest gets it whole while another one answers, also when that one is full', async () => {
+  const resting = await addServer('i-1', askingForRest());
+  await fixture.call({ path: '/tiles/1' });
+  const held = deferred<ServedRequest>();
+  const script: Script = (served) => {
+    if (served.seen.url === '/tiles/held') held.resolve(served);
+    else answering(200, 'full')(served);
+  };
+  const full = await addServer('i-2', script, { slots: 1 });
+  const pending = fixture.call({ path: '/tiles/held' });
+  const served = await held.promise;
+  for (const spanMs of [654, 499, 491]) {
+    timers.advance(spanMs);
+    assert.equal((await fixture.call({ path: '/tiles/2' })).body, 'full');
+  }
+  assert.deepEqual([runsAt(resting).length, runsAt(full).length], [1, 4]);
+  answering(200, 'held')(served);
+  await pending;
+});
+
+test('a prompt that was read meanwhile does not go on at an engine that has asked for rest; with no other it is refused', async () => {
+  const reading = deferred<ServedRequest>();
+  await addEngine('i-p', 'prefill', (served) => {
+    if (served.seen.headers['x-stage'] === 'prefill') reading.resolve(served);
+    else engine(3)(served);
+  });
+  const decode = await addEngine('i-d', 'decode', askingForRest());
+  const long = fixture.call(LONG);
+  const read = await reading.promise;
+  assert.equal((await fixture.call(SHORT)).status, 503);
+  timers.advance(600);
+  engine(3)(read);
+  const answer = await long;
+  assert.equal(answer.status, 503);
+  assert.equal(runsAt(decode).length, 1);
+  const waitMs = Number(answer.headers['retry-after']) * 1_000;
+  assert.ok(waitMs >= REST_MS - 600 && waitMs <= 1.5 * REST_MS, `${waitMs}`);
+});
