Test: an engine that asks for rest does not do so in its answers for news

The stand-in turned the daemon's own calls for news away as well, so whether the request that teaches the daemon reached it was a matter of chance.

--- a/test/gateway/leaving-and-rest.test.ts
+++ b/test/gateway/leaving-and-rest.test.ts
@@ -64,9 +64,13 @@
   response.writeHead(200, { ...stamped(seen), 'Server-Leaving': '1', 'Content-Length': 0 }).end();
 };
 
-/** Turns away and asks for rest. */
+/** Turns requests away and asks for rest; the daemon's own calls for news find nothing. */
 function askingForRest(retryAfter = String(REST_MS / 1_000)): Script {
   return ({ seen, response }) => {
+    if (seen.method === 'GET') {
+      response.writeHead(404).end();
+      return;
+    }
     const attemptId = String(seen.headers['x-attempt-id']);
     const marks = { 'X-Attempt-Id': attemptId, 'X-Not-Executed': '1', 'Retry-After': retryAfter };
     response.writeHead(503, marks).end();
