Heed what servers say in their answers: none is sent to one that leaves or rests

Cause: what an answer says of its server was dropped at the edge. A leaving was learnt from the list alone, late where the store is away; a rest that was asked for was replaced by the daemon's own of 100 ms, and one only made a server the last choice.

Servers that leave or rest are no candidates, whatever is left; ServerCalls looks once more before a connection is used. Where nobody is left a request is refused at once, with a Retry-After from the shortest rest.

--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -172,7 +172,7 @@
 }
 
 /** Another service or address is another server, also where no start is told. */
-function isSameLife(one: ServerRecord, other: ServerRecord): boolean {
+export function isSameLife(one: ServerRecord, other: ServerRecord): boolean {
   return (
     one.bornMs === other.bornMs && one.address === other.address && one.service === other.service
   );
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -112,11 +112,11 @@
       'a server said of leaving or rest what cannot be read or means nothing there; it is ignored',
     remedy: 'Correct the server that writes it; it is sent requests as before.',
   },
-  sentDespiteWord: {
+  callHeldBack: {
     number: 6028,
-    level: 'warn',
-    message: 'a call is sent to a server that had said that it leaves or wants rest',
-    remedy: 'Look at when the request was planned, and at `others`: servers that were open then.',
+    level: 'info',
+    message: 'a call was not made as its server had said that it leaves or wants rest',
+    remedy: 'Nothing to do; a request goes to another server, or is refused where there is none.',
   },
   serverRowPassedOver: {
     number: 6098,
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -17,7 +17,7 @@
 import type { FleetView } from './fleet-view.js';
 import type { MemorySource, RequestCodec } from './ports.js';
 import type { RequestRoom } from './request-room.js';
-import type { ServerCalls } from './server-calls.js';
+import type { HeldBack, ServerCalls } from './server-calls.js';
 import type { WebWork } from './web-work.js';
 
 const FIRST_SERVER_ERROR = 500;
@@ -74,15 +74,18 @@
   | { readonly kind: 'not-sent'; readonly reason: string; readonly wasSilent: boolean }
   /** It would be a repeat, and the budget has no room for one; no server is worth another try. */
   | { readonly kind: 'no-budget'; readonly reason: string }
+  /** Its server wants nothing: it was not sent. */
+  | { readonly kind: 'held-back'; readonly reason: string }
   /** The server says that it has not run it. */
   | { readonly kind: 'not-executed'; readonly status: number }
   /** It may have run; there is no answer. */
   | { readonly kind: 'broken'; readonly reason: string };
 
-type FailedCall = Exclude<AttemptResult, { kind: 'answered' | 'no-budget' }>;
+type FailedCall = Exclude<AttemptResult, { kind: 'answered' | 'no-budget' | 'held-back' }>;
 
 type CallResult =
   | FailedCall
+  | HeldBack
   | { readonly kind: 'answered'; readonly attempt: Omit<AnsweredAttempt, 'noteRead'> };
 
 /** An attempt whose answer has begun. */
@@ -121,7 +124,8 @@
   const send = exchange.sends.tryBegin(options.prefillOnly ? 'prefill' : 'run', budget);
   if (send === undefined) return { kind: 'no-budget', reason: NO_BUDGET_REASON };
   const result = await callServer(exchange, context, options);
-  if (result.kind === 'not-sent') exchange.sends.end(send, 'not-sent', budget);
+  const wasSent = result.kind !== 'not-sent' && result.kind !== 'held-back';
+  if (!wasSent) exchange.sends.end(send, 'not-sent', budget);
   if (result.kind !== 'answered') return result;
   const { attempt } = result;
   const noteRead = () => exchange.sends.end(send, 'read', budget);
@@ -180,6 +184,10 @@
     }
     return failure;
   };
+  if (result.kind === 'held-back') {
+    close();
+    return result;
+  }
   if (result.kind !== 'answered') return failed(result);
   const { answer } = result;
   if (health.recordReached()) {
@@ -221,6 +229,7 @@
   switch (result.kind) {
     case 'not-sent':
     case 'no-budget':
+    case 'held-back':
     case 'not-executed':
       return true;
     case 'answered':
@@ -300,8 +309,15 @@
   return exchange.options.configuration.services.get(exchange.options.service)?.engine;
 }
 
+/** Refuses what no server takes, with what speaks against the servers there are. */
+export function refuseUnserved(exchange: Exchange, context: AttemptContext, reason: string): void {
+  const { service, timers } = exchange.options;
+  const { leaving, resting } = context.fleet.unavailableOf(service, timers.nowMs());
+  exchange.refuse(reason, retryAfterMs(exchange, context), { leaving, resting });
+}
+
 /** When a refused caller may come back: when a server that is passed over now is tried again. */
-export function retryAfterMs(exchange: Exchange, { fleet }: AttemptContext): number {
+function retryAfterMs(exchange: Exchange, { fleet }: AttemptContext): number {
   const { service, route, timers } = exchange.options;
   const expectedMs = fleet.roomExpectedInMs(service, timers.nowMs());
   const waitMs = expectedMs ?? route.targetLatencyMs;
--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -183,7 +183,7 @@
   #scaledService({ name, scaling }: Service, nowMs: number): readonly ScaledService[] {
     if (scaling === undefined) return [];
     const { fleet } = this.#options;
-    const servers = fleet.directory.readyOf(name);
+    const servers = fleet.readyOf(name, nowMs);
     const zones = [...scaling.zonePrices.keys()].map((zone): ZoneCapacity => {
       const here = servers.filter((server) => server.zone === zone);
       const spot = here.filter(({ isSpot }) => isSpot).length;
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -3,6 +3,7 @@
  * it has seen of each. The configuration never goes back to a lower version.
  */
 import {
+  type Availability,
   type DemandSums,
   type DirectoryChange,
   EngineLoad,
@@ -135,8 +136,36 @@
 
   /** Servers of a service that may be sent new work. */
   candidates(service: string, nowMs: number): ServerRecord[] {
-    const answering = this.directory.readyOf(service).filter(({ id }) => !this.isDark(id, nowMs));
-    return this.stageNotices.usable(answering, nowMs);
+    const open = this.directory
+      .readyOf(service)
+      .filter((server) => this.availability.of(server, nowMs).kind === 'open')
+      .filter(({ id }) => !this.isDark(id, nowMs));
+    return this.stageNotices.usable(open, nowMs);
+  }
+
+  /** Servers of a service that are there and stay: listed as ready, and none has said that it leaves. */
+  readyOf(service: string, nowMs: number): ServerRecord[] {
+    return this.directory
+      .readyOf(service)
+      .filter((server) => this.availability.of(server, nowMs).kind !== 'leaving');
+  }
+
+  /** Whether a life of a server was one to stay, also if another one has followed since. */
+  wasReady(server: ServerRecord, nowMs: number): boolean {
+    const isLeaving = this.availability.of(server, nowMs).kind === 'leaving';
+    return !isLeaving && this.directory.wasReady(server);
+  }
+
+  /** How many ready servers of a service have said that they leave or want rest. */
+  unavailableOf(
+    service: string,
+    nowMs: number,
+  ): { readonly leaving: number; readonly resting: number } {
+    const kinds = this.directory
+      .readyOf(service)
+      .map((server) => this.availability.of(server, nowMs).kind);
+    const countOf = (kind: Availability['kind']) => kinds.filter((each) => each === kind).length;
+    return { leaving: countOf('leaving'), resting: countOf('resting') };
   }
 
   /** Whether a server answers no connection, as far as is known. */
@@ -155,14 +184,19 @@
    * passed over is tried again. Undefined where none was passed over.
    */
   roomExpectedInMs(service: string, nowMs: number): number | undefined {
-    const waitsMs = this.directory
-      .readyOf(service)
+    const waitsMs = this.readyOf(service, nowMs)
       .filter(({ stage }) => stage !== 'prefill')
-      .map(({ id }) => this.#health.get(id)?.passedOverMs(nowMs) ?? 0)
+      .map((server) => this.#passedOverMs(server, nowMs))
       .filter((waitMs) => waitMs > 0);
     return waitsMs.length === 0 ? undefined : Math.min(...waitsMs);
   }
 
+  #passedOverMs(server: ServerRecord, nowMs: number): number {
+    const availability = this.availability.of(server, nowMs);
+    const restMs = availability.kind === 'resting' ? availability.forMs : 0;
+    return Math.max(restMs, this.#health.get(server.id)?.passedOverMs(nowMs) ?? 0);
+  }
+
   /** A server that another daemon found silent, or back. */
   takeReach(notice: ReachNotice, nowMs: number): void {
     if (this.directory.get(notice.serverId) === undefined) return;
@@ -171,7 +205,7 @@
 
   /** Servers of a service, those that are changing their stage as they will be. */
   expectedServers(service: string, nowMs: number): ServerRecord[] {
-    return this.stageNotices.expected(this.directory.readyOf(service), nowMs);
+    return this.stageNotices.expected(this.readyOf(service, nowMs), nowMs);
   }
 
   healthOf(serverId: string): ServerHealth {
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -64,10 +64,10 @@
     labelNames: ['what'],
     registers: [this.#registry],
   });
-  readonly #sentDespite = new Counter({
-    name: 'threadfork_gateway_sent_despite_total',
-    help: 'Calls to servers that had said that they leave or want rest',
-    labelNames: ['despite'],
+  readonly #heldBack = new Counter({
+    name: 'threadfork_gateway_calls_held_back_total',
+    help: 'Calls that were not made as their server had said that it leaves or wants rest',
+    labelNames: ['why'],
     registers: [this.#registry],
   });
   readonly #retryBudget = new Counter({
@@ -108,12 +108,14 @@
     this.#attempts.inc({ result });
   }
 
+  /** An answer said something of its server. */
   recordToldAvailability(what: string): void {
     this.#toldAvailability.inc({ what });
   }
 
-  recordSentDespite(despite: string): void {
-    this.#sentDespite.inc({ despite });
+  /** A call was given up before it was sent. */
+  recordHeldBack(why: string): void {
+    this.#heldBack.inc({ why });
   }
 
   /** What came to a service's retry budget since it was last recorded, and its level now. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -312,7 +312,7 @@
         isOver: (server) => this.#fleet.directory.isOver(server),
         timers,
       }),
-      isReady: (server) => this.#fleet.directory.wasReady(server),
+      isReady: (server) => this.#fleet.wasReady(server, timers.nowMs()),
       roster: this.#roster,
       peers: () => this.#peers,
       firstTurn: incarnation,
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -13,7 +13,7 @@
   hasNotRun,
   plainAttempt,
   promisesNotRun,
-  retryAfterMs,
+  refuseUnserved,
   sendAttempt,
   wholeOutcome,
 } from './attempt.js';
@@ -179,7 +179,7 @@
     this.#freeUnused(memorySource, plan);
     this.#lastReason = 'reason' in result ? result.reason : `status ${result.status}`;
     if (result.kind === 'no-budget') return this.#giveUp();
-    if (result.kind === 'broken') return 'again';
+    if (result.kind === 'broken' || result.kind === 'held-back') return 'again';
     this.#turnedDown += 1;
     // The memory may be what could not be had: the next engine reads the prompt by itself.
     if (memorySource !== undefined) {
@@ -195,10 +195,9 @@
     memory: MemorySource | undefined,
     plan: EnginePlan,
   ): ServerRecord | undefined {
-    if (result.kind !== 'not-sent' || memory === undefined || plan.kind !== 'prefill') {
-      return undefined;
-    }
-    this.#turnedDown += 1;
+    const wasSent = result.kind !== 'not-sent' && result.kind !== 'held-back';
+    if (wasSent || memory === undefined || plan.kind !== 'prefill') return undefined;
+    if (result.kind === 'not-sent') this.#turnedDown += 1;
     if (this.#exchange.signal.aborted || !this.#mayRunOnceMore()) return undefined;
     return this.#planner.decodeEngineAfter(plan.prefill.server);
   }
@@ -273,7 +272,7 @@
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (exchange.isAnswered) exchange.breakOff(this.#lastReason);
     else if (!this.#context.crashes.refuse(exchange)) {
-      exchange.refuse(this.#lastReason, retryAfterMs(exchange, this.#context));
+      refuseUnserved(exchange, this.#context, this.#lastReason);
     }
     return 'done';
   }
--- a/src/shell/gateway/model-room-ask.ts
+++ b/src/shell/gateway/model-room-ask.ts
@@ -47,11 +47,14 @@
   }
 
   place(): Placement {
-    // Where no engine is left it keeps its last plan, which fails and is made anew.
     const isFirst = this.#isFirst;
-    const plan = isFirst ? undefined : this.#options.replan();
     this.#isFirst = false;
-    if (plan !== undefined) this.#latest = this.#atRank(plan);
+    if (!isFirst) {
+      const plan = this.#options.replan();
+      // No engine takes work any more: it goes by its last plan, which fails, and is refused at once.
+      if (plan === undefined) return { kind: 'go', slackMs: undefined };
+      this.#latest = this.#atRank(plan);
+    }
     const exchange = this.#exchange;
     const { rank, service } = exchange.options;
     const { fleet, room } = this.#context;
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -1,8 +1,8 @@
 /**
- * Calls to listed servers: the one place that every call of this daemon to a server passes, whatever it is for, and
- * where what an answer says of its server is heard.
+ * Calls to listed servers: the one place that every call of this daemon to a server passes, whatever it is for. What
+ * an answer says of its server is heard here, and nothing is sent to one that has said that it wants nothing.
  */
-import type { Availability, ServerRecord } from '../../core/gateway/index.js';
+import type { ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type {
   BackendAnswer,
@@ -30,13 +30,19 @@
   readonly request: string;
 }
 
+/** The call was not made: its server wants none. */
+export interface HeldBack {
+  readonly kind: 'held-back';
+  readonly reason: string;
+}
+
 /** What the calls are built from. */
 export interface ServerCallsOptions {
   readonly connections: Pick<BackendConnections, 'call'>;
-  readonly fleet: Pick<FleetView, 'availability' | 'candidates'>;
+  readonly fleet: Pick<FleetView, 'availability'>;
   readonly codec: Pick<RequestCodec, 'readAvailability'>;
   readonly timers: TimerService;
-  readonly metrics: Pick<GatewayMetrics, 'recordToldAvailability' | 'recordSentDespite'>;
+  readonly metrics: Pick<GatewayMetrics, 'recordToldAvailability' | 'recordHeldBack'>;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
@@ -50,22 +56,55 @@
     this.#options = options;
   }
 
-  async call(call: ServerCall): Promise<CallResult> {
+  async call(call: ServerCall): Promise<CallResult | HeldBack> {
     const { connections, fleet, timers } = this.#options;
-    const { server, purpose, request, ...rest } = call;
-    const availability = fleet.availability.of(server, timers.nowMs());
-    if (availability.kind !== 'open') this.#noteSent(call, availability);
-    const result = await connections.call({ ...rest, address: server.address });
-    if (result.kind === 'answered') this.#hear(call, result.answer);
+    const { server, purpose, request, ...sent } = call;
+    const sentAtMs = timers.nowMs();
+    const heldBack = this.#holdBack(call, sentAtMs);
+    if (heldBack !== undefined) return heldBack;
+    if (isForCaller(purpose)) fleet.availability.noteSent(server, sentAtMs);
+    const result = await connections.call({ ...sent, address: server.address });
+    if (result.kind === 'answered') this.#hear(call, sentAtMs, result.answer);
     return result;
   }
 
-  #hear({ server, purpose }: ServerCall, { status, message }: BackendAnswer): void {
+  /** Whoever chose the server may have done so before it spoke: this is the last look before a connection is used. */
+  #holdBack({ server, purpose, request }: ServerCall, nowMs: number): HeldBack | undefined {
+    const availability = this.#options.fleet.availability.of(server, nowMs);
+    switch (availability.kind) {
+      case 'open':
+        return undefined;
+      case 'leaving':
+        // It still does for this daemon what is no new work.
+        if (!isForCaller(purpose)) return undefined;
+        break;
+      case 'resting':
+        break;
+    }
+    const { kind, toldAgoMs } = availability;
+    this.#options.metrics.recordHeldBack(kind);
+    const fields = { request, server: server.id, purpose, why: kind };
+    this.#options.log.write(GATEWAY_EVENTS.callHeldBack, {
+      ...fields,
+      toldAgoMs: Math.round(toldAgoMs),
+    });
+    return { kind: 'held-back', reason: `the server is ${kind}` };
+  }
+
+  #hear(
+    { server, purpose }: ServerCall,
+    sentAtMs: number,
+    { status, message }: BackendAnswer,
+  ): void {
     const { codec, fleet, timers, log, metrics } = this.#options;
     const said = codec.readAvailability(status, message.headers);
+    if (said?.restMs === undefined && isForCaller(purpose)) {
+      fleet.availability.noteTaken(server, sentAtMs);
+    }
     if (said === undefined) return;
     if (said.unreadable !== '') this.#noteUnreadable(server.id, said.unreadable);
-    for (const news of fleet.availability.take(server, said, timers.nowMs())) {
+    const toldAt = { nowMs: timers.nowMs(), entropy: Math.random() };
+    for (const news of fleet.availability.take(server, said, toldAt)) {
       const fields = { server: server.id, service: server.service, purpose, status };
       metrics.recordToldAvailability(news.kind);
       switch (news.kind) {
@@ -84,24 +123,6 @@
     }
   }
 
-  #noteSent({ server, purpose, request }: ServerCall, availability: Availability): void {
-    if (availability.kind === 'open') return;
-    const { fleet, timers, log, metrics } = this.#options;
-    const nowMs = timers.nowMs();
-    const others = fleet
-      .candidates(server.service, nowMs)
-      .filter((other) => fleet.availability.of(other, nowMs).kind === 'open');
-    metrics.recordSentDespite(availability.kind);
-    log.write(GATEWAY_EVENTS.sentDespiteWord, {
-      request,
-      server: server.id,
-      purpose,
-      despite: availability.kind,
-      toldAgoMs: Math.round(availability.toldAgoMs),
-      others: others.length,
-    });
-  }
-
   #noteUnreadable(server: string, told: string): void {
     const { timers, log, metrics } = this.#options;
     this.#unreadable += 1;
@@ -113,3 +134,17 @@
     log.write(GATEWAY_EVENTS.toldAvailabilityUnreadable, fields);
   }
 }
+
+/** Work of callers, of which a leaving server takes no more. */
+function isForCaller(purpose: CallPurpose): boolean {
+  switch (purpose) {
+    case 'run':
+    case 'prefill':
+      return true;
+    case 'free-memory':
+    case 'cache-news':
+    case 'report':
+    case 'order':
+      return false;
+  }
+}
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -15,7 +15,7 @@
   hasNotRun,
   plainAttempt,
   promisesNotRun,
-  retryAfterMs,
+  refuseUnserved,
   sendAttempt,
   wholeOutcome,
 } from './attempt.js';
@@ -118,7 +118,7 @@
     if (exchange.signal.aborted) exchange.endInterrupted();
     else if (this.#lastFailure !== undefined) exchange.answer(this.#lastFailure);
     else if (!this.#context.crashes.refuse(exchange)) {
-      exchange.refuse(this.#lastReason, retryAfterMs(exchange, this.#context));
+      refuseUnserved(exchange, this.#context, this.#lastReason);
     }
   }
 
