Soak: servers say that they leave, or ask for rest, and the oracle judges both

Servers that leave now say so in each answer, some long before their entry does; servers that turn away may ask for rest; one answer in fifty says what is no word. Drawn apart, so that the other faults of a seed stay as they were. The text of one mutation had gone stale.

--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -34,6 +34,12 @@
   readonly callers: Callers;
 }
 
+/** Servers that do wrong with a part of the requests. */
+interface SpoiltServers extends Omit<Extract<Fault, { kind: 'servers' }>, 'kind'> {
+  /** What they ask for, where they ask for rest. */
+  readonly restMs?: number;
+}
+
 /** Strikes a run's world until it is ended. */
 export class FaultInjector {
   readonly disturbances: Disturbance[] = [];
@@ -113,8 +119,10 @@
         await pause(fault.forMs);
         this.#world.pool.unlistStrays();
         return;
+      case 'rests':
+        return this.#spoilServers({ ...fault, how: 'ask-for-rest' });
       case 'drain':
-        return this.#drain(this.#serversAt([fault.server])[0]);
+        return this.#drain(this.#serversAt([fault.server])[0], fault.listedAfterMs);
       case 'link':
         return this.#disturbLinks(fault);
       case 'duties':
@@ -187,6 +195,7 @@
   async #freeze(daemons: readonly GatewayProcess[], forMs: number): Promise<void> {
     for (const daemon of daemons) {
       this.#disturb('daemon', daemon.name, forMs + THAW_MS);
+      this.#disturb('frozen', daemon.name, forMs);
       daemon.signal('SIGSTOP');
     }
     await pause(forMs);
@@ -210,10 +219,10 @@
       if (listed.server.isUp) this.#world.pool.list(listed);
   }
 
-  async #spoilServers(fault: Extract<Fault, { kind: 'servers' }>): Promise<void> {
+  async #spoilServers(fault: SpoiltServers): Promise<void> {
     const servers = this.#serversAt(fault.servers).map(({ server }) => server);
     for (const server of servers) {
-      server.fault = { how: fault.how, share: fault.share };
+      server.fault = { how: fault.how, share: fault.share, restMs: fault.restMs ?? 0 };
       // Surplus bytes and broken answers may end connections that other requests are on.
       if (fault.how === 'answer-twice') this.#disturb('server', server.id, fault.forMs);
     }
@@ -223,7 +232,7 @@
 
   async #crash(listed: PooledServer, downMs: number, startedAs: StartedAs): Promise<void> {
     const { server } = listed;
-    if (!server.isUp || listed.isDraining) return;
+    if (!server.isUp || listed.isLeaving) return;
     const { id: oldId, bornMs } = server;
     this.#disturb('server', oldId, downMs + ENTRY_LAPSE_MS);
     server.crash();
@@ -248,11 +257,15 @@
     void this.#crash(listed, downMs, 'same');
   }
 
-  /** The server says that it leaves, serves on for a while, and comes back as another. */
-  async #drain(listed: PooledServer | undefined): Promise<void> {
-    if (listed === undefined || !listed.server.isUp || listed.isDraining) return;
+  /** The server says that it leaves, at times only in its answers at first, serves on for a while, and comes back as another. */
+  async #drain(listed: PooledServer | undefined, listedAfterMs: number): Promise<void> {
+    if (listed === undefined || !listed.server.isUp || listed.isLeaving) return;
     const { server } = listed;
     const oldId = server.id;
+    server.isLeaving = true;
+    // No other fault may end it before it has left.
+    listed.isLeaving = true;
+    await pause(listedAfterMs);
     listed.isDraining = true;
     this.#world.pool.list(listed);
     this.drains.push({ serverId: oldId, ackMs: performance.now() });
@@ -261,6 +274,7 @@
     this.#world.pool.unlist(oldId);
     server.crash();
     listed.isDraining = false;
+    listed.isLeaving = false;
     if (this.#isEnded) return;
     await server.start();
     this.#world.pool.list(listed);
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -20,6 +20,16 @@
 /** With fewer slots than this work takes longer. */
 const SHORT_OF_SLOTS = 6;
 const SPOILT_LOAD_SHARE = 0.1;
+/** Answers whose word on leaving, or on rest, is none. */
+const SPOILT_WORD_SHARE = 0.02;
+const SPOILT_WORDS = [
+  { [WIRE.leaving]: '0' },
+  { [WIRE.leaving]: '' },
+  { [WIRE.leaving]: 'true' },
+  { 'Retry-After': '30' },
+  { 'Retry-After': 'soon' },
+] as const;
+const MILLISECONDS_PER_SECOND = 1_000;
 const LONGEST_NEWS_WAIT_MS = 1_000;
 const KEEP_ALIVE_MS = 5_000;
 /** From the begin of a run that ends its server to that end. */
@@ -63,6 +73,8 @@
 interface OwnFault {
   readonly how: ServerFault;
   readonly share: number;
+  /** For how long daemons that are turned away are asked to send nothing. */
+  readonly restMs: number;
 }
 
 let instances = 0;
@@ -90,6 +102,8 @@
   #orders = 0;
   #runs = 0;
   fault: OwnFault | undefined;
+  /** Whether it says in each answer that it leaves; until its next start. */
+  isLeaving = false;
 
   constructor(options: ModelServerOptions) {
     this.#options = options;
@@ -132,6 +146,7 @@
     }
     this.#bornMs = Math.max(this.#bornMs + 1, Date.now());
     this.#orders = 0;
+    this.isLeaving = false;
     this.#stage = this.#options.stage;
     this.#isSwitching = false;
     this.#highestFence = 0;
@@ -180,14 +195,20 @@
       endedMs: undefined,
       isServersFault: false,
       hasEndedServer: false,
+      saidLeaving: this.isLeaving,
+      restAskedMs: undefined,
       stamp: undefined,
     };
     this.#options.observer.arrived(request, body, arrival);
     const refusal = this.#refusalOf(request, arrival);
     if (refusal !== undefined) {
       arrival.endedMs = atMs;
-      const head = { ...idOf(request), ...this.#loadHeader(), [WIRE.notExecuted]: '1' };
-      response.writeHead(refusal, head).end();
+      if (refusal === 'rest') arrival.restAskedMs = this.fault?.restMs;
+      const rest = restHeader(arrival.restAskedMs);
+      const leaving = this.#leavingHeader();
+      const said = { ...this.#loadHeader(), ...leaving, ...rest };
+      const head = { ...idOf(request), ...said, [WIRE.notExecuted]: '1' };
+      response.writeHead(refusal === 'rest' ? 503 : refusal, head).end();
       return;
     }
     arrival.isTaken = true;
@@ -204,14 +225,15 @@
     else this.#run(request, response, arrival, end);
   }
 
-  /** The status of a refusal that says truly that it has not run. */
-  #refusalOf(request: IncomingMessage, arrival: Arrival): number | undefined {
+  /** The status of a refusal that says truly that it has not run; `rest` for a 503 that asks for it. */
+  #refusalOf(request: IncomingMessage, arrival: Arrival): number | 'rest' | undefined {
     const { headers } = request;
     if (headers[WIRE.expectInstance] !== this.#id) return 421;
     if (this.#isSwitching) return 503;
     if (this.#stage !== undefined && (arrival.step === 'prefill') !== (this.#stage === 'prefill')) {
       return 421;
     }
+    if (this.#strikes('ask-for-rest')) return 'rest';
     if (this.#strikes('turn-away') || this.#running >= this.slots) return 503;
     const source = headers[WIRE.kvSource];
     if (typeof source !== 'string') return undefined;
@@ -235,7 +257,7 @@
       this.#options.handles.set(kvHandle, String(request.headers[WIRE.attemptId]));
       this.#ownHandles.add(kvHandle);
       const body = JSON.stringify({ kvHandle, tokens: 10, version: 1 });
-      response.writeHead(200, idOf(request)).end(body);
+      response.writeHead(200, { ...idOf(request), ...this.#word() }).end(body);
     }, READ_MS * this.#options.pace);
   }
 
@@ -257,7 +279,8 @@
         if (response.destroyed) return;
         end();
         arrival.stamp = stamp;
-        response.writeHead(500, { ...idOf(request), [WIRE.stamp]: stamp }).end('failed');
+        const head = { ...idOf(request), ...this.#word(), [WIRE.stamp]: stamp };
+        response.writeHead(500, head).end('failed');
       }, this.#webWorkMs);
       return;
     }
@@ -297,7 +320,8 @@
       arrival.stamp = stamp;
       const body = wholeBody(String(request.headers[WIRE.attemptId]), stamp);
       const head = { ...idOf(request), [WIRE.stamp]: stamp, 'Content-Length': body.length };
-      response.writeHead(200, { ...head, ...this.#loadHeader() });
+      arrival.saidLeaving = this.isLeaving;
+      response.writeHead(200, { ...head, ...this.#word(), ...this.#loadHeader() });
       if (breaksOff) {
         arrival.isServersFault = true;
         response.write(body.slice(0, Math.floor(body.length * BROKEN_SHARE)), () =>
@@ -344,7 +368,8 @@
       if (response.destroyed) return;
       if (!response.headersSent) {
         arrival.stamp = stamp;
-        const type = { 'Content-Type': 'text/event-stream' };
+        arrival.saidLeaving = this.isLeaving;
+        const type = { 'Content-Type': 'text/event-stream', ...this.#word() };
         response.writeHead(200, { ...idOf(request), [WIRE.stamp]: stamp, ...type });
       }
       if (next >= breaksAt) {
@@ -372,7 +397,8 @@
       running: this.#running,
       born: this.#bornMs,
     };
-    response.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(report));
+    const head = { 'Content-Type': 'application/json', ...this.#word() };
+    response.writeHead(200, head).end(JSON.stringify(report));
   }
 
   #order(body: string, response: ServerResponse): void {
@@ -385,7 +411,7 @@
       response.destroy();
       return;
     }
-    response.writeHead(this.#carryOut(order) ? 202 : 409).end();
+    response.writeHead(this.#carryOut(order) ? 202 : 409, this.#word()).end();
   }
 
   /** @returns whether the order's fence allows it */
@@ -420,7 +446,10 @@
       events: [],
     });
     const timer = setTimeout(
-      () => response.writeHead(200, { 'Content-Type': 'application/json' }).end(answer),
+      () =>
+        response
+          .writeHead(200, { 'Content-Type': 'application/json', ...this.#word() })
+          .end(answer),
       LONGEST_NEWS_WAIT_MS,
     );
     response.once('close', () => clearTimeout(timer));
@@ -428,8 +457,23 @@
 
   #freeHandle(path: string, response: ServerResponse): void {
     this.#options.handles.delete(path.slice(PATHS.kvHandle.length));
-    response.writeHead(200).end();
+    response.writeHead(200, this.#word()).end();
   }
+
+  #leavingHeader(): Record<string, string> {
+    return this.isLeaving ? { [WIRE.leaving]: '1' } : {};
+  }
+
+  /** What each answer says of its server: that it leaves, or now and then what is no word. */
+  #word(): Record<string, string> {
+    if (this.isLeaving) return this.#leavingHeader();
+    if (this.#options.random() >= SPOILT_WORD_SHARE) return {};
+    return SPOILT_WORDS[Math.floor(this.#options.random() * SPOILT_WORDS.length)] ?? {};
+  }
+}
+
+function restHeader(restMs: number | undefined): Record<string, string> {
+  return restMs === undefined ? {} : { 'Retry-After': String(restMs / MILLISECONDS_PER_SECOND) };
 }
 
 function idOf(request: IncomingMessage): Record<string, string> {
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -47,8 +47,8 @@
     name: 'true-refusals',
     promise: 'REFUSED',
     file: 'src/shell/gateway/exchange.ts',
-    text: 'if (this.mayHaveRun) {\n      this.fail(502, reason);',
-    replacement: 'if (this.runs > 99) {\n      this.fail(502, reason);',
+    text: 'if (this.mayHaveRun) {\n      this.fail(502, reason, details);',
+    replacement: 'if (this.runs > 99) {\n      this.fail(502, reason, details);',
   },
   {
     name: 'visible-breaks',
@@ -71,6 +71,20 @@
     text: "record.state === 'ready'",
     replacement: 'record.state !== undefined',
   },
+  {
+    name: 'leaving-answers',
+    promise: 'DRAIN',
+    file: 'src/core/gateway/server-availability.ts',
+    text: 'if (told.isLeaving) {',
+    replacement: 'if (told.isLeaving && nowMs < 0) {',
+  },
+  {
+    name: 'asked-rests',
+    promise: 'BUDGET',
+    file: 'src/core/gateway/server-availability.ts',
+    text: 'if (askedMs > 0) {',
+    replacement: 'if (askedMs > 1e9) {',
+  },
   {
     name: 'newer-configuration',
     promise: 'CONFIG',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -47,6 +47,9 @@
 const SHOWN = 5;
 /** A few requests may cross the moment that a daemon's process is given up by its caller. */
 const LOST_MOST = 3;
+/** From a server's refusal until its daemon has to have heard of the rest that it asks for. */
+const REST_GRACE_MS = 500;
+const REST_MOST_ARRIVALS = 2;
 /** Servers that may end under one request, and sends of it from then on. */
 const MOST_CRASHES = 3;
 const MOST_SENT_AFTER = 3;
@@ -58,6 +61,8 @@
     ...run.unasked.map((detail): Violation => ({ promise: 'UNASKED', atMs: 0, detail })),
     ...calls.flatMap((call) => judgeCall(call, run)),
     ...judgeLost(calls, run),
+    ...judgeLeavingAnswers(calls, run),
+    ...judgeRests(calls, run),
     ...judgeBudget(calls, run),
     ...judgeGone(calls, run),
     ...judgeOrders(run),
@@ -175,6 +180,65 @@
   }
 }
 
+/** A daemon in one life, and a server. */
+function pairOf({ daemon, life }: CallRecord, { serverId }: Arrival): string {
+  return `${daemon} ${life} ${serverId}`;
+}
+
+/** A daemon that has passed on an answer that says that its server leaves knows it, in touch or not. */
+function judgeLeavingAnswers(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const toldMs = new Map<string, number>();
+  for (const call of calls) {
+    const { end, endedMs = run.endMs } = call;
+    const passedOn = call.arrivals.find(
+      ({ saidLeaving, stamp }) =>
+        saidLeaving && end?.kind === 'answered' && stamp !== undefined && stamp === end.stamp,
+    );
+    if (passedOn === undefined) continue;
+    const pair = pairOf(call, passedOn);
+    toldMs.set(pair, Math.min(endedMs, toldMs.get(pair) ?? endedMs));
+  }
+  return calls.flatMap((call) =>
+    call.arrivals.flatMap((arrival): readonly Violation[] => {
+      const fromMs = toldMs.get(pairOf(call, arrival));
+      if (fromMs === undefined || call.sentMs <= fromMs + run.bounds.drainMs) return [];
+      const span = { fromMs, toMs: arrival.atMs };
+      if (isDisturbed(run, { scope: 'frozen', name: call.daemon, ...span })) return [];
+      if (isDisturbed(run, { scope: 'stand-ins', name: '', ...span })) return [];
+      const agoMs = Math.round(arrival.atMs - fromMs);
+      const detail = `${call.id} sent to ${arrival.serverId} ${agoMs} ms after an answer said that it leaves`;
+      return [{ promise: 'DRAIN', atMs: arrival.atMs, detail }];
+    }),
+  );
+}
+
+/** A server that has asked a daemon for rest gets next to nothing from it until the rest is over. */
+function judgeRests(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const arrivalsOf = new Map<string, Arrival[]>();
+  for (const call of calls) {
+    for (const arrival of call.arrivals) {
+      const pair = pairOf(call, arrival);
+      const known = arrivalsOf.get(pair);
+      if (known === undefined) arrivalsOf.set(pair, [arrival]);
+      else known.push(arrival);
+    }
+  }
+  return calls.flatMap((call) =>
+    call.arrivals.flatMap((asked): readonly Violation[] => {
+      const { restAskedMs, atMs, serverId } = asked;
+      if (restAskedMs === undefined) return [];
+      const span = { fromMs: atMs + REST_GRACE_MS, toMs: atMs + restAskedMs };
+      const isWithin = (arrival: Arrival) => arrival.atMs > span.fromMs && arrival.atMs < span.toMs;
+      const during = (arrivalsOf.get(pairOf(call, asked)) ?? []).filter(isWithin);
+      if (during.length <= REST_MOST_ARRIVALS) return [];
+      if (isDisturbed(run, { scope: 'daemon', name: call.daemon, ...span })) return [];
+      if (isDisturbed(run, { scope: 'stand-ins', name: '', ...span })) return [];
+      const detail = `${serverId} asked ${call.daemon} for ${restAskedMs} ms of rest and got ${during.length} requests`;
+      return [{ promise: 'BUDGET', atMs, detail }];
+    }),
+  );
+}
+
 function judgeLost(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const lost = calls.filter((call) => isLost(call, run));
   if (lost.length <= LOST_MOST) return [];
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -14,6 +14,8 @@
 export type ServerFault =
   /** Turns them away, and says that they have not run. */
   | 'turn-away'
+  /** Turns them away as well, and wants nothing more from their daemon for a time. */
+  | 'ask-for-rest'
   /** Answers 500 after a run. */
   | 'fail'
   /** Runs them and breaks off before the end of the answer. */
@@ -71,7 +73,20 @@
   | { readonly kind: 'restart'; readonly servers: readonly number[]; readonly downMs: number }
   /** Rows that no server wrote stand in the list, unreadable or of unknown kinds. */
   | { readonly kind: 'stray-rows'; readonly forMs: number }
-  | { readonly kind: 'drain'; readonly server: number }
+  | {
+      readonly kind: 'rests';
+      readonly servers: readonly number[];
+      readonly share: number;
+      /** What each daemon that is turned away is asked for. */
+      readonly restMs: number;
+      readonly forMs: number;
+    }
+  | {
+      readonly kind: 'drain';
+      readonly server: number;
+      /** How long only its answers say so. */
+      readonly listedAfterMs: number;
+    }
   | {
       readonly kind: 'link';
       readonly how: LinkFault;
@@ -138,6 +153,9 @@
 const CRASHING_SALT = 0x5eed;
 const RESTARTS_SALT = 0x11fe;
 const SERVERS_SALT = 0x5107;
+const WORDS_SALT = 0x4057;
+const LEAST_WORD_GAP_MS = 3_000;
+const MOST_WORD_GAP_MS = 8_000;
 const LEAST_RESTART_GAP_MS = 4_000;
 const MOST_RESTART_GAP_MS = 9_000;
 const PACES = [0.6, 1, 1, 1.5, 2.5] as const;
@@ -275,8 +293,11 @@
   }),
 ];
 
-function drawDrain(dice: Dice, { engines, webServers }: SoakSize): Fault {
-  return { kind: 'drain', server: dice.whole(0, engines + webServers - 1) };
+function drawDrain(
+  dice: Dice,
+  { engines, webServers }: SoakSize,
+): Extract<Fault, { kind: 'drain' }> {
+  return { kind: 'drain', server: dice.whole(0, engines + webServers - 1), listedAfterMs: 0 };
 }
 
 function drawChange(dice: Dice): Fault {
@@ -309,7 +330,9 @@
     seed,
     size,
     servers: drawServers(seed, size),
-    faults: [...faults, ...restarts].sort((left, right) => left.atMs - right.atMs),
+    faults: [...faults, ...restarts, ...drawWords(seed, size, endMs)].sort(
+      (left, right) => left.atMs - right.atMs,
+    ),
     crashing: drawCrashing(seed, endMs),
   };
 }
@@ -332,6 +355,31 @@
   return { kind: 'restart', servers, downMs: dice.pick([0, 30, 300, 5_000]) };
 }
 
+/** Servers that say in their answers that they leave, or want rest; drawn apart as well. */
+function drawWords(seed: number, size: SoakSize, endMs: number): readonly TimedFault[] {
+  const dice = new Dice(seed ^ WORDS_SALT);
+  const words: TimedFault[] = [];
+  let atMs = FIRST_FAULT_MS + dice.between(0, MOST_WORD_GAP_MS);
+  while (atMs < endMs) {
+    words.push({ atMs: Math.round(atMs), fault: drawWord(dice, size) });
+    atMs += dice.between(LEAST_WORD_GAP_MS, MOST_WORD_GAP_MS);
+  }
+  return words;
+}
+
+function drawWord(dice: Dice, size: SoakSize): Fault {
+  if (dice.chance(0.4)) {
+    return { ...drawDrain(dice, size), listedAfterMs: dice.between(1_000, 8_000) };
+  }
+  return {
+    kind: 'rests',
+    servers: dice.some(size.engines + size.webServers, dice.pick([0.2, 0.5, 1])),
+    share: dice.pick([0.3, 1]),
+    restMs: dice.pick([1_000, 2_500, 3_000]),
+    forMs: dice.between(1_000, 5_000),
+  };
+}
+
 /** Drawn apart as well. */
 function drawServers(seed: number, { engines, webServers }: SoakSize): ServerTraits {
   const dice = new Dice(seed ^ SERVERS_SALT);
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -47,6 +47,10 @@
   isServersFault: boolean;
   /** Whether the server ended under it, as under each run of the same body. */
   hasEndedServer: boolean;
+  /** Whether the answer said that its server leaves. */
+  saidLeaving: boolean;
+  /** How long the server asked the daemon for rest, as it turned the request away; undefined where it did not. */
+  restAskedMs: number | undefined;
   /** The stamp of the answer that the server gave. */
   stamp: string | undefined;
 }
@@ -72,6 +76,8 @@
 /** What a disturbance strikes. */
 export type Scope =
   | 'daemon'
+  /** A daemon's process stood still. */
+  | 'frozen'
   | 'store'
   | 'server'
   /** The soak's own process was late: its store answers late, and its servers note arrivals late. */
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -36,6 +36,8 @@
   readonly link: LinkProxy;
   readonly zone: string;
   isDraining: boolean;
+  /** Whether it says in its answers that it leaves; its entry may do so later. */
+  isLeaving: boolean;
 }
 
 /** What a pool is built from. */
@@ -119,7 +121,7 @@
     const server = new ModelServer({ ...made, handles, random, observer, noteStage });
     const link = new LinkProxy(() => server.port);
     const zone = ZONES[this.servers.length % ZONES.length] ?? ZONES[0];
-    const pooled: PooledServer = { server, link, zone, isDraining: false };
+    const pooled: PooledServer = { server, link, zone, isDraining: false, isLeaving: false };
     await server.start();
     await link.open();
     this.servers.push(pooled);
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -8,6 +8,7 @@
   stamp: HEADERS.responseStamp,
   notExecuted: HEADERS.notExecuted,
   load: HEADERS.serverLoad,
+  leaving: HEADERS.serverLeaving,
   expectInstance: SENT_HEADERS.expectInstance.toLowerCase(),
   stage: SENT_HEADERS.stage.toLowerCase(),
   kvSource: SENT_HEADERS.kvSource.toLowerCase(),
--- a/test/gateway/leaving-and-rest.test.ts
+++ b/test/gateway/leaving-and-rest.test.ts
@@ -48,14 +48,16 @@
 let fixture: GatewayFixture;
 let timers: ManualTimers;
 
-beforeEach(async () => {
+// Nothing waits for room unless a test says so, and time only passes where one does.
+beforeEach(() => start(false));
+
+async function start(waiting: boolean): Promise<void> {
   fixture = new GatewayFixture();
   timers = new ManualTimers();
-  // Nothing waits for room, so that time only passes where a test says so.
-  await fixture.start(timers, undefined, { ...USUAL_LOAD_DECISIONS, waiting: false });
+  await fixture.start(timers, undefined, { ...USUAL_LOAD_DECISIONS, waiting });
   fixture.store.putConfiguration(configuration(1, [route({}), READ, RESUMABLE_ROUTE]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
-});
+}
 
 afterEach(() => fixture.stop());
 
@@ -156,3 +158,75 @@
   const waitMs = Number(answer.headers['retry-after']) * 1_000;
   assert.ok(waitMs >= REST_MS - 600 && waitMs <= 1.5 * REST_MS, `${waitMs}`);
 });
+
+test('where all servers leave a request is refused at once, with what speaks against them in the log', async () => {
+  await addServer('i-1', leaving);
+  await addServer('i-2', leaving);
+  await fixture.call({ path: '/tiles/1' });
+  await fixture.call({ path: '/tiles/1' });
+  const answer = await fixture.call({ path: '/tiles/1' });
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+  await fixture.logged(GATEWAY_EVENTS.requestRefused, ({ leaving: count }) => count === 2);
+});
+
+test('after the rest one request tries the server, and the others go elsewhere until it is answered', async () => {
+  const trial = deferred<ServedRequest>();
+  const resting = await addServer('i-1', askingForRest());
+  await fixture.call({ path: '/tiles/1' });
+  resting.script = (served) => trial.resolve(served);
+  timers.advance(1.1 * REST_MS);
+  const first = fixture.call({ path: '/tiles/first' });
+  const served = await trial.promise;
+  const refused = await fixture.call({ path: '/tiles/second' });
+  assert.equal(refused.status, 503);
+  answering(200, 'tried')(served);
+  assert.equal((await first).body, 'tried');
+  resting.script = answering(200, 'open');
+  assert.equal((await fixture.call({ path: '/tiles/third' })).body, 'open');
+});
+
+test('a server that has started again since is sent requests as any other', async () => {
+  const first = await addServer('i-1', leaving, { born: 1 });
+  await fixture.call({ path: '/tiles/1' });
+  assert.equal((await fixture.call({ path: '/tiles/1' })).status, 503);
+  first.script = answering(200, 'anew');
+  fixture.listServer('i-1', first, { born: 2 });
+  await passUntil(() => fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.serverRenewed));
+  assert.equal((await fixture.call({ path: '/tiles/1' })).body, 'anew');
+});
+
+test('a word that is none changes nothing and is said once', async () => {
+  await addServer('i-1', ({ seen, response }) => {
+    const words = { 'Server-Leaving': 'true', 'Retry-After': '3' };
+    response.writeHead(200, { ...stamped(seen), ...words, 'Content-Length': 0 }).end();
+  });
+  for (let sent = 0; sent < 3; sent += 1) {
+    assert.equal((await fixture.call({ path: '/tiles/1' })).status, 200);
+  }
+  const said = fixture.lines.filter(
+    ({ event }) => event === GATEWAY_EVENTS.toldAvailabilityUnreadable,
+  );
+  assert.equal(said.length, 1);
+});
+
+for (const [kind, request, fields] of [
+  ['a web server', { path: '/tiles/1' }, {}],
+  ['an engine', SHORT, { service: 'reader', stage: 'decode' }],
+] as const) {
+  test(`while ${kind} rests and there is no other, nobody waits for room: requests are refused at once`, async () => {
+    fixture.stop();
+    await start(true);
+    const resting = await addServer('i-1', askingForRest(), fields);
+    const taught = fixture.call(request);
+    await passUntil(() =>
+      fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestRefused),
+    );
+    assert.equal((await taught).status, 503);
+    const answer = await fixture.call(request);
+    assert.equal(answer.status, 503);
+    assert.equal(runsAt(resting).length, 1);
+    const waitMs = Number(answer.headers['retry-after']) * 1_000;
+    assert.ok(waitMs > 0.5 * REST_MS && waitMs <= 1.1 * 1.5 * REST_MS, `${waitMs}`);
+  });
+}
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -65,6 +65,8 @@
     endedMs: 30_020,
     isServersFault: false,
     hasEndedServer: false,
+    saidLeaving: false,
+    restAskedMs: undefined,
     stamp: STAMP,
     ...fields,
   };
@@ -189,6 +191,46 @@
   assert.deepEqual(broken(run([call()], { drains: [{ serverId: 's1', ackMs: 29_000 }] })), []);
 });
 
+test('DRAIN: an answer that was passed on said that its server leaves, and the daemon goes on sending there', () => {
+  const leaving = call({ arrivals: [arrival({ saidLeaving: true })] });
+  const later = (sentMs: number, fields: Partial<CallRecord> = {}) => {
+    const late = arrival({ atMs: sentMs + 10, stamp: 's1.2' });
+    return call({ id: 'r2', sentMs, end: undefined, arrivals: [late], ...fields });
+  };
+  assertBroken('DRAIN', run([leaving, later(32_100)]));
+  assert.deepEqual(broken(run([leaving, later(31_900)])), []);
+  assert.deepEqual(broken(run([leaving, later(32_100, { daemon: 'd2' })])), []);
+  assert.deepEqual(broken(run([leaving, later(32_100, { life: 2 })])), []);
+  const own = { name: 'd1', fromMs: 31_000, toMs: 31_500, isPlanned: false };
+  const frozen = run([leaving, later(32_100)], { disturbances: [{ ...own, scope: 'frozen' }] });
+  assert.deepEqual(broken(frozen), []);
+  const cut = run([leaving, later(32_100)], { disturbances: [{ ...own, scope: 'daemon' }] });
+  assertBroken('DRAIN', cut);
+  const notPassedOn = call({ arrivals: [arrival({ saidLeaving: true })], end: undefined });
+  assert.deepEqual(broken(run([notPassedOn, later(32_100)])), []);
+});
+
+test('BUDGET: a server that asked a daemon for rest gets more than two requests from it meanwhile', () => {
+  const asked = arrival({ isTaken: false, restAskedMs: 3_000, stamp: undefined });
+  const refused = call({ end: answered({ status: 503, stamp: undefined }), arrivals: [asked] });
+  const during = (count: number, fields: Partial<CallRecord> = {}) =>
+    Array.from({ length: count }, (_, index) => {
+      const id = `r${index + 2}`;
+      const stamp = `s1.${index + 2}`;
+      const end = answered({ stamp, body: wholeBody(id, stamp) });
+      const arrivals = [arrival({ atMs: 31_000 + 100 * index, stamp })];
+      return call({ id, sentMs: 30_990, end, arrivals, ...fields });
+    });
+  assertBroken('BUDGET', run([refused, ...during(3)]));
+  assert.deepEqual(broken(run([refused, ...during(2)])), []);
+  assert.deepEqual(broken(run([refused, ...during(3, { daemon: 'd2' })])), []);
+  const soon = during(3).map((made) => ({ ...made, arrivals: [arrival({ atMs: 30_400 })] }));
+  assert.ok(!broken(run([refused, ...soon])).includes('BUDGET'));
+  const own = { scope: 'daemon', name: 'd1', fromMs: 30_500, toMs: 30_600 } as const;
+  const disturbances = [{ ...own, isPlanned: false }];
+  assert.deepEqual(broken(run([refused, ...during(3)], { disturbances })), []);
+});
+
 test('LOST: requests were closed without an answer, and nothing was disturbed but planned stops', () => {
   const end: CallEnd = { kind: 'closed', reason: 'reset' };
   const lost = Array.from({ length: 5 }, (_, index) => call({ id: `r${index}`, end }));
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -20,6 +20,7 @@
   'crash',
   'restart',
   'stray-rows',
+  'rests',
   'drain',
   'link',
   'change',
