--- /dev/null
+++ b/test/gateway/store-refusals.test.ts
@@ -0,0 +1,54 @@
+/** Refusals of the platform's store, over TCP: what they say of the time to come back reaches who decides. */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { createPlatformAdapter } from '../../platform/index.js';
+import type { TableCall, TableResult } from '../../src/core/platform/table.js';
+import { ServerStandIn } from './support/server-stand-in.js';
+
+const CALLS: readonly TableCall[] = [
+  { kind: 'get', keys: ['a'] },
+  { kind: 'scan', prefix: 'a', after: undefined, limit: 1 },
+  { kind: 'transact', checks: [], writes: [{ key: 'a', value: 1 }] },
+];
+
+let store: ServerStandIn;
+let head: Record<string, string>;
+
+beforeEach(async () => {
+  head = {};
+  store = new ServerStandIn(({ response }) => void response.writeHead(503, head).end());
+  await store.start();
+});
+
+afterEach(() => store.stop());
+
+function ask(call: TableCall): Promise<TableResult> {
+  const [host = '', port = ''] = store.address.split(':');
+  const { table } = createPlatformAdapter({ host, port: Number(port) });
+  return table.call(call, new AbortController().signal);
+}
+
+async function retryAfterOf(call: TableCall): Promise<number | undefined> {
+  const result = await ask(call);
+  return result.kind === 'unavailable' ? result.retryAfterMs : undefined;
+}
+
+for (const call of CALLS) {
+  test(`a refused ${call.kind} tells when the store wants to be asked again`, async () => {
+    head = { 'Retry-After': '1.5' };
+    assert.equal(await retryAfterOf(call), 1_500);
+  });
+}
+
+for (const [told, expectedMs] of [
+  [undefined, 0],
+  ['0', 0],
+  ['soon', 0],
+  ['-2', 0],
+  ['9999999999', 5_000],
+] as const) {
+  test(`a refusal with the time ${told} is asked again after ${expectedMs} ms or the own wait`, async () => {
+    if (told !== undefined) head = { 'Retry-After': told };
+    assert.equal(await retryAfterOf({ kind: 'get', keys: ['a'] }), expectedMs);
+  });
+}
