--- a/src/core/gateway/server-availability.ts
+++ b/src/core/gateway/server-availability.ts
@@ -46,97 +46,103 @@
 }
 
 interface Rest {
+  /** Who asked for it. */
+  readonly server: ServerRecord;
   readonly toldAtMs: number;
   readonly untilMs: number;
   /** When the first request after it was sent; undefined before. */
   readonly triedAtMs: number | undefined;
 }
 
-interface ToldOfLife {
+interface Leave {
   readonly server: ServerRecord;
-  leavingAtMs: number | undefined;
-  rest: Rest | undefined;
+  readonly toldAtMs: number;
 }
 
 const OPEN: Availability = { kind: 'open' };
 
 /** The word of servers on whether they take work. */
 export class ServerAvailability {
-  /** By id; of the life that spoke last. */
-  readonly #told = new Map<string, ToldOfLife>();
+  /** By id. */
+  readonly #leaves = new Map<string, Leave>();
+  /** By address: what is sent to a server that has ended reaches the one that listens there now. */
+  readonly #rests = new Map<string, Rest>();
 
   /** Takes an answer's word. @returns what it tells that was not known */
   take(
     server: ServerRecord,
-    told: ToldAvailability,
+    { isLeaving, restMs }: ToldAvailability,
     { nowMs, entropy }: ToldAt,
   ): readonly Availability[] {
+    this.#dropOld(nowMs);
     const news: Availability[] = [];
-    const known = this.#entryOf(server, nowMs);
-    if (told.isLeaving) {
-      if (this.of(server, nowMs).kind !== 'leaving') news.push({ kind: 'leaving', toldAgoMs: 0 });
-      known.leavingAtMs = nowMs;
+    if (isLeaving) {
+      if (this.#leaveOf(server, nowMs) === undefined) news.push({ kind: 'leaving', toldAgoMs: 0 });
+      this.#leaves.set(server.id, { server, toldAtMs: nowMs });
     }
-    const askedMs = Math.min(LONGEST_REST_MS, told.restMs ?? 0);
+    const askedMs = Math.min(LONGEST_REST_MS, restMs ?? 0);
     if (askedMs > 0) {
-      const untilMs = nowMs + askedMs * (1 + REST_SPREAD * entropy);
+      const lengthenedMs = askedMs * (1 + REST_SPREAD * entropy);
       // A shorter rest that is asked for meanwhile takes nothing off the one before.
-      const latestMs = Math.max(untilMs, known.rest?.untilMs ?? 0);
-      known.rest = { toldAtMs: nowMs, untilMs: latestMs, triedAtMs: undefined };
-      news.push({ kind: 'resting', toldAgoMs: 0, forMs: latestMs - nowMs });
+      const untilMs = Math.max(nowMs + lengthenedMs, this.#restOf(server)?.untilMs ?? 0);
+      const rest = { server, toldAtMs: nowMs, untilMs, triedAtMs: undefined };
+      this.#rests.set(server.address, rest);
+      news.push({ kind: 'resting', toldAgoMs: 0, forMs: untilMs - nowMs });
     }
     return news;
   }
 
   /** A caller's request is sent to a server; the first one after a rest tries it for the others. */
   noteSent(server: ServerRecord, nowMs: number): void {
-    const told = this.#toldOf(server);
-    if (told?.rest === undefined || told.rest.triedAtMs !== undefined) return;
-    told.rest = { ...told.rest, triedAtMs: nowMs };
+    const rest = this.#restOf(server);
+    if (rest === undefined || rest.triedAtMs !== undefined) return;
+    this.#rests.set(server.address, { ...rest, triedAtMs: nowMs });
   }
 
   /** A caller's request that was sent at some time was answered without a word on rest. */
   noteTaken(server: ServerRecord, sentAtMs: number): void {
-    const told = this.#toldOf(server);
-    if (told?.rest !== undefined && sentAtMs >= told.rest.untilMs) told.rest = undefined;
+    const rest = this.#restOf(server);
+    if (rest !== undefined && sentAtMs >= rest.untilMs) this.#rests.delete(server.address);
   }
 
   /** What holds for a server now. */
   of(server: ServerRecord, nowMs: number): Availability {
-    const told = this.#toldOf(server);
-    if (told === undefined) return OPEN;
-    const { leavingAtMs, rest } = told;
-    if (leavingAtMs !== undefined && nowMs - leavingAtMs < LEAVING_VALID_MS) {
-      return { kind: 'leaving', toldAgoMs: nowMs - leavingAtMs };
-    }
+    const leave = this.#leaveOf(server, nowMs);
+    if (leave !== undefined) return { kind: 'leaving', toldAgoMs: nowMs - leave.toldAtMs };
+    const rest = this.#restOf(server);
     const forMs = rest === undefined ? 0 : endOf(rest) - nowMs;
     if (rest === undefined || forMs <= 0) return OPEN;
     return { kind: 'resting', toldAgoMs: nowMs - rest.toldAtMs, forMs };
   }
 
-  #toldOf(server: ServerRecord): ToldOfLife | undefined {
-    if (this.#told.size === 0) return undefined;
-    const told = this.#told.get(server.id);
-    return told !== undefined && isSameLife(told.server, server) ? told : undefined;
+  #leaveOf(server: ServerRecord, nowMs: number): Leave | undefined {
+    const leave = this.#leaves.get(server.id);
+    if (leave === undefined || !isSameLife(leave.server, server)) return undefined;
+    return nowMs - leave.toldAtMs < LEAVING_VALID_MS ? leave : undefined;
   }
 
-  #entryOf(server: ServerRecord, nowMs: number): ToldOfLife {
-    const known = this.#toldOf(server);
-    if (known !== undefined) return known;
-    this.#dropOld(nowMs);
-    const created: ToldOfLife = { server, leavingAtMs: undefined, rest: undefined };
-    this.#told.set(server.id, created);
-    return created;
+  #restOf(server: ServerRecord): Rest | undefined {
+    const rest = this.#rests.get(server.address);
+    return rest === undefined || isLater(server, rest.server) ? undefined : rest;
   }
 
   /** What holds no more; so there are never more entries than servers that said something lately. */
   #dropOld(nowMs: number): void {
-    for (const [id, { server }] of this.#told) {
-      if (this.of(server, nowMs).kind === 'open') this.#told.delete(id);
+    for (const [id, { toldAtMs }] of this.#leaves) {
+      if (nowMs - toldAtMs >= LEAVING_VALID_MS) this.#leaves.delete(id);
+    }
+    for (const [address, rest] of this.#rests) {
+      if (nowMs - rest.untilMs >= LONGEST_REST_MS) this.#rests.delete(address);
     }
   }
 }
 
+/** Whether a server has started after another one; where that is not told, it has not. */
+function isLater(server: ServerRecord, other: ServerRecord): boolean {
+  if (server.bornMs === undefined || other.bornMs === undefined) return false;
+  return server.bornMs > other.bornMs;
+}
+
 /** The end of a rest, or of the trial after it. */
 function endOf({ untilMs, triedAtMs }: Rest): number {
   return triedAtMs === undefined ? untilMs : triedAtMs + TRIAL_MS;
--- a/test/gateway/server-availability.test.ts
+++ b/test/gateway/server-availability.test.ts
@@ -87,6 +87,17 @@
   assert.equal(kindAt(told, 3_000), 'open');
 });
 
+test('a rest holds for what is meant for a server that was at its address before, not for one that has started since', () => {
+  const told = new ServerAvailability();
+  const before = serverOf({ id: 'i-0', bornMs: 0 });
+  told.take(SERVER, REST, at(0));
+  assert.equal(kindAt(told, 1, before), 'resting');
+  assert.equal(kindAt(told, 1, serverOf({ id: 'i-0', bornMs: undefined })), 'resting');
+  assert.equal(kindAt(told, 1, serverOf({ bornMs: 2 })), 'open');
+  assert.equal(kindAt(told, 1, serverOf({ id: 'i-2', bornMs: 2 })), 'open');
+  assert.equal(kindAt(told, 1, serverOf({ address: '10.0.0.2:80' })), 'open');
+});
+
 test('daemons that were turned away together do not come back together', () => {
   const ends = [0, 0.5, 0.999].map((entropy) => {
     const told = new ServerAvailability();
