--- a/src/core/gateway/server-availability.ts
+++ b/src/core/gateway/server-availability.ts
@@ -1,8 +1,8 @@
 /**
  * What servers have said themselves, in their answers, of whether they take work: that they leave, or that they want
  * nothing from this daemon for a time. Both are facts, not suspicions: nothing is sent there, also where no other
- * server is left. Kept for each life of a server, whatever the platform's list says meanwhile: a row may be read late,
- * and may lapse and come back while the store is out of reach.
+ * server is left. Both are kept whatever the platform's list says meanwhile: a row may be read late, and may lapse and
+ * come back while the store is out of reach. A leave ends with the life of the server that said it.
  */
 import { isSameLife, type ServerRecord } from './server-directory.js';
 
@@ -46,8 +46,6 @@
 }
 
 interface Rest {
-  /** Who asked for it. */
-  readonly server: ServerRecord;
   readonly toldAtMs: number;
   readonly untilMs: number;
   /** When the first request after it was sent; undefined before. */
@@ -65,7 +63,10 @@
 export class ServerAvailability {
   /** By id. */
   readonly #leaves = new Map<string, Leave>();
-  /** By address: what is sent to a server that has ended reaches the one that listens there now. */
+  /**
+   * By address: what is sent to a server that has ended reaches the one that listens there now, and one that has
+   * just started again there may speak before the list shows it.
+   */
   readonly #rests = new Map<string, Rest>();
 
   /** Takes an answer's word. @returns what it tells that was not known */
@@ -84,8 +85,9 @@
     if (askedMs > 0) {
       const lengthenedMs = askedMs * (1 + REST_SPREAD * entropy);
       // A shorter rest that is asked for meanwhile takes nothing off the one before.
-      const untilMs = Math.max(nowMs + lengthenedMs, this.#restOf(server)?.untilMs ?? 0);
-      const rest = { server, toldAtMs: nowMs, untilMs, triedAtMs: undefined };
+      const knownUntilMs = this.#rests.get(server.address)?.untilMs ?? 0;
+      const untilMs = Math.max(nowMs + lengthenedMs, knownUntilMs);
+      const rest = { toldAtMs: nowMs, untilMs, triedAtMs: undefined };
       this.#rests.set(server.address, rest);
       news.push({ kind: 'resting', toldAgoMs: 0, forMs: untilMs - nowMs });
     }
@@ -94,14 +96,14 @@
 
   /** A caller's request is sent to a server; the first one after a rest tries it for the others. */
   noteSent(server: ServerRecord, nowMs: number): void {
-    const rest = this.#restOf(server);
+    const rest = this.#rests.get(server.address);
     if (rest === undefined || rest.triedAtMs !== undefined) return;
     this.#rests.set(server.address, { ...rest, triedAtMs: nowMs });
   }
 
   /** A caller's request that was sent at some time was answered without a word on rest. */
   noteTaken(server: ServerRecord, sentAtMs: number): void {
-    const rest = this.#restOf(server);
+    const rest = this.#rests.get(server.address);
     if (rest !== undefined && sentAtMs >= rest.untilMs) this.#rests.delete(server.address);
   }
 
@@ -109,7 +111,7 @@
   of(server: ServerRecord, nowMs: number): Availability {
     const leave = this.#leaveOf(server, nowMs);
     if (leave !== undefined) return { kind: 'leaving', toldAgoMs: nowMs - leave.toldAtMs };
-    const rest = this.#restOf(server);
+    const rest = this.#rests.get(server.address);
     const forMs = rest === undefined ? 0 : endOf(rest) - nowMs;
     if (rest === undefined || forMs <= 0) return OPEN;
     return { kind: 'resting', toldAgoMs: nowMs - rest.toldAtMs, forMs };
@@ -121,11 +123,6 @@
     return nowMs - leave.toldAtMs < LEAVING_VALID_MS ? leave : undefined;
   }
 
-  #restOf(server: ServerRecord): Rest | undefined {
-    const rest = this.#rests.get(server.address);
-    return rest === undefined || isLater(server, rest.server) ? undefined : rest;
-  }
-
   /** What holds no more; so there are never more entries than servers that said something lately. */
   #dropOld(nowMs: number): void {
     for (const [id, { toldAtMs }] of this.#leaves) {
@@ -137,12 +134,6 @@
   }
 }
 
-/** Whether a server has started after another one; where that is not told, it has not. */
-function isLater(server: ServerRecord, other: ServerRecord): boolean {
-  if (server.bornMs === undefined || other.bornMs === undefined) return false;
-  return server.bornMs > other.bornMs;
-}
-
 /** The end of a rest, or of the trial after it. */
 function endOf({ untilMs, triedAtMs }: Rest): number {
   return triedAtMs === undefined ? untilMs : triedAtMs + TRIAL_MS;
