--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -161,11 +161,11 @@
     service: string,
     nowMs: number,
   ): { readonly leaving: number; readonly resting: number } {
-    const kinds = this.directory
-      .readyOf(service)
-      .map((server) => this.availability.of(server, nowMs).kind);
-    const countOf = (kind: Availability['kind']) => kinds.filter((each) => each === kind).length;
-    return { leaving: countOf('leaving'), resting: countOf('resting') };
+    const listed = this.directory.readyOf(service);
+    return {
+      leaving: this.#countOf('leaving', listed, nowMs),
+      resting: this.#countOf('resting', listed, nowMs),
+    };
   }
 
   /** Whether a server answers no connection, as far as is known. */
@@ -191,6 +191,15 @@
     return waitsMs.length === 0 ? undefined : Math.min(...waitsMs);
   }
 
+  /** How many of all listed servers have said that they leave, or want rest now. */
+  saidSo(kind: Exclude<Availability['kind'], 'open'>, nowMs: number): number {
+    return this.#countOf(kind, [...this.directory.all()], nowMs);
+  }
+
+  #countOf(kind: Availability['kind'], servers: readonly ServerRecord[], nowMs: number): number {
+    return servers.filter((server) => this.availability.of(server, nowMs).kind === kind).length;
+  }
+
   #passedOverMs(server: ServerRecord, nowMs: number): number {
     const availability = this.availability.of(server, nowMs);
     const restMs = availability.kind === 'resting' ? availability.forMs : 0;
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -98,6 +98,16 @@
       help: 'Reports of web servers on their load that could not be read, since the start',
       read: () => webWork.unreadableTotal,
     },
+    {
+      name: 'servers_said_leaving',
+      help: 'Listed servers that have said in an answer to this daemon that they leave',
+      read: () => fleet.saidSo('leaving', timers.nowMs()),
+    },
+    {
+      name: 'servers_resting',
+      help: 'Listed servers that want nothing from this daemon for a time, as they asked',
+      read: () => fleet.saidSo('resting', timers.nowMs()),
+    },
     {
       name: 'requests_quarantined',
       help: 'Requests that are not sent any more, as servers ended while they ran',
