Leave a server alone that leaves and wants rest as well

Found in reading: where a server had said both, the daemon's own calls for news, reports and orders went on through its rest, as only the leave was looked at.

--- a/src/core/gateway/server-availability.ts
+++ b/src/core/gateway/server-availability.ts
@@ -32,12 +32,19 @@
   readonly restMs: number | undefined;
 }
 
-/** Whether a server is to be sent anything. */
+/** A server wants rest; after it, a server is so too while one request tries it. */
+export interface Resting {
+  readonly kind: 'resting';
+  readonly toldAgoMs: number;
+  /** How much longer. */
+  readonly forMs: number;
+}
+
+/** Whether a server is to be sent callers' requests. */
 export type Availability =
   | { readonly kind: 'open' }
   | { readonly kind: 'leaving'; readonly toldAgoMs: number }
-  /** `forMs` is how much longer; after its rest a server is so too while one request tries it. */
-  | { readonly kind: 'resting'; readonly toldAgoMs: number; readonly forMs: number };
+  | Resting;
 
 /** When something was told, and a number from 0 to 1 drawn for it. */
 export interface ToldAt {
@@ -111,10 +118,15 @@
   of(server: ServerRecord, nowMs: number): Availability {
     const leave = this.#leaveOf(server, nowMs);
     if (leave !== undefined) return { kind: 'leaving', toldAgoMs: nowMs - leave.toldAtMs };
-    const rest = this.#rests.get(server.address);
-    const forMs = rest === undefined ? 0 : endOf(rest) - nowMs;
-    if (rest === undefined || forMs <= 0) return OPEN;
-    return { kind: 'resting', toldAgoMs: nowMs - rest.toldAtMs, forMs };
+    return this.restOf(server, nowMs) ?? OPEN;
+  }
+
+  /** The rest that a server wants now, also where it leaves; undefined where it wants none. */
+  restOf({ address }: ServerRecord, nowMs: number): Resting | undefined {
+    const rest = this.#rests.get(address);
+    if (rest === undefined) return undefined;
+    const forMs = endOf(rest) - nowMs;
+    return forMs > 0 ? { kind: 'resting', toldAgoMs: nowMs - rest.toldAtMs, forMs } : undefined;
   }
 
   #leaveOf(server: ServerRecord, nowMs: number): Leave | undefined {
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -70,25 +70,18 @@
 
   /** Whoever chose the server may have done so before it spoke: this is the last look before a connection is used. */
   #holdBack({ server, purpose, request }: ServerCall, nowMs: number): HeldBack | undefined {
-    const availability = this.#options.fleet.availability.of(server, nowMs);
-    switch (availability.kind) {
-      case 'open':
-        return undefined;
-      case 'leaving':
-        // It still does for this daemon what is no new work.
-        if (!isForCaller(purpose)) return undefined;
-        break;
-      case 'resting':
-        break;
-    }
-    const { kind, toldAgoMs } = availability;
-    this.#options.metrics.recordHeldBack(kind);
-    const fields = { request, server: server.id, purpose, why: kind };
-    this.#options.log.write(GATEWAY_EVENTS.callHeldBack, {
-      ...fields,
-      toldAgoMs: Math.round(toldAgoMs),
-    });
-    return { kind: 'held-back', reason: `the server is ${kind}` };
+    const { fleet, log, metrics } = this.#options;
+    const { availability } = fleet;
+    // A leaving server still does for this daemon what is no new work; one that rests wants none of its calls.
+    const found = isForCaller(purpose)
+      ? availability.of(server, nowMs)
+      : availability.restOf(server, nowMs);
+    if (found === undefined || found.kind === 'open') return undefined;
+    const { kind: why, toldAgoMs } = found;
+    metrics.recordHeldBack(why);
+    const fields = { request, server: server.id, purpose, why, toldAgoMs: Math.round(toldAgoMs) };
+    log.write(GATEWAY_EVENTS.callHeldBack, fields);
+    return { kind: 'held-back', reason: `the server is ${why}` };
   }
 
   #hear(
--- a/test/gateway/server-availability.test.ts
+++ b/test/gateway/server-availability.test.ts
@@ -152,6 +152,14 @@
   assert.equal(kindAt(told, 180_000), 'open');
 });
 
+test('a server that leaves and wants rest is left alone in both', () => {
+  const told = new ServerAvailability();
+  told.take(SERVER, { ...REST, isLeaving: true }, at(0));
+  assert.equal(kindAt(told, 1_000), 'leaving');
+  assert.equal(told.restOf(SERVER, 1_000)?.forMs, 2_000);
+  assert.equal(told.restOf(SERVER, 3_000), undefined);
+});
+
 test('only a leave that was not known is news; each rest is', () => {
   const told = new ServerAvailability();
   const kinds = (word: typeof LEAVING | typeof REST) =>
