--- a/test/gateway/leaving-and-rest.test.ts
+++ b/test/gateway/leaving-and-rest.test.ts
@@ -12,7 +12,15 @@
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { USUAL_LOAD_DECISIONS } from '../../src/shell/gateway/index.js';
 import { deferred } from './support/deferred.js';
-import { configuration, GatewayFixture, RESUMABLE_ROUTE, route } from './support/fixture.js';
+import {
+  configuration,
+  GatewayFixture,
+  LONG_REQUEST,
+  READ_ROUTE,
+  RESUMABLE_ROUTE,
+  route,
+  SHORT_REQUEST,
+} from './support/fixture.js';
 import { ManualTimers } from './support/manual-timers.js';
 import {
   answering,
@@ -23,26 +31,6 @@
   stamped,
 } from './support/server-stand-in.js';
 
-const READ = route({
-  name: 'read',
-  pathPrefix: '/read/',
-  kind: 'streaming',
-  service: 'reader',
-  timeoutMs: 5_000,
-  targetLatencyMs: 500,
-});
-const LONG = {
-  path: '/read/1',
-  headers: {
-    'X-Model': 'm',
-    'X-Token-Count': '17000,10',
-    'X-Prompt-Prefix': 'aa:13000,bb:4000',
-  },
-};
-const SHORT = {
-  path: '/check/1',
-  headers: { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' },
-};
 const REST_MS = 3_000;
 
 let fixture: GatewayFixture;
@@ -55,7 +43,7 @@
   fixture = new GatewayFixture();
   timers = new ManualTimers();
   await fixture.start(timers, undefined, { ...USUAL_LOAD_DECISIONS, waiting });
-  fixture.store.putConfiguration(configuration(1, [route({}), READ, RESUMABLE_ROUTE]));
+  fixture.store.putConfiguration(configuration(1, [route({}), READ_ROUTE, RESUMABLE_ROUTE]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
 }
 
@@ -147,9 +135,9 @@
     else engine(3)(served);
   });
   const decode = await addEngine('i-d', 'decode', askingForRest());
-  const long = fixture.call(LONG);
+  const long = fixture.call(LONG_REQUEST);
   const read = await reading.promise;
-  assert.equal((await fixture.call(SHORT)).status, 503);
+  assert.equal((await fixture.call(SHORT_REQUEST)).status, 503);
   timers.advance(600);
   engine(3)(read);
   const answer = await long;
@@ -212,7 +200,7 @@
 
 for (const [kind, request, fields] of [
   ['a web server', { path: '/tiles/1' }, {}],
-  ['an engine', SHORT, { service: 'reader', stage: 'decode' }],
+  ['an engine', SHORT_REQUEST, { service: 'reader', stage: 'decode' }],
 ] as const) {
   test(`while ${kind} rests and there is no other, nobody waits for room: requests are refused at once`, async () => {
     fixture.stop();
--- a/test/gateway/model-requests.test.ts
+++ b/test/gateway/model-requests.test.ts
@@ -6,7 +6,14 @@
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { GatewaySettings } from '../../src/shell/gateway/index.js';
 import { deferred } from './support/deferred.js';
-import { configuration, GatewayFixture, RESUMABLE_ROUTE, route } from './support/fixture.js';
+import {
+  configuration,
+  GatewayFixture,
+  LONG_REQUEST,
+  READ_ROUTE,
+  RESUMABLE_ROUTE,
+  SHORT_REQUEST,
+} from './support/fixture.js';
 import { ManualTimers } from './support/manual-timers.js';
 import {
   engine,
@@ -16,26 +23,6 @@
   turningDown,
 } from './support/server-stand-in.js';
 
-const READ = route({
-  name: 'read',
-  pathPrefix: '/read/',
-  kind: 'streaming',
-  service: 'reader',
-  timeoutMs: 5_000,
-  targetLatencyMs: 500,
-});
-const LONG = {
-  path: '/read/1',
-  headers: {
-    'X-Model': 'm',
-    'X-Token-Count': '17000,10',
-    'X-Prompt-Prefix': 'aa:13000,bb:4000',
-  },
-};
-const SHORT = {
-  path: '/check/1',
-  headers: { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' },
-};
 const ALL_EVENTS = [1, 2, 3].map((id) => `id: ${id}\ndata: piece ${id}\n\n`).join('');
 
 type RetryBudgetSettings = GatewaySettings['retryBudget'];
@@ -45,7 +32,7 @@
 async function startFixture(retryBudget?: RetryBudgetSettings): Promise<void> {
   fixture = new GatewayFixture();
   await fixture.start(undefined, retryBudget);
-  fixture.store.putConfiguration(configuration(1, [READ, RESUMABLE_ROUTE]));
+  fixture.store.putConfiguration(configuration(1, [READ_ROUTE, RESUMABLE_ROUTE]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
 }
 
@@ -73,7 +60,7 @@
 test('a long prompt is read at a prefill engine and goes on at a decode engine', async () => {
   const prefill = await addEngine('i-p', 'prefill');
   const decode = await addEngine('i-d', 'decode');
-  const answer = await fixture.call(LONG);
+  const answer = await fixture.call(LONG_REQUEST);
   assert.equal(answer.status, 200);
   assert.equal(answer.body, ALL_EVENTS);
   assert.equal(requestsOf(prefill)[0]?.headers['x-stage'], 'prefill');
@@ -85,7 +72,7 @@
 test('a short prompt is read by the decode engine itself', async () => {
   const prefill = await addEngine('i-p', 'prefill');
   await addEngine('i-d', 'decode');
-  assert.equal((await fixture.call(SHORT)).body, ALL_EVENTS);
+  assert.equal((await fixture.call(SHORT_REQUEST)).body, ALL_EVENTS);
   assert.equal(requestsOf(prefill).length, 0);
 });
 
@@ -99,7 +86,7 @@
     const script = served.seen.headers['x-kv-source'] === undefined ? engine(3) : turningDown;
     script(served);
   });
-  assert.equal((await fixture.call(LONG)).body, ALL_EVENTS);
+  assert.equal((await fixture.call(LONG_REQUEST)).body, ALL_EVENTS);
   assert.equal(requestsOf(decode).length, 2);
   assert.equal(requestsOf(decode)[1]?.headers['x-kv-source'], undefined);
   assert.equal(await freed.promise, '/kv-handle/handle-1');
@@ -108,7 +95,7 @@
 test('when no prefill engine reads, the decode engine does', async () => {
   await addEngine('i-p', 'prefill', turningDown);
   await addEngine('i-d', 'decode');
-  assert.equal((await fixture.call(LONG)).body, ALL_EVENTS);
+  assert.equal((await fixture.call(LONG_REQUEST)).body, ALL_EVENTS);
 });
 
 test('a resumable stream that breaks inside an event goes on at another engine', async () => {
@@ -125,7 +112,7 @@
     takeOver(first);
     engine(3, 1)(served);
   };
-  const answer = await fixture.call(SHORT);
+  const answer = await fixture.call(SHORT_REQUEST);
   assert.equal(answer.body, ALL_EVENTS);
   assert.ok(answer.isWhole);
   const resumed = [...requestsOf(first), ...requestsOf(second)].map(
@@ -137,13 +124,13 @@
 test('a stream that may not be resumed ends visibly broken and runs once', async () => {
   const decode = await addEngine('i-1', 'decode', engine(3, 1));
   const other = await addEngine('i-2', 'decode', engine(3, 1));
-  const answer = await fixture.call(LONG);
+  const answer = await fixture.call(LONG_REQUEST);
   assert.equal(answer.isWhole, false);
   assert.equal(requestsOf(decode).length + requestsOf(other).length, 1);
 });
 
 test('without any engine a request is refused as not run', async () => {
-  const answer = await fixture.call(LONG);
+  const answer = await fixture.call(LONG_REQUEST);
   assert.equal(answer.status, 503);
   assert.ok(Number(answer.headers['retry-after']) > 0);
 });
@@ -155,7 +142,7 @@
     response.writeHead(500, { 'X-Attempt-Id': String(seen.headers['x-attempt-id']) }).end('no');
   });
   const decode = await addEngine('i-d', 'decode');
-  const answer = await fixture.call(LONG);
+  const answer = await fixture.call(LONG_REQUEST);
   assert.equal(answer.status, 503);
   assert.ok(Number(answer.headers['retry-after']) > 0);
   assert.equal(requestsOf(decode).length, 0);
@@ -168,7 +155,7 @@
   });
   const leaving = await addEngine('i-1', 'decode');
   const staying = await addEngine('i-2', 'decode');
-  const pending = fixture.call(LONG);
+  const pending = fixture.call(LONG_REQUEST);
   const read = await reading.promise;
   const fields = { service: 'reader', stage: 'decode', state: 'draining' };
   fixture.listServer('i-1', leaving, fields);
@@ -184,13 +171,13 @@
   const timers = new ManualTimers();
   fixture = new GatewayFixture();
   await fixture.start(timers);
-  fixture.store.putConfiguration(configuration(1, [READ, RESUMABLE_ROUTE]));
+  fixture.store.putConfiguration(configuration(1, [READ_ROUTE, RESUMABLE_ROUTE]));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
   const slow = deferred<ServedRequest>();
   const decode = await addEngine('i-d', 'decode', (served) => {
     if (served.seen.url.startsWith('/check/')) slow.resolve(served);
   });
-  const first = fixture.open(SHORT);
+  const first = fixture.open(SHORT_REQUEST);
   const { seen, response } = await slow.promise;
   response.writeHead(200, stamped(seen));
   response.write('id: 1\ndata: piece 1\n\n');
@@ -201,8 +188,11 @@
   await once(stream.resume(), 'end');
   decode.script = engine(3);
   void fixture.gateway.stop();
-  assert.equal((await fixture.call(SHORT)).body, ALL_EVENTS, 'it can end in time');
-  const long = { ...SHORT, headers: { ...SHORT.headers, 'X-Token-Count': '300,40' } };
+  assert.equal((await fixture.call(SHORT_REQUEST)).body, ALL_EVENTS, 'it can end in time');
+  const long = {
+    ...SHORT_REQUEST,
+    headers: { ...SHORT_REQUEST.headers, 'X-Token-Count': '300,40' },
+  };
   const answer = await fixture.call(long);
   assert.equal(answer.status, 503);
   assert.ok(Number(answer.headers['retry-after']) > 0);
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -87,6 +87,32 @@
   timeoutMs: 5_000,
 });
 
+/** A route to model engines whose streams may not be resumed. */
+export const READ_ROUTE = route({
+  name: 'read',
+  pathPrefix: '/read/',
+  kind: 'streaming',
+  service: 'reader',
+  timeoutMs: 5_000,
+  targetLatencyMs: 500,
+});
+
+/** A request whose prompt is long enough to be read at an engine of its own; its route is `READ_ROUTE`. */
+export const LONG_REQUEST = {
+  path: '/read/1',
+  headers: {
+    'X-Model': 'm',
+    'X-Token-Count': '17000,10',
+    'X-Prompt-Prefix': 'aa:13000,bb:4000',
+  },
+};
+
+/** A request whose prompt an engine that generates reads by itself; its route is `RESUMABLE_ROUTE`. */
+export const SHORT_REQUEST = {
+  path: '/check/1',
+  headers: { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' },
+};
+
 /**
  * A configuration over some routes.
  * @param tenants undefined where requests need no API key
