--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -91,6 +91,7 @@
   type Availability,
   ServerAvailability,
   type ToldAvailability,
+  type Unavailable,
 } from './server-availability.js';
 export {
   type DirectoryChange,
--- a/src/core/gateway/server-availability.ts
+++ b/src/core/gateway/server-availability.ts
@@ -40,11 +40,11 @@
   readonly forMs: number;
 }
 
+/** Why a server is to be sent no request of a caller. */
+export type Unavailable = { readonly kind: 'leaving'; readonly toldAgoMs: number } | Resting;
+
 /** Whether a server is to be sent callers' requests. */
-export type Availability =
-  | { readonly kind: 'open' }
-  | { readonly kind: 'leaving'; readonly toldAgoMs: number }
-  | Resting;
+export type Availability = { readonly kind: 'open' } | Unavailable;
 
 /** When something was told, and a number from 0 to 1 drawn for it. */
 export interface ToldAt {
@@ -81,9 +81,9 @@
     server: ServerRecord,
     { isLeaving, restMs }: ToldAvailability,
     { nowMs, entropy }: ToldAt,
-  ): readonly Availability[] {
+  ): readonly Unavailable[] {
     this.#dropOld(nowMs);
-    const news: Availability[] = [];
+    const news: Unavailable[] = [];
     if (isLeaving) {
       if (this.#leaveOf(server, nowMs) === undefined) news.push({ kind: 'leaving', toldAgoMs: 0 });
       this.#leaves.set(server.id, { server, toldAtMs: nowMs });
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -3,7 +3,6 @@
  * it has seen of each. The configuration never goes back to a lower version.
  */
 import {
-  type Availability,
   type DemandSums,
   type DirectoryChange,
   EngineLoad,
@@ -31,6 +30,7 @@
   StageNotices,
   TenantTable,
   TrafficSplitter,
+  type Unavailable,
   type UnseenWork,
   type Urgency,
   UrgentSlack,
@@ -192,11 +192,11 @@
   }
 
   /** How many of all listed servers have said that they leave, or want rest now. */
-  saidSo(kind: Exclude<Availability['kind'], 'open'>, nowMs: number): number {
+  saidSo(kind: Unavailable['kind'], nowMs: number): number {
     return this.#countOf(kind, [...this.directory.all()], nowMs);
   }
 
-  #countOf(kind: Availability['kind'], servers: readonly ServerRecord[], nowMs: number): number {
+  #countOf(kind: Unavailable['kind'], servers: readonly ServerRecord[], nowMs: number): number {
     return servers.filter((server) => this.availability.of(server, nowMs).kind === kind).length;
   }
 
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -110,8 +110,6 @@
             restMs: Math.round(news.forMs),
           });
           break;
-        case 'open':
-          break;
       }
     }
   }
