--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -245,6 +245,16 @@
     if (this.#isEnded) return;
     await listed.link.open();
     await server.start(startedAs);
+    this.#listStarted(listed);
+  }
+
+  /** A run that has ended meanwhile leaves nothing that listens: its process would not end. */
+  #listStarted(listed: PooledServer): void {
+    if (this.#isEnded) {
+      listed.link.close();
+      listed.server.crash();
+      return;
+    }
     this.#world.pool.list(listed);
   }
 
@@ -277,7 +287,7 @@
     listed.isLeaving = false;
     if (this.#isEnded) return;
     await server.start();
-    this.#world.pool.list(listed);
+    this.#listStarted(listed);
   }
 
   async #disturbLinks(fault: Extract<Fault, { kind: 'link' }>): Promise<void> {
