Say which limits servers name, and how much is sent to them meanwhile

Cause: no line or figure told that an answer named a limit of requests a second, so the record could not say when a daemon could have known, nor whether it sent more because it did not know or because each took the whole for itself. Events 6088 and 6089, a gauge and a counter. What is sent, and where, is as before.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -51,6 +51,14 @@
 export { ForecastScale } from './forecast-scale.js';
 export { homeOf } from './home.js';
 export type { LineSums } from './line-samples.js';
+export {
+  type AnswerTimes,
+  type HeardLimit,
+  type LimitChange,
+  type NamedLimit,
+  NamedLimits,
+  type SaidLimit,
+} from './named-limits.js';
 export { PacesToTell } from './paces-to-tell.js';
 export {
   type EngineWork,
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -109,7 +109,7 @@
     number: 6027,
     level: 'warn',
     message:
-      'a server said of leaving or rest what cannot be read or means nothing there; it is ignored',
+      'a server said of leaving, rest or its limit what cannot be read or means nothing there; it is ignored',
     remedy: 'Correct the server that writes it; it is sent requests as before.',
   },
   callHeldBack: {
@@ -118,6 +118,18 @@
     message: 'a call was not made as its server had said that it leaves or wants rest',
     remedy: 'Nothing to do; a request goes to another server, or is refused where there is none.',
   },
+  serverNamedLimit: {
+    number: 6088,
+    level: 'info',
+    message: 'a server names in its answers how many requests a second it takes from all daemons',
+    remedy: 'Nothing to do; look at the load of its service if this lasts.',
+  },
+  serverLimitEnded: {
+    number: 6089,
+    level: 'info',
+    message: 'a server names no limit of requests a second any more',
+    remedy: 'Nothing to do.',
+  },
   serverRowPassedOver: {
     number: 6098,
     level: 'warn',
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -12,6 +12,7 @@
   ForecastScale,
   type GatewayConfiguration,
   type LoadReport,
+  NamedLimits,
   PeerLoads,
   PrefixKnowledge,
   RankShares,
@@ -62,6 +63,7 @@
 export class FleetView {
   readonly directory = new ServerDirectory();
   readonly availability = new ServerAvailability();
+  readonly limits = new NamedLimits();
   readonly splitter = new TrafficSplitter();
   readonly knowledge = new PrefixKnowledge();
   readonly peerLoads = new PeerLoads();
@@ -132,6 +134,7 @@
       this.paces.forget(server);
       this.webLoads.forget(server.id);
     }
+    for (const { id } of removed) this.limits.forget(id);
   }
 
   /** Servers of a service that may be sent new work. */
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -108,6 +108,11 @@
       help: 'Listed servers that want nothing from this daemon for a time, as they asked',
       read: () => fleet.saidSo('resting', timers.nowMs()),
     },
+    {
+      name: 'servers_limited',
+      help: 'Servers that name a limit of requests a second, as far as this daemon knows',
+      read: () => fleet.limits.count,
+    },
     {
       name: 'requests_quarantined',
       help: 'Requests that are not sent any more, as servers ended while they ran',
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -60,7 +60,7 @@
 
   readonly #toldAvailability = new Counter({
     name: 'threadfork_gateway_told_availability_total',
-    help: 'Answers of servers that say that they leave, ask for rest, or say so unreadably',
+    help: 'Answers of servers that say that they leave, ask for rest, name, change or end a limit, or say so unreadably',
     labelNames: ['what'],
     registers: [this.#registry],
   });
@@ -70,6 +70,11 @@
     labelNames: ['why'],
     registers: [this.#registry],
   });
+  readonly #callsToLimited = new Counter({
+    name: 'threadfork_gateway_calls_to_limited_total',
+    help: 'Requests of callers sent to servers that name a limit of requests a second',
+    registers: [this.#registry],
+  });
   readonly #retryBudget = new Counter({
     name: 'threadfork_gateway_retry_budget_total',
     help: 'Requests that earned repeats, and repeats taken, given back and denied, by service',
@@ -118,6 +123,11 @@
     this.#heldBack.inc({ why });
   }
 
+  /** A caller's request was sent to a server that names a limit. */
+  recordCallToLimited(): void {
+    this.#callsToLimited.inc();
+  }
+
   /** What came to a service's retry budget since it was last recorded, and its level now. */
   recordRetryBudget(service: string, since: RetryBudgetCounts, level: number): void {
     this.#retryBudget.inc({ service, what: 'requests' }, since.requests);
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -9,6 +9,7 @@
   GatewayConfiguration,
   LoadFigures,
   RequestDescription,
+  SaidLimit,
   ServerRecord,
   ToldAvailability,
 } from '../../core/gateway/index.js';
@@ -128,6 +129,8 @@
   readMarks(status: number, headers: IncomingHttpHeaders): AnswerMarks;
   /** What any answer of a server says of whether it takes work; undefined where it says nothing. */
   readAvailability(status: number, headers: IncomingHttpHeaders): SaidAvailability | undefined;
+  /** What any answer of a server says of the requests a second that it takes from all daemons together. */
+  readLimit(status: number, headers: IncomingHttpHeaders): SaidLimit;
   /** The answer to a prompt that was only read; undefined when it is none. */
   readPrefillAnswer(body: Buffer): PrefillAnswer | undefined;
   freeHandle(handle: string, serverId: string): EngineCall;
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -2,7 +2,7 @@
  * Calls to listed servers: the one place that every call of this daemon to a server passes, whatever it is for. What
  * an answer says of its server is heard here, and nothing is sent to one that has said that it wants nothing.
  */
-import type { ServerRecord } from '../../core/gateway/index.js';
+import type { HeardLimit, LimitChange, SaidLimit, ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type {
   BackendAnswer,
@@ -39,10 +39,13 @@
 /** What the calls are built from. */
 export interface ServerCallsOptions {
   readonly connections: Pick<BackendConnections, 'call'>;
-  readonly fleet: Pick<FleetView, 'availability'>;
-  readonly codec: Pick<RequestCodec, 'readAvailability'>;
+  readonly fleet: Pick<FleetView, 'availability' | 'limits'>;
+  readonly codec: Pick<RequestCodec, 'readAvailability' | 'readLimit'>;
   readonly timers: TimerService;
-  readonly metrics: Pick<GatewayMetrics, 'recordToldAvailability' | 'recordHeldBack'>;
+  readonly metrics: Pick<
+    GatewayMetrics,
+    'recordToldAvailability' | 'recordHeldBack' | 'recordCallToLimited'
+  >;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
@@ -57,12 +60,12 @@
   }
 
   async call(call: ServerCall): Promise<CallResult | HeldBack> {
-    const { connections, fleet, timers } = this.#options;
+    const { connections, timers } = this.#options;
     const { server, purpose, request, ...sent } = call;
     const sentAtMs = timers.nowMs();
     const heldBack = this.#holdBack(call, sentAtMs);
     if (heldBack !== undefined) return heldBack;
-    if (isForCaller(purpose)) fleet.availability.noteSent(server, sentAtMs);
+    if (isForCaller(purpose)) this.#noteSent(server, sentAtMs);
     const result = await connections.call({ ...sent, address: server.address });
     if (result.kind === 'answered') this.#hear(call, sentAtMs, result.answer);
     return result;
@@ -84,12 +87,17 @@
     return { kind: 'held-back', reason: `the server is ${why}` };
   }
 
-  #hear(
-    { server, purpose }: ServerCall,
-    sentAtMs: number,
-    { status, message }: BackendAnswer,
-  ): void {
+  #noteSent(server: ServerRecord, sentAtMs: number): void {
+    const { fleet, metrics } = this.#options;
+    fleet.availability.noteSent(server, sentAtMs);
+    if (fleet.limits.of(server.id) !== undefined) metrics.recordCallToLimited();
+  }
+
+  #hear(call: ServerCall, sentAtMs: number, answer: BackendAnswer): void {
+    const { server, purpose } = call;
+    const { status, message } = answer;
     const { codec, fleet, timers, log, metrics } = this.#options;
+    this.#hearLimit(call, sentAtMs, answer);
     const said = codec.readAvailability(status, message.headers);
     if (said?.restMs === undefined && isForCaller(purpose)) {
       fleet.availability.noteTaken(server, sentAtMs);
@@ -114,6 +122,32 @@
     }
   }
 
+  #hearLimit(call: ServerCall, sentAtMs: number, { status, message }: BackendAnswer): void {
+    const { codec, fleet, timers } = this.#options;
+    const { server, purpose } = call;
+    const said = codec.readLimit(status, message.headers);
+    if (said.kind === 'unreadable') this.#noteUnreadable(server.id, `limit: ${said.text}`);
+    if (!isSureOf(said, call)) return;
+    const times = { sentAtMs, nowMs: timers.nowMs() };
+    const change = fleet.limits.hear(server, said, times);
+    if (change !== undefined) this.#noteLimitChange(server, purpose, change);
+  }
+
+  #noteLimitChange(server: ServerRecord, purpose: CallPurpose, change: LimitChange): void {
+    const { metrics, log } = this.#options;
+    metrics.recordToldAvailability(`limit-${change.kind}`);
+    const fields = { server: server.id, service: server.service, purpose };
+    switch (change.kind) {
+      case 'named':
+      case 'changed':
+        log.write(GATEWAY_EVENTS.serverNamedLimit, { ...fields, perSecond: change.perSecond });
+        break;
+      case 'ended':
+        log.write(GATEWAY_EVENTS.serverLimitEnded, { ...fields, before: change.before });
+        break;
+    }
+  }
+
   #noteUnreadable(server: string, told: string): void {
     const { timers, log, metrics } = this.#options;
     this.#unreadable += 1;
@@ -126,6 +160,22 @@
   }
 }
 
+/**
+ * Any answer of a server may name its limit; that it names none is shown by an answer to this very request alone: on
+ * a connection with a fault, another one may come in its place.
+ */
+function isSureOf(said: SaidLimit, { purpose, request }: ServerCall): said is HeardLimit {
+  switch (said.kind) {
+    case 'named':
+      return true;
+    case 'none':
+      return isForCaller(purpose) && said.attemptId === request;
+    case 'unreadable':
+    case 'unknown':
+      return false;
+  }
+}
+
 /** Work of callers, of which a leaving server takes no more. */
 function isForCaller(purpose: CallPurpose): boolean {
   switch (purpose) {
