Soak: servers name limits, and the oracle judges that these are kept and used

Small and large ones, changing and ending, of one server or of all, also while daemons are killed, frozen or cut off; and words that are no limit.

--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -10,7 +10,7 @@
 import { pause } from './pause.js';
 import type { Fault } from './plan.js';
 import type { PlatformStore, StoreDoor } from './platform-store.js';
-import type { Disturbance, DrainNotice, Scope, SoakBounds } from './record.js';
+import type { Disturbance, DrainNotice, LimitNotice, Scope, SoakBounds } from './record.js';
 import { ENTRY_LAPSE_MS, type PooledServer, type ServerPool } from './server-pool.js';
 
 /** From a daemon's new start until its listeners have been up for a while, on a machine that is busy. */
@@ -44,6 +44,7 @@
 export class FaultInjector {
   readonly disturbances: Disturbance[] = [];
   readonly drains: DrainNotice[] = [];
+  readonly limits: LimitNotice[] = [];
   readonly #world: SoakWorld;
   #isEnded = false;
   #endings = 0;
@@ -121,6 +122,9 @@
         return;
       case 'rests':
         return this.#spoilServers({ ...fault, how: 'ask-for-rest' });
+      case 'limits':
+        await Promise.all(this.#serversAt(fault.servers).map((s) => this.#limit(s, fault)));
+        return;
       case 'drain':
         return this.#drain(this.#serversAt([fault.server])[0], fault.listedAfterMs);
       case 'link':
@@ -267,6 +271,29 @@
     void this.#crash(listed, downMs, 'same');
   }
 
+  /** The server names a limit for a time; another start ends that too. */
+  async #limit(
+    { server }: PooledServer,
+    { perSecond, laterPerSecond, forMs }: Extract<Fault, { kind: 'limits' }>,
+  ): Promise<void> {
+    if (!server.isUp || server.limit !== undefined) return;
+    const { id: serverId, service, bornMs } = server;
+    const isSameLife = () => server.isUp && server.bornMs === bornMs;
+    const fromMs = performance.now();
+    const changes = [{ atMs: fromMs, perSecond }];
+    const notice: LimitNotice = { serverId, service, fromMs, toMs: fromMs + forMs, changes };
+    this.limits.push(notice);
+    server.limit = perSecond;
+    await pause(forMs / 2);
+    if (isSameLife() && laterPerSecond !== perSecond) {
+      server.limit = laterPerSecond;
+      changes.push({ atMs: performance.now(), perSecond: laterPerSecond });
+    }
+    await pause(forMs / 2);
+    notice.toMs = performance.now();
+    if (isSameLife()) server.limit = undefined;
+  }
+
   /** The server says that it leaves, at times only in its answers at first, serves on for a while, and comes back as another. */
   async #drain(listed: PooledServer | undefined, listedAfterMs: number): Promise<void> {
     if (listed === undefined || !listed.server.isUp || listed.isLeaving) return;
--- /dev/null
+++ b/soak/judge-limits.ts
@@ -0,0 +1,153 @@
+/**
+ * Judges whether daemons kept to the limits that servers named: from `contactMs` after a server first named one, what
+ * reaches it within any 4 s from daemons that had passed on such an answer, half a second before or earlier, is one and a
+ * half times the limit and 5 more at most. And whether they used them: a server that nobody is sent to though requests
+ * are refused for want of one has named its limit in vain. Pure.
+ */
+import type { Arrival, CallRecord, LimitNotice, RunRecord, Scope } from './record.js';
+
+const SPAN_MS = 4_000;
+const FACTOR = 1.5;
+const SLACK = 5;
+/** From an answer that its daemon passed on until that daemon counts. */
+const HEARD_AFTER_MS = 500;
+/** Until daemons have taken in what was sent before the limit, and a take-over between them is over. */
+const USED_AFTER_MS = 11_000;
+/** Under want of servers, the part of a limit that is used at least. */
+const USED_SHARE = 0.25;
+/** Refusals a second and server that show want. */
+const WANT_PER_SECOND = 2;
+const LEAST_USED_SPAN_MS = 4_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface ArrivalAt {
+  readonly call: CallRecord;
+  readonly arrival: Arrival;
+}
+
+/** What was wrong with one server's limit. */
+export interface LimitFault {
+  readonly atMs: number;
+  readonly detail: string;
+}
+
+/** Whether a thing was disturbed in a span. */
+type IsDisturbed = (
+  scope: Scope,
+  name: string,
+  span: { readonly fromMs: number; readonly toMs: number },
+) => boolean;
+
+export function limitFaults(
+  calls: readonly CallRecord[],
+  run: RunRecord,
+  isDisturbed: IsDisturbed,
+): readonly LimitFault[] {
+  return run.limits.flatMap((notice) => {
+    const arrivals = arrivalsAt(calls, notice.serverId);
+    const overused = overuseOf(notice, arrivals, run, isDisturbed);
+    const unused = unusedOf(notice, arrivals, calls, run, isDisturbed);
+    return [overused ?? [], unused ?? []].flat();
+  });
+}
+
+function arrivalsAt(calls: readonly CallRecord[], serverId: string): readonly ArrivalAt[] {
+  return calls
+    .flatMap((call) => call.arrivals.map((arrival) => ({ call, arrival })))
+    .filter(({ arrival }) => arrival.serverId === serverId && !arrival.isMisdirected)
+    .sort((left, right) => left.arrival.atMs - right.arrival.atMs);
+}
+
+/** When each life of a daemon first passed on an answer with the limit. */
+function heardMsOf(arrivals: readonly ArrivalAt[]): ReadonlyMap<string, number> {
+  const heard = new Map<string, number>();
+  for (const { call, arrival } of arrivals) {
+    const { end, endedMs } = call;
+    const isPassedOn =
+      arrival.namedLimit && end?.kind === 'answered' && end.stamp === arrival.stamp;
+    if (!isPassedOn || arrival.stamp === undefined || endedMs === undefined) continue;
+    const life = lifeOf(call);
+    heard.set(life, Math.min(endedMs, heard.get(life) ?? endedMs));
+  }
+  return heard;
+}
+
+function lifeOf({ daemon, life }: CallRecord): string {
+  return `${daemon} ${life}`;
+}
+
+function overuseOf(
+  notice: LimitNotice,
+  arrivals: readonly ArrivalAt[],
+  run: RunRecord,
+  isDisturbed: IsDisturbed,
+): LimitFault | undefined {
+  const firstNamed = arrivals.find(
+    ({ arrival }) => arrival.namedLimit && arrival.atMs >= notice.fromMs - SPAN_MS,
+  );
+  if (firstNamed === undefined) return undefined;
+  const fromMs = Math.max(notice.fromMs, firstNamed.arrival.atMs) + run.bounds.contactMs;
+  const heard = heardMsOf(
+    arrivals.filter(({ arrival }) => arrival.atMs >= notice.fromMs - SPAN_MS),
+  );
+  for (const { arrival: last } of arrivals) {
+    if (last.atMs < fromMs || last.atMs > notice.toMs) continue;
+    const span = { fromMs: last.atMs - SPAN_MS, toMs: last.atMs };
+    if (isDisturbed('stand-ins', '', span) || isDisturbed('server', notice.serverId, span))
+      continue;
+    const counted = arrivals.filter(({ call, arrival }) => {
+      const heardMs = heard.get(lifeOf(call)) ?? Number.POSITIVE_INFINITY;
+      const isWithin = arrival.atMs > span.fromMs && arrival.atMs <= span.toMs;
+      const hasHeard = heardMs + HEARD_AFTER_MS <= last.atMs;
+      return isWithin && hasHeard && !isDisturbed('daemon', call.daemon, span);
+    });
+    const allowed = FACTOR * highestIn(notice, span) * (SPAN_MS / MILLISECONDS_PER_SECOND) + SLACK;
+    if (counted.length <= allowed) continue;
+    const detail = `${notice.serverId} got ${counted.length} requests in 4 s, ${allowed.toFixed(1)} allowed`;
+    return { atMs: last.atMs, detail };
+  }
+  return undefined;
+}
+
+/** The highest limit in force in a span: one that has just fallen can't be kept backwards. */
+function highestIn(notice: LimitNotice, span: { readonly fromMs: number; readonly toMs: number }) {
+  const before = notice.changes.filter(({ atMs }) => atMs <= span.fromMs).at(-1);
+  const within = notice.changes.filter(({ atMs }) => atMs > span.fromMs && atMs <= span.toMs);
+  const inForce = before === undefined ? within : [before, ...within];
+  return Math.max(0, ...inForce.map(({ perSecond }) => perSecond));
+}
+
+function unusedOf(
+  notice: LimitNotice,
+  arrivals: readonly ArrivalAt[],
+  calls: readonly CallRecord[],
+  run: RunRecord,
+  isDisturbed: IsDisturbed,
+): LimitFault | undefined {
+  const fromMs = notice.fromMs + USED_AFTER_MS;
+  const span = { fromMs, toMs: notice.toMs };
+  const seconds = (notice.toMs - fromMs) / MILLISECONDS_PER_SECOND;
+  if (notice.toMs - fromMs < LEAST_USED_SPAN_MS) return undefined;
+  const daemons = [...new Set(calls.map(({ daemon }) => daemon))];
+  const isCalm =
+    !isDisturbed('stand-ins', '', span) &&
+    !isDisturbed('store', '', span) &&
+    !isDisturbed('server', notice.serverId, span) &&
+    !daemons.some((daemon) => isDisturbed('daemon', daemon, span));
+  if (!isCalm) return undefined;
+  const isWithin = (atMs: number) => atMs >= span.fromMs && atMs < span.toMs;
+  const refused = calls.filter(
+    ({ end, sentMs, arrivals: sent }) =>
+      isWithin(sentMs) && sent.length === 0 && end?.kind === 'answered' && end.status === 503,
+  );
+  const ofService = refused.filter(({ requestClass }) =>
+    run.configurations.some(({ serviceOf }) => serviceOf.get(requestClass.name) === notice.service),
+  );
+  const servers = new Set(run.limits.map(({ serverId }) => serverId)).size;
+  if (ofService.length < WANT_PER_SECOND * seconds * servers) return undefined;
+  const lowest = Math.min(...notice.changes.map(({ perSecond }) => perSecond));
+  const used = arrivals.filter(({ arrival }) => isWithin(arrival.atMs)).length;
+  if (used >= USED_SHARE * lowest * seconds) return undefined;
+  const detail = `${notice.serverId} got ${used} requests in ${seconds.toFixed(1)} s at ${lowest} a second, while ${ofService.length} were refused`;
+  return { atMs: fromMs, detail };
+}
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -20,7 +20,7 @@
 /** With fewer slots than this work takes longer. */
 const SHORT_OF_SLOTS = 6;
 const SPOILT_LOAD_SHARE = 0.1;
-/** Answers whose word on leaving, or on rest, is none. */
+/** Answers whose word on leaving, on rest, or on a limit is none. */
 const SPOILT_WORD_SHARE = 0.02;
 const SPOILT_WORDS = [
   { [WIRE.leaving]: '0' },
@@ -28,6 +28,12 @@
   { [WIRE.leaving]: 'true' },
   { 'Retry-After': '30' },
   { 'Retry-After': 'soon' },
+  { [WIRE.limit]: 'fast' },
+  { [WIRE.limit]: '-1' },
+  { [WIRE.limit]: 'NaN' },
+  { [WIRE.limit]: '0x10' },
+  { [WIRE.limit]: '' },
+  { [WIRE.limit]: '9'.repeat(400) },
 ] as const;
 const MILLISECONDS_PER_SECOND = 1_000;
 const LONGEST_NEWS_WAIT_MS = 1_000;
@@ -104,6 +110,8 @@
   fault: OwnFault | undefined;
   /** Whether it says in each answer that it leaves; until its next start. */
   isLeaving = false;
+  /** The requests a second that it names in each answer; undefined where it names no limit, as after a start. */
+  limit: number | undefined;
 
   constructor(options: ModelServerOptions) {
     this.#options = options;
@@ -147,6 +155,7 @@
     this.#bornMs = Math.max(this.#bornMs + 1, Date.now());
     this.#orders = 0;
     this.isLeaving = false;
+    this.limit = undefined;
     this.#stage = this.#options.stage;
     this.#isSwitching = false;
     this.#highestFence = 0;
@@ -197,6 +206,8 @@
       hasEndedServer: false,
       saidLeaving: this.isLeaving,
       restAskedMs: undefined,
+      namedLimit: this.limit !== undefined,
+      isMisdirected: request.headers[WIRE.expectInstance] !== this.#id,
       stamp: undefined,
     };
     this.#options.observer.arrived(request, body, arrival);
@@ -206,7 +217,8 @@
       if (refusal === 'rest') arrival.restAskedMs = this.fault?.restMs;
       const rest = restHeader(arrival.restAskedMs);
       const leaving = this.#leavingHeader();
-      const said = { ...this.#loadHeader(), ...leaving, ...rest };
+      const limit = refusal === 421 ? {} : this.#limitHeader();
+      const said = { ...this.#loadHeader(), ...leaving, ...limit, ...rest };
       const head = { ...idOf(request), ...said, [WIRE.notExecuted]: '1' };
       response.writeHead(refusal === 'rest' ? 503 : refusal, head).end();
       return;
@@ -321,6 +333,7 @@
       const body = wholeBody(String(request.headers[WIRE.attemptId]), stamp);
       const head = { ...idOf(request), [WIRE.stamp]: stamp, 'Content-Length': body.length };
       arrival.saidLeaving = this.isLeaving;
+      arrival.namedLimit = this.limit !== undefined;
       response.writeHead(200, { ...head, ...this.#word(), ...this.#loadHeader() });
       if (breaksOff) {
         arrival.isServersFault = true;
@@ -369,6 +382,7 @@
       if (!response.headersSent) {
         arrival.stamp = stamp;
         arrival.saidLeaving = this.isLeaving;
+        arrival.namedLimit = this.limit !== undefined;
         const type = { 'Content-Type': 'text/event-stream', ...this.#word() };
         response.writeHead(200, { ...idOf(request), [WIRE.stamp]: stamp, ...type });
       }
@@ -464,9 +478,15 @@
     return this.isLeaving ? { [WIRE.leaving]: '1' } : {};
   }
 
-  /** What each answer says of its server: that it leaves, or now and then what is no word. */
+  #limitHeader(): Record<string, string> {
+    return this.limit === undefined ? {} : { [WIRE.limit]: String(this.limit) };
+  }
+
+  /** What each answer says of its server: that it leaves, its limit, or now and then what is no word. */
   #word(): Record<string, string> {
-    if (this.isLeaving) return this.#leavingHeader();
+    if (this.isLeaving || this.limit !== undefined) {
+      return { ...this.#leavingHeader(), ...this.#limitHeader() };
+    }
     if (this.#options.random() >= SPOILT_WORD_SHARE) return {};
     return SPOILT_WORDS[Math.floor(this.#options.random() * SPOILT_WORDS.length)] ?? {};
   }
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -85,6 +85,13 @@
     text: 'if (askedMs > 0) {',
     replacement: 'if (askedMs > 1e9) {',
   },
+  {
+    name: 'server-limits',
+    promise: 'LIMIT',
+    file: 'src/shell/gateway/fleet-view.ts',
+    text: "if (availability.kind !== 'open' || limit === undefined) return availability;",
+    replacement: "if (availability.kind !== 'open' || nowMs > 0) return availability;",
+  },
   {
     name: 'newer-configuration',
     promise: 'CONFIG',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -4,6 +4,7 @@
  */
 import { PATHS } from '../platform/names.js';
 import { CRASHING_MARK, EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
+import { limitFaults } from './judge-limits.js';
 import type { Arrival, CallRecord, Disturbance, RunRecord, Scope } from './record.js';
 
 /** What is promised; docs/SOAK.md says each in a sentence. */
@@ -22,6 +23,7 @@
   | 'ONE'
   | 'DUTY'
   | 'CRASHES'
+  | 'LIMIT'
   | 'RECOVER';
 
 /** A promise that was broken. */
@@ -63,6 +65,7 @@
     ...judgeLost(calls, run),
     ...judgeLeavingAnswers(calls, run),
     ...judgeRests(calls, run),
+    ...judgeLimits(calls, run),
     ...judgeBudget(calls, run),
     ...judgeGone(calls, run),
     ...judgeOrders(run),
@@ -245,6 +248,12 @@
   );
 }
 
+function judgeLimits(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const isDisturbedIn = (scope: Scope, name: string, span: { fromMs: number; toMs: number }) =>
+    isDisturbed(run, { scope, name, ...span });
+  return limitFaults(calls, run, isDisturbedIn).map((fault) => ({ promise: 'LIMIT', ...fault }));
+}
+
 function judgeLost(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const lost = calls.filter((call) => isLost(call, run));
   if (lost.length <= LOST_MOST) return [];
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -81,6 +81,14 @@
       readonly restMs: number;
       readonly forMs: number;
     }
+  /** They name a limit of requests a second in each answer, and another one halfway. */
+  | {
+      readonly kind: 'limits';
+      readonly servers: readonly number[];
+      readonly perSecond: number;
+      readonly laterPerSecond: number;
+      readonly forMs: number;
+    }
   | {
       readonly kind: 'drain';
       readonly server: number;
@@ -154,6 +162,13 @@
 const RESTARTS_SALT = 0x11fe;
 const SERVERS_SALT = 0x5107;
 const WORDS_SALT = 0x4057;
+const LIMITS_SALT = 0x1137;
+const LEAST_LIMIT_GAP_MS = 5_000;
+const MOST_LIMIT_GAP_MS = 12_000;
+const LIMITS_PER_SECOND = [0, 0.2, 0.5, 1, 1.2, 2, 3.8, 5, 12, 1_000] as const;
+/** From the begin of a limit until it is judged, daemons need some seconds. */
+const LEAST_LIMITED_MS = 4_000;
+const MOST_LIMITED_MS = 20_000;
 const LEAST_WORD_GAP_MS = 3_000;
 const MOST_WORD_GAP_MS = 8_000;
 const LEAST_RESTART_GAP_MS = 4_000;
@@ -330,9 +345,12 @@
     seed,
     size,
     servers: drawServers(seed, size),
-    faults: [...faults, ...restarts, ...drawWords(seed, size, endMs)].sort(
-      (left, right) => left.atMs - right.atMs,
-    ),
+    faults: [
+      ...faults,
+      ...restarts,
+      ...drawWords(seed, size, endMs),
+      ...drawLimits(seed, size, endMs),
+    ].sort((left, right) => left.atMs - right.atMs),
     crashing: drawCrashing(seed, endMs),
   };
 }
@@ -380,6 +398,23 @@
   };
 }
 
+/** Servers that name a limit of requests a second; drawn apart as well. */
+function drawLimits(seed: number, size: SoakSize, endMs: number): readonly TimedFault[] {
+  const dice = new Dice(seed ^ LIMITS_SALT);
+  const limits: TimedFault[] = [];
+  let atMs = FIRST_FAULT_MS + dice.between(0, MOST_LIMIT_GAP_MS);
+  while (atMs < endMs) {
+    const perSecond = dice.pick(LIMITS_PER_SECOND);
+    const laterPerSecond = dice.chance(0.4) ? dice.pick(LIMITS_PER_SECOND) : perSecond;
+    const servers = dice.some(size.engines + size.webServers, dice.pick([0.1, 0.3, 0.6, 1]));
+    const forMs = Math.min(endMs - atMs, dice.between(LEAST_LIMITED_MS, MOST_LIMITED_MS));
+    const fault: Fault = { kind: 'limits', servers, perSecond, laterPerSecond, forMs };
+    limits.push({ atMs: Math.round(atMs), fault });
+    atMs += dice.between(LEAST_LIMIT_GAP_MS, MOST_LIMIT_GAP_MS);
+  }
+  return limits;
+}
+
 /** Drawn apart as well. */
 function drawServers(seed: number, { engines, webServers }: SoakSize): ServerTraits {
   const dice = new Dice(seed ^ SERVERS_SALT);
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -51,6 +51,10 @@
   saidLeaving: boolean;
   /** How long the server asked the daemon for rest, as it turned the request away; undefined where it did not. */
   restAskedMs: number | undefined;
+  /** Whether the answer named a limit of requests a second. */
+  namedLimit: boolean;
+  /** Whether it was meant for another server, which listened there before. */
+  isMisdirected: boolean;
   /** The stamp of the answer that the server gave. */
   stamp: string | undefined;
 }
@@ -110,6 +114,15 @@
   readonly ackMs: number;
 }
 
+/** A span in which a server's answers named a limit of requests a second; it may have changed meanwhile. */
+export interface LimitNotice {
+  readonly serverId: string;
+  readonly service: string;
+  readonly fromMs: number;
+  toMs: number;
+  readonly changes: { readonly atMs: number; readonly perSecond: number }[];
+}
+
 /** An order to an engine. */
 export interface OrderRecord {
   readonly serverId: string;
@@ -137,6 +150,7 @@
   readonly disturbances: readonly Disturbance[];
   readonly configurations: readonly ConfigurationVersion[];
   readonly drains: readonly DrainNotice[];
+  readonly limits: readonly LimitNotice[];
   readonly orders: readonly OrderRecord[];
   readonly duties: readonly DutyRecord[];
   readonly bounds: SoakBounds;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -165,6 +165,7 @@
       disturbances: this.#faults.disturbances,
       configurations: this.#operator.versions,
       drains: this.#faults.drains,
+      limits: this.#faults.limits,
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -9,6 +9,7 @@
   notExecuted: HEADERS.notExecuted,
   load: HEADERS.serverLoad,
   leaving: HEADERS.serverLeaving,
+  limit: HEADERS.serverLimit,
   expectInstance: SENT_HEADERS.expectInstance.toLowerCase(),
   stage: SENT_HEADERS.stage.toLowerCase(),
   kvSource: SENT_HEADERS.kvSource.toLowerCase(),
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -67,6 +67,8 @@
     hasEndedServer: false,
     saidLeaving: false,
     restAskedMs: undefined,
+    namedLimit: false,
+    isMisdirected: false,
     stamp: STAMP,
     ...fields,
   };
@@ -110,6 +112,7 @@
     disturbances: [],
     configurations: [FIRST],
     drains: [],
+    limits: [],
     orders: [],
     duties: [],
     bounds: BOUNDS,
@@ -349,3 +352,78 @@
   const disturbed = { disturbances: [{ ...disturbance, scope: 'daemon' as const }] };
   assert.deepEqual(broken(run(triesThatEndServers(10, 3), disturbed)), []);
 });
+
+/** A server that names 1 a second from 30 s on; its answers are passed on at once. */
+const LIMITS = [
+  {
+    serverId: 's1',
+    service: 'one',
+    fromMs: 30_000,
+    toMs: 60_000,
+    changes: [{ atMs: 30_000, perSecond: 1 }],
+  },
+];
+
+/** So many requests within a time, from one daemon. */
+function callsBetween(fromMs: number, toMs: number, count: number): readonly CallRecord[] {
+  return Array.from({ length: count }, (_, place) => {
+    const atMs = fromMs + (place * (toMs - fromMs)) / count;
+    const arrivals = [arrival({ atMs, endedMs: atMs + 10, namedLimit: true })];
+    return call({ sentMs: atMs - 5, endedMs: atMs + 15, deadlineMs: atMs + 900, arrivals });
+  });
+}
+
+test('LIMIT: a server gets more within 4 s than its limit allows, from a daemon that passed it on', () => {
+  const first = callsBetween(30_100, 30_200, 1);
+  const many = callsBetween(40_000, 43_900, 12);
+  assertBroken('LIMIT', run([...first, ...many], { limits: LIMITS }));
+  const few = callsBetween(40_000, 43_900, 11);
+  assert.deepEqual(broken(run([...first, ...few], { limits: LIMITS })), []);
+});
+
+test('LIMIT: what was sent before the limit counts from 3 s on, and not before', () => {
+  const before = callsBetween(29_500, 30_400, 12);
+  assert.deepEqual(broken(run(before, { limits: LIMITS })), []);
+  assertBroken('LIMIT', run([...before, ...callsBetween(33_200, 33_300, 1)], { limits: LIMITS }));
+});
+
+test('LIMIT: a daemon that has passed on no such answer, was frozen, or met another server does not count', () => {
+  const first = callsBetween(30_100, 30_200, 1);
+  const many = callsBetween(40_000, 43_900, 12);
+  const silent = many.map((made) => ({
+    ...made,
+    arrivals: made.arrivals.map((at) => ({ ...at, namedLimit: false })),
+  }));
+  assert.deepEqual(broken(run(silent, { limits: LIMITS })), []);
+  const frozen = {
+    scope: 'daemon',
+    name: 'd1',
+    fromMs: 41_000,
+    toMs: 42_000,
+    isPlanned: false,
+  } as const;
+  assert.deepEqual(
+    broken(run([...first, ...many], { limits: LIMITS, disturbances: [frozen] })),
+    [],
+  );
+  const misdirected = many.map((made) => ({
+    ...made,
+    arrivals: made.arrivals.map((at) => ({ ...at, isMisdirected: true, isTaken: false })),
+  }));
+  const met = run([...first, ...misdirected], { limits: LIMITS });
+  assert.ok(!broken(met).includes('LIMIT'));
+});
+
+test('LIMIT: a limit is not used while requests are refused', () => {
+  const refused = Array.from({ length: 80 }, (_, place) => {
+    const sentMs = 42_000 + place * 200;
+    const end = answered({ status: 503, stamp: undefined, body: '' });
+    return call({ sentMs, endedMs: sentMs + 5, deadlineMs: sentMs + 900, arrivals: [], end });
+  });
+  const isUnused = judge(run(refused, { limits: LIMITS })).some(
+    ({ promise, detail }) => promise === 'LIMIT' && detail.includes('refused'),
+  );
+  assert.ok(isUnused);
+  const used = callsBetween(41_500, 59_500, 12);
+  assert.ok(!broken(run([...refused, ...used], { limits: LIMITS })).includes('LIMIT'));
+});
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -21,6 +21,7 @@
   'restart',
   'stray-rows',
   'rests',
+  'limits',
   'drain',
   'link',
   'change',
