--- a/src/shell/gateway/limit-asks.ts
+++ b/src/shell/gateway/limit-asks.ts
@@ -67,6 +67,8 @@
 interface AskState {
   open: OpenAsk | undefined;
   againAtMs: number;
+  /** Ends the wait for that. */
+  cancelAgain: CancelTimer;
 }
 
 /** The asking side of a daemon. */
@@ -135,7 +137,8 @@
   }
 
   stop(): void {
-    for (const { open } of this.#states.values()) {
+    for (const { open, cancelAgain } of this.#states.values()) {
+      cancelAgain();
       open?.cancelTimeout();
       open?.settle();
     }
@@ -163,7 +166,8 @@
     const gapMs = ASK_GAP_MS * askers * (0.5 + random());
     const untilMs = gapMs + (granted > 0 ? 0 : roomInMs);
     state.againAtMs = nowMs + untilMs;
-    timers.after(untilMs, () => noteMayAsk(serverId));
+    state.cancelAgain();
+    state.cancelAgain = timers.after(untilMs, () => noteMayAsk(serverId));
     const turnMs = (MILLISECONDS_PER_SECOND * askers) / Math.max(1e-3, limit.perSecond ?? 1);
     const expectedMs = granted > 0 ? 0 : Math.max(roomInMs, turnMs / 2);
     fleet.permits.expectAt(serverId, nowMs + Math.min(LONGEST_EXPECTED_MS, expectedMs));
@@ -252,7 +256,8 @@
     const known = this.#states.get(serverId);
     if (known !== undefined) return known;
     this.#dropEnded();
-    const state = { open: undefined, againAtMs: Number.NEGATIVE_INFINITY };
+    const cancelAgain = () => undefined;
+    const state = { open: undefined, againAtMs: Number.NEGATIVE_INFINITY, cancelAgain };
     this.#states.set(serverId, state);
     return state;
   }
--- /dev/null
+++ b/test/gateway/named-limits.test.ts
@@ -0,0 +1,83 @@
+/** What servers say of their limits, and what is believed of it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { REQUEST_CODEC } from '../../platform/request-codec.js';
+import { type HeardLimit, NamedLimits, type ServerRecord } from '../../src/core/gateway/index.js';
+
+const SERVER: ServerRecord = {
+  id: 'i-1',
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  slots: 6,
+  state: 'ready',
+  isSpot: false,
+  stage: undefined,
+};
+const NONE: HeardLimit = { kind: 'none', attemptId: 'a' };
+
+function named(perSecond: number): HeardLimit {
+  return { kind: 'named', perSecond };
+}
+
+for (const [text, expected] of [
+  ['2', { kind: 'named', perSecond: 2 }],
+  ['0.2', { kind: 'named', perSecond: 0.2 }],
+  ['0', { kind: 'named', perSecond: 0 }],
+  ['1.2000000000000002', { kind: 'named', perSecond: 1.2000000000000002 }],
+  ['3, 1.5', { kind: 'named', perSecond: 1.5 }],
+] as const) {
+  test(`read: ${text}`, () => {
+    assert.deepEqual(REQUEST_CODEC.readLimit(200, { 'server-limit': text }), expected);
+  });
+}
+
+for (const text of [
+  '',
+  'fast',
+  '-1',
+  'NaN',
+  'Infinity',
+  '0x10',
+  '1e9',
+  '1234567890',
+  '9'.repeat(400),
+  '1,',
+  '2 3',
+]) {
+  test(`unreadable: ${text.slice(0, 12)}`, () => {
+    const said = REQUEST_CODEC.readLimit(200, { 'server-limit': text });
+    assert.equal(said.kind, 'unreadable');
+    assert.ok(said.kind === 'unreadable' && said.text.length <= 64);
+  });
+}
+
+test('an answer of another server says nothing, one without the field says so', () => {
+  assert.deepEqual(REQUEST_CODEC.readLimit(421, { 'server-limit': '2' }), { kind: 'unknown' });
+  assert.deepEqual(REQUEST_CODEC.readLimit(421, {}), { kind: 'unknown' });
+  const none = REQUEST_CODEC.readLimit(200, { 'x-attempt-id': 'a' });
+  assert.deepEqual(none, { kind: 'none', attemptId: 'a' });
+});
+
+test('a limit holds until an answer to a later request names none', () => {
+  const limits = new NamedLimits();
+  assert.equal(limits.hear(SERVER, named(2), { sentAtMs: 0, nowMs: 100 })?.kind, 'named');
+  assert.equal(limits.hear(SERVER, NONE, { sentAtMs: 90, nowMs: 300 }), undefined);
+  assert.equal(limits.of('i-1')?.perSecond, 2);
+  assert.equal(limits.hear(SERVER, named(3), { sentAtMs: 200, nowMs: 400 })?.kind, 'changed');
+  assert.equal(limits.hear(SERVER, NONE, { sentAtMs: 401, nowMs: 500 })?.kind, 'ended');
+  assert.equal(limits.of('i-1'), undefined);
+});
+
+test('what others tell counts by its age, and the first answer of its own is news', () => {
+  const limits = new NamedLimits();
+  assert.equal(limits.takeTold('i-1', { perSecond: 2, saidAgoMs: 10 }, 1_000)?.kind, 'named');
+  assert.equal(limits.takeTold('i-1', { perSecond: 5, saidAgoMs: 50 }, 1_010), undefined);
+  assert.equal(limits.of('i-1')?.isHeard, false);
+  assert.equal(limits.hear(SERVER, named(2), { sentAtMs: 1_000, nowMs: 1_020 })?.kind, 'named');
+  assert.equal(limits.takeTold('i-1', { perSecond: undefined, saidAgoMs: 100 }, 1_050), undefined);
+  const ended = limits.takeTold('i-1', { perSecond: undefined, saidAgoMs: 5 }, 1_050);
+  assert.deepEqual(ended, { kind: 'ended', before: 2 });
+  assert.equal(limits.takeTold('i-1', { perSecond: 2, saidAgoMs: 60 }, 1_100), undefined);
+  assert.equal(limits.takeTold('i-1', { perSecond: 2, saidAgoMs: 20 }, 1_100)?.kind, 'named');
+});
--- a/test/gateway/server-limits.test.ts
+++ b/test/gateway/server-limits.test.ts
@@ -26,6 +26,8 @@
 import { answering, engine } from './support/server-stand-in.js';
 
 const STEP_MS = 10;
+/** The last stretch of a load, in which what changed before has settled. */
+const LAST_MS = 4_000;
 const WEB_REQUEST = { path: '/tiles/1' };
 
 let fixture: GatewayFixture;
@@ -124,6 +126,12 @@
   return answers;
 }
 
+/** Long prompts that have nothing in common, so that each is read. */
+const LONG_REQUESTS: readonly CallerRequest[] = Array.from({ length: 200 }, (_, place) => {
+  const prefix = `a${place}:13000,b${place}:4000`;
+  return { ...LONG_REQUEST, headers: { ...LONG_REQUEST.headers, 'X-Prompt-Prefix': prefix } };
+});
+
 function namedAt({ firstNamedMs }: LimitedServer): number {
   assert.ok(firstNamedMs !== undefined);
   return firstNamedMs;
@@ -188,11 +196,12 @@
   const limited = engineServer('1');
   limited.answerMs = 1;
   const free = { prefill: engineServer(), decode: engineServer() };
-  for (const server of [free.prefill, free.decode]) server.answerMs = 60;
+  free.prefill.answerMs = 60;
+  free.decode.readsItselfMs = 400;
   await addServer('i-p', free.prefill, { service: 'reader', stage: 'prefill' });
   await addServer('i-d', free.decode, { service: 'reader', stage: 'decode' });
   await addServer('i-l', limited, { service: 'reader', stage: 'prefill' });
-  const answers = await load([LONG_REQUEST], 40, 16_000);
+  const answers = await load(LONG_REQUESTS, 80, 16_000);
   assertKeptAndUsed(limited, 1);
   for (const { status } of answers) assert.equal(status, 200);
 });
@@ -210,3 +219,85 @@
   await before;
   assertKeptAndUsed(server, 5);
 });
+
+test('with only limited servers left, requests wait for a permit or are refused at once, and told when to come', async () => {
+  await startOne();
+  const server = webServer('2');
+  await addServer('i-1', server);
+  const answers = await load([WEB_REQUEST], 100, 8_000);
+  const refused = answers.filter(({ status }) => status === 503);
+  assert.ok(refused.length > 0);
+  for (const { headers } of refused) {
+    const waitMs = Number(headers['retry-after']) * 1_000;
+    assert.ok(waitMs > 0 && waitMs <= 1.5 * 5_000, `${waitMs}`);
+  }
+  await fixture.logged(GATEWAY_EVENTS.requestRefused, ({ atLimit }) => atLimit === 1);
+  await fixture.logged(GATEWAY_EVENTS.requestWaitedForPermit, ({ mayTry }) => mayTry === true);
+});
+
+test('no prompt is read for a run whose only engine takes no more', async () => {
+  await startOne();
+  const reader = engineServer();
+  const limited = engineServer('1');
+  limited.readsItselfMs = 400;
+  await addServer('i-p', reader, { service: 'reader', stage: 'prefill' });
+  await addServer('i-d', limited, { service: 'reader', stage: 'decode' });
+  await load(LONG_REQUESTS, 100, 12_000);
+  assertKeptAndUsed(limited, 1);
+  const inVain = reader.arrivalsMs.length - limited.arrivalsMs.length;
+  assert.ok(inVain <= 0, `${inVain} prompts were read in vain`);
+});
+
+test('a prompt goes to the free reader beside one that takes no more', async () => {
+  await startOne();
+  const [limited, free, decode] = [engineServer('1'), engineServer(), engineServer()];
+  limited.answerMs = 1;
+  free.answerMs = 60;
+  decode.readsItselfMs = 400;
+  await addServer('i-l', limited, { service: 'reader', stage: 'prefill' });
+  await addServer('i-f', free, { service: 'reader', stage: 'prefill' });
+  await addServer('i-d', decode, { service: 'reader', stage: 'decode' });
+  const answers = await load(LONG_REQUESTS, 100, 10_000);
+  const read = limited.arrivalsMs.length + free.arrivalsMs.length;
+  assert.ok(read >= 0.9 * answers.length, `${read} of ${answers.length} prompts were read apart`);
+});
+
+test('a limit ends with an answer without it, and with no older one', async () => {
+  await startOne();
+  const server = webServer();
+  await addServer('i-1', server);
+  // An answer on the way when the limit is named says nothing, though it comes after.
+  server.answerMs = 700;
+  const slow = fixture.call(WEB_REQUEST);
+  await passMs(100);
+  server.limit = '1';
+  server.answerMs = 10;
+  const named = fixture.call(WEB_REQUEST);
+  await passUntil(() => has(GATEWAY_EVENTS.serverNamedLimit));
+  await Promise.all([named, passUntil(() => server.arrivalsMs.length >= 2)]);
+  await passMs(1_000);
+  assert.equal((await slow).status, 200);
+  assert.ok(!has(GATEWAY_EVENTS.serverLimitEnded));
+  await load([WEB_REQUEST], 100, 8_000);
+  server.limit = undefined;
+  const endedMs = timers.nowMs();
+  await load([WEB_REQUEST], 100, 12_000);
+  assert.ok(has(GATEWAY_EVENTS.serverLimitEnded));
+  const late = server.since(endedMs + 12_000 - LAST_MS);
+  assert.ok(late >= (0.8 * LAST_MS) / 100, `${late} requests in the last 4 s`);
+});
+
+test('another life of a server is held to no limit of the one before for longer than its first answer takes', async () => {
+  await startOne();
+  const server = webServer('0.2');
+  const standIn = await fixture.addServer('i-1', server.script, { born: 1 });
+  await passUntil(() => has(GATEWAY_EVENTS.serverAdded));
+  await load([WEB_REQUEST], 100, 6_000);
+  server.limit = undefined;
+  fixture.listServer('i-1', standIn, { born: 2 });
+  await passUntil(() => has(GATEWAY_EVENTS.serverRenewed));
+  const renewedMs = timers.nowMs();
+  await load([WEB_REQUEST], 100, 10_000);
+  const late = server.since(renewedMs + 10_000 - LAST_MS);
+  assert.ok(late >= (0.8 * LAST_MS) / 100, `${late} requests in the last 4 s`);
+});
--- a/test/gateway/support/limited-server.ts
+++ b/test/gateway/support/limited-server.ts
@@ -16,6 +16,8 @@
   /** As the field has it; undefined while it names none. */
   limit: string | undefined;
   answerMs = USUAL_ANSWER_MS;
+  /** Where it reads a prompt by itself before it generates; as long as any other answer unless given. */
+  readsItselfMs: number | undefined;
   readonly arrivalsMs: number[] = [];
   firstNamedMs: number | undefined;
   readonly #timers: TimerService;
@@ -53,7 +55,9 @@
       this.firstNamedMs ??= this.#timers.nowMs();
       response.setHeader('Server-Limit', this.limit);
     }
-    this.#timers.after(this.answerMs, () => this.#answer(served));
+    const isHandedOver = seen.headers['x-kv-source'] !== undefined;
+    const answerMs = isHandedOver ? this.answerMs : (this.readsItselfMs ?? this.answerMs);
+    this.#timers.after(answerMs, () => this.#answer(served));
   }
 }
 
