Count a limited engine by what it takes when engines are given their stages

Cause: plans took an engine that names a limit for a whole one, so its stage would be short of engines by what the limit takes away. Its pace now counts by the part of what others of its stage get that the limit leaves. Not run with a fleet: the planner's tests hold what it does with paces.

--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -47,6 +47,7 @@
 
 /** The mix of work is judged over this time. */
 export const DEMAND_SPAN_MS = 6_000;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Entries for web servers in one message, beside those for engines: crowded services have few servers. */
 const MOST_WEB_ENTRIES = 16;
@@ -352,6 +353,21 @@
     return this.paces.paceOf(engineId);
   }
 
+  /** By server, the part of its pace that its limit leaves it: what it takes of what each of its stage gets; 1 without one. */
+  limitSharesOf(service: string, nowMs: number): (serverId: string) => number {
+    if (this.limits.count === 0) return () => 1;
+    const { requests } = this.#demandOfAll(service, nowMs);
+    const servers = this.readyOf(service, nowMs);
+    const perSecond = (requests * MILLISECONDS_PER_SECOND) / DEMAND_SPAN_MS;
+    return (serverId) => {
+      const limit = this.limits.of(serverId);
+      if (limit === undefined || perSecond === 0) return 1;
+      const stage = this.directory.get(serverId)?.stage;
+      const alike = servers.filter((server) => server.stage === stage).length;
+      return Math.min(1, (limit.perSecond * alike) / perSecond);
+    };
+  }
+
   /** How long prompts of an urgency wait, against what the work that is known says. */
   waitScaleOf(service: string, urgency: Urgency): ForecastScale {
     return entryOf(this.#waitScales, `${urgency} ${service}`, () => new ForecastScale());
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -183,12 +183,15 @@
     for (const service of fleet.inForce?.configuration.services.values() ?? []) {
       const { engine: traits } = service;
       if (traits === undefined) continue;
+      const paceOf = fleet.paces.pacesOf(service.name);
+      // An engine that names a limit does a part of what others do: counted whole, its stage would be short of engines.
+      const limitShareOf = fleet.limitSharesOf(service.name, nowMs);
       const changes = planStageChanges({
         engines: fleet.expectedServers(service.name, nowMs),
         need: fleet.stageNeedOf(service.name, nowMs),
         comingEngines: this.#options.comingEngines(service.name),
         busyOf: (id) => fleet.busyOf(id, nowMs),
-        paceOf: fleet.paces.pacesOf(service.name),
+        paceOf: (id) => paceOf(id) * limitShareOf(id),
       });
       const paidFor = changes.filter((change) => this.#isPaidFor(change, traits, nowMs));
       if (paidFor.length === 0) continue;
--- a/test/gateway/fleet-demand.test.ts
+++ b/test/gateway/fleet-demand.test.ts
@@ -101,3 +101,20 @@
     { seed: 4, numRuns: 100 },
   );
 });
+
+test('an engine that names a limit counts by what it takes of what each of its stage gets', () => {
+  const fleet = new FleetView({ ratio: 0.2, slack: 50 });
+  const engine = { service: 'm', zone: 'z', slots: 8, state: 'ready', isSpot: false } as const;
+  const engines = ['e1', 'e2', 'e3', 'e4'].map((id, place) => {
+    const stage = place === 0 ? ('prefill' as const) : ('decode' as const);
+    return { ...engine, id, stage, address: `10.0.0.${place}:80` };
+  });
+  fleet.directory.replaceAll(engines);
+  fleet.peerLoads.take(report('a', 180), 0);
+  assert.equal(fleet.limitSharesOf('m', 0)('e2'), 1);
+  // 180 requests in 6 s are 10 a second for each of three that generate.
+  fleet.limits.takeTold('e2', { perSecond: 2, saidAgoMs: 0 }, 0);
+  fleet.limits.takeTold('e3', { perSecond: 50, saidAgoMs: 0 }, 0);
+  const shareOf = fleet.limitSharesOf('m', 0);
+  assert.deepEqual(['e1', 'e2', 'e3', 'e4'].map(shareOf), [1, 0.2, 1, 1]);
+});
