Ask for permits only where a request would go; a limit that moves a little is no news

Cause, by reading: a request asked at every limited server of its service, short prompts at engines that only read as well, so permits lay unused for 250 ms while others lacked them; and a limit that differs a little in each answer was told to all daemons each time. Now the plan with limited servers among the candidates says where to ask; a change of a tenth or less is not told.

Measured: limit-fleets.test.ts passes as before; that permits were lost this way was not played.

--- a/src/core/gateway/named-limits.ts
+++ b/src/core/gateway/named-limits.ts
@@ -6,6 +6,8 @@
  */
 import type { ServerRecord } from './server-directory.js';
 
+/** A limit that moves by less with each answer is no news: what is granted goes by the newest one anyway. */
+const NEWS_SHARE = 0.1;
 /** So long an end is remembered against older word of the limit, which travels for less. */
 const END_KEPT_MS = 60_000;
 
@@ -45,6 +47,8 @@
 /** A limit that is in force as far as is known. */
 export interface NamedLimit {
   readonly perSecond: number;
+  /** What was told as news last. */
+  readonly noted: number;
   /** When the server said it last, to whichever daemon. */
   readonly saidAtMs: number;
   /** When it became known here. */
@@ -69,9 +73,14 @@
       case 'named': {
         const { perSecond } = said;
         const { nowMs } = times;
+        const isFirst = known?.isHeard !== true;
+        const change = isFirst
+          ? ({ kind: 'named', perSecond } as const)
+          : changeOf(known, perSecond);
+        const noted = change === undefined ? (known?.noted ?? perSecond) : perSecond;
         const knownSinceMs = known?.knownSinceMs ?? nowMs;
-        this.#limits.set(id, { perSecond, saidAtMs: nowMs, knownSinceMs, isHeard: true });
-        return known?.isHeard === true ? changeOf(known, perSecond) : { kind: 'named', perSecond };
+        this.#limits.set(id, { perSecond, noted, saidAtMs: nowMs, knownSinceMs, isHeard: true });
+        return change;
       }
     }
   }
@@ -90,8 +99,11 @@
       return known === undefined ? undefined : this.#end(id, known, saidAtMs);
     }
     const { knownSinceMs, isHeard } = known ?? { knownSinceMs: nowMs, isHeard: false };
-    this.#limits.set(id, { perSecond, saidAtMs, knownSinceMs, isHeard });
-    return known === undefined ? { kind: 'named', perSecond } : changeOf(known, perSecond);
+    const isFirst = known === undefined;
+    const change = isFirst ? ({ kind: 'named', perSecond } as const) : changeOf(known, perSecond);
+    const noted = change === undefined ? (known?.noted ?? perSecond) : perSecond;
+    this.#limits.set(id, { perSecond, noted, saidAtMs, knownSinceMs, isHeard });
+    return change;
   }
 
   /** What this daemon can tell of a server's limit; undefined where it knows of none, in force or ended. */
@@ -137,6 +149,6 @@
 }
 
 function changeOf(known: NamedLimit, perSecond: number): LimitChange | undefined {
-  if (known.perSecond === perSecond) return undefined;
-  return { kind: 'changed', perSecond, before: known.perSecond };
+  if (Math.abs(perSecond - known.noted) <= NEWS_SHARE * known.noted) return undefined;
+  return { kind: 'changed', perSecond, before: known.noted };
 }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -149,9 +149,22 @@
 
   /** Servers of a service that may be sent new work. */
   candidates(service: string, nowMs: number): ServerRecord[] {
+    return this.#usableOf(service, nowMs, ['open']);
+  }
+
+  /** The same, and those that nothing but their limit keeps from it. */
+  candidatesWithLimited(service: string, nowMs: number): ServerRecord[] {
+    return this.#usableOf(service, nowMs, ['open', 'at-limit']);
+  }
+
+  #usableOf(
+    service: string,
+    nowMs: number,
+    kinds: readonly SendAvailability['kind'][],
+  ): ServerRecord[] {
     const open = this.directory
       .readyOf(service)
-      .filter((server) => this.availabilityOf(server, nowMs).kind === 'open')
+      .filter((server) => kinds.includes(this.availabilityOf(server, nowMs).kind))
       .filter(({ id }) => !this.isDark(id, nowMs));
     return this.stageNotices.usable(open, nowMs);
   }
@@ -173,11 +186,7 @@
 
   /** Servers of a service that nothing but their limit keeps from being sent work. */
   atLimit(service: string, nowMs: number): ServerRecord[] {
-    if (this.limits.count === 0) return [];
-    return this.directory
-      .readyOf(service)
-      .filter((server) => this.availabilityOf(server, nowMs).kind === 'at-limit')
-      .filter(({ id }) => !this.isDark(id, nowMs));
+    return this.limits.count === 0 ? [] : this.#usableOf(service, nowMs, ['at-limit']);
   }
 
   /** Servers of a service that are there and stay: listed as ready, and none has said that it leaves. */
--- a/src/shell/gateway/limit-asks.ts
+++ b/src/shell/gateway/limit-asks.ts
@@ -108,11 +108,12 @@
   }
 
   /** Tells the daemon that grants what this one has heard from the server, and what it sent there before. */
-  tell(serverId: string): void {
+  tell(serverId: string, { kind }: Pick<LimitChange, 'kind'>): void {
     const granter = this.#granterOf(serverId);
     if (granter === undefined) return;
     this.#send(granter, this.#messageOf(serverId, { number: NO_NUMBER, wanted: 0, returned: 0 }));
-    if (granter === this.#options.daemon) this.#options.grants.tellOwn(serverId);
+    const isForAll = kind !== 'changed' && granter === this.#options.daemon;
+    if (isForAll) this.#options.grants.tellOwn(serverId);
   }
 
   /** Takes an answer. */
--- a/src/shell/gateway/limit-coordinator.ts
+++ b/src/shell/gateway/limit-coordinator.ts
@@ -111,16 +111,14 @@
   }
 
   /**
-   * A request is about to be planned: asks for permits at those servers of its service for which there are none. It
-   * waits for the answers, as a daemon with few requests would not use a permit that comes after the one it was for.
+   * A request would go to some servers if they took more: asks for permits there. It waits for the answers, as a daemon
+   * with few requests would not use a permit that comes after the one it was for.
    * @returns undefined where there is nothing to wait for
    */
-  prepare(service: string): Promise<void> | undefined {
-    const { fleet, timers } = this.#options;
-    if (fleet.limits.count === 0) return undefined;
-    const limited = fleet.atLimit(service, timers.nowMs());
-    const asks = limited.flatMap((server) => this.#ask(server) ?? []);
+  prepare(servers: readonly ServerRecord[]): Promise<void> | undefined {
+    const asks = servers.flatMap((server) => this.#ask(server) ?? []);
     if (asks.length === 0) return undefined;
+    const { timers } = this.#options;
     return Promise.race([Promise.all(asks), delay(timers, LONGEST_ANSWER_MS)]).then(
       () => undefined,
     );
@@ -128,7 +126,7 @@
 
   /** An answer of a server changed what is known of its limit. */
   noteHeard(server: ServerRecord, change: LimitChange): void {
-    this.#asks.tell(server.id);
+    this.#asks.tell(server.id, change);
     if (change.kind === 'ended') this.#open(server.id);
   }
 
--- a/src/shell/gateway/limit-grants.ts
+++ b/src/shell/gateway/limit-grants.ts
@@ -69,7 +69,8 @@
     const change = limits.takeTold(serverId, ask.limit, nowMs);
     if (change !== undefined) noteTold(serverId, change, ask.daemon);
     const limit = limits.toldOf(serverId, nowMs) ?? ask.limit;
-    if (change !== undefined) this.#tellAll(serverId, limit);
+    // Who knows of a limit need not know how high it is: that is for the one that grants.
+    if (change !== undefined && change.kind !== 'changed') this.#tellAll(serverId, limit);
     if (limit.perSecond !== undefined) ledger.setLimit(limit.perSecond);
     const wanted = limit.perSecond === undefined ? 0 : ask.wanted;
     const unmetered = ask.unmetered.map(({ ageMs, count }) => ({ atMs: nowMs - ageMs, count }));
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -95,7 +95,8 @@
   async #planWithRoom(): Promise<EnginePlan | 'no-room' | undefined> {
     const { limits } = this.#context;
     for (;;) {
-      await limits.prepare(this.#exchange.options.service);
+      const wanted = this.#planner.limitedChoice({ mayPrefill: !this.#prefillFailed });
+      if (wanted.length > 0) await limits.prepare(wanted);
       const plan = await this.#planInRoom();
       if (plan !== undefined || !(await limits.waitForPermit(this.#exchange))) return plan;
     }
@@ -163,6 +164,8 @@
     const { limits } = this.#context;
     if (place !== undefined && limits.isGood(place)) return place.server;
     if (place !== undefined) limits.giveBack(place);
+    const wanted = this.#planner.limitedRunChoice(source, 'any');
+    if (wanted.length > 0) await limits.prepare(wanted);
     const server = this.#planner.decodeEngineAfter(source);
     if (server !== undefined || !(await limits.waitForPermit(this.#exchange))) return server;
     return this.#planner.decodeEngineAfter(source);
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -71,10 +71,44 @@
     });
   }
 
-  #bestPlan({ mayPrefill }: PlanLimits): EnginePlan | undefined {
-    const input = this.#choiceInput();
-    const candidates = input.candidates.filter(({ stage }) => mayPrefill || stage !== 'prefill');
-    return planModelRequest({ ...input, candidates });
+  #bestPlan(limits: PlanLimits): EnginePlan | undefined {
+    const { fleet } = this.#context;
+    return this.#planAmong(fleet.candidates(this.#service, this.#nowMs()), limits);
+  }
+
+  #planAmong(engines: readonly ServerRecord[], { mayPrefill }: PlanLimits): EnginePlan | undefined {
+    const candidates = engines.filter(({ stage }) => mayPrefill || stage !== 'prefill');
+    return planModelRequest({ ...this.#choiceInput(), candidates });
+  }
+
+  /** The engines at their limit that the request would go to if they took more; where its prompt is read elsewhere,
+   * the one that goes on only counts where no other is left, as its permit would be too old by then. */
+  limitedChoice(limits: PlanLimits): readonly ServerRecord[] {
+    const { fleet } = this.#context;
+    const nowMs = this.#nowMs();
+    const atLimit = fleet.atLimit(this.#service, nowMs);
+    if (atLimit.length === 0) return [];
+    const candidates = fleet.candidatesWithLimited(this.#service, nowMs);
+    const plan = this.#planAmong(candidates, limits);
+    if (plan === undefined) return [];
+    const first = plan.kind === 'direct' ? plan.server : plan.prefill.server;
+    const next = plan.kind === 'direct' ? [] : this.limitedRunChoice(first, 'no-other');
+    return [...atLimit.filter(({ id }) => id === first.id), ...next];
+  }
+
+  /**
+   * The engine at its limit that would go on from a prompt read at `source` if it took more.
+   * @param where 'no-other': only where no engine is left that goes on without a permit
+   */
+  limitedRunChoice(source: ServerRecord, where: 'any' | 'no-other'): readonly ServerRecord[] {
+    const { fleet } = this.#context;
+    const nowMs = this.#nowMs();
+    const atLimit = fleet.atLimit(this.#service, nowMs);
+    if (atLimit.length === 0) return [];
+    if (where === 'no-other' && this.decodeEngineAfter(source) !== undefined) return [];
+    const candidates = fleet.candidatesWithLimited(this.#service, nowMs);
+    const chosen = chooseDecodeEngine({ ...this.#choiceInput(), candidates }, source);
+    return atLimit.filter(({ id }) => id === chosen?.id);
   }
 
   /** The engine that goes on from a prompt read at `source`, by the list as it is now. */
@@ -134,6 +168,10 @@
     this.#speed.learnRun(description.maxOutputTokens, elapsedMs);
   }
 
+  get #service(): string {
+    return this.#exchange.options.service;
+  }
+
   get #speed(): ReadSpeed {
     return this.#context.fleet.speedOf(this.#exchange.options.service);
   }
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -86,7 +86,7 @@
     await this.#context.crashes.settled(this.#exchange);
     if (this.#exchange.signal.aborted) return false;
     if (!(await this.#passRoom())) return true;
-    await this.#context.limits.prepare(this.#exchange.options.service);
+    await this.#prepareLimited();
     this.#startNext(false);
     return false;
   }
@@ -127,9 +127,8 @@
   async #startFirst(): Promise<boolean> {
     const exchange = this.#exchange;
     const { limits, crashes } = this.#context;
-    const { service } = exchange.options;
-    limits.noteArrival(service);
-    await limits.prepare(service);
+    limits.noteArrival(exchange.options.service);
+    await this.#prepareLimited();
     while (!this.#startNext(true)) {
       if (crashes.isQuarantined(exchange)) return false;
       if (!(await limits.waitForPermit(exchange))) return false;
@@ -137,6 +136,30 @@
     return true;
   }
 
+  /** Asks for a permit where the request would go to a server that takes no more for now. */
+  async #prepareLimited(): Promise<void> {
+    const { fleet, limits } = this.#context;
+    const { service, timers } = this.#exchange.options;
+    const atLimit = fleet.atLimit(service, timers.nowMs());
+    if (atLimit.length === 0) return;
+    const chosen = this.#choose(fleet.candidatesWithLimited(service, timers.nowMs()));
+    await limits.prepare(atLimit.filter(({ id }) => id === chosen?.id));
+  }
+
+  #choose(candidates: readonly ServerRecord[]): ServerRecord | undefined {
+    const { fleet, zone, webWork } = this.#context;
+    const { service, timers } = this.#exchange.options;
+    return chooseWebServer({
+      candidates,
+      excludedIds: this.#exchange.triedServerIds,
+      zone,
+      nowMs: timers.nowMs(),
+      entropy: Math.random(),
+      healthOf: (id) => fleet.healthOf(id),
+      loadOf: webWork.loadsOf(service),
+    });
+  }
+
   #startNext(isFirst: boolean): boolean {
     const exchange = this.#exchange;
     const { route, service, timers } = exchange.options;
@@ -145,15 +168,7 @@
     if (!isFirst && exchange.mayHaveRun && !this.#isRepeatable) return false;
     if (exchange.runs >= Math.max(1, route.attempts)) return false;
     if (this.#turnedDown > MAX_TURNED_DOWN) return false;
-    const server = chooseWebServer({
-      candidates: fleet.candidates(service, timers.nowMs()),
-      excludedIds: exchange.triedServerIds,
-      zone: this.#context.zone,
-      nowMs: timers.nowMs(),
-      entropy: Math.random(),
-      healthOf: (id) => fleet.healthOf(id),
-      loadOf: this.#context.webWork.loadsOf(service),
-    });
+    const server = this.#choose(fleet.candidates(service, timers.nowMs()));
     if (server === undefined) return false;
     if (isFirst) fleet.budgetOf(service).countRequest();
     exchange.beginRun(server.id);
--- a/test/gateway/named-limits.test.ts
+++ b/test/gateway/named-limits.test.ts
@@ -81,3 +81,18 @@
   assert.equal(limits.takeTold('i-1', { perSecond: 2, saidAgoMs: 60 }, 1_100), undefined);
   assert.equal(limits.takeTold('i-1', { perSecond: 2, saidAgoMs: 20 }, 1_100)?.kind, 'named');
 });
+
+test('a limit that moves a little with each answer is no news, and the newest one is told on', () => {
+  const limits = new NamedLimits();
+  limits.hear(SERVER, named(10), { sentAtMs: 0, nowMs: 10 });
+  for (const [nowMs, perSecond] of [
+    [20, 10.5],
+    [30, 9.6],
+    [40, 10.9],
+  ] as const) {
+    assert.equal(limits.hear(SERVER, named(perSecond), { sentAtMs: 0, nowMs }), undefined);
+  }
+  assert.deepEqual(limits.toldOf('i-1', 50), { perSecond: 10.9, saidAgoMs: 10 });
+  const change = limits.hear(SERVER, named(12), { sentAtMs: 0, nowMs: 60 });
+  assert.deepEqual(change, { kind: 'changed', perSecond: 12, before: 10 });
+});
--- a/test/gateway/support/fleet-of-limits.ts
+++ b/test/gateway/support/fleet-of-limits.ts
@@ -186,7 +186,7 @@
   async #arrive(daemon: Daemon): Promise<void> {
     const { limits, fleet, calls } = daemon;
     limits.noteArrival(LIMITED.service);
-    await limits.prepare(LIMITED.service);
+    await limits.prepare(fleet.atLimit(LIMITED.service, this.timers.nowMs()));
     if (fleet.candidates(LIMITED.service, this.timers.nowMs()).length === 0) return;
     void calls.call({
       server: LIMITED,
