--- a/test/engine/server.test.ts
+++ b/test/engine/server.test.ts
@@ -258,3 +258,18 @@
   const counts = (await (await request(url('/ledger'))).body.json()) as LedgerPage;
   assert.equal(counts.counts.active, 0);
 });
+
+/**
+ * A fleet test waited 45 s for an engine to crash in a stream, once in four whole runs. A stream that two other engines had
+ * broken off went on there with its last ten of 30 tokens and took the armed crash, which strikes at the eleventh: it ended
+ * whole, and the crash was gone. The engine's own count said so: `crash-in-stream sent 10`, for the third attempt of one
+ * request, three times of three when the streams were led that way; no stream was lost after it.
+ */
+test('a fault for which an answer was too short strikes the next one', async () => {
+  await arm({ kind: 'early-close', afterTokens: 10 });
+  const short = await frames(await complete('short', 10));
+  assert.equal(short.frames.at(-1), 'data: [DONE]');
+  const next = await frames(await complete('next', 20));
+  assert.equal(next.frames.length, 10);
+  assert.notEqual(next.frames.at(-1), 'data: [DONE]');
+});
