The emulated engine gives a fault back that an answer was too short for

Seen: a fleet test waited 45 s for a stream to be lost with a crashing engine, once in four whole runs; nothing of the product was wrong.

Cause: a fault is taken by the next answer, and strikes after so many tokens of it. The rest of a stream that two others had broken off can be too short; the fault was gone then, and the test waited for it.

Change: an answer that ends whole before its fault struck gives it back. The fleet test disarms what earlier tests left at other engines, which could end its streams without any engine; its checks are as they were.

--- a/src/lab/engine/http/completions.ts
+++ b/src/lab/engine/http/completions.ts
@@ -108,7 +108,8 @@
   fault: AnswerFault | null,
 ): StreamWriter {
   const setPaused = (paused: boolean): void => host.setPaused(identity.attempt, paused);
-  return new StreamWriter(response, identity, { setPaused, crash: host.crash }, fault);
+  const giveBack = (unstruck: AnswerFault): void => host.faults.giveBack(unstruck);
+  return new StreamWriter(response, identity, { setPaused, crash: host.crash, giveBack }, fault);
 }
 
 function workOf({ kind, headers, body }: CheckedRequest): EngineWork {
--- a/src/lab/engine/http/control.ts
+++ b/src/lab/engine/http/control.ts
@@ -37,7 +37,8 @@
 /** `POST /faults`: arms faults. For tests; no engine of docs/ENGINE-API.md has it. */
 export function handleFaults(host: EngineHost, body: unknown, response: ServerResponse): void {
   check(faultsSchema, body).match(
-    ({ faults }) => {
+    ({ faults, replace = false }) => {
+      if (replace) host.faults.clear();
       host.faults.arm(faults);
       sendJson(response, 200, { armed: faults.length });
     },
--- a/src/lab/engine/http/faults.ts
+++ b/src/lab/engine/http/faults.ts
@@ -32,6 +32,8 @@
 /** The body of `POST /faults`. */
 export const faultsSchema = z.strictObject({
   faults: z.array(z.union([answerFaultSchema, orderFaultSchema])).max(100),
+  /** Whether those that are armed already are disarmed before. */
+  replace: z.boolean().optional(),
 });
 
 /** A fault of one answer. */
@@ -54,6 +56,17 @@
     }
   }
 
+  /** Gives back a fault whose answer ended before it struck: it is the next one again. */
+  giveBack(fault: AnswerFault): void {
+    this.#answers.unshift(fault);
+  }
+
+  /** Disarms all. */
+  clear(): void {
+    this.#answers = [];
+    this.#orders = [];
+  }
+
   /** Takes the next fault that fits a streamed or a whole answer. */
   takeForAnswer(streamed: boolean): AnswerFault | null {
     const place = this.#answers.findIndex((fault) => streamed !== (fault.kind === 'wrong-length'));
--- a/src/lab/engine/http/stream-writer.ts
+++ b/src/lab/engine/http/stream-writer.ts
@@ -9,6 +9,8 @@
   readonly setPaused: (paused: boolean) => void;
   /** Dies and comes back after so long. */
   readonly crash: (downMs: number) => void;
+  /** Takes a fault back that did not strike. */
+  readonly giveBack: (fault: AnswerFault) => void;
 }
 
 /** One answer in server-sent events. */
@@ -24,6 +26,7 @@
   #sentTokens = 0;
   #paused = false;
   #ended = false;
+  #hasStruck = false;
 
   constructor(
     response: ServerResponse,
@@ -63,11 +66,14 @@
     if (this.#ended) return;
     this.#sendLate();
     this.#ended = true;
+    // What is left of a stream that others broke off may be too short for it; whoever armed it waits for it to strike.
+    if (this.#fault !== null && !this.#hasStruck) this.#engine.giveBack(this.#fault);
     this.#send(endFrames(this.#identity, usage));
     if (this.#held === null) this.#response.end();
   }
 
   #strike(fault: AnswerFault, frame: string, offset: number): void {
+    this.#hasStruck = true;
     switch (fault.kind) {
       case 'stall':
         this.#stall(fault.forMs, frame);
--- a/test/faults/engine-faults.test.ts
+++ b/test/faults/engine-faults.test.ts
@@ -118,7 +118,10 @@
 test('the streams of an engine that crashes and comes back are resumed exactly', async () => {
   const engine = fleet.engine('a1');
   const crash = { kind: 'crash-in-stream', afterTokens, downMs: 200 };
-  await fleet.backendFaults(engine, { faults: [crash] });
+  // What is left of earlier tests would break streams off as well.
+  for (const other of fleet.parts.engines) {
+    await fleet.backendFaults(other, { faults: other === engine ? [crash] : [], replace: true });
+  }
   await eventuallyTrue('a stream to be lost with a1', async () => {
     const calls = Array.from({ length: ENGINES.length }, () =>
       askModel(fleet.daemon('d1'), { streamed: true, outputTokens: 3 * TOKENS_BEFORE_FAULT }),
