--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -189,7 +189,7 @@
       const spot = here.filter(({ isSpot }) => isSpot).length;
       return { zone, plain: here.length - spot, spot };
     });
-    const need = fleet.stageNeedOf(name, nowMs);
+    const need = fleet.demand.needOf(name, nowMs);
     const neededInAll = Math.ceil(need.prefillEngines + need.decodeEngines);
     const neededWithRoom = enginesWithRoom(need);
     return [{ service: name, limits: scaling, zones, neededInAll, neededWithRoom }];
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -3,7 +3,6 @@
  * it has seen of each. The configuration never goes back to a lower version.
  */
 import {
-  type DemandSums,
   type DirectoryChange,
   EngineLoad,
   type EngineWork,
@@ -28,27 +27,19 @@
   ServerDirectory,
   ServerHealth,
   type ServerRecord,
-  type ServiceDemand,
-  StageDemand,
-  type StageNeed,
   StageNotices,
   TenantTable,
   TrafficSplitter,
   type Unavailable,
-  type UnseenWork,
   type Urgency,
   UrgentSlack,
-  unseenWork,
   type WebServerLoad,
   WebServerLoads,
 } from '../../core/gateway/index.js';
+import { FleetDemand } from './fleet-demand.js';
 import { type LoadDecisions, USUAL_LOAD_DECISIONS } from './gateway-settings.js';
 import type { EngineNews } from './peer-messages.js';
 
-/** The mix of work is judged over this time. */
-export const DEMAND_SPAN_MS = 6_000;
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** Entries for web servers in one message, beside those for engines: crowded services have few servers. */
 const MOST_WEB_ENTRIES = 16;
 
@@ -75,6 +66,7 @@
   readonly peerLoads = new PeerLoads();
   readonly stageNotices = new StageNotices();
   readonly paces: FleetPaces;
+  readonly demand: FleetDemand;
   readonly webLoads = new WebServerLoads();
   readonly #budgetOptions: RetryBudgetOptions;
   readonly #health = new Map<string, ServerHealth>();
@@ -83,7 +75,6 @@
   readonly #waitScales = new Map<string, ForecastScale>();
   readonly #rankShares = new Map<string, RankShares>();
   readonly #slacks = new Map<string, UrgentSlack>();
-  readonly #demands = new Map<string, StageDemand>();
   readonly #budgets = new Map<string, RetryBudget>();
   #inForce: ConfigurationInForce | undefined;
   readonly #noteBudgetBegun: (service: string, budget: RetryBudget) => void;
@@ -108,6 +99,14 @@
       speedOf: (service) => this.speedOf(service),
       serviceOf: (id) => this.directory.get(id)?.service,
     });
+    this.demand = new FleetDemand({
+      peerLoads: this.peerLoads,
+      paces: this.paces,
+      size: this.#size,
+      limits: this.limits,
+      candidates: (service, nowMs) => this.candidates(service, nowMs),
+      readyOf: (service, nowMs) => this.readyOf(service, nowMs),
+    });
   }
 
   get inForce(): ConfigurationInForce | undefined {
@@ -362,21 +361,6 @@
     return this.paces.paceOf(engineId);
   }
 
-  /** By server, the part of its pace that its limit leaves it: what it takes of what each of its stage gets; 1 without one. */
-  limitSharesOf(service: string, nowMs: number): (serverId: string) => number {
-    if (this.limits.count === 0) return () => 1;
-    const { requests } = this.#demandOfAll(service, nowMs);
-    const servers = this.readyOf(service, nowMs);
-    const perSecond = (requests * MILLISECONDS_PER_SECOND) / DEMAND_SPAN_MS;
-    return (serverId) => {
-      const limit = this.limits.of(serverId);
-      if (limit === undefined || perSecond === 0) return 1;
-      const stage = this.directory.get(serverId)?.stage;
-      const alike = servers.filter((server) => server.stage === stage).length;
-      return Math.min(1, (limit.perSecond * alike) / perSecond);
-    };
-  }
-
   /** How long prompts of an urgency wait, against what the work that is known says. */
   waitScaleOf(service: string, urgency: Urgency): ForecastScale {
     return entryOf(this.#waitScales, `${urgency} ${service}`, () => new ForecastScale());
@@ -392,61 +376,6 @@
     return entryOf(this.#slacks, service, () => new UrgentSlack());
   }
 
-  demandOf(service: string): StageDemand {
-    return entryOf(this.#demands, service, () => new StageDemand(DEMAND_SPAN_MS));
-  }
-
-  /** What other daemons have sent for a service that does not show yet; undefined where all shows at once. */
-  unseenWorkOf(service: string, nowMs: number): UnseenWork | undefined {
-    return unseenWork({
-      daemons: this.#size.listed,
-      heardDaemons: this.peerLoads.count(nowMs),
-      knownAgeMs: this.peerLoads.sumsAgeMs(nowMs),
-      own: this.demandOf(service).sums(nowMs),
-      all: this.#demandOfAll(service, nowMs),
-      spanMs: DEMAND_SPAN_MS,
-      busyForMs: this.peerLoads.busyForMs(nowMs),
-    });
-  }
-
-  /** What this daemon was asked for lately, for its peers. */
-  ownDemand(nowMs: number): readonly ServiceDemand[] {
-    const demands = [...this.#demands].map(([service, demand]) => ({
-      service,
-      ...demand.sums(nowMs),
-    }));
-    return demands.filter(({ requests }) => requests > 0);
-  }
-
-  /** Short prompts that a decode engine of the usual pace gets in a millisecond, from all daemons. */
-  shortReadsPerMs(service: string, nowMs: number): number {
-    const paceOf = this.paces.pacesOf(service);
-    const engines = this.candidates(service, nowMs).filter(({ stage }) => stage === 'decode');
-    const paces = engines.reduce((sum, { id }) => sum + paceOf(id), 0);
-    const { shortRequests } = this.#demandOfAll(service, nowMs);
-    return shortRequests / DEMAND_SPAN_MS / Math.max(1, paces);
-  }
-
-  /** The work of a service, in engines of the usual pace that it keeps busy. */
-  stageNeedOf(service: string, nowMs: number): StageNeed {
-    const { prefillMs, decodeMs, requests } = this.#demandOfAll(service, nowMs);
-    return {
-      prefillEngines: prefillMs / DEMAND_SPAN_MS,
-      decodeEngines: decodeMs / DEMAND_SPAN_MS,
-      requests,
-    };
-  }
-
-  /** The demand that all daemons see; while none is heard, as if all saw as much as this one. */
-  #demandOfAll(service: string, nowMs: number): DemandSums {
-    const own = this.demandOf(service).sums(nowMs);
-    if (!this.peerLoads.hasHeard(nowMs)) return scaled(own, this.#size.listed ?? 1);
-    const total = this.peerLoads
-      .totalDemand(this.ownDemand(nowMs), nowMs)
-      .find((demand) => demand.service === service);
-    return total ?? own;
-  }
-
   budgetOf(service: string): RetryBudget {
     return entryOf(this.#budgets, service, () => {
       const budget = new RetryBudget(this.#budgetOptions, this.#size.sharers);
@@ -481,13 +410,3 @@
   map.set(key, created);
   return created;
 }
-
-/** The work is multiplied, but not what it was seen from. */
-function scaled(demand: DemandSums, factor: number): DemandSums {
-  return {
-    prefillMs: demand.prefillMs * factor,
-    decodeMs: demand.decodeMs * factor,
-    requests: demand.requests,
-    shortRequests: demand.shortRequests * factor,
-  };
-}
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -389,7 +389,7 @@
       isReady: () => this.#fleet.isReady,
       timers,
       ownWork: () => [...this.#fleet.ownWork(timers.nowMs()), ...this.#webWork.own()],
-      ownDemand: () => this.#fleet.ownDemand(timers.nowMs()),
+      ownDemand: () => this.#fleet.demand.own(timers.nowMs()),
       serverIdOf: (shortId) => this.#fleet.directory.idOf(shortId),
       noteSums: () => this.#room.wake(),
       noteDaemonCount: (daemons) => this.#noteDaemonCount(daemons),
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -195,7 +195,7 @@
       homePaceOf: fleet.paces.homePacesOf(service),
       waitFactor: (urgency) => fleet.waitScaleOf(service, urgency).factor(this.#nowMs()),
       inTimeMs: IN_TIME_SHARE * route.targetLatencyMs - this.#exchange.elapsedMs(),
-      shortReadsPerMs: fleet.shortReadsPerMs(service, this.#nowMs()),
+      shortReadsPerMs: fleet.demand.shortReadsPerMs(service, this.#nowMs()),
       kvTokenBytes: traits?.kvTokenBytes ?? 0,
       linkMbps: traits?.linkMbps ?? 1,
       healthOf: (id) => fleet.healthOf(id),
@@ -207,7 +207,7 @@
   #spread(): Spread | undefined {
     const { fleet, isSpreading } = this.#context;
     if (!isSpreading) return undefined;
-    const unseen = fleet.unseenWorkOf(this.#exchange.options.service, this.#nowMs());
+    const unseen = fleet.demand.unseenOf(this.#exchange.options.service, this.#nowMs());
     return unseen === undefined ? undefined : { unseen, entropy: Math.random() };
   }
 
@@ -247,7 +247,7 @@
     const work = isLong
       ? { prefillMs: speed.prefillBusyMs(missing), decodeMs: handedOverMs + generateMs }
       : { prefillMs: 0, decodeMs: speed.decodeBusyMs(missing) + generateMs };
-    fleet.demandOf(service).note(isLong ? 'long-prompt' : 'short-prompt', work, this.#nowMs());
+    fleet.demand.of(service).note(isLong ? 'long-prompt' : 'short-prompt', work, this.#nowMs());
   }
 
   #nowMs(): number {
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -21,7 +21,7 @@
 } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableEffect } from '../../core/platform/table.js';
-import { DEMAND_SPAN_MS } from './fleet-view.js';
+import { DEMAND_SPAN_MS } from './fleet-demand.js';
 import type { TableService } from './ports.js';
 import { StageOrders, type StageOrdersOptions } from './stage-orders.js';
 import { callTable } from './table-call.js';
@@ -185,10 +185,10 @@
       if (traits === undefined) continue;
       const paceOf = fleet.paces.pacesOf(service.name);
       // An engine that names a limit does a part of what others do: counted whole, its stage would be short of engines.
-      const limitShareOf = fleet.limitSharesOf(service.name, nowMs);
+      const limitShareOf = fleet.demand.limitSharesOf(service.name, nowMs);
       const changes = planStageChanges({
         engines: fleet.expectedServers(service.name, nowMs),
-        need: fleet.stageNeedOf(service.name, nowMs),
+        need: fleet.demand.needOf(service.name, nowMs),
         comingEngines: this.#options.comingEngines(service.name),
         busyOf: (id) => fleet.busyOf(id, nowMs),
         paceOf: (id) => paceOf(id) * limitShareOf(id),
--- a/test/gateway/fleet-demand.test.ts
+++ b/test/gateway/fleet-demand.test.ts
@@ -10,7 +10,8 @@
   type ServiceDemand,
   StageDemand,
 } from '../../src/core/gateway/index.js';
-import { DEMAND_SPAN_MS, FleetView } from '../../src/shell/gateway/fleet-view.js';
+import { DEMAND_SPAN_MS } from '../../src/shell/gateway/fleet-demand.js';
+import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 
 function demand(requests: number, prefillMs = 100 * requests): ServiceDemand {
   return { service: 'm', prefillMs, decodeMs: requests, requests, shortRequests: 0 };
@@ -48,13 +49,13 @@
   const fleet = new FleetView({ ratio: 0.2, slack: 50 });
   fleet.setDaemonCount(8);
   for (let request = 0; request < 6; request += 1) {
-    fleet.demandOf('m').note('long-prompt', { prefillMs: 100, decodeMs: 1 }, 0);
+    fleet.demand.of('m').note('long-prompt', { prefillMs: 100, decodeMs: 1 }, 0);
   }
-  const alone = fleet.stageNeedOf('m', 0);
+  const alone = fleet.demand.needOf('m', 0);
   assert.equal(alone.requests, 6, 'what nobody told is not counted as seen');
   assert.equal(alone.prefillEngines, (8 * 600) / DEMAND_SPAN_MS);
   fleet.peerLoads.take(report('a', 40), 0);
-  const together = fleet.stageNeedOf('m', 0);
+  const together = fleet.demand.needOf('m', 0);
   assert.equal(together.requests, 46);
   assert.equal(together.prefillEngines, 4_600 / DEMAND_SPAN_MS);
 });
@@ -111,10 +112,10 @@
   });
   fleet.directory.replaceAll(engines);
   fleet.peerLoads.take(report('a', 180), 0);
-  assert.equal(fleet.limitSharesOf('m', 0)('e2'), 1);
+  assert.equal(fleet.demand.limitSharesOf('m', 0)('e2'), 1);
   // 180 requests in 6 s are 10 a second for each of three that generate.
   fleet.limits.takeTold('e2', { perSecond: 2, saidAgoMs: 0 }, 0);
   fleet.limits.takeTold('e3', { perSecond: 50, saidAgoMs: 0 }, 0);
-  const shareOf = fleet.limitSharesOf('m', 0);
+  const shareOf = fleet.demand.limitSharesOf('m', 0);
   assert.deepEqual(['e1', 'e2', 'e3', 'e4'].map(shareOf), [1, 0.2, 1, 1]);
 });
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -147,7 +147,7 @@
 async function pass(setup: Setup, spanMs: number): Promise<void> {
   for (let passedMs = 0; passedMs < spanMs; passedMs += 50) {
     const nowMs = setup.timers.nowMs();
-    setup.fleet.demandOf('reader').note('long-prompt', { prefillMs: 100, decodeMs: 1 }, nowMs);
+    setup.fleet.demand.of('reader').note('long-prompt', { prefillMs: 100, decodeMs: 1 }, nowMs);
     setup.timers.advance(50);
     await new Promise((resolve) => setImmediate(resolve));
   }
--- a/test/gateway/support/spread-replay.ts
+++ b/test/gateway/support/spread-replay.ts
@@ -191,8 +191,8 @@
     const { server, missingTokens, fetchFrom } = isPrefill ? plan.prefill : plan;
     const speed = fleet.speedOf(SERVICE);
     const runMs = 100 * speed.tokenMs;
-    fleet
-      .demandOf(SERVICE)
+    fleet.demand
+      .of(SERVICE)
       .note(
         'long-prompt',
         { prefillMs: speed.prefillBusyMs(missingTokens), decodeMs: runMs / server.slots },
@@ -286,7 +286,7 @@
     const nowMs = this.#clock.now;
     const promptTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, 0);
     const head = { attemptId: 'x', deadlineMs: 5_000, maxOutputTokens: 100 };
-    const unseen = fleet.unseenWorkOf(SERVICE, nowMs);
+    const unseen = fleet.demand.unseenOf(SERVICE, nowMs);
     const entropy = this.#random.unit();
     const { isSpreading } = this.#scenario;
     return {
@@ -300,7 +300,7 @@
       speed: fleet.speedOf(SERVICE),
       waitFactor: (urgency) => fleet.waitScaleOf(SERVICE, urgency).factor(nowMs),
       inTimeMs: 0.9 * TARGET_MS,
-      shortReadsPerMs: fleet.shortReadsPerMs(SERVICE, nowMs),
+      shortReadsPerMs: fleet.demand.shortReadsPerMs(SERVICE, nowMs),
       kvTokenBytes: 163_840,
       linkMbps: 1_600_000,
       healthOf: (id) => fleet.healthOf(id),
@@ -341,7 +341,7 @@
     const report: LoadReport = {
       ...head,
       work: fleet.ownWork(nowMs),
-      demand: fleet.ownDemand(nowMs),
+      demand: fleet.demand.own(nowMs),
     };
     this.#clock.at(nowMs + LINK_MS, () => {
       relay.daemon.fleet.peerLoads.take(report, this.#clock.now);
@@ -354,7 +354,7 @@
     const nowMs = this.#clock.now;
     const { fleet, name, zone } = relay.daemon;
     const own = fleet.ownWork(nowMs);
-    const ownDemand = fleet.ownDemand(nowMs);
+    const ownDemand = fleet.demand.own(nowMs);
     const zoneReads = relay.zoneReads.splice(0);
     const reads = [...zoneReads, ...relay.otherReads.splice(0)];
     relay.daemon.sequence += 1;
