--- a/src/shell/gateway/limit-coordinator.ts
+++ b/src/shell/gateway/limit-coordinator.ts
@@ -42,6 +42,18 @@
   readonly untilMs: number;
 }
 
+/** A request that may wait for a permit. */
+export interface PermitSeeker {
+  readonly service: string;
+  /** 0 the most urgent. */
+  readonly rank: number;
+  readonly attemptId: string;
+  readonly arrivedAtMs: number;
+  /** From now on. */
+  readonly mostWaitMs: number;
+  readonly signal: AbortSignal;
+}
+
 /** What it is built from. */
 export interface LimitCoordinatorOptions {
   readonly daemon: string;
@@ -154,20 +166,19 @@
    * Where nothing but limits keeps a request from being sent, waits for a permit as long as the request can be in time
    * after it. @returns whether to try again
    */
-  async waitForPermit(exchange: Exchange): Promise<boolean> {
+  async waitForPermit(seeker: PermitSeeker): Promise<boolean> {
     const { fleet, timers, log } = this.#options;
-    const { service, rank, arrivedAtMs, description } = exchange.options;
+    const { service, rank, arrivedAtMs, attemptId, mostWaitMs: mostMs, signal } = seeker;
     const nowMs = timers.nowMs();
-    const mostMs = mostWaitMs(exchange);
     const limited = fleet.atLimit(service, nowMs).filter(({ stage }) => stage !== 'prefill');
     const expectedMs = limited.map(({ id }) => fleet.permits.expectedInMs(id, nowMs));
     if (limited.length === 0 || mostMs <= 0 || Math.min(...expectedMs) > mostMs) return false;
-    const wait = { service, rank, arrivedAtMs, mostMs, signal: exchange.signal };
+    const wait = { service, rank, arrivedAtMs, mostMs, signal };
     const waited = this.#waiters.wait(wait);
     for (const server of limited) this.#ask(server);
     const mayTry = await waited;
     log.write(GATEWAY_EVENTS.requestWaitedForPermit, {
-      request: description.attemptId,
+      request: attemptId,
       service,
       rank,
       limited: limited.length,
@@ -266,8 +277,12 @@
   }
 }
 
-/** A request that no server has seen is held as long as any that waits for room. */
-function mostWaitMs(exchange: Exchange): number {
-  if (exchange.mayHaveRun) return Math.min(exchange.remainingMs(), LONGEST_RESUME_WAIT_MS);
-  return HELD_SHARE * exchange.options.route.targetLatencyMs - exchange.elapsedMs();
+/** What a request asks when it may wait for a permit: that no server has seen it is held as long as any that waits. */
+export function permitSeekerOf(exchange: Exchange): PermitSeeker {
+  const { service, rank, arrivedAtMs, description, route } = exchange.options;
+  const mostWaitMs = exchange.mayHaveRun
+    ? Math.min(exchange.remainingMs(), LONGEST_RESUME_WAIT_MS)
+    : HELD_SHARE * route.targetLatencyMs - exchange.elapsedMs();
+  const { attemptId } = description;
+  return { service, rank, attemptId, arrivedAtMs, mostWaitMs, signal: exchange.signal };
 }
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -18,7 +18,7 @@
   wholeOutcome,
 } from './attempt.js';
 import type { Exchange } from './exchange.js';
-import type { HeldPlace } from './limit-coordinator.js';
+import { type HeldPlace, permitSeekerOf } from './limit-coordinator.js';
 import { ModelPlanner, type PlanLimits } from './model-planner.js';
 import type { MemorySource } from './ports.js';
 import { freeMemory, type PrefillPlan, readPrompt } from './prompt-reading.js';
@@ -98,7 +98,8 @@
       const wanted = this.#planner.limitedChoice({ mayPrefill: !this.#prefillFailed });
       if (wanted.length > 0) await limits.prepare(wanted);
       const plan = await this.#planInRoom();
-      if (plan !== undefined || !(await limits.waitForPermit(this.#exchange))) return plan;
+      if (plan !== undefined || !(await limits.waitForPermit(permitSeekerOf(this.#exchange))))
+        return plan;
     }
   }
 
@@ -167,7 +168,8 @@
     const wanted = this.#planner.limitedRunChoice(source, 'any');
     if (wanted.length > 0) await limits.prepare(wanted);
     const server = this.#planner.decodeEngineAfter(source);
-    if (server !== undefined || !(await limits.waitForPermit(this.#exchange))) return server;
+    if (server !== undefined || !(await limits.waitForPermit(permitSeekerOf(this.#exchange))))
+      return server;
     return this.#planner.decodeEngineAfter(source);
   }
 
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -20,6 +20,7 @@
   wholeOutcome,
 } from './attempt.js';
 import type { Exchange, WholeAnswer } from './exchange.js';
+import { permitSeekerOf } from './limit-coordinator.js';
 import { webRoomAsk } from './web-room-ask.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -131,7 +132,7 @@
     await this.#prepareLimited();
     while (!this.#startNext(true)) {
       if (crashes.isQuarantined(exchange)) return false;
-      if (!(await limits.waitForPermit(exchange))) return false;
+      if (!(await limits.waitForPermit(permitSeekerOf(exchange)))) return false;
     }
     return true;
   }
--- a/test/gateway/limit-fleets.test.ts
+++ b/test/gateway/limit-fleets.test.ts
@@ -138,3 +138,18 @@
   const nowMs = fleet.timers.nowMs();
   assert.ok(fleet.between(nowMs - 1_000, nowMs) >= 10);
 });
+
+test('where all servers of a service name limits, requests wait a moment and the limits are kept and used', async () => {
+  const fleet = new FleetOfLimits({
+    daemons: 9,
+    seed: 14,
+    servers: 6,
+    lossShare: 0.01,
+    waitMs: 150,
+  });
+  fleet.perSecond = 2;
+  const all = 2 * fleet.servers.length;
+  await fleet.play(20_000, evenly(fleet, 1.5 * all));
+  assertKept(fleet, 2);
+  assert.ok(usedSince(fleet, (fleet.firstNamedMs ?? 0) + STEADY_AFTER_MS, all) >= 0.5);
+});
--- a/test/gateway/support/fleet-of-limits.ts
+++ b/test/gateway/support/fleet-of-limits.ts
@@ -8,24 +8,17 @@
 import type { BackendAnswer, CallResult } from '../../../src/shell/gateway/backend-connections.js';
 import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../../src/shell/gateway/gateway-metrics.js';
-import { LimitCoordinator } from '../../../src/shell/gateway/limit-coordinator.js';
+import {
+  LimitCoordinator,
+  type PermitSeeker,
+} from '../../../src/shell/gateway/limit-coordinator.js';
 import type { LimitMessage } from '../../../src/shell/gateway/limit-message-fields.js';
 import { decodePeerMessage, encodePeerMessage } from '../../../src/shell/gateway/peer-messages.js';
-import { ServerCalls } from '../../../src/shell/gateway/server-calls.js';
+import { type ServerCall, ServerCalls } from '../../../src/shell/gateway/server-calls.js';
 import { ManualTimers } from './manual-timers.js';
 import { randomOf } from './unlike-engines.js';
 
-export const LIMITED: ServerRecord = {
-  id: 'i-limited',
-  service: 's',
-  address: '10.0.0.1:80',
-  zone: 'z',
-  slots: 64,
-  state: 'ready',
-  isSpot: false,
-  stage: undefined,
-  bornMs: 1,
-};
+const SERVICE = 's';
 const STEP_MS = 5;
 /** UDP and IPv4 headers. */
 const DATAGRAM_OVERHEAD_BYTES = 28;
@@ -35,14 +28,19 @@
 export interface FleetOfLimitsOptions {
   readonly daemons: number;
   readonly seed: number;
+  /** Servers of the service; each names the same limit. */
+  readonly servers?: number;
   /** Part of the messages that get lost. */
   readonly lossShare?: number;
+  /** How long a request may wait for a permit; 0 where those that find none go to servers that are not played. */
+  readonly waitMs?: number;
 }
 
 /** A request that reached the server. */
 export interface Arrival {
   readonly atMs: number;
   readonly daemon: number;
+  readonly serverId: string;
 }
 
 /** One daemon, its calls counted. */
@@ -52,15 +50,15 @@
   readonly limits: LimitCoordinator;
   readonly calls: ServerCalls;
   isCutOff = false;
-  /** When the server first named a limit to it. */
-  toldAtMs: number | undefined;
+  /** When each server first named a limit to it. */
+  readonly toldAtMs = new Map<string, number>();
 
   constructor(world: FleetOfLimits, place: number, peers: readonly PeerDaemon[]) {
     const name = nameOf(place);
     const { timers } = world;
     this.roster = new PeerRoster({ name, zone: 'z' });
     this.roster.replace(peers, timers.nowMs());
-    this.fleet.directory.replaceAll([LIMITED]);
+    this.fleet.directory.replaceAll(world.servers);
     const metrics = new GatewayMetrics();
     const log = { write: () => undefined };
     this.limits = new LimitCoordinator({
@@ -76,7 +74,7 @@
       metrics,
     });
     this.calls = new ServerCalls({
-      connections: { call: () => world.serve(place) },
+      connections: { call: ({ address }) => world.serve(place, address) },
       fleet: this.fleet,
       codec: REQUEST_CODEC,
       timers,
@@ -90,19 +88,26 @@
 /** The fleet. */
 export class FleetOfLimits {
   readonly timers = new ManualTimers();
+  readonly servers: readonly ServerRecord[];
   readonly daemons: readonly Daemon[];
   readonly arrivals: Arrival[] = [];
-  /** Requests a second that the server names; undefined while it names none. */
+  /** Requests a second that each server names; undefined while they name none. */
   perSecond: number | undefined;
+  /** Requests that came to daemons. */
+  offered = 0;
   firstNamedMs: number | undefined;
   /** Bytes that each daemon sent to the others. */
   readonly bytesSent: number[];
   readonly random: () => number;
   readonly #lossShare: number;
+  readonly #waitMs: number;
 
-  constructor({ daemons, seed, lossShare = 0 }: FleetOfLimitsOptions) {
+  constructor(options: FleetOfLimitsOptions) {
+    const { daemons, seed, servers = 1, lossShare = 0, waitMs = 0 } = options;
     this.random = randomOf(seed);
     this.#lossShare = lossShare;
+    this.#waitMs = waitMs;
+    this.servers = Array.from({ length: servers }, (_, place) => serverAt(place));
     const places = Array.from({ length: daemons }, (_, place) => place);
     const peers = places.map((place) => {
       return { name: nameOf(place), host: '127.0.0.1', port: place, zone: 'z' };
@@ -144,8 +149,9 @@
   }
 
   /** The server: it answers with its limit, which its daemon then passes on. */
-  serve(place: number): Promise<CallResult> {
-    this.arrivals.push({ atMs: this.timers.nowMs(), daemon: place });
+  serve(place: number, address: string): Promise<CallResult> {
+    const serverId = this.servers.find((server) => server.address === address)?.id ?? '';
+    this.arrivals.push({ atMs: this.timers.nowMs(), daemon: place, serverId });
     const headers: Record<string, string> = { 'x-attempt-id': 'a' };
     if (this.perSecond !== undefined) headers['server-limit'] = String(this.perSecond);
     if (this.perSecond !== undefined) this.firstNamedMs ??= this.timers.nowMs();
@@ -153,20 +159,23 @@
     const answer = { status: 200, message } as unknown as BackendAnswer;
     return new Promise((resolve) => {
       this.timers.after(ANSWER_MS, () => {
-        const daemon = this.daemons[place];
-        if (daemon !== undefined && this.perSecond !== undefined) {
-          daemon.toldAtMs ??= this.timers.nowMs();
-        }
+        const told = this.daemons[place]?.toldAtMs;
+        const isFirst = this.perSecond !== undefined && told?.has(serverId) === false;
+        if (isFirst) told?.set(serverId, this.timers.nowMs());
         resolve({ kind: 'answered', answer });
       });
     });
   }
 
-  /** Requests that reached the server from daemons that it had told of its limit, in the worst span. */
-  worstSpan(fromMs: number, toMs = Number.POSITIVE_INFINITY): number {
-    const counted = this.arrivals.filter(({ atMs, daemon }) => {
-      const toldAtMs = this.daemons[daemon]?.toldAtMs ?? Number.POSITIVE_INFINITY;
-      return toldAtMs <= Math.max(atMs, fromMs) && atMs <= toMs;
+  /** Requests that reached a server from daemons that it had told of its limit, in the worst span. */
+  worstSpan(fromMs: number): number {
+    return Math.max(...this.servers.map(({ id }) => this.#worstSpanAt(id, fromMs)));
+  }
+
+  #worstSpanAt(id: string, fromMs: number): number {
+    const counted = this.arrivals.filter(({ atMs, daemon, serverId }) => {
+      const toldAtMs = this.daemons[daemon]?.toldAtMs.get(id) ?? Number.POSITIVE_INFINITY;
+      return serverId === id && toldAtMs <= Math.max(atMs, fromMs);
     });
     let worst = 0;
     let first = 0;
@@ -177,32 +186,76 @@
     return worst;
   }
 
-  /** Requests that reached the server within a span. */
+  /** Requests that reached servers within a span. */
   between(fromMs: number, toMs: number): number {
     return this.arrivals.filter(({ atMs }) => atMs >= fromMs && atMs < toMs).length;
   }
 
-  /** Who finds no permit goes to another server, which is not played. */
   async #arrive(daemon: Daemon): Promise<void> {
     const { limits, fleet, calls } = daemon;
-    limits.noteArrival(LIMITED.service);
-    await limits.prepare(fleet.atLimit(LIMITED.service, this.timers.nowMs()));
-    if (fleet.candidates(LIMITED.service, this.timers.nowMs()).length === 0) return;
-    void calls.call({
-      server: LIMITED,
-      purpose: 'run',
-      request: 'a',
-      method: 'GET',
-      path: '/',
-      headers: [],
-      body: Buffer.alloc(0),
-      mayKeepConnection: false,
-      connectTimeoutMs: 220,
+    this.offered += 1;
+    limits.noteArrival(SERVICE);
+    const arrivedAtMs = this.timers.nowMs();
+    const wanted = this.#drawn(fleet.candidatesWithLimited(SERVICE, arrivedAtMs));
+    const atLimit = fleet.atLimit(SERVICE, arrivedAtMs);
+    await limits.prepare(atLimit.filter(({ id }) => id === wanted?.id));
+    for (;;) {
+      const server = this.#drawn(fleet.candidates(SERVICE, this.timers.nowMs()));
+      if (server !== undefined) {
+        void calls.call(callTo(server));
+        return;
+      }
+      if (!(await limits.waitForPermit(this.#waiting(arrivedAtMs)))) return;
+    }
+  }
+
+  #drawn(servers: readonly ServerRecord[]): ServerRecord | undefined {
+    return servers[Math.floor(this.random() * servers.length)];
+  }
+
+  /** What is asked of a request that waits for a permit. */
+  #waiting(arrivedAtMs: number): PermitSeeker {
+    const leftMs = () => arrivedAtMs + this.#waitMs - this.timers.nowMs();
+    return {
+      service: SERVICE,
+      rank: 0,
+      attemptId: 'a',
+      arrivedAtMs,
+      mostWaitMs: leftMs(),
       signal: new AbortController().signal,
-    });
+    };
   }
 }
 
+function callTo(server: ServerRecord): ServerCall {
+  return {
+    server,
+    purpose: 'run',
+    request: 'a',
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: Buffer.alloc(0),
+    mayKeepConnection: false,
+    connectTimeoutMs: 220,
+    signal: new AbortController().signal,
+  };
+}
+
+function serverAt(place: number): ServerRecord {
+  return {
+    id: `i-${place}`,
+    service: SERVICE,
+    address: `10.0.0.${place}:80`,
+    zone: 'z',
+    slots: 64,
+    state: 'ready',
+    isSpot: false,
+    stage: undefined,
+    bornMs: 1,
+  };
+}
+
 function nameOf(place: number): string {
   return `front-${place}`;
 }
