--- a/test/gateway/limit-fleets.test.ts
+++ b/test/gateway/limit-fleets.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { HeldPlace } from '../../src/shell/gateway/limit-coordinator.js';
 import { FleetOfLimits } from './support/fleet-of-limits.js';
 import { allowedInSpan, SETTLE_MS } from './support/limited-server.js';
 
@@ -153,3 +154,28 @@
   assertKept(fleet, 2);
   assert.ok(usedSince(fleet, (fleet.firstNamedMs ?? 0) + STEADY_AFTER_MS, all) >= 0.5);
 });
+
+/**
+ * A daemon whose list loses the server while it holds a permit for a run, as a prompt is read elsewhere, knows nothing of
+ * its limit any more. Giving the permit back, it told the one that grants that there was no limit as of now, and that one
+ * told all.
+ */
+test('a daemon that lists the server no more ends its limit for nobody', async () => {
+  const fleet = new FleetOfLimits({ daemons: 9, seed: 15 });
+  fleet.perSecond = 5;
+  await fleet.play(12_000, evenly(fleet, 30));
+  const granter = fleet.granter();
+  const [server] = fleet.servers;
+  const asker = fleet.daemons.find((daemon) => daemon !== granter);
+  assert.ok(granter !== undefined && server !== undefined && asker !== undefined);
+  let place: HeldPlace | undefined;
+  while (place === undefined) {
+    void asker.limits.prepare([server]);
+    await fleet.play(5, () => 0);
+    place = asker.limits.holdPlace(server.service, () => server);
+  }
+  asker.fleet.forgetEnded({ removed: [server], renewed: [] });
+  asker.limits.giveBack(place);
+  await fleet.play(1_000, () => 0);
+  assert.equal(granter.fleet.limits.of(server.id)?.perSecond, 5);
+});
