No knowledge of a limit is no word that it has ended

Cause, by reading: an ask of a daemon that knew nothing of a limit said that there was none as of now, and the daemon that grants told all. It knows nothing where its list has lost the server while it holds the place of a run (one test, red before: the limit was gone at the daemon that grants).

Change: an ask and its answer may say nothing of the limit.

--- a/src/shell/gateway/limit-asks.ts
+++ b/src/shell/gateway/limit-asks.ts
@@ -122,7 +122,8 @@
     const { serverId, granted, daemon: granter } = grant;
     const nowMs = timers.nowMs();
     this.#misses.delete(granter);
-    const change = fleet.limits.takeTold(serverId, grant.limit, nowMs);
+    const { limit } = grant;
+    const change = limit === undefined ? undefined : fleet.limits.takeTold(serverId, limit, nowMs);
     if (change !== undefined) noteTold(serverId, change, granter);
     const state = this.#stateOf(serverId);
     const { open } = state;
@@ -169,7 +170,7 @@
     state.againAtMs = nowMs + untilMs;
     state.cancelAgain();
     state.cancelAgain = timers.after(untilMs, () => noteMayAsk(serverId));
-    const turnMs = (MILLISECONDS_PER_SECOND * askers) / Math.max(1e-3, limit.perSecond ?? 1);
+    const turnMs = (MILLISECONDS_PER_SECOND * askers) / Math.max(1e-3, limit?.perSecond ?? 1);
     const expectedMs = granted > 0 ? 0 : Math.max(roomInMs, turnMs / 2);
     fleet.permits.expectAt(serverId, nowMs + Math.min(LONGEST_EXPECTED_MS, expectedMs));
   }
@@ -233,7 +234,8 @@
   ): LimitAskMessage {
     const { daemon, fleet, timers } = this.#options;
     const nowMs = timers.nowMs();
-    const limit = fleet.limits.toldOf(serverId, nowMs) ?? { perSecond: undefined, saidAgoMs: 0 };
+    // Who lists the server no more knows nothing of its limit, which is no word that it has ended.
+    const limit = fleet.limits.toldOf(serverId, nowMs);
     const knownSinceMs = fleet.limits.of(serverId)?.knownSinceMs ?? nowMs;
     const sent = fleet.recentSends.of(serverId, nowMs);
     const unmetered = sent.map(({ atMs, count }) => ({ ageMs: nowMs - atMs, count }));
--- a/src/shell/gateway/limit-grants.ts
+++ b/src/shell/gateway/limit-grants.ts
@@ -62,29 +62,35 @@
 
   /** Answers an ask, of this daemon or another. */
   answer(ask: LimitAskMessage): LimitGrantMessage {
-    const { daemon, limits, timers, noteTold } = this.#options;
+    const { daemon, limits, timers } = this.#options;
     const { serverId, number } = ask;
     const nowMs = timers.nowMs();
     const ledger = this.#ledgerOf(ask, nowMs);
-    const change = limits.takeTold(serverId, ask.limit, nowMs);
-    if (change !== undefined) noteTold(serverId, change, ask.daemon);
-    const limit = limits.toldOf(serverId, nowMs) ?? ask.limit;
-    // Who knows of a limit need not know how high it is: that is for the one that grants.
-    if (change !== undefined && change.kind !== 'changed') this.#tellAll(serverId, limit);
-    if (limit.perSecond !== undefined) ledger.setLimit(limit.perSecond);
-    const wanted = limit.perSecond === undefined ? 0 : ask.wanted;
+    this.#takeTold(ask, nowMs);
+    const limit = limits.toldOf(serverId, nowMs);
+    if (limit?.perSecond !== undefined) ledger.setLimit(limit.perSecond);
+    const wanted = limit?.perSecond === undefined ? 0 : ask.wanted;
     const unmetered = ask.unmetered.map(({ ageMs, count }) => ({ atMs: nowMs - ageMs, count }));
     const granted = ledger.ask({ ...ask, wanted, unmetered }, nowMs);
     return { kind: 'limit-grant', daemon, number, serverId, limit, ...granted };
   }
 
-  /** Tells all daemons of a limit that this one, which grants, heard of itself. */
+  /** Tells all daemons what this one, which grants, knows of a limit. */
   tellOwn(serverId: string): void {
     const { limits, timers } = this.#options;
     const limit = limits.toldOf(serverId, timers.nowMs());
     if (limit !== undefined) this.#tellAll(serverId, limit);
   }
 
+  #takeTold({ serverId, limit, daemon: by }: LimitAskMessage, nowMs: number): void {
+    const { limits, noteTold } = this.#options;
+    const change = limit === undefined ? undefined : limits.takeTold(serverId, limit, nowMs);
+    if (change === undefined) return;
+    noteTold(serverId, change, by);
+    // Who knows of a limit need not know how high it is: that is for the one that grants.
+    if (change.kind !== 'changed') this.tellOwn(serverId);
+  }
+
   #ledgerOf({ serverId, knownForMs, daemon: by }: LimitAskMessage, nowMs: number): LimitLedger {
     const known = this.#ledgers.get(serverId);
     if (known !== undefined) return known;
--- a/src/shell/gateway/limit-message-fields.ts
+++ b/src/shell/gateway/limit-message-fields.ts
@@ -16,7 +16,8 @@
   /** The answer bears it. */
   readonly number: number;
   readonly serverId: string;
-  readonly limit: ToldLimit;
+  /** Undefined where it knows nothing of it. */
+  readonly limit: ToldLimit | undefined;
   /** For how long it has known of the limit. */
   readonly knownForMs: number;
   readonly wanted: number;
@@ -30,7 +31,8 @@
   readonly daemon: string;
   readonly number: number;
   readonly serverId: string;
-  readonly limit: ToldLimit;
+  /** Undefined where it knows nothing of it. */
+  readonly limit: ToldLimit | undefined;
   readonly granted: number;
   readonly roomInMs: number;
   readonly askers: number;
@@ -52,27 +54,28 @@
 const count = z.int().check(z.nonnegative());
 /** Requests a second, null where there is no limit any more; the age of that, in milliseconds. */
 const limitSchema = z.tuple([z.nullable(amount), amount]);
+const knownLimitSchema = z.nullable(limitSchema);
 
-/** Daemon, number, server, limit, for how long it is known, wanted, returned, sent before by age. */
+/** Daemon, number, server, limit or null, for how long it is known, wanted, returned, sent before by age. */
 export const limitAskSchema = z.tuple([
   z.literal(KINDS.limitAsk),
   z.string(),
   count,
   z.string(),
-  limitSchema,
+  knownLimitSchema,
   amount,
   count,
   count,
   z.array(z.tuple([amount, count])),
 ]);
 
-/** Daemon, number, server, limit, granted, milliseconds until there is room, daemons that ask. */
+/** Daemon, number, server, limit or null, granted, milliseconds until there is room, daemons that ask. */
 export const limitGrantSchema = z.tuple([
   z.literal(KINDS.limitGrant),
   z.string(),
   count,
   z.string(),
-  limitSchema,
+  knownLimitSchema,
   count,
   amount,
   count,
@@ -88,7 +91,7 @@
 
 export function encodeLimitMessage(message: LimitMessage): unknown[] {
   const { daemon, serverId } = message;
-  const limit = encodeLimit(message.limit);
+  const limit = message.limit === undefined ? null : encodeLimit(message.limit);
   switch (message.kind) {
     case 'limit-ask': {
       const { number, knownForMs, wanted, returned, unmetered } = message;
@@ -109,13 +112,13 @@
 export function decodeLimitAsk(fields: z.infer<typeof limitAskSchema>): LimitAskMessage {
   const [, daemon, number, serverId, limit, knownForMs, wanted, returned, sent] = fields;
   const unmetered = sent.map(([ageMs, count]) => ({ ageMs, count }));
-  const told = { daemon, number, serverId, limit: decodeLimit(limit) };
+  const told = { daemon, number, serverId, limit: decodeKnownLimit(limit) };
   return { kind: 'limit-ask', ...told, knownForMs, wanted, returned, unmetered };
 }
 
 export function decodeLimitGrant(fields: z.infer<typeof limitGrantSchema>): LimitGrantMessage {
   const [, daemon, number, serverId, limit, granted, roomInMs, askers] = fields;
-  const told = { daemon, number, serverId, limit: decodeLimit(limit) };
+  const told = { daemon, number, serverId, limit: decodeKnownLimit(limit) };
   return { kind: 'limit-grant', ...told, granted, roomInMs, askers };
 }
 
@@ -128,6 +131,10 @@
   return [perSecond ?? null, Math.round(saidAgoMs)];
 }
 
+function decodeKnownLimit(limit: z.infer<typeof knownLimitSchema>): ToldLimit | undefined {
+  return limit === null ? undefined : decodeLimit(limit);
+}
+
 function decodeLimit([perSecond, saidAgoMs]: z.infer<typeof limitSchema>): ToldLimit {
   return { perSecond: perSecond ?? undefined, saidAgoMs };
 }
