--- a/test/gateway/limit-fleets.test.ts
+++ b/test/gateway/limit-fleets.test.ts
@@ -179,3 +179,20 @@
   await fleet.play(1_000, () => 0);
   assert.equal(granter.fleet.limits.of(server.id)?.perSecond, 5);
 });
+
+/**
+ * Entries of the list lapse while the store is away, and are back within seconds. Limits were forgotten with the entry, at
+ * all daemons together, so the server got what came to it until each had learnt its limit again.
+ */
+test('a limit outlasts the moment in which the server is not listed', async () => {
+  const fleet = new FleetOfLimits({ daemons: 9, seed: 16 });
+  fleet.perSecond = 2;
+  // As long as a prompt is read.
+  fleet.answerMs = 500;
+  await fleet.play(12_000, evenly(fleet, 40));
+  for (const { fleet: view } of fleet.daemons) view.forgetEnded(view.directory.replaceAll([]));
+  await fleet.play(800, evenly(fleet, 40));
+  for (const { fleet: view } of fleet.daemons) view.directory.replaceAll(fleet.servers);
+  await fleet.play(8_000, evenly(fleet, 40));
+  assertKept(fleet, 2);
+});
--- a/test/gateway/support/fleet-of-limits.ts
+++ b/test/gateway/support/fleet-of-limits.ts
@@ -22,7 +22,7 @@
 const STEP_MS = 5;
 /** UDP and IPv4 headers. */
 const DATAGRAM_OVERHEAD_BYTES = 28;
-const ANSWER_MS = 20;
+const USUAL_ANSWER_MS = 20;
 
 /** How a fleet is set up. */
 export interface FleetOfLimitsOptions {
@@ -93,6 +93,8 @@
   readonly arrivals: Arrival[] = [];
   /** Requests a second that each server names; undefined while they name none. */
   perSecond: number | undefined;
+  /** From a request's arrival at a server to its answer. */
+  answerMs = USUAL_ANSWER_MS;
   /** Requests that came to daemons. */
   offered = 0;
   firstNamedMs: number | undefined;
@@ -158,7 +160,7 @@
     const message = { headers } as unknown as IncomingMessage;
     const answer = { status: 200, message } as unknown as BackendAnswer;
     return new Promise((resolve) => {
-      this.timers.after(ANSWER_MS, () => {
+      this.timers.after(this.answerMs, () => {
         const told = this.daemons[place]?.toldAtMs;
         const isFirst = this.perSecond !== undefined && told?.has(serverId) === false;
         if (isFirst) told?.set(serverId, this.timers.nowMs());
