Keep what a server said of its limit while it is not listed for a moment

Seen in virtual time: nine daemons that knew a limit of 2 a second sent 28 in 4 s, 17 allowed, after the server's entry had been gone for 0.8 s, as entries are while the store is away.

Cause: limits, and what was sent before, were forgotten with the entry, by all daemons at once. The rest that servers ask for is kept whatever the list says, for the same reason.

Change: a limit holds until an answer names none, or for two minutes after it was last said; sends are forgotten by age alone.

--- a/src/core/gateway/named-limits.ts
+++ b/src/core/gateway/named-limits.ts
@@ -10,6 +10,11 @@
 const NEWS_SHARE = 0.1;
 /** So long an end is remembered against older word of the limit, which travels for less. */
 const END_KEPT_MS = 60_000;
+/**
+ * A limit that nobody was told again for so long is not believed any more, whether its server is listed or not: while any
+ * daemon has requests for it, one goes there every few seconds.
+ */
+const UNSAID_VALID_MS = 120_000;
 
 /** What an answer says of the limit of its server. */
 export type SaidLimit =
@@ -65,6 +70,7 @@
 
   /** Takes an answer's word; undefined where it changes nothing. The first one of its own is a change. */
   hear({ id }: ServerRecord, said: HeardLimit, times: AnswerTimes): LimitChange | undefined {
+    this.#dropOld(times.nowMs);
     const known = this.#limits.get(id);
     switch (said.kind) {
       case 'none':
@@ -91,6 +97,7 @@
     { perSecond, saidAgoMs }: ToldLimit,
     nowMs: number,
   ): LimitChange | undefined {
+    this.#dropOld(nowMs);
     const known = this.#limits.get(id);
     const saidAtMs = nowMs - Math.max(0, saidAgoMs);
     const isOld = saidAtMs <= (known?.saidAtMs ?? this.#ends.get(id) ?? Number.NEGATIVE_INFINITY);
@@ -122,7 +129,7 @@
     return this.#limits.get(id);
   }
 
-  /** A server is no longer listed, or what was told of it can't be confirmed. */
+  /** What others told of it can't be confirmed. */
   forget(id: string): void {
     this.#limits.delete(id);
     this.#ends.delete(id);
@@ -139,13 +146,20 @@
   }
 
   #end(id: string, known: NamedLimit, endedAtMs: number): LimitChange {
-    for (const [other, atMs] of this.#ends) {
-      if (endedAtMs - atMs > END_KEPT_MS) this.#ends.delete(other);
-    }
     this.#limits.delete(id);
     this.#ends.set(id, endedAtMs);
     return { kind: 'ended', before: known.perSecond };
   }
+
+  /** There are never more entries than servers that said something lately. */
+  #dropOld(nowMs: number): void {
+    for (const [id, { saidAtMs }] of this.#limits) {
+      if (nowMs - saidAtMs > UNSAID_VALID_MS) this.#limits.delete(id);
+    }
+    for (const [id, atMs] of this.#ends) {
+      if (nowMs - atMs > END_KEPT_MS) this.#ends.delete(id);
+    }
+  }
 }
 
 function changeOf(known: NamedLimit, perSecond: number): LimitChange | undefined {
--- a/src/core/gateway/recent-sends.ts
+++ b/src/core/gateway/recent-sends.ts
@@ -15,6 +15,7 @@
 /** Counts of sends, by server. */
 export class RecentSends {
   readonly #buckets = new Map<string, Bucket[]>();
+  #droppedAtMs = 0;
 
   note(serverId: string, nowMs: number): void {
     const endMs = (Math.floor(nowMs / BUCKET_MS) + 1) * BUCKET_MS;
@@ -24,6 +25,7 @@
       last.count += 1;
       return;
     }
+    if (nowMs - this.#droppedAtMs >= LEDGER_SPAN_MS) this.#dropOld(nowMs);
     const recent = buckets.filter((bucket) => isRecent(bucket, nowMs));
     recent.push({ endMs, count: 1 });
     this.#buckets.set(serverId, recent);
@@ -36,8 +38,12 @@
     return recent.map(({ endMs, count }) => ({ atMs: Math.min(endMs, nowMs), count }));
   }
 
-  forget(serverId: string): void {
-    this.#buckets.delete(serverId);
+  /** Servers that were sent nothing lately, among them those that are gone. */
+  #dropOld(nowMs: number): void {
+    this.#droppedAtMs = nowMs;
+    for (const [serverId, buckets] of this.#buckets) {
+      if (!buckets.some((bucket) => isRecent(bucket, nowMs))) this.#buckets.delete(serverId);
+    }
   }
 }
 
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -139,11 +139,8 @@
       this.paces.forget(server);
       this.webLoads.forget(server.id);
     }
-    for (const { id } of removed) {
-      this.limits.forget(id);
-      this.permits.forget(id);
-      this.recentSends.forget(id);
-    }
+    // What it said of its limit holds on: an entry may lapse and come back while the store is away.
+    for (const { id } of removed) this.permits.forget(id);
   }
 
   /** Servers of a service that may be sent new work. */
--- a/src/shell/gateway/limit-coordinator.ts
+++ b/src/shell/gateway/limit-coordinator.ts
@@ -91,7 +91,6 @@
     this.#grants = new LimitGrants({
       ...options,
       limits: fleet.limits,
-      isListed: (serverId) => fleet.directory.get(serverId) !== undefined,
       everyone: () => roster?.everyone() ?? [],
       noteTold,
     });
@@ -154,7 +153,6 @@
         return;
       case 'limit-told': {
         const { serverId, limit, daemon } = message;
-        if (fleet.directory.get(serverId) === undefined) return;
         const change = fleet.limits.takeTold(serverId, limit, timers.nowMs());
         if (change !== undefined) this.#noteTold(serverId, change, daemon);
         return;
--- a/src/shell/gateway/limit-grants.ts
+++ b/src/shell/gateway/limit-grants.ts
@@ -35,8 +35,6 @@
   readonly limits: NamedLimits;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
-  /** Whether a server is listed. */
-  readonly isListed: (serverId: string) => boolean;
   /** All other daemons. */
   readonly everyone: () => readonly PeerDaemon[];
   readonly send: (peers: readonly PeerDaemon[], message: LimitToldMessage) => void;
@@ -103,11 +101,9 @@
   }
 
   #dropOld(nowMs: number): void {
-    const { limits, isListed } = this.#options;
     for (const [serverId, { askedAtMs }] of this.#ledgers) {
       if (nowMs - askedAtMs <= LEDGER_KEPT_MS) continue;
       this.#ledgers.delete(serverId);
-      if (!isListed(serverId)) limits.forget(serverId);
     }
   }
 
