Limits: a caller that has left while a permit was asked for is sent nowhere; words of comments

Cause, by reading: after the wait for an answer to an ask, a web request went on without a look whether its caller was still there. Books of a limited server are kept as long as its limit is believed.

--- a/src/shell/gateway/limit-asks.ts
+++ b/src/shell/gateway/limit-asks.ts
@@ -234,7 +234,7 @@
   ): LimitAskMessage {
     const { daemon, fleet, timers } = this.#options;
     const nowMs = timers.nowMs();
-    // Who lists the server no more knows nothing of its limit, which is no word that it has ended.
+    // Undefined where nothing is known: that is no word that the limit has ended.
     const limit = fleet.limits.toldOf(serverId, nowMs);
     const knownSinceMs = fleet.limits.of(serverId)?.knownSinceMs ?? nowMs;
     const sent = fleet.recentSends.of(serverId, nowMs);
--- a/src/shell/gateway/limit-coordinator.ts
+++ b/src/shell/gateway/limit-coordinator.ts
@@ -31,7 +31,6 @@
 const MOST_WANTED = 64;
 /** A stream that broke off is held for its next engine so long at most: callers give up after a pause of two seconds. */
 const LONGEST_RESUME_WAIT_MS = 1_000;
-
 /** A place that is taken while a prompt is read is good for so long; most are read within a second. */
 const PLACE_VALID_MS = 2_000;
 
--- a/src/shell/gateway/limit-grants.ts
+++ b/src/shell/gateway/limit-grants.ts
@@ -21,8 +21,8 @@
 import type { GatewayLog } from './request-log.js';
 import type { TimerService } from './timer-service.js';
 
-/** The books of a server that nobody asked about for so long are closed. */
-const LEDGER_KEPT_MS = 60_000;
+/** The books of a server that nobody asked about for so long are closed: by then its limit is not believed any more. */
+const LEDGER_KEPT_MS = 120_000;
 /**
  * For telling all daemons that a limit began or ended, as docs/CAPACITY.md plans for a daemon's messages. Who isn't
  * told learns it from the server, or with its next ask.
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -97,9 +97,10 @@
     for (;;) {
       const wanted = this.#planner.limitedChoice({ mayPrefill: !this.#prefillFailed });
       if (wanted.length > 0) await limits.prepare(wanted);
+      if (this.#exchange.signal.aborted) return 'no-room';
       const plan = await this.#planInRoom();
-      if (plan !== undefined || !(await limits.waitForPermit(permitSeekerOf(this.#exchange))))
-        return plan;
+      if (plan !== undefined) return plan;
+      if (!(await limits.waitForPermit(permitSeekerOf(this.#exchange)))) return undefined;
     }
   }
 
@@ -168,9 +169,9 @@
     const wanted = this.#planner.limitedRunChoice(source, 'any');
     if (wanted.length > 0) await limits.prepare(wanted);
     const server = this.#planner.decodeEngineAfter(source);
-    if (server !== undefined || !(await limits.waitForPermit(permitSeekerOf(this.#exchange))))
-      return server;
-    return this.#planner.decodeEngineAfter(source);
+    if (server !== undefined) return server;
+    const mayTry = await limits.waitForPermit(permitSeekerOf(this.#exchange));
+    return mayTry ? this.#planner.decodeEngineAfter(source) : undefined;
   }
 
   /** Lets an engine generate and passes its stream on. */
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -81,8 +81,10 @@
     return planModelRequest({ ...this.#choiceInput(), candidates });
   }
 
-  /** The engines at their limit that the request would go to if they took more; where its prompt is read elsewhere,
-   * the one that goes on only counts where no other is left, as its permit would be too old by then. */
+  /**
+   * The engines at their limit that the request would go to if they took more. Where its prompt is read elsewhere, the
+   * one that goes on only counts where no other is left, as its permit would be too old by then.
+   */
   limitedChoice(limits: PlanLimits): readonly ServerRecord[] {
     const { fleet } = this.#context;
     const nowMs = this.#nowMs();
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -2,7 +2,13 @@
  * Calls to listed servers: the one place that every call of this daemon to a server passes, whatever it is for. What
  * an answer says of its server is heard here, and nothing is sent to one that has said that it wants nothing.
  */
-import type { HeardLimit, LimitChange, SaidLimit, ServerRecord } from '../../core/gateway/index.js';
+import type {
+  HeardLimit,
+  LimitChange,
+  SaidLimit,
+  SendAvailability,
+  ServerRecord,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type {
   BackendAnswer,
@@ -87,9 +93,7 @@
     const { availability } = fleet;
     // A leaving server still does for this daemon what is no new work; one that rests wants none of its calls.
     const found = isForCaller(purpose)
-      ? hasPermit
-        ? availability.of(server, nowMs)
-        : fleet.availabilityOf(server, nowMs)
+      ? this.#availabilityOf(server, hasPermit, nowMs)
       : availability.restOf(server, nowMs);
     if (found === undefined || found.kind === 'open') return undefined;
     const { kind: why, toldAgoMs } = found;
@@ -99,6 +103,11 @@
     return { kind: 'held-back', reason: `the server is ${why}` };
   }
 
+  #availabilityOf(server: ServerRecord, hasPermit: boolean, nowMs: number): SendAvailability {
+    const { fleet } = this.#options;
+    return hasPermit ? fleet.availability.of(server, nowMs) : fleet.availabilityOf(server, nowMs);
+  }
+
   #noteSent(server: ServerRecord, hasPermit: boolean, sentAtMs: number): void {
     const { fleet, metrics } = this.#options;
     fleet.availability.noteSent(server, sentAtMs);
--- a/src/shell/gateway/whole-exchange.ts
+++ b/src/shell/gateway/whole-exchange.ts
@@ -88,6 +88,7 @@
     if (this.#exchange.signal.aborted) return false;
     if (!(await this.#passRoom())) return true;
     await this.#prepareLimited();
+    if (this.#exchange.signal.aborted) return false;
     this.#startNext(false);
     return false;
   }
@@ -130,6 +131,7 @@
     const { limits, crashes } = this.#context;
     limits.noteArrival(exchange.options.service);
     await this.#prepareLimited();
+    if (exchange.signal.aborted) return false;
     while (!this.#startNext(true)) {
       if (crashes.isQuarantined(exchange)) return false;
       if (!(await limits.waitForPermit(permitSeekerOf(exchange)))) return false;
