Plan a model request with fewer look-ups for each engine

Cause: with 820 engines a plan asks the same of each engine several times, and works out the decay of an excess that most do not have.

Change: none of decisions; runs at an engine are asked once for both costs, an excess of 0 needs no power, waits are summed without objects between.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -10,6 +10,7 @@
   OTHER_ZONE_COST_MS,
   paceAt,
   runCostMs,
+  runsAt,
   slotWaitMs,
   waitMs,
   zoneCostMs,
@@ -150,9 +151,10 @@
   const estimates = enginesOf(input, 'decode').map((server) => {
     const moveCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
     const pace = paceAt(server, input);
-    const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, pace, input);
+    const runs = runsAt(server, input);
+    const waitsMs = waitMs(server, 'in-time', input) + slotWaitMs(server, runs, pace, input);
     const longerMs = input.speed.handOverMs * (1 / pace - 1);
-    const loadMs = waitsMs + fullnessMs(server, input) + healthCostMs(server, input);
+    const loadMs = waitsMs + fullnessMs(server, runs, input) + healthCostMs(server, input);
     return {
       server,
       loadMs,
@@ -272,6 +274,7 @@
   const missingTokens = Math.max(1, description.promptTokens - kept - fetched);
   const fetchMs = donor === undefined ? 0 : moveMs(fetched, input);
   const pace = paceAt(server, input);
+  const runs = runsAt(server, input);
   const aloneMs = readAloneMs(stage, missingTokens, pace, speed);
   const delayMs = stage === 'decode' ? delayOfOthersMs(missingTokens, pace, input) : 0;
   const isHome = server === homePart.home && kept === 0;
@@ -282,8 +285,8 @@
     fetchFrom: donor?.server,
     readMs: aloneMs + fetchMs,
     wholeReadMs: readAloneMs(stage, description.promptTokens, pace, speed),
-    slotMs: stage === 'decode' ? slotWaitMs(server, pace, input) : 0,
-    standingMs: fullnessMs(server, input) + healthCostMs(server, input),
+    slotMs: stage === 'decode' ? slotWaitMs(server, runs, pace, input) : 0,
+    standingMs: fullnessMs(server, runs, input) + healthCostMs(server, input),
     otherCostMs: delayMs + zoneCostMs(server, input),
     homeBonusMs: bonusMs,
   };
--- a/src/core/gateway/engine-costs.ts
+++ b/src/core/gateway/engine-costs.ts
@@ -23,14 +23,22 @@
 }
 
 /** Runs of all daemons that were sent to an engine and have not ended. */
-function runsAt(server: ServerRecord, input: EngineChoiceInput): number {
+export function runsAt(server: ServerRecord, input: EngineChoiceInput): number {
   return input.loadOf(server.id).running + input.peerLoads.running(server.id, input.nowMs);
 }
 
-/** How long a run waits for a slot: those beyond the slots go in as runs end. */
-export function slotWaitMs(server: ServerRecord, pace: number, input: EngineChoiceInput): number {
+/**
+ * How long a run waits for a slot: those beyond the slots go in as runs end.
+ * @param runs those at the engine (`runsAt`)
+ */
+export function slotWaitMs(
+  server: ServerRecord,
+  runs: number,
+  pace: number,
+  input: EngineChoiceInput,
+): number {
   const slots = Math.max(1, server.slots);
-  const waiting = Math.max(0, runsAt(server, input) + 1 - slots);
+  const waiting = Math.max(0, runs + 1 - slots);
   return (waiting * input.speed.runMs) / slots / pace;
 }
 
@@ -39,9 +47,12 @@
   return input.speed.handOverMs / Math.max(1, server.slots);
 }
 
-/** What the runs at an engine cost one more there. */
-export function fullnessMs(server: ServerRecord, input: EngineChoiceInput): number {
-  return runsAt(server, input) * runCostMs(server, input);
+/**
+ * What the runs at an engine cost one more there.
+ * @param runs those at the engine (`runsAt`)
+ */
+export function fullnessMs(server: ServerRecord, runs: number, input: EngineChoiceInput): number {
+  return runs * runCostMs(server, input);
 }
 
 /** What speaks against an engine that failed, or owes an answer. */
--- a/src/core/gateway/engine-load.ts
+++ b/src/core/gateway/engine-load.ts
@@ -92,6 +92,8 @@
 
   /** The work of others, beyond what they tell. */
   excessMs(nowMs: number): number {
+    // Most engines have none, and a plan asks all of them: a power costs more than the rest of the question.
+    if (this.#excessMs === 0) return 0;
     return this.#excessMs * 0.5 ** ((nowMs - this.#excessAtMs) / EXCESS_HALF_LIFE_MS);
   }
 }
--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -131,8 +131,9 @@
   waitMs(engineId: string, urgency: Urgency, nowMs: number): number {
     let totalMs = 0;
     for (const { work, atMs } of this.#workAt(engineId, nowMs)) {
-      const left = workLeft(work, nowMs - atMs);
-      totalMs += urgency === 'in-time' ? left.pendingMs : left.pendingMs + left.lateMs;
+      const elapsedMs = nowMs - atMs;
+      totalMs += pendingLeftMs(work, elapsedMs);
+      if (urgency === 'late') totalMs += lateLeftMs(work, elapsedMs);
     }
     return totalMs;
   }
@@ -287,9 +288,17 @@
 
 /** What is left of work after a time in which the engine worked at it, late prompts last. */
 function workLeft(work: EngineWork, elapsedMs: number): EngineWork {
-  const pendingMs = Math.max(0, work.pendingMs - elapsedMs);
-  const spareMs = Math.max(0, elapsedMs - work.pendingMs);
-  return { ...work, pendingMs, lateMs: Math.max(0, work.lateMs - spareMs) };
+  const pendingMs = pendingLeftMs(work, elapsedMs);
+  return { ...work, pendingMs, lateMs: lateLeftMs(work, elapsedMs) };
+}
+
+function pendingLeftMs({ pendingMs }: EngineWork, elapsedMs: number): number {
+  return Math.max(0, pendingMs - elapsedMs);
+}
+
+function lateLeftMs({ pendingMs, lateMs }: EngineWork, elapsedMs: number): number {
+  const spareMs = Math.max(0, elapsedMs - pendingMs);
+  return Math.max(0, lateMs - spareMs);
 }
 
 /** Adds one entry to sums by engine. */
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -260,11 +260,12 @@
   }
 
   healthOf(serverId: string): ServerHealth {
-    return entryOf(this.#health, serverId, () => new ServerHealth());
+    return this.#health.get(serverId) ?? entryOf(this.#health, serverId, () => new ServerHealth());
   }
 
   loadOf(serverId: string): EngineLoad {
-    return entryOf(this.#loads, serverId, () => new EngineLoad(this.#countsOverdue));
+    const known = this.#loads.get(serverId);
+    return known ?? entryOf(this.#loads, serverId, () => new EngineLoad(this.#countsOverdue));
   }
 
   /** What an engine has under way from all daemons; only good to compare engines. */
