--- a/test/gateway/server-limits.test.ts
+++ b/test/gateway/server-limits.test.ts
@@ -10,6 +10,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { USUAL_LOAD_DECISIONS } from '../../src/shell/gateway/index.js';
 import {
   type CallerAnswer,
   type CallerRequest,
@@ -53,8 +54,8 @@
   await passUntil(() => timers.nowMs() >= endMs);
 }
 
-async function startOne(): Promise<void> {
-  await fixture.start(timers);
+async function startOne(waiting = USUAL_LOAD_DECISIONS.waiting): Promise<void> {
+  await fixture.start(timers, undefined, { ...USUAL_LOAD_DECISIONS, waiting });
   await configure();
 }
 
@@ -235,6 +236,21 @@
   await fixture.logged(GATEWAY_EVENTS.requestWaitedForPermit, ({ mayTry }) => mayTry === true);
 });
 
+for (const [kind, request, fields] of [
+  ['web servers', WEB_REQUEST, {}],
+  ['engines', SHORT_REQUEST, { service: 'reader', stage: 'decode' }],
+] as const) {
+  test(`where requests wait for room as well, limits of all ${kind} are kept and used`, async () => {
+    await startOne(true);
+    const isWeb = kind === 'web servers';
+    const servers = [1, 2].map(() => (isWeb ? webServer('2') : engineServer('2')));
+    for (const [place, server] of servers.entries()) await addServer(`i-${place}`, server, fields);
+    const answers = await load([request], 60, 14_000);
+    for (const server of servers) assertKeptAndUsed(server, 2);
+    for (const { status } of answers) assert.ok(status === 200 || status === 503, `${status}`);
+  });
+}
+
 test('no prompt is read for a run whose only engine takes no more', async () => {
   await startOne();
   const reader = engineServer();
