Failing test: the emulated engine goes on with a run whose answer is stalled

Seen as a fleet test (a killed daemon's streams end visibly broken) that waited 45 s for work to be cancelled, once, beside load.

--- a/test/engine/server.test.ts
+++ b/test/engine/server.test.ts
@@ -273,3 +273,19 @@
   assert.equal(next.frames.length, 10);
   assert.notEqual(next.frames.at(-1), 'data: [DONE]');
 });
+
+/**
+ * A fleet test waited 45 s for the work of a killed daemon to be cancelled, once, in a whole run beside load of 18 on 8 cores.
+ * The armed stall held back what the engine wrote, while the run went on: 250 ms after its tenth token the engine's ledger
+ * said `finished` for all 50, so nothing was left to cancel where the test took longer than that to kill the daemon.
+ */
+test('the run of a stalled answer does not go on', async () => {
+  await arm({ kind: 'stall', afterTokens: 2, forMs: 600_000 });
+  const stalled = await complete('stalled', 20);
+  const read = frames(stalled);
+  const beside = await frames(await complete('beside', 40));
+  assert.equal(beside.frames.at(-1), 'data: [DONE]');
+  assert.equal(await outcomeOf('stalled'), 'active');
+  await post('/control/cancel', { attempt: 'stalled' });
+  assert.ok((await read).broken);
+});
