The emulated engine stops the run of an answer that is stalled

Seen: a fleet test waited 45 s for the work of a killed daemon to be cancelled, once, in a whole run beside load; the next test of the file met a daemon that was still down.

Cause: a stall held back what was written while the run went on, and was over 250 ms after its tenth token (the ledger said finished in 11 of 12 looks). Whoever took longer to kill the daemon had nothing left to see cancelled.

Change: the run pauses with its answer, as for a reader that does not read. With 3 s between the tenth token and the kill the test now passes; it did not before.

--- a/src/lab/engine/http/stream-writer.ts
+++ b/src/lab/engine/http/stream-writer.ts
@@ -112,6 +112,8 @@
 
   #stall(forMs: number, frame: string): void {
     this.#held = [frame];
+    // A run that went on behind it would be over before whoever watches the stall has done what is to be seen.
+    this.#engine.setPaused(true);
     const timer = setTimeout(() => this.#release(), forMs);
     this.#response.once('close', () => clearTimeout(timer));
   }
@@ -119,6 +121,7 @@
   #release(): void {
     const held = this.#held ?? [];
     this.#held = null;
+    this.#engine.setPaused(false);
     this.#send(held.join(''));
     if (this.#ended) this.#response.end();
   }
