A leave that a server says before the list shows its start holds for that life

Cause: the server had started again under its id, 1.7 s before the store told that daemon; its word was kept for the life that was still listed, and forgotten when the list showed the new one.

Change: a word heard more than a second after a life's start, by the time of day, is that life's own. Within that second it counts for the life before, as clocks differ.

--- a/src/core/gateway/server-availability.ts
+++ b/src/core/gateway/server-availability.ts
@@ -23,6 +23,8 @@
  * stops are over well before, also where the store was away. A false one costs this daemon the server for so long.
  */
 const LEAVING_VALID_MS = 120_000;
+/** Times of day of machines differ; a start that is so much older than a word is sure to be the older of the two. */
+const CLOCK_MARGIN_MS = 1_000;
 
 /** A server's word on whether it takes work, as an answer of it tells. */
 export interface ToldAvailability {
@@ -57,6 +59,8 @@
 /** When something was told, and a number from 0 to 1 drawn for it. */
 export interface ToldAt {
   readonly nowMs: number;
+  /** The time of day, Unix milliseconds, which tells whose word it was; undefined where that is not known. */
+  readonly unixMs?: number;
   readonly entropy: number;
 }
 
@@ -70,6 +74,7 @@
 interface Leave {
   readonly server: ServerRecord;
   readonly toldAtMs: number;
+  readonly toldUnixMs: number | undefined;
 }
 
 /** Whether a server is to be sent a request now, the limits of servers counted. */
@@ -91,13 +96,13 @@
   take(
     server: ServerRecord,
     { isLeaving, restMs }: ToldAvailability,
-    { nowMs, entropy }: ToldAt,
+    { nowMs, unixMs, entropy }: ToldAt,
   ): readonly Unavailable[] {
     this.#dropOld(nowMs);
     const news: Unavailable[] = [];
     if (isLeaving) {
       if (this.#leaveOf(server, nowMs) === undefined) news.push({ kind: 'leaving', toldAgoMs: 0 });
-      this.#leaves.set(server.id, { server, toldAtMs: nowMs });
+      this.#leaves.set(server.id, { server, toldAtMs: nowMs, toldUnixMs: unixMs });
     }
     const askedMs = Math.min(LONGEST_REST_MS, restMs ?? 0);
     if (askedMs > 0) {
@@ -142,7 +147,7 @@
 
   #leaveOf(server: ServerRecord, nowMs: number): Leave | undefined {
     const leave = this.#leaves.get(server.id);
-    if (leave === undefined || !isSameLife(leave.server, server)) return undefined;
+    if (leave === undefined || !wasSaidBy(leave, server)) return undefined;
     return nowMs - leave.toldAtMs < LEAVING_VALID_MS ? leave : undefined;
   }
 
@@ -157,6 +162,17 @@
   }
 }
 
+/**
+ * Whether a life of a server said that it leaves. One that has just started again may say so before the list shows its
+ * start: then the word was heard well after that start, though the list still showed the life before.
+ */
+function wasSaidBy({ server, toldUnixMs }: Leave, life: ServerRecord): boolean {
+  if (isSameLife(server, life)) return true;
+  const isSameServer = server.address === life.address && server.service === life.service;
+  if (!isSameServer || life.bornMs === undefined || toldUnixMs === undefined) return false;
+  return toldUnixMs - life.bornMs > CLOCK_MARGIN_MS;
+}
+
 /** The end of a rest, or of the trial after it. */
 function endOf({ untilMs, triedAtMs }: Rest): number {
   return triedAtMs === undefined ? untilMs : triedAtMs + TRIAL_MS;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -152,6 +152,7 @@
       fleet: this.#fleet,
       codec: adapter.requests,
       timers,
+      wallClock: steadyWallClock(timers, wallClock()),
       metrics: this.#metrics,
       log,
       noteLimitChange: (server, change) => this.#limits.noteHeard(server, change),
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -20,7 +20,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
-import type { TimerService } from './timer-service.js';
+import type { TimerService, WallClock } from './timer-service.js';
 
 /** A server that says something wrongly does so with each answer. */
 const SAID_AGAIN_MS = 10_000;
@@ -55,6 +55,8 @@
   readonly noteLimitChange: (server: ServerRecord, change: LimitChange) => void;
   readonly codec: Pick<RequestCodec, 'readAvailability' | 'readLimit'>;
   readonly timers: TimerService;
+  /** The time of day, by which starts of servers are told. */
+  readonly wallClock: WallClock;
   readonly metrics: Pick<
     GatewayMetrics,
     'recordToldAvailability' | 'recordHeldBack' | 'recordCallToLimited'
@@ -123,7 +125,7 @@
   #hear(call: ServerCall, sentAtMs: number, answer: BackendAnswer): void {
     const { server, purpose } = call;
     const { status, message } = answer;
-    const { codec, fleet, timers, log, metrics } = this.#options;
+    const { codec, fleet, timers, log, metrics, wallClock } = this.#options;
     this.#hearLimit(call, sentAtMs, answer);
     const said = codec.readAvailability(status, message.headers);
     if (said?.restMs === undefined && isForCaller(purpose)) {
@@ -131,7 +133,7 @@
     }
     if (said === undefined) return;
     if (said.unreadable !== '') this.#noteUnreadable(server.id, said.unreadable);
-    const toldAt = { nowMs: timers.nowMs(), entropy: Math.random() };
+    const toldAt = { nowMs: timers.nowMs(), unixMs: wallClock(), entropy: Math.random() };
     for (const news of fleet.availability.take(server, said, toldAt)) {
       const fields = { server: server.id, service: server.service, purpose, status };
       metrics.recordToldAvailability(news.kind);
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -132,6 +132,7 @@
       timers,
       metrics: new GatewayMetrics(),
       log: new GatewayLog(QUIET_LOGGER, timers, 1_000),
+      wallClock: () => timers.nowMs(),
       noteLimitChange: () => undefined,
     }),
     codec: REQUEST_CODEC,
--- a/test/gateway/support/fleet-of-limits.ts
+++ b/test/gateway/support/fleet-of-limits.ts
@@ -80,6 +80,7 @@
       timers,
       metrics,
       log,
+      wallClock: () => timers.nowMs(),
       noteLimitChange: (server, change) => this.limits.noteHeard(server, change),
     });
   }
