Limits and clocks: what stood twice serves once

Cause, by reading the whole change again: a change of a limit was logged by two copies of one switch; a limit was kept in two ways that differed by its age; get or create stood in two classes; a gateway made two clocks of the same kind; one method of the granting side only called another, and an ask kept a promise that nobody read from it. Permits were counted by way of the limits.

Change: one place for each. No behaviour changed; no test or check was touched but for one argument of a stand-in.

--- a/src/core/gateway/limit-permits.ts
+++ b/src/core/gateway/limit-permits.ts
@@ -46,6 +46,11 @@
     return stocks.reduce((sum, stock) => sum + (stock.expiresAtMs > nowMs ? stock.count : 0), 0);
   }
 
+  /** Requests that may be sent now, to all servers. */
+  count(nowMs: number): number {
+    return [...this.#stocks.keys()].reduce((sum, id) => sum + this.countFor(id, nowMs), 0);
+  }
+
   /** Takes one for a request, and gives who granted it; undefined where there is none. */
   take(serverId: string, nowMs: number): Pick<GrantedPermits, 'granter'> | undefined {
     const isUsable = ({ expiresAtMs, count }: Stock) => expiresAtMs > nowMs && count > 0;
--- a/src/core/gateway/named-limits.ts
+++ b/src/core/gateway/named-limits.ts
@@ -77,16 +77,9 @@
         if (known === undefined || times.sentAtMs <= known.saidAtMs) return undefined;
         return this.#end(id, known, times.sentAtMs);
       case 'named': {
-        const { perSecond } = said;
         const { nowMs } = times;
-        const isFirst = known?.isHeard !== true;
-        const change = isFirst
-          ? ({ kind: 'named', perSecond } as const)
-          : changeOf(known, perSecond);
-        const noted = change === undefined ? (known?.noted ?? perSecond) : perSecond;
-        const knownSinceMs = known?.knownSinceMs ?? nowMs;
-        this.#limits.set(id, { perSecond, noted, saidAtMs: nowMs, knownSinceMs, isHeard: true });
-        return change;
+        const limit = { perSecond: said.perSecond, saidAtMs: nowMs, isHeard: true };
+        return this.#keep(id, limit, known?.isHeard !== true, nowMs);
       }
     }
   }
@@ -105,12 +98,8 @@
     if (perSecond === undefined) {
       return known === undefined ? undefined : this.#end(id, known, saidAtMs);
     }
-    const { knownSinceMs, isHeard } = known ?? { knownSinceMs: nowMs, isHeard: false };
-    const isFirst = known === undefined;
-    const change = isFirst ? ({ kind: 'named', perSecond } as const) : changeOf(known, perSecond);
-    const noted = change === undefined ? (known?.noted ?? perSecond) : perSecond;
-    this.#limits.set(id, { perSecond, noted, saidAtMs, knownSinceMs, isHeard });
-    return change;
+    const limit = { perSecond, saidAtMs, isHeard: known?.isHeard ?? false };
+    return this.#keep(id, limit, known === undefined, nowMs);
   }
 
   /** What this daemon can tell of a server's limit; undefined where it knows of none, in force or ended. */
@@ -136,15 +125,30 @@
   }
 
   /** Servers that name a limit. */
-  get ids(): readonly string[] {
-    return [...this.#limits.keys()];
-  }
-
-  /** How many do. */
   get count(): number {
     return this.#limits.size;
   }
 
+  /** @param isFirst whether it is news whatever was known before */
+  #keep(
+    id: string,
+    limit: Pick<NamedLimit, 'perSecond' | 'saidAtMs' | 'isHeard'>,
+    isFirst: boolean,
+    nowMs: number,
+  ): LimitChange | undefined {
+    const { perSecond } = limit;
+    const known = this.#limits.get(id);
+    const knownSinceMs = known?.knownSinceMs ?? nowMs;
+    if (known === undefined || isFirst) {
+      this.#limits.set(id, { ...limit, noted: perSecond, knownSinceMs });
+      return { kind: 'named', perSecond };
+    }
+    const change = changeOf(known, perSecond);
+    const noted = change === undefined ? known.noted : perSecond;
+    this.#limits.set(id, { ...limit, noted, knownSinceMs });
+    return change;
+  }
+
   #end(id: string, known: NamedLimit, endedAtMs: number): LimitChange {
     this.#limits.delete(id);
     this.#ends.set(id, endedAtMs);
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -36,6 +36,7 @@
   type WebServerLoad,
   WebServerLoads,
 } from '../../core/gateway/index.js';
+import { entryOf } from './entry-of.js';
 import { FleetDemand } from './fleet-demand.js';
 import { type LoadDecisions, USUAL_LOAD_DECISIONS } from './gateway-settings.js';
 import type { EngineNews } from './peer-messages.js';
@@ -175,11 +176,6 @@
     return { kind: 'at-limit', toldAgoMs: nowMs - limit.saidAtMs, forMs };
   }
 
-  /** Requests that may be sent to servers that name a limit now. */
-  permitsLeft(nowMs: number): number {
-    return this.limits.ids.reduce((sum, id) => sum + this.permits.countFor(id, nowMs), 0);
-  }
-
   /** Servers of a service that nothing but their limit keeps from being sent work. */
   atLimit(service: string, nowMs: number): ServerRecord[] {
     return this.limits.count === 0 ? [] : this.#usableOf(service, nowMs, ['at-limit']);
@@ -260,6 +256,7 @@
   }
 
   healthOf(serverId: string): ServerHealth {
+    // A plan asks for all engines: where there is an entry, no function is made to create one.
     return this.#health.get(serverId) ?? entryOf(this.#health, serverId, () => new ServerHealth());
   }
 
@@ -400,11 +397,3 @@
     for (const budget of this.#budgets.values()) budget.setDaemonCount(sharers);
   }
 }
-
-function entryOf<Value>(map: Map<string, Value>, key: string, create: () => Value): Value {
-  const known = map.get(key);
-  if (known !== undefined) return known;
-  const created = create();
-  map.set(key, created);
-  return created;
-}
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -119,7 +119,7 @@
     {
       name: 'limit_permits',
       help: 'Requests that this daemon may send to servers that name a limit at this moment',
-      read: () => fleet.permitsLeft(timers.nowMs()),
+      read: () => fleet.permits.count(timers.nowMs()),
     },
     {
       name: 'limit_servers_granted',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -101,6 +101,7 @@
   readonly #retryBudgets: RetryBudgetReporter;
   readonly #duties: Duties;
   readonly #suspensionAware: TimerService;
+  readonly #steadyClock: WallClock;
   readonly #crashes: CrashGuard;
   readonly #webWork: WebWork;
   readonly #limits: LimitCoordinator;
@@ -112,6 +113,7 @@
     this.#options = options;
     const { settings, adapter, timers, wallClock, log } = options;
     this.#suspensionAware = suspensionAwareTimers(timers, wallClock);
+    this.#steadyClock = steadyWallClock(timers, wallClock());
     this.#fleet = new FleetView(
       settings.retryBudget,
       (service, budget) => this.#retryBudgets.noteBegun(service, budget),
@@ -152,10 +154,10 @@
       fleet: this.#fleet,
       codec: adapter.requests,
       timers,
-      wallClock: steadyWallClock(timers, wallClock()),
+      wallClock: this.#steadyClock,
       metrics: this.#metrics,
       log,
-      noteLimitChange: (server, change) => this.#limits.noteHeard(server, change),
+      noteLimitChange: (server, change, purpose) => this.#limits.noteHeard(server, change, purpose),
     });
     const context: AttemptContext = {
       fleet: this.#fleet,
@@ -326,7 +328,7 @@
   }
 
   #createCrashGuard(incarnation: number): CrashGuard {
-    const { settings, adapter, timers, wallClock, log } = this.#options;
+    const { settings, adapter, timers, log } = this.#options;
     return new CrashGuard({
       table: adapter.table,
       endCheck: new ServerEndCheck({
@@ -340,7 +342,7 @@
       firstTurn: incarnation,
       contactMs: settings.bounds.contactMs,
       timers,
-      wallClock: steadyWallClock(timers, wallClock()),
+      wallClock: this.#steadyClock,
       log,
     });
   }
--- a/src/shell/gateway/limit-asks.ts
+++ b/src/shell/gateway/limit-asks.ts
@@ -39,7 +39,7 @@
   readonly fleet: Pick<FleetView, 'limits' | 'permits' | 'recentSends'>;
   /** Undefined where this daemon has no address for others: it is alone. */
   readonly roster: Pick<PeerRoster, 'hasList' | 'everyone'> | undefined;
-  readonly grants: Pick<LimitGrants, 'answer' | 'tellOwn'>;
+  readonly grants: Pick<LimitGrants, 'answer' | 'tellAll'>;
   readonly send: (peers: readonly PeerDaemon[], message: LimitAskMessage) => void;
   readonly timers: TimerService;
   /** 0 to 1, anew each time. */
@@ -59,9 +59,8 @@
   readonly granter: string;
   readonly sentAtMs: number;
   readonly cancelTimeout: CancelTimer;
-  /** Resolves `answered`. */
+  /** Ends the wait for the answer. */
   readonly settle: () => void;
-  readonly answered: Promise<void>;
 }
 
 interface AskState {
@@ -101,7 +100,7 @@
     const answered = new Promise<void>((resolve) => {
       settle = resolve;
     });
-    state.open = { number, granter, sentAtMs: nowMs, cancelTimeout, settle, answered };
+    state.open = { number, granter, sentAtMs: nowMs, cancelTimeout, settle };
     metrics.recordPermits('asked', wanted);
     this.#send(granter, this.#messageOf(serverId, { number, wanted, returned: 0 }));
     return answered;
@@ -113,7 +112,7 @@
     if (granter === undefined) return;
     this.#send(granter, this.#messageOf(serverId, { number: NO_NUMBER, wanted: 0, returned: 0 }));
     const isForAll = kind !== 'changed' && granter === this.#options.daemon;
-    if (isForAll) this.#options.grants.tellOwn(serverId);
+    if (isForAll) this.#options.grants.tellAll(serverId);
   }
 
   /** Takes an answer. */
--- a/src/shell/gateway/limit-coordinator.ts
+++ b/src/shell/gateway/limit-coordinator.ts
@@ -10,6 +10,7 @@
   type ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { LogFields } from '../../core/logging/log-event.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -18,6 +19,7 @@
 import type { LimitMessage } from './limit-message-fields.js';
 import { PermitWaiters } from './permit-waiters.js';
 import type { GatewayLog } from './request-log.js';
+import type { CallPurpose } from './server-calls.js';
 import { delay, type TimerService } from './timer-service.js';
 
 /** Arrivals are counted over the time that a permit is good for, so that no more are asked for than are used. */
@@ -135,9 +137,11 @@
   }
 
   /** An answer of a server changed what is known of its limit. */
-  noteHeard(server: ServerRecord, change: LimitChange): void {
-    this.#asks.tell(server.id, change);
-    if (change.kind === 'ended') this.#open(server.id);
+  noteHeard(server: ServerRecord, change: LimitChange, purpose: CallPurpose): void {
+    const { id, service } = server;
+    this.#asks.tell(id, change);
+    this.#options.metrics.recordToldAvailability(`limit-${change.kind}`);
+    this.#noteChange(id, change, { service, purpose });
   }
 
   /** Takes another daemon's message; `reply` goes back to it. */
@@ -209,9 +213,9 @@
     return nowMs < untilMs && isOpen && !fleet.isDark(server.id, nowMs);
   }
 
-  /** Gives back a place that no run came to. */
-  giveBack({ server, granter }: HeldPlace): void {
-    this.#asks.giveBack(server.id, granter, 1);
+  /** Gives back a place that no run came to, where one was held. */
+  giveBack(place: HeldPlace | undefined): void {
+    if (place !== undefined) this.#asks.giveBack(place.server.id, place.granter, 1);
   }
 
   stop(): void {
@@ -255,21 +259,23 @@
   }
 
   #noteTold(serverId: string, change: LimitChange, by: string): void {
-    const { log, metrics } = this.#options;
-    metrics.recordToldAvailability(`limit-${change.kind}-told`);
+    this.#options.metrics.recordToldAvailability(`limit-${change.kind}-told`);
+    this.#noteChange(serverId, change, { by });
+  }
+
+  /** @param source who said it, for the log */
+  #noteChange(serverId: string, change: LimitChange, source: LogFields): void {
+    const { log } = this.#options;
+    const fields = { server: serverId, ...source };
     switch (change.kind) {
       case 'named':
-      case 'changed': {
-        const { perSecond } = change;
-        log.write(GATEWAY_EVENTS.serverNamedLimit, { server: serverId, by, perSecond });
+      case 'changed':
+        log.write(GATEWAY_EVENTS.serverNamedLimit, { ...fields, perSecond: change.perSecond });
         break;
-      }
-      case 'ended': {
-        const { before } = change;
-        log.write(GATEWAY_EVENTS.serverLimitEnded, { server: serverId, by, before });
+      case 'ended':
+        log.write(GATEWAY_EVENTS.serverLimitEnded, { ...fields, before: change.before });
         this.#open(serverId);
         break;
-      }
     }
   }
 }
--- a/src/shell/gateway/limit-grants.ts
+++ b/src/shell/gateway/limit-grants.ts
@@ -8,7 +8,6 @@
   LimitLedger,
   type NamedLimits,
   type PeerDaemon,
-  type ToldLimit,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { ByteBudget, sizeOnLink } from './byte-budget.js';
@@ -74,10 +73,14 @@
   }
 
   /** Tells all daemons what this one, which grants, knows of a limit. */
-  tellOwn(serverId: string): void {
-    const { limits, timers } = this.#options;
+  tellAll(serverId: string): void {
+    const { daemon, limits, timers, everyone, send } = this.#options;
     const limit = limits.toldOf(serverId, timers.nowMs());
-    if (limit !== undefined) this.#tellAll(serverId, limit);
+    if (limit === undefined) return;
+    const peers = everyone();
+    const message: LimitToldMessage = { kind: 'limit-told', daemon, serverId, limit };
+    const bytes = sizeOnLink(encodePeerMessage(message)) * peers.length;
+    if (this.#toldBudget.tryTake(bytes)) send(peers, message);
   }
 
   #takeTold({ serverId, limit, daemon: by }: LimitAskMessage, nowMs: number): void {
@@ -86,7 +89,7 @@
     if (change === undefined) return;
     noteTold(serverId, change, by);
     // Who knows of a limit need not know how high it is: that is for the one that grants.
-    if (change.kind !== 'changed') this.tellOwn(serverId);
+    if (change.kind !== 'changed') this.tellAll(serverId);
   }
 
   #ledgerOf({ serverId, knownForMs, daemon: by }: LimitAskMessage, nowMs: number): LimitLedger {
@@ -106,12 +109,4 @@
       this.#ledgers.delete(serverId);
     }
   }
-
-  #tellAll(serverId: string, limit: ToldLimit): void {
-    const { daemon, everyone, send } = this.#options;
-    const peers = everyone();
-    const message: LimitToldMessage = { kind: 'limit-told', daemon, serverId, limit };
-    const bytes = sizeOnLink(encodePeerMessage(message)) * peers.length;
-    if (this.#toldBudget.tryTake(bytes)) send(peers, message);
-  }
 }
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -134,14 +134,14 @@
     const place = this.#holdPlace(source);
     const memory = await readPrompt(this.#exchange, this.#context, plan, priority);
     if (memory === undefined || memory === 'held-back') {
-      if (place !== undefined) this.#context.limits.giveBack(place);
+      this.#context.limits.giveBack(place);
       // Another engine may read it as well where this one takes no more for now.
       if (memory === undefined) this.#prefillFailed = true;
       this.#way = 'direct';
       return 'again';
     }
     if (this.#exchange.signal.aborted) {
-      if (place !== undefined) this.#context.limits.giveBack(place);
+      this.#context.limits.giveBack(place);
       this.#freeUnused(memory, plan);
       return this.#endInterrupted();
     }
@@ -165,7 +165,7 @@
   ): Promise<ServerRecord | undefined> {
     const { limits } = this.#context;
     if (place !== undefined && limits.isGood(place)) return place.server;
-    if (place !== undefined) limits.giveBack(place);
+    limits.giveBack(place);
     const wanted = this.#planner.limitedRunChoice(source, 'any');
     if (wanted.length > 0) await limits.prepare(wanted);
     const server = this.#planner.decodeEngineAfter(source);
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -52,7 +52,11 @@
     'availability' | 'availabilityOf' | 'limits' | 'permits' | 'recentSends'
   >;
   /** To be called when an answer changed what is known of its server's limit. */
-  readonly noteLimitChange: (server: ServerRecord, change: LimitChange) => void;
+  readonly noteLimitChange: (
+    server: ServerRecord,
+    change: LimitChange,
+    purpose: CallPurpose,
+  ) => void;
   readonly codec: Pick<RequestCodec, 'readAvailability' | 'readLimit'>;
   readonly timers: TimerService;
   /** The time of day, by which starts of servers are told. */
@@ -152,30 +156,14 @@
   }
 
   #hearLimit(call: ServerCall, sentAtMs: number, { status, message }: BackendAnswer): void {
-    const { codec, fleet, timers } = this.#options;
+    const { codec, fleet, timers, noteLimitChange } = this.#options;
     const { server, purpose } = call;
     const said = codec.readLimit(status, message.headers);
     if (said.kind === 'unreadable') this.#noteUnreadable(server.id, `limit: ${said.text}`);
     if (!isSureOf(said, call)) return;
     const times = { sentAtMs, nowMs: timers.nowMs() };
     const change = fleet.limits.hear(server, said, times);
-    if (change !== undefined) this.#noteLimitChange(server, purpose, change);
-  }
-
-  #noteLimitChange(server: ServerRecord, purpose: CallPurpose, change: LimitChange): void {
-    const { metrics, log, noteLimitChange } = this.#options;
-    noteLimitChange(server, change);
-    metrics.recordToldAvailability(`limit-${change.kind}`);
-    const fields = { server: server.id, service: server.service, purpose };
-    switch (change.kind) {
-      case 'named':
-      case 'changed':
-        log.write(GATEWAY_EVENTS.serverNamedLimit, { ...fields, perSecond: change.perSecond });
-        break;
-      case 'ended':
-        log.write(GATEWAY_EVENTS.serverLimitEnded, { ...fields, before: change.before });
-        break;
-    }
+    if (change !== undefined) noteLimitChange(server, change, purpose);
   }
 
   #noteUnreadable(server: string, told: string): void {
--- a/test/gateway/support/fleet-of-limits.ts
+++ b/test/gateway/support/fleet-of-limits.ts
@@ -81,7 +81,7 @@
       metrics,
       log,
       wallClock: () => timers.nowMs(),
-      noteLimitChange: (server, change) => this.limits.noteHeard(server, change),
+      noteLimitChange: (server, change, purpose) => this.limits.noteHeard(server, change, purpose),
     });
   }
 }
