--- a/test/gateway/server-limits.test.ts
+++ b/test/gateway/server-limits.test.ts
@@ -41,17 +41,9 @@
 
 afterEach(() => fixture.stop());
 
-/** Lets virtual time and what is on sockets go on together. */
-async function passUntil(isSo: () => boolean): Promise<void> {
-  while (!isSo()) {
-    timers.advance(STEP_MS);
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
-
 async function passMs(spanMs: number): Promise<void> {
   const endMs = timers.nowMs() + spanMs;
-  await passUntil(() => timers.nowMs() >= endMs);
+  await timers.passUntil(() => timers.nowMs() >= endMs);
 }
 
 async function startOne(waiting = USUAL_LOAD_DECISIONS.waiting): Promise<void> {
@@ -61,7 +53,7 @@
 
 async function configure(): Promise<void> {
   fixture.store.putConfiguration(configuration(1, [route({}), READ_ROUTE, RESUMABLE_ROUTE]));
-  await passUntil(() => has(GATEWAY_EVENTS.configurationInForce));
+  await timers.passUntil(() => has(GATEWAY_EVENTS.configurationInForce));
 }
 
 function has(event: unknown): boolean {
@@ -77,7 +69,7 @@
     void starting.then(() => {
       isUp = true;
     });
-    await passUntil(() => isUp);
+    await timers.passUntil(() => isUp);
     ports.push(await starting);
   }
   await configure();
@@ -92,7 +84,7 @@
     fixture.lines.some(
       ({ event, fields: said }) => event === GATEWAY_EVENTS.serverAdded && said.server === id,
     );
-  await passUntil(isAdded);
+  await timers.passUntil(isAdded);
   await passMs(500);
 }
 
@@ -123,7 +115,7 @@
     }
     await passMs(STEP_MS);
   }
-  await passUntil(() => answers.length === sent);
+  await timers.passUntil(() => answers.length === sent);
   return answers;
 }
 
@@ -289,8 +281,8 @@
   server.limit = '1';
   server.answerMs = 10;
   const named = fixture.call(WEB_REQUEST);
-  await passUntil(() => has(GATEWAY_EVENTS.serverNamedLimit));
-  await Promise.all([named, passUntil(() => server.arrivalsMs.length >= 2)]);
+  await timers.passUntil(() => has(GATEWAY_EVENTS.serverNamedLimit));
+  await Promise.all([named, timers.passUntil(() => server.arrivalsMs.length >= 2)]);
   await passMs(1_000);
   assert.equal((await slow).status, 200);
   assert.ok(!has(GATEWAY_EVENTS.serverLimitEnded));
@@ -307,11 +299,11 @@
   await startOne();
   const server = webServer('0.2');
   const standIn = await fixture.addServer('i-1', server.script, { born: 1 });
-  await passUntil(() => has(GATEWAY_EVENTS.serverAdded));
+  await timers.passUntil(() => has(GATEWAY_EVENTS.serverAdded));
   await load([WEB_REQUEST], 100, 6_000);
   server.limit = undefined;
   fixture.listServer('i-1', standIn, { born: 2 });
-  await passUntil(() => has(GATEWAY_EVENTS.serverRenewed));
+  await timers.passUntil(() => has(GATEWAY_EVENTS.serverRenewed));
   const renewedMs = timers.nowMs();
   await load([WEB_REQUEST], 100, 10_000);
   const late = server.since(renewedMs + 10_000 - LAST_MS);
--- a/test/gateway/support/manual-timers.ts
+++ b/test/gateway/support/manual-timers.ts
@@ -1,6 +1,9 @@
 /** A timer service whose time only moves when a test says so. */
 import type { TimerService } from '../../../src/shell/gateway/timer-service.js';
 
+/** Short against what tests wait for: changes of lists that are gathered, calls that come again. */
+const STEP_MS = 10;
+
 interface Pending {
   readonly dueMs: number;
   readonly callback: () => void;
@@ -35,4 +38,12 @@
     }
     this.#nowMs = endMs;
   }
+
+  /** Lets this time and what is on sockets go on together until something is so. */
+  async passUntil(isSo: () => boolean): Promise<void> {
+    while (!isSo()) {
+      this.advance(STEP_MS);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
 }
