Say which version refused a request for want of a route, and how old the last look was

Cause: a 404 said neither which version of the configuration decided nor when this daemon, or its relay, last looked for a newer one; hypotheses of the late configuration can't be told apart without. Change: event 6035 for each such refusal and a gauge of the age of the last look. No change of what is answered; web-requests tests pass.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -201,6 +201,13 @@
     remedy:
       'Compare keyDigest with the first digits of the SHA-256 of the keys; the caller may use an old one.',
   },
+  routeUnknown: {
+    number: 6035,
+    level: 'warn',
+    message: 'a request was refused: the configuration in force has no route for its host and path',
+    remedy:
+      'Compare configurationVersion with the newest; lookAgeMs says how old the last look for a newer one was.',
+  },
   requestEnded: {
     number: 6030,
     level: 'info',
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -33,6 +33,8 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  /** How old the last look for a newer configuration is. */
+  readonly configurationLookAgeMs: () => number;
 }
 
 /** A request that has been read, with its route and whose it is. */
@@ -103,7 +105,7 @@
       return this.#rejectYet(request, response, 'this daemon has just started');
     }
     const route = inForce.routes.find(request.headers.host ?? '', request.url ?? '/');
-    if (route === undefined) return this.#reject(request, response, 404, 'no such route', []);
+    if (route === undefined) return this.#rejectRoute(request, response, inForce);
     const admission = inForce.tenants.admit(route, context.codec.apiKey(request.headers));
     if (admission.kind === 'unknown-key') return this.#rejectKey(request, response, inForce, route);
     if (headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
@@ -153,6 +155,23 @@
     this.#reject(request, response, 503, reason, ['Retry-After', seconds]);
   }
 
+  /** Says which version knows no such route, and how old it is: another may have one. */
+  #rejectRoute(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { configuration, sinceMs }: ConfigurationInForce,
+  ): void {
+    const { context, log, timers, configurationLookAgeMs } = this.#options;
+    log.write(GATEWAY_EVENTS.routeUnknown, {
+      request: context.codec.describe(request.headers)?.attemptId ?? '',
+      host: request.headers.host ?? '',
+      configurationVersion: configuration.version,
+      inForceForMs: Math.round(timers.nowMs() - sinceMs),
+      lookAgeMs: Math.round(configurationLookAgeMs()),
+    });
+    this.#reject(request, response, 404, 'no such route', []);
+  }
+
   /** Says which key was not known by the beginning of its digest; the key itself is a secret. */
   #rejectKey(
     request: IncomingMessage,
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -136,6 +136,12 @@
     return Math.max(...this.#watches.map((watch) => nowMs - watch.lastAnswerMs));
   }
 
+  /** How old the last look for a newer configuration is, this daemon's own or its relay's. */
+  configurationLookAgeMs(): number {
+    const { timers, digest } = this.#options;
+    return timers.nowMs() - Math.max(this.#configurations.lastAnswerMs, digest.lookedMs);
+  }
+
   /** Changes of servers that a relay had from the store. */
   takeServerChanges({ rows, ...span }: TableChanges<ServerRecord>): void {
     this.#servers.offer({ ...span, rows: rows.map((row) => this.#withStart(row)) });
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -16,7 +16,10 @@
 /** What gauges read. */
 export interface GaugeSources {
   readonly fleet: FleetView;
-  readonly follower: Pick<FleetFollower, 'callsTotal' | 'silentMs' | 'unreadableServers'>;
+  readonly follower: Pick<
+    FleetFollower,
+    'callsTotal' | 'silentMs' | 'unreadableServers' | 'configurationLookAgeMs'
+  >;
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
   readonly room: Pick<RequestRoom, 'waiting'>;
@@ -59,6 +62,11 @@
       help: 'Version in force',
       read: () => fleet.inForce?.configuration.version ?? 0,
     },
+    {
+      name: 'configuration_look_age_ms',
+      help: "Age of the last look for a newer configuration, this daemon's own or its relay's",
+      read: () => follower.configurationLookAgeMs(),
+    },
     { name: 'store_calls', help: 'Calls to the store', read: () => follower.callsTotal },
     {
       name: 'store_silent_ms',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -174,7 +174,13 @@
       webWork,
       noteBegan: ({ options: { tenant } }, agoMs) => this.#duties.noteBegan(tenant, agoMs),
     };
-    this.#callers = new CallerListener({ context, timers, log, metrics: this.#metrics });
+    this.#callers = new CallerListener({
+      context,
+      timers,
+      log,
+      metrics: this.#metrics,
+      configurationLookAgeMs: () => this.#follower.configurationLookAgeMs(),
+    });
     this.#duties = this.#createDuties(incarnation);
     this.#peers = this.#createPeers(incarnation);
     const duty = new RosterNewsDuty({
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -27,6 +27,11 @@
     return this.#timers.nowMs() < this.#freshUntilMs;
   }
 
+  /** When the relay last looked at the store, as far as its digests say. */
+  get lookedMs(): number {
+    return this.#freshUntilMs - this.#maxAgeMs;
+  }
+
   /** Takes a digest; one that was delayed makes none fresh that is older. */
   take(digest: TableDigest): void {
     const freshUntilMs = this.#timers.nowMs() + this.#maxAgeMs - digest.ageMs;
--- a/test/gateway/web-requests.test.ts
+++ b/test/gateway/web-requests.test.ts
@@ -67,6 +67,16 @@
   assert.equal((await fixture.call({ path: '/tiles/1', body: 'x'.repeat(1_001) })).status, 413);
 });
 
+test('a line tells which version knew no route for a request, and how old the last look was', async () => {
+  await startWith(7);
+  await fixture.call({ path: '/nowhere/1', headers: { 'X-Attempt-Id': 'attempt-9' } });
+  const line = fixture.lines.find(({ event }) => event === GATEWAY_EVENTS.routeUnknown);
+  assert.equal(line?.fields.request, 'attempt-9');
+  assert.equal(line?.fields.configurationVersion, 7);
+  assert.ok(Number(line?.fields.inForceForMs) >= 0);
+  assert.ok(Number(line?.fields.lookAgeMs) >= 0);
+});
+
 test('a request that may not be repeated runs once though its server breaks off', async () => {
   await startWith();
   const breaking = ({ socket }: ServedRequest) => socket.destroy();
