Times of the store's watches stand in one place

Cause: how long a call is held and what is waited after a failure stood as constants in the gateway's composition, so no test could add them up. Moved to watch-timing.ts by role (alone, relay, follower); the draw that spreads retries is an option.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -19,6 +19,7 @@
 import { type TableChanges, TableWatcher } from './table-watcher.js';
 import type { TimerService, WallClock } from './timer-service.js';
 import { UnreadableRows } from './unreadable-rows.js';
+import type { WatchTiming } from './watch-timing.js';
 
 /**
  * Many servers change together, when a fleet starts or is replaced. Each daemon asks once for those
@@ -46,12 +47,12 @@
   readonly adapter: PlatformAdapter;
   readonly fleet: FleetView;
   readonly cacheNews: CacheNewsWatchers;
-  /** How long one call to the store is held. */
-  readonly waitMs: () => number;
-  /** The longest wait before a call to the store that failed is made again. */
-  readonly longestRetryMs: () => number;
+  /** The times of the watches, by what this daemon does for the others. */
+  readonly timing: () => WatchTiming;
   /** After the store has lost its history, reads may be stale for so long. */
   readonly recheckSpanMs: number;
+  /** From 0 to below 1, to spread what many daemons do. */
+  readonly random: () => number;
   /** Changes of servers that came from the store itself. */
   readonly passOnServers: (changes: TableChanges<ServerRecord>) => void;
   /** Changes of the configuration that came from the store itself. */
@@ -80,8 +81,8 @@
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
-    const { adapter, waitMs, longestRetryMs, recheckSpanMs, timers, log, digest } = options;
-    const shared = { waitMs, longestRetryMs, recheckSpanMs, timers, log };
+    const { adapter, timing, recheckSpanMs, random, timers, log, digest } = options;
+    const shared = { timing, recheckSpanMs, random, timers, log };
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -36,23 +36,9 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
+import { digestAgeMs, recheckSpanMs, type WatchRole, watchTiming } from './watch-timing.js';
 import { WebWork } from './web-work.js';
 
-/**
- * A change is told at once by a call that is held. A call that a cut has swallowed has to be over
- * before the daemon counts as in touch again, so it is held for a part of that time.
- */
-const WATCH_SHARE_OF_CONTACT = 0.75;
-/** Others rely on a relay's look at the store for so long; it looks more often. */
-const RELAY_WATCH_SHARE_OF_CONTACT = 0.25;
-const DIGEST_AGE_SHARE_OF_CONTACT = 0.45;
-/** A store that has lost its history may answer stale reads; the last whole read is well before this daemon
- * counts as in touch again, which it does so long after they are over. */
-const RECHECK_SHARE_OF_CONTACT = 1.5;
-/** Few daemons, and the relays of many, find the store again soon after it is back. */
-const LONGEST_RETRY_MS = 500;
-/** The others hear of it from their relay; without one they have found it well before they count as in touch. */
-const RETRY_SHARE_OF_CONTACT = 0.5;
 /** The platform looks twice, a second apart, before it sends no more connections. */
 const LOOK_AWAY_MS = 2_600;
 /** Kept between the end of running requests and the end of the grace period. */
@@ -105,7 +91,6 @@
   readonly #crashes: CrashGuard;
   readonly #webWork: WebWork;
   readonly #limits: LimitCoordinator;
-  #watchShare = WATCH_SHARE_OF_CONTACT;
   #isRelay = false;
   #isStopping = false;
 
@@ -126,10 +111,7 @@
       metrics: this.#metrics,
     });
     this.#roster = new PeerRoster({ name: settings.name, zone: settings.zone });
-    this.#digest = new RelayDigest(
-      this.#suspensionAware,
-      settings.bounds.contactMs * DIGEST_AGE_SHARE_OF_CONTACT,
-    );
+    this.#digest = new RelayDigest(this.#suspensionAware, digestAgeMs(settings.bounds.contactMs));
     this.#connections = new BackendConnections(timers);
     this.#room = new RequestRoom({
       isOn: settings.decisions.waiting,
@@ -194,9 +176,9 @@
       adapter,
       fleet: this.#fleet,
       cacheNews: this.#cacheNews,
-      waitMs: () => settings.bounds.contactMs * this.#watchShare,
-      longestRetryMs: () => this.#longestRetryMs(),
-      recheckSpanMs: settings.bounds.contactMs * RECHECK_SHARE_OF_CONTACT,
+      timing: () => watchTiming(this.#watchRole, settings.bounds.contactMs),
+      recheckSpanMs: recheckSpanMs(settings.bounds.contactMs),
+      random: Math.random,
       digest: this.#digest,
       passOnConfiguration: (changes) => this.#peers?.passOnConfiguration(changes),
       passOnServers: (changes) => this.#peers?.passOnServers(changes),
@@ -423,15 +405,13 @@
     log.write(isDark ? GATEWAY_EVENTS.serverDark : GATEWAY_EVENTS.serverReached, { server, by });
   }
 
-  #longestRetryMs(): number {
-    const isFollower = this.#roster.isLarge && !this.#isRelay;
-    const { contactMs } = this.#options.settings.bounds;
-    return isFollower ? contactMs * RETRY_SHARE_OF_CONTACT : LONGEST_RETRY_MS;
+  get #watchRole(): WatchRole {
+    if (this.#isRelay) return 'relay';
+    return this.#roster.isLarge ? 'follower' : 'alone';
   }
 
   #noteRelay(isRelay: boolean): void {
     this.#isRelay = isRelay;
-    this.#watchShare = isRelay ? RELAY_WATCH_SHARE_OF_CONTACT : WATCH_SHARE_OF_CONTACT;
     if (isRelay) this.#digest.drop();
   }
 }
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -12,6 +12,7 @@
 import type { FollowedTable, RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
 import { callWithin, delay, type TimerService } from './timer-service.js';
+import type { WatchTiming } from './watch-timing.js';
 
 /** The first wait before a call is made again, as a part of the longest. */
 const FIRST_RETRY_SHARE = 1 / 8;
@@ -50,16 +51,15 @@
 export interface TableWatcherOptions<Value> {
   readonly table: WatchedTable<Value>;
   readonly consumer: TableConsumer<Value>;
-  /** How long one call is held. */
-  readonly waitMs: () => number;
+  readonly timing: () => WatchTiming;
   /** The digest of a relay on this table; absent where the daemon always follows it by itself. */
   readonly digest?: DigestSource;
   /** Changes that come within this time of each other are taken in one call; 0 takes each at once. */
   readonly gatherMs: number;
   /** Whole reads after a disturbance go on for this long. */
   readonly recheckSpanMs: number;
-  /** The longest wait before a call that failed is made again. */
-  readonly longestRetryMs: () => number;
+  /** From 0 to below 1, to spread the retries of many daemons. */
+  readonly random: () => number;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -157,8 +157,8 @@
 
   /** The whole table, or undefined after a failure. */
   async #readRows(): Promise<Extract<WatchAnswer<Value>, { kind: 'rows' }> | undefined> {
-    const { table, waitMs } = this.#options;
-    const answer = await this.#ask(waitMs(), (signal) => table.readAll(signal));
+    const { table, timing } = this.#options;
+    const answer = await this.#ask(timing().holdMs, (signal) => table.readAll(signal));
     if (answer.kind !== 'rows') {
       await this.#handleFailure(answer);
       return undefined;
@@ -187,10 +187,10 @@
       if (this.#stopped.signal.aborted) return;
       if (this.#wasRereadByRelay) return this.#readAll(false);
     }
-    const waitMs = this.#options.waitMs();
+    const { holdMs } = this.#options.timing();
     const after = this.#revision ?? 0;
-    const answer = await this.#ask(waitMs + ANSWER_SLACK_MS, (signal) =>
-      table.changesAfter(after, waitMs, signal),
+    const answer = await this.#ask(holdMs + ANSWER_SLACK_MS, (signal) =>
+      table.changesAfter(after, holdMs, signal),
     );
     if (answer.kind !== 'rows') return this.#handleFailure(answer);
     this.#noteSuccess();
@@ -298,11 +298,11 @@
 
   /** A fresh digest of the relay ends the wait, as it may say that there is nothing to ask for. */
   async #backOff(): Promise<void> {
-    const { digest, timers, longestRetryMs } = this.#options;
-    const longestMs = longestRetryMs();
-    const backoffMs = FIRST_RETRY_SHARE * longestMs * 2 ** (this.#failuresInARow - 1);
-    const spread = 1 - RETRY_SPREAD * Math.random();
-    const waitMs = Math.min(longestMs, backoffMs) * spread;
+    const { digest, timers, timing, random } = this.#options;
+    const { longestRetryMs } = timing();
+    const backoffMs = FIRST_RETRY_SHARE * longestRetryMs * 2 ** (this.#failuresInARow - 1);
+    const spread = 1 - RETRY_SPREAD * random();
+    const waitMs = Math.min(longestRetryMs, backoffMs) * spread;
     const { signal } = this.#stopped;
     // A fresh digest says already that there is something to ask for.
     const mayHear = digest !== undefined && !digest.from.isFresh;
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -46,10 +46,10 @@
   return new TableWatcher<number>({
     table,
     consumer: collectorOf(taken),
-    waitMs: () => 1_000,
+    timing: () => ({ holdMs: 1_000, longestRetryMs: 500 }),
+    random: Math.random,
     gatherMs,
     recheckSpanMs: 6_000,
-    longestRetryMs: () => 500,
     timers,
     log: { write: () => undefined },
   });
@@ -118,11 +118,11 @@
   const watcher = new TableWatcher<number>({
     table,
     consumer: collectorOf(taken),
-    waitMs: () => 3_000,
+    timing: () => ({ holdMs: 3_000, longestRetryMs: 500 }),
+    random: Math.random,
     digest: { table: 'servers', from: digest },
     gatherMs: GATHER_MS,
     recheckSpanMs: 6_000,
-    longestRetryMs: () => 500,
     timers,
     log: { write: () => undefined },
   });
