--- /dev/null
+++ b/test/gateway/support/followed-zone.ts
@@ -0,0 +1,314 @@
+/**
+ * The daemons of one zone as they follow the configuration, in virtual time: the product's own followers and digests
+ * before a store whose doors a test opens and shuts, one for each daemon.
+ */
+import {
+  DigestSchedule,
+  type GatewayConfiguration,
+  type TableDigest,
+} from '../../../src/core/gateway/index.js';
+import { FleetFollower } from '../../../src/shell/gateway/fleet-follower.js';
+import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
+import type {
+  PlatformAdapter,
+  WatchAnswer,
+  WatchedRow,
+  WatchedTable,
+} from '../../../src/shell/gateway/ports.js';
+import { RelayDigest } from '../../../src/shell/gateway/relay-digest.js';
+import type { TableChanges } from '../../../src/shell/gateway/table-watcher.js';
+import {
+  digestAgeMs,
+  recheckSpanMs,
+  type WatchRole,
+  watchTiming,
+} from '../../../src/shell/gateway/watch-timing.js';
+import { VirtualTimers } from './virtual-timers.js';
+
+const ANSWER_MS = 4;
+const DATAGRAM_MS = 2;
+const RELAY_TICK_MS = 60;
+/** What is larger isn't passed on by datagrams. */
+export type DocumentSize = 'small' | 'large';
+
+/** What becomes of calls at a door. */
+export type DoorState = 'open' | 'silent' | 'refuses' | 'resets';
+
+/** The operator's table as the store has it. */
+class ConfigurationTable {
+  revision = 1;
+  version = 1;
+  readonly #timers: VirtualTimers;
+  readonly #changed = new Set<() => void>();
+
+  constructor(timers: VirtualTimers) {
+    this.#timers = timers;
+  }
+
+  change(): void {
+    this.revision += 3;
+    this.version += 1;
+    for (const answer of [...this.#changed]) answer();
+  }
+
+  /** Resolves with the next change, or after a time. */
+  changed(mostMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        cancel();
+        this.#changed.delete(finish);
+        resolve();
+      };
+      const cancel = this.#timers.after(mostMs, finish);
+      this.#changed.add(finish);
+    });
+  }
+}
+
+/** The table through the door of one daemon. */
+class DoorTable implements WatchedTable<GatewayConfiguration> {
+  readonly name = 'configurations';
+  calls = 0;
+  #state: DoorState = 'open';
+  /** How often calls under way were swallowed or cut. */
+  #cuts = 0;
+  readonly #onCut = new Set<() => void>();
+  readonly #table: ConfigurationTable;
+  readonly #timers: VirtualTimers;
+
+  constructor(table: ConfigurationTable, timers: VirtualTimers) {
+    this.#table = table;
+    this.#timers = timers;
+  }
+
+  async readAll(signal: AbortSignal): Promise<WatchAnswer<GatewayConfiguration>> {
+    return this.#call(signal, async () => this.#rows(this.staleVersion ?? this.#table.version));
+  }
+
+  async changesAfter(
+    after: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<WatchAnswer<GatewayConfiguration>> {
+    return this.#call(signal, async () => {
+      if (this.#table.revision <= after) await this.#table.changed(waitMs);
+      if (this.#table.revision > after) return this.#rows(this.#table.version);
+      return { kind: 'rows', rows: [], revision: this.#table.revision };
+    });
+  }
+
+  decode(key: string, encoded: Buffer): WatchedRow<GatewayConfiguration> {
+    return { kind: 'value', key, value: configurationOf(Number(encoded.toString())) };
+  }
+
+  #rows(version: number): WatchAnswer<GatewayConfiguration> {
+    const value = configurationOf(version);
+    const encoded = Buffer.from(String(value.version));
+    const rows = [{ kind: 'value', key: 'config', value, encoded }] as const;
+    return { kind: 'rows', rows, revision: this.#table.revision };
+  }
+
+  /** Whole reads answer an older version, under the newest revision; undefined where they answer as it is. */
+  staleVersion: number | undefined;
+
+  /** Shuts the door, or opens it; what is under way goes on only where it was opened. */
+  set(state: DoorState): void {
+    this.#state = state;
+    if (state === 'silent' || state === 'resets') this.#cuts += 1;
+    for (const cut of [...this.#onCut]) cut();
+  }
+
+  async #call(
+    signal: AbortSignal,
+    answer: () => Promise<WatchAnswer<GatewayConfiguration>>,
+  ): Promise<WatchAnswer<GatewayConfiguration>> {
+    this.calls += 1;
+    const ended = new Promise<WatchAnswer<GatewayConfiguration>>((resolve) => {
+      const end = (reason: string) => resolve({ kind: 'failed', reason, wasRefused: false });
+      if (signal.aborted) end('no answer');
+      signal.addEventListener('abort', () => end('no answer'), { once: true });
+      const cut = () => {
+        if (this.#state === 'resets') end('reset');
+      };
+      this.#onCut.add(cut);
+      signal.addEventListener('abort', () => this.#onCut.delete(cut), { once: true });
+    });
+    return Promise.race([ended, this.#passThrough(answer)]);
+  }
+
+  /** A call that meets silence on its way, or while it is held, is swallowed for good. */
+  async #passThrough(
+    answer: () => Promise<WatchAnswer<GatewayConfiguration>>,
+  ): Promise<WatchAnswer<GatewayConfiguration>> {
+    const swallowed = new Promise<never>(() => undefined);
+    await this.#pass(ANSWER_MS / 2);
+    if (this.#state === 'refuses') {
+      return { kind: 'failed', reason: 'status 503', wasRefused: true };
+    }
+    if (this.#state === 'resets') return { kind: 'failed', reason: 'reset', wasRefused: false };
+    if (this.#state === 'silent') return swallowed;
+    const cuts = this.#cuts;
+    const given = await answer();
+    await this.#pass(ANSWER_MS / 2);
+    return this.#cuts === cuts ? given : swallowed;
+  }
+
+  #pass(spanMs: number): Promise<void> {
+    return new Promise((resolve) => this.#timers.after(spanMs, resolve));
+  }
+}
+
+/** A daemon of the zone. */
+export class FollowingDaemon {
+  readonly door: DoorTable;
+  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly digest: RelayDigest;
+  readonly follower: FleetFollower;
+  /** When each version came into force. */
+  readonly inForceMs = new Map<number, number>();
+
+  constructor(
+    role: WatchRole,
+    contactMs: number,
+    table: ConfigurationTable,
+    timers: VirtualTimers,
+    random: () => number,
+    passOn: (changes: TableChanges<GatewayConfiguration>) => void,
+  ) {
+    this.door = new DoorTable(table, timers);
+    this.digest = new RelayDigest(timers, digestAgeMs(contactMs));
+    const noServers: WatchedTable<never> = {
+      name: 'servers',
+      readAll: () => Promise.resolve({ kind: 'rows', rows: [], revision: 1 }),
+      changesAfter: (_after, waitMs) =>
+        new Promise((resolve) =>
+          timers.after(waitMs, () => resolve({ kind: 'rows', rows: [], revision: 1 })),
+        ),
+      decode: (key) => ({ kind: 'gone', key }),
+    };
+    const adapter = { configurations: this.door, servers: noServers };
+    this.follower = new FleetFollower({
+      adapter: adapter as unknown as PlatformAdapter,
+      fleet: this.fleet,
+      cacheNews: { add: () => undefined, remove: () => undefined, renew: () => undefined } as never,
+      timing: () => watchTiming(role, contactMs),
+      recheckSpanMs: recheckSpanMs(contactMs),
+      random,
+      passOnServers: () => undefined,
+      passOnConfiguration: passOn,
+      noteStarted: () => undefined,
+      digest: this.digest,
+      timers,
+      wallClock: () => timers.nowMs(),
+      log: { write: () => undefined } as never,
+      applyLimits: ({ idleTimeoutMs }) => this.inForceMs.set(idleTimeoutMs, timers.nowMs()),
+      noteServers: () => undefined,
+    });
+  }
+}
+
+/** What a zone varies in. */
+export interface FollowedZoneOptions {
+  readonly contactMs: number;
+  /** Daemons of the zone. */
+  readonly daemons: number;
+  /** Whether the first of them follows the store for the others. */
+  readonly hasRelay: boolean;
+  readonly random: () => number;
+  readonly documentSize: DocumentSize;
+}
+
+/** The daemons of a zone and their store. */
+export class FollowedZone {
+  readonly timers = new VirtualTimers();
+  readonly daemons: readonly FollowingDaemon[];
+  readonly #table = new ConfigurationTable(this.timers);
+  readonly #options: FollowedZoneOptions;
+  readonly #schedule = new DigestSchedule();
+
+  constructor(options: FollowedZoneOptions) {
+    this.#options = options;
+    const { contactMs, daemons, hasRelay, random, documentSize } = options;
+    const followerRole = hasRelay ? 'follower' : 'alone';
+    this.daemons = Array.from({ length: daemons }, (_, index) => {
+      const role = hasRelay && index === 0 ? 'relay' : followerRole;
+      const passOn = (changes: TableChanges<GatewayConfiguration>) => {
+        if (role === 'relay' && documentSize === 'small') this.#passOn(changes);
+      };
+      return new FollowingDaemon(role, contactMs, this.#table, this.timers, random, passOn);
+    });
+  }
+
+  /** Starts the daemons one after another, each some time after the last; a number of them stay away. */
+  async start(gapMs: number, away = 0): Promise<void> {
+    for (const { follower } of this.daemons.slice(0, this.daemons.length - away)) {
+      follower.start();
+      await this.timers.passUntil(this.timers.nowMs() + gapMs);
+    }
+    if (this.#options.hasRelay) this.#tell();
+  }
+
+  stop(): void {
+    for (const { follower } of this.daemons) follower.stop();
+  }
+
+  /** The operator writes a version. */
+  change(): number {
+    this.#table.change();
+    return this.#table.version;
+  }
+
+  shut(daemons: readonly FollowingDaemon[], state: DoorState): void {
+    for (const { door } of daemons) door.set(state);
+  }
+
+  /** How long after a time the last of some daemons had a version in force; infinite while one has not. */
+  slowestMs(daemons: readonly FollowingDaemon[], version: number, sinceMs: number): number {
+    return Math.max(
+      ...daemons.map(
+        ({ inForceMs }) => (inForceMs.get(version) ?? Number.POSITIVE_INFINITY) - sinceMs,
+      ),
+    );
+  }
+
+  /** The version that the operator wrote last. */
+  get newestVersion(): number {
+    return this.#table.version;
+  }
+
+  get callsTotal(): number {
+    return this.daemons.reduce((sum, { door }) => sum + door.calls, 0);
+  }
+
+  #tell(): void {
+    const [relay, ...followers] = this.daemons;
+    if (relay === undefined) return;
+    const digest: TableDigest = { ...relay.follower.digestToSend(), peersChecksum: 1 };
+    if (this.#schedule.next(digest, this.timers.nowMs()) !== 'nobody') {
+      this.timers.after(DATAGRAM_MS, () => {
+        for (const follower of followers) follower.digest.take(digest);
+      });
+    }
+    this.timers.after(RELAY_TICK_MS, () => this.#tell());
+  }
+
+  #passOn({ after, revision, rows }: TableChanges<GatewayConfiguration>): void {
+    const newest = rows.at(-1);
+    if (newest?.kind !== 'value' || newest.encoded === undefined) return;
+    const change = { after, revision, key: newest.key, encoded: newest.encoded };
+    this.timers.after(DATAGRAM_MS, () => {
+      for (const { follower } of this.daemons.slice(1)) follower.takePassedConfiguration(change);
+    });
+  }
+}
+
+/** A version; its idle time tells it apart where limits are applied. */
+function configurationOf(version: number): GatewayConfiguration {
+  const limits = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: version,
+  };
+  return { version, routes: [], services: new Map(), tenants: undefined, limits };
+}
