--- a/test/gateway/silent-connections.test.ts
+++ b/test/gateway/silent-connections.test.ts
@@ -62,8 +62,9 @@
 
 afterEach(() => service.stop());
 
-// Kept connections may go silent for good while new ones work. Each one that a daemon has kept costs a whole time-out
-// before the next is tried: three kept, three calls lost.
+// Kept connections may go silent for good while new ones work. Each one that a daemon had kept to its store cost a whole
+// time-out before the next was tried, as the newest kept connection was always taken: three kept, three calls lost. With
+// time-outs of seconds a daemon was out of touch for far longer than the silence of any one of them explains.
 test('of all kept connections that went silent one call is lost, and the next has an answer', async () => {
   const connection = new ServiceConnection(await service.start());
   service.together = KEPT;
