Daemons tell which version of the configuration they have, and take a newer one from any of them

Callers were refused for want of a route at daemons that believed to be current. Cause: digests and reports told how far a table has moved and nobody which version is in force, so a stale read under the newest revision held until the next change; and a configuration that a relay passed on was refused while the own watch was busy or had failed, though it is whole and its version only rises. Now reports and digests carry the version, relays tell each other too and pass a newer one on to the relays of other zones and after whole reads, it is taken whatever the own watch has seen, and who is behind for longer than a look takes reads the table whole (6019, 6029). A daemon that has the relay's version does not read the table after the relay has. In virtual time: first read stale, never in force before, within the time now; relay and zone stale, within half of it; a change while followers' own calls hang, at once.

--- a/src/core/gateway/digest-schedule.ts
+++ b/src/core/gateway/digest-schedule.ts
@@ -17,6 +17,8 @@
 export interface TableDigest {
   readonly configurations: TableProgress;
   readonly servers: TableProgress;
+  /** The version of the configuration that it has in force; 0 where it has none, or does not say. */
+  readonly configurationVersion: number;
   /** How old its newest look at the store is. */
   readonly ageMs: number;
   /** A checksum of the list of daemons that it has; 0 before the first. */
@@ -51,6 +53,7 @@
   #isNews(digest: TableDigest): boolean {
     const told = this.#told;
     if (told === undefined) return true;
+    if (digest.configurationVersion > told.configurationVersion) return true;
     return (
       isAhead(digest.configurations, told.configurations) || isAhead(digest.servers, told.servers)
     );
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -56,6 +56,19 @@
     message: 'the store answered with an older configuration; it is not taken',
     remedy: 'Nothing to do unless it lasts: the store answers stale reads.',
   },
+  configurationBehind: {
+    number: 6019,
+    level: 'warn',
+    message: 'another daemon has a newer configuration in force; it is looked for',
+    remedy:
+      'Nothing to do if 6029 follows soon. Otherwise look whether this daemon reaches the store (6020).',
+  },
+  configurationCaughtUp: {
+    number: 6029,
+    level: 'info',
+    message: 'the newest configuration heard of is in force here too',
+    remedy: 'Nothing to do; behindForMs says for how long another daemon had a newer one.',
+  },
   serverAdded: {
     number: 6013,
     level: 'info',
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -12,6 +12,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { CacheNewsWatchers } from './cache-news-watcher.js';
 import type { FleetView } from './fleet-view.js';
+import { HeardVersion } from './heard-version.js';
 import type { PassedConfiguration } from './peer-messages.js';
 import type { PlatformAdapter, WatchedRow } from './ports.js';
 import type { RelayDigest } from './relay-digest.js';
@@ -76,6 +77,7 @@
   readonly #watches: readonly Watch[];
   readonly #configurations: TableWatcher<GatewayConfiguration>;
   readonly #servers: TableWatcher<ServerRecord>;
+  readonly #heard: HeardVersion;
   readonly #unreadable = new UnreadableRows();
   /** Whether the last rows of servers held one that was not taken. */
   #hasPassedOver = false;
@@ -88,13 +90,17 @@
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
-        takeAll: (rows) => this.#takeConfigurations(rows),
+        takeAll: (rows) => this.#takeAllConfigurations(rows),
         takeChanges: (rows) => this.#takeConfigurations(rows),
         passOn: (changes) => options.passOnConfiguration(changes),
       },
       ...shared,
       gatherMs: GATHER_CONFIGURATIONS_MS,
-      digest: { table: 'configurations', from: digest },
+      digest: {
+        table: 'configurations',
+        from: digest,
+        hasAll: () => this.inForceVersion > 0 && this.inForceVersion >= digest.configurationVersion,
+      },
     });
     const servers = new TableWatcher({
       table: adapter.servers,
@@ -113,6 +119,13 @@
     this.#configurations = configurations;
     this.#servers = servers;
     this.#watches = [configurations, servers];
+    this.#heard = new HeardVersion({
+      inForce: () => this.inForceVersion,
+      look: () => configurations.lookAgain(),
+      graceMs: timing().lookMs,
+      timers,
+      log,
+    });
   }
 
   /** Calls to the store since the start. */
@@ -131,6 +144,22 @@
 
   stop(): void {
     for (const watch of this.#watches) watch.stop();
+    this.#heard.stop();
+  }
+
+  /** The version of the configuration in force; 0 for none. */
+  get inForceVersion(): number {
+    return this.#options.fleet.inForce?.configuration.version ?? 0;
+  }
+
+  /** The newest version that any daemon is known to have in force. */
+  get highestVersion(): number {
+    return this.#heard.highest;
+  }
+
+  /** Another daemon says which version it has in force. */
+  noteVersion(version: number, from: string): void {
+    this.#heard.note(version, from);
   }
 
   /** How old the older of the tables' last answers is. */
@@ -157,21 +186,37 @@
     return address === row.value.address ? { ...row, value: { ...row.value, bornMs } } : row;
   }
 
-  /** A change of the configuration that a relay had from the store. */
-  takePassedConfiguration({ key, encoded, after, revision }: PassedConfiguration): void {
+  /**
+   * A configuration that another daemon had from the store. It is whole and says its own version, which only rises: a
+   * newer one is taken whatever this daemon's own watch has seen, as that may be out of reach of the store.
+   * @returns whether it was newer
+   */
+  takePassedConfiguration({ key, encoded, after, revision }: PassedConfiguration): boolean {
+    const before = this.inForceVersion;
     const row = this.#options.adapter.configurations.decode(key, encoded);
-    if (row.kind === 'value') this.#configurations.offer({ after, revision, rows: [row] });
+    if (row.kind !== 'value' || row.value.version <= before) return false;
+    this.#configurations.offer({ after, revision, rows: [row] });
+    this.#takeConfigurations([row]);
+    return true;
   }
 
   /** What a relay tells its zone of the tables. */
   digestToSend(): Omit<TableDigest, 'peersChecksum'> {
     return {
+      configurationVersion: this.inForceVersion,
       configurations: this.#configurations.progress,
       servers: this.#servers.progress,
       ageMs: Math.round(this.silentMs()),
     };
   }
 
+  /** A newer one spares others a whole read; how their watches go on is theirs to find. */
+  #takeAllConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): boolean {
+    const isNewer = this.#takeConfigurations(rows);
+    if (isNewer) this.#options.passOnConfiguration({ after: 0, revision: 0, rows });
+    return isNewer;
+  }
+
   /** @returns whether there was a newer one among them */
   #takeConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): boolean {
     const before = this.#options.fleet.inForce?.configuration.version;
@@ -203,6 +248,7 @@
         return;
       case 'taken':
         applyLimits(configuration.limits);
+        this.#heard.noteInForce(configuration.version);
         log.write(GATEWAY_EVENTS.configurationInForce, {
           ...fields,
           routes: configuration.routes.length,
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -18,7 +18,7 @@
   readonly fleet: FleetView;
   readonly follower: Pick<
     FleetFollower,
-    'callsTotal' | 'silentMs' | 'unreadableServers' | 'configurationLookAgeMs'
+    'callsTotal' | 'silentMs' | 'unreadableServers' | 'configurationLookAgeMs' | 'highestVersion'
   >;
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
@@ -62,6 +62,11 @@
       help: 'Version in force',
       read: () => fleet.inForce?.configuration.version ?? 0,
     },
+    {
+      name: 'configuration_highest_version',
+      help: 'Newest version that any daemon is known to have in force',
+      read: () => follower.highestVersion,
+    },
     {
       name: 'configuration_look_age_ms',
       help: "Age of the last look for a newer configuration, this daemon's own or its relay's",
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -367,6 +367,8 @@
       noteRelay: (isRelay) => this.#noteRelay(isRelay),
       tableDigest: () => this.#follower.digestToSend(),
       takeConfiguration: (change) => this.#follower.takePassedConfiguration(change),
+      configurationVersion: () => this.#follower.inForceVersion,
+      noteVersion: (version, daemon) => this.#follower.noteVersion(version, daemon),
       takeServers: (changes) => this.#follower.takeServerChanges(changes),
       takeTables: (digest) => this.#digest.take(digest),
       relayPeersChecksum: () => this.#digest.peersChecksum,
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -101,8 +101,12 @@
   readonly relayPeersChecksum: () => number | undefined;
   /** What the zone's relay has seen of them. */
   readonly takeTables: (digest: TableDigest) => void;
-  /** A change of the configuration that the zone's relay had from the store. */
-  readonly takeConfiguration: (change: PassedConfiguration) => void;
+  /** The version of the configuration that this daemon has in force; 0 for none. */
+  readonly configurationVersion: () => number;
+  /** The version that another daemon has in force. */
+  readonly noteVersion: (version: number, daemon: string) => void;
+  /** A configuration that a relay had from the store; says whether it was newer. */
+  readonly takeConfiguration: (change: PassedConfiguration) => boolean;
   /** Changes of servers that the zone's relay had from the store. */
   readonly takeServers: (changes: TableChanges<ServerRecord>) => void;
   /** An engine that another daemon ordered to change its stage. */
@@ -234,15 +238,27 @@
     if (bytes.length <= MOST_PASSED_BYTES) this.#sendTo(roster.zonePeers(), bytes);
   }
 
-  /** As the relay of its zone, passes on a configuration that it had from the store, where it fits. */
+  /**
+   * As the relay of its zone, passes on a configuration that it had from the store, where it fits: to its zone, and to
+   * the relays of the others, which may be out of reach of the store.
+   */
   passOnConfiguration({ after, revision, rows }: TableChanges<unknown>): void {
-    const { zone, roster } = this.#options;
+    const { zone, roster, timers } = this.#options;
     const newest = rows.at(-1);
     if (!this.#relay.isRelay || this.#isStopped || newest?.kind !== 'value') return;
     const { key, encoded } = newest;
     if (encoded === undefined || encoded.length > MOST_PASSED_BYTES) return;
     const change = { after, revision, key, encoded };
-    this.#sendTo(roster.zonePeers(), encodePeerMessage({ kind: 'configuration', zone, change }));
+    const peers = [...roster.zonePeers(), ...roster.otherRelays(timers.nowMs())];
+    this.#sendTo(peers, encodePeerMessage({ kind: 'configuration', zone, change }));
+  }
+
+  /** One from another zone's relay is passed on to the own zone, once. */
+  #takeConfiguration(message: Extract<PeerMessage, { kind: 'configuration' }>): void {
+    const { zone, roster, takeConfiguration } = this.#options;
+    const isNewer = takeConfiguration(message.change);
+    if (!isNewer || !this.#relay.isRelay || message.zone === zone) return;
+    this.#sendTo(roster.zonePeers(), encodePeerMessage({ ...message, zone }));
   }
 
   /** Tells everyone of an engine that changes its stage. */
@@ -281,10 +297,11 @@
 
   #tellOwnWork(peers: readonly PeerDaemon[], { reads, reach }: OwnNews): void {
     if (peers.length === 0) return;
-    const { daemon, incarnation, ownWork, ownDemand } = this.#options;
+    const { daemon, incarnation, ownWork, ownDemand, configurationVersion } = this.#options;
     const head = { daemon, incarnation, sequence: this.#nextSequence() };
     const report = { ...head, work: ownWork(), demand: ownDemand(), reads, reach };
-    const bytes = encodePeerMessage({ kind: 'report', report });
+    const version = configurationVersion();
+    const bytes = encodePeerMessage({ kind: 'report', report, configurationVersion: version });
     if (!this.#changeBudget.tryTake(sizeOnLink(bytes) * peers.length)) return;
     this.#sendTo(peers, bytes);
   }
@@ -323,8 +340,7 @@
 
   #receive(bytes: Buffer, sender: RemoteInfo): void {
     const { daemon, zone, roster, timers } = this.#options;
-    const { takeUsage, takeNews, takeStage, takeTables, takeServers, takeConfiguration } =
-      this.#options;
+    const { takeUsage, takeNews, takeStage, takeTables, takeServers, noteVersion } = this.#options;
     const { takeCrashes, takeLimit } = this.#options;
     const message = decodePeerMessage(bytes);
     const nowMs = timers.nowMs();
@@ -334,6 +350,7 @@
       case 'report':
         if (message.report.daemon === daemon) return;
         roster.heard(message.report.daemon, nowMs);
+        noteVersion(message.configurationVersion, message.report.daemon);
         this.#takeReport(this.#withServerIds(message.report));
         return;
       case 'sums':
@@ -344,10 +361,11 @@
       case 'tables':
         if (message.relay === daemon) return;
         roster.heardRelay(message.relay, message.zone, nowMs);
+        noteVersion(message.digest.configurationVersion, message.relay);
         if (message.zone === zone && !this.#relay.isRelay) takeTables(message.digest);
         return;
       case 'configuration':
-        if (message.zone === zone && !this.#relay.isRelay) takeConfiguration(message.change);
+        this.#takeConfiguration(message);
         return;
       case 'servers':
         if (message.zone === zone && !this.#relay.isRelay) takeServers(message.changes);
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -51,6 +51,7 @@
   readsSchema,
   reachSchema,
   demandSchema,
+  z.optional(z.number()),
 ]);
 export const sumsSchema = z.tuple([
   z.literal(KINDS.sums),
@@ -98,6 +99,7 @@
   progressSchema,
   z.number(),
   z.number(),
+  z.optional(z.number()),
 ]);
 /**
  * Id, service, address, zone, slots, state, stage or nothing, whether it is a spot server; when it started, which
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -117,7 +117,12 @@
 export type PeerMessage =
   | UsageMessage
   | LimitMessage
-  | { readonly kind: 'report'; readonly report: LoadReport }
+  | {
+      readonly kind: 'report';
+      readonly report: LoadReport;
+      /** The version of the configuration that the daemon has in force; 0 where it has none, or does not say. */
+      readonly configurationVersion: number;
+    }
   /** A relay's sums: over all daemons to its own zone, over that zone to the relays of the others. */
   | { readonly kind: 'sums'; readonly zone: string; readonly sums: LoadSums }
   | { readonly kind: 'stage'; readonly notice: StageNotice }
@@ -152,7 +157,7 @@
       const { daemon, incarnation, sequence, work, reads, reach, demand } = message.report;
       const head = [KINDS.report, daemon, incarnation, sequence];
       const news = [encodeReads(reads), reach.map(encodeReach), demand.map(encodeDemand)];
-      return pack([...head, encodeWork(work), ...news]);
+      return pack([...head, encodeWork(work), ...news, message.configurationVersion]);
     }
     case 'sums': {
       const { relay, incarnation, sequence, isWhole, work, reads, reach, demand } = message.sums;
@@ -174,10 +179,11 @@
       return pack([KINDS.configuration, message.zone, after, revision, key, encoded]);
     }
     case 'tables': {
-      const { configurations, servers, ageMs, peersChecksum } = message.digest;
+      const { configurations, servers, ageMs, peersChecksum, configurationVersion } =
+        message.digest;
       const progress = [configurations, servers].map(encodeProgress);
       const head = [KINDS.tables, message.relay, message.zone];
-      return pack([...head, ...progress, ageMs, peersChecksum]);
+      return pack([...head, ...progress, ageMs, peersChecksum, configurationVersion]);
     }
     case 'news':
       return pack([KINDS.news, message.daemon, message.news.map(encodeNews)]);
@@ -209,14 +215,15 @@
   const fields = parsed.data;
   switch (fields[0]) {
     case KINDS.report: {
-      const [, daemon, incarnation, sequence, work, reads, reach, demand] = fields;
+      const [, daemon, incarnation, sequence, work, reads, reach, demand, version] = fields;
       const told = {
         work: decodeWork(work),
         reads: decodeReads(reads),
         reach: reach.map(decodeReach),
         demand: demand.map(decodeDemand),
       };
-      return { kind: 'report', report: { daemon, incarnation, sequence, ...told } };
+      const report = { daemon, incarnation, sequence, ...told };
+      return { kind: 'report', report, configurationVersion: version ?? 0 };
     }
     case KINDS.sums: {
       const [, zone, relay, incarnation, sequence, isWhole, work, reads, reach, demand] = fields;
@@ -244,10 +251,11 @@
       return { kind: 'configuration', zone, change };
     }
     case KINDS.tables: {
-      const [, relay, zone, configurations, servers, ageMs, peersChecksum] = fields;
+      const [, relay, zone, configurations, servers, ageMs, peersChecksum, version] = fields;
       const digest = {
         configurations: decodeProgress(configurations),
         servers: decodeProgress(servers),
+        configurationVersion: version ?? 0,
         ageMs,
         peersChecksum,
       };
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -40,6 +40,7 @@
     this.#digest = {
       configurations: newer(digest.configurations, known?.configurations),
       servers: newer(digest.servers, known?.servers),
+      configurationVersion: Math.max(digest.configurationVersion, known?.configurationVersion ?? 0),
       ageMs: digest.ageMs,
       peersChecksum: digest.peersChecksum,
     };
@@ -51,6 +52,16 @@
     return this.isFresh ? this.#digest?.peersChecksum : undefined;
   }
 
+  /** The version of the configuration that the relay has in force; 0 while it is not known. */
+  get configurationVersion(): number {
+    return this.#digest?.configurationVersion ?? 0;
+  }
+
+  /** How far the relay has followed a table; undefined before its first digest. */
+  progressOf(table: FollowedTable): TableProgress | undefined {
+    return this.#digest?.[table];
+  }
+
   /** Whether the relay has read the table whole, after a disturbance, since a revision. */
   wasReread(table: FollowedTable, revision: number): boolean {
     return (this.#digest?.[table].reread ?? 0) > revision;
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -166,11 +166,14 @@
 
   #tellTables(): void {
     const { daemon, zone, roster, timers, tableDigest, send } = this.#options;
+    const nowMs = timers.nowMs();
     const digest = { ...tableDigest(), peersChecksum: roster.checksum };
-    const audience = this.#digestSchedule.next(digest, timers.nowMs());
+    const audience = this.#digestSchedule.next(digest, nowMs);
     if (audience === 'nobody') return;
     const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, digest });
-    send(audience === 'everyone' ? roster.everyone() : roster.zonePeers(), bytes);
+    // Relays tell each other which version they have: one that believes a stale read learns it from them.
+    const zoneAndRelays = [...roster.zonePeers(), ...roster.otherRelays(nowMs)];
+    send(audience === 'everyone' ? roster.everyone() : zoneAndRelays, bytes);
   }
 
   #tellSums(): void {
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -44,6 +44,8 @@
 export interface DigestSource {
   readonly table: FollowedTable;
   readonly from: RelayDigest;
+  /** Whether this daemon has all that the relay has, whatever either has seen of the table; absent where it can't tell. */
+  readonly hasAll?: () => boolean;
 }
 
 /** What a watcher is built from. */
@@ -75,6 +77,9 @@
 export class TableWatcher<Value> {
   readonly #options: TableWatcherOptions<Value>;
   readonly #stopped = new AbortController();
+  /** Ends a wait or a held call, as there is something to look for, or this watch is stopped. */
+  #interrupt = new AbortController();
+  #mustLook = false;
   #revision: number | undefined;
   #changedRevision = 0;
   #failuresInARow = 0;
@@ -124,14 +129,36 @@
 
   stop(): void {
     this.#stopped.abort();
+    this.#interrupt.abort();
+  }
+
+  /** Reads the table whole as soon as no other such call is under way. */
+  lookAgain(): void {
+    this.#mustLook = true;
+    this.#interrupt.abort();
   }
 
   async #step(): Promise<void> {
+    if (this.#interrupt.signal.aborted) this.#interrupt = new AbortController();
+    if (this.#mustLook) return this.#readAll(false);
+    this.#takeOverProgress();
     if (this.#revision === undefined) return this.#readAll(this.#disturbance !== undefined);
     if (this.#disturbance !== undefined) await this.#recheck(this.#disturbance);
     if (this.#revision !== undefined) return this.#readChanges();
   }
 
+  /** Where this daemon has all that its relay has, it goes on from where the relay has followed the table to. */
+  #takeOverProgress(): void {
+    const { digest } = this.#options;
+    if (digest?.from.isFresh !== true || digest.hasAll?.() !== true) return;
+    const progress = digest.from.progressOf(digest.table);
+    if (progress === undefined) return;
+    this.#wholeRevision = Math.max(this.#wholeRevision, progress.reread);
+    this.#noteChange(progress.changed);
+    this.#advanceTo(progress.seen);
+    this.#disturbance = undefined;
+  }
+
   /** Reads the table whole once more; the relay, where its digest is fresh, does so for the whole zone. */
   async #recheck({ readsLeft, untilMs }: Disturbance): Promise<void> {
     const { digest, timers } = this.#options;
@@ -159,7 +186,10 @@
   /** The whole table, or undefined after a failure. */
   async #readRows(): Promise<Extract<WatchAnswer<Value>, { kind: 'rows' }> | undefined> {
     const { table } = this.#options;
-    const answer = await this.#ask(this.#lookMs, (signal) => table.readAll(signal));
+    this.#mustLook = false;
+    const answer = await this.#ask(this.#lookMs, this.#stopped.signal, (signal) =>
+      table.readAll(signal),
+    );
     if (answer.kind !== 'rows') {
       await this.#handleFailure(answer);
       return undefined;
@@ -191,12 +221,15 @@
     // While reads may be stale this daemon looks for itself.
     if (this.#disturbance === undefined) {
       await this.#awaitDigest();
-      if (this.#stopped.signal.aborted) return;
+      if (this.#interrupt.signal.aborted) return;
       if (this.#wasRereadByRelay) return this.#readAll(false);
     }
     const after = this.#revision ?? 0;
     const answer = await this.#askForChanges(after);
-    if (answer.kind !== 'rows') return this.#handleFailure(answer);
+    if (answer.kind !== 'rows') {
+      // A call that was given up for a look is no word on the store.
+      return this.#mustLook ? undefined : this.#handleFailure(answer);
+    }
     this.#noteSuccess();
     this.#advanceTo(answer.revision);
     if (answer.rows.length === 0) {
@@ -216,14 +249,16 @@
     const isHeld = this.#failuresInARow === 0;
     const waitMs = isHeld ? holdMs : LEAST_HOLD_MS;
     const limitMs = isHeld ? holdMs + ANSWER_SLACK_MS : lookMs;
-    return this.#ask(limitMs, (signal) => table.changesAfter(after, waitMs, signal));
+    return this.#ask(limitMs, this.#interrupt.signal, (signal) =>
+      table.changesAfter(after, waitMs, signal),
+    );
   }
 
   /** Lets changes come together before the next call; the longer they go on, the longer. */
   async #gather(gatherMs: number): Promise<void> {
     this.#gathersInARow = Math.min(MOST_GATHER_GROWTH, this.#gathersInARow + 1);
     await this.#idle(
-      delay(this.#options.timers, gatherMs * this.#gathersInARow, this.#stopped.signal),
+      delay(this.#options.timers, gatherMs * this.#gathersInARow, this.#interrupt.signal),
     );
   }
 
@@ -231,11 +266,12 @@
   async #awaitDigest(): Promise<void> {
     const { digest } = this.#options;
     if (digest === undefined) return;
-    const { signal } = this.#stopped;
+    const { signal } = this.#interrupt;
     await this.#idle(digest.from.whileCurrent(() => this.#isCurrent(digest), signal));
   }
 
   #isCurrent({ table, from }: DigestSource): boolean {
+    this.#takeOverProgress();
     if (this.#wasRereadByRelay) return false;
     this.#revision = from.advance(table, this.#revision ?? 0);
     return !from.hasChanged(table, this.#revision);
@@ -261,10 +297,11 @@
 
   #ask(
     timeoutMs: number,
+    signal: AbortSignal,
     call: (signal: AbortSignal) => Promise<WatchAnswer<Value>>,
   ): Promise<WatchAnswer<Value>> {
     this.callsTotal += 1;
-    return callWithin(this.#options.timers, timeoutMs, this.#stopped.signal, call);
+    return callWithin(this.#options.timers, timeoutMs, signal, call);
   }
 
   /** A stale answer sets nothing back. */
--- a/test/gateway/configuration-in-force.test.ts
+++ b/test/gateway/configuration-in-force.test.ts
@@ -190,8 +190,60 @@
   }
 });
 
-// A daemon that starts while the store answers stale reads under the newest revision believes that it is current, and
-// keeps the older version until the next change, though its relay has the newer one.
+test('a change that the relay passes on is in force at once, also where the own call hangs', async () => {
+  const { fleet: _, ...options } = FLEETS[1];
+  const disturbance = { state: 'silent', lengthMs: 9_000, struck: 'followers' } as const;
+  for (let phase = 0; phase < PHASES; phase += 1) {
+    const fleet = { ...options, documentSize: 'small' } as const;
+    const { slowestMs } = await play(fleet, { ...disturbance, changeMs: -4_000, phase });
+    assert.ok(slowestMs < -3_000, `${slowestMs} ms after the end of the silence`);
+  }
+});
+
+test('a late configuration that another daemon passes on sets nothing back', async () => {
+  const { fleet: _, ...options } = FLEETS[1];
+  const zone = new FollowedZone({ ...options, random: randomOf(2), documentSize: 'small' });
+  await zone.start(37);
+  await zone.timers.passUntil(CALM_MS);
+  const late = { key: 'config', encoded: Buffer.from(String(zone.newestVersion)) };
+  const version = zone.change();
+  await zone.timers.passUntil(CALM_MS + 500);
+  const [, follower] = zone.daemons;
+  assert.equal(follower?.follower.inForceVersion, version);
+  const isNewer = follower?.follower.takePassedConfiguration({
+    ...late,
+    after: 1,
+    revision: 9_999,
+  });
+  assert.equal(isNewer, false);
+  assert.equal(follower?.follower.inForceVersion, version);
+  zone.stop();
+  await zone.timers.passUntil(CALM_MS + 3 * options.contactMs);
+});
+
+test('a relay that believes a stale read learns the version from the relay of another zone', async () => {
+  const { fleet: _, ...options } = FLEETS[1];
+  const zone = new FollowedZone({ ...options, random: randomOf(3), documentSize: 'small' });
+  const [relay] = zone.daemons;
+  assert.ok(relay !== undefined);
+  const version = zone.change();
+  relay.table.staleVersion = version - 1;
+  for (const { table } of zone.daemons) table.staleVersion = version - 1;
+  await zone.start(37);
+  await zone.timers.passUntil(CALM_MS);
+  for (const { table } of zone.daemons) table.staleVersion = undefined;
+  assert.equal(relay.follower.inForceVersion, version - 1);
+  relay.follower.noteVersion(version, 'relay of another zone');
+  await zone.timers.passUntil(CALM_MS + options.contactMs);
+  zone.stop();
+  await zone.timers.passUntil(CALM_MS + 3 * options.contactMs);
+  assert.ok(zone.slowestMs(zone.daemons, version, CALM_MS) <= options.contactMs / 2);
+});
+
+// A daemon that starts while the store answers stale reads under the newest revision believed that it was current, and
+// kept the older version until the next change, though its relay had the newer one: digests said how far the table had
+// moved, and no message said which version is in force. Its log had no line at all between 6010 of the older version and
+// 6010 of the next; it has 6019 and 6029 now.
 test('a daemon whose first read of the table was stale has the version that its relay has', async () => {
   const { fleet: _, ...options } = FLEETS[1];
   const zone = new FollowedZone({ ...options, random: randomOf(1), documentSize: 'small' });
--- a/test/gateway/digest-schedule.test.ts
+++ b/test/gateway/digest-schedule.test.ts
@@ -7,6 +7,7 @@
   configurations: { changed: configurations, seen: configurations, reread: 0 },
   servers: { changed: servers, seen: servers, reread: 0 },
   ageMs: 0,
+  configurationVersion: 0,
   peersChecksum: 1,
 });
 
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -140,7 +140,7 @@
 test('messages are read as they were written, and what is none is passed over', () => {
   const news = [{ engineId: 'e', isReset: true, events: [{ partId: 'p', tokens: 3 }] }];
   const messages = [
-    { kind: 'report', report: report({ reads: [READ] }) },
+    { kind: 'report', report: report({ reads: [READ] }), configurationVersion: 7 },
     { kind: 'sums', zone: 'z', sums: sums({ reads: [READ] }) },
     { kind: 'news', daemon: 'a', news },
     {
@@ -164,6 +164,7 @@
         configurations: { changed: 1, seen: 7, reread: 0 },
         servers: { changed: 2, seen: 8, reread: 6 },
         ageMs: 3,
+        configurationVersion: 7,
         peersChecksum: 9,
       },
     },
@@ -201,6 +202,8 @@
 };
 /** Streams of one daemon; more are the sum of two. */
 const LARGEST_OWN = 2;
+/** Of the configuration that all daemons of a test have in force. */
+const VERSION = 7;
 const SILENT_LOG = { write: () => undefined };
 
 /** A daemon's exchange whose scans and received messages a test can wait for. */
@@ -218,6 +221,8 @@
   const informed = deferred<EngineNews>();
   const changed = deferred<number>();
   const listed = deferred<number>();
+  const versioned = deferred<number>();
+  const configured = deferred<number>();
   const noticed = deferred<ReadNotice>();
   const loads = new PeerLoads();
   const speed = new ReadSpeed(true);
@@ -242,13 +247,19 @@
     tableDigest: () => ({
       configurations: { changed: 3, seen: 3, reread: 0 },
       servers: { changed: 4, seen: 4, reread: 0 },
+      configurationVersion: VERSION,
       ageMs: 5,
     }),
     relayPeersChecksum: () => undefined,
     takeTables: () => undefined,
     takeServers: ({ rows }) => changed.resolve(rows.length),
     takeReach: found.resolve,
-    takeConfiguration: () => undefined,
+    configurationVersion: () => VERSION,
+    noteVersion: (version) => versioned.resolve(version),
+    takeConfiguration: ({ revision }) => {
+      configured.resolve(revision);
+      return true;
+    },
     takeStage: () => undefined,
     takeNews: informed.resolve,
     takeUsage: () => undefined,
@@ -273,7 +284,21 @@
       zoneDemand: (own, nowMs) => loads.zoneDemand(own, nowMs),
     },
   });
-  return { exchange, roster, reported, summed, relayed, found, informed, changed, listed, noticed };
+  return {
+    name,
+    exchange,
+    roster,
+    reported,
+    summed,
+    relayed,
+    found,
+    informed,
+    changed,
+    listed,
+    noticed,
+    versioned,
+    configured,
+  };
 }
 
 test('daemons find each other by the store and tell what changed', async () => {
@@ -293,6 +318,7 @@
   const expected = { daemon: 'b', incarnation: 1, sequence: 1, work: report().work };
   assert.deepEqual(told, { ...expected, reads: [READ], reach: [], demand: [] });
   assert.deepEqual(await listener.noticed.promise, READ);
+  assert.equal(await listener.versioned.promise, VERSION);
 });
 
 /** Rows of daemons that do not answer, so that the fleet is a large one. */
@@ -351,6 +377,24 @@
   assert.equal(count, 100);
 });
 
+test('a configuration that a relay had from the store reaches another zone through its relay', async () => {
+  const { timers, both, relay, other } = await startedZone();
+  const table = new SharedTable();
+  fillWithOthers(table);
+  const elsewhere = exchangeOf('c', 'y', timers, table, []);
+  elsewhere.exchange.start();
+  await settledBy(elsewhere.listed.promise, timers);
+  timers.advance(1_000);
+  const addresses = both.flatMap(({ roster }) => roster.zonePeers());
+  elsewhere.roster.replace([...elsewhere.roster.everyone(), ...addresses], timers.nowMs());
+  elsewhere.roster.heardRelay(relay.name, 'z', timers.nowMs());
+  timers.advance(1_000);
+  const rows = [{ kind: 'value', key: 'config', value: {}, encoded: Buffer.from('{}') }] as const;
+  elsewhere.exchange.passOnConfiguration({ after: 1, revision: 2, rows });
+  assert.equal(await settledBy(other.configured.promise, timers), 2);
+  for (const { exchange } of [...both, elsewhere]) exchange.stop();
+});
+
 /** Lets time pass until a promise is settled. */
 async function settledBy<Value>(promise: Promise<Value>, timers: ManualTimers): Promise<Value> {
   let isSettled = false;
--- a/test/gateway/server-lives.test.ts
+++ b/test/gateway/server-lives.test.ts
@@ -120,6 +120,7 @@
       configurations: progress,
       servers: progress,
       ageMs: 0,
+      configurationVersion: 0,
       peersChecksum: 0,
     });
   }
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -304,7 +304,10 @@
     const digest: TableDigest = { ...relay.follower.digestToSend(), peersChecksum: 1 };
     if (this.#schedule.next(digest, this.timers.nowMs()) !== 'nobody') {
       this.timers.after(DATAGRAM_MS, () => {
-        for (const follower of followers) follower.digest.take(digest);
+        for (const { digest: heard, follower } of followers) {
+          follower.noteVersion(digest.configurationVersion, 'relay');
+          heard.take(digest);
+        }
       });
     }
     this.timers.after(RELAY_TICK_MS, () => this.#tell());
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -137,6 +137,7 @@
   configurations: { changed: 0, seen: 0, reread: 0 },
   servers: { changed, seen, reread },
   ageMs,
+  configurationVersion: 0,
   peersChecksum: 1,
 });
 
