Failing test: a change that falls into a lost history never comes into force where stale reads last

Symptom: a change made while held calls heard nothing, then the history is lost and whole reads answer as of before the change.

--- a/test/gateway/configuration-in-force.test.ts
+++ b/test/gateway/configuration-in-force.test.ts
@@ -190,6 +190,32 @@
   }
 });
 
+// A change was made while the store told no held call of it, then the history was lost, and whole reads answered as of
+// before the change for longer than a table was read again: all believed to be current, and kept the older version until
+// the next change. A table was read again for 1.5 times the time to be in touch; stale reads of 9 s outlast that.
+test('a change that falls into a lost history is in force in time after reads are stale no more', async () => {
+  const late: string[] = [];
+  for (const { fleet, ...options } of FLEETS.slice(0, 2)) {
+    for (const staleMs of [1_000, 3_000, 6_000, 9_000, 12_000]) {
+      const zone = new FollowedZone({ ...options, random: randomOf(4), documentSize: 'small' });
+      await zone.start(37);
+      await zone.timers.passUntil(CALM_MS);
+      for (const { table } of zone.daemons) table.staleVersion = zone.newestVersion;
+      const version = zone.changeInGap();
+      const endMs = CALM_MS + staleMs;
+      await zone.timers.passUntil(endMs);
+      for (const { table } of zone.daemons) table.staleVersion = undefined;
+      await zone.timers.passUntil(endMs + 2 * options.contactMs);
+      zone.stop();
+      await zone.timers.passUntil(endMs + 4 * options.contactMs);
+      const slowestMs = zone.slowestMs(zone.daemons, version, endMs);
+      if (slowestMs > options.contactMs)
+        late.push(`${fleet}, stale for ${staleMs}: ${slowestMs} ms`);
+    }
+  }
+  assert.deepEqual(late, []);
+});
+
 test('a change that the relay passes on is in force at once, also where the own call hangs', async () => {
   const { fleet: _, ...options } = FLEETS[1];
   const disturbance = { state: 'silent', lengthMs: 9_000, struck: 'followers' } as const;
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -38,6 +38,8 @@
 class ConfigurationTable {
   revision = 1;
   version = 1;
+  /** Changes before this revision are forgotten. */
+  historyFrom = 0;
   readonly #timers: VirtualTimers;
   readonly #changed = new Set<() => void>();
 
@@ -48,6 +50,21 @@
   change(): void {
     this.revision += 3;
     this.version += 1;
+    this.#answer();
+  }
+
+  /** A change that held calls are not told of before they are cut. */
+  changeUnheard(): void {
+    this.revision += 3;
+    this.version += 1;
+  }
+
+  forgetHistory(): void {
+    this.historyFrom = this.revision;
+    this.#answer();
+  }
+
+  #answer(): void {
     for (const answer of [...this.#changed]) answer();
   }
 
@@ -151,6 +168,7 @@
   ): Promise<WatchAnswer<GatewayConfiguration>> {
     return this.#door.call(signal, async () => {
       if (this.#table.revision <= after) await this.#table.changed(waitMs);
+      if (after < this.#table.historyFrom) return { kind: 'history-lost' };
       if (this.#table.revision > after) return this.#rows(this.#table.version);
       return { kind: 'rows', rows: [], revision: this.#table.revision };
     });
@@ -276,6 +294,13 @@
     return this.#table.version;
   }
 
+  /** The operator writes a version, held calls do not hear of it, and then the history is lost. */
+  changeInGap(): number {
+    this.#table.changeUnheard();
+    this.#table.forgetHistory();
+    return this.#table.version;
+  }
+
   shut(daemons: readonly FollowingDaemon[], state: DoorState): void {
     for (const { door } of daemons) door.set(state);
   }
