After a lost history tables are read again for as long as reads may be stale

Callers saw routes missing for as long as nothing else changed, in whole zones, with no line in the log. Cause: a change made while held calls heard nothing falls into the history that is lost then; whole reads may answer as of before it, under the newest revision, and the table was read again for 1.5 times contactMs only. A relay reads for its zone, so zones were struck that missed the last read by little. Now the table is read again for 4.5 times contactMs, ever more seldom, after a cut for 1.5 times as before; and after a cut the feed is asked first, which says whether the history was lost, in place of a whole read that hid it. Why it holds: a read comes within a held call and an eighth of the time that reads were stale.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -21,7 +21,7 @@
 import { type TableChanges, TableWatcher } from './table-watcher.js';
 import type { TimerService, WallClock } from './timer-service.js';
 import { UnreadableRows } from './unreadable-rows.js';
-import type { WatchTiming } from './watch-timing.js';
+import type { RecheckSpans, WatchTiming } from './watch-timing.js';
 
 /**
  * Many servers change together, when a fleet starts or is replaced. Each daemon asks once for those
@@ -51,8 +51,8 @@
   readonly cacheNews: CacheNewsWatchers;
   /** The times of the watches, by what this daemon does for the others. */
   readonly timing: () => WatchTiming;
-  /** After the store has lost its history, reads may be stale for so long. */
-  readonly recheckSpanMs: number;
+  /** For how long tables are read whole again, as reads may be stale. */
+  readonly recheckSpans: RecheckSpans;
   /** From 0 to below 1, to spread what many daemons do. */
   readonly random: () => number;
   /** Changes of servers that came from the store itself. */
@@ -84,9 +84,9 @@
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
-    const { adapter, timing, recheckSpanMs, random, timers, log, digest } = options;
+    const { adapter, timing, recheckSpans, random, timers, log, digest } = options;
     const retryTurns = new RetryTurns(timers);
-    const shared = { timing, recheckSpanMs, random, retryTurns, timers, log };
+    const shared = { timing, recheckSpans, random, retryTurns, timers, log };
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -36,7 +36,7 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
-import { digestAgeMs, recheckSpanMs, type WatchRole, watchTiming } from './watch-timing.js';
+import { digestAgeMs, recheckSpans, type WatchRole, watchTiming } from './watch-timing.js';
 import { WebWork } from './web-work.js';
 
 /** The platform looks twice, a second apart, before it sends no more connections. */
@@ -177,7 +177,7 @@
       fleet: this.#fleet,
       cacheNews: this.#cacheNews,
       timing: () => watchTiming(this.#watchRole, settings.bounds.contactMs),
-      recheckSpanMs: recheckSpanMs(settings.bounds.contactMs),
+      recheckSpans: recheckSpans(settings.bounds.contactMs),
       random: Math.random,
       digest: this.#digest,
       passOnConfiguration: (changes) => this.#peers?.passOnConfiguration(changes),
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -1,7 +1,7 @@
 /**
  * Follows one table of the platform's store: read whole, then change by change. When the store has lost
- * the history, or cut a call that it held, the table is read whole, and for a while again some times, since
- * reads may be stale then. A store that only refused a call is asked again from where the table was left.
+ * the history the table is read whole, and for a while again some times, since reads may be stale then; for a
+ * shorter while when a call was cut. A store that only refused a call is asked again from where the table was left.
  *
  * While the relay of the zone says how far the table has changed, the store is asked only where it has, and
  * read whole where the relay had to.
@@ -13,14 +13,22 @@
 import type { GatewayLog } from './request-log.js';
 import type { RetryTurns } from './retry-turns.js';
 import { callWithin, delay, type TimerService } from './timer-service.js';
-import { ANSWER_SLACK_MS, FIRST_RETRY_SHARE, type WatchTiming } from './watch-timing.js';
+import {
+  ANSWER_SLACK_MS,
+  FIRST_RETRY_SHARE,
+  type RecheckSpans,
+  type WatchTiming,
+} from './watch-timing.js';
 
 /** Retries of many daemons are spread over this part of their wait. */
 const RETRY_SPREAD = 0.3;
 /** After a call that failed the store is asked to hold none: any answer says that it is back. */
 const LEAST_HOLD_MS = 1;
-/** Whole reads after a disturbance, at most. */
-const MOST_WHOLE_READS = 8;
+/**
+ * Whole reads after a disturbance: reads may be stale then, for how long nobody says. They come ever more seldom, so
+ * the first that is stale no more comes within a held call and an eighth of the time that they were.
+ */
+const RECHECK_GAP_SHARE = 1 / 8;
 /** Changes that go on are gathered for longer each time, up to this many times the first. */
 const MOST_GATHER_GROWTH = 3;
 
@@ -57,8 +65,8 @@
   readonly digest?: DigestSource;
   /** Changes that come within this time of each other are taken in one call; 0 takes each at once. */
   readonly gatherMs: number;
-  /** Whole reads after a disturbance go on for this long. */
-  readonly recheckSpanMs: number;
+  /** For how long a table is read whole again. */
+  readonly recheckSpans: RecheckSpans;
   /** From 0 to below 1, to spread the retries of many daemons. */
   readonly random: () => number;
   /** Shared by all watches of this daemon. */
@@ -67,9 +75,10 @@
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
-/** Since the history was lost or a call was cut: how often and until when to read the table whole. */
+/** Since the history was lost or a call was cut: when to read the table whole again, and until when. */
 interface Disturbance {
-  readonly readsLeft: number;
+  readonly sinceMs: number;
+  readonly nextReadMs: number;
   readonly untilMs: number;
 }
 
@@ -143,7 +152,9 @@
     if (this.#mustLook) return this.#readAll(false);
     this.#takeOverProgress();
     if (this.#revision === undefined) return this.#readAll(this.#disturbance !== undefined);
-    if (this.#disturbance !== undefined) await this.#recheck(this.#disturbance);
+    // After a cut the feed is asked first: it says whether the history was lost.
+    const isAnswered = this.#failuresInARow === 0;
+    if (this.#disturbance !== undefined && isAnswered) await this.#recheck(this.#disturbance);
     if (this.#revision !== undefined) return this.#readChanges();
   }
 
@@ -160,14 +171,17 @@
   }
 
   /** Reads the table whole once more; the relay, where its digest is fresh, does so for the whole zone. */
-  async #recheck({ readsLeft, untilMs }: Disturbance): Promise<void> {
+  async #recheck({ sinceMs, nextReadMs, untilMs }: Disturbance): Promise<void> {
     const { digest, timers } = this.#options;
     if (digest?.from.isFresh === true) {
       this.#disturbance = undefined;
       return;
     }
-    const isLast = readsLeft <= 1 || timers.nowMs() >= untilMs;
-    this.#disturbance = isLast ? undefined : { readsLeft: readsLeft - 1, untilMs };
+    const nowMs = timers.nowMs();
+    if (nowMs < nextReadMs) return;
+    const isLast = nowMs >= untilMs;
+    const gapMs = (nowMs - sinceMs) * RECHECK_GAP_SHARE;
+    this.#disturbance = isLast ? undefined : { sinceMs, nextReadMs: nowMs + gapMs, untilMs };
     const answer = await this.#readRows();
     if (answer === undefined) return;
     // Changes go on from where they were followed to: what this read has taken up is still to be passed on.
@@ -327,11 +341,12 @@
     if (this.#stopped.signal.aborted) return;
     const { log, table } = this.#options;
     if (answer.kind === 'history-lost') {
-      this.#noteDisturbance();
+      this.#revision = undefined;
+      this.#noteDisturbance(this.#options.recheckSpans.historyLostMs);
       log.write(GATEWAY_EVENTS.historyLost, { table: table.name });
       return;
     }
-    if (!answer.wasRefused) this.#noteDisturbance();
+    if (!answer.wasRefused) this.#noteDisturbance(this.#options.recheckSpans.cutMs);
     this.#failuresInARow += 1;
     if (this.#failuresInARow === 1) {
       log.write(GATEWAY_EVENTS.watchLost, { table: table.name, reason: answer.reason });
@@ -339,13 +354,11 @@
     await this.#backOff();
   }
 
-  #noteDisturbance(): void {
-    const { timers, recheckSpanMs } = this.#options;
-    this.#revision = undefined;
-    this.#disturbance = {
-      readsLeft: MOST_WHOLE_READS,
-      untilMs: timers.nowMs() + recheckSpanMs,
-    };
+  /** A longer one that is under way goes on. */
+  #noteDisturbance(spanMs: number): void {
+    const sinceMs = this.#options.timers.nowMs();
+    const untilMs = Math.max(sinceMs + spanMs, this.#disturbance?.untilMs ?? 0);
+    this.#disturbance = { sinceMs, nextReadMs: sinceMs, untilMs };
   }
 
   /** A fresh digest of the relay ends the wait, as it may say that there is nothing to ask for. */
--- a/src/shell/gateway/watch-timing.ts
+++ b/src/shell/gateway/watch-timing.ts
@@ -45,9 +45,10 @@
 const LONGEST_RETRY_MS = 500;
 const FOLLOWER_RETRY_SHARE_OF_CONTACT = 0.225;
 const DIGEST_AGE_SHARE_OF_CONTACT = 0.45;
-/** A store that has lost its history may answer stale reads; the last whole read is well before this daemon
- * counts as in touch again, which it does so long after they are over. */
-const RECHECK_SHARE_OF_CONTACT = 1.5;
+/** After a cut that lost no history. */
+const CUT_RECHECK_SHARE_OF_CONTACT = 1.5;
+/** A store that has lost its history may answer stale reads for several times as long as daemons need to be in touch. */
+const HISTORY_RECHECK_SHARE_OF_CONTACT = 4.5;
 
 /** The times of a role's watches. */
 export function watchTiming(role: WatchRole, contactMs: number): WatchTiming {
@@ -93,7 +94,15 @@
   return contactMs * DIGEST_AGE_SHARE_OF_CONTACT;
 }
 
-/** For how long a table is read whole again after a disturbance. */
-export function recheckSpanMs(contactMs: number): number {
-  return contactMs * RECHECK_SHARE_OF_CONTACT;
+/** For how long a table is read whole again, by what has happened to it. */
+export interface RecheckSpans {
+  readonly cutMs: number;
+  readonly historyLostMs: number;
+}
+
+export function recheckSpans(contactMs: number): RecheckSpans {
+  return {
+    cutMs: contactMs * CUT_RECHECK_SHARE_OF_CONTACT,
+    historyLostMs: contactMs * HISTORY_RECHECK_SHARE_OF_CONTACT,
+  };
 }
--- a/test/gateway/server-lives.test.ts
+++ b/test/gateway/server-lives.test.ts
@@ -73,7 +73,7 @@
       fleet: this.fleet,
       cacheNews: cacheNews as never,
       timing: () => ({ ...TIMING, holdMs: 1_000 }),
-      recheckSpanMs: 0,
+      recheckSpans: { cutMs: 0, historyLostMs: 0 },
       random: Math.random,
       passOnServers: ({ rows }) => this.passedOn.push(rows.length),
       passOnConfiguration: () => undefined,
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -19,7 +19,7 @@
 import type { TableChanges } from '../../../src/shell/gateway/table-watcher.js';
 import {
   digestAgeMs,
-  recheckSpanMs,
+  recheckSpans,
   type WatchRole,
   watchTiming,
 } from '../../../src/shell/gateway/watch-timing.js';
@@ -228,7 +228,7 @@
       fleet: this.fleet,
       cacheNews: { add: () => undefined, remove: () => undefined, renew: () => undefined } as never,
       timing: () => watchTiming(role, contactMs),
-      recheckSpanMs: recheckSpanMs(contactMs),
+      recheckSpans: recheckSpans(contactMs),
       random,
       passOnServers: () => undefined,
       passOnConfiguration: passOn,
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -52,7 +52,7 @@
     random: Math.random,
     retryTurns: new RetryTurns(timers),
     gatherMs,
-    recheckSpanMs: 6_000,
+    recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
     timers,
     log: { write: () => undefined },
   });
@@ -126,7 +126,7 @@
     retryTurns: new RetryTurns(timers),
     digest: { table: 'servers', from: digest },
     gatherMs: GATHER_MS,
-    recheckSpanMs: 6_000,
+    recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
     timers,
     log: { write: () => undefined },
   });
