Soak: routes come and go around the end of outages, and each daemon is asked for them

The operator adds, drops and times out routes in series; each daemon is asked directly on the newest, the last dropped and one never there, and a 404 or a served dropped route is judged from the acknowledgement, in touch, and against going back within a life. A plan of outages of 15 to 60 s for all or most daemons. Held calls are swallowed by a store that falls silent. Seeds' earlier faults stay; route changes are drawn apart.

--- a/soak/configuration.ts
+++ b/soak/configuration.ts
@@ -47,6 +47,14 @@
 const SLACK_OF_DAEMON = 2.2;
 const LEAST_SLACK = 50;
 
+/** A route that comes and goes; callers send nothing there, daemons are asked whether they have it. */
+interface AddedRoute {
+  readonly pathPrefix: string;
+  readonly timeoutMs: number;
+}
+
+const ADDED_TIMEOUT_MS = 1_000;
+
 /** The bounds that a fleet of so many daemons is set to and judged by. */
 export function boundsOf(daemons: number): SoakBounds {
   return { ...BOUNDS, budgetSlack: Math.max(LEAST_SLACK, daemons * SLACK_OF_DAEMON) };
@@ -58,6 +66,9 @@
   readonly #store: PlatformStore;
   #isRevoked = false;
   #webService: string = WEB_SERVICES[0];
+  #addedRoutes: readonly AddedRoute[] = [];
+  #routesAddedTotal = 0;
+  #lastDropped: string | undefined;
 
   constructor(store: PlatformStore) {
     this.#store = store;
@@ -73,12 +84,39 @@
       case 'revoke-key':
         this.#isRevoked = !this.#isRevoked;
         break;
+      case 'add-route':
+        this.#addRoute();
+        break;
+      case 'drop-route': {
+        const [oldest, ...others] = this.#addedRoutes;
+        this.#addedRoutes = others;
+        this.#lastDropped = oldest?.pathPrefix ?? this.#lastDropped;
+        break;
+      }
+      case 'time-route':
+        this.#addedRoutes = this.#addedRoutes.map((route) => ({
+          ...route,
+          timeoutMs: route.timeoutMs + 1,
+        }));
+        break;
       case 'idle':
         break;
     }
     this.#write();
   }
 
+  /** The route that was added last and the one that was dropped last, by their prefixes. */
+  get recentRoutes(): { readonly added: string | undefined; readonly dropped: string | undefined } {
+    return { added: this.#addedRoutes.at(-1)?.pathPrefix, dropped: this.#lastDropped };
+  }
+
+  /** Its prefix is one that no version had before. */
+  #addRoute(): void {
+    this.#routesAddedTotal += 1;
+    const pathPrefix = `/added-${this.#routesAddedTotal}/`;
+    this.#addedRoutes = [...this.#addedRoutes, { pathPrefix, timeoutMs: ADDED_TIMEOUT_MS }];
+  }
+
   #write(): void {
     const version = (this.versions.at(-1)?.version ?? 0) + 1;
     const serviceOf = new Map(
@@ -86,9 +124,10 @@
     );
     const keys = this.#isRevoked ? KEYS : CALLERS_KEYS;
     const tenantOfKey = new Map(keys.map(({ key, tenant }) => [key, tenant]));
-    const document = configurationDocument(version, serviceOf, keys);
+    const document = configurationDocument(version, serviceOf, keys, this.#addedRoutes);
+    const addedRoutes = new Set(this.#addedRoutes.map(({ pathPrefix }) => pathPrefix));
     this.#store.put(TABLES.operator, TABLES.configurationKey, document);
-    this.versions.push({ version, ackMs: performance.now(), serviceOf, tenantOfKey });
+    this.versions.push({ version, ackMs: performance.now(), serviceOf, tenantOfKey, addedRoutes });
   }
 }
 
@@ -106,6 +145,7 @@
   version: number,
   serviceOf: ReadonlyMap<string, string>,
   keys: readonly { readonly key: string; readonly tenant: string }[],
+  addedRoutes: readonly AddedRoute[],
 ): unknown {
   const engine = {
     slots: 24,
@@ -117,18 +157,27 @@
   };
   return {
     version,
-    routes: CLASSES.map((requestClass) => ({
-      name: requestClass.name,
-      host: HOST,
-      pathPrefix: requestClass.pathPrefix,
-      kind: requestClass.kind === 'non-idempotent' ? 'non_idempotent' : requestClass.kind,
-      timeoutMs: requestClass.timeoutMs,
-      targetLatencyMs: requestClass.targetLatencyMs,
-      priority: 1,
-      attempts: requestClass.attempts,
-      resumable: requestClass.kind === 'streaming',
-      service: serviceOf.get(requestClass.name),
-    })),
+    routes: [
+      ...CLASSES.map((requestClass) => ({
+        name: requestClass.name,
+        host: HOST,
+        pathPrefix: requestClass.pathPrefix,
+        kind: requestClass.kind === 'non-idempotent' ? 'non_idempotent' : requestClass.kind,
+        timeoutMs: requestClass.timeoutMs,
+        targetLatencyMs: requestClass.targetLatencyMs,
+        priority: 1,
+        attempts: requestClass.attempts,
+        resumable: requestClass.kind === 'streaming',
+        service: serviceOf.get(requestClass.name),
+      })),
+      ...addedRoutes.map((route) => ({
+        ...route,
+        name: route.pathPrefix,
+        host: HOST,
+        kind: 'idempotent',
+        service: WEB_SERVICES[0],
+      })),
+    ],
     services: [
       { name: MODEL, maxConnections: 1_000, engine },
       ...WEB_SERVICES.map((name) => ({ name, maxConnections: 1_000 })),
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -2,7 +2,7 @@
 /** Entry point of the soak: real gateway processes under faults from outside, judged by the fleet's promises. */
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { MUTATIONS, type Mutation } from './mutations.js';
-import { planHerd, planSoak, type SoakPlan, type SoakSize } from './plan.js';
+import { planHerd, planOutages, planSoak, type SoakPlan, type SoakSize } from './plan.js';
 import { runSoak, type SoakResult } from './run.js';
 
 const EXIT_BROKEN = 1;
@@ -33,6 +33,10 @@
       ['A minute of a seed', '$0 --seconds 60 --seed 7'],
       ['Ten seeds of half a minute', '$0 --seconds 30 --seed 100 --seeds 10'],
       ['All processes killed together, twice', '$0 --plan herd --daemons 59 --seconds 26 --seed 1'],
+      [
+        'The store away for long',
+        '$0 --plan outages --daemons 60 --rate 120 --seconds 90 --seed 1',
+      ],
       ['Show that a fault would be found', '$0 --seconds 30 --seed 7 --without budget'],
     ],
   });
@@ -42,7 +46,7 @@
   seeds = Option.String('--seeds', '1', { description: 'how many seeds, one after another' });
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
-  plan = Option.String('--plan', 'mixed', { description: 'mixed or herd' });
+  plan = Option.String('--plan', 'mixed', { description: 'mixed, herd or outages' });
   without = Option.String('--without', { description: 'a protection to take away' });
 
   override async execute(): Promise<number> {
@@ -66,8 +70,9 @@
       const names = MUTATIONS.map(({ name }) => name).join(', ');
       throw new Error(`--without: found ${this.without}; give one of ${names}`);
     }
-    const planOf = { mixed: planSoak, herd: planHerd }[this.plan];
-    if (planOf === undefined) throw new Error(`--plan: found ${this.plan}; give mixed or herd`);
+    const planOf = { mixed: planSoak, herd: planHerd, outages: planOutages }[this.plan];
+    if (planOf === undefined)
+      throw new Error(`--plan: found ${this.plan}; give mixed, herd or outages`);
     return {
       firstSeed: wholeNumber('--seed', this.seed),
       seeds: wholeNumber('--seeds', this.seeds),
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -5,6 +5,7 @@
 import { PATHS } from '../platform/names.js';
 import { CRASHING_MARK, EVENT_GAP_MS, eventText, wholeBody } from './answers.js';
 import { limitFaults } from './judge-limits.js';
+import { routeFaults } from './judge-routes.js';
 import type { Arrival, CallRecord, Disturbance, RunRecord, Scope } from './record.js';
 
 /** What is promised; docs/SOAK.md says each in a sentence. */
@@ -66,6 +67,7 @@
     ...judgeLeavingAnswers(calls, run),
     ...judgeRests(calls, run),
     ...judgeLimits(calls, run),
+    ...judgeRoutes(run),
     ...judgeBudget(calls, run),
     ...judgeGone(calls, run),
     ...judgeOrders(run),
@@ -254,6 +256,12 @@
   return limitFaults(calls, run, isDisturbedIn).map((fault) => ({ promise: 'LIMIT', ...fault }));
 }
 
+/** Daemons in touch go by no version that was replaced too long ago, and none goes back within a life. */
+function judgeRoutes(run: RunRecord): readonly Violation[] {
+  const faults = routeFaults(run, (daemon, fromMs, toMs) => isInTouch(run, daemon, fromMs, toMs));
+  return faults.map((fault) => ({ promise: 'CONFIG', ...fault }));
+}
+
 function judgeLost(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const lost = calls.filter((call) => isLost(call, run));
   if (lost.length <= LOST_MOST) return [];
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -41,7 +41,14 @@
 export type DutyFault = 'unavailable' | 'too-many' | 'lose-answers';
 
 /** What the operator changes. */
-export type Change = 'move-route' | 'revoke-key' | 'idle';
+export type Change =
+  | 'move-route'
+  | 'revoke-key'
+  | 'idle'
+  /** Routes beside those that callers use. */
+  | 'add-route'
+  | 'drop-route'
+  | 'time-route';
 
 /** One fault or planned change. */
 export type Fault =
@@ -163,6 +170,14 @@
 const SERVERS_SALT = 0x5107;
 const WORDS_SALT = 0x4057;
 const LIMITS_SALT = 0x1137;
+const ROUTES_SALT = 0x2077;
+const ROUTE_CHANGES = ['add-route', 'add-route', 'drop-route', 'time-route'] as const;
+/** Changes come around the end of what strikes the store, in series. */
+const MOST_CHANGES_AT_END = 3;
+const EARLIEST_CHANGE_MS = -400;
+const LATEST_CHANGE_MS = 900;
+const LEAST_ROUTE_GAP_MS = 2_000;
+const MOST_ROUTE_GAP_MS = 6_000;
 const LEAST_LIMIT_GAP_MS = 5_000;
 const MOST_LIMIT_GAP_MS = 12_000;
 const LIMITS_PER_SECOND = [0, 0.2, 0.5, 1, 1.2, 2, 3.8, 5, 12, 1_000] as const;
@@ -350,6 +365,7 @@
       ...restarts,
       ...drawWords(seed, size, endMs),
       ...drawLimits(seed, size, endMs),
+      ...drawRouteChanges(seed, faults, endMs),
     ].sort((left, right) => left.atMs - right.atMs),
     crashing: drawCrashing(seed, endMs),
   };
@@ -415,6 +431,33 @@
   return limits;
 }
 
+/** Routes that come and go: now and then, and around the end of each fault of the store; drawn apart as well. */
+function drawRouteChanges(
+  seed: number,
+  faults: readonly TimedFault[],
+  endMs: number,
+): readonly TimedFault[] {
+  const dice = new Dice(seed ^ ROUTES_SALT);
+  const times: number[] = [];
+  for (let atMs = FIRST_FAULT_MS; atMs < endMs; ) {
+    times.push(atMs);
+    atMs += dice.between(LEAST_ROUTE_GAP_MS, MOST_ROUTE_GAP_MS);
+  }
+  for (const { atMs, fault } of faults) {
+    if (!fault.kind.startsWith('store-')) continue;
+    const faultEndMs = atMs + ('forMs' in fault ? fault.forMs : 0);
+    const count = dice.whole(1, MOST_CHANGES_AT_END);
+    for (let index = 0; index < count; index += 1) {
+      times.push(faultEndMs + dice.between(EARLIEST_CHANGE_MS, LATEST_CHANGE_MS));
+    }
+  }
+  const within = times.filter((atMs) => atMs < endMs);
+  return within.map((atMs) => {
+    const fault: Fault = { kind: 'change', change: dice.pick(ROUTE_CHANGES) };
+    return { atMs: Math.round(atMs), fault };
+  });
+}
+
 /** Drawn apart as well. */
 function drawServers(seed: number, { engines, webServers }: SoakSize): ServerTraits {
   const dice = new Dice(seed ^ SERVERS_SALT);
@@ -432,6 +475,34 @@
   }));
 }
 
+const LEAST_OUTAGE_MS = 15_000;
+const MOST_OUTAGE_MS = 60_000;
+const LEAST_CALM_MS = 7_000;
+const MOST_CALM_MS = 10_000;
+
+/**
+ * The plan of a store that is out of reach for long, once or more, for all daemons or for most, and back for all at one
+ * moment; the configuration changes around it.
+ */
+export function planOutages(seed: number, size: SoakSize): SoakPlan {
+  const dice = new Dice(seed);
+  const endMs = size.seconds * 1_000 - CALM_END_MS;
+  const faults: TimedFault[] = [];
+  for (let atMs = FIRST_FAULT_MS; endMs - atMs >= LEAST_OUTAGE_MS; ) {
+    const forMs = dice.between(LEAST_OUTAGE_MS, Math.min(MOST_OUTAGE_MS, endMs - atMs));
+    const how = dice.pick(STORE_REFUSALS);
+    const daemons = dice.some(size.daemons, dice.pick([0.5, 0.9, 1]));
+    const fault: Fault = dice.chance(0.4)
+      ? { kind: 'store-down', how, forMs }
+      : { kind: 'store-refuses', daemons, how, forMs };
+    faults.push({ atMs: Math.round(atMs), fault });
+    atMs += forMs + dice.between(LEAST_CALM_MS, MOST_CALM_MS);
+  }
+  const changes = drawRouteChanges(seed, faults, size.seconds * 1_000 - CALM_END_MS / 2);
+  const servers = { webSlots: PLAIN_SLOTS, paces: [] };
+  return { seed, size, servers, faults: [...faults, ...changes], crashing: [] };
+}
+
 /**
  * The plan of a fleet that is asked for more repeats than its budget allows while all its processes are killed
  * together, twice within one window of the budget, and the store is slow when they return.
--- a/soak/platform-store.ts
+++ b/soak/platform-store.ts
@@ -35,6 +35,7 @@
 }
 
 interface HeldFeed {
+  readonly door: StoreDoor;
   readonly table: string;
   readonly after: number;
   readonly response: ServerResponse;
@@ -130,16 +131,16 @@
     const refusal = this.refusal ?? door.refusal;
     if (refusal !== undefined) return refuse(refusal, response);
     const url = new URL(request.url ?? '/', 'http://store');
-    setTimeout(() => this.#answerCall(url, body, response), ANSWER_MS + this.faults.delayMs);
+    setTimeout(() => this.#answerCall(door, url, body, response), ANSWER_MS + this.faults.delayMs);
   }
 
-  #answerCall(url: URL, body: string, response: ServerResponse): void {
+  #answerCall(door: StoreDoor, url: URL, body: string, response: ServerResponse): void {
     switch (url.pathname) {
       case PATHS.rowsGet:
         this.#get(url, response);
         return;
       case PATHS.rowsFeed:
-        this.#feed(url, response);
+        this.#feed(door, url, response);
         return;
       case PATHS.rowsTx:
         this.#transact(JSON.parse(body), response);
@@ -159,17 +160,19 @@
     this.#answer(response, 200, rows.slice(0, PAGE_ROWS), rows.length > PAGE_ROWS);
   }
 
-  #feed(url: URL, response: ServerResponse): void {
+  #feed(door: StoreDoor, url: URL, response: ServerResponse): void {
     const after = Number(url.searchParams.get('after'));
     if (after < this.#historyFrom) {
       response.writeHead(410).end();
       return;
     }
-    const feed = { table: url.searchParams.get('table') ?? '', after, response };
+    const feed = { door, table: url.searchParams.get('table') ?? '', after, response };
     this.#feeds.add(feed);
     const timer = setTimeout(
       () => {
-        if (this.#feeds.delete(feed)) this.#answer(response, 200, [], false);
+        if (this.#feeds.delete(feed) && !this.#isSilent(door)) {
+          this.#answer(response, 200, [], false);
+        }
       },
       Number(url.searchParams.get('waitMs')),
     );
@@ -187,10 +190,16 @@
         .sort((left, right) => left.ver - right.ver);
       if (rows.length === 0) continue;
       this.#feeds.delete(feed);
+      // A held call that meets silence is swallowed, as a new one is.
+      if (this.#isSilent(feed.door)) continue;
       this.#answer(feed.response, 200, rows, false);
     }
   }
 
+  #isSilent(door: StoreDoor): boolean {
+    return (this.refusal ?? door.refusal) === 'silent';
+  }
+
   #transact(transaction: Transaction, response: ServerResponse): void {
     const isOwnTable = [...transaction.put, ...transaction.remove].every(
       ({ table }) => table === TABLES.product,
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -106,6 +106,20 @@
   readonly serviceOf: ReadonlyMap<string, string>;
   /** Keys that are known, with their tenant. */
   readonly tenantOfKey: ReadonlyMap<string, string>;
+  /** Prefixes of the routes that come and go. */
+  readonly addedRoutes: ReadonlySet<string>;
+}
+
+/** A daemon's word on whether it has a route. */
+export interface RouteProbe {
+  readonly daemon: string;
+  /** The life of the daemon's process that was asked. */
+  readonly life: number;
+  /** The prefix of the route. */
+  readonly path: string;
+  readonly sentMs: number;
+  readonly endedMs: number;
+  readonly isThere: boolean;
 }
 
 /** A server that said that it leaves. */
@@ -149,6 +163,7 @@
   readonly unasked: readonly string[];
   readonly disturbances: readonly Disturbance[];
   readonly configurations: readonly ConfigurationVersion[];
+  readonly probes: readonly RouteProbe[];
   readonly drains: readonly DrainNotice[];
   readonly limits: readonly LimitNotice[];
   readonly orders: readonly OrderRecord[];
--- /dev/null
+++ b/soak/route-probes.ts
@@ -0,0 +1,77 @@
+/**
+ * Asks each daemon directly, again and again, whether routes are there that the operator has just added, has just
+ * dropped, or never had. The questions carry no key and no attempt id, so no server gets one.
+ */
+import http from 'node:http';
+import { HOST } from './callers.js';
+import type { Operator } from './configuration.js';
+import type { GatewayProcess } from './gateway-process.js';
+import type { RouteProbe } from './record.js';
+
+const GAP_MS = 250;
+const TIMEOUT_MS = 1_000;
+const NEVER_THERE = '/never-there/';
+const NOT_FOUND = 404;
+/** No key was given, or no attempt id: the route is there. */
+const REFUSED_WITH_ROUTE: ReadonlySet<number> = new Set([400, 401]);
+
+/** What probes are built from. */
+export interface RouteProbesOptions {
+  readonly daemons: readonly GatewayProcess[];
+  readonly operator: Pick<Operator, 'recentRoutes'>;
+}
+
+/** The questions of a run. */
+export class RouteProbes {
+  readonly records: RouteProbe[] = [];
+  readonly #options: RouteProbesOptions;
+  readonly #agent = new http.Agent({ keepAlive: true });
+  readonly #timers: NodeJS.Timeout[] = [];
+
+  constructor(options: RouteProbesOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    for (const daemon of this.#options.daemons) {
+      let asked = 0;
+      const timer = setInterval(() => {
+        const { added, dropped } = this.#options.operator.recentRoutes;
+        const paths = [added, dropped, NEVER_THERE].filter((path) => path !== undefined);
+        const path = paths[asked % paths.length] ?? NEVER_THERE;
+        asked += 1;
+        if (daemon.isRunning && !daemon.isFrozen) this.#ask(daemon, path);
+      }, GAP_MS);
+      this.#timers.push(timer);
+    }
+  }
+
+  stop(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#agent.destroy();
+  }
+
+  #ask({ name, life, host, port }: GatewayProcess, path: string): void {
+    const sentMs = performance.now();
+    const request = http.request({
+      host,
+      port,
+      path: `${path}x`,
+      agent: this.#agent,
+      timeout: TIMEOUT_MS,
+      headers: { Host: HOST },
+    });
+    request.on('timeout', () => request.destroy());
+    // A daemon that is gone or frozen answers nothing; other promises judge that.
+    request.on('error', () => undefined);
+    request.on('response', (response) => {
+      response.resume();
+      const { statusCode = 0 } = response;
+      const isThere = REFUSED_WITH_ROUTE.has(statusCode);
+      if (!isThere && statusCode !== NOT_FOUND) return;
+      const endedMs = performance.now();
+      this.records.push({ daemon: name, life, path, sentMs, endedMs, isThere });
+    });
+    request.end();
+  }
+}
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -29,6 +29,7 @@
 import type { SoakPlan } from './plan.js';
 import { PlatformStore, type StoreDoor } from './platform-store.js';
 import type { Arrival, CallEnd, CallRecord, OrderRecord, RunRecord, SoakBounds } from './record.js';
+import { RouteProbes } from './route-probes.js';
 import { ServerPool, ZONES } from './server-pool.js';
 import { WIRE } from './wire.js';
 
@@ -77,6 +78,7 @@
   readonly #daemons: GatewayProcess[] = [];
   readonly #doorOf = new Map<string, StoreDoor>();
   readonly #callers: Callers;
+  readonly #probes: RouteProbes;
   readonly #faults: FaultInjector;
   readonly #calls = new Map<string, CallRecord>();
   readonly #unasked: string[] = [];
@@ -111,6 +113,7 @@
       random,
       calls: this.#calls,
     });
+    this.#probes = new RouteProbes({ daemons: this.#daemons, operator: this.#operator });
     this.#faults = new FaultInjector({
       bounds: this.#bounds,
       store: this.#store,
@@ -130,6 +133,7 @@
     await this.#startDaemons(program);
     await this.#allReady();
     this.#callers.start();
+    this.#probes.start();
     this.#lag.start();
     for (const { atMs, fault } of this.#plan.faults) {
       setTimeout(() => void this.#faults.begin(fault), atMs);
@@ -139,6 +143,7 @@
     }
     await pause(this.#plan.size.seconds * 1_000);
     this.#callers.stopSending();
+    this.#probes.stop();
     const endMs = performance.now();
     await pause(LAST_CALLS_MS);
     this.close();
@@ -151,6 +156,7 @@
     this.#faults.end();
     this.#lag.stop();
     this.#callers.close();
+    this.#probes.stop();
     for (const daemon of this.#daemons) daemon.signal('SIGKILL');
     this.#pool.close();
     this.#store.close();
@@ -164,6 +170,7 @@
       unasked: this.#unasked,
       disturbances: this.#faults.disturbances,
       configurations: this.#operator.versions,
+      probes: this.#probes.records,
       drains: this.#faults.drains,
       limits: this.#faults.limits,
       orders: this.#orders,
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -29,6 +29,7 @@
   ackMs: 0,
   serviceOf: new Map([['c', 'one']]),
   tenantOfKey: new Map([['key', 'tenant']]),
+  addedRoutes: new Set(),
 };
 const MOVED: ConfigurationVersion = {
   ...FIRST,
@@ -111,6 +112,7 @@
     unasked: [],
     disturbances: [],
     configurations: [FIRST],
+    probes: [],
     drains: [],
     limits: [],
     orders: [],
