Gauge of a newest configuration that cannot be read

Cause: one row that can't be read leaves the whole fleet on the older version with one line a daemon and no figure. Change: a gauge that is 1 meanwhile; nothing that is decided changes.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -79,6 +79,7 @@
   readonly #servers: TableWatcher<ServerRecord>;
   readonly #heard: HeardVersion;
   readonly #unreadable = new UnreadableRows();
+  #isConfigurationUnreadable = false;
   /** Whether the last rows of servers held one that was not taken. */
   #hasPassedOver = false;
 
@@ -133,6 +134,11 @@
     return this.#watches.reduce((sum, watch) => sum + watch.callsTotal, 0);
   }
 
+  /** Whether the configuration that the store was last seen to hold cannot be read, so that an older one stays. */
+  get isConfigurationUnreadable(): boolean {
+    return this.#isConfigurationUnreadable;
+  }
+
   /** Rows of servers that cannot be read now. */
   get unreadableServers(): number {
     return this.#unreadable.count;
@@ -223,9 +229,11 @@
     for (const row of rows) {
       switch (row.kind) {
         case 'value':
+          this.#isConfigurationUnreadable = false;
           this.#takeConfiguration(row.value);
           break;
         case 'malformed':
+          this.#isConfigurationUnreadable = true;
           this.#options.log.write(GATEWAY_EVENTS.configurationMalformed, { problem: row.problem });
           break;
         case 'gone':
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -18,7 +18,12 @@
   readonly fleet: FleetView;
   readonly follower: Pick<
     FleetFollower,
-    'callsTotal' | 'silentMs' | 'unreadableServers' | 'configurationLookAgeMs' | 'highestVersion'
+    | 'callsTotal'
+    | 'silentMs'
+    | 'unreadableServers'
+    | 'configurationLookAgeMs'
+    | 'highestVersion'
+    | 'isConfigurationUnreadable'
   >;
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
@@ -72,6 +77,11 @@
       help: "Age of the last look for a newer configuration, this daemon's own or its relay's",
       read: () => follower.configurationLookAgeMs(),
     },
+    {
+      name: 'configuration_unreadable',
+      help: 'Whether the newest configuration cannot be read, so that an older one stays in force',
+      read: () => (follower.isConfigurationUnreadable ? 1 : 0),
+    },
     { name: 'store_calls', help: 'Calls to the store', read: () => follower.callsTotal },
     {
       name: 'store_silent_ms',
