--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -8,7 +8,7 @@
 import type { GatewayProcess } from './gateway-process.js';
 import type { StartedAs } from './model-server.js';
 import { pause } from './pause.js';
-import type { Fault } from './plan.js';
+import { type Fault, STALE_GAP_MS } from './plan.js';
 import type { PlatformStore, StoreDoor } from './platform-store.js';
 import type { Disturbance, DrainNotice, LimitNotice, Scope, SoakBounds } from './record.js';
 import { ENTRY_LAPSE_MS, type PooledServer, type ServerPool } from './server-pool.js';
@@ -101,6 +101,8 @@
         this.#disturb('store', '', 0);
         this.#world.store.forget();
         return;
+      case 'store-stale':
+        return this.#makeStale(fault);
       case 'entries-lapse':
         return this.#lapse(fault.forMs);
       case 'servers':
@@ -215,6 +217,22 @@
     for (const door of doors) door.refusal = undefined;
   }
 
+  async #makeStale({
+    behindMs,
+    isUnderNewest,
+    forMs,
+  }: Extract<Fault, { kind: 'store-stale' }>): Promise<void> {
+    const { store } = this.#world;
+    this.#disturb('store', '', STALE_GAP_MS + forMs);
+    store.faults.isUnheard = true;
+    await pause(STALE_GAP_MS);
+    store.faults.isUnheard = false;
+    store.forget();
+    store.faults.stale = { behindMs, isUnderNewest };
+    await pause(forMs);
+    store.faults.stale = undefined;
+  }
+
   async #lapse(forMs: number): Promise<void> {
     this.#disturb('store', '', forMs);
     for (const { server } of this.#world.pool.servers) this.#world.pool.unlist(server.id);
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -67,6 +67,14 @@
   | { readonly kind: 'store-loses-answers'; readonly share: number; readonly forMs: number }
   | { readonly kind: 'store-writes-late'; readonly share: number; readonly forMs: number }
   | { readonly kind: 'store-forgets' }
+  /** Held calls hear nothing of changes for a second, then the history is lost, and whole reads are old for a while. */
+  | {
+      readonly kind: 'store-stale';
+      readonly behindMs: number;
+      /** Whether stale reads name the newest revision, or that of what they show. */
+      readonly isUnderNewest: boolean;
+      readonly forMs: number;
+    }
   | { readonly kind: 'entries-lapse'; readonly forMs: number }
   | {
       readonly kind: 'servers';
@@ -174,6 +182,8 @@
 const ROUTE_CHANGES = ['add-route', 'add-route', 'drop-route', 'time-route'] as const;
 /** Changes come around the end of what strikes the store, in series. */
 const MOST_CHANGES_AT_END = 3;
+/** From when held calls hear nothing until the history is lost. */
+export const STALE_GAP_MS = 1_000;
 const EARLIEST_CHANGE_MS = -400;
 const LATEST_CHANGE_MS = 900;
 const LEAST_ROUTE_GAP_MS = 2_000;
@@ -458,6 +468,15 @@
   });
 }
 
+/** The changes that no held call hears of before the history is lost. */
+function changesInGaps(faults: readonly TimedFault[]): readonly TimedFault[] {
+  return faults.flatMap(({ atMs, fault }) => {
+    if (fault.kind !== 'store-stale') return [];
+    const change: Fault = { kind: 'change', change: 'add-route' };
+    return [{ atMs: atMs + STALE_GAP_MS / 2, fault: change }];
+  });
+}
+
 /** Drawn apart as well. */
 function drawServers(seed: number, { engines, webServers }: SoakSize): ServerTraits {
   const dice = new Dice(seed ^ SERVERS_SALT);
@@ -475,20 +494,38 @@
   }));
 }
 
+/** The first numbers of small seeds are much alike. */
+const SKIPPED_DRAWS = 16;
+const LEAST_STALE_MS = 2_000;
+const MOST_STALE_MS = 8_000;
 const LEAST_OUTAGE_MS = 15_000;
 const MOST_OUTAGE_MS = 60_000;
 const LEAST_CALM_MS = 7_000;
 const MOST_CALM_MS = 10_000;
 
+/** No older than the traffic, as the store was empty once. */
+function drawStale(dice: Dice, atMs: number): Extract<Fault, { kind: 'store-stale' }> {
+  const behindMs = Math.min(atMs, dice.between(LEAST_STALE_MS, MOST_STALE_MS));
+  const forMs = behindMs + dice.between(0, LEAST_STALE_MS);
+  return { kind: 'store-stale', behindMs, isUnderNewest: dice.chance(0.5), forMs };
+}
+
 /**
  * The plan of a store that is out of reach for long, once or more, for all daemons or for most, and back for all at one
  * moment; the configuration changes around it.
  */
 export function planOutages(seed: number, size: SoakSize): SoakPlan {
   const dice = new Dice(seed);
+  for (let draw = 0; draw < SKIPPED_DRAWS; draw += 1) dice.between(0, 1);
   const endMs = size.seconds * 1_000 - CALM_END_MS;
   const faults: TimedFault[] = [];
   for (let atMs = FIRST_FAULT_MS; endMs - atMs >= LEAST_OUTAGE_MS; ) {
+    if (dice.chance(0.3)) {
+      const fault = drawStale(dice, atMs);
+      faults.push({ atMs: Math.round(atMs), fault });
+      atMs += fault.forMs + dice.between(LEAST_CALM_MS, MOST_CALM_MS);
+      continue;
+    }
     const forMs = dice.between(LEAST_OUTAGE_MS, Math.min(MOST_OUTAGE_MS, endMs - atMs));
     const how = dice.pick(STORE_REFUSALS);
     const daemons = dice.some(size.daemons, dice.pick([0.5, 0.9, 1]));
@@ -498,7 +535,10 @@
     faults.push({ atMs: Math.round(atMs), fault });
     atMs += forMs + dice.between(LEAST_CALM_MS, MOST_CALM_MS);
   }
-  const changes = drawRouteChanges(seed, faults, size.seconds * 1_000 - CALM_END_MS / 2);
+  const changes = [
+    ...drawRouteChanges(seed, faults, size.seconds * 1_000 - CALM_END_MS / 2),
+    ...changesInGaps(faults),
+  ];
   const servers = { webSlots: PLAIN_SLOTS, paces: [] };
   return { seed, size, servers, faults: [...faults, ...changes], crashing: [] };
 }
--- a/soak/platform-store.ts
+++ b/soak/platform-store.ts
@@ -46,6 +46,17 @@
   delayMs: number;
   lostAnswers: number;
   lateWrites: number;
+  /** Held calls hear nothing of changes. */
+  isUnheard: boolean;
+  /** Whole reads answer as of some time ago; undefined where they answer as it is. */
+  stale: StaleReads | undefined;
+}
+
+/** How whole reads are stale. */
+export interface StaleReads {
+  readonly behindMs: number;
+  /** Whether they name the newest revision, or that of what they show. */
+  readonly isUnderNewest: boolean;
 }
 
 /** Where one daemon reaches the store. */
@@ -72,13 +83,21 @@
 
 /** The store. */
 export class PlatformStore {
-  readonly faults: StoreFaults = { delayMs: 0, lostAnswers: 0, lateWrites: 0 };
+  readonly faults: StoreFaults = {
+    delayMs: 0,
+    lostAnswers: 0,
+    lateWrites: 0,
+    isUnheard: false,
+    stale: undefined,
+  };
   /** Refuses every door where it is set. */
   refusal: StoreRefusal | undefined;
   callsTotal = 0;
   #version = 1;
   #historyFrom = 0;
   readonly #rows = new Map<string, Row>();
+  /** All that was written to tables that daemons only read, in order. */
+  readonly #written: { readonly atMs: number; readonly row: Row }[] = [];
   readonly #feeds = new Set<HeldFeed>();
   readonly #doors: StoreDoor[] = [];
   readonly #random: () => number;
@@ -121,7 +140,9 @@
 
   #write(table: string, key: string, value: string | undefined): void {
     this.#version += 1;
-    this.#rows.set(`${table}/${key}`, { table, privateKey: key, value, ver: this.#version });
+    const row = { table, privateKey: key, value, ver: this.#version };
+    this.#rows.set(`${table}/${key}`, row);
+    this.#written.push({ atMs: performance.now(), row });
   }
 
   async #serve(door: StoreDoor, request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -153,11 +174,29 @@
   #get(url: URL, response: ServerResponse): void {
     const source = url.searchParams.get('source') ?? '';
     const end = url.searchParams.get('targetVersion');
-    const rows = [...this.#rows.values()]
-      .filter((row) => row.table === url.searchParams.get('table') && row.value !== undefined)
+    const table = url.searchParams.get('table') ?? '';
+    const { rows: shown, version } = this.#shownRows(table);
+    const rows = shown
+      .filter((row) => row.table === table && row.value !== undefined)
       .filter((row) => row.privateKey >= source && (end === null || row.privateKey < end))
       .sort((left, right) => (left.privateKey < right.privateKey ? -1 : 1));
-    this.#answer(response, 200, rows.slice(0, PAGE_ROWS), rows.length > PAGE_ROWS);
+    this.#answer(response, 200, rows.slice(0, PAGE_ROWS), rows.length > PAGE_ROWS, version);
+  }
+
+  /** The rows that a whole read shows, and the revision that it names. */
+  #shownRows(table: string): { readonly rows: readonly Row[]; readonly version: number } {
+    const { stale } = this.faults;
+    if (stale === undefined || table === TABLES.product) {
+      return { rows: [...this.#rows.values()], version: this.#version };
+    }
+    const asOfMs = performance.now() - stale.behindMs;
+    const known = this.#written.filter(({ atMs }) => atMs <= asOfMs);
+    const rows = new Map(known.map(({ row }) => [`${row.table}/${row.privateKey}`, row]));
+    const shownVersion = known.at(-1)?.row.ver ?? 0;
+    return {
+      rows: [...rows.values()],
+      version: stale.isUnderNewest ? this.#version : shownVersion,
+    };
   }
 
   #feed(door: StoreDoor, url: URL, response: ServerResponse): void {
@@ -184,6 +223,7 @@
   }
 
   #answerFeeds(): void {
+    if (this.faults.isUnheard) return;
     for (const feed of this.#feeds) {
       const rows = [...this.#rows.values()]
         .filter((row) => row.table === feed.table && row.ver > feed.after)
@@ -242,10 +282,16 @@
     return undefined;
   }
 
-  #answer(response: ServerResponse, status: number, rows: readonly Row[], more: boolean): void {
+  #answer(
+    response: ServerResponse,
+    status: number,
+    rows: readonly Row[],
+    more: boolean,
+    ver = this.#version,
+  ): void {
     const shown = rows.map((row) => (row.value === undefined ? { ...row, gone: true } : row));
     const now = Math.round(performance.now());
-    const body = JSON.stringify({ rows: shown, more, ver: this.#version, now_ms: now });
+    const body = JSON.stringify({ rows: shown, more, ver, now_ms: now });
     response.writeHead(status, { 'Content-Type': 'application/json' }).end(body);
   }
 }
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -10,6 +10,7 @@
   ConfigurationVersion,
   RequestClass,
   RouteKind,
+  RouteProbe,
   RunRecord,
 } from '../../soak/record.js';
 
@@ -131,6 +132,10 @@
   assert.deepEqual(broken(record), [promise]);
 }
 
+function assertKept(record: RunRecord): void {
+  assert.deepEqual(broken(record), []);
+}
+
 test('a request that was answered by its one run breaks no promise', () => {
   assert.deepEqual(broken(run([call()])), []);
 });
@@ -429,3 +434,56 @@
   const used = callsBetween(41_500, 59_500, 12);
   assert.ok(!broken(run([...refused, ...used], { limits: LIMITS })).includes('LIMIT'));
 });
+
+const WITH_ROUTE: ConfigurationVersion = {
+  ...FIRST,
+  version: 2,
+  ackMs: 20_000,
+  addedRoutes: new Set(['/added-1/']),
+};
+const WITHOUT_AGAIN: ConfigurationVersion = { ...FIRST, version: 3, ackMs: 40_000 };
+
+function probe(sentMs: number, isThere: boolean, life = 1): RouteProbe {
+  return { daemon: 'd1', life, path: '/added-1/', sentMs, endedMs: sentMs + 5, isThere };
+}
+
+test('CONFIG: a daemon in touch that lacks a route, or has one that was dropped, is late', () => {
+  const configurations = [FIRST, WITH_ROUTE, WITHOUT_AGAIN];
+  const judged = (...probes: RouteProbe[]) => run([], { configurations, probes });
+  assertKept(judged(probe(22_400, false), probe(22_600, true), probe(42_400, true)));
+  assertBroken('CONFIG', judged(probe(22_600, false)));
+  assertBroken('CONFIG', judged(probe(42_600, true)));
+});
+
+test('CONFIG: a daemon that a disturbance of the store has struck has contactMs from its end', () => {
+  const disturbance = {
+    scope: 'store',
+    name: '',
+    fromMs: 10_000,
+    toMs: 30_000,
+    isPlanned: false,
+  } as const;
+  const configurations = [FIRST, WITH_ROUTE];
+  const judged = (sentMs: number) =>
+    run([], { configurations, probes: [probe(sentMs, false)], disturbances: [disturbance] });
+  assertKept(judged(32_900));
+  assertBroken('CONFIG', judged(33_100));
+});
+
+test('CONFIG: no daemon goes back within a life, in touch or not; another life may', () => {
+  const disturbance = {
+    scope: 'store',
+    name: '',
+    fromMs: 20_000,
+    toMs: 60_000,
+    isPlanned: false,
+  } as const;
+  const judged = (life: number) =>
+    run([], {
+      configurations: [FIRST, WITH_ROUTE],
+      probes: [probe(21_000, true), probe(22_000, false, life)],
+      disturbances: [disturbance],
+    });
+  assertBroken('CONFIG', judged(1));
+  assertKept(judged(2));
+});
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -1,7 +1,7 @@
 /** The soak's plans: the same for the same seed, with every kind of fault over some seeds, calm at the end. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Fault, planHerd, planSoak } from '../../soak/plan.js';
+import { type Fault, planHerd, planOutages, planSoak } from '../../soak/plan.js';
 
 const SIZE = { seconds: 60, daemons: 9, engines: 8, webServers: 4, requestsPerSecond: 90 };
 const KINDS: readonly Fault['kind'][] = [
@@ -49,6 +49,23 @@
   for (const { fault } of kills) assert.ok(fault.kind === 'kill' && fault.daemons.length === 9);
 });
 
+test('the plan of outages keeps the store away for long, for all or most, and changes routes around its end', () => {
+  const size = { ...SIZE, seconds: 90 };
+  const plans = Array.from({ length: 12 }, (_, seed) => planOutages(seed, size));
+  const kinds = new Set(plans.flatMap(({ faults }) => faults.map(({ fault }) => fault.kind)));
+  assert.deepEqual([...kinds].sort(), ['change', 'store-down', 'store-refuses', 'store-stale']);
+  for (const { faults } of plans) {
+    for (const { atMs, fault } of faults) {
+      if (!fault.kind.startsWith('store-') || !('forMs' in fault)) continue;
+      const endMs = atMs + fault.forMs;
+      const isNear = (other: number) => other > endMs - 1_000 && other < endMs + 1_000;
+      const isChanged = faults.some(({ atMs: at, fault: f }) => f.kind === 'change' && isNear(at));
+      assert.ok(isChanged, `${fault.kind} that ends at ${endMs}`);
+      assert.ok(fault.kind === 'store-stale' || fault.forMs >= 15_000);
+    }
+  }
+});
+
 test('each plan has work that ends servers, drawn apart from its faults', () => {
   for (let seed = 0; seed < 12; seed += 1) {
     const { crashing } = planSoak(seed, SIZE);
--- a/test/soak/soak-run.test.ts
+++ b/test/soak/soak-run.test.ts
@@ -1,7 +1,7 @@
 /** A short soak over real gateway processes with fixed seeds; longer runs with fresh ones are started by hand. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { planSoak } from '../../soak/plan.js';
+import { planOutages, planSoak } from '../../soak/plan.js';
 import { runSoak } from '../../soak/run.js';
 
 const SIZE = { seconds: 24, daemons: 4, engines: 6, webServers: 4, requestsPerSecond: 40 };
@@ -13,3 +13,10 @@
     assert.ok((result.ends.get('200') ?? 0) > 0, 'no request was served');
   });
 }
+
+test('no promise is broken around an outage of the store in a fleet with relays', async () => {
+  const size = { ...SIZE, seconds: 40, daemons: 15, requestsPerSecond: 60 };
+  const result = await runSoak(planOutages(4, size));
+  assert.deepEqual(result.violations, [], `logs of the daemons: ${result.directory}`);
+  assert.ok((result.ends.get('200') ?? 0) > 0, 'no request was served');
+});
