Part the rechecks of a table from its watch, and the passing on of configurations from the peer exchange

Cause: both files had grown past one job with the mends before. The schedule of whole reads is a pure module with its own tests; no change of behaviour: the tests of watches, peers and the configuration in force pass.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -107,6 +107,7 @@
 export { type ReadPriorityInput, readPriority } from './read-priority.js';
 export { ReadSpeed } from './read-speed.js';
 export { RecentSends } from './recent-sends.js';
+export { type Recheck, RecheckSchedule } from './recheck-schedule.js';
 export { rankByRendezvous } from './rendezvous.js';
 export { RetryBudget, type RetryBudgetCounts, type RetryBudgetOptions } from './retry-budget.js';
 export { RouteTable, TrafficSplitter } from './route-table.js';
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -24,6 +24,7 @@
 } from '../../core/gateway/index.js';
 import { ByteBudget, sizeOnLink } from './byte-budget.js';
 import { CacheNewsTeller } from './cache-news-teller.js';
+import { ConfigurationTeller, MOST_PASSED_BYTES } from './configuration-teller.js';
 import type { LimitMessage } from './limit-message-fields.js';
 import { PaceTeller } from './pace-teller.js';
 import { PeerDirectory } from './peer-directory.js';
@@ -44,11 +45,6 @@
 /** Changes within this time go in one message; longer where a relay sums them up. */
 const COALESCE_MS = 12;
 const COALESCE_FOR_RELAY_MS = 90;
-/**
- * What is larger is had from the store by each daemon; a datagram holds 64 KiB at most, and one that takes this many
- * packets hardly ever loses one.
- */
-const MOST_PASSED_BYTES = 16_384;
 /** Heartbeats are spread over time, some peers at each step. */
 const HEARTBEAT_STEP_MS = 240;
 /** Own work, to all peers together, as docs/CAPACITY.md plans for. */
@@ -130,6 +126,7 @@
   readonly #relay: RelayDuty;
   readonly #cacheNews: CacheNewsTeller;
   readonly #paces: PaceTeller;
+  readonly #configurations: ConfigurationTeller;
   #ownReads: ReadNotice[] = [];
   #ownReach: ReachNotice[] = [];
   #sequence = 0;
@@ -160,6 +157,11 @@
       isRelay: () => this.#relay.isRelay,
       send: (peers, bytes) => this.#sendTo(peers, bytes),
     });
+    this.#configurations = new ConfigurationTeller({
+      ...options,
+      isRelay: () => this.#relay.isRelay,
+      send: (peers, bytes) => this.#sendTo(peers, bytes),
+    });
     this.#socket = createSocket('udp4');
     this.#socket.on('message', (message, sender) => this.#receive(message, sender));
     // An address in use, or an unreachable peer, costs nothing but better choices.
@@ -238,27 +240,9 @@
     if (bytes.length <= MOST_PASSED_BYTES) this.#sendTo(roster.zonePeers(), bytes);
   }
 
-  /**
-   * As the relay of its zone, passes on a configuration that it had from the store, where it fits: to its zone, and to
-   * the relays of the others, which may be out of reach of the store.
-   */
-  passOnConfiguration({ after, revision, rows }: TableChanges<unknown>): void {
-    const { zone, roster, timers } = this.#options;
-    const newest = rows.at(-1);
-    if (!this.#relay.isRelay || this.#isStopped || newest?.kind !== 'value') return;
-    const { key, encoded } = newest;
-    if (encoded === undefined || encoded.length > MOST_PASSED_BYTES) return;
-    const change = { after, revision, key, encoded };
-    const peers = [...roster.zonePeers(), ...roster.otherRelays(timers.nowMs())];
-    this.#sendTo(peers, encodePeerMessage({ kind: 'configuration', zone, change }));
-  }
-
-  /** One from another zone's relay is passed on to the own zone, once. */
-  #takeConfiguration(message: Extract<PeerMessage, { kind: 'configuration' }>): void {
-    const { zone, roster, takeConfiguration } = this.#options;
-    const isNewer = takeConfiguration(message.change);
-    if (!isNewer || !this.#relay.isRelay || message.zone === zone) return;
-    this.#sendTo(roster.zonePeers(), encodePeerMessage({ ...message, zone }));
+  /** As the relay of its zone, passes on a configuration that it had from the store, where it fits. */
+  passOnConfiguration(changes: TableChanges<unknown>): void {
+    if (!this.#isStopped) this.#configurations.passOn(changes);
   }
 
   /** Tells everyone of an engine that changes its stage. */
@@ -365,7 +349,7 @@
         if (message.zone === zone && !this.#relay.isRelay) takeTables(message.digest);
         return;
       case 'configuration':
-        this.#takeConfiguration(message);
+        this.#configurations.take(message);
         return;
       case 'servers':
         if (message.zone === zone && !this.#relay.isRelay) takeServers(message.changes);
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -6,7 +6,7 @@
  * While the relay of the zone says how far the table has changed, the store is asked only where it has, and
  * read whole where the relay had to.
  */
-import type { TableProgress } from '../../core/gateway/index.js';
+import { RecheckSchedule, type TableProgress } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { WatchAnswer, WatchedRow, WatchedTable } from './ports.js';
 import type { FollowedTable, RelayDigest } from './relay-digest.js';
@@ -24,11 +24,6 @@
 const RETRY_SPREAD = 0.3;
 /** After a call that failed the store is asked to hold none: any answer says that it is back. */
 const LEAST_HOLD_MS = 1;
-/**
- * Whole reads after a disturbance: reads may be stale then, for how long nobody says. They come ever more seldom, so
- * the first that is stale no more comes within a held call and an eighth of the time that they were.
- */
-const RECHECK_GAP_SHARE = 1 / 8;
 /** Changes that go on are gathered for longer each time, up to this many times the first. */
 const MOST_GATHER_GROWTH = 3;
 
@@ -75,13 +70,6 @@
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
-/** Since the history was lost or a call was cut: when to read the table whole again, and until when. */
-interface Disturbance {
-  readonly sinceMs: number;
-  readonly nextReadMs: number;
-  readonly untilMs: number;
-}
-
 /** A running watch of one table. */
 export class TableWatcher<Value> {
   readonly #options: TableWatcherOptions<Value>;
@@ -95,7 +83,7 @@
   /** Where the table was last read whole, and where last after a disturbance. */
   #wholeRevision = 0;
   #rereadRevision = 0;
-  #disturbance: Disturbance | undefined;
+  readonly #rechecks = new RecheckSchedule();
   /** Whether no call of its own is under way. */
   #isIdle = false;
   #gathersInARow = 0;
@@ -151,10 +139,10 @@
     if (this.#interrupt.signal.aborted) this.#interrupt = new AbortController();
     if (this.#mustLook) return this.#readAll(false);
     this.#takeOverProgress();
-    if (this.#revision === undefined) return this.#readAll(this.#disturbance !== undefined);
+    if (this.#revision === undefined) return this.#readAll(this.#rechecks.isUnderWay);
     // After a cut the feed is asked first: it says whether the history was lost.
     const isAnswered = this.#failuresInARow === 0;
-    if (this.#disturbance !== undefined && isAnswered) await this.#recheck(this.#disturbance);
+    if (isAnswered) await this.#recheck();
     if (this.#revision !== undefined) return this.#readChanges();
   }
 
@@ -167,26 +155,20 @@
     this.#wholeRevision = Math.max(this.#wholeRevision, progress.reread);
     this.#noteChange(progress.changed);
     this.#advanceTo(progress.seen);
-    this.#disturbance = undefined;
+    this.#rechecks.end();
   }
 
-  /** Reads the table whole once more; the relay, where its digest is fresh, does so for the whole zone. */
-  async #recheck({ sinceMs, nextReadMs, untilMs }: Disturbance): Promise<void> {
+  /** Reads the table whole once more where that is due; the relay, where its digest is fresh, does so for the whole zone. */
+  async #recheck(): Promise<void> {
     const { digest, timers } = this.#options;
-    if (digest?.from.isFresh === true) {
-      this.#disturbance = undefined;
-      return;
-    }
-    const nowMs = timers.nowMs();
-    if (nowMs < nextReadMs) return;
-    const isLast = nowMs >= untilMs;
-    const gapMs = (nowMs - sinceMs) * RECHECK_GAP_SHARE;
-    this.#disturbance = isLast ? undefined : { sinceMs, nextReadMs: nowMs + gapMs, untilMs };
+    if (digest?.from.isFresh === true) this.#rechecks.end();
+    const recheck = this.#rechecks.next(timers.nowMs());
+    if (recheck === 'none') return;
     const answer = await this.#readRows();
     if (answer === undefined) return;
     // Changes go on from where they were followed to: what this read has taken up is still to be passed on.
     const hasDiffered = this.#options.consumer.takeAll(answer.rows);
-    if (isLast || hasDiffered) this.#goOnFrom(answer.revision, true);
+    if (recheck === 'last' || hasDiffered) this.#goOnFrom(answer.revision, true);
   }
 
   /** @param isToldToZone whether those who rely on this daemon are to read the table whole as well */
@@ -233,7 +215,7 @@
   async #readChanges(): Promise<void> {
     const { consumer, gatherMs } = this.#options;
     // While reads may be stale this daemon looks for itself.
-    if (this.#disturbance === undefined) {
+    if (!this.#rechecks.isUnderWay) {
       await this.#awaitDigest();
       if (this.#interrupt.signal.aborted) return;
       if (this.#wasRereadByRelay) return this.#readAll(false);
@@ -339,14 +321,14 @@
 
   async #handleFailure(answer: Exclude<WatchAnswer<Value>, { kind: 'rows' }>): Promise<void> {
     if (this.#stopped.signal.aborted) return;
-    const { log, table } = this.#options;
+    const { log, table, timers, recheckSpans } = this.#options;
     if (answer.kind === 'history-lost') {
       this.#revision = undefined;
-      this.#noteDisturbance(this.#options.recheckSpans.historyLostMs);
+      this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
       log.write(GATEWAY_EVENTS.historyLost, { table: table.name });
       return;
     }
-    if (!answer.wasRefused) this.#noteDisturbance(this.#options.recheckSpans.cutMs);
+    if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
     this.#failuresInARow += 1;
     if (this.#failuresInARow === 1) {
       log.write(GATEWAY_EVENTS.watchLost, { table: table.name, reason: answer.reason });
@@ -354,13 +336,6 @@
     await this.#backOff();
   }
 
-  /** A longer one that is under way goes on. */
-  #noteDisturbance(spanMs: number): void {
-    const sinceMs = this.#options.timers.nowMs();
-    const untilMs = Math.max(sinceMs + spanMs, this.#disturbance?.untilMs ?? 0);
-    this.#disturbance = { sinceMs, nextReadMs: sinceMs, untilMs };
-  }
-
   /** A fresh digest of the relay ends the wait, as it may say that there is nothing to ask for. */
   async #backOff(): Promise<void> {
     const { digest, timing, random, retryTurns } = this.#options;
