Stale reads are no failure of the store; a relay that tells no version leaves none believed

A follower of a relay of an older release, whose digests say no version, took itself to have all that it has and read no change: its test is red before. And a read that names an older revision counted as a failed call and ended the hold of the next. The test of that one passes before as well: it holds a bound on the calls.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -100,7 +100,7 @@
       digest: {
         table: 'configurations',
         from: digest,
-        hasAll: () => this.inForceVersion > 0 && this.inForceVersion >= digest.configurationVersion,
+        hasAll: () => this.#hasRelaysVersion,
       },
     });
     const servers = new TableWatcher({
@@ -158,6 +158,11 @@
     return this.#options.fleet.inForce?.configuration.version ?? 0;
   }
 
+  get #hasRelaysVersion(): boolean {
+    const { configurationVersion } = this.#options.digest;
+    return configurationVersion > 0 && this.inForceVersion >= configurationVersion;
+  }
+
   /** The newest version that any daemon is known to have in force. */
   get highestVersion(): number {
     return this.#heard.highest;
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -40,7 +40,7 @@
     this.#digest = {
       configurations: newer(digest.configurations, known?.configurations),
       servers: newer(digest.servers, known?.servers),
-      configurationVersion: Math.max(digest.configurationVersion, known?.configurationVersion ?? 0),
+      configurationVersion: newerVersion(digest, known),
       ageMs: digest.ageMs,
       peersChecksum: digest.peersChecksum,
     };
@@ -113,6 +113,13 @@
   }
 }
 
+/** A relay that says none, as it is of another release, leaves its followers without one. */
+function newerVersion(told: TableDigest, known: TableDigest | undefined): number {
+  const { configurationVersion } = told;
+  if (configurationVersion === 0) return 0;
+  return Math.max(configurationVersion, known?.configurationVersion ?? 0);
+}
+
 function newer(told: TableProgress, known: TableProgress | undefined): TableProgress {
   return {
     changed: Math.max(told.changed, known?.changed ?? 0),
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -165,7 +165,8 @@
     const recheck = this.#rechecks.next(timers.nowMs());
     if (recheck === 'none') return;
     const answer = await this.#readRows();
-    if (answer === undefined) return;
+    // After a stale read the feed goes on from where it was.
+    if (answer === undefined || this.#isStale(answer)) return;
     // Changes go on from where they were followed to: what this read has taken up is still to be passed on.
     const hasDiffered = this.#options.consumer.takeAll(answer.rows);
     if (recheck === 'last' || hasDiffered) this.#goOnFrom(answer.revision, true);
@@ -175,6 +176,9 @@
   async #readAll(isToldToZone: boolean): Promise<void> {
     const answer = await this.#readRows();
     if (answer === undefined) return;
+    if (this.#isStale(answer)) {
+      return this.#handleFailure({ kind: 'failed', reason: 'a stale read', wasRefused: true });
+    }
     this.#options.consumer.takeAll(answer.rows);
     this.#goOnFrom(answer.revision, isToldToZone);
   }
@@ -190,14 +194,15 @@
       await this.#handleFailure(answer);
       return undefined;
     }
-    if (answer.revision < this.#changedRevision) {
-      await this.#handleFailure({ kind: 'failed', reason: 'a stale read', wasRefused: true });
-      return undefined;
-    }
-    this.#noteSuccess();
+    if (!this.#isStale(answer)) this.#noteSuccess();
     return answer;
   }
 
+  /** Whether a read names an older revision than that at which the table is known to have changed. */
+  #isStale({ revision }: { readonly revision: number }): boolean {
+    return revision < this.#changedRevision;
+  }
+
   /** A daemon that has nothing to serve by yet gives a slow store more time. */
   get #lookMs(): number {
     const { lookMs, firstLookMs } = this.#options.timing();
--- a/test/gateway/configuration-in-force.test.ts
+++ b/test/gateway/configuration-in-force.test.ts
@@ -216,6 +216,46 @@
   assert.deepEqual(late, []);
 });
 
+test('reads that are stale under their own revision are no failure of the store: it is not asked for more', async () => {
+  const { fleet: _, ...options } = FLEETS[0];
+  const zone = new FollowedZone({ ...options, random: randomOf(5), documentSize: 'small' });
+  await zone.start(37);
+  await zone.timers.passUntil(CALM_MS);
+  const staleVersion = zone.newestVersion;
+  const staleRevision = zone.newestRevision;
+  zone.change();
+  await zone.timers.passUntil(CALM_MS + 1_000);
+  const version = zone.changeInGap();
+  for (const { table } of zone.daemons) {
+    table.staleVersion = staleVersion;
+    table.staleRevision = staleRevision;
+  }
+  const callsBefore = zone.callsTotal;
+  const endMs = zone.timers.nowMs() + 9_000;
+  await zone.timers.passUntil(endMs);
+  const callsOfDaemon = (zone.callsTotal - callsBefore) / zone.daemons.length;
+  for (const { table } of zone.daemons) table.staleVersion = undefined;
+  await zone.timers.passUntil(endMs + options.contactMs);
+  zone.stop();
+  await zone.timers.passUntil(endMs + 3 * options.contactMs);
+  assert.ok(zone.slowestMs(zone.daemons, version, endMs) <= options.contactMs);
+  // Retries as while the store is away, two a second, and the held calls of the other table.
+  assert.ok(callsOfDaemon <= 9 * 3 + 6, `${callsOfDaemon} calls of a daemon`);
+});
+
+test('a follower of a relay that tells no version follows the table as its revisions say', async () => {
+  const { fleet: _, ...options } = FLEETS[1];
+  const fleet = { ...options, documentSize: 'large', tellsVersion: false } as const;
+  const zone = new FollowedZone({ ...fleet, random: randomOf(6) });
+  await zone.start(37);
+  await zone.timers.passUntil(CALM_MS);
+  const version = zone.change();
+  await zone.timers.passUntil(CALM_MS + 1_000);
+  zone.stop();
+  await zone.timers.passUntil(CALM_MS + 3 * options.contactMs);
+  assert.ok(zone.slowestMs(zone.daemons, version, CALM_MS) <= 1_000);
+});
+
 test('a change that the relay passes on is in force at once, also where the own call hangs', async () => {
   const { fleet: _, ...options } = FLEETS[1];
   const disturbance = { state: 'silent', lengthMs: 9_000, struck: 'followers' } as const;
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -147,6 +147,8 @@
   readonly name = 'configurations';
   /** Whole reads answer an older version, under the newest revision; undefined where they answer as it is. */
   staleVersion: number | undefined;
+  /** Stale reads name this revision; undefined where they name the newest. */
+  staleRevision: number | undefined;
   readonly #table: ConfigurationTable;
   readonly #door: Door;
 
@@ -156,9 +158,10 @@
   }
 
   readAll(signal: AbortSignal): Promise<WatchAnswer<GatewayConfiguration>> {
-    return this.#door.call(signal, async () =>
-      this.#rows(this.staleVersion ?? this.#table.version),
-    );
+    return this.#door.call(signal, async () => {
+      if (this.staleVersion === undefined) return this.#rows(this.#table.version);
+      return this.#rows(this.staleVersion, this.staleRevision);
+    });
   }
 
   changesAfter(
@@ -178,11 +181,11 @@
     return { kind: 'value', key, value: configurationOf(Number(encoded.toString())) };
   }
 
-  #rows(version: number): WatchAnswer<GatewayConfiguration> {
+  #rows(version: number, revision = this.#table.revision): WatchAnswer<GatewayConfiguration> {
     const value = configurationOf(version);
     const encoded = Buffer.from(String(value.version));
     const rows = [{ kind: 'value', key: 'config', value, encoded }] as const;
-    return { kind: 'rows', rows, revision: this.#table.revision };
+    return { kind: 'rows', rows, revision };
   }
 }
 
@@ -252,6 +255,8 @@
   readonly hasRelay: boolean;
   readonly random: () => number;
   readonly documentSize: DocumentSize;
+  /** Whether the relay's digests say which version it has, as those of an older release do not. */
+  readonly tellsVersion?: boolean;
 }
 
 /** The daemons of a zone and their store. */
@@ -314,6 +319,11 @@
     );
   }
 
+  /** The revision of the store's last change. */
+  get newestRevision(): number {
+    return this.#table.revision;
+  }
+
   /** The version that the operator wrote last. */
   get newestVersion(): number {
     return this.#table.version;
@@ -326,7 +336,10 @@
   #tell(): void {
     const [relay, ...followers] = this.daemons;
     if (relay === undefined) return;
-    const digest: TableDigest = { ...relay.follower.digestToSend(), peersChecksum: 1 };
+    const seen = relay.follower.digestToSend();
+    const configurationVersion =
+      this.#options.tellsVersion === false ? 0 : seen.configurationVersion;
+    const digest: TableDigest = { ...seen, configurationVersion, peersChecksum: 1 };
     if (this.#schedule.next(digest, this.timers.nowMs()) !== 'nobody') {
       this.timers.after(DATAGRAM_MS, () => {
         for (const { digest: heard, follower } of followers) {
