Postmortem of the late configuration; the soak finds a lost history whose rechecks are too short

After stale reads no other change follows soon in the plan of outages, as it would bring what was missed.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -99,6 +99,13 @@
     text: "if (currentVersion === configuration.version) return 'same';",
     replacement: "if (currentVersion !== undefined) return 'same';",
   },
+  {
+    name: 'rechecks',
+    promise: 'CONFIG',
+    file: 'src/shell/gateway/watch-timing.ts',
+    text: 'const HISTORY_RECHECK_SHARE_OF_CONTACT = 4.5;',
+    replacement: 'const HISTORY_RECHECK_SHARE_OF_CONTACT = 0.5;',
+  },
   {
     name: 'secret-keys',
     promise: 'UNASKED',
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -441,7 +441,7 @@
   return limits;
 }
 
-/** Routes that come and go: now and then, and around the end of each fault of the store; drawn apart as well. */
+/** Routes that come and go now and then, and around the end of each fault of the store; drawn apart as well. */
 function drawRouteChanges(
   seed: number,
   faults: readonly TimedFault[],
@@ -453,14 +453,23 @@
     times.push(atMs);
     atMs += dice.between(LEAST_ROUTE_GAP_MS, MOST_ROUTE_GAP_MS);
   }
-  for (const { atMs, fault } of faults) {
-    if (!fault.kind.startsWith('store-')) continue;
-    const faultEndMs = atMs + ('forMs' in fault ? fault.forMs : 0);
+  return drawChanges(dice, [...times, ...timesAtEnds(dice, faults)], endMs);
+}
+
+/** In series around the end of each fault of the store. */
+function timesAtEnds(dice: Dice, faults: readonly TimedFault[]): readonly number[] {
+  return faults.flatMap(({ atMs, fault }) => {
+    if (!fault.kind.startsWith('store-')) return [];
+    const endMs = atMs + ('forMs' in fault ? fault.forMs : 0);
     const count = dice.whole(1, MOST_CHANGES_AT_END);
-    for (let index = 0; index < count; index += 1) {
-      times.push(faultEndMs + dice.between(EARLIEST_CHANGE_MS, LATEST_CHANGE_MS));
-    }
-  }
+    return Array.from(
+      { length: count },
+      () => endMs + dice.between(EARLIEST_CHANGE_MS, LATEST_CHANGE_MS),
+    );
+  });
+}
+
+function drawChanges(dice: Dice, times: readonly number[], endMs: number): readonly TimedFault[] {
   const within = times.filter((atMs) => atMs < endMs);
   return within.map((atMs) => {
     const fault: Fault = { kind: 'change', change: dice.pick(ROUTE_CHANGES) };
@@ -535,8 +544,10 @@
     faults.push({ atMs: Math.round(atMs), fault });
     atMs += forMs + dice.between(LEAST_CALM_MS, MOST_CALM_MS);
   }
+  // What is missed while reads are stale shows only where no other change follows soon.
+  const outages = faults.filter(({ fault }) => fault.kind !== 'store-stale');
   const changes = [
-    ...drawRouteChanges(seed, faults, size.seconds * 1_000 - CALM_END_MS / 2),
+    ...drawChanges(dice, timesAtEnds(dice, outages), size.seconds * 1_000),
     ...changesInGaps(faults),
   ];
   const servers = { webSlots: PLAIN_SLOTS, paces: [] };
