--- a/src/shell/gateway/watch-timing.ts
+++ b/src/shell/gateway/watch-timing.ts
@@ -100,6 +100,7 @@
   readonly historyLostMs: number;
 }
 
+/** The spans by `contactMs`. */
 export function recheckSpans(contactMs: number): RecheckSpans {
   return {
     cutMs: contactMs * CUT_RECHECK_SHARE_OF_CONTACT,
--- a/test/gateway/configuration-in-force.test.ts
+++ b/test/gateway/configuration-in-force.test.ts
@@ -106,8 +106,8 @@
 // 66 that had been undisturbed for 4 s. A call that a silence has swallowed was given up after 3,000 ms, and after the
 // fourth failure in a row up to 2,000 ms were waited until the next: more than 4,000 ms from the end of a silence of 18 s
 // or longer. Daemons whose zone's relay had found the store again and said so meanwhile did not hear it: only a digest
-// that became fresh during the wait ended that, and theirs had become fresh during the call. 4,928 ms were seen with 66
-// processes, 1.27 times the time in which they count as in touch again here.
+// that became fresh during the wait ended that, and theirs had become fresh during the call. The slowest took up to 1.27
+// times the time in which it counts as in touch again.
 test('a change as all daemons find the store again after a silence is in force in time', async () => {
   const late: string[] = [];
   for (const { fleet, ...options } of FLEETS) {
