Sight: a read that is not taken names its place in the store's history, and its era

Cause: from 19 s on each daemon of the incident was answered and took nothing; no line said which revision the answers had, and no code read the era. Change: 6038 for a stale whole read (once for each revision), the era in 6022, StorePosition as the type of a place. No decision changes.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -201,6 +201,13 @@
     message: 'the store has forgotten the history of a watched table; it is read whole',
     remedy: 'Nothing to do.',
   },
+  staleRead: {
+    number: 6038,
+    level: 'warn',
+    message: 'a whole read of a watched table is older than what is known of it; it was not taken',
+    remedy:
+      'Nothing to do unless it goes on: compare era and revision with knownEra and knownRevision.',
+  },
   keysShared: {
     number: 6023,
     level: 'warn',
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -13,6 +13,7 @@
   ServerRecord,
   ToldAvailability,
 } from '../../core/gateway/index.js';
+import type { StorePosition } from '../../core/platform/store-position.js';
 import type { TableCall, TableResult } from '../../core/platform/table.js';
 
 /** Header names and values in turn, as node:http takes them. */
@@ -155,15 +156,13 @@
 
 /** The answer to a read of a watched table. */
 export type WatchAnswer<Value> =
-  | {
-      readonly kind: 'rows';
-      readonly rows: readonly WatchedRow<Value>[];
-      readonly revision: number;
-    }
-  | { readonly kind: 'history-lost' }
+  | ({ readonly kind: 'rows'; readonly rows: readonly WatchedRow<Value>[] } & StorePosition)
+  | { readonly kind: 'history-lost'; readonly era: number }
   | {
       readonly kind: 'failed';
       readonly reason: string;
+      /** Undefined where no answer came. */
+      readonly era?: number | undefined;
       /** The store answered that it does nothing now, so it has not cut a call that it held. */
       readonly wasRefused: boolean;
     };
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -8,6 +8,7 @@
  */
 import { RecheckSchedule, type TableProgress } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
 import type { WatchAnswer, WatchedRow, WatchedTable } from './ports.js';
 import type { FollowedTable, RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
@@ -77,6 +78,9 @@
   /** Ends a wait or a held call, as there is something to look for, or this watch is stopped. */
   #interrupt = new AbortController();
   #mustLook = false;
+  /** The newest era that the store has answered from. */
+  #era = FIRST_ERA;
+  #loggedStale: number | undefined;
   #revision: number | undefined;
   #changedRevision = 0;
   #failuresInARow = 0;
@@ -166,7 +170,8 @@
     if (recheck === 'none') return;
     const answer = await this.#readRows();
     // After a stale read the feed goes on from where it was.
-    if (answer === undefined || this.#isStale(answer)) return;
+    if (answer === undefined) return;
+    if (this.#isStale(answer)) return this.#logStale(answer);
     // Changes go on from where they were followed to: what this read has taken up is still to be passed on.
     const hasDiffered = this.#options.consumer.takeAll(answer.rows);
     if (recheck === 'last' || hasDiffered) this.#goOnFrom(answer.revision, true);
@@ -177,6 +182,7 @@
     const answer = await this.#readRows();
     if (answer === undefined) return;
     if (this.#isStale(answer)) {
+      this.#logStale(answer);
       return this.#handleFailure({ kind: 'failed', reason: 'a stale read', wasRefused: true });
     }
     this.#options.consumer.takeAll(answer.rows);
@@ -203,6 +209,15 @@
     return revision < this.#changedRevision;
   }
 
+  /** One line for each place: a read that is stale is made again and again. */
+  #logStale({ era, revision }: StorePosition): void {
+    if (this.#loggedStale === revision) return;
+    this.#loggedStale = revision;
+    const { log, table } = this.#options;
+    const known = { knownEra: this.#era, knownRevision: this.#changedRevision };
+    log.write(GATEWAY_EVENTS.staleRead, { table: table.name, era, revision, ...known });
+  }
+
   /** A daemon that has nothing to serve by yet gives a slow store more time. */
   get #lookMs(): number {
     const { lookMs, firstLookMs } = this.#options.timing();
@@ -296,13 +311,15 @@
     this.#changedRevision = Math.max(this.#changedRevision, revision);
   }
 
-  #ask(
+  async #ask(
     timeoutMs: number,
     signal: AbortSignal,
     call: (signal: AbortSignal) => Promise<WatchAnswer<Value>>,
   ): Promise<WatchAnswer<Value>> {
     this.callsTotal += 1;
-    return callWithin(this.#options.timers, timeoutMs, signal, call);
+    const answer = await callWithin(this.#options.timers, timeoutMs, signal, call);
+    this.#era = Math.max(this.#era, answer.era ?? FIRST_ERA);
+    return answer;
   }
 
   /** A stale answer sets nothing back. */
@@ -330,7 +347,7 @@
     if (answer.kind === 'history-lost') {
       this.#revision = undefined;
       this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
-      log.write(GATEWAY_EVENTS.historyLost, { table: table.name });
+      log.write(GATEWAY_EVENTS.historyLost, { table: table.name, era: answer.era });
       return;
     }
     if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -171,9 +171,9 @@
   ): Promise<WatchAnswer<GatewayConfiguration>> {
     return this.#door.call(signal, async () => {
       if (this.#table.revision <= after) await this.#table.changed(waitMs);
-      if (after < this.#table.historyFrom) return { kind: 'history-lost' };
+      if (after < this.#table.historyFrom) return { kind: 'history-lost', era: 0 };
       if (this.#table.revision > after) return this.#rows(this.#table.version);
-      return { kind: 'rows', rows: [], revision: this.#table.revision };
+      return { kind: 'rows', rows: [], era: 0, revision: this.#table.revision };
     });
   }
 
@@ -185,13 +185,13 @@
     const value = configurationOf(version);
     const encoded = Buffer.from(String(value.version));
     const rows = [{ kind: 'value', key: 'config', value, encoded }] as const;
-    return { kind: 'rows', rows, revision };
+    return { kind: 'rows', rows, era: 0, revision };
   }
 }
 
 /** A list of no servers, which never changes, through a door. */
 function noServersAt(door: Door, timers: VirtualTimers): WatchedTable<never> {
-  const none = { kind: 'rows', rows: [], revision: 1 } as const;
+  const none = { kind: 'rows', rows: [], era: 0, revision: 1 } as const;
   return {
     name: 'servers',
     readAll: (signal) => door.call<never>(signal, async () => none),
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -30,7 +30,7 @@
   #answer(): Promise<WatchAnswer<number>> {
     this.calls += 1;
     const rows = [{ kind: 'value', key: 'row', value: this.calls }] as const;
-    return Promise.resolve({ kind: 'rows', rows, revision: this.calls });
+    return Promise.resolve({ kind: 'rows', rows, era: 0, revision: this.calls });
   }
 }
 
@@ -110,7 +110,7 @@
     if (this.isDown)
       return Promise.resolve({ kind: 'failed', reason: 'down', wasRefused: this.isRefusing });
     const rows = [{ kind: 'value', key: 'row', value: this.revision }] as const;
-    return Promise.resolve({ kind: 'rows', rows, revision: this.revision });
+    return Promise.resolve({ kind: 'rows', rows, era: 0, revision: this.revision });
   }
 }
 
@@ -260,7 +260,7 @@
     if (this.isDown) return { kind: 'failed', reason: 'cut', wasRefused: false };
     const revision = this.#revision;
     const row = { kind: 'value', key: 'row', value: revision } as const;
-    return { kind: 'rows', rows: revision > after ? [row] : [], revision };
+    return { kind: 'rows', rows: revision > after ? [row] : [], era: 0, revision };
   }
 }
 
