--- /dev/null
+++ b/test/gateway/store-from-copy.test.ts
@@ -0,0 +1,114 @@
+/** The store is away for a moment and comes back from an older copy: what it has from then on is known in time. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type DoorState, FollowedZone } from './support/followed-zone.js';
+
+const FLEETS = [
+  { fleet: 9, daemons: 3, hasRelay: false, contactMs: 3_000, configApplyMs: 2_000 },
+  { fleet: 66, daemons: 22, hasRelay: true, contactMs: 4_000, configApplyMs: 3_000 },
+  { fleet: 83, daemons: 28, hasRelay: true, contactMs: 4_000, configApplyMs: 3_000 },
+  { fleet: 340, daemons: 68, hasRelay: true, contactMs: 5_000, configApplyMs: 4_000 },
+] as const;
+
+const CALM_MS = 8_000;
+/** Between the starts of daemons, so that their calls are spread. */
+const START_GAP_MS = 37;
+const AWAY_MS = 2_500;
+/** When the operator writes the next version, from the store's return. */
+const CHANGES_MS = [20, 700, 3_000];
+/** Held calls live through the drill where the doors stay open. */
+const WAYS: readonly DoorState[] = ['resets', 'silent', 'refuses', 'open'];
+
+/** Where the store's counter is against what daemons have seen, as they ask again. */
+interface CounterAfterReturn {
+  readonly name: string;
+  readonly revisionsLost: number;
+  /** How far other tables move it before the operator's change. */
+  readonly moved: number;
+}
+
+const COUNTERS: readonly CounterAfterReturn[] = [
+  { name: 'one below', revisionsLost: 1, moved: 0 },
+  { name: 'far below', revisionsLost: 100_000, moved: 0 },
+  { name: 'the same', revisionsLost: 3, moved: 3 },
+  { name: 'past it', revisionsLost: 6, moved: 400 },
+];
+
+interface Drill {
+  readonly way: DoorState;
+  readonly counter: CounterAfterReturn;
+  readonly changeMs: number;
+}
+
+/** How long after both the return and the change the last daemon had the change in force. */
+async function slowestMsOf(
+  fleet: (typeof FLEETS)[number],
+  { way, counter, changeMs }: Drill,
+): Promise<number> {
+  const zone = new FollowedZone({ ...fleet, random: () => 0.5, documentSize: 'small' });
+  await zone.start(START_GAP_MS);
+  for (let changes = 0; changes < 4; changes += 1) zone.change();
+  zone.moveCounter(200_000);
+  zone.change();
+  await zone.timers.passUntil(CALM_MS);
+  zone.shut(zone.daemons, way);
+  await zone.timers.passUntil(CALM_MS + AWAY_MS);
+  const returnMs = zone.timers.nowMs();
+  zone.restore({ revisionsLost: counter.revisionsLost, versionsLost: 2 });
+  zone.moveCounter(counter.moved);
+  zone.shut(zone.daemons, 'open');
+  await zone.timers.passUntil(returnMs + changeMs);
+  const version = zone.change();
+  const endMs = returnMs + changeMs + 3 * fleet.contactMs;
+  await zone.timers.passUntil(endMs);
+  zone.stop();
+  await zone.timers.passUntil(endMs + 2 * fleet.contactMs);
+  return zone.slowestMs(zone.daemons, version, returnMs + changeMs);
+}
+
+// A version that was acknowledged after the store's return was in force only once its counter had passed the number that
+// daemons had seen before.
+test('a change after the store came back from a copy is in force in time', async () => {
+  const late: string[] = [];
+  for (const fleet of FLEETS) {
+    for (const way of WAYS) {
+      for (const counter of COUNTERS) {
+        for (const changeMs of CHANGES_MS) {
+          const slowestMs = await slowestMsOf(fleet, { way, counter, changeMs });
+          // The time to be back in touch counts from the return, that of the change from its acknowledgement.
+          const dueMs = Math.max(fleet.contactMs - changeMs, fleet.configApplyMs);
+          if (slowestMs > dueMs) {
+            late.push(`${fleet.fleet}, ${way}, ${counter.name}, ${changeMs}: ${slowestMs} ms`);
+          }
+        }
+      }
+    }
+  }
+  assert.deepEqual(late, []);
+});
+
+// The counter had passed what daemons had seen when they asked again: the feed answered, without what was written below.
+test('a change that other writes hide from the feed after the store came back from a copy is in force in time', async () => {
+  const late: string[] = [];
+  for (const fleet of FLEETS) {
+    for (const way of WAYS) {
+      const zone = new FollowedZone({ ...fleet, random: () => 0.5, documentSize: 'small' });
+      await zone.start(START_GAP_MS);
+      for (let changes = 0; changes < 4; changes += 1) zone.change();
+      await zone.timers.passUntil(CALM_MS);
+      zone.shut(zone.daemons, way);
+      await zone.timers.passUntil(CALM_MS + AWAY_MS);
+      zone.restore({ revisionsLost: 9, versionsLost: 2 });
+      const version = zone.changeUnheard();
+      zone.moveCounter(200);
+      zone.shut(zone.daemons, 'open');
+      const returnMs = zone.timers.nowMs();
+      await zone.timers.passUntil(returnMs + 3 * fleet.contactMs);
+      zone.stop();
+      await zone.timers.passUntil(returnMs + 5 * fleet.contactMs);
+      const slowestMs = zone.slowestMs(zone.daemons, version, returnMs);
+      if (slowestMs > fleet.contactMs) late.push(`${fleet.fleet}, ${way}: ${slowestMs} ms`);
+    }
+  }
+  assert.deepEqual(late, []);
+});
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -34,10 +34,20 @@
 /** What becomes of calls at a door. */
 export type DoorState = 'open' | 'silent' | 'refuses' | 'resets';
 
+/** What a copy lacks that the store comes back from. */
+export interface LostInCopy {
+  readonly revisionsLost: number;
+  readonly versionsLost: number;
+}
+
 /** The operator's table as the store has it. */
 class ConfigurationTable {
+  era = 0;
   revision = 1;
   version = 1;
+  /** Where the row was written last; other tables move the store's counter further. */
+  rowRevision = 1;
+  #lastVersion = 1;
   /** Changes before this revision are forgotten. */
   historyFrom = 0;
   readonly #timers: VirtualTimers;
@@ -48,15 +58,33 @@
   }
 
   change(): void {
-    this.revision += 3;
-    this.version += 1;
+    this.changeUnheard();
     this.#answer();
   }
 
   /** A change that held calls are not told of before they are cut. */
   changeUnheard(): void {
+    this.#lastVersion += 1;
+    this.#write(this.#lastVersion);
+  }
+
+  /** The store comes back from a copy, in which an older version is under an older revision. */
+  restore({ revisionsLost, versionsLost }: LostInCopy): void {
+    this.era += 1;
+    this.revision = Math.max(1, this.revision - revisionsLost);
+    this.rowRevision = this.revision;
+    this.version = Math.max(1, this.version - versionsLost);
+  }
+
+  /** Other tables are written. */
+  moveCounter(by: number): void {
+    this.revision += by;
+  }
+
+  #write(version: number): void {
     this.revision += 3;
-    this.version += 1;
+    this.rowRevision = this.revision;
+    this.version = version;
   }
 
   forgetHistory(): void {
@@ -170,10 +198,13 @@
     signal: AbortSignal,
   ): Promise<WatchAnswer<GatewayConfiguration>> {
     return this.#door.call(signal, async () => {
-      if (this.#table.revision <= after) await this.#table.changed(waitMs);
-      if (after < this.#table.historyFrom) return { kind: 'history-lost', era: 0 };
-      if (this.#table.revision > after) return this.#rows(this.#table.version);
-      return { kind: 'rows', rows: [], era: 0, revision: this.#table.revision };
+      const table = this.#table;
+      if (table.rowRevision <= after && after <= table.revision) await table.changed(waitMs);
+      const { era, revision } = table;
+      const isKnown = table.historyFrom <= after && after <= revision;
+      if (!isKnown) return { kind: 'history-lost', era };
+      if (table.rowRevision > after) return this.#rows(table.version);
+      return { kind: 'rows', rows: [], era, revision };
     });
   }
 
@@ -185,7 +216,7 @@
     const value = configurationOf(version);
     const encoded = Buffer.from(String(value.version));
     const rows = [{ kind: 'value', key: 'config', value, encoded }] as const;
-    return { kind: 'rows', rows, era: 0, revision };
+    return { kind: 'rows', rows, era: this.#table.era, revision };
   }
 }
 
@@ -299,6 +330,12 @@
     return this.#table.version;
   }
 
+  /** The operator writes a version, and held calls do not hear of it. */
+  changeUnheard(): number {
+    this.#table.changeUnheard();
+    return this.#table.version;
+  }
+
   /** The operator writes a version, held calls do not hear of it, and then the history is lost. */
   changeInGap(): number {
     this.#table.changeUnheard();
@@ -306,6 +343,16 @@
     return this.#table.version;
   }
 
+  /** The store comes back from a copy. */
+  restore(lost: LostInCopy): void {
+    this.#table.restore(lost);
+  }
+
+  /** Other tables of the store are written. */
+  moveCounter(by: number): void {
+    this.#table.moveCounter(by);
+  }
+
   shut(daemons: readonly FollowingDaemon[], state: DoorState): void {
     for (const { door } of daemons) door.set(state);
   }
--- a/test/gateway/support/store-stand-in.ts
+++ b/test/gateway/support/store-stand-in.ts
@@ -33,6 +33,12 @@
 /** What the store does instead of serving. */
 export type StoreFault = 'none' | 'refuse' | 'lose-answers';
 
+/** What the store held at some moment. */
+export interface StoreCopy {
+  readonly ver: number;
+  readonly rows: ReadonlyMap<string, Row>;
+}
+
 /** A store on loopback. */
 export class StoreStandIn {
   /** Applied to every call until it is set back. */
@@ -40,8 +46,10 @@
   /** Feeds from before this version are gone. */
   historyFrom = 0;
   readonly calls: string[] = [];
+  /** Rises each time that the store comes back from a copy. */
+  #era = 0;
   #ver = 1;
-  readonly #rows = new Map<string, Row>();
+  #rows = new Map<string, Row>();
   readonly #feeds = new Set<HeldFeed>();
   readonly #server = http.createServer((request, response) => void this.#serve(request, response));
 
@@ -74,6 +82,19 @@
     this.#answerFeeds();
   }
 
+  copy(): StoreCopy {
+    return { ver: this.#ver, rows: new Map(this.#rows) };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its versions are given out again. */
+  restore({ ver, rows }: StoreCopy): void {
+    this.#era += 1;
+    this.#ver = ver;
+    this.#rows = new Map(rows);
+    this.#server.closeAllConnections();
+    this.#feeds.clear();
+  }
+
   /** Ends all held feeds as a store does that forgot their history. */
   forgetHistory(): void {
     this.historyFrom = this.#ver + 1;
@@ -99,6 +120,7 @@
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls.push(url.pathname);
+    response.setHeader('Store-Era', String(this.#era));
     if (this.fault === 'refuse') {
       response.writeHead(503).end();
       return;
@@ -125,7 +147,7 @@
   #feed(url: URL, response: ServerResponse): void {
     const table = url.searchParams.get('table') ?? '';
     const after = Number(url.searchParams.get('after'));
-    if (after < this.historyFrom) {
+    if (after < this.historyFrom || after > this.#ver) {
       response.writeHead(410).end();
       return;
     }
