Revisions of the store are compared within its era

What callers saw: requests handled by an older configuration and sent to a server that leaves, for seconds after the store had come back from an older copy (CONFIG, DRAIN). Cause: a revision stood for a place in one history for good. After the return revisions are given out again: whole reads below the last one seen counted as stale until the counter passed it, and where it had passed, the feed went on without what was written below. Why it holds: FollowedRevisions keeps a table's revisions with their era and is the only place where they are compared. The first answer of a later era, of whatever status and on whichever table, ends the held calls and has each table read whole; an answer of an earlier era is not taken. Digests and what relays pass on name the era, and nothing where it is the first, so that daemons of earlier releases read them; a digest without one is not relied on by a daemon in a later era.

--- a/src/core/gateway/digest-schedule.ts
+++ b/src/core/gateway/digest-schedule.ts
@@ -3,8 +3,10 @@
  * and then as a sign of life; other zones need only the sign of life, and more seldom.
  */
 
-/** How far a relay has followed a table of the store. */
+/** How far a daemon has followed a table of the store. */
 export interface TableProgress {
+  /** That of the store, which all revisions are of. */
+  readonly era: number;
   /** The revision at which the table was last seen to change. */
   readonly changed: number;
   /** The revision up to which nothing else has changed. */
@@ -61,5 +63,6 @@
 }
 
 function isAhead(digest: TableProgress, told: TableProgress): boolean {
+  if (digest.era !== told.era) return digest.era > told.era;
   return digest.changed > told.changed || digest.reread > told.reread;
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -48,6 +48,7 @@
 } from './explain-request.js';
 export { FleetPaces, type PaceChange } from './fleet-paces.js';
 export { FleetSize } from './fleet-size.js';
+export { type EraOfAnswer, FollowedRevisions } from './followed-revisions.js';
 export { ForecastScale } from './forecast-scale.js';
 export { homeOf } from './home.js';
 export {
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -201,6 +201,18 @@
     message: 'the store has forgotten the history of a watched table; it is read whole',
     remedy: 'Nothing to do.',
   },
+  storeEraRaised: {
+    number: 6039,
+    level: 'warn',
+    message: 'the store is back from an older copy; what was written since is gone',
+    remedy: 'Nothing to do: the table is read whole. Look at 6040 for how long that took.',
+  },
+  storeEraRead: {
+    number: 6040,
+    level: 'info',
+    message: 'a watched table was read whole after the store came back from an older copy',
+    remedy: 'Nothing to do; tookMs counts from the first answer of the new era.',
+  },
   staleRead: {
     number: 6038,
     level: 'warn',
--- a/src/shell/gateway/configuration-teller.ts
+++ b/src/shell/gateway/configuration-teller.ts
@@ -33,13 +33,13 @@
   }
 
   /** One that this daemon had from the store, where it fits a message. */
-  passOn({ after, revision, rows }: TableChanges<unknown>): void {
+  passOn({ era, after, revision, rows }: TableChanges<unknown>): void {
     const { zone, roster, timers, isRelay, send } = this.#options;
     const newest = rows.at(-1);
     if (!isRelay() || newest?.kind !== 'value') return;
     const { key, encoded } = newest;
     if (encoded === undefined || encoded.length > MOST_PASSED_BYTES) return;
-    const change = { after, revision, key, encoded };
+    const change = { era, after, revision, key, encoded };
     const peers = [...roster.zonePeers(), ...roster.otherRelays(timers.nowMs())];
     send(peers, encodePeerMessage({ kind: 'configuration', zone, change }));
   }
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -10,6 +10,7 @@
   TableDigest,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { FIRST_ERA } from '../../core/platform/store-position.js';
 import type { CacheNewsWatchers } from './cache-news-watcher.js';
 import type { FleetView } from './fleet-view.js';
 import { HeardVersion } from './heard-version.js';
@@ -36,7 +37,10 @@
 const MOST_AHEAD_MS = 60_000;
 
 /** A watch, whatever its table holds. */
-type Watch = Pick<TableWatcher<never>, 'run' | 'stop' | 'callsTotal' | 'lastAnswerMs' | 'progress'>;
+type Watch = Pick<
+  TableWatcher<never>,
+  'run' | 'stop' | 'noteEra' | 'callsTotal' | 'lastAnswerMs' | 'progress'
+>;
 
 type ServerEvent = (typeof GATEWAY_EVENTS)[
   | 'serverAdded'
@@ -87,7 +91,8 @@
     this.#options = options;
     const { adapter, timing, recheckSpans, random, timers, log, digest } = options;
     const retryTurns = new RetryTurns(timers);
-    const shared = { timing, recheckSpans, random, retryTurns, timers, log };
+    const noteEra = (era: number) => this.#noteEra(era);
+    const shared = { timing, recheckSpans, random, retryTurns, timers, log, noteEra };
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
@@ -185,6 +190,11 @@
     return timers.nowMs() - Math.max(this.#configurations.lastAnswerMs, digest.lookedMs);
   }
 
+  /** One table was heard in the store's new era: none of the others is to wait for its own answer. */
+  #noteEra(era: number): void {
+    for (const watch of this.#watches) watch.noteEra(era);
+  }
+
   /** Changes of servers that a relay had from the store. */
   takeServerChanges({ rows, ...span }: TableChanges<ServerRecord>): void {
     this.#servers.offer({ ...span, rows: rows.map((row) => this.#withStart(row)) });
@@ -202,11 +212,11 @@
    * newer one is taken whatever this daemon's own watch has seen, as that may be out of reach of the store.
    * @returns whether it was newer
    */
-  takePassedConfiguration({ key, encoded, after, revision }: PassedConfiguration): boolean {
+  takePassedConfiguration({ key, encoded, ...span }: PassedConfiguration): boolean {
     const before = this.inForceVersion;
     const row = this.#options.adapter.configurations.decode(key, encoded);
     if (row.kind !== 'value' || row.value.version <= before) return false;
-    this.#configurations.offer({ after, revision, rows: [row] });
+    this.#configurations.offer({ ...span, rows: [row] });
     this.#takeConfigurations([row]);
     return true;
   }
@@ -224,7 +234,7 @@
   /** A newer one spares others a whole read; how their watches go on is theirs to find. */
   #takeAllConfigurations(rows: readonly WatchedRow<GatewayConfiguration>[]): boolean {
     const isNewer = this.#takeConfigurations(rows);
-    if (isNewer) this.#options.passOnConfiguration({ after: 0, revision: 0, rows });
+    if (isNewer) this.#options.passOnConfiguration({ era: FIRST_ERA, after: 0, revision: 0, rows });
     return isNewer;
   }
 
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -13,6 +13,7 @@
   shortIdOf,
   type TableProgress,
 } from '../../core/gateway/index.js';
+import { FIRST_ERA } from '../../core/platform/store-position.js';
 import type { CacheEvent, WatchedRow } from './ports.js';
 
 /** The first item of a message. */
@@ -89,8 +90,10 @@
   z.enum(['prefill', 'decode']),
   z.enum(['changing', 'changed']),
 ]);
+/** The era of the store; left out for the first, and by daemons that do not know of eras. */
+const eraSchema = z.optional(z.number());
 /** Revisions at which a table changed last, up to which it was seen, and where it was read whole. */
-const progressSchema = z.tuple([z.number(), z.number(), z.number()]);
+const progressSchema = z.tuple([z.number(), z.number(), z.number(), eraSchema]);
 export const tablesSchema = z.tuple([
   z.literal(KINDS.tables),
   z.string(),
@@ -123,6 +126,7 @@
   z.number(),
   z.array(serverSchema),
   z.array(z.string()),
+  eraSchema,
 ]);
 export const configurationSchema = z.tuple([
   z.literal(KINDS.configuration),
@@ -131,6 +135,7 @@
   z.number(),
   z.string(),
   z.instanceof(Uint8Array),
+  eraSchema,
 ]);
 /** The window whose counts are asked for. */
 export const usageAskedSchema = z.tuple([z.literal(KINDS.usageAsked), z.number()]);
@@ -154,14 +159,19 @@
   readonly events: readonly CacheEvent[];
 }
 
-export function encodeProgress({ changed, seen, reread }: TableProgress): unknown[] {
-  return [changed, seen, reread];
+/** Daemons that do not know of eras read a message only while it has none. */
+export function encodeEra(era: number): readonly number[] {
+  return era === FIRST_ERA ? [] : [era];
 }
 
-export function decodeProgress([changed, seen, reread]: z.infer<
+export function encodeProgress({ era, changed, seen, reread }: TableProgress): unknown[] {
+  return [changed, seen, reread, ...encodeEra(era)];
+}
+
+export function decodeProgress([changed, seen, reread, era = FIRST_ERA]: z.infer<
   typeof progressSchema
 >): TableProgress {
-  return { changed, seen, reread };
+  return { era, changed, seen, reread };
 }
 
 export function encodeServer(row: WatchedRow<ServerRecord>): unknown[] {
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -11,6 +11,7 @@
   StageNotice,
   TableDigest,
 } from '../../core/gateway/index.js';
+import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
 import type { UsagePart } from '../../core/tenant-usage/index.js';
 import {
   decodeLimitAsk,
@@ -36,6 +37,7 @@
   type EngineNews,
   encodeCrash,
   encodeDemand,
+  encodeEra,
   encodeNews,
   encodeProgress,
   encodeReach,
@@ -98,9 +100,8 @@
   | typeof crashesSchema;
 
 /** A change of the configuration, as the relay of a zone had it from the store. */
-export interface PassedConfiguration {
+export interface PassedConfiguration extends StorePosition {
   readonly after: number;
-  readonly revision: number;
   readonly key: string;
   /** The row's value as the store holds it. */
   readonly encoded: Buffer;
@@ -170,13 +171,15 @@
       return pack([KINDS.stage, engineId, stage, phase]);
     }
     case 'servers': {
-      const { after, revision, rows } = message.changes;
+      const { era, after, revision, rows } = message.changes;
       const head = [KINDS.servers, message.zone, after, revision];
-      return pack([...head, rows.flatMap(encodeServer), rows.flatMap(goneKey)]);
+      const changed = [rows.flatMap(encodeServer), rows.flatMap(goneKey)];
+      return pack([...head, ...changed, ...encodeEra(era)]);
     }
     case 'configuration': {
-      const { after, revision, key, encoded } = message.change;
-      return pack([KINDS.configuration, message.zone, after, revision, key, encoded]);
+      const { era, after, revision, key, encoded } = message.change;
+      const head = [KINDS.configuration, message.zone, after, revision];
+      return pack([...head, key, encoded, ...encodeEra(era)]);
     }
     case 'tables': {
       const { configurations, servers, ageMs, peersChecksum, configurationVersion } =
@@ -236,18 +239,18 @@
       return { kind: 'sums', zone, sums: { relay, incarnation, sequence, isWhole, ...told } };
     }
     case KINDS.servers: {
-      const [, zone, after, revision, servers, goneKeys] = fields;
+      const [, zone, after, revision, servers, goneKeys, era = FIRST_ERA] = fields;
       const gone = goneKeys.map((key) => ({ kind: 'gone', key }) as const);
       const rows = [...servers.map(decodeServer), ...gone];
-      return { kind: 'servers', zone, changes: { after, revision, rows } };
+      return { kind: 'servers', zone, changes: { era, after, revision, rows } };
     }
     case KINDS.stage: {
       const [, engineId, stage, phase] = fields;
       return { kind: 'stage', notice: { engineId, stage, phase } };
     }
     case KINDS.configuration: {
-      const [, zone, after, revision, key, bytes] = fields;
-      const change = { after, revision, key, encoded: Buffer.from(bytes) };
+      const [, zone, after, revision, key, bytes, era = FIRST_ERA] = fields;
+      const change = { era, after, revision, key, encoded: Buffer.from(bytes) };
       return { kind: 'configuration', zone, change };
     }
     case KINDS.tables: {
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -4,6 +4,7 @@
  * daemon follows the tables by itself. The digest carries no rows, so nothing it says can set a daemon back.
  */
 import type { TableDigest, TableProgress } from '../../core/gateway/index.js';
+import { isAfter, type StorePosition } from '../../core/platform/store-position.js';
 import type { TimerService } from './timer-service.js';
 
 /** A table that daemons follow. */
@@ -62,16 +63,24 @@
     return this.#digest?.[table];
   }
 
-  /** Whether the relay has read the table whole, after a disturbance, since a revision. */
-  wasReread(table: FollowedTable, revision: number): boolean {
-    return (this.#digest?.[table].reread ?? 0) > revision;
+  /** Whether a fresh digest can be relied on for a table: its relay is in no era of the store before this one. */
+  isFreshFor(table: FollowedTable, era: number): boolean {
+    return this.isFresh && (this.#digest?.[table].era ?? era) >= era;
   }
 
-  /** How far a daemon that has followed a table to a revision is by the relay's digest: nothing changed. */
-  advance(table: FollowedTable, revision: number): number {
+  /** Whether the relay has read the table whole, after a disturbance, since a place in its history. */
+  wasReread(table: FollowedTable, position: StorePosition): boolean {
     const progress = this.#digest?.[table];
-    if (progress === undefined || progress.changed > revision) return revision;
-    return Math.max(revision, progress.seen);
+    if (progress === undefined) return false;
+    return isAfter({ era: progress.era, revision: progress.reread }, position);
+  }
+
+  /** How far a daemon that has followed a table to a place is by the relay's digest: nothing changed. */
+  advance(table: FollowedTable, position: StorePosition): number {
+    const { era, revision } = position;
+    const progress = this.#digest?.[table];
+    if (progress === undefined || progress.era !== era) return revision;
+    return this.hasChanged(table, position) ? revision : Math.max(revision, progress.seen);
   }
 
   /** No relay's digest is to be relied on any more, as this daemon is the relay. */
@@ -80,9 +89,11 @@
     for (const listener of [...this.#listeners]) listener();
   }
 
-  /** Whether the table has changed beyond a revision. */
-  hasChanged(table: FollowedTable, revision: number): boolean {
-    return (this.#digest?.[table].changed ?? 0) > revision;
+  /** Whether the table has changed beyond a place in its history. */
+  hasChanged(table: FollowedTable, position: StorePosition): boolean {
+    const progress = this.#digest?.[table];
+    if (progress === undefined) return false;
+    return isAfter({ era: progress.era, revision: progress.changed }, position);
   }
 
   /** While the digest is fresh and says that there is nothing to look for. */
@@ -120,10 +131,14 @@
   return Math.max(configurationVersion, known?.configurationVersion ?? 0);
 }
 
+/** Revisions of two eras say nothing of each other. */
 function newer(told: TableProgress, known: TableProgress | undefined): TableProgress {
+  if (known === undefined || told.era > known.era) return told;
+  if (told.era < known.era) return known;
   return {
-    changed: Math.max(told.changed, known?.changed ?? 0),
-    seen: Math.max(told.seen, known?.seen ?? 0),
-    reread: Math.max(told.reread, known?.reread ?? 0),
+    era: told.era,
+    changed: Math.max(told.changed, known.changed),
+    seen: Math.max(told.seen, known.seen),
+    reread: Math.max(told.reread, known.reread),
   };
 }
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -5,10 +5,17 @@
  *
  * While the relay of the zone says how far the table has changed, the store is asked only where it has, and
  * read whole where the relay had to.
+ *
+ * A store that came back from an older copy gives revisions out again: with the first answer of its new era the table
+ * is read whole, and answers of an era before are not taken.
  */
-import { RecheckSchedule, type TableProgress } from '../../core/gateway/index.js';
+import {
+  FollowedRevisions,
+  RecheckSchedule,
+  type TableProgress,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
+import type { StorePosition } from '../../core/platform/store-position.js';
 import type { WatchAnswer, WatchedRow, WatchedTable } from './ports.js';
 import type { FollowedTable, RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
@@ -29,9 +36,8 @@
 const MOST_GATHER_GROWTH = 3;
 
 /** All changes of a table between two of the store's revisions. */
-export interface TableChanges<Value> {
+export interface TableChanges<Value> extends StorePosition {
   readonly after: number;
-  readonly revision: number;
   readonly rows: readonly WatchedRow<Value>[];
 }
 
@@ -63,6 +69,8 @@
   readonly gatherMs: number;
   /** For how long a table is read whole again. */
   readonly recheckSpans: RecheckSpans;
+  /** Told when the store answers in another era than before. */
+  readonly noteEra: (era: number) => void;
   /** From 0 to below 1, to spread the retries of many daemons. */
   readonly random: () => number;
   /** Shared by all watches of this daemon. */
@@ -78,15 +86,11 @@
   /** Ends a wait or a held call, as there is something to look for, or this watch is stopped. */
   #interrupt = new AbortController();
   #mustLook = false;
-  /** The newest era that the store has answered from. */
-  #era = FIRST_ERA;
-  #loggedStale: number | undefined;
-  #revision: number | undefined;
-  #changedRevision = 0;
+  readonly #revisions = new FollowedRevisions();
+  #loggedStale: StorePosition | undefined;
+  /** When the store was first heard in its era, until the table was read whole in it. */
+  #eraSinceMs: number | undefined;
   #failuresInARow = 0;
-  /** Where the table was last read whole, and where last after a disturbance. */
-  #wholeRevision = 0;
-  #rereadRevision = 0;
   readonly #rechecks = new RecheckSchedule();
   /** Whether no call of its own is under way. */
   #isIdle = false;
@@ -109,18 +113,23 @@
    * Takes changes that another daemon had from the store. They count only while this one has no call of
    * its own under way, and only where they join what it has seen, so nothing is left out or set back.
    */
-  offer({ after, revision, rows }: TableChanges<Value>): void {
-    if (!this.#isIdle || this.#revision === undefined) return;
-    if (this.#revision < after || this.#revision >= revision) return;
-    this.#revision = revision;
-    this.#changedRevision = revision;
-    this.#options.consumer.takeChanges(rows);
+  offer(changes: TableChanges<Value>): void {
+    if (!this.#isIdle || !this.#revisions.joins(changes)) return;
+    this.#revisions.advanceTo(changes.revision);
+    this.#revisions.noteChange(changes.revision);
+    this.#options.consumer.takeChanges(changes.rows);
+  }
+
+  /** The store was heard in an era; a later one than before makes all that was followed worth nothing. */
+  noteEra(era: number): void {
+    if (this.#revisions.eraOf({ era }) !== 'newer') return;
+    this.#enterEra(era);
+    this.lookAgain();
   }
 
   /** How far the table was followed, for others who follow it. */
   get progress(): TableProgress {
-    const changed = this.#changedRevision;
-    return { changed, seen: this.#revision ?? changed, reread: this.#rereadRevision };
+    return this.#revisions.progress;
   }
 
   /** Runs until `stop`. */
@@ -141,47 +150,53 @@
 
   async #step(): Promise<void> {
     if (this.#interrupt.signal.aborted) this.#interrupt = new AbortController();
-    if (this.#mustLook) return this.#readAll(false);
+    const isToldToZone = this.#rechecks.isUnderWay && this.#revisions.seen === undefined;
+    if (this.#mustLook) return this.#readAll(isToldToZone);
     this.#takeOverProgress();
-    if (this.#revision === undefined) return this.#readAll(this.#rechecks.isUnderWay);
+    if (this.#revisions.seen === undefined) return this.#readAll(isToldToZone);
     // After a cut the feed is asked first: it says whether the history was lost.
     const isAnswered = this.#failuresInARow === 0;
     if (isAnswered) await this.#recheck();
-    if (this.#revision !== undefined) return this.#readChanges();
+    if (this.#revisions.seen !== undefined) return this.#readChanges();
   }
 
   /** Where this daemon has all that its relay has, it goes on from where the relay has followed the table to. */
   #takeOverProgress(): void {
     const { digest } = this.#options;
-    if (digest?.from.isFresh !== true || digest.hasAll?.() !== true) return;
+    if (!this.#hasFreshDigest || digest?.hasAll?.() !== true) return;
     const progress = digest.from.progressOf(digest.table);
-    if (progress === undefined) return;
-    this.#wholeRevision = Math.max(this.#wholeRevision, progress.reread);
-    this.#noteChange(progress.changed);
-    this.#advanceTo(progress.seen);
+    if (progress?.era !== this.#revisions.era) return;
+    this.#revisions.takeOver(progress);
     this.#rechecks.end();
   }
 
+  /** Whether there is a digest that says what the table is now. */
+  get #hasFreshDigest(): boolean {
+    const { digest } = this.#options;
+    return digest?.from.isFreshFor(digest.table, this.#revisions.era) === true;
+  }
+
   /** Reads the table whole once more where that is due; the relay, where its digest is fresh, does so for the whole zone. */
   async #recheck(): Promise<void> {
-    const { digest, timers } = this.#options;
-    if (digest?.from.isFresh === true) this.#rechecks.end();
+    const { timers } = this.#options;
+    if (this.#hasFreshDigest) this.#rechecks.end();
     const recheck = this.#rechecks.next(timers.nowMs());
     if (recheck === 'none') return;
     const answer = await this.#readRows();
     // After a stale read the feed goes on from where it was.
     if (answer === undefined) return;
-    if (this.#isStale(answer)) return this.#logStale(answer);
+    if (this.#revisions.isStale(answer)) return this.#logStale(answer);
     // Changes go on from where they were followed to: what this read has taken up is still to be passed on.
     const hasDiffered = this.#options.consumer.takeAll(answer.rows);
-    if (recheck === 'last' || hasDiffered) this.#goOnFrom(answer.revision, true);
+    const isFirstOfEra = this.#revisions.seen === undefined;
+    if (recheck === 'last' || hasDiffered || isFirstOfEra) this.#goOnFrom(answer.revision, true);
   }
 
   /** @param isToldToZone whether those who rely on this daemon are to read the table whole as well */
   async #readAll(isToldToZone: boolean): Promise<void> {
     const answer = await this.#readRows();
     if (answer === undefined) return;
-    if (this.#isStale(answer)) {
+    if (this.#revisions.isStale(answer)) {
       this.#logStale(answer);
       return this.#handleFailure({ kind: 'failed', reason: 'a stale read', wasRefused: true });
     }
@@ -200,36 +215,39 @@
       await this.#handleFailure(answer);
       return undefined;
     }
-    if (!this.#isStale(answer)) this.#noteSuccess();
+    if (!this.#revisions.isStale(answer)) this.#noteSuccess();
     return answer;
   }
 
-  /** Whether a read names an older revision than that at which the table is known to have changed. */
-  #isStale({ revision }: { readonly revision: number }): boolean {
-    return revision < this.#changedRevision;
-  }
-
   /** One line for each place: a read that is stale is made again and again. */
   #logStale({ era, revision }: StorePosition): void {
-    if (this.#loggedStale === revision) return;
-    this.#loggedStale = revision;
+    if (this.#loggedStale?.era === era && this.#loggedStale.revision === revision) return;
+    this.#loggedStale = { era, revision };
     const { log, table } = this.#options;
-    const known = { knownEra: this.#era, knownRevision: this.#changedRevision };
+    const { era: knownEra, revision: knownRevision } = this.#revisions.changed;
+    const known = { knownEra, knownRevision };
     log.write(GATEWAY_EVENTS.staleRead, { table: table.name, era, revision, ...known });
   }
 
   /** A daemon that has nothing to serve by yet gives a slow store more time. */
   get #lookMs(): number {
     const { lookMs, firstLookMs } = this.#options.timing();
-    return this.#wholeRevision === 0 ? firstLookMs : lookMs;
+    return this.#revisions.hasRead ? lookMs : firstLookMs;
   }
 
   /** Changes are followed from a whole read on; what changed before is not known change by change. */
   #goOnFrom(revision: number, isToldToZone: boolean): void {
-    this.#wholeRevision = revision;
-    if (isToldToZone) this.#rereadRevision = revision;
-    this.#noteChange(revision);
-    this.#advanceTo(revision);
+    this.#revisions.goOnFrom(revision, isToldToZone);
+    this.#noteReadInEra();
+  }
+
+  #noteReadInEra(): void {
+    if (this.#eraSinceMs === undefined) return;
+    const { log, table, timers } = this.#options;
+    const { era, revision } = this.#revisions.whole;
+    const tookMs = Math.round(timers.nowMs() - this.#eraSinceMs);
+    log.write(GATEWAY_EVENTS.storeEraRead, { table: table.name, era, revision, tookMs });
+    this.#eraSinceMs = undefined;
   }
 
   async #readChanges(): Promise<void> {
@@ -240,21 +258,24 @@
       if (this.#interrupt.signal.aborted) return;
       if (this.#wasRereadByRelay) return this.#readAll(false);
     }
-    const after = this.#revision ?? 0;
+    const { era, seen: after = 0 } = this.#revisions;
     const answer = await this.#askForChanges(after);
+    // Changes after a revision of another era leave out what was written below it.
+    const isOfAskedEra = this.#revisions.era === era;
     if (answer.kind !== 'rows') {
       // A call that was given up for a look is no word on the store.
       return this.#mustLook ? undefined : this.#handleFailure(answer);
     }
     this.#noteSuccess();
-    this.#advanceTo(answer.revision);
+    if (!isOfAskedEra) return;
+    this.#revisions.advanceTo(answer.revision);
     if (answer.rows.length === 0) {
       this.#gathersInARow = 0;
       return;
     }
-    this.#noteChange(answer.revision);
+    this.#revisions.noteChange(answer.revision);
     consumer.takeChanges(answer.rows);
-    consumer.passOn?.({ after, revision: answer.revision, rows: answer.rows });
+    consumer.passOn?.({ era, after, revision: answer.revision, rows: answer.rows });
     if (gatherMs > 0) await this.#gather(gatherMs);
   }
 
@@ -288,16 +309,16 @@
 
   #isCurrent({ table, from }: DigestSource): boolean {
     this.#takeOverProgress();
-    if (this.#wasRereadByRelay) return false;
-    this.#revision = from.advance(table, this.#revision ?? 0);
-    return !from.hasChanged(table, this.#revision);
+    if (!this.#hasFreshDigest || this.#wasRereadByRelay) return false;
+    const { era, seen: revision = 0 } = this.#revisions;
+    this.#revisions.advanceTo(from.advance(table, { era, revision }));
+    return !from.hasChanged(table, { era, revision });
   }
 
   get #wasRereadByRelay(): boolean {
     const { digest } = this.#options;
-    return (
-      digest?.from.isFresh === true && digest.from.wasReread(digest.table, this.#wholeRevision)
-    );
+    if (digest === undefined || !this.#hasFreshDigest) return false;
+    return digest.from.wasReread(digest.table, this.#revisions.whole);
   }
 
   /** Waits; meanwhile changes that others pass on are taken. */
@@ -307,8 +328,20 @@
     this.#isIdle = false;
   }
 
-  #noteChange(revision: number): void {
-    this.#changedRevision = Math.max(this.#changedRevision, revision);
+  /** Reads may be stale for a while, as after a lost history. */
+  #enterEra(era: number): void {
+    const { log, table, timers, recheckSpans, noteEra } = this.#options;
+    const { era: eraBefore, revision: revisionBefore } = this.#revisions.changed;
+    this.#revisions.enter(era);
+    this.#eraSinceMs ??= timers.nowMs();
+    this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
+    log.write(GATEWAY_EVENTS.storeEraRaised, {
+      table: table.name,
+      era,
+      eraBefore,
+      revisionBefore,
+    });
+    noteEra(era);
   }
 
   async #ask(
@@ -318,13 +351,20 @@
   ): Promise<WatchAnswer<Value>> {
     this.callsTotal += 1;
     const answer = await callWithin(this.#options.timers, timeoutMs, signal, call);
-    this.#era = Math.max(this.#era, answer.era ?? FIRST_ERA);
-    return answer;
-  }
-
-  /** A stale answer sets nothing back. */
-  #advanceTo(revision: number): void {
-    this.#revision = Math.max(this.#revision ?? 0, revision);
+    const { era } = answer;
+    if (era === undefined) return answer;
+    switch (this.#revisions.eraOf({ era })) {
+      case 'same':
+        return answer;
+      case 'first':
+        this.#revisions.enter(era);
+        return answer;
+      case 'newer':
+        this.#enterEra(era);
+        return answer;
+      case 'older':
+        return { kind: 'failed', reason: 'an answer of an era before', wasRefused: true };
+    }
   }
 
   #noteSuccess(): void {
@@ -345,7 +385,7 @@
     if (this.#stopped.signal.aborted) return;
     const { log, table, timers, recheckSpans } = this.#options;
     if (answer.kind === 'history-lost') {
-      this.#revision = undefined;
+      this.#revisions.lose();
       this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
       log.write(GATEWAY_EVENTS.historyLost, { table: table.name, era: answer.era });
       return;
--- a/test/gateway/configuration-in-force.test.ts
+++ b/test/gateway/configuration-in-force.test.ts
@@ -277,6 +277,7 @@
   assert.equal(follower?.follower.inForceVersion, version);
   const isNewer = follower?.follower.takePassedConfiguration({
     ...late,
+    era: 0,
     after: 1,
     revision: 9_999,
   });
--- a/test/gateway/digest-schedule.test.ts
+++ b/test/gateway/digest-schedule.test.ts
@@ -4,8 +4,8 @@
 import { DigestSchedule } from '../../src/core/gateway/index.js';
 
 const digest = (configurations: number, servers: number) => ({
-  configurations: { changed: configurations, seen: configurations, reread: 0 },
-  servers: { changed: servers, seen: servers, reread: 0 },
+  configurations: { era: 0, changed: configurations, seen: configurations, reread: 0 },
+  servers: { era: 0, changed: servers, seen: servers, reread: 0 },
   ageMs: 0,
   configurationVersion: 0,
   peersChecksum: 1,
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -147,6 +147,7 @@
       kind: 'servers',
       zone: 'z',
       changes: {
+        era: 0,
         after: 3,
         revision: 5,
         rows: [
@@ -161,8 +162,8 @@
       relay: 'a',
       zone: 'z',
       digest: {
-        configurations: { changed: 1, seen: 7, reread: 0 },
-        servers: { changed: 2, seen: 8, reread: 6 },
+        configurations: { era: 0, changed: 1, seen: 7, reread: 0 },
+        servers: { era: 0, changed: 2, seen: 8, reread: 6 },
         ageMs: 3,
         configurationVersion: 7,
         peersChecksum: 9,
@@ -171,7 +172,13 @@
     {
       kind: 'configuration',
       zone: 'z',
-      change: { after: 1, revision: 2, key: 'config', encoded: Buffer.from('{"version":2}') },
+      change: {
+        era: 0,
+        after: 1,
+        revision: 2,
+        key: 'config',
+        encoded: Buffer.from('{"version":2}'),
+      },
     },
     { kind: 'stage', notice: { engineId: 'e1', stage: 'decode', phase: 'changing' } },
   ] as const;
@@ -245,8 +252,8 @@
     paces: new FleetPaces({ use: 'always', speedOf: () => speed, serviceOf: () => 's' }),
     isReady: () => true,
     tableDigest: () => ({
-      configurations: { changed: 3, seen: 3, reread: 0 },
-      servers: { changed: 4, seen: 4, reread: 0 },
+      configurations: { era: 0, changed: 3, seen: 3, reread: 0 },
+      servers: { era: 0, changed: 4, seen: 4, reread: 0 },
       configurationVersion: VERSION,
       ageMs: 5,
     }),
@@ -371,7 +378,7 @@
     return { kind: 'value', key: id, value: { ...SERVER, id } } as const;
   });
   timers.advance(500);
-  relay.exchange.passOnServers({ after: 1, revision: 2, rows });
+  relay.exchange.passOnServers({ era: 0, after: 1, revision: 2, rows });
   const count = await settledBy(other.changed.promise, timers);
   for (const { exchange } of both) exchange.stop();
   assert.equal(count, 100);
@@ -390,7 +397,7 @@
   elsewhere.roster.heardRelay(relay.name, 'z', timers.nowMs());
   timers.advance(1_000);
   const rows = [{ kind: 'value', key: 'config', value: {}, encoded: Buffer.from('{}') }] as const;
-  elsewhere.exchange.passOnConfiguration({ after: 1, revision: 2, rows });
+  elsewhere.exchange.passOnConfiguration({ era: 0, after: 1, revision: 2, rows });
   assert.equal(await settledBy(other.configured.promise, timers), 2);
   for (const { exchange } of [...both, elsewhere]) exchange.stop();
 });
--- a/test/gateway/server-lives.test.ts
+++ b/test/gateway/server-lives.test.ts
@@ -115,7 +115,7 @@
 
   /** The relay says that nothing has changed since the first reading. */
   relyOnRelay(): void {
-    const progress = { changed: 1, seen: 1, reread: 0 };
+    const progress = { era: 0, changed: 1, seen: 1, reread: 0 };
     this.#digest.take({
       configurations: progress,
       servers: progress,
@@ -362,7 +362,12 @@
   const { directory } = list.fleet;
   const told = (fields: Partial<ServerRecord>, revision: number) => {
     const value = record({ bornMs: undefined, ...fields });
-    list.offer({ after: revision - 1, revision, rows: [{ kind: 'value', key: value.id, value }] });
+    list.offer({
+      era: 0,
+      after: revision - 1,
+      revision,
+      rows: [{ kind: 'value', key: value.id, value }],
+    });
   };
   told({ state: 'draining' }, 2);
   assert.equal(directory.get('i-1')?.state, 'draining');
@@ -376,6 +381,7 @@
 
 test('relays pass the start on; a message without one is read', () => {
   const changes = (server: ServerRecord) => ({
+    era: 0,
     after: 1,
     revision: 2,
     rows: [{ kind: 'value', key: server.id, value: server }] as WatchedRow<ServerRecord>[],
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -398,10 +398,10 @@
     this.timers.after(RELAY_TICK_MS, () => this.#tell());
   }
 
-  #passOn({ after, revision, rows }: TableChanges<GatewayConfiguration>): void {
+  #passOn({ era, after, revision, rows }: TableChanges<GatewayConfiguration>): void {
     const newest = rows.at(-1);
     if (newest?.kind !== 'value' || newest.encoded === undefined) return;
-    const change = { after, revision, key: newest.key, encoded: newest.encoded };
+    const change = { era, after, revision, key: newest.key, encoded: newest.encoded };
     this.timers.after(DATAGRAM_MS, () => {
       for (const { follower } of this.daemons.slice(1)) follower.takePassedConfiguration(change);
     });
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -52,6 +52,7 @@
     random: Math.random,
     retryTurns: new RetryTurns(timers),
     gatherMs,
+    noteEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
     timers,
     log: { write: () => undefined },
@@ -126,6 +127,7 @@
     retryTurns: new RetryTurns(timers),
     digest: { table: 'servers', from: digest },
     gatherMs: GATHER_MS,
+    noteEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
     timers,
     log: { write: () => undefined },
@@ -134,8 +136,8 @@
 }
 
 const digestAt = (changed: number, ageMs = 0, seen = changed, reread = 0) => ({
-  configurations: { changed: 0, seen: 0, reread: 0 },
-  servers: { changed, seen, reread },
+  configurations: { era: 0, changed: 0, seen: 0, reread: 0 },
+  servers: { era: 0, changed, seen, reread },
   ageMs,
   configurationVersion: 0,
   peersChecksum: 1,
@@ -382,7 +384,7 @@
   const digest = new RelayDigest(new ManualTimers(), WORD_AGE_MS);
   digest.take(digestAt(12));
   digest.take(digestAt(11));
-  assert.equal(digest.hasChanged('servers', 11), true);
+  assert.equal(digest.hasChanged('servers', { era: 0, revision: 11 }), true);
 });
 
 test('changes that a relay passes on are taken where they join, without a call', async () => {
@@ -391,6 +393,7 @@
   const taken: number[] = [];
   const { digest, watcher } = followerOf(table, timers, taken);
   const changes = (after: number, revision: number) => ({
+    era: 0,
     after,
     revision,
     rows: [{ kind: 'value', key: 'row', value: revision }] as const,
