What servers have said outlasts an older copy of their list

What callers saw: requests to a server that had said that it leaves, or had left, as the copy that the store came back from has it as ready; servers that had come since counted as lost until they wrote again. Cause: the list of a whole read was taken for what is. After a return from a copy it says what was some seconds ago.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -110,6 +110,11 @@
 export { RecentSends } from './recent-sends.js';
 export { type Recheck, RecheckSchedule } from './recheck-schedule.js';
 export { rankByRendezvous } from './rendezvous.js';
+export {
+  type RestoredReason,
+  type RestoredServer,
+  RestoredServers,
+} from './restored-servers.js';
 export { RetryBudget, type RetryBudgetCounts, type RetryBudgetOptions } from './retry-budget.js';
 export { RouteTable, TrafficSplitter } from './route-table.js';
 export { type MeteredSend, type SendEnd, SendMeter, type SendStep } from './send-meter.js';
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -213,6 +213,13 @@
     message: 'a watched table was read whole after the store came back from an older copy',
     remedy: 'Nothing to do; tookMs counts from the first answer of the new era.',
   },
+  serverRowRestored: {
+    number: 6041,
+    level: 'info',
+    message: 'the store came back from a copy that is older than what is known of a server',
+    remedy:
+      'Nothing to do: what is known counts until the server has written again, or should have.',
+  },
   staleRead: {
     number: 6038,
     level: 'warn',
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -6,6 +6,8 @@
   CallerLimits,
   DirectoryChange,
   GatewayConfiguration,
+  RestoredServer,
+  RestoredServers,
   ServerRecord,
   TableDigest,
 } from '../../core/gateway/index.js';
@@ -20,7 +22,7 @@
 import type { GatewayLog } from './request-log.js';
 import { RetryTurns } from './retry-turns.js';
 import { type TableChanges, TableWatcher } from './table-watcher.js';
-import type { TimerService, WallClock } from './timer-service.js';
+import type { CancelTimer, TimerService, WallClock } from './timer-service.js';
 import { UnreadableRows } from './unreadable-rows.js';
 import type { RecheckSpans, WatchTiming } from './watch-timing.js';
 
@@ -33,6 +35,9 @@
 /** Versions that come in quick succession: much less than the time until one has to be in force. */
 const GATHER_CONFIGURATIONS_MS = 200;
 
+/** Many daemons read the list again at the same time after the store's return; they are spread over this time. */
+const REREAD_SPREAD_MS = 300;
+
 /** A start later than this is not believed; clocks of one fleet differ by less. */
 const MOST_AHEAD_MS = 60_000;
 
@@ -57,6 +62,8 @@
   readonly timing: () => WatchTiming;
   /** For how long tables are read whole again, as reads may be stale. */
   readonly recheckSpans: RecheckSpans;
+  /** What the list of servers means after the store came back from an older copy. */
+  readonly restored: RestoredServers;
   /** From 0 to below 1, to spread what many daemons do. */
   readonly random: () => number;
   /** Changes of servers that came from the store itself. */
@@ -83,7 +90,13 @@
   readonly #servers: TableWatcher<ServerRecord>;
   readonly #heard: HeardVersion;
   readonly #unreadable = new UnreadableRows();
+  /** The last era that the store came back in. */
+  #era = FIRST_ERA;
   #isConfigurationUnreadable = false;
+  /** Rereads of the list that are due after the store's return. */
+  #cancelRereads: readonly CancelTimer[] = [];
+  /** Servers that were taken otherwise than the older copy has them, each told once. */
+  readonly #loggedRestored = new Set<string>();
   /** Whether the last rows of servers held one that was not taken. */
   #hasPassedOver = false;
 
@@ -155,6 +168,7 @@
 
   stop(): void {
     for (const watch of this.#watches) watch.stop();
+    for (const cancel of this.#cancelRereads) cancel();
     this.#heard.stop();
   }
 
@@ -193,6 +207,15 @@
   /** One table was heard in the store's new era: none of the others is to wait for its own answer. */
   #noteEra(era: number): void {
     for (const watch of this.#watches) watch.noteEra(era);
+    if (era <= this.#era) return;
+    this.#era = era;
+    const { restored, timers, random } = this.#options;
+    restored.begin(timers.nowMs());
+    this.#loggedRestored.clear();
+    for (const cancel of this.#cancelRereads) cancel();
+    this.#cancelRereads = restored.looksAfterMs.map((afterMs) =>
+      timers.after(afterMs + REREAD_SPREAD_MS * random(), () => this.#servers.lookAgain()),
+    );
   }
 
   /** Changes of servers that a relay had from the store. */
@@ -290,7 +313,7 @@
 
   /** @returns whether the list is another one now */
   #takeServers(rows: readonly WatchedRow<ServerRecord>[], isWhole: boolean): boolean {
-    const { fleet, wallClock } = this.#options;
+    const { fleet, wallClock, timers, restored } = this.#options;
     const records: ServerRecord[] = [];
     const goneIds: string[] = [];
     if (isWhole) this.#unreadable.retain(new Set(rows.map(({ key }) => key)));
@@ -302,10 +325,15 @@
       else goneIds.push(row.key);
     }
     const { directory } = fleet;
+    const nowMs = timers.nowMs();
+    const listedIds = isWhole ? new Set(rows.map(({ key }) => key)) : undefined;
+    const read = restored.correct({ records, listedIds }, directory, nowMs);
+    this.#logRestored(read.corrected);
     const latestStartMs = wallClock() + MOST_AHEAD_MS;
     const change = isWhole
-      ? directory.replaceAll(records, latestStartMs)
-      : directory.apply(records, goneIds, latestStartMs);
+      ? directory.replaceAll(read.records, latestStartMs)
+      : directory.apply(read.records, goneIds, latestStartMs);
+    restored.note(change, nowMs);
     this.#hasPassedOver = change.passedOver.length > 0;
     this.#carryOut(change);
     const { added, changed, removed, renewed } = change;
@@ -333,6 +361,18 @@
     }
   }
 
+  /** One line for each server: the list is read several times after the store's return. */
+  #logRestored(corrected: readonly RestoredServer[]): void {
+    for (const { server, reason } of corrected) {
+      const told = `${server.id} ${reason}`;
+      if (this.#loggedRestored.has(told)) continue;
+      this.#loggedRestored.add(told);
+      const { id, service, state } = server;
+      const fields = { server: id, service, state, reason, era: this.#era };
+      this.#options.log.write(GATEWAY_EVENTS.serverRowRestored, fields);
+    }
+  }
+
   /** One line for each new problem: a row is read again with each whole reading. */
   #noteUnreadable(server: string, problem: string): void {
     if (!this.#unreadable.add(server, problem)) return;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,7 +4,7 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
-import { PeerRoster, type ReachNotice } from '../../core/gateway/index.js';
+import { PeerRoster, type ReachNotice, RestoredServers } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { AttemptContext } from './attempt.js';
 import { BackendConnections } from './backend-connections.js';
@@ -178,6 +178,7 @@
       cacheNews: this.#cacheNews,
       timing: () => watchTiming(this.#watchRole, settings.bounds.contactMs),
       recheckSpans: recheckSpans(settings.bounds.contactMs),
+      restored: new RestoredServers(settings.bounds.contactMs),
       random: Math.random,
       digest: this.#digest,
       passOnConfiguration: (changes) => this.#peers?.passOnConfiguration(changes),
--- a/test/gateway/server-lives.test.ts
+++ b/test/gateway/server-lives.test.ts
@@ -5,7 +5,11 @@
 import { REQUEST_CODEC } from '../../platform/request-codec.js';
 import type { StoreClient, StoreRow } from '../../platform/store-client.js';
 import { storeTable } from '../../platform/store-tables.js';
-import { ServerDirectory, type ServerRecord } from '../../src/core/gateway/index.js';
+import {
+  RestoredServers,
+  ServerDirectory,
+  type ServerRecord,
+} from '../../src/core/gateway/index.js';
 import { FleetFollower } from '../../src/shell/gateway/fleet-follower.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { OpenBreaks } from '../../src/shell/gateway/open-breaks.js';
@@ -74,6 +78,7 @@
       cacheNews: cacheNews as never,
       timing: () => ({ ...TIMING, holdMs: 1_000 }),
       recheckSpans: { cutMs: 0, historyLostMs: 0 },
+      restored: new RestoredServers(3_000),
       random: Math.random,
       passOnServers: ({ rows }) => this.passedOn.push(rows.length),
       passOnConfiguration: () => undefined,
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -5,6 +5,7 @@
 import {
   DigestSchedule,
   type GatewayConfiguration,
+  RestoredServers,
   type TableDigest,
 } from '../../../src/core/gateway/index.js';
 import { FleetFollower } from '../../../src/shell/gateway/fleet-follower.js';
@@ -263,6 +264,7 @@
       cacheNews: { add: () => undefined, remove: () => undefined, renew: () => undefined } as never,
       timing: () => watchTiming(role, contactMs),
       recheckSpans: recheckSpans(contactMs),
+      restored: new RestoredServers(contactMs),
       random,
       passOnServers: () => undefined,
       passOnConfiguration: passOn,
