Leases and duties: fences of an era lie above those of all eras before

Cause: the record with the last holder and token may be lost with the copy. A missing record could be taken at once, the next token was counted from the record alone, versions that were given out again counted as known, and a lease row below the last version seen was passed over for good. Change: a record of an era before names nobody and is taken over as one that stands still; tokens of an era lie above those of all before (era-fence.ts); what was read longer than a lease ago is read again before it is written on, since versions come again in a new era. The mutation 'a standing record is taken over at once' of the usage duty moved the daemon's clock, which now has it read again first; it gives the record an earlier start instead and is found as before.

--- a/src/core/capacity/capacity-duty.ts
+++ b/src/core/capacity/capacity-duty.ts
@@ -100,7 +100,7 @@
     this.#noteWanted(order !== undefined, nowMs);
     if (this.#bearsLoss && this.#isOutdated && !this.isHolder) return { kind: 'read' };
     if (order === undefined) return this.#announcement(wanted, nowMs);
-    const seen = this.#lease.current;
+    const seen = this.#lease.current(nowMs);
     if (seen === undefined) return { kind: 'read' };
     if (this.#lease.mayAct(nowMs)) {
       return { kind: 'order', order, fence: this.#lease.nextHead().fence };
@@ -148,7 +148,7 @@
 
   /** The holder tells what it has ordered, while it is the holder without doubt. */
   #announcement(wantedPerZone: WantedPerZone, nowMs: number): CapacityAction {
-    const seen = this.#lease.current;
+    const seen = this.#lease.current(nowMs);
     if (!this.#bearsLoss || seen === undefined || !this.#lease.mayAct(nowMs)) {
       return { kind: 'none' };
     }
--- a/src/core/duty/record-lease.ts
+++ b/src/core/duty/record-lease.ts
@@ -7,7 +7,12 @@
  * - The holder acts only for a part of the lease after a write that it knows to have been committed, counted from
  *   its sending. Others take over only from a record that has stood for the whole lease. So no two take turns within
  *   a lease.
+ * - After the store has come back from an older copy its record names nobody: the last one may be lost. It is taken
+ *   over as one that stands still, also where there is none. So in the first lease of an era nobody has a record of
+ *   it, and a write on a version that was read within a lease meets no record of a later era.
  */
+import { isFenceOf, nextFence } from '../platform/era-fence.js';
+import { FIRST_ERA } from '../platform/store-position.js';
 
 /** A part of the lease for which a holder may act after it has written the record. */
 const AUTHORITY_SHARE = 0.7;
@@ -34,6 +39,8 @@
       /** Undefined where there is none. */
       readonly record: Content | undefined;
       readonly version: number;
+      /** The era of the store that the version is of. */
+      readonly era: number;
       /** Whether it is what this daemon has just written. */
       readonly isOwnWrite: boolean;
     }
@@ -47,6 +54,8 @@
   readonly record: Content | undefined;
   /** 0 where there is none. */
   readonly version: number;
+  /** The era of the store that the version is of. */
+  readonly era: number;
   /** Since when it has stood like this, as far as this daemon knows. */
   readonly sinceMs: number;
 }
@@ -56,6 +65,9 @@
   readonly #settings: RecordLeaseSettings;
   #seen: SeenRecord<Content> | undefined;
   #isUncertain = true;
+  #seenAtMs = Number.NEGATIVE_INFINITY;
+  /** The highest token that was ever seen in the record. */
+  #highestFence = 0;
   #authorityUntilMs = Number.NEGATIVE_INFINITY;
   /** The fence under which this daemon was told that another has a higher one. */
   #deposedFence = 0;
@@ -65,14 +77,15 @@
   }
 
   /** The record, or undefined while it has to be read first. */
-  get current(): SeenRecord<Content> | undefined {
-    return this.#isUncertain ? undefined : this.#seen;
+  current(nowMs: number): SeenRecord<Content> | undefined {
+    const isOld = nowMs - this.#seenAtMs >= this.#settings.leaseMs;
+    return this.#isUncertain || isOld ? undefined : this.#seen;
   }
 
   /** Whether the record, as it was last seen, names this life of this daemon. */
   get isHolder(): boolean {
-    const record = this.#seen?.record;
-    return record !== undefined && this.#isOwn(record);
+    const seen = this.#seen;
+    return seen?.record !== undefined && this.#isOwn(seen.record, seen.era);
   }
 
   /** Whether this daemon may act as the holder now. */
@@ -82,17 +95,19 @@
 
   /** Whether this daemon may write the record: as its holder, or since it stands still. */
   mayWrite(nowMs: number): boolean {
-    const seen = this.current;
+    const seen = this.current(nowMs);
     if (seen === undefined) return false;
-    if (seen.record === undefined || this.isHolder) return true;
+    const isFirst = seen.record === undefined && seen.era === FIRST_ERA;
+    if (isFirst || this.isHolder) return true;
     return nowMs - seen.sinceMs >= this.#settings.leaseMs;
   }
 
   /** The head of the record that this daemon writes next. */
   nextHead(): DutyRecord {
     const { daemon, incarnation } = this.#settings;
-    const fence = this.#seen?.record?.fence ?? 0;
-    return { holder: daemon, incarnation, fence: this.isHolder ? fence : fence + 1 };
+    const { record, era = FIRST_ERA } = this.#seen ?? {};
+    const heldFence = this.isHolder ? record?.fence : undefined;
+    return { holder: daemon, incarnation, fence: heldFence ?? nextFence(era, this.#highestFence) };
   }
 
   /**
@@ -128,16 +143,20 @@
     sentMs: number,
     nowMs: number,
   ): void {
-    const { record, version, isOwnWrite } = outcome;
+    const { record, version, era, isOwnWrite } = outcome;
     const known = this.#seen;
-    const isKnown = known?.version === version;
-    this.#seen = { record, version, sinceMs: isKnown ? known.sinceMs : nowMs };
+    if (known !== undefined && era < known.era) return;
+    const isKnown = known?.version === version && known.era === era;
+    this.#seenAtMs = sentMs;
+    this.#highestFence = Math.max(this.#highestFence, record?.fence ?? 0);
+    this.#seen = { record, version, era, sinceMs: isKnown ? known.sinceMs : nowMs };
     if (isOwnWrite) this.#authorityUntilMs = sentMs + AUTHORITY_SHARE * this.#settings.leaseMs;
     else if (!isKnown) this.#authorityUntilMs = Number.NEGATIVE_INFINITY;
   }
 
-  #isOwn({ holder, incarnation, fence }: DutyRecord): boolean {
+  #isOwn({ holder, incarnation, fence }: DutyRecord, era: number): boolean {
     const { daemon, incarnation: ownIncarnation } = this.#settings;
-    return holder === daemon && incarnation === ownIncarnation && fence > this.#deposedFence;
+    const isOfThisLife = holder === daemon && incarnation === ownIncarnation;
+    return isOfThisLife && fence > this.#deposedFence && isFenceOf(era, fence);
   }
 }
--- a/src/core/lease/observation.ts
+++ b/src/core/lease/observation.ts
@@ -2,31 +2,42 @@
  * What a daemon has read of a lease's rows, and what follows from it.
  */
 import type { MonotonicMs } from '../common/time.js';
-import type { TableRow } from '../platform/table.js';
+import { isFenceOf } from '../platform/era-fence.js';
+import { FIRST_ERA } from '../platform/store-position.js';
+import type { TableAnswer, TableRow } from '../platform/table.js';
 import type { LeaseSettings, ObservedLease } from './state.js';
 import { type EpochRow, epochKey, type LeaseRow, leaseKey } from './types.js';
 
 const ABSENT: ObservedLease = {
+  era: FIRST_ERA,
   version: 0,
   row: null,
   epochRowVersion: 0,
   epoch: 0,
   firstSeenAt: 0,
+  lastSeenAt: 0,
 };
 
-/** Takes rows of an answer into what is known. A version seen before keeps its first time. */
+/**
+ * Takes rows of an answer into what is known. A version seen before keeps its first time; in a new era of the store
+ * nothing but the highest epoch is known.
+ */
 export function absorbRows(
   settings: LeaseSettings,
   known: ObservedLease | null,
-  rows: readonly TableRow[],
+  { rows, era = FIRST_ERA }: TableAnswer,
   now: MonotonicMs,
 ): ObservedLease {
-  let observed = known ?? { ...ABSENT, firstSeenAt: now };
+  if (known !== null && era < known.era) return known;
+  const isKnownEra = known?.era === era;
+  let observed = isKnownEra
+    ? known
+    : { ...ABSENT, era, epoch: known?.epoch ?? 0, firstSeenAt: now };
   for (const row of rows) {
     if (row.key === leaseKey(settings.resource)) observed = absorbLeaseRow(observed, row, now);
     if (row.key === epochKey(settings.resource)) observed = absorbEpochRow(observed, row);
   }
-  return observed;
+  return { ...observed, lastSeenAt: now };
 }
 
 function absorbLeaseRow(observed: ObservedLease, row: TableRow, now: MonotonicMs): ObservedLease {
@@ -44,15 +55,18 @@
   return { ...observed, epochRowVersion: row.version, epoch };
 }
 
-/** Whether nobody holds the lease: it is absent or was released. */
-export function isFree(observed: ObservedLease): boolean {
-  return observed.row === null || observed.row.holder === null;
+/**
+ * Whether nobody holds the lease: it is absent or was released. Where the store has come back from an older copy, the
+ * row of a holder may be lost; then that is sure only of a row of this era.
+ */
+export function isFree({ row, era }: ObservedLease): boolean {
+  if (row === null) return era === FIRST_ERA;
+  return row.holder === null && isFenceOf(era, row.epoch);
 }
 
-/** Whether the row names this life of this daemon. */
-export function holdsRow(settings: LeaseSettings, observed: ObservedLease): boolean {
-  const row = observed.row;
-  if (row === null) return false;
+/** Whether the row names this life of this daemon; a row of an era before names nobody. */
+export function holdsRow(settings: LeaseSettings, { row, era }: ObservedLease): boolean {
+  if (row === null || !isFenceOf(era, row.epoch)) return false;
   return row.holder === settings.daemon && row.incarnation === settings.incarnation;
 }
 
--- a/src/core/lease/state.ts
+++ b/src/core/lease/state.ts
@@ -27,6 +27,8 @@
 
 /** The rows of a lease as last read. */
 export interface ObservedLease {
+  /** The era of the store that the versions are of. */
+  readonly era: number;
   /** The lease row's version; 0 while it is absent. */
   readonly version: number;
   readonly row: LeaseRow | null;
@@ -35,6 +37,8 @@
   readonly epoch: number;
   /** When this daemon first received this version. */
   readonly firstSeenAt: MonotonicMs;
+  /** When the rows were last read or written. */
+  readonly lastSeenAt: MonotonicMs;
 }
 
 /** What a table call is for. */
--- a/src/core/lease/step.ts
+++ b/src/core/lease/step.ts
@@ -61,12 +61,21 @@
   // Nothing is left to give up; a stop must not wait for a table service that is down.
   const isLapsed = state.held !== null && context.now >= state.held.until;
   if (state.stopping && isLapsed) return released(state, context);
-  if (state.uncertain) return call(state, 'read', readCall(state.settings), context);
+  if (state.uncertain || isOutdated(state, context))
+    return call(state, 'read', readCall(state.settings), context);
   if (state.held !== null) return actAsHolder(state, context);
   if (state.stopping || !state.candidate) return unchanged(state);
   return actAsObserver(state, context);
 }
 
+/**
+ * What was read longer than a lease ago is read again before it is written on: in a new era of the store its versions
+ * may be those of a later holder.
+ */
+function isOutdated({ observed, settings }: LeaseState, context: StepContext): boolean {
+  return observed !== null && context.now - observed.lastSeenAt >= settings.durationMs;
+}
+
 function actAsHolder(state: LeaseState, context: StepContext): LeaseTransition {
   if (state.observed === null) return call(state, 'read', readCall(state.settings), context);
   if (state.stopping || !state.candidate) {
@@ -156,10 +165,13 @@
   result: Extract<TableResult, { kind: 'rows' | 'committed' | 'conflict' }>,
   context: StepContext,
 ): LeaseTransition {
-  const observed = absorbRows(state.settings, state.observed, result.rows, context.now);
+  const observed = absorbRows(state.settings, state.observed, result, context.now);
   const seen: LeaseState = { ...state, observed, uncertain: result.kind === 'conflict' };
-  if (result.kind === 'committed') return receiveCommit(seen, pending, context);
-  if (holdsRow(state.settings, observed)) {
+  const isHeld = holdsRow(state.settings, observed);
+  // A write may be committed in a new era on a version that was given out again: it gives nothing there.
+  const isCommitted = result.kind === 'committed' && (isHeld || pending.purpose === 'release');
+  if (isCommitted) return receiveCommit(seen, pending, context);
+  if (isHeld) {
     if (result.kind === 'rows') return adopt(seen, context);
     return { state: { ...seen, nextCallAt: context.now }, effects: [] };
   }
--- a/src/core/lease/table-calls.ts
+++ b/src/core/lease/table-calls.ts
@@ -1,6 +1,7 @@
 /**
  * The table calls of a lease. Each write checks the version last read.
  */
+import { nextFence } from '../platform/era-fence.js';
 import type { TableCall } from '../platform/table.js';
 import type { LeaseSettings, ObservedLease } from './state.js';
 import { type EpochRow, epochKey, type LeaseRow, leaseKey } from './types.js';
@@ -12,7 +13,7 @@
 
 /** Takes a free or lapsed lease under the next epoch. */
 export function acquireCall(settings: LeaseSettings, observed: ObservedLease): TableCall {
-  const epoch = observed.epoch + 1;
+  const epoch = nextFence(observed.era, observed.epoch);
   const lease: LeaseRow = {
     holder: settings.daemon,
     incarnation: settings.incarnation,
--- a/src/core/platform/table.ts
+++ b/src/core/platform/table.ts
@@ -3,7 +3,7 @@
  * results come back as events. See docs/PLATFORM-API.md for the wire form.
  */
 
-/** A row. `version` grows by one with each write of the key and is never reused; 0 means absent. */
+/** A row. `version` grows with each write of the key and is never reused within an era of the store; 0 means absent. */
 export interface TableRow {
   readonly key: string;
   readonly version: number;
@@ -38,11 +38,18 @@
       readonly writes: readonly TableWrite[];
     };
 
+/** Rows of an answer. */
+export interface TableAnswer {
+  readonly rows: readonly TableRow[];
+  /** The era of the store that their versions are of; absent where it tells none. */
+  readonly era?: number | undefined;
+}
+
 /** What became of a call. `lost`: it may or may not have taken effect; read back to find out. */
 export type TableResult =
-  | { readonly kind: 'rows'; readonly rows: readonly TableRow[] }
-  | { readonly kind: 'committed'; readonly rows: readonly TableRow[] }
-  | { readonly kind: 'conflict'; readonly rows: readonly TableRow[] }
+  | ({ readonly kind: 'rows' } & TableAnswer)
+  | ({ readonly kind: 'committed' } & TableAnswer)
+  | ({ readonly kind: 'conflict' } & TableAnswer)
   | { readonly kind: 'unavailable'; readonly reason: string; readonly retryAfterMs: number }
   | { readonly kind: 'lost'; readonly reason: string };
 
--- a/src/core/tenant-usage/report-duty.ts
+++ b/src/core/tenant-usage/report-duty.ts
@@ -76,7 +76,7 @@
     const { dueWindow, nowMs } = moment;
     this.#reportedWindow = Math.max(this.#reportedWindow, moment.reportedByOther);
     if (this.#reportedWindow >= dueWindow) return { kind: 'none' };
-    const seen = this.#lease.current;
+    const seen = this.#lease.current(nowMs);
     if (seen === undefined) return { kind: 'read' };
     if (!this.#lease.mayWrite(nowMs)) return { kind: 'none' };
     return this.#nextAsHolder(seen, moment, collected);
--- a/src/shell/gateway/duty-record.ts
+++ b/src/shell/gateway/duty-record.ts
@@ -2,6 +2,7 @@
 import type * as z from 'zod/mini';
 import type { DutyRecord, RecordOutcome } from '../../core/duty/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { FIRST_ERA } from '../../core/platform/store-position.js';
 import type { TableCall, TableResult } from '../../core/platform/table.js';
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
@@ -70,9 +71,10 @@
         const value = row?.value ?? null;
         const version = row?.version ?? 0;
         const isOwnWrite = result.kind === 'committed';
-        if (value === null) return { kind: 'seen', record: undefined, version, isOwnWrite };
+        const seen = { kind: 'seen', version, era: result.era ?? FIRST_ERA, isOwnWrite } as const;
+        if (value === null) return { ...seen, record: undefined };
         const parsed = this.#options.schema.safeParse(value);
-        if (parsed.success) return { kind: 'seen', record: parsed.data, version, isOwnWrite };
+        if (parsed.success) return { ...seen, record: parsed.data };
         this.#logMalformed(parsed.error.issues[0]?.message ?? '');
         return { kind: 'refused' };
       }
--- a/test/capacity/capacity-duty.test.ts
+++ b/test/capacity/capacity-duty.test.ts
@@ -126,7 +126,7 @@
 
   #takeRecord(isOwnWrite: boolean): void {
     const { record, version, nowMs } = this.#platform;
-    this.#duty.takeRecord({ kind: 'seen', record, version, isOwnWrite }, nowMs, nowMs);
+    this.#duty.takeRecord({ kind: 'seen', record, version, era: 0, isOwnWrite }, nowMs, nowMs);
   }
 }
 
--- a/test/capacity/support/spot-platform.ts
+++ b/test/capacity/support/spot-platform.ts
@@ -173,7 +173,7 @@
 
   #takeRecord(isTurnedAway: boolean, isOwnWrite: boolean): boolean {
     const { record, version, nowMs } = this.#platform;
-    const seen = { kind: 'seen', record, version, isOwnWrite } as const;
+    const seen = { kind: 'seen', record, version, era: 0, isOwnWrite } as const;
     this.#duty.takeRecord(isTurnedAway ? { kind: 'refused' } : seen, nowMs, nowMs);
     return !isTurnedAway;
   }
--- a/test/tenant-usage/report-duty.test.ts
+++ b/test/tenant-usage/report-duty.test.ts
@@ -132,9 +132,8 @@
     const { nowMs } = this.#world;
     if (this.#isBusy || nowMs < this.#restMs) return;
     const waitMs = this.#duty.isHolder ? SETTLE_MS : FIRST_TURN_MS + TURN_GAP_MS * this.#place;
-    const hurries = this.#mutation.takesOverAtOnce === true && !this.#duty.isHolder;
     const moment = {
-      nowMs: hurries ? nowMs + LEASE_MS : nowMs,
+      nowMs,
       dueWindow: Math.floor((nowMs - waitMs) / WINDOW_MS) - 1,
       oldestWindow: Math.max(0, Math.floor((nowMs - DUE_MS) / WINDOW_MS)),
       reportedByOther: this.#reportedByOther,
@@ -187,7 +186,9 @@
       const { nowMs, record, version } = this.#world;
       if (fate.kind === 'answered') {
         const { isOwnWrite } = done;
-        this.#duty.takeRecord({ kind: 'seen', record, version, isOwnWrite }, sentMs, nowMs);
+        const seen = { kind: 'seen', record, version, era: 0, isOwnWrite } as const;
+        const hurries = this.#mutation.takesOverAtOnce === true && !isOwnWrite;
+        this.#duty.takeRecord(seen, sentMs, hurries ? nowMs - LEASE_MS : nowMs);
         return;
       }
       this.#restMs = nowMs + 250;
