Capacity: what zones are to have outlasts a record that is lost

Symptom: after the store came back from a copy without the duty's record, zones were to have what the daemon had seen when it started (found by reading). Cause: a missing record counted as one that says nothing. Change: what was last known stays; a version says that a record is the same only within an era. The test failed before (12 in place of 7).

--- a/src/core/capacity/capacity-duty.ts
+++ b/src/core/capacity/capacity-duty.ts
@@ -11,6 +11,7 @@
   type RecordOutcome,
   type SeenRecord,
 } from '../duty/index.js';
+import { FIRST_ERA, type StorePosition } from '../platform/store-position.js';
 import { LossBearingPlanner } from './loss-bearing-planner.js';
 import { type CapacityOrder, OrderBook, type OrderOutcome } from './order-book.js';
 import { planCapacity } from './plan-capacity.js';
@@ -65,7 +66,8 @@
   #wantedSinceMs: number | undefined;
   /** Since when servers are lacking that nobody has ordered. */
   #shortSinceMs: number | undefined;
-  #seenVersion = 0;
+  /** Where the record stood when it was last seen. */
+  #seen: StorePosition = { era: FIRST_ERA, revision: 0 };
   /** What each zone was given, as the record last said. */
   #known: WantedPerZone = {};
   /** What each zone had of a service when this daemon first saw it. */
@@ -117,9 +119,12 @@
     this.#isOutdated = false;
     if (outcome.kind !== 'seen') return;
     this.#hasRead = true;
-    this.#known = outcome.record?.wantedPerZone ?? {};
-    const isNews = outcome.version !== this.#seenVersion && !outcome.isOwnWrite;
-    this.#seenVersion = outcome.version;
+    // A record that is there no more was lost with what an older copy of the store lacks.
+    this.#known = outcome.record?.wantedPerZone ?? this.#known;
+    const { era, version: revision } = outcome;
+    const isSame = this.#seen.era === era && this.#seen.revision === revision;
+    const isNews = !isSame && !outcome.isOwnWrite;
+    this.#seen = { era, revision };
     if (isNews) this.#takeTargets(outcome.record?.targets ?? [], nowMs);
   }
 
--- a/test/capacity/capacity-duty.test.ts
+++ b/test/capacity/capacity-duty.test.ts
@@ -196,3 +196,23 @@
   play(platform, daemons, 2 * BOOT_MS, 20);
   assert.ok(platform.count('plain') + platform.count('spot') >= 20);
 });
+
+// After its record was lost with the store's copy a duty went by what its daemon had seen first.
+test('what zones are to have is kept where the record is lost as the store comes back from a copy', () => {
+  const [platform] = fleet([]);
+  const duty = new CapacityDuty({
+    daemon: 'x',
+    incarnation: 1,
+    leaseMs: LEASE_MS,
+    bearsLoss: false,
+  });
+  const head = { holder: 'y', incarnation: 1, fence: 1 };
+  const seen = { kind: 'seen', isOwnWrite: false } as const;
+  const record = { ...head, wantedPerZone: { reader: 7 } };
+  duty.next(platform.services(0), 0);
+  duty.takeRecord({ ...seen, record, version: 5, era: 0 }, 0, 0);
+  duty.takeRecord({ ...seen, record: undefined, version: 0, era: 1 }, 100, 100);
+  duty.takeRecord({ ...seen, record: undefined, version: 0, era: 1 }, 3_000, 3_000);
+  const action = duty.next(platform.services(0), 3_200);
+  assert.equal(action.kind === 'write' ? action.record.wantedPerZone.reader : action.kind, 7);
+});
