Rows of requests that end servers are written again after an older copy

Symptom: a quarantine or a lift that the copy lacks was gone for good, and a daemon that started then made a second secret of fingerprints, by which it knew nobody's requests (found by reading; brought about in tests). Cause: each row is written once, when its daemon finds it out. Change: after a rise of the era each daemon reads the rows in its turn, 50 ms after the one before, writes again what differs from its records, and the secret; where the store has another secret that one counts for all. 6046, 6047. The three tests failed before.

--- a/src/core/gateway/crash-records.ts
+++ b/src/core/gateway/crash-records.ts
@@ -115,6 +115,19 @@
     return this.take({ ...NEW_RECORD, fingerprint, clearings: known.clearings + 1 }, nowMs);
   }
 
+  /** Of requests that are quarantined, or were and are cleared. */
+  all(nowMs: number): readonly CrashRecord[] {
+    return [...this.#entries]
+      .filter(([, { isQuarantined, clearings }]) => isQuarantined || clearings > 0)
+      .map(([fingerprint, entry]) => recordOf(fingerprint, entry, nowMs));
+  }
+
+  /** The store has lost what it had of a request. */
+  forgetStored(fingerprint: string): void {
+    const entry = this.#entries.get(fingerprint);
+    if (entry !== undefined) entry.isStored = false;
+  }
+
   noteStored(fingerprint: string): void {
     const entry = this.#entries.get(fingerprint);
     if (entry !== undefined) entry.isStored = true;
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -227,6 +227,27 @@
     remedy:
       'Nothing to do unless it goes on: compare era and revision with knownEra and knownRevision.',
   },
+  fingerprintKeyRestored: {
+    number: 6046,
+    level: 'info',
+    message: 'the store came back from a copy without the secret of fingerprints, or with another',
+    remedy:
+      'Nothing to do: isWritten says whether this daemon wrote it again or took the other one.',
+  },
+  crashRowsRestored: {
+    number: 6047,
+    level: 'info',
+    message:
+      'rows of requests that end servers were compared with the copy that the store came back from',
+    remedy: 'Nothing to do; rewritten counts the rows that are brought up to date.',
+  },
+  peersRestored: {
+    number: 6048,
+    level: 'info',
+    message:
+      'this daemon writes its row again and then reads the list of daemons, as the store is back from an older copy',
+    remedy: 'Nothing to do.',
+  },
   keysShared: {
     number: 6023,
     level: 'warn',
--- a/src/shell/gateway/crash-guard.ts
+++ b/src/shell/gateway/crash-guard.ts
@@ -15,6 +15,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { CrashGossip } from './crash-gossip.js';
 import { CrashStoreDuty } from './crash-store-duty.js';
+import { CrashStoreRestore } from './crash-store-restore.js';
 import { CrashTable, type CrashTableContent } from './crash-table.js';
 import { OpenBreaks } from './open-breaks.js';
 import type { PeerExchange } from './peer-exchange.js';
@@ -66,6 +67,7 @@
   readonly #fingerprints = new RequestFingerprints();
   readonly #gossip: CrashGossip;
   readonly #duty: CrashStoreDuty;
+  readonly #restore: CrashStoreRestore;
   readonly #stopped = new AbortController();
   readonly #checks = new WeakMap<GuardedExchange, Promise<unknown>>();
   readonly #startedMs: number;
@@ -86,6 +88,14 @@
       readRows: () => this.#readRows(),
       takeRow: (row) => this.#takeRow(row),
     });
+    this.#restore = new CrashStoreRestore({
+      ...options,
+      table: this.#table,
+      records: this.#records,
+      ownKey: () => this.#fingerprints.key,
+      takeKey: (key) => this.#fingerprints.setKey(key),
+      bringUpToDate: (fingerprint) => this.#duty.bringUpToDate(fingerprint),
+    });
     this.#startedMs = options.timers.nowMs();
   }
 
@@ -98,9 +108,15 @@
   stop(): void {
     this.#stopped.abort();
     this.#duty.stop();
+    this.#restore.stop();
     this.#gossip.stop();
   }
 
+  /** The store is back from an older copy: what it lacks of the fleet's rows is written again. */
+  noteRestored(): void {
+    this.#restore.begin();
+  }
+
   /**
    * Whether requests may be sent: a daemon that has not read the table would send what all others refuse. One that
    * the store turns away serves all the same once it could have been told by the others.
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -63,9 +63,15 @@
     return { key: keyOf(rows), records };
   }
 
-  /** Makes the secret, unless another daemon was first; undefined where neither is certain. */
-  async createKey(signal: AbortSignal): Promise<Buffer | undefined> {
-    const value = { key: randomBytes(KEY_BYTES).toString('base64') };
+  /**
+   * Writes the secret, unless another daemon was first; undefined where neither is certain.
+   * @param known the one that the fleet has; a new one is made where there is none
+   */
+  async createKey(
+    signal: AbortSignal,
+    known: Buffer = randomBytes(KEY_BYTES),
+  ): Promise<Buffer | undefined> {
+    const value = { key: known.toString('base64') };
     const checks = [{ key: KEY_ROW, version: 0 }];
     const call: TableCall = { kind: 'transact', checks, writes: [{ key: KEY_ROW, value }] };
     const result = await this.#call(call, signal);
--- a/src/shell/gateway/request-fingerprint.ts
+++ b/src/shell/gateway/request-fingerprint.ts
@@ -43,6 +43,11 @@
     return this.#key !== undefined;
   }
 
+  /** The secret of the fleet; undefined until it was read. */
+  get key(): Buffer | undefined {
+    return this.#key;
+  }
+
   setKey(key: Buffer): void {
     this.#key = key;
   }
--- a/test/gateway/crash-spread.test.ts
+++ b/test/gateway/crash-spread.test.ts
@@ -229,3 +229,68 @@
     fleet.stop();
   });
 }
+
+/** All daemons have looked, written and heard of it. */
+const RESTORED_MS = 3_000;
+
+async function restoreFleet(
+  fleet: FleetOfGuards,
+  daemons: number,
+  restore: () => void,
+): Promise<void> {
+  restore();
+  for (let daemon = 0; daemon < daemons; daemon += 1) fleet.guard(daemon).noteRestored();
+  await fleet.advance(RESTORED_MS);
+}
+
+function rowsOf(fleet: FleetOfGuards): readonly string[] {
+  return fleet.store.rows.map(({ key }) => key).filter((key) => key !== 'crash/!key');
+}
+
+// Rows written since the copy were gone for good: a daemon that started then sent what all others refused.
+test('a quarantine that the copy lacks which the store came back from is written again', async () => {
+  const fleet = await startFleet(9);
+  const restore = fleet.store.copy();
+  await crashThrice(fleet, [0, 4, 8]);
+  await fleet.advance(CONTACT_MS);
+  await restoreFleet(fleet, 9, restore);
+  assert.equal(rowsOf(fleet).length, 1);
+  fleet.isCutOff = (daemon) => daemon === 3;
+  fleet.start(3);
+  await fleet.advance(START_MS);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
+
+test('a quarantine that was lifted since the copy stays lifted', async () => {
+  const fleet = await startFleet(9);
+  await crashThrice(fleet, [0, 4, 8]);
+  await fleet.advance(CONTACT_MS);
+  const restore = fleet.store.copy();
+  fleet.guard(2).noteWhole(requestOf(BODY));
+  await fleet.advance(CONTACT_MS);
+  await restoreFleet(fleet, 9, restore);
+  assert.deepEqual(rowsOf(fleet), []);
+  assert.equal(fleet.sendersOf(BODY).length, 9);
+  fleet.stop();
+});
+
+// The secret was lost with the copy: a daemon that started then made another, and its fingerprints fitted nobody's.
+test('a secret of fingerprints that the copy lacks is written again, and is one for all', async () => {
+  const fleet = await startFleet(9);
+  const key = fleet.store.rows.find((row) => row.key === 'crash/!key')?.value;
+  fleet.store.put('crash/!key', null);
+  const restore = fleet.store.copy();
+  fleet.store.put('crash/!key', key);
+  await restoreFleet(fleet, 9, restore);
+  assert.deepEqual(fleet.store.rows.find((row) => row.key === 'crash/!key')?.value, key);
+  // One that was made by a daemon which started meanwhile counts for all.
+  fleet.store.put('crash/!key', { key: Buffer.alloc(32, 7).toString('base64') });
+  await restoreFleet(fleet, 9, fleet.store.copy());
+  fleet.start(3);
+  await fleet.advance(START_MS);
+  await crashThrice(fleet, [0, 3, 8]);
+  await fleet.advance(CONTACT_MS);
+  assert.deepEqual(fleet.sendersOf(BODY), []);
+  fleet.stop();
+});
--- a/test/gateway/support/memory-table.ts
+++ b/test/gateway/support/memory-table.ts
@@ -6,7 +6,7 @@
   isDown = false;
   /** Transactions that were committed. */
   writes = 0;
-  readonly #rows = new Map<string, TableRow>();
+  #rows = new Map<string, TableRow>();
   #version = 0;
 
   get rows(): readonly TableRow[] {
@@ -19,6 +19,16 @@
     this.#set(key, value);
   }
 
+  /** @returns what brings the table back to what it holds now */
+  copy(): () => void {
+    const rows = new Map(this.#rows);
+    const version = this.#version;
+    return () => {
+      this.#rows = new Map(rows);
+      this.#version = version;
+    };
+  }
+
   call(call: TableCall): Promise<TableResult> {
     return Promise.resolve(this.answer(call));
   }
