Daemons write their rows again after an older copy

Symptom: a daemon that had come since the copy was on nobody's list for up to 20 s after the store's return (found by reading). Cause: the own row is looked for at a scan only. The test failed before.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -72,6 +72,8 @@
   readonly passOnConfiguration: (changes: TableChanges<GatewayConfiguration>) => void;
   /** The digest of the zone's relay on the tables. */
   readonly digest: RelayDigest;
+  /** The store is back from an older copy. */
+  readonly noteRestored: () => void;
   /** A server is listed, or has started again. */
   readonly noteStarted: (server: ServerRecord) => void;
   readonly timers: TimerService;
@@ -211,6 +213,7 @@
     this.#era = era;
     const { restored, timers, random } = this.#options;
     restored.begin(timers.nowMs());
+    this.#options.noteRestored();
     this.#loggedRestored.clear();
     for (const cancel of this.#cancelRereads) cancel();
     this.#cancelRereads = restored.looksAfterMs.map((afterMs) =>
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -184,6 +184,7 @@
       passOnConfiguration: (changes) => this.#peers?.passOnConfiguration(changes),
       passOnServers: (changes) => this.#peers?.passOnServers(changes),
       noteStarted: (server) => this.#crashes.noteStarted(server),
+      noteRestored: () => this.#noteRestored(),
       timers: this.#suspensionAware,
       wallClock,
       log,
@@ -408,6 +409,12 @@
     log.write(isDark ? GATEWAY_EVENTS.serverDark : GATEWAY_EVENTS.serverReached, { server, by });
   }
 
+  /** What this daemon keeps in the store may be lost. */
+  #noteRestored(): void {
+    this.#crashes.noteRestored();
+    this.#peers?.noteRestored();
+  }
+
   get #watchRole(): WatchRole {
     if (this.#isRelay) return 'relay';
     return this.#roster.isLarge ? 'follower' : 'alone';
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -20,6 +20,10 @@
 const LOOK_GAP_MS = 1_000;
 /** Rows taken away in one call; a zone that is lost goes in few. */
 const MOST_REMOVALS = 50;
+/** After the store came back from an older copy the daemons write their rows again within this time, by chance. */
+const REWRITE_SPREAD_MS = 2_000;
+/** By then all have written, those that look a moment later counted. */
+const REWRITTEN_MS = REWRITE_SPREAD_MS + 2 * LOOK_GAP_MS;
 
 const rowSchema = z.object({
   host: z.string(),
@@ -36,6 +40,8 @@
   readonly roster: PeerRoster;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
+  /** From 0 to below 1, to spread what many daemons do. */
+  readonly random: () => number;
   /** Told how many daemons a list holds, this one counted, when it was read or is the relay's too. */
   readonly noteDaemonCount: (daemons: number) => void;
   /** The checksum of the zone's relay's list; undefined while its digest is not fresh. */
@@ -49,6 +55,9 @@
   #isAnnounced = false;
   #scanGapMs = FIRST_SCAN_GAP_MS;
   #nextScanMs = 0;
+  /** When the own row is to be written again, and the list to be read after that; undefined where neither is lost. */
+  #rewriteAtMs: number | undefined;
+  #rescanAtMs: number | undefined;
 
   constructor(options: PeerDirectoryOptions) {
     this.#options = options;
@@ -58,6 +67,7 @@
   async run(port: number): Promise<void> {
     const { timers } = this.#options;
     while (!this.#stopped.signal.aborted) {
+      this.#noteRewriteDue();
       if (!this.#isAnnounced) await this.#announce(port);
       if (this.#isScanDue()) await this.#refresh();
       else this.#noteSameList();
@@ -69,9 +79,25 @@
     this.#stopped.abort();
   }
 
+  /** The store is back from an older copy, which may lack this daemon's row and those of others. */
+  noteRestored(): void {
+    const { timers, random, log } = this.#options;
+    const inMs = Math.round(REWRITE_SPREAD_MS * random());
+    this.#rewriteAtMs = timers.nowMs() + inMs;
+    this.#rescanAtMs = timers.nowMs() + REWRITTEN_MS;
+    log.write(GATEWAY_EVENTS.peersRestored, { inMs });
+  }
+
+  #noteRewriteDue(): void {
+    if (this.#rewriteAtMs === undefined || this.#options.timers.nowMs() < this.#rewriteAtMs) return;
+    this.#rewriteAtMs = undefined;
+    this.#isAnnounced = false;
+  }
+
   /** While the relay's digest is fresh its list decides; otherwise the time since the last scan. */
   #isScanDue(): boolean {
     const { relayPeersChecksum, roster, timers } = this.#options;
+    if (this.#rescanAtMs !== undefined) return timers.nowMs() >= this.#rescanAtMs;
     const checksum = relayPeersChecksum();
     if (checksum !== undefined && roster.hasList) return checksum !== roster.checksum;
     return timers.nowMs() >= this.#nextScanMs;
@@ -105,6 +131,7 @@
     const { daemon, roster, timers, noteDaemonCount } = this.#options;
     const rows = await readAllRows(ROW_PREFIX, (page) => this.#callTable(page));
     if (rows === undefined) return;
+    this.#rescanAtMs = undefined;
     const peers = rows.flatMap((row) => this.#readPeer(row));
     this.#isAnnounced &&= peers.some(({ name }) => name === daemon);
     roster.replace(peers, timers.nowMs());
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -140,7 +140,7 @@
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     this.#changeBudget = new ByteBudget(CHANGE_BUDGET, options.timers);
-    this.#directory = new PeerDirectory(options);
+    this.#directory = new PeerDirectory({ ...options, random: Math.random });
     this.#relay = new RelayDuty({
       ...options,
       nextSequence: () => this.#nextSequence(),
@@ -191,6 +191,11 @@
     this.#socket.close();
   }
 
+  /** The store is back from an older copy. */
+  noteRestored(): void {
+    this.#directory.noteRestored();
+  }
+
   /** Says soon what has changed. */
   noteChange(): void {
     if (this.#cancelFlush !== undefined) return;
--- a/test/gateway/peer-directory.test.ts
+++ b/test/gateway/peer-directory.test.ts
@@ -20,8 +20,12 @@
   const roster = new PeerRoster({ name: 'd0', zone: 'a' });
   const counts: number[] = [];
   let scans = 0;
+  let writes = 0;
   const call = async ({ kind }: TableCall): Promise<TableResult> => {
-    if (kind === 'transact') return { kind: 'committed', rows: [] };
+    if (kind === 'transact') {
+      writes += 1;
+      return { kind: 'committed', rows: [] };
+    }
     scans += 1;
     return { kind: 'rows', rows: Array.from({ length: DAEMONS }, (_, daemon) => peerRow(daemon)) };
   };
@@ -32,6 +36,7 @@
     table: { call },
     roster,
     timers,
+    random: () => 0.5,
     log: { write: () => undefined },
     noteDaemonCount: (daemons) => counts.push(daemons),
     relayPeersChecksum: () => relayPeersChecksum(roster),
@@ -42,7 +47,7 @@
     timers.advance(spanMs);
     for (let turn = 0; turn < 50; turn += 1) await Promise.resolve();
   };
-  return { directory, counts, advance, scansMade: () => scans };
+  return { directory, counts, advance, scansMade: () => scans, writesMade: () => writes };
 }
 
 test('a list that the relay has too is noted again without another call', async () => {
@@ -63,3 +68,16 @@
     directory.stop();
   }
 });
+
+// The row of a daemon that had come since the copy was gone until its next scan, up to 20 s later.
+test('after the store came back from a copy a daemon writes its row again, and reads the list once all have', async () => {
+  const { directory, advance, scansMade, writesMade } = setUp((roster) => roster.checksum);
+  await advance(0);
+  assert.deepEqual([writesMade(), scansMade()], [1, 1]);
+  directory.noteRestored();
+  for (let seconds = 0; seconds < 2; seconds += 1) await advance(LOOK_MS);
+  assert.deepEqual([writesMade(), scansMade()], [2, 1]);
+  for (let seconds = 0; seconds < 3; seconds += 1) await advance(LOOK_MS);
+  assert.deepEqual([writesMade(), scansMade()], [2, 2]);
+  directory.stop();
+});
--- a/test/gateway/server-lives.test.ts
+++ b/test/gateway/server-lives.test.ts
@@ -80,6 +80,7 @@
       recheckSpans: { cutMs: 0, historyLostMs: 0 },
       restored: new RestoredServers(3_000),
       random: Math.random,
+      noteRestored: () => undefined,
       passOnServers: ({ rows }) => this.passedOn.push(rows.length),
       passOnConfiguration: () => undefined,
       noteStarted: ({ id }) => this.started.push(id),
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -266,6 +266,7 @@
       recheckSpans: recheckSpans(contactMs),
       restored: new RestoredServers(contactMs),
       random,
+      noteRestored: () => undefined,
       passOnServers: () => undefined,
       passOnConfiguration: passOn,
       noteStarted: () => undefined,
