Gauges of the store's era; messages of the release before eras; relays of two minds

Messages are tested with bytes that wrote: read, and written the same while the store is in its first era. Followers of a relay without eras look for themselves, the others do while the store refuses the relay, and those that it refuses have the configuration from the relay.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -44,7 +44,7 @@
 /** A watch, whatever its table holds. */
 type Watch = Pick<
   TableWatcher<never>,
-  'run' | 'stop' | 'noteEra' | 'callsTotal' | 'lastAnswerMs' | 'progress'
+  'run' | 'stop' | 'noteEra' | 'callsTotal' | 'lastAnswerMs' | 'progress' | 'isUnread'
 >;
 
 type ServerEvent = (typeof GATEWAY_EVENTS)[
@@ -159,6 +159,16 @@
     return this.#isConfigurationUnreadable;
   }
 
+  /** The newest era that the store was heard in. */
+  get storeEra(): number {
+    return Math.max(...this.#watches.map(({ progress }) => progress.era));
+  }
+
+  /** Tables that are to be read whole before their changes are followed. */
+  get unreadTables(): number {
+    return this.#watches.filter(({ isUnread }) => isUnread).length;
+  }
+
   /** Rows of servers that cannot be read now. */
   get unreadableServers(): number {
     return this.#unreadable.count;
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -24,6 +24,8 @@
     | 'configurationLookAgeMs'
     | 'highestVersion'
     | 'isConfigurationUnreadable'
+    | 'storeEra'
+    | 'unreadTables'
   >;
   readonly callers: Pick<CallerListener, 'inFlight'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
@@ -72,6 +74,16 @@
       help: 'Newest version that any daemon is known to have in force',
       read: () => follower.highestVersion,
     },
+    {
+      name: 'store_era',
+      help: 'Era of the store: rises each time that it comes back from an older copy',
+      read: () => follower.storeEra,
+    },
+    {
+      name: 'store_tables_unread',
+      help: 'Watched tables that are to be read whole before their changes are followed',
+      read: () => follower.unreadTables,
+    },
     {
       name: 'configuration_look_age_ms',
       help: "Age of the last look for a newer configuration, this daemon's own or its relay's",
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -127,6 +127,11 @@
     this.lookAgain();
   }
 
+  /** Whether the table has to be read whole before its changes are followed. */
+  get isUnread(): boolean {
+    return this.#revisions.seen === undefined;
+  }
+
   /** How far the table was followed, for others who follow it. */
   get progress(): TableProgress {
     return this.#revisions.progress;
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -189,6 +189,42 @@
   assert.equal(decodePeerMessage(Buffer.from([0x91, 9])), undefined);
 });
 
+/** As the release before eras of the store writes them. */
+const MESSAGES_WITHOUT_ERA = [
+  '9805a161a17a9301070093020806030907',
+  '9606a17a03059198a3692d31a173aa31302e302e302e313a31a17a08a57265616479a66465636f6465c291a3692d33',
+  '9607a17a0102a6636f6e666967c40d7b2276657273696f6e223a327d',
+];
+
+test('messages of the release before eras are read, and written the same while the store is in its first', () => {
+  for (const hex of MESSAGES_WITHOUT_ERA) {
+    const message = decodePeerMessage(Buffer.from(hex, 'hex'));
+    assert.ok(message !== undefined);
+    assert.equal(encodePeerMessage(message).toString('hex'), hex);
+  }
+});
+
+test('messages tell the era of the store', () => {
+  const progress = { era: 2, changed: 1, seen: 7, reread: 1 };
+  const rows = [{ kind: 'value', key: 'i-1', value: SERVER }] as const;
+  const encoded = Buffer.from('{"version":2}');
+  const span = { era: 2, after: 1, revision: 2 };
+  const digest = { configurationVersion: 7, ageMs: 3, peersChecksum: 9 };
+  const messages = [
+    {
+      kind: 'tables',
+      relay: 'a',
+      zone: 'z',
+      digest: { ...digest, configurations: progress, servers: progress },
+    },
+    { kind: 'servers', zone: 'z', changes: { ...span, rows } },
+    { kind: 'configuration', zone: 'z', change: { ...span, key: 'config', encoded } },
+  ] as const;
+  for (const message of messages) {
+    assert.deepEqual(decodePeerMessage(encodePeerMessage(message)), message);
+  }
+});
+
 /** Rows that all daemons of a test share. */
 class SharedTable {
   readonly #rows = new Map<string, TableRow>();
--- a/test/gateway/store-from-copy.test.ts
+++ b/test/gateway/store-from-copy.test.ts
@@ -112,3 +112,98 @@
   }
   assert.deepEqual(late, []);
 });
+
+/** The last daemons of a zone have a change in force so long after the store's return and the change. */
+async function slowestMsAfterReturn(zone: FollowedZone, contactMs: number): Promise<number> {
+  const returnMs = zone.timers.nowMs();
+  await zone.timers.passUntil(returnMs + 500);
+  const version = zone.change();
+  await zone.timers.passUntil(returnMs + 3 * contactMs);
+  zone.stop();
+  await zone.timers.passUntil(returnMs + 5 * contactMs);
+  return zone.slowestMs(zone.daemons, version, returnMs);
+}
+
+const FAR_BELOW = { revisionsLost: 100_000, versionsLost: 2 };
+
+async function startChanged(
+  fleet: (typeof FLEETS)[number],
+  options: object,
+): Promise<FollowedZone> {
+  const zone = new FollowedZone({ ...fleet, random: () => 0.5, documentSize: 'small', ...options });
+  await zone.start(START_GAP_MS);
+  zone.moveCounter(200_000);
+  zone.change();
+  await zone.timers.passUntil(CALM_MS);
+  return zone;
+}
+
+// A digest of the era before says that nothing has changed, for good.
+test('followers of a relay of the release before eras look for themselves after the store came back from a copy', async () => {
+  for (const documentSize of ['small', 'large'] as const) {
+    const zone = await startChanged(FLEETS[1], { hasRelayWithoutEras: true, documentSize });
+    zone.shut(zone.daemons, 'silent');
+    await zone.timers.passUntil(CALM_MS + AWAY_MS);
+    zone.restore(FAR_BELOW);
+    zone.shut(zone.daemons, 'open');
+    const slowestMs = await slowestMsAfterReturn(zone, FLEETS[1].contactMs);
+    assert.ok(slowestMs <= FLEETS[1].contactMs, `${documentSize}: ${slowestMs} ms`);
+  }
+});
+
+for (const refused of ['the relay', 'some followers'] as const) {
+  test(`while the store that came back from a copy refuses ${refused}, the others have a change in time`, async () => {
+    const zone = await startChanged(FLEETS[1], {});
+    const [relay, ...followers] = zone.daemons;
+    assert.ok(relay !== undefined);
+    const shut = refused === 'the relay' ? [relay] : followers.slice(0, 8);
+    zone.shut(zone.daemons, 'resets');
+    await zone.timers.passUntil(CALM_MS + AWAY_MS);
+    zone.restore(FAR_BELOW);
+    zone.shut(zone.daemons, 'open');
+    zone.shut(shut, 'refuses');
+    const returnMs = zone.timers.nowMs();
+    await zone.timers.passUntil(returnMs + 500);
+    const version = zone.change();
+    await zone.timers.passUntil(returnMs + 2 * FLEETS[1].contactMs);
+    zone.stop();
+    await zone.timers.passUntil(returnMs + 4 * FLEETS[1].contactMs);
+    // A configuration is passed on by the relay, also to those that the store refuses.
+    const others = refused === 'the relay' ? followers : zone.daemons;
+    const slowestMs = zone.slowestMs(others, version, returnMs);
+    assert.ok(slowestMs <= FLEETS[1].contactMs, `${slowestMs} ms`);
+  });
+}
+
+test('a second drill right after the first is met as the first', async () => {
+  for (const fleet of FLEETS) {
+    const zone = await startChanged(fleet, {});
+    for (const gapMs of [AWAY_MS, 400]) {
+      zone.shut(zone.daemons, 'resets');
+      await zone.timers.passUntil(zone.timers.nowMs() + gapMs);
+      zone.restore(FAR_BELOW);
+      zone.shut(zone.daemons, 'open');
+      await zone.timers.passUntil(zone.timers.nowMs() + 150);
+    }
+    const slowestMs = await slowestMsAfterReturn(zone, fleet.contactMs);
+    assert.ok(slowestMs <= fleet.contactMs, `${fleet.fleet}: ${slowestMs} ms`);
+  }
+});
+
+test('an answer of an era before sets nothing back', async () => {
+  const zone = await startChanged(FLEETS[0], {});
+  zone.restore({ revisionsLost: 0, versionsLost: 0 });
+  zone.moveCounter(1);
+  const version = zone.change();
+  await zone.timers.passUntil(CALM_MS + 1_000);
+  zone.goBackTo({ era: 0, revision: 900_000 });
+  await zone.timers.passUntil(CALM_MS + 2_000);
+  zone.goBackTo({ era: 1, revision: 300_000 });
+  const later = zone.change();
+  const changedMs = zone.timers.nowMs();
+  await zone.timers.passUntil(changedMs + FLEETS[0].contactMs);
+  zone.stop();
+  await zone.timers.passUntil(changedMs + 3 * FLEETS[0].contactMs);
+  assert.ok(zone.slowestMs(zone.daemons, version, CALM_MS) <= 1_000);
+  assert.ok(zone.slowestMs(zone.daemons, later, changedMs) <= FLEETS[0].contactMs);
+});
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -8,6 +8,7 @@
   RestoredServers,
   type TableDigest,
 } from '../../../src/core/gateway/index.js';
+import type { StorePosition } from '../../../src/core/platform/store-position.js';
 import { FleetFollower } from '../../../src/shell/gateway/fleet-follower.js';
 import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
 import type {
@@ -77,6 +78,13 @@
     this.version = Math.max(1, this.version - versionsLost);
   }
 
+  /** Answers come from a place in another history, as late ones do. */
+  goBackTo({ era, revision }: StorePosition): void {
+    this.era = era;
+    this.revision = revision;
+    this.rowRevision = revision;
+  }
+
   /** Other tables are written. */
   moveCounter(by: number): void {
     this.revision += by;
@@ -291,6 +299,8 @@
   readonly documentSize: DocumentSize;
   /** Whether the relay's digests say which version it has, as those of an older release do not. */
   readonly tellsVersion?: boolean;
+  /** Whether the relay is of a release that does not know of eras: it stays with the store's first history. */
+  readonly hasRelayWithoutEras?: boolean;
 }
 
 /** The daemons of a zone and their store. */
@@ -300,6 +310,7 @@
   readonly #table = new ConfigurationTable(this.timers);
   readonly #options: FollowedZoneOptions;
   readonly #schedule = new DigestSchedule();
+  #firstDigest: Omit<TableDigest, 'peersChecksum'> | undefined;
 
   constructor(options: FollowedZoneOptions) {
     this.#options = options;
@@ -351,6 +362,11 @@
     this.#table.restore(lost);
   }
 
+  /** Answers come from a place in another history. */
+  goBackTo(position: StorePosition): void {
+    this.#table.goBackTo(position);
+  }
+
   /** Other tables of the store are written. */
   moveCounter(by: number): void {
     this.#table.moveCounter(by);
@@ -389,7 +405,9 @@
     const seen = relay.follower.digestToSend();
     const configurationVersion =
       this.#options.tellsVersion === false ? 0 : seen.configurationVersion;
-    const digest: TableDigest = { ...seen, configurationVersion, peersChecksum: 1 };
+    this.#firstDigest ??= seen;
+    const told = this.#options.hasRelayWithoutEras === true ? this.#firstDigest : seen;
+    const digest: TableDigest = { ...told, configurationVersion, peersChecksum: 1 };
     if (this.#schedule.next(digest, this.timers.nowMs()) !== 'nobody') {
       this.timers.after(DATAGRAM_MS, () => {
         for (const { digest: heard, follower } of followers) {
