A daemon that goes on with an older configuration is told the newer one

Symptom: a daemon that starts while the store has only an older copy has the copy's version, and no look at the store helps until the operator writes again; the others have the newer one in memory (found by reading). Cause: a configuration was passed on only by whoever had just read it. Change: each daemon keeps the newest as the store had it; who hears an older version from another daemon, a second after its own came into force, tells it that one, once a second. It joins no watch. Evidence: configuration-teller.test.ts, which no earlier code passes: there was no such telling.

--- a/src/shell/gateway/configuration-teller.ts
+++ b/src/shell/gateway/configuration-teller.ts
@@ -1,6 +1,9 @@
 /**
  * Passes configurations on: the relay of a zone tells its zone of one that it had from the store, and the relays of the
  * other zones, which may be out of reach of the store; these tell their zones. A daemon takes what is newer than its own.
+ *
+ * Who hears that a daemon goes on with an older version tells it the own one: the store may be out of its reach, or have
+ * come back from a copy that is older.
  */
 import type { PeerDaemon, PeerRoster } from '../../core/gateway/index.js';
 import { encodePeerMessage, type PassedConfiguration, type PeerMessage } from './peer-messages.js';
@@ -13,12 +16,17 @@
  */
 export const MOST_PASSED_BYTES = 16_384;
 
+/** A daemon hears of a change by itself within this time, unless something is wrong. */
+const BEHIND_MS = 1_000;
+
 /** What a teller is built from. */
 export interface ConfigurationTellerOptions {
   readonly zone: string;
   readonly roster: PeerRoster;
   readonly timers: TimerService;
   readonly isRelay: () => boolean;
+  /** The version that this daemon has in force; 0 for none. */
+  readonly configurationVersion: () => number;
   /** Takes a configuration if it is newer; says whether it was. */
   readonly takeConfiguration: (change: PassedConfiguration) => boolean;
   readonly send: (peers: readonly PeerDaemon[], bytes: Buffer) => void;
@@ -27,6 +35,10 @@
 /** The daemon's part in passing configurations on. */
 export class ConfigurationTeller {
   readonly #options: ConfigurationTellerOptions;
+  /** The newest that fits a message. */
+  #newest: NewestConfiguration | undefined;
+  /** When daemons that are behind were told the newest. */
+  readonly #toldMs = new Map<string, number>();
 
   constructor(options: ConfigurationTellerOptions) {
     this.#options = options;
@@ -36,10 +48,12 @@
   passOn({ era, after, revision, rows }: TableChanges<unknown>): void {
     const { zone, roster, timers, isRelay, send } = this.#options;
     const newest = rows.at(-1);
-    if (!isRelay() || newest?.kind !== 'value') return;
+    if (newest?.kind !== 'value') return;
     const { key, encoded } = newest;
     if (encoded === undefined || encoded.length > MOST_PASSED_BYTES) return;
     const change = { era, after, revision, key, encoded };
+    this.#noteNewest(change);
+    if (!isRelay()) return;
     const peers = [...roster.zonePeers(), ...roster.otherRelays(timers.nowMs())];
     send(peers, encodePeerMessage({ kind: 'configuration', zone, change }));
   }
@@ -48,7 +62,36 @@
   take(message: Extract<PeerMessage, { kind: 'configuration' }>): void {
     const { zone, roster, isRelay, takeConfiguration, send } = this.#options;
     const isNewer = takeConfiguration(message.change);
+    if (isNewer) this.#noteNewest(message.change);
     if (!isNewer || !isRelay() || message.zone === zone) return;
     send(roster.zonePeers(), encodePeerMessage({ ...message, zone }));
   }
+
+  /** A daemon says which version it has in force; 0 where it has none, or does not say. */
+  noteVersion(daemon: string, version: number): void {
+    const { zone, roster, timers, configurationVersion, send } = this.#options;
+    const newest = this.#newest;
+    if (newest === undefined || newest.version !== configurationVersion()) return;
+    const nowMs = timers.nowMs();
+    const lastMs = Math.max(newest.sinceMs, this.#toldMs.get(daemon) ?? 0);
+    if (version === 0 || version >= newest.version || nowMs - lastMs < BEHIND_MS) return;
+    const peer = roster.everyone().find(({ name }) => name === daemon);
+    if (peer === undefined) return;
+    this.#toldMs.set(daemon, nowMs);
+    // How its own watch goes on is its own to find.
+    const change = { ...newest.change, after: 0, revision: 0 };
+    send([peer], encodePeerMessage({ kind: 'configuration', zone, change }));
+  }
+
+  #noteNewest(change: PassedConfiguration): void {
+    const { timers, configurationVersion } = this.#options;
+    this.#newest = { change, version: configurationVersion(), sinceMs: timers.nowMs() };
+    this.#toldMs.clear();
+  }
+}
+
+interface NewestConfiguration {
+  readonly change: PassedConfiguration;
+  readonly version: number;
+  readonly sinceMs: number;
 }
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -340,6 +340,7 @@
         if (message.report.daemon === daemon) return;
         roster.heard(message.report.daemon, nowMs);
         noteVersion(message.configurationVersion, message.report.daemon);
+        this.#configurations.noteVersion(message.report.daemon, message.configurationVersion);
         this.#takeReport(this.#withServerIds(message.report));
         return;
       case 'sums':
@@ -351,6 +352,7 @@
         if (message.relay === daemon) return;
         roster.heardRelay(message.relay, message.zone, nowMs);
         noteVersion(message.digest.configurationVersion, message.relay);
+        this.#configurations.noteVersion(message.relay, message.digest.configurationVersion);
         if (message.zone === zone && !this.#relay.isRelay) takeTables(message.digest);
         return;
       case 'configuration':
--- /dev/null
+++ b/test/gateway/configuration-teller.test.ts
@@ -0,0 +1,63 @@
+/** Which configurations a daemon tells others, beside those that its relay passes on. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { PeerRoster } from '../../src/core/gateway/index.js';
+import { ConfigurationTeller } from '../../src/shell/gateway/configuration-teller.js';
+import { decodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
+import { ManualTimers } from './support/manual-timers.js';
+
+const VERSION = 23;
+/** Others hear of a change by themselves within this time. */
+const SETTLED_MS = 1_000;
+
+function setUp() {
+  const timers = new ManualTimers();
+  const roster = new PeerRoster({ name: 'a', zone: 'z' });
+  const place = { host: '127.0.0.1', port: 1, zone: 'z' };
+  roster.replace(
+    ['b', 'c'].map((name) => ({ name, ...place })),
+    timers.nowMs(),
+  );
+  const told: { readonly to: readonly string[]; readonly bytes: Buffer }[] = [];
+  const teller = new ConfigurationTeller({
+    zone: 'z',
+    roster,
+    timers,
+    isRelay: () => false,
+    configurationVersion: () => VERSION,
+    takeConfiguration: () => true,
+    send: (peers, bytes) => told.push({ to: peers.map(({ name }) => name), bytes }),
+  });
+  const rows = [{ kind: 'value', key: 'config', value: {}, encoded: Buffer.from('{}') }] as const;
+  teller.passOn({ era: 1, after: 4, revision: 5, rows });
+  return { timers, teller, told };
+}
+
+// A daemon that started while the store had only an older copy stayed with that until the operator wrote again.
+test('a daemon that goes on with an older configuration is told the newer one, once in a while', () => {
+  const { timers, teller, told } = setUp();
+  teller.noteVersion('b', VERSION - 4);
+  assert.equal(told.length, 0, 'it hears of a change by itself');
+  timers.advance(SETTLED_MS);
+  teller.noteVersion('b', VERSION - 4);
+  teller.noteVersion('b', VERSION - 4);
+  assert.deepEqual(
+    told.map(({ to }) => to),
+    [['b']],
+  );
+  const message = decodePeerMessage(told[0]?.bytes ?? Buffer.alloc(0));
+  assert.ok(message?.kind === 'configuration');
+  assert.deepEqual([message.change.after, message.change.revision], [0, 0], 'it joins no watch');
+  timers.advance(SETTLED_MS);
+  teller.noteVersion('b', VERSION - 4);
+  assert.equal(told.length, 2);
+});
+
+for (const version of [0, VERSION, VERSION + 1]) {
+  test(`a daemon that says version ${version} of ${VERSION} is told nothing`, () => {
+    const { timers, teller, told } = setUp();
+    timers.advance(SETTLED_MS);
+    teller.noteVersion('b', version);
+    assert.deepEqual(told, []);
+  });
+}
