--- a/src/shell/gateway/configuration-teller.ts
+++ b/src/shell/gateway/configuration-teller.ts
@@ -32,6 +32,16 @@
   readonly send: (peers: readonly PeerDaemon[], bytes: Buffer) => void;
 }
 
+/** What tells versions apart. */
+export interface VersionedValue {
+  readonly version: number;
+}
+
+interface NewestConfiguration extends VersionedValue {
+  readonly change: PassedConfiguration;
+  readonly sinceMs: number;
+}
+
 /** The daemon's part in passing configurations on. */
 export class ConfigurationTeller {
   readonly #options: ConfigurationTellerOptions;
@@ -45,14 +55,14 @@
   }
 
   /** One that this daemon had from the store, where it fits a message. */
-  passOn({ era, after, revision, rows }: TableChanges<unknown>): void {
+  passOn({ era, after, revision, rows }: TableChanges<VersionedValue>): void {
     const { zone, roster, timers, isRelay, send } = this.#options;
     const newest = rows.at(-1);
     if (newest?.kind !== 'value') return;
     const { key, encoded } = newest;
     if (encoded === undefined || encoded.length > MOST_PASSED_BYTES) return;
     const change = { era, after, revision, key, encoded };
-    this.#noteNewest(change);
+    this.#noteNewest(change, newest.value.version);
     if (!isRelay()) return;
     const peers = [...roster.zonePeers(), ...roster.otherRelays(timers.nowMs())];
     send(peers, encodePeerMessage({ kind: 'configuration', zone, change }));
@@ -62,7 +72,7 @@
   take(message: Extract<PeerMessage, { kind: 'configuration' }>): void {
     const { zone, roster, isRelay, takeConfiguration, send } = this.#options;
     const isNewer = takeConfiguration(message.change);
-    if (isNewer) this.#noteNewest(message.change);
+    if (isNewer) this.#noteNewest(message.change, this.#options.configurationVersion());
     if (!isNewer || !isRelay() || message.zone === zone) return;
     send(roster.zonePeers(), encodePeerMessage({ ...message, zone }));
   }
@@ -83,15 +93,11 @@
     send([peer], encodePeerMessage({ kind: 'configuration', zone, change }));
   }
 
-  #noteNewest(change: PassedConfiguration): void {
+  /** What the store has may be older than what is in force. */
+  #noteNewest(change: PassedConfiguration, version: number): void {
     const { timers, configurationVersion } = this.#options;
-    this.#newest = { change, version: configurationVersion(), sinceMs: timers.nowMs() };
+    if (version !== configurationVersion()) return;
+    this.#newest = { change, version, sinceMs: timers.nowMs() };
     this.#toldMs.clear();
   }
 }
-
-interface NewestConfiguration {
-  readonly change: PassedConfiguration;
-  readonly version: number;
-  readonly sinceMs: number;
-}
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -24,7 +24,11 @@
 } from '../../core/gateway/index.js';
 import { ByteBudget, sizeOnLink } from './byte-budget.js';
 import { CacheNewsTeller } from './cache-news-teller.js';
-import { ConfigurationTeller, MOST_PASSED_BYTES } from './configuration-teller.js';
+import {
+  ConfigurationTeller,
+  MOST_PASSED_BYTES,
+  type VersionedValue,
+} from './configuration-teller.js';
 import type { LimitMessage } from './limit-message-fields.js';
 import { PaceTeller } from './pace-teller.js';
 import { PeerDirectory } from './peer-directory.js';
@@ -246,7 +250,7 @@
   }
 
   /** As the relay of its zone, passes on a configuration that it had from the store, where it fits. */
-  passOnConfiguration(changes: TableChanges<unknown>): void {
+  passOnConfiguration(changes: TableChanges<VersionedValue>): void {
     if (!this.#isStopped) this.#configurations.passOn(changes);
   }
 
--- a/test/gateway/configuration-teller.test.ts
+++ b/test/gateway/configuration-teller.test.ts
@@ -28,8 +28,15 @@
     takeConfiguration: () => true,
     send: (peers, bytes) => told.push({ to: peers.map(({ name }) => name), bytes }),
   });
-  const rows = [{ kind: 'value', key: 'config', value: {}, encoded: Buffer.from('{}') }] as const;
-  teller.passOn({ era: 1, after: 4, revision: 5, rows });
+  const tell = (version: number, revision: number) => {
+    const value = { version };
+    const encoded = Buffer.from(String(version));
+    const rows = [{ kind: 'value', key: 'config', value, encoded }] as const;
+    teller.passOn({ era: 1, after: revision - 1, revision, rows });
+  };
+  tell(VERSION, 5);
+  // The copy that the store came back from has an older one.
+  tell(VERSION - 4, 6);
   return { timers, teller, told };
 }
 
@@ -47,6 +54,7 @@
   );
   const message = decodePeerMessage(told[0]?.bytes ?? Buffer.alloc(0));
   assert.ok(message?.kind === 'configuration');
+  assert.equal(message.change.encoded.toString(), String(VERSION));
   assert.deepEqual([message.change.after, message.change.revision], [0, 0], 'it joins no watch');
   timers.advance(SETTLED_MS);
   teller.noteVersion('b', VERSION - 4);
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -432,7 +432,8 @@
   elsewhere.roster.replace([...elsewhere.roster.everyone(), ...addresses], timers.nowMs());
   elsewhere.roster.heardRelay(relay.name, 'z', timers.nowMs());
   timers.advance(1_000);
-  const rows = [{ kind: 'value', key: 'config', value: {}, encoded: Buffer.from('{}') }] as const;
+  const encoded = Buffer.from('{}');
+  const rows = [{ kind: 'value', key: 'config', value: { version: VERSION }, encoded }] as const;
   elsewhere.exchange.passOnConfiguration({ era: 0, after: 1, revision: 2, rows });
   assert.equal(await settledBy(other.configured.promise, timers), 2);
   for (const { exchange } of [...both, elsewhere]) exchange.stop();
