A window whose record is lost is not reported again by a daemon that has just started

Cause: the record that said it was reported was lost with the store's copy; the daemons that had been told knew, and one that had just started was told by nobody. Change: who is asked for the counts of a window that it knows to be reported says so with them. The message is one that earlier releases read. Its fleet gave each daemon a wall clock of its own start; it is the fleet's now.

--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -100,6 +100,10 @@
     switch (message.kind) {
       case 'usage-asked':
         for (const part of this.#ownParts(message.window)) reply({ kind: 'usage-counted', part });
+        // Whoever asks may lack the record of it, as the store came back from an older copy.
+        if (this.#knownReported() >= message.window) {
+          reply({ kind: 'usage-reported', window: this.#knownReported() });
+        }
         return;
       case 'usage-counted':
         this.#collection?.take(message.part);
--- a/test/gateway/support/memory-table.ts
+++ b/test/gateway/support/memory-table.ts
@@ -8,6 +8,8 @@
   writes = 0;
   #rows = new Map<string, TableRow>();
   #version = 0;
+  /** Rises each time that the table comes back from a copy. */
+  #era = 0;
 
   get rows(): readonly TableRow[] {
     return [...this.#rows.values()].sort((left, right) => (left.key < right.key ? -1 : 1));
@@ -26,6 +28,7 @@
     return () => {
       this.#rows = new Map(rows);
       this.#version = version;
+      this.#era += 1;
     };
   }
 
@@ -36,6 +39,11 @@
   /** What a call that comes now is answered. */
   answer(call: TableCall): TableResult {
     if (this.isDown) return { kind: 'unavailable', reason: 'down', retryAfterMs: 0 };
+    const result = this.#resultOf(call);
+    return this.#era > 0 && 'rows' in result ? { ...result, era: this.#era } : result;
+  }
+
+  #resultOf(call: TableCall): TableResult {
     switch (call.kind) {
       case 'get':
         return { kind: 'rows', rows: call.keys.map((key) => this.#row(key)) };
--- a/test/tenant-usage/reporting.test.ts
+++ b/test/tenant-usage/reporting.test.ts
@@ -25,9 +25,11 @@
   readonly daemons = new Map<string, UsageReporter>();
   /** What the platform answers in turn; taken once it is empty. */
   readonly outcomes: DutyOutcome[] = [];
+  readonly #startedMs = this.timers.nowMs();
 
-  add(names: readonly string[]): void {
-    for (const name of names) {
+  /** @param only the one that is started; all of them where it is left out */
+  add(names: readonly string[], only?: string): void {
+    for (const name of only === undefined ? names : [only]) {
       const roster = new PeerRoster({ name, zone: 'a' });
       roster.replace(
         names.map((other) => ({ name: other, host: '127.0.0.1', port: 1, zone: 'a' })),
@@ -57,7 +59,6 @@
   }
 
   #reporter(name: string, roster: PeerRoster): UsageReporter {
-    const startedMs = this.timers.nowMs();
     return new UsageReporter({
       daemon: name,
       incarnation: 1,
@@ -71,7 +72,7 @@
       table: this.table,
       roster,
       peers: () => ({ tell: (peers, message) => this.#tell(name, peers, message) }),
-      wallClock: () => FIRST_WINDOW * WINDOW_MS + this.timers.nowMs() - startedMs,
+      wallClock: () => FIRST_WINDOW * WINDOW_MS + this.timers.nowMs() - this.#startedMs,
       timers: this.timers,
       leaseTimers: this.timers,
       log: { write: (event, fields = {}) => void this.lines.push({ event, fields }) },
@@ -131,6 +132,34 @@
   assert.ok((second?.fence ?? 0) > (fleet.reports[0]?.fence ?? 0));
 });
 
+// The record was lost with the store's copy, and a daemon that had just started reported the window once more.
+test('a window is reported with one set of counts though the store came back from a copy without its record', async () => {
+  const names = ['a', 'b', 'c', 'd'];
+  const pairs = names.flatMap((restarted) => names.map((other) => [restarted, other] as const));
+  for (const [restarted, other] of pairs.filter(([one, two]) => one !== two)) {
+    const fleet = new Fleet();
+    fleet.add(names);
+    const hasReported = () => fleet.reports.some(({ window }) => window === 2);
+    await fleet.pass(2 * WINDOW_MS + WINDOW_MS / 2);
+    const restore = fleet.table.copy();
+    for (const daemon of fleet.daemons.values()) daemon.noteBegan('leiden', 0);
+    while (!hasReported()) await fleet.pass(STEP_MS);
+    restore();
+    for (const name of names) if (name !== other) fleet.kill(name);
+    fleet.add(names, restarted);
+    await fleet.pass(3 * WINDOW_MS);
+    fleet.stop();
+    const countsOf = new Map<number, Set<string>>();
+    for (const { window, counts } of fleet.reports) {
+      const known = countsOf.get(window) ?? new Set();
+      countsOf.set(window, known.add(JSON.stringify(counts)));
+    }
+    const twice = [...countsOf].filter(([, counts]) => counts.size > 1);
+    assert.deepEqual(twice, [], `${restarted} started again beside ${other}`);
+    assert.ok(countsOf.has(4), 'the next windows are reported');
+  }
+});
+
 test('a report without an answer is sent again with the same counts and fence', async () => {
   const fleet = new Fleet();
   fleet.add(['a']);
