--- a/soak/configuration.ts
+++ b/soak/configuration.ts
@@ -69,6 +69,7 @@
   #addedRoutes: readonly AddedRoute[] = [];
   #routesAddedTotal = 0;
   #lastDropped: string | undefined;
+  #newest: unknown;
 
   constructor(store: PlatformStore) {
     this.#store = store;
@@ -105,6 +106,13 @@
     this.#write();
   }
 
+  /** Writes the newest version once more, as the store came back from an older copy. */
+  writeAgain(): void {
+    if (this.#newest !== undefined) {
+      this.#store.put(TABLES.operator, TABLES.configurationKey, this.#newest);
+    }
+  }
+
   /** The route that was added last and the one that was dropped last, by their prefixes. */
   get recentRoutes(): { readonly added: string | undefined; readonly dropped: string | undefined } {
     return { added: this.#addedRoutes.at(-1)?.pathPrefix, dropped: this.#lastDropped };
@@ -126,6 +134,7 @@
     const tenantOfKey = new Map(keys.map(({ key, tenant }) => [key, tenant]));
     const document = configurationDocument(version, serviceOf, keys, this.#addedRoutes);
     const addedRoutes = new Set(this.#addedRoutes.map(({ pathPrefix }) => pathPrefix));
+    this.#newest = document;
     this.#store.put(TABLES.operator, TABLES.configurationKey, document);
     this.versions.push({ version, ackMs: performance.now(), serviceOf, tenantOfKey, addedRoutes });
   }
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -8,7 +8,7 @@
 import type { GatewayProcess } from './gateway-process.js';
 import type { StartedAs } from './model-server.js';
 import { pause } from './pause.js';
-import { type Fault, STALE_GAP_MS } from './plan.js';
+import { COPY_LEAD_MS, type Fault, STALE_GAP_MS } from './plan.js';
 import type { PlatformStore, StoreDoor } from './platform-store.js';
 import type { Disturbance, DrainNotice, LimitNotice, Scope, SoakBounds } from './record.js';
 import { ENTRY_LAPSE_MS, type PooledServer, type ServerPool } from './server-pool.js';
@@ -103,6 +103,8 @@
         return;
       case 'store-stale':
         return this.#makeStale(fault);
+      case 'store-copy':
+        return this.#restoreStore(fault);
       case 'entries-lapse':
         return this.#lapse(fault.forMs);
       case 'servers':
@@ -233,6 +235,29 @@
     store.faults.stale = undefined;
   }
 
+  async #restoreStore({
+    how,
+    forMs,
+    behindMs,
+    lostRevisions,
+    keepsHeldCalls,
+    rewriteMs,
+  }: Extract<Fault, { kind: 'store-copy' }>): Promise<void> {
+    const { store, operator, pool } = this.#world;
+    store.skipVersions(lostRevisions);
+    operator.change('idle');
+    await pause(COPY_LEAD_MS);
+    store.refusal = how;
+    await this.#disturbStore(forMs);
+    store.restore(forMs + behindMs, keepsHeldCalls);
+    store.refusal = undefined;
+    const writers = [() => operator.writeAgain(), ...pool.writers()];
+    for (const write of writers) {
+      write();
+      await pause(rewriteMs / writers.length);
+    }
+  }
+
   async #lapse(forMs: number): Promise<void> {
     this.#disturb('store', '', forMs);
     for (const { server } of this.#world.pool.servers) this.#world.pool.unlist(server.id);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -2,7 +2,14 @@
 /** Entry point of the soak: real gateway processes under faults from outside, judged by the fleet's promises. */
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { MUTATIONS, type Mutation } from './mutations.js';
-import { planHerd, planOutages, planSoak, type SoakPlan, type SoakSize } from './plan.js';
+import {
+  planCopies,
+  planHerd,
+  planOutages,
+  planSoak,
+  type SoakPlan,
+  type SoakSize,
+} from './plan.js';
 import { runSoak, type SoakResult } from './run.js';
 
 const EXIT_BROKEN = 1;
@@ -46,7 +53,7 @@
   seeds = Option.String('--seeds', '1', { description: 'how many seeds, one after another' });
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
-  plan = Option.String('--plan', 'mixed', { description: 'mixed, herd or outages' });
+  plan = Option.String('--plan', 'mixed', { description: 'mixed, herd, outages or copies' });
   without = Option.String('--without', { description: 'a protection to take away' });
 
   override async execute(): Promise<number> {
@@ -70,9 +77,10 @@
       const names = MUTATIONS.map(({ name }) => name).join(', ');
       throw new Error(`--without: found ${this.without}; give one of ${names}`);
     }
-    const planOf = { mixed: planSoak, herd: planHerd, outages: planOutages }[this.plan];
+    const plans = { mixed: planSoak, herd: planHerd, outages: planOutages, copies: planCopies };
+    const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
-      throw new Error(`--plan: found ${this.plan}; give mixed, herd or outages`);
+      throw new Error(`--plan: found ${this.plan}; give mixed, herd, outages or copies`);
     return {
       firstSeed: wholeNumber('--seed', this.seed),
       seeds: wholeNumber('--seeds', this.seeds),
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -106,6 +106,27 @@
     text: 'const HISTORY_RECHECK_SHARE_OF_CONTACT = 4.5;',
     replacement: 'const HISTORY_RECHECK_SHARE_OF_CONTACT = 0.5;',
   },
+  {
+    name: 'eras',
+    promise: 'CONFIG',
+    file: 'platform/store-client.ts',
+    text: 'Number(told) : FIRST_ERA;',
+    replacement: 'FIRST_ERA : FIRST_ERA;',
+  },
+  {
+    name: 'words-outlast-copies',
+    promise: 'DRAIN',
+    file: 'src/core/gateway/restored-servers.ts',
+    text: "return known.state === 'draining' && isSameLife(known, record) ? 'leaves' : undefined;",
+    replacement: 'return undefined;',
+  },
+  {
+    name: 'fences-of-eras',
+    promise: 'DUTY',
+    file: 'src/core/platform/era-fence.ts',
+    text: 'const FENCES_OF_ERA = 1_000_000;',
+    replacement: 'const FENCES_OF_ERA = 0;',
+  },
   {
     name: 'secret-keys',
     promise: 'UNASKED',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -176,7 +176,9 @@
   for (const { serverId, atMs } of call.arrivals) {
     const notice = run.drains.find((drain) => drain.serverId === serverId);
     if (notice === undefined || atMs <= notice.ackMs + run.bounds.drainMs + TRANSIT_MS) continue;
-    if (!isInTouch(run, call.daemon, notice.ackMs, atMs)) continue;
+    // One that was out of touch as the server said so knows it once it is back.
+    const knownFromMs = Math.max(notice.ackMs, atMs - run.bounds.drainMs - TRANSIT_MS);
+    if (!isInTouch(run, call.daemon, knownFromMs, atMs)) continue;
     note(
       'DRAIN',
       `sent to ${serverId} ${Math.round(atMs - notice.ackMs)} ms after it said that it leaves`,
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -75,6 +75,19 @@
       readonly isUnderNewest: boolean;
       readonly forMs: number;
     }
+  /** Away, and back from an older copy; the operator and the servers write again after that, one by one. */
+  | {
+      readonly kind: 'store-copy';
+      readonly how: StoreRefusal;
+      readonly forMs: number;
+      readonly behindMs: number;
+      /** Revisions that other tables took before, which the copy lacks as well. */
+      readonly lostRevisions: number;
+      /** Whether held calls go on as if nothing had happened. */
+      readonly keepsHeldCalls: boolean;
+      /** Until all have written again. */
+      readonly rewriteMs: number;
+    }
   | { readonly kind: 'entries-lapse'; readonly forMs: number }
   | {
       readonly kind: 'servers';
@@ -178,6 +191,7 @@
 const SERVERS_SALT = 0x5107;
 const WORDS_SALT = 0x4057;
 const LIMITS_SALT = 0x1137;
+const COPIES_SALT = 0xc0b1;
 const ROUTES_SALT = 0x2077;
 const ROUTE_CHANGES = ['add-route', 'add-route', 'drop-route', 'time-route'] as const;
 /** Changes come around the end of what strikes the store, in series. */
@@ -188,6 +202,12 @@
 const LATEST_CHANGE_MS = 900;
 const LEAST_ROUTE_GAP_MS = 2_000;
 const MOST_ROUTE_GAP_MS = 6_000;
+const LEAST_COPY_GAP_MS = 6_000;
+const MOST_COPY_GAP_MS = 16_000;
+/** From the last change before the store is away, which the copy lacks, until daemons have it. */
+export const COPY_LEAD_MS = 700;
+/** The chance that a return from a copy is followed by another one. */
+const COPY_AGAIN_CHANCE = 0.25;
 const LEAST_LIMIT_GAP_MS = 5_000;
 const MOST_LIMIT_GAP_MS = 12_000;
 const LIMITS_PER_SECOND = [0, 0.2, 0.5, 1, 1.2, 2, 3.8, 5, 12, 1_000] as const;
@@ -376,6 +396,7 @@
       ...drawWords(seed, size, endMs),
       ...drawLimits(seed, size, endMs),
       ...drawRouteChanges(seed, faults, endMs),
+      ...drawCopies(seed, endMs),
     ].sort((left, right) => left.atMs - right.atMs),
     crashing: drawCrashing(seed, endMs),
   };
@@ -441,6 +462,34 @@
   return limits;
 }
 
+/** Returns of the store from older copies, with changes around them; drawn apart as well. */
+function drawCopies(seed: number, endMs: number): readonly TimedFault[] {
+  const dice = new Dice(seed ^ COPIES_SALT);
+  const copies: TimedFault[] = [];
+  let atMs = FIRST_FAULT_MS + dice.between(0, MOST_COPY_GAP_MS);
+  while (atMs < endMs) {
+    const fault = drawCopy(dice);
+    copies.push({ atMs: Math.round(atMs), fault });
+    const gapMs = dice.chance(COPY_AGAIN_CHANCE)
+      ? dice.between(0, SERIES_GAP_MS)
+      : dice.between(LEAST_COPY_GAP_MS, MOST_COPY_GAP_MS);
+    atMs = endOf({ atMs, fault }) + gapMs;
+  }
+  return [...copies, ...drawChanges(dice, timesAtEnds(dice, copies), endMs)];
+}
+
+function drawCopy(dice: Dice): Extract<Fault, { kind: 'store-copy' }> {
+  return {
+    kind: 'store-copy',
+    how: dice.pick(STORE_REFUSALS),
+    forMs: dice.pick([50, 300, 1_000, 2_500]),
+    behindMs: dice.between(COPY_LEAD_MS, 6_000),
+    lostRevisions: dice.pick([0, 3, 60, 100_000]),
+    keepsHeldCalls: dice.chance(0.3),
+    rewriteMs: dice.pick([0, 300, 1_000]),
+  };
+}
+
 /** Routes that come and go now and then, and around the end of each fault of the store; drawn apart as well. */
 function drawRouteChanges(
   seed: number,
@@ -456,11 +505,16 @@
   return drawChanges(dice, [...times, ...timesAtEnds(dice, faults)], endMs);
 }
 
+function endOf({ atMs, fault }: TimedFault): number {
+  const leadMs = fault.kind === 'store-copy' ? COPY_LEAD_MS : 0;
+  return atMs + leadMs + ('forMs' in fault ? fault.forMs : 0);
+}
+
 /** In series around the end of each fault of the store. */
 function timesAtEnds(dice: Dice, faults: readonly TimedFault[]): readonly number[] {
   return faults.flatMap(({ atMs, fault }) => {
     if (!fault.kind.startsWith('store-')) return [];
-    const endMs = atMs + ('forMs' in fault ? fault.forMs : 0);
+    const endMs = endOf({ atMs, fault });
     const count = dice.whole(1, MOST_CHANGES_AT_END);
     return Array.from(
       { length: count },
@@ -554,6 +608,38 @@
   return { seed, size, servers, faults: [...faults, ...changes], crashing: [] };
 }
 
+/**
+ * The plan of a store that comes back from older copies, with calm stretches between them: the configuration changes and
+ * servers leave before and after, and some daemons start anew as it returns.
+ */
+export function planCopies(seed: number, size: SoakSize): SoakPlan {
+  const dice = new Dice(seed);
+  for (let draw = 0; draw < SKIPPED_DRAWS; draw += 1) dice.between(0, 1);
+  const endMs = size.seconds * 1_000 - CALM_END_MS;
+  const faults: TimedFault[] = [];
+  const copies: TimedFault[] = [];
+  const add = (atMs: number, fault: Fault) => faults.push({ atMs: Math.round(atMs), fault });
+  for (let atMs = 2 * FIRST_FAULT_MS; atMs < endMs; ) {
+    const copy = drawCopy(dice);
+    copies.push({ atMs: Math.round(atMs), fault: copy });
+    const returnMs = endOf({ atMs, fault: copy });
+    add(atMs - dice.between(0, copy.behindMs), drawChange(dice));
+    add(atMs - dice.between(0, copy.behindMs), drawDrain(dice, size));
+    add(returnMs + dice.between(0, LEAST_COPY_GAP_MS), drawDrain(dice, size));
+    if (dice.chance(0.4)) {
+      const daemons = dice.some(size.daemons, dice.pick([0.1, 0.3]));
+      const downMs = dice.between(100, LEAST_OUTAGE_MS / 10);
+      add(returnMs - dice.between(0, downMs), { kind: 'kill', daemons, downMs });
+    }
+    const isAgain = dice.chance(COPY_AGAIN_CHANCE);
+    atMs = returnMs + (isAgain ? SERIES_GAP_MS : dice.between(LEAST_CALM_MS, MOST_CALM_MS));
+  }
+  const times = copies.flatMap(({ atMs }) => atMs + dice.between(0, MOST_CALM_MS));
+  const changes = drawChanges(dice, [...timesAtEnds(dice, copies), ...times], endMs);
+  const servers = { webSlots: PLAIN_SLOTS, paces: [] };
+  return { seed, size, servers, faults: [...faults, ...copies, ...changes], crashing: [] };
+}
+
 /**
  * The plan of a fleet that is asked for more repeats than its budget allows while all its processes are killed
  * together, twice within one window of the budget, and the store is slow when they return.
--- a/soak/platform-store.ts
+++ b/soak/platform-store.ts
@@ -3,7 +3,7 @@
  * has a door of its own, so that some may be refused while others are served.
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
-import { PATHS, TABLES } from '../platform/names.js';
+import { PATHS, STORE_HEADERS, TABLES } from '../platform/names.js';
 import { closeListener, openListener } from '../src/lab/common/listener.js';
 import type { StoreRefusal } from './plan.js';
 import { readBody } from './request-body.js';
@@ -93,11 +93,13 @@
   /** Refuses every door where it is set. */
   refusal: StoreRefusal | undefined;
   callsTotal = 0;
+  /** Rises each time that the store comes back from an older copy. */
+  #era = 0;
   #version = 1;
   #historyFrom = 0;
-  readonly #rows = new Map<string, Row>();
-  /** All that was written to tables that daemons only read, in order. */
-  readonly #written: { readonly atMs: number; readonly row: Row }[] = [];
+  #rows = new Map<string, Row>();
+  /** All that was written, in order. */
+  #written: { readonly atMs: number; readonly row: Row }[] = [];
   readonly #feeds = new Set<HeldFeed>();
   readonly #doors: StoreDoor[] = [];
   readonly #random: () => number;
@@ -131,17 +133,41 @@
     this.#answerFeeds();
   }
 
+  /** Other tables take versions. */
+  skipVersions(count: number): void {
+    this.#version += count;
+  }
+
   /** Drops the history: feeds have to be begun anew. */
   forget(): void {
     this.#historyFrom = this.#version + 1;
-    for (const { response } of this.#feeds) response.writeHead(410).end();
+    for (const { response } of this.#feeds) this.#answerLost(response);
+    this.#feeds.clear();
+  }
+
+  /**
+   * Comes back from a copy of some time ago: what was written since is gone, and its versions are given out again.
+   * @param keepsHeldCalls whether calls that are held go on as if nothing had happened
+   */
+  restore(behindMs: number, keepsHeldCalls: boolean): void {
+    const asOfMs = performance.now() - behindMs;
+    this.#written = this.#written.filter(({ atMs }) => atMs <= asOfMs);
+    this.#rows = rowsOf(this.#written.map(({ row }) => row));
+    this.#version = this.#written.at(-1)?.row.ver ?? 1;
+    this.#historyFrom = Math.min(this.#historyFrom, this.#version);
+    this.#era += 1;
+    if (keepsHeldCalls) return;
+    for (const { response } of this.#feeds) response.destroy();
     this.#feeds.clear();
   }
 
   #write(table: string, key: string, value: string | undefined): void {
     this.#version += 1;
-    const row = { table, privateKey: key, value, ver: this.#version };
-    this.#rows.set(`${table}/${key}`, row);
+    this.#set({ table, privateKey: key, value, ver: this.#version });
+  }
+
+  #set(row: Row): void {
+    this.#rows.set(`${row.table}/${row.privateKey}`, row);
     this.#written.push({ atMs: performance.now(), row });
   }
 
@@ -150,6 +176,7 @@
     if (body === undefined) return;
     this.callsTotal += 1;
     const refusal = this.refusal ?? door.refusal;
+    response.setHeader(STORE_HEADERS.era, String(this.#era));
     if (refusal !== undefined) return refuse(refusal, response);
     const url = new URL(request.url ?? '/', 'http://store');
     setTimeout(() => this.#answerCall(door, url, body, response), ANSWER_MS + this.faults.delayMs);
@@ -191,7 +218,7 @@
     }
     const asOfMs = performance.now() - stale.behindMs;
     const known = this.#written.filter(({ atMs }) => atMs <= asOfMs);
-    const rows = new Map(known.map(({ row }) => [`${row.table}/${row.privateKey}`, row]));
+    const rows = rowsOf(known.map(({ row }) => row));
     const shownVersion = known.at(-1)?.row.ver ?? 0;
     return {
       rows: [...rows.values()],
@@ -201,8 +228,8 @@
 
   #feed(door: StoreDoor, url: URL, response: ServerResponse): void {
     const after = Number(url.searchParams.get('after'));
-    if (after < this.#historyFrom) {
-      response.writeHead(410).end();
+    if (after < this.#historyFrom || after > this.#version) {
+      this.#answerLost(response);
       return;
     }
     const feed = { door, table: url.searchParams.get('table') ?? '', after, response };
@@ -222,6 +249,11 @@
     this.#answerFeeds();
   }
 
+  #answerLost(response: ServerResponse): void {
+    response.setHeader(STORE_HEADERS.era, String(this.#era));
+    response.writeHead(410).end();
+  }
+
   #answerFeeds(): void {
     if (this.faults.isUnheard) return;
     for (const feed of this.#feeds) {
@@ -273,10 +305,10 @@
     this.#version += 1;
     const ver = this.#version;
     for (const { table, privateKey, value } of put) {
-      this.#rows.set(`${table}/${privateKey}`, { table, privateKey, value, ver });
+      this.#set({ table, privateKey, value, ver });
     }
     for (const { table, privateKey } of remove) {
-      this.#rows.set(`${table}/${privateKey}`, { table, privateKey, value: undefined, ver });
+      this.#set({ table, privateKey, value: undefined, ver });
     }
     this.#answerFeeds();
     return undefined;
@@ -292,10 +324,16 @@
     const shown = rows.map((row) => (row.value === undefined ? { ...row, gone: true } : row));
     const now = Math.round(performance.now());
     const body = JSON.stringify({ rows: shown, more, ver, now_ms: now });
+    response.setHeader(STORE_HEADERS.era, String(this.#era));
     response.writeHead(status, { 'Content-Type': 'application/json' }).end(body);
   }
 }
 
+/** The newest of each key. */
+function rowsOf(written: readonly Row[]): Map<string, Row> {
+  return new Map(written.map((row) => [`${row.table}/${row.privateKey}`, row]));
+}
+
 function refuse(refusal: StoreRefusal, response: ServerResponse): void {
   switch (refusal) {
     case 'unavailable':
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -54,6 +54,8 @@
 export class ServerPool {
   readonly servers: PooledServer[] = [];
   readonly #options: ServerPoolOptions;
+  readonly #listedIds = new Set<string>();
+  readonly #unlistedIds = new Set<string>();
 
   constructor(options: ServerPoolOptions) {
     this.#options = options;
@@ -81,6 +83,8 @@
 
   /** Writes a server's entry as it is now. */
   list({ server, link, zone, isDraining }: PooledServer): void {
+    this.#listedIds.add(server.id);
+    this.#unlistedIds.delete(server.id);
     this.#options.store.put(TABLES.servers, server.id, {
       service: server.service,
       address: link.address,
@@ -105,9 +109,29 @@
   }
 
   unlist(serverId: string): void {
+    this.#listedIds.delete(serverId);
+    this.#unlistedIds.add(serverId);
     this.#options.store.remove(TABLES.servers, serverId);
   }
 
+  /** After the store came back from an older copy: the entries as they are, and those that are gone lapse. */
+  writers(): readonly (() => void)[] {
+    const listed = this.servers.filter(({ server }) => this.#listedIds.has(server.id));
+    const gone = [...this.#unlistedIds];
+    return [
+      ...listed.map((server) => () => {
+        if (this.#listedIds.has(server.server.id)) this.list(server);
+      }),
+      () => {
+        setTimeout(() => this.#lapse(gone), ENTRY_LAPSE_MS);
+      },
+    ];
+  }
+
+  #lapse(ids: readonly string[]): void {
+    for (const id of ids) if (!this.#listedIds.has(id)) this.unlist(id);
+  }
+
   async #add(
     service: string,
     stage: Stage | undefined,
--- a/src/core/gateway/restored-servers.ts
+++ b/src/core/gateway/restored-servers.ts
@@ -15,7 +15,7 @@
 } from './server-directory.js';
 
 /** Servers that live have written their rows again so long after the store's return. */
-export const REWRITTEN_MS = 2_500;
+const REWRITTEN_MS = 2_500;
 /** A row that nobody writes has lapsed so long after the store's return, as a part of the time to be back in touch. */
 const LAPSE_SHARE_OF_CONTACT = 1.5;
 /** Copies are some seconds old, and a store may be away for a while: who left before has no row in one. */
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -1,7 +1,7 @@
 /** The soak's plans: the same for the same seed, with every kind of fault over some seeds, calm at the end. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Fault, planHerd, planOutages, planSoak } from '../../soak/plan.js';
+import { type Fault, planCopies, planHerd, planOutages, planSoak } from '../../soak/plan.js';
 
 const SIZE = { seconds: 60, daemons: 9, engines: 8, webServers: 4, requestsPerSecond: 90 };
 const KINDS: readonly Fault['kind'][] = [
@@ -15,6 +15,7 @@
   'store-loses-answers',
   'store-writes-late',
   'store-forgets',
+  'store-copy',
   'entries-lapse',
   'servers',
   'crash',
@@ -67,6 +68,21 @@
   }
 });
 
+test('the plan of copies has the store come back from older ones, with changes and leaving servers around that', () => {
+  const plans = Array.from({ length: 12 }, (_, seed) => planCopies(seed, SIZE));
+  for (const { faults } of plans) {
+    const copies = faults.filter(({ fault }) => fault.kind === 'store-copy');
+    assert.ok(copies.length >= 3);
+    for (const { atMs, fault } of copies) {
+      assert.ok(fault.kind === 'store-copy');
+      const isNear = (other: number) => Math.abs(other - atMs) < fault.behindMs + 8_000;
+      for (const kind of ['change', 'drain']) {
+        assert.ok(faults.some(({ atMs: at, fault: other }) => other.kind === kind && isNear(at)));
+      }
+    }
+  }
+});
+
 test('each plan has work that ends servers, drawn apart from its faults', () => {
   for (let seed = 0; seed < 12; seed += 1) {
     const { crashing } = planSoak(seed, SIZE);
