--- a/src/core/gateway/restored-servers.ts
+++ b/src/core/gateway/restored-servers.ts
@@ -99,27 +99,23 @@
   ): CorrectedServers {
     if (this.#sinceMs === undefined) return { records, corrected: [] };
     const agoMs = nowMs - this.#sinceMs;
+    const isWhole = listedIds !== undefined;
     const taken: ServerRecord[] = [];
     const corrected: RestoredServer[] = [];
     for (const record of records) {
-      const reason = this.#reasonOf(
-        record,
-        directory.get(record.id),
-        agoMs,
-        listedIds !== undefined,
-      );
-      if (reason !== undefined) corrected.push({ server: record, reason });
+      const reason = this.#reasonOf(record, directory.get(record.id), agoMs, isWhole);
       if (reason === undefined) taken.push(record);
+      else corrected.push({ server: record, reason });
       if (reason === 'leaves') taken.push({ ...record, state: 'draining' });
     }
-    if (listedIds !== undefined && agoMs < REWRITTEN_MS) {
-      for (const server of directory.all()) {
-        if (listedIds.has(server.id)) continue;
-        taken.push(server);
-        corrected.push({ server, reason: 'missing' });
-      }
-    }
-    return { records: taken, corrected };
+    const missing = isWhole && agoMs < REWRITTEN_MS ? missingOf(directory, listedIds) : [];
+    return {
+      records: [...taken, ...missing],
+      corrected: [
+        ...corrected,
+        ...missing.map((server) => ({ server, reason: 'missing' }) as const),
+      ],
+    };
   }
 
   #reasonOf(
@@ -139,3 +135,10 @@
     return isWhole && agoMs < this.#lapseMs ? 'left' : undefined;
   }
 }
+
+function missingOf(
+  directory: Pick<ServerDirectory, 'all'>,
+  listedIds: ReadonlySet<string>,
+): readonly ServerRecord[] {
+  return [...directory.all()].filter(({ id }) => !listedIds.has(id));
+}
--- a/src/core/lease/step.ts
+++ b/src/core/lease/step.ts
@@ -61,8 +61,9 @@
   // Nothing is left to give up; a stop must not wait for a table service that is down.
   const isLapsed = state.held !== null && context.now >= state.held.until;
   if (state.stopping && isLapsed) return released(state, context);
-  if (state.uncertain || isOutdated(state, context))
-    return call(state, 'read', readCall(state.settings), context);
+  const mayWrite = state.held !== null || (state.candidate && !state.stopping);
+  const mustRead = state.uncertain || (mayWrite && isOutdated(state, context));
+  if (mustRead) return call(state, 'read', readCall(state.settings), context);
   if (state.held !== null) return actAsHolder(state, context);
   if (state.stopping || !state.candidate) return unchanged(state);
   return actAsObserver(state, context);
--- a/src/shell/gateway/crash-store-restore.ts
+++ b/src/shell/gateway/crash-store-restore.ts
@@ -31,6 +31,7 @@
 export class CrashStoreRestore {
   readonly #options: CrashStoreRestoreOptions;
   #stopped = new AbortController();
+  #isStopped = false;
 
   constructor(options: CrashStoreRestoreOptions) {
     this.#options = options;
@@ -38,12 +39,14 @@
 
   /** The store is back from an older copy; what was under way for the one before ends. */
   begin(): void {
+    if (this.#isStopped) return;
     this.#stopped.abort();
     this.#stopped = new AbortController();
     void this.#run(this.#stopped.signal);
   }
 
   stop(): void {
+    this.#isStopped = true;
     this.#stopped.abort();
   }
 
--- a/test/lease/step-lease.test.ts
+++ b/test/lease/step-lease.test.ts
@@ -113,3 +113,14 @@
   harness.run(5_000);
   assert.equal(isReleased(harness.state('a')), true);
 });
+
+test('a daemon that no longer wants a lease makes no calls for it, however old what it read is', () => {
+  const harness = new Harness();
+  harness.start('a');
+  harness.run(300);
+  harness.send('a', { kind: 'want', candidate: false });
+  harness.run(1_000);
+  const before = harness.calls;
+  harness.run(20_000);
+  assert.equal(harness.calls, before);
+});
