--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -21,6 +21,8 @@
   readonly storePort: number;
   readonly dutyPort: number;
   readonly program: string;
+  /** What runs in its first life, where that is an earlier release. */
+  readonly earlierProgram: string | undefined;
   /** Where its settings and its log go. */
   readonly directory: string;
   readonly bounds: SoakBounds;
@@ -60,9 +62,9 @@
 
   start(): void {
     if (this.#process !== undefined) return;
-    const { program, directory, name } = this.#options;
+    const { directory, name } = this.#options;
     const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
-    const child = spawn(process.execPath, [...NODE_FLAGS, program, this.#settingsPath], {
+    const child = spawn(process.execPath, [...NODE_FLAGS, this.#nextProgram, this.#settingsPath], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child.stdout.pipe(log, { end: false });
@@ -77,6 +79,11 @@
     this.life += 1;
   }
 
+  get #nextProgram(): string {
+    const { program, earlierProgram } = this.#options;
+    return this.life === 0 ? (earlierProgram ?? program) : program;
+  }
+
   signal(signal: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
     if (signal === 'SIGTERM') this.isStopping = true;
     if (signal === 'SIGSTOP') this.isFrozen = true;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,16 +1,17 @@
 #!/usr/bin/env node
 /** Entry point of the soak: real gateway processes under faults from outside, judged by the fleet's promises. */
 import { Builtins, Cli, Command, Option } from 'clipanion';
-import { MUTATIONS, type Mutation } from './mutations.js';
+import { MUTATIONS } from './mutations.js';
 import {
   planCopies,
   planHerd,
   planOutages,
   planSoak,
+  planUpgrade,
   type SoakPlan,
   type SoakSize,
 } from './plan.js';
-import { runSoak, type SoakResult } from './run.js';
+import { runSoak, type SoakPrograms, type SoakResult } from './run.js';
 
 const EXIT_BROKEN = 1;
 const EXIT_UNUSABLE = 2;
@@ -25,7 +26,7 @@
   readonly seeds: number;
   readonly size: SoakSize;
   readonly planOf: (seed: number, size: SoakSize) => SoakPlan;
-  readonly mutation: Mutation | undefined;
+  readonly programs: SoakPrograms;
 }
 
 class SoakCommand extends Command {
@@ -53,7 +54,12 @@
   seeds = Option.String('--seeds', '1', { description: 'how many seeds, one after another' });
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
-  plan = Option.String('--plan', 'mixed', { description: 'mixed, herd, outages or copies' });
+  plan = Option.String('--plan', 'mixed', {
+    description: 'mixed, herd, outages, copies or upgrade',
+  });
+  earlier = Option.String('--earlier', {
+    description: "an earlier release's program, run by each daemon until it is first started again",
+  });
   without = Option.String('--without', { description: 'a protection to take away' });
 
   override async execute(): Promise<number> {
@@ -64,7 +70,7 @@
       for (const { atMs, fault } of plan.faults) {
         this.context.stdout.write(`# ${seed} ${atMs} ms ${JSON.stringify(fault)}\n`);
       }
-      const result = await runSoak(plan, wishes.mutation);
+      const result = await runSoak(plan, wishes.programs);
       this.context.stdout.write(reportOf(seed, result));
       if (result.violations.length > 0) broken += 1;
     }
@@ -77,16 +83,22 @@
       const names = MUTATIONS.map(({ name }) => name).join(', ');
       throw new Error(`--without: found ${this.without}; give one of ${names}`);
     }
-    const plans = { mixed: planSoak, herd: planHerd, outages: planOutages, copies: planCopies };
+    const plans = {
+      mixed: planSoak,
+      herd: planHerd,
+      outages: planOutages,
+      copies: planCopies,
+      upgrade: planUpgrade,
+    };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
-      throw new Error(`--plan: found ${this.plan}; give mixed, herd, outages or copies`);
+      throw new Error(`--plan: found ${this.plan}; give mixed, herd, outages, copies or upgrade`);
     return {
       firstSeed: wholeNumber('--seed', this.seed),
       seeds: wholeNumber('--seeds', this.seeds),
       size: this.#size(),
       planOf,
-      mutation,
+      programs: { mutation, earlierProgram: this.earlier },
     };
   }
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -640,6 +640,33 @@
   return { seed, size, servers, faults: [...faults, ...copies, ...changes], crashing: [] };
 }
 
+/**
+ * The plan of an upgrade: all daemons are stopped and started in turn, while the configuration changes, servers leave and
+ * the store loses its history; once all have started again the store comes back from an older copy.
+ */
+export function planUpgrade(seed: number, size: SoakSize): SoakPlan {
+  const dice = new Dice(seed);
+  for (let draw = 0; draw < SKIPPED_DRAWS; draw += 1) dice.between(0, 1);
+  const faults: TimedFault[] = [];
+  const add = (atMs: number, fault: Fault) => faults.push({ atMs: Math.round(atMs), fault });
+  const gapMs = dice.between(500, 2_000);
+  const rollMs = 2 * FIRST_FAULT_MS;
+  const rolledMs = rollMs + gapMs * size.daemons + LEAST_CALM_MS;
+  add(rollMs, { kind: 'stop', daemons: dice.some(size.daemons, 1), gapMs });
+  for (let atMs = FIRST_FAULT_MS; atMs < rolledMs; ) {
+    add(atMs, drawChange(dice));
+    add(atMs + dice.between(0, LEAST_ROUTE_GAP_MS), drawDrain(dice, size));
+    atMs += dice.between(LEAST_ROUTE_GAP_MS, MOST_ROUTE_GAP_MS);
+  }
+  add(dice.between(rollMs, rolledMs), { kind: 'store-forgets' });
+  const copy = { atMs: Math.round(rolledMs), fault: drawCopy(dice) };
+  const endMs = size.seconds * 1_000 - CALM_END_MS;
+  const changes = drawChanges(dice, timesAtEnds(dice, [...faults, copy]), endMs);
+  const within = [...faults, copy].filter(({ atMs }) => atMs < endMs);
+  const servers = { webSlots: PLAIN_SLOTS, paces: [] };
+  return { seed, size, servers, faults: [...within, ...changes], crashing: [] };
+}
+
 /**
  * The plan of a fleet that is asked for more repeats than its budget allows while all its processes are killed
  * together, twice within one window of the budget, and the store is slow when they return.
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -54,13 +54,20 @@
   readonly directory: string;
 }
 
+/** What daemons run. */
+export interface SoakPrograms {
+  readonly mutation?: Mutation | undefined;
+  /** The path of an earlier release's program, which each daemon runs until it is first started again. */
+  readonly earlierProgram?: string | undefined;
+}
+
 /** Plays a plan. */
-export async function runSoak(plan: SoakPlan, mutation?: Mutation): Promise<SoakResult> {
+export async function runSoak(plan: SoakPlan, programs: SoakPrograms = {}): Promise<SoakResult> {
   const run = new SoakRun(plan);
   const endRun = () => run.close();
   process.once('exit', endRun);
   try {
-    return await run.play(mutation);
+    return await run.play(programs);
   } finally {
     run.close();
     process.removeListener('exit', endRun);
@@ -126,11 +133,11 @@
     });
   }
 
-  async play(mutation: Mutation | undefined): Promise<SoakResult> {
+  async play({ mutation, earlierProgram }: SoakPrograms): Promise<SoakResult> {
     const program = await bundleGateway(this.#directory, mutation);
     await this.#pool.start();
     this.#operator.change('idle');
-    await this.#startDaemons(program);
+    await this.#startDaemons(program, earlierProgram);
     await this.#allReady();
     this.#callers.start();
     this.#probes.start();
@@ -191,7 +198,7 @@
     };
   }
 
-  async #startDaemons(program: string): Promise<void> {
+  async #startDaemons(program: string, earlierProgram: string | undefined): Promise<void> {
     this.#addresses = await AddressBlock.claim();
     const dutyPort = await this.#dutyService.open();
     for (let index = 0; index < this.#plan.size.daemons; index += 1) {
@@ -207,6 +214,7 @@
         storePort: await door.open(),
         dutyPort,
         program,
+        earlierProgram,
         directory: this.#directory,
         bounds: this.#bounds,
       });
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -230,15 +230,19 @@
 }
 
 /** A list of no servers, which never changes, through a door. */
-function noServersAt(door: Door, timers: VirtualTimers): WatchedTable<never> {
-  const none = { kind: 'rows', rows: [], era: 0, revision: 1 } as const;
+function noServersAt(
+  store: ConfigurationTable,
+  door: Door,
+  timers: VirtualTimers,
+): WatchedTable<never> {
+  const none = () => ({ kind: 'rows', rows: [], era: store.era, revision: 1 }) as const;
   return {
     name: 'servers',
-    readAll: (signal) => door.call<never>(signal, async () => none),
+    readAll: (signal) => door.call<never>(signal, async () => none()),
     changesAfter: (_after, waitMs, signal) =>
       door.call<never>(signal, async () => {
         await new Promise<void>((resolve) => timers.after(waitMs, resolve));
-        return none;
+        return none();
       }),
     decode: (key) => ({ kind: 'gone', key }),
   };
@@ -265,7 +269,7 @@
     this.door = new Door(timers);
     this.table = new ConfigurationsAtDoor(table, this.door);
     this.digest = new RelayDigest(timers, digestAgeMs(contactMs));
-    const adapter = { configurations: this.table, servers: noServersAt(this.door, timers) };
+    const adapter = { configurations: this.table, servers: noServersAt(table, this.door, timers) };
     this.follower = new FleetFollower({
       adapter: adapter as unknown as PlatformAdapter,
       fleet: this.fleet,
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -1,7 +1,14 @@
 /** The soak's plans: the same for the same seed, with every kind of fault over some seeds, calm at the end. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Fault, planCopies, planHerd, planOutages, planSoak } from '../../soak/plan.js';
+import {
+  type Fault,
+  planCopies,
+  planHerd,
+  planOutages,
+  planSoak,
+  planUpgrade,
+} from '../../soak/plan.js';
 
 const SIZE = { seconds: 60, daemons: 9, engines: 8, webServers: 4, requestsPerSecond: 90 };
 const KINDS: readonly Fault['kind'][] = [
@@ -83,6 +90,22 @@
   }
 });
 
+test('the plan of an upgrade starts each daemon again before the store comes back from a copy', () => {
+  for (let seed = 0; seed < 12; seed += 1) {
+    const { faults } = planUpgrade(seed, SIZE);
+    const stops = faults.filter(({ fault }) => fault.kind === 'stop');
+    const [stop] = stops;
+    assert.ok(stops.length === 1 && stop?.fault.kind === 'stop');
+    assert.equal(stop.fault.daemons.length, SIZE.daemons);
+    const rolledMs = stop.atMs + stop.fault.gapMs * SIZE.daemons;
+    const copies = faults.filter(({ fault }) => fault.kind === 'store-copy');
+    assert.ok(copies.every(({ atMs }) => atMs > rolledMs));
+    for (const kind of ['change', 'drain', 'store-forgets']) {
+      assert.ok(faults.some(({ fault }) => fault.kind === kind));
+    }
+  }
+});
+
 test('each plan has work that ends servers, drawn apart from its faults', () => {
   for (let seed = 0; seed < 12; seed += 1) {
     const { crashing } = planSoak(seed, SIZE);
