--- a/test/duty/lease-after-copy.test.ts
+++ b/test/duty/lease-after-copy.test.ts
@@ -10,6 +10,7 @@
   stepLease,
 } from '../../src/core/lease/index.js';
 import type { TableCall, TableResult, TableRow } from '../../src/core/platform/table.js';
+import { randomOf } from '../gateway/support/seeded-random.js';
 
 const LEASE_MS = 3_000;
 /** Between the acts of two holders lies at least what each leaves for the drift of clocks. */
@@ -20,17 +21,6 @@
 const SEEDS = 60;
 const DAEMONS = ['front-1', 'front-2', 'front-3'];
 
-/** A generator of numbers from 0 to below 1 (mulberry32). */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 /** A store of rows whose versions come from one counter, which goes back as it comes back from a copy. */
 class CopiedStore {
   isAway = false;
--- a/test/gateway/configuration-in-force.test.ts
+++ b/test/gateway/configuration-in-force.test.ts
@@ -6,6 +6,7 @@
 import { test } from 'node:test';
 import { longestBlindMs, watchTiming } from '../../src/shell/gateway/watch-timing.js';
 import { type DoorState, FollowedZone, type FollowedZoneOptions } from './support/followed-zone.js';
+import { randomOf } from './support/seeded-random.js';
 
 /** As operators set them: how soon a change is to be in force, and how long after a disturbance a daemon is in touch. */
 interface Bounds {
@@ -40,17 +41,6 @@
   readonly phase: number;
 }
 
-/** A generator of numbers from 0 to below 1 (mulberry32). */
-function randomOf(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 /** What came of a change around a disturbance. */
 interface Played {
   /** The last daemon had it in force so long after both the end of the disturbance and the acknowledgement. */
