A digest of an era before keeps no older digest fresh

Cause: the digest's time was taken and its revisions were not, so what the relay before had said stayed fresh. Change: a digest of an era before is not taken at all; followers look for themselves once the last one is too old. The test failed before.

--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -33,11 +33,12 @@
     return this.#freshUntilMs - this.#maxAgeMs;
   }
 
-  /** Takes a digest; one that was delayed makes none fresh that is older. */
+  /** Takes a digest; one that was delayed makes none fresh that is older, and one of an era before says nothing. */
   take(digest: TableDigest): void {
+    const known = this.#digest;
+    if (known !== undefined && isOfEarlierEra(digest, known)) return;
     const freshUntilMs = this.#timers.nowMs() + this.#maxAgeMs - digest.ageMs;
     this.#freshUntilMs = Math.max(this.#freshUntilMs, freshUntilMs);
-    const known = this.#digest;
     this.#digest = {
       configurations: newer(digest.configurations, known?.configurations),
       servers: newer(digest.servers, known?.servers),
@@ -131,10 +132,14 @@
   return Math.max(configurationVersion, known?.configurationVersion ?? 0);
 }
 
+function isOfEarlierEra(told: TableDigest, known: TableDigest): boolean {
+  const { configurations, servers } = known;
+  return told.configurations.era < configurations.era || told.servers.era < servers.era;
+}
+
 /** Revisions of two eras say nothing of each other. */
 function newer(told: TableProgress, known: TableProgress | undefined): TableProgress {
   if (known === undefined || told.era > known.era) return told;
-  if (told.era < known.era) return known;
   return {
     era: told.era,
     changed: Math.max(told.changed, known.changed),
--- a/test/gateway/servers-after-copy.test.ts
+++ b/test/gateway/servers-after-copy.test.ts
@@ -181,7 +181,7 @@
   await passWithin(4_000, () => !isListed('i-gone'));
 });
 
-test('a drill that follows another is met as the first', async () => {
+test('a return from a copy that follows another is met as the first', async () => {
   const leaving = await addServer('i-leaving');
   const copy = fixture.store.copy();
   writeSinceCopy();
--- a/test/gateway/store-from-copy.test.ts
+++ b/test/gateway/store-from-copy.test.ts
@@ -16,7 +16,7 @@
 const AWAY_MS = 2_500;
 /** When the operator writes the next version, from the store's return. */
 const CHANGES_MS = [20, 700, 3_000];
-/** Held calls live through the drill where the doors stay open. */
+/** Held calls live through the return where the doors stay open. */
 const WAYS: readonly DoorState[] = ['resets', 'silent', 'refuses', 'open'];
 
 /** Where the store's counter is against what daemons have seen, as they ask again. */
@@ -34,7 +34,7 @@
   { name: 'past it', revisionsLost: 6, moved: 400 },
 ];
 
-interface Drill {
+interface RestoreCase {
   readonly way: DoorState;
   readonly counter: CounterAfterReturn;
   readonly changeMs: number;
@@ -43,7 +43,7 @@
 /** How long after both the return and the change the last daemon had the change in force. */
 async function slowestMsOf(
   fleet: (typeof FLEETS)[number],
-  { way, counter, changeMs }: Drill,
+  { way, counter, changeMs }: RestoreCase,
 ): Promise<number> {
   const zone = new FollowedZone({ ...fleet, random: () => 0.5, documentSize: 'small' });
   await zone.start(START_GAP_MS);
@@ -175,7 +175,7 @@
   });
 }
 
-test('a second drill right after the first is met as the first', async () => {
+test('a second return from a copy right after the first is met as the first', async () => {
   for (const fleet of FLEETS) {
     const zone = await startChanged(fleet, {});
     for (const gapMs of [AWAY_MS, 400]) {
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -418,3 +418,20 @@
   timers.advance(GATHER_MS);
   await running;
 });
+
+// Its digest made an older one fresh, which went on saying that nothing had changed.
+test('a digest of an era before, as a relay of an earlier release sends it, makes none fresh', () => {
+  const timers = new ManualTimers();
+  const digest = new RelayDigest(timers, 1_500);
+  const inEra = (era: number) => {
+    const { configurations, servers, ...rest } = digestAt(10);
+    return { ...rest, configurations: { ...configurations, era }, servers: { ...servers, era } };
+  };
+  digest.take(inEra(1));
+  timers.advance(1_000);
+  digest.take(inEra(0));
+  timers.advance(1_000);
+  assert.equal(digest.isFresh, false);
+  digest.take(inEra(1));
+  assert.equal(digest.isFresh, true);
+});
