Hear a back-off that a server asks for after its call was given up

Cause: the abort of a call destroyed its connection, so the server's answer was never read.

An aborted call now ends at once for its request, load and permit, but its connection stays open for the head of the answer: 300 ms at most, and not beyond 500 ms after the call began, so that a server or an engine at work is stopped as before. A stream whose head has arrived and a request that is not sent completely are closed at once. Late answers go through ServerCalls like all others: leaving, back-off, limit, load and health are recorded; a prefill that ends meanwhile has its memory freed. A rejection that had arrived as its caller left is recorded too (attempt.ts).

Weighed: a trial request after each unread answer (loses the statement where the server accepts the trial), and a half-close (most servers drop the request with it).

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -51,6 +51,7 @@
 export { type EraRelation, FollowedRevisions } from './followed-revisions.js';
 export { ForecastScale } from './forecast-scale.js';
 export { kvTransferMs } from './kv-sources.js';
+export { lateAnswerWaitMs } from './late-answers.js';
 export {
   LEDGER_SPAN_MS,
   LimitLedger,
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -17,7 +17,7 @@
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
 import type { LimitCoordinator } from './limit-coordinator.js';
-import type { HandoverSource, RequestCodec } from './ports.js';
+import type { AnswerMetadata, HandoverSource, RequestCodec } from './ports.js';
 import type { HeldBack, ServerCalls } from './server-calls.js';
 import type { WebWork } from './web-work.js';
 
@@ -83,6 +83,11 @@
   /** Whether a permit was already taken for this attempt, where the server reports a limit. */
   readonly hasPermit: boolean;
   readonly signal: AbortSignal;
+  /**
+   * Receives an answer other than a rejection that arrives after the attempt was aborted; it has to be read to its end or
+   * destroyed. Where this is undefined, it is destroyed.
+   */
+  readonly onLateAnswer?: (answer: BackendAnswer) => void;
 }
 
 /** The result of an attempt up to the response headers. */
@@ -195,39 +200,59 @@
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     hasPermit: options.hasPermit,
     signal: options.signal,
+    onLateAnswer: (answer) => receiveLateAnswer(answer),
   });
   const elapsedMs = () => timers.nowMs() - startedAtMs;
-  const failed = (failure: FailedCall): FailedCall => {
-    close();
-    if (!options.signal.aborted) {
-      recordFailure(exchange, context, options, { failure, health, elapsedMs: elapsedMs() });
-    }
+  const record = (failure: FailedCall): FailedCall => {
+    recordFailure(exchange, context, options, { failure, health, elapsedMs: elapsedMs() });
     return failure;
   };
+  const readHead = ({ status, message }: BackendAnswer): AnswerMetadata => {
+    if (health.recordReached()) {
+      context.advertiseReachability({ serverId: options.server.id, isReachable: true });
+    }
+    const marks = context.codec.readAnswerMetadata(status, message.headers);
+    if (isWebCall && marks.load !== undefined) {
+      context.webWork.applyReportedLoad(options.server, marks.load);
+    }
+    return marks;
+  };
+  const reject = (answer: BackendAnswer): FailedCall => {
+    answer.message.resume();
+    return record({ kind: 'not-executed', status: answer.status });
+  };
+  const receiveLateAnswer = (answer: BackendAnswer): void => {
+    const marks = readHead(answer);
+    const isOwn = marks.attemptId === description.attemptId;
+    if (marks.isNotExecuted) reject(answer);
+    else if (isOwn && options.onLateAnswer !== undefined) options.onLateAnswer(answer);
+    else answer.destroy();
+  };
+  // An attempt that this daemon aborted tells nothing of its server, unless the server has answered.
+  const breakOff = (failure: FailedCall): FailedCall => {
+    close();
+    return options.signal.aborted ? failure : record(failure);
+  };
   if (result.kind === 'held-back') {
     close();
     return result;
   }
-  if (result.kind !== 'answered') return failed(result);
+  if (result.kind !== 'answered') return breakOff(result);
   const { answer } = result;
-  if (health.recordReached()) {
-    context.advertiseReachability({ serverId: options.server.id, isReachable: true });
-  }
-  const marks = context.codec.readAnswerMetadata(answer.status, answer.message.headers);
-  if (isWebCall && marks.load !== undefined)
-    context.webWork.applyReportedLoad(options.server, marks.load);
+  const marks = readHead(answer);
   if (marks.isNotExecuted) {
-    answer.message.resume();
-    return failed({ kind: 'not-executed', status: answer.status });
+    close();
+    return reject(answer);
   }
   if (marks.attemptId !== description.attemptId) {
+    close();
     answer.destroy();
-    return failed({ kind: 'broken', reason: "another request's answer" });
+    return record({ kind: 'broken', reason: "another request's answer" });
   }
   const end = (outcome: AnswerOutcome) => {
     switch (outcome.kind) {
       case 'bad':
-        failed({ kind: 'broken', reason: outcome.reason });
+        breakOff({ kind: 'broken', reason: outcome.reason });
         break;
       case 'good':
         close();
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -5,6 +5,9 @@
  * Connections are reused for repeatable calls only, and closed well before the server's own keep-alive time-out
  * (RFC 9112 section 9.3): when a reused connection closes while a request is sent on it, whether that request ran is
  * unknown.
+ *
+ * An aborted call ends at once. Its connection may stay open for a moment longer, as its server may be about to answer
+ * that it wants no further requests.
  */
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
@@ -16,6 +19,8 @@
 const MAX_KEEP_ALIVE_MS = 8_000;
 /** Limit on establishing a connection. */
 export const CONNECT_TIMEOUT_MS = 220;
+/** Maximum number of connections kept open for late answers; beyond it, aborted calls close theirs at once. */
+const MAX_AWAITED_LATE = 256;
 
 /** One call to a backend. */
 export interface BackendCall {
@@ -28,8 +33,18 @@
   /** Whether an idle connection may be reused, and this one be kept for reuse. */
   readonly mayKeepConnection: boolean;
   readonly connectTimeoutMs: number;
-  /** Aborts the call and closes its connection. */
+  /** Aborts the call and closes its connection, after the wait for a late answer if there is one. */
   readonly signal: AbortSignal;
+  /** Undefined where an answer that arrives after the abort is of no use. */
+  readonly lateAnswer?: LateAnswer;
+}
+
+/** What is done about an answer to a call that was aborted before the answer arrived. */
+export interface LateAnswer {
+  /** The longest time from now for which the connection stays open; 0 closes it at once. */
+  readonly waitMs: () => number;
+  /** Receives the answer, which has to be read to its end or destroyed. */
+  readonly onAnswer: (answer: BackendAnswer) => void;
 }
 
 /** The result of a call up to the response headers. */
@@ -155,6 +170,7 @@
   readonly #timers: TimerService;
   readonly #freshAgent = new http.Agent({ keepAlive: false });
   readonly #keepAliveAgent = new KeepAliveAgent();
+  #awaitedLate = 0;
   /** Connections opened since the process started. */
   openedTotal = 0;
 
@@ -175,7 +191,11 @@
         cancelConnectTimer();
         resolve(result);
       };
-      const abort = () => request.destroy();
+      const abort = () => {
+        const isWaiting = !isSettled && this.#awaitLateAnswer(request, call.lateAnswer);
+        if (isWaiting) settle({ kind: 'broken', reason: 'given up' });
+        else request.destroy();
+      };
       call.signal.addEventListener('abort', abort, { once: true });
       const cancelConnectTimer = this.#timers.after(call.connectTimeoutMs, () => {
         connectTimedOut = !mayHaveSent;
@@ -192,7 +212,9 @@
         });
       });
       request.on('response', (message) => {
-        settle({ kind: 'answered', answer: new BackendAnswer(request, message) });
+        const answer = new BackendAnswer(request, message);
+        if (isSettled) call.lateAnswer?.onAnswer(answer);
+        else settle({ kind: 'answered', answer });
       });
       const fail = (reason: string) =>
         settle(mayHaveSent ? { kind: 'broken', reason } : notSent(reason, connectTimedOut));
@@ -230,6 +252,23 @@
     this.#freshAgent.destroy();
   }
 
+  /**
+   * Keeps the connection of an aborted call open for its answer; false where the call does not wait for one. A request
+   * that was not sent completely is not waited for, as its server must not receive the rest.
+   */
+  #awaitLateAnswer(request: ClientRequest, lateAnswer: LateAnswer | undefined): boolean {
+    const waitMs = lateAnswer?.waitMs() ?? 0;
+    const mayWait = request.writableFinished && this.#awaitedLate < MAX_AWAITED_LATE;
+    if (waitMs <= 0 || !mayWait) return false;
+    this.#awaitedLate += 1;
+    const cancelClose = this.#timers.after(waitMs, () => request.destroy());
+    request.once('close', () => {
+      this.#awaitedLate -= 1;
+      cancelClose();
+    });
+    return true;
+  }
+
   #open(call: BackendCall): ClientRequest {
     return http.request({
       ...endpointOf(call.address),
--- a/src/shell/gateway/prefill.ts
+++ b/src/shell/gateway/prefill.ts
@@ -6,8 +6,9 @@
   sharedPart,
 } from '../../core/gateway/index.js';
 import { type AttemptContext, defaultAttemptOptions, sendAttempt } from './attempt.js';
+import type { BackendAnswer } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
-import type { HandoverSource } from './ports.js';
+import type { HandoverSource, PrefillAnswer } from './ports.js';
 import { callWithTimeout } from './timer-service.js';
 
 const MAX_ANSWER_BYTES = 65_536;
@@ -127,13 +128,12 @@
     priority,
     fetchFrom: fetchFrom?.address,
     expectedMs: plan.expectedMs,
+    onLateAnswer: (answer) => void freeLatePrefill(exchange, context, server, answer),
   });
   if (result.kind === 'held-back') return 'held-back';
   if (result.kind !== 'answered') return undefined;
   const { answer, end, recordPrefilled } = result.attempt;
-  const body = await answer.collect(MAX_ANSWER_BYTES);
-  const hasSucceeded = body !== undefined && answer.status === 200;
-  const prefill = hasSucceeded ? context.codec.readPrefillAnswer(body) : undefined;
+  const prefill = await readPrefill(context, answer);
   if (prefill === undefined) {
     end({ kind: 'bad', reason: `no memory, status ${answer.status}` });
     return undefined;
@@ -143,6 +143,28 @@
   return { address: server.address, handle: prefill.handle };
 }
 
+/** The memory that an engine's answer names; undefined where the prefill failed or its answer broke off. */
+async function readPrefill(
+  { codec }: AttemptContext,
+  answer: BackendAnswer,
+): Promise<PrefillAnswer | undefined> {
+  const body = await answer.collect(MAX_ANSWER_BYTES);
+  const hasSucceeded = body !== undefined && answer.status === 200;
+  return hasSucceeded ? codec.readPrefillAnswer(body) : undefined;
+}
+
+/** Frees the memory of a prefill that ended after it was given up; it would occupy the engine until it expires. */
+async function freeLatePrefill(
+  exchange: Exchange,
+  context: AttemptContext,
+  server: ServerRecord,
+  answer: BackendAnswer,
+): Promise<void> {
+  const prefill = await readPrefill(context, answer);
+  if (prefill === undefined) return;
+  freeKvMemory(exchange, context, { address: server.address, handle: prefill.handle }, server);
+}
+
 /** Frees KV memory without waiting for the result, as the memory also expires at the engine. */
 export function freeKvMemory(
   exchange: Exchange,
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -3,12 +3,13 @@
  * what the answers report of the server's availability and limit, and holds back calls to a server that has reported
  * that it accepts none.
  */
-import type {
-  LimitChange,
-  LimitReading,
-  ReportedLimit,
-  SendAvailability,
-  ServerRecord,
+import {
+  type LimitChange,
+  type LimitReading,
+  lateAnswerWaitMs,
+  type ReportedLimit,
+  type SendAvailability,
+  type ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type {
@@ -30,13 +31,18 @@
 export type CallPurpose = 'run' | 'prefill' | 'free-memory' | 'cache-news' | 'report' | 'order';
 
 /** One call to a server. */
-export interface ServerCall extends Omit<BackendCall, 'address'> {
+export interface ServerCall extends Omit<BackendCall, 'address' | 'lateAnswer'> {
   readonly server: ServerRecord;
   readonly purpose: CallPurpose;
   /** The id of the attempt that the call is part of; empty for the daemon's own calls. */
   readonly request: string;
   /** Whether a permit was already taken for the call, where its server reports a limit. */
   readonly hasPermit?: boolean;
+  /**
+   * Receives an answer that arrives after the call was aborted, once its reports are recorded. It has to be read to its
+   * end or destroyed; where this is undefined, it is destroyed.
+   */
+  readonly onLateAnswer?: (answer: BackendAnswer) => void;
 }
 
 /** The call was not made, as its server accepts none at present. */
@@ -77,12 +83,20 @@
 
   async call(call: ServerCall): Promise<CallResult | HeldBack> {
     const { connections, timers } = this.#options;
-    const { server, purpose, request, hasPermit = false, ...sent } = call;
+    const { server, purpose, request, hasPermit = false, onLateAnswer, ...sent } = call;
     const sentAtMs = timers.nowMs();
     const heldBack = this.#holdBack(call, sentAtMs);
     if (heldBack !== undefined) return heldBack;
     if (isForCaller(purpose)) this.#recordSent(server, hasPermit, sentAtMs);
-    const result = await connections.call({ ...sent, address: server.address });
+    const lateAnswer = {
+      waitMs: () => lateAnswerWaitMs(timers.nowMs() - sentAtMs),
+      onAnswer: (answer: BackendAnswer) => {
+        this.#recordReports(call, sentAtMs, answer);
+        if (onLateAnswer === undefined) answer.destroy();
+        else onLateAnswer(answer);
+      },
+    };
+    const result = await connections.call({ ...sent, address: server.address, lateAnswer });
     if (result.kind === 'answered') this.#recordReports(call, sentAtMs, result.answer);
     return result;
   }
@@ -124,7 +138,7 @@
   }
 
   #recordReports(call: ServerCall, sentAtMs: number, answer: BackendAnswer): void {
-    const { server, purpose } = call;
+    const { server, purpose, request, signal } = call;
     const { status, message } = answer;
     const { codec, fleet, timers, log, metrics, wallClock } = this.#options;
     this.#recordLimit(call, sentAtMs, answer);
@@ -136,7 +150,14 @@
     if (reported.unreadable !== '') this.#logUnreadable(server.id, reported.unreadable);
     const reportedAt = { nowMs: timers.nowMs(), unixMs: wallClock(), entropy: Math.random() };
     for (const update of fleet.availability.recordReport(server, reported, reportedAt)) {
-      const fields = { server: server.id, service: server.service, purpose, status };
+      const fields = {
+        request,
+        server: server.id,
+        service: server.service,
+        purpose,
+        status,
+        isLate: signal.aborted,
+      };
       metrics.recordReportedAvailability(update.kind);
       switch (update.kind) {
         case 'leaving':
--- a/test/gateway/backend-connections.test.ts
+++ b/test/gateway/backend-connections.test.ts
@@ -3,14 +3,19 @@
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
-import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import {
+  type BackendCall,
+  BackendConnections,
+} from '../../src/shell/gateway/backend-connections.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const ANSWER_WITHOUT_LENGTH = 'HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\npart';
+const BODY_BEYOND_SOCKET_BUFFERS_BYTES = 64 * 1_024 * 1_024;
 
 let server: Server;
 let sockets: Socket[];
 let connections: BackendConnections;
+let timers: ManualTimers;
 
 beforeEach(async () => {
   sockets = [];
@@ -21,7 +26,8 @@
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
-  connections = new BackendConnections(new ManualTimers());
+  timers = new ManualTimers();
+  connections = new BackendConnections(timers);
 });
 
 afterEach(() => {
@@ -30,7 +36,12 @@
   server.close();
 });
 
-function call(port: number, signal = new AbortController().signal, mayKeepConnection = false) {
+function call(
+  port: number,
+  signal = new AbortController().signal,
+  mayKeepConnection = false,
+  more: Partial<BackendCall> = {},
+) {
   return connections.call({
     address: `127.0.0.1:${port}`,
     method: 'GET',
@@ -40,6 +51,7 @@
     mayKeepConnection,
     connectTimeoutMs: 200,
     signal,
+    ...more,
   });
 }
 
@@ -117,3 +129,33 @@
   assert.notEqual((await result).kind, 'answered');
   await closed;
 });
+
+test('an aborted call that waits for a late answer closes its connection when the wait is over', async () => {
+  const ended = new AbortController();
+  const lateAnswer = { waitMs: () => 300, onAnswer: () => assert.fail('no answer was sent') };
+  const result = call(port(), ended.signal, false, { lateAnswer });
+  const socket = await nextSocket();
+  const closed = once(socket, 'close');
+  await once(socket, 'data');
+  ended.abort();
+  assert.equal((await result).kind, 'broken');
+  assert.equal(socket.destroyed, false);
+  timers.advance(300);
+  await closed;
+});
+
+test('a call that is aborted before its request was sent completely waits for no answer, so that the rest is never sent', async () => {
+  const ended = new AbortController();
+  const lateAnswer = { waitMs: () => 300, onAnswer: () => assert.fail('no answer was sent') };
+  const body = Buffer.alloc(BODY_BEYOND_SOCKET_BUFFERS_BYTES);
+  const result = call(port(), ended.signal, false, { method: 'POST', body, lateAnswer });
+  const socket = await nextSocket();
+  socket.pause();
+  await new Promise((resolve) => setImmediate(resolve));
+  ended.abort();
+  assert.equal((await result).kind, 'broken');
+  const closed = once(socket, 'close');
+  socket.resume();
+  await closed;
+  assert.ok(socket.bytesRead < body.length);
+});
