Stop polling the readiness of daemons once a soak's callers are closed

Cause: a poll of the daemons' readiness that was in flight when the callers were closed started the next one, for ever. A run closes its callers twice, 4 s apart; beside load a poll is in flight for much of the time, so both can miss it. Silent links, which were suspected, are not it: their sockets end with the processes behind them.

A poll now stops where the callers are no longer sending.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -34,8 +34,14 @@
 const LONG_SHARE = 0.15;
 const DEADLINE_MS = 3_000;
 
+/** What callers need of a daemon. */
+export type CalledDaemon = Pick<
+  GatewayProcess,
+  'name' | 'host' | 'port' | 'incarnation' | 'isRunning' | 'isReady'
+>;
+
 export interface CallersOptions {
-  readonly daemons: readonly GatewayProcess[];
+  readonly daemons: readonly CalledDaemon[];
   readonly classes: readonly RequestClass[];
   readonly requestsPerSecond: number;
   /** API keys of the callers with their tenants; the current configuration may lack some of them. */
@@ -56,7 +62,7 @@
 export class Callers {
   readonly #options: CallersOptions;
   readonly #agents = new Map<string, http.Agent>();
-  #ready: readonly GatewayProcess[] = [];
+  #ready: readonly CalledDaemon[] = [];
   #tick: NodeJS.Timeout | undefined;
   #readinessPoll: NodeJS.Timeout | undefined;
   #lastMs = 0;
@@ -81,6 +87,7 @@
     const pollReadiness = async () => {
       const { daemons } = this.#options;
       const ready = await Promise.all(daemons.map((daemon) => daemon.isReady()));
+      if (!this.#isSending) return;
       this.#ready = daemons.filter((_, index) => ready[index]);
       this.#readinessPoll = setTimeout(() => void pollReadiness(), READINESS_POLL_INTERVAL_MS);
     };
@@ -171,19 +178,19 @@
   }
 
   /** A random daemon if there is an idle connection to it; otherwise a random daemon that is ready. */
-  #chooseDaemon(): GatewayProcess | undefined {
+  #chooseDaemon(): CalledDaemon | undefined {
     const { daemons, random } = this.#options;
     const candidate = daemons[Math.floor(random() * daemons.length)];
     if (candidate?.isRunning && this.#hasOpenConnection(candidate)) return candidate;
     return this.#ready[Math.floor(random() * this.#ready.length)] ?? candidate;
   }
 
-  #hasOpenConnection(daemon: GatewayProcess): boolean {
+  #hasOpenConnection(daemon: CalledDaemon): boolean {
     return Object.values(this.#agentOf(daemon).freeSockets).some((free) => free?.length);
   }
 
   /** The agent that holds the connections to one daemon. */
-  #agentOf({ name }: GatewayProcess): http.Agent {
+  #agentOf({ name }: CalledDaemon): http.Agent {
     const known = this.#agents.get(name);
     if (known !== undefined) return known;
     const agent = new http.Agent({ keepAlive: true, maxFreeSockets: MAX_FREE_CONNECTIONS });
@@ -212,7 +219,7 @@
 
 interface SendOptions {
   readonly call: CallRecord;
-  readonly daemon: GatewayProcess;
+  readonly daemon: CalledDaemon;
   readonly agent: http.Agent;
   readonly leavesEarly: boolean;
   readonly onEnd: (end: CallEnd) => void;
