Keep both sides of a silent connection until a soak's link is closed

A link forgot a pair of connections when one side closed, also a silent one, whose other side stays open: link.close() did not close it.

Evidence: link-proxy.test.ts, the server's side of a silent connection stayed open after link.close() (test timed out after 10 s); closed now.

--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -124,7 +124,8 @@
     });
     from.on('error', () => to.destroy());
     from.on('close', () => {
-      this.#pairs.delete(pair);
+      // `close` has to find the other side, which stays open on a silent connection.
+      if (to.destroyed) this.#pairs.delete(pair);
       // On a silent connection neither side learns that the other has closed.
       if (!pair.isSilent) queue.forward(this.#delayMs, () => to.destroySoon());
     });
--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -1,6 +1,6 @@
 /**
- * Bytes that arrive at a soak link after the end of a delay must not overtake bytes that are still delayed. Otherwise the
- * link reorders a stream that the gateway relayed correctly, as seen with seed 202 of a soak.
+ * Guards against a soak link that reorders a stream, as seen with seed 202 of a soak: bytes that arrive after the end of a
+ * delay must not overtake bytes that are still delayed. Also guards against connections that outlive their link.
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
@@ -8,6 +8,9 @@
 import { test } from 'node:test';
 import { LinkProxy } from '../../soak/link-proxy.js';
 
+/** Turns of the event loop in which a link notices that a connection was closed. */
+const TURNS_UNTIL_NOTICED = 50;
+
 async function read(socket: Socket, length: number): Promise<string> {
   let text = '';
   while (text.length < length) {
@@ -43,3 +46,27 @@
   link.close();
   server.close();
 });
+
+test('a link that is closed also closes the side of a silent connection whose other side had gone', {
+  timeout: 10_000,
+}, async () => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const link = new LinkProxy(() => (server.address() as AddressInfo).port);
+  await link.open();
+  const accepted = once(server, 'connection') as Promise<[Socket]>;
+  const daemon = connect(Number(link.address.split(':')[1]), '127.0.0.1');
+  const [peer] = await accepted;
+  peer.on('error', () => undefined);
+  peer.resume();
+  link.begin('silent');
+  daemon.destroy();
+  await once(daemon, 'close');
+  for (let turn = 0; turn < TURNS_UNTIL_NOTICED; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const closed = new Promise((resolve) => peer.once('close', resolve));
+  link.close();
+  await closed;
+  server.close();
+});
