Measure how long connections to a soak's servers wait to be accepted

The soak blamed daemons for requests that reached web servers over half a second after their callers had left (GONE), beside load, while no timer of the soak was late by more than 0.1 s.

Cause: node 20 (libuv 1.46) accepts one connection per listener and turn of the event loop, and each call that may not be repeated opens a connection. What the daemon had sent in time waited in the accept queue of the soak's own link or server.

The soak now reads the kernel's table of listening sockets every 20 ms and counts connections, so that it knows of each accepted connection since when it was seen waiting, at the link and at the server. That time is taken off the delay of the first request on the connection, and of no other; the bound of half a second stays, as do all other checks. A wait counts from when it is first seen, so never longer than it was. The report gives the longest wait and how many requests were late by it alone.

--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -3,6 +3,7 @@
  */
 import { once } from 'node:events';
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
+import type { AcceptMonitor } from './accept-monitor.js';
 import type { LinkFault } from './plan.js';
 
 const DELAY_MS = 150;
@@ -51,13 +52,17 @@
 /** A link. The server's entry in the store has the address of its link. */
 export class LinkProxy {
   readonly #targetPort: () => number;
+  readonly #accepts: AcceptMonitor | undefined;
   readonly #pairs = new Set<ConnectionPair>();
   readonly #proxy: Server = createServer((socket) => this.#accept(socket));
   #fault: LinkFault | undefined;
   #port = 0;
 
-  constructor(targetPort: () => number) {
+  /** @param accepts measures how long connections wait to be accepted */
+  constructor(targetPort: () => number, accepts?: AcceptMonitor) {
     this.#targetPort = targetPort;
+    this.#accepts = accepts;
+    accepts?.watch(this.#proxy);
   }
 
   get address(): string {
@@ -104,6 +109,7 @@
     const server = connect(this.#targetPort(), '127.0.0.1');
     const pair: ConnectionPair = { daemon, server, isSilent: false };
     this.#pairs.add(pair);
+    server.once('connect', () => this.#accepts?.recordRelay(daemon, server));
     daemon.setNoDelay(true);
     server.setNoDelay(true);
     this.#relay(pair, daemon, server, 'to-server');
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -123,12 +123,15 @@
 }
 
 function reportOf(seed: number, result: SoakResult): string {
-  const { violations, ends, crashes, reports, budgets, worstLagMs, directory } = result;
+  const { violations, ends, crashes, reports, budgets, directory } = result;
+  const { worstLagMs, worstAcceptMs, heldUpArrivals } = result;
   const calls = [...ends].map(([how, count]) => `${how} ${count}`).join(', ');
   const lines = [
     `seed ${seed}: ${violations.length} broken; calls ended: ${calls}; ${reports} usage reports`,
     `  servers that ended under each request that ends servers: ${crashes.join(', ')}`,
     `  the stand-ins were late by ${worstLagMs} ms at worst`,
+    `  connections to them waited ${worstAcceptMs} ms at worst until they were accepted`,
+    `  requests of callers that had left and were late by that alone: ${heldUpArrivals}`,
     ...budgets.map(
       ({ service, repeats, allowed }) =>
         `  repeats of ${service} in the worst window: ${repeats} of ${Math.floor(allowed)}`,
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -5,6 +5,7 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { PATHS } from '../platform/names.js';
 import { closeListener, openListener } from '../src/lab/common/listener.js';
+import type { AcceptMonitor } from './accept-monitor.js';
 import { WIRE } from './header-names.js';
 import type { ServerFault } from './plan.js';
 import type { Arrival, OrderRecord } from './record.js';
@@ -68,6 +69,7 @@
   /** Ratio of its processing time to the typical time. */
   readonly pace: number;
   readonly observer: ServerObserver;
+  readonly accepts: AcceptMonitor;
   readonly random: () => number;
   /** For each KV handle of any engine, the id of the request whose prompt was prefilled. */
   readonly handles: Map<string, string>;
@@ -160,6 +162,7 @@
     this.#highestFence = 0;
     const server = http.createServer((request, response) => void this.#serve(request, response));
     server.keepAliveTimeout = KEEP_ALIVE_MS;
+    this.#options.accepts.watch(server);
     const { port } = await openListener(server, { address: '127.0.0.1', port: this.#port });
     this.#port = port;
     this.#server = server;
@@ -176,6 +179,7 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const atMs = performance.now();
+    const acceptWaitMs = this.#options.accepts.takeWaitMs(request.socket);
     response.on('error', () => response.destroy());
     const body = await readBody(request);
     if (body === undefined) return;
@@ -184,17 +188,17 @@
     if (path === PATHS.order) return this.#order(body, response);
     if (path.startsWith(PATHS.kvEvents)) return this.#cacheEvents(response);
     if (path.startsWith(PATHS.kvHandle)) return this.#freeHandle(path, response);
-    this.#handleRequest(request, body, response, atMs);
+    this.#handleRequest(request, body, response, { atMs, acceptWaitMs });
   }
 
   #handleRequest(
     request: IncomingMessage,
     body: string,
     response: ServerResponse,
-    atMs: number,
+    times: Pick<Arrival, 'atMs' | 'acceptWaitMs'>,
   ): void {
     const arrival: Arrival = {
-      atMs,
+      ...times,
       serverId: this.#id,
       service: this.#options.service,
       step: request.headers[WIRE.stage] === 'prefill' ? 'prefill' : 'run',
@@ -212,7 +216,7 @@
     this.#options.observer.onArrival(request, body, arrival);
     const refusal = this.#refusalOf(request, arrival);
     if (refusal !== undefined) {
-      arrival.endedMs = atMs;
+      arrival.endedMs = times.atMs;
       if (refusal === 'rest') arrival.requestedBackOffMs = this.fault?.restMs;
       const backOff = backOffHeader(arrival.requestedBackOffMs);
       const leaving = this.#leavingHeader();
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -34,6 +34,8 @@
 /** The arrival of a request at a server. */
 export interface Arrival {
   readonly atMs: number;
+  /** How long its connection had waited until the soak's own process accepted it; the request was sent before. */
+  readonly acceptWaitMs: number;
   readonly serverId: string;
   readonly service: string;
   readonly step: 'prefill' | 'run';
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -9,6 +9,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
+import { AcceptMonitor } from './accept-monitor.js';
 import { AddressBlock } from './address-block.js';
 import { bundleGateway } from './bundle.js';
 import { Callers } from './callers.js';
@@ -23,6 +24,7 @@
   type BudgetWindow,
   crashesByWork,
   judge,
+  lateArrivals,
   type Violation,
   worstBudgetWindow,
 } from './oracle.js';
@@ -53,6 +55,10 @@
    * is delayed.
    */
   readonly worstLagMs: number;
+  /** The longest time that a connection to a server waited until the soak's own process accepted it. */
+  readonly worstAcceptMs: number;
+  /** Arrivals of calls whose callers had left, which are late only because of such a wait. */
+  readonly heldUpArrivals: number;
   /** Directory with the logs and settings of the daemons; kept if a promise was broken. */
   readonly directory: string;
 }
@@ -94,6 +100,7 @@
   readonly #unasked: string[] = [];
   readonly #orders: OrderRecord[] = [];
   readonly #lag = new LagMonitor((fromMs, toMs) => this.#faults.recordStandInsLate(fromMs, toMs));
+  readonly #accepts = new AcceptMonitor();
   #addresses: AddressBlock | undefined;
   #isClosed = false;
 
@@ -108,6 +115,7 @@
       ...plan.size,
       traits: plan.servers,
       store: this.#store,
+      accepts: this.#accepts,
       random,
       observer: {
         onArrival: (request, body, arrival) => this.#recordArrival(request, body, arrival),
@@ -145,6 +153,7 @@
     this.#callers.start();
     this.#probes.start();
     this.#lag.start();
+    this.#accepts.start();
     for (const { atMs, fault } of this.#plan.faults) {
       setTimeout(() => void this.#faults.begin(fault), atMs);
     }
@@ -165,6 +174,7 @@
     this.#isClosed = true;
     this.#faults.end();
     this.#lag.stop();
+    this.#accepts.stop();
     this.#callers.close();
     this.#probes.stop();
     for (const daemon of this.#daemons) daemon.signal('SIGKILL');
@@ -189,6 +199,7 @@
       endMs,
     };
     const violations = judge(run);
+    const late = [...this.#calls.values()].flatMap((call) => lateArrivals(call, run));
     if (violations.length === 0) rmSync(this.#directory, { recursive: true, force: true });
     return {
       violations,
@@ -196,6 +207,8 @@
       crashes: crashesByWork([...this.#calls.values()]),
       reports: this.#dutyService.records.filter(({ isAccepted }) => isAccepted).length,
       worstLagMs: Math.round(this.#lag.worstMs),
+      worstAcceptMs: Math.round(this.#accepts.worstMs),
+      heldUpArrivals: late.filter(({ isHeldUp }) => isHeldUp).length,
       budgets: [MODEL, ...WEB_SERVICES].map((service) => worstBudgetWindow(run, service)),
       directory: this.#directory,
     };
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -3,6 +3,7 @@
  * ids.
  */
 import { TABLES } from '../platform/names.js';
+import type { AcceptMonitor } from './accept-monitor.js';
 import { MODEL, WEB_SERVICES } from './configuration.js';
 import { LinkProxy } from './link-proxy.js';
 import { ModelServer, type ServerObserver, type Stage } from './model-server.js';
@@ -48,6 +49,7 @@
   readonly webServers: number;
   readonly traits: ServerTraits;
   readonly store: PlatformStore;
+  readonly accepts: AcceptMonitor;
   readonly random: () => number;
   readonly observer: ServerObserver;
 }
@@ -142,13 +144,13 @@
     stage: Stage | undefined,
     handles: Map<string, string>,
   ): Promise<void> {
-    const { random, observer, traits } = this.#options;
+    const { random, observer, traits, accepts } = this.#options;
     const onStageChange = () => this.list(pooled);
     const pace = traits.paces[this.servers.length] ?? 1;
     const slots = stage === undefined ? traits.webSlots : DEFAULT_SLOTS;
     const made = { service, stage, slots, pace };
-    const server = new ModelServer({ ...made, handles, random, observer, onStageChange });
-    const link = new LinkProxy(() => server.port);
+    const server = new ModelServer({ ...made, handles, random, observer, accepts, onStageChange });
+    const link = new LinkProxy(() => server.port, accepts);
     const zone = ZONES[this.servers.length % ZONES.length] ?? ZONES[0];
     const pooled: PooledServer = { server, link, zone, isDraining: false, isLeaving: false };
     await server.start();
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -59,6 +59,7 @@
 function arrival(fields: Partial<Arrival> = {}): Arrival {
   return {
     atMs: 30_010,
+    acceptWaitMs: 0,
     serverId: 's1',
     service: 'one',
     step: 'run',
@@ -307,6 +308,21 @@
   assert.deepEqual(broken(run(left(32_000), { disturbances: [late] })), []);
 });
 
+test('GONE: requests arrive at servers long after their callers have left; the time until their connections were accepted does not count', () => {
+  const arriving = (atMs: number, acceptWaitMs: number) =>
+    Array.from({ length: 4 }, (_, index) =>
+      call({
+        id: `r${index}`,
+        end: { kind: 'left', isEarly: true },
+        arrivals: [arrival({ atMs, acceptWaitMs, endedMs: atMs })],
+      }),
+    );
+  assertBroken('GONE', run(arriving(30_531, 0)));
+  assert.deepEqual(broken(run(arriving(30_530, 0))), []);
+  assert.deepEqual(broken(run(arriving(31_530, 1_000))), []);
+  assertBroken('GONE', run(arriving(31_531, 1_000)));
+});
+
 test('ONE: two holders used the same fence', () => {
   const order = { serverId: 's1', holder: 'd1', fence: 4, atMs: 1 };
   assertBroken('ONE', run([], { orders: [order, { ...order, holder: 'd2' }] }));
