Stall the stream of daemon-death.test.ts at whichever engine it runs

No caller of the product is concerned: the test's set-up was wrong. Its checks are as they were.

Cause: an armed stall holds one answer. The one at a1 was used up by the request that keeps a1 from draining; the stream that is to be cut ran unstalled where it ran at a1 too, and was over some 150 ms after its tenth token. Where the test came to its SIGKILL that late, the engine had finished and the daemon had not yet passed on the end: the caller saw a cut, and the ledger said `finished` for ever. The suspicion that the request ran as its second attempt is ruled out.

Unused stalls are disarmed at the end, so that they hold no stream of a later test. Where the wait ends without success, the error now has the ledgers of all engines.

--- a/test/faults/daemon-death.test.ts
+++ b/test/faults/daemon-death.test.ts
@@ -40,7 +40,9 @@
   const { epoch } = await fleet.lease('a');
   const [a1, a2] = [fleet.engine('a1'), fleet.engine('a2')];
   const stall = { kind: 'stall', afterTokens: TOKENS_BEFORE_STALL, forMs: STALL_MS };
-  for (const engine of [a1, a2]) await fleet.backendFaults(engine, { faults: [stall] });
+  // Each stall holds one answer: the first at a1 is for `holding`, and the stream may run at either engine.
+  await fleet.backendFaults(a1, { faults: [stall, stall] });
+  await fleet.backendFaults(a2, { faults: [stall] });
   // This request keeps a1 from completing its drain, so that the order stays pending.
   const holding = sendModelRequest(
     { callers: a1.endpoint },
@@ -57,12 +59,7 @@
   const running = await fleet.engineRunning(request);
   killed.process.signal('SIGKILL');
   assert.equal((await stream.outcome).kind, 'cut');
-  await eventuallyTrue('the work to be cancelled', async () => {
-    const { entries } = await fleet.ledger(running);
-    return entries.some(
-      (entry) => entry.attempt === `${request}.1` && entry.outcome === 'cancelled',
-    );
-  });
+  await fleet.waitUntilCancelled(running, `${request}.1`);
   await eventuallyTrue('others to watch the engines', async () => {
     const rows = await fleet.query(survivor, 'engines where granted = true');
     return rows.length === 2 && rows.every((row) => row.watcher !== killed.name);
@@ -83,6 +80,7 @@
   assert.equal(settled.epoch, lease.epoch);
   assert.equal((await fleet.report(a1)).role, 'decode');
   assert.equal(await fleet.cutAttempts(), 0);
+  for (const engine of [a1, a2]) await fleet.backendFaults(engine, { faults: [], replace: true });
   await restart(killed);
 });
 
--- a/test/faults/support/fault-fleet.ts
+++ b/test/faults/support/fault-fleet.ts
@@ -161,6 +161,21 @@
     });
   }
 
+  /** Waits until an engine's ledger has an attempt as cancelled; fails with the ledgers of all engines. */
+  async waitUntilCancelled(engine: RunningBackend, attempt: string): Promise<void> {
+    try {
+      await eventuallyTrue(`${attempt} to be cancelled at ${engine.name}`, async () => {
+        const { entries } = await this.ledger(engine);
+        return entries.some((entry) => entry.attempt === attempt && entry.outcome === 'cancelled');
+      });
+    } catch (cause) {
+      const ledgers = await Promise.all(
+        this.parts.engines.map(async (seen) => [seen.name, (await this.ledger(seen)).entries]),
+      );
+      throw new Error(`${attempt} was not cancelled: ${JSON.stringify(ledgers)}`, { cause });
+    }
+  }
+
   /** A row of the table, read directly from the platform; null if it is absent. */
   async tableRow(key: string): Promise<TableRow | null> {
     const { json } = await postJson(this.parts.platform, '/table/get', { keys: [key] });
