Use servers whose rows expired during an outage of the store until they can write them again

After an outage of the store in which rows of servers expired, callers were refused with 503 for two seconds, by daemons that had served them all through the outage: servers could not renew their rows, and write them again within about two seconds of the store's return, but the first read or the first changes after it removed them at once.

A row that is gone within 2.5 s of the store's return keeps its server in use until then, unless the server was draining. That needs no call to the store. The return is the first data after failed calls, 750 ms or more after the first of them began (a quarter of contactMs); for a follower also what its relay forwards meanwhile (table-watcher.test.ts). New event 6049.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -40,6 +40,7 @@
 export type { EngineChoiceInput } from './engine-choice-input.js';
 export { EngineLoad, type ExpectedRead, type PendingRead, type Urgency } from './engine-load.js';
 export { EnginePaces, type PaceSums, type ServicePaceSums } from './engine-paces.js';
+export { ExpiredRows, type KeptServers, REWRITTEN_MS } from './expired-rows.js';
 export {
   explainRequest,
   type LogLine,
--- a/src/core/gateway/restored-servers.ts
+++ b/src/core/gateway/restored-servers.ts
@@ -7,6 +7,7 @@
  *   nobody refreshes expire.
  * - A server that is missing from the list is kept for the time that servers take to write their rows again.
  */
+import { REWRITTEN_MS } from './expired-rows.js';
 import {
   type DirectoryChange,
   isSameBoot,
@@ -14,8 +15,6 @@
   type ServerRecord,
 } from './server-directory.js';
 
-/** Running servers have written their rows again within this time after the store's return. */
-const REWRITTEN_MS = 2_500;
 /** Rows that nobody refreshes have expired this long after the store's return, as a multiple of `contactMs`. */
 const EXPIRY_SHARE_OF_CONTACT = 1.5;
 /**
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -232,6 +232,12 @@
     remedy:
       'Nothing to do: the known state is used until the server has written its row again, or should have done so.',
   },
+  serverRowExpired: {
+    number: 6049,
+    level: 'info',
+    message: 'the row of a server expired while the store was away; the server is used without it',
+    remedy: 'Nothing to do: the server is removed if it has not written its row again in time.',
+  },
   staleRead: {
     number: 6038,
     level: 'warn',
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -2,14 +2,16 @@
  * Keeps the fleet view up to date from the store's tables: the configuration in force and the listed servers. Malformed
  * rows are logged and skipped.
  */
-import type {
-  CallerLimits,
-  DirectoryChange,
-  GatewayConfiguration,
-  RestoredServer,
-  RestoredServers,
-  ServerRecord,
-  TableDigest,
+import {
+  type CallerLimits,
+  type DirectoryChange,
+  ExpiredRows,
+  type GatewayConfiguration,
+  REWRITTEN_MS,
+  type RestoredServer,
+  type RestoredServers,
+  type ServerRecord,
+  type TableDigest,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { FIRST_ERA } from '../../core/platform/store-position.js';
@@ -99,6 +101,8 @@
   #cancelRereads: readonly CancelTimer[] = [];
   /** Servers whose rows were corrected after a restore, with the reason; each is logged once. */
   readonly #loggedRestored = new Set<string>();
+  readonly #expired = new ExpiredRows();
+  #cancelExpiry: CancelTimer | undefined;
   /** Whether a row was skipped in the last server rows. */
   #hasSkipped = false;
 
@@ -134,6 +138,7 @@
         },
       },
       ...shared,
+      handleReturn: (awayMs) => this.#handleReturn(awayMs),
       batchMs: SERVERS_BATCH_MS,
       digest: { table: 'servers', from: digest },
     });
@@ -181,6 +186,7 @@
   stop(): void {
     for (const watch of this.#watches) watch.stop();
     for (const cancel of this.#cancelRereads) cancel();
+    this.#cancelExpiry?.();
     this.#newestPeerVersion.stop();
   }
 
@@ -231,6 +237,22 @@
     );
   }
 
+  /** Keeps servers in use whose rows may have expired while the store was away; no row expires in a shorter time. */
+  #handleReturn(awayMs: number): void {
+    const { timing, timers } = this.#options;
+    if (awayMs < timing().callTimeoutMs) return;
+    this.#expired.begin(timers.nowMs());
+    this.#cancelExpiry?.();
+    this.#cancelExpiry = timers.after(REWRITTEN_MS, () => this.#removeMissing());
+  }
+
+  /** Removes the servers that have not written their rows again. */
+  #removeMissing(): void {
+    const { directory } = this.#options.fleet;
+    const removedIds = this.#expired.takeMissing();
+    if (removedIds.length > 0) this.#applyChange(directory.apply([], removedIds));
+  }
+
   /** Applies changes of servers that the relay received from the store. */
   applyServerChanges({ rows, ...span }: TableChanges<ServerRecord>): void {
     this.#servers.offer({ ...span, rows: rows.map((row) => this.#withStart(row)) });
@@ -332,36 +354,57 @@
   #applyServers(rows: readonly WatchedRow<ServerRecord>[], isComplete: boolean): boolean {
     const { fleet, wallClock, timers, restored } = this.#options;
     const records: ServerRecord[] = [];
-    const removedIds: string[] = [];
+    const malformedIds: string[] = [];
+    const goneIds: string[] = [];
     const listedIds = isComplete ? new Set(rows.map(({ key }) => key)) : undefined;
     if (listedIds !== undefined) this.#unreadable.retain(listedIds);
     for (const row of rows) {
       if (row.kind === 'malformed') this.#recordUnreadable(row.key, row.problem);
       else this.#unreadable.remove(row.key);
+      if (row.kind === 'gone') goneIds.push(row.key);
+      else this.#expired.recordRow(row.key);
       // A malformed row removes the server that the row held before.
       if (row.kind === 'value') records.push(row.value);
-      else removedIds.push(row.key);
+      if (row.kind === 'malformed') malformedIds.push(row.key);
     }
     const { directory } = fleet;
     const nowMs = timers.nowMs();
+    const kept = this.#keepExpired(listedIds, goneIds);
     const read = restored.correct({ records, listedIds }, directory, nowMs);
     this.#logRestored(read.corrected);
     const latestStartMs = wallClock() + MAX_START_AHEAD_MS;
+    const keptIds = new Set(kept.map(({ id }) => id));
+    const removedIds = [...malformedIds, ...goneIds.filter((id) => !keptIds.has(id))];
     const change = isComplete
-      ? directory.replaceAll(read.records, latestStartMs)
+      ? directory.replaceAll([...read.records, ...kept], latestStartMs)
       : directory.apply(read.records, removedIds, latestStartMs);
-    restored.recordChange(change, nowMs);
     this.#hasSkipped = change.skipped.length > 0;
-    this.#applyChange(change);
-    const { added, changed, removed, restarted } = change;
-    const isChanged = added.length + changed.length + removed.length + restarted.length > 0;
-    if (isChanged) this.#options.onServersChanged();
-    return isChanged;
+    return this.#applyChange(change);
   }
 
-  #applyChange(change: DirectoryChange): void {
+  /** The servers that stay in use although a full read lacks them, or a change says that their rows are gone. */
+  #keepExpired(
+    listedIds: ReadonlySet<string> | undefined,
+    goneIds: readonly string[],
+  ): readonly ServerRecord[] {
+    const { fleet, timers, log } = this.#options;
+    const { directory } = fleet;
+    const missingIds =
+      listedIds === undefined
+        ? goneIds
+        : [...directory.all()].map(({ id }) => id).filter((id) => !listedIds.has(id));
+    const { all, added } = this.#expired.keep(missingIds, directory, timers.nowMs());
+    for (const { id, service } of added) {
+      log.write(GATEWAY_EVENTS.serverRowExpired, { server: id, service, forMs: REWRITTEN_MS });
+    }
+    return all;
+  }
+
+  /** @returns whether the list of servers changed */
+  #applyChange(change: DirectoryChange): boolean {
     const { fleet, cacheEventWatchers, recordServerStart, log } = this.#options;
     const { added, changed, removed, restarted } = change;
+    this.#options.restored.recordChange(change, this.#options.timers.nowMs());
     fleet.forgetEndedBoots(change);
     for (const server of removed) cacheEventWatchers.remove(server.id);
     for (const server of added) cacheEventWatchers.add(server);
@@ -376,6 +419,9 @@
       const fields = { server: record.id, reason, bornMs: record.bornMs ?? '', listedBornMs };
       log.write(GATEWAY_EVENTS.serverRowPassedOver, fields);
     }
+    const isChanged = added.length + changed.length + removed.length + restarted.length > 0;
+    if (isChanged) this.#options.onServersChanged();
+    return isChanged;
   }
 
   /** Logs each corrected server once; the list is read several times after a restore of the store. */
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -72,6 +72,8 @@
   readonly recheckSpans: RecheckSpans;
   /** Called when the store answers in a newer era than before. */
   readonly handleEra: (era: number) => void;
+  /** Called when the store, or a relay, provides data again after failed calls; `awayMs` since the first of them began. */
+  readonly handleReturn?: (awayMs: number) => void;
   /** A random number from 0 to below 1, to spread the retries of many daemons. */
   readonly random: () => number;
   /** Shared by all watches of this daemon. */
@@ -92,6 +94,9 @@
   /** When the store's current era was first seen; undefined once the table was fully read in it. */
   #eraSeenAtMs: number | undefined;
   #failuresInARow = 0;
+  #callStartedMs = 0;
+  /** When the first failed call since the last data began; undefined if no call has failed since. */
+  #awaySinceMs: number | undefined;
   readonly #rechecks = new RecheckSchedule();
   /** Whether this watch waits and has no call to the store under way. */
   #isIdle = false;
@@ -118,6 +123,7 @@
     if (!this.#isIdle || !this.#revisions.isContiguous(changes)) return;
     this.#revisions.advanceTo(changes.revision);
     this.#revisions.recordChange(changes.revision);
+    this.#recordData();
     this.#options.consumer.applyChanges(changes.rows);
   }
 
@@ -356,6 +362,7 @@
     call: (signal: AbortSignal) => Promise<WatchAnswer<Value>>,
   ): Promise<WatchAnswer<Value>> {
     this.callsTotal += 1;
+    this.#callStartedMs = this.#options.timers.nowMs();
     const answer = await callWithTimeout(this.#options.timers, timeoutMs, signal, call);
     const { era } = answer;
     if (era === undefined) return answer;
@@ -385,6 +392,16 @@
     this.#failuresInARow = 0;
     this.#lastAnswerMs = timers.nowMs();
     this.#options.retryQueue.recordStoreAnswer();
+    this.#recordData();
+  }
+
+  /** Records that rows of the store, from itself or from a relay, are about to be applied. */
+  #recordData(): void {
+    const { timers, handleReturn } = this.#options;
+    if (this.#awaySinceMs === undefined) return;
+    const awayMs = timers.nowMs() - this.#awaySinceMs;
+    this.#awaySinceMs = undefined;
+    handleReturn?.(awayMs);
   }
 
   async #handleFailure(answer: Exclude<WatchAnswer<Value>, { kind: 'rows' }>): Promise<void> {
@@ -398,6 +415,7 @@
     }
     if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
     this.#failuresInARow += 1;
+    this.#awaySinceMs ??= this.#callStartedMs;
     if (this.#failuresInARow === 1) {
       log.write(GATEWAY_EVENTS.watchLost, { table: table.name, reason: answer.reason });
     }
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -117,7 +117,12 @@
 
 const DIGEST_AGE_MS = 1_600;
 
-function followerOf(table: WatchedTable<number>, timers: ManualTimers, applied: number[]) {
+function followerOf(
+  table: WatchedTable<number>,
+  timers: ManualTimers,
+  applied: number[],
+  handleReturn?: (awayMs: number) => void,
+) {
   const digest = new RelayDigest(timers, DIGEST_AGE_MS);
   const watcher = new TableWatcher<number>({
     table,
@@ -126,6 +131,7 @@
     random: Math.random,
     retryQueue: new WatchRetryQueue(timers),
     digest: { table: 'servers', from: digest },
+    ...(handleReturn === undefined ? {} : { handleReturn }),
     batchMs: BATCH_MS,
     handleEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
@@ -439,3 +445,33 @@
   digest.apply(inEra(1));
   assert.equal(digest.isFresh, true);
 });
+
+// Otherwise a follower removes servers whose rows expired during an outage, as its relay is back in contact before it is.
+test('changes that a relay forwards while own calls fail show that the store is back, before they are applied, and only once', async () => {
+  const timers = new ManualTimers();
+  const table = new ManualTable();
+  const events: string[] = [];
+  const applied: number[] = [];
+  const { watcher } = followerOf(table, timers, applied, (awayMs) =>
+    events.push(`back after ${awayMs}, applied ${applied.length}`),
+  );
+  const running = watcher.run();
+  await settled();
+  const before = applied.length;
+  table.isDown = true;
+  timers.advance(BATCH_MS);
+  await settled();
+  const { era, seen: after } = watcher.progress;
+  timers.advance(1);
+  const rows = [{ kind: 'value', key: 'row', value: 12 }] as const;
+  watcher.offer({ era, after, revision: 12, rows });
+  assert.deepEqual(events, [`back after 1, applied ${before}`]);
+  assert.equal(applied.at(-1), 12);
+  table.isDown = false;
+  timers.advance(TIMING.maxRetryDelayMs);
+  await settled();
+  assert.equal(events.length, 1);
+  watcher.stop();
+  timers.advance(BATCH_MS);
+  await running;
+});
