Write all output of a soak's daemons before their log is closed

It is closed at `close` now, when all output has been read, and a run waits for its logs before it names their directory.

--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -31,6 +31,7 @@
   readonly #options: GatewayProcessOptions;
   readonly #settingsPath: string;
   #process: ChildProcess | undefined;
+  #logged: Promise<void> = Promise.resolve();
   /** Number of starts so far; identifies the current incarnation. */
   incarnation = 0;
   isStopping = false;
@@ -71,8 +72,10 @@
       if (this.#process === child) this.#process = undefined;
       this.isStopping = false;
       this.isFrozen = false;
-      log.end();
     });
+    // Output may still be read after the process has exited, but not after `close`.
+    child.once('close', () => log.end());
+    this.#logged = new Promise((resolve) => log.once('close', () => resolve()));
     this.#process = child;
     this.incarnation += 1;
   }
@@ -96,6 +99,11 @@
     return new Promise((resolve) => child.once('exit', () => resolve()));
   }
 
+  /** Resolves once the log has all output of the last process, which has to exit. */
+  logged(): Promise<void> {
+    return this.#logged;
+  }
+
   /** Whether the readiness endpoint reports that the daemon is ready. */
   async isReady(): Promise<boolean> {
     if (this.#process === undefined || this.isFrozen) return false;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -166,6 +166,7 @@
     const endMs = performance.now();
     await pause(LAST_CALLS_GRACE_MS);
     this.close();
+    await Promise.all(this.#daemons.map((daemon) => daemon.logged()));
     return this.#result(endMs);
   }
 
--- /dev/null
+++ b/test/soak/gateway-process.test.ts
@@ -0,0 +1,63 @@
+/**
+ * Guards against a soak that ends with an error of its own: output of a daemon that arrived after its process had exited
+ * was written to a log file that was closed already.
+ */
+import assert from 'node:assert/strict';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { GatewayProcess } from '../../soak/gateway-process.js';
+
+/** More than is read at once, so that the rest is still in the pipe when the process has exited. */
+const OUTPUT_BYTES = 120_000;
+const SLOW_TURN_MS = 50;
+
+/** Makes each turn of the event loop as long as on a busy machine, until `end` is called. */
+function slowDown(): { end(): void } {
+  let isSlow = true;
+  const turn = () => {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, SLOW_TURN_MS);
+    if (isSlow) setImmediate(turn);
+  };
+  setImmediate(turn);
+  return {
+    end: () => {
+      isSlow = false;
+    },
+  };
+}
+
+test("a daemon's log has all its output, also what is read after the process has exited", async () => {
+  const directory = mkdtempSync(join(tmpdir(), 'gateway-process-'));
+  const program = join(directory, 'program.cjs');
+  writeFileSync(program, `process.stdout.write('x'.repeat(${OUTPUT_BYTES})); process.exit();`);
+  const daemon = new GatewayProcess({
+    name: 'daemon-a-0',
+    zone: 'a',
+    host: '127.0.0.1',
+    storePort: 1,
+    dutyPort: 1,
+    program,
+    earlierProgram: undefined,
+    directory,
+    bounds: {
+      contactMs: 3_000,
+      graceMs: 8_000,
+      configApplyMs: 2_000,
+      drainMs: 2_000,
+      lossSlackMs: 200,
+      budgetRatio: 0.2,
+      budgetSlack: 4,
+      budgetWindowMs: 10_000,
+    },
+  });
+  const slowness = slowDown();
+  daemon.start();
+  await daemon.ended();
+  await daemon.logged();
+  slowness.end();
+  const text = readFileSync(join(directory, 'daemon-a-0.log'), 'utf8');
+  rmSync(directory, { recursive: true });
+  assert.equal(text.length, OUTPUT_BYTES);
+});
