Say in a soak's report when requests for back-off and those after them arrived

The report did not tell whether the server's answer could still reach its daemon, nor whether the counted requests had been sent before. It now gives, for the request that was asked to back off and for those counted, when they arrived and how long their connections waited to be accepted. What is judged is as before.

--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -263,12 +263,19 @@
       ] as const;
       if (excuses.some((excuse) => isDisturbed(run, { ...excuse, ...span }))) return [];
       const backOff = `${serverId} asked ${call.daemon} for ${requestedBackOffMs} ms of rest by ${call.id}`;
-      const detail = `${backOff} (${call.end?.kind ?? 'open'}) and got ${during.length} requests`;
+      const how = `${call.end?.kind ?? 'open'}, ${describeTimes(refused, call.endedMs ?? atMs)}`;
+      const got = during.slice(0, MAX_CASES_SHOWN).map((arrival) => describeTimes(arrival, atMs));
+      const detail = `${backOff} (${how}) and got ${during.length} requests: ${got.join('; ')}`;
       return [{ promise: 'BUDGET', atMs, detail }];
     }),
   );
 }
 
+/** When a request arrived, from another event on, and how much of that its connection waited to be accepted. */
+function describeTimes({ atMs, acceptWaitMs }: Arrival, fromMs: number): string {
+  return `${Math.round(atMs - fromMs)} ms later, ${Math.round(acceptWaitMs)} ms of it until accepted`;
+}
+
 function judgeLimits(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const isDisturbedIn = (scope: Scope, name: string, span: { fromMs: number; toMs: number }) =>
     isDisturbed(run, { scope, name, ...span });
