Judge back-offs in a soak by when requests were sent, not when they were accepted

A request for back-off on a connection that was accepted more than half a second after the end of its call, by its wait alone, reaches nobody and is not judged; a request that was sent before the half second after a back-off is not counted in it. Both use the measured wait of the very connection; the bounds are as before. oracle.test.ts holds both from both sides, at 1 ms.

--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -252,7 +252,10 @@
       const { requestedBackOffMs, atMs, serverId } = refused;
       if (requestedBackOffMs === undefined) return [];
       const span = { fromMs: atMs + BACK_OFF_GRACE_MS, toMs: atMs + requestedBackOffMs };
-      const isWithin = (arrival: Arrival) => arrival.atMs > span.fromMs && arrival.atMs < span.toMs;
+      // A daemon closes the connection of a call that has ended, so an answer to one that was held up reaches nobody.
+      if (call.endedMs !== undefined && isHeldUp(refused, call.endedMs)) return [];
+      const isWithin = (arrival: Arrival) =>
+        arrival.atMs - arrival.acceptWaitMs > span.fromMs && arrival.atMs < span.toMs;
       const during = (arrivalsOf.get(pairOf(call, refused)) ?? []).filter(isWithin);
       if (during.length <= BACK_OFF_MAX_ARRIVALS) return [];
       // If the link withholds the server's responses, daemons do not learn of the back-off.
@@ -397,10 +400,13 @@
   return arrivals
     .map((arrival) => ({ arrival, afterMs: arrival.atMs - endedMs }))
     .filter(({ afterMs }) => afterMs > GONE_SLACK_MS)
-    .map(({ arrival, afterMs }) => {
-      const isHeldUp = afterMs - arrival.acceptWaitMs <= GONE_SLACK_MS;
-      return { id, arrival, afterMs, isHeldUp };
-    });
+    .map((late) => ({ id, ...late, isHeldUp: isHeldUp(late.arrival, endedMs) }));
+}
+
+/** Whether a request arrived late after the end of its call only because its connection waited to be accepted. */
+function isHeldUp({ atMs, acceptWaitMs }: Arrival, endedMs: number): boolean {
+  const afterMs = atMs - endedMs;
+  return afterMs > GONE_SLACK_MS && afterMs - acceptWaitMs <= GONE_SLACK_MS;
 }
 
 /** Whether nothing that a call depends on was disturbed when its caller left, and until its work must have ended. */
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -250,6 +250,28 @@
   }
 });
 
+test('BUDGET: what waited to be accepted was sent before: a back-off that reached nobody does not count, nor do requests sent before it', () => {
+  const asking = (endedMs: number, acceptWaitMs: number) =>
+    call({
+      endedMs,
+      end: { kind: 'left', isEarly: true },
+      arrivals: [arrival({ isStarted: false, requestedBackOffMs: 3_000, acceptWaitMs })],
+    });
+  const later = (acceptWaitMs: number) =>
+    Array.from({ length: 3 }, (_, index) => {
+      const id = `r${index + 2}`;
+      const stamp = `s1.${index + 2}`;
+      const end = answered({ stamp, body: completeBody(id, stamp) });
+      return call({ id, end, arrivals: [arrival({ atMs: 31_000, acceptWaitMs, stamp })] });
+    });
+  // The call ended 501 ms before its request was accepted: without the wait 500 ms before.
+  assert.deepEqual(broken(run([asking(29_509, 1), ...later(0)])), []);
+  assertBroken('BUDGET', run([asking(29_510, 1), ...later(0)]));
+  assertBroken('BUDGET', run([asking(29_000, 509), ...later(0)]));
+  assert.deepEqual(broken(run([asking(30_030, 0), ...later(490)])), []);
+  assertBroken('BUDGET', run([asking(30_030, 0), ...later(489)]));
+});
+
 test('LOST: requests were closed without a response, with no disturbance other than planned stops', () => {
   const end: CallEnd = { kind: 'closed', reason: 'reset' };
   const lost = Array.from({ length: 5 }, (_, index) => call({ id: `r${index}`, end }));
