--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -120,6 +120,7 @@
 export { RetryBudget, type RetryBudgetCounts, type RetryBudgetOptions } from './retry-budget.js';
 export { RouteTable, TrafficSplitter } from './route-table.js';
 export { type MeteredSend, type SendEnd, SendMeter, type SendStep } from './send-meter.js';
+export { type AnswerOrigin, formatSends, type SendRecord } from './send-records.js';
 export {
   type AtLimit,
   type Availability,
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -3,6 +3,7 @@
  * the outcome in the server's health.
  */
 import type {
+  AnswerOrigin,
   EngineTraits,
   ReachabilityNotice,
   ReadNotice,
@@ -100,9 +101,9 @@
   /** Not sent, as the server is leaving, backing off or at its limit. */
   | { readonly kind: 'held-back'; readonly reason: string }
   /** The server's answer states that it did not run the request. */
-  | { readonly kind: 'not-executed'; readonly status: number }
-  /** The request may have run, but there is no usable answer. */
-  | { readonly kind: 'broken'; readonly reason: string };
+  | { readonly kind: 'not-executed'; readonly status: number; readonly origin: AnswerOrigin }
+  /** The request may have run, but there is no usable answer; `origin` where an answer came. */
+  | { readonly kind: 'broken'; readonly reason: string; readonly origin?: AnswerOrigin };
 
 type FailedCall = Exclude<AttemptResult, { kind: 'answered' | 'no-budget' | 'held-back' }>;
 
@@ -148,6 +149,13 @@
   const send = exchange.sends.tryBegin(options.prefillOnly ? 'prefill' : 'run', budget);
   if (send === undefined) return { kind: 'no-budget', reason: NO_BUDGET_REASON };
   const result = await callServer(exchange, context, options);
+  const { id: serverId } = options.server;
+  exchange.recordSend({
+    serverId,
+    step: send.step,
+    result: result.kind,
+    origin: originOf(result, context),
+  });
   const wasSent = result.kind !== 'not-sent' && result.kind !== 'held-back';
   if (!wasSent) exchange.sends.end(send, 'not-sent', budget);
   if (result.kind !== 'answered') return result;
@@ -156,6 +164,25 @@
   return { kind: 'answered', attempt: { ...attempt, recordPrefilled } };
 }
 
+/** Where the answer of a call came from; undefined if there was none. */
+function originOf(result: CallResult, { codec }: AttemptContext): AnswerOrigin | undefined {
+  switch (result.kind) {
+    case 'answered':
+      return answerOrigin(result.attempt.answer, codec);
+    case 'not-executed':
+    case 'broken':
+      return result.origin;
+    case 'not-sent':
+    case 'held-back':
+      return undefined;
+  }
+}
+
+function answerOrigin(answer: BackendAnswer, codec: RequestCodec): AnswerOrigin {
+  const { attemptId } = codec.readAnswerMetadata(answer.status, answer.message.headers);
+  return { requestId: attemptId, isReusedConnection: answer.isReusedConnection };
+}
+
 async function callServer(
   exchange: Exchange,
   context: AttemptContext,
@@ -219,7 +246,8 @@
   };
   const reject = (answer: BackendAnswer): FailedCall => {
     answer.message.resume();
-    return record({ kind: 'not-executed', status: answer.status });
+    const origin = answerOrigin(answer, context.codec);
+    return record({ kind: 'not-executed', status: answer.status, origin });
   };
   const receiveLateAnswer = (answer: BackendAnswer): void => {
     const marks = readHead(answer);
@@ -247,7 +275,8 @@
   if (marks.attemptId !== description.attemptId) {
     close();
     answer.destroy();
-    return record({ kind: 'broken', reason: "another request's answer" });
+    const origin = answerOrigin(answer, context.codec);
+    return record({ kind: 'broken', reason: "another request's answer", origin });
   }
   const end = (outcome: AnswerOutcome) => {
     switch (outcome.kind) {
@@ -348,6 +377,8 @@
     result: failure.kind,
     reason: 'reason' in failure ? failure.reason : '',
     status: 'status' in failure ? failure.status : 0,
+    answerId: ('origin' in failure ? failure.origin?.requestId : undefined) ?? '',
+    isReusedConnection: 'origin' in failure ? failure.origin?.isReusedConnection === true : false,
     elapsedMs: Math.round(elapsedMs),
     failureRate: Math.round(health.failureRate * 100) / 100,
   });
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -80,6 +80,11 @@
     return this.message.statusCode ?? 0;
   }
 
+  /** Whether the connection had carried an earlier request. */
+  get isReusedConnection(): boolean {
+    return this.#request.reusedSocket;
+  }
+
   /** After the end of the body: whether it arrived completely. */
   get isComplete(): boolean {
     return this.message.complete && !this.#isBroken;
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -4,10 +4,12 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
+  formatSends,
   type GatewayConfiguration,
   type RequestDescription,
   type Route,
   SendMeter,
+  type SendRecord,
   type Tenant,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
@@ -72,6 +74,7 @@
   readonly stepTimesMs: StepTimes = { prefillMs: undefined, firstEventMs: undefined };
   /** Counts the request's arrivals at servers for the retry budget. */
   readonly sends = new SendMeter();
+  readonly #sendRecords: SendRecord[] = [];
   #openRuns = 0;
   #endedRuns = 0;
   readonly #interrupted = new AbortController();
@@ -120,6 +123,11 @@
     if (!hasNotRun) this.#endedRuns += 1;
   }
 
+  /** Records what became of a send, for the log line at the end of the request. */
+  recordSend(send: SendRecord): void {
+    this.#sendRecords.push(send);
+  }
+
   get isAnswered(): boolean {
     return this.#isAnswered;
   }
@@ -253,6 +261,7 @@
       elapsedMs: Math.round(this.elapsedMs()),
       runs: this.runs,
       tried: this.triedServerIds.size,
+      sends: formatSends(this.#sendRecords, description.attemptId),
       prefillMs: roundedOr0(this.stepTimesMs.prefillMs),
       firstEventMs: roundedOr0(this.stepTimesMs.firstEventMs),
     };
