Discard an answer to another request before it is taken for a rejection

What callers saw: a request that may run once ran up to 5 times, and its caller got a 503, which promises that it has not run. Cause: a connection may deliver a surplus answer in the place of the next one, and the request id in it shows which it is. callServer asked whether the answer was a rejection before it compared the id, and so did the path for late answers; ServerCalls recorded leaves, back-offs, limits and load from it. Class: an answer is used before its owner is known. Fix: ServerCalls compares the id first, for every call of a daemon to a server and for late answers; an answer to another request ends the call as broken and closes its connection. The daemon's own calls carry no id, so an answer with one is not theirs. The stand-ins of tests and soak answered calls without an id with the id 'undefined'; they omit it now.

--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -520,7 +520,8 @@
 }
 
 function attemptIdHeader(request: IncomingMessage): Record<string, string> {
-  return { 'X-Attempt-Id': String(request.headers[WIRE.attemptId]) };
+  const id = request.headers[WIRE.attemptId];
+  return id === undefined ? {} : { 'X-Attempt-Id': String(id) };
 }
 
 /** Sends a second complete response on the same connection, as a faulty server may do. */
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -251,9 +251,8 @@
   };
   const receiveLateAnswer = (answer: BackendAnswer): void => {
     const marks = readHead(answer);
-    const isOwn = marks.attemptId === description.attemptId;
     if (marks.isNotExecuted) reject(answer);
-    else if (isOwn && options.onLateAnswer !== undefined) options.onLateAnswer(answer);
+    else if (options.onLateAnswer !== undefined) options.onLateAnswer(answer);
     else answer.destroy();
   };
   // An attempt that this daemon aborted tells nothing of its server, unless the server has answered.
@@ -272,12 +271,6 @@
     close();
     return reject(answer);
   }
-  if (marks.attemptId !== description.attemptId) {
-    close();
-    answer.destroy();
-    const origin = answerOrigin(answer, context.codec);
-    return record({ kind: 'broken', reason: "another request's answer", origin });
-  }
   const end = (outcome: AnswerOutcome) => {
     switch (outcome.kind) {
       case 'bad':
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -4,6 +4,7 @@
  * that it accepts none.
  */
 import {
+  type AnswerOrigin,
   type LimitChange,
   type LimitReading,
   lateAnswerWaitMs,
@@ -51,6 +52,12 @@
   readonly reason: string;
 }
 
+/** The result of a call; `origin` tells whose answer was discarded. */
+export type ServerCallResult =
+  | CallResult
+  | HeldBack
+  | { readonly kind: 'broken'; readonly reason: string; readonly origin: AnswerOrigin };
+
 /** Dependencies of the calls. */
 export interface ServerCallsOptions {
   readonly connections: Pick<BackendConnections, 'call'>;
@@ -60,7 +67,7 @@
   >;
   /** Called when an answer changed the known limit of its server. */
   readonly onLimitChange: (server: ServerRecord, change: LimitChange, purpose: CallPurpose) => void;
-  readonly codec: Pick<RequestCodec, 'readAvailability' | 'readLimit'>;
+  readonly codec: Pick<RequestCodec, 'readAnswerMetadata' | 'readAvailability' | 'readLimit'>;
   readonly timers: TimerService;
   /** The time of day, in which servers' start times are given. */
   readonly wallClock: WallClock;
@@ -81,7 +88,7 @@
     this.#options = options;
   }
 
-  async call(call: ServerCall): Promise<CallResult | HeldBack> {
+  async call(call: ServerCall): Promise<ServerCallResult> {
     const { connections, timers } = this.#options;
     const { server, purpose, request, hasPermit = false, onLateAnswer, ...sent } = call;
     const sentAtMs = timers.nowMs();
@@ -91,16 +98,28 @@
     const lateAnswer = {
       waitMs: () => lateAnswerWaitMs(timers.nowMs() - sentAtMs),
       onAnswer: (answer: BackendAnswer) => {
+        if (!isAnswerTo(call, this.#originOf(answer))) return answer.destroy();
         this.#recordReports(call, sentAtMs, answer);
         if (onLateAnswer === undefined) answer.destroy();
         else onLateAnswer(answer);
       },
     };
     const result = await connections.call({ ...sent, address: server.address, lateAnswer });
-    if (result.kind === 'answered') this.#recordReports(call, sentAtMs, result.answer);
+    if (result.kind !== 'answered') return result;
+    const origin = this.#originOf(result.answer);
+    if (!isAnswerTo(call, origin)) {
+      result.answer.destroy();
+      return { kind: 'broken', reason: "another request's answer", origin };
+    }
+    this.#recordReports(call, sentAtMs, result.answer);
     return result;
   }
 
+  #originOf({ status, message, isReusedConnection }: BackendAnswer): AnswerOrigin {
+    const { attemptId } = this.#options.codec.readAnswerMetadata(status, message.headers);
+    return { requestId: attemptId, isReusedConnection };
+  }
+
   /** Rechecks the server right before the call, as it may have reported a change after it was chosen. */
   #holdBack(
     { server, purpose, request, hasPermit = false }: ServerCall,
@@ -197,9 +216,15 @@
 }
 
 /**
- * Whether a reading may be recorded. A reported limit counts from any answer of the server. The absence of a limit counts
- * only from the answer to this request, as a faulty connection may deliver the answer to another one instead.
+ * Whether an answer belongs to this call. A faulty server may answer a request twice, and the second answer then arrives
+ * in the place of the next one on its connection. The daemon's own calls carry no request id, so neither do their answers.
  */
+function isAnswerTo({ purpose, request }: ServerCall, { requestId }: AnswerOrigin): boolean {
+  if (isForCaller(purpose)) return requestId === request;
+  return requestId === undefined || requestId === '';
+}
+
+/** Whether a reading may be recorded. The absence of a limit counts only from the answer to a caller's request. */
 function isReliable(
   reading: LimitReading,
   { purpose, request }: ServerCall,
--- a/test/gateway/runs-beyond-attempts.test.ts
+++ b/test/gateway/runs-beyond-attempts.test.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { deferred } from './support/deferred.js';
 import {
   type CallerRequest,
   configuration,
@@ -114,6 +115,19 @@
   assert.equal(arrivals([server]), 2);
 });
 
+test("an answer to a caller's request reports nothing in the place of the answer to a poll", async () => {
+  const polled = deferred<void>();
+  const surplus: Script = ({ seen, response }) => {
+    if (seen.headers['x-attempt-id'] === undefined) polled.resolve();
+    response.writeHead(200, { 'X-Attempt-Id': 'other', 'Server-Leaving': '1' }).end('{}');
+  };
+  await addServer('i-1', surplus, { service: 'reader', stage: 'decode' });
+  await polled.promise;
+  await fixture.logged(GATEWAY_EVENTS.newsLost);
+  const leaving = fixture.lines.filter(({ event }) => event === GATEWAY_EVENTS.serverSaidLeaving);
+  assert.deepEqual(leaving, []);
+});
+
 /** A server whose connections deliver the rejection of a request again, in the place of its next answer there. */
 class RepeatingServer {
   /** Requests that it ran. */
--- a/test/gateway/support/server-stand-in.ts
+++ b/test/gateway/support/server-stand-in.ts
@@ -63,12 +63,15 @@
   }
 }
 
+/** The id of a caller's request as its answer carries it back; the daemon's own calls have none. */
+export function attemptIdOf(seen: SeenRequest): Record<string, string> {
+  const id = seen.headers['x-attempt-id'];
+  return id === undefined ? {} : { 'X-Attempt-Id': String(id) };
+}
+
 /** The headers of a stamped answer to a request. */
 export function stamped(seen: SeenRequest): Record<string, string> {
-  return {
-    'X-Attempt-Id': String(seen.headers['x-attempt-id']),
-    'X-Response-Stamp': 'stamp',
-  };
+  return { ...attemptIdOf(seen), 'X-Response-Stamp': 'stamp' };
 }
 
 /** Answers with a complete body. */
@@ -80,8 +83,7 @@
 
 /** Rejects the request with a 503 that states that it has not run. */
 export const rejectingAsNotExecuted: Script = ({ seen, response }) => {
-  const marks = { 'X-Attempt-Id': String(seen.headers['x-attempt-id']), 'X-Not-Executed': '1' };
-  response.writeHead(503, marks).end();
+  response.writeHead(503, { ...attemptIdOf(seen), 'X-Not-Executed': '1' }).end();
 };
 
 /** An engine: answers prefills, and streams events from the one after `Last-Event-Id`. */
@@ -89,7 +91,7 @@
   return ({ seen, response }) => {
     if (seen.headers['x-stage'] === 'prefill') {
       const body = JSON.stringify({ kvHandle: 'handle-1', tokens: 10, version: 1 });
-      response.writeHead(200, { 'X-Attempt-Id': String(seen.headers['x-attempt-id']) }).end(body);
+      response.writeHead(200, attemptIdOf(seen)).end(body);
       return;
     }
     if (seen.method === 'DELETE') {
