Send a request again to the same server only on a new connection

What callers saw: a 503, which promises that the request has not run, after the server had run it (or a further run). Cause: a request that a server rejected may go to it again, and the kept connection of the first send was reused. A surplus copy of the first rejection has the same id, so it passed for the answer to the second send. The same holds for a prefill and a run at one address. Class: as before, an answer whose owner is not known; the id alone does not tell two sends of one request apart. Fix: a later send of a request to an address takes a connection of its own, on which no earlier answer can arrive. Evidence: the web server's case of runs-beyond-attempts.test.ts failed before (503 after one run) and passes; the engine's case passed before, since its second send found the kept connection still busy.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -215,6 +215,9 @@
   if (hasBody || request.headers['transfer-encoding'] !== undefined) {
     headers.push('Content-Length', String(body.length));
   }
+  // All answers to a request carry its id, so a surplus one to an earlier send passes for the answer to this one. It can
+  // only arrive on the connection of that send.
+  const isFirstSend = exchange.recordSendTo(options.server.address);
   const result = await context.calls.call({
     server: options.server,
     purpose: options.prefillOnly ? 'prefill' : 'run',
@@ -223,7 +226,7 @@
     path: request.url ?? '/',
     headers,
     body,
-    mayKeepConnection: options.mayKeepConnection,
+    mayKeepConnection: options.mayKeepConnection && isFirstSend,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     hasPermit: options.hasPermit,
     signal: options.signal,
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -75,6 +75,7 @@
   /** Counts the request's arrivals at servers for the retry budget. */
   readonly sends = new SendMeter();
   readonly #sendRecords: SendRecord[] = [];
+  readonly #addressesSentTo = new Set<string>();
   #openRuns = 0;
   #endedRuns = 0;
   readonly #interrupted = new AbortController();
@@ -123,6 +124,16 @@
     if (!hasNotRun) this.#endedRuns += 1;
   }
 
+  /**
+   * Records that the request is about to be sent to an address.
+   * @returns whether it is the first send there
+   */
+  recordSendTo(address: string): boolean {
+    const isFirst = !this.#addressesSentTo.has(address);
+    this.#addressesSentTo.add(address);
+    return isFirst;
+  }
+
   /** Records what became of a send, for the log line at the end of the request. */
   recordSend(send: SendRecord): void {
     this.#sendRecords.push(send);
