Count prefills after the first one among a request's attempts

What callers saw: a stream whose engine broke off was prefilled and resumed on more servers than its route allows (three beyond the first prefill where two are allowed, four where three are). Cause: Exchange.runs counts runs only; a stream that is resumed may be prefilled again at a separate engine, and that send counted for nothing. The protocol leaves out the first prefill only. Class: a send that no count of the request holds. Fix: an exchange counts the prefills that an engine ran or may have run; all but the first use up attempts, and a plan with a separate prefill needs two. With one left, the decode engine prefills the rest itself. A prefill that an engine rejected does not count, as a rejected run does not. Evidence: the case of three attempts of runs-beyond-attempts.test.ts failed before (4 of 3) and passes; 597 tests of test/gateway pass. The retry budget counted such prefills already (SendMeter).

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -156,6 +156,7 @@
     result: result.kind,
     origin: originOf(result, context),
   });
+  if (options.prefillOnly && !hasNotRun(result)) exchange.recordPrefill();
   const wasSent = result.kind !== 'not-sent' && result.kind !== 'held-back';
   if (!wasSent) exchange.sends.end(send, 'not-sent', budget);
   if (result.kind !== 'answered') return result;
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -77,6 +77,7 @@
   readonly #sendRecords: SendRecord[] = [];
   readonly #addressesSentTo = new Set<string>();
   #openRuns = 0;
+  #prefills = 0;
   #endedRuns = 0;
   readonly #interrupted = new AbortController();
   readonly #cancelTimer: CancelTimer;
@@ -102,11 +103,26 @@
     return this.#interrupted.signal;
   }
 
-  /** The number of sends that ran or may have run, which the route's attempts limit. */
+  /** The number of sends that ran or may have run. */
   get runs(): number {
     return this.#openRuns + this.#endedRuns;
   }
 
+  /** What the route's attempts limit: the runs, and the prefills after the first one. */
+  get attempts(): number {
+    return this.runs + Math.max(0, this.#prefills - 1);
+  }
+
+  /** The attempts that the route leaves. */
+  get attemptsLeft(): number {
+    return Math.max(1, this.options.route.attempts) - this.attempts;
+  }
+
+  /** Whether the route's attempts allow a prefill at a separate engine and the run after it. */
+  get mayPrefill(): boolean {
+    return this.#prefills === 0 || this.attemptsLeft > 1;
+  }
+
   /** Whether any server may have run the request, or may be running it now. */
   get mayHaveRun(): boolean {
     return this.runs > 0;
@@ -139,6 +155,11 @@
     this.#sendRecords.push(send);
   }
 
+  /** Records that an engine has prefilled the prompt, or may have. */
+  recordPrefill(): void {
+    this.#prefills += 1;
+  }
+
   get isAnswered(): boolean {
     return this.#isAnswered;
   }
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -95,7 +95,7 @@
   async #planWhenAdmitted(): Promise<EnginePlan | 'no-room' | undefined> {
     const { limits } = this.#context;
     for (;;) {
-      const wanted = this.#planner.limitedChoice({ mayPrefill: !this.#prefillFailed });
+      const wanted = this.#planner.limitedChoice(this.#planLimits);
       if (wanted.length > 0) await limits.requestPermits(wanted);
       if (this.#exchange.signal.aborted) return 'no-room';
       const plan = await this.#admitPlan();
@@ -104,10 +104,14 @@
     }
   }
 
+  get #planLimits(): PlanLimits {
+    return { mayPrefill: !this.#prefillFailed && this.#exchange.mayPrefill };
+  }
+
   async #admitPlan(): Promise<EnginePlan | 'no-room' | undefined> {
     const exchange = this.#exchange;
     const { admission } = this.#context;
-    const limits = { mayPrefill: !this.#prefillFailed };
+    const limits = this.#planLimits;
     if (!admission.isOn || exchange.isAnswered) return this.#planWithoutWaiting(limits);
     const check = this.#planner.admissionCheck(limits);
     if (check === undefined) return undefined;
@@ -314,7 +318,7 @@
     if (this.#context.crashes.isQuarantined(exchange)) return false;
     if (exchange.mayHaveRun && !this.#isRepeatable) return false;
     if (this.#rejections > MAX_REJECTIONS) return false;
-    if (exchange.runs >= Math.max(1, exchange.options.route.attempts)) return false;
+    if (exchange.attemptsLeft <= 0) return false;
     return !this.#relay.hasBegun || this.#relay.lastEventId !== undefined;
   }
 
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -166,11 +166,11 @@
 
   #startNext(isFirst: boolean): boolean {
     const exchange = this.#exchange;
-    const { route, service, timers } = exchange.options;
+    const { service, timers } = exchange.options;
     const { fleet } = this.#context;
     if (this.#context.crashes.isQuarantined(exchange)) return false;
     if (!isFirst && exchange.mayHaveRun && !this.#isRepeatable) return false;
-    if (exchange.runs >= Math.max(1, route.attempts)) return false;
+    if (exchange.attemptsLeft <= 0) return false;
     if (this.#rejections > MAX_REJECTIONS) return false;
     const server = this.#choose(fleet.candidates(service, timers.nowMs()));
     if (server === undefined) return false;
@@ -230,8 +230,7 @@
   #nextResult(): Promise<RunResult | 'hedge'> {
     const { route, timers } = this.#exchange.options;
     const results = [...this.#pending];
-    const mayHedge =
-      this.#isRepeatable && results.length === 1 && this.#exchange.runs < route.attempts;
+    const mayHedge = this.#isRepeatable && results.length === 1 && this.#exchange.attemptsLeft > 0;
     if (!mayHedge) return Promise.race(results);
     return new Promise((resolve, reject) => {
       const hedgeDelayMs = Math.max(MIN_HEDGE_DELAY_MS, route.targetLatencyMs * HEDGE_DELAY_SHARE);
