Log when a daemon is cut off from the servers of a service

A daemon now judges by the connections that it opens: three servers in a row (all of a smaller service) that accept none within two seconds, with none established in between, show that the path is lost (6056); the next connection shows that it is back (6057). A gauge counts the services concerned. Requests are treated as before; service-paths.test.ts.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -140,6 +140,7 @@
   type SkipReason,
 } from './server-directory.js';
 export { type OpenCall, ServerHealth } from './server-health.js';
+export { type ConnectFailure, ServicePaths } from './service-paths.js';
 export { shortIdOf } from './short-id.js';
 export type { Spread, UnseenWork } from './spread-choice.js';
 export {
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -97,6 +97,19 @@
     message: 'a server row cannot be read; its server is not used, even if it was listed before',
     remedy: 'Correct the server that writes the row, or find out which other program writes it.',
   },
+  pathLost: {
+    number: 6056,
+    level: 'warn',
+    message: 'no server of a service accepts a connection of this daemon: it is cut off from them',
+    remedy:
+      'Check the network between this daemon and the servers; other daemons may still reach them. If all daemons log this, check the servers.',
+  },
+  pathRegained: {
+    number: 6057,
+    level: 'info',
+    message: 'a server of a service accepts connections of this daemon again',
+    remedy: 'Nothing to do; lostForMs is how long this daemon was cut off.',
+  },
   serverRenewed: {
     number: 6097,
     level: 'info',
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -33,6 +33,8 @@
   /** Whether an idle connection may be reused, and this one be kept for reuse. */
   readonly mayKeepConnection: boolean;
   readonly connectTimeoutMs: number;
+  /** Called when a new connection for the call is established. */
+  readonly onConnected?: () => void;
   /** Aborts the call and closes its connection, after the wait for a late answer if there is one. */
   readonly signal: AbortSignal;
   /** Undefined where an answer that arrives after the abort is of no use. */
@@ -214,6 +216,7 @@
         this.openedTotal += 1;
         socket.once('connect', () => {
           mayHaveSent = true;
+          call.onConnected?.();
         });
       });
       request.on('response', (message) => {
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -10,6 +10,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { LimitCoordinator } from './limit-coordinator.js';
 import type { GatewayLog } from './request-log.js';
+import type { ServicePathMonitor } from './service-path-monitor.js';
 import type { TimerService } from './timer-service.js';
 import type { WebWork } from './web-work.js';
 
@@ -32,6 +33,7 @@
   readonly admission: Pick<AdmissionGate, 'waiting'>;
   readonly limits: Pick<LimitCoordinator, 'grantedServers'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
+  readonly paths: Pick<ServicePathMonitor, 'lostCount'>;
   readonly duties: () => Pick<Duties, 'capacitySummaries'>;
   readonly webWork: Pick<WebWork, 'unreadableTotal'>;
   readonly timers: TimerService;
@@ -62,7 +64,7 @@
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
   const { fleet, follower, callers, connections, admission, limits, crashes, webWork } = sources;
-  const { timers, log } = sources;
+  const { paths, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -74,6 +76,11 @@
       help: 'Newest version that any daemon is known to have in force',
       read: () => follower.highestVersion,
     },
+    {
+      name: 'services_cut_off',
+      help: 'Services from whose servers this daemon is cut off',
+      read: () => paths.lostCount,
+    },
     {
       name: 'store_era',
       help: 'Era of the store: rises each time that it comes back from an older copy',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { RosterCacheEventDuty } from './roster-cache-event-duty.js';
 import { ServerCalls } from './server-calls.js';
 import { ServerExitCheck } from './server-exit-check.js';
+import { ServicePathMonitor } from './service-path-monitor.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
 import {
@@ -91,6 +92,7 @@
   readonly #crashes: CrashGuard;
   readonly #webWork: WebWork;
   readonly #limits: LimitCoordinator;
+  readonly #paths: ServicePathMonitor;
   #isRelay = false;
   #isStopping = false;
 
@@ -134,8 +136,10 @@
     });
     this.#webWork = webWork;
     this.#limits = this.#createLimits();
+    this.#paths = new ServicePathMonitor({ fleet: this.#fleet, timers, log });
     const calls = new ServerCalls({
       connections: this.#connections,
+      paths: this.#paths,
       fleet: this.#fleet,
       codec: adapter.requests,
       timers,
@@ -219,6 +223,7 @@
       admission: this.#admission,
       limits: this.#limits,
       crashes: this.#crashes,
+      paths: this.#paths,
       duties: () => this.#duties,
       webWork,
       timers,
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -23,6 +23,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
+import type { ServicePathMonitor } from './service-path-monitor.js';
 import type { TimerService, WallClock } from './timer-service.js';
 
 /** Minimum interval between log lines on unreadable headers, as a faulty server sends them with every answer. */
@@ -32,7 +33,7 @@
 export type CallPurpose = 'run' | 'prefill' | 'free-memory' | 'cache-news' | 'report' | 'order';
 
 /** One call to a server. */
-export interface ServerCall extends Omit<BackendCall, 'address' | 'lateAnswer'> {
+export interface ServerCall extends Omit<BackendCall, 'address' | 'onConnected' | 'lateAnswer'> {
   readonly server: ServerRecord;
   readonly purpose: CallPurpose;
   /** The id of the attempt that the call is part of; empty for the daemon's own calls. */
@@ -67,6 +68,7 @@
   >;
   /** Called when an answer changed the known limit of its server. */
   readonly onLimitChange: (server: ServerRecord, change: LimitChange, purpose: CallPurpose) => void;
+  readonly paths: Pick<ServicePathMonitor, 'recordConnected' | 'recordFailure'>;
   readonly codec: Pick<RequestCodec, 'readAnswerMetadata' | 'readAvailability' | 'readLimit'>;
   readonly timers: TimerService;
   /** The time of day, in which servers' start times are given. */
@@ -89,7 +91,7 @@
   }
 
   async call(call: ServerCall): Promise<ServerCallResult> {
-    const { connections, timers } = this.#options;
+    const { connections, paths, timers } = this.#options;
     const { server, purpose, request, hasPermit = false, onLateAnswer, ...sent } = call;
     const sentAtMs = timers.nowMs();
     const heldBack = this.#holdBack(call, sentAtMs);
@@ -104,7 +106,14 @@
         else onLateAnswer(answer);
       },
     };
-    const result = await connections.call({ ...sent, address: server.address, lateAnswer });
+    const result = await connections.call({
+      ...sent,
+      address: server.address,
+      onConnected: () => paths.recordConnected(server),
+      lateAnswer,
+    });
+    const isUnconnected = result.kind === 'not-sent' && !call.signal.aborted;
+    if (isUnconnected) paths.recordFailure(server, result.reason);
     if (result.kind !== 'answered') return result;
     const origin = this.#originOf(result.answer);
     if (!isAnswerTo(call, origin)) {
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -9,6 +9,7 @@
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
 import { GatewayLog } from '../../src/shell/gateway/request-log.js';
 import { ServerCalls } from '../../src/shell/gateway/server-calls.js';
+import { ServicePathMonitor } from '../../src/shell/gateway/service-path-monitor.js';
 import { StageController } from '../../src/shell/gateway/stage-controller.js';
 import { suspensionAwareTimers } from '../../src/shell/gateway/timer-service.js';
 import { ManualTimers } from './support/manual-timers.js';
@@ -128,6 +129,11 @@
     calls: new ServerCalls({
       connections: engines,
       fleet,
+      paths: new ServicePathMonitor({
+        fleet,
+        timers,
+        log: new GatewayLog(QUIET_LOGGER, timers, 1_000),
+      }),
       codec: REQUEST_CODEC,
       timers,
       metrics: new GatewayMetrics(),
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -15,6 +15,7 @@
 import type { LimitMessage } from '../../../src/shell/gateway/limit-message-fields.js';
 import { decodePeerMessage, encodePeerMessage } from '../../../src/shell/gateway/peer-messages.js';
 import { type ServerCall, ServerCalls } from '../../../src/shell/gateway/server-calls.js';
+import { ServicePathMonitor } from '../../../src/shell/gateway/service-path-monitor.js';
 import { seededRandom } from './engine-simulation.js';
 import { ManualTimers } from './manual-timers.js';
 
@@ -76,6 +77,7 @@
     this.calls = new ServerCalls({
       connections: { call: ({ address }) => world.serve(place, address) },
       fleet: this.fleet,
+      paths: new ServicePathMonitor({ fleet: this.fleet, timers, log }),
       codec: REQUEST_CODEC,
       timers,
       metrics,
