--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -14,6 +14,7 @@
   SYSTEM_TIMERS,
   type TimerService,
 } from '../../../src/shell/gateway/index.js';
+import type { ServerLinks } from './server-links.js';
 import { type Script, ServerStandIn } from './server-stand-in.js';
 import { StoreStandIn } from './store-stand-in.js';
 
@@ -54,6 +55,8 @@
   /** Whether it exchanges messages with other daemons. */
   readonly hasPeers: boolean;
   readonly decisions: GatewaySettings['decisions'];
+  /** Its paths to the servers; undefined where it reaches them directly. */
+  readonly links?: ServerLinks | undefined;
 }
 
 const FIRST_DAEMON = 'front-1';
@@ -173,14 +176,22 @@
     this.readinessPort = addresses.readinessPort;
   }
 
-  /** Starts one more daemon, which exchanges messages with the others; returns its port for callers. */
-  async addDaemon(name: string, timers: TimerService = SYSTEM_TIMERS): Promise<number> {
+  /**
+   * Starts one more daemon, which exchanges messages with the others; returns its port for callers.
+   * @param links its paths to the servers; by default it reaches them directly
+   */
+  async addDaemon(
+    name: string,
+    timers: TimerService = SYSTEM_TIMERS,
+    links?: ServerLinks,
+  ): Promise<number> {
     const options = {
       name,
       timers,
       retryBudget: AMPLE_BUDGET,
       hasPeers: true,
       decisions: DEFAULT_LOAD_DECISIONS,
+      links,
     };
     const { callersPort } = await this.#startGateway(options);
     await this.logged(GATEWAY_EVENTS.fingerprintKeyRead, (_fields, daemon) => daemon === name);
@@ -188,7 +199,7 @@
   }
 
   async #startGateway(options: GatewayOptions): Promise<GatewayAddresses> {
-    const { name, timers, retryBudget, hasPeers, decisions } = options;
+    const { name, timers, retryBudget, hasPeers, decisions, links } = options;
     this.#storeAddress ??= await this.store.start();
     const settings: GatewaySettings = {
       name,
@@ -210,9 +221,10 @@
         this.#recordLine({ daemon: name, event, fields }),
       flush: () => undefined,
     };
+    const adapter = createPlatformAdapter(this.#storeAddress);
     const gateway = new Gateway({
       settings,
-      adapter: createPlatformAdapter(this.#storeAddress),
+      adapter: links?.adapt(adapter) ?? adapter,
       timers,
       wallClock: () => timers.nowMs(),
       log: new GatewayLog(logger, timers, settings.logging.maxLinesPerSecond),
