Take a refused connection for a server's exit only beside a server that accepts one

Cause: after a broken run a daemon tries to connect to the server, and took a refusal for its exit; behind a cut every connection is refused. Class: what a cut-off daemon observes of its own path is taken for the state of a server. Fix: after a refusal it tries up to three other ready servers of the service, and the refusal counts only if one of them accepts. A service without another server is judged as before.

--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -363,6 +363,9 @@
       exitCheck: new ServerExitCheck({
         connections: this.#connections,
         isSuperseded: (server) => this.#fleet.directory.isSuperseded(server),
+        othersOf: ({ id, service }) =>
+          this.#fleet.directory.readyOf(service).filter((other) => other.id !== id),
+        random: Math.random,
         timers,
       }),
       isReady: (server) => this.#fleet.wasReady(server, timers.nowMs()),
--- a/src/shell/gateway/server-exit-check.ts
+++ b/src/shell/gateway/server-exit-check.ts
@@ -1,8 +1,9 @@
 /**
- * Decides whether a server has exited or only broke off an answer, by one connection attempt right after a run broke. A
+ * Decides whether a server has exited or only broke off an answer, by connection attempts right after a run broke. A
  * server that has exited refuses the connection; one that is running accepts it or, behind a faulty network, does not
- * answer. A server that has already restarted accepts it too; its later boot in the server list shows that the earlier
- * one has exited.
+ * answer. Where the network itself refuses connections, no other server of the service accepts one either, so a refusal
+ * shows an exit only beside a server that accepts. A server that has already restarted accepts connections too; its later
+ * boot in the server list shows that the earlier one has exited.
  */
 import { bootIdOf, type ServerRecord } from '../../core/gateway/index.js';
 import type { BackendConnections } from './backend-connections.js';
@@ -11,12 +12,18 @@
 /** All runs of a server break when it exits; checks within this time share one connection attempt. */
 const CHECK_REUSE_MS = 1_000;
 const MAX_CACHED_CHECKS = 256;
+/** Other servers that are tried after a refusal; several may be down at once. */
+const MAX_OTHERS = 3;
 
 /** Dependencies of the check. */
 export interface ServerExitCheckOptions {
   readonly connections: Pick<BackendConnections, 'tryConnect'>;
   /** Whether a later boot of the server is already listed. */
   readonly isSuperseded: (server: ServerRecord) => boolean;
+  /** The other ready servers of a server's service. */
+  readonly othersOf: (server: ServerRecord) => readonly ServerRecord[];
+  /** A random number from 0 to below 1. */
+  readonly random: () => number;
   readonly timers: TimerService;
 }
 
@@ -39,23 +46,35 @@
   async hasEnded(server: ServerRecord): Promise<boolean> {
     const { isSuperseded } = this.#options;
     if (isSuperseded(server)) return true;
-    const isRefused = await this.#isRefused(server);
-    return isRefused || isSuperseded(server);
+    const isRefusedAlone = await this.#isRefusedAlone(server);
+    return isRefusedAlone || isSuperseded(server);
   }
 
-  #isRefused(server: ServerRecord): Promise<boolean> {
-    const { connections, timers } = this.#options;
+  #isRefusedAlone(server: ServerRecord): Promise<boolean> {
+    const { timers } = this.#options;
     const nowMs = timers.nowMs();
     const bootId = bootIdOf(server);
     const cached = this.#checks.get(bootId);
     if (cached !== undefined && nowMs - cached.atMs < CHECK_REUSE_MS) return cached.hasEnded;
     this.#evictOld(nowMs);
-    const outcome = connections.tryConnect(server.address);
-    const hasEnded = outcome.then((connected) => connected === 'refused');
+    const hasEnded = this.#tryWithOthers(server);
     this.#checks.set(bootId, { atMs: nowMs, hasEnded });
     return hasEnded;
   }
 
+  async #tryWithOthers(server: ServerRecord): Promise<boolean> {
+    const { connections, othersOf, random } = this.#options;
+    if ((await connections.tryConnect(server.address)) !== 'refused') return false;
+    const others = othersOf(server);
+    const first = Math.floor(random() * others.length);
+    const inTurn = [...others.slice(first), ...others.slice(0, first)].slice(0, MAX_OTHERS);
+    for (const { address } of inTurn) {
+      if ((await connections.tryConnect(address)) === 'accepted') return true;
+    }
+    // With nothing to compare it with, a refusal is taken as it is.
+    return others.length === 0;
+  }
+
   #evictOld(nowMs: number): void {
     for (const [bootId, { atMs }] of this.#checks) {
       if (nowMs - atMs >= CHECK_REUSE_MS || this.#checks.size >= MAX_CACHED_CHECKS)
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -403,6 +403,28 @@
   }
 });
 
+for (const [where, others, otherAnswers, hasEnded] of [
+  ['another server of its service accepts one', ['i-2'], 'accepted', true],
+  ['no other server of its service accepts one', ['i-2', 'i-3', 'i-4'], 'refused', false],
+  ['other servers of its service do not answer', ['i-2', 'i-3'], 'unanswered', false],
+  ['its service has no other server', [], 'accepted', true],
+] as const) {
+  test(`a server that refuses a connection has ${hasEnded ? '' : 'not '}ended where ${where}`, async () => {
+    const failing = record();
+    const check = new ServerExitCheck({
+      connections: {
+        tryConnect: (address) =>
+          Promise.resolve(address === failing.address ? 'refused' : otherAnswers),
+      },
+      isSuperseded: () => false,
+      othersOf: () => others.map((id) => ({ ...failing, id, address: `${id}:1` })),
+      random: () => 0.5,
+      timers: new ManualTimers(),
+    });
+    assert.equal(await check.hasEnded(failing), hasEnded);
+  });
+}
+
 test('a boot that ended counts as ended though its server accepts connections again', async () => {
   const timers = new ManualTimers();
   let isSuperseded = false;
@@ -415,6 +437,8 @@
       },
     },
     isSuperseded: () => isSuperseded,
+    othersOf: () => [],
+    random: () => 0,
     timers,
   });
   assert.equal(await check.hasEnded(record()), false);
