--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { LimitCoordinator } from './limit-coordinator.js';
+import { PathComparison } from './path-comparison.js';
 import { PeerExchange } from './peer-exchange.js';
 import type { PlatformAdapter } from './ports.js';
 import { RelayDigest } from './relay-digest.js';
@@ -97,6 +98,7 @@
   readonly #webWork: WebWork;
   readonly #limits: LimitCoordinator;
   readonly #paths: ServicePathMonitor;
+  readonly #comparison: PathComparison;
   readonly #forwardingListener: ForwardingListener;
   #isRelay = false;
   #isStopping = false;
@@ -129,6 +131,11 @@
       log,
       metrics: this.#metrics,
     });
+    this.#comparison = new PathComparison({
+      connections: this.#connections,
+      readyOf: (service) => this.#fleet.directory.readyOf(service),
+      random: Math.random,
+    });
     const incarnation = randomInt(INCARNATION_LIMIT);
     this.#crashes = this.#createCrashGuard(incarnation);
     const webWork = new WebWork({
@@ -363,9 +370,7 @@
       exitCheck: new ServerExitCheck({
         connections: this.#connections,
         isSuperseded: (server) => this.#fleet.directory.isSuperseded(server),
-        othersOf: ({ id, service }) =>
-          this.#fleet.directory.readyOf(service).filter((other) => other.id !== id),
-        random: Math.random,
+        comparison: this.#comparison,
         timers,
       }),
       isReady: (server) => this.#fleet.wasReady(server, timers.nowMs()),
--- a/src/shell/gateway/server-exit-check.ts
+++ b/src/shell/gateway/server-exit-check.ts
@@ -7,23 +7,19 @@
  */
 import { bootIdOf, type ServerRecord } from '../../core/gateway/index.js';
 import type { BackendConnections } from './backend-connections.js';
+import type { PathComparison } from './path-comparison.js';
 import type { TimerService } from './timer-service.js';
 
 /** All runs of a server break when it exits; checks within this time share one connection attempt. */
 const CHECK_REUSE_MS = 1_000;
 const MAX_CACHED_CHECKS = 256;
-/** Other servers that are tried after a refusal; several may be down at once. */
-const MAX_OTHERS = 3;
 
 /** Dependencies of the check. */
 export interface ServerExitCheckOptions {
   readonly connections: Pick<BackendConnections, 'tryConnect'>;
   /** Whether a later boot of the server is already listed. */
   readonly isSuperseded: (server: ServerRecord) => boolean;
-  /** The other ready servers of a server's service. */
-  readonly othersOf: (server: ServerRecord) => readonly ServerRecord[];
-  /** A random number from 0 to below 1. */
-  readonly random: () => number;
+  readonly comparison: Pick<PathComparison, 'reachesOthers'>;
   readonly timers: TimerService;
 }
 
@@ -63,16 +59,9 @@
   }
 
   async #tryWithOthers(server: ServerRecord): Promise<boolean> {
-    const { connections, othersOf, random } = this.#options;
-    if ((await connections.tryConnect(server.address)) !== 'refused') return false;
-    const others = othersOf(server);
-    const first = Math.floor(random() * others.length);
-    const inTurn = [...others.slice(first), ...others.slice(0, first)].slice(0, MAX_OTHERS);
-    for (const { address } of inTurn) {
-      if ((await connections.tryConnect(address)) === 'accepted') return true;
-    }
-    // With nothing to compare it with, a refusal is taken as it is.
-    return others.length === 0;
+    const { connections, comparison } = this.#options;
+    const outcome = await connections.tryConnect(server.address);
+    return outcome === 'refused' && comparison.reachesOthers(server);
   }
 
   #evictOld(nowMs: number): void {
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -12,6 +12,7 @@
 } from '../../src/core/gateway/index.js';
 import { FleetFollower } from '../../src/shell/gateway/fleet-follower.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
+import { PathComparison } from '../../src/shell/gateway/path-comparison.js';
 import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
 import type { PlatformAdapter, WatchAnswer, WatchedRow } from '../../src/shell/gateway/ports.js';
 import { RelayDigest } from '../../src/shell/gateway/relay-digest.js';
@@ -411,14 +412,19 @@
 ] as const) {
   test(`a server that refuses a connection has ${hasEnded ? '' : 'not '}ended where ${where}`, async () => {
     const failing = record();
+    const connections = {
+      tryConnect: (address: string) =>
+        Promise.resolve(address === failing.address ? 'refused' : otherAnswers),
+    };
+    const servers = others.map((id) => ({ ...failing, id, address: `${id}:1` }));
     const check = new ServerExitCheck({
-      connections: {
-        tryConnect: (address) =>
-          Promise.resolve(address === failing.address ? 'refused' : otherAnswers),
-      },
+      connections,
+      comparison: new PathComparison({
+        connections,
+        readyOf: () => [failing, ...servers],
+        random: () => 0.5,
+      }),
       isSuperseded: () => false,
-      othersOf: () => others.map((id) => ({ ...failing, id, address: `${id}:1` })),
-      random: () => 0.5,
       timers: new ManualTimers(),
     });
     assert.equal(await check.hasEnded(failing), hasEnded);
@@ -437,8 +443,7 @@
       },
     },
     isSuperseded: () => isSuperseded,
-    othersOf: () => [],
-    random: () => 0,
+    comparison: { reachesOthers: () => Promise.resolve(true) },
     timers,
   });
   assert.equal(await check.hasEnded(record()), false);
