Report a server as unreachable only if another one accepts a connection

Cause: a daemon that is cut off reported each server that did not answer it, and two such reports take a server from the candidates of daemons that reach it. Class: as with exits, what a cut-off daemon observes of its own path is taken for the state of a server.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -5,7 +5,6 @@
 import type {
   AnswerOrigin,
   EngineTraits,
-  ReachabilityNotice,
   ReadNotice,
   ServerHealth,
   ServerRecord,
@@ -52,8 +51,10 @@
   readonly onLoadChange: () => void;
   /** Called when the prefill of a shared prompt part begins, so that other daemons do not start the same prefill. */
   readonly advertiseRead: (read: ReadNotice) => void;
-  /** Called when connecting to a server timed out, or when a server that had not answered does so again. */
-  readonly advertiseReachability: (reach: Omit<ReachabilityNotice, 'by'>) => void;
+  /** Called when connecting to a server timed out. */
+  readonly advertiseUnreachable: (server: ServerRecord) => void;
+  /** Called when a server that had not answered does so again. */
+  readonly advertiseReachable: (server: ServerRecord) => void;
   /** Finds and quarantines requests that make servers crash. */
   readonly crashes: Pick<
     CrashGuard,
@@ -250,7 +251,7 @@
   };
   const readHead = ({ status, message }: BackendAnswer): AnswerMetadata => {
     if (health.recordReached()) {
-      context.advertiseReachability({ serverId: options.server.id, isReachable: true });
+      context.advertiseReachable(options.server);
     }
     const marks = context.codec.readAnswerMetadata(status, message.headers);
     if (isWebCall && marks.load !== undefined) {
@@ -369,7 +370,7 @@
   else if (failure.kind === 'not-sent' && failure.connectTimedOut) {
     health.recordConnectUnanswered(timers.nowMs());
     if (!context.fleet.directory.isSuperseded(options.server)) {
-      context.advertiseReachability({ serverId: options.server.id, isReachable: false });
+      context.advertiseUnreachable(options.server);
     }
   } else health.recordBroken(timers.nowMs());
   if (failure.kind === 'broken') {
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,7 +4,12 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
-import { PeerRoster, type ReachabilityNotice, RestoredServers } from '../../core/gateway/index.js';
+import {
+  PeerRoster,
+  type ReachabilityNotice,
+  RestoredServers,
+  type ServerRecord,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { AdmissionGate } from './admission-gate.js';
 import type { AttemptContext } from './attempt.js';
@@ -186,7 +191,9 @@
       isSpreading: settings.decisions.spreading,
       onLoadChange: () => this.#peers?.scheduleReport(),
       advertiseRead: (read) => this.#peers?.advertiseRead(read),
-      advertiseReachability: (notice) => this.#peers?.advertiseReachability(notice),
+      advertiseUnreachable: (server) => void this.#advertiseUnreachable(server),
+      advertiseReachable: ({ id: serverId }) =>
+        this.#peers?.advertiseReachability({ serverId, isReachable: true }),
       crashes: this.#crashes,
       webWork,
       recordRunStart: ({ options: { tenant } }, agoMs) =>
@@ -459,6 +466,13 @@
     });
   }
 
+  /** A daemon that reaches no other server either is cut off itself, and its notices would mislead the others. */
+  async #advertiseUnreachable(server: ServerRecord): Promise<void> {
+    const isServerAtFault = await this.#comparison.reachesOthers(server);
+    if (!isServerAtFault || this.#isStopping) return;
+    this.#peers?.advertiseReachability({ serverId: server.id, isReachable: false });
+  }
+
   /** After the store was restored from a copy, rows that this daemon wrote may be missing. */
   #handleStoreRestored(): void {
     this.#crashes.handleStoreRestored();
--- a/test/gateway/support/server-links.ts
+++ b/test/gateway/support/server-links.ts
@@ -70,6 +70,12 @@
 /** The paths of one daemon. */
 export class ServerLinks {
   readonly #links = new Map<string, ServerLink>();
+  readonly #addressInstead: (serverId: string) => string | undefined;
+
+  /** @param addressInstead where a server is listed instead of at its link; undefined for its link */
+  constructor(addressInstead: (serverId: string) => string | undefined = () => undefined) {
+    this.#addressInstead = addressInstead;
+  }
 
   /** An adapter that lists the servers at the addresses of their links. */
   adapt(adapter: PlatformAdapter): PlatformAdapter {
@@ -102,7 +108,8 @@
     const rows = await Promise.all(
       answer.rows.map(async (row) => {
         if (row.kind !== 'value') return row;
-        const { address } = await this.#linkTo(row.value.address);
+        const address =
+          this.#addressInstead(row.key) ?? (await this.#linkTo(row.value.address)).address;
         return { ...row, value: { ...row.value, address } };
       }),
     );
