Let the soak cut single daemons off from all servers, and judge RECOVER while it does

A link of the soak was one for all daemons, so none could be cut off alone. First tries at cut-off daemons are judged by the stated bounds. The wait of a connection to be accepted is passed on over several relays.

--- a/soak/accept-monitor.ts
+++ b/soak/accept-monitor.ts
@@ -79,7 +79,9 @@
 
   /** Records that what arrives on one accepted connection is sent on over another connection, which has just been opened. */
   recordRelay(accepted: Socket, opened: Socket): void {
-    const waitMs = this.#waitMs.get(accepted) ?? 0;
+    const { remotePort = 0 } = accepted;
+    const waitMs = (this.#waitMs.get(accepted) ?? 0) + (this.#relayedWaitMs.get(remotePort) ?? 0);
+    this.#relayedWaitMs.delete(remotePort);
     if (waitMs > 0 && opened.localPort !== undefined) {
       this.#relayedWaitMs.set(opened.localPort, waitMs);
     }
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -150,9 +150,8 @@
     const daemon = this.#chooseDaemon();
     if (daemon === undefined) return;
     this.#sent += 1;
-    const { isRetry: _, ...fields } = spec;
     const call: CallRecord = {
-      ...fields,
+      ...spec,
       id: `r${this.#sent}`,
       daemon: daemon.name,
       incarnation: daemon.incarnation,
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -4,13 +4,21 @@
  */
 import { type Callers, USUAL_LEAVING_SHARE } from './callers.js';
 import type { Operator } from './configuration.js';
+import type { DaemonLinks } from './daemon-links.js';
 import type { DutyService } from './duty-service.js';
 import type { GatewayProcess } from './gateway-process.js';
 import type { StartedAs } from './model-server.js';
 import { pause } from './pause.js';
 import { COPY_LEAD_MS, type Fault, STALE_GAP_MS } from './plan.js';
 import type { PlatformStore, StoreEndpoint } from './platform-store.js';
-import type { Disturbance, DrainNotice, LimitNotice, Scope, SoakBounds } from './record.js';
+import type {
+  CutRecord,
+  Disturbance,
+  DrainNotice,
+  LimitNotice,
+  Scope,
+  SoakBounds,
+} from './record.js';
 import { ENTRY_LAPSE_MS, type PooledServer, type ServerPool } from './server-pool.js';
 
 /** Time from the start of a daemon's process until it serves again, on a busy machine. */
@@ -32,6 +40,8 @@
   readonly daemons: readonly GatewayProcess[];
   readonly storeEndpointOf: ReadonlyMap<string, StoreEndpoint>;
   readonly callers: Callers;
+  /** Undefined if the plan cuts no daemon off. */
+  readonly daemonLinks: DaemonLinks | undefined;
 }
 
 /** Servers that mishandle a share of their requests. */
@@ -45,6 +55,7 @@
   readonly disturbances: Disturbance[] = [];
   readonly drains: DrainNotice[] = [];
   readonly limits: LimitNotice[] = [];
+  readonly cuts: CutRecord[] = [];
   readonly #world: SoakEnvironment;
   #isEnded = false;
   #crashesUnderRequests = 0;
@@ -133,6 +144,8 @@
         return this.#drain(this.#serversAt([fault.server])[0], fault.listedAfterMs);
       case 'link':
         return this.#disturbLinks(fault);
+      case 'cut':
+        return this.#cut(fault);
       case 'duties':
         this.#world.dutyService.fault = fault.how;
         await pause(fault.forMs);
@@ -366,6 +379,17 @@
     this.#listStarted(listed);
   }
 
+  async #cut({ daemons, how, forMs }: Extract<Fault, { kind: 'cut' }>): Promise<void> {
+    const { daemonLinks } = this.#world;
+    const names = new Set(this.#daemonsAt(daemons).map(({ name }) => name));
+    const fromMs = performance.now();
+    for (const daemon of daemons) daemonLinks?.cut(daemon, how);
+    await pause(forMs);
+    this.cuts.push({ daemons: names, fromMs, toMs: performance.now() });
+    if (this.#isEnded) return;
+    await Promise.all(daemons.map((daemon) => daemonLinks?.restore(daemon)));
+  }
+
   async #disturbLinks(fault: Extract<Fault, { kind: 'link' }>): Promise<void> {
     const listed = this.#serversAt(fault.servers);
     for (const { server, link } of listed) {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -6,6 +6,7 @@
 import { MUTATIONS } from './mutations.js';
 import {
   planCopies,
+  planCuts,
   planHerd,
   planOutages,
   planSoak,
@@ -57,7 +58,7 @@
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
-    description: 'mixed, herd, outages, copies or upgrade',
+    description: 'mixed, herd, outages, copies, cuts or upgrade',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -90,11 +91,14 @@
       herd: planHerd,
       outages: planOutages,
       copies: planCopies,
+      cuts: planCuts,
       upgrade: planUpgrade,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
-      throw new Error(`--plan: found ${this.plan}; give mixed, herd, outages, copies or upgrade`);
+      throw new Error(
+        `--plan: found ${this.plan}; give mixed, herd, outages, copies, cuts or upgrade`,
+      );
     return {
       firstSeed: wholeNumber('--seed', this.seed),
       seeds: wholeNumber('--seeds', this.seeds),
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -162,4 +162,11 @@
     text: 'call(PATHS.usage, { window, counts }, authority, signal)',
     replacement: 'call(PATHS.usage, { window, counts, sent: Date.now() }, authority, signal)',
   },
+  {
+    name: 'forwarding',
+    promise: 'RECOVER',
+    file: 'src/shell/gateway/request-forwarder.ts',
+    text: 'return mayGo && this.#options.paths.isLost(service);',
+    replacement: 'return mayGo && Number.isNaN(service.length);',
+  },
 ];
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -4,6 +4,7 @@
  */
 import { PATHS } from '../platform/names.js';
 import { routeFaults } from './configuration-judge.js';
+import { unservedCuts } from './cut-off-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
 import type { Arrival, CallRecord, Disturbance, RunRecord, Scope } from './record.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS, eventText } from './response-bodies.js';
@@ -74,6 +75,7 @@
     ...judgeDuties(run),
     ...judgeCrashes(calls, run),
     ...judgeRecovery(calls, run),
+    ...judgeCuts(calls, run),
   ];
 }
 
@@ -541,6 +543,16 @@
   });
 }
 
+function judgeCuts(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const inTouch = (daemon: string, fromMs: number, toMs: number) =>
+    isInTouch(run, daemon, fromMs, toMs);
+  return unservedCuts(calls, run, inTouch).map((detail) => ({
+    promise: 'RECOVER',
+    atMs: run.endMs,
+    detail,
+  }));
+}
+
 function judgeRecovery(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const known = run.configurations.at(-1)?.tenantOfKey;
   const atEnd = calls.filter(
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -7,6 +7,8 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 
+import type { DaemonCut } from './daemon-links.js';
+
 /** How the store treats the daemons that it refuses. */
 export type StoreRefusal = 'unavailable' | 'too-many' | 'reset' | 'silent';
 
@@ -131,6 +133,13 @@
       readonly servers: readonly number[];
       readonly forMs: number;
     }
+  /** The daemons are cut off from all servers; callers, the store and other daemons reach them. */
+  | {
+      readonly kind: 'cut';
+      readonly how: DaemonCut;
+      readonly daemons: readonly number[];
+      readonly forMs: number;
+    }
   | { readonly kind: 'change'; readonly change: Change }
   | { readonly kind: 'duties'; readonly how: DutyFault; readonly forMs: number }
   | { readonly kind: 'burst'; readonly factor: number; readonly forMs: number }
@@ -283,6 +292,16 @@
   'delay-orders',
 ] as const;
 const LINK_FAULTS = ['delay', 'reset', 'one-way', 'silent'] as const;
+const DAEMON_CUTS = ['refuse', 'reset', 'silent'] as const;
+const CUT_SETS = ['one', 'most-of-a-zone', 'zone', 'most', 'all'] as const;
+const ZONE_COUNT = 3;
+const MOST_SHARE = 0.67;
+const MIN_CUT_MS = 5_000;
+const MAX_CUT_MS = 10_000;
+const MIN_GAP_AFTER_CUT_MS = 500;
+const MAX_GAP_AFTER_CUT_MS = 5_000;
+const CRASH_IN_CUT_CHANCE = 0.4;
+const STOP_IN_CUT_CHANCE = 0.2;
 const DUTY_FAULTS = ['unavailable', 'too-many', 'lose-answers'] as const;
 const CHANGES = ['move-route', 'revoke-key', 'idle'] as const;
 
@@ -712,3 +731,59 @@
   const servers = { webSlots: DEFAULT_SLOTS, paces: [] };
   return { seed, size, servers, faults, crashing: [] };
 }
+
+/**
+ * The plan of daemons that are cut off from all servers: one, most of a zone, a zone, most and all, with calm between, while
+ * servers crash and daemons are stopped beside some of the cuts.
+ */
+export function planCuts(seed: number, size: SoakSize): SoakPlan {
+  const random = new SeededRandom(seed);
+  const endMs = size.seconds * 1_000 - CALM_END_MS;
+  const faults: TimedFault[] = [];
+  let atMs = 2 * FIRST_FAULT_MS;
+  while (atMs < endMs) {
+    const forMs = Math.min(random.between(MIN_CUT_MS, MAX_CUT_MS), endMs - atMs);
+    const daemons = drawCutDaemons(random, size.daemons);
+    const cut = { kind: 'cut', how: random.pick(DAEMON_CUTS), daemons, forMs } as const;
+    faults.push({ atMs: Math.round(atMs), fault: cut });
+    if (random.chance(CRASH_IN_CUT_CHANCE)) {
+      const crash = {
+        kind: 'crash',
+        servers: [random.whole(0, size.engines - 1)],
+        downMs: 1_500,
+      } as const;
+      faults.push({ atMs: Math.round(atMs + random.between(0, forMs)), fault: crash });
+    }
+    if (random.chance(STOP_IN_CUT_CHANCE)) {
+      const stop = {
+        kind: 'stop',
+        daemons: [random.whole(0, size.daemons - 1)],
+        gapMs: 0,
+      } as const;
+      faults.push({ atMs: Math.round(atMs + random.between(0, forMs)), fault: stop });
+    }
+    atMs += forMs + random.between(MIN_GAP_AFTER_CUT_MS, MAX_GAP_AFTER_CUT_MS);
+  }
+  const servers = { webSlots: DEFAULT_SLOTS, paces: [] };
+  return { seed, size, servers, faults, crashing: [] };
+}
+
+/** The daemons of a cut; those of a zone are every third one. */
+function drawCutDaemons(random: SeededRandom, daemons: number): readonly number[] {
+  const zone = random.whole(0, ZONE_COUNT - 1);
+  const inZone = Array.from({ length: daemons }, (_, index) => index).filter(
+    (index) => index % ZONE_COUNT === zone,
+  );
+  switch (random.pick(CUT_SETS)) {
+    case 'one':
+      return [random.whole(0, daemons - 1)];
+    case 'most-of-a-zone':
+      return inZone.slice(1);
+    case 'zone':
+      return inZone;
+    case 'most':
+      return random.subset(daemons, MOST_SHARE);
+    case 'all':
+      return random.subset(daemons, 1);
+  }
+}
--- a/soak/platform-store.ts
+++ b/soak/platform-store.ts
@@ -62,6 +62,8 @@
 /** The endpoint at which one daemon reaches the store. */
 export class StoreEndpoint {
   refusal: StoreRefusal | undefined;
+  /** Where this daemon reaches a server; by default at the address of its entry. */
+  addressOf: (address: string) => string = (address) => address;
   readonly #server: http.Server;
 
   constructor(
@@ -101,6 +103,7 @@
   #written: { readonly atMs: number; readonly row: Row }[] = [];
   readonly #feeds = new Set<HeldFeed>();
   readonly #endpoints: StoreEndpoint[] = [];
+  readonly #endpointOf = new WeakMap<ServerResponse, StoreEndpoint>();
   readonly #random: () => number;
 
   /** @param random returns a number from 0 to below 1; decides which calls a fault affects */
@@ -111,6 +114,7 @@
   createEndpoint(): StoreEndpoint {
     const endpoint = new StoreEndpoint((from, request, response) => {
       response.on('error', () => response.destroy());
+      this.#endpointOf.set(response, from);
       void this.#serve(from, request, response);
     });
     this.#endpoints.push(endpoint);
@@ -327,7 +331,10 @@
     more: boolean,
     ver = this.#version,
   ): void {
-    const shown = rows.map((row) => (row.value === undefined ? { ...row, gone: true } : row));
+    const endpoint = this.#endpointOf.get(response);
+    const shown = rows.map((row) =>
+      row.value === undefined ? { ...row, gone: true } : shownAt(endpoint, row, row.value),
+    );
     const now = Math.round(performance.now());
     const body = JSON.stringify({ rows: shown, more, ver, now_ms: now });
     response.setHeader(STORE_HEADERS.era, String(this.#era));
@@ -335,6 +342,16 @@
   }
 }
 
+/** A row as the daemon of an endpoint sees it: a server has the address at which that daemon reaches it. */
+function shownAt(endpoint: StoreEndpoint | undefined, row: Row, value: string): Row {
+  if (endpoint === undefined || row.table !== TABLES.servers) return row;
+  const document: unknown = JSON.parse(Buffer.from(value, 'base64').toString('utf8'));
+  const address = Reflect.get(Object(document), 'address');
+  if (typeof address !== 'string') return row;
+  const linked = JSON.stringify({ ...Object(document), address: endpoint.addressOf(address) });
+  return { ...row, value: Buffer.from(linked).toString('base64') };
+}
+
 /** The newest row of each key. */
 function rowsOf(written: readonly Row[]): Map<string, Row> {
   return new Map(written.map((row) => [`${row.table}/${row.privateKey}`, row]));
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -72,6 +72,8 @@
   readonly apiKey: string;
   readonly body: string;
   readonly outputTokens: number;
+  /** Whether the caller has sent the same request before. */
+  readonly isRetry: boolean;
   readonly sentMs: number;
   readonly deadlineMs: number;
   endedMs: number | undefined;
@@ -170,10 +172,18 @@
   readonly limits: readonly LimitNotice[];
   readonly orders: readonly OrderRecord[];
   readonly duties: readonly DutyRecord[];
+  readonly cuts: readonly CutRecord[];
   readonly bounds: SoakBounds;
   readonly endMs: number;
 }
 
+/** A span in which daemons were cut off from all servers. */
+export interface CutRecord {
+  readonly daemons: ReadonlySet<string>;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** The bounds that daemons are configured with and judged by. */
 export interface SoakBounds {
   readonly contactMs: number;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -14,6 +14,7 @@
 import { bundleGateway } from './bundle.js';
 import { Callers } from './callers.js';
 import { boundsOf, CALLER_KEYS, CLASSES, MODEL, Operator, WEB_SERVICES } from './configuration.js';
+import { DaemonLinks } from './daemon-links.js';
 import { DutyService } from './duty-service.js';
 import { FaultInjector } from './fault-injector.js';
 import { GatewayProcess } from './gateway-process.js';
@@ -96,6 +97,7 @@
   readonly #callers: Callers;
   readonly #probes: RouteProbes;
   readonly #faults: FaultInjector;
+  readonly #daemonLinks: DaemonLinks | undefined;
   readonly #calls = new Map<string, CallRecord>();
   readonly #unasked: string[] = [];
   readonly #orders: OrderRecord[] = [];
@@ -111,11 +113,14 @@
     const random = () => uniformFloat64(generator);
     this.#store = new PlatformStore(random);
     this.#operator = new Operator(this.#store);
+    const hasCuts = plan.faults.some(({ fault }) => fault.kind === 'cut');
+    this.#daemonLinks = hasCuts ? new DaemonLinks(plan.size.daemons, this.#accepts) : undefined;
     this.#pool = new ServerPool({
       ...plan.size,
       traits: plan.servers,
       store: this.#store,
       accepts: this.#accepts,
+      daemonLinks: this.#daemonLinks,
       random,
       observer: {
         onArrival: (request, body, arrival) => this.#recordArrival(request, body, arrival),
@@ -141,6 +146,7 @@
       daemons: this.#daemons,
       storeEndpointOf: this.#storeEndpointOf,
       callers: this.#callers,
+      daemonLinks: this.#daemonLinks,
     });
   }
 
@@ -179,6 +185,7 @@
     this.#callers.close();
     this.#probes.stop();
     for (const daemon of this.#daemons) daemon.signal('SIGKILL');
+    this.#daemonLinks?.close();
     this.#pool.close();
     this.#store.close();
     this.#dutyService.close();
@@ -194,6 +201,7 @@
       probes: this.#probes.records,
       drains: this.#faults.drains,
       limits: this.#faults.limits,
+      cuts: this.#faults.cuts,
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
@@ -223,6 +231,7 @@
       const zone = ZONES[zoneIndex] ?? ZONES[0];
       const name = `daemon-${zone}-${index}`;
       const endpoint = this.#store.createEndpoint();
+      endpoint.addressOf = (address) => this.#daemonLinks?.addressFor(index, address) ?? address;
       this.#storeEndpointOf.set(name, endpoint);
       const daemon = new GatewayProcess({
         name,
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -5,6 +5,7 @@
 import { TABLES } from '../platform/names.js';
 import type { AcceptMonitor } from './accept-monitor.js';
 import { MODEL, WEB_SERVICES } from './configuration.js';
+import type { DaemonLinks } from './daemon-links.js';
 import { LinkProxy } from './link-proxy.js';
 import { ModelServer, type ServerObserver, type Stage } from './model-server.js';
 import { DEFAULT_SLOTS, type ServerTraits } from './plan.js';
@@ -50,6 +51,8 @@
   readonly traits: ServerTraits;
   readonly store: PlatformStore;
   readonly accepts: AcceptMonitor;
+  /** Undefined unless daemons have paths of their own to the servers. */
+  readonly daemonLinks: DaemonLinks | undefined;
   readonly random: () => number;
   readonly observer: ServerObserver;
 }
@@ -155,6 +158,7 @@
     const pooled: PooledServer = { server, link, zone, isDraining: false, isLeaving: false };
     await server.start();
     await link.open();
+    await this.#options.daemonLinks?.open(link.address);
     this.servers.push(pooled);
     this.list(pooled);
   }
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -99,6 +99,7 @@
     apiKey: 'key',
     body: '',
     outputTokens: 3,
+    isRetry: false,
     sentMs: 30_000,
     deadlineMs: 33_000,
     endedMs: 30_030,
@@ -117,6 +118,7 @@
     probes: [],
     drains: [],
     limits: [],
+    cuts: [],
     orders: [],
     duties: [],
     bounds: BOUNDS,
@@ -528,3 +530,33 @@
   assertBroken('CONFIG', judged(1));
   assertKept(judged(2));
 });
+
+/** First tries of callers at two daemons, the first of which is cut off; some of those there fail. */
+function triesInCut(served: number, failed: number, fields: Partial<CallRecord> = {}) {
+  const failure: CallEnd = answered({ status: 503, stamp: undefined });
+  const sentMs = 30_000;
+  const at = (daemon: string, id: string, end: CallEnd) =>
+    call({ id, daemon, sentMs, end, arrivals: [], ...fields });
+  return [
+    ...Array.from({ length: 100 }, (_, index) => at('d2', `other-${index}`, answered())),
+    ...Array.from({ length: served }, (_, index) => at('d1', `served-${index}`, answered())),
+    ...Array.from({ length: failed }, (_, index) => at('d1', `failed-${index}`, failure)),
+  ];
+}
+
+function isCutJudged(calls: readonly CallRecord[], daemons: readonly string[] = ['d1']): boolean {
+  const cuts = [{ daemons: new Set(daemons), fromMs: 20_000, toMs: 40_000 }];
+  return judge(run(calls, { cuts })).some(({ detail }) => detail.startsWith('cut off'));
+}
+
+test('a daemon that is cut off and serves too few first tries breaks RECOVER', () => {
+  assert.equal(isCutJudged(triesInCut(60, 40)), true);
+  assert.equal(isCutJudged(triesInCut(70, 30)), false, 'over two thirds as often as the others');
+  assert.equal(isCutJudged(triesInCut(3, 10)), false, 'few failures');
+});
+
+test('what is not a first try in the cut, once it has lasted, does not break RECOVER', () => {
+  assert.equal(isCutJudged(triesInCut(0, 100, { isRetry: true })), false);
+  assert.equal(isCutJudged(triesInCut(0, 100, { sentMs: 20_100 })), false);
+  assert.equal(isCutJudged(triesInCut(0, 100), ['d1', 'd2']), false, 'nobody has a path');
+});
