--- a/soak/daemon-links.ts
+++ b/soak/daemon-links.ts
@@ -4,15 +4,7 @@
  */
 import type { AcceptMonitor } from './accept-monitor.js';
 import { LinkProxy } from './link-proxy.js';
-
-/** What a cut does to open connections; new ones are refused. */
-export type DaemonCut =
-  /** They live on. */
-  | 'refuse'
-  /** They are reset. */
-  | 'reset'
-  /** They go silent for good. */
-  | 'silent';
+import type { DaemonCut } from './plan.js';
 
 /** The links of all daemons, by the daemon's index. */
 export class DaemonLinks {
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -7,8 +7,6 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 
-import type { DaemonCut } from './daemon-links.js';
-
 /** How the store treats the daemons that it refuses. */
 export type StoreRefusal = 'unavailable' | 'too-many' | 'reset' | 'silent';
 
@@ -39,6 +37,15 @@
   /** Open connections go silent permanently; connections opened after the fault work. */
   | 'silent';
 
+/** What a cut does to open connections; new ones are refused. */
+export type DaemonCut =
+  /** They live on. */
+  | 'refuse'
+  /** They are reset. */
+  | 'reset'
+  /** They go silent for good. */
+  | 'silent';
+
 /** How the duty API mishandles calls. */
 export type DutyFault = 'unavailable' | 'too-many' | 'lose-answers';
 
