Part the outcomes of answers and the refusal for want of a server from attempts

A forwarded request is no longer measured against the limit of headers a second time, as the headers of the hop would count: a request close to the limit would have got 431 only when its daemon is cut off.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -12,6 +12,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AdmissionGate } from './admission-gate.js';
+import type { AnswerOutcome } from './answer-outcome.js';
 import { type BackendAnswer, CONNECT_TIMEOUT_MS } from './backend-connections.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
@@ -21,9 +22,6 @@
 import type { HeldBack, ServerCalls } from './server-calls.js';
 import type { WebWork } from './web-work.js';
 
-const MIN_SERVER_ERROR_STATUS = 500;
-/** Maximum random addition to `Retry-After`, as a share of it. */
-const RETRY_JITTER = 0.5;
 const NO_BUDGET_REASON = 'the retry budget is spent';
 
 /** The parts of the gateway that attempts use. */
@@ -321,27 +319,6 @@
   }
 }
 
-/** How the body of a server's answer ended. */
-export type AnswerOutcome =
-  | { readonly kind: 'good' }
-  /** A complete answer with a 5xx status. */
-  | { readonly kind: 'server-error' }
-  /** The body broke off, or it is not a valid answer to this request. */
-  | { readonly kind: 'bad'; readonly reason: string };
-
-/**
- * Whether a status tells callers that the request has not run. A server that did run it may send one of these all the
- * same, so they are not forwarded as they are.
- */
-export function statusImpliesNotExecuted(status: number): boolean {
-  return status === 408 || status === 421 || status === 429 || status === 503;
-}
-
-/** The outcome of a complete answer with this status. */
-export function completeAnswerOutcome(status: number): AnswerOutcome {
-  return status >= MIN_SERVER_ERROR_STATUS ? { kind: 'server-error' } : { kind: 'good' };
-}
-
 function once(callback: (outcome: AnswerOutcome) => void): (outcome: AnswerOutcome) => void {
   let isCalled = false;
   return (outcome) => {
@@ -396,25 +373,3 @@
 export function engineTraits(exchange: Exchange): EngineTraits | undefined {
   return exchange.options.configuration.services.get(exchange.options.service)?.engine;
 }
-
-/** Refuses a request that no server takes; logs how many servers are leaving, backing off or at their limit. */
-export function refuseUnavailable(
-  exchange: Exchange,
-  context: AttemptContext,
-  reason: string,
-): void {
-  const { service, timers } = exchange.options;
-  const nowMs = timers.nowMs();
-  const { leaving, resting } = context.fleet.unavailableOf(service, nowMs);
-  const atLimit = context.fleet.serversAtLimit(service, nowMs).length;
-  exchange.refuse(reason, retryAfterMs(exchange, context), { leaving, resting, atLimit });
-}
-
-/** `Retry-After` of a refusal: the time until a server that is skipped now is expected to be tried again. */
-function retryAfterMs(exchange: Exchange, { fleet }: AttemptContext): number {
-  const { service, route, timers } = exchange.options;
-  const expectedMs = fleet.capacityExpectedInMs(service, timers.nowMs());
-  const waitMs = expectedMs ?? route.targetLatencyMs;
-  // Jitter keeps callers that were refused at the same time from retrying at the same time.
-  return waitMs * (1 + RETRY_JITTER * Math.random());
-}
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -115,9 +115,10 @@
     const arrivedAtMs = this.#options.timers.nowMs();
     const { context } = this.#options;
     const { inForce } = context.fleet;
-    const notReady = inForce === undefined ? 'no configuration yet' : undefined;
-    if (inForce === undefined || !context.crashes.isReadyToServe) {
-      const reason = notReady ?? 'this daemon has just started';
+    const isReady = inForce !== undefined && context.crashes.isReadyToServe;
+    if (!isReady) {
+      const reason =
+        inForce === undefined ? 'no configuration yet' : 'this daemon has just started';
       if (forwarded !== undefined) return this.#rejectForwarded(request, response, reason);
       return this.#rejectNotReady(request, response, reason);
     }
@@ -127,7 +128,9 @@
     if (route === undefined) return this.#rejectRoute(request, response, inForce);
     const admission = inForce.tenants.admit(route, context.codec.apiKey(request.headers));
     if (admission.kind === 'unknown-key') return this.#rejectKey(request, response, inForce, route);
-    if (headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
+    // A forwarded request has headers of the hop besides the caller's, which the first daemon has checked.
+    const isChecked = forwarded !== undefined;
+    if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
     const body = await readBody(request, inForce.configuration.limits.maxBodyBytes);
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -7,7 +7,7 @@
 import { ForwardingPeers, type PeerDaemon, type PeerRoster } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
-import { type AttemptContext, type RequestForwarding, refuseUnavailable } from './attempt.js';
+import type { AttemptContext, RequestForwarding } from './attempt.js';
 import type { BackendAnswer, BackendConnections, CallResult } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
 import {
@@ -18,6 +18,7 @@
 } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { RequestCodec } from './ports.js';
+import { refuseUnavailable } from './refuse-unavailable.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
 import { StreamRelay } from './stream-relay.js';
 
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -3,7 +3,7 @@
  * response headers are sent with the first bytes of the body, so that a server that fails before can still be replaced.
  */
 import { withoutConnectionHeaders } from '../http/headers.js';
-import type { AnswerOutcome } from './attempt.js';
+import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
 import { EventSplitter } from './event-splitter.js';
 import type { Exchange } from './exchange.js';
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -10,18 +10,17 @@
   type ServerRecord,
 } from '../../core/gateway/index.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
+import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
 import {
   type AttemptContext,
   type AttemptResult,
-  completeAnswerOutcome,
   defaultAttemptOptions,
   hasNotRun,
-  refuseUnavailable,
   sendAttempt,
-  statusImpliesNotExecuted,
 } from './attempt.js';
 import type { CompleteAnswer, Exchange } from './exchange.js';
 import { permitWaitRequestOf } from './limit-coordinator.js';
+import { refuseUnavailable } from './refuse-unavailable.js';
 import { webAdmissionCheck } from './web-admission-check.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
