Judge by the soak's LOST no stream that breaks as its daemon is cut off

The promise holds only without an unplanned disturbance, and a reset of a daemon's connections is one. Only requests whose life contains the beginning of a cut of their own daemon are excused; what begins in a cut is judged as before (oracle.test.ts).

--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -317,6 +317,11 @@
   }
   if (arrivals.some(({ isServerFault }) => isServerFault)) return false;
   if (arrivals.length === 0 && endedMs - sentMs <= run.bounds.lossSlackMs) return false;
+  // The beginning of a cut breaks the streams that its daemon relays at that moment.
+  const wasCutOff = run.cuts.some(
+    (cut) => cut.daemons.has(daemon) && cut.fromMs >= sentMs && cut.fromMs <= endedMs,
+  );
+  if (wasCutOff) return false;
   const wasDisturbed = run.disturbances.some(
     ({ scope, name, fromMs, toMs, isPlanned }) =>
       !isPlanned &&
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -560,3 +560,22 @@
   assert.equal(isCutJudged(triesInCut(0, 100, { sentMs: 20_100 })), false);
   assert.equal(isCutJudged(triesInCut(0, 100), ['d1', 'd2']), false, 'nobody has a path');
 });
+
+test('a stream that is under way when its daemon is cut off may break, one that begins later may not', () => {
+  const streamsFrom = (sentMs: number) =>
+    Array.from({ length: 9 }, (_, index) =>
+      call({
+        id: `r${index}`,
+        daemon: 'd1',
+        sentMs,
+        endedMs: 30_200,
+        end: { kind: 'closed', reason: 'reset' },
+        arrivals: [arrival({ isStarted: false })],
+      }),
+    );
+  const cuts = [{ daemons: new Set(['d1']), fromMs: 30_000, toMs: 38_000 }];
+  const isLost = (calls: readonly CallRecord[]) => broken(run(calls, { cuts })).includes('LOST');
+  assert.equal(isLost(streamsFrom(29_900)), false);
+  assert.equal(isLost(streamsFrom(30_100)), true);
+  assert.equal(isLost(streamsFrom(29_900).map((stream) => ({ ...stream, daemon: 'd2' }))), true);
+});
