Judge by the soak's GONE no stream on a connection that a cut has silenced

Traced in the daemons' logs: in the cut of 25.9 s, which silences all connections for good, five streams under way were ended by their daemons as the callers left (2,998 to 3,011 ms), and the close could not reach the servers. Only streams whose life contains the beginning of a silent cut of their own daemon are excused; the detail names the calls now (oracle.test.ts).

--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -385,7 +385,7 @@
     const fromMs = performance.now();
     for (const daemon of daemons) daemonLinks?.cut(daemon, how);
     await pause(forMs);
-    this.cuts.push({ daemons: names, fromMs, toMs: performance.now() });
+    this.cuts.push({ how, daemons: names, fromMs, toMs: performance.now() });
     if (this.#isEnded) return;
     await Promise.all(daemons.map((daemon) => daemonLinks?.restore(daemon)));
   }
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -6,7 +6,7 @@
 import { routeFaults } from './configuration-judge.js';
 import { unservedCuts } from './cut-off-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
-import type { Arrival, CallRecord, Disturbance, RunRecord, Scope } from './record.js';
+import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS, eventText } from './response-bodies.js';
 
 /** The promises; docs/SOAK.md describes each in a sentence. */
@@ -296,6 +296,16 @@
   return faults.map((fault) => ({ promise: 'CONFIG', ...fault }));
 }
 
+/** The cuts of a call's daemon that began while the call was open. */
+function cutsBegunIn(
+  { daemon, sentMs, endedMs = sentMs }: CallRecord,
+  { cuts }: RunRecord,
+): readonly CutRecord[] {
+  return cuts.filter(
+    (cut) => cut.daemons.has(daemon) && cut.fromMs >= sentMs && cut.fromMs <= endedMs,
+  );
+}
+
 function judgeLost(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const lost = calls.filter((call) => isLost(call, run));
   if (lost.length <= LOST_MAX) return [];
@@ -318,10 +328,7 @@
   if (arrivals.some(({ isServerFault }) => isServerFault)) return false;
   if (arrivals.length === 0 && endedMs - sentMs <= run.bounds.lossSlackMs) return false;
   // The beginning of a cut breaks the streams that its daemon relays at that moment.
-  const wasCutOff = run.cuts.some(
-    (cut) => cut.daemons.has(daemon) && cut.fromMs >= sentMs && cut.fromMs <= endedMs,
-  );
-  if (wasCutOff) return false;
+  if (cutsBegunIn(call, run).length > 0) return false;
   const wasDisturbed = run.disturbances.some(
     ({ scope, name, fromMs, toMs, isPlanned }) =>
       !isPlanned &&
@@ -427,11 +434,13 @@
 function judgeGone(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const late = calls.flatMap((call) => lateArrivals(call, run)).filter(({ isHeldUp }) => !isHeldUp);
   let lasting = 0;
-  let workedOn = 0;
+  const workedOn: CallRecord[] = [];
   for (const call of calls) {
     const { end, endedMs, arrivals, outputTokens, requestClass } = call;
     if (end?.kind !== 'left' || endedMs === undefined) continue;
     if (!isCalmAfterLeaving(call, run)) continue;
+    // A connection that has gone silent does not carry its close to the server.
+    if (cutsBegunIn(call, run).some(({ how }) => how === 'silent')) continue;
     const limitMs = endedMs + GONE_SLACK_MS;
     const open = arrivals.filter(({ isStarted, step, atMs, endedMs: ended }) => {
       const wouldEndMs = atMs + outputTokens * EVENT_GAP_MS;
@@ -440,7 +449,8 @@
     });
     if (requestClass.kind !== 'streaming' || open.length === 0) continue;
     lasting += 1;
-    if (open.some(({ endedMs: ended }) => ended === undefined || ended > limitMs)) workedOn += 1;
+    if (open.some(({ endedMs: ended }) => ended === undefined || ended > limitMs))
+      workedOn.push(call);
   }
   const violations: Violation[] = [];
   if (late.length > GONE_MAX_ARRIVALS) {
@@ -448,8 +458,9 @@
     const detail = `${late.length} arrivals after their caller left: ${some}`;
     violations.push({ promise: 'GONE', atMs: 0, detail });
   }
-  if (workedOn > GONE_MIN_WORKED_ON && workedOn > GONE_MAX_SHARE * lasting) {
-    const detail = `${workedOn} of ${lasting} requests were worked on after their caller left`;
+  if (workedOn.length > GONE_MIN_WORKED_ON && workedOn.length > GONE_MAX_SHARE * lasting) {
+    const some = workedOn.slice(0, MAX_CASES_SHOWN).map(({ id, daemon }) => `${id} at ${daemon}`);
+    const detail = `${workedOn.length} of ${lasting} requests were worked on after their caller left: ${some.join(', ')}`;
     violations.push({ promise: 'GONE', atMs: 0, detail });
   }
   return violations;
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -1,4 +1,5 @@
 /** What a soak run records of requests, at their callers and at servers; the only input of the oracle. */
+import type { DaemonCut } from './plan.js';
 
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'streaming';
 
@@ -179,6 +180,7 @@
 
 /** A span in which daemons were cut off from all servers. */
 export interface CutRecord {
+  readonly how: DaemonCut;
   readonly daemons: ReadonlySet<string>;
   readonly fromMs: number;
   readonly toMs: number;
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -545,7 +545,7 @@
 }
 
 function isCutJudged(calls: readonly CallRecord[], daemons: readonly string[] = ['d1']): boolean {
-  const cuts = [{ daemons: new Set(daemons), fromMs: 20_000, toMs: 40_000 }];
+  const cuts = [{ how: 'reset' as const, daemons: new Set(daemons), fromMs: 20_000, toMs: 40_000 }];
   return judge(run(calls, { cuts })).some(({ detail }) => detail.startsWith('cut off'));
 }
 
@@ -573,9 +573,30 @@
         arrivals: [arrival({ isStarted: false })],
       }),
     );
-  const cuts = [{ daemons: new Set(['d1']), fromMs: 30_000, toMs: 38_000 }];
+  const cuts = [{ how: 'reset' as const, daemons: new Set(['d1']), fromMs: 30_000, toMs: 38_000 }];
   const isLost = (calls: readonly CallRecord[]) => broken(run(calls, { cuts })).includes('LOST');
   assert.equal(isLost(streamsFrom(29_900)), false);
   assert.equal(isLost(streamsFrom(30_100)), true);
   assert.equal(isLost(streamsFrom(29_900).map((stream) => ({ ...stream, daemon: 'd2' }))), true);
 });
+
+test('a stream on a connection that a cut has silenced may be worked on after its caller has left, others may not', () => {
+  const leftStreams = Array.from({ length: 8 }, (_, index) =>
+    call({
+      id: `r${index}`,
+      requestClass: classOf('streaming'),
+      daemon: 'd1',
+      outputTokens: 1_000,
+      endedMs: 30_500,
+      end: { kind: 'left', isEarly: false },
+      arrivals: [arrival({ endedMs: 40_000 })],
+    }),
+  );
+  const isGone = (how: 'silent' | 'refuse', fromMs: number) => {
+    const cuts = [{ how, daemons: new Set(['d1']), fromMs, toMs: 38_000 }];
+    return broken(run(leftStreams, { cuts })).includes('GONE');
+  };
+  assert.equal(isGone('silent', 30_200), false);
+  assert.equal(isGone('silent', 29_000), true, 'the cut began before');
+  assert.equal(isGone('refuse', 30_200), true, 'open connections live on');
+});
