--- a/test/gateway/support/silent-address.ts
+++ b/test/gateway/support/silent-address.ts
@@ -4,15 +4,21 @@
 import net, { type Socket } from 'node:net';
 
 const HOST = '127.0.0.1';
-/** Listens with the shortest queue of connections that wait to be accepted, and prints its port. */
+/** The process ends by itself after this time, if the test run was killed before it. */
+const MAX_LIFE_MS = 60_000;
+/** Listens with the shortest queue of connections that wait to be accepted, prints its port, and then accepts none. */
 const LISTEN = `
   const server = require('node:net').createServer();
-  server.listen({ port: 0, host: '${HOST}', backlog: 1 }, () => console.log(server.address().port));
+  server.listen({ port: 0, host: '${HOST}', backlog: 1 }, () => {
+    require('node:fs').writeSync(1, String(server.address().port));
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ${MAX_LIFE_MS});
+    process.exit();
+  });
 `;
 /** The kernel accepts one connection more than the queue is long. */
 const QUEUED = 2;
 
-/** A stopped process that listens, with its queue full. */
+/** A process that listens and does not accept, with its queue full. */
 export class SilentAddress {
   readonly #process: ChildProcess;
   readonly #queued: readonly Socket[];
@@ -29,7 +35,6 @@
     if (child.stdout === null) throw new Error('the process has no output');
     const [line] = await once(child.stdout, 'data');
     const port = Number(String(line));
-    child.kill('SIGSTOP');
     const queued = Array.from({ length: QUEUED }, () => net.connect(port, HOST));
     await Promise.all(queued.map((socket) => once(socket, 'connect')));
     return new SilentAddress(child, port, queued);
