--- a/soak/daemon-links.ts
+++ b/soak/daemon-links.ts
@@ -4,8 +4,12 @@
  */
 import type { AcceptMonitor } from './accept-monitor.js';
 import { LinkProxy } from './link-proxy.js';
+import { pause } from './pause.js';
 import type { DaemonCut } from './plan.js';
 
+const MAX_REOPEN_TRIES = 20;
+const REOPEN_INTERVAL_MS = 100;
+
 /** The links of all daemons, by the daemon's index. */
 export class DaemonLinks {
   readonly #byDaemon: readonly Map<string, LinkProxy>[];
@@ -39,10 +43,7 @@
   }
 
   async restore(daemon: number): Promise<void> {
-    for (const link of this.#linksOf(daemon)) {
-      link.end();
-      await link.open();
-    }
+    await Promise.all(this.#linksOf(daemon).map(reopen));
   }
 
   close(): void {
@@ -53,3 +54,15 @@
     return [...(this.#byDaemon[daemon]?.values() ?? [])];
   }
 }
+
+/** Another process may have taken the port during the cut; if it keeps it, the daemon stays cut off from that server. */
+async function reopen(link: LinkProxy): Promise<void> {
+  link.end();
+  for (let tries = 0; tries < MAX_REOPEN_TRIES; tries += 1) {
+    try {
+      return await link.open();
+    } catch {
+      await pause(REOPEN_INTERVAL_MS);
+    }
+  }
+}
