Log the software versions that a stream's events came from, and the stream that a request takes up

No routing logic is changed. Change: rows keep the software version, also where a relay forwards them (messages of earlier releases lack it and are passed over; the rows are read from the store). The end of a request names the stream that it takes up and the versions of the servers whose events went to the caller; the line of an added server names its version. test/gateway/platform-names looks for the header 'resumes' as a complete literal, as for /usage and /scale: it is also a plain English word that stood in nine files before.

--- a/src/core/gateway/description.ts
+++ b/src/core/gateway/description.ts
@@ -8,6 +8,12 @@
   readonly tokens: number;
 }
 
+/** A request that continues a stream after the last event that its caller has received. */
+export interface StreamResumption {
+  /** The caller's attempt that brought the first event of the stream; undefined if the caller does not state it. */
+  readonly streamId: string | undefined;
+}
+
 /** The caller's description of a request. */
 export interface RequestDescription {
   /** Chosen by the caller, unique to each of its attempts. */
@@ -17,6 +23,8 @@
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** Undefined for a request that begins anew. */
+  readonly resumption?: StreamResumption | undefined;
 }
 
 /** Length of the cached prefix: cached tokens of the leading parts, including the first incomplete one. */
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -29,6 +29,7 @@
   cachedPrefixTokens,
   type PromptPart,
   type RequestDescription,
+  type StreamResumption,
   sharedPart,
 } from './description.js';
 export {
--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -25,6 +25,8 @@
   readonly stage: EngineStage | undefined;
   /** The start of this boot in Unix milliseconds, which distinguishes boots; undefined if the row has none. */
   readonly bornMs?: number | undefined;
+  /** The version of its software, as distinct from that of its models; undefined if the row states none. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** Why a row was skipped. */
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -82,6 +82,7 @@
   readonly sends = new SendMeter();
   readonly #sendRecords: SendRecord[] = [];
   readonly #addressesSentTo = new Set<string>();
+  readonly #softwareVersions = new Set<string>();
   #openRuns = 0;
   #prefills = 0;
   #endedRuns = 0;
@@ -169,6 +170,11 @@
     this.#sendRecords.push(send);
   }
 
+  /** Records that events of a server of this software version go to the caller. */
+  recordEventsFrom(softwareVersion: string): void {
+    this.#softwareVersions.add(softwareVersion);
+  }
+
   /** Records that an engine has prefilled the prompt, or may have. */
   recordPrefill(): void {
     this.#prefills += 1;
@@ -313,6 +319,8 @@
       runs: this.runs,
       tried: this.triedServerIds.size,
       forwardedBy: this.options.forwarded?.from ?? '',
+      stream: description.resumption?.streamId ?? '',
+      softwareVersions: [...this.#softwareVersions].join(' '),
       sends: formatSends(this.#sendRecords, description.attemptId),
       prefillMs: roundedOr0(this.stepTimesMs.prefillMs),
       firstEventMs: roundedOr0(this.stepTimesMs.firstEventMs),
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -452,6 +452,7 @@
       state: server.state,
       stage: server.stage ?? '',
       bornMs: server.bornMs ?? '',
+      softwareVersion: server.softwareVersion ?? '',
     });
   }
 }
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -371,6 +371,8 @@
         this.#configurations.apply(message);
         return;
       case 'servers':
+        // Rows without software versions would make servers of several versions look alike.
+        if (message.lacksSoftwareVersions === true) return;
         if (message.zone === zone && !this.#relay.isRelay) applyServers(message.changes);
         return;
       case 'stage':
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -33,6 +33,7 @@
   limitAsk: 13,
   limitGrant: 14,
   limitTold: 15,
+  serversWithVersions: 16,
 } as const;
 
 /** Engine by its short id, prompt part, its tokens, milliseconds until it is prefilled. */
@@ -128,6 +129,17 @@
   z.array(z.string()),
   eraSchema,
 ]);
+/** As `serversSchema`, with the software versions of the servers in their order; null for one that states none. */
+export const serversWithVersionsSchema = z.tuple([
+  z.literal(KINDS.serversWithVersions),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.array(serverSchema),
+  z.array(z.nullable(z.string())),
+  z.array(z.string()),
+  z.number(),
+]);
 export const configurationSchema = z.tuple([
   z.literal(KINDS.configuration),
   z.string(),
@@ -181,15 +193,25 @@
   return [[id, service, address, zone, slots, state, stage ?? '', isSpot, ...start]];
 }
 
+/** The software version of a row's server, as a list for `flatMap`. */
+export function encodeSoftwareVersion(row: WatchedRow<ServerRecord>): (string | null)[] {
+  return row.kind === 'value' ? [row.value.softwareVersion ?? null] : [];
+}
+
 export function removedKey(row: WatchedRow<ServerRecord>): string[] {
   return row.kind === 'gone' ? [row.key] : [];
 }
 
-export function decodeServer(fields: z.infer<typeof serverSchema>): WatchedRow<ServerRecord> {
+/** @param softwareVersion null where the server states none or the message carries none */
+export function decodeServer(
+  fields: z.infer<typeof serverSchema>,
+  softwareVersion: string | null,
+): WatchedRow<ServerRecord> {
   const [id, service, address, zone, slots, state, stage, isSpot, bornMs] = fields;
   const head = { id, service, address, zone, slots, state };
   const start = bornMs === undefined ? {} : { bornMs };
-  const value = { ...head, stage: stage || undefined, isSpot, ...start };
+  const version = softwareVersion === null ? {} : { softwareVersion };
+  const value = { ...head, stage: stage || undefined, isSpot, ...start, ...version };
   return { kind: 'value', key: id, value };
 }
 
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -44,11 +44,13 @@
   encodeReach,
   encodeReads,
   encodeServer,
+  encodeSoftwareVersion,
   encodeWork,
   KINDS,
   removedKey,
   reportSchema,
   serversSchema,
+  serversWithVersionsSchema,
   stageSchema,
   sumsSchema,
   tablesSchema,
@@ -66,6 +68,7 @@
 /** The schema of each kind, so that a message is checked only against its own. */
 const schemaOfKind = new Map<unknown, MessageSchema>([
   [KINDS.servers, serversSchema],
+  [KINDS.serversWithVersions, serversWithVersionsSchema],
   [KINDS.report, reportSchema],
   [KINDS.sums, sumsSchema],
   [KINDS.news, cacheEventsSchema],
@@ -84,6 +87,7 @@
 
 type MessageSchema =
   | typeof serversSchema
+  | typeof serversWithVersionsSchema
   | typeof reportSchema
   | typeof sumsSchema
   | typeof cacheEventsSchema
@@ -139,6 +143,8 @@
       readonly kind: 'servers';
       readonly zone: string;
       readonly changes: TableChanges<ServerRecord>;
+      /** Set where a daemon of an earlier release sent it: its rows lack the software versions of the servers. */
+      readonly lacksSoftwareVersions?: true;
     }
   | {
       readonly kind: 'configuration';
@@ -172,9 +178,12 @@
     }
     case 'servers': {
       const { era, after, revision, rows } = message.changes;
-      const head = [KINDS.servers, message.zone, after, revision];
-      const changed = [rows.flatMap(encodeServer), rows.flatMap(removedKey)];
-      return pack([...head, ...changed, ...encodeEra(era)]);
+      const span = [message.zone, after, revision];
+      const [servers, removed] = [rows.flatMap(encodeServer), rows.flatMap(removedKey)];
+      if (message.lacksSoftwareVersions === true)
+        return pack([KINDS.servers, ...span, servers, removed, ...encodeEra(era)]);
+      const versions = rows.flatMap(encodeSoftwareVersion);
+      return pack([KINDS.serversWithVersions, ...span, servers, versions, removed, era]);
     }
     case 'configuration': {
       const { era, after, revision, key, encoded } = message.change;
@@ -241,7 +250,15 @@
     case KINDS.servers: {
       const [, zone, after, revision, servers, removedKeys, era = FIRST_ERA] = fields;
       const removed = removedKeys.map((key) => ({ kind: 'gone', key }) as const);
-      const rows = [...servers.map(decodeServer), ...removed];
+      const rows = [...servers.map((server) => decodeServer(server, null)), ...removed];
+      const changes = { era, after, revision, rows };
+      return { kind: 'servers', zone, changes, lacksSoftwareVersions: true };
+    }
+    case KINDS.serversWithVersions: {
+      const [, zone, after, revision, servers, versions, removedKeys, era] = fields;
+      const removed = removedKeys.map((key) => ({ kind: 'gone', key }) as const);
+      const listed = servers.map((server, index) => decodeServer(server, versions[index] ?? null));
+      const rows = [...listed, ...removed];
       return { kind: 'servers', zone, changes: { era, after, revision, rows } };
     }
     case KINDS.stage: {
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -2,6 +2,7 @@
  * Relays a stream to its caller as it arrives, from one server after another where the stream may be resumed. The
  * response headers are sent with the first bytes of the body, so that a server that fails before can still be replaced.
  */
+import type { ServerRecord } from '../../core/gateway/index.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
@@ -14,7 +15,7 @@
 /** An answer whose body is relayed. */
 export interface RelaySource {
   readonly answer: BackendAnswer;
-  readonly server: { readonly id: string };
+  readonly server: Pick<ServerRecord, 'id' | 'softwareVersion'>;
   /** Whether only a close of the connection marked its end; by default as at `answer`. */
   readonly isCloseDelimited?: boolean;
   /** Called when the body has ended, with its outcome. */
@@ -98,6 +99,7 @@
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
     if (bytes.length === 0) return true;
+    this.#exchange.recordEventsFrom(source.server.softwareVersion ?? '');
     this.#bytesSent += bytes.length;
     return response.write(bytes);
   }
--- a/test/gateway/platform-names.test.ts
+++ b/test/gateway/platform-names.test.ts
@@ -10,8 +10,8 @@
 const MAX_ADAPTER_LINES = 1_200;
 /** Names of web standards, or too common to be searched for. */
 const COMMON_NAMES = new Set(['last-event-id', '/ready', '/report', '/order']);
-/** Names that also occur in module paths; as complete string literals they are the platform's. */
-const QUOTED_NAMES = new Set<string>([PATHS.usage, PATHS.scale]);
+/** Names that also occur in module paths or as plain words; as complete string literals they are the platform's. */
+const QUOTED_NAMES = new Set<string>([PATHS.usage, PATHS.scale, HEADERS.resumes]);
 
 function sourcesUnder(folder: string): readonly string[] {
   return readdirSync(join(PROJECT_ROOT, folder), { recursive: true, encoding: 'utf8' })
