--- a/test/gateway/support/manual-timers.ts
+++ b/test/gateway/support/manual-timers.ts
@@ -39,6 +39,12 @@
     this.#nowMs = endMs;
   }
 
+  /** Advances the time by a span, and lets socket events run meanwhile. */
+  async advanceBy(spanMs: number): Promise<void> {
+    const endMs = this.#nowMs + spanMs;
+    await this.advanceUntil(() => this.#nowMs >= endMs);
+  }
+
   /** Advances the time in steps and lets socket events run in between, until a condition holds. */
   async advanceUntil(isDone: () => boolean): Promise<void> {
     while (!isDone()) {
