Continue a broken stream in its answer only at the software version that began it

What callers saw: events of two software versions in one answer (ORDER): a stream that broke was resumed at whichever engine the plan found cheapest. Cause: nothing knew the version of the stream's first event. Change: the first event that goes to the caller fixes service and software version of the exchange; every way on asks the planner, and its one filter leaves the engines of that version. Before the first event any engine may be asked. Where no engine of the version is left, the answer is cut off at once, also instead of waiting for a permit of another version.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -154,6 +154,13 @@
   type WorkSource,
 } from './stage-demand.js';
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
+export {
+  isCompatible,
+  isSameOrigin,
+  originAt,
+  type StreamOrigin,
+  serversForStream,
+} from './stream-origin.js';
 export { type AdvertisedSums, SumsAdvertiser } from './sums-advertiser.js';
 export { type Admission, TenantTable } from './tenants.js';
 export { ADVERTISE_DELAY_MS, unseenWork } from './unseen-work.js';
--- /dev/null
+++ b/src/core/gateway/stream-origin.ts
@@ -0,0 +1,38 @@
+/**
+ * Where a stream began: what the software of different versions writes does not fit together, so a stream goes on only at
+ * servers of the service and software version that sent its first event.
+ */
+import type { ServerRecord } from './server-directory.js';
+
+/** The service and software version that a stream began at. */
+export interface StreamOrigin {
+  readonly service: string;
+  /** Empty for servers whose rows state none: they count as one version. */
+  readonly softwareVersion: string;
+}
+
+/** The origin of streams that begin at a server. */
+export function originAt({
+  service,
+  softwareVersion = '',
+}: Pick<ServerRecord, 'service' | 'softwareVersion'>): StreamOrigin {
+  return { service, softwareVersion };
+}
+
+export function isSameOrigin(one: StreamOrigin, other: StreamOrigin): boolean {
+  return one.service === other.service && one.softwareVersion === other.softwareVersion;
+}
+
+/** Whether what one server wrote, a stream or KV memory, can be continued by another. */
+export function isCompatible(one: ServerRecord, other: ServerRecord): boolean {
+  return isSameOrigin(originAt(one), originAt(other));
+}
+
+/** The servers at which a stream may go on; all of them if it has not begun. */
+export function serversForStream(
+  servers: readonly ServerRecord[],
+  origin: StreamOrigin | undefined,
+): readonly ServerRecord[] {
+  if (origin === undefined) return servers;
+  return servers.filter((server) => isSameOrigin(originAt(server), origin));
+}
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -11,6 +11,7 @@
   type Route,
   SendMeter,
   type SendRecord,
+  type StreamOrigin,
   type Tenant,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
@@ -83,6 +84,7 @@
   readonly #sendRecords: SendRecord[] = [];
   readonly #addressesSentTo = new Set<string>();
   readonly #softwareVersions = new Set<string>();
+  #streamOrigin: StreamOrigin | undefined;
   #openRuns = 0;
   #prefills = 0;
   #endedRuns = 0;
@@ -170,6 +172,16 @@
     this.#sendRecords.push(send);
   }
 
+  /** Where the stream began; undefined until its first event goes to the caller. */
+  get streamOrigin(): StreamOrigin | undefined {
+    return this.#streamOrigin;
+  }
+
+  /** Fixes where the stream began: from now on it goes on only there. */
+  fixStreamOrigin(origin: StreamOrigin): void {
+    this.#streamOrigin ??= origin;
+  }
+
   /** Records that events of a server of this software version go to the caller. */
   recordEventsFrom(softwareVersion: string): void {
     this.#softwareVersions.add(softwareVersion);
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -3,7 +3,12 @@
  * that no engine decodes from is freed. A stream that breaks is resumed at another engine where its route allows it;
  * otherwise the caller's connection is closed, so that the stream does not look complete.
  */
-import { type EnginePlan, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
+import {
+  type EnginePlan,
+  isRepeatable,
+  originAt,
+  type ServerRecord,
+} from '../../core/gateway/index.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
 import {
@@ -52,7 +57,11 @@
     this.#exchange = exchange;
     this.#context = context;
     this.#planner = new ModelPlanner(exchange, context);
-    this.#relay = new StreamRelay(exchange, () => this.#way);
+    this.#relay = new StreamRelay(
+      exchange,
+      () => this.#way,
+      ({ server }) => exchange.fixStreamOrigin(originAt(server)),
+    );
     this.#isRepeatable = isRepeatable(exchange.options.route);
   }
 
@@ -81,7 +90,7 @@
     if (!this.#mayRunAgain() || this.#mustForward) return this.#giveUp();
     const plan = await this.#planWhenAdmitted();
     if (plan === 'no-room') return exchange.signal.aborted ? this.#endInterrupted() : 'done';
-    if (plan === undefined) return this.#giveUp();
+    if (plan === undefined) return this.#giveUpWithoutEngine();
     switch (plan.kind) {
       case 'direct':
         return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
@@ -99,6 +108,7 @@
       if (this.#exchange.signal.aborted) return 'no-room';
       const plan = await this.#admitPlan();
       if (plan !== undefined) return plan;
+      if (!this.#planner.mayWaitForPermit()) return undefined;
       if (!(await limits.waitForPermit(permitWaitRequestOf(this.#exchange)))) return undefined;
     }
   }
@@ -174,7 +184,7 @@
     const wanted = this.#planner.limitedRunChoice(source, 'any');
     if (wanted.length > 0) await limits.requestPermits(wanted);
     const server = this.#planner.decodeEngineAfter(source);
-    if (server !== undefined) return server;
+    if (server !== undefined || !this.#planner.mayWaitForPermit()) return server;
     const mayTry = await limits.waitForPermit(permitWaitRequestOf(this.#exchange));
     return mayTry ? this.#planner.decodeEngineAfter(source) : undefined;
   }
@@ -325,6 +335,15 @@
     return this.#context.forwarding.isNeeded(this.#exchange);
   }
 
+  /** No engine is left that may take the request. */
+  #giveUpWithoutEngine(): Promise<NextStep> {
+    const { streamOrigin } = this.#exchange;
+    if (streamOrigin !== undefined) {
+      this.#lastReason = `${this.#lastReason}; no engine of software version ${streamOrigin.softwareVersion} is left`;
+    }
+    return this.#giveUp();
+  }
+
   async #giveUp(): Promise<NextStep> {
     const exchange = this.#exchange;
     if (exchange.signal.aborted) return this.#endInterrupted();
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -14,6 +14,7 @@
   refusalOnArrival,
   type ServerRecord,
   type Spread,
+  serversForStream,
   sharedPart,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
@@ -72,8 +73,7 @@
   }
 
   #bestPlan(limits: PlanLimits): EnginePlan | undefined {
-    const { fleet } = this.#context;
-    return this.#planAmong(fleet.candidates(this.#service, this.#nowMs()), limits);
+    return this.#planAmong(this.#candidates(), limits);
   }
 
   #planAmong(engines: readonly ServerRecord[], { mayPrefill }: PlanLimits): EnginePlan | undefined {
@@ -87,12 +87,9 @@
    * now would expire during the prefill.
    */
   limitedChoice(limits: PlanLimits): readonly ServerRecord[] {
-    const { fleet } = this.#context;
-    const nowMs = this.#nowMs();
-    const atLimit = fleet.serversAtLimit(this.#service, nowMs);
+    const atLimit = this.#serversAtLimit();
     if (atLimit.length === 0) return [];
-    const candidates = fleet.candidatesWithLimited(this.#service, nowMs);
-    const plan = this.#planAmong(candidates, limits);
+    const plan = this.#planAmong(this.#candidatesWithLimited(), limits);
     if (plan === undefined) return [];
     const first = plan.kind === 'direct' ? plan.server : plan.prefill.server;
     const next = plan.kind === 'direct' ? [] : this.limitedRunChoice(first, 'no-other');
@@ -104,12 +101,10 @@
    * @param where 'no-other': only if no decode engine is usable without a permit
    */
   limitedRunChoice(source: ServerRecord, where: 'any' | 'no-other'): readonly ServerRecord[] {
-    const { fleet } = this.#context;
-    const nowMs = this.#nowMs();
-    const atLimit = fleet.serversAtLimit(this.#service, nowMs);
+    const atLimit = this.#serversAtLimit();
     if (atLimit.length === 0) return [];
     if (where === 'no-other' && this.decodeEngineAfter(source) !== undefined) return [];
-    const candidates = fleet.candidatesWithLimited(this.#service, nowMs);
+    const candidates = this.#candidatesWithLimited();
     const chosen = chooseDecodeEngine({ ...this.#choiceInput(), candidates }, source);
     return atLimit.filter(({ id }) => id === chosen?.id);
   }
@@ -119,6 +114,11 @@
     return chooseDecodeEngine(this.#choiceInput(), source);
   }
 
+  /** Whether a permit for an engine that generates would let the request go on. */
+  mayWaitForPermit(): boolean {
+    return this.#serversAtLimit().some(({ stage }) => stage !== 'prefill');
+  }
+
   /** Whether a stream that begins now is expected to be cut off by the stop of this daemon. */
   isCutByStop(): boolean {
     const { stopsAtMs, description } = this.#exchange.options;
@@ -171,6 +171,23 @@
     this.#speed.learnRun(description.maxOutputTokens, elapsedMs);
   }
 
+  /** The engines that may take the request now. */
+  #candidates(): readonly ServerRecord[] {
+    return this.#forStream(this.#context.fleet.candidates(this.#service, this.#nowMs()));
+  }
+
+  #candidatesWithLimited(): readonly ServerRecord[] {
+    return this.#forStream(this.#context.fleet.candidatesWithLimited(this.#service, this.#nowMs()));
+  }
+
+  #serversAtLimit(): readonly ServerRecord[] {
+    return this.#forStream(this.#context.fleet.serversAtLimit(this.#service, this.#nowMs()));
+  }
+
+  #forStream(engines: readonly ServerRecord[]): readonly ServerRecord[] {
+    return serversForStream(engines, this.#exchange.streamOrigin);
+  }
+
   get #service(): string {
     return this.#exchange.options.service;
   }
@@ -187,7 +204,7 @@
     if (traits !== undefined)
       speed.setInitialEstimate(traits.kvTokens / traits.slots, route.targetLatencyMs);
     return {
-      candidates: fleet.candidates(service, this.#nowMs()),
+      candidates: this.#candidates(),
       excludedIds: this.#exchange.triedServerIds,
       description,
       zone,
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -176,7 +176,12 @@
   isCloseDelimited: boolean,
 ): Promise<void> {
   const relay = new StreamRelay(exchange, () => 'forwarded');
-  const source = { answer, server: { id: peer.name }, isCloseDelimited, end: () => undefined };
+  const source = {
+    answer,
+    server: { id: peer.name, service: exchange.options.service },
+    isCloseDelimited,
+    end: () => undefined,
+  };
   switch (await relay.relay(source)) {
     case 'complete':
       return relay.complete(source);
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -15,7 +15,7 @@
 /** An answer whose body is relayed. */
 export interface RelaySource {
   readonly answer: BackendAnswer;
-  readonly server: Pick<ServerRecord, 'id' | 'softwareVersion'>;
+  readonly server: Pick<ServerRecord, 'id' | 'service' | 'softwareVersion'>;
   /** Whether only a close of the connection marked its end; by default as at `answer`. */
   readonly isCloseDelimited?: boolean;
   /** Called when the body has ended, with its outcome. */
@@ -28,11 +28,18 @@
   readonly #isResumable: boolean;
   readonly #splitter = new EventSplitter();
   readonly #way: () => string;
+  readonly #onFirstEvent: (source: RelaySource) => void;
   #bytesSent = 0;
 
-  constructor(exchange: Exchange, way: () => string) {
+  /** @param onFirstEvent called before the first bytes of the stream go to the caller */
+  constructor(
+    exchange: Exchange,
+    way: () => string,
+    onFirstEvent: (source: RelaySource) => void = () => undefined,
+  ) {
     this.#exchange = exchange;
     this.#way = way;
+    this.#onFirstEvent = onFirstEvent;
     this.#isResumable = exchange.options.route.resumable;
   }
 
@@ -99,6 +106,7 @@
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
     if (bytes.length === 0) return true;
+    if (!this.hasBegun) this.#onFirstEvent(source);
     this.#exchange.recordEventsFrom(source.server.softwareVersion ?? '');
     this.#bytesSent += bytes.length;
     return response.write(bytes);
