Hand KV memory over, and fetch it, only between engines of one software version

What two versions write does not fit together. Change: a decode engine continues a prompt only of its own version, a prefill engine is planned only where a decode engine of its version is a candidate, and a prefix is fetched within one version. Where the decode engine of a prefill has gone meanwhile, the request is planned anew instead of refused, as engines of another version may be left.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -22,6 +22,7 @@
 import type { ReadSpeed } from './read-speed.js';
 import type { EngineStage, ServerRecord } from './server-directory.js';
 import { drawSpread, type Spread, type SpreadWork, usefulSpread } from './spread-choice.js';
+import { isCompatible, softwareVersionOf } from './stream-origin.js';
 
 /**
  * The preferred engine of a shared prompt part that no engine has cached gets a bonus of this share of the
@@ -80,7 +81,10 @@
   readonly preferenceBonusMs: number;
 }
 
-/** The engines that can read the prompt; computed once for both urgencies. */
+/**
+ * The engines that can read the prompt; computed once for both urgencies. A prefill engine needs a decode engine of its
+ * software version.
+ */
 interface ReadOptions {
   readonly prefill: readonly ReadOption[];
   readonly decode: readonly ReadOption[];
@@ -148,12 +152,13 @@
   };
 }
 
-/** The decode engine that continues from a prompt read at `source`. */
+/** The decode engine that continues from a prompt read at `source`, of the same software version. */
 export function chooseDecodeEngine(
   input: EngineChoiceInput,
   source: ServerRecord,
 ): ServerRecord | undefined {
-  const estimates = enginesOf(input, 'decode').map((server) => {
+  const engines = enginesOf(input, 'decode').filter((server) => isCompatible(server, source));
+  const estimates = engines.map((server) => {
     const zoneCost = server.zone === source.zone ? 0 : OTHER_ZONE_COST_MS;
     const pace = paceAt(server, input);
     const runs = runsAt(server, input);
@@ -235,9 +240,11 @@
   const decode = readOptionsOfStage('decode', sources, input);
   const slotsMs = decode.map(({ slotMs }) => slotMs);
   const minSlotMs = slotsMs.length === 0 ? 0 : Math.min(...slotsMs);
+  const decodeVersions = new Set(decode.map(({ server }) => softwareVersionOf(server)));
+  const prefill = readOptionsOfStage('prefill', sources, input);
   return {
     decode,
-    prefill: readOptionsOfStage('prefill', sources, input),
+    prefill: prefill.filter(({ server }) => decodeVersions.has(softwareVersionOf(server))),
     handOverMs: input.speed.handOverMs + minSlotMs,
   };
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -160,6 +160,7 @@
   originAt,
   type StreamOrigin,
   serversForStream,
+  softwareVersionOf,
 } from './stream-origin.js';
 export { type AdvertisedSums, SumsAdvertiser } from './sums-advertiser.js';
 export { type Admission, TenantTable } from './tenants.js';
--- a/src/core/gateway/kv-sources.ts
+++ b/src/core/gateway/kv-sources.ts
@@ -2,6 +2,7 @@
 import type { EngineTraits } from './configuration.js';
 import type { EngineChoiceInput } from './engine-choice-input.js';
 import type { ServerRecord } from './server-directory.js';
+import { isCompatible, softwareVersionOf } from './stream-origin.js';
 
 /** Fewer tokens than this are not worth fetching from another engine. */
 const MIN_FETCHED_TOKENS = 1_024;
@@ -14,31 +15,41 @@
   readonly cachedTokens: number;
 }
 
-/** The two engines with the longest cached prefix: the first serves all others, the second serves the first. */
+/**
+ * The two engines of each software version with the longest cached prefix: the first serves all others of its version,
+ * the second serves the first.
+ */
 export function bestKvSources(input: EngineChoiceInput): readonly KvSource[] {
   const { prefixIndex, description, nowMs } = input;
-  let first: KvSource | undefined;
-  let second: KvSource | undefined;
+  const bestOfVersion = new Map<string, readonly KvSource[]>();
   for (const server of input.candidates) {
     const cachedTokens = prefixIndex.transferableTokens(server.id, description.promptParts, nowMs);
     if (cachedTokens < MIN_FETCHED_TOKENS || input.healthOf(server.id).isEjected(nowMs)) continue;
-    if (first === undefined || cachedTokens > first.cachedTokens) {
-      second = first;
-      first = { server, cachedTokens };
-    } else if (second === undefined || cachedTokens > second.cachedTokens) {
-      second = { server, cachedTokens };
-    }
+    const version = softwareVersionOf(server);
+    const best = bestOfVersion.get(version) ?? [];
+    bestOfVersion.set(version, bestTwo(best, { server, cachedTokens }));
   }
-  return [first, second].filter((kvSource) => kvSource !== undefined);
+  return [...bestOfVersion.values()].flat();
 }
 
-/** Another engine whose cached prefix is longer by enough to be worth a transfer. */
+/** @param best at most two, the longest first; an earlier one of equal length stays before a later one */
+function bestTwo(best: readonly KvSource[], added: KvSource): readonly KvSource[] {
+  const [first, second] = best;
+  if (first === undefined) return [added];
+  if (added.cachedTokens > first.cachedTokens) return [added, first];
+  if (second === undefined || added.cachedTokens > second.cachedTokens) return [first, added];
+  return best;
+}
+
+/** Another engine whose cached prefix is compatible, and longer by enough to be worth a transfer. */
 export function kvSourceFor(
   server: ServerRecord,
   cachedTokens: number,
   sources: readonly KvSource[],
 ): KvSource | undefined {
-  const kvSource = sources.find((candidate) => candidate.server.id !== server.id);
+  const kvSource = sources.find(
+    (candidate) => candidate.server.id !== server.id && isCompatible(candidate.server, server),
+  );
   if (kvSource === undefined || kvSource.cachedTokens - cachedTokens < MIN_FETCHED_TOKENS)
     return undefined;
   return kvSource;
--- a/src/core/gateway/stream-origin.ts
+++ b/src/core/gateway/stream-origin.ts
@@ -12,11 +12,8 @@
 }
 
 /** The origin of streams that begin at a server. */
-export function originAt({
-  service,
-  softwareVersion = '',
-}: Pick<ServerRecord, 'service' | 'softwareVersion'>): StreamOrigin {
-  return { service, softwareVersion };
+export function originAt(server: Pick<ServerRecord, 'service' | 'softwareVersion'>): StreamOrigin {
+  return { service: server.service, softwareVersion: softwareVersionOf(server) };
 }
 
 export function isSameOrigin(one: StreamOrigin, other: StreamOrigin): boolean {
@@ -25,7 +22,15 @@
 
 /** Whether what one server wrote, a stream or KV memory, can be continued by another. */
 export function isCompatible(one: ServerRecord, other: ServerRecord): boolean {
-  return isSameOrigin(originAt(one), originAt(other));
+  const isSameVersion = softwareVersionOf(one) === softwareVersionOf(other);
+  return isSameVersion && one.service === other.service;
+}
+
+/** The software version of a server; empty if its row states none. */
+export function softwareVersionOf({
+  softwareVersion = '',
+}: Pick<ServerRecord, 'softwareVersion'>): string {
+  return softwareVersion;
 }
 
 /** The servers at which a stream may go on; all of them if it has not begun. */
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -159,7 +159,13 @@
       return this.#endInterrupted();
     }
     const server = await this.#decodeEngineFor(source, permit);
-    if (server === undefined || this.#context.crashes.isQuarantined(this.#exchange)) {
+    if (server === undefined) {
+      this.#freeUnused(memory, plan);
+      this.#prefillFailed = true;
+      this.#way = 'direct';
+      return 'again';
+    }
+    if (this.#context.crashes.isQuarantined(this.#exchange)) {
       this.#freeUnused(memory, plan);
       return this.#giveUp();
     }
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -2,7 +2,7 @@
  * Relays a stream to its caller as it arrives, from one server after another where the stream may be resumed. The
  * response headers are sent with the first bytes of the body, so that a server that fails before can still be replaced.
  */
-import type { ServerRecord } from '../../core/gateway/index.js';
+import { type ServerRecord, softwareVersionOf } from '../../core/gateway/index.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
@@ -107,7 +107,7 @@
     }
     if (bytes.length === 0) return true;
     if (!this.hasBegun) this.#onFirstEvent(source);
-    this.#exchange.recordEventsFrom(source.server.softwareVersion ?? '');
+    this.#exchange.recordEventsFrom(softwareVersionOf(source.server));
     this.#bytesSent += bytes.length;
     return response.write(bytes);
   }
