Continue a stream that its caller takes up only at the software version that began it

Cause: a resumption was planned like a new request. The daemon that knew the version was the one that had died, and nothing had left it. The class: a decision that binds later requests is known only to the process that made it. Change: before the first event goes to its caller, its service and software version are sent to three daemons that any daemon computes from the id of the stream (rendezvous over the list of daemons, over zones); two confirmations, or 36 ms, then the event goes. A resumption asks these daemons, then all. What no daemon knows goes on only where all that answer have known one version for as long as any stream lives, and answers came from half of the zones; otherwise it is rejected at once. While that holds, no record is sent; as another version joins, the streams under way are recorded. A stream that goes on passes the admission of new ones, as few servers can take it. A row that states other software is another boot. Why it works: a record leaves its daemon before any caller can name the stream, and a missing one never becomes a guess.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -105,6 +105,13 @@
   type StageNeed,
   type StagePlanInput,
 } from './plan-stages.js';
+export {
+  type OriginView,
+  PossibleOrigins,
+  routeKeyOf,
+  soleOrigin,
+  streamLifeMs,
+} from './possible-origins.js';
 export { preferredEngineOf } from './preferred-engine.js';
 export { PrefixCacheIndex, type ReadNotice } from './prefix-cache-index.js';
 export { type PromptPriorityInput, promptPriority } from './prompt-priority.js';
@@ -113,12 +120,20 @@
 export { ReadSpeed } from './read-speed.js';
 export { RecentSends } from './recent-sends.js';
 export { type Recheck, RecheckSchedule } from './recheck-schedule.js';
+export { recordHolders } from './record-holders.js';
 export { rankByRendezvous } from './rendezvous.js';
 export {
   type RestoredReason,
   type RestoredServer,
   RestoredServers,
 } from './restored-servers.js';
+export {
+  decideUnrecorded,
+  type OriginSource,
+  type PeerView,
+  type ResumptionDecision,
+  type ResumptionRejection,
+} from './resumption.js';
 export { RetryBudget, type RetryBudgetCounts, type RetryBudgetOptions } from './retry-budget.js';
 export { RouteTable, TrafficSplitter } from './route-table.js';
 export { type MeteredSend, type SendEnd, SendMeter, type SendStep } from './send-meter.js';
@@ -155,13 +170,13 @@
 } from './stage-demand.js';
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
 export {
-  isCompatible,
-  isSameOrigin,
   originAt,
   type StreamOrigin,
+  type StreamServer,
   serversForStream,
   softwareVersionOf,
 } from './stream-origin.js';
+export { StreamOriginTable, type StreamRecord } from './stream-origin-table.js';
 export { type AdvertisedSums, SumsAdvertiser } from './sums-advertiser.js';
 export { type Admission, TenantTable } from './tenants.js';
 export { ADVERTISE_DELAY_MS, unseenWork } from './unseen-work.js';
--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -173,11 +173,11 @@
   return bornMs === undefined ? id : `${id}@${bornMs}`;
 }
 
-/** A record with another service or address is another server, even if neither record has a start time. */
+/** A record with another service, address or software is another server, even if neither record has a start time. */
 export function isSameBoot(one: ServerRecord, other: ServerRecord): boolean {
-  return (
-    one.bornMs === other.bornMs && one.address === other.address && one.service === other.service
-  );
+  const isSamePlace = one.address === other.address && one.service === other.service;
+  const isSameSoftware = one.softwareVersion === other.softwareVersion;
+  return isSamePlace && isSameSoftware && one.bornMs === other.bornMs;
 }
 
 function relationOf(
--- a/src/core/gateway/stream-origin.ts
+++ b/src/core/gateway/stream-origin.ts
@@ -4,6 +4,9 @@
  */
 import type { ServerRecord } from './server-directory.js';
 
+/** What of a server decides on its streams. */
+export type StreamServer = Pick<ServerRecord, 'id' | 'service' | 'softwareVersion'>;
+
 /** The service and software version that a stream began at. */
 export interface StreamOrigin {
   readonly service: string;
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -104,6 +104,22 @@
     remedy:
       'Check the network between this daemon and the servers; other daemons may still reach them. If all daemons log this, check the servers.',
   },
+  streamRecorded: {
+    number: 6067,
+    level: 'info',
+    message:
+      'the first event of a stream goes to its caller; its software version was sent to other daemons',
+    remedy:
+      'Nothing to do. Where `stored` is often below 2, those daemons do not answer, and a resumption may be rejected.',
+  },
+  streamResumption: {
+    number: 6068,
+    level: 'info',
+    message:
+      'a caller takes a stream up: whether it goes on, at which software version, and how that is known',
+    remedy:
+      'Nothing to do where it continues. Rejections for want of a known version are expected after many daemons died together.',
+  },
   requestForwarded: {
     number: 6058,
     level: 'info',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -20,6 +20,7 @@
 import type { LimitCoordinator } from './limit-coordinator.js';
 import type { AnswerMetadata, HandoverSource, RequestCodec } from './ports.js';
 import type { HeldBack, ServerCalls } from './server-calls.js';
+import type { StreamContinuity } from './stream-continuity.js';
 import type { WebWork } from './web-work.js';
 
 const NO_BUDGET_REASON = 'the retry budget is spent';
@@ -67,6 +68,8 @@
   readonly recordRunStart: (exchange: Exchange, agoMs: number) => void;
   /** Counts calls to web servers and takes in the load that they report. */
   readonly webWork: Pick<WebWork, 'recordCall' | 'loadsOf' | 'applyReportedLoad'>;
+  /** Keeps streams at the software version that they began at. */
+  readonly streams: Pick<StreamContinuity, 'recordFirstEvent' | 'decideResumption'>;
   /** The zone of this daemon. */
   readonly zone: string;
 }
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -13,6 +13,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import { runModelExchange } from './model-exchange.js';
 import type { RawHeaders } from './ports.js';
+import { refuseResumption } from './refuse-unavailable.js';
 import type { GatewayLog } from './request-log.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
 import type { TimerService } from './timer-service.js';
@@ -148,7 +149,11 @@
     if (description === undefined) {
       return this.#reject(request, response, 400, 'no attempt id', []);
     }
-    const service = this.#serviceOf(route, forwarded);
+    const resumption = await context.streams.decideResumption(description, route);
+    // The exchange would not notice a close from before it was there.
+    if (response.closed) return;
+    const resumedOrigin = resumption?.kind === 'continue' ? resumption.origin : undefined;
+    const service = resumedOrigin?.service ?? this.#serviceOf(route, forwarded);
     const exchange = new Exchange({
       request,
       response,
@@ -161,6 +166,7 @@
       body,
       arrivedAtMs,
       forwarded,
+      resumedOrigin,
       refusalHeaders: () =>
         forwarded !== undefined && paths.isLost(service) ? notTakenHeaders(CUT_OFF_REASON) : [],
       timers,
@@ -168,6 +174,7 @@
       metrics,
       stopsAtMs: () => this.#stopsAtMs,
     });
+    if (resumption?.kind === 'reject') return refuseResumption(exchange, resumption.reason);
     if (context.crashes.refuseIfQuarantined(exchange)) return;
     if (context.forwarding.isNeeded(exchange)) return context.forwarding.run(exchange, context);
     const hasEngines = inForce.configuration.services.get(service)?.engine !== undefined;
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -53,6 +53,8 @@
   readonly arrivedAtMs: number;
   /** Set for a request that another daemon has forwarded to this one. */
   readonly forwarded: ForwardedRequest | undefined;
+  /** Where the stream began that the caller takes up; undefined for a request that begins anew. */
+  readonly resumedOrigin?: StreamOrigin | undefined;
   /** Further headers of a refusal. */
   readonly refusalHeaders: () => RawHeaders;
   readonly timers: TimerService;
@@ -96,6 +98,7 @@
 
   constructor(options: ExchangeOptions) {
     this.options = options;
+    this.#streamOrigin = options.resumedOrigin;
     const { route, description, arrivedAtMs, timers, response } = options;
     const allowedMs = Math.min(route.timeoutMs, description.deadlineMs ?? route.timeoutMs);
     this.deadlineAtMs = arrivedAtMs + allowedMs;
@@ -172,7 +175,7 @@
     this.#sendRecords.push(send);
   }
 
-  /** Where the stream began; undefined until its first event goes to the caller. */
+  /** Where the stream began, in whichever attempt of its caller; undefined before its first event. */
   get streamOrigin(): StreamOrigin | undefined {
     return this.#streamOrigin;
   }
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -82,6 +82,8 @@
   readonly wallClock: WallClock;
   readonly log: GatewayLog;
   readonly applyLimits: (limits: CallerLimits) => void;
+  /** Called when a configuration has come into force. */
+  readonly onConfigurationChanged: () => void;
   /** Called when the list of servers has changed. */
   readonly onServersChanged: () => void;
 }
@@ -333,6 +335,7 @@
         return;
       case 'taken':
         applyLimits(configuration.limits);
+        this.#options.onConfigurationChanged();
         this.#newestPeerVersion.recordInForce(configuration.version);
         log.write(GATEWAY_EVENTS.configurationInForce, {
           ...fields,
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -11,6 +11,7 @@
 import type { LimitCoordinator } from './limit-coordinator.js';
 import type { GatewayLog } from './request-log.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
+import type { StreamContinuity } from './stream-continuity.js';
 import type { TimerService } from './timer-service.js';
 import type { WebWork } from './web-work.js';
 
@@ -34,6 +35,7 @@
   readonly limits: Pick<LimitCoordinator, 'grantedServers'>;
   readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
   readonly paths: Pick<ServicePathMonitor, 'lostCount'>;
+  readonly streams: Pick<StreamContinuity, 'recordCount'>;
   readonly duties: () => Pick<Duties, 'capacitySummaries'>;
   readonly webWork: Pick<WebWork, 'unreadableTotal'>;
   readonly timers: TimerService;
@@ -64,7 +66,7 @@
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
   const { fleet, follower, callers, connections, admission, limits, crashes, webWork } = sources;
-  const { paths, timers, log } = sources;
+  const { paths, streams, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -81,6 +83,11 @@
       help: 'Services from whose servers this daemon is cut off',
       read: () => paths.lostCount,
     },
+    {
+      name: 'stream_origins',
+      help: 'Streams whose software version this daemon knows, its own and those that it keeps for others',
+      read: () => streams.recordCount,
+    },
     {
       name: 'store_era',
       help: 'Era of the store: rises each time that it comes back from an older copy',
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -76,6 +76,18 @@
     labelNames: ['result'],
     registers: [this.#registry],
   });
+  readonly #resumptions = new Counter({
+    name: 'threadfork_gateway_stream_resumptions_total',
+    help: 'Streams that callers took up, by whether they go on, and how their software version is known or why they do not',
+    labelNames: ['outcome', 'why'],
+    registers: [this.#registry],
+  });
+  readonly #streamRecords = new Counter({
+    name: 'threadfork_gateway_stream_records_total',
+    help: 'Streams whose software version was sent to other daemons before their first event, by whether enough confirmed it',
+    labelNames: ['result'],
+    registers: [this.#registry],
+  });
   readonly #callsToLimited = new Counter({
     name: 'threadfork_gateway_calls_to_limited_total',
     help: 'Requests of callers sent to servers that name a limit of requests a second',
@@ -140,6 +152,16 @@
     this.#forwarded.inc({ result });
   }
 
+  /** Records a stream that its caller took up, and how its origin is known or why it is rejected. */
+  recordResumption(outcome: 'continue' | 'reject', why: string): void {
+    this.#resumptions.inc({ outcome, why });
+  }
+
+  /** Records a stream whose origin was sent to other daemons. */
+  recordStreamRecord(result: 'confirmed' | 'unconfirmed'): void {
+    this.#streamRecords.inc({ result });
+  }
+
   /** Records a caller's request that was sent to a server with a limit. */
   recordCallToLimited(): void {
     this.#callsToLimited.inc();
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -38,6 +38,7 @@
 import { ServicePathMonitor } from './service-path-monitor.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
+import { StreamContinuity } from './stream-continuity.js';
 import {
   delay,
   steadyWallClock,
@@ -102,6 +103,7 @@
   readonly #crashes: CrashGuard;
   readonly #webWork: WebWork;
   readonly #limits: LimitCoordinator;
+  readonly #streams: StreamContinuity;
   readonly #paths: ServicePathMonitor;
   readonly #comparison: PathComparison;
   readonly #forwardingListener: ForwardingListener;
@@ -153,6 +155,7 @@
     });
     this.#webWork = webWork;
     this.#limits = this.#createLimits();
+    this.#streams = this.#createStreams();
     this.#paths = new ServicePathMonitor({
       fleet: this.#fleet,
       connections: this.#connections,
@@ -196,6 +199,7 @@
         this.#peers?.advertiseReachability({ serverId, isReachable: true }),
       crashes: this.#crashes,
       webWork,
+      streams: this.#streams,
       recordRunStart: ({ options: { tenant } }, agoMs) =>
         this.#duties.recordRunStart(tenant, agoMs),
     };
@@ -238,7 +242,11 @@
       wallClock,
       log,
       applyLimits: (limits) => this.#callers.applyLimits(limits),
-      onServersChanged: () => this.#admission.wake(),
+      onConfigurationChanged: () => this.#streams.handleConfigurationChanged(),
+      onServersChanged: () => {
+        this.#streams.handleServersChanged();
+        this.#admission.wake();
+      },
     });
     this.#stages = new StageController({
       daemon: settings.name,
@@ -264,6 +272,7 @@
       limits: this.#limits,
       crashes: this.#crashes,
       paths: this.#paths,
+      streams: this.#streams,
       duties: () => this.#duties,
       webWork,
       timers,
@@ -337,6 +346,7 @@
     this.#duties.stop();
     this.#retryBudgets.stop();
     this.#limits.stop();
+    this.#streams.stop();
     this.#paths.stop();
     for (const server of this.#servers) {
       server.close();
@@ -370,6 +380,20 @@
     });
   }
 
+  #createStreams(): StreamContinuity {
+    const { settings, timers, log } = this.#options;
+    return new StreamContinuity({
+      daemon: settings.name,
+      zone: settings.zone,
+      fleet: this.#fleet,
+      roster: settings.listen.peers === undefined ? undefined : this.#roster,
+      send: (peers, message) => this.#peers?.sendMessage(peers, message),
+      timers,
+      log,
+      metrics: this.#metrics,
+    });
+  }
+
   #createCrashGuard(incarnation: number): CrashGuard {
     const { settings, adapter, timers, log } = this.#options;
     return new CrashGuard({
@@ -432,6 +456,7 @@
       handleCrashRecords: (records) => this.#crashes.applyPeerRecords(records),
       handleUsage: (message, reply) => this.#duties.handleUsage(message, reply),
       handleLimitMessage: (message, reply) => this.#limits.handleMessage(message, reply),
+      handleStreamMessage: (message, reply) => this.#streams.handleMessage(message, reply),
       applyCacheEvents: (events) => this.#fleet.applyCacheEvents(events, timers.nowMs()),
       loads: this.#fleet.peerLoads,
       paces: this.#fleet.paces,
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -3,12 +3,7 @@
  * that no engine decodes from is freed. A stream that breaks is resumed at another engine where its route allows it;
  * otherwise the caller's connection is closed, so that the stream does not look complete.
  */
-import {
-  type EnginePlan,
-  isRepeatable,
-  originAt,
-  type ServerRecord,
-} from '../../core/gateway/index.js';
+import { type EnginePlan, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
 import {
@@ -60,7 +55,7 @@
     this.#relay = new StreamRelay(
       exchange,
       () => this.#way,
-      ({ server }) => exchange.fixStreamOrigin(originAt(server)),
+      ({ server }) => context.streams.recordFirstEvent(exchange, server),
     );
     this.#isRepeatable = isRepeatable(exchange.options.route);
   }
@@ -121,7 +116,7 @@
     const exchange = this.#exchange;
     const { admission } = this.#context;
     const limits = this.#planLimits;
-    if (!admission.isOn || exchange.isAnswered) return this.#planWithoutWaiting(limits);
+    if (!admission.isOn || this.#mustGoOn) return this.#planWithoutWaiting(limits);
     const check = this.#planner.admissionCheck(limits);
     if (check === undefined) return undefined;
     const release = await admission.admit(exchange, check);
@@ -135,7 +130,7 @@
     const plan = this.#planner.plan(limits);
     if (plan === undefined) return undefined;
     const refusal = this.#planner.refusalOf(plan);
-    if (refusal === undefined || exchange.isAnswered) return plan;
+    if (refusal === undefined || this.#mustGoOn) return plan;
     exchange.refuse('no engine is expected to answer in time', refusal.retryAfterMs);
     return 'no-room';
   }
@@ -328,6 +323,11 @@
     return 'done';
   }
 
+  /** A stream that has begun is better continued late than not, and few servers can continue it. */
+  get #mustGoOn(): boolean {
+    return this.#exchange.isAnswered || this.#exchange.streamOrigin !== undefined;
+  }
+
   #mayRunAgain(): boolean {
     const exchange = this.#exchange;
     if (this.#context.crashes.isQuarantined(exchange)) return false;
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -43,6 +43,7 @@
 import type { TableService } from './ports.js';
 import { NO_NOTICES, type PeerNotices, RelayDuty, type RelayDutyOptions } from './relay-duty.js';
 import type { GatewayLog } from './request-log.js';
+import type { StreamMessage } from './stream-message-fields.js';
 import type { TableChanges } from './table-watcher.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
@@ -117,6 +118,8 @@
   readonly handleCrashRecords: (records: readonly CrashRecord[]) => void;
   /** Handles a message about servers that name a limit; `reply` answers its sender. */
   readonly handleLimitMessage: (message: LimitMessage, reply: Reply) => void;
+  /** Handles a message on where streams began; `reply` answers its sender. */
+  readonly handleStreamMessage: (message: StreamMessage, reply: Reply) => void;
   /** Applies cache events that another daemon forwarded. */
   readonly applyCacheEvents: (events: EngineCacheEvents) => void;
 }
@@ -393,6 +396,12 @@
       case 'limit-told':
         handleLimitMessage(message, (answer) => this.#reply(answer, sender));
         return;
+      case 'stream-records':
+      case 'stream-records-stored':
+      case 'stream-asked':
+      case 'stream-answered':
+        this.#options.handleStreamMessage(message, (answer) => this.#reply(answer, sender));
+        return;
       case 'crashes':
         handleCrashRecords(message.records);
         return;
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -34,6 +34,10 @@
   limitGrant: 14,
   limitTold: 15,
   serversWithVersions: 16,
+  streamRecords: 17,
+  streamRecordsStored: 18,
+  streamAsked: 19,
+  streamAnswered: 20,
 } as const;
 
 /** Engine by its short id, prompt part, its tokens, milliseconds until it is prefilled. */
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -58,6 +58,17 @@
   usageCountedSchema,
   usageReportedSchema,
 } from './peer-message-fields.js';
+import {
+  decodeStreamAnswered,
+  decodeStreamAsked,
+  decodeStreamRecords,
+  encodeStreamMessage,
+  type StreamMessage,
+  streamAnsweredSchema,
+  streamAskedSchema,
+  streamRecordsSchema,
+  streamRecordsStoredSchema,
+} from './stream-message-fields.js';
 import type { TableChanges } from './table-watcher.js';
 
 export type { EngineCacheEvents } from './peer-message-fields.js';
@@ -83,6 +94,10 @@
   [KINDS.limitAsk, permitRequestSchema],
   [KINDS.limitGrant, permitGrantSchema],
   [KINDS.limitTold, limitUpdateSchema],
+  [KINDS.streamRecords, streamRecordsSchema],
+  [KINDS.streamRecordsStored, streamRecordsStoredSchema],
+  [KINDS.streamAsked, streamAskedSchema],
+  [KINDS.streamAnswered, streamAnsweredSchema],
 ]);
 
 type MessageSchema =
@@ -98,6 +113,10 @@
   | typeof permitRequestSchema
   | typeof permitGrantSchema
   | typeof limitUpdateSchema
+  | typeof streamRecordsSchema
+  | typeof streamRecordsStoredSchema
+  | typeof streamAskedSchema
+  | typeof streamAnsweredSchema
   | typeof usageAskedSchema
   | typeof usageCountedSchema
   | typeof usageReportedSchema
@@ -122,6 +141,7 @@
 export type PeerMessage =
   | UsageMessage
   | LimitMessage
+  | StreamMessage
   | {
       readonly kind: 'report';
       readonly report: LoadReport;
@@ -205,6 +225,11 @@
     case 'limit-grant':
     case 'limit-told':
       return pack(encodeLimitMessage(message));
+    case 'stream-records':
+    case 'stream-records-stored':
+    case 'stream-asked':
+    case 'stream-answered':
+      return pack(encodeStreamMessage(message));
     case 'crashes':
       return pack([KINDS.crashes, message.records.map(encodeCrash)]);
     case 'usage-asked':
@@ -287,6 +312,14 @@
       return decodePermitGrant(fields);
     case KINDS.limitTold:
       return decodeLimitUpdate(fields);
+    case KINDS.streamRecords:
+      return decodeStreamRecords(fields);
+    case KINDS.streamRecordsStored:
+      return { kind: 'stream-records-stored', number: fields[1] };
+    case KINDS.streamAsked:
+      return decodeStreamAsked(fields);
+    case KINDS.streamAnswered:
+      return decodeStreamAnswered(fields);
     case KINDS.paces:
       return { kind: 'paces', message: decodePaces(fields) };
     case KINDS.crashes:
--- /dev/null
+++ b/src/shell/gateway/stream-lookup.ts
@@ -0,0 +1,126 @@
+/**
+ * Finds out where a stream began that its caller takes up: from this daemon's own records, from the daemons that keep the
+ * record of the stream, and from all others. A stream of unknown origin is not sent on at a guess.
+ */
+import {
+  decideUnrecorded,
+  type PeerDaemon,
+  type PeerView,
+  type PossibleOrigins,
+  type ResumptionDecision,
+  type Route,
+  routeKeyOf,
+  type StreamOrigin,
+  type StreamOriginTable,
+  streamLifeMs,
+} from '../../core/gateway/index.js';
+import { ByteBudget } from './byte-budget.js';
+import { PeerRequests } from './peer-requests.js';
+import type { StreamAnsweredMessage, StreamAskedMessage } from './stream-message-fields.js';
+import { peersHolding, type StreamPeers } from './stream-peers.js';
+
+/** Longer than a daemon needs that shares its core; a caller waits for it once or twice. */
+const TIMING = { resendAfterMs: 30, timeoutMs: 90 };
+/** Callers can name streams that never were, and each such request asks every daemon. */
+const ASK_ALL_BUDGET = { bytesPerSecond: 65_536, burstBytes: 262_144 };
+/** Approximate size of a question with its headers. */
+const QUESTION_BYTES = 150;
+
+/** Dependencies of a `StreamLookup`. */
+export interface StreamLookupOptions extends StreamPeers {
+  readonly records: StreamOriginTable;
+  readonly possibleOrigins: Pick<PossibleOrigins, 'viewOf'>;
+}
+
+/** What other daemons have answered. */
+interface Answers {
+  record: { readonly origin: StreamOrigin; readonly ageMs: number } | undefined;
+  readonly views: PeerView[];
+}
+
+/** Looks up the streams that callers take up at one daemon. */
+export class StreamLookup {
+  readonly #options: StreamLookupOptions;
+  readonly #requests: PeerRequests<StreamAskedMessage, StreamAnsweredMessage>;
+  readonly #askAllBudget: ByteBudget;
+
+  constructor(options: StreamLookupOptions) {
+    this.#options = options;
+    this.#requests = new PeerRequests({ ...options, timing: TIMING });
+    this.#askAllBudget = new ByteBudget(ASK_ALL_BUDGET, options.timers);
+  }
+
+  stop(): void {
+    this.#requests.stop();
+  }
+
+  handleAnswer(message: StreamAnsweredMessage): void {
+    this.#requests.handleAnswer(message.number, message);
+  }
+
+  /** @param streamKey empty for a stream that its caller does not name */
+  async find(streamKey: string, route: Route): Promise<ResumptionDecision> {
+    const { records, timers, roster } = this.#options;
+    const nowMs = timers.nowMs();
+    const own = records.get(streamKey, nowMs);
+    if (own !== undefined) {
+      const { origin, beganAtMs } = own;
+      return { kind: 'continue', origin, source: 'own record', ageMs: nowMs - beganAtMs };
+    }
+    const answers: Answers = { record: undefined, views: [] };
+    const peers = roster?.allPeers() ?? [];
+    const holders = peersHolding(streamKey, this.#options);
+    await this.#ask(holders, streamKey, route, answers);
+    const decision = this.#decide(streamKey, route, answers);
+    if (decision.kind === 'continue') return decision;
+    const others = peers.filter((peer) => !holders.includes(peer));
+    if (!this.#askAllBudget.tryTake(QUESTION_BYTES * others.length)) return decision;
+    await this.#ask(others, streamKey, route, answers);
+    return this.#decide(streamKey, route, answers);
+  }
+
+  /** Resolves once a daemon has answered with a record, or all have answered or timed out. */
+  #ask(
+    peers: readonly PeerDaemon[],
+    streamKey: string,
+    route: Route,
+    answers: Answers,
+  ): Promise<void> {
+    const question = {
+      kind: 'stream-asked',
+      streamId: streamKey,
+      routeKey: routeKeyOf(route),
+      lifeMs: streamLifeMs(route),
+    } as const;
+    return new Promise((resolve) => {
+      const asked = peers.map(async (peer) => {
+        const answer = await this.#requests.request(peer, (number) => ({ ...question, number }));
+        if (answer === undefined) return;
+        answers.views.push({ zone: answer.zone, view: answer.view });
+        answers.record ??= answer.record;
+        if (answer.record !== undefined) resolve();
+      });
+      void Promise.all(asked).then(() => resolve());
+    });
+  }
+
+  #decide(streamKey: string, route: Route, { record, views }: Answers): ResumptionDecision {
+    const { records, possibleOrigins, roster, zone, timers } = this.#options;
+    const nowMs = timers.nowMs();
+    const lifeMs = streamLifeMs(route);
+    if (record !== undefined) {
+      const { origin, ageMs } = record;
+      const times = { beganAtMs: nowMs - ageMs, endsAtMs: nowMs + lifeMs };
+      records.add({ streamId: streamKey, origin, ...times }, nowMs);
+      return { kind: 'continue', origin, source: 'record of a peer', ageMs };
+    }
+    const peers = roster?.allPeers() ?? [];
+    return decideUnrecorded({
+      ownView: possibleOrigins.viewOf(routeKeyOf(route), lifeMs, nowMs),
+      ownZone: zone,
+      answers: views,
+      zones: new Set([zone, ...peers.map((peer) => peer.zone)]),
+      hasPeers: roster !== undefined && (!roster.hasList || peers.length > 0),
+    });
+  }
+}
--- /dev/null
+++ b/src/shell/gateway/stream-recorder.ts
@@ -0,0 +1,175 @@
+/**
+ * Records where the streams of this daemon began, at daemons that any other one finds from the id of the stream. A caller
+ * may come back to another daemon as this one dies, so the record leaves before the first event goes to the caller. While
+ * all servers have had one version for longer than any stream lives, no record is needed and none is sent.
+ */
+import {
+  originAt,
+  type PeerDaemon,
+  type PossibleOrigins,
+  routeKeyOf,
+  StreamOriginTable,
+  type StreamRecord,
+  type StreamServer,
+  soleOrigin,
+  streamLifeMs,
+} from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { Exchange } from './exchange.js';
+import { getOrCreate } from './get-or-create.js';
+import { PeerRequests } from './peer-requests.js';
+
+import { streamIdOf, streamKeyOf } from './stream-key.js';
+import type { AgedStreamRecord, StreamRecordsMessage } from './stream-message-fields.js';
+import { peersHolding, type StreamPeers } from './stream-peers.js';
+
+/** An event waits at most this long for the confirmations: its caller may come back only if both daemons are lost. */
+const TIMING = { resendAfterMs: 12, timeoutMs: 36 };
+/** Confirmations to wait for, so that one of these daemons may be lost together with this one. */
+const CONFIRMATIONS = 2;
+/** Keeps a datagram within one packet. */
+const MAX_RECORDS_PER_MESSAGE = 10;
+
+/** Dependencies of a `StreamRecorder`. */
+export interface StreamRecorderOptions extends StreamPeers {
+  readonly records: StreamOriginTable;
+  readonly possibleOrigins: Pick<PossibleOrigins, 'viewOf'>;
+}
+
+/** A stream that has no record at other daemons. */
+interface UnsentRecord extends StreamRecord {
+  readonly routeKey: string;
+}
+
+/** Records the streams of one daemon. */
+export class StreamRecorder {
+  readonly #options: StreamRecorderOptions;
+  readonly #requests: PeerRequests<StreamRecordsMessage, true>;
+  #unsent = new StreamOriginTable<UnsentRecord>();
+
+  constructor(options: StreamRecorderOptions) {
+    this.#options = options;
+    this.#requests = new PeerRequests({ ...options, timing: TIMING });
+  }
+
+  stop(): void {
+    this.#requests.stop();
+  }
+
+  /**
+   * Records that the first event of a stream is about to go to its caller.
+   * @returns undefined where the event may go at once; otherwise resolves when it may
+   */
+  recordFirstEvent(exchange: Exchange, server: StreamServer): Promise<void> | undefined {
+    const isResumed = exchange.streamOrigin !== undefined;
+    exchange.fixStreamOrigin(originAt(server));
+    const { route } = exchange.options;
+    if (!route.resumable) return undefined;
+    const record = this.#recordOf(exchange, server);
+    const nowMs = this.#options.timers.nowMs();
+    this.#options.records.add(record, nowMs);
+    const unsent = { ...record, routeKey: routeKeyOf(route) };
+    if (!this.#needsRecord(unsent, nowMs)) {
+      this.#unsent.add(unsent, nowMs);
+      return undefined;
+    }
+    const holders = peersHolding(record.streamId, this.#options);
+    if (holders.length === 0) return undefined;
+    const stored = this.#store(exchange, server, record, holders);
+    // Other daemons know a stream that goes on already.
+    return isResumed ? undefined : stored;
+  }
+
+  /** Another version has joined: streams that needed no record may need one now. */
+  sendUnsent(): void {
+    const nowMs = this.#options.timers.nowMs();
+    const kept = new StreamOriginTable<UnsentRecord>();
+    const due: StreamRecord[] = [];
+    for (const record of this.#unsent.all(nowMs)) {
+      if (this.#needsRecord(record, nowMs)) due.push(record);
+      else kept.add(record, nowMs);
+    }
+    this.#unsent = kept;
+    this.#sendAll(due, nowMs);
+  }
+
+  /** Another daemon has stored the records of a message. */
+  handleStored(number: number): void {
+    this.#requests.handleAnswer(number, true);
+  }
+
+  #recordOf({ options }: Exchange, server: StreamServer): StreamRecord {
+    const { description, route, timers } = options;
+    const lifeMs = Math.max(streamLifeMs(route), description.deadlineMs ?? 0);
+    const streamId = streamKeyOf(streamIdOf(description));
+    const beganAtMs = timers.nowMs();
+    return { streamId, origin: originAt(server), beganAtMs, endsAtMs: beganAtMs + lifeMs };
+  }
+
+  #needsRecord({ routeKey, beganAtMs, endsAtMs }: UnsentRecord, nowMs: number): boolean {
+    const { possibleOrigins } = this.#options;
+    return soleOrigin(possibleOrigins.viewOf(routeKey, endsAtMs - beganAtMs, nowMs)) === undefined;
+  }
+
+  /** Sends a record; resolves once enough daemons have confirmed it, or after the time-out. */
+  async #store(
+    exchange: Exchange,
+    server: StreamServer,
+    record: StreamRecord,
+    holders: readonly PeerDaemon[],
+  ): Promise<void> {
+    const { timers, log, metrics } = this.#options;
+    const startedMs = timers.nowMs();
+    const records = [agedRecord(record, startedMs)];
+    const needed = Math.min(CONFIRMATIONS, holders.length);
+    let stored = 0;
+    await new Promise<void>((resolve) => {
+      const requests = holders.map(async (holder) => {
+        const isStored = await this.#send(holder, records);
+        if (isStored) stored += 1;
+        if (stored >= needed) resolve();
+      });
+      void Promise.all(requests).then(() => resolve());
+    });
+    metrics.recordStreamRecord(stored >= needed ? 'confirmed' : 'unconfirmed');
+    log.write(GATEWAY_EVENTS.streamRecorded, {
+      request: exchange.options.description.attemptId,
+      stream: streamIdOf(exchange.options.description),
+      server: server.id,
+      softwareVersion: record.origin.softwareVersion,
+      sentTo: holders.map(({ name }) => name).join(' '),
+      stored,
+      tookMs: Math.round(timers.nowMs() - startedMs),
+    });
+  }
+
+  #sendAll(records: readonly StreamRecord[], nowMs: number): void {
+    const recordsOf = new Map<string, AgedStreamRecord[]>();
+    const holders = new Map<string, PeerDaemon>();
+    for (const record of records) {
+      for (const holder of peersHolding(record.streamId, this.#options)) {
+        holders.set(holder.name, holder);
+        getOrCreate(recordsOf, holder.name, () => []).push(agedRecord(record, nowMs));
+      }
+    }
+    for (const [name, holder] of holders) {
+      const all = recordsOf.get(name) ?? [];
+      for (let first = 0; first < all.length; first += MAX_RECORDS_PER_MESSAGE) {
+        void this.#send(holder, all.slice(first, first + MAX_RECORDS_PER_MESSAGE));
+      }
+    }
+  }
+
+  #send(holder: PeerDaemon, records: readonly AgedStreamRecord[]): Promise<true | undefined> {
+    return this.#requests.request(holder, (number) => ({
+      kind: 'stream-records',
+      number,
+      records,
+    }));
+  }
+}
+
+function agedRecord(record: StreamRecord, nowMs: number): AgedStreamRecord {
+  const { streamId, origin, beganAtMs, endsAtMs } = record;
+  return { streamId, origin, ageMs: nowMs - beganAtMs, leftMs: endsAtMs - nowMs };
+}
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -2,7 +2,7 @@
  * Relays a stream to its caller as it arrives, from one server after another where the stream may be resumed. The
  * response headers are sent with the first bytes of the body, so that a server that fails before can still be replaced.
  */
-import { type ServerRecord, softwareVersionOf } from '../../core/gateway/index.js';
+import { type StreamServer, softwareVersionOf } from '../../core/gateway/index.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
@@ -15,27 +15,29 @@
 /** An answer whose body is relayed. */
 export interface RelaySource {
   readonly answer: BackendAnswer;
-  readonly server: Pick<ServerRecord, 'id' | 'service' | 'softwareVersion'>;
+  readonly server: StreamServer;
   /** Whether only a close of the connection marked its end; by default as at `answer`. */
   readonly isCloseDelimited?: boolean;
   /** Called when the body has ended, with its outcome. */
   readonly end: (outcome: AnswerOutcome) => void;
 }
 
+/** Called before the first bytes of a stream go to the caller; they wait for the promise, if there is one. */
+export type FirstEventHandler = (source: RelaySource) => Promise<void> | undefined;
+
 /** Relays the stream of one exchange. */
 export class StreamRelay {
   readonly #exchange: Exchange;
   readonly #isResumable: boolean;
   readonly #splitter = new EventSplitter();
   readonly #way: () => string;
-  readonly #onFirstEvent: (source: RelaySource) => void;
+  readonly #onFirstEvent: FirstEventHandler;
   #bytesSent = 0;
 
-  /** @param onFirstEvent called before the first bytes of the stream go to the caller */
   constructor(
     exchange: Exchange,
     way: () => string,
-    onFirstEvent: (source: RelaySource) => void = () => undefined,
+    onFirstEvent: FirstEventHandler = () => undefined,
   ) {
     this.#exchange = exchange;
     this.#way = way;
@@ -60,7 +62,11 @@
     const { response } = this.#exchange.options;
     this.#splitter.discardPartialEvent();
     return new Promise((resolve) => {
+      let isSettled = false;
+      /** Set while the first bytes wait. */
+      let firstEvent: Promise<void> | undefined;
       const settle = (result: RelayResult) => {
+        isSettled = true;
         this.#exchange.signal.removeEventListener('abort', interrupt);
         response.removeListener('drain', resumeSource);
         source.end(outcomeOf(result));
@@ -71,15 +77,30 @@
         settle('interrupted');
         answer.destroy();
       };
+      const forward = (bytes: Buffer) => {
+        if (!isSettled && !this.#write(source, bytes)) message.pause();
+      };
       if (this.#exchange.signal.aborted) return interrupt();
       this.#exchange.signal.addEventListener('abort', interrupt, { once: true });
       response.on('drain', resumeSource);
       message.on('data', (chunk: Buffer) => {
         const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
-        if (bytes.length > 0 && !this.#write(source, bytes)) message.pause();
+        if (bytes.length === 0) return;
+        const isReady = this.hasBegun ? undefined : this.#onFirstEvent(source);
+        if (isReady === undefined) return forward(bytes);
+        message.pause();
+        firstEvent = isReady.then(() => {
+          firstEvent = undefined;
+          message.resume();
+          forward(bytes);
+        });
       });
       message.once('end', () => settle(answer.isComplete ? 'complete' : 'broken'));
-      message.once('close', () => settle('broken'));
+      // An event whose origin is recorded goes to the caller also where its server has broken off meanwhile.
+      message.once('close', () => {
+        if (firstEvent === undefined) settle('broken');
+        else void firstEvent.then(() => settle('broken'));
+      });
     });
   }
 
@@ -106,7 +127,6 @@
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
     if (bytes.length === 0) return true;
-    if (!this.hasBegun) this.#onFirstEvent(source);
     this.#exchange.recordEventsFrom(softwareVersionOf(source.server));
     this.#bytesSent += bytes.length;
     return response.write(bytes);
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -307,6 +307,7 @@
     applyCacheEvents: informed.resolve,
     handleUsage: () => undefined,
     handleLimitMessage: () => undefined,
+    handleStreamMessage: () => undefined,
     handleCrashRecords: () => undefined,
     handleRead: noticed.resolve,
     loads: {
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -93,6 +93,7 @@
           this.lines.push({ event: event.message, ...fields }),
       } as never,
       applyLimits: () => undefined,
+      onConfigurationChanged: () => undefined,
       onServersChanged: () => undefined,
     });
   }
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -150,6 +150,7 @@
   await fleet.timers.advanceBy(LONGER_THAN_ANY_STREAM_MS);
   const port = await fleet.addDaemon();
   await fleet.untilKnown('a1');
+  await fleet.untilDaemonsKnow(1, 4);
   const answer = await fleet.call({ port, headers: { Resumes: 'old', 'Last-Event-Id': '2' } });
   assert.equal(answer.status, 200, answer.body);
 });
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -294,6 +294,7 @@
       wallClock: () => timers.nowMs(),
       log: { write: () => undefined } as never,
       applyLimits: ({ idleTimeoutMs }) => this.inForceMs.set(idleTimeoutMs, timers.nowMs()),
+      onConfigurationChanged: () => undefined,
       onServersChanged: () => undefined,
     });
   }
--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -24,7 +24,7 @@
 /** The events of a whole stream. */
 export const WHOLE_STREAM = 4;
 /** The events that a server sends before it breaks off. */
-export const EVENTS_BEFORE_BREAK = 2;
+const EVENTS_BEFORE_BREAK = 2;
 
 /** Within this time all daemons have read a change of the list. */
 const LIST_CHANGE_MS = 2_000;
@@ -54,10 +54,15 @@
     for (let index = 0; index < daemons; index += 1) await this.addDaemon();
     this.configure([RESUMABLE_ROUTE, READ_ROUTE]);
     await this.addEngines(versions, 'whole');
-    await this.timers.advanceUntil(() =>
-      this.linesOf(GATEWAY_EVENTS.fleetSizeChanged).some(
-        ({ fields }) => fields.daemons === daemons,
-      ),
+    await this.untilDaemonsKnow(daemons, daemons);
+  }
+
+  /** Until this many daemons list this many, themselves included. */
+  async untilDaemonsKnow(knowing: number, listed: number): Promise<void> {
+    const lines = () => this.linesOf(GATEWAY_EVENTS.fleetSizeChanged);
+    const informed = () => lines().filter(({ fields }) => fields.daemons === listed);
+    await this.timers.advanceUntil(
+      () => new Set(informed().map(({ daemon }) => daemon)).size >= knowing,
     );
   }
 
@@ -201,7 +206,7 @@
 }
 
 /** An engine whose events name its software version. */
-export function versionedEngine(version: string, beginning: Beginning): Script {
+function versionedEngine(version: string, beginning: Beginning): Script {
   return (served) => {
     const { seen, response } = served;
     if (seen.headers['x-stage'] === 'prefill') {
