Hold the end of a stream that arrives in one piece until its first event has gone

Cause: node's streams emit the end of an answer that has arrived completely also while they are paused, as the last chunk has been read; so the end came while the chunk waited for the confirmation of the record. Change: the end waits for the first event, as the close did.

--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -63,8 +63,12 @@
     this.#splitter.discardPartialEvent();
     return new Promise((resolve) => {
       let isSettled = false;
-      /** Set while the first bytes wait. */
+      /** Set while the first bytes wait; the end of an answer that has arrived completely does not wait by itself. */
       let firstEvent: Promise<void> | undefined;
+      const afterFirstEvent = (callback: () => void) => {
+        if (firstEvent === undefined) callback();
+        else void firstEvent.then(callback);
+      };
       const settle = (result: RelayResult) => {
         isSettled = true;
         this.#exchange.signal.removeEventListener('abort', interrupt);
@@ -95,12 +99,11 @@
           forward(bytes);
         });
       });
-      message.once('end', () => settle(answer.isComplete ? 'complete' : 'broken'));
+      message.once('end', () =>
+        afterFirstEvent(() => settle(answer.isComplete ? 'complete' : 'broken')),
+      );
       // An event whose origin is recorded goes to the caller also where its server has broken off meanwhile.
-      message.once('close', () => {
-        if (firstEvent === undefined) settle('broken');
-        else void firstEvent.then(() => settle('broken'));
-      });
+      message.once('close', () => afterFirstEvent(() => settle('broken')));
     });
   }
 
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { LONG_REQUEST } from './support/fixture.js';
+import { stamped } from './support/server-stand-in.js';
 import {
   eventsIn,
   type OpenStream,
@@ -54,6 +55,19 @@
   }
 });
 
+test('a stream that arrives in one piece reaches its caller whole while its version is recorded', async () => {
+  await fleet.start(3, THREE_OF_EACH);
+  const events = [1, 2, 3, 4].map((id) => `id: ${id}\ndata: v1\n\n`).join('');
+  for (const server of fleet.servers.values()) {
+    server.script = ({ seen, response }) => response.writeHead(200, stamped(seen)).end(events);
+  }
+  for (let sent = 0; sent < STREAMS; sent += 1) {
+    const answer = await fleet.call({ port: fleet.ports[sent % fleet.ports.length] });
+    assert.equal(answer.body, events);
+    assert.equal(answer.isComplete, true);
+  }
+});
+
 test('a stream whose version has no other server is cut off, not continued at a version that has joined', async () => {
   await fleet.start(1, { a1: 'v1' });
   fleet.setBeginning({ a1: 'v1' }, 'stays open');
