Resume a stream at a server of its version that has just begun to drain, rather than nowhere

What callers would see: as a release replaces the last servers of a version, its broken streams are rejected although these servers still accept work for the drain time. Cause: draining servers were left out for all requests alike; a new stream has servers of the other version instead. Change: where no other server of its version is left, a stream that has begun may go to one that this daemon saw begin to drain at most half of bounds.drainMs ago (a new setting, filled in by the platform's template; absent: never). Measured: the new case of test/gateway/stream-versions failed without the change (all rejected) and passes; 17 of 17. A second new case, streams that go on at a crowded server, passed before and guards.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -70,6 +70,8 @@
   readonly webWork: Pick<WebWork, 'recordCall' | 'loadsOf' | 'applyReportedLoad'>;
   /** Keeps streams at the software version that they began at. */
   readonly streams: Pick<StreamContinuity, 'recordFirstEvent' | 'decideResumption'>;
+  /** For how long after a server began to drain a stream that has begun may be resumed there. */
+  readonly resumeWhileDrainingMs: number;
   /** The zone of this daemon. */
   readonly zone: string;
 }
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -409,6 +409,7 @@
     const { added, changed, removed, restarted } = change;
     this.#options.restored.recordChange(change, this.#options.timers.nowMs());
     fleet.forgetEndedBoots(change);
+    fleet.recordDrains(change, this.#options.timers.nowMs());
     for (const server of removed) cacheEventWatchers.remove(server.id);
     for (const server of added) cacheEventWatchers.add(server);
     for (const server of restarted) cacheEventWatchers.restart(server);
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -81,6 +81,8 @@
   readonly #onBudgetCreated: (service: string, budget: RetryBudget) => void;
   readonly #size = new FleetSize();
   readonly #countsOverdue: boolean;
+  /** When this daemon learned that a listed server drains. */
+  readonly #drainingSinceMs = new Map<string, number>();
 
   /**
    * @param budgetOptions the bound on repeats, shared by all daemons
@@ -144,6 +146,27 @@
     for (const { id } of removed) this.permits.forget(id);
   }
 
+  /** Records which servers have begun to drain, and which do so no more. */
+  recordDrains({ changed, removed, restarted }: DirectoryChange, nowMs: number): void {
+    for (const { id } of [...removed, ...restarted]) this.#drainingSinceMs.delete(id);
+    for (const { id, state } of changed) {
+      if (state === 'ready') this.#drainingSinceMs.delete(id);
+      else if (!this.#drainingSinceMs.has(id)) this.#drainingSinceMs.set(id, nowMs);
+    }
+  }
+
+  /** Servers of a service that began to drain at most `maxAgeMs` ago, and may still be sent the rest of a stream. */
+  recentlyDraining(service: string, maxAgeMs: number, nowMs: number): readonly ServerRecord[] {
+    const draining: ServerRecord[] = [];
+    for (const [id, sinceMs] of this.#drainingSinceMs) {
+      const server = this.directory.get(id);
+      if (server?.service !== service || nowMs - sinceMs > maxAgeMs) continue;
+      const isOpen = this.availabilityOf(server, nowMs).kind === 'open';
+      if (isOpen && !this.isUnreachable(id, nowMs)) draining.push(server);
+    }
+    return draining;
+  }
+
   /** Servers of a service that may be sent new work. */
   candidates(service: string, nowMs: number): ServerRecord[] {
     return this.#usableOf(service, nowMs, ['open']);
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -67,6 +67,8 @@
     contactMs: spanMs,
     /** Time from the stop signal until the process is killed. */
     stopGraceSeconds: spanSeconds,
+    /** Time for which a server that drains still accepts work; absent where it accepts none. */
+    drainMs: z.optional(spanMs),
     /** Lease of the daemon that holds a duty or orders stage changes. */
     leaseMs: spanMs,
   }),
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -171,9 +171,16 @@
     this.#speed.learnRun(description.maxOutputTokens, elapsedMs);
   }
 
-  /** The engines that may take the request now. */
+  /** The engines that may take the request now; a stream that has begun goes on at a draining one rather than nowhere. */
   #candidates(): readonly ServerRecord[] {
-    return this.#forStream(this.#context.fleet.candidates(this.#service, this.#nowMs()));
+    const { fleet, resumeWhileDrainingMs } = this.#context;
+    const nowMs = this.#nowMs();
+    const candidates = this.#forStream(fleet.candidates(this.#service, nowMs));
+    const { streamOrigin, triedServerIds } = this.#exchange;
+    const isUsable = ({ id, stage }: ServerRecord) => stage === 'decode' && !triedServerIds.has(id);
+    if (streamOrigin === undefined || candidates.some(isUsable)) return candidates;
+    const draining = fleet.recentlyDraining(this.#service, resumeWhileDrainingMs, nowMs);
+    return [...candidates, ...this.#forStream(draining)];
   }
 
   #candidatesWithLimited(): readonly ServerRecord[] {
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -19,6 +19,8 @@
 const STREAMS = 24;
 /** No stream of the fixture's routes lives longer. */
 const LONGER_THAN_ANY_STREAM_MS = 30_000;
+/** Of the drain time in the fixture's settings. */
+const HALF_OF_DRAIN_MS = 1_000;
 /** What can't be served is rejected at once, well before any deadline. */
 const AT_ONCE_MS = 300;
 
@@ -137,6 +139,34 @@
   assert.ok(fleet.timers.nowMs() - startMs <= AT_ONCE_MS);
 });
 
+test('a stream goes on at a draining server of its version, but not after half of the drain time', async () => {
+  await fleet.start(2, THREE_OF_EACH);
+  fleet.setBeginning(THREE_OF_EACH, 'stays open');
+  const streams = await fleet.openStreams(STREAMS, fleet.ports[0]);
+  for (const { sent } of streams) sent.destroy();
+  const ofFirst = streams.filter(({ body }) => versionsIn(body)[0] === 'v1');
+  assert.ok(ofFirst.length > 1);
+  await fleet.drain({ a1: 'v1', a2: 'v1', a3: 'v1' });
+  const [early, ...others] = ofFirst;
+  await assertAllGoOn(early === undefined ? [] : [early], [fleet.ports[1]]);
+  await fleet.timers.advanceBy(HALF_OF_DRAIN_MS);
+  for (const stream of others) {
+    assert.equal((await fleet.resume(stream, fleet.ports[1])).status, 503);
+  }
+});
+
+test('a stream goes on at a crowded server of its version, whatever new streams may expect there', async () => {
+  await fleet.start(2, THREE_OF_EACH);
+  fleet.setBeginning(THREE_OF_EACH, 'stays open');
+  const streams = await fleet.openStreams(STREAMS, fleet.ports[0]);
+  for (const { sent } of streams) sent.destroy();
+  for (const id of ['a2', 'a3']) await fleet.remove(id);
+  const held = await fleet.openStreams(3 * STREAMS, fleet.ports[1]);
+  const ofFirst = streams.filter(({ body }) => versionsIn(body)[0] === 'v1');
+  await assertAllGoOn(ofFirst, [fleet.ports[1]]);
+  for (const { sent } of held) sent.destroy();
+});
+
 for (const [what, id] of [
   ['that no daemon knows', { Resumes: 'never-seen' }],
   ['that its caller does not name', {}],
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -212,7 +212,7 @@
         peers: hasPeers ? { host: '127.0.0.1', port: 0 } : undefined,
       },
       store: this.#storeAddress,
-      bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000 },
+      bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000, drainMs: 2_000 },
       retryBudget,
       logging: { maxLinesPerSecond: 10_000 },
       decisions,
--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -126,6 +126,22 @@
     await this.#untilLogged(GATEWAY_EVENTS.serverRemoved, id);
   }
 
+  /** Servers say in their rows that they drain; until all daemons have seen it. */
+  async drain(versions: Readonly<Record<string, string>>): Promise<void> {
+    const before = this.linesOf(GATEWAY_EVENTS.serverChanged).length;
+    const ids = Object.keys(versions);
+    for (const [id, version] of Object.entries(versions)) {
+      const server = this.servers.get(id);
+      if (server === undefined) throw new Error(`there is no server ${id}`);
+      const fields = { service: 'reader', stage: 'decode', version, state: 'draining' };
+      this.fixture.listServer(id, server, fields);
+    }
+    const expected = before + ids.length * (this.#daemons - this.#aborted.size);
+    await this.timers.advanceUntil(
+      () => this.linesOf(GATEWAY_EVENTS.serverChanged).length >= expected,
+    );
+  }
+
   /** A server's row states another software version. */
   async relist(id: string, version: string): Promise<void> {
     const server = this.servers.get(id);
