Let the soak release software versions and take broken streams up, and judge what goes on

Change: servers state a software version and write it into each event; the plan 'releases' replaces engines forward and back beside kills, stops, freezes, cuts, crashes and outages of the store; callers take broken streams up at any daemon, several times, naming the first attempt. Mutations: one-version, stream-records, unknown-versions. The text of 'whole-streams' follows the line that it replaces.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -6,8 +6,9 @@
 import type { GatewayProcess } from './gateway-process.js';
 import { WIRE } from './header-names.js';
 import type { CrashingWork } from './plan.js';
-import type { CallEnd, CallRecord, RequestClass } from './record.js';
+import type { CallEnd, CallRecord, RequestClass, ResumedStream } from './record.js';
 import { CRASHING_MARK } from './response-bodies.js';
+import { receivedEvents } from './stream-judge.js';
 
 /** Value of the `Host` header; all routes of a run match it. */
 export const HOST = 'soak.example';
@@ -21,6 +22,7 @@
 const RECONNECT_DELAY_MS = 100;
 /** Delay before the retry of a refused request whose response has no valid `Retry-After`. */
 const RETRY_AFTER_MS = 200;
+const RESUME_DELAY_MS = 20;
 const CONNECT_TIMEOUT_MS = 1_000;
 const EARLY_LEAVE_AFTER_MS = 40;
 /** Share of callers that leave early without any fault, so that abandoned requests also occur in calm times. */
@@ -46,6 +48,7 @@
   readonly requestsPerSecond: number;
   /** API keys of the callers with their tenants; the current configuration may lack some of them. */
   readonly keys: readonly { readonly key: string; readonly tenant: string }[];
+  readonly longStreamShare?: number | undefined;
   readonly random: () => number;
   readonly calls: Map<string, CallRecord>;
 }
@@ -54,7 +57,7 @@
 interface CallSpec
   extends Pick<
     CallRecord,
-    'requestClass' | 'apiKey' | 'tenant' | 'body' | 'outputTokens' | 'deadlineMs'
+    'requestClass' | 'apiKey' | 'tenant' | 'body' | 'outputTokens' | 'deadlineMs' | 'resumes'
   > {
   readonly isRetry: boolean;
 }
@@ -133,14 +136,15 @@
   }
 
   #sendOne(): void {
-    const { random, classes, keys } = this.#options;
+    const { random, classes, keys, longStreamShare = LONG_SHARE } = this.#options;
     const owner = keys[Math.floor(random() * keys.length)] ?? { key: '', tenant: '' };
     this.#send({
       requestClass: pickByShare(classes, random()),
       apiKey: owner.key,
       tenant: owner.tenant,
       body: BODY,
-      outputTokens: random() < LONG_SHARE ? LONG_TOKENS : 2 + Math.floor(random() * SHORT_TOKENS),
+      outputTokens:
+        random() < longStreamShare ? LONG_TOKENS : 2 + Math.floor(random() * SHORT_TOKENS),
       deadlineMs: performance.now() + DEADLINE_MS,
       isRetry: false,
     });
@@ -162,7 +166,11 @@
     };
     this.#options.calls.set(call.id, call);
     const leavesEarly = this.#options.random() < this.leavingShare;
-    const onEnd = (end: CallEnd) => this.#retry(spec, end);
+    const onEnd = (end: CallEnd) => {
+      const resumes = resumedStream(call, end);
+      if (resumes === undefined) this.#retry(spec, end);
+      else this.#takeUp({ ...spec, resumes, isRetry: false });
+    };
     sendCall({ call, daemon, agent: this.#agentOf(daemon), leavesEarly, onEnd });
   }
 
@@ -176,6 +184,15 @@
     }, afterMs);
   }
 
+  /** A caller takes a broken stream up again, at any daemon, until its deadline. */
+  #takeUp(spec: CallSpec): void {
+    const afterMs = RESUME_DELAY_MS;
+    if (performance.now() + afterMs > spec.deadlineMs) return;
+    setTimeout(() => {
+      if (this.#isSending) this.#send(spec);
+    }, afterMs);
+  }
+
   /** A random daemon if there is an idle connection to it; otherwise a random daemon that is ready. */
   #chooseDaemon(): CalledDaemon | undefined {
     const { daemons, random } = this.#options;
@@ -271,6 +288,20 @@
   request.end(call.body);
 }
 
+/** The stream that the caller of an answer takes up: one that broke off after an event. */
+function resumedStream(call: CallRecord, end: CallEnd): ResumedStream | undefined {
+  if (end.kind !== 'answered' || end.isComplete || end.status !== 200) return undefined;
+  if (call.requestClass.kind !== 'streaming') return undefined;
+  const received = receivedEvents(end.body);
+  if (received === undefined) return call.resumes;
+  const [softwareVersion = ''] = received.softwareVersions;
+  return {
+    streamId: call.resumes?.streamId ?? call.id,
+    lastEventId: received.lastEventId,
+    softwareVersion: call.resumes?.softwareVersion ?? softwareVersion,
+  };
+}
+
 function headersOf(call: CallRecord): http.OutgoingHttpHeaders {
   const shared = Number(call.id.slice(1)) % SHARED_PARTS;
   return {
@@ -282,9 +313,15 @@
     'Api-Key': call.apiKey,
     'X-Tenant': 'forged',
     'Content-Length': String(Buffer.byteLength(call.body)),
+    ...resumptionHeaders(call.resumes),
   };
 }
 
+function resumptionHeaders(resumes: ResumedStream | undefined): http.OutgoingHttpHeaders {
+  if (resumes === undefined) return {};
+  return { [WIRE.resumes]: resumes.streamId, [WIRE.lastEventId]: String(resumes.lastEventId) };
+}
+
 function collectAnswer(message: IncomingMessage, end: (how: CallEnd) => void): void {
   const chunks: Buffer[] = [];
   const stamp = message.headers[WIRE.stamp];
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -142,6 +142,8 @@
         return;
       case 'drain':
         return this.#drain(this.#serversAt([fault.server])[0], fault.listedAfterMs);
+      case 'release':
+        return this.#release(fault);
       case 'link':
         return this.#disturbLinks(fault);
       case 'cut':
@@ -379,6 +381,19 @@
     this.#listStarted(listed);
   }
 
+  async #release({
+    servers,
+    softwareVersion,
+    gapMs,
+  }: Extract<Fault, { kind: 'release' }>): Promise<void> {
+    for (const listed of this.#serversAt(servers)) {
+      if (this.#isEnded) return;
+      listed.server.install(softwareVersion);
+      void this.#drain(listed, 0);
+      await pause(gapMs);
+    }
+  }
+
   async #cut({ daemons, how, forMs }: Extract<Fault, { kind: 'cut' }>): Promise<void> {
     const { daemonLinks } = this.#world;
     const names = new Set(this.#daemonsAt(daemons).map(({ name }) => name));
--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -137,6 +137,7 @@
     `  contactMs: ${bounds.contactMs}`,
     `  stopGraceSeconds: ${bounds.graceMs / 1_000}`,
     `  leaseMs: ${LEASE_MS}`,
+    `  drainMs: ${bounds.drainMs}`,
     'retryBudget:',
     `  ratio: ${bounds.budgetRatio}`,
     `  slack: ${bounds.budgetSlack}`,
--- a/soak/header-names.ts
+++ b/soak/header-names.ts
@@ -14,5 +14,6 @@
   stage: SENT_HEADERS.stage.toLowerCase(),
   kvSource: SENT_HEADERS.kvSource.toLowerCase(),
   tenant: SENT_HEADERS.tenant.toLowerCase(),
+  resumes: HEADERS.resumes,
   lastEventId: SENT_HEADERS.lastEventId.toLowerCase(),
 } as const;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,6 +14,7 @@
   type SoakPlan,
   type SoakSize,
 } from './plan.js';
+import { planReleases } from './release-plan.js';
 import { runSoak, type SoakPrograms, type SoakResult } from './run.js';
 
 const EXIT_BROKEN = 1;
@@ -58,7 +59,7 @@
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
-    description: 'mixed, herd, outages, copies, cuts or upgrade',
+    description: 'mixed, herd, outages, copies, cuts, upgrade or releases',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -93,11 +94,12 @@
       copies: planCopies,
       cuts: planCuts,
       upgrade: planUpgrade,
+      releases: planReleases,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
       throw new Error(
-        `--plan: found ${this.plan}; give mixed, herd, outages, copies, cuts or upgrade`,
+        `--plan: found ${this.plan}; give mixed, herd, outages, copies, cuts, upgrade or releases`,
       );
     return {
       firstSeed: wholeNumber('--seed', this.seed),
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -8,7 +8,7 @@
 import type { AcceptMonitor } from './accept-monitor.js';
 import { WIRE } from './header-names.js';
 import type { ServerFault } from './plan.js';
-import type { Arrival, OrderRecord } from './record.js';
+import type { Arrival, OrderRecord, ServingSpan } from './record.js';
 import { readBody } from './request-body.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS, eventText } from './response-bodies.js';
 
@@ -64,6 +64,8 @@
   readonly service: string;
   /** Undefined for a web server. */
   readonly stage: Stage | undefined;
+  /** The version of its software, until a start changes it. */
+  readonly softwareVersion: string;
   /** Maximum number of concurrent requests. */
   readonly slots: number;
   /** Ratio of its processing time to the typical time. */
@@ -98,8 +100,12 @@
   readonly #options: ModelServerOptions;
   #server: http.Server | undefined;
   #port = 0;
+  #servesFromMs = 0;
+  readonly #endedSpans: ServingSpan[] = [];
   #id = '';
   #bornMs = 0;
+  #softwareVersion: string;
+  #nextSoftwareVersion: string;
   /** KV handles of the current boot; a crash removes them. */
   readonly #ownHandles = new Set<string>();
   #stage: Stage | undefined;
@@ -117,6 +123,8 @@
   constructor(options: ModelServerOptions) {
     this.#options = options;
     this.#stage = options.stage;
+    this.#softwareVersion = options.softwareVersion;
+    this.#nextSoftwareVersion = options.softwareVersion;
   }
 
   get id(): string {
@@ -136,6 +144,15 @@
     return this.#bornMs;
   }
 
+  get softwareVersion(): string {
+    return this.#softwareVersion;
+  }
+
+  /** Installs another software version, which the next start runs. */
+  install(softwareVersion: string): void {
+    this.#nextSoftwareVersion = softwareVersion;
+  }
+
   get slots(): number {
     return this.#options.slots;
   }
@@ -153,6 +170,7 @@
       instances += 1;
       this.#id = `${this.#options.service}-${instances}`;
     }
+    this.#softwareVersion = this.#nextSoftwareVersion;
     this.#bornMs = Math.max(this.#bornMs + 1, Date.now());
     this.#orders = 0;
     this.isLeaving = false;
@@ -166,17 +184,32 @@
     const { port } = await openListener(server, { address: '127.0.0.1', port: this.#port });
     this.#port = port;
     this.#server = server;
+    this.#servesFromMs = performance.now();
   }
 
   /** Stops at once and closes all open connections. */
   crash(): void {
-    if (this.#server !== undefined) void closeListener(this.#server);
+    if (this.#server !== undefined) {
+      this.#endedSpans.push(this.#servingSpan(performance.now()));
+      void closeListener(this.#server);
+    }
     this.#server = undefined;
     this.#running = 0;
     for (const handle of this.#ownHandles) this.#options.handles.delete(handle);
     this.#ownHandles.clear();
   }
 
+  /** The times in which it served, over all boots. */
+  get servingSpans(): readonly ServingSpan[] {
+    const current = this.isUp ? [this.#servingSpan(Number.POSITIVE_INFINITY)] : [];
+    return [...this.#endedSpans, ...current];
+  }
+
+  #servingSpan(toMs: number): ServingSpan {
+    const fromMs = this.#servesFromMs;
+    return { serverId: this.#id, softwareVersion: this.#softwareVersion, fromMs, toMs };
+  }
+
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const atMs = performance.now();
     const acceptWaitMs = this.#options.accepts.takeWaitMs(request.socket);
@@ -416,7 +449,7 @@
         response.end();
         return;
       }
-      response.write(eventText(id, next, events));
+      response.write(eventText(id, next, events, this.#softwareVersion));
       next += 1;
       setTimeout(sendNext, EVENT_GAP_MS);
     };
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -61,8 +61,30 @@
     name: 'whole-streams',
     promise: 'ORDER',
     file: 'src/shell/gateway/stream-relay.ts',
-    text: "message.once('close', () => settle('broken'));",
-    replacement: "message.once('close', () => settle('complete'));",
+    text: "message.once('close', () => afterFirstEvent(() => settle('broken')));",
+    replacement: "message.once('close', () => afterFirstEvent(() => settle('complete')));",
+  },
+  {
+    name: 'one-version',
+    promise: 'ORDER',
+    file: 'src/core/gateway/stream-origin.ts',
+    text: 'if (origin === undefined) return servers;',
+    replacement: 'if (origin === undefined || servers.length > 0) return servers;',
+  },
+  {
+    name: 'stream-records',
+    promise: 'LOST',
+    file: 'src/shell/gateway/stream-recorder.ts',
+    text: 'if (holders.length === 0) return undefined;',
+    replacement: 'if (holders.length >= 0) return undefined;',
+  },
+  {
+    name: 'unknown-versions',
+    promise: 'ORDER',
+    file: 'src/core/gateway/resumption.ts',
+    text: 'const origin = ownView.origins.length === 1 ? ownView.origins[0] : undefined;',
+    replacement:
+      'const origin = ownView.origins[0]; if (origin) return { kind: "continue", origin, source: "only version", ageMs: undefined };',
   },
   {
     name: 'leaving-servers',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -7,7 +7,8 @@
 import { unservedCuts } from './cut-off-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
 import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
-import { CRASHING_MARK, completeBody, EVENT_GAP_MS, eventText } from './response-bodies.js';
+import { CRASHING_MARK, completeBody, EVENT_GAP_MS } from './response-bodies.js';
+import { hasAllEvents, resumptionFaults, versionFaults } from './stream-judge.js';
 
 /** The promises; docs/SOAK.md describes each in a sentence. */
 export type PromiseName =
@@ -65,6 +66,7 @@
     ...run.unasked.map((detail): Violation => ({ promise: 'UNASKED', atMs: 0, detail })),
     ...calls.flatMap((call) => judgeCall(call, run)),
     ...judgeLost(calls, run),
+    ...judgeStreams(calls, run),
     ...judgeLeavingAnswers(calls, run),
     ...judgeBackOffs(calls, run),
     ...judgeLimits(calls, run),
@@ -151,11 +153,7 @@
     if (end.body !== completeBody(call.id, end.stamp)) addViolation('MIXED', 'not the whole body');
     return;
   }
-  let expected = '';
-  for (let event = 1; event <= call.outputTokens; event += 1) {
-    expected += eventText(call.id, event, call.outputTokens);
-  }
-  if (end.body !== expected)
+  if (!hasAllEvents(call, end.body))
     addViolation('ORDER', 'a stream that ended as whole lacks or repeats pieces');
 }
 
@@ -306,6 +304,18 @@
   );
 }
 
+function judgeStreams(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const isCalm = ({ daemon, sentMs, endedMs = sentMs }: CallRecord) =>
+    isInTouch(run, daemon, sentMs, endedMs);
+  return [
+    ...versionFaults(calls).map((fault) => ({ promise: 'ORDER' as const, ...fault })),
+    ...resumptionFaults(calls, run, isCalm).map((fault) => ({
+      promise: 'LOST' as const,
+      ...fault,
+    })),
+  ];
+}
+
 function judgeLost(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const lost = calls.filter((call) => isLost(call, run));
   if (lost.length <= LOST_MAX) return [];
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -134,6 +134,13 @@
       /** Time during which only its responses report that it leaves; then its entry does as well. */
       readonly listedAfterMs: number;
     }
+  /** The servers leave one after another, and return with another software version. */
+  | {
+      readonly kind: 'release';
+      readonly servers: readonly number[];
+      readonly softwareVersion: string;
+      readonly gapMs: number;
+    }
   | {
       readonly kind: 'link';
       readonly how: LinkFault;
@@ -191,13 +198,15 @@
   readonly servers: ServerTraits;
   readonly faults: readonly TimedFault[];
   readonly crashing: readonly CrashingWork[];
+  /** The share of streams that last over a second; undefined for the usual one. */
+  readonly longStreamShare?: number;
 }
 
 /** Slots of engines, and of web servers in plans without a shortage of slots. */
 export const DEFAULT_SLOTS = 24;
-const FIRST_FAULT_MS = 2_000;
+export const FIRST_FAULT_MS = 2_000;
 /** No fault is planned in the last part of a run, so that the fleet must have recovered at its end. */
-const CALM_END_MS = 8_000;
+export const CALM_END_MS = 8_000;
 const MAX_GAP_MS = 2_400;
 /**
  * After this long with faults, faults pause: promises that hold only without disturbances need calm times to be
@@ -255,7 +264,7 @@
 const SERIES_GAP_MS = 300;
 
 /** Random draws from a seed. */
-class SeededRandom {
+export class SeededRandom {
   readonly #generator: RandomGenerator;
 
   constructor(seed: number) {
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -62,6 +62,24 @@
   stamp: string | undefined;
 }
 
+/** A stream that a caller takes up. */
+export interface ResumedStream {
+  /** The attempt that brought its first event. */
+  readonly streamId: string;
+  readonly lastEventId: number;
+  /** Of its first event. */
+  readonly softwareVersion: string;
+}
+
+/** The time in which one boot of an engine served. */
+export interface ServingSpan {
+  readonly serverId: string;
+  readonly softwareVersion: string;
+  readonly fromMs: number;
+  /** Infinite while it still serves. */
+  readonly toMs: number;
+}
+
 /** One attempt of a caller, and the arrivals that it caused at servers. */
 export interface CallRecord {
   readonly id: string;
@@ -73,6 +91,8 @@
   readonly apiKey: string;
   readonly body: string;
   readonly outputTokens: number;
+  /** Undefined for a request that begins anew. */
+  readonly resumes?: ResumedStream | undefined;
   /** Whether the caller has sent the same request before. */
   readonly isRetry: boolean;
   readonly sentMs: number;
@@ -174,6 +194,7 @@
   readonly orders: readonly OrderRecord[];
   readonly duties: readonly DutyRecord[];
   readonly cuts: readonly CutRecord[];
+  readonly serving: readonly ServingSpan[];
   readonly bounds: SoakBounds;
   readonly endMs: number;
 }
--- a/soak/response-bodies.ts
+++ b/soak/response-bodies.ts
@@ -14,7 +14,15 @@
   return `${id} ${stamp} ${'.'.repeat(200)}`;
 }
 
-/** One event of a stream. */
-export function eventText(id: string, event: number, events: number): string {
-  return `id: ${event}\ndata: ${id} ${event}/${events}\n\n`;
+/** The software version of servers in plans without releases. */
+export const FIRST_SOFTWARE_VERSION = 'v1';
+
+/** One event of a stream, which names the software version of the server that wrote it. */
+export function eventText(
+  id: string,
+  event: number,
+  events: number,
+  softwareVersion = FIRST_SOFTWARE_VERSION,
+): string {
+  return `id: ${event}\ndata: ${id} ${event}/${events} ${softwareVersion}\n\n`;
 }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -133,6 +133,7 @@
       classes: CLASSES,
       requestsPerSecond: plan.size.requestsPerSecond,
       keys: CALLER_KEYS,
+      longStreamShare: plan.longStreamShare,
       random,
       calls: this.#calls,
     });
@@ -202,6 +203,7 @@
       drains: this.#faults.drains,
       limits: this.#faults.limits,
       cuts: this.#faults.cuts,
+      serving: this.#pool.servingSpans,
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -10,6 +10,8 @@
 import { ModelServer, type ServerObserver, type Stage } from './model-server.js';
 import { DEFAULT_SLOTS, type ServerTraits } from './plan.js';
 import type { PlatformStore } from './platform-store.js';
+import type { ServingSpan } from './record.js';
+import { FIRST_SOFTWARE_VERSION } from './response-bodies.js';
 
 export const ZONES = ['a', 'b', 'c'] as const;
 /** Every third engine is a prefill engine. */
@@ -100,10 +102,17 @@
       state: isDraining ? 'draining' : 'ready',
       sequence: 1,
       born: server.bornMs,
+      version: server.softwareVersion,
       ...(server.stage === undefined ? {} : { stage: server.stage }),
     });
   }
 
+  /** The times in which engines served. */
+  get servingSpans(): readonly ServingSpan[] {
+    const engines = this.servers.filter(({ server }) => server.stage !== undefined);
+    return engines.flatMap(({ server }) => server.servingSpans);
+  }
+
   /** Writes rows that no server writes: malformed entries, and an entry of an unknown service. */
   listStrays(): void {
     for (const [index, value] of STRAY_ROWS.entries()) {
@@ -151,7 +160,8 @@
     const onStageChange = () => this.list(pooled);
     const pace = traits.paces[this.servers.length] ?? 1;
     const slots = stage === undefined ? traits.webSlots : DEFAULT_SLOTS;
-    const made = { service, stage, slots, pace };
+    const softwareVersion = FIRST_SOFTWARE_VERSION;
+    const made = { service, stage, softwareVersion, slots, pace };
     const server = new ModelServer({ ...made, handles, random, observer, accepts, onStageChange });
     const link = new LinkProxy(() => server.port, accepts);
     const zone = ZONES[this.servers.length % ZONES.length] ?? ZONES[0];
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -114,6 +114,7 @@
     calls: new Map(calls.map((made, index) => [`${index}`, made])),
     unasked: [],
     disturbances: [],
+    serving: [],
     configurations: [FIRST],
     probes: [],
     drains: [],
