Explain in threadfork trace where a stream began, and what became of the attempts that took it up

Change: events 6067 and 6068 become sentences, and the lines of later attempts that name the traced one are read as well, so the trace answers why a stream did not go on, or went on where it did. Measured: test/gateway/explain-request 7 of 7.

--- a/src/core/gateway/explain-request.ts
+++ b/src/core/gateway/explain-request.ts
@@ -44,6 +44,8 @@
   waited: GATEWAY_EVENTS.requestWaited.number,
   turnedAway: GATEWAY_EVENTS.requestTurnedAway.number,
   dropped: GATEWAY_EVENTS.linesDropped.number,
+  streamRecorded: GATEWAY_EVENTS.streamRecorded.number,
+  streamResumption: GATEWAY_EVENTS.streamResumption.number,
 } as const;
 
 /** Events of a daemon that affect all its requests. */
@@ -64,6 +66,7 @@
 /** Whether a line may be needed to explain a request; all others can be discarded. */
 export function mayExplain(line: LogLine, requestId: string): boolean {
   if (line.fields.request === requestId || DAEMON_EVENTS.has(line.event)) return true;
+  if (line.fields.stream === requestId) return true;
   return line.fields.server !== undefined && line.event !== NUMBERS.planChosen;
 }
 
@@ -77,6 +80,8 @@
   const context = contextOf(ordered, ownLines, requestId);
   const sentences = [
     ...endSentences(ownLines),
+    ...streamSentences(ownLines),
+    ...resumptionSentences(ordered, requestId),
     ...admissionSentences(ownLines),
     ...planSentences(ownLines),
     ...attemptSentences(ownLines),
@@ -149,6 +154,38 @@
   ];
 }
 
+/** Where the stream of the request began, and whether this attempt took one up. */
+function streamSentences(ownLines: readonly LogLine[]): readonly string[] {
+  return ownLines.flatMap(({ event, fields }) => {
+    switch (event) {
+      case NUMBERS.streamRecorded:
+        return [
+          `Its first event came from software version ${fields.softwareVersion} (${fields.server}); ${fields.stored} of ${fields.sentTo} confirmed that within ${fields.tookMs} ms.`,
+        ];
+      case NUMBERS.streamResumption:
+        return [resumptionSentence(fields, `It takes up the stream ${fields.stream}`)];
+      default:
+        return [];
+    }
+  });
+}
+
+/** The later attempts of the caller that take up the stream of this one. */
+function resumptionSentences(lines: readonly LogLine[], requestId: string): readonly string[] {
+  return lines
+    .filter(({ event, fields }) => {
+      return event === NUMBERS.streamResumption && fields.stream === requestId;
+    })
+    .map(({ fields, source }) =>
+      resumptionSentence(fields, `Its stream was taken up by ${fields.request} at ${source}`),
+    );
+}
+
+function resumptionSentence(fields: LogFields, what: string): string {
+  if (fields.outcome === 'reject') return `${what}: rejected, as ${fields.reason}.`;
+  return `${what}: goes on at software version ${fields.softwareVersion}, by ${fields.source}.`;
+}
+
 function admissionSentences(ownLines: readonly LogLine[]): readonly string[] {
   return ownLines.flatMap(({ event, fields }) => {
     const age = `by load reports ${fields.sumsAgeMs ?? '?'} ms old`;
--- a/test/gateway/explain-request.test.ts
+++ b/test/gateway/explain-request.test.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { explainRequest, type LogLine } from '../../src/core/gateway/index.js';
+import { explainRequest, type LogLine, mayExplain } from '../../src/core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
 import { runThreadfork } from '../cli/harness.js';
@@ -124,3 +124,37 @@
   assert.equal(missing.code, 2);
   assert.match(missing.stderr, /name the logs of the gateways/);
 });
+
+test('the explanation of a stream tells where it began, and what became of the attempts that took it up', () => {
+  const recorded = line(GATEWAY_EVENTS.streamRecorded, 1_000, {
+    request: ID,
+    stream: ID,
+    server: 's1',
+    softwareVersion: 'v2',
+    sentTo: 'd2 d3',
+    stored: 2,
+    tookMs: 3,
+  });
+  const resumption = { request: 'later', stream: ID, tookMs: 2 };
+  const goesOn = line(GATEWAY_EVENTS.streamResumption, 1_400, {
+    ...resumption,
+    outcome: 'continue',
+    softwareVersion: 'v2',
+    source: 'record of a peer',
+  });
+  const rejected = line(GATEWAY_EVENTS.streamResumption, 1_900, {
+    ...resumption,
+    request: 'last',
+    outcome: 'reject',
+    reason: 'its software version is not known',
+  });
+  assert.ok([recorded, goesOn, rejected].every((logged) => mayExplain(logged, ID)));
+  assert.deepEqual(explainRequest([recorded, goesOn, rejected], ID).sentences.slice(1), [
+    'Its first event came from software version v2 (s1); 2 of d2 d3 confirmed that within 3 ms.',
+    'Its stream was taken up by later at a: goes on at software version v2, by record of a peer.',
+    'Its stream was taken up by last at a: rejected, as its software version is not known.',
+  ]);
+  assert.deepEqual(explainRequest([goesOn], 'later').sentences.slice(1), [
+    `It takes up the stream ${ID}: goes on at software version v2, by record of a peer.`,
+  ]);
+});
