Test resumptions at a daemon that is cut off from the servers, and at one that hears of no other

Two more cases of test/gateway/stream-versions: a resumption forwarded by a cut-off daemon goes on at its version; a daemon whose peers do not answer takes no stream up at a guess, and its Retry-After is under a second.

--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -4,7 +4,9 @@
  */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { LONG_REQUEST } from './support/fixture.js';
+import { ServerLinks } from './support/server-links.js';
 import { stamped } from './support/server-stand-in.js';
 import {
   eventsIn,
@@ -181,6 +183,33 @@
   });
 }
 
+test('a stream goes on at its version where the daemon that its caller comes to is cut off from the servers', async () => {
+  const links = new ServerLinks();
+  try {
+    await fleet.start(3, THREE_OF_EACH, links);
+    fleet.setBeginning(THREE_OF_EACH, 'stays open');
+    const streams = await fleet.openStreams(STREAMS, fleet.ports[1]);
+    for (const { sent } of streams) sent.destroy();
+    links.cut('all connections are reset');
+    while (fleet.linesOf(GATEWAY_EVENTS.pathLost).length === 0) await fleet.call({});
+    await assertAllGoOn(streams, [fleet.ports[0]]);
+  } finally {
+    links.stop();
+  }
+});
+
+test('a daemon that hears of no other one takes no stream up at a guess, and sends its caller elsewhere', async () => {
+  await fleet.start(3, { a1: 'v1', a2: 'v1' });
+  await fleet.timers.advanceBy(LONGER_THAN_ANY_STREAM_MS);
+  fleet.abortDaemon(1);
+  fleet.abortDaemon(2);
+  const startMs = fleet.timers.nowMs();
+  const answer = await fleet.call({ headers: { Resumes: 'old', 'Last-Event-Id': '2' } });
+  assert.equal(answer.status, 503, answer.body);
+  assert.ok(Number(answer.headers['retry-after']) < 1);
+  assert.ok(fleet.timers.nowMs() - startMs <= AT_ONCE_MS);
+});
+
 test('a stream that no daemon knows goes on where one version has served for longer than any stream lives', async () => {
   await fleet.start(3, { a1: 'v1', a2: 'v1' });
   await fleet.timers.advanceBy(LONGER_THAN_ANY_STREAM_MS);
--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -13,6 +13,7 @@
   SHORT_REQUEST,
 } from './fixture.js';
 import { ManualTimers } from './manual-timers.js';
+import type { ServerLinks } from './server-links.js';
 import {
   attemptIdOf,
   rejectingAsNotExecuted,
@@ -49,9 +50,18 @@
   #configurationVersion = 0;
   #streams = 0;
 
-  /** @param versions the software version of each engine, by its id */
-  async start(daemons: number, versions: Readonly<Record<string, string>>): Promise<void> {
-    for (let index = 0; index < daemons; index += 1) await this.addDaemon();
+  /**
+   * @param versions the software version of each engine, by its id
+   * @param linksOfFirst the paths of the first daemon to the servers
+   */
+  async start(
+    daemons: number,
+    versions: Readonly<Record<string, string>>,
+    linksOfFirst?: ServerLinks,
+  ): Promise<void> {
+    for (let index = 0; index < daemons; index += 1) {
+      await this.addDaemon(index === 0 ? linksOfFirst : undefined);
+    }
     this.configure([RESUMABLE_ROUTE, READ_ROUTE]);
     await this.addEngines(versions, 'whole');
     await this.untilDaemonsKnow(daemons, daemons);
@@ -66,11 +76,12 @@
     );
   }
 
-  async addDaemon(): Promise<number> {
+  /** @param links its paths to the servers; by default it reaches them directly */
+  async addDaemon(links?: ServerLinks): Promise<number> {
     this.#daemons += 1;
     const name = `front-${this.#daemons}`;
     let port: number | undefined;
-    void this.fixture.addDaemon(name, this.timers).then((opened) => {
+    void this.fixture.addDaemon(name, this.timers, links).then((opened) => {
       port = opened;
     });
     await this.timers.advanceUntil(() => port !== undefined);
