Group engines by software version only where there are several

Change: the versions of the candidates are counted first; with one, sources and prefills are found as before.

--- a/src/core/gateway/choose-engine.ts
+++ b/src/core/gateway/choose-engine.ts
@@ -22,7 +22,7 @@
 import type { ReadSpeed } from './read-speed.js';
 import type { EngineStage, ServerRecord } from './server-directory.js';
 import { drawSpread, type Spread, type SpreadWork, usefulSpread } from './spread-choice.js';
-import { isCompatible, softwareVersionOf } from './stream-origin.js';
+import { isCompatible, softwareVersionOf, softwareVersionsOf } from './stream-origin.js';
 
 /**
  * The preferred engine of a shared prompt part that no engine has cached gets a bonus of this share of the
@@ -240,15 +240,24 @@
   const decode = readOptionsOfStage('decode', sources, input);
   const slotsMs = decode.map(({ slotMs }) => slotMs);
   const minSlotMs = slotsMs.length === 0 ? 0 : Math.min(...slotsMs);
-  const decodeVersions = new Set(decode.map(({ server }) => softwareVersionOf(server)));
   const prefill = readOptionsOfStage('prefill', sources, input);
   return {
     decode,
-    prefill: prefill.filter(({ server }) => decodeVersions.has(softwareVersionOf(server))),
+    prefill:
+      softwareVersionsOf(input.candidates).size <= 1 ? prefill : continuable(prefill, decode),
     handOverMs: input.speed.handOverMs + minSlotMs,
   };
 }
 
+/** The prefills that a decode engine of their software version can continue. */
+function continuable(
+  prefill: readonly ReadOption[],
+  decode: readonly ReadOption[],
+): readonly ReadOption[] {
+  const versions = softwareVersionsOf(decode.map(({ server }) => server));
+  return prefill.filter(({ server }) => versions.has(softwareVersionOf(server)));
+}
+
 function readOptionsOfStage(
   stage: EngineStage,
   sources: readonly KvSource[],
--- a/src/core/gateway/kv-sources.ts
+++ b/src/core/gateway/kv-sources.ts
@@ -2,7 +2,7 @@
 import type { EngineTraits } from './configuration.js';
 import type { EngineChoiceInput } from './engine-choice-input.js';
 import type { ServerRecord } from './server-directory.js';
-import { isCompatible, softwareVersionOf } from './stream-origin.js';
+import { isCompatible, softwareVersionOf, softwareVersionsOf } from './stream-origin.js';
 
 /** Fewer tokens than this are not worth fetching from another engine. */
 const MIN_FETCHED_TOKENS = 1_024;
@@ -15,30 +15,34 @@
   readonly cachedTokens: number;
 }
 
-/**
- * The two engines of each software version with the longest cached prefix: the first serves all others of its version,
- * the second serves the first.
- */
+/** For each software version of the candidates, the two engines with the longest cached prefix. */
 export function bestKvSources(input: EngineChoiceInput): readonly KvSource[] {
-  const { prefixIndex, description, nowMs } = input;
-  const bestOfVersion = new Map<string, readonly KvSource[]>();
-  for (const server of input.candidates) {
-    const cachedTokens = prefixIndex.transferableTokens(server.id, description.promptParts, nowMs);
-    if (cachedTokens < MIN_FETCHED_TOKENS || input.healthOf(server.id).isEjected(nowMs)) continue;
-    const version = softwareVersionOf(server);
-    const best = bestOfVersion.get(version) ?? [];
-    bestOfVersion.set(version, bestTwo(best, { server, cachedTokens }));
-  }
-  return [...bestOfVersion.values()].flat();
+  const versions = softwareVersionsOf(input.candidates);
+  if (versions.size <= 1) return bestTwoOf(input.candidates, input);
+  return [...versions].flatMap((version) => {
+    const ofVersion = input.candidates.filter((server) => softwareVersionOf(server) === version);
+    return bestTwoOf(ofVersion, input);
+  });
 }
 
-/** @param best at most two, the longest first; an earlier one of equal length stays before a later one */
-function bestTwo(best: readonly KvSource[], added: KvSource): readonly KvSource[] {
-  const [first, second] = best;
-  if (first === undefined) return [added];
-  if (added.cachedTokens > first.cachedTokens) return [added, first];
-  if (second === undefined || added.cachedTokens > second.cachedTokens) return [first, added];
-  return best;
+/** The two engines with the longest cached prefix: the first serves all others, the second serves the first. */
+function bestTwoOf(
+  engines: readonly ServerRecord[],
+  { prefixIndex, description, nowMs, healthOf }: EngineChoiceInput,
+): readonly KvSource[] {
+  let first: KvSource | undefined;
+  let second: KvSource | undefined;
+  for (const server of engines) {
+    const cachedTokens = prefixIndex.transferableTokens(server.id, description.promptParts, nowMs);
+    if (cachedTokens < MIN_FETCHED_TOKENS || healthOf(server.id).isEjected(nowMs)) continue;
+    if (first === undefined || cachedTokens > first.cachedTokens) {
+      second = first;
+      first = { server, cachedTokens };
+    } else if (second === undefined || cachedTokens > second.cachedTokens) {
+      second = { server, cachedTokens };
+    }
+  }
+  return [first, second].filter((kvSource) => kvSource !== undefined);
 }
 
 /** Another engine whose cached prefix is compatible, and longer by enough to be worth a transfer. */
--- a/src/core/gateway/stream-origin.ts
+++ b/src/core/gateway/stream-origin.ts
@@ -23,17 +23,25 @@
   return one.service === other.service && one.softwareVersion === other.softwareVersion;
 }
 
-/** Whether what one server wrote, a stream or KV memory, can be continued by another. */
+/** Whether the KV memory of one server can be used by another of its service. */
 export function isCompatible(one: ServerRecord, other: ServerRecord): boolean {
-  const isSameVersion = softwareVersionOf(one) === softwareVersionOf(other);
-  return isSameVersion && one.service === other.service;
+  return softwareVersionOf(one) === softwareVersionOf(other);
+}
+
+export function softwareVersionsOf(servers: readonly ServerRecord[]): ReadonlySet<string> {
+  const versions = new Set<string>();
+  let previous: string | undefined;
+  for (const server of servers) {
+    const version = softwareVersionOf(server);
+    if (version !== previous) versions.add(version);
+    previous = version;
+  }
+  return versions;
 }
 
 /** The software version of a server; empty if its row states none. */
-export function softwareVersionOf({
-  softwareVersion = '',
-}: Pick<ServerRecord, 'softwareVersion'>): string {
-  return softwareVersion;
+export function softwareVersionOf(server: Pick<ServerRecord, 'softwareVersion'>): string {
+  return server.softwareVersion ?? '';
 }
 
 /** The servers at which a stream may go on; all of them if it has not begun. */
