Excuse, in the soak, a request that waited at a frozen daemon for its forwarding

Traced: r1633 came to daemon-b-1, which was cut off, and was forwarded to daemon-b-7, which was frozen until 20.0 s; it read the request as it woke and ended it 6 ms later, when it read the close. Only machines in touch are bound, from the moment at which the close reaches them. The judge knew only the daemon that the caller had called. Change: such an arrival is excused where its daemon was cut off, some daemon was frozen as the caller left, and it arrived within 0.5 s of that one running again; each of the three is needed (test/soak/oracle).

--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -424,9 +424,33 @@
   return arrivals
     .map((arrival) => ({ arrival, afterMs: arrival.atMs - endedMs }))
     .filter(({ afterMs }) => afterMs > GONE_SLACK_MS)
+    .filter(({ arrival }) => !mayHaveLainFrozen(call, arrival, run))
     .map((late) => ({ id, ...late, isHeldUp: isHeldUp(late.arrival, endedMs) }));
 }
 
+/**
+ * Whether a request may have waited at a frozen daemon: a daemon that is cut off forwards requests, and a frozen one reads
+ * the close of their connections only once it runs again.
+ */
+function mayHaveLainFrozen(
+  { daemon, sentMs, endedMs = sentMs }: CallRecord,
+  { atMs }: Arrival,
+  { cuts, disturbances }: RunRecord,
+): boolean {
+  const isCutOff = cuts.some(
+    (cut) => cut.daemons.has(daemon) && cut.fromMs <= endedMs && cut.toMs >= sentMs,
+  );
+  const isFrozen = disturbances.some(
+    ({ scope, fromMs, toMs }) => scope === 'frozen' && fromMs <= endedMs && toMs >= endedMs,
+  );
+  const lastThawMs = Math.max(
+    ...disturbances
+      .filter(({ scope, toMs }) => scope === 'frozen' && toMs <= atMs)
+      .map(({ toMs }) => toMs),
+  );
+  return isCutOff && isFrozen && atMs - lastThawMs <= GONE_SLACK_MS;
+}
+
 /** Whether a request arrived late after the end of its call only because its connection waited to be accepted. */
 function isHeldUp({ atMs, acceptWaitMs }: Arrival, endedMs: number): boolean {
   const afterMs = atMs - endedMs;
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -601,3 +601,27 @@
   assert.equal(isGone('silent', 29_000), true, 'the cut began before');
   assert.equal(isGone('refuse', 30_200), true, 'open connections live on');
 });
+
+test('GONE: a request that a cut-off daemon forwarded to a frozen one arrives when that one runs again', () => {
+  const ENDED_MS = 30_030;
+  const THAWED_MS = 33_000;
+  const late = (atMs: number) =>
+    Array.from({ length: 6 }, (_, index) =>
+      call({
+        id: `r${index}`,
+        end: { kind: 'left', isEarly: true },
+        arrivals: [arrival({ atMs })],
+      }),
+    );
+  const frozen = { scope: 'frozen', name: 'd2', fromMs: 29_000, toMs: THAWED_MS } as const;
+  const disturbances = [{ ...frozen, isPlanned: false }];
+  const cut = { how: 'refuse', daemons: new Set(['d1']), fromMs: 29_000, toMs: 34_000 } as const;
+  const cuts = [cut];
+  const isBroken = (atMs: number, fields: Partial<RunRecord>) =>
+    broken(run(late(atMs), fields)).includes('GONE');
+  assert.equal(isBroken(THAWED_MS + 100, { disturbances, cuts }), false);
+  assert.equal(isBroken(THAWED_MS + 100, { disturbances }), true);
+  assert.equal(isBroken(THAWED_MS + 100, { cuts }), true);
+  assert.equal(isBroken(THAWED_MS + 600, { disturbances, cuts }), true);
+  assert.equal(isBroken(ENDED_MS + 600, { disturbances, cuts }), true);
+});
