--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -15,7 +15,7 @@
 import { ManualTimers } from './manual-timers.js';
 import type { ServerLinks } from './server-links.js';
 import {
-  attemptIdOf,
+  engine,
   rejectingAsNotExecuted,
   type Script,
   type ServerStandIn,
@@ -236,15 +236,8 @@
 function versionedEngine(version: string, beginning: Beginning): Script {
   return (served) => {
     const { seen, response } = served;
-    if (seen.headers['x-stage'] === 'prefill') {
-      const body = JSON.stringify({ kvHandle: 'handle-1', tokens: 10, version: 1 });
-      response.writeHead(200, attemptIdOf(seen)).end(body);
-      return;
-    }
-    if (seen.method === 'DELETE') {
-      response.writeHead(200).end();
-      return;
-    }
+    const isStream = seen.headers['x-stage'] !== 'prefill' && seen.method !== 'DELETE';
+    if (!isStream) return engine(WHOLE_STREAM)(served);
     const lastEventId = seen.headers['last-event-id'];
     if (beginning === 'rejects resumptions' && lastEventId !== undefined)
       return rejectingAsNotExecuted(served);
