--- a/src/shell/gateway/stream-recorder.ts
+++ b/src/shell/gateway/stream-recorder.ts
@@ -23,7 +23,7 @@
 import type { AgedStreamRecord, StreamRecordsMessage } from './stream-message-fields.js';
 import { peersHolding, type StreamPeers } from './stream-peers.js';
 
-/** An event waits at most this long for the confirmations: its caller may come back only if both daemons are lost. */
+/** An event waits at most this long; after it, the stream may be rejected where its daemon dies, but never guessed. */
 const TIMING = { resendAfterMs: 12, timeoutMs: 36 };
 /** Confirmations to wait for, so that one of these daemons may be lost together with this one. */
 const CONFIRMATIONS = 2;
@@ -36,7 +36,7 @@
   readonly possibleOrigins: Pick<PossibleOrigins, 'viewOf'>;
 }
 
-/** A stream that has no record at other daemons. */
+/** The record of a stream that needed none at other daemons as it began. */
 interface UnsentRecord extends StreamRecord {
   readonly routeKey: string;
 }
