--- a/test/gateway/request-forwarding.test.ts
+++ b/test/gateway/request-forwarding.test.ts
@@ -36,6 +36,8 @@
 const FINDS_OUT = '/tiles/finds-out/';
 /** Callers that have left cause no work at a server beyond this. */
 const GONE_MS = 500;
+/** After this time nothing is sent to a server that has said that it leaves. */
+const DRAIN_MS = 2_000;
 
 let fixture: GatewayFixture;
 let timers: ManualTimers;
@@ -288,3 +290,23 @@
   assert.equal((await call({ path: '/tiles/1' })).status, 200);
   assert.equal(linesOf(GATEWAY_EVENTS.requestForwarded).length, before);
 });
+
+test('a daemon that has passed on the answer of a leaving server while it was cut off sends nothing there later', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  for (const viewer of viewers) {
+    viewer.script = ({ seen, response }) =>
+      response.writeHead(200, { ...stamped(seen), 'Server-Leaving': '1' }).end('served');
+  }
+  const answer = await call({ path: '/tiles/1' });
+  assert.equal(answer.headers['server-leaving'], '1');
+  const leaving = viewers.find(({ seen }) => seen.some(({ url }) => url === '/tiles/1'));
+  await linkOf(0).restore();
+  await timers.advanceUntil(() => linesOf(GATEWAY_EVENTS.pathRegained).length > 0);
+  await timers.advanceBy(DRAIN_MS);
+  const before = leaving?.seen.length;
+  for (let sent = 0; sent < 6; sent += 1) {
+    await call({ path: '/tiles/1', headers: { 'X-Attempt-Id': `later-${sent}` } });
+  }
+  assert.equal(leaving?.seen.length, before);
+});
