--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -218,6 +218,16 @@
   assert.deepEqual(versionsIn(answer.body), ['v1']);
 });
 
+test('streams of a fleet of one version cost no messages between daemons', async () => {
+  await fleet.start(3, { a1: 'v1', a2: 'v1' });
+  await fleet.timers.advanceBy(LONGER_THAN_ANY_STREAM_MS);
+  for (let sent = 0; sent < STREAMS; sent += 1) await fleet.call({});
+  assert.equal(fleet.linesOf(GATEWAY_EVENTS.streamRecorded).length, 0);
+  await fleet.addEngines({ b1: 'v2' }, 'whole');
+  await fleet.call({});
+  await fleet.timers.advanceUntil(() => fleet.linesOf(GATEWAY_EVENTS.streamRecorded).length === 1);
+});
+
 test('a daemon that has just started goes on with a stream where its peers have long known one version', async () => {
   await fleet.start(3, { a1: 'v1', a2: 'v1' });
   await fleet.timers.advanceBy(LONGER_THAN_ANY_STREAM_MS);
