Name the soak's excuse and the resumption of a caller in the field's terms

Read as a newcomer: 'lain frozen' and 'take up' became waiting at a frozen daemon and resuming a stream. No behaviour changes. Measured: test/soak oracle, callers and stream-judge 38 of 38; npm run check passes.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -169,7 +169,7 @@
     const onEnd = (end: CallEnd) => {
       const resumes = resumedStream(call, end);
       if (resumes === undefined) this.#retry(spec, end);
-      else this.#takeUp({ ...spec, resumes, isRetry: false });
+      else this.#resumeStream({ ...spec, resumes, isRetry: false });
     };
     sendCall({ call, daemon, agent: this.#agentOf(daemon), leavesEarly, onEnd });
   }
@@ -185,7 +185,7 @@
   }
 
   /** A caller takes a broken stream up again, at any daemon, until its deadline. */
-  #takeUp(spec: CallSpec): void {
+  #resumeStream(spec: CallSpec): void {
     const afterMs = RESUME_DELAY_MS;
     if (performance.now() + afterMs > spec.deadlineMs) return;
     setTimeout(() => {
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -424,7 +424,7 @@
   return arrivals
     .map((arrival) => ({ arrival, afterMs: arrival.atMs - endedMs }))
     .filter(({ afterMs }) => afterMs > GONE_SLACK_MS)
-    .filter(({ arrival }) => !mayHaveLainFrozen(call, arrival, run))
+    .filter(({ arrival }) => !mayHaveWaitedAtFrozenDaemon(call, arrival, run))
     .map((late) => ({ id, ...late, isHeldUp: isHeldUp(late.arrival, endedMs) }));
 }
 
@@ -432,7 +432,7 @@
  * Whether a request may have waited at a frozen daemon: a daemon that is cut off forwards requests, and a frozen one reads
  * the close of their connections only once it runs again.
  */
-function mayHaveLainFrozen(
+function mayHaveWaitedAtFrozenDaemon(
   { daemon, sentMs, endedMs = sentMs }: CallRecord,
   { atMs }: Arrival,
   { cuts, disturbances }: RunRecord,
