--- a/test/soak/soak-releases.test.ts
+++ b/test/soak/soak-releases.test.ts
@@ -11,3 +11,12 @@
   assert.deepEqual(result.violations, [], `logs of the daemons: ${result.directory}`);
   assert.ok((result.ends.get('200') ?? 0) > 0, 'no request was served');
 });
+
+// In these seeds a version keeps two servers, of which at most one generates.
+for (const seed of [114, 126]) {
+  test(`streams go on while two servers of their version serve, in the releases of seed ${seed}`, async () => {
+    const size = { ...SIZE, seconds: 24, requestsPerSecond: 45 };
+    const result = await runSoak(planReleases(seed, size));
+    assert.deepEqual(result.violations, [], `logs of the daemons: ${result.directory}`);
+  });
+}
