Keep a decode engine for each software version that streams may be bound to

Cause: engines were planned by stage, streams are bound by version. The last decode engine of a version could be switched to prefill, and a version whose decode engine had gone kept its prefill engines as they were as long as other versions decoded. Change: the decode stage is recovered per software version for as long as its streams may be taken up, and no switch to prefill takes the last decode engine of a version. Evidence: both tests failed before (no order was sent; e2 was switched).

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -25,6 +25,7 @@
   type CrashRecordChange,
   CrashRecords,
 } from './crash-records.js';
+export { DecodeRecovery, type RecoveryChange } from './decode-recovery.js';
 export {
   cachedPrefixTokens,
   type PromptPart,
@@ -106,6 +107,7 @@
   type StagePlanInput,
 } from './plan-stages.js';
 export {
+  maxStreamLifeMs,
   type OriginView,
   PossibleOrigins,
   routeKeyOf,
--- a/src/core/gateway/plan-stages.ts
+++ b/src/core/gateway/plan-stages.ts
@@ -4,6 +4,8 @@
  * nothing while it switches, so engines switch one at a time (a few in a large fleet), only when a stage is
  * overloaded, and only when that lowers its utilization enough.
  *
+ * Streams go on only at the software version that they began at, so no version loses its last decode engine to a switch.
+ *
  * Engines fail together. So enough decode engines are kept that one is left after the tolerated losses, spread
  * over all zones; and when no decode engine can be reached, several prefill engines are switched at once,
  * whatever the load. The prefill stage needs no such reserve, as decode engines can read prompts too.
@@ -13,6 +15,7 @@
  * count towards the split.
  */
 import type { EngineStage, ServerRecord } from './server-directory.js';
+import { isCompatible } from './stream-origin.js';
 
 /** With fewer requests the mix of work is not known well enough. */
 const MIN_REQUESTS = 30;
@@ -80,7 +83,8 @@
     Math.min(Math.floor(total * MAX_SWITCHING_SHARE), Math.ceil(gap / 2)),
   );
   const count = Math.min(maxAtOnce, movable.length - 1);
-  return pickLeastBusy(movable, count, input).map((engine) => ({
+  const mayPick = stage === 'prefill' ? leavesOneOfVersion(movable) : () => true;
+  return pickLeastBusy(movable, count, input, mayPick).map((engine) => ({
     engine,
     stage,
     wantedPrefill,
@@ -119,20 +123,33 @@
   }));
 }
 
+/** Whether an engine may be picked after those already picked. */
+type MayPick = (engine: ServerRecord, picked: readonly ServerRecord[]) => boolean;
+
 /** Picks engines to switch one after the other, each by `leastBusyOfLargestZone` of those that are left. */
 function pickLeastBusy(
   movable: readonly ServerRecord[],
   count: number,
   input: Pick<StagePlanInput, 'busyOf'>,
+  mayPick: MayPick = () => true,
 ): readonly ServerRecord[] {
   const picked: ServerRecord[] = [];
   while (picked.length < count) {
-    const left = movable.filter((engine) => !picked.includes(engine));
+    const left = movable.filter((engine) => !picked.includes(engine) && mayPick(engine, picked));
+    if (left.length === 0) break;
     picked.push(leastBusyOfLargestZone(left, input));
   }
   return picked;
 }
 
+/** Whether another engine of the same software version stays in the stage. */
+function leavesOneOfVersion(staged: readonly ServerRecord[]): MayPick {
+  return (engine, picked) =>
+    staged.some(
+      (other) => other !== engine && !picked.includes(other) && isCompatible(engine, other),
+    );
+}
+
 /** The least busy engine of the zone with the most movable engines: the stage stays spread over zones. */
 function leastBusyOfLargestZone(
   movable: readonly ServerRecord[],
--- a/src/core/gateway/possible-origins.ts
+++ b/src/core/gateway/possible-origins.ts
@@ -27,6 +27,14 @@
   return ATTEMPTS_OF_A_STREAM * timeoutMs;
 }
 
+/** The longest life of the streams that a service may take up; 0 if it takes up none. */
+export function maxStreamLifeMs(routes: readonly Route[], service: string): number {
+  const resumable = routes.filter(
+    ({ resumable, traffic }) => resumable && traffic.some((share) => share.service === service),
+  );
+  return Math.max(0, ...resumable.map(streamLifeMs));
+}
+
 /** The only origin of a view whose streams need no record; undefined otherwise. */
 export function soleOrigin({ origins, isComplete }: OriginView): StreamOrigin | undefined {
   return isComplete && origins.length === 1 ? origins[0] : undefined;
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -401,8 +401,9 @@
     number: 6045,
     level: 'warn',
     message:
-      'no decode engine can be reached; a prefill engine is ordered to become a decode engine',
-    remedy: 'Check the decode engines: they crashed, or the network to them is cut.',
+      'no decode engine of a service or of one of its software versions can be reached; a prefill engine is ordered to become one',
+    remedy:
+      'Check the decode engines of that version: they crashed, are being replaced, or the network to them is cut.',
   },
   newsLost: {
     number: 6050,
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -4,11 +4,14 @@
  * may order, as they know most of the work.
  */
 import {
+  DecodeRecovery,
   type EngineStage,
   type EngineTraits,
-  planDecodeRecovery,
+  maxStreamLifeMs,
   planStageChanges,
+  type RecoveryChange,
   type StageChange,
+  softwareVersionOf,
 } from '../../core/gateway/index.js';
 import {
   epochOf,
@@ -42,8 +45,6 @@
 const MIN_REVERSAL_SWITCHES = 4;
 /** Minimum time before a reversal: the split must not follow a mix of work that varies faster than it is measured. */
 const MIN_REVERSAL_MS = 2 * DEMAND_WINDOW_MS;
-/** Recovery starts after no decode engine was reachable for this long: longer than a lost packet, and two ticks. */
-const RECOVERY_DELAY_MS = 400;
 /** Minimum time between two recoveries, after which one whose engines were lost as well is repeated. */
 const MIN_RECOVERY_INTERVAL_MS = 2_000;
 /** Minimum time between two orders, so that not all engines change their stage at once. */
@@ -75,9 +76,7 @@
   #cancelTick: CancelTimer | undefined;
   #wantedSinceMs: number | undefined;
   #minWantedMs = 0;
-  #decodeLostSinceMs: number | undefined;
-  /** Services of which a decode engine has been reachable at some time. */
-  readonly #hadReachableDecode = new Set<string>();
+  readonly #recovery = new DecodeRecovery();
   #leaseDelayMs: number;
   #lastOrderMs = Number.NEGATIVE_INFINITY;
   #lastRecoveryMs = Number.NEGATIVE_INFINITY;
@@ -130,35 +129,23 @@
     else if (changes.length > 0) this.#orderIfAllowed(changes, nowMs);
   }
 
-  /** Changes of prefill engines to decode that are due at once, as no decode engine has been reachable for a time. */
-  #wantedRecovery(nowMs: number): readonly StageChange[] {
+  #wantedRecovery(nowMs: number): readonly RecoveryChange[] {
     const { fleet } = this.#options;
-    const changes: StageChange[] = [];
-    for (const service of fleet.inForce?.configuration.services.values() ?? []) {
-      if (service.engine === undefined) continue;
-      const engines = fleet.expectedServers(service.name, nowMs);
-      // At the start of a fleet the prefill engines may be listed first: without a decode engine nothing is lost yet.
-      const hasReachableDecode = engines.some(
-        ({ id, stage }) => stage === 'decode' && fleet.isReachable(id, nowMs),
-      );
-      if (hasReachableDecode) this.#hadReachableDecode.add(service.name);
-      if (!this.#hadReachableDecode.has(service.name)) continue;
-      const recovery = planDecodeRecovery({
-        engines,
-        busyOf: (id) => fleet.busyOf(id, nowMs),
-        isReachable: (id) => fleet.isReachable(id, nowMs),
-      });
-      changes.push(...recovery);
-    }
-    if (changes.length === 0) this.#decodeLostSinceMs = undefined;
-    else this.#decodeLostSinceMs ??= nowMs;
-    const isLasting =
-      this.#decodeLostSinceMs !== undefined && nowMs - this.#decodeLostSinceMs >= RECOVERY_DELAY_MS;
-    return isLasting ? changes : [];
+    const { configuration } = fleet.inForce ?? {};
+    const services = [...(configuration?.services.values() ?? [])]
+      .filter(({ engine }) => engine !== undefined)
+      .map(({ name }) => ({
+        service: name,
+        engines: fleet.expectedServers(name, nowMs),
+        streamLifeMs: maxStreamLifeMs(configuration?.routes ?? [], name),
+        busyOf: (id: string) => fleet.busyOf(id, nowMs),
+        isReachable: (id: string) => fleet.isReachable(id, nowMs),
+      }));
+    return this.#recovery.changesFor(services, nowMs);
   }
 
   /** Recovery ignores the delays for load-driven changes; it only waits for the lease and the last recovery. */
-  #recoverIfAllowed(changes: readonly StageChange[], nowMs: number): void {
+  #recoverIfAllowed(changes: readonly RecoveryChange[], nowMs: number): void {
     if (nowMs - this.#lastRecoveryMs < MIN_RECOVERY_INTERVAL_MS) return;
     const epoch = this.#authority();
     if (epoch === undefined) return;
@@ -167,7 +154,8 @@
     for (const change of changes) {
       this.#options.log.write(GATEWAY_EVENTS.stageLost, {
         server: change.engine.id,
-        lostMs: Math.round(nowMs - (this.#decodeLostSinceMs ?? nowMs)),
+        version: softwareVersionOf(change.engine),
+        lostMs: Math.round(change.lostForMs),
       });
       void this.#orders.order(change, epoch, 0);
     }
--- a/test/gateway/plan-stages.test.ts
+++ b/test/gateway/plan-stages.test.ts
@@ -198,3 +198,30 @@
   });
   assert.equal(few.length, 1);
 });
+
+/** Engines of two software versions; of the older one a single engine decodes. */
+function enginesDuringRelease(): ServerRecord[] {
+  return engines(8, 2).map((engine, index) => ({
+    ...engine,
+    softwareVersion: index <= 2 ? 'v1' : 'v2',
+  }));
+}
+
+test('the only decode engine of a software version is not switched, as streams go on only at their version', () => {
+  const isIdle = (id: string) => (id === 'e2' ? 0 : 1);
+  const changes = planStageChanges({
+    engines: enginesDuringRelease(),
+    need: need(2, 0.2),
+    startingEngines: 0,
+    busyOf: isIdle,
+  });
+  assert.equal(changes.length, 1);
+  assert.notEqual(changes[0]?.engine.id, 'e2');
+  const pairs = engines(40, 2).map((engine, index) => ({
+    ...engine,
+    softwareVersion: `v${Math.floor(index / 2)}`,
+  }));
+  const several = planStageChanges({ engines: pairs, need: need(30, 2), ...allIdle });
+  assert.equal(several.length, 4);
+  assert.equal(new Set(several.map(({ engine }) => engine.softwareVersion)).size, 4);
+});
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import { test } from 'node:test';
 import { REQUEST_CODEC } from '../../platform/request-codec.js';
-import type { ServerRecord, StageNotice } from '../../src/core/gateway/index.js';
+import type { Route, ServerRecord, StageNotice } from '../../src/core/gateway/index.js';
 import type { BackendCall, CallResult } from '../../src/shell/gateway/backend-connections.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
@@ -16,6 +16,20 @@
 import { MemoryTable } from './support/memory-table.js';
 
 const LEASE_MS = 3_000;
+const ROUTE_TIMEOUT_MS = 3_000;
+const RESUMABLE_ROUTE: Route = {
+  name: 'read',
+  host: 'labels.example',
+  pathPrefix: '/read/',
+  kind: 'streaming',
+  isPublic: true,
+  resumable: true,
+  timeoutMs: ROUTE_TIMEOUT_MS,
+  targetLatencyMs: 500,
+  priority: 0,
+  attempts: 2,
+  traffic: [{ service: 'reader', weight: 1 }],
+};
 const QUIET_LOGGER = { write: () => undefined, flush: () => undefined };
 
 interface Order {
@@ -75,7 +89,8 @@
     idleTimeoutMs: 1,
   };
   const services = new Map([['reader', { name: 'reader', engine, scaling: undefined }]]);
-  fleet.applyConfiguration({ version: 1, routes: [], tenants: undefined, services, limits }, nowMs);
+  const routes = [RESUMABLE_ROUTE];
+  fleet.applyConfiguration({ version: 1, routes, tenants: undefined, services, limits }, nowMs);
   const records = [0, 1, 2, 3, 4, 5, 6, 7].map(
     (index): ServerRecord => ({
       id: `e${index}`,
@@ -349,6 +364,52 @@
   assert.deepEqual(setup.engines.orders, []);
 });
 
+const RELEASED_IDS = ['e3', 'e4', 'e5'];
+
+/** Lets three engines have other software, of which only e5 decodes. */
+function releaseOtherVersion({ fleet, engines }: Setup): void {
+  for (const record of [...fleet.directory.all()]) {
+    if (!RELEASED_IDS.includes(record.id)) continue;
+    const stage = record.id === 'e5' ? 'decode' : 'prefill';
+    fleet.directory.apply([{ ...record, stage, softwareVersion: 'v2' }], []);
+    engines.setStage(record.address, stage);
+  }
+}
+
+/** Advances the time without any request, so that no change is wanted for the load. */
+async function advanceWithoutLoad({ timers }: Setup, spanMs: number): Promise<void> {
+  for (let passedMs = 0; passedMs < spanMs; passedMs += 50) {
+    timers.advance(50);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+test('when a software version loses its decode engines, one of its prefill engines is ordered to decode, though others decode', async () => {
+  const setup = setUp();
+  releaseOtherVersion(setup);
+  startController(setup, 'front-1');
+  await advanceWithoutLoad(setup, 1_000);
+  assert.deepEqual(setup.engines.orders, []);
+  setup.fleet.directory.apply([], ['e5']);
+  await advanceWithoutLoad(setup, 2_000);
+  const ordered = setup.engines.orders.map(({ address, stage }) => `${address} ${stage}`);
+  assert.equal(ordered.length, 1);
+  assert.ok(['10.0.0.3:1 decode', '10.0.0.4:1 decode'].includes(ordered[0] ?? ''));
+});
+
+test('a software version that has had no decode engine for as long as a stream lives gets none', async () => {
+  const setup = setUp();
+  releaseOtherVersion(setup);
+  setup.table.isDown = true;
+  startController(setup, 'front-1');
+  await advanceWithoutLoad(setup, 1_000);
+  setup.fleet.directory.apply([], ['e5']);
+  await advanceWithoutLoad(setup, 3 * ROUTE_TIMEOUT_MS + 1_000);
+  setup.table.isDown = false;
+  await advanceWithoutLoad(setup, 3_000);
+  assert.deepEqual(setup.engines.orders, []);
+});
+
 const BORN_MS = 1_800_000_000_000;
 
 /** Sets the start time of all listed engines. */
