Close connections that cannot be reset, which kept processes from ending

Cause: Node.js 20 fails to reset (resetAndDestroy) a connection whose end is being sent, or that is ended while it is opened, with EINVAL. Its handle is then neither open nor closed, and the process spins for ever as it cleans up at its exit. Class: a reset of a connection that is being closed by other means. Links of the soak did so when a run ended just as a connection did. Ruled out: timers, polls and child processes of the soak (the exit event had come; a native stack showed Environment::CleanupHandles, with sockets outside of the kernel's table of connections).

--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -3,6 +3,7 @@
  */
 import { once } from 'node:events';
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
+import { resetSocket } from '../src/lab/common/reset-socket.js';
 import type { AcceptMonitor } from './accept-monitor.js';
 import type { LinkFault } from './plan.js';
 
@@ -99,8 +100,8 @@
 
   #resetAll(): void {
     for (const { daemon, server } of this.#pairs) {
-      daemon.resetAndDestroy();
-      server.resetAndDestroy();
+      resetSocket(daemon);
+      resetSocket(server);
     }
     this.#pairs.clear();
   }
--- a/src/lab/network/link.ts
+++ b/src/lab/network/link.ts
@@ -11,6 +11,7 @@
 } from 'node:net';
 import type { Milliseconds } from '../../core/common/time.js';
 import type { Endpoint } from '../../core/registry/backend.js';
+import { resetSocket } from '../common/reset-socket.js';
 import { Random } from '../workload/index.js';
 import { type DirectionConditions, Pipe } from './pipe.js';
 
@@ -126,8 +127,8 @@
   private break(connection: Connection): void {
     if (!this.connections.delete(connection)) return;
     for (const pipe of connection.pipes) pipe.end();
-    connection.client.resetAndDestroy();
-    connection.target.resetAndDestroy();
+    resetSocket(connection.client);
+    resetSocket(connection.target);
   }
 
   private change(direction: Direction, apply: (conditions: DirectionConditions) => void): void {
--- a/src/lab/web/server.ts
+++ b/src/lab/web/server.ts
@@ -12,6 +12,7 @@
 import { z } from 'zod';
 import type { Endpoint } from '../../core/registry/backend.js';
 import { closeListener, openListener } from '../common/listener.js';
+import { resetSocket } from '../common/reset-socket.js';
 import { tileContent } from './content.js';
 import { OrderLedger } from './order-ledger.js';
 
@@ -111,7 +112,7 @@
   }
 
   #resetConnection(response: ServerResponse): void {
-    response.socket?.resetAndDestroy();
+    if (response.socket !== null) resetSocket(response.socket);
   }
 
   /** Runs the order when its body is complete; the run counts even if the caller has disconnected. */
--- a/test/gateway/given-up-platform-call.test.ts
+++ b/test/gateway/given-up-platform-call.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against calls to the platform that take effect long after they were given up: a usage report that a partition had
- * held up for six seconds arrived between two reports of the duty's next holder, under the old fencing token.
+ * held up for six seconds arrived between two reports of the duty's next holder, under the old fencing token. Also guards
+ * against calls whose connection is never closed.
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
@@ -65,3 +66,30 @@
   const second = await connection.call(CALL, new AbortController().signal);
   assert.equal(second.kind, 'answered');
 });
+
+test('a call that is given up while the end of its connection is being sent leaves no connection open', {
+  timeout: 10_000,
+}, async () => {
+  const result = connection.call(CALL, ended.signal);
+  const socket = await accepted();
+  const { destroySoon } = Socket.prototype;
+  const ending = new Promise<Socket>((resolve) => {
+    mock.method(Socket.prototype, 'destroySoon', function (this: Socket) {
+      destroySoon.call(this);
+      resolve(this);
+    });
+  });
+  socket.on('error', () => undefined);
+  socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+  const own = await ending;
+  let fault: Error | undefined;
+  own.once('error', (error) => {
+    fault = error;
+  });
+  ended.abort();
+  mock.restoreAll();
+  await result;
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(fault, undefined);
+  assert.ok(own.closed);
+});
--- a/test/gateway/support/server-links.ts
+++ b/test/gateway/support/server-links.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import net, { type AddressInfo, type Server, type Socket } from 'node:net';
 import type { ServerRecord } from '../../../src/core/gateway/index.js';
+import { resetSocket } from '../../../src/lab/common/reset-socket.js';
 import type {
   PlatformAdapter,
   WatchAnswer,
@@ -47,7 +48,7 @@
   }
 
   #resetAll(): void {
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) resetSocket(socket);
   }
 
   #connect(inner: Socket): void {
--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -1,12 +1,14 @@
 /**
  * Guards against a soak link that reorders a stream, as seen with seed 202 of a soak: bytes that arrive after the end of a
- * delay must not overtake bytes that are still delayed. Also guards against connections that outlive their link.
+ * delay must not overtake bytes that are still delayed. Also guards against connections that outlive their link, one of which kept
+ * the process of a soak from ending.
  */
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { type AddressInfo, connect, createServer, type Socket } from 'node:net';
-import { test } from 'node:test';
+import { type AddressInfo, connect, createServer, Socket } from 'node:net';
+import { mock, test } from 'node:test';
 import { LinkProxy } from '../../soak/link-proxy.js';
+import { deferred } from '../gateway/support/deferred.js';
 
 /** Turns of the event loop in which a link notices that a connection was closed. */
 const TURNS_UNTIL_NOTICED = 50;
@@ -20,6 +22,12 @@
   return text;
 }
 
+async function turns(): Promise<void> {
+  for (let turn = 0; turn < TURNS_UNTIL_NOTICED; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 test('a link keeps the order of bytes when a delay ends, and closes the connection after the last byte', async () => {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -62,11 +70,46 @@
   link.begin('silent');
   daemon.destroy();
   await once(daemon, 'close');
-  for (let turn = 0; turn < TURNS_UNTIL_NOTICED; turn += 1) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
+  await turns();
   const closed = new Promise((resolve) => peer.once('close', resolve));
   link.close();
   await closed;
   server.close();
 });
+
+/** Collects the errors of all connections that are closed after what was written to them was sent. */
+function recordFaults(onEnding: (socket: Socket) => void): Error[] {
+  const faults: Error[] = [];
+  const { destroySoon } = Socket.prototype;
+  mock.method(Socket.prototype, 'destroySoon', function (this: Socket) {
+    this.on('error', (error) => faults.push(error));
+    destroySoon.call(this);
+    onEnding(this);
+  });
+  return faults;
+}
+
+test('a link that is closed while the end of a connection is being sent closes it', {
+  timeout: 10_000,
+}, async () => {
+  const server = createServer((peer) => peer.on('error', () => undefined).resume());
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const link = new LinkProxy(() => (server.address() as AddressInfo).port);
+  await link.open();
+  const daemon = connect(Number(link.address.split(':')[1]), '127.0.0.1');
+  daemon.on('error', () => undefined);
+  await once(server, 'connection');
+  await turns();
+  const ending = deferred<Socket>();
+  const faults = recordFaults((socket) => {
+    ending.resolve(socket);
+    link.close();
+  });
+  daemon.destroy();
+  const socket = await ending.promise;
+  if (!socket.closed) await once(socket, 'close');
+  mock.restoreAll();
+  assert.deepEqual(faults, []);
+  server.close();
+});
