Hold streams for which an engine of their version is about to be free

Cause: a stream that has begun passes admission, so nothing held it; no engine at this moment counted as no engine at all. Change: such a stream waits while a reachable engine of its version is expected to take it: one that switches to the decode stage (only if its deadline is later than the switch takes, and at most twice that long), or one that was full a moment before. At most 256 a daemon; a daemon that stops rejects them at once.

--- a/src/core/gateway/decode-recovery.ts
+++ b/src/core/gateway/decode-recovery.ts
@@ -22,6 +22,8 @@
 export interface RecoveryChange extends StageChange {
   /** How long no decode engine has been reachable. */
   readonly lostForMs: number;
+  /** Whether that is long enough to act on it. */
+  readonly isDue: boolean;
 }
 
 /** Engines of which one at least has to decode. */
@@ -39,7 +41,7 @@
   /** Since when a group has been known to have no reachable decode engine. */
   readonly #lostSinceMs = new Map<string, number>();
 
-  /** The changes of prefill engines to decode that are due now. */
+  /** The changes of prefill engines to decode that are due now or soon. */
   changesFor(services: readonly ServiceEngines[], nowMs: number): readonly RecoveryChange[] {
     const changes = new Map<string, RecoveryChange>();
     for (const service of services) {
@@ -70,8 +72,9 @@
     const lostSinceMs = this.#lostSinceMs.get(key) ?? nowMs;
     this.#lostSinceMs.set(key, lostSinceMs);
     const lostForMs = nowMs - lostSinceMs;
-    const isDue = lostForMs >= RECOVERY_DELAY_MS && nowMs - decodedAtMs <= maxLostMs;
-    return isDue ? changes.map((change) => ({ ...change, lostForMs })) : [];
+    if (nowMs - decodedAtMs > maxLostMs) return [];
+    const isDue = lostForMs >= RECOVERY_DELAY_MS;
+    return changes.map((change) => ({ ...change, lostForMs, isDue }));
   }
 }
 
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -120,6 +120,14 @@
     remedy:
       'Nothing to do where it continues. Rejections for want of a known version are expected after many daemons died together.',
   },
+  streamWaited: {
+    number: 6069,
+    level: 'info',
+    message:
+      'a stream that has begun waited for an engine of its software version, as none took it; outcome: usable if one does now',
+    remedy:
+      'Nothing to do if the outcome is usable. Otherwise the engines of that version are prefill engines or full: see 6045 and 6042.',
+  },
   requestForwarded: {
     number: 6058,
     level: 'info',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -21,6 +21,7 @@
 import type { AnswerMetadata, HandoverSource, RequestCodec } from './ports.js';
 import type { HeldBack, ServerCalls } from './server-calls.js';
 import type { StreamContinuity } from './stream-continuity.js';
+import type { StreamWaits } from './stream-waits.js';
 import type { WebWork } from './web-work.js';
 
 const NO_BUDGET_REASON = 'the retry budget is spent';
@@ -70,6 +71,8 @@
   readonly webWork: Pick<WebWork, 'recordCall' | 'loadsOf' | 'applyReportedLoad'>;
   /** Keeps streams at the software version that they began at. */
   readonly streams: Pick<StreamContinuity, 'recordFirstEvent' | 'decideResumption'>;
+  /** Holds streams for which an engine is expected. */
+  readonly streamWaits: Pick<StreamWaits, 'wait'>;
   /** For how long after a server began to drain a stream that has begun may be resumed there. */
   readonly resumeWhileDrainingMs: number;
   /** The zone of this daemon. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
 import { StreamContinuity } from './stream-continuity.js';
+import { StreamWaits } from './stream-waits.js';
 import {
   delay,
   steadyWallClock,
@@ -202,6 +203,7 @@
       crashes: this.#crashes,
       webWork,
       streams: this.#streams,
+      streamWaits: new StreamWaits(),
       resumeWhileDrainingMs: RESUME_SHARE_OF_DRAIN * (settings.bounds.drainMs ?? 0),
       recordRunStart: ({ options: { tenant } }, agoMs) =>
         this.#duties.recordRunStart(tenant, agoMs),
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -24,6 +24,7 @@
 import { StreamRelay } from './stream-relay.js';
 
 const MAX_ERROR_BYTES = 1_048_576;
+const STATUS_UNAVAILABLE = 503;
 /** A request is refused after more rejections and failed connections than this. */
 const MAX_REJECTIONS = 3;
 /** Short, as another daemon can take the request at once. */
@@ -44,6 +45,8 @@
   readonly #relay: StreamRelay;
   readonly #isRepeatable: boolean;
   #rejections = 0;
+  /** Engines that rejected the request for want of room. */
+  readonly #fullEngineIds = new Set<string>();
   #prefillFailed = false;
   #way = 'direct';
   #lastReason = 'no engine';
@@ -85,7 +88,9 @@
     if (!this.#mayRunAgain() || this.#mustForward) return this.#giveUp();
     const plan = await this.#planWhenAdmitted();
     if (plan === 'no-room') return exchange.signal.aborted ? this.#endInterrupted() : 'done';
-    if (plan === undefined) return this.#giveUpWithoutEngine();
+    if (plan === undefined) {
+      return (await this.#waitForStreamEngine()) ? 'again' : this.#giveUpWithoutEngine();
+    }
     switch (plan.kind) {
       case 'direct':
         return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
@@ -108,6 +113,17 @@
     }
   }
 
+  /** @returns whether an engine of the version of a stream that has begun can be sent it, after a wait if necessary */
+  #waitForStreamEngine(): Promise<boolean> {
+    return this.#context.streamWaits.wait(this.#exchange, () => {
+      const outlook = this.#planner.streamOutlook(this.#fullEngineIds);
+      // A full engine has room again as soon as one of its requests ends.
+      for (const id of this.#fullEngineIds) this.#exchange.triedServerIds.delete(id);
+      this.#fullEngineIds.clear();
+      return outlook;
+    });
+  }
+
   get #planLimits(): PlanLimits {
     return { mayPrefill: !this.#prefillFailed && this.#exchange.mayPrefill };
   }
@@ -240,6 +256,9 @@
     if (result.kind === 'no-budget') return this.#giveUp();
     if (result.kind === 'broken' || result.kind === 'held-back') return 'again';
     this.#rejections += 1;
+    if (result.kind === 'not-executed' && result.status === STATUS_UNAVAILABLE) {
+      this.#fullEngineIds.add(server.id);
+    }
     // Fetching the KV memory may be what failed, so the next engine runs the prefill itself.
     if (handoverSource !== undefined) {
       this.#prefillFailed = true;
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -22,6 +22,7 @@
 import type { Exchange } from './exchange.js';
 import { ModelAdmissionCheck } from './model-admission-check.js';
 import { hadShortQueue } from './prefill.js';
+import type { StreamOutlook } from './stream-waits.js';
 
 /** A request counts as in time if its answer is expected within this share of the target latency. */
 const IN_TIME_SHARE = 0.9;
@@ -30,6 +31,9 @@
 /** A prompt with at least this many uncached tokens counts as work for a prefill engine. */
 const LONG_PROMPT_TOKENS = 1_000;
 
+/** From the loss of the last decode engine of a version until a prefill engine is ordered to take its place. */
+const RECOVERY_ORDER_MS = 700;
+
 /** How a run reached its engine: as planned, or handed over with the KV cache of another engine. */
 export type RunWay = EnginePlan['kind'] | 'hand-over';
 
@@ -119,6 +123,29 @@
     return this.#serversAtLimit().some(({ stage }) => stage !== 'prefill');
   }
 
+  /**
+   * What a stream that has begun may expect of the engines of its version, of which it can go on at those that decode.
+   * @param rejectingIds engines that rejected it for want of room
+   */
+  streamOutlook(rejectingIds: ReadonlySet<string>): StreamOutlook {
+    const { streamOrigin, triedServerIds } = this.#exchange;
+    if (streamOrigin === undefined) return { kind: 'none' };
+    const isUntried = ({ id }: ServerRecord) => !triedServerIds.has(id);
+    if (this.#candidates().some((engine) => engine.stage === 'decode' && isUntried(engine))) {
+      return { kind: 'usable' };
+    }
+    const { fleet } = this.#context;
+    const nowMs = this.#nowMs();
+    const open = this.#forStream(fleet.expectedServers(this.#service, nowMs)).filter(
+      (engine) =>
+        fleet.isReachable(engine.id, nowMs) && fleet.availabilityOf(engine, nowMs).kind === 'open',
+    );
+    if (open.some(({ id }) => rejectingIds.has(id))) return { kind: 'expected', inMs: 0 };
+    if (!open.some(isUntried)) return { kind: 'none' };
+    const switchMs = engineTraits(this.#exchange)?.roleSwitchMs ?? 0;
+    return { kind: 'expected', inMs: RECOVERY_ORDER_MS + switchMs };
+  }
+
   /** Whether a stream that begins now is expected to be cut off by the stop of this daemon. */
   isCutByStop(): boolean {
     const { stopsAtMs, description } = this.#exchange.options;
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -122,10 +122,12 @@
     const recovery = this.#wantedRecovery(nowMs);
     const changes = recovery.length > 0 ? [] : this.#wantedChanges(nowMs);
     this.#recordWanted(changes.length > 0, nowMs);
+    // The lease is sought while the loss is not yet certain, so that the order does not wait for it.
     const isCandidate = recovery.length > 0 || this.#isCandidate(nowMs);
     this.#step({ kind: 'want', candidate: isCandidate && this.#options.mayOrder() });
     this.#step({ kind: 'tick' });
-    if (recovery.length > 0) this.#recoverIfAllowed(recovery, nowMs);
+    const due = recovery.filter(({ isDue }) => isDue);
+    if (due.length > 0) this.#recoverIfAllowed(due, nowMs);
     else if (changes.length > 0) this.#orderIfAllowed(changes, nowMs);
   }
 
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -249,6 +249,11 @@
     return first;
   }
 
+  /** Begins to stop a daemon as a signal does; resolves once it has stopped. */
+  stopDaemon(name: string): Promise<void> {
+    return this.#gateways.get(name)?.stop() ?? Promise.resolve();
+  }
+
   /** Stops a daemon at once, as a crash does. */
   abortDaemon(name: string): void {
     this.#gateways.get(name)?.abort();
