Read the list of daemons again within a second where it could not be read

Cause: the directory of daemons lengthened the interval between two reads, 1 s, 4 s, 16 s, also where a read had failed. Class: an attempt that failed counts as done. Change: the interval grows only once there is a list. Evidence: the new test of peer-directory failed before (no list a second after the store's return). Looked for elsewhere: the watches of the store's tables and the crash table retry at an interval of their own.

--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -1,7 +1,8 @@
 /**
  * Daemon discovery through rows in the store: each daemon writes its own row, and all daemons scan the rows, at first
- * after one second and later every 20 s. While the digest of the zone's relay is fresh, they scan only if the relay has
- * another list. A relay removes the rows of daemons that have left, and a daemon whose row is missing writes it again.
+ * every second until they have them, and later every 20 s. While the digest of the zone's relay is fresh, they scan only
+ * if the relay has another list. A relay removes the rows of daemons that have left, and a daemon whose row is missing
+ * writes it again.
  */
 import * as z from 'zod/mini';
 import type { PeerDaemon, PeerRoster } from '../../core/gateway/index.js';
@@ -124,8 +125,10 @@
   }
 
   async #refresh(): Promise<void> {
-    const { timers } = this.#options;
+    const { timers, roster } = this.#options;
     await this.#scan();
+    // Without any list the next check reads it again.
+    if (!roster.hasList) return;
     this.#nextScanMs = timers.nowMs() + this.#scanIntervalMs;
     this.#scanIntervalMs = Math.min(
       MAX_SCAN_INTERVAL_MS,
--- a/test/gateway/peer-directory.test.ts
+++ b/test/gateway/peer-directory.test.ts
@@ -21,7 +21,9 @@
   const counts: number[] = [];
   let scans = 0;
   let writes = 0;
+  const store = { isDown: false };
   const call = async ({ kind }: TableCall): Promise<TableResult> => {
+    if (store.isDown) return { kind: 'unavailable', reason: 'down', retryAfterMs: 0 };
     if (kind === 'transact') {
       writes += 1;
       return { kind: 'committed', rows: [] };
@@ -47,7 +49,7 @@
     timers.advance(spanMs);
     for (let turn = 0; turn < 50; turn += 1) await Promise.resolve();
   };
-  return { directory, counts, advance, scansMade: () => scans, writesMade: () => writes };
+  return { directory, counts, advance, store, scansMade: () => scans, writesMade: () => writes };
 }
 
 test('a list that matches the relay’s is confirmed without another call', async () => {
@@ -81,3 +83,15 @@
   assert.deepEqual([writesMade(), scansMade()], [2, 2]);
   directory.stop();
 });
+
+// A daemon without the list records its streams nowhere, and has no share of the fleet's limits.
+test('a daemon that starts while the store is away reads the list within a second of its return', async () => {
+  const { directory, counts, advance, store } = setUp(() => undefined);
+  store.isDown = true;
+  for (let seconds = 0; seconds < 8; seconds += 1) await advance(CHECK_INTERVAL_MS);
+  assert.deepEqual(counts, []);
+  store.isDown = false;
+  await advance(CHECK_INTERVAL_MS);
+  assert.deepEqual(counts, [DAEMONS]);
+  directory.stop();
+});
