Tell the daemon that forwarded a request which servers are leaving or want a back-off

Cause: what a server reports is kept by the daemon that called it. Class: a statement that came in over the hop reached the caller and not the daemon that had forwarded the request. Change: answers to forwarded requests name the servers among those tried that are leaving or want a back-off; the daemon that forwarded records them as its own. Limits need no such way, as they are advertised between daemons. The hop's header does not reach callers (asserted).

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -120,6 +120,13 @@
     remedy:
       'Nothing to do where it continues. Rejections for want of a known version are expected after many daemons died together.',
   },
+  forwardedAvailability: {
+    number: 6100,
+    level: 'info',
+    message:
+      'the answer to a forwarded request carried what a server reported to the other daemon: that it is leaving, or wants a back-off period',
+    remedy: 'Nothing to do; this daemon sends nothing there either, once it reaches servers again.',
+  },
   streamWaited: {
     number: 6069,
     level: 'info',
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -9,6 +9,7 @@
 import type { AttemptContext } from './attempt.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
+import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
 import { type ForwardedRequest, notTakenHeaders } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import { runModelExchange } from './model-exchange.js';
@@ -169,6 +170,7 @@
       resumedOrigin,
       refusalHeaders: () =>
         forwarded !== undefined && paths.isLost(service) ? notTakenHeaders(CUT_OFF_REASON) : [],
+      ...(forwarded === undefined ? {} : { hopHeaders: (ids) => this.#availabilityHeaders(ids) }),
       timers,
       log,
       metrics,
@@ -183,6 +185,11 @@
     else await runWebExchange(exchange, context);
   }
 
+  #availabilityHeaders(serverIds: ReadonlySet<string>): RawHeaders {
+    const { context, timers } = this.#options;
+    return encodeAvailability(unavailableAmong(serverIds, context.fleet, timers.nowMs()));
+  }
+
   /** A forwarded request stays with the service that was chosen for it, if the route still leads there. */
   #serviceOf(route: Route, forwarded: ForwardedRequest | undefined): string {
     const isAllowed = route.traffic.some(
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -57,6 +57,8 @@
   readonly resumedOrigin?: StreamOrigin | undefined;
   /** Further headers of a refusal. */
   readonly refusalHeaders: () => RawHeaders;
+  /** Further headers of any answer to the daemon that forwarded the request; see `forwarded`. */
+  readonly hopHeaders?: (sentTo: ReadonlySet<string>) => RawHeaders;
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
@@ -296,10 +298,16 @@
     if (this.#isAnswered || response.destroyed) return false;
     this.#isAnswered = true;
     const closing = this.options.stopsAtMs() === undefined ? [] : ['Connection', 'close'];
-    response.writeHead(status, [...headers, ...closing]);
+    const hop = this.options.hopHeaders?.(this.#serverIdsSentTo()) ?? [];
+    response.writeHead(status, [...headers, ...closing, ...hop]);
     return true;
   }
 
+  /** The servers of all sends, those in progress included. */
+  #serverIdsSentTo(): ReadonlySet<string> {
+    return new Set([...this.triedServerIds, ...this.#sendRecords.map(({ serverId }) => serverId)]);
+  }
+
   #answerText(status: number, reason: string, headers: RawHeaders): void {
     this.#cancelTimer();
     const body = Buffer.from(`${reason}\n`);
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -192,6 +192,8 @@
         codec: adapter.requests,
         fleetKey: () => this.#crashes.fleetKey,
         metrics: this.#metrics,
+        fleet: this.#fleet,
+        wallClock: this.#steadyClock,
       }),
       zone: settings.zone,
       isSpreading: settings.decisions.spreading,
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -10,6 +10,8 @@
 import type { AttemptContext, RequestForwarding } from './attempt.js';
 import type { BackendAnswer, BackendConnections, CallResult } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
+import type { FleetView } from './fleet-view.js';
+import { decodeAvailability } from './forwarded-availability.js';
 import {
   encodeForwarding,
   forwardingToken,
@@ -21,6 +23,7 @@
 import { refuseUnavailable } from './refuse-unavailable.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
 import { StreamRelay } from './stream-relay.js';
+import type { WallClock } from './timer-service.js';
 
 /** Daemons that one request tries. */
 const MAX_DAEMONS = 4;
@@ -41,6 +44,9 @@
   /** A secret of the fleet; undefined until it has been read. */
   readonly fleetKey: () => Buffer | undefined;
   readonly metrics: Pick<GatewayMetrics, 'recordForwarded'>;
+  readonly fleet: Pick<FleetView, 'directory' | 'availability'>;
+  /** The time of day, in which servers' start times are given. */
+  readonly wallClock: WallClock;
 }
 
 /** Forwards requests to other daemons. */
@@ -101,6 +107,7 @@
     const notTaken = notTakenBecause(result);
     exchange.endRun(notTaken !== undefined);
     this.#record(peer, exchange, result, notTaken);
+    if (result.kind === 'answered') this.#recordAvailability(exchange, result.answer);
     if (notTaken !== undefined) {
       if (result.kind === 'answered') result.answer.message.resume();
       return false;
@@ -154,6 +161,25 @@
     });
   }
 
+  /** Records what servers have reported to the other daemon as if they had reported it to this one. */
+  #recordAvailability({ options }: Exchange, { message }: BackendAnswer): void {
+    const { fleet, wallClock } = this.#options;
+    const { timers, log, description } = options;
+    for (const report of decodeAvailability(message.headers)) {
+      const server = fleet.directory.get(report.serverId);
+      if (server === undefined) continue;
+      const reportedAt = { nowMs: timers.nowMs(), unixMs: wallClock(), entropy: 0 };
+      const added = fleet.availability.recordReport(server, report, reportedAt);
+      if (added.length === 0) continue;
+      log.write(GATEWAY_EVENTS.forwardedAvailability, {
+        request: description.attemptId,
+        server: server.id,
+        isLeaving: report.isLeaving,
+        restMs: Math.round(report.backOffMs ?? 0),
+      });
+    }
+  }
+
   async #relay(peer: PeerDaemon, exchange: Exchange, answer: BackendAnswer): Promise<void> {
     const { status, message } = answer;
     const isCloseDelimited = wasCloseDelimited(message.headers);
--- a/test/gateway/request-forwarding.test.ts
+++ b/test/gateway/request-forwarding.test.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import http, { type IncomingMessage } from 'node:http';
 import { afterEach, beforeEach, test } from 'node:test';
+import { TABLES } from '../../platform/names.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent } from '../../src/core/logging/log-event.js';
 import { deferred } from './support/deferred.js';
@@ -34,6 +35,7 @@
 const MAX_BODY_BYTES = 1_000;
 /** Requests of this path only let a daemon find out that it is cut off. */
 const FINDS_OUT = '/tiles/finds-out/';
+const BACK_OFF_S = 30;
 /** Callers that have left cause no work at a server beyond this. */
 const GONE_MS = 500;
 /** After this time nothing is sent to a server that has said that it leaves. */
@@ -310,3 +312,35 @@
   }
   assert.equal(leaving?.seen.length, before);
 });
+
+/** Takes all viewers but one off the list. */
+async function keepOnly(kept: number): Promise<void> {
+  const others = viewers.map((_, index) => index).filter((index) => index !== kept);
+  for (const index of others) fixture.store.remove(TABLES.servers, `v-${index}`);
+  const removed = () => linesOf(GATEWAY_EVENTS.serverRemoved).length;
+  await timers.advanceUntil(() => removed() === links.length * others.length);
+}
+
+test('a daemon whose forwarded request met a back-off sends nothing to that server before its end', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  const backOff = { 'X-Not-Executed': '1', 'Retry-After': String(BACK_OFF_S) };
+  for (const viewer of viewers) {
+    viewer.script = ({ seen, response }) =>
+      response.writeHead(503, { ...attemptIdOf(seen), ...backOff }).end();
+  }
+  const answer = await call({ path: '/tiles/1' });
+  assert.equal(answer.status, 503);
+  assert.deepEqual(
+    Object.keys(answer.headers).filter((name) => name.startsWith('threadfork')),
+    [],
+  );
+  const asked = viewers.findIndex(({ seen }) => seen.some(({ url }) => url === '/tiles/1'));
+  await linkOf(0).restore();
+  await timers.advanceUntil(() => linesOf(GATEWAY_EVENTS.pathRegained).length > 0);
+  await keepOnly(asked);
+  const before = viewers[asked]?.seen.length;
+  const later = await call({ path: '/tiles/1', headers: { 'X-Attempt-Id': 'later' } });
+  assert.equal(later.status, 503);
+  assert.equal(viewers[asked]?.seen.length, before);
+});
