Let the time-out of a lost order run out once its bytes have arrived

Cause: the test's time-out of 100 ms of real time includes the connection set-up. Where the process is held up for longer, no byte is sent, and 'not sent' is true. The product is right, the test was not. Change: the timers of the test are its own; the time-out runs out once the server has the bytes. As strict: all six failures, the same assertions.

--- a/test/engine/control-client.test.ts
+++ b/test/engine/control-client.test.ts
@@ -15,7 +15,9 @@
 } from '../../src/shell/engine/index.js';
 import { CLOSE_INTAKE, orderOf, startEngine, TO_DECODE } from './fixtures.js';
 
-function openClient(context: TestContext, timeoutMs = 1_000): EngineControlClient {
+const TIMEOUT_MS = 1_000;
+
+function openClient(context: TestContext, timeoutMs = TIMEOUT_MS): EngineControlClient {
   const client = createEngineControlClient({ timeoutMs });
   context.after(() => client.close());
   return client;
@@ -71,14 +73,16 @@
 });
 
 test('an order of which bytes were sent is lost, however the connection ends', async (context) => {
-  const client = openClient(context, 100);
+  // The time-out runs out once the bytes have arrived: an order that is not sent in time is rightly reported as not sent.
+  context.mock.timers.enable({ apis: ['setTimeout'] });
+  const client = openClient(context);
   const failures: ((socket: Socket) => void)[] = [
     (socket) => socket.destroy(),
     (socket) => socket.resetAndDestroy(),
     (socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\n{"kind":"accepted"'),
     (socket) => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'),
     (socket) => socket.end('HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n'),
-    () => undefined,
+    () => context.mock.timers.tick(TIMEOUT_MS),
   ];
   for (const failure of failures) {
     const faultyServer = await startFaultyServer(context, failure);
