--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -121,7 +121,7 @@
       'Nothing to do where it continues. Rejections for want of a known version are expected after many daemons died together.',
   },
   forwardedAvailability: {
-    number: 6100,
+    number: 6077,
     level: 'info',
     message:
       'the answer to a forwarded request carried what a server reported to the other daemon: that it is leaving, or wants a back-off period',
