Soak: daemons end with the process that started them

Cause: a soak ends its daemons as it exits; one that is killed does not, nor does a test file that the runner ends. Change: standard input of a daemon is a pipe of the soak; where it ends, the daemon kills itself.

--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -64,7 +64,8 @@
     const { directory, name } = this.#options;
     const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
     const child = spawn(process.execPath, [...NODE_FLAGS, this.#nextProgram, this.#settingsPath], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+      // Standard input tells the daemon when this process has ended.
+      stdio: ['pipe', 'pipe', 'pipe'],
     });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
--- a/test/soak/gateway-process.test.ts
+++ b/test/soak/gateway-process.test.ts
@@ -1,8 +1,11 @@
 /**
  * Guards against a soak that ends with an error of its own: output of a daemon that arrived after its process had exited
- * was written to a log file that was closed already.
+ * was written to a log file that was closed already. Also guards against daemons that outlive a soak that was killed, and call
+ * ports that later runs are given.
  */
 import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -61,3 +64,13 @@
   rmSync(directory, { recursive: true });
   assert.equal(text.length, OUTPUT_BYTES);
 });
+
+test('a daemon ends with the process that started it', { timeout: 10_000 }, async () => {
+  const module = JSON.stringify(new URL('../../soak/end-with-parent.js', import.meta.url).href);
+  const script = `import(${module}).then(({ endWithParent }) => { endWithParent(); setInterval(() => {}, 1000); });`;
+  const daemon = spawn(process.execPath, ['-e', script], { stdio: ['pipe', 'ignore', 'inherit'] });
+  await once(daemon, 'spawn');
+  daemon.stdin?.end();
+  const [, signal] = (await once(daemon, 'exit')) as [unknown, NodeJS.Signals | null];
+  assert.equal(signal, 'SIGKILL');
+});
