Write the ids of servers in the hop's header in base64url

By reading: encodeURIComponent throws on an id that is not well-formed Unicode, as the answer begins. No such id was seen.

--- a/test/gateway/forwarded-availability.test.ts
+++ b/test/gateway/forwarded-availability.test.ts
@@ -30,7 +30,7 @@
 });
 
 test('entries that cannot be read are passed over', () => {
-  const entries = ['i-1', 'i-2 gone 0', 'i-3 open -1', '%E0%A4%A leaving 0', 'i-4 leaving 0', ''];
+  const entries = ['aS0x', 'aS0x gone 0', 'aS0x open -1', 'i+1 leaving 0', 'aS00 leaving 0', ''];
   assert.deepEqual(decodeAvailability({ [NAME]: entries.join(', ') }), [
     { serverId: 'i-4', isLeaving: true, backOffMs: undefined },
   ]);
