--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -97,8 +97,8 @@
     name: 'leaving-answers',
     promise: 'DRAIN',
     file: 'src/core/gateway/server-availability.ts',
-    text: 'if (told.isLeaving) {',
-    replacement: 'if (told.isLeaving && nowMs < 0) {',
+    text: 'if (isLeaving) {',
+    replacement: 'if (isLeaving && nowMs < 0) {',
   },
   {
     name: 'asked-rests',
