Soak: one fixture of made-up calls, one way to send again, one draw of kills

Cause: the tests of the stream judge had their own copy of the oracle's calls, callers sent a stream that is taken up by a copy of the retry, and the plan of releases drew kills twice. Change: test/soak/support/made-calls.ts serves both tests; Callers.#sendLater both kinds of sending again; killOf both draws. Assertions, bounds and times of the calls are as they were.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -169,7 +169,7 @@
     const onEnd = (end: CallEnd) => {
       const resumes = resumedStream(call, end);
       if (resumes === undefined) this.#retry(spec, end);
-      else this.#resumeStream({ ...spec, resumes, isRetry: false });
+      else this.#sendLater({ ...spec, resumes, isRetry: false }, RESUME_DELAY_MS);
     };
     sendCall({ call, daemon, agent: this.#agentOf(daemon), leavesEarly, onEnd });
   }
@@ -177,16 +177,12 @@
   /** A caller retries once after a refusal; after a failed connection it retries until its deadline. */
   #retry(spec: CallSpec, end: CallEnd): void {
     const afterMs = retryAfterMs(spec, end);
-    if (afterMs === undefined || performance.now() + afterMs > spec.deadlineMs) return;
-    const isRetry = spec.isRetry || end.kind === 'answered';
-    setTimeout(() => {
-      if (this.#isSending) this.#send({ ...spec, isRetry });
-    }, afterMs);
+    if (afterMs === undefined) return;
+    this.#sendLater({ ...spec, isRetry: spec.isRetry || end.kind === 'answered' }, afterMs);
   }
 
-  /** A caller takes a broken stream up again, at any daemon, until its deadline. */
-  #resumeStream(spec: CallSpec): void {
-    const afterMs = RESUME_DELAY_MS;
+  /** Sends again, at any daemon, unless that would be after the deadline. */
+  #sendLater(spec: CallSpec, afterMs: number): void {
     if (performance.now() + afterMs > spec.deadlineMs) return;
     setTimeout(() => {
       if (this.#isSending) this.#send(spec);
--- a/soak/release-plan.ts
+++ b/soak/release-plan.ts
@@ -25,22 +25,24 @@
 /** Faults beside each release. */
 const MIN_FAULTS = 2;
 const MAX_FAULTS = 5;
+const MIN_DOWN_MS = 100;
 
 type Draw = (random: SeededRandom, size: SoakSize) => Fault;
 
-const drawKill: Draw = (random, { daemons }) => ({
-  kind: 'kill',
-  daemons: random.subset(daemons, random.pick([0.1, 0.34, 0.34])),
-  downMs: random.between(100, 2_500),
-});
+/** Kills one of the shares of the daemons. */
+function killOf(shares: readonly [number, ...number[]], maxDownMs: number): Draw {
+  return (random, { daemons }) => ({
+    kind: 'kill',
+    daemons: random.subset(daemons, random.pick(shares)),
+    downMs: random.between(MIN_DOWN_MS, maxDownMs),
+  });
+}
+
+const drawKill = killOf([0.1, 0.34, 0.34], 2_500);
 
 const DRAWS: readonly [Draw, ...Draw[]] = [
   drawKill,
-  (random, { daemons }) => ({
-    kind: 'kill',
-    daemons: random.subset(daemons, random.pick([0.1, 0.34, 1])),
-    downMs: random.between(100, 1_000),
-  }),
+  killOf([0.1, 0.34, 1], 1_000),
   (random, { daemons }) => ({
     kind: 'stop',
     daemons: random.subset(daemons, 0.34),
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -7,12 +7,11 @@
   CallEnd,
   CallRecord,
   ConfigurationVersion,
-  RequestClass,
-  RouteKind,
   RouteProbe,
   RunRecord,
 } from '../../soak/record.js';
 import { CRASHING_MARK, completeBody, eventText } from '../../soak/response-bodies.js';
+import { answered, classOf, madeCall, STAMP } from './support/made-calls.js';
 
 const BOUNDS = {
   contactMs: 3_000,
@@ -24,7 +23,6 @@
   budgetSlack: 4,
   budgetWindowMs: 10_000,
 };
-const STAMP = 's1.1';
 const FIRST: ConfigurationVersion = {
   version: 1,
   ackMs: 0,
@@ -44,18 +42,6 @@
   tenantOfKey: new Map(),
 };
 
-function classOf(kind: RouteKind): RequestClass {
-  return {
-    name: 'c',
-    pathPrefix: '/c/',
-    kind,
-    attempts: 2,
-    timeoutMs: 1_000,
-    targetLatencyMs: 100,
-    share: 1,
-  };
-}
-
 function arrival(fields: Partial<Arrival> = {}): Arrival {
   return {
     atMs: 30_010,
@@ -77,36 +63,8 @@
   };
 }
 
-function answered(fields: Partial<Extract<CallEnd, { kind: 'answered' }>> = {}): CallEnd {
-  return {
-    kind: 'answered',
-    status: 200,
-    stamp: STAMP,
-    body: completeBody('r1', STAMP),
-    isComplete: true,
-    retryAfterMs: undefined,
-    ...fields,
-  };
-}
-
 function call(fields: Partial<CallRecord> = {}): CallRecord {
-  return {
-    id: 'r1',
-    requestClass: classOf('non-idempotent'),
-    daemon: 'd1',
-    incarnation: 1,
-    tenant: 'tenant',
-    apiKey: 'key',
-    body: '',
-    outputTokens: 3,
-    isRetry: false,
-    sentMs: 30_000,
-    deadlineMs: 33_000,
-    endedMs: 30_030,
-    end: answered(),
-    arrivals: [arrival()],
-    ...fields,
-  };
+  return madeCall({ arrivals: [arrival()], ...fields });
 }
 
 function run(calls: readonly CallRecord[], fields: Partial<RunRecord> = {}): RunRecord {
--- a/test/soak/stream-judge.test.ts
+++ b/test/soak/stream-judge.test.ts
@@ -4,36 +4,12 @@
 import type { CallRecord, RunRecord } from '../../soak/record.js';
 import { eventText } from '../../soak/response-bodies.js';
 import { hasAllEvents, resumptionFaults, versionFaults } from '../../soak/stream-judge.js';
-
-const STREAMING = {
-  name: 'generate',
-  pathPrefix: '/generate/',
-  kind: 'streaming',
-  attempts: 2,
-  timeoutMs: 3_000,
-  targetLatencyMs: 300,
-  share: 1,
-} as const;
+import { answered, classOf, madeCall } from './support/made-calls.js';
 
 function stream(fields: Partial<CallRecord>, body: string, status = 200): CallRecord {
-  const end = { kind: 'answered', status, body, isComplete: true } as const;
-  return {
-    id: 'r2',
-    requestClass: STREAMING,
-    daemon: 'd1',
-    incarnation: 1,
-    tenant: 'tenant',
-    apiKey: 'key',
-    body: '',
-    outputTokens: 3,
-    isRetry: false,
-    sentMs: 1_000,
-    deadlineMs: 4_000,
-    endedMs: 1_100,
-    end: { ...end, stamp: 's', retryAfterMs: undefined },
-    arrivals: [],
-    ...fields,
-  };
+  const made = { id: 'r2', requestClass: classOf('streaming'), end: answered({ status, body }) };
+  const times = { sentMs: 1_000, endedMs: 1_100, deadlineMs: 4_000 };
+  return madeCall({ ...made, ...times, ...fields });
 }
 
 const RESUMED = { resumes: { streamId: 'r1', lastEventId: 1, softwareVersion: 'v1' } };
