--- a/test/gateway/cut-off-daemon.test.ts
+++ b/test/gateway/cut-off-daemon.test.ts
@@ -52,7 +52,7 @@
   fixture = new GatewayFixture();
   timers = new ManualTimers();
   links = new ServerLinks();
-  cutOffPort = await fixture.addDaemon('front-1', timers, links);
+  cutOffPort = await fixture.addDaemon('front-1', timers, { links });
   otherPort = await fixture.addDaemon('front-2', timers);
   fixture.store.putConfiguration(
     configuration(1, [route({}), IDEMPOTENT, PATIENT, READ_ROUTE, RESUMABLE_ROUTE]),
--- a/test/gateway/cut-off-witness.test.ts
+++ b/test/gateway/cut-off-witness.test.ts
@@ -70,7 +70,7 @@
     const isCutOff = index < CUT_OFF;
     const own = new ServerLinks((id) => (isCutOff && isSilent(id) ? silent.address : undefined));
     links.push(own);
-    ports.push(await fixture.addDaemon(`front-${index + 1}`, timers, own));
+    ports.push(await fixture.addDaemon(`front-${index + 1}`, timers, { links: own }));
   }
   fixture.store.putConfiguration(configuration(1, [route({})]));
 }
--- /dev/null
+++ b/test/gateway/late-departures.test.ts
@@ -0,0 +1,104 @@
+/**
+ * Guards against requests that reach a server later than its drain time after the store acknowledged that it drains or is
+ * gone, because daemons learn of it late. At most half of the drain time may pass, as real daemons wait for a processor.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CONNECT_TIMEOUT_MS } from '../../src/shell/gateway/backend-connections.js';
+import { DepartingFleet, type DepartureWay } from './support/departing-fleet.js';
+import { seededRandom } from './support/seeded-random.js';
+
+const SERVERS = ['leaves', 'stays'];
+const RESTLESS_MS = 150;
+const RESTING = Number.POSITIVE_INFINITY;
+/** Departures begin at different phases of batches and digests. */
+const PHASES_MS = [0, 190, 430, 770, 1_130];
+
+interface Size {
+  readonly zones: number;
+  readonly daemonsPerZone: number;
+  readonly hasRelays: boolean;
+  readonly contactMs: number;
+  readonly drainMs: number;
+}
+
+const SMALL: Size = {
+  zones: 3,
+  daemonsPerZone: 3,
+  hasRelays: false,
+  contactMs: 3_000,
+  drainMs: 2_000,
+};
+const LARGE: Size = { ...SMALL, daemonsPerZone: 22, hasRelays: true };
+/** The fleets of the deployments, and one at twice the largest. */
+const SIZES: readonly Size[] = [
+  SMALL,
+  { ...LARGE, contactMs: 4_000, drainMs: 3_000 },
+  { ...LARGE, daemonsPerZone: 28, contactMs: 4_000, drainMs: 3_000 },
+  { ...LARGE, daemonsPerZone: 65, contactMs: 5_000, drainMs: 4_000 },
+];
+
+interface Trouble {
+  readonly name: string;
+  readonly needsRelays: boolean;
+  readonly begin: (fleet: DepartingFleet) => void;
+}
+
+const TROUBLES: readonly Trouble[] = [
+  { name: 'without a disturbance', needsRelays: false, begin: () => undefined },
+  {
+    name: 'as a relay stops',
+    needsRelays: true,
+    begin: (fleet) => fleet.halt(fleet.relays.slice(0, 1)),
+  },
+  { name: 'as all relays stop', needsRelays: true, begin: (fleet) => fleet.halt(fleet.relays) },
+  {
+    name: 'where the forwarded changes are lost',
+    needsRelays: true,
+    begin: (fleet) => {
+      fleet.isLost = (kind) => kind !== 'digest';
+    },
+  },
+  {
+    name: 'where the changes are too large to be forwarded',
+    needsRelays: true,
+    begin: (fleet) => {
+      fleet.isTooLarge = true;
+    },
+  },
+];
+
+/** The longest time after a departure until no daemon sends new work to the server. */
+async function slowestMs(size: Size, trouble: Trouble, way: DepartureWay, everyMs: number) {
+  let slowest = 0;
+  for (const phaseMs of PHASES_MS) {
+    const fleet = new DepartingFleet({ ...size, random: seededRandom(1 + phaseMs) });
+    await fleet.start(SERVERS);
+    if (everyMs !== RESTING) fleet.keepChanging(everyMs);
+    await fleet.pass(2_000 + phaseMs);
+    trouble.begin(fleet);
+    slowest = Math.max(slowest, await fleet.depart('leaves', way));
+    fleet.stop();
+  }
+  return slowest;
+}
+
+for (const size of SIZES) {
+  for (const trouble of TROUBLES) {
+    if (trouble.needsRelays && !size.hasRelays) continue;
+    const daemons = size.zones * size.daemonsPerZone;
+    test(`no request is chosen for a server that departs after half of its drain time (${daemons} daemons, ${trouble.name})`, async () => {
+      for (const way of ['draining', 'gone'] as const) {
+        for (const everyMs of [RESTING, RESTLESS_MS]) {
+          const knownMs = await slowestMs(size, trouble, way, everyMs);
+          const lastSentMs = knownMs + CONNECT_TIMEOUT_MS;
+          const limitMs = size.drainMs / 2;
+          assert.ok(
+            lastSentMs <= limitMs,
+            `${way}, a row every ${everyMs} ms: ${lastSentMs} of ${limitMs} ms`,
+          );
+        }
+      }
+    });
+  }
+}
--- /dev/null
+++ b/test/gateway/late-drain.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Guards against requests that reach a server later than its drain time after the store acknowledged that it drains or is
+ * gone.
+ */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { TABLES } from '../../platform/names.js';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { route } from './support/fixture.js';
+import { answering } from './support/server-stand-in.js';
+import type { StoreEntrance } from './support/store-stand-in.js';
+import { VersionedFleet, versionsIn } from './support/versioned-fleet.js';
+
+/** Of the fixture's settings. */
+const DRAIN_MS = 2_000;
+const RESTLESS_MS = 150;
+const CALL_MS = 50;
+/** Long enough to see requests that come after the drain time. */
+const WATCHED_MS = 2 * DRAIN_MS;
+const AWAY_MS = 2_800;
+const AWAY_AGAIN_MS = 1_500;
+const GONE_AFTER_RETURN_MS = 700;
+
+let fleet: VersionedFleet;
+
+beforeEach(() => {
+  fleet = new VersionedFleet();
+});
+
+afterEach(() => fleet.stop());
+
+/** Rewrites a row again and again, as a release does with many rows. */
+function keepListChanging(): void {
+  let sequence = 0;
+  const change = () => {
+    sequence += 1;
+    const address = `127.0.0.1:${1 + (sequence % 1_000)}`;
+    fleet.fixture.store.putServer('other', {
+      service: 'viewer',
+      address,
+      zone: 'a',
+      slots: 6,
+      state: 'ready',
+      sequence,
+    });
+    fleet.timers.after(RESTLESS_MS, change);
+  };
+  change();
+}
+
+/** Calls in turn at the daemons for a time. @returns when the last request reached the server, from now */
+async function lastArrivalMs(
+  id: string,
+  call: (port: number | undefined) => Promise<unknown>,
+): Promise<number> {
+  const sinceMs = fleet.timers.nowMs();
+  let lastMs = 0;
+  let seen = fleet.servers.get(id)?.seen.length ?? 0;
+  for (let turn = 0; fleet.timers.nowMs() < sinceMs + WATCHED_MS; turn += 1) {
+    await call(fleet.ports[turn % fleet.ports.length]);
+    const seenNow = fleet.servers.get(id)?.seen.length ?? 0;
+    if (seenNow > seen) lastMs = fleet.timers.nowMs() - sinceMs;
+    seen = seenNow;
+    await fleet.timers.advanceBy(CALL_MS);
+  }
+  return lastMs;
+}
+
+test('a stream is not resumed at a draining server later than its drain time, where the list keeps changing', async () => {
+  const versions = { a1: 'v1', a2: 'v2', a3: 'v3', a4: 'v4', a5: 'v5' };
+  await fleet.start(3, versions);
+  fleet.setBeginning(versions, 'stays open');
+  const streams = await fleet.openStreams(40, fleet.ports[0]);
+  for (const { sent } of streams) sent.destroy();
+  keepListChanging();
+  await fleet.timers.advanceBy(DRAIN_MS);
+  for (const [id, version] of Object.entries(versions)) {
+    const stream = streams.find(({ body }) => versionsIn(body)[0] === version);
+    assert.ok(stream, version);
+    const server = fleet.servers.get(id);
+    assert.ok(server);
+    const fields = { service: 'reader', stage: 'decode', version, state: 'draining' };
+    fleet.fixture.listServer(id, server, fields);
+    const lastMs = await lastArrivalMs(id, (port) => fleet.resume(stream, port));
+    assert.ok(lastMs > 0, `${id}: resumed there at first`);
+    assert.ok(lastMs <= DRAIN_MS, `${id}: reached ${lastMs} ms after its drain was acknowledged`);
+  }
+});
+
+const VIEWER = 'viewer-1';
+
+/** Lets time pass while a daemon's calls to the store are refused. */
+async function refuseFor(entrance: StoreEntrance, spanMs: number): Promise<void> {
+  entrance.fault = 'refuse';
+  await fleet.timers.advanceBy(spanMs);
+  entrance.fault = 'none';
+}
+
+for (const again of [0, 1, 2]) {
+  test(`a server whose row goes is not used longer than its drain time by a daemon whose own calls failed (and ${again} times again)`, async () => {
+    const entrance = await fleet.fixture.store.addEntrance();
+    await fleet.start(3, { a1: 'v1' }, { entrance });
+    fleet.configure([route({})]);
+    fleet.servers.set(VIEWER, await fleet.fixture.addServer(VIEWER, answering(200, 'tile')));
+    await fleet.untilKnown(VIEWER);
+    await refuseFor(entrance, AWAY_MS);
+    await fleet.timers.advanceBy(GONE_AFTER_RETURN_MS);
+    fleet.fixture.store.remove(TABLES.servers, VIEWER);
+    const call = () => fleet.call({ path: '/tiles/1', port: fleet.ports[0] });
+    const failures = Array.from({ length: again }, (_, index) => index);
+    for (const index of failures) {
+      const atMs = 300 + index * (AWAY_AGAIN_MS + 400);
+      fleet.timers.after(atMs, () => {
+        entrance.fault = 'refuse';
+        fleet.timers.after(AWAY_AGAIN_MS, () => {
+          entrance.fault = 'none';
+        });
+      });
+    }
+    const lastMs = await lastArrivalMs(VIEWER, call);
+    assert.ok(lastMs <= DRAIN_MS, `reached ${lastMs} ms after its row went`);
+    assert.ok(fleet.linesOf(GATEWAY_EVENTS.watchRegained).length > 0);
+  });
+}
--- a/test/gateway/request-forwarding.test.ts
+++ b/test/gateway/request-forwarding.test.ts
@@ -66,7 +66,7 @@
   for (let index = 0; index < count; index += 1) {
     const own = new ServerLinks();
     links.push(own);
-    ports.push(await fixture.addDaemon(`front-${index + 1}`, timers, own));
+    ports.push(await fixture.addDaemon(`front-${index + 1}`, timers, { links: own }));
   }
   fixture.store.putConfiguration(configuration(1, [route({}), PATIENT, RESUMABLE_ROUTE], tenants));
   for (let index = 0; index < SERVERS; index += 1) {
--- /dev/null
+++ b/test/gateway/server-calls.test.ts
@@ -0,0 +1,97 @@
+/** Guards against requests that are sent to a server that has departed since it was chosen. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createPlatformAdapter } from '../../platform/index.js';
+import type { ServerRecord } from '../../src/core/gateway/index.js';
+import { FleetView } from '../../src/shell/gateway/fleet-view.js';
+import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
+import { type ServerCall, ServerCalls } from '../../src/shell/gateway/server-calls.js';
+import { ManualTimers } from './support/manual-timers.js';
+
+const SERVER: ServerRecord = {
+  id: 'reader-1',
+  service: 'reader',
+  address: '127.0.0.1:1',
+  zone: 'a',
+  slots: 8,
+  state: 'ready',
+  isSpot: false,
+  stage: 'decode',
+  bornMs: 1,
+  softwareVersion: 'v1',
+};
+
+/** Calls of a daemon whose list a test changes; no call is answered. */
+class ListedCalls {
+  readonly timers = new ManualTimers();
+  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly calls: ServerCalls;
+  sent = 0;
+
+  constructor() {
+    this.fleet.directory.replaceAll([SERVER]);
+    const adapter = createPlatformAdapter({ host: '127.0.0.1', port: 1 });
+    this.calls = new ServerCalls({
+      connections: {
+        call: async () => {
+          this.sent += 1;
+          return { kind: 'not-sent', reason: 'refused', connectTimedOut: false };
+        },
+      },
+      fleet: this.fleet,
+      paths: { recordConnected: () => undefined, recordFailure: () => undefined },
+      codec: adapter.requests,
+      timers: this.timers,
+      wallClock: () => this.timers.nowMs(),
+      metrics: new GatewayMetrics(),
+      log: { write: () => undefined },
+      onLimitChange: () => undefined,
+    });
+  }
+
+  /** Lists the server anew, as a row that has just been read. */
+  list(fields: Partial<ServerRecord>): void {
+    this.fleet.directory.apply([{ ...SERVER, ...fields }], []);
+  }
+
+  /** Calls the server as it was when it was chosen. */
+  call(fields: Partial<ServerCall> = {}) {
+    return this.calls.call({
+      server: SERVER,
+      purpose: 'run',
+      request: 'r1',
+      method: 'POST',
+      path: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+      mayKeepConnection: false,
+      connectTimeoutMs: 100,
+      signal: new AbortController().signal,
+      ...fields,
+    });
+  }
+}
+
+const CHANGES: readonly (readonly [string, (calls: ListedCalls) => void])[] = [
+  ['drains', (calls) => calls.list({ state: 'draining' })],
+  ['is gone', (calls) => calls.fleet.directory.apply([], [SERVER.id])],
+  ['has another boot', (calls) => calls.list({ bornMs: 2 })],
+];
+
+for (const [what, change] of CHANGES) {
+  for (const purpose of ['run', 'prefill'] as const) {
+    test(`no ${purpose} is sent to a server that ${what} since it was chosen`, async () => {
+      const calls = new ListedCalls();
+      change(calls);
+      assert.equal((await calls.call({ purpose })).kind, 'held-back');
+      assert.equal(calls.sent, 0);
+    });
+  }
+}
+
+test('a call that brings no work is made to a server that drains', async () => {
+  const calls = new ListedCalls();
+  calls.list({ state: 'draining' });
+  await calls.call({ purpose: 'free-memory' });
+  assert.equal(calls.sent, 1);
+});
--- a/test/gateway/store-from-copy.test.ts
+++ b/test/gateway/store-from-copy.test.ts
@@ -1,7 +1,8 @@
 /** After a short outage and a restore of the store from an older copy, changes are in force at all daemons in time. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { FollowedZone, type LinkState } from './support/followed-zone.js';
+import { FollowedZone } from './support/followed-zone.js';
+import type { LinkState } from './support/store-link.js';
 
 const FLEETS = [
   { fleet: 9, daemons: 3, hasRelay: false, contactMs: 3_000, configApplyMs: 2_000 },
--- a/test/gateway/stream-versions.test.ts
+++ b/test/gateway/stream-versions.test.ts
@@ -186,7 +186,7 @@
 test('a stream goes on at its version where the daemon that its caller comes to is cut off from the servers', async () => {
   const links = new ServerLinks();
   try {
-    await fleet.start(3, THREE_OF_EACH, links);
+    await fleet.start(3, THREE_OF_EACH, { links });
     fleet.setBeginning(THREE_OF_EACH, 'stays open');
     const streams = await fleet.openStreams(STREAMS, fleet.ports[1]);
     for (const { sent } of streams) sent.destroy();
--- /dev/null
+++ b/test/gateway/support/departing-fleet.ts
@@ -0,0 +1,325 @@
+/**
+ * The daemons of several zones following the list of servers in virtual time: the product's followers, digests and
+ * messages with a simulated store. It measures how late after the store's acknowledgement a daemon still sends to a
+ * server that departs.
+ */
+import {
+  DigestSchedule,
+  RestoredServers,
+  type ServerRecord,
+} from '../../../src/core/gateway/index.js';
+import { FleetFollower } from '../../../src/shell/gateway/fleet-follower.js';
+import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
+import type {
+  PlatformAdapter,
+  WatchAnswer,
+  WatchedRow,
+  WatchedTable,
+} from '../../../src/shell/gateway/ports.js';
+import { RelayDigest } from '../../../src/shell/gateway/relay-digest.js';
+import {
+  maxDigestAgeMs,
+  recheckSpans,
+  type WatchRole,
+  watchTiming,
+} from '../../../src/shell/gateway/watch-timing.js';
+import { StoreLink } from './store-link.js';
+import { VirtualTimers } from './virtual-timers.js';
+
+const DATAGRAM_MS = 2;
+const RELAY_TICK_MS = 60;
+const SAMPLE_MS = 5;
+export const SERVICE = 'reader';
+
+/** What a datagram carries. */
+export type DatagramKind = 'servers' | 'digest';
+
+/** How a server departs. */
+export type DepartureWay = 'draining' | 'gone';
+
+/** A row of the simulated store; `value` is undefined where it is gone. */
+interface StoredRow {
+  readonly revision: number;
+  readonly value: ServerRecord | undefined;
+}
+
+/** The list of servers in the store. */
+class ServersTable {
+  readonly rows = new Map<string, StoredRow>();
+  revision = 1;
+  readonly #timers: VirtualTimers;
+  readonly #changed = new Set<() => void>();
+
+  constructor(timers: VirtualTimers) {
+    this.#timers = timers;
+  }
+
+  write(id: string, value: ServerRecord | undefined): void {
+    this.revision += 1;
+    this.rows.set(id, { revision: this.revision, value });
+    for (const notify of [...this.#changed]) notify();
+  }
+
+  rowsAfter(after: number): readonly WatchedRow<ServerRecord>[] {
+    return [...this.rows].flatMap(([key, { revision, value }]): WatchedRow<ServerRecord>[] => {
+      if (revision <= after) return [];
+      return value === undefined ? [{ kind: 'gone', key }] : [{ kind: 'value', key, value }];
+    });
+  }
+
+  /** Resolves at the next change or after `maxWaitMs`. */
+  changed(maxWaitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        cancel();
+        this.#changed.delete(finish);
+        resolve();
+      };
+      const cancel = this.#timers.after(maxWaitMs, finish);
+      this.#changed.add(finish);
+    });
+  }
+
+  /** The table as a daemon reads it over its link. */
+  over(link: StoreLink): WatchedTable<ServerRecord> {
+    const answer = (after: number): WatchAnswer<ServerRecord> => {
+      return { kind: 'rows', rows: this.rowsAfter(after), era: 0, revision: this.revision };
+    };
+    return {
+      name: 'servers',
+      readAll: (signal) =>
+        link.call(signal, async () => {
+          const all = answer(0);
+          if (all.kind !== 'rows') return all;
+          return { ...all, rows: all.rows.filter(({ kind }) => kind === 'value') };
+        }),
+      changesAfter: (after, waitMs, signal) =>
+        link.call(signal, async () => {
+          if (this.rowsAfter(after).length === 0) await this.changed(waitMs);
+          return answer(after);
+        }),
+      decode: (key) => ({ kind: 'gone', key }),
+    };
+  }
+}
+
+/** A table that is empty and never changes. */
+function emptyTable(link: StoreLink, timers: VirtualTimers): WatchedTable<never> {
+  const none = { kind: 'rows', rows: [], era: 0, revision: 1 } as const;
+  return {
+    name: 'configurations',
+    readAll: (signal) => link.call<never>(signal, async () => none),
+    changesAfter: (_after, waitMs, signal) =>
+      link.call<never>(signal, async () => {
+        await new Promise<void>((resolve) => timers.after(waitMs, resolve));
+        return none;
+      }),
+    decode: (key) => ({ kind: 'gone', key }),
+  };
+}
+
+/** One daemon. */
+export class DepartingDaemon {
+  readonly link: StoreLink;
+  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly digest: RelayDigest;
+  readonly follower: FleetFollower;
+  readonly schedule = new DigestSchedule();
+  /** Sends and receives nothing, as a stopped process. */
+  isStopped = false;
+
+  constructor(
+    readonly zone: number,
+    readonly role: WatchRole,
+    table: ServersTable,
+    world: DepartingFleet,
+  ) {
+    const { timers } = world;
+    const { contactMs, random } = world.options;
+    this.link = new StoreLink(timers);
+    this.digest = new RelayDigest(timers, maxDigestAgeMs(contactMs));
+    const adapter = {
+      configurations: emptyTable(this.link, timers),
+      servers: table.over(this.link),
+    };
+    this.follower = new FleetFollower({
+      adapter: adapter as unknown as PlatformAdapter,
+      fleet: this.fleet,
+      cacheEventWatchers: {
+        add: () => undefined,
+        remove: () => undefined,
+        restart: () => undefined,
+      } as never,
+      timing: () => watchTiming(role, contactMs),
+      recheckSpans: recheckSpans(contactMs),
+      restored: new RestoredServers(contactMs),
+      random,
+      handleStoreRestored: () => undefined,
+      forwardServers: (changes) => {
+        if (role !== 'relay' || world.isTooLarge) return;
+        world.send(this, 'servers', world.followersOf(this), ({ follower }) =>
+          follower.applyServerChanges(changes),
+        );
+      },
+      forwardConfiguration: () => undefined,
+      recordDeparture: () => undefined,
+      recordServerStart: () => undefined,
+      digest: this.digest,
+      timers,
+      wallClock: () => timers.nowMs(),
+      log: { write: () => undefined } as never,
+      applyLimits: () => undefined,
+      onConfigurationChanged: () => undefined,
+      onServersChanged: () => undefined,
+    });
+  }
+
+  /** Whether this daemon would send new work to a server. */
+  uses(id: string, nowMs: number): boolean {
+    return this.fleet.candidates(SERVICE, nowMs).some((server) => server.id === id);
+  }
+}
+
+/** Parameters of a `DepartingFleet`. */
+export interface DepartingFleetOptions {
+  readonly zones: number;
+  readonly daemonsPerZone: number;
+  readonly contactMs: number;
+  /** Whether the first daemon of each zone is its relay. */
+  readonly hasRelays: boolean;
+  readonly random: () => number;
+}
+
+/** Daemons, their store and the datagrams between them. */
+export class DepartingFleet {
+  readonly timers = new VirtualTimers();
+  readonly daemons: readonly DepartingDaemon[];
+  /** Whether changes of the list are too large for a datagram. */
+  isTooLarge = false;
+  /** Whether a datagram is lost. */
+  isLost: (kind: DatagramKind, to: DepartingDaemon) => boolean = () => false;
+  readonly options: DepartingFleetOptions;
+  readonly #table = new ServersTable(this.timers);
+  #cancelChanges: () => void = () => undefined;
+
+  constructor(options: DepartingFleetOptions) {
+    this.options = options;
+    const { zones, daemonsPerZone, hasRelays } = options;
+    this.daemons = Array.from({ length: zones * daemonsPerZone }, (_, index) => {
+      const isFirst = index % daemonsPerZone === 0;
+      const role = !hasRelays ? 'alone' : isFirst ? 'relay' : 'follower';
+      return new DepartingDaemon(Math.floor(index / daemonsPerZone), role, this.#table, this);
+    });
+  }
+
+  get relays(): readonly DepartingDaemon[] {
+    return this.daemons.filter(({ role }) => role === 'relay');
+  }
+
+  get callsTotal(): number {
+    return this.daemons.reduce((sum, { link }) => sum + link.calls, 0);
+  }
+
+  followersOf({ zone }: DepartingDaemon): readonly DepartingDaemon[] {
+    return this.daemons.filter((daemon) => daemon.zone === zone && daemon.role === 'follower');
+  }
+
+  /** Starts the daemons with servers listed as ready, and lets them read the list. */
+  async start(ids: readonly string[]): Promise<void> {
+    for (const id of ids) this.list(id);
+    for (const { follower } of this.daemons) follower.start();
+    for (const relay of this.relays) this.#sendDigest(relay);
+    await this.#pass(2 * this.options.contactMs);
+  }
+
+  stop(): void {
+    this.#cancelChanges();
+    for (const { follower } of this.daemons) follower.stop();
+  }
+
+  list(id: string, fields: Partial<ServerRecord> = {}): void {
+    this.#table.write(id, serverOf(id, fields));
+  }
+
+  /** Lists servers anew, one after another, so that the list never rests. */
+  keepChanging(everyMs: number): void {
+    let count = 0;
+    const change = () => {
+      count += 1;
+      this.list(`other-${count % 40}`, { bornMs: count });
+      this.#cancelChanges = this.timers.after(everyMs, change);
+    };
+    change();
+  }
+
+  /** Lets time pass; whatever the daemons do meanwhile takes place. */
+  pass(spanMs: number): Promise<void> {
+    return this.#pass(spanMs);
+  }
+
+  /**
+   * A server departs.
+   * @returns the time after which the last of the running daemons sends it no new work
+   */
+  async depart(id: string, way: DepartureWay): Promise<number> {
+    this.#table.write(id, way === 'gone' ? undefined : serverOf(id, { state: 'draining' }));
+    const sinceMs = this.timers.nowMs();
+    const running = this.daemons.filter(({ isStopped }) => !isStopped);
+    while (running.some((daemon) => daemon.uses(id, this.timers.nowMs()))) {
+      await this.#pass(SAMPLE_MS);
+    }
+    return this.timers.nowMs() - sinceMs;
+  }
+
+  /** Sends a datagram. */
+  send(
+    from: DepartingDaemon,
+    kind: DatagramKind,
+    recipients: readonly DepartingDaemon[],
+    receive: (daemon: DepartingDaemon) => void,
+  ): void {
+    if (from.isStopped) return;
+    this.timers.after(DATAGRAM_MS, () => {
+      for (const daemon of recipients) {
+        if (!daemon.isStopped && !this.isLost(kind, daemon)) receive(daemon);
+      }
+    });
+  }
+
+  /** Daemons stop, as processes that get no processor time. */
+  halt(daemons: readonly DepartingDaemon[]): void {
+    for (const daemon of daemons) {
+      daemon.isStopped = true;
+      daemon.link.set('silent');
+    }
+  }
+
+  #pass(spanMs: number): Promise<void> {
+    return this.timers.advanceUntil(this.timers.nowMs() + spanMs);
+  }
+
+  #sendDigest(relay: DepartingDaemon): void {
+    const digest = { ...relay.follower.digestToSend(), peersChecksum: 1 };
+    if (!relay.isStopped && relay.schedule.next(digest, this.timers.nowMs()) !== 'nobody') {
+      const followers = this.followersOf(relay);
+      this.send(relay, 'digest', followers, (daemon) => daemon.digest.apply(digest));
+    }
+    this.timers.after(RELAY_TICK_MS, () => this.#sendDigest(relay));
+  }
+}
+
+function serverOf(id: string, fields: Partial<ServerRecord>): ServerRecord {
+  return {
+    id,
+    service: SERVICE,
+    address: `10.0.0.1:${id.length}`,
+    zone: 'a',
+    slots: 8,
+    state: 'ready',
+    isSpot: false,
+    stage: undefined,
+    bornMs: 1,
+    softwareVersion: 'v1',
+    ...fields,
+  };
+}
--- a/test/gateway/support/disturbed-zone.ts
+++ b/test/gateway/support/disturbed-zone.ts
@@ -1,6 +1,7 @@
 /** Changes of the configuration around a disturbance of the daemons' links to the store, in virtual time. */
-import { FollowedZone, type FollowedZoneOptions, type LinkState } from './followed-zone.js';
+import { FollowedZone, type FollowedZoneOptions } from './followed-zone.js';
 import { seededRandom } from './seeded-random.js';
+import type { LinkState } from './store-link.js';
 
 /** Bounds that operators set. */
 interface Bounds {
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -16,7 +16,7 @@
 } from '../../../src/shell/gateway/index.js';
 import type { ServerLinks } from './server-links.js';
 import { type Script, ServerStandIn } from './server-stand-in.js';
-import { StoreStandIn } from './store-stand-in.js';
+import { type StoreEntrance, StoreStandIn } from './store-stand-in.js';
 
 const HOST = 'labels.example';
 
@@ -47,16 +47,22 @@
   readonly port?: number | undefined;
 }
 
+/** What a daemon of the fixture reaches in ways of its own. */
+export interface DaemonPaths {
+  /** Its paths to the servers; undefined where it reaches them directly. */
+  readonly links?: ServerLinks | undefined;
+  /** Its address of the store; undefined where it shares the first daemon's. */
+  readonly entrance?: StoreEntrance | undefined;
+}
+
 /** Options of one gateway of the fixture. */
-interface GatewayOptions {
+interface GatewayOptions extends DaemonPaths {
   readonly name: string;
   readonly timers: TimerService;
   readonly retryBudget: GatewaySettings['retryBudget'];
   /** Whether it exchanges messages with other daemons. */
   readonly hasPeers: boolean;
   readonly decisions: GatewaySettings['decisions'];
-  /** Its paths to the servers; undefined where it reaches them directly. */
-  readonly links?: ServerLinks | undefined;
 }
 
 const FIRST_DAEMON = 'front-1';
@@ -177,14 +183,11 @@
     this.readinessPort = addresses.readinessPort;
   }
 
-  /**
-   * Starts one more daemon, which exchanges messages with the others; returns its port for callers.
-   * @param links its paths to the servers; by default it reaches them directly
-   */
+  /** Starts one more daemon, which exchanges messages with the others; returns its port for callers. */
   async addDaemon(
     name: string,
     timers: TimerService = SYSTEM_TIMERS,
-    links?: ServerLinks,
+    paths: DaemonPaths = {},
   ): Promise<number> {
     const options = {
       name,
@@ -192,7 +195,7 @@
       retryBudget: AMPLE_BUDGET,
       hasPeers: true,
       decisions: DEFAULT_LOAD_DECISIONS,
-      links,
+      ...paths,
     };
     const { callersPort } = await this.#startGateway(options);
     await this.logged(GATEWAY_EVENTS.fingerprintKeyRead, (_fields, daemon) => daemon === name);
@@ -202,6 +205,7 @@
   async #startGateway(options: GatewayOptions): Promise<GatewayAddresses> {
     const { name, timers, retryBudget, hasPeers, decisions, links } = options;
     this.#storeAddress ??= await this.store.start();
+    const store = options.entrance ?? this.#storeAddress;
     const settings: GatewaySettings = {
       name,
       zone: 'a',
@@ -211,7 +215,7 @@
         metrics: undefined,
         peers: hasPeers ? { host: '127.0.0.1', port: 0 } : undefined,
       },
-      store: this.#storeAddress,
+      store,
       bounds: { contactMs: 3_000, stopGraceSeconds: 8, leaseMs: 3_000, drainMs: 2_000 },
       retryBudget,
       logging: { maxLinesPerSecond: 10_000 },
@@ -222,7 +226,7 @@
         this.#recordLine({ daemon: name, event, fields }),
       flush: () => undefined,
     };
-    const adapter = createPlatformAdapter(this.#storeAddress);
+    const adapter = createPlatformAdapter(store);
     const gateway = new Gateway({
       settings,
       adapter: links?.adapt(adapter) ?? adapter,
--- a/test/gateway/support/store-stand-in.ts
+++ b/test/gateway/support/store-stand-in.ts
@@ -39,6 +39,13 @@
   readonly rows: ReadonlyMap<string, Row>;
 }
 
+/** An address of the store, with a fault of its own. */
+export interface StoreEntrance {
+  readonly host: string;
+  readonly port: number;
+  fault: StoreFault;
+}
+
 /** A store on loopback. */
 export class StoreStandIn {
   /** Applied to every call until it is reset to `none`. */
@@ -51,17 +58,30 @@
   #ver = 1;
   #rows = new Map<string, Row>();
   readonly #feeds = new Set<HeldFeed>();
-  readonly #server = http.createServer((request, response) => void this.#serve(request, response));
+  readonly #servers: http.Server[] = [];
+
+  start(): Promise<StoreEntrance> {
+    return this.addEntrance();
+  }
 
-  async start(): Promise<{ readonly host: string; readonly port: number }> {
-    this.#server.listen(0, '127.0.0.1');
-    await once(this.#server, 'listening');
-    return { host: '127.0.0.1', port: (this.#server.address() as AddressInfo).port };
+  /** Opens one more address, so that the calls of some daemons can be struck alone. */
+  async addEntrance(): Promise<StoreEntrance> {
+    const entrance = { host: '127.0.0.1', port: 0, fault: 'none' as StoreFault };
+    const server = http.createServer(
+      (request, response) => void this.#serve(request, response, entrance),
+    );
+    this.#servers.push(server);
+    server.listen(0, entrance.host);
+    await once(server, 'listening');
+    entrance.port = (server.address() as AddressInfo).port;
+    return entrance;
   }
 
   stop(): void {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   putConfiguration(document: unknown): void {
@@ -91,7 +111,7 @@
     this.#era += 1;
     this.#ver = ver;
     this.#rows = new Map(rows);
-    this.#server.closeAllConnections();
+    for (const server of this.#servers) server.closeAllConnections();
     this.#feeds.clear();
   }
 
@@ -115,13 +135,17 @@
     this.#rows.set(`${table}/${key}`, { table, privateKey: key, value, ver: this.#ver });
   }
 
-  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    entrance: StoreEntrance,
+  ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls.push(url.pathname);
     response.setHeader('Store-Era', String(this.#era));
-    if (this.fault === 'refuse') {
+    if (this.fault === 'refuse' || entrance.fault === 'refuse') {
       response.writeHead(503).end();
       return;
     }
--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -7,13 +7,13 @@
   type CallerAnswer,
   type CallerRequest,
   configuration,
+  type DaemonPaths,
   GatewayFixture,
   READ_ROUTE,
   RESUMABLE_ROUTE,
   SHORT_REQUEST,
 } from './fixture.js';
 import { ManualTimers } from './manual-timers.js';
-import type { ServerLinks } from './server-links.js';
 import {
   engine,
   rejectingAsNotExecuted,
@@ -52,15 +52,15 @@
 
   /**
    * @param versions the software version of each engine, by its id
-   * @param linksOfFirst the paths of the first daemon to the servers
+   * @param pathsOfFirst what the first daemon reaches in ways of its own
    */
   async start(
     daemons: number,
     versions: Readonly<Record<string, string>>,
-    linksOfFirst?: ServerLinks,
+    pathsOfFirst: DaemonPaths = {},
   ): Promise<void> {
     for (let index = 0; index < daemons; index += 1) {
-      await this.addDaemon(index === 0 ? linksOfFirst : undefined);
+      await this.addDaemon(index === 0 ? pathsOfFirst : {});
     }
     this.configure([RESUMABLE_ROUTE, READ_ROUTE]);
     await this.addEngines(versions, 'whole');
@@ -76,12 +76,11 @@
     );
   }
 
-  /** @param links its paths to the servers; by default it reaches them directly */
-  async addDaemon(links?: ServerLinks): Promise<number> {
+  async addDaemon(paths: DaemonPaths = {}): Promise<number> {
     this.#daemons += 1;
     const name = `front-${this.#daemons}`;
     let port: number | undefined;
-    void this.fixture.addDaemon(name, this.timers, links).then((opened) => {
+    void this.fixture.addDaemon(name, this.timers, paths).then((opened) => {
       port = opened;
     });
     await this.timers.advanceUntil(() => port !== undefined);
