Ask the list once more as a request is sent

What callers and servers see: a request reaches a server that was taken off the list after the request had been planned. Cause: between choice and send lie a reserved permit (up to 2 s, over a whole prefill), admission and queues of connections; the check before the send asked what the server's own answers had said, never what the list says by then. Change: Departures.refusalOf decides by the list for runs and prefills, also for resumptions at draining servers, and by boot: another boot of the id is not the server that was chosen. Such a call is held back, as for a server that has said that it leaves.

--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -4,11 +4,19 @@
  * did not show the departure yet.
  */
 import type { StorePosition } from '../platform/store-position.js';
-import { type DirectoryChange, isSameBoot, type ServerRecord } from './server-directory.js';
+import {
+  type DirectoryChange,
+  isSameBoot,
+  type ServerDirectory,
+  type ServerRecord,
+} from './server-directory.js';
 
 /** Departures that are remembered, to explain late sends; beyond this number the earliest are forgotten. */
 const MAX_REMEMBERED = 4_096;
 
+/** A daemon learns late that a server drains, and the server accepts no work after its drain time. */
+const RESUME_SHARE_OF_DRAIN = 0.5;
+
 export type DepartureState =
   | 'draining'
   | 'gone'
@@ -32,10 +40,28 @@
   readonly learnedAtMs: number;
 }
 
+/** Why a server must not be sent a request, by the list. */
+export interface NotListed {
+  readonly kind: 'draining' | 'gone';
+  /** How long this daemon has known. */
+  readonly toldAgoMs: number;
+}
+
 /** The departures that this daemon knows of, by server id. */
 export class Departures {
+  readonly #directory: Pick<ServerDirectory, 'get'>;
+  readonly #resumeMs: number;
   readonly #byId = new Map<string, Departure>();
 
+  /**
+   * @param directory the list that the departures are of
+   * @param drainMs how long servers accept work after the store has acknowledged their departure; 0 if not known
+   */
+  constructor(directory: Pick<ServerDirectory, 'get'>, drainMs: number) {
+    this.#directory = directory;
+    this.#resumeMs = drainMs * RESUME_SHARE_OF_DRAIN;
+  }
+
   /** Records a change of the list. @returns the departures that it shows */
   recordChange(change: DirectoryChange, origin: RowsOrigin, nowMs: number): readonly Departure[] {
     const { added, changed, removed, restarted } = change;
@@ -60,9 +86,30 @@
     return this.#byId.get(id);
   }
 
-  /** The departures of listed servers that drain. */
-  draining(): readonly Departure[] {
-    return [...this.#byId.values()].filter(({ state }) => state === 'draining');
+  /**
+   * Whether a server that was chosen earlier must not be sent a request, as it drains, is gone or has another boot.
+   * @param continuesStream whether the request takes up a stream that has begun
+   */
+  refusalOf(server: ServerRecord, continuesStream: boolean, nowMs: number): NotListed | undefined {
+    const listed = this.#directory.get(server.id);
+    const isListed = listed !== undefined && isSameBoot(listed, server);
+    if (isListed && listed.state === 'ready') return undefined;
+    if (isListed && continuesStream && this.#mayResumeAt(server.id, nowMs)) return undefined;
+    const toldAgoMs = nowMs - (this.of(server.id)?.learnedAtMs ?? nowMs);
+    return { kind: isListed ? 'draining' : 'gone', toldAgoMs };
+  }
+
+  /** Listed servers that drain and may still be sent the rest of a stream that has begun. */
+  resumable(nowMs: number): readonly ServerRecord[] {
+    return [...this.#byId.keys()]
+      .filter((id) => this.#mayResumeAt(id, nowMs))
+      .flatMap((id) => this.#directory.get(id) ?? []);
+  }
+
+  #mayResumeAt(id: string, nowMs: number): boolean {
+    const departure = this.of(id);
+    if (departure?.state !== 'draining') return false;
+    return nowMs - departure.learnedAtMs <= this.#resumeMs;
   }
 
   #record(
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -30,6 +30,7 @@
   type Departure,
   type DepartureState,
   Departures,
+  type NotListed,
   type RowsOrigin,
   type RowsSource,
 } from './departures.js';
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -207,7 +207,8 @@
   callHeldBack: {
     number: 6028,
     level: 'info',
-    message: 'a call was not sent because its server is leaving, backing off or at its rate limit',
+    message:
+      'a call was not sent because its server has departed since it was chosen, is leaving, backing off or at its rate limit',
     remedy: 'Nothing to do; the request goes to another server, or is refused if there is none.',
   },
   serverNamedLimit: {
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -73,8 +73,6 @@
   readonly streams: Pick<StreamContinuity, 'recordFirstEvent' | 'decideResumption'>;
   /** Holds streams for which an engine is expected. */
   readonly streamWaits: Pick<StreamWaits, 'wait'>;
-  /** For how long after a server began to drain a stream that has begun may be resumed there. */
-  readonly resumeWhileDrainingMs: number;
   /** The zone of this daemon. */
   readonly zone: string;
 }
@@ -115,7 +113,7 @@
   | { readonly kind: 'not-sent'; readonly reason: string; readonly connectTimedOut: boolean }
   /** The attempt would be a retry and the retry budget is used up, so other servers are not tried either. */
   | { readonly kind: 'no-budget'; readonly reason: string }
-  /** Not sent, as the server is leaving, backing off or at its limit. */
+  /** Not sent, as the server is no longer listed as ready, is leaving, backing off or at its limit. */
   | { readonly kind: 'held-back'; readonly reason: string }
   /** The server's answer states that it did not run the request. */
   | { readonly kind: 'not-executed'; readonly status: number; readonly origin: AnswerOrigin }
@@ -247,6 +245,7 @@
     mayKeepConnection: options.mayKeepConnection && isFirstSend,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     hasPermit: options.hasPermit,
+    continuesStream: exchange.streamOrigin !== undefined,
     signal: options.signal,
     onLateAnswer: (answer) => receiveLateAnswer(answer),
   });
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -59,7 +59,7 @@
 /** The state of the fleet on which requests are routed. */
 export class FleetView {
   readonly directory = new ServerDirectory();
-  readonly departures = new Departures();
+  readonly departures: Departures;
   readonly availability = new ServerAvailability();
   readonly limits = new NamedLimits();
   readonly permits = new LimitPermits();
@@ -88,12 +88,15 @@
    * @param budgetOptions the bound on repeats, shared by all daemons
    * @param onBudgetCreated called when a service's first request creates its budget
    * @param decisions the load decisions that are switched on
+   * @param drainMs how long servers accept work after they have said that they drain; 0 if not known
    */
   constructor(
     budgetOptions: RetryBudgetOptions,
     onBudgetCreated: (service: string, budget: RetryBudget) => void = () => undefined,
     decisions: Pick<LoadDecisions, 'enginePaces' | 'waiting'> = DEFAULT_LOAD_DECISIONS,
+    drainMs = 0,
   ) {
+    this.departures = new Departures(this.directory, drainMs);
     this.#countsOverdue = decisions.waiting;
     this.#budgetOptions = budgetOptions;
     this.#onBudgetCreated = onBudgetCreated;
@@ -146,12 +149,10 @@
     for (const { id } of removed) this.permits.forget(id);
   }
 
-  /** Servers of a service that began to drain at most `maxAgeMs` ago, and may still be sent the rest of a stream. */
-  recentlyDraining(service: string, maxAgeMs: number, nowMs: number): readonly ServerRecord[] {
+  /** Draining servers of a service that may still be sent the rest of a stream that has begun. */
+  resumableWhileDraining(service: string, nowMs: number): readonly ServerRecord[] {
     return this.departures
-      .draining()
-      .filter(({ learnedAtMs }) => nowMs - learnedAtMs <= maxAgeMs)
-      .flatMap(({ server: { id } }) => this.directory.get(id) ?? [])
+      .resumable(nowMs)
       .filter((server) => server.service === service)
       .filter((server) => this.availabilityOf(server, nowMs).kind === 'open')
       .filter(({ id }) => !this.isUnreachable(id, nowMs));
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -54,8 +54,6 @@
 const NOT_READY_NOTICE_MS = 2_600;
 /** Requests have to end this long before the grace period does. */
 const STOP_MARGIN_MS = 700;
-/** A daemon learns late that a server drains, and the server accepts no work after its drain time. */
-const RESUME_SHARE_OF_DRAIN = 0.5;
 const STOP_POLL_MS = 50;
 /** Incarnation numbers, which tell the starts of a daemon apart, are below this. */
 const INCARNATION_LIMIT = 2 ** 47;
@@ -122,6 +120,7 @@
       settings.retryBudget,
       (service, budget) => this.#retryBudgets.recordBudgetCreated(service, budget),
       settings.decisions,
+      settings.bounds.drainMs,
     );
     this.#retryBudgets = new RetryBudgetReporter({
       fleet: this.#fleet,
@@ -206,7 +205,6 @@
       webWork,
       streams: this.#streams,
       streamWaits: new StreamWaits(),
-      resumeWhileDrainingMs: RESUME_SHARE_OF_DRAIN * (settings.bounds.drainMs ?? 0),
       recordRunStart: ({ options: { tenant } }, agoMs) =>
         this.#duties.recordRunStart(tenant, agoMs),
     };
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -200,13 +200,13 @@
 
   /** The engines that may take the request now; a stream that has begun goes on at a draining one rather than nowhere. */
   #candidates(): readonly ServerRecord[] {
-    const { fleet, resumeWhileDrainingMs } = this.#context;
+    const { fleet } = this.#context;
     const nowMs = this.#nowMs();
     const candidates = this.#forStream(fleet.candidates(this.#service, nowMs));
     const { streamOrigin, triedServerIds } = this.#exchange;
     const isUsable = ({ id, stage }: ServerRecord) => stage === 'decode' && !triedServerIds.has(id);
     if (streamOrigin === undefined || candidates.some(isUsable)) return candidates;
-    const draining = fleet.recentlyDraining(this.#service, resumeWhileDrainingMs, nowMs);
+    const draining = fleet.resumableWhileDraining(this.#service, nowMs);
     return [...candidates, ...this.#forStream(draining)];
   }
 
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -8,6 +8,7 @@
   type LimitChange,
   type LimitReading,
   lateAnswerWaitMs,
+  type NotListed,
   type ReportedLimit,
   type SendAvailability,
   type ServerRecord,
@@ -41,6 +42,8 @@
   readonly request: string;
   /** Whether a permit was already taken for the call, where its server reports a limit. */
   readonly hasPermit?: boolean;
+  /** Whether the call takes up a stream that has begun, which is possible for a while at a server that drains. */
+  readonly continuesStream?: boolean;
   /**
    * Receives an answer that arrives after the call was aborted, once its reports are recorded. It has to be read to its
    * end or destroyed; where this is undefined, it is destroyed.
@@ -96,7 +99,7 @@
 
   async call(call: ServerCall): Promise<ServerCallResult> {
     const { connections, paths, timers } = this.#options;
-    const { server, purpose, request, hasPermit, onLateAnswer, ...sent } = call;
+    const { server, purpose, request, hasPermit, continuesStream, onLateAnswer, ...sent } = call;
     const sentAtMs = timers.nowMs();
     const heldBack = this.#holdBack(call, sentAtMs);
     if (heldBack !== undefined) return heldBack;
@@ -133,27 +136,27 @@
     return { requestId: attemptId, isReusedConnection };
   }
 
-  /** Rechecks the server right before the call, as it may have reported a change after it was chosen. */
-  #holdBack(
-    { server, purpose, request, hasPermit = false }: ServerCall,
-    nowMs: number,
-  ): HeldBack | undefined {
+  /** Rechecks the server right before the call, as the list or the server may have changed after it was chosen. */
+  #holdBack(call: ServerCall, nowMs: number): HeldBack | undefined {
+    const { server, purpose, request } = call;
     const { fleet, log, metrics } = this.#options;
-    const { availability } = fleet;
     // A leaving server still accepts calls that bring no new work; a server that backs off accepts no calls at all.
-    const availabilityNow = isForCaller(purpose)
-      ? this.#availabilityOf(server, hasPermit, nowMs)
-      : availability.backOffOf(server, nowMs);
-    if (availabilityNow === undefined || availabilityNow.kind === 'open') return undefined;
-    const { kind: why, toldAgoMs } = availabilityNow;
+    const refusal = isForCaller(purpose)
+      ? this.#refusalOfWork(call, nowMs)
+      : fleet.availability.backOffOf(server, nowMs);
+    if (refusal === undefined || refusal.kind === 'open') return undefined;
+    const { kind: why, toldAgoMs } = refusal;
     metrics.recordHeldBack(why);
     const fields = { request, server: server.id, purpose, why, toldAgoMs: Math.round(toldAgoMs) };
     log.write(GATEWAY_EVENTS.callHeldBack, fields);
     return { kind: 'held-back', reason: `the server is ${why}` };
   }
 
-  #availabilityOf(server: ServerRecord, hasPermit: boolean, nowMs: number): SendAvailability {
+  #refusalOfWork(call: ServerCall, nowMs: number): NotListed | SendAvailability {
+    const { server, hasPermit = false, continuesStream = false } = call;
     const { fleet } = this.#options;
+    const notListed = fleet.departures.refusalOf(server, continuesStream, nowMs);
+    if (notListed !== undefined) return notListed;
     return hasPermit ? fleet.availability.of(server, nowMs) : fleet.availabilityOf(server, nowMs);
   }
 
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -8,6 +8,8 @@
 import { type ServerCall, ServerCalls } from '../../src/shell/gateway/server-calls.js';
 import { ManualTimers } from './support/manual-timers.js';
 
+const DRAIN_MS = 2_000;
+
 const SERVER: ServerRecord = {
   id: 'reader-1',
   service: 'reader',
@@ -24,7 +26,7 @@
 /** Calls of a daemon whose list a test changes; no call is answered. */
 class ListedCalls {
   readonly timers = new ManualTimers();
-  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, DRAIN_MS);
   readonly calls: ServerCalls;
   sent = 0;
 
@@ -51,7 +53,10 @@
 
   /** Lists the server anew, as a row that has just been read. */
   list(fields: Partial<ServerRecord>): void {
-    this.fleet.directory.apply([{ ...SERVER, ...fields }], []);
+    const change = this.fleet.directory.apply([{ ...SERVER, ...fields }], []);
+    const nowMs = this.timers.nowMs();
+    const origin = { source: 'store', era: 0, revision: 1, changedAfterMs: nowMs } as const;
+    this.fleet.departures.recordChange(change, origin, nowMs);
   }
 
   /** Calls the server as it was when it was chosen. */
@@ -95,3 +100,13 @@
   await calls.call({ purpose: 'free-memory' });
   assert.equal(calls.sent, 1);
 });
+
+test('a stream that has begun is resumed at a server that drains, until half of its drain time is over', async () => {
+  const calls = new ListedCalls();
+  calls.list({ state: 'draining' });
+  await calls.call({ continuesStream: true });
+  assert.equal(calls.sent, 1);
+  calls.timers.advance(DRAIN_MS / 2 + 1);
+  assert.equal((await calls.call({ continuesStream: true })).kind, 'held-back');
+  assert.equal(calls.sent, 1);
+});
