Read the list of servers at a steady pace while it keeps changing

What servers see: new requests reach a server up to 1.2 s after the store acknowledged its drain, and streams are resumed there later. Cause: the wait between two reads of changes grew to three batches (1,200 ms) while rows kept changing, as in a release: just then servers drain. With connecting that is 1,410 ms of a drainMs of 2,000. Change: the wait for the list stays at one batch (400 ms); configurations keep their growth (200 to 600 ms).

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -26,6 +26,7 @@
   CrashRecords,
 } from './crash-records.js';
 export { DecodeRecovery, type RecoveryChange } from './decode-recovery.js';
+export { SERVERS_BATCH_MS } from './departure-timing.js';
 export {
   type Departure,
   type DepartureState,
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -13,6 +13,7 @@
   type RestoredServers,
   type RowsOrigin,
   type RowsSource,
+  SERVERS_BATCH_MS,
   type ServerRecord,
   type TableDigest,
 } from '../../core/gateway/index.js';
@@ -32,14 +33,9 @@
 import { WatchRetryQueue } from './watch-retry-queue.js';
 import type { RecheckSpans, WatchTiming } from './watch-timing.js';
 
-/**
- * Many servers change together when a fleet starts or is replaced; each daemon fetches the changes of this time in one
- * call. The time is a small share of that for which a draining server still serves.
- */
-const SERVERS_BATCH_MS = 400;
-
 /** Versions in quick succession are fetched in one call; far less than the time within which one must be in force. */
 const CONFIGURATIONS_BATCH_MS = 200;
+const MAX_CONFIGURATIONS_BATCH_MS = 600;
 
 /** All daemons reread the list of servers at the same times after a restore of the store; this spreads their calls. */
 const REREAD_SPREAD_MS = 300;
@@ -129,6 +125,7 @@
       },
       ...shared,
       batchMs: CONFIGURATIONS_BATCH_MS,
+      maxBatchMs: MAX_CONFIGURATIONS_BATCH_MS,
       digest: {
         table: 'configurations',
         from: digest,
@@ -148,6 +145,7 @@
       ...shared,
       handleReturn: (awayMs) => this.#handleReturn(awayMs),
       batchMs: SERVERS_BATCH_MS,
+      maxBatchMs: SERVERS_BATCH_MS,
       digest: { table: 'servers', from: digest },
     });
     this.#configurations = configurations;
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -34,8 +34,6 @@
 const RETRY_SPREAD = 0.3;
 /** The hold of a poll after a failed call: an immediate answer shows at once that the store is back. */
 const MIN_HOLD_MS = 1;
-/** While changes keep coming, the batch time grows with each batch, up to this multiple of `batchMs`. */
-const MAX_BATCH_GROWTH = 3;
 /** An answer of the store, or a relay's datagram, is read within this time after it was sent. */
 const TRANSIT_MS = 200;
 
@@ -71,6 +69,8 @@
   readonly digest?: DigestSource;
   /** Changes that come within this time are fetched in one call; 0 fetches each at once. */
   readonly batchMs: number;
+  /** While changes keep coming, the batch time grows by `batchMs` with each batch, up to this. */
+  readonly maxBatchMs: number;
   /** How long full reads are repeated after a disturbance. */
   readonly recheckSpans: RecheckSpans;
   /** Called when the store answers in a newer era than before. */
@@ -328,7 +328,7 @@
   #originOfOffer({ era, revision }: StorePosition): RowsOrigin {
     const readAfterMs = this.#options.timers.nowMs() - 2 * TRANSIT_MS;
     const knownAsOfMs = this.#recordAsOf(readAfterMs);
-    const changedAfterMs = Math.max(knownAsOfMs, readAfterMs - this.#maxBatchMs);
+    const changedAfterMs = Math.max(knownAsOfMs, readAfterMs - this.#options.maxBatchMs);
     return { source: 'relay', era, revision, changedAfterMs };
   }
 
@@ -339,16 +339,12 @@
     return before;
   }
 
-  get #maxBatchMs(): number {
-    return this.#options.batchMs * MAX_BATCH_GROWTH;
-  }
-
   /** Waits before the next call, so that it fetches several changes; the wait grows while changes keep coming. */
   async #awaitBatch(batchMs: number): Promise<void> {
-    this.#batchesInARow = Math.min(MAX_BATCH_GROWTH, this.#batchesInARow + 1);
-    await this.#idle(
-      delay(this.#options.timers, batchMs * this.#batchesInARow, this.#interrupt.signal),
-    );
+    const { maxBatchMs, timers } = this.#options;
+    this.#batchesInARow += 1;
+    const waitMs = Math.min(maxBatchMs, batchMs * this.#batchesInARow);
+    await this.#idle(delay(timers, waitMs, this.#interrupt.signal));
   }
 
   /** Waits until the relay's digest shows a change or is no longer fresh. */
