Count the time to resume streams at draining servers from before the row changed

What servers see: a stream is resumed at a draining server until half of drainMs after this daemon learned of the drain, so later than drainMs after the store acknowledged it where learning took over half (2,220 of 2,000 ms through sockets, where the list kept changing). Cause: the bound runs from the store's acknowledgement; the share of it was counted from a later moment. Change: each departure has a time before which its row did not change (the last contact with the store that did not show it; for a held poll, its answer; for a forwarded change, what the relay may have waited), and the half runs from there.

--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -14,7 +14,7 @@
 /** Departures that are remembered, to explain late sends; beyond this number the earliest are forgotten. */
 const MAX_REMEMBERED = 4_096;
 
-/** A daemon learns late that a server drains, and the server accepts no work after its drain time. */
+/** A stream is resumed at a draining server within this share of its drain time; the rest is a margin for busy machines. */
 const RESUME_SHARE_OF_DRAIN = 0.5;
 
 export type DepartureState =
@@ -109,7 +109,7 @@
   #mayResumeAt(id: string, nowMs: number): boolean {
     const departure = this.of(id);
     if (departure?.state !== 'draining') return false;
-    return nowMs - departure.learnedAtMs <= this.#resumeMs;
+    return nowMs - departure.changedAfterMs <= this.#resumeMs;
   }
 
   #record(
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -51,11 +51,12 @@
     });
   }
 
-  /** Lists the server anew, as a row that has just been read. */
-  list(fields: Partial<ServerRecord>): void {
+  /** Lists the server anew, as a row that has just been read and changed at most `changedWithinMs` ago. */
+  list(fields: Partial<ServerRecord>, changedWithinMs = 0): void {
     const change = this.fleet.directory.apply([{ ...SERVER, ...fields }], []);
     const nowMs = this.timers.nowMs();
-    const origin = { source: 'store', era: 0, revision: 1, changedAfterMs: nowMs } as const;
+    const changedAfterMs = nowMs - changedWithinMs;
+    const origin = { source: 'store', era: 0, revision: 1, changedAfterMs } as const;
     this.fleet.departures.recordChange(change, origin, nowMs);
   }
 
@@ -110,3 +111,13 @@
   assert.equal((await calls.call({ continuesStream: true })).kind, 'held-back');
   assert.equal(calls.sent, 1);
 });
+
+test('a stream is not resumed at a server that may have drained for half of its drain time before this daemon learned of it', async () => {
+  const calls = new ListedCalls();
+  calls.list({ state: 'draining' }, DRAIN_MS / 4);
+  await calls.call({ continuesStream: true });
+  assert.equal(calls.sent, 1);
+  calls.timers.advance(DRAIN_MS / 4 + 1);
+  assert.equal((await calls.call({ continuesStream: true })).kind, 'held-back');
+  assert.equal(calls.sent, 1);
+});
