Tell all daemons at once of departures that are read from the store

What servers see: requests reach a server until its zone's relay is missed: where the relay stalls as the row changes, 1.885 s after the store acknowledged the departure (drainMs 3,000), 2.255 s at contactMs 5,000. Cause: a daemon learns of the list over one relay; its digest counts for 0.45 of contactMs, and nobody else tells the zone. Change: a departure is urgent. A daemon that reads it from the store (in a large fleet, each relay) sends a notice to all daemons, with the boot, the position of the answer and a limit of the row's age. It takes the server out for new work only, for that boot, until the list here has been followed to that position, or for 30 s; it cannot hide a server that came back. That a row is gone is told only by daemons whose calls to the store were answered for 1.5 contactMs: rows that lapse in an outage are no departures.

--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -3,10 +3,11 @@
  * the moment from which `drainMs` runs. A daemon does not see that moment; it knows a time before it, at which the store
  * did not show the departure yet.
  */
-import type { StorePosition } from '../platform/store-position.js';
+import { isAfter, type StorePosition } from '../platform/store-position.js';
 import {
   type DirectoryChange,
   isSameBoot,
+  type ServerBoot,
   type ServerDirectory,
   type ServerRecord,
 } from './server-directory.js';
@@ -26,6 +27,17 @@
 /** Where rows of the store came from. */
 export type RowsSource = 'store' | 'relay';
 
+/** Where a departure became known: from rows, or from another daemon's notice, which may be ahead of the list here. */
+export type DepartureSource = RowsSource | 'notice';
+
+/** Another daemon has read from the store that a server departs. */
+export interface DepartureNotice extends StorePosition {
+  readonly server: ServerBoot;
+  readonly state: 'draining' | 'gone';
+  /** The row did not change before this time, on the clock of the daemon that handles the notice. */
+  readonly changedAfterMs: number;
+}
+
 /** Where rows came from, and when they changed. */
 export interface RowsOrigin extends StorePosition {
   readonly source: RowsSource;
@@ -34,12 +46,16 @@
 }
 
 /** What this daemon knows of the departure of a server. */
-export interface Departure extends RowsOrigin {
+export interface Departure extends Omit<RowsOrigin, 'source'> {
+  readonly source: DepartureSource;
   readonly server: ServerRecord;
   readonly state: DepartureState;
   readonly learnedAtMs: number;
 }
 
+/** A notice that the list has not caught up with after this time is ignored, as the server may have come back. */
+const NOTICE_VALID_MS = 30_000;
+
 /** Why a server must not be sent a request, by the list. */
 export interface NotListed {
   readonly kind: 'draining' | 'gone';
@@ -62,20 +78,57 @@
     this.#resumeMs = drainMs * RESUME_SHARE_OF_DRAIN;
   }
 
-  /** Records a change of the list. @returns the departures that it shows */
+  /** Records a change of the list. @returns the departures in it that were not known */
   recordChange(change: DirectoryChange, origin: RowsOrigin, nowMs: number): readonly Departure[] {
     const { added, changed, removed, restarted } = change;
     for (const { id } of [...added, ...restarted]) this.#byId.delete(id);
     for (const { id, state } of changed) if (state === 'ready') this.#byId.delete(id);
+    this.#dropOvertaken(origin);
     const draining = changed.filter(({ id, state }) => {
       return state === 'draining' && this.#byId.get(id)?.state !== 'draining';
     });
+    const gone = removed.filter(({ id }) => this.#byId.get(id)?.state !== 'gone');
     return [
       ...draining.map((server) => this.#record(server, 'draining', origin, nowMs)),
-      ...removed.map((server) => this.#record(server, 'gone', origin, nowMs)),
+      ...gone.map((server) => this.#record(server, 'gone', origin, nowMs)),
     ];
   }
 
+  /**
+   * Applies another daemon's notice. It counts until the list here has been followed to its position, and for the boot
+   * that it names only, so it cannot hide a server that came back.
+   * @param followed how far the list here has been followed
+   * @returns the departure, unless it was known
+   */
+  applyNotice(
+    { server, state, ...notice }: DepartureNotice,
+    followed: StorePosition,
+    nowMs: number,
+  ): Departure | undefined {
+    const listed = this.#directory.get(server.id);
+    if (listed === undefined || !isSameBoot(listed, server)) return undefined;
+    const known = this.of(server.id);
+    const isKept = known?.state === 'kept' && state === 'gone';
+    if (!isKept && !isAfter(notice, followed)) return undefined;
+    if (known?.state === state || known?.state === 'gone') return undefined;
+    return this.#record(listed, state, { ...notice, source: 'notice' }, nowMs);
+  }
+
+  /** Whether a notice that is ahead of the list says that a listed server departs. */
+  isNoticed(id: string, nowMs: number): boolean {
+    const departure = this.#byId.get(id);
+    if (departure?.source !== 'notice') return false;
+    return nowMs - departure.learnedAtMs < NOTICE_VALID_MS;
+  }
+
+  /** Forgets the notices that the list has caught up with and does not confirm. */
+  #dropOvertaken(followed: StorePosition): void {
+    for (const [id, departure] of this.#byId) {
+      if (departure.source !== 'notice' || isAfter(departure, followed)) continue;
+      if (this.#directory.get(id)?.state === 'ready') this.#byId.delete(id);
+    }
+  }
+
   /** Records servers that are used although their rows are gone. */
   recordKept(servers: readonly ServerRecord[], origin: RowsOrigin, nowMs: number): void {
     for (const server of servers) this.#record(server, 'kept', origin, nowMs);
@@ -93,10 +146,12 @@
   refusalOf(server: ServerRecord, continuesStream: boolean, nowMs: number): NotListed | undefined {
     const listed = this.#directory.get(server.id);
     const isListed = listed !== undefined && isSameBoot(listed, server);
-    if (isListed && listed.state === 'ready') return undefined;
+    const isNoticed = this.isNoticed(server.id, nowMs);
+    if (isListed && listed.state === 'ready' && !isNoticed) return undefined;
     if (isListed && continuesStream && this.#mayResumeAt(server.id, nowMs)) return undefined;
-    const toldAgoMs = nowMs - (this.of(server.id)?.learnedAtMs ?? nowMs);
-    return { kind: isListed ? 'draining' : 'gone', toldAgoMs };
+    const known = this.of(server.id);
+    const toldAgoMs = nowMs - (known?.learnedAtMs ?? nowMs);
+    return { kind: isListed && known?.state !== 'gone' ? 'draining' : 'gone', toldAgoMs };
   }
 
   /** Listed servers that drain and may still be sent the rest of a stream that has begun. */
@@ -115,7 +170,7 @@
   #record(
     server: ServerRecord,
     state: DepartureState,
-    origin: RowsOrigin,
+    origin: Omit<Departure, 'server' | 'state' | 'learnedAtMs'>,
     learnedAtMs: number,
   ): Departure {
     const known = this.#byId.get(server.id);
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -29,6 +29,8 @@
 export { SERVERS_BATCH_MS } from './departure-timing.js';
 export {
   type Departure,
+  type DepartureNotice,
+  type DepartureSource,
   type DepartureState,
   Departures,
   type NotListed,
@@ -161,6 +163,7 @@
   bootIdOf,
   type DirectoryChange,
   type EngineStage,
+  type ServerBoot,
   ServerDirectory,
   type ServerRecord,
   type ServerState,
--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -42,6 +42,12 @@
   readonly reason: SkipReason;
 }
 
+/** The fields of a server that identify its boot. */
+export type ServerBoot = Pick<
+  ServerRecord,
+  'id' | 'service' | 'address' | 'bornMs' | 'softwareVersion'
+>;
+
 /** What changed in the directory. */
 export interface DirectoryChange {
   readonly added: readonly ServerRecord[];
@@ -174,7 +180,7 @@
 }
 
 /** A record with another service, address or software is another server, even if neither record has a start time. */
-export function isSameBoot(one: ServerRecord, other: ServerRecord): boolean {
+export function isSameBoot(one: ServerBoot, other: ServerBoot): boolean {
   const isSamePlace = one.address === other.address && one.service === other.service;
   const isSameSoftware = one.softwareVersion === other.softwareVersion;
   return isSamePlace && isSameSoftware && one.bornMs === other.bornMs;
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -5,6 +5,8 @@
 import {
   type CallerLimits,
   type Departure,
+  type DepartureNotice,
+  type DepartureSource,
   type DirectoryChange,
   ExpiredRows,
   type GatewayConfiguration,
@@ -12,7 +14,6 @@
   type RestoredServer,
   type RestoredServers,
   type RowsOrigin,
-  type RowsSource,
   SERVERS_BATCH_MS,
   type ServerRecord,
   type TableDigest,
@@ -77,7 +78,9 @@
   /** Called when the store was restored from an older copy. */
   readonly handleStoreRestored: () => void;
   /** Called when this daemon learns that a server departs; `changedWithinMs` limits the age of its row. */
-  readonly recordDeparture: (source: RowsSource, changedWithinMs: number) => void;
+  readonly recordDeparture: (source: DepartureSource, changedWithinMs: number) => void;
+  /** Called with departures that this daemon has just read from the store. */
+  readonly advertiseDepartures: (departures: readonly Departure[]) => void;
   /** Called when a server is added or has restarted. */
   readonly recordServerStart: (server: ServerRecord) => void;
   readonly timers: TimerService;
@@ -424,9 +427,9 @@
     const nowMs = timers.nowMs();
     this.#options.restored.recordChange(change, nowMs);
     fleet.forgetEndedBoots(change);
-    for (const departure of fleet.departures.recordChange(change, origin, nowMs)) {
-      this.#reportDeparture(departure);
-    }
+    const departures = fleet.departures.recordChange(change, origin, nowMs);
+    for (const departure of departures) this.#reportDeparture(departure);
+    if (origin.source === 'store') this.#advertiseDepartures(departures);
     for (const server of removed) cacheEventWatchers.remove(server.id);
     for (const server of added) cacheEventWatchers.add(server);
     for (const server of restarted) cacheEventWatchers.restart(server);
@@ -445,6 +448,30 @@
     return isChanged;
   }
 
+  /**
+   * A drain is the server's own word. A row may also go because its server could not renew it; only a daemon whose calls
+   * were all answered for a while knows that the store was there for it.
+   */
+  #advertiseDepartures(departures: readonly Departure[]): void {
+    const isSteady = this.#servers.isSteady;
+    const known = departures.filter(({ state }) => state === 'draining' || isSteady);
+    this.#options.advertiseDepartures(known);
+  }
+
+  /** Applies departures that another daemon has read from the store. */
+  applyDepartureNotices(notices: readonly DepartureNotice[]): void {
+    const { fleet, timers, onServersChanged } = this.#options;
+    const { era, seen: revision } = this.#servers.progress;
+    let isChanged = false;
+    for (const notice of notices) {
+      const departure = fleet.departures.applyNotice(notice, { era, revision }, timers.nowMs());
+      if (departure === undefined) continue;
+      this.#reportDeparture(departure);
+      isChanged = true;
+    }
+    if (isChanged) onServersChanged();
+  }
+
   /** Logs a departure with what limits its age, so that a late send to the server can be explained. */
   #reportDeparture({ server, state, source, changedAfterMs, learnedAtMs, ...at }: Departure): void {
     const changedWithinMs = learnedAtMs - changedAfterMs;
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -173,8 +173,7 @@
     nowMs: number,
     kinds: readonly SendAvailability['kind'][],
   ): ServerRecord[] {
-    const sendable = this.directory
-      .readyOf(service)
+    const sendable = this.#listedReady(service, nowMs)
       .filter((server) => kinds.includes(this.availabilityOf(server, nowMs).kind))
       .filter(({ id }) => !this.isUnreachable(id, nowMs));
     return this.stageNotices.usable(sendable, nowMs);
@@ -197,9 +196,15 @@
 
   /** Servers of a service that are listed as ready and have not reported that they are leaving. */
   readyOf(service: string, nowMs: number): ServerRecord[] {
+    return this.#listedReady(service, nowMs).filter(
+      (server) => this.availability.of(server, nowMs).kind !== 'leaving',
+    );
+  }
+
+  #listedReady(service: string, nowMs: number): ServerRecord[] {
     return this.directory
       .readyOf(service)
-      .filter((server) => this.availability.of(server, nowMs).kind !== 'leaving');
+      .filter(({ id }) => !this.departures.isNoticed(id, nowMs));
   }
 
   /** Whether a boot of a server was ready and not leaving, even if the server has been restarted since. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { CacheEventWatchers } from './cache-event-watchers.js';
 import { CallerListener } from './caller-listener.js';
 import { CrashGuard } from './crash-guard.js';
+import { DepartureGossip } from './departure-gossip.js';
 import { Duties } from './duties.js';
 import { FleetFollower } from './fleet-follower.js';
 import { FleetView } from './fleet-view.js';
@@ -106,6 +107,7 @@
   readonly #limits: LimitCoordinator;
   readonly #streams: StreamContinuity;
   readonly #paths: ServicePathMonitor;
+  readonly #departures: DepartureGossip;
   readonly #comparison: PathComparison;
   readonly #forwardingListener: ForwardingListener;
   #isRelay = false;
@@ -129,6 +131,12 @@
       metrics: this.#metrics,
     });
     this.#roster = new PeerRoster({ name: settings.name, zone: settings.zone });
+    this.#departures = new DepartureGossip({
+      roster: this.#roster,
+      isRelay: () => this.#isRelay,
+      send: (peers, message) => this.#peers?.sendMessage(peers, message),
+      timers,
+    });
     this.#digest = new RelayDigest(
       this.#suspensionAwareTimers,
       maxDigestAgeMs(settings.bounds.contactMs),
@@ -243,6 +251,7 @@
       forwardServers: (changes) => this.#peers?.forwardServers(changes),
       recordDeparture: (source, changedWithinMs) =>
         this.#metrics.recordDeparture(source, changedWithinMs),
+      advertiseDepartures: (departures) => this.#departures.advertise(departures),
       recordServerStart: (server) => this.#crashes.recordServerStart(server),
       handleStoreRestored: () => this.#handleStoreRestored(),
       timers: this.#suspensionAwareTimers,
@@ -457,6 +466,8 @@
       configurationVersion: () => this.#follower.inForceVersion,
       recordPeerVersion: (version, daemon) => this.#follower.recordPeerVersion(version, daemon),
       applyServers: (changes) => this.#follower.applyServerChanges(changes),
+      handleDepartures: (message) =>
+        this.#follower.applyDepartureNotices(this.#departures.noticesIn(message)),
       handleTableDigest: (digest) => this.#digest.apply(digest),
       relayPeersChecksum: () => this.#digest.peersChecksum,
       handleStageNotice: (notice) => this.#fleet.stageNotices.apply(notice, timers.nowMs()),
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -29,6 +29,7 @@
   MAX_FORWARDED_BYTES,
   type VersionedValue,
 } from './configuration-gossip.js';
+import type { DeparturesMessage } from './departure-message-fields.js';
 import type { LimitMessage } from './limit-message-fields.js';
 import { PaceGossip } from './pace-gossip.js';
 import { PeerDirectory } from './peer-directory.js';
@@ -120,6 +121,8 @@
   readonly handleLimitMessage: (message: LimitMessage, reply: Reply) => void;
   /** Handles a message on where streams began; `reply` answers its sender. */
   readonly handleStreamMessage: (message: StreamMessage, reply: Reply) => void;
+  /** Handles departures of servers that another daemon has read from the store. */
+  readonly handleDepartures: (message: DeparturesMessage) => void;
   /** Applies cache events that another daemon forwarded. */
   readonly applyCacheEvents: (events: EngineCacheEvents) => void;
 }
@@ -402,6 +405,9 @@
       case 'stream-answered':
         this.#options.handleStreamMessage(message, (answer) => this.#reply(answer, sender));
         return;
+      case 'departures':
+        this.#options.handleDepartures(message);
+        return;
       case 'crashes':
         handleCrashRecords(message.records);
         return;
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -38,6 +38,7 @@
   streamRecordsStored: 18,
   streamAsked: 19,
   streamAnswered: 20,
+  departures: 21,
 } as const;
 
 /** Engine by its short id, prompt part, its tokens, milliseconds until it is prefilled. */
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -13,6 +13,12 @@
 } from '../../core/gateway/index.js';
 import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
 import type { UsagePart } from '../../core/tenant-usage/index.js';
+import {
+  type DeparturesMessage,
+  decodeDepartures,
+  departuresSchema,
+  encodeDepartures,
+} from './departure-message-fields.js';
 import {
   decodeLimitUpdate,
   decodePermitGrant,
@@ -98,6 +104,7 @@
   [KINDS.streamRecordsStored, streamRecordsStoredSchema],
   [KINDS.streamAsked, streamAskedSchema],
   [KINDS.streamAnswered, streamAnsweredSchema],
+  [KINDS.departures, departuresSchema],
 ]);
 
 type MessageSchema =
@@ -120,7 +127,8 @@
   | typeof usageAskedSchema
   | typeof usageCountedSchema
   | typeof usageReportedSchema
-  | typeof crashesSchema;
+  | typeof crashesSchema
+  | typeof departuresSchema;
 
 /** A change of the configuration, as the relay of a zone read it from the store. */
 export interface ForwardedConfiguration extends StorePosition {
@@ -142,6 +150,7 @@
   | UsageMessage
   | LimitMessage
   | StreamMessage
+  | DeparturesMessage
   | {
       readonly kind: 'report';
       readonly report: LoadReport;
@@ -230,6 +239,8 @@
     case 'stream-asked':
     case 'stream-answered':
       return pack(encodeStreamMessage(message));
+    case 'departures':
+      return pack(encodeDepartures(message));
     case 'crashes':
       return pack([KINDS.crashes, message.records.map(encodeCrash)]);
     case 'usage-asked':
@@ -320,6 +331,8 @@
       return decodeStreamAsked(fields);
     case KINDS.streamAnswered:
       return decodeStreamAnswered(fields);
+    case KINDS.departures:
+      return decodeDepartures(fields);
     case KINDS.paces:
       return { kind: 'paces', message: decodePaces(fields) };
     case KINDS.crashes:
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -97,6 +97,7 @@
   /** When the store's current era was first seen; undefined once the table was fully read in it. */
   #eraSeenAtMs: number | undefined;
   #failuresInARow = 0;
+  #lastFailureMs = Number.NEGATIVE_INFINITY;
   #callStartedMs = 0;
   /** When the first failed call since the last data began; undefined if no call has failed since. */
   #awaySinceMs: number | undefined;
@@ -144,6 +145,12 @@
     return this.#revisions.seen === undefined;
   }
 
+  /** Whether no call has failed for as long as reads are repeated after a cut. */
+  get isSteady(): boolean {
+    const { timers, recheckSpans } = this.#options;
+    return timers.nowMs() - this.#lastFailureMs >= recheckSpans.cutMs;
+  }
+
   /** How far the table was followed; advertised to other daemons that follow it. */
   get progress(): TableProgress {
     return this.#revisions.progress;
@@ -453,6 +460,7 @@
     }
     if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
     this.#failuresInARow += 1;
+    this.#lastFailureMs = timers.nowMs();
     this.#awaySinceMs ??= this.#callStartedMs;
     if (this.#failuresInARow === 1) {
       log.write(GATEWAY_EVENTS.watchLost, { table: table.name, reason: answer.reason });
--- /dev/null
+++ b/test/gateway/departures.test.ts
@@ -0,0 +1,124 @@
+/** Guards against notices of departures that take out a server that is there. */
+import assert from 'node:assert/strict';
+import { beforeEach, test } from 'node:test';
+import {
+  type DepartureNotice,
+  Departures,
+  type RowsOrigin,
+  ServerDirectory,
+  type ServerRecord,
+} from '../../src/core/gateway/index.js';
+import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
+
+const DRAIN_MS = 2_000;
+const NOW_MS = 10_000;
+const SERVER: ServerRecord = {
+  id: 'reader-1',
+  service: 'reader',
+  address: '127.0.0.1:1',
+  zone: 'a',
+  slots: 8,
+  state: 'ready',
+  isSpot: false,
+  stage: 'decode',
+  bornMs: 1,
+  softwareVersion: 'v1',
+};
+
+let directory: ServerDirectory;
+let departures: Departures;
+
+beforeEach(() => {
+  directory = new ServerDirectory();
+  departures = new Departures(directory, DRAIN_MS);
+  directory.apply([SERVER], []);
+});
+
+const at = (revision: number) => ({ era: 0, revision });
+
+function noticeOf(state: 'draining' | 'gone', revision: number): DepartureNotice {
+  return { server: SERVER, state, ...at(revision), changedAfterMs: NOW_MS - 100 };
+}
+
+function originAt(revision: number): RowsOrigin {
+  return { source: 'store', ...at(revision), changedAfterMs: NOW_MS };
+}
+
+function readRows(records: readonly ServerRecord[], revision: number): void {
+  departures.recordChange(directory.apply(records, []), originAt(revision), NOW_MS);
+}
+
+test('a notice that is ahead of the list takes a server out for new work, and not for streams that have begun', () => {
+  assert.ok(departures.applyNotice(noticeOf('draining', 7), at(6), NOW_MS));
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'draining');
+  assert.equal(departures.refusalOf(SERVER, true, NOW_MS), undefined);
+  assert.deepEqual(departures.resumable(NOW_MS), [SERVER]);
+});
+
+test('a notice that says a server is gone takes it out for all requests', () => {
+  departures.applyNotice(noticeOf('draining', 7), at(6), NOW_MS);
+  departures.applyNotice(noticeOf('gone', 8), at(6), NOW_MS);
+  assert.equal(departures.refusalOf(SERVER, true, NOW_MS)?.kind, 'gone');
+});
+
+test('a notice that the list has overtaken changes nothing', () => {
+  assert.equal(departures.applyNotice(noticeOf('gone', 7), at(7), NOW_MS), undefined);
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
+});
+
+test('a notice of another boot changes nothing', () => {
+  const notice = { ...noticeOf('gone', 7), server: { ...SERVER, bornMs: 0 } };
+  assert.equal(departures.applyNotice(notice, at(6), NOW_MS), undefined);
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
+});
+
+test('a notice no longer counts for a server that came back, once the list has been read that far', () => {
+  departures.applyNotice(noticeOf('gone', 7), at(6), NOW_MS);
+  readRows([{ ...SERVER, id: 'other' }], 6);
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'gone');
+  readRows([SERVER], 8);
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
+});
+
+test('a notice no longer counts for another boot of its server', () => {
+  departures.applyNotice(noticeOf('gone', 9), at(6), NOW_MS);
+  const restarted = { ...SERVER, bornMs: 2 };
+  readRows([restarted], 8);
+  assert.equal(departures.refusalOf(restarted, false, NOW_MS), undefined);
+});
+
+test('a notice that the list never catches up with is ignored after a while', () => {
+  departures.applyNotice(noticeOf('gone', 7), at(6), NOW_MS);
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS + 60_000), undefined);
+});
+
+test('a notice of an era before changes nothing', () => {
+  const followed = { era: 1, revision: 3 };
+  assert.equal(departures.applyNotice(noticeOf('gone', 7), followed, NOW_MS), undefined);
+});
+
+test('the time to resume streams runs from the first row that showed the departure', () => {
+  departures.applyNotice(noticeOf('draining', 7), at(6), NOW_MS);
+  departures.recordChange(
+    directory.apply([{ ...SERVER, state: 'draining' }], []),
+    originAt(7),
+    NOW_MS,
+  );
+  assert.equal(departures.resumable(NOW_MS + DRAIN_MS / 2 - 101).length, 1);
+  assert.equal(departures.resumable(NOW_MS + DRAIN_MS / 2 - 99).length, 0);
+});
+
+test('a message on departures is read as it was sent', () => {
+  const { id, service, address, bornMs, softwareVersion } = SERVER;
+  const named = { id, service, address, bornMs, softwareVersion };
+  const plain = { ...named, bornMs: undefined, softwareVersion: undefined };
+  const message = {
+    kind: 'departures',
+    ...at(7),
+    departures: [
+      { server: named, state: 'gone', changedWithinMs: 120 },
+      { server: plain, state: 'draining', changedWithinMs: undefined },
+    ],
+  } as const;
+  assert.deepEqual(decodePeerMessage(encodePeerMessage(message)), message);
+});
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -308,6 +308,7 @@
     handleUsage: () => undefined,
     handleLimitMessage: () => undefined,
     handleStreamMessage: () => undefined,
+    handleDepartures: () => undefined,
     handleCrashRecords: () => undefined,
     handleRead: noticed.resolve,
     loads: {
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -5,11 +5,15 @@
  */
 import {
   DigestSchedule,
+  type PeerDaemon,
   RestoredServers,
   type ServerRecord,
 } from '../../../src/core/gateway/index.js';
+import { DepartureGossip } from '../../../src/shell/gateway/departure-gossip.js';
+import type { DeparturesMessage } from '../../../src/shell/gateway/departure-message-fields.js';
 import { FleetFollower } from '../../../src/shell/gateway/fleet-follower.js';
 import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
+import { decodePeerMessage, encodePeerMessage } from '../../../src/shell/gateway/peer-messages.js';
 import type {
   PlatformAdapter,
   WatchAnswer,
@@ -32,7 +36,7 @@
 export const SERVICE = 'reader';
 
 /** What a datagram carries. */
-export type DatagramKind = 'servers' | 'digest';
+export type DatagramKind = 'servers' | 'digest' | 'departures';
 
 /** How a server departs. */
 export type DepartureWay = 'draining' | 'gone';
@@ -125,6 +129,7 @@
   readonly digest: RelayDigest;
   readonly follower: FleetFollower;
   readonly schedule = new DigestSchedule();
+  readonly receiveNotice: (message: DeparturesMessage) => void;
   /** Sends and receives nothing, as a stopped process. */
   isStopped = false;
 
@@ -142,6 +147,14 @@
       configurations: emptyTable(this.link, timers),
       servers: table.over(this.link),
     };
+    const gossip = new DepartureGossip({
+      roster: { allPeers: () => world.peersOf(this), isLarge: world.options.hasRelays },
+      isRelay: () => role === 'relay',
+      send: (peers, message) => world.sendNotice(this, peers, message),
+      timers,
+    });
+    this.receiveNotice = (message) =>
+      this.follower.applyDepartureNotices(gossip.noticesIn(message));
     this.follower = new FleetFollower({
       adapter: adapter as unknown as PlatformAdapter,
       fleet: this.fleet,
@@ -163,6 +176,7 @@
       },
       forwardConfiguration: () => undefined,
       recordDeparture: () => undefined,
+      advertiseDepartures: (departures) => gossip.advertise(departures),
       recordServerStart: () => undefined,
       digest: this.digest,
       timers,
@@ -199,6 +213,8 @@
   /** Whether a datagram is lost. */
   isLost: (kind: DatagramKind, to: DepartingDaemon) => boolean = () => false;
   readonly options: DepartingFleetOptions;
+  datagrams = 0;
+  noticeBytes = 0;
   readonly #table = new ServersTable(this.timers);
   #cancelChanges: () => void = () => undefined;
 
@@ -220,6 +236,29 @@
     return this.daemons.reduce((sum, { link }) => sum + link.calls, 0);
   }
 
+  /** All daemons but one; their ports are their places. */
+  peersOf(one: DepartingDaemon): readonly PeerDaemon[] {
+    return this.daemons.flatMap((daemon, port) => {
+      const peer = { name: `d-${port}`, host: '127.0.0.1', port, zone: `z-${daemon.zone}` };
+      return daemon === one ? [] : [peer];
+    });
+  }
+
+  /** Sends a notice of departures as datagrams. */
+  sendNotice(
+    from: DepartingDaemon,
+    peers: readonly PeerDaemon[],
+    message: DeparturesMessage,
+  ): void {
+    const bytes = encodePeerMessage(message);
+    this.noticeBytes += bytes.length * peers.length;
+    const recipients = peers.flatMap(({ port }) => this.daemons[port] ?? []);
+    this.send(from, 'departures', recipients, (daemon) => {
+      const received = decodePeerMessage(bytes);
+      if (received?.kind === 'departures') daemon.receiveNotice(received);
+    });
+  }
+
   followersOf({ zone }: DepartingDaemon): readonly DepartingDaemon[] {
     return this.daemons.filter((daemon) => daemon.zone === zone && daemon.role === 'follower');
   }
@@ -241,6 +280,10 @@
     this.#table.write(id, serverOf(id, fields));
   }
 
+  remove(id: string): void {
+    this.#table.write(id, undefined);
+  }
+
   /** Lists servers anew, one after another, so that the list never rests. */
   keepChanging(everyMs: number): void {
     let count = 0;
@@ -262,7 +305,8 @@
    * @returns the time after which the last of the running daemons sends it no new work
    */
   async depart(id: string, way: DepartureWay): Promise<number> {
-    this.#table.write(id, way === 'gone' ? undefined : serverOf(id, { state: 'draining' }));
+    if (way === 'gone') this.remove(id);
+    else this.list(id, { state: 'draining' });
     const sinceMs = this.timers.nowMs();
     const running = this.daemons.filter(({ isStopped }) => !isStopped);
     while (running.some((daemon) => daemon.uses(id, this.timers.nowMs()))) {
@@ -279,6 +323,7 @@
     receive: (daemon: DepartingDaemon) => void,
   ): void {
     if (from.isStopped) return;
+    this.datagrams += recipients.length;
     this.timers.after(DATAGRAM_MS, () => {
       for (const daemon of recipients) {
         if (!daemon.isStopped && !this.isLost(kind, daemon)) receive(daemon);
