Rely on a relay's digest only while others follow

What servers see: where the relays of all zones stall as a row changes, requests reach a server until 1.885 s after the store acknowledged its departure (drainMs 3,000). Cause: a digest counted as fresh until its contact with the store was 0.45 of contactMs old, counted from its receipt, however long no other digest came; a stalled relay sends none, and its zone waited this out. Change: a digest is also relied on for at most 0.25 of contactMs after its receipt, about two intervals between digests.

--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -48,7 +48,13 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
-import { maxDigestAgeMs, recheckSpans, type WatchRole, watchTiming } from './watch-timing.js';
+import {
+  maxDigestAgeMs,
+  maxDigestSilenceMs,
+  recheckSpans,
+  type WatchRole,
+  watchTiming,
+} from './watch-timing.js';
 import { WebWork } from './web-work.js';
 
 /** The platform probes readiness twice, a second apart, before it stops sending connections. */
@@ -140,6 +146,7 @@
     this.#digest = new RelayDigest(
       this.#suspensionAwareTimers,
       maxDigestAgeMs(settings.bounds.contactMs),
+      maxDigestSilenceMs(settings.bounds.contactMs),
     );
     this.#connections = new BackendConnections(timers);
     this.#admission = new AdmissionGate({
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -14,14 +14,20 @@
 export class RelayDigest {
   readonly #timers: TimerService;
   readonly #maxAgeMs: number;
+  readonly #maxSilenceMs: number;
   readonly #listeners = new Set<() => void>();
   #digest: TableDigest | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
+  #relayContactAtMs = Number.NEGATIVE_INFINITY;
 
-  /** @param maxAgeMs the age up to which the relay's last contact with the store is relied on */
-  constructor(timers: TimerService, maxAgeMs: number) {
+  /**
+   * @param maxAgeMs the age up to which the relay's last contact with the store is relied on
+   * @param maxSilenceMs how long a digest is relied on if no other follows: the relay may have stalled
+   */
+  constructor(timers: TimerService, maxAgeMs: number, maxSilenceMs = maxAgeMs) {
     this.#timers = timers;
     this.#maxAgeMs = maxAgeMs;
+    this.#maxSilenceMs = maxSilenceMs;
   }
 
   get isFresh(): boolean {
@@ -30,14 +36,17 @@
 
   /** When the relay last had contact with the store, according to its digests. */
   get relayContactAtMs(): number {
-    return this.#freshUntilMs - this.#maxAgeMs;
+    return this.#relayContactAtMs;
   }
 
   /** Merges a digest. A delayed one does not shorten the freshness of a newer one; one of an earlier era is ignored. */
   apply(digest: TableDigest): void {
     const known = this.#digest;
     if (known !== undefined && isOfEarlierEra(digest, known)) return;
-    const freshUntilMs = this.#timers.nowMs() + this.#maxAgeMs - digest.ageMs;
+    const nowMs = this.#timers.nowMs();
+    this.#relayContactAtMs = Math.max(this.#relayContactAtMs, nowMs - digest.ageMs);
+    const freshForMs = Math.min(this.#maxSilenceMs, this.#maxAgeMs - digest.ageMs);
+    const freshUntilMs = nowMs + freshForMs;
     this.#freshUntilMs = Math.max(this.#freshUntilMs, freshUntilMs);
     this.#digest = {
       configurations: newer(digest.configurations, known?.configurations),
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -23,6 +23,7 @@
 import { RelayDigest } from '../../../src/shell/gateway/relay-digest.js';
 import {
   maxDigestAgeMs,
+  maxDigestSilenceMs,
   recheckSpans,
   type WatchRole,
   watchTiming,
@@ -142,7 +143,7 @@
     const { timers } = world;
     const { contactMs, random } = world.options;
     this.link = new StoreLink(timers);
-    this.digest = new RelayDigest(timers, maxDigestAgeMs(contactMs));
+    this.digest = new RelayDigest(timers, maxDigestAgeMs(contactMs), maxDigestSilenceMs(contactMs));
     const adapter = {
       configurations: emptyTable(this.link, timers),
       servers: table.over(this.link),
