Do not keep servers without a row that others saw leave, nor extend the time for which they are kept

What servers see: a daemon whose own calls to the store failed for a second uses a server whose row went, without draining, until 2.5 s after the calls were answered again, and longer with each further failure: 2,480 to 3,140 ms of a drainMs of 2,000 through sockets. Cause: rows that expire in an outage of the store are no departures, and a daemon took its own failures for an outage. A daemon whose calls were answered all along knows better, and each return set the end anew and cancelled the removal that was due. Change: a row of which such a daemon has told that it is gone is not kept, whether its notice comes before or after the row is read here; the end of the exception is set once for a row.

--- a/src/core/gateway/expired-rows.ts
+++ b/src/core/gateway/expired-rows.ts
@@ -17,7 +17,8 @@
 
 /** The servers that are used without a row. */
 export class ExpiredRows {
-  readonly #keptIds = new Set<string>();
+  /** Until when each is used; a further return of the store does not extend it. */
+  readonly #keptUntilMs = new Map<string, number>();
   #untilMs = Number.NEGATIVE_INFINITY;
 
   /** The store is back after an outage. */
@@ -25,9 +26,14 @@
     this.#untilMs = nowMs + REWRITTEN_MS;
   }
 
-  /** Records that a server's row exists. */
-  recordRow(id: string): void {
-    this.#keptIds.delete(id);
+  /** When the next of the servers without a row is due to be removed; undefined if none is kept. */
+  get nextEndMs(): number | undefined {
+    return this.#keptUntilMs.size === 0 ? undefined : Math.min(...this.#keptUntilMs.values());
+  }
+
+  /** Ends the exception for a server, as its row exists or it is known to have left. @returns whether it was kept */
+  release(id: string): boolean {
+    return this.#keptUntilMs.delete(id);
   }
 
   /** Decides which of the servers that have no row stay in use. */
@@ -36,19 +42,20 @@
     directory: Pick<ServerDirectory, 'get'>,
     nowMs: number,
   ): KeptServers {
-    if (nowMs >= this.#untilMs) return { all: [], added: [] };
+    const endOf = (id: string) => this.#keptUntilMs.get(id) ?? this.#untilMs;
     const all = missingIds
+      .filter((id) => nowMs < endOf(id))
       .flatMap((id) => directory.get(id) ?? [])
       .filter(({ state }) => state !== 'draining');
-    const added = all.filter(({ id }) => !this.#keptIds.has(id));
-    for (const { id } of added) this.#keptIds.add(id);
+    const added = all.filter(({ id }) => !this.#keptUntilMs.has(id));
+    for (const { id } of added) this.#keptUntilMs.set(id, this.#untilMs);
     return { all, added };
   }
 
   /** The servers whose rows were not written again in time, each once. */
-  takeMissing(): readonly string[] {
-    const missing = [...this.#keptIds];
-    this.#keptIds.clear();
-    return missing;
+  takeMissing(nowMs: number): readonly string[] {
+    const missing = [...this.#keptUntilMs].filter(([, untilMs]) => untilMs <= nowMs);
+    for (const [id] of missing) this.#keptUntilMs.delete(id);
+    return missing.map(([id]) => id);
   }
 }
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -251,19 +251,21 @@
     const { timing, timers } = this.#options;
     if (awayMs < timing().callTimeoutMs) return;
     this.#expired.begin(timers.nowMs());
+  }
+
+  /** Schedules the removal of the servers that are used without a row. */
+  #scheduleExpiry(): void {
     this.#cancelExpiry?.();
-    this.#cancelExpiry = timers.after(REWRITTEN_MS, () => this.#removeMissing());
+    const { timers } = this.#options;
+    const { nextEndMs } = this.#expired;
+    if (nextEndMs === undefined) return;
+    this.#cancelExpiry = timers.after(nextEndMs - timers.nowMs(), () => this.#removeMissing());
   }
 
   /** Removes the servers that have not written their rows again. */
   #removeMissing(): void {
-    const { directory } = this.#options.fleet;
-    const removedIds = this.#expired.takeMissing();
-    if (removedIds.length === 0) return;
-    const change = directory.apply([], removedIds);
-    const { era, seen: revision } = this.#servers.progress;
-    const changedAfterMs = this.#options.timers.nowMs() - REWRITTEN_MS;
-    this.#applyChange(change, { source: 'store', era, revision, changedAfterMs });
+    this.#remove(this.#expired.takeMissing(this.#options.timers.nowMs()));
+    this.#scheduleExpiry();
   }
 
   /** Applies changes of servers that the relay received from the store. */
@@ -380,7 +382,7 @@
       if (row.kind === 'malformed') this.#recordUnreadable(row.key, row.problem);
       else this.#unreadable.remove(row.key);
       if (row.kind === 'gone') goneIds.push(row.key);
-      else this.#expired.recordRow(row.key);
+      else this.#expired.release(row.key);
       // A malformed row removes the server that the row held before.
       if (row.kind === 'value') records.push(row.value);
       if (row.kind === 'malformed') malformedIds.push(row.key);
@@ -407,12 +409,14 @@
     origin: RowsOrigin,
   ): readonly ServerRecord[] {
     const { fleet, timers, log } = this.#options;
-    const { directory } = fleet;
+    const { directory, departures } = fleet;
     const missingIds =
       listedIds === undefined
         ? goneIds
         : [...directory.all()].map(({ id }) => id).filter((id) => !listedIds.has(id));
-    const { all, added } = this.#expired.keep(missingIds, directory, timers.nowMs());
+    const unexplainedIds = missingIds.filter((id) => departures.of(id)?.state !== 'gone');
+    const { all, added } = this.#expired.keep(unexplainedIds, directory, timers.nowMs());
+    this.#scheduleExpiry();
     fleet.departures.recordKept(added, origin, timers.nowMs());
     for (const { id, service } of added) {
       log.write(GATEWAY_EVENTS.serverRowExpired, { server: id, service, forMs: REWRITTEN_MS });
@@ -467,11 +471,23 @@
       const departure = fleet.departures.applyNotice(notice, { era, revision }, timers.nowMs());
       if (departure === undefined) continue;
       this.#reportDeparture(departure);
+      const { id } = departure.server;
+      // The other daemon's calls were answered all along, so the store was not away.
+      if (departure.state === 'gone' && this.#expired.release(id)) this.#remove([id]);
       isChanged = true;
     }
     if (isChanged) onServersChanged();
   }
 
+  /** Removes servers that were used without a row. */
+  #remove(ids: readonly string[]): void {
+    if (ids.length === 0) return;
+    const { fleet, timers } = this.#options;
+    const { era, seen: revision } = this.#servers.progress;
+    const origin = { source: 'relay', era, revision, changedAfterMs: timers.nowMs() } as const;
+    this.#applyChange(fleet.directory.apply([], ids), origin);
+  }
+
   /** Logs a departure with what limits its age, so that a late send to the server can be explained. */
   #reportDeparture({ server, state, source, changedAfterMs, learnedAtMs, ...at }: Departure): void {
     const changedWithinMs = learnedAtMs - changedAfterMs;
