Store stand-in: end held polls when their callers ask for it

servers-after-copy.test.ts, 'a server that joined after the copy and does not write again', failed once in a run of all gateway tests (24 files' load): traced. The stand-in held polls for good, so each quiet watch timed out, took the store for away and kept the row. The product still takes one poll without an answer for an outage: it may be one.

--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -204,6 +204,7 @@
 
   async #startGateway(options: GatewayOptions): Promise<GatewayAddresses> {
     const { name, timers, retryBudget, hasPeers, decisions, links } = options;
+    this.store.timers ??= options.timers;
     this.#storeAddress ??= await this.store.start();
     const store = options.entrance ?? this.#storeAddress;
     const settings: GatewaySettings = {
--- a/test/gateway/support/store-stand-in.ts
+++ b/test/gateway/support/store-stand-in.ts
@@ -3,7 +3,7 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { PATHS, TABLES } from '../../../platform/names.js';
-import type { TimerService } from '../../../src/shell/gateway/timer-service.js';
+import type { CancelTimer, TimerService } from '../../../src/shell/gateway/timer-service.js';
 
 interface Row {
   readonly table: string;
@@ -29,6 +29,7 @@
   readonly table: string;
   readonly after: number;
   readonly response: ServerResponse;
+  readonly cancelTimeout: CancelTimer;
 }
 
 /** A fault that is injected into the store. */
@@ -81,6 +82,7 @@
   }
 
   stop(): void {
+    for (const feed of this.#feeds) this.#release(feed);
     for (const server of this.#servers) {
       server.closeAllConnections();
       server.close();
@@ -115,14 +117,16 @@
     this.#ver = ver;
     this.#rows = new Map(rows);
     for (const server of this.#servers) server.closeAllConnections();
-    this.#feeds.clear();
+    for (const feed of this.#feeds) this.#release(feed);
   }
 
   /** Ends all held feeds, as a store does that has lost its history. */
   forgetHistory(): void {
     this.historyFrom = this.#ver + 1;
-    for (const feed of this.#feeds) feed.response.writeHead(410).end();
-    this.#feeds.clear();
+    for (const feed of this.#feeds) {
+      this.#release(feed);
+      feed.response.writeHead(410).end();
+    }
   }
 
   /** The value of a row; undefined if there is no such row. */
@@ -178,24 +182,31 @@
       response.writeHead(410).end();
       return;
     }
-    const feed = { table, after, response };
+    const waitMs = Number(url.searchParams.get('waitMs'));
+    const end = () => {
+      this.#feeds.delete(feed);
+      this.#answer(response, 200, []);
+    };
+    const cancelTimeout = this.timers?.after(waitMs, end) ?? (() => undefined);
+    const feed: HeldFeed = { table, after, response, cancelTimeout };
     this.#feeds.add(feed);
     this.#answerFeeds();
-    const waitMs = Number(url.searchParams.get('waitMs'));
-    this.timers?.after(waitMs, () => {
-      if (this.#feeds.delete(feed)) this.#answer(response, 200, []);
-    });
   }
 
   #answerFeeds(): void {
     for (const feed of this.#feeds) {
       const rows = this.#rowsOf(feed.table, feed.after);
       if (rows.length === 0) continue;
-      this.#feeds.delete(feed);
+      this.#release(feed);
       this.#answer(feed.response, 200, rows);
     }
   }
 
+  #release(feed: HeldFeed): void {
+    feed.cancelTimeout();
+    this.#feeds.delete(feed);
+  }
+
   #transact(transaction: Transaction, response: ServerResponse): void {
     const current = (entry: TransactionEntry) =>
       this.#rows.get(`${entry.table}/${entry.privateKey}`);
--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -59,7 +59,6 @@
     versions: Readonly<Record<string, string>>,
     pathsOfFirst: DaemonPaths = {},
   ): Promise<void> {
-    this.fixture.store.timers = this.timers;
     for (let index = 0; index < daemons; index += 1) {
       await this.addDaemon(index === 0 ? pathsOfFirst : {});
     }
