State the time from a departure to the last request as one sum, and keep it within half of drainMs

Cause of the class: each wait on the way (batch, digest, forwarded change, retry, connection) was a sound share of a bound, and nobody added them up; the bound runs from the store's acknowledgement. Where a follower misses both notice and forwarded change, two batches came to 1,280 of 2,000 ms; digests counted by contactMs, which drainMs need not follow.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -26,7 +26,15 @@
   CrashRecords,
 } from './crash-records.js';
 export { DecodeRecovery, type RecoveryChange } from './decode-recovery.js';
-export { SERVERS_BATCH_MS } from './departure-timing.js';
+export {
+  CONNECT_TIMEOUT_MS,
+  type DepartureWay,
+  lastSendMs,
+  longestUnawareMs,
+  maxDigestSilenceMs,
+  RELAY_INTERVAL_MS,
+  SERVERS_BATCH_MS,
+} from './departure-timing.js';
 export {
   type Departure,
   type DepartureNotice,
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -2,18 +2,19 @@
  * One attempt of a request at one server: makes the call, checks that the answer belongs to this request, and records
  * the outcome in the server's health.
  */
-import type {
-  AnswerOrigin,
-  EngineTraits,
-  ReadNotice,
-  ServerHealth,
-  ServerRecord,
+import {
+  type AnswerOrigin,
+  CONNECT_TIMEOUT_MS,
+  type EngineTraits,
+  type ReadNotice,
+  type ServerHealth,
+  type ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AdmissionGate } from './admission-gate.js';
 import type { AnswerOutcome } from './answer-outcome.js';
-import { type BackendAnswer, CONNECT_TIMEOUT_MS } from './backend-connections.js';
+import type { BackendAnswer } from './backend-connections.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -9,16 +9,16 @@
  * An aborted call ends at once. Its connection may stay open for a moment longer, as its server may be about to answer
  * that it wants no further requests.
  */
+
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
+import { CONNECT_TIMEOUT_MS } from '../../core/gateway/index.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
 
 /** Idle connections are closed this much before the server's keep-alive time-out. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MAX_KEEP_ALIVE_MS = 8_000;
-/** Limit on establishing a connection. */
-export const CONNECT_TIMEOUT_MS = 220;
 /** Maximum number of connections kept open for late answers; beyond it, aborted calls close theirs at once. */
 const MAX_AWAITED_LATE = 256;
 
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
 import {
+  maxDigestSilenceMs,
   PeerRoster,
   type ReachabilityNotice,
   RestoredServers,
@@ -48,13 +49,7 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
-import {
-  maxDigestAgeMs,
-  maxDigestSilenceMs,
-  recheckSpans,
-  type WatchRole,
-  watchTiming,
-} from './watch-timing.js';
+import { maxDigestAgeMs, recheckSpans, type WatchRole, watchTiming } from './watch-timing.js';
 import { WebWork } from './web-work.js';
 
 /** The platform probes readiness twice, a second apart, before it stops sending connections. */
@@ -146,7 +141,9 @@
     this.#digest = new RelayDigest(
       this.#suspensionAwareTimers,
       maxDigestAgeMs(settings.bounds.contactMs),
-      maxDigestSilenceMs(settings.bounds.contactMs),
+      settings.bounds.drainMs === undefined
+        ? undefined
+        : maxDigestSilenceMs(settings.bounds.drainMs),
     );
     this.#connections = new BackendConnections(timers);
     this.#admission = new AdmissionGate({
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -13,6 +13,7 @@
   type PeerDaemon,
   type PeerLoads,
   type PeerRoster,
+  RELAY_INTERVAL_MS,
   type ReachabilityNotice,
   ReachabilityNoticeFilter,
   type ReadNotice,
@@ -26,8 +27,6 @@
 import type { GatewayLog } from './request-log.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
-/** The interval at which a relay sends changes. */
-const RELAY_GAP_MS = 60;
 /** The interval at which other daemons check whether they have become the relay. */
 const ROLE_CHECK_MS = 240;
 /**
@@ -123,7 +122,7 @@
 
   start(): void {
     const { timers, roster } = this.#options;
-    this.#cancelTick = timers.after(this.#isRelay ? RELAY_GAP_MS : ROLE_CHECK_MS, () => {
+    this.#cancelTick = timers.after(this.#isRelay ? RELAY_INTERVAL_MS : ROLE_CHECK_MS, () => {
       this.#updateRole(roster.isRelay(timers.nowMs()));
       if (this.#isRelay) {
         this.#sendSums();
--- a/src/shell/gateway/watch-timing.ts
+++ b/src/shell/gateway/watch-timing.ts
@@ -45,8 +45,6 @@
 const MAX_RETRY_DELAY_MS = 500;
 const FOLLOWER_RETRY_DELAY_SHARE_OF_CONTACT = 0.225;
 const DIGEST_AGE_SHARE_OF_CONTACT = 0.45;
-/** About two intervals between digests: one datagram may be lost without the whole zone calling the store. */
-const DIGEST_SILENCE_SHARE_OF_CONTACT = 0.25;
 /** How long full reads are repeated after a connection was cut but the history was kept. */
 const CUT_RECHECK_SHARE_OF_CONTACT = 1.5;
 /** How long full reads are repeated after the history was lost; answers may be stale for several times `contactMs`. */
@@ -96,11 +94,6 @@
   return contactMs * DIGEST_AGE_SHARE_OF_CONTACT;
 }
 
-/** How long a relay's digest counts as fresh if no other follows. */
-export function maxDigestSilenceMs(contactMs: number): number {
-  return contactMs * DIGEST_SILENCE_SHARE_OF_CONTACT;
-}
-
 /** How long full reads of a table are repeated, by the kind of disturbance. */
 export interface RecheckSpans {
   readonly cutMs: number;
