--- a/test/gateway/late-drain.test.ts
+++ b/test/gateway/late-drain.test.ts
@@ -137,3 +137,39 @@
     assert.ok(fleet.linesOf(GATEWAY_EVENTS.watchRegained).length > 0);
   });
 }
+
+/** After three heartbeats without a write a row is gone. */
+const HEARTBEATS_MS = 3_600;
+/** While another server answers. */
+const MAX_STALLED_SHARE = 0.1;
+
+/** Sends a request every `CALL_MS` without waiting for the answers. @returns how many reached a server meanwhile */
+async function sentMeanwhile(id: string, spanMs: number): Promise<number> {
+  const before = fleet.requestsAt(id).length;
+  const endMs = fleet.timers.nowMs() + spanMs;
+  while (fleet.timers.nowMs() < endMs) {
+    const headers = { 'X-Attempt-Id': fleet.nextId() };
+    const sent = fleet.fixture.open({ path: '/tiles/1', port: fleet.ports[0], headers });
+    sent.on('error', () => undefined);
+    await fleet.timers.advanceBy(CALL_MS);
+  }
+  return fleet.requestsAt(id).length - before;
+}
+
+test('a server that has stopped answering gets almost no requests, and none once its row has gone', async () => {
+  await fleet.start(1, { a1: 'v1' });
+  fleet.configure([route({})]);
+  for (const id of ['viewer-1', 'viewer-2']) {
+    fleet.servers.set(id, await fleet.fixture.addServer(id, answering(200, 'tile')));
+    await fleet.untilKnown(id);
+  }
+  const stalled = fleet.servers.get('viewer-1');
+  assert.ok(stalled);
+  stalled.script = () => undefined;
+  const listed = await sentMeanwhile('viewer-1', HEARTBEATS_MS);
+  fleet.fixture.store.remove(TABLES.servers, 'viewer-1');
+  await fleet.timers.advanceBy(CALL_MS);
+  const afterwards = await sentMeanwhile('viewer-1', WATCHED_MS);
+  assert.ok(listed <= MAX_STALLED_SHARE * (HEARTBEATS_MS / CALL_MS), `${listed} requests`);
+  assert.equal(afterwards, 0);
+});
