--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -142,6 +142,10 @@
         return;
       case 'drain':
         return this.#drain(this.#serversAt([fault.server])[0], fault.listedAfterMs);
+      case 'departures':
+        return this.#depart(fault);
+      case 'list-churn':
+        return this.#churnList(fault);
       case 'release':
         return this.#release(fault);
       case 'link':
@@ -370,6 +374,21 @@
     listed.isDraining = true;
     this.#world.pool.list(listed);
     this.drains.push({ serverId: oldId, ackMs: performance.now() });
+    await this.#serveOnAndReturn(listed, oldId);
+  }
+
+  /** The entry of a server goes without a word; the server goes on serving, stops, and starts again under a new id. */
+  async #endUnannounced(listed: PooledServer): Promise<void> {
+    if (!listed.server.isUp || listed.isLeaving) return;
+    const oldId = listed.server.id;
+    listed.isLeaving = true;
+    this.#world.pool.unlist(oldId);
+    this.drains.push({ serverId: oldId, ackMs: performance.now() });
+    await this.#serveOnAndReturn(listed, oldId);
+  }
+
+  async #serveOnAndReturn(listed: PooledServer, oldId: string): Promise<void> {
+    const { server } = listed;
     await pause(this.#world.bounds.drainMs + DRAIN_LINGER_MS);
     this.#disturb('server', oldId, ENTRY_LAPSE_MS);
     this.#world.pool.unlist(oldId);
@@ -381,6 +400,32 @@
     this.#listStarted(listed);
   }
 
+  async #depart({
+    servers,
+    unannouncedShare,
+    softwareVersion,
+    gapMs,
+  }: Extract<Fault, { kind: 'departures' }>): Promise<void> {
+    const departing = this.#serversAt(servers);
+    const unannounced = Math.round(departing.length * unannouncedShare);
+    for (const [index, listed] of departing.entries()) {
+      if (this.#isEnded) return;
+      listed.server.install(softwareVersion);
+      if (index < unannounced) void this.#endUnannounced(listed);
+      else void this.#drain(listed, 0);
+      await pause(gapMs);
+    }
+  }
+
+  async #churnList({ everyMs, forMs }: Extract<Fault, { kind: 'list-churn' }>): Promise<void> {
+    const { pool } = this.#world;
+    const endMs = performance.now() + forMs;
+    for (let turn = 0; performance.now() < endMs && !this.#isEnded; turn += 1) {
+      pool.rewrite(turn);
+      await pause(everyMs);
+    }
+  }
+
   async #release({
     servers,
     softwareVersion,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,6 +3,7 @@
  * Entry point of the soak test: runs gateway processes under injected faults and judges them by the fleet's promises.
  */
 import { Builtins, Cli, Command, Option } from 'clipanion';
+import { planDepartures } from './departure-plan.js';
 import { MUTATIONS } from './mutations.js';
 import {
   planCopies,
@@ -59,7 +60,7 @@
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
-    description: 'mixed, herd, outages, copies, cuts, upgrade or releases',
+    description: 'mixed, herd, outages, copies, cuts, upgrade, releases or departures',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -95,12 +96,11 @@
       cuts: planCuts,
       upgrade: planUpgrade,
       releases: planReleases,
+      departures: planDepartures,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
-      throw new Error(
-        `--plan: found ${this.plan}; give mixed, herd, outages, copies, cuts, upgrade or releases`,
-      );
+      throw new Error(`--plan: found ${this.plan}; give one of ${Object.keys(plans).join(', ')}`);
     return {
       firstSeed: wholeNumber('--seed', this.seed),
       seeds: wholeNumber('--seeds', this.seeds),
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -93,6 +93,27 @@
     text: "record.state === 'ready'",
     replacement: 'record.state !== undefined',
   },
+  {
+    name: 'kept-rows',
+    promise: 'DRAIN',
+    file: 'src/core/gateway/expired-rows.ts',
+    text: 'this.#untilMs = nowMs + REWRITTEN_MS;',
+    replacement: 'this.#untilMs = nowMs + 1e9;',
+  },
+  {
+    name: 'resumption-end',
+    promise: 'DRAIN',
+    file: 'src/core/gateway/departures.ts',
+    text: 'const RESUME_SHARE_OF_DRAIN = 0.5;',
+    replacement: 'const RESUME_SHARE_OF_DRAIN = 2;',
+  },
+  {
+    name: 'list-batch',
+    promise: 'DRAIN',
+    file: 'src/core/gateway/departure-timing.ts',
+    text: 'export const SERVERS_BATCH_MS = 200;',
+    replacement: 'export const SERVERS_BATCH_MS = 3_600;',
+  },
   {
     name: 'leaving-answers',
     promise: 'DRAIN',
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -134,6 +134,17 @@
       /** Time during which only its responses report that it leaves; then its entry does as well. */
       readonly listedAfterMs: number;
     }
+  /** The servers depart one after another and return; the rows of a share of them go without a drain. */
+  | {
+      readonly kind: 'departures';
+      readonly servers: readonly number[];
+      readonly unannouncedShare: number;
+      /** The software version with which they return. */
+      readonly softwareVersion: string;
+      readonly gapMs: number;
+    }
+  /** Entries are written anew one after another, so that the list never rests. */
+  | { readonly kind: 'list-churn'; readonly everyMs: number; readonly forMs: number }
   /** The servers leave one after another, and return with another software version. */
   | {
       readonly kind: 'release';
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -113,6 +113,13 @@
     return engines.flatMap(({ server }) => server.servingSpans);
   }
 
+  /** Writes the entry of one of the listed servers anew, each in its turn. */
+  rewrite(turn: number): void {
+    const listed = this.servers.filter(({ server }) => this.#listedIds.has(server.id));
+    const server = listed[turn % listed.length];
+    if (server !== undefined) this.list(server);
+  }
+
   /** Writes rows that no server writes: malformed entries, and an entry of an unknown service. */
   listStrays(): void {
     for (const [index, value] of STRAY_ROWS.entries()) {
