Departures: a tracker of its own, and notices that an earlier change of the list does not end

Cause: a stage change read at a position before a notice's forgot the notice, so the daemon used the server until it had read the list on; and a server removed because its row lost its start time was told to others as gone, which only this daemon could decide. Change: notices end at their position only; skipped rows are not told; logging, counting and telling moved from FleetFollower to DepartureTracker, one allowance for transit instead of two.

--- a/src/core/gateway/departure-timing.ts
+++ b/src/core/gateway/departure-timing.ts
@@ -15,6 +15,8 @@
 /** A call that the store answers at once, and a datagram, take at most this long in an undisturbed fleet. */
 const STORE_ANSWER_MS = 100;
 const DATAGRAM_MS = 50;
+/** What a disturbed fleet may take for either; ages that are told or derived are lengthened by it. */
+export const TRANSIT_MS = 200;
 /** How long a relay's digest is relied on if no other follows, as a share of `drainMs`. */
 const DIGEST_SILENCE_SHARE_OF_DRAIN = 1 / 3;
 
--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -82,7 +82,8 @@
   recordChange(change: DirectoryChange, origin: RowsOrigin, nowMs: number): readonly Departure[] {
     const { added, changed, removed, restarted } = change;
     for (const { id } of [...added, ...restarted]) this.#byId.delete(id);
-    for (const { id, state } of changed) if (state === 'ready') this.#byId.delete(id);
+    const isReady = changed.filter(({ state }) => state === 'ready');
+    for (const { id } of isReady) if (!this.#isAhead(id, origin)) this.#byId.delete(id);
     this.#dropOvertaken(origin);
     const draining = changed.filter(({ id, state }) => {
       return state === 'draining' && this.#byId.get(id)?.state !== 'draining';
@@ -123,12 +124,18 @@
 
   /** Forgets the notices that the list has caught up with and does not confirm. */
   #dropOvertaken(followed: StorePosition): void {
-    for (const [id, departure] of this.#byId) {
-      if (departure.source !== 'notice' || isAfter(departure, followed)) continue;
+    for (const [id, { source }] of this.#byId) {
+      if (source !== 'notice' || this.#isAhead(id, followed)) continue;
       if (this.#directory.get(id)?.state === 'ready') this.#byId.delete(id);
     }
   }
 
+  /** Whether a departure is known from a notice that the list has not caught up with. */
+  #isAhead(id: string, followed: StorePosition): boolean {
+    const departure = this.#byId.get(id);
+    return departure?.source === 'notice' && isAfter(departure, followed);
+  }
+
   /** Records servers that are used although their rows are gone. */
   recordKept(servers: readonly ServerRecord[], origin: RowsOrigin, nowMs: number): void {
     for (const server of servers) this.#record(server, 'kept', origin, nowMs);
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -34,6 +34,7 @@
   maxDigestSilenceMs,
   RELAY_INTERVAL_MS,
   SERVERS_BATCH_MS,
+  TRANSIT_MS,
 } from './departure-timing.js';
 export {
   type Departure,
--- a/src/shell/gateway/departure-gossip.ts
+++ b/src/shell/gateway/departure-gossip.ts
@@ -3,19 +3,17 @@
  * as a row changes; a departure is urgent, so whoever reads it from the store tells all daemons at once. In a large fleet
  * only relays do: all other daemons would read it at the same time.
  */
-import type {
-  Departure,
-  DepartureNotice,
-  PeerDaemon,
-  PeerRoster,
+import {
+  type Departure,
+  type DepartureNotice,
+  type PeerDaemon,
+  type PeerRoster,
+  TRANSIT_MS,
 } from '../../core/gateway/index.js';
 import type { AdvertisedDeparture, DeparturesMessage } from './departure-message-fields.js';
 import { MAX_ENTRIES_PER_MESSAGE } from './peer-messages.js';
 import type { TimerService } from './timer-service.js';
 
-/** A datagram is handled within this time after it was sent. */
-const TRANSIT_MS = 200;
-
 /** Dependencies of a `DepartureGossip`. */
 export interface DepartureGossipOptions {
   readonly roster: Pick<PeerRoster, 'allPeers' | 'isLarge'>;
--- /dev/null
+++ b/src/shell/gateway/departure-tracker.ts
@@ -0,0 +1,87 @@
+/** Records departures of servers, logs them with what limits their age, and has them told to other daemons. */
+import type {
+  Departure,
+  DepartureNotice,
+  DepartureSource,
+  Departures,
+  DirectoryChange,
+  RowsOrigin,
+} from '../../core/gateway/index.js';
+import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { StorePosition } from '../../core/platform/store-position.js';
+import { ageField } from './age-field.js';
+import type { GatewayLog } from './request-log.js';
+import type { TimerService } from './timer-service.js';
+
+/** Dependencies of a `DepartureTracker`. */
+export interface DepartureTrackerOptions {
+  readonly departures: Departures;
+  /** Called when this daemon learns that a server departs; `changedWithinMs` limits the age of its row. */
+  readonly recordDeparture: (source: DepartureSource, changedWithinMs: number) => void;
+  /** Called with departures that this daemon has just read from the store. */
+  readonly advertiseDepartures: (departures: readonly Departure[]) => void;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'write'>;
+}
+
+/** The departures that one daemon learns of. */
+export class DepartureTracker {
+  readonly #options: DepartureTrackerOptions;
+
+  constructor(options: DepartureTrackerOptions) {
+    this.#options = options;
+  }
+
+  /** Records the departures in a change of the list. @returns those that were not known */
+  recordChange(change: DirectoryChange, origin: RowsOrigin): readonly Departure[] {
+    const { departures, timers } = this.#options;
+    const learned = departures.recordChange(change, origin, timers.nowMs());
+    for (const departure of learned) this.#report(departure);
+    return learned;
+  }
+
+  /**
+   * Has departures that were read from the store told to other daemons. A drain is the server's own word. A row may also
+   * go because its server could not renew it, and what a skipped row means depends on what this daemon knew before.
+   * @param isSteady whether the store answered all calls of this daemon for a while, so that it was there for servers too
+   */
+  advertise(
+    learned: readonly Departure[],
+    { skipped }: Pick<DirectoryChange, 'skipped'>,
+    isSteady: boolean,
+  ): void {
+    const skippedIds = new Set(skipped.map(({ record }) => record.id));
+    const isCertain = ({ state, server }: Departure) =>
+      state === 'draining' || (isSteady && !skippedIds.has(server.id));
+    this.#options.advertiseDepartures(learned.filter(isCertain));
+  }
+
+  /**
+   * Applies other daemons' notices.
+   * @param followed how far the list here has been followed
+   * @returns the departures that were not known
+   */
+  applyNotices(notices: readonly DepartureNotice[], followed: StorePosition): readonly Departure[] {
+    const { departures, timers } = this.#options;
+    const learned = notices.flatMap(
+      (notice) => departures.applyNotice(notice, followed, timers.nowMs()) ?? [],
+    );
+    for (const departure of learned) this.#report(departure);
+    return learned;
+  }
+
+  #report({ server, state, source, changedAfterMs, learnedAtMs, ...at }: Departure): void {
+    const { recordDeparture, log } = this.#options;
+    const changedWithinMs = learnedAtMs - changedAfterMs;
+    recordDeparture(source, changedWithinMs);
+    log.write(GATEWAY_EVENTS.serverDeparts, {
+      server: server.id,
+      service: server.service,
+      state,
+      source,
+      changedWithinMs: ageField(changedWithinMs),
+      era: at.era,
+      revision: at.revision,
+    });
+  }
+}
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -4,9 +4,7 @@
  */
 import {
   type CallerLimits,
-  type Departure,
   type DepartureNotice,
-  type DepartureSource,
   type DirectoryChange,
   ExpiredRows,
   type GatewayConfiguration,
@@ -19,9 +17,9 @@
   type TableDigest,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import { FIRST_ERA } from '../../core/platform/store-position.js';
-import { ageField } from './age-field.js';
+import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
 import type { CacheEventWatchers } from './cache-event-watchers.js';
+import { DepartureTracker, type DepartureTrackerOptions } from './departure-tracker.js';
 import type { FleetView } from './fleet-view.js';
 import { NewestPeerVersion } from './newest-peer-version.js';
 import type { ForwardedConfiguration } from './peer-messages.js';
@@ -57,7 +55,8 @@
   | 'serverRenewed'];
 
 /** Dependencies and settings of a `FleetFollower`. */
-export interface FleetFollowerOptions {
+export interface FleetFollowerOptions
+  extends Pick<DepartureTrackerOptions, 'recordDeparture' | 'advertiseDepartures'> {
   readonly adapter: PlatformAdapter;
   readonly fleet: FleetView;
   readonly cacheEventWatchers: CacheEventWatchers;
@@ -77,10 +76,6 @@
   readonly digest: RelayDigest;
   /** Called when the store was restored from an older copy. */
   readonly handleStoreRestored: () => void;
-  /** Called when this daemon learns that a server departs; `changedWithinMs` limits the age of its row. */
-  readonly recordDeparture: (source: DepartureSource, changedWithinMs: number) => void;
-  /** Called with departures that this daemon has just read from the store. */
-  readonly advertiseDepartures: (departures: readonly Departure[]) => void;
   /** Called when a server is added or has restarted. */
   readonly recordServerStart: (server: ServerRecord) => void;
   readonly timers: TimerService;
@@ -109,12 +104,14 @@
   /** Servers whose rows were corrected after a restore, with the reason; each is logged once. */
   readonly #loggedRestored = new Set<string>();
   readonly #expired = new ExpiredRows();
+  readonly #departures: DepartureTracker;
   #cancelExpiry: CancelTimer | undefined;
   /** Whether a row was skipped in the last server rows. */
   #hasSkipped = false;
 
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
+    this.#departures = new DepartureTracker({ ...options, departures: options.fleet.departures });
     const { adapter, timing, recheckSpans, random, timers, log, digest } = options;
     const retryQueue = new WatchRetryQueue(timers);
     const handleEra = (era: number) => this.#handleEra(era);
@@ -399,7 +396,11 @@
       ? directory.replaceAll([...read.records, ...kept], latestStartMs)
       : directory.apply(read.records, removedIds, latestStartMs);
     this.#hasSkipped = change.skipped.length > 0;
-    return this.#applyChange(change, origin);
+    const learned = this.#departures.recordChange(change, origin);
+    if (origin.source === 'store') {
+      this.#departures.advertise(learned, change, this.#servers.isSteady);
+    }
+    return this.#applyChange(change);
   }
 
   /** The servers that stay in use although a full read lacks them, or a change says that their rows are gone. */
@@ -425,15 +426,11 @@
   }
 
   /** @returns whether the list of servers changed */
-  #applyChange(change: DirectoryChange, origin: RowsOrigin): boolean {
+  #applyChange(change: DirectoryChange): boolean {
     const { fleet, cacheEventWatchers, recordServerStart, log, timers } = this.#options;
     const { added, changed, removed, restarted } = change;
-    const nowMs = timers.nowMs();
-    this.#options.restored.recordChange(change, nowMs);
+    this.#options.restored.recordChange(change, timers.nowMs());
     fleet.forgetEndedBoots(change);
-    const departures = fleet.departures.recordChange(change, origin, nowMs);
-    for (const departure of departures) this.#reportDeparture(departure);
-    if (origin.source === 'store') this.#advertiseDepartures(departures);
     for (const server of removed) cacheEventWatchers.remove(server.id);
     for (const server of added) cacheEventWatchers.add(server);
     for (const server of restarted) cacheEventWatchers.restart(server);
@@ -452,55 +449,29 @@
     return isChanged;
   }
 
-  /**
-   * A drain is the server's own word. A row may also go because its server could not renew it; only a daemon whose calls
-   * were all answered for a while knows that the store was there for it.
-   */
-  #advertiseDepartures(departures: readonly Departure[]): void {
-    const isSteady = this.#servers.isSteady;
-    const known = departures.filter(({ state }) => state === 'draining' || isSteady);
-    this.#options.advertiseDepartures(known);
-  }
-
   /** Applies departures that another daemon has read from the store. */
   applyDepartureNotices(notices: readonly DepartureNotice[]): void {
-    const { fleet, timers, onServersChanged } = this.#options;
+    const learned = this.#departures.applyNotices(notices, this.#followed);
+    if (learned.length === 0) return;
+    const goneIds = learned.filter(({ state }) => state === 'gone').map(({ server }) => server.id);
+    // The other daemon's calls were answered all along, so the store was not away.
+    this.#remove(goneIds.filter((id) => this.#expired.release(id)));
+    this.#options.onServersChanged();
+  }
+
+  get #followed(): StorePosition {
     const { era, seen: revision } = this.#servers.progress;
-    let isChanged = false;
-    for (const notice of notices) {
-      const departure = fleet.departures.applyNotice(notice, { era, revision }, timers.nowMs());
-      if (departure === undefined) continue;
-      this.#reportDeparture(departure);
-      const { id } = departure.server;
-      // The other daemon's calls were answered all along, so the store was not away.
-      if (departure.state === 'gone' && this.#expired.release(id)) this.#remove([id]);
-      isChanged = true;
-    }
-    if (isChanged) onServersChanged();
+    return { era, revision };
   }
 
   /** Removes servers that were used without a row. */
   #remove(ids: readonly string[]): void {
     if (ids.length === 0) return;
     const { fleet, timers } = this.#options;
-    const { era, seen: revision } = this.#servers.progress;
-    const origin = { source: 'relay', era, revision, changedAfterMs: timers.nowMs() } as const;
-    this.#applyChange(fleet.directory.apply([], ids), origin);
-  }
-
-  /** Logs a departure with what limits its age, so that a late send to the server can be explained. */
-  #reportDeparture({ server, state, source, changedAfterMs, learnedAtMs, ...at }: Departure): void {
-    const changedWithinMs = learnedAtMs - changedAfterMs;
-    this.#options.recordDeparture(source, changedWithinMs);
-    this.#options.log.write(GATEWAY_EVENTS.serverDeparts, {
-      server: server.id,
-      service: server.service,
-      state,
-      source,
-      changedWithinMs: ageField(changedWithinMs),
-      era: at.era,
-      revision: at.revision,
-    });
+    const origin = { source: 'store', ...this.#followed, changedAfterMs: timers.nowMs() } as const;
+    const change = fleet.directory.apply([], ids);
+    this.#departures.recordChange(change, origin);
+    this.#applyChange(change);
   }
 
   /** Logs each corrected server once; the list is read several times after a restore of the store. */
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -15,6 +15,7 @@
   RecheckSchedule,
   type RowsOrigin,
   type TableProgress,
+  TRANSIT_MS,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { isSamePosition, type StorePosition } from '../../core/platform/store-position.js';
@@ -34,8 +35,6 @@
 const RETRY_SPREAD = 0.3;
 /** The hold of a poll after a failed call: an immediate answer shows at once that the store is back. */
 const MIN_HOLD_MS = 1;
-/** An answer of the store, or a relay's datagram, is read within this time after it was sent. */
-const TRANSIT_MS = 200;
 
 /** All changes of a table between two of the store's revisions. */
 export interface TableChanges<Value> extends StorePosition {
--- a/test/gateway/departures.test.ts
+++ b/test/gateway/departures.test.ts
@@ -80,6 +80,12 @@
   assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
 });
 
+test('a notice still counts where the list shows an earlier change of its server', () => {
+  departures.applyNotice(noticeOf('draining', 9), at(6), NOW_MS);
+  readRows([{ ...SERVER, stage: 'prefill' }], 8);
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'draining');
+});
+
 test('a notice no longer counts for another boot of its server', () => {
   departures.applyNotice(noticeOf('gone', 9), at(6), NOW_MS);
   const restarted = { ...SERVER, bornMs: 2 };
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -34,7 +34,7 @@
 const DATAGRAM_MS = 2;
 const RELAY_TICK_MS = 60;
 const SAMPLE_MS = 10;
-export const SERVICE = 'reader';
+const SERVICE = 'reader';
 
 /** What a datagram carries. */
 export type DatagramKind = 'servers' | 'digest' | 'departures';
