Forget the departure of a kept server once its row is written again

What operators would see: event 6079 and its counter for every request to a server whose row had once expired, and the age of its next departure counted from then, so that no stream is resumed there. Cause: a row that is written again unchanged is no change of the list, so the record 'kept' stayed. Change: the record ends with the exception. One fixture of a server for three tests.

--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -122,25 +122,16 @@
     return nowMs - departure.learnedAtMs < NOTICE_VALID_MS;
   }
 
-  /** Forgets the notices that the list has caught up with and does not confirm. */
-  #dropOvertaken(followed: StorePosition): void {
-    for (const [id, { source }] of this.#byId) {
-      if (source !== 'notice' || this.#isAhead(id, followed)) continue;
-      if (this.#directory.get(id)?.state === 'ready') this.#byId.delete(id);
-    }
-  }
-
-  /** Whether a departure is known from a notice that the list has not caught up with. */
-  #isAhead(id: string, followed: StorePosition): boolean {
-    const departure = this.#byId.get(id);
-    return departure?.source === 'notice' && isAfter(departure, followed);
-  }
-
   /** Records servers that are used although their rows are gone. */
   recordKept(servers: readonly ServerRecord[], origin: RowsOrigin, nowMs: number): void {
     for (const server of servers) this.#record(server, 'kept', origin, nowMs);
   }
 
+  /** Records that a server that was used without a row has written it again. */
+  recordRewritten(id: string): void {
+    if (this.of(id)?.state === 'kept') this.#byId.delete(id);
+  }
+
   /** The departure of a server; undefined while its row says that it is ready. */
   of(id: string): Departure | undefined {
     return this.#byId.get(id);
@@ -168,6 +159,20 @@
       .flatMap((id) => this.#directory.get(id) ?? []);
   }
 
+  /** Forgets the notices that the list has caught up with and does not confirm. */
+  #dropOvertaken(followed: StorePosition): void {
+    for (const [id, { source }] of this.#byId) {
+      if (source !== 'notice' || this.#isAhead(id, followed)) continue;
+      if (this.#directory.get(id)?.state === 'ready') this.#byId.delete(id);
+    }
+  }
+
+  /** Whether a departure is known from a notice that the list has not caught up with. */
+  #isAhead(id: string, followed: StorePosition): boolean {
+    const departure = this.#byId.get(id);
+    return departure?.source === 'notice' && isAfter(departure, followed);
+  }
+
   #mayResumeAt(id: string, nowMs: number): boolean {
     const departure = this.of(id);
     if (departure?.state !== 'draining') return false;
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -379,7 +379,7 @@
       if (row.kind === 'malformed') this.#recordUnreadable(row.key, row.problem);
       else this.#unreadable.remove(row.key);
       if (row.kind === 'gone') goneIds.push(row.key);
-      else this.#expired.release(row.key);
+      else if (this.#expired.release(row.key)) fleet.departures.recordRewritten(row.key);
       // A malformed row removes the server that the row held before.
       if (row.kind === 'value') records.push(row.value);
       if (row.kind === 'malformed') malformedIds.push(row.key);
--- a/test/gateway/departures.test.ts
+++ b/test/gateway/departures.test.ts
@@ -9,22 +9,10 @@
   type ServerRecord,
 } from '../../src/core/gateway/index.js';
 import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
+import { SERVER } from './support/server-record.js';
 
 const DRAIN_MS = 2_000;
 const NOW_MS = 10_000;
-const SERVER: ServerRecord = {
-  id: 'reader-1',
-  service: 'reader',
-  address: '127.0.0.1:1',
-  zone: 'a',
-  slots: 8,
-  state: 'ready',
-  isSpot: false,
-  stage: 'decode',
-  bornMs: 1,
-  softwareVersion: 'v1',
-};
-
 let directory: ServerDirectory;
 let departures: Departures;
 
@@ -114,6 +102,13 @@
   assert.equal(departures.resumable(NOW_MS + DRAIN_MS / 2 - 99).length, 0);
 });
 
+test('a server that was used without a row and has written it again does not depart', () => {
+  departures.recordKept([SERVER], originAt(7), NOW_MS);
+  assert.equal(departures.of(SERVER.id)?.state, 'kept');
+  departures.recordRewritten(SERVER.id);
+  assert.equal(departures.of(SERVER.id), undefined);
+});
+
 test('a message on departures is read as it was sent', () => {
   const { id, service, address, bornMs, softwareVersion } = SERVER;
   const named = { id, service, address, bornMs, softwareVersion };
--- a/test/gateway/expired-rows.test.ts
+++ b/test/gateway/expired-rows.test.ts
@@ -1,23 +1,8 @@
 /** Guards against servers without a row that stay in use for longer than running servers need to write their rows again. */
 import assert from 'node:assert/strict';
 import { beforeEach, test } from 'node:test';
-import {
-  ExpiredRows,
-  REWRITTEN_MS,
-  ServerDirectory,
-  type ServerRecord,
-} from '../../src/core/gateway/index.js';
-
-const SERVER: ServerRecord = {
-  id: 'viewer-1',
-  service: 'viewer',
-  address: '127.0.0.1:1',
-  zone: 'a',
-  slots: 8,
-  state: 'ready',
-  isSpot: false,
-  stage: undefined,
-};
+import { ExpiredRows, REWRITTEN_MS, ServerDirectory } from '../../src/core/gateway/index.js';
+import { SERVER } from './support/server-record.js';
 
 let directory: ServerDirectory;
 let expired: ExpiredRows;
--- a/test/gateway/lapsed-rows.test.ts
+++ b/test/gateway/lapsed-rows.test.ts
@@ -65,6 +65,8 @@
     fixture.listServer(SERVER, server, { sequence: 9 });
     const after = await callFor(REWRITTEN_AFTER_MS);
     assert.deepEqual(new Set([...before, ...after]), new Set([200]));
+    const departing = fixture.lines.filter(({ event }) => event === GATEWAY_EVENTS.sentToDeparting);
+    assert.ok(departing.length <= before.length, 'a server whose row is back does not depart');
   });
 
   test(`a server whose row is still missing some seconds after an outage of the store is not used (history ${history})`, async () => {
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -7,22 +7,10 @@
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
 import { type ServerCall, ServerCalls } from '../../src/shell/gateway/server-calls.js';
 import { ManualTimers } from './support/manual-timers.js';
+import { SERVER } from './support/server-record.js';
 
 const DRAIN_MS = 2_000;
 
-const SERVER: ServerRecord = {
-  id: 'reader-1',
-  service: 'reader',
-  address: '127.0.0.1:1',
-  zone: 'a',
-  slots: 8,
-  state: 'ready',
-  isSpot: false,
-  stage: 'decode',
-  bornMs: 1,
-  softwareVersion: 'v1',
-};
-
 /** Calls of a daemon whose list a test changes; no call is answered. */
 class ListedCalls {
   readonly timers = new ManualTimers();
