--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -31,4 +31,4 @@
 
 module.exports = { loadBundle, COMPILED };
 
-if (require.main === module) loadBundle().exports.main();
+if (require.main === module) loadBundle().exports.main('HASH');
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -202,6 +202,7 @@
 export { StreamOriginTable, type StreamRecord } from './stream-origin-table.js';
 export { type AdvertisedSums, SumsAdvertiser } from './sums-advertiser.js';
 export { type Admission, TenantTable } from './tenants.js';
+export { type TrackedCall, UnansweredCalls } from './unanswered-calls.js';
 export { ADVERTISE_DELAY_MS, unseenWork } from './unseen-work.js';
 export { UrgentSlack } from './urgent-slack.js';
 export {
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -100,11 +100,18 @@
   },
   sentToDeparting: {
     number: 6079,
-    level: 'info',
+    level: 'warn',
     message: 'a request was sent to a server that drains or whose row is gone',
     remedy:
       'Nothing to do while changedWithinMs is well below drainMs: streams are resumed there, and rows may have expired while the store was away.',
   },
+  unansweredAtDeparture: {
+    number: 6083,
+    level: 'warn',
+    message: 'a server departs that has not answered this request; it may still read it',
+    remedy:
+      'Nothing to do while sentAgoMs is short. If a server received the request later than drainMs after its departure, it stood still: this line shows that the request was sent before.',
+  },
   serverMalformed: {
     number: 6016,
     level: 'error',
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -29,6 +29,7 @@
 /** A buffer of this size is written at once. Below 16 KiB, the largest single write of pino's destination. */
 const LOG_WRITE_BYTES = 8_192;
 const MAX_BUFFERED_LOG_BYTES = 1_048_576;
+const UNBUNDLED = 'unbundled';
 
 /** The settings file given on the command line, or otherwise by the environment variable. */
 function settingsPath(): string {
@@ -45,8 +46,11 @@
   process.exit(EXIT_USAGE);
 }
 
-/** Runs a gateway until SIGTERM. */
-export function main(): void {
+/**
+ * Runs a gateway until SIGTERM.
+ * @param build the hash of the bundle that runs, as in the name of its file
+ */
+export function main(build = UNBUNDLED): void {
   const settings = readSettings().match((value) => value, exitOnInvalidSettings);
   const destination = pino.destination({
     fd: STANDARD_OUTPUT,
@@ -58,6 +62,7 @@
   const logger = createLogger({ level: 'info', destination });
   const log = new GatewayLog(logger, SYSTEM_TIMERS, settings.logging.maxLinesPerSecond);
   const gateway = new Gateway({
+    build,
     settings,
     adapter: createPlatformAdapter(settings.store, settings.duties?.address),
     timers: SYSTEM_TIMERS,
--- a/src/shell/gateway/departure-tracker.ts
+++ b/src/shell/gateway/departure-tracker.ts
@@ -2,7 +2,6 @@
 import type {
   Departure,
   DepartureNotice,
-  DepartureSource,
   Departures,
   DirectoryChange,
   RowsOrigin,
@@ -16,8 +15,8 @@
 /** Dependencies of a `DepartureTracker`. */
 export interface DepartureTrackerOptions {
   readonly departures: Departures;
-  /** Called when this daemon learns that a server departs; `changedWithinMs` limits the age of its row. */
-  readonly recordDeparture: (source: DepartureSource, changedWithinMs: number) => void;
+  /** Called when this daemon learns that a server departs. */
+  readonly recordDeparture: (departure: Departure) => void;
   /** Called with departures that this daemon has just read from the store. */
   readonly advertiseDepartures: (departures: readonly Departure[]) => void;
   readonly timers: TimerService;
@@ -70,16 +69,16 @@
     return learned;
   }
 
-  #report({ server, state, source, changedAfterMs, learnedAtMs, ...at }: Departure): void {
+  #report(departure: Departure): void {
     const { recordDeparture, log } = this.#options;
-    const changedWithinMs = learnedAtMs - changedAfterMs;
-    recordDeparture(source, changedWithinMs);
+    const { server, state, source, changedAfterMs, learnedAtMs, ...at } = departure;
+    recordDeparture(departure);
     log.write(GATEWAY_EVENTS.serverDeparts, {
       server: server.id,
       service: server.service,
       state,
       source,
-      changedWithinMs: ageField(changedWithinMs),
+      changedWithinMs: ageField(learnedAtMs - changedAfterMs),
       era: at.era,
       revision: at.revision,
     });
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -17,6 +17,7 @@
 
 /** The components that the gauges read. */
 export interface GaugeSources {
+  readonly build: string;
   readonly fleet: FleetView;
   readonly follower: Pick<
     FleetFollower,
@@ -56,6 +57,12 @@
   for (const { name, help, read } of gaugesOf(sources)) {
     metrics.addGauge(`threadfork_gateway_${name}`, help, read);
   }
+  metrics.addLabelledGauge(
+    'threadfork_gateway_build_info',
+    'Always 1; the label identifies the program that runs',
+    'build',
+    () => new Map([[sources.build, 1]]),
+  );
   metrics.addLabelledGauge(
     'threadfork_gateway_engine_pace',
     'Pace of an engine against the usual one of its service, of those that differ most',
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -83,6 +83,11 @@
     labelNames: ['state'],
     registers: [this.#registry],
   });
+  readonly #unansweredAtDeparture = new Counter({
+    name: 'threadfork_gateway_calls_unanswered_at_departure_total',
+    help: 'Requests of callers that a server had not answered when this daemon learned that it departs',
+    registers: [this.#registry],
+  });
   readonly #forwarded = new Counter({
     name: 'threadfork_gateway_forwarded_requests_total',
     help: 'Requests sent to other daemons as this one was cut off from all servers of their service',
@@ -170,6 +175,11 @@
     this.#sentToDeparting.inc({ state });
   }
 
+  /** Records requests that a server had not answered when it departed. */
+  recordUnansweredAtDeparture(calls: number): void {
+    this.#unansweredAtDeparture.inc(calls);
+  }
+
   /** Records a request that was sent to another daemon. */
   recordForwarded(result: string): void {
     this.#forwarded.inc({ result });
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
 import {
+  type Departure,
   maxDigestSilenceMs,
   PeerRoster,
   type ReachabilityNotice,
@@ -63,6 +64,8 @@
 
 /** Dependencies and settings of a gateway. */
 export interface GatewayOptions {
+  /** Identifies the program that runs; part of the first log line, of rare warnings and of the metrics. */
+  readonly build: string;
   readonly settings: GatewaySettings;
   readonly adapter: PlatformAdapter;
   readonly timers: TimerService;
@@ -110,13 +113,14 @@
   readonly #paths: ServicePathMonitor;
   readonly #departures: DepartureGossip;
   readonly #comparison: PathComparison;
+  readonly #calls: ServerCalls;
   readonly #forwardingListener: ForwardingListener;
   #isRelay = false;
   #isStopping = false;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const { settings, adapter, timers, wallClock, log } = options;
+    const { build, settings, adapter, timers, wallClock, log } = options;
     this.#suspensionAwareTimers = suspensionAwareTimers(timers, wallClock);
     this.#steadyClock = steadyWallClock(timers, wallClock());
     this.#fleet = new FleetView(
@@ -177,6 +181,7 @@
       log,
     });
     const calls = new ServerCalls({
+      build,
       connections: this.#connections,
       paths: this.#paths,
       fleet: this.#fleet,
@@ -188,6 +193,7 @@
       onLimitChange: (server, change, purpose) =>
         this.#limits.recordReportedLimit(server, change, purpose),
     });
+    this.#calls = calls;
     const context: AttemptContext = {
       fleet: this.#fleet,
       calls,
@@ -253,8 +259,7 @@
       digest: this.#digest,
       forwardConfiguration: (changes) => this.#peers?.forwardConfiguration(changes),
       forwardServers: (changes) => this.#peers?.forwardServers(changes),
-      recordDeparture: (source, changedWithinMs) =>
-        this.#metrics.recordDeparture(source, changedWithinMs),
+      recordDeparture: (departure) => this.#recordDeparture(departure),
       advertiseDepartures: (departures) => this.#departures.advertise(departures),
       recordServerStart: (server) => this.#crashes.recordServerStart(server),
       handleStoreRestored: () => this.#handleStoreRestored(),
@@ -284,6 +289,7 @@
       log,
     });
     addGauges(this.#metrics, {
+      build,
       fleet: this.#fleet,
       follower: this.#follower,
       callers: this.#callers,
@@ -320,6 +326,7 @@
     const readinessPort = await this.#listen(readinessServer, readiness);
     if (metrics !== undefined) await this.#listen(createMetricsServer(this.#metrics), metrics);
     log.write(GATEWAY_EVENTS.started, {
+      build: this.#options.build,
       daemon: settings.name,
       zone: settings.zone,
       callers: `${callers.host}:${callers.port}`,
@@ -526,6 +533,12 @@
     this.#peers?.handleStoreRestored();
   }
 
+  #recordDeparture(departure: Departure): void {
+    const { source, learnedAtMs, changedAfterMs } = departure;
+    this.#metrics.recordDeparture(source, learnedAtMs - changedAfterMs);
+    this.#calls.reportUnanswered(departure);
+  }
+
   get #watchRole(): WatchRole {
     if (this.#isRelay) return 'relay';
     return this.#roster.isLarge ? 'follower' : 'alone';
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -5,6 +5,7 @@
  */
 import {
   type AnswerOrigin,
+  type Departure,
   type LimitChange,
   type LimitReading,
   lateAnswerWaitMs,
@@ -12,6 +13,8 @@
   type ReportedLimit,
   type SendAvailability,
   type ServerRecord,
+  type TrackedCall,
+  UnansweredCalls,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { ageField } from './age-field.js';
@@ -31,6 +34,9 @@
 /** Minimum interval between log lines on unreadable headers, as a faulty server sends them with every answer. */
 const LOG_INTERVAL_MS = 10_000;
 
+/** A stopped server may hold many calls; beyond this number the line of a departure only counts them. */
+const MAX_UNANSWERED_LOGGED = 16;
+
 /** The purpose of a call. */
 export type CallPurpose = 'run' | 'prefill' | 'free-memory' | 'cache-news' | 'report' | 'order';
 
@@ -65,6 +71,7 @@
 
 /** Dependencies of the calls. */
 export interface ServerCallsOptions {
+  readonly build: string;
   readonly connections: Pick<BackendConnections, 'call'>;
   readonly fleet: Pick<
     FleetView,
@@ -83,6 +90,7 @@
     | 'recordHeldBack'
     | 'recordCallToLimited'
     | 'recordSentToDeparting'
+    | 'recordUnansweredAtDeparture'
   >;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -90,6 +98,7 @@
 /** Calls servers and records the availability and limits that they report. */
 export class ServerCalls {
   readonly #options: ServerCallsOptions;
+  readonly #unanswered = new UnansweredCalls();
   #unreadable = 0;
   #unreadableLoggedMs = Number.NEGATIVE_INFINITY;
 
@@ -103,11 +112,12 @@
     const sentAtMs = timers.nowMs();
     const heldBack = this.#holdBack(call, sentAtMs);
     if (heldBack !== undefined) return heldBack;
-    if (isForCaller(purpose)) this.#recordSent(call, sentAtMs);
+    const unanswered = isForCaller(purpose) ? this.#recordSent(call, sentAtMs) : undefined;
     const lateAnswer = {
       waitMs: () => lateAnswerWaitMs(timers.nowMs() - sentAtMs),
       onAnswer: (answer: BackendAnswer) => {
         if (!isAnswerTo(call, this.#originOf(answer))) return answer.destroy();
+        if (unanswered !== undefined) this.#unanswered.remove(unanswered);
         this.#recordReports(call, sentAtMs, answer);
         if (onLateAnswer === undefined) answer.destroy();
         else onLateAnswer(answer);
@@ -119,6 +129,7 @@
       onConnected: () => paths.recordConnected(server),
       lateAnswer,
     });
+    if (unanswered !== undefined) this.#recordOutcome(call, unanswered, result);
     const isUnconnected = result.kind === 'not-sent' && !call.signal.aborted;
     if (isUnconnected) paths.recordFailure(server, result.reason);
     if (result.kind !== 'answered') return result;
@@ -160,11 +171,17 @@
     return hasPermit ? fleet.availability.of(server, nowMs) : fleet.availabilityOf(server, nowMs);
   }
 
-  #recordSent(call: ServerCall, sentAtMs: number): void {
-    const { fleet, metrics } = this.#options;
-    const { server, hasPermit = false } = call;
+  #recordSent(call: ServerCall, sentAtMs: number): TrackedCall {
+    const { fleet } = this.#options;
+    const { server, purpose, request } = call;
     fleet.availability.recordSent(server, sentAtMs);
     this.#reportSentToDeparting(call, sentAtMs);
+    this.#recordSentToLimited(call, sentAtMs);
+    return this.#unanswered.add({ server, request, purpose, sentAtMs });
+  }
+
+  #recordSentToLimited({ server, hasPermit = false }: ServerCall, sentAtMs: number): void {
+    const { fleet, metrics } = this.#options;
     if (fleet.limits.of(server.id) === undefined) {
       fleet.recentSends.record(server.id, sentAtMs);
       return;
@@ -176,7 +193,7 @@
 
   /** Logs a request that goes to a server that is not listed as ready, with what this daemon knows of that. */
   #reportSentToDeparting({ server, purpose, request }: ServerCall, nowMs: number): void {
-    const { fleet, metrics, log } = this.#options;
+    const { build, fleet, metrics, log } = this.#options;
     const departure = fleet.departures.of(server.id);
     if (departure === undefined) return;
     const { state, source, era, revision, changedAfterMs, learnedAtMs } = departure;
@@ -184,6 +201,7 @@
     log.write(GATEWAY_EVENTS.sentToDeparting, {
       request,
       server: server.id,
+      build,
       purpose,
       state,
       source,
@@ -194,6 +212,38 @@
     });
   }
 
+  /** A request that was given up may still be read by its server. */
+  #recordOutcome({ signal }: ServerCall, unanswered: TrackedCall, result: CallResult): void {
+    const mayArrive = result.kind === 'broken' && signal.aborted;
+    if (mayArrive) this.#unanswered.giveUp(unanswered, this.#options.timers.nowMs());
+    else this.#unanswered.remove(unanswered);
+  }
+
+  /** Logs the requests that a server which departs has not answered: it may read them later than it should get any. */
+  reportUnanswered({ server, state, source, learnedAtMs, changedAfterMs }: Departure): void {
+    const { build, metrics, log } = this.#options;
+    const calls = this.#unanswered.takeOf(server, learnedAtMs);
+    metrics.recordUnansweredAtDeparture(calls.length);
+    const earliest = [...calls].sort((left, right) => left.sentAtMs - right.sentAtMs);
+    for (const { request, purpose, sentAtMs, givenUpAtMs } of earliest.slice(
+      0,
+      MAX_UNANSWERED_LOGGED,
+    )) {
+      log.write(GATEWAY_EVENTS.unansweredAtDeparture, {
+        request,
+        server: server.id,
+        build,
+        purpose,
+        state,
+        source,
+        sentAgoMs: Math.round(learnedAtMs - sentAtMs),
+        givenUpAgoMs: givenUpAtMs === undefined ? null : Math.round(learnedAtMs - givenUpAtMs),
+        changedWithinMs: ageField(learnedAtMs - changedAfterMs),
+        calls: calls.length,
+      });
+    }
+  }
+
   #recordReports(call: ServerCall, sentAtMs: number, answer: BackendAnswer): void {
     const { server, purpose, request, signal } = call;
     const { status, message } = answer;
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -22,6 +22,7 @@
     this.fleet.directory.replaceAll([SERVER]);
     const adapter = createPlatformAdapter({ host: '127.0.0.1', port: 1 });
     this.calls = new ServerCalls({
+      build: 'test',
       connections: {
         call: async () => {
           this.sent += 1;
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -142,6 +142,7 @@
     fleet,
     table,
     calls: new ServerCalls({
+      build: 'test',
       connections: engines,
       fleet,
       paths: new ServicePathMonitor({
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -229,6 +229,7 @@
     };
     const adapter = createPlatformAdapter(store);
     const gateway = new Gateway({
+      build: 'test',
       settings,
       adapter: links?.adapt(adapter) ?? adapter,
       timers,
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -75,6 +75,7 @@
       metrics,
     });
     this.calls = new ServerCalls({
+      build: 'test',
       connections: { call: ({ address }) => world.serve(place, address) },
       fleet: this.fleet,
       paths: new ServicePathMonitor({
