--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -20,6 +20,9 @@
 
 const HOST = 'labels.example';
 
+/** The path at which servers tell whether they accept work. */
+export const HEALTH_PATH = '/health';
+
 /** A log line of a gateway. */
 export interface LoggedLine {
   /** The daemon that logged it. */
@@ -143,8 +146,8 @@
     routes,
     tenants,
     services: [
-      { name: 'viewer', maxConnections: 100 },
-      { name: 'reader', maxConnections: 100, engine: engineTraits },
+      { name: 'viewer', maxConnections: 100, healthPath: HEALTH_PATH },
+      { name: 'reader', maxConnections: 100, engine: engineTraits, healthPath: HEALTH_PATH },
     ],
     limits: {
       maxHeaderBytes: 16_384,
