Do not use a server whose row comes back after it departed until the server confirms it

What callers saw: nothing; their requests ran at servers that had left, later than drainMs. Cause: a row that shows ready was believed whatever was known of its server. A row also comes back without its server: the store carries out a write late that had no answer, or a server that changes its stage while it leaves writes its row once more. All daemons then listed it as new until the row lapsed, three heartbeats later. The class is a state that may only move forward (ready, draining, gone) and was taken from whichever row was read last. Ruled out: the sequence of a row (the feed has no rows for heartbeats, so the last known one is older than any late write), a fixed wait (servers whose rows lapsed while the store lost their writes would be missing for 4.5 s each). Change: a departed server that is listed as ready again is withheld (state returned, event 6084) until its health page answers 200 under its id, or until the row is older than one that nobody renews.

--- a/src/core/gateway/configuration.ts
+++ b/src/core/gateway/configuration.ts
@@ -70,6 +70,8 @@
 /** A group of interchangeable servers. */
 export interface Service {
   readonly name: string;
+  /** The path at which its servers tell whether they accept work; undefined if they do not tell. */
+  readonly healthPath?: string | undefined;
   /** Undefined for web servers. */
   readonly engine: EngineTraits | undefined;
   /** Undefined if the number of servers is not controlled by the gateways. */
--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -22,7 +22,12 @@
   | 'draining'
   | 'gone'
   /** Its row is gone, but the server is used until running servers have written their rows again. */
-  | 'kept';
+  | 'kept'
+  /**
+   * Its row shows it as ready again. A write that the store carried out late looks the same as a server that is back, so it
+   * is not used until it confirms that it accepts work.
+   */
+  | 'returned';
 
 /** Where rows of the store came from. */
 export type RowsSource = 'store' | 'relay';
@@ -58,7 +63,7 @@
 
 /** Why a server must not be sent a request, by the list. */
 export interface NotListed {
-  readonly kind: 'draining' | 'gone';
+  readonly kind: 'draining' | 'gone' | 'unconfirmed';
   /** How long this daemon has known. */
   readonly toldAgoMs: number;
 }
@@ -78,18 +83,22 @@
     this.#resumeMs = drainMs * RESUME_SHARE_OF_DRAIN;
   }
 
-  /** Records a change of the list. @returns the departures in it that were not known */
+  /**
+   * Records a change of the list.
+   * @returns the departures in it that were not known, and the departed servers that it lists as ready again
+   */
   recordChange(change: DirectoryChange, origin: RowsOrigin, nowMs: number): readonly Departure[] {
     const { added, changed, removed, restarted } = change;
-    for (const { id } of [...added, ...restarted]) this.#byId.delete(id);
-    const isReady = changed.filter(({ state }) => state === 'ready');
-    for (const { id } of isReady) if (!this.#isAhead(id, origin)) this.#byId.delete(id);
-    this.#dropOvertaken(origin);
-    const draining = changed.filter(({ id, state }) => {
+    for (const { id } of restarted) this.#byId.delete(id);
+    for (const server of added) this.#forgetOtherBoot(server);
+    const returned = this.#returnedIn([...added, ...changed], origin);
+    const isDeparted = ({ id }: ServerRecord) => this.#byId.has(id);
+    const draining = [...changed, ...added.filter(isDeparted)].filter(({ id, state }) => {
       return state === 'draining' && this.#byId.get(id)?.state !== 'draining';
     });
     const gone = removed.filter(({ id }) => this.#byId.get(id)?.state !== 'gone');
     return [
+      ...returned.map((server) => this.#record(server, 'returned', origin, nowMs)),
       ...draining.map((server) => this.#record(server, 'draining', origin, nowMs)),
       ...gone.map((server) => this.#record(server, 'gone', origin, nowMs)),
     ];
@@ -115,11 +124,18 @@
     return this.#record(listed, state, { ...notice, source: 'notice' }, nowMs);
   }
 
-  /** Whether a notice that is ahead of the list says that a listed server departs. */
-  isNoticed(id: string, nowMs: number): boolean {
+  /** Whether a server that is listed as ready is not used: a notice says that it departs, or it has to confirm its return. */
+  isWithheld(id: string, nowMs: number): boolean {
     const departure = this.#byId.get(id);
-    if (departure?.source !== 'notice') return false;
-    return nowMs - departure.learnedAtMs < NOTICE_VALID_MS;
+    if (departure?.state === 'returned') return true;
+    return departure?.source === 'notice' && nowMs - departure.learnedAtMs < NOTICE_VALID_MS;
+  }
+
+  /** Ends the departure of a server that is back. @returns whether it was withheld until now */
+  confirmReturn(server: ServerBoot): boolean {
+    const departure = this.#byId.get(server.id);
+    if (departure?.state !== 'returned' || !isSameBoot(departure.server, server)) return false;
+    return this.#byId.delete(server.id);
   }
 
   /** Records servers that are used although their rows are gone. */
@@ -144,12 +160,13 @@
   refusalOf(server: ServerRecord, continuesStream: boolean, nowMs: number): NotListed | undefined {
     const listed = this.#directory.get(server.id);
     const isListed = listed !== undefined && isSameBoot(listed, server);
-    const isNoticed = this.isNoticed(server.id, nowMs);
-    if (isListed && listed.state === 'ready' && !isNoticed) return undefined;
+    const isWithheld = this.isWithheld(server.id, nowMs);
+    if (isListed && listed.state === 'ready' && !isWithheld) return undefined;
     if (isListed && continuesStream && this.#mayResumeAt(server.id, nowMs)) return undefined;
     const known = this.of(server.id);
     const toldAgoMs = nowMs - (known?.learnedAtMs ?? nowMs);
-    return { kind: isListed && known?.state !== 'gone' ? 'draining' : 'gone', toldAgoMs };
+    if (!isListed || known?.state === 'gone') return { kind: 'gone', toldAgoMs };
+    return { kind: known?.state === 'returned' ? 'unconfirmed' : 'draining', toldAgoMs };
   }
 
   /** Listed servers that drain and may still be sent the rest of a stream that has begun. */
@@ -159,14 +176,27 @@
       .flatMap((id) => this.#directory.get(id) ?? []);
   }
 
-  /** Forgets the notices that the list has caught up with and does not confirm. */
-  #dropOvertaken(followed: StorePosition): void {
-    for (const [id, { source }] of this.#byId) {
-      if (source !== 'notice' || this.#isAhead(id, followed)) continue;
-      if (this.#directory.get(id)?.state === 'ready') this.#byId.delete(id);
+  /** Another boot under the id of a server that has departed is another server. */
+  #forgetOtherBoot(server: ServerRecord): void {
+    const departure = this.#byId.get(server.id);
+    if (departure !== undefined && !isSameBoot(departure.server, server)) {
+      this.#byId.delete(server.id);
     }
   }
 
+  /** The departed servers that the list shows as ready: in the rows read, or as it has caught up with a notice. */
+  #returnedIn(read: readonly ServerRecord[], origin: StorePosition): readonly ServerRecord[] {
+    const noticed = [...this.#byId]
+      .filter(([, { source }]) => source === 'notice')
+      .flatMap(([id]) => this.#directory.get(id) ?? []);
+    const byId = new Map([...read, ...noticed].map((server) => [server.id, server]));
+    return [...byId.values()].filter(({ id, state }) => {
+      const departure = this.#byId.get(id);
+      const isReturn = departure !== undefined && departure.state !== 'returned';
+      return isReturn && state === 'ready' && !this.#isAhead(id, origin);
+    });
+  }
+
   /** Whether a departure is known from a notice that the list has not caught up with. */
   #isAhead(id: string, followed: StorePosition): boolean {
     const departure = this.#byId.get(id);
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -148,6 +148,7 @@
   type RestoredReason,
   type RestoredServer,
   RestoredServers,
+  rowExpiryMs,
 } from './restored-servers.js';
 export {
   decideUnrecorded,
--- a/src/core/gateway/restored-servers.ts
+++ b/src/core/gateway/restored-servers.ts
@@ -15,7 +15,6 @@
   type ServerRecord,
 } from './server-directory.js';
 
-/** Rows that nobody refreshes have expired this long after the store's return, as a multiple of `contactMs`. */
 const EXPIRY_SHARE_OF_CONTACT = 1.5;
 /**
  * How long a removed server is remembered. A copy is some seconds old and an outage of the store may add to that; a
@@ -66,7 +65,7 @@
 
   /** @param contactMs the time after a disturbance within which a daemon is back in contact with the store */
   constructor(contactMs: number) {
-    this.#expiryMs = contactMs * EXPIRY_SHARE_OF_CONTACT;
+    this.#expiryMs = rowExpiryMs(contactMs);
   }
 
   /** Delays after the store's return at which the list is to be read again, as a correction ends at each of them. */
@@ -139,6 +138,11 @@
   }
 }
 
+/** The time after which a row that its server does not renew has expired. */
+export function rowExpiryMs(contactMs: number): number {
+  return contactMs * EXPIRY_SHARE_OF_CONTACT;
+}
+
 function missingOf(
   directory: Pick<ServerDirectory, 'all'>,
   listedIds: ReadonlySet<string>,
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -98,6 +98,21 @@
     remedy:
       'Nothing to do; changedWithinMs is the longest time for which the row can have said so, and source is where it came from.',
   },
+  serverReturned: {
+    number: 6084,
+    level: 'warn',
+    message:
+      'a server that had departed is listed as ready again; it is not used until it confirms that it accepts work',
+    remedy:
+      'Nothing to do if event 6093 follows. Otherwise the server has left, and a write that the store carried out late listed it again.',
+  },
+  returnChecked: {
+    number: 6093,
+    level: 'info',
+    message: 'the check of a server that is listed again after it had departed has ended',
+    remedy:
+      'Nothing to do; outcome is confirmed if the server said that it accepts work, renewed if its row outlived a row that nobody renews, and departed otherwise.',
+  },
   sentToDeparting: {
     number: 6079,
     level: 'warn',
--- a/src/shell/gateway/departure-gossip.ts
+++ b/src/shell/gateway/departure-gossip.ts
@@ -52,7 +52,7 @@
   }
 
   #advertised({ server, state, changedAfterMs }: Departure): readonly AdvertisedDeparture[] {
-    if (state === 'kept') return [];
+    if (state !== 'draining' && state !== 'gone') return [];
     const ageMs = Math.ceil(this.#options.timers.nowMs() - changedAfterMs);
     return [{ server, state, changedWithinMs: Number.isFinite(ageMs) ? ageMs : undefined }];
   }
--- a/src/shell/gateway/departure-tracker.ts
+++ b/src/shell/gateway/departure-tracker.ts
@@ -19,6 +19,8 @@
   readonly recordDeparture: (departure: Departure) => void;
   /** Called with departures that this daemon has just read from the store. */
   readonly advertiseDepartures: (departures: readonly Departure[]) => void;
+  /** Called with a server that is listed again after it had departed. */
+  readonly checkReturned: (departure: Departure) => void;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -70,10 +72,9 @@
   }
 
   #report(departure: Departure): void {
-    const { recordDeparture, log } = this.#options;
+    const { recordDeparture, checkReturned, log } = this.#options;
     const { server, state, source, changedAfterMs, learnedAtMs, ...at } = departure;
-    recordDeparture(departure);
-    log.write(GATEWAY_EVENTS.serverDeparts, {
+    const fields = {
       server: server.id,
       service: server.service,
       state,
@@ -81,6 +82,13 @@
       changedWithinMs: ageField(learnedAtMs - changedAfterMs),
       era: at.era,
       revision: at.revision,
-    });
+    };
+    if (state === 'returned') {
+      log.write(GATEWAY_EVENTS.serverReturned, fields);
+      checkReturned(departure);
+      return;
+    }
+    recordDeparture(departure);
+    log.write(GATEWAY_EVENTS.serverDeparts, fields);
   }
 }
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -56,7 +56,10 @@
 
 /** Dependencies and settings of a `FleetFollower`. */
 export interface FleetFollowerOptions
-  extends Pick<DepartureTrackerOptions, 'recordDeparture' | 'advertiseDepartures'> {
+  extends Pick<
+    DepartureTrackerOptions,
+    'recordDeparture' | 'advertiseDepartures' | 'checkReturned'
+  > {
   readonly adapter: PlatformAdapter;
   readonly fleet: FleetView;
   readonly cacheEventWatchers: CacheEventWatchers;
@@ -415,7 +418,8 @@
       listedIds === undefined
         ? goneIds
         : [...directory.all()].map(({ id }) => id).filter((id) => !listedIds.has(id));
-    const unexplainedIds = missingIds.filter((id) => departures.of(id)?.state !== 'gone');
+    const hasLeft = (id: string) => ['gone', 'returned'].includes(departures.of(id)?.state ?? '');
+    const unexplainedIds = missingIds.filter((id) => !hasLeft(id));
     const { all, added } = this.#expired.keep(unexplainedIds, directory, timers.nowMs());
     this.#scheduleExpiry();
     fleet.departures.recordKept(added, origin, timers.nowMs());
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -204,7 +204,7 @@
   #listedReady(service: string, nowMs: number): ServerRecord[] {
     return this.directory
       .readyOf(service)
-      .filter(({ id }) => !this.departures.isNoticed(id, nowMs));
+      .filter(({ id }) => !this.departures.isWithheld(id, nowMs));
   }
 
   /** Whether a boot of a server was ready and not leaving, even if the server has been restarted since. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -10,6 +10,7 @@
   PeerRoster,
   type ReachabilityNotice,
   RestoredServers,
+  rowExpiryMs,
   type ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
@@ -35,6 +36,7 @@
 import { RequestForwarder } from './request-forwarder.js';
 import type { GatewayLog } from './request-log.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
+import { ReturnChecks } from './return-checks.js';
 import { RosterCacheEventDuty } from './roster-cache-event-duty.js';
 import { ServerCalls } from './server-calls.js';
 import { ServerExitCheck } from './server-exit-check.js';
@@ -115,6 +117,7 @@
   readonly #comparison: PathComparison;
   readonly #calls: ServerCalls;
   readonly #forwardingListener: ForwardingListener;
+  readonly #returns: ReturnChecks;
   #isRelay = false;
   #isStopping = false;
 
@@ -194,6 +197,20 @@
         this.#limits.recordReportedLimit(server, change, purpose),
     });
     this.#calls = calls;
+    const handleServersChanged = () => {
+      this.#streams.handleServersChanged();
+      this.#admission.wake();
+    };
+    this.#returns = new ReturnChecks({
+      calls,
+      fleet: this.#fleet,
+      codec: adapter.requests,
+      rowExpiryMs: rowExpiryMs(settings.bounds.contactMs),
+      onConfirmed: handleServersChanged,
+      random: Math.random,
+      timers,
+      log,
+    });
     const context: AttemptContext = {
       fleet: this.#fleet,
       calls,
@@ -260,6 +277,7 @@
       forwardConfiguration: (changes) => this.#peers?.forwardConfiguration(changes),
       forwardServers: (changes) => this.#peers?.forwardServers(changes),
       recordDeparture: (departure) => this.#recordDeparture(departure),
+      checkReturned: (departure) => void this.#returns.check(departure),
       advertiseDepartures: (departures) => this.#departures.advertise(departures),
       recordServerStart: (server) => this.#crashes.recordServerStart(server),
       handleStoreRestored: () => this.#handleStoreRestored(),
@@ -268,10 +286,7 @@
       log,
       applyLimits: (limits) => this.#callers.applyLimits(limits),
       onConfigurationChanged: () => this.#streams.handleConfigurationChanged(),
-      onServersChanged: () => {
-        this.#streams.handleServersChanged();
-        this.#admission.wake();
-      },
+      onServersChanged: handleServersChanged,
     });
     this.#stages = new StageController({
       daemon: settings.name,
@@ -366,6 +381,7 @@
   abort(): void {
     this.#isStopping = true;
     this.#follower.stop();
+    this.#returns.stop();
     this.#crashes.stop();
     this.#cacheEventWatchers.stop();
     this.#stages.stop();
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -142,6 +142,10 @@
   freeHandle(handle: string, serverId: string): EngineCall;
   cacheEvents(since: number, waitMs: number): EngineCall;
   readCacheEvents(body: Buffer): CacheEventBatch | undefined;
+  /** Asks a server whether it accepts work. */
+  checkHealth(path: string, serverId: string): EngineCall;
+  /** Whether the answer to `checkHealth` comes from this server and says that it accepts work. */
+  isAcceptingWork(status: number, headers: IncomingHttpHeaders, serverId: string): boolean;
   orderStage(order: StageOrder, serverId: string): EngineCall;
   report(serverId: string): EngineCall;
   readReport(body: Buffer): EngineReport | undefined;
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -38,7 +38,14 @@
 const MAX_UNANSWERED_LOGGED = 16;
 
 /** The purpose of a call. */
-export type CallPurpose = 'run' | 'prefill' | 'free-memory' | 'cache-news' | 'report' | 'order';
+export type CallPurpose =
+  | 'run'
+  | 'prefill'
+  | 'free-memory'
+  | 'cache-news'
+  | 'report'
+  | 'order'
+  | 'health';
 
 /** One call to a server. */
 export interface ServerCall extends Omit<BackendCall, 'address' | 'onConnected' | 'lateAnswer'> {
@@ -338,6 +345,7 @@
     case 'cache-news':
     case 'report':
     case 'order':
+    case 'health':
       return false;
   }
 }
--- a/test/gateway/departures.test.ts
+++ b/test/gateway/departures.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { beforeEach, test } from 'node:test';
 import {
+  type Departure,
   type DepartureNotice,
   Departures,
   type RowsOrigin,
@@ -32,8 +33,8 @@
   return { source: 'store', ...at(revision), changedAfterMs: NOW_MS };
 }
 
-function readRows(records: readonly ServerRecord[], revision: number): void {
-  departures.recordChange(directory.apply(records, []), originAt(revision), NOW_MS);
+function readRows(records: readonly ServerRecord[], revision: number): readonly Departure[] {
+  return departures.recordChange(directory.apply(records, []), originAt(revision), NOW_MS);
 }
 
 test('a notice that is ahead of the list takes a server out for new work, and not for streams that have begun', () => {
@@ -60,14 +61,53 @@
   assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
 });
 
-test('a notice no longer counts for a server that came back, once the list has been read that far', () => {
+test('a notice no longer counts for a server that came back, once the list has been read that far and the server has confirmed', () => {
   departures.applyNotice(noticeOf('gone', 7), at(6), NOW_MS);
   readRows([{ ...SERVER, id: 'other' }], 6);
   assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'gone');
-  readRows([SERVER], 8);
+  const [returned] = readRows([SERVER], 8);
+  assert.equal(returned?.state, 'returned');
+  assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'unconfirmed');
+  assert.equal(departures.confirmReturn(SERVER), true);
   assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
 });
 
+const GONE_BEFORE = {
+  gone: () => departures.recordChange(directory.apply([], [SERVER.id]), originAt(7), NOW_MS),
+  draining: () => readRows([{ ...SERVER, state: 'draining' }], 7),
+};
+
+for (const [state, depart] of Object.entries(GONE_BEFORE)) {
+  test(`a server that is listed as ready after it was ${state} takes no requests until it confirms, and is known once`, () => {
+    depart();
+    assert.deepEqual(
+      readRows([SERVER], 8).map((departure) => departure.state),
+      ['returned'],
+    );
+    assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'unconfirmed');
+    assert.equal(departures.refusalOf(SERVER, true, NOW_MS)?.kind, 'unconfirmed');
+    assert.deepEqual(readRows([{ ...SERVER, stage: 'prefill' }], 9), []);
+    assert.equal(departures.confirmReturn({ ...SERVER, bornMs: 2 }), false);
+    assert.equal(departures.confirmReturn(SERVER), true);
+    assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
+  });
+
+  test(`another boot under the id of a server that was ${state} takes requests at once`, () => {
+    depart();
+    const restarted = { ...SERVER, bornMs: 2 };
+    assert.deepEqual(readRows([restarted], 8), []);
+    assert.equal(departures.refusalOf(restarted, false, NOW_MS), undefined);
+  });
+}
+
+test('a server that is listed again and departs again is known to depart, and its drain time runs from the first departure', () => {
+  GONE_BEFORE.gone();
+  readRows([SERVER], 8);
+  const [departure] = readRows([{ ...SERVER, state: 'draining' }], 9);
+  assert.equal(departure?.state, 'draining');
+  assert.deepEqual(departures.resumable(NOW_MS + DRAIN_MS), []);
+});
+
 test('a notice still counts where the list shows an earlier change of its server', () => {
   departures.applyNotice(noticeOf('draining', 9), at(6), NOW_MS);
   readRows([{ ...SERVER, stage: 'prefill' }], 8);
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -85,6 +85,7 @@
       forwardServers: ({ rows }) => this.forwarded.push(rows.length),
       forwardConfiguration: () => undefined,
       recordDeparture: () => undefined,
+      checkReturned: () => undefined,
       advertiseDepartures: () => undefined,
       recordServerStart: ({ id }) => this.started.push(id),
       digest: this.#digest,
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -177,6 +177,7 @@
       },
       forwardConfiguration: () => undefined,
       recordDeparture: () => undefined,
+      checkReturned: () => undefined,
       advertiseDepartures: (departures) => gossip.advertise(departures),
       recordServerStart: () => undefined,
       digest: this.digest,
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -226,6 +226,7 @@
       forwardServers: () => undefined,
       forwardConfiguration: forward,
       recordDeparture: () => undefined,
+      checkReturned: () => undefined,
       advertiseDepartures: () => undefined,
       recordServerStart: () => undefined,
       digest: this.digest,
