Do not order an engine to change its stage that departs while it is emptied for the order

The same cause, from the other end: an order is sent 1.2 s and more after its engine was chosen, and was sent whatever the list said by then, unless the engine had another boot. Two cases of stage-controller.test.ts, draining and gone: red before, with the fix green.

--- a/src/shell/gateway/stage-orders.ts
+++ b/src/shell/gateway/stage-orders.ts
@@ -63,7 +63,7 @@
 
   /** Drains an engine, sends the order if the lease still holds after that, and polls until the change is over. */
   async order(change: StageChange, epoch: number, drainMs: number): Promise<void> {
-    const { daemon, codec, timers, log } = this.#options;
+    const { daemon, codec, fleet, timers, log } = this.#options;
     const { engine, stage } = change;
     this.#advertiseStage({ engineId: engine.id, stage, phase: 'changing' });
     await delay(timers, drainMs);
@@ -72,6 +72,8 @@
     if (report === undefined || report.isBusy || report.stage === stage) return;
     if (this.#isOtherBoot(engine, report)) return;
     if (this.#options.currentEpoch() !== epoch) return;
+    // A server that leaves would list itself again at the end of the change.
+    if (fleet.departures.refusalOf(engine, false, timers.nowMs()) !== undefined) return;
     const expectedSequence = report.orderSequence;
     log.write(GATEWAY_EVENTS.orderSent, {
       server: engine.id,
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -204,6 +204,25 @@
   assert.equal(usable().find(({ id }) => id === engineId)?.stage, 'prefill');
 });
 
+// A server that leaves lists itself as ready again once an order is carried out.
+for (const departure of ['draining', 'gone'] as const) {
+  test(`an engine that is ${departure} by the time of its order is not ordered`, async () => {
+    const setup = setUp();
+    startController(setup, 'front-1');
+    while (setup.notices.length === 0) await advanceTime(setup, 50);
+    const { directory } = setup.fleet;
+    const engine = directory.get(setup.notices[0]?.engineId ?? '');
+    assert.ok(engine);
+    if (departure === 'gone') directory.apply([], [engine.id]);
+    else directory.apply([{ ...engine, state: 'draining' }], []);
+    await advanceTime(setup, 5_000);
+    assert.deepEqual(
+      setup.engines.orders.filter(({ address }) => address === engine.address),
+      [],
+    );
+  });
+}
+
 test('of two daemons that want a change only one sends orders', async () => {
   const setup = setUp();
   startController(setup, 'front-1');
