--- a/soak/configuration.ts
+++ b/soak/configuration.ts
@@ -4,6 +4,7 @@
  */
 import { TABLES } from '../platform/names.js';
 import { HOST } from './callers.js';
+import { HEALTH_PATH } from './header-names.js';
 import type { Change } from './plan.js';
 import type { PlatformStore } from './platform-store.js';
 import type { ConfigurationVersion, RequestClass, SoakBounds } from './record.js';
@@ -188,8 +189,8 @@
       })),
     ],
     services: [
-      { name: MODEL, maxConnections: 1_000, engine },
-      ...WEB_SERVICES.map((name) => ({ name, maxConnections: 1_000 })),
+      { name: MODEL, maxConnections: 1_000, healthPath: HEALTH_PATH, engine },
+      ...WEB_SERVICES.map((name) => ({ name, maxConnections: 1_000, healthPath: HEALTH_PATH })),
     ],
     tenants: keys.map(({ key, tenant }) => ({ name: tenant, apiKeys: [key] })),
     limits: {
--- a/soak/departure-plan.ts
+++ b/soak/departure-plan.ts
@@ -24,9 +24,14 @@
 /** Rows are written anew at this interval, as in a release. */
 const CHURN_MS = 150;
 const LONG_STREAM_SHARE = 0.5;
+const LATE_WRITE_SHARE = 0.5;
+const MAX_LATE_WRITE_MS = 1_500;
+/** Late writes are drawn by a generator of their own, so that a seed keeps its other faults. */
+const LATE_WRITE_SEED_OFFSET = 1_000_003;
 
 export function planDepartures(seed: number, size: SoakSize): SoakPlan {
   const random = new SeededRandom(seed);
+  const lateWrites = new SeededRandom(seed + LATE_WRITE_SEED_OFFSET);
   const endMs = size.seconds * 1_000 - CALM_END_MS;
   const churn: Fault = { kind: 'list-churn', everyMs: CHURN_MS, forMs: endMs - FIRST_FAULT_MS };
   const faults: TimedFault[] = [{ atMs: FIRST_FAULT_MS, fault: churn }];
@@ -35,7 +40,7 @@
   };
   for (let atMs = FIRST_FAULT_MS; atMs < endMs; ) {
     const gapMs = random.between(MIN_GAP_MS, MAX_GAP_MS);
-    add(atMs, drawDeparture(random, size));
+    add(atMs, drawDeparture(random, lateWrites, size));
     add(atMs + random.between(0, gapMs), drawFreeze(random, size));
     add(atMs + random.between(0, gapMs), drawBreaks(random, size));
     atMs += gapMs;
@@ -45,13 +50,20 @@
   return { seed, size, servers, faults: ordered, crashing: [], longStreamShare: LONG_STREAM_SHARE };
 }
 
-function drawDeparture(random: SeededRandom, { engines, webServers }: SoakSize): Fault {
+function drawDeparture(
+  random: SeededRandom,
+  lateWrites: SeededRandom,
+  { engines, webServers }: SoakSize,
+): Fault {
+  const hasLateWrites = lateWrites.between(0, 1) < LATE_WRITE_SHARE;
+  const lateWriteMs = lateWrites.between(0, MAX_LATE_WRITE_MS);
   return {
     kind: 'departures',
     servers: random.subset(engines + webServers, random.pick(DEPARTURE_SHARES)),
     unannouncedShare: random.pick(UNANNOUNCED_SHARES),
     softwareVersion: random.pick(SOFTWARE_VERSIONS),
     gapMs: random.between(0, MAX_SERVER_GAP_MS),
+    lateWriteAfterMs: hasLateWrites ? lateWriteMs : undefined,
   };
 }
 
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -372,6 +372,7 @@
     listed.isLeaving = true;
     await pause(listedAfterMs);
     listed.isDraining = true;
+    server.isDeparting = true;
     this.#world.pool.list(listed);
     this.drains.push({ serverId: oldId, ackMs: performance.now() });
     await this.#serveOnAndReturn(listed, oldId);
@@ -382,6 +383,7 @@
     if (!listed.server.isUp || listed.isLeaving) return;
     const oldId = listed.server.id;
     listed.isLeaving = true;
+    listed.server.isDeparting = true;
     this.#world.pool.unlist(oldId);
     this.drains.push({ serverId: oldId, ackMs: performance.now() });
     await this.#serveOnAndReturn(listed, oldId);
@@ -405,6 +407,7 @@
     unannouncedShare,
     softwareVersion,
     gapMs,
+    lateWriteAfterMs,
   }: Extract<Fault, { kind: 'departures' }>): Promise<void> {
     const departing = this.#serversAt(servers);
     const unannounced = Math.round(departing.length * unannouncedShare);
@@ -413,10 +416,22 @@
       listed.server.install(softwareVersion);
       if (index < unannounced) void this.#endUnannounced(listed);
       else void this.#drain(listed, 0);
+      if (lateWriteAfterMs !== undefined) void this.#writeLate(listed, lateWriteAfterMs);
       await pause(gapMs);
     }
   }
 
+  /** The store carries out a write late that a server made before it departed; nobody renews the row. */
+  async #writeLate(listed: PooledServer, afterMs: number): Promise<void> {
+    const { pool } = this.#world;
+    const { id } = listed.server;
+    await pause(afterMs);
+    if (this.#isEnded || listed.server.id !== id) return;
+    pool.listAsReady(listed);
+    await pause(ENTRY_LAPSE_MS);
+    if (listed.server.id === id) pool.unlist(id);
+  }
+
   async #churnList({ everyMs, forMs }: Extract<Fault, { kind: 'list-churn' }>): Promise<void> {
     const { pool } = this.#world;
     const endMs = performance.now() + forMs;
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -6,7 +6,7 @@
 import { PATHS } from '../platform/names.js';
 import { closeListener, openListener } from '../src/lab/common/listener.js';
 import type { AcceptMonitor } from './accept-monitor.js';
-import { WIRE } from './header-names.js';
+import { HEALTH_PATH, WIRE } from './header-names.js';
 import type { ServerFault } from './plan.js';
 import type { Arrival, OrderRecord, ServingSpan } from './record.js';
 import { readBody } from './request-body.js';
@@ -117,6 +117,8 @@
   fault: ActiveFault | undefined;
   /** Whether each response reports that the server leaves; reset by a start. */
   isLeaving = false;
+  /** Whether its health page declines work; reset by a start. */
+  isDeparting = false;
   /** The limit in requests per second that each response reports; undefined if there is none, as after a start. */
   limit: number | undefined;
 
@@ -174,6 +176,7 @@
     this.#bornMs = Math.max(this.#bornMs + 1, Date.now());
     this.#orders = 0;
     this.isLeaving = false;
+    this.isDeparting = false;
     this.limit = undefined;
     this.#stage = this.#options.stage;
     this.#isSwitching = false;
@@ -217,6 +220,7 @@
     const body = await readBody(request);
     if (body === undefined) return;
     const path = request.url ?? '/';
+    if (path === HEALTH_PATH) return this.#health(response);
     if (path === PATHS.report) return this.#report(response);
     if (path === PATHS.order) return this.#order(body, response);
     if (path.startsWith(PATHS.kvEvents)) return this.#cacheEvents(response);
@@ -224,6 +228,13 @@
     this.#handleRequest(request, body, response, { atMs, acceptWaitMs });
   }
 
+  #health(response: ServerResponse): void {
+    const status = this.isDeparting ? 503 : 200;
+    response
+      .writeHead(status, { [WIRE.instanceId]: this.#id, ...this.#availabilityHeaders() })
+      .end();
+  }
+
   #handleRequest(
     request: IncomingMessage,
     body: string,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -107,6 +107,13 @@
     text: 'const RESUME_SHARE_OF_DRAIN = 0.5;',
     replacement: 'const RESUME_SHARE_OF_DRAIN = 2;',
   },
+  {
+    name: 'returned-rows',
+    promise: 'DRAIN',
+    file: 'src/core/gateway/departures.ts',
+    text: "if (departure?.state === 'returned') return true;",
+    replacement: "if (departure?.state === 'returned') return false;",
+  },
   {
     name: 'list-batch',
     promise: 'DRAIN',
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -142,6 +142,8 @@
       /** The software version with which they return. */
       readonly softwareVersion: string;
       readonly gapMs: number;
+      /** A write of each that was made before its departure is carried out so long after; undefined for none. */
+      readonly lateWriteAfterMs: number | undefined;
     }
   /** Entries are written anew one after another, so that the list never rests. */
   | { readonly kind: 'list-churn'; readonly everyMs: number; readonly forMs: number }
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -91,7 +91,16 @@
   }
 
   /** Writes the current state of a server to its entry. */
-  list({ server, link, zone, isDraining }: PooledServer): void {
+  list(server: PooledServer): void {
+    this.#write(server, server.isDraining ? 'draining' : 'ready');
+  }
+
+  /** Writes an entry as it was before the server departed. */
+  listAsReady(server: PooledServer): void {
+    this.#write(server, 'ready');
+  }
+
+  #write({ server, link, zone }: PooledServer, state: 'ready' | 'draining'): void {
     this.#listedIds.add(server.id);
     this.#unlistedIds.delete(server.id);
     this.#options.store.put(TABLES.servers, server.id, {
@@ -99,7 +108,7 @@
       address: link.address,
       zone,
       slots: server.slots,
-      state: isDraining ? 'draining' : 'ready',
+      state,
       sequence: 1,
       born: server.bornMs,
       version: server.softwareVersion,
