Failing test: one refused call at each other daemon silences their notices of a row that goes

Three daemons over sockets, drainMs 2,000: one whose calls failed for 3.1 s uses a server until 3,210 ms after its row went; the others had read that, but had one call refused 1.4 s before, and say nothing for 4.5 s (recheckSpans.cutMs) after any failed call.

--- a/test/gateway/late-drain.test.ts
+++ b/test/gateway/late-drain.test.ts
@@ -138,6 +138,34 @@
   });
 }
 
+const REFUSED_BRIEFLY_MS = 200;
+const GONE_BEFORE_RETURN_MS = 500;
+
+test('a server whose row goes is not used longer than its drain time by a daemon whose calls failed, where each other daemon had a call refused', async () => {
+  const entrance = await fleet.fixture.store.addEntrance();
+  await fleet.start(3, { a1: 'v1' }, { entrance });
+  fleet.configure([route({})]);
+  fleet.servers.set(VIEWER, await fleet.fixture.addServer(VIEWER, answering(200, 'tile')));
+  await fleet.untilKnown(VIEWER);
+  // Each change is read at once, so that a call of each daemon meets the refusal.
+  keepListChanging();
+  entrance.fault = 'refuse';
+  await fleet.timers.advanceBy(AWAY_MS / 2);
+  fleet.fixture.store.fault = 'refuse';
+  await fleet.timers.advanceBy(REFUSED_BRIEFLY_MS);
+  fleet.fixture.store.fault = 'none';
+  await fleet.timers.advanceBy(AWAY_MS / 2);
+  fleet.timers.after(GONE_BEFORE_RETURN_MS, () => {
+    entrance.fault = 'none';
+  });
+  fleet.fixture.store.remove(TABLES.servers, VIEWER);
+  const lastMs = await lastArrivalMs(VIEWER, () =>
+    fleet.call({ path: '/tiles/1', port: fleet.ports[0] }),
+  );
+  assert.ok(lastMs <= DRAIN_MS, `reached ${lastMs} ms after its row went`);
+  assert.ok(fleet.linesOf(GATEWAY_EVENTS.watchLost).length > 2, 'each had a call refused');
+});
+
 /** After three heartbeats without a write a row is gone. */
 const HEARTBEATS_MS = 3_600;
 /** While another server answers. */
