Tell others of rows that go unless the store was away as long as an outage

What callers saw: requests of one daemon, whose own calls to the store had failed, ran at a server more than drainMs after its row was gone. Cause: a daemon that saw the row go told the others only if none of its calls had failed for 4.5 s (6 s at contactMs 4,000). One refused call, answered again at once, was enough to silence a daemon, and a moment in which the store refuses some calls silences all of them. What the wait is for, rows that expire while the store is away, needs calls to fail for callTimeoutMs, as the exception for kept rows already says; both now use the same condition.

--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -96,10 +96,11 @@
   /** When the store's current era was first seen; undefined once the table was fully read in it. */
   #eraSeenAtMs: number | undefined;
   #failuresInARow = 0;
-  #lastFailureMs = Number.NEGATIVE_INFINITY;
   #callStartedMs = 0;
   /** When the first failed call since the last data began; undefined if no call has failed since. */
   #awaySinceMs: number | undefined;
+  /** When data last began again after calls had failed for as long as an outage. */
+  #lastReturnMs = Number.NEGATIVE_INFINITY;
   readonly #rechecks = new RecheckSchedule();
   /** Whether this watch waits and has no call to the store under way. */
   #isIdle = false;
@@ -144,10 +145,20 @@
     return this.#revisions.seen === undefined;
   }
 
-  /** Whether no call has failed for as long as reads are repeated after a cut. */
+  /**
+   * Whether the store was there, for this daemon and so for servers too, as long as reads are repeated after a cut. A call
+   * that failed and was soon followed by an answer leaves it so: no row expires in that time.
+   */
   get isSteady(): boolean {
     const { timers, recheckSpans } = this.#options;
-    return timers.nowMs() - this.#lastFailureMs >= recheckSpans.cutMs;
+    const nowMs = timers.nowMs();
+    const isAway = this.#awaySinceMs !== undefined && this.#isOutage(nowMs - this.#awaySinceMs);
+    return !isAway && nowMs - this.#lastReturnMs >= recheckSpans.cutMs;
+  }
+
+  /** Whether calls have failed for so long that the store was away; no row expires in a shorter time. */
+  #isOutage(awayMs: number): boolean {
+    return awayMs >= this.#options.timing().callTimeoutMs;
   }
 
   /** How far the table was followed; advertised to other daemons that follow it. */
@@ -445,6 +456,7 @@
     if (this.#awaySinceMs === undefined) return;
     const awayMs = timers.nowMs() - this.#awaySinceMs;
     this.#awaySinceMs = undefined;
+    if (this.#isOutage(awayMs)) this.#lastReturnMs = timers.nowMs();
     handleReturn?.(awayMs);
   }
 
@@ -459,7 +471,6 @@
     }
     if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
     this.#failuresInARow += 1;
-    this.#lastFailureMs = timers.nowMs();
     this.#awaySinceMs ??= this.#callStartedMs;
     if (this.#failuresInARow === 1) {
       log.write(GATEWAY_EVENTS.watchLost, { table: table.name, reason: answer.reason });
