Remember that a web server left an overdue request without an answer after its caller has left

What callers saw: requests that ended at their deadlines at a web server that had stopped answering, one after another at each daemon, while other servers answered. If the server goes on later, it reads them all, also after its row has gone (a late request that nobody can call back). Cause: a call that was given up told nothing of its server. Its answer is overdue after 0.4 s, callers leave after 0.6 s, and with a few requests a second at each daemon there was no open call that told the next one. Change: a web server that has sent nothing at all since an overdue call was made is skipped like one that broke off, 0.4 s, doubling to 4 s (event 6006). One that answers any other call of this daemon meanwhile is only slow. Engines are left as they were: they read long prompts in silence.

--- a/src/core/gateway/server-health.ts
+++ b/src/core/gateway/server-health.ts
@@ -29,6 +29,7 @@
 
 /** One call that a server has not answered yet. */
 export interface OpenCall {
+  readonly sentAtMs: number;
   /** Time after which the answer is overdue. */
   readonly overdueAtMs: number;
 }
@@ -49,6 +50,7 @@
   /** Daemons that found the server unreachable, with the time of their last notice. */
   readonly #witnesses = new Map<string, number>();
   #responseMs: number | undefined;
+  #heardAtMs = Number.NEGATIVE_INFINITY;
 
   /** Number of calls in progress. */
   get openCalls(): number {
@@ -68,7 +70,7 @@
   /** @param expectedMs expected time until the first byte, if known */
   open(nowMs: number, expectedMs = 0): OpenCall {
     const allowedMs = EXPECTATION_FACTOR * Math.min(MAX_EXPECTED_MS, Math.max(0, expectedMs));
-    const call = { overdueAtMs: nowMs + OVERDUE_AFTER_MS + allowedMs };
+    const call = { sentAtMs: nowMs, overdueAtMs: nowMs + OVERDUE_AFTER_MS + allowedMs };
     this.#openCalls.add(call);
     if (this.#isConnectUnanswered) this.#trial ??= call;
     return call;
@@ -144,6 +146,23 @@
       this.#responseMs === undefined ? elapsedMs : 0.8 * this.#responseMs + 0.2 * elapsedMs;
   }
 
+  /** Records that the server sent something: an answer, or a part of one. */
+  recordHeard(nowMs: number): void {
+    this.#heardAtMs = nowMs;
+  }
+
+  /**
+   * Records that a call was given up without an answer. A server that is only slow sends something to other calls
+   * meanwhile; one that has sent nothing since an overdue call was made has stopped answering.
+   * @returns whether the server is skipped from now on, as it has stopped answering
+   */
+  recordGivenUp({ sentAtMs, overdueAtMs }: OpenCall, nowMs: number): boolean {
+    const isSilent = nowMs >= overdueAtMs && this.#heardAtMs < sentAtMs;
+    if (!isSilent || this.isEjected(nowMs)) return false;
+    this.recordBroken(nowMs);
+    return true;
+  }
+
   /** Records an error answer of the server; it raises the failure rate, but does not eject the server. */
   recordServerError(): void {
     this.#failureRate += (1 - this.#failureRate) * FAILURE_WEIGHT;
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -98,6 +98,14 @@
     remedy:
       'Nothing to do; changedWithinMs is the longest time for which the row can have said so, and source is where it came from.',
   },
+  serverSilent: {
+    number: 6006,
+    level: 'warn',
+    message:
+      'a web server has sent nothing since an overdue request was sent to it; it is skipped for a while',
+    remedy:
+      'Check the named server if other daemons log this too: it accepts connections and does not answer.',
+  },
   serverReturned: {
     number: 6084,
     level: 'warn',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -205,7 +205,7 @@
   context: AttemptContext,
   options: AttemptOptions,
 ): Promise<CallResult> {
-  const { request, body, timers, description, metrics } = exchange.options;
+  const { request, body, timers, description, metrics, log } = exchange.options;
   const health = context.fleet.healthOf(options.server.id);
   const startedAtMs = timers.nowMs();
   const open = health.open(startedAtMs, options.expectedMs);
@@ -256,6 +256,7 @@
     return failure;
   };
   const readHead = ({ status, message }: BackendAnswer): AnswerMetadata => {
+    health.recordHeard(timers.nowMs());
     if (health.recordReached()) {
       context.advertiseReachable(options.server);
     }
@@ -276,10 +277,22 @@
     else if (options.onLateAnswer !== undefined) options.onLateAnswer(answer);
     else answer.destroy();
   };
-  // An attempt that this daemon aborted tells nothing of its server, unless the server has answered.
+  // An engine may read a long prompt in silence, so only web servers are expected to send something in time.
+  const recordGivenUp = () => {
+    if (!isWebCall || !health.recordGivenUp(open, timers.nowMs())) return;
+    log.write(GATEWAY_EVENTS.serverSilent, {
+      request: description.attemptId,
+      server: options.server.id,
+      service: options.server.service,
+      elapsedMs: Math.round(elapsedMs()),
+    });
+  };
+  // An attempt that this daemon aborted tells nothing of its server, unless the server has answered or was overdue.
   const breakOff = (failure: FailedCall): FailedCall => {
     close();
-    return options.signal.aborted ? failure : record(failure);
+    if (!options.signal.aborted) return record(failure);
+    recordGivenUp();
+    return failure;
   };
   if (result.kind === 'held-back') {
     close();
--- a/test/gateway/late-drain.test.ts
+++ b/test/gateway/late-drain.test.ts
@@ -172,18 +172,44 @@
 const MAX_STALLED_SHARE = 0.1;
 
 /** Sends a request every `CALL_MS` without waiting for the answers. @returns how many reached a server meanwhile */
-async function sentMeanwhile(id: string, spanMs: number): Promise<number> {
+async function sentMeanwhile(
+  id: string,
+  spanMs: number,
+  callerHeaders: Record<string, string> = {},
+): Promise<number> {
   const before = fleet.requestsAt(id).length;
   const endMs = fleet.timers.nowMs() + spanMs;
-  while (fleet.timers.nowMs() < endMs) {
-    const headers = { 'X-Attempt-Id': fleet.nextId() };
-    const sent = fleet.fixture.open({ path: '/tiles/1', port: fleet.ports[0], headers });
+  for (let turn = 0; fleet.timers.nowMs() < endMs; turn += 1) {
+    const port = fleet.ports[turn % fleet.ports.length];
+    const headers = { 'X-Attempt-Id': fleet.nextId(), ...callerHeaders };
+    const sent = fleet.fixture.open({ path: '/tiles/1', port, headers });
     sent.on('error', () => undefined);
     await fleet.timers.advanceBy(CALL_MS);
   }
   return fleet.requestsAt(id).length - before;
 }
 
+/** Callers leave sooner than a server counts as broken. */
+const SHORT_DEADLINE_MS = 600;
+const DAEMONS = 9;
+/** One request shows that the server has stopped answering, and one more tries it again. */
+const MAX_LEFT_PER_DAEMON = 2;
+
+test('a server that has stopped answering is left at most two requests by each daemon whose callers leave early', async () => {
+  await fleet.start(DAEMONS, { a1: 'v1' });
+  fleet.configure([route({})]);
+  for (const id of ['viewer-1', 'viewer-2']) {
+    fleet.servers.set(id, await fleet.fixture.addServer(id, answering(200, 'tile')));
+    await fleet.untilKnown(id);
+  }
+  const stalled = fleet.servers.get('viewer-1');
+  assert.ok(stalled);
+  stalled.script = () => undefined;
+  const headers = { 'X-Deadline-Ms': String(SHORT_DEADLINE_MS) };
+  const left = await sentMeanwhile('viewer-1', HEARTBEATS_MS, headers);
+  assert.ok(left <= DAEMONS * MAX_LEFT_PER_DAEMON, `${left} requests`);
+});
+
 test('a server that has stopped answering gets almost no requests, and none once its row has gone', async () => {
   await fleet.start(1, { a1: 'v1' });
   fleet.configure([route({})]);
