--- a/test/gateway/returned-rows.test.ts
+++ b/test/gateway/returned-rows.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { TABLES } from '../../platform/names.js';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { HEALTH_PATH, route } from './support/fixture.js';
 import { answering, type Script } from './support/server-stand-in.js';
 import { VersionedFleet } from './support/versioned-fleet.js';
@@ -39,6 +40,12 @@
   };
 }
 
+function daemonsThatList(id: string): number {
+  const lines = fleet.linesOf(GATEWAY_EVENTS.serverAdded);
+  return new Set(lines.filter(({ fields }) => fields.server === id).map(({ daemon }) => daemon))
+    .size;
+}
+
 function list(fields: object): void {
   const server = fleet.servers.get(LEAVING);
   assert.ok(server);
@@ -97,3 +104,22 @@
     assert.ok(arrivals.length > 0, 'a request reaches it');
   });
 }
+
+test('a server that leaves gets no request after its drain time, where a late write lists it again before any daemon has read that its row was gone', async () => {
+  const server = fleet.servers.get(LEAVING);
+  assert.ok(server);
+  server.script = healthAnswering(LEAVING, 503);
+  // Each daemon has just read this change, and reads the next ones together.
+  const other = { service: 'viewer', address: '127.0.0.1:1', zone: 'a', slots: 6 };
+  fleet.fixture.store.putServer('other', { ...other, state: 'draining', sequence: 1 });
+  await fleet.timers.advanceUntil(() => daemonsThatList('other') === fleet.ports.length);
+  fleet.fixture.store.remove(TABLES.servers, LEAVING);
+  list({ sequence: 6 });
+  const removed = fleet.linesOf(GATEWAY_EVENTS.serverRemoved).length;
+  const arrivals = await arrivalsWithin(LAPSES_AFTER_MS);
+  assert.equal(fleet.linesOf(GATEWAY_EVENTS.serverRemoved).length, removed, 'nobody reads that');
+  assert.deepEqual(
+    arrivals.filter((atMs) => atMs > DRAIN_MS),
+    [],
+  );
+});
