Ask a server whose row is written anew whether it declines work

What callers saw: requests ran at servers that had left, later than drainMs. Cause: changes of the list hold the last state of a row only. A row that goes and is written again between two reads (200 ms) was never gone for this daemon; in a fleet with relays only a daemon that happened to read in between knew. The state is called unconfirmed now.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -108,11 +108,11 @@
     replacement: 'const RESUME_SHARE_OF_DRAIN = 2;',
   },
   {
-    name: 'returned-rows',
+    name: 'unconfirmed-rows',
     promise: 'DRAIN',
     file: 'src/core/gateway/departures.ts',
-    text: "if (departure?.state === 'returned') return true;",
-    replacement: "if (departure?.state === 'returned') return false;",
+    text: "if (departure?.state === 'unconfirmed') return true;",
+    replacement: "if (departure?.state === 'unconfirmed') return false;",
   },
   {
     name: 'list-batch',
--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -24,10 +24,10 @@
   /** Its row is gone, but the server is used until running servers have written their rows again. */
   | 'kept'
   /**
-   * Its row shows it as ready again. A write that the store carried out late looks the same as a server that is back, so it
-   * is not used until it confirms that it accepts work.
+   * Its row shows it as ready, but it had departed or declines work. A write that the store carried out late looks the same
+   * as a server that is back, so it is not used until it confirms that it accepts work.
    */
-  | 'returned';
+  | 'unconfirmed';
 
 /** Where rows of the store came from. */
 export type RowsSource = 'store' | 'relay';
@@ -98,7 +98,7 @@
     });
     const gone = removed.filter(({ id }) => this.#byId.get(id)?.state !== 'gone');
     return [
-      ...returned.map((server) => this.#record(server, 'returned', origin, nowMs)),
+      ...returned.map((server) => this.#record(server, 'unconfirmed', origin, nowMs)),
       ...draining.map((server) => this.#record(server, 'draining', origin, nowMs)),
       ...gone.map((server) => this.#record(server, 'gone', origin, nowMs)),
     ];
@@ -127,14 +127,22 @@
   /** Whether a server that is listed as ready is not used: a notice says that it departs, or it has to confirm its return. */
   isWithheld(id: string, nowMs: number): boolean {
     const departure = this.#byId.get(id);
-    if (departure?.state === 'returned') return true;
+    if (departure?.state === 'unconfirmed') return true;
     return departure?.source === 'notice' && nowMs - departure.learnedAtMs < NOTICE_VALID_MS;
   }
 
-  /** Ends the departure of a server that is back. @returns whether it was withheld until now */
-  confirmReturn(server: ServerBoot): boolean {
+  /** Records that a server that is listed as ready declines work. @returns undefined unless it was in use until now */
+  recordDeclined(server: ServerRecord, origin: RowsOrigin, nowMs: number): Departure | undefined {
+    const listed = this.#directory.get(server.id);
+    const isInUse = listed?.state === 'ready' && isSameBoot(listed, server);
+    if (!isInUse || this.#byId.has(server.id)) return undefined;
+    return this.#record(listed, 'unconfirmed', origin, nowMs);
+  }
+
+  /** Ends the departure of a server that accepts work. @returns whether it was withheld until now */
+  confirm(server: ServerBoot): boolean {
     const departure = this.#byId.get(server.id);
-    if (departure?.state !== 'returned' || !isSameBoot(departure.server, server)) return false;
+    if (departure?.state !== 'unconfirmed' || !isSameBoot(departure.server, server)) return false;
     return this.#byId.delete(server.id);
   }
 
@@ -166,7 +174,7 @@
     const known = this.of(server.id);
     const toldAgoMs = nowMs - (known?.learnedAtMs ?? nowMs);
     if (!isListed || known?.state === 'gone') return { kind: 'gone', toldAgoMs };
-    return { kind: known?.state === 'returned' ? 'unconfirmed' : 'draining', toldAgoMs };
+    return { kind: known?.state === 'unconfirmed' ? 'unconfirmed' : 'draining', toldAgoMs };
   }
 
   /** Listed servers that drain and may still be sent the rest of a stream that has begun. */
@@ -192,7 +200,7 @@
     const byId = new Map([...read, ...noticed].map((server) => [server.id, server]));
     return [...byId.values()].filter(({ id, state }) => {
       const departure = this.#byId.get(id);
-      const isReturn = departure !== undefined && departure.state !== 'returned';
+      const isReturn = departure !== undefined && departure.state !== 'unconfirmed';
       return isReturn && state === 'ready' && !this.#isAhead(id, origin);
     });
   }
--- a/src/core/gateway/server-directory.ts
+++ b/src/core/gateway/server-directory.ts
@@ -56,6 +56,8 @@
   /** Servers that restarted under the same id, as their new boots. */
   readonly restarted: readonly ServerRecord[];
   readonly skipped: readonly SkippedRow[];
+  /** Rows of known boots, whether they show anything new or not. */
+  readonly rewritten: readonly ServerRecord[];
 }
 
 /** How a row relates to the record that is known under its id. */
@@ -130,6 +132,7 @@
     const removed: ServerRecord[] = [];
     const restarted: ServerRecord[] = [];
     const skipped: SkippedRow[] = [];
+    const rewritten: ServerRecord[] = [];
     for (const record of records) {
       const known = this.#byId.get(record.id);
       const hadNoStart = this.#withoutStart.has(record.id) && record.bornMs === undefined;
@@ -143,6 +146,7 @@
           break;
         case 'same-life':
           this.#byId.set(record.id, record);
+          rewritten.push(record);
           if (known?.state !== record.state || known.stage !== record.stage) changed.push(record);
           break;
         case 'new-life':
@@ -161,7 +165,7 @@
       }
     }
     for (const id of removedIds) removed.push(...this.#remove(id));
-    return { added, removed, changed, restarted, skipped };
+    return { added, removed, changed, restarted, skipped, rewritten };
   }
 
   #remove(id: string): readonly ServerRecord[] {
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -106,18 +106,18 @@
     remedy:
       'Check the named server if other daemons log this too: it accepts connections and does not answer.',
   },
-  serverReturned: {
+  serverUnconfirmed: {
     number: 6084,
     level: 'warn',
     message:
-      'a server that had departed is listed as ready again; it is not used until it confirms that it accepts work',
+      'a server is listed as ready that had departed or declines work; it is not used until it confirms that it accepts work',
     remedy:
-      'Nothing to do if event 6093 follows. Otherwise the server has left, and a write that the store carried out late listed it again.',
+      'Nothing to do if event 6093 follows with outcome confirmed. Otherwise the server has left, and a write that the store carried out late listed it again.',
   },
-  returnChecked: {
+  confirmationEnded: {
     number: 6093,
     level: 'info',
-    message: 'the check of a server that is listed again after it had departed has ended',
+    message: 'the check of a server that has to confirm that it accepts work has ended',
     remedy:
       'Nothing to do; outcome is confirmed if the server said that it accepts work, renewed if its row outlived a row that nobody renews, and departed otherwise.',
   },
--- a/src/shell/gateway/departure-tracker.ts
+++ b/src/shell/gateway/departure-tracker.ts
@@ -5,6 +5,7 @@
   Departures,
   DirectoryChange,
   RowsOrigin,
+  ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { StorePosition } from '../../core/platform/store-position.js';
@@ -19,8 +20,8 @@
   readonly recordDeparture: (departure: Departure) => void;
   /** Called with departures that this daemon has just read from the store. */
   readonly advertiseDepartures: (departures: readonly Departure[]) => void;
-  /** Called with a server that is listed again after it had departed. */
-  readonly checkReturned: (departure: Departure) => void;
+  /** Called with a server that has to confirm that it accepts work. */
+  readonly awaitConfirmation: (departure: Departure) => void;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -71,8 +72,15 @@
     return learned;
   }
 
+  /** Records that a server that is listed as ready declines work. */
+  recordDeclined(server: ServerRecord, origin: RowsOrigin): void {
+    const { departures, timers } = this.#options;
+    const departure = departures.recordDeclined(server, origin, timers.nowMs());
+    if (departure !== undefined) this.#report(departure);
+  }
+
   #report(departure: Departure): void {
-    const { recordDeparture, checkReturned, log } = this.#options;
+    const { recordDeparture, awaitConfirmation, log } = this.#options;
     const { server, state, source, changedAfterMs, learnedAtMs, ...at } = departure;
     const fields = {
       server: server.id,
@@ -83,9 +91,9 @@
       era: at.era,
       revision: at.revision,
     };
-    if (state === 'returned') {
-      log.write(GATEWAY_EVENTS.serverReturned, fields);
-      checkReturned(departure);
+    if (state === 'unconfirmed') {
+      log.write(GATEWAY_EVENTS.serverUnconfirmed, fields);
+      awaitConfirmation(departure);
       return;
     }
     recordDeparture(departure);
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -58,7 +58,7 @@
 export interface FleetFollowerOptions
   extends Pick<
     DepartureTrackerOptions,
-    'recordDeparture' | 'advertiseDepartures' | 'checkReturned'
+    'recordDeparture' | 'advertiseDepartures' | 'awaitConfirmation'
   > {
   readonly adapter: PlatformAdapter;
   readonly fleet: FleetView;
@@ -79,6 +79,8 @@
   readonly digest: RelayDigest;
   /** Called when the store was restored from an older copy. */
   readonly handleStoreRestored: () => void;
+  /** Asks a server whether it declines work. */
+  readonly declinesWork: (server: ServerRecord) => Promise<boolean>;
   /** Called when a server is added or has restarted. */
   readonly recordServerStart: (server: ServerRecord) => void;
   readonly timers: TimerService;
@@ -400,12 +402,31 @@
       : directory.apply(read.records, removedIds, latestStartMs);
     this.#hasSkipped = change.skipped.length > 0;
     const learned = this.#departures.recordChange(change, origin);
+    if (!isComplete) void this.#checkRewritten(change, origin);
     if (origin.source === 'store') {
       this.#departures.advertise(learned, change, this.#servers.isSteady);
     }
     return this.#applyChange(change);
   }
 
+  /**
+   * A row that is read again may have been gone in between: changes of the list hold the last state of a row only. Its
+   * server tells whether a late write has brought it back.
+   */
+  async #checkRewritten({ rewritten }: DirectoryChange, origin: RowsOrigin): Promise<void> {
+    const { departures } = this.#options.fleet;
+    const inUse = rewritten.filter(
+      ({ id, state }) => state === 'ready' && departures.of(id) === undefined,
+    );
+    await Promise.all(
+      inUse.map(async (server) => {
+        if (!(await this.#options.declinesWork(server))) return;
+        this.#departures.recordDeclined(server, origin);
+        this.#options.onServersChanged();
+      }),
+    );
+  }
+
   /** The servers that stay in use although a full read lacks them, or a change says that their rows are gone. */
   #keepExpired(
     listedIds: ReadonlySet<string> | undefined,
@@ -418,7 +439,8 @@
       listedIds === undefined
         ? goneIds
         : [...directory.all()].map(({ id }) => id).filter((id) => !listedIds.has(id));
-    const hasLeft = (id: string) => ['gone', 'returned'].includes(departures.of(id)?.state ?? '');
+    const hasLeft = (id: string) =>
+      ['gone', 'unconfirmed'].includes(departures.of(id)?.state ?? '');
     const unexplainedIds = missingIds.filter((id) => !hasLeft(id));
     const { all, added } = this.#expired.keep(unexplainedIds, directory, timers.nowMs());
     this.#scheduleExpiry();
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { BackendConnections } from './backend-connections.js';
 import { CacheEventWatchers } from './cache-event-watchers.js';
 import { CallerListener } from './caller-listener.js';
+import { Confirmations } from './confirmations.js';
 import { CrashGuard } from './crash-guard.js';
 import { DepartureGossip } from './departure-gossip.js';
 import { Duties } from './duties.js';
@@ -36,7 +37,6 @@
 import { RequestForwarder } from './request-forwarder.js';
 import type { GatewayLog } from './request-log.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
-import { ReturnChecks } from './return-checks.js';
 import { RosterCacheEventDuty } from './roster-cache-event-duty.js';
 import { ServerCalls } from './server-calls.js';
 import { ServerExitCheck } from './server-exit-check.js';
@@ -117,7 +117,7 @@
   readonly #comparison: PathComparison;
   readonly #calls: ServerCalls;
   readonly #forwardingListener: ForwardingListener;
-  readonly #returns: ReturnChecks;
+  readonly #confirmations: Confirmations;
   #isRelay = false;
   #isStopping = false;
 
@@ -201,7 +201,7 @@
       this.#streams.handleServersChanged();
       this.#admission.wake();
     };
-    this.#returns = new ReturnChecks({
+    this.#confirmations = new Confirmations({
       calls,
       fleet: this.#fleet,
       codec: adapter.requests,
@@ -277,7 +277,8 @@
       forwardConfiguration: (changes) => this.#peers?.forwardConfiguration(changes),
       forwardServers: (changes) => this.#peers?.forwardServers(changes),
       recordDeparture: (departure) => this.#recordDeparture(departure),
-      checkReturned: (departure) => void this.#returns.check(departure),
+      awaitConfirmation: (departure) => void this.#confirmations.await(departure),
+      declinesWork: (server) => this.#confirmations.declinesWork(server),
       advertiseDepartures: (departures) => this.#departures.advertise(departures),
       recordServerStart: (server) => this.#crashes.recordServerStart(server),
       handleStoreRestored: () => this.#handleStoreRestored(),
@@ -381,7 +382,7 @@
   abort(): void {
     this.#isStopping = true;
     this.#follower.stop();
-    this.#returns.stop();
+    this.#confirmations.stop();
     this.#crashes.stop();
     this.#cacheEventWatchers.stop();
     this.#stages.stop();
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -108,6 +108,13 @@
   readonly expectedSequence: number;
 }
 
+/** What a server says of itself at its health page. */
+export type HealthReading =
+  | 'accepts-work'
+  | 'declines-work'
+  /** Another server answered, or the server is too busy to say. */
+  | 'unknown';
+
 /** A call that the gateway makes to a backend on its own behalf. */
 export interface EngineCall {
   readonly method: string;
@@ -144,8 +151,8 @@
   readCacheEvents(body: Buffer): CacheEventBatch | undefined;
   /** Asks a server whether it accepts work. */
   checkHealth(path: string, serverId: string): EngineCall;
-  /** Whether the answer to `checkHealth` comes from this server and says that it accepts work. */
-  isAcceptingWork(status: number, headers: IncomingHttpHeaders, serverId: string): boolean;
+  /** What the answer to `checkHealth` says. */
+  readHealth(status: number, headers: IncomingHttpHeaders, serverId: string): HealthReading;
   orderStage(order: StageOrder, serverId: string): EngineCall;
   report(serverId: string): EngineCall;
   readReport(body: Buffer): EngineReport | undefined;
--- a/test/gateway/departures.test.ts
+++ b/test/gateway/departures.test.ts
@@ -65,10 +65,10 @@
   departures.applyNotice(noticeOf('gone', 7), at(6), NOW_MS);
   readRows([{ ...SERVER, id: 'other' }], 6);
   assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'gone');
-  const [returned] = readRows([SERVER], 8);
-  assert.equal(returned?.state, 'returned');
+  const [unconfirmed] = readRows([SERVER], 8);
+  assert.equal(unconfirmed?.state, 'unconfirmed');
   assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'unconfirmed');
-  assert.equal(departures.confirmReturn(SERVER), true);
+  assert.equal(departures.confirm(SERVER), true);
   assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
 });
 
@@ -82,13 +82,13 @@
     depart();
     assert.deepEqual(
       readRows([SERVER], 8).map((departure) => departure.state),
-      ['returned'],
+      ['unconfirmed'],
     );
     assert.equal(departures.refusalOf(SERVER, false, NOW_MS)?.kind, 'unconfirmed');
     assert.equal(departures.refusalOf(SERVER, true, NOW_MS)?.kind, 'unconfirmed');
     assert.deepEqual(readRows([{ ...SERVER, stage: 'prefill' }], 9), []);
-    assert.equal(departures.confirmReturn({ ...SERVER, bornMs: 2 }), false);
-    assert.equal(departures.confirmReturn(SERVER), true);
+    assert.equal(departures.confirm({ ...SERVER, bornMs: 2 }), false);
+    assert.equal(departures.confirm(SERVER), true);
     assert.equal(departures.refusalOf(SERVER, false, NOW_MS), undefined);
   });
 
