--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -614,6 +614,8 @@
   );
   const served = atEnd.filter(({ end }) => end?.kind === 'answered' && end.status === 200).length;
   if (served >= RECOVER_MIN_SHARE * atEnd.length) return [];
-  const detail = `${served} of ${atEnd.length} requests served at the calm end`;
+  const waitsMs = atEnd.flatMap(({ arrivals }) => arrivals.map(({ acceptWaitMs }) => acceptWaitMs));
+  const longestWaitMs = Math.round(Math.max(0, ...waitsMs));
+  const detail = `${served} of ${atEnd.length} requests served at the calm end; the stand-ins accepted their connections after ${longestWaitMs} ms at worst`;
   return [{ promise: 'RECOVER', atMs: run.endMs, detail }];
 }
