--- a/src/shell/gateway/confirmations.ts
+++ b/src/shell/gateway/confirmations.ts
@@ -63,7 +63,7 @@
   }
 
   /** Asks a server until it says that it accepts work, departs, or must have renewed its row. */
-  async await(unconfirmed: Departure): Promise<void> {
+  async confirm(unconfirmed: Departure): Promise<void> {
     const { fleet, onConfirmed, timers, log } = this.#options;
     const { server, learnedAtMs } = unconfirmed;
     const outcome = await this.#outcomeOf(unconfirmed);
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -277,7 +277,7 @@
       forwardConfiguration: (changes) => this.#peers?.forwardConfiguration(changes),
       forwardServers: (changes) => this.#peers?.forwardServers(changes),
       recordDeparture: (departure) => this.#recordDeparture(departure),
-      awaitConfirmation: (departure) => void this.#confirmations.await(departure),
+      awaitConfirmation: (departure) => void this.#confirmations.confirm(departure),
       declinesWork: (server) => this.#confirmations.declinesWork(server),
       advertiseDepartures: (departures) => this.#departures.advertise(departures),
       recordServerStart: (server) => this.#crashes.recordServerStart(server),
