--- a/test/gateway/late-drain.test.ts
+++ b/test/gateway/late-drain.test.ts
@@ -189,14 +189,9 @@
   return fleet.requestsAt(id).length - before;
 }
 
-/** Callers leave sooner than a server counts as broken. */
-const SHORT_DEADLINE_MS = 600;
-const DAEMONS = 9;
-/** One request shows that the server has stopped answering, and one more tries it again. */
-const MAX_LEFT_PER_DAEMON = 2;
-
-test('a server that has stopped answering is left at most two requests by each daemon whose callers leave early', async () => {
-  await fleet.start(DAEMONS, { a1: 'v1' });
+/** Of two web servers, the first has stopped answering. */
+async function startWithStalledViewer(daemons: number): Promise<void> {
+  await fleet.start(daemons, { a1: 'v1' });
   fleet.configure([route({})]);
   for (const id of ['viewer-1', 'viewer-2']) {
     fleet.servers.set(id, await fleet.fixture.addServer(id, answering(200, 'tile')));
@@ -205,21 +200,23 @@
   const stalled = fleet.servers.get('viewer-1');
   assert.ok(stalled);
   stalled.script = () => undefined;
+}
+
+/** Callers leave sooner than a server counts as broken. */
+const SHORT_DEADLINE_MS = 600;
+const DAEMONS = 9;
+/** One request shows that the server has stopped answering, and one more tries it again. */
+const MAX_LEFT_PER_DAEMON = 2;
+
+test('a server that has stopped answering is left at most two requests by each daemon whose callers leave early', async () => {
+  await startWithStalledViewer(DAEMONS);
   const headers = { 'X-Deadline-Ms': String(SHORT_DEADLINE_MS) };
   const left = await sentMeanwhile('viewer-1', HEARTBEATS_MS, headers);
   assert.ok(left <= DAEMONS * MAX_LEFT_PER_DAEMON, `${left} requests`);
 });
 
 test('a server that has stopped answering gets almost no requests, and none once its row has gone', async () => {
-  await fleet.start(1, { a1: 'v1' });
-  fleet.configure([route({})]);
-  for (const id of ['viewer-1', 'viewer-2']) {
-    fleet.servers.set(id, await fleet.fixture.addServer(id, answering(200, 'tile')));
-    await fleet.untilKnown(id);
-  }
-  const stalled = fleet.servers.get('viewer-1');
-  assert.ok(stalled);
-  stalled.script = () => undefined;
+  await startWithStalledViewer(1);
   const listed = await sentMeanwhile('viewer-1', HEARTBEATS_MS);
   fleet.fixture.store.remove(TABLES.servers, 'viewer-1');
   await fleet.timers.advanceBy(CALL_MS);
