--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -30,7 +30,7 @@
 import type { CancelTimer, TimerService, WallClock } from './timer-service.js';
 import { UnreadableRows } from './unreadable-rows.js';
 import { WatchRetryQueue } from './watch-retry-queue.js';
-import type { RecheckSpans, WatchTiming } from './watch-timing.js';
+import { isOutage, type RecheckSpans, type WatchTiming } from './watch-timing.js';
 
 /** Versions in quick succession are fetched in one call; far less than the time within which one must be in force. */
 const CONFIGURATIONS_BATCH_MS = 200;
@@ -248,10 +248,10 @@
     );
   }
 
-  /** Keeps servers in use whose rows may have expired while the store was away; no row expires in a shorter time. */
+  /** Keeps servers in use whose rows may have expired while the store was away. */
   #handleReturn(awayMs: number): void {
     const { timing, timers } = this.#options;
-    if (awayMs < timing().callTimeoutMs) return;
+    if (!isOutage(awayMs, timing())) return;
     this.#expired.begin(timers.nowMs());
   }
 
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -27,6 +27,7 @@
 import {
   ANSWER_SLACK_MS,
   FIRST_RETRY_SHARE,
+  isOutage,
   type RecheckSpans,
   type WatchTiming,
 } from './watch-timing.js';
@@ -150,17 +151,12 @@
    * that failed and was soon followed by an answer leaves it so: no row expires in that time.
    */
   get isSteady(): boolean {
-    const { timers, recheckSpans } = this.#options;
+    const { timers, timing, recheckSpans } = this.#options;
     const nowMs = timers.nowMs();
-    const isAway = this.#awaySinceMs !== undefined && this.#isOutage(nowMs - this.#awaySinceMs);
+    const isAway = this.#awaySinceMs !== undefined && isOutage(nowMs - this.#awaySinceMs, timing());
     return !isAway && nowMs - this.#lastReturnMs >= recheckSpans.cutMs;
   }
 
-  /** Whether calls have failed for so long that the store was away; no row expires in a shorter time. */
-  #isOutage(awayMs: number): boolean {
-    return awayMs >= this.#options.timing().callTimeoutMs;
-  }
-
   /** How far the table was followed; advertised to other daemons that follow it. */
   get progress(): TableProgress {
     return this.#revisions.progress;
@@ -456,7 +452,7 @@
     if (this.#awaySinceMs === undefined) return;
     const awayMs = timers.nowMs() - this.#awaySinceMs;
     this.#awaySinceMs = undefined;
-    if (this.#isOutage(awayMs)) this.#lastReturnMs = timers.nowMs();
+    if (isOutage(awayMs, this.#options.timing())) this.#lastReturnMs = timers.nowMs();
     handleReturn?.(awayMs);
   }
 
--- a/src/shell/gateway/watch-timing.ts
+++ b/src/shell/gateway/watch-timing.ts
@@ -89,6 +89,11 @@
   return Math.max(afterLongPoll, afterRetry);
 }
 
+/** Whether calls have failed for so long that the store was away; no row expires in a shorter time. */
+export function isOutage(awayMs: number, { callTimeoutMs }: WatchTiming): boolean {
+  return awayMs >= callTimeoutMs;
+}
+
 /** The age up to which a relay's last contact with the store makes its digest fresh. */
 export function maxDigestAgeMs(contactMs: number): number {
   return contactMs * DIGEST_AGE_SHARE_OF_CONTACT;
