Log lines on departing servers share their fields

Change: one function gives these fields; lines have the same fields and values as before, in another order.

--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -17,6 +17,7 @@
   UnansweredCalls,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { LogFields } from '../../core/logging/log-event.js';
 import { ageField } from './age-field.js';
 import type {
   BackendAnswer,
@@ -199,26 +200,30 @@
   }
 
   /** Logs a request that goes to a server that is not listed as ready, with what this daemon knows of that. */
-  #reportSentToDeparting({ server, purpose, request }: ServerCall, nowMs: number): void {
-    const { build, fleet, metrics, log } = this.#options;
-    const departure = fleet.departures.of(server.id);
+  #reportSentToDeparting(call: ServerCall, nowMs: number): void {
+    const { fleet, metrics, log } = this.#options;
+    const departure = fleet.departures.of(call.server.id);
     if (departure === undefined) return;
-    const { state, source, era, revision, changedAfterMs, learnedAtMs } = departure;
+    const { state, era, revision, learnedAtMs } = departure;
     metrics.recordSentToDeparting(state);
     log.write(GATEWAY_EVENTS.sentToDeparting, {
-      request,
-      server: server.id,
-      build,
-      purpose,
-      state,
-      source,
+      ...this.#departureFields(call, departure, nowMs),
       learnedAgoMs: Math.round(nowMs - learnedAtMs),
-      changedWithinMs: ageField(nowMs - changedAfterMs),
       era,
       revision,
     });
   }
 
+  #departureFields(
+    { request, purpose }: Pick<TrackedCall, 'request' | 'purpose'>,
+    { server, state, source, changedAfterMs }: Departure,
+    nowMs: number,
+  ): LogFields {
+    const { build } = this.#options;
+    const changedWithinMs = ageField(nowMs - changedAfterMs);
+    return { request, server: server.id, build, purpose, state, source, changedWithinMs };
+  }
+
   /** A request that was given up may still be read by its server. */
   #recordOutcome({ signal }: ServerCall, unanswered: TrackedCall, result: CallResult): void {
     const mayArrive = result.kind === 'broken' && signal.aborted;
@@ -227,25 +232,18 @@
   }
 
   /** Logs the requests that a server which departs has not answered: it may read them later than it should get any. */
-  reportUnanswered({ server, state, source, learnedAtMs, changedAfterMs }: Departure): void {
-    const { build, metrics, log } = this.#options;
+  reportUnanswered(departure: Departure): void {
+    const { metrics, log } = this.#options;
+    const { server, learnedAtMs } = departure;
     const calls = this.#unanswered.takeOf(server, learnedAtMs);
     metrics.recordUnansweredAtDeparture(calls.length);
     const earliest = [...calls].sort((left, right) => left.sentAtMs - right.sentAtMs);
-    for (const { request, purpose, sentAtMs, givenUpAtMs } of earliest.slice(
-      0,
-      MAX_UNANSWERED_LOGGED,
-    )) {
+    for (const call of earliest.slice(0, MAX_UNANSWERED_LOGGED)) {
+      const { sentAtMs, givenUpAtMs } = call;
       log.write(GATEWAY_EVENTS.unansweredAtDeparture, {
-        request,
-        server: server.id,
-        build,
-        purpose,
-        state,
-        source,
+        ...this.#departureFields(call, departure, learnedAtMs),
         sentAgoMs: Math.round(learnedAtMs - sentAtMs),
         givenUpAgoMs: givenUpAtMs === undefined ? null : Math.round(learnedAtMs - givenUpAtMs),
-        changedWithinMs: ageField(learnedAtMs - changedAfterMs),
         calls: calls.length,
       });
     }
