Log with each broken run whether it had written, and the parts of its prompt

Change: 6070 has hasBegun and parts; a stream's events are followed on all routes, also those that may not be resumed. No decision changes.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -589,7 +589,7 @@
     level: 'warn',
     message: 'a request was cut off at its server; a check was made whether the server has ended',
     remedy:
-      'Look for other lines with the same fingerprint: they are of the same request, whichever retry of its caller it was.',
+      'Look for other lines with the same fingerprint: they are of the same request, whichever retry of its caller it was. A part that stands in the lines of several ended servers, none with hasBegun, may be what ends them.',
   },
   requestQuarantined: {
     number: 6071,
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -63,6 +63,7 @@
     | 'isReadyToServe'
     | 'recordBrokenRun'
     | 'recordCompleteRun'
+    | 'recordFirstEvent'
     | 'refuseIfQuarantined'
     | 'whenChecked'
   >;
--- a/src/shell/gateway/crash-guard.ts
+++ b/src/shell/gateway/crash-guard.ts
@@ -26,6 +26,9 @@
 import { UnresolvedBreaks } from './unresolved-breaks.js';
 
 const READ_RETRY_MS = 500;
+/** Bound a log line: a request's header may hold hundreds of parts. */
+const MAX_PARTS_LOGGED = 16;
+const LOGGED_PART_ID_CHARACTERS = 32;
 
 /** The refusal reason that callers receive. */
 const QUARANTINE_REASON =
@@ -70,6 +73,8 @@
   readonly #restore: CrashStoreRestore;
   readonly #stopped = new AbortController();
   readonly #checks = new WeakMap<GuardedExchange, Promise<unknown>>();
+  /** Requests of which a server has sent a complete event. */
+  readonly #begun = new WeakSet<GuardedExchange>();
   readonly #startedMs: number;
   readonly #unresolvedBreaks: UnresolvedBreaks;
   /** Fingerprints of the records that changed since the last broadcast. */
@@ -185,6 +190,11 @@
     await this.#checks.get(exchange);
   }
 
+  /** Records that a server has sent the first complete event of its answer to a request. */
+  recordFirstEvent(exchange: GuardedExchange): void {
+    this.#begun.add(exchange);
+  }
+
   /** Records that a request ran to its end, so it crashes no servers. */
   recordCompleteRun(exchange: GuardedExchange): void {
     if (this.#records.isEmpty) return;
@@ -226,6 +236,8 @@
       hasEnded,
       isCounted,
       crashes: this.#records.get(fingerprint, nowMs)?.crashes.length ?? 0,
+      hasBegun: this.#begun.has(exchange),
+      parts: partsField(exchange),
       ranMs: Math.round(ranMs),
       checkMs: Math.round(nowMs - startedMs),
     });
@@ -324,3 +336,12 @@
     this.#handleChange(record.fingerprint, change, 'store');
   }
 }
+
+/** The ids of the parts that other requests may share. */
+function partsField({ options }: GuardedExchange): string {
+  const shared = options.description.promptParts.slice(0, -1);
+  return shared
+    .slice(0, MAX_PARTS_LOGGED)
+    .map(({ id }) => id.slice(0, LOGGED_PART_ID_CHARACTERS))
+    .join(' ');
+}
--- a/src/shell/gateway/event-splitter.ts
+++ b/src/shell/gateway/event-splitter.ts
@@ -3,8 +3,8 @@
  * stream that breaks inside an event can be resumed at another server without a partial event.
  */
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
+import { endOfLastEvent } from './event-boundary.js';
+
 const EMPTY = Buffer.alloc(0);
 
 /** Buffers bytes and returns complete events. */
@@ -45,12 +45,3 @@
     for (const match of text.matchAll(/^id: ?(.*?)\r?$/gm)) this.#lastEventId = match[1];
   }
 }
-
-function endOfLastEvent(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
-    if (bytes[index] !== LINE_FEED) continue;
-    if (bytes[index - 1] === LINE_FEED) return index + 1;
-    if (bytes[index - 1] === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED) return index + 1;
-  }
-  return 0;
-}
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -59,6 +59,7 @@
       exchange,
       () => this.#way,
       ({ server }) => context.streams.recordFirstEvent(exchange, server),
+      () => context.crashes.recordFirstEvent(exchange),
     );
     this.#isRepeatable = isRepeatable(exchange.options.route);
   }
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -6,6 +6,7 @@
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
+import { EventBoundary } from './event-boundary.js';
 import { EventSplitter } from './event-splitter.js';
 import type { Exchange } from './exchange.js';
 
@@ -32,16 +33,20 @@
   readonly #splitter = new EventSplitter();
   readonly #way: () => string;
   readonly #onFirstEvent: FirstEventHandler;
+  readonly #onServerBegan: () => void;
   #bytesSent = 0;
 
+  /** @param onServerBegan called when the first complete event of a server's part has arrived */
   constructor(
     exchange: Exchange,
     way: () => string,
     onFirstEvent: FirstEventHandler = () => undefined,
+    onServerBegan: () => void = () => undefined,
   ) {
     this.#exchange = exchange;
     this.#way = way;
     this.#onFirstEvent = onFirstEvent;
+    this.#onServerBegan = onServerBegan;
     this.#isResumable = exchange.options.route.resumable;
   }
 
@@ -61,6 +66,7 @@
     const { message } = answer;
     const { response } = this.#exchange.options;
     this.#splitter.discardPartialEvent();
+    const boundary = new EventBoundary();
     return new Promise((resolve) => {
       let isSettled = false;
       /** Set while the first bytes wait; the end of an answer that has arrived completely does not wait by itself. */
@@ -88,6 +94,7 @@
       this.#exchange.signal.addEventListener('abort', interrupt, { once: true });
       response.on('drain', resumeSource);
       message.on('data', (chunk: Buffer) => {
+        this.#follow(boundary, chunk);
         const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
         if (bytes.length === 0) return;
         const isReady = this.hasBegun ? undefined : this.#onFirstEvent(source);
@@ -119,6 +126,12 @@
     });
   }
 
+  #follow(boundary: EventBoundary, chunk: Buffer): void {
+    const hadBegun = boundary.hasCompleteEvent;
+    boundary.push(chunk);
+    if (boundary.hasCompleteEvent && !hadBegun) this.#onServerBegan();
+  }
+
   #write(source: RelaySource, bytes: Buffer): boolean {
     const { response, metrics } = this.#exchange.options;
     if (!this.#exchange.isAnswered) {
