Quarantine a part of prompts under which servers end, whatever else its requests hold

Cause: blame fell on whole requests only. The fingerprint covers the body, no two of these requests are alike, so each was new work to every daemon, ended an engine, was sent again at once and ended a second. Change: what is blamed is a request or a part of its prompt, in the same records, datagrams (kind 22 for parts, passed over by earlier releases) and rows. A part is quarantined after three independent ends under different requests, unless a server has begun to write an event on it within ten minutes at whichever daemon hears of it; the last part never is. Requests that are held or at an engine without an answer are withdrawn then. Suspicions go to 16 daemons at most, what is quarantined to all.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -33,8 +33,8 @@
     name: 'quarantine',
     promise: 'CRASHES',
     file: 'src/shell/gateway/crash-guard.ts',
-    text: 'if (this.#records.quarantined === 0) return false;',
-    replacement: 'if (this.#records.quarantined >= 0) return false;',
+    text: 'if (records.quarantined === 0) return undefined;',
+    replacement: 'if (records.quarantined >= 0) return undefined;',
   },
   {
     name: 'run-once',
--- a/src/core/gateway/crash-records.ts
+++ b/src/core/gateway/crash-records.ts
@@ -1,25 +1,23 @@
 /**
- * A daemon's records of requests that were running at a server when it ended. A request is identified by its fingerprint,
- * which is the same at every daemon and for every retry of its caller. One under which servers ended repeatedly is
- * quarantined: no daemon sends it any more. One that ran to its end crashes no servers, and is cleared.
+ * A daemon's records of requests, and of parts of their prompts, that were running at a server when it ended. A request is
+ * identified by its fingerprint, which is the same at every daemon and for every retry of its caller; a part by its id.
+ * One under which servers ended repeatedly is quarantined: no daemon sends it any more. A request that ran to its end
+ * crashes no servers, nor does a part on which a server has begun to write: these are cleared.
  *
  * Daemons may exchange records in any order and any number of times: a record with more clearings replaces one with
  * fewer, and records with equally many clearings merge their crashes.
  */
+import {
+  crashesToKeep,
+  type KnownCrash,
+  PART_EVIDENCE_MS,
+  reachesQuarantine,
+} from './crash-evidence.js';
+import { isPartSubject } from './crash-subjects.js';
 
-/**
- * Crashes that quarantine a request; each of the runs must have begun after the one before had ended its server. A single
- * crash is weak evidence, as a whole batch breaks off with its server and at most one request of it is at fault. With
- * three, each such request would cost a third batch. The price of two: in two storms in which a quarter and two fifths of
- * 16 servers ended nine times in 30 s, 4 and 7 of some 5,200 harmless requests were quarantined, and 2 and 6 retries of
- * their callers were refused.
- */
-const CRASHES_TO_QUARANTINE = 2;
-/** The oldest crashes beyond this number are dropped; by then there were some that did not overlap. */
-const MAX_CRASHES_PER_RECORD = 4;
-/** One day: retries of a caller come much sooner, and a request with a repaired body has another fingerprint. */
+/** One day: retries of a caller come much sooner, and a request with a repaired body has another subject. */
 export const CRASH_RECORD_RETENTION_MS = 86_400_000;
-/** About two megabytes; a server that ends leaves one record for each request that it was running. */
+/** About two megabytes; a server that ends leaves a record for each request that it was running, and for their parts. */
 const MAX_RECORDS = 4_096;
 /** Records that are not quarantined are advertised again for this long, so that lost datagrams do no harm. */
 const ADVERTISE_SPAN_MS = 30_000;
@@ -32,13 +30,15 @@
   readonly ageMs: number;
   /** How long the request had been at the server. */
   readonly ranMs: number;
+  /** Which request ran there, where the record is of a part. */
+  readonly request?: string | undefined;
 }
 
-/** What is known of one request. */
+/** What is known of one request or part. */
 export interface CrashRecord {
-  readonly fingerprint: string;
+  readonly subject: string;
   readonly crashes: readonly Crash[];
-  /** Whether some daemon has quarantined the request. */
+  /** Whether some daemon has quarantined it. */
   readonly isQuarantined: boolean;
   /** How often it was cleared: by a complete run, or by an operator. */
   readonly clearings: number;
@@ -51,12 +51,6 @@
 /** How a crash, a clearing or another record changed a record. */
 export type CrashRecordChange = 'none' | 'recorded' | 'quarantined' | 'cleared';
 
-interface KnownCrash {
-  readonly serverId: string;
-  readonly startedMs: number;
-  readonly endedMs: number;
-}
-
 interface Entry {
   readonly crashes: readonly KnownCrash[];
   readonly isQuarantined: boolean;
@@ -71,112 +65,151 @@
 export class CrashRecords {
   /** In the order of their last change. */
   readonly #entries = new Map<string, Entry>();
-  #quarantined = 0;
-  #nextIndex = 0;
+  #quarantinedRequests = 0;
+  #quarantinedParts = 0;
+  #parts = 0;
+  #nextQuarantined = 0;
+  #nextSuspected = 0;
 
   /** Whether there are no records, so that no request needs to be looked up. */
   get isEmpty(): boolean {
     return this.#entries.size === 0;
   }
 
-  /** Number of requests that no daemon sends any more. */
+  /** Number of requests that no daemon sends any more, however their prompts' parts are. */
+  get quarantinedRequests(): number {
+    return this.#quarantinedRequests;
+  }
+
+  /** Number of parts with which no daemon sends requests any more. */
+  get quarantinedParts(): number {
+    return this.#quarantinedParts;
+  }
+
   get quarantined(): number {
-    return this.#quarantined;
+    return this.#quarantinedRequests + this.#quarantinedParts;
+  }
+
+  /** Number of records of requests. */
+  get requests(): number {
+    return this.#entries.size - this.#parts;
   }
 
-  get size(): number {
-    return this.#entries.size;
+  /** Number of records of parts. */
+  get parts(): number {
+    return this.#parts;
   }
 
-  isQuarantined(fingerprint: string): boolean {
-    return this.#entries.get(fingerprint)?.isQuarantined === true;
+  has(subject: string): boolean {
+    return this.#entries.has(subject);
+  }
+
+  isQuarantined(subject: string): boolean {
+    return this.#entries.get(subject)?.isQuarantined === true;
   }
 
   /** Undefined where nothing is known of the request. */
-  get(fingerprint: string, nowMs: number): CrashRecord | undefined {
-    const entry = this.#entries.get(fingerprint);
-    return entry === undefined ? undefined : recordOf(fingerprint, entry, nowMs);
+  get(subject: string, nowMs: number): CrashRecord | undefined {
+    const entry = this.#entries.get(subject);
+    return entry === undefined ? undefined : recordOf(subject, entry, nowMs);
   }
 
   /** Records that a server ended while a request ran there; just now, where no age is given. */
   recordCrash(
-    fingerprint: string,
+    subject: string,
     { ageMs = 0, ...crash }: Omit<Crash, 'ageMs'> & Partial<Pick<Crash, 'ageMs'>>,
     nowMs: number,
   ): CrashRecordChange {
-    const clearings = this.#entries.get(fingerprint)?.clearings ?? 0;
+    const clearings = this.#entries.get(subject)?.clearings ?? 0;
     const crashes = [{ ...crash, ageMs }];
-    return this.applyRecord({ ...NEW_RECORD, fingerprint, crashes, clearings }, nowMs);
+    return this.applyRecord({ ...NEW_RECORD, subject, crashes, clearings }, nowMs);
   }
 
   /** Clears a request that ran to its end or whose quarantine an operator lifted. */
-  clear(fingerprint: string, nowMs: number): CrashRecordChange {
-    const known = this.#entries.get(fingerprint);
+  clear(subject: string, nowMs: number): CrashRecordChange {
+    const known = this.#entries.get(subject);
     if (known === undefined || known.crashes.length === 0) return 'none';
-    return this.applyRecord({ ...NEW_RECORD, fingerprint, clearings: known.clearings + 1 }, nowMs);
+    return this.applyRecord({ ...NEW_RECORD, subject, clearings: known.clearings + 1 }, nowMs);
+  }
+
+  /** Removes the record of a part that is only suspected, as a server has begun to write on it. */
+  removeSuspicion(subject: string): void {
+    if (this.#entries.get(subject)?.isQuarantined === false) this.#remove(subject);
   }
 
-  /** Records of requests that are quarantined, or that were cleared. */
+  /** Records that are quarantined, or that were cleared. */
   quarantinedOrCleared(nowMs: number): readonly CrashRecord[] {
     return [...this.#entries]
       .filter(([, { isQuarantined, clearings }]) => isQuarantined || clearings > 0)
-      .map(([fingerprint, entry]) => recordOf(fingerprint, entry, nowMs));
+      .map(([subject, entry]) => recordOf(subject, entry, nowMs));
   }
 
   /** Records that the store has lost its row of a request. */
-  markNotStored(fingerprint: string): void {
-    const entry = this.#entries.get(fingerprint);
+  markNotStored(subject: string): void {
+    const entry = this.#entries.get(subject);
     if (entry !== undefined) entry.isStored = false;
   }
 
-  markStored(fingerprint: string): void {
-    const entry = this.#entries.get(fingerprint);
+  markStored(subject: string): void {
+    const entry = this.#entries.get(subject);
     if (entry !== undefined) entry.isStored = true;
   }
 
   /** Merges a record of another daemon or of the store. */
   applyRecord(record: CrashRecord, nowMs: number): CrashRecordChange {
     if (record.ageMs >= CRASH_RECORD_RETENTION_MS) return 'none';
-    const known = this.#entries.get(record.fingerprint);
+    const known = this.#entries.get(record.subject);
     const merged = merge(known, record, nowMs);
     if (known !== undefined && merged === known) return 'none';
-    this.#put(record.fingerprint, merged);
+    this.#put(record.subject, merged);
     this.#evictOldest();
     if (merged.crashes.length === 0) return 'cleared';
     return merged.isQuarantined && known?.isQuarantined !== true ? 'quarantined' : 'recorded';
   }
 
-  /** Removes expired records. @returns the fingerprints of those that were quarantined */
+  /** Removes expired records. @returns the subjects of those that were quarantined */
   removeExpired(nowMs: number): readonly string[] {
     const old = [...this.#entries].filter(
-      ([, { changedMs }]) => nowMs - changedMs >= CRASH_RECORD_RETENTION_MS,
+      ([subject, entry]) => nowMs - entry.changedMs >= retentionMs(subject, entry),
     );
-    for (const [fingerprint] of old) this.#remove(fingerprint);
-    return old.filter(([, entry]) => entry.isQuarantined).map(([fingerprint]) => fingerprint);
+    for (const [subject] of old) this.#remove(subject);
+    return old.filter(([, entry]) => entry.isQuarantined).map(([subject]) => subject);
   }
 
-  /** The next records, round robin, of those that peers may lack. */
+  /** The next records, round robin, of those that peers may lack; of those that are quarantined half of them at least. */
   nextToAdvertise(maxRecords: number, nowMs: number): readonly CrashRecord[] {
-    const candidates = [...this.#entries].filter(
-      ([, entry]) => entry.isQuarantined || nowMs - entry.advertiseSinceMs < ADVERTISE_SPAN_MS,
+    const entries = [...this.#entries];
+    const quarantined = entries.filter(([, entry]) => entry.isQuarantined);
+    const suspected = entries.filter(
+      ([, entry]) => !entry.isQuarantined && nowMs - entry.advertiseSinceMs < ADVERTISE_SPAN_MS,
     );
-    const first = candidates.length <= maxRecords ? 0 : this.#nextIndex % candidates.length;
-    this.#nextIndex = first + maxRecords;
-    const turn = [...candidates.slice(first), ...candidates.slice(0, first)].slice(0, maxRecords);
-    return turn.map(([fingerprint, entry]) => recordOf(fingerprint, entry, nowMs));
+    const forSuspected = Math.min(suspected.length, Math.floor(maxRecords / 2));
+    const first = roundRobin(quarantined, this.#nextQuarantined, maxRecords - forSuspected);
+    const then = roundRobin(suspected, this.#nextSuspected, maxRecords - first.length);
+    this.#nextQuarantined += first.length;
+    this.#nextSuspected += then.length;
+    return [...first, ...then].map(([subject, entry]) => recordOf(subject, entry, nowMs));
   }
 
-  #put(fingerprint: string, entry: Entry): void {
-    this.#remove(fingerprint);
-    this.#entries.set(fingerprint, entry);
-    if (entry.isQuarantined) this.#quarantined += 1;
+  #put(subject: string, entry: Entry): void {
+    this.#remove(subject);
+    this.#entries.set(subject, entry);
+    this.#count(subject, entry, 1);
   }
 
-  #remove(fingerprint: string): void {
-    const entry = this.#entries.get(fingerprint);
+  #remove(subject: string): void {
+    const entry = this.#entries.get(subject);
     if (entry === undefined) return;
-    if (entry.isQuarantined) this.#quarantined -= 1;
-    this.#entries.delete(fingerprint);
+    this.#count(subject, entry, -1);
+    this.#entries.delete(subject);
+  }
+
+  #count(subject: string, { isQuarantined }: Entry, change: 1 | -1): void {
+    const isPart = isPartSubject(subject);
+    if (isPart) this.#parts += change;
+    if (!isQuarantined) return;
+    if (isPart) this.#quarantinedParts += change;
+    else this.#quarantinedRequests += change;
   }
 
   /** Evicts the oldest record beyond the limit; a quarantined one only if there is no other. */
@@ -187,29 +220,24 @@
   }
 
   #oldest(fits: (entry: Entry) => boolean): string | undefined {
-    for (const [fingerprint, entry] of this.#entries) if (fits(entry)) return fingerprint;
+    for (const [subject, entry] of this.#entries) if (fits(entry)) return subject;
     return undefined;
   }
 }
 
-const NEW_RECORD = { crashes: [], isQuarantined: false, isStored: false, ageMs: 0 } as const;
+/** At most `most` items from the `next`th one on, from the start again after the end. */
+function roundRobin<Item>(items: readonly Item[], next: number, most: number): readonly Item[] {
+  const first = items.length <= most ? 0 : next % items.length;
+  return [...items.slice(first), ...items.slice(0, first)].slice(0, most);
+}
 
-/**
- * Counts runs that each began after the one before had ended its server. Servers that end together, as those of a rack
- * do, end under all copies of a popular request; a request that crashes servers also does so one after another.
- */
-function disjointCrashes(crashes: readonly KnownCrash[]): number {
-  const ordered = [...crashes].sort((left, right) => left.endedMs - right.endedMs);
-  let count = 0;
-  let endedMs = Number.NEGATIVE_INFINITY;
-  for (const crash of ordered) {
-    if (crash.startedMs < endedMs) continue;
-    count += 1;
-    endedMs = crash.endedMs;
-  }
-  return count;
+function retentionMs(subject: string, { isQuarantined, clearings }: Entry): number {
+  const isSuspectedPart = isPartSubject(subject) && !isQuarantined && clearings === 0;
+  return isSuspectedPart ? PART_EVIDENCE_MS : CRASH_RECORD_RETENTION_MS;
 }
 
+const NEW_RECORD = { crashes: [], isQuarantined: false, isStored: false, ageMs: 0 } as const;
+
 /** @returns `known` itself where the record adds nothing to it */
 function merge(known: Entry | undefined, record: CrashRecord, nowMs: number): Entry {
   const received = entryOf(record, nowMs);
@@ -226,26 +254,26 @@
     known.isStored ||= received.isStored;
     return known;
   }
-  const crashes = newest([...known.crashes, ...added]);
+  const crashes = crashesToKeep(record.subject, [...known.crashes, ...added]);
   return {
     ...received,
     crashes,
-    isQuarantined: known.isQuarantined || received.isQuarantined || reachesQuarantine(crashes),
+    isQuarantined:
+      known.isQuarantined || received.isQuarantined || reachesQuarantine(record.subject, crashes),
     changedMs: Math.max(known.changedMs, received.changedMs),
     isStored: known.isStored || received.isStored,
   };
 }
 
 function entryOf(record: CrashRecord, nowMs: number): Entry {
-  const crashes = newest(
-    record.crashes.map(({ serverId, ageMs, ranMs }) => {
-      const endedMs = nowMs - ageMs;
-      return { serverId, endedMs, startedMs: endedMs - ranMs };
-    }),
-  );
+  const known = record.crashes.map(({ serverId, ageMs, ranMs, request }) => {
+    const endedMs = nowMs - ageMs;
+    return { serverId, endedMs, startedMs: endedMs - ranMs, request };
+  });
+  const crashes = crashesToKeep(record.subject, known);
   return {
     crashes,
-    isQuarantined: record.isQuarantined || reachesQuarantine(crashes),
+    isQuarantined: record.isQuarantined || reachesQuarantine(record.subject, crashes),
     clearings: record.clearings,
     changedMs: nowMs - record.ageMs,
     isStored: record.isStored,
@@ -253,25 +281,15 @@
   };
 }
 
-function reachesQuarantine(crashes: readonly KnownCrash[]): boolean {
-  return disjointCrashes(crashes) >= CRASHES_TO_QUARANTINE;
-}
-
-function newest(crashes: readonly KnownCrash[]): readonly KnownCrash[] {
-  if (crashes.length <= MAX_CRASHES_PER_RECORD) return crashes;
-  return [...crashes]
-    .sort((left, right) => right.endedMs - left.endedMs)
-    .slice(0, MAX_CRASHES_PER_RECORD);
-}
-
-function recordOf(fingerprint: string, entry: Entry, nowMs: number): CrashRecord {
+function recordOf(subject: string, entry: Entry, nowMs: number): CrashRecord {
   const { crashes, isQuarantined, isStored, clearings, changedMs } = entry;
   return {
-    fingerprint,
-    crashes: crashes.map(({ serverId, startedMs, endedMs }) => ({
+    subject,
+    crashes: crashes.map(({ serverId, startedMs, endedMs, request }) => ({
       serverId,
       ageMs: Math.max(0, nowMs - endedMs),
       ranMs: endedMs - startedMs,
+      ...(request === undefined ? {} : { request }),
     })),
     isQuarantined,
     clearings,
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -18,6 +18,7 @@
   type Tenant,
   type TrafficShare,
 } from './configuration.js';
+export { crashCollectors } from './crash-collectors.js';
 export {
   CRASH_RECORD_RETENTION_MS,
   type Crash,
@@ -25,6 +26,7 @@
   type CrashRecordChange,
   CrashRecords,
 } from './crash-records.js';
+export { isPartSubject, partIdOf, partSubject } from './crash-subjects.js';
 export { DecodeRecovery, type RecoveryChange } from './decode-recovery.js';
 export {
   CONNECT_TIMEOUT_MS,
@@ -141,6 +143,7 @@
 export { type ReachabilityNotice, ReachabilityNoticeFilter } from './reachability-notices.js';
 export { ReadSpeed } from './read-speed.js';
 export { RecentSends } from './recent-sends.js';
+export { RecentlyBegunParts } from './recently-begun-parts.js';
 export { type Recheck, RecheckSchedule } from './recheck-schedule.js';
 export { recordHolders } from './record-holders.js';
 export { rankByRendezvous } from './rendezvous.js';
--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -606,6 +606,21 @@
       'a request under which servers had ended completed, or its quarantine was lifted; it is sent again',
     remedy: 'Nothing to do.',
   },
+  partQuarantined: {
+    number: 6100,
+    level: 'error',
+    message:
+      'servers ended while different requests with this part of a prompt ran, and none had begun to answer one; the part is quarantined: no daemon sends requests with it any more',
+    remedy:
+      'Find out why the named servers ended. To let requests with the part run again, lift the quarantine as described in docs/OPERATIONS.md.',
+  },
+  partCleared: {
+    number: 6101,
+    level: 'warn',
+    message:
+      'a server has begun to answer a request with a quarantined part of a prompt, or the quarantine was lifted; requests with it are sent again',
+    remedy: 'Nothing to do.',
+  },
   crashTableRead: {
     number: 6073,
     level: 'info',
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -59,6 +59,7 @@
   /** Finds and quarantines requests that make servers crash. */
   readonly crashes: Pick<
     CrashGuard,
+    | 'follow'
     | 'isQuarantined'
     | 'isReadyToServe'
     | 'recordBrokenRun'
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -178,11 +178,12 @@
     });
     if (resumption?.kind === 'reject') return refuseResumption(exchange, resumption.reason);
     if (context.crashes.refuseIfQuarantined(exchange)) return;
-    if (context.forwarding.isNeeded(exchange)) return context.forwarding.run(exchange, context);
-    const hasEngines = inForce.configuration.services.get(service)?.engine !== undefined;
-    const isModelRequest = hasEngines || route.kind === 'streaming';
-    if (isModelRequest) await runModelExchange(exchange, context);
-    else await runWebExchange(exchange, context);
+    const unfollow = context.crashes.follow(exchange);
+    try {
+      await runExchange(exchange, context);
+    } finally {
+      unfollow();
+    }
   }
 
   #availabilityHeaders(serverIds: ReadonlySet<string>): RawHeaders {
@@ -281,6 +282,16 @@
   }
 }
 
+/** Runs a request to its final answer, here or at another daemon. */
+async function runExchange(exchange: Exchange, context: AttemptContext): Promise<void> {
+  if (context.forwarding.isNeeded(exchange)) return context.forwarding.run(exchange, context);
+  const { configuration, service, route } = exchange.options;
+  const hasEngines = configuration.services.get(service)?.engine !== undefined;
+  const isModelRequest = hasEngines || route.kind === 'streaming';
+  if (isModelRequest) await runModelExchange(exchange, context);
+  else await runWebExchange(exchange, context);
+}
+
 function digestOf(apiKey: string): string {
   return createHash('sha256').update(apiKey).digest('hex').slice(0, KEY_DIGEST_DIGITS);
 }
--- a/src/shell/gateway/crash-store-duty.ts
+++ b/src/shell/gateway/crash-store-duty.ts
@@ -50,30 +50,30 @@
     while (!signal.aborted) {
       await delay(timers, TABLE_READ_INTERVAL_MS, signal);
       const isOwnTurn = !roster.hasList || roster.positionFor('crash records') === 0;
-      for (const fingerprint of records.removeExpired(timers.nowMs())) {
-        if (isOwnTurn) await table.remove(fingerprint, signal);
+      for (const subject of records.removeExpired(timers.nowMs())) {
+        if (isOwnTurn) await table.remove(subject, signal);
       }
       if (records.quarantined > 0 && isOwnTurn) await readRows();
     }
   }
 
   /** Writes or removes the row of a request that this daemon quarantined or cleared; retries until that is done. */
-  async syncRow(fingerprint: string): Promise<void> {
+  async syncRow(subject: string): Promise<void> {
     const { records, table, timers } = this.#options;
     const { signal } = this.#stopped;
-    if (this.#inProgress.has(fingerprint)) return;
-    this.#inProgress.add(fingerprint);
+    if (this.#inProgress.has(subject)) return;
+    this.#inProgress.add(subject);
     while (!signal.aborted) {
-      const record = records.get(fingerprint, timers.nowMs());
+      const record = records.get(subject, timers.nowMs());
       if (record === undefined || record.isStored) break;
       const isDone = record.isQuarantined
         ? await this.#write(record)
-        : await table.remove(fingerprint, signal);
-      const isSame = records.get(fingerprint, timers.nowMs())?.clearings === record.clearings;
-      if (isDone && isSame) records.markStored(fingerprint);
+        : await table.remove(subject, signal);
+      const isSame = records.get(subject, timers.nowMs())?.clearings === record.clearings;
+      if (isDone && isSame) records.markStored(subject);
       if (!isDone) await delay(timers, RETRY_MS, signal);
     }
-    this.#inProgress.delete(fingerprint);
+    this.#inProgress.delete(subject);
   }
 
   /** @returns whether the store has the record now, or one that is as new */
@@ -92,11 +92,11 @@
   }
 
   /** Syncs the row in this daemon's turn, as the daemon that quarantined the request may not reach the store. */
-  async syncRowAfterTurn(fingerprint: string): Promise<void> {
+  async syncRowAfterTurn(subject: string): Promise<void> {
     const { roster, timers } = this.#options;
-    const turn = roster.positionFor(fingerprint);
+    const turn = roster.positionFor(subject);
     if (turn >= MAX_TURNS) return;
     await delay(timers, (turn + 1) * TURN_INTERVAL_MS, this.#stopped.signal);
-    await this.syncRow(fingerprint);
+    await this.syncRow(subject);
   }
 }
--- a/src/shell/gateway/crash-store-restore.ts
+++ b/src/shell/gateway/crash-store-restore.ts
@@ -22,7 +22,7 @@
   readonly ownKey: () => Buffer | undefined;
   readonly adoptKey: (key: Buffer) => void;
   /** Writes or removes a request's row, in line with its record. */
-  readonly syncRow: (fingerprint: string) => Promise<void>;
+  readonly syncRow: (subject: string) => Promise<void>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -79,17 +79,15 @@
 
   #restoreRecords({ records: stored }: CrashTableContent, turn: number): void {
     const { records, timers, syncRow, log } = this.#options;
-    const storedFingerprints = new Set(
-      stored.filter(({ isQuarantined }) => isQuarantined).map(({ fingerprint }) => fingerprint),
+    const storedSubjects = new Set(
+      stored.filter(({ isQuarantined }) => isQuarantined).map(({ subject }) => subject),
     );
     const differing = records
       .quarantinedOrCleared(timers.nowMs())
-      .filter(
-        ({ fingerprint, isQuarantined }) => isQuarantined !== storedFingerprints.has(fingerprint),
-      );
-    for (const { fingerprint } of differing) {
-      records.markNotStored(fingerprint);
-      void syncRow(fingerprint);
+      .filter(({ subject, isQuarantined }) => isQuarantined !== storedSubjects.has(subject));
+    for (const { subject } of differing) {
+      records.markNotStored(subject);
+      void syncRow(subject);
     }
     log.write(GATEWAY_EVENTS.crashRowsRestored, { turn, rewritten: differing.length });
   }
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -89,13 +89,13 @@
 
   /** Writes a request's row; replaces only a row with fewer clearings, so that a lift by an operator stays. */
   async write(record: CrashRecord, signal: AbortSignal): Promise<WriteOutcome> {
-    const { fingerprint, crashes, clearings, ageMs } = record;
+    const { subject, crashes, clearings, ageMs } = record;
     const value: z.input<typeof rowSchema> = {
       serverIds: crashes.map(({ serverId }) => serverId),
       clearings,
       unixMs: Math.round(this.#options.wallClock() - ageMs),
     };
-    const key = `${PREFIX}${fingerprint}`;
+    const key = `${PREFIX}${subject}`;
     let version = 0;
     for (;;) {
       const checks = [{ key, version }];
@@ -113,17 +113,17 @@
   }
 
   /** @returns whether the store has no row for the request any more */
-  async remove(fingerprint: string, signal: AbortSignal): Promise<boolean> {
-    const writes = [{ key: `${PREFIX}${fingerprint}`, value: null }];
+  async remove(subject: string, signal: AbortSignal): Promise<boolean> {
+    const writes = [{ key: `${PREFIX}${subject}`, value: null }];
     const result = await this.#call({ kind: 'transact', checks: [], writes }, signal);
     return result.kind === 'committed';
   }
 
   #read(row: TableRow): readonly CrashRecord[] {
-    const fingerprint = row.key.slice(PREFIX.length);
+    const subject = row.key.slice(PREFIX.length);
     const parsed = rowSchema.safeParse(row.value);
     if (!parsed.success) {
-      this.#options.log.write(GATEWAY_EVENTS.crashRowMalformed, { fingerprint });
+      this.#options.log.write(GATEWAY_EVENTS.crashRowMalformed, { subject });
       return [];
     }
     const { serverIds, clearings, unixMs, isLifted } = parsed.data;
@@ -132,7 +132,7 @@
       CRASH_RECORD_RETENTION_MS,
       Math.max(0, this.#options.wallClock() - unixMs),
     );
-    const record = { fingerprint, isStored: true, ageMs };
+    const record = { subject, isStored: true, ageMs };
     if (isLifted) {
       return [{ ...record, crashes: [], isQuarantined: false, clearings: clearings + 1 }];
     }
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -25,7 +25,15 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Why an exchange was interrupted independently of its attempts. */
-export type Interruption = 'caller-gone' | 'out-of-time';
+export type Interruption = 'caller-gone' | 'out-of-time' | 'withdrawn';
+
+/** Why a request is refused and when its caller may try again. */
+export interface Refusal {
+  readonly reason: string;
+  readonly retryAfterMs: number;
+  /** Further log fields. */
+  readonly details: LogFields;
+}
 
 /** A backend's answer with its complete body. */
 export interface CompleteAnswer {
@@ -95,6 +103,8 @@
   readonly #interrupted = new AbortController();
   readonly #cancelTimer: CancelTimer;
   #interruption: Interruption | undefined;
+  /** Set for a request that was withdrawn. */
+  #withdrawal: Refusal | undefined;
   #isAnswered = false;
   #isCounted = false;
 
@@ -120,7 +130,7 @@
     budget.countRequest();
   }
 
-  /** Aborted when the caller disconnected or the deadline has passed. */
+  /** Aborted when the caller disconnected, the deadline has passed or the request was withdrawn. */
   get signal(): AbortSignal {
     return this.#interrupted.signal;
   }
@@ -248,6 +258,13 @@
     });
   }
 
+  /** Ends a request of which no byte was answered yet: it is no longer held or run, and refused as by `refuse`. */
+  withdraw(refusal: Refusal): void {
+    if (this.#isAnswered) return;
+    this.#withdrawal ??= refusal;
+    this.#interrupt('withdrawn');
+  }
+
   /** Answers with an error that leaves open whether the request ran. */
   fail(status: 502 | 504, reason: string, details: LogFields = {}): void {
     this.#answerText(status, reason, []);
@@ -276,6 +293,11 @@
       this.finish('caller-gone', {});
       return;
     }
+    if (this.#interruption === 'withdrawn' && this.#withdrawal !== undefined) {
+      const { reason, retryAfterMs, details } = this.#withdrawal;
+      this.refuse(reason, retryAfterMs, details);
+      return;
+    }
     if (this.#isAnswered) this.abortResponse('out of time');
     else if (this.mayHaveRun) this.fail(504, 'out of time');
     else this.refuse('out of time before it was sent', 0);
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -34,7 +34,7 @@
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
   readonly admission: Pick<AdmissionGate, 'waiting'>;
   readonly limits: Pick<LimitCoordinator, 'grantedServers'>;
-  readonly crashes: Pick<CrashGuard, 'quarantined' | 'suspected'>;
+  readonly crashes: Pick<CrashGuard, 'counts'>;
   readonly paths: Pick<ServicePathMonitor, 'lostCount'>;
   readonly streams: Pick<StreamContinuity, 'recordCount'>;
   readonly duties: () => Pick<Duties, 'capacitySummaries'>;
@@ -189,12 +189,22 @@
     {
       name: 'requests_quarantined',
       help: 'Requests that are not sent any more, as servers ended while they ran',
-      read: () => crashes.quarantined,
+      read: () => crashes.counts.quarantinedRequests,
     },
     {
       name: 'requests_suspected',
       help: 'Requests that ran at a server when it ended, or did so until they were cleared',
-      read: () => crashes.suspected,
+      read: () => crashes.counts.requests,
+    },
+    {
+      name: 'prompt_parts_quarantined',
+      help: 'Parts of prompts with which no request is sent any more, as servers ended under such requests',
+      read: () => crashes.counts.quarantinedParts,
+    },
+    {
+      name: 'prompt_parts_suspected',
+      help: 'Parts of prompts of requests that ran at a server when it ended, and on which no server has begun to write since',
+      read: () => crashes.counts.parts,
     },
     { name: 'log_lines_dropped', help: 'Log lines left out', read: () => log.droppedTotal },
     ...capacityGauges(sources),
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -115,7 +115,7 @@
   readonly handleStageNotice: (notice: StageNotice) => void;
   /** Handles a message about the usage of tenants; `reply` answers its sender. */
   readonly handleUsage: (message: UsageMessage, reply: Reply) => void;
-  /** Handles another daemon's records of requests that crash servers. */
+  /** Handles another daemon's records of requests, or of parts of prompts, that crash servers. */
   readonly handleCrashRecords: (records: readonly CrashRecord[]) => void;
   /** Handles a message about servers that name a limit; `reply` answers its sender. */
   readonly handleLimitMessage: (message: LimitMessage, reply: Reply) => void;
@@ -409,6 +409,7 @@
         this.#options.handleDepartures(message);
         return;
       case 'crashes':
+      case 'part-crashes':
         handleCrashRecords(message.records);
         return;
       case 'news':
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod/mini';
 import {
+  type Crash,
   type CrashRecord,
   type EngineWork,
   type ReachabilityNotice,
@@ -39,6 +40,7 @@
   streamAsked: 19,
   streamAnswered: 20,
   departures: 21,
+  partCrashes: 22,
 } as const;
 
 /** Engine by its short id, prompt part, its tokens, milliseconds until it is prefilled. */
@@ -73,18 +75,21 @@
   demandSchema,
 ]);
 /**
- * Fingerprint; for each crash the boot of the server, the age and how long the request had been there, in milliseconds;
- * whether the request is quarantined; clearings; whether the store has the record; its age in milliseconds.
+ * Subject; for each crash the boot of the server, the age and how long the request had been there, in milliseconds, and
+ * which request it was, in records of parts; whether the subject is quarantined; clearings; whether the store has the
+ * record; its age in milliseconds.
  */
+type EncodedCrash = z.infer<typeof crashSchema>[1][number];
 const crashSchema = z.tuple([
   z.string(),
-  z.array(z.tuple([z.string(), z.number(), z.number()])),
+  z.array(z.tuple([z.string(), z.number(), z.number(), z.optional(z.string())])),
   z.boolean(),
   z.number(),
   z.boolean(),
   z.number(),
 ]);
 export const crashesSchema = z.tuple([z.literal(KINDS.crashes), z.array(crashSchema)]);
+export const partCrashesSchema = z.tuple([z.literal(KINDS.partCrashes), z.array(crashSchema)]);
 export const cacheEventsSchema = z.tuple([
   z.literal(KINDS.news),
   z.string(),
@@ -288,23 +293,23 @@
 }
 
 export function encodeCrash(record: CrashRecord): z.infer<typeof crashSchema> {
-  const { fingerprint, crashes, isQuarantined, clearings, isStored, ageMs } = record;
-  return [
-    fingerprint,
-    crashes.map((crash) => [crash.serverId, Math.round(crash.ageMs), Math.round(crash.ranMs)]),
-    isQuarantined,
-    clearings,
-    isStored,
-    Math.round(ageMs),
-  ];
+  const { subject, crashes, isQuarantined, clearings, isStored, ageMs } = record;
+  const encoded = crashes.map(encodeCrashOf);
+  return [subject, encoded, isQuarantined, clearings, isStored, Math.round(ageMs)];
+}
+
+function encodeCrashOf({ serverId, ageMs, ranMs, request }: Crash): EncodedCrash {
+  const fields = [serverId, Math.round(ageMs), Math.round(ranMs)] as const;
+  return request === undefined ? [...fields] : [...fields, request];
 }
 
 export function decodeCrash(fields: z.infer<typeof crashSchema>): CrashRecord {
-  const [fingerprint, encodedCrashes, isQuarantined, clearings, isStored, ageMs] = fields;
-  const crashes = encodedCrashes.map(([serverId, crashAgeMs, ranMs]) => ({
+  const [subject, encodedCrashes, isQuarantined, clearings, isStored, ageMs] = fields;
+  const crashes = encodedCrashes.map(([serverId, crashAgeMs, ranMs, request]) => ({
     serverId,
     ageMs: crashAgeMs,
     ranMs,
+    ...(request === undefined ? {} : { request }),
   }));
-  return { fingerprint, crashes, isQuarantined, clearings, isStored, ageMs };
+  return { subject, crashes, isQuarantined, clearings, isStored, ageMs };
 }
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -53,6 +53,7 @@
   encodeSoftwareVersion,
   encodeWork,
   KINDS,
+  partCrashesSchema,
   removedKey,
   reportSchema,
   serversSchema,
@@ -96,6 +97,7 @@
   [KINDS.usageCounted, usageCountedSchema],
   [KINDS.usageReported, usageReportedSchema],
   [KINDS.crashes, crashesSchema],
+  [KINDS.partCrashes, partCrashesSchema],
   [KINDS.paces, pacesSchema],
   [KINDS.limitAsk, permitRequestSchema],
   [KINDS.limitGrant, permitGrantSchema],
@@ -128,6 +130,7 @@
   | typeof usageCountedSchema
   | typeof usageReportedSchema
   | typeof crashesSchema
+  | typeof partCrashesSchema
   | typeof departuresSchema;
 
 /** A change of the configuration, as the relay of a zone read it from the store. */
@@ -184,6 +187,8 @@
   | { readonly kind: 'paces'; readonly message: PaceMessage }
   /** Records of requests that crash servers. */
   | { readonly kind: 'crashes'; readonly records: readonly CrashRecord[] }
+  /** Records of parts of prompts that crash servers. */
+  | { readonly kind: 'part-crashes'; readonly records: readonly CrashRecord[] }
   | { readonly kind: 'news'; readonly daemon: string; readonly news: readonly EngineCacheEvents[] };
 
 /** Encodes a message as the content of a datagram. */
@@ -243,6 +248,8 @@
       return pack(encodeDepartures(message));
     case 'crashes':
       return pack([KINDS.crashes, message.records.map(encodeCrash)]);
+    case 'part-crashes':
+      return pack([KINDS.partCrashes, message.records.map(encodeCrash)]);
     case 'usage-asked':
       return pack([KINDS.usageAsked, message.window]);
     case 'usage-reported':
@@ -337,6 +344,8 @@
       return { kind: 'paces', message: decodePaces(fields) };
     case KINDS.crashes:
       return { kind: 'crashes', records: fields[1].map(decodeCrash) };
+    case KINDS.partCrashes:
+      return { kind: 'part-crashes', records: fields[1].map(decodeCrash) };
     case KINDS.usageAsked:
       return { kind: 'usage-asked', window: fields[1] };
     case KINDS.usageReported:
--- a/src/shell/gateway/request-fingerprint.ts
+++ b/src/shell/gateway/request-fingerprint.ts
@@ -10,7 +10,7 @@
 const DIGEST_BYTES = 16;
 
 /** The parts of an exchange that the crash guard uses. */
-export interface GuardedExchange extends Pick<Exchange, 'refuse'> {
+export interface GuardedExchange extends Pick<Exchange, 'refuse' | 'withdraw'> {
   readonly options: Pick<ExchangeOptions, 'tenant' | 'body' | 'description'> & {
     readonly request: Pick<ExchangeOptions['request'], 'method' | 'url' | 'headers'>;
   };
--- a/src/shell/gateway/unresolved-breaks.ts
+++ b/src/shell/gateway/unresolved-breaks.ts
@@ -14,7 +14,11 @@
 export interface UnresolvedBreak {
   /** The record of the boot that it ran on. */
   readonly server: ServerRecord;
+  /** Empty while the secret of fingerprints is not known. */
   readonly fingerprint: string;
+  readonly attemptId: string;
+  /** The parts of its prompt that may have ended the server. */
+  readonly partSubjects: readonly string[];
   readonly ranMs: number;
   readonly atMs: number;
 }
--- a/test/gateway/crash-records.test.ts
+++ b/test/gateway/crash-records.test.ts
@@ -19,7 +19,7 @@
 
 function record(fields: Partial<CrashRecord>): CrashRecord {
   return {
-    fingerprint: 'f',
+    subject: 'f',
     crashes: [],
     isQuarantined: false,
     clearings: 0,
@@ -94,7 +94,7 @@
 
 test('records merge to the same state in any order and when received more than once', () => {
   const anyRecord = fc.record({
-    fingerprint: fc.constantFrom('f', 'g'),
+    subject: fc.constantFrom('f', 'g'),
     crashes: fc.uniqueArray(fc.constantFrom(...CRASHES), { maxLength: 3 }),
     isQuarantined: fc.boolean(),
     clearings: fc.nat(2),
@@ -136,7 +136,7 @@
   for (let index = 0; index < MAX_RECORDS + 100; index += 1) {
     records.recordCrash(`f-${index}`, { serverId: 's-3', ranMs: 0 }, 10);
   }
-  assert.equal(records.size, MAX_RECORDS);
+  assert.equal(records.requests, MAX_RECORDS);
   assert.ok(records.isQuarantined('kept'));
 });
 
@@ -157,7 +157,7 @@
     records.recordCrash(`f-${index}`, { serverId: 's-1', ranMs: 0 }, 0);
   const advertised = new Set<string>();
   for (let turn = 0; turn < 3; turn += 1) {
-    for (const { fingerprint } of records.nextToAdvertise(2, 100)) advertised.add(fingerprint);
+    for (const { subject } of records.nextToAdvertise(2, 100)) advertised.add(subject);
   }
   assert.equal(advertised.size, 5);
 });
--- a/test/gateway/crashing-part.test.ts
+++ b/test/gateway/crashing-part.test.ts
@@ -6,13 +6,19 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { deferred } from './support/deferred.js';
 import {
   type CallerAnswer,
   configuration,
   GatewayFixture,
   RESUMABLE_ROUTE,
 } from './support/fixture.js';
-import { engine, type ServerStandIn } from './support/server-stand-in.js';
+import {
+  engine,
+  rejectingAsNotExecuted,
+  type ServedRequest,
+  type ServerStandIn,
+} from './support/server-stand-in.js';
 
 const DAEMONS = ['front-1', 'front-2', 'front-3'];
 const ENGINES = 14;
@@ -20,6 +26,8 @@
 const MAX_CRASHES = 5;
 const MAX_LATER_ARRIVALS = 3;
 const CRASHING_REQUESTS = 12;
+/** The body of a request that its engine has not begun to answer. */
+const HELD_BODY = 'held';
 const CRASHING_PARTS = ['bad', 'bad2'];
 
 let fixture: GatewayFixture;
@@ -28,6 +36,9 @@
 let sent: number;
 /** Requests that reached an engine, for each crashing part. */
 let arrivals: Map<string, number>;
+/** The engine that has the held request, and takes no other with a crashing part. */
+let holdingId: string;
+let atEngine: ReturnType<typeof deferred<ServedRequest>>;
 
 beforeEach(() => {
   fixture = new GatewayFixture();
@@ -35,6 +46,8 @@
   startedEngines = 0;
   sent = 0;
   arrivals = new Map();
+  holdingId = '';
+  atEngine = deferred();
 });
 
 afterEach(() => fixture.stop());
@@ -50,6 +63,11 @@
       const parts = String(served.seen.headers['x-prompt-prefix']).split(/[:,]/);
       const crashing = CRASHING_PARTS.find((part) => parts.includes(part));
       if (crashing === undefined) return serve(served);
+      if (served.seen.body === HELD_BODY) {
+        holdingId = id;
+        return atEngine.resolve(served);
+      }
+      if (id === holdingId) return rejectingAsNotExecuted(served);
       arrivals.set(crashing, (arrivals.get(crashing) ?? 0) + 1);
       crashedIds.push(id);
       served.response.writeHead(200, {
@@ -99,7 +117,7 @@
 }
 
 /** Sends a request whose body and last part no other one has. */
-function send(port: number, sharedParts: string): Promise<CallerAnswer> {
+function send(port: number, sharedParts: string, body = `question ${sent}`): Promise<CallerAnswer> {
   sent += 1;
   const headers = {
     'X-Model': 'm',
@@ -107,7 +125,7 @@
     'X-Prompt-Prefix': `${sharedParts},u${sent}:20`,
     'X-Attempt-Id': `attempt-${sent}`,
   };
-  return fixture.call({ path: '/check/1', headers, body: `question ${sent}`, port });
+  return fixture.call({ path: '/check/1', headers, body, port });
 }
 
 /** Sends crashing requests to the daemons in turn, each after a sound one that has begun at the same daemon. */
@@ -169,3 +187,16 @@
   assert.equal((arrivals.get('bad') ?? 0) - before, 0);
   assertFewArrivals();
 });
+
+test('a request with a crashing part that waits at an engine is cancelled there once the part is quarantined', async () => {
+  const ports = await startFleet();
+  const [port = 0] = ports;
+  assert.equal((await send(port, 'sys:200')).status, 200);
+  const held = send(port, 'sys:200,bad:80', HELD_BODY);
+  const { closed } = await atEngine.promise;
+  await sendCrashing(ports, () => 'sys:200,bad:80');
+  await closed;
+  const answer = await held;
+  assert.equal(answer.status, 502);
+  assert.match(answer.body, /the part bad of this prompt/);
+});
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -462,7 +462,14 @@
 test('a broken run counts once the next boot of its server is listed, if that happens soon enough', () => {
   const timers = new ManualTimers();
   const breaks = new UnresolvedBreaks(timers);
-  const broken = { server: record(), fingerprint: 'f', ranMs: 5, atMs: timers.nowMs() };
+  const broken = {
+    server: record(),
+    fingerprint: 'f',
+    attemptId: 'attempt-1',
+    partSubjects: ['part-sys'],
+    ranMs: 5,
+    atMs: timers.nowMs(),
+  };
   breaks.add(broken);
   assert.deepEqual(breaks.takeFromEarlierBoots(record()), [], 'the same boot');
   assert.deepEqual(breaks.takeFromEarlierBoots(record({ id: 'i-2', bornMs: BORN_MS + 1 })), []);
--- a/test/gateway/support/crash-guard-fleet.ts
+++ b/test/gateway/support/crash-guard-fleet.ts
@@ -62,7 +62,7 @@
       roster,
       peers: () => ({
         sendMessage: (recipients, message) => {
-          if (message.kind !== 'crashes') return;
+          if (message.kind !== 'crashes' && message.kind !== 'part-crashes') return;
           for (const { name } of recipients) {
             this.datagrams += 1;
             const to = this.#names.indexOf(name);
@@ -96,8 +96,14 @@
   }
 
   /** A server ends while it runs a request of a daemon. */
-  async crash(daemon: number, body: string, serverId: string, bornMs?: number): Promise<void> {
-    const exchange = requestOf(body);
+  async crash(
+    daemon: number,
+    body: string,
+    serverId: string,
+    bornMs?: number,
+    partIds: readonly string[] = [],
+  ): Promise<void> {
+    const exchange = requestOf(body, partIds);
     const server = this.serverOf(serverId, bornMs);
     this.guard(daemon).recordBrokenRun(exchange, server, RAN_MS);
     await this.guard(daemon).whenChecked(exchange);
@@ -105,9 +111,10 @@
   }
 
   /** Daemons that would send a request now. */
-  daemonsThatSend(body: string): readonly number[] {
+  daemonsThatSend(body: string, partIds: readonly string[] = []): readonly number[] {
+    const request = requestOf(body, partIds);
     return this.#names.flatMap((_, daemon) =>
-      this.guard(daemon).isReadyToServe && !this.guard(daemon).isQuarantined(requestOf(body))
+      this.guard(daemon).isReadyToServe && !this.guard(daemon).isQuarantined(request)
         ? [daemon]
         : [],
     );
@@ -138,8 +145,8 @@
   }
 }
 
-/** An attempt of a request with this body. */
-export function requestOf(body: string): GuardedExchange {
+/** An attempt of a request with this body and these parts of its prompt. */
+export function requestOf(body: string, partIds: readonly string[] = []): GuardedExchange {
   return {
     options: {
       request: { method: 'POST', url: '/check/1', headers: { host: 'labels.example' } },
@@ -148,12 +155,13 @@
       description: {
         attemptId: 'attempt-1',
         deadlineMs: undefined,
-        promptParts: [],
+        promptParts: partIds.map((id) => ({ id, tokens: 20 })),
         promptTokens: 0,
         maxOutputTokens: 0,
       },
     },
     refuse: () => undefined,
+    withdraw: () => undefined,
   };
 }
 
