Clear the requests that ran beside those with a crashing part once the part is known

Cause: an end of a server is held against each request of its batch, and nothing takes that back when a part of prompts turns out to explain it. Change: as a part is quarantined, requests whose crashes all lie between the first and the last one counted against it are cleared, by each daemon for itself.

--- a/src/core/gateway/crash-evidence.ts
+++ b/src/core/gateway/crash-evidence.ts
@@ -26,7 +26,7 @@
 /** One more than for a request, as a quarantined part has all requests refused that hold it. */
 const CRASHES_TO_QUARANTINE_PART = 3;
 /** Servers that end closer together may have ended for one reason, as those of a rack do. */
-const COMMON_CAUSE_MS = 250;
+export const COMMON_CAUSE_MS = 250;
 /**
  * Older crashes do not count against a part, as those under which its requests ran by chance would add up. Nor do any, if
  * a server has begun to write on it within this time: a part that all requests share must not be refused because every
--- a/src/core/gateway/crash-records.ts
+++ b/src/core/gateway/crash-records.ts
@@ -8,6 +8,7 @@
  * fewer, and records with equally many clearings merge their crashes.
  */
 import {
+  COMMON_CAUSE_MS,
   crashesToKeep,
   type KnownCrash,
   PART_EVIDENCE_MS,
@@ -137,6 +138,20 @@
     if (this.#entries.get(subject)?.isQuarantined === false) this.#remove(subject);
   }
 
+  /** Requests under which servers ended only while they did under a part, which explains all of their crashes. */
+  requestsExplainedBy(partSubject: string): readonly string[] {
+    const part = this.#entries.get(partSubject);
+    if (part === undefined || part.crashes.length === 0) return [];
+    const endsMs = part.crashes.map(({ endedMs }) => endedMs);
+    const fromMs = Math.min(...endsMs) - COMMON_CAUSE_MS;
+    const toMs = Math.max(...endsMs) + COMMON_CAUSE_MS;
+    const isExplained = ({ crashes }: Entry) =>
+      crashes.length > 0 && crashes.every(({ endedMs }) => endedMs >= fromMs && endedMs <= toMs);
+    return [...this.#entries].flatMap(([subject, entry]) =>
+      !isPartSubject(subject) && isExplained(entry) ? [subject] : [],
+    );
+  }
+
   /** Records that are quarantined, or that were cleared. */
   quarantinedOrCleared(nowMs: number): readonly CrashRecord[] {
     return [...this.#entries]
--- a/src/shell/gateway/crash-record-keeper.ts
+++ b/src/shell/gateway/crash-record-keeper.ts
@@ -36,7 +36,9 @@
   | 'store'
   | 'ran whole'
   /** A server has begun to write on a part. */
-  | 'began';
+  | 'began'
+  /** A part of prompts was found to be what ended the servers. */
+  | 'explained';
 
 /** Options of a `CrashRecordKeeper`. */
 export interface CrashRecordKeeperOptions {
@@ -164,7 +166,24 @@
     this.#tellOfChange(subject, change, source);
     if (change !== 'quarantined') return;
     if (this.#begunParts.has(subject, this.#nowMs())) this.#clear(subject, 'began');
-    else this.#options.onQuarantined();
+    else this.#handleQuarantined(subject, source);
+  }
+
+  #handleQuarantined(subject: string, source: Source): void {
+    // Rows of the store do not tell when each of the servers ended.
+    if (isPartSubject(subject) && source !== 'store') this.#clearRequestsExplainedBy(subject);
+    this.#options.onQuarantined();
+  }
+
+  /** Clears requests that ran beside those with a part; each daemon does so by itself, as it hears of the part. */
+  #clearRequestsExplainedBy(partSubject: string): void {
+    for (const subject of this.records.requestsExplainedBy(partSubject)) {
+      const wasQuarantined = this.records.isQuarantined(subject);
+      const change = this.records.clear(subject, this.#nowMs());
+      if (!wasQuarantined) continue;
+      this.#handleChange(subject, change, 'explained');
+      if (this.#options.roster.positionFor(subject) === 0) void this.#duty.syncRow(subject);
+    }
   }
 
   #tellOfChange(subject: string, change: CrashRecordChange, source: Source): void {
@@ -179,6 +198,8 @@
         this.#scheduleBroadcast(subject);
         void this.#duty.syncRowAfterTurn(subject);
         break;
+      case 'explained':
+        break;
       case 'peer':
         if (change === 'quarantined') void this.#duty.syncRowAfterTurn(subject);
         break;
--- a/test/gateway/crashing-part-spread.test.ts
+++ b/test/gateway/crashing-part-spread.test.ts
@@ -210,6 +210,34 @@
   fleet.stop();
 });
 
+test('requests that ran beside those with a crashing part are not refused once the part is known', async () => {
+  const fleet = await startFleet(9);
+  beginSharedEverywhere(fleet, 9);
+  await fleet.crash(7, 'ends servers by itself', 'i-before-1');
+  await fleet.advance(CRASH_INTERVAL_MS);
+  await fleet.crash(8, 'ends servers by itself', 'i-before-2');
+  await fleet.advance(1_000);
+  for (const [index, daemon] of [0, 4, 8].entries()) {
+    const server = `i-batch-${index}`;
+    const name = `crashing ${index}`;
+    await Promise.all([
+      fleet.crash(daemon, name, server, undefined, promptOf(['sys', 'bad'], name)),
+      fleet.crash((daemon + 1) % 9, 'popular', server, undefined, ['sys', 'popular']),
+    ]);
+    await fleet.advance(CRASH_INTERVAL_MS);
+  }
+  await fleet.advance(100);
+  assert.equal(daemonsThatSend(fleet, ['sys', 'bad']), 0);
+  assert.equal(fleet.daemonsThatSend('popular', ['sys', 'popular']).length, 9);
+  assert.deepEqual(fleet.daemonsThatSend('ends servers by itself'), []);
+  await fleet.advance(10_000);
+  for (let daemon = 0; daemon < 9; daemon += 1) fleet.start(daemon);
+  await fleet.advance(100);
+  assert.equal(fleet.daemonsThatSend('popular', ['sys', 'popular']).length, 9);
+  assert.deepEqual(fleet.daemonsThatSend('ends servers by itself'), []);
+  fleet.stop();
+});
+
 test('a request that is held or runs without an answer is withdrawn as its part is quarantined, and others are not', async () => {
   const fleet = await startFleet(9);
   const withdrawn: Refusal[] = [];
