Soak: parts of prompts that crash servers, and what sound requests keep beside them

CRASHES counts what reaches servers after five ends, LOST the sound streams that begin; the mutation part-quarantine takes the protection away.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -5,7 +5,7 @@
 import http, { type IncomingMessage } from 'node:http';
 import type { GatewayProcess } from './gateway-process.js';
 import { WIRE } from './header-names.js';
-import type { CrashingWork } from './plan.js';
+import type { CrashingPart, CrashingWork } from './plan.js';
 import type { CallEnd, CallRecord, RequestClass, ResumedStream } from './record.js';
 import { CRASHING_MARK } from './response-bodies.js';
 import { receivedEvents } from './stream-judge.js';
@@ -49,6 +49,8 @@
   /** API keys of the callers with their tenants; the current configuration may lack some of them. */
   readonly keys: readonly { readonly key: string; readonly tenant: string }[];
   readonly longStreamShare?: number | undefined;
+  /** Whether no two requests have the same body. */
+  readonly hasDistinctBodies?: boolean;
   readonly random: () => number;
   readonly calls: Map<string, CallRecord>;
 }
@@ -57,7 +59,14 @@
 interface CallSpec
   extends Pick<
     CallRecord,
-    'requestClass' | 'apiKey' | 'tenant' | 'body' | 'outputTokens' | 'deadlineMs' | 'resumes'
+    | 'requestClass'
+    | 'apiKey'
+    | 'tenant'
+    | 'body'
+    | 'outputTokens'
+    | 'deadlineMs'
+    | 'resumes'
+    | 'crashingPart'
   > {
   readonly isRetry: boolean;
 }
@@ -115,6 +124,31 @@
     this.#repeats.push(setInterval(send, work.gapMs));
   }
 
+  /** Sends requests with a part that crashes servers, each of another body, to any daemon, until `stopSending`. */
+  sendCrashingPart({ position, gapMs }: CrashingPart): void {
+    const { classes, keys } = this.#options;
+    const [owner] = keys;
+    const requestClass = classes.find(({ kind }) => kind === 'streaming');
+    if (owner === undefined || requestClass === undefined || !this.#isSending) return;
+    this.#crashing += 1;
+    const crashingPart = { id: `crashing${this.#crashing}`, position };
+    let requests = 0;
+    const send = () => {
+      requests += 1;
+      this.#send({
+        requestClass,
+        apiKey: owner.key,
+        tenant: owner.tenant,
+        body: `${CRASHING_MARK} with ${crashingPart.id}, ${requests}`,
+        outputTokens: SHORT_TOKENS,
+        crashingPart,
+        deadlineMs: performance.now() + DEADLINE_MS,
+        isRetry: false,
+      });
+    };
+    this.#repeats.push(setInterval(send, gapMs));
+  }
+
   stopSending(): void {
     this.#isSending = false;
     for (const repeat of this.#repeats) clearInterval(repeat);
@@ -142,7 +176,7 @@
       requestClass: pickByShare(classes, random()),
       apiKey: owner.key,
       tenant: owner.tenant,
-      body: BODY,
+      body: this.#options.hasDistinctBodies ? `${BODY} ${this.#sent}` : BODY,
       outputTokens:
         random() < longStreamShare ? LONG_TOKENS : 2 + Math.floor(random() * SHORT_TOKENS),
       deadlineMs: performance.now() + DEADLINE_MS,
@@ -299,13 +333,12 @@
 }
 
 function headersOf(call: CallRecord): http.OutgoingHttpHeaders {
-  const shared = Number(call.id.slice(1)) % SHARED_PARTS;
   return {
     Host: HOST,
     'X-Attempt-Id': call.id,
     'X-Deadline-Ms': String(Math.round(call.deadlineMs - call.sentMs)),
     'X-Token-Count': `${PROMPT_TOKENS},${call.outputTokens}`,
-    'X-Prompt-Prefix': `shared${shared}:92,own${call.id}:288`,
+    'X-Prompt-Prefix': promptOf(call),
     'Api-Key': call.apiKey,
     'X-Tenant': 'forged',
     'Content-Length': String(Buffer.byteLength(call.body)),
@@ -313,6 +346,23 @@
   };
 }
 
+function promptOf({ id, crashingPart }: CallRecord): string {
+  const shared = `shared${Number(id.slice(1)) % SHARED_PARTS}:92`;
+  const own = `own${id}:288`;
+  const isWithCommon = Number(id.slice(1)) % 2 === 0;
+  if (crashingPart === undefined)
+    return isWithCommon ? `${shared},common:30,${own}` : `${shared},${own}`;
+  const part = `${crashingPart.id}:40`;
+  switch (crashingPart.position) {
+    case 'first':
+      return `${part},${shared},${own}`;
+    case 'second':
+      return `${shared},${part},${own}`;
+    case 'third':
+      return `${shared},common:30,${part},${own}`;
+  }
+}
+
 function resumptionHeaders(resumes: ResumedStream | undefined): http.OutgoingHttpHeaders {
   if (resumes === undefined) return {};
   return { [WIRE.resumes]: resumes.streamId, [WIRE.lastEventId]: String(resumes.lastEventId) };
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -5,6 +5,7 @@
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { planDepartures } from './departure-plan.js';
 import { MUTATIONS } from './mutations.js';
+import { planParts } from './part-plan.js';
 import {
   planCopies,
   planCuts,
@@ -60,7 +61,7 @@
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
-    description: 'mixed, herd, outages, copies, cuts, upgrade, releases or departures',
+    description: 'mixed, herd, outages, copies, cuts, upgrade, releases, departures or parts',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -97,6 +98,7 @@
       upgrade: planUpgrade,
       releases: planReleases,
       departures: planDepartures,
+      parts: planParts,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
@@ -129,12 +131,13 @@
 }
 
 function reportOf(seed: number, result: SoakResult): string {
-  const { violations, ends, crashes, reports, budgets, directory } = result;
+  const { violations, ends, crashes, crashesByPart, reports, budgets, directory } = result;
   const { worstLagMs, worstAcceptMs, heldUpArrivals } = result;
   const calls = [...ends].map(([how, count]) => `${how} ${count}`).join(', ');
   const lines = [
     `seed ${seed}: ${violations.length} broken; calls ended: ${calls}; ${reports} usage reports`,
     `  servers that ended under each request that ends servers: ${crashes.join(', ')}`,
+    `  servers that ended under each part of prompts that ends servers: ${crashesByPart.join(', ')}`,
     `  the stand-ins were late by ${worstLagMs} ms at worst`,
     `  connections to them waited ${worstAcceptMs} ms at worst until they were accepted`,
     `  requests of callers that had left and were late by that alone: ${heldUpArrivals}`,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -36,6 +36,13 @@
     text: 'if (records.quarantined === 0) return undefined;',
     replacement: 'if (records.quarantined >= 0) return undefined;',
   },
+  {
+    name: 'part-quarantine',
+    promise: 'CRASHES',
+    file: 'src/core/gateway/crash-evidence.ts',
+    text: 'const CRASHES_TO_QUARANTINE_PART = 3;',
+    replacement: 'const CRASHES_TO_QUARANTINE_PART = 3_000;',
+  },
   {
     name: 'run-once',
     promise: 'TWICE',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -5,6 +5,7 @@
 import { PATHS } from '../platform/names.js';
 import { routeFaults } from './configuration-judge.js';
 import { unservedCuts } from './cut-off-judge.js';
+import { partsSentOn, soundRequestsLost } from './part-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
 import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS } from './response-bodies.js';
@@ -76,6 +77,7 @@
     ...judgeOrders(run),
     ...judgeDuties(run),
     ...judgeCrashes(calls, run),
+    ...judgeCrashingParts(calls, run),
     ...judgeRecovery(calls, run),
     ...judgeCuts(calls, run),
   ];
@@ -551,7 +553,7 @@
 function callsByWork(calls: readonly CallRecord[]): readonly (readonly CallRecord[])[] {
   const byWork = new Map<string, CallRecord[]>();
   for (const call of calls) {
-    if (!call.body.startsWith(CRASHING_MARK)) continue;
+    if (!call.body.startsWith(CRASHING_MARK) || call.crashingPart !== undefined) continue;
     const known = byWork.get(call.body);
     if (known === undefined) byWork.set(call.body, [call]);
     else known.push(call);
@@ -593,6 +595,18 @@
   });
 }
 
+/** The same for parts of prompts, whose requests differ, and what they leave to sound ones. */
+function judgeCrashingParts(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const inTouch = (daemon: string, fromMs: number, toMs: number) =>
+    isInTouch(run, daemon, fromMs, toMs);
+  const sentOn = partsSentOn(calls, run, inTouch);
+  const lost = soundRequestsLost(calls, run, inTouch);
+  return [
+    ...sentOn.map((fault): Violation => ({ promise: 'CRASHES', ...fault })),
+    ...lost.map((detail): Violation => ({ promise: 'LOST', atMs: run.endMs, detail })),
+  ];
+}
+
 function judgeCuts(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const inTouch = (daemon: string, fromMs: number, toMs: number) =>
     isInTouch(run, daemon, fromMs, toMs);
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -196,6 +196,14 @@
   readonly classDraw: number;
 }
 
+/** A part of prompts that crashes each server that runs a request with it; no two of its requests are alike. */
+export interface CrashingPart {
+  readonly fromMs: number;
+  readonly gapMs: number;
+  /** Where it stands among the shared parts of the prompt. */
+  readonly position: 'first' | 'second' | 'third';
+}
+
 /** Traits of the servers of a run. */
 export interface ServerTraits {
   /** Maximum number of concurrent requests of a web server; it refuses others. */
@@ -211,6 +219,9 @@
   readonly servers: ServerTraits;
   readonly faults: readonly TimedFault[];
   readonly crashing: readonly CrashingWork[];
+  readonly crashingParts?: readonly CrashingPart[];
+  /** Whether no two requests have the same body. */
+  readonly hasDistinctBodies?: true;
   /** The share of streams that last over a second; undefined for the usual one. */
   readonly longStreamShare?: number;
 }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -1,5 +1,5 @@
 /** What a soak run records of requests, at their callers and at servers; the only input of the oracle. */
-import type { DaemonCut } from './plan.js';
+import type { CrashingPart, DaemonCut } from './plan.js';
 
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'streaming';
 
@@ -80,6 +80,12 @@
   readonly toMs: number;
 }
 
+/** The part of a prompt that crashes servers. */
+export interface CallCrashingPart {
+  readonly id: string;
+  readonly position: CrashingPart['position'];
+}
+
 /** One attempt of a caller, and the arrivals that it caused at servers. */
 export interface CallRecord {
   readonly id: string;
@@ -91,6 +97,8 @@
   readonly apiKey: string;
   readonly body: string;
   readonly outputTokens: number;
+  /** The part of its prompt that crashes servers; undefined for a sound request. */
+  readonly crashingPart?: CallCrashingPart | undefined;
   /** Undefined for a request that begins anew. */
   readonly resumes?: ResumedStream | undefined;
   /** Whether the caller has sent the same request before. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -29,6 +29,7 @@
   type Violation,
   worstBudgetWindow,
 } from './oracle.js';
+import { crashesByPart } from './part-judge.js';
 import { pause } from './pause.js';
 import type { SoakPlan } from './plan.js';
 import { PlatformStore, type StoreEndpoint } from './platform-store.js';
@@ -48,6 +49,8 @@
   readonly ends: ReadonlyMap<string, number>;
   /** Number of servers that crashed, for each request that crashes servers. */
   readonly crashes: readonly number[];
+  /** The same for each part of prompts that crashes servers. */
+  readonly crashesByPart: readonly number[];
   /** Number of calls that the duty service accepted. */
   readonly reports: number;
   readonly budgets: readonly BudgetWindow[];
@@ -134,6 +137,7 @@
       requestsPerSecond: plan.size.requestsPerSecond,
       keys: CALLER_KEYS,
       longStreamShare: plan.longStreamShare,
+      hasDistinctBodies: plan.hasDistinctBodies === true,
       random,
       calls: this.#calls,
     });
@@ -167,6 +171,9 @@
     for (const work of this.#plan.crashing) {
       setTimeout(() => this.#callers.sendCrashing(work), work.fromMs);
     }
+    for (const part of this.#plan.crashingParts ?? []) {
+      setTimeout(() => this.#callers.sendCrashingPart(part), part.fromMs);
+    }
     await pause(this.#plan.size.seconds * 1_000);
     this.#callers.stopSending();
     this.#probes.stop();
@@ -216,6 +223,7 @@
       violations,
       ends: countEnds([...this.#calls.values()]),
       crashes: crashesByWork([...this.#calls.values()]),
+      crashesByPart: crashesByPart([...this.#calls.values()], endMs),
       reports: this.#dutyService.records.filter(({ isAccepted }) => isAccepted).length,
       worstLagMs: Math.round(this.#lag.worstMs),
       worstAcceptMs: Math.round(this.#accepts.worstMs),
