Do not tell a stream as whole whose connection ended inside an event or was reset

What callers saw: a stream with neither length nor chunks whose server ended inside an event came as a whole answer, without a resumption at another engine; so did one whose connection was reset together with its last bytes, and a truncated one was ended by closing its connection, which marks a whole answer there. Cause: the HTTP client takes the close of the connection for the end of such an answer; a reset that arrives with data is reported as that, too.

--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -3,7 +3,7 @@
  */
 import { once } from 'node:events';
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
-import { resetSocket } from '../src/lab/common/reset-socket.js';
+import { resetSocket } from '../src/shell/http/reset-socket.js';
 import type { AcceptMonitor } from './accept-monitor.js';
 import type { LinkFault } from './plan.js';
 
--- a/src/lab/network/link.ts
+++ b/src/lab/network/link.ts
@@ -11,7 +11,7 @@
 } from 'node:net';
 import type { Milliseconds } from '../../core/common/time.js';
 import type { Endpoint } from '../../core/registry/backend.js';
-import { resetSocket } from '../common/reset-socket.js';
+import { resetSocket } from '../../shell/http/reset-socket.js';
 import { Random } from '../workload/index.js';
 import { type DirectionConditions, Pipe } from './pipe.js';
 
--- a/src/lab/web/server.ts
+++ b/src/lab/web/server.ts
@@ -11,8 +11,8 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { z } from 'zod';
 import type { Endpoint } from '../../core/registry/backend.js';
+import { resetSocket } from '../../shell/http/reset-socket.js';
 import { closeListener, openListener } from '../common/listener.js';
-import { resetSocket } from '../common/reset-socket.js';
 import { tileContent } from './content.js';
 import { OrderLedger } from './order-ledger.js';
 
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -79,6 +79,17 @@
     message.once('end', () => {
       if (!request.writableFinished) request.destroy();
     });
+    if (this.isCloseDelimited) this.#watchForReset(message.socket);
+  }
+
+  /**
+   * A reset that arrives together with the last bytes is reported as an ordinary end of the connection. It has no peer any
+   * more, while one that was ended still has.
+   */
+  #watchForReset(socket: Socket): void {
+    socket.prependOnceListener('end', () => {
+      if (socket.remoteAddress === undefined) this.#isBroken = true;
+    });
   }
 
   get status(): number {
@@ -96,8 +107,8 @@
   }
 
   /**
-   * Whether only the close of the connection marks the end of the body (RFC 9112 section 6.3, rule 8). A truncated
-   * answer of this kind cannot be told from a complete one.
+   * Whether only the close of the connection marks the end of the body (RFC 9112 section 6.3, rule 8). One that was
+   * truncated cannot be told from a complete one, unless the connection was reset.
    */
   get isCloseDelimited(): boolean {
     const { headers } = this.message;
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -10,6 +10,8 @@
 import { EventSplitter } from './event-splitter.js';
 import type { Exchange } from './exchange.js';
 
+const EVENT_STREAM = 'text/event-stream';
+
 /** How one server's part of a stream ended. */
 export type RelayResult = 'complete' | 'broken' | 'interrupted';
 
@@ -106,9 +108,10 @@
           forward(bytes);
         });
       });
-      message.once('end', () =>
-        afterFirstEvent(() => settle(answer.isComplete ? 'complete' : 'broken')),
-      );
+      message.once('end', () => {
+        const isWhole = answer.isComplete && !isTorn(source, boundary);
+        afterFirstEvent(() => settle(isWhole ? 'complete' : 'broken'));
+      });
       // An event whose origin is recorded goes to the caller also where its server has broken off meanwhile.
       message.once('close', () => afterFirstEvent(() => settle('broken')));
     });
@@ -135,10 +138,10 @@
   #write(source: RelaySource, bytes: Buffer): boolean {
     const { response, metrics } = this.#exchange.options;
     if (!this.#exchange.isAnswered) {
-      const { answer, isCloseDelimited = answer.isCloseDelimited } = source;
+      const { answer } = source;
       const headers = withoutConnectionHeaders(answer.message.rawHeaders);
       const { status } = answer;
-      if (!this.#exchange.beginStream(status, headers, isCloseDelimited)) return true;
+      if (!this.#exchange.beginStream(status, headers, isDelimitedByClose(source))) return true;
       this.#exchange.stepTimesMs.firstEventMs = this.#exchange.elapsedMs();
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
@@ -149,6 +152,16 @@
   }
 }
 
+function isDelimitedByClose({ answer, isCloseDelimited }: RelaySource): boolean {
+  return isCloseDelimited ?? answer.isCloseDelimited;
+}
+
+/** Whether a stream of events whose end only the close of its connection marks has ended inside an event. */
+function isTorn(source: RelaySource, { isInsideEvent }: EventBoundary): boolean {
+  const type = source.answer.message.headers['content-type'] ?? EVENT_STREAM;
+  return isInsideEvent && isDelimitedByClose(source) && type.startsWith(EVENT_STREAM);
+}
+
 function outcomeOf(result: RelayResult): AnswerOutcome {
   switch (result) {
     case 'complete':
--- a/test/gateway/support/server-links.ts
+++ b/test/gateway/support/server-links.ts
@@ -2,12 +2,12 @@
 import { once } from 'node:events';
 import net, { type AddressInfo, type Server, type Socket } from 'node:net';
 import type { ServerRecord } from '../../../src/core/gateway/index.js';
-import { resetSocket } from '../../../src/lab/common/reset-socket.js';
 import type {
   PlatformAdapter,
   WatchAnswer,
   WatchedTable,
 } from '../../../src/shell/gateway/ports.js';
+import { resetSocket } from '../../../src/shell/http/reset-socket.js';
 
 const HOST = '127.0.0.1';
 
--- a/test/lab/reset-socket.test.ts
+++ b/test/lab/reset-socket.test.ts
@@ -3,7 +3,7 @@
 import { once } from 'node:events';
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
-import { resetSocket } from '../../src/lab/common/reset-socket.js';
+import { resetSocket } from '../../src/shell/http/reset-socket.js';
 
 let server: Server;
 const accepted: Socket[] = [];
