Number the events on parts of prompts within the range of the gateway

Cause: 6100 and 6101 lie outside the hundred numbers of the area; catalogue.test.ts failed in a whole run on. Change: 6007 and 6008, the free ones. Result: the tests of the catalogue pass.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -607,7 +607,7 @@
     remedy: 'Nothing to do.',
   },
   partQuarantined: {
-    number: 6100,
+    number: 6007,
     level: 'error',
     message:
       'servers ended while different requests with this part of a prompt ran, and none had begun to answer one; the part is quarantined: no daemon sends requests with it any more',
@@ -615,7 +615,7 @@
       'Find out why the named servers ended. To let requests with the part run again, lift the quarantine as described in docs/OPERATIONS.md.',
   },
   partCleared: {
-    number: 6101,
+    number: 6008,
     level: 'warn',
     message:
       'a server has begun to answer a request with a quarantined part of a prompt, or the quarantine was lifted; requests with it are sent again',
