Stop reading bytes without end where a body is not needed, and in one event

What would have happened: a server, another daemon or the store that sends bytes without end was read until it stopped, at a rejection, a health page, an answer to freed memory, a forwarded request that was not taken, an answer of the store and an event of a stream that may be resumed; the last two were also kept in memory. Cause: bodies that are not needed were resumed without a bound, and two were collected without one. Heads, trailers and bodies of answers had bounds.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -269,7 +269,7 @@
     return marks;
   };
   const reject = (answer: BackendAnswer): FailedCall => {
-    answer.message.resume();
+    answer.discard();
     const origin = answerOrigin(answer, context.codec);
     return record({ kind: 'not-executed', status: answer.status, origin });
   };
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -19,6 +19,9 @@
 /** Idle connections are closed this much before the server's keep-alive time-out. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 const MAX_KEEP_ALIVE_MS = 8_000;
+/** More than the texts of rejections and health pages; opening a connection costs less than reading on. */
+const MAX_DISCARDED_BYTES = 65_536;
+const MAX_DISCARD_MS = 1_000;
 /** Maximum number of connections kept open for late answers; beyond it, aborted calls close theirs at once. */
 const MAX_AWAITED_LATE = 256;
 
@@ -64,10 +67,12 @@
 export class BackendAnswer {
   readonly message: IncomingMessage;
   readonly #request: ClientRequest;
+  readonly #timers: TimerService;
   #isBroken = false;
 
-  constructor(request: ClientRequest, message: IncomingMessage) {
+  constructor(request: ClientRequest, message: IncomingMessage, timers: TimerService) {
     this.#request = request;
+    this.#timers = timers;
     this.message = message;
     // node:http reports an answer without a length as complete when its connection is reset.
     request.on('error', () => {
@@ -120,6 +125,21 @@
     this.#request.destroy();
   }
 
+  /**
+   * Drops a body that is not needed. It is read to its end, so that the connection can be reused, unless it is long or
+   * late: then the connection is closed.
+   */
+  discard(): void {
+    const { message } = this;
+    let length = 0;
+    const cancel = this.#timers.after(MAX_DISCARD_MS, () => this.destroy());
+    message.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length > MAX_DISCARDED_BYTES) this.destroy();
+    });
+    message.once('close', cancel);
+  }
+
   /** The complete body, or undefined when it broke off or is too large. */
   collect(maxBytes: number): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
@@ -234,7 +254,7 @@
         });
       });
       request.on('response', (message) => {
-        const answer = new BackendAnswer(request, message);
+        const answer = new BackendAnswer(request, message, this.#timers);
         if (isSettled) call.lateAnswer?.onAnswer(answer);
         else settle({ kind: 'answered', answer });
       });
--- a/src/shell/gateway/confirmations.ts
+++ b/src/shell/gateway/confirmations.ts
@@ -128,7 +128,7 @@
       });
       if (result.kind !== 'answered') return 'unknown';
       const { status, message } = result.answer;
-      message.resume();
+      result.answer.discard();
       return codec.readHealth(status, message.headers, server.id);
     });
   }
--- a/src/shell/gateway/event-splitter.ts
+++ b/src/shell/gateway/event-splitter.ts
@@ -28,6 +28,11 @@
     return complete;
   }
 
+  /** Bytes held back, as their event is not complete. */
+  get heldBytes(): number {
+    return this.#partialEvent.length;
+  }
+
   /** Discards an incomplete event before another server resumes the stream. */
   discardPartialEvent(): void {
     this.#partialEvent = EMPTY;
--- a/src/shell/gateway/prefill.ts
+++ b/src/shell/gateway/prefill.ts
@@ -183,6 +183,6 @@
   void callWithTimeout(exchange.options.timers, FREE_TIMEOUT_MS, undefined, (signal) =>
     context.calls.call({ ...call, signal }),
   ).then((result) => {
-    if (result.kind === 'answered') result.answer.message.resume();
+    if (result.kind === 'answered') result.answer.discard();
   });
 }
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -109,7 +109,7 @@
     this.#record(peer, exchange, result, notTaken);
     if (result.kind === 'answered') this.#recordAvailability(exchange, result.answer);
     if (notTaken !== undefined) {
-      if (result.kind === 'answered') result.answer.message.resume();
+      if (result.kind === 'answered') result.answer.discard();
       return false;
     }
     if (exchange.signal.aborted) exchange.endInterrupted();
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -10,6 +10,8 @@
 import { EventSplitter } from './event-splitter.js';
 import type { Exchange } from './exchange.js';
 
+/** A longer event is not waited for: it is held back in memory until it is complete. */
+const MAX_EVENT_BYTES = 1_048_576;
 const EVENT_STREAM = 'text/event-stream';
 
 /** How one server's part of a stream ended. */
@@ -98,6 +100,11 @@
       message.on('data', (chunk: Buffer) => {
         this.#follow(boundary, chunk);
         const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
+        if (this.#splitter.heldBytes > MAX_EVENT_BYTES) {
+          settle('broken');
+          answer.destroy();
+          return;
+        }
         if (bytes.length === 0) return;
         const isReady = this.hasBegun ? undefined : this.#onFirstEvent(source);
         if (isReady === undefined) return forward(bytes);
--- /dev/null
+++ b/test/gateway/bytes-without-end.test.ts
@@ -0,0 +1,188 @@
+/** Bytes without end in answers that a daemon does not need, or in one event: they were read until the peer stopped. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { ServiceConnection } from '../../platform/http-call.js';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import {
+  configuration,
+  GatewayFixture,
+  RESUMABLE_ROUTE,
+  route,
+  SHORT_REQUEST,
+} from './support/fixture.js';
+import { ManualTimers } from './support/manual-timers.js';
+import { type ServedRequest, stamped } from './support/server-stand-in.js';
+
+const CHUNK = Buffer.alloc(65_536, 'x');
+/** Bytes that may be on their way when a connection is closed. */
+const MAX_READ_BYTES = 64 * 1_024 * 1_024;
+const HEAD = 'HTTP/1.1 200 OK\r\n';
+
+let server: Server;
+let fixture: GatewayFixture;
+let timers: ManualTimers;
+let connections: BackendConnections;
+
+beforeEach(async () => {
+  fixture = new GatewayFixture();
+  timers = new ManualTimers();
+  connections = new BackendConnections(timers);
+  server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+});
+
+afterEach(() => {
+  fixture.stop();
+  connections.close();
+  server.close();
+});
+
+/** Writes until the peer closes the connection; resolves to the bytes that it took. */
+async function writeWithoutEnd(socket: Socket, chunk = CHUNK): Promise<number> {
+  socket.on('error', () => undefined);
+  const closed = new Promise((resolve) => socket.once('close', resolve));
+  const write = () => {
+    while (!socket.destroyed && socket.bytesWritten < MAX_READ_BYTES) {
+      if (!socket.write(chunk)) return;
+    }
+    socket.destroy();
+  };
+  socket.on('drain', write);
+  write();
+  await closed;
+  return socket.bytesWritten;
+}
+
+/** What a server that answers with `head` and then bytes without end got rid of. */
+async function bytesTaken(head: string, chunk = CHUNK): Promise<number> {
+  const [socket] = (await once(server, 'connection')) as [Socket];
+  await once(socket, 'data');
+  socket.write(head);
+  return writeWithoutEnd(socket, chunk);
+}
+
+function call() {
+  const { port } = server.address() as AddressInfo;
+  return connections.call({
+    address: `127.0.0.1:${port}`,
+    method: 'GET',
+    path: '/',
+    headers: [],
+    body: Buffer.alloc(0),
+    mayKeepConnection: true,
+    connectTimeoutMs: 200,
+    signal: new AbortController().signal,
+  });
+}
+
+function assertClosedEarly(bytes: number): void {
+  assert.ok(bytes < MAX_READ_BYTES, `${bytes} bytes`);
+}
+
+test('the body of an answer that is not needed is read to a bound, and its connection closed', async () => {
+  const taken = bytesTaken(`${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n`);
+  const result = await call();
+  assert.ok(result.kind === 'answered');
+  result.answer.discard();
+  assertClosedEarly(await taken);
+});
+
+test('the body of an answer that is not needed and comes slowly is given up after a time', async () => {
+  const arrived = once(server, 'connection');
+  const answered = call();
+  const [socket] = (await arrived) as [Socket];
+  socket.on('error', () => undefined);
+  socket.write(`${HEAD}Content-Length: 1000\r\n\r\nx`);
+  const result = await answered;
+  assert.ok(result.kind === 'answered');
+  result.answer.discard();
+  timers.advance(2_000);
+  socket.resume();
+  await once(socket, 'close');
+});
+
+test('a short answer that is not needed leaves its connection open for the next call', async () => {
+  const sockets: Socket[] = [];
+  server.on('connection', (socket: Socket) => {
+    sockets.push(socket);
+    socket.on('data', () =>
+      socket.write(`${HEAD}Keep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok`),
+    );
+  });
+  for (let count = 0; count < 2; count += 1) {
+    const result = await call();
+    assert.ok(result.kind === 'answered');
+    const ended = once(result.answer.message, 'close');
+    result.answer.discard();
+    await ended;
+    timers.advance(2_000);
+    await new Promise(setImmediate);
+  }
+  assert.equal(sockets.length, 1);
+  for (const socket of sockets) socket.destroy();
+});
+
+test('trailers without end are given up', async () => {
+  const taken = bytesTaken(
+    `${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`,
+    Buffer.from('A: b\r\n'),
+  );
+  const result = await call();
+  assert.ok(result.kind === 'answered');
+  assert.equal(await result.answer.collect(1_000), undefined);
+  assertClosedEarly(await taken);
+});
+
+test('an answer without end of the store fails the call, and its connection is closed', async () => {
+  const taken = bytesTaken(`${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n`);
+  const { port } = server.address() as AddressInfo;
+  const store = new ServiceConnection({ host: '127.0.0.1', port });
+  const request = { method: 'GET', path: '/rows-get', headers: {}, body: undefined };
+  const result = await store.call(request, new AbortController().signal);
+  assert.deepEqual(result.kind, 'failed');
+  assertClosedEarly(await taken);
+});
+
+async function startWith(script: (served: ServedRequest) => void): Promise<void> {
+  await fixture.start();
+  const slip = route({ name: 'slip', pathPrefix: '/slip/', kind: 'non_idempotent' });
+  fixture.store.putConfiguration(configuration(1, [RESUMABLE_ROUTE, slip]));
+  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+  const engine = { service: 'reader', stage: 'decode' };
+  await fixture.addServer('engine', script, engine);
+  await fixture.addServer('web', script);
+  for (const id of ['engine', 'web']) {
+    await fixture.logged(GATEWAY_EVENTS.serverAdded, (fields) => fields.server === id);
+  }
+}
+
+test('an event without end is given up, and its request is not told as answered', async () => {
+  let taken: Promise<number> | undefined;
+  await startWith(({ seen, socket }) => {
+    if (seen.method !== 'POST') return socket.destroy();
+    const headers = Object.entries({ ...stamped(seen), 'Content-Type': 'text/event-stream' });
+    const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`);
+    socket.write(`${HEAD}${lines.join('')}\r\nid: 1\ndata: `);
+    taken ??= writeWithoutEnd(socket);
+  });
+  const answer = await fixture.call(SHORT_REQUEST);
+  assert.equal(answer.status, 502);
+  assertClosedEarly((await taken) ?? MAX_READ_BYTES);
+});
+
+test('the body without end of a rejection is given up, and the request is refused as not run', async () => {
+  let taken: Promise<number> | undefined;
+  await startWith(({ seen, socket }) => {
+    const id = String(seen.headers['x-attempt-id']);
+    const head = `HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: ${id}\r\n\r\n`;
+    socket.write(head);
+    taken ??= writeWithoutEnd(socket);
+  });
+  const answer = await fixture.call({ path: '/slip/1' });
+  assert.equal(answer.status, 503);
+  assertClosedEarly((await taken) ?? MAX_READ_BYTES);
+});
