--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -71,6 +71,12 @@
   readonly isRetry: boolean;
 }
 
+/** A daemon that gets a share of all new connections. */
+export interface Skew {
+  readonly daemon: string;
+  readonly share: number;
+}
+
 export class Callers {
   readonly #options: CallersOptions;
   readonly #agents = new Map<string, http.Agent>();
@@ -85,6 +91,8 @@
   readonly #repeats: NodeJS.Timeout[] = [];
   /** Multiplier of the request rate. */
   factor = 1;
+  /** The daemon that gets most new connections while callers open one for each request. */
+  skew: Skew | undefined;
   /** Share of the callers that leave early. */
   leavingShare = USUAL_LEAVING_SHARE;
 
@@ -205,7 +213,13 @@
       if (resumes === undefined) this.#retry(spec, end);
       else this.#sendLater({ ...spec, resumes, isRetry: false }, RESUME_DELAY_MS);
     };
-    sendCall({ call, daemon, agent: this.#agentOf(daemon), leavesEarly, onEnd });
+    sendCall({
+      call,
+      daemon,
+      agent: this.skew === undefined ? this.#agentOf(daemon) : false,
+      leavesEarly,
+      onEnd,
+    });
   }
 
   /** A caller retries once after a refusal; after a failed connection it retries until its deadline. */
@@ -226,11 +240,20 @@
   /** A random daemon if there is an idle connection to it; otherwise a random daemon that is ready. */
   #chooseDaemon(): CalledDaemon | undefined {
     const { daemons, random } = this.#options;
+    if (this.skew !== undefined && random() < this.skew.share) return this.#skewedTo(this.skew);
     const candidate = daemons[Math.floor(random() * daemons.length)];
     if (candidate?.isRunning && this.#hasOpenConnection(candidate)) return candidate;
     return this.#ready[Math.floor(random() * this.#ready.length)] ?? candidate;
   }
 
+  /** The daemon that a skew prefers, or the next one that is ready. */
+  #skewedTo({ daemon }: Skew): CalledDaemon | undefined {
+    const { daemons } = this.#options;
+    const first = daemons.findIndex(({ name }) => name === daemon);
+    const inOrder = [...daemons.slice(first), ...daemons.slice(0, first)];
+    return inOrder.find((one) => this.#ready.includes(one));
+  }
+
   #hasOpenConnection(daemon: CalledDaemon): boolean {
     return Object.values(this.#agentOf(daemon).freeSockets).some((free) => free?.length);
   }
@@ -266,7 +289,8 @@
 interface SendOptions {
   readonly call: CallRecord;
   readonly daemon: CalledDaemon;
-  readonly agent: http.Agent;
+  /** False for a connection of its own. */
+  readonly agent: http.Agent | false;
   readonly leavesEarly: boolean;
   readonly onEnd: (end: CallEnd) => void;
 }
--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -17,6 +17,7 @@
   DrainNotice,
   LimitNotice,
   Scope,
+  SkewRecord,
   SoakBounds,
 } from './record.js';
 import { ENTRY_LAPSE_MS, type PooledServer, type ServerPool } from './server-pool.js';
@@ -56,6 +57,7 @@
   readonly drains: DrainNotice[] = [];
   readonly limits: LimitNotice[] = [];
   readonly cuts: CutRecord[] = [];
+  readonly skews: SkewRecord[] = [];
   readonly #world: SoakEnvironment;
   #isEnded = false;
   #crashesUnderRequests = 0;
@@ -120,6 +122,8 @@
         return this.#lapseEntries(fault.forMs);
       case 'servers':
         return this.#injectServersFault(fault);
+      case 'skew':
+        return this.#skew(fault);
       case 'crash':
         await Promise.all(
           this.#serversAt(fault.servers).map((s) => this.#crash(s, fault.downMs, 'other')),
@@ -173,6 +177,16 @@
     }
   }
 
+  async #skew({ daemon, share, forMs }: Extract<Fault, { kind: 'skew' }>): Promise<void> {
+    const [preferred] = this.#daemonsAt([daemon]);
+    if (preferred === undefined) return;
+    const fromMs = performance.now();
+    this.#world.callers.skew = { daemon: preferred.name, share };
+    await pause(forMs);
+    this.#world.callers.skew = undefined;
+    this.skews.push({ daemon: preferred.name, fromMs, toMs: performance.now() });
+  }
+
   #daemonsAt(indexes: readonly number[]): readonly GatewayProcess[] {
     return indexes.flatMap((index) => this.#world.daemons[index] ?? []);
   }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -18,6 +18,7 @@
 } from './plan.js';
 import { planReleases } from './release-plan.js';
 import { runSoak, type SoakPrograms, type SoakResult } from './run.js';
+import { planSkews } from './skew-plan.js';
 
 const EXIT_BROKEN = 1;
 const EXIT_UNUSABLE = 2;
@@ -61,7 +62,8 @@
   daemons = Option.String('--daemons', '9', { description: 'gateway processes' });
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
-    description: 'mixed, herd, outages, copies, cuts, upgrade, releases, departures or parts',
+    description:
+      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts or skews',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -99,6 +101,7 @@
       releases: planReleases,
       departures: planDepartures,
       parts: planParts,
+      skews: planSkews,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -9,6 +9,7 @@
 import { limitFaults } from './rate-limit-judge.js';
 import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS } from './response-bodies.js';
+import { unservedSkews } from './skew-judge.js';
 import { hasAllEvents, resumptionFaults, versionFaults } from './stream-judge.js';
 
 /** The promises; docs/SOAK.md describes each in a sentence. */
@@ -80,6 +81,7 @@
     ...judgeCrashingParts(calls, run),
     ...judgeRecovery(calls, run),
     ...judgeCuts(calls, run),
+    ...judgeSkews(calls, run),
   ];
 }
 
@@ -617,6 +619,16 @@
   }));
 }
 
+function judgeSkews(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
+  const inTouch = (daemon: string, fromMs: number, toMs: number) =>
+    isInTouch(run, daemon, fromMs, toMs);
+  return unservedSkews(calls, run, inTouch).map((detail) => ({
+    promise: 'RECOVER',
+    atMs: run.endMs,
+    detail,
+  }));
+}
+
 function judgeRecovery(calls: readonly CallRecord[], run: RunRecord): readonly Violation[] {
   const known = run.configurations.at(-1)?.tenantOfKey;
   const atEnd = calls.filter(
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -107,6 +107,13 @@
       readonly share: number;
       readonly forMs: number;
     }
+  /** Most new connections go to one daemon, and callers open one for each request. */
+  | {
+      readonly kind: 'skew';
+      readonly daemon: number;
+      readonly share: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'crash'; readonly servers: readonly number[]; readonly downMs: number }
   /** The servers crash and restart under the same id after `downMs`. */
   | { readonly kind: 'restart'; readonly servers: readonly number[]; readonly downMs: number }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -202,6 +202,7 @@
   readonly orders: readonly OrderRecord[];
   readonly duties: readonly DutyRecord[];
   readonly cuts: readonly CutRecord[];
+  readonly skews: readonly SkewRecord[];
   readonly serving: readonly ServingSpan[];
   readonly bounds: SoakBounds;
   readonly endMs: number;
@@ -215,6 +216,13 @@
   readonly toMs: number;
 }
 
+/** A span in which most new connections went to one daemon. */
+export interface SkewRecord {
+  readonly daemon: string;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
 /** The bounds that daemons are configured with and judged by. */
 export interface SoakBounds {
   readonly contactMs: number;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -210,6 +210,7 @@
       drains: this.#faults.drains,
       limits: this.#faults.limits,
       cuts: this.#faults.cuts,
+      skews: this.#faults.skews,
       serving: this.#pool.servingSpans,
       orders: this.#orders,
       duties: this.#dutyService.records,
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -78,6 +78,7 @@
     drains: [],
     limits: [],
     cuts: [],
+    skews: [],
     orders: [],
     duties: [],
     bounds: BOUNDS,
