Soak: the judges of parts and of skews use what the judge of cuts has

Cause: the type of the in-touch check and the test for a served call stood three and two times. Change: both come from cut-off-judge.ts; no check or bound differs.

--- a/soak/cut-off-judge.ts
+++ b/soak/cut-off-judge.ts
@@ -47,6 +47,7 @@
   return isInCut && !isRetry && !hasLeft && isInTouch(daemon, sentMs, endedMs ?? sentMs);
 }
 
-function isServed({ end }: CallRecord): boolean {
+/** Whether a caller got a complete success. */
+export function isServed({ end }: CallRecord): boolean {
   return end?.kind === 'answered' && end.status === 200 && end.isComplete;
 }
--- a/soak/part-judge.ts
+++ b/soak/part-judge.ts
@@ -1,4 +1,5 @@
 /** Judges what is sent, and what sound requests keep, while a part of prompts crashes each server that runs it. */
+import type { IsInTouch } from './cut-off-judge.js';
 import type { CallRecord, RunRecord } from './record.js';
 
 /** Servers that one part may crash, and the requests with it that may reach servers after the contact time. */
@@ -7,9 +8,6 @@
 const MIN_COMPARED = 20;
 const MIN_SHARE = 0.5;
 
-/** Whether a daemon was in contact with the store, undisturbed, in a span. */
-type IsInTouch = (daemon: string, fromMs: number, toMs: number) => boolean;
-
 /** A crashing part, with the ends of servers under it and the requests with it. */
 interface PartHistory {
   readonly part: string;
--- a/soak/skew-judge.ts
+++ b/soak/skew-judge.ts
@@ -1,4 +1,5 @@
 /** Judges whether callers are served while most new connections go to one daemon. */
+import { type IsInTouch, isServed } from './cut-off-judge.js';
 import type { CallRecord, RunRecord, SkewRecord } from './record.js';
 
 const MIN_COMPARED = 20;
@@ -6,9 +7,6 @@
 /** The seconds before, with which the time of the skew is compared. */
 const COMPARED_MS = 5_000;
 
-/** Whether a daemon was running and in contact with the store during a span, and had been for long enough. */
-type IsInTouch = (daemon: string, fromMs: number, toMs: number) => boolean;
-
 /** Descriptions of skews in which first tries that a daemon had read were served too seldom. */
 export function unservedSkews(
   calls: readonly CallRecord[],
@@ -54,7 +52,3 @@
 function shareServed(tries: readonly CallRecord[]): number {
   return tries.filter(isServed).length / tries.length;
 }
-
-function isServed({ end }: CallRecord): boolean {
-  return end?.kind === 'answered' && end.status === 200 && end.isComplete;
-}
