Log departures that are learned late, late answers, contradicting notices and stalls of the process

Change: warnings 6100 (learned over half of drainMs late: the relay, the last request sent there), 6101 (answered that long after its departure became known), 6102 (a notice contradicts a newer list), 6103 (the process stood still). Requests around departures are reported by a module of their own.

No decision changed.

--- a/src/core/gateway/departure-timing.ts
+++ b/src/core/gateway/departure-timing.ts
@@ -20,6 +20,9 @@
 /** How long a relay's digest is relied on if no other follows, as a share of `drainMs`. */
 const DIGEST_SILENCE_SHARE_OF_DRAIN = 1 / 3;
 
+/** A daemon that stood still for this share of `drainMs` must not go on with what it knew before. */
+const STALL_SHARE_OF_DRAIN = 1 / 4;
+
 /** How a departure reaches a daemon. */
 export type DepartureWay =
   /** It reads the list from the store, as a relay and each daemon of a small fleet do. */
@@ -36,6 +39,11 @@
   return drainMs * DIGEST_SILENCE_SHARE_OF_DRAIN;
 }
 
+/** How long a daemon may stand still and go on with the list of servers that it knew before. */
+export function maxStallMs(drainMs: number): number {
+  return drainMs * STALL_SHARE_OF_DRAIN;
+}
+
 /** The longest time from the store's acknowledgement of a departure until a daemon knows. */
 export function longestUnawareMs(way: DepartureWay, drainMs: number): number {
   const ownReadMs = SERVERS_BATCH_MS + STORE_ANSWER_MS;
--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -124,6 +124,13 @@
     return this.#record(listed, state, { ...notice, source: 'notice' }, nowMs);
   }
 
+  /** Whether a notice tells of a departure that the list here does not show, although it was followed beyond the notice. */
+  contradicts({ server, ...notice }: DepartureNotice, followed: StorePosition): boolean {
+    const listed = this.#directory.get(server.id);
+    const isInUse = listed?.state === 'ready' && isSameBoot(listed, server);
+    return isInUse && this.of(server.id) === undefined && !isAfter(notice, followed);
+  }
+
   /** Whether a server that is listed as ready is not used: a notice says that it departs, or it has to confirm its return. */
   isWithheld(id: string, nowMs: number): boolean {
     const departure = this.#byId.get(id);
--- a/src/core/logging/catalogue/index.ts
+++ b/src/core/logging/catalogue/index.ts
@@ -6,6 +6,7 @@
 import { CALLER_HTTP_EVENTS } from './caller-http.js';
 import { CONFIGURATION_EVENTS } from './configuration.js';
 import { DAEMON_EVENTS } from './daemon.js';
+import { DEPARTURE_EVENTS } from './departures.js';
 import { ENGINE_EVENTS } from './engine.js';
 import { GATEWAY_EVENTS } from './gateway.js';
 import { LEASE_EVENTS } from './lease.js';
@@ -60,4 +61,10 @@
   },
   { name: 'operator', title: 'Operator API', firstNumber: 5000, events: OPERATOR_EVENTS },
   { name: 'gateway', title: 'Gateway', firstNumber: 6000, events: GATEWAY_EVENTS },
+  {
+    name: 'departures',
+    title: 'Departures of servers',
+    firstNumber: 6100,
+    events: DEPARTURE_EVENTS,
+  },
 ];
--- a/src/shell/gateway/departure-tracker.ts
+++ b/src/shell/gateway/departure-tracker.ts
@@ -7,6 +7,7 @@
   RowsOrigin,
   ServerRecord,
 } from '../../core/gateway/index.js';
+import { DEPARTURE_EVENTS } from '../../core/logging/catalogue/departures.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { StorePosition } from '../../core/platform/store-position.js';
 import { ageField } from './age-field.js';
@@ -65,9 +66,10 @@
    */
   applyNotices(notices: readonly DepartureNotice[], followed: StorePosition): readonly Departure[] {
     const { departures, timers } = this.#options;
-    const learned = notices.flatMap(
-      (notice) => departures.applyNotice(notice, followed, timers.nowMs()) ?? [],
-    );
+    const learned = notices.flatMap((notice) => {
+      if (departures.contradicts(notice, followed)) this.#reportContradiction(notice, followed);
+      return departures.applyNotice(notice, followed, timers.nowMs()) ?? [];
+    });
     for (const departure of learned) this.#report(departure);
     return learned;
   }
@@ -79,6 +81,12 @@
     if (departure !== undefined) this.#report(departure);
   }
 
+  #reportContradiction({ server, state, era, revision }: DepartureNotice, at: StorePosition): void {
+    const known = { knownEra: at.era, knownRevision: at.revision };
+    const fields = { server: server.id, state, era, revision, ...known };
+    this.#options.log.write(DEPARTURE_EVENTS.noticeContradictsList, fields);
+  }
+
   #report(departure: Departure): void {
     const { recordDeparture, awaitConfirmation, log } = this.#options;
     const { server, state, source, changedAfterMs, learnedAtMs, ...at } = departure;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import {
   type Departure,
   maxDigestSilenceMs,
+  maxStallMs,
   PeerRoster,
   type ReachabilityNotice,
   RestoredServers,
@@ -22,6 +23,7 @@
 import { Confirmations } from './confirmations.js';
 import { CrashGuard } from './crash-guard.js';
 import { DepartureGossip } from './departure-gossip.js';
+import { DepartureReports } from './departure-reports.js';
 import { Duties } from './duties.js';
 import { FleetFollower } from './fleet-follower.js';
 import { FleetView } from './fleet-view.js';
@@ -43,6 +45,7 @@
 import { ServicePathMonitor } from './service-path-monitor.js';
 import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
+import { StallMonitor } from './stall-monitor.js';
 import { StreamContinuity } from './stream-continuity.js';
 import { StreamWaits } from './stream-waits.js';
 import {
@@ -115,7 +118,8 @@
   readonly #paths: ServicePathMonitor;
   readonly #departures: DepartureGossip;
   readonly #comparison: PathComparison;
-  readonly #calls: ServerCalls;
+  readonly #departureReports: DepartureReports;
+  readonly #stalls: StallMonitor;
   readonly #forwardingListener: ForwardingListener;
   readonly #confirmations: Confirmations;
   #isRelay = false;
@@ -183,8 +187,23 @@
       timers,
       log,
     });
-    const calls = new ServerCalls({
+    this.#stalls = new StallMonitor({
+      minStallMs: maxStallMs(settings.bounds.drainMs ?? Number.POSITIVE_INFINITY),
+      onStall: () => undefined,
+      timers: this.#suspensionAwareTimers,
+      log,
+    });
+    this.#departureReports = new DepartureReports({
       build,
+      drainMs: settings.bounds.drainMs,
+      fleet: this.#fleet,
+      relayName: () => this.#digest.relayName,
+      timers,
+      metrics: this.#metrics,
+      log,
+    });
+    const calls = new ServerCalls({
+      reports: this.#departureReports,
       connections: this.#connections,
       paths: this.#paths,
       fleet: this.#fleet,
@@ -196,7 +215,6 @@
       onLimitChange: (server, change, purpose) =>
         this.#limits.recordReportedLimit(server, change, purpose),
     });
-    this.#calls = calls;
     const handleServersChanged = () => {
       this.#streams.handleServersChanged();
       this.#admission.wake();
@@ -326,6 +344,7 @@
   async start(): Promise<GatewayAddresses> {
     const { settings, adapter, log } = this.#options;
     const { callers, readiness, metrics, peers } = settings.listen;
+    this.#stalls.start();
     this.#follower.start();
     this.#crashes.start();
     this.#stages.start();
@@ -381,6 +400,7 @@
   /** Stops at once and cuts off running requests. */
   abort(): void {
     this.#isStopping = true;
+    this.#stalls.stop();
     this.#follower.stop();
     this.#confirmations.stop();
     this.#crashes.stop();
@@ -496,7 +516,7 @@
       applyServers: (changes) => this.#follower.applyServerChanges(changes),
       handleDepartures: (message) =>
         this.#follower.applyDepartureNotices(this.#departures.noticesIn(message)),
-      handleTableDigest: (digest) => this.#digest.apply(digest),
+      handleTableDigest: (digest, relay) => this.#digest.apply(digest, relay),
       relayPeersChecksum: () => this.#digest.peersChecksum,
       handleStageNotice: (notice) => this.#fleet.stageNotices.apply(notice, timers.nowMs()),
       handleCrashRecords: (records) => this.#crashes.applyPeerRecords(records),
@@ -553,7 +573,7 @@
   #recordDeparture(departure: Departure): void {
     const { source, learnedAtMs, changedAfterMs } = departure;
     this.#metrics.recordDeparture(source, learnedAtMs - changedAfterMs);
-    this.#calls.reportUnanswered(departure);
+    this.#departureReports.reportDeparture(departure);
   }
 
   get #watchRole(): WatchRole {
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -102,7 +102,7 @@
   /** The checksum of the list of daemons at the zone's relay; undefined while its digest is not fresh. */
   readonly relayPeersChecksum: () => number | undefined;
   /** Handles a digest of the store's tables from the zone's relay. */
-  readonly handleTableDigest: (digest: TableDigest) => void;
+  readonly handleTableDigest: (digest: TableDigest, relay: string) => void;
   /** The configuration version that this daemon has in force; 0 for none. */
   readonly configurationVersion: () => number;
   /** Records the configuration version that another daemon has in force. */
@@ -371,7 +371,8 @@
         roster.recordRelayContact(message.relay, message.zone, nowMs);
         recordPeerVersion(message.digest.configurationVersion, message.relay);
         this.#configurations.recordPeerVersion(message.relay, message.digest.configurationVersion);
-        if (message.zone === zone && !this.#relay.isRelay) handleTableDigest(message.digest);
+        if (message.zone === zone && !this.#relay.isRelay)
+          handleTableDigest(message.digest, message.relay);
         return;
       case 'configuration':
         this.#configurations.apply(message);
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -19,6 +19,7 @@
   #digest: TableDigest | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
   #relayContactAtMs = Number.NEGATIVE_INFINITY;
+  #relayName: string | undefined;
 
   /**
    * @param maxAgeMs the age up to which the relay's last contact with the store is relied on
@@ -39,10 +40,19 @@
     return this.#relayContactAtMs;
   }
 
-  /** Merges a digest. A delayed one does not shorten the freshness of a newer one; one of an earlier era is ignored. */
-  apply(digest: TableDigest): void {
+  /** The relay that sent the last digest; undefined while none is fresh. */
+  get relayName(): string | undefined {
+    return this.isFresh ? this.#relayName : undefined;
+  }
+
+  /**
+   * Merges a digest. A delayed one does not shorten the freshness of a newer one; one of an earlier era is ignored.
+   * @param relayName who sent it
+   */
+  apply(digest: TableDigest, relayName?: string): void {
     const known = this.#digest;
     if (known !== undefined && isOfEarlierEra(digest, known)) return;
+    this.#relayName = relayName;
     const nowMs = this.#timers.nowMs();
     this.#relayContactAtMs = Math.max(this.#relayContactAtMs, nowMs - digest.ageMs);
     const freshForMs = Math.min(this.#maxSilenceMs, this.#maxAgeMs - digest.ageMs);
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -5,7 +5,6 @@
  */
 import {
   type AnswerOrigin,
-  type Departure,
   type LimitChange,
   type LimitReading,
   lateAnswerWaitMs,
@@ -14,17 +13,15 @@
   type SendAvailability,
   type ServerRecord,
   type TrackedCall,
-  UnansweredCalls,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { LogFields } from '../../core/logging/log-event.js';
-import { ageField } from './age-field.js';
 import type {
   BackendAnswer,
   BackendCall,
   BackendConnections,
   CallResult,
 } from './backend-connections.js';
+import type { DepartureReports } from './departure-reports.js';
 import type { FleetView } from './fleet-view.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { RequestCodec } from './ports.js';
@@ -35,9 +32,6 @@
 /** Minimum interval between log lines on unreadable headers, as a faulty server sends them with every answer. */
 const LOG_INTERVAL_MS = 10_000;
 
-/** A stopped server may hold many calls; beyond this number the line of a departure only counts them. */
-const MAX_UNANSWERED_LOGGED = 16;
-
 /** The purpose of a call. */
 export type CallPurpose =
   | 'run'
@@ -79,12 +73,12 @@
 
 /** Dependencies of the calls. */
 export interface ServerCallsOptions {
-  readonly build: string;
   readonly connections: Pick<BackendConnections, 'call'>;
   readonly fleet: Pick<
     FleetView,
     'availability' | 'availabilityOf' | 'departures' | 'limits' | 'permits' | 'recentSends'
   >;
+  readonly reports: Pick<DepartureReports, 'recordSent' | 'recordResult' | 'recordLateAnswer'>;
   /** Called when an answer changed the known limit of its server. */
   readonly onLimitChange: (server: ServerRecord, change: LimitChange, purpose: CallPurpose) => void;
   readonly paths: Pick<ServicePathMonitor, 'recordConnected' | 'recordFailure'>;
@@ -94,11 +88,7 @@
   readonly wallClock: WallClock;
   readonly metrics: Pick<
     GatewayMetrics,
-    | 'recordReportedAvailability'
-    | 'recordHeldBack'
-    | 'recordCallToLimited'
-    | 'recordSentToDeparting'
-    | 'recordUnansweredAtDeparture'
+    'recordReportedAvailability' | 'recordHeldBack' | 'recordCallToLimited'
   >;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -106,7 +96,6 @@
 /** Calls servers and records the availability and limits that they report. */
 export class ServerCalls {
   readonly #options: ServerCallsOptions;
-  readonly #unanswered = new UnansweredCalls();
   #unreadable = 0;
   #unreadableLoggedMs = Number.NEGATIVE_INFINITY;
 
@@ -115,17 +104,17 @@
   }
 
   async call(call: ServerCall): Promise<ServerCallResult> {
-    const { connections, paths, timers } = this.#options;
+    const { connections, paths, reports, timers } = this.#options;
     const { server, purpose, request, hasPermit, continuesStream, onLateAnswer, ...sent } = call;
     const sentAtMs = timers.nowMs();
     const heldBack = this.#holdBack(call, sentAtMs);
     if (heldBack !== undefined) return heldBack;
-    const unanswered = isForCaller(purpose) ? this.#recordSent(call, sentAtMs) : undefined;
+    const tracked = isForCaller(purpose) ? this.#recordSent(call, sentAtMs) : undefined;
     const lateAnswer = {
       waitMs: () => lateAnswerWaitMs(timers.nowMs() - sentAtMs),
       onAnswer: (answer: BackendAnswer) => {
         if (!isAnswerTo(call, this.#originOf(answer))) return answer.destroy();
-        if (unanswered !== undefined) this.#unanswered.remove(unanswered);
+        if (tracked !== undefined) reports.recordLateAnswer(tracked);
         this.#recordReports(call, sentAtMs, answer);
         if (onLateAnswer === undefined) answer.destroy();
         else onLateAnswer(answer);
@@ -137,7 +126,7 @@
       onConnected: () => paths.recordConnected(server),
       lateAnswer,
     });
-    if (unanswered !== undefined) this.#recordOutcome(call, unanswered, result);
+    if (tracked !== undefined) reports.recordResult(tracked, result, call.signal.aborted);
     const isUnconnected = result.kind === 'not-sent' && !call.signal.aborted;
     if (isUnconnected) paths.recordFailure(server, result.reason);
     if (result.kind !== 'answered') return result;
@@ -180,12 +169,10 @@
   }
 
   #recordSent(call: ServerCall, sentAtMs: number): TrackedCall {
-    const { fleet } = this.#options;
-    const { server, purpose, request } = call;
-    fleet.availability.recordSent(server, sentAtMs);
-    this.#reportSentToDeparting(call, sentAtMs);
+    const { fleet, reports } = this.#options;
+    fleet.availability.recordSent(call.server, sentAtMs);
     this.#recordSentToLimited(call, sentAtMs);
-    return this.#unanswered.add({ server, request, purpose, sentAtMs });
+    return reports.recordSent(call, sentAtMs);
   }
 
   #recordSentToLimited({ server, hasPermit = false }: ServerCall, sentAtMs: number): void {
@@ -199,56 +186,6 @@
     metrics.recordCallToLimited();
   }
 
-  /** Logs a request that goes to a server that is not listed as ready, with what this daemon knows of that. */
-  #reportSentToDeparting(call: ServerCall, nowMs: number): void {
-    const { fleet, metrics, log } = this.#options;
-    const departure = fleet.departures.of(call.server.id);
-    if (departure === undefined) return;
-    const { state, era, revision, learnedAtMs } = departure;
-    metrics.recordSentToDeparting(state);
-    log.write(GATEWAY_EVENTS.sentToDeparting, {
-      ...this.#departureFields(call, departure, nowMs),
-      learnedAgoMs: Math.round(nowMs - learnedAtMs),
-      era,
-      revision,
-    });
-  }
-
-  #departureFields(
-    { request, purpose }: Pick<TrackedCall, 'request' | 'purpose'>,
-    { server, state, source, changedAfterMs }: Departure,
-    nowMs: number,
-  ): LogFields {
-    const { build } = this.#options;
-    const changedWithinMs = ageField(nowMs - changedAfterMs);
-    return { request, server: server.id, build, purpose, state, source, changedWithinMs };
-  }
-
-  /** A request that was given up may still be read by its server. */
-  #recordOutcome({ signal }: ServerCall, unanswered: TrackedCall, result: CallResult): void {
-    const mayArrive = result.kind === 'broken' && signal.aborted;
-    if (mayArrive) this.#unanswered.giveUp(unanswered, this.#options.timers.nowMs());
-    else this.#unanswered.remove(unanswered);
-  }
-
-  /** Logs the requests that a server which departs has not answered: it may read them later than it should get any. */
-  reportUnanswered(departure: Departure): void {
-    const { metrics, log } = this.#options;
-    const { server, learnedAtMs } = departure;
-    const calls = this.#unanswered.takeOf(server, learnedAtMs);
-    metrics.recordUnansweredAtDeparture(calls.length);
-    const earliest = [...calls].sort((left, right) => left.sentAtMs - right.sentAtMs);
-    for (const call of earliest.slice(0, MAX_UNANSWERED_LOGGED)) {
-      const { sentAtMs, givenUpAtMs } = call;
-      log.write(GATEWAY_EVENTS.unansweredAtDeparture, {
-        ...this.#departureFields(call, departure, learnedAtMs),
-        sentAgoMs: Math.round(learnedAtMs - sentAtMs),
-        givenUpAgoMs: givenUpAtMs === undefined ? null : Math.round(learnedAtMs - givenUpAtMs),
-        calls: calls.length,
-      });
-    }
-  }
-
   #recordReports(call: ServerCall, sentAtMs: number, answer: BackendAnswer): void {
     const { server, purpose, request, signal } = call;
     const { status, message } = answer;
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -6,6 +6,7 @@
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
 import { type ServerCall, ServerCalls } from '../../src/shell/gateway/server-calls.js';
+import { quietDepartureReports } from './support/departure-reports.js';
 import { ManualTimers } from './support/manual-timers.js';
 import { SERVER } from './support/server-record.js';
 
@@ -22,7 +23,7 @@
     this.fleet.directory.replaceAll([SERVER]);
     const adapter = createPlatformAdapter({ host: '127.0.0.1', port: 1 });
     this.calls = new ServerCalls({
-      build: 'test',
+      reports: quietDepartureReports(this.fleet, this.timers),
       connections: {
         call: async () => {
           this.sent += 1;
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -12,6 +12,7 @@
 import { ServicePathMonitor } from '../../src/shell/gateway/service-path-monitor.js';
 import { StageController } from '../../src/shell/gateway/stage-controller.js';
 import { suspensionAwareTimers } from '../../src/shell/gateway/timer-service.js';
+import { quietDepartureReports } from './support/departure-reports.js';
 import { ManualTimers } from './support/manual-timers.js';
 import { MemoryTable } from './support/memory-table.js';
 
@@ -142,7 +143,7 @@
     fleet,
     table,
     calls: new ServerCalls({
-      build: 'test',
+      reports: quietDepartureReports(fleet, timers),
       connections: engines,
       fleet,
       paths: new ServicePathMonitor({
--- /dev/null
+++ b/test/gateway/stall-monitor.test.ts
@@ -0,0 +1,55 @@
+/** Guards against a process that stood still and does not notice before it sends requests. */
+import assert from 'node:assert/strict';
+import { beforeEach, test } from 'node:test';
+import { DEPARTURE_EVENTS } from '../../src/core/logging/catalogue/departures.js';
+import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
+import { StallMonitor } from '../../src/shell/gateway/stall-monitor.js';
+import { ManualTimers } from './support/manual-timers.js';
+
+const MIN_STALL_MS = 500;
+const STALL_MS = 3_000;
+
+let timers: ManualTimers;
+let stalls: number;
+let lines: { readonly event: LogEvent; readonly fields: LogFields }[];
+let monitor: StallMonitor;
+
+beforeEach(() => {
+  timers = new ManualTimers();
+  stalls = 0;
+  lines = [];
+  monitor = new StallMonitor({
+    minStallMs: MIN_STALL_MS,
+    onStall: () => {
+      stalls += 1;
+    },
+    timers,
+    log: { write: (event, fields = {}) => lines.push({ event, fields }) },
+  });
+  monitor.start();
+});
+
+test('a stall is noticed before any timer fires, and reported once', () => {
+  timers.advance(1_000);
+  timers.stall(STALL_MS);
+  monitor.check();
+  assert.equal(stalls, 1);
+  assert.equal(lines[0]?.event, DEPARTURE_EVENTS.stoodStill);
+  assert.ok(Number(lines[0]?.fields.stalledMs) >= STALL_MS - 100);
+  monitor.check();
+  timers.advance(1_000);
+  assert.equal(stalls, 1);
+});
+
+test('a stall that no request ends is noticed by the late timer', () => {
+  timers.stall(STALL_MS);
+  timers.advance(1);
+  assert.equal(stalls, 1);
+});
+
+test('a process that runs reports no stall', () => {
+  timers.advance(60_000);
+  timers.stall(MIN_STALL_MS / 2);
+  timers.advance(60_000);
+  assert.equal(stalls, 0);
+});
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -16,6 +16,7 @@
 import { decodePeerMessage, encodePeerMessage } from '../../../src/shell/gateway/peer-messages.js';
 import { type ServerCall, ServerCalls } from '../../../src/shell/gateway/server-calls.js';
 import { ServicePathMonitor } from '../../../src/shell/gateway/service-path-monitor.js';
+import { quietDepartureReports } from './departure-reports.js';
 import { seededRandom } from './engine-simulation.js';
 import { ManualTimers } from './manual-timers.js';
 
@@ -75,7 +76,7 @@
       metrics,
     });
     this.calls = new ServerCalls({
-      build: 'test',
+      reports: quietDepartureReports(this.fleet, timers),
       connections: { call: ({ address }) => world.serve(place, address) },
       fleet: this.fleet,
       paths: new ServicePathMonitor({
--- a/test/gateway/support/manual-timers.ts
+++ b/test/gateway/support/manual-timers.ts
@@ -33,12 +33,17 @@
       const next = [...this.#pending].sort((left, right) => left.dueMs - right.dueMs)[0];
       if (next === undefined || next.dueMs > endMs) break;
       this.#pending.delete(next);
-      this.#nowMs = next.dueMs;
+      this.#nowMs = Math.max(this.#nowMs, next.dueMs);
       next.callback();
     }
     this.#nowMs = endMs;
   }
 
+  /** Lets time pass in which the process stands still: overdue timers fire with the next advance. */
+  stall(spanMs: number): void {
+    this.#nowMs += spanMs;
+  }
+
   /** Advances the time by a span, and lets socket events run meanwhile. */
   async advanceBy(spanMs: number): Promise<void> {
     const endMs = this.#nowMs + spanMs;
--- a/test/gateway/unanswered-calls.test.ts
+++ b/test/gateway/unanswered-calls.test.ts
@@ -3,9 +3,11 @@
 import { beforeEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import { type Departure, UnansweredCalls } from '../../src/core/gateway/index.js';
+import { DEPARTURE_EVENTS } from '../../src/core/logging/catalogue/departures.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
-import type { CallResult } from '../../src/shell/gateway/backend-connections.js';
+import type { BackendAnswer, CallResult } from '../../src/shell/gateway/backend-connections.js';
+import { DepartureReports } from '../../src/shell/gateway/departure-reports.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
 import { ServerCalls } from '../../src/shell/gateway/server-calls.js';
@@ -13,6 +15,15 @@
 import { ManualTimers } from './support/manual-timers.js';
 import { SERVER } from './support/server-record.js';
 
+const DRAIN_MS = 2_000;
+
+/** The head of the answer to a request. */
+function answerTo(request: string): CallResult {
+  const message = { headers: { 'x-attempt-id': request } };
+  const answer = { status: 200, message, isReusedConnection: false, destroy: () => undefined };
+  return { kind: 'answered', answer: answer as unknown as BackendAnswer };
+}
+
 interface Line {
   readonly event: LogEvent;
   readonly fields: LogFields;
@@ -24,12 +35,26 @@
   readonly lines: Line[] = [];
   readonly #results: ReturnType<typeof deferred<CallResult>>[] = [];
   readonly #calls: ServerCalls;
+  readonly #reports: DepartureReports;
+  readonly #fleet = new FleetView({ ratio: 1, slack: 1 });
 
   constructor() {
-    const fleet = new FleetView({ ratio: 1, slack: 1 });
+    const fleet = this.#fleet;
     fleet.directory.replaceAll([SERVER]);
-    this.#calls = new ServerCalls({
+    const log = {
+      write: (event: LogEvent, fields: LogFields = {}) => this.lines.push({ event, fields }),
+    };
+    this.#reports = new DepartureReports({
       build: 'build-1',
+      drainMs: DRAIN_MS,
+      fleet,
+      relayName: () => 'front-7',
+      timers: this.timers,
+      metrics: new GatewayMetrics(),
+      log,
+    });
+    this.#calls = new ServerCalls({
+      reports: this.#reports,
       connections: {
         call: () => {
           const result = deferred<CallResult>();
@@ -43,7 +68,7 @@
       timers: this.timers,
       wallClock: () => this.timers.nowMs(),
       metrics: new GatewayMetrics(),
-      log: { write: (event, fields = {}) => this.lines.push({ event, fields }) },
+      log,
       onLimitChange: () => undefined,
     });
   }
@@ -83,9 +108,26 @@
       learnedAtMs: nowMs,
       changedAfterMs: nowMs - 100,
     };
-    this.#calls.reportUnanswered(departure);
-    const lines = this.lines.filter(({ event }) => event === GATEWAY_EVENTS.unansweredAtDeparture);
-    return lines.map(({ fields }) => fields);
+    this.#reports.reportDeparture(departure);
+    return this.linesOf(GATEWAY_EVENTS.unansweredAtDeparture);
+  }
+
+  /** The server's row is gone, which this daemon learns `lateMs` after it last knew the row. */
+  learnGone(lateMs: number): void {
+    const nowMs = this.timers.nowMs();
+    const change = this.#fleet.directory.apply([], [SERVER.id]);
+    const origin = {
+      source: 'relay',
+      era: 0,
+      revision: 7,
+      changedAfterMs: nowMs - lateMs,
+    } as const;
+    const learned = this.#fleet.departures.recordChange(change, origin, nowMs);
+    for (const departure of learned) this.#reports.reportDeparture(departure);
+  }
+
+  linesOf(event: LogEvent): readonly LogFields[] {
+    return this.lines.filter((line) => line.event === event).map(({ fields }) => fields);
   }
 }
 
@@ -148,3 +190,33 @@
   unanswered.giveUp(call, 0);
   assert.deepEqual(unanswered.takeOf(SERVER, 60_001), []);
 });
+
+test('a departure that is learned late is logged with the relay that was relied on and the last request sent there', async () => {
+  await calls.send('last')({ kind: 'broken', reason: 'reset' }, false);
+  calls.timers.advance(100);
+  calls.learnGone(DRAIN_MS / 2 + 1);
+  const [line, ...others] = calls.linesOf(DEPARTURE_EVENTS.learnedLate);
+  assert.deepEqual(others, []);
+  assert.equal(line?.changedWithinMs, DRAIN_MS / 2 + 1);
+  assert.equal(line?.relay, 'front-7');
+  assert.equal(line?.lastRequest, 'last');
+  assert.equal(line?.lastSentAgoMs, 100);
+});
+
+test('a departure that is learned in time is not logged as late', () => {
+  calls.learnGone(DRAIN_MS / 2);
+  assert.deepEqual(calls.linesOf(DEPARTURE_EVENTS.learnedLate), []);
+});
+
+test('a request that a server answers long after its departure became known is logged with both ages', async () => {
+  const end = calls.send('late');
+  calls.timers.advance(100);
+  calls.learnGone(0);
+  calls.timers.advance(DRAIN_MS / 2 + 1);
+  await end(answerTo('late'), false);
+  const [line, ...others] = calls.linesOf(DEPARTURE_EVENTS.answeredLate);
+  assert.deepEqual(others, []);
+  assert.equal(line?.request, 'late');
+  assert.equal(line?.learnedAgoMs, DRAIN_MS / 2 + 1);
+  assert.equal(line?.sentAgoMs, DRAIN_MS / 2 + 101);
+});
