Failing tests: requests that were given up arrive when the network is well again; a daemon that stood still; kept rows

Cause: an aborted call is closed, so the system goes on sending what its peer has not acknowledged; a daemon that stood still sends by what it knew before; one lost call of the relays counts as an outage.

--- a/test/gateway/late-departures.test.ts
+++ b/test/gateway/late-departures.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import {
+  CONNECT_TIMEOUT_MS,
   type DepartureWay as KnownBy,
   lastSendMs,
   longestUnawareMs,
@@ -184,3 +185,24 @@
   }
   fleet.stop();
 });
+
+/** The open calls of daemons to the store go silent without a reset, while new ones are answered. */
+function silenceOpenCalls(daemons: readonly DepartingDaemon[]): void {
+  for (const { link } of daemons) {
+    link.set('silent');
+    link.set('open');
+  }
+}
+
+for (const size of SIZES.filter(({ hasRelays }) => hasRelays)) {
+  const daemons = size.zones * size.daemonsPerZone;
+  test(`a server whose row goes as the relays' open calls to the store go silent is not used longer than its drain time (${daemons} daemons)`, async () => {
+    const fleet = new DepartingFleet({ ...size, random: seededRandom(1) });
+    await fleet.start(SERVERS);
+    await fleet.pass(2_000);
+    silenceOpenCalls(fleet.relays);
+    const knownMs = await fleet.depart('leaves', 'gone');
+    fleet.stop();
+    assert.ok(knownMs <= size.drainMs - CONNECT_TIMEOUT_MS, `${knownMs} of ${size.drainMs} ms`);
+  });
+}
