Reset the connection of a request that is given up without an answer

What callers saw: nothing; servers received requests long after their daemon had given them up, one that departs among them. Cause: an aborted call was closed with a FIN, so the system went on sending what the server had not acknowledged. Class: a request is given up here and lives on in what this daemon has handed on.

Change: a call without an answer is reset, on every way, as all of them end in one place: time over, caller gone, another server's answer, a hop to another daemon, the end of the wait for a late answer, a connection that is not accepted, the end of the daemon. A call whose answer has begun is closed as before: its request has arrived, and a FIN, unlike a reset, is sent again where it is lost.

A daemon that is killed by SIGKILL can't reset anything.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -7,12 +7,14 @@
  * unknown.
  *
  * An aborted call ends at once. Its connection may stay open for a moment longer, as its server may be about to answer
- * that it wants no further requests.
+ * that it wants no further requests. A connection without an answer is then reset: after a normal close the system goes
+ * on sending, and a server behind a network that held the request would receive it long after it was given up.
  */
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { CONNECT_TIMEOUT_MS } from '../../core/gateway/index.js';
+import { resetSocket } from '../http/reset-socket.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
 
@@ -206,11 +208,20 @@
   this.destroy();
 }
 
+/** Ends a call that has no answer; what its server has not received is discarded. */
+function abandon(request: ClientRequest, reason?: Error): void {
+  const { socket } = request;
+  if (socket !== null && !socket.destroyed) resetSocket(socket);
+  request.destroy(reason);
+}
+
 /** Calls backends. */
 export class BackendConnections {
   readonly #timers: TimerService;
   readonly #freshAgent = new http.Agent({ keepAlive: false });
   readonly #keepAliveAgent = new KeepAliveAgent();
+  /** Calls that have no answer, including aborted ones that wait for a late answer. */
+  readonly #unanswered = new Set<ClientRequest>();
   #awaitedLate = 0;
   /** Connections opened since the process started. */
   openedTotal = 0;
@@ -223,6 +234,7 @@
     return new Promise((resolve) => {
       if (call.signal.aborted) return resolve(notSent('given up', false));
       const request = this.#open(call);
+      this.#unanswered.add(request);
       let mayHaveSent = false;
       let connectTimedOut = false;
       let isSettled = false;
@@ -235,12 +247,13 @@
       const abort = () => {
         const isWaiting = !isSettled && this.#awaitLateAnswer(request, call.lateAnswer);
         if (isWaiting) settle({ kind: 'broken', reason: 'given up' });
+        else if (this.#unanswered.has(request)) abandon(request);
         else request.destroy();
       };
       call.signal.addEventListener('abort', abort, { once: true });
       const cancelConnectTimer = this.#timers.after(call.connectTimeoutMs, () => {
         connectTimedOut = !mayHaveSent;
-        if (connectTimedOut) request.destroy(new Error('connecting took too long'));
+        if (connectTimedOut) abandon(request, new Error('connecting took too long'));
       });
       request.on('socket', (socket) => {
         if (!socket.connecting) {
@@ -254,6 +267,7 @@
         });
       });
       request.on('response', (message) => {
+        this.#unanswered.delete(request);
         const answer = new BackendAnswer(request, message, this.#timers);
         if (isSettled) call.lateAnswer?.onAnswer(answer);
         else settle({ kind: 'answered', answer });
@@ -263,6 +277,7 @@
       request.on('error', (error) => fail(error.message));
       request.on('close', () => {
         call.signal.removeEventListener('abort', abort);
+        this.#unanswered.delete(request);
         fail('connection closed');
       });
       request.end(call.body);
@@ -290,8 +305,9 @@
     });
   }
 
-  /** Closes idle connections. */
+  /** Ends all calls and closes all connections. */
   close(): void {
+    for (const request of this.#unanswered) abandon(request);
     this.#keepAliveAgent.destroy();
     this.#freshAgent.destroy();
   }
@@ -305,7 +321,7 @@
     const mayWait = request.writableFinished && this.#awaitedLate < MAX_AWAITED_LATE;
     if (waitMs <= 0 || !mayWait) return false;
     this.#awaitedLate += 1;
-    const cancelClose = this.#timers.after(waitMs, () => request.destroy());
+    const cancelClose = this.#timers.after(waitMs, () => abandon(request));
     request.once('close', () => {
       this.#awaitedLate -= 1;
       cancelClose();
