Confirm the list of servers before requests are sent by a daemon that stood still

What callers saw: requests that waited in the sockets of a daemon which got no processor time were sent by the list that it knew before, also to servers that had departed meanwhile; a request sent to one that has ended fails. Cause: the list is asked as a request is sent, but not how old it is. The sum of the waits leaves half of drainMs to a daemon that waits for a processor; a longer stall had no bound. Class: a belief that is relied on whatever its age.

Change: a stall of a quarter of drainMs or more is noticed by the clock as a request is about to be sent, before any timer fires. The list is then read again, and requests of callers wait for that, 300 ms at most, so that they are served also while the store is away. One read of the store a stall.

--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -27,7 +27,7 @@
 import type { RelayDigest } from './relay-digest.js';
 import type { GatewayLog } from './request-log.js';
 import { type TableChanges, TableWatcher } from './table-watcher.js';
-import type { CancelTimer, TimerService, WallClock } from './timer-service.js';
+import { type CancelTimer, delay, type TimerService, type WallClock } from './timer-service.js';
 import { UnreadableRows } from './unreadable-rows.js';
 import { WatchRetryQueue } from './watch-retry-queue.js';
 import { isOutage, type RecheckSpans, type WatchTiming } from './watch-timing.js';
@@ -233,6 +233,14 @@
     return timers.nowMs() - Math.max(this.#configurations.lastAnswerMs, digest.relayContactAtMs);
   }
 
+  /** Reads the list of servers again; resolves once it is applied, or after `limitMs`. */
+  async readServersAgain(limitMs: number): Promise<void> {
+    const { timers } = this.#options;
+    const applied = new AbortController();
+    void this.#servers.readAgain().then(() => applied.abort());
+    await delay(timers, limitMs, applied.signal);
+  }
+
   /** Handles an era that one watch has seen: the other watches enter it without waiting for an answer of their own. */
   #handleEra(era: number): void {
     for (const watch of this.#watches) watch.handleEra(era);
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -63,6 +63,8 @@
 /** Requests have to end this long before the grace period does. */
 const STOP_MARGIN_MS = 700;
 const STOP_POLL_MS = 50;
+/** Requests wait no longer than this for a daemon that stood still to read the list of servers again. */
+const MAX_RECOVERY_MS = 300;
 /** Incarnation numbers, which tell the starts of a daemon apart, are below this. */
 const INCARNATION_LIMIT = 2 ** 47;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -189,7 +191,7 @@
     });
     this.#stalls = new StallMonitor({
       minStallMs: maxStallMs(settings.bounds.drainMs ?? Number.POSITIVE_INFINITY),
-      onStall: () => undefined,
+      recover: () => this.#follower.readServersAgain(MAX_RECOVERY_MS),
       timers: this.#suspensionAwareTimers,
       log,
     });
@@ -204,6 +206,7 @@
     });
     const calls = new ServerCalls({
       reports: this.#departureReports,
+      stalls: this.#stalls,
       connections: this.#connections,
       paths: this.#paths,
       fleet: this.#fleet,
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -27,6 +27,7 @@
 import type { RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
+import type { StallMonitor } from './stall-monitor.js';
 import type { TimerService, WallClock } from './timer-service.js';
 
 /** Minimum interval between log lines on unreadable headers, as a faulty server sends them with every answer. */
@@ -78,6 +79,7 @@
     FleetView,
     'availability' | 'availabilityOf' | 'departures' | 'limits' | 'permits' | 'recentSends'
   >;
+  readonly stalls: Pick<StallMonitor, 'whenCurrent'>;
   readonly reports: Pick<DepartureReports, 'recordSent' | 'recordResult' | 'recordLateAnswer'>;
   /** Called when an answer changed the known limit of its server. */
   readonly onLimitChange: (server: ServerRecord, change: LimitChange, purpose: CallPurpose) => void;
@@ -104,7 +106,10 @@
   }
 
   async call(call: ServerCall): Promise<ServerCallResult> {
-    const { connections, paths, reports, timers } = this.#options;
+    const { connections, paths, reports, stalls, timers } = this.#options;
+    // A daemon that stood still may not have read yet that the server departs.
+    const recovery = isForCaller(call.purpose) ? stalls.whenCurrent() : undefined;
+    if (recovery !== undefined) await recovery;
     const { server, purpose, request, hasPermit, continuesStream, onLateAnswer, ...sent } = call;
     const sentAtMs = timers.nowMs();
     const heldBack = this.#holdBack(call, sentAtMs);
--- a/src/shell/gateway/stall-monitor.ts
+++ b/src/shell/gateway/stall-monitor.ts
@@ -1,6 +1,7 @@
 /**
- * Notices when this process has stood still: it was stopped, or got no processor time. A timer that is late shows it, and
- * so does the clock at any other moment: what waited in the sockets meanwhile may be read before any timer fires.
+ * Notices when this process has stood still: it was stopped, or got no processor time. What it knows is out of date then,
+ * and has to be confirmed before it is relied on. A late timer shows a stall, and so does the clock at any other moment:
+ * requests that waited in the sockets may be read before any timer fires.
  */
 import { DEPARTURE_EVENTS } from '../../core/logging/catalogue/departures.js';
 import type { GatewayLog } from './request-log.js';
@@ -10,10 +11,10 @@
 
 /** Dependencies and settings of a `StallMonitor`. */
 export interface StallMonitorOptions {
-  /** A shorter stall is not reported. */
+  /** After a shorter stall, what this process knows is still relied on. */
   readonly minStallMs: number;
-  /** Called once for each stall, as soon as it is noticed. */
-  readonly onStall: () => void;
+  /** Brings what this process knows up to date; called once for each stall, as soon as it is noticed. */
+  readonly recover: () => Promise<void>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -23,6 +24,7 @@
   readonly #options: StallMonitorOptions;
   #nextTickMs = Number.POSITIVE_INFINITY;
   #cancelTick: CancelTimer | undefined;
+  #recovery: Promise<void> | undefined;
 
   constructor(options: StallMonitorOptions) {
     this.#options = options;
@@ -32,7 +34,7 @@
     const { timers } = this.#options;
     this.#nextTickMs = timers.nowMs() + TICK_MS;
     this.#cancelTick = timers.after(TICK_MS, () => {
-      this.check();
+      this.#check();
       this.start();
     });
   }
@@ -42,14 +44,22 @@
     this.#nextTickMs = Number.POSITIVE_INFINITY;
   }
 
-  /** Reports a stall that has just ended. */
-  check(): void {
-    const { minStallMs, onStall, timers, log } = this.#options;
+  /** Resolves once what this process knows is up to date after a stall; undefined if it has not stood still. */
+  whenCurrent(): Promise<void> | undefined {
+    this.#check();
+    return this.#recovery;
+  }
+
+  #check(): void {
+    const { minStallMs, recover, timers, log } = this.#options;
     const stalledMs = timers.nowMs() - this.#nextTickMs;
     if (stalledMs < minStallMs) return;
     // The late timer must not report the same stall again.
     this.#nextTickMs = timers.nowMs() + TICK_MS;
     log.write(DEPARTURE_EVENTS.stoodStill, { stalledMs: Math.round(stalledMs) });
-    onStall();
+    const recovery = recover().finally(() => {
+      if (this.#recovery === recovery) this.#recovery = undefined;
+    });
+    this.#recovery = recovery;
   }
 }
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -92,6 +92,9 @@
   /** Aborts a wait or a long poll because a full read was requested or the watch is stopped. */
   #interrupt = new AbortController();
   #isFullReadRequested = false;
+  /** Full reads that were waited for, numbered; called when a read that began after the request was applied. */
+  readonly #readWaiters = new Map<number, () => void>();
+  #lastReadWaiter = 0;
   readonly #revisions = new FollowedRevisions();
   #loggedStale: StorePosition | undefined;
   /** When the store's current era was first seen; undefined once the table was fully read in it. */
@@ -178,6 +181,24 @@
     this.#interrupt.abort();
   }
 
+  /** Fully reads the table; resolves once a read that has begun after this call is applied. */
+  readAgain(): Promise<void> {
+    const applied = new Promise<void>((resolve) => {
+      this.#lastReadWaiter += 1;
+      this.#readWaiters.set(this.#lastReadWaiter, resolve);
+    });
+    this.requestFullRead();
+    return applied;
+  }
+
+  #endReadWaiters(upTo: number): void {
+    for (const [waiter, resolve] of this.#readWaiters) {
+      if (waiter > upTo) continue;
+      this.#readWaiters.delete(waiter);
+      resolve();
+    }
+  }
+
   async #step(): Promise<void> {
     if (this.#interrupt.signal.aborted) this.#interrupt = new AbortController();
     const isAdvertised = this.#rechecks.isUnderWay && this.#revisions.seen === undefined;
@@ -224,6 +245,7 @@
 
   /** @param isAdvertised whether the daemons that rely on this one must fully read the table as well */
   async #readAll(isAdvertised: boolean): Promise<void> {
+    const lastWaiter = this.#lastReadWaiter;
     const answer = await this.#readRows();
     if (answer === undefined) return;
     if (this.#revisions.isStale(answer)) {
@@ -232,6 +254,7 @@
     }
     this.#options.consumer.applyAll(answer.rows, this.#originOfRead(answer));
     this.#resumeFrom(answer.revision, isAdvertised);
+    this.#endReadWaiters(lastWaiter);
   }
 
   /** All rows of the table, or undefined after a failure. */
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -24,6 +24,7 @@
     const adapter = createPlatformAdapter({ host: '127.0.0.1', port: 1 });
     this.calls = new ServerCalls({
       reports: quietDepartureReports(this.fleet, this.timers),
+      stalls: { whenCurrent: () => undefined },
       connections: {
         call: async () => {
           this.sent += 1;
--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -144,6 +144,7 @@
     table,
     calls: new ServerCalls({
       reports: quietDepartureReports(fleet, timers),
+      stalls: { whenCurrent: () => undefined },
       connections: engines,
       fleet,
       paths: new ServicePathMonitor({
--- a/test/gateway/stall-monitor.test.ts
+++ b/test/gateway/stall-monitor.test.ts
@@ -4,6 +4,7 @@
 import { DEPARTURE_EVENTS } from '../../src/core/logging/catalogue/departures.js';
 import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
 import { StallMonitor } from '../../src/shell/gateway/stall-monitor.js';
+import { deferred } from './support/deferred.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const MIN_STALL_MS = 500;
@@ -13,15 +14,18 @@
 let stalls: number;
 let lines: { readonly event: LogEvent; readonly fields: LogFields }[];
 let monitor: StallMonitor;
+let recovered: ReturnType<typeof deferred<void>>;
 
 beforeEach(() => {
   timers = new ManualTimers();
   stalls = 0;
   lines = [];
+  recovered = deferred<void>();
   monitor = new StallMonitor({
     minStallMs: MIN_STALL_MS,
-    onStall: () => {
+    recover: () => {
       stalls += 1;
+      return recovered.promise;
     },
     timers,
     log: { write: (event, fields = {}) => lines.push({ event, fields }) },
@@ -32,15 +36,23 @@
 test('a stall is noticed before any timer fires, and reported once', () => {
   timers.advance(1_000);
   timers.stall(STALL_MS);
-  monitor.check();
+  assert.ok(monitor.whenCurrent());
   assert.equal(stalls, 1);
   assert.equal(lines[0]?.event, DEPARTURE_EVENTS.stoodStill);
   assert.ok(Number(lines[0]?.fields.stalledMs) >= STALL_MS - 100);
-  monitor.check();
+  assert.ok(monitor.whenCurrent());
   timers.advance(1_000);
   assert.equal(stalls, 1);
 });
 
+test('what a process knows is relied on again once it is up to date', async () => {
+  timers.stall(STALL_MS);
+  const current = monitor.whenCurrent();
+  recovered.resolve();
+  await current;
+  assert.equal(monitor.whenCurrent(), undefined);
+});
+
 test('a stall that no request ends is noticed by the late timer', () => {
   timers.stall(STALL_MS);
   timers.advance(1);
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -77,6 +77,7 @@
     });
     this.calls = new ServerCalls({
       reports: quietDepartureReports(this.fleet, timers),
+      stalls: { whenCurrent: () => undefined },
       connections: { call: ({ address }) => world.serve(place, address) },
       fleet: this.fleet,
       paths: new ServicePathMonitor({
--- a/test/gateway/unanswered-calls.test.ts
+++ b/test/gateway/unanswered-calls.test.ts
@@ -55,6 +55,7 @@
     });
     this.#calls = new ServerCalls({
       reports: this.#reports,
+      stalls: { whenCurrent: () => undefined },
       connections: {
         call: () => {
           const result = deferred<CallResult>();
