Tell daemons without a path to the store of departures while their relay has none

Cause: in a large fleet only relays tell, so that not all daemons tell at once; while a zone's relay is out of contact its daemons read the list themselves and told nobody. Class: a duty that rests with one daemon, and nobody takes it over.

Change: a daemon that reads a departure itself, as its relay's digest is not fresh, tells four of its zone, beginning at random.

Evidence: late-departures, a daemon and all relays without a path: never learnt before (test ended by its time-out), now within half of drainMs with 66, 84 and 195 daemons.

--- a/src/shell/gateway/departure-gossip.ts
+++ b/src/shell/gateway/departure-gossip.ts
@@ -1,7 +1,8 @@
 /**
  * Departures of servers between daemons. The list of servers reaches a daemon over its zone's relay, which may stall just
  * as a row changes; a departure is urgent, so whoever reads it from the store tells all daemons at once. In a large fleet
- * only relays do: all other daemons would read it at the same time.
+ * only relays do: all other daemons would read it at the same time. While a zone's relay is out of contact, its daemons
+ * read the list themselves, and each tells a few others of the zone, as some may be without a path to the store.
  */
 import {
   type Departure,
@@ -14,10 +15,17 @@
 import { MAX_ENTRIES_PER_MESSAGE } from './peer-messages.js';
 import type { TimerService } from './timer-service.js';
 
+/** With most of a zone telling this many others each, hardly any daemon is told by nobody. */
+const TOLD_WITHOUT_RELAY = 4;
+
 /** Dependencies of a `DepartureGossip`. */
 export interface DepartureGossipOptions {
-  readonly roster: Pick<PeerRoster, 'allPeers' | 'isLarge'>;
+  readonly roster: Pick<PeerRoster, 'allPeers' | 'zonePeers' | 'isLarge'>;
   readonly isRelay: () => boolean;
+  /** Whether the zone's relay is in contact with the store, as far as this daemon knows. */
+  readonly hasRelay: () => boolean;
+  /** A random number from 0 to below 1. */
+  readonly random: () => number;
   readonly send: (peers: readonly PeerDaemon[], message: DeparturesMessage) => void;
   readonly timers: TimerService;
 }
@@ -30,19 +38,31 @@
     this.#options = options;
   }
 
-  /** Tells all daemons of departures that this daemon has just read from the store in one answer. */
+  /** Tells other daemons of departures that this daemon has just read from the store in one answer. */
   advertise(departures: readonly Departure[]): void {
-    const { roster, isRelay, send } = this.#options;
+    const { send } = this.#options;
     const [first] = departures;
-    if (first === undefined || (roster.isLarge && !isRelay())) return;
+    const recipients = this.#recipients();
+    if (first === undefined || recipients.length === 0) return;
     const { era, revision } = first;
     const advertised = departures.flatMap((departure) => this.#advertised(departure));
     for (let index = 0; index < advertised.length; index += MAX_ENTRIES_PER_MESSAGE) {
       const part = advertised.slice(index, index + MAX_ENTRIES_PER_MESSAGE);
-      send(roster.allPeers(), { kind: 'departures', era, revision, departures: part });
+      send(recipients, { kind: 'departures', era, revision, departures: part });
     }
   }
 
+  #recipients(): readonly PeerDaemon[] {
+    const { roster, isRelay, hasRelay } = this.#options;
+    if (!roster.isLarge || isRelay()) return roster.allPeers();
+    return hasRelay() ? [] : this.#someOf(roster.zonePeers());
+  }
+
+  #someOf(peers: readonly PeerDaemon[]): readonly PeerDaemon[] {
+    const first = Math.floor(this.#options.random() * peers.length);
+    return [...peers, ...peers].slice(first, first + Math.min(TOLD_WITHOUT_RELAY, peers.length));
+  }
+
   /** The notices in another daemon's message. */
   noticesIn({ era, revision, departures }: DeparturesMessage): readonly DepartureNotice[] {
     const sentAfterMs = this.#options.timers.nowMs() - TRANSIT_MS;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -148,6 +148,8 @@
     this.#departures = new DepartureGossip({
       roster: this.#roster,
       isRelay: () => this.#isRelay,
+      hasRelay: () => this.#digest.isFresh,
+      random: Math.random,
       send: (peers, message) => this.#peers?.sendMessage(peers, message),
       timers,
     });
--- a/test/gateway/late-departures.test.ts
+++ b/test/gateway/late-departures.test.ts
@@ -206,3 +206,23 @@
     assert.ok(knownMs <= size.drainMs - CONNECT_TIMEOUT_MS, `${knownMs} of ${size.drainMs} ms`);
   });
 }
+
+const WITHOUT_PATH_MS = 6_000;
+/** A follower may be about to time out a call of its own as the row changes. */
+const MAX_TOLD_SHARE_OF_DRAIN = 1 / 2;
+
+for (const size of SIZES.filter(({ hasRelays }) => hasRelays)) {
+  const daemons = size.zones * size.daemonsPerZone;
+  test(`a daemon without a path to the store learns of a departure from others of its zone while no relay has one (${daemons} daemons)`, async () => {
+    for (const way of ['draining', 'gone'] as const) {
+      const fleet = new DepartingFleet({ ...size, random: seededRandom(1) });
+      await fleet.start(SERVERS);
+      for (const { link } of [...fleet.relays, ...fleet.daemons.slice(-1)]) link.set('resets');
+      await fleet.pass(WITHOUT_PATH_MS);
+      const knownMs = await fleet.depart('leaves', way);
+      fleet.stop();
+      const limitMs = size.drainMs * MAX_TOLD_SHARE_OF_DRAIN;
+      assert.ok(knownMs <= limitMs, `${way}: ${knownMs} of ${limitMs} ms`);
+    }
+  });
+}
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -34,6 +34,8 @@
 const DATAGRAM_MS = 2;
 const RELAY_TICK_MS = 60;
 const SAMPLE_MS = 10;
+/** A departure that is not known everywhere by then counts as never known. */
+const MAX_WATCHED_MS = 20_000;
 const SERVICE = 'reader';
 
 /** What a datagram carries. */
@@ -149,8 +151,14 @@
       servers: table.over(this.link),
     };
     const gossip = new DepartureGossip({
-      roster: { allPeers: () => world.peersOf(this), isLarge: world.options.hasRelays },
+      roster: {
+        allPeers: () => world.peersOf(this),
+        zonePeers: () => world.peersOf(this).filter((peer) => peer.zone === `z-${zone}`),
+        isLarge: world.options.hasRelays,
+      },
       isRelay: () => role === 'relay',
+      hasRelay: () => this.digest.isFresh,
+      random,
       send: (peers, message) => world.sendNotice(this, peers, message),
       timers,
     });
@@ -178,7 +186,7 @@
       forwardConfiguration: () => undefined,
       recordDeparture: () => undefined,
       awaitConfirmation: () => undefined,
-      declinesWork: () => Promise.resolve(false),
+      declinesWork: ({ id }) => Promise.resolve(world.decliningIds.has(id)),
       advertiseDepartures: (departures) => gossip.advertise(departures),
       recordServerStart: () => undefined,
       digest: this.digest,
@@ -217,6 +225,8 @@
   /** Whether a datagram is lost. */
   isLost: (kind: DatagramKind, to: DepartingDaemon) => boolean = () => false;
   readonly options: DepartingFleetOptions;
+  /** Servers that say at their health pages that they decline work. */
+  readonly decliningIds = new Set<string>();
   datagrams = 0;
   noticeBytes = 0;
   readonly #table = new ServersTable(this.timers);
@@ -313,7 +323,8 @@
     else this.list(id, { state: 'draining' });
     const sinceMs = this.timers.nowMs();
     const running = this.daemons.filter(({ isStopped }) => !isStopped);
-    while (running.some((daemon) => daemon.uses(id, this.timers.nowMs()))) {
+    const isUsed = () => running.some((daemon) => daemon.uses(id, this.timers.nowMs()));
+    while (isUsed() && this.timers.nowMs() - sinceMs < MAX_WATCHED_MS) {
       await this.#pass(SAMPLE_MS);
     }
     return this.timers.nowMs() - sinceMs;
