Ask a server of which a notice says that it departs, though the list here is newer

Cause: a notice that the list has been followed beyond was dropped, whatever the list said. A list that was read stale, by this daemon or its relay, then stayed in force, and no other daemon could correct it. Class: as a returned row, a belief that nobody else can correct.

Change: a server in use that a notice contradicts is asked at its health page, and withheld if it declines work.

--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -124,11 +124,15 @@
     return this.#record(listed, state, { ...notice, source: 'notice' }, nowMs);
   }
 
-  /** Whether a notice tells of a departure that the list here does not show, although it was followed beyond the notice. */
-  contradicts({ server, ...notice }: DepartureNotice, followed: StorePosition): boolean {
+  /** The server of whose departure a notice tells, if the list was followed beyond the notice and shows it as ready. */
+  contradicted(
+    { server, ...notice }: DepartureNotice,
+    followed: StorePosition,
+  ): ServerRecord | undefined {
     const listed = this.#directory.get(server.id);
     const isInUse = listed?.state === 'ready' && isSameBoot(listed, server);
-    return isInUse && this.of(server.id) === undefined && !isAfter(notice, followed);
+    const isContradicted = this.of(server.id) === undefined && !isAfter(notice, followed);
+    return isInUse && isContradicted ? listed : undefined;
   }
 
   /** Whether a server that is listed as ready is not used: a notice says that it departs, or it has to confirm its return. */
--- a/src/shell/gateway/departure-tracker.ts
+++ b/src/shell/gateway/departure-tracker.ts
@@ -66,10 +66,9 @@
    */
   applyNotices(notices: readonly DepartureNotice[], followed: StorePosition): readonly Departure[] {
     const { departures, timers } = this.#options;
-    const learned = notices.flatMap((notice) => {
-      if (departures.contradicts(notice, followed)) this.#reportContradiction(notice, followed);
-      return departures.applyNotice(notice, followed, timers.nowMs()) ?? [];
-    });
+    const learned = notices.flatMap(
+      (notice) => departures.applyNotice(notice, followed, timers.nowMs()) ?? [],
+    );
     for (const departure of learned) this.#report(departure);
     return learned;
   }
@@ -81,6 +80,19 @@
     if (departure !== undefined) this.#report(departure);
   }
 
+  /** The servers in use of which a notice says that they depart, although the list here is newer and shows them as ready. */
+  contradictedBy(
+    notices: readonly DepartureNotice[],
+    followed: StorePosition,
+  ): readonly ServerRecord[] {
+    return notices.flatMap((notice) => {
+      const server = this.#options.departures.contradicted(notice, followed);
+      if (server === undefined) return [];
+      this.#reportContradiction(notice, followed);
+      return [server];
+    });
+  }
+
   #reportContradiction({ server, state, era, revision }: DepartureNotice, at: StorePosition): void {
     const known = { knownEra: at.era, knownRevision: at.revision };
     const fields = { server: server.id, state, era, revision, ...known };
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -421,13 +421,18 @@
    * A row that is read again may have been gone in between: changes of the list hold the last state of a row only. Its
    * server tells whether a late write has brought it back.
    */
-  async #checkRewritten({ rewritten }: DirectoryChange, origin: RowsOrigin): Promise<void> {
+  #checkRewritten({ rewritten }: DirectoryChange, origin: RowsOrigin): Promise<void> {
     const { departures } = this.#options.fleet;
     const inUse = rewritten.filter(
       ({ id, state }) => state === 'ready' && departures.of(id) === undefined,
     );
+    return this.#checkInUse(inUse, origin);
+  }
+
+  /** Stops using those servers that say that they decline work. */
+  async #checkInUse(servers: readonly ServerRecord[], origin: RowsOrigin): Promise<void> {
     await Promise.all(
-      inUse.map(async (server) => {
+      servers.map(async (server) => {
         if (!(await this.#options.declinesWork(server))) return;
         this.#departures.recordDeclined(server, origin);
         this.#options.onServersChanged();
@@ -485,6 +490,10 @@
 
   /** Applies departures that another daemon has read from the store. */
   applyDepartureNotices(notices: readonly DepartureNotice[]): void {
+    void this.#checkInUse(
+      this.#departures.contradictedBy(notices, this.#followed),
+      this.#originOfOwnDecision(),
+    );
     const learned = this.#departures.applyNotices(notices, this.#followed);
     if (learned.length === 0) return;
     const goneIds = learned.filter(({ state }) => state === 'gone').map(({ server }) => server.id);
@@ -498,13 +507,17 @@
     return { era, revision };
   }
 
+  #originOfOwnDecision(): RowsOrigin {
+    const changedAfterMs = this.#options.timers.nowMs();
+    return { source: 'store', ...this.#followed, changedAfterMs };
+  }
+
   /** Removes servers that were used without a row. */
   #remove(ids: readonly string[]): void {
     if (ids.length === 0) return;
-    const { fleet, timers } = this.#options;
-    const origin = { source: 'store', ...this.#followed, changedAfterMs: timers.nowMs() } as const;
+    const { fleet } = this.#options;
     const change = fleet.directory.apply([], ids);
-    this.#departures.recordChange(change, origin);
+    this.#departures.recordChange(change, this.#originOfOwnDecision());
     this.#applyChange(change);
   }
 
--- a/test/gateway/late-departures.test.ts
+++ b/test/gateway/late-departures.test.ts
@@ -226,3 +226,19 @@
     }
   });
 }
+
+for (const isDeclining of [true, false]) {
+  test(`a server that a notice says departs, and a newer list shows as ready, is ${isDeclining ? 'not used if it declines work' : 'used on if it accepts work'}`, async () => {
+    const fleet = new DepartingFleet({ ...SMALL, random: seededRandom(1) });
+    await fleet.start(SERVERS);
+    const [daemon] = fleet.daemons;
+    const server = daemon?.fleet.directory.get('leaves');
+    assert.ok(daemon && server);
+    if (isDeclining) fleet.decliningIds.add(server.id);
+    const departures = [{ server, state: 'draining', changedWithinMs: 0 }] as const;
+    daemon.receiveNotice({ kind: 'departures', era: 0, revision: 1, departures });
+    await fleet.pass(SAMPLE_MS);
+    assert.equal(daemon.uses(server.id, fleet.timers.nowMs()), !isDeclining);
+    fleet.stop();
+  });
+}
