Soak: networks that hold and deliver, and daemons that stand still, while servers depart

Cause: a link of the soak that was cut dropped what it got and stayed silent for good, as no network does, and a daemon that was frozen was excused for contactMs after it, so no run could show either fault.

--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -1,5 +1,5 @@
 /**
- * The link between all daemons and one server: a TCP proxy on loopback that can delay, reset or silence connections.
+ * The link between all daemons and one server: a TCP proxy on loopback that can delay, hold, reset or silence connections.
  */
 import { once } from 'node:events';
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
@@ -12,6 +12,7 @@
 interface ConnectionPair {
   readonly daemon: Socket;
   readonly server: Socket;
+  readonly queues: readonly DelayQueue[];
   isSilent: boolean;
 }
 
@@ -26,8 +27,29 @@
  */
 class DelayQueue {
   #queue: DelayedStep[] = [];
+  #isHeld = false;
+
+  /** Forwards nothing until `release`. */
+  hold(): void {
+    this.#isHeld = true;
+  }
+
+  release(): void {
+    if (!this.#isHeld) return;
+    this.#isHeld = false;
+    if (this.#queue.length > 0) this.#waitForHead();
+  }
+
+  /** Drops what was not forwarded: the connection was reset. */
+  drop(): void {
+    this.#queue = [];
+  }
 
   forward(delayMs: number, forward: () => void): void {
+    if (this.#isHeld) {
+      this.#queue.push({ dueMs: performance.now(), forward });
+      return;
+    }
     if (delayMs === 0 && this.#queue.length === 0) {
       forward();
       return;
@@ -41,6 +63,7 @@
     if (head === undefined) return;
     setTimeout(
       () => {
+        if (this.#isHeld || this.#queue[0] !== head) return;
         this.#queue.shift();
         head.forward();
         this.#waitForHead();
@@ -91,11 +114,14 @@
     this.#fault = fault;
     if (fault === 'reset') this.#resetAll();
     if (fault === 'silent') for (const pair of this.#pairs) pair.isSilent = true;
+    if (fault === 'hold')
+      for (const { queues } of this.#pairs) for (const queue of queues) queue.hold();
   }
 
-  /** Ends the fault; connections that went silent stay silent. */
+  /** Ends the fault; connections that went silent stay silent, and what was held is delivered in order. */
   end(): void {
     this.#fault = undefined;
+    for (const { queues } of this.#pairs) for (const queue of queues) queue.release();
   }
 
   #resetAll(): void {
@@ -108,13 +134,15 @@
 
   #accept(daemon: Socket): void {
     const server = connect(this.#targetPort(), '127.0.0.1');
-    const pair: ConnectionPair = { daemon, server, isSilent: false };
+    const queues = [new DelayQueue(), new DelayQueue()] as const;
+    if (this.#fault === 'hold') for (const queue of queues) queue.hold();
+    const pair: ConnectionPair = { daemon, server, queues, isSilent: false };
     this.#pairs.add(pair);
     server.once('connect', () => this.#accepts?.recordRelay(daemon, server));
     daemon.setNoDelay(true);
     server.setNoDelay(true);
-    this.#relay(pair, daemon, server, 'to-server');
-    this.#relay(pair, server, daemon, 'to-daemon');
+    this.#relay(pair, daemon, server, 'to-server', queues[0]);
+    this.#relay(pair, server, daemon, 'to-daemon', queues[1]);
   }
 
   #relay(
@@ -122,14 +150,17 @@
     from: Socket,
     to: Socket,
     direction: 'to-server' | 'to-daemon',
+    queue: DelayQueue,
   ): void {
-    const queue = new DelayQueue();
     from.on('data', (bytes) => {
       if (this.#fault === 'one-way' && direction === 'to-daemon') pair.isSilent = true;
       if (pair.isSilent) return;
       queue.forward(this.#delayMs, () => write(to, bytes));
     });
-    from.on('error', () => to.destroy());
+    from.on('error', () => {
+      queue.drop();
+      to.destroy();
+    });
     from.on('close', () => {
       // `close` has to find the other side, which stays open on a silent connection.
       if (to.destroyed) this.#pairs.delete(pair);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -5,6 +5,7 @@
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { planDepartures } from './departure-plan.js';
 import { MUTATIONS } from './mutations.js';
+import { planNetworks } from './network-plan.js';
 import { planParts } from './part-plan.js';
 import {
   planCopies,
@@ -102,6 +103,7 @@
       departures: planDepartures,
       parts: planParts,
       skews: planSkews,
+      networks: planNetworks,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -121,6 +121,20 @@
     text: "if (departure?.state === 'unconfirmed') return true;",
     replacement: "if (departure?.state === 'unconfirmed') return false;",
   },
+  {
+    name: 'reset-given-up',
+    promise: 'GONE',
+    file: 'src/shell/gateway/backend-connections.ts',
+    text: 'if (socket !== null && !socket.destroyed) resetSocket(socket);',
+    replacement: '',
+  },
+  {
+    name: 'stall-recovery',
+    promise: 'DRAIN',
+    file: 'src/shell/gateway/server-calls.ts',
+    text: 'if (recovery !== undefined) await recovery;',
+    replacement: '',
+  },
   {
     name: 'list-batch',
     promise: 'DRAIN',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -5,6 +5,7 @@
 import { PATHS } from '../platform/names.js';
 import { routeFaults } from './configuration-judge.js';
 import { unservedCuts } from './cut-off-judge.js';
+import { arrivalsAfterEnd, sentAfterStalls } from './held-request-judge.js';
 import { partsSentOn, soundRequestsLost } from './part-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
 import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
@@ -82,6 +83,8 @@
     ...judgeRecovery(calls, run),
     ...judgeCuts(calls, run),
     ...judgeSkews(calls, run),
+    ...arrivalsAfterEnd(calls, run).map((found): Violation => ({ promise: 'GONE', ...found })),
+    ...sentAfterStalls(calls, run).map((found): Violation => ({ promise: 'DRAIN', ...found })),
   ];
 }
 
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -35,7 +35,9 @@
   /** What the server sends is withheld. */
   | 'one-way'
   /** Open connections go silent permanently; connections opened after the fault work. */
-  | 'silent';
+  | 'silent'
+  /** What either side sends is held until the fault ends, as by a network that loses packets until TCP's retransmissions pass. */
+  | 'hold';
 
 /** What a cut does to open connections; new ones are refused. */
 export type DaemonCut =
--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -113,3 +113,38 @@
   assert.deepEqual(faults, []);
   server.close();
 });
+
+for (const [how, end, received] of [
+  ['closed', (socket: Socket) => socket.end(), 'held'],
+  ['reset', (socket: Socket) => socket.resetAndDestroy(), ''],
+] as const) {
+  test(`a link that held what was sent delivers ${received === '' ? 'none of it' : 'all of it'} later on a connection that was ${how}`, {
+    timeout: 10_000,
+  }, async () => {
+    const server = createServer().listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const link = new LinkProxy(() => (server.address() as AddressInfo).port);
+    await link.open();
+    link.begin('hold');
+    const accepted = once(server, 'connection') as Promise<[Socket]>;
+    const daemon = connect(Number(link.address.split(':')[1]), '127.0.0.1');
+    daemon.on('error', () => undefined);
+    const [peer] = await accepted;
+    let text = '';
+    peer.on('error', () => undefined);
+    peer.on('data', (chunk: Buffer) => {
+      text += chunk.toString('utf8');
+    });
+    const closed = new Promise((resolve) => peer.once('close', resolve));
+    daemon.write('held');
+    await turns();
+    end(daemon);
+    await turns();
+    assert.equal(text, '');
+    link.end();
+    await closed;
+    assert.equal(text, received);
+    link.close();
+    server.close();
+  });
+}
