Soak: count a departure from when a request was sent, not from when its connection was accepted

Cause: the soak accepts one connection a listener and turn, so on a busy machine requests wait seconds to be read. Traced before: nine requests that were sent 1.0 to 1.3 s before their daemons learned of the departure, accepted 4.6 s later, were counted as DRAIN. GONE, back-offs and rests take that wait off already.

Change: DRAIN takes off how long the connection had waited, as the kernel's table of sockets says.

--- a/soak/held-request-judge.ts
+++ b/soak/held-request-judge.ts
@@ -90,6 +90,6 @@
 }
 
 /** When a request was sent at the latest: its connection may have waited to be accepted. */
-function sentBy({ atMs, acceptWaitMs }: Arrival): number {
+export function sentBy({ atMs, acceptWaitMs }: Arrival): number {
   return atMs - acceptWaitMs;
 }
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -5,7 +5,7 @@
 import { PATHS } from '../platform/names.js';
 import { routeFaults } from './configuration-judge.js';
 import { unservedCuts } from './cut-off-judge.js';
-import { arrivalsAfterEnd, sentAfterStalls } from './held-request-judge.js';
+import { arrivalsAfterEnd, sentAfterStalls, sentBy } from './held-request-judge.js';
 import { partsSentOn, soundRequestsLost } from './part-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
 import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
@@ -192,7 +192,9 @@
 }
 
 function judgeDrain(call: CallRecord, run: RunRecord, addViolation: AddViolation): void {
-  for (const { serverId, atMs } of call.arrivals) {
+  for (const arrival of call.arrivals) {
+    const { serverId } = arrival;
+    const atMs = sentBy(arrival);
     const notice = run.drains.find((drain) => drain.serverId === serverId);
     if (notice === undefined || atMs <= notice.ackMs + run.bounds.drainMs + TRANSIT_MS) continue;
     // A daemon that was out of contact at the notice learns it after it is back in contact.
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -164,6 +164,13 @@
   assert.deepEqual(broken(run([call()], { drains: [{ serverId: 's1', ackMs: 29_000 }] })), []);
 });
 
+test('DRAIN: a request that was sent in time and waited until the soak accepted its connection', () => {
+  const drains = [{ serverId: 's1', ackMs: 25_000 }];
+  const waiting = (acceptWaitMs: number) => call({ arrivals: [arrival({ acceptWaitMs })] });
+  assert.deepEqual(broken(run([waiting(4_000)], { drains })), []);
+  assertBroken('DRAIN', run([waiting(2_000)], { drains }));
+});
+
 test('DRAIN: a daemon forwarded a response that reports that its server leaves, and goes on sending there', () => {
   const leaving = call({ arrivals: [arrival({ reportedLeaving: true })] });
   const later = (sentMs: number, fields: Partial<CallRecord> = {}) => {
