Wait between whole reads of a table whose history is lost again after each

Cause: a lost history causes a whole read at once, and if its revision is older than the history too, the next poll is answered the same: 376 calls in 3 s of virtual time by one watch, answers after 8 ms. Class: a retry without a delay where the answer came at once.

Change: from the second loss in a row the watch waits as after a failed call, until changes were read.

--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -100,6 +100,8 @@
   /** When the store's current era was first seen; undefined once the table was fully read in it. */
   #eraSeenAtMs: number | undefined;
   #failuresInARow = 0;
+  /** Losses of the history since changes were last read: whole reads that are older than the history cause one each. */
+  #lossesInARow = 0;
   #callStartedMs = 0;
   /** When the first failed call since the last data began; undefined if no call has failed since. */
   #awaySinceMs: number | undefined;
@@ -321,6 +323,7 @@
       return this.#isFullReadRequested ? undefined : this.#handleFailure(answer);
     }
     this.#recordSuccess();
+    this.#lossesInARow = 0;
     if (!isSameEra) return;
     this.#revisions.advanceTo(answer.revision);
     const origin = this.#originOfPoll(answer);
@@ -486,6 +489,8 @@
       this.#revisions.invalidate();
       this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
       log.write(GATEWAY_EVENTS.historyLost, { table: table.name, era: answer.era });
+      this.#lossesInARow += 1;
+      if (this.#lossesInARow > 1) await this.#backOff(this.#lossesInARow - 1);
       return;
     }
     if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
@@ -494,14 +499,17 @@
     if (this.#failuresInARow === 1) {
       log.write(GATEWAY_EVENTS.watchLost, { table: table.name, reason: answer.reason });
     }
-    await this.#backOff();
+    await this.#backOff(this.#failuresInARow);
   }
 
-  /** Waits before a retry. A digest that becomes fresh ends the wait, as it may show that no call is needed. */
-  async #backOff(): Promise<void> {
+  /**
+   * Waits before a retry, longer with each in a row. A digest that becomes fresh ends the wait, as it may show that no call
+   * is needed.
+   */
+  async #backOff(triesInARow: number): Promise<void> {
     const { digest, timing, random, retryQueue } = this.#options;
     const { maxRetryDelayMs } = timing();
-    const backoffMs = FIRST_RETRY_SHARE * maxRetryDelayMs * 2 ** (this.#failuresInARow - 1);
+    const backoffMs = FIRST_RETRY_SHARE * maxRetryDelayMs * 2 ** (triesInARow - 1);
     const spread = 1 - RETRY_SPREAD * random();
     const waitMs = Math.min(maxRetryDelayMs, backoffMs) * spread;
     const ended = new AbortController();
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -477,3 +477,26 @@
   timers.advance(BATCH_MS);
   await running;
 });
+
+/** A table whose whole reads are older than its history, so that no changes can be read from there. */
+class StaleTable extends ChangingTable {
+  override changesAfter(): Promise<WatchAnswer<number>> {
+    this.calls += 1;
+    return Promise.resolve({ kind: 'history-lost', era: 0 });
+  }
+}
+
+test('a table whose history is lost again after each whole read is not read without a delay', async () => {
+  const SPAN_MS = 3_000;
+  const timers = new ManualTimers();
+  const table = new StaleTable();
+  const watcher = watcherOf(table, BATCH_MS, timers, []);
+  const running = watcher.run();
+  await timers.advanceBy(SPAN_MS);
+  watcher.stop();
+  timers.advance(SPAN_MS);
+  await running;
+  // A whole read, a repeated one and a poll between two waits, which grow to the longest.
+  const waits = 4 + SPAN_MS / (0.7 * TIMING.maxRetryDelayMs);
+  assert.ok(table.calls <= 3 * waits, `${table.calls} calls`);
+});
