--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -125,7 +125,7 @@
   }
 
   /** The server of whose departure a notice tells, if the list was followed beyond the notice and shows it as ready. */
-  contradicted(
+  contradictedServer(
     { server, ...notice }: DepartureNotice,
     followed: StorePosition,
   ): ServerRecord | undefined {
--- a/src/shell/gateway/departure-tracker.ts
+++ b/src/shell/gateway/departure-tracker.ts
@@ -86,7 +86,7 @@
     followed: StorePosition,
   ): readonly ServerRecord[] {
     return notices.flatMap((notice) => {
-      const server = this.#options.departures.contradicted(notice, followed);
+      const server = this.#options.departures.contradictedServer(notice, followed);
       if (server === undefined) return [];
       this.#reportContradiction(notice, followed);
       return [server];
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -507,6 +507,7 @@
     return { era, revision };
   }
 
+  /** The origin of a change that this daemon makes by itself, without a row that says so. */
   #originOfOwnDecision(): RowsOrigin {
     const changedAfterMs = this.#options.timers.nowMs();
     return { source: 'store', ...this.#followed, changedAfterMs };
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -92,7 +92,7 @@
   /** Aborts a wait or a long poll because a full read was requested or the watch is stopped. */
   #interrupt = new AbortController();
   #isFullReadRequested = false;
-  /** Full reads that were waited for, numbered; called when a read that began after the request was applied. */
+  /** Those who wait for a full read, numbered in their order. */
   readonly #readWaiters = new Map<number, () => void>();
   #lastReadWaiter = 0;
   readonly #revisions = new FollowedRevisions();
--- a/test/gateway/late-drain.test.ts
+++ b/test/gateway/late-drain.test.ts
@@ -29,25 +29,6 @@
 
 afterEach(() => fleet.stop());
 
-/** Rewrites a row again and again, as a release does with many rows. */
-function keepListChanging(): void {
-  let sequence = 0;
-  const change = () => {
-    sequence += 1;
-    const address = `127.0.0.1:${1 + (sequence % 1_000)}`;
-    fleet.fixture.store.putServer('other', {
-      service: 'viewer',
-      address,
-      zone: 'a',
-      slots: 6,
-      state: 'ready',
-      sequence,
-    });
-    fleet.timers.after(RESTLESS_MS, change);
-  };
-  change();
-}
-
 /** Calls in turn at the daemons for a time. @returns when the last request reached the server, from now */
 async function lastArrivalMs(
   id: string,
@@ -76,22 +57,15 @@
   }
 }
 
-/** Until a daemon has just read a change of the list, so that it waits for a whole batch before it reads the next. */
-async function untilListIsRead(): Promise<void> {
-  const reads = () => fleet.linesOf(GATEWAY_EVENTS.serverRenewed).length;
-  const before = reads();
-  await fleet.timers.advanceUntil(() => reads() > before);
-}
-
 test('a stream is not resumed at a draining server later than its drain time, where the list keeps changing', async () => {
   const versions = { a1: 'v1', a2: 'v2', a3: 'v3' };
   await fleet.start(3, versions);
   fleet.setBeginning(versions, 'stays open');
-  keepListChanging();
+  fleet.keepListChanging(RESTLESS_MS);
   await fleet.timers.advanceBy(DRAIN_MS);
   for (const [id, version] of Object.entries(versions).slice(1)) {
     const stream = await openStreamOf(version);
-    await untilListIsRead();
+    await fleet.untilListIsRead();
     const server = fleet.servers.get(id);
     assert.ok(server);
     const fields = { service: 'reader', stage: 'decode', version, state: 'draining' };
@@ -148,7 +122,7 @@
   fleet.servers.set(VIEWER, await fleet.fixture.addServer(VIEWER, answering(200, 'tile')));
   await fleet.untilKnown(VIEWER);
   // Each change is read at once, so that a call of each daemon meets the refusal.
-  keepListChanging();
+  fleet.keepListChanging(RESTLESS_MS);
   entrance.fault = 'refuse';
   await fleet.timers.advanceBy(AWAY_MS / 2);
   fleet.fixture.store.fault = 'refuse';
--- a/test/gateway/stalled-daemon.test.ts
+++ b/test/gateway/stalled-daemon.test.ts
@@ -5,7 +5,6 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { TABLES } from '../../platform/names.js';
-import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { type CallerAnswer, route } from './support/fixture.js';
 import { answering } from './support/server-stand-in.js';
 import { VersionedFleet } from './support/versioned-fleet.js';
@@ -32,26 +31,6 @@
 
 afterEach(() => fleet.stop());
 
-/** Rewrites a row again and again, as a release does with many rows. */
-function keepListChanging(): void {
-  let sequence = 0;
-  const change = () => {
-    sequence += 1;
-    const address = `127.0.0.1:${1 + (sequence % 1_000)}`;
-    const row = { service: 'other', address, zone: 'a', slots: 6, state: 'ready', sequence };
-    fleet.fixture.store.putServer('other', row);
-    fleet.timers.after(RESTLESS_MS, change);
-  };
-  change();
-}
-
-/** Until the daemon has just read a change of the list, so that it waits for a whole batch before it reads the next. */
-async function untilListIsRead(): Promise<void> {
-  const reads = () => fleet.linesOf(GATEWAY_EVENTS.serverRenewed).length;
-  const before = reads();
-  await fleet.timers.advanceUntil(() => reads() > before);
-}
-
 /** Requests that wait in the daemon's sockets as it goes on; no timer fires before they are read. */
 async function callAfterStall(): Promise<readonly CallerAnswer[]> {
   fleet.timers.stall(STALL_MS);
@@ -84,8 +63,8 @@
 
 for (const [what, depart] of DEPARTURES) {
   test(`a daemon that stood still sends nothing to a server that ${what} since, and serves the requests elsewhere`, async () => {
-    keepListChanging();
-    await untilListIsRead();
+    fleet.keepListChanging(RESTLESS_MS);
+    await fleet.untilListIsRead();
     depart();
     const answers = await callAfterStall();
     assert.equal(fleet.requestsAt(LEAVES).length, 0);
--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -106,6 +106,26 @@
     for (const id of Object.keys(versions)) await this.untilKnown(id);
   }
 
+  /** Rewrites a row again and again, as a release does with many rows. */
+  keepListChanging(everyMs: number): void {
+    let sequence = 0;
+    const change = () => {
+      sequence += 1;
+      const address = `127.0.0.1:${1 + (sequence % 1_000)}`;
+      const row = { service: 'other', address, zone: 'a', slots: 6, state: 'ready', sequence };
+      this.fixture.store.putServer('other', row);
+      this.timers.after(everyMs, change);
+    };
+    change();
+  }
+
+  /** Until a daemon has just read a change of the list, so that it waits for a whole batch before it reads the next. */
+  async untilListIsRead(): Promise<void> {
+    const reads = () => this.linesOf(GATEWAY_EVENTS.serverRenewed).length;
+    const before = reads();
+    await this.timers.advanceUntil(() => reads() > before);
+  }
+
   /** Until all daemons that run list a server. */
   async untilKnown(id: string): Promise<void> {
     await this.#untilLogged(GATEWAY_EVENTS.serverAdded, id);
