Soak: a request that a failed link held is not counted as late, as the rule says

The rule excuses a request if the link to its server failed in the contactMs before; the judge of DRAIN knew no links, as none had delivered late before.

Change: faults of links are recorded by their server, and excuse arrivals there until contactMs after them.

--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -483,6 +483,7 @@
     const listed = this.#serversAt(fault.servers);
     for (const { server, link } of listed) {
       this.#disturb('server', server.id, fault.forMs + this.#world.bounds.contactMs);
+      this.#disturb('link', server.id, fault.forMs);
       link.begin(fault.how);
     }
     await pause(fault.forMs);
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -117,6 +117,8 @@
   | 'frozen'
   | 'store'
   | 'server'
+  /** The link between all daemons and a server, by the server's name. */
+  | 'link'
   /** The soak's own process, which was delayed: the store responds late, and servers record arrivals late. */
   | 'stand-ins';
 
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -171,6 +171,16 @@
   assertBroken('DRAIN', run([waiting(2_000)], { drains }));
 });
 
+test('DRAIN: a request that a failed link to its server held, until contactMs after the link was well again', () => {
+  const drains = [{ serverId: 's1', ackMs: 25_000 }];
+  const link = { scope: 'link', name: 's1', fromMs: 24_000, isPlanned: false } as const;
+  const heldUntil = (toMs: number) => ({ drains, disturbances: [{ ...link, toMs }] });
+  assert.deepEqual(broken(run([call()], heldUntil(30_000))), []);
+  assertBroken('DRAIN', run([call()], heldUntil(30_010 - BOUNDS.contactMs - 1)));
+  const ofOther = [{ ...link, name: 's2', toMs: 30_000 }];
+  assertBroken('DRAIN', run([call()], { drains, disturbances: ofOther }));
+});
+
 test('DRAIN: a daemon forwarded a response that reports that its server leaves, and goes on sending there', () => {
   const leaving = call({ arrivals: [arrival({ reportedLeaving: true })] });
   const later = (sentMs: number, fields: Partial<CallRecord> = {}) => {
