--- a/src/shell/gateway/watch-timing.ts
+++ b/src/shell/gateway/watch-timing.ts
@@ -44,8 +44,6 @@
 /** Small fleets and relays are few enough to retry often, so they reach the store soon after it is back. */
 const MAX_RETRY_DELAY_MS = 500;
 const FOLLOWER_RETRY_DELAY_SHARE_OF_CONTACT = 0.225;
-/** In an outage shorter than this many call time-outs no row of a running server expires. */
-const EXPIRY_CALL_TIMEOUTS = 2;
 const DIGEST_AGE_SHARE_OF_CONTACT = 0.45;
 /** How long full reads are repeated after a connection was cut but the history was kept. */
 const CUT_RECHECK_SHARE_OF_CONTACT = 1.5;
@@ -91,9 +89,9 @@
   return Math.max(afterLongPoll, afterRetry);
 }
 
-/** Whether calls have failed for so long that rows may have expired: running servers could not renew them. */
+/** Whether calls have failed for so long that the store was away; no row expires in a shorter time. */
 export function isOutage(awayMs: number, { callTimeoutMs }: WatchTiming): boolean {
-  return awayMs >= EXPIRY_CALL_TIMEOUTS * callTimeoutMs;
+  return awayMs >= callTimeoutMs;
 }
 
 /** The age up to which a relay's last contact with the store makes its digest fresh. */
