--- a/review/stand-ins/client.mjs
+++ b/review/stand-ins/client.mjs
@@ -49,7 +49,8 @@
       response.on('error', () => done('cut', { status, error: 'broke off' }));
       response.on('end', () => {
         const text = Buffer.concat(chunks).toString('latin1');
-        done(response.complete ? 'answered' : 'cut', { status, stamp, body: text });
+        const isFramed = response.headers['transfer-encoding'] === 'chunked';
+        done(response.complete ? 'answered' : 'cut', { status, stamp, body: text, isFramed });
       });
       response.on('close', () => done('cut', { status, error: 'closed' }));
     });
@@ -61,17 +62,18 @@
 const SUBJECTS = Array.from({ length: 138 }, () => hex(8));
 const subject = () => SUBJECTS[Math.floor(Math.random() * SUBJECTS.length)];
 
-/** A request to a model route, with a long prompt. */
-export function modelRequest(path, deadlineMs) {
+/** A request to a model route, with a long or a short prompt. */
+export function modelRequest(path, deadlineMs, isLong = true) {
+  const [shared, own] = isLong ? [13_300, 3_720] : [92, 291];
   return {
     method: 'POST',
     path,
     deadlineMs,
     headers: {
       'X-Model': 'm',
-      'X-Token-Count': '17020,17',
-      'X-Prompt-Prefix': `${subject()}:13300,${hex(8)}:3720`,
+      'X-Token-Count': `${shared + own},17`,
+      'X-Prompt-Prefix': `${subject()}:${shared},${hex(8)}:${own}`,
     },
-    body: Buffer.alloc(380, 'x'),
+    body: Buffer.from(hex(380)),
   };
 }
--- a/review/stand-ins/configuration.mjs
+++ b/review/stand-ins/configuration.mjs
@@ -4,11 +4,12 @@
 export const MODEL = 'huvo11a';
 export const WEB = 'wuno96b';
 
-export function configuration(version, changes = {}) {
+/** @param generate what is other at the streaming route */
+export function configuration(version, generate = {}) {
   return {
     version,
     routes: [
-      route('generate', 'streaming', MODEL, 3_000, 300, 2, 0),
+      { ...route('generate', 'streaming', MODEL, 3_000, 300, 2, 0), ...generate },
       route('renew', 'non_idempotent', WEB, 1_000, 150, 1, 2),
       route('slip', 'idempotent', WEB, 1_000, 150, 2, 2),
     ],
@@ -39,7 +40,6 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    ...changes,
   };
 }
 
--- a/review/stand-ins/scenario.mjs
+++ b/review/stand-ins/scenario.mjs
@@ -35,7 +35,7 @@
     this.directory = mkdtempSync(join(tmpdir(), 'review-'));
     this.store = new Store();
     await this.store.start();
-    this.store.put('op', 'config', configuration(1));
+    this.store.put('op', 'config', configuration(1, this.options.generate));
     const zones = ['a', 'b', 'c'];
     const record = (what, fields) => this.record(what, fields);
     this.engines = [
@@ -51,7 +51,9 @@
   }
 
   #engine(index, stage, record) {
-    return new Engine(MODEL, ['a', 'b', 'c'][index % 3], this.store, record, stage);
+    const engine = new Engine(MODEL, ['a', 'b', 'c'][index % 3], this.store, record, stage);
+    this.options.prepare?.(engine, index);
+    return engine;
   }
 
   /** Sends requests at a steady rate until `untilMs`, each to a gateway that the entrance uses. */
@@ -82,6 +84,7 @@
 
   async stop() {
     await Promise.all(this.pending);
+    this.isOver = true;
     for (const gateway of this.gateways ?? []) await gateway.stop();
     for (const server of [...(this.engines ?? []), ...(this.webServers ?? [])]) server.stop();
     this.store?.stop();
@@ -90,6 +93,7 @@
 }
 
 export const generate = () => modelRequest('/generate/2f', 3_000);
+export const chat = () => modelRequest('/generate/2f', 6_000, false);
 export const renew = () => ({
   method: 'POST',
   path: '/renew/2f',
--- a/review/stand-ins/servers.mjs
+++ b/review/stand-ins/servers.mjs
@@ -19,7 +19,7 @@
     Object.assign(this, { service, zone, store, record, id: `i-${hex(10)}` });
   }
 
-  async start() {
+  async start(port = 0) {
     this.server = http.createServer((request, response) => {
       response.on('error', () => response.destroy());
       const chunks = [];
@@ -27,7 +27,7 @@
       request.on('end', () => this.#serve(request, response));
     });
     this.server.keepAliveTimeout = 5_000;
-    await new Promise((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    await new Promise((resolve) => this.server.listen(port, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${this.server.address().port}`;
     this.sequence = 0;
     this.beat();
@@ -40,6 +40,19 @@
     this.server.closeAllConnections();
   }
 
+  /** Its process ends: the system closes its connections and its port. Its entry lapses after three heartbeats. */
+  crash() {
+    this.stop();
+    setTimeout(() => this.store.remove('servers', this.id), 3 * HEARTBEAT_MS);
+  }
+
+  /** Starts again, as another incarnation at the same address. */
+  async restart() {
+    this.id = `i-${hex(10)}`;
+    this.running = 0;
+    await this.start(Number(this.address.split(':')[1]));
+  }
+
   entry() {
     return {
       service: this.service,
@@ -109,6 +122,10 @@
 export class Engine extends Server {
   handles = new Set();
   orders = 0;
+  /** Events of a stream, and whether its answers carry no length and end with their connection. */
+  events = EVENTS;
+  eventMs = EVENT_MS;
+  isUnframed = false;
 
   constructor(service, zone, store, record, stage) {
     super(service, zone, store, record);
@@ -157,9 +174,10 @@
     if (isPrefill !== (this.stage === 'prefill') && isPrefill) {
       return response.writeHead(421, { 'X-Attempt-Id': id, 'X-Instance-Id': this.id }).end();
     }
-    this.record(isPrefill ? 'prefill' : 'run', { id, server: this.id });
+    const after = request.headers['last-event-id'];
+    this.record(isPrefill ? 'prefill' : 'run', { id, server: this.id, after });
     if (isPrefill) setTimeout(() => isOpen() && this.#endPrefill(response, id), READ_MS);
-    else this.#stream(response, id, isOpen, request.headers['x-kv-source'] === undefined ? 2 : 0);
+    else this.#stream(request, response, id, isOpen);
   }
 
   #endPrefill(response, id) {
@@ -176,18 +194,25 @@
       .end(body);
   }
 
-  #stream(response, id, isOpen, reads) {
-    let event = 0;
+  #stream(request, response, id, isOpen) {
+    const reads = request.headers['x-kv-source'] === undefined ? 2 : 0;
+    let event = Number(request.headers['last-event-id'] ?? 0);
     const next = () => {
       if (!isOpen()) return;
-      if (event === 0) {
-        response.writeHead(200, { ...this.head(id), 'Content-Type': 'text/event-stream' });
-      }
+      if (!response.headersSent) this.#begin(response, id);
       event += 1;
       response.write(`id: ${event}\ndata: piece ${event} of ${id}\n\n`);
-      if (event < EVENTS) setTimeout(next, EVENT_MS);
+      if (event < this.events) setTimeout(next, this.eventMs);
       else response.end();
     };
-    setTimeout(next, EVENT_MS + reads * READ_MS);
+    setTimeout(next, this.eventMs + reads * READ_MS);
+  }
+
+  #begin(response, id) {
+    if (this.isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
+    response.writeHead(200, { ...this.head(id), 'Content-Type': 'text/event-stream' });
   }
 }
