--- a/review/stand-ins/scenario.mjs
+++ b/review/stand-ins/scenario.mjs
@@ -93,7 +93,7 @@
 }
 
 export const generate = () => modelRequest('/generate/2f', 3_000);
-export const chat = () => modelRequest('/generate/2f', 6_000, false);
+export const chat = (deadlineMs = 6_000) => modelRequest('/generate/2f', deadlineMs, false);
 export const renew = () => ({
   method: 'POST',
   path: '/renew/2f',
@@ -118,6 +118,9 @@
   const deployment = new Deployment(options);
   let code = COULD_NOT_RUN;
   let verdict;
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => void deployment.stop().finally(() => process.exit(COULD_NOT_RUN)));
+  }
   try {
     await deployment.start();
     deployment.startedMs = performance.now();
