--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,79 +1,111 @@
 /**
- * Model servers crash, and some of those that are left crash soon after. Streams may be resumed; half of the model servers
- * answer without a length and end their answers with the connection.
+ * Gateways are stopped and started again in turn. Each client keeps its connection: it reads a long stream, then sends a
+ * request that may not be repeated, and so on.
  */
-
+import http from 'node:http';
+import { send } from '../stand-ins/client.mjs';
 import { sleep } from '../stand-ins/platform.mjs';
-import { chat, runCase, summaryOf } from '../stand-ins/scenario.mjs';
+import { chat, renew, runCase, summaryOf } from '../stand-ins/scenario.mjs';
 
-const DAY_MS = 60_000;
-const CRASH_EVERY_MS = 12_000;
-const SECOND_CRASH_MS = 1_000;
-const DOWN_MS = 5_000;
-const EVENTS = 40;
-const EVENT_MS = 60;
+const DAY_MS = 95_000;
+const STOP_EVERY_MS = 14_000;
+const CLIENTS = 360;
+const EVENTS = 80;
+const EVENT_MS = 140;
+const STREAM_DEADLINE_MS = 15_000;
+const WORK_MS = 86;
+const PAUSE_MS = 5;
+/** Requests sent sooner after the SIGTERM may be cut, if their server is still at work near the end of the grace period. */
+const EXCUSED_MS = 3_000;
 const MAX_SHOWN = 20;
 
 const options = {
-  gateways: 6,
+  gateways: 3,
   prefill: 2,
-  decode: 4,
-  web: 3,
-  generate: { resumable: true, attempts: 2, timeoutMs: 6_000, targetLatencyMs: 300 },
-  prepare: (engine, index) => {
+  decode: 14,
+  web: 6,
+  generate: { resumable: false, attempts: 1, timeoutMs: 15_000, targetLatencyMs: 250 },
+  prepare: (engine) => {
     engine.events = EVENTS;
     engine.eventMs = EVENT_MS;
-    engine.isUnframed = index % 2 === 0;
   },
 };
 
-async function crash(day, server) {
-  server.crash();
-  day.record('crash', { server: server.id, isUnframed: server.isUnframed });
-  await sleep(DOWN_MS);
-  if (!day.isOver) await server.restart();
-}
-
-/** The numbers of the pieces that the client got, in their order. */
-function piecesOf({ body }) {
-  return [...body.matchAll(/^data: piece (\d+) /gm)].map(([, number]) => Number(number));
+/** One client: a connection of its own, kept until its gateway closes it. */
+async function client(day, untilMs) {
+  await sleep(Math.random() * EVENTS * EVENT_MS);
+  while (performance.now() < untilMs) {
+    const ready = day.gateways.filter(({ isIn }) => isIn);
+    const gateway = ready[Math.floor(Math.random() * ready.length)];
+    if (gateway === undefined) {
+      await sleep(200);
+      continue;
+    }
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    let isOpen = true;
+    for (let turn = 0; isOpen && performance.now() < untilMs; turn += 1) {
+      const request = turn % 2 === 0 ? chat(STREAM_DEADLINE_MS) : renew();
+      const answer = await send(gateway, { ...request, agent });
+      const { id, outcome, status, error, startedMs, endedMs } = answer;
+      const tookMs = Math.round(endedMs - startedMs);
+      day.record(outcome, { id, gateway: gateway.name, path: request.path, status, error, tookMs });
+      day.sent += 1;
+      day.outcomes.push({ ...answer, path: request.path });
+      isOpen = outcome === 'answered' && status === 200 && !answer.isLast;
+      await sleep(PAUSE_MS);
+    }
+    agent.destroy();
+  }
 }
 
-function judge(day) {
-  const whole = day.outcomes.filter(
-    ({ outcome, status, isFramed }) => outcome === 'answered' && status === 200 && isFramed,
-  );
-  const early = whole.filter((answer) => piecesOf(answer).length < EVENTS);
-  const outOfOrder = whole.filter((answer) =>
-    piecesOf(answer).some((number, index) => number !== index + 1),
-  );
-  const shown = early
+function judge(day, stops, ran) {
+  const lost = day.outcomes.flatMap((answer) => {
+    if (answer.outcome !== 'cut' || !answer.path.startsWith('/renew/')) return [];
+    const stop = stops.findLast(
+      ({ name, atMs }) => name === answer.gateway && atMs <= answer.startedMs,
+    );
+    const sentAfterMs = stop === undefined ? 0 : answer.startedMs - stop.atMs;
+    return ran.has(answer.id) && sentAfterMs > EXCUSED_MS ? [{ ...answer, sentAfterMs }] : [];
+  });
+  const shown = lost
     .slice(0, MAX_SHOWN)
-    .map((answer) => `  ${answer.id}: ends as complete after piece ${piecesOf(answer).at(-1)}`);
+    .map(
+      ({ id, gateway, sentAfterMs, startedMs, endedMs }) =>
+        `  ${id} at ${gateway}: sent ${Math.round(sentAfterMs)} ms after the SIGTERM, run, cut after ${Math.round(endedMs - startedMs)} ms`,
+    );
   const text = [
     `requests sent: ${day.sent}; ${summaryOf(day.outcomes)}`,
-    `answers in chunks that ended with the last chunk: ${whole.length}, of these without all ${EVENTS} pieces: ${early.length}, with a piece missing or twice: ${outOfOrder.length}`,
+    `requests that may not be repeated, ran, and got no answer: ${lost.length}`,
     ...shown,
   ];
-  return { isBroken: early.length + outOfOrder.length > 0, text };
+  return { isBroken: lost.length > 0, text };
 }
 
 const folder = new URL('.', import.meta.url).pathname;
 await runCase(folder, options, async (day, isTroubled) => {
-  const endMs = performance.now() + DAY_MS;
-  const traffic = day.traffic(endMs, 40, chat);
-  const decode = day.engines.filter(({ stage }) => stage === 'decode');
-  const framed = decode.filter(({ isUnframed }) => !isUnframed);
-  const unframed = decode.filter(({ isUnframed }) => isUnframed);
-  const down = [];
-  for (let turn = 0; performance.now() + CRASH_EVERY_MS < endMs; turn += 1) {
-    await sleep(CRASH_EVERY_MS - DOWN_MS - SECOND_CRASH_MS);
-    if (isTroubled) down.push(crash(day, framed[turn % framed.length]));
-    await sleep(SECOND_CRASH_MS);
-    if (isTroubled) down.push(crash(day, unframed[turn % unframed.length]));
-    await sleep(DOWN_MS);
+  const ran = new Set();
+  const { record } = day;
+  day.record = (what, fields) => {
+    if (what === 'run') ran.add(fields.id);
+    record.call(day, what, fields);
+  };
+  for (const server of day.webServers) server.workMs = WORK_MS;
+  for (const server of [...day.engines, ...day.webServers]) {
+    server.slots = 48;
+    server.record = day.record;
+  }
+  const startMs = performance.now();
+  const untilMs = startMs + DAY_MS - 18_000;
+  const clients = Array.from({ length: CLIENTS }, () => client(day, untilMs));
+  const stops = [];
+  for (let turn = 0; startMs + (turn + 1) * STOP_EVERY_MS < untilMs; turn += 1) {
+    await sleep(startMs + (turn + 1) * STOP_EVERY_MS - performance.now());
+    if (!isTroubled) continue;
+    const gateway = day.gateways[turn % day.gateways.length];
+    stops.push({ name: gateway.name, atMs: performance.now() });
+    day.record('SIGTERM', { gateway: gateway.name });
+    gateway.signal('SIGTERM');
   }
-  await Promise.all([traffic, ...down]);
-  await Promise.all(day.pending);
-  return judge(day);
+  await Promise.all(clients);
+  return judge(day, stops, ran);
 });
--- a/review/stand-ins/client.mjs
+++ b/review/stand-ins/client.mjs
@@ -7,7 +7,7 @@
 export const HOST = 'ficu95.example';
 
 /** Sends one try; resolves to { id, outcome, status, body, stamp }, with outcome 'answered' | 'cut' | 'deadline'. */
-export function send(gateway, { method, path, headers = {}, body, deadlineMs }) {
+export function send(gateway, { method, path, headers = {}, body, deadlineMs, agent = false }) {
   const id = hex(16);
   const startedMs = performance.now();
   return new Promise((resolve) => {
@@ -27,7 +27,7 @@
       port: gateway.port,
       method,
       path,
-      agent: false,
+      agent,
       headers: {
         Host: HOST,
         'X-Attempt-Id': id,
@@ -50,7 +50,14 @@
       response.on('end', () => {
         const text = Buffer.concat(chunks).toString('latin1');
         const isFramed = response.headers['transfer-encoding'] === 'chunked';
-        done(response.complete ? 'answered' : 'cut', { status, stamp, body: text, isFramed });
+        const isLast = response.headers.connection === 'close';
+        done(response.complete ? 'answered' : 'cut', {
+          status,
+          stamp,
+          body: text,
+          isFramed,
+          isLast,
+        });
       });
       response.on('close', () => done('cut', { status, error: 'closed' }));
     });
--- a/review/stand-ins/servers.mjs
+++ b/review/stand-ins/servers.mjs
@@ -104,6 +104,7 @@
 /** A web server: works for some time and answers with a body of 800 bytes. */
 export class WebServer extends Server {
   slots = 12;
+  workMs = WORK_MS;
 
   run(request, response, id, isOpen) {
     this.record('run', { id, server: this.id, method: request.method, path: request.url });
@@ -114,7 +115,7 @@
       response
         .writeHead(200, { ...this.head(id), 'Content-Length': String(body.length) })
         .end(body);
-    }, WORK_MS);
+    }, this.workMs);
   }
 }
 
