Review case 3: more streams end in the window

Cause: with 360 clients one run in three counted a single request. Change: 480 clients and streams of 8.1 s.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -9,8 +9,8 @@
 
 const DAY_MS = 95_000;
 const STOP_EVERY_MS = 14_000;
-const CLIENTS = 360;
-const EVENTS = 80;
+const CLIENTS = 480;
+const EVENTS = 58;
 const EVENT_MS = 140;
 const STREAM_DEADLINE_MS = 15_000;
 const WORK_MS = 86;
