--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,65 +1,68 @@
 /**
- * Gateways are stopped and started again in turn while they relay long streams. Some model servers answer without a length
- * and end their answers with the connection. With HOW=SIGKILL the gateways are killed instead.
+ * Servers hand out wrong bytes (`garble`), by turns prefill servers and web servers: in some answers, one byte of the KV
+ * handle is wrong, or the status is not one.
  */
-import { sleep } from '../stand-ins/platform.mjs';
-import { chat, runCase, summaryOf } from '../stand-ins/scenario.mjs';
 
-const DAY_MS = 50_000;
-const STOP_AT_MS = [8_000, 18_000];
-const LAST_SEND_MS = 30_000;
-const EVENTS = 90;
-const EVENT_MS = 140;
-const DEADLINE_MS = 15_000;
-const MAX_SHOWN = 20;
+import { sleep } from '../stand-ins/platform.mjs';
+import { generate, judgeEnds, renew, runCase, slip } from '../stand-ins/scenario.mjs';
 
-const options = {
-  gateways: 6,
-  prefill: 2,
-  decode: 6,
-  web: 3,
-  generate: { resumable: false, attempts: 1, timeoutMs: 15_000, targetLatencyMs: 250 },
-  prepare: (engine, index) => {
-    engine.events = EVENTS;
-    engine.eventMs = EVENT_MS;
-    engine.isUnframed = engine.stage === 'decode' && index % 3 === 0;
-  },
-};
+const DAY_MS = 70_000;
+const GARBLE_EVERY_MS = 10_000;
+const GARBLE_MS = 5_000;
+const GARBLE_SHARE = 0.5;
+const GARBLE_X = 0.02;
+const HANDLE_START = '"kvHandle":"';
+const TOP_BIT = 0x80;
 
-const piecesOf = ({ body }) => [...body.matchAll(/^data: piece (\d+) /gm)].length;
+/** Answers a prefill with a handle in which one byte is wrong; all else is as it should be. */
+function spoilHandle(server, { id, response, body }) {
+  if (Math.random() >= GARBLE_X) return false;
+  const spoiled = Buffer.from(body);
+  const at = body.indexOf(HANDLE_START) + HANDLE_START.length + Math.floor(Math.random() * 12);
+  spoiled[at] ^= TOP_BIT;
+  server.record('spoiled', { id, server: server.id, at, text: spoiled.toString('latin1') });
+  response
+    .writeHead(200, {
+      'Content-Type': 'application/json',
+      'X-Attempt-Id': id,
+      'Content-Length': String(body.length),
+    })
+    .end(spoiled);
+  return true;
+}
 
-function judge(day) {
-  const whole = day.outcomes.filter(
-    ({ outcome, status }) => outcome === 'answered' && status === 200,
-  );
-  const early = whole.filter((answer) => piecesOf(answer) < EVENTS);
-  const shown = early
-    .slice(0, MAX_SHOWN)
-    .map(
-      (answer) =>
-        `  ${answer.id} at ${answer.gateway}: ends as complete after piece ${piecesOf(answer)} of ${EVENTS}`,
-    );
-  const text = [
-    `requests sent: ${day.sent}; ${summaryOf(day.outcomes)}`,
-    `streams that ended without an error: ${whole.length}, of these without their last piece: ${early.length}`,
-    ...shown,
-  ];
-  return { isBroken: early.length > 0, text };
+/** Writes an answer whose status line holds the wrong status; all else is as it should be. */
+function spoilStatus(server, { id, response, body }) {
+  if (Math.random() >= GARBLE_X) return false;
+  server.record('spoiled', { id, server: server.id, status: '000' });
+  const headers = Object.entries(server.head(id)).map(([name, value]) => `${name}: ${value}\r\n`);
+  const head = `HTTP/1.1 000 OK\r\n${headers.join('')}Content-Length: ${body.length}\r\n\r\n`;
+  response.socket.end(Buffer.concat([Buffer.from(head), body]));
+  return true;
 }
 
 const folder = new URL('.', import.meta.url).pathname;
-const how = process.env.HOW ?? 'SIGTERM';
-await runCase(folder, options, async (day, isTroubled) => {
-  const startMs = performance.now();
-  const traffic = day.traffic(startMs + LAST_SEND_MS, 10, () => chat(DEADLINE_MS));
-  for (const [turn, atMs] of STOP_AT_MS.entries()) {
-    await sleep(startMs + atMs - performance.now());
-    const gateway = day.gateways[turn];
-    if (isTroubled) gateway.signal(how);
-    day.record('signal', { gateway: gateway.name, how: isTroubled ? how : 'none' });
+await runCase(folder, { gateways: 2, prefill: 4, decode: 6, web: 6 }, async (day, isTroubled) => {
+  const endMs = performance.now() + DAY_MS;
+  const traffic = [
+    day.traffic(endMs, 120, generate),
+    day.traffic(endMs, 60, renew),
+    day.traffic(endMs, 60, slip),
+  ];
+  const prefill = day.engines.filter(({ stage }) => stage === 'prefill');
+  for (let turn = 0; performance.now() + GARBLE_EVERY_MS < endMs; turn += 1) {
+    await sleep(GARBLE_EVERY_MS - GARBLE_MS);
+    if (!isTroubled) continue;
+    const [servers, spoil] =
+      turn % 2 === 0 ? [prefill, spoilHandle] : [day.webServers, spoilStatus];
+    const struck = servers.slice(0, servers.length * GARBLE_SHARE);
+    day.record('garble begins', { servers: struck.map(({ id }) => id) });
+    for (const server of struck) server.spoil = spoil;
+    await sleep(GARBLE_MS);
+    for (const server of struck) server.spoil = undefined;
+    day.record('garble ends', {});
   }
-  await traffic;
+  await Promise.all(traffic);
   await Promise.all(day.pending);
-  await sleep(startMs + DAY_MS - performance.now());
-  return judge(day);
+  return judgeEnds(day);
 });
--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -10,19 +10,32 @@
 
 const ROOT = new URL('../../', import.meta.url).pathname;
 const RESTART_MS = 500;
+const START_MS = 25_000;
 const STORE_MS = 4;
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** A free port of the loopback address. */
-export function freePort() {
-  return new Promise((resolve, reject) => {
+/** Below the ports that the system gives to outgoing connections, so that a restarted process finds its port free. */
+const FIRST_PORT = 18_000;
+const LAST_PORT = 31_999;
+
+const givenPorts = new Set();
+
+/** A free port of the loopback address, which was not given before. */
+export async function freePort() {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT));
+    if (givenPorts.has(port) || !(await isFree(port))) continue;
+    givenPorts.add(port);
+    return port;
+  }
+}
+
+function isFree(port) {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
 
@@ -52,8 +65,12 @@
   }
 
   put(table, key, document) {
+    this.putBytes(table, key, Buffer.from(JSON.stringify(document)));
+  }
+
+  putBytes(table, key, bytes) {
     this.#version += 1;
-    this.#set(table, '', key, Buffer.from(JSON.stringify(document)).toString('base64'));
+    this.#set(table, '', key, bytes.toString('base64'));
     this.#wakeFeeds();
   }
 
@@ -267,6 +284,7 @@
     this.#isStopping = true;
     clearInterval(this.probe);
     const child = this.#process;
+    if (child === undefined) return;
     if (child.exitCode !== null || child.signalCode !== null) return;
     const ended = new Promise((resolve) => child.once('exit', resolve));
     child.kill('SIGCONT');
@@ -279,19 +297,25 @@
   return /^\s*(?:\w*Error|TypeError|RangeError)\b.*$/m.exec(text)?.[0].trim() ?? '';
 }
 
-/** Starts gateways and waits until all are ready. */
-export async function startGateways(count, storeAddress, directory, bounds) {
+/** Creates gateways, which are still to be started. */
+export function createGateways(count, storeAddress, directory, bounds) {
   const zones = ['a', 'b', 'c'];
-  const gateways = Array.from(
+  return Array.from(
     { length: count },
     (_, index) =>
       new Gateway(`gateway-${index}`, zones[index % 3], storeAddress, directory, bounds),
   );
+}
+
+/** Starts gateways and waits until all are ready. */
+export async function startGateways(gateways) {
   for (const gateway of gateways) await gateway.start();
-  const deadline = performance.now() + 15_000;
+  const deadline = performance.now() + START_MS;
   while (!gateways.every(({ isIn }) => isIn)) {
-    if (performance.now() > deadline) throw new Error('the gateways did not become ready');
+    if (performance.now() > deadline) {
+      const errors = gateways.flatMap(({ ends }) => ends.map(({ error }) => error));
+      throw new Error(`the gateways did not become ready ${[...new Set(errors)].join(' ')}`);
+    }
     await sleep(100);
   }
-  return gateways;
 }
