--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -25,6 +25,7 @@
     .writeHead(200, {
       'Content-Type': 'application/json',
       'X-Attempt-Id': id,
+      'X-Weight-Versions': '1',
       'Content-Length': String(body.length),
     })
     .end(spoiled);
--- a/review/stand-ins/client.mjs
+++ b/review/stand-ins/client.mjs
@@ -71,14 +71,14 @@
 
 /** A request to a model route, with a long or a short prompt. */
 export function modelRequest(path, deadlineMs, isLong = true) {
-  const [shared, own] = isLong ? [13_300, 3_720] : [92, 291];
+  const [shared, own, out] = isLong ? [13_300, 3_720, 17] : [92, 291, 90];
   return {
     method: 'POST',
     path,
     deadlineMs,
     headers: {
       'X-Model': 'm',
-      'X-Token-Count': `${shared + own},17`,
+      'X-Token-Count': `${shared + own},${out}`,
       'X-Prompt-Prefix': `${subject()}:${shared},${hex(8)}:${own}`,
     },
     body: Buffer.from(hex(380)),
--- a/review/stand-ins/servers.mjs
+++ b/review/stand-ins/servers.mjs
@@ -30,6 +30,7 @@
     await new Promise((resolve) => this.server.listen(port, '127.0.0.1', resolve));
     this.address = `127.0.0.1:${this.server.address().port}`;
     this.sequence = 0;
+    this.written = undefined;
     this.beat();
     this.beats = setInterval(() => this.beat(), HEARTBEAT_MS);
   }
@@ -65,9 +66,14 @@
     };
   }
 
+  /** The entry counts as changed only when more than `sequence` does, so other beats are not written. */
   beat() {
     this.sequence += 1;
-    this.store.put('servers', this.id, { ...this.entry(), sequence: this.sequence });
+    const entry = this.entry();
+    const text = JSON.stringify(entry);
+    if (text === this.written) return;
+    this.written = text;
+    this.store.put('servers', this.id, { ...entry, sequence: this.sequence });
   }
 
   #serve(request, response) {
@@ -181,6 +187,10 @@
     else this.#stream(request, response, id, isOpen);
   }
 
+  head(id) {
+    return { ...super.head(id), 'X-Weight-Versions': '1' };
+  }
+
   #endPrefill(response, id) {
     const kvHandle = hex(12);
     this.handles.add(kvHandle);
@@ -190,6 +200,7 @@
       .writeHead(200, {
         'Content-Type': 'application/json',
         'X-Attempt-Id': id,
+        'X-Weight-Versions': '1',
         'Content-Length': String(body.length),
       })
       .end(body);
