Review case 3: answers without a length within garble's limits

Cause: whole servers answered so, more than the limits of garble allow if it counts as that disruption. Change: half of the model servers, 5 in 100 answers, 5 s before each stop.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,28 +1,33 @@
 /**
- * Gateways are stopped and started again in turn while they relay long streams. Some model servers answer without a length
- * and end their answers with the connection. With HOW=SIGKILL the gateways are killed instead.
+ * Gateways are stopped and started again in turn while they relay long streams. In the five seconds before, half of the
+ * model servers answer some requests without a length (`garble`, unframed). With HOW=SIGKILL the gateways are killed.
  */
 import { sleep } from '../stand-ins/platform.mjs';
 import { chat, runCase, summaryOf } from '../stand-ins/scenario.mjs';
 
-const DAY_MS = 50_000;
-const STOP_AT_MS = [8_000, 18_000];
+const DAY_MS = 48_000;
+const STOP_AT_MS = [8_000, 18_000, 28_000];
 const LAST_SEND_MS = 30_000;
+const PER_SECOND = 45;
+const GARBLE_MS = 5_000;
+const GARBLE_SHARE = 0.5;
+const GARBLE_X = 0.05;
+const SLOTS = 48;
 const EVENTS = 90;
 const EVENT_MS = 140;
 const DEADLINE_MS = 15_000;
 const MAX_SHOWN = 20;
 
 const options = {
-  gateways: 6,
+  gateways: 3,
   prefill: 2,
-  decode: 6,
+  decode: 14,
   web: 3,
   generate: { resumable: false, attempts: 1, timeoutMs: 15_000, targetLatencyMs: 250 },
-  prepare: (engine, index) => {
+  prepare: (engine) => {
+    engine.slots = SLOTS;
     engine.events = EVENTS;
     engine.eventMs = EVENT_MS;
-    engine.isUnframed = engine.stage === 'decode' && index % 3 === 0;
   },
 };
 
@@ -51,9 +56,15 @@
 const how = process.env.HOW ?? 'SIGTERM';
 await runCase(folder, options, async (day, isTroubled) => {
   const startMs = performance.now();
-  const traffic = day.traffic(startMs + LAST_SEND_MS, 10, () => chat(DEADLINE_MS));
+  const traffic = day.traffic(startMs + LAST_SEND_MS, PER_SECOND, () => chat(DEADLINE_MS));
+  const struck = day.engines
+    .filter(({ stage }) => stage === 'decode')
+    .slice(0, day.engines.length * GARBLE_SHARE);
   for (const [turn, atMs] of STOP_AT_MS.entries()) {
+    await sleep(startMs + atMs - GARBLE_MS - performance.now());
+    if (isTroubled) for (const engine of struck) engine.unframedShare = GARBLE_X;
     await sleep(startMs + atMs - performance.now());
+    for (const engine of struck) engine.unframedShare = 0;
     const gateway = day.gateways[turn];
     if (isTroubled) gateway.signal(how);
     day.record('signal', { gateway: gateway.name, how: isTroubled ? how : 'none' });
--- a/review/stand-ins/servers.mjs
+++ b/review/stand-ins/servers.mjs
@@ -129,10 +129,10 @@
 export class Engine extends Server {
   handles = new Set();
   orders = 0;
-  /** Events of a stream, and whether its answers carry no length and end with their connection. */
+  /** Events of a stream, and the share of streams that carry no length and end with their connection. */
   events = EVENTS;
   eventMs = EVENT_MS;
-  isUnframed = false;
+  unframedShare = 0;
 
   constructor(service, zone, store, record, stage) {
     super(service, zone, store, record);
@@ -221,7 +221,8 @@
   }
 
   #begin(response, id) {
-    if (this.isUnframed) {
+    if (Math.random() < this.unframedShare) {
+      this.record('unframed', { id, server: this.id });
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
     }
