An entry whose address cannot be sent names no server

Cause: decodeServer accepts any host without blanks or colons and any five digits as a port. Node.js throws on such a value in http.request and connect, inside a promise that nobody handles, so the process ends.

Change: rows of servers are checked where they are applied (usable-row.ts), whether they come from the store or from another daemon; rows of daemons are checked where they are read. The narrowest places, BackendConnections and ServiceConnection, report a call that Node.js refuses as a call that was not sent.

Evidence: unusable-entries.test.ts.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -216,3 +216,12 @@
   type WebServerLoad,
   WebServerLoads,
 } from './web-server-load.js';
+export {
+  isAddress,
+  isFieldValue,
+  isFinalStatus,
+  isHost,
+  isPathSegment,
+  isPort,
+  isServerId,
+} from './wire-values.js';
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -204,6 +204,19 @@
   return { kind: 'not-sent', reason, connectTimedOut };
 }
 
+function inexpressible(error: Error): CallResult {
+  return notSent(`the call cannot be sent: ${error.message}`, false);
+}
+
+/** Node.js throws on a value that does not fit the protocol; a call reports that as its result. */
+function tryTo<Value>(open: () => Value): Value | Error {
+  try {
+    return open();
+  } catch (error) {
+    return error instanceof Error ? error : new Error(String(error));
+  }
+}
+
 function destroySocket(this: Socket): void {
   this.destroy();
 }
@@ -233,7 +246,8 @@
   call(call: BackendCall): Promise<CallResult> {
     return new Promise((resolve) => {
       if (call.signal.aborted) return resolve(notSent('given up', false));
-      const request = this.#open(call);
+      const request = this.#tryOpen(call);
+      if (request instanceof Error) return resolve(inexpressible(request));
       this.#unanswered.add(request);
       let mayHaveSent = false;
       let connectTimedOut = false;
@@ -288,7 +302,8 @@
   tryConnect(address: string): Promise<ConnectOutcome> {
     const { host, port } = endpointOf(address);
     return new Promise((resolve) => {
-      const socket = connect(port, host);
+      const socket = tryTo(() => connect(port, host));
+      if (socket instanceof Error) return resolve('unanswered');
       const settle = (outcome: ConnectOutcome) => {
         cancel();
         socket.destroy();
@@ -329,13 +344,16 @@
     return true;
   }
 
-  #open(call: BackendCall): ClientRequest {
-    return http.request({
-      ...endpointOf(call.address),
-      method: call.method,
-      path: call.path,
-      headers: withHost(call.headers, call.address),
-      agent: call.mayKeepConnection ? this.#keepAliveAgent : this.#freshAgent,
-    });
+  /** @returns an error where the address, the path or a header cannot be sent */
+  #tryOpen(call: BackendCall): ClientRequest | Error {
+    return tryTo(() =>
+      http.request({
+        ...endpointOf(call.address),
+        method: call.method,
+        path: call.path,
+        headers: withHost(call.headers, call.address),
+        agent: call.mayKeepConnection ? this.#keepAliveAgent : this.#freshAgent,
+      }),
+    );
   }
 }
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -29,6 +29,7 @@
 import { type TableChanges, TableWatcher } from './table-watcher.js';
 import { type CancelTimer, delay, type TimerService, type WallClock } from './timer-service.js';
 import { UnreadableRows } from './unreadable-rows.js';
+import { usableRow } from './usable-row.js';
 import { WatchRetryQueue } from './watch-retry-queue.js';
 import { isOutage, type RecheckSpans, type WatchTiming } from './watch-timing.js';
 
@@ -388,7 +389,7 @@
     const goneIds: string[] = [];
     const listedIds = isComplete ? new Set(rows.map(({ key }) => key)) : undefined;
     if (listedIds !== undefined) this.#unreadable.retain(listedIds);
-    for (const row of rows) {
+    for (const row of rows.map(usableRow)) {
       if (row.kind === 'malformed') this.#recordUnreadable(row.key, row.problem);
       else this.#unreadable.remove(row.key);
       if (row.kind === 'gone') goneIds.push(row.key);
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -5,7 +5,7 @@
  * writes it again.
  */
 import * as z from 'zod/mini';
-import type { PeerDaemon, PeerRoster } from '../../core/gateway/index.js';
+import { isHost, isPort, type PeerDaemon, type PeerRoster } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
 import type { TableService } from './ports.js';
@@ -27,11 +27,11 @@
 const REWRITTEN_MS = REWRITE_SPREAD_MS + 2 * CHECK_INTERVAL_MS;
 
 const rowSchema = z.object({
-  host: z.string(),
-  port: z.number(),
+  host: z.string().check(z.refine(isHost)),
+  port: z.number().check(z.refine(isPort)),
   zone: z._default(z.string(), ''),
   /** Absent in rows of daemons that take no forwarded requests. */
-  forwardPort: z.optional(z.number()),
+  forwardPort: z.optional(z.number().check(z.refine(isPort))),
 });
 
 /** The ports of a daemon at which others reach it. */
--- a/test/gateway/support/store-stand-in.ts
+++ b/test/gateway/support/store-stand-in.ts
@@ -98,7 +98,12 @@
   }
 
   put(table: string, key: string, document: unknown): void {
-    this.#write(table, key, Buffer.from(JSON.stringify(document)).toString('base64'));
+    this.putBytes(table, key, Buffer.from(JSON.stringify(document)));
+  }
+
+  /** Writes a value that need not be JSON, as another writer may. */
+  putBytes(table: string, key: string, value: Buffer): void {
+    this.#write(table, key, value.toString('base64'));
     this.#answerFeeds();
   }
 
--- /dev/null
+++ b/test/gateway/unusable-entries.test.ts
@@ -0,0 +1,108 @@
+/**
+ * An entry of the list of servers whose address no connection or header can carry ended each daemon that read it, again at
+ * each start until the entry was gone.
+ */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import { decodeServer } from '../../platform/configuration-codec.js';
+import { TABLES } from '../../platform/names.js';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
+import { SYSTEM_TIMERS } from '../../src/shell/gateway/timer-service.js';
+import { usableRow } from '../../src/shell/gateway/usable-row.js';
+import { configuration, GatewayFixture, READ_ROUTE, route } from './support/fixture.js';
+import { answering } from './support/server-stand-in.js';
+
+/** Addresses by what is wrong with them; the first one is what a byte that is no UTF-8 decodes to. */
+const UNUSABLE_ADDRESSES = {
+  'a byte that is no UTF-8': '127.0.\ufffd.1:9',
+  'a control character': '127.0.0.1\u0001:9',
+  'a character beyond latin1': '127.0.0.\u0159:9',
+  'a port above 65,535': '127.0.0.1:70000',
+  'port 0': '127.0.0.1:0',
+  'a path': '127.0.0.1/x:9',
+  'a user': 'user@127.0.0.1:9',
+  'no host': ':9',
+} as const;
+
+/** Keys of rows that the daemons themselves write, and rows that no daemon can connect to or read. */
+const UNUSABLE_ROWS: readonly (readonly [string, Buffer])[] = [
+  ['peer/other', Buffer.from('not JSON')],
+  ['peer/other', Buffer.from('{"host":"127.0.0.1","port":70000,"zone":"a","forwardPort":70000}')],
+  ['peer/other', Buffer.from('{"host":"127.0.0.\u0159","port":9,"zone":"a","forwardPort":9}')],
+  ['crash/abc', Buffer.from([0xff, 0xfe])],
+];
+
+const ROW = { service: 'viewer', zone: 'a', slots: 6, state: 'ready', sequence: 1 };
+const MODEL_ROW = { ...ROW, service: 'reader', stage: 'decode' };
+
+let fixture: GatewayFixture;
+
+beforeEach(() => {
+  fixture = new GatewayFixture();
+});
+
+afterEach(() => fixture.stop());
+
+for (const [problem, address] of Object.entries(UNUSABLE_ADDRESSES)) {
+  // Guards against the end of the daemon, by an unhandled rejection of the first call to the entry's address.
+  test(`an entry whose address has ${problem} names no server, and the others are used`, async () => {
+    await fixture.start();
+    fixture.store.putConfiguration(configuration(1, [route({}), READ_ROUTE]));
+    await fixture.addServer('i-1', answering(200, 'served'));
+    fixture.store.put(TABLES.servers, 'i-2', { ...ROW, address });
+    fixture.store.put(TABLES.servers, 'i-3', { ...MODEL_ROW, address });
+    for (const id of ['i-2', 'i-3']) {
+      await fixture.logged(GATEWAY_EVENTS.serverMalformed, ({ server }) => server === id);
+    }
+    for (let sent = 0; sent < 4; sent += 1) {
+      assert.equal((await fixture.call({ path: '/tiles/1' })).body, 'served');
+    }
+  });
+
+  // Guards against a daemon of another version, which may accept the entry and forward it to this one.
+  test(`a row of another daemon whose address has ${problem} names no server`, () => {
+    const value = { ...decodeServer('i-2', { ...ROW, address: '127.0.0.1:9' }), address };
+    const rows = [{ kind: 'value', key: 'i-2', value }] as const;
+    const changes = { era: 0, after: 1, revision: 2, rows };
+    const message = decodePeerMessage(encodePeerMessage({ kind: 'servers', zone: 'a', changes }));
+    assert.equal(message?.kind, 'servers');
+    assert.deepEqual(
+      message.changes.rows.map(usableRow).map(({ kind }) => kind),
+      ['malformed'],
+    );
+  });
+
+  // Guards against an exception on the way to the narrowest place, past all checks of what is decoded.
+  test(`a call to an address with ${problem} is not sent`, async () => {
+    const connections = new BackendConnections(SYSTEM_TIMERS);
+    const result = await connections.call({
+      address,
+      method: 'GET',
+      path: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+      mayKeepConnection: true,
+      connectTimeoutMs: 300,
+      signal: AbortSignal.timeout(2_000),
+    });
+    assert.equal(result.kind, 'not-sent');
+    assert.notEqual(await connections.tryConnect(address), 'accepted');
+    connections.close();
+  });
+}
+
+for (const [key, value] of UNUSABLE_ROWS) {
+  // Guards against the end of the daemon by an unhandled rejection of the scan that reads the row.
+  test(`a row ${key} with ${value.toString('latin1')} is passed over`, async () => {
+    fixture.store.putBytes(TABLES.product, key, value);
+    await fixture.addDaemon('front-2');
+    fixture.store.putConfiguration(configuration(1, [route({})]));
+    await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+    const event = key.startsWith('peer/')
+      ? GATEWAY_EVENTS.peerMalformed
+      : GATEWAY_EVENTS.crashRowMalformed;
+    await fixture.logged(event);
+  });
+}
