An exception ends one request or one task, not the process

Cause: CallerListener dropped the promise of each request with a bare void, as did 25 other places, and Node.js ends the process on a rejection that nobody handles. The same holds for exceptions in listeners of sockets.

An attempt that throws is a broken attempt, so what it held is given back as usual. A request whose handling throws gets one 500, or a reset where its answer has begun. The entry point logs what is left and goes on: an exception of one connection's listener says nothing of the others. A start or a stop that fails still ends the process, as do signals and a lack of memory.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -41,6 +41,13 @@
     remedy:
       'The counters at the metrics address include what the dropped lines would have reported.',
   },
+  internalFault: {
+    number: 6009,
+    level: 'error',
+    message: 'a fault of the code ended one request or one task; the process goes on',
+    remedy:
+      'Report the task, the stack and the build of event 6000. If request or server is set, their other lines tell what came before.',
+  },
   configurationInForce: {
     number: 6010,
     level: 'info',
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -12,12 +12,14 @@
   Gateway,
   GatewayLog,
   type GatewaySettings,
+  logFault,
   parseGatewaySettings,
   type SettingsProblem,
   SYSTEM_TIMERS,
 } from '../shell/gateway/index.js';
 import { createLogger } from '../shell/logging/index.js';
 
+const EXIT_FAULT = 1;
 const EXIT_USAGE = 2;
 const STANDARD_OUTPUT = 1;
 /**
@@ -69,6 +71,16 @@
     wallClock: Date.now,
     log,
   });
+  // A fault ends what it came up in: the other requests of the process have no part in it.
+  const keepRunning = (task: string) => (exception: unknown) =>
+    logFault(log, { task, request: '', server: '' }, exception);
+  process.on('uncaughtException', keepRunning('event handler'));
+  process.on('unhandledRejection', keepRunning('promise'));
+  const exitAfterFault = (exception: unknown): never => {
+    keepRunning('start or stop')(exception);
+    destination.flushSync();
+    process.exit(EXIT_FAULT);
+  };
   process.on('SIGHUP', () => {
     readSettings().match(
       (reread) => gateway.reload(reread),
@@ -76,10 +88,10 @@
     );
   });
   process.on('SIGTERM', () => {
-    void gateway.stop().then(() => {
+    gateway.stop().then(() => {
       destination.flushSync();
       process.exit(0);
-    });
+    }, exitAfterFault);
   });
-  void gateway.start();
+  gateway.start().catch(exitAfterFault);
 }
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -18,6 +18,7 @@
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
+import { logFault } from './internal-faults.js';
 import type { LimitCoordinator } from './limit-coordinator.js';
 import type { AnswerMetadata, HandoverSource, RequestCodec } from './ports.js';
 import type { HeldBack, ServerCalls } from './server-calls.js';
@@ -26,6 +27,7 @@
 import type { WebWork } from './web-work.js';
 
 const NO_BUDGET_REASON = 'the retry budget is spent';
+const INTERNAL_FAULT_REASON = 'a fault of this daemon';
 
 /** The parts of the gateway that attempts use. */
 export interface AttemptContext {
@@ -166,7 +168,7 @@
   const budget = context.fleet.budgetOf(exchange.options.service);
   const send = exchange.sends.tryBegin(options.prefillOnly ? 'prefill' : 'run', budget);
   if (send === undefined) return { kind: 'no-budget', reason: NO_BUDGET_REASON };
-  const result = await callServer(exchange, context, options);
+  const result = await callServerSafely(exchange, context, options);
   const { id: serverId } = options.server;
   exchange.recordSend({
     serverId,
@@ -202,24 +204,28 @@
   return { requestId: attemptId, isReusedConnection: answer.isReusedConnection };
 }
 
+/** An exception counts as a broken attempt, so that everything held for the attempt is given back in the usual way. */
+async function callServerSafely(
+  exchange: Exchange,
+  context: AttemptContext,
+  options: AttemptOptions,
+): Promise<CallResult> {
+  const { description, log } = exchange.options;
+  try {
+    return await callServer(exchange, context, options);
+  } catch (exception) {
+    const request = description.attemptId;
+    logFault(log, { task: 'attempt', request, server: options.server.id }, exception);
+    return { kind: 'broken', reason: INTERNAL_FAULT_REASON };
+  }
+}
+
 async function callServer(
   exchange: Exchange,
   context: AttemptContext,
   options: AttemptOptions,
 ): Promise<CallResult> {
   const { request, body, timers, description, metrics, log } = exchange.options;
-  const health = context.fleet.healthOf(options.server.id);
-  const startedAtMs = timers.nowMs();
-  const open = health.open(startedAtMs, options.expectedMs);
-  const isWebCall = options.server.stage === undefined;
-  const recordWebCall = () => {
-    if (isWebCall) context.webWork.recordCall(options.server.service);
-  };
-  const close = () => {
-    health.close(open);
-    recordWebCall();
-  };
-  recordWebCall();
   const headers = context.codec.backendHeaders(withoutConnectionHeaders(request.rawHeaders), {
     serverId: options.server.id,
     deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
@@ -234,10 +240,22 @@
   if (hasBody || request.headers['transfer-encoding'] !== undefined) {
     headers.push('Content-Length', String(body.length));
   }
+  const health = context.fleet.healthOf(options.server.id);
+  const startedAtMs = timers.nowMs();
+  const open = health.open(startedAtMs, options.expectedMs);
+  const isWebCall = options.server.stage === undefined;
+  const recordWebCall = () => {
+    if (isWebCall) context.webWork.recordCall(options.server.service);
+  };
+  const close = () => {
+    health.close(open);
+    recordWebCall();
+  };
+  recordWebCall();
   // All answers to a request carry its id, so a surplus one to an earlier send passes for the answer to this one. It can
   // only arrive on the connection of that send.
   const isFirstSend = exchange.recordSendTo(options.server.address);
-  const result = await context.calls.call({
+  const call = context.calls.call({
     server: options.server,
     purpose: options.prefillOnly ? 'prefill' : 'run',
     request: description.attemptId,
@@ -252,6 +270,10 @@
     signal: options.signal,
     onLateAnswer: (answer) => receiveLateAnswer(answer),
   });
+  const result = await call.catch((exception: unknown) => {
+    close();
+    throw exception;
+  });
   const elapsedMs = () => timers.nowMs() - startedAtMs;
   const record = (failure: FailedCall): FailedCall => {
     recordFailure(exchange, context, options, { failure, health, elapsedMs: elapsedMs() });
--- a/src/shell/gateway/cache-event-watchers.ts
+++ b/src/shell/gateway/cache-event-watchers.ts
@@ -7,6 +7,7 @@
 import type { ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { FleetView } from './fleet-view.js';
+import { runLoopInBackground } from './internal-faults.js';
 import type { EngineCacheEvents } from './peer-messages.js';
 import type { CacheEventBatch, RequestCodec } from './ports.js';
 import type { GatewayLog } from './request-log.js';
@@ -101,7 +102,8 @@
   #startWatch(engine: ServerRecord, isAfterRestart: boolean): void {
     const ended = new AbortController();
     this.#watches.set(engine.id, ended);
-    void new CacheEventWatch(this.#context, engine, isAfterRestart, ended.signal).run();
+    const watch = new CacheEventWatch(this.#context, engine, isAfterRestart, ended.signal);
+    runLoopInBackground(this.#context, 'watch cache events', () => watch.run());
   }
 
   #endWatch(engineId: string): void {
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -12,6 +12,7 @@
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
 import { type ForwardedRequest, notTakenHeaders } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import { logFault } from './internal-faults.js';
 import { runModelExchange } from './model-exchange.js';
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
@@ -74,9 +75,7 @@
         requestTimeout: 0,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
       },
-      (request, response) => {
-        void this.handle(request, response);
-      },
+      (request, response) => this.handle(request, response),
     );
   }
 
@@ -101,19 +100,33 @@
   }
 
   /**
-   * Handles a request to its final answer.
+   * Handles a request to its final answer. An exception ends this request only.
    * @param forwarded set for a request that another daemon has forwarded
    */
-  async handle(
-    request: IncomingMessage,
-    response: ServerResponse,
-    forwarded?: ForwardedRequest,
-  ): Promise<void> {
+  handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
     this.#inFlight += 1;
     response.once('close', () => {
       this.#inFlight -= 1;
     });
     response.on('error', () => response.destroy());
+    this.#admit(request, response, forwarded).catch((exception: unknown) => {
+      this.#logFault(request, exception);
+      if (response.headersSent) response.destroy();
+      else this.#reject(request, response, 500, 'a fault of this daemon', []);
+    });
+  }
+
+  #logFault(request: IncomingMessage, exception: unknown): void {
+    const { context, log } = this.#options;
+    const attemptId = context.codec.describe(request.headers)?.attemptId ?? '';
+    logFault(log, { task: 'request', request: attemptId, server: '' }, exception);
+  }
+
+  async #admit(
+    request: IncomingMessage,
+    response: ServerResponse,
+    forwarded: ForwardedRequest | undefined,
+  ): Promise<void> {
     const arrivedAtMs = this.#options.timers.nowMs();
     const { context } = this.#options;
     const { inForce } = context.fleet;
@@ -181,6 +194,9 @@
     const unfollow = context.crashes.follow(exchange);
     try {
       await runExchange(exchange, context);
+    } catch (exception) {
+      this.#logFault(request, exception);
+      exchange.endAfterFault();
     } finally {
       unfollow();
     }
--- a/src/shell/gateway/crash-record-keeper.ts
+++ b/src/shell/gateway/crash-record-keeper.ts
@@ -17,6 +17,7 @@
 import { CrashStoreDuty } from './crash-store-duty.js';
 import { CrashStoreRestore } from './crash-store-restore.js';
 import { CrashTable, type CrashTableContent } from './crash-table.js';
+import { runInBackground, runLoopInBackground } from './internal-faults.js';
 import type { PeerExchange } from './peer-exchange.js';
 import type { TableService } from './ports.js';
 import type { RequestFingerprints } from './request-fingerprint.js';
@@ -96,8 +97,8 @@
   }
 
   start(): void {
-    void this.#loadTable();
-    void this.#duty.run();
+    this.#runInBackground('read crash rows', this.#loadTable());
+    runLoopInBackground(this.#options, 'crash rows duty', () => this.#duty.run());
     this.#gossip.start();
   }
 
@@ -108,6 +109,18 @@
     this.#gossip.stop();
   }
 
+  #syncRow(subject: string): void {
+    this.#runInBackground('write a crash row', this.#duty.syncRow(subject));
+  }
+
+  #syncRowAfterTurn(subject: string): void {
+    this.#runInBackground('write a crash row in turn', this.#duty.syncRowAfterTurn(subject));
+  }
+
+  #runInBackground(task: string, work: Promise<unknown>): void {
+    runInBackground(this.#options.log, task, work);
+  }
+
   /** The store was restored from an older copy: writes the fleet's rows that it lacks again. */
   handleStoreRestored(): void {
     this.#restore.begin();
@@ -157,7 +170,7 @@
   #clear(subject: string, source: Source): void {
     const wasQuarantined = this.records.isQuarantined(subject);
     this.#handleChange(subject, this.records.clear(subject, this.#nowMs()), source);
-    if (wasQuarantined) void this.#duty.syncRow(subject);
+    if (wasQuarantined) this.#syncRow(subject);
   }
 
   #handleChange(subject: string, change: CrashRecordChange, source: Source): void {
@@ -182,7 +195,7 @@
       const change = this.records.clear(subject, this.#nowMs());
       if (!wasQuarantined) continue;
       this.#handleChange(subject, change, 'explained');
-      if (this.#options.roster.positionFor(subject) === 0) void this.#duty.syncRow(subject);
+      if (this.#options.roster.positionFor(subject) === 0) this.#syncRow(subject);
     }
   }
 
@@ -192,16 +205,16 @@
       case 'ran whole':
       case 'began':
         this.#scheduleBroadcast(subject);
-        if (change === 'quarantined') void this.#duty.syncRow(subject);
+        if (change === 'quarantined') this.#syncRow(subject);
         break;
       case 'merged':
         this.#scheduleBroadcast(subject);
-        void this.#duty.syncRowAfterTurn(subject);
+        this.#syncRowAfterTurn(subject);
         break;
       case 'explained':
         break;
       case 'peer':
-        if (change === 'quarantined') void this.#duty.syncRowAfterTurn(subject);
+        if (change === 'quarantined') this.#syncRowAfterTurn(subject);
         break;
       case 'store':
         // All daemons read the rows at their start, but only one reads what an operator lifts later.
--- a/src/shell/gateway/crash-store-restore.ts
+++ b/src/shell/gateway/crash-store-restore.ts
@@ -6,6 +6,7 @@
 import type { CrashRecords, PeerRoster } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { CrashTable, CrashTableContent } from './crash-table.js';
+import { runInBackground } from './internal-faults.js';
 import type { GatewayLog } from './request-log.js';
 import { delay, type TimerService } from './timer-service.js';
 
@@ -42,7 +43,8 @@
     if (this.#isStopped) return;
     this.#stopped.abort();
     this.#stopped = new AbortController();
-    void this.#run(this.#stopped.signal);
+    const { log } = this.#options;
+    runInBackground(log, 'restore crash rows', this.#run(this.#stopped.signal));
   }
 
   stop(): void {
@@ -87,7 +89,7 @@
       .filter(({ subject, isQuarantined }) => isQuarantined !== storedSubjects.has(subject));
     for (const { subject } of differing) {
       records.markNotStored(subject);
-      void syncRow(subject);
+      runInBackground(log, 'write a crash row', syncRow(subject));
     }
     log.write(GATEWAY_EVENTS.crashRowsRestored, { turn, rewritten: differing.length });
   }
--- a/src/shell/gateway/duties.ts
+++ b/src/shell/gateway/duties.ts
@@ -7,6 +7,7 @@
 import { CapacityController } from './capacity-controller.js';
 import type { FleetView } from './fleet-view.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import { runLoopInBackground } from './internal-faults.js';
 import type { PeerExchange, Reply } from './peer-exchange.js';
 import type { UsageMessage } from './peer-messages.js';
 import type { PlatformAdapter } from './ports.js';
@@ -38,9 +39,11 @@
 export class Duties {
   readonly #usage: UsageReporter | undefined;
   readonly #capacity: CapacityController | undefined;
+  readonly #options: Pick<DutiesOptions, 'log' | 'timers'>;
 
   constructor(options: DutiesOptions) {
     const { settings, adapter, roster, peers, mayOrderCapacity, timers } = options;
+    this.#options = options;
     if (adapter.duties === undefined) return;
     const shared = {
       ...options,
@@ -67,8 +70,12 @@
   }
 
   start(): void {
-    void this.#usage?.run();
-    void this.#capacity?.run();
+    const usage = this.#usage;
+    const capacity = this.#capacity;
+    if (usage !== undefined) runLoopInBackground(this.#options, 'usage duty', () => usage.run());
+    if (capacity !== undefined) {
+      runLoopInBackground(this.#options, 'capacity duty', () => capacity.run());
+    }
   }
 
   stop(): void {
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -24,9 +24,10 @@
 import type { CancelTimer, TimerService } from './timer-service.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
+const INTERNAL_FAULT_REASON = 'a fault of this daemon';
 
 /** Why an exchange was interrupted independently of its attempts. */
-export type Interruption = 'caller-gone' | 'out-of-time' | 'withdrawn';
+export type Interruption = 'caller-gone' | 'out-of-time' | 'withdrawn' | 'internal-fault';
 
 /** Why a request is refused and when its caller may try again. */
 export interface Refusal {
@@ -269,7 +270,7 @@
   }
 
   /** Answers with an error that leaves open whether the request ran. */
-  fail(status: 502 | 504, reason: string, details: LogFields = {}): void {
+  fail(status: 500 | 502 | 504, reason: string, details: LogFields = {}): void {
     this.#answerText(status, reason, []);
     this.#record('failed', reason);
     const fields = { ...this.#fields(), status, reason, ...details };
@@ -287,6 +288,21 @@
     this.options.log.write(GATEWAY_EVENTS.requestFailed, { ...this.#fields(), reason });
   }
 
+  /**
+   * Ends a request whose handling threw: what still runs for it is aborted, and it gets its one answer, or a reset where that
+   * has begun. It may have run.
+   */
+  endAfterFault(): void {
+    this.#interrupt('internal-fault');
+    if (this.options.response.headersSent) {
+      this.abortResponse(INTERNAL_FAULT_REASON);
+      return;
+    }
+    // An answer whose head could not be written has not begun.
+    this.#isAnswered = false;
+    this.fail(500, INTERNAL_FAULT_REASON);
+  }
+
   /** Logs and counts the outcome and cancels the deadline timer. */
   finish(outcome: string, fields: Readonly<Record<string, string | number | boolean>>): void {
     this.#cancelTimer();
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -21,6 +21,7 @@
 import type { CacheEventWatchers } from './cache-event-watchers.js';
 import { DepartureTracker, type DepartureTrackerOptions } from './departure-tracker.js';
 import type { FleetView } from './fleet-view.js';
+import { runInBackground, runLoopInBackground } from './internal-faults.js';
 import { NewestPeerVersion } from './newest-peer-version.js';
 import type { ForwardedConfiguration } from './peer-messages.js';
 import type { PlatformAdapter, WatchedRow } from './ports.js';
@@ -46,7 +47,14 @@
 /** A watch of any table. */
 type Watch = Pick<
   TableWatcher<never>,
-  'run' | 'stop' | 'handleEra' | 'callsTotal' | 'lastAnswerMs' | 'progress' | 'needsFullRead'
+  | 'name'
+  | 'run'
+  | 'stop'
+  | 'handleEra'
+  | 'callsTotal'
+  | 'lastAnswerMs'
+  | 'progress'
+  | 'needsFullRead'
 >;
 
 type ServerEvent = (typeof GATEWAY_EVENTS)[
@@ -192,7 +200,9 @@
   }
 
   start(): void {
-    for (const watch of this.#watches) void watch.run();
+    for (const watch of this.#watches) {
+      runLoopInBackground(this.#options, `watch ${watch.name}`, () => watch.run());
+    }
   }
 
   stop(): void {
@@ -236,9 +246,10 @@
 
   /** Reads the list of servers again; resolves once it is applied, or after `limitMs`. */
   async readServersAgain(limitMs: number): Promise<void> {
-    const { timers } = this.#options;
+    const { timers, log } = this.#options;
     const applied = new AbortController();
-    void this.#servers.readAgain().then(() => applied.abort());
+    const read = this.#servers.readAgain().then(() => applied.abort());
+    runInBackground(log, 'read servers again', read);
     await delay(timers, limitMs, applied.signal);
   }
 
@@ -383,7 +394,7 @@
     isComplete: boolean,
     origin: RowsOrigin,
   ): boolean {
-    const { fleet, wallClock, timers, restored } = this.#options;
+    const { fleet, wallClock, timers, restored, log } = this.#options;
     const records: ServerRecord[] = [];
     const malformedIds: string[] = [];
     const goneIds: string[] = [];
@@ -411,7 +422,9 @@
       : directory.apply(read.records, removedIds, latestStartMs);
     this.#hasSkipped = change.skipped.length > 0;
     const learned = this.#departures.recordChange(change, origin);
-    if (!isComplete) void this.#checkRewritten(change, origin);
+    if (!isComplete) {
+      runInBackground(log, 'check rewritten rows', this.#checkRewritten(change, origin));
+    }
     if (origin.source === 'store') {
       this.#departures.advertise(learned, change, this.#servers.isSteady);
     }
@@ -491,10 +504,9 @@
 
   /** Applies departures that another daemon has read from the store. */
   applyDepartureNotices(notices: readonly DepartureNotice[]): void {
-    void this.#checkInUse(
-      this.#departures.contradictedBy(notices, this.#followed),
-      this.#originOfOwnDecision(),
-    );
+    const contradicted = this.#departures.contradictedBy(notices, this.#followed);
+    const check = this.#checkInUse(contradicted, this.#originOfOwnDecision());
+    runInBackground(this.#options.log, 'check servers in use', check);
     const learned = this.#departures.applyNotices(notices, this.#followed);
     if (learned.length === 0) return;
     const goneIds = learned.filter(({ state }) => state === 'gone').map(({ server }) => server.id);
--- a/src/shell/gateway/forwarding-listener.ts
+++ b/src/shell/gateway/forwarding-listener.ts
@@ -58,7 +58,7 @@
     response.once('close', () => {
       this.#inFlight -= 1;
     });
-    void callers.handle(request, response, forwarded);
+    callers.handle(request, response, forwarded);
   }
 
   #reject(
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -40,7 +40,7 @@
   readonly duties: () => Pick<Duties, 'capacitySummaries'>;
   readonly webWork: Pick<WebWork, 'unreadableTotal'>;
   readonly timers: TimerService;
-  readonly log: Pick<GatewayLog, 'droppedTotal'>;
+  readonly log: Pick<GatewayLog, 'droppedTotal' | 'faultsTotal'>;
 }
 
 /** Engines with a series of their own, largest deviation first; bounds the cost of the metric. */
@@ -207,6 +207,11 @@
       read: () => crashes.counts.parts,
     },
     { name: 'log_lines_dropped', help: 'Log lines left out', read: () => log.droppedTotal },
+    {
+      name: 'internal_faults',
+      help: 'Exceptions that ended one request or one task (event 6009)',
+      read: () => log.faultsTotal,
+    },
     ...capacityGauges(sources),
   ];
 }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -31,6 +31,7 @@
 import { addGauges } from './gateway-gauges.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import { runInBackground } from './internal-faults.js';
 import { LimitCoordinator } from './limit-coordinator.js';
 import { PathComparison } from './path-comparison.js';
 import { PeerExchange } from './peer-exchange.js';
@@ -256,7 +257,8 @@
       isSpreading: settings.decisions.spreading,
       onLoadChange: () => this.#peers?.scheduleReport(),
       advertiseRead: (read) => this.#peers?.advertiseRead(read),
-      advertiseUnreachable: (server) => void this.#advertiseUnreachable(server),
+      advertiseUnreachable: (server) =>
+        runInBackground(log, 'compare paths', this.#advertiseUnreachable(server)),
       advertiseReachable: ({ id: serverId }) =>
         this.#peers?.advertiseReachability({ serverId, isReachable: true }),
       crashes: this.#crashes,
@@ -300,7 +302,8 @@
       forwardConfiguration: (changes) => this.#peers?.forwardConfiguration(changes),
       forwardServers: (changes) => this.#peers?.forwardServers(changes),
       recordDeparture: (departure) => this.#recordDeparture(departure),
-      awaitConfirmation: (departure) => void this.#confirmations.confirm(departure),
+      awaitConfirmation: (departure) =>
+        runInBackground(log, 'confirm a server', this.#confirmations.confirm(departure)),
       declinesWork: (server) => this.#confirmations.declinesWork(server),
       advertiseDepartures: (departures) => this.#departures.advertise(departures),
       recordServerStart: (server) => this.#crashes.recordServerStart(server),
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -241,11 +241,13 @@
     this.#context.admission.wake();
     if (result.kind === 'answered') {
       const headAtMs = this.#nowMs();
-      const next = await this.#relayAnswer(result.attempt);
-      this.#planner.recordRunEnd(this.#nowMs() - headAtMs);
-      load.running -= 1;
-      this.#context.admission.wake();
-      return next;
+      try {
+        return await this.#relayAnswer(result.attempt);
+      } finally {
+        this.#planner.recordRunEnd(this.#nowMs() - headAtMs);
+        load.running -= 1;
+        this.#context.admission.wake();
+      }
     }
     load.running -= 1;
     // The request was not sent to this engine, so it may be once the engine takes more.
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -30,6 +30,7 @@
   type VersionedValue,
 } from './configuration-gossip.js';
 import type { DeparturesMessage } from './departure-message-fields.js';
+import { runLoopInBackground } from './internal-faults.js';
 import type { LimitMessage } from './limit-message-fields.js';
 import { PaceGossip } from './pace-gossip.js';
 import { PeerDirectory } from './peer-directory.js';
@@ -183,7 +184,8 @@
     const { host, port } = this.#options.listen;
     this.#socket.bind({ address: host, port }, () => {
       if (this.#isStopped) return;
-      void this.#directory.run({ port: this.#socket.address().port, forwardPort });
+      const ports = { port: this.#socket.address().port, forwardPort };
+      runLoopInBackground(this.#options, 'list of daemons', () => this.#directory.run(ports));
       this.#scheduleHeartbeats();
       this.#relay.start();
       this.#paces.start();
--- a/src/shell/gateway/prefill.ts
+++ b/src/shell/gateway/prefill.ts
@@ -8,6 +8,7 @@
 import { type AttemptContext, defaultAttemptOptions, sendAttempt } from './attempt.js';
 import type { BackendAnswer } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
+import { runInBackground } from './internal-faults.js';
 import type { HandoverSource, PrefillAnswer } from './ports.js';
 import { callWithTimeout } from './timer-service.js';
 
@@ -128,7 +129,12 @@
     priority,
     fetchFrom: fetchFrom?.address,
     expectedMs: plan.expectedMs,
-    onLateAnswer: (answer) => void freeLatePrefill(exchange, context, server, answer),
+    onLateAnswer: (answer) =>
+      runInBackground(
+        exchange.options.log,
+        'free late KV memory',
+        freeLatePrefill(exchange, context, server, answer),
+      ),
   });
   if (result.kind === 'held-back') return 'held-back';
   if (result.kind !== 'answered') return undefined;
@@ -180,9 +186,11 @@
     mayKeepConnection: true,
     connectTimeoutMs: FREE_TIMEOUT_MS,
   };
-  void callWithTimeout(exchange.options.timers, FREE_TIMEOUT_MS, undefined, (signal) =>
+  const { timers, log } = exchange.options;
+  const freed = callWithTimeout(timers, FREE_TIMEOUT_MS, undefined, (signal) =>
     context.calls.call({ ...call, signal }),
   ).then((result) => {
     if (result.kind === 'answered') result.answer.discard();
   });
+  runInBackground(log, 'free KV memory', freed);
 }
--- a/src/shell/gateway/request-log.ts
+++ b/src/shell/gateway/request-log.ts
@@ -19,6 +19,8 @@
   #dropped = 0;
   /** Lines dropped since the process started. */
   droppedTotal = 0;
+  /** Faults of the code since the process started, those in dropped lines included. */
+  faultsTotal = 0;
 
   constructor(logger: Logger, timers: TimerService, maxLinesPerSecond: number) {
     this.#logger = logger;
@@ -27,6 +29,7 @@
   }
 
   write(event: LogEvent, fields: LogFields = {}): void {
+    if (event.number === GATEWAY_EVENTS.internalFault.number) this.faultsTotal += 1;
     const nowMs = this.#timers.nowMs();
     if (nowMs - this.#windowStartMs >= WINDOW_MS) this.#openWindow(nowMs);
     if (this.#linesInWindow >= this.#maxLinesPerSecond) {
--- a/src/shell/gateway/service-path-monitor.ts
+++ b/src/shell/gateway/service-path-monitor.ts
@@ -6,6 +6,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { BackendConnections } from './backend-connections.js';
 import type { FleetView } from './fleet-view.js';
+import { runInBackground } from './internal-faults.js';
 import type { GatewayLog } from './request-log.js';
 import type { TimerService } from './timer-service.js';
 
@@ -71,7 +72,10 @@
   }
 
   #scheduleTry(service: string, index: number): void {
-    this.#options.timers.after(TRY_INTERVAL_MS, () => void this.#tryServer(service, index));
+    const { timers, log } = this.#options;
+    timers.after(TRY_INTERVAL_MS, () =>
+      runInBackground(log, 'try a lost path', this.#tryServer(service, index)),
+    );
   }
 
   async #tryServer(service: string, index: number): Promise<void> {
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -25,6 +25,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableEffect } from '../../core/platform/table.js';
 import { DEMAND_WINDOW_MS } from './fleet-demand.js';
+import { runInBackground } from './internal-faults.js';
 import type { TableService } from './ports.js';
 import { StageOrders, type StageOrdersOptions } from './stage-orders.js';
 import { callTable } from './table-call.js';
@@ -159,7 +160,7 @@
         version: softwareVersionOf(change.engine),
         lostMs: Math.round(change.lostForMs),
       });
-      void this.#orders.order(change, epoch, 0);
+      this.#order(change, epoch, 0);
     }
   }
 
@@ -228,7 +229,12 @@
     const epoch = this.#authority();
     if (epoch === undefined) return;
     this.#lastOrderMs = nowMs;
-    for (const change of changes) void this.#orders.order(change, epoch, DRAIN_MS);
+    for (const change of changes) this.#order(change, epoch, DRAIN_MS);
+  }
+
+  #order(change: StageChange, epoch: number, drainMs: number): void {
+    const { log } = this.#options;
+    runInBackground(log, 'order a stage', this.#orders.order(change, epoch, drainMs));
   }
 
   #step(event: LeaseEvent): void {
@@ -239,7 +245,7 @@
     for (const effect of effects) {
       switch (effect.kind) {
         case 'table':
-          void this.#callTable(effect);
+          runInBackground(this.#options.log, 'stage lease', this.#callTable(effect));
           break;
         case 'log':
           this.#options.log.write(effect.event, effect.fields);
--- a/src/shell/gateway/stream-lookup.ts
+++ b/src/shell/gateway/stream-lookup.ts
@@ -92,7 +92,7 @@
       routeKey: routeKeyOf(route),
       lifeMs: streamLifeMs(route),
     } as const;
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const asked = peers.map(async (peer) => {
         const answer = await this.#requests.request(peer, (number) => ({ ...question, number }));
         if (answer === undefined) return;
@@ -100,7 +100,7 @@
         answers.record ??= answer.record;
         if (answer.record !== undefined) resolve();
       });
-      void Promise.all(asked).then(() => resolve());
+      Promise.all(asked).then(() => resolve(), reject);
     });
   }
 
--- a/src/shell/gateway/stream-recorder.ts
+++ b/src/shell/gateway/stream-recorder.ts
@@ -17,6 +17,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { Exchange } from './exchange.js';
 import { getOrCreate } from './get-or-create.js';
+import { runInBackground } from './internal-faults.js';
 import { PeerRequests } from './peer-requests.js';
 
 import { streamIdOf, streamKeyOf } from './stream-key.js';
@@ -123,13 +124,13 @@
     const records = [agedRecord(record, startedMs)];
     const needed = Math.min(CONFIRMATIONS, holders.length);
     let stored = 0;
-    await new Promise<void>((resolve) => {
+    await new Promise<void>((resolve, reject) => {
       const requests = holders.map(async (holder) => {
         const isStored = await this.#send(holder, records);
         if (isStored) stored += 1;
         if (stored >= needed) resolve();
       });
-      void Promise.all(requests).then(() => resolve());
+      Promise.all(requests).then(() => resolve(), reject);
     });
     metrics.recordStreamRecord(stored >= needed ? 'confirmed' : 'unconfirmed');
     log.write(GATEWAY_EVENTS.streamRecorded, {
@@ -155,7 +156,8 @@
     for (const [name, holder] of holders) {
       const all = recordsOf.get(name) ?? [];
       for (let first = 0; first < all.length; first += MAX_RECORDS_PER_MESSAGE) {
-        void this.#send(holder, all.slice(first, first + MAX_RECORDS_PER_MESSAGE));
+        const part = all.slice(first, first + MAX_RECORDS_PER_MESSAGE);
+        runInBackground(this.#options.log, 'send stream records', this.#send(holder, part));
       }
     }
   }
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -71,21 +71,29 @@
     const { response } = this.#exchange.options;
     this.#splitter.discardPartialEvent();
     const boundary = new EventBoundary();
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let isSettled = false;
       /** Set while the first bytes wait; the end of an answer that has arrived completely does not wait by itself. */
       let firstEvent: Promise<void> | undefined;
       const afterFirstEvent = (callback: () => void) => {
         if (firstEvent === undefined) callback();
-        else void firstEvent.then(callback);
+        else firstEvent.then(callback, fail);
       };
-      const settle = (result: RelayResult) => {
+      const end = (outcome: AnswerOutcome) => {
         isSettled = true;
         this.#exchange.signal.removeEventListener('abort', interrupt);
         response.removeListener('drain', resumeSource);
-        source.end(outcomeOf(result));
+        source.end(outcome);
+      };
+      const settle = (result: RelayResult) => {
+        end(outcomeOf(result));
         resolve(result);
       };
+      const fail = (exception: unknown) => {
+        end({ kind: 'bad', reason: 'the relay failed' });
+        answer.destroy();
+        reject(exception);
+      };
       const resumeSource = () => message.resume();
       const interrupt = () => {
         settle('interrupted');
@@ -97,7 +105,7 @@
       if (this.#exchange.signal.aborted) return interrupt();
       this.#exchange.signal.addEventListener('abort', interrupt, { once: true });
       response.on('drain', resumeSource);
-      message.on('data', (chunk: Buffer) => {
+      const receive = (chunk: Buffer) => {
         this.#follow(boundary, chunk);
         const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
         if (this.#splitter.heldBytes > MAX_EVENT_BYTES) {
@@ -114,6 +122,15 @@
           message.resume();
           forward(bytes);
         });
+        firstEvent.catch(fail);
+      };
+      // An exception in a listener would end the process instead of this stream.
+      message.on('data', (chunk: Buffer) => {
+        try {
+          receive(chunk);
+        } catch (exception) {
+          fail(exception);
+        }
       });
       message.once('end', () => {
         const isWhole = answer.isComplete && !isTorn(source, boundary);
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -147,6 +147,11 @@
   }
 
   /** Whether the table needs a full read before its changes can be followed. */
+  /** The name of the table, for the log. */
+  get name(): string {
+    return this.#options.table.name;
+  }
+
   get needsFullRead(): boolean {
     return this.#revisions.seen === undefined;
   }
@@ -517,7 +522,7 @@
     this.#stopped.signal.addEventListener('abort', end, { once: true });
     // A digest that is fresh already has shown that a call is needed.
     const mayBecomeFresh = digest !== undefined && !digest.from.isFresh;
-    if (mayBecomeFresh) void digest.from.waitUntilFresh(ended.signal).then(end);
+    if (mayBecomeFresh) digest.from.waitUntilFresh(ended.signal).then(end, end);
     await this.#idle(retryQueue.waitForTurn({ waitMs, callMs: this.#readTimeoutMs }, ended.signal));
     end();
     this.#stopped.signal.removeEventListener('abort', end);
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -182,7 +182,8 @@
     exchange.beginRun(server.id);
     const run = this.#runAt(server);
     this.#pending.add(run);
-    void run.finally(() => this.#pending.delete(run));
+    const remove = () => this.#pending.delete(run);
+    run.then(remove, remove);
     return true;
   }
 
--- a/src/shell/operator/server.ts
+++ b/src/shell/operator/server.ts
@@ -105,7 +105,12 @@
         headersTimeout: limits.requestTimeoutMs,
         connectionsCheckingInterval: Math.min(TIMEOUT_CHECK_INTERVAL_MS, limits.requestTimeoutMs),
       },
-      (request, response) => void this.#serve(request, response),
+      (request, response) => {
+        this.#serve(request, response).catch((error: unknown) => {
+          this.#log(log(OPERATOR_EVENTS.callFailed, { error: String(error) }));
+          response.destroy();
+        });
+      },
     );
     server.maxConnections = limits.connections;
     server.timeout = limits.idleTimeoutMs;
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -53,7 +53,7 @@
 /** What a daemon of the fixture reaches in ways of its own. */
 export interface DaemonPaths {
   /** Its paths to the servers; undefined where it reaches them directly. */
-  readonly links?: ServerLinks | undefined;
+  readonly links?: Pick<ServerLinks, 'adapt'> | undefined;
   /** Its address of the store; undefined where it shares the first daemon's. */
   readonly entrance?: StoreEntrance | undefined;
 }
