Bytes of a server that are no answer end as such

A 101 reached the caller as final answer, without a body. A handle of 100,000 characters failed a request that a run without it would have served.

Cause: values of servers went unchecked into writeHead, X-Kv-Source, the path that frees a handle, and Last-Event-Id. node:http parses more than it writes: any three digits as a status, any text in a body.

Change: each value is checked where it is read. A status outside 200 to 599 is no answer, for all calls; the request may have run, so it goes on as after other bytes that are no answer. A handle that no path segment can carry is none: the request runs without it, and the memory expires at the engine. A stream is not resumed after an event id that no header can carry unchanged, which includes an empty one.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -13,7 +13,7 @@
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import { CONNECT_TIMEOUT_MS } from '../../core/gateway/index.js';
+import { CONNECT_TIMEOUT_MS, isFinalStatus } from '../../core/gateway/index.js';
 import { resetSocket } from '../http/reset-socket.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
@@ -59,7 +59,7 @@
   | { readonly kind: 'answered'; readonly answer: BackendAnswer }
   /** No byte of the request can have been sent; `connectTimedOut` when the connection was neither accepted nor refused. */
   | { readonly kind: 'not-sent'; readonly reason: string; readonly connectTimedOut: boolean }
-  /** The request may have run. */
+  /** The request may have run; what came, if anything did, is no answer. */
   | { readonly kind: 'broken'; readonly reason: string };
 
 /** What came of opening a connection; `unanswered` where it was neither accepted nor refused. */
@@ -282,6 +282,12 @@
       });
       request.on('response', (message) => {
         this.#unanswered.delete(request);
+        const status = message.statusCode ?? 0;
+        if (!isFinalStatus(status)) {
+          settle({ kind: 'broken', reason: `status ${status} is no final answer` });
+          request.destroy();
+          return;
+        }
         const answer = new BackendAnswer(request, message, this.#timers);
         if (isSettled) call.lateAnswer?.onAnswer(answer);
         else settle({ kind: 'answered', answer });
--- a/src/shell/gateway/event-splitter.ts
+++ b/src/shell/gateway/event-splitter.ts
@@ -3,16 +3,19 @@
  * stream that breaks inside an event can be resumed at another server without a partial event.
  */
 
+import { isFieldValue } from '../../core/gateway/index.js';
 import { endOfLastEvent } from './event-boundary.js';
 
 const EMPTY = Buffer.alloc(0);
+/** A longer id would make a head that servers refuse. */
+const MAX_ID_LENGTH = 1_024;
 
 /** Buffers bytes and returns complete events. */
 export class EventSplitter {
   #partialEvent: Buffer = EMPTY;
   #lastEventId: string | undefined;
 
-  /** The id of the last complete event. */
+  /** The id of the last complete event; undefined where no header can carry it, so that the stream can't be resumed. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
   }
@@ -47,6 +50,8 @@
 
   #recordIds(complete: Buffer): void {
     const text = complete.toString('latin1');
-    for (const match of text.matchAll(/^id: ?(.*?)\r?$/gm)) this.#lastEventId = match[1];
+    for (const [, id = ''] of text.matchAll(/^id: ?(.*?)\r?$/gm)) {
+      this.#lastEventId = isFieldValue(id, MAX_ID_LENGTH) ? id : undefined;
+    }
   }
 }
--- a/src/shell/gateway/prefill.ts
+++ b/src/shell/gateway/prefill.ts
@@ -2,6 +2,7 @@
 import {
   type EnginePlan,
   type ExpectedRead,
+  isPathSegment,
   type ServerRecord,
   sharedPart,
 } from '../../core/gateway/index.js';
@@ -14,6 +15,8 @@
 
 const MAX_ANSWER_BYTES = 65_536;
 const FREE_TIMEOUT_MS = 500;
+/** A longer handle would make a head that engines refuse. */
+const MAX_HANDLE_LENGTH = 256;
 /** A prefill times out after `TIMEOUT_FACTOR` times its expected duration plus `TIMEOUT_SLACK_MS`. */
 const TIMEOUT_FACTOR = 4;
 const TIMEOUT_SLACK_MS = 500;
@@ -141,7 +144,7 @@
   const { answer, end, recordPrefilled } = result.attempt;
   const prefill = await readPrefill(context, answer);
   if (prefill === undefined) {
-    end({ kind: 'bad', reason: `no memory, status ${answer.status}` });
+    end({ kind: 'bad', reason: `no usable handle, status ${answer.status}` });
     return undefined;
   }
   end({ kind: 'good' });
@@ -149,14 +152,19 @@
   return { address: server.address, handle: prefill.handle };
 }
 
-/** The memory that an engine's answer names; undefined where the prefill failed or its answer broke off. */
+/**
+ * The memory that an engine's answer names; undefined where the prefill failed, its answer broke off, or no header and path
+ * can carry the handle.
+ */
 async function readPrefill(
   { codec }: AttemptContext,
   answer: BackendAnswer,
 ): Promise<PrefillAnswer | undefined> {
   const body = await answer.collect(MAX_ANSWER_BYTES);
   const hasSucceeded = body !== undefined && answer.status === 200;
-  return hasSucceeded ? codec.readPrefillAnswer(body) : undefined;
+  const prefill = hasSucceeded ? codec.readPrefillAnswer(body) : undefined;
+  const isUsable = prefill !== undefined && isPathSegment(prefill.handle, MAX_HANDLE_LENGTH);
+  return isUsable ? prefill : undefined;
 }
 
 /** Frees the memory of a prefill that ended after it was given up; it would occupy the engine until it expires. */
