Answers that end with their connection are reset when they are cut

Cause: Gateway.abort closes the callers' connections by closeAllConnections, which sends FIN. Where an answer has neither a length nor chunks, that is how a complete one ends. Only Exchange.abortResponse reset such answers, and only those of servers without a length: to a caller of HTTP/1.0 node:http sends every stream so.

Change: breakOffResponse decides from the answer itself whether a reset is needed, and is the one way to cut an answer: in abort, at a deadline, after an exception, and in the daemon's own API. A complete answer whose bytes are with the system is closed as before, so that it arrives; one in chunks is not reset, as that would discard pieces on their way.

Not covered: a daemon that is killed; the system then sends FIN.

--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -78,6 +78,7 @@
   process.on('unhandledRejection', keepRunning('promise'));
   const exitAfterFault = (exception: unknown): never => {
     keepRunning('start or stop')(exception);
+    gateway.abort();
     destination.flushSync();
     process.exit(EXIT_FAULT);
   };
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -6,6 +6,7 @@
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Route, Tenant } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
@@ -64,7 +65,8 @@
   readonly #server: Server;
   /** When requests in flight are aborted; undefined unless the daemon is stopping. */
   #stopsAtMs: number | undefined;
-  #inFlight = 0;
+  /** The answers of requests that have no final answer yet. */
+  readonly #open = new Set<ServerResponse>();
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -81,7 +83,7 @@
 
   /** Requests that have no final answer yet. */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#open.size;
   }
 
   get server(): Server {
@@ -99,19 +101,22 @@
     this.#stopsAtMs = stopsAtMs;
   }
 
+  /** Ends all answers that are not complete, so that none looks complete. */
+  breakOff(): void {
+    for (const response of [...this.#open]) breakOffResponse(response);
+  }
+
   /**
    * Handles a request to its final answer. An exception ends this request only.
    * @param forwarded set for a request that another daemon has forwarded
    */
   handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
-    this.#inFlight += 1;
-    response.once('close', () => {
-      this.#inFlight -= 1;
-    });
-    response.on('error', () => response.destroy());
+    this.#open.add(response);
+    response.once('close', () => this.#open.delete(response));
+    response.on('error', () => breakOffResponse(response));
     this.#admit(request, response, forwarded).catch((exception: unknown) => {
       this.#logFault(request, exception);
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) breakOffResponse(response);
       else this.#reject(request, response, 500, 'a fault of this daemon', []);
     });
   }
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -16,7 +16,7 @@
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { LogFields } from '../../core/logging/log-event.js';
-import { resetSocket } from '../http/reset-socket.js';
+import { breakOffResponse } from '../http/break-off-response.js';
 import { closeDelimitedHeaders, type ForwardedRequest } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { RawHeaders } from './ports.js';
@@ -109,8 +109,6 @@
   #withdrawal: Refusal | undefined;
   #isAnswered = false;
   #isCounted = false;
-  /** Whether only the close of its connection marks the end of the answer. */
-  #isDelimitedByClose = false;
 
   constructor(options: ExchangeOptions) {
     this.options = options;
@@ -279,11 +277,7 @@
 
   /** Aborts a response that has begun, so that a truncated answer does not look complete. */
   abortResponse(reason: string): void {
-    const { response } = this.options;
-    const { socket } = response;
-    // Where the close of the connection marks the end of an answer, only a reset shows that it is truncated.
-    if (this.#isDelimitedByClose && socket !== null) resetSocket(socket);
-    response.destroy();
+    breakOffResponse(this.options.response);
     this.#record('broken-off', reason);
     this.options.log.write(GATEWAY_EVENTS.requestFailed, { ...this.#fields(), reason });
   }
@@ -333,7 +327,6 @@
   #delimitByClose(framing: RawHeaders): RawHeaders {
     const { response, forwarded } = this.options;
     if (forwarded !== undefined) return [...framing, ...closeDelimitedHeaders()];
-    this.#isDelimitedByClose = true;
     response.useChunkedEncodingByDefault = false;
     response.shouldKeepAlive = false;
     return [];
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -420,6 +420,7 @@
     this.#limits.stop();
     this.#streams.stop();
     this.#paths.stop();
+    this.#callers.breakOff();
     for (const server of this.#servers) {
       server.close();
       server.closeAllConnections();
--- a/src/shell/http/active-request.ts
+++ b/src/shell/http/active-request.ts
@@ -8,6 +8,7 @@
   RequestDescription,
 } from '../../core/requests/index.js';
 import { AnswerCapture } from './answer-capture.js';
+import { breakOffResponse } from './break-off-response.js';
 import type { AnswerHead } from './chunk-rewriter.js';
 import type { EventBuffer } from './event-buffer.js';
 import { faultBody, faultResponse } from './fault-http.js';
@@ -154,10 +155,10 @@
     this.#answered = true;
     if (this.#responseClosed) return;
     if (this.plan.answerHead === null) {
-      this.response.destroy();
+      breakOffResponse(this.response);
       return;
     }
-    this.response.write(`data: ${faultBody(fault)}\n\n`, () => this.response.destroy());
+    this.response.write(`data: ${faultBody(fault)}\n\n`, () => breakOffResponse(this.response));
     this.#markStallStart();
   }
 
@@ -184,7 +185,7 @@
 
   /** Closes the caller's connection at once. */
   closeConnection(): void {
-    this.response.destroy();
+    breakOffResponse(this.response);
   }
 
   /** Records when the caller's unread period began; `drain` or `close` clears it. */
--- a/src/shell/http/caller-connections.ts
+++ b/src/shell/http/caller-connections.ts
@@ -1,12 +1,15 @@
 /** Tracks which caller connections carry requests, so that a planned stop closes only idle ones. */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { breakOffResponse } from './break-off-response.js';
 
 /** The open connections of the callers' server. */
 export class CallerConnections {
   /** Running requests of each connection; each pipelined request counts. */
   readonly #requestCounts = new Map<Socket, number>();
   readonly #allClosedCallbacks: (() => void)[] = [];
+  /** Answers that are not complete. */
+  readonly #responses = new Set<ServerResponse>();
   #closing = false;
 
   /** Tracks a new connection until it closes. */
@@ -24,7 +27,11 @@
   /** Counts a request of a connection until its response is closed. */
   trackRequest(socket: Socket, response: ServerResponse): void {
     this.#requestCounts.set(socket, (this.#requestCounts.get(socket) ?? 0) + 1);
-    response.once('close', () => this.#onRequestEnded(socket));
+    this.#responses.add(response);
+    response.once('close', () => {
+      this.#responses.delete(response);
+      this.#onRequestEnded(socket);
+    });
   }
 
   /** Closes idle connections now and each other connection when its last request ends. */
@@ -35,6 +42,11 @@
     }
   }
 
+  /** Ends all answers that are not complete, so that none looks complete. */
+  breakOff(): void {
+    for (const response of [...this.#responses]) breakOffResponse(response);
+  }
+
   #onClosed(socket: Socket): void {
     this.#requestCounts.delete(socket);
     if (this.#requestCounts.size > 0) return;
--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -195,6 +195,7 @@
   async close(): Promise<void> {
     this.#stopping = true;
     if (this.#sweepTimer !== null) clearInterval(this.#sweepTimer);
+    this.#connections.breakOff();
     this.#server.close();
     this.#server.closeAllConnections();
     await this.#pools.destroy();
