Long time-outs of the configuration are waited for

What callers saw: every request of a route whose time-out is 30 days got 504 at once.

Cause: setTimeout fires a delay above 2^31 - 1 ms after 1 ms, and the timer service passed delays on as they were.

Change: the timer service waits in steps.

Evidence: timer-service.test.ts (a timer beyond the longest delay), which fails without the change.

--- a/src/shell/gateway/timer-service.ts
+++ b/src/shell/gateway/timer-service.ts
@@ -10,11 +10,22 @@
   after(delayMs: number, callback: () => void): CancelTimer;
 }
 
+/** The longest delay of `setTimeout`; a longer one fires at once. */
+const MAX_TIMEOUT_MS = 2 ** 31 - 1;
+
 /** The process's own clock and timers. */
 export const SYSTEM_TIMERS: TimerService = {
   nowMs: () => performance.now(),
   after: (delayMs, callback) => {
-    const timer = setTimeout(callback, Math.max(0, delayMs));
+    let timer: NodeJS.Timeout;
+    const wait = (remainingMs: number): void => {
+      const stepMs = Math.min(remainingMs, MAX_TIMEOUT_MS);
+      timer = setTimeout(() => {
+        if (remainingMs > stepMs) wait(remainingMs - stepMs);
+        else callback();
+      }, stepMs);
+    };
+    wait(Math.max(0, delayMs));
     return () => clearTimeout(timer);
   },
 };
--- a/test/gateway/timer-service.test.ts
+++ b/test/gateway/timer-service.test.ts
@@ -1,7 +1,11 @@
 /** Calls with a time limit, and a clock that counts suspensions of the machine. */
 import assert from 'node:assert/strict';
-import { test } from 'node:test';
-import { callWithTimeout, suspensionAwareTimers } from '../../src/shell/gateway/timer-service.js';
+import { mock, test } from 'node:test';
+import {
+  callWithTimeout,
+  SYSTEM_TIMERS,
+  suspensionAwareTimers,
+} from '../../src/shell/gateway/timer-service.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 /** A call that lasts until its signal is aborted. */
@@ -80,3 +84,32 @@
   steady.advance(1);
   assert.ok(isFired);
 });
+
+// Guards against a route's time-out of 30 days that ends each request at once.
+test('a timer beyond the longest delay of setTimeout fires when it is due, and can be cancelled', () => {
+  mock.timers.enable({ apis: ['setTimeout'] });
+  try {
+    const dayMs = 86_400_000;
+    const started = mock.method(globalThis, 'setTimeout');
+    let fired = 0;
+    const fire = () => {
+      fired += 1;
+    };
+    SYSTEM_TIMERS.after(30 * dayMs, fire);
+    const cancel = SYSTEM_TIMERS.after(30 * dayMs, fire);
+    mock.timers.tick(25 * dayMs);
+    cancel();
+    mock.timers.tick(4 * dayMs);
+    assert.equal(fired, 0);
+    mock.timers.tick(2 * dayMs);
+    assert.equal(fired, 1);
+    for (const {
+      arguments: [, delayMs = 0],
+    } of started.mock.calls) {
+      assert.ok(delayMs < 2 ** 31, `a delay of ${delayMs} ms fires at once`);
+    }
+  } finally {
+    mock.restoreAll();
+    mock.timers.reset();
+  }
+});
