A tenant's name of any characters reaches servers

What callers saw: each request of a tenant whose name is beyond latin1 ("Dvořák") ended the daemon that took it, and with it all requests there. No fault of anybody is needed.

Cause: the name went into X-Tenant as it is; node:http throws on a character above U+00FF. A name within latin1 went out in another encoding than the configuration has it in.

Change: header-text.ts writes such names in UTF-8, and percent-encodes control characters. The names of daemons and services in the headers of forwarded requests are written in the same way; ASCII is unchanged, so daemons of both versions understand each other.

Evidence: tenants.test.ts (a server is sent the name of a tenant in UTF-8), whose three cases fail without the change.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -11,6 +11,7 @@
   type ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { encodeHeaderText } from '../http/header-text.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AdmissionGate } from './admission-gate.js';
 import type { AnswerOutcome } from './answer-outcome.js';
@@ -225,11 +226,11 @@
   context: AttemptContext,
   options: AttemptOptions,
 ): Promise<CallResult> {
-  const { request, body, timers, description, metrics, log } = exchange.options;
+  const { request, body, timers, description, metrics, log, tenant } = exchange.options;
   const headers = context.codec.backendHeaders(withoutConnectionHeaders(request.rawHeaders), {
     serverId: options.server.id,
     deadlineMs: Math.max(1, Math.floor(exchange.remainingMs())),
-    tenant: exchange.options.tenant?.name,
+    tenant: tenant === undefined ? undefined : encodeHeaderText(tenant.name),
     priority: options.priority,
     prefillOnly: options.prefillOnly,
     handoverSource: options.handoverSource,
--- a/src/shell/gateway/forwarding-headers.ts
+++ b/src/shell/gateway/forwarding-headers.ts
@@ -4,6 +4,7 @@
  */
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import type { IncomingHttpHeaders } from 'node:http';
+import { decodeHeaderText, encodeHeaderText } from '../http/header-text.js';
 import type { RawHeaders } from './ports.js';
 
 const TOKEN = 'Threadfork-Forward-Token';
@@ -35,7 +36,8 @@
   const { from, service, configurationVersion } = forwarded;
   return [
     ...['Connection', ['close', ...REQUEST_HEADERS].join(', ')],
-    ...[TOKEN, token, FROM, from, SERVICE, service, VERSION, String(configurationVersion)],
+    ...[TOKEN, token, FROM, encodeHeaderText(from), SERVICE, encodeHeaderText(service)],
+    ...[VERSION, String(configurationVersion)],
   ];
 }
 
@@ -50,8 +52,8 @@
   const configurationVersion = Number(headerValue(headers, VERSION));
   if (!Number.isInteger(configurationVersion)) return undefined;
   return {
-    from: headerValue(headers, FROM),
-    service: headerValue(headers, SERVICE),
+    from: decodeHeaderText(headerValue(headers, FROM)),
+    service: decodeHeaderText(headerValue(headers, SERVICE)),
     configurationVersion,
   };
 }
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -32,7 +32,7 @@
   readonly serverId: string;
   /** Time left, in whole milliseconds. */
   readonly deadlineMs: number;
-  /** The name of the request's tenant; undefined for a request without one. */
+  /** The name of the request's tenant as a header value; undefined for a request without one. */
   readonly tenant: string | undefined;
   /** 0 is the most urgent; undefined for web servers. */
   readonly priority: number | undefined;
--- a/test/gateway/tenants.test.ts
+++ b/test/gateway/tenants.test.ts
@@ -41,6 +41,21 @@
   assert.ok(!JSON.stringify(fixture.lines).includes(OLD_KEY));
 });
 
+for (const [name, sent] of [
+  ['Dvořák', 'Dvořák'],
+  ['Société', 'Société'],
+  ['two\nlines', 'two%0Alines'],
+] as const) {
+  // Guards against the end of the daemon by each request of a tenant whose name is beyond latin1.
+  test(`a server is sent the name ${JSON.stringify(name)} of a tenant in UTF-8`, async () => {
+    const server = await startWith([{ name, apiKeys: [OLD_KEY] }]);
+    const answer = await fixture.call({ path: '/tiles/1', headers: { 'Api-Key': OLD_KEY } });
+    assert.equal(answer.status, 200);
+    const received = Buffer.from(String(server.seen[0]?.headers['x-tenant']), 'latin1');
+    assert.equal(received.toString('utf8'), sent);
+  });
+}
+
 test('the prefill engine and the decode engine of a request are both sent the tenant', async () => {
   await startWith([LEIDEN]);
   const traits = { service: 'reader', slots: 8, models: [] };
