Soak: servers that garble answers, entries that cannot be called

`--plan garble` lets half of the servers spoil a share of their answers (a status that no answer has, a KV handle or an event id that no header can carry) while odd entries stand in the list, beside kills of daemons. A process that ends by itself is now judged (FAULT), as is a status that no final answer has (MIXED). A mutation may edit several places, as two protections lie behind each other.

--- a/soak/bundle.ts
+++ b/soak/bundle.ts
@@ -3,7 +3,7 @@
 import { join, resolve } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { build, type Plugin } from 'esbuild';
-import type { Mutation } from './mutations.js';
+import type { Mutation, SourceEdit } from './mutations.js';
 
 const PROJECT_ROOT = fileURLToPath(new URL('../..', import.meta.url));
 
@@ -26,22 +26,29 @@
   return outfile;
 }
 
-function mutationPlugin({ name, file, text, replacement }: Mutation): Plugin {
-  const path = resolve(PROJECT_ROOT, file);
-  const source = readFileSync(path, 'utf8');
-  if (source.split(text).length !== 2) {
-    throw new Error(
-      `mutation ${name}: its text must occur exactly once in ${file}; update the text`,
-    );
+function mutationPlugin(mutation: Mutation): Plugin {
+  const contents = new Map<string, string>();
+  for (const edit of [mutation, ...(mutation.also ?? [])]) {
+    const path = resolve(PROJECT_ROOT, edit.file);
+    const source = contents.get(path) ?? readFileSync(path, 'utf8');
+    contents.set(path, edited(mutation.name, source, edit));
   }
   return {
     name: 'mutation',
     setup: (setup) => {
-      setup.onLoad({ filter: new RegExp(`${file.split('/').at(-1)}$`) }, (loaded) =>
-        loaded.path === path
-          ? { contents: source.replace(text, () => replacement), loader: 'ts' }
-          : undefined,
-      );
+      setup.onLoad({ filter: /\.ts$/ }, ({ path }) => {
+        const changed = contents.get(path);
+        return changed === undefined ? undefined : { contents: changed, loader: 'ts' };
+      });
     },
   };
 }
+
+function edited(name: string, source: string, { file, text, replacement }: SourceEdit): string {
+  if (source.split(text).length !== 2) {
+    throw new Error(
+      `mutation ${name}: its text must occur exactly once in ${file}; update the text`,
+    );
+  }
+  return source.replace(text, () => replacement);
+}
--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -2,7 +2,7 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { createWriteStream, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { SoakBounds } from './record.js';
+import type { OwnEnd, SoakBounds } from './record.js';
 
 const CALLERS_PORT = 8_144;
 const READINESS_PORT = 8_140;
@@ -32,6 +32,7 @@
   readonly #settingsPath: string;
   #process: ChildProcess | undefined;
   #logged: Promise<void> = Promise.resolve();
+  readonly #ownEnds: OwnEnd[] = [];
   /** Number of starts so far; identifies the current incarnation. */
   incarnation = 0;
   isStopping = false;
@@ -69,7 +70,10 @@
     });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    child.once('exit', () => {
+    child.once('exit', (exitCode) => {
+      // A signal that ends the process leaves no code; SIGTERM asks it to end by itself.
+      const isOwnEnd = exitCode !== null && !(this.isStopping && exitCode === 0);
+      if (isOwnEnd) this.#ownEnds.push({ daemon: name, exitCode, atMs: performance.now() });
       if (this.#process === child) this.#process = undefined;
       this.isStopping = false;
       this.isFrozen = false;
@@ -105,6 +109,11 @@
     return this.#logged;
   }
 
+  /** The ends of its processes without a signal that ends them. */
+  get ownEnds(): readonly OwnEnd[] {
+    return this.#ownEnds;
+  }
+
   /** Whether the readiness endpoint reports that the daemon is ready. */
   async isReady(): Promise<boolean> {
     if (this.#process === undefined || this.isFrozen) return false;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
  */
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { planDepartures } from './departure-plan.js';
+import { planGarble } from './garble-plan.js';
 import { MUTATIONS } from './mutations.js';
 import { planNetworks } from './network-plan.js';
 import { planParts } from './part-plan.js';
@@ -64,7 +65,7 @@
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
     description:
-      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts or skews',
+      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts, skews, networks or garble',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -103,6 +104,7 @@
       departures: planDepartures,
       parts: planParts,
       skews: planSkews,
+      garble: planGarble,
       networks: planNetworks,
     };
     const planOf = plans[this.plan as keyof typeof plans];
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -36,6 +36,10 @@
   { [WIRE.limit]: '' },
   { [WIRE.limit]: '9'.repeat(400) },
 ] as const;
+/** Statuses that no final answer has; each is followed by the body of a sound answer. */
+const GARBLED_STATUSES = ['000', '099', '101', '600'] as const;
+/** What a byte that is no UTF-8 decodes to. */
+const GARBLED_CHARACTER = '\ufffd';
 const MILLISECONDS_PER_SECOND = 1_000;
 const MAX_EVENTS_WAIT_MS = 1_000;
 const KEEP_ALIVE_MS = 5_000;
@@ -315,7 +319,9 @@
     setTimeout(() => {
       if (response.destroyed) return;
       end();
-      const kvHandle = `h${Math.floor(this.#options.random() * Number.MAX_SAFE_INTEGER)}`;
+      const garbled = this.#shouldInject('garble') ? GARBLED_CHARACTER : '';
+      const drawn = Math.floor(this.#options.random() * Number.MAX_SAFE_INTEGER);
+      const kvHandle = `h${garbled}${drawn}`;
       this.#options.handles.set(kvHandle, String(request.headers[WIRE.attemptId]));
       this.#ownHandles.add(kvHandle);
       const body = JSON.stringify({ kvHandle, tokens: 10, version: 1 });
@@ -387,8 +393,14 @@
   ): void {
     const breaksOff = this.#shouldInject('break-off');
     const sendsTwice = this.#shouldInject('answer-twice');
+    const isGarbled = this.#shouldInject('garble');
     setTimeout(() => {
       if (response.destroyed) return;
+      if (isGarbled) {
+        arrival.isServerFault = true;
+        this.#sendGarbled(request);
+        return;
+      }
       arrival.stamp = stamp;
       const body = completeBody(String(request.headers[WIRE.attemptId]), stamp);
       const head = {
@@ -412,6 +424,15 @@
     }, this.#webWorkMs);
   }
 
+  #sendGarbled(request: IncomingMessage): void {
+    const index = Math.floor(this.#options.random() * GARBLED_STATUSES.length);
+    const id = String(request.headers[WIRE.attemptId]);
+    const head = [`HTTP/1.1 ${GARBLED_STATUSES[index]} OK`, `${WIRE.attemptId}: ${id}`];
+    request.socket.end(
+      [...head, `${WIRE.stamp}: none`, 'Content-Length: 2', '', 'no'].join('\r\n'),
+    );
+  }
+
   /** Processing time of a web server. Servers with few slots are slower, so that their slots run out. */
   get #webWorkMs(): number {
     const { slots, pace } = this.#options;
@@ -439,6 +460,7 @@
     const breaksAt = this.#shouldInject('break-off')
       ? first + Math.floor((events - first + 1) * SENT_SHARE_BEFORE_BREAK)
       : Number.POSITIVE_INFINITY;
+    const garblesAt = this.#shouldInject('garble') ? first + 1 : Number.POSITIVE_INFINITY;
     const hasKvSource = request.headers[WIRE.kvSource] !== undefined;
     let next = first;
     const sendNext = () => {
@@ -455,6 +477,11 @@
         response.write(`id: ${next}\nda`, () => response.destroy());
         return;
       }
+      if (next === garblesAt) {
+        arrival.isServerFault = true;
+        response.write(`id: ${next}\u0001\n\n`, () => response.destroy());
+        return;
+      }
       if (next > events) {
         end();
         response.end();
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -4,16 +4,46 @@
  */
 import type { PromiseName } from './oracle.js';
 
-/** A replacement that removes a protection, and the promise that is broken without it. */
-export interface Mutation {
-  readonly name: string;
-  readonly promise: PromiseName;
+/** A replacement of one text. */
+export interface SourceEdit {
   /** Path relative to the root of the repository. */
   readonly file: string;
   readonly text: string;
   readonly replacement: string;
 }
 
+/** A replacement that removes a protection, and the promise that is broken without it. */
+export interface Mutation extends SourceEdit {
+  readonly name: string;
+  readonly promise: PromiseName;
+  /** Further edits, where several protections prevent the same fault. */
+  readonly also?: readonly SourceEdit[];
+}
+
+/** Without these, an exception that nobody handles ends the process. */
+const WITHOUT_LAST_NET: readonly SourceEdit[] = [
+  {
+    file: 'src/daemon/gateway-main.ts',
+    text: "process.on('unhandledRejection', keepRunning('promise'));",
+    replacement: '',
+  },
+  {
+    file: 'src/daemon/gateway-main.ts',
+    text: "process.on('uncaughtException', keepRunning('event handler'));",
+    replacement: '',
+  },
+  {
+    file: 'src/shell/gateway/internal-faults.ts',
+    text: 'loop().catch((exception: unknown) => {',
+    replacement: 'loop().then(undefined, (exception: unknown) => {\n      throw exception;',
+  },
+  {
+    file: 'src/shell/gateway/backend-connections.ts',
+    text: 'return error instanceof Error ? error : new Error(String(error));',
+    replacement: 'throw error;',
+  },
+];
+
 export const MUTATIONS: readonly Mutation[] = [
   {
     name: 'budget',
@@ -233,6 +263,21 @@
     text: 'call(PATHS.usage, { window, counts }, authority, signal)',
     replacement: 'call(PATHS.usage, { window, counts, sent: Date.now() }, authority, signal)',
   },
+  {
+    name: 'usable-entries',
+    promise: 'FAULT',
+    file: 'src/shell/gateway/fleet-follower.ts',
+    text: 'rows.map(usableRow)',
+    replacement: 'rows',
+    also: WITHOUT_LAST_NET,
+  },
+  {
+    name: 'final-statuses',
+    promise: 'MIXED',
+    file: 'src/shell/gateway/backend-connections.ts',
+    text: 'if (!isFinalStatus(status)) {',
+    replacement: 'if (!isFinalStatus(status) && status < 0) {',
+  },
   {
     name: 'forwarding',
     promise: 'RECOVER',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -8,7 +8,15 @@
 import { arrivalsAfterEnd, sentAfterStalls, sentBy } from './held-request-judge.js';
 import { partsSentOn, soundRequestsLost } from './part-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
-import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
+import type {
+  Arrival,
+  CallRecord,
+  CutRecord,
+  Disturbance,
+  OwnEnd,
+  RunRecord,
+  Scope,
+} from './record.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS } from './response-bodies.js';
 import { unservedSkews } from './skew-judge.js';
 import { hasAllEvents, resumptionFaults, versionFaults } from './stream-judge.js';
@@ -30,6 +38,8 @@
   | 'DUTY'
   | 'CRASHES'
   | 'LIMIT'
+  /** A daemon's process has ended by itself. */
+  | 'FAULT'
   | 'RECOVER';
 
 /** A case in which a promise was broken. */
@@ -83,11 +93,16 @@
     ...judgeRecovery(calls, run),
     ...judgeCuts(calls, run),
     ...judgeSkews(calls, run),
+    ...run.ownEnds.map(judgeOwnEnd),
     ...arrivalsAfterEnd(calls, run).map((found): Violation => ({ promise: 'GONE', ...found })),
     ...sentAfterStalls(calls, run).map((found): Violation => ({ promise: 'DRAIN', ...found })),
   ];
 }
 
+function judgeOwnEnd({ daemon, exitCode, atMs }: OwnEnd): Violation {
+  return { promise: 'FAULT', atMs, detail: `${daemon} ended by itself with code ${exitCode}` };
+}
+
 /** Whether a daemon was running and in contact with the store during a span and for `contactMs` before it. */
 function isInTouch(run: RunRecord, daemon: string, fromMs: number, toMs: number): boolean {
   const isCalm = (scope: Scope, name: string) => !isDisturbed(run, { scope, name, fromMs, toMs });
@@ -147,7 +162,11 @@
   runs: readonly Arrival[],
   addViolation: AddViolation,
 ): void {
-  if (end.status < 200 || end.status >= 300 || !end.isComplete) return;
+  if (end.status < 200 || end.status > 599) {
+    addViolation('MIXED', `status ${end.status}, which no final answer has`);
+    return;
+  }
+  if (end.status >= 300 || !end.isComplete) return;
   if (end.stamp === undefined) {
     addViolation('MIXED', 'a success without a stamp');
     return;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -22,6 +22,8 @@
   | 'break-off'
   /** Runs them and closes the connection without a response. */
   | 'lose-answer'
+  /** Sends bytes that are no answer: a status that none has, a KV handle or an event id that no header can carry. */
+  | 'garble'
   /** Sends a second response on the same connection. */
   | 'answer-twice'
   /** Does not respond to stage orders and executes them later. */
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -206,10 +206,18 @@
   readonly cuts: readonly CutRecord[];
   readonly skews: readonly SkewRecord[];
   readonly serving: readonly ServingSpan[];
+  readonly ownEnds: readonly OwnEnd[];
   readonly bounds: SoakBounds;
   readonly endMs: number;
 }
 
+/** A daemon's process ended without a signal that ends it. */
+export interface OwnEnd {
+  readonly daemon: string;
+  readonly exitCode: number | null;
+  readonly atMs: number;
+}
+
 /** A span in which daemons were cut off from all servers. */
 export interface CutRecord {
   readonly how: DaemonCut;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -212,6 +212,7 @@
       cuts: this.#faults.cuts,
       skews: this.#faults.skews,
       serving: this.#pool.servingSpans,
+      ownEnds: this.#daemons.flatMap(({ ownEnds }) => ownEnds),
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
--- a/soak/server-pool.ts
+++ b/soak/server-pool.ts
@@ -30,6 +30,10 @@
   { ...STRAY, address: undefined, stage: 'decode' },
   { ...STRAY, born: 'yesterday', stage: 'decode' },
   { ...STRAY, service: 'nobody', stage: 'decode' },
+  // Addresses that no connection or header can carry, for engines and web servers.
+  { ...STRAY, address: '127.0.\ufffd.1:9', stage: 'decode' },
+  { ...STRAY, address: '127.0.0.1:70000', stage: 'prefill' },
+  { ...STRAY, address: '127.0.0.1:70000' },
 ];
 
 /** A key that sorts between the ids of servers. */
--- a/test/soak/mutations.test.ts
+++ b/test/soak/mutations.test.ts
@@ -5,8 +5,10 @@
 import { MUTATIONS } from '../../soak/mutations.js';
 
 test('each mutation finds the text that it replaces exactly once', () => {
-  for (const { name, file, text } of MUTATIONS) {
-    const found = readFileSync(file, 'utf8').split(text).length - 1;
-    assert.equal(found, 1, `${name}: ${file}`);
+  for (const mutation of MUTATIONS) {
+    for (const { file, text } of [mutation, ...(mutation.also ?? [])]) {
+      const found = readFileSync(file, 'utf8').split(text).length - 1;
+      assert.equal(found, 1, `${mutation.name}: ${file}`);
+    }
   }
 });
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -79,6 +79,7 @@
     limits: [],
     cuts: [],
     skews: [],
+    ownEnds: [],
     orders: [],
     duties: [],
     bounds: BOUNDS,
