Web requests that may outlast a stop are refused at once

Cause: only model requests are checked against the stop; web requests were accepted until the cut, however long they take.

Change: a web request that may still run as the daemon cuts off what runs, as four times its target latency or its deadline shows, gets 503 with a Retry-After of 50 ms; another daemon can take it at once.

--- a/fuzz/gateway-campaign.ts
+++ b/fuzz/gateway-campaign.ts
@@ -25,7 +25,7 @@
 const CALL_TIMEOUT_MS = 1_500;
 const CALM_ATTEMPTS = 40;
 /** The time-outs of the routes to engines; shorter ones make what is learnt of the engines' paces matter more. */
-export const DEFAULT_TIMEOUT_MS = 5_000;
+const DEFAULT_TIMEOUT_MS = 5_000;
 
 function routes(timeoutMs: number): readonly unknown[] {
   return [
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -20,15 +20,17 @@
 import { ModelPlanner, type PlanLimits } from './model-planner.js';
 import type { HandoverSource } from './ports.js';
 import { freeKvMemory, type PrefillPlan, runPrefill } from './prefill.js';
-import { refuseUnavailable } from './refuse-unavailable.js';
+import {
+  CUT_BY_STOP_REASON,
+  refuseUnavailable,
+  STOPPING_RETRY_AFTER_MS,
+} from './refuse-unavailable.js';
 import { StreamRelay } from './stream-relay.js';
 
 const MAX_ERROR_BYTES = 1_048_576;
 const STATUS_UNAVAILABLE = 503;
 /** A request is refused after more rejections and failed connections than this. */
 const MAX_REJECTIONS = 3;
-/** Short, as another daemon can take the request at once. */
-const STOPPING_RETRY_AFTER_MS = 50;
 
 /** Runs a model request to its final answer. */
 export async function runModelExchange(exchange: Exchange, context: AttemptContext): Promise<void> {
@@ -69,10 +71,7 @@
     this.#exchange.countRequest(this.#context.fleet.budgetOf(service));
     this.#context.limits.recordArrival(service);
     if (this.#planner.isCutByStop()) {
-      this.#exchange.refuse(
-        'this daemon stops before the stream could end',
-        STOPPING_RETRY_AFTER_MS,
-      );
+      this.#exchange.refuse(CUT_BY_STOP_REASON, STOPPING_RETRY_AFTER_MS);
       return;
     }
     let next = await this.#step();
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -20,7 +20,11 @@
 } from './attempt.js';
 import type { CompleteAnswer, Exchange } from './exchange.js';
 import { permitWaitRequestOf } from './limit-coordinator.js';
-import { refuseUnavailable } from './refuse-unavailable.js';
+import {
+  CUT_BY_STOP_REASON,
+  refuseUnavailable,
+  STOPPING_RETRY_AFTER_MS,
+} from './refuse-unavailable.js';
 import { webAdmissionCheck } from './web-admission-check.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -29,6 +33,8 @@
 /** A hedged request goes to a second server after this share of the target latency without an answer. */
 const HEDGE_DELAY_SHARE = 0.45;
 const MIN_HEDGE_DELAY_MS = 40;
+/** A request is taken to end within this many times its target latency. */
+const MAX_LATENCY_FACTOR = 4;
 
 type RunResult =
   | { readonly kind: 'whole'; readonly answer: CompleteAnswer }
@@ -56,6 +62,10 @@
   }
 
   async run(): Promise<void> {
+    if (this.#isCutByStop()) {
+      this.#exchange.refuse(CUT_BY_STOP_REASON, STOPPING_RETRY_AFTER_MS);
+      return;
+    }
     const abandon = () => this.#abandoned.abort();
     this.#exchange.signal.addEventListener('abort', abandon, { once: true });
     if (!(await this.#waitForAdmission())) return;
@@ -73,6 +83,15 @@
     if (!this.#exchange.isAnswered) await this.#giveUp();
   }
 
+  /** Whether the request may still run as this daemon, which is stopping, cuts off what runs. */
+  #isCutByStop(): boolean {
+    const { stopsAtMs, route } = this.#exchange.options;
+    const stopMs = stopsAtMs();
+    if (stopMs === undefined) return false;
+    const latestEndMs = this.#nowMs() + MAX_LATENCY_FACTOR * route.targetLatencyMs;
+    return Math.min(latestEndMs, this.#exchange.deadlineAtMs) > stopMs;
+  }
+
   /** Handles the result of an attempt; returns whether the request has ended. */
   async #handleResult(result: RunResult): Promise<boolean> {
     if (result.kind === 'whole' && !this.#isWorthRetrying(result.answer)) {
