An answer without a length whose server crashes is not complete

A stream relayed without chunks ended with an ordinary close.

Cause: a crash closes connections with FIN, as the end of an answer without a length does, and the end was taken for the latter.

Change: where only the close marks the end, the server is asked for one more connection. If it refuses that, or a later boot is listed, and it is not draining, the answer is truncated: the stream is resumed where it may be, and otherwise broken off; an answer of a web server is not passed on. It costs one connection for each answer without a length, after its last byte.

Evidence: two tests in close-delimited-streams.test.ts, which fail where the check always says no. A server that lives and cuts its own answer by a close cannot be told from a complete one; such answers still go on without a length.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -71,6 +71,8 @@
     | 'refuseIfQuarantined'
     | 'whenChecked'
   >;
+  /** Whether a server may have exited without a drain as it closed a connection. */
+  readonly mayHaveCrashed: (server: ServerRecord) => Promise<boolean>;
   /** Called when a request began to run at a server `agoMs` ago. */
   readonly recordRunStart: (exchange: Exchange, agoMs: number) => void;
   /** Counts calls to web servers and takes in the load that they report. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -121,6 +121,7 @@
   readonly #paths: ServicePathMonitor;
   readonly #departures: DepartureGossip;
   readonly #comparison: PathComparison;
+  readonly #exitCheck: ServerExitCheck;
   readonly #departureReports: DepartureReports;
   readonly #stalls: StallMonitor;
   readonly #forwardingListener: ForwardingListener;
@@ -173,6 +174,12 @@
       readyOf: (service) => this.#fleet.directory.readyOf(service),
       random: Math.random,
     });
+    this.#exitCheck = new ServerExitCheck({
+      connections: this.#connections,
+      isSuperseded: (server) => this.#fleet.directory.isSuperseded(server),
+      comparison: this.#comparison,
+      timers,
+    });
     const incarnation = randomInt(INCARNATION_LIMIT);
     this.#crashes = this.#createCrashGuard(incarnation);
     const webWork = new WebWork({
@@ -264,6 +271,7 @@
       crashes: this.#crashes,
       webWork,
       streams: this.#streams,
+      mayHaveCrashed: (server) => this.#mayHaveCrashed(server),
       streamWaits: new StreamWaits(),
       recordRunStart: ({ options: { tenant } }, agoMs) =>
         this.#duties.recordRunStart(tenant, agoMs),
@@ -471,12 +479,7 @@
     const { settings, adapter, timers, log } = this.#options;
     return new CrashGuard({
       table: adapter.table,
-      exitCheck: new ServerExitCheck({
-        connections: this.#connections,
-        isSuperseded: (server) => this.#fleet.directory.isSuperseded(server),
-        comparison: this.#comparison,
-        timers,
-      }),
+      exitCheck: this.#exitCheck,
       isReady: (server) => this.#fleet.wasReady(server, timers.nowMs()),
       roster: this.#roster,
       peers: () => this.#peers,
@@ -566,6 +569,12 @@
     });
   }
 
+  /** A server that drains serves on until its answers are complete, so its exit shows no crash. */
+  async #mayHaveCrashed(server: ServerRecord): Promise<boolean> {
+    const isDeparting = this.#fleet.departures.of(server.id) !== undefined;
+    return !isDeparting && (await this.#exitCheck.mayHaveEnded(server));
+  }
+
   /** A daemon that reaches no other server either is cut off itself, and its notices would mislead the others. */
   async #advertiseUnreachable(server: ServerRecord): Promise<void> {
     const isServerAtFault = await this.#comparison.reachesOthers(server);
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -306,7 +306,8 @@
       description.promptParts,
       this.#nowMs(),
     );
-    const relayed = await this.#relay.relay(attempt);
+    const mayHaveCrashed = () => this.#context.mayHaveCrashed(attempt.server);
+    const relayed = await this.#relay.relay({ ...attempt, mayHaveCrashed });
     switch (relayed) {
       case 'complete':
         this.#relay.complete(attempt);
--- a/src/shell/gateway/server-exit-check.ts
+++ b/src/shell/gateway/server-exit-check.ts
@@ -46,6 +46,17 @@
     return isRefusedAlone || isSuperseded(server);
   }
 
+  /**
+   * Whether the server may have exited: as `hasEnded`, but a network that refuses connections counts too. For answers that a
+   * server's exit would truncate unnoticed.
+   */
+  async mayHaveEnded(server: ServerRecord): Promise<boolean> {
+    const { connections, isSuperseded } = this.#options;
+    if (isSuperseded(server)) return true;
+    const outcome = await connections.tryConnect(server.address);
+    return outcome === 'refused' || isSuperseded(server);
+  }
+
   #isRefusedAlone(server: ServerRecord): Promise<boolean> {
     const { timers } = this.#options;
     const nowMs = timers.nowMs();
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -23,6 +23,11 @@
   readonly server: StreamServer;
   /** Whether only a close of the connection marked its end; by default as at `answer`. */
   readonly isCloseDelimited?: boolean;
+  /**
+   * Asked where only a close of the connection marked the end: whether the server may have crashed, as that closes
+   * connections in the same way.
+   */
+  readonly mayHaveCrashed?: () => Promise<boolean>;
   /** Called when the body has ended, with its outcome. */
   readonly end: (outcome: AnswerOutcome) => void;
 }
@@ -73,6 +78,8 @@
     const boundary = new EventBoundary();
     return new Promise((resolve, reject) => {
       let isSettled = false;
+      /** Whether the answer has ended and its server is checked. */
+      let isChecking = false;
       /** Set while the first bytes wait; the end of an answer that has arrived completely does not wait by itself. */
       let firstEvent: Promise<void> | undefined;
       const afterFirstEvent = (callback: () => void) => {
@@ -94,6 +101,13 @@
         answer.destroy();
         reject(exception);
       };
+      const checkForCrash = () => {
+        isChecking = true;
+        const check = source.mayHaveCrashed?.() ?? Promise.resolve(false);
+        check.then((mayHaveCrashed) => {
+          if (!isSettled) settle(mayHaveCrashed ? 'broken' : 'complete');
+        }, fail);
+      };
       const resumeSource = () => message.resume();
       const interrupt = () => {
         settle('interrupted');
@@ -134,10 +148,17 @@
       });
       message.once('end', () => {
         const isWhole = answer.isComplete && !isTorn(source, boundary);
-        afterFirstEvent(() => settle(isWhole ? 'complete' : 'broken'));
+        afterFirstEvent(() => {
+          if (isWhole && isDelimitedByClose(source)) checkForCrash();
+          else settle(isWhole ? 'complete' : 'broken');
+        });
       });
       // An event whose origin is recorded goes to the caller also where its server has broken off meanwhile.
-      message.once('close', () => afterFirstEvent(() => settle('broken')));
+      message.once('close', () =>
+        afterFirstEvent(() => {
+          if (!isChecking) settle('broken');
+        }),
+      );
     });
   }
 
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -229,6 +229,10 @@
       return { kind: 'broken', reason };
     };
     if (body === undefined) return broken('the answer broke off');
+    // A crash closes connections as the end of an answer without a length does.
+    if (answer.isCloseDelimited && (await this.#context.mayHaveCrashed(server))) {
+      return broken('the server ended with its answer');
+    }
     if (isSuccess && !isStamped) return broken('a success without a stamp');
     if (statusImpliesNotExecuted(answer.status))
       return broken(`status ${answer.status} without its promise`);
--- a/test/gateway/close-delimited-streams.test.ts
+++ b/test/gateway/close-delimited-streams.test.ts
@@ -3,7 +3,7 @@
  * and told as whole, as was one whose connection was reset after an event.
  */
 import assert from 'node:assert/strict';
-import { connect } from 'node:net';
+import { connect, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { configuration, GatewayFixture, READ_ROUTE, RESUMABLE_ROUTE } from './support/fixture.js';
@@ -11,10 +11,17 @@
   rejectingAsNotExecuted,
   type Script,
   type ServedRequest,
+  type ServerStandIn,
   stamped,
 } from './support/server-stand-in.js';
 
-const HEAD = ['Host: labels.example', 'X-Attempt-Id: a-1', 'X-Model: m', 'X-Token-Count: 30,4'];
+const HEAD = [
+  'Host: labels.example',
+  'X-Attempt-Id: a-1',
+  'X-Model: m',
+  'X-Token-Count: 30,4',
+  'Connection: close',
+];
 const FIRST = 'id: 1\ndata: piece 1\n\n';
 const SECOND = 'id: 2\ndata: piece 2\n\n';
 const TORN = 'id: 2\ndata: pie';
@@ -41,18 +48,32 @@
   });
 }
 
-async function start(scripts: readonly Script[]): Promise<void> {
+/** The servers in the order of the scripts. */
+let servers: ServerStandIn[];
+
+async function start(
+  scripts: readonly Script[],
+  routes: readonly unknown[] = [RESUMABLE_ROUTE, READ_ROUTE],
+): Promise<void> {
   await fixture.start();
-  fixture.store.putConfiguration(configuration(1, [RESUMABLE_ROUTE, READ_ROUTE]));
+  fixture.store.putConfiguration(configuration(1, routes));
   await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+  servers = [];
   for (const [index, script] of scripts.entries()) {
     const id = `i-${index}`;
-    await fixture.addServer(id, script, { service: 'reader', stage: 'decode' });
+    servers.push(await fixture.addServer(id, script, { service: 'reader', stage: 'decode' }));
     await fixture.logged(GATEWAY_EVENTS.serverAdded, ({ server }) => server === id);
   }
   await fixture.logged(GATEWAY_EVENTS.crashTableRead);
 }
 
+/** Ends a server with all its connections, as a crash does; the system closes them in the ordinary way. */
+function crash(socket: Socket): void {
+  const crashed = servers.find(({ address }) => address.endsWith(`:${socket.localPort}`));
+  crashed?.stop();
+  socket.end();
+}
+
 /** Everything that a caller receives until its connection ends; rejects if that is reset. */
 async function call(path: string): Promise<string> {
   const socket = connect(fixture.callersPort, '127.0.0.1');
@@ -113,3 +134,40 @@
     await fixture.logged(GATEWAY_EVENTS.requestFailed, ({ request }) => request === 'a-1');
   });
 }
+
+/** A stream's next event, and then the crash of its server. */
+function crashingInTurn(framings: readonly ('chunks' | 'close')[]): Script {
+  let requests = 0;
+  return (served) => {
+    const { seen, socket, response } = served;
+    if (seen.method !== 'POST') return rejectingAsNotExecuted(served);
+    const framing = framings[requests];
+    requests += 1;
+    const event = `id: ${requests}\ndata: piece ${requests}\n\n`;
+    const head = { ...stamped(seen), 'Content-Type': 'text/event-stream' };
+    if (framing === 'chunks') {
+      response.writeHead(200, head);
+      response.write(event, () => crash(socket));
+      return;
+    }
+    const lines = Object.entries(head).map(([name, value]) => `${name}: ${value}`);
+    const text = ['HTTP/1.1 200 OK', ...lines, '', event].join('\r\n');
+    socket.write(text, () => crash(socket));
+  };
+}
+
+// Guards against a stream that ends as complete when the server that resumed it crashes.
+test('a stream in chunks whose second server sends no length and crashes between two events lacks its end', async () => {
+  const script = crashingInTurn(['chunks', 'close']);
+  await start([script, script]);
+  const answer = await call('/check/1');
+  for (const event of [1, 2]) assert.ok(answer.includes(`data: piece ${event}\n`), answer);
+  assert.ok(!answer.includes('\r\n0\r\n'), answer);
+});
+
+// Guards against a truncated stream that looks complete, where no server can go on with it.
+test('a stream without length or chunks whose server crashes between two events is reset', async () => {
+  const script = crashingInTurn(['close']);
+  await start([script, script]);
+  await assert.rejects(call('/read/1'), /ECONNRESET/);
+});
