A call that cannot be sent says nothing of the path to its server

The result now says that no connection was opened, and the path is left alone.

Evidence: server-calls.test.ts (a call that cannot be sent); without the check it counts two failures.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -57,8 +57,16 @@
 /** The result of a call up to the response headers. */
 export type CallResult =
   | { readonly kind: 'answered'; readonly answer: BackendAnswer }
-  /** No byte of the request can have been sent; `connectTimedOut` when the connection was neither accepted nor refused. */
-  | { readonly kind: 'not-sent'; readonly reason: string; readonly connectTimedOut: boolean }
+  /**
+   * No byte of the request can have been sent; `connectTimedOut` when the connection was neither accepted nor refused, and
+   * `isUnsendable` when none was opened, as the call does not fit the protocol.
+   */
+  | {
+      readonly kind: 'not-sent';
+      readonly reason: string;
+      readonly connectTimedOut: boolean;
+      readonly isUnsendable?: true;
+    }
   /** The request may have run; what came, if anything did, is no answer. */
   | { readonly kind: 'broken'; readonly reason: string };
 
@@ -204,8 +212,9 @@
   return { kind: 'not-sent', reason, connectTimedOut };
 }
 
-function inexpressible(error: Error): CallResult {
-  return notSent(`the call cannot be sent: ${error.message}`, false);
+function unsendable({ message }: Error): CallResult {
+  const reason = `the call cannot be sent: ${message}`;
+  return { kind: 'not-sent', reason, connectTimedOut: false, isUnsendable: true };
 }
 
 /** Node.js throws on a value that does not fit the protocol; a call reports that as its result. */
@@ -247,7 +256,7 @@
     return new Promise((resolve) => {
       if (call.signal.aborted) return resolve(notSent('given up', false));
       const request = this.#tryOpen(call);
-      if (request instanceof Error) return resolve(inexpressible(request));
+      if (request instanceof Error) return resolve(unsendable(request));
       this.#unanswered.add(request);
       let mayHaveSent = false;
       let connectTimedOut = false;
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -132,7 +132,8 @@
       lateAnswer,
     });
     if (tracked !== undefined) reports.recordResult(tracked, result, call.signal.aborted);
-    const isUnconnected = result.kind === 'not-sent' && !call.signal.aborted;
+    const isUnconnected =
+      result.kind === 'not-sent' && result.isUnsendable !== true && !call.signal.aborted;
     if (isUnconnected) paths.recordFailure(server, result.reason);
     if (result.kind !== 'answered') return result;
     const origin = this.#originOf(result.answer);
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import type { ServerRecord } from '../../src/core/gateway/index.js';
+import type { CallResult } from '../../src/shell/gateway/backend-connections.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
 import { type ServerCall, ServerCalls } from '../../src/shell/gateway/server-calls.js';
@@ -18,6 +19,9 @@
   readonly fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, DRAIN_MS);
   readonly calls: ServerCalls;
   sent = 0;
+  result: CallResult = { kind: 'not-sent', reason: 'refused', connectTimedOut: false };
+  /** Failures that count against the path to the servers. */
+  pathFailures = 0;
 
   constructor() {
     this.fleet.directory.replaceAll([SERVER]);
@@ -28,11 +32,16 @@
       connections: {
         call: async () => {
           this.sent += 1;
-          return { kind: 'not-sent', reason: 'refused', connectTimedOut: false };
+          return this.result;
         },
       },
       fleet: this.fleet,
-      paths: { recordConnected: () => undefined, recordFailure: () => undefined },
+      paths: {
+        recordConnected: () => undefined,
+        recordFailure: () => {
+          this.pathFailures += 1;
+        },
+      },
       codec: adapter.requests,
       timers: this.timers,
       wallClock: () => this.timers.nowMs(),
@@ -112,3 +121,14 @@
   assert.equal((await calls.call({ continuesStream: true })).kind, 'held-back');
   assert.equal(calls.sent, 1);
 });
+
+// Guards against a daemon that counts as cut off, and forwards all requests, as it cannot send the bytes of one.
+test('a call that cannot be sent says nothing of the path to its server', async () => {
+  const listed = new ListedCalls();
+  listed.list({ state: 'ready' });
+  await listed.call();
+  assert.equal(listed.pathFailures, 1);
+  listed.result = { ...listed.result, isUnsendable: true } as CallResult;
+  await listed.call();
+  assert.equal(listed.pathFailures, 1);
+});
