--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -19,7 +19,7 @@
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
-import { logFault } from './internal-faults.js';
+import { INTERNAL_FAULT_REASON, logFault } from './internal-faults.js';
 import type { LimitCoordinator } from './limit-coordinator.js';
 import type { AnswerMetadata, HandoverSource, RequestCodec } from './ports.js';
 import type { HeldBack, ServerCalls } from './server-calls.js';
@@ -28,7 +28,6 @@
 import type { WebWork } from './web-work.js';
 
 const NO_BUDGET_REASON = 'the retry budget is spent';
-const INTERNAL_FAULT_REASON = 'a fault of this daemon';
 
 /** The parts of the gateway that attempts use. */
 export interface AttemptContext {
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -13,7 +13,7 @@
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
 import { type ForwardedRequest, notTakenHeaders } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
-import { logFault } from './internal-faults.js';
+import { INTERNAL_FAULT_REASON, logFault } from './internal-faults.js';
 import { runModelExchange } from './model-exchange.js';
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
@@ -117,7 +117,7 @@
     this.#admit(request, response, forwarded).catch((exception: unknown) => {
       this.#logFault(request, exception);
       if (response.headersSent) breakOffResponse(response);
-      else this.#reject(request, response, 500, 'a fault of this daemon', []);
+      else this.#reject(request, response, 500, INTERNAL_FAULT_REASON, []);
     });
   }
 
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -19,12 +19,12 @@
 import { breakOffResponse } from '../http/break-off-response.js';
 import { closeDelimitedHeaders, type ForwardedRequest } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
+import { INTERNAL_FAULT_REASON } from './internal-faults.js';
 import type { RawHeaders } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-const INTERNAL_FAULT_REASON = 'a fault of this daemon';
 
 /** Why an exchange was interrupted independently of its attempts. */
 export type Interruption = 'caller-gone' | 'out-of-time' | 'withdrawn' | 'internal-fault';
--- a/src/shell/gateway/internal-faults.ts
+++ b/src/shell/gateway/internal-faults.ts
@@ -6,6 +6,8 @@
 import type { GatewayLog } from './request-log.js';
 import type { TimerService } from './timer-service.js';
 
+/** Why a request that an exception ended failed, as its caller reads it. */
+export const INTERNAL_FAULT_REASON = 'a fault of this daemon';
 const MAX_STACK_LENGTH = 1_500;
 /** Bounds the lines of a loop whose input makes it fail each time. */
 const LOOP_RESTART_DELAY_MS = 1_000;
