Soak: run the gateway as it is deployed

Cause: a soak's daemons ran one bundle as node's own module loader loads it, so the deployed loader and its compiled code were never under the faults.

Change: the bundle of a run has the deployed loader, the hash in its names and compiled code from a run with the deployment's flags. The compiling part of build-gateway.mjs is a module of its own, which both use.

--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -4,21 +4,13 @@
  * model requests 4.7 ms; with all of it 260 ms and 3.8 ms (means of three, against stand-ins on loopback).
  */
 import { createHash } from 'node:crypto';
-import { mkdirSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
-import { createRequire } from 'node:module';
-import { setFlagsFromString } from 'node:v8';
+import { mkdirSync, readFileSync } from 'node:fs';
 import { build } from 'esbuild';
+import { compileGateway, replaceFile } from './compile-gateway.mjs';
 
 const TARGET = 'target';
 const LOADER = `${TARGET}/gateway.cjs`;
 
-/** Another name first, then renamed: a process that starts meanwhile finds a whole file. */
-function replaceFile(path, content) {
-  const temporary = `${path}.${process.pid}`;
-  writeFileSync(temporary, content);
-  renameSync(temporary, path);
-}
-
 async function bundle() {
   const { outputFiles } = await build({
     entryPoints: ['src/daemon/gateway-main.ts'],
@@ -39,10 +31,4 @@
 replaceFile(`${TARGET}/gateway.${hash}.js`, source);
 const loader = readFileSync('scripts/gateway-loader.cjs', 'utf8').replaceAll('HASH', hash);
 replaceFile(LOADER, loader);
-// Functions are compiled when they are first called, unless told otherwise. The flag is set back before the code is
-// kept: V8 takes compiled code only from a run with the same flags.
-setFlagsFromString('--no-lazy');
-const { loadBundle, COMPILED } = createRequire(import.meta.url)(`../${LOADER}`);
-const { script } = loadBundle();
-setFlagsFromString('--lazy');
-replaceFile(COMPILED, script.createCachedData());
+compileGateway(LOADER);
--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -8,7 +8,7 @@
 const READINESS_PORT = 8_140;
 const PEERS_PORT = 7_660;
 /** The flags that deployed gateways run with. */
-const NODE_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=96'];
+export const NODE_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=96'];
 const LEASE_MS = 3_000;
 const USAGE_WINDOW_SECONDS = 5;
 
--- a/soak/gateway-program.ts
+++ b/soak/gateway-program.ts
@@ -1,6 +1,9 @@
-/** Entry point that the soak bundles into one file and runs in a separate process per daemon. */
-import { main } from '../src/daemon/gateway-main.js';
+/** Entry point that the soak bundles instead of the product's own, and runs in a separate process per daemon. */
+import { main as runGateway } from '../src/daemon/gateway-main.js';
 import { endWithParent } from './end-with-parent.js';
 
-endWithParent();
-main();
+/** Called by the loader, as the product's own entry point is. */
+export function main(...options: Parameters<typeof runGateway>): void {
+  endWithParent();
+  runGateway(...options);
+}
