Soak: see every end of a daemon, every stop and every start

Cause: only ends with an exit code counted as a daemon's own. An early SIGHUP ended it by the signal, which was no fault by construction; nor was a daemon judged that never became ready, or did not stop.

Change: an end is judged by what the soak had sent. A stop ends with 0; any other code and any signal that was not sent is a fault, and so is one that was sent, unless it was SIGKILL or the daemon's program was not yet being loaded: a file loaded before it reports that moment, so no time is guessed. Ends by SIGHUP before it are counted apart. A daemon in touch has to be ready, and one told to stop has to end within its grace period. A daemon that ended unasked is started again. Series of signals, ports that are taken and spoiled settings can be injected; the settings have a metrics address.

--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -11,6 +11,7 @@
 import { pause } from './pause.js';
 import { COPY_LEAD_MS, type Fault, STALE_GAP_MS } from './plan.js';
 import type { PlatformStore, StoreEndpoint } from './platform-store.js';
+import type { EndCause } from './process-end.js';
 import type {
   CutRecord,
   Disturbance,
@@ -21,9 +22,8 @@
   SoakBounds,
 } from './record.js';
 import { ENTRY_LAPSE_MS, type PooledServer, type ServerPool } from './server-pool.js';
+import { START_MS, StartFaults } from './start-faults.js';
 
-/** Time from the start of a daemon's process until it serves again, on a busy machine. */
-const START_MS = 3_000;
 const RESUME_MS = 1_000;
 const RESTART_MS = 2_500;
 /** Of the servers that crash under a request, every third restarts at once, the others after `RESTART_MS`. */
@@ -59,11 +59,18 @@
   readonly cuts: CutRecord[] = [];
   readonly skews: SkewRecord[] = [];
   readonly #world: SoakEnvironment;
+  readonly #starts: StartFaults;
   #isEnded = false;
   #crashesUnderRequests = 0;
 
   constructor(world: SoakEnvironment) {
     this.#world = world;
+    this.#starts = new StartFaults({
+      daemons: world.daemons,
+      graceMs: world.bounds.graceMs,
+      start: (daemon) => this.#restart(daemon),
+      record: (disturbance) => this.disturbances.push(disturbance),
+    });
   }
 
   /** Records a span in which the soak's own process, which simulates the store and the servers, did not respond. */
@@ -88,6 +95,11 @@
       case 'reload':
         for (const daemon of this.#daemonsAt(fault.daemons)) daemon.signal('SIGHUP');
         return;
+      case 'signals':
+      case 'young-signals':
+      case 'ports-taken':
+      case 'settings-spoiled':
+        return this.#starts.begin(fault);
       case 'store-slow':
         this.#world.store.faults.delayMs = fault.delayMs;
         await this.#disturbStore(fault.forMs);
@@ -218,6 +230,13 @@
     if (!this.#isEnded) daemon.start();
   }
 
+  /** Starts a daemon again whose process ended unasked. By the rules a process that ends by itself excuses nothing. */
+  async restartEnded(daemon: GatewayProcess, cause: EndCause): Promise<void> {
+    if (cause === 'before-code') this.#disturb('daemon', daemon.name, ROLLING_START_MS + START_MS);
+    await pause(ROLLING_START_MS);
+    this.#restart(daemon);
+  }
+
   async #stopInTurn(daemons: readonly GatewayProcess[], gapMs: number): Promise<void> {
     for (const daemon of daemons) {
       if (!daemon.isRunning || daemon.isFrozen || daemon.isStopping) continue;
--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -1,38 +1,48 @@
-/** One daemon of a run: its settings file, its process, and the signals that are sent to it. */
+/** One daemon of a run: its settings file, its processes one after another, and the signals that are sent to them. */
 import { type ChildProcess, spawn } from 'node:child_process';
-import { createWriteStream, writeFileSync } from 'node:fs';
+import { createWriteStream } from 'node:fs';
 import { join } from 'node:path';
-import type { OwnEnd, SoakBounds } from './record.js';
+import { Readable } from 'node:stream';
+import { fileURLToPath } from 'node:url';
+import {
+  causeOfEnd,
+  type DaemonSignal,
+  type EndCause,
+  isStopSignal,
+  type ProcessExit,
+} from './process-end.js';
+import type { DaemonLife } from './record.js';
+import { DAEMON_PORTS, type DaemonSettings, SettingsFile } from './settings-file.js';
 
-const CALLERS_PORT = 8_144;
-const READINESS_PORT = 8_140;
-const PEERS_PORT = 7_660;
 /** The flags that deployed gateways run with. */
 export const NODE_FLAGS = ['--max-semi-space-size=2', '--max-old-space-size=96'];
-const LEASE_MS = 3_000;
-const USAGE_WINDOW_SECONDS = 5;
-
-export interface GatewayProcessOptions {
-  readonly name: string;
-  readonly zone: string;
-  /** A loopback address that no other daemon uses. */
-  readonly host: string;
-  readonly storePort: number;
-  readonly dutyPort: number;
+const MARKER = fileURLToPath(new URL('../../soak/start-marker.cjs', import.meta.url));
+const READINESS_TIMEOUT_MS = 500;
+
+export interface GatewayProcessOptions extends DaemonSettings {
   readonly program: string;
   /** Program of an earlier release for the first incarnation; undefined if it runs `program` as well. */
   readonly earlierProgram: string | undefined;
   /** Directory for the settings file and the log. */
   readonly directory: string;
-  readonly bounds: SoakBounds;
+  /** Called when a process has ended that was not asked to. */
+  readonly onUnaskedEnd?: (daemon: GatewayProcess, cause: Exclude<EndCause, 'requested'>) => void;
+}
+
+/** A life whose process runs. */
+interface RunningLife extends DaemonLife {
+  readonly sent: Set<DaemonSignal>;
+  hasBegun: boolean;
 }
 
 export class GatewayProcess {
   readonly #options: GatewayProcessOptions;
-  readonly #settingsPath: string;
+  readonly settings: SettingsFile;
+  /** The processes so far, in order. */
+  readonly lives: DaemonLife[] = [];
   #process: ChildProcess | undefined;
+  #life: RunningLife | undefined;
   #logged: Promise<void> = Promise.resolve();
-  readonly #ownEnds: OwnEnd[] = [];
   /** Number of starts so far; identifies the current incarnation. */
   incarnation = 0;
   isStopping = false;
@@ -40,8 +50,7 @@
 
   constructor(options: GatewayProcessOptions) {
     this.#options = options;
-    this.#settingsPath = join(options.directory, `${options.name}.yaml`);
-    writeFileSync(this.#settingsPath, settingsText(options));
+    this.settings = new SettingsFile(join(options.directory, `${options.name}.yaml`), options);
   }
 
   get name(): string {
@@ -53,7 +62,7 @@
   }
 
   get port(): number {
-    return CALLERS_PORT;
+    return DAEMON_PORTS.callers;
   }
 
   get isRunning(): boolean {
@@ -64,25 +73,31 @@
     if (this.#process !== undefined) return;
     const { directory, name } = this.#options;
     const log = createWriteStream(join(directory, `${name}.log`), { flags: 'a' });
-    const child = spawn(process.execPath, [...NODE_FLAGS, this.#nextProgram, this.#settingsPath], {
-      // Standard input tells the daemon when this process has ended.
-      stdio: ['pipe', 'pipe', 'pipe'],
+    const flags = [...NODE_FLAGS, '--require', MARKER];
+    const child = spawn(process.execPath, [...flags, this.#nextProgram, this.settings.path], {
+      // Standard input tells the daemon when this process has ended; the last pipe, when it begins to load its program.
+      stdio: ['pipe', 'pipe', 'pipe', 'pipe'],
     });
+    this.incarnation += 1;
+    const life = newLife(name, this.incarnation);
+    this.lives.push(life);
+    for (const output of outputsOf(child)) output.once('data', () => (life.hasBegun = true));
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    child.once('exit', (exitCode) => {
-      // A signal that ends the process leaves no code; SIGTERM asks it to end by itself.
-      const isOwnEnd = exitCode !== null && !(this.isStopping && exitCode === 0);
-      if (isOwnEnd) this.#ownEnds.push({ daemon: name, exitCode, atMs: performance.now() });
+    child.once('exit', () => {
+      life.endedMs = performance.now();
       if (this.#process === child) this.#process = undefined;
       this.isStopping = false;
       this.isFrozen = false;
     });
     // Output may still be read after the process has exited, but not after `close`.
-    child.once('close', () => log.end());
+    child.once('close', (exitCode, signal) => {
+      log.end();
+      this.#recordEnd(life, { exitCode, signal });
+    });
     this.#logged = new Promise((resolve) => log.once('close', () => resolve()));
     this.#process = child;
-    this.incarnation += 1;
+    this.#life = life;
   }
 
   get #nextProgram(): string {
@@ -90,11 +105,24 @@
     return this.incarnation === 0 ? (earlierProgram ?? program) : program;
   }
 
-  signal(signal: 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
-    if (signal === 'SIGTERM') this.isStopping = true;
+  #recordEnd(life: RunningLife, exit: ProcessExit): void {
+    const { sent, hasBegun } = life;
+    const cause = causeOfEnd({ ...exit, sent, hasBegun });
+    life.end = { ...exit, cause };
+    if (cause !== 'requested') this.#options.onUnaskedEnd?.(this, cause);
+  }
+
+  signal(signal: DaemonSignal): void {
+    const life = this.#life;
+    if (life === undefined || !this.#process?.kill(signal)) return;
+    life.sent.add(signal);
+    if (signal === 'SIGKILL') life.killedMs ??= performance.now();
+    if (isStopSignal(signal)) {
+      life.stopMs ??= performance.now();
+      this.isStopping = true;
+    }
     if (signal === 'SIGSTOP') this.isFrozen = true;
     if (signal === 'SIGCONT') this.isFrozen = false;
-    this.#process?.kill(signal);
   }
 
   /** Resolves once the process has exited. */
@@ -109,19 +137,17 @@
     return this.#logged;
   }
 
-  /** The ends of its processes without a signal that ends them. */
-  get ownEnds(): readonly OwnEnd[] {
-    return this.#ownEnds;
-  }
-
   /** Whether the readiness endpoint reports that the daemon is ready. */
   async isReady(): Promise<boolean> {
+    const life = this.#life;
     if (this.#process === undefined || this.isFrozen) return false;
+    const askedMs = performance.now();
     try {
-      const answer = await fetch(`http://${this.host}:${READINESS_PORT}/ready`, {
-        signal: AbortSignal.timeout(500),
+      const answer = await fetch(`http://${this.host}:${DAEMON_PORTS.readiness}/ready`, {
+        signal: AbortSignal.timeout(READINESS_TIMEOUT_MS),
       });
       await answer.arrayBuffer();
+      if (answer.ok) life?.readyMs.push(askedMs);
       return answer.ok;
     } catch {
       return false; // The daemon does not listen yet, or has stopped listening.
@@ -129,30 +155,22 @@
   }
 }
 
-function settingsText(options: GatewayProcessOptions): string {
-  const { name, zone, host, storePort, dutyPort, bounds } = options;
-  return [
-    `name: ${name}`,
-    `zone: ${zone}`,
-    'listen:',
-    `  callers: ${host}:${CALLERS_PORT}`,
-    `  readiness: ${host}:${READINESS_PORT}`,
-    `  peers: ${host}:${PEERS_PORT}`,
-    `store: 127.0.0.1:${storePort}`,
-    'duties:',
-    `  address: 127.0.0.1:${dutyPort}`,
-    `  usageWindowSeconds: ${USAGE_WINDOW_SECONDS}`,
-    '  usageDueSeconds: 10',
-    'bounds:',
-    `  contactMs: ${bounds.contactMs}`,
-    `  stopGraceSeconds: ${bounds.graceMs / 1_000}`,
-    `  leaseMs: ${LEASE_MS}`,
-    `  drainMs: ${bounds.drainMs}`,
-    'retryBudget:',
-    `  ratio: ${bounds.budgetRatio}`,
-    `  slack: ${bounds.budgetSlack}`,
-    'logging:',
-    '  maxLinesPerSecond: 200',
-    '',
-  ].join('\n');
+function newLife(daemon: string, incarnation: number): RunningLife {
+  return {
+    daemon,
+    incarnation,
+    startedMs: performance.now(),
+    stopMs: undefined,
+    killedMs: undefined,
+    endedMs: undefined,
+    end: undefined,
+    readyMs: [],
+    sent: new Set(),
+    hasBegun: false,
+  };
+}
+
+/** What a process writes to: its standard streams, and the pipe of `start-marker.cjs`. */
+function outputsOf({ stdio: [, ...outputs] }: ChildProcess): readonly Readable[] {
+  return outputs.filter((output) => output instanceof Readable);
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -139,7 +139,7 @@
 
 function reportOf(seed: number, result: SoakResult): string {
   const { violations, ends, crashes, crashesByPart, reports, budgets, directory } = result;
-  const { worstLagMs, worstAcceptMs, heldUpArrivals } = result;
+  const { worstLagMs, worstAcceptMs, heldUpArrivals, endsBeforeCode } = result;
   const calls = [...ends].map(([how, count]) => `${how} ${count}`).join(', ');
   const lines = [
     `seed ${seed}: ${violations.length} broken; calls ended: ${calls}; ${reports} usage reports`,
@@ -148,6 +148,7 @@
     `  the stand-ins were late by ${worstLagMs} ms at worst`,
     `  connections to them waited ${worstAcceptMs} ms at worst until they were accepted`,
     `  requests of callers that had left and were late by that alone: ${heldUpArrivals}`,
+    `  processes that SIGHUP ended before any code of the daemon had run: ${endsBeforeCode}`,
     ...budgets.map(
       ({ service, repeats, allowed }) =>
         `  repeats of ${service} in the worst window: ${repeats} of ${Math.floor(allowed)}`,
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -6,17 +6,10 @@
 import { routeFaults } from './configuration-judge.js';
 import { unservedCuts } from './cut-off-judge.js';
 import { arrivalsAfterEnd, sentAfterStalls, sentBy } from './held-request-judge.js';
+import { lifeFaults } from './life-judge.js';
 import { partsSentOn, soundRequestsLost } from './part-judge.js';
 import { limitFaults } from './rate-limit-judge.js';
-import type {
-  Arrival,
-  CallRecord,
-  CutRecord,
-  Disturbance,
-  OwnEnd,
-  RunRecord,
-  Scope,
-} from './record.js';
+import type { Arrival, CallRecord, CutRecord, Disturbance, RunRecord, Scope } from './record.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS } from './response-bodies.js';
 import { unservedSkews } from './skew-judge.js';
 import { hasAllEvents, resumptionFaults, versionFaults } from './stream-judge.js';
@@ -38,7 +31,7 @@
   | 'DUTY'
   | 'CRASHES'
   | 'LIMIT'
-  /** A daemon's process has ended by itself. */
+  /** A daemon's process has ended by itself or has not stopped, or a daemon in touch is not ready. */
   | 'FAULT'
   | 'RECOVER';
 
@@ -93,16 +86,12 @@
     ...judgeRecovery(calls, run),
     ...judgeCuts(calls, run),
     ...judgeSkews(calls, run),
-    ...run.ownEnds.map(judgeOwnEnd),
+    ...lifeFaults(run).map((fault): Violation => ({ promise: 'FAULT', ...fault })),
     ...arrivalsAfterEnd(calls, run).map((found): Violation => ({ promise: 'GONE', ...found })),
     ...sentAfterStalls(calls, run).map((found): Violation => ({ promise: 'DRAIN', ...found })),
   ];
 }
 
-function judgeOwnEnd({ daemon, exitCode, atMs }: OwnEnd): Violation {
-  return { promise: 'FAULT', atMs, detail: `${daemon} ended by itself with code ${exitCode}` };
-}
-
 /** Whether a daemon was running and in contact with the store during a span and for `contactMs` before it. */
 function isInTouch(run: RunRecord, daemon: string, fromMs: number, toMs: number): boolean {
   const isCalm = (scope: Scope, name: string) => !isDisturbed(run, { scope, name, fromMs, toMs });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -6,6 +6,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { StartFault } from './start-fault.js';
 
 /** How the store treats the daemons that it refuses. */
 export type StoreRefusal = 'unavailable' | 'too-many' | 'reset' | 'silent';
@@ -65,6 +66,7 @@
 
 /** One fault or planned change. */
 export type Fault =
+  | StartFault
   | { readonly kind: 'kill'; readonly daemons: readonly number[]; readonly downMs: number }
   | { readonly kind: 'stop'; readonly daemons: readonly number[]; readonly gapMs: number }
   | { readonly kind: 'freeze'; readonly daemons: readonly number[]; readonly forMs: number }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -1,5 +1,6 @@
 /** What a soak run records of requests, at their callers and at servers; the only input of the oracle. */
 import type { CrashingPart, DaemonCut } from './plan.js';
+import type { EndCause, ProcessExit } from './process-end.js';
 
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'streaming';
 
@@ -206,16 +207,34 @@
   readonly cuts: readonly CutRecord[];
   readonly skews: readonly SkewRecord[];
   readonly serving: readonly ServingSpan[];
-  readonly ownEnds: readonly OwnEnd[];
+  /** The processes of all daemons. */
+  readonly lives: readonly DaemonLife[];
   readonly bounds: SoakBounds;
+  /** When all daemons were ready and callers began. */
+  readonly beginMs: number;
   readonly endMs: number;
 }
 
-/** A daemon's process ended without a signal that ends it. */
-export interface OwnEnd {
+/** One process of a daemon, from its start to its end. */
+export interface DaemonLife {
   readonly daemon: string;
-  readonly exitCode: number | null;
-  readonly atMs: number;
+  readonly incarnation: number;
+  readonly startedMs: number;
+  /** The first signal that asked it to stop. */
+  stopMs: number | undefined;
+  /** The first SIGKILL. */
+  killedMs: number | undefined;
+  /** Undefined while it runs. */
+  endedMs: number | undefined;
+  /** Undefined until all of its output has been read. */
+  end: LifeEnd | undefined;
+  /** When it was asked whether it is ready, and was. */
+  readonly readyMs: number[];
+}
+
+/** How a process ended, and whether the soak had asked for that. */
+export interface LifeEnd extends ProcessExit {
+  readonly cause: EndCause;
 }
 
 /** A span in which daemons were cut off from all servers. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -20,6 +20,7 @@
 import { GatewayProcess } from './gateway-process.js';
 import { WIRE } from './header-names.js';
 import { LagMonitor } from './lag-monitor.js';
+import { endsBeforeCode } from './life-judge.js';
 import type { Mutation } from './mutations.js';
 import {
   type BudgetWindow,
@@ -63,6 +64,8 @@
   readonly worstAcceptMs: number;
   /** Arrivals of calls whose callers had left, which are late only because of such a wait. */
   readonly heldUpArrivals: number;
+  /** Number of processes that a signal ended which must not, before any code of the daemon had run. */
+  readonly endsBeforeCode: number;
   /** Directory with the logs and settings of the daemons; kept if a promise was broken. */
   readonly directory: string;
 }
@@ -161,6 +164,7 @@
     this.#operator.change('idle');
     await this.#startDaemons(program, earlierProgram);
     await this.#waitUntilReady();
+    const beginMs = performance.now();
     this.#callers.start();
     this.#probes.start();
     this.#lag.start();
@@ -181,7 +185,7 @@
     await pause(LAST_CALLS_GRACE_MS);
     this.close();
     await Promise.all(this.#daemons.map((daemon) => daemon.logged()));
-    return this.#result(endMs);
+    return this.#result(beginMs, endMs);
   }
 
   close(): void {
@@ -200,7 +204,7 @@
     this.#addresses?.release();
   }
 
-  #result(endMs: number): SoakResult {
+  #result(beginMs: number, endMs: number): SoakResult {
     const run: RunRecord = {
       calls: this.#calls,
       unasked: this.#unasked,
@@ -212,10 +216,11 @@
       cuts: this.#faults.cuts,
       skews: this.#faults.skews,
       serving: this.#pool.servingSpans,
-      ownEnds: this.#daemons.flatMap(({ ownEnds }) => ownEnds),
+      lives: this.#daemons.flatMap(({ lives }) => lives),
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
+      beginMs,
       endMs,
     };
     const violations = judge(run);
@@ -231,6 +236,7 @@
       worstAcceptMs: Math.round(this.#accepts.worstMs),
       heldUpArrivals: late.filter(({ isHeldUp }) => isHeldUp).length,
       budgets: [MODEL, ...WEB_SERVICES].map((service) => worstBudgetWindow(run, service)),
+      endsBeforeCode: endsBeforeCode(run.lives).length,
       directory: this.#directory,
     };
   }
@@ -255,6 +261,7 @@
         earlierProgram,
         directory: this.#directory,
         bounds: this.#bounds,
+        onUnaskedEnd: (ended, cause) => void this.#faults.restartEnded(ended, cause),
       });
       this.#daemons.push(daemon);
       daemon.start();
--- /dev/null
+++ b/soak/start-faults.ts
@@ -0,0 +1,143 @@
+/** Injects the faults around the starts and stops of daemons' processes, and records what they disturb. */
+import type { GatewayProcess } from './gateway-process.js';
+import { pause } from './pause.js';
+import { takePort } from './port-holder.js';
+import type { Disturbance } from './record.js';
+import type { DaemonPort, SeriesSignal, StartFault, TimedSignal } from './start-fault.js';
+
+/** Time from the start of a daemon's process until it serves again, on a busy machine. */
+export const START_MS = 3_000;
+/** Time from the end of a process that was asked to end until its daemon is started again. */
+const RESTART_DELAY_MS = 100;
+
+type Ports = Extract<StartFault, { kind: 'ports-taken' }>;
+type Settings = Extract<StartFault, { kind: 'settings-spoiled' }>;
+
+export interface StartFaultsOptions {
+  readonly daemons: readonly GatewayProcess[];
+  /** Time from a stop signal until the process is killed. */
+  readonly graceMs: number;
+  /** Starts a daemon that does not run, unless the run has ended. */
+  readonly start: (daemon: GatewayProcess) => void;
+  readonly record: (disturbance: Disturbance) => void;
+}
+
+export class StartFaults {
+  readonly #options: StartFaultsOptions;
+
+  constructor(options: StartFaultsOptions) {
+    this.#options = options;
+  }
+
+  async begin(fault: StartFault): Promise<void> {
+    const daemons = fault.daemons.flatMap((index) => this.#options.daemons[index] ?? []);
+    await Promise.all(daemons.map((daemon) => this.#strike(daemon, fault)));
+  }
+
+  async #strike(daemon: GatewayProcess, fault: StartFault): Promise<void> {
+    switch (fault.kind) {
+      case 'signals':
+        return this.#sendSeries(daemon, fault.signals);
+      case 'young-signals':
+        await this.#kill(daemon, fault.downMs);
+        return this.#sendSeries(daemon, fault.signals);
+      case 'ports-taken':
+        return this.#takePorts(daemon, fault);
+      case 'settings-spoiled':
+        return this.#spoilSettings(daemon, fault);
+    }
+  }
+
+  async #sendSeries(daemon: GatewayProcess, signals: readonly TimedSignal[]): Promise<void> {
+    const beginMs = performance.now();
+    for (const { signal, afterMs } of signals) {
+      await pause(Math.max(0, beginMs + afterMs - performance.now()));
+      this.#send(daemon, signal);
+    }
+  }
+
+  #send(daemon: GatewayProcess, signal: SeriesSignal): void {
+    switch (signal) {
+      case 'SIGHUP':
+        daemon.signal(signal);
+        return;
+      case 'SIGTERM':
+      case 'SIGINT':
+        if (daemon.isStopping) daemon.signal(signal);
+        else void this.#stop(daemon, signal);
+        return;
+      case 'SIGKILL':
+        void this.#kill(daemon, RESTART_DELAY_MS);
+        return;
+    }
+  }
+
+  /** Kills a daemon and starts it again. */
+  async #kill(daemon: GatewayProcess, downMs: number): Promise<void> {
+    await this.#end(daemon);
+    await pause(downMs);
+    this.#options.start(daemon);
+    this.#recordStart(daemon);
+  }
+
+  /** Kills a daemon; resolves once its process has ended. */
+  async #end(daemon: GatewayProcess): Promise<void> {
+    this.#record(daemon, performance.now(), false);
+    daemon.signal('SIGKILL');
+    await daemon.ended();
+  }
+
+  async #stop(daemon: GatewayProcess, signal: 'SIGTERM' | 'SIGINT'): Promise<void> {
+    if (!daemon.isRunning) return;
+    const fromMs = performance.now();
+    daemon.signal(signal);
+    const killTimer = setTimeout(() => daemon.signal('SIGKILL'), this.#options.graceMs);
+    await daemon.ended();
+    clearTimeout(killTimer);
+    await pause(RESTART_DELAY_MS);
+    this.#options.start(daemon);
+    this.#record(daemon, fromMs, true);
+  }
+
+  async #takePorts(daemon: GatewayProcess, { ports, downMs, forMs }: Ports): Promise<void> {
+    await this.#end(daemon);
+    const taken = await Promise.all(ports.map((port) => takePort(daemon.host, port)));
+    await pause(downMs);
+    this.#options.start(daemon);
+    this.#recordStart(daemon);
+    const fromMs = performance.now();
+    await pause(forMs);
+    for (const port of taken) port?.release();
+    if (ports.some(isNeededToServe)) this.#record(daemon, fromMs, false);
+  }
+
+  async #spoilSettings(daemon: GatewayProcess, fault: Settings): Promise<void> {
+    const { settings } = daemon;
+    if (fault.isAtStart) await this.#end(daemon);
+    const { incarnation } = daemon;
+    settings.spoil(fault.flaw, fault.keptShare);
+    if (fault.isAtStart) this.#options.start(daemon);
+    else daemon.signal('SIGHUP');
+    await pause(fault.forMs);
+    settings.write();
+    // A process that runs needs no settings, one that starts does.
+    if (daemon.incarnation !== incarnation) this.#recordStart(daemon);
+    if (!fault.isAtStart) daemon.signal('SIGHUP');
+  }
+
+  /** Records a disturbance of a daemon from a moment until a process that starts now serves. */
+  #record({ name }: GatewayProcess, fromMs: number, isPlanned: boolean): void {
+    const toMs = performance.now() + START_MS;
+    this.#options.record({ scope: 'daemon', name, fromMs, toMs, isPlanned });
+  }
+
+  /** Records that a daemon was disturbed from its last start until now, as it could not serve before. */
+  #recordStart(daemon: GatewayProcess): void {
+    this.#record(daemon, daemon.lives.at(-1)?.startedMs ?? 0, false);
+  }
+}
+
+/** A daemon serves without its metrics. */
+function isNeededToServe(port: DaemonPort): boolean {
+  return port !== 'metrics';
+}
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -79,10 +79,11 @@
     limits: [],
     cuts: [],
     skews: [],
-    ownEnds: [],
+    lives: [],
     orders: [],
     duties: [],
     bounds: BOUNDS,
+    beginMs: 0,
     endMs: 60_000,
     ...fields,
   };
