Soak: a plan of starts, and whether daemons are whole at the end

Cause: the soak started daemons with whole settings and free ports, and sent SIGHUP and second stop signals to nobody that was starting or stopping.

Steady daemons get planned work only, stops by several signals among it, so that the requests which they have in flight are judged. At the end each daemon has to serve its metrics and to hear another of its zone. The report counts what was broken by promise.

--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -42,6 +42,7 @@
   readonly lives: DaemonLife[] = [];
   #process: ChildProcess | undefined;
   #life: RunningLife | undefined;
+  #begun: Promise<void> = Promise.resolve();
   #logged: Promise<void> = Promise.resolve();
   /** Number of starts so far; identifies the current incarnation. */
   incarnation = 0;
@@ -57,6 +58,10 @@
     return this.#options.name;
   }
 
+  get zone(): string {
+    return this.#options.zone;
+  }
+
   get host(): string {
     return this.#options.host;
   }
@@ -81,7 +86,14 @@
     this.incarnation += 1;
     const life = newLife(name, this.incarnation);
     this.lives.push(life);
-    for (const output of outputsOf(child)) output.once('data', () => (life.hasBegun = true));
+    this.#begun = new Promise((resolve) => {
+      const begin = () => {
+        life.hasBegun = true;
+        resolve();
+      };
+      for (const output of outputsOf(child)) output.once('data', begin);
+      child.once('exit', () => resolve());
+    });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     child.once('exit', () => {
@@ -132,6 +144,11 @@
     return new Promise((resolve) => child.once('exit', () => resolve()));
   }
 
+  /** Resolves once the process begins to load the daemon's program, or has exited. */
+  begun(): Promise<void> {
+    return this.#begun;
+  }
+
   /** Resolves once the log has all output of the last process, which has to exit. */
   logged(): Promise<void> {
     return this.#logged;
--- a/soak/life-judge.ts
+++ b/soak/life-judge.ts
@@ -1,5 +1,5 @@
-/** Judges the lives of daemons' processes: how they ended, how long stops took, and when the daemons were ready. Pure. */
-import type { DaemonLife, Disturbance, RunRecord, SoakBounds } from './record.js';
+/** Judges the lives of daemons' processes: how they ended, how long stops took, and whether the daemons were ready and whole. Pure. */
+import type { DaemonLife, Disturbance, MetricsReading, RunRecord, SoakBounds } from './record.js';
 
 /** A broken promise of a process. */
 export interface LifeFault {
@@ -9,7 +9,7 @@
 
 /** What is judged of a run. */
 export interface JudgedLives
-  extends Pick<RunRecord, 'lives' | 'disturbances' | 'beginMs' | 'endMs'> {
+  extends Pick<RunRecord, 'lives' | 'metrics' | 'disturbances' | 'beginMs' | 'endMs'> {
   readonly bounds: Pick<SoakBounds, 'contactMs' | 'graceMs'>;
 }
 
@@ -20,11 +20,14 @@
 
 /** The faults of all processes. */
 export function lifeFaults(run: JudgedLives): readonly LifeFault[] {
-  return run.lives.flatMap((life) => [
-    ...ownEnd(life),
-    ...overdueStop(life, run),
-    ...unreadySpans(life, run),
-  ]);
+  return [
+    ...run.lives.flatMap((life) => [
+      ...ownEnd(life),
+      ...overdueStop(life, run),
+      ...unreadySpans(life, run),
+    ]),
+    ...run.metrics.flatMap((reading) => partlyStarted(reading, run.metrics)),
+  ];
 }
 
 function ownEnd(life: DaemonLife): readonly LifeFault[] {
@@ -73,6 +76,17 @@
   return calmMs + contactMs;
 }
 
+/** A daemon that is ready although a part of it has not started: its metrics, or its exchange with other daemons. */
+function partlyStarted(
+  { daemon, zone, atMs, peers }: MetricsReading,
+  readings: readonly MetricsReading[],
+): readonly LifeFault[] {
+  if (peers === undefined) return [{ atMs, detail: `${daemon} serves no metrics at the end` }];
+  const hasNeighbour = readings.some((other) => other.zone === zone && other.daemon !== daemon);
+  if (peers > 0 || !hasNeighbour) return [];
+  return [{ atMs, detail: `${daemon} hears no other daemon at the end` }];
+}
+
 /** What disturbs a daemon, in order of time. */
 function disturbancesOf(daemon: string, { disturbances, bounds }: JudgedLives): readonly Span[] {
   return disturbances
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,6 +7,7 @@
 import { planGarble } from './garble-plan.js';
 import { MUTATIONS } from './mutations.js';
 import { planNetworks } from './network-plan.js';
+import type { Violation } from './oracle.js';
 import { planParts } from './part-plan.js';
 import {
   planCopies,
@@ -21,6 +22,7 @@
 import { planReleases } from './release-plan.js';
 import { runSoak, type SoakPrograms, type SoakResult } from './run.js';
 import { planSkews } from './skew-plan.js';
+import { planStarts } from './start-plan.js';
 
 const EXIT_BROKEN = 1;
 const EXIT_UNUSABLE = 2;
@@ -65,7 +67,7 @@
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
     description:
-      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts, skews, networks or garble',
+      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts, skews, networks, garble or starts',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -106,6 +108,7 @@
       skews: planSkews,
       garble: planGarble,
       networks: planNetworks,
+      starts: planStarts,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
@@ -137,12 +140,22 @@
   throw new Error(`${option}: found ${text}; give a whole number`);
 }
 
+/** How often each promise was broken; empty if none was. */
+function countsByPromise(violations: readonly Violation[]): string {
+  if (violations.length === 0) return '';
+  const promises = [...new Set(violations.map(({ promise }) => promise))];
+  const counts = promises.map(
+    (name) => `${name} ${violations.filter(({ promise }) => promise === name).length}`,
+  );
+  return ` (${counts.join(', ')})`;
+}
+
 function reportOf(seed: number, result: SoakResult): string {
   const { violations, ends, crashes, crashesByPart, reports, budgets, directory } = result;
   const { worstLagMs, worstAcceptMs, heldUpArrivals, endsBeforeCode } = result;
   const calls = [...ends].map(([how, count]) => `${how} ${count}`).join(', ');
   const lines = [
-    `seed ${seed}: ${violations.length} broken; calls ended: ${calls}; ${reports} usage reports`,
+    `seed ${seed}: ${violations.length} broken${countsByPromise(violations)}; calls ended: ${calls}; ${reports} usage reports`,
     `  servers that ended under each request that ends servers: ${crashes.join(', ')}`,
     `  servers that ended under each part of prompts that ends servers: ${crashesByPart.join(', ')}`,
     `  the stand-ins were late by ${worstLagMs} ms at worst`,
--- a/soak/port-holder.ts
+++ b/soak/port-holder.ts
@@ -6,7 +6,8 @@
 
 /** A port that is taken until it is released. */
 export interface TakenPort {
-  release(): void;
+  /** Resolves once the port is free. */
+  release(): Promise<void>;
 }
 
 /** Takes a port; resolves to undefined if a process listens there. */
@@ -31,7 +32,8 @@
       socket.resetAndDestroy();
     });
     server.once('error', () => resolve(undefined));
-    server.listen(port, host, () => resolve({ release: () => void server.close() }));
+    const release = () => new Promise<void>((released) => server.close(() => released()));
+    server.listen(port, host, () => resolve({ release }));
   });
 }
 
@@ -39,8 +41,7 @@
   return new Promise((resolve) => {
     const socket = createSocket('udp4');
     socket.once('error', () => resolve(undefined));
-    socket.bind({ address: host, port, exclusive: true }, () =>
-      resolve({ release: () => void socket.close() }),
-    );
+    const release = () => new Promise<void>((released) => socket.close(released));
+    socket.bind({ address: host, port, exclusive: true }, () => resolve({ release }));
   });
 }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -209,6 +209,8 @@
   readonly serving: readonly ServingSpan[];
   /** The processes of all daemons. */
   readonly lives: readonly DaemonLife[];
+  /** The metrics of daemons after the calm end of the run. */
+  readonly metrics: readonly MetricsReading[];
   readonly bounds: SoakBounds;
   /** When all daemons were ready and callers began. */
   readonly beginMs: number;
@@ -237,6 +239,15 @@
   readonly cause: EndCause;
 }
 
+/** What the metrics of a daemon said. */
+export interface MetricsReading {
+  readonly daemon: string;
+  readonly zone: string;
+  readonly atMs: number;
+  /** Number of daemons of which it had heard lately, those of its zone among them; undefined if it served no metrics. */
+  readonly peers: number | undefined;
+}
+
 /** A span in which daemons were cut off from all servers. */
 export interface CutRecord {
   readonly how: DaemonCut;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -21,6 +21,7 @@
 import { WIRE } from './header-names.js';
 import { LagMonitor } from './lag-monitor.js';
 import { endsBeforeCode } from './life-judge.js';
+import { readMetrics } from './metrics-watch.js';
 import type { Mutation } from './mutations.js';
 import {
   type BudgetWindow,
@@ -34,7 +35,15 @@
 import { pause } from './pause.js';
 import type { SoakPlan } from './plan.js';
 import { PlatformStore, type StoreEndpoint } from './platform-store.js';
-import type { Arrival, CallEnd, CallRecord, OrderRecord, RunRecord, SoakBounds } from './record.js';
+import type {
+  Arrival,
+  CallEnd,
+  CallRecord,
+  MetricsReading,
+  OrderRecord,
+  RunRecord,
+  SoakBounds,
+} from './record.js';
 import { RouteProbes } from './route-probes.js';
 import { ServerPool, ZONES } from './server-pool.js';
 
@@ -182,10 +191,18 @@
     this.#callers.stopSending();
     this.#probes.stop();
     const endMs = performance.now();
-    await pause(LAST_CALLS_GRACE_MS);
+    const [metrics] = await Promise.all([this.#readMetrics(), pause(LAST_CALLS_GRACE_MS)]);
     this.close();
     await Promise.all(this.#daemons.map((daemon) => daemon.logged()));
-    return this.#result(beginMs, endMs);
+    return this.#result(metrics, beginMs, endMs);
+  }
+
+  /** The metrics of the daemons that run and are not to end. */
+  #readMetrics(): Promise<readonly MetricsReading[]> {
+    const serving = this.#daemons.filter(
+      ({ isRunning, isStopping, isFrozen }) => isRunning && !isStopping && !isFrozen,
+    );
+    return Promise.all(serving.map((daemon) => readMetrics(daemon, LAST_CALLS_GRACE_MS)));
   }
 
   close(): void {
@@ -204,7 +221,7 @@
     this.#addresses?.release();
   }
 
-  #result(beginMs: number, endMs: number): SoakResult {
+  #result(metrics: readonly MetricsReading[], beginMs: number, endMs: number): SoakResult {
     const run: RunRecord = {
       calls: this.#calls,
       unasked: this.#unasked,
@@ -217,6 +234,7 @@
       skews: this.#faults.skews,
       serving: this.#pool.servingSpans,
       lives: this.#daemons.flatMap(({ lives }) => lives),
+      metrics,
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
--- a/soak/start-fault.ts
+++ b/soak/start-fault.ts
@@ -24,11 +24,13 @@
       readonly daemons: readonly number[];
       readonly signals: readonly TimedSignal[];
     }
-  /** The daemons are killed and started again; the series begins with the first moment of the new processes. */
+  /** The daemons are killed and started again; the series begins in the first moments of the new processes. */
   | {
       readonly kind: 'young-signals';
       readonly daemons: readonly number[];
       readonly downMs: number;
+      /** Whether the series begins as a process is started, or as it begins to load the daemon's program. */
+      readonly since: 'start' | 'program';
       readonly signals: readonly TimedSignal[];
     }
   /** The daemons are killed, and find ports taken as they start again. */
--- a/soak/start-faults.ts
+++ b/soak/start-faults.ts
@@ -40,6 +40,7 @@
         return this.#sendSeries(daemon, fault.signals);
       case 'young-signals':
         await this.#kill(daemon, fault.downMs);
+        if (fault.since === 'program') await daemon.begun();
         return this.#sendSeries(daemon, fault.signals);
       case 'ports-taken':
         return this.#takePorts(daemon, fault);
@@ -107,7 +108,7 @@
     this.#recordStart(daemon);
     const fromMs = performance.now();
     await pause(forMs);
-    for (const port of taken) port?.release();
+    await Promise.all(taken.map((port) => port?.release()));
     if (ports.some(isNeededToServe)) this.#record(daemon, fromMs, false);
   }
 
--- a/test/soak/life-judge.test.ts
+++ b/test/soak/life-judge.test.ts
@@ -33,7 +33,20 @@
 
 function faults(lives: readonly DaemonLife[], ...disturbances: readonly Disturbance[]) {
   const bounds = { contactMs: 3_000, graceMs: 8_000 };
-  const run = { lives, disturbances, bounds, beginMs: BEGIN_MS, endMs: 60_000 };
+  const run = { lives, metrics: [], disturbances, bounds, beginMs: BEGIN_MS, endMs: 60_000 };
+  return lifeFaults(run).map(({ detail }) => detail);
+}
+
+/** The faults of daemons that hear so many others, each in a zone. */
+function faultsOfPeers(...daemons: readonly (readonly [string, number | undefined])[]) {
+  const metrics = daemons.map(([zone, peers], index) => ({
+    daemon: `d${index + 1}`,
+    zone,
+    atMs: 60_000,
+    peers,
+  }));
+  const bounds = { contactMs: 3_000, graceMs: 8_000 };
+  const run = { lives: [], metrics, disturbances: [], bounds, beginMs: BEGIN_MS, endMs: 60_000 };
   return lifeFaults(run).map(({ detail }) => detail);
 }
 
@@ -97,3 +110,9 @@
   const killed = life({ readyMs: polls(BEGIN_MS, 20_000), killedMs: 20_000, endedMs: 20_005 });
   assert.deepEqual(faults([killed]), []);
 });
+
+test('a daemon that serves no metrics at the end, or hears none of its zone, is a fault', () => {
+  assert.deepEqual(faultsOfPeers(['a', 1], ['a', 1], ['b', 0]), []);
+  assert.deepEqual(faultsOfPeers(['a', 1], ['a', 0]), ['d2 hears no other daemon at the end']);
+  assert.deepEqual(faultsOfPeers(['a', undefined]), ['d1 serves no metrics at the end']);
+});
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -80,6 +80,7 @@
     cuts: [],
     skews: [],
     lives: [],
+    metrics: [],
     orders: [],
     duties: [],
     bounds: BOUNDS,
--- a/test/soak/plan.test.ts
+++ b/test/soak/plan.test.ts
@@ -9,6 +9,8 @@
   planSoak,
   planUpgrade,
 } from '../../soak/plan.js';
+import type { StartFault } from '../../soak/start-fault.js';
+import { planStarts } from '../../soak/start-plan.js';
 
 const SIZE = { seconds: 60, daemons: 9, engines: 8, webServers: 4, requestsPerSecond: 90 };
 const KINDS: readonly Fault['kind'][] = [
@@ -121,3 +123,49 @@
   for (const { paces } of traits) assert.equal(paces.length, SIZE.engines + SIZE.webServers);
   assert.ok(new Set(traits.flatMap(({ paces }) => paces)).size > 2);
 });
+
+/** The faults of the plans of starts of twelve seeds, with their times. */
+function startFaults(): readonly { readonly atMs: number; readonly fault: StartFault }[] {
+  const plans = Array.from({ length: 12 }, (_, seed) => planStarts(seed, SIZE));
+  return plans.flatMap(({ faults }) =>
+    faults.flatMap(({ atMs, fault }) => (isStartFault(fault) ? [{ atMs, fault }] : [])),
+  );
+}
+
+function isStartFault(fault: Fault): fault is StartFault {
+  return ['signals', 'young-signals', 'ports-taken', 'settings-spoiled'].includes(fault.kind);
+}
+
+test('twelve seeds of the plan of starts have each signal, port and flaw of settings, and hinder nothing in the last 8 s', () => {
+  const faults = startFaults();
+  const signals = faults.flatMap(({ fault }) => ('signals' in fault ? fault.signals : []));
+  const kinds = new Set(signals.map(({ signal }) => signal));
+  assert.deepEqual([...kinds].sort(), ['SIGHUP', 'SIGINT', 'SIGKILL', 'SIGTERM']);
+  const ports = new Set(faults.flatMap(({ fault }) => ('ports' in fault ? fault.ports : [])));
+  assert.equal(ports.size, 5);
+  const flaws = faults.flatMap(({ fault }) =>
+    fault.kind === 'settings-spoiled' ? [`${fault.flaw} ${fault.isAtStart}`] : [],
+  );
+  assert.equal(new Set(flaws).size, 6);
+  for (const { atMs, fault } of faults) {
+    assert.ok(atMs + ('forMs' in fault ? fault.forMs : 0) <= 52_000);
+  }
+});
+
+test('the plan of starts kills all daemons but the steady ones together, and stops the steady ones by several signals', () => {
+  for (let seed = 0; seed < 12; seed += 1) {
+    const faults = planStarts(seed, SIZE).faults.map(({ fault }) => fault);
+    const killed = faults.filter(({ kind }) => kind === 'young-signals').filter(isStartFault);
+    const everKilled = new Set(killed.flatMap(({ daemons }) => daemons));
+    assert.ok(everKilled.size < SIZE.daemons);
+    assert.ok(killed.some(({ daemons }) => daemons.length === everKilled.size));
+    const repeated = faults.filter(
+      (fault) =>
+        fault.kind === 'signals' && fault.signals.filter((one) => one.signal === 'SIGTERM')[1],
+    );
+    for (const fault of repeated.filter(isStartFault)) {
+      assert.ok(fault.daemons.every((daemon) => !everKilled.has(daemon)));
+    }
+    assert.ok(repeated.length > 0);
+  }
+});
