Soak: judge the ports that a daemon uses, not the peers that it has heard

The gauge counts daemons that told of work lately, and in a fleet at rest nobody does: the judge was wrong.

Change: at the end each port that the settings name has to be in use, which is found by taking it. That sees listeners and the socket for datagrams, and asks the daemon nothing.

--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -58,10 +58,6 @@
     return this.#options.name;
   }
 
-  get zone(): string {
-    return this.#options.zone;
-  }
-
   get host(): string {
     return this.#options.host;
   }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -1,6 +1,7 @@
 /** What a soak run records of requests, at their callers and at servers; the only input of the oracle. */
 import type { CrashingPart, DaemonCut } from './plan.js';
 import type { EndCause, ProcessExit } from './process-end.js';
+import type { DaemonPort } from './start-fault.js';
 
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'streaming';
 
@@ -209,8 +210,7 @@
   readonly serving: readonly ServingSpan[];
   /** The processes of all daemons. */
   readonly lives: readonly DaemonLife[];
-  /** The metrics of daemons after the calm end of the run. */
-  readonly metrics: readonly MetricsReading[];
+  readonly portChecks: readonly PortCheck[];
   readonly bounds: SoakBounds;
   /** When all daemons were ready and callers began. */
   readonly beginMs: number;
@@ -239,13 +239,12 @@
   readonly cause: EndCause;
 }
 
-/** What the metrics of a daemon said. */
-export interface MetricsReading {
+/** The ports of a daemon after the calm end of a run. */
+export interface PortCheck {
   readonly daemon: string;
-  readonly zone: string;
   readonly atMs: number;
-  /** Number of daemons of which it had heard lately, those of its zone among them; undefined if it served no metrics. */
-  readonly peers: number | undefined;
+  /** Those that its settings name and that it does not use. */
+  readonly unused: readonly DaemonPort[];
 }
 
 /** A span in which daemons were cut off from all servers. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -21,7 +21,6 @@
 import { WIRE } from './header-names.js';
 import { LagMonitor } from './lag-monitor.js';
 import { endsBeforeCode } from './life-judge.js';
-import { readMetrics } from './metrics-watch.js';
 import type { Mutation } from './mutations.js';
 import {
   type BudgetWindow,
@@ -35,12 +34,13 @@
 import { pause } from './pause.js';
 import type { SoakPlan } from './plan.js';
 import { PlatformStore, type StoreEndpoint } from './platform-store.js';
+import { checkPorts } from './port-check.js';
 import type {
   Arrival,
   CallEnd,
   CallRecord,
-  MetricsReading,
   OrderRecord,
+  PortCheck,
   RunRecord,
   SoakBounds,
 } from './record.js';
@@ -191,18 +191,18 @@
     this.#callers.stopSending();
     this.#probes.stop();
     const endMs = performance.now();
-    const [metrics] = await Promise.all([this.#readMetrics(), pause(LAST_CALLS_GRACE_MS)]);
+    const [portChecks] = await Promise.all([this.#checkPorts(), pause(LAST_CALLS_GRACE_MS)]);
     this.close();
     await Promise.all(this.#daemons.map((daemon) => daemon.logged()));
-    return this.#result(metrics, beginMs, endMs);
+    return this.#result(portChecks, beginMs, endMs);
   }
 
-  /** The metrics of the daemons that run and are not to end. */
-  #readMetrics(): Promise<readonly MetricsReading[]> {
+  /** The ports of the daemons that run and are not to end. */
+  #checkPorts(): Promise<readonly PortCheck[]> {
     const serving = this.#daemons.filter(
       ({ isRunning, isStopping, isFrozen }) => isRunning && !isStopping && !isFrozen,
     );
-    return Promise.all(serving.map((daemon) => readMetrics(daemon, LAST_CALLS_GRACE_MS)));
+    return Promise.all(serving.map((daemon) => checkPorts(daemon, LAST_CALLS_GRACE_MS)));
   }
 
   close(): void {
@@ -221,7 +221,7 @@
     this.#addresses?.release();
   }
 
-  #result(metrics: readonly MetricsReading[], beginMs: number, endMs: number): SoakResult {
+  #result(portChecks: readonly PortCheck[], beginMs: number, endMs: number): SoakResult {
     const run: RunRecord = {
       calls: this.#calls,
       unasked: this.#unasked,
@@ -234,7 +234,7 @@
       skews: this.#faults.skews,
       serving: this.#pool.servingSpans,
       lives: this.#daemons.flatMap(({ lives }) => lives),
-      metrics,
+      portChecks,
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
--- a/soak/start-fault.ts
+++ b/soak/start-fault.ts
@@ -11,7 +11,9 @@
 }
 
 /** What a daemon listens at, apart by protocol. */
-export type DaemonPort = 'callers' | 'readiness' | 'metrics' | 'peers-tcp' | 'peers-udp';
+export const ALL_PORTS = ['callers', 'readiness', 'metrics', 'peers-tcp', 'peers-udp'] as const;
+
+export type DaemonPort = (typeof ALL_PORTS)[number];
 
 /** How a settings file is not whole. */
 export type SettingsFlaw = 'missing' | 'empty' | 'cut';
