Log the start of the process, its settings and its signals

The loader now writes 6200 before anything that can fail, main 6201 once the settings are read, and 6205 a signal. No logic is changed.

--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -5,12 +5,14 @@
  * V8 tells compiled code of another bundle by the length of its source alone, so bundle and compiled code
  * have a hash of the source in their names, which the build writes in here.
  */
-const { readFileSync } = require('node:fs');
+const { readFileSync, write } = require('node:fs');
 const { join } = require('node:path');
 const { Script } = require('node:vm');
 
-const BUNDLE = join(__dirname, 'gateway.HASH.js');
-const COMPILED = join(__dirname, 'gateway.HASH.compiled');
+const BUILD = 'HASH';
+const BUNDLE = join(__dirname, `gateway.${BUILD}.js`);
+const COMPILED = join(__dirname, `gateway.${BUILD}.compiled`);
+const STANDARD_OUTPUT = 1;
 
 function readCompiled() {
   try {
@@ -29,6 +31,25 @@
   return { script, exports: bundle.exports };
 }
 
+/** Event 6200, written before anything that can fail. A line that standard output does not take is lost. */
+function logProcessStart() {
+  const line = {
+    level: 'info',
+    time: Date.now(),
+    event: 6200,
+    build: BUILD,
+    pid: process.pid,
+    node: process.version,
+    arch: process.arch,
+    flags: process.execArgv.join(' '),
+    msg: 'process started; its program is loaded next',
+  };
+  write(STANDARD_OUTPUT, `${JSON.stringify(line)}\n`, () => {});
+}
+
 module.exports = { loadBundle, COMPILED };
 
-if (require.main === module) loadBundle().exports.main('HASH');
+if (require.main === module) {
+  logProcessStart();
+  loadBundle().exports.main({ build: BUILD });
+}
--- a/src/core/logging/catalogue/index.ts
+++ b/src/core/logging/catalogue/index.ts
@@ -14,6 +14,7 @@
 import { OPERATOR_EVENTS } from './operator.js';
 import { ORDER_EVENTS } from './orders.js';
 import { PEER_EVENTS } from './peer.js';
+import { PROCESS_EVENTS } from './process.js';
 import { REQUEST_EVENTS } from './requests.js';
 import { ROLE_EVENTS } from './roles.js';
 import { SETTINGS_EVENTS } from './settings.js';
@@ -67,4 +68,10 @@
     firstNumber: 6100,
     events: DEPARTURE_EVENTS,
   },
+  {
+    name: 'process',
+    title: "The gateway's process",
+    firstNumber: 6200,
+    events: PROCESS_EVENTS,
+  },
 ];
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -8,6 +8,7 @@
 import { pino } from 'pino';
 import { createPlatformAdapter, SETTINGS_VARIABLE } from '../../platform/index.js';
 import { GATEWAY_EVENTS } from '../core/logging/catalogue/gateway.js';
+import { PROCESS_EVENTS } from '../core/logging/catalogue/process.js';
 import {
   Gateway,
   GatewayLog,
@@ -42,17 +43,25 @@
   return parseGatewaySettings(readFileSync(settingsPath(), 'utf8'));
 }
 
+/** How long this process has run. */
+function uptimeMs(): number {
+  return Math.round(performance.now());
+}
+
 function exitOnInvalidSettings(problem: SettingsProblem): never {
   const { key, found, remedy } = problem;
   process.stderr.write(`${settingsPath()}: ${key}: found ${found}. ${remedy}\n`);
   process.exit(EXIT_USAGE);
 }
 
-/**
- * Runs a gateway until SIGTERM.
- * @param build the hash of the bundle that runs, as in the name of its file
- */
-export function main(build = UNBUNDLED): void {
+/** What the loader of a bundle says of it. */
+export interface ProgramStart {
+  /** The hash of the bundle that runs, as in the name of its file. */
+  readonly build: string;
+}
+
+/** Runs a gateway until SIGTERM. */
+export function main({ build }: ProgramStart = { build: UNBUNDLED }): void {
   const settings = readSettings().match((value) => value, exitOnInvalidSettings);
   const destination = pino.destination({
     fd: STANDARD_OUTPUT,
@@ -63,6 +72,9 @@
   });
   const logger = createLogger({ level: 'info', destination });
   const log = new GatewayLog(logger, SYSTEM_TIMERS, settings.logging.maxLinesPerSecond);
+  log.write(PROCESS_EVENTS.settingsRead, { path: settingsPath(), uptimeMs: uptimeMs() });
+  // A process that ends soon would lose its lines in the buffer.
+  destination.flush();
   const gateway = new Gateway({
     build,
     settings,
@@ -82,13 +94,17 @@
     destination.flushSync();
     process.exit(EXIT_FAULT);
   };
-  process.on('SIGHUP', () => {
+  const logSignal = (signal: NodeJS.Signals) =>
+    log.write(PROCESS_EVENTS.signalReceived, { signal, uptimeMs: uptimeMs() });
+  process.on('SIGHUP', (signal) => {
+    logSignal(signal);
     readSettings().match(
       (reread) => gateway.reload(reread),
       (problem) => log.write(GATEWAY_EVENTS.settingsRejected, { ...problem }),
     );
   });
-  process.on('SIGTERM', () => {
+  process.on('SIGTERM', (signal) => {
+    logSignal(signal);
     gateway.stop().then(() => {
       destination.flushSync();
       process.exit(0);
--- a/test/daemon/gateway-loader.test.ts
+++ b/test/daemon/gateway-loader.test.ts
@@ -1,11 +1,12 @@
 /** The loader runs the gateway bundle whether or not its precompiled code is usable. */
 import assert from 'node:assert/strict';
-import { copyFileSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
 import type { Script } from 'node:vm';
+import { PROCESS_EVENTS } from '../../src/core/logging/catalogue/process.js';
 
 interface Loader {
   readonly COMPILED: string;
@@ -40,3 +41,11 @@
     assert.equal(loaded.exports.answer(), 43);
   });
 });
+
+test('the line on the start of the process is the one of the catalogue', () => {
+  const { number, level, message } = PROCESS_EVENTS.processStarted;
+  const loader = readFileSync('scripts/gateway-loader.cjs', 'utf8');
+  for (const part of [`event: ${number},`, `level: '${level}',`, `msg: '${message}',`]) {
+    assert.ok(loader.includes(part), part);
+  }
+});
