A second SIGTERM does not cut the stop short

What callers saw: two SIGTERMs in a row (a stop that is asked for twice, or by two managers of processes) end the process at the second one, with everything in flight: a process stopped 0.3 s after the first, 2.3 s before its stop was over. Cause: stop() resolved at once where a stop was under way, and its caller ended the process on that. Class: an end that is decided by whoever asks last. Change: every call waits for the same stop.

--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -128,6 +128,7 @@
   readonly #confirmations: Confirmations;
   #isRelay = false;
   #isStopping = false;
+  #stopped: Promise<void> | undefined;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -393,9 +394,13 @@
     log.write(GATEWAY_EVENTS.settingsReloaded, { needsRestart });
   }
 
-  /** Stops without cutting off requests that can end within the grace period. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
+  /** Stops without cutting off requests that can end within the grace period. A second call waits for the same stop. */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#isStopping ? Promise.resolve() : this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     this.#isStopping = true;
     const { settings, timers, log } = this.#options;
     const graceMs = settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND;
