A port that is taken at the start is waited for

What callers saw: nothing, as the daemon was not there: a port for callers, readiness, metrics or peers that another process held for a moment ended the process with 1 after 0.25 s, at each restart again. A taken port for datagrams was worse to see: the process ran on without a list of daemons, and said nothing. Cause: one failed listen() rejected the whole start. Class: a passing state of the machine is taken for a start that can never succeed. Callers and readiness make up the start, and the daemon is not ready before it listens for callers; metrics, peers and datagrams are waited for beside. A stop ends each wait, and the stop of a daemon that never listened does not wait for others to look away.

--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,6 +4,7 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
+import type { Result } from 'neverthrow';
 import {
   type Departure,
   maxDigestSilenceMs,
@@ -35,6 +36,7 @@
 import { LimitCoordinator } from './limit-coordinator.js';
 import { PathComparison } from './path-comparison.js';
 import { PeerExchange } from './peer-exchange.js';
+import { type ListenerName, PortOpener, tryListen } from './port-opener.js';
 import type { PlatformAdapter } from './ports.js';
 import { RelayDigest } from './relay-digest.js';
 import { RequestForwarder } from './request-forwarder.js';
@@ -44,7 +46,7 @@
 import { ServerCalls } from './server-calls.js';
 import { ServerExitCheck } from './server-exit-check.js';
 import { ServicePathMonitor } from './service-path-monitor.js';
-import { createMetricsServer, createReadinessServer, listen } from './small-listeners.js';
+import { createMetricsServer, createReadinessServer } from './small-listeners.js';
 import { StageController } from './stage-controller.js';
 import { StallMonitor } from './stall-monitor.js';
 import { StreamContinuity } from './stream-continuity.js';
@@ -126,13 +128,16 @@
   readonly #stalls: StallMonitor;
   readonly #forwardingListener: ForwardingListener;
   readonly #confirmations: Confirmations;
+  /** Aborted as the gateway begins to stop. */
+  readonly #stopping = new AbortController();
+  readonly #ports: PortOpener;
   #isRelay = false;
-  #isStopping = false;
   #stopped: Promise<void> | undefined;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { build, settings, adapter, timers, wallClock, log } = options;
+    this.#ports = new PortOpener({ timers, log, stopped: this.#stopping.signal });
     this.#suspensionAwareTimers = suspensionAwareTimers(timers, wallClock);
     this.#steadyClock = steadyWallClock(timers, wallClock());
     this.#fleet = new FleetView(
@@ -357,26 +362,30 @@
     });
   }
 
-  /** Starts to follow the store and to listen; resolves to the ports it listens on. */
-  async start(): Promise<GatewayAddresses> {
+  /**
+   * Starts to follow the store and to listen. Ports that are taken are waited for; without those for metrics and for peers
+   * callers are served all the same.
+   * @returns the ports it listens on; undefined if it was stopped before it listened for callers and readiness checks
+   */
+  async start(): Promise<GatewayAddresses | undefined> {
     const { settings, adapter, log } = this.#options;
-    const { callers, readiness, metrics, peers } = settings.listen;
+    const { callers, readiness } = settings.listen;
     this.#stalls.start();
     this.#follower.start();
     this.#crashes.start();
     this.#stages.start();
-    const forwardPort =
-      peers === undefined ? undefined : await this.#listen(this.#forwardingListener.server, peers);
-    this.#peers?.start(forwardPort);
+    const forwardPort = await this.#startPeers();
     this.#duties.start();
     this.#retryBudgets.start();
-    const readinessServer = createReadinessServer(
-      adapter.readinessPath,
-      () => this.#fleet.isReady && this.#crashes.isReadyToServe && !this.#isStopping,
-    );
-    const callersPort = await this.#listen(this.#callers.server, callers);
-    const readinessPort = await this.#listen(readinessServer, readiness);
-    if (metrics !== undefined) await this.#listen(createMetricsServer(this.#metrics), metrics);
+    const readinessServer = createReadinessServer(adapter.readinessPath, () => this.#isReady);
+    const [callersPort, readinessPort] = await Promise.all([
+      this.#open('callers', this.#callers.server, callers),
+      this.#open('readiness', readinessServer, readiness),
+      this.#openMetrics(),
+    ]);
+    if (callersPort === undefined || readinessPort === undefined || this.#isStopping) {
+      return undefined;
+    }
     log.write(GATEWAY_EVENTS.started, {
       build: this.#options.build,
       daemon: settings.name,
@@ -401,7 +410,7 @@
   }
 
   async #stop(): Promise<void> {
-    this.#isStopping = true;
+    this.#stopping.abort();
     const { settings, timers, log } = this.#options;
     const graceMs = settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND;
     const endMs = timers.nowMs() + graceMs - STOP_MARGIN_MS;
@@ -409,7 +418,9 @@
     this.#callers.beginStop(endMs);
     this.#admission.beginStop();
     this.#stages.stop();
-    await delay(timers, Math.min(NOT_READY_NOTICE_MS, graceMs / 2));
+    if (this.#callers.server.listening) {
+      await delay(timers, Math.min(NOT_READY_NOTICE_MS, graceMs / 2));
+    }
     // If too few daemons are ready, the platform still sends connections here; closing the listener turns them away.
     this.#callers.server.close();
     while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);
@@ -420,7 +431,7 @@
 
   /** Stops at once and cuts off running requests. */
   abort(): void {
-    this.#isStopping = true;
+    this.#stopping.abort();
     this.#stalls.stop();
     this.#follower.stop();
     this.#confirmations.stop();
@@ -441,12 +452,49 @@
     this.#connections.close();
   }
 
-  async #listen(server: Server, endpoint: Endpoint): Promise<number> {
-    const port = await listen(server, endpoint.host, endpoint.port);
-    this.#servers.push(server);
+  get #isStopping(): boolean {
+    return this.#stopping.signal.aborted;
+  }
+
+  get #isReady(): boolean {
+    const isServing = this.#callers.server.listening && !this.#isStopping;
+    return isServing && this.#fleet.isReady && this.#crashes.isReadyToServe;
+  }
+
+  #open(listener: ListenerName, server: Server, endpoint: Endpoint): Promise<number | undefined> {
+    return this.#ports.open(listener, () => this.#tryListen(server, endpoint));
+  }
+
+  async #openMetrics(): Promise<void> {
+    const { metrics } = this.#options.settings.listen;
+    if (metrics === undefined) return;
+    const server = createMetricsServer(this.#metrics);
+    const attempt = () => this.#tryListen(server, metrics);
+    await this.#ports.openInBackground('metrics', attempt, () => undefined);
+  }
+
+  /** @returns the port for forwarded requests; undefined if there is none or it is still taken */
+  async #startPeers(): Promise<number | undefined> {
+    const { peers } = this.#options.settings.listen;
+    if (peers === undefined || this.#peers === undefined) return undefined;
+    const exchange = this.#peers;
+    const attempt = () => this.#tryListen(this.#forwardingListener.server, peers);
+    const port = await this.#ports.openInBackground('peers', attempt, (opened) =>
+      exchange.setForwardPort(opened),
+    );
+    exchange.start(port);
     return port;
   }
 
+  async #tryListen(server: Server, endpoint: Endpoint): Promise<Result<number, Error>> {
+    const result = await tryListen(server, endpoint);
+    if (result.isErr()) return result;
+    // The gateway may have been stopped while the port was being opened.
+    if (this.#isStopping) server.close();
+    else this.#servers.push(server);
+    return result;
+  }
+
   /** Whether the demand of the whole fleet is known; a daemon without an address for peers is taken to be alone. */
   get #knowsDemand(): boolean {
     return this.#peers === undefined || this.#roster.knowsFleetDemand(this.#isRelay);
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -64,6 +64,7 @@
   readonly #options: PeerDirectoryOptions;
   readonly #stopped = new AbortController();
   #isAnnounced = false;
+  #forwardPort: number | undefined;
   #scanIntervalMs = FIRST_SCAN_INTERVAL_MS;
   #nextScanMs = 0;
   /** When the own row is to be written again, and when the list is to be read again, after a restore of the store. */
@@ -80,15 +81,22 @@
    */
   async run(ports: PeerPorts): Promise<void> {
     const { timers } = this.#options;
+    this.#forwardPort ??= ports.forwardPort;
     while (!this.#stopped.signal.aborted) {
       this.#checkRewriteDue();
-      if (!this.#isAnnounced) await this.#announce(ports);
+      if (!this.#isAnnounced) await this.#announce(ports.port);
       if (this.#isScanDue()) await this.#refresh();
       else this.#confirmList();
       await delay(timers, CHECK_INTERVAL_MS, this.#stopped.signal);
     }
   }
 
+  /** Announces a port for forwarded requests that was opened after the start. */
+  setForwardPort(forwardPort: number): void {
+    this.#forwardPort = forwardPort;
+    this.#isAnnounced = false;
+  }
+
   stop(): void {
     this.#stopped.abort();
   }
@@ -137,13 +145,15 @@
     await this.#removeLost();
   }
 
-  async #announce({ port, forwardPort }: PeerPorts): Promise<void> {
+  async #announce(port: number): Promise<void> {
     const { daemon, zone, listen } = this.#options;
     const key = `${ROW_PREFIX}${daemon}`;
+    const forwardPort = this.#forwardPort;
     const value: z.infer<typeof rowSchema> = { host: listen.host, port, zone, forwardPort };
     const write = { kind: 'transact', checks: [], writes: [{ key, value }] } as const;
     const result = await this.#callTable(write);
-    this.#isAnnounced = result.kind === 'committed';
+    // The port may have been opened while the row was written.
+    this.#isAnnounced = result.kind === 'committed' && forwardPort === this.#forwardPort;
   }
 
   async #scan(): Promise<void> {
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -7,6 +7,7 @@
  * an engine's cache events forwards them within its zone. The roster assigns these roles.
  */
 import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
+import { err, ok, type Result } from 'neverthrow';
 import type {
   CrashRecord,
   FleetPaces,
@@ -30,7 +31,7 @@
   type VersionedValue,
 } from './configuration-gossip.js';
 import type { DeparturesMessage } from './departure-message-fields.js';
-import { runLoopInBackground } from './internal-faults.js';
+import { runInBackground, runLoopInBackground } from './internal-faults.js';
 import type { LimitMessage } from './limit-message-fields.js';
 import { PaceGossip } from './pace-gossip.js';
 import { PeerDirectory } from './peer-directory.js';
@@ -42,6 +43,7 @@
   type PeerMessage,
   type UsageMessage,
 } from './peer-messages.js';
+import { PortOpener } from './port-opener.js';
 import type { TableService } from './ports.js';
 import { NO_NOTICES, type PeerNotices, RelayDuty, type RelayDutyOptions } from './relay-duty.js';
 import type { GatewayLog } from './request-log.js';
@@ -146,7 +148,9 @@
   /** Whether the pending report was scheduled as urgent. */
   #isFlushUrgent = false;
   #cancelHeartbeat: CancelTimer | undefined;
-  #isStopped = false;
+  #isBound = false;
+  readonly #stopped = new AbortController();
+  #forwardPort: number | undefined;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
@@ -175,26 +179,60 @@
     });
     this.#socket = createSocket('udp4');
     this.#socket.on('message', (message, sender) => this.#receive(message, sender));
-    // Errors such as an address in use or an unreachable peer only make routing choices worse.
+    // Errors such as an unreachable peer only make routing choices worse; `#tryBind` handles those of the port.
     this.#socket.on('error', () => undefined);
   }
 
   /** @param forwardPort where this daemon takes forwarded requests, if it does */
   start(forwardPort?: number): void {
+    this.#forwardPort = forwardPort;
+    runInBackground(this.#options.log, 'datagrams', this.#listen());
+  }
+
+  /** Announces a port for forwarded requests that was opened after the start. */
+  setForwardPort(forwardPort: number): void {
+    this.#forwardPort = forwardPort;
+    this.#directory.setForwardPort(forwardPort);
+  }
+
+  get #isStopped(): boolean {
+    return this.#stopped.signal.aborted;
+  }
+
+  async #listen(): Promise<void> {
+    const { timers, log } = this.#options;
+    const ports = new PortOpener({ timers, log, stopped: this.#stopped.signal });
+    const port = await ports.open('datagrams', () => this.#tryBind());
+    if (port === undefined || this.#isStopped) return;
+    this.#isBound = true;
+    const announced = { port, forwardPort: this.#forwardPort };
+    runLoopInBackground(this.#options, 'list of daemons', () => this.#directory.run(announced));
+    this.#scheduleHeartbeats();
+    this.#relay.start();
+    this.#paces.start();
+  }
+
+  #tryBind(): Promise<Result<number, Error>> {
+    const socket = this.#socket;
     const { host, port } = this.#options.listen;
-    this.#socket.bind({ address: host, port }, () => {
-      if (this.#isStopped) return;
-      const ports = { port: this.#socket.address().port, forwardPort };
-      runLoopInBackground(this.#options, 'list of daemons', () => this.#directory.run(ports));
-      this.#scheduleHeartbeats();
-      this.#relay.start();
-      this.#paces.start();
+    return new Promise((resolve) => {
+      const onError = (error: Error): void => {
+        socket.off('listening', onListening);
+        resolve(err(error));
+      };
+      const onListening = (): void => {
+        socket.off('error', onError);
+        resolve(ok(socket.address().port));
+      };
+      socket.once('error', onError);
+      socket.once('listening', onListening);
+      socket.bind({ address: host, port });
     });
   }
 
   stop(): void {
     if (this.#isStopped) return;
-    this.#isStopped = true;
+    this.#stopped.abort();
     this.#directory.stop();
     this.#cancelFlush?.();
     this.#cancelHeartbeat?.();
@@ -309,6 +347,8 @@
   }
 
   #sendTo(peers: readonly PeerDaemon[], bytes: Buffer): void {
+    // A socket without a port would take any free one as it sends, and others could not answer.
+    if (!this.#isBound) return;
     for (const peer of peers) this.#socket.send(bytes, peer.port, peer.host);
   }
 
--- a/src/shell/gateway/small-listeners.ts
+++ b/src/shell/gateway/small-listeners.ts
@@ -22,15 +22,3 @@
     );
   });
 }
-
-/** Resolves with the port once the server listens. */
-export function listen(server: Server, host: string, port: number): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({ host, port, backlog: 1_024 }, () => {
-      server.removeListener('error', reject);
-      const address = server.address();
-      resolve(typeof address === 'object' && address !== null ? address.port : port);
-    });
-  });
-}
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -241,6 +241,7 @@
     });
     this.#gateways.set(name, gateway);
     const addresses = await gateway.start();
+    if (addresses === undefined) throw new Error(`${name} was stopped before it listened`);
     this.#forwardPorts.set(name, addresses.forwardPort);
     return addresses;
   }
