Signals that come while the program is loaded are handled

What callers saw: a daemon that was told to reload its settings while it started was gone, by SIGHUP, without a line; SIGTERM then ended it without a stop, and SIGINT ended it at any time, with all that was in flight. Cause: handlers were registered by main(), after the bundle had been read, compiled and run and the settings read; until then a signal has the effect that the system gives it, which is to end the process. SIGINT had no handler at all. Class: a window in which a request to a daemon is an order to the kernel. Change: the loader handles SIGHUP, SIGTERM and SIGINT in its first lines and keeps what comes; GatewayProcess takes it over. A reload that was asked for during the start takes place after it, a stop at once. SIGINT is a stop.

--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -4,7 +4,15 @@
  *
  * V8 tells compiled code of another bundle by the length of its source alone, so bundle and compiled code
  * have a hash of the source in their names, which the build writes in here.
+ *
+ * Signals are handled from the first lines on, as one that comes while the bundle is loaded would end the process.
  */
+const SIGNALS = ['SIGHUP', 'SIGTERM', 'SIGINT'];
+const isProgram = require.main === module;
+const earlySignals = [];
+const keepSignal = (signal) => earlySignals.push(signal);
+if (isProgram) for (const signal of SIGNALS) process.on(signal, keepSignal);
+
 const { readFileSync, write } = require('node:fs');
 const { join } = require('node:path');
 const { Script } = require('node:vm');
@@ -47,9 +55,15 @@
   write(STANDARD_OUTPUT, `${JSON.stringify(line)}\n`, () => {});
 }
 
+/** The signals so far, in order. To be called once others handle them. */
+function takeEarlySignals() {
+  for (const signal of SIGNALS) process.off(signal, keepSignal);
+  return earlySignals.splice(0);
+}
+
 module.exports = { loadBundle, COMPILED };
 
-if (require.main === module) {
+if (isProgram) {
   logProcessStart();
-  loadBundle().exports.main({ build: BUILD });
+  loadBundle().exports.main({ build: BUILD, takeEarlySignals });
 }
--- a/src/core/logging/catalogue/process.ts
+++ b/src/core/logging/catalogue/process.ts
@@ -41,7 +41,7 @@
     level: 'info',
     message: 'signal received',
     remedy:
-      'Nothing to do: SIGHUP reads the settings again, SIGTERM stops. uptimeMs is the time since the process started.',
+      'Nothing to do: SIGHUP reads the settings again, SIGTERM and SIGINT stop. phase is what the process was doing; during the start a reload is kept until its end.',
   },
   stoppedBeforeStart: {
     number: 6206,
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -1,27 +1,25 @@
 /**
- * Entry point of a gateway on the users' platform: reads the settings, starts the gateway, reloads the
- * settings on SIGHUP and stops on SIGTERM. Only this module refers to a concrete platform adapter.
- * `scripts/gateway-loader.cjs` runs it.
+ * Entry point of a gateway on the users' platform: puts the process together with its settings file, its log and the
+ * platform's adapter. Only this module refers to a concrete platform adapter. `scripts/gateway-loader.cjs` runs it.
  */
-import { readFileSync } from 'node:fs';
-import type { Result } from 'neverthrow';
 import { pino } from 'pino';
 import { createPlatformAdapter, SETTINGS_VARIABLE } from '../../platform/index.js';
-import { GATEWAY_EVENTS } from '../core/logging/catalogue/gateway.js';
-import { PROCESS_EVENTS } from '../core/logging/catalogue/process.js';
-import {
-  Gateway,
-  GatewayLog,
-  type GatewaySettings,
-  logFault,
-  parseGatewaySettings,
-  type SettingsProblem,
-  SYSTEM_TIMERS,
-} from '../shell/gateway/index.js';
+import { Gateway, GatewayLog, logFault, SYSTEM_TIMERS } from '../shell/gateway/index.js';
 import { createLogger } from '../shell/logging/index.js';
+import {
+  GatewayProcess,
+  HANDLED_SIGNALS,
+  type HandledSignal,
+  type ProcessOutcome,
+} from './gateway-process.js';
+import { SettingsFile } from './settings-file.js';
 
-const EXIT_FAULT = 1;
 const EXIT_USAGE = 2;
+const EXIT_CODES: Readonly<Record<ProcessOutcome, number>> = {
+  stopped: 0,
+  failed: 1,
+  'unusable-settings': EXIT_USAGE,
+};
 const STANDARD_OUTPUT = 1;
 /**
  * Log lines are buffered for this time, because each write is a round trip to another thread. This saves
@@ -32,37 +30,31 @@
 /** A buffer of this size is written at once. Below 16 KiB, the largest single write of pino's destination. */
 const LOG_WRITE_BYTES = 8_192;
 const MAX_BUFFERED_LOG_BYTES = 1_048_576;
-const UNBUNDLED = 'unbundled';
-
-/** The settings file given on the command line, or otherwise by the environment variable. */
-function settingsPath(): string {
-  return process.argv[2] ?? process.env[SETTINGS_VARIABLE] ?? '';
-}
+/** The limit until the settings name one. */
+const START_LINES_PER_SECOND = 100;
 
-function readSettings(): Result<GatewaySettings, SettingsProblem> {
-  return parseGatewaySettings(readFileSync(settingsPath(), 'utf8'));
+/** What the loader of a bundle passes on. */
+export interface ProgramStart {
+  /** The hash of the bundle that runs, as in the name of its file. */
+  readonly build: string;
+  /** The signals that came before this program could handle them, in order; the loader handles none after this call. */
+  readonly takeEarlySignals: () => readonly HandledSignal[];
 }
 
-/** How long this process has run. */
-function uptimeMs(): number {
-  return Math.round(performance.now());
-}
+const WITHOUT_LOADER: ProgramStart = { build: 'unbundled', takeEarlySignals: () => [] };
 
-function exitOnInvalidSettings(problem: SettingsProblem): never {
-  const { key, found, remedy } = problem;
-  process.stderr.write(`${settingsPath()}: ${key}: found ${found}. ${remedy}\n`);
+/** The settings file given on the command line, or otherwise by the environment variable. */
+function settingsPath(): string {
+  const path = process.argv[2] ?? process.env[SETTINGS_VARIABLE];
+  if (path !== undefined && path !== '') return path;
+  process.stderr.write(
+    `no settings file: give its path as the first argument or in ${SETTINGS_VARIABLE}\n`,
+  );
   process.exit(EXIT_USAGE);
 }
 
-/** What the loader of a bundle says of it. */
-export interface ProgramStart {
-  /** The hash of the bundle that runs, as in the name of its file. */
-  readonly build: string;
-}
-
-/** Runs a gateway until SIGTERM. */
-export function main({ build }: ProgramStart = { build: UNBUNDLED }): void {
-  const settings = readSettings().match((value) => value, exitOnInvalidSettings);
+/** Runs a gateway until SIGTERM or SIGINT. */
+export function main({ build, takeEarlySignals }: ProgramStart = WITHOUT_LOADER): void {
   const destination = pino.destination({
     fd: STANDARD_OUTPUT,
     sync: false,
@@ -71,44 +63,35 @@
     maxLength: MAX_BUFFERED_LOG_BYTES,
   });
   const logger = createLogger({ level: 'info', destination });
-  const log = new GatewayLog(logger, SYSTEM_TIMERS, settings.logging.maxLinesPerSecond);
-  log.write(PROCESS_EVENTS.settingsRead, { path: settingsPath(), uptimeMs: uptimeMs() });
-  // A process that ends soon would lose its lines in the buffer.
-  destination.flush();
-  const gateway = new Gateway({
-    build,
-    settings,
-    adapter: createPlatformAdapter(settings.store, settings.duties?.address),
-    timers: SYSTEM_TIMERS,
-    wallClock: Date.now,
+  const log = new GatewayLog(logger, SYSTEM_TIMERS, START_LINES_PER_SECOND);
+  const gatewayProcess = new GatewayProcess({
+    settingsFile: new SettingsFile(settingsPath()),
+    createGateway: (settings) =>
+      new Gateway({
+        build,
+        settings,
+        adapter: createPlatformAdapter(settings.store, settings.duties?.address),
+        timers: SYSTEM_TIMERS,
+        wallClock: Date.now,
+        log,
+      }),
     log,
+    tell: (line) => process.stderr.write(line),
+    end: (outcome) => {
+      destination.flushSync();
+      process.exit(EXIT_CODES[outcome]);
+    },
   });
   // A fault ends what it came up in: the other requests of the process have no part in it.
   const keepRunning = (task: string) => (exception: unknown) =>
     logFault(log, { task, request: '', server: '' }, exception);
   process.on('uncaughtException', keepRunning('event handler'));
   process.on('unhandledRejection', keepRunning('promise'));
-  const exitAfterFault = (exception: unknown): never => {
-    keepRunning('start or stop')(exception);
-    gateway.abort();
-    destination.flushSync();
-    process.exit(EXIT_FAULT);
-  };
-  const logSignal = (signal: NodeJS.Signals) =>
-    log.write(PROCESS_EVENTS.signalReceived, { signal, uptimeMs: uptimeMs() });
-  process.on('SIGHUP', (signal) => {
-    logSignal(signal);
-    readSettings().match(
-      (reread) => gateway.reload(reread),
-      (problem) => log.write(GATEWAY_EVENTS.settingsRejected, { ...problem }),
-    );
-  });
-  process.on('SIGTERM', (signal) => {
-    logSignal(signal);
-    gateway.stop().then(() => {
-      destination.flushSync();
-      process.exit(0);
-    }, exitAfterFault);
-  });
-  gateway.start().catch(exitAfterFault);
+  for (const signal of HANDLED_SIGNALS) {
+    process.on(signal, () => gatewayProcess.handleSignal(signal));
+  }
+  for (const signal of takeEarlySignals()) gatewayProcess.handleSignal(signal);
+  gatewayProcess.run();
+  // A process that ends soon would lose the lines on its start.
+  destination.flush();
 }
--- a/src/shell/gateway/index.ts
+++ b/src/shell/gateway/index.ts
@@ -7,7 +7,7 @@
   parseGatewaySettings,
   type SettingsProblem,
 } from './gateway-settings.js';
-export { logFault } from './internal-faults.js';
+export { describeFault, logFault } from './internal-faults.js';
 export type * from './ports.js';
 export { GatewayLog } from './request-log.js';
 export { SYSTEM_TIMERS, type TimerService } from './timer-service.js';
--- a/src/shell/gateway/internal-faults.ts
+++ b/src/shell/gateway/internal-faults.ts
@@ -22,15 +22,22 @@
   readonly server: string;
 }
 
+/** An exception as the fields of a log line. */
+export function describeFault(exception: unknown): {
+  readonly fault: string;
+  readonly stack: string;
+} {
+  const fault = exception instanceof Error ? exception : new Error(String(exception));
+  return { fault: fault.message, stack: (fault.stack ?? '').slice(0, MAX_STACK_LENGTH) };
+}
+
 /** Logs an exception that nothing handles. */
 export function logFault(
   log: Pick<GatewayLog, 'write'>,
   site: FaultSite,
   exception: unknown,
 ): void {
-  const fault = exception instanceof Error ? exception : new Error(String(exception));
-  const stack = (fault.stack ?? '').slice(0, MAX_STACK_LENGTH);
-  log.write(GATEWAY_EVENTS.internalFault, { ...site, fault: fault.message, stack });
+  log.write(GATEWAY_EVENTS.internalFault, { ...site, ...describeFault(exception) });
 }
 
 /** Lets work run that nobody awaits; its rejection is logged. */
--- a/src/shell/gateway/request-log.ts
+++ b/src/shell/gateway/request-log.ts
@@ -13,7 +13,7 @@
 export class GatewayLog {
   readonly #logger: Logger;
   readonly #timers: TimerService;
-  readonly #maxLinesPerSecond: number;
+  #maxLinesPerSecond: number;
   #windowStartMs = 0;
   #linesInWindow = 0;
   #dropped = 0;
@@ -28,6 +28,11 @@
     this.#maxLinesPerSecond = maxLinesPerSecond;
   }
 
+  /** Replaces the limit of lines a second. */
+  limitLines(maxLinesPerSecond: number): void {
+    this.#maxLinesPerSecond = maxLinesPerSecond;
+  }
+
   write(event: LogEvent, fields: LogFields = {}): void {
     if (event.number === GATEWAY_EVENTS.internalFault.number) this.faultsTotal += 1;
     const nowMs = this.#timers.nowMs();
