Settings that cannot be used at the start are waited for

What callers saw: nothing, as the daemon was not there: settings that were missing, empty or cut short as it started, because they were just being written, ended it with 1 or 2 after 0.2 s, a missing file with a stack and no line in the log. A port above 65,535 passed the check and ended the start. At SIGHUP a missing file was a fault of an event handler (6009). Cause: the file was read once, and an exception of the read was nobody's. Class: as for ports, a passing state is taken for a start that can never succeed. Change: SettingsFile turns each failure into a problem with a remedy. The process reads the file four times a second until it can be used, says why it waits (6202, standard error), and a stop ends the wait with 0; it exits with 2 only without any path. At SIGHUP a missing file is 6004 like a wrong one.

--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -14,12 +14,8 @@
 } from './gateway-process.js';
 import { SettingsFile } from './settings-file.js';
 
+const EXIT_CODES: Readonly<Record<ProcessOutcome, number>> = { stopped: 0, failed: 1 };
 const EXIT_USAGE = 2;
-const EXIT_CODES: Readonly<Record<ProcessOutcome, number>> = {
-  stopped: 0,
-  failed: 1,
-  'unusable-settings': EXIT_USAGE,
-};
 const STANDARD_OUTPUT = 1;
 /**
  * Log lines are buffered for this time, because each write is a round trip to another thread. This saves
@@ -75,6 +71,7 @@
         wallClock: Date.now,
         log,
       }),
+    timers: SYSTEM_TIMERS,
     log,
     tell: (line) => process.stderr.write(line),
     end: (outcome) => {
--- a/src/daemon/gateway-process.ts
+++ b/src/daemon/gateway-process.ts
@@ -1,5 +1,5 @@
 /**
- * The life of a gateway's process: it starts the gateway, and turns signals into reloads
+ * The life of a gateway's process: it waits for settings that can be used, starts the gateway, and turns signals into reloads
  * of the settings and into one stop. Nothing else ends it but a fault in the start or the stop itself.
  */
 import { GATEWAY_EVENTS } from '../core/logging/catalogue/gateway.js';
@@ -10,15 +10,20 @@
   type GatewayLog,
   type GatewaySettings,
   type SettingsProblem,
+  type TimerService,
 } from '../shell/gateway/index.js';
 import type { SettingsFile } from './settings-file.js';
 
+/** How often settings that cannot be used are read again. */
+const SETTINGS_RETRY_MS = 250;
+const SETTINGS_REMINDER_MS = 10_000;
+
 /** The signals that a gateway handles; the others have the effect that the system gives them. */
 export const HANDLED_SIGNALS = ['SIGHUP', 'SIGTERM', 'SIGINT'] as const;
 export type HandledSignal = (typeof HANDLED_SIGNALS)[number];
 
 /** How the process ends. */
-export type ProcessOutcome = 'stopped' | 'failed' | 'unusable-settings';
+export type ProcessOutcome = 'stopped' | 'failed';
 
 /** What the process is doing. */
 type Phase =
@@ -31,6 +36,7 @@
 export interface GatewayProcessOptions {
   readonly settingsFile: Pick<SettingsFile, 'path' | 'read'>;
   readonly createGateway: (settings: GatewaySettings) => Gateway;
+  readonly timers: TimerService;
   readonly log: GatewayLog;
   /** Tells whoever started the process by hand about settings that cannot be used. */
   readonly tell: (line: string) => void;
@@ -44,17 +50,19 @@
   #phase: Phase = { kind: 'reading-settings' };
   /** Whether a reload was requested before there was a gateway to apply it to. */
   #isReloadDue = false;
+  #toldProblem = '';
+  #nextReminderMs = 0;
 
   constructor(options: GatewayProcessOptions) {
     this.#options = options;
   }
 
-  /** Starts the gateway. */
+  /** Starts the gateway as soon as the settings can be used. */
   run(): void {
     if (this.#phase.kind !== 'reading-settings') return;
     this.#options.settingsFile.read().match(
       (settings) => this.#start(settings),
-      (problem) => this.#refuseSettings(problem),
+      (problem) => this.#awaitSettings(problem),
     );
   }
 
@@ -73,9 +81,17 @@
     }
   }
 
-  #refuseSettings(problem: SettingsProblem): void {
-    this.#options.tell(describeProblem(this.#options.settingsFile.path, problem));
-    this.#options.end('unusable-settings');
+  #awaitSettings(problem: SettingsProblem): void {
+    const { settingsFile, timers, log, tell } = this.#options;
+    const line = describeProblem(settingsFile.path, problem);
+    const isNew = line !== this.#toldProblem;
+    if (isNew) tell(line);
+    if (isNew || timers.nowMs() >= this.#nextReminderMs) {
+      log.write(PROCESS_EVENTS.settingsAwaited, { path: settingsFile.path, ...problem });
+      this.#nextReminderMs = timers.nowMs() + SETTINGS_REMINDER_MS;
+    }
+    this.#toldProblem = line;
+    timers.after(SETTINGS_RETRY_MS, () => this.run());
   }
 
   #start(settings: GatewaySettings): void {
@@ -158,5 +174,5 @@
 }
 
 function describeProblem(path: string, { key, found, remedy }: SettingsProblem): string {
-  return `${path}: ${key}: found ${found}. ${remedy}\n`;
+  return `${path}: ${key}: found ${found}. ${remedy} The file is read again until it can be used.\n`;
 }
--- a/src/daemon/settings-file.ts
+++ b/src/daemon/settings-file.ts
@@ -1,6 +1,6 @@
 /** The settings file of a gateway. Another process writes it, so it may be missing or incomplete for a moment. */
 import { readFileSync } from 'node:fs';
-import type { Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import {
   type GatewaySettings,
   parseGatewaySettings,
@@ -17,6 +17,18 @@
 
   /** Reads the file as it is now. */
   read(): Result<GatewaySettings, SettingsProblem> {
-    return parseGatewaySettings(readFileSync(this.path, 'utf8'));
+    return this.#readText().andThen(parseGatewaySettings);
+  }
+
+  #readText(): Result<string, SettingsProblem> {
+    try {
+      return ok(readFileSync(this.path, 'utf8'));
+    } catch (cause) {
+      return err({
+        key: '(the whole file)',
+        found: cause instanceof Error ? cause.message : String(cause),
+        remedy: 'Put the settings there, in a file that this process may read.',
+      });
+    }
   }
 }
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -10,9 +10,16 @@
 const spanSeconds = z.number().check(z.minimum(0));
 const text = z.string().check(z.minLength(1));
 const ENDPOINT = /^([^\s:]+):(\d{1,5})$/;
+const MAX_PORT = 65_535;
+const hasPort = (written: string): boolean => Number(written.split(':')[1]) <= MAX_PORT;
 /** HOST:PORT. */
 const endpoint = z.pipe(
-  z.string().check(z.regex(ENDPOINT, 'give HOST:PORT')),
+  z
+    .string()
+    .check(
+      z.regex(ENDPOINT, 'give HOST:PORT'),
+      z.refine(hasPort, `give a port of ${MAX_PORT} at most`),
+    ),
   z.transform((written) => {
     const [host = '', port = ''] = written.split(':');
     return { host, port: Number(port) };
--- a/test/daemon/process-life.test.ts
+++ b/test/daemon/process-life.test.ts
@@ -126,6 +126,7 @@
   ['empty', ''],
   ['cut short', settingsText().slice(0, 120)],
   ['not yet right', settingsText().replace('zone: a', 'zone: []')],
+  ['without a possible port', settingsText({ callers: 70_000 })],
 ] as const) {
   test(`settings that are ${state} at the start are waited for`, TIMEOUT, async () => {
     const path = text === undefined ? program.missingSettings() : program.writeSettings(text);
