--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -3,7 +3,8 @@
  * the build compiled; where that is missing or from another version of V8, node compiles it as usual.
  *
  * V8 tells compiled code of another bundle by the length of its source alone, so bundle and compiled code
- * have a hash of the source in their names, which the build writes in here.
+ * have a hash of the source in their names, which the build writes in here. The folder may have been copied
+ * from another kind of machine, so compiled code has the processor and the version of node in its name too.
  *
  * Signals are handled from the first lines on, as one that comes while the bundle is loaded would end the process.
  */
@@ -19,7 +20,7 @@
 
 const BUILD = 'HASH';
 const BUNDLE = join(__dirname, `gateway.${BUILD}.js`);
-const COMPILED = join(__dirname, `gateway.${BUILD}.compiled`);
+const COMPILED = join(__dirname, `gateway.${BUILD}.${process.arch}-${process.version}.compiled`);
 const STANDARD_OUTPUT = 1;
 
 function readCompiled() {
