--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -16,6 +16,7 @@
   CutRecord,
   Disturbance,
   DrainNotice,
+  FalseReadiness,
   LimitNotice,
   Scope,
   SkewRecord,
@@ -73,6 +74,10 @@
     });
   }
 
+  get falseReadiness(): readonly FalseReadiness[] {
+    return this.#starts.falseReadiness;
+  }
+
   /** Records a span in which the soak's own process, which simulates the store and the servers, did not respond. */
   recordStandInsLate(fromMs: number, toMs: number): void {
     this.disturbances.push({ scope: 'stand-ins', name: '', fromMs, toMs, isPlanned: false });
--- a/soak/life-judge.ts
+++ b/soak/life-judge.ts
@@ -9,7 +9,10 @@
 
 /** What is judged of a run. */
 export interface JudgedLives
-  extends Pick<RunRecord, 'lives' | 'portChecks' | 'disturbances' | 'beginMs' | 'endMs'> {
+  extends Pick<
+    RunRecord,
+    'lives' | 'portChecks' | 'falseReadiness' | 'disturbances' | 'beginMs' | 'endMs'
+  > {
   readonly bounds: Pick<SoakBounds, 'contactMs' | 'graceMs'>;
 }
 
@@ -27,6 +30,10 @@
       ...unreadySpans(life, run),
     ]),
     ...run.portChecks.flatMap(partlyStarted),
+    ...run.falseReadiness.map(({ daemon, atMs }) => ({
+      atMs,
+      detail: `${daemon} was ready while its port for callers was taken`,
+    })),
   ];
 }
 
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -211,6 +211,7 @@
   /** The processes of all daemons. */
   readonly lives: readonly DaemonLife[];
   readonly portChecks: readonly PortCheck[];
+  readonly falseReadiness: readonly FalseReadiness[];
   readonly bounds: SoakBounds;
   /** When all daemons were ready and callers began. */
   readonly beginMs: number;
@@ -239,6 +240,12 @@
   readonly cause: EndCause;
 }
 
+/** A daemon said that it was ready while the soak held its port for callers. */
+export interface FalseReadiness {
+  readonly daemon: string;
+  readonly atMs: number;
+}
+
 /** The ports of a daemon after the calm end of a run. */
 export interface PortCheck {
   readonly daemon: string;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -235,6 +235,7 @@
       serving: this.#pool.servingSpans,
       lives: this.#daemons.flatMap(({ lives }) => lives),
       portChecks,
+      falseReadiness: this.#faults.falseReadiness,
       orders: this.#orders,
       duties: this.#dutyService.records,
       bounds: this.#bounds,
--- a/soak/start-faults.ts
+++ b/soak/start-faults.ts
@@ -2,13 +2,14 @@
 import type { GatewayProcess } from './gateway-process.js';
 import { pause } from './pause.js';
 import { takePort } from './port-holder.js';
-import type { Disturbance } from './record.js';
+import type { Disturbance, FalseReadiness } from './record.js';
 import type { DaemonPort, SeriesSignal, StartFault, TimedSignal } from './start-fault.js';
 
 /** Time from the start of a daemon's process until it serves again, on a busy machine. */
 export const START_MS = 3_000;
 /** Time from the end of a process that was asked to end until its daemon is started again. */
 const RESTART_DELAY_MS = 100;
+const READINESS_POLL_INTERVAL_MS = 100;
 
 type Ports = Extract<StartFault, { kind: 'ports-taken' }>;
 type Settings = Extract<StartFault, { kind: 'settings-spoiled' }>;
@@ -23,6 +24,7 @@
 }
 
 export class StartFaults {
+  readonly falseReadiness: FalseReadiness[] = [];
   readonly #options: StartFaultsOptions;
 
   constructor(options: StartFaultsOptions) {
@@ -107,11 +109,21 @@
     this.#options.start(daemon);
     this.#recordStart(daemon);
     const fromMs = performance.now();
-    await pause(forMs);
+    const isTaken = ports.some((port, index) => port === 'callers' && taken[index] !== undefined);
+    if (isTaken) await this.#watchReadiness(daemon, fromMs + forMs);
+    else await pause(forMs);
     await Promise.all(taken.map((port) => port?.release()));
     if (ports.some(isNeededToServe)) this.#record(daemon, fromMs, false);
   }
 
+  /** Records when a daemon says that it is ready, until a moment up to which it cannot serve callers. */
+  async #watchReadiness(daemon: GatewayProcess, untilMs: number): Promise<void> {
+    while (performance.now() < untilMs) {
+      if (await daemon.isReady()) this.falseReadiness.push(notice(daemon));
+      await pause(READINESS_POLL_INTERVAL_MS);
+    }
+  }
+
   async #spoilSettings(daemon: GatewayProcess, fault: Settings): Promise<void> {
     const { settings } = daemon;
     if (fault.isAtStart) await this.#end(daemon);
@@ -138,6 +150,10 @@
   }
 }
 
+function notice({ name }: GatewayProcess): FalseReadiness {
+  return { daemon: name, atMs: performance.now() };
+}
+
 /** A daemon serves without its metrics. */
 function isNeededToServe(port: DaemonPort): boolean {
   return port !== 'metrics';
--- a/soak/start-plan.ts
+++ b/soak/start-plan.ts
@@ -1,7 +1,7 @@
 /**
  * The plan of starts: series of signals from the first moment of processes on, restarts that overlap, ports that are taken
- * and settings that are not whole as processes start. Some daemons, the steady ones, get planned work only, so that the
- * requests that they have in flight are judged.
+ * and settings that are not whole as processes start. Most daemons, the steady ones, get planned work only, so that the
+ * requests that they have in flight are judged; but once all daemons are killed together and their young processes reloaded.
  */
 import {
   CALM_END_MS,
@@ -15,7 +15,8 @@
 } from './plan.js';
 import type { DaemonPort, SeriesSignal, SettingsFlaw, TimedSignal } from './start-fault.js';
 
-const STEADY_SHARE = 0.4;
+/** As few daemons as leave some of most zones: a daemon that hears of fewer takes no stream up. */
+const STRUCK_SHARE = 1 / 3;
 /** Probability that the next fault follows soon, so that restarts overlap. */
 const SERIES_CHANCE = 0.5;
 const SERIES_GAP_MS = 300;
@@ -62,15 +63,14 @@
 export function planStarts(seed: number, size: SoakSize): SoakPlan {
   const random = new SeededRandom(seed);
   const endMs = size.seconds * 1_000 - CALM_END_MS;
-  const steady = new Set(random.subset(size.daemons, STEADY_SHARE));
   const all = Array.from({ length: size.daemons }, (_, index) => index);
+  const struck = random.subset(size.daemons, STRUCK_SHARE);
+  const steady = all.filter((index) => !struck.includes(index));
+  const herdMs = Math.round(random.between(endMs / 2, endMs - MAX_SERIES_MS));
   const faults = [
-    ...drawFaults(
-      random,
-      all.filter((index) => !steady.has(index)),
-      endMs,
-    ),
-    ...drawSteadyWork(random, [...steady], endMs),
+    ...drawFaults(random, struck, endMs),
+    ...drawSteadyWork(random, steady, endMs),
+    { atMs: herdMs, fault: drawHerd(random, all) },
   ];
   return {
     seed,
@@ -82,7 +82,7 @@
   };
 }
 
-/** Faults of the daemons that are not steady; at least one of these is a kill of all of them together. */
+/** Faults of the daemons that are not steady. */
 function drawFaults(
   random: SeededRandom,
   indexes: readonly number[],
@@ -91,8 +91,7 @@
   const [first, ...others] = indexes;
   if (first === undefined) return [];
   const daemons: Daemons = [first, ...others];
-  const herdMs = Math.round(random.between(FIRST_FAULT_MS, endMs - MAX_SERIES_MS));
-  const faults: TimedFault[] = [{ atMs: herdMs, fault: drawHerd(random, daemons) }];
+  const faults: TimedFault[] = [];
   for (let atMs = FIRST_FAULT_MS; atMs < endMs; ) {
     const draw = random.pick(DRAWS);
     faults.push({ atMs, fault: draw(random, daemons, endMs - atMs) });
@@ -124,14 +123,15 @@
   drawYoungSignals,
   drawYoungSignals,
   drawPorts,
+  drawPorts,
   drawMetricsPort,
   drawSettingsAtStart,
-  drawReload,
+  drawSettingsAtStart,
   drawReloads,
 ];
 
 /** Kills all of the daemons and reloads their young processes. */
-function drawHerd(random: SeededRandom, daemons: Daemons): Fault {
+function drawHerd(random: SeededRandom, daemons: readonly number[]): Fault {
   return {
     kind: 'young-signals',
     daemons,
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -81,6 +81,7 @@
     skews: [],
     lives: [],
     portChecks: [],
+    falseReadiness: [],
     orders: [],
     duties: [],
     bounds: BOUNDS,
