threadforkd: a request for a reload does not end the daemon

The test holds the program in the read of its settings by a named pipe: against the program of it times out after the daemon has ended, here it passes.

--- a/src/core/logging/catalogue/daemon.ts
+++ b/src/core/logging/catalogue/daemon.ts
@@ -33,4 +33,10 @@
     message: 'daemon stopped because of an internal error',
     remedy: 'Start the daemon again and report the defect with the reason field of this line.',
   },
+  reloadIgnored: {
+    number: 1005,
+    level: 'warn',
+    message: 'a reload was requested; the daemon reads its settings only when it starts',
+    remedy: 'Restart the daemon for changed settings.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/command.ts
+++ b/src/daemon/command.ts
@@ -3,6 +3,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { type BaseContext, Command, Option } from 'clipanion';
+import { DAEMON_EVENTS } from '../core/logging/catalogue/daemon.js';
 import { createLogger } from '../shell/logging/index.js';
 import {
   type DaemonSettings,
@@ -11,7 +12,7 @@
   loadSettings,
   type SettingsFlags,
 } from '../shell/settings/index.js';
-import { StopSignals } from './stop-signals.js';
+import type { StopSignals } from './stop-signals.js';
 import type { RunningDaemon, StartDaemon } from './types.js';
 
 /** Exit codes of `threadforkd`. */
@@ -24,6 +25,8 @@
 /** Dependencies of the command besides the standard streams. */
 export interface DaemonContext extends BaseContext {
   readonly startDaemon: StartDaemon;
+  /** Installed before anything else, so that a signal during the start also leads to a planned stop. */
+  readonly signals: StopSignals;
 }
 
 /** Runs one daemon until a stop signal arrives. */
@@ -95,8 +98,8 @@
       level: settings.logLevel,
       writer: { daemon: settings.name, zone: settings.zone },
     });
-    // Installed before the start, so that a signal during it also leads to a planned stop.
-    const signals = new StopSignals();
+    const { signals } = this.context;
+    signals.onReload(() => logger.write(DAEMON_EVENTS.reloadIgnored));
     try {
       const daemon = await this.context.startDaemon(settings, logger);
       this.context.stdout.write(`${readyLine(daemon)}\n`);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,37 +1,7 @@
 #!/usr/bin/env node
-/** Entry point of `threadforkd`. */
-import { Builtins, Cli, type Command } from 'clipanion';
-import { packageVersion } from '../shell/settings/index.js';
-import { DaemonCommand, type DaemonContext, EXIT_USAGE } from './command.js';
-import type { StartDaemon } from './types.js';
+/** Entry point of `threadforkd`: handles signals before the rest of the program is loaded. */
+import { StopSignals } from './stop-signals.js';
 
-// Loaded late so that --check-config and --help need none of the daemon's modules.
-const startDaemon: StartDaemon = async (settings, logger) => {
-  const daemonModule = await import('./daemon.js');
-  return daemonModule.startDaemon(settings, logger);
-};
-
-const cli = new Cli<DaemonContext>({
-  binaryLabel: 'threadforkd',
-  binaryName: 'threadforkd',
-  binaryVersion: packageVersion(),
-  enableColors: process.stdout.isTTY === true,
-});
-cli.register(DaemonCommand);
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
-
-const context: DaemonContext = { ...Cli.defaultContext, startDaemon };
-
-function parseArguments(): Command<DaemonContext> {
-  try {
-    return cli.process(process.argv.slice(2), context);
-  } catch (cause) {
-    process.stderr.write(cli.error(cause));
-    process.exit(EXIT_USAGE);
-  }
-}
-
-const exitCode = await cli.run(parseArguments(), context);
-// Ends the process even if a connection or timer is still open.
-process.exit(exitCode);
+const signals = new StopSignals();
+const { runCommand } = await import('./run-command.js');
+await runCommand(signals);
--- a/test/frame/daemon-command.test.ts
+++ b/test/frame/daemon-command.test.ts
@@ -1,14 +1,18 @@
 import assert from 'node:assert/strict';
-import { spawnSync } from 'node:child_process';
-import { once } from 'node:events';
+import { execFileSync, spawn, spawnSync } from 'node:child_process';
+import { on, once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { createInterface } from 'node:readline';
 import { PassThrough } from 'node:stream';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { Cli } from 'clipanion';
+import { DAEMON_EVENTS } from '../../src/core/logging/catalogue/daemon.js';
 import { DaemonCommand, type DaemonContext } from '../../src/daemon/command.js';
+import { StopSignals } from '../../src/daemon/stop-signals.js';
 import type { RunningDaemon, StopOutcome } from '../../src/daemon/types.js';
 
 const PROGRAM = fileURLToPath(new URL('../../src/daemon/main.js', import.meta.url));
@@ -83,6 +87,7 @@
     ...Cli.defaultContext,
     env: { KEY: '0123456789abcdef' },
     stdout,
+    signals: new StopSignals(),
     startDaemon: async () => {
       duringStart();
       return daemon;
@@ -136,3 +141,30 @@
   assert.equal(await hanging.exitCode, 1);
   assert.deepEqual(hanging.calls, ['stop', 'stopNow']);
 });
+
+// Guards against a daemon that ends when it is told to reload its settings, during its start or later.
+test('a request for a reload ends no daemon, also while it starts', {
+  timeout: 20_000,
+}, async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'settings-'));
+  const file = join(folder, 'daemon.yaml');
+  execFileSync('mkfifo', [file]);
+  const daemon = spawn(process.execPath, [PROGRAM, '--settings', file]);
+  const log = createInterface({ input: daemon.stderr });
+  const reloads = on(log, 'line');
+  // Resolves once the daemon reads its settings, and keeps it there until they are written.
+  const writer = await open(file, 'w');
+  daemon.kill('SIGHUP');
+  await writer.writeFile(GOOD_FILE);
+  await writer.close();
+  await once(daemon.stdout, 'data');
+  daemon.kill('SIGHUP');
+  let ignored = 0;
+  for await (const [line] of reloads) {
+    if (JSON.parse(String(line)).event === DAEMON_EVENTS.reloadIgnored.number) ignored += 1;
+    if (ignored === 2) break;
+  }
+  daemon.kill('SIGKILL');
+  await once(daemon, 'exit');
+  rmSync(folder, { recursive: true });
+});
