--- a/test/gateway/support/server-stand-in.ts
+++ b/test/gateway/support/server-stand-in.ts
@@ -81,6 +81,17 @@
   };
 }
 
+/** How a server ends the connection of an answer that it cuts. */
+export type CutEnding = 'closes' | 'resets';
+
+/** Writes bytes to the connection of a request as they are, and ends it. */
+export function sendCut({ socket }: ServedRequest, bytes: string, ending: CutEnding): void {
+  socket.write(bytes, 'latin1', () => {
+    if (ending === 'closes') socket.end();
+    else setImmediate(() => socket.resetAndDestroy());
+  });
+}
+
 /** Rejects the request with a 503 that states that it has not run. */
 export const rejectingAsNotExecuted: Script = ({ seen, response }) => {
   response.writeHead(503, { ...attemptIdOf(seen), 'X-Not-Executed': '1' }).end();
