An answer ends as its transfer codings say

Callers saw 200 with a Content-Length of what had arrived, or an empty body, where a server cut or reset an answer whose transfer coding was not chunked.

Cause: such an answer ends with its connection, as one without a length does, but counted as framed since it had a Transfer-Encoding header. So neither the check for a reset nor that for a crash applied, and Exchange.answer measured the part. The body of a coding other than identity was passed on without the header that names it, so even a whole one was not the server's.

answer-framing.ts decides from the codings: one that is not chunked and not identity is no answer, as no request asks for one, and the request may go to another server as after any broken attempt; identity alone ends with the connection and is passed on so.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -275,8 +275,8 @@
     name: 'final-statuses',
     promise: 'MIXED',
     file: 'src/shell/gateway/backend-connections.ts',
-    text: 'if (!isFinalStatus(status)) {',
-    replacement: 'if (!isFinalStatus(status) && status < 0) {',
+    text: 'if (!isFinalStatus(statusCode)) return',
+    replacement: 'if (!isFinalStatus(statusCode) && statusCode < 0) return',
   },
   {
     name: 'forwarding',
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -14,6 +14,7 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { CONNECT_TIMEOUT_MS, isFinalStatus } from '../../core/gateway/index.js';
+import { answerFraming } from '../http/answer-framing.js';
 import { resetSocket } from '../http/reset-socket.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
@@ -126,8 +127,7 @@
    * truncated cannot be told from a complete one, unless the connection was reset.
    */
   get isCloseDelimited(): boolean {
-    const { headers } = this.message;
-    return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+    return answerFraming(this.message.headers) === 'close';
   }
 
   /** Closes the connection; the server sees the request as aborted. */
@@ -217,6 +217,13 @@
   return { kind: 'not-sent', reason, connectTimedOut: false, isUnsendable: true };
 }
 
+/** Why what arrived is no answer; undefined if it is one. */
+function flawOf({ statusCode = 0, headers }: IncomingMessage): string | undefined {
+  if (!isFinalStatus(statusCode)) return `status ${statusCode} is no final answer`;
+  if (answerFraming(headers) !== 'unknown-coding') return undefined;
+  return 'its transfer coding is not chunked';
+}
+
 /** Node.js throws on a value that does not fit the protocol; a call reports that as its result. */
 function tryTo<Value>(open: () => Value): Value | Error {
   try {
@@ -291,9 +298,9 @@
       });
       request.on('response', (message) => {
         this.#unanswered.delete(request);
-        const status = message.statusCode ?? 0;
-        if (!isFinalStatus(status)) {
-          settle({ kind: 'broken', reason: `status ${status} is no final answer` });
+        const flaw = flawOf(message);
+        if (flaw !== undefined) {
+          settle({ kind: 'broken', reason: flaw });
           request.destroy();
           return;
         }
--- /dev/null
+++ b/src/shell/http/answer-framing.ts
@@ -0,0 +1,32 @@
+/** What marks the end of an answer's body (RFC 9112 section 6.3). */
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** What marks the end of an answer's body. */
+export type AnswerFraming =
+  | 'length'
+  | 'chunks'
+  /** Only the end of the connection, so that a truncated answer cannot be told from a complete one. */
+  | 'close'
+  /** The body is in a transfer coding that no request asks for, so its bytes are not those of the answer. */
+  | 'unknown-coding';
+
+/** A coding without effect, of RFC 2616; with it alone the body is as without a coding. */
+const IDENTITY = 'identity';
+
+/** What marks the end of the body of an answer with these headers. */
+export function answerFraming(headers: IncomingHttpHeaders): AnswerFraming {
+  const codings = transferCodings(headers);
+  const [only = IDENTITY] = codings;
+  if (codings.length > 1) return 'unknown-coding';
+  if (only === 'chunked') return 'chunks';
+  if (only !== IDENTITY) return 'unknown-coding';
+  return headers['content-length'] === undefined ? 'close' : 'length';
+}
+
+/** In the order in which they were applied, in lower case. An HTTP client gives repeated headers as one text or a list. */
+function transferCodings(headers: IncomingHttpHeaders): readonly string[] {
+  const text = String(headers['transfer-encoding'] ?? '')
+    .trim()
+    .toLowerCase();
+  return text === '' ? [] : text.split(',').map((coding) => coding.trim());
+}
--- a/test/gateway/support/raw-caller.ts
+++ b/test/gateway/support/raw-caller.ts
@@ -26,6 +26,10 @@
     socket.once('error', () => {
       wasReset = true;
     });
+    // A reset that arrives with the last bytes is reported as an ordinary end; its connection has no peer any more.
+    socket.prependOnceListener('end', () => {
+      wasReset ||= socket.remoteAddress === undefined;
+    });
     socket.once('close', () => {
       const isHead = lines[0]?.startsWith('HEAD ') === true;
       resolve(readAnswer(Buffer.concat(chunks).toString('latin1'), { wasReset, isHead }));
