An answer without a body ends with its head

Callers of idempotent routes had their requests run at a second server, at the cost of an attempt and of the retry budget, where a server had answered HEAD, or with 204 or 304. Callers of HEAD saw Content-Length: 0 in place of the length that the server names.

Cause: an answer without a length counted as ended by a close, which may be a cut, also where it can have no body (RFC 9112 section 6.3, rule 1); and Exchange.answer measured the body that it had.

answerFraming knows such answers by method and status; they keep the length that their server names, if it names one.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -14,7 +14,8 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { CONNECT_TIMEOUT_MS, isFinalStatus } from '../../core/gateway/index.js';
-import { answerFraming } from '../http/answer-framing.js';
+import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
+import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
@@ -127,7 +128,20 @@
    * truncated cannot be told from a complete one, unless the connection was reset.
    */
   get isCloseDelimited(): boolean {
-    return answerFraming(this.message.headers) === 'close';
+    return this.framing === 'close';
+  }
+
+  get framing(): AnswerFraming {
+    return framingOf(this.#request, this.message);
+  }
+
+  /** The headers that go on to the caller; those that frame a body are set anew, but the length of one that is left out. */
+  get forwardedHeaders(): RawHeaders {
+    const { rawHeaders, headers } = this.message;
+    const forwarded = withoutConnectionHeaders(rawHeaders);
+    const length = headers['content-length'];
+    if (this.framing !== 'head' || length === undefined) return forwarded;
+    return [...forwarded, 'Content-Length', length];
   }
 
   /** Closes the connection; the server sees the request as aborted. */
@@ -218,12 +232,17 @@
 }
 
 /** Why what arrived is no answer; undefined if it is one. */
-function flawOf({ statusCode = 0, headers }: IncomingMessage): string | undefined {
+function flawOf(request: ClientRequest, message: IncomingMessage): string | undefined {
+  const { statusCode = 0 } = message;
   if (!isFinalStatus(statusCode)) return `status ${statusCode} is no final answer`;
-  if (answerFraming(headers) !== 'unknown-coding') return undefined;
+  if (framingOf(request, message) !== 'unknown-coding') return undefined;
   return 'its transfer coding is not chunked';
 }
 
+function framingOf({ method }: ClientRequest, message: IncomingMessage): AnswerFraming {
+  return answerFraming(method, message.statusCode ?? 0, message.headers);
+}
+
 /** Node.js throws on a value that does not fit the protocol; a call reports that as its result. */
 function tryTo<Value>(open: () => Value): Value | Error {
   try {
@@ -298,7 +317,7 @@
       });
       request.on('response', (message) => {
         this.#unanswered.delete(request);
-        const flaw = flawOf(message);
+        const flaw = flawOf(request, message);
         if (flaw !== undefined) {
           settle({ kind: 'broken', reason: flaw });
           request.destroy();
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -16,6 +16,7 @@
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { LogFields } from '../../core/logging/log-event.js';
+import { mayHaveBody } from '../http/answer-framing.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import { closeDelimitedHeaders, type ForwardedRequest } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
@@ -224,9 +225,7 @@
   /** Answers with a backend's complete answer. */
   answer(answer: CompleteAnswer): void {
     const { status, headers, body, serverId } = answer;
-    const length = ['Content-Length', String(body.length)];
-    const framing = answer.isCloseDelimited ? this.#delimitByClose(length) : length;
-    if (!this.#begin(status, [...headers, ...framing])) return;
+    if (!this.#begin(status, [...headers, ...this.#framingOf(answer)])) return;
     this.options.response.end(body);
     this.finish('answered', { status, server: serverId });
   }
@@ -320,6 +319,12 @@
     else this.refuse('out of time before it was sent', 0);
   }
 
+  #framingOf({ status, body, isCloseDelimited }: CompleteAnswer): RawHeaders {
+    if (!mayHaveBody(this.options.request.method, status)) return [];
+    const length = ['Content-Length', String(body.length)];
+    return isCloseDelimited ? this.#delimitByClose(length) : length;
+  }
+
   /**
    * Sends neither a length nor chunks, so that the caller's answer does not look more reliably complete than the
    * backend's. Between daemons the answer is framed, and a header tells how it ended at the backend.
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -4,7 +4,6 @@
  * otherwise the caller's connection is closed, so that the stream does not look complete.
  */
 import { type EnginePlan, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
-import { withoutConnectionHeaders } from '../http/headers.js';
 import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
 import {
   type AnsweredAttempt,
@@ -334,10 +333,9 @@
     if (this.#exchange.signal.aborted) return this.#endInterrupted();
     const isFinal = !this.#mayRunAgain() && !this.#relay.hasBegun;
     if (body === undefined || !isFinal || statusImpliesNotExecuted(answer.status)) return 'again';
-    const headers = withoutConnectionHeaders(answer.message.rawHeaders);
     this.#exchange.answer({
       status: answer.status,
-      headers,
+      headers: answer.forwardedHeaders,
       body,
       serverId: attempt.server.id,
       isCloseDelimited: answer.isCloseDelimited,
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -190,7 +190,7 @@
     const body = await answer.collect(MAX_ANSWER_BYTES);
     if (exchange.signal.aborted) return exchange.endInterrupted();
     if (body === undefined) return exchange.fail(502, 'the forwarded answer broke off');
-    const headers = withoutConnectionHeaders(message.rawHeaders);
+    const { forwardedHeaders: headers } = answer;
     exchange.answer({ status, headers, body, serverId: peer.name, isCloseDelimited });
   }
 }
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -3,7 +3,6 @@
  * response headers are sent with the first bytes of the body, so that a server that fails before can still be replaced.
  */
 import { type StreamServer, softwareVersionOf } from '../../core/gateway/index.js';
-import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
 import { EventBoundary } from './event-boundary.js';
@@ -183,10 +182,9 @@
   #write(source: RelaySource, bytes: Buffer): boolean {
     const { response, metrics } = this.#exchange.options;
     if (!this.#exchange.isAnswered) {
-      const { answer } = source;
-      const headers = withoutConnectionHeaders(answer.message.rawHeaders);
-      const { status } = answer;
-      if (!this.#exchange.beginStream(status, headers, isDelimitedByClose(source))) return true;
+      const { status, forwardedHeaders } = source.answer;
+      const isCloseDelimited = isDelimitedByClose(source);
+      if (!this.#exchange.beginStream(status, forwardedHeaders, isCloseDelimited)) return true;
       this.#exchange.stepTimesMs.firstEventMs = this.#exchange.elapsedMs();
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -9,7 +9,6 @@
   MAX_HOLD_SHARE,
   type ServerRecord,
 } from '../../core/gateway/index.js';
-import { withoutConnectionHeaders } from '../http/headers.js';
 import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
 import {
   type AttemptContext,
@@ -237,12 +236,11 @@
     if (statusImpliesNotExecuted(answer.status))
       return broken(`status ${answer.status} without its promise`);
     end(completeAnswerOutcome(answer.status));
-    const headers = withoutConnectionHeaders(answer.message.rawHeaders);
     return {
       kind: 'whole',
       answer: {
         status: answer.status,
-        headers,
+        headers: answer.forwardedHeaders,
         body,
         serverId: server.id,
         isCloseDelimited: answer.isCloseDelimited,
--- a/src/shell/http/answer-framing.ts
+++ b/src/shell/http/answer-framing.ts
@@ -3,6 +3,8 @@
 
 /** What marks the end of an answer's body. */
 export type AnswerFraming =
+  /** The head: such an answer has no body, whatever its headers say. */
+  | 'head'
   | 'length'
   | 'chunks'
   /** Only the end of the connection, so that a truncated answer cannot be told from a complete one. */
@@ -13,8 +15,20 @@
 /** A coding without effect, of RFC 2616; with it alone the body is as without a coding. */
 const IDENTITY = 'identity';
 
-/** What marks the end of the body of an answer with these headers. */
-export function answerFraming(headers: IncomingHttpHeaders): AnswerFraming {
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether a final answer with this status to a request with this method has a body. */
+export function mayHaveBody(method: string | undefined, status: number): boolean {
+  return method !== 'HEAD' && !BODILESS_STATUSES.has(status);
+}
+
+/** What marks the end of an answer to a request with this method. */
+export function answerFraming(
+  method: string,
+  status: number,
+  headers: IncomingHttpHeaders,
+): AnswerFraming {
+  if (!mayHaveBody(method, status)) return 'head';
   const codings = transferCodings(headers);
   const [only = IDENTITY] = codings;
   if (codings.length > 1) return 'unknown-coding';
