--- /dev/null
+++ b/test/http/cut-answers.test.ts
@@ -0,0 +1,101 @@
+/** A backend that stops in its answer and closes: callers of the product's own API got the part as a whole answer. */
+import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import { type TestContext, test } from 'node:test';
+import {
+  attemptOf,
+  call,
+  completionJson,
+  endFrames,
+  type Harness,
+  startHarness,
+  startRawBackend,
+  streamHead,
+  tokenFrame,
+} from './support.js';
+
+const STREAMED = { model: 'labels', prompt: 'p', stream: true };
+const UNSTREAMED = { model: 'labels', prompt: 'p' };
+const WHOLE = completionJson('whole');
+const ENDINGS = ['closes', 'resets'] as const;
+const UNKNOWN_CODINGS = ['gzip', 'chunked, gzip', 'gzip, chunked', 'identity', ''];
+
+/** An answer to an attempt, or what there is of it. */
+type Write = (attempt: string) => string;
+
+let write: Write = () => '';
+let ending: (typeof ENDINGS)[number] = 'closes';
+
+function answer(socket: Socket, text: string): void {
+  socket.write(write(attemptOf(text)), 'latin1', () => {
+    if (ending === 'closes') socket.end();
+    else setImmediate(() => socket.resetAndDestroy());
+  });
+}
+
+async function startAlone(t: TestContext): Promise<Harness> {
+  const backend = await startRawBackend('e1', answer);
+  const harness = await startHarness({ backends: [backend] });
+  t.after(async () => {
+    await harness.close();
+    await backend.close();
+  });
+  return harness;
+}
+
+function headOf(attempt: string, status: string, ...lines: readonly string[]): string {
+  const own = [`HTTP/1.1 ${status}`, `x-threadfork-attempt: ${attempt}`];
+  return [...own, 'content-type: application/json', ...lines, '', ''].join('\r\n');
+}
+
+const ANSWERS: Readonly<Record<string, { readonly body: object; readonly write: Write }>> = {
+  'an unstreamed answer': {
+    body: UNSTREAMED,
+    write: (attempt) => headOf(attempt, '200 OK', `content-length: ${WHOLE.length}`) + WHOLE,
+  },
+  'a stream': {
+    body: STREAMED,
+    write: (attempt) =>
+      streamHead(attempt) + tokenFrame(attempt, 0, 'a', true) + endFrames(attempt, 1),
+  },
+};
+
+for (const [name, { body, write: whole }] of Object.entries(ANSWERS)) {
+  // Guards against a success without the answer's end.
+  test(`${name} that is cut at any byte is not told as whole`, async (t) => {
+    const harness = await startAlone(t);
+    const { length } = whole('d1-1-10.1');
+    for (ending of ENDINGS) {
+      for (let cut = 0; cut < length - 1; cut += cut < 200 ? 1 : 17) {
+        write = (attempt) => whole(attempt).slice(0, cut);
+        const got = await call(harness.port, '/v1/completions', { body });
+        const isFailure = got.status >= 500 || got.broken || got.body.includes('"error"');
+        assert.ok(isFailure, `${cut} ${ending}: ${got.status} ${got.body}`);
+      }
+    }
+  });
+}
+
+// Guards against an engine's error whose end only a close tells.
+test('an error in the request that has no length and is cut is not told as the whole answer', async (t) => {
+  const harness = await startAlone(t);
+  for (ending of ENDINGS) {
+    for (const body of [STREAMED, UNSTREAMED]) {
+      write = (attempt) => `${headOf(attempt, '400 Bad')}{"error":{"mess`;
+      const got = await call(harness.port, '/v1/completions', { body });
+      assert.notEqual(got.status, 400, got.body);
+    }
+  }
+});
+
+// Guards against an answer whose end only a close tells, framed as whole since it names a transfer coding.
+test('an answer in a transfer coding other than chunked is none', async (t) => {
+  const harness = await startAlone(t);
+  for (ending of ENDINGS) {
+    for (const coding of UNKNOWN_CODINGS) {
+      write = () => `HTTP/1.1 200 OK\r\ntransfer-encoding: ${coding}\r\n\r\npart`;
+      const got = await call(harness.port, '/sheets/1');
+      assert.ok(got.status >= 500, `${coding} ${ending}: ${got.status} ${got.body}`);
+    }
+  }
+});
