The API passes on no answer whose end only a close tells

Callers of the product's own API got an engine's 400, 413 or 422 to a stream with a Content-Length of what had arrived, and a web backend's answer in a transfer coding other than chunked as whole, where the backend had cut either by a close or a reset.

Cause: only answers that are passed on unchanged were asked for a length, and any Transfer-Encoding header counted as chunks, though such an answer ends with its connection (RFC 9112 section 6.3) and undici reports that end, and a reset, as complete.

Both kinds of attempt decide by answerFraming, as the gateway does. Streams and refusals tell their end in the body and are as before.

--- a/src/shell/http/backend-attempt.ts
+++ b/src/shell/http/backend-attempt.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher, Pool } from 'undici';
 import { GRANT_LAPSED, type RequestEffect } from '../../core/requests/index.js';
 import type { ActiveRequest } from './active-request.js';
+import { type AnswerFraming, answerFraming } from './answer-framing.js';
 import { EngineRefusal, isRefusalStatus } from './engine-refusal.js';
 import { singleValue } from './headers.js';
 
@@ -85,6 +86,10 @@
     headers: IncomingHttpHeaders,
   ): void {
     if (this.#ended || status < 200) return;
+    if (this.framingOf(status, headers) === 'unknown-coding') {
+      this.abortAsBroken('transfer-coding');
+      return;
+    }
     if (this.request.description.target.kind === 'web') {
       this.onAnswerStart(status, headers);
       return;
@@ -133,6 +138,11 @@
   /** Called when the backend has ended that answer. */
   protected abstract onAnswerEnd(): void;
 
+  /** What marks the end of an answer with this head. */
+  protected framingOf(status: number, headers: IncomingHttpHeaders): AnswerFraming {
+    return answerFraming(this.request.call.method, status, headers);
+  }
+
   protected get over(): boolean {
     return this.#ended;
   }
--- a/src/shell/http/pass-through-attempt.ts
+++ b/src/shell/http/pass-through-attempt.ts
@@ -4,6 +4,7 @@
  * chunk.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import { mayHaveBody } from './answer-framing.js';
 import { BackendAttempt, contentLengthOf } from './backend-attempt.js';
 import type { TokenUsage } from './chunk-rewriter.js';
 import { responseHeadersToCaller } from './headers.js';
@@ -16,8 +17,6 @@
   readonly length: number | null;
 }
 
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** An attempt whose answer is forwarded unchanged. */
 export class PassThroughAttempt extends BackendAttempt {
   #start: AnswerStart | null = null;
@@ -27,7 +26,7 @@
 
   protected override onAnswerStart(status: number, headers: IncomingHttpHeaders): void {
     const length = contentLengthOf(headers);
-    if (length === null && !this.#isLengthOptional(status, headers)) {
+    if (this.framingOf(status, headers) === 'close') {
       this.abortAsBroken('no-length');
       return;
     }
@@ -92,18 +91,11 @@
   }
 
   #isComplete(start: AnswerStart): boolean {
-    if (start.length === null || this.#isBodiless(start.status)) return true;
+    const hasBody = mayHaveBody(this.request.call.method, start.status);
+    if (start.length === null || !hasBody) return true;
     return this.#receivedBytes === start.length;
   }
 
-  #isLengthOptional(status: number, headers: IncomingHttpHeaders): boolean {
-    return headers['transfer-encoding'] !== undefined || this.#isBodiless(status);
-  }
-
-  #isBodiless(status: number): boolean {
-    return this.request.call.method === 'HEAD' || BODILESS_STATUSES.has(status);
-  }
-
   #callerHeaders(
     headers: IncomingHttpHeaders,
     length: number | null,
--- a/src/shell/http/stream-attempt.ts
+++ b/src/shell/http/stream-attempt.ts
@@ -74,7 +74,7 @@
   done(): void {}
 
   protected override onAnswerStart(status: number, headers: IncomingHttpHeaders): void {
-    if (status !== 200) this.#startRequestError(status);
+    if (status !== 200) this.#startRequestError(status, headers);
     else if (!(headers['content-type'] ?? '').startsWith(EVENT_STREAM))
       this.abortAsBroken('not-a-stream');
   }
@@ -103,8 +103,9 @@
     else this.#forwardRequestError(this.#requestErrorAnswer);
   }
 
-  #startRequestError(status: number): void {
+  #startRequestError(status: number, headers: IncomingHttpHeaders): void {
     if (this.request.headersForwarded) this.abortAsBroken(`status-${status}`);
+    else if (this.framingOf(status, headers) === 'close') this.abortAsBroken('no-length');
     else this.#requestErrorAnswer = { status, chunks: [], bytes: 0 };
   }
 
