--- a/test/gateway/close-delimited-streams.test.ts
+++ b/test/gateway/close-delimited-streams.test.ts
@@ -171,3 +171,35 @@
   await start([script, script]);
   await assert.rejects(call('/read/1'), /ECONNRESET/);
 });
+
+const EMPTY: Script = (served) => {
+  if (served.seen.method !== 'POST') return rejectingAsNotExecuted(served);
+  sendUnframed(served, '');
+};
+
+// Guards against an empty success of a server that closes its connection after the head.
+test('a stream without length or chunks that ends before its first event is not told as whole', async () => {
+  await start([EMPTY, EMPTY]);
+  for (const path of ['/read/1', '/check/1']) {
+    const answer = await call(path);
+    assert.match(answer, /^HTTP\/1\.1 502 /, path);
+  }
+});
+
+test('a stream without length or chunks that ends before its first event is run at another engine', async () => {
+  const scripts: Script[] = [EMPTY, (served) => sendUnframed(served, FIRST + SECOND)];
+  const script: Script = (served) =>
+    served.seen.method === 'POST' ? scripts.shift()?.(served) : rejectingAsNotExecuted(served);
+  await start([script, script]);
+  const answer = await call('/check/1');
+  assert.ok(answer.endsWith(`\r\n\r\n${FIRST}${SECOND}`), answer);
+});
+
+test('a stream that broke after its last event and has none left at another engine is whole', async () => {
+  const scripts: Script[] = [(served) => sendUnframed(served, FIRST + TORN), EMPTY];
+  const script: Script = (served) =>
+    served.seen.method === 'POST' ? scripts.shift()?.(served) : rejectingAsNotExecuted(served);
+  await start([script, script]);
+  const answer = await call('/check/1');
+  assert.ok(answer.endsWith(`\r\n\r\n${FIRST}`), answer);
+});
