A stream that ends before its first event by a close is broken

Callers of streams saw 200 with an empty body and an ordinary end, where a server that runs on had closed its connection after the head.

Cause: of an answer whose end only a close marks, the relay asked whether it ended inside an event, and an answer without any bytes does not. A stream has at least one event, so one that ends before it was cut, unless it takes up another part, which may have broken after the last event.

Nothing has been sent to the caller by then: the request goes to another engine where its route allows a second run, and gets 502 otherwise.

--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -146,7 +146,7 @@
         }
       });
       message.once('end', () => {
-        const isWhole = answer.isComplete && !isTorn(source, boundary);
+        const isWhole = answer.isComplete && !this.#isCutShort(source, boundary);
         afterFirstEvent(() => {
           if (isWhole && isDelimitedByClose(source)) checkForCrash();
           else settle(isWhole ? 'complete' : 'broken');
@@ -173,6 +173,21 @@
     });
   }
 
+  /**
+   * Whether a stream of events whose end only the close of its connection marks has ended inside an event or before its
+   * first one. A part that takes the stream up may have no events: the one before may have broken after the last.
+   */
+  #isCutShort(source: RelaySource, { isInsideEvent, hasCompleteEvent }: EventBoundary): boolean {
+    const type = source.answer.message.headers['content-type'] ?? EVENT_STREAM;
+    if (!isDelimitedByClose(source) || !type.startsWith(EVENT_STREAM)) return false;
+    return isInsideEvent || (!hasCompleteEvent && !this.#takesUp);
+  }
+
+  /** Whether events of the stream have been sent before, by this daemon or in an earlier attempt of the caller. */
+  get #takesUp(): boolean {
+    return this.hasBegun || this.#exchange.options.description.resumption !== undefined;
+  }
+
   #follow(boundary: EventBoundary, chunk: Buffer): void {
     const hadBegun = boundary.hasCompleteEvent;
     boundary.push(chunk);
@@ -199,12 +214,6 @@
   return isCloseDelimited ?? answer.isCloseDelimited;
 }
 
-/** Whether a stream of events whose end only the close of its connection marks has ended inside an event. */
-function isTorn(source: RelaySource, { isInsideEvent }: EventBoundary): boolean {
-  const type = source.answer.message.headers['content-type'] ?? EVENT_STREAM;
-  return isInsideEvent && isDelimitedByClose(source) && type.startsWith(EVENT_STREAM);
-}
-
 function outcomeOf(result: RelayResult): AnswerOutcome {
   switch (result) {
     case 'complete':
