A forwarded answer that a close ends is no daemon's

A request that was forwarded could get a part of an answer as whole: one with neither a length nor chunks was given a length, or chunks with their end, by the daemon that forwards.

Cause: how the answer ended at its server is read from a header of the hop, and the hop's own framing was taken for granted. Daemons frame all answers to one another, so an answer without is of something else at that address, and only the close of its connection marks its end: it counts as broken, 502.

--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -182,6 +182,11 @@
 
   async #relay(peer: PeerDaemon, exchange: Exchange, answer: BackendAnswer): Promise<void> {
     const { status, message } = answer;
+    // A daemon frames all its answers, so this is something else at its address, and may be cut.
+    if (answer.isCloseDelimited) {
+      answer.destroy();
+      return exchange.fail(502, 'the forwarded answer has no length');
+    }
     const isCloseDelimited = wasCloseDelimited(message.headers);
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && exchange.options.route.kind === 'streaming') {
