--- a/test/gateway/cut-hops.test.ts
+++ b/test/gateway/cut-hops.test.ts
@@ -97,8 +97,19 @@
     socket.on('error', () => undefined);
     socket.once('data', () => cut(socket));
   });
-  peer.listen(port, '127.0.0.1');
-  await once(peer, 'listening');
+  await listen(peer, port);
+}
+
+/** Listens once the port is free: until then, a connection that is being opened may have it. */
+async function listen(listener: Server, port: number | undefined): Promise<void> {
+  const isTaken = (error: NodeJS.ErrnoException): boolean => {
+    assert.equal(error.code, 'EADDRINUSE');
+    return true;
+  };
+  for (let mustWait = true; mustWait; ) {
+    listener.listen(port, '127.0.0.1');
+    mustWait = await once(listener, 'listening').then(() => false, isTaken);
+  }
 }
 
 function cut(socket: Socket): void {
