--- a/test/http/cut-answers.test.ts
+++ b/test/http/cut-answers.test.ts
@@ -99,3 +99,45 @@
     }
   }
 });
+
+test('answers that have no body are passed on without a length', async (t) => {
+  const harness = await startAlone(t);
+  ending = 'closes';
+  for (const [method, status] of [
+    ['HEAD', 200],
+    ['GET', 204],
+    ['GET', 304],
+  ] as const) {
+    write = () => `HTTP/1.1 ${status} OK\r\nx-own: 1\r\n\r\n`;
+    const got = await call(harness.port, '/sheets/1', { method });
+    assert.deepEqual([got.status, got.broken, got.body], [status, false, '']);
+    assert.equal(got.headers['x-own'], '1');
+  }
+});
+
+// Guards against bytes after an answer that the next request on the connection gets as its own.
+test('the beginning of an answer that no request waits for is no part of the next one', async (t) => {
+  const first = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst';
+  const other = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother';
+  let sent: readonly string[] = [];
+  const answered = new WeakMap<Socket, number>();
+  const backend = await startRawBackend('e1', (socket) => {
+    const before = answered.get(socket) ?? 0;
+    answered.set(socket, before + 1);
+    socket.write(sent[before] ?? '', 'latin1', () => {
+      if (before > 0) socket.end();
+    });
+  });
+  const harness = await startHarness({ backends: [backend] });
+  t.after(async () => {
+    await harness.close();
+    await backend.close();
+  });
+  for (let end = 1; end <= other.length; end += 1) {
+    sent = [first + other.slice(0, end), other.slice(end)];
+    const answers = [await call(harness.port, '/sheets/1'), await call(harness.port, '/sheets/2')];
+    for (const { status, broken, body } of answers) {
+      assert.ok(status >= 500 || broken || body === 'first', `${end}: ${status} ${body}`);
+    }
+  }
+});
