--- a/test/gateway/request-forwarding.test.ts
+++ b/test/gateway/request-forwarding.test.ts
@@ -24,6 +24,7 @@
   rejectingAsNotExecuted,
   type ServedRequest,
   type ServerStandIn,
+  sendCut,
   stamped,
 } from './support/server-stand-in.js';
 
@@ -168,6 +169,19 @@
   assert.equal(arrivals(), 1);
 });
 
+test('a forwarded request whose server stops in the head of its answer may have run, and is not sent again', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  for (const ending of ['closes', 'resets'] as const) {
+    for (const viewer of viewers) {
+      viewer.script = (served) => sendCut(served, 'HTTP/1.1 200 OK\r\nContent-Le', ending);
+    }
+    const before = arrivals();
+    assert.equal((await call({ path: '/scans/1' })).status, 502);
+    assert.equal(arrivals() - before, 1);
+  }
+});
+
 test('a request goes on to a third daemon where the second one is gone before it was sent', async () => {
   await startDaemons(3);
   await cutOff(0);
