--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -3,7 +3,6 @@
  * response headers are sent with the first bytes of the body, so that a server that fails before can still be replaced.
  */
 import { type StreamServer, softwareVersionOf } from '../../core/gateway/index.js';
-import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
 import { EventBoundary } from './event-boundary.js';
@@ -147,7 +146,7 @@
         }
       });
       message.once('end', () => {
-        const isWhole = answer.isComplete && !isTorn(source, boundary);
+        const isWhole = answer.isComplete && !this.#isCutShort(source, boundary);
         afterFirstEvent(() => {
           if (isWhole && isDelimitedByClose(source)) checkForCrash();
           else settle(isWhole ? 'complete' : 'broken');
@@ -174,6 +173,21 @@
     });
   }
 
+  /**
+   * Whether a stream of events whose end only the close of its connection marks has ended inside an event or before its
+   * first one. A part that takes the stream up may have no events: the one before may have broken after the last.
+   */
+  #isCutShort(source: RelaySource, { isInsideEvent, hasCompleteEvent }: EventBoundary): boolean {
+    const type = source.answer.message.headers['content-type'] ?? EVENT_STREAM;
+    if (!isDelimitedByClose(source) || !type.startsWith(EVENT_STREAM)) return false;
+    return isInsideEvent || (!hasCompleteEvent && !this.#takesUp);
+  }
+
+  /** Whether events of the stream have been sent before, by this daemon or in an earlier attempt of the caller. */
+  get #takesUp(): boolean {
+    return this.hasBegun || this.#exchange.options.description.resumption !== undefined;
+  }
+
   #follow(boundary: EventBoundary, chunk: Buffer): void {
     const hadBegun = boundary.hasCompleteEvent;
     boundary.push(chunk);
@@ -183,10 +197,9 @@
   #write(source: RelaySource, bytes: Buffer): boolean {
     const { response, metrics } = this.#exchange.options;
     if (!this.#exchange.isAnswered) {
-      const { answer } = source;
-      const headers = withoutConnectionHeaders(answer.message.rawHeaders);
-      const { status } = answer;
-      if (!this.#exchange.beginStream(status, headers, isDelimitedByClose(source))) return true;
+      const { status, forwardedHeaders } = source.answer;
+      const isCloseDelimited = isDelimitedByClose(source);
+      if (!this.#exchange.beginStream(status, forwardedHeaders, isCloseDelimited)) return true;
       this.#exchange.stepTimesMs.firstEventMs = this.#exchange.elapsedMs();
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
@@ -201,12 +214,6 @@
   return isCloseDelimited ?? answer.isCloseDelimited;
 }
 
-/** Whether a stream of events whose end only the close of its connection marks has ended inside an event. */
-function isTorn(source: RelaySource, { isInsideEvent }: EventBoundary): boolean {
-  const type = source.answer.message.headers['content-type'] ?? EVENT_STREAM;
-  return isInsideEvent && isDelimitedByClose(source) && type.startsWith(EVENT_STREAM);
-}
-
 function outcomeOf(result: RelayResult): AnswerOutcome {
   switch (result) {
     case 'complete':
