Gauges of memory and of the event loop; a warning before V8's heap limit

A process that V8 ends at its heap limit leaves no line that says what held the memory. The metrics now have the heap in use, its most since the start, its limit, memory outside of it and resident memory, open sockets, bytes of bodies and how late the event loop was; event 6230 names the counts once the heap passes four fifths of its limit, at most every 10 s.

Reading bodies has a module of its own, which counts what is held.

--- a/src/core/gateway/prefix-cache-index.ts
+++ b/src/core/gateway/prefix-cache-index.ts
@@ -34,6 +34,13 @@
 export class PrefixCacheIndex {
   readonly #byEngine = new Map<string, Map<string, CachedPart>>();
 
+  /** Entries of all engines. */
+  get size(): number {
+    let entries = 0;
+    for (const parts of this.#byEngine.values()) entries += parts.size;
+    return entries;
+  }
+
   /** Records the engine's own report of how many tokens of a part it has cached; 0 after an eviction. */
   confirm(engineId: string, partId: string, tokens: number): void {
     this.#store(engineId, partId, {
--- a/src/core/logging/catalogue/index.ts
+++ b/src/core/logging/catalogue/index.ts
@@ -15,6 +15,7 @@
 import { ORDER_EVENTS } from './orders.js';
 import { PEER_EVENTS } from './peer.js';
 import { REQUEST_EVENTS } from './requests.js';
+import { RESOURCE_EVENTS } from './resources.js';
 import { ROLE_EVENTS } from './roles.js';
 import { SETTINGS_EVENTS } from './settings.js';
 
@@ -23,7 +24,7 @@
   /** Name of the area's file in this folder, without its extension. */
   readonly name: string;
   readonly title: string;
-  /** The first of the area's hundred numbers. */
+  /** The first of the area's numbers, of which it has at most a hundred. */
   readonly firstNumber: number;
   readonly events: Readonly<Record<string, LogEvent>>;
 }
@@ -67,4 +68,10 @@
     firstNumber: 6100,
     events: DEPARTURE_EVENTS,
   },
+  {
+    name: 'resources',
+    title: 'Resources of the process',
+    firstNumber: 6230,
+    events: RESOURCE_EVENTS,
+  },
 ];
--- /dev/null
+++ b/src/core/logging/catalogue/resources.ts
@@ -0,0 +1,13 @@
+/** Log events 6230-6239: resources of the process that run short. */
+import type { LogEvent } from '../log-event.js';
+
+export const RESOURCE_EVENTS = {
+  heapNearLimit: {
+    number: 6230,
+    level: 'warn',
+    message:
+      'the heap in use has passed four fifths of its limit; at the limit the process ends, whatever memory the machine has',
+    remedy:
+      'Look at what the line counts: requests and bytes of bodies call for more daemons or smaller limits in the configuration. If none of them is large, raise --max-old-space-size in the command line and report the line with the build of event 6000.',
+  },
+} as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -8,6 +8,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
+import { BodyReader } from './body-reader.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -67,6 +68,7 @@
   #stopsAtMs: number | undefined;
   /** The answers of requests that have no final answer yet. */
   readonly #open = new Set<ServerResponse>();
+  readonly #bodies = new BodyReader();
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -86,6 +88,11 @@
     return this.#open.size;
   }
 
+  /** Bytes that are held of the bodies of requests whose answers have not ended. */
+  get bodyBytes(): number {
+    return this.#bodies.heldBytes;
+  }
+
   get server(): Server {
     return this.#server;
   }
@@ -153,7 +160,11 @@
     if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
-    const body = await readBody(request, inForce.configuration.limits.maxBodyBytes);
+    const body = await this.#bodies.read(
+      request,
+      response,
+      inForce.configuration.limits.maxBodyBytes,
+    );
     if (body === 'too-large') return this.#reject(request, response, 413, 'body too large', []);
     if (body === 'broken') return;
     const { tenant } = admission;
@@ -238,7 +249,7 @@
     response: ServerResponse,
     reason: string,
   ): Promise<void> {
-    await readBody(request, Number.POSITIVE_INFINITY);
+    await this.#bodies.read(request, response, Number.POSITIVE_INFINITY);
     this.#reject(request, response, 503, reason, notTakenHeaders(reason));
   }
 
@@ -323,23 +334,3 @@
   for (const text of request.rawHeaders) bytes += text.length;
   return bytes + (request.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
 }
-
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | 'too-large' | 'broken'> {
-  const declaredBytes = Number(request.headers['content-length'] ?? 0);
-  if (declaredBytes > maxBytes) return Promise.resolve('too-large');
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    request.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > maxBytes) return resolve('too-large');
-      chunks.push(chunk);
-    });
-    request.once('end', () => resolve(Buffer.concat(chunks)));
-    request.once('close', () => resolve('broken'));
-    request.once('error', () => resolve('broken'));
-  });
-}
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -10,6 +10,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { LimitCoordinator } from './limit-coordinator.js';
 import type { GatewayLog } from './request-log.js';
+import { openSockets, type ResourceMonitor } from './resource-monitor.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
 import type { StreamContinuity } from './stream-continuity.js';
 import type { TimerService } from './timer-service.js';
@@ -30,7 +31,7 @@
     | 'storeEra'
     | 'unreadTables'
   >;
-  readonly callers: Pick<CallerListener, 'inFlight'>;
+  readonly callers: Pick<CallerListener, 'inFlight' | 'bodyBytes'>;
   readonly connections: Pick<BackendConnections, 'openedTotal'>;
   readonly admission: Pick<AdmissionGate, 'waiting'>;
   readonly limits: Pick<LimitCoordinator, 'grantedServers'>;
@@ -39,6 +40,7 @@
   readonly streams: Pick<StreamContinuity, 'recordCount'>;
   readonly duties: () => Pick<Duties, 'capacitySummaries'>;
   readonly webWork: Pick<WebWork, 'unreadableTotal'>;
+  readonly resources: Pick<ResourceMonitor, 'memoryBytes' | 'takeWorstLateMs'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'droppedTotal' | 'faultsTotal'>;
 }
@@ -63,6 +65,12 @@
     'build',
     () => new Map([[sources.build, 1]]),
   );
+  metrics.addLabelledGauge(
+    'threadfork_gateway_memory_bytes',
+    'Memory of this process; at heap-limit V8 ends it, heap-used-most is since the start',
+    'kind',
+    () => sources.resources.memoryBytes(),
+  );
   metrics.addLabelledGauge(
     'threadfork_gateway_engine_pace',
     'Pace of an engine against the usual one of its service, of those that differ most',
@@ -73,7 +81,7 @@
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
   const { fleet, follower, callers, connections, admission, limits, crashes, webWork } = sources;
-  const { paths, streams, timers, log } = sources;
+  const { paths, streams, resources, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -146,6 +154,26 @@
       help: 'Requests without a final answer',
       read: () => callers.inFlight,
     },
+    {
+      name: 'request_body_bytes',
+      help: 'Bytes held of the bodies of requests whose answers have not ended',
+      read: () => callers.bodyBytes,
+    },
+    {
+      name: 'cached_parts',
+      help: 'Parts of prompts that servers are believed to have cached, as far as this daemon knows',
+      read: () => fleet.prefixIndex.size,
+    },
+    {
+      name: 'open_sockets',
+      help: 'Open sockets of this process, those that listen included',
+      read: openSockets,
+    },
+    {
+      name: 'loop_late_most_ms',
+      help: 'How late the event loop was at most since the metrics were last read',
+      read: () => resources.takeWorstLateMs(),
+    },
     {
       name: 'requests_waiting',
       help: 'Requests that wait for room',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { RelayDigest } from './relay-digest.js';
 import { RequestForwarder } from './request-forwarder.js';
 import type { GatewayLog } from './request-log.js';
+import { ResourceMonitor, readHeap } from './resource-monitor.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
 import { RosterCacheEventDuty } from './roster-cache-event-duty.js';
 import { ServerCalls } from './server-calls.js';
@@ -124,6 +125,7 @@
   readonly #exitCheck: ServerExitCheck;
   readonly #departureReports: DepartureReports;
   readonly #stalls: StallMonitor;
+  readonly #resources: ResourceMonitor;
   readonly #forwardingListener: ForwardingListener;
   readonly #confirmations: Confirmations;
   #isRelay = false;
@@ -205,6 +207,7 @@
       timers: this.#suspensionAwareTimers,
       log,
     });
+    this.#resources = this.#createResourceMonitor();
     this.#departureReports = new DepartureReports({
       build,
       drainMs: settings.bounds.drainMs,
@@ -351,6 +354,7 @@
       streams: this.#streams,
       duties: () => this.#duties,
       webWork,
+      resources: this.#resources,
       timers,
       log,
     });
@@ -361,6 +365,7 @@
     const { settings, adapter, log } = this.#options;
     const { callers, readiness, metrics, peers } = settings.listen;
     this.#stalls.start();
+    this.#resources.start();
     this.#follower.start();
     this.#crashes.start();
     this.#stages.start();
@@ -417,6 +422,7 @@
   abort(): void {
     this.#isStopping = true;
     this.#stalls.stop();
+    this.#resources.stop();
     this.#follower.stop();
     this.#confirmations.stop();
     this.#crashes.stop();
@@ -447,6 +453,21 @@
     return this.#peers === undefined || this.#roster.knowsFleetDemand(this.#isRelay);
   }
 
+  #createResourceMonitor(): ResourceMonitor {
+    const { timers, log } = this.#options;
+    return new ResourceMonitor({
+      readHeap,
+      holders: () => ({
+        requestsInFlight: this.#callers.inFlight,
+        bodyBytes: this.#callers.bodyBytes,
+        streamRecords: this.#streams.recordCount,
+        cachedParts: this.#fleet.prefixIndex.size,
+      }),
+      timers,
+      log,
+    });
+  }
+
   #createLimits(): LimitCoordinator {
     const { settings, timers, log } = this.#options;
     return new LimitCoordinator({
--- /dev/null
+++ b/src/shell/gateway/resource-monitor.ts
@@ -0,0 +1,126 @@
+/**
+ * Watches what this process uses: its heap against V8's limit, at which the process ends although the machine may have
+ * room, its memory outside of the heap, and how late the event loop is. Readings of the heap are cheap, as they make no
+ * system call; the other ones are taken only when the metrics are scraped.
+ */
+import { getHeapStatistics } from 'node:v8';
+import { RESOURCE_EVENTS } from '../../core/logging/catalogue/resources.js';
+import type { GatewayLog } from './request-log.js';
+import type { CancelTimer, TimerService } from './timer-service.js';
+
+const TICK_MS = 100;
+/** Above this share of V8's limit, collections take ever more time and a burst may end the process. */
+const WARNED_HEAP_SHARE = 0.8;
+const WARNING_INTERVAL_MS = 10_000;
+const BYTES_PER_MEGABYTE = 1_048_576;
+
+/** What the memory of a gateway is used for, as counts and bytes. */
+export interface MemoryHolders {
+  readonly requestsInFlight: number;
+  /** Of the requests that have not ended. */
+  readonly bodyBytes: number;
+  readonly streamRecords: number;
+  readonly cachedParts: number;
+}
+
+/** The heap of the process. */
+export interface HeapReading {
+  readonly usedBytes: number;
+  readonly limitBytes: number;
+}
+
+/** Dependencies of a `ResourceMonitor`. */
+export interface ResourceMonitorOptions {
+  readonly readHeap: () => HeapReading;
+  readonly holders: () => MemoryHolders;
+  readonly timers: TimerService;
+  readonly log: Pick<GatewayLog, 'write'>;
+}
+
+/** The resources of one process. */
+export class ResourceMonitor {
+  readonly #options: ResourceMonitorOptions;
+  #nextTickMs = 0;
+  #cancelTick: CancelTimer | undefined;
+  #worstLateMs = 0;
+  #mostHeapBytes = 0;
+  #warnedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: ResourceMonitorOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    const { timers } = this.#options;
+    this.#nextTickMs = timers.nowMs() + TICK_MS;
+    this.#cancelTick = timers.after(TICK_MS, () => {
+      this.#check();
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.#cancelTick?.();
+  }
+
+  /** How late the event loop was at most since the last call: a task that takes longer than this held it up. */
+  takeWorstLateMs(): number {
+    const worstMs = this.#worstLateMs;
+    this.#worstLateMs = 0;
+    return worstMs;
+  }
+
+  /** The memory of the process by kind, in bytes. */
+  memoryBytes(): ReadonlyMap<string, number> {
+    const { rss, heapTotal, external, arrayBuffers } = process.memoryUsage();
+    const { usedBytes, limitBytes } = this.#options.readHeap();
+    return new Map([
+      ['heap-used', usedBytes],
+      ['heap-used-most', Math.max(usedBytes, this.#mostHeapBytes)],
+      ['heap-total', heapTotal],
+      ['heap-limit', limitBytes],
+      ['external', external],
+      ['array-buffers', arrayBuffers],
+      ['resident', rss],
+    ]);
+  }
+
+  #check(): void {
+    const { timers, readHeap } = this.#options;
+    const nowMs = timers.nowMs();
+    this.#worstLateMs = Math.max(this.#worstLateMs, nowMs - this.#nextTickMs);
+    const heap = readHeap();
+    this.#mostHeapBytes = Math.max(this.#mostHeapBytes, heap.usedBytes);
+    const isNearLimit = heap.usedBytes > WARNED_HEAP_SHARE * heap.limitBytes;
+    if (isNearLimit && nowMs - this.#warnedAtMs >= WARNING_INTERVAL_MS) this.#warn(heap, nowMs);
+  }
+
+  #warn({ usedBytes, limitBytes }: HeapReading, nowMs: number): void {
+    const { log, holders } = this.#options;
+    this.#warnedAtMs = nowMs;
+    const { rss, external } = process.memoryUsage();
+    log.write(RESOURCE_EVENTS.heapNearLimit, {
+      heapMb: megabytes(usedBytes),
+      limitMb: megabytes(limitBytes),
+      externalMb: megabytes(external),
+      residentMb: megabytes(rss),
+      ...holders(),
+    });
+  }
+}
+
+/** The heap as V8 counts it. */
+export function readHeap(): HeapReading {
+  const { used_heap_size: usedBytes, heap_size_limit: limitBytes } = getHeapStatistics();
+  return { usedBytes, limitBytes };
+}
+
+/** Open sockets of the process, those that listen included. */
+export function openSockets(): number {
+  const isSocket = (resource: string) => resource.startsWith('TCP') || resource.startsWith('UDP');
+  return process.getActiveResourcesInfo().filter(isSocket).length;
+}
+
+function megabytes(bytes: number): number {
+  return Math.round(bytes / BYTES_PER_MEGABYTE);
+}
