Reject requests that there is no memory for before they are read

Cause: nothing bounded what requests in flight hold. Their objects and headers fill the heap up to V8's limit, at which the process ends (SIGABRT) whatever the machine has; their bodies, twice, and answers that are held whole take the rest of the machine's memory, at which the system ends it.

A ledger accounts for both: headers and a fixed cost in the heap, the declared length of a body, and answers and events as they are held. What does not fit is rejected with 503 and Retry-After (or left to another daemon, where it was forwarded) before it is read; nothing of it is kept. The limits follow from V8's heap limit and from the machine's memory, limits.memoryMb in the settings. Event 6231 says how many were rejected, at most every 10 s.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -93,6 +93,12 @@
   type UnusedPermits,
 } from './limit-permits.js';
 export type { LineSums } from './line-samples.js';
+export {
+  MemoryLedger,
+  type MemoryReservation,
+  type RequestMemory,
+  requestMemoryLimits,
+} from './memory-ledger.js';
 export {
   type AdvertisedLimit,
   type AnswerTimes,
--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -10,4 +10,11 @@
     remedy:
       'Look at what the line counts: requests and bytes of bodies call for more daemons or smaller limits in the configuration. If none of them is large, raise --max-old-space-size in the command line and report the line with the build of event 6000.',
   },
+  requestsBeyondMemory: {
+    number: 6231,
+    level: 'warn',
+    message: 'requests were rejected before they were read, as there was no memory for them',
+    remedy:
+      'Their callers come back, also to other daemons. If it repeats, add daemons or memory (limits.memoryMb), or make maxBodyBytes and maxHeaderBytes of the configuration smaller.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -13,7 +13,11 @@
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import { CONNECT_TIMEOUT_MS, isFinalStatus } from '../../core/gateway/index.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  isFinalStatus,
+  type MemoryReservation,
+} from '../../core/gateway/index.js';
 import { resetSocket } from '../http/reset-socket.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
@@ -150,15 +154,21 @@
     message.once('close', cancel);
   }
 
-  /** The complete body, or undefined when it broke off or is too large. */
-  collect(maxBytes: number): Promise<Buffer | undefined> {
+  /**
+   * The complete body, or undefined when it broke off, is too large or there is no memory for it.
+   * @param memory of the request that the body is held for; undefined for a call of this daemon's own
+   */
+  collect(maxBytes: number, memory?: Pick<MemoryReservation, 'grow'>): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      let chunks: Buffer[] = [];
       let length = 0;
       this.message.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
         length += chunk.length;
-        if (length > maxBytes) this.destroy();
+        const isHeld = length <= maxBytes && (memory === undefined || memory.grow(chunk.length));
+        if (isHeld) return;
+        chunks = [];
+        this.destroy();
       });
       this.message.once('end', () => resolve(this.isComplete ? Buffer.concat(chunks) : undefined));
       this.message.once('close', () => resolve(undefined));
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,11 +4,11 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Route, Tenant } from '../../core/gateway/index.js';
+import type { MemoryLedger, MemoryReservation, Route, Tenant } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
-import { BodyReader } from './body-reader.js';
+import { BodyReader, discardBody, headerBytes } from './body-reader.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -20,19 +20,22 @@
 import { refuseResumption } from './refuse-unavailable.js';
 import type { GatewayLog } from './request-log.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
-import type { TimerService } from './timer-service.js';
+import { delay, type TimerService } from './timer-service.js';
 import { runWebExchange } from './web-exchange.js';
 
 /** Limit of the HTTP parser; the configured limit is checked after parsing. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
-const HEADER_OVERHEAD_BYTES = 4;
 const MILLISECONDS_PER_SECOND = 1_000;
-const UNPREPARED_RETRY_AFTER_MS = 1_000;
+const REJECTED_RETRY_AFTER_MS = 1_000;
+const NO_MEMORY_REASON = 'no memory for more requests';
+/** A caller that sends the rest of its body by then reads why it was rejected; its connection is closed anyway. */
+const DISCARD_MS = 200;
 const CONNECTION_CHECK_MS = 1_000;
 const DEFAULT_IDLE_MS = 15_000;
 /** Enough digits to find the tenant of a key in the log, and too few to recover the key. */
 const KEY_DIGEST_DIGITS = 8;
 const CUT_OFF_REASON = 'this daemon is cut off from the servers';
+const RETRY_LATER = ['Retry-After', String(REJECTED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND)];
 /** A 401 names the authentication scheme (RFC 9110 section 11.6.1). */
 const CHALLENGE = ['WWW-Authenticate', 'ApiKey'] as const;
 
@@ -42,6 +45,9 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  readonly memory: Pick<MemoryLedger, 'reserve'>;
+  /** Called for each request that was rejected as there was no memory for it. */
+  readonly onNoMemory: () => void;
   readonly paths: Pick<ServicePathMonitor, 'isLost'>;
   /** Time since the last check for a newer configuration. */
   readonly configurationCheckAgeMs: () => number;
@@ -55,6 +61,7 @@
   readonly route: Route;
   readonly tenant: Tenant | undefined;
   readonly body: Buffer;
+  readonly memory: MemoryReservation;
   readonly arrivedAtMs: number;
   /** Set for a request that another daemon has forwarded. */
   readonly forwarded: ForwardedRequest | undefined;
@@ -68,10 +75,11 @@
   #stopsAtMs: number | undefined;
   /** The answers of requests that have no final answer yet. */
   readonly #open = new Set<ServerResponse>();
-  readonly #bodies = new BodyReader();
+  readonly #bodies: BodyReader;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
+    this.#bodies = new BodyReader(options.memory);
     this.#server = http.createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -160,20 +168,40 @@
     if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
-    const body = await this.#bodies.read(
+    const reading = await this.#bodies.read(
       request,
       response,
       inForce.configuration.limits.maxBodyBytes,
     );
-    if (body === 'too-large') return this.#reject(request, response, 413, 'body too large', []);
-    if (body === 'broken') return;
+    switch (reading.kind) {
+      case 'too-large':
+        return this.#reject(request, response, 413, 'body too large', []);
+      case 'no-memory':
+        return this.#rejectForMemory(request, response, isChecked);
+      case 'broken':
+        return;
+      case 'read':
+        break;
+    }
+    const { body, memory } = reading;
     const { tenant } = admission;
-    const admitted = { request, response, inForce, route, tenant, body, arrivedAtMs, forwarded };
+    const admitted: AdmittedRequest = {
+      request,
+      response,
+      inForce,
+      route,
+      tenant,
+      body,
+      memory,
+      arrivedAtMs,
+      forwarded,
+    };
     await this.#runExchange(admitted);
   }
 
   async #runExchange(admitted: AdmittedRequest): Promise<void> {
-    const { request, response, inForce, route, tenant, body, arrivedAtMs, forwarded } = admitted;
+    const { request, response, inForce, route, tenant, body, memory, arrivedAtMs, forwarded } =
+      admitted;
     const { context, timers, log, metrics, paths } = this.#options;
     const description = context.codec.describe(request.headers);
     if (description === undefined) {
@@ -194,6 +222,7 @@
       configuration: inForce.configuration,
       description,
       body,
+      memory,
       arrivedAtMs,
       forwarded,
       resumedOrigin,
@@ -249,14 +278,25 @@
     response: ServerResponse,
     reason: string,
   ): Promise<void> {
-    await this.#bodies.read(request, response, Number.POSITIVE_INFINITY);
+    await discardBody(request);
     this.#reject(request, response, 503, reason, notTakenHeaders(reason));
   }
 
   /** Rejects a request that came before the daemon is ready for requests. */
   #rejectNotReady(request: IncomingMessage, response: ServerResponse, reason: string): void {
-    const seconds = String(UNPREPARED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND);
-    this.#reject(request, response, 503, reason, ['Retry-After', seconds]);
+    this.#reject(request, response, 503, reason, RETRY_LATER);
+  }
+
+  /** Rejects a request for which there is no memory; nothing of its body is kept. */
+  async #rejectForMemory(
+    request: IncomingMessage,
+    response: ServerResponse,
+    isForwarded: boolean,
+  ): Promise<void> {
+    this.#options.onNoMemory();
+    const headers = isForwarded ? notTakenHeaders(NO_MEMORY_REASON) : RETRY_LATER;
+    await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
+    this.#reject(request, response, 503, NO_MEMORY_REASON, headers);
   }
 
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
@@ -327,10 +367,3 @@
 function digestOf(apiKey: string): string {
   return createHash('sha256').update(apiKey).digest('hex').slice(0, KEY_DIGEST_DIGITS);
 }
-
-/** The size of a request's headers on the wire. */
-function headerBytes(request: IncomingMessage): number {
-  let bytes = 0;
-  for (const text of request.rawHeaders) bytes += text.length;
-  return bytes + (request.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
-}
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -6,6 +6,7 @@
 import {
   formatSends,
   type GatewayConfiguration,
+  type MemoryReservation,
   type RequestDescription,
   type RetryBudget,
   type Route,
@@ -60,6 +61,8 @@
   readonly configuration: GatewayConfiguration;
   readonly description: RequestDescription;
   readonly body: Buffer;
+  /** The memory of the request, which answers that are held for it add to. */
+  readonly memory: MemoryReservation;
   readonly arrivedAtMs: number;
   /** Set for a request that another daemon has forwarded to this one. */
   readonly forwarded: ForwardedRequest | undefined;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,13 +4,16 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
+import { totalmem } from 'node:os';
 import {
   type Departure,
+  MemoryLedger,
   maxDigestSilenceMs,
   maxStallMs,
   PeerRoster,
   type ReachabilityNotice,
   RestoredServers,
+  requestMemoryLimits,
   rowExpiryMs,
   type ServerRecord,
 } from '../../core/gateway/index.js';
@@ -70,6 +73,7 @@
 /** Incarnation numbers, which tell the starts of a daemon apart, are below this. */
 const INCARNATION_LIMIT = 2 ** 47;
 const MILLISECONDS_PER_SECOND = 1_000;
+const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** Dependencies and settings of a gateway. */
 export interface GatewayOptions {
@@ -284,6 +288,8 @@
       timers,
       log,
       metrics: this.#metrics,
+      memory: new MemoryLedger(requestMemoryLimits(readHeap().limitBytes, machineBytes(settings))),
+      onNoMemory: () => this.#resources.recordRejected(),
       paths: this.#paths,
       configurationCheckAgeMs: () => this.#follower.configurationCheckAgeMs(),
     });
@@ -625,3 +631,9 @@
     if (isRelay) this.#digest.drop();
   }
 }
+
+/** The memory that this process may take. */
+function machineBytes({ limits }: GatewaySettings): number {
+  const memoryMb = limits?.memoryMb;
+  return memoryMb === undefined ? totalmem() : memoryMb * BYTES_PER_MEGABYTE;
+}
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -324,7 +324,7 @@
   /** Forwards an engine's error answer to the caller, unless another engine may try. */
   async #forwardFailure(attempt: AnsweredAttempt): Promise<NextStep> {
     const { answer } = attempt;
-    const body = await answer.collect(MAX_ERROR_BYTES);
+    const body = await answer.collect(MAX_ERROR_BYTES, this.#exchange.options.memory);
     this.#lastReason = `status ${answer.status}`;
     attempt.end(
       body === undefined
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -187,7 +187,7 @@
     if (isSuccess && exchange.options.route.kind === 'streaming') {
       return relayStream(peer, exchange, answer, isCloseDelimited);
     }
-    const body = await answer.collect(MAX_ANSWER_BYTES);
+    const body = await answer.collect(MAX_ANSWER_BYTES, exchange.options.memory);
     if (exchange.signal.aborted) return exchange.endInterrupted();
     if (body === undefined) return exchange.fail(502, 'the forwarded answer broke off');
     const headers = withoutConnectionHeaders(message.rawHeaders);
--- a/src/shell/gateway/resource-monitor.ts
+++ b/src/shell/gateway/resource-monitor.ts
@@ -5,6 +5,7 @@
  */
 import { getHeapStatistics } from 'node:v8';
 import { RESOURCE_EVENTS } from '../../core/logging/catalogue/resources.js';
+import type { LogFields } from '../../core/logging/log-event.js';
 import type { GatewayLog } from './request-log.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
@@ -45,6 +46,8 @@
   #worstLateMs = 0;
   #mostHeapBytes = 0;
   #warnedAtMs = Number.NEGATIVE_INFINITY;
+  #rejectedRequests = 0;
+  #rejectionsLoggedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: ResourceMonitorOptions) {
     this.#options = options;
@@ -63,6 +66,11 @@
     this.#cancelTick?.();
   }
 
+  /** Records a request that was rejected as there was no memory for it. */
+  recordRejected(): void {
+    this.#rejectedRequests += 1;
+  }
+
   /** How late the event loop was at most since the last call: a task that takes longer than this held it up. */
   takeWorstLateMs(): number {
     const worstMs = this.#worstLateMs;
@@ -93,19 +101,34 @@
     this.#mostHeapBytes = Math.max(this.#mostHeapBytes, heap.usedBytes);
     const isNearLimit = heap.usedBytes > WARNED_HEAP_SHARE * heap.limitBytes;
     if (isNearLimit && nowMs - this.#warnedAtMs >= WARNING_INTERVAL_MS) this.#warn(heap, nowMs);
+    const mayLog = nowMs - this.#rejectionsLoggedAtMs >= WARNING_INTERVAL_MS;
+    if (this.#rejectedRequests > 0 && mayLog) this.#logRejections(heap, nowMs);
   }
 
-  #warn({ usedBytes, limitBytes }: HeapReading, nowMs: number): void {
-    const { log, holders } = this.#options;
+  #warn(heap: HeapReading, nowMs: number): void {
     this.#warnedAtMs = nowMs;
+    this.#options.log.write(RESOURCE_EVENTS.heapNearLimit, this.#fields(heap));
+  }
+
+  #logRejections(heap: HeapReading, nowMs: number): void {
+    const rejected = this.#rejectedRequests;
+    this.#rejectionsLoggedAtMs = nowMs;
+    this.#rejectedRequests = 0;
+    this.#options.log.write(RESOURCE_EVENTS.requestsBeyondMemory, {
+      rejected,
+      ...this.#fields(heap),
+    });
+  }
+
+  #fields({ usedBytes, limitBytes }: HeapReading): LogFields {
     const { rss, external } = process.memoryUsage();
-    log.write(RESOURCE_EVENTS.heapNearLimit, {
+    return {
       heapMb: megabytes(usedBytes),
       limitMb: megabytes(limitBytes),
       externalMb: megabytes(external),
       residentMb: megabytes(rss),
-      ...holders(),
-    });
+      ...this.#options.holders(),
+    };
   }
 }
 
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -44,6 +44,8 @@
   readonly #onFirstEvent: FirstEventHandler;
   readonly #onServerBegan: () => void;
   #bytesSent = 0;
+  /** Bytes of an incomplete event that the memory of the request accounts for. */
+  #heldBytes = 0;
 
   /** @param onServerBegan called when the first complete event of a server's part has arrived */
   constructor(
@@ -122,7 +124,7 @@
       const receive = (chunk: Buffer) => {
         this.#follow(boundary, chunk);
         const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
-        if (this.#splitter.heldBytes > MAX_EVENT_BYTES) {
+        if (!this.#mayHold(this.#splitter.heldBytes)) {
           settle('broken');
           answer.destroy();
           return;
@@ -174,6 +176,16 @@
     });
   }
 
+  /** Accounts for the bytes of an event that is not complete; false where there are too many. */
+  #mayHold(heldBytes: number): boolean {
+    const { memory } = this.#exchange.options;
+    const addedBytes = heldBytes - this.#heldBytes;
+    if (addedBytes < 0) memory.shrink(-addedBytes);
+    else if (heldBytes > MAX_EVENT_BYTES || !memory.grow(addedBytes)) return false;
+    this.#heldBytes = heldBytes;
+    return true;
+  }
+
   #follow(boundary: EventBoundary, chunk: Buffer): void {
     const hadBegun = boundary.hasCompleteEvent;
     boundary.push(chunk);
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -222,7 +222,7 @@
     if (!hasNotRun(result)) this.#context.recordRunStart(this.#exchange, this.#nowMs() - sentMs);
     if (result.kind !== 'answered') return result;
     const { answer, isStamped, end } = result.attempt;
-    const body = await answer.collect(MAX_ANSWER_BYTES);
+    const body = await answer.collect(MAX_ANSWER_BYTES, this.#exchange.options.memory);
     const isSuccess = answer.status >= 200 && answer.status < 300;
     const broken = (reason: string): RunResult => {
       end({ kind: 'bad', reason });
--- /dev/null
+++ b/test/gateway/memory-ledger.test.ts
@@ -0,0 +1,78 @@
+/** Guards against requests that together take more memory than the process has. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MemoryLedger, requestMemoryLimits } from '../../src/core/gateway/index.js';
+
+const MEGABYTE = 1_048_576;
+
+function ledger(heapMb: number, bufferMb: number): MemoryLedger {
+  return new MemoryLedger({ heapBytes: heapMb * MEGABYTE, bufferBytes: bufferMb * MEGABYTE });
+}
+
+/** How many requests of a kind fit. */
+function countFitting(memory: MemoryLedger, headerBytes: number, bodyBytes: number): number {
+  let count = 0;
+  while (memory.reserve(headerBytes, bodyBytes) !== undefined) count += 1;
+  return count;
+}
+
+test('bodies are admitted up to the memory for buffers', () => {
+  assert.equal(countFitting(ledger(100, 10), 500, MEGABYTE), 10);
+});
+
+test('requests with long headers are admitted up to the heap for requests', () => {
+  const few = countFitting(ledger(10, 10), 16_000, 0);
+  const many = countFitting(ledger(10, 10), 500, 0);
+  assert.ok(few > 100 && few < 200, `${few}`);
+  assert.ok(many > 350 && many < 450, `${many}`);
+});
+
+test('a request that ends makes room for the next one, once', () => {
+  const memory = ledger(100, 1);
+  const first = memory.reserve(500, MEGABYTE);
+  assert.equal(memory.reserve(500, 1), undefined);
+  first?.release();
+  first?.release();
+  assert.deepEqual(memory.reserved, { heapBytes: 0, bufferBytes: 0 });
+  assert.equal(countFitting(memory, 500, MEGABYTE), 1);
+});
+
+test('a request that is rejected reserves nothing', () => {
+  const memory = ledger(100, 1);
+  assert.equal(memory.reserve(500, 2 * MEGABYTE), undefined);
+  assert.deepEqual(memory.reserved, { heapBytes: 0, bufferBytes: 0 });
+});
+
+test('what a request holds grows and shrinks within the memory for buffers', () => {
+  const memory = ledger(100, 3);
+  const request = memory.reserve(500, 0);
+  assert.equal(request?.grow(2 * MEGABYTE), true);
+  assert.equal(request?.grow(2 * MEGABYTE), false);
+  request?.shrink(MEGABYTE);
+  assert.equal(memory.reserved.bufferBytes, MEGABYTE);
+  request?.shrink(5 * MEGABYTE);
+  assert.equal(memory.reserved.bufferBytes, 0);
+});
+
+test('a request that has ended holds nothing more', () => {
+  const memory = ledger(100, 3);
+  const request = memory.reserve(500, 0);
+  request?.release();
+  assert.equal(request?.grow(1), false);
+  assert.equal(memory.reserved.bufferBytes, 0);
+});
+
+test('heap limit, other memory and requests stay within the machine, where that is not very small', () => {
+  const heapLimitBytes = 102 * MEGABYTE;
+  for (const machineMb of [250, 350, 602]) {
+    const machineBytes = machineMb * MEGABYTE;
+    const { heapBytes, bufferBytes } = requestMemoryLimits(heapLimitBytes, machineBytes);
+    assert.ok(heapBytes < heapLimitBytes);
+    assert.ok(heapLimitBytes + bufferBytes < machineBytes - 100 * MEGABYTE, `${machineMb}`);
+  }
+});
+
+test('some requests are admitted however small the limits are', () => {
+  const { heapBytes, bufferBytes } = requestMemoryLimits(10 * MEGABYTE, 20 * MEGABYTE);
+  assert.ok(heapBytes > 0 && bufferBytes > 0);
+});
--- a/test/gateway/resource-monitor.test.ts
+++ b/test/gateway/resource-monitor.test.ts
@@ -57,6 +57,22 @@
   assert.deepEqual(lines, []);
 });
 
+test('requests that were rejected for want of memory are logged together', () => {
+  monitor.recordRejected();
+  timers.advance(100);
+  for (let request = 0; request < 500; request += 1) monitor.recordRejected();
+  timers.advance(9_000);
+  assert.equal(lines.length, 1);
+  timers.advance(60_000);
+  assert.deepEqual(
+    lines.map(({ event, fields }) => [event, fields.rejected]),
+    [
+      [RESOURCE_EVENTS.requestsBeyondMemory, 1],
+      [RESOURCE_EVENTS.requestsBeyondMemory, 500],
+    ],
+  );
+});
+
 test('the worst lateness of the event loop is reported once', () => {
   timers.advance(1_000);
   timers.stall(2_500);
--- a/test/resources/memory-limits.test.ts
+++ b/test/resources/memory-limits.test.ts
@@ -109,3 +109,29 @@
   assert.ok(Number(resident) < memoryMb * BYTES_PER_MEGABYTE, `${resident} bytes`);
   await assertServesOn(to, sent);
 });
+
+test('answers that are held for their callers stay within the memory of the machine', async () => {
+  const memoryMb = 300;
+  const to = await startGateway({ memoryMb });
+  const body = Buffer.alloc(8_000_000, 'x');
+  let ended = 0;
+  to.serve = (request, response) => {
+    request.resume();
+    const id = String(request.headers['x-attempt-id']);
+    response.writeHead(200, { 'X-Attempt-Id': id, 'X-Response-Stamp': 'stamp' }).end(body);
+    response.once('close', () => {
+      ended += 1;
+    });
+  };
+  const sent = await sendMany(to, 50, {});
+  for (const { socket } of sent) socket.pause();
+  await to.waitUntil(() => ended >= sent.length, WAIT_MS);
+  const resident = await to.metric('threadfork_gateway_memory_bytes{kind="resident"}');
+  assert.equal(to.end, undefined, to.output.slice(-2_000));
+  assert.ok(Number(resident) < memoryMb * BYTES_PER_MEGABYTE, `${resident} bytes`);
+  to.leave();
+  to.serve = answer;
+  const again = to.send({});
+  await to.waitUntil(() => again.status !== undefined, WAIT_MS);
+  assert.equal(again.status, 200);
+});
