A failing test: the index of cached parts is bounded by engine alone

With 200 engines that sent 2,000 cache events every 0.3 s, a real process with the deployed flags ended by SIGABRT after 6 s, at 528,000 entries of about 120 bytes.

--- a/test/gateway/prefix-cache-index.test.ts
+++ b/test/gateway/prefix-cache-index.test.ts
@@ -44,3 +44,32 @@
   assert.equal(prefixIndex.transferableTokens('e', PARTS, 30_000), 9_000);
   assert.equal(prefixIndex.cachedTokens('e', PARTS, 70_000), 0);
 });
+
+// Guards against an index that fills the heap where a fleet has many engines.
+test('the entries of all engines are bounded, and each engine keeps its newest ones', () => {
+  const engines = 200;
+  const partsOfEngine = 4_000;
+  const prefixIndex = new PrefixCacheIndex();
+  for (let engine = 0; engine < engines; engine += 1) {
+    for (let part = 0; part < partsOfEngine; part += 1) {
+      prefixIndex.confirm(`e-${engine}`, `${engine}-${part}`, 100);
+    }
+  }
+  assert.ok(prefixIndex.size <= 131_072, `${prefixIndex.size} entries`);
+  for (let engine = 0; engine < engines; engine += 1) {
+    const newest = { id: `${engine}-${partsOfEngine - 1}`, tokens: 100 };
+    assert.equal(prefixIndex.cachedTokens(`e-${engine}`, [newest], 0), 100);
+  }
+});
+
+test('entries that engines have left, and evicted ones, make room', () => {
+  const prefixIndex = new PrefixCacheIndex();
+  for (const part of ['a', 'b', 'c']) prefixIndex.confirm('e', part, 100);
+  prefixIndex.confirm('e', 'b', 0);
+  prefixIndex.confirm('e', 'b', 0);
+  assert.equal(prefixIndex.size, 2);
+  prefixIndex.confirm('f', 'a', 100);
+  prefixIndex.forget('e');
+  prefixIndex.forget('e');
+  assert.equal(prefixIndex.size, 1);
+});
