Bound the index of cached parts over all engines

Cause: the index holds 4,096 entries an engine, however many engines there are: 3.4 million at 820 engines, 310 MB (8 engines: 4 MB). Entries of all engines are counted now; beyond 131,072 an engine with more than an equal share loses its oldest.

--- a/src/core/gateway/prefix-cache-index.ts
+++ b/src/core/gateway/prefix-cache-index.ts
@@ -10,6 +10,8 @@
 const RELAYED_TTL_MS = 60_000;
 /** Entries per engine; the oldest are evicted first. */
 const MAX_PARTS_OF_ENGINE = 4_096;
+/** Entries of all engines, some 16 MB; beyond it, engines with more than an equal share lose their oldest. */
+const MAX_PARTS = 131_072;
 
 /** How long the entry of an announced read is kept past the expected end of the read. */
 const EXPECTED_READ_GRACE_MS = 4_000;
@@ -33,12 +35,11 @@
 /** What is believed to be cached at all engines. */
 export class PrefixCacheIndex {
   readonly #byEngine = new Map<string, Map<string, CachedPart>>();
+  #size = 0;
 
   /** Entries of all engines. */
   get size(): number {
-    let entries = 0;
-    for (const parts of this.#byEngine.values()) entries += parts.size;
-    return entries;
+    return this.#size;
   }
 
   /** Records the engine's own report of how many tokens of a part it has cached; 0 after an eviction. */
@@ -90,6 +91,7 @@
 
   /** Drops all entries of an engine. */
   forget(engineId: string): void {
+    this.#size -= this.#byEngine.get(engineId)?.size ?? 0;
     this.#byEngine.delete(engineId);
   }
 
@@ -121,11 +123,26 @@
   #store(engineId: string, partId: string, cached: CachedPart): void {
     const parts = this.#byEngine.get(engineId) ?? new Map<string, CachedPart>();
     this.#byEngine.set(engineId, parts);
-    parts.delete(partId);
+    if (parts.delete(partId)) this.#size -= 1;
     if (cached.tokens <= 0) return;
     parts.set(partId, cached);
-    if (parts.size <= MAX_PARTS_OF_ENGINE) return;
+    this.#size += 1;
+    if (parts.size > MAX_PARTS_OF_ENGINE) this.#evictOldest(parts);
+    else if (this.#size > MAX_PARTS) this.#evictOldest(this.#largerThanShare(parts));
+  }
+
+  /** An engine's entries of which there are more than an equal share of all, those of `preferred` if possible. */
+  #largerThanShare(preferred: Map<string, CachedPart>): Map<string, CachedPart> {
+    const share = MAX_PARTS / this.#byEngine.size;
+    if (preferred.size > share) return preferred;
+    for (const parts of this.#byEngine.values()) if (parts.size > share) return parts;
+    return preferred;
+  }
+
+  #evictOldest(parts: Map<string, CachedPart>): void {
     const oldest = parts.keys().next();
-    if (oldest.done !== true) parts.delete(oldest.value);
+    if (oldest.done === true) return;
+    parts.delete(oldest.value);
+    this.#size -= 1;
   }
 }
