Let go of an engine's cache events before the pause between polls

Cause: the loop that polls an engine held the last batch of events while it paused and polled again, 150 bytes an event for each engine. Polling applies the events itself now and returns an outcome only.

Measured with real processes and the deployed flags: 820 engines that send 1,000 events every 0.3 s: SIGABRT before, now 52 MB of heap at most; 200 engines with 2,000: 84 MB before, 44 MB now.

--- a/src/shell/gateway/cache-event-watchers.ts
+++ b/src/shell/gateway/cache-event-watchers.ts
@@ -112,6 +112,8 @@
   }
 }
 
+type PollOutcome = 'applied' | 'nothing-new' | 'failed' | 'turned-away';
+
 /** Polls one engine. Events from before the first poll were forwarded by the daemon that polled it then. */
 class CacheEventWatch {
   readonly #context: CacheEventContext;
@@ -138,9 +140,9 @@
   async run(): Promise<void> {
     const { timers } = this.#context;
     while (!this.#stopped.aborted) {
-      const news = await this.#poll();
+      const outcome = await this.#poll();
       if (this.#stopped.aborted) return;
-      switch (news) {
+      switch (outcome) {
         case 'failed':
           this.#recordFailure('no news');
           await this.#backOff();
@@ -149,13 +151,17 @@
           this.#recordFailure('the engine takes no more news calls');
           await delay(timers, REFUSED_RETRY_MS, this.#stopped);
           break;
-        default:
-          await this.#apply(news);
+        case 'applied':
+          await delay(timers, POLL_PAUSE_MS, this.#stopped);
+          break;
+        case 'nothing-new':
+          break;
       }
     }
   }
 
-  #poll(): Promise<CacheEventBatch | 'failed' | 'turned-away'> {
+  /** Returns no events, so that none are held in memory between two polls. */
+  #poll(): Promise<PollOutcome> {
     return callWithTimeout(
       this.#context.timers,
       LONG_POLL_MS + ANSWER_SLACK_MS,
@@ -164,7 +170,7 @@
     );
   }
 
-  async #pollWithin(signal: AbortSignal): Promise<CacheEventBatch | 'failed' | 'turned-away'> {
+  async #pollWithin(signal: AbortSignal): Promise<PollOutcome> {
     const { calls, codec } = this.#context;
     const result = await calls.call({
       ...codec.cacheEvents(this.#nextNumber, LONG_POLL_MS),
@@ -180,11 +186,14 @@
     if (result.kind !== 'answered') return 'failed';
     if (result.answer.status === TOO_MANY_REQUESTS_STATUS) return 'turned-away';
     if (result.answer.status !== 200 || body === undefined) return 'failed';
-    return codec.readCacheEvents(body) ?? 'failed';
+    const news = codec.readCacheEvents(body);
+    if (news === undefined) return 'failed';
+    if (!this.#stopped.aborted) this.#apply(news);
+    return news.events.length > 0 ? 'applied' : 'nothing-new';
   }
 
-  async #apply(news: CacheEventBatch): Promise<void> {
-    const { timers, duty } = this.#context;
+  #apply(news: CacheEventBatch): void {
+    const { duty } = this.#context;
     const { prefixIndex } = this.#context.fleet;
     this.#recordSuccess();
     const isOtherEpoch = this.#epoch !== undefined && this.#epoch !== news.epoch;
@@ -200,7 +209,6 @@
     this.#nextNumber = news.nextNumber;
     for (const event of news.events) prefixIndex.confirm(engineId, event.partId, event.tokens);
     if (isReset || events.length > 0) duty.forward(this.#engine, { engineId, isReset, events });
-    if (news.events.length > 0) await delay(timers, POLL_PAUSE_MS, this.#stopped);
   }
 
   #recordFailure(reason: string): void {
