Three failing tests: no descriptor is left

A real process with 320 descriptors and 400 connections of callers: it goes on and recovers, but new connections to its readiness address are closed, and requests for which no connection to a server could be opened fail with 502 though nothing was sent.

--- a/test/gateway/backend-connections.test.ts
+++ b/test/gateway/backend-connections.test.ts
@@ -159,3 +159,9 @@
   await closed;
   assert.ok(socket.bytesRead < body.length);
 });
+
+// Guards against a 502 for a request that no server can have run, as no descriptor was left for its connection.
+test('a call whose connection the system fails to open at once was not sent', async () => {
+  const result = await call(port(), undefined, false, { address: '255.255.255.255:9' });
+  assert.equal(result.kind, 'not-sent');
+});
--- /dev/null
+++ b/test/resources/descriptor-limits.test.ts
@@ -0,0 +1,68 @@
+/** Guards against a daemon that callers' connections leave without a descriptor for readiness, the store and servers. */
+import assert from 'node:assert/strict';
+import { afterEach, test } from 'node:test';
+import { TABLES } from '../../platform/names.js';
+import { answer, CONFIGURATION, RealGateway } from './support/real-gateway.js';
+
+const WAIT_MS = 10_000;
+/** Of these, 200 are for files. */
+const DESCRIPTORS = 320;
+const CONNECTIONS = 400;
+/** In the log lines of this event. */
+const CONNECTIONS_DROPPED = '"event":6232';
+
+let gateway: RealGateway | undefined;
+
+afterEach(() => gateway?.stop());
+
+async function startGateway(): Promise<RealGateway> {
+  gateway = new RealGateway({ descriptors: DESCRIPTORS });
+  await gateway.start();
+  return gateway;
+}
+
+async function assertServes(to: RealGateway): Promise<void> {
+  to.serve = answer;
+  const again = to.send({});
+  await to.waitUntil(() => again.status !== undefined, WAIT_MS);
+  assert.equal(to.end, undefined, to.output.slice(-2_000));
+  assert.equal(again.status, 200);
+}
+
+test('a daemon with more connections than descriptors stays ready and follows the configuration', async () => {
+  const to = await startGateway();
+  const sockets = to.connect(CONNECTIONS);
+  await to.waitUntil(() => sockets.some(({ destroyed }) => destroyed), WAIT_MS);
+  await to.waitUntil(() => sockets.every(({ connecting }) => !connecting), WAIT_MS);
+  assert.equal(await to.isReady(), true);
+  to.store.put(TABLES.operator, TABLES.configurationKey, { ...CONFIGURATION, version: 2 });
+  const version = () => to.metric('threadfork_gateway_configuration_version');
+  await to.waitUntil(async () => (await version()) === 2, WAIT_MS);
+  await to.waitUntil(() => to.output.includes(CONNECTIONS_DROPPED), WAIT_MS);
+  for (const socket of sockets) socket.destroy();
+  await assertServes(to);
+});
+
+test('requests beyond the descriptors are rejected with a promise, and the others served', async () => {
+  const to = await startGateway();
+  const held: (() => void)[] = [];
+  to.serve = (request, response) => held.push(() => answer(request, response));
+  const sent = Array.from({ length: CONNECTIONS }, () => to.send({}));
+  const isTaken = () =>
+    sent.every(({ socket, status }) => socket.destroyed || status !== undefined) ||
+    held.length + sent.filter((one) => one.socket.destroyed || one.status !== undefined).length >=
+      sent.length;
+  await to.waitUntil(isTaken, WAIT_MS);
+  const rejected = sent.filter(({ status }) => status !== undefined);
+  assert.ok(held.length > 0, 'none was sent to the server');
+  assert.ok(rejected.length > 0, 'none was rejected with an answer');
+  for (const { status, saysWhenToReturn } of rejected) {
+    assert.deepEqual({ status, saysWhenToReturn }, { status: 503, saysWhenToReturn: true });
+  }
+  assert.equal(await to.isReady(), true);
+  for (const release of held) release();
+  const served = () => sent.filter(({ status }) => status === 200).length;
+  await to.waitUntil(() => served() === held.length, WAIT_MS);
+  to.leave();
+  await assertServes(to);
+});
--- a/test/resources/support/real-gateway.ts
+++ b/test/resources/support/real-gateway.ts
@@ -14,6 +14,7 @@
 
 const HOST = 'sheets.example';
 const POLL_MS = 50;
+const GET_TIMEOUT_MS = 2_000;
 const READY_TIMEOUT_MS = 20_000;
 const CALLERS_PORT = 8_144;
 const READINESS_PORT = 8_140;
@@ -140,6 +141,15 @@
     return sent;
   }
 
+  /** Opens connections that send nothing. */
+  connect(count: number): readonly Socket[] {
+    return Array.from({ length: count }, () => {
+      const socket = connect(CALLERS_PORT, this.#host);
+      this.#sent.push(new SentRequest(socket));
+      return socket;
+    });
+  }
+
   /** Closes the connections of all requests that were sent. */
   leave(): void {
     for (const { socket } of this.#sent) socket.destroy();
@@ -176,17 +186,24 @@
     return this.#addresses?.addressOf(0, 0) ?? '127.0.0.1';
   }
 
-  async #get(
+  /** Each question has a connection of its own, as those of the platform. */
+  #get(
     port: number,
     path: string,
   ): Promise<{ readonly status: number; readonly text: string } | undefined> {
-    try {
-      const signal = AbortSignal.timeout(2_000);
-      const answered = await fetch(`http://${this.#host}:${port}${path}`, { signal });
-      return { status: answered.status, text: await answered.text() };
-    } catch {
-      return undefined; // It does not listen, or takes no connection now.
-    }
+    return new Promise((resolve) => {
+      const options = { host: this.#host, port, path, agent: false, timeout: GET_TIMEOUT_MS };
+      const request = http.get(options, (response) => {
+        let text = '';
+        response.on('data', (chunk: Buffer) => {
+          text += chunk.toString('utf8');
+        });
+        response.once('end', () => resolve({ status: response.statusCode ?? 0, text }));
+      });
+      request.once('timeout', () => request.destroy());
+      // It does not listen, or takes no connection now.
+      request.once('error', () => resolve(undefined));
+    });
   }
 
   #flags(): readonly string[] {
@@ -255,7 +272,8 @@
   });
 }
 
-const CONFIGURATION = {
+/** The configuration that the process starts with. */
+export const CONFIGURATION = {
   version: 1,
   routes: [
     {
