A call whose connection could not be opened at once was not sent

Cause: a connection that fails as it is opened (EMFILE as no descriptor is left, ENETUNREACH, EADDRNOTAVAIL) no longer counts as connecting when its request gets it, as one does that is reused; the request then passed for sent. It failed with 502, and one that may not be repeated was lost, though no byte of it had left. What tells a reused connection is the request's own mark now.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -289,10 +289,12 @@
         if (connectTimedOut) abandon(request, new Error('connecting took too long'));
       });
       request.on('socket', (socket) => {
-        if (!socket.connecting) {
+        if (request.reusedSocket) {
           mayHaveSent = true;
           return;
         }
+        // A connection that could not be opened, as no descriptor or route was left, has failed by now.
+        if (socket.destroyed) return;
         this.openedTotal += 1;
         socket.once('connect', () => {
           mayHaveSent = true;
