Callers' connections leave descriptors for everything else

Cause: nothing bounds the connections of callers. At the limit of descriptors the system closes each new connection of the process, those of readiness checks too, and requests that were taken find none for a server.

Callers get at most two thirds of seven eighths of the descriptors that are not for files (2,275 of 4,100), and a request is rejected with 503 and Retry-After where it would leave its server no connection. limits.descriptors of the settings says how many there are. Event 6232 counts connections that were closed at once, together with rejections (6231) at most every 10 s.

--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -10,11 +10,19 @@
     remedy:
       'Look at what the line counts: requests and bytes of bodies call for more daemons or smaller limits in the configuration. If none of them is large, raise --max-old-space-size in the command line and report the line with the build of event 6000.',
   },
-  requestsBeyondMemory: {
+  requestsBeyondResources: {
     number: 6231,
     level: 'warn',
-    message: 'requests were rejected before they were read, as there was no memory for them',
+    message:
+      'requests were rejected before they were read, as there was no memory or no descriptor for them',
+    remedy:
+      'Their callers come back, also to other daemons. If it repeats, add daemons, memory (limits.memoryMb) or descriptors (limits.descriptors), or make maxBodyBytes and maxHeaderBytes of the configuration smaller.',
+  },
+  connectionsDropped: {
+    number: 6232,
+    level: 'warn',
+    message: "callers' connections were closed at once, as there were too many",
     remedy:
-      'Their callers come back, also to other daemons. If it repeats, add daemons or memory (limits.memoryMb), or make maxBodyBytes and maxHeaderBytes of the configuration smaller.',
+      'Their callers connect again, also to other daemons. If it repeats, add daemons or descriptors (limits.descriptors), or make idleTimeoutMs of the configuration shorter.',
   },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -9,6 +9,7 @@
 import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
 import { BodyReader, discardBody, headerBytes } from './body-reader.js';
+import { CallerConnections } from './caller-connections.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -19,6 +20,7 @@
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
 import type { GatewayLog } from './request-log.js';
+import type { ResourceMonitor } from './resource-monitor.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
 import { delay, type TimerService } from './timer-service.js';
 import { runWebExchange } from './web-exchange.js';
@@ -27,6 +29,7 @@
 const MAX_PARSED_HEADER_BYTES = 131_072;
 const MILLISECONDS_PER_SECOND = 1_000;
 const REJECTED_RETRY_AFTER_MS = 1_000;
+const NO_DESCRIPTORS_REASON = 'no connections for more requests';
 const NO_MEMORY_REASON = 'no memory for more requests';
 /** A caller that sends the rest of its body by then reads why it was rejected; its connection is closed anyway. */
 const DISCARD_MS = 200;
@@ -46,8 +49,9 @@
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
   readonly memory: Pick<MemoryLedger, 'reserve'>;
-  /** Called for each request that was rejected as there was no memory for it. */
-  readonly onNoMemory: () => void;
+  /** The most descriptors of this process; undefined where there are more than it can need. */
+  readonly descriptors: number | undefined;
+  readonly resources: Pick<ResourceMonitor, 'recordRejected' | 'recordDropped'>;
   readonly paths: Pick<ServicePathMonitor, 'isLost'>;
   /** Time since the last check for a newer configuration. */
   readonly configurationCheckAgeMs: () => number;
@@ -76,6 +80,7 @@
   /** The answers of requests that have no final answer yet. */
   readonly #open = new Set<ServerResponse>();
   readonly #bodies: BodyReader;
+  readonly #connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -89,6 +94,11 @@
       },
       (request, response) => this.handle(request, response),
     );
+    this.#connections = new CallerConnections({
+      server: this.#server,
+      descriptors: options.descriptors,
+      onDropped: () => options.resources.recordDropped(),
+    });
   }
 
   /** Requests that have no final answer yet. */
@@ -168,6 +178,9 @@
     if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
+    if (!this.#connections.hasRoomFor(this.inFlight)) {
+      return this.#rejectUnread(request, response, isChecked, NO_DESCRIPTORS_REASON);
+    }
     const reading = await this.#bodies.read(
       request,
       response,
@@ -177,7 +190,7 @@
       case 'too-large':
         return this.#reject(request, response, 413, 'body too large', []);
       case 'no-memory':
-        return this.#rejectForMemory(request, response, isChecked);
+        return this.#rejectUnread(request, response, isChecked, NO_MEMORY_REASON);
       case 'broken':
         return;
       case 'read':
@@ -287,16 +300,17 @@
     this.#reject(request, response, 503, reason, RETRY_LATER);
   }
 
-  /** Rejects a request for which there is no memory; nothing of its body is kept. */
-  async #rejectForMemory(
+  /** Rejects a request that this process has not the resources for; nothing of its body is kept. */
+  async #rejectUnread(
     request: IncomingMessage,
     response: ServerResponse,
     isForwarded: boolean,
+    reason: string,
   ): Promise<void> {
-    this.#options.onNoMemory();
-    const headers = isForwarded ? notTakenHeaders(NO_MEMORY_REASON) : RETRY_LATER;
+    this.#options.resources.recordRejected();
+    const headers = isForwarded ? notTakenHeaders(reason) : RETRY_LATER;
     await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
-    this.#reject(request, response, 503, NO_MEMORY_REASON, headers);
+    this.#reject(request, response, 503, reason, headers);
   }
 
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
--- a/src/shell/gateway/gateway-settings.ts
+++ b/src/shell/gateway/gateway-settings.ts
@@ -78,7 +78,13 @@
     slack: z.number().check(z.minimum(0)),
   }),
   /** What the system gives this process; for a value that is absent, what the machine shows. */
-  limits: z.optional(z.object({ memoryMb: z.optional(z.number().check(z.minimum(1))) })),
+  limits: z.optional(
+    z.object({
+      memoryMb: z.optional(z.number().check(z.minimum(1))),
+      /** Descriptors of sockets and files. */
+      descriptors: z.optional(z.number().check(z.minimum(1))),
+    }),
+  ),
   logging: z.object({ maxLinesPerSecond: z.number().check(z.minimum(1)) }),
   decisions: z._default(decisionsSchema, DEFAULT_LOAD_DECISIONS),
 });
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -289,7 +289,8 @@
       log,
       metrics: this.#metrics,
       memory: new MemoryLedger(requestMemoryLimits(readHeap().limitBytes, machineBytes(settings))),
-      onNoMemory: () => this.#resources.recordRejected(),
+      descriptors: settings.limits?.descriptors,
+      resources: this.#resources,
       paths: this.#paths,
       configurationCheckAgeMs: () => this.#follower.configurationCheckAgeMs(),
     });
--- a/src/shell/gateway/resource-monitor.ts
+++ b/src/shell/gateway/resource-monitor.ts
@@ -47,7 +47,8 @@
   #mostHeapBytes = 0;
   #warnedAtMs = Number.NEGATIVE_INFINITY;
   #rejectedRequests = 0;
-  #rejectionsLoggedAtMs = Number.NEGATIVE_INFINITY;
+  #droppedConnections = 0;
+  #shortagesLoggedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: ResourceMonitorOptions) {
     this.#options = options;
@@ -66,11 +67,16 @@
     this.#cancelTick?.();
   }
 
-  /** Records a request that was rejected as there was no memory for it. */
+  /** Records a request that was rejected as there was no memory or no descriptor for it. */
   recordRejected(): void {
     this.#rejectedRequests += 1;
   }
 
+  /** Records a caller's connection that was closed at once, as there were too many. */
+  recordDropped(): void {
+    this.#droppedConnections += 1;
+  }
+
   /** How late the event loop was at most since the last call: a task that takes longer than this held it up. */
   takeWorstLateMs(): number {
     const worstMs = this.#worstLateMs;
@@ -101,8 +107,7 @@
     this.#mostHeapBytes = Math.max(this.#mostHeapBytes, heap.usedBytes);
     const isNearLimit = heap.usedBytes > WARNED_HEAP_SHARE * heap.limitBytes;
     if (isNearLimit && nowMs - this.#warnedAtMs >= WARNING_INTERVAL_MS) this.#warn(heap, nowMs);
-    const mayLog = nowMs - this.#rejectionsLoggedAtMs >= WARNING_INTERVAL_MS;
-    if (this.#rejectedRequests > 0 && mayLog) this.#logRejections(heap, nowMs);
+    if (nowMs - this.#shortagesLoggedAtMs >= WARNING_INTERVAL_MS) this.#logShortages(heap, nowMs);
   }
 
   #warn(heap: HeapReading, nowMs: number): void {
@@ -110,14 +115,20 @@
     this.#options.log.write(RESOURCE_EVENTS.heapNearLimit, this.#fields(heap));
   }
 
-  #logRejections(heap: HeapReading, nowMs: number): void {
+  #logShortages(heap: HeapReading, nowMs: number): void {
     const rejected = this.#rejectedRequests;
-    this.#rejectionsLoggedAtMs = nowMs;
+    const dropped = this.#droppedConnections;
+    if (rejected + dropped === 0) return;
+    const { log } = this.#options;
+    this.#shortagesLoggedAtMs = nowMs;
     this.#rejectedRequests = 0;
-    this.#options.log.write(RESOURCE_EVENTS.requestsBeyondMemory, {
-      rejected,
-      ...this.#fields(heap),
-    });
+    this.#droppedConnections = 0;
+    const fields = this.#fields(heap);
+    if (rejected > 0) log.write(RESOURCE_EVENTS.requestsBeyondResources, { rejected, ...fields });
+    if (dropped > 0) {
+      const sockets = openSockets();
+      log.write(RESOURCE_EVENTS.connectionsDropped, { dropped, sockets, ...fields });
+    }
   }
 
   #fields({ usedBytes, limitBytes }: HeapReading): LogFields {
