A stall says how long the process itself was busy

6103 told how long a process stood still, not whether it was stopped, got no processor time or was busy itself.

--- a/src/core/logging/catalogue/departures.ts
+++ b/src/core/logging/catalogue/departures.ts
@@ -30,6 +30,6 @@
     level: 'warn',
     message: 'this process stood still; what it knew may be out of date',
     remedy:
-      'Give the machine more processor time if it repeats without a planned pause: requests wait in the meantime.',
+      'Requests wait in the meantime. With busyMs near stalledMs the process itself was busy: report the line with the build of event 6000. With far less it was stopped or got no processor time: give the machine more if it repeats without a planned pause.',
   },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -42,7 +42,7 @@
 import { RelayDigest } from './relay-digest.js';
 import { RequestForwarder } from './request-forwarder.js';
 import type { GatewayLog } from './request-log.js';
-import { ResourceMonitor, readHeap } from './resource-monitor.js';
+import { processorMs, ResourceMonitor, readHeap } from './resource-monitor.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
 import { RosterCacheEventDuty } from './roster-cache-event-duty.js';
 import { ServerCalls } from './server-calls.js';
@@ -208,6 +208,7 @@
     this.#stalls = new StallMonitor({
       minStallMs: maxStallMs(settings.bounds.drainMs ?? Number.POSITIVE_INFINITY),
       recover: () => this.#follower.readServersAgain(MAX_RECOVERY_MS),
+      processorMs,
       timers: this.#suspensionAwareTimers,
       log,
     });
--- a/src/shell/gateway/resource-monitor.ts
+++ b/src/shell/gateway/resource-monitor.ts
@@ -14,6 +14,7 @@
 const WARNED_HEAP_SHARE = 0.8;
 const WARNING_INTERVAL_MS = 10_000;
 const BYTES_PER_MEGABYTE = 1_048_576;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 
 /** What the memory of a gateway is used for, as counts and bytes. */
 export interface MemoryHolders {
@@ -149,6 +150,12 @@
   return { usedBytes, limitBytes };
 }
 
+/** Processor time of the process since its start, in its own code and in the system's. */
+export function processorMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS_PER_MILLISECOND;
+}
+
 /** Open sockets of the process, those that listen included. */
 export function openSockets(): number {
   const isSocket = (resource: string) => resource.startsWith('TCP') || resource.startsWith('UDP');
--- a/src/shell/gateway/stall-monitor.ts
+++ b/src/shell/gateway/stall-monitor.ts
@@ -15,6 +15,8 @@
   readonly minStallMs: number;
   /** Brings what this process knows up to date; called once for each stall, as soon as it is noticed. */
   readonly recover: () => Promise<void>;
+  /** Processor time of this process since its start, which tells whether it was busy in a stall or did not run. */
+  readonly processorMs: () => number;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -23,6 +25,7 @@
 export class StallMonitor {
   readonly #options: StallMonitorOptions;
   #nextTickMs = Number.POSITIVE_INFINITY;
+  #processorMsAtTick = 0;
   #cancelTick: CancelTimer | undefined;
   #recovery: Promise<void> | undefined;
 
@@ -31,7 +34,8 @@
   }
 
   start(): void {
-    const { timers } = this.#options;
+    const { timers, processorMs } = this.#options;
+    this.#processorMsAtTick = processorMs();
     this.#nextTickMs = timers.nowMs() + TICK_MS;
     this.#cancelTick = timers.after(TICK_MS, () => {
       this.#check();
@@ -51,12 +55,15 @@
   }
 
   #check(): void {
-    const { minStallMs, recover, timers, log } = this.#options;
+    const { minStallMs, recover, processorMs, timers, log } = this.#options;
     const stalledMs = timers.nowMs() - this.#nextTickMs;
     if (stalledMs < minStallMs) return;
     // The late timer must not report the same stall again.
     this.#nextTickMs = timers.nowMs() + TICK_MS;
-    log.write(DEPARTURE_EVENTS.stoodStill, { stalledMs: Math.round(stalledMs) });
+    log.write(DEPARTURE_EVENTS.stoodStill, {
+      stalledMs: Math.round(stalledMs),
+      busyMs: Math.round(processorMs() - this.#processorMsAtTick),
+    });
     const recovery = recover().finally(() => {
       if (this.#recovery === recovery) this.#recovery = undefined;
     });
--- a/test/gateway/stall-monitor.test.ts
+++ b/test/gateway/stall-monitor.test.ts
@@ -12,6 +12,7 @@
 
 let timers: ManualTimers;
 let stalls: number;
+let processorMs: number;
 let lines: { readonly event: LogEvent; readonly fields: LogFields }[];
 let monitor: StallMonitor;
 let recovered: ReturnType<typeof deferred<void>>;
@@ -19,6 +20,7 @@
 beforeEach(() => {
   timers = new ManualTimers();
   stalls = 0;
+  processorMs = 700;
   lines = [];
   recovered = deferred<void>();
   monitor = new StallMonitor({
@@ -27,6 +29,7 @@
       stalls += 1;
       return recovered.promise;
     },
+    processorMs: () => processorMs,
     timers,
     log: { write: (event, fields = {}) => lines.push({ event, fields }) },
   });
@@ -45,6 +48,21 @@
   assert.equal(stalls, 1);
 });
 
+test('a stall says how long the process itself was busy', () => {
+  timers.advance(1_000);
+  processorMs += 2_900;
+  timers.stall(STALL_MS);
+  timers.advance(1);
+  processorMs += 40;
+  timers.advance(1_000);
+  timers.stall(STALL_MS);
+  timers.advance(1);
+  assert.deepEqual(
+    lines.map(({ fields }) => fields.busyMs),
+    [2_900, 0],
+  );
+});
+
 test('what a process knows is relied on again once it is up to date', async () => {
   timers.stall(STALL_MS);
   const current = monitor.whenCurrent();
