--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -13,7 +13,11 @@
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import { CONNECT_TIMEOUT_MS, isFinalStatus } from '../../core/gateway/index.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  isFinalStatus,
+  type MemoryReservation,
+} from '../../core/gateway/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
@@ -164,15 +168,21 @@
     message.once('close', cancel);
   }
 
-  /** The complete body, or undefined when it broke off or is too large. */
-  collect(maxBytes: number): Promise<Buffer | undefined> {
+  /**
+   * The complete body, or undefined when it broke off, is too large or there is no memory for it.
+   * @param memory of the request that the body is held for; undefined for a call of this daemon's own
+   */
+  collect(maxBytes: number, memory?: Pick<MemoryReservation, 'grow'>): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      let chunks: Buffer[] = [];
       let length = 0;
       this.message.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
         length += chunk.length;
-        if (length > maxBytes) this.destroy();
+        const isHeld = length <= maxBytes && (memory === undefined || memory.grow(chunk.length));
+        if (isHeld) return;
+        chunks = [];
+        this.destroy();
       });
       this.message.once('end', () => resolve(this.isComplete ? Buffer.concat(chunks) : undefined));
       this.message.once('close', () => resolve(undefined));
@@ -305,10 +315,12 @@
         if (connectTimedOut) abandon(request, new Error('connecting took too long'));
       });
       request.on('socket', (socket) => {
-        if (!socket.connecting) {
+        if (request.reusedSocket) {
           mayHaveSent = true;
           return;
         }
+        // A connection that could not be opened, as no descriptor or route was left, has failed by now.
+        if (socket.destroyed) return;
         this.openedTotal += 1;
         socket.once('connect', () => {
           mayHaveSent = true;
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,10 +4,12 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Route, Tenant } from '../../core/gateway/index.js';
+import type { MemoryLedger, MemoryReservation, Route, Tenant } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
+import { BodyReader, discardBody, headerBytes } from './body-reader.js';
+import { CallerConnections } from './caller-connections.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -18,20 +20,25 @@
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
 import type { GatewayLog } from './request-log.js';
+import type { ResourceMonitor } from './resource-monitor.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
-import type { TimerService } from './timer-service.js';
+import { delay, type TimerService } from './timer-service.js';
 import { runWebExchange } from './web-exchange.js';
 
 /** Limit of the HTTP parser; the configured limit is checked after parsing. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
-const HEADER_OVERHEAD_BYTES = 4;
 const MILLISECONDS_PER_SECOND = 1_000;
-const UNPREPARED_RETRY_AFTER_MS = 1_000;
+const REJECTED_RETRY_AFTER_MS = 1_000;
+const NO_DESCRIPTORS_REASON = 'no connections for more requests';
+const NO_MEMORY_REASON = 'no memory for more requests';
+/** A caller that sends the rest of its body by then reads why it was rejected; its connection is closed anyway. */
+const DISCARD_MS = 200;
 const CONNECTION_CHECK_MS = 1_000;
 const DEFAULT_IDLE_MS = 15_000;
 /** Enough digits to find the tenant of a key in the log, and too few to recover the key. */
 const KEY_DIGEST_DIGITS = 8;
 const CUT_OFF_REASON = 'this daemon is cut off from the servers';
+const RETRY_LATER = ['Retry-After', String(REJECTED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND)];
 /** A 401 names the authentication scheme (RFC 9110 section 11.6.1). */
 const CHALLENGE = ['WWW-Authenticate', 'ApiKey'] as const;
 
@@ -41,6 +48,10 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
+  readonly memory: Pick<MemoryLedger, 'reserve'>;
+  /** The most descriptors of this process; undefined where there are more than it can need. */
+  readonly descriptors: number | undefined;
+  readonly resources: Pick<ResourceMonitor, 'recordRejected' | 'recordDropped'>;
   readonly paths: Pick<ServicePathMonitor, 'isLost'>;
   /** Time since the last check for a newer configuration. */
   readonly configurationCheckAgeMs: () => number;
@@ -54,6 +65,7 @@
   readonly route: Route;
   readonly tenant: Tenant | undefined;
   readonly body: Buffer;
+  readonly memory: MemoryReservation;
   readonly arrivedAtMs: number;
   /** Set for a request that another daemon has forwarded. */
   readonly forwarded: ForwardedRequest | undefined;
@@ -67,9 +79,12 @@
   #stopsAtMs: number | undefined;
   /** The answers of requests that have no final answer yet. */
   readonly #open = new Set<ServerResponse>();
+  readonly #bodies: BodyReader;
+  readonly #connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
+    this.#bodies = new BodyReader(options.memory);
     this.#server = http.createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -79,6 +94,11 @@
       },
       (request, response) => this.handle(request, response),
     );
+    this.#connections = new CallerConnections({
+      server: this.#server,
+      descriptors: options.descriptors,
+      onDropped: () => options.resources.recordDropped(),
+    });
   }
 
   /** Requests that have no final answer yet. */
@@ -86,6 +106,11 @@
     return this.#open.size;
   }
 
+  /** Bytes that are held of the bodies of requests whose answers have not ended. */
+  get bodyBytes(): number {
+    return this.#bodies.heldBytes;
+  }
+
   get server(): Server {
     return this.#server;
   }
@@ -153,16 +178,43 @@
     if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
-    const body = await readBody(request, inForce.configuration.limits.maxBodyBytes);
-    if (body === 'too-large') return this.#reject(request, response, 413, 'body too large', []);
-    if (body === 'broken') return;
+    if (!this.#connections.hasRoomFor(this.inFlight)) {
+      return this.#rejectUnread(request, response, isChecked, NO_DESCRIPTORS_REASON);
+    }
+    const reading = await this.#bodies.read(
+      request,
+      response,
+      inForce.configuration.limits.maxBodyBytes,
+    );
+    switch (reading.kind) {
+      case 'too-large':
+        return this.#reject(request, response, 413, 'body too large', []);
+      case 'no-memory':
+        return this.#rejectUnread(request, response, isChecked, NO_MEMORY_REASON);
+      case 'broken':
+        return;
+      case 'read':
+        break;
+    }
+    const { body, memory } = reading;
     const { tenant } = admission;
-    const admitted = { request, response, inForce, route, tenant, body, arrivedAtMs, forwarded };
+    const admitted: AdmittedRequest = {
+      request,
+      response,
+      inForce,
+      route,
+      tenant,
+      body,
+      memory,
+      arrivedAtMs,
+      forwarded,
+    };
     await this.#runExchange(admitted);
   }
 
   async #runExchange(admitted: AdmittedRequest): Promise<void> {
-    const { request, response, inForce, route, tenant, body, arrivedAtMs, forwarded } = admitted;
+    const { request, response, inForce, route, tenant, body, memory, arrivedAtMs, forwarded } =
+      admitted;
     const { context, timers, log, metrics, paths } = this.#options;
     const description = context.codec.describe(request.headers);
     if (description === undefined) {
@@ -183,6 +235,7 @@
       configuration: inForce.configuration,
       description,
       body,
+      memory,
       arrivedAtMs,
       forwarded,
       resumedOrigin,
@@ -238,14 +291,26 @@
     response: ServerResponse,
     reason: string,
   ): Promise<void> {
-    await readBody(request, Number.POSITIVE_INFINITY);
+    await discardBody(request);
     this.#reject(request, response, 503, reason, notTakenHeaders(reason));
   }
 
   /** Rejects a request that came before the daemon is ready for requests. */
   #rejectNotReady(request: IncomingMessage, response: ServerResponse, reason: string): void {
-    const seconds = String(UNPREPARED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND);
-    this.#reject(request, response, 503, reason, ['Retry-After', seconds]);
+    this.#reject(request, response, 503, reason, RETRY_LATER);
+  }
+
+  /** Rejects a request that this process has not the resources for; nothing of its body is kept. */
+  async #rejectUnread(
+    request: IncomingMessage,
+    response: ServerResponse,
+    isForwarded: boolean,
+    reason: string,
+  ): Promise<void> {
+    this.#options.resources.recordRejected();
+    const headers = isForwarded ? notTakenHeaders(reason) : RETRY_LATER;
+    await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
+    this.#reject(request, response, 503, reason, headers);
   }
 
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
@@ -316,30 +381,3 @@
 function digestOf(apiKey: string): string {
   return createHash('sha256').update(apiKey).digest('hex').slice(0, KEY_DIGEST_DIGITS);
 }
-
-/** The size of a request's headers on the wire. */
-function headerBytes(request: IncomingMessage): number {
-  let bytes = 0;
-  for (const text of request.rawHeaders) bytes += text.length;
-  return bytes + (request.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
-}
-
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | 'too-large' | 'broken'> {
-  const declaredBytes = Number(request.headers['content-length'] ?? 0);
-  if (declaredBytes > maxBytes) return Promise.resolve('too-large');
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    request.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > maxBytes) return resolve('too-large');
-      chunks.push(chunk);
-    });
-    request.once('end', () => resolve(Buffer.concat(chunks)));
-    request.once('close', () => resolve('broken'));
-    request.once('error', () => resolve('broken'));
-  });
-}
