--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -13,7 +13,13 @@
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import { CONNECT_TIMEOUT_MS, isFinalStatus } from '../../core/gateway/index.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  isFinalStatus,
+  type MemoryReservation,
+} from '../../core/gateway/index.js';
+import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
+import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
@@ -126,8 +132,20 @@
    * truncated cannot be told from a complete one, unless the connection was reset.
    */
   get isCloseDelimited(): boolean {
-    const { headers } = this.message;
-    return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+    return this.framing === 'close';
+  }
+
+  get framing(): AnswerFraming {
+    return framingOf(this.#request, this.message);
+  }
+
+  /** The headers that go on to the caller; those that frame a body are set anew, but the length of one that is left out. */
+  get forwardedHeaders(): RawHeaders {
+    const { rawHeaders, headers } = this.message;
+    const forwarded = withoutConnectionHeaders(rawHeaders);
+    const length = headers['content-length'];
+    if (this.framing !== 'head' || length === undefined) return forwarded;
+    return [...forwarded, 'Content-Length', length];
   }
 
   /** Closes the connection; the server sees the request as aborted. */
@@ -150,15 +168,21 @@
     message.once('close', cancel);
   }
 
-  /** The complete body, or undefined when it broke off or is too large. */
-  collect(maxBytes: number): Promise<Buffer | undefined> {
+  /**
+   * The complete body, or undefined when it broke off, is too large or there is no memory for it.
+   * @param memory of the request that the body is held for; undefined for a call of this daemon's own
+   */
+  collect(maxBytes: number, memory?: Pick<MemoryReservation, 'grow'>): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      let chunks: Buffer[] = [];
       let length = 0;
       this.message.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
         length += chunk.length;
-        if (length > maxBytes) this.destroy();
+        const isHeld = length <= maxBytes && (memory === undefined || memory.grow(chunk.length));
+        if (isHeld) return;
+        chunks = [];
+        this.destroy();
       });
       this.message.once('end', () => resolve(this.isComplete ? Buffer.concat(chunks) : undefined));
       this.message.once('close', () => resolve(undefined));
@@ -217,6 +241,18 @@
   return { kind: 'not-sent', reason, connectTimedOut: false, isUnsendable: true };
 }
 
+/** Why what arrived is no answer; undefined if it is one. */
+function flawOf(request: ClientRequest, message: IncomingMessage): string | undefined {
+  const { statusCode = 0 } = message;
+  if (!isFinalStatus(statusCode)) return `status ${statusCode} is no final answer`;
+  if (framingOf(request, message) !== 'unknown-coding') return undefined;
+  return 'its transfer coding is not chunked';
+}
+
+function framingOf({ method }: ClientRequest, message: IncomingMessage): AnswerFraming {
+  return answerFraming(method, message.statusCode ?? 0, message.headers);
+}
+
 /** Node.js throws on a value that does not fit the protocol; a call reports that as its result. */
 function tryTo<Value>(open: () => Value): Value | Error {
   try {
@@ -279,10 +315,12 @@
         if (connectTimedOut) abandon(request, new Error('connecting took too long'));
       });
       request.on('socket', (socket) => {
-        if (!socket.connecting) {
+        if (request.reusedSocket) {
           mayHaveSent = true;
           return;
         }
+        // A connection that could not be opened, as no descriptor or route was left, has failed by now.
+        if (socket.destroyed) return;
         this.openedTotal += 1;
         socket.once('connect', () => {
           mayHaveSent = true;
@@ -291,9 +329,9 @@
       });
       request.on('response', (message) => {
         this.#unanswered.delete(request);
-        const status = message.statusCode ?? 0;
-        if (!isFinalStatus(status)) {
-          settle({ kind: 'broken', reason: `status ${status} is no final answer` });
+        const flaw = flawOf(request, message);
+        if (flaw !== undefined) {
+          settle({ kind: 'broken', reason: flaw });
           request.destroy();
           return;
         }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -4,14 +4,17 @@
  */
 import { randomInt } from 'node:crypto';
 import type { Server } from 'node:http';
+import { totalmem } from 'node:os';
 import type { Result } from 'neverthrow';
 import {
   type Departure,
+  MemoryLedger,
   maxDigestSilenceMs,
   maxStallMs,
   PeerRoster,
   type ReachabilityNotice,
   RestoredServers,
+  requestMemoryLimits,
   rowExpiryMs,
   type ServerRecord,
 } from '../../core/gateway/index.js';
@@ -41,6 +44,7 @@
 import { RelayDigest } from './relay-digest.js';
 import { RequestForwarder } from './request-forwarder.js';
 import type { GatewayLog } from './request-log.js';
+import { processorMs, ResourceMonitor, readHeap } from './resource-monitor.js';
 import { RetryBudgetReporter } from './retry-budget-reporter.js';
 import { RosterCacheEventDuty } from './roster-cache-event-duty.js';
 import { ServerCalls } from './server-calls.js';
@@ -71,6 +75,7 @@
 /** Incarnation numbers, which tell the starts of a daemon apart, are below this. */
 const INCARNATION_LIMIT = 2 ** 47;
 const MILLISECONDS_PER_SECOND = 1_000;
+const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** Dependencies and settings of a gateway. */
 export interface GatewayOptions {
@@ -126,6 +131,7 @@
   readonly #exitCheck: ServerExitCheck;
   readonly #departureReports: DepartureReports;
   readonly #stalls: StallMonitor;
+  readonly #resources: ResourceMonitor;
   readonly #forwardingListener: ForwardingListener;
   readonly #confirmations: Confirmations;
   /** Aborted as the gateway begins to stop. */
@@ -208,9 +214,11 @@
     this.#stalls = new StallMonitor({
       minStallMs: maxStallMs(settings.bounds.drainMs ?? Number.POSITIVE_INFINITY),
       recover: () => this.#follower.readServersAgain(MAX_RECOVERY_MS),
+      processorMs,
       timers: this.#suspensionAwareTimers,
       log,
     });
+    this.#resources = this.#createResourceMonitor();
     this.#departureReports = new DepartureReports({
       build,
       drainMs: settings.bounds.drainMs,
@@ -287,6 +295,9 @@
       timers,
       log,
       metrics: this.#metrics,
+      memory: new MemoryLedger(requestMemoryLimits(readHeap().limitBytes, machineBytes(settings))),
+      descriptors: settings.limits?.descriptors,
+      resources: this.#resources,
       paths: this.#paths,
       configurationCheckAgeMs: () => this.#follower.configurationCheckAgeMs(),
     });
@@ -357,6 +368,7 @@
       streams: this.#streams,
       duties: () => this.#duties,
       webWork,
+      resources: this.#resources,
       timers,
       log,
     });
@@ -371,6 +383,7 @@
     const { settings, adapter, log } = this.#options;
     const { callers, readiness } = settings.listen;
     this.#stalls.start();
+    this.#resources.start();
     this.#follower.start();
     this.#crashes.start();
     this.#stages.start();
@@ -433,6 +446,7 @@
   abort(): void {
     this.#stopping.abort();
     this.#stalls.stop();
+    this.#resources.stop();
     this.#follower.stop();
     this.#confirmations.stop();
     this.#crashes.stop();
@@ -500,6 +514,21 @@
     return this.#peers === undefined || this.#roster.knowsFleetDemand(this.#isRelay);
   }
 
+  #createResourceMonitor(): ResourceMonitor {
+    const { timers, log } = this.#options;
+    return new ResourceMonitor({
+      readHeap,
+      holders: () => ({
+        requestsInFlight: this.#callers.inFlight,
+        bodyBytes: this.#callers.bodyBytes,
+        streamRecords: this.#streams.recordCount,
+        cachedParts: this.#fleet.prefixIndex.size,
+      }),
+      timers,
+      log,
+    });
+  }
+
   #createLimits(): LimitCoordinator {
     const { settings, timers, log } = this.#options;
     return new LimitCoordinator({
@@ -657,3 +686,9 @@
     if (isRelay) this.#digest.drop();
   }
 }
+
+/** The memory that this process may take. */
+function machineBytes({ limits }: GatewaySettings): number {
+  const memoryMb = limits?.memoryMb;
+  return memoryMb === undefined ? totalmem() : memoryMb * BYTES_PER_MEGABYTE;
+}
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -3,7 +3,6 @@
  * response headers are sent with the first bytes of the body, so that a server that fails before can still be replaced.
  */
 import { type StreamServer, softwareVersionOf } from '../../core/gateway/index.js';
-import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AnswerOutcome } from './answer-outcome.js';
 import type { BackendAnswer } from './backend-connections.js';
 import { EventBoundary } from './event-boundary.js';
@@ -44,6 +43,8 @@
   readonly #onFirstEvent: FirstEventHandler;
   readonly #onServerBegan: () => void;
   #bytesSent = 0;
+  /** Bytes of an incomplete event that the memory of the request accounts for. */
+  #heldBytes = 0;
 
   /** @param onServerBegan called when the first complete event of a server's part has arrived */
   constructor(
@@ -122,7 +123,7 @@
       const receive = (chunk: Buffer) => {
         this.#follow(boundary, chunk);
         const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
-        if (this.#splitter.heldBytes > MAX_EVENT_BYTES) {
+        if (!this.#mayHold(this.#splitter.heldBytes)) {
           settle('broken');
           answer.destroy();
           return;
@@ -147,7 +148,7 @@
         }
       });
       message.once('end', () => {
-        const isWhole = answer.isComplete && !isTorn(source, boundary);
+        const isWhole = answer.isComplete && !this.#isCutShort(source, boundary);
         afterFirstEvent(() => {
           if (isWhole && isDelimitedByClose(source)) checkForCrash();
           else settle(isWhole ? 'complete' : 'broken');
@@ -174,6 +175,31 @@
     });
   }
 
+  /**
+   * Whether a stream of events whose end only the close of its connection marks has ended inside an event or before its
+   * first one. A part that takes the stream up may have no events: the one before may have broken after the last.
+   */
+  #isCutShort(source: RelaySource, { isInsideEvent, hasCompleteEvent }: EventBoundary): boolean {
+    const type = source.answer.message.headers['content-type'] ?? EVENT_STREAM;
+    if (!isDelimitedByClose(source) || !type.startsWith(EVENT_STREAM)) return false;
+    return isInsideEvent || (!hasCompleteEvent && !this.#takesUp);
+  }
+
+  /** Whether events of the stream have been sent before, by this daemon or in an earlier attempt of the caller. */
+  get #takesUp(): boolean {
+    return this.hasBegun || this.#exchange.options.description.resumption !== undefined;
+  }
+
+  /** Accounts for the bytes of an event that is not complete; false where there are too many. */
+  #mayHold(heldBytes: number): boolean {
+    const { memory } = this.#exchange.options;
+    const addedBytes = heldBytes - this.#heldBytes;
+    if (addedBytes < 0) memory.shrink(-addedBytes);
+    else if (heldBytes > MAX_EVENT_BYTES || !memory.grow(addedBytes)) return false;
+    this.#heldBytes = heldBytes;
+    return true;
+  }
+
   #follow(boundary: EventBoundary, chunk: Buffer): void {
     const hadBegun = boundary.hasCompleteEvent;
     boundary.push(chunk);
@@ -183,10 +209,9 @@
   #write(source: RelaySource, bytes: Buffer): boolean {
     const { response, metrics } = this.#exchange.options;
     if (!this.#exchange.isAnswered) {
-      const { answer } = source;
-      const headers = withoutConnectionHeaders(answer.message.rawHeaders);
-      const { status } = answer;
-      if (!this.#exchange.beginStream(status, headers, isDelimitedByClose(source))) return true;
+      const { status, forwardedHeaders } = source.answer;
+      const isCloseDelimited = isDelimitedByClose(source);
+      if (!this.#exchange.beginStream(status, forwardedHeaders, isCloseDelimited)) return true;
       this.#exchange.stepTimesMs.firstEventMs = this.#exchange.elapsedMs();
       metrics.recordFirstEvent(this.#way(), this.#exchange.elapsedMs());
     }
@@ -201,12 +226,6 @@
   return isCloseDelimited ?? answer.isCloseDelimited;
 }
 
-/** Whether a stream of events whose end only the close of its connection marks has ended inside an event. */
-function isTorn(source: RelaySource, { isInsideEvent }: EventBoundary): boolean {
-  const type = source.answer.message.headers['content-type'] ?? EVENT_STREAM;
-  return isInsideEvent && isDelimitedByClose(source) && type.startsWith(EVENT_STREAM);
-}
-
 function outcomeOf(result: RelayResult): AnswerOutcome {
   switch (result) {
     case 'complete':
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -9,7 +9,6 @@
   MAX_HOLD_SHARE,
   type ServerRecord,
 } from '../../core/gateway/index.js';
-import { withoutConnectionHeaders } from '../http/headers.js';
 import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
 import {
   type AttemptContext,
@@ -222,7 +221,7 @@
     if (!hasNotRun(result)) this.#context.recordRunStart(this.#exchange, this.#nowMs() - sentMs);
     if (result.kind !== 'answered') return result;
     const { answer, isStamped, end } = result.attempt;
-    const body = await answer.collect(MAX_ANSWER_BYTES);
+    const body = await answer.collect(MAX_ANSWER_BYTES, this.#exchange.options.memory);
     const isSuccess = answer.status >= 200 && answer.status < 300;
     const broken = (reason: string): RunResult => {
       end({ kind: 'bad', reason });
@@ -237,12 +236,11 @@
     if (statusImpliesNotExecuted(answer.status))
       return broken(`status ${answer.status} without its promise`);
     end(completeAnswerOutcome(answer.status));
-    const headers = withoutConnectionHeaders(answer.message.rawHeaders);
     return {
       kind: 'whole',
       answer: {
         status: answer.status,
-        headers,
+        headers: answer.forwardedHeaders,
         body,
         serverId: server.id,
         isCloseDelimited: answer.isCloseDelimited,
