Test answers with a header whose name is no token

Node.js reads such a header and refuses to write it: callers get 500 and the daemon logs an internal fault. The API holds.

--- a/test/gateway/unusable-answers.test.ts
+++ b/test/gateway/unusable-answers.test.ts
@@ -116,6 +116,38 @@
   });
 }
 
+/** Answers callers' requests with a line of the head that Node.js reads and refuses to write. */
+function withLine(line: string): Script {
+  return (served) => {
+    const { seen, socket } = served;
+    const id = seen.headers['x-attempt-id'];
+    if (id === undefined) return rejectingAsNotExecuted(served);
+    const head = [`HTTP/1.1 200 OK`, `X-Attempt-Id: ${id}`, 'X-Response-Stamp: s', line];
+    socket.end(`${head.join('\r\n')}\r\n\r\n5\r\nwhole\r\n0\r\n\r\n`);
+  };
+}
+
+for (const line of ['Transf r-Encoding: chunked', 'Cont nt-Length: 20']) {
+  // Guards against the framing of an answer that is lost with the name of its header.
+  test(`an answer with the line "${line}" is none, for requests to web and model servers`, async () => {
+    await start();
+    await addServer('i-1', withLine(line));
+    await addServer('i-2', withLine(line), { service: 'reader', stage: 'decode' });
+    for (const path of ['/tiles/1', '/thumbs/1', '/read/1', '/check/1']) {
+      const answer = await fixture.call({ path, headers: SHORT_REQUEST.headers });
+      assert.equal(answer.status, 502, path);
+    }
+    assert.ok(!fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.internalFault));
+  });
+}
+
+test('a repeatable request that got a header whose name is no token is answered by a second server', async () => {
+  await start();
+  await addServer('i-1', withLine('Cont nt-Length: 20'), { zone: 'a' });
+  await addServer('i-2', answering(200, 'served'), { zone: 'b' });
+  assert.equal((await fixture.call({ path: '/thumbs/1' })).body, 'served');
+});
+
 for (const [problem, handle] of Object.entries(UNUSABLE_HANDLES)) {
   // Guards against an X-Kv-Source or a path that cannot be sent.
   test(`a handle with ${problem} is none, and the request runs without it`, async () => {
--- a/test/http/cut-answers.test.ts
+++ b/test/http/cut-answers.test.ts
@@ -100,6 +100,22 @@
   }
 });
 
+// Guards against the framing of an answer that is lost with the name of its header.
+test('an answer with a header whose name is no token is none', async (t) => {
+  const harness = await startAlone(t);
+  for (ending of ENDINGS) {
+    for (const line of [
+      'transf r-encoding: chunked',
+      'cont nt-length: 20',
+      'x y: 1\r\ncontent-length: 4',
+    ]) {
+      write = () => `HTTP/1.1 200 OK\r\n${line}\r\n\r\npart`;
+      const got = await call(harness.port, '/sheets/1');
+      assert.ok(got.status >= 500, `${line} ${ending}: ${got.status} ${got.body}`);
+    }
+  }
+});
+
 test('answers that have no body are passed on without a length', async (t) => {
   const harness = await startAlone(t);
   ending = 'closes';
