A header that Node.js refuses to write makes an answer none

Callers saw 500, and the daemon logged an internal fault (6009), where a byte of a header's name was spoiled ("Cont nt-Length"): what framed the body was lost, and the request did not go to another server by its own route's rules.

Cause: Node.js accepts a blank in the name of an answer's header and throws when the same header is written to the caller.

answer-flaw.ts checks the headers of an answer as Node.js will when it writes them, next to its status and coding: such an answer is a broken attempt.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -274,7 +274,7 @@
   {
     name: 'final-statuses',
     promise: 'MIXED',
-    file: 'src/shell/gateway/backend-connections.ts',
+    file: 'src/shell/gateway/answer-flaw.ts',
     text: 'if (!isFinalStatus(statusCode)) return',
     replacement: 'if (!isFinalStatus(statusCode) && statusCode < 0) return',
   },
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -13,10 +13,11 @@
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import { CONNECT_TIMEOUT_MS, isFinalStatus } from '../../core/gateway/index.js';
+import { CONNECT_TIMEOUT_MS } from '../../core/gateway/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
+import { answerFlaw } from './answer-flaw.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
 
@@ -132,7 +133,7 @@
   }
 
   get framing(): AnswerFraming {
-    return framingOf(this.#request, this.message);
+    return answerFraming(this.#request.method, this.status, this.message.headers);
   }
 
   /** The headers that go on to the caller; those that frame a body are set anew, but the length of one that is left out. */
@@ -231,18 +232,6 @@
   return { kind: 'not-sent', reason, connectTimedOut: false, isUnsendable: true };
 }
 
-/** Why what arrived is no answer; undefined if it is one. */
-function flawOf(request: ClientRequest, message: IncomingMessage): string | undefined {
-  const { statusCode = 0 } = message;
-  if (!isFinalStatus(statusCode)) return `status ${statusCode} is no final answer`;
-  if (framingOf(request, message) !== 'unknown-coding') return undefined;
-  return 'its transfer coding is not chunked';
-}
-
-function framingOf({ method }: ClientRequest, message: IncomingMessage): AnswerFraming {
-  return answerFraming(method, message.statusCode ?? 0, message.headers);
-}
-
 /** Node.js throws on a value that does not fit the protocol; a call reports that as its result. */
 function tryTo<Value>(open: () => Value): Value | Error {
   try {
@@ -317,7 +306,7 @@
       });
       request.on('response', (message) => {
         this.#unanswered.delete(request);
-        const flaw = flawOf(request, message);
+        const flaw = answerFlaw(request.method, message);
         if (flaw !== undefined) {
           settle({ kind: 'broken', reason: flaw });
           request.destroy();
