Requests beyond the descriptors get an answer, also in a burst

Cause: connections that came after requests had been taken were not counted against the descriptors that those need: 4,014 sockets of 3,900 where 2,500 requests came in a second. A connection is closed at once now where callers' connections and their requests take all that there is for them; before that, a sixteenth is left to answer 503 with Retry-After and to close.

--- a/src/shell/gateway/caller-connections.ts
+++ b/src/shell/gateway/caller-connections.ts
@@ -9,6 +9,8 @@
 const FILE_DESCRIPTORS = 200;
 /** Of the other descriptors, for everything but callers and the requests that run for them. */
 const RESERVED_SHARE = 1 / 8;
+/** Of the same, for connections whose requests are rejected with an answer. */
+const REJECTED_SHARE = 1 / 16;
 /** Of what is left, so that callers' idle connections leave some to requests. */
 const CONNECTIONS_SHARE = 2 / 3;
 
@@ -17,6 +19,8 @@
   readonly server: Server;
   /** The most descriptors of this process; undefined where there are more than it can need. */
   readonly descriptors: number | undefined;
+  /** Each of them may need a connection to a server. */
+  readonly requestsInFlight: () => number;
   /** Called for each connection that was closed at once, as there were too many. */
   readonly onDropped: () => void;
 }
@@ -24,10 +28,15 @@
 /** The connections of callers to one listener. */
 export class CallerConnections {
   readonly #maxSockets: number;
+  readonly #requestsInFlight: () => number;
   #open = 0;
 
-  constructor({ server, descriptors, onDropped }: CallerConnectionsOptions) {
-    this.#maxSockets = maxCallerSockets(descriptors);
+  constructor(options: CallerConnectionsOptions) {
+    const { server, descriptors, requestsInFlight, onDropped } = options;
+    const sockets = socketsOf(descriptors);
+    const maxRejected = Math.floor(sockets * REJECTED_SHARE);
+    this.#maxSockets = Math.max(1, Math.floor(sockets * (1 - RESERVED_SHARE)) - maxRejected);
+    this.#requestsInFlight = requestsInFlight;
     if (descriptors !== undefined) {
       server.maxConnections = Math.ceil(this.#maxSockets * CONNECTIONS_SHARE);
     }
@@ -36,23 +45,24 @@
       socket.once('close', () => {
         this.#open -= 1;
       });
+      if (this.#used <= this.#maxSockets + maxRejected) return;
+      onDropped();
+      socket.destroy();
     });
     server.on('drop', onDropped);
   }
 
-  /** Connections that are open. */
-  get open(): number {
-    return this.#open;
+  /** Whether each request in flight can have a connection to a server besides those of all callers. */
+  get hasRoom(): boolean {
+    return this.#used <= this.#maxSockets;
   }
 
-  /** Whether each of the requests in flight can have a connection to a server besides its caller's. */
-  hasRoomFor(requestsInFlight: number): boolean {
-    return this.#open + requestsInFlight <= this.#maxSockets;
+  get #used(): number {
+    return this.#open + this.#requestsInFlight();
   }
 }
 
-function maxCallerSockets(descriptors: number | undefined): number {
-  if (descriptors === undefined) return Number.POSITIVE_INFINITY;
-  const sockets = Math.max(1, descriptors - FILE_DESCRIPTORS);
-  return Math.max(1, Math.floor(sockets * (1 - RESERVED_SHARE)));
+function socketsOf(descriptors: number | undefined): number {
+  if (descriptors === undefined) return Number.MAX_SAFE_INTEGER;
+  return Math.max(1, descriptors - FILE_DESCRIPTORS);
 }
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -97,6 +97,7 @@
     this.#connections = new CallerConnections({
       server: this.#server,
       descriptors: options.descriptors,
+      requestsInFlight: () => this.inFlight,
       onDropped: () => options.resources.recordDropped(),
     });
   }
@@ -178,7 +179,7 @@
     if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
-    if (!this.#connections.hasRoomFor(this.inFlight)) {
+    if (!this.#connections.hasRoom) {
       return this.#rejectUnread(request, response, isChecked, NO_DESCRIPTORS_REASON);
     }
     const reading = await this.#bodies.read(
@@ -310,7 +311,7 @@
     this.#options.resources.recordRejected();
     const headers = isForwarded ? notTakenHeaders(reason) : RETRY_LATER;
     await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
-    this.#reject(request, response, 503, reason, headers);
+    this.#reject(request, response, 503, reason, headers, !this.#connections.hasRoom);
   }
 
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
@@ -354,10 +355,11 @@
     status: number,
     reason: string,
     headers: RawHeaders,
+    closesConnection = false,
   ): void {
     const body = `${reason}\n`;
     const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
-    const mustClose = this.#stopsAtMs !== undefined || !request.complete;
+    const mustClose = closesConnection || this.#stopsAtMs !== undefined || !request.complete;
     response.writeHead(status, [...headers, ...own, ...(mustClose ? ['Connection', 'close'] : [])]);
     response.end(body);
     this.#options.metrics.recordRequest(
