Failing tests: lists of servers with many long entries

Another writer's 300 entries of 64 KB in one change: the answer of the change feed exceeds 16 MB, is dropped, and is asked for again without end. A server that joins later gets no request. 800 such entries in the list: a process that reads it with a heap of 48 MB ends by SIGABRT (a gateway with 96 MB at 1,000).

The store stand-in now pages its reads by 500 rows and 1 MB, and honours the range of keys, as the platform's store does.

--- a/test/gateway/support/store-stand-in.ts
+++ b/test/gateway/support/store-stand-in.ts
@@ -5,6 +5,10 @@
 import { PATHS, TABLES } from '../../../platform/names.js';
 import type { CancelTimer, TimerService } from '../../../src/shell/gateway/timer-service.js';
 
+/** The most that one page of a read holds. */
+const MAX_PAGE_ROWS = 500;
+const MAX_PAGE_BYTES = 1_000_000;
+
 interface Row {
   readonly table: string;
   readonly privateKey: string;
@@ -101,6 +105,12 @@
     this.putBytes(table, key, Buffer.from(JSON.stringify(document)));
   }
 
+  /** Writes rows whose values need not be JSON, all in one change. */
+  putAll(table: string, rows: readonly (readonly [string, Buffer])[]): void {
+    for (const [key, value] of rows) this.#write(table, key, value.toString('base64'));
+    this.#answerFeeds();
+  }
+
   /** Writes a value that need not be JSON, as another writer may. */
   putBytes(table: string, key: string, value: Buffer): void {
     this.#write(table, key, value.toString('base64'));
@@ -174,10 +184,15 @@
   }
 
   #get(url: URL, response: ServerResponse): void {
-    const rows = this.#rowsOf(url.searchParams.get('table') ?? '', 0).filter(
-      (row) => row.value !== undefined,
-    );
-    this.#answer(response, 200, rows);
+    const { searchParams: query } = url;
+    const source = query.get('source') ?? '';
+    const end = query.get('targetVersion');
+    const rows = this.#rowsOf(query.get('table') ?? '', 0)
+      .filter((row) => row.value !== undefined)
+      .filter(({ privateKey }) => privateKey >= source && (end === null || privateKey < end))
+      .sort((left, right) => (left.privateKey < right.privateKey ? -1 : 1));
+    const page = firstPage(rows, Number(query.get('limit') ?? MAX_PAGE_ROWS));
+    this.#answer(response, 200, page, page.length < rows.length);
   }
 
   #feed(url: URL, response: ServerResponse): void {
@@ -240,9 +255,21 @@
       .sort((left, right) => left.ver - right.ver);
   }
 
-  #answer(response: ServerResponse, status: number, rows: readonly Row[]): void {
+  #answer(response: ServerResponse, status: number, rows: readonly Row[], more = false): void {
     const shown = rows.map((row) => (row.value === undefined ? { ...row, gone: true } : row));
-    const body = JSON.stringify({ rows: shown, more: false, ver: this.#ver, now_ms: 0 });
+    const body = JSON.stringify({ rows: shown, more, ver: this.#ver, now_ms: 0 });
     response.writeHead(status, { 'Content-Type': 'application/json' }).end(body);
   }
 }
+
+/** The rows that fit a page; at least one. */
+function firstPage(rows: readonly Row[], limit: number): readonly Row[] {
+  const page: Row[] = [];
+  let bytes = 0;
+  for (const row of rows.slice(0, Math.min(limit, MAX_PAGE_ROWS))) {
+    bytes += row.privateKey.length + (row.value?.length ?? 0);
+    if (page.length > 0 && bytes > MAX_PAGE_BYTES) break;
+    page.push(row);
+  }
+  return page;
+}
