Failing tests: long entries in the list of servers and in the product's table

A list of more pages than a call's time-out allows is never read; entries with a name of 64 KB fill the heap; each of thousands of unusable entries has a line, at each read; a scan and a read by keys end where the store's first page of 1 MB does, so that daemons are missing in their list and a held lease seems free.

--- a/test/gateway/long-lists.test.ts
+++ b/test/gateway/long-lists.test.ts
@@ -15,6 +15,8 @@
 const ROW_BYTES = 65_536;
 const LIST_READER = fileURLToPath(new URL('./support/list-reader.js', import.meta.url));
 const HEAP_MB = 48;
+/** The most entries that the log names. */
+const MAX_NAMED_ENTRIES = 100;
 /** Ends a test whose awaited log line never comes. */
 const MAX_TEST_MS = 20_000;
 
@@ -22,6 +24,15 @@
 const LONG_ENTRIES = {
   'a long text': Buffer.from(JSON.stringify('x'.repeat(ROW_BYTES - 2))),
   'very deep nesting': Buffer.from('['.repeat(ROW_BYTES / 2) + ']'.repeat(ROW_BYTES / 2)),
+  'a long name': Buffer.from(
+    JSON.stringify({
+      service: 'x'.repeat(ROW_BYTES - 200),
+      address: '127.0.0.1:9',
+      zone: 'a',
+      slots: 6,
+      state: 'ready',
+    }),
+  ),
   'thousands of objects': Buffer.from(`[${Array(20_000).fill('{}').join()}]`),
 } as const;
 
@@ -74,3 +85,13 @@
     assert.equal(stdout, '800');
   });
 }
+
+// Guards against a log in which nothing but such entries can be found.
+test('thousands of unusable entries are not named one by one, at no read of the list', async () => {
+  await startWithServer();
+  fixture.store.putAll(TABLES.servers, entries(3_000, Buffer.from('{}')));
+  fixture.store.forgetHistory();
+  await assertFollowed();
+  const lines = fixture.lines.filter(({ event }) => event === GATEWAY_EVENTS.serverMalformed);
+  assert.ok(lines.length <= MAX_NAMED_ENTRIES, `${lines.length} lines`);
+});
--- a/test/gateway/store-pages.test.ts
+++ b/test/gateway/store-pages.test.ts
@@ -2,23 +2,46 @@
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
+import { TABLES } from '../../platform/names.js';
+import { readAllRows } from '../../src/shell/gateway/table-call.js';
 import { ServerStandIn } from './support/server-stand-in.js';
+import { StoreStandIn } from './support/store-stand-in.js';
 
-let store: ServerStandIn;
+/** As long as the store accepts. */
+const LONG_VALUE = Buffer.alloc(65_536, 'x');
+/** More long rows than a page of the store holds. */
+const LONG_ROWS = 40;
+
+let store: Pick<ServerStandIn, 'stop'>;
 
 afterEach(() => store.stop());
 
+/** The product's table with many long rows of another writer under a prefix, and others. */
+async function tableWithLongRows(prefix: string, others: Readonly<Record<string, unknown>>) {
+  const standIn = new StoreStandIn();
+  store = standIn;
+  const rows = Array.from({ length: LONG_ROWS }, (_, index) => `${prefix}${index}`);
+  standIn.putAll(
+    TABLES.product,
+    rows.map((key) => [key, LONG_VALUE] as const),
+  );
+  for (const [key, value] of Object.entries(others)) standIn.put(TABLES.product, key, value);
+  const { host, port } = await standIn.start();
+  return createPlatformAdapter({ host, port }).table;
+}
+
 /** Reads from a store that answers each page in the given era. */
 async function readPages(eras: readonly number[]) {
   let page = 0;
-  store = new ServerStandIn(({ response }) => {
+  const server = new ServerStandIn(({ response }) => {
     const rows = [{ table: 'servers', privateKey: `i-${page}`, value: '', ver: page + 1 }];
     const body = JSON.stringify({ rows, more: page < eras.length - 1, ver: 10 - page });
     response.writeHead(200, { 'Store-Era': String(eras[page]) }).end(body);
     page += 1;
   });
-  await store.start();
-  const [host = '', port = ''] = store.address.split(':');
+  store = server;
+  await server.start();
+  const [host = '', port = ''] = server.address.split(':');
   const { servers } = createPlatformAdapter({ host, port: Number(port) });
   return servers.readAll(new AbortController().signal);
 }
@@ -35,3 +58,33 @@
   assert.ok(answer.kind === 'failed');
   assert.equal(answer.era, 4);
 });
+
+// Guards against a list of daemons without those whose rows come after long ones of another writer.
+test('all rows of a prefix are read where the store cuts its pages by their size', async () => {
+  const table = await tableWithLongRows('peer/odd-', { 'peer/z-1': 1, 'peer/z-2': 2, usage: 3 });
+  const { signal } = new AbortController();
+  const rows = await readAllRows('peer/', (page) => table.call(page, signal));
+  assert.equal(rows?.length, LONG_ROWS + 2);
+  assert.deepEqual(
+    rows?.slice(-2).map(({ key, value }) => [key, value]),
+    [
+      ['peer/z-1', 1],
+      ['peer/z-2', 2],
+    ],
+  );
+});
+
+// Guards against a lease that seems to be free, as its row comes after long ones of another writer.
+test('rows are read by their keys however many long rows lie between them', async () => {
+  const table = await tableWithLongRows('extra/', { 'epoch/stage': 1, 'lease/stage': 2 });
+  const { signal } = new AbortController();
+  const result = await table.call({ kind: 'get', keys: ['lease/stage', 'epoch/stage'] }, signal);
+  assert.ok(result.kind === 'rows');
+  assert.deepEqual(
+    result.rows.map(({ key, value }) => [key, value]),
+    [
+      ['lease/stage', 2],
+      ['epoch/stage', 1],
+    ],
+  );
+});
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -4,6 +4,7 @@
 import type { WatchAnswer, WatchedRow, WatchedTable } from '../../src/shell/gateway/ports.js';
 import { RelayDigest } from '../../src/shell/gateway/relay-digest.js';
 import { type TableConsumer, TableWatcher } from '../../src/shell/gateway/table-watcher.js';
+import { delay } from '../../src/shell/gateway/timer-service.js';
 import { WatchRetryQueue } from '../../src/shell/gateway/watch-retry-queue.js';
 import { ManualTimers } from './support/manual-timers.js';
 
@@ -500,3 +501,40 @@
   const waits = 4 + SPAN_MS / (0.7 * TIMING.maxRetryDelayMs);
   assert.ok(table.calls <= 3 * waits, `${table.calls} calls`);
 });
+
+/** A table of many pages, each of which the store answers within the time-out of a call. */
+class PagedTable extends ChangingTable {
+  static readonly PAGES = 12;
+  static readonly PAGE_MS = 0.9 * TIMING.callTimeoutMs;
+  readonly #timers: ManualTimers;
+
+  constructor(timers: ManualTimers) {
+    super();
+    this.#timers = timers;
+  }
+
+  override async readAll(
+    signal?: AbortSignal,
+    recordPage?: () => void,
+  ): Promise<WatchAnswer<number>> {
+    for (let page = 0; page < PagedTable.PAGES; page += 1) {
+      await delay(this.#timers, PagedTable.PAGE_MS, signal);
+      if (signal?.aborted === true) return { kind: 'failed', reason: 'late', wasRefused: false };
+      recordPage?.();
+    }
+    return super.readAll();
+  }
+}
+
+// Guards against a list that is never read, as its pages together take longer than the time-out of one call.
+test('a table is read whose pages together take longer than one call may', async () => {
+  const timers = new ManualTimers();
+  const applied: number[] = [];
+  const watcher = watcherOf(new PagedTable(timers), BATCH_MS, timers, applied);
+  const running = watcher.run();
+  await timers.advanceBy((PagedTable.PAGES + 1) * PagedTable.PAGE_MS);
+  watcher.stop();
+  timers.advance(PagedTable.PAGE_MS);
+  await running;
+  assert.notDeepEqual(applied, []);
+});
