Give each page of a full read the time of one call

A list of more pages than fit the time-out of one call was never read: with 1,500 entries of 64 KB of another writer a gateway (contactMs 3,000) had no server, and callers got 503 until the entries were gone. The time-out counted from the first page, and a retry began with the first page again.

The time-out begins anew with each page, so a store that stops answering is noticed as early as before.

--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -186,7 +186,8 @@
 /** A table of the store that the gateway only reads. */
 export interface WatchedTable<Value> {
   readonly name: string;
-  readAll(signal: AbortSignal): Promise<WatchAnswer<Value>>;
+  /** @param recordPage called after each page but the last: the time-out of the read is that of one page */
+  readAll(signal: AbortSignal, recordPage: () => void): Promise<WatchAnswer<Value>>;
   /** A long poll: the store answers when a row changes, or after `waitMs`. */
   changesAfter(revision: number, waitMs: number, signal: AbortSignal): Promise<WatchAnswer<Value>>;
   /** Decodes a row's value from its stored form. */
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -268,8 +268,10 @@
   async #readRows(): Promise<Extract<WatchAnswer<Value>, { kind: 'rows' }> | undefined> {
     const { table } = this.#options;
     this.#isFullReadRequested = false;
-    const answer = await this.#call(this.#readTimeoutMs, this.#stopped.signal, (signal) =>
-      table.readAll(signal),
+    const answer = await this.#call(
+      this.#readTimeoutMs,
+      this.#stopped.signal,
+      (signal, recordPage) => table.readAll(signal, recordPage),
     );
     if (answer.kind !== 'rows') {
       await this.#handleFailure(answer);
@@ -441,7 +443,7 @@
   async #call(
     timeoutMs: number,
     signal: AbortSignal,
-    call: (signal: AbortSignal) => Promise<WatchAnswer<Value>>,
+    call: (signal: AbortSignal, recordPage: () => void) => Promise<WatchAnswer<Value>>,
   ): Promise<WatchAnswer<Value>> {
     this.callsTotal += 1;
     this.#callStartedMs = this.#options.timers.nowMs();
--- a/src/shell/gateway/timer-service.ts
+++ b/src/shell/gateway/timer-service.ts
@@ -81,22 +81,26 @@
 
 /**
  * Makes a call with a signal that is aborted after a time limit or together with another signal. The call itself has to
- * settle when its signal is aborted.
+ * settle when its signal is aborted. A call of several parts begins the time limit anew with each `recordProgress`.
  * @param outer aborts the call early; undefined for the time limit alone
  */
 export async function callWithTimeout<Result>(
   timers: TimerService,
   limitMs: number,
   outer: AbortSignal | undefined,
-  call: (signal: AbortSignal) => Promise<Result>,
+  call: (signal: AbortSignal, recordProgress: () => void) => Promise<Result>,
 ): Promise<Result> {
   const controller = new AbortController();
   const abortCall = () => controller.abort();
   if (outer?.aborted === true) abortCall();
   outer?.addEventListener('abort', abortCall, { once: true });
-  const cancel = timers.after(limitMs, abortCall);
+  let cancel = timers.after(limitMs, abortCall);
+  const recordProgress = () => {
+    cancel();
+    cancel = timers.after(limitMs, abortCall);
+  };
   try {
-    return await call(controller.signal);
+    return await call(controller.signal, recordProgress);
   } finally {
     cancel();
     outer?.removeEventListener('abort', abortCall);
