Read a table page by page after a change too long for one answer

Requests went to servers that had left, and none to new ones: another writer's 300 entries of 64 KB in one change made the answer of the change feed longer than a daemon reads (16 MB). It dropped the answer and asked for the same again, without end. A shorter answer with 20,000 rows of a few bytes kept all requests waiting for 1.3 s while it was decoded.

The store bounds its pages but not its feed.

--- a/src/core/logging/catalogue/index.ts
+++ b/src/core/logging/catalogue/index.ts
@@ -8,6 +8,7 @@
 import { DAEMON_EVENTS } from './daemon.js';
 import { DEPARTURE_EVENTS } from './departures.js';
 import { ENGINE_EVENTS } from './engine.js';
+import { ENTRY_EVENTS } from './entries.js';
 import { GATEWAY_EVENTS } from './gateway.js';
 import { LEASE_EVENTS } from './lease.js';
 import { MEMBERSHIP_EVENTS } from './membership.js';
@@ -67,4 +68,5 @@
     firstNumber: 6100,
     events: DEPARTURE_EVENTS,
   },
+  { name: 'entries', title: 'Unusable rows', firstNumber: 6210, events: ENTRY_EVENTS },
 ];
--- a/src/shell/gateway/ports.ts
+++ b/src/shell/gateway/ports.ts
@@ -174,6 +174,8 @@
 export type WatchAnswer<Value> =
   | ({ readonly kind: 'rows'; readonly rows: readonly WatchedRow<Value>[] } & StorePosition)
   | { readonly kind: 'history-lost'; readonly era: number }
+  /** More has changed than one answer may hold; a full read has it page by page. */
+  | { readonly kind: 'too-long'; readonly era: number | undefined }
   | {
       readonly kind: 'failed';
       readonly reason: string;
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -17,6 +17,7 @@
   type TableProgress,
   TRANSIT_MS,
 } from '../../core/gateway/index.js';
+import { ENTRY_EVENTS } from '../../core/logging/catalogue/entries.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { isSamePosition, type StorePosition } from '../../core/platform/store-position.js';
 import type { WatchAnswer, WatchedRow, WatchedTable } from './ports.js';
@@ -100,8 +101,8 @@
   /** When the store's current era was first seen; undefined once the table was fully read in it. */
   #eraSeenAtMs: number | undefined;
   #failuresInARow = 0;
-  /** Losses of the history since changes were last read: whole reads that are older than the history cause one each. */
-  #lossesInARow = 0;
+  /** Answers without changes since changes were last read: whole reads that are older than the history cause one each. */
+  #unreadChangesInARow = 0;
   #callStartedMs = 0;
   /** When the first failed call since the last data began; undefined if no call has failed since. */
   #awaySinceMs: number | undefined;
@@ -330,7 +331,7 @@
       return this.#isFullReadRequested ? undefined : this.#handleFailure(answer);
     }
     this.#recordSuccess();
-    this.#lossesInARow = 0;
+    this.#unreadChangesInARow = 0;
     if (!isSameEra) return;
     this.#revisions.advanceTo(answer.revision);
     const origin = this.#originOfPoll(answer);
@@ -492,14 +493,24 @@
   async #handleFailure(answer: Exclude<WatchAnswer<Value>, { kind: 'rows' }>): Promise<void> {
     if (this.#stopped.signal.aborted) return;
     const { log, table, timers, recheckSpans } = this.#options;
-    if (answer.kind === 'history-lost') {
-      this.#revisions.invalidate();
-      this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
-      log.write(GATEWAY_EVENTS.historyLost, { table: table.name, era: answer.era });
-      this.#lossesInARow += 1;
-      if (this.#lossesInARow > 1) await this.#backOff(this.#lossesInARow - 1);
-      return;
+    switch (answer.kind) {
+      case 'history-lost':
+        this.#revisions.invalidate();
+        this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
+        log.write(GATEWAY_EVENTS.historyLost, { table: table.name, era: answer.era });
+        return this.#backOffFromFullRead();
+      case 'too-long':
+        this.#recordSuccess();
+        this.#isFullReadRequested = true;
+        log.write(ENTRY_EVENTS.changesTooLong, { table: table.name });
+        return this.#backOffFromFullRead();
+      case 'failed':
+        return this.#handleFailedCall(answer);
     }
+  }
+
+  async #handleFailedCall(answer: Extract<WatchAnswer<Value>, { kind: 'failed' }>): Promise<void> {
+    const { log, table, timers, recheckSpans } = this.#options;
     if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
     this.#failuresInARow += 1;
     this.#awaySinceMs ??= this.#callStartedMs;
@@ -509,6 +520,12 @@
     await this.#backOff(this.#failuresInARow);
   }
 
+  /** The first full read after an answer without changes begins at once. */
+  async #backOffFromFullRead(): Promise<void> {
+    this.#unreadChangesInARow += 1;
+    if (this.#unreadChangesInARow > 1) await this.#backOff(this.#unreadChangesInARow - 1);
+  }
+
   /**
    * Waits before a retry, longer with each in a row. A digest that becomes fresh ends the wait, as it may show that no call
    * is needed.
--- a/test/gateway/long-lists.test.ts
+++ b/test/gateway/long-lists.test.ts
@@ -8,6 +8,7 @@
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import { TABLES } from '../../platform/names.js';
+import { ENTRY_EVENTS } from '../../src/core/logging/catalogue/entries.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { configuration, GatewayFixture, route } from './support/fixture.js';
 import { answering } from './support/server-stand-in.js';
@@ -75,6 +76,14 @@
   await assertFollowed();
 });
 
+// Guards against requests that wait while one answer with tens of thousands of rows is decoded.
+test('a change of thousands of rows is read page by page', { timeout: MAX_TEST_MS }, async () => {
+  await startWithServer();
+  fixture.store.putAll(TABLES.servers, entries(4_000, Buffer.from('{}')));
+  await fixture.logged(ENTRY_EVENTS.changesTooLong, ({ table }) => table === TABLES.servers);
+  await assertFollowed();
+});
+
 for (const [problem, value] of Object.entries(LONG_ENTRIES)) {
   // Guards against the end of the process by its heap's limit: all rows were kept until the last page.
   test(`a list with hundreds of entries with ${problem} is read in little memory`, async () => {
