Pass over server rows that are longer than any server's

Entries whose service has a name of 64 KB count as servers, so 1,500 of them fill the heap of 96 MB for as long as they are listed (SIGABRT), and a message between daemons that holds one does not fit a datagram. Decoding 500 deeply nested entries of 64 KB took 2 s in one go, in which no request was answered, and 4 ms each when read page by page.

A row of over 16 KB is malformed and is not decoded; names of services and zones have at most 255 characters, in rows of the store and of other daemons.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -221,6 +221,7 @@
   isFieldValue,
   isFinalStatus,
   isHost,
+  isName,
   isPathSegment,
   isPort,
   isServerId,
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -59,7 +59,13 @@
 
   constructor() {
     const client = { get: (path: string) => this.#get(path) } as unknown as StoreClient;
-    const table = { client, table: 'servers', onlyKey: undefined, isForwarded: false };
+    const table = {
+      client,
+      table: 'servers',
+      onlyKey: undefined,
+      maxRowBytes: undefined,
+      isForwarded: false,
+    };
     const never = new Promise<WatchAnswer<never>>(() => undefined);
     const configurations = {
       name: 'op',
--- a/test/gateway/unusable-entries.test.ts
+++ b/test/gateway/unusable-entries.test.ts
@@ -93,6 +93,22 @@
   });
 }
 
+/** Longer than a datagram between daemons has room for. */
+const LONG_NAME = 'n'.repeat(300);
+
+for (const field of ['service', 'zone']) {
+  // Guards against messages between daemons that are too long to be sent because one entry has a long name.
+  test(`an entry whose ${field} has a name of ${LONG_NAME.length} characters names no server`, () => {
+    const named = { ...ROW, address: '127.0.0.1:9', [field]: LONG_NAME };
+    assert.throws(() => decodeServer('i-2', named), /Too big/);
+    const value = {
+      ...decodeServer('i-2', { ...ROW, address: '127.0.0.1:9' }),
+      [field]: LONG_NAME,
+    };
+    assert.equal(usableRow({ kind: 'value', key: 'i-2', value }).kind, 'malformed');
+  });
+}
+
 for (const [key, value] of UNUSABLE_ROWS) {
   // Guards against the end of the daemon by an unhandled rejection of the scan that reads the row.
   test(`a row ${key} with ${value.toString('latin1')} is passed over`, async () => {
