Name at most a hundred unusable rows in the log

The log of a daemon could not show why requests failed: each of 3,000 unusable entries had a line (6016), those beyond 1,024 again at each read of the list, and each unusable row of a daemon or a quarantined request one at each scan. With 1,000 lines a second, a second of other lines was dropped (6005).

--- a/src/core/logging/catalogue/entries.ts
+++ b/src/core/logging/catalogue/entries.ts
@@ -9,4 +9,11 @@
       'more of a watched table has changed than one answer of the store may hold; the complete table is read page by page',
     remedy: 'Find out which program writes many long rows into the table that the line names.',
   },
+  rowsUnnamed: {
+    number: 6211,
+    level: 'error',
+    message: 'more rows cannot be read than are named one by one',
+    remedy:
+      'Correct the named rows first, or find out which program writes them; the others are named as these are gone.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -10,6 +10,7 @@
 import type { GatewayLog } from './request-log.js';
 import { callTable, readAllRows, type TableAccess } from './table-call.js';
 import type { WallClock } from './timer-service.js';
+import { problemOf, UnreadableRows } from './unreadable-rows.js';
 
 const PREFIX = 'crash/';
 /** Sorts before all fingerprints, so that the first page of a scan contains it. */
@@ -50,6 +51,7 @@
 /** The rows in the store. */
 export class CrashTable {
   readonly #options: CrashTableOptions;
+  readonly #unreadable = new UnreadableRows();
 
   constructor(options: CrashTableOptions) {
     this.#options = options;
@@ -59,6 +61,7 @@
   async read(signal: AbortSignal): Promise<CrashTableContent | undefined> {
     const rows = await readAllRows(PREFIX, (page) => this.#call(page, signal));
     if (rows === undefined) return undefined;
+    this.#unreadable.retain(new Set(rows.map(({ key }) => key)));
     const records = rows.filter(({ key }) => key !== KEY_ROW).flatMap((row) => this.#read(row));
     return { key: keyOf(rows), records };
   }
@@ -123,9 +126,10 @@
     const subject = row.key.slice(PREFIX.length);
     const parsed = rowSchema.safeParse(row.value);
     if (!parsed.success) {
-      this.#options.log.write(GATEWAY_EVENTS.crashRowMalformed, { subject });
+      this.#recordUnreadable(row.key, subject, problemOf(parsed.error));
       return [];
     }
+    this.#unreadable.remove(row.key);
     const { serverIds, clearings, unixMs, isLifted } = parsed.data;
     // The clocks of machines may be ahead or behind.
     const ageMs = Math.min(
@@ -140,6 +144,13 @@
     return [{ ...record, crashes, isQuarantined: true, clearings }];
   }
 
+  /** Logs each problem of a row once; the rows are read again and again while a request is quarantined. */
+  #recordUnreadable(key: string, subject: string, problem: string): void {
+    if (!this.#unreadable.add(key, problem)) return;
+    const unreadable = this.#unreadable.count;
+    this.#options.log.write(GATEWAY_EVENTS.crashRowMalformed, { subject, problem, unreadable });
+  }
+
   async #call(call: TableCall, signal: AbortSignal): Promise<TableResult> {
     const { log } = this.#options;
     const result = await callTable(this.#options, call, signal);
--- a/src/shell/gateway/duty-record.ts
+++ b/src/shell/gateway/duty-record.ts
@@ -8,6 +8,7 @@
 import type { GatewayLog } from './request-log.js';
 import { callTable } from './table-call.js';
 import type { TimerService } from './timer-service.js';
+import { problemOf } from './unreadable-rows.js';
 
 /** Where a duty's record is stored, and how it is read. */
 export interface DutyRecordOptions<Content extends DutyRecord> {
@@ -75,7 +76,7 @@
         if (value === null) return { ...seen, record: undefined };
         const parsed = this.#options.schema.safeParse(value);
         if (parsed.success) return { ...seen, record: parsed.data };
-        this.#logMalformed(parsed.error.issues[0]?.message ?? '');
+        this.#logMalformed(problemOf(parsed.error));
         return { kind: 'refused' };
       }
     }
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -16,6 +16,7 @@
   type ServerRecord,
   type TableDigest,
 } from '../../core/gateway/index.js';
+import { ENTRY_EVENTS } from '../../core/logging/catalogue/entries.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
 import type { CacheEventWatchers } from './cache-event-watchers.js';
@@ -110,6 +111,8 @@
   readonly #servers: TableWatcher<ServerRecord>;
   readonly #newestPeerVersion: NewestPeerVersion;
   readonly #unreadable = new UnreadableRows();
+  /** Whether there were more unreadable rows of servers than are named. */
+  #hasUnnamed = false;
   /** The newest era of the store that was handled. */
   #era = FIRST_ERA;
   #isConfigurationUnreadable = false;
@@ -409,6 +412,7 @@
       if (row.kind === 'value') records.push(row.value);
       if (row.kind === 'malformed') malformedIds.push(row.key);
     }
+    this.#logUnnamed();
     const { directory } = fleet;
     const nowMs = timers.nowMs();
     const kept = this.#keepExpired(listedIds, goneIds, origin);
@@ -554,6 +558,16 @@
     this.#options.log.write(GATEWAY_EVENTS.serverMalformed, { server, problem, unreadable });
   }
 
+  /** Logs once that there are too many unreadable rows to name all. */
+  #logUnnamed(): void {
+    const { count: unreadable, unnamed } = this.#unreadable;
+    const hadUnnamed = this.#hasUnnamed;
+    this.#hasUnnamed = unnamed > 0;
+    if (!this.#hasUnnamed || hadUnnamed) return;
+    const table = this.#options.adapter.servers.name;
+    this.#options.log.write(ENTRY_EVENTS.rowsUnnamed, { table, unreadable, unnamed });
+  }
+
   #logServer(event: ServerEvent, server: ServerRecord): void {
     this.#options.log.write(event, {
       server: server.id,
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -12,6 +12,7 @@
 import type { GatewayLog } from './request-log.js';
 import { callTable, readAllRows } from './table-call.js';
 import { delay, type TimerService } from './timer-service.js';
+import { problemOf, UnreadableRows } from './unreadable-rows.js';
 
 const ROW_PREFIX = 'peer/';
 const FIRST_SCAN_INTERVAL_MS = 1_000;
@@ -63,6 +64,7 @@
 export class PeerDirectory {
   readonly #options: PeerDirectoryOptions;
   readonly #stopped = new AbortController();
+  readonly #unreadable = new UnreadableRows();
   #isAnnounced = false;
   #scanIntervalMs = FIRST_SCAN_INTERVAL_MS;
   #nextScanMs = 0;
@@ -151,6 +153,7 @@
     const rows = await readAllRows(ROW_PREFIX, (page) => this.#callTable(page));
     if (rows === undefined) return;
     this.#rescanAtMs = undefined;
+    this.#unreadable.retain(new Set(rows.map(({ key }) => key)));
     const peers = rows.flatMap((row) => this.#readPeer(row));
     this.#isAnnounced &&= peers.some(({ name }) => name === daemon);
     roster.replace(peers, timers.nowMs());
@@ -179,8 +182,15 @@
   #readPeer(row: TableRow): readonly PeerDaemon[] {
     const parsed = rowSchema.safeParse(row.value);
     const name = row.key.slice(ROW_PREFIX.length);
-    if (parsed.success) return [{ name, ...parsed.data }];
-    this.#options.log.write(GATEWAY_EVENTS.peerMalformed, { peer: name });
+    if (parsed.success) {
+      this.#unreadable.remove(row.key);
+      return [{ name, ...parsed.data }];
+    }
+    const problem = problemOf(parsed.error);
+    if (this.#unreadable.add(row.key, problem)) {
+      const unreadable = this.#unreadable.count;
+      this.#options.log.write(GATEWAY_EVENTS.peerMalformed, { peer: name, problem, unreadable });
+    }
     return [];
   }
 }
--- a/src/shell/gateway/unreadable-rows.ts
+++ b/src/shell/gateway/unreadable-rows.ts
@@ -1,28 +1,44 @@
-/** Rows of a watched table that cannot be parsed, with their problems, so that each problem is logged once. */
-
 /**
- * The largest number of rows that is remembered. More malformed rows most likely have a single cause; rows beyond this
- * number are logged with each read.
+ * Rows of the store that cannot be used, with their problems: each problem is logged once, and only so many rows are named
+ * that other lines can still be found.
  */
-const MAX_ROWS = 1_024;
+import type * as z from 'zod/mini';
+
+/** More unusable rows most likely have a single cause. */
+const MAX_NAMED_ROWS = 100;
+
+/** What a schema found wrong with a row, for the log. */
+export function problemOf({ issues }: Pick<z.core.$ZodError, 'issues'>): string {
+  const [first] = issues;
+  return first === undefined ? '' : `${first.path.join('.')}: ${first.message}`;
+}
 
-/** The rows that currently cannot be parsed. */
+/** The rows of one table or prefix that cannot be used now. */
 export class UnreadableRows {
   readonly #problems = new Map<string, string>();
+  readonly #named = new Set<string>();
 
   get count(): number {
     return this.#problems.size;
   }
 
-  /** @returns whether the problem is new for this row */
+  /** The number of rows that are not named in the log. */
+  get unnamed(): number {
+    return this.#problems.size - this.#named.size;
+  }
+
+  /** @returns whether the log is to name the row and its problem */
   add(key: string, problem: string): boolean {
     if (this.#problems.get(key) === problem) return false;
-    if (this.#problems.size < MAX_ROWS) this.#problems.set(key, problem);
+    this.#problems.set(key, problem);
+    if (!this.#named.has(key) && this.#named.size >= MAX_NAMED_ROWS) return false;
+    this.#named.add(key);
     return true;
   }
 
   remove(key: string): void {
     this.#problems.delete(key);
+    this.#named.delete(key);
   }
 
   /** Forgets rows that are no longer in the table. */
