Read all of the product's rows where the store cuts a page by its size

The store ends a page after 1 MB, a scan took any page of fewer than 500 rows for the last one, and a read by keys took a row beyond the page for absent. With a dozen rows of 64 KB of another writer among the daemons' rows, the list of daemons ended there: 11 of 42 rows. A daemon then divides the retry budget by too few, and a lease whose row was cut off seemed to be free; only the check of its version kept it from being taken.

--- a/src/core/platform/table.ts
+++ b/src/core/platform/table.ts
@@ -43,6 +43,8 @@
   readonly rows: readonly TableRow[];
   /** The era of the store to which the row versions belong; absent if the store reports none. */
   readonly era?: number | undefined;
+  /** The key after which a scan goes on: the answer holds fewer rows than there are; absent where it holds the last. */
+  readonly continueAfter?: string | undefined;
 }
 
 /** The outcome of a call. `lost`: the call may or may not have taken effect; read the rows to find out. */
--- a/src/shell/gateway/table-call.ts
+++ b/src/shell/gateway/table-call.ts
@@ -28,12 +28,13 @@
   callPage: (call: TableCall) => Promise<TableResult>,
 ): Promise<readonly TableRow[] | undefined> {
   const rows: TableRow[] = [];
-  for (;;) {
-    const after = rows.at(-1)?.key;
+  let after: string | undefined;
+  do {
     const page = { kind: 'scan', prefix, limit: PAGE_ROWS } as const;
     const result = await callPage(after === undefined ? page : { ...page, after });
     if (result.kind !== 'rows') return undefined;
     rows.push(...result.rows);
-    if (result.rows.length < PAGE_ROWS) return rows;
-  }
+    after = result.continueAfter;
+  } while (after !== undefined);
+  return rows;
 }
--- a/test/gateway/support/memory-table.ts
+++ b/test/gateway/support/memory-table.ts
@@ -50,7 +50,9 @@
       case 'scan': {
         const { prefix, after = '', limit } = call;
         const found = this.rows.filter(({ key }) => key.startsWith(prefix) && key > after);
-        return { kind: 'rows', rows: found.slice(0, limit) };
+        const rows = found.slice(0, limit);
+        const continueAfter = rows.length < found.length ? rows.at(-1)?.key : undefined;
+        return { kind: 'rows', rows, continueAfter };
       }
       case 'transact': {
         const isCurrent = call.checks.every(
