Read the product's rows page by page

Each gateway ended by SIGABRT within two seconds of its start, and callers' connections with it, while 300 rows of 64 KB of another writer lay under peer/ or crash/: a scan kept the decoded values of all pages, and 64 KB of JSON take over 1 MB of heap.

--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -59,11 +59,21 @@
 
   /** @returns undefined where the store could not be read completely */
   async read(signal: AbortSignal): Promise<CrashTableContent | undefined> {
-    const rows = await readAllRows(PREFIX, (page) => this.#call(page, signal));
-    if (rows === undefined) return undefined;
-    this.#unreadable.retain(new Set(rows.map(({ key }) => key)));
-    const records = rows.filter(({ key }) => key !== KEY_ROW).flatMap((row) => this.#read(row));
-    return { key: keyOf(rows), records };
+    const keys = new Set<string>();
+    let key: Buffer | undefined;
+    const records = await readAllRows(
+      PREFIX,
+      (page) => this.#call(page, signal),
+      (row) => {
+        keys.add(row.key);
+        if (row.key !== KEY_ROW) return this.#read(row);
+        key = keyOf(row);
+        return [];
+      },
+    );
+    if (records === undefined) return undefined;
+    this.#unreadable.retain(keys);
+    return { key, records };
   }
 
   /**
@@ -82,7 +92,7 @@
     switch (result.kind) {
       case 'committed':
       case 'conflict':
-        return keyOf(result.rows);
+        return keyOf(result.rows[0]);
       case 'rows':
       case 'unavailable':
       case 'lost':
@@ -162,8 +172,7 @@
   }
 }
 
-function keyOf(rows: readonly TableRow[]): Buffer | undefined {
-  const row = rows.find(({ key }) => key === KEY_ROW);
+function keyOf(row: TableRow | undefined): Buffer | undefined {
   const parsed = keySchema.safeParse(row?.value);
   return parsed.success ? Buffer.from(parsed.data.key, 'base64') : undefined;
 }
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -150,11 +150,18 @@
 
   async #scan(): Promise<void> {
     const { daemon, roster, timers, recordDaemonCount } = this.#options;
-    const rows = await readAllRows(ROW_PREFIX, (page) => this.#callTable(page));
-    if (rows === undefined) return;
+    const keys = new Set<string>();
+    const peers = await readAllRows(
+      ROW_PREFIX,
+      (page) => this.#callTable(page),
+      (row) => {
+        keys.add(row.key);
+        return this.#readPeer(row);
+      },
+    );
+    if (peers === undefined) return;
     this.#rescanAtMs = undefined;
-    this.#unreadable.retain(new Set(rows.map(({ key }) => key)));
-    const peers = rows.flatMap((row) => this.#readPeer(row));
+    this.#unreadable.retain(keys);
     this.#isAnnounced &&= peers.some(({ name }) => name === daemon);
     roster.replace(peers, timers.nowMs());
     recordDaemonCount(roster.daemonCount);
--- a/src/shell/gateway/table-call.ts
+++ b/src/shell/gateway/table-call.ts
@@ -22,19 +22,23 @@
   return callWithTimeout(timers, TABLE_TIMEOUT_MS, signal, (ended) => table.call(call, ended));
 }
 
-/** All rows of a prefix, or undefined if a page failed: a partial list is worse than an earlier complete one. */
-export async function readAllRows(
+/**
+ * What the rows of a prefix hold, or undefined if a page failed: a partial list is worse than an earlier complete one.
+ * @param readRow called for each row as its page arrives: the values of many long rows would not fit the heap
+ */
+export async function readAllRows<Item>(
   prefix: string,
   callPage: (call: TableCall) => Promise<TableResult>,
-): Promise<readonly TableRow[] | undefined> {
-  const rows: TableRow[] = [];
+  readRow: (row: TableRow) => readonly Item[],
+): Promise<readonly Item[] | undefined> {
+  const items: Item[] = [];
   let after: string | undefined;
   do {
     const page = { kind: 'scan', prefix, limit: PAGE_ROWS } as const;
     const result = await callPage(after === undefined ? page : { ...page, after });
     if (result.kind !== 'rows') return undefined;
-    rows.push(...result.rows);
+    items.push(...result.rows.flatMap(readRow));
     after = result.continueAfter;
   } while (after !== undefined);
-  return rows;
+  return items;
 }
--- a/test/gateway/store-pages.test.ts
+++ b/test/gateway/store-pages.test.ts
@@ -63,15 +63,16 @@
 test('all rows of a prefix are read where the store cuts its pages by their size', async () => {
   const table = await tableWithLongRows('peer/odd-', { 'peer/z-1': 1, 'peer/z-2': 2, usage: 3 });
   const { signal } = new AbortController();
-  const rows = await readAllRows('peer/', (page) => table.call(page, signal));
-  assert.equal(rows?.length, LONG_ROWS + 2);
-  assert.deepEqual(
-    rows?.slice(-2).map(({ key, value }) => [key, value]),
-    [
-      ['peer/z-1', 1],
-      ['peer/z-2', 2],
-    ],
+  const rows = await readAllRows(
+    'peer/',
+    (page) => table.call(page, signal),
+    ({ key, value }) => [[key, value]],
   );
+  assert.equal(rows?.length, LONG_ROWS + 2);
+  assert.deepEqual(rows?.slice(-2), [
+    ['peer/z-1', 1],
+    ['peer/z-2', 2],
+  ]);
 });
 
 // Guards against a lease that seems to be free, as its row comes after long ones of another writer.
--- a/test/gateway/support/list-reader.ts
+++ b/test/gateway/support/list-reader.ts
@@ -3,6 +3,7 @@
  * or the rows of the product's table under the prefix in its second argument.
  */
 import { createPlatformAdapter } from '../../../platform/index.js';
+import type { TableCall } from '../../../src/core/platform/table.js';
 import { readAllRows } from '../../../src/shell/gateway/table-call.js';
 
 const [, , port, prefix] = process.argv;
@@ -11,8 +12,9 @@
 
 async function lengthOfList(): Promise<number | undefined> {
   if (prefix !== undefined) {
-    const rows = await readAllRows(prefix, (page) => table.call(page, signal));
-    return rows?.length;
+    const callPage = (page: TableCall) => table.call(page, signal);
+    const keys = await readAllRows(prefix, callPage, ({ key }) => [key]);
+    return keys?.length;
   }
   const answer = await servers.readAll(signal, () => undefined);
   return answer.kind === 'rows' ? answer.rows.length : undefined;
