Bound what a row of a daemon or a quarantined request may hold

1,000 such rows of another writer with a zone of 60 KB, or with 6,000 servers, were taken and kept: gateways with 96 MB ended by SIGABRT. 600 nested ones kept requests waiting for 230 ms a page, and the quarantined requests were not read within 6 s.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -225,4 +225,5 @@
   isPathSegment,
   isPort,
   isServerId,
+  MAX_NAME_LENGTH,
 } from './wire-values.js';
--- a/src/core/gateway/wire-values.ts
+++ b/src/core/gateway/wire-values.ts
@@ -8,7 +8,7 @@
 const PORT = /^\d{1,5}$/;
 const MAX_PORT = 65_535;
 /** A name is sent in datagrams between daemons, together with those of other servers. */
-const MAX_NAME_LENGTH = 255;
+export const MAX_NAME_LENGTH = 255;
 const SERVER_ID = /^[\x21-\x7e]+$/;
 /** Visible characters with blanks between them (RFC 9110 section 5.5); blanks at the ends are lost on the way. */
 const FIELD_VALUE = /^[\x21-\x7e\x80-\xff](?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/;
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -4,7 +4,11 @@
  */
 import { randomBytes } from 'node:crypto';
 import * as z from 'zod/mini';
-import { CRASH_RECORD_RETENTION_MS, type CrashRecord } from '../../core/gateway/index.js';
+import {
+  CRASH_RECORD_RETENTION_MS,
+  type CrashRecord,
+  MAX_NAME_LENGTH,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
 import type { GatewayLog } from './request-log.js';
@@ -16,10 +20,14 @@
 /** Sorts before all fingerprints, so that the first page of a scan contains it. */
 const KEY_ROW = `${PREFIX}!key`;
 const KEY_BYTES = 32;
+/** Many times the crashes of which a record keeps the servers. */
+const MAX_SERVERS = 64;
 
 const keySchema = z.object({ key: z.string() });
 const rowSchema = z.object({
-  serverIds: z.array(z.string()),
+  serverIds: z
+    .array(z.string().check(z.maxLength(MAX_NAME_LENGTH)))
+    .check(z.maxLength(MAX_SERVERS)),
   clearings: z.number(),
   /** When the last of the servers ended, in milliseconds since the Unix epoch. */
   unixMs: z.number(),
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -5,7 +5,13 @@
  * writes it again.
  */
 import * as z from 'zod/mini';
-import { isHost, isPort, type PeerDaemon, type PeerRoster } from '../../core/gateway/index.js';
+import {
+  isHost,
+  isPort,
+  MAX_NAME_LENGTH,
+  type PeerDaemon,
+  type PeerRoster,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
 import type { TableService } from './ports.js';
@@ -30,7 +36,7 @@
 const rowSchema = z.object({
   host: z.string().check(z.refine(isHost)),
   port: z.number().check(z.refine(isPort)),
-  zone: z._default(z.string(), ''),
+  zone: z._default(z.string().check(z.maxLength(MAX_NAME_LENGTH)), ''),
   /** Absent in rows of daemons that take no forwarded requests. */
   forwardPort: z.optional(z.number().check(z.refine(isPort))),
 });
--- a/test/gateway/unusable-entries.test.ts
+++ b/test/gateway/unusable-entries.test.ts
@@ -32,7 +32,19 @@
   ['peer/other', Buffer.from('{"host":"127.0.0.1","port":70000,"zone":"a","forwardPort":70000}')],
   ['peer/other', Buffer.from('{"host":"127.0.0.\u0159","port":9,"zone":"a","forwardPort":9}')],
   ['crash/abc', Buffer.from([0xff, 0xfe])],
+  [
+    'peer/other',
+    Buffer.from(JSON.stringify({ host: '127.0.0.1', port: 9, zone: 'z'.repeat(60_000) })),
+  ],
+  ['peer/other', Buffer.from('['.repeat(32_768) + ']'.repeat(32_768))],
+  ['peer/other', Buffer.from('{"host":"127.0.0.1","port":1e400,"zone":"a","forwardPort":9}')],
+  [
+    'crash/abc',
+    Buffer.from(JSON.stringify({ serverIds: Array(1_000).fill('i-1'), clearings: 1, unixMs: 1 })),
+  ],
+  ['crash/abc', Buffer.from('{"serverIds":[],"clearings":1e400,"unixMs":1}')],
 ];
+const MAX_TITLE_LENGTH = 100;
 
 const ROW = { service: 'viewer', zone: 'a', slots: 6, state: 'ready', sequence: 1 };
 const MODEL_ROW = { ...ROW, service: 'reader', stage: 'decode' };
@@ -111,7 +123,7 @@
 
 for (const [key, value] of UNUSABLE_ROWS) {
   // Guards against the end of the daemon by an unhandled rejection of the scan that reads the row.
-  test(`a row ${key} with ${value.toString('latin1')} is passed over`, async () => {
+  test(`a row ${key} with ${value.toString('latin1').slice(0, MAX_TITLE_LENGTH)} is passed over`, async () => {
     fixture.store.putBytes(TABLES.product, key, value);
     await fixture.addDaemon('front-2');
     fixture.store.putConfiguration(configuration(1, [route({})]));
