Replace an unreadable secret for fingerprints

While the row crash/!key had another shape, no daemon that started learnt which requests crash servers, so the protection against them was off, and each daemon read and wrote the store twice a second: the write was conditional on an absent row, and the row that was there had no key.

The write is conditional on the version of the row that cannot be read, which no daemon can have used, and 6075 names it. Of several daemons one replaces it and the others take what it wrote.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -650,7 +650,8 @@
   crashRowMalformed: {
     number: 6075,
     level: 'error',
-    message: 'the row of a quarantined request cannot be read; it is skipped',
+    message:
+      'a row of the quarantined requests cannot be read; it is skipped, or replaced if it is the secret of their fingerprints',
     remedy: 'Find out what writes it: another version of threadfork, or a mistake of an operator.',
   },
   peerMalformed: {
--- a/src/shell/gateway/crash-record-keeper.ts
+++ b/src/shell/gateway/crash-record-keeper.ts
@@ -267,7 +267,7 @@
     while (!signal.aborted) {
       const content = await this.#readRows();
       if (content !== undefined) this.#recordTableRead();
-      const key = content && (content.key ?? (await this.#table.createKey(signal)));
+      const key = content && (content.key ?? (await this.#table.createKey(content, signal)));
       if (key !== undefined) {
         fingerprints.setKey(key);
         log.write(GATEWAY_EVENTS.fingerprintKeyRead, { tookMs: this.#sinceStartMs });
--- a/src/shell/gateway/crash-store-restore.ts
+++ b/src/shell/gateway/crash-store-restore.ts
@@ -70,7 +70,7 @@
     const own = ownKey();
     // A daemon without a key is still reading or creating one.
     if (own === undefined) return true;
-    const stored = content.key ?? (await table.createKey(signal, own));
+    const stored = content.key ?? (await table.createKey(content, signal, own));
     if (stored === undefined) return false;
     const isOther = !stored.equals(own);
     if (isOther) adoptKey(stored);
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -20,10 +20,12 @@
 /** Sorts before all fingerprints, so that the first page of a scan contains it. */
 const KEY_ROW = `${PREFIX}!key`;
 const KEY_BYTES = 32;
+/** A secret of at least 16 bytes, so that an empty or truncated one is not used. */
+const BASE64_KEY = /^[A-Za-z0-9+/]{22,}={0,2}$/;
 /** Many times the crashes of which a record keeps the servers. */
 const MAX_SERVERS = 64;
 
-const keySchema = z.object({ key: z.string() });
+const keySchema = z.object({ key: z.string().check(z.regex(BASE64_KEY)) });
 const rowSchema = z.object({
   serverIds: z
     .array(z.string().check(z.maxLength(MAX_NAME_LENGTH)))
@@ -37,8 +39,10 @@
 
 /** What the table holds. */
 export interface CrashTableContent {
-  /** Undefined while no daemon has created one. */
+  /** Undefined while no daemon has created one, or while its row cannot be read. */
   readonly key: Buffer | undefined;
+  /** The version of the key's row; 0 where there is none. */
+  readonly keyVersion: number;
   /** Quarantines that an operator has lifted are included as cleared records. */
   readonly records: readonly CrashRecord[];
 }
@@ -69,38 +73,43 @@
   async read(signal: AbortSignal): Promise<CrashTableContent | undefined> {
     const keys = new Set<string>();
     let key: Buffer | undefined;
+    let keyVersion = 0;
     const records = await readAllRows(
       PREFIX,
       (page) => this.#call(page, signal),
       (row) => {
         keys.add(row.key);
         if (row.key !== KEY_ROW) return this.#read(row);
-        key = keyOf(row);
+        key = this.#readKey(row);
+        keyVersion = row.version;
         return [];
       },
     );
     if (records === undefined) return undefined;
     this.#unreadable.retain(keys);
-    return { key, records };
+    return { key, keyVersion, records };
   }
 
   /**
-   * Writes the fingerprint key, unless the store has one already.
+   * Writes the fingerprint key, unless the store has one already. A row that cannot be read is replaced: no daemon can have
+   * used it.
+   * @param seen what the store held
    * @param known the key that the fleet uses; by default a new one is created
    * @returns the key in the store; undefined where the outcome is unknown
    */
   async createKey(
+    { keyVersion: version }: Pick<CrashTableContent, 'keyVersion'>,
     signal: AbortSignal,
     known: Buffer = randomBytes(KEY_BYTES),
   ): Promise<Buffer | undefined> {
     const value = { key: known.toString('base64') };
-    const checks = [{ key: KEY_ROW, version: 0 }];
+    const checks = [{ key: KEY_ROW, version }];
     const call: TableCall = { kind: 'transact', checks, writes: [{ key: KEY_ROW, value }] };
     const result = await this.#call(call, signal);
     switch (result.kind) {
       case 'committed':
       case 'conflict':
-        return keyOf(result.rows[0]);
+        return result.rows[0] && this.#readKey(result.rows[0]);
       case 'rows':
       case 'unavailable':
       case 'lost':
@@ -140,11 +149,22 @@
     return result.kind === 'committed';
   }
 
+  #readKey(row: TableRow): Buffer | undefined {
+    const parsed = keySchema.safeParse(row.value);
+    if (parsed.success) {
+      this.#unreadable.remove(row.key);
+      return Buffer.from(parsed.data.key, 'base64');
+    }
+    // An absent row is no unreadable one.
+    if (row.value !== null) this.#recordUnreadable(row.key, problemOf(parsed.error));
+    return undefined;
+  }
+
   #read(row: TableRow): readonly CrashRecord[] {
     const subject = row.key.slice(PREFIX.length);
     const parsed = rowSchema.safeParse(row.value);
     if (!parsed.success) {
-      this.#recordUnreadable(row.key, subject, problemOf(parsed.error));
+      this.#recordUnreadable(row.key, problemOf(parsed.error));
       return [];
     }
     this.#unreadable.remove(row.key);
@@ -163,8 +183,9 @@
   }
 
   /** Logs each problem of a row once; the rows are read again and again while a request is quarantined. */
-  #recordUnreadable(key: string, subject: string, problem: string): void {
+  #recordUnreadable(key: string, problem: string): void {
     if (!this.#unreadable.add(key, problem)) return;
+    const subject = key.slice(PREFIX.length);
     const unreadable = this.#unreadable.count;
     this.#options.log.write(GATEWAY_EVENTS.crashRowMalformed, { subject, problem, unreadable });
   }
@@ -179,8 +200,3 @@
     return result;
   }
 }
-
-function keyOf(row: TableRow | undefined): Buffer | undefined {
-  const parsed = keySchema.safeParse(row?.value);
-  return parsed.success ? Buffer.from(parsed.data.key, 'base64') : undefined;
-}
--- a/test/gateway/unusable-entries.test.ts
+++ b/test/gateway/unusable-entries.test.ts
@@ -44,6 +44,7 @@
   ],
   ['crash/abc', Buffer.from('{"serverIds":[],"clearings":1e400,"unixMs":1}')],
 ];
+const SECRET_ROW = /^\{"key":"[A-Za-z0-9+/]{43}="\}$/;
 const MAX_TITLE_LENGTH = 80;
 /** Ends a test whose awaited log line never comes. */
 const MAX_TEST_MS = 10_000;
@@ -145,5 +146,6 @@
     fixture.store.putBytes(TABLES.product, 'crash/!key', Buffer.from(value));
     await fixture.addDaemon('front-2');
     await fixture.logged(GATEWAY_EVENTS.crashRowMalformed, ({ subject }) => subject === '!key');
+    assert.match(JSON.stringify(fixture.store.read(TABLES.product, 'crash/!key')), SECRET_ROW);
   });
 }
