Failing tests: rows of the stage lease with impossible values

An epoch that is a text leaves each daemon that read it without a token until it is restarted; one above 2^53 - 2 does not rise any more, so orders of two holders carry the same; a duration of 1e300 ms is waited for.

--- a/test/gateway/stage-controller.test.ts
+++ b/test/gateway/stage-controller.test.ts
@@ -471,3 +471,30 @@
   assert.ok(setup.fleet.candidates('reader', nowMs).some(({ id }) => id === engine.id));
   controller.stop();
 });
+
+const LEASE_KEY = 'lease/engine-stages';
+const EPOCH_KEY = 'epoch/engine-stages';
+const LEASE_ROW = { holder: 'other', incarnation: 1, epoch: 1, durationMs: LEASE_MS, renewals: 0 };
+
+const ODD_LEASE_ROWS: readonly (readonly [string, string, unknown])[] = [
+  ['an epoch that is a text', LEASE_KEY, { ...LEASE_ROW, epoch: 'abc' }],
+  ['a duration beyond all', LEASE_KEY, { ...LEASE_ROW, durationMs: 1e300 }],
+  ['no fields', LEASE_KEY, []],
+  ['an epoch row with the last whole number', EPOCH_KEY, { epoch: Number.MAX_SAFE_INTEGER }],
+  ['an epoch row with a number too large', EPOCH_KEY, { epoch: 1e300 }],
+];
+
+for (const [problem, key, value] of ODD_LEASE_ROWS) {
+  // Guards against orders whose fencing token is no number or no longer rises, and against a lease that never ends.
+  test(`a lease with ${problem} is not taken, and is once that row is gone`, async () => {
+    const setup = setUp();
+    setup.table.put(key, value);
+    startController(setup, 'front-1');
+    await advanceTime(setup, 10_000);
+    assert.deepEqual(setup.engines.orders, []);
+    setup.table.put(key, null);
+    await advanceTime(setup, 10_000);
+    assert.ok(setup.engines.orders.length > 0);
+    assert.ok(setup.engines.orders.every(({ fence }) => Number.isSafeInteger(fence)));
+  });
+}
