Check the rows of leases before anything is decided on them

No engine changed its stage, or two holders sent orders with the same fencing token, after another writer had put an impossible value into the lease's rows: they were used as they came. A text as epoch made the token NaN until the daemon was restarted, an epoch above 2^53 - 2 does not rise, and a duration of 1e300 ms was waited for after its row had gone.

--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -18,6 +18,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { DutyRecordRow, type SentOutcome } from './duty-record.js';
 import type { FleetView } from './fleet-view.js';
+import { fenceSchema } from './lease-rows.js';
 import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { callWithTimeout, delay, type TimerService } from './timer-service.js';
@@ -44,7 +45,7 @@
 const recordSchema = z.object({
   holder: z.string(),
   incarnation: z.number(),
-  fence: z.number(),
+  fence: fenceSchema,
   wantedPerZone: z.record(z.string(), z.number()),
   targets: z.optional(z.array(orderSchema)),
 });
--- a/src/shell/gateway/duty-record.ts
+++ b/src/shell/gateway/duty-record.ts
@@ -8,7 +8,7 @@
 import type { GatewayLog } from './request-log.js';
 import { callTable } from './table-call.js';
 import type { TimerService } from './timer-service.js';
-import { problemOf } from './unreadable-rows.js';
+import { problemOf, UnreadableRows } from './unreadable-rows.js';
 
 /** Where a duty's record is stored, and how it is read. */
 export interface DutyRecordOptions<Content extends DutyRecord> {
@@ -29,6 +29,7 @@
 /** The row of one duty's record. */
 export class DutyRecordRow<Content extends DutyRecord> {
   readonly #options: DutyRecordOptions<Content>;
+  readonly #unreadable = new UnreadableRows();
 
   constructor(options: DutyRecordOptions<Content>) {
     this.#options = options;
@@ -54,7 +55,7 @@
     const sentMs = timers.nowMs();
     const result = await callTable({ table, timers }, call, signal);
     const outcome = this.#outcomeOf(result);
-    if (outcome.kind !== 'seen') this.#logFailure(call.kind, result);
+    if ('reason' in result) this.#logFailure(call.kind, result);
     return { outcome, sentMs };
   }
 
@@ -73,8 +74,9 @@
         const version = row?.version ?? 0;
         const isOwnWrite = result.kind === 'committed';
         const seen = { kind: 'seen', version, era: result.era ?? FIRST_ERA, isOwnWrite } as const;
-        if (value === null) return { ...seen, record: undefined };
-        const parsed = this.#options.schema.safeParse(value);
+        const parsed = value === null ? undefined : this.#options.schema.safeParse(value);
+        if (parsed?.success !== false) this.#unreadable.remove(this.#options.key);
+        if (parsed === undefined) return { ...seen, record: undefined };
         if (parsed.success) return { ...seen, record: parsed.data };
         this.#logMalformed(problemOf(parsed.error));
         return { kind: 'refused' };
@@ -82,15 +84,16 @@
     }
   }
 
-  #logFailure(call: string, result: TableResult): void {
+  #logFailure(call: string, result: Extract<TableResult, { readonly reason: string }>): void {
     const { key, log } = this.#options;
-    const reason = 'reason' in result ? result.reason : '';
-    const outcome = result.kind;
+    const { kind: outcome, reason } = result;
     log.write(GATEWAY_EVENTS.dutyRecordFailed, { duty: key, call, outcome, reason });
   }
 
+  /** Logs each problem once: the record is read again and again. */
   #logMalformed(problem: string): void {
     const { key, log } = this.#options;
+    if (!this.#unreadable.add(key, problem)) return;
     log.write(GATEWAY_EVENTS.dutyRecordMalformed, { duty: key, problem });
   }
 }
--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -17,6 +17,7 @@
   windowAt,
 } from '../../core/tenant-usage/index.js';
 import { DutyRecordRow, type SentOutcome } from './duty-record.js';
+import { fenceSchema } from './lease-rows.js';
 import type { PeerExchange, Reply } from './peer-exchange.js';
 import type { UsageMessage } from './peer-messages.js';
 import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
@@ -52,7 +53,7 @@
 const recordSchema = z.object({
   holder: z.string(),
   incarnation: z.number(),
-  fence: z.number(),
+  fence: fenceSchema,
   window: z.number(),
   counts: z.record(z.string(), z.number()),
 });
