--- a/test/gateway/store-pages.test.ts
+++ b/test/gateway/store-pages.test.ts
@@ -89,3 +89,23 @@
     ],
   );
 });
+
+// Guards against a server that is no longer used because another part of the table has a row with its key.
+test('rows of other parts of the table are no changes of the list', async () => {
+  const server = new ServerStandIn(({ response }) => {
+    const row = { table: TABLES.servers, privateKey: 'i-1', gone: true };
+    const rows = [
+      { ...row, part: 'other', ver: 5 },
+      { ...row, part: '', privateKey: 'i-2', ver: 6 },
+    ];
+    response.end(JSON.stringify({ rows, more: false, ver: 6 }));
+  });
+  store = server;
+  await server.start();
+  const [host = '', port = ''] = server.address.split(':');
+  const { servers } = createPlatformAdapter({ host, port: Number(port) });
+  const answer = await servers.changesAfter(4, 0, new AbortController().signal);
+  assert.ok(answer.kind === 'rows');
+  assert.deepEqual(answer.rows, [{ kind: 'gone', key: 'i-2' }]);
+  assert.equal(answer.revision, 6);
+});
