Pass over an odd entry of the machine list, and follow the others

threadforkd followed no machine, so requests went to engines that had left and none to new ones, as long as one entry of the platform's machine list had a port out of range, an address that is none or any other shape: the list was checked as a whole, and refused.

Each entry is checked alone; 6212 names an odd one once, a hundred at most.

--- a/src/core/logging/catalogue/entries.ts
+++ b/src/core/logging/catalogue/entries.ts
@@ -16,4 +16,10 @@
     remedy:
       'Correct the named rows first, or find out which program writes them; the others are named as these are gone.',
   },
+  machineUnusable: {
+    number: 6212,
+    level: 'error',
+    message: 'an entry of the machine list cannot be read; it is passed over',
+    remedy: 'Correct what writes the entry; all other machines of the list are used.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/unreadable-rows.ts
+++ b/src/core/platform/unreadable-rows.ts
@@ -2,13 +2,19 @@
  * Rows of the store that cannot be used, with their problems: each problem is logged once, and only so many rows are named
  * that other lines can still be found.
  */
-import type * as z from 'zod/mini';
-
 /** More unusable rows most likely have a single cause. */
 const MAX_NAMED_ROWS = 100;
 
+/** The problems that a schema found, of either interface of zod. */
+interface SchemaError {
+  readonly issues: readonly {
+    readonly path: readonly PropertyKey[];
+    readonly message: string;
+  }[];
+}
+
 /** What a schema found wrong with a row, for the log. */
-export function problemOf({ issues }: Pick<z.core.$ZodError, 'issues'>): string {
+export function problemOf({ issues }: SchemaError): string {
   const [first] = issues;
   return first === undefined ? '' : `${first.path.join('.')}: ${first.message}`;
 }
--- a/src/daemon/effect-performer.ts
+++ b/src/daemon/effect-performer.ts
@@ -11,8 +11,10 @@
 import type { DaemonEffect, DaemonEvent, DaemonState } from '../core/daemon/index.js';
 import type { Fault } from '../core/errors/fault.js';
 import { authorityOf, maySendUnder } from '../core/lease/index.js';
+import { ENTRY_EVENTS } from '../core/logging/catalogue/entries.js';
 import type { Order, OrderAnswer } from '../core/orders/index.js';
 import type { PeerEffect, PeerHeader } from '../core/peer/index.js';
+import { UnreadableRows } from '../core/platform/unreadable-rows.js';
 import {
   DEFAULT_POOL,
   type EngineReport,
@@ -29,7 +31,7 @@
 import type { Logger } from '../shell/logging/index.js';
 import type { Metrics } from '../shell/metrics/index.js';
 import type { PeerTransport } from '../shell/peer/index.js';
-import type { PlatformClient } from '../shell/platform/index.js';
+import type { PlatformClient, UnusableMachine } from '../shell/platform/index.js';
 import type { HealthClient } from './health-client.js';
 import { performObjectCall } from './object-calls.js';
 
@@ -62,6 +64,7 @@
 export class EffectPerformer {
   readonly #options: PerformerOptions;
   readonly #reachability = new EngineReachability();
+  readonly #unusable = new UnreadableRows();
 
   constructor(options: PerformerOptions) {
     this.#options = options;
@@ -195,7 +198,10 @@
 
   async #listMachines(): Promise<void> {
     const listed = await this.#options.shells.platform.machines();
-    listed.map(({ machines }) => this.#forgetUnlisted(machines));
+    if (listed.isOk()) {
+      this.#forgetUnlisted(listed.value.machines);
+      this.#logUnusable(listed.value.unusable);
+    }
     this.#options.emit(
       listed.match<DaemonEvent>(
         ({ machines }) => ({ kind: 'machines-listed', machines }),
@@ -210,6 +216,17 @@
     this.#reachability.retain((engine) => listed.has(engine));
   }
 
+  /** Logs each problem of an entry once: the list is read again and again. */
+  #logUnusable(entries: readonly UnusableMachine[]): void {
+    const { logger } = this.#options.shells;
+    this.#unusable.retain(new Set(entries.map(({ name }) => name)));
+    for (const { name: machine, problem } of entries) {
+      if (!this.#unusable.add(machine, problem)) continue;
+      const unusable = this.#unusable.count;
+      logger.write(ENTRY_EVENTS.machineUnusable, { machine, problem, unusable });
+    }
+  }
+
   async #checkHealth(machine: WebMachine): Promise<void> {
     const healthy = await this.#options.shells.health.isHealthy(machine);
     this.#options.emit({ kind: 'web-health', backend: machine.name, healthy });
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -11,10 +11,10 @@
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
+import { problemOf, UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import type { GatewayLog } from './request-log.js';
 import { callTable, readAllRows, type TableAccess } from './table-call.js';
 import type { WallClock } from './timer-service.js';
-import { problemOf, UnreadableRows } from './unreadable-rows.js';
 
 const PREFIX = 'crash/';
 /** Sorts before all fingerprints, so that the first page of a scan contains it. */
--- a/src/shell/gateway/duty-record.ts
+++ b/src/shell/gateway/duty-record.ts
@@ -4,11 +4,11 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { FIRST_ERA } from '../../core/platform/store-position.js';
 import type { TableCall, TableResult } from '../../core/platform/table.js';
+import { problemOf, UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { callTable } from './table-call.js';
 import type { TimerService } from './timer-service.js';
-import { problemOf, UnreadableRows } from './unreadable-rows.js';
 
 /** Where a duty's record is stored, and how it is read. */
 export interface DutyRecordOptions<Content extends DutyRecord> {
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -19,6 +19,7 @@
 import { ENTRY_EVENTS } from '../../core/logging/catalogue/entries.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
+import { UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import type { CacheEventWatchers } from './cache-event-watchers.js';
 import { DepartureTracker, type DepartureTrackerOptions } from './departure-tracker.js';
 import type { FleetView } from './fleet-view.js';
@@ -30,7 +31,6 @@
 import type { GatewayLog } from './request-log.js';
 import { type TableChanges, TableWatcher } from './table-watcher.js';
 import { type CancelTimer, delay, type TimerService, type WallClock } from './timer-service.js';
-import { UnreadableRows } from './unreadable-rows.js';
 import { usableRow } from './usable-row.js';
 import { WatchRetryQueue } from './watch-retry-queue.js';
 import { isOutage, type RecheckSpans, type WatchTiming } from './watch-timing.js';
--- a/src/shell/gateway/lease-rows.ts
+++ b/src/shell/gateway/lease-rows.ts
@@ -5,7 +5,7 @@
 import * as z from 'zod/mini';
 import { epochKey, leaseKey } from '../../core/lease/index.js';
 import type { TableResult } from '../../core/platform/table.js';
-import { problemOf } from './unreadable-rows.js';
+import { problemOf } from '../../core/platform/unreadable-rows.js';
 
 /** The token after the largest one must still be higher than it. */
 const MAX_FENCE = Number.MAX_SAFE_INTEGER - 1;
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -14,11 +14,11 @@
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
+import { problemOf, UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { callTable, readAllRows } from './table-call.js';
 import { delay, type TimerService } from './timer-service.js';
-import { problemOf, UnreadableRows } from './unreadable-rows.js';
 
 const ROW_PREFIX = 'peer/';
 const FIRST_SCAN_INTERVAL_MS = 1_000;
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -24,6 +24,7 @@
 } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableEffect, TableResult } from '../../core/platform/table.js';
+import { UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import { DEMAND_WINDOW_MS } from './fleet-demand.js';
 import { runInBackground } from './internal-faults.js';
 import { unreadableLeaseRow } from './lease-rows.js';
@@ -31,7 +32,6 @@
 import { StageOrders, type StageOrdersOptions } from './stage-orders.js';
 import { callTable } from './table-call.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
-import { UnreadableRows } from './unreadable-rows.js';
 
 const TICK_MS = 250;
 /** The lease is sought once a change has been wanted for this long, plus a random time up to the spread. */
--- a/src/shell/platform/answers.ts
+++ b/src/shell/platform/answers.ts
@@ -28,8 +28,8 @@
   ageMs: z.number().min(0),
   /** Identifies the content; absent if the platform does not support revisions. */
   revision: z.string().max(128).optional(),
-  /** Absent if the revision in the request is still current. */
-  machines: z.array(machineSchema).optional(),
+  /** Absent if the revision in the request is still current. Each is checked alone, as one may be unusable. */
+  machines: z.array(z.unknown()).optional(),
 });
 
 const rowSchema = z.object({
--- a/src/shell/platform/client.ts
+++ b/src/shell/platform/client.ts
@@ -4,10 +4,10 @@
 import type { Milliseconds } from '../../core/common/time.js';
 import { type Fault, outcomeUnknown, refusedNotRun } from '../../core/errors/fault.js';
 import type { TableCall, TableResult } from '../../core/platform/table.js';
-import type { Machine } from '../../core/registry/backend.js';
 import { machinesAnswerSchema } from './answers.js';
 import { type Exchange, type ExchangeOptions, HttpConnectionPool } from './http-connection-pool.js';
 import { parseJson } from './json.js';
+import { type MachineEntries, readMachines } from './machine-entries.js';
 import { DEFAULT_RETRY_AFTER_MS, retryAfterMs } from './retry-after.js';
 import { tableRequest, tableResult } from './table-calls.js';
 
@@ -20,9 +20,8 @@
 }
 
 /** The machine list, with its age at the time the platform sent it. */
-export interface MachineList {
+export interface MachineList extends MachineEntries {
   readonly ageMs: Milliseconds;
-  readonly machines: readonly Machine[];
 }
 
 /** Calls to the platform. No call rejects; `timeoutMs` limits the duration of each. */
@@ -75,7 +74,7 @@
 
 /** Reads the machine list; transfers only its revision while the list has not changed. */
 class MachineListReader {
-  #cached: { readonly revision: string; readonly machines: readonly Machine[] } | null = null;
+  #cached: { readonly revision: string; readonly entries: MachineEntries } | null = null;
 
   constructor(private readonly connections: HttpConnectionPool) {}
 
@@ -89,12 +88,12 @@
       if (answer.machines === undefined) {
         const unchanged = cached !== null && cached.revision === revision;
         return unchanged
-          ? ok({ ageMs, machines: cached.machines })
+          ? ok({ ageMs, ...cached.entries })
           : err(invalidAnswerFault('no machines though the list has changed'));
       }
-      const machines = answer.machines;
-      this.#cached = revision === undefined ? null : { revision, machines };
-      return ok({ ageMs, machines });
+      const entries = readMachines(answer.machines);
+      this.#cached = revision === undefined ? null : { revision, entries };
+      return ok({ ageMs, ...entries });
     });
   }
 }
--- a/src/shell/platform/index.ts
+++ b/src/shell/platform/index.ts
@@ -6,3 +6,4 @@
   type PlatformClient,
   type WeightReference,
 } from './client.js';
+export type { UnusableMachine } from './machine-entries.js';
--- a/test/daemon/log-lines.test.ts
+++ b/test/daemon/log-lines.test.ts
@@ -49,7 +49,7 @@
   const shells = {
     logger,
     engines: { report: async () => answers.shift() },
-    platform: { machines: async () => ok({ machines: listings.shift() }) },
+    platform: { machines: async () => ok({ machines: listings.shift(), unusable: [] }) },
   } as unknown as DaemonShells;
   const identity = { name: 'd1', zone: 'a', incarnation: 1, peerEndpoint: ENDPOINT, seeds: [] };
   const state = createDaemonState({ ...identity, maxWaitingPerClass: 1 });
