Take the values of the product's rows as they were parsed

threadforkd ended by an unhandled RangeError when a row that it read had a deeply nested value: the check that a value is JSON walks it by recursion, and JSON.parse does not. What was parsed is JSON, so only its presence is checked.

--- a/src/shell/platform/answers.ts
+++ b/src/shell/platform/answers.ts
@@ -32,10 +32,13 @@
   machines: z.array(z.unknown()).optional(),
 });
 
+/** Any value; what was parsed as JSON is not walked again, as its nesting may exceed the stack. */
+const jsonValue = z.unknown().refine((value) => value !== undefined, 'a value');
+
 const rowSchema = z.object({
   key: z.string(),
   version: z.int().min(0),
-  value: z.json(),
+  value: jsonValue,
 });
 
 /** The answer to a get or a scan. */
