Check a lease's rows in the lease itself, for threadforkd as well

It stands in the reducer of leases now; 6213 names the row and what is wrong with it, once until it can be read.

--- a/src/core/lease/index.ts
+++ b/src/core/lease/index.ts
@@ -1,5 +1,6 @@
 /** Leases: which daemon may act on a resource, under which epoch and until when. */
 export { type Authority, isInForce, maySendUnder } from './authority.js';
+export { fenceSchema } from './row-checks.js';
 export {
   authorityOf,
   DEFAULT_LEASE_DURATION_MS,
--- a/src/shell/gateway/lease-rows.ts
+++ b/src/core/lease/row-checks.ts
@@ -3,9 +3,9 @@
  * program may write to the table.
  */
 import * as z from 'zod/mini';
-import { epochKey, leaseKey } from '../../core/lease/index.js';
-import type { TableResult } from '../../core/platform/table.js';
-import { problemOf } from '../../core/platform/unreadable-rows.js';
+import type { TableResult } from '../platform/table.js';
+import { problemOf } from '../platform/unreadable-rows.js';
+import { epochKey, leaseKey } from './types.js';
 
 /** The token after the largest one must still be higher than it. */
 const MAX_FENCE = Number.MAX_SAFE_INTEGER - 1;
--- a/src/core/lease/step.ts
+++ b/src/core/lease/step.ts
@@ -9,10 +9,12 @@
 import { backoff, jittered } from '../common/jitter.js';
 import type { Milliseconds, MonotonicMs } from '../common/time.js';
 import { type StepContext, type Transition, unchanged } from '../common/transition.js';
+import { ENTRY_EVENTS } from '../logging/catalogue/entries.js';
 import { LEASE_EVENTS } from '../logging/catalogue/lease.js';
 import { log } from '../logging/log-event.js';
 import type { TableCall, TableResult, TableResultEvent } from '../platform/table.js';
 import { applyRows, holdsRow, isFree, lapsesAt } from './observation.js';
+import { type UnreadableLeaseRow, unreadableLeaseRow } from './row-checks.js';
 import type {
   LeaseCallPurpose,
   LeaseEvent,
@@ -125,6 +127,9 @@
   if (event.result.kind === 'unavailable' || event.result.kind === 'lost') {
     return receiveFailure(next, pending, event.result, context);
   }
+  // A lease taken from rows that cannot be read would lose its fencing token: they are as if the store were away.
+  const unreadable = unreadableLeaseRow(state.settings.resource, event.result);
+  if (unreadable !== undefined) return receiveUnreadable(next, pending, unreadable, context);
   const recovered = state.failures > 0 ? [log(LEASE_EVENTS.storeRecovered, logFields(state))] : [];
   const { state: after, effects } = receiveRows(
     { ...next, failures: 0 },
@@ -160,6 +165,19 @@
   };
 }
 
+function receiveUnreadable(
+  state: LeaseState,
+  pending: PendingLeaseCall,
+  { key, problem }: UnreadableLeaseRow,
+  context: StepContext,
+): LeaseTransition {
+  const failure = { kind: 'unavailable', reason: problem, retryAfterMs: 0 } as const;
+  const { state: failed } = receiveFailure(state, pending, failure, context);
+  const isFirst = failed.failures === 1;
+  const line = log(ENTRY_EVENTS.leaseRowUnreadable, { ...logFields(state), row: key, problem });
+  return { state: failed, effects: isFirst ? [line] : [] };
+}
+
 function receiveRows(
   state: LeaseState,
   pending: PendingLeaseCall,
--- a/src/core/logging/catalogue/entries.ts
+++ b/src/core/logging/catalogue/entries.ts
@@ -22,4 +22,10 @@
     message: 'an entry of the machine list cannot be read; it is passed over',
     remedy: 'Correct what writes the entry; all other machines of the list are used.',
   },
+  leaseRowUnreadable: {
+    number: 6213,
+    level: 'error',
+    message: 'a row of a lease cannot be read; nobody takes the lease meanwhile',
+    remedy: 'Remove the row, or find out which program writes it; the lease is then taken again.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -15,10 +15,10 @@
   type ZoneCapacity,
 } from '../../core/capacity/index.js';
 import { requiredEngines, type Service } from '../../core/gateway/index.js';
+import { fenceSchema } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { DutyRecordRow, type SentOutcome } from './duty-record.js';
 import type { FleetView } from './fleet-view.js';
-import { fenceSchema } from './lease-rows.js';
 import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { callWithTimeout, delay, type TimerService } from './timer-service.js';
--- a/src/shell/gateway/stage-controller.ts
+++ b/src/shell/gateway/stage-controller.ts
@@ -23,11 +23,9 @@
   stepLease,
 } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type { TableEffect, TableResult } from '../../core/platform/table.js';
-import { UnreadableRows } from '../../core/platform/unreadable-rows.js';
+import type { TableEffect } from '../../core/platform/table.js';
 import { DEMAND_WINDOW_MS } from './fleet-demand.js';
 import { runInBackground } from './internal-faults.js';
-import { unreadableLeaseRow } from './lease-rows.js';
 import type { TableService } from './ports.js';
 import { StageOrders, type StageOrdersOptions } from './stage-orders.js';
 import { callTable } from './table-call.js';
@@ -55,7 +53,6 @@
 const LEASE_MARGIN_SHARE = 0.2;
 const RESOURCE = 'engine-stages';
 const ENTROPY_RANGE = 2 ** 32;
-const NO_KEYS: ReadonlySet<string> = new Set();
 
 /** Dependencies and settings of a stage controller. */
 export interface StageControllerOptions
@@ -81,7 +78,6 @@
   #wantedSinceMs: number | undefined;
   #minWantedMs = 0;
   readonly #recovery = new DecodeRecovery();
-  readonly #unreadable = new UnreadableRows();
   #leaseDelayMs: number;
   #lastOrderMs = Number.NEGATIVE_INFINITY;
   #lastRecoveryMs = Number.NEGATIVE_INFINITY;
@@ -262,24 +258,9 @@
   }
 
   async #callTable(effect: TableEffect): Promise<void> {
-    const answer = await callTable(this.#options, effect.call, undefined);
-    const result = this.#withoutUnreadable(answer);
+    const result = await callTable(this.#options, effect.call, undefined);
     this.#step({ kind: 'table-result', token: effect.token, result });
   }
-
-  /** Rows that cannot be read are as if the store were away: a lease taken from them would lose its fencing token. */
-  #withoutUnreadable(result: TableResult): TableResult {
-    const unreadable = unreadableLeaseRow(RESOURCE, result);
-    if (unreadable === undefined) {
-      this.#unreadable.retain(NO_KEYS);
-      return result;
-    }
-    const { key, problem } = unreadable;
-    if (this.#unreadable.add(key, problem)) {
-      this.#options.log.write(GATEWAY_EVENTS.dutyRecordMalformed, { duty: key, problem });
-    }
-    return { kind: 'unavailable', reason: 'a row of the lease is malformed', retryAfterMs: 0 };
-  }
 }
 
 function drawLeaseDelayMs(): number {
--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod/mini';
 import type { PeerRoster } from '../../core/gateway/index.js';
+import { fenceSchema } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import {
   type CollectedCounts,
@@ -17,7 +18,6 @@
   windowAt,
 } from '../../core/tenant-usage/index.js';
 import { DutyRecordRow, type SentOutcome } from './duty-record.js';
-import { fenceSchema } from './lease-rows.js';
 import type { PeerExchange, Reply } from './peer-exchange.js';
 import type { UsageMessage } from './peer-messages.js';
 import type { DutyOutcome, PlatformDuties, TableService } from './ports.js';
