--- a/test/gateway/unusable-entries.test.ts
+++ b/test/gateway/unusable-entries.test.ts
@@ -7,6 +7,7 @@
 import { decodeServer } from '../../platform/configuration-codec.js';
 import { TABLES } from '../../platform/names.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import type { LogFields } from '../../src/core/logging/log-event.js';
 import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
 import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
 import { SYSTEM_TIMERS } from '../../src/shell/gateway/timer-service.js';
@@ -149,3 +150,20 @@
     assert.match(JSON.stringify(fixture.store.read(TABLES.product, 'crash/!key')), SECRET_ROW);
   });
 }
+
+for (const version of ['1e300', '2.5', '1e400', '"2"']) {
+  // Guards against a version that no later one exceeds: all later configurations would count as older.
+  test(`a configuration of version ${version} is not taken, and the next one is`, {
+    timeout: MAX_TEST_MS,
+  }, async () => {
+    await fixture.start();
+    fixture.store.putConfiguration(configuration(1, [route({})]));
+    await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+    const odd = JSON.stringify(configuration(2, [])).replace('"version":2', `"version":${version}`);
+    fixture.store.putBytes(TABLES.operator, TABLES.configurationKey, Buffer.from(odd));
+    await fixture.logged(GATEWAY_EVENTS.configurationMalformed);
+    fixture.store.putConfiguration(configuration(3, [route({})]));
+    const isThird = ({ configurationVersion }: LogFields) => configurationVersion === 3;
+    await fixture.logged(GATEWAY_EVENTS.configurationInForce, isThird);
+  });
+}
