--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -227,7 +227,9 @@
   isFieldValue,
   isFinalStatus,
   isHost,
+  isName,
   isPathSegment,
   isPort,
   isServerId,
+  MAX_NAME_LENGTH,
 } from './wire-values.js';
--- a/src/shell/gateway/peer-directory.ts
+++ b/src/shell/gateway/peer-directory.ts
@@ -5,9 +5,16 @@
  * writes it again.
  */
 import * as z from 'zod/mini';
-import { isHost, isPort, type PeerDaemon, type PeerRoster } from '../../core/gateway/index.js';
+import {
+  isHost,
+  isPort,
+  MAX_NAME_LENGTH,
+  type PeerDaemon,
+  type PeerRoster,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
+import { problemOf, UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import type { TableService } from './ports.js';
 import type { GatewayLog } from './request-log.js';
 import { callTable, readAllRows } from './table-call.js';
@@ -29,7 +36,7 @@
 const rowSchema = z.object({
   host: z.string().check(z.refine(isHost)),
   port: z.number().check(z.refine(isPort)),
-  zone: z._default(z.string(), ''),
+  zone: z._default(z.string().check(z.maxLength(MAX_NAME_LENGTH)), ''),
   /** Absent in rows of daemons that take no forwarded requests. */
   forwardPort: z.optional(z.number().check(z.refine(isPort))),
 });
@@ -63,6 +70,7 @@
 export class PeerDirectory {
   readonly #options: PeerDirectoryOptions;
   readonly #stopped = new AbortController();
+  readonly #unreadable = new UnreadableRows();
   #isAnnounced = false;
   #forwardPort: number | undefined;
   #scanIntervalMs = FIRST_SCAN_INTERVAL_MS;
@@ -158,10 +166,18 @@
 
   async #scan(): Promise<void> {
     const { daemon, roster, timers, recordDaemonCount } = this.#options;
-    const rows = await readAllRows(ROW_PREFIX, (page) => this.#callTable(page));
-    if (rows === undefined) return;
+    const keys = new Set<string>();
+    const peers = await readAllRows(
+      ROW_PREFIX,
+      (page) => this.#callTable(page),
+      (row) => {
+        keys.add(row.key);
+        return this.#readPeer(row);
+      },
+    );
+    if (peers === undefined) return;
     this.#rescanAtMs = undefined;
-    const peers = rows.flatMap((row) => this.#readPeer(row));
+    this.#unreadable.retain(keys);
     this.#isAnnounced &&= peers.some(({ name }) => name === daemon);
     roster.replace(peers, timers.nowMs());
     recordDaemonCount(roster.daemonCount);
@@ -189,8 +205,15 @@
   #readPeer(row: TableRow): readonly PeerDaemon[] {
     const parsed = rowSchema.safeParse(row.value);
     const name = row.key.slice(ROW_PREFIX.length);
-    if (parsed.success) return [{ name, ...parsed.data }];
-    this.#options.log.write(GATEWAY_EVENTS.peerMalformed, { peer: name });
+    if (parsed.success) {
+      this.#unreadable.remove(row.key);
+      return [{ name, ...parsed.data }];
+    }
+    const problem = problemOf(parsed.error);
+    if (this.#unreadable.add(row.key, problem)) {
+      const unreadable = this.#unreadable.count;
+      this.#options.log.write(GATEWAY_EVENTS.peerMalformed, { peer: name, problem, unreadable });
+    }
     return [];
   }
 }
--- a/src/shell/gateway/tenant-usage.ts
+++ b/src/shell/gateway/tenant-usage.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod/mini';
 import type { PeerRoster } from '../../core/gateway/index.js';
+import { fenceSchema } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import {
   type CollectedCounts,
@@ -52,7 +53,7 @@
 const recordSchema = z.object({
   holder: z.string(),
   incarnation: z.number(),
-  fence: z.number(),
+  fence: fenceSchema,
   window: z.number(),
   counts: z.record(z.string(), z.number()),
 });
--- a/src/shell/platform/answers.ts
+++ b/src/shell/platform/answers.ts
@@ -28,14 +28,17 @@
   ageMs: z.number().min(0),
   /** Identifies the content; absent if the platform does not support revisions. */
   revision: z.string().max(128).optional(),
-  /** Absent if the revision in the request is still current. */
-  machines: z.array(machineSchema).optional(),
+  /** Absent if the revision in the request is still current. Each is checked alone, as one may be unusable. */
+  machines: z.array(z.unknown()).optional(),
 });
 
+/** Any value; what was parsed as JSON is not walked again, as its nesting may exceed the stack. */
+const jsonValue = z.unknown().refine((value) => value !== undefined, 'a value');
+
 const rowSchema = z.object({
   key: z.string(),
   version: z.int().min(0),
-  value: z.json(),
+  value: jsonValue,
 });
 
 /** The answer to a get or a scan. */
--- a/test/gateway/unusable-entries.test.ts
+++ b/test/gateway/unusable-entries.test.ts
@@ -7,6 +7,7 @@
 import { decodeServer } from '../../platform/configuration-codec.js';
 import { TABLES } from '../../platform/names.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import type { LogFields } from '../../src/core/logging/log-event.js';
 import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
 import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
 import { SYSTEM_TIMERS } from '../../src/shell/gateway/timer-service.js';
@@ -32,7 +33,22 @@
   ['peer/other', Buffer.from('{"host":"127.0.0.1","port":70000,"zone":"a","forwardPort":70000}')],
   ['peer/other', Buffer.from('{"host":"127.0.0.\u0159","port":9,"zone":"a","forwardPort":9}')],
   ['crash/abc', Buffer.from([0xff, 0xfe])],
+  [
+    'peer/other',
+    Buffer.from(JSON.stringify({ host: '127.0.0.1', port: 9, zone: 'z'.repeat(60_000) })),
+  ],
+  ['peer/other', Buffer.from('['.repeat(32_768) + ']'.repeat(32_768))],
+  ['peer/other', Buffer.from('{"host":"127.0.0.1","port":1e400,"zone":"a","forwardPort":9}')],
+  [
+    'crash/abc',
+    Buffer.from(JSON.stringify({ serverIds: Array(1_000).fill('i-1'), clearings: 1, unixMs: 1 })),
+  ],
+  ['crash/abc', Buffer.from('{"serverIds":[],"clearings":1e400,"unixMs":1}')],
 ];
+const SECRET_ROW = /^\{"key":"[A-Za-z0-9+/]{43}="\}$/;
+const MAX_TITLE_LENGTH = 80;
+/** Ends a test whose awaited log line never comes. */
+const MAX_TEST_MS = 10_000;
 
 const ROW = { service: 'viewer', zone: 'a', slots: 6, state: 'ready', sequence: 1 };
 const MODEL_ROW = { ...ROW, service: 'reader', stage: 'decode' };
@@ -93,9 +109,25 @@
   });
 }
 
+/** Longer than a datagram between daemons has room for. */
+const LONG_NAME = 'n'.repeat(300);
+
+for (const field of ['service', 'zone']) {
+  // Guards against messages between daemons that are too long to be sent because one entry has a long name.
+  test(`an entry whose ${field} has a name of ${LONG_NAME.length} characters names no server`, () => {
+    const named = { ...ROW, address: '127.0.0.1:9', [field]: LONG_NAME };
+    assert.throws(() => decodeServer('i-2', named), /Too big/);
+    const value = {
+      ...decodeServer('i-2', { ...ROW, address: '127.0.0.1:9' }),
+      [field]: LONG_NAME,
+    };
+    assert.equal(usableRow({ kind: 'value', key: 'i-2', value }).kind, 'malformed');
+  });
+}
+
 for (const [key, value] of UNUSABLE_ROWS) {
   // Guards against the end of the daemon by an unhandled rejection of the scan that reads the row.
-  test(`a row ${key} with ${value.toString('latin1')} is passed over`, async () => {
+  test(`a row ${key} with ${value.toString('latin1').slice(0, MAX_TITLE_LENGTH)} is passed over`, async () => {
     fixture.store.putBytes(TABLES.product, key, value);
     await fixture.addDaemon('front-2');
     fixture.store.putConfiguration(configuration(1, [route({})]));
@@ -106,3 +138,32 @@
     await fixture.logged(event);
   });
 }
+
+for (const value of ['not JSON', '[]', '{"key":5}', '{"key":""}']) {
+  // Guards against a fleet that never knows which requests crash servers, and calls the store twice a second for it.
+  test(`a secret for fingerprints that is ${value} is replaced`, {
+    timeout: MAX_TEST_MS,
+  }, async () => {
+    fixture.store.putBytes(TABLES.product, 'crash/!key', Buffer.from(value));
+    await fixture.addDaemon('front-2');
+    await fixture.logged(GATEWAY_EVENTS.crashRowMalformed, ({ subject }) => subject === '!key');
+    assert.match(JSON.stringify(fixture.store.read(TABLES.product, 'crash/!key')), SECRET_ROW);
+  });
+}
+
+for (const version of ['1e300', '2.5', '1e400', '"2"']) {
+  // Guards against a version that no later one exceeds: all later configurations would count as older.
+  test(`a configuration of version ${version} is not taken, and the next one is`, {
+    timeout: MAX_TEST_MS,
+  }, async () => {
+    await fixture.start();
+    fixture.store.putConfiguration(configuration(1, [route({})]));
+    await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+    const odd = JSON.stringify(configuration(2, [])).replace('"version":2', `"version":${version}`);
+    fixture.store.putBytes(TABLES.operator, TABLES.configurationKey, Buffer.from(odd));
+    await fixture.logged(GATEWAY_EVENTS.configurationMalformed);
+    fixture.store.putConfiguration(configuration(3, [route({})]));
+    const isThird = ({ configurationVersion }: LogFields) => configurationVersion === 3;
+    await fixture.logged(GATEWAY_EVENTS.configurationInForce, isThird);
+  });
+}
