--- a/test/gateway/cut-platform-answers.test.ts
+++ b/test/gateway/cut-platform-answers.test.ts
@@ -57,7 +57,7 @@
   const { servers, table, duties } = platform;
   const key = 'lease/usage';
   const results = [
-    await servers.readAll(NEVER),
+    await servers.readAll(NEVER, () => undefined),
     await servers.changesAfter(3, 1_000, NEVER),
     await table.call({ kind: 'get', keys: [key] }, NEVER),
     await table.call({ kind: 'scan', prefix: 'crash/', limit: 10 }, NEVER),
