Streams stay at their version where an address has changed hands: covered

A server of another version takes over the address of one that a daemon still lists, as it is cut off from the store: streams taken up there go on at their own version or get 503. It holds: each call names the server that is meant, and another one answers 421.

--- a/test/gateway/support/versioned-fleet.ts
+++ b/test/gateway/support/versioned-fleet.ts
@@ -181,6 +181,21 @@
     await this.timers.advanceBy(LIST_CHANGE_MS);
   }
 
+  /** Another server of another version starts at the address of one that has ended. */
+  takeOver(ended: string, id: string, version: string, beginning: Beginning): void {
+    const server = this.servers.get(ended);
+    if (server === undefined) throw new Error(`there is no server ${ended}`);
+    const serve = versionedEngine(version, beginning);
+    server.script = (served) => {
+      const { seen, response } = served;
+      if (seen.headers['x-expect-instance'] === id) return serve(served);
+      response.writeHead(421, { 'X-Attempt-Id': seen.headers['x-attempt-id'] ?? '' }).end();
+    };
+    this.servers.set(id, server);
+    this.fixture.store.remove(TABLES.servers, ended);
+    this.fixture.listServer(id, server, { service: 'reader', stage: 'decode', version });
+  }
+
   setBeginning(versions: Readonly<Record<string, string>>, beginning: Beginning): void {
     for (const [id, version] of Object.entries(versions)) {
       const server = this.servers.get(id);
