Believe most daemons, or the store, on the version of a stream without a record

Callers saw a stream of a version that had just joined go on at the version before, at a daemon that was cut off.

Cause: a daemon took the only version that it knew as that of any stream, once one other daemon agreed and half of the zones answered. Daemons that are cut off together agree on what they missed: two of five daemons, or one zone of two. A daemon that had just started and knew no server yet counted as agreeing.

Change: more than half of the daemons and of the zones have to agree, and only those count that know a server. Where fewer answer, as after the death of a zone, the daemon reads the list of servers from the store first (6130), once for all streams that wait; a daemon that is cut off gets no answer and rejects. Small fleets ask all daemons at once, as most of the three that keep a record may be cut off together; large ones still ask these three first.

--- a/src/core/gateway/resumption.ts
+++ b/src/core/gateway/resumption.ts
@@ -1,6 +1,7 @@
 /**
  * Decides on a stream of which no daemon has a record. It goes on only where every daemon that answers knows the same one
- * version of servers for as long as any stream lives; otherwise its version would be a guess.
+ * version of servers for as long as any stream lives, and where these are most daemons, or the store confirms the version;
+ * otherwise its version would be a guess.
  */
 import { type OriginView, soleOrigin } from './possible-origins.js';
 import { isSameOrigin, type StreamOrigin } from './stream-origin.js';
@@ -38,8 +39,10 @@
   readonly answers: readonly PeerView[];
   /** The zones of all listed daemons. */
   readonly zones: ReadonlySet<string>;
-  /** Whether other daemons are listed, or may be. */
-  readonly hasPeers: boolean;
+  /** The number of daemons that were asked, with this one; undefined while the list of daemons is not known. */
+  readonly daemons: number | undefined;
+  /** Whether the store has confirmed the own list of servers since the stream was taken up. */
+  readonly isConfirmed: boolean;
 }
 
 export function decideUnrecorded(stream: UnrecordedStream): ResumptionDecision {
@@ -59,9 +62,15 @@
   return { kind: 'continue', origin, source: 'only version', ageMs: undefined };
 }
 
-/** A daemon that hears of fewer than half of the zones may have missed a version that others began streams at. */
-function reachesEnough({ answers, ownZone, zones, hasPeers }: UnrecordedStream): boolean {
-  if (!hasPeers) return true;
-  const heard = new Set([ownZone, ...answers.map(({ zone }) => zone)]);
-  return answers.length > 0 && 2 * heard.size >= zones.size;
+/**
+ * Daemons that are cut off together agree on what they all missed. So either most daemons, in most of the zones, have to
+ * agree, or the store has to confirm what fewer know.
+ */
+function reachesEnough({ answers, ownZone, zones, daemons, isConfirmed }: UnrecordedStream) {
+  if (daemons === undefined) return false;
+  // A daemon that has just started may know no server yet.
+  const informed = answers.filter(({ view }) => view.origins.length > 0);
+  if (isConfirmed && informed.length > 0) return true;
+  const heardZones = new Set([ownZone, ...informed.map(({ zone }) => zone)]);
+  return 2 * (informed.length + 1) > daemons && 2 * heardZones.size > zones.size;
 }
--- a/src/core/logging/catalogue/departures.ts
+++ b/src/core/logging/catalogue/departures.ts
@@ -1,4 +1,4 @@
-/** Log events 6100-6199: departures of servers that a daemon learned late, or requests around them. */
+/** Log events 6100-6199: servers that departed or joined without a daemon knowing it, and requests around them. */
 import type { LogEvent } from '../log-event.js';
 
 export const DEPARTURE_EVENTS = {
@@ -32,4 +32,12 @@
     remedy:
       'Give the machine more processor time if it repeats without a planned pause: requests wait in the meantime.',
   },
+  serversConfirmed: {
+    number: 6130,
+    level: 'info',
+    message:
+      'too few daemons answered to know the software version of streams without a record; the list of servers was read from the store instead',
+    remedy:
+      'Look for daemons that are down or cut off. Where isConfirmed is false, this daemon is cut off from the store as well, and rejects these streams.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -244,13 +244,14 @@
     return timers.nowMs() - Math.max(this.#configurations.lastAnswerMs, digest.relayContactAtMs);
   }
 
-  /** Reads the list of servers again; resolves once it is applied, or after `limitMs`. */
-  async readServersAgain(limitMs: number): Promise<void> {
+  /** Reads the list of servers again; resolves once it is applied, or after `limitMs`, to whether it is applied. */
+  async readServersAgain(limitMs: number): Promise<boolean> {
     const { timers, log } = this.#options;
     const applied = new AbortController();
     const read = this.#servers.readAgain().then(() => applied.abort());
     runInBackground(log, 'read servers again', read);
     await delay(timers, limitMs, applied.signal);
+    return applied.signal.aborted;
   }
 
   /** Handles an era that one watch has seen: the other watches enter it without waiting for an answer of their own. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -201,7 +201,9 @@
     });
     this.#stalls = new StallMonitor({
       minStallMs: maxStallMs(settings.bounds.drainMs ?? Number.POSITIVE_INFINITY),
-      recover: () => this.#follower.readServersAgain(MAX_RECOVERY_MS),
+      recover: async () => {
+        await this.#follower.readServersAgain(MAX_RECOVERY_MS);
+      },
       timers: this.#suspensionAwareTimers,
       log,
     });
@@ -469,6 +471,7 @@
       fleet: this.#fleet,
       roster: settings.listen.peers === undefined ? undefined : this.#roster,
       send: (peers, message) => this.#peers?.sendMessage(peers, message),
+      readServers: (limitMs) => this.#follower.readServersAgain(limitMs),
       timers,
       log,
       metrics: this.#metrics,
--- a/src/shell/gateway/stream-continuity.ts
+++ b/src/shell/gateway/stream-continuity.ts
@@ -22,6 +22,8 @@
 /** Dependencies of a `StreamContinuity`. */
 export interface StreamContinuityOptions extends StreamPeers {
   readonly fleet: Pick<FleetView, 'directory' | 'inForce'>;
+  /** Reads the list of servers from the store; resolves to whether it was applied within the limit. */
+  readonly readServers: (limitMs: number) => Promise<boolean>;
 }
 
 /** Where the streams of one daemon may go on. */
--- a/src/shell/gateway/stream-lookup.ts
+++ b/src/shell/gateway/stream-lookup.ts
@@ -16,6 +16,7 @@
 } from '../../core/gateway/index.js';
 import { ByteBudget } from './byte-budget.js';
 import { PeerRequests } from './peer-requests.js';
+import { ServersConfirmation, type ServersConfirmationOptions } from './servers-confirmation.js';
 import type { StreamAnsweredMessage, StreamAskedMessage } from './stream-message-fields.js';
 import { peersHolding, type StreamPeers } from './stream-peers.js';
 
@@ -27,13 +28,16 @@
 const QUESTION_BYTES = 150;
 
 /** Dependencies of a `StreamLookup`. */
-export interface StreamLookupOptions extends StreamPeers {
+export interface StreamLookupOptions
+  extends StreamPeers,
+    Pick<ServersConfirmationOptions, 'readServers'> {
   readonly records: StreamOriginTable;
   readonly possibleOrigins: Pick<PossibleOrigins, 'viewOf'>;
 }
 
 /** What other daemons have answered. */
 interface Answers {
+  asked: readonly PeerDaemon[];
   record: { readonly origin: StreamOrigin; readonly ageMs: number } | undefined;
   readonly views: PeerView[];
 }
@@ -43,15 +47,18 @@
   readonly #options: StreamLookupOptions;
   readonly #requests: PeerRequests<StreamAskedMessage, StreamAnsweredMessage>;
   readonly #askAllBudget: ByteBudget;
+  readonly #confirmation: ServersConfirmation;
 
   constructor(options: StreamLookupOptions) {
     this.#options = options;
     this.#requests = new PeerRequests({ ...options, timing: TIMING });
     this.#askAllBudget = new ByteBudget(ASK_ALL_BUDGET, options.timers);
+    this.#confirmation = new ServersConfirmation(options);
   }
 
   stop(): void {
     this.#requests.stop();
+    this.#confirmation.stop();
   }
 
   handleAnswer(message: StreamAnsweredMessage): void {
@@ -60,23 +67,39 @@
 
   /** @param streamKey empty for a stream that its caller does not name */
   async find(streamKey: string, route: Route): Promise<ResumptionDecision> {
-    const { records, timers, roster } = this.#options;
+    const { records, timers } = this.#options;
     const nowMs = timers.nowMs();
     const own = records.get(streamKey, nowMs);
     if (own !== undefined) {
       const { origin, beganAtMs } = own;
       return { kind: 'continue', origin, source: 'own record', ageMs: nowMs - beganAtMs };
     }
-    const answers: Answers = { record: undefined, views: [] };
+    const answers: Answers = { asked: [], record: undefined, views: [] };
+    await this.#askDaemons(streamKey, route, answers);
+    const decision = this.#decide(streamKey, route, answers, false);
+    const isConfirmable =
+      decision.kind === 'reject' &&
+      decision.reason === 'too few daemons answer to know its software version' &&
+      answers.views.length > 0;
+    if (!isConfirmable) return decision;
+    const isConfirmed = await this.#confirmation.confirm();
+    return this.#decide(streamKey, route, answers, isConfirmed);
+  }
+
+  /** Asks all daemons of a small fleet at once; in a large one those that keep the record first, which mostly suffices. */
+  async #askDaemons(streamKey: string, route: Route, answers: Answers): Promise<void> {
+    const { roster } = this.#options;
     const peers = roster?.allPeers() ?? [];
     const holders = peersHolding(streamKey, this.#options);
-    await this.#ask(holders, streamKey, route, answers);
-    const decision = this.#decide(streamKey, route, answers);
-    if (decision.kind === 'continue') return decision;
     const others = peers.filter((peer) => !holders.includes(peer));
-    if (!this.#askAllBudget.tryTake(QUESTION_BYTES * others.length)) return decision;
+    const canAskAll = () => this.#askAllBudget.tryTake(QUESTION_BYTES * others.length);
+    if (roster?.isLarge !== true && canAskAll()) {
+      return this.#ask(peers, streamKey, route, answers);
+    }
+    await this.#ask(holders, streamKey, route, answers);
+    const decision = this.#decide(streamKey, route, answers, false);
+    if (decision.kind === 'continue' || !canAskAll()) return;
     await this.#ask(others, streamKey, route, answers);
-    return this.#decide(streamKey, route, answers);
   }
 
   /** Resolves once a daemon has answered with a record, or all have answered or timed out. */
@@ -86,6 +109,7 @@
     route: Route,
     answers: Answers,
   ): Promise<void> {
+    answers.asked = [...answers.asked, ...peers];
     const question = {
       kind: 'stream-asked',
       streamId: streamKey,
@@ -104,7 +128,12 @@
     });
   }
 
-  #decide(streamKey: string, route: Route, { record, views }: Answers): ResumptionDecision {
+  #decide(
+    streamKey: string,
+    route: Route,
+    { asked, record, views }: Answers,
+    isConfirmed: boolean,
+  ): ResumptionDecision {
     const { records, possibleOrigins, roster, zone, timers } = this.#options;
     const nowMs = timers.nowMs();
     const lifeMs = streamLifeMs(route);
@@ -120,7 +149,8 @@
       ownZone: zone,
       answers: views,
       zones: new Set([zone, ...peers.map((peer) => peer.zone)]),
-      hasPeers: roster !== undefined && (!roster.hasList || peers.length > 0),
+      daemons: roster?.hasList === false ? undefined : asked.length + 1,
+      isConfirmed,
     });
   }
 }
--- a/src/shell/gateway/stream-peers.ts
+++ b/src/shell/gateway/stream-peers.ts
@@ -10,7 +10,7 @@
   readonly daemon: string;
   readonly zone: string;
   /** Undefined where this daemon has no address for peers, and so is alone. */
-  readonly roster: Pick<PeerRoster, 'hasList' | 'allPeers'> | undefined;
+  readonly roster: Pick<PeerRoster, 'hasList' | 'isLarge' | 'allPeers'> | undefined;
   readonly send: (peers: readonly PeerDaemon[], message: StreamMessage) => void;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
--- a/test/gateway/stream-origins.test.ts
+++ b/test/gateway/stream-origins.test.ts
@@ -135,13 +135,45 @@
   ['that of no server', { origins: [], isComplete: true }, [{ zone: 'b', view: LONG }], 'reject'],
 ] as const) {
   test(`a stream without a record: ${kind} where its version is ${what}`, () => {
-    const stream = { ownView, ownZone: 'a', answers, zones: THREE_ZONES, hasPeers: true };
-    assert.equal(decideUnrecorded(stream).kind, kind);
+    const stream = { ownView, ownZone: 'a', answers, zones: THREE_ZONES };
+    const decision = decideUnrecorded({ ...stream, daemons: 3, isConfirmed: false });
+    assert.equal(decision.kind, kind);
   });
 }
 
+for (const [what, daemons, zones, isConfirmed, kind] of [
+  ['more than half of the daemons', 3, ['a'], false, 'continue'],
+  ['half of the daemons', 4, ['a'], false, 'reject'],
+  ['half of the daemons, and the store', 4, ['a'], true, 'continue'],
+  ['half of the zones', 3, ['a', 'b'], false, 'reject'],
+  ['half of the zones, and the store', 3, ['a', 'b'], true, 'continue'],
+  ['daemons of an unknown number', undefined, ['a'], true, 'reject'],
+] as const) {
+  test(`a stream without a record: ${kind} where its version is confirmed by ${what}`, () => {
+    const answers = [{ zone: 'a', view: LONG }];
+    const stream = { ownView: LONG, ownZone: 'a', answers, zones: new Set<string>(zones) };
+    assert.equal(decideUnrecorded({ ...stream, daemons, isConfirmed }).kind, kind);
+  });
+}
+
+test('a daemon that knows no server yet confirms no version, nor does the store without any daemon', () => {
+  const stream = { ownView: LONG, ownZone: 'a', zones: new Set(['a']), daemons: 2 };
+  const empty = { zone: 'a', view: { origins: [], isComplete: false } };
+  for (const answers of [[], [empty]]) {
+    for (const isConfirmed of [false, true]) {
+      assert.equal(decideUnrecorded({ ...stream, answers, isConfirmed }).kind, 'reject');
+    }
+  }
+});
+
 test('a daemon without peers goes by what it knows itself', () => {
-  const alone = { ownZone: 'a', answers: [], zones: new Set(['a']), hasPeers: false };
+  const alone = {
+    ownZone: 'a',
+    answers: [],
+    zones: new Set(['a']),
+    daemons: 1,
+    isConfirmed: false,
+  };
   assert.equal(decideUnrecorded({ ...alone, ownView: LONG }).kind, 'continue');
   assert.equal(decideUnrecorded({ ...alone, ownView: YOUNG }).kind, 'reject');
 });
--- a/test/gateway/stream-versions-out-of-step.test.ts
+++ b/test/gateway/stream-versions-out-of-step.test.ts
@@ -52,14 +52,12 @@
 
 /** No stream goes on at another version; @returns how many go on. */
 async function takeUpAt(daemon: string, streams: readonly BegunStream[]): Promise<number> {
-  let continued = 0;
-  for (const stream of streams) {
-    const version = await fleet.versionTakenUp(daemon, stream);
-    if (version === undefined) continue;
-    assert.equal(version, stream.softwareVersion, `${stream.id} taken up at ${daemon}`);
-    continued += 1;
+  const versions = await fleet.versionsTakenUp(daemon, streams);
+  for (const [index, { id, softwareVersion }] of streams.entries()) {
+    const version = versions[index] ?? softwareVersion;
+    assert.equal(version, softwareVersion, `${id} taken up at ${daemon}`);
   }
-  return continued;
+  return versions.filter((version) => version !== undefined).length;
 }
 
 for (const [what, zones, apart] of [
--- a/test/gateway/support/stream-fleet.ts
+++ b/test/gateway/support/stream-fleet.ts
@@ -121,6 +121,7 @@
       fleet: this.fleet,
       roster: this.roster,
       send: (peers, message) => world.send(this, peers, message),
+      readServers: (limitMs) => this.follower.readServersAgain(limitMs),
       timers,
       log: log as never,
       metrics: { recordStreamRecord: () => undefined, recordResumption: () => undefined },
@@ -257,16 +258,22 @@
     return { id, softwareVersion };
   }
 
-  /** The version at which a daemon goes on with a stream; undefined where it rejects it. */
-  async versionTakenUp(name: string, { id }: Pick<BegunStream, 'id'>): Promise<string | undefined> {
-    let decision: ResumptionDecision | undefined;
-    void this.daemon(name)
-      .takeUp(id)
-      .then((made) => {
-        decision = made;
-      });
-    while (decision === undefined) await this.pass(DATAGRAM_MS);
-    return decision.kind === 'continue' ? decision.origin.softwareVersion : undefined;
+  /** The versions at which a daemon goes on with streams, taken up at once; undefined for one that it rejects. */
+  async versionsTakenUp(
+    name: string,
+    streams: readonly BegunStream[],
+  ): Promise<readonly (string | undefined)[]> {
+    const decisions = new Map<string, ResumptionDecision | undefined>();
+    for (const { id } of streams) {
+      void this.daemon(name)
+        .takeUp(id)
+        .then((decision) => decisions.set(id, decision));
+    }
+    while (decisions.size < streams.length) await this.pass(DATAGRAM_MS);
+    return streams.map(({ id }) => {
+      const decision = decisions.get(id);
+      return decision?.kind === 'continue' ? decision.origin.softwareVersion : undefined;
+    });
   }
 
   pass(spanMs: number): Promise<void> {
