Keep asking daemons about streams that have just left the list of daemons

Callers saw a stream go on at another version, or get 503 though its version serves, at a daemon whose list of daemons was empty; streams that began there were lost with it.

Cause: a restore of the store from an older copy leaves a list that lacks daemons for some seconds. A daemon with an empty list took itself for alone: it asked nobody, went on at the only version that it knew, and recorded its streams nowhere.

Change: for streams, daemons count as listed until 30 s after they left the list (the longest time until it is read again is 20 s). Roles and shares of limits go by the list as before.

--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -10,6 +10,7 @@
  */
 import { EMPTY_HASH, hashText } from '../common/hash.js';
 import { rankByRendezvous } from './rendezvous.js';
+import { UnlistedPeers } from './unlisted-peers.js';
 
 /** The largest fleet, in daemons, in which each daemon sends its load to all others directly. */
 export const MAX_DIRECT_DAEMONS = 12;
@@ -67,6 +68,7 @@
 export class PeerRoster {
   readonly #self: OwnDaemon;
   readonly #known = new Map<string, KnownPeer>();
+  readonly #unlisted = new UnlistedPeers<PeerDaemon>();
   #hasList = false;
   #checksum = 0;
   /** When the own zone's relay last sent a message or took over; undefined until a relay is expected. */
@@ -119,8 +121,13 @@
       listed.add(daemon.name);
       const lastContactMs = this.#known.get(daemon.name)?.lastContactMs ?? nowMs;
       this.#known.set(daemon.name, { daemon, lastContactMs });
+      this.#unlisted.remove(daemon.name);
+    }
+    for (const [name, { daemon }] of [...this.#known]) {
+      if (listed.has(name)) continue;
+      this.#known.delete(name);
+      this.#unlisted.add(daemon, nowMs);
     }
-    for (const name of [...this.#known.keys()]) if (!listed.has(name)) this.#known.delete(name);
   }
 
   /** A checksum of the list, equal at daemons that have the same list; 0 before the first list. */
@@ -177,6 +184,11 @@
     return [...this.#known.values()].map(({ daemon }) => daemon);
   }
 
+  /** All other daemons that are listed or were until lately. */
+  recentPeers(nowMs: number): readonly PeerDaemon[] {
+    return [...this.allPeers(), ...this.#unlisted.recent(nowMs)];
+  }
+
   /** Who receives this daemon's load reports: all others, or in a large fleet the relay of the own zone. */
   changeRecipients(nowMs: number): readonly PeerDaemon[] {
     if (!this.isLarge) return this.allPeers();
--- a/src/shell/gateway/stream-lookup.ts
+++ b/src/shell/gateway/stream-lookup.ts
@@ -18,7 +18,7 @@
 import { PeerRequests } from './peer-requests.js';
 import { ServersConfirmation, type ServersConfirmationOptions } from './servers-confirmation.js';
 import type { StreamAnsweredMessage, StreamAskedMessage } from './stream-message-fields.js';
-import { peersHolding, type StreamPeers } from './stream-peers.js';
+import { peersHolding, type StreamPeers, streamPeersOf } from './stream-peers.js';
 
 /** Longer than a daemon needs that shares its core; a caller waits for it once or twice. */
 const TIMING = { resendAfterMs: 30, timeoutMs: 90 };
@@ -89,7 +89,7 @@
   /** Asks all daemons of a small fleet at once; in a large one those that keep the record first, which mostly suffices. */
   async #askDaemons(streamKey: string, route: Route, answers: Answers): Promise<void> {
     const { roster } = this.#options;
-    const peers = roster?.allPeers() ?? [];
+    const peers = streamPeersOf(this.#options);
     const holders = peersHolding(streamKey, this.#options);
     const others = peers.filter((peer) => !holders.includes(peer));
     const canAskAll = () => this.#askAllBudget.tryTake(QUESTION_BYTES * others.length);
@@ -143,7 +143,7 @@
       records.add({ streamId: streamKey, origin, ...times }, nowMs);
       return { kind: 'continue', origin, source: 'record of a peer', ageMs };
     }
-    const peers = roster?.allPeers() ?? [];
+    const peers = streamPeersOf(this.#options);
     return decideUnrecorded({
       ownView: possibleOrigins.viewOf(routeKeyOf(route), lifeMs, nowMs),
       ownZone: zone,
--- a/test/gateway/peer-roster.test.ts
+++ b/test/gateway/peer-roster.test.ts
@@ -6,6 +6,7 @@
 const ZONES = ['north', 'south', 'west'];
 const MAX_CACHE_EVENT_POLLS = 12;
 const SILENT_MS = 10_000;
+const RECENT_MS = 30_000;
 
 function daemons(count: number): PeerDaemon[] {
   return Array.from({ length: count }, (_, index) => ({
@@ -147,3 +148,15 @@
   assert.equal(roster.knowsFleetDemand(false), true, 'it is the only daemon');
   assert.equal(roster.positionFor('usage'), 0);
 });
+
+test('a daemon that has left the list counts as recent for a while, also where the list is empty', () => {
+  const all = daemons(3);
+  const [roster] = rostersOf(all);
+  assert.ok(roster);
+  roster.replace([], 1_000);
+  assert.deepEqual(namesOf(roster.allPeers()), []);
+  assert.deepEqual(namesOf(roster.recentPeers(1_000 + RECENT_MS)), ['d1', 'd2']);
+  assert.deepEqual(namesOf(roster.recentPeers(1_001 + RECENT_MS)), []);
+  roster.replace(all, 2_000 + RECENT_MS);
+  assert.deepEqual(namesOf(roster.recentPeers(2_000 + RECENT_MS)), ['d1', 'd2']);
+});
