Let a daemon vouch only for time in which it followed the list of servers

Callers saw a stream go on at another version where most daemons had been cut off from the store, or had lost their records: its version had joined, and perhaps left again with its servers, unseen by the daemon that took it up.

Cause: a daemon knew the only version "for the life of a stream" from its own clock, whether the store had answered in that time or not. Ruled out as a cure: a restart of that time at every failed call, since one call may fail without a gap.

Change: FollowedSpan keeps since when the list is known without a gap (contactMs and half a second between two answers of the store, or of digests of the relay; a restore from an older copy is one as well). A view is complete only if it has been followed for the life of a stream. As this costs the streams of an outage their only other witness, a daemon that no longer follows the list records its streams at other daemons as if two versions served, those under way within 0.5 s (6131).

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -75,6 +75,7 @@
 export { FleetPaces, type PaceChange } from './fleet-paces.js';
 export { FleetSize } from './fleet-size.js';
 export { type EraRelation, FollowedRevisions } from './followed-revisions.js';
+export { FollowedSpan } from './followed-span.js';
 export { ForecastScale } from './forecast-scale.js';
 export { type ForwardingChoice, ForwardingPeers } from './forwarding-peers.js';
 export { kvTransferMs } from './kv-sources.js';
--- a/src/core/logging/catalogue/departures.ts
+++ b/src/core/logging/catalogue/departures.ts
@@ -40,4 +40,12 @@
     remedy:
       'Look for daemons that are down or cut off. Where isConfirmed is false, this daemon is cut off from the store as well, and rejects these streams.',
   },
+  streamsRecordedLater: {
+    number: 6131,
+    level: 'info',
+    message:
+      'streams that began while one version served were recorded at other daemons: another version has joined, or the store has not confirmed for a while that none has',
+    remedy:
+      'Nothing to do in a release. Otherwise check the path to the store: first events wait for a record until it is back and one version has been known for the life of a stream.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -76,6 +76,8 @@
   readonly timing: () => WatchTiming;
   /** How long full reads are repeated after a disturbance, since reads may be stale. */
   readonly recheckSpans: RecheckSpans;
+  /** A longer time between two answers of the store counts as a gap. */
+  readonly maxAnswerGapMs: number;
   /** Corrects the list of servers after the store was restored from an older copy. */
   readonly restored: RestoredServers;
   /** A random number from 0 to below 1, to spread the calls of many daemons. */
@@ -126,10 +128,19 @@
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
     this.#departures = new DepartureTracker({ ...options, departures: options.fleet.departures });
-    const { adapter, timing, recheckSpans, random, timers, log, digest } = options;
+    const { adapter, timing, recheckSpans, maxAnswerGapMs, random, timers, log, digest } = options;
     const retryQueue = new WatchRetryQueue(timers);
     const handleEra = (era: number) => this.#handleEra(era);
-    const shared = { timing, recheckSpans, random, retryQueue, timers, log, handleEra };
+    const shared = {
+      timing,
+      recheckSpans,
+      maxAnswerGapMs,
+      random,
+      retryQueue,
+      timers,
+      log,
+      handleEra,
+    };
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
@@ -238,6 +249,11 @@
     return Math.max(...this.#watches.map((watch) => nowMs - watch.lastAnswerMs));
   }
 
+  /** How long the list of servers has been followed without a gap; undefined if it is not followed now. */
+  serversFollowedMs(): number | undefined {
+    return this.#servers.followedMs;
+  }
+
   /** The time since this daemon or its relay last checked the store for a newer configuration. */
   configurationCheckAgeMs(): number {
     const { timers, digest } = this.#options;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -56,7 +56,13 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
-import { maxDigestAgeMs, recheckSpans, type WatchRole, watchTiming } from './watch-timing.js';
+import {
+  maxAnswerGapMs,
+  maxDigestAgeMs,
+  recheckSpans,
+  type WatchRole,
+  watchTiming,
+} from './watch-timing.js';
 import { WebWork } from './web-work.js';
 
 /** The platform probes readiness twice, a second apart, before it stops sending connections. */
@@ -306,6 +312,7 @@
       cacheEventWatchers: this.#cacheEventWatchers,
       timing: () => watchTiming(this.#watchRole, settings.bounds.contactMs),
       recheckSpans: recheckSpans(settings.bounds.contactMs),
+      maxAnswerGapMs: maxAnswerGapMs(settings.bounds.contactMs),
       restored: new RestoredServers(settings.bounds.contactMs),
       random: Math.random,
       digest: this.#digest,
@@ -472,6 +479,7 @@
       roster: settings.listen.peers === undefined ? undefined : this.#roster,
       send: (peers, message) => this.#peers?.sendMessage(peers, message),
       readServers: (limitMs) => this.#follower.readServersAgain(limitMs),
+      serversFollowedMs: () => this.#follower.serversFollowedMs(),
       timers,
       log,
       metrics: this.#metrics,
--- a/src/shell/gateway/stream-continuity.ts
+++ b/src/shell/gateway/stream-continuity.ts
@@ -13,6 +13,7 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
+import { FollowedOrigins } from './followed-origins.js';
 import { streamKeyOf } from './stream-key.js';
 import { StreamLookup } from './stream-lookup.js';
 import type { StreamAskedMessage, StreamMessage } from './stream-message-fields.js';
@@ -24,6 +25,8 @@
   readonly fleet: Pick<FleetView, 'directory' | 'inForce'>;
   /** Reads the list of servers from the store; resolves to whether it was applied within the limit. */
   readonly readServers: (limitMs: number) => Promise<boolean>;
+  /** How long the list of servers has been followed without a gap; undefined if it is not followed now. */
+  readonly serversFollowedMs: () => number | undefined;
 }
 
 /** Where the streams of one daemon may go on. */
@@ -31,15 +34,20 @@
   readonly #options: StreamContinuityOptions;
   readonly #records = new StreamOriginTable();
   readonly #possibleOrigins = new PossibleOrigins();
+  readonly #followedOrigins: FollowedOrigins;
   readonly #recorder: StreamRecorder;
   readonly #lookup: StreamLookup;
 
   constructor(options: StreamContinuityOptions) {
     this.#options = options;
+    this.#followedOrigins = new FollowedOrigins({
+      ...options,
+      possibleOrigins: this.#possibleOrigins,
+    });
     const parts = {
       ...options,
       records: this.#records,
-      possibleOrigins: this.#possibleOrigins,
+      possibleOrigins: this.#followedOrigins,
     };
     this.#recorder = new StreamRecorder(parts);
     this.#lookup = new StreamLookup(parts);
@@ -135,7 +143,7 @@
     const known = this.#records.get(streamId, nowMs);
     const record =
       known === undefined ? undefined : { origin: known.origin, ageMs: nowMs - known.beganAtMs };
-    const view = this.#possibleOrigins.viewOf(routeKey, lifeMs, nowMs);
+    const view = this.#followedOrigins.viewOf(routeKey, lifeMs, nowMs);
     return { kind: 'stream-answered', number, zone, record, view };
   }
 }
--- a/src/shell/gateway/stream-recorder.ts
+++ b/src/shell/gateway/stream-recorder.ts
@@ -1,7 +1,7 @@
 /**
  * Records where the streams of this daemon began, at daemons that any other one finds from the id of the stream. A caller
  * may come back to another daemon as this one dies, so the record leaves before the first event goes to the caller. While
- * all servers have had one version for longer than any stream lives, no record is needed and none is sent.
+ * the list of servers has shown one version for longer than any stream lives, no record is needed and none is sent.
  */
 import {
   originAt,
@@ -14,15 +14,18 @@
   soleOrigin,
   streamLifeMs,
 } from '../../core/gateway/index.js';
+import { DEPARTURE_EVENTS } from '../../core/logging/catalogue/departures.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { Exchange } from './exchange.js';
+import type { FollowedOriginsOptions } from './followed-origins.js';
 import { getOrCreate } from './get-or-create.js';
 import { runInBackground } from './internal-faults.js';
 import { PeerRequests } from './peer-requests.js';
 
 import { streamIdOf, streamKeyOf } from './stream-key.js';
 import type { AgedStreamRecord, StreamRecordsMessage } from './stream-message-fields.js';
-import { peersHolding, type StreamPeers } from './stream-peers.js';
+import { peersHolding, type StreamPeers, streamPeersOf } from './stream-peers.js';
+import type { CancelTimer } from './timer-service.js';
 
 /** An event waits at most this long; after it, the stream may be rejected where its daemon dies, but never guessed. */
 const TIMING = { resendAfterMs: 12, timeoutMs: 36 };
@@ -31,8 +34,13 @@
 /** Keeps a datagram within one packet. */
 const MAX_RECORDS_PER_MESSAGE = 10;
 
+/** How soon streams are recorded once this daemon has lost touch with the list of servers. */
+const CHECK_INTERVAL_MS = 500;
+
 /** Dependencies of a `StreamRecorder`. */
-export interface StreamRecorderOptions extends StreamPeers {
+export interface StreamRecorderOptions
+  extends StreamPeers,
+    Pick<FollowedOriginsOptions, 'serversFollowedMs'> {
   readonly records: StreamOriginTable;
   readonly possibleOrigins: Pick<PossibleOrigins, 'viewOf'>;
 }
@@ -47,6 +55,8 @@
   readonly #options: StreamRecorderOptions;
   readonly #requests: PeerRequests<StreamRecordsMessage, true>;
   #unsent = new StreamOriginTable<UnsentRecord>();
+  /** Cancels the pending check of the streams that are not recorded at other daemons. */
+  #cancelCheck: CancelTimer | undefined;
 
   constructor(options: StreamRecorderOptions) {
     this.#options = options;
@@ -55,6 +65,7 @@
 
   stop(): void {
     this.#requests.stop();
+    this.#cancelCheck?.();
   }
 
   /**
@@ -72,6 +83,7 @@
     const unsent = { ...record, routeKey: routeKeyOf(route) };
     if (!this.#needsRecord(unsent, nowMs)) {
       this.#unsent.add(unsent, nowMs);
+      this.#scheduleCheck();
       return undefined;
     }
     const holders = peersHolding(record.streamId, this.#options);
@@ -81,9 +93,10 @@
     return isResumed ? undefined : stored;
   }
 
-  /** Another version has joined: streams that needed no record may need one now. */
+  /** Another version has joined, or may have: streams that needed no record may need one now. */
   sendUnsent(): void {
-    const nowMs = this.#options.timers.nowMs();
+    const { timers, log } = this.#options;
+    const nowMs = timers.nowMs();
     const kept = new StreamOriginTable<UnsentRecord>();
     const due: StreamRecord[] = [];
     for (const record of this.#unsent.all(nowMs)) {
@@ -91,7 +104,21 @@
       else kept.add(record, nowMs);
     }
     this.#unsent = kept;
+    if (due.length === 0 || streamPeersOf(this.#options).length === 0) return;
     this.#sendAll(due, nowMs);
+    log.write(DEPARTURE_EVENTS.streamsRecordedLater, { streams: due.length });
+  }
+
+  /** Checks, while there are such streams, whether the list of servers has been followed since the last check. */
+  #scheduleCheck(): void {
+    const { timers, serversFollowedMs } = this.#options;
+    const startedMs = timers.nowMs();
+    this.#cancelCheck ??= timers.after(CHECK_INTERVAL_MS, () => {
+      this.#cancelCheck = undefined;
+      const isUnbroken = (serversFollowedMs() ?? 0) >= timers.nowMs() - startedMs;
+      if (!isUnbroken) this.sendUnsent();
+      if (this.#unsent.size > 0) this.#scheduleCheck();
+    });
   }
 
   /** Another daemon has stored the records of a message. */
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -12,6 +12,7 @@
  */
 import {
   FollowedRevisions,
+  FollowedSpan,
   RecheckSchedule,
   type RowsOrigin,
   type TableProgress,
@@ -73,6 +74,8 @@
   readonly maxBatchMs: number;
   /** How long full reads are repeated after a disturbance. */
   readonly recheckSpans: RecheckSpans;
+  /** A longer time between two answers counts as a gap. */
+  readonly maxAnswerGapMs: number;
   /** Called when the store answers in a newer era than before. */
   readonly handleEra: (era: number) => void;
   /** Called when the store, or a relay, provides data again after failed calls; `awayMs` since the first of them began. */
@@ -114,12 +117,14 @@
   #lastAnswerMs: number;
   /** A time at which the store held just what this watch has followed. */
   #asOfMs = Number.NEGATIVE_INFINITY;
+  readonly #followed: FollowedSpan;
   /** Calls to the store since the start. */
   callsTotal = 0;
 
   constructor(options: TableWatcherOptions<Value>) {
     this.#options = options;
     this.#lastAnswerMs = options.timers.nowMs();
+    this.#followed = new FollowedSpan(options.maxAnswerGapMs);
   }
 
   /** When the store last answered. */
@@ -127,6 +132,11 @@
     return this.#lastAnswerMs;
   }
 
+  /** How long the table has been followed without a gap; undefined if it is not followed now. */
+  get followedMs(): number | undefined {
+    return this.#followed.lengthMs(this.#options.timers.nowMs());
+  }
+
   /**
    * Applies changes that another daemon received from the store, but only while this watch has no call under way and
    * only if they continue from what it has followed, so that no change is missed or undone.
@@ -380,6 +390,7 @@
   #recordAsOf(asOfMs: number): number {
     const before = this.#asOfMs;
     this.#asOfMs = Math.max(before, asOfMs);
+    this.#followed.record(asOfMs);
     return before;
   }
 
@@ -427,6 +438,7 @@
     const { log, table, timers, recheckSpans, handleEra } = this.#options;
     const { era: eraBefore, revision: revisionBefore } = this.#revisions.changed;
     this.#revisions.enterEra(era);
+    this.#followed.restart();
     this.#eraSeenAtMs ??= timers.nowMs();
     this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
     log.write(GATEWAY_EVENTS.storeEraRaised, {
--- a/src/shell/gateway/watch-timing.ts
+++ b/src/shell/gateway/watch-timing.ts
@@ -89,6 +89,12 @@
   return Math.max(afterLongPoll, afterRetry);
 }
 
+/** The longest time between two answers of the store to a daemon that is not cut off from it; one call may fail. */
+export function maxAnswerGapMs(contactMs: number): number {
+  const timing = watchTiming('alone', contactMs);
+  return longestBlindMs(timing) + timing.callTimeoutMs;
+}
+
 /** Whether calls have failed for so long that the store was away; no row expires in a shorter time. */
 export function isOutage(awayMs: number, { callTimeoutMs }: WatchTiming): boolean {
   return awayMs >= callTimeoutMs;
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -79,6 +79,7 @@
       cacheEventWatchers: cacheEventWatchers as never,
       timing: () => ({ ...TIMING, holdMs: 1_000 }),
       recheckSpans: { cutMs: 0, historyLostMs: 0 },
+      maxAnswerGapMs: 0,
       restored: new RestoredServers(3_000),
       random: Math.random,
       handleStoreRestored: () => undefined,
--- a/test/gateway/stream-versions-out-of-step.test.ts
+++ b/test/gateway/stream-versions-out-of-step.test.ts
@@ -200,3 +200,16 @@
   assert.equal(await takeUpAt('a1', before), STREAMS);
   assert.equal(await takeUpAt('a3', during), STREAMS);
 });
+
+test('streams of the only version go on after their daemon died soon after the store was away for all', async () => {
+  await startAtV1(ONE_ZONE);
+  for (const { link } of fleet.daemons.values()) link.set('refuses');
+  await fleet.pass(LONG_CUT_MS);
+  const during = await beginAt(['a2'], 'v1');
+  for (const { link } of fleet.daemons.values()) link.set('open');
+  await fleet.pass(SHORT_CUT_MS);
+  const after = await beginAt(['a2'], 'v1');
+  fleet.kill(['a2']);
+  assert.equal(await takeUpAt('a1', during), STREAMS);
+  assert.equal(await takeUpAt('a3', after), STREAMS);
+});
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -18,6 +18,7 @@
 import type { PlatformAdapter } from '../../../src/shell/gateway/ports.js';
 import { RelayDigest } from '../../../src/shell/gateway/relay-digest.js';
 import {
+  maxAnswerGapMs,
   maxDigestAgeMs,
   recheckSpans,
   type WatchRole,
@@ -89,6 +90,7 @@
       } as never,
       timing: () => watchTiming(role, contactMs),
       recheckSpans: recheckSpans(contactMs),
+      maxAnswerGapMs: maxAnswerGapMs(contactMs),
       restored: new RestoredServers(contactMs),
       random,
       handleStoreRestored: () => undefined,
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -20,6 +20,7 @@
 import { RelayDigest } from '../../../src/shell/gateway/relay-digest.js';
 import type { TableChanges } from '../../../src/shell/gateway/table-watcher.js';
 import {
+  maxAnswerGapMs,
   maxDigestAgeMs,
   recheckSpans,
   type WatchRole,
@@ -220,6 +221,7 @@
       } as never,
       timing: () => watchTiming(role, contactMs),
       recheckSpans: recheckSpans(contactMs),
+      maxAnswerGapMs: maxAnswerGapMs(contactMs),
       restored: new RestoredServers(contactMs),
       random,
       handleStoreRestored: () => undefined,
--- a/test/gateway/support/stream-fleet.ts
+++ b/test/gateway/support/stream-fleet.ts
@@ -22,7 +22,11 @@
 import { RelayDigest } from '../../../src/shell/gateway/relay-digest.js';
 import { StreamContinuity } from '../../../src/shell/gateway/stream-continuity.js';
 import type { StreamMessage } from '../../../src/shell/gateway/stream-message-fields.js';
-import { recheckSpans, watchTiming } from '../../../src/shell/gateway/watch-timing.js';
+import {
+  maxAnswerGapMs,
+  recheckSpans,
+  watchTiming,
+} from '../../../src/shell/gateway/watch-timing.js';
 import { route } from './fixture.js';
 import { emptyTable, ServersTable } from './servers-table.js';
 import { StoreLink } from './store-link.js';
@@ -97,6 +101,7 @@
       } as never,
       timing: () => watchTiming('alone', CONTACT_MS),
       recheckSpans: recheckSpans(CONTACT_MS),
+      maxAnswerGapMs: maxAnswerGapMs(CONTACT_MS),
       restored: new RestoredServers(CONTACT_MS),
       random: () => 0.5,
       handleStoreRestored: () => undefined,
@@ -122,6 +127,7 @@
       roster: this.roster,
       send: (peers, message) => world.send(this, peers, message),
       readServers: (limitMs) => this.follower.readServersAgain(limitMs),
+      serversFollowedMs: () => this.follower.serversFollowedMs(),
       timers,
       log: log as never,
       metrics: { recordStreamRecord: () => undefined, recordResumption: () => undefined },
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -8,6 +8,7 @@
 import { ManualTimers } from './support/manual-timers.js';
 
 const BATCH_MS = 400;
+const MAX_ANSWER_GAP_MS = 4_000;
 const TIMING = { callTimeoutMs: 1_000, firstReadTimeoutMs: 3_000, maxRetryDelayMs: 500 };
 
 /** A table in which a row changes at every call. */
@@ -55,6 +56,7 @@
     maxBatchMs: 3 * batchMs,
     handleEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
+    maxAnswerGapMs: MAX_ANSWER_GAP_MS,
     timers,
     log: { write: () => undefined },
   });
@@ -137,6 +139,7 @@
     maxBatchMs: 3 * BATCH_MS,
     handleEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
+    maxAnswerGapMs: MAX_ANSWER_GAP_MS,
     timers,
     log: { write: () => undefined },
   });
