Don't wait for a daemon that died as a stream is taken up

Callers waited 90 ms more for streams that they took up while any daemon of a small fleet was down (on only where it was one of the stream's keepers).

Cause: all daemons of a small fleet are asked at once now, and the answers were only weighed once all had come or timed out.

Change: a decision to go on is made as soon as it holds and all but one of the stream's keepers have answered. A record is at two of the three, so the one that is silent can't be the only one that has it.

--- a/src/shell/gateway/stream-lookup.ts
+++ b/src/shell/gateway/stream-lookup.ts
@@ -37,7 +37,10 @@
 
 /** What other daemons have answered. */
 interface Answers {
+  /** The daemons that keep the record of the stream, if there is one. */
+  readonly holders: readonly PeerDaemon[];
   asked: readonly PeerDaemon[];
+  readonly answered: Set<string>;
   record: { readonly origin: StreamOrigin; readonly ageMs: number } | undefined;
   readonly views: PeerView[];
 }
@@ -74,7 +77,13 @@
       const { origin, beganAtMs } = own;
       return { kind: 'continue', origin, source: 'own record', ageMs: nowMs - beganAtMs };
     }
-    const answers: Answers = { asked: [], record: undefined, views: [] };
+    const answers: Answers = {
+      holders: peersHolding(streamKey, this.#options),
+      asked: [],
+      answered: new Set(),
+      record: undefined,
+      views: [],
+    };
     await this.#askDaemons(streamKey, route, answers);
     const decision = this.#decide(streamKey, route, answers, false);
     const isConfirmable =
@@ -89,8 +98,8 @@
   /** Asks all daemons of a small fleet at once; in a large one those that keep the record first, which mostly suffices. */
   async #askDaemons(streamKey: string, route: Route, answers: Answers): Promise<void> {
     const { roster } = this.#options;
+    const { holders } = answers;
     const peers = streamPeersOf(this.#options);
-    const holders = peersHolding(streamKey, this.#options);
     const others = peers.filter((peer) => !holders.includes(peer));
     const canAskAll = () => this.#askAllBudget.tryTake(QUESTION_BYTES * others.length);
     if (roster?.isLarge !== true && canAskAll()) {
@@ -102,7 +111,7 @@
     await this.#ask(others, streamKey, route, answers);
   }
 
-  /** Resolves once a daemon has answered with a record, or all have answered or timed out. */
+  /** Resolves once the answers suffice, or all daemons have answered or timed out. */
   #ask(
     peers: readonly PeerDaemon[],
     streamKey: string,
@@ -122,12 +131,22 @@
         if (answer === undefined) return;
         answers.views.push({ zone: answer.zone, view: answer.view });
         answers.record ??= answer.record;
-        if (answer.record !== undefined) resolve();
+        answers.answered.add(peer.name);
+        if (this.#hasEnough(streamKey, route, answers)) resolve();
       });
       Promise.all(asked).then(() => resolve(), reject);
     });
   }
 
+  /** A record is at two of its three keepers, so one that is down need not be waited for where the others have none. */
+  #hasEnough(streamKey: string, route: Route, answers: Answers): boolean {
+    const { holders, answered, record } = answers;
+    if (record !== undefined) return true;
+    const silent = holders.filter(({ name }) => !answered.has(name));
+    if (silent.length > 1) return false;
+    return this.#decide(streamKey, route, answers, false).kind === 'continue';
+  }
+
   #decide(
     streamKey: string,
     route: Route,
--- a/test/gateway/stream-versions-out-of-step.test.ts
+++ b/test/gateway/stream-versions-out-of-step.test.ts
@@ -16,6 +16,8 @@
 /** Well after any cut has been noticed. */
 const LONG_CUT_MS = 4 * CONTACT_MS;
 const SHORT_CUT_MS = 100;
+/** Enough for daemons that answer, and less than a wait for one that does not. */
+const ROUND_TRIPS_MS = 20;
 
 const ONE_ZONE = { a1: 'a', a2: 'a', a3: 'a', a4: 'a', a5: 'a' };
 const TWO_ZONES = { a1: 'a', a2: 'a', a3: 'a', b1: 'b', b2: 'b', b3: 'b' };
@@ -176,6 +178,20 @@
   });
 }
 
+for (const [what, dead] of [
+  ['it died', ['a2']],
+  ['it and one more died', ['a2', 'a5']],
+] as const) {
+  test(`streams of a version that only their daemon knew go on at it after ${what}`, async () => {
+    await startAtV1(ONE_ZONE);
+    for (const name of ['a1', 'a3', 'a4', 'a5']) fleet.daemon(name).link.set('silent');
+    await fleet.join('v2');
+    const streams = await beginAt(['a2'], 'v2');
+    fleet.kill(dead);
+    for (const name of ['a1', 'a3', 'a4']) assert.equal(await takeUpAt(name, streams), STREAMS);
+  });
+}
+
 for (const [what, zones, dead, asked] of [
   ['one daemon of five', ONE_ZONE, ['a2'], ['a1', 'a5']],
   ['three daemons of five', ONE_ZONE, ['a2', 'a3', 'a4'], ['a1', 'a5']],
@@ -190,6 +206,15 @@
   });
 }
 
+test('streams of the only version go on without a wait for a daemon that died', async () => {
+  await startAtV1(ONE_ZONE);
+  const streams = await beginAt(['a2'], 'v1');
+  fleet.kill(['a2']);
+  const startMs = fleet.timers.nowMs();
+  assert.equal(await takeUpAt('a1', streams), STREAMS);
+  assert.ok(fleet.timers.nowMs() - startMs <= ROUND_TRIPS_MS);
+});
+
 test('streams of the only version go on after their daemon died while the store is away for all', async () => {
   await startAtV1(ONE_ZONE);
   const before = await beginAt(['a2'], 'v1');
