Play relays in the cases of streams that change version

A follower's digest goes stale and it reads the list itself, and records are asked of the other zone.

--- a/test/gateway/stream-versions-out-of-step.test.ts
+++ b/test/gateway/stream-versions-out-of-step.test.ts
@@ -35,8 +35,11 @@
 afterEach(() => fleet.stop());
 
 /** A fleet in which one version alone has served for longer than any stream lives. */
-async function startAtV1(zones: Readonly<Record<string, string>>): Promise<void> {
-  await fleet.start(zones);
+async function startAtV1(
+  zones: Readonly<Record<string, string>>,
+  relays: readonly string[] = [],
+): Promise<void> {
+  await fleet.start(zones, relays);
   await fleet.join('v1');
   await fleet.pass(LONGER_THAN_ANY_STREAM_MS);
 }
@@ -68,7 +71,7 @@
   ['one zone of two', TWO_ZONES, ['a1', 'a2', 'a3']],
   ['one daemon of a zone of two', TWO_ZONES, ['a1']],
   ['one zone of three', THREE_ZONES, ['a1', 'a2']],
-  ['one zone of two with relays', LARGE, Object.keys(LARGE).filter((name) => name.startsWith('a'))],
+  ['one large zone of two', LARGE, Object.keys(LARGE).filter((name) => name.startsWith('a'))],
 ] as const) {
   for (const cutMs of [SHORT_CUT_MS, LONG_CUT_MS]) {
     test(`streams of a version that joins in a cut of ${what} (${cutMs} ms) don't go on there at the version before`, async () => {
@@ -85,6 +88,27 @@
   }
 }
 
+for (const outOfStepMs of [SHORT_CUT_MS, LONG_CUT_MS]) {
+  test(`streams of a version that joins go on at it in a zone whose relay is cut off from the store (${outOfStepMs} ms)`, async () => {
+    await startAtV1(LARGE, ['a0', 'b0']);
+    fleet.daemon('a0').link.set('silent');
+    await fleet.join('v2');
+    await fleet.pass(outOfStepMs);
+    const streams = await beginAt(['b1', 'b2'], 'v2');
+    for (const name of ['a0', 'a1']) assert.equal(await takeUpAt(name, streams), STREAMS);
+  });
+
+  test(`streams of a version that joins don't go on at another one in a zone that is cut off with its relay (${outOfStepMs} ms)`, async () => {
+    await startAtV1(LARGE, ['a0', 'b0']);
+    fleet.daemon('a0').link.set('silent');
+    fleet.isCut = (from, to) => from[0] !== to[0];
+    await fleet.join('v2');
+    await fleet.pass(outOfStepMs);
+    const streams = await beginAt(['b1', 'b2'], 'v2');
+    for (const name of ['a0', 'a1']) assert.equal(await takeUpAt(name, streams), 0);
+  });
+}
+
 test("streams that begin in one zone of three don't go on at the version before where only it reaches the store", async () => {
   await startAtV1(THREE_ZONES);
   for (const name of ['a1', 'a2', 'b1', 'b2']) fleet.daemon(name).link.set('silent');
--- a/test/gateway/support/stream-fleet.ts
+++ b/test/gateway/support/stream-fleet.ts
@@ -3,6 +3,7 @@
  * simulated store. A test cuts daemons off from the store and from each other, stops them, and takes streams up at any.
  */
 import {
+  DigestSchedule,
   type GatewayConfiguration,
   originAt,
   type PeerDaemon,
@@ -24,7 +25,9 @@
 import type { StreamMessage } from '../../../src/shell/gateway/stream-message-fields.js';
 import {
   maxAnswerGapMs,
+  maxDigestAgeMs,
   recheckSpans,
+  type WatchRole,
   watchTiming,
 } from '../../../src/shell/gateway/watch-timing.js';
 import { route } from './fixture.js';
@@ -34,6 +37,7 @@
 
 export const CONTACT_MS = 3_000;
 const DATAGRAM_MS = 2;
+const RELAY_TICK_MS = 60;
 const SERVICE = 'reader';
 const ROUTE_TIMEOUT_MS = 5_000;
 /** No stream of the route lives longer. */
@@ -73,6 +77,8 @@
   readonly roster: PeerRoster;
   readonly fleet = new FleetView({ ratio: 1, slack: 1 });
   readonly streams: StreamContinuity;
+  readonly digest: RelayDigest;
+  readonly schedule = new DigestSchedule();
   readonly follower: FleetFollower;
   readonly events: LogEvent[] = [];
   /** Sends and receives nothing, as a process that was killed. */
@@ -81,6 +87,7 @@
   constructor(
     readonly name: string,
     readonly zone: string,
+    readonly role: WatchRole,
     private readonly world: StreamFleet,
     table: ServersTable,
   ) {
@@ -88,6 +95,7 @@
     const log = { write: (event: LogEvent) => void this.events.push(event) };
     this.link = new StoreLink(timers);
     this.roster = new PeerRoster({ name, zone });
+    this.digest = new RelayDigest(timers, maxDigestAgeMs(CONTACT_MS));
     this.follower = new FleetFollower({
       adapter: {
         configurations: emptyTable(this.link, timers),
@@ -99,7 +107,7 @@
         remove: () => undefined,
         restart: () => undefined,
       } as never,
-      timing: () => watchTiming('alone', CONTACT_MS),
+      timing: () => watchTiming(role, CONTACT_MS),
       recheckSpans: recheckSpans(CONTACT_MS),
       maxAnswerGapMs: maxAnswerGapMs(CONTACT_MS),
       restored: new RestoredServers(CONTACT_MS),
@@ -112,7 +120,7 @@
       declinesWork: () => Promise.resolve(false),
       advertiseDepartures: () => undefined,
       recordServerStart: () => undefined,
-      digest: new RelayDigest(timers, 0),
+      digest: this.digest,
       timers,
       wallClock: () => timers.nowMs(),
       log: log as never,
@@ -174,9 +182,19 @@
   readonly #unread = new Map<string, (() => void)[]>();
   #streams = 0;
 
-  /** @param zones the zone of each daemon, by its name */
-  async start(zones: Readonly<Record<string, string>>): Promise<void> {
-    for (const [name, zone] of Object.entries(zones)) this.#run(name, zone);
+  /**
+   * @param zones the zone of each daemon, by its name
+   * @param relays the daemons that follow the list for their zones
+   */
+  async start(
+    zones: Readonly<Record<string, string>>,
+    relays: readonly string[] = [],
+  ): Promise<void> {
+    for (const [name, zone] of Object.entries(zones)) {
+      const role = relays.includes(name) ? 'relay' : 'follower';
+      this.#run(name, zone, relays.length === 0 ? 'alone' : role);
+    }
+    for (const name of relays) this.#sendDigest(name);
     for (const name of this.daemons.keys()) this.listPeers(name, Object.keys(zones));
     await this.pass(LIST_CHANGE_MS);
   }
@@ -246,8 +264,8 @@
   /** Starts killed daemons again, which have forgotten everything. */
   restart(names: readonly string[]): void {
     for (const name of names) {
-      const { zone } = this.daemon(name);
-      this.#run(name, zone);
+      const { zone, role } = this.daemon(name);
+      this.#run(name, zone, role);
       this.listPeers(name, [...this.daemons.keys()]);
     }
   }
@@ -305,8 +323,23 @@
     }
   }
 
-  #run(name: string, zone: string): void {
-    this.daemons.set(name, new StreamDaemon(name, zone, this, this.#table));
+  #run(name: string, zone: string, role: WatchRole): void {
+    this.daemons.set(name, new StreamDaemon(name, zone, role, this, this.#table));
+  }
+
+  /** A relay tells the daemons of its zone, again and again, how far it has followed the list. */
+  #sendDigest(name: string): void {
+    const relay = this.daemon(name);
+    const digest = { ...relay.follower.digestToSend(), peersChecksum: 1 };
+    const isDue = relay.schedule.next(digest, this.timers.nowMs()) !== 'nobody';
+    const inZone = [...this.daemons.values()].filter(({ zone }) => zone === relay.zone);
+    this.timers.after(DATAGRAM_MS, () => {
+      if (!isDue || relay.isStopped) return;
+      for (const other of inZone) {
+        if (other !== relay && !this.isCut(name, other.name)) other.digest.apply(digest, name);
+      }
+    });
+    this.timers.after(RELAY_TICK_MS, () => this.#sendDigest(name));
   }
 
   #peer(name: string): PeerDaemon {
