Cover the wait for a stream's keepers, and a restore's end to what was followed

Without the wait for two of three keepers, one of 96 streams and more of a version that only their dead daemon knew goes on at another one (9 daemons); without the restart in a new era, a daemon vouches for time before a restore.

--- a/test/gateway/stream-versions-out-of-step.test.ts
+++ b/test/gateway/stream-versions-out-of-step.test.ts
@@ -13,6 +13,8 @@
 
 /** Enough that each daemon keeps records of some streams and none of others. */
 const STREAMS = 24;
+/** Enough that the keepers of some are the last daemons to answer. */
+const MANY_STREAMS = 96;
 /** Well after any cut has been noticed. */
 const LONG_CUT_MS = 4 * CONTACT_MS;
 const SHORT_CUT_MS = 100;
@@ -20,6 +22,7 @@
 const ROUND_TRIPS_MS = 20;
 
 const ONE_ZONE = { a1: 'a', a2: 'a', a3: 'a', a4: 'a', a5: 'a' };
+const NINE = { ...ONE_ZONE, a6: 'a', a7: 'a', a8: 'a', a9: 'a' };
 const TWO_ZONES = { a1: 'a', a2: 'a', a3: 'a', b1: 'b', b2: 'b', b3: 'b' };
 const THREE_ZONES = { a1: 'a', a2: 'a', b1: 'b', b2: 'b', c1: 'c', c2: 'c' };
 const LARGE = Object.fromEntries(
@@ -47,9 +50,10 @@
 async function beginAt(
   daemons: readonly string[],
   version: string,
+  count = STREAMS,
 ): Promise<readonly BegunStream[]> {
   const streams: BegunStream[] = [];
-  for (let begun = 0; begun < STREAMS; begun += 1) {
+  for (let begun = 0; begun < count; begun += 1) {
     streams.push(await fleet.begin(daemons[begun % daemons.length] ?? '', version));
   }
   return streams;
@@ -202,17 +206,21 @@
   });
 }
 
-for (const [what, dead] of [
-  ['it died', ['a2']],
-  ['it and one more died', ['a2', 'a5']],
+for (const [what, zones, dead] of [
+  ['it of five died', ONE_ZONE, ['a2']],
+  ['it and one more of five died', ONE_ZONE, ['a2', 'a5']],
+  ['it of nine died', NINE, ['a2']],
 ] as const) {
   test(`streams of a version that only their daemon knew go on at it after ${what}`, async () => {
-    await startAtV1(ONE_ZONE);
-    for (const name of ['a1', 'a3', 'a4', 'a5']) fleet.daemon(name).link.set('silent');
+    await startAtV1(zones);
+    const others = Object.keys(zones).filter((name) => name !== 'a2');
+    for (const name of others) fleet.daemon(name).link.set('silent');
     await fleet.join('v2');
-    const streams = await beginAt(['a2'], 'v2');
+    const streams = await beginAt(['a2'], 'v2', MANY_STREAMS);
     fleet.kill(dead);
-    for (const name of ['a1', 'a3', 'a4']) assert.equal(await takeUpAt(name, streams), STREAMS);
+    for (const name of ['a1', 'a3', 'a4']) {
+      assert.equal(await takeUpAt(name, streams), MANY_STREAMS);
+    }
   });
 }
 
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -95,6 +95,7 @@
   isRefusing = false;
   wholeReads = 0;
   revision = 10;
+  era = 0;
 
   readAll(): Promise<WatchAnswer<number>> {
     this.wholeReads += 1;
@@ -114,7 +115,7 @@
     if (this.isDown)
       return Promise.resolve({ kind: 'failed', reason: 'down', wasRefused: this.isRefusing });
     const rows = [{ kind: 'value', key: 'row', value: this.revision }] as const;
-    return Promise.resolve({ kind: 'rows', rows, era: 0, revision: this.revision });
+    return Promise.resolve({ kind: 'rows', rows, era: this.era, revision: this.revision });
   }
 }
 
@@ -434,6 +435,22 @@
   await running;
 });
 
+test('what was followed before a restore of the store from an older copy counts no longer', async () => {
+  const timers = new ManualTimers();
+  const table = new ManualTable();
+  const { watcher } = followerOf(table, timers, []);
+  const running = watcher.run();
+  await timers.advanceBy(10 * BATCH_MS);
+  assert.ok((watcher.followedMs ?? 0) >= 9 * BATCH_MS);
+  table.era = 1;
+  await timers.advanceBy(4 * BATCH_MS);
+  assert.ok(watcher.followedMs !== undefined);
+  assert.ok(watcher.followedMs <= 4 * BATCH_MS);
+  watcher.stop();
+  timers.advance(BATCH_MS);
+  await running;
+});
+
 // Such a digest extended the freshness of an older digest, which kept showing no change.
 test('a digest of an earlier era, as a relay of an earlier release sends it, does not extend freshness', () => {
   const timers = new ManualTimers();
