Cut the daemon with an empty list of daemons off before the version joins

Its held call to the store was still answered, so it had read of the version and the case showed only LOST.

--- a/test/gateway/stream-versions-out-of-step.test.ts
+++ b/test/gateway/stream-versions-out-of-step.test.ts
@@ -125,7 +125,7 @@
 
 test("streams don't go on at another version where a restore has emptied the list of daemons", async () => {
   await startAtV1(ONE_ZONE);
-  fleet.daemon('a1').link.set('refuses');
+  fleet.daemon('a1').link.set('silent');
   await fleet.join('v2');
   const streams = await beginAt(['a2', 'a3'], 'v2');
   fleet.listPeers('a1', []);
