--- a/src/core/logging/catalogue/departures.ts
+++ b/src/core/logging/catalogue/departures.ts
@@ -1,4 +1,4 @@
-/** Log events 6100-6199: departures of servers that a daemon learned late, or requests around them. */
+/** Log events 6100-6199: servers that departed or joined without a daemon knowing it, and requests around them. */
 import type { LogEvent } from '../log-event.js';
 
 export const DEPARTURE_EVENTS = {
@@ -32,4 +32,20 @@
     remedy:
       'Requests wait in the meantime. With busyMs near stalledMs the process itself was busy: report the line with the build of event 6000. With far less it was stopped or got no processor time: give the machine more if it repeats without a planned pause.',
   },
+  serversConfirmed: {
+    number: 6130,
+    level: 'info',
+    message:
+      'too few daemons answered to know the software version of streams without a record; the list of servers was read from the store instead',
+    remedy:
+      'Look for daemons that are down or cut off. Where isConfirmed is false, this daemon is cut off from the store as well, and rejects these streams.',
+  },
+  streamsRecordedLater: {
+    number: 6131,
+    level: 'info',
+    message:
+      'streams that began while one version served were recorded at other daemons: another version has joined, or the store has not confirmed for a while that none has',
+    remedy:
+      'Nothing to do in a release. Otherwise check the path to the store: first events wait for a record until it is back and one version has been known for the life of a stream.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -77,6 +77,8 @@
   readonly timing: () => WatchTiming;
   /** How long full reads are repeated after a disturbance, since reads may be stale. */
   readonly recheckSpans: RecheckSpans;
+  /** A longer time between two answers of the store counts as a gap. */
+  readonly maxAnswerGapMs: number;
   /** Corrects the list of servers after the store was restored from an older copy. */
   readonly restored: RestoredServers;
   /** A random number from 0 to below 1, to spread the calls of many daemons. */
@@ -129,10 +131,19 @@
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
     this.#departures = new DepartureTracker({ ...options, departures: options.fleet.departures });
-    const { adapter, timing, recheckSpans, random, timers, log, digest } = options;
+    const { adapter, timing, recheckSpans, maxAnswerGapMs, random, timers, log, digest } = options;
     const retryQueue = new WatchRetryQueue(timers);
     const handleEra = (era: number) => this.#handleEra(era);
-    const shared = { timing, recheckSpans, random, retryQueue, timers, log, handleEra };
+    const shared = {
+      timing,
+      recheckSpans,
+      maxAnswerGapMs,
+      random,
+      retryQueue,
+      timers,
+      log,
+      handleEra,
+    };
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
@@ -241,19 +252,25 @@
     return Math.max(...this.#watches.map((watch) => nowMs - watch.lastAnswerMs));
   }
 
+  /** How long the list of servers has been followed without a gap; undefined if it is not followed now. */
+  serversFollowedMs(): number | undefined {
+    return this.#servers.followedMs;
+  }
+
   /** The time since this daemon or its relay last checked the store for a newer configuration. */
   configurationCheckAgeMs(): number {
     const { timers, digest } = this.#options;
     return timers.nowMs() - Math.max(this.#configurations.lastAnswerMs, digest.relayContactAtMs);
   }
 
-  /** Reads the list of servers again; resolves once it is applied, or after `limitMs`. */
-  async readServersAgain(limitMs: number): Promise<void> {
+  /** Reads the list of servers again; resolves once it is applied, or after `limitMs`, to whether it is applied. */
+  async readServersAgain(limitMs: number): Promise<boolean> {
     const { timers, log } = this.#options;
     const applied = new AbortController();
     const read = this.#servers.readAgain().then(() => applied.abort());
     runInBackground(log, 'read servers again', read);
     await delay(timers, limitMs, applied.signal);
+    return applied.signal.aborted;
   }
 
   /** Handles an era that one watch has seen: the other watches enter it without waiting for an answer of their own. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -62,7 +62,13 @@
   type TimerService,
   type WallClock,
 } from './timer-service.js';
-import { maxDigestAgeMs, recheckSpans, type WatchRole, watchTiming } from './watch-timing.js';
+import {
+  maxAnswerGapMs,
+  maxDigestAgeMs,
+  recheckSpans,
+  type WatchRole,
+  watchTiming,
+} from './watch-timing.js';
 import { WebWork } from './web-work.js';
 
 /** The platform probes readiness twice, a second apart, before it stops sending connections. */
@@ -213,7 +219,9 @@
     });
     this.#stalls = new StallMonitor({
       minStallMs: maxStallMs(settings.bounds.drainMs ?? Number.POSITIVE_INFINITY),
-      recover: () => this.#follower.readServersAgain(MAX_RECOVERY_MS),
+      recover: async () => {
+        await this.#follower.readServersAgain(MAX_RECOVERY_MS);
+      },
       processorMs,
       timers: this.#suspensionAwareTimers,
       log,
@@ -321,6 +329,7 @@
       cacheEventWatchers: this.#cacheEventWatchers,
       timing: () => watchTiming(this.#watchRole, settings.bounds.contactMs),
       recheckSpans: recheckSpans(settings.bounds.contactMs),
+      maxAnswerGapMs: maxAnswerGapMs(settings.bounds.contactMs),
       restored: new RestoredServers(settings.bounds.contactMs),
       random: Math.random,
       digest: this.#digest,
@@ -551,6 +560,8 @@
       fleet: this.#fleet,
       roster: settings.listen.peers === undefined ? undefined : this.#roster,
       send: (peers, message) => this.#peers?.sendMessage(peers, message),
+      readServers: (limitMs) => this.#follower.readServersAgain(limitMs),
+      serversFollowedMs: () => this.#follower.serversFollowedMs(),
       timers,
       log,
       metrics: this.#metrics,
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -9,6 +9,7 @@
 import { ManualTimers } from './support/manual-timers.js';
 
 const BATCH_MS = 400;
+const MAX_ANSWER_GAP_MS = 4_000;
 const TIMING = { callTimeoutMs: 1_000, firstReadTimeoutMs: 3_000, maxRetryDelayMs: 500 };
 
 /** A table in which a row changes at every call. */
@@ -56,6 +57,7 @@
     maxBatchMs: 3 * batchMs,
     handleEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
+    maxAnswerGapMs: MAX_ANSWER_GAP_MS,
     timers,
     log: { write: () => undefined },
   });
@@ -94,6 +96,7 @@
   isRefusing = false;
   wholeReads = 0;
   revision = 10;
+  era = 0;
 
   readAll(): Promise<WatchAnswer<number>> {
     this.wholeReads += 1;
@@ -113,7 +116,7 @@
     if (this.isDown)
       return Promise.resolve({ kind: 'failed', reason: 'down', wasRefused: this.isRefusing });
     const rows = [{ kind: 'value', key: 'row', value: this.revision }] as const;
-    return Promise.resolve({ kind: 'rows', rows, era: 0, revision: this.revision });
+    return Promise.resolve({ kind: 'rows', rows, era: this.era, revision: this.revision });
   }
 }
 
@@ -138,6 +141,7 @@
     maxBatchMs: 3 * BATCH_MS,
     handleEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
+    maxAnswerGapMs: MAX_ANSWER_GAP_MS,
     timers,
     log: { write: () => undefined },
   });
@@ -432,6 +436,22 @@
   await running;
 });
 
+test('what was followed before a restore of the store from an older copy counts no longer', async () => {
+  const timers = new ManualTimers();
+  const table = new ManualTable();
+  const { watcher } = followerOf(table, timers, []);
+  const running = watcher.run();
+  await timers.advanceBy(10 * BATCH_MS);
+  assert.ok((watcher.followedMs ?? 0) >= 9 * BATCH_MS);
+  table.era = 1;
+  await timers.advanceBy(4 * BATCH_MS);
+  assert.ok(watcher.followedMs !== undefined);
+  assert.ok(watcher.followedMs <= 4 * BATCH_MS);
+  watcher.stop();
+  timers.advance(BATCH_MS);
+  await running;
+});
+
 // Such a digest extended the freshness of an older digest, which kept showing no change.
 test('a digest of an earlier era, as a relay of an earlier release sends it, does not extend freshness', () => {
   const timers = new ManualTimers();
