Failing tests: a stop whose log cannot be written, and settings that no line names

The last lines of a stop are written at once; where that fails (the reader of the log is gone, no room), the exception kept the process for ever. The field `key` of 6202 and 6004 is taken for a secret and withheld.

--- a/test/daemon/process-life.test.ts
+++ b/test/daemon/process-life.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
-import { rmSync, writeFileSync } from 'node:fs';
+import { openSync, rmSync, writeFileSync } from 'node:fs';
 import { type AddressInfo, createServer } from 'node:net';
 import { after, afterEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
@@ -12,6 +12,8 @@
 const HOST = '127.0.0.1';
 const TIMEOUT = { timeout: 20_000 };
 const STOPPED = { exitCode: 0, signal: null };
+/** How a problem with a file as a whole names its setting. */
+const WHOLE_FILE = '(the whole file)';
 
 const program = new GatewayProgram();
 afterEach(() => program.killAll());
@@ -121,17 +123,18 @@
   await held.release();
 });
 
-for (const [state, text] of [
-  ['missing', undefined],
-  ['empty', ''],
-  ['cut short', settingsText().slice(0, 120)],
-  ['not yet right', settingsText().replace('zone: a', 'zone: []')],
-  ['without a possible port', settingsText({ callers: 70_000 })],
+for (const [state, text, named] of [
+  ['missing', undefined, WHOLE_FILE],
+  ['empty', '', WHOLE_FILE],
+  ['cut short', settingsText().slice(0, 120), 'listen.peers'],
+  ['not yet right', settingsText().replace('zone: a', 'zone: []'), 'zone'],
+  ['without a possible port', settingsText({ callers: 70_000 }), 'listen.callers'],
 ] as const) {
   test(`settings that are ${state} at the start are waited for`, TIMEOUT, async () => {
     const path = text === undefined ? program.missingSettings() : program.writeSettings(text);
     const daemon = program.start(path);
-    const { remedy } = await daemon.logged(PROCESS_EVENTS.settingsAwaited);
+    const { setting, remedy } = await daemon.logged(PROCESS_EVENTS.settingsAwaited);
+    assert.equal(setting, named);
     assert.equal(typeof remedy, 'string');
     writeFileSync(path, settingsText());
     await daemon.logged(GATEWAY_EVENTS.started);
@@ -146,12 +149,28 @@
   assert.deepEqual(await daemon.ended, STOPPED);
 });
 
+test('a stop ends the process though the reader of its log is gone', TIMEOUT, async () => {
+  const daemon = program.start(program.writeSettings(''));
+  await daemon.logged(PROCESS_EVENTS.settingsAwaited);
+  daemon.closeLog();
+  daemon.signal('SIGTERM');
+  assert.deepEqual(await daemon.ended, STOPPED);
+});
+
+test('a stop ends the process though its log has no room', TIMEOUT, async () => {
+  const daemon = program.start(program.missingSettings(), openSync('/dev/full', 'w'));
+  await daemon.told;
+  daemon.signal('SIGTERM');
+  assert.deepEqual(await daemon.ended, STOPPED);
+});
+
 test('settings that are gone at a reload are named with a remedy', TIMEOUT, async () => {
   const path = program.writeSettings();
   const daemon = program.start(path);
   await daemon.logged(GATEWAY_EVENTS.started);
   rmSync(path);
   daemon.signal('SIGHUP');
-  const { remedy } = await daemon.logged(GATEWAY_EVENTS.settingsRejected);
+  const { setting, remedy } = await daemon.logged(GATEWAY_EVENTS.settingsRejected);
+  assert.equal(setting, WHOLE_FILE);
   assert.equal(typeof remedy, 'string');
 });
--- a/test/daemon/support/gateway-program.ts
+++ b/test/daemon/support/gateway-program.ts
@@ -59,15 +59,21 @@
   readonly #lines: LogLine[] = [];
   readonly #waiters = new Set<() => void>();
   readonly ended: Promise<ProcessEnd>;
+  /** Resolves once it has written to standard error, or has ended. */
+  readonly told: Promise<unknown>;
   #end: ProcessEnd | undefined;
 
-  constructor(program: string, settingsPath: string) {
+  /** @param log where its standard output goes: to this object, or to a descriptor */
+  constructor(program: string, settingsPath: string, log: 'pipe' | number) {
     this.#child = spawn(process.execPath, [...NODE_FLAGS, program, settingsPath], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['ignore', log, 'pipe'],
     });
     const { stdout, stderr } = this.#child;
-    if (stdout === null || stderr === null) throw new Error('both outputs are pipes');
-    createInterface({ input: stdout }).on('line', (line) => this.#record(line));
+    if (stderr === null) throw new Error('standard error is a pipe');
+    if (stdout !== null) {
+      createInterface({ input: stdout }).on('line', (line) => this.#record(line));
+    }
+    this.told = Promise.race([once(stderr, 'data'), once(stderr, 'close')]);
     stderr.resume();
     // `close` follows the last line of the log.
     this.ended = once(this.#child, 'close').then(([exitCode, signal]) => {
@@ -81,6 +87,11 @@
     this.#child.kill(signal);
   }
 
+  /** Reads its log no longer, as a reader that has ended. */
+  closeLog(): void {
+    this.#child.stdout?.destroy();
+  }
+
   /** Resolves with the first matching line, including lines before the call; rejects if the process ends without one. */
   async logged(
     event: LogEvent,
@@ -131,8 +142,8 @@
     return join(this.#directory, 'missing.yaml');
   }
 
-  start(settingsPath = this.writeSettings()): GatewayProcess {
-    const started = new GatewayProcess(join(this.#directory, 'gateway.cjs'), settingsPath);
+  start(settingsPath = this.writeSettings(), log: 'pipe' | number = 'pipe'): GatewayProcess {
+    const started = new GatewayProcess(join(this.#directory, 'gateway.cjs'), settingsPath, log);
     this.#processes.push(started);
     return started;
   }
