Name the setting that cannot be used in the log

The log withholds a text whose field is named like a secret, `key` among them: 6202 and 6004 told operators to correct the setting that the line names, and named none.

--- a/src/daemon/gateway-process.ts
+++ b/src/daemon/gateway-process.ts
@@ -4,6 +4,7 @@
  */
 import { GATEWAY_EVENTS } from '../core/logging/catalogue/gateway.js';
 import { PROCESS_EVENTS } from '../core/logging/catalogue/process.js';
+import type { LogFields } from '../core/logging/log-event.js';
 import {
   describeFault,
   type Gateway,
@@ -87,7 +88,10 @@
     const isNew = line !== this.#toldProblem;
     if (isNew) tell(line);
     if (isNew || timers.nowMs() >= this.#nextReminderMs) {
-      log.write(PROCESS_EVENTS.settingsAwaited, { path: settingsFile.path, ...problem });
+      log.write(PROCESS_EVENTS.settingsAwaited, {
+        path: settingsFile.path,
+        ...fieldsOf(problem),
+      });
       this.#nextReminderMs = timers.nowMs() + SETTINGS_REMINDER_MS;
     }
     this.#toldProblem = line;
@@ -133,7 +137,7 @@
         const { gateway } = this.#phase;
         settingsFile.read().match(
           (settings) => gateway.reload(settings),
-          (problem) => log.write(GATEWAY_EVENTS.settingsRejected, { ...problem }),
+          (problem) => log.write(GATEWAY_EVENTS.settingsRejected, fieldsOf(problem)),
         );
         return;
       }
@@ -173,6 +177,11 @@
   }
 }
 
+/** A problem as the fields of a log line, which withholds texts under names like `key`. */
+function fieldsOf({ key, found, remedy }: SettingsProblem): LogFields {
+  return { setting: key, found, remedy };
+}
+
 function describeProblem(path: string, { key, found, remedy }: SettingsProblem): string {
   return `${path}: ${key}: found ${found}. ${remedy} The file is read again until it can be used.\n`;
 }
