End though the log cannot be written

The last lines were written synchronously: sonic-boom tries that again for ever where it fails with anything, also at the exit. A process whose log had lost its reader, or had no room (ENOSPC, EFBIG), did not end at SIGTERM, and took no further one. Now they are written as all others, and given up after 0.3 s. A fault in an abort does not keep the process either.

--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -25,6 +25,8 @@
 const LOG_FLUSH_MS = 250;
 /** A buffer of this size is written at once. Below 16 KiB, the largest single write of pino's destination. */
 const LOG_WRITE_BYTES = 8_192;
+/** The last lines are given up after this time; with the rest of a stop it has to fit the grace period. */
+const MAX_LAST_LINES_MS = 300;
 const MAX_BUFFERED_LOG_BYTES = 1_048_576;
 /** The limit until the settings name one. */
 const START_LINES_PER_SECOND = 100;
@@ -37,6 +39,8 @@
   readonly takeEarlySignals: () => readonly HandledSignal[];
 }
 
+type LogDestination = ReturnType<typeof pino.destination>;
+
 const WITHOUT_LOADER: ProgramStart = { build: 'unbundled', takeEarlySignals: () => [] };
 
 /** The settings file given on the command line, or otherwise by the environment variable. */
@@ -49,6 +53,22 @@
   process.exit(EXIT_USAGE);
 }
 
+/**
+ * Ends the process once its last lines are written, or cannot be: the reader of the log may be gone, or its disk full. What is
+ * buffered is not written synchronously, as that tries again for ever where it fails; pino does so at the exit, unless the
+ * destination is destroyed.
+ */
+function endProcess(destination: LogDestination, exitCode: number): void {
+  const exit = (): void => {
+    destination.destroy();
+    process.exit(exitCode);
+  };
+  destination.once('close', exit);
+  destination.once('error', exit);
+  SYSTEM_TIMERS.after(MAX_LAST_LINES_MS, exit);
+  destination.end();
+}
+
 /** Runs a gateway until SIGTERM or SIGINT. */
 export function main({ build, takeEarlySignals }: ProgramStart = WITHOUT_LOADER): void {
   const destination = pino.destination({
@@ -75,8 +95,8 @@
     log,
     tell: (line) => process.stderr.write(line),
     end: (outcome) => {
-      destination.flushSync();
-      process.exit(EXIT_CODES[outcome]);
+      log.close();
+      endProcess(destination, EXIT_CODES[outcome]);
     },
   });
   // A fault ends what it came up in: the other requests of the process have no part in it.
--- a/src/daemon/gateway-process.ts
+++ b/src/daemon/gateway-process.ts
@@ -41,7 +41,7 @@
   readonly log: GatewayLog;
   /** Tells whoever started the process by hand about settings that cannot be used. */
   readonly tell: (line: string) => void;
-  /** Ends the process. */
+  /** Ends the process, soon; called once. */
   readonly end: (outcome: ProcessOutcome) => void;
 }
 
@@ -51,6 +51,7 @@
   #phase: Phase = { kind: 'reading-settings' };
   /** Whether a reload was requested before there was a gateway to apply it to. */
   #isReloadDue = false;
+  #isEnding = false;
   #toldProblem = '';
   #nextReminderMs = 0;
 
@@ -148,19 +149,19 @@
 
   /** Begins the stop; a second signal changes nothing in it. */
   #stop(): void {
-    const { log, end } = this.#options;
+    const { log } = this.#options;
     switch (this.#phase.kind) {
       case 'reading-settings':
         this.#phase = { kind: 'stopping' };
         log.write(PROCESS_EVENTS.stoppedBeforeStart);
-        end('stopped');
+        this.#end('stopped');
         return;
       case 'starting':
       case 'running': {
         const { gateway } = this.#phase;
         this.#phase = { kind: 'stopping' };
         gateway.stop().then(
-          () => end('stopped'),
+          () => this.#end('stopped'),
           (exception: unknown) => this.#fail(exception, gateway),
         );
         return;
@@ -172,8 +173,17 @@
 
   #fail(exception: unknown, gateway: Gateway | undefined): void {
     this.#options.log.write(PROCESS_EVENTS.processFailed, describeFault(exception));
-    gateway?.abort();
-    this.#options.end('failed');
+    try {
+      gateway?.abort();
+    } finally {
+      this.#end('failed');
+    }
+  }
+
+  #end(outcome: ProcessOutcome): void {
+    if (this.#isEnding) return;
+    this.#isEnding = true;
+    this.#options.end(outcome);
   }
 }
 
--- a/src/shell/gateway/request-log.ts
+++ b/src/shell/gateway/request-log.ts
@@ -14,6 +14,7 @@
   readonly #logger: Logger;
   readonly #timers: TimerService;
   #maxLinesPerSecond: number;
+  #isClosed = false;
   #windowStartMs = 0;
   #linesInWindow = 0;
   #dropped = 0;
@@ -33,7 +34,13 @@
     this.#maxLinesPerSecond = maxLinesPerSecond;
   }
 
+  /** Takes no lines from now on, as those before are being written at the end of the process. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
   write(event: LogEvent, fields: LogFields = {}): void {
+    if (this.#isClosed) return;
     if (event.number === GATEWAY_EVENTS.internalFault.number) this.faultsTotal += 1;
     const nowMs = this.#timers.nowMs();
     if (nowMs - this.#windowStartMs >= WINDOW_MS) this.#openWindow(nowMs);
