--- a/src/daemon/gateway-process.ts
+++ b/src/daemon/gateway-process.ts
@@ -4,6 +4,7 @@
  */
 import { GATEWAY_EVENTS } from '../core/logging/catalogue/gateway.js';
 import { PROCESS_EVENTS } from '../core/logging/catalogue/process.js';
+import type { LogFields } from '../core/logging/log-event.js';
 import {
   describeFault,
   type Gateway,
@@ -40,7 +41,7 @@
   readonly log: GatewayLog;
   /** Tells whoever started the process by hand about settings that cannot be used. */
   readonly tell: (line: string) => void;
-  /** Ends the process. */
+  /** Ends the process, soon; called once. */
   readonly end: (outcome: ProcessOutcome) => void;
 }
 
@@ -50,6 +51,7 @@
   #phase: Phase = { kind: 'reading-settings' };
   /** Whether a reload was requested before there was a gateway to apply it to. */
   #isReloadDue = false;
+  #isEnding = false;
   #toldProblem = '';
   #nextReminderMs = 0;
 
@@ -87,7 +89,10 @@
     const isNew = line !== this.#toldProblem;
     if (isNew) tell(line);
     if (isNew || timers.nowMs() >= this.#nextReminderMs) {
-      log.write(PROCESS_EVENTS.settingsAwaited, { path: settingsFile.path, ...problem });
+      log.write(PROCESS_EVENTS.settingsAwaited, {
+        path: settingsFile.path,
+        ...fieldsOf(problem),
+      });
       this.#nextReminderMs = timers.nowMs() + SETTINGS_REMINDER_MS;
     }
     this.#toldProblem = line;
@@ -133,7 +138,7 @@
         const { gateway } = this.#phase;
         settingsFile.read().match(
           (settings) => gateway.reload(settings),
-          (problem) => log.write(GATEWAY_EVENTS.settingsRejected, { ...problem }),
+          (problem) => log.write(GATEWAY_EVENTS.settingsRejected, fieldsOf(problem)),
         );
         return;
       }
@@ -144,19 +149,19 @@
 
   /** Begins the stop; a second signal changes nothing in it. */
   #stop(): void {
-    const { log, end } = this.#options;
+    const { log } = this.#options;
     switch (this.#phase.kind) {
       case 'reading-settings':
         this.#phase = { kind: 'stopping' };
         log.write(PROCESS_EVENTS.stoppedBeforeStart);
-        end('stopped');
+        this.#end('stopped');
         return;
       case 'starting':
       case 'running': {
         const { gateway } = this.#phase;
         this.#phase = { kind: 'stopping' };
         gateway.stop().then(
-          () => end('stopped'),
+          () => this.#end('stopped'),
           (exception: unknown) => this.#fail(exception, gateway),
         );
         return;
@@ -168,9 +173,23 @@
 
   #fail(exception: unknown, gateway: Gateway | undefined): void {
     this.#options.log.write(PROCESS_EVENTS.processFailed, describeFault(exception));
-    gateway?.abort();
-    this.#options.end('failed');
+    try {
+      gateway?.abort();
+    } finally {
+      this.#end('failed');
+    }
   }
+
+  #end(outcome: ProcessOutcome): void {
+    if (this.#isEnding) return;
+    this.#isEnding = true;
+    this.#options.end(outcome);
+  }
+}
+
+/** A problem as the fields of a log line, which withholds texts under names like `key`. */
+function fieldsOf({ key, found, remedy }: SettingsProblem): LogFields {
+  return { setting: key, found, remedy };
 }
 
 function describeProblem(path: string, { key, found, remedy }: SettingsProblem): string {
