Soak: series of signals wait for the process that loads its program

Change: such a series waits for the next process that loads its program. At the end of the faults the struck daemons are stopped in that moment once more, when nothing follows that could end a process which does not stop. The mutation early-stops is gone: node hands signals over only after the program was loaded in one turn, so the list that it dropped was always empty.

--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -42,7 +42,7 @@
   readonly lives: DaemonLife[] = [];
   #process: ChildProcess | undefined;
   #life: RunningLife | undefined;
-  #begun: Promise<void> = Promise.resolve();
+  #begun = Promise.resolve(false);
   #logged: Promise<void> = Promise.resolve();
   /** Number of starts so far; identifies the current incarnation. */
   incarnation = 0;
@@ -85,10 +85,10 @@
     this.#begun = new Promise((resolve) => {
       const begin = () => {
         life.hasBegun = true;
-        resolve();
+        resolve(true);
       };
       for (const output of outputsOf(child)) output.once('data', begin);
-      child.once('exit', () => resolve());
+      child.once('exit', () => resolve(false));
     });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
@@ -140,8 +140,8 @@
     return new Promise((resolve) => child.once('exit', () => resolve()));
   }
 
-  /** Resolves once the process begins to load the daemon's program, or has exited. */
-  begun(): Promise<void> {
+  /** Resolves with true once the process begins to load the daemon's program, with false if it exits before. */
+  begun(): Promise<boolean> {
     return this.#begun;
   }
 
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -285,13 +285,6 @@
     text: 'if (isProgram) for (const signal of SIGNALS) process.on(signal, keepSignal);',
     replacement: '',
   },
-  {
-    name: 'early-stops',
-    promise: 'FAULT',
-    file: 'src/daemon/gateway-main.ts',
-    text: 'for (const signal of takeEarlySignals()) gatewayProcess.handleSignal(signal);',
-    replacement: 'takeEarlySignals();',
-  },
   {
     name: 'second-stop-signal',
     promise: 'LOST',
--- a/soak/start-faults.ts
+++ b/soak/start-faults.ts
@@ -42,7 +42,7 @@
         return this.#sendSeries(daemon, fault.signals);
       case 'young-signals':
         await this.#kill(daemon, fault.downMs);
-        if (fault.since === 'program') await daemon.begun();
+        if (fault.since === 'program') await awaitProgram(daemon);
         return this.#sendSeries(daemon, fault.signals);
       case 'ports-taken':
         return this.#takePorts(daemon, fault);
@@ -150,6 +150,12 @@
   }
 }
 
+/** Resolves once a process of a daemon loads its program: another fault may end the first one before. */
+async function awaitProgram(daemon: GatewayProcess): Promise<void> {
+  const untilMs = performance.now() + START_MS;
+  while (!(await daemon.begun()) && performance.now() < untilMs) await pause(RESTART_DELAY_MS);
+}
+
 function notice({ name }: GatewayProcess): FalseReadiness {
   return { daemon: name, atMs: performance.now() };
 }
--- a/soak/start-plan.ts
+++ b/soak/start-plan.ts
@@ -31,6 +31,8 @@
 const MAX_METRICS_TAKEN_MS = 7_000;
 /** Series of signals last until some time after a process has started, also on a busy machine. */
 const MAX_SERIES_MS = 900;
+/** So soon a process still loads the daemon's program. */
+const MAX_LAST_STOP_MS = 5;
 const MAX_SIGNALS = 12;
 const MAX_STOP_SIGNALS = 4;
 /** Stops last a few seconds; the signals that follow the first come at any time of them. */
@@ -71,6 +73,7 @@
     ...drawFaults(random, struck, endMs),
     ...drawSteadyWork(random, steady, endMs),
     { atMs: herdMs, fault: drawHerd(random, all) },
+    { atMs: endMs, fault: drawLastStop(random, struck) },
   ];
   return {
     seed,
@@ -141,6 +144,18 @@
   };
 }
 
+/** Stops young processes when nothing else follows that could end one which does not stop. */
+function drawLastStop(random: SeededRandom, daemons: readonly number[]): Fault {
+  const afterMs = Math.round(random.between(0, MAX_LAST_STOP_MS));
+  return {
+    kind: 'young-signals',
+    daemons,
+    downMs: 0,
+    since: 'program',
+    signals: [{ signal: 'SIGTERM', afterMs }],
+  };
+}
+
 function drawYoungSignals(random: SeededRandom, daemons: Daemons): Fault {
   return {
     kind: 'young-signals',
