Soak: a daemon that is still disturbed since its start need not use its ports

The soak's process was late by 12.6 s and connections to it waited 28.9 s; the daemons were still starting. Nothing ended by itself. The judge asked for ports whatever had disturbed them.

--- a/test/soak/life-judge.test.ts
+++ b/test/soak/life-judge.test.ts
@@ -118,6 +118,18 @@
   ]);
 });
 
+test('a daemon that starts anew, or is disturbed since its start, need not use its ports yet', () => {
+  const partial: PortCheck = { daemon: 'd1', atMs: 60_000, unused: ['callers'] };
+  const portChecks = [partial];
+  const of = (startedMs: number, ...disturbances: readonly Disturbance[]) =>
+    details({ lives: [life({ startedMs, stopMs: startedMs })], disturbances, portChecks }).length;
+  assert.equal(of(57_500), 0);
+  assert.equal(of(56_500), 1);
+  assert.equal(of(56_500, disturbance({ fromMs: 56_500, toMs: 57_500 })), 0);
+  const late = disturbance({ scope: 'stand-ins', name: '', fromMs: 58_000, toMs: 59_000 });
+  assert.equal(of(56_500, late), 0);
+});
+
 test('a daemon that is ready while its port for callers is taken is a fault', () => {
   assert.deepEqual(details({ falseReadiness: [{ daemon: 'd1', atMs: 20_000 }] }), [
     'd1 was ready while its port for callers was taken',
