--- a/src/shell/gateway/capacity-controller.ts
+++ b/src/shell/gateway/capacity-controller.ts
@@ -15,6 +15,7 @@
   type ZoneCapacity,
 } from '../../core/capacity/index.js';
 import { requiredEngines, type Service } from '../../core/gateway/index.js';
+import { fenceSchema } from '../../core/lease/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { DutyRecordRow, type SentOutcome } from './duty-record.js';
 import type { FleetView } from './fleet-view.js';
@@ -44,7 +45,7 @@
 const recordSchema = z.object({
   holder: z.string(),
   incarnation: z.number(),
-  fence: z.number(),
+  fence: fenceSchema,
   wantedPerZone: z.record(z.string(), z.number()),
   targets: z.optional(z.array(orderSchema)),
 });
--- a/src/shell/gateway/crash-table.ts
+++ b/src/shell/gateway/crash-table.ts
@@ -4,9 +4,14 @@
  */
 import { randomBytes } from 'node:crypto';
 import * as z from 'zod/mini';
-import { CRASH_RECORD_RETENTION_MS, type CrashRecord } from '../../core/gateway/index.js';
+import {
+  CRASH_RECORD_RETENTION_MS,
+  type CrashRecord,
+  MAX_NAME_LENGTH,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { TableCall, TableResult, TableRow } from '../../core/platform/table.js';
+import { problemOf, UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import type { GatewayLog } from './request-log.js';
 import { callTable, readAllRows, type TableAccess } from './table-call.js';
 import type { WallClock } from './timer-service.js';
@@ -15,10 +20,16 @@
 /** Sorts before all fingerprints, so that the first page of a scan contains it. */
 const KEY_ROW = `${PREFIX}!key`;
 const KEY_BYTES = 32;
+/** A secret of at least 16 bytes, so that an empty or truncated one is not used. */
+const BASE64_KEY = /^[A-Za-z0-9+/]{22,}={0,2}$/;
+/** Many times the crashes of which a record keeps the servers. */
+const MAX_SERVERS = 64;
 
-const keySchema = z.object({ key: z.string() });
+const keySchema = z.object({ key: z.string().check(z.regex(BASE64_KEY)) });
 const rowSchema = z.object({
-  serverIds: z.array(z.string()),
+  serverIds: z
+    .array(z.string().check(z.maxLength(MAX_NAME_LENGTH)))
+    .check(z.maxLength(MAX_SERVERS)),
   clearings: z.number(),
   /** When the last of the servers ended, in milliseconds since the Unix epoch. */
   unixMs: z.number(),
@@ -28,8 +39,10 @@
 
 /** What the table holds. */
 export interface CrashTableContent {
-  /** Undefined while no daemon has created one. */
+  /** Undefined while no daemon has created one, or while its row cannot be read. */
   readonly key: Buffer | undefined;
+  /** The version of the key's row; 0 where there is none. */
+  readonly keyVersion: number;
   /** Quarantines that an operator has lifted are included as cleared records. */
   readonly records: readonly CrashRecord[];
 }
@@ -50,6 +63,7 @@
 /** The rows in the store. */
 export class CrashTable {
   readonly #options: CrashTableOptions;
+  readonly #unreadable = new UnreadableRows();
 
   constructor(options: CrashTableOptions) {
     this.#options = options;
@@ -57,29 +71,45 @@
 
   /** @returns undefined where the store could not be read completely */
   async read(signal: AbortSignal): Promise<CrashTableContent | undefined> {
-    const rows = await readAllRows(PREFIX, (page) => this.#call(page, signal));
-    if (rows === undefined) return undefined;
-    const records = rows.filter(({ key }) => key !== KEY_ROW).flatMap((row) => this.#read(row));
-    return { key: keyOf(rows), records };
+    const keys = new Set<string>();
+    let key: Buffer | undefined;
+    let keyVersion = 0;
+    const records = await readAllRows(
+      PREFIX,
+      (page) => this.#call(page, signal),
+      (row) => {
+        keys.add(row.key);
+        if (row.key !== KEY_ROW) return this.#read(row);
+        key = this.#readKey(row);
+        keyVersion = row.version;
+        return [];
+      },
+    );
+    if (records === undefined) return undefined;
+    this.#unreadable.retain(keys);
+    return { key, keyVersion, records };
   }
 
   /**
-   * Writes the fingerprint key, unless the store has one already.
+   * Writes the fingerprint key, unless the store has one already. A row that cannot be read is replaced: no daemon can have
+   * used it.
+   * @param seen what the store held
    * @param known the key that the fleet uses; by default a new one is created
    * @returns the key in the store; undefined where the outcome is unknown
    */
   async createKey(
+    { keyVersion: version }: Pick<CrashTableContent, 'keyVersion'>,
     signal: AbortSignal,
     known: Buffer = randomBytes(KEY_BYTES),
   ): Promise<Buffer | undefined> {
     const value = { key: known.toString('base64') };
-    const checks = [{ key: KEY_ROW, version: 0 }];
+    const checks = [{ key: KEY_ROW, version }];
     const call: TableCall = { kind: 'transact', checks, writes: [{ key: KEY_ROW, value }] };
     const result = await this.#call(call, signal);
     switch (result.kind) {
       case 'committed':
       case 'conflict':
-        return keyOf(result.rows);
+        return result.rows[0] && this.#readKey(result.rows[0]);
       case 'rows':
       case 'unavailable':
       case 'lost':
@@ -119,13 +149,25 @@
     return result.kind === 'committed';
   }
 
+  #readKey(row: TableRow): Buffer | undefined {
+    const parsed = keySchema.safeParse(row.value);
+    if (parsed.success) {
+      this.#unreadable.remove(row.key);
+      return Buffer.from(parsed.data.key, 'base64');
+    }
+    // An absent row is no unreadable one.
+    if (row.value !== null) this.#recordUnreadable(row.key, problemOf(parsed.error));
+    return undefined;
+  }
+
   #read(row: TableRow): readonly CrashRecord[] {
     const subject = row.key.slice(PREFIX.length);
     const parsed = rowSchema.safeParse(row.value);
     if (!parsed.success) {
-      this.#options.log.write(GATEWAY_EVENTS.crashRowMalformed, { subject });
+      this.#recordUnreadable(row.key, problemOf(parsed.error));
       return [];
     }
+    this.#unreadable.remove(row.key);
     const { serverIds, clearings, unixMs, isLifted } = parsed.data;
     // The clocks of machines may be ahead or behind.
     const ageMs = Math.min(
@@ -140,6 +182,14 @@
     return [{ ...record, crashes, isQuarantined: true, clearings }];
   }
 
+  /** Logs each problem of a row once; the rows are read again and again while a request is quarantined. */
+  #recordUnreadable(key: string, problem: string): void {
+    if (!this.#unreadable.add(key, problem)) return;
+    const subject = key.slice(PREFIX.length);
+    const unreadable = this.#unreadable.count;
+    this.#options.log.write(GATEWAY_EVENTS.crashRowMalformed, { subject, problem, unreadable });
+  }
+
   async #call(call: TableCall, signal: AbortSignal): Promise<TableResult> {
     const { log } = this.#options;
     const result = await callTable(this.#options, call, signal);
@@ -150,9 +200,3 @@
     return result;
   }
 }
-
-function keyOf(rows: readonly TableRow[]): Buffer | undefined {
-  const row = rows.find(({ key }) => key === KEY_ROW);
-  const parsed = keySchema.safeParse(row?.value);
-  return parsed.success ? Buffer.from(parsed.data.key, 'base64') : undefined;
-}
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -16,8 +16,10 @@
   type ServerRecord,
   type TableDigest,
 } from '../../core/gateway/index.js';
+import { ENTRY_EVENTS } from '../../core/logging/catalogue/entries.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
+import { UnreadableRows } from '../../core/platform/unreadable-rows.js';
 import type { CacheEventWatchers } from './cache-event-watchers.js';
 import { DepartureTracker, type DepartureTrackerOptions } from './departure-tracker.js';
 import type { FleetView } from './fleet-view.js';
@@ -29,7 +31,6 @@
 import type { GatewayLog } from './request-log.js';
 import { type TableChanges, TableWatcher } from './table-watcher.js';
 import { type CancelTimer, delay, type TimerService, type WallClock } from './timer-service.js';
-import { UnreadableRows } from './unreadable-rows.js';
 import { usableRow } from './usable-row.js';
 import { WatchRetryQueue } from './watch-retry-queue.js';
 import { isOutage, type RecheckSpans, type WatchTiming } from './watch-timing.js';
@@ -76,6 +77,8 @@
   readonly timing: () => WatchTiming;
   /** How long full reads are repeated after a disturbance, since reads may be stale. */
   readonly recheckSpans: RecheckSpans;
+  /** A longer time between two answers of the store counts as a gap. */
+  readonly maxAnswerGapMs: number;
   /** Corrects the list of servers after the store was restored from an older copy. */
   readonly restored: RestoredServers;
   /** A random number from 0 to below 1, to spread the calls of many daemons. */
@@ -110,6 +113,8 @@
   readonly #servers: TableWatcher<ServerRecord>;
   readonly #newestPeerVersion: NewestPeerVersion;
   readonly #unreadable = new UnreadableRows();
+  /** Whether there were more unreadable rows of servers than are named. */
+  #hasUnnamed = false;
   /** The newest era of the store that was handled. */
   #era = FIRST_ERA;
   #isConfigurationUnreadable = false;
@@ -126,10 +131,19 @@
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
     this.#departures = new DepartureTracker({ ...options, departures: options.fleet.departures });
-    const { adapter, timing, recheckSpans, random, timers, log, digest } = options;
+    const { adapter, timing, recheckSpans, maxAnswerGapMs, random, timers, log, digest } = options;
     const retryQueue = new WatchRetryQueue(timers);
     const handleEra = (era: number) => this.#handleEra(era);
-    const shared = { timing, recheckSpans, random, retryQueue, timers, log, handleEra };
+    const shared = {
+      timing,
+      recheckSpans,
+      maxAnswerGapMs,
+      random,
+      retryQueue,
+      timers,
+      log,
+      handleEra,
+    };
     const configurations = new TableWatcher({
       table: adapter.configurations,
       consumer: {
@@ -238,19 +252,25 @@
     return Math.max(...this.#watches.map((watch) => nowMs - watch.lastAnswerMs));
   }
 
+  /** How long the list of servers has been followed without a gap; undefined if it is not followed now. */
+  serversFollowedMs(): number | undefined {
+    return this.#servers.followedMs;
+  }
+
   /** The time since this daemon or its relay last checked the store for a newer configuration. */
   configurationCheckAgeMs(): number {
     const { timers, digest } = this.#options;
     return timers.nowMs() - Math.max(this.#configurations.lastAnswerMs, digest.relayContactAtMs);
   }
 
-  /** Reads the list of servers again; resolves once it is applied, or after `limitMs`. */
-  async readServersAgain(limitMs: number): Promise<void> {
+  /** Reads the list of servers again; resolves once it is applied, or after `limitMs`, to whether it is applied. */
+  async readServersAgain(limitMs: number): Promise<boolean> {
     const { timers, log } = this.#options;
     const applied = new AbortController();
     const read = this.#servers.readAgain().then(() => applied.abort());
     runInBackground(log, 'read servers again', read);
     await delay(timers, limitMs, applied.signal);
+    return applied.signal.aborted;
   }
 
   /** Handles an era that one watch has seen: the other watches enter it without waiting for an answer of their own. */
@@ -409,6 +429,7 @@
       if (row.kind === 'value') records.push(row.value);
       if (row.kind === 'malformed') malformedIds.push(row.key);
     }
+    this.#logUnnamed();
     const { directory } = fleet;
     const nowMs = timers.nowMs();
     const kept = this.#keepExpired(listedIds, goneIds, origin);
@@ -554,6 +575,16 @@
     this.#options.log.write(GATEWAY_EVENTS.serverMalformed, { server, problem, unreadable });
   }
 
+  /** Logs once that there are too many unreadable rows to name all. */
+  #logUnnamed(): void {
+    const { count: unreadable, unnamed } = this.#unreadable;
+    const hadUnnamed = this.#hasUnnamed;
+    this.#hasUnnamed = unnamed > 0;
+    if (!this.#hasUnnamed || hadUnnamed) return;
+    const table = this.#options.adapter.servers.name;
+    this.#options.log.write(ENTRY_EVENTS.rowsUnnamed, { table, unreadable, unnamed });
+  }
+
   #logServer(event: ServerEvent, server: ServerRecord): void {
     this.#options.log.write(event, {
       server: server.id,
--- a/src/shell/gateway/stream-lookup.ts
+++ b/src/shell/gateway/stream-lookup.ts
@@ -16,8 +16,9 @@
 } from '../../core/gateway/index.js';
 import { ByteBudget } from './byte-budget.js';
 import { PeerRequests } from './peer-requests.js';
+import { ServersConfirmation, type ServersConfirmationOptions } from './servers-confirmation.js';
 import type { StreamAnsweredMessage, StreamAskedMessage } from './stream-message-fields.js';
-import { peersHolding, type StreamPeers } from './stream-peers.js';
+import { peersHolding, type StreamPeers, streamPeersOf } from './stream-peers.js';
 
 /** Longer than a daemon needs that shares its core; a caller waits for it once or twice. */
 const TIMING = { resendAfterMs: 30, timeoutMs: 90 };
@@ -27,13 +28,19 @@
 const QUESTION_BYTES = 150;
 
 /** Dependencies of a `StreamLookup`. */
-export interface StreamLookupOptions extends StreamPeers {
+export interface StreamLookupOptions
+  extends StreamPeers,
+    Pick<ServersConfirmationOptions, 'readServers'> {
   readonly records: StreamOriginTable;
   readonly possibleOrigins: Pick<PossibleOrigins, 'viewOf'>;
 }
 
 /** What other daemons have answered. */
 interface Answers {
+  /** The daemons that keep the record of the stream, if there is one. */
+  readonly holders: readonly PeerDaemon[];
+  asked: readonly PeerDaemon[];
+  readonly answered: Set<string>;
   record: { readonly origin: StreamOrigin; readonly ageMs: number } | undefined;
   readonly views: PeerView[];
 }
@@ -43,15 +50,18 @@
   readonly #options: StreamLookupOptions;
   readonly #requests: PeerRequests<StreamAskedMessage, StreamAnsweredMessage>;
   readonly #askAllBudget: ByteBudget;
+  readonly #confirmation: ServersConfirmation;
 
   constructor(options: StreamLookupOptions) {
     this.#options = options;
     this.#requests = new PeerRequests({ ...options, timing: TIMING });
     this.#askAllBudget = new ByteBudget(ASK_ALL_BUDGET, options.timers);
+    this.#confirmation = new ServersConfirmation(options);
   }
 
   stop(): void {
     this.#requests.stop();
+    this.#confirmation.stop();
   }
 
   handleAnswer(message: StreamAnsweredMessage): void {
@@ -60,32 +70,55 @@
 
   /** @param streamKey empty for a stream that its caller does not name */
   async find(streamKey: string, route: Route): Promise<ResumptionDecision> {
-    const { records, timers, roster } = this.#options;
+    const { records, timers } = this.#options;
     const nowMs = timers.nowMs();
     const own = records.get(streamKey, nowMs);
     if (own !== undefined) {
       const { origin, beganAtMs } = own;
       return { kind: 'continue', origin, source: 'own record', ageMs: nowMs - beganAtMs };
     }
-    const answers: Answers = { record: undefined, views: [] };
-    const peers = roster?.allPeers() ?? [];
-    const holders = peersHolding(streamKey, this.#options);
-    await this.#ask(holders, streamKey, route, answers);
-    const decision = this.#decide(streamKey, route, answers);
-    if (decision.kind === 'continue') return decision;
+    const answers: Answers = {
+      holders: peersHolding(streamKey, this.#options),
+      asked: [],
+      answered: new Set(),
+      record: undefined,
+      views: [],
+    };
+    await this.#askDaemons(streamKey, route, answers);
+    const decision = this.#decide(streamKey, route, answers, false);
+    const isConfirmable =
+      decision.kind === 'reject' &&
+      decision.reason === 'too few daemons answer to know its software version' &&
+      answers.views.length > 0;
+    if (!isConfirmable) return decision;
+    const isConfirmed = await this.#confirmation.confirm();
+    return this.#decide(streamKey, route, answers, isConfirmed);
+  }
+
+  /** Asks all daemons of a small fleet at once; in a large one those that keep the record first, which mostly suffices. */
+  async #askDaemons(streamKey: string, route: Route, answers: Answers): Promise<void> {
+    const { roster } = this.#options;
+    const { holders } = answers;
+    const peers = streamPeersOf(this.#options);
     const others = peers.filter((peer) => !holders.includes(peer));
-    if (!this.#askAllBudget.tryTake(QUESTION_BYTES * others.length)) return decision;
+    const canAskAll = () => this.#askAllBudget.tryTake(QUESTION_BYTES * others.length);
+    if (roster?.isLarge !== true && canAskAll()) {
+      return this.#ask(peers, streamKey, route, answers);
+    }
+    await this.#ask(holders, streamKey, route, answers);
+    const decision = this.#decide(streamKey, route, answers, false);
+    if (decision.kind === 'continue' || !canAskAll()) return;
     await this.#ask(others, streamKey, route, answers);
-    return this.#decide(streamKey, route, answers);
   }
 
-  /** Resolves once a daemon has answered with a record, or all have answered or timed out. */
+  /** Resolves once the answers suffice, or all daemons have answered or timed out. */
   #ask(
     peers: readonly PeerDaemon[],
     streamKey: string,
     route: Route,
     answers: Answers,
   ): Promise<void> {
+    answers.asked = [...answers.asked, ...peers];
     const question = {
       kind: 'stream-asked',
       streamId: streamKey,
@@ -98,13 +131,28 @@
         if (answer === undefined) return;
         answers.views.push({ zone: answer.zone, view: answer.view });
         answers.record ??= answer.record;
-        if (answer.record !== undefined) resolve();
+        answers.answered.add(peer.name);
+        if (this.#hasEnough(streamKey, route, answers)) resolve();
       });
       Promise.all(asked).then(() => resolve(), reject);
     });
   }
 
-  #decide(streamKey: string, route: Route, { record, views }: Answers): ResumptionDecision {
+  /** A record is at two of its three keepers, so one that is down need not be waited for where the others have none. */
+  #hasEnough(streamKey: string, route: Route, answers: Answers): boolean {
+    const { holders, answered, record } = answers;
+    if (record !== undefined) return true;
+    const silent = holders.filter(({ name }) => !answered.has(name));
+    if (silent.length > 1) return false;
+    return this.#decide(streamKey, route, answers, false).kind === 'continue';
+  }
+
+  #decide(
+    streamKey: string,
+    route: Route,
+    { asked, record, views }: Answers,
+    isConfirmed: boolean,
+  ): ResumptionDecision {
     const { records, possibleOrigins, roster, zone, timers } = this.#options;
     const nowMs = timers.nowMs();
     const lifeMs = streamLifeMs(route);
@@ -114,13 +162,14 @@
       records.add({ streamId: streamKey, origin, ...times }, nowMs);
       return { kind: 'continue', origin, source: 'record of a peer', ageMs };
     }
-    const peers = roster?.allPeers() ?? [];
+    const peers = streamPeersOf(this.#options);
     return decideUnrecorded({
       ownView: possibleOrigins.viewOf(routeKeyOf(route), lifeMs, nowMs),
       ownZone: zone,
       answers: views,
       zones: new Set([zone, ...peers.map((peer) => peer.zone)]),
-      hasPeers: roster !== undefined && (!roster.hasList || peers.length > 0),
+      daemons: roster?.hasList === false ? undefined : asked.length + 1,
+      isConfirmed,
     });
   }
 }
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -12,11 +12,13 @@
  */
 import {
   FollowedRevisions,
+  FollowedSpan,
   RecheckSchedule,
   type RowsOrigin,
   type TableProgress,
   TRANSIT_MS,
 } from '../../core/gateway/index.js';
+import { ENTRY_EVENTS } from '../../core/logging/catalogue/entries.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { isSamePosition, type StorePosition } from '../../core/platform/store-position.js';
 import type { WatchAnswer, WatchedRow, WatchedTable } from './ports.js';
@@ -73,6 +75,8 @@
   readonly maxBatchMs: number;
   /** How long full reads are repeated after a disturbance. */
   readonly recheckSpans: RecheckSpans;
+  /** A longer time between two answers counts as a gap. */
+  readonly maxAnswerGapMs: number;
   /** Called when the store answers in a newer era than before. */
   readonly handleEra: (era: number) => void;
   /** Called when the store, or a relay, provides data again after failed calls; `awayMs` since the first of them began. */
@@ -100,8 +104,8 @@
   /** When the store's current era was first seen; undefined once the table was fully read in it. */
   #eraSeenAtMs: number | undefined;
   #failuresInARow = 0;
-  /** Losses of the history since changes were last read: whole reads that are older than the history cause one each. */
-  #lossesInARow = 0;
+  /** Answers without changes since changes were last read: whole reads that are older than the history cause one each. */
+  #unreadChangesInARow = 0;
   #callStartedMs = 0;
   /** When the first failed call since the last data began; undefined if no call has failed since. */
   #awaySinceMs: number | undefined;
@@ -114,12 +118,14 @@
   #lastAnswerMs: number;
   /** A time at which the store held just what this watch has followed. */
   #asOfMs = Number.NEGATIVE_INFINITY;
+  readonly #followed: FollowedSpan;
   /** Calls to the store since the start. */
   callsTotal = 0;
 
   constructor(options: TableWatcherOptions<Value>) {
     this.#options = options;
     this.#lastAnswerMs = options.timers.nowMs();
+    this.#followed = new FollowedSpan(options.maxAnswerGapMs);
   }
 
   /** When the store last answered. */
@@ -127,6 +133,11 @@
     return this.#lastAnswerMs;
   }
 
+  /** How long the table has been followed without a gap; undefined if it is not followed now. */
+  get followedMs(): number | undefined {
+    return this.#followed.lengthMs(this.#options.timers.nowMs());
+  }
+
   /**
    * Applies changes that another daemon received from the store, but only while this watch has no call under way and
    * only if they continue from what it has followed, so that no change is missed or undone.
@@ -268,8 +279,10 @@
   async #readRows(): Promise<Extract<WatchAnswer<Value>, { kind: 'rows' }> | undefined> {
     const { table } = this.#options;
     this.#isFullReadRequested = false;
-    const answer = await this.#call(this.#readTimeoutMs, this.#stopped.signal, (signal) =>
-      table.readAll(signal),
+    const answer = await this.#call(
+      this.#readTimeoutMs,
+      this.#stopped.signal,
+      (signal, recordPage) => table.readAll(signal, recordPage),
     );
     if (answer.kind !== 'rows') {
       await this.#handleFailure(answer);
@@ -328,7 +341,7 @@
       return this.#isFullReadRequested ? undefined : this.#handleFailure(answer);
     }
     this.#recordSuccess();
-    this.#lossesInARow = 0;
+    this.#unreadChangesInARow = 0;
     if (!isSameEra) return;
     this.#revisions.advanceTo(answer.revision);
     const origin = this.#originOfPoll(answer);
@@ -380,6 +393,7 @@
   #recordAsOf(asOfMs: number): number {
     const before = this.#asOfMs;
     this.#asOfMs = Math.max(before, asOfMs);
+    this.#followed.record(asOfMs);
     return before;
   }
 
@@ -427,6 +441,7 @@
     const { log, table, timers, recheckSpans, handleEra } = this.#options;
     const { era: eraBefore, revision: revisionBefore } = this.#revisions.changed;
     this.#revisions.enterEra(era);
+    this.#followed.restart();
     this.#eraSeenAtMs ??= timers.nowMs();
     this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
     log.write(GATEWAY_EVENTS.storeEraRaised, {
@@ -441,7 +456,7 @@
   async #call(
     timeoutMs: number,
     signal: AbortSignal,
-    call: (signal: AbortSignal) => Promise<WatchAnswer<Value>>,
+    call: (signal: AbortSignal, recordPage: () => void) => Promise<WatchAnswer<Value>>,
   ): Promise<WatchAnswer<Value>> {
     this.callsTotal += 1;
     this.#callStartedMs = this.#options.timers.nowMs();
@@ -490,14 +505,24 @@
   async #handleFailure(answer: Exclude<WatchAnswer<Value>, { kind: 'rows' }>): Promise<void> {
     if (this.#stopped.signal.aborted) return;
     const { log, table, timers, recheckSpans } = this.#options;
-    if (answer.kind === 'history-lost') {
-      this.#revisions.invalidate();
-      this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
-      log.write(GATEWAY_EVENTS.historyLost, { table: table.name, era: answer.era });
-      this.#lossesInARow += 1;
-      if (this.#lossesInARow > 1) await this.#backOff(this.#lossesInARow - 1);
-      return;
+    switch (answer.kind) {
+      case 'history-lost':
+        this.#revisions.invalidate();
+        this.#rechecks.begin(timers.nowMs(), recheckSpans.historyLostMs);
+        log.write(GATEWAY_EVENTS.historyLost, { table: table.name, era: answer.era });
+        return this.#backOffFromFullRead();
+      case 'too-long':
+        this.#recordSuccess();
+        this.#isFullReadRequested = true;
+        log.write(ENTRY_EVENTS.changesTooLong, { table: table.name });
+        return this.#backOffFromFullRead();
+      case 'failed':
+        return this.#handleFailedCall(answer);
     }
+  }
+
+  async #handleFailedCall(answer: Extract<WatchAnswer<Value>, { kind: 'failed' }>): Promise<void> {
+    const { log, table, timers, recheckSpans } = this.#options;
     if (!answer.wasRefused) this.#rechecks.begin(timers.nowMs(), recheckSpans.cutMs);
     this.#failuresInARow += 1;
     this.#awaySinceMs ??= this.#callStartedMs;
@@ -507,6 +532,12 @@
     await this.#backOff(this.#failuresInARow);
   }
 
+  /** The first full read after an answer without changes begins at once. */
+  async #backOffFromFullRead(): Promise<void> {
+    this.#unreadChangesInARow += 1;
+    if (this.#unreadChangesInARow > 1) await this.#backOff(this.#unreadChangesInARow - 1);
+  }
+
   /**
    * Waits before a retry, longer with each in a row. A digest that becomes fresh ends the wait, as it may show that no call
    * is needed.
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -59,7 +59,13 @@
 
   constructor() {
     const client = { get: (path: string) => this.#get(path) } as unknown as StoreClient;
-    const table = { client, table: 'servers', onlyKey: undefined };
+    const table = {
+      client,
+      table: 'servers',
+      onlyKey: undefined,
+      maxRowBytes: undefined,
+      isForwarded: false,
+    };
     const never = new Promise<WatchAnswer<never>>(() => undefined);
     const configurations = {
       name: 'op',
@@ -79,6 +85,7 @@
       cacheEventWatchers: cacheEventWatchers as never,
       timing: () => ({ ...TIMING, holdMs: 1_000 }),
       recheckSpans: { cutMs: 0, historyLostMs: 0 },
+      maxAnswerGapMs: 0,
       restored: new RestoredServers(3_000),
       random: Math.random,
       handleStoreRestored: () => undefined,
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -4,10 +4,12 @@
 import type { WatchAnswer, WatchedRow, WatchedTable } from '../../src/shell/gateway/ports.js';
 import { RelayDigest } from '../../src/shell/gateway/relay-digest.js';
 import { type TableConsumer, TableWatcher } from '../../src/shell/gateway/table-watcher.js';
+import { delay } from '../../src/shell/gateway/timer-service.js';
 import { WatchRetryQueue } from '../../src/shell/gateway/watch-retry-queue.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const BATCH_MS = 400;
+const MAX_ANSWER_GAP_MS = 4_000;
 const TIMING = { callTimeoutMs: 1_000, firstReadTimeoutMs: 3_000, maxRetryDelayMs: 500 };
 
 /** A table in which a row changes at every call. */
@@ -55,6 +57,7 @@
     maxBatchMs: 3 * batchMs,
     handleEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
+    maxAnswerGapMs: MAX_ANSWER_GAP_MS,
     timers,
     log: { write: () => undefined },
   });
@@ -93,6 +96,7 @@
   isRefusing = false;
   wholeReads = 0;
   revision = 10;
+  era = 0;
 
   readAll(): Promise<WatchAnswer<number>> {
     this.wholeReads += 1;
@@ -112,7 +116,7 @@
     if (this.isDown)
       return Promise.resolve({ kind: 'failed', reason: 'down', wasRefused: this.isRefusing });
     const rows = [{ kind: 'value', key: 'row', value: this.revision }] as const;
-    return Promise.resolve({ kind: 'rows', rows, era: 0, revision: this.revision });
+    return Promise.resolve({ kind: 'rows', rows, era: this.era, revision: this.revision });
   }
 }
 
@@ -137,6 +141,7 @@
     maxBatchMs: 3 * BATCH_MS,
     handleEra: () => undefined,
     recheckSpans: { cutMs: 6_000, historyLostMs: 12_000 },
+    maxAnswerGapMs: MAX_ANSWER_GAP_MS,
     timers,
     log: { write: () => undefined },
   });
@@ -431,6 +436,22 @@
   await running;
 });
 
+test('what was followed before a restore of the store from an older copy counts no longer', async () => {
+  const timers = new ManualTimers();
+  const table = new ManualTable();
+  const { watcher } = followerOf(table, timers, []);
+  const running = watcher.run();
+  await timers.advanceBy(10 * BATCH_MS);
+  assert.ok((watcher.followedMs ?? 0) >= 9 * BATCH_MS);
+  table.era = 1;
+  await timers.advanceBy(4 * BATCH_MS);
+  assert.ok(watcher.followedMs !== undefined);
+  assert.ok(watcher.followedMs <= 4 * BATCH_MS);
+  watcher.stop();
+  timers.advance(BATCH_MS);
+  await running;
+});
+
 // Such a digest extended the freshness of an older digest, which kept showing no change.
 test('a digest of an earlier era, as a relay of an earlier release sends it, does not extend freshness', () => {
   const timers = new ManualTimers();
@@ -500,3 +521,40 @@
   const waits = 4 + SPAN_MS / (0.7 * TIMING.maxRetryDelayMs);
   assert.ok(table.calls <= 3 * waits, `${table.calls} calls`);
 });
+
+/** A table of many pages, each of which the store answers within the time-out of a call. */
+class PagedTable extends ChangingTable {
+  static readonly PAGES = 12;
+  static readonly PAGE_MS = 0.9 * TIMING.callTimeoutMs;
+  readonly #timers: ManualTimers;
+
+  constructor(timers: ManualTimers) {
+    super();
+    this.#timers = timers;
+  }
+
+  override async readAll(
+    signal?: AbortSignal,
+    recordPage?: () => void,
+  ): Promise<WatchAnswer<number>> {
+    for (let page = 0; page < PagedTable.PAGES; page += 1) {
+      await delay(this.#timers, PagedTable.PAGE_MS, signal);
+      if (signal?.aborted === true) return { kind: 'failed', reason: 'late', wasRefused: false };
+      recordPage?.();
+    }
+    return super.readAll();
+  }
+}
+
+// Guards against a list that is never read, as its pages together take longer than the time-out of one call.
+test('a table is read whose pages together take longer than one call may', async () => {
+  const timers = new ManualTimers();
+  const applied: number[] = [];
+  const watcher = watcherOf(new PagedTable(timers), BATCH_MS, timers, applied);
+  const running = watcher.run();
+  await timers.advanceBy((PagedTable.PAGES + 1) * PagedTable.PAGE_MS);
+  watcher.stop();
+  timers.advance(PagedTable.PAGE_MS);
+  await running;
+  assert.notDeepEqual(applied, []);
+});
