--- a/src/core/platform/table.ts
+++ b/src/core/platform/table.ts
@@ -43,7 +43,7 @@
   readonly rows: readonly TableRow[];
   /** The era of the store to which the row versions belong; absent if the store reports none. */
   readonly era?: number | undefined;
-  /** The key after which a scan goes on: the answer holds fewer rows than there are; absent where it holds the last. */
+  /** The key after which the store cut the answer, so that later rows are missing; absent where it holds the last. */
   readonly continueAfter?: string | undefined;
 }
 
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -63,7 +63,7 @@
       client,
       table: 'servers',
       onlyKey: undefined,
-      maxRowBytes: undefined,
+      maxRowBytes: 16_384,
       isForwarded: false,
     };
     const never = new Promise<WatchAnswer<never>>(() => undefined);
--- a/test/gateway/store-pages.test.ts
+++ b/test/gateway/store-pages.test.ts
@@ -3,7 +3,8 @@
 import { afterEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import { TABLES } from '../../platform/names.js';
-import { readAllRows } from '../../src/shell/gateway/table-call.js';
+import { callTable, readAllRows } from '../../src/shell/gateway/table-call.js';
+import { SYSTEM_TIMERS } from '../../src/shell/gateway/timer-service.js';
 import { ServerStandIn } from './support/server-stand-in.js';
 import { StoreStandIn } from './support/store-stand-in.js';
 
@@ -78,8 +79,9 @@
 // Guards against a lease that seems to be free, as its row comes after long ones of another writer.
 test('rows are read by their keys however many long rows lie between them', async () => {
   const table = await tableWithLongRows('extra/', { 'epoch/stage': 1, 'lease/stage': 2 });
-  const { signal } = new AbortController();
-  const result = await table.call({ kind: 'get', keys: ['lease/stage', 'epoch/stage'] }, signal);
+  const keys = ['lease/stage', 'epoch/stage'];
+  const access = { table, timers: SYSTEM_TIMERS };
+  const result = await callTable(access, { kind: 'get', keys }, undefined);
   assert.ok(result.kind === 'rows');
   assert.deepEqual(
     result.rows.map(({ key, value }) => [key, value]),
