--- a/test/frame/daemon-command.test.ts
+++ b/test/frame/daemon-command.test.ts
@@ -168,3 +168,24 @@
   await once(daemon, 'exit');
   rmSync(folder, { recursive: true });
 });
+
+test('a daemon whose log has no room answers, and ends at a stop', {
+  timeout: 20_000,
+}, async (context) => {
+  const log = await open('/dev/full', 'w');
+  const daemon = spawn(process.execPath, [PROGRAM, ...GOOD_FLAGS], {
+    env: { ...process.env, KEY: '0123456789abcdef' },
+    stdio: ['ignore', 'pipe', log.fd],
+  });
+  context.after(async () => {
+    daemon.kill('SIGKILL');
+    await log.close();
+  });
+  assert.ok(daemon.stdout !== null);
+  const [line] = await once(daemon.stdout, 'data');
+  const { callers } = JSON.parse(String(line)) as { readonly callers: string };
+  const answer = await fetch(`http://${callers}/readyz`, { signal: AbortSignal.timeout(5_000) });
+  assert.equal(answer.status, 503);
+  daemon.kill('SIGTERM');
+  assert.deepEqual(await once(daemon, 'exit'), [0, null]);
+});
--- a/test/resources/descriptor-limits.test.ts
+++ b/test/resources/descriptor-limits.test.ts
@@ -8,6 +8,8 @@
 /** Of these, 200 are for files. */
 const DESCRIPTORS = 320;
 const CONNECTIONS = 400;
+/** Fewer than the descriptors for sockets; the other ones are enough for the store, readiness and a request. */
+const IDLE_CONNECTIONS = 90;
 /** In the log lines of this event. */
 const CONNECTIONS_DROPPED = '"event":6232';
 
@@ -70,3 +72,13 @@
   to.leave();
   await assertServes(to);
 });
+
+test('a caller that connects is served while the connections of others are idle', async () => {
+  const to = await startGateway();
+  to.serve = answer;
+  for (let sent = 0; sent < IDLE_CONNECTIONS; sent += 1) {
+    const one = to.send({});
+    await to.waitUntil(() => one.status !== undefined || one.socket.destroyed, WAIT_MS);
+    assert.equal(one.status, 200, `connection ${sent}`);
+  }
+});
