--- a/src/shell/logging/logger.ts
+++ b/src/shell/logging/logger.ts
@@ -38,6 +38,14 @@
     options.destination === undefined
       ? pino.destination({ fd: STANDARD_ERROR, sync: false, maxLength: MAX_BUFFERED_BYTES })
       : null;
+  // A log that cannot be written, as its disk is full, ends no daemon; lines are dropped beyond the buffer.
+  let isWritable = true;
+  standardError?.on('error', () => {
+    isWritable = false;
+  });
+  standardError?.on('write', () => {
+    isWritable = true;
+  });
   const pinoLogger = pino(
     {
       level: options.level,
@@ -54,7 +62,11 @@
         event.message,
       );
     },
-    flush: () => standardError?.flushSync(),
+    flush: () => {
+      // A synchronous write is tried again for ever where it fails, here and at the exit of the process.
+      if (isWritable) standardError?.flushSync();
+      else standardError?.destroy();
+    },
   };
 }
 
