Idle connections of callers are closed before new ones are turned away

Now those between two requests are closed for a new one; only where that does not help is it turned away.

--- a/src/shell/gateway/caller-connections.ts
+++ b/src/shell/gateway/caller-connections.ts
@@ -11,7 +11,7 @@
 const RESERVED_SHARE = 1 / 8;
 /** Of the same, for connections whose requests are rejected with an answer. */
 const REJECTED_SHARE = 1 / 16;
-/** Of what is left, so that callers' idle connections leave some to requests. */
+/** Of what is left, so that callers' connections leave some to requests; beyond it idle ones are closed for new ones. */
 const CONNECTIONS_SHARE = 2 / 3;
 
 /** Dependencies of the connections. */
@@ -27,29 +27,19 @@
 
 /** The connections of callers to one listener. */
 export class CallerConnections {
+  readonly #options: CallerConnectionsOptions;
   readonly #maxSockets: number;
-  readonly #requestsInFlight: () => number;
-  #open = 0;
+  readonly #maxRejected: number;
+  readonly #maxConnections: number;
+  readonly #open = new Set<Socket>();
 
   constructor(options: CallerConnectionsOptions) {
-    const { server, descriptors, requestsInFlight, onDropped } = options;
-    const sockets = socketsOf(descriptors);
-    const maxRejected = Math.floor(sockets * REJECTED_SHARE);
-    this.#maxSockets = Math.max(1, Math.floor(sockets * (1 - RESERVED_SHARE)) - maxRejected);
-    this.#requestsInFlight = requestsInFlight;
-    if (descriptors !== undefined) {
-      server.maxConnections = Math.ceil(this.#maxSockets * CONNECTIONS_SHARE);
-    }
-    server.on('connection', (socket: Socket) => {
-      this.#open += 1;
-      socket.once('close', () => {
-        this.#open -= 1;
-      });
-      if (this.#used <= this.#maxSockets + maxRejected) return;
-      onDropped();
-      socket.destroy();
-    });
-    server.on('drop', onDropped);
+    this.#options = options;
+    const sockets = socketsOf(options.descriptors);
+    this.#maxRejected = Math.floor(sockets * REJECTED_SHARE);
+    this.#maxSockets = Math.max(1, Math.floor(sockets * (1 - RESERVED_SHARE)) - this.#maxRejected);
+    this.#maxConnections = Math.ceil(this.#maxSockets * CONNECTIONS_SHARE);
+    options.server.on('connection', (socket: Socket) => this.#accept(socket));
   }
 
   /** Whether each request in flight can have a connection to a server besides those of all callers. */
@@ -58,7 +48,25 @@
   }
 
   get #used(): number {
-    return this.#open + this.#requestsInFlight();
+    return this.#open.size + this.#options.requestsInFlight();
+  }
+
+  #accept(socket: Socket): void {
+    this.#open.add(socket);
+    socket.once('close', () => this.#open.delete(socket));
+    if (this.#open.size > this.#maxConnections) this.#closeIdle();
+    const isTooMany = this.#open.size > this.#maxConnections;
+    if (!isTooMany && this.#used <= this.#maxSockets + this.#maxRejected) return;
+    this.#options.onDropped();
+    socket.destroy();
+  }
+
+  /** Closes connections between two requests: their callers connect again when they have one. */
+  #closeIdle(): void {
+    this.#options.server.closeIdleConnections();
+    for (const socket of this.#open) {
+      if (socket.destroyed) this.#open.delete(socket);
+    }
   }
 }
 
