The loader only holds signals, as Node.js delivers them in a later turn

Found by the review and by the soak: loader and main run in one turn, so the list of early signals was always empty, and the signals reached the handlers of main.

--- a/scripts/build-gateway.mjs
+++ b/scripts/build-gateway.mjs
@@ -1,7 +1,8 @@
 /**
- * Bundles the gateway's program into `target/`, or into the folder given as its argument: one file starts fastest, and all of its code is compiled here
- * once. With only what a start runs compiled, a start took 293 ms of processor time and each of the first twenty
- * model requests 4.7 ms; with all of it 260 ms and 3.8 ms (means of three, against stand-ins on loopback).
+ * Bundles the gateway's program into `target/`, or into the folder given as its argument: one file starts fastest, and all
+ * of its code is compiled here once. With only what a start runs compiled, a start took 293 ms of processor time and each
+ * of the first twenty model requests 4.7 ms; with all of it 260 ms and 3.8 ms (means of three, against stand-ins on
+ * loopback).
  */
 import { createHash } from 'node:crypto';
 import { mkdirSync, readFileSync } from 'node:fs';
--- a/scripts/gateway-loader.cjs
+++ b/scripts/gateway-loader.cjs
@@ -7,12 +7,12 @@
  * from another kind of machine, so compiled code has the processor and the version of node in its name too.
  *
  * Signals are handled from the first lines on, as one that comes while the bundle is loaded would end the process.
+ * Node.js delivers it in a later turn of the event loop, to the handlers that the program has by then.
  */
 const SIGNALS = ['SIGHUP', 'SIGTERM', 'SIGINT'];
 const isProgram = require.main === module;
-const earlySignals = [];
-const keepSignal = (signal) => earlySignals.push(signal);
-if (isProgram) for (const signal of SIGNALS) process.on(signal, keepSignal);
+const holdSignal = () => {};
+if (isProgram) for (const signal of SIGNALS) process.on(signal, holdSignal);
 
 const { readFileSync, write } = require('node:fs');
 const { join } = require('node:path');
@@ -56,15 +56,9 @@
   write(STANDARD_OUTPUT, `${JSON.stringify(line)}\n`, () => {});
 }
 
-/** The signals so far, in order. To be called once others handle them. */
-function takeEarlySignals() {
-  for (const signal of SIGNALS) process.off(signal, keepSignal);
-  return earlySignals.splice(0);
-}
-
 module.exports = { loadBundle, COMPILED };
 
 if (isProgram) {
   logProcessStart();
-  loadBundle().exports.main({ build: BUILD, takeEarlySignals });
+  loadBundle().exports.main({ build: BUILD });
 }
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -282,7 +282,7 @@
     name: 'early-signals',
     promise: 'FAULT',
     file: 'scripts/gateway-loader.cjs',
-    text: 'if (isProgram) for (const signal of SIGNALS) process.on(signal, keepSignal);',
+    text: 'if (isProgram) for (const signal of SIGNALS) process.on(signal, holdSignal);',
     replacement: '',
   },
   {
@@ -290,7 +290,7 @@
     promise: 'LOST',
     file: 'src/daemon/gateway-process.ts',
     text: "      case 'stopping':\n        return;\n    }\n  }\n\n  #fail(",
-    replacement: "      case 'stopping':\n        end('stopped');\n    }\n  }\n\n  #fail(",
+    replacement: "      case 'stopping':\n        this.#end('stopped');\n    }\n  }\n\n  #fail(",
   },
   {
     name: 'settings-wait',
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -6,12 +6,7 @@
 import { createPlatformAdapter, SETTINGS_VARIABLE } from '../../platform/index.js';
 import { Gateway, GatewayLog, logFault, SYSTEM_TIMERS } from '../shell/gateway/index.js';
 import { createLogger } from '../shell/logging/index.js';
-import {
-  GatewayProcess,
-  HANDLED_SIGNALS,
-  type HandledSignal,
-  type ProcessOutcome,
-} from './gateway-process.js';
+import { GatewayProcess, HANDLED_SIGNALS, type ProcessOutcome } from './gateway-process.js';
 import { SettingsFile } from './settings-file.js';
 
 const EXIT_CODES: Readonly<Record<ProcessOutcome, number>> = { stopped: 0, failed: 1 };
@@ -35,13 +30,11 @@
 export interface ProgramStart {
   /** The hash of the bundle that runs, as in the name of its file. */
   readonly build: string;
-  /** The signals that came before this program could handle them, in order; the loader handles none after this call. */
-  readonly takeEarlySignals: () => readonly HandledSignal[];
 }
 
 type LogDestination = ReturnType<typeof pino.destination>;
 
-const WITHOUT_LOADER: ProgramStart = { build: 'unbundled', takeEarlySignals: () => [] };
+const WITHOUT_LOADER: ProgramStart = { build: 'unbundled' };
 
 /** The settings file given on the command line, or otherwise by the environment variable. */
 function settingsPath(): string {
@@ -70,7 +63,7 @@
 }
 
 /** Runs a gateway until SIGTERM or SIGINT. */
-export function main({ build, takeEarlySignals }: ProgramStart = WITHOUT_LOADER): void {
+export function main({ build }: ProgramStart = WITHOUT_LOADER): void {
   const destination = pino.destination({
     fd: STANDARD_OUTPUT,
     sync: false,
@@ -107,7 +100,6 @@
   for (const signal of HANDLED_SIGNALS) {
     process.on(signal, () => gatewayProcess.handleSignal(signal));
   }
-  for (const signal of takeEarlySignals()) gatewayProcess.handleSignal(signal);
   gatewayProcess.run();
   // A process that ends soon would lose the lines on its start.
   destination.flush();
