A daemon without memory for an answer does not blame the server

Found by the review, by reading: an answer that was broken off because this daemon had no memory left counted as the server's: it was marked as failing, the log named the wrong cause, and the run reached the evidence on crashing requests (6070). The outcome 'not-held' says nothing of the server now; its reason is in 6033. An event of a stream that cannot be held still counts as broken off. The test on answers that are held asserts it now as well (no 6070, failureRate 0) and failed without the change.

--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -346,6 +346,12 @@
         health.recordServerError();
         metrics.recordAttempt('server-error');
         break;
+      case 'not-held': {
+        close();
+        const failure: FailedCall = { kind: 'broken', reason: outcome.reason };
+        logFailure(exchange, options, { failure, health, elapsedMs: elapsedMs() });
+        break;
+      }
     }
   };
   const attempt = { server: options.server, answer, isStamped: marks.isStamped, end: once(end) };
@@ -389,7 +395,7 @@
   options: AttemptOptions,
   { failure, health, elapsedMs }: FailureDetails,
 ): void {
-  const { log, metrics, description, timers } = exchange.options;
+  const { timers } = exchange.options;
   if (failure.kind === 'not-executed') health.recordRefusal(timers.nowMs());
   else if (failure.kind === 'not-sent' && failure.connectTimedOut) {
     health.recordConnectUnanswered(timers.nowMs());
@@ -400,6 +406,15 @@
   if (failure.kind === 'broken') {
     context.crashes.recordBrokenRun(exchange, options.server, elapsedMs);
   }
+  logFailure(exchange, options, { failure, health, elapsedMs });
+}
+
+function logFailure(
+  exchange: Exchange,
+  options: AttemptOptions,
+  { failure, health, elapsedMs }: FailureDetails,
+): void {
+  const { log, metrics, description } = exchange.options;
   metrics.recordAttempt(failure.kind);
   log.write(GATEWAY_EVENTS.attemptFailed, {
     request: description.attemptId,
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -80,6 +80,7 @@
 export class BackendAnswer {
   readonly message: IncomingMessage;
   readonly #request: ClientRequest;
+  #lacksMemory = false;
   readonly #timers: TimerService;
   #isBroken = false;
 
@@ -165,6 +166,16 @@
     message.once('close', cancel);
   }
 
+  /** Whether the body was not collected because this daemon had no memory for it. */
+  get lacksMemory(): boolean {
+    return this.#lacksMemory;
+  }
+
+  #mayHold(chunk: Buffer, memory: Pick<MemoryReservation, 'grow'> | undefined): boolean {
+    this.#lacksMemory = memory !== undefined && !memory.grow(chunk.length);
+    return !this.#lacksMemory;
+  }
+
   /**
    * The complete body, or undefined when it broke off, is too large or there is no memory for it.
    * @param memory of the request that the body is held for; undefined for a call of this daemon's own
@@ -176,8 +187,7 @@
       this.message.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
         length += chunk.length;
-        const isHeld = length <= maxBytes && (memory === undefined || memory.grow(chunk.length));
-        if (isHeld) return;
+        if (length <= maxBytes && this.#mayHold(chunk, memory)) return;
         chunks = [];
         this.destroy();
       });
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -4,7 +4,12 @@
  * otherwise the caller's connection is closed, so that the stream does not look complete.
  */
 import { type EnginePlan, isRepeatable, type ServerRecord } from '../../core/gateway/index.js';
-import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
+import {
+  type AnswerOutcome,
+  completeAnswerOutcome,
+  NO_MEMORY_REASON,
+  statusImpliesNotExecuted,
+} from './answer-outcome.js';
 import {
   type AnsweredAttempt,
   type AttemptContext,
@@ -14,6 +19,7 @@
   hasNotRun,
   sendAttempt,
 } from './attempt.js';
+import type { BackendAnswer } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
 import { type PermitReservation, permitWaitRequestOf } from './limit-coordinator.js';
 import { ModelPlanner, type PlanLimits } from './model-planner.js';
@@ -324,12 +330,8 @@
   async #forwardFailure(attempt: AnsweredAttempt): Promise<NextStep> {
     const { answer } = attempt;
     const body = await answer.collect(MAX_ERROR_BYTES, this.#exchange.options.memory);
-    this.#lastReason = `status ${answer.status}`;
-    attempt.end(
-      body === undefined
-        ? { kind: 'bad', reason: this.#lastReason }
-        : completeAnswerOutcome(answer.status),
-    );
+    this.#lastReason = answer.lacksMemory ? NO_MEMORY_REASON : `status ${answer.status}`;
+    attempt.end(failureOutcome(answer, body !== undefined));
     if (this.#exchange.signal.aborted) return this.#endInterrupted();
     const isFinal = !this.#mayRunAgain() && !this.#relay.hasBegun;
     if (body === undefined || !isFinal || statusImpliesNotExecuted(answer.status)) return 'again';
@@ -390,3 +392,10 @@
     return this.#exchange.options.timers.nowMs();
   }
 }
+
+/** How an engine's error answer ended. */
+function failureOutcome({ status, lacksMemory }: BackendAnswer, isWhole: boolean): AnswerOutcome {
+  if (isWhole) return completeAnswerOutcome(status);
+  if (lacksMemory) return { kind: 'not-held', reason: NO_MEMORY_REASON };
+  return { kind: 'bad', reason: `status ${status}` };
+}
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -9,7 +9,11 @@
   MAX_HOLD_SHARE,
   type ServerRecord,
 } from '../../core/gateway/index.js';
-import { completeAnswerOutcome, statusImpliesNotExecuted } from './answer-outcome.js';
+import {
+  completeAnswerOutcome,
+  NO_MEMORY_REASON,
+  statusImpliesNotExecuted,
+} from './answer-outcome.js';
 import {
   type AttemptContext,
   type AttemptResult,
@@ -227,6 +231,10 @@
       end({ kind: 'bad', reason });
       return { kind: 'broken', reason };
     };
+    if (body === undefined && answer.lacksMemory) {
+      end({ kind: 'not-held', reason: NO_MEMORY_REASON });
+      return { kind: 'broken', reason: NO_MEMORY_REASON };
+    }
     if (body === undefined) return broken('the answer broke off');
     // A crash closes connections as the end of an answer without a length does.
     if (answer.isCloseDelimited && (await this.#context.mayHaveCrashed(server))) {
--- a/test/resources/memory-limits.test.ts
+++ b/test/resources/memory-limits.test.ts
@@ -10,6 +10,10 @@
   type TestRequest,
 } from './support/real-gateway.js';
 
+/** In the log lines of these events. */
+const ATTEMPT_FAILED = '"event":6033';
+const RUN_BROKE_OFF = '"event":6070';
+const NO_MEMORY_REASON = 'no memory for the answer';
 const BYTES_PER_MEGABYTE = 1_048_576;
 const REQUESTS_PER_BURST = 25;
 const BURST_INTERVAL_MS = 10;
@@ -129,6 +133,12 @@
   const resident = await to.metric('threadfork_gateway_memory_bytes{kind="resident"}');
   assert.equal(to.end, undefined, to.output.slice(-2_000));
   assert.ok(Number(resident) < memoryMb * BYTES_PER_MEGABYTE, `${resident} bytes`);
+  // A daemon that lacks memory must not take its servers for broken.
+  await to.waitUntil(() => to.output.includes(NO_MEMORY_REASON), WAIT_MS);
+  const failures = to.output.split('\n').filter((line) => line.includes(ATTEMPT_FAILED));
+  assert.ok(failures.length > 0);
+  for (const line of failures) assert.equal(JSON.parse(line).failureRate, 0, line);
+  assert.ok(!to.output.includes(RUN_BROKE_OFF));
   to.leave();
   to.serve = answer;
   const again = to.send({});
