--- a/test/gateway/request-forwarding.test.ts
+++ b/test/gateway/request-forwarding.test.ts
@@ -8,6 +8,7 @@
 import type { LogEvent } from '../../src/core/logging/log-event.js';
 import { deferred } from './support/deferred.js';
 import {
+  type CallerAnswer,
   type CallerRequest,
   configuration,
   GatewayFixture,
@@ -31,6 +32,13 @@
 const KEY = 'key-of-leiden';
 const TENANTS = [{ name: 'leiden', apiKeys: [KEY] }];
 const PATIENT = route({ name: 'scans', pathPrefix: '/scans/', timeoutMs: 600_000 });
+/** Its requests wait long for a free server. */
+const QUEUED = route({
+  name: 'queued',
+  pathPrefix: '/queued/',
+  timeoutMs: 600_000,
+  targetLatencyMs: 40_000,
+});
 const SERVERS = 3;
 /** As the configuration of the fixture allows. */
 const MAX_BODY_BYTES = 1_000;
@@ -69,7 +77,8 @@
     links.push(own);
     ports.push(await fixture.addDaemon(`front-${index + 1}`, timers, { links: own }));
   }
-  fixture.store.putConfiguration(configuration(1, [route({}), PATIENT, RESUMABLE_ROUTE], tenants));
+  const routes = [route({}), PATIENT, QUEUED, RESUMABLE_ROUTE];
+  fixture.store.putConfiguration(configuration(1, routes, tenants));
   for (let index = 0; index < SERVERS; index += 1) {
     viewers.push(await fixture.addServer(`v-${index}`, answering(200, 'served')));
   }
@@ -358,3 +367,56 @@
   assert.equal(later.status, 503);
   assert.equal(viewers[asked]?.seen.length, before);
 });
+
+// Guards against a request that is cut with its hop, as the daemon that forwards it ends first.
+test('a cut-off daemon that stops forwards no request that may outlast its stop', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  void hold();
+  const before = linesOf(GATEWAY_EVENTS.requestForwarded).length;
+  void fixture.stopDaemon('front-1');
+  const answer = await callOrNone({ path: '/scans/1', port: ports[0] });
+  assert.equal(answer?.status, 503);
+  assert.equal(answer?.headers['retry-after'], '0.05');
+  assert.equal(arrivals(), 0);
+  assert.equal(linesOf(GATEWAY_EVENTS.requestForwarded).length, before);
+});
+
+// Guards against a refusal that reaches the caller although a third daemon could take its request.
+test('a request that a stopping daemon no longer takes is passed back to the daemon that forwarded it', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  await keepOnly(0);
+  const [server] = viewers;
+  assert.ok(server !== undefined);
+  fixture.listServer('v-0', server, { slots: 1 });
+  await timers.advanceBy(1_000);
+  const learning = hold();
+  const first = callOrNone({ path: '/queued/1', port: ports[1] });
+  const served = await learning;
+  await timers.advanceBy(3_000);
+  answering(200, 'served')(served);
+  await first;
+  const occupied = hold();
+  void callOrNone({ path: '/queued/2', port: ports[1] });
+  await occupied;
+  const waiting = callOrNone({ path: '/queued/3', port: ports[0] });
+  await timers.advanceUntil(() => linesOf(GATEWAY_EVENTS.requestWaits).length > 0);
+  void fixture.stopDaemon('front-2');
+  assert.equal((await waiting)?.status, 503);
+  const hop = linesOf(GATEWAY_EVENTS.requestForwarded).at(-1);
+  assert.equal(hop?.fields.result, 'not-taken');
+});
+
+/** The answer of a daemon that may end first; undefined where it did. */
+async function callOrNone(request: CallerRequest): Promise<CallerAnswer | undefined> {
+  let isOver = false;
+  const answer = fixture
+    .call({ ...request, headers: { 'X-Attempt-Id': request.path } })
+    .catch(() => undefined)
+    .finally(() => {
+      isOver = true;
+    });
+  await timers.advanceUntil(() => isOver);
+  return answer;
+}
