Log lines of a process's life and of cut requests have limits of their own

LogEvent has a typed reserve now; each reserve has a limit of its own (50 lines a second of process life, 500 of cut requests), so both stay bounded.

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -5,25 +5,30 @@
   started: {
     number: 6000,
     level: 'info',
+    reserve: 'process-life',
     message: 'gateway started',
     remedy: 'Nothing to do; the fields give the addresses on which it listens.',
   },
   stopping: {
     number: 6001,
     level: 'info',
+    reserve: 'process-life',
     message: 'stop requested: the gateway reports not ready; running requests continue',
-    remedy: 'Nothing to do.',
+    remedy:
+      'Nothing to do. listenerClosesInMs and cutsInMs tell when connections are turned away and when what still runs is cut.',
   },
   stopped: {
     number: 6002,
     level: 'info',
+    reserve: 'process-life',
     message: 'gateway stopped',
     remedy:
-      'Nothing to do if inFlight is 0. Otherwise that many requests were cut off: raise stopGraceSeconds.',
+      'Nothing to do if cut is 0. Otherwise that many requests were cut, and event 6104 names each: it tells whether a longer stopGraceSeconds would help.',
   },
   settingsReloaded: {
     number: 6003,
     level: 'info',
+    reserve: 'process-life',
     message: 'settings file read again',
     remedy:
       'Nothing to do unless needsRestart is true: then the changed settings take effect only after a restart.',
@@ -31,12 +36,14 @@
   settingsRejected: {
     number: 6004,
     level: 'error',
+    reserve: 'process-life',
     message: 'the settings file is invalid; the earlier settings stay in use',
     remedy: 'Correct the setting that the line names, then send SIGHUP again.',
   },
   linesDropped: {
     number: 6005,
     level: 'warn',
+    reserve: 'process-life',
     message: 'log lines were dropped: more than the limit of lines a second',
     remedy:
       'The counters at the metrics address include what the dropped lines would have reported.',
--- a/src/core/logging/catalogue/index.ts
+++ b/src/core/logging/catalogue/index.ts
@@ -20,6 +20,7 @@
 import { RESOURCE_EVENTS } from './resources.js';
 import { ROLE_EVENTS } from './roles.js';
 import { SETTINGS_EVENTS } from './settings.js';
+import { STOP_EVENTS } from './stops.js';
 
 /** The events of one area of the code. */
 export interface CatalogueArea {
@@ -70,6 +71,7 @@
     firstNumber: 6100,
     events: DEPARTURE_EVENTS,
   },
+  { name: 'stops', title: 'Stops of gateways', firstNumber: 6104, events: STOP_EVENTS },
   {
     name: 'process',
     title: "The gateway's process",
--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -5,6 +5,7 @@
   heapNearLimit: {
     number: 6230,
     level: 'warn',
+    reserve: 'process-life',
     message:
       'the heap in use has passed four fifths of its limit; at the limit the process ends, whatever memory the machine has',
     remedy:
@@ -13,6 +14,7 @@
   requestsBeyondResources: {
     number: 6231,
     level: 'warn',
+    reserve: 'process-life',
     message:
       'requests were rejected before they were read, as there was no memory or no descriptor for them',
     remedy:
@@ -21,6 +23,7 @@
   connectionsDropped: {
     number: 6232,
     level: 'warn',
+    reserve: 'process-life',
     message: "callers' connections were closed at once, as there were too many",
     remedy:
       'Their callers connect again, also to other daemons. If it repeats, add daemons or descriptors (limits.descriptors), or make idleTimeoutMs of the configuration shorter.',
