Name each request that a stop cuts, and tell when its steps happened

A stop that cut requests left a count (6002); no line named one, as answers are broken off from below after the log was flushed. Now each gets one warning (6104): id, route, service, phase as a typed union, server, ages against the stop, time to its deadline, whether it may have run, bytes sent and buffered, forwardedBy; requests whose body is being read too. 6105 tells when the listener closed, 6001 when that and the cut will be, 6002 how many were cut and how long it took; threadfork_gateway_cut_by_stop_total{phase} counts them. The stop moved to gateway-stop.ts, what callers see is unchanged. In two tests the stand-in of an exchange or a wait has the new field progress; nothing else of them changed.

--- a/src/shell/gateway/admission-gate.ts
+++ b/src/shell/gateway/admission-gate.ts
@@ -146,6 +146,7 @@
       roomInMs: Math.round(roomInMs),
       mostMs: Math.round(place.latestStartMs - waitingSinceMs),
     });
+    const endWait = exchange.progress.begin('waiting-for-admission');
     return new Promise((resolve) => {
       const cancel = () => {
         this.#remove(waiter);
@@ -153,6 +154,7 @@
       };
       const end = (release: ReleaseReservation | undefined) => {
         exchange.signal.removeEventListener('abort', cancel);
+        endWait();
         resolve(release);
       };
       const waiter: Waiter = { exchange, check, place, waitingSinceMs, placement, end };
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -170,8 +170,10 @@
   const budget = context.fleet.budgetOf(exchange.options.service);
   const send = exchange.sends.tryBegin(options.prefillOnly ? 'prefill' : 'run', budget);
   if (send === undefined) return { kind: 'no-budget', reason: NO_BUDGET_REASON };
-  const result = await callServerSafely(exchange, context, options);
   const { id: serverId } = options.server;
+  const endCall = exchange.progress.begin(options.prefillOnly ? 'prefilling' : 'sent', serverId);
+  const result = await callServerSafely(exchange, context, options);
+  endCall();
   exchange.recordSend({
     serverId,
     step: send.step,
@@ -184,7 +186,15 @@
   if (result.kind !== 'answered') return result;
   const { attempt } = result;
   const recordPrefilled = () => exchange.sends.end(send, 'read', budget);
-  return { kind: 'answered', attempt: { ...attempt, recordPrefilled } };
+  const endAnswer = exchange.progress.begin(
+    options.prefillOnly ? 'prefilling' : 'receiving-answer',
+    serverId,
+  );
+  const end = (outcome: AnswerOutcome) => {
+    endAnswer();
+    attempt.end(outcome);
+  };
+  return { kind: 'answered', attempt: { ...attempt, end, recordPrefilled } };
 }
 
 /** Where the answer of a call came from; undefined if there was none. */
--- a/src/shell/gateway/caller-connections.ts
+++ b/src/shell/gateway/caller-connections.ts
@@ -47,6 +47,11 @@
     return this.#used <= this.#maxSockets;
   }
 
+  /** The number of open connections. */
+  get open(): number {
+    return this.#open.size;
+  }
+
   get #used(): number {
     return this.#open.size + this.#options.requestsInFlight();
   }
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -17,6 +17,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js';
 import { INTERNAL_FAULT_REASON, logFault } from './internal-faults.js';
 import { runModelExchange } from './model-exchange.js';
+import { type OpenRequest, OpenRequests } from './open-requests.js';
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
 import type { GatewayLog } from './request-log.js';
@@ -59,16 +60,12 @@
 
 /** A request that has been read, with its route and tenant. */
 interface AdmittedRequest {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
+  readonly open: OpenRequest;
   readonly inForce: ConfigurationInForce;
   readonly route: Route;
   readonly tenant: Tenant | undefined;
   readonly body: Buffer;
   readonly memory: MemoryReservation;
-  readonly arrivedAtMs: number;
-  /** Set for a request that another daemon has forwarded. */
-  readonly forwarded: ForwardedRequest | undefined;
 }
 
 /** Accepts callers' requests. */
@@ -77,10 +74,9 @@
   readonly #server: Server;
   /** When requests in flight are aborted; undefined unless the daemon is stopping. */
   #stopsAtMs: number | undefined;
-  /** The answers of requests that have no final answer yet. */
-  readonly #open = new Set<ServerResponse>();
+  readonly #open = new OpenRequests();
   readonly #bodies: BodyReader;
-  readonly #connections: CallerConnections;
+  readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -94,7 +90,7 @@
       },
       (request, response) => this.handle(request, response),
     );
-    this.#connections = new CallerConnections({
+    this.connections = new CallerConnections({
       server: this.#server,
       descriptors: options.descriptors,
       requestsInFlight: () => this.inFlight,
@@ -107,6 +103,11 @@
     return this.#open.size;
   }
 
+  /** The requests that have no final answer yet. */
+  get openRequests(): Pick<OpenRequests, 'all'> {
+    return this.#open;
+  }
+
   /** Bytes that are held of the bodies of requests whose answers have not ended. */
   get bodyBytes(): number {
     return this.#bodies.heldBytes;
@@ -129,7 +130,7 @@
 
   /** Ends all answers that are not complete, so that none looks complete. */
   breakOff(): void {
-    for (const response of [...this.#open]) breakOffResponse(response);
+    for (const { arrived } of this.#open.all()) breakOffResponse(arrived.response);
   }
 
   /**
@@ -137,10 +138,10 @@
    * @param forwarded set for a request that another daemon has forwarded
    */
   handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
-    this.#open.add(response);
-    response.once('close', () => this.#open.delete(response));
+    const arrivedAtMs = this.#options.timers.nowMs();
+    const open = this.#open.add({ request, response, forwarded, arrivedAtMs });
     response.on('error', () => breakOffResponse(response));
-    this.#admit(request, response, forwarded).catch((exception: unknown) => {
+    this.#admit(open).catch((exception: unknown) => {
       this.#logFault(request, exception);
       if (response.headersSent) breakOffResponse(response);
       else this.#reject(request, response, 500, INTERNAL_FAULT_REASON, []);
@@ -153,12 +154,8 @@
     logFault(log, { task: 'request', request: attemptId, server: '' }, exception);
   }
 
-  async #admit(
-    request: IncomingMessage,
-    response: ServerResponse,
-    forwarded: ForwardedRequest | undefined,
-  ): Promise<void> {
-    const arrivedAtMs = this.#options.timers.nowMs();
+  async #admit(open: OpenRequest): Promise<void> {
+    const { request, response, forwarded } = open.arrived;
     const { context } = this.#options;
     const { inForce } = context.fleet;
     const isReady = inForce !== undefined && context.crashes.isReadyToServe;
@@ -179,9 +176,10 @@
     if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
-    if (!this.#connections.hasRoom) {
+    if (!this.connections.hasRoom) {
       return this.#rejectUnread(request, response, isChecked, NO_DESCRIPTORS_REASON);
     }
+    open.enter('reading-body', route.name);
     const reading = await this.#bodies.read(
       request,
       response,
@@ -199,28 +197,18 @@
     }
     const { body, memory } = reading;
     const { tenant } = admission;
-    const admitted: AdmittedRequest = {
-      request,
-      response,
-      inForce,
-      route,
-      tenant,
-      body,
-      memory,
-      arrivedAtMs,
-      forwarded,
-    };
-    await this.#runExchange(admitted);
+    await this.#runExchange({ open, inForce, route, tenant, body, memory });
   }
 
   async #runExchange(admitted: AdmittedRequest): Promise<void> {
-    const { request, response, inForce, route, tenant, body, memory, arrivedAtMs, forwarded } =
-      admitted;
+    const { open, inForce, route, tenant, body, memory } = admitted;
+    const { request, response, arrivedAtMs, forwarded } = open.arrived;
     const { context, timers, log, metrics, paths } = this.#options;
     const description = context.codec.describe(request.headers);
     if (description === undefined) {
       return this.#reject(request, response, 400, 'no attempt id', []);
     }
+    open.enter('finding-origin', route.name);
     const resumption = await context.streams.decideResumption(description, route);
     // The exchange would not notice a close from before it was there.
     if (response.closed) return;
@@ -248,6 +236,7 @@
       metrics,
       stopsAtMs: () => this.#stopsAtMs,
     });
+    open.runBy(exchange);
     if (resumption?.kind === 'reject') return refuseResumption(exchange, resumption.reason);
     if (context.crashes.refuseIfQuarantined(exchange)) return;
     const unfollow = context.crashes.follow(exchange);
@@ -311,7 +300,7 @@
     this.#options.resources.recordRejected();
     const headers = isForwarded ? notTakenHeaders(reason) : RETRY_LATER;
     await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
-    this.#reject(request, response, 503, reason, headers, !this.#connections.hasRoom);
+    this.#reject(request, response, 503, reason, headers, !this.connections.hasRoom);
   }
 
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -24,6 +24,7 @@
 import { INTERNAL_FAULT_REASON } from './internal-faults.js';
 import type { RawHeaders } from './ports.js';
 import type { GatewayLog } from './request-log.js';
+import { RequestProgress } from './request-progress.js';
 import type { CancelTimer, TimerService } from './timer-service.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -97,6 +98,7 @@
   readonly triedServerIds = new Set<string>();
   /** Durations for the log line at the end of the request. */
   readonly stepTimesMs: StepTimes = { prefillMs: undefined, firstEventMs: undefined };
+  readonly progress = new RequestProgress();
   /** Counts the request's arrivals at servers for the retry budget. */
   readonly sends = new SendMeter();
   readonly #sendRecords: SendRecord[] = [];
@@ -230,6 +232,7 @@
     const { status, headers, body, serverId } = answer;
     if (!this.#begin(status, [...headers, ...this.#framingOf(answer)])) return;
     this.options.response.end(body);
+    this.progress.recordBytesSent(body.length);
     this.finish('answered', { status, server: serverId });
   }
 
@@ -255,7 +258,7 @@
     this.#answerText(503, reason, ['Retry-After', seconds, ...this.options.refusalHeaders()]);
     this.#record('refused', reason);
     this.options.log.write(GATEWAY_EVENTS.requestRefused, {
-      ...this.#fields(),
+      ...this.logFields(),
       reason,
       retryAfterMs: Math.round(retryAfterMs),
       ...details,
@@ -273,7 +276,7 @@
   fail(status: 500 | 502 | 504, reason: string, details: LogFields = {}): void {
     this.#answerText(status, reason, []);
     this.#record('failed', reason);
-    const fields = { ...this.#fields(), status, reason, ...details };
+    const fields = { ...this.logFields(), status, reason, ...details };
     this.options.log.write(GATEWAY_EVENTS.requestFailed, fields);
   }
 
@@ -281,7 +284,7 @@
   abortResponse(reason: string): void {
     breakOffResponse(this.options.response);
     this.#record('broken-off', reason);
-    this.options.log.write(GATEWAY_EVENTS.requestFailed, { ...this.#fields(), reason });
+    this.options.log.write(GATEWAY_EVENTS.requestFailed, { ...this.logFields(), reason });
   }
 
   /**
@@ -303,7 +306,11 @@
   finish(outcome: string, fields: Readonly<Record<string, string | number | boolean>>): void {
     this.#cancelTimer();
     this.#record(outcome, '');
-    this.options.log.write(GATEWAY_EVENTS.requestEnded, { ...this.#fields(), outcome, ...fields });
+    this.options.log.write(GATEWAY_EVENTS.requestEnded, {
+      ...this.logFields(),
+      outcome,
+      ...fields,
+    });
   }
 
   /** Ends the exchange after an interruption. */
@@ -377,7 +384,8 @@
     );
   }
 
-  #fields(): Readonly<Record<string, string | number | boolean>> {
+  /** What the log lines at the end of a request tell of it. */
+  logFields(): Readonly<Record<string, string | number | boolean>> {
     const { description, route, service, tenant, configuration } = this.options;
     return {
       request: description.attemptId,
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -3,6 +3,7 @@
  */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { RetryBudgetCounts } from '../../core/gateway/index.js';
+import type { RequestPhase } from './request-progress.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 5, 10];
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -117,6 +118,12 @@
     labelNames: ['what'],
     registers: [this.#registry],
   });
+  readonly #cutByStop = new Counter({
+    name: 'threadfork_gateway_cut_by_stop_total',
+    help: 'Requests whose answer had not ended when the stop of this daemon cut them, by what was being done for them',
+    labelNames: ['phase'],
+    registers: [this.#registry],
+  });
   readonly #retryBudget = new Counter({
     name: 'threadfork_gateway_retry_budget_total',
     help: 'Requests that earned repeats, and repeats taken, given back and denied, by service',
@@ -205,6 +212,11 @@
     this.#permits.inc({ what }, count);
   }
 
+  /** Records a request that a stop cuts. */
+  recordCutByStop(phase: RequestPhase): void {
+    this.#cutByStop.inc({ phase });
+  }
+
   /** Records what a service's retry budget has counted since the last call, and its current level. */
   recordRetryBudget(service: string, since: RetryBudgetCounts, level: number): void {
     this.#retryBudget.inc({ service, what: 'requests' }, since.requests);
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -35,6 +35,7 @@
 import { addGauges } from './gateway-gauges.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import { GatewayStop } from './gateway-stop.js';
 import { runInBackground } from './internal-faults.js';
 import { LimitCoordinator } from './limit-coordinator.js';
 import { PathComparison } from './path-comparison.js';
@@ -56,7 +57,6 @@
 import { StreamContinuity } from './stream-continuity.js';
 import { StreamWaits } from './stream-waits.js';
 import {
-  delay,
   steadyWallClock,
   suspensionAwareTimers,
   type TimerService,
@@ -71,11 +71,6 @@
 } from './watch-timing.js';
 import { WebWork } from './web-work.js';
 
-/** The platform probes readiness twice, a second apart, before it stops sending connections. */
-const NOT_READY_NOTICE_MS = 2_600;
-/** Requests have to end this long before the grace period does. */
-const STOP_MARGIN_MS = 700;
-const STOP_POLL_MS = 50;
 /** Requests wait no longer than this for a daemon that stood still to read the list of servers again. */
 const MAX_RECOVERY_MS = 300;
 /** Incarnation numbers, which tell the starts of a daemon apart, are below this. */
@@ -433,20 +428,20 @@
 
   async #stop(): Promise<void> {
     this.#stopping.abort();
-    const { settings, timers, log } = this.#options;
-    const graceMs = settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND;
-    const endMs = timers.nowMs() + graceMs - STOP_MARGIN_MS;
-    log.write(GATEWAY_EVENTS.stopping, { inFlight: this.#callers.inFlight });
-    this.#callers.beginStop(endMs);
+    const { settings, adapter, timers, log } = this.#options;
+    const stop = new GatewayStop({
+      graceMs: settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND,
+      callers: this.#callers,
+      codec: adapter.requests,
+      timers,
+      log,
+      metrics: this.#metrics,
+    });
+    this.#callers.beginStop(stop.cutsAtMs);
     this.#admission.beginStop();
     this.#stages.stop();
-    if (this.#callers.server.listening) {
-      await delay(timers, Math.min(NOT_READY_NOTICE_MS, graceMs / 2));
-    }
-    // If too few daemons are ready, the platform still sends connections here; closing the listener turns them away.
-    this.#callers.server.close();
-    while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);
-    log.write(GATEWAY_EVENTS.stopped, { inFlight: this.#callers.inFlight });
+    await stop.waitForRequests();
+    stop.logEnd();
     this.abort();
     log.flush();
   }
--- a/src/shell/gateway/limit-coordinator.ts
+++ b/src/shell/gateway/limit-coordinator.ts
@@ -19,6 +19,7 @@
 import { PermitRequester } from './permit-requester.js';
 import { PermitWaiters } from './permit-waiters.js';
 import type { GatewayLog } from './request-log.js';
+import type { RequestProgress } from './request-progress.js';
 import type { CallPurpose } from './server-calls.js';
 import { delay, type TimerService } from './timer-service.js';
 
@@ -53,6 +54,7 @@
   /** Counted from now. */
   readonly maxWaitMs: number;
   readonly signal: AbortSignal;
+  readonly progress: Pick<RequestProgress, 'begin'>;
 }
 
 /** Options of a `LimitCoordinator`. */
@@ -176,9 +178,11 @@
     const expectedMs = limited.map(({ id }) => fleet.permits.expectedInMs(id, nowMs));
     if (limited.length === 0 || maxWaitMs <= 0 || Math.min(...expectedMs) > maxWaitMs) return false;
     const wait = { service, rank, arrivedAtMs, mostMs: maxWaitMs, signal };
+    const endWait = request.progress.begin('waiting-for-permit');
     const waited = this.#waiters.wait(wait);
     for (const server of limited) this.#requestFor(server);
     const mayTry = await waited;
+    endWait();
     log.write(GATEWAY_EVENTS.requestWaitedForPermit, {
       request: attemptId,
       service,
@@ -293,5 +297,6 @@
     ? Math.min(exchange.remainingMs(), MAX_RESUME_WAIT_MS)
     : MAX_HOLD_SHARE * route.targetLatencyMs - exchange.elapsedMs();
   const { attemptId } = description;
-  return { service, rank, attemptId, arrivedAtMs, maxWaitMs, signal: exchange.signal };
+  const { signal, progress } = exchange;
+  return { service, rank, attemptId, arrivedAtMs, maxWaitMs, signal, progress };
 }
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -87,7 +87,9 @@
       const fleetKey = this.#options.fleetKey();
       if (peer === undefined || fleetKey === undefined) return false;
       tried.add(peer.name);
+      const endSend = exchange.progress.begin('forwarded', peer.name);
       const isTaken = await this.#sendTo(peer, exchange, forwardingToken(fleetKey));
+      endSend();
       if (isTaken) return true;
     }
     return false;
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -218,6 +218,7 @@
     if (bytes.length === 0) return true;
     this.#exchange.recordEventsFrom(softwareVersionOf(source.server));
     this.#bytesSent += bytes.length;
+    this.#exchange.progress.recordBytesSent(bytes.length);
     return response.write(bytes);
   }
 }
--- a/src/shell/gateway/stream-waits.ts
+++ b/src/shell/gateway/stream-waits.ts
@@ -39,10 +39,12 @@
     if (latest.inMs >= exchange.remainingMs()) return false;
     const untilMs = startedMs + Math.max(MAX_EXPECTED_WAITS * latest.inMs, CHECK_INTERVAL_MS);
     this.#waiting += 1;
+    const endWait = exchange.progress.begin('waiting-for-engine');
     while (latest.kind === 'expected' && timers.nowMs() < untilMs && isHeld(exchange)) {
       await delay(timers, CHECK_INTERVAL_MS, exchange.signal);
       latest = outlook();
     }
+    endWait();
     this.#waiting -= 1;
     logWait(exchange, timers.nowMs() - startedMs, latest.kind);
     return latest.kind === 'usable' && isHeld(exchange);
--- a/test/gateway/admission-gate.test.ts
+++ b/test/gateway/admission-gate.test.ts
@@ -7,6 +7,7 @@
 import type { AdmissionCheck } from '../../src/shell/gateway/admission-check.js';
 import { AdmissionGate } from '../../src/shell/gateway/admission-gate.js';
 import type { Exchange } from '../../src/shell/gateway/exchange.js';
+import { RequestProgress } from '../../src/shell/gateway/request-progress.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const GO: Placement = { kind: 'go', slackMs: 200 };
@@ -47,6 +48,7 @@
       arrivedAtMs: timers.nowMs(),
     },
     signal: left.signal,
+    progress: new RequestProgress(),
     remainingMs: () => 5_000,
     refuse: (reason: string, retryAfterMs: number) => answers.push({ reason, retryAfterMs }),
   } as unknown as Exchange;
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -14,6 +14,7 @@
 } from '../../../src/shell/gateway/limit-coordinator.js';
 import type { LimitMessage } from '../../../src/shell/gateway/limit-message-fields.js';
 import { decodePeerMessage, encodePeerMessage } from '../../../src/shell/gateway/peer-messages.js';
+import { RequestProgress } from '../../../src/shell/gateway/request-progress.js';
 import { type ServerCall, ServerCalls } from '../../../src/shell/gateway/server-calls.js';
 import { ServicePathMonitor } from '../../../src/shell/gateway/service-path-monitor.js';
 import { quietDepartureReports } from './departure-reports.js';
@@ -239,6 +240,7 @@
       arrivedAtMs,
       maxWaitMs: leftMs(),
       signal: new AbortController().signal,
+      progress: new RequestProgress(),
     };
   }
 }
