Failing tests of what closing the listener cuts in a stop

2.6 s after the signal Gateway.#stop calls close() of node:http, which destroys every connection whose request has been read and whose answer has ended, also where most of the answer has not been written to a slow caller; no line named it but event 6030 (answered). A request that waits unread on an idle connection, or on one in the accept queue, is reset at the same moment, as close() runs in a timer and not after the sockets were read.

--- a/test/gateway/requests-left-at-stop.test.ts
+++ b/test/gateway/requests-left-at-stop.test.ts
@@ -26,6 +26,9 @@
 const GRACE_MS = 8_000;
 /** The last that a daemon does before the platform kills it: it writes its log. */
 const LAST_LINES_MS = 300;
+const LISTENER_CLOSES_MS = 2_600;
+/** The listener is closed by then. */
+const LISTENER_CLOSED_MS = 3_000;
 const FIRST = 'id: 1\ndata: piece 1\n\n';
 const OUTLASTING_MS = 60_000;
 /** More than the system buffers for a caller that reads nothing. */
@@ -43,6 +46,8 @@
   readonly socket: Socket;
   received = '';
   receivedBytes = 0;
+  /** The last bytes that came. */
+  tail = '';
   /** How the connection ended; undefined while it is open. */
   end: 'closed' | 'reset' | undefined;
 
@@ -50,6 +55,7 @@
     this.socket = connect(port, '127.0.0.1');
     this.socket.on('data', (chunk: Buffer) => {
       this.receivedBytes += chunk.length;
+      this.tail = (this.tail + chunk.subarray(-10).toString('latin1')).slice(-10);
       if (this.received.length < 10_000) this.received += chunk.toString('latin1');
     });
     this.socket.once('error', () => {
@@ -354,3 +360,108 @@
     await stopped;
   },
 );
+
+test(
+  'an answer that is complete as the listener closes reaches its slow caller',
+  TIMEOUT,
+  async () => {
+    const { script, received } = receiving(({ seen, response }) => {
+      response.writeHead(200, { ...stamped(seen), 'Content-Length': LARGE_ANSWER_BYTES });
+      response.end(Buffer.alloc(LARGE_ANSWER_BYTES));
+    });
+    await addServer('i-1', script);
+    const caller = open(requestTo('/tiles/1'));
+    caller.socket.pause();
+    await received();
+    await timers.advanceUntil(() =>
+      fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestEnded),
+    );
+    const stopped = fixture.stopDaemon(DAEMON);
+    await timers.advanceBy(LISTENER_CLOSED_MS);
+    caller.socket.resume();
+    while (caller.end === undefined && caller.receivedBytes <= LARGE_ANSWER_BYTES) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    assert.ok(caller.receivedBytes > LARGE_ANSWER_BYTES);
+    caller.socket.destroy();
+    await timers.advanceBy(GRACE_MS);
+    await stopped;
+  },
+);
+
+test(
+  'a stream that is complete as the listener closes reaches its slow caller',
+  TIMEOUT,
+  async () => {
+    const { script, received } = receiving(({ seen, response }) => {
+      response.writeHead(200, stamped(seen));
+      response.end(`data: ${'x'.repeat(LARGE_ANSWER_BYTES)}\n\n`);
+    });
+    await addServer('i-1', script, { service: 'reader', stage: 'decode' });
+    const caller = open(requestTo('/read/1', ['X-Model: m', 'X-Token-Count: 30,4']));
+    caller.socket.pause();
+    await received();
+    const stopped = fixture.stopDaemon(DAEMON);
+    await timers.advanceBy(LISTENER_CLOSED_MS - 500);
+    caller.socket.resume();
+    // The caller takes a part until the server has ended its stream, and the rest once the listener is closed.
+    while (!fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestEnded)) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    caller.socket.pause();
+    await timers.advanceBy(500);
+    caller.socket.resume();
+    while (caller.end === undefined && !caller.tail.endsWith('0\r\n\r\n')) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    assert.ok(caller.tail.endsWith('0\r\n\r\n'));
+    caller.socket.destroy();
+    await timers.advanceBy(GRACE_MS);
+    await stopped;
+  },
+);
+
+test(
+  'a request that is on its way on an idle connection as the listener closes is answered',
+  TIMEOUT,
+  async () => {
+    const { script, received } = receiving(() => undefined);
+    await addServer('i-1', script);
+    await fixture.addServer('i-2', answering(200, 'served'), {
+      service: 'reader',
+      stage: 'decode',
+    });
+    open(requestTo('/tiles/1'));
+    await received();
+    const caller = open(requestTo('/nowhere/1'));
+    await timers.advanceUntil(() => caller.received.includes('no such route'));
+    const stopped = fixture.stopDaemon(DAEMON);
+    await timers.advanceBy(LISTENER_CLOSES_MS - 10);
+    const before = caller.received.length;
+    caller.socket.write(requestTo('/nowhere/2'));
+    timers.advance(50);
+    await endOf(caller);
+    assert.match(caller.received.slice(before), /^HTTP\/1\.1 /);
+    await timers.advanceBy(GRACE_MS);
+    await stopped;
+  },
+);
+
+test(
+  'a request on a connection that waits to be accepted as the listener closes is answered',
+  TIMEOUT,
+  async () => {
+    const { script, received } = receiving(() => undefined);
+    await addServer('i-1', script);
+    open(requestTo('/tiles/1'));
+    await received();
+    const stopped = fixture.stopDaemon(DAEMON);
+    await timers.advanceBy(LISTENER_CLOSES_MS - 10);
+    const caller = open(requestTo('/nowhere/2'));
+    timers.advance(50);
+    await endOf(caller);
+    assert.match(caller.received, /^HTTP\/1\.1 /);
+    await timers.advanceBy(GRACE_MS);
+    await stopped;
+  },
+);
