A stopping daemon takes only requests that end before it cuts off what runs

Callers saw their connection close without an answer, 3 s and more after the SIGTERM of their daemon, on connections from before it. Cause: what a stop still took was decided by an estimate (twice the mean time a token, without the wait and the prompt, 0 before the first run; for web requests four target latencies), and engines change their pace.

Model and web requests are now decided by one pure module: a request is taken if its deadline (the caller's or the route's) is no later than the cut. A learnt estimate, with the wait and the prompt, counts only until the listener closes, as callers have not been told before; it decides there against an earlier deadline too, as it did for streams. What is rejected has not run: 503, Connection: close, a short Retry-After, and event 6031 with the times that decided.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -205,6 +205,13 @@
   type WorkSource,
 } from './stage-demand.js';
 export { type StageNotice, StageNotices, type StagePhase } from './stage-notices.js';
+export {
+  type DurationEstimate,
+  endsBeforeCut,
+  type StopAdmissionInput,
+  type StopTimes,
+  UNKNOWN_DURATION,
+} from './stop-admission.js';
 export {
   originAt,
   type StreamOrigin,
--- a/src/core/gateway/read-speed.ts
+++ b/src/core/gateway/read-speed.ts
@@ -115,6 +115,11 @@
     this.#runs.add(maxTokens, elapsedMs);
   }
 
+  /** Whether any run has ended yet. */
+  get isRunLearnt(): boolean {
+    return this.#runs.isLearnt;
+  }
+
   /** Slot time of a run per token of the request's maximum output. */
   get tokenMs(): number {
     return this.#runs.msForToken;
@@ -163,6 +168,10 @@
     this.#elapsedMs = this.#elapsedMs * SAMPLE_DECAY + elapsedMs;
   }
 
+  get isLearnt(): boolean {
+    return this.#tokens > 0;
+  }
+
   get msForToken(): number {
     return this.#tokens > 0 ? this.#elapsedMs / this.#tokens : 0;
   }
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,7 +4,13 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { MemoryLedger, MemoryReservation, Route, Tenant } from '../../core/gateway/index.js';
+import type {
+  MemoryLedger,
+  MemoryReservation,
+  Route,
+  StopTimes,
+  Tenant,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
@@ -75,8 +81,8 @@
 export class CallerListener {
   readonly #options: CallerListenerOptions;
   readonly #server: Server;
-  /** When requests in flight are aborted; undefined unless the daemon is stopping. */
-  #stopsAtMs: number | undefined;
+  /** Undefined unless the daemon is stopping. */
+  #stop: StopTimes | undefined;
   /** The answers of requests that have no final answer yet. */
   readonly #open = new Set<ServerResponse>();
   readonly #bodies: BodyReader;
@@ -123,8 +129,8 @@
   }
 
   /** From now on answers carry `Connection: close`. */
-  beginStop(stopsAtMs: number): void {
-    this.#stopsAtMs = stopsAtMs;
+  beginStop(stop: StopTimes): void {
+    this.#stop = stop;
   }
 
   /** Ends all answers that are not complete, so that none looks complete. */
@@ -246,7 +252,7 @@
       timers,
       log,
       metrics,
-      stopsAtMs: () => this.#stopsAtMs,
+      stop: () => this.#stop,
     });
     if (resumption?.kind === 'reject') return refuseResumption(exchange, resumption.reason);
     if (context.crashes.refuseIfQuarantined(exchange)) return;
@@ -281,7 +287,7 @@
     forwarded: ForwardedRequest | undefined,
   ): string | undefined {
     if (forwarded === undefined) return undefined;
-    if (this.#stopsAtMs !== undefined) return 'this daemon is stopping';
+    if (this.#stop !== undefined) return 'this daemon is stopping';
     if (configuration.version < forwarded.configurationVersion) return 'an older configuration';
     return this.#options.paths.isLost(forwarded.service) ? CUT_OFF_REASON : undefined;
   }
@@ -359,7 +365,7 @@
   ): void {
     const body = `${reason}\n`;
     const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
-    const mustClose = closesConnection || this.#stopsAtMs !== undefined || !request.complete;
+    const mustClose = closesConnection || this.#stop !== undefined || !request.complete;
     response.writeHead(status, [...headers, ...own, ...(mustClose ? ['Connection', 'close'] : [])]);
     response.end(body);
     this.#options.metrics.recordRequest(
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -12,6 +12,7 @@
   type Route,
   SendMeter,
   type SendRecord,
+  type StopTimes,
   type StreamOrigin,
   type Tenant,
 } from '../../core/gateway/index.js';
@@ -76,8 +77,8 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-  /** When a stopping daemon aborts requests; unless undefined, answers carry `Connection: close`. */
-  readonly stopsAtMs: () => number | undefined;
+  /** The times of this daemon's stop; unless undefined, answers carry `Connection: close`. */
+  readonly stop: () => StopTimes | undefined;
 }
 
 /** Durations of a request's steps; undefined for steps that have not happened. */
@@ -344,7 +345,7 @@
     const { response } = this.options;
     if (this.#isAnswered || response.destroyed) return false;
     this.#isAnswered = true;
-    const closing = this.options.stopsAtMs() === undefined ? [] : ['Connection', 'close'];
+    const closing = this.options.stop() === undefined ? [] : ['Connection', 'close'];
     const hop = this.options.hopHeaders?.(this.#serverIdsSentTo()) ?? [];
     response.writeHead(status, [...headers, ...closing, ...hop]);
     return true;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -435,14 +435,19 @@
     this.#stopping.abort();
     const { settings, timers, log } = this.#options;
     const graceMs = settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND;
-    const endMs = timers.nowMs() + graceMs - STOP_MARGIN_MS;
+    const noticeMs = this.#callers.server.listening
+      ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2)
+      : 0;
+    const signalledAtMs = timers.nowMs();
+    const endMs = signalledAtMs + graceMs - STOP_MARGIN_MS;
     log.write(GATEWAY_EVENTS.stopping, { inFlight: this.#callers.inFlight });
-    this.#callers.beginStop(endMs);
+    this.#callers.beginStop({
+      listenerClosesAtMs: signalledAtMs + noticeMs,
+      cutAtMs: endMs,
+    });
     this.#admission.beginStop();
     this.#stages.stop();
-    if (this.#callers.server.listening) {
-      await delay(timers, Math.min(NOT_READY_NOTICE_MS, graceMs / 2));
-    }
+    if (noticeMs > 0) await delay(timers, noticeMs);
     // If too few daemons are ready, the platform still sends connections here; closing the listener turns them away.
     this.#callers.server.close();
     while (this.#callers.inFlight > 0 && timers.nowMs() < endMs) await delay(timers, STOP_POLL_MS);
--- a/src/shell/gateway/stream-waits.ts
+++ b/src/shell/gateway/stream-waits.ts
@@ -50,7 +50,7 @@
 }
 
 function isHeld(exchange: Exchange): boolean {
-  return !exchange.signal.aborted && exchange.options.stopsAtMs() === undefined;
+  return !exchange.signal.aborted && exchange.options.stop() === undefined;
 }
 
 function logWait(exchange: Exchange, waitedMs: number, outcome: StreamOutlook['kind']): void {
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -5,9 +5,11 @@
  */
 import {
   chooseWebServer,
+  type DurationEstimate,
   isRepeatable,
   MAX_HOLD_SHARE,
   type ServerRecord,
+  UNKNOWN_DURATION,
 } from '../../core/gateway/index.js';
 import {
   completeAnswerOutcome,
@@ -23,11 +25,8 @@
 } from './attempt.js';
 import type { CompleteAnswer, Exchange } from './exchange.js';
 import { permitWaitRequestOf } from './limit-coordinator.js';
-import {
-  CUT_BY_STOP_REASON,
-  refuseUnavailable,
-  STOPPING_RETRY_AFTER_MS,
-} from './refuse-unavailable.js';
+import { refuseUnavailable } from './refuse-unavailable.js';
+import { refuseIfCutByStop } from './stop-check.js';
 import { webAdmissionCheck } from './web-admission-check.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -36,8 +35,8 @@
 /** A hedged request goes to a second server after this share of the target latency without an answer. */
 const HEDGE_DELAY_SHARE = 0.45;
 const MIN_HEDGE_DELAY_MS = 40;
-/** A request is taken to end within this many times its target latency. */
-const MAX_LATENCY_FACTOR = 4;
+/** Answers rarely take more than this many times the smoothed answer time of their server. */
+const LONG_ANSWER_FACTOR = 4;
 
 type RunResult =
   | { readonly kind: 'whole'; readonly answer: CompleteAnswer }
@@ -65,10 +64,7 @@
   }
 
   async run(): Promise<void> {
-    if (this.#isCutByStop()) {
-      this.#exchange.refuse(CUT_BY_STOP_REASON, STOPPING_RETRY_AFTER_MS);
-      return;
-    }
+    if (refuseIfCutByStop(this.#exchange, () => this.#duration())) return;
     const abandon = () => this.#abandoned.abort();
     this.#exchange.signal.addEventListener('abort', abandon, { once: true });
     if (!(await this.#waitForAdmission())) return;
@@ -86,13 +82,15 @@
     if (!this.#exchange.isAnswered) await this.#giveUp();
   }
 
-  /** Whether the request may still run as this daemon, which is stopping, cuts off what runs. */
-  #isCutByStop(): boolean {
-    const { stopsAtMs, route } = this.#exchange.options;
-    const stopMs = stopsAtMs();
-    if (stopMs === undefined) return false;
-    const latestEndMs = this.#nowMs() + MAX_LATENCY_FACTOR * route.targetLatencyMs;
-    return Math.min(latestEndMs, this.#exchange.deadlineAtMs) > stopMs;
+  /** How long the request may take: several times the answer time of the slowest server, up to its deadline. */
+  #duration(): DurationEstimate {
+    const { fleet } = this.#context;
+    const learntMs = fleet
+      .candidates(this.#exchange.options.service, this.#nowMs())
+      .flatMap(({ id }) => fleet.healthOf(id).responseMs ?? []);
+    if (learntMs.length === 0) return UNKNOWN_DURATION;
+    const longMs = LONG_ANSWER_FACTOR * Math.max(...learntMs);
+    return { kind: 'learnt', durationMs: Math.min(longMs, this.#exchange.remainingMs()) };
   }
 
   /** Handles the result of an attempt; returns whether the request has ended. */
