A stopping daemon decides again before each send

Callers lost requests that had arrived before the SIGTERM, or early in the stop, and were sent late in it: after a prefill, or to a second server after the first had rejected them. Cause: the decision was made once, before admission, permits, the prefill and further attempts.

It is now made as a request arrives, once it is admitted and planned (a prefill whose run could not be kept does not begin), after the prefill and after the wait for a decode engine (the KV memory is freed and the permit returned), before another engine or server, and before a request is refused for want of one. A request that may have run, or whose answer has begun, goes on as before.

--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -26,7 +26,7 @@
 import type { HandoverSource } from './ports.js';
 import { freeKvMemory, type PrefillPlan, runPrefill } from './prefill.js';
 import { refuseUnavailable } from './refuse-unavailable.js';
-import { refuseIfCutByStop } from './stop-check.js';
+import { isCutByStop, refuseIfCutByStop } from './stop-check.js';
 import { StreamRelay } from './stream-relay.js';
 
 const MAX_ERROR_BYTES = 1_048_576;
@@ -55,6 +55,8 @@
   #way = 'direct';
   #lastReason = 'no engine';
 
+  readonly #durationAfterPrefill = () => this.#planner.durationAfterPrefill();
+
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
     this.#context = context;
@@ -72,8 +74,6 @@
     const { service } = this.#exchange.options;
     this.#exchange.countRequest(this.#context.fleet.budgetOf(service));
     this.#context.limits.recordArrival(service);
-    const estimate = () => this.#planner.durationNow(this.#planLimits);
-    if (refuseIfCutByStop(this.#exchange, estimate)) return;
     let next = await this.#step();
     while (next === 'again') {
       // A request that crashed its last server may be quarantined, so the check of that server comes before the next one.
@@ -86,11 +86,13 @@
     const exchange = this.#exchange;
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (!this.#mayRunAgain() || this.#mustForward) return this.#giveUp();
+    if (this.#refuseIfCutByStop()) return 'done';
     const plan = await this.#planWhenAdmitted();
     if (plan === 'no-room') return exchange.signal.aborted ? this.#endInterrupted() : 'done';
     if (plan === undefined) {
       return (await this.#waitForStreamEngine()) ? 'again' : this.#giveUpWithoutEngine();
     }
+    if (refuseIfCutByStop(exchange, () => this.#planner.durationBy(plan))) return 'done';
     switch (plan.kind) {
       case 'direct':
         return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
@@ -170,6 +172,11 @@
       return this.#endInterrupted();
     }
     const server = await this.#decodeEngineFor(source, permit);
+    if (refuseIfCutByStop(this.#exchange, this.#durationAfterPrefill)) {
+      if (server === permit?.server) this.#context.limits.returnPermits(permit);
+      this.#freeUnused(memory, plan);
+      return 'done';
+    }
     if (server === undefined) {
       this.#freeUnused(memory, plan);
       this.#prefillFailed = true;
@@ -279,6 +286,7 @@
     if (wasSent || memory === undefined || plan.kind !== 'prefill') return undefined;
     if (result.kind === 'not-sent') this.#rejections += 1;
     if (this.#exchange.signal.aborted || !this.#mayRunAgain()) return undefined;
+    if (isCutByStop(this.#exchange, this.#durationAfterPrefill)) return undefined;
     return this.#planner.decodeEngineAfter(plan.prefill.server);
   }
 
@@ -354,6 +362,10 @@
     return !this.#relay.hasBegun || this.#relay.lastEventId !== undefined;
   }
 
+  #refuseIfCutByStop(): boolean {
+    return refuseIfCutByStop(this.#exchange, () => this.#planner.durationNow(this.#planLimits));
+  }
+
   get #mustForward(): boolean {
     return this.#context.forwarding.isNeeded(this.#exchange);
   }
@@ -373,7 +385,9 @@
     if (exchange.isAnswered) exchange.abortResponse(this.#lastReason);
     else if (!this.#context.crashes.refuseIfQuarantined(exchange)) {
       if (this.#mustForward) await this.#context.forwarding.run(exchange, this.#context);
-      else refuseUnavailable(exchange, this.#context, this.#lastReason);
+      else if (!this.#refuseIfCutByStop()) {
+        refuseUnavailable(exchange, this.#context, this.#lastReason);
+      }
     }
     return 'done';
   }
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -150,10 +150,8 @@
 
   /** How long the request is expected to take by a plan: the wait, the prompt and a long stream. */
   durationBy(plan: EnginePlan): DurationEstimate {
-    const speed = this.#speed;
-    const isLearnt = speed.isRunLearnt && (plan.kind === 'direct' || speed.isLearnt);
-    if (!isLearnt) return UNKNOWN_DURATION;
-    return { kind: 'learnt', durationMs: plan.expectedMs + this.#longStreamMs };
+    const isReadLearnt = plan.kind === 'direct' || this.#speed.isLearnt;
+    return isReadLearnt ? this.#durationFrom(plan.expectedMs) : UNKNOWN_DURATION;
   }
 
   /** The same by the best plan now; unknown if no engine is usable. */
@@ -162,9 +160,17 @@
     return plan === undefined ? UNKNOWN_DURATION : this.durationBy(plan);
   }
 
-  get #longStreamMs(): number {
+  /** The same once the prompt has been read. */
+  durationAfterPrefill(): DurationEstimate {
+    return this.#durationFrom(this.#speed.handOverMs);
+  }
+
+  #durationFrom(firstTokenMs: number): DurationEstimate {
+    const { isRunLearnt, tokenMs } = this.#speed;
+    if (!isRunLearnt) return UNKNOWN_DURATION;
     const { maxOutputTokens } = this.#exchange.options.description;
-    return LONG_STREAM_FACTOR * maxOutputTokens * this.#speed.tokenMs;
+    const streamMs = LONG_STREAM_FACTOR * maxOutputTokens * tokenMs;
+    return { kind: 'learnt', durationMs: firstTokenMs + streamMs };
   }
 
   /** Whether the request is refused before it is sent anywhere. */
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -26,7 +26,7 @@
 import type { CompleteAnswer, Exchange } from './exchange.js';
 import { permitWaitRequestOf } from './limit-coordinator.js';
 import { refuseUnavailable } from './refuse-unavailable.js';
-import { refuseIfCutByStop } from './stop-check.js';
+import { isCutByStop, refuseIfCutByStop } from './stop-check.js';
 import { webAdmissionCheck } from './web-admission-check.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -57,6 +57,17 @@
   #lastFailure: CompleteAnswer | undefined;
   #lastReason = 'no server';
 
+  /** How long the request may take: several times the answer time of the slowest server, up to its deadline. */
+  readonly #duration = (): DurationEstimate => {
+    const { fleet } = this.#context;
+    const learntMs = fleet
+      .candidates(this.#exchange.options.service, this.#nowMs())
+      .flatMap(({ id }) => fleet.healthOf(id).responseMs ?? []);
+    if (learntMs.length === 0) return UNKNOWN_DURATION;
+    const longMs = LONG_ANSWER_FACTOR * Math.max(...learntMs);
+    return { kind: 'learnt', durationMs: Math.min(longMs, this.#exchange.remainingMs()) };
+  };
+
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
     this.#context = context;
@@ -64,7 +75,7 @@
   }
 
   async run(): Promise<void> {
-    if (refuseIfCutByStop(this.#exchange, () => this.#duration())) return;
+    if (refuseIfCutByStop(this.#exchange, this.#duration)) return;
     const abandon = () => this.#abandoned.abort();
     this.#exchange.signal.addEventListener('abort', abandon, { once: true });
     if (!(await this.#waitForAdmission())) return;
@@ -82,17 +93,6 @@
     if (!this.#exchange.isAnswered) await this.#giveUp();
   }
 
-  /** How long the request may take: several times the answer time of the slowest server, up to its deadline. */
-  #duration(): DurationEstimate {
-    const { fleet } = this.#context;
-    const learntMs = fleet
-      .candidates(this.#exchange.options.service, this.#nowMs())
-      .flatMap(({ id }) => fleet.healthOf(id).responseMs ?? []);
-    if (learntMs.length === 0) return UNKNOWN_DURATION;
-    const longMs = LONG_ANSWER_FACTOR * Math.max(...learntMs);
-    return { kind: 'learnt', durationMs: Math.min(longMs, this.#exchange.remainingMs()) };
-  }
-
   /** Handles the result of an attempt; returns whether the request has ended. */
   async #handleResult(result: RunResult): Promise<boolean> {
     if (result.kind === 'whole' && !this.#isWorthRetrying(result.answer)) {
@@ -146,7 +146,9 @@
     else if (this.#lastFailure !== undefined) exchange.answer(this.#lastFailure);
     else if (!this.#context.crashes.refuseIfQuarantined(exchange)) {
       if (this.#mustForward) await this.#context.forwarding.run(exchange, this.#context);
-      else refuseUnavailable(exchange, this.#context, this.#lastReason);
+      else if (!refuseIfCutByStop(exchange, this.#duration)) {
+        refuseUnavailable(exchange, this.#context, this.#lastReason);
+      }
     }
   }
 
@@ -158,7 +160,7 @@
     await this.#requestPermitIfNeeded();
     if (exchange.signal.aborted) return false;
     while (!this.#startNext(true)) {
-      if (crashes.isQuarantined(exchange)) return false;
+      if (crashes.isQuarantined(exchange) || isCutByStop(exchange, this.#duration)) return false;
       if (!(await limits.waitForPermit(permitWaitRequestOf(exchange)))) return false;
     }
     return true;
@@ -196,6 +198,7 @@
     if (!isFirst && exchange.mayHaveRun && !this.#isRepeatable) return false;
     if (exchange.attemptsLeft <= 0) return false;
     if (this.#rejections > MAX_REJECTIONS) return false;
+    if (isCutByStop(exchange, this.#duration)) return false;
     const server = this.#choose(fleet.candidates(service, timers.nowMs()));
     if (server === undefined) return false;
     if (isFirst) exchange.countRequest(fleet.budgetOf(service));
