Requests that wait for a permit are rejected at the signal where a stop may cut them off

Callers whose stream waited for a permit of a limited server as their daemon got SIGTERM were sent late in the stop, or refused only at the end of the wait. Cause: the wait for permits knew nothing of the stop, while what waits in admission is refused at the signal.

At the signal, and as such a wait would begin later, requests whose deadline comes after the cut stop waiting and are rejected; no estimate includes the rest of a wait. Others wait on. How long a request may wait has moved to a module of its own, as it asks for the stop.

The permit waits of the fleet in test/gateway/support have the new field (never cut); no test changed.

--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -446,6 +446,7 @@
       cutAtMs: endMs,
     });
     this.#admission.beginStop();
+    this.#limits.beginStop();
     this.#stages.stop();
     if (noticeMs > 0) await delay(timers, noticeMs);
     // If too few daemons are ready, the platform still sends connections here; closing the listener turns them away.
--- a/src/shell/gateway/limit-coordinator.ts
+++ b/src/shell/gateway/limit-coordinator.ts
@@ -2,16 +2,14 @@
  * Keeps all daemons together within the rate limits that servers name: records the limits, requests and uses permits,
  * grants permits to other daemons, and holds the requests that wait for one.
  */
-import {
-  type LimitChange,
-  MAX_HOLD_SHARE,
-  type PeerDaemon,
-  type PeerRoster,
-  type ServerRecord,
+import type {
+  LimitChange,
+  PeerDaemon,
+  PeerRoster,
+  ServerRecord,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { LogFields } from '../../core/logging/log-event.js';
-import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { LimitMessage } from './limit-message-fields.js';
@@ -31,8 +29,6 @@
 const MAX_ANSWER_WAIT_MS = 30;
 /** A daemon that requests more at a time would deprive the others. */
 const MAX_WANTED = 64;
-/** The longest that a broken stream is held for its next engine: callers time out after a pause of two seconds. */
-const MAX_RESUME_WAIT_MS = 1_000;
 /** How long a permit is reserved while a prompt is prefilled; most prefills take less than a second. */
 const RESERVATION_VALID_MS = 2_000;
 
@@ -53,6 +49,8 @@
   /** Counted from now. */
   readonly maxWaitMs: number;
   readonly signal: AbortSignal;
+  /** Whether the stop of this daemon may cut the request off. */
+  readonly isCutByStop: () => boolean;
 }
 
 /** Options of a `LimitCoordinator`. */
@@ -170,12 +168,13 @@
    */
   async waitForPermit(request: PermitWaitRequest): Promise<boolean> {
     const { fleet, timers, log } = this.#options;
-    const { service, rank, arrivedAtMs, attemptId, maxWaitMs, signal } = request;
+    const { service, rank, arrivedAtMs, attemptId, maxWaitMs, signal, isCutByStop } = request;
     const nowMs = timers.nowMs();
     const limited = fleet.serversAtLimit(service, nowMs).filter(({ stage }) => stage !== 'prefill');
     const expectedMs = limited.map(({ id }) => fleet.permits.expectedInMs(id, nowMs));
     if (limited.length === 0 || maxWaitMs <= 0 || Math.min(...expectedMs) > maxWaitMs) return false;
-    const wait = { service, rank, arrivedAtMs, mostMs: maxWaitMs, signal };
+    if (isCutByStop()) return false;
+    const wait = { service, rank, arrivedAtMs, mostMs: maxWaitMs, signal, isCutByStop };
     const waited = this.#waiters.wait(wait);
     for (const server of limited) this.#requestFor(server);
     const mayTry = await waited;
@@ -224,6 +223,11 @@
       this.#requester.returnPermits(reservation.server.id, reservation.granter, 1);
   }
 
+  /** Ends the waits of requests that a stop may cut off: their callers retry at other daemons. */
+  beginStop(): void {
+    this.#waiters.endCutByStop();
+  }
+
   stop(): void {
     this.#requester.stop();
   }
@@ -285,13 +289,3 @@
     }
   }
 }
-
-/** The permit wait of a request; one that no server has received may wait as long as any held request. */
-export function permitWaitRequestOf(exchange: Exchange): PermitWaitRequest {
-  const { service, rank, arrivedAtMs, description, route } = exchange.options;
-  const maxWaitMs = exchange.mayHaveRun
-    ? Math.min(exchange.remainingMs(), MAX_RESUME_WAIT_MS)
-    : MAX_HOLD_SHARE * route.targetLatencyMs - exchange.elapsedMs();
-  const { attemptId } = description;
-  return { service, rank, attemptId, arrivedAtMs, maxWaitMs, signal: exchange.signal };
-}
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -21,8 +21,9 @@
 } from './attempt.js';
 import type { BackendAnswer } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
-import { type PermitReservation, permitWaitRequestOf } from './limit-coordinator.js';
+import type { PermitReservation } from './limit-coordinator.js';
 import { ModelPlanner, type PlanLimits } from './model-planner.js';
+import { permitWaitRequestOf } from './permit-wait-request.js';
 import type { HandoverSource } from './ports.js';
 import { freeKvMemory, type PrefillPlan, runPrefill } from './prefill.js';
 import { refuseUnavailable } from './refuse-unavailable.js';
--- a/src/shell/gateway/permit-waiters.ts
+++ b/src/shell/gateway/permit-waiters.ts
@@ -13,6 +13,8 @@
   /** The longest wait. */
   readonly mostMs: number;
   readonly signal: AbortSignal;
+  /** Whether the stop of this daemon may cut the request off. */
+  readonly isCutByStop: () => boolean;
 }
 
 interface Waiter extends PermitWait {
@@ -61,6 +63,13 @@
     for (const waiter of waiting.slice(0, count)) waiter.end(true);
   }
 
+  /** Ends the waits of the requests that the stop of this daemon may cut off. */
+  endCutByStop(): void {
+    for (const waiter of [...this.#waiters]) {
+      if (waiter.isCutByStop()) waiter.end(false);
+    }
+  }
+
   #of(service: string): readonly Waiter[] {
     return [...this.#waiters].filter((waiter) => waiter.service === service);
   }
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -24,7 +24,7 @@
   sendAttempt,
 } from './attempt.js';
 import type { CompleteAnswer, Exchange } from './exchange.js';
-import { permitWaitRequestOf } from './limit-coordinator.js';
+import { permitWaitRequestOf } from './permit-wait-request.js';
 import { refuseUnavailable } from './refuse-unavailable.js';
 import { isCutByStop, refuseIfCutByStop } from './stop-check.js';
 import { webAdmissionCheck } from './web-admission-check.js';
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -239,6 +239,7 @@
       arrivedAtMs,
       maxWaitMs: leftMs(),
       signal: new AbortController().signal,
+      isCutByStop: () => false,
     };
   }
 }
