A stopping daemon forwards only what ends in time, and passes back what it no longer takes

Callers of a daemon that was cut off from the servers lost requests that it forwarded after its SIGTERM: the hop was cut with the daemon. A request that had been forwarded to a daemon that then stopped was refused to its caller, though a third daemon could take it.

Before each hop the deadline decides, as nothing is learnt of it. Every refusal of a stopping daemon to another one says that it has not taken the request, as it already did on arrival.

--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -44,6 +44,7 @@
 /** Enough digits to find the tenant of a key in the log, and too few to recover the key. */
 const KEY_DIGEST_DIGITS = 8;
 const CUT_OFF_REASON = 'this daemon is cut off from the servers';
+const STOPPING_REASON = 'this daemon is stopping';
 const RETRY_LATER = ['Retry-After', String(REJECTED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND)];
 /** A 401 names the authentication scheme (RFC 9110 section 11.6.1). */
 const CHALLENGE = ['WWW-Authenticate', 'ApiKey'] as const;
@@ -222,7 +223,7 @@
   async #runExchange(admitted: AdmittedRequest): Promise<void> {
     const { request, response, inForce, route, tenant, body, memory, arrivedAtMs, forwarded } =
       admitted;
-    const { context, timers, log, metrics, paths } = this.#options;
+    const { context, timers, log, metrics } = this.#options;
     const description = context.codec.describe(request.headers);
     if (description === undefined) {
       return this.#reject(request, response, 400, 'no attempt id', []);
@@ -246,8 +247,7 @@
       arrivedAtMs,
       forwarded,
       resumedOrigin,
-      refusalHeaders: () =>
-        forwarded !== undefined && paths.isLost(service) ? notTakenHeaders(CUT_OFF_REASON) : [],
+      refusalHeaders: () => this.#refusalHeaders(service, forwarded),
       ...(forwarded === undefined ? {} : { hopHeaders: (ids) => this.#availabilityHeaders(ids) }),
       timers,
       log,
@@ -267,6 +267,13 @@
     }
   }
 
+  /** Passes a forwarded request back, so that a third daemon takes what this one refuses as it stops or is cut off. */
+  #refusalHeaders(service: string, forwarded: ForwardedRequest | undefined): RawHeaders {
+    if (forwarded === undefined) return [];
+    if (this.#stop !== undefined) return notTakenHeaders(STOPPING_REASON);
+    return this.#options.paths.isLost(service) ? notTakenHeaders(CUT_OFF_REASON) : [];
+  }
+
   #availabilityHeaders(serverIds: ReadonlySet<string>): RawHeaders {
     const { context, timers } = this.#options;
     return encodeAvailability(unavailableAmong(serverIds, context.fleet, timers.nowMs()));
@@ -287,7 +294,7 @@
     forwarded: ForwardedRequest | undefined,
   ): string | undefined {
     if (forwarded === undefined) return undefined;
-    if (this.#stop !== undefined) return 'this daemon is stopping';
+    if (this.#stop !== undefined) return STOPPING_REASON;
     if (configuration.version < forwarded.configurationVersion) return 'an older configuration';
     return this.#options.paths.isLost(forwarded.service) ? CUT_OFF_REASON : undefined;
   }
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -4,7 +4,13 @@
  * relays the answer. A request is forwarded only if no server can have run it, over a connection of its own, and to a
  * further daemon only if the one before did not take it, so that it runs at most once over both hops.
  */
-import { ForwardingPeers, type PeerDaemon, type PeerRoster } from '../../core/gateway/index.js';
+import {
+  type DurationEstimate,
+  ForwardingPeers,
+  type PeerDaemon,
+  type PeerRoster,
+  UNKNOWN_DURATION,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AttemptContext, RequestForwarding } from './attempt.js';
@@ -22,6 +28,7 @@
 import type { RequestCodec } from './ports.js';
 import { refuseUnavailable } from './refuse-unavailable.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
+import { isCutByStop, refuseIfCutByStop } from './stop-check.js';
 import { StreamRelay } from './stream-relay.js';
 import type { WallClock } from './timer-service.js';
 
@@ -70,13 +77,16 @@
   async run(exchange: Exchange, context: AttemptContext): Promise<void> {
     const budget = context.fleet.budgetOf(exchange.options.service);
     exchange.countRequest(budget);
+    if (refuseIfCutByStop(exchange, unknownDuration)) return;
     const send = exchange.sends.tryBegin('forward', budget);
     if (send === undefined) return refuseUnavailable(exchange, context, NO_BUDGET_REASON);
     const isTaken = await this.#forward(exchange);
     if (isTaken) return;
     exchange.sends.end(send, 'not-sent', budget);
     if (exchange.signal.aborted) exchange.endInterrupted();
-    else refuseUnavailable(exchange, context, CUT_OFF_REASON);
+    else if (!refuseIfCutByStop(exchange, unknownDuration)) {
+      refuseUnavailable(exchange, context, CUT_OFF_REASON);
+    }
   }
 
   /** @returns whether a daemon took the request, or may have */
@@ -86,6 +96,7 @@
       const peer = this.#choose(exchange, tried);
       const fleetKey = this.#options.fleetKey();
       if (peer === undefined || fleetKey === undefined) return false;
+      if (isCutByStop(exchange, unknownDuration)) return false;
       tried.add(peer.name);
       const isTaken = await this.#sendTo(peer, exchange, forwardingToken(fleetKey));
       if (isTaken) return true;
@@ -225,6 +236,11 @@
   }
 }
 
+/** What this daemon has learnt of the servers it had before it was cut off says nothing of a hop. */
+function unknownDuration(): DurationEstimate {
+  return UNKNOWN_DURATION;
+}
+
 /** Why a daemon certainly did not run the request; undefined if it may have. */
 function notTakenBecause(result: CallResult): string | undefined {
   switch (result.kind) {
