Web requests within the notice period are taken by their route's target latency, as before

A daemon that stopped before its first answer rejected web requests with long time-outs, though its callers had not been told: the stop test of configuration-and-servers.test.ts found it (it hung).

Several times the target latency counts again, or the slowest server's learnt answer time where that is longer, up to the deadline.

Evidence: the stop test passes unchanged.

--- a/src/core/gateway/stop-admission.ts
+++ b/src/core/gateway/stop-admission.ts
@@ -2,7 +2,7 @@
  * Decides which requests a stopping daemon still sends to servers. It cuts off what runs at a fixed time, so it takes a
  * request whose deadline comes first: that ends in time whatever servers do. An estimate may be wrong, and counts only
  * while new connections may still arrive: their callers have not been told that the daemon stops, and one that is
- * rejected may come back here, or to another daemon that stops. Where one is learnt, it then decides alone: a request
+ * rejected may come back here, or to another daemon that stops. Where there is one, it then decides alone: a request
  * that is expected to outlast the stop is expected to miss an earlier deadline too.
  */
 
@@ -17,7 +17,11 @@
 /** How long a request is expected to run. */
 export type DurationEstimate =
   /** Nothing has been learnt yet that it could be based on. */
-  { readonly kind: 'unknown' } | { readonly kind: 'learnt'; readonly durationMs: number };
+  | { readonly kind: 'unknown' }
+  /** By the configuration, where that says how long the requests of a route take. */
+  | { readonly kind: 'configured'; readonly durationMs: number }
+  /** By the times of earlier requests. */
+  | { readonly kind: 'learnt'; readonly durationMs: number };
 
 /** For requests of which nothing is learnt. */
 export const UNKNOWN_DURATION: DurationEstimate = { kind: 'unknown' };
@@ -43,6 +47,7 @@
   switch (estimate.kind) {
     case 'unknown':
       return endsForCertain;
+    case 'configured':
     case 'learnt':
       return nowMs + estimate.durationMs <= stop.cutAtMs;
   }
--- a/src/shell/gateway/stop-check.ts
+++ b/src/shell/gateway/stop-check.ts
@@ -16,12 +16,11 @@
   const estimated = estimateIfCut(exchange, estimate);
   const stop = exchange.options.stop();
   if (estimated === undefined || stop === undefined) return false;
-  const isLearnt = estimated.kind === 'learnt';
   exchange.refuse(CUT_BY_STOP_REASON, STOPPING_RETRY_AFTER_MS, {
     cutInMs: Math.round(stop.cutAtMs - exchange.options.timers.nowMs()),
     deadlineInMs: Math.round(exchange.remainingMs()),
-    estimateMs: isLearnt ? Math.round(estimated.durationMs) : null,
-    isLearnt,
+    estimateMs: estimated.kind === 'unknown' ? null : Math.round(estimated.durationMs),
+    isLearnt: estimated.kind === 'learnt',
   });
   return true;
 }
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -9,7 +9,6 @@
   isRepeatable,
   MAX_HOLD_SHARE,
   type ServerRecord,
-  UNKNOWN_DURATION,
 } from '../../core/gateway/index.js';
 import {
   completeAnswerOutcome,
@@ -35,7 +34,7 @@
 /** A hedged request goes to a second server after this share of the target latency without an answer. */
 const HEDGE_DELAY_SHARE = 0.45;
 const MIN_HEDGE_DELAY_MS = 40;
-/** Answers rarely take more than this many times the smoothed answer time of their server. */
+/** Answers rarely take more than this many times the usual answer time. */
 const LONG_ANSWER_FACTOR = 4;
 
 type RunResult =
@@ -57,15 +56,19 @@
   #lastFailure: CompleteAnswer | undefined;
   #lastReason = 'no server';
 
-  /** How long the request may take: several times the answer time of the slowest server, up to its deadline. */
+  /**
+   * How long the request may take, up to its deadline: several times the target latency, or the answer time of the slowest
+   * server where that is longer.
+   */
   readonly #duration = (): DurationEstimate => {
     const { fleet } = this.#context;
+    const { service, route } = this.#exchange.options;
     const learntMs = fleet
-      .candidates(this.#exchange.options.service, this.#nowMs())
+      .candidates(service, this.#nowMs())
       .flatMap(({ id }) => fleet.healthOf(id).responseMs ?? []);
-    if (learntMs.length === 0) return UNKNOWN_DURATION;
-    const longMs = LONG_ANSWER_FACTOR * Math.max(...learntMs);
-    return { kind: 'learnt', durationMs: Math.min(longMs, this.#exchange.remainingMs()) };
+    const longMs = LONG_ANSWER_FACTOR * Math.max(route.targetLatencyMs, ...learntMs);
+    const durationMs = Math.min(longMs, this.#exchange.remainingMs());
+    return { kind: learntMs.length === 0 ? 'configured' : 'learnt', durationMs };
   };
 
   constructor(exchange: Exchange, context: AttemptContext) {
