--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,7 +4,13 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { MemoryLedger, MemoryReservation, Route, Tenant } from '../../core/gateway/index.js';
+import type {
+  MemoryLedger,
+  MemoryReservation,
+  Route,
+  StopTimes,
+  Tenant,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
@@ -77,8 +83,8 @@
 export class CallerListener {
   readonly #options: CallerListenerOptions;
   readonly #server: Server;
-  /** When requests in flight are aborted; undefined unless the daemon is stopping. */
-  #stopsAtMs: number | undefined;
+  /** Undefined unless the daemon is stopping. */
+  #stop: StopTimes | undefined;
   /** Whether a stop is at its end, so that nothing runs any more. */
   #isEnding = false;
   readonly #open = new OpenRequests();
@@ -131,8 +137,8 @@
   }
 
   /** From now on answers carry `Connection: close`. */
-  beginStop(stopsAtMs: number): void {
-    this.#stopsAtMs = stopsAtMs;
+  beginStop(stop: StopTimes): void {
+    this.#stop = stop;
   }
 
   /**
@@ -232,7 +238,7 @@
   async #runExchange(admitted: AdmittedRequest): Promise<void> {
     const { open, inForce, route, tenant, body, memory } = admitted;
     const { request, response, arrivedAtMs, forwarded } = open.arrived;
-    const { context, timers, log, metrics, paths } = this.#options;
+    const { context, timers, log, metrics } = this.#options;
     const description = context.codec.describe(request.headers);
     if (description === undefined) {
       return this.#reject(request, response, 400, 'no attempt id', []);
@@ -258,13 +264,12 @@
       arrivedAtMs,
       forwarded,
       resumedOrigin,
-      refusalHeaders: () =>
-        forwarded === undefined ? [] : this.#hopRefusalHeaders(paths.isLost(service)),
+      refusalHeaders: () => this.#refusalHeaders(service, forwarded),
       ...(forwarded === undefined ? {} : { hopHeaders: (ids) => this.#availabilityHeaders(ids) }),
       timers,
       log,
       metrics,
-      stopsAtMs: () => this.#stopsAtMs,
+      stop: () => this.#stop,
     });
     open.runBy(exchange);
     if (resumption?.kind === 'reject') return refuseResumption(exchange, resumption.reason);
@@ -280,6 +285,13 @@
     }
   }
 
+  /** Passes a forwarded request back, so that a third daemon takes what this one refuses as it stops or is cut off. */
+  #refusalHeaders(service: string, forwarded: ForwardedRequest | undefined): RawHeaders {
+    if (forwarded === undefined) return [];
+    if (this.#stop !== undefined) return notTakenHeaders(STOPPING_REASON);
+    return this.#options.paths.isLost(service) ? notTakenHeaders(CUT_OFF_REASON) : [];
+  }
+
   #availabilityHeaders(serverIds: ReadonlySet<string>): RawHeaders {
     const { context, timers } = this.#options;
     return encodeAvailability(unavailableAmong(serverIds, context.fleet, timers.nowMs()));
@@ -300,17 +312,11 @@
     forwarded: ForwardedRequest | undefined,
   ): string | undefined {
     if (forwarded === undefined) return undefined;
-    if (this.#stopsAtMs !== undefined) return STOPPING_REASON;
+    if (this.#stop !== undefined) return STOPPING_REASON;
     if (configuration.version < forwarded.configurationVersion) return 'an older configuration';
     return this.#options.paths.isLost(forwarded.service) ? CUT_OFF_REASON : undefined;
   }
 
-  /** A refusal that lets the daemon that forwarded the request take it to another one. */
-  #hopRefusalHeaders(isCutOff: boolean): RawHeaders {
-    if (this.#isEnding) return notTakenHeaders(STOPPING_REASON);
-    return isCutOff ? notTakenHeaders(CUT_OFF_REASON) : [];
-  }
-
   /** Rejects a request that no exchange runs at the end of a stop. */
   #rejectStopping({ arrived }: OpenRequest): void {
     const { request, response, forwarded } = arrived;
@@ -394,7 +400,7 @@
     if (response.headersSent) return;
     const body = `${reason}\n`;
     const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
-    const mustClose = closesConnection || this.#stopsAtMs !== undefined || !request.complete;
+    const mustClose = closesConnection || this.#stop !== undefined || !request.complete;
     response.writeHead(status, [...headers, ...own, ...(mustClose ? ['Connection', 'close'] : [])]);
     response.end(body);
     this.#options.metrics.recordRequest(
--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -2,6 +2,7 @@
  * The stop of a gateway: callers are told that it is not ready, the listener closes, running requests end, and what has not
  * ended by then is cut. Log lines tell when each of it happened, and name each request that is cut.
  */
+import type { StopTimes } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../core/logging/catalogue/stops.js';
 import type { CallerListener } from './caller-listener.js';
@@ -39,10 +40,9 @@
 /** One stop, which begins as it is created. */
 export class GatewayStop {
   readonly #options: GatewayStopOptions;
+  /** When the listener closes, and when requests that still run are cut. */
+  readonly times: StopTimes;
   readonly #beganAtMs: number;
-  readonly #noticeMs: number;
-  /** When requests that still run are cut. */
-  readonly cutsAtMs: number;
   readonly #deliveredByMs: number;
   readonly #cut = new Set<OpenRequest>();
 
@@ -50,22 +50,26 @@
     const { graceMs, callers, timers } = options;
     this.#options = options;
     this.#beganAtMs = timers.nowMs();
-    this.#noticeMs = callers.server.listening ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2) : 0;
-    this.cutsAtMs = this.#beganAtMs + graceMs - STOP_MARGIN_MS;
+    const noticeMs = callers.server.listening ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2) : 0;
+    this.times = {
+      listenerClosesAtMs: this.#beganAtMs + noticeMs,
+      cutAtMs: this.#beganAtMs + graceMs - STOP_MARGIN_MS,
+    };
     this.#deliveredByMs = this.#beganAtMs + graceMs - DELIVERY_MARGIN_MS;
     options.log.write(GATEWAY_EVENTS.stopping, {
       inFlight: callers.inFlight,
-      listenerClosesInMs: Math.round(this.#noticeMs),
-      cutsInMs: Math.round(this.cutsAtMs - this.#beganAtMs),
+      listenerClosesInMs: Math.round(noticeMs),
+      cutsInMs: Math.round(this.times.cutAtMs - this.#beganAtMs),
     });
   }
 
   /** Closes the listener after the notice and resolves once no request is left, or those that are left have to be cut. */
   async waitForRequests(): Promise<void> {
     const { callers, timers } = this.#options;
-    if (this.#noticeMs > 0) await delay(timers, this.#noticeMs);
+    const noticeMs = this.times.listenerClosesAtMs - this.#beganAtMs;
+    if (noticeMs > 0) await delay(timers, noticeMs);
     this.#closeListener();
-    while (callers.inFlight > 0 && timers.nowMs() < this.cutsAtMs) {
+    while (callers.inFlight > 0 && timers.nowMs() < this.times.cutAtMs) {
       await delay(timers, STOP_POLL_MS);
     }
   }
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -21,15 +21,13 @@
 } from './attempt.js';
 import type { BackendAnswer } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
-import { type PermitReservation, permitWaitRequestOf } from './limit-coordinator.js';
+import type { PermitReservation } from './limit-coordinator.js';
 import { ModelPlanner, type PlanLimits } from './model-planner.js';
+import { permitWaitRequestOf } from './permit-wait-request.js';
 import type { HandoverSource } from './ports.js';
 import { freeKvMemory, type PrefillPlan, runPrefill } from './prefill.js';
-import {
-  CUT_BY_STOP_REASON,
-  refuseUnavailable,
-  STOPPING_RETRY_AFTER_MS,
-} from './refuse-unavailable.js';
+import { refuseUnavailable } from './refuse-unavailable.js';
+import { isCutByStop, refuseIfCutByStop } from './stop-check.js';
 import { StreamRelay } from './stream-relay.js';
 
 const MAX_ERROR_BYTES = 1_048_576;
@@ -58,6 +56,8 @@
   #way = 'direct';
   #lastReason = 'no engine';
 
+  readonly #durationAfterPrefill = () => this.#planner.durationAfterPrefill();
+
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
     this.#context = context;
@@ -75,10 +75,6 @@
     const { service } = this.#exchange.options;
     this.#exchange.countRequest(this.#context.fleet.budgetOf(service));
     this.#context.limits.recordArrival(service);
-    if (this.#planner.isCutByStop()) {
-      this.#exchange.refuse(CUT_BY_STOP_REASON, STOPPING_RETRY_AFTER_MS);
-      return;
-    }
     let next = await this.#step();
     while (next === 'again') {
       // A request that crashed its last server may be quarantined, so the check of that server comes before the next one.
@@ -91,11 +87,13 @@
     const exchange = this.#exchange;
     if (exchange.signal.aborted) return this.#endInterrupted();
     if (!this.#mayRunAgain() || this.#mustForward) return this.#giveUp();
+    if (this.#refuseIfCutByStop()) return 'done';
     const plan = await this.#planWhenAdmitted();
     if (plan === 'no-room') return exchange.signal.aborted ? this.#endInterrupted() : 'done';
     if (plan === undefined) {
       return (await this.#waitForStreamEngine()) ? 'again' : this.#giveUpWithoutEngine();
     }
+    if (refuseIfCutByStop(exchange, () => this.#planner.durationBy(plan))) return 'done';
     switch (plan.kind) {
       case 'direct':
         return this.#run(plan.server, undefined, plan.fetchFrom?.address, plan);
@@ -175,6 +173,11 @@
       return this.#endInterrupted();
     }
     const server = await this.#decodeEngineFor(source, permit);
+    if (refuseIfCutByStop(this.#exchange, this.#durationAfterPrefill)) {
+      if (server === permit?.server) this.#context.limits.returnPermits(permit);
+      this.#freeUnused(memory, plan);
+      return 'done';
+    }
     if (server === undefined) {
       this.#freeUnused(memory, plan);
       this.#prefillFailed = true;
@@ -284,6 +287,7 @@
     if (wasSent || memory === undefined || plan.kind !== 'prefill') return undefined;
     if (result.kind === 'not-sent') this.#rejections += 1;
     if (this.#exchange.signal.aborted || !this.#mayRunAgain()) return undefined;
+    if (isCutByStop(this.#exchange, this.#durationAfterPrefill)) return undefined;
     return this.#planner.decodeEngineAfter(plan.prefill.server);
   }
 
@@ -359,6 +363,10 @@
     return !this.#relay.hasBegun || this.#relay.lastEventId !== undefined;
   }
 
+  #refuseIfCutByStop(): boolean {
+    return refuseIfCutByStop(this.#exchange, () => this.#planner.durationNow(this.#planLimits));
+  }
+
   get #mustForward(): boolean {
     return this.#context.forwarding.isNeeded(this.#exchange);
   }
@@ -378,7 +386,9 @@
     if (exchange.isAnswered) exchange.abortResponse(this.#lastReason);
     else if (!this.#context.crashes.refuseIfQuarantined(exchange)) {
       if (this.#mustForward) await this.#context.forwarding.run(exchange, this.#context);
-      else refuseUnavailable(exchange, this.#context, this.#lastReason);
+      else if (!this.#refuseIfCutByStop()) {
+        refuseUnavailable(exchange, this.#context, this.#lastReason);
+      }
     }
     return 'done';
   }
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -5,6 +5,7 @@
  */
 import {
   chooseWebServer,
+  type DurationEstimate,
   isRepeatable,
   MAX_HOLD_SHARE,
   type ServerRecord,
@@ -22,12 +23,9 @@
   sendAttempt,
 } from './attempt.js';
 import type { CompleteAnswer, Exchange } from './exchange.js';
-import { permitWaitRequestOf } from './limit-coordinator.js';
-import {
-  CUT_BY_STOP_REASON,
-  refuseUnavailable,
-  STOPPING_RETRY_AFTER_MS,
-} from './refuse-unavailable.js';
+import { permitWaitRequestOf } from './permit-wait-request.js';
+import { refuseUnavailable } from './refuse-unavailable.js';
+import { isCutByStop, refuseIfCutByStop } from './stop-check.js';
 import { webAdmissionCheck } from './web-admission-check.js';
 
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -36,8 +34,8 @@
 /** A hedged request goes to a second server after this share of the target latency without an answer. */
 const HEDGE_DELAY_SHARE = 0.45;
 const MIN_HEDGE_DELAY_MS = 40;
-/** A request is taken to end within this many times its target latency. */
-const MAX_LATENCY_FACTOR = 4;
+/** Answers rarely take more than this many times the usual answer time. */
+const LONG_ANSWER_FACTOR = 4;
 
 type RunResult =
   | { readonly kind: 'whole'; readonly answer: CompleteAnswer }
@@ -58,6 +56,21 @@
   #lastFailure: CompleteAnswer | undefined;
   #lastReason = 'no server';
 
+  /**
+   * How long the request may take, up to its deadline: several times the target latency, or the answer time of the slowest
+   * server where that is longer.
+   */
+  readonly #duration = (): DurationEstimate => {
+    const { fleet } = this.#context;
+    const { service, route } = this.#exchange.options;
+    const learntMs = fleet
+      .candidates(service, this.#nowMs())
+      .flatMap(({ id }) => fleet.healthOf(id).responseMs ?? []);
+    const longMs = LONG_ANSWER_FACTOR * Math.max(route.targetLatencyMs, ...learntMs);
+    const durationMs = Math.min(longMs, this.#exchange.remainingMs());
+    return { kind: learntMs.length === 0 ? 'configured' : 'learnt', durationMs };
+  };
+
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
     this.#context = context;
@@ -65,10 +78,7 @@
   }
 
   async run(): Promise<void> {
-    if (this.#isCutByStop()) {
-      this.#exchange.refuse(CUT_BY_STOP_REASON, STOPPING_RETRY_AFTER_MS);
-      return;
-    }
+    if (refuseIfCutByStop(this.#exchange, this.#duration)) return;
     const abandon = () => this.#abandoned.abort();
     this.#exchange.signal.addEventListener('abort', abandon, { once: true });
     if (!(await this.#waitForAdmission())) return;
@@ -86,15 +96,6 @@
     if (!this.#exchange.isAnswered) await this.#giveUp();
   }
 
-  /** Whether the request may still run as this daemon, which is stopping, cuts off what runs. */
-  #isCutByStop(): boolean {
-    const { stopsAtMs, route } = this.#exchange.options;
-    const stopMs = stopsAtMs();
-    if (stopMs === undefined) return false;
-    const latestEndMs = this.#nowMs() + MAX_LATENCY_FACTOR * route.targetLatencyMs;
-    return Math.min(latestEndMs, this.#exchange.deadlineAtMs) > stopMs;
-  }
-
   /** Handles the result of an attempt; returns whether the request has ended. */
   async #handleResult(result: RunResult): Promise<boolean> {
     if (result.kind === 'whole' && !this.#isWorthRetrying(result.answer)) {
@@ -148,7 +149,9 @@
     else if (this.#lastFailure !== undefined) exchange.answer(this.#lastFailure);
     else if (!this.#context.crashes.refuseIfQuarantined(exchange)) {
       if (this.#mustForward) await this.#context.forwarding.run(exchange, this.#context);
-      else refuseUnavailable(exchange, this.#context, this.#lastReason);
+      else if (!refuseIfCutByStop(exchange, this.#duration)) {
+        refuseUnavailable(exchange, this.#context, this.#lastReason);
+      }
     }
   }
 
@@ -160,7 +163,7 @@
     await this.#requestPermitIfNeeded();
     if (exchange.signal.aborted) return false;
     while (!this.#startNext(true)) {
-      if (crashes.isQuarantined(exchange)) return false;
+      if (crashes.isQuarantined(exchange) || isCutByStop(exchange, this.#duration)) return false;
       if (!(await limits.waitForPermit(permitWaitRequestOf(exchange)))) return false;
     }
     return true;
@@ -198,6 +201,7 @@
     if (!isFirst && exchange.mayHaveRun && !this.#isRepeatable) return false;
     if (exchange.attemptsLeft <= 0) return false;
     if (this.#rejections > MAX_REJECTIONS) return false;
+    if (isCutByStop(exchange, this.#duration)) return false;
     const server = this.#choose(fleet.candidates(service, timers.nowMs()));
     if (server === undefined) return false;
     if (isFirst) exchange.countRequest(fleet.budgetOf(service));
