threadforkd tells callers which answer is a connection's last, and answers what came before

Callers of a stopping threadforkd got Connection: keep-alive on answers to requests from before the stop, on connections that it closed right after them. A pipelined request that arrived in a stop lost its answer: the answer before it said close, and node:http closed the connection while a backend worked on the second one.

Cause: the server set Connection: close by when a request arrived, and not by its place on the connection. PendingAnswers keeps the order of the answers that a connection owes: the last one says that it closes, a further request takes that over as long as the answer's head has not gone, and after it requests are not run.

--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -3,7 +3,7 @@
  * metrics pages. It reports observations to the core as events and performs the core's decisions as
  * effects. Bodies and tokens never enter the core.
  */
-import { createServer, type Server, type ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
 import type { DaemonName, Incarnation, RequestId } from '../../core/common/identifiers.js';
 import type { MonotonicMs } from '../../core/common/time.js';
@@ -22,6 +22,7 @@
 import type { HttpLimits } from './limits.js';
 import type { PageSources } from './pages.js';
 import { PassThroughAttempt } from './pass-through-attempt.js';
+import { PendingAnswers } from './pending-answers.js';
 import type { PreparedRequest } from './request-preparation.js';
 import { StreamAttempt } from './stream-attempt.js';
 
@@ -73,6 +74,7 @@
   readonly pages: PageSources;
   readonly #routes = new CallerRoutes(this);
   readonly #connections = new CallerConnections();
+  readonly #answers = new PendingAnswers();
   readonly #requests = new Map<RequestId, ActiveRequest>();
   #index: ConfigurationIndex;
   #sweepTimer: NodeJS.Timeout | null = null;
@@ -100,11 +102,7 @@
         ),
         noDelay: true,
       },
-      (request, response) => {
-        this.#connections.trackRequest(request.socket, response);
-        if (this.#stopping) response.shouldKeepAlive = false;
-        this.#routes.handle(request, response);
-      },
+      (request, response) => this.#handle(request, response),
     );
     this.#server.maxConnections = limits.maxConnections;
     this.#server.on('connection', (socket: Socket) => this.#connections.track(socket));
@@ -178,6 +176,7 @@
   async stopAccepting(): Promise<void> {
     if (this.#stopping) return;
     this.#stopping = true;
+    this.#answers.announceClose();
     await new Promise((resolve) => setTimeout(resolve, this.limits.stopIdleGraceMs));
     // Right after the event loop's poll phase the accept queue is empty: no connection is reset.
     await new Promise((resolve) => setImmediate(resolve));
@@ -222,6 +221,15 @@
     this.bodies.release(request.heldBytes);
   }
 
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#answers.add(request.socket, response)) {
+      request.resume();
+      return;
+    }
+    this.#connections.trackRequest(request.socket, response);
+    this.#routes.handle(request, response);
+  }
+
   /** Reports a dispatch of a released request as not sent, so that the core does not wait for it. */
   #reportNotSentForReleased(effect: RequestEffect): void {
     if (effect.kind !== 'dispatch') return;
