Pipelined requests whose caller leaves are given up

node:http emits 'close' only for the answer whose turn it is when a connection ends. The requests behind it stayed in flight for good: their backends went on working for nobody, their bodies stayed in memory, and a planned stop waited for them until stopGraceMs and exited with 1.

PendingAnswers closes the answers that a connection owes when it ends, after node:http has closed the first. The test in test/http/planned-stop.test.ts does not end without this (10 s), and passes with it.

--- a/src/shell/http/pending-answers.ts
+++ b/src/shell/http/pending-answers.ts
@@ -41,7 +41,11 @@
     if (known !== undefined) return known;
     const pending = new Set<ServerResponse>();
     this.#pending.set(socket, pending);
-    socket.once('close', () => this.#pending.delete(socket));
+    socket.once('close', () => {
+      this.#pending.delete(socket);
+      // node:http closes the answer whose turn it is in the same event, and emits nothing for those behind it.
+      process.nextTick(closeAll, pending);
+    });
     return pending;
   }
 }
@@ -50,3 +54,10 @@
 function isLast(response: ServerResponse): boolean {
   return response.headersSent && !response.shouldKeepAlive;
 }
+
+function closeAll(pending: ReadonlySet<ServerResponse>): void {
+  for (const response of [...pending]) {
+    response.destroy();
+    response.emit('close');
+  }
+}
--- a/test/gateway/connections-in-a-stop.test.ts
+++ b/test/gateway/connections-in-a-stop.test.ts
@@ -181,3 +181,18 @@
   await untilStopped();
   assert.match(await caller.receiveAll(), /first.*HTTP\/1\.1 200 .*second$/s);
 });
+
+// node:http tells nothing of the end of a connection to the answers whose turn has not come.
+test('a stop does not wait for a pipelined request whose caller has left', async () => {
+  const { held, script } = holding();
+  await addServer(script);
+  const caller = new Caller();
+  caller.socket.write(`${request('/tiles/1', 'a-1')}${request('/tiles/2', 'a-2')}`);
+  await timers.advanceUntil(() => held.length === 2);
+  caller.socket.destroy();
+  await timers.advanceBy(LOOK_MS);
+  const stoppedAtMs = timers.nowMs();
+  stop();
+  await untilStopped();
+  assert.ok(timers.nowMs() - stoppedAtMs < SHORTLY_BEFORE_CUT_MS);
+});
--- a/test/http/planned-stop.test.ts
+++ b/test/http/planned-stop.test.ts
@@ -7,6 +7,7 @@
 import { type Harness, KEY, startHarness, startHttpBackend } from './support.js';
 
 const STOP_IDLE_GRACE_MS = 500;
+const TIMEOUT = { timeout: 10_000 };
 const REQUEST = [
   'POST /sheets/orders HTTP/1.1',
   'host: a',
@@ -88,3 +89,17 @@
   await scene.until(() => scene.text.includes('second'));
   assert.match(scene.text, /first.*second/s);
 });
+
+// node:http tells nothing of the end of a connection to the answers whose turn has not come.
+test('pipelined requests whose caller leaves are given up, all of them', TIMEOUT, async (t) => {
+  const scene = await Scene.start(t);
+  const { harness, socket } = scene;
+  socket.write(REQUEST + REQUEST);
+  await scene.until(() => scene.running.length === 2);
+  socket.destroy();
+  await harness.eventually(
+    () => harness.events.filter(({ kind }) => kind === 'caller-gone').length === 2,
+  );
+  assert.equal(harness.table.activeCount, 0);
+  assert.equal(harness.server.activeRequests, 0);
+});
