threadforkd tells callers what it cuts as it stops

At the end of stopGraceMs, or at a second signal, callers saw their connection close: no error event in a stream and no status where no answer had begun. CALLER-API.md promises both, and that nothing is called refused that may have run. The log had a count (1003) and named none of the requests.

Cause: the daemon closed the listener's sockets while its request table still had the requests. Now a cut is an event of the core: each request ends by its phase with the error stopping, refused as not run only where no backend was asked, and a warning (2106) names it with phase, backend and age. What arrives after it is refused. The callers get 250 ms to read it, then everything is closed as before, so a second signal still cuts at once.

The fake daemon of test/frame/daemon-command.test.ts returns a promise from stopNow, as the interface does now; its checks are the same.

--- a/src/core/daemon/event.ts
+++ b/src/core/daemon/event.ts
@@ -42,4 +42,6 @@
   | ObjectResultEvent
   | { readonly kind: 'change'; readonly request: ChangeRequest }
   /** A graceful stop was requested. */
-  | { readonly kind: 'stop' };
+  | { readonly kind: 'stop' }
+  /** The daemon ends now, and the requests that are left with it. */
+  | { readonly kind: 'cut' };
--- a/src/core/daemon/step.ts
+++ b/src/core/daemon/step.ts
@@ -71,6 +71,7 @@
         break;
       case 'attempt':
       case 'caller-gone':
+      case 'cut':
         this.#stepTraffic(event);
         break;
       case 'tick':
--- a/src/core/logging/catalogue/daemon.ts
+++ b/src/core/logging/catalogue/daemon.ts
@@ -25,7 +25,8 @@
     number: 1003,
     level: 'error',
     message: 'daemon stopped before all running requests had finished',
-    remedy: 'If the grace period ran out, raise stopGraceMs in the settings.',
+    remedy:
+      'If the grace period ran out, raise stopGraceMs in the settings. Event 2106 names each of the requests that running counts.',
   },
   defect: {
     number: 1004,
--- a/src/core/logging/catalogue/requests.ts
+++ b/src/core/logging/catalogue/requests.ts
@@ -41,4 +41,11 @@
     remedy:
       'Until the table service answers again, repeated requests with the same key are answered as still in progress.',
   },
+  cutByStop: {
+    number: 2106,
+    level: 'warn',
+    message: 'a request had not ended when its daemon stopped, and was cut',
+    remedy:
+      'Raise stopGraceMs if requests of that age are usual, and send no second signal while they run. phase and backend tell what was being done for it.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/core/requests/request-state.ts
+++ b/src/core/requests/request-state.ts
@@ -86,7 +86,9 @@
   | { readonly kind: 'caller-gone' }
   | { readonly kind: 'table-result'; readonly result: TableResult }
   /** Checks whether a deadline or back-off has expired. */
-  | { readonly kind: 'tick' };
+  | { readonly kind: 'tick' }
+  /** The daemon ends now. */
+  | { readonly kind: 'cut' };
 
 /** What the request table needs from its daemon. */
 export interface RequestTableContext extends StepContext {
--- a/src/core/requests/request-table.ts
+++ b/src/core/requests/request-table.ts
@@ -6,6 +6,7 @@
 import type { BackendName, ClassName, RequestId, VersionName } from '../common/identifiers.js';
 import { refusedNotRun } from '../errors/fault.js';
 import type { TableResultEvent } from '../platform/table.js';
+import { STOPPING_NOT_RUN } from './cut-request.js';
 import {
   isActive,
   mayBeDue,
@@ -40,7 +41,9 @@
   | { readonly kind: 'admitted'; readonly request: RequestId }
   /** Results whose token has another prefix than `request:` are ignored. */
   | TableResultEvent
-  | { readonly kind: 'tick' };
+  | { readonly kind: 'tick' }
+  /** The daemon ends now: ends all requests, and refuses those that still arrive. */
+  | { readonly kind: 'cut' };
 
 const TOKEN_PREFIX = 'request:';
 const NO_EFFECTS: readonly RequestTableEffect[] = [];
@@ -50,6 +53,7 @@
   readonly #requests = new Map<RequestId, RequestState>();
   #settling = 0;
   #budget: RetryBudget = INITIAL_RETRY_BUDGET;
+  #isCut = false;
 
   /** Requests that are not settling. A planned stop waits until this is 0. */
   get activeCount(): number {
@@ -85,6 +89,8 @@
         return this.#handleTableResult(event, context);
       case 'tick':
         return this.#handleTick(context);
+      case 'cut':
+        return this.#handleCut(context);
     }
   }
 
@@ -92,6 +98,7 @@
     description: RequestDescription,
     context: RequestTableContext,
   ): readonly RequestTableEffect[] {
+    if (this.#isCut) return [{ kind: 'refuse', request: description.id, fault: STOPPING_NOT_RUN }];
     this.#budget = creditRequest(this.#budget);
     if (description.idempotencyKey !== null && this.#settling >= MAX_SETTLING_REQUESTS) {
       return [{ kind: 'refuse', request: description.id, fault: TOO_MANY_UNSETTLED }];
@@ -116,6 +123,11 @@
     return effects;
   }
 
+  #handleCut(context: RequestTableContext): readonly RequestTableEffect[] {
+    this.#isCut = true;
+    return [...this.#requests.keys()].flatMap((request) => this.#applyEvent(request, CUT, context));
+  }
+
   #applyEvent(
     request: RequestId,
     event: RequestEvent,
@@ -192,6 +204,7 @@
 
 const START: RequestEvent = { kind: 'start' };
 const TICK: RequestEvent = { kind: 'tick' };
+const CUT: RequestEvent = { kind: 'cut' };
 
 const TOO_MANY_UNSETTLED = refusedNotRun(
   'store-unavailable',
--- a/src/core/requests/step-request.ts
+++ b/src/core/requests/step-request.ts
@@ -7,6 +7,7 @@
 import type { TableResult } from '../platform/table.js';
 import { attemptEndedNotice, handleAttemptEvent } from './attempt-request.js';
 import { beginRequest, handleClaimResult } from './claim-request.js';
+import { cutRequest } from './cut-request.js';
 import { dispatchOrWait } from './dispatch-request.js';
 import { answerAndDetach, finishCallerGone, finishFailed } from './finish-request.js';
 import {
@@ -40,6 +41,8 @@
       return handleTableResult(state, event.result, context);
     case 'tick':
       return handleTick(state, context);
+    case 'cut':
+      return cutRequest(state, context);
   }
 }
 
--- a/src/daemon/command.ts
+++ b/src/daemon/command.ts
@@ -137,6 +137,6 @@
   await signals.next();
   const second = signals.next().then(() => 'second-signal' as const);
   const outcome = await Promise.race([daemon.stop(), second]);
-  if (outcome === 'second-signal') daemon.stopNow();
+  if (outcome === 'second-signal') await daemon.stopNow();
   return outcome === 'clean' ? EXIT_DONE : EXIT_FAILED;
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -35,6 +35,8 @@
 const TICK_MS: Milliseconds = 100;
 const PLATFORM_TIMEOUT_MS: Milliseconds = 2_000;
 const ENGINE_CONTROL_TIMEOUT_MS: Milliseconds = 1_000;
+/** How long callers of requests that were cut may take to read that. */
+const LAST_ANSWERS_MS: Milliseconds = 250;
 
 /** Starts a daemon; rejects when it can't listen on the configured addresses. */
 export async function startDaemon(
@@ -56,6 +58,8 @@
   #operators: OperatorServer | null = null;
   #ticker: NodeJS.Timeout | null = null;
   #resolveStopReady: () => void = () => {};
+  /** Set once the requests that were left are being cut. */
+  #cut: Promise<void> | null = null;
   #endpoints: Pick<RunningDaemon, 'callers' | 'operators' | 'peers'> | null = null;
 
   constructor(settings: DaemonSettings, logger: Logger) {
@@ -124,17 +128,28 @@
     const { logger, callers } = this.#shells;
     logger.write(DAEMON_EVENTS.stopRequested, { running: callers.activeRequests });
     const outcome = await Promise.race([this.#drain(), this.#graceTimeout()]);
-    logger.write(outcome === 'clean' ? DAEMON_EVENTS.stopped : DAEMON_EVENTS.stoppedUncleanly, {
-      running: callers.activeRequests,
-    });
+    if (outcome === 'cut' || this.#cut !== null) {
+      await this.stopNow();
+      return 'cut';
+    }
+    logger.write(DAEMON_EVENTS.stopped, { running: callers.activeRequests });
     await this.#close();
-    return outcome;
+    return 'clean';
   }
 
-  stopNow(): void {
-    const running = this.#shells.callers.activeRequests;
-    this.#shells.logger.write(DAEMON_EVENTS.stoppedUncleanly, { running });
-    void this.#close();
+  stopNow(): Promise<void> {
+    this.#cut ??= this.#cutRequests();
+    return this.#cut;
+  }
+
+  /** Ends the requests that are left, gives their callers a moment to be told, and closes everything. */
+  async #cutRequests(): Promise<void> {
+    const { logger, callers } = this.#shells;
+    const running = callers.activeRequests;
+    this.#events.emit({ kind: 'cut' });
+    await Promise.race([callers.requestsEnded(), this.#lastAnswersTimeout()]);
+    logger.write(DAEMON_EVENTS.stoppedUncleanly, { running });
+    await this.#close();
   }
 
   /** Stops accepting callers, waits for their requests to end and releases all duties. */
@@ -254,6 +269,12 @@
     });
   }
 
+  #lastAnswersTimeout(): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, LAST_ANSWERS_MS).unref();
+    });
+  }
+
   async #close(): Promise<void> {
     if (this.#ticker !== null) {
       clearInterval(this.#ticker);
--- a/src/daemon/types.ts
+++ b/src/daemon/types.ts
@@ -21,8 +21,8 @@
    * period of the settings expires.
    */
   stop(): Promise<StopOutcome>;
-  /** Closes everything immediately and aborts the running requests. */
-  stopNow(): void;
+  /** Aborts the running requests, whose callers are told so, and closes everything. */
+  stopNow(): Promise<void>;
 }
 
 /** Starts a daemon; rejects when it can't listen on the configured addresses. */
--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -76,6 +76,7 @@
   readonly #connections = new CallerConnections();
   readonly #answers = new PendingAnswers();
   readonly #requests = new Map<RequestId, ActiveRequest>();
+  readonly #endedCallbacks: (() => void)[] = [];
   #index: ConfigurationIndex;
   #sweepTimer: NodeJS.Timeout | null = null;
   #arrivalCount = 0;
@@ -190,6 +191,12 @@
     return this.#connections.allClosed();
   }
 
+  /** Resolves when no request is active. */
+  requestsEnded(): Promise<void> {
+    if (this.#requests.size === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#endedCallbacks.push(resolve));
+  }
+
   /** Closes the server and all connections to callers and backends at once. */
   async close(): Promise<void> {
     this.#stopping = true;
@@ -219,6 +226,8 @@
   onReleased(request: ActiveRequest): void {
     if (!this.#requests.delete(request.description.id)) return;
     this.bodies.release(request.heldBytes);
+    if (this.#requests.size > 0) return;
+    for (const resolve of this.#endedCallbacks.splice(0)) resolve();
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
--- a/test/frame/daemon-command.test.ts
+++ b/test/frame/daemon-command.test.ts
@@ -81,7 +81,7 @@
       calls.push('stop');
       return stop();
     },
-    stopNow: () => void calls.push('stopNow'),
+    stopNow: async () => void calls.push('stopNow'),
   };
   const context: DaemonContext = {
     ...Cli.defaultContext,
