--- a/test/gateway/connections-in-a-stop.test.ts
+++ b/test/gateway/connections-in-a-stop.test.ts
@@ -15,6 +15,7 @@
 } from './support/server-stand-in.js';
 
 /** The listener closes 2.6 s after the signal; what runs is cut off 7.3 s after it. */
+const SHORTLY_BEFORE_CLOSE_MS = 2_590;
 const LISTENER_CLOSED_MS = 3_000;
 const SHORTLY_BEFORE_CUT_MS = 7_200;
 const UNTIL_CUT_MS = 200;
@@ -122,6 +123,19 @@
   await untilStopped();
 });
 
+// The system resets connections that were not accepted yet, and the daemon those whose request it has not read yet.
+test('a connection that is opened as the listener closes gets an answer', async () => {
+  await addServer(answering(200, ANSWER));
+  stop();
+  await timers.advanceBy(SHORTLY_BEFORE_CLOSE_MS);
+  const caller = new Caller();
+  caller.socket.write(request('/tiles/1'));
+  await new Promise((resolve) => process.nextTick(resolve));
+  timers.advance(LOOK_MS);
+  await untilStopped();
+  assert.match(await caller.receiveAll(), /^HTTP\/1\.1 /);
+});
+
 // Its caller was not told that the daemon stops, as the answer before began earlier.
 test('a request that is on its way as the last answer ends gets an answer', async () => {
   const { held, script } = holding();
