Close only the listener in a stop, once the sockets were read

A caller that read its answer slowly lost the rest of it 2.6 s after its daemon's signal, and a request that waited unread on an idle connection or in the accept queue was reset: close() of node:http destroys each connection whose answer has ended, written or not, and ran before the sockets were read. Now only the listener is closed, right after the poll phase, as the product's own API does; open connections go on, and their next answer carries Connection: close. Ruled out: closing idle connections then, as a request may be on its way on any of them.

--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -2,6 +2,7 @@
  * The stop of a gateway: callers are told that it is not ready, the listener closes, running requests end, and what has not
  * ended by then is cut. Log lines tell when each of it happened, and name each request that is cut.
  */
+import { Server as NetServer } from 'node:net';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../core/logging/catalogue/stops.js';
 import type { CallerListener } from './caller-listener.js';
@@ -64,6 +65,7 @@
   async waitForRequests(): Promise<void> {
     const { callers, timers } = this.#options;
     if (this.#noticeMs > 0) await delay(timers, this.#noticeMs);
+    await socketsRead();
     this.#closeListener();
     while (callers.inFlight > 0 && timers.nowMs() < this.cutsAtMs) {
       await delay(timers, STOP_POLL_MS);
@@ -103,10 +105,13 @@
     }
   }
 
-  /** If too few daemons are ready, the platform still sends connections here; closing the listener turns them away. */
+  /**
+   * If too few daemons are ready, the platform still sends connections here; closing the listener turns them away. node:http's
+   * own close() would also close connections on which a request is on its way, or the rest of an answer.
+   */
   #closeListener(): void {
     const { callers, log } = this.#options;
-    callers.server.close();
+    NetServer.prototype.close.call(callers.server);
     log.write(STOP_EVENTS.listenerClosed, {
       inFlight: callers.inFlight,
       openConnections: callers.connections.open,
@@ -130,3 +135,8 @@
     return Math.round(this.#options.timers.nowMs() - this.#beganAtMs);
   }
 }
+
+/** Resolves right after the event loop has read the sockets: the accept queue is empty, and what had arrived is seen. */
+function socketsRead(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/test/gateway/requests-left-at-stop.test.ts
+++ b/test/gateway/requests-left-at-stop.test.ts
@@ -425,16 +425,14 @@
   'a request that is on its way on an idle connection as the listener closes is answered',
   TIMEOUT,
   async () => {
-    const { script, received } = receiving(() => undefined);
-    await addServer('i-1', script);
-    await fixture.addServer('i-2', answering(200, 'served'), {
-      service: 'reader',
-      stage: 'decode',
+    const { script, received } = receiving(({ seen, response }) => {
+      if (seen.url === '/tiles/2') response.writeHead(200, stamped(seen)).end('served');
     });
+    await addServer('i-1', script);
     open(requestTo('/tiles/1'));
     await received();
-    const caller = open(requestTo('/nowhere/1'));
-    await timers.advanceUntil(() => caller.received.includes('no such route'));
+    const caller = open(requestTo('/tiles/2'));
+    await timers.advanceUntil(() => caller.received.endsWith('served'));
     const stopped = fixture.stopDaemon(DAEMON);
     await timers.advanceBy(LISTENER_CLOSES_MS - 10);
     const before = caller.received.length;
