End a stop only once its open connections are quiet

A caller on a kept connection sends the next request soon after an answer; the stop looked each 50 ms, saw nothing in flight, and the process ended while the request was on its way, which reset the connection. With connections open a stop now ends 200 ms after the last request or answer, and only after the sockets were read; without any it ends at once as before.

--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -111,7 +111,7 @@
   }
 
   /** The requests that have no final answer yet. */
-  get openRequests(): Pick<OpenRequests, 'all'> {
+  get openRequests(): Pick<OpenRequests, 'all' | 'total'> {
     return this.#open;
   }
 
--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -17,6 +17,8 @@
 /** Requests have to end this long before the grace period does. */
 const STOP_MARGIN_MS = 700;
 const STOP_POLL_MS = 50;
+/** Callers that send one request after another on a connection pause for less than this. */
+const QUIET_MS = 200;
 /** Requests that are cut settle by then: what ran for them is aborted, and bodies that were on their way have arrived. */
 const SETTLE_MS = 50;
 /** Callers have to have taken their answers this long before the grace period ends; the last log lines are written then. */
@@ -63,12 +65,29 @@
 
   /** Closes the listener after the notice and resolves once no request is left, or those that are left have to be cut. */
   async waitForRequests(): Promise<void> {
-    const { callers, timers } = this.#options;
+    const { timers } = this.#options;
     if (this.#noticeMs > 0) await delay(timers, this.#noticeMs);
     await socketsRead();
     this.#closeListener();
-    while (callers.inFlight > 0 && timers.nowMs() < this.cutsAtMs) {
-      await delay(timers, STOP_POLL_MS);
+    await this.#waitUntilQuiet();
+  }
+
+  /**
+   * Callers that keep their connection send the next request soon after an answer, so with connections open a stop ends only
+   * once no request has come for a while.
+   */
+  async #waitUntilQuiet(): Promise<void> {
+    const { callers, timers } = this.#options;
+    let quietSinceMs = timers.nowMs();
+    let total = callers.openRequests.total;
+    while (timers.nowMs() < this.cutsAtMs) {
+      const nowMs = timers.nowMs();
+      if (callers.inFlight > 0 || callers.openRequests.total > total) quietSinceMs = nowMs;
+      total = callers.openRequests.total;
+      const isQuiet = nowMs - quietSinceMs >= QUIET_MS || callers.connections.open === 0;
+      if (callers.inFlight === 0 && isQuiet) return;
+      await delay(timers, Math.min(STOP_POLL_MS, this.cutsAtMs - nowMs));
+      await socketsRead();
     }
   }
 
--- a/src/shell/gateway/open-requests.ts
+++ b/src/shell/gateway/open-requests.ts
@@ -99,6 +99,12 @@
 /** All requests of one daemon whose answers have not ended. */
 export class OpenRequests {
   readonly #open = new Set<OpenRequest>();
+  #total = 0;
+
+  /** Requests since the process started. */
+  get total(): number {
+    return this.#total;
+  }
 
   get size(): number {
     return this.#open.size;
@@ -113,6 +119,7 @@
   add(arrived: ArrivedRequest): OpenRequest {
     const open = new OpenRequest(arrived);
     this.#open.add(open);
+    this.#total += 1;
     arrived.response.once('close', () => this.#open.delete(open));
     return open;
   }
