--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -2,6 +2,7 @@
  * The stop of a gateway: callers are told that it is not ready, the listener closes, running requests end, and what has not
  * ended by then is cut. Log lines tell when each of it happened, and name each request that is cut.
  */
+import { Server as NetServer } from 'node:net';
 import type { StopTimes } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../core/logging/catalogue/stops.js';
@@ -17,6 +18,8 @@
 /** Requests have to end this long before the grace period does. */
 const STOP_MARGIN_MS = 700;
 const STOP_POLL_MS = 50;
+/** Callers that send one request after another on a connection pause for less than this. */
+const QUIET_MS = 200;
 /** Requests that are cut settle by then: what ran for them is aborted, and bodies that were on their way have arrived. */
 const SETTLE_MS = 50;
 /** Callers have to have taken their answers this long before the grace period ends; the last log lines are written then. */
@@ -65,12 +68,31 @@
 
   /** Closes the listener after the notice and resolves once no request is left, or those that are left have to be cut. */
   async waitForRequests(): Promise<void> {
-    const { callers, timers } = this.#options;
+    const { timers } = this.#options;
     const noticeMs = this.times.listenerClosesAtMs - this.#beganAtMs;
     if (noticeMs > 0) await delay(timers, noticeMs);
+    await socketsRead();
     this.#closeListener();
-    while (callers.inFlight > 0 && timers.nowMs() < this.times.cutAtMs) {
-      await delay(timers, STOP_POLL_MS);
+    await this.#waitUntilQuiet();
+  }
+
+  /**
+   * Callers that keep their connection send the next request soon after an answer, so with connections open a stop ends only
+   * once no request has come for a while.
+   */
+  async #waitUntilQuiet(): Promise<void> {
+    const { callers, timers } = this.#options;
+    const { cutAtMs } = this.times;
+    let quietSinceMs = timers.nowMs();
+    let total = callers.openRequests.total;
+    while (timers.nowMs() < cutAtMs) {
+      const nowMs = timers.nowMs();
+      if (callers.inFlight > 0 || callers.openRequests.total > total) quietSinceMs = nowMs;
+      total = callers.openRequests.total;
+      const isQuiet = nowMs - quietSinceMs >= QUIET_MS || callers.connections.open === 0;
+      if (callers.inFlight === 0 && isQuiet) return;
+      await delay(timers, Math.min(STOP_POLL_MS, cutAtMs - nowMs));
+      await socketsRead();
     }
   }
 
@@ -107,10 +129,13 @@
     }
   }
 
-  /** If too few daemons are ready, the platform still sends connections here; closing the listener turns them away. */
+  /**
+   * If too few daemons are ready, the platform still sends connections here; closing the listener turns them away. node:http's
+   * own close() would also close connections on which a request is on its way, or the rest of an answer.
+   */
   #closeListener(): void {
     const { callers, log } = this.#options;
-    callers.server.close();
+    NetServer.prototype.close.call(callers.server);
     log.write(STOP_EVENTS.listenerClosed, {
       inFlight: callers.inFlight,
       openConnections: callers.connections.open,
@@ -134,3 +159,8 @@
     return Math.round(this.#options.timers.nowMs() - this.#beganAtMs);
   }
 }
+
+/** Resolves right after the event loop has read the sockets: the accept queue is empty, and what had arrived is seen. */
+function socketsRead(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
