Count a standstill at the signal to the grace period

A process that stood still or was busy as SIGTERM came handles it late, and took the whole grace period from there, so the platform killed it before the requests that were left were answered. The stop now ends as if the signal had come when the process was last seen to run, by at most half the grace period: beyond that, more requests would be cut that could have ended. 6001 tells it (signalAgeMs).

--- a/src/core/logging/catalogue/gateway.ts
+++ b/src/core/logging/catalogue/gateway.ts
@@ -15,7 +15,7 @@
     reserve: 'process-life',
     message: 'stop requested: the gateway reports not ready; running requests continue',
     remedy:
-      'Nothing to do. listenerClosesInMs and cutsInMs tell when connections are turned away and when what still runs is cut.',
+      'Nothing to do. listenerClosesInMs and cutsInMs tell when connections are turned away and when what still runs is cut, counted from signalAgeMs ago, as this process was stopped or busy.',
   },
   stopped: {
     number: 6002,
--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -16,6 +16,8 @@
 const NOT_READY_NOTICE_MS = 2_600;
 /** Requests have to end this long before the grace period does. */
 const STOP_MARGIN_MS = 700;
+/** A signal is not taken to be older than this share of the grace period: requests would be cut that could have ended. */
+const MAX_SIGNAL_AGE_SHARE = 0.5;
 const STOP_POLL_MS = 50;
 /** Callers that send one request after another on a connection pause for less than this. */
 const QUIET_MS = 200;
@@ -29,6 +31,8 @@
 export interface GatewayStopOptions {
   /** From the signal until the platform kills the process. */
   readonly graceMs: number;
+  /** How long ago the signal may have come, as this process stood still or was busy. */
+  readonly signalAgeMs: number;
   readonly callers: Pick<
     CallerListener,
     'server' | 'inFlight' | 'openRequests' | 'connections' | 'endRunning' | 'answerLeft'
@@ -50,16 +54,19 @@
   readonly #cut = new Set<OpenRequest>();
 
   constructor(options: GatewayStopOptions) {
-    const { graceMs, callers, timers } = options;
+    const { graceMs, signalAgeMs, callers, timers } = options;
     this.#options = options;
     this.#beganAtMs = timers.nowMs();
     this.#noticeMs = callers.server.listening ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2) : 0;
-    this.cutsAtMs = this.#beganAtMs + graceMs - STOP_MARGIN_MS;
-    this.#deliveredByMs = this.#beganAtMs + graceMs - DELIVERY_MARGIN_MS;
+    const killedAtMs =
+      this.#beganAtMs + graceMs - Math.min(signalAgeMs, graceMs * MAX_SIGNAL_AGE_SHARE);
+    this.cutsAtMs = killedAtMs - STOP_MARGIN_MS;
+    this.#deliveredByMs = killedAtMs - DELIVERY_MARGIN_MS;
     options.log.write(GATEWAY_EVENTS.stopping, {
       inFlight: callers.inFlight,
       listenerClosesInMs: Math.round(this.#noticeMs),
       cutsInMs: Math.round(this.cutsAtMs - this.#beganAtMs),
+      signalAgeMs: Math.round(signalAgeMs),
     });
   }
 
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -431,6 +431,7 @@
     const { settings, adapter, timers, log } = this.#options;
     const stop = new GatewayStop({
       graceMs: settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND,
+      signalAgeMs: this.#stalls.lateMs(),
       callers: this.#callers,
       codec: adapter.requests,
       timers,
--- a/src/shell/gateway/stall-monitor.ts
+++ b/src/shell/gateway/stall-monitor.ts
@@ -28,6 +28,9 @@
   #processorMsAtTick = 0;
   #cancelTick: CancelTimer | undefined;
   #recovery: Promise<void> | undefined;
+  /** How late the last tick was noticed, and when. */
+  #lateMs = 0;
+  #noticedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: StallMonitorOptions) {
     this.#options = options;
@@ -38,6 +41,7 @@
     this.#processorMsAtTick = processorMs();
     this.#nextTickMs = timers.nowMs() + TICK_MS;
     this.#cancelTick = timers.after(TICK_MS, () => {
+      this.#noteLateness();
       this.#check();
       this.start();
     });
@@ -48,16 +52,36 @@
     this.#nextTickMs = Number.POSITIVE_INFINITY;
   }
 
+  /**
+   * How long this process may have been stopped or busy until just now: what it handles now may have come at the beginning of
+   * that time.
+   */
+  lateMs(): number {
+    const nowMs = this.#options.timers.nowMs();
+    const lastLateMs = nowMs - this.#noticedAtMs < TICK_MS ? this.#lateMs : 0;
+    return Math.max(0, lastLateMs, nowMs - this.#nextTickMs);
+  }
+
   /** Resolves once what this process knows is up to date after a stall; undefined if it has not stood still. */
   whenCurrent(): Promise<void> | undefined {
     this.#check();
     return this.#recovery;
   }
 
+  #noteLateness(): void {
+    const nowMs = this.#options.timers.nowMs();
+    const lateMs = nowMs - this.#nextTickMs;
+    // A request that was read first may have shown the same lateness.
+    if (lateMs < this.lateMs()) return;
+    this.#lateMs = lateMs;
+    this.#noticedAtMs = nowMs;
+  }
+
   #check(): void {
     const { minStallMs, recover, processorMs, timers, log } = this.#options;
     const stalledMs = timers.nowMs() - this.#nextTickMs;
     if (stalledMs < minStallMs) return;
+    this.#noteLateness();
     // The late timer must not report the same stall again.
     this.#nextTickMs = timers.nowMs() + TICK_MS;
     log.write(DEPARTURE_EVENTS.stoodStill, {
--- a/test/gateway/stall-monitor.test.ts
+++ b/test/gateway/stall-monitor.test.ts
@@ -83,3 +83,22 @@
   timers.advance(60_000);
   assert.equal(stalls, 0);
 });
+
+test('what is handled right after a stall may have come at its beginning', () => {
+  timers.advance(1_000);
+  assert.equal(monitor.lateMs(), 0);
+  timers.stall(STALL_MS);
+  assert.ok(monitor.lateMs() >= STALL_MS - 100);
+  timers.advance(1);
+  assert.ok(monitor.lateMs() >= STALL_MS - 100);
+  timers.advance(200);
+  assert.equal(monitor.lateMs(), 0);
+});
+
+test('a request that is handled first does not hide a stall from what is handled next', () => {
+  timers.advance(1_000);
+  timers.stall(STALL_MS);
+  assert.ok(monitor.whenCurrent());
+  timers.advance(1);
+  assert.ok(monitor.lateMs() >= STALL_MS - 100);
+});
