Accept all connections that wait before a stop closes the listener

Callers whose connections waited to be accepted as a stopping daemon closed its listener were reset, all but one: the stop waited for one turn of the event loop and took the accept queue to be empty, but libuv (1.46, as in node 20) accepts one connection of a listener in a turn. threadforkd had the same, and then also closed the one that it had accepted, as idle, before its request was read.

Both now go on until a turn of the event loop has accepted none (or dropped one for the most connections), at most 1,024 turns; the turn without any also reads what the last one has sent.

Evidence: in a script 19 of 20 connections that came in while the process was busy were reset; of 20 at a gateway (virtual time) 19, at threadforkd 20 of 20.

--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -6,6 +6,7 @@
 import type { StopTimes } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../core/logging/catalogue/stops.js';
+import { acceptWaiting } from '../http/accept-queue.js';
 import type { CallerListener } from './caller-listener.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { OpenRequest } from './open-requests.js';
@@ -75,10 +76,10 @@
 
   /** Closes the listener after the notice and resolves once no request is left, or those that are left have to be cut. */
   async waitForRequests(): Promise<void> {
-    const { timers } = this.#options;
+    const { callers, timers } = this.#options;
     const noticeMs = this.times.listenerClosesAtMs - this.#beganAtMs;
     if (noticeMs > 0) await delay(timers, noticeMs);
-    await socketsRead();
+    await acceptWaiting(callers.server);
     this.#closeListener();
     await this.#waitUntilQuiet();
   }
@@ -167,7 +168,7 @@
   }
 }
 
-/** Resolves right after the event loop has read the sockets: the accept queue is empty, and what had arrived is seen. */
+/** Resolves right after the event loop has read the sockets: what had arrived on open connections is seen. */
 function socketsRead(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
--- /dev/null
+++ b/src/shell/http/accept-queue.ts
@@ -0,0 +1,32 @@
+/** The connections that the system has established for a listener and that the process has not accepted yet. */
+import type { Server } from 'node:net';
+
+/** More than the system keeps for a listener; beyond it, connections arrive as fast as they are accepted. */
+const MAX_TURNS = 1_024;
+
+/**
+ * Accepts the connections that wait, as closing the listener would reset them. The event loop accepts one in a turn, so the
+ * queue is empty after a turn without any.
+ */
+export async function acceptWaiting(listener: Server): Promise<void> {
+  let accepted = 0;
+  const count = () => {
+    accepted += 1;
+  };
+  listener.on('connection', count);
+  listener.on('drop', count);
+  // The rest of a turn may come after its look at the sockets.
+  await turn();
+  for (let turns = 0; turns < MAX_TURNS; turns += 1) {
+    const before = accepted;
+    await turn();
+    if (accepted === before) break;
+  }
+  listener.off('connection', count);
+  listener.off('drop', count);
+}
+
+/** Resolves right after the event loop has read the sockets. */
+function turn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -10,6 +10,7 @@
 import type { VersionedConfiguration } from '../../core/configuration/document.js';
 import type { Endpoint } from '../../core/registry/backend.js';
 import type { AttemptEvent, RequestDescription, RequestEffect } from '../../core/requests/index.js';
+import { acceptWaiting } from './accept-queue.js';
 import { ActiveRequest, type RequestHost } from './active-request.js';
 import type { BackendAttempt, DispatchEffect } from './backend-attempt.js';
 import { BackendPools } from './backend-pools.js';
@@ -179,8 +180,7 @@
     this.#stopping = true;
     this.#answers.announceClose();
     await new Promise((resolve) => setTimeout(resolve, this.limits.stopIdleGraceMs));
-    // Right after the event loop's poll phase the accept queue is empty: no connection is reset.
-    await new Promise((resolve) => setImmediate(resolve));
+    await acceptWaiting(this.#server);
     // node:http's own close() would close idle connections on which a request may be in transit.
     NetServer.prototype.close.call(this.#server);
     this.#connections.closeWhenIdle();
--- a/test/http/planned-stop.test.ts
+++ b/test/http/planned-stop.test.ts
@@ -7,6 +7,7 @@
 import { type Harness, KEY, startHarness, startHttpBackend } from './support.js';
 
 const STOP_IDLE_GRACE_MS = 500;
+const WAITING_CONNECTIONS = 20;
 const TIMEOUT = { timeout: 10_000 };
 const REQUEST = [
   'POST /sheets/orders HTTP/1.1',
@@ -66,6 +67,20 @@
   }
 }
 
+/** Asks on a connection of its own; resolves with what came on it until its end. */
+function askReadiness(port: number): Promise<string> {
+  const socket = connect(port, '127.0.0.1');
+  socket.write('GET /readyz HTTP/1.1\r\nhost: a\r\n\r\n');
+  return new Promise((resolve) => {
+    let text = '';
+    socket.on('data', (chunk) => {
+      text += chunk.toString('latin1');
+    });
+    socket.on('error', () => undefined);
+    socket.once('close', () => resolve(text));
+  });
+}
+
 // A caller that is not told may send its next request on a connection that is about to be closed.
 test('an answer that begins in a stop says that its connection closes', async (t) => {
   const scene = await Scene.start(t);
@@ -77,6 +92,17 @@
   assert.match(scene.text, /^connection: close\r$/im);
 });
 
+// The event loop accepts one connection in a turn, and closing the listener resets the others.
+test('all connections that wait to be accepted as a stop closes the listener get an answer', async (t) => {
+  const { harness } = await Scene.start(t);
+  void harness.server.stopAccepting();
+  const answers = Array.from({ length: WAITING_CONNECTIONS }, () => askReadiness(harness.port));
+  const untilMs = performance.now() + STOP_IDLE_GRACE_MS;
+  while (performance.now() < untilMs);
+  const unanswered = (await Promise.all(answers)).filter((text) => !text.startsWith('HTTP/1.1 '));
+  assert.equal(unanswered.length, 0);
+});
+
 // The answer before it closed the connection, while a backend worked on the request.
 test('a pipelined request that arrives in a stop gets its answer after the one before it', async (t) => {
   const scene = await Scene.start(t);
