Take the age of a stop signal from a clock that no step of the time of day moves

A daemon whose time of day was set ahead shortly before SIGTERM cut requests that could have ended: with a step of 5 s it cut 3.3 s after the signal instead of 7.3 s. Cause: the age of the signal is taken from StallMonitor, whose clock counts a step ahead as a suspension of the machine; that is right for what the process knows of the fleet, and not for a grace period.

The lateness that a stop counts is measured by the steady clock, which goes on while a process is stopped or busy; the detection of stalls is as before.

--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -219,6 +219,7 @@
       },
       processorMs,
       timers: this.#suspensionAwareTimers,
+      steadyClock: timers,
       log,
     });
     this.#resources = this.#createResourceMonitor();
--- a/src/shell/gateway/stall-monitor.ts
+++ b/src/shell/gateway/stall-monitor.ts
@@ -17,7 +17,10 @@
   readonly recover: () => Promise<void>;
   /** Processor time of this process since its start, which tells whether it was busy in a stall or did not run. */
   readonly processorMs: () => number;
+  /** Their clock includes suspensions of the machine, and steps of its time of day. */
   readonly timers: TimerService;
+  /** A clock without either: the platform counts a grace period by no time of day. */
+  readonly steadyClock: Pick<TimerService, 'nowMs'>;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
@@ -25,10 +28,11 @@
 export class StallMonitor {
   readonly #options: StallMonitorOptions;
   #nextTickMs = Number.POSITIVE_INFINITY;
+  #steadyNextTickMs = Number.POSITIVE_INFINITY;
   #processorMsAtTick = 0;
   #cancelTick: CancelTimer | undefined;
   #recovery: Promise<void> | undefined;
-  /** How late the last tick was noticed, and when. */
+  /** How late the last tick was noticed, and when, by the steady clock. */
   #lateMs = 0;
   #noticedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -39,7 +43,7 @@
   start(): void {
     const { timers, processorMs } = this.#options;
     this.#processorMsAtTick = processorMs();
-    this.#nextTickMs = timers.nowMs() + TICK_MS;
+    this.#expectTick();
     this.#cancelTick = timers.after(TICK_MS, () => {
       this.#noteLateness();
       this.#check();
@@ -50,6 +54,7 @@
   stop(): void {
     this.#cancelTick?.();
     this.#nextTickMs = Number.POSITIVE_INFINITY;
+    this.#steadyNextTickMs = Number.POSITIVE_INFINITY;
   }
 
   /**
@@ -57,9 +62,9 @@
    * that time.
    */
   lateMs(): number {
-    const nowMs = this.#options.timers.nowMs();
+    const nowMs = this.#options.steadyClock.nowMs();
     const lastLateMs = nowMs - this.#noticedAtMs < TICK_MS ? this.#lateMs : 0;
-    return Math.max(0, lastLateMs, nowMs - this.#nextTickMs);
+    return Math.max(0, lastLateMs, nowMs - this.#steadyNextTickMs);
   }
 
   /** Resolves once what this process knows is up to date after a stall; undefined if it has not stood still. */
@@ -68,9 +73,15 @@
     return this.#recovery;
   }
 
+  #expectTick(): void {
+    const { timers, steadyClock } = this.#options;
+    this.#nextTickMs = timers.nowMs() + TICK_MS;
+    this.#steadyNextTickMs = steadyClock.nowMs() + TICK_MS;
+  }
+
   #noteLateness(): void {
-    const nowMs = this.#options.timers.nowMs();
-    const lateMs = nowMs - this.#nextTickMs;
+    const nowMs = this.#options.steadyClock.nowMs();
+    const lateMs = nowMs - this.#steadyNextTickMs;
     // A request that was read first may have shown the same lateness.
     if (lateMs < this.lateMs()) return;
     this.#lateMs = lateMs;
@@ -83,7 +94,7 @@
     if (stalledMs < minStallMs) return;
     this.#noteLateness();
     // The late timer must not report the same stall again.
-    this.#nextTickMs = timers.nowMs() + TICK_MS;
+    this.#expectTick();
     log.write(DEPARTURE_EVENTS.stoodStill, {
       stalledMs: Math.round(stalledMs),
       busyMs: Math.round(processorMs() - this.#processorMsAtTick),
--- a/test/gateway/stall-monitor.test.ts
+++ b/test/gateway/stall-monitor.test.ts
@@ -31,6 +31,7 @@
     },
     processorMs: () => processorMs,
     timers,
+    steadyClock: timers,
     log: { write: (event, fields = {}) => lines.push({ event, fields }) },
   });
   monitor.start();
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -160,6 +160,8 @@
 
 /** Gateways with their store and servers. */
 export class GatewayFixture {
+  /** How far the machine's time of day was set ahead. */
+  clockStepMs = 0;
   readonly store = new StoreStandIn();
   readonly lines: LoggedLine[] = [];
   readonly #servers: ServerStandIn[] = [];
@@ -236,7 +238,7 @@
       settings,
       adapter: links?.adapt(adapter) ?? adapter,
       timers,
-      wallClock: () => timers.nowMs(),
+      wallClock: () => timers.nowMs() + this.clockStepMs,
       log: new GatewayLog(logger, timers, settings.logging.maxLinesPerSecond),
     });
     this.#gateways.set(name, gateway);
