Close only connections without an answer on its way as callers open too many

A caller that read its answer slowly lost the rest of it, without a log line that names a failure, as others opened more connections than the daemon keeps (two thirds of its sockets): the daemon then closes idle connections with closeIdleConnections() of node:http, which takes an answer as ended once it is written. It is what server.close() did to callers in a stop, at a place without a stop.

The daemon now follows which connections owe an answer, and how much had been read of them as the last one ended: only those that owe none and have sent nothing since are closed.

--- a/src/shell/gateway/caller-connections.ts
+++ b/src/shell/gateway/caller-connections.ts
@@ -2,7 +2,7 @@
  * Keeps descriptors free for readiness checks, the store, other daemons and servers: callers' connections and requests take
  * only what is left. Without a descriptor the system closes new connections of any kind, and no server can be reached.
  */
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** The system keeps these for files. */
@@ -25,13 +25,21 @@
   readonly onDropped: () => void;
 }
 
+/** What a connection carries. */
+interface ConnectionUse {
+  /** Requests whose answers have not been written to the connection completely. */
+  open: number;
+  /** Bytes that had been read as the last answer ended; undefined before the first one. */
+  readAtAnswer: number | undefined;
+}
+
 /** The connections of callers to one listener. */
 export class CallerConnections {
   readonly #options: CallerConnectionsOptions;
   readonly #maxSockets: number;
   readonly #maxRejected: number;
   readonly #maxConnections: number;
-  readonly #open = new Set<Socket>();
+  readonly #open = new Map<Socket, ConnectionUse>();
 
   constructor(options: CallerConnectionsOptions) {
     this.#options = options;
@@ -40,6 +48,9 @@
     this.#maxSockets = Math.max(1, Math.floor(sockets * (1 - RESERVED_SHARE)) - this.#maxRejected);
     this.#maxConnections = Math.ceil(this.#maxSockets * CONNECTIONS_SHARE);
     options.server.on('connection', (socket: Socket) => this.#accept(socket));
+    options.server.on('request', ({ socket }: IncomingMessage, response: ServerResponse) =>
+      this.#follow(socket, response),
+    );
   }
 
   /** Whether each request in flight can have a connection to a server besides those of all callers. */
@@ -57,7 +68,7 @@
   }
 
   #accept(socket: Socket): void {
-    this.#open.add(socket);
+    this.#open.set(socket, { open: 0, readAtAnswer: undefined });
     socket.once('close', () => this.#open.delete(socket));
     if (this.#open.size > this.#maxConnections) this.#closeIdle();
     const isTooMany = this.#open.size > this.#maxConnections;
@@ -66,11 +77,25 @@
     socket.destroy();
   }
 
-  /** Closes connections between two requests: their callers connect again when they have one. */
+  #follow(socket: Socket, response: ServerResponse): void {
+    const use = this.#open.get(socket);
+    if (use === undefined) return;
+    use.open += 1;
+    response.once('close', () => {
+      use.open -= 1;
+      use.readAtAnswer = socket.bytesRead;
+    });
+  }
+
+  /**
+   * Closes connections between two requests: their callers connect again when they have one. To node:http's own
+   * closeIdleConnections() an answer has ended once it is written, while most of it may still be in the process.
+   */
   #closeIdle(): void {
-    this.#options.server.closeIdleConnections();
-    for (const socket of this.#open) {
-      if (socket.destroyed) this.#open.delete(socket);
+    for (const [socket, use] of this.#open) {
+      if (use.open > 0 || use.readAtAnswer !== socket.bytesRead) continue;
+      socket.destroy();
+      this.#open.delete(socket);
     }
   }
 }
