--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -246,7 +246,7 @@
     name: 'graceful-stop',
     promise: 'LOST',
     file: 'src/shell/gateway/gateway.ts',
-    text: 'await delay(timers, Math.min(NOT_READY_NOTICE_MS, graceMs / 2));',
+    text: 'await stop.waitForRequests();',
     replacement: 'this.abort();',
   },
   {
