--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -3,6 +3,7 @@
  * ended by then is cut. Log lines tell when each of it happened, and name each request that is cut.
  */
 import { Server as NetServer } from 'node:net';
+import type { StopTimes } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../core/logging/catalogue/stops.js';
 import type { CallerListener } from './caller-listener.js';
@@ -46,10 +47,9 @@
 /** One stop, which begins as it is created. */
 export class GatewayStop {
   readonly #options: GatewayStopOptions;
+  /** When the listener closes, and when requests that still run are cut. */
+  readonly times: StopTimes;
   readonly #beganAtMs: number;
-  readonly #noticeMs: number;
-  /** When requests that still run are cut. */
-  readonly cutsAtMs: number;
   readonly #deliveredByMs: number;
   readonly #cut = new Set<OpenRequest>();
 
@@ -57,15 +57,18 @@
     const { graceMs, signalAgeMs, callers, timers } = options;
     this.#options = options;
     this.#beganAtMs = timers.nowMs();
-    this.#noticeMs = callers.server.listening ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2) : 0;
+    const noticeMs = callers.server.listening ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2) : 0;
     const killedAtMs =
       this.#beganAtMs + graceMs - Math.min(signalAgeMs, graceMs * MAX_SIGNAL_AGE_SHARE);
-    this.cutsAtMs = killedAtMs - STOP_MARGIN_MS;
+    this.times = {
+      listenerClosesAtMs: this.#beganAtMs + noticeMs,
+      cutAtMs: killedAtMs - STOP_MARGIN_MS,
+    };
     this.#deliveredByMs = killedAtMs - DELIVERY_MARGIN_MS;
     options.log.write(GATEWAY_EVENTS.stopping, {
       inFlight: callers.inFlight,
-      listenerClosesInMs: Math.round(this.#noticeMs),
-      cutsInMs: Math.round(this.cutsAtMs - this.#beganAtMs),
+      listenerClosesInMs: Math.round(noticeMs),
+      cutsInMs: Math.round(this.times.cutAtMs - this.#beganAtMs),
       signalAgeMs: Math.round(signalAgeMs),
     });
   }
@@ -73,7 +76,8 @@
   /** Closes the listener after the notice and resolves once no request is left, or those that are left have to be cut. */
   async waitForRequests(): Promise<void> {
     const { timers } = this.#options;
-    if (this.#noticeMs > 0) await delay(timers, this.#noticeMs);
+    const noticeMs = this.times.listenerClosesAtMs - this.#beganAtMs;
+    if (noticeMs > 0) await delay(timers, noticeMs);
     await socketsRead();
     this.#closeListener();
     await this.#waitUntilQuiet();
@@ -85,15 +89,16 @@
    */
   async #waitUntilQuiet(): Promise<void> {
     const { callers, timers } = this.#options;
+    const { cutAtMs } = this.times;
     let quietSinceMs = timers.nowMs();
     let total = callers.openRequests.total;
-    while (timers.nowMs() < this.cutsAtMs) {
+    while (timers.nowMs() < cutAtMs) {
       const nowMs = timers.nowMs();
       if (callers.inFlight > 0 || callers.openRequests.total > total) quietSinceMs = nowMs;
       total = callers.openRequests.total;
       const isQuiet = nowMs - quietSinceMs >= QUIET_MS || callers.connections.open === 0;
       if (callers.inFlight === 0 && isQuiet) return;
-      await delay(timers, Math.min(STOP_POLL_MS, this.cutsAtMs - nowMs));
+      await delay(timers, Math.min(STOP_POLL_MS, cutAtMs - nowMs));
       await socketsRead();
     }
   }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -438,8 +438,9 @@
       log,
       metrics: this.#metrics,
     });
-    this.#callers.beginStop(stop.cutsAtMs);
+    this.#callers.beginStop(stop.times);
     this.#admission.beginStop();
+    this.#limits.beginStop();
     this.#stages.stop();
     await stop.waitForRequests();
     await stop.endRequests();
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -241,6 +241,7 @@
       maxWaitMs: leftMs(),
       signal: new AbortController().signal,
       progress: new RequestProgress(),
+      isCutByStop: () => false,
     };
   }
 }
