A stopping daemon does not refuse a request whose caller has gone

A request that is given up while its decode engine is chosen would be logged as refused by the stop. By reading; not seen. Comments and the order of fields besides.

--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -49,6 +49,7 @@
   readonly #planner: ModelPlanner;
   readonly #relay: StreamRelay;
   readonly #isRepeatable: boolean;
+  readonly #durationAfterPrefill = () => this.#planner.durationAfterPrefill();
   #rejections = 0;
   /** Engines that rejected the request for want of room. */
   readonly #fullEngineIds = new Set<string>();
@@ -56,8 +57,6 @@
   #way = 'direct';
   #lastReason = 'no engine';
 
-  readonly #durationAfterPrefill = () => this.#planner.durationAfterPrefill();
-
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
     this.#context = context;
--- a/src/shell/gateway/model-planner.ts
+++ b/src/shell/gateway/model-planner.ts
@@ -154,13 +154,13 @@
     return isReadLearnt ? this.#durationFrom(plan.expectedMs) : UNKNOWN_DURATION;
   }
 
-  /** The same by the best plan now; unknown if no engine is usable. */
+  /** How long the request is expected to take by the best plan now; unknown if no engine is usable. */
   durationNow(limits: PlanLimits): DurationEstimate {
     const plan = this.#bestPlan(limits);
     return plan === undefined ? UNKNOWN_DURATION : this.durationBy(plan);
   }
 
-  /** The same once the prompt has been read. */
+  /** How long the request is expected to take once its prompt has been read at a prefill engine. */
   durationAfterPrefill(): DurationEstimate {
     return this.#durationFrom(this.#speed.handOverMs);
   }
--- a/src/shell/gateway/stop-check.ts
+++ b/src/shell/gateway/stop-check.ts
@@ -32,6 +32,8 @@
 ): DurationEstimate | undefined {
   const stop = exchange.options.stop();
   if (stop === undefined || exchange.mayHaveRun || exchange.isAnswered) return undefined;
+  // Its caller has gone or its time is over, which ends it in another way.
+  if (exchange.signal.aborted) return undefined;
   const estimated = estimate();
   const nowMs = exchange.options.timers.nowMs();
   const { deadlineAtMs } = exchange;
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -52,10 +52,6 @@
   readonly #isRepeatable: boolean;
   readonly #pending = new Set<Promise<RunResult>>();
   readonly #abandoned = new AbortController();
-  #rejections = 0;
-  #lastFailure: CompleteAnswer | undefined;
-  #lastReason = 'no server';
-
   /**
    * How long the request may take, up to its deadline: several times the target latency, or the answer time of the slowest
    * server where that is longer.
@@ -70,6 +66,9 @@
     const durationMs = Math.min(longMs, this.#exchange.remainingMs());
     return { kind: learntMs.length === 0 ? 'configured' : 'learnt', durationMs };
   };
+  #rejections = 0;
+  #lastFailure: CompleteAnswer | undefined;
+  #lastReason = 'no server';
 
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
