--- a/soak/sessions.ts
+++ b/soak/sessions.ts
@@ -26,8 +26,8 @@
 /** Streams by how many tokens they have, with the share of each kind. */
 const STREAM_LENGTHS = [
   { share: 0.15, minTokens: 2, maxTokens: 10 },
-  { share: 0.5, minTokens: 20, maxTokens: 60 },
-  { share: 0.35, minTokens: 130, maxTokens: 220 },
+  { share: 0.4, minTokens: 20, maxTokens: 60 },
+  { share: 0.45, minTokens: 130, maxTokens: 220 },
 ] as const;
 const MIN_STREAM_DEADLINE_MS = 5_000;
 const MAX_STREAM_DEADLINE_MS = 15_000;
@@ -36,8 +36,9 @@
 const MAX_SHORT_DEADLINE_MS = 6_000;
 const WEB_DEADLINE_MS = 3_000;
 /** Share of the streams that have more tokens than they announce. */
-const LONGER_SHARE = 0.3;
-const MIN_ANNOUNCED_SHARE = 0.1;
+const LONGER_SHARE = 0.5;
+const MIN_ANNOUNCED_SHARE = 0.05;
+const MAX_ANNOUNCED_SHARE = 0.5;
 const BODY = 'what does this label say?';
 const MIN_PAUSE_MS = 2;
 const MAX_PAUSE_MS = 150;
@@ -102,7 +103,7 @@
     const maxDeadlineMs = isShort ? MAX_SHORT_DEADLINE_MS : MAX_STREAM_DEADLINE_MS;
     const forMs = between(random, MIN_STREAM_DEADLINE_MS, maxDeadlineMs);
     const isLonger = random() < LONGER_SHARE;
-    const announcedShare = isLonger ? between(random, MIN_ANNOUNCED_SHARE, 1) : 1;
+    const announcedShare = isLonger ? between(random, MIN_ANNOUNCED_SHARE, MAX_ANNOUNCED_SHARE) : 1;
     const announcedTokens = Math.ceil(outputTokens * announcedShare);
     const tokens = isLonger ? outputTokens : undefined;
     const paddingBytes = this.readGapMs > 0 ? SLOW_READER_PADDING_BYTES : 0;
--- a/soak/stop-judge.ts
+++ b/soak/stop-judge.ts
@@ -125,6 +125,7 @@
   const allowed = reasons.length === 0 ? 'none' : reasons.join(', ');
   return [
     `${stopsOf(run).length} stops cut ${cuts.length} requests: lost ${lost}; allowed: ${allowed}`,
+    describeLateRequests(calls, stopsOf(run)),
     ...stopRefusals(calls, run).map(
       ({ kind, offered, refused, refusedElsewhere }) =>
         `of ${offered} ${kind} that could certainly end in time, stopping daemons refused ${refused}; others refused ${refusedElsewhere.toFixed(2)} of theirs`,
@@ -132,6 +133,18 @@
   ];
 }
 
+/** How requests ended that stopping daemons got so late that no work of a server excuses their cut. */
+function describeLateRequests(calls: readonly CallRecord[], stops: readonly StoppedLife[]): string {
+  const stopMsOf = new Map(stops.map((life) => [keyOf(life), life.stopMs]));
+  const late = calls.filter(
+    (call) =>
+      call.sentMs > (stopMsOf.get(keyOf(call)) ?? Number.POSITIVE_INFINITY) + EXCUSED_SENT_MS,
+  );
+  const served = late.filter(({ end }) => end?.kind === 'answered' && end.isComplete).length;
+  const refused = late.filter(isRefused).length;
+  return `stopping daemons got ${late.length} requests over ${EXCUSED_SENT_MS} ms after the signal: served ${served - refused}, refused ${refused}`;
+}
+
 function refusalFault(refusals: StopRefusals): readonly StopFault[] {
   const { kind, offered, refused, refusedElsewhere } = refusals;
   const expected = offered * (1 - refusedElsewhere);
--- a/soak/stop-plan.ts
+++ b/soak/stop-plan.ts
@@ -64,15 +64,31 @@
   kind: 'streaming',
   attempts: 2,
   timeoutMs: STREAM_TIMEOUT_MS,
-  targetLatencyMs: 1_000,
 } as const;
+/** Late enough that daemons seldom refuse streams as engines become slower: more of them run as a daemon stops. */
+const STREAM_LATENCY_MS = 3_000;
+const BATCH_LATENCY_MS = 6_000;
 const WEB = { timeoutMs: WEB_TIMEOUT_MS, targetLatencyMs: 150, isResumable: false } as const;
 
 const CLASSES: readonly RequestClass[] = [
   { name: 'get', pathPrefix: '/get/', kind: 'idempotent', attempts: 2, ...WEB, share: 0.1 },
   { name: 'post', pathPrefix: '/post/', kind: 'non-idempotent', attempts: 2, ...WEB, share: 0.1 },
-  { name: 'generate', pathPrefix: '/generate/', ...STREAMS, isResumable: true, share: 0.4 },
-  { name: 'batch', pathPrefix: '/batch/', ...STREAMS, isResumable: false, share: 0.4 },
+  {
+    ...STREAMS,
+    name: 'generate',
+    pathPrefix: '/generate/',
+    targetLatencyMs: STREAM_LATENCY_MS,
+    isResumable: true,
+    share: 0.4,
+  },
+  {
+    ...STREAMS,
+    name: 'batch',
+    pathPrefix: '/batch/',
+    targetLatencyMs: BATCH_LATENCY_MS,
+    isResumable: false,
+    share: 0.4,
+  },
 ];
 
 export function planStops(seed: number, size: SoakSize): SoakPlan {
