A stopping gateway answers pipelined requests, and waits for none whose caller has left

A pipelined request that ran as the answer before it ended in a stop lost its answer: that answer said Connection: close, and node:http closed the connection. The same at the end of a stop, where the answer behind a request that is cut was ready and is now delivered. A pipelined request whose caller had left stayed in flight for good, as node:http closes only the answer whose turn it is: each later stop took its full 7.3 s and counted a cut request.

Cause and fix are those of threadforkd: PendingAnswers knows the order of the answers that a connection owes. The last one says that the connection closes, and all are closed when their connection ends.

One test of stop-lines.test.ts counted on the loss: the answer behind a cut one was named as not delivered, and now it arrives.

--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -13,6 +13,7 @@
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { breakOffResponse } from '../http/break-off-response.js';
+import { PendingAnswers } from '../http/pending-answers.js';
 import type { AttemptContext } from './attempt.js';
 import { BodyReader, discardBody, headerBytes } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
@@ -89,6 +90,7 @@
   #isEnding = false;
   readonly #open = new OpenRequests();
   readonly #bodies: BodyReader;
+  readonly #answers = new PendingAnswers();
   readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
@@ -101,7 +103,10 @@
         requestTimeout: 0,
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
       },
-      (request, response) => this.handle(request, response),
+      (request, response) => {
+        if (this.#answers.add(request.socket, response)) this.handle(request, response);
+        else request.resume();
+      },
     );
     this.connections = new CallerConnections({
       server: this.#server,
@@ -136,9 +141,10 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  /** From now on answers carry `Connection: close`. */
+  /** From now on the last answer of each connection carries `Connection: close`. */
   beginStop(stop: StopTimes): void {
     this.#stop = stop;
+    this.#answers.announceClose();
   }
 
   /**
@@ -400,8 +406,8 @@
     if (response.headersSent) return;
     const body = `${reason}\n`;
     const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
-    const mustClose = closesConnection || this.#stop !== undefined || !request.complete;
-    response.writeHead(status, [...headers, ...own, ...(mustClose ? ['Connection', 'close'] : [])]);
+    if (closesConnection || !request.complete) response.shouldKeepAlive = false;
+    response.writeHead(status, [...headers, ...own]);
     response.end(body);
     this.#options.metrics.recordRequest(
       { route: '', kind: 'none', outcome: `status-${status}`, reason },
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -82,7 +82,7 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-  /** The times of this daemon's stop; unless undefined, answers carry `Connection: close`. */
+  /** The times of this daemon's stop; undefined unless it is stopping. */
   readonly stop: () => StopTimes | undefined;
 }
 
@@ -377,9 +377,8 @@
     const { response } = this.options;
     if (this.#isAnswered || response.destroyed) return false;
     this.#isAnswered = true;
-    const closing = this.options.stop() === undefined ? [] : ['Connection', 'close'];
     const hop = this.options.hopHeaders?.(this.#serverIdsSentTo()) ?? [];
-    response.writeHead(status, [...headers, ...closing, ...hop]);
+    response.writeHead(status, [...headers, ...hop]);
     return true;
   }
 
--- a/test/gateway/connections-in-a-stop.test.ts
+++ b/test/gateway/connections-in-a-stop.test.ts
@@ -196,6 +196,22 @@
   assert.match(await caller.receiveAll(), /first.*HTTP\/1\.1 200 .*second$/s);
 });
 
+// The one before it was cut, and its connection closed with it.
+test('an answer that waits for the one before it on its connection arrives as that is cut', async () => {
+  const { held, script } = holding();
+  await addServer(script);
+  const caller = new Caller();
+  caller.socket.write(`${request('/tiles/1', 'a-1')}${request('/tiles/2', 'a-2')}`);
+  await timers.advanceUntil(() => held.length === 2);
+  const [, second] = held;
+  assert.ok(second);
+  answering(200, ANSWER)(second);
+  await fixture.logged(GATEWAY_EVENTS.requestEnded);
+  stop();
+  await untilStopped();
+  assert.match(await caller.receiveAll(), /^HTTP\/1\.1 504 .*HTTP\/1\.1 200 .*served$/s);
+});
+
 // node:http tells nothing of the end of a connection to the answers whose turn has not come.
 test('a stop does not wait for a pipelined request whose caller has left', async () => {
   const { held, script } = holding();
--- a/test/gateway/stop-lines.test.ts
+++ b/test/gateway/stop-lines.test.ts
@@ -26,6 +26,8 @@
 const DAEMON = 'front-1';
 const FIRST = 'id: 1\ndata: piece 1\n\n';
 const OUTLASTING_MS = 60_000;
+/** Most of it stays in the daemon while its caller does not read. */
+const LARGE_ANSWER = 'x'.repeat(15_000_000);
 
 let fixture: GatewayFixture;
 let timers: ManualTimers;
@@ -175,7 +177,7 @@
 
 test('an answer that waits for the one before it on its connection is named with what is left of it', async () => {
   const { script, received } = receiving(({ seen, response }) => {
-    if (seen.url === '/tiles/2') response.writeHead(200, stamped(seen)).end('served');
+    if (seen.url === '/tiles/2') response.writeHead(200, stamped(seen)).end(LARGE_ANSWER);
   });
   await addServer('i-1', script);
   const socket = send('/tiles/1');
@@ -186,7 +188,7 @@
   assert.equal(first?.phase, 'sent');
   assert.equal(second?.phase, 'delivering');
   assert.equal(second?.server, 'i-1');
-  assert.ok(Number(second?.bufferedBytes) >= 'served'.length);
+  assert.ok(Number(second?.bufferedBytes) >= LARGE_ANSWER.length / 10);
 });
 
 test('the lines of a stop tell when the listener closes, when requests are cut, and how many were', async () => {
