Answer a request that is pipelined behind an answer from before the signal

A caller whose stream began before the signal, and that sent its next request before the stream ended, got no answer to it, and its connection stayed open without one until the process ended. Cause: since pipelined requests are followed in the gateway too, the signal marks the last answer of each connection as its end, also where its head has been sent and told the caller nothing; what came behind such an answer was dropped as if the caller had known, and node:http kept the connection open.

--- a/src/shell/http/pending-answers.ts
+++ b/src/shell/http/pending-answers.ts
@@ -32,7 +32,7 @@
     this.#isClosing = true;
     for (const pending of this.#pending.values()) {
       const last = [...pending].at(-1);
-      if (last !== undefined) last.shouldKeepAlive = false;
+      if (last?.headersSent === false) last.shouldKeepAlive = false;
     }
   }
 
--- a/test/gateway/connections-in-a-stop.test.ts
+++ b/test/gateway/connections-in-a-stop.test.ts
@@ -226,3 +226,23 @@
   await untilStopped();
   assert.ok(timers.nowMs() - stoppedAtMs < SHORTLY_BEFORE_CUT_MS);
 });
+
+// The head of the stream was sent before the signal, so its caller was not told that the connection closes.
+test('a request that is pipelined behind a stream from before the signal gets an answer', async () => {
+  const { held, script } = holding();
+  await addServer(script, { service: 'reader', stage: 'decode' });
+  const caller = new Caller();
+  caller.socket.write(request('/read/1'));
+  await timers.advanceUntil(() => held.length === 1);
+  const [stream] = held;
+  assert.ok(stream);
+  stream.response.writeHead(200, { ...stamped(stream.seen), 'Content-Type': 'text/event-stream' });
+  stream.response.write(FIRST_EVENT);
+  await caller.receive(FIRST_EVENT);
+  stop();
+  caller.socket.write(request('/none/2', 'a-2'));
+  await timers.advanceBy(LOOK_MS);
+  stream.response.end();
+  await untilStopped();
+  assert.match(await caller.receiveAll(), /0\r\n\r\nHTTP\/1\.1 404 /);
+});
