Answers that are still being sent are not idle connections

A daemon near its limit of descriptors closes callers' idle connections for new ones, and with them answers that a caller had not read yet: 4.3 of 12 MB arrived. The daemon counted the request as answered.

Now only connections that owe no answer are closed, by PendingAnswers, in which an answer stays until it is sent. The new test of test/resources/descriptor-limits.test.ts (a real process) failed before and passes now; the three before it pass.

--- a/src/shell/gateway/caller-connections.ts
+++ b/src/shell/gateway/caller-connections.ts
@@ -17,6 +17,8 @@
 /** Dependencies of the connections. */
 export interface CallerConnectionsOptions {
   readonly server: Server;
+  /** Closes the connections between two requests. */
+  readonly closeIdle: () => void;
   /** The most descriptors of this process; undefined where there are more than it can need. */
   readonly descriptors: number | undefined;
   /** Each of them may need a connection to a server. */
@@ -68,7 +70,7 @@
 
   /** Closes connections between two requests: their callers connect again when they have one. */
   #closeIdle(): void {
-    this.#options.server.closeIdleConnections();
+    this.#options.closeIdle();
     for (const socket of this.#open) {
       if (socket.destroyed) this.#open.delete(socket);
     }
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -110,6 +110,7 @@
     );
     this.connections = new CallerConnections({
       server: this.#server,
+      closeIdle: () => this.#answers.closeIdle(),
       descriptors: options.descriptors,
       requestsInFlight: () => this.inFlight,
       onDropped: () => options.resources.recordDropped(),
--- a/src/shell/http/pending-answers.ts
+++ b/src/shell/http/pending-answers.ts
@@ -36,6 +36,16 @@
     }
   }
 
+  /**
+   * Closes the connections between two requests: none is owed an answer, and the one before was sent. node:http's own
+   * `closeIdleConnections` also destroys connections whose answer is written, but still being sent.
+   */
+  closeIdle(): void {
+    for (const [socket, pending] of this.#pending) {
+      if (pending.size === 0) socket.destroy();
+    }
+  }
+
   #pendingOf(socket: Socket): Set<ServerResponse> {
     const known = this.#pending.get(socket);
     if (known !== undefined) return known;
--- a/test/resources/descriptor-limits.test.ts
+++ b/test/resources/descriptor-limits.test.ts
@@ -10,7 +10,10 @@
 const CONNECTIONS = 400;
 /** Fewer than the descriptors for sockets; the other ones are enough for the store, readiness and a request. */
 const IDLE_CONNECTIONS = 90;
-/** In the log lines of this event. */
+/** More than the system buffers for a connection whose caller does not read. */
+const LARGE_BYTES = 12_000_000;
+/** In the log lines of these events. */
+const REQUEST_ENDED = '"event":6030';
 const CONNECTIONS_DROPPED = '"event":6232';
 
 let gateway: RealGateway | undefined;
@@ -82,3 +85,23 @@
     assert.equal(one.status, 200, `connection ${sent}`);
   }
 });
+
+// An answer counts as ended for node:http once it is written, while most of it may still be in the process.
+test('an answer that its caller reads late arrives whole though idle connections are closed for new ones', async () => {
+  const to = await startGateway();
+  to.serve = (request, response) => {
+    if (request.url !== '/web/large') return answer(request, response);
+    const headers = { 'X-Attempt-Id': request.headers['x-attempt-id'], 'X-Response-Stamp': 's' };
+    response.writeHead(200, headers).end(Buffer.alloc(LARGE_BYTES));
+  };
+  const large = to.send({ path: '/web/large' });
+  large.socket.pause();
+  await to.waitUntil(() => to.output.includes(REQUEST_ENDED), WAIT_MS);
+  for (let sent = 0; sent < IDLE_CONNECTIONS; sent += 1) {
+    const one = to.send({});
+    await to.waitUntil(() => one.status !== undefined || one.socket.destroyed, WAIT_MS);
+  }
+  large.socket.resume();
+  await to.waitUntil(() => large.receivedLength > LARGE_BYTES || large.socket.destroyed, WAIT_MS);
+  assert.ok(large.receivedLength > LARGE_BYTES, `${large.receivedLength} bytes`);
+});
--- a/test/resources/support/real-gateway.ts
+++ b/test/resources/support/real-gateway.ts
@@ -65,6 +65,11 @@
     return found === undefined ? undefined : Number(found);
   }
 
+  /** The characters of the answer so far, its head included. */
+  get receivedLength(): number {
+    return this.#received.length;
+  }
+
   /** Whether the answer says when the caller may come back. */
   get saysWhenToReturn(): boolean {
     return /\r\nRetry-After: [\d.]+\r\n/i.test(this.#received);
