Answers of pipelined requests in a stop, and the end of their connection

In a stop the first answer on a connection carried Connection: close, so node:http dropped the answers of pipelined requests behind it, though these ran; now only the last answer of a connection does. A caller that left while a pipelined request waited for its turn was never noticed, as node:http tells only the answer whose turn it is; the stop then waited until it cut. The request now ends with its connection.

--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -136,7 +136,7 @@
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 
-  /** From now on answers carry `Connection: close`. */
+  /** From now on the last answer of each connection carries `Connection: close`. */
   beginStop(stop: StopTimes): void {
     this.#stop = stop;
   }
@@ -246,7 +246,7 @@
     open.enter('finding-origin', route.name);
     const resumption = await context.streams.decideResumption(description, route);
     // The exchange would not notice a close from before it was there.
-    if (response.closed) return;
+    if (response.destroyed) return;
     if (this.#isEnding) return this.#rejectStopping(open);
     const resumedOrigin = resumption?.kind === 'continue' ? resumption.origin : undefined;
     const service = resumedOrigin?.service ?? this.#serviceOf(route, forwarded);
@@ -270,6 +270,7 @@
       log,
       metrics,
       stop: () => this.#stop,
+      closesConnection: () => this.#closesConnection(request),
     });
     open.runBy(exchange);
     if (resumption?.kind === 'reject') return refuseResumption(exchange, resumption.reason);
@@ -317,6 +318,10 @@
     return this.#options.paths.isLost(forwarded.service) ? CUT_OFF_REASON : undefined;
   }
 
+  #closesConnection(request: IncomingMessage): boolean {
+    return this.#stop !== undefined && this.#open.isLastOnConnection(request);
+  }
+
   /** Rejects a request that no exchange runs at the end of a stop. */
   #rejectStopping({ arrived }: OpenRequest): void {
     const { request, response, forwarded } = arrived;
@@ -400,7 +405,7 @@
     if (response.headersSent) return;
     const body = `${reason}\n`;
     const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
-    const mustClose = closesConnection || this.#stop !== undefined || !request.complete;
+    const mustClose = closesConnection || this.#closesConnection(request) || !request.complete;
     response.writeHead(status, [...headers, ...own, ...(mustClose ? ['Connection', 'close'] : [])]);
     response.end(body);
     this.#options.metrics.recordRequest(
--- a/src/shell/gateway/exchange.ts
+++ b/src/shell/gateway/exchange.ts
@@ -82,8 +82,10 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-  /** The times of this daemon's stop; unless undefined, answers carry `Connection: close`. */
+  /** The times of this daemon's stop; undefined unless it stops. */
   readonly stop: () => StopTimes | undefined;
+  /** Whether the answer carries `Connection: close`. */
+  readonly closesConnection: () => boolean;
 }
 
 /** Durations of a request's steps; undefined for steps that have not happened. */
@@ -377,7 +379,7 @@
     const { response } = this.options;
     if (this.#isAnswered || response.destroyed) return false;
     this.#isAnswered = true;
-    const closing = this.options.stop() === undefined ? [] : ['Connection', 'close'];
+    const closing = this.options.closesConnection() ? ['Connection', 'close'] : [];
     const hop = this.options.hopHeaders?.(this.#serverIdsSentTo()) ?? [];
     response.writeHead(status, [...headers, ...closing, ...hop]);
     return true;
--- a/src/shell/gateway/open-requests.ts
+++ b/src/shell/gateway/open-requests.ts
@@ -1,5 +1,6 @@
 /** The requests of callers whose answers have not ended, from the arrival of their heads. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { LogFields } from '../../core/logging/log-event.js';
 import type { Exchange } from './exchange.js';
 import type { ForwardedRequest } from './forwarding-headers.js';
@@ -99,6 +100,7 @@
 /** All requests of one daemon whose answers have not ended. */
 export class OpenRequests {
   readonly #open = new Set<OpenRequest>();
+  readonly #lastOn = new WeakMap<Socket, IncomingMessage>();
   #total = 0;
 
   /** Requests since the process started. */
@@ -120,7 +122,27 @@
     const open = new OpenRequest(arrived);
     this.#open.add(open);
     this.#total += 1;
-    arrived.response.once('close', () => this.#open.delete(open));
+    const { request, response } = arrived;
+    const { socket } = request;
+    this.#lastOn.set(socket, request);
+    const endWithConnection = () => closeUnsent(response);
+    socket.once('close', endWithConnection);
+    response.once('close', () => {
+      socket.off('close', endWithConnection);
+      this.#open.delete(open);
+    });
     return open;
   }
+
+  /** Whether no pipelined request has come after this one, so that its answer may close the connection. */
+  isLastOnConnection(request: IncomingMessage): boolean {
+    return this.#lastOn.get(request.socket) === request;
+  }
+}
+
+/** node:http tells only the answer whose turn it is that its connection has closed, and no pipelined one after it. */
+function closeUnsent(response: ServerResponse): void {
+  if (response.closed) return;
+  response.destroy();
+  response.emit('close');
 }
