--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,19 +4,26 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { MemoryLedger, MemoryReservation, Route, Tenant } from '../../core/gateway/index.js';
+import type {
+  MemoryLedger,
+  MemoryReservation,
+  Route,
+  StopTimes,
+  Tenant,
+} from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import type { AttemptContext } from './attempt.js';
 import { BodyReader, discardBody, headerBytes } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
-import { Exchange } from './exchange.js';
+import { Exchange, STOPPING_RETRY_AFTER_MS } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
 import { type ForwardedRequest, notTakenHeaders } from './forwarding-headers.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import { INTERNAL_FAULT_REASON, logFault } from './internal-faults.js';
 import { runModelExchange } from './model-exchange.js';
+import { type OpenRequest, OpenRequests } from './open-requests.js';
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
 import type { GatewayLog } from './request-log.js';
@@ -38,7 +45,12 @@
 /** Enough digits to find the tenant of a key in the log, and too few to recover the key. */
 const KEY_DIGEST_DIGITS = 8;
 const CUT_OFF_REASON = 'this daemon is cut off from the servers';
+const STOPPING_REASON = 'this daemon is stopping';
 const RETRY_LATER = ['Retry-After', String(REJECTED_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND)];
+const STOPPING_RETRY_LATER = [
+  'Retry-After',
+  (STOPPING_RETRY_AFTER_MS / MILLISECONDS_PER_SECOND).toFixed(2),
+];
 /** A 401 names the authentication scheme (RFC 9110 section 11.6.1). */
 const CHALLENGE = ['WWW-Authenticate', 'ApiKey'] as const;
 
@@ -59,28 +71,25 @@
 
 /** A request that has been read, with its route and tenant. */
 interface AdmittedRequest {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
+  readonly open: OpenRequest;
   readonly inForce: ConfigurationInForce;
   readonly route: Route;
   readonly tenant: Tenant | undefined;
   readonly body: Buffer;
   readonly memory: MemoryReservation;
-  readonly arrivedAtMs: number;
-  /** Set for a request that another daemon has forwarded. */
-  readonly forwarded: ForwardedRequest | undefined;
 }
 
 /** Accepts callers' requests. */
 export class CallerListener {
   readonly #options: CallerListenerOptions;
   readonly #server: Server;
-  /** When requests in flight are aborted; undefined unless the daemon is stopping. */
-  #stopsAtMs: number | undefined;
-  /** The answers of requests that have no final answer yet. */
-  readonly #open = new Set<ServerResponse>();
+  /** Undefined unless the daemon is stopping. */
+  #stop: StopTimes | undefined;
+  /** Whether a stop is at its end, so that nothing runs any more. */
+  #isEnding = false;
+  readonly #open = new OpenRequests();
   readonly #bodies: BodyReader;
-  readonly #connections: CallerConnections;
+  readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -94,7 +103,7 @@
       },
       (request, response) => this.handle(request, response),
     );
-    this.#connections = new CallerConnections({
+    this.connections = new CallerConnections({
       server: this.#server,
       descriptors: options.descriptors,
       requestsInFlight: () => this.inFlight,
@@ -107,6 +116,11 @@
     return this.#open.size;
   }
 
+  /** The requests that have no final answer yet. */
+  get openRequests(): Pick<OpenRequests, 'all' | 'total'> {
+    return this.#open;
+  }
+
   /** Bytes that are held of the bodies of requests whose answers have not ended. */
   get bodyBytes(): number {
     return this.#bodies.heldBytes;
@@ -123,13 +137,33 @@
   }
 
   /** From now on answers carry `Connection: close`. */
-  beginStop(stopsAtMs: number): void {
-    this.#stopsAtMs = stopsAtMs;
+  beginStop(stop: StopTimes): void {
+    this.#stop = stop;
+  }
+
+  /**
+   * Ends what runs at the end of a stop. Requests whose body is arriving are rejected as soon as it is there, as are those
+   * that still come: an answer may be lost where a connection is closed with unread bytes.
+   */
+  endRunning(): void {
+    this.#isEnding = true;
+    for (const { arrived, exchange } of this.#open.all()) {
+      if (!arrived.response.writableEnded) exchange?.endByStop();
+    }
+  }
+
+  /** Answers the requests that `endRunning` has not ended, whatever they wait for. */
+  answerLeft(): void {
+    for (const open of this.#open.all()) {
+      if (open.arrived.response.writableEnded) continue;
+      if (open.exchange === undefined) this.#rejectStopping(open);
+      else open.exchange.endInterrupted();
+    }
   }
 
   /** Ends all answers that are not complete, so that none looks complete. */
   breakOff(): void {
-    for (const response of [...this.#open]) breakOffResponse(response);
+    for (const { arrived } of this.#open.all()) breakOffResponse(arrived.response);
   }
 
   /**
@@ -137,10 +171,10 @@
    * @param forwarded set for a request that another daemon has forwarded
    */
   handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
-    this.#open.add(response);
-    response.once('close', () => this.#open.delete(response));
+    const arrivedAtMs = this.#options.timers.nowMs();
+    const open = this.#open.add({ request, response, forwarded, arrivedAtMs });
     response.on('error', () => breakOffResponse(response));
-    this.#admit(request, response, forwarded).catch((exception: unknown) => {
+    this.#admit(open).catch((exception: unknown) => {
       this.#logFault(request, exception);
       if (response.headersSent) breakOffResponse(response);
       else this.#reject(request, response, 500, INTERNAL_FAULT_REASON, []);
@@ -153,13 +187,10 @@
     logFault(log, { task: 'request', request: attemptId, server: '' }, exception);
   }
 
-  async #admit(
-    request: IncomingMessage,
-    response: ServerResponse,
-    forwarded: ForwardedRequest | undefined,
-  ): Promise<void> {
-    const arrivedAtMs = this.#options.timers.nowMs();
+  async #admit(open: OpenRequest): Promise<void> {
+    const { request, response, forwarded } = open.arrived;
     const { context } = this.#options;
+    if (this.#isEnding) return this.#rejectStopping(open);
     const { inForce } = context.fleet;
     const isReady = inForce !== undefined && context.crashes.isReadyToServe;
     if (!isReady) {
@@ -179,9 +210,10 @@
     if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
-    if (!this.#connections.hasRoom) {
+    if (!this.connections.hasRoom) {
       return this.#rejectUnread(request, response, isChecked, NO_DESCRIPTORS_REASON);
     }
+    open.enter('reading-body', route.name);
     const reading = await this.#bodies.read(
       request,
       response,
@@ -197,33 +229,25 @@
       case 'read':
         break;
     }
+    if (this.#isEnding) return this.#rejectStopping(open);
     const { body, memory } = reading;
     const { tenant } = admission;
-    const admitted: AdmittedRequest = {
-      request,
-      response,
-      inForce,
-      route,
-      tenant,
-      body,
-      memory,
-      arrivedAtMs,
-      forwarded,
-    };
-    await this.#runExchange(admitted);
+    await this.#runExchange({ open, inForce, route, tenant, body, memory });
   }
 
   async #runExchange(admitted: AdmittedRequest): Promise<void> {
-    const { request, response, inForce, route, tenant, body, memory, arrivedAtMs, forwarded } =
-      admitted;
-    const { context, timers, log, metrics, paths } = this.#options;
+    const { open, inForce, route, tenant, body, memory } = admitted;
+    const { request, response, arrivedAtMs, forwarded } = open.arrived;
+    const { context, timers, log, metrics } = this.#options;
     const description = context.codec.describe(request.headers);
     if (description === undefined) {
       return this.#reject(request, response, 400, 'no attempt id', []);
     }
+    open.enter('finding-origin', route.name);
     const resumption = await context.streams.decideResumption(description, route);
     // The exchange would not notice a close from before it was there.
     if (response.closed) return;
+    if (this.#isEnding) return this.#rejectStopping(open);
     const resumedOrigin = resumption?.kind === 'continue' ? resumption.origin : undefined;
     const service = resumedOrigin?.service ?? this.#serviceOf(route, forwarded);
     const exchange = new Exchange({
@@ -240,14 +264,14 @@
       arrivedAtMs,
       forwarded,
       resumedOrigin,
-      refusalHeaders: () =>
-        forwarded !== undefined && paths.isLost(service) ? notTakenHeaders(CUT_OFF_REASON) : [],
+      refusalHeaders: () => this.#refusalHeaders(service, forwarded),
       ...(forwarded === undefined ? {} : { hopHeaders: (ids) => this.#availabilityHeaders(ids) }),
       timers,
       log,
       metrics,
-      stopsAtMs: () => this.#stopsAtMs,
+      stop: () => this.#stop,
     });
+    open.runBy(exchange);
     if (resumption?.kind === 'reject') return refuseResumption(exchange, resumption.reason);
     if (context.crashes.refuseIfQuarantined(exchange)) return;
     const unfollow = context.crashes.follow(exchange);
@@ -261,6 +285,13 @@
     }
   }
 
+  /** Passes a forwarded request back, so that a third daemon takes what this one refuses as it stops or is cut off. */
+  #refusalHeaders(service: string, forwarded: ForwardedRequest | undefined): RawHeaders {
+    if (forwarded === undefined) return [];
+    if (this.#stop !== undefined) return notTakenHeaders(STOPPING_REASON);
+    return this.#options.paths.isLost(service) ? notTakenHeaders(CUT_OFF_REASON) : [];
+  }
+
   #availabilityHeaders(serverIds: ReadonlySet<string>): RawHeaders {
     const { context, timers } = this.#options;
     return encodeAvailability(unavailableAmong(serverIds, context.fleet, timers.nowMs()));
@@ -281,11 +312,19 @@
     forwarded: ForwardedRequest | undefined,
   ): string | undefined {
     if (forwarded === undefined) return undefined;
-    if (this.#stopsAtMs !== undefined) return 'this daemon is stopping';
+    if (this.#stop !== undefined) return STOPPING_REASON;
     if (configuration.version < forwarded.configurationVersion) return 'an older configuration';
     return this.#options.paths.isLost(forwarded.service) ? CUT_OFF_REASON : undefined;
   }
 
+  /** Rejects a request that no exchange runs at the end of a stop. */
+  #rejectStopping({ arrived }: OpenRequest): void {
+    const { request, response, forwarded } = arrived;
+    const headers =
+      forwarded === undefined ? STOPPING_RETRY_LATER : notTakenHeaders(STOPPING_REASON);
+    this.#reject(request, response, 503, STOPPING_REASON, headers);
+  }
+
   /** The body is read first: a connection that is closed with unread bytes is reset, and the answer may be lost. */
   async #rejectForwarded(
     request: IncomingMessage,
@@ -311,7 +350,7 @@
     this.#options.resources.recordRejected();
     const headers = isForwarded ? notTakenHeaders(reason) : RETRY_LATER;
     await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
-    this.#reject(request, response, 503, reason, headers, !this.#connections.hasRoom);
+    this.#reject(request, response, 503, reason, headers, !this.connections.hasRoom);
   }
 
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
@@ -357,9 +396,11 @@
     headers: RawHeaders,
     closesConnection = false,
   ): void {
+    // The end of a stop may have answered it meanwhile.
+    if (response.headersSent) return;
     const body = `${reason}\n`;
     const own = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
-    const mustClose = closesConnection || this.#stopsAtMs !== undefined || !request.complete;
+    const mustClose = closesConnection || this.#stop !== undefined || !request.complete;
     response.writeHead(status, [...headers, ...own, ...(mustClose ? ['Connection', 'close'] : [])]);
     response.end(body);
     this.#options.metrics.recordRequest(
--- a/src/shell/gateway/stream-waits.ts
+++ b/src/shell/gateway/stream-waits.ts
@@ -39,10 +39,12 @@
     if (latest.inMs >= exchange.remainingMs()) return false;
     const untilMs = startedMs + Math.max(MAX_EXPECTED_WAITS * latest.inMs, CHECK_INTERVAL_MS);
     this.#waiting += 1;
+    const endWait = exchange.progress.begin('waiting-for-engine');
     while (latest.kind === 'expected' && timers.nowMs() < untilMs && isHeld(exchange)) {
       await delay(timers, CHECK_INTERVAL_MS, exchange.signal);
       latest = outlook();
     }
+    endWait();
     this.#waiting -= 1;
     logWait(exchange, timers.nowMs() - startedMs, latest.kind);
     return latest.kind === 'usable' && isHeld(exchange);
@@ -50,7 +52,7 @@
 }
 
 function isHeld(exchange: Exchange): boolean {
-  return !exchange.signal.aborted && exchange.options.stopsAtMs() === undefined;
+  return !exchange.signal.aborted && exchange.options.stop() === undefined;
 }
 
 function logWait(exchange: Exchange, waitedMs: number, outcome: StreamOutlook['kind']): void {
