--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -20,7 +20,7 @@
 } from './record.js';
 import { CRASHING_MARK, completeBody, EVENT_GAP_MS } from './response-bodies.js';
 import { unservedSkews } from './skew-judge.js';
-import { lossFaults, refusalFaults, stopCuts } from './stop-judge.js';
+import { lossFaults, serviceFaults, stopCuts } from './stop-judge.js';
 import { hasAllEvents, resumptionFaults, versionFaults } from './stream-judge.js';
 
 /** The promises; docs/SOAK.md describes each in a sentence. */
@@ -356,7 +356,7 @@
   if (!run.hasStrictStops) return [];
   return [
     ...lossFaults(calls, run).map((fault): Violation => ({ promise: 'LOST', ...fault })),
-    ...refusalFaults(calls, run).map((fault): Violation => ({ promise: 'RECOVER', ...fault })),
+    ...serviceFaults(calls, run).map((fault): Violation => ({ promise: 'RECOVER', ...fault })),
   ];
 }
 
--- a/soak/stop-judge.ts
+++ b/soak/stop-judge.ts
@@ -16,9 +16,9 @@
 const TAKEN_SENT_MS = 2_500;
 /** A stop needs this last part of its grace period to end answers and connections. */
 const STOP_MARGIN_MS = 1_000;
-/** Most of what can certainly end in time is taken: more than this share of what other daemons take. */
-const MIN_TAKEN_SHARE = 0.5;
-/** Fewer requests than this say little of the share that is taken. */
+/** Most of what can certainly end in time is served: at least this share of what other daemons serve. */
+const MIN_SHARE_OF_OTHERS = 0.5;
+/** Fewer requests than this say little of the share that is served. */
 const MIN_OFFERED = 10;
 /** Time until a server learns that a connection was cut. */
 const CUT_TRANSIT_MS = 100;
@@ -53,13 +53,14 @@
   readonly excuse: Excuse | undefined;
 }
 
-/** How many requests of a kind that could certainly end in time were offered to stopping daemons, and refused. */
-export interface StopRefusals {
+/** How requests of a kind fared that were sent soon after the signal and could certainly end in time. */
+export interface StopService {
   readonly kind: 'web requests' | 'streams';
   readonly offered: number;
+  readonly served: number;
   readonly refused: number;
-  /** Share that other daemons refused meanwhile. */
-  readonly refusedElsewhere: number;
+  /** Share of such requests that other daemons served meanwhile. */
+  readonly servedElsewhere: number;
 }
 
 /** A broken promise of a stop. */
@@ -85,31 +86,38 @@
   return lost.map((cut) => ({ atMs: cut.stopMs + cut.cutAfterMs, detail: describeCut(cut) }));
 }
 
-/** Refusals of most of what could certainly have ended in time. */
-export function refusalFaults(
+/** Stops that served few of the requests that could certainly end in time. */
+export function serviceFaults(
   calls: readonly CallRecord[],
   run: JudgedStops,
 ): readonly StopFault[] {
-  return stopRefusals(calls, run).flatMap(refusalFault);
+  return stopServices(calls, run)
+    .filter(
+      ({ offered, served, servedElsewhere }) =>
+        offered >= MIN_OFFERED && served < MIN_SHARE_OF_OTHERS * servedElsewhere * offered,
+    )
+    .map((service) => ({ atMs: 0, detail: describeService(service) }));
 }
 
-/** What daemons refused in the first part of their stops, by kind of request. */
-export function stopRefusals(
+/** How the requests fared, by their kind, that stopping daemons got soon after the signal and that can end in time. */
+export function stopServices(
   calls: readonly CallRecord[],
   run: JudgedStops,
-): readonly StopRefusals[] {
+): readonly StopService[] {
   const stops = stopsOf(run);
-  const known = calls.filter(({ end }) => end?.kind === 'answered' || end?.kind === 'closed');
-  const isStream = ({ requestClass }: CallRecord) => requestClass.kind === 'streaming';
+  const ended = calls.filter(hasWaited);
   return (['web requests', 'streams'] as const).map((kind) => {
-    const ofKind = known.filter((call) => isStream(call) === (kind === 'streams'));
+    const ofKind = ended.filter(
+      ({ requestClass }) => (requestClass.kind === 'streaming') === (kind === 'streams'),
+    );
     const offered = ofKind.filter((call) => canEndInTime(call, stops, run));
-    const elsewhere = ofKind.filter((call) => isSentBesideStop(call, stops));
+    const elsewhere = ofKind.filter((call) => isSentBesideStop(call, stops, run));
     return {
       kind,
       offered: offered.length,
+      served: offered.filter(isServed).length,
       refused: offered.filter(isRefused).length,
-      refusedElsewhere: elsewhere.filter(isRefused).length / Math.max(1, elsewhere.length),
+      servedElsewhere: elsewhere.filter(isServed).length / Math.max(1, elsewhere.length),
     };
   });
 }
@@ -126,10 +134,7 @@
   return [
     `${stopsOf(run).length} stops cut ${cuts.length} requests: lost ${lost}; allowed: ${allowed}`,
     describeLateRequests(calls, stopsOf(run)),
-    ...stopRefusals(calls, run).map(
-      ({ kind, offered, refused, refusedElsewhere }) =>
-        `of ${offered} ${kind} that could certainly end in time, stopping daemons refused ${refused}; others refused ${refusedElsewhere.toFixed(2)} of theirs`,
-    ),
+    ...stopServices(calls, run).map(describeService),
   ];
 }
 
@@ -140,17 +145,13 @@
     (call) =>
       call.sentMs > (stopMsOf.get(keyOf(call)) ?? Number.POSITIVE_INFINITY) + EXCUSED_SENT_MS,
   );
-  const served = late.filter(({ end }) => end?.kind === 'answered' && end.isComplete).length;
+  const served = late.filter(isServed).length;
   const refused = late.filter(isRefused).length;
-  return `stopping daemons got ${late.length} requests over ${EXCUSED_SENT_MS} ms after the signal: served ${served - refused}, refused ${refused}`;
+  return `stopping daemons got ${late.length} requests over ${EXCUSED_SENT_MS} ms after the signal: served ${served}, refused ${refused}`;
 }
 
-function refusalFault(refusals: StopRefusals): readonly StopFault[] {
-  const { kind, offered, refused, refusedElsewhere } = refusals;
-  const expected = offered * (1 - refusedElsewhere);
-  if (offered < MIN_OFFERED || offered - refused >= MIN_TAKEN_SHARE * expected) return [];
-  const detail = `stopping daemons refused ${refused} of ${offered} ${kind} that could certainly end in time; others refused ${refusedElsewhere.toFixed(2)} of theirs`;
-  return [{ atMs: 0, detail }];
+function describeService({ kind, offered, served, refused, servedElsewhere }: StopService): string {
+  return `of ${offered} ${kind} that could certainly end in time, stopping daemons served ${served} and refused ${refused}; others served ${servedElsewhere.toFixed(2)} of theirs`;
 }
 
 function stopsOf({ lives }: JudgedStops): readonly StoppedLife[] {
@@ -187,10 +188,9 @@
   stopMs: number,
   run: JudgedStops,
 ): Excuse | undefined {
-  const { sentMs, deadlineMs, requestClass, arrivals } = call;
+  const { sentMs, arrivals } = call;
   if (arrivals.some(({ isServerFault }) => isServerFault)) return 'server broke off';
-  const timeOverMs = Math.min(deadlineMs, sentMs + requestClass.timeoutMs);
-  if (endedMs >= timeOverMs - ROUNDING_MS) return 'time was over';
+  if (endedMs >= timeOverMs(call) - ROUNDING_MS) return 'time was over';
   const graceEndMs = stopMs + run.bounds.graceMs;
   const lastPartMs = graceEndMs - run.bounds.graceMs * LAST_SHARE_OF_GRACE;
   const wasAtWork = arrivals.some(
@@ -258,24 +258,52 @@
 
 /** Whether a request was sent soon after the signal, and its time is over before the stop has to end. */
 function canEndInTime(
-  { daemon, incarnation, sentMs, deadlineMs, requestClass }: CallRecord,
+  call: CallRecord,
   stops: readonly StoppedLife[],
   { bounds }: JudgedStops,
 ): boolean {
-  const stop = stops.find((life) => keyOf(life) === keyOf({ daemon, incarnation }));
-  if (stop === undefined || sentMs < stop.stopMs || sentMs > stop.stopMs + TAKEN_SENT_MS) {
-    return false;
-  }
-  const timeOverMs = Math.min(deadlineMs, sentMs + requestClass.timeoutMs);
-  return timeOverMs <= stop.stopMs + bounds.graceMs - STOP_MARGIN_MS;
+  const stop = stops.find((life) => keyOf(life) === keyOf(call));
+  if (stop === undefined || !isSoonAfter(call, stop)) return false;
+  return timeOverMs(call) <= stop.stopMs + bounds.graceMs - STOP_MARGIN_MS;
 }
 
-/** Whether a request was sent, soon after the signal of a stop, to a daemon that was not stopping. */
-function isSentBesideStop(call: CallRecord, stops: readonly StoppedLife[]): boolean {
-  const { sentMs } = call;
+/** Whether a request with as little time was sent to a daemon that did not stop, soon after the signal to another one. */
+function isSentBesideStop(
+  call: CallRecord,
+  stops: readonly StoppedLife[],
+  { bounds }: JudgedStops,
+): boolean {
   const own = stops.find((life) => keyOf(life) === keyOf(call));
-  if (own !== undefined && sentMs >= own.stopMs) return false;
-  return stops.some(({ stopMs }) => sentMs >= stopMs && sentMs <= stopMs + TAKEN_SENT_MS);
+  if (own !== undefined && call.sentMs >= own.stopMs) return false;
+  const isShort = timeOverMs(call) <= call.sentMs + bounds.graceMs - STOP_MARGIN_MS;
+  return isShort && stops.some((stop) => isSoonAfter(call, stop));
+}
+
+function isSoonAfter({ sentMs }: CallRecord, { stopMs }: StoppedLife): boolean {
+  return sentMs >= stopMs && sentMs <= stopMs + TAKEN_SENT_MS;
+}
+
+/** When the time of a request is over: its deadline or the time-out of its route. */
+function timeOverMs({ sentMs, deadlineMs, requestClass }: CallRecord): number {
+  return Math.min(deadlineMs, sentMs + requestClass.timeoutMs);
+}
+
+/** Whether a call was sent, and its caller waited for the answer. */
+function hasWaited({ end }: CallRecord): boolean {
+  switch (end?.kind) {
+    case 'answered':
+    case 'closed':
+      return true;
+    case 'left':
+      return !end.isEarly;
+    case 'not-connected':
+    case undefined:
+      return false;
+  }
+}
+
+function isServed({ end }: CallRecord): boolean {
+  return end?.kind === 'answered' && end.status === 200 && end.isComplete;
 }
 
 function isRefused({ end }: CallRecord): boolean {
--- a/test/soak/stop-judge.test.ts
+++ b/test/soak/stop-judge.test.ts
@@ -5,10 +5,10 @@
 import {
   type JudgedStops,
   lossFaults,
-  refusalFaults,
   type ServerState,
+  serviceFaults,
   stopCuts,
-  stopRefusals,
+  stopServices,
 } from '../../soak/stop-judge.js';
 import { answered, classOf, madeCall } from './support/made-calls.js';
 
@@ -166,35 +166,46 @@
 }
 
 const REFUSED = { end: answered({ status: 503 }) };
+const LEFT = { end: { kind: 'left', isEarly: false } } as const;
+const ELSEWHERE = { daemon: 'd2' };
 
-test('a stop that refuses most of what can certainly end in time is a fault', () => {
-  const calls = (refused: number) => [...webCalls(20 - refused), ...webCalls(refused, REFUSED)];
-  assert.deepEqual(refusalFaults(calls(10), run()), []);
-  assert.deepEqual(refusalFaults(calls(11), run()), [
+test('a stop that serves under half of what can certainly end in time, as others serve it, is a fault', () => {
+  const calls = (refused: number) => [
+    ...webCalls(20 - refused),
+    ...webCalls(refused, REFUSED),
+    ...webCalls(20, ELSEWHERE),
+  ];
+  assert.deepEqual(serviceFaults(calls(10), run()), []);
+  assert.deepEqual(serviceFaults(calls(11), run()), [
     {
       atMs: 0,
       detail:
-        'stopping daemons refused 11 of 20 web requests that could certainly end in time; others refused 0.00 of theirs',
+        'of 20 web requests that could certainly end in time, stopping daemons served 9 and refused 11; others served 1.00 of theirs',
     },
   ]);
-  assert.deepEqual(refusalFaults(webCalls(9, REFUSED), run()), []);
+  const few = [...webCalls(9, REFUSED), ...webCalls(20, ELSEWHERE)];
+  assert.deepEqual(serviceFaults(few, run()), []);
 });
 
-test('what other daemons refuse meanwhile is not expected of one that stops', () => {
-  const elsewhere = { daemon: 'd2' };
-  const others = [...webCalls(8, elsewhere), ...webCalls(12, { ...elsewhere, ...REFUSED })];
+test('requests that a stop takes and that end without a whole answer are not served', () => {
+  const calls = [...webCalls(9), ...webCalls(11, LEFT), ...webCalls(20, ELSEWHERE)];
+  assert.equal(serviceFaults(calls, run()).length, 1);
+});
+
+test('what other daemons do not serve meanwhile is not expected of one that stops', () => {
+  const others = [...webCalls(8, ELSEWHERE), ...webCalls(12, { ...ELSEWHERE, ...LEFT })];
   const calls = (refused: number) => [
     ...webCalls(20 - refused),
     ...webCalls(refused, REFUSED),
     ...others,
   ];
-  assert.deepEqual(refusalFaults(calls(16), run()), []);
-  assert.equal(refusalFaults(calls(17), run()).length, 1);
+  assert.deepEqual(serviceFaults(calls(16), run()), []);
+  assert.equal(serviceFaults(calls(17), run()).length, 1);
 });
 
-test('only requests sent within 2.5 s of the signal count as refused, whose time is over before the end of the stop', () => {
+test('only requests sent within 2.5 s of the signal are expected, whose time is over before the end of the stop', () => {
   const offered = (fields: Partial<CallRecord>) =>
-    stopRefusals(webCalls(1, fields), run()).map((refusals) => refusals.offered);
+    stopServices(webCalls(1, fields), run()).map((service) => service.offered);
   assert.deepEqual(offered({}), [1, 0]);
   assert.deepEqual(offered({ sentMs: STOP_MS - 1 }), [0, 0]);
   assert.deepEqual(offered({ sentMs: STOP_MS + 2_501 }), [0, 0]);
@@ -203,3 +214,11 @@
   assert.deepEqual(offered({ ...stream, deadlineMs: STOP_MS + 7_001 }), [0, 0]);
   assert.deepEqual(offered({ end: { kind: 'left', isEarly: true } }), [0, 0]);
 });
+
+test('requests with more time than a stop has say nothing of what others serve', () => {
+  const stream = { requestClass: STREAM, ...ELSEWHERE };
+  const short = webCalls(1, { ...stream, deadlineMs: STOP_MS + 8_000 });
+  const long = webCalls(3, { ...stream, ...LEFT, deadlineMs: STOP_MS + 8_001 });
+  const [, streams] = stopServices([...short, ...long], run());
+  assert.equal(streams?.servedElsewhere, 1);
+});
