End a stop sooner where many requests are left to answer

Callers of a daemon with hundreds of requests in flight at the end of its grace period got no answer: answering them takes processor time (abort, answer, two log lines, closing two connections), and the platform killed the process meanwhile. Each request beyond 200 now moves the end 1 ms forward, by 600 ms at most, so that runs still last five sixths of a grace period of 8 s.

--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -20,6 +20,10 @@
 const STOP_MARGIN_MS = 700;
 /** A signal is not taken to be older than this share of the grace period: requests would be cut that could have ended. */
 const MAX_SIGNAL_AGE_SHARE = 0.5;
+/** So many requests are answered within that on a busy machine; each further one takes so much longer, up to a limit. */
+const REQUESTS_IN_MARGIN = 200;
+const MS_PER_REQUEST = 1;
+const MAX_EARLIER_MS = 600;
 const STOP_POLL_MS = 50;
 /** Callers that send one request after another on a connection pause for less than this. */
 const QUIET_MS = 200;
@@ -90,20 +94,25 @@
    */
   async #waitUntilQuiet(): Promise<void> {
     const { callers, timers } = this.#options;
-    const { cutAtMs } = this.times;
     let quietSinceMs = timers.nowMs();
     let total = callers.openRequests.total;
-    while (timers.nowMs() < cutAtMs) {
+    while (timers.nowMs() < this.#endsAtMs) {
       const nowMs = timers.nowMs();
       if (callers.inFlight > 0 || callers.openRequests.total > total) quietSinceMs = nowMs;
       total = callers.openRequests.total;
       const isQuiet = nowMs - quietSinceMs >= QUIET_MS || callers.connections.open === 0;
       if (callers.inFlight === 0 && isQuiet) return;
-      await delay(timers, Math.min(STOP_POLL_MS, cutAtMs - nowMs));
+      await delay(timers, Math.min(STOP_POLL_MS, this.#endsAtMs - nowMs));
       await socketsRead();
     }
   }
 
+  /** When the requests that are left are ended: the more there are, the longer it takes to answer them. */
+  get #endsAtMs(): number {
+    const earlierMs = (this.#options.callers.inFlight - REQUESTS_IN_MARGIN) * MS_PER_REQUEST;
+    return this.times.cutAtMs - Math.max(0, Math.min(earlierMs, MAX_EARLIER_MS));
+  }
+
   /**
    * Answers the requests that are left, and resolves once the callers' systems have all answers or time is up. Even where the
    * stop is late, answers get a moment to be written.
