A stopping daemon takes what ends by its deadline before the cut, however long a long run would be

Cause: until the listener closed the estimate of a long run (twice the usual time) decided alone. Such a request ends in time whatever servers do, so it is taken now where a usual run meets its deadline; one that is expected to miss it is still left to another daemon. Beyond that deadline the estimate counts as before, until the listener closes.

--- a/src/core/gateway/stop-admission.ts
+++ b/src/core/gateway/stop-admission.ts
@@ -1,9 +1,8 @@
 /**
  * Decides which requests a stopping daemon still sends to servers. It cuts off what runs at a fixed time, so it takes a
- * request whose deadline comes first: that ends in time whatever servers do. An estimate may be wrong, and counts only
- * while new connections may still arrive: their callers have not been told that the daemon stops, and one that is
- * rejected may come back here, or to another daemon that stops. Where there is one, it then decides alone: a request
- * that is expected to outlast the stop is expected to miss an earlier deadline too.
+ * request whose deadline comes first: that ends in time whatever servers do. An estimate may be wrong, and is a promise
+ * only while new connections may still arrive: their callers have not been told that the daemon stops, and one that is
+ * rejected may come back here, or to another daemon that stops.
  */
 
 /** The times of a stop, by the daemon's timers. */
@@ -19,9 +18,16 @@
   /** Nothing has been learnt yet that it could be based on. */
   | { readonly kind: 'unknown' }
   /** By the configuration, where that says how long the requests of a route take. */
-  | { readonly kind: 'configured'; readonly durationMs: number }
+  | ({ readonly kind: 'configured' } & ExpectedDuration)
   /** By the times of earlier requests. */
-  | { readonly kind: 'learnt'; readonly durationMs: number };
+  | ({ readonly kind: 'learnt' } & ExpectedDuration);
+
+interface ExpectedDuration {
+  /** Of a usual run. */
+  readonly expectedMs: number;
+  /** Of a long run, as only few take longer. */
+  readonly longMs: number;
+}
 
 /** For requests of which nothing is learnt. */
 export const UNKNOWN_DURATION: DurationEstimate = { kind: 'unknown' };
@@ -36,19 +42,22 @@
 }
 
 /** Whether a stopping daemon can promise that a request ends before it cuts off what runs. */
-export function endsBeforeCut({
+export function endsBeforeCut(input: StopAdmissionInput): boolean {
+  return meetsDeadlineBeforeCut(input) || isExpectedBeforeCut(input);
+}
+
+/** A request that is expected to miss its deadline is left to another daemon. */
+function meetsDeadlineBeforeCut({
   stop,
   nowMs,
   deadlineAtMs,
   estimate,
 }: StopAdmissionInput): boolean {
-  const endsForCertain = deadlineAtMs <= stop.cutAtMs;
-  if (nowMs >= stop.listenerClosesAtMs) return endsForCertain;
-  switch (estimate.kind) {
-    case 'unknown':
-      return endsForCertain;
-    case 'configured':
-    case 'learnt':
-      return nowMs + estimate.durationMs <= stop.cutAtMs;
-  }
+  if (deadlineAtMs > stop.cutAtMs) return false;
+  return estimate.kind === 'unknown' || nowMs + estimate.expectedMs <= deadlineAtMs;
+}
+
+function isExpectedBeforeCut({ stop, nowMs, estimate }: StopAdmissionInput): boolean {
+  if (nowMs >= stop.listenerClosesAtMs || estimate.kind === 'unknown') return false;
+  return nowMs + estimate.longMs <= stop.cutAtMs;
 }
--- a/src/shell/gateway/stop-check.ts
+++ b/src/shell/gateway/stop-check.ts
@@ -19,7 +19,7 @@
   exchange.refuse(CUT_BY_STOP_REASON, STOPPING_RETRY_AFTER_MS, {
     cutInMs: Math.round(stop.cutAtMs - exchange.options.timers.nowMs()),
     deadlineInMs: Math.round(exchange.remainingMs()),
-    estimateMs: estimated.kind === 'unknown' ? null : Math.round(estimated.durationMs),
+    estimateMs: estimated.kind === 'unknown' ? null : Math.round(estimated.longMs),
     isLearnt: estimated.kind === 'learnt',
   });
   return true;
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -62,9 +62,13 @@
     const learntMs = fleet
       .candidates(service, this.#nowMs())
       .flatMap(({ id }) => fleet.healthOf(id).responseMs ?? []);
-    const longMs = LONG_ANSWER_FACTOR * Math.max(route.targetLatencyMs, ...learntMs);
-    const durationMs = Math.min(longMs, this.#exchange.remainingMs());
-    return { kind: learntMs.length === 0 ? 'configured' : 'learnt', durationMs };
+    const remainingMs = this.#exchange.remainingMs();
+    const usualMs = Math.max(route.targetLatencyMs, ...learntMs);
+    return {
+      kind: learntMs.length === 0 ? 'configured' : 'learnt',
+      expectedMs: Math.min(usualMs, remainingMs),
+      longMs: Math.min(LONG_ANSWER_FACTOR * usualMs, remainingMs),
+    };
   };
   #rejections = 0;
   #lastFailure: CompleteAnswer | undefined;
