Test of a request that comes at the cut waits for the answer that holds the stop up

"a request that comes as what ran is being cut" failed once in eight runs of its file (load 28). By reading: it stopped the daemon as its server had been asked, though 16 MB of the answer were on their way; where these had not arrived at the cut, the answer was 504, nothing held the stop up, and the process was gone before the late request. The test now waits until the daemon has the whole answer; what it asserts is the same.

--- a/test/gateway/requests-left-at-stop.test.ts
+++ b/test/gateway/requests-left-at-stop.test.ts
@@ -237,6 +237,10 @@
     slow.socket.pause();
     const late = open('POST /tiles/2 HTTP/1.1\r\nHost: labels.example\r\n');
     await received();
+    // The daemon still has the answer to pass on as what runs is cut, so that the stop goes on.
+    await timers.advanceUntil(() =>
+      fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestEnded),
+    );
     const stopped = fixture.stopDaemon(DAEMON);
     await timers.advanceBy(AFTER_CUT_MS);
     late.socket.write('X-Attempt-Id: a-2\r\nContent-Length: 0\r\n\r\n');
