The listener closes before a stop has to cut, also with a short grace period

With a grace period of 4 s and a signal that was handled 2 s late, the stop waited for the close of its listener until after the time at which it has to cut, so that the platform could kill the process before callers had answers (found by the review, by reading). The notice ends by then at the latest.

--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -65,14 +65,15 @@
     const noticeMs = callers.server.listening ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2) : 0;
     const killedAtMs =
       this.#beganAtMs + graceMs - Math.min(signalAgeMs, graceMs * MAX_SIGNAL_AGE_SHARE);
+    const cutAtMs = killedAtMs - STOP_MARGIN_MS;
     this.times = {
-      listenerClosesAtMs: this.#beganAtMs + noticeMs,
-      cutAtMs: killedAtMs - STOP_MARGIN_MS,
+      listenerClosesAtMs: Math.min(this.#beganAtMs + noticeMs, cutAtMs),
+      cutAtMs,
     };
     this.#deliveredByMs = killedAtMs - DELIVERY_MARGIN_MS;
     options.log.write(GATEWAY_EVENTS.stopping, {
       inFlight: callers.inFlight,
-      listenerClosesInMs: Math.round(noticeMs),
+      listenerClosesInMs: Math.round(this.times.listenerClosesAtMs - this.#beganAtMs),
       cutsInMs: Math.round(this.times.cutAtMs - this.#beganAtMs),
       signalAgeMs: Math.round(signalAgeMs),
     });
