--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -296,14 +296,14 @@
     name: 'certain-ends',
     promise: 'LOST',
     file: 'src/core/gateway/stop-admission.ts',
-    text: 'if (nowMs >= stop.listenerClosesAtMs) return endsForCertain;',
-    replacement: '',
+    text: 'if (nowMs >= stop.listenerClosesAtMs || ',
+    replacement: 'if (',
   },
   {
     name: 'estimates-in-a-stop',
     promise: 'LOST',
     file: 'src/core/gateway/stop-admission.ts',
-    text: 'return nowMs + estimate.durationMs <= stop.cutAtMs;',
+    text: 'return nowMs + estimate.longMs <= stop.cutAtMs;',
     replacement: 'return true;',
   },
   {
