--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -6,6 +6,7 @@
 import type { StopTimes } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../core/logging/catalogue/stops.js';
+import { acceptWaiting } from '../http/accept-queue.js';
 import type { CallerListener } from './caller-listener.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { OpenRequest } from './open-requests.js';
@@ -17,6 +18,12 @@
 const NOT_READY_NOTICE_MS = 2_600;
 /** Requests have to end this long before the grace period does. */
 const STOP_MARGIN_MS = 700;
+/** A signal is not taken to be older than this share of the grace period: requests would be cut that could have ended. */
+const MAX_SIGNAL_AGE_SHARE = 0.5;
+/** So many requests are answered within that on a busy machine; each further one takes so much longer, up to a limit. */
+const REQUESTS_IN_MARGIN = 200;
+const MS_PER_REQUEST = 1;
+const MAX_EARLIER_MS = 600;
 const STOP_POLL_MS = 50;
 /** Callers that send one request after another on a connection pause for less than this. */
 const QUIET_MS = 200;
@@ -30,6 +37,8 @@
 export interface GatewayStopOptions {
   /** From the signal until the platform kills the process. */
   readonly graceMs: number;
+  /** How long ago the signal may have come, as this process stood still or was busy. */
+  readonly signalAgeMs: number;
   readonly callers: Pick<
     CallerListener,
     'server' | 'inFlight' | 'openRequests' | 'connections' | 'endRunning' | 'answerLeft'
@@ -50,28 +59,32 @@
   readonly #cut = new Set<OpenRequest>();
 
   constructor(options: GatewayStopOptions) {
-    const { graceMs, callers, timers } = options;
+    const { graceMs, signalAgeMs, callers, timers } = options;
     this.#options = options;
     this.#beganAtMs = timers.nowMs();
     const noticeMs = callers.server.listening ? Math.min(NOT_READY_NOTICE_MS, graceMs / 2) : 0;
+    const killedAtMs =
+      this.#beganAtMs + graceMs - Math.min(signalAgeMs, graceMs * MAX_SIGNAL_AGE_SHARE);
+    const cutAtMs = killedAtMs - STOP_MARGIN_MS;
     this.times = {
-      listenerClosesAtMs: this.#beganAtMs + noticeMs,
-      cutAtMs: this.#beganAtMs + graceMs - STOP_MARGIN_MS,
+      listenerClosesAtMs: Math.min(this.#beganAtMs + noticeMs, cutAtMs),
+      cutAtMs,
     };
-    this.#deliveredByMs = this.#beganAtMs + graceMs - DELIVERY_MARGIN_MS;
+    this.#deliveredByMs = killedAtMs - DELIVERY_MARGIN_MS;
     options.log.write(GATEWAY_EVENTS.stopping, {
       inFlight: callers.inFlight,
-      listenerClosesInMs: Math.round(noticeMs),
+      listenerClosesInMs: Math.round(this.times.listenerClosesAtMs - this.#beganAtMs),
       cutsInMs: Math.round(this.times.cutAtMs - this.#beganAtMs),
+      signalAgeMs: Math.round(signalAgeMs),
     });
   }
 
   /** Closes the listener after the notice and resolves once no request is left, or those that are left have to be cut. */
   async waitForRequests(): Promise<void> {
-    const { timers } = this.#options;
+    const { callers, timers } = this.#options;
     const noticeMs = this.times.listenerClosesAtMs - this.#beganAtMs;
     if (noticeMs > 0) await delay(timers, noticeMs);
-    await socketsRead();
+    await acceptWaiting(callers.server);
     this.#closeListener();
     await this.#waitUntilQuiet();
   }
@@ -82,20 +95,25 @@
    */
   async #waitUntilQuiet(): Promise<void> {
     const { callers, timers } = this.#options;
-    const { cutAtMs } = this.times;
     let quietSinceMs = timers.nowMs();
     let total = callers.openRequests.total;
-    while (timers.nowMs() < cutAtMs) {
+    while (timers.nowMs() < this.#endsAtMs) {
       const nowMs = timers.nowMs();
       if (callers.inFlight > 0 || callers.openRequests.total > total) quietSinceMs = nowMs;
       total = callers.openRequests.total;
       const isQuiet = nowMs - quietSinceMs >= QUIET_MS || callers.connections.open === 0;
       if (callers.inFlight === 0 && isQuiet) return;
-      await delay(timers, Math.min(STOP_POLL_MS, cutAtMs - nowMs));
+      await delay(timers, Math.min(STOP_POLL_MS, this.#endsAtMs - nowMs));
       await socketsRead();
     }
   }
 
+  /** When the requests that are left are ended: the more there are, the longer it takes to answer them. */
+  get #endsAtMs(): number {
+    const earlierMs = (this.#options.callers.inFlight - REQUESTS_IN_MARGIN) * MS_PER_REQUEST;
+    return this.times.cutAtMs - Math.max(0, Math.min(earlierMs, MAX_EARLIER_MS));
+  }
+
   /**
    * Answers the requests that are left, and resolves once the callers' systems have all answers or time is up. Even where the
    * stop is late, answers get a moment to be written.
@@ -160,7 +178,7 @@
   }
 }
 
-/** Resolves right after the event loop has read the sockets: the accept queue is empty, and what had arrived is seen. */
+/** Resolves right after the event loop has read the sockets: what had arrived on open connections is seen. */
 function socketsRead(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -219,6 +219,7 @@
       },
       processorMs,
       timers: this.#suspensionAwareTimers,
+      steadyClock: timers,
       log,
     });
     this.#resources = this.#createResourceMonitor();
@@ -431,6 +432,7 @@
     const { settings, adapter, timers, log } = this.#options;
     const stop = new GatewayStop({
       graceMs: settings.bounds.stopGraceSeconds * MILLISECONDS_PER_SECOND,
+      signalAgeMs: this.#stalls.lateMs(),
       callers: this.#callers,
       codec: adapter.requests,
       timers,
--- a/src/shell/gateway/web-exchange.ts
+++ b/src/shell/gateway/web-exchange.ts
@@ -52,10 +52,6 @@
   readonly #isRepeatable: boolean;
   readonly #pending = new Set<Promise<RunResult>>();
   readonly #abandoned = new AbortController();
-  #rejections = 0;
-  #lastFailure: CompleteAnswer | undefined;
-  #lastReason = 'no server';
-
   /**
    * How long the request may take, up to its deadline: several times the target latency, or the answer time of the slowest
    * server where that is longer.
@@ -66,10 +62,17 @@
     const learntMs = fleet
       .candidates(service, this.#nowMs())
       .flatMap(({ id }) => fleet.healthOf(id).responseMs ?? []);
-    const longMs = LONG_ANSWER_FACTOR * Math.max(route.targetLatencyMs, ...learntMs);
-    const durationMs = Math.min(longMs, this.#exchange.remainingMs());
-    return { kind: learntMs.length === 0 ? 'configured' : 'learnt', durationMs };
+    const remainingMs = this.#exchange.remainingMs();
+    const usualMs = Math.max(route.targetLatencyMs, ...learntMs);
+    return {
+      kind: learntMs.length === 0 ? 'configured' : 'learnt',
+      expectedMs: Math.min(usualMs, remainingMs),
+      longMs: Math.min(LONG_ANSWER_FACTOR * usualMs, remainingMs),
+    };
   };
+  #rejections = 0;
+  #lastFailure: CompleteAnswer | undefined;
+  #lastReason = 'no server';
 
   constructor(exchange: Exchange, context: AttemptContext) {
     this.#exchange = exchange;
--- a/test/gateway/connections-in-a-stop.test.ts
+++ b/test/gateway/connections-in-a-stop.test.ts
@@ -196,6 +196,22 @@
   assert.match(await caller.receiveAll(), /first.*HTTP\/1\.1 200 .*second$/s);
 });
 
+// The one before it was cut, and its connection closed with it.
+test('an answer that waits for the one before it on its connection arrives as that is cut', async () => {
+  const { held, script } = holding();
+  await addServer(script);
+  const caller = new Caller();
+  caller.socket.write(`${request('/tiles/1', 'a-1')}${request('/tiles/2', 'a-2')}`);
+  await timers.advanceUntil(() => held.length === 2);
+  const [, second] = held;
+  assert.ok(second);
+  answering(200, ANSWER)(second);
+  await fixture.logged(GATEWAY_EVENTS.requestEnded);
+  stop();
+  await untilStopped();
+  assert.match(await caller.receiveAll(), /^HTTP\/1\.1 504 .*HTTP\/1\.1 200 .*served$/s);
+});
+
 // node:http tells nothing of the end of a connection to the answers whose turn has not come.
 test('a stop does not wait for a pipelined request whose caller has left', async () => {
   const { held, script } = holding();
@@ -210,3 +226,23 @@
   await untilStopped();
   assert.ok(timers.nowMs() - stoppedAtMs < SHORTLY_BEFORE_CUT_MS);
 });
+
+// The head of the stream was sent before the signal, so its caller was not told that the connection closes.
+test('a request that is pipelined behind a stream from before the signal gets an answer', async () => {
+  const { held, script } = holding();
+  await addServer(script, { service: 'reader', stage: 'decode' });
+  const caller = new Caller();
+  caller.socket.write(request('/read/1'));
+  await timers.advanceUntil(() => held.length === 1);
+  const [stream] = held;
+  assert.ok(stream);
+  stream.response.writeHead(200, { ...stamped(stream.seen), 'Content-Type': 'text/event-stream' });
+  stream.response.write(FIRST_EVENT);
+  await caller.receive(FIRST_EVENT);
+  stop();
+  caller.socket.write(request('/none/2', 'a-2'));
+  await timers.advanceBy(LOOK_MS);
+  stream.response.end();
+  await untilStopped();
+  assert.match(await caller.receiveAll(), /0\r\n\r\nHTTP\/1\.1 404 /);
+});
