One function lets the event loop read the sockets, for the accept queue and for a stop

gateway-stop.ts and accept-queue.ts each had it. The comment on requests in the margin says what happens beyond them.

--- a/src/shell/gateway/gateway-stop.ts
+++ b/src/shell/gateway/gateway-stop.ts
@@ -6,7 +6,7 @@
 import type { StopTimes } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../core/logging/catalogue/stops.js';
-import { acceptWaiting } from '../http/accept-queue.js';
+import { acceptWaiting, socketsRead } from '../http/accept-queue.js';
 import type { CallerListener } from './caller-listener.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
 import type { OpenRequest } from './open-requests.js';
@@ -20,7 +20,7 @@
 const STOP_MARGIN_MS = 700;
 /** A signal is not taken to be older than this share of the grace period: requests would be cut that could have ended. */
 const MAX_SIGNAL_AGE_SHARE = 0.5;
-/** So many requests are answered within that on a busy machine; each further one takes so much longer, up to a limit. */
+/** Requests that a busy machine answers within the margin; each further one moves the end forward, up to a limit. */
 const REQUESTS_IN_MARGIN = 200;
 const MS_PER_REQUEST = 1;
 const MAX_EARLIER_MS = 600;
@@ -177,8 +177,3 @@
     return Math.round(this.#options.timers.nowMs() - this.#beganAtMs);
   }
 }
-
-/** Resolves right after the event loop has read the sockets: what had arrived on open connections is seen. */
-function socketsRead(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
-}
--- a/src/shell/http/accept-queue.ts
+++ b/src/shell/http/accept-queue.ts
@@ -1,4 +1,4 @@
-/** The connections that the system has established for a listener and that the process has not accepted yet. */
+/** What the system holds for a listener: connections that were not accepted yet, and bytes that were not read. */
 import type { Server } from 'node:net';
 
 /** More than the system keeps for a listener; beyond it, connections arrive as fast as they are accepted. */
@@ -16,17 +16,17 @@
   listener.on('connection', count);
   listener.on('drop', count);
   // The rest of a turn may come after its look at the sockets.
-  await turn();
+  await socketsRead();
   for (let turns = 0; turns < MAX_TURNS; turns += 1) {
     const before = accepted;
-    await turn();
+    await socketsRead();
     if (accepted === before) break;
   }
   listener.off('connection', count);
   listener.off('drop', count);
 }
 
-/** Resolves right after the event loop has read the sockets. */
-function turn(): Promise<void> {
+/** Resolves right after the event loop has read the sockets: what had arrived on open connections is seen. */
+export function socketsRead(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
