Which connections are idle is derived from the answers that they owe

CallerConnections counted the answers of each connection beside PendingAnswers, which counts the same, with a second listener on each request and each answer. PendingAnswers now says whether a connection is between two requests. No behaviour changes: the tests of idle connections, descriptors, pipelined requests and threadforkd's stop pass (33); caller-connections.test.ts builds a PendingAnswers beside its server, and its assertions are as before.

--- a/src/shell/gateway/caller-connections.ts
+++ b/src/shell/gateway/caller-connections.ts
@@ -2,7 +2,7 @@
  * Keeps descriptors free for readiness checks, the store, other daemons and servers: callers' connections and requests take
  * only what is left. Without a descriptor the system closes new connections of any kind, and no server can be reached.
  */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** The system keeps these for files. */
@@ -17,6 +17,8 @@
 /** Dependencies of the connections. */
 export interface CallerConnectionsOptions {
   readonly server: Server;
+  /** Whether a connection is between two requests. */
+  readonly isIdle: (socket: Socket) => boolean;
   /** The most descriptors of this process; undefined where there are more than it can need. */
   readonly descriptors: number | undefined;
   /** Each of them may need a connection to a server. */
@@ -25,21 +27,13 @@
   readonly onDropped: () => void;
 }
 
-/** What a connection carries. */
-interface ConnectionUse {
-  /** Requests whose answers have not been written to the connection completely. */
-  open: number;
-  /** Bytes that had been read as the last answer ended; undefined before the first one. */
-  readAtAnswer: number | undefined;
-}
-
 /** The connections of callers to one listener. */
 export class CallerConnections {
   readonly #options: CallerConnectionsOptions;
   readonly #maxSockets: number;
   readonly #maxRejected: number;
   readonly #maxConnections: number;
-  readonly #open = new Map<Socket, ConnectionUse>();
+  readonly #open = new Set<Socket>();
 
   constructor(options: CallerConnectionsOptions) {
     this.#options = options;
@@ -48,9 +42,6 @@
     this.#maxSockets = Math.max(1, Math.floor(sockets * (1 - RESERVED_SHARE)) - this.#maxRejected);
     this.#maxConnections = Math.ceil(this.#maxSockets * CONNECTIONS_SHARE);
     options.server.on('connection', (socket: Socket) => this.#accept(socket));
-    options.server.on('request', ({ socket }: IncomingMessage, response: ServerResponse) =>
-      this.#follow(socket, response),
-    );
   }
 
   /** Whether each request in flight can have a connection to a server besides those of all callers. */
@@ -68,7 +59,7 @@
   }
 
   #accept(socket: Socket): void {
-    this.#open.set(socket, { open: 0, readAtAnswer: undefined });
+    this.#open.add(socket);
     socket.once('close', () => this.#open.delete(socket));
     if (this.#open.size > this.#maxConnections) this.#closeIdle();
     const isTooMany = this.#open.size > this.#maxConnections;
@@ -77,23 +68,10 @@
     socket.destroy();
   }
 
-  #follow(socket: Socket, response: ServerResponse): void {
-    const use = this.#open.get(socket);
-    if (use === undefined) return;
-    use.open += 1;
-    response.once('close', () => {
-      use.open -= 1;
-      use.readAtAnswer = socket.bytesRead;
-    });
-  }
-
-  /**
-   * Closes connections between two requests: their callers connect again when they have one. To node:http's own
-   * closeIdleConnections() an answer has ended once it is written, while most of it may still be in the process.
-   */
+  /** Closes connections between two requests: their callers connect again when they have one. */
   #closeIdle(): void {
-    for (const [socket, use] of this.#open) {
-      if (use.open > 0 || use.readAtAnswer !== socket.bytesRead) continue;
+    for (const socket of this.#open) {
+      if (!this.#options.isIdle(socket)) continue;
       socket.destroy();
       this.#open.delete(socket);
     }
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -111,6 +111,7 @@
     );
     this.connections = new CallerConnections({
       server: this.#server,
+      isIdle: (socket) => this.#answers.isIdle(socket),
       descriptors: options.descriptors,
       requestsInFlight: () => this.inFlight,
       onDropped: () => options.resources.recordDropped(),
--- a/src/shell/http/pending-answers.ts
+++ b/src/shell/http/pending-answers.ts
@@ -5,9 +5,16 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+/** What one connection owes. */
+interface ConnectionAnswers {
+  readonly pending: Set<ServerResponse>;
+  /** Bytes that had been read as the last answer was closed; undefined before the first one. */
+  readBytes: number | undefined;
+}
+
 /** The pending answers of one server. */
 export class PendingAnswers {
-  readonly #pending = new Map<Socket, Set<ServerResponse>>();
+  readonly #connections = new Map<Socket, ConnectionAnswers>();
   #isClosing = false;
 
   /**
@@ -15,11 +22,15 @@
    * @returns false if an answer before it has told the caller that the connection closes: the request must not be run
    */
   add(socket: Socket, response: ServerResponse): boolean {
-    const pending = this.#pendingOf(socket);
+    const connection = this.#connectionOf(socket);
+    const { pending } = connection;
     const before = [...pending].at(-1);
     if (before !== undefined && isLast(before)) return false;
     pending.add(response);
-    response.once('close', () => pending.delete(response));
+    response.once('close', () => {
+      pending.delete(response);
+      connection.readBytes = socket.bytesRead;
+    });
     if (this.#isClosing) {
       if (before !== undefined) before.shouldKeepAlive = true;
       response.shouldKeepAlive = false;
@@ -30,23 +41,32 @@
   /** From now on the last answer that each connection owes says that the connection closes. */
   announceClose(): void {
     this.#isClosing = true;
-    for (const pending of this.#pending.values()) {
+    for (const { pending } of this.#connections.values()) {
       const last = [...pending].at(-1);
       if (last?.headersSent === false) last.shouldKeepAlive = false;
     }
   }
 
-  #pendingOf(socket: Socket): Set<ServerResponse> {
-    const known = this.#pending.get(socket);
+  /**
+   * Whether a connection is between two requests. To node:http's own closeIdleConnections() an answer has ended once it is
+   * written, while most of it may still be in the process.
+   */
+  isIdle(socket: Socket): boolean {
+    const connection = this.#connections.get(socket);
+    return connection?.pending.size === 0 && connection.readBytes === socket.bytesRead;
+  }
+
+  #connectionOf(socket: Socket): ConnectionAnswers {
+    const known = this.#connections.get(socket);
     if (known !== undefined) return known;
-    const pending = new Set<ServerResponse>();
-    this.#pending.set(socket, pending);
+    const connection: ConnectionAnswers = { pending: new Set(), readBytes: undefined };
+    this.#connections.set(socket, connection);
     socket.once('close', () => {
-      this.#pending.delete(socket);
+      this.#connections.delete(socket);
       // node:http closes the answer whose turn it is in the same event, and emits nothing for those behind it.
-      process.nextTick(closeAll, pending);
+      process.nextTick(closeAll, connection.pending);
     });
-    return pending;
+    return connection;
   }
 }
 
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -5,6 +5,7 @@
 import { type AddressInfo, connect, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { CallerConnections } from '../../src/shell/gateway/caller-connections.js';
+import { PendingAnswers } from '../../src/shell/http/pending-answers.js';
 
 /** With the descriptors below. */
 const MAX_CONNECTIONS = 9;
@@ -23,12 +24,15 @@
   sockets = [];
   accepted = [];
   answer = 'served';
-  server = http.createServer((_request, response) => {
+  const answers = new PendingAnswers();
+  server = http.createServer(({ socket }, response) => {
+    answers.add(socket, response);
     response.writeHead(200, { 'Content-Length': answer.length }).end(answer);
   });
   server.on('connection', (socket: Socket) => accepted.push(socket));
   connections = new CallerConnections({
     server,
+    isIdle: (socket) => answers.isIdle(socket),
     descriptors: DESCRIPTORS,
     requestsInFlight: () => 0,
     onDropped: () => undefined,
