--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,6 @@
 /** Wires a daemon together: network clients and servers, event loop and operator API. */
 import { performance } from 'node:perf_hooks';
+import { setTimeout as wait } from 'node:timers/promises';
 import type { Milliseconds } from '../core/common/time.js';
 import { EMPTY_CONFIGURATION } from '../core/configuration/document.js';
 import {
@@ -37,6 +38,8 @@
 const ENGINE_CONTROL_TIMEOUT_MS: Milliseconds = 1_000;
 /** How long callers of requests that were cut may take to read that. */
 const LAST_ANSWERS_MS: Milliseconds = 250;
+/** A wait that ends later than all else keeps no process running. */
+const NOT_KEPT_RUNNING = { ref: false } as const;
 
 /** Starts a daemon; rejects when it can't listen on the configured addresses. */
 export async function startDaemon(
@@ -127,7 +130,10 @@
   async stop(): Promise<StopOutcome> {
     const { logger, callers } = this.#shells;
     logger.write(DAEMON_EVENTS.stopRequested, { running: callers.activeRequests });
-    const outcome = await Promise.race([this.#drain(), this.#graceTimeout()]);
+    const outcome = await Promise.race([
+      this.#drain(),
+      wait(this.#settings.stopGraceMs, 'cut' as const, NOT_KEPT_RUNNING),
+    ]);
     if (outcome === 'cut' || this.#cut !== null) {
       await this.stopNow();
       return 'cut';
@@ -147,7 +153,10 @@
     const { logger, callers } = this.#shells;
     const running = callers.activeRequests;
     this.#events.emit({ kind: 'cut' });
-    await Promise.race([callers.requestsEnded(), this.#lastAnswersTimeout()]);
+    await Promise.race([
+      callers.requestsEnded(),
+      wait(LAST_ANSWERS_MS, undefined, NOT_KEPT_RUNNING),
+    ]);
     logger.write(DAEMON_EVENTS.stoppedUncleanly, { running });
     await this.#close();
   }
@@ -263,18 +272,6 @@
         );
   }
 
-  #graceTimeout(): Promise<'cut'> {
-    return new Promise((resolve) => {
-      setTimeout(() => resolve('cut'), this.#settings.stopGraceMs).unref();
-    });
-  }
-
-  #lastAnswersTimeout(): Promise<void> {
-    return new Promise((resolve) => {
-      setTimeout(resolve, LAST_ANSWERS_MS).unref();
-    });
-  }
-
   async #close(): Promise<void> {
     if (this.#ticker !== null) {
       clearInterval(this.#ticker);
