--- a/test/gateway/requests-left-at-stop.test.ts
+++ b/test/gateway/requests-left-at-stop.test.ts
@@ -118,6 +118,18 @@
   return { script, served, received: () => timers.advanceUntil(() => served.length > 0) };
 }
 
+function answerLarge({ seen, response }: ServedRequest): void {
+  response.writeHead(200, { ...stamped(seen), 'Content-Length': LARGE_ANSWER_BYTES });
+  response.end(Buffer.alloc(LARGE_ANSWER_BYTES));
+}
+
+/** Lets time pass until the daemon has the whole answer to a request. */
+async function untilAnswered(): Promise<void> {
+  await timers.advanceUntil(() =>
+    fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestEnded),
+  );
+}
+
 /** Stops the daemon; returns how long it took. */
 async function stop(): Promise<number> {
   const beganMs = timers.nowMs();
@@ -228,19 +240,14 @@
   'a request that comes as what ran is being cut is told that it has not run',
   TIMEOUT,
   async () => {
-    const { script, received } = receiving(({ seen, response }) => {
-      response.writeHead(200, { ...stamped(seen), 'Content-Length': LARGE_ANSWER_BYTES });
-      response.end(Buffer.alloc(LARGE_ANSWER_BYTES));
-    });
+    const { script, received } = receiving(answerLarge);
     await addServer('i-1', script);
     const slow = open(requestTo('/tiles/1'));
     slow.socket.pause();
     const late = open('POST /tiles/2 HTTP/1.1\r\nHost: labels.example\r\n');
     await received();
     // The daemon still has the answer to pass on as what runs is cut, so that the stop goes on.
-    await timers.advanceUntil(() =>
-      fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestEnded),
-    );
+    await untilAnswered();
     const stopped = fixture.stopDaemon(DAEMON);
     await timers.advanceBy(AFTER_CUT_MS);
     late.socket.write('X-Attempt-Id: a-2\r\nContent-Length: 0\r\n\r\n');
@@ -255,17 +262,12 @@
   'an answer that is complete at the end of a stop reaches a caller that reads it soon after',
   TIMEOUT,
   async () => {
-    const { script, received } = receiving(({ seen, response }) => {
-      response.writeHead(200, { ...stamped(seen), 'Content-Length': LARGE_ANSWER_BYTES });
-      response.end(Buffer.alloc(LARGE_ANSWER_BYTES));
-    });
+    const { script, received } = receiving(answerLarge);
     await addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     caller.socket.pause();
     await received();
-    await timers.advanceUntil(() =>
-      fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestEnded),
-    );
+    await untilAnswered();
     let isStopped = false;
     void fixture.stopDaemon(DAEMON).then(() => {
       isStopped = true;
@@ -285,10 +287,7 @@
   'a caller that never reads its answer does not keep a stop past its end',
   TIMEOUT,
   async () => {
-    const { script, received } = receiving(({ seen, response }) => {
-      response.writeHead(200, { ...stamped(seen), 'Content-Length': LARGE_ANSWER_BYTES });
-      response.end(Buffer.alloc(LARGE_ANSWER_BYTES));
-    });
+    const { script, received } = receiving(answerLarge);
     await addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     caller.socket.pause();
@@ -369,17 +368,12 @@
   'an answer that is complete as the listener closes reaches its slow caller',
   TIMEOUT,
   async () => {
-    const { script, received } = receiving(({ seen, response }) => {
-      response.writeHead(200, { ...stamped(seen), 'Content-Length': LARGE_ANSWER_BYTES });
-      response.end(Buffer.alloc(LARGE_ANSWER_BYTES));
-    });
+    const { script, received } = receiving(answerLarge);
     await addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     caller.socket.pause();
     await received();
-    await timers.advanceUntil(() =>
-      fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.requestEnded),
-    );
+    await untilAnswered();
     const stopped = fixture.stopDaemon(DAEMON);
     await timers.advanceBy(LISTENER_CLOSED_MS);
     caller.socket.resume();
