--- a/test/gateway/connections-in-a-stop.test.ts
+++ b/test/gateway/connections-in-a-stop.test.ts
@@ -11,8 +11,8 @@
   rejectingAsNotExecuted,
   type Script,
   type ServedRequest,
-  stamped,
 } from './support/server-stand-in.js';
+import { beginStream, FIRST_EVENT } from './support/stopping-daemon.js';
 
 /** The listener closes 2.6 s after the signal; what runs is cut off 7.3 s after it. */
 const SHORTLY_BEFORE_CLOSE_MS = 2_590;
@@ -23,7 +23,6 @@
 const LOOK_MS = 100;
 /** More than the system buffers for a connection whose caller does not read. */
 const LARGE_BYTES = 15_000_000;
-const FIRST_EVENT = 'id: 1\ndata: piece 1\n\n';
 const LAST_CHUNK = '0\r\n\r\n';
 const ANSWER = 'served';
 
@@ -96,6 +95,19 @@
   }
 }
 
+/** A stream whose caller has its first event, and whose server sends no more by itself. */
+async function streamTo(caller: Caller): Promise<ServedRequest> {
+  const { held, script } = holding();
+  await addServer(script, { service: 'reader', stage: 'decode' });
+  caller.socket.write(request('/read/1'));
+  await timers.advanceUntil(() => held.length === 1);
+  const [stream] = held;
+  assert.ok(stream);
+  beginStream(stream);
+  await caller.receive(FIRST_EVENT);
+  return stream;
+}
+
 function stop(): void {
   void fixture.stopDaemon('front-1');
 }
@@ -138,16 +150,8 @@
 
 // Its caller was not told that the daemon stops, as the answer before began earlier.
 test('a request that is on its way as the last answer ends gets an answer', async () => {
-  const { held, script } = holding();
-  await addServer(script, { service: 'reader', stage: 'decode' });
   const caller = new Caller();
-  caller.socket.write(request('/read/1'));
-  await timers.advanceUntil(() => held.length === 1);
-  const [stream] = held;
-  assert.ok(stream);
-  stream.response.writeHead(200, { ...stamped(stream.seen), 'Content-Type': 'text/event-stream' });
-  stream.response.write(FIRST_EVENT);
-  await caller.receive(FIRST_EVENT);
+  const stream = await streamTo(caller);
   stop();
   await timers.advanceBy(LISTENER_CLOSED_MS);
   stream.response.end();
@@ -229,16 +233,8 @@
 
 // The head of the stream was sent before the signal, so its caller was not told that the connection closes.
 test('a request that is pipelined behind a stream from before the signal gets an answer', async () => {
-  const { held, script } = holding();
-  await addServer(script, { service: 'reader', stage: 'decode' });
   const caller = new Caller();
-  caller.socket.write(request('/read/1'));
-  await timers.advanceUntil(() => held.length === 1);
-  const [stream] = held;
-  assert.ok(stream);
-  stream.response.writeHead(200, { ...stamped(stream.seen), 'Content-Type': 'text/event-stream' });
-  stream.response.write(FIRST_EVENT);
-  await caller.receive(FIRST_EVENT);
+  const stream = await streamTo(caller);
   stop();
   caller.socket.write(request('/none/2', 'a-2'));
   await timers.advanceBy(LOOK_MS);
--- a/test/gateway/support/stopping-daemon.ts
+++ b/test/gateway/support/stopping-daemon.ts
@@ -28,7 +28,8 @@
 /** Long enough for any wait before a request is sent. */
 const PATIENT_TARGET_MS = 40_000;
 const HEAD_END = '\r\n\r\n';
-const FIRST_EVENT = 'id: 1\ndata: piece 1\n\n';
+/** The first event of a stream that `beginStream` begins. */
+export const FIRST_EVENT = 'id: 1\ndata: piece 1\n\n';
 /** The path of the streams that keep a daemon from ending early. */
 const HELD_PATH = '/check/held/';
 
