Tests of stops share the set-up of a stopping gateway

Four files set up the same fixture, routes, servers and look-up of log lines as support/stopping-daemon.ts has them.

--- a/test/gateway/accept-queue-at-stop.test.ts
+++ b/test/gateway/accept-queue-at-stop.test.ts
@@ -3,9 +3,10 @@
 import { connect } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
-import { configuration, GatewayFixture, route } from './support/fixture.js';
-import { ManualTimers } from './support/manual-timers.js';
+import { type GatewayFixture, route } from './support/fixture.js';
+import type { ManualTimers } from './support/manual-timers.js';
 import { answering } from './support/server-stand-in.js';
+import { StoppingDaemon } from './support/stopping-daemon.js';
 
 /** The listener closes 2.6 s after the signal. */
 const SHORTLY_BEFORE_CLOSE_MS = 2_590;
@@ -16,14 +17,10 @@
 let timers: ManualTimers;
 
 beforeEach(async () => {
-  fixture = new GatewayFixture();
-  timers = new ManualTimers();
-  await fixture.start(timers);
-  fixture.store.putConfiguration(configuration(1, [route({})]));
-  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
-  await fixture.logged(GATEWAY_EVENTS.crashTableRead);
-  await fixture.addServer('i-1', answering(200, 'served'));
-  await fixture.logged(GATEWAY_EVENTS.serverAdded);
+  const daemon = new StoppingDaemon();
+  ({ fixture, timers } = daemon);
+  await daemon.start([route({})]);
+  await daemon.addServer('i-1', answering(200, 'served'));
 });
 
 afterEach(() => fixture.stop());
--- a/test/gateway/many-requests-at-stop.test.ts
+++ b/test/gateway/many-requests-at-stop.test.ts
@@ -4,9 +4,10 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../src/core/logging/catalogue/stops.js';
-import { configuration, GatewayFixture, route } from './support/fixture.js';
-import { ManualTimers } from './support/manual-timers.js';
+import { type GatewayFixture, route } from './support/fixture.js';
+import type { ManualTimers } from './support/manual-timers.js';
 import { answering } from './support/server-stand-in.js';
+import { StoppingDaemon } from './support/stopping-daemon.js';
 
 const CUTS_AFTER_MS = 7_300;
 /** The steps of virtual time, and the time between two looks at the requests. */
@@ -18,15 +19,11 @@
 let sockets: Socket[];
 
 beforeEach(async () => {
-  fixture = new GatewayFixture();
-  timers = new ManualTimers();
+  const daemon = new StoppingDaemon();
+  ({ fixture, timers } = daemon);
   sockets = [];
-  await fixture.start(timers);
-  fixture.store.putConfiguration(configuration(1, [route({ timeoutMs: 60_000 })]));
-  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
-  await fixture.logged(GATEWAY_EVENTS.crashTableRead);
-  await fixture.addServer('i-1', answering(200, 'served'));
-  await fixture.logged(GATEWAY_EVENTS.serverAdded);
+  await daemon.start([route({ timeoutMs: 60_000 })]);
+  await daemon.addServer('i-1', answering(200, 'served'));
 });
 
 afterEach(() => {
--- a/test/gateway/requests-left-at-stop.test.ts
+++ b/test/gateway/requests-left-at-stop.test.ts
@@ -6,14 +6,8 @@
 import { connect, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
-import {
-  configuration,
-  GatewayFixture,
-  LONG_REQUEST,
-  READ_ROUTE,
-  route,
-} from './support/fixture.js';
-import { ManualTimers } from './support/manual-timers.js';
+import { type GatewayFixture, LONG_REQUEST } from './support/fixture.js';
+import type { ManualTimers } from './support/manual-timers.js';
 import {
   answering,
   rejectingAsNotExecuted,
@@ -21,6 +15,7 @@
   type ServedRequest,
   stamped,
 } from './support/server-stand-in.js';
+import { OUTLASTING_ROUTES, StoppingDaemon } from './support/stopping-daemon.js';
 
 const DAEMON = 'front-1';
 const GRACE_MS = 8_000;
@@ -30,13 +25,13 @@
 /** The listener is closed by then. */
 const LISTENER_CLOSED_MS = 3_000;
 const FIRST = 'id: 1\ndata: piece 1\n\n';
-const OUTLASTING_MS = 60_000;
 /** More than the system buffers for a caller that reads nothing. */
 const LARGE_ANSWER_BYTES = 16_000_000;
 /** When a stop that cuts something is past its last wait. */
 const AFTER_CUT_MS = 7_320;
 const TIMEOUT = { timeout: 20_000 };
 
+let daemon: StoppingDaemon;
 let fixture: GatewayFixture;
 let timers: ManualTimers;
 let callers: Caller[];
@@ -68,17 +63,10 @@
 }
 
 beforeEach(async () => {
-  fixture = new GatewayFixture();
-  timers = new ManualTimers();
+  daemon = new StoppingDaemon();
+  ({ fixture, timers } = daemon);
   callers = [];
-  await fixture.start(timers);
-  const routes = [
-    route({ timeoutMs: OUTLASTING_MS, targetLatencyMs: OUTLASTING_MS }),
-    { ...READ_ROUTE, timeoutMs: OUTLASTING_MS, targetLatencyMs: OUTLASTING_MS },
-  ];
-  fixture.store.putConfiguration(configuration(1, routes));
-  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
-  await fixture.logged(GATEWAY_EVENTS.crashTableRead);
+  await daemon.start(OUTLASTING_ROUTES);
 });
 
 afterEach(() => {
@@ -98,15 +86,6 @@
   return caller;
 }
 
-async function addServer(id: string, script: Script, fields: object = {}): Promise<void> {
-  await fixture.addServer(id, script, fields);
-  await timers.advanceUntil(() =>
-    fixture.lines.some(
-      ({ event, fields: { server } }) => event === GATEWAY_EVENTS.serverAdded && server === id,
-    ),
-  );
-}
-
 /** A script for requests of callers, and a wait for the first. */
 function receiving(serve: (served: ServedRequest) => void) {
   const served: ServedRequest[] = [];
@@ -172,8 +151,8 @@
   TIMEOUT,
   async () => {
     const { script, served, received } = receiving(() => undefined);
-    await addServer('i-1', script, { service: 'reader', stage: 'prefill' });
-    await addServer('i-2', script, { service: 'reader', stage: 'decode' });
+    await daemon.addServer('i-1', script, { service: 'reader', stage: 'prefill' });
+    await daemon.addServer('i-2', script, { service: 'reader', stage: 'decode' });
     const headers = Object.entries(LONG_REQUEST.headers).map(
       ([name, value]) => `${name}: ${value}`,
     );
@@ -191,7 +170,7 @@
   TIMEOUT,
   async () => {
     const { script, served, received } = receiving(() => undefined);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     await received();
     assert.ok((await stop()) <= GRACE_MS - LAST_LINES_MS);
@@ -209,7 +188,7 @@
     const { script, received } = receiving(({ seen, response }) => {
       response.writeHead(200, { ...stamped(seen), 'Content-Length': 10 }).write('half');
     });
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     await received();
     assert.ok((await stop()) <= GRACE_MS - LAST_LINES_MS);
@@ -225,7 +204,7 @@
     const { script, received } = receiving(({ seen, response }) => {
       response.writeHead(200, stamped(seen)).write(FIRST);
     });
-    await addServer('i-1', script, { service: 'reader', stage: 'decode' });
+    await daemon.addServer('i-1', script, { service: 'reader', stage: 'decode' });
     const caller = open(requestTo('/read/1', ['X-Model: m', 'X-Token-Count: 30,4']));
     await received();
     await timers.advanceUntil(() => caller.received.includes(FIRST));
@@ -241,7 +220,7 @@
   TIMEOUT,
   async () => {
     const { script, received } = receiving(answerLarge);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const slow = open(requestTo('/tiles/1'));
     slow.socket.pause();
     const late = open('POST /tiles/2 HTTP/1.1\r\nHost: labels.example\r\n');
@@ -263,7 +242,7 @@
   TIMEOUT,
   async () => {
     const { script, received } = receiving(answerLarge);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     caller.socket.pause();
     await received();
@@ -288,7 +267,7 @@
   TIMEOUT,
   async () => {
     const { script, received } = receiving(answerLarge);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     caller.socket.pause();
     await received();
@@ -301,7 +280,7 @@
   TIMEOUT,
   async () => {
     const { script, received } = receiving(() => undefined);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     await received();
     const stopped = fixture.stopDaemon(DAEMON);
@@ -324,7 +303,7 @@
   TIMEOUT,
   async () => {
     const { script, received } = receiving(() => undefined);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     await received();
     timers.stall(1_500);
@@ -344,8 +323,8 @@
     const { script, served, received } = receiving(({ seen, response }) => {
       response.writeHead(200, stamped(seen)).write(FIRST);
     });
-    await addServer('i-1', script, { service: 'reader', stage: 'decode' });
-    await addServer('i-2', answering(200, 'served'));
+    await daemon.addServer('i-1', script, { service: 'reader', stage: 'decode' });
+    await daemon.addServer('i-2', answering(200, 'served'));
     const caller = open(requestTo('/read/1', ['X-Model: m', 'X-Token-Count: 30,4']));
     await received();
     await timers.advanceUntil(() => caller.received.includes(FIRST));
@@ -369,7 +348,7 @@
   TIMEOUT,
   async () => {
     const { script, received } = receiving(answerLarge);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     const caller = open(requestTo('/tiles/1'));
     caller.socket.pause();
     await received();
@@ -395,7 +374,7 @@
       response.writeHead(200, stamped(seen));
       response.end(`data: ${'x'.repeat(LARGE_ANSWER_BYTES)}\n\n`);
     });
-    await addServer('i-1', script, { service: 'reader', stage: 'decode' });
+    await daemon.addServer('i-1', script, { service: 'reader', stage: 'decode' });
     const caller = open(requestTo('/read/1', ['X-Model: m', 'X-Token-Count: 30,4']));
     caller.socket.pause();
     await received();
@@ -426,7 +405,7 @@
     const { script, received } = receiving(({ seen, response }) => {
       if (seen.url === '/tiles/2') response.writeHead(200, stamped(seen)).end('served');
     });
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     open(requestTo('/tiles/1'));
     await received();
     const caller = open(requestTo('/tiles/2'));
@@ -448,7 +427,7 @@
   TIMEOUT,
   async () => {
     const { script, received } = receiving(() => undefined);
-    await addServer('i-1', script);
+    await daemon.addServer('i-1', script);
     open(requestTo('/tiles/1'));
     await received();
     const stopped = fixture.stopDaemon(DAEMON);
--- a/test/gateway/stop-lines.test.ts
+++ b/test/gateway/stop-lines.test.ts
@@ -4,47 +4,35 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { STOP_EVENTS } from '../../src/core/logging/catalogue/stops.js';
-import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
+import type { LogFields } from '../../src/core/logging/log-event.js';
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
 import { GatewayStop } from '../../src/shell/gateway/gateway-stop.js';
 import { OpenRequest } from '../../src/shell/gateway/open-requests.js';
-import {
-  configuration,
-  GatewayFixture,
-  LONG_REQUEST,
-  READ_ROUTE,
-  route,
-} from './support/fixture.js';
-import { ManualTimers } from './support/manual-timers.js';
+import { type GatewayFixture, LONG_REQUEST } from './support/fixture.js';
+import type { ManualTimers } from './support/manual-timers.js';
 import {
   rejectingAsNotExecuted,
   type Script,
   type ServedRequest,
   stamped,
 } from './support/server-stand-in.js';
+import { OUTLASTING_ROUTES, StoppingDaemon } from './support/stopping-daemon.js';
 
 const DAEMON = 'front-1';
 const FIRST = 'id: 1\ndata: piece 1\n\n';
-const OUTLASTING_MS = 60_000;
 /** Most of it stays in the daemon while its caller does not read. */
 const LARGE_ANSWER = 'x'.repeat(15_000_000);
 
+let daemon: StoppingDaemon;
 let fixture: GatewayFixture;
 let timers: ManualTimers;
 let sockets: Socket[];
 
 beforeEach(async () => {
-  fixture = new GatewayFixture();
-  timers = new ManualTimers();
+  daemon = new StoppingDaemon();
+  ({ fixture, timers } = daemon);
   sockets = [];
-  await fixture.start(timers);
-  const routes = [
-    route({ timeoutMs: OUTLASTING_MS, targetLatencyMs: OUTLASTING_MS }),
-    { ...READ_ROUTE, timeoutMs: OUTLASTING_MS, targetLatencyMs: OUTLASTING_MS },
-  ];
-  fixture.store.putConfiguration(configuration(1, routes));
-  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
-  await fixture.logged(GATEWAY_EVENTS.crashTableRead);
+  await daemon.start(OUTLASTING_ROUTES);
 });
 
 afterEach(() => {
@@ -70,13 +58,6 @@
   return socket;
 }
 
-async function addServer(id: string, script: Script, fields: object = {}): Promise<void> {
-  await fixture.addServer(id, script, fields);
-  await timers.advanceUntil(() =>
-    linesOf(GATEWAY_EVENTS.serverAdded).some(({ server }) => server === id),
-  );
-}
-
 /** Stops the daemon, and returns the lines of what it cut. */
 async function stop(): Promise<readonly LogFields[]> {
   const stopped = fixture.stopDaemon(DAEMON);
@@ -84,11 +65,7 @@
     fixture.lines.some(({ event }) => event === GATEWAY_EVENTS.stopped),
   );
   await stopped;
-  return linesOf(STOP_EVENTS.requestCutByStop);
-}
-
-function linesOf(event: LogEvent) {
-  return fixture.lines.filter((line) => line.event === event).map(({ fields }) => fields);
+  return daemon.linesOf(STOP_EVENTS.requestCutByStop);
 }
 
 /** A script that leaves requests of callers unanswered, or goes on with them, and a wait for the first. */
@@ -122,7 +99,7 @@
 
 test('a request that its server has not answered is named with the server as a stop cuts it', async () => {
   const { script, received } = receiving(() => undefined);
-  await addServer('i-1', script);
+  await daemon.addServer('i-1', script);
   send('/tiles/1');
   await received();
   const [line] = await stop();
@@ -141,7 +118,7 @@
   const { script, received } = receiving(({ seen, response }) => {
     response.writeHead(200, { ...stamped(seen), 'Content-Length': 10 }).write('half');
   });
-  await addServer('i-1', script);
+  await daemon.addServer('i-1', script);
   send('/tiles/1');
   await received();
   const [line] = await stop();
@@ -151,8 +128,8 @@
 
 test('a prompt that is being read is named with the engine as a stop cuts it', async () => {
   const { script, received } = receiving(() => undefined);
-  await addServer('i-1', script, { service: 'reader', stage: 'prefill' });
-  await addServer('i-2', script, { service: 'reader', stage: 'decode' });
+  await daemon.addServer('i-1', script, { service: 'reader', stage: 'prefill' });
+  await daemon.addServer('i-2', script, { service: 'reader', stage: 'decode' });
   const headers = Object.entries(LONG_REQUEST.headers).map(([name, value]) => `${name}: ${value}`);
   send(LONG_REQUEST.path, headers);
   await received();
@@ -166,7 +143,7 @@
   const { script, received } = receiving(({ seen, response }) => {
     response.writeHead(200, stamped(seen)).write(FIRST);
   });
-  await addServer('i-1', script, { service: 'reader', stage: 'decode' });
+  await daemon.addServer('i-1', script, { service: 'reader', stage: 'decode' });
   send('/read/1', ['X-Model: m', 'X-Token-Count: 30,4']);
   await received();
   const [line] = await stop();
@@ -179,11 +156,11 @@
   const { script, received } = receiving(({ seen, response }) => {
     if (seen.url === '/tiles/2') response.writeHead(200, stamped(seen)).end(LARGE_ANSWER);
   });
-  await addServer('i-1', script);
+  await daemon.addServer('i-1', script);
   const socket = send('/tiles/1');
   await received();
   socket.write(requestTo('/tiles/2'));
-  await timers.advanceUntil(() => linesOf(GATEWAY_EVENTS.requestEnded).length > 0);
+  await timers.advanceUntil(() => daemon.linesOf(GATEWAY_EVENTS.requestEnded).length > 0);
   const [first, second] = await stop();
   assert.equal(first?.phase, 'sent');
   assert.equal(second?.phase, 'delivering');
@@ -193,28 +170,28 @@
 
 test('the lines of a stop tell when the listener closes, when requests are cut, and how many were', async () => {
   const { script, received } = receiving(() => undefined);
-  await addServer('i-1', script);
+  await daemon.addServer('i-1', script);
   send('/tiles/1');
   await received();
   await stop();
-  const [stopping] = linesOf(GATEWAY_EVENTS.stopping);
+  const [stopping] = daemon.linesOf(GATEWAY_EVENTS.stopping);
   assert.deepEqual(stopping, {
     inFlight: 1,
     listenerClosesInMs: 2_600,
     cutsInMs: 7_300,
     signalAgeMs: 0,
   });
-  const [closed] = linesOf(STOP_EVENTS.listenerClosed);
+  const [closed] = daemon.linesOf(STOP_EVENTS.listenerClosed);
   assert.deepEqual({ ...closed, elapsedMs: 0 }, { inFlight: 1, openConnections: 1, elapsedMs: 0 });
   assertAbout(closed?.elapsedMs, 2_600);
-  const [stopped] = linesOf(GATEWAY_EVENTS.stopped);
+  const [stopped] = daemon.linesOf(GATEWAY_EVENTS.stopped);
   assert.equal(stopped?.cut, 1);
   assert.ok(Number(stopped?.tookMs) >= 7_300);
 });
 
 test('a stop in which all requests end names none', async () => {
   assert.deepEqual(await stop(), []);
-  const [stopped] = linesOf(GATEWAY_EVENTS.stopped);
+  const [stopped] = daemon.linesOf(GATEWAY_EVENTS.stopped);
   assert.equal(stopped?.cut, 0);
   assert.ok(Number(stopped?.tookMs) < 7_300);
 });
--- a/test/gateway/support/stopping-daemon.ts
+++ b/test/gateway/support/stopping-daemon.ts
@@ -55,6 +55,12 @@
 
 const NO_ANSWER: Outcome = { status: 0, headers: {}, body: '' };
 
+/** Routes whose requests outlast a stop and are never held for it. */
+export const OUTLASTING_ROUTES = [
+  route({ timeoutMs: LONG_TIMEOUT_MS, targetLatencyMs: LONG_TIMEOUT_MS }),
+  { ...READ_ROUTE, timeoutMs: LONG_TIMEOUT_MS, targetLatencyMs: LONG_TIMEOUT_MS },
+];
+
 /** A gateway that a test stops. */
 export class StoppingDaemon {
   readonly fixture = new GatewayFixture();
@@ -62,9 +68,9 @@
   #signalledAtMs = 0;
   #requests = 0;
 
-  async start(): Promise<void> {
+  async start(routes: readonly unknown[] = ROUTES): Promise<void> {
     await this.fixture.start(this.timers);
-    this.fixture.store.putConfiguration(configuration(1, ROUTES));
+    this.fixture.store.putConfiguration(configuration(1, routes));
     await this.#until(() => this.linesOf(GATEWAY_EVENTS.configurationInForce).length > 0);
     await this.#until(() => this.linesOf(GATEWAY_EVENTS.crashTableRead).length > 0);
   }
