A test finds a stop that does not wait for callers to take their answers

The mutation delivery, which takes away the wait for answers that are complete and not read at the end of a stop, was found by no test: the one there was read 20 ms after the cut, within the time in which cut requests settle. The same test now also reads 0.2 s after the cut: it passes, and fails with the mutation. Nothing is loosened.

--- a/test/gateway/requests-left-at-stop.test.ts
+++ b/test/gateway/requests-left-at-stop.test.ts
@@ -29,6 +29,11 @@
 const LARGE_ANSWER_BYTES = 16_000_000;
 /** When a stop that cuts something is past its last wait. */
 const AFTER_CUT_MS = 7_320;
+/** When a caller begins to read an answer that is complete; what runs is cut before. */
+const READING_TIMES = [
+  ['soon after', AFTER_CUT_MS],
+  ['shortly before the last log lines are written', 7_500],
+] as const;
 const TIMEOUT = { timeout: 20_000 };
 
 let daemon: StoppingDaemon;
@@ -237,30 +242,32 @@
   },
 );
 
-test(
-  'an answer that is complete at the end of a stop reaches a caller that reads it soon after',
-  TIMEOUT,
-  async () => {
-    const { script, received } = receiving(answerLarge);
-    await daemon.addServer('i-1', script);
-    const caller = open(requestTo('/tiles/1'));
-    caller.socket.pause();
-    await received();
-    await untilAnswered();
-    let isStopped = false;
-    void fixture.stopDaemon(DAEMON).then(() => {
-      isStopped = true;
-    });
-    await timers.advanceBy(AFTER_CUT_MS);
-    caller.socket.resume();
-    while (!isStopped && caller.receivedBytes < LARGE_ANSWER_BYTES) {
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-    await timers.advanceUntil(() => isStopped);
-    await endOf(caller);
-    assert.ok(caller.receivedBytes > LARGE_ANSWER_BYTES);
-  },
-);
+for (const [when, readsAfterMs] of READING_TIMES) {
+  test(
+    `an answer that is complete at the end of a stop reaches a caller that reads it ${when}`,
+    TIMEOUT,
+    async () => {
+      const { script, received } = receiving(answerLarge);
+      await daemon.addServer('i-1', script);
+      const caller = open(requestTo('/tiles/1'));
+      caller.socket.pause();
+      await received();
+      await untilAnswered();
+      let isStopped = false;
+      void fixture.stopDaemon(DAEMON).then(() => {
+        isStopped = true;
+      });
+      await timers.advanceBy(readsAfterMs);
+      caller.socket.resume();
+      while (!isStopped && caller.receivedBytes < LARGE_ANSWER_BYTES) {
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+      await timers.advanceUntil(() => isStopped);
+      await endOf(caller);
+      assert.ok(caller.receivedBytes > LARGE_ANSWER_BYTES);
+    },
+  );
+}
 
 test(
   'a caller that never reads its answer does not keep a stop past its end',
