Reproduced: answers of servers in chunks of one byte end the process

Callers saw all their connections to the daemon close. A body that is collected is kept as a list of the chunks that came, each some two hundred bytes of heap, and only its bytes are bounded.

--- a/test/resources/support/real-gateway.ts
+++ b/test/resources/support/real-gateway.ts
@@ -108,7 +108,7 @@
     const settingsPath = join(this.#directory, 'gateway.yaml');
     writeFileSync(settingsPath, this.#settings(await endpoint.open()));
     this.store.put(TABLES.operator, TABLES.configurationKey, CONFIGURATION);
-    this.#listServer();
+    this.#listServers();
     this.#spawn([...this.#flags(), program, settingsPath]);
     await this.waitUntil(() => this.isReady(), READY_TIMEOUT_MS);
   }
@@ -234,15 +234,12 @@
     });
   }
 
-  #listServer(): void {
+  /** One server of each service, all at the same address. */
+  #listServers(): void {
     const { port } = this.#server.address() as AddressInfo;
-    this.store.put(TABLES.servers, 'server-1', {
-      service: 'web',
-      address: `127.0.0.1:${port}`,
-      zone: 'a',
-      slots: 4_000,
-      state: 'ready',
-    });
+    const row = { address: `127.0.0.1:${port}`, zone: 'a', slots: 4_000, state: 'ready' };
+    this.store.put(TABLES.servers, 'server-1', { ...row, service: 'web' });
+    this.store.put(TABLES.servers, 'engine-1', { ...row, service: 'model', stage: 'decode' });
   }
 
   #settings(storePort: number): string {
@@ -292,8 +289,56 @@
       attempts: 1,
       service: 'web',
     },
+    {
+      name: 'brief',
+      host: HOST,
+      pathPrefix: '/brief/',
+      kind: 'non_idempotent',
+      timeoutMs: 3_000,
+      targetLatencyMs: 1_500,
+      priority: 1,
+      attempts: 1,
+      service: 'web',
+    },
+    {
+      name: 'model',
+      host: HOST,
+      pathPrefix: '/model/',
+      kind: 'streaming',
+      timeoutMs: 3_000,
+      targetLatencyMs: 1_500,
+      priority: 1,
+      attempts: 1,
+      service: 'model',
+    },
+    {
+      name: 'resumable',
+      host: HOST,
+      pathPrefix: '/resumable/',
+      kind: 'streaming',
+      resumable: true,
+      timeoutMs: 3_000,
+      targetLatencyMs: 1_500,
+      priority: 1,
+      attempts: 1,
+      service: 'model',
+    },
+  ],
+  services: [
+    { name: 'web', maxConnections: 10_000, healthPath: '/health' },
+    {
+      name: 'model',
+      maxConnections: 10_000,
+      healthPath: '/health',
+      engine: {
+        slots: 4_000,
+        kvTokens: 10_000_000,
+        kvTokenBytes: 1_000,
+        linkMbps: 100_000,
+        most: 12,
+      },
+    },
   ],
-  services: [{ name: 'web', maxConnections: 10_000, healthPath: '/health' }],
   limits: {
     maxHeaderBytes: 32_768,
     maxBodyBytes: 4_000_000,
