--- /dev/null
+++ b/src/shell/bytes/index.ts
@@ -0,0 +1,2 @@
+/** Collecting bytes of other programs within bounds. */
+export { HeldBytes } from './held-bytes.js';
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -14,6 +14,7 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { CONNECT_TIMEOUT_MS, type MemoryReservation } from '../../core/gateway/index.js';
+import { HeldBytes } from '../bytes/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
@@ -82,11 +83,18 @@
   readonly #request: ClientRequest;
   #lacksMemory = false;
   readonly #timers: TimerService;
+  readonly #held: HeldBytes;
   #isBroken = false;
 
-  constructor(request: ClientRequest, message: IncomingMessage, timers: TimerService) {
+  constructor(
+    request: ClientRequest,
+    message: IncomingMessage,
+    timers: TimerService,
+    held: HeldBytes,
+  ) {
     this.#request = request;
     this.#timers = timers;
+    this.#held = held;
     this.message = message;
     // node:http reports an answer without a length as complete when its connection is reset.
     request.on('error', () => {
@@ -184,15 +192,26 @@
     return new Promise((resolve) => {
       let chunks: Buffer[] = [];
       let length = 0;
+      let heldBytes = 0;
+      const letGo = () => {
+        this.#held.change(-heldBytes, -chunks.length);
+        heldBytes = 0;
+        chunks = [];
+      };
       this.message.on('data', (chunk: Buffer) => {
         chunks.push(chunk);
         length += chunk.length;
+        heldBytes += chunk.length;
+        this.#held.change(chunk.length, 1);
         if (length <= maxBytes && this.#mayHold(chunk, memory)) return;
-        chunks = [];
+        letGo();
         this.destroy();
       });
       this.message.once('end', () => resolve(this.isComplete ? Buffer.concat(chunks) : undefined));
-      this.message.once('close', () => resolve(undefined));
+      this.message.once('close', () => {
+        letGo();
+        resolve(undefined);
+      });
     });
   }
 }
@@ -276,6 +295,8 @@
   /** Calls that have no answer, including aborted ones that wait for a late answer. */
   readonly #unanswered = new Set<ClientRequest>();
   #awaitedLate = 0;
+  /** What answers hold while they are collected. */
+  readonly held = new HeldBytes();
   /** Connections opened since the process started. */
   openedTotal = 0;
 
@@ -330,7 +351,7 @@
           request.destroy();
           return;
         }
-        const answer = new BackendAnswer(request, message, this.#timers);
+        const answer = new BackendAnswer(request, message, this.#timers, this.held);
         if (isSettled) call.lateAnswer?.onAnswer(answer);
         else settle({ kind: 'answered', answer });
       });
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -32,7 +32,7 @@
     | 'unreadTables'
   >;
   readonly callers: Pick<CallerListener, 'inFlight' | 'bodyBytes'>;
-  readonly connections: Pick<BackendConnections, 'openedTotal'>;
+  readonly connections: Pick<BackendConnections, 'openedTotal' | 'held'>;
   readonly admission: Pick<AdmissionGate, 'waiting'>;
   readonly limits: Pick<LimitCoordinator, 'grantedServers'>;
   readonly crashes: Pick<CrashGuard, 'counts'>;
@@ -71,6 +71,18 @@
     'kind',
     () => sources.resources.memoryBytes(),
   );
+  metrics.addLabelledGauge(
+    'threadfork_gateway_held_bytes',
+    'Bytes that are held until a message is complete, or while a request is in flight',
+    'kind',
+    () => new Map([['answers', sources.connections.held.bytes]]),
+  );
+  metrics.addLabelledGauge(
+    'threadfork_gateway_held_objects',
+    'Objects in the heap that these bytes are kept in, each with some hundred bytes besides its content',
+    'kind',
+    () => new Map([['answers', sources.connections.held.objects]]),
+  );
   metrics.addLabelledGauge(
     'threadfork_gateway_engine_pace',
     'Pace of an engine against the usual one of its service, of those that differ most',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -529,6 +529,8 @@
       holders: () => ({
         requestsInFlight: this.#callers.inFlight,
         bodyBytes: this.#callers.bodyBytes,
+        answerBytes: this.#connections.held.bytes,
+        answerObjects: this.#connections.held.objects,
         streamRecords: this.#streams.recordCount,
         cachedParts: this.#fleet.prefixIndex.size,
       }),
--- a/src/shell/gateway/resource-monitor.ts
+++ b/src/shell/gateway/resource-monitor.ts
@@ -21,6 +21,9 @@
   readonly requestsInFlight: number;
   /** Of the requests that have not ended. */
   readonly bodyBytes: number;
+  /** Of answers of servers that are not complete. */
+  readonly answerBytes: number;
+  readonly answerObjects: number;
   readonly streamRecords: number;
   readonly cachedParts: number;
 }
--- a/test/gateway/resource-monitor.test.ts
+++ b/test/gateway/resource-monitor.test.ts
@@ -12,7 +12,14 @@
 import { ManualTimers } from './support/manual-timers.js';
 
 const MEGABYTE = 1_048_576;
-const HOLDERS = { requestsInFlight: 7, bodyBytes: 700_000, streamRecords: 3, cachedParts: 90 };
+const HOLDERS = {
+  requestsInFlight: 7,
+  bodyBytes: 700_000,
+  answerBytes: 60_000,
+  answerObjects: 50_000,
+  streamRecords: 3,
+  cachedParts: 90,
+};
 
 let timers: ManualTimers;
 let usedMb: number;
@@ -38,9 +45,12 @@
   timers.advance(100);
   assert.equal(lines.length, 1);
   assert.equal(lines[0]?.event, RESOURCE_EVENTS.heapNearLimit);
-  const { heapMb, limitMb, requestsInFlight, bodyBytes } = lines[0]?.fields ?? {};
+  const { heapMb, limitMb, requestsInFlight, bodyBytes, answerObjects } = lines[0]?.fields ?? {};
   assert.deepEqual({ heapMb, limitMb }, { heapMb: 81, limitMb: 100 });
-  assert.deepEqual({ requestsInFlight, bodyBytes }, { requestsInFlight: 7, bodyBytes: 700_000 });
+  assert.deepEqual(
+    { requestsInFlight, bodyBytes, answerObjects },
+    { requestsInFlight: 7, bodyBytes: 700_000, answerObjects: 50_000 },
+  );
 });
 
 test('a heap that stays near its limit is logged every ten seconds at most', () => {
