Answers of servers in chunks of one byte no longer end the process

What callers saw: every connection to a daemon closed at once, and again after each restart, as long as a server sent such an answer. Cause: BackendAnswer.collect bounded a body in bytes and kept each chunk as a Buffer of its own, some two hundred bytes of heap; 16 MiB in chunks of one byte are gigabytes, and V8 ends the process at its limit. ByteCollector copies small chunks into blocks that grow with the message, so that the objects are bounded by the bytes, and the request's memory accounts for the blocks and not for the content.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -14,7 +14,7 @@
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { CONNECT_TIMEOUT_MS, type MemoryReservation } from '../../core/gateway/index.js';
-import { HeldBytes } from '../bytes/index.js';
+import { ByteCollector, HeldBytes } from '../bytes/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
@@ -77,6 +77,9 @@
 /** What came of opening a connection; `unanswered` where it was neither accepted nor refused. */
 export type ConnectOutcome = 'accepted' | 'refused' | 'unanswered';
 
+/** The memory that a body is accounted for in. */
+type BodyMemory = Pick<MemoryReservation, 'grow' | 'shrink'>;
+
 /** The head of an answer, and its body as a stream. */
 export class BackendAnswer {
   readonly message: IncomingMessage;
@@ -179,43 +182,39 @@
     return this.#lacksMemory;
   }
 
-  #mayHold(chunk: Buffer, memory: Pick<MemoryReservation, 'grow'> | undefined): boolean {
-    this.#lacksMemory = memory !== undefined && !memory.grow(chunk.length);
-    return !this.#lacksMemory;
-  }
-
   /**
    * The complete body, or undefined when it broke off, is too large or there is no memory for it.
    * @param memory of the request that the body is held for; undefined for a call of this daemon's own
    */
-  collect(maxBytes: number, memory?: Pick<MemoryReservation, 'grow'>): Promise<Buffer | undefined> {
+  collect(maxBytes: number, memory?: BodyMemory): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      let chunks: Buffer[] = [];
-      let length = 0;
-      let heldBytes = 0;
-      const letGo = () => {
-        this.#held.change(-heldBytes, -chunks.length);
-        heldBytes = 0;
-        chunks = [];
-      };
+      const body = new ByteCollector(this.#held);
       this.message.on('data', (chunk: Buffer) => {
-        chunks.push(chunk);
-        length += chunk.length;
-        heldBytes += chunk.length;
-        this.#held.change(chunk.length, 1);
-        if (length <= maxBytes && this.#mayHold(chunk, memory)) return;
-        letGo();
+        if (this.message.destroyed) return;
+        const bytesBefore = body.heldBytes;
+        body.add(chunk);
+        this.#lacksMemory = !tryHold(memory, body.heldBytes - bytesBefore);
+        if (body.length <= maxBytes && !this.#lacksMemory) return;
+        body.clear();
         this.destroy();
       });
-      this.message.once('end', () => resolve(this.isComplete ? Buffer.concat(chunks) : undefined));
+      this.message.once('end', () => resolve(this.isComplete ? body.join() : undefined));
       this.message.once('close', () => {
-        letGo();
+        body.clear();
         resolve(undefined);
       });
     });
   }
 }
 
+/** Accounts for bytes that a body takes, or gives back where they are negative; false where there is no memory for them. */
+function tryHold(memory: BodyMemory | undefined, addedBytes: number): boolean {
+  if (memory === undefined) return true;
+  if (addedBytes >= 0) return memory.grow(addedBytes);
+  memory.shrink(-addedBytes);
+  return true;
+}
+
 /** Closes idle connections before the server does. */
 class KeepAliveAgent extends http.Agent {
   constructor() {
