Soak: the mutation of visible breaks follows the collected body

The text that it replaces changed with the fix before. A body that broke off is joined where the mutation takes the protection away, as it was.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -91,8 +91,8 @@
     name: 'visible-breaks',
     promise: 'MIXED',
     file: 'src/shell/gateway/backend-connections.ts',
-    text: "this.message.once('close', () => resolve(undefined));",
-    replacement: "this.message.once('close', () => resolve(Buffer.concat(chunks)));",
+    text: 'body.clear();\n        resolve(undefined);',
+    replacement: 'resolve(body.join());',
   },
   {
     name: 'whole-streams',
