Answers of the store in chunks of one byte no longer end the process

What callers saw: as with servers' answers, the process ends, and every other one that reads the store with it. Cause: the same list of chunks stood in the calls to the platform's services, bounded by 4 MiB of content only. The calls collect their answers in the collector that servers' answers have; as an adapter imports types only, the program hands it the constructor.

--- a/fuzz/decoder-campaign.ts
+++ b/fuzz/decoder-campaign.ts
@@ -1,6 +1,8 @@
 /** Feeds spoiled messages to every decoder of bytes of others: none may throw, and what one accepts can be sent on. */
+
 import { validateHeaderValue } from 'node:http';
 import { createPlatformAdapter } from '../platform/index.js';
+import { createCollector } from '../src/shell/bytes/index.js';
 import { EventSplitter } from '../src/shell/gateway/event-splitter.js';
 import { decodeAvailability } from '../src/shell/gateway/forwarded-availability.js';
 import { decodeForwarding } from '../src/shell/gateway/forwarding-headers.js';
@@ -10,7 +12,10 @@
 import { configuration, READ_ROUTE, route } from '../test/gateway/support/fixture.js';
 import { pick, type Random, spoil } from './spoil.js';
 
-const { requests, servers, configurations } = createPlatformAdapter({ host: '127.0.0.1', port: 9 });
+const { requests, servers, configurations } = createPlatformAdapter(createCollector, {
+  host: '127.0.0.1',
+  port: 9,
+});
 
 const SERVER_ROW = {
   service: 'reader',
--- a/soak/platform-store.ts
+++ b/soak/platform-store.ts
@@ -50,6 +50,8 @@
   withholdsChanges: boolean;
   /** How table reads are stale; undefined if they show the current rows. */
   stale: StaleReads | undefined;
+  /** Answers each call in place of the store; undefined if the store answers. */
+  spoil: ((response: ServerResponse) => void) | undefined;
 }
 
 /** How table reads are stale. */
@@ -90,6 +92,7 @@
     lateWrites: 0,
     withholdsChanges: false,
     stale: undefined,
+    spoil: undefined,
   };
   /** How all daemons are refused; undefined if they are served. */
   refusal: StoreRefusal | undefined;
@@ -185,6 +188,7 @@
     const refusal = this.refusal ?? endpoint.refusal;
     response.setHeader(STORE_HEADERS.era, String(this.#era));
     if (refusal !== undefined) return refuse(refusal, response);
+    if (this.faults.spoil !== undefined) return this.faults.spoil(response);
     const url = new URL(request.url ?? '/', 'http://store');
     setTimeout(
       () => this.#answerCall(endpoint, url, body, response),
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -2,8 +2,10 @@
  * Entry point of a gateway on the users' platform: puts the process together with its settings file, its log and the
  * platform's adapter. Only this module refers to a concrete platform adapter. `scripts/gateway-loader.cjs` runs it.
  */
+
 import { pino } from 'pino';
 import { createPlatformAdapter, SETTINGS_VARIABLE } from '../../platform/index.js';
+import { createCollector } from '../shell/bytes/index.js';
 import { Gateway, GatewayLog, logFault, SYSTEM_TIMERS } from '../shell/gateway/index.js';
 import { createLogger } from '../shell/logging/index.js';
 import { GatewayProcess, HANDLED_SIGNALS, type ProcessOutcome } from './gateway-process.js';
@@ -79,7 +81,7 @@
       new Gateway({
         build,
         settings,
-        adapter: createPlatformAdapter(settings.store, settings.duties?.address),
+        adapter: createPlatformAdapter(createCollector, settings.store, settings.duties?.address),
         timers: SYSTEM_TIMERS,
         wallClock: Date.now,
         log,
--- a/src/shell/bytes/byte-collector.ts
+++ b/src/shell/bytes/byte-collector.ts
@@ -113,3 +113,8 @@
   bytes.copy(copy);
   return copy;
 }
+
+/** Creates a collector whose bytes are counted nowhere else. */
+export function createCollector(): ByteCollector {
+  return new ByteCollector();
+}
--- a/test/gateway/bytes-without-end.test.ts
+++ b/test/gateway/bytes-without-end.test.ts
@@ -1,10 +1,12 @@
 /** Bytes without end in answers that a daemon does not need, or in one event: they were read until the peer stopped. */
+
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { ServiceConnection } from '../../platform/http-call.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { createCollector } from '../../src/shell/bytes/index.js';
 import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
 import {
   configuration,
@@ -140,7 +142,7 @@
 test('an answer without end of the store fails the call, and its connection is closed', async () => {
   const taken = bytesTaken(`${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n`);
   const { port } = server.address() as AddressInfo;
-  const store = new ServiceConnection({ host: '127.0.0.1', port });
+  const store = new ServiceConnection({ host: '127.0.0.1', port }, createCollector);
   const request = { method: 'GET', path: '/rows-get', headers: {}, body: undefined };
   const result = await store.call(request, new AbortController().signal);
   assert.deepEqual(result.kind, 'failed');
--- a/test/gateway/duty-client.test.ts
+++ b/test/gateway/duty-client.test.ts
@@ -1,7 +1,9 @@
 /** The client for the duties' calls to the platform, over TCP. */
+
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
+import { createCollector } from '../../src/shell/bytes/index.js';
 import type { DutyOutcome, PlatformDuties } from '../../src/shell/gateway/index.js';
 import { type Script, ServerStandIn } from './support/server-stand-in.js';
 
@@ -20,7 +22,7 @@
 function duties(): PlatformDuties {
   const [host = '', port = ''] = platform.address.split(':');
   const address = { host, port: Number(port) };
-  const found = createPlatformAdapter(address, address).duties;
+  const found = createPlatformAdapter(createCollector, address, address).duties;
   assert.ok(found !== undefined);
   return found;
 }
@@ -67,5 +69,8 @@
 });
 
 test('without an address for duties the adapter has none', () => {
-  assert.equal(createPlatformAdapter({ host: '127.0.0.1', port: 1 }).duties, undefined);
+  assert.equal(
+    createPlatformAdapter(createCollector, { host: '127.0.0.1', port: 1 }).duties,
+    undefined,
+  );
 });
--- a/test/gateway/given-up-platform-call.test.ts
+++ b/test/gateway/given-up-platform-call.test.ts
@@ -3,11 +3,13 @@
  * held up for six seconds arrived between two reports of the duty's next holder, under the old fencing token. Also guards
  * against calls whose connection is never closed.
  */
+
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, Socket } from 'node:net';
 import { afterEach, beforeEach, mock, test } from 'node:test';
 import { ServiceConnection } from '../../platform/http-call.js';
+import { createCollector } from '../../src/shell/bytes/index.js';
 
 const TURNS_UNTIL_OPEN = 20;
 const CALL = { method: 'POST', path: '/usage', headers: {}, body: '{}' };
@@ -21,10 +23,13 @@
   server = createServer({ pauseOnConnect: true });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
-  connection = new ServiceConnection({
-    host: '127.0.0.1',
-    port: (server.address() as AddressInfo).port,
-  });
+  connection = new ServiceConnection(
+    {
+      host: '127.0.0.1',
+      port: (server.address() as AddressInfo).port,
+    },
+    createCollector,
+  );
   ended = new AbortController();
 });
 
--- a/test/gateway/store-refusals.test.ts
+++ b/test/gateway/store-refusals.test.ts
@@ -1,8 +1,10 @@
 /** The Retry-After time of the store's refusals reaches the caller of the table; over TCP. */
+
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import type { TableCall, TableResult } from '../../src/core/platform/table.js';
+import { createCollector } from '../../src/shell/bytes/index.js';
 import { ServerStandIn } from './support/server-stand-in.js';
 
 const CALLS: readonly TableCall[] = [
@@ -24,7 +26,7 @@
 
 function callStore(call: TableCall): Promise<TableResult> {
   const [host = '', port = ''] = store.address.split(':');
-  const { table } = createPlatformAdapter({ host, port: Number(port) });
+  const { table } = createPlatformAdapter(createCollector, { host, port: Number(port) });
   return table.call(call, new AbortController().signal);
 }
 
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -1,10 +1,12 @@
 /** A gateway over real sockets, with a fake store and fake servers that tests script. */
+
 import { once } from 'node:events';
 import http from 'node:http';
 import { connect } from 'node:net';
 import { createPlatformAdapter } from '../../../platform/index.js';
 import { GATEWAY_EVENTS } from '../../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../../src/core/logging/log-event.js';
+import { createCollector } from '../../../src/shell/bytes/index.js';
 import {
   DEFAULT_LOAD_DECISIONS,
   Gateway,
@@ -232,7 +234,7 @@
         this.#recordLine({ daemon: name, event, fields }),
       flush: () => undefined,
     };
-    const adapter = createPlatformAdapter(store);
+    const adapter = createPlatformAdapter(createCollector, store);
     const gateway = new Gateway({
       build: 'test',
       settings,
--- a/test/resources/answers-in-tiny-chunks.test.ts
+++ b/test/resources/answers-in-tiny-chunks.test.ts
@@ -10,6 +10,7 @@
 const MAX_OLD_SPACE_MB = 64;
 const MEMORY_MB = 300;
 const REQUESTS = 4;
+const STORE_CALLS = 4;
 const WEB_REQUEST: TestRequest = { path: '/brief/1' };
 const MODEL_HEADERS = { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' };
 const STREAM_REQUEST: TestRequest = { path: '/model/1', headers: MODEL_HEADERS };
@@ -33,10 +34,15 @@
     () => sent.every(({ status, socket }) => isFailure(status) || socket.destroyed),
     WAIT_MS,
   );
+  to.leave();
+  await assertServesWithin(to);
+}
+
+/** The process runs within the memory of its machine, and answers one ordinary request. */
+async function assertServesWithin(to: RealGateway): Promise<void> {
   assert.equal(to.end, undefined, to.output.slice(-2_000));
   const resident = await to.metric('threadfork_gateway_memory_bytes{kind="resident"}');
   assert.ok(Number(resident) < MEMORY_MB * BYTES_PER_MEGABYTE, `${resident} bytes`);
-  to.leave();
   to.serve = answer;
   let again = to.send({});
   await to.waitUntil(() => {
@@ -89,3 +95,20 @@
     writeTinyChunksWithoutEnd(response);
   });
 });
+
+test('answers of the store without end in chunks of one byte do not end the process', async () => {
+  const to = new RealGateway({ maxOldSpaceMb: MAX_OLD_SPACE_MB, memoryMb: MEMORY_MB });
+  gateway = to;
+  await to.start();
+  let closed = 0;
+  to.store.faults.spoil = (response) => {
+    response.once('close', () => {
+      closed += 1;
+    });
+    response.writeHead(200);
+    writeTinyChunksWithoutEnd(response);
+  };
+  await to.waitUntil(() => closed >= STORE_CALLS, WAIT_MS);
+  to.store.faults.spoil = undefined;
+  await assertServesWithin(to);
+});
