--- a/src/shell/bytes/byte-collector.ts
+++ b/src/shell/bytes/byte-collector.ts
@@ -114,7 +114,8 @@
   return copy;
 }
 
+/** Creates the collector of one message, for modules that take no code of the product. */
+export type CreateCollector = () => Pick<ByteCollector, 'add' | 'join' | 'length'>;
+
 /** Creates a collector whose bytes are counted nowhere else. */
-export function createCollector(): ByteCollector {
-  return new ByteCollector();
-}
+export const createCollector: CreateCollector = () => new ByteCollector();
--- a/src/shell/bytes/index.ts
+++ b/src/shell/bytes/index.ts
@@ -1,3 +1,3 @@
 /** Collecting bytes of other programs within bounds. */
-export { ByteCollector, createCollector } from './byte-collector.js';
+export { ByteCollector, type CreateCollector, createCollector } from './byte-collector.js';
 export { HeldBytes } from './held-bytes.js';
