Streams in chunks of one byte whose callers do not read no longer end the process

What callers saw: as before, all connections to the daemon close. Cause, of the same class: each chunk of a relayed stream was a write of its own, four entries of the caller's socket each, and a paused answer kept the rest of two reads of its connection, some 20,000 chunks, as objects in the parser's stream; a caller that does not read held several MB of heap for as long as it stayed. BodyFlow delivers what one read brought as one piece and pauses the connection, not only the message.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -19,6 +19,7 @@
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
 import { answerFlaw } from './answer-flaw.js';
+import { BodyFlow, type BodyReceiver } from './body-flow.js';
 import type { RawHeaders } from './ports.js';
 import type { TimerService } from './timer-service.js';
 
@@ -177,6 +178,11 @@
     message.once('close', cancel);
   }
 
+  /** Passes the body on while it arrives. */
+  flow(receiver: BodyReceiver): BodyFlow {
+    return new BodyFlow(this.message, receiver, this.#held);
+  }
+
   /** Whether the body was not collected because this daemon had no memory for it. */
   get lacksMemory(): boolean {
     return this.#lacksMemory;
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -73,7 +73,6 @@
   /** Relays one server's part of the stream until it ends. */
   relay(source: RelaySource): Promise<RelayResult> {
     const { answer } = source;
-    const { message } = answer;
     const { response } = this.#exchange.options;
     this.#splitter.discardPartialEvent();
     const boundary = new EventBoundary();
@@ -109,20 +108,19 @@
           if (!isSettled) settle(mayHaveCrashed ? 'broken' : 'complete');
         }, fail);
       };
-      const resumeSource = () => message.resume();
+      const resumeSource = () => flow.resume();
       const interrupt = () => {
         settle('interrupted');
         answer.destroy();
       };
       const forward = (bytes: Buffer) => {
-        if (!isSettled && !this.#write(source, bytes)) message.pause();
+        if (!isSettled && !this.#write(source, bytes)) flow.pause();
       };
       if (this.#exchange.signal.aborted) return interrupt();
       this.#exchange.signal.addEventListener('abort', interrupt, { once: true });
-      response.on('drain', resumeSource);
-      const receive = (chunk: Buffer) => {
-        this.#follow(boundary, chunk);
-        const bytes = this.#isResumable ? this.#splitter.push(chunk) : chunk;
+      const receive = (received: Buffer) => {
+        this.#follow(boundary, received);
+        const bytes = this.#isResumable ? this.#splitter.push(received) : received;
         if (!this.#mayHold(this.#splitter.heldBytes)) {
           settle('broken');
           answer.destroy();
@@ -131,35 +129,38 @@
         if (bytes.length === 0) return;
         const isReady = this.hasBegun ? undefined : this.#onFirstEvent(source);
         if (isReady === undefined) return forward(bytes);
-        message.pause();
+        flow.pause();
         firstEvent = isReady.then(() => {
           firstEvent = undefined;
-          message.resume();
+          flow.resume();
           forward(bytes);
         });
         firstEvent.catch(fail);
       };
-      // An exception in a listener would end the process instead of this stream.
-      message.on('data', (chunk: Buffer) => {
-        try {
-          receive(chunk);
-        } catch (exception) {
-          fail(exception);
-        }
+      const flow = answer.flow({
+        // An exception in a listener would end the process instead of this stream.
+        receive: (bytes) => {
+          if (isSettled) return;
+          try {
+            receive(bytes);
+          } catch (exception) {
+            fail(exception);
+          }
+        },
+        end: () => {
+          const isWhole = answer.isComplete && !this.#isCutShort(source, boundary);
+          afterFirstEvent(() => {
+            if (isWhole && isDelimitedByClose(source)) checkForCrash();
+            else settle(isWhole ? 'complete' : 'broken');
+          });
+        },
+        // An event whose origin is recorded goes to the caller also where its server has broken off meanwhile.
+        close: () =>
+          afterFirstEvent(() => {
+            if (!isChecking) settle('broken');
+          }),
       });
-      message.once('end', () => {
-        const isWhole = answer.isComplete && !this.#isCutShort(source, boundary);
-        afterFirstEvent(() => {
-          if (isWhole && isDelimitedByClose(source)) checkForCrash();
-          else settle(isWhole ? 'complete' : 'broken');
-        });
-      });
-      // An event whose origin is recorded goes to the caller also where its server has broken off meanwhile.
-      message.once('close', () =>
-        afterFirstEvent(() => {
-          if (!isChecking) settle('broken');
-        }),
-      );
+      response.on('drain', resumeSource);
     });
   }
 
--- a/test/resources/answers-in-tiny-chunks.test.ts
+++ b/test/resources/answers-in-tiny-chunks.test.ts
@@ -11,6 +11,9 @@
 const MEMORY_MB = 300;
 const REQUESTS = 4;
 const STORE_CALLS = 4;
+const UNREAD_STREAMS = 24;
+/** In the log line of a request whose answer was broken off. */
+const STREAM_BROKEN_OFF = '"reason":"out of time"';
 const WEB_REQUEST: TestRequest = { path: '/brief/1' };
 const MODEL_HEADERS = { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' };
 const STREAM_REQUEST: TestRequest = { path: '/model/1', headers: MODEL_HEADERS };
@@ -20,14 +23,19 @@
 
 afterEach(() => gateway?.stop());
 
+async function startGateway(): Promise<RealGateway> {
+  const to = new RealGateway({ maxOldSpaceMb: MAX_OLD_SPACE_MB, memoryMb: MEMORY_MB });
+  gateway = to;
+  await to.start();
+  return to;
+}
+
 /** Sends a few requests whose answers do not end, and one that is answered as usual once the process is rid of them. */
 async function assertOutlives(
   request: TestRequest,
   serve: (request: IncomingMessage, response: ServerResponse) => void,
 ): Promise<void> {
-  const to = new RealGateway({ maxOldSpaceMb: MAX_OLD_SPACE_MB, memoryMb: MEMORY_MB });
-  gateway = to;
-  await to.start();
+  const to = await startGateway();
   to.serve = serve;
   const sent = Array.from({ length: REQUESTS }, () => to.send(request));
   await to.waitUntil(
@@ -75,6 +83,19 @@
   });
 });
 
+test('streams in chunks of one byte whose callers do not read do not end the process', async () => {
+  const to = await startGateway();
+  to.serve = (request, response) => {
+    response.writeHead(200, { ...stampOf(request), 'Content-Type': 'text/event-stream' });
+    writeTinyChunksWithoutEnd(response);
+  };
+  for (let sent = 0; sent < UNREAD_STREAMS; sent += 1) to.send(STREAM_REQUEST).socket.pause();
+  const ended = () => to.output.split(STREAM_BROKEN_OFF).length - 1;
+  await to.waitUntil(() => ended() >= UNREAD_STREAMS, WAIT_MS);
+  to.leave();
+  await assertServesWithin(to);
+});
+
 test('a resumable stream without end in chunks of one byte, all of one event, does not end the process', async () => {
   await assertOutlives(RESUMABLE_REQUEST, (request, response) => {
     response.writeHead(200, { ...stampOf(request), 'Content-Type': 'text/event-stream' });
@@ -97,9 +118,7 @@
 });
 
 test('answers of the store without end in chunks of one byte do not end the process', async () => {
-  const to = new RealGateway({ maxOldSpaceMb: MAX_OLD_SPACE_MB, memoryMb: MEMORY_MB });
-  gateway = to;
-  await to.start();
+  const to = await startGateway();
   let closed = 0;
   to.store.faults.spoil = (response) => {
     response.once('close', () => {
