An event in tiny chunks is joined and searched once

It is collected in blocks and joined when it is complete; its end is looked for in the new bytes and the two before. The relay goes on accounting for what is held.

--- a/src/shell/gateway/event-splitter.ts
+++ b/src/shell/gateway/event-splitter.ts
@@ -4,7 +4,8 @@
  */
 
 import { isFieldValue } from '../../core/gateway/index.js';
-import { endOfLastEvent } from './event-boundary.js';
+import { ByteCollector } from '../bytes/index.js';
+import { bytesBeforeNext, endOfLastEvent, NO_BYTES_BEFORE } from './event-boundary.js';
 
 const EMPTY = Buffer.alloc(0);
 /** A longer id would make a head that servers refuse. */
@@ -12,7 +13,9 @@
 
 /** Buffers bytes and returns complete events. */
 export class EventSplitter {
-  #partialEvent: Buffer = EMPTY;
+  readonly #partialEvent = new ByteCollector();
+  /** The last bytes of the incomplete event. */
+  #before = NO_BYTES_BEFORE;
   #lastEventId: string | undefined;
 
   /** The id of the last complete event; undefined where no header can carry it, so that the stream can't be resumed. */
@@ -22,32 +25,47 @@
 
   /** Adds a chunk; returns the bytes up to the end of the last complete event, empty when there is none. */
   push(chunk: Buffer): Buffer {
-    const bytes =
-      this.#partialEvent.length === 0 ? chunk : Buffer.concat([this.#partialEvent, chunk]);
-    const end = endOfLastEvent(bytes);
-    this.#partialEvent = bytes.subarray(end);
-    const complete = bytes.subarray(0, end);
-    if (end > 0) this.#recordIds(complete);
+    const end = endOfLastEvent(chunk, this.#before);
+    const complete = end === 0 ? EMPTY : this.#completeWith(chunk.subarray(0, end));
+    const rest = chunk.subarray(end);
+    this.#partialEvent.add(rest);
+    this.#before = bytesBeforeNext(rest, this.#before);
     return complete;
   }
 
-  /** Bytes held back, as their event is not complete. */
-  get heldBytes(): number {
+  /** The length of the incomplete event. */
+  get partialBytes(): number {
     return this.#partialEvent.length;
   }
 
+  /** Memory that is held, as an event is not complete. */
+  get heldBytes(): number {
+    return this.#partialEvent.heldBytes;
+  }
+
   /** Discards an incomplete event before another server resumes the stream. */
   discardPartialEvent(): void {
-    this.#partialEvent = EMPTY;
+    this.#partialEvent.clear();
+    this.#before = NO_BYTES_BEFORE;
   }
 
   /** Takes the bytes after the last complete event, at the end of a complete stream. */
   takeRemainder(): Buffer {
-    const remainder = this.#partialEvent;
-    this.#partialEvent = EMPTY;
+    const remainder = this.#partialEvent.join();
+    this.discardPartialEvent();
     return remainder;
   }
 
+  /** The incomplete event, and the bytes that complete it and any further ones. */
+  #completeWith(bytes: Buffer): Buffer {
+    const isAlone = this.#partialEvent.length === 0;
+    if (!isAlone) this.#partialEvent.add(bytes);
+    const complete = isAlone ? bytes : this.takeRemainder();
+    this.#before = NO_BYTES_BEFORE;
+    this.#recordIds(complete);
+    return complete;
+  }
+
   #recordIds(complete: Buffer): void {
     const text = complete.toString('latin1');
     for (const [, id = ''] of text.matchAll(/^id: ?(.*?)\r?$/gm)) {
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -121,7 +121,7 @@
       const receive = (received: Buffer) => {
         this.#follow(boundary, received);
         const bytes = this.#isResumable ? this.#splitter.push(received) : received;
-        if (!this.#mayHold(this.#splitter.heldBytes)) {
+        if (!this.#mayHold(this.#splitter)) {
           settle('broken');
           answer.destroy();
           return;
@@ -192,11 +192,11 @@
   }
 
   /** Accounts for the bytes of an event that is not complete; false where there are too many. */
-  #mayHold(heldBytes: number): boolean {
+  #mayHold({ heldBytes, partialBytes }: EventSplitter): boolean {
     const { memory } = this.#exchange.options;
     const addedBytes = heldBytes - this.#heldBytes;
     if (addedBytes < 0) memory.shrink(-addedBytes);
-    else if (heldBytes > MAX_EVENT_BYTES || !memory.grow(addedBytes)) return false;
+    else if (partialBytes > MAX_EVENT_BYTES || !memory.grow(addedBytes)) return false;
     this.#heldBytes = heldBytes;
     return true;
   }
