Answers to a daemon's own calls are accounted for

What callers saw: a daemon that watches many engines is killed at the memory of its machine, and again after its restart, as every other one that watches them. Such answers take from the same account as the requests; where there is no memory the call fails, and is made again later.

--- a/src/core/gateway/memory-ledger.ts
+++ b/src/core/gateway/memory-ledger.ts
@@ -69,6 +69,11 @@
     return this.#reservationOf(heapBytes, bodyBytes);
   }
 
+  /** The memory of a message that no request is held for; nothing is reserved yet. */
+  open(): MemoryReservation {
+    return this.#reservationOf(0, 0);
+  }
+
   #reservationOf(heapBytes: number, bodyBytes: number): MemoryReservation {
     let bufferBytes = bodyBytes;
     let isReleased = false;
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -13,7 +13,11 @@
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import { CONNECT_TIMEOUT_MS, type MemoryReservation } from '../../core/gateway/index.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  type MemoryLedger,
+  type MemoryReservation,
+} from '../../core/gateway/index.js';
 import { ByteCollector, HeldBytes } from '../bytes/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
@@ -78,6 +82,14 @@
 /** What came of opening a connection; `unanswered` where it was neither accepted nor refused. */
 export type ConnectOutcome = 'accepted' | 'refused' | 'unanswered';
 
+/** Where it is counted what answers hold. */
+interface AnswerHolding {
+  /** What is held while answers are collected. */
+  readonly held: HeldBytes;
+  /** The memory for answers to calls of this daemon's own. */
+  readonly memory: Pick<MemoryLedger, 'open'>;
+}
+
 /** The memory that a body is accounted for in. */
 type BodyMemory = Pick<MemoryReservation, 'grow' | 'shrink'>;
 
@@ -87,18 +99,18 @@
   readonly #request: ClientRequest;
   #lacksMemory = false;
   readonly #timers: TimerService;
-  readonly #held: HeldBytes;
+  readonly #holding: AnswerHolding;
   #isBroken = false;
 
   constructor(
     request: ClientRequest,
     message: IncomingMessage,
     timers: TimerService,
-    held: HeldBytes,
+    holding: AnswerHolding,
   ) {
     this.#request = request;
     this.#timers = timers;
-    this.#held = held;
+    this.#holding = holding;
     this.message = message;
     // node:http reports an answer without a length as complete when its connection is reset.
     request.on('error', () => {
@@ -180,7 +192,7 @@
 
   /** Passes the body on while it arrives. */
   flow(receiver: BodyReceiver): BodyFlow {
-    return new BodyFlow(this.message, receiver, this.#held);
+    return new BodyFlow(this.message, receiver, this.#holding.held);
   }
 
   /** Whether the body was not collected because this daemon had no memory for it. */
@@ -190,11 +202,13 @@
 
   /**
    * The complete body, or undefined when it broke off, is too large or there is no memory for it.
-   * @param memory of the request that the body is held for; undefined for a call of this daemon's own
+   * @param requestMemory of the request that the body is held for; undefined for a call of this daemon's own
    */
-  collect(maxBytes: number, memory?: BodyMemory): Promise<Buffer | undefined> {
+  collect(maxBytes: number, requestMemory?: BodyMemory): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      const body = new ByteCollector(this.#held);
+      const body = new ByteCollector(this.#holding.held);
+      const callMemory = this.#holding.memory.open();
+      const memory = requestMemory ?? callMemory;
       this.message.on('data', (chunk: Buffer) => {
         if (this.message.destroyed) return;
         const bytesBefore = body.heldBytes;
@@ -207,6 +221,7 @@
       this.message.once('end', () => resolve(this.isComplete ? body.join() : undefined));
       this.message.once('close', () => {
         body.clear();
+        callMemory.release();
         resolve(undefined);
       });
     });
@@ -214,8 +229,7 @@
 }
 
 /** Accounts for bytes that a body takes, or gives back where they are negative; false where there is no memory for them. */
-function tryHold(memory: BodyMemory | undefined, addedBytes: number): boolean {
-  if (memory === undefined) return true;
+function tryHold(memory: BodyMemory, addedBytes: number): boolean {
   if (addedBytes >= 0) return memory.grow(addedBytes);
   memory.shrink(-addedBytes);
   return true;
@@ -293,20 +307,21 @@
 }
 
 /** Calls backends. */
-export class BackendConnections {
+export class BackendConnections implements AnswerHolding {
   readonly #timers: TimerService;
   readonly #freshAgent = new http.Agent({ keepAlive: false });
   readonly #keepAliveAgent = new KeepAliveAgent();
   /** Calls that have no answer, including aborted ones that wait for a late answer. */
   readonly #unanswered = new Set<ClientRequest>();
   #awaitedLate = 0;
-  /** What answers hold while they are collected. */
   readonly held = new HeldBytes();
+  readonly memory: Pick<MemoryLedger, 'open'>;
   /** Connections opened since the process started. */
   openedTotal = 0;
 
-  constructor(timers: TimerService) {
+  constructor(timers: TimerService, memory: Pick<MemoryLedger, 'open'>) {
     this.#timers = timers;
+    this.memory = memory;
   }
 
   call(call: BackendCall): Promise<CallResult> {
@@ -356,7 +371,7 @@
           request.destroy();
           return;
         }
-        const answer = new BackendAnswer(request, message, this.#timers, this.held);
+        const answer = new BackendAnswer(request, message, this.#timers, this);
         if (isSettled) call.lateAnswer?.onAnswer(answer);
         else settle({ kind: 'answered', answer });
       });
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -175,7 +175,10 @@
         ? undefined
         : maxDigestSilenceMs(settings.bounds.drainMs),
     );
-    this.#connections = new BackendConnections(timers);
+    const memory = new MemoryLedger(
+      requestMemoryLimits(readHeap().limitBytes, machineBytes(settings)),
+    );
+    this.#connections = new BackendConnections(timers, memory);
     this.#admission = new AdmissionGate({
       isOn: settings.decisions.waiting,
       timers,
@@ -299,7 +302,7 @@
       timers,
       log,
       metrics: this.#metrics,
-      memory: new MemoryLedger(requestMemoryLimits(readHeap().limitBytes, machineBytes(settings))),
+      memory,
       descriptors: settings.limits?.descriptors,
       resources: this.#resources,
       paths: this.#paths,
--- a/test/gateway/backend-connections.test.ts
+++ b/test/gateway/backend-connections.test.ts
@@ -1,4 +1,5 @@
 /** Calls to backends: telling a request that may have run from one that was not sent. */
+
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
@@ -7,6 +8,7 @@
   type BackendCall,
   BackendConnections,
 } from '../../src/shell/gateway/backend-connections.js';
+import { ampleMemory } from './support/ample-memory.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const ANSWER_WITHOUT_LENGTH = 'HTTP/1.1 200 OK\r\nX-A: 1\r\n\r\npart';
@@ -27,7 +29,7 @@
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   timers = new ManualTimers();
-  connections = new BackendConnections(timers);
+  connections = new BackendConnections(timers, ampleMemory());
 });
 
 afterEach(() => {
--- a/test/gateway/bytes-without-end.test.ts
+++ b/test/gateway/bytes-without-end.test.ts
@@ -8,6 +8,7 @@
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { createCollector } from '../../src/shell/bytes/index.js';
 import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import { ampleMemory } from './support/ample-memory.js';
 import {
   configuration,
   GatewayFixture,
@@ -31,7 +32,7 @@
 beforeEach(async () => {
   fixture = new GatewayFixture();
   timers = new ManualTimers();
-  connections = new BackendConnections(timers);
+  connections = new BackendConnections(timers, ampleMemory());
   server = createServer();
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
--- a/test/gateway/cut-heads.test.ts
+++ b/test/gateway/cut-heads.test.ts
@@ -1,9 +1,11 @@
 /** A server that stops in the middle of its answer's head and closes: its callers got an empty or short answer as whole. */
+
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import { ampleMemory } from './support/ample-memory.js';
 import { ManualTimers } from './support/manual-timers.js';
 
 const BODY = 'id: 1\ndata: piece 1\n\n';
@@ -45,7 +47,7 @@
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
-  connections = new BackendConnections(new ManualTimers());
+  connections = new BackendConnections(new ManualTimers(), ampleMemory());
 });
 
 afterEach(() => {
--- a/test/gateway/given-up-requests.test.ts
+++ b/test/gateway/given-up-requests.test.ts
@@ -2,12 +2,14 @@
  * Guards against requests that a server receives after their daemon has given them up: the network held them, as one does
  * whose packets are lost until TCP's retransmissions pass, and delivered them when it was well again.
  */
+
 import assert from 'node:assert/strict';
 import type { ClientRequest } from 'node:http';
 import { afterEach, beforeEach, test } from 'node:test';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { Link } from '../../src/lab/network/index.js';
 import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import { ampleMemory } from './support/ample-memory.js';
 import {
   type CallerRequest,
   READ_ROUTE,
@@ -146,7 +148,7 @@
 test('a request that the network holds until it is given up never reaches the daemon that it was forwarded to', async () => {
   const { server, link, address } = await startBehindLink(answering(200, ''));
   link.cut('to-target');
-  const connections = new BackendConnections(fleet.timers);
+  const connections = new BackendConnections(fleet.timers, ampleMemory());
   cleanups.push(() => connections.close());
   const ended = new AbortController();
   const result = connections.call({
--- a/test/gateway/unusable-entries.test.ts
+++ b/test/gateway/unusable-entries.test.ts
@@ -2,6 +2,7 @@
  * An entry of the list of servers whose address no connection or header can carry ended each daemon that read it, again at
  * each start until the entry was gone.
  */
+
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { decodeServer } from '../../platform/configuration-codec.js';
@@ -12,6 +13,7 @@
 import { decodePeerMessage, encodePeerMessage } from '../../src/shell/gateway/peer-messages.js';
 import { SYSTEM_TIMERS } from '../../src/shell/gateway/timer-service.js';
 import { usableRow } from '../../src/shell/gateway/usable-row.js';
+import { ampleMemory } from './support/ample-memory.js';
 import { configuration, GatewayFixture, READ_ROUTE, route } from './support/fixture.js';
 import { answering } from './support/server-stand-in.js';
 
@@ -92,7 +94,7 @@
 
   // Guards against an exception on the way to the narrowest place, past all checks of what is decoded.
   test(`a call to an address with ${problem} is not sent`, async () => {
-    const connections = new BackendConnections(SYSTEM_TIMERS);
+    const connections = new BackendConnections(SYSTEM_TIMERS, ampleMemory());
     const result = await connections.call({
       address,
       method: 'GET',
--- a/test/resources/memory-limits.test.ts
+++ b/test/resources/memory-limits.test.ts
@@ -1,6 +1,7 @@
 /** Guards against processes that V8 or the system ends as their callers' requests take more memory than there is. */
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
+import { PATHS } from '../../platform/names.js';
 import { pause } from '../../soak/pause.js';
 import {
   answer,
@@ -20,6 +21,9 @@
 const REQUESTS_PER_BURST = 25;
 const BURST_INTERVAL_MS = 10;
 const WAIT_MS = 20_000;
+const ENGINES = 80;
+/** A little less than is read of one answer. */
+const LONG_CALL_ANSWER_BYTES = 4_000_000;
 
 let gateway: RealGateway | undefined;
 
@@ -156,3 +160,27 @@
   assert.ok(!to.output.includes(RUN_BROKE_OFF));
   await assertServesAgain(to);
 });
+
+test('answers of many engines to calls of the daemon itself stay within the memory of the machine', async () => {
+  const memoryMb = 300;
+  const to = await startGateway({ memoryMb });
+  let cut = 0;
+  to.serveCall = (request, response) => {
+    response.writeHead(200);
+    if (request.url?.startsWith(PATHS.kvEvents) !== true) return response.end();
+    response.once('close', () => {
+      cut += 1;
+    });
+    return response.write(Buffer.alloc(LONG_CALL_ANSWER_BYTES, 'x'));
+  };
+  to.listEngines(ENGINES);
+  let most = 0;
+  await to.waitUntil(async () => {
+    const resident = await to.metric('threadfork_gateway_memory_bytes{kind="resident"}');
+    most = Math.max(most, resident ?? 0);
+    return cut >= ENGINES;
+  }, WAIT_MS);
+  assert.equal(to.end, undefined, to.output.slice(-2_000));
+  assert.ok(most < memoryMb * BYTES_PER_MEGABYTE, `${most} bytes`);
+  await assertServesAgain(to);
+});
--- a/test/resources/support/real-gateway.ts
+++ b/test/resources/support/real-gateway.ts
@@ -81,6 +81,10 @@
   readonly store = new PlatformStore(() => 0.5);
   /** How the server handles requests of callers. */
   serve: (request: IncomingMessage, response: ServerResponse) => void = answer;
+  /** How the server handles the process's own calls: health checks, reports, cache events. */
+  serveCall: (request: IncomingMessage, response: ServerResponse) => unknown = (_, response) => {
+    response.writeHead(200).end();
+  };
   readonly #limits: ProcessLimits;
   readonly #directory = mkdtempSync(join(tmpdir(), 'threadfork-process-'));
   readonly #server = http.createServer({ maxHeaderSize: 131_072 }, (request, response) =>
@@ -127,6 +131,11 @@
     rmSync(this.#directory, { recursive: true, force: true });
   }
 
+  /** Lists further engines, at the address of the server. */
+  listEngines(count: number): void {
+    for (let engine = 2; engine <= count + 1; engine += 1) this.#listEngine(`engine-${engine}`);
+  }
+
   /** Sends a request without waiting for its answer. */
   send(request: TestRequest): SentRequest {
     const { path = '/web/1', headers = {}, body = Buffer.alloc(0), sentBytes } = request;
@@ -183,7 +192,7 @@
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
     response.on('error', () => response.destroy());
-    if (request.headers['x-attempt-id'] === undefined) response.writeHead(200).end();
+    if (request.headers['x-attempt-id'] === undefined) this.serveCall(request, response);
     else this.serve(request, response);
   }
 
@@ -236,10 +245,17 @@
 
   /** One server of each service, all at the same address. */
   #listServers(): void {
+    this.store.put(TABLES.servers, 'server-1', { ...this.#row, service: 'web' });
+    this.#listEngine('engine-1');
+  }
+
+  #listEngine(id: string): void {
+    this.store.put(TABLES.servers, id, { ...this.#row, service: 'model', stage: 'decode' });
+  }
+
+  get #row() {
     const { port } = this.#server.address() as AddressInfo;
-    const row = { address: `127.0.0.1:${port}`, zone: 'a', slots: 4_000, state: 'ready' };
-    this.store.put(TABLES.servers, 'server-1', { ...row, service: 'web' });
-    this.store.put(TABLES.servers, 'engine-1', { ...row, service: 'model', stage: 'decode' });
+    return { address: `127.0.0.1:${port}`, zone: 'a', slots: 4_000, state: 'ready' };
   }
 
   #settings(storePort: number): string {
