Small chunks of servers' answers are collected in blocks, not kept as an object each

Answers that threadforkd holds (to record, refusals, errors of engines, whole answers) were bounded in bytes and kept as a list of the chunks that came: an answer in chunks of one byte was a Buffer, some two hundred bytes of heap, for each of up to 65,536 bytes. ByteCollector copies small chunks into blocks.

--- a/src/shell/http/answer-capture.ts
+++ b/src/shell/http/answer-capture.ts
@@ -1,11 +1,12 @@
 /** Copies a small answer, so that a repeat of its idempotency key can be answered with it. */
 import { isUtf8 } from 'node:buffer';
 import type { RecordedOutcome } from '../../core/requests/index.js';
+import { ByteCollector } from '../bytes/index.js';
 
 /** The copy of one answer. The body is discarded once it exceeds the size limit. */
 export class AnswerCapture {
   readonly #limit: number;
-  #chunks: Buffer[] = [];
+  readonly #body = new ByteCollector();
   #bytes = 0;
   #status = 200;
   #contentType = 'application/octet-stream';
@@ -18,20 +19,20 @@
   begin(status: number, contentType: string): void {
     this.#status = status;
     this.#contentType = contentType;
-    this.#chunks = [];
+    this.#body.clear();
     this.#bytes = 0;
   }
 
   /** Copies a chunk of the body. */
   add(chunk: Buffer): void {
     this.#bytes += chunk.length;
-    if (this.#bytes > this.#limit) this.#chunks = [];
-    else this.#chunks.push(Buffer.from(chunk));
+    if (this.#bytes > this.#limit) this.#body.clear();
+    else this.#body.add(chunk);
   }
 
   /** The outcome to record. The table stores text, so a body that is not UTF-8 is left out. */
   outcome(): RecordedOutcome {
-    const body = Buffer.concat(this.#chunks);
+    const body = this.#body.join();
     if (this.#bytes > this.#limit || !isUtf8(body)) {
       return { kind: 'answered-too-large-to-replay', status: this.#status };
     }
--- a/src/shell/http/engine-refusal.ts
+++ b/src/shell/http/engine-refusal.ts
@@ -1,6 +1,7 @@
 /** Reads engine refusals. Only `"notRun": true` in the body confirms that nothing was run. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Milliseconds } from '../../core/common/time.js';
+import { ByteCollector } from '../bytes/index.js';
 import { singleValue } from './headers.js';
 
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([404, 409, 429, 503]);
@@ -23,8 +24,7 @@
 export class EngineRefusal {
   readonly status: number;
   readonly #retryAfter: string | undefined;
-  readonly #chunks: Buffer[] = [];
-  #bytes = 0;
+  readonly #body = new ByteCollector();
 
   constructor(status: number, headers: IncomingHttpHeaders) {
     this.status = status;
@@ -33,15 +33,14 @@
 
   /** Adds a chunk; false when the body exceeds the size limit of refusals. */
   add(chunk: Buffer): boolean {
-    this.#bytes += chunk.length;
-    if (this.#bytes > MAX_REFUSAL_BYTES) return false;
-    this.#chunks.push(chunk);
+    if (this.#body.length + chunk.length > MAX_REFUSAL_BYTES) return false;
+    this.#body.add(chunk);
     return true;
   }
 
   /** The refusal, or null when the body does not confirm that the request was not run. */
   read(): RefusalDetails | null {
-    const reason = reasonOf(Buffer.concat(this.#chunks).toString('utf8'));
+    const reason = reasonOf(this.#body.join().toString('utf8'));
     if (reason === null) return null;
     const retryAfter = this.#retryAfter;
     if (retryAfter === undefined || !RETRY_AFTER.test(retryAfter)) return { reason };
--- a/src/shell/http/pass-through-attempt.ts
+++ b/src/shell/http/pass-through-attempt.ts
@@ -4,6 +4,7 @@
  * chunk.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import { ByteCollector } from '../bytes/index.js';
 import { mayHaveBody } from './answer-framing.js';
 import { BackendAttempt, contentLengthOf } from './backend-attempt.js';
 import type { TokenUsage } from './chunk-rewriter.js';
@@ -20,7 +21,8 @@
 /** An attempt whose answer is forwarded unchanged. */
 export class PassThroughAttempt extends BackendAttempt {
   #start: AnswerStart | null = null;
-  #chunks: Buffer[] | null = null;
+  /** The held answer's body; null for an answer that is forwarded chunk by chunk. */
+  #held: ByteCollector | null = null;
   #receivedBytes = 0;
   #lastChunk: Buffer | null = null;
 
@@ -31,14 +33,15 @@
       return;
     }
     this.#start = { status, headers: this.#callerHeaders(headers, length), length };
-    if (length !== null && length <= this.request.host.limits.maxHeldAnswerBytes) this.#chunks = [];
+    if (length !== null && length <= this.request.host.limits.maxHeldAnswerBytes)
+      this.#held = new ByteCollector();
     else this.#forwardHead(this.#start);
   }
 
   protected override onAnswerData(chunk: Buffer): void {
     this.#receivedBytes += chunk.length;
     this.#lastChunk = chunk;
-    if (this.#chunks !== null) this.#chunks.push(chunk);
+    if (this.#held !== null) this.#held.add(chunk);
     else this.request.write(chunk);
   }
 
@@ -48,8 +51,8 @@
       this.abortAsBroken('wrong-length');
       return;
     }
-    if (this.#chunks !== null) {
-      this.#forwardHeld(start, this.#chunks);
+    if (this.#held !== null) {
+      this.#forwardHeld(start, this.#held.join());
       return;
     }
     this.request.end();
@@ -57,8 +60,7 @@
   }
 
   /** Forwards a held answer, unless a model's answer with status 200 is malformed. */
-  #forwardHeld(start: AnswerStart, chunks: readonly Buffer[]): void {
-    const body = chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+  #forwardHeld(start: AnswerStart, body: Buffer): void {
     const isModel = this.request.description.target.kind === 'model';
     const usage = isModel ? readUsage(body) : null;
     if (isModel && start.status === 200 && (usage === null || !isJson(body))) {
--- a/src/shell/http/stream-attempt.ts
+++ b/src/shell/http/stream-attempt.ts
@@ -4,6 +4,7 @@
  * counts.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import { ByteCollector } from '../bytes/index.js';
 import type { ActiveRequest } from './active-request.js';
 import { BackendAttempt, type DispatchEffect } from './backend-attempt.js';
 import {
@@ -21,8 +22,7 @@
 /** An engine's report of an error in the request itself; it is not a stream. */
 interface RequestErrorAnswer {
   readonly status: number;
-  readonly chunks: Buffer[];
-  bytes: number;
+  readonly body: ByteCollector;
 }
 
 /** An attempt with a streamed answer. */
@@ -106,18 +106,17 @@
   #startRequestError(status: number, headers: IncomingHttpHeaders): void {
     if (this.request.headersForwarded) this.abortAsBroken(`status-${status}`);
     else if (this.framingOf(status, headers) === 'close') this.abortAsBroken('no-length');
-    else this.#requestErrorAnswer = { status, chunks: [], bytes: 0 };
+    else this.#requestErrorAnswer = { status, body: new ByteCollector() };
   }
 
   #addRequestErrorData(answer: RequestErrorAnswer, chunk: Buffer): void {
-    answer.bytes += chunk.length;
-    answer.chunks.push(chunk);
-    if (answer.bytes > this.request.host.limits.maxHeldAnswerBytes)
+    answer.body.add(chunk);
+    if (answer.body.length > this.request.host.limits.maxHeldAnswerBytes)
       this.abortAsBroken('answer-too-large');
   }
 
   #forwardRequestError(answer: RequestErrorAnswer): void {
-    const body = Buffer.concat(answer.chunks);
+    const body = answer.body.join();
     this.request.writeHead(answer.status, {
       'content-type': 'application/json',
       'content-length': String(body.length),
