An engine's event that comes in small chunks is joined and searched once

What was left of an event was joined with each further chunk and searched from its start, so that an event of 60 KB in chunks of one byte copied 1.8 GB: one engine could occupy the event loop of a daemon. Chunks are collected, and joined once one of them may complete an event. The test in test/http/frame-reader.test.ts counts the bytes copied and searched; at most 4 and 8 times the event's size now.

--- a/src/shell/http/frame-reader.ts
+++ b/src/shell/http/frame-reader.ts
@@ -2,6 +2,7 @@
  * Reads an engine's server-sent events under any chunking and delivers only the frames of one
  * attempt, each offset once and in order (docs/ENGINE-API.md).
  */
+import { ByteCollector } from '../bytes/index.js';
 
 /** Receives the frames that the reader delivers. */
 export interface FrameSink {
@@ -26,7 +27,6 @@
 const ZERO = 0x30;
 const NINE = 0x39;
 const MAX_OFFSET_DIGITS = 10;
-const NO_BYTES = Buffer.alloc(0);
 
 /** The reader of one attempt's stream. */
 export class FrameReader {
@@ -34,7 +34,9 @@
   readonly #ownIdField: Buffer;
   readonly #maxFrameBytes: number;
   readonly #sink: FrameSink;
-  #remainder: Buffer = NO_BYTES;
+  /** The bytes of a frame whose end has not been read. */
+  readonly #remainder = new ByteCollector();
+  #remainderEndsLine = false;
   #nextOffset: number;
   #fault: FrameFault | null = null;
   #done = false;
@@ -71,14 +73,44 @@
 
   /** Reads the next bytes. Bytes after a fault or the end marker are ignored. */
   push(chunk: Buffer): void {
-    const bytes = this.#remainder.length === 0 ? chunk : Buffer.concat([this.#remainder, chunk]);
+    if (!this.#mayCompleteFrame(chunk)) {
+      this.#retain(chunk);
+      return;
+    }
+    const bytes = this.#withRemainder(chunk);
     let start = 0;
     while (this.#fault === null && !this.#done) {
       const next = this.#readFrame(bytes, start);
       if (next < 0) break;
       start = next;
     }
-    this.#retainRemainder(bytes, start);
+    this.#retain(bytes.subarray(start));
+  }
+
+  /** Only then is the remainder joined, so that a frame in many chunks is copied and searched once. */
+  #mayCompleteFrame(chunk: Buffer): boolean {
+    if (this.#remainder.length === 0) return true;
+    const endsAtChunk = this.#remainderEndsLine && chunk[0] === LINE_FEED;
+    return endsAtChunk || chunk.indexOf(FRAME_END) >= 0;
+  }
+
+  #withRemainder(chunk: Buffer): Buffer {
+    if (this.#remainder.length === 0) return chunk;
+    this.#remainder.add(chunk);
+    const bytes = this.#remainder.join();
+    this.#remainder.clear();
+    return bytes;
+  }
+
+  /** Keeps the bytes of an incomplete frame. */
+  #retain(bytes: Buffer): void {
+    const isOver = this.#fault !== null || this.#done;
+    if (isOver || bytes.length === 0) return;
+    this.#remainder.add(bytes);
+    this.#remainderEndsLine = bytes.at(-1) === LINE_FEED;
+    if (this.#remainder.length <= this.#maxFrameBytes) return;
+    this.#fault = 'frame-too-large';
+    this.#remainder.clear();
   }
 
   /** Reads the frame at `start`. Returns the position after it, or -1 when it is incomplete. */
@@ -109,15 +141,6 @@
     return end + FRAME_END.length;
   }
 
-  #retainRemainder(bytes: Buffer, start: number): void {
-    if (this.#fault !== null || this.#done || start >= bytes.length) {
-      this.#remainder = NO_BYTES;
-      return;
-    }
-    if (bytes.length - start > this.#maxFrameBytes) this.#fault = 'frame-too-large';
-    this.#remainder = start === 0 ? bytes : bytes.subarray(start);
-  }
-
   #handleFrame(bytes: Buffer, start: number, end: number): void {
     if (startsWith(bytes, ID_FIELD, start, end)) this.#handleFrameWithId(bytes, start, end);
     else this.#handleFrameWithoutId(bytes, start, end);
--- a/test/http/frame-reader.test.ts
+++ b/test/http/frame-reader.test.ts
@@ -3,9 +3,13 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { type FrameKind, FrameReader } from '../../src/shell/http/frame-reader.js';
+import { inSingleBytes, measureJoinedBytes } from '../bytes/support/joined-bytes.js';
 
 const OWN = 'd1-1-1.2';
 const MAX_FRAME_BYTES = 200;
+const MAX_LARGE_FRAME_BYTES = 65_536;
+/** Blocks of a frame of that size. */
+const MAX_JOINED_BUFFERS = 32;
 
 interface Reading {
   readonly tokens: string[];
@@ -159,3 +163,23 @@
     assert.deepEqual(tokens, []);
   });
 }
+
+// Guards against an event loop that one engine occupies, as what is left of an event is joined and searched again with each chunk.
+test('an event in chunks of one byte is not joined anew with each chunk', (t) => {
+  const joined = measureJoinedBytes(t);
+  const text = 'x'.repeat(60_000);
+  const texts: string[] = [];
+  const reader = new FrameReader('a', 0, MAX_LARGE_FRAME_BYTES, {
+    frame: (bytes, start, end) => {
+      texts.push(bytes.toString('latin1', start, end));
+      return 'token';
+    },
+    done: () => undefined,
+  });
+  const frame = Buffer.from(`id: a:0\ndata: ${text}\n\n`);
+  for (const chunk of inSingleBytes(frame)) reader.push(chunk);
+  assert.deepEqual(texts, [text]);
+  assert.ok(joined.mostBuffers <= MAX_JOINED_BUFFERS, `${joined.mostBuffers} Buffers`);
+  assert.ok(joined.copiedBytes <= 4 * frame.length, `${joined.copiedBytes} bytes copied`);
+  assert.ok(joined.searchedBytes <= 8 * frame.length, `${joined.searchedBytes} bytes searched`);
+});
