The store's answers are collected in blocks, not kept as an object a chunk

An exchange with the store or an engine's control interface kept a list of the chunks of up to 32 MiB: in chunks of one byte, a Buffer of some two hundred bytes of heap for each byte. What came is let go of as soon as an exchange has failed.

--- a/src/shell/platform/http-connection-pool.ts
+++ b/src/shell/platform/http-connection-pool.ts
@@ -4,6 +4,7 @@
  */
 import { Pool } from 'undici';
 import type { Milliseconds } from '../../core/common/time.js';
+import { ByteCollector } from '../bytes/index.js';
 
 /** Maximum number of calls in flight. Further calls wait for a connection within their timeout. */
 export const MAX_CONNECTIONS = 8;
@@ -85,8 +86,7 @@
   private ended = false;
   private status = 0;
   private headers: Readonly<Record<string, string | string[] | undefined>> = {};
-  private readonly chunks: Buffer[] = [];
-  private receivedBytes = 0;
+  private readonly body = new ByteCollector();
   private readonly timer: NodeJS.Timeout;
 
   constructor(
@@ -115,14 +115,15 @@
   }
 
   onResponseData(_controller: Controller, chunk: Buffer): void {
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes > MAX_ANSWER_BYTES) this.fail('the answer is too large');
-    else this.chunks.push(chunk);
+    if (this.ended) return;
+    const isTooLarge = this.body.length + chunk.length > MAX_ANSWER_BYTES;
+    if (isTooLarge) this.fail('the answer is too large');
+    else this.body.add(chunk);
   }
 
   onResponseEnd(): void {
-    const body = Buffer.concat(this.chunks);
-    this.end({ kind: 'answered', status: this.status, headers: this.headers, body });
+    const { status, headers } = this;
+    this.end({ kind: 'answered', status, headers, body: this.body.join() });
   }
 
   onResponseError(_controller: Controller, error: Error): void {
@@ -138,6 +139,7 @@
   private end(exchange: Exchange): void {
     if (this.ended) return;
     this.ended = true;
+    this.body.clear();
     clearTimeout(this.timer);
     this.resolve(exchange);
   }
