An engine's control answer is given up beyond 2 MiB

The control interface of each of up to 1,024 engines was read like the store's, up to 32 MiB an answer. A page of all 4,096 cache events, the largest answer that docs/ENGINE-API.md has, is under 1 MiB; 30 MB of '[],' were taken and decoded into ten million arrays. Before, the test's report of 30 MB was collected to its end and failed only as no JSON.

--- a/src/shell/engine/connections.ts
+++ b/src/shell/engine/connections.ts
@@ -9,6 +9,8 @@
 
 /** Maximum number of engines with open connections; the least recently used are closed first. */
 const MAX_POOLS = 1_024;
+/** Some times the largest answer, a page of all cache events that an engine keeps (docs/ENGINE-API.md). */
+const MAX_ANSWER_BYTES = 2_097_152;
 
 /** One connection pool for each engine address. */
 export class EngineConnections {
@@ -35,7 +37,14 @@
   #poolOf({ address, port }: Endpoint): HttpConnectionPool {
     const key = `${address} ${port}`;
     const existing = this.#pools.get(key);
-    const pool = existing ?? new HttpConnectionPool({ address, port, timeoutMs: this.#timeoutMs });
+    const pool =
+      existing ??
+      new HttpConnectionPool({
+        address,
+        port,
+        timeoutMs: this.#timeoutMs,
+        maxAnswerBytes: MAX_ANSWER_BYTES,
+      });
     this.#pools.delete(key);
     this.#pools.set(key, pool);
     this.#closeLeastRecentlyUsed();
--- a/src/shell/platform/http-connection-pool.ts
+++ b/src/shell/platform/http-connection-pool.ts
@@ -8,6 +8,7 @@
 
 /** Maximum number of calls in flight. Further calls wait for a connection within their timeout. */
 export const MAX_CONNECTIONS = 8;
+/** The default of `maxAnswerBytes`: more than the largest object of the store. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 
 /** An HTTP request. */
@@ -37,13 +38,17 @@
   readonly port: number;
   /** Timeout of the complete exchange, including the connection set-up. */
   readonly timeoutMs: Milliseconds;
+  /** An exchange with a longer answer fails. */
+  readonly maxAnswerBytes?: number;
 }
 
 /** A pool of connections to one address. */
 export class HttpConnectionPool {
   private readonly pool: Pool;
+  private readonly maxAnswerBytes: number;
 
   constructor(private readonly options: ExchangeOptions) {
+    this.maxAnswerBytes = options.maxAnswerBytes ?? MAX_ANSWER_BYTES;
     this.pool = new Pool(originOf(options), {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
@@ -54,7 +59,7 @@
   /** Sends one request and waits up to `timeoutMs` for its complete answer. Never rejects. */
   exchange(request: ExchangeRequest, timeoutMs = this.options.timeoutMs): Promise<Exchange> {
     return new Promise((resolve) => {
-      const handler = new ExchangeHandler(timeoutMs, resolve);
+      const handler = new ExchangeHandler(timeoutMs, this.maxAnswerBytes, resolve);
       const headers = { 'content-type': request.contentType ?? 'application/json' };
       this.pool.dispatch(
         {
@@ -91,6 +96,7 @@
 
   constructor(
     private readonly timeoutMs: Milliseconds,
+    private readonly maxAnswerBytes: number,
     private readonly resolve: (exchange: Exchange) => void,
   ) {
     this.timer = setTimeout(() => this.fail(`no answer within ${timeoutMs} ms`), timeoutMs);
@@ -116,7 +122,7 @@
 
   onResponseData(_controller: Controller, chunk: Buffer): void {
     if (this.ended) return;
-    const isTooLarge = this.body.length + chunk.length > MAX_ANSWER_BYTES;
+    const isTooLarge = this.body.length + chunk.length > this.maxAnswerBytes;
     if (isTooLarge) this.fail('the answer is too large');
     else this.body.add(chunk);
   }
--- a/test/engine/control-client.test.ts
+++ b/test/engine/control-client.test.ts
@@ -16,6 +16,7 @@
 import { CLOSE_INTAKE, orderOf, startEngine, TO_DECODE } from './fixtures.js';
 
 const TIMEOUT_MS = 1_000;
+const UNHURRIED_MS = 60_000;
 
 function openClient(context: TestContext, timeoutMs = TIMEOUT_MS): EngineControlClient {
   const client = createEngineControlClient({ timeoutMs });
@@ -102,6 +103,42 @@
   assert.deepEqual([fault.code, fault.retryable], ['backend-broken', true]);
 });
 
+// Guards against a process that V8 ends as millions of small values of one engine's answer are decoded.
+test('a report that goes on is given up at a size that no answer of an engine has', async (context) => {
+  const client = openClient(context, UNHURRIED_MS);
+  let writtenBytes = 0;
+  const values = Buffer.from('[],'.repeat(100_000));
+  const faultyServer = await startFaultyServer(context, (socket) => {
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 30000000\r\n\r\n[');
+    socket.on('error', () => socket.destroy());
+    const writeOn = (): void => {
+      if (socket.destroyed || writtenBytes >= 30_000_000) return;
+      writtenBytes += values.length;
+      socket.write(values, () => setImmediate(writeOn));
+    };
+    writeOn();
+  });
+  const fault = (await client.report(faultyServer))._unsafeUnwrapErr();
+  assert.equal(fault.code, 'backend-broken');
+  assert.match(fault.message, /too large/);
+});
+
+// Guards against a limit that an engine meets whose events are all asked for.
+test('a page of all cache events that an engine keeps is read', async (context) => {
+  const client = openClient(context);
+  const events = Array.from({ length: 4_096 }, (_, index) => ({
+    n: Number.MAX_SAFE_INTEGER - index,
+    kind: 'evicted',
+    hash: 'f'.repeat(128),
+  }));
+  const body = JSON.stringify({ events, last: Number.MAX_SAFE_INTEGER });
+  const engine = await startFaultyServer(context, (socket) =>
+    socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`),
+  );
+  const page = (await client.cacheEvents(engine, 0))._unsafeUnwrap();
+  assert.deepEqual(page.events, events);
+});
+
 test('an attempt is cancelled and cache events are read over the control interface', async (context) => {
   const engine = await openEngine(context, { cacheEventDelayMs: 0, cacheEventLoss: 0 });
   const client = openClient(context);
