Frames of other daemons are collected in blocks, not kept as an object a piece

A frame of up to 17 MB was kept as a list of the pieces that came, a Buffer of some two hundred bytes of heap each, and an idle connection held its last frame until the next one.

--- a/src/shell/peer/frames.ts
+++ b/src/shell/peer/frames.ts
@@ -5,6 +5,7 @@
  * connection or at another position. The tag over the length is checked before the content is read,
  * so no content is buffered for a sender without the fleet key.
  */
+import { ByteCollector } from '../bytes/index.js';
 import { type Authenticator, TAG_BYTES } from './authentication.js';
 
 /** The length of the accepting side's nonce in bytes. */
@@ -42,13 +43,19 @@
   | { readonly kind: 'frames'; readonly contents: readonly Buffer[] }
   | { readonly kind: 'broken'; readonly reason: 'unauthenticated' | 'oversize' };
 
+/** What a part of a frame is: its head, or its content and the tag over it. */
+type FramePart =
+  | { readonly kind: 'head' }
+  | { readonly kind: 'content'; readonly contentBytes: number };
+
+const HEAD: FramePart = { kind: 'head' };
+
 /** Reads the frames of one connection, in order. */
 export class FrameReader {
   private number = 0;
-  private chunks: Buffer[] = [];
-  private buffered = 0;
-  /** The length of the content that is being read; null while the head is being read. */
-  private contentBytes: number | null = null;
+  private part: FramePart = HEAD;
+  /** The beginning of the part that is being read. */
+  private readonly collected = new ByteCollector();
 
   constructor(
     private readonly authenticator: Authenticator,
@@ -57,59 +64,64 @@
 
   /** Reads bytes and returns the contents of the frames that they complete. */
   read(chunk: Buffer): ReadOutcome {
-    this.chunks.push(chunk);
-    this.buffered += chunk.length;
     const contents: Buffer[] = [];
-    for (;;) {
-      const outcome = this.contentBytes === null ? this.readHead() : this.readContent(contents);
-      if (outcome === 'incomplete') {
-        return { kind: 'frames', contents };
-      }
-      if (outcome !== 'progress') {
-        return { kind: 'broken', reason: outcome };
-      }
+    let rest = chunk;
+    while (this.missingBytes() <= rest.length) {
+      const missing = this.missingBytes();
+      const problem = this.readPart(this.completePart(rest.subarray(0, missing)), contents);
+      if (problem !== null) return { kind: 'broken', reason: problem };
+      rest = rest.subarray(missing);
     }
+    this.collected.add(rest);
+    return { kind: 'frames', contents };
   }
 
-  private readHead(): 'incomplete' | 'progress' | 'unauthenticated' | 'oversize' {
-    if (this.buffered < HEAD_BYTES) {
-      return 'incomplete';
-    }
-    const head = this.consume(HEAD_BYTES);
+  private missingBytes(): number {
+    return partBytes(this.part) - this.collected.length;
+  }
+
+  private completePart(end: Buffer): Buffer {
+    if (this.collected.length === 0) return end;
+    this.collected.add(end);
+    const bytes = this.collected.join();
+    this.collected.clear();
+    return bytes;
+  }
+
+  private readPart(bytes: Buffer, contents: Buffer[]): 'unauthenticated' | 'oversize' | null {
+    if (this.part.kind === 'head') return this.readHead(bytes);
+    const content = this.readContent(bytes, this.part.contentBytes);
+    if (content === null) return 'unauthenticated';
+    contents.push(content);
+    return null;
+  }
+
+  private readHead(head: Buffer): 'unauthenticated' | 'oversize' | null {
     const length = head.subarray(0, LENGTH_BYTES);
     const position = framePosition(this.nonce, this.number);
     const tag = head.subarray(LENGTH_BYTES);
     if (!this.authenticator.matches(tag, 'frame-length', position, length)) {
       return 'unauthenticated';
     }
-    this.contentBytes = length.readUInt32BE();
-    return this.contentBytes > MAX_FRAME_BYTES ? 'oversize' : 'progress';
+    const contentBytes = length.readUInt32BE();
+    this.part = { kind: 'content', contentBytes };
+    return contentBytes > MAX_FRAME_BYTES ? 'oversize' : null;
   }
 
-  private readContent(contents: Buffer[]): 'incomplete' | 'progress' | 'unauthenticated' {
-    const contentBytes = this.contentBytes ?? 0;
-    if (this.buffered < contentBytes + TAG_BYTES) {
-      return 'incomplete';
-    }
-    const content = this.consume(contentBytes);
-    const tag = this.consume(TAG_BYTES);
+  /** The content, or null if its tag does not match. */
+  private readContent(bytes: Buffer, contentBytes: number): Buffer | null {
+    const content = bytes.subarray(0, contentBytes);
+    const tag = bytes.subarray(contentBytes);
     const position = framePosition(this.nonce, this.number);
-    if (!this.authenticator.matches(tag, 'frame-content', position, content)) {
-      return 'unauthenticated';
-    }
+    if (!this.authenticator.matches(tag, 'frame-content', position, content)) return null;
     this.number += 1;
-    this.contentBytes = null;
-    contents.push(content);
-    return 'progress';
+    this.part = HEAD;
+    return content;
   }
+}
 
-  private consume(bytes: number): Buffer {
-    const all = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
-    const joined = all ?? Buffer.alloc(0);
-    this.chunks = [joined.subarray(bytes)];
-    this.buffered -= bytes;
-    return joined.subarray(0, bytes);
-  }
+function partBytes(part: FramePart): number {
+  return part.kind === 'head' ? HEAD_BYTES : part.contentBytes + TAG_BYTES;
 }
 
 function framePosition(nonce: Buffer, number: number): Buffer {
