--- a/src/cli/completion-client.ts
+++ b/src/cli/completion-client.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod';
 import type { Endpoint } from '../core/registry/backend.js';
 import { formatEndpoint } from '../shell/settings/index.js';
+import { readText } from './answer-body.js';
 import { readEventData } from './event-stream.js';
 import { errorMessage, isNotSent } from './send-failure.js';
 
@@ -72,11 +73,11 @@
     body: JSON.stringify(completion.body),
   });
   if (answer.statusCode !== STATUS_OK) {
-    return readError(answer.statusCode, await answer.body.text());
+    return readError(answer.statusCode, await readText(answer.body));
   }
   return completion.streamed
     ? readStream(answer.body, onText)
-    : readComplete(await answer.body.json(), onText);
+    : readComplete(JSON.parse(await readText(answer.body)), onText);
 }
 
 const errorSchema = z.object({
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -5,6 +5,7 @@
 import { Agent, request } from 'undici';
 import type { Endpoint } from '../core/registry/backend.js';
 import { formatEndpoint } from '../shell/settings/index.js';
+import { readText } from './answer-body.js';
 import { errorMessage, isNotSent } from './send-failure.js';
 
 /** Options of `callOperator`. */
@@ -100,5 +101,5 @@
     },
     body: call.body === undefined ? null : JSON.stringify(call.body),
   });
-  return { status: answer.statusCode, body: await answer.body.json() };
+  return { status: answer.statusCode, body: JSON.parse(await readText(answer.body)) };
 }
