Small chunks of a forwarded answer are written to the caller together

Each chunk of an answer that is passed through was a write of its own, with some objects of its own while the caller does not read: an answer of 60 KiB in chunks of one byte took 61,440 writes. What arrives in one turn of the event loop is written in one.

--- a/src/shell/http/pass-through-attempt.ts
+++ b/src/shell/http/pass-through-attempt.ts
@@ -23,6 +23,8 @@
   #start: AnswerStart | null = null;
   /** The held answer's body; null for an answer that is forwarded chunk by chunk. */
   #held: ByteCollector | null = null;
+  /** What arrived in this turn of the event loop; small chunks are forwarded in one. */
+  readonly #arrived = new ByteCollector();
   #receivedBytes = 0;
   #lastChunk: Buffer | null = null;
 
@@ -42,7 +44,7 @@
     this.#receivedBytes += chunk.length;
     this.#lastChunk = chunk;
     if (this.#held !== null) this.#held.add(chunk);
-    else this.request.write(chunk);
+    else this.#forwardSoon(chunk);
   }
 
   protected override onAnswerEnd(): void {
@@ -55,10 +57,23 @@
       this.#forwardHeld(start, this.#held.join());
       return;
     }
+    this.#flush();
     this.request.end();
     this.#reportCompleted(this.#lastChunk === null ? null : readUsage(this.#lastChunk));
   }
 
+  #forwardSoon(chunk: Buffer): void {
+    if (this.#arrived.length === 0) queueMicrotask(() => this.#flush());
+    this.#arrived.add(chunk);
+  }
+
+  #flush(): void {
+    if (this.over || this.#arrived.length === 0) return;
+    const bytes = this.#arrived.join();
+    this.#arrived.clear();
+    this.request.write(bytes);
+  }
+
   /** Forwards a held answer, unless a model's answer with status 200 is malformed. */
   #forwardHeld(start: AnswerStart, body: Buffer): void {
     const isModel = this.request.description.target.kind === 'model';
--- a/test/http/answers-in-tiny-chunks.test.ts
+++ b/test/http/answers-in-tiny-chunks.test.ts
@@ -1,5 +1,6 @@
 /** Guards against answers of servers whose small chunks are each kept as an object. */
 import assert from 'node:assert/strict';
+import { ServerResponse } from 'node:http';
 import { type TestContext, test } from 'node:test';
 import { AnswerCapture } from '../../src/shell/http/answer-capture.js';
 import { EngineRefusal } from '../../src/shell/http/engine-refusal.js';
@@ -16,6 +17,8 @@
 const KIB = 1_024;
 /** Blocks of a body of at most 64 KiB. */
 const MAX_JOINED_BUFFERS = 32;
+/** Far more than there are pieces in which the connection delivers the answer. */
+const MAX_WRITES = 2_000;
 const LARGE_TEXT = 'x'.repeat(60 * KIB);
 
 test('a captured answer in chunks of one byte is not kept as an object for each byte', (t) => {
@@ -105,3 +108,25 @@
   assert.equal(answer.body, body);
   assert.ok(joined.mostBuffers <= MAX_JOINED_BUFFERS, `${joined.mostBuffers} Buffers`);
 });
+
+// Guards against a caller that reads slowly and holds some hundred bytes of heap for each byte that waits for it.
+test('an answer in chunks of one byte is forwarded in larger ones', async (t) => {
+  let writes = 0;
+  const { write } = ServerResponse.prototype;
+  t.mock.method(ServerResponse.prototype, 'write', function (this: ServerResponse, chunk: Buffer) {
+    writes += 1;
+    return Reflect.apply(write, this, [chunk]);
+  });
+  const backend = await startRawBackend('e1', (socket) =>
+    socket.end(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${inTinyChunks(LARGE_TEXT)}`),
+  );
+  const harness = await startHarness({ backends: [backend] });
+  t.after(async () => {
+    await harness.close();
+    await backend.close();
+  });
+  const answer = await call(harness.port, '/sheets/1');
+  assert.equal(answer.body, LARGE_TEXT);
+  assert.equal(answer.broken, false);
+  assert.ok(writes <= MAX_WRITES, `${writes} writes`);
+});
