--- a/src/shell/http/pass-through-attempt.ts
+++ b/src/shell/http/pass-through-attempt.ts
@@ -4,6 +4,7 @@
  * chunk.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import { ByteCollector } from '../bytes/index.js';
 import { mayHaveBody } from './answer-framing.js';
 import { BackendAttempt, contentLengthOf } from './backend-attempt.js';
 import type { TokenUsage } from './chunk-rewriter.js';
@@ -20,7 +21,10 @@
 /** An attempt whose answer is forwarded unchanged. */
 export class PassThroughAttempt extends BackendAttempt {
   #start: AnswerStart | null = null;
-  #chunks: Buffer[] | null = null;
+  /** The held answer's body; null for an answer that is forwarded chunk by chunk. */
+  #held: ByteCollector | null = null;
+  /** What arrived in this turn of the event loop; small chunks are forwarded in one. */
+  readonly #arrived = new ByteCollector();
   #receivedBytes = 0;
   #lastChunk: Buffer | null = null;
 
@@ -31,15 +35,16 @@
       return;
     }
     this.#start = { status, headers: this.#callerHeaders(headers, length), length };
-    if (length !== null && length <= this.request.host.limits.maxHeldAnswerBytes) this.#chunks = [];
+    if (length !== null && length <= this.request.host.limits.maxHeldAnswerBytes)
+      this.#held = new ByteCollector();
     else this.#forwardHead(this.#start);
   }
 
   protected override onAnswerData(chunk: Buffer): void {
     this.#receivedBytes += chunk.length;
     this.#lastChunk = chunk;
-    if (this.#chunks !== null) this.#chunks.push(chunk);
-    else this.request.write(chunk);
+    if (this.#held !== null) this.#held.add(chunk);
+    else this.#forwardSoon(chunk);
   }
 
   protected override onAnswerEnd(): void {
@@ -48,17 +53,29 @@
       this.abortAsBroken('wrong-length');
       return;
     }
-    if (this.#chunks !== null) {
-      this.#forwardHeld(start, this.#chunks);
+    if (this.#held !== null) {
+      this.#forwardHeld(start, this.#held.join());
       return;
     }
+    this.#flush();
     this.request.end();
     this.#reportCompleted(this.#lastChunk === null ? null : readUsage(this.#lastChunk));
   }
 
+  #forwardSoon(chunk: Buffer): void {
+    if (this.#arrived.length === 0) queueMicrotask(() => this.#flush());
+    this.#arrived.add(chunk);
+  }
+
+  #flush(): void {
+    if (this.over || this.#arrived.length === 0) return;
+    const bytes = this.#arrived.join();
+    this.#arrived.clear();
+    this.request.write(bytes);
+  }
+
   /** Forwards a held answer, unless a model's answer with status 200 is malformed. */
-  #forwardHeld(start: AnswerStart, chunks: readonly Buffer[]): void {
-    const body = chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
+  #forwardHeld(start: AnswerStart, body: Buffer): void {
     const isModel = this.request.description.target.kind === 'model';
     const usage = isModel ? readUsage(body) : null;
     if (isModel && start.status === 200 && (usage === null || !isJson(body))) {
--- a/src/shell/platform/http-connection-pool.ts
+++ b/src/shell/platform/http-connection-pool.ts
@@ -4,9 +4,11 @@
  */
 import { Pool } from 'undici';
 import type { Milliseconds } from '../../core/common/time.js';
+import { ByteCollector } from '../bytes/index.js';
 
 /** Maximum number of calls in flight. Further calls wait for a connection within their timeout. */
 export const MAX_CONNECTIONS = 8;
+/** The default of `maxAnswerBytes`: more than the largest object of the store. */
 const MAX_ANSWER_BYTES = 32 * 1024 * 1024;
 
 /** An HTTP request. */
@@ -36,13 +38,17 @@
   readonly port: number;
   /** Timeout of the complete exchange, including the connection set-up. */
   readonly timeoutMs: Milliseconds;
+  /** An exchange with a longer answer fails. */
+  readonly maxAnswerBytes?: number;
 }
 
 /** A pool of connections to one address. */
 export class HttpConnectionPool {
   private readonly pool: Pool;
+  private readonly maxAnswerBytes: number;
 
   constructor(private readonly options: ExchangeOptions) {
+    this.maxAnswerBytes = options.maxAnswerBytes ?? MAX_ANSWER_BYTES;
     this.pool = new Pool(originOf(options), {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
@@ -53,7 +59,7 @@
   /** Sends one request and waits up to `timeoutMs` for its complete answer. Never rejects. */
   exchange(request: ExchangeRequest, timeoutMs = this.options.timeoutMs): Promise<Exchange> {
     return new Promise((resolve) => {
-      const handler = new ExchangeHandler(timeoutMs, resolve);
+      const handler = new ExchangeHandler(timeoutMs, this.maxAnswerBytes, resolve);
       const headers = { 'content-type': request.contentType ?? 'application/json' };
       this.pool.dispatch(
         {
@@ -85,12 +91,12 @@
   private ended = false;
   private status = 0;
   private headers: Readonly<Record<string, string | string[] | undefined>> = {};
-  private readonly chunks: Buffer[] = [];
-  private receivedBytes = 0;
+  private readonly body = new ByteCollector();
   private readonly timer: NodeJS.Timeout;
 
   constructor(
     private readonly timeoutMs: Milliseconds,
+    private readonly maxAnswerBytes: number,
     private readonly resolve: (exchange: Exchange) => void,
   ) {
     this.timer = setTimeout(() => this.fail(`no answer within ${timeoutMs} ms`), timeoutMs);
@@ -115,14 +121,15 @@
   }
 
   onResponseData(_controller: Controller, chunk: Buffer): void {
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes > MAX_ANSWER_BYTES) this.fail('the answer is too large');
-    else this.chunks.push(chunk);
+    if (this.ended) return;
+    const isTooLarge = this.body.length + chunk.length > this.maxAnswerBytes;
+    if (isTooLarge) this.fail('the answer is too large');
+    else this.body.add(chunk);
   }
 
   onResponseEnd(): void {
-    const body = Buffer.concat(this.chunks);
-    this.end({ kind: 'answered', status: this.status, headers: this.headers, body });
+    const { status, headers } = this;
+    this.end({ kind: 'answered', status, headers, body: this.body.join() });
   }
 
   onResponseError(_controller: Controller, error: Error): void {
@@ -138,6 +145,7 @@
   private end(exchange: Exchange): void {
     if (this.ended) return;
     this.ended = true;
+    this.body.clear();
     clearTimeout(this.timer);
     this.resolve(exchange);
   }
