Answers in tiny chunks are read in turn, so that they do not keep the event loop from others

What callers saw: with 32 such answers the event loop was late by 518 to 555 ms, as the parser needs some 16 ms for a read of 64 KB in chunks of one byte and goes through all connections in one turn; readiness checks and other requests wait as long. A body that brought over 1,000 chunks in a read waits for its turn, and one of these is read in each turn of the event loop. Collected and relayed bodies share the one way.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -91,7 +91,7 @@
     name: 'visible-breaks',
     promise: 'MIXED',
     file: 'src/shell/gateway/backend-connections.ts',
-    text: 'body.clear();\n        resolve(undefined);',
+    text: 'body.clear();\n          callMemory.release();\n          resolve(undefined);',
     replacement: 'resolve(body.join());',
   },
   {
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -23,8 +23,9 @@
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
 import { answerFlaw } from './answer-flaw.js';
-import { BodyFlow, type BodyReceiver } from './body-flow.js';
+import { BodyFlow, type BodyReceiver, type FlowContext } from './body-flow.js';
 import type { RawHeaders } from './ports.js';
+import { ReadTurns } from './read-turns.js';
 import type { TimerService } from './timer-service.js';
 
 /** Idle connections are closed this much before the server's keep-alive time-out. */
@@ -82,10 +83,8 @@
 /** What came of opening a connection; `unanswered` where it was neither accepted nor refused. */
 export type ConnectOutcome = 'accepted' | 'refused' | 'unanswered';
 
-/** Where it is counted what answers hold. */
-interface AnswerHolding {
-  /** What is held while answers are collected. */
-  readonly held: HeldBytes;
+/** What the answers of one process share. */
+interface AnswerContext extends FlowContext {
   /** The memory for answers to calls of this daemon's own. */
   readonly memory: Pick<MemoryLedger, 'open'>;
 }
@@ -99,18 +98,18 @@
   readonly #request: ClientRequest;
   #lacksMemory = false;
   readonly #timers: TimerService;
-  readonly #holding: AnswerHolding;
+  readonly #context: AnswerContext;
   #isBroken = false;
 
   constructor(
     request: ClientRequest,
     message: IncomingMessage,
     timers: TimerService,
-    holding: AnswerHolding,
+    context: AnswerContext,
   ) {
     this.#request = request;
     this.#timers = timers;
-    this.#holding = holding;
+    this.#context = context;
     this.message = message;
     // node:http reports an answer without a length as complete when its connection is reset.
     request.on('error', () => {
@@ -192,7 +191,7 @@
 
   /** Passes the body on while it arrives. */
   flow(receiver: BodyReceiver): BodyFlow {
-    return new BodyFlow(this.message, receiver, this.#holding.held);
+    return new BodyFlow(this.message, receiver, this.#context);
   }
 
   /** Whether the body was not collected because this daemon had no memory for it. */
@@ -206,23 +205,25 @@
    */
   collect(maxBytes: number, requestMemory?: BodyMemory): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      const body = new ByteCollector(this.#holding.held);
-      const callMemory = this.#holding.memory.open();
+      const body = new ByteCollector(this.#context.held);
+      const callMemory = this.#context.memory.open();
       const memory = requestMemory ?? callMemory;
-      this.message.on('data', (chunk: Buffer) => {
-        if (this.message.destroyed) return;
-        const bytesBefore = body.heldBytes;
-        body.add(chunk);
-        this.#lacksMemory = !tryHold(memory, body.heldBytes - bytesBefore);
-        if (body.length <= maxBytes && !this.#lacksMemory) return;
-        body.clear();
-        this.destroy();
-      });
-      this.message.once('end', () => resolve(this.isComplete ? body.join() : undefined));
-      this.message.once('close', () => {
-        body.clear();
-        callMemory.release();
-        resolve(undefined);
+      this.flow({
+        receive: (bytes) => {
+          if (this.message.destroyed) return;
+          const bytesBefore = body.heldBytes;
+          body.add(bytes);
+          this.#lacksMemory = !tryHold(memory, body.heldBytes - bytesBefore);
+          if (body.length <= maxBytes && !this.#lacksMemory) return;
+          body.clear();
+          this.destroy();
+        },
+        end: () => resolve(this.isComplete ? body.join() : undefined),
+        close: () => {
+          body.clear();
+          callMemory.release();
+          resolve(undefined);
+        },
       });
     });
   }
@@ -307,14 +308,16 @@
 }
 
 /** Calls backends. */
-export class BackendConnections implements AnswerHolding {
+export class BackendConnections implements AnswerContext {
   readonly #timers: TimerService;
   readonly #freshAgent = new http.Agent({ keepAlive: false });
   readonly #keepAliveAgent = new KeepAliveAgent();
   /** Calls that have no answer, including aborted ones that wait for a late answer. */
   readonly #unanswered = new Set<ClientRequest>();
   #awaitedLate = 0;
+  /** What is held while answers are collected. */
   readonly held = new HeldBytes();
+  readonly turns = new ReadTurns();
   readonly memory: Pick<MemoryLedger, 'open'>;
   /** Connections opened since the process started. */
   openedTotal = 0;
--- a/src/shell/gateway/body-flow.ts
+++ b/src/shell/gateway/body-flow.ts
@@ -1,9 +1,14 @@
 /**
- * The body of an answer that is passed on while it arrives. What one read of the connection brought is delivered as one
- * piece: tiny chunks would otherwise be as many writes, with some objects each while the reader of the answer is behind.
+ * The body of an answer while it arrives. What one read of the connection brought is delivered as one piece: tiny chunks would
+ * otherwise be as many writes, with some objects each while the receiver is behind. An answer in tiny chunks is read in turn
+ * with others of that kind.
  */
 import type { IncomingMessage } from 'node:http';
 import { ByteCollector, type HeldBytes } from '../bytes/index.js';
+import type { ReadTurns } from './read-turns.js';
+
+/** A read that brings more of them takes the parser several milliseconds. */
+const MANY_CHUNKS = 1_000;
 
 /** Receives a body. */
 export interface BodyReceiver {
@@ -15,51 +20,58 @@
   readonly close: () => void;
 }
 
+/** What the bodies of one process share. */
+export interface FlowContext {
+  /** Counts what waits to be delivered. */
+  readonly held: HeldBytes;
+  readonly turns: Pick<ReadTurns, 'wait'>;
+}
+
 /** The flow of one body. */
 export class BodyFlow {
   readonly #message: IncomingMessage;
   readonly #receiver: BodyReceiver;
+  readonly #turns: Pick<ReadTurns, 'wait'>;
   readonly #arrived: ByteCollector;
+  #arrivedChunks = 0;
+  #isPausedByReceiver = false;
+  #waitsForTurn = false;
   #isConnectionPaused = false;
 
-  /** @param held counts what waits to be delivered */
-  constructor(message: IncomingMessage, receiver: BodyReceiver, held: HeldBytes) {
+  constructor(message: IncomingMessage, receiver: BodyReceiver, { held, turns }: FlowContext) {
     this.#message = message;
     this.#receiver = receiver;
+    this.#turns = turns;
     this.#arrived = new ByteCollector(held);
     message.on('data', this.#add);
     message.once('end', this.#end);
     message.once('close', this.#close);
   }
 
-  /**
-   * Reads no more of the connection, whose parser would otherwise keep each chunk as an object of its own. The connection of
-   * a message that has arrived completely may already carry another one.
-   */
   pause(): void {
-    const message = this.#message;
-    message.pause();
-    if (message.complete) return;
-    this.#isConnectionPaused = true;
-    message.socket.pause();
+    this.#isPausedByReceiver = true;
+    this.#stop();
   }
 
   resume(): void {
-    if (this.#isConnectionPaused) this.#message.socket.resume();
-    this.#isConnectionPaused = false;
-    this.#message.resume();
+    this.#isPausedByReceiver = false;
+    this.#goOn();
   }
 
   readonly #add = (chunk: Buffer): void => {
     // Microtasks run after the parser has gone through all that was read, and after its ticks, which would resume a pause.
-    if (this.#arrived.length === 0) queueMicrotask(this.#deliver);
+    if (this.#arrivedChunks === 0) queueMicrotask(this.#deliver);
+    this.#arrivedChunks += 1;
     this.#arrived.add(chunk);
   };
 
   readonly #deliver = (): void => {
-    if (this.#arrived.length === 0) return;
+    if (this.#arrivedChunks === 0) return;
+    const hasManyChunks = this.#arrivedChunks > MANY_CHUNKS;
     const bytes = this.#arrived.join();
+    this.#arrivedChunks = 0;
     this.#arrived.clear();
+    if (hasManyChunks) this.#waitForTurn();
     this.#receiver.receive(bytes);
   };
 
@@ -72,4 +84,32 @@
     this.#deliver();
     this.#receiver.close();
   };
+
+  #waitForTurn(): void {
+    if (this.#waitsForTurn || this.#message.complete) return;
+    this.#waitsForTurn = true;
+    this.#stop();
+    this.#turns.wait(() => {
+      this.#waitsForTurn = false;
+      this.#goOn();
+    });
+  }
+
+  /**
+   * Stops reading the connection too, whose parser would otherwise keep each chunk as an object of its own. The connection of
+   * a message that has arrived completely may already carry another one.
+   */
+  #stop(): void {
+    this.#message.pause();
+    if (this.#message.complete) return;
+    this.#isConnectionPaused = true;
+    this.#message.socket.pause();
+  }
+
+  #goOn(): void {
+    if (this.#isPausedByReceiver || this.#waitsForTurn) return;
+    if (this.#isConnectionPaused) this.#message.socket.resume();
+    this.#isConnectionPaused = false;
+    this.#message.resume();
+  }
 }
