--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -3,15 +3,17 @@
  *
  *     node dist/scripts/run-tests.js [--known-red FILE] [SOURCE.ts…]
  *
- * Without files it runs every `test/**` file. The output ends with node:test's summary lines. Exit
- * code 0: all tests passed, except listed ones; 1: a test failed; 2: the list is invalid.
+ * Without files it runs every `test/**` file. Those of crowds run one at a time, after all others.
+ * The output ends with node:test's summary lines, summed up. Exit code 0: all tests passed, except
+ * listed ones; 1: a test failed; 2: the list is invalid.
  */
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
-import { join, resolve } from 'node:path';
+import { join, resolve, sep } from 'node:path';
 import { run } from 'node:test';
 import { type TestEvent, tap } from 'node:test/reporters';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
+import { joinRuns } from './joined-runs.js';
 import { judge, type KnownRedTest, parseKnownRed } from './known-red.js';
 import { TestOutcomes } from './test-outcomes.js';
 
@@ -19,6 +21,8 @@
 const PROJECT_ROOT = resolve(DIST_ROOT, '..');
 /** Test files run in parallel; few, so that tests with sockets are not slowed down on small machines. */
 const CONCURRENT_FILES = 6;
+/** Each of these takes much of a machine, and some memory of the test's own: they run one at a time, after the others. */
+const SERIAL_FOLDER = join('test', 'resources', 'crowds');
 const FILE_TIMEOUT_MS = 180_000;
 const EXIT_RED = 1;
 const EXIT_USAGE = 2;
@@ -78,11 +82,23 @@
   }
 }
 
-const events: AsyncIterable<TestEvent> = run({
-  files: sources.map(compiledFile),
-  concurrency: CONCURRENT_FILES,
-  timeout: FILE_TIMEOUT_MS,
-});
+function isSerial(source: string): boolean {
+  return source.startsWith(`${SERIAL_FOLDER}${sep}`);
+}
+
+function runOf(files: readonly string[], concurrency: number): () => AsyncIterable<TestEvent> {
+  return () => run({ files: files.map(compiledFile), concurrency, timeout: FILE_TIMEOUT_MS });
+}
+
+const groups = [
+  { files: sources.filter((source) => !isSerial(source)), concurrency: CONCURRENT_FILES },
+  { files: sources.filter(isSerial), concurrency: 1 },
+];
+// Without files, node:test would look for some by itself.
+const runs = groups
+  .filter(({ files }) => files.length > 0)
+  .map(({ files, concurrency }) => runOf(files, concurrency));
+const events = joinRuns(runs);
 for await (const text of tap(withVerdict(events))) process.stdout.write(text);
 // Overrides the exit code of node:test, which is set for any failure, also of a listed test.
 process.exitCode = isGood ? 0 : EXIT_RED;
