--- a/test/resources/support/real-gateway.ts
+++ b/test/resources/support/real-gateway.ts
@@ -1,7 +1,14 @@
 /** One real process of the gateway, with limits of its own, between a store, a server and callers of the test. */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import {
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  readlinkSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type AddressInfo, connect, type Socket } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -12,7 +19,8 @@
 import { pause } from '../../../soak/pause.js';
 import { PlatformStore } from '../../../soak/platform-store.js';
 
-const HOST = 'sheets.example';
+/** The host of all routes. */
+export const HOST = 'sheets.example';
 const POLL_MS = 50;
 const GET_TIMEOUT_MS = 2_000;
 const READY_TIMEOUT_MS = 20_000;
@@ -20,6 +28,12 @@
 const READINESS_PORT = 8_140;
 const METRICS_PORT = 9_464;
 const PEERS_PORT = 7_660;
+const BYTES_PER_KILOBYTE = 1_024;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Callers write in pieces of this length, so that what the process has taken can be told from what waits. */
+const PIECE_BYTES = 16_384;
+const QUIET_MS = 1_000;
+const SETTLE_LIMIT_MS = 10_000;
 
 /** Limits of the process under test. */
 export interface ProcessLimits {
@@ -31,6 +45,14 @@
   readonly descriptors?: number;
 }
 
+/** Limits of the configuration that apply to callers. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
 /** How the process ended. */
 export interface ProcessEnd {
   readonly exitCode: number | null;
@@ -50,6 +72,7 @@
 export class SentRequest {
   readonly socket: Socket;
   #received = '';
+  #takenBytes = 0;
 
   constructor(socket: Socket) {
     this.socket = socket;
@@ -65,6 +88,31 @@
     return found === undefined ? undefined : Number(found);
   }
 
+  /** Writes bytes as they are, in pieces. */
+  write(bytes: Buffer): void {
+    for (let from = 0; from < bytes.length; from += PIECE_BYTES) {
+      const piece = bytes.subarray(from, from + PIECE_BYTES);
+      this.socket.write(piece, () => {
+        this.#takenBytes += piece.length;
+      });
+    }
+  }
+
+  /** Whether the system has taken all that was written. */
+  get isTaken(): boolean {
+    return this.socket.writableLength === 0 && !this.socket.connecting;
+  }
+
+  /** The bytes that the system has taken for the process. */
+  get takenBytes(): number {
+    return this.#takenBytes;
+  }
+
+  /** The answers so far, their heads included. */
+  get received(): string {
+    return this.#received;
+  }
+
   /** The characters of the answer so far, its head included. */
   get receivedLength(): number {
     return this.#received.length;
@@ -72,7 +120,13 @@
 
   /** Whether the answer says when the caller may come back. */
   get saysWhenToReturn(): boolean {
-    return /\r\nRetry-After: [\d.]+\r\n/i.test(this.#received);
+    return this.retryAfterMs !== undefined;
+  }
+
+  /** The time after which the caller may come back; undefined where the answer names none. */
+  get retryAfterMs(): number | undefined {
+    const seconds = /\r\nRetry-After: ([\d.]+)\r\n/i.exec(this.#received)?.[1];
+    return seconds === undefined ? undefined : Number(seconds) * MILLISECONDS_PER_SECOND;
   }
 }
 
@@ -82,6 +136,7 @@
   /** How the server handles requests of callers. */
   serve: (request: IncomingMessage, response: ServerResponse) => void = answer;
   readonly #limits: ProcessLimits;
+  readonly #callerLimits: CallerLimits;
   readonly #directory = mkdtempSync(join(tmpdir(), 'threadfork-process-'));
   readonly #server = http.createServer({ maxHeaderSize: 131_072 }, (request, response) =>
     this.#serve(request, response),
@@ -94,8 +149,10 @@
   output = '';
   end: ProcessEnd | undefined;
 
-  constructor(limits: ProcessLimits) {
+  constructor(limits: ProcessLimits, callerLimits: Partial<CallerLimits> = {}) {
     this.#limits = limits;
+    this.#callerLimits = { ...CONFIGURATION.limits, ...callerLimits };
+    this.#server.maxHeadersCount = 0;
   }
 
   /** Starts the process and waits until it is ready. */
@@ -107,7 +164,10 @@
     const endpoint = this.store.createEndpoint();
     const settingsPath = join(this.#directory, 'gateway.yaml');
     writeFileSync(settingsPath, this.#settings(await endpoint.open()));
-    this.store.put(TABLES.operator, TABLES.configurationKey, CONFIGURATION);
+    this.store.put(TABLES.operator, TABLES.configurationKey, {
+      ...CONFIGURATION,
+      limits: this.#callerLimits,
+    });
     this.#listServers();
     this.#spawn([...this.#flags(), program, settingsPath]);
     await this.waitUntil(() => this.isReady(), READY_TIMEOUT_MS);
@@ -146,6 +206,14 @@
     return sent;
   }
 
+  /** Opens a connection and sends bytes as they are. */
+  sendBytes(bytes: Buffer): SentRequest {
+    const sent = new SentRequest(connect(CALLERS_PORT, this.#host));
+    sent.write(bytes);
+    this.#sent.push(sent);
+    return sent;
+  }
+
   /** Opens connections that send nothing. */
   connect(count: number): readonly Socket[] {
     return Array.from({ length: count }, () => {
@@ -161,6 +229,36 @@
     this.#sent.length = 0;
   }
 
+  /** Waits until nothing moves between callers and the process, for a while at most. */
+  async settle(): Promise<void> {
+    const untilMs = performance.now() + SETTLE_LIMIT_MS;
+    let moved = this.#movedBytes();
+    let sinceMs = performance.now();
+    while (this.end === undefined && performance.now() < untilMs) {
+      await pause(POLL_MS);
+      const now = this.#movedBytes();
+      if (now !== moved) sinceMs = performance.now();
+      moved = now;
+      if (performance.now() - sinceMs > QUIET_MS) return;
+    }
+  }
+
+  /** The most memory that the process has had resident at once; undefined once it has ended. */
+  get peakResidentBytes(): number | undefined {
+    const pid = this.#runningPid;
+    if (pid === undefined) return undefined;
+    const kilobytes = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
+    return kilobytes === undefined ? undefined : Number(kilobytes) * BYTES_PER_KILOBYTE;
+  }
+
+  /** The sockets and pipes that the process has open; undefined once it has ended. */
+  get openSockets(): number | undefined {
+    const pid = this.#runningPid;
+    if (pid === undefined) return undefined;
+    const names = readdirSync(`/proc/${pid}/fd`).map((name) => linkOf(`/proc/${pid}/fd/${name}`));
+    return names.filter((name) => /^(socket|pipe):/.test(name)).length;
+  }
+
   async isReady(): Promise<boolean> {
     return (await this.#get(READINESS_PORT, '/ready'))?.status === 200;
   }
@@ -187,6 +285,16 @@
     else this.serve(request, response);
   }
 
+  get #runningPid(): number | undefined {
+    return this.end === undefined ? this.#process?.pid : undefined;
+  }
+
+  #movedBytes(): number {
+    let bytes = 0;
+    for (const sent of this.#sent) bytes += sent.takenBytes + sent.receivedLength;
+    return bytes;
+  }
+
   get #host(): string {
     return this.#addresses?.addressOf(0, 0) ?? '127.0.0.1';
   }
@@ -265,6 +373,15 @@
   }
 }
 
+/** Where a link leads; empty if it has gone meanwhile. */
+function linkOf(path: string): string {
+  try {
+    return readlinkSync(path);
+  } catch {
+    return '';
+  }
+}
+
 /** Answers a request as a server does. */
 export function answer(request: IncomingMessage, response: ServerResponse): void {
   request.resume();
