--- a/src/shell/gateway/body-reader.ts
+++ b/src/shell/gateway/body-reader.ts
@@ -1,6 +1,8 @@
 /** Reads the bodies of callers' requests, within the memory that there is for requests. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { MemoryLedger, MemoryReservation } from '../../core/gateway/index.js';
+import { HeldBytes } from '../bytes/index.js';
+import { ArrivingBody } from './arriving-body.js';
 
 const HEADER_OVERHEAD_BYTES = 4;
 
@@ -16,17 +18,13 @@
 /** Reads bodies. */
 export class BodyReader {
   readonly #memory: Pick<MemoryLedger, 'reserve'>;
-  #heldBytes = 0;
+  /** What bodies hold of all requests whose answers have not ended, incomplete ones included. */
+  readonly held = new HeldBytes();
 
   constructor(memory: Pick<MemoryLedger, 'reserve'>) {
     this.#memory = memory;
   }
 
-  /** Bytes of all requests whose answers have not ended, those of incomplete bodies included. */
-  get heldBytes(): number {
-    return this.#heldBytes;
-  }
-
   async read(
     request: IncomingMessage,
     response: ServerResponse,
@@ -36,44 +34,36 @@
     if (declaredBytes > maxBytes) return { kind: 'too-large' };
     const memory = this.#memory.reserve(headerBytes(request), declaredBytes);
     if (memory === undefined) return { kind: 'no-memory' };
-    response.once('close', () => memory.release());
-    return this.#read(request, response, { declaredBytes, maxBytes, memory });
+    const arriving = new ArrivingBody(memory, declaredBytes, this.held);
+    response.once('close', () => {
+      arriving.clear();
+      memory.release();
+    });
+    return this.#read(request, arriving, memory, maxBytes);
   }
 
   #read(
     request: IncomingMessage,
-    response: ServerResponse,
-    limits: {
-      readonly declaredBytes: number;
-      readonly maxBytes: number;
-      readonly memory: MemoryReservation;
-    },
+    arriving: ArrivingBody,
+    memory: MemoryReservation,
+    maxBytes: number,
   ): Promise<BodyReading> {
-    const { declaredBytes, maxBytes, memory } = limits;
     return new Promise((resolve) => {
-      let chunks: Buffer[] = [];
-      let length = 0;
       let isEnded = false;
       const end = (reading: BodyReading) => {
+        if (isEnded) return;
         isEnded = true;
-        chunks = [];
+        if (reading.kind !== 'read') arriving.clear();
         resolve(reading);
       };
-      response.once('close', () => {
-        this.#heldBytes -= length;
-        length = 0;
-      });
       request.on('data', (chunk: Buffer) => {
         if (isEnded) return;
-        if (length + chunk.length > maxBytes) return end({ kind: 'too-large' });
-        const undeclaredBytes = Math.max(0, length + chunk.length - declaredBytes);
-        const hasMemory = memory.grow(Math.min(chunk.length, undeclaredBytes));
-        if (!hasMemory) return end({ kind: 'no-memory' });
-        length += chunk.length;
-        this.#heldBytes += chunk.length;
-        chunks.push(chunk);
+        if (arriving.length + chunk.length > maxBytes) return end({ kind: 'too-large' });
+        if (!arriving.add(chunk)) return end({ kind: 'no-memory' });
+      });
+      request.once('end', () => {
+        if (!isEnded) end({ kind: 'read', body: arriving.join(), memory });
       });
-      request.once('end', () => end({ kind: 'read', body: joined(chunks), memory }));
       request.once('close', () => end({ kind: 'broken' }));
       request.once('error', () => end({ kind: 'broken' }));
     });
@@ -96,8 +86,3 @@
     request.resume();
   });
 }
-
-function joined(chunks: readonly Buffer[]): Buffer {
-  const [first] = chunks;
-  return chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
-}
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -12,6 +12,7 @@
   Tenant,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { HeldBytes } from '../bytes/index.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import { PendingAnswers } from '../http/pending-answers.js';
 import type { AttemptContext } from './attempt.js';
@@ -128,9 +129,9 @@
     return this.#open;
   }
 
-  /** Bytes that are held of the bodies of requests whose answers have not ended. */
-  get bodyBytes(): number {
-    return this.#bodies.heldBytes;
+  /** What is held of the bodies of requests whose answers have not ended. */
+  get heldBodies(): Pick<HeldBytes, 'bytes' | 'objects'> {
+    return this.#bodies.held;
   }
 
   get server(): Server {
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -31,7 +31,7 @@
     | 'storeEra'
     | 'unreadTables'
   >;
-  readonly callers: Pick<CallerListener, 'inFlight' | 'bodyBytes'>;
+  readonly callers: Pick<CallerListener, 'inFlight' | 'heldBodies'>;
   readonly connections: Pick<BackendConnections, 'openedTotal' | 'held'>;
   readonly admission: Pick<AdmissionGate, 'waiting'>;
   readonly limits: Pick<LimitCoordinator, 'grantedServers'>;
@@ -75,13 +75,21 @@
     'threadfork_gateway_held_bytes',
     'Bytes that are held until a message is complete, or while a request is in flight',
     'kind',
-    () => new Map([['answers', sources.connections.held.bytes]]),
+    () =>
+      new Map([
+        ['answers', sources.connections.held.bytes],
+        ['bodies', sources.callers.heldBodies.bytes],
+      ]),
   );
   metrics.addLabelledGauge(
     'threadfork_gateway_held_objects',
     'Objects in the heap that these bytes are kept in, each with some hundred bytes besides its content',
     'kind',
-    () => new Map([['answers', sources.connections.held.objects]]),
+    () =>
+      new Map([
+        ['answers', sources.connections.held.objects],
+        ['bodies', sources.callers.heldBodies.objects],
+      ]),
   );
   metrics.addLabelledGauge(
     'threadfork_gateway_engine_pace',
@@ -169,7 +177,7 @@
     {
       name: 'request_body_bytes',
       help: 'Bytes held of the bodies of requests whose answers have not ended',
-      read: () => callers.bodyBytes,
+      read: () => callers.heldBodies.bytes,
     },
     {
       name: 'cached_parts',
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -528,7 +528,7 @@
       readHeap,
       holders: () => ({
         requestsInFlight: this.#callers.inFlight,
-        bodyBytes: this.#callers.bodyBytes,
+        bodyBytes: this.#callers.heldBodies.bytes,
         answerBytes: this.#connections.held.bytes,
         answerObjects: this.#connections.held.objects,
         streamRecords: this.#streams.recordCount,
