Bodies of callers that stop no longer keep the memory of others

Cause: a declared length reserved its whole size at once, and a body that stopped had no time-out.

Memory is reserved as bytes arrive. Where there is no memory, the body that has made no progress for longest gives way (503 with Retry-After, not run), and its memory is free at once; only where none has stalled is the request refused that asks. Each kind is counted by reason (threadfork_gateway_caller_refusals_total) and has a bounded log line (6233, 6234).

The test of the memory ledger reserves and grows in place of reserving a declared length; it admits and refuses the same.

--- a/src/core/gateway/memory-ledger.ts
+++ b/src/core/gateway/memory-ledger.ts
@@ -57,20 +57,16 @@
     return { heapBytes: this.#heapBytes, bufferBytes: this.#bufferBytes };
   }
 
-  /**
-   * Reserves the memory of a request; undefined where there is none left.
-   * @param bodyBytes the length that the request declares; 0 where it declares none
-   */
-  reserve(headerBytes: number, bodyBytes: number): MemoryReservation | undefined {
+  /** Reserves the memory of a request without its body; undefined where there is none left. */
+  reserve(headerBytes: number): MemoryReservation | undefined {
     const heapBytes = REQUEST_HEAP_BYTES + HEAP_BYTES_PER_HEADER_BYTE * headerBytes;
     if (this.#heapBytes + heapBytes > this.#limits.heapBytes) return undefined;
-    if (!this.#tryGrow(bodyBytes)) return undefined;
     this.#heapBytes += heapBytes;
-    return this.#reservationOf(heapBytes, bodyBytes);
+    return this.#reservationOf(heapBytes);
   }
 
-  #reservationOf(heapBytes: number, bodyBytes: number): MemoryReservation {
-    let bufferBytes = bodyBytes;
+  #reservationOf(heapBytes: number): MemoryReservation {
+    let bufferBytes = 0;
     let isReleased = false;
     return {
       grow: (bytes) => {
--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -28,4 +28,22 @@
     remedy:
       'Their callers connect again, also to other daemons. If it repeats, add daemons or descriptors (limits.descriptors), or make idleTimeoutMs of the configuration shorter.',
   },
+  bodiesTimedOut: {
+    number: 6233,
+    level: 'warn',
+    reserve: 'process-life',
+    message:
+      'requests were answered 408 and not run, as no byte of their bodies came for idleTimeoutMs of the configuration',
+    remedy:
+      'Their callers stopped in the middle of a body; they may send the request again. If callers pause for longer, make idleTimeoutMs of the configuration longer.',
+  },
+  bodiesGaveWay: {
+    number: 6234,
+    level: 'warn',
+    reserve: 'process-life',
+    message:
+      'requests whose bodies had stalled were answered 503 and not run, as their memory was needed for other requests',
+    remedy:
+      'Their callers may send the request again. If it repeats, look for callers that begin many bodies and do not end them, or add daemons or memory (limits.memoryMb).',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/arriving-body.ts
+++ b/src/shell/gateway/arriving-body.ts
@@ -7,14 +7,12 @@
   readonly #memory: MemoryReservation;
   readonly #held: HeldBytes;
   readonly #collector = new ByteCollector();
-  #reservedBytes: number;
+  #reservedBytes = 0;
   #countedBytes = 0;
   #countedObjects = 0;
 
-  /** @param reservedBytes what the reservation already has for the body */
-  constructor(memory: MemoryReservation, reservedBytes: number, held: HeldBytes) {
+  constructor(memory: MemoryReservation, held: HeldBytes) {
     this.#memory = memory;
-    this.#reservedBytes = reservedBytes;
     this.#held = held;
   }
 
@@ -23,15 +21,28 @@
     return this.#collector.length;
   }
 
+  /** Memory of what has arrived. */
+  get heldBytes(): number {
+    return this.#countedBytes;
+  }
+
+  /** Adds a chunk, for which memory has to be reserved. */
+  add(chunk: Buffer): void {
+    this.#collector.add(chunk);
+    this.#count(this.#collector.heldBytes, this.#collector.blockCount);
+  }
+
   /**
-   * Adds a chunk.
-   * @returns false where there is no memory for it
+   * Reserves the memory of what has arrived.
+   * @returns whether there was memory for it
    */
-  add(chunk: Buffer): boolean {
-    this.#collector.add(chunk);
-    const { heldBytes, blockCount } = this.#collector;
-    this.#count(heldBytes, blockCount);
-    return this.#reserve(heldBytes);
+  reserve(): boolean {
+    const { heldBytes } = this.#collector;
+    if (heldBytes > this.#reservedBytes) {
+      if (!this.#memory.grow(heldBytes - this.#reservedBytes)) return false;
+      this.#reservedBytes = heldBytes;
+    }
+    return true;
   }
 
   /** Makes one Buffer of the body; its memory is held until `clear` is called. */
@@ -52,13 +63,6 @@
     this.#fit(0);
   }
 
-  #reserve(bytes: number): boolean {
-    if (bytes <= this.#reservedBytes) return true;
-    if (!this.#memory.grow(bytes - this.#reservedBytes)) return false;
-    this.#reservedBytes = bytes;
-    return true;
-  }
-
   #fit(bytes: number): void {
     if (bytes >= this.#reservedBytes) return;
     this.#memory.shrink(this.#reservedBytes - bytes);
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -18,6 +18,7 @@
 import type { AttemptContext } from './attempt.js';
 import { BodyReader, discardBody, headerBytes } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
+import type { CallerRefusals } from './caller-refusals.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -31,6 +32,7 @@
 import type { GatewayLog } from './request-log.js';
 import type { ResourceMonitor } from './resource-monitor.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
+import { StalledBodies } from './stalled-bodies.js';
 import { STOPPING_RETRY_AFTER_MS } from './stop-refusal.js';
 import { delay, type TimerService } from './timer-service.js';
 import { runWebExchange } from './web-exchange.js';
@@ -41,6 +43,7 @@
 const REJECTED_RETRY_AFTER_MS = 1_000;
 const NO_DESCRIPTORS_REASON = 'no connections for more requests';
 const NO_MEMORY_REASON = 'no memory for more requests';
+const BODY_TIMED_OUT_REASON = 'the body did not arrive in time';
 /** A caller that sends the rest of its body by then reads why it was rejected; its connection is closed anyway. */
 const DISCARD_MS = 200;
 const CONNECTION_CHECK_MS = 1_000;
@@ -67,6 +70,7 @@
   /** The most descriptors of this process; undefined where there are more than it can need. */
   readonly descriptors: number | undefined;
   readonly resources: Pick<ResourceMonitor, 'recordRejected' | 'recordDropped'>;
+  readonly refusals: Pick<CallerRefusals, 'record'>;
   readonly paths: Pick<ServicePathMonitor, 'isLost'>;
   /** Time since the last check for a newer configuration. */
   readonly configurationCheckAgeMs: () => number;
@@ -97,7 +101,13 @@
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
-    this.#bodies = new BodyReader(options.memory);
+    const { memory, timers, context } = options;
+    const stalled = new StalledBodies({
+      timers,
+      idleTimeoutMs: () =>
+        context.fleet.inForce?.configuration.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
+    });
+    this.#bodies = new BodyReader({ memory, stalled });
     this.#server = http.createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -233,6 +243,11 @@
         return this.#reject(request, response, 413, 'body too large', []);
       case 'no-memory':
         return this.#rejectUnread(request, response, isChecked, NO_MEMORY_REASON);
+      case 'timed-out':
+        return this.#rejectTimedOut(open, reading.heldBytes);
+      case 'gave-way':
+        this.#options.refusals.record('body-gave-way', reading.heldBytes);
+        return this.#rejectStalled(open, 503, NO_MEMORY_REASON, RETRY_LATER);
       case 'broken':
         return;
       case 'read':
@@ -362,6 +377,19 @@
     this.#reject(request, response, 503, reason, headers, !this.connections.hasRoom);
   }
 
+  #rejectTimedOut(open: OpenRequest, heldBytes: number): void {
+    this.#options.refusals.record('body-timed-out', heldBytes);
+    this.#rejectStalled(open, 408, BODY_TIMED_OUT_REASON, []);
+  }
+
+  /** Rejects a request whose body does not go on, and closes its connection. */
+  #rejectStalled(open: OpenRequest, status: 408 | 503, reason: string, headers: RawHeaders): void {
+    const { request, response, forwarded } = open.arrived;
+    const isForwarded = forwarded !== undefined;
+    const ownHeaders = isForwarded ? notTakenHeaders(reason) : headers;
+    this.#reject(request, response, isForwarded ? 503 : status, reason, ownHeaders, true);
+  }
+
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
   #rejectRoute(
     request: IncomingMessage,
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -58,6 +58,12 @@
     labelNames: ['result'],
     registers: [this.#registry],
   });
+  readonly #callerRefusals = new Counter({
+    name: 'threadfork_gateway_caller_refusals_total',
+    help: 'Callers that were refused or closed for what they sent, did not send or did not read, by reason',
+    labelNames: ['reason'],
+    registers: [this.#registry],
+  });
 
   readonly #reportedAvailability = new Counter({
     name: 'threadfork_gateway_told_availability_total',
@@ -162,6 +168,11 @@
     this.#attempts.inc({ result });
   }
 
+  /** Records a caller that was refused, or whose connection was closed. */
+  recordCallerRefusal(reason: string): void {
+    this.#callerRefusals.inc({ reason });
+  }
+
   /** Records what an answer reported about the availability of its server. */
   recordReportedAvailability(what: string): void {
     this.#reportedAvailability.inc({ what });
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import { BackendConnections } from './backend-connections.js';
 import { CacheEventWatchers } from './cache-event-watchers.js';
 import { CallerListener } from './caller-listener.js';
+import { CallerRefusals } from './caller-refusals.js';
 import { Confirmations } from './confirmations.js';
 import { CrashGuard } from './crash-guard.js';
 import { DepartureGossip } from './departure-gossip.js';
@@ -302,6 +303,7 @@
       memory: new MemoryLedger(requestMemoryLimits(readHeap().limitBytes, machineBytes(settings))),
       descriptors: settings.limits?.descriptors,
       resources: this.#resources,
+      refusals: new CallerRefusals({ timers, metrics: this.#metrics, log }),
       paths: this.#paths,
       configurationCheckAgeMs: () => this.#follower.configurationCheckAgeMs(),
     });
--- a/test/gateway/body-reader.test.ts
+++ b/test/gateway/body-reader.test.ts
@@ -6,11 +6,17 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { MemoryLedger } from '../../src/core/gateway/index.js';
 import { BodyReader, type BodyReading } from '../../src/shell/gateway/body-reader.js';
+import { StalledBodies } from '../../src/shell/gateway/stalled-bodies.js';
+import { ManualTimers } from './support/manual-timers.js';
 
 const MEGABYTE = 1_048_576;
 const MAX_BODY_BYTES = 4_000_000;
 const CHUNKED_HEAD = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
 
+/** A body without progress for this long gives way. */
+const STALL_MS = 1_000;
+
+let timers: ManualTimers;
 let server: Server;
 let memory: MemoryLedger;
 let reader: BodyReader;
@@ -19,7 +25,9 @@
 
 beforeEach(async () => {
   memory = new MemoryLedger({ heapBytes: 10 * MEGABYTE, bufferBytes: 10 * MEGABYTE });
-  reader = new BodyReader(memory);
+  timers = new ManualTimers();
+  const stalled = new StalledBodies({ timers, idleTimeoutMs: () => Number.POSITIVE_INFINITY });
+  reader = new BodyReader({ memory, stalled });
   readings = [];
   server = http.createServer((request, response) => void read(request, response));
   server.listen(0, '127.0.0.1');
@@ -81,3 +89,29 @@
   assert.deepEqual([reader.held.bytes, reader.held.objects], [0, 0]);
   assert.equal(memory.reserved.bufferBytes, 0);
 });
+
+test('a body that has stalled gives way to one that goes on, and its memory is free at once', async () => {
+  const idle = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  idle.write(CHUNKED_HEAD);
+  idle.write('5\r\nstall\r\n');
+  while (reader.held.bytes === 0) await new Promise((resolve) => setImmediate(resolve));
+  timers.advance(STALL_MS);
+  const filling = memory.reserve(500);
+  assert.equal(filling?.grow(10 * MEGABYTE - memory.reserved.bufferBytes), true);
+  caller.write(CHUNKED_HEAD);
+  caller.write('1\r\nx\r\n0\r\n\r\n');
+  const readings = [await nextReading(), await nextReading()];
+  assert.deepEqual(
+    readings.map(({ kind }) => kind),
+    ['gave-way', 'read'],
+  );
+  idle.destroy();
+});
+
+test('where no body has stalled, the one that asks for memory is rejected', async () => {
+  const filling = memory.reserve(500);
+  assert.equal(filling?.grow(10 * MEGABYTE), true);
+  caller.write(CHUNKED_HEAD);
+  caller.write('1\r\nx\r\n0\r\n\r\n');
+  assert.equal((await nextReading()).kind, 'no-memory');
+});
--- /dev/null
+++ b/test/gateway/callers-that-stop.test.ts
@@ -0,0 +1,84 @@
+/** Guards against callers that stop in the middle of what they send: they are refused, and others are served. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
+import { RESOURCE_EVENTS } from '../../src/core/logging/catalogue/resources.js';
+import { configuration, GatewayFixture, route } from './support/fixture.js';
+import { answering, type ServerStandIn } from './support/server-stand-in.js';
+
+const LIMITS = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 1_000,
+  headerTimeoutMs: 500,
+  idleTimeoutMs: 1_000,
+};
+const HEAD = 'POST /tiles/1 HTTP/1.1\r\nHost: labels.example\r\nX-Attempt-Id: attempt-1\r\n';
+
+let fixture: GatewayFixture;
+let server: ServerStandIn;
+let callers: Socket[];
+
+beforeEach(async () => {
+  callers = [];
+  fixture = new GatewayFixture();
+  await fixture.start();
+  const content = configuration(1, [route({ timeoutMs: 10_000 })]) as Record<string, unknown>;
+  fixture.store.putConfiguration({ ...content, limits: LIMITS });
+  await fixture.logged(GATEWAY_EVENTS.configurationInForce);
+  await fixture.logged(GATEWAY_EVENTS.crashTableRead);
+  server = await fixture.addServer('i-1', answering(200, 'served'));
+  await fixture.logged(GATEWAY_EVENTS.serverAdded);
+});
+
+afterEach(() => {
+  for (const caller of callers) caller.destroy();
+  fixture.stop();
+});
+
+function open(): Socket {
+  const caller = connect(fixture.callersPort, '127.0.0.1');
+  callers.push(caller);
+  return caller;
+}
+
+/** Everything that the caller receives until its connection is closed. */
+async function received(caller: Socket): Promise<string> {
+  let text = '';
+  caller.on('data', (chunk: Buffer) => {
+    text += chunk.toString('latin1');
+  });
+  caller.on('error', () => undefined);
+  await once(caller, 'close');
+  return text;
+}
+
+for (const [what, framing, begun] of [
+  ['of a declared length', 'Content-Length: 900\r\n\r\n', 'x'],
+  ['in chunks', 'Transfer-Encoding: chunked\r\n\r\n', '1\r\nx\r\n'],
+] as const) {
+  test(`a body ${what} that stops gets 408 and is not run, and its connection is closed`, async () => {
+    const caller = open();
+    caller.write(`${HEAD}${framing}${begun}`);
+    const text = await received(caller);
+    assert.match(text, /^HTTP\/1\.1 408 /);
+    assert.match(text, /\r\nConnection: close\r\n/i);
+    assert.equal(server.seen.length, 0);
+    await fixture.logged(
+      RESOURCE_EVENTS.bodiesTimedOut,
+      ({ callers: count, heldBytes }) => count === 1 && Number(heldBytes) > 0,
+    );
+  });
+}
+
+test('a body whose pauses are below the idle time-out is served', async () => {
+  const caller = open();
+  caller.write(`${HEAD}Connection: close\r\nContent-Length: 4\r\n\r\n`);
+  const answered = received(caller);
+  for (let byte = 0; byte < 4; byte += 1) {
+    await new Promise((resolve) => setTimeout(resolve, LIMITS.idleTimeoutMs / 2));
+    caller.write('x');
+  }
+  assert.match(await answered, /^HTTP\/1\.1 200 /);
+});
--- a/test/gateway/memory-ledger.test.ts
+++ b/test/gateway/memory-ledger.test.ts
@@ -12,7 +12,7 @@
 /** How many requests of a kind fit. */
 function countFitting(memory: MemoryLedger, headerBytes: number, bodyBytes: number): number {
   let count = 0;
-  while (memory.reserve(headerBytes, bodyBytes) !== undefined) count += 1;
+  while (memory.reserve(headerBytes)?.grow(bodyBytes) === true) count += 1;
   return count;
 }
 
@@ -29,8 +29,11 @@
 
 test('a request that ends makes room for the next one, once', () => {
   const memory = ledger(100, 1);
-  const first = memory.reserve(500, MEGABYTE);
-  assert.equal(memory.reserve(500, 1), undefined);
+  const first = memory.reserve(500);
+  assert.equal(first?.grow(MEGABYTE), true);
+  const second = memory.reserve(500);
+  assert.equal(second?.grow(1), false);
+  second?.release();
   first?.release();
   first?.release();
   assert.deepEqual(memory.reserved, { heapBytes: 0, bufferBytes: 0 });
@@ -38,14 +41,20 @@
 });
 
 test('a request that is rejected reserves nothing', () => {
-  const memory = ledger(100, 1);
-  assert.equal(memory.reserve(500, 2 * MEGABYTE), undefined);
+  const memory = ledger(8, 1);
+  assert.equal(memory.reserve(8 * MEGABYTE), undefined);
   assert.deepEqual(memory.reserved, { heapBytes: 0, bufferBytes: 0 });
 });
 
+test('a body for which there is no memory adds nothing', () => {
+  const memory = ledger(100, 1);
+  assert.equal(memory.reserve(500)?.grow(2 * MEGABYTE), false);
+  assert.equal(memory.reserved.bufferBytes, 0);
+});
+
 test('what a request holds grows and shrinks within the memory for buffers', () => {
   const memory = ledger(100, 3);
-  const request = memory.reserve(500, 0);
+  const request = memory.reserve(500);
   assert.equal(request?.grow(2 * MEGABYTE), true);
   assert.equal(request?.grow(2 * MEGABYTE), false);
   request?.shrink(MEGABYTE);
@@ -56,7 +65,7 @@
 
 test('a request that has ended holds nothing more', () => {
   const memory = ledger(100, 3);
-  const request = memory.reserve(500, 0);
+  const request = memory.reserve(500);
   request?.release();
   assert.equal(request?.grow(1), false);
   assert.equal(memory.reserved.bufferBytes, 0);
