Requests with many short headers no longer end the process

Cause: a request's memory counted the bytes of its headers, twice, but a header is two strings and places in arrays besides: 125 bytes of heap for one of 8 bytes in a trial with node 20.20, 141 once they are also parsed by name and copied. And a request that was rejected (401, 404, 503) was not counted at all, from its head to the end of its answer.

The ledger counts headers as well as their bytes, and each request reserves its memory as its head is complete. One for which there is none drops its headers before its 503; stalled bodies give way for the heap of a request too. Trailers, which no server gets, are dropped as a body ends.

node:http silently drops headers beyond 2,000; the listeners for callers and for other daemons now set no such limit.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -95,6 +95,7 @@
 } from './limit-permits.js';
 export type { LineSums } from './line-samples.js';
 export {
+  type HeaderSize,
   MemoryLedger,
   type MemoryReservation,
   type RequestMemory,
--- a/src/core/gateway/memory-ledger.ts
+++ b/src/core/gateway/memory-ledger.ts
@@ -9,6 +9,8 @@
 const REQUEST_HEAP_BYTES = 24_576;
 /** Headers are kept as they came and by name, and sent on. */
 const HEAP_BYTES_PER_HEADER_BYTE = 2;
+/** Each header is strings and places in arrays, whatever its length. */
+const HEAP_BYTES_PER_HEADER = 256;
 /** Near its limit, V8 collects the heap all the time. */
 const USABLE_HEAP_SHARE = 0.8;
 /** The program, configuration, lists and indexes, and idle connections. */
@@ -24,6 +26,13 @@
   readonly bufferBytes: number;
 }
 
+/** The headers of a request. */
+export interface HeaderSize {
+  readonly count: number;
+  /** Of names and values, and what separates them on the wire. */
+  readonly bytes: number;
+}
+
 /** The most that requests may hold in a process with a heap limit on a machine with some memory. */
 export function requestMemoryLimits(heapLimitBytes: number, machineBytes: number): RequestMemory {
   const heapBytes = USABLE_HEAP_SHARE * heapLimitBytes - OTHER_HEAP_BYTES;
@@ -58,8 +67,8 @@
   }
 
   /** Reserves the memory of a request without its body; undefined where there is none left. */
-  reserve(headerBytes: number): MemoryReservation | undefined {
-    const heapBytes = REQUEST_HEAP_BYTES + HEAP_BYTES_PER_HEADER_BYTE * headerBytes;
+  reserve(headers: HeaderSize): MemoryReservation | undefined {
+    const heapBytes = REQUEST_HEAP_BYTES + heapBytesOf(headers);
     if (this.#heapBytes + heapBytes > this.#limits.heapBytes) return undefined;
     this.#heapBytes += heapBytes;
     return this.#reservationOf(heapBytes);
@@ -95,3 +104,7 @@
     return true;
   }
 }
+
+function heapBytesOf({ count, bytes }: HeaderSize): number {
+  return HEAP_BYTES_PER_HEADER * count + HEAP_BYTES_PER_HEADER_BYTE * bytes;
+}
--- a/src/shell/gateway/body-reader.ts
+++ b/src/shell/gateway/body-reader.ts
@@ -1,15 +1,13 @@
 /** Reads the bodies of callers' requests, within the memory that there is for requests. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { MemoryLedger, MemoryReservation } from '../../core/gateway/index.js';
+import type { MemoryReservation } from '../../core/gateway/index.js';
 import { HeldBytes } from '../bytes/index.js';
 import { ArrivingBody } from './arriving-body.js';
 import type { StalledBodies, WatchedBody } from './stalled-bodies.js';
 
-const HEADER_OVERHEAD_BYTES = 4;
-
-/** A body, and the memory of its request, which is released when the answer ends; or why there is none. */
+/** A body, or why there is none. */
 export type BodyReading =
-  | { readonly kind: 'read'; readonly body: Buffer; readonly memory: MemoryReservation }
+  | { readonly kind: 'read'; readonly body: Buffer }
   | { readonly kind: 'too-large' }
   /** There is no memory for the request now. */
   | { readonly kind: 'no-memory' }
@@ -20,37 +18,28 @@
   /** The caller has left. */
   | { readonly kind: 'broken' };
 
-/** Dependencies of a `BodyReader`. */
-export interface BodyReaderOptions {
-  readonly memory: Pick<MemoryLedger, 'reserve'>;
-  readonly stalled: StalledBodies;
+/** A request whose body is read, and the memory that is reserved for it. */
+export interface BodyRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly memory: MemoryReservation;
 }
 
 /** Reads bodies. */
 export class BodyReader {
-  readonly #options: BodyReaderOptions;
+  readonly #stalled: StalledBodies;
   /** What bodies hold of all requests whose answers have not ended, incomplete ones included. */
   readonly held = new HeldBytes();
 
-  constructor(options: BodyReaderOptions) {
-    this.#options = options;
+  constructor(stalled: StalledBodies) {
+    this.#stalled = stalled;
   }
 
-  async read(
-    request: IncomingMessage,
-    response: ServerResponse,
-    maxBytes: number,
-  ): Promise<BodyReading> {
-    const { memory: ledger, stalled } = this.#options;
+  async read({ request, response, memory }: BodyRequest, maxBytes: number): Promise<BodyReading> {
     const declaredBytes = Number(request.headers['content-length'] ?? 0);
     if (declaredBytes > maxBytes) return { kind: 'too-large' };
-    const memory = stalled.makeRoom(() => ledger.reserve(headerBytes(request)));
-    if (memory === undefined) return { kind: 'no-memory' };
     const arriving = new ArrivingBody(memory, this.held);
-    response.once('close', () => {
-      arriving.clear();
-      memory.release();
-    });
+    response.once('close', () => arriving.clear());
     return this.#read(request, arriving, memory, maxBytes);
   }
 
@@ -60,7 +49,7 @@
     memory: MemoryReservation,
     maxBytes: number,
   ): Promise<BodyReading> {
-    const { stalled } = this.#options;
+    const stalled = this.#stalled;
     return new Promise((resolve) => {
       let isEnded = false;
       const end = (reading: BodyReading) => {
@@ -92,7 +81,9 @@
         if (hasMemory === undefined) end({ kind: 'no-memory' });
       });
       request.once('end', () => {
-        if (!isEnded) end({ kind: 'read', body: arriving.join(), memory });
+        // No server gets them.
+        request.rawTrailers.length = 0;
+        if (!isEnded) end({ kind: 'read', body: arriving.join() });
       });
       request.once('close', () => end({ kind: 'broken' }));
       request.once('error', () => end({ kind: 'broken' }));
@@ -100,13 +91,6 @@
   }
 }
 
-/** The size of a request's headers on the wire. */
-export function headerBytes(request: IncomingMessage): number {
-  let bytes = 0;
-  for (const text of request.rawHeaders) bytes += text.length;
-  return bytes + (request.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
-}
-
 /** Reads the rest of a body and keeps none of it. */
 export function discardBody(request: IncomingMessage): Promise<void> {
   return new Promise((resolve) => {
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type {
+  HeaderSize,
   MemoryLedger,
   MemoryReservation,
   Route,
@@ -16,7 +17,7 @@
 import { breakOffResponse } from '../http/break-off-response.js';
 import { PendingAnswers } from '../http/pending-answers.js';
 import type { AttemptContext } from './attempt.js';
-import { BodyReader, discardBody, headerBytes } from './body-reader.js';
+import { BodyReader, discardBody } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
 import type { CallerRefusals } from './caller-refusals.js';
 import { Exchange } from './exchange.js';
@@ -29,6 +30,7 @@
 import { type OpenRequest, OpenRequests } from './open-requests.js';
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
+import { dropHeaders, headerSizeOf } from './request-head.js';
 import type { GatewayLog } from './request-log.js';
 import type { ResourceMonitor } from './resource-monitor.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
@@ -39,6 +41,8 @@
 
 /** Limit of the HTTP parser; the configured limit is checked after parsing. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
+/** node:http drops headers beyond a limit without a word; their bytes are limited instead. */
+const NO_LIMIT = 0;
 const MILLISECONDS_PER_SECOND = 1_000;
 const REJECTED_RETRY_AFTER_MS = 1_000;
 const NO_DESCRIPTORS_REASON = 'no connections for more requests';
@@ -95,19 +99,20 @@
   /** Whether a stop is at its end, so that nothing runs any more. */
   #isEnding = false;
   readonly #open = new OpenRequests();
+  readonly #stalled: StalledBodies;
   readonly #bodies: BodyReader;
   readonly #answers = new PendingAnswers();
   readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
-    const { memory, timers, context } = options;
-    const stalled = new StalledBodies({
+    const { timers, context } = options;
+    this.#stalled = new StalledBodies({
       timers,
       idleTimeoutMs: () =>
         context.fleet.inForce?.configuration.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
     });
-    this.#bodies = new BodyReader({ memory, stalled });
+    this.#bodies = new BodyReader(this.#stalled);
     this.#server = http.createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -120,6 +125,7 @@
         else request.resume();
       },
     );
+    this.#server.maxHeadersCount = NO_LIMIT;
     this.connections = new CallerConnections({
       server: this.#server,
       isIdle: (socket) => this.#answers.isIdle(socket),
@@ -193,7 +199,7 @@
     const arrivedAtMs = this.#options.timers.nowMs();
     const open = this.#open.add({ request, response, forwarded, arrivedAtMs });
     response.on('error', () => breakOffResponse(response));
-    this.#admit(open).catch((exception: unknown) => {
+    this.#reserveAndAdmit(open).catch((exception: unknown) => {
       this.#logFault(request, exception);
       if (response.headersSent) breakOffResponse(response);
       else this.#reject(request, response, 500, INTERNAL_FAULT_REASON, []);
@@ -206,7 +212,20 @@
     logFault(log, { task: 'request', request: attemptId, server: '' }, exception);
   }
 
-  async #admit(open: OpenRequest): Promise<void> {
+  /** Any request takes memory until its answer has ended, also one that is rejected. */
+  async #reserveAndAdmit(open: OpenRequest): Promise<void> {
+    const { request, response } = open.arrived;
+    const headers = headerSizeOf(request);
+    const memory = this.#stalled.makeRoom(() => this.#options.memory.reserve(headers));
+    if (memory === undefined) {
+      dropHeaders(request);
+      return this.#rejectUnread(open, NO_MEMORY_REASON);
+    }
+    response.once('close', () => memory.release());
+    await this.#admit(open, memory, headers);
+  }
+
+  async #admit(open: OpenRequest, memory: MemoryReservation, headers: HeaderSize): Promise<void> {
     const { request, response, forwarded } = open.arrived;
     const { context } = this.#options;
     if (this.#isEnding) return this.#rejectStopping(open);
@@ -226,23 +245,20 @@
     if (admission.kind === 'unknown-key') return this.#rejectKey(request, response, inForce, route);
     // A forwarded request has headers of the hop besides the caller's, which the first daemon has checked.
     const isChecked = forwarded !== undefined;
-    if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
+    if (!isChecked && headers.bytes > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
     if (!this.connections.hasRoom) {
-      return this.#rejectUnread(request, response, isChecked, NO_DESCRIPTORS_REASON);
+      return this.#rejectUnread(open, NO_DESCRIPTORS_REASON);
     }
     open.enter('reading-body', route.name);
-    const reading = await this.#bodies.read(
-      request,
-      response,
-      inForce.configuration.limits.maxBodyBytes,
-    );
+    const { maxBodyBytes } = inForce.configuration.limits;
+    const reading = await this.#bodies.read({ request, response, memory }, maxBodyBytes);
     switch (reading.kind) {
       case 'too-large':
         return this.#reject(request, response, 413, 'body too large', []);
       case 'no-memory':
-        return this.#rejectUnread(request, response, isChecked, NO_MEMORY_REASON);
+        return this.#rejectUnread(open, NO_MEMORY_REASON);
       case 'timed-out':
         return this.#rejectTimedOut(open, reading.heldBytes);
       case 'gave-way':
@@ -254,7 +270,7 @@
         break;
     }
     if (this.#isEnding) return this.#rejectStopping(open);
-    const { body, memory } = reading;
+    const { body } = reading;
     const { tenant } = admission;
     await this.#runExchange({ open, inForce, route, tenant, body, memory });
   }
@@ -365,14 +381,10 @@
   }
 
   /** Rejects a request that this process has not the resources for; nothing of its body is kept. */
-  async #rejectUnread(
-    request: IncomingMessage,
-    response: ServerResponse,
-    isForwarded: boolean,
-    reason: string,
-  ): Promise<void> {
+  async #rejectUnread({ arrived }: OpenRequest, reason: string): Promise<void> {
+    const { request, response, forwarded } = arrived;
     this.#options.resources.recordRejected();
-    const headers = isForwarded ? notTakenHeaders(reason) : RETRY_LATER;
+    const headers = forwarded === undefined ? RETRY_LATER : notTakenHeaders(reason);
     await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
     this.#reject(request, response, 503, reason, headers, !this.connections.hasRoom);
   }
--- a/src/shell/gateway/forwarding-listener.ts
+++ b/src/shell/gateway/forwarding-listener.ts
@@ -10,6 +10,8 @@
 
 /** Limit of the HTTP parser, as at the listener for callers. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
+/** node:http drops headers beyond a limit without a word; their bytes are limited instead. */
+const NO_LIMIT = 0;
 const HEADERS_TIMEOUT_MS = 2_000;
 const REQUEST_TIMEOUT_MS = 10_000;
 /** Bounds what strangers can occupy; daemons use a connection for each request. */
@@ -37,6 +39,7 @@
       { maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
       (request, response) => this.#accept(request, response),
     );
+    this.server.maxHeadersCount = NO_LIMIT;
     this.server.headersTimeout = HEADERS_TIMEOUT_MS;
     this.server.maxConnections = MAX_CONNECTIONS;
   }
--- a/test/gateway/body-reader.test.ts
+++ b/test/gateway/body-reader.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { MemoryLedger } from '../../src/core/gateway/index.js';
 import { BodyReader, type BodyReading } from '../../src/shell/gateway/body-reader.js';
+import { headerSizeOf } from '../../src/shell/gateway/request-head.js';
 import { StalledBodies } from '../../src/shell/gateway/stalled-bodies.js';
 import { ManualTimers } from './support/manual-timers.js';
 
@@ -17,6 +18,7 @@
 const STALL_MS = 1_000;
 
 let timers: ManualTimers;
+let stalled: StalledBodies;
 let server: Server;
 let memory: MemoryLedger;
 let reader: BodyReader;
@@ -26,8 +28,8 @@
 beforeEach(async () => {
   memory = new MemoryLedger({ heapBytes: 10 * MEGABYTE, bufferBytes: 10 * MEGABYTE });
   timers = new ManualTimers();
-  const stalled = new StalledBodies({ timers, idleTimeoutMs: () => Number.POSITIVE_INFINITY });
-  reader = new BodyReader({ memory, stalled });
+  stalled = new StalledBodies({ timers, idleTimeoutMs: () => Number.POSITIVE_INFINITY });
+  reader = new BodyReader(stalled);
   readings = [];
   server = http.createServer((request, response) => void read(request, response));
   server.listen(0, '127.0.0.1');
@@ -42,7 +44,10 @@
 });
 
 async function read(request: IncomingMessage, response: ServerResponse): Promise<void> {
-  readings.push(await reader.read(request, response, MAX_BODY_BYTES));
+  const reserved = stalled.makeRoom(() => memory.reserve(headerSizeOf(request)));
+  assert.ok(reserved !== undefined);
+  response.once('close', () => reserved.release());
+  readings.push(await reader.read({ request, response, memory: reserved }, MAX_BODY_BYTES));
   server.emit('reading');
 }
 
@@ -96,7 +101,7 @@
   idle.write('5\r\nstall\r\n');
   while (reader.held.bytes === 0) await new Promise((resolve) => setImmediate(resolve));
   timers.advance(STALL_MS);
-  const filling = memory.reserve(500);
+  const filling = memory.reserve({ count: 10, bytes: 500 });
   assert.equal(filling?.grow(10 * MEGABYTE - memory.reserved.bufferBytes), true);
   caller.write(CHUNKED_HEAD);
   caller.write('1\r\nx\r\n0\r\n\r\n');
@@ -109,7 +114,7 @@
 });
 
 test('where no body has stalled, the one that asks for memory is rejected', async () => {
-  const filling = memory.reserve(500);
+  const filling = memory.reserve({ count: 10, bytes: 500 });
   assert.equal(filling?.grow(10 * MEGABYTE), true);
   caller.write(CHUNKED_HEAD);
   caller.write('1\r\nx\r\n0\r\n\r\n');
--- a/test/gateway/memory-ledger.test.ts
+++ b/test/gateway/memory-ledger.test.ts
@@ -1,7 +1,11 @@
 /** Guards against requests that together take more memory than the process has. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MemoryLedger, requestMemoryLimits } from '../../src/core/gateway/index.js';
+import {
+  type HeaderSize,
+  MemoryLedger,
+  requestMemoryLimits,
+} from '../../src/core/gateway/index.js';
 
 const MEGABYTE = 1_048_576;
 
@@ -9,10 +13,15 @@
   return new MemoryLedger({ heapBytes: heapMb * MEGABYTE, bufferBytes: bufferMb * MEGABYTE });
 }
 
+/** The headers of a request, ten of them unless told otherwise. */
+function headers(bytes: number, count = 10): HeaderSize {
+  return { bytes, count };
+}
+
 /** How many requests of a kind fit. */
 function countFitting(memory: MemoryLedger, headerBytes: number, bodyBytes: number): number {
   let count = 0;
-  while (memory.reserve(headerBytes)?.grow(bodyBytes) === true) count += 1;
+  while (memory.reserve(headers(headerBytes))?.grow(bodyBytes) === true) count += 1;
   return count;
 }
 
@@ -29,9 +38,9 @@
 
 test('a request that ends makes room for the next one, once', () => {
   const memory = ledger(100, 1);
-  const first = memory.reserve(500);
+  const first = memory.reserve(headers(500));
   assert.equal(first?.grow(MEGABYTE), true);
-  const second = memory.reserve(500);
+  const second = memory.reserve(headers(500));
   assert.equal(second?.grow(1), false);
   second?.release();
   first?.release();
@@ -42,19 +51,19 @@
 
 test('a request that is rejected reserves nothing', () => {
   const memory = ledger(8, 1);
-  assert.equal(memory.reserve(8 * MEGABYTE), undefined);
+  assert.equal(memory.reserve(headers(8 * MEGABYTE)), undefined);
   assert.deepEqual(memory.reserved, { heapBytes: 0, bufferBytes: 0 });
 });
 
 test('a body for which there is no memory adds nothing', () => {
   const memory = ledger(100, 1);
-  assert.equal(memory.reserve(500)?.grow(2 * MEGABYTE), false);
+  assert.equal(memory.reserve(headers(500))?.grow(2 * MEGABYTE), false);
   assert.equal(memory.reserved.bufferBytes, 0);
 });
 
 test('what a request holds grows and shrinks within the memory for buffers', () => {
   const memory = ledger(100, 3);
-  const request = memory.reserve(500);
+  const request = memory.reserve(headers(500));
   assert.equal(request?.grow(2 * MEGABYTE), true);
   assert.equal(request?.grow(2 * MEGABYTE), false);
   request?.shrink(MEGABYTE);
@@ -65,7 +74,7 @@
 
 test('a request that has ended holds nothing more', () => {
   const memory = ledger(100, 3);
-  const request = memory.reserve(500);
+  const request = memory.reserve(headers(500));
   request?.release();
   assert.equal(request?.grow(1), false);
   assert.equal(memory.reserved.bufferBytes, 0);
@@ -85,3 +94,14 @@
   const { heapBytes, bufferBytes } = requestMemoryLimits(10 * MEGABYTE, 20 * MEGABYTE);
   assert.ok(heapBytes > 0 && bufferBytes > 0);
 });
+
+test('many short headers count as objects, not only as bytes', () => {
+  const bytes = 12_000;
+  const heapOf = (count: number) => {
+    const memory = ledger(100, 10);
+    memory.reserve(headers(bytes, count));
+    return memory.reserved.heapBytes;
+  };
+  const perHeaderBytes = (heapOf(2_000) - heapOf(1)) / 1_999;
+  assert.ok(perHeaderBytes >= 150, `${perHeaderBytes} bytes for each header`);
+});
