Connections with many unanswered requests are not read, and pipelined requests no longer end the process

Cause: node:http parses all that it reads of a connection and goes on reading until the bytes of answers, not their number, pass a mark; each request was run and held at once.

What was parsed meanwhile counts like any request, and pipelined ones may take a quarter of the heap for requests; beyond it the connection is closed, as an answer that waits behind others would hold memory, and requests that were not taken do not run, nor do those that node:http still parses of a closed connection. Requests after an answer with Connection: close were dropped without being counted; their connection is not read any more, and closed beyond 16 of them. Counted as pipelined-too-many, event 6235.

--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -99,6 +99,7 @@
   MemoryLedger,
   type MemoryReservation,
   type RequestMemory,
+  requestHeapBytes,
   requestMemoryLimits,
 } from './memory-ledger.js';
 export {
--- a/src/core/gateway/memory-ledger.ts
+++ b/src/core/gateway/memory-ledger.ts
@@ -11,6 +11,8 @@
 const HEAP_BYTES_PER_HEADER_BYTE = 2;
 /** Each header is strings and places in arrays, whatever its length. */
 const HEAP_BYTES_PER_HEADER = 256;
+/** Of the heap for requests, for those that their callers sent before the answer to an earlier one on the connection. */
+const PIPELINED_SHARE = 1 / 4;
 /** Near its limit, V8 collects the heap all the time. */
 const USABLE_HEAP_SHARE = 0.8;
 /** The program, configuration, lists and indexes, and idle connections. */
@@ -43,6 +45,11 @@
   };
 }
 
+/** Heap of a request in flight, without its body. */
+export function requestHeapBytes({ count, bytes }: HeaderSize): number {
+  return REQUEST_HEAP_BYTES + HEAP_BYTES_PER_HEADER * count + HEAP_BYTES_PER_HEADER_BYTE * bytes;
+}
+
 /** The memory of one request; released once, when its answer has ended. */
 export interface MemoryReservation {
   /** Adds buffers; false where there is no memory for them, and then nothing is added. */
@@ -56,6 +63,7 @@
 export class MemoryLedger {
   readonly #limits: RequestMemory;
   #heapBytes = 0;
+  #pipelinedBytes = 0;
   #bufferBytes = 0;
 
   constructor(limits: RequestMemory) {
@@ -66,15 +74,22 @@
     return { heapBytes: this.#heapBytes, bufferBytes: this.#bufferBytes };
   }
 
-  /** Reserves the memory of a request without its body; undefined where there is none left. */
-  reserve(headers: HeaderSize): MemoryReservation | undefined {
-    const heapBytes = REQUEST_HEAP_BYTES + heapBytesOf(headers);
-    if (this.#heapBytes + heapBytes > this.#limits.heapBytes) return undefined;
+  /**
+   * Reserves the memory of a request without its body; undefined where there is none left.
+   * @param isPipelined whether its connection owes the answer to an earlier request
+   */
+  reserve(headers: HeaderSize, isPipelined = false): MemoryReservation | undefined {
+    const heapBytes = requestHeapBytes(headers);
+    const pipelinedBytes = isPipelined ? heapBytes : 0;
+    const { heapBytes: limitBytes } = this.#limits;
+    if (this.#heapBytes + heapBytes > limitBytes) return undefined;
+    if (this.#pipelinedBytes + pipelinedBytes > PIPELINED_SHARE * limitBytes) return undefined;
     this.#heapBytes += heapBytes;
-    return this.#reservationOf(heapBytes);
+    this.#pipelinedBytes += pipelinedBytes;
+    return this.#reservationOf(heapBytes, pipelinedBytes);
   }
 
-  #reservationOf(heapBytes: number): MemoryReservation {
+  #reservationOf(heapBytes: number, pipelinedBytes: number): MemoryReservation {
     let bufferBytes = 0;
     let isReleased = false;
     return {
@@ -92,6 +107,7 @@
         if (isReleased) return;
         isReleased = true;
         this.#heapBytes -= heapBytes;
+        this.#pipelinedBytes -= pipelinedBytes;
         this.#bufferBytes -= bufferBytes;
         bufferBytes = 0;
       },
@@ -104,7 +120,3 @@
     return true;
   }
 }
-
-function heapBytesOf({ count, bytes }: HeaderSize): number {
-  return HEAP_BYTES_PER_HEADER * count + HEAP_BYTES_PER_HEADER_BYTE * bytes;
-}
--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -46,4 +46,13 @@
     remedy:
       'Their callers may send the request again. If it repeats, look for callers that begin many bodies and do not end them, or add daemons or memory (limits.memoryMb).',
   },
+  pipelinedClosed: {
+    number: 6235,
+    level: 'warn',
+    reserve: 'process-life',
+    message:
+      'connections were closed, as their callers sent requests before the answers to earlier ones and there was no memory for them',
+    remedy:
+      'Callers that send one request at a time on a connection are not affected. If it repeats, look for a caller that pipelines many requests.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,13 +4,14 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type {
-  HeaderSize,
-  MemoryLedger,
-  MemoryReservation,
-  Route,
-  StopTimes,
-  Tenant,
+import {
+  type HeaderSize,
+  type MemoryLedger,
+  type MemoryReservation,
+  type Route,
+  requestHeapBytes,
+  type StopTimes,
+  type Tenant,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { HeldBytes } from '../bytes/index.js';
@@ -20,6 +21,7 @@
 import { BodyReader, discardBody } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
 import type { CallerRefusals } from './caller-refusals.js';
+import { ConnectionBackpressure } from './connection-backpressure.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -50,6 +52,8 @@
 const BODY_TIMED_OUT_REASON = 'the body did not arrive in time';
 /** A caller that sends the rest of its body by then reads why it was rejected; its connection is closed anyway. */
 const DISCARD_MS = 200;
+/** Requests that arrive after an answer has told that the connection closes; beyond this the connection is closed at once. */
+const MAX_IGNORED_REQUESTS = 16;
 const CONNECTION_CHECK_MS = 1_000;
 const DEFAULT_IDLE_MS = 15_000;
 /** Enough digits to find the tenant of a key in the log, and too few to recover the key. */
@@ -101,7 +105,10 @@
   readonly #open = new OpenRequests();
   readonly #stalled: StalledBodies;
   readonly #bodies: BodyReader;
-  readonly #answers = new PendingAnswers();
+  readonly #backpressure = new ConnectionBackpressure();
+  readonly #answers = new PendingAnswers((socket, pending) =>
+    this.#backpressure.update(socket, pending),
+  );
   readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
@@ -121,8 +128,7 @@
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
       },
       (request, response) => {
-        if (this.#answers.add(request.socket, response)) this.handle(request, response);
-        else request.resume();
+        this.#accept(request, response);
       },
     );
     this.#server.maxHeadersCount = NO_LIMIT;
@@ -212,11 +218,31 @@
     logFault(log, { task: 'request', request: attemptId, server: '' }, exception);
   }
 
+  /** node:http goes on to parse what it has read of a connection that was closed meanwhile. */
+  #accept(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    if (socket.destroyed) return;
+    if (this.#answers.add(socket, response)) {
+      this.handle(request, response);
+      return;
+    }
+    request.resume();
+    this.#backpressure.stop(socket);
+    if (this.#answers.ignoredOf(socket) > MAX_IGNORED_REQUESTS) this.#closePipelined(request);
+  }
+
   /** Any request takes memory until its answer has ended, also one that is rejected. */
   async #reserveAndAdmit(open: OpenRequest): Promise<void> {
     const { request, response } = open.arrived;
     const headers = headerSizeOf(request);
-    const memory = this.#stalled.makeRoom(() => this.#options.memory.reserve(headers));
+    const isPipelined = this.#answers.countOf(request.socket) > 1;
+    const memory = isPipelined
+      ? this.#options.memory.reserve(headers, isPipelined)
+      : this.#stalled.makeRoom(() => this.#options.memory.reserve(headers));
+    if (memory === undefined && isPipelined) {
+      this.#closePipelined(request);
+      return;
+    }
     if (memory === undefined) {
       dropHeaders(request);
       return this.#rejectUnread(open, NO_MEMORY_REASON);
@@ -225,6 +251,15 @@
     await this.#admit(open, memory, headers);
   }
 
+  /** An answer that waits for others would hold memory, so there is none. */
+  #closePipelined(request: IncomingMessage): void {
+    const { socket } = request;
+    const requests = this.#answers.countOf(socket) + this.#answers.ignoredOf(socket);
+    const heldBytes = requests * requestHeapBytes(headerSizeOf(request));
+    this.#options.refusals.record('pipelined-too-many', heldBytes);
+    socket.destroy();
+  }
+
   async #admit(open: OpenRequest, memory: MemoryReservation, headers: HeaderSize): Promise<void> {
     const { request, response, forwarded } = open.arrived;
     const { context } = this.#options;
--- a/src/shell/gateway/caller-refusals.ts
+++ b/src/shell/gateway/caller-refusals.ts
@@ -13,7 +13,7 @@
 const FIRST_LINE_MS = 100;
 
 /** Why a caller was refused or its connection closed. */
-export type CallerRefusal = 'body-timed-out' | 'body-gave-way';
+export type CallerRefusal = 'body-timed-out' | 'body-gave-way' | 'pipelined-too-many';
 
 interface Unlogged {
   callers: number;
@@ -73,5 +73,7 @@
       return RESOURCE_EVENTS.bodiesTimedOut;
     case 'body-gave-way':
       return RESOURCE_EVENTS.bodiesGaveWay;
+    case 'pipelined-too-many':
+      return RESOURCE_EVENTS.pipelinedClosed;
   }
 }
--- a/test/gateway/memory-ledger.test.ts
+++ b/test/gateway/memory-ledger.test.ts
@@ -105,3 +105,19 @@
   const perHeaderBytes = (heapOf(2_000) - heapOf(1)) / 1_999;
   assert.ok(perHeaderBytes >= 150, `${perHeaderBytes} bytes for each header`);
 });
+
+test('requests that callers pipeline leave most of the memory to others', () => {
+  const memory = ledger(10, 10);
+  let pipelined = 0;
+  while (memory.reserve(headers(500), true) !== undefined) pipelined += 1;
+  const others = countFitting(memory, 500, 0);
+  assert.ok(pipelined > 0 && others > 2 * pipelined, `${pipelined} and ${others}`);
+});
+
+test('pipelined requests that end make room for the next ones', () => {
+  const memory = ledger(10, 10);
+  const first = memory.reserve(headers(500), true);
+  while (memory.reserve(headers(500), true) !== undefined);
+  first?.release();
+  assert.ok(memory.reserve(headers(500), true) !== undefined);
+});
