--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -95,9 +95,11 @@
 } from './limit-permits.js';
 export type { LineSums } from './line-samples.js';
 export {
+  type HeaderSize,
   MemoryLedger,
   type MemoryReservation,
   type RequestMemory,
+  requestHeapBytes,
   requestMemoryLimits,
 } from './memory-ledger.js';
 export {
--- a/src/core/gateway/memory-ledger.ts
+++ b/src/core/gateway/memory-ledger.ts
@@ -9,6 +9,10 @@
 const REQUEST_HEAP_BYTES = 24_576;
 /** Headers are kept as they came and by name, and sent on. */
 const HEAP_BYTES_PER_HEADER_BYTE = 2;
+/** Each header is strings and places in arrays, whatever its length. */
+const HEAP_BYTES_PER_HEADER = 256;
+/** Of the heap for requests, for those that their callers sent before the answer to an earlier one on the connection. */
+const PIPELINED_SHARE = 1 / 4;
 /** Near its limit, V8 collects the heap all the time. */
 const USABLE_HEAP_SHARE = 0.8;
 /** The program, configuration, lists and indexes, and idle connections. */
@@ -24,6 +28,13 @@
   readonly bufferBytes: number;
 }
 
+/** The headers of a request. */
+export interface HeaderSize {
+  readonly count: number;
+  /** Of names and values, and what separates them on the wire. */
+  readonly bytes: number;
+}
+
 /** The most that requests may hold in a process with a heap limit on a machine with some memory. */
 export function requestMemoryLimits(heapLimitBytes: number, machineBytes: number): RequestMemory {
   const heapBytes = USABLE_HEAP_SHARE * heapLimitBytes - OTHER_HEAP_BYTES;
@@ -34,6 +45,11 @@
   };
 }
 
+/** Heap of a request in flight, without its body. */
+export function requestHeapBytes({ count, bytes }: HeaderSize): number {
+  return REQUEST_HEAP_BYTES + HEAP_BYTES_PER_HEADER * count + HEAP_BYTES_PER_HEADER_BYTE * bytes;
+}
+
 /** The memory of one request; released once, when its answer has ended. */
 export interface MemoryReservation {
   /** Adds buffers; false where there is no memory for them, and then nothing is added. */
@@ -47,6 +63,7 @@
 export class MemoryLedger {
   readonly #limits: RequestMemory;
   #heapBytes = 0;
+  #pipelinedBytes = 0;
   #bufferBytes = 0;
 
   constructor(limits: RequestMemory) {
@@ -58,15 +75,18 @@
   }
 
   /**
-   * Reserves the memory of a request; undefined where there is none left.
-   * @param bodyBytes the length that the request declares; 0 where it declares none
+   * Reserves the memory of a request without its body; undefined where there is none left.
+   * @param isPipelined whether its connection owes the answer to an earlier request
    */
-  reserve(headerBytes: number, bodyBytes: number): MemoryReservation | undefined {
-    const heapBytes = REQUEST_HEAP_BYTES + HEAP_BYTES_PER_HEADER_BYTE * headerBytes;
-    if (this.#heapBytes + heapBytes > this.#limits.heapBytes) return undefined;
-    if (!this.#tryGrow(bodyBytes)) return undefined;
+  reserve(headers: HeaderSize, isPipelined = false): MemoryReservation | undefined {
+    const heapBytes = requestHeapBytes(headers);
+    const pipelinedBytes = isPipelined ? heapBytes : 0;
+    const { heapBytes: limitBytes } = this.#limits;
+    if (this.#heapBytes + heapBytes > limitBytes) return undefined;
+    if (this.#pipelinedBytes + pipelinedBytes > PIPELINED_SHARE * limitBytes) return undefined;
     this.#heapBytes += heapBytes;
-    return this.#reservationOf(heapBytes, bodyBytes);
+    this.#pipelinedBytes += pipelinedBytes;
+    return this.#reservationOf(heapBytes, pipelinedBytes);
   }
 
   /** The memory of a message that no request is held for; nothing is reserved yet. */
@@ -74,8 +94,8 @@
     return this.#reservationOf(0, 0);
   }
 
-  #reservationOf(heapBytes: number, bodyBytes: number): MemoryReservation {
-    let bufferBytes = bodyBytes;
+  #reservationOf(heapBytes: number, pipelinedBytes: number): MemoryReservation {
+    let bufferBytes = 0;
     let isReleased = false;
     return {
       grow: (bytes) => {
@@ -92,6 +112,7 @@
         if (isReleased) return;
         isReleased = true;
         this.#heapBytes -= heapBytes;
+        this.#pipelinedBytes -= pipelinedBytes;
         this.#bufferBytes -= bufferBytes;
         bufferBytes = 0;
       },
--- a/src/shell/gateway/body-reader.ts
+++ b/src/shell/gateway/body-reader.ts
@@ -1,92 +1,96 @@
 /** Reads the bodies of callers' requests, within the memory that there is for requests. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { MemoryLedger, MemoryReservation } from '../../core/gateway/index.js';
+import type { MemoryReservation } from '../../core/gateway/index.js';
+import { HeldBytes } from '../bytes/index.js';
+import { ArrivingBody } from './arriving-body.js';
+import type { StalledBodies, WatchedBody } from './stalled-bodies.js';
 
-const HEADER_OVERHEAD_BYTES = 4;
-
-/** A body, and the memory of its request, which is released when the answer ends; or why there is none. */
+/** A body, or why there is none. */
 export type BodyReading =
-  | { readonly kind: 'read'; readonly body: Buffer; readonly memory: MemoryReservation }
+  | { readonly kind: 'read'; readonly body: Buffer }
   | { readonly kind: 'too-large' }
   /** There is no memory for the request now. */
   | { readonly kind: 'no-memory' }
+  /** The body stopped for the idle time-out. */
+  | { readonly kind: 'timed-out'; readonly heldBytes: number }
+  /** The body had stalled, and its memory was needed. */
+  | { readonly kind: 'gave-way'; readonly heldBytes: number }
   /** The caller has left. */
   | { readonly kind: 'broken' };
 
+/** A request whose body is read, and the memory that is reserved for it. */
+export interface BodyRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly memory: MemoryReservation;
+}
+
 /** Reads bodies. */
 export class BodyReader {
-  readonly #memory: Pick<MemoryLedger, 'reserve'>;
-  #heldBytes = 0;
-
-  constructor(memory: Pick<MemoryLedger, 'reserve'>) {
-    this.#memory = memory;
-  }
+  readonly #stalled: StalledBodies;
+  /** What bodies hold of all requests whose answers have not ended, incomplete ones included. */
+  readonly held = new HeldBytes();
 
-  /** Bytes of all requests whose answers have not ended, those of incomplete bodies included. */
-  get heldBytes(): number {
-    return this.#heldBytes;
+  constructor(stalled: StalledBodies) {
+    this.#stalled = stalled;
   }
 
-  async read(
-    request: IncomingMessage,
-    response: ServerResponse,
-    maxBytes: number,
-  ): Promise<BodyReading> {
+  async read({ request, response, memory }: BodyRequest, maxBytes: number): Promise<BodyReading> {
     const declaredBytes = Number(request.headers['content-length'] ?? 0);
     if (declaredBytes > maxBytes) return { kind: 'too-large' };
-    const memory = this.#memory.reserve(headerBytes(request), declaredBytes);
-    if (memory === undefined) return { kind: 'no-memory' };
-    response.once('close', () => memory.release());
-    return this.#read(request, response, { declaredBytes, maxBytes, memory });
+    const arriving = new ArrivingBody(memory, this.held);
+    response.once('close', () => arriving.clear());
+    return this.#read(request, arriving, memory, maxBytes);
   }
 
   #read(
     request: IncomingMessage,
-    response: ServerResponse,
-    limits: {
-      readonly declaredBytes: number;
-      readonly maxBytes: number;
-      readonly memory: MemoryReservation;
-    },
+    arriving: ArrivingBody,
+    memory: MemoryReservation,
+    maxBytes: number,
   ): Promise<BodyReading> {
-    const { declaredBytes, maxBytes, memory } = limits;
+    const stalled = this.#stalled;
     return new Promise((resolve) => {
-      let chunks: Buffer[] = [];
-      let length = 0;
       let isEnded = false;
       const end = (reading: BodyReading) => {
+        if (isEnded) return;
         isEnded = true;
-        chunks = [];
+        stalled.remove(watched);
+        if (reading.kind !== 'read') arriving.clear();
         resolve(reading);
       };
-      response.once('close', () => {
-        this.#heldBytes -= length;
-        length = 0;
-      });
+      const watched: WatchedBody = {
+        get length() {
+          return arriving.length;
+        },
+        get isHeldBack() {
+          return request.socket.isPaused();
+        },
+        end: (kind) => {
+          end({ kind, heldBytes: arriving.heldBytes });
+          memory.release();
+        },
+      };
+      stalled.add(watched);
       request.on('data', (chunk: Buffer) => {
         if (isEnded) return;
-        if (length + chunk.length > maxBytes) return end({ kind: 'too-large' });
-        const undeclaredBytes = Math.max(0, length + chunk.length - declaredBytes);
-        const hasMemory = memory.grow(Math.min(chunk.length, undeclaredBytes));
-        if (!hasMemory) return end({ kind: 'no-memory' });
-        length += chunk.length;
-        this.#heldBytes += chunk.length;
-        chunks.push(chunk);
+        if (arriving.length + chunk.length > maxBytes) return end({ kind: 'too-large' });
+        arriving.add(chunk);
+        stalled.recordArrival(watched);
+        const hasMemory = stalled.makeRoom(() => isEnded || arriving.reserve() || undefined);
+        if (hasMemory === undefined) end({ kind: 'no-memory' });
+      });
+      request.once('end', () => {
+        // No server gets them.
+        request.rawTrailers.length = 0;
+        if (!isEnded) end({ kind: 'read', body: arriving.join() });
       });
-      request.once('end', () => end({ kind: 'read', body: joined(chunks), memory }));
       request.once('close', () => end({ kind: 'broken' }));
       request.once('error', () => end({ kind: 'broken' }));
     });
   }
 }
 
-/** The size of a request's headers on the wire. */
-export function headerBytes(request: IncomingMessage): number {
-  let bytes = 0;
-  for (const text of request.rawHeaders) bytes += text.length;
-  return bytes + (request.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
-}
-
 /** Reads the rest of a body and keeps none of it. */
 export function discardBody(request: IncomingMessage): Promise<void> {
   return new Promise((resolve) => {
@@ -96,8 +100,3 @@
     request.resume();
   });
 }
-
-function joined(chunks: readonly Buffer[]): Buffer {
-  const [first] = chunks;
-  return chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
-}
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,19 +4,25 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type {
-  MemoryLedger,
-  MemoryReservation,
-  Route,
-  StopTimes,
-  Tenant,
+import type { Socket } from 'node:net';
+import {
+  type HeaderSize,
+  type MemoryLedger,
+  type MemoryReservation,
+  type Route,
+  requestHeapBytes,
+  type StopTimes,
+  type Tenant,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import type { HeldBytes } from '../bytes/index.js';
 import { breakOffResponse } from '../http/break-off-response.js';
 import { PendingAnswers } from '../http/pending-answers.js';
 import type { AttemptContext } from './attempt.js';
-import { BodyReader, discardBody, headerBytes } from './body-reader.js';
+import { BodyReader, discardBody } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
+import type { CallerRefusals } from './caller-refusals.js';
+import { ConnectionBackpressure } from './connection-backpressure.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -25,23 +31,31 @@
 import { INTERNAL_FAULT_REASON, logFault } from './internal-faults.js';
 import { runModelExchange } from './model-exchange.js';
 import { type OpenRequest, OpenRequests } from './open-requests.js';
+import { type FeedOptions, feedInPieces } from './parser-feed.js';
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
+import { dropHeaders, headerSizeOf } from './request-head.js';
 import type { GatewayLog } from './request-log.js';
 import type { ResourceMonitor } from './resource-monitor.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
+import { StalledBodies } from './stalled-bodies.js';
 import { STOPPING_RETRY_AFTER_MS } from './stop-refusal.js';
 import { delay, type TimerService } from './timer-service.js';
 import { runWebExchange } from './web-exchange.js';
 
 /** Limit of the HTTP parser; the configured limit is checked after parsing. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
+/** node:http drops headers beyond a limit without a word; their bytes are limited instead. */
+const NO_LIMIT = 0;
 const MILLISECONDS_PER_SECOND = 1_000;
 const REJECTED_RETRY_AFTER_MS = 1_000;
 const NO_DESCRIPTORS_REASON = 'no connections for more requests';
 const NO_MEMORY_REASON = 'no memory for more requests';
+const BODY_TIMED_OUT_REASON = 'the body did not arrive in time';
 /** A caller that sends the rest of its body by then reads why it was rejected; its connection is closed anyway. */
 const DISCARD_MS = 200;
+/** Requests that arrive after an answer has told that the connection closes; beyond this the connection is closed at once. */
+const MAX_IGNORED_REQUESTS = 16;
 const CONNECTION_CHECK_MS = 1_000;
 const DEFAULT_IDLE_MS = 15_000;
 /** Enough digits to find the tenant of a key in the log, and too few to recover the key. */
@@ -66,6 +80,7 @@
   /** The most descriptors of this process; undefined where there are more than it can need. */
   readonly descriptors: number | undefined;
   readonly resources: Pick<ResourceMonitor, 'recordRejected' | 'recordDropped'>;
+  readonly refusals: Pick<CallerRefusals, 'record'>;
   readonly paths: Pick<ServicePathMonitor, 'isLost'>;
   /** Time since the last check for a newer configuration. */
   readonly configurationCheckAgeMs: () => number;
@@ -90,13 +105,23 @@
   /** Whether a stop is at its end, so that nothing runs any more. */
   #isEnding = false;
   readonly #open = new OpenRequests();
+  readonly #stalled: StalledBodies;
   readonly #bodies: BodyReader;
-  readonly #answers = new PendingAnswers();
+  readonly #backpressure = new ConnectionBackpressure();
+  readonly #answers = new PendingAnswers((socket, pending) =>
+    this.#backpressure.update(socket, pending),
+  );
   readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
-    this.#bodies = new BodyReader(options.memory);
+    const { timers, context } = options;
+    this.#stalled = new StalledBodies({
+      timers,
+      idleTimeoutMs: () =>
+        context.fleet.inForce?.configuration.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
+    });
+    this.#bodies = new BodyReader(this.#stalled);
     this.#server = http.createServer(
       {
         maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -105,10 +130,15 @@
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
       },
       (request, response) => {
-        if (this.#answers.add(request.socket, response)) this.handle(request, response);
-        else request.resume();
+        this.#accept(request, response);
       },
     );
+    this.#server.maxHeadersCount = NO_LIMIT;
+    const feed: FeedOptions = {
+      isHeld: (socket) => this.#backpressure.isHeld(socket),
+      onPiece: () => undefined,
+    };
+    this.#server.on('connection', (socket: Socket) => feedInPieces(socket, feed));
     this.connections = new CallerConnections({
       server: this.#server,
       isIdle: (socket) => this.#answers.isIdle(socket),
@@ -128,9 +158,9 @@
     return this.#open;
   }
 
-  /** Bytes that are held of the bodies of requests whose answers have not ended. */
-  get bodyBytes(): number {
-    return this.#bodies.heldBytes;
+  /** What is held of the bodies of requests whose answers have not ended. */
+  get heldBodies(): Pick<HeldBytes, 'bytes' | 'objects'> {
+    return this.#bodies.held;
   }
 
   get server(): Server {
@@ -182,7 +212,7 @@
     const arrivedAtMs = this.#options.timers.nowMs();
     const open = this.#open.add({ request, response, forwarded, arrivedAtMs });
     response.on('error', () => breakOffResponse(response));
-    this.#admit(open).catch((exception: unknown) => {
+    this.#reserveAndAdmit(open).catch((exception: unknown) => {
       this.#logFault(request, exception);
       if (response.headersSent) breakOffResponse(response);
       else this.#reject(request, response, 500, INTERNAL_FAULT_REASON, []);
@@ -195,7 +225,49 @@
     logFault(log, { task: 'request', request: attemptId, server: '' }, exception);
   }
 
-  async #admit(open: OpenRequest): Promise<void> {
+  /** node:http goes on to parse what it has read of a connection that was closed meanwhile. */
+  #accept(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    if (socket.destroyed) return;
+    if (this.#answers.add(socket, response)) {
+      this.handle(request, response);
+      return;
+    }
+    request.resume();
+    this.#backpressure.stop(socket);
+    if (this.#answers.ignoredOf(socket) > MAX_IGNORED_REQUESTS) this.#closePipelined(request);
+  }
+
+  /** Any request takes memory until its answer has ended, also one that is rejected. */
+  async #reserveAndAdmit(open: OpenRequest): Promise<void> {
+    const { request, response } = open.arrived;
+    const headers = headerSizeOf(request);
+    const isPipelined = this.#answers.countOf(request.socket) > 1;
+    const memory = isPipelined
+      ? this.#options.memory.reserve(headers, isPipelined)
+      : this.#stalled.makeRoom(() => this.#options.memory.reserve(headers));
+    if (memory === undefined && isPipelined) {
+      this.#closePipelined(request);
+      return;
+    }
+    if (memory === undefined) {
+      dropHeaders(request);
+      return this.#rejectUnread(open, NO_MEMORY_REASON);
+    }
+    response.once('close', () => memory.release());
+    await this.#admit(open, memory, headers);
+  }
+
+  /** An answer that waits for others would hold memory, so there is none. */
+  #closePipelined(request: IncomingMessage): void {
+    const { socket } = request;
+    const requests = this.#answers.countOf(socket) + this.#answers.ignoredOf(socket);
+    const heldBytes = requests * requestHeapBytes(headerSizeOf(request));
+    this.#options.refusals.record('pipelined-too-many', heldBytes);
+    socket.destroy();
+  }
+
+  async #admit(open: OpenRequest, memory: MemoryReservation, headers: HeaderSize): Promise<void> {
     const { request, response, forwarded } = open.arrived;
     const { context } = this.#options;
     if (this.#isEnding) return this.#rejectStopping(open);
@@ -215,30 +287,32 @@
     if (admission.kind === 'unknown-key') return this.#rejectKey(request, response, inForce, route);
     // A forwarded request has headers of the hop besides the caller's, which the first daemon has checked.
     const isChecked = forwarded !== undefined;
-    if (!isChecked && headerBytes(request) > inForce.configuration.limits.maxHeaderBytes) {
+    if (!isChecked && headers.bytes > inForce.configuration.limits.maxHeaderBytes) {
       return this.#reject(request, response, 431, 'headers too large', []);
     }
     if (!this.connections.hasRoom) {
-      return this.#rejectUnread(request, response, isChecked, NO_DESCRIPTORS_REASON);
+      return this.#rejectUnread(open, NO_DESCRIPTORS_REASON);
     }
     open.enter('reading-body', route.name);
-    const reading = await this.#bodies.read(
-      request,
-      response,
-      inForce.configuration.limits.maxBodyBytes,
-    );
+    const { maxBodyBytes } = inForce.configuration.limits;
+    const reading = await this.#bodies.read({ request, response, memory }, maxBodyBytes);
     switch (reading.kind) {
       case 'too-large':
         return this.#reject(request, response, 413, 'body too large', []);
       case 'no-memory':
-        return this.#rejectUnread(request, response, isChecked, NO_MEMORY_REASON);
+        return this.#rejectUnread(open, NO_MEMORY_REASON);
+      case 'timed-out':
+        return this.#rejectTimedOut(open, reading.heldBytes);
+      case 'gave-way':
+        this.#options.refusals.record('body-gave-way', reading.heldBytes);
+        return this.#rejectStalled(open, 503, NO_MEMORY_REASON, RETRY_LATER);
       case 'broken':
         return;
       case 'read':
         break;
     }
     if (this.#isEnding) return this.#rejectStopping(open);
-    const { body, memory } = reading;
+    const { body } = reading;
     const { tenant } = admission;
     await this.#runExchange({ open, inForce, route, tenant, body, memory });
   }
@@ -349,18 +423,27 @@
   }
 
   /** Rejects a request that this process has not the resources for; nothing of its body is kept. */
-  async #rejectUnread(
-    request: IncomingMessage,
-    response: ServerResponse,
-    isForwarded: boolean,
-    reason: string,
-  ): Promise<void> {
+  async #rejectUnread({ arrived }: OpenRequest, reason: string): Promise<void> {
+    const { request, response, forwarded } = arrived;
     this.#options.resources.recordRejected();
-    const headers = isForwarded ? notTakenHeaders(reason) : RETRY_LATER;
+    const headers = forwarded === undefined ? RETRY_LATER : notTakenHeaders(reason);
     await Promise.race([discardBody(request), delay(this.#options.timers, DISCARD_MS)]);
     this.#reject(request, response, 503, reason, headers, !this.connections.hasRoom);
   }
 
+  #rejectTimedOut(open: OpenRequest, heldBytes: number): void {
+    this.#options.refusals.record('body-timed-out', heldBytes);
+    this.#rejectStalled(open, 408, BODY_TIMED_OUT_REASON, []);
+  }
+
+  /** Rejects a request whose body does not go on, and closes its connection. */
+  #rejectStalled(open: OpenRequest, status: 408 | 503, reason: string, headers: RawHeaders): void {
+    const { request, response, forwarded } = open.arrived;
+    const isForwarded = forwarded !== undefined;
+    const ownHeaders = isForwarded ? notTakenHeaders(reason) : headers;
+    this.#reject(request, response, isForwarded ? 503 : status, reason, ownHeaders, true);
+  }
+
   /** Logs the configuration version without a matching route and its age, as a newer version may have the route. */
   #rejectRoute(
     request: IncomingMessage,
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import { BackendConnections } from './backend-connections.js';
 import { CacheEventWatchers } from './cache-event-watchers.js';
 import { CallerListener } from './caller-listener.js';
+import { CallerRefusals } from './caller-refusals.js';
 import { Confirmations } from './confirmations.js';
 import { CrashGuard } from './crash-guard.js';
 import { DepartureGossip } from './departure-gossip.js';
@@ -305,6 +306,7 @@
       memory,
       descriptors: settings.limits?.descriptors,
       resources: this.#resources,
+      refusals: new CallerRefusals({ timers, metrics: this.#metrics, log }),
       paths: this.#paths,
       configurationCheckAgeMs: () => this.#follower.configurationCheckAgeMs(),
     });
@@ -531,7 +533,7 @@
       readHeap,
       holders: () => ({
         requestsInFlight: this.#callers.inFlight,
-        bodyBytes: this.#callers.bodyBytes,
+        bodyBytes: this.#callers.heldBodies.bytes,
         answerBytes: this.#connections.held.bytes,
         answerObjects: this.#connections.held.objects,
         streamRecords: this.#streams.recordCount,
