A body that has stopped gives way to one that arrives, and is refused after a time-out

Bodies that stopped half-way held their memory until requestTimeoutMs (60 s): 19 callers with 4 MiB each kept everyone else out whose body did not fit beside them (350 requests of 5 MiB in 6 s, all told 503). While there is no room, the body that has been without progress for longest, and for 1 s at least, is refused with 503; after bodyStallTimeoutMs, a new setting of 30 s, with 408. Neither has been run. A refused caller that sends nothing more for 1 s is no longer waited for. Each kind is counted (threadfork_caller_refusals_total) and logged with the memory that was held (event 2002).

--- a/src/core/logging/catalogue/caller-http.ts
+++ b/src/core/logging/catalogue/caller-http.ts
@@ -14,4 +14,12 @@
     message: 'stopped accepting requests from callers',
     remedy: 'Nothing to do; running requests continue until they finish.',
   },
+  refusedAtLimit: {
+    number: 2002,
+    level: 'warn',
+    message:
+      'requests were refused, or connections of callers closed, at a limit of memory or time',
+    remedy:
+      'Look at the reason field: docs/CALLER-API.md tells what each limit protects. If the callers are inside them, add daemons or memory, or raise the limit in limits.http.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,7 +15,12 @@
 import { DAEMON_EVENTS } from '../core/logging/catalogue/daemon.js';
 import type { Endpoint } from '../core/registry/backend.js';
 import { createEngineControlClient } from '../shell/engine/index.js';
-import { createCallerServer, DEFAULT_HTTP_LIMITS, type Readiness } from '../shell/http/index.js';
+import {
+  createCallerServer,
+  createRefusalLog,
+  DEFAULT_HTTP_LIMITS,
+  type Readiness,
+} from '../shell/http/index.js';
 import type { Logger } from '../shell/logging/index.js';
 import { createMetrics, type FleetSample } from '../shell/metrics/index.js';
 import { createOperatorServer, type OperatorServer } from '../shell/operator/index.js';
@@ -69,6 +74,10 @@
     this.#settings = settings;
     const emit = (event: DaemonEvent): void => this.#events.emit(event);
     const metrics = createMetrics({ sample: () => this.#sample() });
+    const logRefusal = createRefusalLog(
+      (event, fields) => logger.write(event, fields),
+      () => performance.now(),
+    );
     this.#shells = {
       logger,
       metrics,
@@ -81,6 +90,10 @@
         configuration: () => this.#state?.configuration.inForce ?? EMPTY_CONFIGURATION,
         readiness: () => this.#readiness(),
         metricsText: () => metrics.text(),
+        onRefused: (reason, heldBytes) => {
+          metrics.recordCallerRefusal(reason);
+          logRefusal(reason, heldBytes);
+        },
         emit: (event) => {
           if (event.kind === 'attempt') {
             metrics.recordAttemptEvent(event.request, event.event, performance.now());
--- a/src/shell/http/caller-routes.ts
+++ b/src/shell/http/caller-routes.ts
@@ -4,7 +4,7 @@
 import type { RequestId } from '../../core/common/identifiers.js';
 import type { MonotonicMs } from '../../core/common/time.js';
 import type { Fault } from '../../core/errors/fault.js';
-import { type BodyBudget, readBody } from './body-reader.js';
+import type { BodyIntake } from './body-intake.js';
 import { type Caller, identifyCaller, NOT_CONFIGURED } from './caller-options.js';
 import type { ConfigurationIndex } from './configuration-index.js';
 import { refuseEarly } from './early-refusal.js';
@@ -24,7 +24,7 @@
 /** The part of the caller server that the routes use. */
 export interface RouteHost {
   readonly limits: HttpLimits;
-  readonly bodies: BodyBudget;
+  readonly bodies: BodyIntake;
   readonly pages: PageSources;
   now(): MonotonicMs;
   nextId(): RequestId;
@@ -100,8 +100,7 @@
       refuseEarly(request, response, caller.error);
       return;
     }
-    const { limits, bodies } = this.#host;
-    readBody(request, limits.maxBodyBytes, bodies, (result) => {
+    this.#host.bodies.read(request, (result) => {
       if (result.kind === 'refused') refuseEarly(request, response, result.fault);
       if (result.kind !== 'body') return;
       this.#prepareAndStart(request, response, path, result.body, caller.value, prepare);
--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -14,7 +14,7 @@
 import { ActiveRequest, type RequestHost } from './active-request.js';
 import type { BackendAttempt, DispatchEffect } from './backend-attempt.js';
 import { BackendPools } from './backend-pools.js';
-import { BodyBudget } from './body-reader.js';
+import { BodyIntake } from './body-intake.js';
 import { CallerConnections } from './caller-connections.js';
 import { CallerRoutes, type RouteHost } from './caller-routes.js';
 import { answerClientError, type ClientError } from './client-error.js';
@@ -24,6 +24,7 @@
 import type { PageSources } from './pages.js';
 import { PassThroughAttempt } from './pass-through-attempt.js';
 import { PendingAnswers } from './pending-answers.js';
+import type { RefusalListener } from './refusal-log.js';
 import type { PreparedRequest } from './request-preparation.js';
 import { StreamAttempt } from './stream-attempt.js';
 
@@ -50,6 +51,8 @@
   configuration(): VersionedConfiguration;
   readiness(): Readiness;
   metricsText(): Promise<string>;
+  /** Called for each request that is refused, or connection that is closed, at a limit of memory or time. */
+  readonly onRefused: RefusalListener;
   /** May call `perform` before it returns. */
   emit(event: CallerEvent): void;
 }
@@ -71,7 +74,7 @@
   readonly #options: CallerServerOptions;
   readonly #server: Server;
   readonly #pools: BackendPools;
-  readonly bodies: BodyBudget;
+  readonly bodies: BodyIntake;
   readonly pages: PageSources;
   readonly #routes = new CallerRoutes(this);
   readonly #connections = new CallerConnections();
@@ -89,7 +92,11 @@
     this.limits = limits;
     this.pages = options;
     this.#pools = new BackendPools(limits);
-    this.bodies = new BodyBudget(limits.maxBufferedBytes);
+    this.bodies = new BodyIntake({
+      limits,
+      now: () => options.now(),
+      onRefused: (reason, heldBytes) => options.onRefused(reason, heldBytes),
+    });
     this.#index = new ConfigurationIndex(options.configuration());
     this.#server = createServer(
       {
@@ -118,7 +125,7 @@
     return this.#requests.size;
   }
 
-  /** Bytes of request bodies in memory, for the metrics. */
+  /** Memory of request bodies in bytes, for the metrics. */
   get heldBodyBytes(): number {
     return this.bodies.heldBytes;
   }
@@ -128,7 +135,7 @@
     const { address, port } = this.#options.listen;
     this.#sweepTimer = setInterval(
       () => this.#sweep(),
-      Math.min(SWEEP_INTERVAL_MS, this.limits.callerStallTimeoutMs),
+      Math.min(SWEEP_INTERVAL_MS, this.limits.callerStallTimeoutMs, this.limits.bodyStallTimeoutMs),
     );
     this.#sweepTimer.unref();
     return new Promise((resolve, reject) => {
@@ -288,6 +295,7 @@
       if (since !== null && now - since >= this.limits.callerStallTimeoutMs)
         request.closeConnection();
     }
+    this.bodies.sweep();
     this.#pools.sweep(now);
   }
 }
--- a/src/shell/http/early-refusal.ts
+++ b/src/shell/http/early-refusal.ts
@@ -4,11 +4,14 @@
  * buffer resets the connection, and the caller might lose the answer.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Milliseconds } from '../../core/common/time.js';
 import type { Fault } from '../../core/errors/fault.js';
 import { faultResponse } from './fault-http.js';
 
 /** The maximum number of body bytes that are read and discarded after a refusal. */
 const MAX_DISCARDED_BYTES = 1024 * 1024;
+/** A caller that sends nothing for this time has stopped, or reads the answer. */
+const DISCARD_STALL_MS: Milliseconds = 1_000;
 
 /** Answers with a fault at once, then discards a limited amount of the body and closes. */
 export function refuseEarly(
@@ -33,13 +36,19 @@
 }
 
 function discardBody(request: IncomingMessage, done: () => void): void {
+  const stall = setTimeout(done, DISCARD_STALL_MS);
+  const end = (): void => {
+    clearTimeout(stall);
+    done();
+  };
   let discarded = 0;
   request.on('data', (chunk: Buffer) => {
     discarded += chunk.length;
-    if (discarded > MAX_DISCARDED_BYTES) done();
+    if (discarded > MAX_DISCARDED_BYTES) end();
+    else stall.refresh();
   });
-  request.on('end', done);
-  request.on('close', done);
-  request.on('error', done);
+  request.on('end', end);
+  request.on('close', end);
+  request.on('error', end);
   request.resume();
 }
--- a/src/shell/http/index.ts
+++ b/src/shell/http/index.ts
@@ -7,3 +7,4 @@
   type Readiness,
 } from './caller-server.js';
 export { DEFAULT_HTTP_LIMITS, type HttpLimits } from './limits.js';
+export { type CallerRefusal, createRefusalLog } from './refusal-log.js';
--- a/src/shell/http/limits.ts
+++ b/src/shell/http/limits.ts
@@ -11,11 +11,13 @@
   readonly headersTimeoutMs: Milliseconds;
   /** Time from the first byte of a request to the end of its body; then 408. */
   readonly requestTimeoutMs: Milliseconds;
+  /** Time between two pieces of a request's body; then 408. */
+  readonly bodyStallTimeoutMs: Milliseconds;
   /** How long an idle caller connection is kept. */
   readonly keepAliveTimeoutMs: Milliseconds;
   /** Bytes of one request's body; a larger one is answered with 413. */
   readonly maxBodyBytes: number;
-  /** Bytes of all request bodies held at once; a body that would exceed it is answered with 503. */
+  /** Memory of all request bodies held at once; a body that would exceed it is answered with 503. */
   readonly maxBufferedBytes: number;
   /** The largest `max_tokens` that a caller may request. */
   readonly maxOutputTokens: number;
@@ -50,6 +52,7 @@
   maxHeaderBytes: 16 * KIB,
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 60_000,
+  bodyStallTimeoutMs: 30_000,
   keepAliveTimeoutMs: 15_000,
   maxBodyBytes: 8 * MIB,
   maxBufferedBytes: 256 * MIB,
--- a/src/shell/metrics/metrics.ts
+++ b/src/shell/metrics/metrics.ts
@@ -9,6 +9,7 @@
 import type { Order, OrderAnswer } from '../../core/orders/index.js';
 import type { TableCall, TableResult } from '../../core/platform/table.js';
 import type { AttemptEvent, RequestNotice } from '../../core/requests/index.js';
+import type { CallerRefusal } from '../http/index.js';
 import { FleetGauges, type FleetSample } from './fleet-gauges.js';
 import { RequestMetrics } from './request-metrics.js';
 
@@ -30,6 +31,8 @@
   recordTableCall(call: TableCall, result: TableResult): void;
   /** Records an order to an engine. Role changes have the label `action="set-role"`. */
   recordOrder(order: Order, answer: OrderAnswer): void;
+  /** Records a caller that was refused or closed at a limit of memory or time. */
+  recordCallerRefusal(reason: CallerRefusal): void;
   /** All metrics as text. */
   text(): Promise<string>;
 }
@@ -52,6 +55,12 @@
     labelNames: ['action', 'answer'],
     registers: [registry],
   });
+  const refusals = new Counter({
+    name: 'threadfork_caller_refusals_total',
+    help: 'Requests refused, and connections of callers closed, at a limit of memory or time, by reason',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
   return {
     recordAttemptEvent: (request, event, now) => requests.recordAttemptEvent(request, event, now),
     recordRequestNotice: (notice, now) => requests.recordNotice(notice, now),
@@ -59,6 +68,7 @@
     recordTableCall: (call, result) => tableCalls.inc({ call: call.kind, result: result.kind }),
     recordOrder: (order, answer) =>
       orders.inc({ action: order.action.kind, answer: answerLabel(answer) }),
+    recordCallerRefusal: (reason) => refusals.inc({ reason }),
     text: () => {
       const sample = options.sample();
       if (sample !== null) gauges.update(sample);
--- a/src/shell/settings/schema.ts
+++ b/src/shell/settings/schema.ts
@@ -70,6 +70,9 @@
   requestTimeoutMs: millisecondsSchema(DEFAULT_HTTP_LIMITS.requestTimeoutMs).describe(
     'longest time for a whole request to come; then 408',
   ),
+  bodyStallTimeoutMs: millisecondsSchema(DEFAULT_HTTP_LIMITS.bodyStallTimeoutMs).describe(
+    "longest time between two pieces of a request's body; then 408",
+  ),
   keepAliveTimeoutMs: millisecondsSchema(DEFAULT_HTTP_LIMITS.keepAliveTimeoutMs).describe(
     'how long an idle caller connection is kept',
   ),
@@ -77,7 +80,7 @@
     "bytes of one request's body; more is answered 413",
   ),
   maxBufferedBytes: countSchema(DEFAULT_HTTP_LIMITS.maxBufferedBytes, MAX_BUFFERED_BYTES).describe(
-    'bytes of all request bodies held at once; beyond it new ones are answered 503',
+    'memory of all request bodies held at once, in bytes; beyond it new ones are answered 503',
   ),
   maxOutputTokens: countSchema(DEFAULT_HTTP_LIMITS.maxOutputTokens).describe(
     'the largest `max_tokens` that a caller may ask for',
--- a/test/http/support.ts
+++ b/test/http/support.ts
@@ -22,6 +22,7 @@
 } from '../../src/core/requests/index.js';
 import {
   type CallerEvent,
+  type CallerRefusal,
   type CallerServer,
   createCallerServer,
   DEFAULT_HTTP_LIMITS,
@@ -65,6 +66,8 @@
   readonly store: FakeStore;
   readonly events: readonly CallerEvent[];
   readonly effects: readonly RequestTableEffect[];
+  /** The reasons of requests and connections that were refused at a limit of memory or time. */
+  readonly refusals: readonly CallerRefusal[];
   /** Resolves when the condition holds; it is checked now and after each event. */
   eventually(condition: () => boolean): Promise<void>;
   tick(): void;
@@ -92,6 +95,7 @@
   const store = new FakeStore();
   const events: CallerEvent[] = [];
   const effects: RequestTableEffect[] = [];
+  const refusals: CallerRefusal[] = [];
   const waiters = new Set<() => void>();
   const backends = options.backends ?? [];
   const now = options.now ?? (() => performance.now());
@@ -139,6 +143,7 @@
     }),
     readiness: () => ({ ready: true, reason: 'ready' }),
     metricsText: async () => 'up 1\n',
+    onRefused: (reason) => refusals.push(reason),
     emit: (event) => {
       events.push(event);
       feed(event);
@@ -162,6 +167,7 @@
     port,
     events,
     effects,
+    refusals,
     eventually,
     tick: () => feed({ kind: 'tick' }),
     close: () => server.close(),
