--- a/test/resources/crowds-at-threadforkd.test.ts
+++ b/test/resources/crowds/threadforkd.test.ts
@@ -1,8 +1,8 @@
 /** Guards against a daemon that V8 or the system ends, as callers beyond its control send more than it has memory for. */
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
-import { RealDaemon } from './support/real-daemon.js';
-import { tinyChunks } from './support/tiny-chunks.js';
+import { RealDaemon } from '../support/real-daemon.js';
+import { tinyChunks } from '../support/tiny-chunks.js';
 
 const MAX_OLD_SPACE_MB = 64;
 const MEMORY_MB = 300;
