Heads and trailers that are not complete take a bounded part of the memory

Cause: node's parser holds what is not complete unseen, and only its own limit of 128 KB a head bounded it.

HeadMonitor counts the bytes of each connection that no complete head, body or framing explains, with the heap that short headers take; all of them together have a quarter of the heap for requests, and the connection whose head began first gives way. A head that is longer than maxHeaderBytes can be on the wire gets 431 before it is complete.

A 408 (or 400, 431) was also written while an earlier request of the connection was running: a promise that nothing ran, to a caller that waits for that request. Where an answer is owed to a request that may have run, the connection is only closed now; a head that is late as its connection is not read is left alone.

RequestIntake holds what connections may have under way for both listeners, that of other daemons' requests included. Gauges tell what requests are accounted for with, and the heads of it.

--- a/src/core/gateway/memory-ledger.ts
+++ b/src/core/gateway/memory-ledger.ts
@@ -13,6 +13,8 @@
 const HEAP_BYTES_PER_HEADER = 256;
 /** Of the heap for requests, for those that their callers sent before the answer to an earlier one on the connection. */
 const PIPELINED_SHARE = 1 / 4;
+/** Of the same, for heads of requests that are not complete. */
+const UNFINISHED_HEADS_SHARE = 1 / 4;
 /** Near its limit, V8 collects the heap all the time. */
 const USABLE_HEAP_SHARE = 0.8;
 /** The program, configuration, lists and indexes, and idle connections. */
@@ -64,6 +66,7 @@
   readonly #limits: RequestMemory;
   #heapBytes = 0;
   #pipelinedBytes = 0;
+  #unfinishedHeadBytes = 0;
   #bufferBytes = 0;
 
   constructor(limits: RequestMemory) {
@@ -94,6 +97,27 @@
     return this.#reservationOf(0, 0);
   }
 
+  /** Heap of heads that are not complete. */
+  get unfinishedHeadBytes(): number {
+    return this.#unfinishedHeadBytes;
+  }
+
+  /** Adds heap of heads that are not complete; false where there is none for them, and then nothing is added. */
+  growHeads(bytes: number): boolean {
+    const { heapBytes: limitBytes } = this.#limits;
+    if (this.#heapBytes + bytes > limitBytes) return false;
+    if (this.#unfinishedHeadBytes + bytes > UNFINISHED_HEADS_SHARE * limitBytes) return false;
+    this.#heapBytes += bytes;
+    this.#unfinishedHeadBytes += bytes;
+    return true;
+  }
+
+  /** Gives back heap of heads that are complete, or whose connections are closed. */
+  shrinkHeads(bytes: number): void {
+    this.#heapBytes -= bytes;
+    this.#unfinishedHeadBytes -= bytes;
+  }
+
   #reservationOf(heapBytes: number, pipelinedBytes: number): MemoryReservation {
     let bufferBytes = 0;
     let isReleased = false;
--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -55,4 +55,13 @@
     remedy:
       'Callers that send one request at a time on a connection are not affected. If it repeats, look for a caller that pipelines many requests.',
   },
+  headsRefused: {
+    number: 6236,
+    level: 'warn',
+    reserve: 'process-life',
+    message:
+      'connections were closed whose heads of requests were not complete: in time, within the limit, or while there was memory for them',
+    remedy:
+      'Nothing of these requests was run. If head-gave-way repeats, look for callers that begin many heads and do not end them; if head-too-large does, make maxHeaderBytes of the configuration larger.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/body-reader.ts
+++ b/src/shell/gateway/body-reader.ts
@@ -23,6 +23,8 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly memory: MemoryReservation;
+  /** Called with the length of each piece of the body as it arrives. */
+  readonly onPiece: (bytes: number) => void;
 }
 
 /** Reads bodies. */
@@ -35,18 +37,18 @@
     this.#stalled = stalled;
   }
 
-  async read({ request, response, memory }: BodyRequest, maxBytes: number): Promise<BodyReading> {
+  async read(incoming: BodyRequest, maxBytes: number): Promise<BodyReading> {
+    const { request, response, memory } = incoming;
     const declaredBytes = Number(request.headers['content-length'] ?? 0);
     if (declaredBytes > maxBytes) return { kind: 'too-large' };
     const arriving = new ArrivingBody(memory, this.held);
     response.once('close', () => arriving.clear());
-    return this.#read(request, arriving, memory, maxBytes);
+    return this.#read(incoming, arriving, maxBytes);
   }
 
   #read(
-    request: IncomingMessage,
+    { request, memory, onPiece }: BodyRequest,
     arriving: ArrivingBody,
-    memory: MemoryReservation,
     maxBytes: number,
   ): Promise<BodyReading> {
     const stalled = this.#stalled;
@@ -73,6 +75,7 @@
       };
       stalled.add(watched);
       request.on('data', (chunk: Buffer) => {
+        onPiece(chunk.length);
         if (isEnded) return;
         if (arriving.length + chunk.length > maxBytes) return end({ kind: 'too-large' });
         arriving.add(chunk);
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -4,25 +4,21 @@
  */
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
-import {
-  type HeaderSize,
-  type MemoryLedger,
-  type MemoryReservation,
-  type Route,
-  requestHeapBytes,
-  type StopTimes,
-  type Tenant,
+import type {
+  HeaderSize,
+  MemoryLedger,
+  MemoryReservation,
+  Route,
+  StopTimes,
+  Tenant,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { HeldBytes } from '../bytes/index.js';
 import { breakOffResponse } from '../http/break-off-response.js';
-import { PendingAnswers } from '../http/pending-answers.js';
 import type { AttemptContext } from './attempt.js';
-import { BodyReader, discardBody } from './body-reader.js';
+import { BodyReader, type BodyRequest, discardBody } from './body-reader.js';
 import { CallerConnections } from './caller-connections.js';
 import type { CallerRefusals } from './caller-refusals.js';
-import { ConnectionBackpressure } from './connection-backpressure.js';
 import { Exchange } from './exchange.js';
 import type { ConfigurationInForce } from './fleet-view.js';
 import { encodeAvailability, unavailableAmong } from './forwarded-availability.js';
@@ -31,10 +27,10 @@
 import { INTERNAL_FAULT_REASON, logFault } from './internal-faults.js';
 import { runModelExchange } from './model-exchange.js';
 import { type OpenRequest, OpenRequests } from './open-requests.js';
-import { type FeedOptions, feedInPieces } from './parser-feed.js';
 import type { RawHeaders } from './ports.js';
 import { refuseResumption } from './refuse-unavailable.js';
 import { dropHeaders, headerSizeOf } from './request-head.js';
+import { RequestIntake } from './request-intake.js';
 import type { GatewayLog } from './request-log.js';
 import type { ResourceMonitor } from './resource-monitor.js';
 import type { ServicePathMonitor } from './service-path-monitor.js';
@@ -45,8 +41,6 @@
 
 /** Limit of the HTTP parser; the configured limit is checked after parsing. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
-/** node:http drops headers beyond a limit without a word; their bytes are limited instead. */
-const NO_LIMIT = 0;
 const MILLISECONDS_PER_SECOND = 1_000;
 const REJECTED_RETRY_AFTER_MS = 1_000;
 const NO_DESCRIPTORS_REASON = 'no connections for more requests';
@@ -54,8 +48,6 @@
 const BODY_TIMED_OUT_REASON = 'the body did not arrive in time';
 /** A caller that sends the rest of its body by then reads why it was rejected; its connection is closed anyway. */
 const DISCARD_MS = 200;
-/** Requests that arrive after an answer has told that the connection closes; beyond this the connection is closed at once. */
-const MAX_IGNORED_REQUESTS = 16;
 const CONNECTION_CHECK_MS = 1_000;
 const DEFAULT_IDLE_MS = 15_000;
 /** Enough digits to find the tenant of a key in the log, and too few to recover the key. */
@@ -76,7 +68,7 @@
   readonly timers: TimerService;
   readonly log: GatewayLog;
   readonly metrics: GatewayMetrics;
-  readonly memory: Pick<MemoryLedger, 'reserve'>;
+  readonly memory: Pick<MemoryLedger, 'reserve' | 'growHeads' | 'shrinkHeads'>;
   /** The most descriptors of this process; undefined where there are more than it can need. */
   readonly descriptors: number | undefined;
   readonly resources: Pick<ResourceMonitor, 'recordRejected' | 'recordDropped'>;
@@ -106,11 +98,8 @@
   #isEnding = false;
   readonly #open = new OpenRequests();
   readonly #stalled: StalledBodies;
+  readonly #intake: RequestIntake;
   readonly #bodies: BodyReader;
-  readonly #backpressure = new ConnectionBackpressure();
-  readonly #answers = new PendingAnswers((socket, pending) =>
-    this.#backpressure.update(socket, pending),
-  );
   readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
@@ -130,18 +119,13 @@
         connectionsCheckingInterval: CONNECTION_CHECK_MS,
       },
       (request, response) => {
-        this.#accept(request, response);
+        if (this.#intake.accept(request, response)) this.handle(request, response, this.#intake);
       },
     );
-    this.#server.maxHeadersCount = NO_LIMIT;
-    const feed: FeedOptions = {
-      isHeld: (socket) => this.#backpressure.isHeld(socket),
-      onPiece: () => undefined,
-    };
-    this.#server.on('connection', (socket: Socket) => feedInPieces(socket, feed));
+    this.#intake = this.createIntake(this.#server);
     this.connections = new CallerConnections({
       server: this.#server,
-      isIdle: (socket) => this.#answers.isIdle(socket),
+      isIdle: (socket) => this.#intake.answers.isIdle(socket),
       descriptors: options.descriptors,
       requestsInFlight: () => this.inFlight,
       onDropped: () => options.resources.recordDropped(),
@@ -176,7 +160,7 @@
   /** From now on the last answer of each connection carries `Connection: close`. */
   beginStop(stop: StopTimes): void {
     this.#stop = stop;
-    this.#answers.announceClose();
+    this.#intake.answers.announceClose();
   }
 
   /**
@@ -204,15 +188,29 @@
     for (const { arrived } of this.#open.all()) breakOffResponse(arrived.response);
   }
 
+  /** Takes requests in at a server, for callers or for other daemons, within the memory that all requests share. */
+  createIntake(server: Server): RequestIntake {
+    const { memory, refusals, context } = this.#options;
+    const maxHeaderBytes = () =>
+      context.fleet.inForce?.configuration.limits.maxHeaderBytes ?? MAX_PARSED_HEADER_BYTES;
+    return new RequestIntake({ server, memory, maxHeaderBytes, refusals });
+  }
+
   /**
    * Handles a request to its final answer. An exception ends this request only.
+   * @param intake has taken the request in
    * @param forwarded set for a request that another daemon has forwarded
    */
-  handle(request: IncomingMessage, response: ServerResponse, forwarded?: ForwardedRequest): void {
+  handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    intake: RequestIntake,
+    forwarded?: ForwardedRequest,
+  ): void {
     const arrivedAtMs = this.#options.timers.nowMs();
     const open = this.#open.add({ request, response, forwarded, arrivedAtMs });
     response.on('error', () => breakOffResponse(response));
-    this.#reserveAndAdmit(open).catch((exception: unknown) => {
+    this.#reserveAndAdmit(open, intake).catch((exception: unknown) => {
       this.#logFault(request, exception);
       if (response.headersSent) breakOffResponse(response);
       else this.#reject(request, response, 500, INTERNAL_FAULT_REASON, []);
@@ -225,29 +223,16 @@
     logFault(log, { task: 'request', request: attemptId, server: '' }, exception);
   }
 
-  /** node:http goes on to parse what it has read of a connection that was closed meanwhile. */
-  #accept(request: IncomingMessage, response: ServerResponse): void {
-    const { socket } = request;
-    if (socket.destroyed) return;
-    if (this.#answers.add(socket, response)) {
-      this.handle(request, response);
-      return;
-    }
-    request.resume();
-    this.#backpressure.stop(socket);
-    if (this.#answers.ignoredOf(socket) > MAX_IGNORED_REQUESTS) this.#closePipelined(request);
-  }
-
   /** Any request takes memory until its answer has ended, also one that is rejected. */
-  async #reserveAndAdmit(open: OpenRequest): Promise<void> {
+  async #reserveAndAdmit(open: OpenRequest, intake: RequestIntake): Promise<void> {
     const { request, response } = open.arrived;
     const headers = headerSizeOf(request);
-    const isPipelined = this.#answers.countOf(request.socket) > 1;
+    const isPipelined = intake.isPipelined(request);
     const memory = isPipelined
       ? this.#options.memory.reserve(headers, isPipelined)
       : this.#stalled.makeRoom(() => this.#options.memory.reserve(headers));
     if (memory === undefined && isPipelined) {
-      this.#closePipelined(request);
+      intake.closePipelined(request);
       return;
     }
     if (memory === undefined) {
@@ -255,20 +240,13 @@
       return this.#rejectUnread(open, NO_MEMORY_REASON);
     }
     response.once('close', () => memory.release());
-    await this.#admit(open, memory, headers);
-  }
-
-  /** An answer that waits for others would hold memory, so there is none. */
-  #closePipelined(request: IncomingMessage): void {
-    const { socket } = request;
-    const requests = this.#answers.countOf(socket) + this.#answers.ignoredOf(socket);
-    const heldBytes = requests * requestHeapBytes(headerSizeOf(request));
-    this.#options.refusals.record('pipelined-too-many', heldBytes);
-    socket.destroy();
+    const onPiece = (bytes: number) => intake.recordBody(request, bytes);
+    await this.#admit(open, { request, response, memory, onPiece }, headers);
   }
 
-  async #admit(open: OpenRequest, memory: MemoryReservation, headers: HeaderSize): Promise<void> {
+  async #admit(open: OpenRequest, incoming: BodyRequest, headers: HeaderSize): Promise<void> {
     const { request, response, forwarded } = open.arrived;
+    const { memory } = incoming;
     const { context } = this.#options;
     if (this.#isEnding) return this.#rejectStopping(open);
     const { inForce } = context.fleet;
@@ -295,7 +273,7 @@
     }
     open.enter('reading-body', route.name);
     const { maxBodyBytes } = inForce.configuration.limits;
-    const reading = await this.#bodies.read({ request, response, memory }, maxBodyBytes);
+    const reading = await this.#bodies.read(incoming, maxBodyBytes);
     switch (reading.kind) {
       case 'too-large':
         return this.#reject(request, response, 413, 'body too large', []);
--- a/src/shell/gateway/caller-refusals.ts
+++ b/src/shell/gateway/caller-refusals.ts
@@ -13,7 +13,13 @@
 const FIRST_LINE_MS = 100;
 
 /** Why a caller was refused or its connection closed. */
-export type CallerRefusal = 'body-timed-out' | 'body-gave-way' | 'pipelined-too-many';
+export type CallerRefusal =
+  | 'body-timed-out'
+  | 'body-gave-way'
+  | 'pipelined-too-many'
+  | 'head-timed-out'
+  | 'head-gave-way'
+  | 'head-too-large';
 
 interface Unlogged {
   callers: number;
@@ -75,5 +81,9 @@
       return RESOURCE_EVENTS.bodiesGaveWay;
     case 'pipelined-too-many':
       return RESOURCE_EVENTS.pipelinedClosed;
+    case 'head-timed-out':
+    case 'head-gave-way':
+    case 'head-too-large':
+      return RESOURCE_EVENTS.headsRefused;
   }
 }
--- a/src/shell/gateway/forwarding-listener.ts
+++ b/src/shell/gateway/forwarding-listener.ts
@@ -6,12 +6,11 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import type { CallerListener } from './caller-listener.js';
 import { decodeForwarding, forwardingToken, notTakenHeaders } from './forwarding-headers.js';
+import type { RequestIntake } from './request-intake.js';
 import type { GatewayLog } from './request-log.js';
 
 /** Limit of the HTTP parser, as at the listener for callers. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
-/** node:http drops headers beyond a limit without a word; their bytes are limited instead. */
-const NO_LIMIT = 0;
 const HEADERS_TIMEOUT_MS = 2_000;
 const REQUEST_TIMEOUT_MS = 10_000;
 /** Bounds what strangers can occupy; daemons use a connection for each request. */
@@ -21,7 +20,7 @@
 
 /** Dependencies of the listener. */
 export interface ForwardingListenerOptions {
-  readonly callers: Pick<CallerListener, 'handle'>;
+  readonly callers: Pick<CallerListener, 'handle' | 'createIntake'>;
   /** A secret of the fleet; undefined until it has been read. */
   readonly fleetKey: () => Buffer | undefined;
   readonly log: Pick<GatewayLog, 'write'>;
@@ -31,15 +30,18 @@
 export class ForwardingListener {
   readonly #options: ForwardingListenerOptions;
   readonly server: Server;
+  readonly #intake: RequestIntake;
   #inFlight = 0;
 
   constructor(options: ForwardingListenerOptions) {
     this.#options = options;
     this.server = http.createServer(
       { maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
-      (request, response) => this.#accept(request, response),
+      (request, response) => {
+        if (this.#intake.accept(request, response)) this.#accept(request, response);
+      },
     );
-    this.server.maxHeadersCount = NO_LIMIT;
+    this.#intake = options.callers.createIntake(this.server);
     this.server.headersTimeout = HEADERS_TIMEOUT_MS;
     this.server.maxConnections = MAX_CONNECTIONS;
   }
@@ -61,7 +63,7 @@
     response.once('close', () => {
       this.#inFlight -= 1;
     });
-    callers.handle(request, response, forwarded);
+    callers.handle(request, response, this.#intake, forwarded);
   }
 
   #reject(
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -1,5 +1,6 @@
 /** Gauges of a gateway, read when the metrics are scraped. */
 import type { CapacitySummary } from '../../core/capacity/index.js';
+import type { MemoryLedger } from '../../core/gateway/index.js';
 import type { AdmissionGate } from './admission-gate.js';
 import type { BackendConnections } from './backend-connections.js';
 import type { CallerListener } from './caller-listener.js';
@@ -32,6 +33,7 @@
     | 'unreadTables'
   >;
   readonly callers: Pick<CallerListener, 'inFlight' | 'heldBodies'>;
+  readonly memory: Pick<MemoryLedger, 'reserved' | 'unfinishedHeadBytes'>;
   readonly connections: Pick<BackendConnections, 'openedTotal' | 'held'>;
   readonly admission: Pick<AdmissionGate, 'waiting'>;
   readonly limits: Pick<LimitCoordinator, 'grantedServers'>;
@@ -79,6 +81,9 @@
       new Map([
         ['answers', sources.connections.held.bytes],
         ['bodies', sources.callers.heldBodies.bytes],
+        ['requests-heap', sources.memory.reserved.heapBytes],
+        ['requests-buffers', sources.memory.reserved.bufferBytes],
+        ['unfinished-heads', sources.memory.unfinishedHeadBytes],
       ]),
   );
   metrics.addLabelledGauge(
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -370,6 +370,7 @@
       fleet: this.#fleet,
       follower: this.#follower,
       callers: this.#callers,
+      memory,
       connections: this.#connections,
       admission: this.#admission,
       limits: this.#limits,
--- a/src/shell/gateway/parser-feed.ts
+++ b/src/shell/gateway/parser-feed.ts
@@ -4,12 +4,16 @@
  */
 import type { Socket } from 'node:net';
 
-const PIECE_BYTES = 4_096;
+/** Holds a usual head whole, and a dozen short ones. */
+const HEAD_PIECE_BYTES = 1_024;
+const BODY_PIECE_BYTES = 8_192;
 
 /** Who looks at the pieces of one listener's connections. */
 export interface FeedOptions {
   /** Whether a connection is not to be read at present; it has to be resumed afterwards. */
   readonly isHeld: (socket: Socket) => boolean;
+  /** Whether the body of a request is arriving. */
+  readonly isReadingBody: (socket: Socket) => boolean;
   /** Called after a piece has been parsed. */
   readonly onPiece: (socket: Socket, piece: Buffer) => void;
 }
@@ -18,19 +22,23 @@
  * Takes over the bytes of a connection that node:http has just begun to listen to. What follows a piece at which the connection
  * is paused is read again once it is resumed.
  */
-export function feedInPieces(socket: Socket, { isHeld, onPiece }: FeedOptions): void {
+export function feedInPieces(socket: Socket, options: FeedOptions): void {
+  const { isHeld, isReadingBody, onPiece } = options;
   const [parse] = socket.listeners('data');
   if (parse === undefined) return;
   socket.removeListener('data', parse as (chunk: Buffer) => void);
   socket.on('data', (chunk: Buffer) => {
-    for (let start = 0; start < chunk.length && !socket.destroyed; start += PIECE_BYTES) {
+    let start = 0;
+    while (start < chunk.length && !socket.destroyed) {
       if (isHeld(socket) || isPausedByNode(socket) || socket.isPaused()) {
         // node:http resumes a connection after each request.
         socket.pause();
         socket.unshift(chunk.subarray(start));
         return;
       }
-      const piece = chunk.subarray(start, start + PIECE_BYTES);
+      const bytes = isReadingBody(socket) ? BODY_PIECE_BYTES : HEAD_PIECE_BYTES;
+      const piece = chunk.subarray(start, start + bytes);
+      start += piece.length;
       parse.call(socket, piece);
       onPiece(socket, piece);
     }
--- a/src/shell/gateway/request-head.ts
+++ b/src/shell/gateway/request-head.ts
@@ -4,6 +4,8 @@
 
 /** A colon, a space and the end of the line. */
 const HEADER_OVERHEAD_BYTES = 4;
+/** Two spaces, the protocol's version, the end of the line and the blank line after the headers. */
+const REQUEST_LINE_OVERHEAD_BYTES = 14;
 
 /** The headers of a request as they are on the wire. */
 export function headerSizeOf({ rawHeaders }: Pick<IncomingMessage, 'rawHeaders'>): HeaderSize {
@@ -13,6 +15,12 @@
   return { count, bytes };
 }
 
+/** What a head takes on the wire at least, in the usual spelling. */
+export function headBytesOf(request: IncomingMessage): number {
+  const { method = '', url = '' } = request;
+  return method.length + url.length + REQUEST_LINE_OVERHEAD_BYTES + headerSizeOf(request).bytes;
+}
+
 /** Gives back the memory of the headers of a request that is rejected; nothing can be read of them afterwards. */
 export function dropHeaders(request: IncomingMessage): void {
   request.rawHeaders.length = 0;
--- a/src/shell/http/pending-answers.ts
+++ b/src/shell/http/pending-answers.ts
@@ -77,6 +77,13 @@
     return this.#connections.get(socket)?.pending.size ?? 0;
   }
 
+  /** Whether a connection owes one answer, whose request has not arrived whole and got no part of its answer. */
+  onlyIncomplete(socket: Socket): boolean {
+    const pending = this.#connections.get(socket)?.pending;
+    if (pending?.size !== 1) return false;
+    return [...pending].every((response) => !response.headersSent && !response.req.complete);
+  }
+
   /** The number of requests for which `add` returned false. */
   ignoredOf(socket: Socket): number {
     return this.#connections.get(socket)?.ignored ?? 0;
--- a/test/gateway/body-reader.test.ts
+++ b/test/gateway/body-reader.test.ts
@@ -47,7 +47,10 @@
   const reserved = stalled.makeRoom(() => memory.reserve(headerSizeOf(request)));
   assert.ok(reserved !== undefined);
   response.once('close', () => reserved.release());
-  readings.push(await reader.read({ request, response, memory: reserved }, MAX_BODY_BYTES));
+  const onPiece = () => undefined;
+  readings.push(
+    await reader.read({ request, response, memory: reserved, onPiece }, MAX_BODY_BYTES),
+  );
   server.emit('reading');
 }
 
--- a/test/gateway/callers-that-stop.test.ts
+++ b/test/gateway/callers-that-stop.test.ts
@@ -82,3 +82,38 @@
   }
   assert.match(await answered, /^HTTP\/1\.1 200 /);
 });
+
+test('a head that stops gets 408, and its connection is closed', async () => {
+  const caller = open();
+  caller.write(HEAD);
+  assert.match(await received(caller), /^HTTP\/1\.1 408 /);
+  await fixture.logged(RESOURCE_EVENTS.headsRefused, ({ reason }) => reason === 'head-timed-out');
+});
+
+test('no status that promises that nothing ran is sent while an earlier request is running', async () => {
+  server.script = () => undefined;
+  const caller = open();
+  caller.write(`${HEAD}Content-Length: 0\r\n\r\n${HEAD}`);
+  assert.equal(await received(caller), '');
+  assert.equal(server.seen.length, 1);
+});
+
+test('a head beyond the limit of headers gets 431 before it is complete', async () => {
+  const caller = open();
+  caller.write(`${HEAD}X-Long: ${'x'.repeat(60_000)}`);
+  assert.match(await received(caller), /^HTTP\/1\.1 431 /);
+  await fixture.logged(RESOURCE_EVENTS.headsRefused, ({ reason }) => reason === 'head-too-large');
+});
+
+test('a malformed head gets 400, and its connection is closed', async () => {
+  const caller = open();
+  caller.write('POST /tiles/1 HTTP/1.1\r\nHost labels.example\r\n\r\n');
+  assert.match(await received(caller), /^HTTP\/1\.1 400 /);
+});
+
+test('a malformed body gets 400 and is not run', async () => {
+  const caller = open();
+  caller.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\nno length\r\n`);
+  assert.match(await received(caller), /^HTTP\/1\.1 400 /);
+  assert.equal(server.seen.length, 0);
+});
--- a/test/gateway/connection-backpressure.test.ts
+++ b/test/gateway/connection-backpressure.test.ts
@@ -12,7 +12,7 @@
 const POST = 'POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nsheet';
 /** Many times what the event loop reads of a connection at once, which is some 2,000 of them. */
 const REQUESTS = 20_000;
-const MOST_HELD = 200;
+const MOST_HELD = 100;
 
 let server: Server;
 let caller: Socket;
@@ -35,6 +35,7 @@
   });
   const feed = {
     isHeld: (socket: Socket) => backpressure.isHeld(socket),
+    isReadingBody: () => false,
     onPiece: () => undefined,
   };
   server.on('connection', (socket: Socket) => feedInPieces(socket, feed));
