--- a/test/gateway/bytes-without-end.test.ts
+++ b/test/gateway/bytes-without-end.test.ts
@@ -1,4 +1,4 @@
-/** Bytes without end in answers that a daemon does not need, or in one event: they were read until the peer stopped. */
+/** Bytes without end before, in or after an answer, or in one event: they were read until the peer stopped. */
 
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
@@ -7,7 +7,10 @@
 import { ServiceConnection } from '../../platform/http-call.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import { createCollector } from '../../src/shell/bytes/index.js';
-import { BackendConnections } from '../../src/shell/gateway/backend-connections.js';
+import {
+  type BackendCall,
+  BackendConnections,
+} from '../../src/shell/gateway/backend-connections.js';
 import { ampleMemory } from './support/ample-memory.js';
 import {
   configuration,
@@ -68,7 +71,7 @@
   return writeWithoutEnd(socket, chunk);
 }
 
-function call() {
+function call(fields: Partial<BackendCall> = {}) {
   const { port } = server.address() as AddressInfo;
   return connections.call({
     address: `127.0.0.1:${port}`,
@@ -79,9 +82,20 @@
     mayKeepConnection: true,
     connectTimeoutMs: 200,
     signal: new AbortController().signal,
+    ...fields,
   });
 }
 
+function callStore(store = connectStore()) {
+  const request = { method: 'GET', path: '/rows-get', headers: {}, body: undefined };
+  return store.call(request, new AbortController().signal);
+}
+
+function connectStore(): ServiceConnection {
+  const { port } = server.address() as AddressInfo;
+  return new ServiceConnection({ host: '127.0.0.1', port }, createCollector);
+}
+
 function assertClosedEarly(bytes: number): void {
   assert.ok(bytes < MAX_READ_BYTES, `${bytes} bytes`);
 }
@@ -142,14 +156,78 @@
 
 test('an answer without end of the store fails the call, and its connection is closed', async () => {
   const taken = bytesTaken(`${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n`);
-  const { port } = server.address() as AddressInfo;
-  const store = new ServiceConnection({ host: '127.0.0.1', port }, createCollector);
-  const request = { method: 'GET', path: '/rows-get', headers: {}, body: undefined };
-  const result = await store.call(request, new AbortController().signal);
+  const result = await callStore();
   assert.deepEqual(result.kind, 'failed');
   assertClosedEarly(await taken);
 });
 
+/** What a faulty server may send in place of the head of an answer. */
+const NO_HEADS = {
+  'interim answers': 'HTTP/1.1 103 Early Hints\r\n\r\n',
+  'empty lines': '\r\n',
+} as const;
+
+for (const [name, text] of Object.entries(NO_HEADS)) {
+  const chunk = Buffer.from(text.repeat(1_024));
+
+  test(`a call that gets ${name} without end is given up`, async () => {
+    const taken = bytesTaken('', chunk);
+    const result = await call();
+    assert.equal(result.kind, 'broken');
+    assertClosedEarly(await taken);
+  });
+
+  test(`a call that gets ${name} without end in the place of a late answer is given up`, async () => {
+    const leaving = new AbortController();
+    const arrived = once(server, 'connection');
+    const given = call({
+      signal: leaving.signal,
+      lateAnswer: { waitMs: () => 60_000, onAnswer: () => assert.fail('there is no answer') },
+    });
+    const [socket] = (await arrived) as [Socket];
+    await once(socket, 'data');
+    leaving.abort();
+    assert.equal((await given).kind, 'broken');
+    assertClosedEarly(await writeWithoutEnd(socket, chunk));
+  });
+
+  test(`a call to the store that gets ${name} without end fails`, async () => {
+    const taken = bytesTaken('', chunk);
+    const result = await callStore();
+    assert.equal(result.kind, 'failed');
+    assertClosedEarly(await taken);
+  });
+}
+
+test('an answer behind interim answers and empty lines is taken, on a kept connection too', async () => {
+  const sockets: Socket[] = [];
+  const interim = NO_HEADS['interim answers'].repeat(100);
+  const answer = `${HEAD}Keep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok`;
+  server.on('connection', (socket: Socket) => {
+    sockets.push(socket);
+    socket.on('data', () => socket.write(`\r\n${interim}\r\n${answer}`));
+  });
+  const store = connectStore();
+  for (let count = 0; count < 50; count += 1) {
+    const result = await call();
+    assert.ok(result.kind === 'answered');
+    assert.equal(String(await result.answer.collect(2)), 'ok');
+    assert.equal((await callStore(store)).kind, 'answered');
+  }
+  assert.equal(sockets.length, 2);
+  for (const socket of sockets) socket.destroy();
+});
+
+test('an answer whose body arrives with its head is taken, however long it is', async () => {
+  const body = 'x'.repeat(1_048_576);
+  server.on('connection', (socket: Socket) => {
+    socket.on('data', () => socket.write(`${HEAD}Content-Length: ${body.length}\r\n\r\n${body}`));
+  });
+  const result = await call();
+  assert.ok(result.kind === 'answered');
+  assert.equal((await result.answer.collect(body.length))?.length, body.length);
+});
+
 async function startWith(script: (served: ServedRequest) => void): Promise<void> {
   await fixture.start();
   const slip = route({ name: 'slip', pathPrefix: '/slip/', kind: 'non_idempotent' });
