A call whose server sends interim answers or empty lines without end is given up

Callers waited until the deadline of the request, and others with them: each interim answer is parsed on the process's only thread.

The adapter, which takes no code of the product, is handed the bound with the collector.

--- a/fuzz/decoder-campaign.ts
+++ b/fuzz/decoder-campaign.ts
@@ -2,7 +2,7 @@
 
 import { validateHeaderValue } from 'node:http';
 import { createPlatformAdapter } from '../platform/index.js';
-import { createCollector } from '../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../src/shell/bytes/index.js';
 import { EventSplitter } from '../src/shell/gateway/event-splitter.js';
 import { decodeAvailability } from '../src/shell/gateway/forwarded-availability.js';
 import { decodeForwarding } from '../src/shell/gateway/forwarding-headers.js';
@@ -12,7 +12,7 @@
 import { configuration, READ_ROUTE, route } from '../test/gateway/support/fixture.js';
 import { pick, type Random, spoil } from './spoil.js';
 
-const { requests, servers, configurations } = createPlatformAdapter(createCollector, {
+const { requests, servers, configurations } = createPlatformAdapter(ANSWER_READING, {
   host: '127.0.0.1',
   port: 9,
 });
--- a/src/daemon/gateway-main.ts
+++ b/src/daemon/gateway-main.ts
@@ -5,7 +5,7 @@
 
 import { pino } from 'pino';
 import { createPlatformAdapter, SETTINGS_VARIABLE } from '../../platform/index.js';
-import { createCollector } from '../shell/bytes/index.js';
+import { ANSWER_READING } from '../shell/bytes/index.js';
 import { Gateway, GatewayLog, logFault, SYSTEM_TIMERS } from '../shell/gateway/index.js';
 import { createLogger } from '../shell/logging/index.js';
 import { GatewayProcess, HANDLED_SIGNALS, type ProcessOutcome } from './gateway-process.js';
@@ -81,7 +81,7 @@
       new Gateway({
         build,
         settings,
-        adapter: createPlatformAdapter(createCollector, settings.store, settings.duties?.address),
+        adapter: createPlatformAdapter(ANSWER_READING, settings.store, settings.duties?.address),
         timers: SYSTEM_TIMERS,
         wallClock: Date.now,
         log,
--- /dev/null
+++ b/src/shell/bytes/answer-reading.ts
@@ -0,0 +1,18 @@
+/** How answers of other programs are read within bounds, for modules that take no code of the product. */
+import type { ClientRequest } from 'node:http';
+import { limitAnswerHead } from './answer-head-limit.js';
+import { ByteCollector } from './byte-collector.js';
+
+/** Reads the answers to calls. */
+export interface AnswerReading {
+  /** Creates the collector of one body. */
+  readonly createCollector: () => Pick<ByteCollector, 'add' | 'join' | 'length'>;
+  /** Bounds the bytes before the answer to a call that was not sent yet. */
+  readonly limitHead: (request: ClientRequest) => void;
+}
+
+/** Collects bodies that are counted nowhere else. */
+export const ANSWER_READING: AnswerReading = {
+  createCollector: () => new ByteCollector(),
+  limitHead: limitAnswerHead,
+};
--- a/src/shell/bytes/index.ts
+++ b/src/shell/bytes/index.ts
@@ -1,3 +1,5 @@
 /** Collecting bytes of other programs within bounds. */
-export { ByteCollector, type CreateCollector, createCollector } from './byte-collector.js';
+export { limitAnswerHead } from './answer-head-limit.js';
+export { ANSWER_READING, type AnswerReading } from './answer-reading.js';
+export { ByteCollector } from './byte-collector.js';
 export { HeldBytes } from './held-bytes.js';
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -18,7 +18,7 @@
   type MemoryLedger,
   type MemoryReservation,
 } from '../../core/gateway/index.js';
-import { ByteCollector, HeldBytes } from '../bytes/index.js';
+import { ByteCollector, HeldBytes, limitAnswerHead } from '../bytes/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { resetSocket } from '../http/reset-socket.js';
@@ -333,6 +333,7 @@
       const request = this.#tryOpen(call);
       if (request instanceof Error) return resolve(unsendable(request));
       this.#unanswered.add(request);
+      limitAnswerHead(request);
       let mayHaveSent = false;
       let connectTimedOut = false;
       let isSettled = false;
--- a/test/gateway/bytes-without-end.test.ts
+++ b/test/gateway/bytes-without-end.test.ts
@@ -6,7 +6,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { ServiceConnection } from '../../platform/http-call.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import {
   type BackendCall,
   BackendConnections,
@@ -93,7 +93,7 @@
 
 function connectStore(): ServiceConnection {
   const { port } = server.address() as AddressInfo;
-  return new ServiceConnection({ host: '127.0.0.1', port }, createCollector);
+  return new ServiceConnection({ host: '127.0.0.1', port }, ANSWER_READING);
 }
 
 function assertClosedEarly(bytes: number): void {
--- a/test/gateway/cut-platform-answers.test.ts
+++ b/test/gateway/cut-platform-answers.test.ts
@@ -5,7 +5,7 @@
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import type { PlatformAdapter } from '../../src/shell/gateway/index.js';
 
 const SERVER = { service: 'viewer', address: '127.0.0.1:1', zone: 'a', slots: 6, state: 'ready' };
@@ -39,7 +39,7 @@
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const address = { host: '127.0.0.1', port: (server.address() as AddressInfo).port };
-  platform = createPlatformAdapter(createCollector, address, address);
+  platform = createPlatformAdapter(ANSWER_READING, address, address);
 });
 
 afterEach(() => {
--- a/test/gateway/duty-client.test.ts
+++ b/test/gateway/duty-client.test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import type { DutyOutcome, PlatformDuties } from '../../src/shell/gateway/index.js';
 import { type Script, ServerStandIn } from './support/server-stand-in.js';
 
@@ -22,7 +22,7 @@
 function duties(): PlatformDuties {
   const [host = '', port = ''] = platform.address.split(':');
   const address = { host, port: Number(port) };
-  const found = createPlatformAdapter(createCollector, address, address).duties;
+  const found = createPlatformAdapter(ANSWER_READING, address, address).duties;
   assert.ok(found !== undefined);
   return found;
 }
@@ -70,7 +70,7 @@
 
 test('without an address for duties the adapter has none', () => {
   assert.equal(
-    createPlatformAdapter(createCollector, { host: '127.0.0.1', port: 1 }).duties,
+    createPlatformAdapter(ANSWER_READING, { host: '127.0.0.1', port: 1 }).duties,
     undefined,
   );
 });
--- a/test/gateway/given-up-platform-call.test.ts
+++ b/test/gateway/given-up-platform-call.test.ts
@@ -9,7 +9,7 @@
 import { type AddressInfo, createServer, type Server, Socket } from 'node:net';
 import { afterEach, beforeEach, mock, test } from 'node:test';
 import { ServiceConnection } from '../../platform/http-call.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 
 const TURNS_UNTIL_OPEN = 20;
 const CALL = { method: 'POST', path: '/usage', headers: {}, body: '{}' };
@@ -28,7 +28,7 @@
       host: '127.0.0.1',
       port: (server.address() as AddressInfo).port,
     },
-    createCollector,
+    ANSWER_READING,
   );
   ended = new AbortController();
 });
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import type { ServerRecord } from '../../src/core/gateway/index.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import type { CallResult } from '../../src/shell/gateway/backend-connections.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
@@ -27,7 +27,7 @@
 
   constructor() {
     this.fleet.directory.replaceAll([SERVER]);
-    const adapter = createPlatformAdapter(createCollector, { host: '127.0.0.1', port: 1 });
+    const adapter = createPlatformAdapter(ANSWER_READING, { host: '127.0.0.1', port: 1 });
     this.calls = new ServerCalls({
       reports: quietDepartureReports(this.fleet, this.timers),
       stalls: { whenCurrent: () => undefined },
--- a/test/gateway/silent-connections.test.ts
+++ b/test/gateway/silent-connections.test.ts
@@ -6,7 +6,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { type HttpCallResult, ServiceConnection } from '../../platform/http-call.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 
 const IDLE_CONNECTIONS = 3;
 const CALL = { method: 'GET', path: '/rows', headers: {}, body: undefined } as const;
@@ -68,7 +68,7 @@
 // each of three dead ones cost a full time-out before the next was tried, and a daemon lost contact with its store for
 // three time-outs of several seconds each.
 test('when all idle connections stop responding, only one call is lost and the next is answered', async () => {
-  const connection = new ServiceConnection(await service.start(), createCollector);
+  const connection = new ServiceConnection(await service.start(), ANSWER_READING);
   service.batchSize = IDLE_CONNECTIONS;
   const first = Array.from({ length: IDLE_CONNECTIONS }, () =>
     connection.call(CALL, new AbortController().signal),
--- a/test/gateway/store-pages.test.ts
+++ b/test/gateway/store-pages.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import { TABLES } from '../../platform/names.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import { callTable, readAllRows } from '../../src/shell/gateway/table-call.js';
 import { SYSTEM_TIMERS } from '../../src/shell/gateway/timer-service.js';
 import { ServerStandIn } from './support/server-stand-in.js';
@@ -30,7 +30,7 @@
   );
   for (const [key, value] of Object.entries(others)) standIn.put(TABLES.product, key, value);
   const { host, port } = await standIn.start();
-  return createPlatformAdapter(createCollector, { host, port }).table;
+  return createPlatformAdapter(ANSWER_READING, { host, port }).table;
 }
 
 /** Reads from a store that answers each page in the given era. */
@@ -45,7 +45,7 @@
   store = server;
   await server.start();
   const [host = '', port = ''] = server.address.split(':');
-  const { servers } = createPlatformAdapter(createCollector, { host, port: Number(port) });
+  const { servers } = createPlatformAdapter(ANSWER_READING, { host, port: Number(port) });
   return servers.readAll(new AbortController().signal, () => undefined);
 }
 
@@ -107,7 +107,7 @@
   store = server;
   await server.start();
   const [host = '', port = ''] = server.address.split(':');
-  const { servers } = createPlatformAdapter(createCollector, { host, port: Number(port) });
+  const { servers } = createPlatformAdapter(ANSWER_READING, { host, port: Number(port) });
   const answer = await servers.changesAfter(4, 0, new AbortController().signal);
   assert.ok(answer.kind === 'rows');
   assert.deepEqual(answer.rows, [{ kind: 'gone', key: 'i-2' }]);
--- a/test/gateway/store-refusals.test.ts
+++ b/test/gateway/store-refusals.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import type { TableCall, TableResult } from '../../src/core/platform/table.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import { ServerStandIn } from './support/server-stand-in.js';
 
 const CALLS: readonly TableCall[] = [
@@ -26,7 +26,7 @@
 
 function callStore(call: TableCall): Promise<TableResult> {
   const [host = '', port = ''] = store.address.split(':');
-  const { table } = createPlatformAdapter(createCollector, { host, port: Number(port) });
+  const { table } = createPlatformAdapter(ANSWER_READING, { host, port: Number(port) });
   return table.call(call, new AbortController().signal);
 }
 
--- a/test/gateway/support/fixture.ts
+++ b/test/gateway/support/fixture.ts
@@ -6,7 +6,7 @@
 import { createPlatformAdapter } from '../../../platform/index.js';
 import { GATEWAY_EVENTS } from '../../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../../src/core/logging/log-event.js';
-import { createCollector } from '../../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../../src/shell/bytes/index.js';
 import {
   DEFAULT_LOAD_DECISIONS,
   Gateway,
@@ -234,7 +234,7 @@
         this.#recordLine({ daemon: name, event, fields }),
       flush: () => undefined,
     };
-    const adapter = createPlatformAdapter(createCollector, store);
+    const adapter = createPlatformAdapter(ANSWER_READING, store);
     const gateway = new Gateway({
       build: 'test',
       settings,
--- a/test/gateway/support/list-reader.ts
+++ b/test/gateway/support/list-reader.ts
@@ -5,11 +5,11 @@
 
 import { createPlatformAdapter } from '../../../platform/index.js';
 import type { TableCall } from '../../../src/core/platform/table.js';
-import { createCollector } from '../../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../../src/shell/bytes/index.js';
 import { readAllRows } from '../../../src/shell/gateway/table-call.js';
 
 const [, , port, prefix] = process.argv;
-const { servers, table } = createPlatformAdapter(createCollector, {
+const { servers, table } = createPlatformAdapter(ANSWER_READING, {
   host: '127.0.0.1',
   port: Number(port),
 });
--- a/test/gateway/unanswered-calls.test.ts
+++ b/test/gateway/unanswered-calls.test.ts
@@ -7,7 +7,7 @@
 import { DEPARTURE_EVENTS } from '../../src/core/logging/catalogue/departures.js';
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
-import { createCollector } from '../../src/shell/bytes/index.js';
+import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import type { BackendAnswer, CallResult } from '../../src/shell/gateway/backend-connections.js';
 import { DepartureReports } from '../../src/shell/gateway/departure-reports.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
@@ -67,7 +67,7 @@
       },
       fleet,
       paths: { recordConnected: () => undefined, recordFailure: () => undefined },
-      codec: createPlatformAdapter(createCollector, { host: '127.0.0.1', port: 1 }).requests,
+      codec: createPlatformAdapter(ANSWER_READING, { host: '127.0.0.1', port: 1 }).requests,
       timers: this.timers,
       wallClock: () => this.timers.nowMs(),
       metrics: new GatewayMetrics(),
