--- a/test/gateway/bytes-without-end.test.ts
+++ b/test/gateway/bytes-without-end.test.ts
@@ -161,6 +161,17 @@
   assertClosedEarly(await taken);
 });
 
+test('bytes without end on an idle connection of the store close it', async () => {
+  const arrived = once(server, 'connection');
+  const called = callStore();
+  const [socket] = (await arrived) as [Socket];
+  await once(socket, 'data');
+  socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+  assert.equal((await called).kind, 'answered');
+  await new Promise(setImmediate);
+  assertClosedEarly(await writeWithoutEnd(socket));
+});
+
 /** What a faulty server may send in place of the head of an answer. */
 const NO_HEADS = {
   'interim answers': 'HTTP/1.1 103 Early Hints\r\n\r\n',
