--- a/test/resources/support/real-gateway.ts
+++ b/test/resources/support/real-gateway.ts
@@ -191,6 +191,11 @@
     rmSync(this.#directory, { recursive: true, force: true });
   }
 
+  /** Begins a planned stop. */
+  terminate(): void {
+    this.#process?.kill('SIGTERM');
+  }
+
   /** Lists further engines, at the address of the server. */
   listEngines(count: number): void {
     for (let engine = 2; engine <= count + 1; engine += 1) this.#listEngine(`engine-${engine}`);
