Guards: forwarded requests whose daemons stop, both of them too

A request that runs at a neighbour is told 504 as that one's stop ends, whichever of the two stops first; a stream does not look complete; with the only neighbour stopping a request is refused with 503 and run nowhere.

--- a/test/gateway/request-forwarding.test.ts
+++ b/test/gateway/request-forwarding.test.ts
@@ -420,3 +420,63 @@
   await timers.advanceUntil(() => isOver);
   return answer;
 }
+
+// Guards against a caller that is told nothing as the daemon that runs its request ends, or is told that it has not run.
+test('a forwarded request that runs at the end of the stop of its daemon is told as one that may have run', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  const held = hold();
+  const answer = callOrNone({ path: '/scans/1', port: ports[0] });
+  await held;
+  void fixture.stopDaemon('front-2');
+  assert.equal((await answer)?.status, 504);
+  assert.equal(arrivals(), 1);
+});
+
+for (const order of [
+  ['front-1', 'front-2'],
+  ['front-2', 'front-1'],
+]) {
+  test(`a forwarded request that runs as both daemons stop, ${order[0]} first, is told as one that may have run`, async () => {
+    await startDaemons(2);
+    await cutOff(0);
+    const held = hold();
+    const answer = callOrNone({ path: '/scans/1', port: ports[0] });
+    await held;
+    for (const daemon of order) {
+      void fixture.stopDaemon(daemon);
+      await timers.advanceBy(1);
+    }
+    assert.equal((await answer)?.status, 504);
+    assert.equal(arrivals(), 1);
+  });
+}
+
+test('a forwarded stream that runs at the end of the stop of its daemon does not look complete', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  const begun = deferred<ServedRequest>();
+  reader.script = (served) => {
+    served.response.writeHead(200, {
+      ...stamped(served.seen),
+      'Content-Type': 'text/event-stream',
+    });
+    served.response.write('id: 1\ndata: piece 1\n\n');
+    begun.resolve(served);
+  };
+  const answer = callOrNone({ ...SHORT_REQUEST, port: ports[0] });
+  await begun.promise;
+  void fixture.stopDaemon('front-2');
+  assert.equal((await answer)?.isComplete, false);
+});
+
+test('a request that comes to a cut-off daemon whose only neighbour stops is refused as not run', async () => {
+  await startDaemons(2);
+  await cutOff(0);
+  void hold();
+  void fixture.stopDaemon('front-2');
+  await timers.advanceBy(1_000);
+  const answer = await callOrNone({ path: '/scans/1', port: ports[0] });
+  assert.equal(answer?.status, 503);
+  assert.equal(arrivals(), 0);
+});
