threadforkd gives up an attempt whose backend sends interim answers without end

After 1,000 of them the attempt is broken, as any other answer that breaks the protocol, and a repeatable request goes to another backend. The test failed before (a time-out once the backend had sent 16 MB); an answer behind a hundred interim ones is forwarded before and after.

--- a/src/shell/http/backend-attempt.ts
+++ b/src/shell/http/backend-attempt.ts
@@ -13,6 +13,11 @@
 /** The core's order to send a request to one backend. */
 export type DispatchEffect = Extract<RequestEffect, { kind: 'dispatch' }>;
 
+/** Interim answers (RFC 9110 section 15.2) have lower statuses. */
+const FINAL_STATUS = 200;
+/** Each of them restarts undici's time-out for the head of the answer. */
+const MAX_INTERIM_ANSWERS = 1_000;
+
 const CANCELLED = new Error('cancelled');
 const PROTOCOL_VIOLATION = new Error('backend violated the protocol');
 
@@ -24,6 +29,7 @@
   protected controller: Dispatcher.DispatchController | null = null;
   protected refusal: EngineRefusal | null = null;
   #ended = false;
+  #interimAnswers = 0;
 
   constructor(
     protected readonly request: ActiveRequest,
@@ -85,7 +91,11 @@
     status: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (this.#ended || status < 200) return;
+    if (this.#ended) return;
+    if (status < FINAL_STATUS) {
+      this.#countInterimAnswer();
+      return;
+    }
     if (this.framingOf(status, headers) === 'unknown-coding') {
       this.abortAsBroken('transfer-coding');
       return;
@@ -160,6 +170,11 @@
     controller?.abort(PROTOCOL_VIOLATION);
   }
 
+  #countInterimAnswer(): void {
+    this.#interimAnswers += 1;
+    if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.abortAsBroken('interim-answers');
+  }
+
   /** The grant to send may lapse while a connection is opened or waited for. */
   #hasGrantLapsed(): boolean {
     const { sendBefore } = this.effect;
--- a/test/http/hostile-backends.test.ts
+++ b/test/http/hostile-backends.test.ts
@@ -205,6 +205,18 @@
 
 const LARGE_COMPLETION = completionJson('x'.repeat(200_000));
 
+const INTERIM_ANSWERS = 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(4_096);
+const MAX_INTERIM_BYTES = 16 * 1_024 * 1_024;
+
+/** Goes on until the connection is closed, or long enough to show that it is not. */
+function sendInterimAnswers(socket: Socket): void {
+  const send = () => {
+    const isOver = socket.destroyed || socket.bytesWritten > MAX_INTERIM_BYTES;
+    if (!isOver) socket.write(INTERIM_ANSWERS, () => setImmediate(send));
+  };
+  send();
+}
+
 const COMPLETION_SCRIPTS: readonly (readonly [name: string, reason: string, script: Script])[] = [
   [
     'an early close',
@@ -217,6 +229,7 @@
     'UND_ERR_BODY_TIMEOUT',
     (socket, attempt) => socket.write(completionResponse(attempt, '{"id"', 400)),
   ],
+  ['interim answers without end', 'interim-answers', sendInterimAnswers],
   [
     'no content length',
     'no-length',
@@ -301,6 +314,17 @@
   }
 }
 
+test('an answer behind interim answers is forwarded', async (t) => {
+  const body = completionJson('right');
+  const interim = 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(100);
+  const harness = await startPair(t, (socket, attempt) =>
+    socket.end(interim + completionResponse(attempt, body)),
+  );
+  const answer = await call(harness.port, '/v1/completions', { body: COMPLETION });
+  assert.equal(answer.body, body);
+  assert.deepEqual(brokenReasons(harness), []);
+});
+
 test('bytes beyond the Content-Length are not forwarded', async (t) => {
   const body = completionJson('right');
   const harness = await startPair(t, (socket, attempt) =>
