Idle connections are guarded in one place

The agents of servers' and of the platform's connections each closed an idle connection on which bytes arrive. No behaviour changes.

--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -21,6 +21,7 @@
 import { ByteCollector, HeldBytes, limitAnswerHead } from '../bytes/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
+import { IdleGuardAgent } from '../http/idle-guard-agent.js';
 import { resetSocket } from '../http/reset-socket.js';
 import { answerFlaw } from './answer-flaw.js';
 import { BodyFlow, type BodyReceiver, type FlowContext } from './body-flow.js';
@@ -237,11 +238,7 @@
 }
 
 /** Closes idle connections before the server does. */
-class KeepAliveAgent extends http.Agent {
-  constructor() {
-    super({ keepAlive: true, scheduling: 'lifo' });
-  }
-
+class KeepAliveAgent extends IdleGuardAgent {
   /** Called by node:http when an answer has ended. */
   override keepSocketAlive(
     socket: Socket & { _httpMessage?: ClientRequest & { res?: IncomingMessage } },
@@ -254,8 +251,6 @@
     const keepMs = Math.min(MAX_KEEP_ALIVE_MS, Number(hint) * 1_000 - KEEP_ALIVE_MARGIN_MS);
     if (keepMs <= 0) return false;
     socket.setTimeout(keepMs);
-    // Bytes after a complete answer belong to no request.
-    socket.once('data', destroySocket);
     return true;
   }
 
@@ -263,7 +258,6 @@
   override reuseSocket(socket: Socket, request: ClientRequest): void {
     super.reuseSocket(socket, request);
     socket.setTimeout(0);
-    socket.removeListener('data', destroySocket);
   }
 }
 
@@ -296,10 +290,6 @@
   }
 }
 
-function destroySocket(this: Socket): void {
-  this.destroy();
-}
-
 /** Ends a call that has no answer; what its server has not received is discarded. */
 function abandon(request: ClientRequest, reason?: Error): void {
   const { socket } = request;
