Soak: a plan of crowds that do not behave, beside servers that answer without end

Crowds of eight kinds come to a sixth to a half of the daemons, in series that overlap, beside kills, stops and reloads, and servers send answers in chunks of one byte until the connection is closed. The settings name the memory and the descriptors of a small machine, and a process that has more resident than that breaks FAULT, as one that ends by itself does. The requests of crowds are known by their ids and count as none of a caller.

Requests as they are on the wire are made in one place for the soak and the tests.

--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -4,6 +4,8 @@
  */
 import { type Callers, USUAL_LEAVING_SHARE } from './callers.js';
 import type { Operator } from './configuration.js';
+import type { CrowdFault } from './crowd-fault.js';
+import type { Crowds } from './crowds.js';
 import type { DaemonLinks } from './daemon-links.js';
 import type { DutyService } from './duty-service.js';
 import { strikeEngines } from './engine-faults.js';
@@ -27,6 +29,8 @@
 import { START_MS, StartFaults } from './start-faults.js';
 
 const RESUME_MS = 1_000;
+/** Time from the end of a crowd until its daemon has worked off what it sent. */
+const CROWD_AFTERMATH_MS = 5_000;
 const RESTART_MS = 2_500;
 /** Of the servers that crash under a request, every third restarts at once, the others after `RESTART_MS`. */
 const QUICK_RESTART_EVERY = 3;
@@ -43,6 +47,7 @@
   readonly daemons: readonly GatewayProcess[];
   readonly storeEndpointOf: ReadonlyMap<string, StoreEndpoint>;
   readonly callers: Callers;
+  readonly crowds: Crowds;
   /** Undefined if the plan cuts no daemon off. */
   readonly daemonLinks: DaemonLinks | undefined;
 }
@@ -114,6 +119,8 @@
           this.#serversAt(fault.servers).map(({ server }) => server),
           fault,
         );
+      case 'crowd':
+        return this.#sendCrowd(fault);
       case 'store-slow':
         this.#world.store.faults.delayMs = fault.delayMs;
         await this.#disturbStore(fault.forMs);
@@ -231,6 +238,12 @@
     await pause(forMs);
   }
 
+  async #sendCrowd(fault: CrowdFault): Promise<void> {
+    const daemons = this.#daemonsAt(fault.daemons);
+    for (const { name } of daemons) this.#disturb('daemon', name, fault.forMs + CROWD_AFTERMATH_MS);
+    await this.#world.crowds.send(fault, daemons);
+  }
+
   async #kill(daemons: readonly GatewayProcess[], downMs: number): Promise<void> {
     for (const daemon of daemons) {
       this.#disturb('daemon', daemon.name, downMs + START_MS);
--- a/soak/gateway-process.ts
+++ b/soak/gateway-process.ts
@@ -12,6 +12,7 @@
   type ProcessExit,
 } from './process-end.js';
 import type { DaemonLife } from './record.js';
+import { peakResidentBytes } from './resident-memory.js';
 import { DAEMON_PORTS, type DaemonSettings, SettingsFile } from './settings-file.js';
 
 /** The flags that deployed gateways run with. */
@@ -133,6 +134,14 @@
     if (signal === 'SIGCONT') this.isFrozen = false;
   }
 
+  /** Notes the memory that the running process has taken so far. */
+  noteMemory(): void {
+    const pid = this.#process?.pid;
+    const life = this.#life;
+    if (pid === undefined || life === undefined) return;
+    life.peakResidentBytes = Math.max(life.peakResidentBytes, peakResidentBytes(pid) ?? 0);
+  }
+
   /** Resolves once the process has exited. */
   ended(): Promise<void> {
     const child = this.#process;
@@ -178,6 +187,7 @@
     endedMs: undefined,
     end: undefined,
     readyMs: [],
+    peakResidentBytes: 0,
     sent: new Set(),
     hasBegun: false,
   };
--- a/soak/life-judge.ts
+++ b/soak/life-judge.ts
@@ -11,7 +11,13 @@
 export interface JudgedLives
   extends Pick<
     RunRecord,
-    'lives' | 'portChecks' | 'falseReadiness' | 'disturbances' | 'beginMs' | 'endMs'
+    | 'lives'
+    | 'portChecks'
+    | 'falseReadiness'
+    | 'disturbances'
+    | 'machineBytes'
+    | 'beginMs'
+    | 'endMs'
   > {
   readonly bounds: Pick<SoakBounds, 'contactMs' | 'graceMs'>;
 }
@@ -20,12 +26,14 @@
 
 /** Timers of the soak fire late by less than this, unless its process counts as disturbed. */
 const TIMER_SLACK_MS = 100;
+const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** The faults of all processes. */
 export function lifeFaults(run: JudgedLives): readonly LifeFault[] {
   return [
     ...run.lives.flatMap((life) => [
       ...ownEnd(life),
+      ...overMemory(life, run),
       ...overdueStop(life, run),
       ...unreadySpans(life, run),
     ]),
@@ -45,6 +53,15 @@
   return [{ atMs: endedMs, detail }];
 }
 
+/** A process that the system would have ended, as it took more memory than its machine has. */
+function overMemory(life: DaemonLife, { machineBytes }: JudgedLives): readonly LifeFault[] {
+  const { daemon, startedMs, peakResidentBytes } = life;
+  if (machineBytes === undefined || peakResidentBytes <= machineBytes) return [];
+  const megabytes = (bytes: number) => Math.ceil(bytes / BYTES_PER_MEGABYTE);
+  const detail = `${daemon} took ${megabytes(peakResidentBytes)} MB of ${megabytes(machineBytes)}`;
+  return [{ atMs: startedMs, detail }];
+}
+
 /** A stop that lasted until its process was killed at the end of the grace period. */
 function overdueStop(life: DaemonLife, run: JudgedLives): readonly LifeFault[] {
   const { daemon, startedMs, stopMs, killedMs } = life;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,6 +3,7 @@
  * Entry point of the soak test: runs gateway processes under injected faults and judges them by the fleet's promises.
  */
 import { Builtins, Cli, Command, Option } from 'clipanion';
+import { planCrowds } from './crowd-plan.js';
 import { planDepartures } from './departure-plan.js';
 import { planGarble } from './garble-plan.js';
 import { MUTATIONS } from './mutations.js';
@@ -31,6 +32,7 @@
 const REQUESTS_PER_DAEMON = 8;
 /** Maximum number of violations printed per run. */
 const MAX_VIOLATIONS_SHOWN = 12;
+const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** The validated command line. */
 interface SoakOptions {
@@ -68,7 +70,7 @@
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
     description:
-      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts, skews, networks, garble, starts or stops',
+      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts, skews, networks, garble, starts, stops or crowds',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -111,6 +113,7 @@
       networks: planNetworks,
       starts: planStarts,
       stops: planStops,
+      crowds: planCrowds,
     };
     const planOf = plans[this.plan as keyof typeof plans];
     if (planOf === undefined)
@@ -152,6 +155,16 @@
   return ` (${counts.join(', ')})`;
 }
 
+/** What became of crowds and how much memory processes took; empty for plans without crowds. */
+function crowdLines({ crowds, peakResidentBytes }: SoakResult): readonly string[] {
+  if (crowds.opened === 0) return [];
+  const answers = [...crowds.statuses].map(([status, count]) => `${status} ${count}`).join(', ');
+  return [
+    `  connections of crowds: ${crowds.opened}, closed by daemons ${crowds.closed}; first answers: ${answers}`,
+    `  the most memory that a process took: ${Math.ceil(peakResidentBytes / BYTES_PER_MEGABYTE)} MB`,
+  ];
+}
+
 function reportOf(seed: number, result: SoakResult): string {
   const { violations, ends, crashes, crashesByPart, reports, budgets, directory } = result;
   const { worstLagMs, worstAcceptMs, heldUpArrivals, endsBeforeCode } = result;
@@ -165,6 +178,7 @@
     `  requests of callers that had left and were late by that alone: ${heldUpArrivals}`,
     `  processes that SIGHUP ended before any code of the daemon had run: ${endsBeforeCode}`,
     ...result.stops.map((line) => `  ${line}`),
+    ...crowdLines(result),
     ...budgets.map(
       ({ service, repeats, allowed }) =>
         `  repeats of ${service} in the worst window: ${repeats} of ${Math.floor(allowed)}`,
--- a/soak/model-server.ts
+++ b/soak/model-server.ts
@@ -17,6 +17,7 @@
   eventText,
   paddingText,
 } from './response-bodies.js';
+import { tinyChunks } from './wire-requests.js';
 
 const WEB_WORK_MS = 15;
 const PREFILL_MS = 12;
@@ -44,6 +45,11 @@
 ] as const;
 /** Statuses that no final answer has; each is followed by the body of a sound answer. */
 const GARBLED_STATUSES = ['000', '099', '101', '600'] as const;
+/** The statuses of answers that do not end. */
+const ENDLESS_STATUSES = [200, 200, 500] as const;
+/** Written each time; few enough that the answers of all servers together leave the soak's own process time. */
+const ENDLESS_PIECE = tinyChunks(1_000);
+const ENDLESS_INTERVAL_MS = 10;
 /** What a byte that is no UTF-8 decodes to. */
 const GARBLED_CHARACTER = '\ufffd';
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -395,6 +401,12 @@
     }
     this.#runs += 1;
     const stamp = `${this.#id}.${this.#runs}`;
+    if (this.#shouldInject('answer-without-end')) {
+      arrival.isServerFault = true;
+      arrival.stamp = stamp;
+      this.#answerWithoutEnd(request, response, stamp);
+      return;
+    }
     if (this.#shouldInject('fail')) {
       setTimeout(() => {
         if (response.destroyed) return;
@@ -413,6 +425,23 @@
     else this.#stream(request, body, response, arrival, stamp, end);
   }
 
+  #answerWithoutEnd(request: IncomingMessage, response: ServerResponse, stamp: string): void {
+    const index = Math.floor(this.#options.random() * ENDLESS_STATUSES.length);
+    const type = this.#stage === undefined ? 'text/plain' : 'text/event-stream';
+    response.writeHead(ENDLESS_STATUSES[index] ?? 200, {
+      ...attemptIdHeader(request),
+      [WIRE.stamp]: stamp,
+      'Content-Type': type,
+      'Transfer-Encoding': 'chunked',
+    });
+    response.flushHeaders();
+    const { socket } = request;
+    const timer = setInterval(() => {
+      if (!socket.writableNeedDrain) socket.write(ENDLESS_PIECE);
+    }, ENDLESS_INTERVAL_MS);
+    response.once('close', () => clearInterval(timer));
+  }
+
   /** Starts a normal response, then crashes the server with all its requests. */
   #crashDuring(request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
     const ownId = this.#id;
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -6,6 +6,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { CrowdFault } from './crowd-fault.js';
 import type { EngineFault } from './engine-fault.js';
 import type { RequestClass } from './request-class.js';
 import type { StartFault } from './start-fault.js';
@@ -29,6 +30,8 @@
   | 'garble'
   /** Sends a second response on the same connection. */
   | 'answer-twice'
+  /** Runs them and sends a response, of success or of failure, in chunks of one byte until its connection closes. */
+  | 'answer-without-end'
   /** Does not respond to stage orders and executes them later. */
   | 'delay-orders';
 
@@ -70,6 +73,7 @@
 export type Fault =
   | StartFault
   | EngineFault
+  | CrowdFault
   | { readonly kind: 'kill'; readonly daemons: readonly number[]; readonly downMs: number }
   | { readonly kind: 'stop'; readonly daemons: readonly number[]; readonly gapMs: number }
   | { readonly kind: 'freeze'; readonly daemons: readonly number[]; readonly forMs: number }
@@ -239,6 +243,12 @@
   readonly slowReaderShare: number;
 }
 
+/** The limits of the machine that each daemon has to itself. */
+export interface MachineLimits {
+  readonly memoryMb: number;
+  readonly descriptors: number;
+}
+
 /** The plan of one run. */
 export interface SoakPlan {
   readonly seed: number;
@@ -255,6 +265,8 @@
   readonly sessions?: SessionTraits;
   /** Whether each cut around a stop is judged on its own. */
   readonly hasStrictStops?: true;
+  /** Named in the daemons' settings, and kept to by their processes; undefined for those of this machine. */
+  readonly machine?: MachineLimits;
 }
 
 /** Slots of engines, and of web servers in plans without a shortage of slots. */
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -218,6 +218,8 @@
   readonly bounds: SoakBounds;
   /** Whether each cut around a stop is judged on its own. */
   readonly hasStrictStops: boolean;
+  /** The memory of the machine that each process has to itself; undefined where none is named. */
+  readonly machineBytes: number | undefined;
   /** When all daemons were ready and callers began. */
   readonly beginMs: number;
   readonly endMs: number;
@@ -238,6 +240,8 @@
   end: LifeEnd | undefined;
   /** When it was asked whether it is ready, and was. */
   readonly readyMs: number[];
+  /** The most memory that it was seen to have had resident at once; 0 if it was not looked at. */
+  peakResidentBytes: number;
 }
 
 /** How a process ended, and whether the soak had asked for that. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -14,6 +14,8 @@
 import { bundleGateway } from './bundle.js';
 import { Callers } from './callers.js';
 import { boundsOf, CALLER_KEYS, CLASSES, MODEL, Operator, WEB_SERVICES } from './configuration.js';
+import { CROWD_ID_PREFIX } from './crowd-requests.js';
+import { type CrowdCounts, Crowds } from './crowds.js';
 import { DaemonLinks } from './daemon-links.js';
 import { DutyService } from './duty-service.js';
 import { FaultInjector } from './fault-injector.js';
@@ -52,6 +54,8 @@
 const READY_POLL_INTERVAL_MS = 50;
 /** Time for open calls to end after the last one was sent. */
 const LAST_CALLS_GRACE_MS = 4_000;
+const MEMORY_INTERVAL_MS = 100;
+const BYTES_PER_MEGABYTE = 1_048_576;
 
 /** The result of a run. */
 export interface SoakResult {
@@ -78,6 +82,10 @@
   readonly heldUpArrivals: number;
   /** Number of processes that a signal ended which must not, before any code of the daemon had run. */
   readonly endsBeforeCode: number;
+  /** How the connections of crowds were treated. */
+  readonly crowds: CrowdCounts;
+  /** The most memory that a process had resident at once; 0 if the plan names no memory. */
+  readonly peakResidentBytes: number;
   /** Directory with the logs and settings of the daemons; kept if a promise was broken. */
   readonly directory: string;
 }
@@ -114,6 +122,7 @@
   readonly #storeEndpointOf = new Map<string, StoreEndpoint>();
   readonly #callers: Callers;
   readonly #probes: RouteProbes;
+  readonly #crowds: Crowds;
   readonly #faults: FaultInjector;
   readonly #daemonLinks: DaemonLinks | undefined;
   readonly #calls = new Map<string, CallRecord>();
@@ -122,6 +131,7 @@
   readonly #lag = new LagMonitor((fromMs, toMs) => this.#faults.recordStandInsLate(fromMs, toMs));
   readonly #accepts = new AcceptMonitor();
   #addresses: AddressBlock | undefined;
+  #memoryWatch: NodeJS.Timeout | undefined;
   #isClosed = false;
 
   constructor(plan: SoakPlan) {
@@ -159,6 +169,7 @@
       calls: this.#calls,
     });
     this.#probes = new RouteProbes({ daemons: this.#daemons, operator: this.#operator });
+    this.#crowds = new Crowds({ random });
     this.#faults = new FaultInjector({
       bounds: this.#bounds,
       store: this.#store,
@@ -168,6 +179,7 @@
       daemons: this.#daemons,
       storeEndpointOf: this.#storeEndpointOf,
       callers: this.#callers,
+      crowds: this.#crowds,
       daemonLinks: this.#daemonLinks,
     });
   }
@@ -182,6 +194,7 @@
     this.#callers.start(this.#plan.size.seconds * 1_000);
     this.#probes.start();
     this.#lag.start();
+    this.#watchMemory();
     this.#accepts.start();
     for (const { atMs, fault } of this.#plan.faults) {
       setTimeout(() => void this.#faults.begin(fault), atMs);
@@ -210,12 +223,21 @@
     return Promise.all(serving.map((daemon) => checkPorts(daemon, LAST_CALLS_GRACE_MS)));
   }
 
+  #watchMemory(): void {
+    if (this.#plan.machine === undefined) return;
+    this.#memoryWatch = setInterval(() => {
+      for (const daemon of this.#daemons) daemon.noteMemory();
+    }, MEMORY_INTERVAL_MS);
+  }
+
   close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
     this.#faults.end();
     this.#lag.stop();
     this.#accepts.stop();
+    clearInterval(this.#memoryWatch);
+    this.#crowds.close();
     this.#callers.close();
     this.#probes.stop();
     for (const daemon of this.#daemons) daemon.signal('SIGKILL');
@@ -245,6 +267,7 @@
       duties: this.#dutyService.records,
       bounds: this.#bounds,
       hasStrictStops: this.#plan.hasStrictStops === true,
+      machineBytes: machineBytesOf(this.#plan),
       beginMs,
       endMs,
     };
@@ -264,6 +287,8 @@
       heldUpArrivals: late.filter(({ isHeldUp }) => isHeldUp).length,
       budgets: [MODEL, ...WEB_SERVICES].map((service) => worstBudgetWindow(run, service)),
       endsBeforeCode: endsBeforeCode(run.lives).length,
+      crowds: this.#crowds.counts,
+      peakResidentBytes: Math.max(0, ...run.lives.map((life) => life.peakResidentBytes)),
       directory: this.#directory,
     };
   }
@@ -288,6 +313,7 @@
         earlierProgram,
         directory: this.#directory,
         bounds: this.#bounds,
+        machine: this.#plan.machine,
         onUnaskedEnd: (ended, cause) => void this.#faults.restartEnded(ended, cause),
       });
       this.#daemons.push(daemon);
@@ -312,6 +338,7 @@
     const { headers } = request;
     const id = String(headers[WIRE.attemptId]);
     const call = this.#calls.get(id);
+    if (id.startsWith(CROWD_ID_PREFIX)) return;
     if (call === undefined) {
       this.#unasked.push(`${arrival.serverId} got ${id}, which no caller sent`);
       return;
@@ -321,6 +348,10 @@
   }
 }
 
+function machineBytesOf({ machine }: SoakPlan): number | undefined {
+  return machine === undefined ? undefined : machine.memoryMb * BYTES_PER_MEGABYTE;
+}
+
 function countEnds(calls: readonly CallRecord[]): ReadonlyMap<string, number> {
   const counts = new Map<string, number>();
   for (const { end } of calls) {
--- a/soak/settings-file.ts
+++ b/soak/settings-file.ts
@@ -1,5 +1,6 @@
 /** The settings file of one daemon, which faults may spoil as a writer does that is not atomic. */
 import { rmSync, writeFileSync } from 'node:fs';
+import type { MachineLimits } from './plan.js';
 import type { SoakBounds } from './record.js';
 import type { SettingsFlaw } from './start-fault.js';
 
@@ -21,6 +22,7 @@
   readonly storePort: number;
   readonly dutyPort: number;
   readonly bounds: SoakBounds;
+  readonly machine: MachineLimits | undefined;
 }
 
 export class SettingsFile {
@@ -54,7 +56,8 @@
   }
 }
 
-function settingsText({ name, zone, host, storePort, dutyPort, bounds }: DaemonSettings): string {
+function settingsText(settings: DaemonSettings): string {
+  const { name, zone, host, storePort, dutyPort, bounds, machine } = settings;
   return [
     `name: ${name}`,
     `zone: ${zone}`,
@@ -68,6 +71,7 @@
     `  address: 127.0.0.1:${dutyPort}`,
     `  usageWindowSeconds: ${USAGE_WINDOW_SECONDS}`,
     '  usageDueSeconds: 10',
+    ...limitLines(machine),
     'bounds:',
     `  contactMs: ${bounds.contactMs}`,
     `  stopGraceSeconds: ${bounds.graceMs / 1_000}`,
@@ -81,3 +85,9 @@
     '',
   ].join('\n');
 }
+
+function limitLines(machine: MachineLimits | undefined): readonly string[] {
+  if (machine === undefined) return [];
+  const { memoryMb, descriptors } = machine;
+  return ['limits:', `  memoryMb: ${memoryMb}`, `  descriptors: ${descriptors}`];
+}
--- a/test/gateway/body-flow.test.ts
+++ b/test/gateway/body-flow.test.ts
@@ -4,10 +4,11 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
+import { tinyChunks } from '../../soak/wire-requests.js';
 import { HeldBytes } from '../../src/shell/bytes/index.js';
 import { BodyFlow } from '../../src/shell/gateway/body-flow.js';
 import { ReadTurns } from '../../src/shell/gateway/read-turns.js';
-import { tinyChunks, writeTinyChunksWithoutEnd } from '../resources/support/tiny-chunks.js';
+import { writeTinyChunksWithoutEnd } from '../resources/support/tiny-chunks.js';
 
 const BODY_BYTES = 50_000;
 /** A connection is read in parts of 64 KiB; the body takes six bytes on the wire for each of its own. */
--- a/test/resources/crowds/calm-requests.test.ts
+++ b/test/resources/crowds/calm-requests.test.ts
@@ -3,18 +3,10 @@
 import type { IncomingMessage } from 'node:http';
 import { afterEach, test } from 'node:test';
 import { pause } from '../../../soak/pause.js';
+import { chunks, smallHeaders, tinyChunks } from '../../../soak/wire-requests.js';
 import { assertWithinLimits } from '../support/crowd.js';
 import { answer, RealGateway, type SentRequest } from '../support/real-gateway.js';
-import {
-  chunkedHead,
-  chunks,
-  head,
-  MODEL,
-  smallHeaders,
-  type Target,
-  WEB,
-} from '../support/request-bytes.js';
-import { tinyChunks } from '../support/tiny-chunks.js';
+import { chunkedHead, head, MODEL, type Target, WEB } from '../support/request-bytes.js';
 
 const LIMITS = { maxOldSpaceMb: 64, memoryMb: 300 };
 const CALLER_LIMITS = { headerTimeoutMs: 2_000, idleTimeoutMs: 3_000 };
--- a/test/resources/crowds/many-connections.test.ts
+++ b/test/resources/crowds/many-connections.test.ts
@@ -1,10 +1,10 @@
 /** Guards against a process that runs out of descriptors, or gives no memory back, as crowds come and leave early. */
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
+import { chunks, tinyChunks } from '../../../soak/wire-requests.js';
 import { assertOutlives, assertWithinLimits, openCrowd } from '../support/crowd.js';
 import { type ProcessLimits, RealGateway } from '../support/real-gateway.js';
-import { chunkedHead, chunks, head, openHead, WEB } from '../support/request-bytes.js';
-import { tinyChunks } from '../support/tiny-chunks.js';
+import { chunkedHead, head, openHead, WEB } from '../support/request-bytes.js';
 
 const FEW_DESCRIPTORS_LIMITS = { maxOldSpaceMb: 64, memoryMb: 300, descriptors: 600 };
 const SERIES_LIMITS = { maxOldSpaceMb: 64, memoryMb: 300 };
--- a/test/resources/crowds/unfinished-bodies.test.ts
+++ b/test/resources/crowds/unfinished-bodies.test.ts
@@ -1,5 +1,6 @@
 /** Guards against processes that end, or serve nobody, beside callers whose bodies stop just short of their end. */
 import { afterEach, test } from 'node:test';
+import { chunks, smallHeaders, tinyChunks } from '../../../soak/wire-requests.js';
 import {
   assertOutlives,
   assertServes,
@@ -8,16 +9,7 @@
   openCrowd,
 } from '../support/crowd.js';
 import { RealGateway } from '../support/real-gateway.js';
-import {
-  chunkedHead,
-  chunks,
-  head,
-  MODEL,
-  smallHeaders,
-  type Target,
-  WEB,
-} from '../support/request-bytes.js';
-import { tinyChunks } from '../support/tiny-chunks.js';
+import { chunkedHead, head, MODEL, type Target, WEB } from '../support/request-bytes.js';
 
 const LIMITS = { maxOldSpaceMb: 64, memoryMb: 300 };
 /** Shorter than those of a deployment, so that stalled callers give way within the test. */
--- a/test/resources/crowds/unfinished-heads.test.ts
+++ b/test/resources/crowds/unfinished-heads.test.ts
@@ -1,8 +1,9 @@
 /** Guards against heads that never end and take more memory than the machine has. */
 import { afterEach, test } from 'node:test';
+import { chunks, smallHeaders } from '../../../soak/wire-requests.js';
 import { assertOutlives, holdBodies, openCrowd } from '../support/crowd.js';
 import { type ProcessLimits, RealGateway } from '../support/real-gateway.js';
-import { chunkedHead, chunks, openHead, smallHeaders, WEB } from '../support/request-bytes.js';
+import { chunkedHead, openHead, WEB } from '../support/request-bytes.js';
 
 const HEAD_LIMITS = { maxOldSpaceMb: 48, memoryMb: 200 };
 const HEADS_AND_BODIES_LIMITS = { maxOldSpaceMb: 48, memoryMb: 240 };
--- a/test/resources/support/tiny-chunks.ts
+++ b/test/resources/support/tiny-chunks.ts
@@ -1,15 +1,11 @@
 /** Chunked bodies (RFC 9112 section 7.1) in chunks of one byte, written to the socket as they are on the wire. */
 import type { ServerResponse } from 'node:http';
 import type { Writable } from 'node:stream';
+import { tinyChunks } from '../../../soak/wire-requests.js';
 
-const ONE_BYTE_CHUNK = '1\r\nx\r\n';
-const CHUNKS_PER_WRITE = 10_000;
-const WRITE = Buffer.from(ONE_BYTE_CHUNK.repeat(CHUNKS_PER_WRITE));
+export { tinyChunks };
 
-/** @returns the chunks of a body of this length, without its end */
-export function tinyChunks(bytes: number): Buffer {
-  return Buffer.from(ONE_BYTE_CHUNK.repeat(bytes));
-}
+const WRITE = tinyChunks(10_000);
 
 /** Sends the head of an answer, and chunks of one byte until its connection is closed. */
 export function writeTinyChunksWithoutEnd(response: ServerResponse): void {
--- a/test/soak/gateway-process.test.ts
+++ b/test/soak/gateway-process.test.ts
@@ -46,6 +46,7 @@
     dutyPort: 1,
     program,
     earlierProgram: undefined,
+    machine: undefined,
     directory,
     bounds: {
       contactMs: 3_000,
--- a/test/soak/life-judge.test.ts
+++ b/test/soak/life-judge.test.ts
@@ -18,6 +18,7 @@
     endedMs: undefined,
     end: undefined,
     readyMs: polls(BEGIN_MS, 60_000),
+    peakResidentBytes: 0,
     ...fields,
   };
 }
@@ -36,6 +37,7 @@
     lives: [],
     portChecks: [],
     falseReadiness: [],
+    machineBytes: undefined,
     disturbances: [],
     bounds: { contactMs: 3_000, graceMs: 8_000 },
     beginMs: BEGIN_MS,
@@ -135,3 +137,18 @@
     'd1 was ready while its port for callers was taken',
   ]);
 });
+
+// Guards against a soak that misses a process which the system of a machine with less memory would have ended.
+test('a process that took more memory than its machine has is a fault, also while it was disturbed', () => {
+  const machineBytes = 350 * 1_048_576;
+  const over = life({ peakResidentBytes: machineBytes + 1 });
+  const disturbances = [disturbance({ toMs: 60_000 })];
+  assert.deepEqual(details({ lives: [over], machineBytes, disturbances }), [
+    'd1 took 351 MB of 350',
+  ]);
+  assert.deepEqual(
+    details({ lives: [life({ peakResidentBytes: machineBytes })], machineBytes }),
+    [],
+  );
+  assert.deepEqual(details({ lives: [over] }), []);
+});
--- a/test/soak/oracle.test.ts
+++ b/test/soak/oracle.test.ts
@@ -86,6 +86,7 @@
     duties: [],
     bounds: BOUNDS,
     hasStrictStops: false,
+    machineBytes: undefined,
     beginMs: 0,
     endMs: 60_000,
     ...fields,
--- a/test/soak/start-hindrances.test.ts
+++ b/test/soak/start-hindrances.test.ts
@@ -41,6 +41,7 @@
     storePort: 2_001,
     dutyPort: 2_002,
     bounds: boundsOf(6),
+    machine: undefined,
   });
   const isValid = () => parseGatewaySettings(readFileSync(file.path, 'utf8')).isOk();
   assert.ok(isValid());
--- a/test/soak/stop-judge.test.ts
+++ b/test/soak/stop-judge.test.ts
@@ -26,6 +26,7 @@
     endedMs: CUT_MS,
     end: undefined,
     readyMs: [],
+    peakResidentBytes: 0,
     ...fields,
   };
 }
