--- a/soak/crowd-plan.ts
+++ b/soak/crowd-plan.ts
@@ -20,7 +20,7 @@
 /** The fewest and the most connections of a crowd to one daemon. */
 const CALLERS: Readonly<Record<CrowdKind, readonly [number, number]>> = {
   'tiny-chunks': [20, 80],
-  'large-chunks': [60, 200],
+  'large-chunks': [100, 350],
   'declared-lengths': [100, 300],
   'small-headers': [200, 800],
   'unfinished-heads': [200, 1_000],
--- a/soak/crowd-requests.ts
+++ b/soak/crowd-requests.ts
@@ -39,8 +39,8 @@
 
 let requests = 0;
 
-/** Returns the function that makes the bytes of each caller of a crowd. */
-export function crowdRequests(crowd: CrowdKind): () => Buffer {
+/** Returns the function that makes what each caller of a crowd writes, of which all callers share the last Buffer. */
+export function crowdRequests(crowd: CrowdKind): () => readonly Buffer[] {
   switch (crowd) {
     case 'tiny-chunks':
       return withBody(MODEL_PATH, chunkedBody(tinyChunks(TINY_CHUNK_BODY_BYTES)));
@@ -54,10 +54,10 @@
       return withBody(WEB_PATH, unsentBody(2, smallHeaders(SMALL_HEADERS)));
     case 'unfinished-heads': {
       const long = { 'X-Long': 'x'.repeat(LONG_HEADER_BYTES) };
-      return () => Buffer.from(openHead('POST', WEB_PATH, { ...headers(), ...long }));
+      return () => [Buffer.from(openHead('POST', WEB_PATH, { ...headers(), ...long }))];
     }
     case 'pipelined':
-      return () => Buffer.from(pipelined());
+      return () => [Buffer.from(pipelined())];
     case 'brief-connections':
       return withBody(WEB_PATH, unsentBody(2, {}));
     case 'unread-streams':
@@ -76,10 +76,10 @@
   };
 }
 
-function withBody(path: string, { headers: own, bytes }: SentBody): () => Buffer {
+function withBody(path: string, { headers: own, bytes }: SentBody): () => readonly Buffer[] {
   return () => {
     const head = wholeHead('POST', path, { ...headers(), ...own });
-    return Buffer.concat([Buffer.from(head), bytes]);
+    return [Buffer.from(head), bytes];
   };
 }
 
--- a/soak/crowds.ts
+++ b/soak/crowds.ts
@@ -81,7 +81,7 @@
   readonly #crowds: Crowds;
   readonly #fault: CrowdFault;
   readonly #target: CrowdTarget;
-  readonly #bytes: () => Buffer;
+  readonly #request: () => readonly Buffer[];
   readonly #open = new Set<Socket>();
   #hasLeft = false;
 
@@ -89,7 +89,7 @@
     this.#crowds = crowds;
     this.#fault = fault;
     this.#target = target;
-    this.#bytes = crowdRequests(fault.crowd);
+    this.#request = crowdRequests(fault.crowd);
   }
 
   async play(): Promise<void> {
@@ -120,7 +120,7 @@
       this.#crowds.counts.closed += 1;
       if (comeBack) setTimeout(() => this.#connect(), RETURN_DELAY_MS);
     });
-    socket.write(this.#bytes());
+    for (const bytes of this.#request()) socket.write(bytes);
     if (crowd === 'brief-connections') this.#resetSoon(socket);
   }
 
