An engine's cache events no longer end the process by the objects that they are parsed into

What callers saw: a machine that ends by itself, again and again, as each poll of that engine brings the same. Cause: an answer to a poll is bounded in bytes (4 MiB) and accounted for as such, but two bytes of JSON are an object: 4 MiB of `[]` are 1.4 million lists, and the schema copied each, or described each item that was none.

--- a/src/shell/gateway/cache-event-watchers.ts
+++ b/src/shell/gateway/cache-event-watchers.ts
@@ -6,6 +6,7 @@
 
 import type { ServerRecord } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
+import { countJsonValues } from '../bytes/index.js';
 import type { FleetView } from './fleet-view.js';
 import { runLoopInBackground } from './internal-faults.js';
 import type { EngineCacheEvents } from './peer-messages.js';
@@ -29,6 +30,8 @@
 const MIN_FORWARDED_TOKENS = 1_024;
 const TOO_MANY_REQUESTS_STATUS = 429;
 const MAX_RESPONSE_BYTES = 4_194_304;
+/** Some times the events of all parts that are indexed of one engine. */
+const MAX_RESPONSE_VALUES = 262_144;
 
 /** Decides which engines this daemon polls, and forwards their events to the daemons that do not. */
 export interface CacheEventDuty {
@@ -186,6 +189,7 @@
     if (result.kind !== 'answered') return 'failed';
     if (result.answer.status === TOO_MANY_REQUESTS_STATUS) return 'turned-away';
     if (result.answer.status !== 200 || body === undefined) return 'failed';
+    if (countJsonValues(body) > MAX_RESPONSE_VALUES) return 'failed';
     const news = codec.readCacheEvents(body);
     if (news === undefined) return 'failed';
     if (!this.#stopped.aborted) this.#apply(news);
