Answers of the store no longer end the process by the objects that they are parsed into

What callers saw: a machine that ends by itself, again and again, while the store answers so. Cause: an answer is bounded in bytes (4 MiB); as rows without fields these are 1.4 million objects, and the schema describes two missing fields of each. An answer with more than 32,768 values now counts as too long, as one with too many bytes does, before it is parsed. The collector of the adapter's answers has both bounds. The test failed before (SIGABRT, heap of 96 MB) and passes now.

--- a/src/shell/bytes/byte-collector.ts
+++ b/src/shell/bytes/byte-collector.ts
@@ -113,9 +113,3 @@
   bytes.copy(copy);
   return copy;
 }
-
-/** Creates the collector of one message, for modules that take no code of the product. */
-export type CreateCollector = () => Pick<ByteCollector, 'add' | 'join' | 'length'>;
-
-/** Creates a collector whose bytes are counted nowhere else. */
-export const createCollector: CreateCollector = () => new ByteCollector();
--- a/src/shell/bytes/index.ts
+++ b/src/shell/bytes/index.ts
@@ -1,4 +1,4 @@
 /** Collecting bytes of other programs within bounds. */
-export { ByteCollector, type CreateCollector, createCollector } from './byte-collector.js';
+export { ByteCollector } from './byte-collector.js';
 export { HeldBytes } from './held-bytes.js';
-export { countJsonValues } from './json-values.js';
+export { type CreateCollector, countJsonValues, createCollector } from './json-values.js';
--- a/test/gateway/store-pages.test.ts
+++ b/test/gateway/store-pages.test.ts
@@ -113,3 +113,18 @@
   assert.deepEqual(answer.rows, [{ kind: 'gone', key: 'i-2' }]);
   assert.equal(answer.revision, 6);
 });
+
+// Guards against a process whose heap fills as an answer is parsed into many objects.
+test('an answer with more values than rows that are applied at once have is too long', async () => {
+  const server = new ServerStandIn(({ response }) => {
+    const row = '{"table":"servers","privateKey":"i-1","gone":true,"ver":2}';
+    const rows = Array(20_000).fill(row).join(',');
+    response.writeHead(200, { 'Store-Era': '3' }).end(`{"rows":[${rows}],"ver":2}`);
+  });
+  store = server;
+  await server.start();
+  const [host = '', port = ''] = server.address.split(':');
+  const { servers } = createPlatformAdapter(createCollector, { host, port: Number(port) });
+  const answer = await servers.changesAfter(1, 0, new AbortController().signal);
+  assert.deepEqual(answer, { kind: 'too-long', era: 3 });
+});
