A read of the daemons' own rows whose pages repeat no longer goes on without end

What callers saw: nothing until the heap is full, as each page has a time-out of its own and what its rows hold is kept. It now fails, as if a page had failed. The test read 100 pages before (as many as its stand-in said there are) and reads two now.

--- a/src/shell/gateway/table-call.ts
+++ b/src/shell/gateway/table-call.ts
@@ -55,7 +55,7 @@
 }
 
 /**
- * What the rows of a prefix hold, or undefined if a page failed: a partial list is worse than an earlier complete one.
+ * What the rows of a prefix hold, or undefined if a page failed or was repeated: a partial list is worse than an earlier complete one.
  * @param readRow called for each row as its page arrives: the values of many long rows would not fit the heap
  */
 export async function readAllRows<Item>(
@@ -69,6 +69,8 @@
     const page = { kind: 'scan', prefix, limit: PAGE_ROWS } as const;
     const result = await callPage(after === undefined ? page : { ...page, after });
     if (result.kind !== 'rows') return undefined;
+    const isSamePage = after !== undefined && result.continueAfter === after;
+    if (isSamePage) return undefined;
     items.push(...result.rows.flatMap(readRow));
     after = result.continueAfter;
   } while (after !== undefined);
--- a/test/gateway/store-pages.test.ts
+++ b/test/gateway/store-pages.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, test } from 'node:test';
 import { createPlatformAdapter } from '../../platform/index.js';
 import { TABLES } from '../../platform/names.js';
+import type { TableCall } from '../../src/core/platform/table.js';
 import { createCollector } from '../../src/shell/bytes/index.js';
 import { callTable, readAllRows } from '../../src/shell/gateway/table-call.js';
 import { SYSTEM_TIMERS } from '../../src/shell/gateway/timer-service.js';
@@ -128,3 +129,24 @@
   const answer = await servers.changesAfter(1, 0, new AbortController().signal);
   assert.deepEqual(answer, { kind: 'too-long', era: 3 });
 });
+
+// Guards against reads that go on without end, and keep all that they have read.
+test('a read whose pages repeat fails', async () => {
+  const signal = new AbortController().signal;
+  let pages = 0;
+  const server = new ServerStandIn(({ response }) => {
+    pages += 1;
+    const row = { table: 'servers', privateKey: 'peer/1', value: 'e30=', ver: 1 };
+    response.writeHead(200).end(JSON.stringify({ rows: [row], more: pages < 100, ver: 9 }));
+  });
+  store = server;
+  await server.start();
+  const [host = '', port = ''] = server.address.split(':');
+  const adapter = createPlatformAdapter(createCollector, { host, port: Number(port) });
+  const answer = await adapter.servers.readAll(signal, () => undefined);
+  assert.deepEqual([answer.kind, pages], ['failed', 2]);
+  pages = 0;
+  const callPage = (page: TableCall) => adapter.table.call(page, signal);
+  const rows = await readAllRows('peer/', callPage, ({ key }) => [key]);
+  assert.deepEqual([rows, pages], [undefined, 2]);
+});
