--- a/src/shell/bytes/index.ts
+++ b/src/shell/bytes/index.ts
@@ -3,3 +3,4 @@
 export { ANSWER_READING, type AnswerReading } from './answer-reading.js';
 export { ByteCollector } from './byte-collector.js';
 export { HeldBytes } from './held-bytes.js';
+export { countJsonValues } from './json-values.js';
