--- a/src/shell/gateway/body-reader.ts
+++ b/src/shell/gateway/body-reader.ts
@@ -80,6 +80,7 @@
         if (arriving.length + chunk.length > maxBytes) return end({ kind: 'too-large' });
         arriving.add(chunk);
         stalled.recordArrival(watched);
+        if (arriving.reserve()) return;
         const hasMemory = stalled.makeRoom(() => isEnded || arriving.reserve() || undefined);
         if (hasMemory === undefined) end({ kind: 'no-memory' });
       });
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -240,7 +240,7 @@
       return this.#rejectUnread(open, NO_MEMORY_REASON);
     }
     response.once('close', () => memory.release());
-    const onPiece = (bytes: number) => intake.recordBody(request, bytes);
+    const onPiece = intake.bodyRecorder(request);
     await this.#admit(open, { request, response, memory, onPiece }, headers);
   }
 
--- a/src/shell/gateway/head-monitor.ts
+++ b/src/shell/gateway/head-monitor.ts
@@ -15,9 +15,10 @@
 /** Heads may be spelled longer than they are counted, with more spaces. */
 const MAX_SPELLING_BYTES = 512;
 const BLANK_LINE = '\r\n\r\n';
-/** What frames a chunk besides the digits of its length. */
-const CHUNK_FRAME_BYTES = 4;
-const HEX = 16;
+/** The ends of the two lines of a chunk. */
+const CHUNK_LINE_ENDS_BYTES = 4;
+const BITS = 32;
+const BITS_PER_HEX_DIGIT = 4;
 
 /** Why a connection is closed. */
 export type HeadRefusal = 'head-gave-way' | 'head-too-large';
@@ -79,11 +80,13 @@
     return this.#connections.get(socket)?.request !== undefined;
   }
 
-  /** Records a piece of a body. */
-  recordBody({ socket }: IncomingMessage, bytes: number): void {
+  /** Returns what records each piece of a request's body, by its length. */
+  bodyRecorder({ socket }: IncomingMessage): (bytes: number) => void {
     const connection = this.#connections.get(socket);
-    if (connection?.isChunked !== true) return;
-    connection.balanceBytes -= bytes + bytes.toString(HEX).length + CHUNK_FRAME_BYTES;
+    if (connection?.isChunked !== true) return () => undefined;
+    return (bytes) => {
+      connection.balanceBytes -= bytes + chunkFrameBytes(bytes);
+    };
   }
 
   /** Records a piece that has been parsed. */
@@ -153,6 +156,12 @@
   }
 }
 
+/** What frames a chunk of some length, besides its content. */
+function chunkFrameBytes(bytes: number): number {
+  const digits = Math.ceil((BITS - Math.clz32(bytes)) / BITS_PER_HEX_DIGIT);
+  return CHUNK_LINE_ENDS_BYTES + digits;
+}
+
 function endsWithBlankLine(piece: Buffer): boolean {
   return (
     piece.length >= BLANK_LINE.length &&
--- a/src/shell/gateway/request-intake.ts
+++ b/src/shell/gateway/request-intake.ts
@@ -74,9 +74,9 @@
     return this.answers.countOf(socket) > 1;
   }
 
-  /** Records a piece of a request's body. */
-  recordBody(request: IncomingMessage, bytes: number): void {
-    this.#heads.recordBody(request, bytes);
+  /** Returns what records each piece of a request's body, by its length. */
+  bodyRecorder(request: IncomingMessage): (bytes: number) => void {
+    return this.#heads.bodyRecorder(request);
   }
 
   /** Closes the connection of a request that is not taken: its answer would wait for others and hold memory. */
--- a/test/gateway/head-monitor.test.ts
+++ b/test/gateway/head-monitor.test.ts
@@ -40,9 +40,10 @@
   });
   server = http.createServer({ maxHeaderSize: 131_072 }, (request, response) => {
     monitor.recordRequest(request);
+    const record = monitor.bodyRecorder(request);
     request.on('data', (chunk: Buffer) => {
       bodyBytes += chunk.length;
-      monitor.recordBody(request, chunk.length);
+      record(chunk.length);
     });
     request.on('end', () => {
       ended += 1;
