Answers that callers do not read are given up

What callers saw: nothing at first; but a caller that reads nothing of a large answer held its body for as long as its connection was open, as no time-out ran once the answer was complete here.

An answer that was handed to its connection whole is given up, and looks truncated, once its caller takes no byte of it for idleTimeoutMs. The connection's own time-out measures it, as only that begins anew with each part that the system takes; the system tells of a part once a third of what it buffers for the connection has left. Counted as answer-unread, event 6237.

--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -64,4 +64,13 @@
     remedy:
       'Nothing of these requests was run. If head-gave-way repeats, look for callers that begin many heads and do not end them; if head-too-large does, make maxHeaderBytes of the configuration larger.',
   },
+  answersUnread: {
+    number: 6237,
+    level: 'warn',
+    reserve: 'process-life',
+    message:
+      'connections were closed whose callers took no byte of a complete answer for idleTimeoutMs of the configuration',
+    remedy:
+      'These callers did not get the whole answer to a request that ran. If callers pause for longer while they read, make idleTimeoutMs of the configuration longer.',
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -37,6 +37,7 @@
 import { StalledBodies } from './stalled-bodies.js';
 import { STOPPING_RETRY_AFTER_MS } from './stop-refusal.js';
 import { delay, type TimerService } from './timer-service.js';
+import { UnreadAnswers } from './unread-answers.js';
 import { runWebExchange } from './web-exchange.js';
 
 /** Limit of the HTTP parser; the configured limit is checked after parsing. */
@@ -100,15 +101,18 @@
   readonly #stalled: StalledBodies;
   readonly #intake: RequestIntake;
   readonly #bodies: BodyReader;
+  readonly #unread: UnreadAnswers;
   readonly connections: CallerConnections;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
     const { timers, context } = options;
-    this.#stalled = new StalledBodies({
-      timers,
-      idleTimeoutMs: () =>
-        context.fleet.inForce?.configuration.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
+    const idleTimeoutMs = () =>
+      context.fleet.inForce?.configuration.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
+    this.#stalled = new StalledBodies({ timers, idleTimeoutMs });
+    this.#unread = new UnreadAnswers({
+      idleTimeoutMs,
+      onGivenUp: (heldBytes) => options.refusals.record('answer-unread', heldBytes),
     });
     this.#bodies = new BodyReader(this.#stalled);
     this.#server = http.createServer(
@@ -210,6 +214,7 @@
     const arrivedAtMs = this.#options.timers.nowMs();
     const open = this.#open.add({ request, response, forwarded, arrivedAtMs });
     response.on('error', () => breakOffResponse(response));
+    this.#unread.watch(response);
     this.#reserveAndAdmit(open, intake).catch((exception: unknown) => {
       this.#logFault(request, exception);
       if (response.headersSent) breakOffResponse(response);
--- a/src/shell/gateway/caller-refusals.ts
+++ b/src/shell/gateway/caller-refusals.ts
@@ -19,7 +19,8 @@
   | 'pipelined-too-many'
   | 'head-timed-out'
   | 'head-gave-way'
-  | 'head-too-large';
+  | 'head-too-large'
+  | 'answer-unread';
 
 interface Unlogged {
   callers: number;
@@ -85,5 +86,7 @@
     case 'head-gave-way':
     case 'head-too-large':
       return RESOURCE_EVENTS.headsRefused;
+    case 'answer-unread':
+      return RESOURCE_EVENTS.answersUnread;
   }
 }
--- a/test/gateway/callers-that-stop.test.ts
+++ b/test/gateway/callers-that-stop.test.ts
@@ -14,6 +14,10 @@
   headerTimeoutMs: 500,
   idleTimeoutMs: 1_000,
 };
+/** More than the system buffers for a caller that does not read. */
+const LARGE_ANSWER_BYTES = 15_000_000;
+/** After each read of 64 KB; all pauses together last several times the idle time-out. */
+const PAUSE_MS = 20;
 const HEAD = 'POST /tiles/1 HTTP/1.1\r\nHost: labels.example\r\nX-Attempt-Id: attempt-1\r\n';
 
 let fixture: GatewayFixture;
@@ -50,6 +54,7 @@
     text += chunk.toString('latin1');
   });
   caller.on('error', () => undefined);
+  caller.resume();
   await once(caller, 'close');
   return text;
 }
@@ -117,3 +122,28 @@
   assert.match(await received(caller), /^HTTP\/1\.1 400 /);
   assert.equal(server.seen.length, 0);
 });
+
+test('an answer that its caller does not read for the idle time-out is given up, and looks truncated', async () => {
+  server.script = answering(200, 'x'.repeat(LARGE_ANSWER_BYTES));
+  const caller = open();
+  caller.pause();
+  caller.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+  await fixture.logged(RESOURCE_EVENTS.answersUnread, ({ heldBytes }) => Number(heldBytes) > 0);
+  const text = await received(caller);
+  assert.match(text, /^HTTP\/1\.1 200 /);
+  assert.ok(text.length < LARGE_ANSWER_BYTES);
+});
+
+test('an answer that its caller takes with pauses below the idle time-out arrives whole', async () => {
+  server.script = answering(200, 'x'.repeat(LARGE_ANSWER_BYTES));
+  const caller = open();
+  caller.write(`${HEAD}Content-Length: 0\r\nConnection: close\r\n\r\n`);
+  let taken = 0;
+  caller.on('data', (chunk: Buffer) => {
+    taken += chunk.length;
+    caller.pause();
+    setTimeout(() => caller.resume(), PAUSE_MS);
+  });
+  await once(caller, 'close');
+  assert.ok(taken > LARGE_ANSWER_BYTES, `${taken} bytes`);
+});
