Requests are admitted as far as there is heap for their objects

Heads were bounded in bytes only: 500 callers with 1,900 small headers each (some 100 KB of objects a request, measured) ended a daemon with a heap of 64 MB by SIGABRT. The heap of each request is estimated from its headers and reserved until its answer is closed; beyond maxRequestHeapBytes (256 MiB), and beyond half of what V8's heap limit leaves, a request is told 503 with Retry-After and has not been run, and its head's objects are released. Health, readiness and metrics have a reserve.

--- a/src/shell/http/caller-routes.ts
+++ b/src/shell/http/caller-routes.ts
@@ -10,7 +10,13 @@
 import { refuseEarly } from './early-refusal.js';
 import type { HttpLimits } from './limits.js';
 import type { CompletionShape } from './model-call.js';
-import { answerPage, METHOD_NOT_ALLOWED, type PageSources, UNKNOWN_ROUTE } from './pages.js';
+import {
+  answerPage,
+  isPage,
+  METHOD_NOT_ALLOWED,
+  type PageSources,
+  UNKNOWN_ROUTE,
+} from './pages.js';
 import {
   type Arrival,
   MODEL_PATHS,
@@ -44,6 +50,11 @@
     this.#host = host;
   }
 
+  /** Whether a request is for a page of the daemon itself. */
+  isForPage({ url = '/' }: IncomingMessage): boolean {
+    return isPage(pathOf(originForm(url)));
+  }
+
   /** Handles a request whose headers have arrived. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     request.url = originForm(request.url ?? '/');
--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type AddressInfo, Server as NetServer, type Socket } from 'node:net';
+import { getHeapStatistics } from 'node:v8';
 import type { DaemonName, Incarnation, RequestId } from '../../core/common/identifiers.js';
 import type { MonotonicMs } from '../../core/common/time.js';
 import type { VersionedConfiguration } from '../../core/configuration/document.js';
@@ -25,6 +26,8 @@
 import { PassThroughAttempt } from './pass-through-attempt.js';
 import { PendingAnswers } from './pending-answers.js';
 import type { RefusalListener } from './refusal-log.js';
+import { RequestAdmission } from './request-admission.js';
+import { RequestMemory, requestHeapLimit } from './request-memory.js';
 import type { PreparedRequest } from './request-preparation.js';
 import { StreamAttempt } from './stream-attempt.js';
 
@@ -76,6 +79,7 @@
   readonly #pools: BackendPools;
   readonly bodies: BodyIntake;
   readonly pages: PageSources;
+  readonly #admission: RequestAdmission;
   readonly #routes = new CallerRoutes(this);
   readonly #connections = new CallerConnections();
   readonly #answers = new PendingAnswers();
@@ -95,7 +99,13 @@
     this.bodies = new BodyIntake({
       limits,
       now: () => options.now(),
-      onRefused: (reason, heldBytes) => options.onRefused(reason, heldBytes),
+      onRefused: options.onRefused,
+    });
+    const heapLimitBytes = requestHeapLimit(getHeapStatistics().heap_size_limit);
+    this.#admission = new RequestAdmission({
+      memory: new RequestMemory(Math.min(limits.maxRequestHeapBytes, heapLimitBytes)),
+      answers: this.#answers,
+      onRefused: options.onRefused,
     });
     this.#index = new ConfigurationIndex(options.configuration());
     this.#server = createServer(
@@ -238,12 +248,10 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
-    if (!this.#answers.add(request.socket, response)) {
-      request.resume();
-      return;
-    }
+    const admission = this.#admission.admit(request, response, this.#routes.isForPage(request));
+    if (admission === 'ignored') return;
     this.#connections.trackRequest(request.socket, response);
-    this.#routes.handle(request, response);
+    if (admission === 'admitted') this.#routes.handle(request, response);
   }
 
   /** Reports a dispatch of a released request as not sent, so that the core does not wait for it. */
--- a/src/shell/http/early-refusal.ts
+++ b/src/shell/http/early-refusal.ts
@@ -30,6 +30,17 @@
   discardBody(request, () => response.end());
 }
 
+/** As `refuseEarly`, and releases the objects of the request's head, which is not looked at any more. */
+export function refuseForgotten(
+  request: IncomingMessage,
+  response: ServerResponse,
+  fault: Fault,
+): void {
+  refuseEarly(request, response, fault);
+  request.headers = {};
+  request.rawHeaders = [];
+}
+
 function hasNoBody(request: IncomingMessage): boolean {
   const { headers } = request;
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
--- a/src/shell/http/limits.ts
+++ b/src/shell/http/limits.ts
@@ -19,6 +19,8 @@
   readonly maxBodyBytes: number;
   /** Memory of all request bodies held at once; a body that would exceed it is answered with 503. */
   readonly maxBufferedBytes: number;
+  /** Estimated heap of all requests until their answers end; also bounded by V8's heap limit. Beyond it: 503. */
+  readonly maxRequestHeapBytes: number;
   /** The largest `max_tokens` that a caller may request. */
   readonly maxOutputTokens: number;
   /** How long a caller may leave written bytes unread before its connection is closed. */
@@ -56,6 +58,7 @@
   keepAliveTimeoutMs: 15_000,
   maxBodyBytes: 8 * MIB,
   maxBufferedBytes: 256 * MIB,
+  maxRequestHeapBytes: 256 * MIB,
   maxOutputTokens: 131_072,
   callerStallTimeoutMs: 30_000,
   stopIdleGraceMs: 1_000,
--- a/src/shell/http/pages.ts
+++ b/src/shell/http/pages.ts
@@ -31,6 +31,11 @@
 
 const PAGES: ReadonlySet<string> = new Set(['/v1/models', '/healthz', '/readyz', '/metrics']);
 
+/** Whether a path is a page. */
+export function isPage(path: string): boolean {
+  return PAGES.has(path);
+}
+
 /** Answers a request for a page; returns false when the path is not a page. */
 export function answerPage(
   request: IncomingMessage,
@@ -39,7 +44,7 @@
   sources: PageSources,
   index: ConfigurationIndex,
 ): boolean {
-  if (!PAGES.has(path)) return false;
+  if (!isPage(path)) return false;
   if (request.method !== 'GET' && request.method !== 'HEAD') {
     refuseEarly(request, response, METHOD_NOT_ALLOWED);
     return true;
--- a/src/shell/http/refusal-log.ts
+++ b/src/shell/http/refusal-log.ts
@@ -12,7 +12,9 @@
   /** A body that made no progress was given up for another one, as there was no memory for both. */
   | 'body-gave-way'
   /** There was no memory for a body. */
-  | 'no-room-for-body';
+  | 'no-room-for-body'
+  /** There was no heap for another request. */
+  | 'no-room-for-request';
 
 /** Receives each refusal with the memory that was held for the caller. */
 export type RefusalListener = (reason: CallerRefusal, heldBytes: number) => void;
--- a/src/shell/settings/schema.ts
+++ b/src/shell/settings/schema.ts
@@ -82,6 +82,12 @@
   maxBufferedBytes: countSchema(DEFAULT_HTTP_LIMITS.maxBufferedBytes, MAX_BUFFERED_BYTES).describe(
     'memory of all request bodies held at once, in bytes; beyond it new ones are answered 503',
   ),
+  maxRequestHeapBytes: countSchema(
+    DEFAULT_HTTP_LIMITS.maxRequestHeapBytes,
+    MAX_BUFFERED_BYTES,
+  ).describe(
+    "estimated heap of all requests until their answers end, in bytes; never over half of what V8's heap limit leaves; beyond it new ones are answered 503",
+  ),
   maxOutputTokens: countSchema(DEFAULT_HTTP_LIMITS.maxOutputTokens).describe(
     'the largest `max_tokens` that a caller may ask for',
   ),
