No more connections are accepted than there is heap for their heads

What a head's headers take in the parser until the head is complete is in no account: 1,500 callers with unfinished heads of 13 KB (48 KB of objects each, measured) ended a daemon with a heap of 64 MB by SIGABRT. maxConnections is bounded by half of what V8's heap limit leaves, at 6 KiB and four times maxHeaderBytes a connection; the default of 10,000 is not touched from 2 GiB on. Connections that are closed as they are accepted were seen nowhere; they are counted and logged.

--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -27,7 +27,7 @@
 import { PendingAnswers } from './pending-answers.js';
 import type { RefusalListener } from './refusal-log.js';
 import { RequestAdmission } from './request-admission.js';
-import { RequestMemory, requestHeapLimit } from './request-memory.js';
+import { connectionLimit, RequestMemory, requestHeapLimit } from './request-memory.js';
 import type { PreparedRequest } from './request-preparation.js';
 import { StreamAttempt } from './stream-attempt.js';
 
@@ -101,9 +101,10 @@
       now: () => options.now(),
       onRefused: options.onRefused,
     });
-    const heapLimitBytes = requestHeapLimit(getHeapStatistics().heap_size_limit);
+    const { heap_size_limit: heapLimitBytes } = getHeapStatistics();
+    const requestHeapBytes = requestHeapLimit(heapLimitBytes);
     this.#admission = new RequestAdmission({
-      memory: new RequestMemory(Math.min(limits.maxRequestHeapBytes, heapLimitBytes)),
+      memory: new RequestMemory(Math.min(limits.maxRequestHeapBytes, requestHeapBytes)),
       answers: this.#answers,
       onRefused: options.onRefused,
     });
@@ -123,7 +124,11 @@
       },
       (request, response) => this.#handle(request, response),
     );
-    this.#server.maxConnections = limits.maxConnections;
+    this.#server.maxConnections = Math.min(
+      limits.maxConnections,
+      connectionLimit(heapLimitBytes, limits.maxHeaderBytes),
+    );
+    this.#server.on('drop', () => options.onRefused('too-many-connections', 0));
     this.#server.on('connection', (socket: Socket) => this.#connections.track(socket));
     this.#server.on('clientError', (error: ClientError, socket) =>
       answerClientError(error, socket as Socket),
--- a/src/shell/http/limits.ts
+++ b/src/shell/http/limits.ts
@@ -3,7 +3,7 @@
 
 /** Limits of the callers' HTTP server and of its connections to backends. */
 export interface HttpLimits {
-  /** Open caller connections; connections beyond it are closed at once. */
+  /** Open caller connections; also bounded by V8's heap limit. Connections beyond it are closed at once. */
   readonly maxConnections: number;
   /** Bytes of the request line and headers; larger ones are answered with 431. */
   readonly maxHeaderBytes: number;
--- a/src/shell/http/refusal-log.ts
+++ b/src/shell/http/refusal-log.ts
@@ -14,7 +14,9 @@
   /** There was no memory for a body. */
   | 'no-room-for-body'
   /** There was no heap for another request. */
-  | 'no-room-for-request';
+  | 'no-room-for-request'
+  /** A connection was closed as it was accepted, as there were too many. */
+  | 'too-many-connections';
 
 /** Receives each refusal with the memory that was held for the caller. */
 export type RefusalListener = (reason: CallerRefusal, heldBytes: number) => void;
--- a/src/shell/http/request-memory.ts
+++ b/src/shell/http/request-memory.ts
@@ -11,6 +11,10 @@
 const HEADER_HEAP_BYTES = 128;
 /** Headers are kept as they came, and sent on. */
 const HEAP_BYTES_PER_CHARACTER = 2;
+/** A connection and its parser. */
+const CONNECTION_HEAP_BYTES = 6_144;
+/** Headers of a head that is incomplete are objects of the parser already. */
+const HEAP_BYTES_PER_UNREAD_BYTE = 4;
 /** Near its limit, V8 collects the heap all the time. */
 const USABLE_HEAP_SHARE = 0.8;
 /** The program, the configuration, the fleet's state, and idle connections. */
@@ -28,6 +32,12 @@
   return Math.max(MIN_REQUESTS_BYTES, REQUESTS_SHARE * usableBytes);
 }
 
+/** The most connections whose heads may all be incomplete in a process with this heap limit. */
+export function connectionLimit(heapLimitBytes: number, maxHeaderBytes: number): number {
+  const connectionBytes = CONNECTION_HEAP_BYTES + maxHeaderBytes * HEAP_BYTES_PER_UNREAD_BYTE;
+  return Math.floor(requestHeapLimit(heapLimitBytes) / connectionBytes);
+}
+
 /** An estimate of the heap that a request takes. */
 export function requestHeapBytes(request: Pick<IncomingMessage, 'rawHeaders'>): number {
   const { rawHeaders } = request;
--- a/src/shell/settings/schema.ts
+++ b/src/shell/settings/schema.ts
@@ -59,7 +59,7 @@
 
 const httpLimitsSchema = z.strictObject({
   maxConnections: countSchema(DEFAULT_HTTP_LIMITS.maxConnections).describe(
-    'open caller connections; further ones are closed at once',
+    "open caller connections, never more than V8's heap limit has room for; further ones are closed at once",
   ),
   maxHeaderBytes: countSchema(DEFAULT_HTTP_LIMITS.maxHeaderBytes, MAX_HEADER_BYTES).describe(
     "bytes of a request's line and headers; more is answered 431",
--- a/test/http/request-memory.test.ts
+++ b/test/http/request-memory.test.ts
@@ -1,8 +1,10 @@
 /** Guards against a process that V8 ends as requests with few bytes are many objects in its heap. */
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { type TestContext, test } from 'node:test';
-import type { HttpLimits } from '../../src/shell/http/index.js';
-import { requestHeapLimit } from '../../src/shell/http/request-memory.js';
+import { DEFAULT_HTTP_LIMITS, type HttpLimits } from '../../src/shell/http/index.js';
+import { connectionLimit, requestHeapLimit } from '../../src/shell/http/request-memory.js';
 import { call, type Harness, rawCall, startHarness, startHttpBackend } from './support.js';
 
 const MEGABYTE = 1_048_576;
@@ -95,3 +97,19 @@
   assert.equal(requestHeapLimit(20 * MEGABYTE), 4 * MEGABYTE);
   assert.ok(requestHeapLimit(2_048 * MEGABYTE) > 256 * MEGABYTE);
 });
+
+test('so do the connections whose heads may be incomplete, and the defaults are not bounded by 2 GiB', () => {
+  assert.equal(connectionLimit(70 * MEGABYTE, 16_384), 190);
+  assert.ok(connectionLimit(2_048 * MEGABYTE, 16_384) >= DEFAULT_HTTP_LIMITS.maxConnections);
+});
+
+test('a connection beyond the limit is closed at once, and counted', async (t) => {
+  const { harness } = await start(t, { maxConnections: 1 });
+  const kept = connect(harness.port, '127.0.0.1');
+  await once(kept, 'connect');
+  const dropped = connect(harness.port, '127.0.0.1');
+  dropped.on('error', () => dropped.destroy());
+  await once(dropped, 'close');
+  kept.destroy();
+  assert.deepEqual(harness.refusals, ['too-many-connections']);
+});
