A connection is not read while many of its requests are under way

60 callers with 6,000 pipelined GETs each ended a daemon with a heap of 64 MB by SIGABRT, also once requests were admitted by their heap: node:http parses each read of 64 KB as a whole, 1,900 such requests, before a handler can stop it, and keeps the objects of a connection that was closed meanwhile until the end of the turn (278 MB of heap in a trial with 400 MB). The bytes of a connection are handed to the parser in pieces of 4 KB, and with maxPipelinedRequests (64) open answers it is not read until half of them have ended. A request for which there is no heap closes a connection that has others under way; one that sends on is closed at once.

--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -106,6 +106,7 @@
     this.#admission = new RequestAdmission({
       memory: new RequestMemory(Math.min(limits.maxRequestHeapBytes, requestHeapBytes)),
       answers: this.#answers,
+      maxPipelinedRequests: limits.maxPipelinedRequests,
       onRefused: options.onRefused,
     });
     this.#index = new ConfigurationIndex(options.configuration());
@@ -129,7 +130,10 @@
       connectionLimit(heapLimitBytes, limits.maxHeaderBytes),
     );
     this.#server.on('drop', () => options.onRefused('too-many-connections', 0));
-    this.#server.on('connection', (socket: Socket) => this.#connections.track(socket));
+    this.#server.on('connection', (socket: Socket) => {
+      this.#connections.track(socket);
+      this.#admission.watch(socket);
+    });
     this.#server.on('clientError', (error: ClientError, socket) =>
       answerClientError(error, socket as Socket),
     );
--- a/src/shell/http/limits.ts
+++ b/src/shell/http/limits.ts
@@ -5,6 +5,8 @@
 export interface HttpLimits {
   /** Open caller connections; also bounded by V8's heap limit. Connections beyond it are closed at once. */
   readonly maxConnections: number;
+  /** Requests of one connection whose answers are open; from there on no more is read from it. */
+  readonly maxPipelinedRequests: number;
   /** Bytes of the request line and headers; larger ones are answered with 431. */
   readonly maxHeaderBytes: number;
   /** Time from the first byte of a connection or request to the end of its headers; then 408. */
@@ -51,6 +53,7 @@
 /** The defaults of the settings. */
 export const DEFAULT_HTTP_LIMITS: HttpLimits = {
   maxConnections: 10_000,
+  maxPipelinedRequests: 64,
   maxHeaderBytes: 16 * KIB,
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 60_000,
--- a/src/shell/settings/schema.ts
+++ b/src/shell/settings/schema.ts
@@ -61,6 +61,9 @@
   maxConnections: countSchema(DEFAULT_HTTP_LIMITS.maxConnections).describe(
     "open caller connections, never more than V8's heap limit has room for; further ones are closed at once",
   ),
+  maxPipelinedRequests: countSchema(DEFAULT_HTTP_LIMITS.maxPipelinedRequests).describe(
+    'requests of one connection whose answers are open; from there on no more is read from it',
+  ),
   maxHeaderBytes: countSchema(DEFAULT_HTTP_LIMITS.maxHeaderBytes, MAX_HEADER_BYTES).describe(
     "bytes of a request's line and headers; more is answered 431",
   ),
