Operators' bodies are collected in blocks, and bounded in all

The operator API kept a list of the chunks of each body (200,036 Buffers for one of 200 KB in chunks of one byte; at most 32 now), and 64 connections could hold 4 MiB each: some 32 MiB are enough, and a body beyond that is told 503 with Retry-After, as not run. The connection stays for a refusal that comes while a body is read.

--- a/src/shell/http/index.ts
+++ b/src/shell/http/index.ts
@@ -1,4 +1,5 @@
 /** The callers' HTTP server and its connections to backends. */
+export { BodyBudget } from './body-budget.js';
 export {
   type CallerEvent,
   type CallerServer,
--- a/src/shell/operator/server.ts
+++ b/src/shell/operator/server.ts
@@ -7,6 +7,7 @@
 import { OPERATOR_EVENTS } from '../../core/logging/catalogue/operator.js';
 import { type LogEffect, log } from '../../core/logging/log-event.js';
 import type { Endpoint } from '../../core/registry/backend.js';
+import { BodyBudget } from '../http/index.js';
 import { type Answer, faultAnswer, okAnswer, writeAnswer } from './answer.js';
 import { type AccessRules, authorize, type Caller, isLoopback } from './authorize.js';
 import type { OperatorBackend } from './backend.js';
@@ -71,12 +72,14 @@
 class HttpOperatorServer implements OperatorServer {
   readonly #options: OperatorServerOptions;
   readonly #limits: OperatorLimits;
+  readonly #bodies: BodyBudget;
   readonly #server: Server;
   #closing = false;
 
   constructor(options: OperatorServerOptions) {
     this.#options = options;
     this.#limits = { ...DEFAULT_OPERATOR_LIMITS, ...options.limits };
+    this.#bodies = new BodyBudget(this.#limits.allBodiesBytes);
     this.#server = this.#createServer();
   }
 
@@ -180,7 +183,8 @@
     schema: z.ZodType<T>,
     handle: (body: T) => Promise<Answer>,
   ): Promise<Answer> {
-    const body = await readJsonBody(request, schema, this.#limits.bodyBytes);
+    const limits = { maxBytes: this.#limits.bodyBytes, budget: this.#bodies };
+    const body = await readJsonBody(request, schema, limits);
     return body.isErr() ? faultAnswer(body.error) : handle(body.value);
   }
 
