--- a/src/shell/http/limits.ts
+++ b/src/shell/http/limits.ts
@@ -3,8 +3,10 @@
 
 /** Limits of the callers' HTTP server and of its connections to backends. */
 export interface HttpLimits {
-  /** Open caller connections; connections beyond it are closed at once. */
+  /** Open caller connections; also bounded by V8's heap limit. Connections beyond it are closed at once. */
   readonly maxConnections: number;
+  /** Requests of one connection whose answers are open; from there on no more is read from it. */
+  readonly maxPipelinedRequests: number;
   /** Bytes of the request line and headers; larger ones are answered with 431. */
   readonly maxHeaderBytes: number;
   /** Time from the first byte of a connection or request to the end of its headers; then 408. */
@@ -19,6 +21,8 @@
   readonly maxBodyBytes: number;
   /** Memory of all request bodies held at once; a body that would exceed it is answered with 503. */
   readonly maxBufferedBytes: number;
+  /** Estimated heap of all requests until their answers end; also bounded by V8's heap limit. Beyond it: 503. */
+  readonly maxRequestHeapBytes: number;
   /** The largest `max_tokens` that a caller may request. */
   readonly maxOutputTokens: number;
   /** How long a caller may leave written bytes unread before its connection is closed. */
@@ -49,6 +53,7 @@
 /** The defaults of the settings. */
 export const DEFAULT_HTTP_LIMITS: HttpLimits = {
   maxConnections: 10_000,
+  maxPipelinedRequests: 64,
   maxHeaderBytes: 16 * KIB,
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 60_000,
@@ -56,6 +61,7 @@
   keepAliveTimeoutMs: 15_000,
   maxBodyBytes: 8 * MIB,
   maxBufferedBytes: 256 * MIB,
+  maxRequestHeapBytes: 256 * MIB,
   maxOutputTokens: 131_072,
   callerStallTimeoutMs: 30_000,
   stopIdleGraceMs: 1_000,
--- a/src/shell/settings/schema.ts
+++ b/src/shell/settings/schema.ts
@@ -59,7 +59,10 @@
 
 const httpLimitsSchema = z.strictObject({
   maxConnections: countSchema(DEFAULT_HTTP_LIMITS.maxConnections).describe(
-    'open caller connections; further ones are closed at once',
+    "open caller connections, never more than V8's heap limit has room for; further ones are closed at once",
+  ),
+  maxPipelinedRequests: countSchema(DEFAULT_HTTP_LIMITS.maxPipelinedRequests).describe(
+    'requests of one connection whose answers are open; from there on no more is read from it',
   ),
   maxHeaderBytes: countSchema(DEFAULT_HTTP_LIMITS.maxHeaderBytes, MAX_HEADER_BYTES).describe(
     "bytes of a request's line and headers; more is answered 431",
@@ -82,6 +85,12 @@
   maxBufferedBytes: countSchema(DEFAULT_HTTP_LIMITS.maxBufferedBytes, MAX_BUFFERED_BYTES).describe(
     'memory of all request bodies held at once, in bytes; beyond it new ones are answered 503',
   ),
+  maxRequestHeapBytes: countSchema(
+    DEFAULT_HTTP_LIMITS.maxRequestHeapBytes,
+    MAX_BUFFERED_BYTES,
+  ).describe(
+    "estimated heap of all requests until their answers end, in bytes; never over half of what V8's heap limit leaves; beyond it new ones are answered 503",
+  ),
   maxOutputTokens: countSchema(DEFAULT_HTTP_LIMITS.maxOutputTokens).describe(
     'the largest `max_tokens` that a caller may ask for',
   ),
