Datagrams that name ever new daemons or zones no longer end the process

A process with a heap of 64 MB ended by SIGABRT within a second of reports under ever new names (a trial, 500,000 a second): each report is kept for 4 s under the name that it gives, and the sums of a zone for good. A faulty daemon or a stranger can send them, as datagrams carry no proof of their sender. Now the newest 4,096 reports and 256 zones are kept: several times the largest fleet.

--- a/src/core/gateway/peer-load.ts
+++ b/src/core/gateway/peer-load.ts
@@ -3,6 +3,7 @@
  * one makes up for a lost one; work that is not renewed runs down with time and is dropped.
  */
 
+import { setNewest } from '../common/bounded-map.js';
 import type { Urgency } from './engine-load.js';
 import type { ReadNotice } from './prefix-cache-index.js';
 import type { ReachabilityNotice } from './reachability-notices.js';
@@ -17,6 +18,9 @@
  * stays in it until then.
  */
 const INDEX_VALID_MS = 250;
+/** Several times those of the largest fleet; anything that sends a datagram can name a daemon or a zone. */
+const MAX_DAEMONS = 4_096;
+const MAX_ZONES = 256;
 const NO_WORK: readonly ReceivedWork[] = [];
 
 /** One daemon's work at one engine. */
@@ -102,7 +106,8 @@
     const isSameRun = known?.incarnation === report.incarnation;
     if (known !== undefined && isSameRun && known.sequence >= report.sequence) return;
     const byEngine = new Map(report.work.map((work) => [work.engineId, work]));
-    this.#byDaemon.set(report.daemon, { report, atMs: nowMs, byEngine });
+    const received = { report, atMs: nowMs, byEngine };
+    setNewest(this.#byDaemon, report.daemon, received, MAX_DAEMONS);
     this.#recordDemand(report.demand, nowMs);
     this.#reportIndex = undefined;
   }
@@ -119,7 +124,8 @@
 
   /** Applies the sums of another zone, if this daemon is the relay of its own. */
   applyZoneSums(zone: string, sums: LoadSums, nowMs: number): void {
-    this.#zoneSums.set(zone, merged(this.#zoneSums.get(zone), sums, [], nowMs));
+    const received = merged(this.#zoneSums.get(zone), sums, [], nowMs);
+    setNewest(this.#zoneSums, zone, received, MAX_ZONES);
     this.#recordDemand(sums.demand, nowMs);
     this.#reportIndex = undefined;
   }
--- a/src/core/gateway/peer-roster.ts
+++ b/src/core/gateway/peer-roster.ts
@@ -8,6 +8,7 @@
  * Roles are assigned by rendezvous hashing over the live daemons. Two daemons may disagree for a while; messages are
  * then sent twice or not at all, which makes routing choices worse but breaks no guarantee.
  */
+import { setNewest } from '../common/bounded-map.js';
 import { EMPTY_HASH, hashText } from '../common/hash.js';
 import { rankByRendezvous } from './rendezvous.js';
 import { UnlistedPeers } from './unlisted-peers.js';
@@ -26,6 +27,8 @@
 const RELAY_SILENT_MS = 1_600;
 /** The sender of another zone's relay messages counts as that zone's relay for this long after the last one. */
 const OTHER_RELAY_VALID_MS = 5_000;
+/** Several times the zones of the largest fleet; anything that sends a datagram can name a zone. */
+const MAX_ZONES = 256;
 /** The set of live daemons is recomputed after this time; it changes with heartbeats, which are less frequent. */
 const LIVE_NAMES_VALID_MS = 250;
 /** Cached rankings; the cache is cleared when full, so that rankings of removed engines do not fill it. */
@@ -162,7 +165,7 @@
   recordRelayContact(name: string, zone: string, nowMs: number): void {
     this.recordContact(name, nowMs);
     if (zone !== this.#self.zone) {
-      this.#otherRelays.set(zone, { name, lastContactMs: nowMs });
+      setNewest(this.#otherRelays, zone, { name, lastContactMs: nowMs }, MAX_ZONES);
       return;
     }
     this.#relayLastContactMs = nowMs;
--- /dev/null
+++ b/test/gateway/reports-without-end.test.ts
@@ -0,0 +1,33 @@
+/** Guards against memory for reports of ever new daemons, as a faulty one or a stranger may send them without end. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { PeerLoads } from '../../src/core/gateway/index.js';
+
+const NAMES = 20_000;
+const NOW_MS = 1_000;
+/** Several times the daemons and zones of the largest fleet that is designed for. */
+const MAX_DAEMONS = 4_096;
+const MAX_ZONES = 256;
+const NOTHING = { reads: [], reach: [], demand: [] };
+const WORK = { engineId: 'e-1', running: 1, pendingMs: 0, lateMs: 0 };
+
+test('reports of ever new daemons are kept in a bounded number, the newest ones', () => {
+  const loads = new PeerLoads();
+  for (let number = 0; number < NAMES; number += 1) {
+    const daemon = `front-${number}`;
+    const work = number === NAMES - 1 ? [WORK] : [];
+    loads.applyReport({ daemon, incarnation: 1, sequence: 1, work, ...NOTHING }, NOW_MS);
+  }
+  assert.ok(loads.count(NOW_MS) <= MAX_DAEMONS, `${loads.count(NOW_MS)} reports`);
+  assert.equal(loads.running('e-1', NOW_MS), 1);
+});
+
+test('sums of ever new zones are kept in a bounded number, the newest ones', () => {
+  const loads = new PeerLoads();
+  for (let number = 0; number < NAMES; number += 1) {
+    const head = { relay: 'front-1', incarnation: 1, sequence: 1, isComplete: true };
+    loads.applyZoneSums(`zone-${number}`, { ...head, work: [WORK], ...NOTHING }, NOW_MS);
+  }
+  const running = loads.running('e-1', NOW_MS);
+  assert.ok(running > 0 && running <= MAX_ZONES, `${running} zones`);
+});
