Notices of ever new engines that change their stage no longer end the process

Each was kept for good under the id that it gives, listed or not; a flood of them ended a process with a heap of 64 MB by SIGABRT within four seconds (a trial).

--- a/src/core/gateway/stage-notices.ts
+++ b/src/core/gateway/stage-notices.ts
@@ -4,12 +4,15 @@
  *
  * A notice expires unless it is repeated, so that no engine stays unused when the ordering daemon dies.
  */
+import { setNewest } from '../common/bounded-map.js';
 import type { EngineStage, ServerRecord } from './server-directory.js';
 
 /** A notice of a switch in progress expires unless it is repeated within this time. */
 const CHANGING_VALID_MS = 1_500;
 /** Lifetime of a notice of a finished switch: by then the server list shows the new stage. */
 const CHANGED_VALID_MS = 15_000;
+/** Several times those of the largest fleet; anything that sends a datagram can name an engine. */
+const MAX_ENGINES = 8_192;
 
 /** Progress of a switch. */
 export type StagePhase = 'changing' | 'changed';
@@ -32,7 +35,8 @@
 
   apply(notice: StageNotice, nowMs: number): void {
     const validMs = notice.phase === 'changing' ? CHANGING_VALID_MS : CHANGED_VALID_MS;
-    this.#active.set(notice.engineId, { ...notice, untilMs: nowMs + validMs });
+    const active = { ...notice, untilMs: nowMs + validMs };
+    setNewest(this.#active, notice.engineId, active, MAX_ENGINES);
   }
 
   forget(engineId: string): void {
