--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -18,6 +18,7 @@
   PrefixCacheIndex,
   RankShares,
   type ReachabilityNotice,
+  type ReadNotice,
   ReadSpeed,
   RecentSends,
   RetryBudget,
@@ -263,6 +264,12 @@
     return Math.max(waitMs, this.#health.get(server.id)?.skippedForMs(nowMs) ?? 0);
   }
 
+  /** Handles a read that another daemon has begun; the engine may be one that is not listed here. */
+  handleRead(read: ReadNotice, nowMs: number): void {
+    if (this.directory.get(read.engineId) === undefined) return;
+    this.prefixIndex.expectRead(read, nowMs);
+  }
+
   /** Applies another daemon's notice that a server does not answer, or answers again. */
   handleReachability(notice: ReachabilityNotice, nowMs: number): void {
     if (this.directory.get(notice.serverId) === undefined) return;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -619,7 +619,7 @@
       roster: this.#roster,
       log,
       handleReachability: (notice) => this.#handleReachability(notice),
-      handleRead: (read) => this.#fleet.prefixIndex.expectRead(read, timers.nowMs()),
+      handleRead: (read) => this.#fleet.handleRead(read, timers.nowMs()),
       onRelayChange: (isRelay) => this.#setRelay(isRelay),
       tableDigest: () => this.#follower.digestToSend(),
       applyConfiguration: (change) => this.#follower.applyForwardedConfiguration(change),
--- a/test/gateway/reports-without-end.test.ts
+++ b/test/gateway/reports-without-end.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { PeerLoads, StageNotices } from '../../src/core/gateway/index.js';
+import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { SERVER } from './support/server-record.js';
 
 const NAMES = 20_000;
@@ -44,3 +45,12 @@
   assert.ok(changing > 0 && changing <= MAX_ENGINES, `${changing} notices`);
   assert.deepEqual(notices.usable(engines.slice(-1), NOW_MS), []);
 });
+
+test('reads of parts at engines that are not listed are not kept', () => {
+  const fleet = new FleetView({ ratio: 1, slack: 1 });
+  const part = { id: 'aa', tokens: 100 };
+  for (let number = 0; number < NAMES; number += 1) {
+    fleet.handleRead({ engineId: `e-${number}`, part, readyInMs: 1_000 }, NOW_MS);
+  }
+  assert.equal(fleet.prefixIndex.size, 0);
+});
