A stop accepts what waits for a second at most

Cause: before the listener closes, a stop accepts what waits until a turn of the event loop brings none, 1,024 turns at most; callers whose connections are closed connect again in each, and turns are long under a crowd.

--- a/src/shell/http/accept-queue.ts
+++ b/src/shell/http/accept-queue.ts
@@ -7,8 +7,13 @@
 /**
  * Accepts the connections that wait, as closing the listener would reset them. The event loop accepts one in a turn, so the
  * queue is empty after a turn without any.
+ * @param hasTime false ends it before: turns are long while callers send much, and callers that are turned away may come
+ *   back without end
  */
-export async function acceptWaiting(listener: Server): Promise<void> {
+export async function acceptWaiting(
+  listener: Server,
+  hasTime: () => boolean = () => true,
+): Promise<void> {
   let accepted = 0;
   const count = () => {
     accepted += 1;
@@ -17,7 +22,7 @@
   listener.on('drop', count);
   // The rest of a turn may come after its look at the sockets.
   await socketsRead();
-  for (let turns = 0; turns < MAX_TURNS; turns += 1) {
+  for (let turns = 0; turns < MAX_TURNS && hasTime(); turns += 1) {
     const before = accepted;
     await socketsRead();
     if (accepted === before) break;
--- a/src/shell/http/caller-server.ts
+++ b/src/shell/http/caller-server.ts
@@ -61,6 +61,8 @@
 }
 
 /** The interval of the checks for stalled callers and idle pools. */
+/** Connections that wait are accepted for this time at most, as callers may connect again and again. */
+const MAX_ACCEPT_MS = 1_000;
 const SWEEP_INTERVAL_MS = 1_000;
 /** The interval of the checks for requests that take too long to arrive. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
@@ -206,7 +208,8 @@
     this.#stopping = true;
     this.#answers.announceClose();
     await new Promise((resolve) => setTimeout(resolve, this.limits.stopIdleGraceMs));
-    await acceptWaiting(this.#server);
+    const acceptsUntil = this.#options.now() + MAX_ACCEPT_MS;
+    await acceptWaiting(this.#server, () => this.#options.now() < acceptsUntil);
     // node:http's own close() would close idle connections on which a request may be in transit.
     NetServer.prototype.close.call(this.#server);
     this.#connections.closeWhenIdle();
