--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -412,4 +412,46 @@
     text: 'return mayGo && this.#options.paths.isLost(service);',
     replacement: 'return mayGo && Number.isNaN(service.length);',
   },
+  {
+    name: 'collected-blocks',
+    promise: 'FAULT',
+    file: 'src/shell/bytes/byte-collector.ts',
+    text: 'if (chunk.length >= MIN_KEPT_CHUNK_BYTES) this.#keep(chunk);',
+    replacement: 'if (chunk.length >= 0) this.#keep(chunk);',
+  },
+  {
+    name: 'body-memory',
+    promise: 'FAULT',
+    file: 'src/core/gateway/memory-ledger.ts',
+    text: 'if (this.#bufferBytes + bytes > this.#limits.bufferBytes) return false;',
+    replacement: '',
+  },
+  {
+    name: 'head-memory',
+    promise: 'FAULT',
+    file: 'src/shell/gateway/head-monitor.ts',
+    text: 'const HEAP_BYTES_PER_BYTE = 16;',
+    replacement: 'const HEAP_BYTES_PER_BYTE = 0;',
+  },
+  {
+    name: 'header-memory',
+    promise: 'FAULT',
+    file: 'src/core/gateway/memory-ledger.ts',
+    text: 'const HEAP_BYTES_PER_HEADER = 256;',
+    replacement: 'const HEAP_BYTES_PER_HEADER = 0;',
+  },
+  {
+    name: 'pipelined-reads',
+    promise: 'FAULT',
+    file: 'src/shell/gateway/connection-backpressure.ts',
+    text: 'const MAX_PENDING_ANSWERS = 8;',
+    replacement: 'const MAX_PENDING_ANSWERS = 1e9;',
+    also: [
+      {
+        file: 'src/shell/gateway/parser-feed.ts',
+        text: 'if (isHeld(socket) || isPausedByNode(socket) || socket.isPaused()) {',
+        replacement: 'if (isHeld(socket) && socket.destroyed) {',
+      },
+    ],
+  },
 ];
