An answer that is given up leaves nothing reserved for its request

Answers are collected as the bodies of callers are, by ArrivingBody. A body that is dropped is read in turn with others in tiny chunks, as one that is collected.

--- a/src/shell/gateway/arriving-body.ts
+++ b/src/shell/gateway/arriving-body.ts
@@ -1,17 +1,20 @@
-/** The body of one request while it arrives, and the memory that it takes. */
+/** The body of one request or answer while it arrives, and the memory that it takes. */
 import type { MemoryReservation } from '../../core/gateway/index.js';
 import { ByteCollector, type HeldBytes } from '../bytes/index.js';
 
+/** The reservation that a body is accounted for in. */
+export type BodyMemory = Pick<MemoryReservation, 'grow' | 'shrink'>;
+
 /** Collects one body, and accounts for its memory in the reservation of its request. */
 export class ArrivingBody {
-  readonly #memory: MemoryReservation;
+  readonly #memory: BodyMemory;
   readonly #held: HeldBytes;
   readonly #collector = new ByteCollector();
   #reservedBytes = 0;
   #countedBytes = 0;
   #countedObjects = 0;
 
-  constructor(memory: MemoryReservation, held: HeldBytes) {
+  constructor(memory: BodyMemory, held: HeldBytes) {
     this.#memory = memory;
     this.#held = held;
   }
@@ -56,6 +59,14 @@
     return body;
   }
 
+  /** Makes one Buffer of a body that others hold from now on; its memory stays reserved until the reservation is released. */
+  handOver(): Buffer {
+    const body = this.join();
+    this.#count(0, 0);
+    this.#reservedBytes = 0;
+    return body;
+  }
+
   /** Gives the memory of the body back. */
   clear(): void {
     this.#collector.clear();
--- a/src/shell/gateway/backend-connections.ts
+++ b/src/shell/gateway/backend-connections.ts
@@ -13,17 +13,14 @@
 
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { connect, type Socket } from 'node:net';
-import {
-  CONNECT_TIMEOUT_MS,
-  type MemoryLedger,
-  type MemoryReservation,
-} from '../../core/gateway/index.js';
-import { ByteCollector, HeldBytes, limitAnswerHead } from '../bytes/index.js';
+import { CONNECT_TIMEOUT_MS, type MemoryLedger } from '../../core/gateway/index.js';
+import { HeldBytes, limitAnswerHead } from '../bytes/index.js';
 import { type AnswerFraming, answerFraming } from '../http/answer-framing.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import { IdleGuardAgent } from '../http/idle-guard-agent.js';
 import { resetSocket } from '../http/reset-socket.js';
 import { answerFlaw } from './answer-flaw.js';
+import { ArrivingBody, type BodyMemory } from './arriving-body.js';
 import { BodyFlow, type BodyReceiver, type FlowContext } from './body-flow.js';
 import type { RawHeaders } from './ports.js';
 import { ReadTurns } from './read-turns.js';
@@ -90,9 +87,6 @@
   readonly memory: Pick<MemoryLedger, 'open'>;
 }
 
-/** The memory that a body is accounted for in. */
-type BodyMemory = Pick<MemoryReservation, 'grow' | 'shrink'>;
-
 /** The head of an answer, and its body as a stream. */
 export class BackendAnswer {
   readonly message: IncomingMessage;
@@ -180,14 +174,16 @@
    * late: then the connection is closed.
    */
   discard(): void {
-    const { message } = this;
     let length = 0;
     const cancel = this.#timers.after(MAX_DISCARD_MS, () => this.destroy());
-    message.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > MAX_DISCARDED_BYTES) this.destroy();
+    this.flow({
+      receive: (bytes) => {
+        length += bytes.length;
+        if (length > MAX_DISCARDED_BYTES) this.destroy();
+      },
+      end: () => undefined,
+      close: cancel,
     });
-    message.once('close', cancel);
   }
 
   /** Passes the body on while it arrives. */
@@ -206,20 +202,18 @@
    */
   collect(maxBytes: number, requestMemory?: BodyMemory): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      const body = new ByteCollector(this.#context.held);
       const callMemory = this.#context.memory.open();
-      const memory = requestMemory ?? callMemory;
+      const body = new ArrivingBody(requestMemory ?? callMemory, this.#context.held);
       this.flow({
         receive: (bytes) => {
           if (this.message.destroyed) return;
-          const bytesBefore = body.heldBytes;
           body.add(bytes);
-          this.#lacksMemory = !tryHold(memory, body.heldBytes - bytesBefore);
+          this.#lacksMemory = !body.reserve();
           if (body.length <= maxBytes && !this.#lacksMemory) return;
           body.clear();
           this.destroy();
         },
-        end: () => resolve(this.isComplete ? body.join() : undefined),
+        end: () => resolve(this.isComplete ? body.handOver() : undefined),
         close: () => {
           body.clear();
           callMemory.release();
@@ -230,13 +224,6 @@
   }
 }
 
-/** Accounts for bytes that a body takes, or gives back where they are negative; false where there is no memory for them. */
-function tryHold(memory: BodyMemory, addedBytes: number): boolean {
-  if (addedBytes >= 0) return memory.grow(addedBytes);
-  memory.shrink(-addedBytes);
-  return true;
-}
-
 /** Closes idle connections before the server does. */
 class KeepAliveAgent extends IdleGuardAgent {
   /** Called by node:http when an answer has ended. */
--- a/test/gateway/bytes-without-end.test.ts
+++ b/test/gateway/bytes-without-end.test.ts
@@ -154,6 +154,17 @@
   assertClosedEarly(await taken);
 });
 
+test('an answer that is given up as too long leaves nothing reserved for its request', async () => {
+  const taken = bytesTaken(`${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n`);
+  const memory = ampleMemory();
+  const request = memory.reserve({ count: 1, bytes: 10 });
+  const result = await call();
+  assert.ok(result.kind === 'answered');
+  assert.equal(await result.answer.collect(1_000_000, request), undefined);
+  assertClosedEarly(await taken);
+  assert.equal(memory.reserved.bufferBytes, 0);
+});
+
 test('an answer without end of the store fails the call, and its connection is closed', async () => {
   const taken = bytesTaken(`${HEAD}Transfer-Encoding: chunked\r\n\r\nfffffff\r\n`);
   const result = await callStore();
