--- a/src/shell/gateway/head-monitor.ts
+++ b/src/shell/gateway/head-monitor.ts
@@ -140,7 +140,7 @@
   }
 
   #refuse(socket: Socket, connection: Connection, reason: HeadRefusal): void {
-    const heldBytes = connection.balanceBytes * HEAP_BYTES_PER_BYTE;
+    const heldBytes = connection.reservedBytes;
     this.#release(socket, connection);
     this.#options.refuse(socket, reason, heldBytes);
   }
