--- a/src/core/logging/catalogue/resources.ts
+++ b/src/core/logging/catalogue/resources.ts
@@ -37,7 +37,7 @@
     remedy:
       'Their callers stopped in the middle of a body; they may send the request again. If callers pause for longer, make idleTimeoutMs of the configuration longer.',
   },
-  bodiesGaveWay: {
+  bodiesEvicted: {
     number: 6234,
     level: 'warn',
     reserve: 'process-life',
@@ -62,7 +62,7 @@
     message:
       'connections were closed whose heads of requests were not complete: in time, within the limit, or while there was memory for them',
     remedy:
-      'Nothing of these requests was run. If head-gave-way repeats, look for callers that begin many heads and do not end them; if head-too-large does, make maxHeaderBytes of the configuration larger.',
+      'Nothing of these requests was run. If head-evicted repeats, look for callers that begin many heads and do not end them; if head-too-large does, make maxHeaderBytes of the configuration larger.',
   },
   answersUnread: {
     number: 6237,
--- a/src/shell/gateway/body-reader.ts
+++ b/src/shell/gateway/body-reader.ts
@@ -14,7 +14,7 @@
   /** The body stopped for the idle time-out. */
   | { readonly kind: 'timed-out'; readonly heldBytes: number }
   /** The body had stalled, and its memory was needed. */
-  | { readonly kind: 'gave-way'; readonly heldBytes: number }
+  | { readonly kind: 'evicted'; readonly heldBytes: number }
   /** The caller has left. */
   | { readonly kind: 'broken' };
 
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -286,8 +286,8 @@
         return this.#rejectUnread(open, NO_MEMORY_REASON);
       case 'timed-out':
         return this.#rejectTimedOut(open, reading.heldBytes);
-      case 'gave-way':
-        this.#options.refusals.record('body-gave-way', reading.heldBytes);
+      case 'evicted':
+        this.#options.refusals.record('body-evicted', reading.heldBytes);
         return this.#rejectStalled(open, 503, NO_MEMORY_REASON, RETRY_LATER);
       case 'broken':
         return;
--- a/src/shell/gateway/caller-refusals.ts
+++ b/src/shell/gateway/caller-refusals.ts
@@ -15,10 +15,10 @@
 /** Why a caller was refused or its connection closed. */
 export type CallerRefusal =
   | 'body-timed-out'
-  | 'body-gave-way'
+  | 'body-evicted'
   | 'pipelined-too-many'
   | 'head-timed-out'
-  | 'head-gave-way'
+  | 'head-evicted'
   | 'head-too-large'
   | 'answer-unread';
 
@@ -78,12 +78,12 @@
   switch (reason) {
     case 'body-timed-out':
       return RESOURCE_EVENTS.bodiesTimedOut;
-    case 'body-gave-way':
-      return RESOURCE_EVENTS.bodiesGaveWay;
+    case 'body-evicted':
+      return RESOURCE_EVENTS.bodiesEvicted;
     case 'pipelined-too-many':
       return RESOURCE_EVENTS.pipelinedClosed;
     case 'head-timed-out':
-    case 'head-gave-way':
+    case 'head-evicted':
     case 'head-too-large':
       return RESOURCE_EVENTS.headsRefused;
     case 'answer-unread':
--- a/src/shell/gateway/head-monitor.ts
+++ b/src/shell/gateway/head-monitor.ts
@@ -1,6 +1,6 @@
 /**
  * Accounts for the heads of requests, and trailers, that are not complete: node:http's parser holds them unseen. Where they take
- * too much, the connection whose head began first gives way.
+ * too much, the connection whose head began first is evicted.
  */
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
@@ -21,7 +21,7 @@
 const BITS_PER_HEX_DIGIT = 4;
 
 /** Why a connection is closed. */
-export type HeadRefusal = 'head-gave-way' | 'head-too-large';
+export type HeadRefusal = 'head-evicted' | 'head-too-large';
 
 /** Dependencies of a `HeadMonitor`. */
 export interface HeadMonitorOptions {
@@ -133,7 +133,7 @@
     while (!this.#options.memory.growHeads(bytes)) {
       const [first] = this.#unfinished;
       if (first === undefined) return;
-      this.#refuse(...first, 'head-gave-way');
+      this.#refuse(...first, 'head-evicted');
       if (first[1] === connection) return;
     }
     connection.reservedBytes += bytes;
--- a/src/shell/gateway/stalled-bodies.ts
+++ b/src/shell/gateway/stalled-bodies.ts
@@ -1,6 +1,6 @@
 /**
  * Finds the bodies of callers that do not go on: those without a byte for the idle time-out end, and where memory is needed the
- * one that has made no progress for longest gives way.
+ * one that has made no progress for longest is evicted.
  */
 import type { TimerService } from './timer-service.js';
 
@@ -16,7 +16,7 @@
   /** Whether this daemon does not read its connection at present. */
   readonly isHeldBack: boolean;
   /** Ends the reading and gives the memory of its request back at once. */
-  end(reason: 'timed-out' | 'gave-way'): void;
+  end(reason: 'timed-out' | 'evicted'): void;
 }
 
 interface Progress {
@@ -78,7 +78,7 @@
     if (longest === undefined) return false;
     const [body, { madeAtMs }] = longest;
     if (this.#options.timers.nowMs() - madeAtMs < STALL_MS) return false;
-    this.#end(body, 'gave-way');
+    this.#end(body, 'evicted');
     return true;
   }
 
@@ -102,7 +102,7 @@
     }
   }
 
-  #end(body: WatchedBody, reason: 'timed-out' | 'gave-way'): void {
+  #end(body: WatchedBody, reason: 'timed-out' | 'evicted'): void {
     this.#bodies.delete(body);
     body.end(reason);
   }
--- a/src/shell/http/body-intake.ts
+++ b/src/shell/http/body-intake.ts
@@ -1,5 +1,5 @@
 /**
- * Reads request bodies, with a size limit for each and one for the memory of all. A body that has stopped gives way to one
+ * Reads request bodies, with a size limit for each and one for the memory of all. A body that has stopped is evicted for one
  * that arrives while there is no room, and is refused after a time-out in any case.
  */
 import type { IncomingMessage } from 'node:http';
@@ -25,7 +25,7 @@
 }
 
 const OVERLOADED_RETRY_AFTER_MS: Milliseconds = 1_000;
-/** A body that has made progress within this time does not give way to another. */
+/** A body that has made progress within this time is not evicted for another. */
 const MIN_STALL_MS: Milliseconds = 1_000;
 
 /** The bodies of one server's requests. */
@@ -101,7 +101,7 @@
         this.#options.onRefused('no-room-for-body', heldBytes);
         return false;
       }
-      this.#options.onRefused('body-gave-way', stalled.reservedBytes);
+      this.#options.onRefused('body-evicted', stalled.reservedBytes);
       stalled.refuse(TOO_MANY_BODIES);
     }
     return true;
--- a/src/shell/http/refusal-log.ts
+++ b/src/shell/http/refusal-log.ts
@@ -10,7 +10,7 @@
   /** A body made no progress for `bodyStallTimeoutMs`. */
   | 'body-stalled'
   /** A body that made no progress was given up for another one, as there was no memory for both. */
-  | 'body-gave-way'
+  | 'body-evicted'
   /** There was no memory for a body. */
   | 'no-room-for-body'
   /** There was no heap for another request. */
--- a/test/gateway/body-reader.test.ts
+++ b/test/gateway/body-reader.test.ts
@@ -14,7 +14,7 @@
 const MAX_BODY_BYTES = 4_000_000;
 const CHUNKED_HEAD = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
 
-/** A body without progress for this long gives way. */
+/** A body without progress for this long is evicted. */
 const STALL_MS = 1_000;
 
 let timers: ManualTimers;
@@ -98,7 +98,7 @@
   assert.equal(memory.reserved.bufferBytes, 0);
 });
 
-test('a body that has stalled gives way to one that goes on, and its memory is free at once', async () => {
+test('a body that has stalled is evicted for one that goes on, and its memory is free at once', async () => {
   const idle = connect((server.address() as AddressInfo).port, '127.0.0.1');
   idle.write(CHUNKED_HEAD);
   idle.write('5\r\nstall\r\n');
@@ -111,7 +111,7 @@
   const readings = [await nextReading(), await nextReading()];
   assert.deepEqual(
     readings.map(({ kind }) => kind),
-    ['gave-way', 'read'],
+    ['evicted', 'read'],
   );
   idle.destroy();
 });
--- a/test/gateway/caller-refusals.test.ts
+++ b/test/gateway/caller-refusals.test.ts
@@ -26,24 +26,24 @@
 });
 
 test('a crowd is counted in one line with what it held', () => {
-  for (let caller = 0; caller < 50; caller += 1) refusals.record('body-gave-way', 1_000);
+  for (let caller = 0; caller < 50; caller += 1) refusals.record('body-evicted', 1_000);
   timers.advance(LINE_INTERVAL_MS);
   assert.deepEqual(lines, [
     {
-      event: RESOURCE_EVENTS.bodiesGaveWay,
-      fields: { reason: 'body-gave-way', callers: 50, heldBytes: 50_000 },
+      event: RESOURCE_EVENTS.bodiesEvicted,
+      fields: { reason: 'body-evicted', callers: 50, heldBytes: 50_000 },
     },
   ]);
 });
 
 test('each reason has a line at most each ten seconds, and no caller is left out', () => {
   for (let second = 0; second < 30; second += 1) {
-    refusals.record('body-gave-way', 1);
+    refusals.record('body-evicted', 1);
     refusals.record('body-timed-out', 1);
     timers.advance(1_000);
   }
   timers.advance(LINE_INTERVAL_MS);
-  const ofOne = lines.filter(({ event }) => event === RESOURCE_EVENTS.bodiesGaveWay);
+  const ofOne = lines.filter(({ event }) => event === RESOURCE_EVENTS.bodiesEvicted);
   assert.ok(ofOne.length <= 5, `${ofOne.length}`);
   const counted = ofOne.reduce((sum, { fields }) => sum + Number(fields.callers), 0);
   assert.equal(counted, 30);
--- a/test/gateway/head-monitor.test.ts
+++ b/test/gateway/head-monitor.test.ts
@@ -167,7 +167,7 @@
     await turns();
   }
   assert.ok(sent > 5, `${sent} heads`);
-  assert.deepEqual(refused[0], { port: firstPort, reason: 'head-gave-way' });
+  assert.deepEqual(refused[0], { port: firstPort, reason: 'head-evicted' });
   assert.ok(memory.unfinishedHeadBytes <= 2 * MEGABYTE);
 });
 
--- a/test/gateway/stalled-bodies.test.ts
+++ b/test/gateway/stalled-bodies.test.ts
@@ -5,7 +5,7 @@
 import { ManualTimers } from './support/manual-timers.js';
 
 const IDLE_TIMEOUT_MS = 3_000;
-/** A body without progress for this long gives way. */
+/** A body without progress for this long is evicted. */
 const STALL_MS = 1_000;
 /** A body is looked at this often. */
 const SWEEP_MS = 500;
@@ -39,9 +39,9 @@
   return body;
 }
 
-/** Whether memory for one more body was found as a body gave way. */
+/** Whether memory for one more body was found as a body was evicted. */
 function makeRoomFor(needed: readonly Body[]): boolean {
-  const attempt = () => needed.some(({ ended }) => ended === 'gave-way') || undefined;
+  const attempt = () => needed.some(({ ended }) => ended === 'evicted') || undefined;
   return bodies.makeRoom(attempt) === true;
 }
 
@@ -70,14 +70,14 @@
   assert.equal(body.ended, undefined);
 });
 
-test('where memory is needed, the body without progress for longest gives way', () => {
+test('where memory is needed, the body without progress for longest is evicted', () => {
   const first = begin();
   const second = begin();
   timers.advance(100);
   first.arrive(10_000);
   timers.advance(STALL_MS);
   assert.equal(makeRoomFor([first, second]), true);
-  assert.deepEqual([first.ended, second.ended], [undefined, 'gave-way']);
+  assert.deepEqual([first.ended, second.ended], [undefined, 'evicted']);
 });
 
 test('a byte now and then is no progress', () => {
@@ -89,10 +89,10 @@
     timers.advance(STALL_MS / 5);
   }
   assert.equal(makeRoomFor([trickle, upload]), true);
-  assert.deepEqual([trickle.ended, upload.ended], ['gave-way', undefined]);
+  assert.deepEqual([trickle.ended, upload.ended], ['evicted', undefined]);
 });
 
-test('no body gives way that makes progress', () => {
+test('no body is evicted that makes progress', () => {
   const body = begin();
   timers.advance(STALL_MS);
   body.arrive(10_000);
--- a/test/http/stalled-bodies.test.ts
+++ b/test/http/stalled-bodies.test.ts
@@ -10,7 +10,7 @@
 /** Room for one body, and not for two. */
 const MAX_BUFFERED_BYTES = 1_500_000;
 const STALL_MS = 20;
-/** After this time without a byte a body gives way to another one. */
+/** After this time without a byte a body is evicted for another one. */
 const GIVES_WAY_AFTER_MS = 1_000;
 
 interface Caller {
@@ -89,7 +89,7 @@
   assert.deepEqual(harness.refusals, []);
 });
 
-test('a body that has stopped gives way to one that arrives while there is no room for both', async (t) => {
+test('a body that has stopped is evicted for one that arrives while there is no room for both', async (t) => {
   const { harness, advance } = await start(t, { maxBufferedBytes: MAX_BUFFERED_BYTES });
   const caller = sendUpToLastByte(harness);
   await untilHeld(harness, BODY.length - 1);
@@ -99,10 +99,10 @@
   const answer = await caller.answer;
   assert.match(answer, /^HTTP\/1\.1 503 /);
   assert.match(answer, /refused: not run/);
-  assert.deepEqual(harness.refusals, ['body-gave-way']);
+  assert.deepEqual(harness.refusals, ['body-evicted']);
 });
 
-test('a body that has just made progress does not give way', async (t) => {
+test('a body that has just made progress is not evicted', async (t) => {
   const { harness, advance } = await start(t, { maxBufferedBytes: MAX_BUFFERED_BYTES });
   const caller = sendUpToLastByte(harness);
   await untilHeld(harness, BODY.length - 1);
--- a/test/resources/crowds/unfinished-bodies.test.ts
+++ b/test/resources/crowds/unfinished-bodies.test.ts
@@ -12,7 +12,7 @@
 import { chunkedHead, head, MODEL, type Target, WEB } from '../support/request-bytes.js';
 
 const LIMITS = { maxOldSpaceMb: 64, memoryMb: 300 };
-/** Shorter than those of a deployment, so that stalled callers give way within the test. */
+/** Shorter than those of a deployment, so that stalled callers are evicted within the test. */
 const CALLER_LIMITS = { headerTimeoutMs: 2_000, idleTimeoutMs: 5_000 };
 const TINY_CHUNK_CALLERS = 100;
 const TINY_CHUNK_BODY_BYTES = 80_000;
