--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -90,7 +90,7 @@
   {
     name: 'visible-breaks',
     promise: 'MIXED',
-    file: 'src/shell/gateway/backend-connections.ts',
+    file: 'src/shell/gateway/backend-answer.ts',
     text: 'body.clear();\n          callMemory.release();\n          resolve(undefined);',
     replacement: 'resolve(body.join());',
   },
--- a/src/shell/gateway/attempt.ts
+++ b/src/shell/gateway/attempt.ts
@@ -15,7 +15,7 @@
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AdmissionGate } from './admission-gate.js';
 import type { AnswerOutcome } from './answer-outcome.js';
-import type { BackendAnswer } from './backend-connections.js';
+import type { BackendAnswer } from './backend-answer.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
--- a/src/shell/gateway/model-exchange.ts
+++ b/src/shell/gateway/model-exchange.ts
@@ -19,7 +19,7 @@
   hasNotRun,
   sendAttempt,
 } from './attempt.js';
-import type { BackendAnswer } from './backend-connections.js';
+import type { BackendAnswer } from './backend-answer.js';
 import type { Exchange } from './exchange.js';
 import type { PermitReservation } from './limit-coordinator.js';
 import { ModelPlanner, type PlanLimits } from './model-planner.js';
--- a/src/shell/gateway/prefill.ts
+++ b/src/shell/gateway/prefill.ts
@@ -7,7 +7,7 @@
   sharedPart,
 } from '../../core/gateway/index.js';
 import { type AttemptContext, defaultAttemptOptions, sendAttempt } from './attempt.js';
-import type { BackendAnswer } from './backend-connections.js';
+import type { BackendAnswer } from './backend-answer.js';
 import type { Exchange } from './exchange.js';
 import { runInBackground } from './internal-faults.js';
 import type { HandoverSource, PrefillAnswer } from './ports.js';
--- a/src/shell/gateway/request-forwarder.ts
+++ b/src/shell/gateway/request-forwarder.ts
@@ -14,7 +14,8 @@
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
 import { withoutConnectionHeaders } from '../http/headers.js';
 import type { AttemptContext, RequestForwarding } from './attempt.js';
-import type { BackendAnswer, BackendConnections, CallResult } from './backend-connections.js';
+import type { BackendAnswer } from './backend-answer.js';
+import type { BackendConnections, CallResult } from './backend-connections.js';
 import type { Exchange } from './exchange.js';
 import type { FleetView } from './fleet-view.js';
 import { decodeAvailability } from './forwarded-availability.js';
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -15,12 +15,8 @@
   type TrackedCall,
 } from '../../core/gateway/index.js';
 import { GATEWAY_EVENTS } from '../../core/logging/catalogue/gateway.js';
-import type {
-  BackendAnswer,
-  BackendCall,
-  BackendConnections,
-  CallResult,
-} from './backend-connections.js';
+import type { BackendAnswer } from './backend-answer.js';
+import type { BackendCall, BackendConnections, CallResult } from './backend-connections.js';
 import type { DepartureReports } from './departure-reports.js';
 import type { FleetView } from './fleet-view.js';
 import type { GatewayMetrics } from './gateway-metrics.js';
--- a/src/shell/gateway/stream-relay.ts
+++ b/src/shell/gateway/stream-relay.ts
@@ -4,7 +4,7 @@
  */
 import { type StreamServer, softwareVersionOf } from '../../core/gateway/index.js';
 import type { AnswerOutcome } from './answer-outcome.js';
-import type { BackendAnswer } from './backend-connections.js';
+import type { BackendAnswer } from './backend-answer.js';
 import { EventBoundary } from './event-boundary.js';
 import { EventSplitter } from './event-splitter.js';
 import type { Exchange } from './exchange.js';
--- a/test/gateway/support/limit-fleet.ts
+++ b/test/gateway/support/limit-fleet.ts
@@ -5,7 +5,8 @@
 import type { IncomingMessage } from 'node:http';
 import { REQUEST_CODEC } from '../../../platform/request-codec.js';
 import { type PeerDaemon, PeerRoster, type ServerRecord } from '../../../src/core/gateway/index.js';
-import type { BackendAnswer, CallResult } from '../../../src/shell/gateway/backend-connections.js';
+import type { BackendAnswer } from '../../../src/shell/gateway/backend-answer.js';
+import type { CallResult } from '../../../src/shell/gateway/backend-connections.js';
 import { FleetView } from '../../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../../src/shell/gateway/gateway-metrics.js';
 import {
--- a/test/gateway/unanswered-calls.test.ts
+++ b/test/gateway/unanswered-calls.test.ts
@@ -8,7 +8,8 @@
 import { GATEWAY_EVENTS } from '../../src/core/logging/catalogue/gateway.js';
 import type { LogEvent, LogFields } from '../../src/core/logging/log-event.js';
 import { ANSWER_READING } from '../../src/shell/bytes/index.js';
-import type { BackendAnswer, CallResult } from '../../src/shell/gateway/backend-connections.js';
+import type { BackendAnswer } from '../../src/shell/gateway/backend-answer.js';
+import type { CallResult } from '../../src/shell/gateway/backend-connections.js';
 import { DepartureReports } from '../../src/shell/gateway/departure-reports.js';
 import { FleetView } from '../../src/shell/gateway/fleet-view.js';
 import { GatewayMetrics } from '../../src/shell/gateway/gateway-metrics.js';
--- a/test/resources/descriptor-limits.test.ts
+++ b/test/resources/descriptor-limits.test.ts
@@ -2,7 +2,8 @@
 import assert from 'node:assert/strict';
 import { afterEach, test } from 'node:test';
 import { TABLES } from '../../platform/names.js';
-import { answer, CONFIGURATION, RealGateway } from './support/real-gateway.js';
+import { CONFIGURATION } from './support/real-configuration.js';
+import { answer, RealGateway } from './support/real-gateway.js';
 
 const WAIT_MS = 10_000;
 /** Of these, 200 are for files. */
--- a/test/resources/support/request-bytes.ts
+++ b/test/resources/support/request-bytes.ts
@@ -1,6 +1,6 @@
 /** Requests as they are on the wire (RFC 9112), whole or cut off. */
 import { openHead as openWireHead, type WireHeaders } from '../../../soak/wire-requests.js';
-import { HOST } from './real-gateway.js';
+import { HOST } from './real-configuration.js';
 
 const MODEL_HEADERS = { 'X-Model': 'm', 'X-Token-Count': '300,4', 'X-Prompt-Prefix': 'cc:300' };
 
