--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -449,8 +449,8 @@
     also: [
       {
         file: 'src/shell/gateway/parser-feed.ts',
-        text: 'if (isHeld(socket) || isPausedByNode(socket) || socket.isPaused()) {',
-        replacement: 'if (isHeld(socket) && socket.destroyed) {',
+        text: 'if (waitsForTurn || !mayRead() || socket.isPaused()) {',
+        replacement: 'if (waitsForTurn) {',
       },
     ],
   },
--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -37,6 +37,7 @@
 import { StalledBodies } from './stalled-bodies.js';
 import { STOPPING_RETRY_AFTER_MS } from './stop-refusal.js';
 import { delay, type TimerService } from './timer-service.js';
+import { TurnBudget } from './turn-budget.js';
 import { UnreadAnswers } from './unread-answers.js';
 import { runWebExchange } from './web-exchange.js';
 
@@ -98,6 +99,7 @@
   /** Whether a stop is at its end, so that nothing runs any more. */
   #isEnding = false;
   readonly #open = new OpenRequests();
+  readonly #budget: TurnBudget;
   readonly #stalled: StalledBodies;
   readonly #intake: RequestIntake;
   readonly #bodies: BodyReader;
@@ -106,6 +108,7 @@
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
+    this.#budget = new TurnBudget(options.timers);
     const { timers, context } = options;
     const idleTimeoutMs = () =>
       context.fleet.inForce?.configuration.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS;
@@ -197,7 +200,7 @@
     const { memory, refusals, context } = this.#options;
     const maxHeaderBytes = () =>
       context.fleet.inForce?.configuration.limits.maxHeaderBytes ?? MAX_PARSED_HEADER_BYTES;
-    return new RequestIntake({ server, memory, maxHeaderBytes, refusals });
+    return new RequestIntake({ server, memory, maxHeaderBytes, refusals, budget: this.#budget });
   }
 
   /**
--- a/src/shell/gateway/parser-feed.ts
+++ b/src/shell/gateway/parser-feed.ts
@@ -3,6 +3,7 @@
  * thousand short ones, before anything can stop it.
  */
 import type { Socket } from 'node:net';
+import type { TurnBudget } from './turn-budget.js';
 
 /** Holds a usual head whole, and a dozen short ones. */
 const HEAD_PIECE_BYTES = 1_024;
@@ -16,6 +17,7 @@
   readonly isReadingBody: (socket: Socket) => boolean;
   /** Called after a piece has been parsed. */
   readonly onPiece: (socket: Socket, piece: Buffer) => void;
+  readonly budget: Pick<TurnBudget, 'hasTime' | 'defer'>;
 }
 
 /**
@@ -23,17 +25,29 @@
  * is paused is read again once it is resumed.
  */
 export function feedInPieces(socket: Socket, options: FeedOptions): void {
-  const { isHeld, isReadingBody, onPiece } = options;
+  const { isHeld, isReadingBody, onPiece, budget } = options;
+  const mayRead = () => !isHeld(socket) && !isPausedByNode(socket);
+  let isDeferred = false;
+  const defer = () => {
+    if (isDeferred) return;
+    isDeferred = true;
+    budget.defer(() => {
+      isDeferred = false;
+      if (!socket.destroyed && mayRead()) socket.resume();
+    });
+  };
   const [parse] = socket.listeners('data');
   if (parse === undefined) return;
   socket.removeListener('data', parse as (chunk: Buffer) => void);
   socket.on('data', (chunk: Buffer) => {
     let start = 0;
     while (start < chunk.length && !socket.destroyed) {
-      if (isHeld(socket) || isPausedByNode(socket) || socket.isPaused()) {
+      const waitsForTurn = isDeferred || !budget.hasTime;
+      if (waitsForTurn || !mayRead() || socket.isPaused()) {
         // node:http resumes a connection after each request.
         socket.pause();
         socket.unshift(chunk.subarray(start));
+        if (waitsForTurn) defer();
         return;
       }
       const bytes = isReadingBody(socket) ? BODY_PIECE_BYTES : HEAD_PIECE_BYTES;
--- a/src/shell/gateway/request-intake.ts
+++ b/src/shell/gateway/request-intake.ts
@@ -13,6 +13,7 @@
 import { HeadMonitor, type HeadRefusal } from './head-monitor.js';
 import { feedInPieces } from './parser-feed.js';
 import { headerSizeOf } from './request-head.js';
+import type { TurnBudget } from './turn-budget.js';
 
 /** node:http drops headers beyond a limit without a word; their bytes are limited instead. */
 const NO_LIMIT = 0;
@@ -27,6 +28,8 @@
   /** The longest headers of a request, as they are configured. */
   readonly maxHeaderBytes: () => number;
   readonly refusals: Pick<CallerRefusals, 'record'>;
+  /** Shared by all listeners of the process. */
+  readonly budget: Pick<TurnBudget, 'hasTime' | 'defer'>;
 }
 
 /** The connections of one listener. */
@@ -94,6 +97,7 @@
       isHeld: (one) => this.#backpressure.isHeld(one),
       isReadingBody: (one) => this.#heads.isReadingBody(one),
       onPiece: (one, piece) => this.#heads.recordPiece(one, piece),
+      budget: this.#options.budget,
     });
   }
 
--- a/test/gateway/connection-backpressure.test.ts
+++ b/test/gateway/connection-backpressure.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { ConnectionBackpressure } from '../../src/shell/gateway/connection-backpressure.js';
 import { feedInPieces } from '../../src/shell/gateway/parser-feed.js';
+import { TurnBudget } from '../../src/shell/gateway/turn-budget.js';
 import { PendingAnswers } from '../../src/shell/http/pending-answers.js';
 
 const GET = 'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n';
@@ -37,6 +38,7 @@
     isHeld: (socket: Socket) => backpressure.isHeld(socket),
     isReadingBody: () => false,
     onPiece: () => undefined,
+    budget: new TurnBudget({ nowMs: () => 0 }),
   };
   server.on('connection', (socket: Socket) => feedInPieces(socket, feed));
   server.listen(0, '127.0.0.1');
