Known failures: departures after a step of the time of day

Callers' streams are resumed at a draining engine without end once the time of day of a daemon's machine has stepped ahead (4,010 of 2,000 ms, as long as the test watched), and its notices of departures are dropped by the others (2,040 of 2,000 ms).

--- a/test/gateway/late-drain.test.ts
+++ b/test/gateway/late-drain.test.ts
@@ -57,24 +57,31 @@
   }
 }
 
-test('a stream is not resumed at a draining server later than its drain time, where the list keeps changing', async () => {
-  const versions = { a1: 'v1', a2: 'v2', a3: 'v3' };
-  await fleet.start(3, versions);
-  fleet.setBeginning(versions, 'stays open');
-  fleet.keepListChanging(RESTLESS_MS);
-  await fleet.timers.advanceBy(DRAIN_MS);
-  for (const [id, version] of Object.entries(versions).slice(1)) {
-    const stream = await openStreamOf(version);
-    await fleet.untilListIsRead();
-    const server = fleet.servers.get(id);
-    assert.ok(server);
-    const fields = { service: 'reader', stage: 'decode', version, state: 'draining' };
-    fleet.fixture.listServer(id, server, fields);
-    const lastMs = await lastArrivalMs(id, (port) => fleet.resume(stream, port));
-    assert.ok(lastMs > 0, `${id}: resumed there at first`);
-    assert.ok(lastMs <= DRAIN_MS, `${id}: reached ${lastMs} ms after its drain was acknowledged`);
-  }
-});
+/** How far the time of day of the daemons' machines steps, long before a server departs. */
+const CLOCK_STEPS_MS = [0, 5_000, -5_000];
+
+for (const stepMs of CLOCK_STEPS_MS) {
+  const where = stepMs === 0 ? 'where' : `after the time of day was set by ${stepMs} ms, where`;
+  test(`a stream is not resumed at a draining server later than its drain time, ${where} the list keeps changing`, async () => {
+    const versions = { a1: 'v1', a2: 'v2', a3: 'v3' };
+    await fleet.start(3, versions);
+    fleet.setBeginning(versions, 'stays open');
+    fleet.keepListChanging(RESTLESS_MS);
+    fleet.fixture.clockStepMs = stepMs;
+    await fleet.timers.advanceBy(DRAIN_MS);
+    for (const [id, version] of Object.entries(versions).slice(1)) {
+      const stream = await openStreamOf(version);
+      await fleet.untilListIsRead();
+      const server = fleet.servers.get(id);
+      assert.ok(server);
+      const fields = { service: 'reader', stage: 'decode', version, state: 'draining' };
+      fleet.fixture.listServer(id, server, fields);
+      const lastMs = await lastArrivalMs(id, (port) => fleet.resume(stream, port));
+      assert.ok(lastMs > 0, `${id}: resumed there at first`);
+      assert.ok(lastMs <= DRAIN_MS, `${id}: reached ${lastMs} ms after its drain was acknowledged`);
+    }
+  });
+}
 
 const VIEWER = 'viewer-1';
 
@@ -85,10 +92,17 @@
   entrance.fault = 'none';
 }
 
-for (const again of [0, 1, 2]) {
-  test(`a server whose row goes is not used longer than its drain time by a daemon whose own calls failed (and ${again} times again)`, async () => {
+for (const [again, stepMs] of [
+  [0, 0],
+  [1, 0],
+  [2, 0],
+  [2, 5_000],
+] as const) {
+  const when = stepMs === 0 ? '' : `, after the time of day was set by ${stepMs} ms`;
+  test(`a server whose row goes is not used longer than its drain time by a daemon whose own calls failed (and ${again} times again)${when}`, async () => {
     const entrance = await fleet.fixture.store.addEntrance();
     await fleet.start(3, { a1: 'v1' }, { entrance });
+    fleet.fixture.clockStepMs = stepMs;
     fleet.configure([route({})]);
     fleet.servers.set(VIEWER, await fleet.fixture.addServer(VIEWER, answering(200, 'tile')));
     await fleet.untilKnown(VIEWER);
