Departures of servers are dated and judged by one clock

What callers saw: after the time of day of a daemon's machine had stepped ahead, streams were taken up at a draining engine for longer than half of drainMs, by the step, for the rest of that process's life. Cause: rows are dated by the clock of the watches, which counts suspensions and steps; requests, notices and reports asked by the monotonic clock.

Departures has its clock now, and nobody hands it a time; its gossip, reports and confirmations run on the same one. Callers of FleetView still pass monotonic times for all else.

--- a/src/core/gateway/departures.ts
+++ b/src/core/gateway/departures.ts
@@ -68,26 +68,29 @@
   readonly toldAgoMs: number;
 }
 
-/** The departures that this daemon knows of, by server id. */
+/** The departures that this daemon knows of, by server id. All their times, those of origins and notices too, are of one clock. */
 export class Departures {
   readonly #directory: Pick<ServerDirectory, 'get'>;
   readonly #resumeMs: number;
+  readonly #nowMs: () => number;
   readonly #byId = new Map<string, Departure>();
 
   /**
    * @param directory the list that the departures are of
    * @param drainMs how long servers accept work after the store has acknowledged their departure; 0 if not known
+   * @param nowMs the clock by which the list is followed; it includes suspensions
    */
-  constructor(directory: Pick<ServerDirectory, 'get'>, drainMs: number) {
+  constructor(directory: Pick<ServerDirectory, 'get'>, drainMs: number, nowMs: () => number) {
     this.#directory = directory;
     this.#resumeMs = drainMs * RESUME_SHARE_OF_DRAIN;
+    this.#nowMs = nowMs;
   }
 
   /**
    * Records a change of the list.
    * @returns the departures in it that were not known, and the departed servers that it lists as ready again
    */
-  recordChange(change: DirectoryChange, origin: RowsOrigin, nowMs: number): readonly Departure[] {
+  recordChange(change: DirectoryChange, origin: RowsOrigin): readonly Departure[] {
     const { added, changed, removed, restarted } = change;
     for (const { id } of restarted) this.#byId.delete(id);
     for (const server of added) this.#forgetOtherBoot(server);
@@ -98,9 +101,9 @@
     });
     const gone = removed.filter(({ id }) => this.#byId.get(id)?.state !== 'gone');
     return [
-      ...returned.map((server) => this.#record(server, 'unconfirmed', origin, nowMs)),
-      ...draining.map((server) => this.#record(server, 'draining', origin, nowMs)),
-      ...gone.map((server) => this.#record(server, 'gone', origin, nowMs)),
+      ...returned.map((server) => this.#record(server, 'unconfirmed', origin)),
+      ...draining.map((server) => this.#record(server, 'draining', origin)),
+      ...gone.map((server) => this.#record(server, 'gone', origin)),
     ];
   }
 
@@ -113,7 +116,6 @@
   applyNotice(
     { server, state, ...notice }: DepartureNotice,
     followed: StorePosition,
-    nowMs: number,
   ): Departure | undefined {
     const listed = this.#directory.get(server.id);
     if (listed === undefined || !isSameBoot(listed, server)) return undefined;
@@ -121,7 +123,7 @@
     const isKept = known?.state === 'kept' && state === 'gone';
     if (!isKept && !isAfter(notice, followed)) return undefined;
     if (known?.state === state || known?.state === 'gone') return undefined;
-    return this.#record(listed, state, { ...notice, source: 'notice' }, nowMs);
+    return this.#record(listed, state, { ...notice, source: 'notice' });
   }
 
   /** The server of whose departure a notice tells, if the list was followed beyond the notice and shows it as ready. */
@@ -136,18 +138,20 @@
   }
 
   /** Whether a server that is listed as ready is not used: a notice says that it departs, or it has to confirm its return. */
-  isWithheld(id: string, nowMs: number): boolean {
+  isWithheld(id: string): boolean {
     const departure = this.#byId.get(id);
     if (departure?.state === 'unconfirmed') return true;
-    return departure?.source === 'notice' && nowMs - departure.learnedAtMs < NOTICE_VALID_MS;
+    return (
+      departure?.source === 'notice' && this.#nowMs() - departure.learnedAtMs < NOTICE_VALID_MS
+    );
   }
 
   /** Records that a server that is listed as ready declines work. @returns undefined unless it was in use until now */
-  recordDeclined(server: ServerRecord, origin: RowsOrigin, nowMs: number): Departure | undefined {
+  recordDeclined(server: ServerRecord, origin: RowsOrigin): Departure | undefined {
     const listed = this.#directory.get(server.id);
     const isInUse = listed?.state === 'ready' && isSameBoot(listed, server);
     if (!isInUse || this.#byId.has(server.id)) return undefined;
-    return this.#record(listed, 'unconfirmed', origin, nowMs);
+    return this.#record(listed, 'unconfirmed', origin);
   }
 
   /** Ends the departure of a server that accepts work. @returns whether it was withheld until now */
@@ -158,8 +162,8 @@
   }
 
   /** Records servers that are used although their rows are gone. */
-  recordKept(servers: readonly ServerRecord[], origin: RowsOrigin, nowMs: number): void {
-    for (const server of servers) this.#record(server, 'kept', origin, nowMs);
+  recordKept(servers: readonly ServerRecord[], origin: RowsOrigin): void {
+    for (const server of servers) this.#record(server, 'kept', origin);
   }
 
   /** Records that a server that was used without a row has written it again. */
@@ -176,22 +180,22 @@
    * Whether a server that was chosen earlier must not be sent a request, as it drains, is gone or has another boot.
    * @param continuesStream whether the request takes up a stream that has begun
    */
-  refusalOf(server: ServerRecord, continuesStream: boolean, nowMs: number): NotListed | undefined {
+  refusalOf(server: ServerRecord, continuesStream: boolean): NotListed | undefined {
     const listed = this.#directory.get(server.id);
     const isListed = listed !== undefined && isSameBoot(listed, server);
-    const isWithheld = this.isWithheld(server.id, nowMs);
+    const isWithheld = this.isWithheld(server.id);
     if (isListed && listed.state === 'ready' && !isWithheld) return undefined;
-    if (isListed && continuesStream && this.#mayResumeAt(server.id, nowMs)) return undefined;
+    if (isListed && continuesStream && this.#mayResumeAt(server.id)) return undefined;
     const known = this.of(server.id);
-    const toldAgoMs = nowMs - (known?.learnedAtMs ?? nowMs);
+    const toldAgoMs = known === undefined ? 0 : this.#nowMs() - known.learnedAtMs;
     if (!isListed || known?.state === 'gone') return { kind: 'gone', toldAgoMs };
     return { kind: known?.state === 'unconfirmed' ? 'unconfirmed' : 'draining', toldAgoMs };
   }
 
   /** Listed servers that drain and may still be sent the rest of a stream that has begun. */
-  resumable(nowMs: number): readonly ServerRecord[] {
+  resumable(): readonly ServerRecord[] {
     return [...this.#byId.keys()]
-      .filter((id) => this.#mayResumeAt(id, nowMs))
+      .filter((id) => this.#mayResumeAt(id))
       .flatMap((id) => this.#directory.get(id) ?? []);
   }
 
@@ -222,23 +226,22 @@
     return departure?.source === 'notice' && isAfter(departure, followed);
   }
 
-  #mayResumeAt(id: string, nowMs: number): boolean {
+  #mayResumeAt(id: string): boolean {
     const departure = this.of(id);
     if (departure?.state !== 'draining') return false;
-    return nowMs - departure.changedAfterMs <= this.#resumeMs;
+    return this.#nowMs() - departure.changedAfterMs <= this.#resumeMs;
   }
 
   #record(
     server: ServerRecord,
     state: DepartureState,
     origin: Omit<Departure, 'server' | 'state' | 'learnedAtMs'>,
-    learnedAtMs: number,
   ): Departure {
     const known = this.#byId.get(server.id);
     // The time that a server has left runs from the first row that shows its departure.
     const isKnown = known !== undefined && isSameBoot(known.server, server);
     const { changedAfterMs } = isKnown ? known : origin;
-    const departure = { ...origin, changedAfterMs, server, state, learnedAtMs };
+    const departure = { ...origin, changedAfterMs, server, state, learnedAtMs: this.#nowMs() };
     this.#byId.delete(server.id);
     this.#byId.set(server.id, departure);
     const [earliest] = this.#byId.keys();
--- a/src/shell/gateway/confirmations.ts
+++ b/src/shell/gateway/confirmations.ts
@@ -28,6 +28,7 @@
   /** Called when a server is used again. */
   readonly onConfirmed: () => void;
   readonly random: () => number;
+  /** Their clock is that of the departures. */
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
--- a/src/shell/gateway/departure-gossip.ts
+++ b/src/shell/gateway/departure-gossip.ts
@@ -27,7 +27,8 @@
   /** A random number from 0 to below 1. */
   readonly random: () => number;
   readonly send: (peers: readonly PeerDaemon[], message: DeparturesMessage) => void;
-  readonly timers: TimerService;
+  /** Their clock is that of the departures. */
+  readonly timers: Pick<TimerService, 'nowMs'>;
 }
 
 /** Tells other daemons of departures, and reads what they tell. */
--- a/src/shell/gateway/departure-reports.ts
+++ b/src/shell/gateway/departure-reports.ts
@@ -33,7 +33,8 @@
   readonly fleet: Pick<FleetView, 'departures'>;
   /** The daemon whose digests of the list this one relies on; undefined while it reads the list itself. */
   readonly relayName: () => string | undefined;
-  readonly timers: TimerService;
+  /** Their clock is that of the departures. */
+  readonly timers: Pick<TimerService, 'nowMs'>;
   readonly metrics: Pick<GatewayMetrics, 'recordSentToDeparting' | 'recordUnansweredAtDeparture'>;
   readonly log: Pick<GatewayLog, 'write'>;
 }
@@ -65,8 +66,9 @@
   }
 
   /** Records a request that is sent now; logs one that goes to a server that is not listed as ready. */
-  recordSent(sent: SentRequest, sentAtMs: number): TrackedCall {
+  recordSent(sent: SentRequest): TrackedCall {
     const { server, request, purpose } = sent;
+    const sentAtMs = this.#options.timers.nowMs();
     this.#lastSent.set(server.id, { request, sentAtMs });
     this.#reportSentToDeparting(sent, sentAtMs);
     return this.#unanswered.add({ server, request, purpose, sentAtMs });
--- a/src/shell/gateway/departure-tracker.ts
+++ b/src/shell/gateway/departure-tracker.ts
@@ -12,7 +12,6 @@
 import type { StorePosition } from '../../core/platform/store-position.js';
 import { ageField } from './age-field.js';
 import type { GatewayLog } from './request-log.js';
-import type { TimerService } from './timer-service.js';
 
 /** Dependencies of a `DepartureTracker`. */
 export interface DepartureTrackerOptions {
@@ -23,7 +22,6 @@
   readonly advertiseDepartures: (departures: readonly Departure[]) => void;
   /** Called with a server that has to confirm that it accepts work. */
   readonly awaitConfirmation: (departure: Departure) => void;
-  readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
 }
 
@@ -37,8 +35,8 @@
 
   /** Records the departures in a change of the list. @returns those that were not known */
   recordChange(change: DirectoryChange, origin: RowsOrigin): readonly Departure[] {
-    const { departures, timers } = this.#options;
-    const learned = departures.recordChange(change, origin, timers.nowMs());
+    const { departures } = this.#options;
+    const learned = departures.recordChange(change, origin);
     for (const departure of learned) this.#report(departure);
     return learned;
   }
@@ -65,18 +63,16 @@
    * @returns the departures that were not known
    */
   applyNotices(notices: readonly DepartureNotice[], followed: StorePosition): readonly Departure[] {
-    const { departures, timers } = this.#options;
-    const learned = notices.flatMap(
-      (notice) => departures.applyNotice(notice, followed, timers.nowMs()) ?? [],
-    );
+    const { departures } = this.#options;
+    const learned = notices.flatMap((notice) => departures.applyNotice(notice, followed) ?? []);
     for (const departure of learned) this.#report(departure);
     return learned;
   }
 
   /** Records that a server that is listed as ready declines work. */
   recordDeclined(server: ServerRecord, origin: RowsOrigin): void {
-    const { departures, timers } = this.#options;
-    const departure = departures.recordDeclined(server, origin, timers.nowMs());
+    const { departures } = this.#options;
+    const departure = departures.recordDeclined(server, origin);
     if (departure !== undefined) this.#report(departure);
   }
 
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -492,7 +492,7 @@
     const unexplainedIds = missingIds.filter((id) => !hasLeft(id));
     const { all, added } = this.#expired.keep(unexplainedIds, directory, timers.nowMs());
     this.#scheduleExpiry();
-    fleet.departures.recordKept(added, origin, timers.nowMs());
+    fleet.departures.recordKept(added, origin);
     for (const { id, service } of added) {
       log.write(GATEWAY_EVENTS.serverRowExpired, { server: id, service, forMs: REWRITTEN_MS });
     }
--- a/src/shell/gateway/fleet-view.ts
+++ b/src/shell/gateway/fleet-view.ts
@@ -42,6 +42,7 @@
 import { DEFAULT_LOAD_DECISIONS, type LoadDecisions } from './gateway-settings.js';
 import { getOrCreate } from './get-or-create.js';
 import type { EngineCacheEvents } from './peer-messages.js';
+import { SYSTEM_TIMERS } from './timer-service.js';
 
 /** Web servers per message, in addition to the engines; enough, as crowded services have few servers. */
 const MAX_WEB_ENTRIES = 16;
@@ -90,14 +91,16 @@
    * @param onBudgetCreated called when a service's first request creates its budget
    * @param decisions the load decisions that are switched on
    * @param drainMs how long servers accept work after they have said that they drain; 0 if not known
+   * @param departureNowMs the clock by which the list of servers is followed
    */
   constructor(
     budgetOptions: RetryBudgetOptions,
     onBudgetCreated: (service: string, budget: RetryBudget) => void = () => undefined,
     decisions: Pick<LoadDecisions, 'enginePaces' | 'waiting'> = DEFAULT_LOAD_DECISIONS,
     drainMs = 0,
+    departureNowMs: () => number = () => SYSTEM_TIMERS.nowMs(),
   ) {
-    this.departures = new Departures(this.directory, drainMs);
+    this.departures = new Departures(this.directory, drainMs, departureNowMs);
     this.#countsOverdue = decisions.waiting;
     this.#budgetOptions = budgetOptions;
     this.#onBudgetCreated = onBudgetCreated;
@@ -153,7 +156,7 @@
   /** Draining servers of a service that may still be sent the rest of a stream that has begun. */
   resumableWhileDraining(service: string, nowMs: number): readonly ServerRecord[] {
     return this.departures
-      .resumable(nowMs)
+      .resumable()
       .filter((server) => server.service === service)
       .filter((server) => this.availabilityOf(server, nowMs).kind === 'open')
       .filter(({ id }) => !this.isUnreachable(id, nowMs));
@@ -174,7 +177,7 @@
     nowMs: number,
     kinds: readonly SendAvailability['kind'][],
   ): ServerRecord[] {
-    const sendable = this.#listedReady(service, nowMs)
+    const sendable = this.#listedReady(service)
       .filter((server) => kinds.includes(this.availabilityOf(server, nowMs).kind))
       .filter(({ id }) => !this.isUnreachable(id, nowMs));
     return this.stageNotices.usable(sendable, nowMs);
@@ -197,15 +200,13 @@
 
   /** Servers of a service that are listed as ready and have not reported that they are leaving. */
   readyOf(service: string, nowMs: number): ServerRecord[] {
-    return this.#listedReady(service, nowMs).filter(
+    return this.#listedReady(service).filter(
       (server) => this.availability.of(server, nowMs).kind !== 'leaving',
     );
   }
 
-  #listedReady(service: string, nowMs: number): ServerRecord[] {
-    return this.directory
-      .readyOf(service)
-      .filter(({ id }) => !this.departures.isWithheld(id, nowMs));
+  #listedReady(service: string): ServerRecord[] {
+    return this.directory.readyOf(service).filter(({ id }) => !this.departures.isWithheld(id));
   }
 
   /** Whether a boot of a server was ready and not leaving, even if the server has been restarted since. */
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -153,6 +153,7 @@
       (service, budget) => this.#retryBudgets.recordBudgetCreated(service, budget),
       settings.decisions,
       settings.bounds.drainMs,
+      () => this.#suspensionAwareTimers.nowMs(),
     );
     this.#retryBudgets = new RetryBudgetReporter({
       fleet: this.#fleet,
@@ -167,7 +168,7 @@
       hasRelay: () => this.#digest.isFresh,
       random: Math.random,
       send: (peers, message) => this.#peers?.sendMessage(peers, message),
-      timers,
+      timers: this.#suspensionAwareTimers,
     });
     this.#digest = new RelayDigest(
       this.#suspensionAwareTimers,
@@ -232,7 +233,7 @@
       drainMs: settings.bounds.drainMs,
       fleet: this.#fleet,
       relayName: () => this.#digest.relayName,
-      timers,
+      timers: this.#suspensionAwareTimers,
       metrics: this.#metrics,
       log,
     });
@@ -261,7 +262,7 @@
       rowExpiryMs: rowExpiryMs(settings.bounds.contactMs),
       onConfirmed: handleServersChanged,
       random: Math.random,
-      timers,
+      timers: this.#suspensionAwareTimers,
       log,
     });
     const context: AttemptContext = {
--- a/src/shell/gateway/server-calls.ts
+++ b/src/shell/gateway/server-calls.ts
@@ -165,7 +165,7 @@
   #refusalOfWork(call: ServerCall, nowMs: number): NotListed | SendAvailability {
     const { server, hasPermit = false, continuesStream = false } = call;
     const { fleet } = this.#options;
-    const notListed = fleet.departures.refusalOf(server, continuesStream, nowMs);
+    const notListed = fleet.departures.refusalOf(server, continuesStream);
     if (notListed !== undefined) return notListed;
     return hasPermit ? fleet.availability.of(server, nowMs) : fleet.availabilityOf(server, nowMs);
   }
@@ -174,7 +174,7 @@
     const { fleet, reports } = this.#options;
     fleet.availability.recordSent(call.server, sentAtMs);
     this.#recordSentToLimited(call, sentAtMs);
-    return reports.recordSent(call, sentAtMs);
+    return reports.recordSent(call);
   }
 
   #recordSentToLimited({ server, hasPermit = false }: ServerCall, sentAtMs: number): void {
--- a/src/shell/gateway/stage-orders.ts
+++ b/src/shell/gateway/stage-orders.ts
@@ -73,7 +73,7 @@
     if (this.#isOtherBoot(engine, report)) return;
     if (this.#options.currentEpoch() !== epoch) return;
     // A server that leaves would list itself again at the end of the change.
-    if (fleet.departures.refusalOf(engine, false, timers.nowMs()) !== undefined) return;
+    if (fleet.departures.refusalOf(engine, false) !== undefined) return;
     const expectedSequence = report.orderSequence;
     log.write(GATEWAY_EVENTS.orderSent, {
       server: engine.id,
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -45,7 +45,9 @@
 /** A follower of a list of servers whose rows the test sets. */
 class FollowedList {
   readonly timers = new ManualTimers();
-  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, undefined, () =>
+    this.timers.nowMs(),
+  );
   readonly lines: Record<string, unknown>[] = [];
   readonly restartedWatches: string[] = [];
   readonly started: string[] = [];
--- a/test/gateway/server-calls.test.ts
+++ b/test/gateway/server-calls.test.ts
@@ -18,7 +18,9 @@
 /** Calls of a daemon whose list a test changes; no call is answered. */
 class ListedCalls {
   readonly timers = new ManualTimers();
-  readonly fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, DRAIN_MS);
+  readonly fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, DRAIN_MS, () =>
+    this.timers.nowMs(),
+  );
   readonly calls: ServerCalls;
   sent = 0;
   result: CallResult = { kind: 'not-sent', reason: 'refused', connectTimedOut: false };
@@ -59,7 +61,7 @@
     const nowMs = this.timers.nowMs();
     const changedAfterMs = nowMs - changedWithinMs;
     const origin = { source: 'store', era: 0, revision: 1, changedAfterMs } as const;
-    this.fleet.departures.recordChange(change, origin, nowMs);
+    this.fleet.departures.recordChange(change, origin);
   }
 
   /** Calls the server as it was when it was chosen. */
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -44,7 +44,7 @@
 /** One daemon. */
 export class DepartingDaemon {
   readonly link: StoreLink;
-  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly fleet: FleetView;
   readonly digest: RelayDigest;
   readonly follower: FleetFollower;
   readonly schedule = new DigestSchedule();
@@ -60,6 +60,9 @@
   ) {
     const { timers } = world;
     const { contactMs, drainMs, random } = world.options;
+    this.fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, undefined, () =>
+      timers.nowMs(),
+    );
     this.link = new StoreLink(timers);
     this.digest = new RelayDigest(timers, maxDigestAgeMs(contactMs), maxDigestSilenceMs(drainMs));
     const adapter = {
--- a/test/gateway/support/followed-zone.ts
+++ b/test/gateway/support/followed-zone.ts
@@ -190,7 +190,7 @@
 export class FollowingDaemon {
   readonly link: StoreLink;
   readonly table: ConfigurationsOverLink;
-  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly fleet: FleetView;
   readonly digest: RelayDigest;
   readonly follower: FleetFollower;
   /** When each version came into force at this daemon. */
@@ -204,6 +204,9 @@
     random: () => number,
     forward: (changes: TableChanges<GatewayConfiguration>) => void,
   ) {
+    this.fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, undefined, () =>
+      timers.nowMs(),
+    );
     this.link = new StoreLink(timers);
     this.table = new ConfigurationsOverLink(table, this.link);
     this.digest = new RelayDigest(timers, maxDigestAgeMs(contactMs));
--- a/test/gateway/support/stream-fleet.ts
+++ b/test/gateway/support/stream-fleet.ts
@@ -75,7 +75,7 @@
 export class StreamDaemon {
   readonly link: StoreLink;
   readonly roster: PeerRoster;
-  readonly fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly fleet: FleetView;
   readonly streams: StreamContinuity;
   readonly digest: RelayDigest;
   readonly schedule = new DigestSchedule();
@@ -93,6 +93,9 @@
   ) {
     const { timers } = world;
     const log = { write: (event: LogEvent) => void this.events.push(event) };
+    this.fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, undefined, () =>
+      timers.nowMs(),
+    );
     this.link = new StoreLink(timers);
     this.roster = new PeerRoster({ name, zone });
     this.digest = new RelayDigest(timers, maxDigestAgeMs(CONTACT_MS));
--- a/test/gateway/unanswered-calls.test.ts
+++ b/test/gateway/unanswered-calls.test.ts
@@ -39,7 +39,9 @@
   readonly #results: ReturnType<typeof deferred<CallResult>>[] = [];
   readonly #calls: ServerCalls;
   readonly #reports: DepartureReports;
-  readonly #fleet = new FleetView({ ratio: 1, slack: 1 });
+  readonly #fleet = new FleetView({ ratio: 1, slack: 1 }, undefined, undefined, undefined, () =>
+    this.timers.nowMs(),
+  );
 
   constructor() {
     const fleet = this.#fleet;
@@ -126,7 +128,7 @@
       revision: 7,
       changedAfterMs: nowMs - lateMs,
     } as const;
-    const learned = this.#fleet.departures.recordChange(change, origin, nowMs);
+    const learned = this.#fleet.departures.recordChange(change, origin);
     for (const departure of learned) this.#reports.reportDeparture(departure);
   }
 
