How long datagrams of other daemons were on their way is measured

Digests, forwarded rows and notices of departures name the clock of their sender (the last item of kinds 5, 16 and 21), and receivers ask senders for their clocks (kinds 23 and 24): at once, each 10 s, or 0.4 s after an answer that took over 100 ms or none. Daemons of earlier releases pass the longer messages over and read the store themselves, as with kind 16 before. No decision has changed.

--- a/src/core/gateway/departure-timing.ts
+++ b/src/core/gateway/departure-timing.ts
@@ -20,6 +20,9 @@
 /** How long a relay's digest is relied on if no other follows, as a share of `drainMs`. */
 const DIGEST_SILENCE_SHARE_OF_DRAIN = 1 / 3;
 
+/** A datagram that was longer on its way than this share of `drainMs` is late: digests are relied on for twice as long. */
+const LATE_DATAGRAM_SHARE_OF_DRAIN = 1 / 6;
+
 /** A daemon that stood still for this share of `drainMs` must not go on with what it knew before. */
 const STALL_SHARE_OF_DRAIN = 1 / 4;
 
@@ -39,6 +42,11 @@
   return drainMs * DIGEST_SILENCE_SHARE_OF_DRAIN;
 }
 
+/** A datagram that was longer on its way is late. */
+export function lateDatagramMs(drainMs: number): number {
+  return drainMs * LATE_DATAGRAM_SHARE_OF_DRAIN;
+}
+
 /** How long a daemon may stand still and go on with the list of servers that it knew before. */
 export function maxStallMs(drainMs: number): number {
   return drainMs * STALL_SHARE_OF_DRAIN;
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -32,6 +32,7 @@
   CONNECT_TIMEOUT_MS,
   type DepartureWay,
   lastSendMs,
+  lateDatagramMs,
   longestUnawareMs,
   maxDigestSilenceMs,
   maxStallMs,
@@ -112,6 +113,7 @@
   type ReportedLimit,
 } from './named-limits.js';
 export { PaceAdvertiser } from './pace-advertiser.js';
+export { PeerClocks, type SendStamp } from './peer-clocks.js';
 export {
   type EngineWork,
   type LoadReport,
--- a/src/core/logging/catalogue/departures.ts
+++ b/src/core/logging/catalogue/departures.ts
@@ -32,6 +32,20 @@
     remedy:
       'Requests wait in the meantime. With busyMs near stalledMs the process itself was busy: report the line with the build of event 6000. With far less it was stopped or got no processor time: give the machine more if it repeats without a planned pause.',
   },
+  datagramsLate: {
+    number: 6120,
+    level: 'warn',
+    message:
+      'datagrams of another daemon arrive late: delayMs is an upper bound of the time that one was on its way',
+    remedy:
+      'Look at the links of both machines, and at the processor time of both. As long as it lasts this daemon reads the store itself in place of the digests that are late.',
+  },
+  datagramsPunctual: {
+    number: 6121,
+    level: 'info',
+    message: 'datagrams of another daemon no longer arrive late',
+    remedy: 'Nothing to do. worstMs is the longest delay since event 6120.',
+  },
   serversConfirmed: {
     number: 6130,
     level: 'info',
--- a/src/shell/gateway/departure-message-fields.ts
+++ b/src/shell/gateway/departure-message-fields.ts
@@ -1,8 +1,13 @@
 /** The message in which a daemon that has read departures of servers from the store tells others, and its wire form. */
 import * as z from 'zod/mini';
-import type { ServerBoot } from '../../core/gateway/index.js';
+import type { SendStamp, ServerBoot } from '../../core/gateway/index.js';
 import type { StorePosition } from '../../core/platform/store-position.js';
 import { KINDS } from './peer-message-fields.js';
+import {
+  decodeOptionalStamp,
+  encodeOptionalStamp,
+  optionalStampSchema,
+} from './send-stamp-fields.js';
 
 /** A departure as its reader tells it. */
 export interface AdvertisedDeparture {
@@ -16,6 +21,8 @@
 export interface DeparturesMessage extends StorePosition {
   readonly kind: 'departures';
   readonly departures: readonly AdvertisedDeparture[];
+  /** Absent where a daemon of an earlier release sent it. */
+  readonly stamp?: SendStamp;
 }
 
 /** Server, service, address, start or null, software version or null, whether it is gone, age limit or null. */
@@ -34,10 +41,13 @@
   z.number(),
   z.number(),
   z.array(departureSchema),
+  optionalStampSchema,
 ]);
 
-export function encodeDepartures({ era, revision, departures }: DeparturesMessage): unknown[] {
-  return [KINDS.departures, era, revision, departures.map(encodeDeparture)];
+export function encodeDepartures(message: DeparturesMessage): unknown[] {
+  const { era, revision, departures, stamp } = message;
+  const head = [KINDS.departures, era, revision];
+  return [...head, departures.map(encodeDeparture), ...encodeOptionalStamp(stamp)];
 }
 
 function encodeDeparture({ server, state, changedWithinMs }: AdvertisedDeparture): unknown[] {
@@ -46,10 +56,11 @@
   return [...boot, state === 'gone', changedWithinMs ?? null];
 }
 
-export function decodeDepartures([, era, revision, departures]: z.infer<
+export function decodeDepartures([, era, revision, encoded, stamp]: z.infer<
   typeof departuresSchema
 >): DeparturesMessage {
-  return { kind: 'departures', era, revision, departures: departures.map(decodeDeparture) };
+  const departures = encoded.map(decodeDeparture);
+  return { kind: 'departures', era, revision, departures, ...decodeOptionalStamp(stamp) };
 }
 
 function decodeDeparture([
--- a/src/shell/gateway/gateway-gauges.ts
+++ b/src/shell/gateway/gateway-gauges.ts
@@ -5,6 +5,7 @@
 import type { BackendConnections } from './backend-connections.js';
 import type { CallerListener } from './caller-listener.js';
 import type { CrashGuard } from './crash-guard.js';
+import type { DatagramDelays } from './datagram-delays.js';
 import type { Duties } from './duties.js';
 import type { FleetFollower } from './fleet-follower.js';
 import type { FleetView } from './fleet-view.js';
@@ -42,6 +43,7 @@
   readonly streams: Pick<StreamContinuity, 'recordCount'>;
   readonly duties: () => Pick<Duties, 'capacitySummaries'>;
   readonly webWork: Pick<WebWork, 'unreadableTotal'>;
+  readonly datagramDelays: Pick<DatagramDelays, 'takeWorstMs'>;
   readonly resources: Pick<ResourceMonitor, 'memoryBytes' | 'takeWorstLateMs'>;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'droppedTotal' | 'faultsTotal'>;
@@ -106,7 +108,7 @@
 
 function gaugesOf(sources: GaugeSources): readonly Gauge[] {
   const { fleet, follower, callers, connections, admission, limits, crashes, webWork } = sources;
-  const { paths, streams, resources, timers, log } = sources;
+  const { paths, streams, datagramDelays, resources, timers, log } = sources;
   return [
     {
       name: 'configuration_version',
@@ -199,6 +201,11 @@
       help: 'How late the event loop was at most since the metrics were last read',
       read: () => resources.takeWorstLateMs(),
     },
+    {
+      name: 'datagram_delay_most_ms',
+      help: 'Upper bound of the longest time that a datagram of another daemon was on its way since the metrics were last read',
+      read: () => datagramDelays.takeWorstMs(),
+    },
     {
       name: 'requests_waiting',
       help: 'Requests that wait for room',
--- a/src/shell/gateway/gateway-metrics.ts
+++ b/src/shell/gateway/gateway-metrics.ts
@@ -84,6 +84,13 @@
     buckets: LATENCY_BUCKETS_SECONDS,
     registers: [this.#registry],
   });
+  readonly #datagramDelays = new Histogram({
+    name: 'threadfork_gateway_datagram_delay_seconds',
+    help: 'Upper bound of the time that datagrams of other daemons were on their way, by kind',
+    labelNames: ['kind'],
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
   readonly #sentToDeparting = new Counter({
     name: 'threadfork_gateway_calls_to_departing_total',
     help: 'Requests of callers sent to servers that drain, or whose rows are gone, by state',
@@ -188,6 +195,11 @@
     this.#departures.observe({ source }, changedWithinMs / MILLISECONDS_PER_SECOND);
   }
 
+  /** Records how long a datagram of another daemon was on its way at most. */
+  recordDatagramDelay(kind: string, delayMs: number): void {
+    this.#datagramDelays.observe({ kind }, delayMs / MILLISECONDS_PER_SECOND);
+  }
+
   /** Records a caller's request that was sent to a server that is not listed as ready. */
   recordSentToDeparting(state: string): void {
     this.#sentToDeparting.inc({ state });
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import type { Result } from 'neverthrow';
 import {
   type Departure,
+  lateDatagramMs,
   MemoryLedger,
   maxDigestSilenceMs,
   maxStallMs,
@@ -27,6 +28,7 @@
 import { CallerRefusals } from './caller-refusals.js';
 import { Confirmations } from './confirmations.js';
 import { CrashGuard } from './crash-guard.js';
+import { DatagramDelays } from './datagram-delays.js';
 import { DepartureGossip } from './departure-gossip.js';
 import { DepartureReports } from './departure-reports.js';
 import { Duties } from './duties.js';
@@ -119,6 +121,7 @@
   readonly #peers: PeerExchange | undefined;
   readonly #admission: AdmissionGate;
   readonly #digest: RelayDigest;
+  readonly #datagramDelays: DatagramDelays;
   readonly #retryBudgets: RetryBudgetReporter;
   readonly #duties: Duties;
   readonly #suspensionAwareTimers: TimerService;
@@ -167,7 +170,7 @@
       isRelay: () => this.#isRelay,
       hasRelay: () => this.#digest.isFresh,
       random: Math.random,
-      send: (peers, message) => this.#peers?.sendMessage(peers, message),
+      send: (peers, message) => this.#peers?.sendDepartures(peers, message),
       timers: this.#suspensionAwareTimers,
     });
     this.#digest = new RelayDigest(
@@ -177,6 +180,12 @@
         ? undefined
         : maxDigestSilenceMs(settings.bounds.drainMs),
     );
+    this.#datagramDelays = new DatagramDelays({
+      lateMs: lateDatagramMs(settings.bounds.drainMs ?? Number.POSITIVE_INFINITY),
+      timers,
+      metrics: this.#metrics,
+      log,
+    });
     const memory = new MemoryLedger(
       requestMemoryLimits(readHeap().limitBytes, machineBytes(settings)),
     );
@@ -380,6 +389,7 @@
       streams: this.#streams,
       duties: () => this.#duties,
       webWork,
+      datagramDelays: this.#datagramDelays,
       resources: this.#resources,
       timers,
       log,
@@ -618,6 +628,8 @@
       listen: settings.listen.peers,
       table: adapter.table,
       roster: this.#roster,
+      datingTimers: this.#suspensionAwareTimers,
+      delays: this.#datagramDelays,
       log,
       handleReachability: (notice) => this.#handleReachability(notice),
       handleRead: (read) => this.#fleet.handleRead(read, timers.nowMs()),
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -25,6 +25,7 @@
 } from '../../core/gateway/index.js';
 import { ByteBudget, datagramWireBytes } from './byte-budget.js';
 import { CacheEventPublisher } from './cache-event-publisher.js';
+import { ClockExchange, type ClockExchangeOptions } from './clock-exchange.js';
 import {
   ConfigurationGossip,
   MAX_FORWARDED_BYTES,
@@ -70,7 +71,7 @@
 export type Reply = (message: PeerMessage) => void;
 
 /** Dependencies and settings of a `PeerExchange`. */
-export interface PeerExchangeOptions {
+export interface PeerExchangeOptions extends Pick<ClockExchangeOptions, 'datingTimers' | 'delays'> {
   readonly daemon: string;
   readonly zone: string;
   readonly incarnation: number;
@@ -140,6 +141,7 @@
   readonly #cacheEvents: CacheEventPublisher;
   readonly #paces: PaceGossip;
   readonly #configurations: ConfigurationGossip;
+  readonly #clocks: ClockExchange;
   #ownReads: ReadNotice[] = [];
   #ownReach: ReachabilityNotice[] = [];
   #sequence = 0;
@@ -156,8 +158,10 @@
     this.#options = options;
     this.#changeBudget = new ByteBudget(CHANGE_BUDGET, options.timers);
     this.#directory = new PeerDirectory({ ...options, random: Math.random });
+    this.#clocks = new ClockExchange(options);
     this.#relay = new RelayDuty({
       ...options,
+      stamp: () => this.#clocks.stamp(),
       nextSequence: () => this.#nextSequence(),
       zoneBudget: new ByteBudget(RELAY_BUDGET_OF_PEER, options.timers),
       relaysBudget: new ByteBudget(RELAY_BUDGET_OF_PEER, options.timers),
@@ -292,7 +296,8 @@
     const { zone, roster } = this.#options;
     const isReadable = changes.rows.every(({ kind }) => kind !== 'malformed');
     if (!this.#relay.isRelay || this.#isStopped || !isReadable) return;
-    const bytes = encodePeerMessage({ kind: 'servers', zone, changes });
+    const stamp = this.#clocks.stamp();
+    const bytes = encodePeerMessage({ kind: 'servers', zone, changes, stamp });
     if (bytes.length <= MAX_FORWARDED_BYTES) this.#sendTo(roster.zonePeers(), bytes);
   }
 
@@ -312,6 +317,11 @@
     if (peers.length > 0 && !this.#isStopped) this.#sendTo(peers, encodePeerMessage(message));
   }
 
+  /** Sends a notice of departures to some daemons at once. */
+  sendDepartures(peers: readonly PeerDaemon[], message: DeparturesMessage): void {
+    this.sendMessage(peers, { ...message, stamp: this.#clocks.stamp() });
+  }
+
   /** Forwards an engine's cache events to daemons that do not read them from the engine. */
   forward(events: EngineCacheEvents, peers: readonly PeerDaemon[]): void {
     if (peers.length > 0 && !this.#isStopped) this.#cacheEvents.forward(events, peers);
@@ -393,6 +403,7 @@
     const { handleCrashRecords, handleLimitMessage } = this.#options;
     const message = decodePeerMessage(bytes);
     const nowMs = timers.nowMs();
+    if (message !== undefined) this.#dateMessage(message, sender);
     switch (message?.kind) {
       case undefined:
         return;
@@ -448,6 +459,10 @@
       case 'stream-answered':
         this.#options.handleStreamMessage(message, (answer) => this.#reply(answer, sender));
         return;
+      case 'clock-asked':
+      case 'clock-answered':
+        this.#clocks.handleMessage(message, (answer) => this.#reply(answer, sender));
+        return;
       case 'departures':
         this.#options.handleDepartures(message);
         return;
@@ -461,6 +476,14 @@
     }
   }
 
+  /** Measures how long a message that names its sender's clock was on its way. */
+  #dateMessage(message: PeerMessage, sender: RemoteInfo): void {
+    if (!('stamp' in message) || message.kind === 'clock-answered') return;
+    this.#clocks.sentAfterMs(message.kind, message.stamp, (question) =>
+      this.#reply(question, sender),
+    );
+  }
+
   #reply(message: PeerMessage, { port, address }: RemoteInfo): void {
     if (!this.#isStopped) this.#socket.send(encodePeerMessage(message), port, address);
   }
--- a/src/shell/gateway/peer-message-fields.ts
+++ b/src/shell/gateway/peer-message-fields.ts
@@ -16,6 +16,7 @@
 } from '../../core/gateway/index.js';
 import { FIRST_ERA } from '../../core/platform/store-position.js';
 import type { CacheEvent, WatchedRow } from './ports.js';
+import { optionalStampSchema } from './send-stamp-fields.js';
 
 /** The first item of a message, by kind. */
 export const KINDS = {
@@ -41,6 +42,8 @@
   streamAnswered: 20,
   departures: 21,
   partCrashes: 22,
+  clockAsked: 23,
+  clockAnswered: 24,
 } as const;
 
 /** Engine by its short id, prompt part, its tokens, milliseconds until it is prefilled. */
@@ -114,6 +117,7 @@
   z.number(),
   z.number(),
   z.optional(z.number()),
+  optionalStampSchema,
 ]);
 /**
  * Id, service, address, zone, slots, state, stage or an empty string, whether it is a spot server; when it started,
@@ -149,6 +153,7 @@
   z.array(z.nullable(z.string())),
   z.array(z.string()),
   z.number(),
+  optionalStampSchema,
 ]);
 export const configurationSchema = z.tuple([
   z.literal(KINDS.configuration),
--- a/src/shell/gateway/peer-messages.ts
+++ b/src/shell/gateway/peer-messages.ts
@@ -7,12 +7,21 @@
   CrashRecord,
   LoadReport,
   LoadSums,
+  SendStamp,
   ServerRecord,
   StageNotice,
   TableDigest,
 } from '../../core/gateway/index.js';
 import { FIRST_ERA, type StorePosition } from '../../core/platform/store-position.js';
 import type { UsagePart } from '../../core/tenant-usage/index.js';
+import {
+  type ClockMessage,
+  clockAnsweredSchema,
+  clockAskedSchema,
+  decodeClockAnswered,
+  decodeClockAsked,
+  encodeClockMessage,
+} from './clock-message-fields.js';
 import {
   type DeparturesMessage,
   decodeDepartures,
@@ -65,6 +74,7 @@
   usageCountedSchema,
   usageReportedSchema,
 } from './peer-message-fields.js';
+import { decodeOptionalStamp, encodeOptionalStamp } from './send-stamp-fields.js';
 import {
   decodeStreamAnswered,
   decodeStreamAsked,
@@ -107,6 +117,8 @@
   [KINDS.streamAsked, streamAskedSchema],
   [KINDS.streamAnswered, streamAnsweredSchema],
   [KINDS.departures, departuresSchema],
+  [KINDS.clockAsked, clockAskedSchema],
+  [KINDS.clockAnswered, clockAnsweredSchema],
 ]);
 
 type MessageSchema =
@@ -131,7 +143,9 @@
   | typeof usageReportedSchema
   | typeof crashesSchema
   | typeof partCrashesSchema
-  | typeof departuresSchema;
+  | typeof departuresSchema
+  | typeof clockAskedSchema
+  | typeof clockAnsweredSchema;
 
 /** A change of the configuration, as the relay of a zone read it from the store. */
 export interface ForwardedConfiguration extends StorePosition {
@@ -154,6 +168,7 @@
   | LimitMessage
   | StreamMessage
   | DeparturesMessage
+  | ClockMessage
   | {
       readonly kind: 'report';
       readonly report: LoadReport;
@@ -169,6 +184,8 @@
       readonly relay: string;
       readonly zone: string;
       readonly digest: TableDigest;
+      /** Absent where a daemon of an earlier release sent it. */
+      readonly stamp?: SendStamp;
     }
   /** Changes of the list of servers, as a zone's relay read them from the store. */
   | {
@@ -177,6 +194,8 @@
       readonly changes: TableChanges<ServerRecord>;
       /** Set where a daemon of an earlier release sent it: its rows lack the software versions of the servers. */
       readonly lacksSoftwareVersions?: true;
+      /** Absent where a daemon of an earlier release sent it. */
+      readonly stamp?: SendStamp;
     }
   | {
       readonly kind: 'configuration';
@@ -217,7 +236,15 @@
       if (message.lacksSoftwareVersions === true)
         return pack([KINDS.servers, ...span, servers, removed, ...encodeEra(era)]);
       const versions = rows.flatMap(encodeSoftwareVersion);
-      return pack([KINDS.serversWithVersions, ...span, servers, versions, removed, era]);
+      const head = [KINDS.serversWithVersions, ...span];
+      return pack([
+        ...head,
+        servers,
+        versions,
+        removed,
+        era,
+        ...encodeOptionalStamp(message.stamp),
+      ]);
     }
     case 'configuration': {
       const { era, after, revision, key, encoded } = message.change;
@@ -229,7 +256,8 @@
         message.digest;
       const progress = [configurations, servers].map(encodeProgress);
       const head = [KINDS.tables, message.relay, message.zone];
-      return pack([...head, ...progress, ageMs, peersChecksum, configurationVersion]);
+      const counts = [ageMs, peersChecksum, configurationVersion];
+      return pack([...head, ...progress, ...counts, ...encodeOptionalStamp(message.stamp)]);
     }
     case 'news':
       return pack([KINDS.news, message.daemon, message.news.map(encodeCacheEvents)]);
@@ -246,6 +274,9 @@
       return pack(encodeStreamMessage(message));
     case 'departures':
       return pack(encodeDepartures(message));
+    case 'clock-asked':
+    case 'clock-answered':
+      return pack(encodeClockMessage(message));
     case 'crashes':
       return pack([KINDS.crashes, message.records.map(encodeCrash)]);
     case 'part-crashes':
@@ -298,11 +329,12 @@
       return { kind: 'servers', zone, changes, lacksSoftwareVersions: true };
     }
     case KINDS.serversWithVersions: {
-      const [, zone, after, revision, servers, versions, removedKeys, era] = fields;
+      const [, zone, after, revision, servers, versions, removedKeys, era, stamp] = fields;
       const removed = removedKeys.map((key) => ({ kind: 'gone', key }) as const);
       const listed = servers.map((server, index) => decodeServer(server, versions[index] ?? null));
       const rows = [...listed, ...removed];
-      return { kind: 'servers', zone, changes: { era, after, revision, rows } };
+      const changes = { era, after, revision, rows };
+      return { kind: 'servers', zone, changes, ...decodeOptionalStamp(stamp) };
     }
     case KINDS.stage: {
       const [, engineId, stage, phase] = fields;
@@ -314,7 +346,7 @@
       return { kind: 'configuration', zone, change };
     }
     case KINDS.tables: {
-      const [, relay, zone, configurations, servers, ageMs, peersChecksum, version] = fields;
+      const [, relay, zone, configurations, servers, ageMs, peersChecksum, version, stamp] = fields;
       const digest = {
         configurations: decodeProgress(configurations),
         servers: decodeProgress(servers),
@@ -322,7 +354,7 @@
         ageMs,
         peersChecksum,
       };
-      return { kind: 'tables', relay, zone, digest };
+      return { kind: 'tables', relay, zone, digest, ...decodeOptionalStamp(stamp) };
     }
     case KINDS.limitAsk:
       return decodePermitRequest(fields);
@@ -340,6 +372,10 @@
       return decodeStreamAnswered(fields);
     case KINDS.departures:
       return decodeDepartures(fields);
+    case KINDS.clockAsked:
+      return decodeClockAsked(fields);
+    case KINDS.clockAnswered:
+      return decodeClockAnswered(fields);
     case KINDS.paces:
       return { kind: 'paces', message: decodePaces(fields) };
     case KINDS.crashes:
--- a/src/shell/gateway/relay-duty.ts
+++ b/src/shell/gateway/relay-duty.ts
@@ -17,6 +17,7 @@
   type ReachabilityNotice,
   ReachabilityNoticeFilter,
   type ReadNotice,
+  type SendStamp,
   type ServiceDemand,
   SumsAdvertiser,
   type TableDigest,
@@ -81,6 +82,8 @@
   >;
   readonly timers: TimerService;
   readonly log: Pick<GatewayLog, 'write'>;
+  /** This daemon's clock, for a message that is sent now. */
+  readonly stamp: () => SendStamp;
   /** This daemon's current work at engines. */
   readonly ownWork: () => LoadReport['work'];
   /** The recent demand of requests at this daemon. */
@@ -164,12 +167,13 @@
   }
 
   #sendDigest(): void {
-    const { daemon, zone, roster, timers, tableDigest, send } = this.#options;
+    const { daemon, zone, roster, timers, tableDigest, stamp, send } = this.#options;
     const nowMs = timers.nowMs();
     const digest = { ...tableDigest(), peersChecksum: roster.checksum };
     const audience = this.#digestSchedule.next(digest, nowMs);
     if (audience === 'nobody') return;
-    const bytes = encodePeerMessage({ kind: 'tables', relay: daemon, zone, digest });
+    const message = { kind: 'tables', relay: daemon, zone, digest, stamp: stamp() } as const;
+    const bytes = encodePeerMessage(message);
     // Other relays receive the digest for its configuration version: a relay that has accepted a stale read learns from
     // it that there is a newer one.
     const zoneAndRelays = [...roster.zonePeers(), ...roster.otherRelays(nowMs)];
--- a/test/gateway/peers.test.ts
+++ b/test/gateway/peers.test.ts
@@ -278,6 +278,8 @@
     table,
     roster,
     timers,
+    datingTimers: timers,
+    delays: { record: () => undefined },
     log: SILENT_LOG,
     serverIdOf: () => undefined,
     onSums: () => undefined,
