--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -144,6 +144,10 @@
   isTooLarge = false;
   /** Whether a datagram is lost. */
   isLost: (kind: DatagramKind, to: DepartingDaemon) => boolean = () => false;
+  /** How long a datagram is on its way, beyond the usual time; each pair of daemons keeps the order. */
+  delayMs: (from: DepartingDaemon, to: DepartingDaemon) => number = () => 0;
+  /** When the last datagram of a pair of daemons arrives. */
+  readonly #arrivals = new Map<string, number>();
   readonly options: DepartingFleetOptions;
   /** Servers that say at their health pages that they decline work. */
   readonly decliningIds = new Set<string>();
@@ -259,11 +263,19 @@
   ): void {
     if (from.isStopped) return;
     this.datagrams += recipients.length;
-    this.timers.after(DATAGRAM_MS, () => {
-      for (const daemon of recipients) {
+    for (const daemon of recipients) {
+      this.timers.after(this.#arrivalMs(from, daemon) - this.timers.nowMs(), () => {
         if (!daemon.isStopped && !this.isLost(kind, daemon)) receive(daemon);
-      }
-    });
+      });
+    }
+  }
+
+  #arrivalMs(from: DepartingDaemon, to: DepartingDaemon): number {
+    const pair = `${this.daemons.indexOf(from)} ${this.daemons.indexOf(to)}`;
+    const arrivalMs = this.timers.nowMs() + DATAGRAM_MS + this.delayMs(from, to);
+    const inOrderMs = Math.max(arrivalMs, this.#arrivals.get(pair) ?? 0);
+    this.#arrivals.set(pair, inOrderMs);
+    return inOrderMs;
   }
 
   /** Daemons stop, as processes that get no processor time. */
