After a gap a daemon vouches for the list from when it knew it

Found as digests were dated: after an outage of the store, followers vouched for the list of servers from up to 200 ms before the store's return (5,194 of 5,000 ms in followed-servers with another order of datagrams), as the span began at a moment that is only a lower bound. A stream's software version could rest on that. The gap is still measured by the lower bound; the span begins as the contents are known. A test of its own; red before.

--- a/src/core/gateway/followed-span.ts
+++ b/src/core/gateway/followed-span.ts
@@ -12,10 +12,14 @@
     this.#maxGapMs = maxGapMs;
   }
 
-  /** Records that the contents of the table are known as of a moment. */
-  record(asOfMs: number): void {
+  /**
+   * Records that the contents of the table are known.
+   * @param asOfMs a moment that is no later than the one as of which they are known
+   * @param nowMs after a gap they are vouched for from here on: between the two the table may have changed
+   */
+  record(asOfMs: number, nowMs: number): void {
     if (asOfMs - this.#asOfMs > this.#maxGapMs) this.#sinceMs = undefined;
-    this.#sinceMs ??= asOfMs;
+    this.#sinceMs ??= nowMs;
     this.#asOfMs = Math.max(this.#asOfMs, asOfMs);
   }
 
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -393,7 +393,7 @@
   #recordAsOf(asOfMs: number): number {
     const before = this.#asOfMs;
     this.#asOfMs = Math.max(before, asOfMs);
-    this.#followed.record(asOfMs);
+    this.#followed.record(asOfMs, this.#options.timers.nowMs());
     return before;
   }
 
--- a/test/gateway/followed-servers.test.ts
+++ b/test/gateway/followed-servers.test.ts
@@ -78,12 +78,20 @@
 test('a gap in what is known, and a restore of the store, end what a daemon vouches for', () => {
   const span = new FollowedSpan(100);
   assert.equal(span.lengthMs(0), undefined);
-  span.record(0);
-  span.record(100);
+  span.record(0, 0);
+  span.record(100, 100);
   assert.equal(span.lengthMs(200), 200);
   assert.equal(span.lengthMs(201), undefined);
-  span.record(201);
+  span.record(201, 201);
   assert.equal(span.lengthMs(250), 49);
   span.restart();
   assert.equal(span.lengthMs(250), undefined);
 });
+
+test('after a gap a daemon vouches for the list from when it knew it, not from the moment before', () => {
+  const span = new FollowedSpan(100);
+  span.record(0, 0);
+  span.record(300, 390);
+  assert.equal(span.lengthMs(390), 0);
+  assert.equal(span.lengthMs(400), 10);
+});
