A digest counts from when it was sent, not from when it arrives

What callers saw where datagrams are late, in order and without a gap: requests at a server for as long as they are late after its departure (3,030 ms at 3,000; half of drainMs is the sum). Cause: the age that a digest tells is that of the relay's look as it was sent; freshness ran from the arrival, so a queue on the way kept an old list fresh. Class: an age that is told at the sending and believed at the arrival.

Digests, rows and notices are dated by the sender's clock as it is known here (the commit on sight). Undated ones still tell what has changed, and a notice still takes its server out; neither makes the list fresh, and what changed is then dated by the list itself. A daemon whose digests are late reads the store itself, as without a relay. Nothing hangs on clocks that agree; a relay that starts again is asked anew, a step of either clock makes digests too old until the next answer, never too new.

--- a/src/shell/gateway/departure-gossip.ts
+++ b/src/shell/gateway/departure-gossip.ts
@@ -4,12 +4,11 @@
  * only relays do: all other daemons would read it at the same time. While a zone's relay is out of contact, its daemons
  * read the list themselves, and each tells a few others of the zone, as some may be without a path to the store.
  */
-import {
-  type Departure,
-  type DepartureNotice,
-  type PeerDaemon,
-  type PeerRoster,
-  TRANSIT_MS,
+import type {
+  Departure,
+  DepartureNotice,
+  PeerDaemon,
+  PeerRoster,
 } from '../../core/gateway/index.js';
 import type { AdvertisedDeparture, DeparturesMessage } from './departure-message-fields.js';
 import { MAX_ENTRIES_PER_MESSAGE } from './peer-messages.js';
@@ -64,9 +63,14 @@
     return [...peers, ...peers].slice(first, first + Math.min(TOLD_WITHOUT_RELAY, peers.length));
   }
 
-  /** The notices in another daemon's message. */
-  noticesIn({ era, revision, departures }: DeparturesMessage): readonly DepartureNotice[] {
-    const sentAfterMs = this.#options.timers.nowMs() - TRANSIT_MS;
+  /**
+   * The notices in another daemon's message.
+   * @param sentAfterMs it was sent after this moment; minus infinity if that is not known
+   */
+  noticesIn(
+    { era, revision, departures }: DeparturesMessage,
+    sentAfterMs: number,
+  ): readonly DepartureNotice[] {
     return departures.map(({ server, state, changedWithinMs = Number.POSITIVE_INFINITY }) => {
       return { server, state, era, revision, changedAfterMs: sentAfterMs - changedWithinMs };
     });
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -310,9 +310,13 @@
     this.#scheduleExpiry();
   }
 
-  /** Applies changes of servers that the relay received from the store. */
-  applyServerChanges({ rows, ...span }: TableChanges<ServerRecord>): void {
-    this.#servers.offer({ ...span, rows: rows.map((row) => this.#withStart(row)) });
+  /**
+   * Applies changes of servers that the relay received from the store.
+   * @param sentAfterMs they were sent after this moment; minus infinity if that is not known
+   */
+  applyServerChanges({ rows, ...span }: TableChanges<ServerRecord>, sentAfterMs: number): void {
+    const changes = { ...span, rows: rows.map((row) => this.#withStart(row)) };
+    this.#servers.offer(changes, sentAfterMs);
   }
 
   /** Relays of earlier releases send no start time; if the address is the same, the known start time is kept. */
@@ -331,7 +335,7 @@
     const before = this.inForceVersion;
     const row = this.#options.adapter.configurations.decode(key, encoded);
     if (row.kind !== 'value' || row.value.version <= before) return false;
-    this.#configurations.offer({ ...span, rows: [row] });
+    this.#configurations.offer({ ...span, rows: [row] }, Number.NEGATIVE_INFINITY);
     this.#applyConfigurations([row]);
     return true;
   }
@@ -528,7 +532,8 @@
     const contradicted = this.#departures.contradictedBy(notices, this.#followed);
     const check = this.#checkInUse(contradicted, this.#originOfOwnDecision());
     runInBackground(this.#options.log, 'check servers in use', check);
-    const learned = this.#departures.applyNotices(notices, this.#followed);
+    const dated = notices.map((notice) => this.#withKnownTime(notice));
+    const learned = this.#departures.applyNotices(dated, this.#followed);
     if (learned.length === 0) return;
     const goneIds = learned.filter(({ state }) => state === 'gone').map(({ server }) => server.id);
     // The other daemon's calls were answered all along, so the store was not away.
@@ -536,6 +541,12 @@
     this.#options.onServersChanged();
   }
 
+  /** A row that the list here still shows as ready did not change before the time as of which the list is known. */
+  #withKnownTime(notice: DepartureNotice): DepartureNotice {
+    const changedAfterMs = Math.max(notice.changedAfterMs, this.#servers.asOfMs);
+    return { ...notice, changedAfterMs };
+  }
+
   get #followed(): StorePosition {
     const { era, seen: revision } = this.#servers.progress;
     return { era, revision };
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -638,10 +638,12 @@
       applyConfiguration: (change) => this.#follower.applyForwardedConfiguration(change),
       configurationVersion: () => this.#follower.inForceVersion,
       recordPeerVersion: (version, daemon) => this.#follower.recordPeerVersion(version, daemon),
-      applyServers: (changes) => this.#follower.applyServerChanges(changes),
-      handleDepartures: (message) =>
-        this.#follower.applyDepartureNotices(this.#departures.noticesIn(message)),
-      handleTableDigest: (digest, relay) => this.#digest.apply(digest, relay),
+      applyServers: (changes, sentAfterMs) =>
+        this.#follower.applyServerChanges(changes, sentAfterMs),
+      handleDepartures: (message, sentAfterMs) =>
+        this.#follower.applyDepartureNotices(this.#departures.noticesIn(message, sentAfterMs)),
+      handleTableDigest: (digest, relay, sentAfterMs) =>
+        this.#digest.apply(digest, relay, sentAfterMs),
       relayPeersChecksum: () => this.#digest.peersChecksum,
       handleStageNotice: (notice) => this.#fleet.stageNotices.apply(notice, timers.nowMs()),
       handleCrashRecords: (records) => this.#crashes.applyPeerRecords(records),
--- a/src/shell/gateway/peer-exchange.ts
+++ b/src/shell/gateway/peer-exchange.ts
@@ -67,6 +67,9 @@
   readonly port: number;
 }
 
+/** A message that may name the clock of its sender. */
+type StampedMessage = Extract<PeerMessage, { readonly kind: 'tables' | 'servers' | 'departures' }>;
+
 /** Sends a reply to the sender of a message. */
 export type Reply = (message: PeerMessage) => void;
 
@@ -105,16 +108,16 @@
   readonly tableDigest: () => Omit<TableDigest, 'peersChecksum'>;
   /** The checksum of the list of daemons at the zone's relay; undefined while its digest is not fresh. */
   readonly relayPeersChecksum: () => number | undefined;
-  /** Handles a digest of the store's tables from the zone's relay. */
-  readonly handleTableDigest: (digest: TableDigest, relay: string) => void;
+  /** Handles a digest of the store's tables from the zone's relay, with the moment after which it was sent. */
+  readonly handleTableDigest: (digest: TableDigest, relay: string, sentAfterMs: number) => void;
   /** The configuration version that this daemon has in force; 0 for none. */
   readonly configurationVersion: () => number;
   /** Records the configuration version that another daemon has in force. */
   readonly recordPeerVersion: (version: number, daemon: string) => void;
   /** Applies a configuration that another daemon received from the store. @returns whether it was newer */
   readonly applyConfiguration: (change: ForwardedConfiguration) => boolean;
-  /** Applies changes of servers that the zone's relay received from the store. */
-  readonly applyServers: (changes: TableChanges<ServerRecord>) => void;
+  /** Applies changes of servers that the zone's relay received from the store, with the moment after which it sent them. */
+  readonly applyServers: (changes: TableChanges<ServerRecord>, sentAfterMs: number) => void;
   /** Handles a notice that another daemon has ordered an engine to change its stage. */
   readonly handleStageNotice: (notice: StageNotice) => void;
   /** Handles a message about the usage of tenants; `reply` answers its sender. */
@@ -125,8 +128,8 @@
   readonly handleLimitMessage: (message: LimitMessage, reply: Reply) => void;
   /** Handles a message on where streams began; `reply` answers its sender. */
   readonly handleStreamMessage: (message: StreamMessage, reply: Reply) => void;
-  /** Handles departures of servers that another daemon has read from the store. */
-  readonly handleDepartures: (message: DeparturesMessage) => void;
+  /** Handles departures of servers that another daemon has read from the store, with the moment after which it sent them. */
+  readonly handleDepartures: (message: DeparturesMessage, sentAfterMs: number) => void;
   /** Applies cache events that another daemon forwarded. */
   readonly applyCacheEvents: (events: EngineCacheEvents) => void;
 }
@@ -403,7 +406,6 @@
     const { handleCrashRecords, handleLimitMessage } = this.#options;
     const message = decodePeerMessage(bytes);
     const nowMs = timers.nowMs();
-    if (message !== undefined) this.#dateMessage(message, sender);
     switch (message?.kind) {
       case undefined:
         return;
@@ -419,21 +421,24 @@
         roster.recordRelayContact(message.sums.relay, message.zone, nowMs);
         this.#applySums(message.zone, this.#withServerIds(message.sums));
         return;
-      case 'tables':
+      case 'tables': {
         if (message.relay === daemon) return;
+        const sentAfterMs = this.#sentAfterMs(message, sender);
         roster.recordRelayContact(message.relay, message.zone, nowMs);
         recordPeerVersion(message.digest.configurationVersion, message.relay);
         this.#configurations.recordPeerVersion(message.relay, message.digest.configurationVersion);
         if (message.zone === zone && !this.#relay.isRelay)
-          handleTableDigest(message.digest, message.relay);
+          handleTableDigest(message.digest, message.relay, sentAfterMs);
         return;
+      }
       case 'configuration':
         this.#configurations.apply(message);
         return;
       case 'servers':
         // Rows without software versions would make servers of several versions look alike.
         if (message.lacksSoftwareVersions === true) return;
-        if (message.zone === zone && !this.#relay.isRelay) applyServers(message.changes);
+        if (message.zone === zone && !this.#relay.isRelay)
+          applyServers(message.changes, this.#sentAfterMs(message, sender));
         return;
       case 'stage':
         handleStageNotice(message.notice);
@@ -464,7 +469,7 @@
         this.#clocks.handleMessage(message, (answer) => this.#reply(answer, sender));
         return;
       case 'departures':
-        this.#options.handleDepartures(message);
+        this.#options.handleDepartures(message, this.#sentAfterMs(message, sender));
         return;
       case 'crashes':
       case 'part-crashes':
@@ -476,12 +481,8 @@
     }
   }
 
-  /** Measures how long a message that names its sender's clock was on its way. */
-  #dateMessage(message: PeerMessage, sender: RemoteInfo): void {
-    if (!('stamp' in message) || message.kind === 'clock-answered') return;
-    this.#clocks.sentAfterMs(message.kind, message.stamp, (question) =>
-      this.#reply(question, sender),
-    );
+  #sentAfterMs({ kind, stamp }: StampedMessage, sender: RemoteInfo): number {
+    return this.#clocks.sentAfterMs(kind, stamp, (question) => this.#reply(question, sender));
   }
 
   #reply(message: PeerMessage, { port, address }: RemoteInfo): void {
--- a/src/shell/gateway/relay-digest.ts
+++ b/src/shell/gateway/relay-digest.ts
@@ -1,7 +1,8 @@
 /**
  * The digests of the zone's relay: how far each of the store's tables has changed. While the digest is fresh, a daemon
  * calls the store only for changes that the digest shows; when digests stop or show old data, the daemon follows the
- * tables itself. A digest carries no rows, so it can never replace newer rows by older ones.
+ * tables itself. A digest is as old as it was when it was sent, and by its way to here: it counts from the moment after which it
+ * was sent, not from its arrival. It carries no rows, so it can never replace newer rows by older ones.
  */
 import type { TableDigest, TableProgress } from '../../core/gateway/index.js';
 import { isAfter, type StorePosition } from '../../core/platform/store-position.js';
@@ -23,7 +24,7 @@
 
   /**
    * @param maxAgeMs the age up to which the relay's last contact with the store is relied on
-   * @param maxSilenceMs how long a digest is relied on if no other follows: the relay may have stalled
+   * @param maxSilenceMs how long after it was sent a digest is relied on if no other follows: the relay may have stalled
    */
   constructor(timers: TimerService, maxAgeMs: number, maxSilenceMs = maxAgeMs) {
     this.#timers = timers;
@@ -48,15 +49,15 @@
   /**
    * Merges a digest. A delayed one does not shorten the freshness of a newer one; one of an earlier era is ignored.
    * @param relayName who sent it
+   * @param sentAfterMs it was sent after this moment; minus infinity if that is not known, so that it is not relied on
    */
-  apply(digest: TableDigest, relayName?: string): void {
+  apply(digest: TableDigest, relayName?: string, sentAfterMs = this.#timers.nowMs()): void {
     const known = this.#digest;
     if (known !== undefined && isOfEarlierEra(digest, known)) return;
     this.#relayName = relayName;
-    const nowMs = this.#timers.nowMs();
-    this.#relayContactAtMs = Math.max(this.#relayContactAtMs, nowMs - digest.ageMs);
+    this.#relayContactAtMs = Math.max(this.#relayContactAtMs, sentAfterMs - digest.ageMs);
     const freshForMs = Math.min(this.#maxSilenceMs, this.#maxAgeMs - digest.ageMs);
-    const freshUntilMs = nowMs + freshForMs;
+    const freshUntilMs = sentAfterMs + freshForMs;
     this.#freshUntilMs = Math.max(this.#freshUntilMs, freshUntilMs);
     this.#digest = {
       configurations: newer(digest.configurations, known?.configurations),
--- a/src/shell/gateway/table-watcher.ts
+++ b/src/shell/gateway/table-watcher.ts
@@ -116,7 +116,6 @@
   #isIdle = false;
   #batchesInARow = 0;
   #lastAnswerMs: number;
-  /** A time at which the store held just what this watch has followed. */
   #asOfMs = Number.NEGATIVE_INFINITY;
   readonly #followed: FollowedSpan;
   /** Calls to the store since the start. */
@@ -141,13 +140,14 @@
   /**
    * Applies changes that another daemon received from the store, but only while this watch has no call under way and
    * only if they continue from what it has followed, so that no change is missed or undone.
+   * @param sentAfterMs they were sent after this moment; minus infinity if that is not known
    */
-  offer(changes: TableChanges<Value>): void {
+  offer(changes: TableChanges<Value>, sentAfterMs: number): void {
     if (!this.#isIdle || !this.#revisions.isContiguous(changes)) return;
     this.#revisions.advanceTo(changes.revision);
     this.#revisions.recordChange(changes.revision);
     this.#recordData();
-    this.#options.consumer.applyChanges(changes.rows, this.#originOfOffer(changes));
+    this.#options.consumer.applyChanges(changes.rows, this.#originOfOffer(changes, sentAfterMs));
   }
 
   /** Handles an era that the store has reported; a newer era invalidates everything that was followed. */
@@ -178,6 +178,11 @@
     return !isAway && nowMs - this.#lastReturnMs >= recheckSpans.cutMs;
   }
 
+  /** A time at which the store held just what this watch has followed. */
+  get asOfMs(): number {
+    return this.#asOfMs;
+  }
+
   /** How far the table was followed; advertised to other daemons that follow it. */
   get progress(): TableProgress {
     return this.#revisions.progress;
@@ -382,8 +387,8 @@
   }
 
   /** A relay forwards its answer at once, and the rows in it waited at most for its batch. */
-  #originOfOffer({ era, revision }: StorePosition): RowsOrigin {
-    const readAfterMs = this.#options.timers.nowMs() - 2 * TRANSIT_MS;
+  #originOfOffer({ era, revision }: StorePosition, sentAfterMs: number): RowsOrigin {
+    const readAfterMs = sentAfterMs - TRANSIT_MS;
     const knownAsOfMs = this.#recordAsOf(readAfterMs);
     const changedAfterMs = Math.max(knownAsOfMs, readAfterMs - this.#options.maxBatchMs);
     return { source: 'relay', era, revision, changedAfterMs };
@@ -392,6 +397,7 @@
   /** Records a time as of which the store's contents are known. @returns the one known before */
   #recordAsOf(asOfMs: number): number {
     const before = this.#asOfMs;
+    if (!Number.isFinite(asOfMs)) return before;
     this.#asOfMs = Math.max(before, asOfMs);
     this.#followed.record(asOfMs, this.#options.timers.nowMs());
     return before;
--- a/test/gateway/server-boots.test.ts
+++ b/test/gateway/server-boots.test.ts
@@ -148,7 +148,7 @@
 
   /** Offers changes that a relay forwards; they are applied while no call to the store is under way. */
   offer(changes: TableChanges<ServerRecord>): void {
-    this.#follower.applyServerChanges(changes);
+    this.#follower.applyServerChanges(changes, this.timers.nowMs());
   }
 
   get unreadable(): number {
--- a/test/gateway/support/departing-fleet.ts
+++ b/test/gateway/support/departing-fleet.ts
@@ -10,6 +10,8 @@
   RestoredServers,
   type ServerRecord,
 } from '../../../src/core/gateway/index.js';
+import { ClockExchange } from '../../../src/shell/gateway/clock-exchange.js';
+import type { ClockMessage } from '../../../src/shell/gateway/clock-message-fields.js';
 import { DepartureGossip } from '../../../src/shell/gateway/departure-gossip.js';
 import type { DeparturesMessage } from '../../../src/shell/gateway/departure-message-fields.js';
 import { FleetFollower } from '../../../src/shell/gateway/fleet-follower.js';
@@ -34,9 +36,11 @@
 /** A departure that is not known everywhere by then counts as never known. */
 const MAX_WATCHED_MS = 20_000;
 const SERVICE = 'reader';
+/** The clocks of daemons have nothing in common. */
+const CLOCK_APART_MS = 7_919;
 
 /** What a datagram carries. */
-export type DatagramKind = 'servers' | 'digest' | 'departures';
+export type DatagramKind = 'servers' | 'digest' | 'departures' | 'clock';
 
 /** How a server departs. */
 export type DepartureWay = 'draining' | 'gone';
@@ -48,11 +52,13 @@
   readonly digest: RelayDigest;
   readonly follower: FleetFollower;
   readonly schedule = new DigestSchedule();
-  readonly receiveNotice: (message: DeparturesMessage) => void;
+  readonly receiveNotice: (message: DeparturesMessage, sentAfterMs?: number) => void;
+  readonly clocks: ClockExchange;
   /** Sends and receives nothing, as a stopped process. */
   isStopped = false;
 
   constructor(
+    index: number,
     readonly zone: number,
     readonly role: WatchRole,
     table: ServersTable,
@@ -81,8 +87,15 @@
       send: (peers, message) => world.sendNotice(this, peers, message),
       timers,
     });
-    this.receiveNotice = (message) =>
-      this.follower.applyDepartureNotices(gossip.noticesIn(message));
+    this.receiveNotice = (message, sentAfterMs = timers.nowMs()) =>
+      this.follower.applyDepartureNotices(gossip.noticesIn(message, sentAfterMs));
+    this.clocks = new ClockExchange({
+      daemon: `d-${index}`,
+      incarnation: index,
+      timers: { nowMs: () => timers.nowMs() + CLOCK_APART_MS * index },
+      datingTimers: timers,
+      delays: { record: () => undefined },
+    });
     this.follower = new FleetFollower({
       adapter: adapter as unknown as PlatformAdapter,
       fleet: this.fleet,
@@ -99,8 +112,8 @@
       handleStoreRestored: () => undefined,
       forwardServers: (changes) => {
         if (role !== 'relay' || world.isTooLarge) return;
-        world.send(this, 'servers', world.followersOf(this), ({ follower }) =>
-          follower.applyServerChanges(changes),
+        world.send(this, 'servers', world.followersOf(this), ({ follower }, sentAfterMs) =>
+          follower.applyServerChanges(changes, sentAfterMs),
         );
       },
       forwardConfiguration: () => undefined,
@@ -162,7 +175,8 @@
     this.daemons = Array.from({ length: zones * daemonsPerZone }, (_, index) => {
       const isFirst = index % daemonsPerZone === 0;
       const role = !hasRelays ? 'alone' : isFirst ? 'relay' : 'follower';
-      return new DepartingDaemon(Math.floor(index / daemonsPerZone), role, this.#table, this);
+      const zone = Math.floor(index / daemonsPerZone);
+      return new DepartingDaemon(index, zone, role, this.#table, this);
     });
   }
 
@@ -191,9 +205,9 @@
     const bytes = encodePeerMessage(message);
     this.noticeBytes += bytes.length * peers.length;
     const recipients = peers.flatMap(({ port }) => this.daemons[port] ?? []);
-    this.send(from, 'departures', recipients, (daemon) => {
+    this.send(from, 'departures', recipients, (daemon, sentAfterMs) => {
       const received = decodePeerMessage(bytes);
-      if (received?.kind === 'departures') daemon.receiveNotice(received);
+      if (received?.kind === 'departures') daemon.receiveNotice(received, sentAfterMs);
     });
   }
 
@@ -254,8 +268,27 @@
     return this.timers.nowMs() - sinceMs;
   }
 
-  /** Sends a datagram. */
+  /** Sends a datagram that names the clock of its sender. */
   send(
+    from: DepartingDaemon,
+    kind: Exclude<DatagramKind, 'clock'>,
+    recipients: readonly DepartingDaemon[],
+    receive: (daemon: DepartingDaemon, sentAfterMs: number) => void,
+  ): void {
+    const stamp = from.clocks.stamp();
+    this.#post(from, kind, recipients, (daemon) => {
+      const ask = (question: ClockMessage) => this.#sendClock(daemon, from, question);
+      receive(daemon, daemon.clocks.sentAfterMs(kind, stamp, ask));
+    });
+  }
+
+  #sendClock(from: DepartingDaemon, to: DepartingDaemon, message: ClockMessage): void {
+    this.#post(from, 'clock', [to], ({ clocks }) =>
+      clocks.handleMessage(message, (answer) => this.#sendClock(to, from, answer)),
+    );
+  }
+
+  #post(
     from: DepartingDaemon,
     kind: DatagramKind,
     recipients: readonly DepartingDaemon[],
@@ -294,7 +327,9 @@
     const digest = { ...relay.follower.digestToSend(), peersChecksum: 1 };
     if (!relay.isStopped && relay.schedule.next(digest, this.timers.nowMs()) !== 'nobody') {
       const followers = this.followersOf(relay);
-      this.send(relay, 'digest', followers, (daemon) => daemon.digest.apply(digest));
+      this.send(relay, 'digest', followers, (daemon, sentAfterMs) =>
+        daemon.digest.apply(digest, 'relay', sentAfterMs),
+      );
     }
     this.timers.after(RELAY_TICK_MS, () => this.#sendDigest(relay));
   }
--- a/test/gateway/table-watcher.test.ts
+++ b/test/gateway/table-watcher.test.ts
@@ -412,12 +412,12 @@
     rows: [{ kind: 'value', key: 'row', value: revision }] as const,
   });
   digest.apply(digestAt(10));
-  watcher.offer(changes(0, 99));
+  watcher.offer(changes(0, 99), timers.nowMs());
   const running = watcher.run();
   await settled();
-  watcher.offer(changes(10, 12));
-  watcher.offer(changes(8, 11));
-  watcher.offer(changes(13, 14));
+  watcher.offer(changes(10, 12), timers.nowMs());
+  watcher.offer(changes(8, 11), timers.nowMs());
+  watcher.offer(changes(13, 14), timers.nowMs());
   assert.deepEqual(
     applied,
     [10, 12],
@@ -487,7 +487,7 @@
   const { era, seen: after } = watcher.progress;
   timers.advance(1);
   const rows = [{ kind: 'value', key: 'row', value: 12 }] as const;
-  watcher.offer({ era, after, revision: 12, rows });
+  watcher.offer({ era, after, revision: 12, rows }, timers.nowMs());
   assert.deepEqual(events, [`back after 1, applied ${before}`]);
   assert.equal(applied.at(-1), 12);
   table.isDown = false;
