A status of 000 in answers to hops and prefills, and at a server beside a sound one

Not brought about: servers' answers with 000, 099, 101, 199, 600 and 999 were tested for web and model servers before; now also for a daemon that forwards (three kinds of request, with and without the headers of a hop and X-Not-Executed: 502, no stamp, no byte), for prefills (the request runs without them), and for a server that is one of two: sound answers only, at most half of 30 calls went there, no request counted as one that crashes servers. All pass without a change of the product.

--- a/test/gateway/cut-hops.test.ts
+++ b/test/gateway/cut-hops.test.ts
@@ -9,7 +9,7 @@
 import { ManualTimers } from './support/manual-timers.js';
 import { callRaw, type RawAnswer } from './support/raw-caller.js';
 import { ServerLinks } from './support/server-links.js';
-import { answering } from './support/server-stand-in.js';
+import { answering, UNUSABLE_STATUSES } from './support/server-stand-in.js';
 
 const ROUTES = [
   route({ timeoutMs: 600_000 }),
@@ -152,3 +152,20 @@
     }
   }
 });
+
+for (const status of UNUSABLE_STATUSES) {
+  // Guards against an answer without a status that is passed on as that of the request, or as a promise.
+  test(`a forwarded answer with status ${status} is none`, async () => {
+    await start();
+    ending = 'closes';
+    for (const path of ['/tiles/1', '/thumbs/1', '/read/1']) {
+      for (const line of ['', 'Threadfork-Forward-Framing: close\r\n', 'X-Not-Executed: 1\r\n']) {
+        sent = `HTTP/1.1 ${status} OK\r\nX-Attempt-Id: a-1\r\nX-Response-Stamp: s\r\n${line}${LENGTH}\r\n${BODY}`;
+        const answer = await call(path);
+        assert.equal(answer.status, 502, `${path} ${line}`);
+        assert.ok(!answer.head.includes('X-Response-Stamp'), answer.head);
+        assert.ok(!answer.body.includes('piece'), answer.body);
+      }
+    }
+  });
+}
--- a/test/gateway/support/server-stand-in.ts
+++ b/test/gateway/support/server-stand-in.ts
@@ -3,6 +3,9 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
+/** Statuses that end no request, or that no answer may have. */
+export const UNUSABLE_STATUSES = ['000', '099', '101', '199', '600', '999'] as const;
+
 /** A request as a server received it. */
 export interface SeenRequest {
   readonly method: string;
--- a/test/gateway/unusable-answers.test.ts
+++ b/test/gateway/unusable-answers.test.ts
@@ -23,6 +23,7 @@
   type Script,
   type SeenRequest,
   stamped,
+  UNUSABLE_STATUSES,
 } from './support/server-stand-in.js';
 
 const ROUTES = [
@@ -31,8 +32,6 @@
   READ_ROUTE,
   RESUMABLE_ROUTE,
 ];
-/** Statuses that end no request, or that no answer may have. */
-const UNUSABLE_STATUSES = ['000', '099', '101', '199', '600', '999'] as const;
 /** Handles by what is wrong with them; the first one is what a byte that is no UTF-8 decodes to. */
 const UNUSABLE_HANDLES = {
   'a byte that is no UTF-8': '3fa\ufffdc4',
@@ -51,6 +50,8 @@
   '100,000 characters': '1'.repeat(100_000),
 } as const;
 
+const REPEATED_CALLS = 30;
+
 let fixture: GatewayFixture;
 
 beforeEach(() => {
@@ -116,6 +117,39 @@
   });
 }
 
+for (const status of UNUSABLE_STATUSES) {
+  // Guards against memory of a prefill that did not end, and against a server that is chosen again and again for nothing.
+  test(`a prefill that got status ${status} is none, and the request runs without it`, async () => {
+    await start();
+    await addServer('i-1', withStatus(status), { service: 'reader', stage: 'prefill' });
+    const decode = await addServer('i-2', engine(3), { service: 'reader', stage: 'decode' });
+    const answer = await fixture.call(LONG_REQUEST);
+    assert.equal(answer.status, 200);
+    assert.ok(answer.isComplete);
+    assert.deepEqual(
+      runsOf(decode.seen).map(({ headers }) => headers['x-kv-source']),
+      [undefined],
+    );
+  });
+
+  test(`a server that answers with status ${status} is left to a sound one, and its requests count as no crash`, async () => {
+    await start();
+    const faulty = await addServer('i-1', withStatus(status), { zone: 'a' });
+    await addServer('i-2', answering(200, 'served'), { zone: 'b' });
+    const bodies: string[] = [];
+    for (let call = 0; call < REPEATED_CALLS; call += 1) {
+      bodies.push((await fixture.call({ path: '/thumbs/1' })).body);
+    }
+    assert.deepEqual(new Set(bodies), new Set(['served']));
+    const runs = runsOf(faulty.seen).length;
+    assert.ok(runs <= REPEATED_CALLS / 2, `${runs} of ${REPEATED_CALLS} calls went there`);
+    const quarantines = fixture.lines.filter(
+      ({ event }) => event === GATEWAY_EVENTS.requestQuarantined,
+    );
+    assert.deepEqual(quarantines, []);
+  });
+}
+
 /** Answers callers' requests with a line of the head that Node.js reads and refuses to write. */
 function withLine(line: string): Script {
   return (served) => {
