--- a/src/shell/bytes/answer-reading.ts
+++ b/src/shell/bytes/answer-reading.ts
@@ -1,5 +1,6 @@
 /** How answers of other programs are read within bounds, for modules that take no code of the product. */
 import type { Agent, ClientRequest } from 'node:http';
+import { isFinalStatus } from '../../core/gateway/index.js';
 import { IdleGuardAgent } from '../http/idle-guard-agent.js';
 import { AnswerCollector } from './answer-collector.js';
 import { limitAnswerHead } from './answer-head-limit.js';
@@ -12,6 +13,8 @@
   readonly createAgent: () => Agent;
   /** Bounds the bytes before the answer to a call that was not sent yet. */
   readonly limitHead: (request: ClientRequest) => void;
+  /** Whether a status ends a call. */
+  readonly isFinalStatus: (status: number) => boolean;
 }
 
 /** Collects bodies that are counted nowhere else. */
@@ -19,4 +22,5 @@
   createCollector: () => new AnswerCollector(),
   createAgent: () => new IdleGuardAgent(),
   limitHead: limitAnswerHead,
+  isFinalStatus,
 };
--- a/test/gateway/duty-client.test.ts
+++ b/test/gateway/duty-client.test.ts
@@ -5,7 +5,7 @@
 import { createPlatformAdapter } from '../../platform/index.js';
 import { ANSWER_READING } from '../../src/shell/bytes/index.js';
 import type { DutyOutcome, PlatformDuties } from '../../src/shell/gateway/index.js';
-import { type Script, ServerStandIn } from './support/server-stand-in.js';
+import { type Script, ServerStandIn, UNUSABLE_STATUSES } from './support/server-stand-in.js';
 
 const REPORT = { window: 353_445_120, counts: { leiden: 412, delft: 1 } };
 const AUTHORITY = { holder: 'front-1', fence: 12 };
@@ -54,6 +54,15 @@
   });
 }
 
+for (const status of [...UNUSABLE_STATUSES, '500', '502']) {
+  // Guards against a report that is taken for refused, and sent anew, although the platform may have accepted it.
+  test(`a report that is answered with status ${status} is lost, not refused`, async () => {
+    platform.script = ({ socket }) =>
+      void socket.end(`HTTP/1.1 ${status} OK\r\nContent-Length: 2\r\n\r\n{}`);
+    assert.equal((await report()).kind, 'lost');
+  });
+}
+
 const resetting: Script = ({ response }) => void response.destroy();
 
 test('a call whose connection is reset has the outcome lost', async () => {
