--- a/src/shell/http/backend-attempt.ts
+++ b/src/shell/http/backend-attempt.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher, Pool } from 'undici';
+import { isFinalStatus } from '../../core/gateway/index.js';
 import { GRANT_LAPSED, type RequestEffect } from '../../core/requests/index.js';
 import type { ActiveRequest } from './active-request.js';
 import { type AnswerFraming, answerFraming } from './answer-framing.js';
@@ -96,6 +97,10 @@
       this.#countInterimAnswer();
       return;
     }
+    if (!isFinalStatus(status)) {
+      this.abortAsBroken(`status-${status}`);
+      return;
+    }
     if (this.framingOf(status, headers) === 'unknown-coding') {
       this.abortAsBroken('transfer-coding');
       return;
--- a/test/http/hostile-backends.test.ts
+++ b/test/http/hostile-backends.test.ts
@@ -325,6 +325,29 @@
   assert.deepEqual(brokenReasons(harness), []);
 });
 
+for (const status of ['000', '042', '099', '600', '999']) {
+  // Guards against an answer whose status ends no request and that callers get as theirs.
+  test(`an answer with status ${status} is none, for web and model requests`, async (t) => {
+    const harness = await startPair(
+      t,
+      (socket, attempt) => {
+        const head = `HTTP/1.1 ${status} OK\r\nx-threadfork-attempt: ${attempt}`;
+        socket.end(`${head}\r\ncontent-length: 2\r\n\r\nno`);
+      },
+      false,
+    );
+    const answers = [
+      await call(harness.port, '/sheets/1'),
+      await call(harness.port, '/v1/completions', { body: COMPLETION }),
+      await call(harness.port, '/v1/completions', { body: STREAMED_COMPLETION }),
+    ];
+    for (const answer of answers) {
+      assert.ok(answer.status >= 500 && answer.status <= 599, `status ${answer.status}`);
+      assert.notEqual(answer.body, 'no');
+    }
+  });
+}
+
 test('bytes beyond the Content-Length are not forwarded', async (t) => {
   const body = completionJson('right');
   const harness = await startPair(t, (socket, attempt) =>
