--- a/soak/fault-injector.ts
+++ b/soak/fault-injector.ts
@@ -7,6 +7,7 @@
 import type { CrowdFault } from './crowd-fault.js';
 import type { Crowds } from './crowds.js';
 import type { DaemonLinks } from './daemon-links.js';
+import type { DatagramLink } from './datagram-link.js';
 import type { DutyService } from './duty-service.js';
 import { strikeEngines } from './engine-faults.js';
 import type { GatewayProcess } from './gateway-process.js';
@@ -50,6 +51,8 @@
   readonly crowds: Crowds;
   /** Undefined if the plan cuts no daemon off. */
   readonly daemonLinks: DaemonLinks | undefined;
+  /** The ways of datagrams to the daemons, in their order; empty if the plan does not delay datagrams. */
+  readonly datagramLinks: readonly DatagramLink[];
 }
 
 /** Servers that mishandle a share of their requests. */
@@ -189,6 +192,8 @@
         return this.#disturbLinks(fault);
       case 'cut':
         return this.#cut(fault);
+      case 'late-datagrams':
+        return this.#delayDatagrams(fault);
       case 'duties':
         this.#world.dutyService.fault = fault.how;
         await pause(fault.forMs);
@@ -210,6 +215,14 @@
     }
   }
 
+  /** Late datagrams disturb nobody: the store is well, and so is each daemon's path to it. */
+  async #delayDatagrams(fault: Extract<Fault, { kind: 'late-datagrams' }>): Promise<void> {
+    const links = fault.daemons.flatMap((index) => this.#world.datagramLinks[index] ?? []);
+    for (const link of links) link.begin(fault);
+    await pause(fault.forMs);
+    for (const link of links) link.end();
+  }
+
   async #skew({ daemon, share, forMs }: Extract<Fault, { kind: 'skew' }>): Promise<void> {
     const [preferred] = this.#daemonsAt([daemon]);
     if (preferred === undefined) return;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
  */
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { planCrowds } from './crowd-plan.js';
+import { planDatagrams } from './datagram-plan.js';
 import { planDepartures } from './departure-plan.js';
 import { planGarble } from './garble-plan.js';
 import { MUTATIONS } from './mutations.js';
@@ -70,7 +71,7 @@
   rate = Option.String('--rate', { description: 'requests a second of all callers' });
   plan = Option.String('--plan', 'mixed', {
     description:
-      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts, skews, networks, garble, starts, stops or crowds',
+      'mixed, herd, outages, copies, cuts, upgrade, releases, departures, parts, skews, networks, datagrams, garble, starts, stops or crowds',
   });
   earlier = Option.String('--earlier', {
     description: "an earlier release's program, run by each daemon until it is first started again",
@@ -111,6 +112,7 @@
       skews: planSkews,
       garble: planGarble,
       networks: planNetworks,
+      datagrams: planDatagrams,
       starts: planStarts,
       stops: planStops,
       crowds: planCrowds,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -405,6 +405,13 @@
     text: 'const isServing = this.#callers.server.listening && !this.#isStopping;',
     replacement: 'const isServing = !this.#isStopping;',
   },
+  {
+    name: 'digest-transit',
+    promise: 'DRAIN',
+    file: 'src/shell/gateway/relay-digest.ts',
+    text: 'const freshUntilMs = sentAfterMs + freshForMs;',
+    replacement: 'const freshUntilMs = this.#timers.nowMs() + freshForMs;',
+  },
   {
     name: 'forwarding',
     promise: 'RECOVER',
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -187,6 +187,14 @@
       readonly daemons: readonly number[];
       readonly forMs: number;
     }
+  /** What other daemons send to these arrives ever later, until it is delayed by `delayMs`, in order and without a gap. */
+  | {
+      readonly kind: 'late-datagrams';
+      readonly daemons: readonly number[];
+      readonly delayMs: number;
+      readonly growsForMs: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'change'; readonly change: Change }
   | { readonly kind: 'duties'; readonly how: DutyFault; readonly forMs: number }
   | { readonly kind: 'burst'; readonly factor: number; readonly forMs: number }
--- a/soak/platform-store.ts
+++ b/soak/platform-store.ts
@@ -12,6 +12,8 @@
 const ANSWER_MS = 3;
 const LATE_WRITE_MS = 2_500;
 const PAGE_ROWS = 500;
+/** The keys of the daemons' own rows. */
+const PEER_PREFIX = 'peer/';
 
 interface Row {
   readonly table: string;
@@ -94,6 +96,8 @@
     stale: undefined,
     spoil: undefined,
   };
+  /** The port at which daemons send datagrams to one another; undefined for the one that each names itself. */
+  peerPort: number | undefined;
   /** How all daemons are refused; undefined if they are served. */
   refusal: StoreRefusal | undefined;
   callsTotal = 0;
@@ -337,7 +341,9 @@
   ): void {
     const endpoint = this.#endpointOf.get(response);
     const shown = rows.map((row) =>
-      row.value === undefined ? { ...row, gone: true } : shownAt(endpoint, row, row.value),
+      row.value === undefined
+        ? { ...row, gone: true }
+        : shownAt(endpoint, withPeerPort(row, this.peerPort), row.value),
     );
     const now = Math.round(performance.now());
     const body = JSON.stringify({ rows: shown, more, ver, now_ms: now });
@@ -356,6 +362,15 @@
   return { ...row, value: Buffer.from(linked).toString('base64') };
 }
 
+/** A row as daemons see it: one of a daemon names the port of the link to it. */
+function withPeerPort(row: Row, peerPort: number | undefined): Row {
+  const isPeer = row.table === TABLES.product && row.privateKey.startsWith(PEER_PREFIX);
+  if (peerPort === undefined || !isPeer || row.value === undefined) return row;
+  const document: unknown = JSON.parse(Buffer.from(row.value, 'base64').toString('utf8'));
+  const linked = JSON.stringify({ ...Object(document), port: peerPort });
+  return { ...row, value: Buffer.from(linked).toString('base64') };
+}
+
 /** The newest row of each key. */
 function rowsOf(written: readonly Row[]): Map<string, Row> {
   return new Map(written.map((row) => [`${row.table}/${row.privateKey}`, row]));
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -17,6 +17,7 @@
 import { CROWD_ID_PREFIX } from './crowd-requests.js';
 import { type CrowdCounts, Crowds } from './crowds.js';
 import { DaemonLinks } from './daemon-links.js';
+import { DatagramLink } from './datagram-link.js';
 import { DutyService } from './duty-service.js';
 import { FaultInjector } from './fault-injector.js';
 import { GatewayProcess } from './gateway-process.js';
@@ -48,6 +49,7 @@
 } from './record.js';
 import { RouteProbes } from './route-probes.js';
 import { ServerPool, ZONES } from './server-pool.js';
+import { DAEMON_PORTS } from './settings-file.js';
 import { describeStops } from './stop-judge.js';
 
 const READY_TIMEOUT_MS = 30_000;
@@ -125,6 +127,7 @@
   readonly #crowds: Crowds;
   readonly #faults: FaultInjector;
   readonly #daemonLinks: DaemonLinks | undefined;
+  readonly #datagramLinks: DatagramLink[] = [];
   readonly #calls = new Map<string, CallRecord>();
   readonly #unasked: string[] = [];
   readonly #orders: OrderRecord[] = [];
@@ -181,6 +184,7 @@
       callers: this.#callers,
       crowds: this.#crowds,
       daemonLinks: this.#daemonLinks,
+      datagramLinks: this.#datagramLinks,
     });
   }
 
@@ -242,6 +246,7 @@
     this.#probes.stop();
     for (const daemon of this.#daemons) daemon.signal('SIGKILL');
     this.#daemonLinks?.close();
+    for (const link of this.#datagramLinks) link.close();
     this.#pool.close();
     this.#store.close();
     this.#dutyService.close();
@@ -296,17 +301,21 @@
   async #startDaemons(program: string, earlierProgram: string | undefined): Promise<void> {
     this.#addresses = await AddressBlock.claim();
     const dutyPort = await this.#dutyService.open();
+    const hasLateDatagrams = this.#plan.faults.some(({ fault }) => fault.kind === 'late-datagrams');
+    if (hasLateDatagrams) this.#store.peerPort = DAEMON_PORTS.datagramLink;
     for (let index = 0; index < this.#plan.size.daemons; index += 1) {
       const zoneIndex = index % ZONES.length;
       const zone = ZONES[zoneIndex] ?? ZONES[0];
       const name = `daemon-${zone}-${index}`;
+      const host = this.#addresses.addressOf(zoneIndex, index);
+      if (hasLateDatagrams) await this.#openDatagramLink(host);
       const endpoint = this.#store.createEndpoint();
       endpoint.addressOf = (address) => this.#daemonLinks?.addressFor(index, address) ?? address;
       this.#storeEndpointOf.set(name, endpoint);
       const daemon = new GatewayProcess({
         name,
         zone,
-        host: this.#addresses.addressOf(zoneIndex, index),
+        host,
         storePort: await endpoint.open(),
         dutyPort,
         program,
@@ -321,6 +330,12 @@
     }
   }
 
+  async #openDatagramLink(host: string): Promise<void> {
+    const link = new DatagramLink(host, DAEMON_PORTS.peers);
+    await link.open(DAEMON_PORTS.datagramLink);
+    this.#datagramLinks.push(link);
+  }
+
   async #waitUntilReady(): Promise<void> {
     const untilMs = performance.now() + READY_TIMEOUT_MS;
     for (const daemon of this.#daemons) {
--- a/soak/settings-file.ts
+++ b/soak/settings-file.ts
@@ -10,6 +10,8 @@
   readiness: 8_140,
   metrics: 9_464,
   peers: 7_660,
+  /** Where a link before the daemon takes its datagrams. */
+  datagramLink: 7_661,
 } as const;
 const LEASE_MS = 3_000;
 const USAGE_WINDOW_SECONDS = 5;
