How long a configuration has been in force is told by one clock

No decision rests on it; operators and this incident's timeline do. clock-step-in-force, red before.

--- a/src/shell/gateway/caller-listener.ts
+++ b/src/shell/gateway/caller-listener.ts
@@ -78,6 +78,8 @@
   readonly paths: Pick<ServicePathMonitor, 'isLost'>;
   /** Time since the last check for a newer configuration. */
   readonly configurationCheckAgeMs: () => number;
+  /** How long the configuration has been in force. */
+  readonly inForceForMs: () => number;
 }
 
 /** A request that has been read, with its route and tenant. */
@@ -434,14 +436,14 @@
   #rejectRoute(
     request: IncomingMessage,
     response: ServerResponse,
-    { configuration, sinceMs }: ConfigurationInForce,
+    { configuration }: ConfigurationInForce,
   ): void {
-    const { context, log, timers, configurationCheckAgeMs } = this.#options;
+    const { context, log, configurationCheckAgeMs, inForceForMs } = this.#options;
     log.write(GATEWAY_EVENTS.routeUnknown, {
       request: context.codec.describe(request.headers)?.attemptId ?? '',
       host: request.headers.host ?? '',
       configurationVersion: configuration.version,
-      inForceForMs: Math.round(timers.nowMs() - sinceMs),
+      inForceForMs: Math.round(inForceForMs()),
       lookAgeMs: Math.round(configurationCheckAgeMs()),
     });
     this.#reject(request, response, 404, 'no such route', []);
--- a/src/shell/gateway/fleet-follower.ts
+++ b/src/shell/gateway/fleet-follower.ts
@@ -257,6 +257,12 @@
     return this.#servers.followedMs;
   }
 
+  /** How long the configuration has been in force; 0 for none. */
+  inForceForMs(): number {
+    const nowMs = this.#options.timers.nowMs();
+    return nowMs - (this.#options.fleet.inForce?.sinceMs ?? nowMs);
+  }
+
   /** The time since this daemon or its relay last checked the store for a newer configuration. */
   configurationCheckAgeMs(): number {
     const { timers, digest } = this.#options;
--- a/src/shell/gateway/gateway.ts
+++ b/src/shell/gateway/gateway.ts
@@ -319,6 +319,7 @@
       refusals: new CallerRefusals({ timers, metrics: this.#metrics, log }),
       paths: this.#paths,
       configurationCheckAgeMs: () => this.#follower.configurationCheckAgeMs(),
+      inForceForMs: () => this.#follower.inForceForMs(),
     });
     this.#forwardingListener = new ForwardingListener({
       callers: this.#callers,
