--- a/test/gateway/unusable-answers.test.ts
+++ b/test/gateway/unusable-answers.test.ts
@@ -95,6 +95,19 @@
   return seen.filter(({ headers }) => headers['x-attempt-id'] !== undefined);
 }
 
+/** A request with a long prompt is served by a decode engine that gets no memory of the prefill. */
+async function assertRunsWithoutPrefill(prefilling: Script): Promise<void> {
+  await addServer('i-1', prefilling, { service: 'reader', stage: 'prefill' });
+  const decode = await addServer('i-2', engine(3), { service: 'reader', stage: 'decode' });
+  const answer = await fixture.call(LONG_REQUEST);
+  assert.equal(answer.status, 200);
+  assert.ok(answer.isComplete);
+  assert.deepEqual(
+    runsOf(decode.seen).map(({ headers }) => headers['x-kv-source']),
+    [undefined],
+  );
+}
+
 for (const status of UNUSABLE_STATUSES) {
   // Guards against an answer whose status Node.js refuses to write, or which only announces another one.
   test(`an answer with status ${status} is none, for requests to web and model servers`, async () => {
@@ -121,15 +134,7 @@
   // Guards against memory of a prefill that did not end, and against a server that is chosen again and again for nothing.
   test(`a prefill that got status ${status} is none, and the request runs without it`, async () => {
     await start();
-    await addServer('i-1', withStatus(status), { service: 'reader', stage: 'prefill' });
-    const decode = await addServer('i-2', engine(3), { service: 'reader', stage: 'decode' });
-    const answer = await fixture.call(LONG_REQUEST);
-    assert.equal(answer.status, 200);
-    assert.ok(answer.isComplete);
-    assert.deepEqual(
-      runsOf(decode.seen).map(({ headers }) => headers['x-kv-source']),
-      [undefined],
-    );
+    await assertRunsWithoutPrefill(withStatus(status));
   });
 
   test(`a server that answers with status ${status} is left to a sound one, and its requests count as no crash`, async () => {
@@ -186,15 +191,7 @@
   // Guards against an X-Kv-Source or a path that cannot be sent.
   test(`a handle with ${problem} is none, and the request runs without it`, async () => {
     await start();
-    await addServer('i-1', prefillsWith(handle), { service: 'reader', stage: 'prefill' });
-    const decode = await addServer('i-2', engine(3), { service: 'reader', stage: 'decode' });
-    const answer = await fixture.call(LONG_REQUEST);
-    assert.equal(answer.status, 200);
-    assert.ok(answer.isComplete);
-    assert.deepEqual(
-      runsOf(decode.seen).map(({ headers }) => headers['x-kv-source']),
-      [undefined],
-    );
+    await assertRunsWithoutPrefill(prefillsWith(handle));
   });
 }
 
