--- a/review/stand-ins-2/daemon.mjs
+++ b/review/stand-ins-2/daemon.mjs
@@ -8,19 +8,29 @@
 const ROOT = resolve(fileURLToPath(new URL('../..', import.meta.url)));
 /** `run` in deploy/system.toml. */
 const RUN = ['node', '--max-semi-space-size=2', '--max-old-space-size=96', 'target/gateway.cjs'];
+const LEAST_PORT = 12_000;
+const PORTS = 18_000;
 const READY_TIMEOUT_MS = 20_000;
 
-/** Ports of the loopback address that are free at this moment. */
+/**
+ * Ports of the loopback address that are free at this moment. They lie below those that systems give to outgoing connections,
+ * so that none is taken by one before the daemon listens.
+ */
 export async function freePorts(count) {
-  const servers = await Promise.all(Array.from({ length: count }, () => listenAnywhere()));
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+  const ports = [];
+  while (ports.length < count) {
+    const port = LEAST_PORT + Math.floor(Math.random() * PORTS);
+    if (!ports.includes(port) && (await isFree(port))) ports.push(port);
+  }
   return ports;
 }
 
-function listenAnywhere() {
+function isFree(port) {
   const server = createServer();
-  return new Promise((done) => server.listen(0, '127.0.0.1', () => done(server)));
+  return new Promise((done) => {
+    server.once('error', () => done(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => done(true)));
+  });
 }
 
 /** A daemon's process. */
@@ -38,14 +48,14 @@
 
   /** Starts the process; a second call starts another one with the same settings. */
   async start() {
-    const { name, zone, storePort, directory, extra = '' } = this.#options;
+    const { name, zone, storePort, directory, memoryMb = 350, extra = '' } = this.#options;
     if (this.port === 0) {
       const [port, readiness, peers] = await freePorts(3);
       this.port = port;
       this.#readinessPort = readiness;
       writeFileSync(
         this.#file,
-        settingsText({ name, zone, storePort, port, readiness, peers, extra }),
+        settingsText({ name, zone, storePort, port, readiness, peers, memoryMb, extra }),
       );
     }
     const log = openSync(join(directory, `${name}.log`), 'a');
@@ -101,7 +111,7 @@
 }
 
 /** What platform/gateway.yaml.template gives for a small deployment, with loopback addresses and free ports. */
-function settingsText({ name, zone, storePort, port, readiness, peers, extra }) {
+function settingsText({ name, zone, storePort, port, readiness, peers, memoryMb, extra }) {
   return `name: "${name}"
 zone: "${zone}"
 listen:
@@ -118,7 +128,7 @@
   ratio: 0.2
   slack: 54
 limits:
-  memoryMb: 350
+  memoryMb: ${memoryMb}
   descriptors: 4100
 logging:
   maxLinesPerSecond: 200
--- a/review/stand-ins-2/record.mjs
+++ b/review/stand-ins-2/record.mjs
@@ -42,6 +42,11 @@
     else console.log(directory);
     process.exit(code);
   };
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, close);
+  process.once('uncaughtException', (error) => {
+    record.add(`could not run: ${error?.stack ?? error}`);
+    close();
+  });
   const giveUp = setTimeout(() => {
     record.add('could not run: it takes too long');
     close();
